--- /dev/null
+++ b/drill/src/start.rs
@@ -0,0 +1,171 @@
+//! Reads a node's start text into the contract that the decisions are handed.
+
+use doortrack::{Effect, EndpointGroup, LevelKind, ServiceContract, StopKind, Tenths};
+use serde_json::Value;
+
+use crate::wire::{Fault, GaugePlaces, down, up};
+
+/// A part of the start text with the path that led to it, for plain messages.
+struct Part<'a> {
+    value: &'a Value,
+    path: String,
+}
+
+impl<'a> Part<'a> {
+    fn find(&self, key: &str) -> Option<Part<'a>> {
+        let value = self.value.get(key).filter(|v| !v.is_null())?;
+        Some(Part { value, path: format!("{}.{key}", self.path) })
+    }
+
+    fn part(&self, key: &str) -> Result<Part<'a>, Fault> {
+        self.find(key).ok_or_else(|| format!("{}: needed key '{key}' is missing", self.path))
+    }
+
+    fn wrong<T>(&self, want: &str) -> Result<T, Fault> {
+        Err(format!("{}: {want} is wanted, found {}", self.path, self.value))
+    }
+
+    fn number(&self) -> Result<f64, Fault> {
+        match self.value.as_f64() {
+            Some(n) if n >= 0.0 && n.is_finite() => Ok(n),
+            _ => self.wrong("a number of 0 or more"),
+        }
+    }
+
+    fn num(&self, key: &str) -> Result<f32, Fault> {
+        Ok(self.part(key)?.number()? as f32)
+    }
+
+    fn us(&self, key: &str) -> Result<u64, Fault> {
+        Ok(self.part(key)?.number()? as u64)
+    }
+
+    fn flag(&self, key: &str) -> Result<bool, Fault> {
+        let part = self.part(key)?;
+        part.value.as_bool().map_or_else(|| part.wrong("true or false"), Ok)
+    }
+
+    fn word(&self, key: &str) -> Result<(&'a str, Part<'a>), Fault> {
+        let part = self.part(key)?;
+        match part.value.as_str() {
+            Some(word) => Ok((word, part)),
+            None => part.wrong("a word"),
+        }
+    }
+
+    fn list(&self, key: &str) -> Result<Vec<Part<'a>>, Fault> {
+        let part = self.part(key)?;
+        let Some(list) = part.value.as_array() else { return part.wrong("a list") };
+        let item = |(i, value)| Part { value, path: format!("{}[{i}]", part.path) };
+        Ok(list.iter().enumerate().map(item).collect())
+    }
+}
+
+pub fn read(text: &[u8]) -> Result<(ServiceContract, GaugePlaces), Fault> {
+    let value: Value = serde_json::from_slice(text).map_err(|e| format!("env is not JSON: {e}"))?;
+    let top = Part { value: &value, path: "env".into() };
+    let info = top.part("family_info")?;
+    let safety = top.part("safety")?;
+    let bounds = top.part("bounds")?;
+    let skip = info.list("class_skip_worth")?;
+    let calls = info.list("calls_by_class")?;
+    let mut groups = Vec::new();
+    for (i, lane) in top.list("lanes")?.iter().enumerate() {
+        let skip_share = skip.get(i).map_or(Ok(0.0), |part| part.number())?;
+        let calls = calls.get(i).is_some_and(|part| part.value.as_bool() == Some(true));
+        groups.push(group(lane, skip_share as f32, calls)?);
+    }
+    let customers = match top.find("parties") {
+        Some(_) => top.list("parties")?.iter().map(|p| p.num("allowance_per_s")).collect::<Result<_, _>>()?,
+        None => Vec::new(),
+    };
+    let (below, below_part) = info.word("below")?;
+    let calls_share = match below {
+        "common" => Some(info.num("calls_out")?),
+        "next_hop" | "silent" => None,
+        _ => return below_part.wrong("common, next_hop or silent"),
+    };
+    let passes_on = bounds.flag("retry_after")?;
+    let contract = ServiceContract {
+        cores: info.num("cores")? as u32,
+        memory_kb: info.num("memory_kb")?,
+        run_factor: info.num("run_factor")?,
+        record_kb: info.num("key_kb")?,
+        groups,
+        customers,
+        over_share: top.num("over_share_worth")?,
+        by_work: top.word("worth_by")?.0 == "work",
+        nodes: top.num("servers")? as u32,
+        stop: stop_kind(&info)?,
+        level: level_kind(&info)?,
+        level_lasts: down(info.us("said_for")?),
+        fresh: down(info.us("fresh")?),
+        calls_share,
+        calls_window: down(info.us("dep_window")?),
+        linger: up(info.us("linger")?),
+        cold: info.flag("fresh_start")?,
+        start_speed: safety.num("start_capacity")?,
+        warm_after: up(safety.us("ramp_time")?),
+        tip_multiple: safety.num("tip_multiple")?,
+        crowd_window: down(safety.us("overload_for")?),
+        drain_grace: down(safety.us("drain_grace")?),
+        idle_limit: down(info.us("keepalive_max")?),
+        longest_come_back: if passes_on { down(bounds.us("max_retry_after")?) } else { 0 },
+        tick: up(top.us("tick")?),
+    };
+    Ok((contract, gauge_places(&info)?))
+}
+
+fn group(lane: &Part, skip_share: f32, calls: bool) -> Result<EndpointGroup, Fault> {
+    let (effect, part) = lane.word("idempotency")?;
+    let effect = match effect {
+        "safe" => Effect::Repeatable,
+        "keyed" => Effect::Deduplicated,
+        "unsafe" => Effect::Mutating,
+        _ => return part.wrong("safe, keyed or unsafe"),
+    };
+    let time = |key: &str| -> Result<Tenths, Fault> { Ok(down(lane.us(key)?)) };
+    Ok(EndpointGroup {
+        effect,
+        slo_time: time("target")?,
+        slo_stretch: lane.find("aim_stretch").map_or(Ok(0.0), |p| p.number())? as f32,
+        async_timeout: time("deadline")?,
+        window: up(lane.us("window")?),
+        benefit: lane.num("worth")?,
+        late_share: lane.num("late_worth")?,
+        skip_share,
+        calls,
+    })
+}
+
+fn stop_kind(info: &Part) -> Result<StopKind, Fault> {
+    let (word, part) = info.word("halt")?;
+    Ok(match word {
+        "silent" => StopKind::Never,
+        "drop" => StopKind::Drop,
+        "pause" => StopKind::Pause,
+        _ => return part.wrong("silent, drop or pause"),
+    })
+}
+
+fn level_kind(info: &Part) -> Result<LevelKind, Fault> {
+    let (word, part) = info.word("say")?;
+    Ok(match word {
+        "silent" => LevelKind::None,
+        "min_rank" => LevelKind::LowestRank,
+        "tokens" => LevelKind::InHand,
+        "bias" => LevelKind::Odds,
+        _ => return part.wrong("min_rank, tokens, bias or silent"),
+    })
+}
+
+fn gauge_places(info: &Part) -> Result<GaugePlaces, Fault> {
+    let names = info.list("gauges")?;
+    let place = |name: &str| names.iter().position(|part| part.value.as_str() == Some(name));
+    Ok(GaugePlaces {
+        busy_cores: place("core_use"),
+        on_cores: place("on_cores"),
+        memory: place("heap_share"),
+        connections: place("links"),
+    })
+}
--- /dev/null
+++ b/drill/src/wire.rs
@@ -0,0 +1,253 @@
+//! The bench's frames: little-endian records without padding, one reply for each batch.
+
+use doortrack::{CallOutcome, Exchange, Gauges, Happened, RunOutcome, Tenths, Todo};
+
+/// What is wrong with the input, and where.
+pub type Fault = String;
+
+/// Microseconds in a tenth of a millisecond.
+const TENTH: u64 = 100;
+
+pub fn up(us: u64) -> Tenths {
+    us.div_ceil(TENTH)
+}
+
+pub fn down(us: u64) -> Tenths {
+    us / TENTH
+}
+
+/// Which of the node's gauges stands at which place.
+#[derive(Clone, Default)]
+pub struct GaugePlaces {
+    pub busy_cores: Option<usize>,
+    pub on_cores: Option<usize>,
+    pub memory: Option<usize>,
+    pub connections: Option<usize>,
+}
+
+pub enum Record<'a> {
+    Provision { node: u32, seed: u64, text: &'a [u8] },
+    Killed { node: u32 },
+    Event { node: u32, what: Happened },
+}
+
+pub struct Reader<'a> {
+    bytes: &'a [u8],
+    pos: usize,
+    /// Where the body starts in the whole input, so that faults name a place that can be looked up.
+    base: u64,
+}
+
+impl<'a> Reader<'a> {
+    pub fn new(bytes: &'a [u8], base: u64) -> Self {
+        Reader { bytes, pos: 0, base }
+    }
+
+    pub fn at_end(&self) -> bool {
+        self.pos == self.bytes.len()
+    }
+
+    fn place(&self) -> u64 {
+        self.base + self.pos as u64
+    }
+
+    fn take(&mut self, n: usize, what: &str) -> Result<&'a [u8], Fault> {
+        let rest = &self.bytes[self.pos..];
+        if rest.len() < n {
+            let left = rest.len();
+            return Err(format!("byte {}: {what} needs {n} bytes, the frame has {left} left", self.place()));
+        }
+        self.pos += n;
+        Ok(&rest[..n])
+    }
+
+    fn array<const N: usize>(&mut self, what: &str) -> Result<[u8; N], Fault> {
+        let mut raw = [0; N];
+        raw.copy_from_slice(self.take(N, what)?);
+        Ok(raw)
+    }
+
+    fn u8(&mut self, what: &str) -> Result<u8, Fault> {
+        Ok(self.array::<1>(what)?[0])
+    }
+
+    fn u16(&mut self, what: &str) -> Result<u16, Fault> {
+        Ok(u16::from_le_bytes(self.array(what)?))
+    }
+
+    fn u32(&mut self, what: &str) -> Result<u32, Fault> {
+        Ok(u32::from_le_bytes(self.array(what)?))
+    }
+
+    fn u64(&mut self, what: &str) -> Result<u64, Fault> {
+        Ok(u64::from_le_bytes(self.array(what)?))
+    }
+
+    fn f32(&mut self, what: &str) -> Result<f32, Fault> {
+        Ok(f32::from_le_bytes(self.array(what)?))
+    }
+
+    /// The next record. `places` tells where a node's gauges stand.
+    pub fn record<'p>(
+        &mut self,
+        places: impl Fn(u32) -> Option<&'p GaugePlaces>,
+    ) -> Result<Record<'a>, Fault> {
+        let start = self.place();
+        let code = self.u8("a record's code")?;
+        if !(1..=9).contains(&code) {
+            return Err(format!("byte {start}: unknown event code {code}"));
+        }
+        let node = self.u32("node_id")?;
+        let what = match code {
+            1 => {
+                let seed = self.u64("init_seed")?;
+                let len = self.u32("the length of env")? as usize;
+                return Ok(Record::Provision { node, seed, text: self.take(len, "env")? });
+            }
+            2 => Happened::NeedsCall { id: self.u32("req")? },
+            3 => Happened::CallerGone { id: self.u32("req")? },
+            4 => return Ok(Record::Killed { node }),
+            5 => {
+                let token = self.u64("key_back")?;
+                let count = self.u8("the number of gauges")? as usize;
+                let mut values = [0f32; 256];
+                for value in &mut values[..count] {
+                    *value = self.f32("a gauge")?;
+                }
+                let read = |place: Option<usize>| place.filter(|p| *p < count).map(|p| values[p]);
+                let gauges = match places(node) {
+                    Some(p) => Gauges {
+                        busy_cores: read(p.busy_cores),
+                        on_cores: read(p.on_cores),
+                        memory: read(p.memory),
+                        connections: read(p.connections),
+                    },
+                    None => Gauges::default(),
+                };
+                Happened::Alarm { token, gauges }
+            }
+            6 => Happened::Arrived(self.exchange()?),
+            7 => {
+                let id = self.u32("req")?;
+                let outcome = self.call_outcome()?;
+                Happened::CallEnded { id, outcome, took: up(self.u32("time_taken")?.into()) }
+            }
+            8 => {
+                let id = self.u32("req")?;
+                let outcome = self.run_outcome()?;
+                self.u32("time_taken")?;
+                Happened::RunEnded { id, outcome }
+            }
+            _ => Happened::Leave { stop_at: down(self.u64("valid_until")?) },
+        };
+        Ok(Record::Event { node, what })
+    }
+
+    fn exchange(&mut self) -> Result<Exchange, Fault> {
+        let id = self.u32("req")?;
+        let group = self.u8("band")?;
+        let customer = self.u16("billing")?;
+        let subject = self.u64("resource")?;
+        let due = self.u64("valid_until")?;
+        let hint = self.u32("hint")?;
+        let kb = self.f32("kb")?;
+        let rank = self.f32("place")?;
+        let bits = self.u8("state_bits")?;
+        let caller = self.u16("who")?;
+        let age = self.u32("lay")?;
+        let repeats = self.u32("prior")?;
+        Ok(Exchange {
+            id,
+            group,
+            customer,
+            subject,
+            due: (due > 0).then(|| down(due)),
+            work_hint: (bits & 1 != 0).then(|| up(hint.into())),
+            kb,
+            rank,
+            further_try: bits & 2 != 0,
+            caller,
+            age: down(age.into()),
+            repeats: (repeats > 0).then_some(repeats),
+        })
+    }
+
+    fn call_outcome(&mut self) -> Result<CallOutcome, Fault> {
+        let start = self.place();
+        Ok(match self.u16("reason")? {
+            0 => CallOutcome::Completed,
+            13 => CallOutcome::Failed,
+            8 => CallOutcome::Bounced,
+            4 => CallOutcome::TimedOut,
+            14 => CallOutcome::Unreachable,
+            10 => CallOutcome::Dropped,
+            1 => CallOutcome::Stopped,
+            9 => CallOutcome::Moot,
+            other => return Err(format!("byte {start}: unknown outcome of a call: {other}")),
+        })
+    }
+
+    fn run_outcome(&mut self) -> Result<RunOutcome, Fault> {
+        let start = self.place();
+        Ok(match self.u16("reason")? {
+            0 => RunOutcome::Completed,
+            13 => RunOutcome::Failed,
+            1 => RunOutcome::Stopped,
+            9 => RunOutcome::Moot,
+            other => return Err(format!("byte {start}: unknown outcome of a run: {other}")),
+        })
+    }
+}
+
+fn us32(time: Tenths) -> [u8; 4] {
+    u32::try_from(time.saturating_mul(TENTH)).unwrap_or(u32::MAX).to_le_bytes()
+}
+
+/// Adds one action to a reply.
+pub fn write(out: &mut Vec<u8>, node: u32, todo: &Todo) {
+    let mut head = |code: u8, id: Option<u32>| {
+        out.push(code);
+        out.extend(node.to_le_bytes());
+        if let Some(id) = id {
+            out.extend(id.to_le_bytes());
+        }
+    };
+    match *todo {
+        Todo::Run { id } => head(65, Some(id)),
+        Todo::Deny { id, not_elsewhere, come_back_in } => {
+            head(66, Some(id));
+            out.push(not_elsewhere.into());
+            out.extend(us32(come_back_in));
+        }
+        Todo::Terminate { id } => head(67, Some(id)),
+        Todo::Stop { id } => head(68, Some(id)),
+        Todo::Call { id, limit } => {
+            head(69, Some(id));
+            out.extend(us32(limit));
+        }
+        Todo::SkipCall { id } => head(70, Some(id)),
+        Todo::Record { id, lasting } => {
+            head(71, Some(id));
+            out.extend(us32(lasting));
+        }
+        Todo::Forget { id } => head(72, Some(id)),
+        Todo::Attach { id } => head(73, Some(id)),
+        Todo::Health { from_store, good } => {
+            head(74, None);
+            out.extend([u8::from(from_store), u8::from(good)]);
+        }
+        Todo::Level { level } => {
+            head(75, None);
+            out.extend(level.to_le_bytes());
+        }
+        Todo::IdleLimit { after } => {
+            head(76, None);
+            out.extend(us32(after));
+        }
+        Todo::Alarm { at, token } => {
+            head(77, None);
+            out.extend(at.saturating_mul(TENTH).to_le_bytes());
+            out.extend(token.to_le_bytes());
+        }
+    }
+}
