--- a/src/logic.rs
+++ b/src/logic.rs
@@ -33,8 +33,9 @@
 const IDLE_WINDOW: Tenths = 20 * SECOND;
 /// Bound on the established keys of each half of the table.
 const MOST_KEYS: usize = 4096;
-/// Share of what a node survives, of crowd, memory and calls, that it lets itself use.
+/// Share of what a node survives that it lets itself use: of crowd and calls, and of memory, counted exactly.
 const MARGIN: f32 = 0.9;
+const MEMORY: f32 = 0.95;
 /// Time between two readings of the gauges.
 const BEAT: Tenths = 50 * MS;
 /// Weight of the newest run or call in what is learned.
@@ -52,8 +53,9 @@
 /// How often a call may be repeated.
 const MORE_CALLS: u8 = 2;
 
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Default, PartialEq)]
 enum Stage {
+    #[default]
     Held,
     /// Waits for the outcome of the exchange it repeats.
     Attached(ExId),
@@ -63,6 +65,7 @@
     Calling,
 }
 
+#[derive(Default)]
 struct Ex {
     id: ExId,
     group: usize,
@@ -82,10 +85,9 @@
     calls: u8,
 }
 
-/// What differs by endpoint group beyond the contract: what was learned of its runs.
+/// What differs by endpoint group beyond the contract: mean time of its runs, and mean work told for them.
 #[derive(Clone, Copy, Default)]
 struct Row {
-    /// Mean time of a completed run, and mean work told for it.
     took: f32,
     work: f32,
 }
@@ -134,6 +136,7 @@
     at_calls: usize,
     memory_kb: f32,
     mean_work: f32,
+    mean_took: f32,
 }
 
 #[derive(Default)]
@@ -151,7 +154,7 @@
 
 #[derive(Default)]
 struct Calls {
-    line: BinaryHeap<(u32, Reverse<Tenths>, Reverse<ExId>, Place)>,
+    line: Line,
     out: usize,
     /// Abandoned calls count until these times.
     lingering: VecDeque<Tenths>,
@@ -203,7 +206,6 @@
 
     fn started(&mut self, todo: &mut Vec<Todo>) {
         self.at.born = self.at.now;
-        self.keys.turn = self.at.now + IDLE_WINDOW;
         // Checks that do real work would add to the very overload they are to report.
         todo.push(Todo::Health { from_store: true, good: true });
     }
@@ -237,21 +239,13 @@
     }
 
     fn establish(&mut self, subject: u64) {
-        if subject == 0 {
-            return;
-        }
         if self.keys.halves[0].len() >= MOST_KEYS {
-            self.turn_keys();
+            self.keys.turn = self.at.now;
+            self.upkeep();
         }
         self.keys.halves[0].insert(subject);
     }
 
-    fn turn_keys(&mut self) {
-        self.keys.halves.swap(0, 1);
-        self.keys.halves[0].clear();
-        self.keys.turn = self.at.now + IDLE_WINDOW;
-    }
-
     /// C follows what the runs show: SLO times met under load raise it, missed ones lower it.
     fn learn_capacity(&mut self, met: bool) {
         let cores = self.terms.cores.max(1) as f32;
@@ -288,14 +282,9 @@
             arrived,
             slo_by,
             due: self.last_answer(due),
-            look_at: 0,
-            began: 0,
             work,
             kb: ex.kb.max(0.0),
-            density: 0,
-            long: false,
-            answered: false,
-            calls: 0,
+            ..Ex::default()
         };
         if root.is_some() {
             // Whatever became of the first try, a repeat takes its outcome: it is neither run nor denied.
@@ -305,9 +294,9 @@
             self.look_again(place, due);
             return;
         }
-        let too_late = self.at.leave.is_some_and(|(last, _)| arrived + 1 > last);
+        let too_late = self.at.now >= new.due || self.at.leave.is_some_and(|(last, _)| arrived + 1 > last);
         let recorded_kb = if effect == Effect::Deduplicated { self.terms.record_kb } else { 0.0 };
-        let no_room = self.hold.memory_kb + new.kb + recorded_kb > self.memory_room();
+        let no_room = self.hold.memory_kb + new.kb + recorded_kb > self.terms.memory_kb * MEMORY;
         if too_late || no_room || self.turned_away(ex) {
             todo.push(self.denial(ex.id, ex.further_try));
             return;
@@ -383,11 +372,8 @@
     /// Runs that the crowd rule survives at this age; less while cold.
     fn survivable(&self) -> f32 {
         let age = (self.at.now - self.at.born) as f32 / self.terms.warm_after.max(1) as f32;
-        let speed = if self.terms.cold {
-            self.terms.start_speed + (1.0 - self.terms.start_speed) * age.min(1.0)
-        } else {
-            1.0
-        };
+        let warmth = if self.terms.cold { age.min(1.0) } else { 1.0 };
+        let speed = self.terms.start_speed + (1.0 - self.terms.start_speed) * warmth;
         MARGIN * (1.0 + (self.terms.tip_multiple - 1.0).max(0.0) * speed) * self.terms.cores as f32
     }
 
@@ -395,19 +381,13 @@
         (RUNS_A_CORE * self.terms.cores as f32).min(self.survivable()).max(1.0) as usize
     }
 
-    fn memory_room(&self) -> f32 {
-        self.terms.memory_kb * (1.0 + MARGIN) / 2.0
-    }
-
     fn begin_work(&mut self, todo: &mut Vec<Todo>) {
         let (places, most) = (self.places(), self.survivable().max(1.0) as usize);
         while self.hold.running < places && self.hold.running + self.hold.at_calls < most {
             let Some(place) = self.next_to_run(places) else { break };
             let ex = &mut self.hold.exs[place];
             let more = ex.kb * (self.terms.run_factor - 1.0).max(0.0);
-            if self.hold.memory_kb + more > self.terms.memory_kb * (1.0 + MARGIN) / 2.0
-                && self.hold.running > 0
-            {
+            if self.hold.memory_kb + more > self.terms.memory_kb * MEMORY {
                 break;
             }
             self.hold.memory_kb += more;
@@ -448,12 +428,11 @@
             let (subject, met) = (ex.subject, self.at.now <= ex.slo_by);
             if !matches!(ex.stage, Stage::Attached(_)) {
                 let (group, took, work) = (ex.group, (self.at.now - ex.began) as f32, ex.work);
-                let row = &mut self.rows[group];
-                learn(&mut row.took, took);
-                if work > 0.0 {
-                    learn(&mut row.work, work);
-                }
-                learn(&mut self.hold.mean_work, if work > 0.0 { work } else { took });
+                let work = if work > 0.0 { work } else { took };
+                learn(&mut self.rows[group].took, took);
+                learn(&mut self.rows[group].work, work);
+                learn(&mut self.hold.mean_took, took);
+                learn(&mut self.hold.mean_work, work);
                 self.learn_capacity(met);
             }
             self.establish(subject);
@@ -496,17 +475,11 @@
 
     fn denial(&mut self, id: ExId, not_elsewhere: bool) -> Todo {
         let over = (self.hold.held + self.hold.running) as f32 - T1 * self.capacity;
-        let each = self.mean_took() / self.places() as f32;
+        let each = self.hold.mean_took / self.places() as f32;
         let wait = if self.at.leave.is_some() { Tenths::MAX } else { (over * each).max(0.0) as Tenths };
         Todo::Deny { id, not_elsewhere, come_back_in: wait.min(self.terms.longest_come_back) }
     }
 
-    fn mean_took(&self) -> f32 {
-        let (sum, n) =
-            self.rows.iter().filter(|r| r.took > 0.0).fold((0.0, 0), |(s, n), r| (s + r.took, n + 1));
-        if n > 0 { sum / n as f32 } else { 0.0 }
-    }
-
     fn look_at_due(&mut self, todo: &mut Vec<Todo>) {
         while let Some(&Reverse((at, id, place))) = self.hold.watch.peek() {
             let current = self.hold.exs.get(place).is_some_and(|ex| ex.id == id && ex.look_at == at);
@@ -604,13 +577,10 @@
             Stage::Attached(_) => self.let_go(place),
             _ => {
                 // The result of a deduplicated one may still serve a repeat in time.
-                let serves =
-                    self.terms.groups[ex.group].effect == Effect::Deduplicated && self.at.now < ex.slo_by;
-                if !ex.answered && !serves && self.terms.stop != StopKind::Never && ex.stage == Stage::Running
-                {
+                let effect = self.terms.groups[ex.group].effect;
+                if !ex.answered && (effect != Effect::Deduplicated || self.at.now >= ex.slo_by) {
                     self.hold.exs[place].answered = true;
-                    todo.push(Todo::Stop { id });
-                    self.look_again(place, self.at.now + 5 * BEAT);
+                    self.stop(place, todo);
                 }
             }
         }
@@ -632,7 +602,7 @@
 
     /// More was read than memory bears: the least worth of what is held goes.
     fn shed_for_memory(&mut self, todo: &mut Vec<Todo>) {
-        while self.hold.memory_kb > self.memory_room() {
+        while self.hold.memory_kb > self.terms.memory_kb * MEMORY {
             let held = self.hold.exs.iter().filter(|(_, ex)| ex.stage == Stage::Held);
             let Some((place, _)) = held.min_by_key(|(_, ex)| (ex.density, ex.id)) else { break };
             self.give_up_held(place, todo);
@@ -784,7 +754,9 @@
             }
         }
         if self.at.now >= self.keys.turn {
-            self.turn_keys();
+            self.keys.halves.swap(0, 1);
+            self.keys.halves[0].clear();
+            self.keys.turn = self.at.now + IDLE_WINDOW;
         }
         if self.at.now >= self.at.beat {
             self.at.beat = self.at.now + BEAT;
