A level keeps back the lowest ranks while much is denied or read late

Guards against any read-bound jam; harms where callers that heed it are few and take the cut for all.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -10,8 +10,8 @@
 use slab::Slab;
 
 use crate::{
-    CallOutcome, Effect, ExId, Exchange, Gauges, Happened, RunOutcome, ServiceContract, StopKind, Tenths,
-    Todo,
+    CallOutcome, Effect, ExId, Exchange, Gauges, Happened, LevelKind, RunOutcome, ServiceContract, StopKind,
+    Tenths, Todo,
 };
 
 const MS: Tenths = 10;
@@ -50,6 +50,13 @@
 const CALL_LEAST_RISE: f32 = 1.005;
 /// Calls let out at first, as a share of those that what lies below survives.
 const CALL_START: f32 = 0.3;
+/// Weight of the newest reading in the strain, the strain borne without a level, and how fast the level follows.
+const STRAIN_NEWEST: f32 = 0.03;
+const STRAIN_BORNE: f32 = 0.1;
+const LEVEL_GAIN: f32 = 0.05;
+const LEVEL_MOST: f32 = 0.9;
+/// Read late: unread for this share of the SLO time.
+const READ_LATE: f32 = 0.1;
 /// How often a call may be repeated.
 const MORE_CALLS: u8 = 2;
 
@@ -108,6 +115,9 @@
     keys: Keys,
     calls: Calls,
     gauges: Gauges,
+    /// Share of what was read lately that was denied or had waited long unread.
+    strain: f32,
+    level: f32,
 }
 
 #[derive(Default)]
@@ -177,6 +187,8 @@
             keys: Keys::default(),
             calls: Calls::default(),
             gauges: Gauges::default(),
+            strain: 0.0,
+            level: 0.0,
             terms,
         }
     }
@@ -196,7 +208,7 @@
                 Happened::Alarm { gauges, .. } => self.gauges = *gauges,
             }
         }
-        self.upkeep();
+        self.upkeep(todo);
         self.look_at_due(todo);
         self.make_calls(todo);
         self.begin_work(todo);
@@ -240,12 +252,17 @@
 
     fn establish(&mut self, subject: u64) {
         if self.keys.halves[0].len() >= MOST_KEYS {
-            self.keys.turn = self.at.now;
-            self.upkeep();
+            self.turn_keys();
         }
         self.keys.halves[0].insert(subject);
     }
 
+    fn turn_keys(&mut self) {
+        self.keys.halves.swap(0, 1);
+        self.keys.halves[0].clear();
+        self.keys.turn = self.at.now + IDLE_WINDOW;
+    }
+
     /// C follows what the runs show: SLO times met under load raise it, missed ones lower it.
     fn learn_capacity(&mut self, met: bool) {
         let cores = self.terms.cores.max(1) as f32;
@@ -270,7 +287,7 @@
         let due = ex.due.unwrap_or((arrived + group.async_timeout).saturating_sub(1));
         let work = ex.work_hint.unwrap_or(0) as f32;
         let slo_by = (arrived + group.slo_time + (group.slo_stretch * work) as Tenths).min(due);
-        let effect = group.effect;
+        let (effect, slo_time) = (group.effect, group.slo_time);
         let lasting = group.window.saturating_sub(ex.age);
         let root = ex.repeats.and_then(|first| self.root_of(ex.id, first));
         let stage = root.map_or(Stage::Held, Stage::Attached);
@@ -297,7 +314,10 @@
         let too_late = self.at.now >= new.due || self.at.leave.is_some_and(|(last, _)| arrived + 1 > last);
         let recorded_kb = if effect == Effect::Deduplicated { self.terms.record_kb } else { 0.0 };
         let no_room = self.hold.memory_kb + new.kb + recorded_kb > self.terms.memory_kb * MEMORY;
-        if too_late || no_room || self.turned_away(ex) {
+        let denied = too_late || no_room || self.turned_away(ex);
+        let unread_long = ex.age as f32 > READ_LATE * slo_time as f32;
+        self.strain += STRAIN_NEWEST * (f32::from(u8::from(denied || unread_long)) - self.strain);
+        if denied {
             todo.push(self.denial(ex.id, ex.further_try));
             return;
         }
@@ -746,7 +766,17 @@
 
     // --- Time ---
 
-    fn upkeep(&mut self) {
+    /// Reading costs work, so callers are told to keep back the lowest ranks while much is denied.
+    fn tell_level(&mut self, todo: &mut Vec<Todo>) {
+        let before = self.level;
+        self.level = (self.level + LEVEL_GAIN * (self.strain - STRAIN_BORNE)).clamp(0.0, LEVEL_MOST);
+        if self.terms.level == LevelKind::LowestRank && self.level != before {
+            todo.push(Todo::Level { level: self.level });
+        }
+        self.strain *= 0.98;
+    }
+
+    fn upkeep(&mut self, todo: &mut Vec<Todo>) {
         while self.records.ends.front().is_some_and(|(end, _)| *end < self.at.now) {
             let (_, id) = self.records.ends.pop_front().expect("just seen");
             if self.records.live.remove(&id) {
@@ -754,12 +784,11 @@
             }
         }
         if self.at.now >= self.keys.turn {
-            self.keys.halves.swap(0, 1);
-            self.keys.halves[0].clear();
-            self.keys.turn = self.at.now + IDLE_WINDOW;
+            self.turn_keys();
         }
         if self.at.now >= self.at.beat {
             self.at.beat = self.at.now + BEAT;
+            self.tell_level(todo);
         }
     }
 
