--- a/src/logic.rs
+++ b/src/logic.rs
@@ -54,6 +54,7 @@
 const STRAIN_NEWEST: f32 = 0.03;
 const STRAIN_BORNE: f32 = 0.1;
 const LEVEL_GAIN: f32 = 0.05;
+const LEVEL_FALL: f32 = 0.4;
 const LEVEL_MOST: f32 = 0.9;
 /// Read late: unread for this share of the SLO time.
 const READ_LATE: f32 = 0.1;
@@ -769,11 +770,11 @@
     /// Reading costs work, so callers are told to keep back the lowest ranks while much is denied.
     fn tell_level(&mut self, todo: &mut Vec<Todo>) {
         let before = self.level;
-        self.level = (self.level + LEVEL_GAIN * (self.strain - STRAIN_BORNE)).clamp(0.0, LEVEL_MOST);
+        self.level = (self.level + LEVEL_GAIN * if self.strain > STRAIN_BORNE { self.strain - STRAIN_BORNE } else { -LEVEL_FALL }).clamp(0.0, LEVEL_MOST);
         if self.terms.level == LevelKind::LowestRank && self.level != before {
             todo.push(Todo::Level { level: self.level });
         }
-        self.strain *= 0.98;
+        self.strain *= 0.96;
     }
 
     fn upkeep(&mut self, todo: &mut Vec<Todo>) {
