--- a/src/logic.rs
+++ b/src/logic.rs
@@ -319,7 +319,7 @@
         let unread_long = ex.age as f32 > READ_LATE * slo_time as f32;
         self.strain += STRAIN_NEWEST * (f32::from(u8::from(denied || unread_long)) - self.strain);
         if denied {
-            todo.push(self.denial(ex.id, ex.further_try));
+            todo.push(self.denial(ex.id, ex.further_try || self.strain > STRAIN_BORNE));
             return;
         }
         if effect == Effect::Deduplicated {
