Customers beyond their share at a node count as newcomers and go last

Acts only while the rule acts and in the order of the hold. Could harm a customer whose traffic reaches few nodes only.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -204,7 +204,7 @@
     Odds,
 }
 
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Copy, Debug, PartialEq)]
 pub struct EndpointGroup {
     pub effect: Effect,
     pub slo_time: Tenths,
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -61,6 +61,9 @@
 const LEVEL_MOST: f32 = 0.9;
 /// An exchange that was unread for this share of its SLO time counts for strain as if denied.
 const READ_LATE: f32 = 0.1;
+/// A customer may send this multiple of its share at one node, and save up this much time of it.
+const SHARE_SLACK: f32 = 1.3;
+const SHARE_SAVED: f32 = 20_000.0;
 
 #[derive(Clone, Copy, Default, PartialEq)]
 enum Stage {
@@ -90,6 +93,8 @@
     began: Tenths,
     work: f32,
     kb: f32,
+    /// Sent beyond its customer's share.
+    over_share: bool,
     density: u32,
     long: bool,
     /// Nothing is owed any more; only its end is still to come.
@@ -114,6 +119,8 @@
     /// C of the design.
     capacity: f32,
     rows: Vec<Row>,
+    /// What each customer has saved up of its share here, and when that was counted.
+    saved: Vec<(f32, Tenths)>,
     st: State,
     calls: Calls,
 }
@@ -168,6 +175,7 @@
             rng: fastrand::Rng::with_seed(seed),
             capacity: terms.cores.max(1) as f32,
             rows: vec![Row::default(); terms.groups.len()],
+            saved: vec![(0.0, 0); terms.customers.len()],
             st: State::default(),
             calls: Calls { room: CALL_START * terms.calls_share.unwrap_or(0.0), ..Calls::default() },
             terms,
@@ -204,14 +212,15 @@
 
     /// The design's rule: who is denied on reading. Keys already served are sheltered, newcomers bear
     /// the overload, and above C all is denied.
-    fn turned_away(&mut self, subject: u64) -> bool {
+    fn turned_away(&mut self, subject: u64, over_share: bool) -> bool {
         // Before the first reading the runs themselves tell whether the cores are busy.
         let busy = self.st.busy.map_or(self.at(Stage::Running) >= self.places(), |share| share >= BUSY);
         let (load, c) = (self.load(), self.capacity);
         if !busy || load <= T1 * c {
             return false;
         }
-        let established = subject != 0 && self.st.keys.iter().any(|half| half.contains(&subject));
+        let established =
+            subject != 0 && !over_share && self.st.keys.iter().any(|half| half.contains(&subject));
         let chance = if load > T2 * c { 1.0 } else { (load - T1 * c) / (c - T1 * c) };
         load > c || (!established && self.rng.f32() < chance)
     }
@@ -244,13 +253,14 @@
     }
 
     fn arrived(&mut self, ex: &Exchange, todo: &mut Vec<Todo>) {
-        let Some(group) = self.terms.groups.get(ex.group as usize) else {
+        let Some(&group) = self.terms.groups.get(ex.group as usize) else {
             todo.push(Todo::Terminate { id: ex.id });
             return;
         };
         let arrived = self.st.now.saturating_sub(ex.age);
         let due = self.last_answer(ex.due.unwrap_or((arrived + group.async_timeout).saturating_sub(1)));
         let work = ex.work_hint.unwrap_or(0) as f32;
+        let over_share = self.over_share(ex.customer as usize, ex.further_try);
         let root = ex.repeats.filter(|first| !self.leads_back(ex.id, *first));
         let new = Ex {
             id: ex.id,
@@ -263,6 +273,7 @@
             due,
             work,
             kb: ex.kb.max(0.0),
+            over_share,
             ..Ex::default()
         };
         let records = root.is_none() && group.effect == Effect::Deduplicated;
@@ -280,7 +291,7 @@
         let unread_long = ex.age as f32 > READ_LATE * group.slo_time as f32;
         let lasting = group.window.saturating_sub(ex.age);
         let too_late = self.st.now >= due || self.st.leave.is_some_and(|(last, _)| arrived + 1 > last);
-        let denied = too_late || no_room || self.turned_away(ex.subject);
+        let denied = too_late || no_room || self.turned_away(ex.subject, over_share);
         self.st.strain += STRAIN_NEWEST * (f32::from(u8::from(denied || unread_long)) - self.st.strain);
         if denied {
             todo.push(self.denial(ex.id, ex.further_try || self.st.strain > STRAIN_BORNE));
@@ -297,6 +308,17 @@
         self.file(place);
     }
 
+    /// Whether this exchange is beyond what its customer's share of the fleet comes to at one node.
+    fn over_share(&mut self, customer: usize, counted_before: bool) -> bool {
+        let Some((saved, counted)) = self.saved.get_mut(customer) else { return false };
+        let rate = SHARE_SLACK * self.terms.customers[customer] / self.terms.nodes.max(1) as f32 / 10_000.0;
+        *saved = (*saved + rate * (self.st.now - *counted) as f32).min(rate * SHARE_SAVED);
+        *counted = self.st.now;
+        let over = *saved < 1.0;
+        *saved -= f32::from(u8::from(!over && !counted_before));
+        over
+    }
+
     /// Tries of one batch may name each other: the one whose chain leads back to itself is the first.
     fn leads_back(&self, id: ExId, first: ExId) -> bool {
         let next = |at: &ExId| {
@@ -321,7 +343,8 @@
         let group = &self.terms.groups[ex.group];
         let expected = self.expected(ex);
         let late = self.st.now + expected > ex.slo_by;
-        let earns = group.benefit * if late { group.late_share } else { 1.0 };
+        let share = if ex.over_share { self.terms.over_share } else { 1.0 };
+        let earns = share * group.benefit * if late { group.late_share } else { 1.0 };
         let work = if ex.work > 0.0 { ex.work } else { self.rows[ex.group].took };
         let need = if work > 0.0 && self.st.mean_work > 0.0 { work / self.st.mean_work } else { 1.0 };
         let density = 1000.0 * earns / if self.terms.by_work { 1.0 } else { need.max(0.01) };
