--- a/src/logic.rs
+++ b/src/logic.rs
@@ -221,7 +221,7 @@
         }
         let established =
             subject != 0 && !over_share && self.st.keys.iter().any(|half| half.contains(&subject));
-        let chance = if load > T2 * c { 1.0 } else { (load - T1 * c) / (c - T1 * c) };
+        let chance = if load > T2 * c || over_share { 1.0 } else { (load - T1 * c) / (c - T1 * c) };
         load > c || (!established && self.rng.f32() < chance)
     }
 
