What stood unread for over a third of its SLO time finds the load higher

Told from mere overload by the age at reading (seconds) with idle lines. Guards against any line in front of the node; could harm where reading is delayed for a short while only.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -61,6 +61,9 @@
 const LEVEL_MOST: f32 = 0.9;
 /// An exchange that was unread for this share of its SLO time counts for strain as if denied.
 const READ_LATE: f32 = 0.1;
+/// What was unread for more than BORNE of its SLO time finds the load higher, by C for each FULL of it over that.
+const UNREAD_FULL: f32 = 0.2;
+const UNREAD_BORNE: f32 = 0.35;
 /// A customer may send this multiple of its share at one node, and save up this much time of it.
 const SHARE_SLACK: f32 = 1.3;
 const SHARE_SAVED: f32 = 20_000.0;
@@ -212,10 +215,11 @@
 
     /// The design's rule: who is denied on reading. Keys already served are sheltered, newcomers bear
     /// the overload, and above C all is denied.
-    fn turned_away(&mut self, subject: u64, over_share: bool) -> bool {
+    fn turned_away(&mut self, subject: u64, over_share: bool, unread: f32) -> bool {
         // Before the first reading the runs themselves tell whether the cores are busy.
         let busy = self.st.busy.map_or(self.at(Stage::Running) >= self.places(), |share| share >= BUSY);
-        let (load, c) = (self.load(), self.capacity);
+        let c = self.capacity;
+        let load = self.load() + c * (unread - UNREAD_BORNE).max(0.0) / UNREAD_FULL;
         if !busy || load <= T1 * c {
             return false;
         }
@@ -288,11 +292,12 @@
             }
             return;
         }
-        let unread_long = ex.age as f32 > READ_LATE * group.slo_time as f32;
+        let unread = ex.age as f32 / group.slo_time.max(1) as f32;
         let lasting = group.window.saturating_sub(ex.age);
         let too_late = self.st.now >= due || self.st.leave.is_some_and(|(last, _)| arrived + 1 > last);
-        let denied = too_late || no_room || self.turned_away(ex.subject, over_share);
-        self.st.strain += STRAIN_NEWEST * (f32::from(u8::from(denied || unread_long)) - self.st.strain);
+        let denied = too_late || no_room || self.turned_away(ex.subject, over_share, unread);
+        self.st.strain +=
+            STRAIN_NEWEST * (f32::from(u8::from(denied || unread > READ_LATE)) - self.st.strain);
         if denied {
             todo.push(self.denial(ex.id, ex.further_try || self.st.strain > STRAIN_BORNE));
             return;
