A share of calls is kept by a budget of time, so that a share under one still calls

Told from a slow ledger: the calls themselves were quick and nothing was late. Now each call is charged beforehand with all the time it may take and gets back what it did not use; half of a window's worth may be saved up, half flows in. Also folds the rest, the lingering list and the limit of short shares into one.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -48,6 +48,8 @@
 const CALL_LEAST_RISE: f32 = 1.005;
 /// Calls let out at first, as a share of those that what lies below survives.
 const CALL_START: f32 = 0.3;
+/// A call is made once the time it may take is this many times what calls take.
+const CALL_TIMES: f32 = 3.0;
 /// How often a call may be repeated.
 const MORE_CALLS: u8 = 2;
 /// Strain is the share lately denied: weight of the newest exchange, decay in a beat, and what is borne
@@ -103,6 +105,9 @@
     /// Nothing is owed any more; only its end is still to come.
     answered: bool,
     calls: u8,
+    called: Tenths,
+    /// Time below that its call was charged with.
+    call_given: Tenths,
 }
 
 /// What differs by endpoint group beyond the contract: mean time of its runs, and mean work told for them.
@@ -163,13 +168,13 @@
 #[derive(Default)]
 struct Calls {
     line: Line,
-    /// Abandoned calls count until these times.
-    lingering: VecDeque<Tenths>,
+    /// Time that calls may still spend below, and when that was counted.
+    budget: f32,
+    counted: Tenths,
     /// How many may be out, as learned from the time they take over the least that they took.
     room: f32,
     took: f32,
     least: f32,
-    rest_until: Tenths,
 }
 
 impl Door {
@@ -456,7 +461,7 @@
     /// Takes an exchange out of every count.
     fn let_go(&mut self, place: Place) {
         if self.st.exs[place].stage == Stage::Calling {
-            self.call_left(true);
+            self.call_left(place, true);
         }
         let ex = self.st.exs.remove(place);
         self.st.at_door.remove(&ex.id);
@@ -621,7 +626,7 @@
             return;
         }
         self.put(place, Stage::AtCall);
-        self.call_left(outcome == CallOutcome::TimedOut);
+        self.call_left(place, outcome == CallOutcome::TimedOut);
         if matches!(outcome, CallOutcome::Completed | CallOutcome::TimedOut) {
             self.learn_call_room(took as f32);
         }
@@ -664,44 +669,44 @@
         self.look_again(place, next);
     }
 
-    fn call_left(&mut self, abandoned: bool) {
-        let Some(share) = self.terms.calls_share else { return };
-        if abandoned {
-            self.calls.lingering.push_back(self.st.now + self.terms.linger);
-        }
-        if MARGIN * share < 1.0 {
-            // A share under one call is kept by resting: one call of at most share x window in each window.
-            self.calls.rest_until = self.st.now + self.terms.calls_window;
-        }
+    /// What a call was given and did not use goes back; an abandoned one lingers below for a while.
+    fn call_left(&mut self, place: Place, abandoned: bool) {
+        let ex = &self.st.exs[place];
+        let lingers = if abandoned { self.terms.linger } else { 0 };
+        self.calls.budget += ex.call_given as f32 - (self.st.now - ex.called + lingers) as f32;
     }
 
-    /// Makes the calls that there is room for: within this node's share of what lies below survives, and
-    /// within what was learned of its crowding.
+    /// Makes the calls that there is room for. Any window's worth of the node's share below is kept by a
+    /// budget of time: half of it may be saved up, half of it flows in, and a call is charged beforehand with
+    /// all that it may take. Room is what was learned of the crowding below.
     fn make_calls(&mut self, todo: &mut Vec<Todo>) {
-        while self.calls.lingering.front().is_some_and(|end| *end <= self.st.now) {
-            self.calls.lingering.pop_front();
-        }
-        let share = self.terms.calls_share.map(|share| share * MARGIN);
-        self.calls.room = self.calls.room.min(share.unwrap_or(f32::MAX)).max(1.0);
-        // Of a share under one call a single call may use up the window's worth, its lingering included.
-        let longest = share.filter(|s| *s < 1.0).map_or(Tenths::MAX, |s| {
-            ((s * self.terms.calls_window as f32) as Tenths).saturating_sub(self.terms.linger)
-        });
+        if self.calls.line.is_empty() {
+            return;
+        }
+        let share = self.terms.calls_share.map(|share| MARGIN * share / 2.0);
+        let inflow = share.unwrap_or(0.0) * (self.st.now - self.calls.counted) as f32;
+        let most = share.map_or(f32::MAX, |s| s * self.terms.calls_window as f32);
+        self.calls.budget = if share.is_some() { (self.calls.budget + inflow).min(most) } else { f32::MAX };
+        self.calls.counted = self.st.now;
+        self.calls.room = self.calls.room.min(self.terms.calls_share.unwrap_or(f32::MAX)).max(1.0);
         while let Some(&(_, _, Reverse(id), place)) = self.calls.line.peek() {
             let waits = |x: &Ex| x.id == id && x.stage == Stage::AtCall && !x.answered;
             if self.st.exs.get(place).is_some_and(waits) {
-                let in_hand = (self.at(Stage::Calling) + self.calls.lingering.len()) as f32;
-                let full = in_hand + 1.0 > self.calls.room || self.st.now < self.calls.rest_until;
-                if share.is_some() && (full || longest == 0) {
+                let ex = &self.st.exs[place];
+                // Where the call may be left out, it is given up while the rest can still be done in time.
+                let skips = self.terms.groups[ex.group].skip_share > 0.0;
+                let left = if skips { ex.slo_by } else { ex.due }.saturating_sub(self.st.now);
+                let left = if skips { left / 2 } else { left }.max(BEAT);
+                let limit = left.min((self.calls.budget - self.terms.linger as f32).max(0.0) as Tenths);
+                let enough = left.min((CALL_TIMES * self.calls.took) as Tenths).max(1);
+                let full = share.is_some() && (self.at(Stage::Calling) + 1) as f32 > self.calls.room;
+                if full || limit < enough {
                     break;
                 }
                 self.put(place, Stage::Calling);
                 let ex = &mut self.st.exs[place];
-                ex.calls += 1;
-                // Where the call may be left out, it is given up while the rest can still be done in time.
-                let skips = self.terms.groups[ex.group].skip_share > 0.0;
-                let left = if skips { ex.slo_by } else { ex.due }.saturating_sub(self.st.now);
-                let limit = if skips { left / 2 } else { left }.max(BEAT).min(longest);
+                (ex.calls, ex.called, ex.call_given) = (ex.calls + 1, self.st.now, limit + self.terms.linger);
+                self.calls.budget -= ex.call_given as f32;
                 todo.push(Todo::Call { id, limit });
             }
             self.calls.line.pop();
