--- a/src/logic.rs
+++ b/src/logic.rs
@@ -443,9 +443,8 @@
             if ex.stage != Stage::Attached {
                 let (row, took) = (&mut self.rows[ex.group], (self.st.now - ex.began) as f32);
                 let work = if ex.work > 0.0 { ex.work } else { took };
-                for (mean, newest) in [(&mut row.took, took), (&mut row.work, work)] {
-                    learn(mean, newest);
-                }
+                learn(&mut row.took, took);
+                learn(&mut row.work, work);
                 learn(&mut self.st.mean_took, took);
                 learn(&mut self.st.mean_work, work);
                 self.learn_capacity(met);
@@ -562,12 +561,17 @@
     }
 
     fn forget(&mut self, id: ExId, todo: &mut Vec<Todo>) {
-        if self.st.records.remove(&id) {
-            self.st.memory_kb -= self.terms.record_kb;
+        if self.drop_record(id) {
             todo.push(Todo::Forget { id });
         }
     }
 
+    fn drop_record(&mut self, id: ExId) -> bool {
+        let live = self.st.records.remove(&id);
+        self.st.memory_kb -= if live { self.terms.record_kb } else { 0.0 };
+        live
+    }
+
     fn caller_gone(&mut self, id: ExId, todo: &mut Vec<Todo>) {
         let Some(&place) = self.st.at_door.get(&id) else { return };
         let ex = &self.st.exs[place];
@@ -717,9 +721,7 @@
 
     fn upkeep(&mut self, todo: &mut Vec<Todo>) {
         while let Some((_, id)) = self.st.record_ends.pop_front_if(|(end, _)| *end < self.st.now) {
-            if self.st.records.remove(&id) {
-                self.st.memory_kb -= self.terms.record_kb;
-            }
+            self.drop_record(id);
         }
         if self.st.now >= self.st.keys_turn {
             self.turn_keys();
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -57,8 +57,9 @@
     Exchange { id, group, kb: 40.0, rank: 0.5, ..Exchange::default() }
 }
 
-#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub enum At {
+    #[default]
     Held,
     Attached(ExId),
     Running,
@@ -67,6 +68,7 @@
     Over,
 }
 
+#[derive(Default)]
 pub struct Item {
     pub group: usize,
     pub at: At,
@@ -106,21 +108,11 @@
 impl World {
     pub fn new(terms: ServiceContract, seed: u64) -> World {
         let (born, door) = (60_000 * MS, Door::new(terms.clone(), seed));
-        let mut world = World {
-            door,
-            terms,
-            now: born,
-            items: BTreeMap::new(),
-            events: vec![Happened::Started],
-            alarms: BTreeSet::new(),
-            busy: 1.0,
-            table: Vec::new(),
-            calls: Vec::new(),
-            leave: None,
-            born,
-            next_id: 1,
-            done: Vec::new(),
-        };
+        let events = vec![Happened::Started];
+        let (items, alarms, table, calls, done) = Default::default();
+        let (now, busy, leave, next_id) = (born, 1.0, None, 1);
+        let mut world =
+            World { door, terms, now, items, events, alarms, busy, table, calls, leave, born, next_id, done };
         world.step();
         world
     }
@@ -147,21 +139,17 @@
             ..exchange(id, group)
         };
         self.events.push(Happened::Arrived(ex));
+        let group = group as usize;
         let item = Item {
-            group: group as usize,
-            at: At::Held,
+            group,
             mark,
             arrived,
             due,
             kb,
-            ran: false,
-            completed: false,
             owed: true,
-            answered: false,
-            called: None,
-            given_up: 0,
             may_call: true,
             prior: repeats,
+            ..Item::default()
         };
         self.items.insert(id, item);
         id
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -7,18 +7,9 @@
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngAlgorithm, RngSeed, TestRunner};
 
-#[derive(Clone, Debug)]
-struct Start {
-    stop: StopKind,
-    cold: bool,
-    share: Option<f32>,
-    skip: f32,
-    late: f32,
-    memory: f32,
-    passed: bool,
-    told: bool,
-    seed: u64,
-}
+/// What differs between starts: how work stops, warmth, share of calls, benefit without a call and late,
+/// memory, whether due times are passed, whether leaving callers are told, and the seed.
+type Start = (StopKind, bool, Option<f32>, f32, f32, f32, bool, bool, u64);
 
 fn starts() -> impl Strategy<Value = Start> {
     let stop = prop_oneof![Just(StopKind::Never), Just(StopKind::Drop), Just(StopKind::Pause)];
@@ -26,32 +17,18 @@
     let halves = prop_oneof![Just(0.0f32), Just(0.5)];
     let memory = prop_oneof![Just(3_000.0f32), Just(20_000.0)];
     (stop, any::<bool>(), share, halves.clone(), halves, memory, any::<bool>(), any::<bool>(), any::<u64>())
-        .prop_map(|(stop, cold, share, skip, late, memory, passed, told, seed)| Start {
-            stop,
-            cold,
-            share,
-            skip,
-            late,
-            memory,
-            passed,
-            told,
-            seed,
-        })
 }
 
 fn world(start: &Start) -> World {
-    let mut terms = contract();
-    terms.stop = start.stop;
-    terms.cold = start.cold;
-    terms.calls_share = start.share;
-    terms.memory_kb = start.memory;
-    terms.groups[0].skip_share = start.skip;
-    terms.groups.iter_mut().for_each(|g| g.late_share = start.late);
-    World::new(terms, start.seed)
+    let (stop, cold, calls_share, skip_share, late_share, memory_kb, ..) = *start;
+    let mut terms = ServiceContract { stop, cold, calls_share, memory_kb, ..contract() };
+    terms.groups[0].skip_share = skip_share;
+    terms.groups.iter_mut().for_each(|g| g.late_share = late_share);
+    World::new(terms, start.8)
 }
 
 fn play(world: &mut World, start: &Start, op: u8, n: u32, span: Tenths) {
-    let left = start.passed.then_some(Tenths::from(n % 5000) * MS);
+    let left = start.6.then_some(Tenths::from(n % 5000) * MS);
     let (mark, age, kb) = (u64::from(n % 13) + 1, Tenths::from(n / 7 % 900) * MS, (10 + n % 60) as f32);
     match op {
         0..=7 => {
@@ -78,7 +55,7 @@
                 world.end_call(id, outcomes[n as usize / 16 % 8]);
             }
         }
-        16 if start.told => {
+        16 if start.7 => {
             let at = [At::Held, At::Running, At::Calling][n as usize % 3];
             if let Some(id) = world.pick(at, n / 3) {
                 world.caller_gone(id);
@@ -131,17 +108,7 @@
 #[test]
 fn same_input_same_output() {
     let run = || {
-        let start = Start {
-            stop: StopKind::Drop,
-            cold: true,
-            share: Some(1.5),
-            skip: 0.5,
-            late: 0.5,
-            memory: 20_000.0,
-            passed: false,
-            told: true,
-            seed: 9,
-        };
+        let start = (StopKind::Drop, true, Some(1.5), 0.5, 0.5, 20_000.0, false, true, 9);
         let mut world = world(&start);
         let mut rng = fastrand::Rng::with_seed(4);
         (0..600).for_each(|_| play(&mut world, &start, rng.u8(0..20), rng.u32(..), rng.u64(1..300)));
