--- a/src/logic.rs
+++ b/src/logic.rs
@@ -23,11 +23,9 @@
 const T2: f32 = 0.90;
 /// The design's rule denies only while the busy-cores gauge reads this much.
 const BUSY: f32 = 0.95;
-/// C rises by so much for each run that met its SLO time under load, and falls to this share at a miss;
-/// misses within the rest are one bad moment and lower it once.
+/// C rises by so much for each run that met its SLO time under load, and falls to this share at a miss.
 const C_RISE: f32 = 0.2;
 const C_FALL: f32 = 0.93;
-const C_REST: Tenths = 100 * MS;
 /// A key stays established for one to two of these without a completed exchange; bound on each half.
 const IDLE_WINDOW: Tenths = 20_000 * MS;
 const MOST_KEYS: usize = 4096;
@@ -42,14 +40,12 @@
 const LONG: f32 = 2.0;
 const LONG_SHARE: f32 = 0.5;
 /// A call that may be left out is, once it has waited this share of its SLO time for room below.
-const CALL_PATIENCE: f32 = 0.15;
+const CALL_PATIENCE: f32 = 0.3;
 /// Calls are crowded below when they take this many times the least they took, which is let rise slowly.
 const CALL_CROWDED: f32 = 2.0;
-const CALL_LEAST_RISE: f32 = 1.005;
+const CALL_LEAST_RISE: f32 = 1.02;
 /// Calls let out at first, as a share of those that what lies below survives.
 const CALL_START: f32 = 0.3;
-/// A call is made once the time it may take is this many times what calls take.
-const CALL_TIMES: f32 = 3.0;
 /// How often a call may be repeated.
 const MORE_CALLS: u8 = 2;
 /// Strain is the share lately denied: weight of the newest exchange, decay in a beat, and what is borne
@@ -60,7 +56,7 @@
 /// Rise of the level in a beat for each unit of strain over that, its fall, and its bound.
 const LEVEL_RISE: f32 = 0.05;
 const LEVEL_FALL: f32 = 0.02;
-const LEVEL_MOST: f32 = 0.9;
+const LEVEL_MOST: f32 = 0.6;
 /// An exchange that was unread for this share of its SLO time counts for strain as if denied.
 const READ_LATE: f32 = 0.1;
 /// What was unread for more than BORNE of its SLO time finds the load higher, by C for each FULL of it over that.
@@ -137,7 +133,6 @@
 struct State {
     now: Tenths,
     born: Tenths,
-    last_miss: Tenths,
     /// Next reading of the gauges, and the alarm that is set.
     beat: Tenths,
     armed: Tenths,
@@ -251,10 +246,9 @@
     /// C follows what the runs show: SLO times met under load raise it, missed ones lower it.
     fn learn_capacity(&mut self, met: bool) {
         let cores = self.terms.cores.max(1) as f32;
-        if !met && self.st.now >= self.st.last_miss + C_REST {
-            self.st.last_miss = self.st.now;
+        if !met {
             self.capacity *= C_FALL;
-        } else if met && self.load() > T1 * self.capacity {
+        } else if self.load() > T1 * self.capacity {
             // Only a load near C says anything about C.
             self.capacity += C_RISE;
         }
@@ -702,7 +696,7 @@
                 let left = if skips { ex.slo_by } else { ex.due }.saturating_sub(self.st.now);
                 let left = if skips { left / 2 } else { left }.max(BEAT);
                 let limit = left.min((self.calls.budget - self.terms.linger as f32).max(0.0) as Tenths);
-                let enough = left.min((CALL_TIMES * self.calls.took) as Tenths).max(1);
+                let enough = left.min(self.calls.took as Tenths).max(1);
                 let full = share.is_some() && (self.at(Stage::Calling) + 1) as f32 > self.calls.room;
                 if full || limit < enough {
                     break;
