--- a/src/logic.rs
+++ b/src/logic.rs
@@ -237,12 +237,6 @@
         self.st.count[stage as usize]
     }
 
-    fn turn_keys(&mut self) {
-        self.st.keys.swap(0, 1);
-        self.st.keys[0].clear();
-        self.st.keys_turn = self.st.now + IDLE_WINDOW;
-    }
-
     /// C follows what the runs show: SLO times met under load raise it, missed ones lower it.
     fn learn_capacity(&mut self, met: bool) {
         let cores = self.terms.cores.max(1) as f32;
@@ -443,10 +437,8 @@
                 learn(&mut self.st.mean_work, work);
                 self.learn_capacity(met);
             }
-            if self.st.keys[0].len() >= MOST_KEYS {
-                self.turn_keys();
-            }
             self.st.keys[0].insert(subject);
+            self.st.keys_turn = if self.st.keys[0].len() < MOST_KEYS { self.st.keys_turn } else { 0 };
         }
         self.let_go(place);
     }
@@ -718,7 +710,9 @@
             self.drop_record(id);
         }
         if self.st.now >= self.st.keys_turn {
-            self.turn_keys();
+            self.st.keys.swap(0, 1);
+            self.st.keys[0].clear();
+            self.st.keys_turn = self.st.now + IDLE_WINDOW;
         }
         if self.st.now >= self.st.beat {
             self.st.beat = self.st.now + BEAT;
