Stuck work is told by its ends, not the gauge; what stood unread too long is denied outright

A node whose places are all taken and on which nothing ended for six times what a run takes denies all, lets them go elsewhere, and reports unfit, whatever its gauge reads: hung work, a frozen disk, a machine far slower than it was. Could harm a node full of nothing but very long work.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -59,9 +59,10 @@
 const LEVEL_MOST: f32 = 0.6;
 /// An exchange that was unread for this share of its SLO time counts for strain as if denied.
 const READ_LATE: f32 = 0.1;
-/// What was unread for more than BORNE of its SLO time finds the load higher, by C for each FULL of it over that.
-const UNREAD_FULL: f32 = 0.2;
-const UNREAD_BORNE: f32 = 0.35;
+/// Unread for this share of its SLO time, it is denied as if the load were above C.
+const READ_TOO_LATE: f32 = 0.35;
+/// Stuck: nothing ended for this many times what a run takes.
+const STUCK: f32 = 6.0;
 /// A customer may send this multiple of its share at one node, and save up this much time of it.
 const SHARE_SLACK: f32 = 1.3;
 const SHARE_SAVED: f32 = 20_000.0;
@@ -135,6 +136,8 @@
     born: Tenths,
     /// Next reading of the gauges, and the alarm that is set.
     beat: Tenths,
+    last_end: Tenths,
+    told_good: bool,
     armed: Tenths,
     /// Last arrival that may be run, and the stop, once told to leave.
     leave: Option<(Tenths, Tenths)>,
@@ -190,11 +193,7 @@
         self.st.now = now;
         for what in batch {
             match what {
-                Happened::Started => {
-                    self.st.born = now;
-                    // Checks that do real work would add to the very overload they are to report.
-                    todo.push(Todo::Health { from_store: true, good: true });
-                }
+                Happened::Started => self.st.born = now,
                 Happened::Arrived(ex) => self.arrived(ex, todo),
                 Happened::RunEnded { id, outcome } => self.run_ended(*id, *outcome),
                 Happened::NeedsCall { id } => self.needs_call(*id),
@@ -218,15 +217,21 @@
     fn turned_away(&mut self, subject: u64, over_share: bool, unread: f32) -> bool {
         // Before the first reading the runs themselves tell whether the cores are busy.
         let busy = self.st.busy.map_or(self.at(Stage::Running) >= self.places(), |share| share >= BUSY);
-        let c = self.capacity;
-        let load = self.load() + c * (unread - UNREAD_BORNE).max(0.0) / UNREAD_FULL;
-        if !busy || load <= T1 * c {
-            return false;
+        let (load, c) = (self.load(), self.capacity);
+        // Little may be held while much stands unread, or while nothing comes to its end.
+        if self.stuck() || (busy && (load > c || unread > READ_TOO_LATE)) {
+            return true;
         }
-        let established =
-            subject != 0 && !over_share && self.st.keys.iter().any(|half| half.contains(&subject));
+        let established = !over_share && subject != 0 && self.st.keys.iter().any(|k| k.contains(&subject));
         let chance = if load > T2 * c || over_share { 1.0 } else { (load - T1 * c) / (c - T1 * c) };
-        load > c || (!established && self.rng.f32() < chance)
+        busy && load > T1 * c && !established && self.rng.f32() < chance
+    }
+
+    /// Every place is taken and nothing has ended for many times what a run takes, whatever the gauge says:
+    /// hung work, a frozen disk, a machine far slower than it was.
+    fn stuck(&self) -> bool {
+        let quiet = (self.st.now - self.st.last_end) as f32;
+        self.at(Stage::Running) >= self.places() && quiet > STUCK * self.st.mean_took.max(BEAT as f32)
     }
 
     fn load(&self) -> f32 {
@@ -389,6 +394,8 @@
                 break;
             }
             ex.began = self.st.now;
+            self.st.last_end =
+                if self.st.count[Stage::Running as usize] == 0 { ex.began } else { self.st.last_end };
             let (id, long, next) = (ex.id, ex.long, ex.slo_by.min(ex.due).max(self.st.now + 1));
             self.st.memory_kb += more;
             self.st.lines[usize::from(long)].pop();
@@ -440,6 +447,7 @@
             self.st.keys[0].insert(subject);
             self.st.keys_turn = if self.st.keys[0].len() < MOST_KEYS { self.st.keys_turn } else { 0 };
         }
+        self.st.last_end = self.st.now;
         self.let_go(place);
     }
 
@@ -473,7 +481,8 @@
     /// Denied ones are told to come back when the load should be down at T1.
     fn denial(&self, id: ExId, not_elsewhere: bool) -> Todo {
         let over = (self.load() - T1 * self.capacity).max(0.0) * self.st.mean_took / self.places() as f32;
-        let wait = if self.st.leave.is_some() { Tenths::MAX } else { over as Tenths };
+        let wait = if self.st.leave.is_some() || self.stuck() { Tenths::MAX } else { over as Tenths };
+        let not_elsewhere = not_elsewhere && !self.stuck();
         Todo::Deny { id, not_elsewhere, come_back_in: wait.min(self.terms.longest_come_back) }
     }
 
@@ -560,23 +569,19 @@
 
     fn caller_gone(&mut self, id: ExId, todo: &mut Vec<Todo>) {
         let Some(&place) = self.st.at_door.get(&id) else { return };
-        let ex = &self.st.exs[place];
-        // The result of a deduplicated one may still serve a repeat in time.
-        let serves = self.terms.groups[ex.group].effect == Effect::Deduplicated && self.st.now < ex.slo_by;
-        match ex.stage {
+        match self.st.exs[place].stage {
             Stage::Held => {
                 self.forget(id, todo);
                 self.let_go(place);
             }
             Stage::Attached => self.let_go(place),
-            _ if ex.answered || serves => {}
             _ => self.stop(place, todo),
         }
     }
 
     fn leave_by(&mut self, stop_at: Tenths, todo: &mut Vec<Todo>) {
         self.st.leave = Some((self.st.now + self.terms.drain_grace, stop_at));
-        todo.push(Todo::Health { from_store: true, good: false });
+        self.tell_health(todo);
         let places: Vec<Place> = self.st.exs.iter().map(|(place, _)| place).collect();
         for place in places {
             let due = self.last_answer(self.st.exs[place].due);
@@ -717,6 +722,16 @@
         if self.st.now >= self.st.beat {
             self.st.beat = self.st.now + BEAT;
             self.tell_level(todo);
+            self.tell_health(todo);
+        }
+    }
+
+    fn tell_health(&mut self, todo: &mut Vec<Todo>) {
+        let good = self.st.leave.is_none() && !self.stuck();
+        if good != self.st.told_good {
+            self.st.told_good = good;
+            // Checks that do real work would add to the very overload they are to report.
+            todo.push(Todo::Health { from_store: true, good });
         }
     }
 
