--- a/src/logic.rs
+++ b/src/logic.rs
@@ -41,11 +41,9 @@
 const LONG_SHARE: f32 = 0.5;
 /// A call that may be left out is, once it has waited this share of its SLO time for room below.
 const CALL_PATIENCE: f32 = 0.3;
-/// Calls are crowded below when they take this many times the least they took, which is let rise slowly.
-const CALL_CROWDED: f32 = 2.0;
-const CALL_LEAST_RISE: f32 = 1.02;
-/// Calls let out at first, as a share of those that what lies below survives.
-const CALL_START: f32 = 0.3;
+/// Calls out at once, as a share of those that what lies below survives: it slows down well before that, and
+/// what waits here instead goes by benefit or is left out.
+const CALL_ROOM: f32 = 0.3;
 /// How often a call may be repeated.
 const MORE_CALLS: u8 = 2;
 /// Strain is the share lately denied: weight of the newest exchange, decay in a beat, and what is borne
@@ -169,10 +167,7 @@
     /// Time that calls may still spend below, and when that was counted.
     budget: f32,
     counted: Tenths,
-    /// How many may be out, as learned from the time they take over the least that they took.
-    room: f32,
     took: f32,
-    least: f32,
 }
 
 impl Door {
@@ -183,7 +178,7 @@
             rows: vec![Row::default(); terms.groups.len()],
             saved: vec![(0.0, 0); terms.customers.len()],
             st: State::default(),
-            calls: Calls { room: CALL_START * terms.calls_share.unwrap_or(0.0), ..Calls::default() },
+            calls: Calls::default(),
             terms,
         }
     }
@@ -465,7 +460,7 @@
             self.st.memory_kb -= ex.kb * (self.terms.run_factor - 1.0).max(0.0);
         }
         if self.st.exs.is_empty() {
-            // Sums of fractions drift; an empty node is the moment to set them right.
+            // Sums of fractions drift.
             self.st.memory_kb = self.st.records.len() as f32 * self.terms.record_kb;
         }
     }
@@ -516,7 +511,7 @@
             Stage::Held if over || nothing_late || now + self.expected(ex) > due => {
                 self.learn_capacity(false);
                 todo.push(self.denial(id, true));
-                self.forget(id, todo);
+                todo.extend(self.drop_record(id).then_some(Todo::Forget { id }));
                 self.let_go(place);
             }
             Stage::Held => self.file(place),
@@ -555,12 +550,6 @@
         self.look_again(place, if can { self.st.now + 5 * BEAT } else { Tenths::MAX });
     }
 
-    fn forget(&mut self, id: ExId, todo: &mut Vec<Todo>) {
-        if self.drop_record(id) {
-            todo.push(Todo::Forget { id });
-        }
-    }
-
     fn drop_record(&mut self, id: ExId) -> bool {
         let live = self.st.records.remove(&id);
         self.st.memory_kb -= if live { self.terms.record_kb } else { 0.0 };
@@ -571,7 +560,7 @@
         let Some(&place) = self.st.at_door.get(&id) else { return };
         match self.st.exs[place].stage {
             Stage::Held => {
-                self.forget(id, todo);
+                todo.extend(self.drop_record(id).then_some(Todo::Forget { id }));
                 self.let_go(place);
             }
             Stage::Attached => self.let_go(place),
@@ -622,8 +611,8 @@
         }
         self.put(place, Stage::AtCall);
         self.call_left(place, outcome == CallOutcome::TimedOut);
-        if matches!(outcome, CallOutcome::Completed | CallOutcome::TimedOut) {
-            self.learn_call_room(took as f32);
+        if outcome == CallOutcome::Completed {
+            learn(&mut self.calls.took, took as f32);
         }
         let ex = &self.st.exs[place];
         let group = &self.terms.groups[ex.group];
@@ -642,21 +631,6 @@
         }
     }
 
-    /// Calls crowd what lies below long before it dies: when they take much longer than the least they took,
-    /// fewer are let out, and they wait here, where the best go first. The least is let rise, as what lies
-    /// below may itself have become slower.
-    fn learn_call_room(&mut self, took: f32) {
-        let out = self.at(Stage::Calling) as f32;
-        let calls = &mut self.calls;
-        learn(&mut calls.took, took);
-        calls.least = if calls.least > 0.0 { calls.least * CALL_LEAST_RISE } else { took }.min(calls.took);
-        if calls.took > CALL_CROWDED * calls.least {
-            calls.room *= 1.0 - NEWEST / 2.0;
-        } else if out + 1.0 >= calls.room {
-            calls.room += NEWEST;
-        }
-    }
-
     fn back_to_work(&mut self, place: Place) {
         self.put(place, Stage::Running);
         let ex = &self.st.exs[place];
@@ -673,7 +647,7 @@
 
     /// Makes the calls that there is room for. Any window's worth of the node's share below is kept by a
     /// budget of time: half of it may be saved up, half of it flows in, and a call is charged beforehand with
-    /// all that it may take. Room is what was learned of the crowding below.
+    /// all that it may take.
     fn make_calls(&mut self, todo: &mut Vec<Todo>) {
         if self.calls.line.is_empty() {
             return;
@@ -683,7 +657,7 @@
         let most = share.map_or(f32::MAX, |s| s * self.terms.calls_window as f32);
         self.calls.budget = if share.is_some() { (self.calls.budget + inflow).min(most) } else { f32::MAX };
         self.calls.counted = self.st.now;
-        self.calls.room = self.calls.room.min(self.terms.calls_share.unwrap_or(f32::MAX)).max(1.0);
+        let room = self.terms.calls_share.map_or(f32::MAX, |share| (CALL_ROOM * share).max(1.0));
         while let Some(&(_, _, Reverse(id), place)) = self.calls.line.peek() {
             let waits = |x: &Ex| x.id == id && x.stage == Stage::AtCall && !x.answered;
             if self.st.exs.get(place).is_some_and(waits) {
@@ -694,7 +668,7 @@
                 let left = if skips { left / 2 } else { left }.max(BEAT);
                 let limit = left.min((self.calls.budget - self.terms.linger as f32).max(0.0) as Tenths);
                 let enough = left.min(self.calls.took as Tenths).max(1);
-                let full = share.is_some() && (self.at(Stage::Calling) + 1) as f32 > self.calls.room;
+                let full = (self.at(Stage::Calling) + 1) as f32 > room;
                 if full || limit < enough {
                     break;
                 }
