--- a/src/logic.rs
+++ b/src/logic.rs
@@ -508,7 +508,9 @@
         let (over, nothing_late) = (now >= due, group.late_share <= 0.0);
         let others_wait = self.at(Stage::Held) > 0;
         match ex.stage {
-            Stage::Held if over || nothing_late || now + self.expected(ex) > due => {
+            Stage::Held
+                if over || nothing_late || self.at(Stage::Held) > 1 || now + self.expected(ex) > due =>
+            {
                 self.learn_capacity(false);
                 todo.push(self.denial(id, true));
                 todo.extend(self.drop_record(id).then_some(Todo::Forget { id }));
