An exchange waits a third of its SLO time at most, unread and held, and again for room below

Now what was not begun within a third of its SLO time is answered at once. HOLD folds the bound on unread time and the patience for calls. Could harm where callers wait long and nothing else can serve them.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -36,18 +36,18 @@
 const BEAT: Tenths = 50 * MS;
 /// Weight of the newest run or call in what is learned.
 const NEWEST: f32 = 0.1;
-/// Work is long from this multiple of the mean on; it may fill this share of the places while short work waits.
+/// Share of its SLO time that an exchange may wait unread and held, as one denied later has no time left
+/// elsewhere; and again at a call that may be left out.
+const HOLD: f32 = 0.33;
+/// Work is long from this multiple of the mean on; its share of the places while short work waits.
 const LONG: f32 = 2.0;
 const LONG_SHARE: f32 = 0.5;
-/// A call that may be left out is, once it has waited this share of its SLO time for room below.
-const CALL_PATIENCE: f32 = 0.3;
 /// Calls out at once, as a share of those that what lies below survives: it slows down well before that, and
 /// what waits here instead goes by benefit or is left out.
 const CALL_ROOM: f32 = 0.3;
 /// How often a call may be repeated.
 const MORE_CALLS: u8 = 2;
-/// Strain is the share lately denied: weight of the newest exchange, decay in a beat, and what is borne
-/// without a level and without asking that a denied exchange stay away from other nodes.
+/// Strain is the share lately denied: weight of the newest, decay in a beat, what is borne without measures.
 const STRAIN_NEWEST: f32 = 0.03;
 const STRAIN_DECAY: f32 = 0.96;
 const STRAIN_BORNE: f32 = 0.1;
@@ -57,8 +57,6 @@
 const LEVEL_MOST: f32 = 0.6;
 /// An exchange that was unread for this share of its SLO time counts for strain as if denied.
 const READ_LATE: f32 = 0.1;
-/// Unread for this share of its SLO time, it is denied as if the load were above C.
-const READ_TOO_LATE: f32 = 0.35;
 /// Stuck: nothing ended for this many times what a run takes.
 const STUCK: f32 = 6.0;
 /// A customer may send this multiple of its share at one node, and save up this much time of it.
@@ -210,11 +208,11 @@
     /// The design's rule: who is denied on reading. Keys already served are sheltered, newcomers bear
     /// the overload, and above C all is denied.
     fn turned_away(&mut self, subject: u64, over_share: bool, unread: f32) -> bool {
-        // Before the first reading the runs themselves tell whether the cores are busy.
+        // With no reading the runs themselves tell whether the cores are busy.
         let busy = self.st.busy.map_or(self.at(Stage::Running) >= self.places(), |share| share >= BUSY);
         let (load, c) = (self.load(), self.capacity);
         // Little may be held while much stands unread, or while nothing comes to its end.
-        if self.stuck() || (busy && (load > c || unread > READ_TOO_LATE)) {
+        if self.stuck() || (busy && (load > c || unread > HOLD)) {
             return true;
         }
         let established = !over_share && subject != 0 && self.st.keys.iter().any(|k| k.contains(&subject));
@@ -286,7 +284,6 @@
             return;
         }
         let unread = ex.age as f32 / group.slo_time.max(1) as f32;
-        let lasting = group.window.saturating_sub(ex.age);
         let too_late = self.st.now >= due || self.st.leave.is_some_and(|(last, _)| arrived + 1 > last);
         let denied = too_late || no_room || self.turned_away(ex.subject, over_share, unread);
         self.st.strain +=
@@ -297,6 +294,7 @@
         }
         if records {
             // Entered on reading: a repeat of a try that is held without an entry would not be known as one.
+            let lasting = group.window.saturating_sub(ex.age);
             todo.push(Todo::Record { id: ex.id, lasting });
             self.st.records.insert(ex.id);
             self.st.record_ends.push_back((self.st.now + lasting, ex.id));
@@ -306,7 +304,7 @@
         self.file(place);
     }
 
-    /// Whether this exchange is beyond what its customer's share of the fleet comes to at one node.
+    /// Whether this is beyond what its customer's share of the fleet comes to at one node.
     fn over_share(&mut self, customer: usize, counted_before: bool) -> bool {
         let Some((saved, counted)) = self.saved.get_mut(customer) else { return false };
         let rate = SHARE_SLACK * self.terms.customers[customer] / self.terms.nodes.max(1) as f32 / 10_000.0;
@@ -340,13 +338,15 @@
         let ex = &self.st.exs[place];
         let group = &self.terms.groups[ex.group];
         let expected = self.expected(ex);
-        let late = self.st.now + expected > ex.slo_by;
+        let patient_till = ex.arrived + (HOLD * (ex.slo_by.saturating_sub(ex.arrived)) as f32) as Tenths;
+        let start_by = patient_till.min(ex.slo_by.saturating_sub(expected));
+        let late = self.st.now > start_by;
         let share = if ex.over_share { self.terms.over_share } else { 1.0 };
         let earns = share * group.benefit * if late { group.late_share } else { 1.0 };
         let work = if ex.work > 0.0 { ex.work } else { self.rows[ex.group].took };
         let need = if work > 0.0 && self.st.mean_work > 0.0 { work / self.st.mean_work } else { 1.0 };
         let density = 1000.0 * earns / if self.terms.by_work { 1.0 } else { need.max(0.01) };
-        let last_start = if late { ex.due } else { ex.slo_by }.saturating_sub(expected);
+        let last_start = if late { ex.due.saturating_sub(expected) } else { start_by };
         let ex = &mut self.st.exs[place];
         (ex.density, ex.long) = (density as u32, need > LONG);
         let entry = (ex.density, Reverse(ex.arrived), Reverse(ex.id), place);
@@ -459,8 +459,8 @@
             self.st.long_running -= usize::from(ex.long);
             self.st.memory_kb -= ex.kb * (self.terms.run_factor - 1.0).max(0.0);
         }
+        // Sums of fractions drift; an empty node sets them right.
         if self.st.exs.is_empty() {
-            // Sums of fractions drift.
             self.st.memory_kb = self.st.records.len() as f32 * self.terms.record_kb;
         }
     }
@@ -600,7 +600,7 @@
         let rank = (1000.0 * group.benefit * (1.0 - group.skip_share)) as u32;
         self.calls.line.push((rank, Reverse(ex.arrived), Reverse(ex.id), place));
         if group.skip_share > 0.0 {
-            let patience = (CALL_PATIENCE * group.slo_time as f32) as Tenths;
+            let patience = (HOLD * group.slo_time as f32) as Tenths;
             let at = ex.look_at.min(self.st.now + patience);
             self.look_again(place, at);
         }
@@ -635,9 +635,8 @@
 
     fn back_to_work(&mut self, place: Place) {
         self.put(place, Stage::Running);
-        let ex = &self.st.exs[place];
-        let next = if self.st.now < ex.slo_by { ex.slo_by } else { ex.due };
-        self.look_again(place, next);
+        let (slo_by, due) = (self.st.exs[place].slo_by, self.st.exs[place].due);
+        self.look_again(place, if self.st.now < slo_by { slo_by } else { due });
     }
 
     /// What a call was given and did not use goes back; an abandoned one lingers below for a while.
