--- /dev/null
+++ b/tests/cases.rs
@@ -0,0 +1,164 @@
+//! Plain cases: the edges of the design's rule, and one for each failure found.
+
+mod common;
+
+use common::{At, MS, World, contract, exchange};
+use doortrack::*;
+
+/// Sends `n` strangers in one batch to a busy node; how many were denied.
+fn denied_of(world: &mut World, n: usize) -> usize {
+    let before = denials(world);
+    (0..n).for_each(|_| {
+        world.arrive(0, 0, 0, None, 1.0);
+    });
+    world.step();
+    denials(world) - before
+}
+
+fn denials(world: &World) -> usize {
+    world.done.iter().filter(|t| matches!(t, Todo::Deny { .. })).count()
+}
+
+fn busy_node(cores: u32, seed: u64) -> World {
+    let mut world = World::new(ServiceContract { cores, ..contract() }, seed);
+    world.pass(60 * MS);
+    world
+}
+
+#[test]
+fn below_the_first_threshold_and_on_idle_cores_all_is_taken() {
+    let mut world = busy_node(20, 1);
+    assert_eq!(denied_of(&mut world, 16), 0, "loads 0 to 15 are at or below T1 = 15");
+    let mut idle = World::new(contract(), 1);
+    idle.busy = 0.94;
+    idle.pass(60 * MS);
+    assert_eq!(denied_of(&mut idle, 30), 0);
+}
+
+#[test]
+fn the_ramp_denies_by_its_chance() {
+    // At load 17 of C = 20 the chance is (17 - 15) / (20 - 15).
+    let mut denied = 0;
+    for seed in 0..2000 {
+        let mut world = busy_node(20, seed);
+        world.busy = 0.0;
+        world.pass(60 * MS);
+        assert_eq!(denied_of(&mut world, 17), 0);
+        world.busy = 1.0;
+        world.pass(60 * MS);
+        denied += denied_of(&mut world, 1);
+    }
+    assert!((700..900).contains(&denied), "{denied} of 2000 denied, 800 expected");
+}
+
+#[test]
+fn past_the_second_threshold_only_established_keys_pass_and_above_c_none() {
+    let mut world = busy_node(20, 3);
+    let first = world.arrive(0, 5, 0, None, 1.0);
+    world.step();
+    world.finish(first, RunOutcome::Completed);
+    world.busy = 0.0;
+    world.pass(60 * MS);
+    denied_of(&mut world, 19);
+    world.busy = 1.0;
+    world.pass(60 * MS);
+    assert_eq!(denied_of(&mut world, 1), 1, "a stranger at load 19, past T2 = 18");
+    let (a, b) = (world.arrive(0, 5, 0, None, 1.0), world.arrive(0, 5, 0, None, 1.0));
+    let c = world.arrive(0, 5, 0, None, 1.0);
+    world.step();
+    assert!(world.items[&a].owed && world.items[&b].owed, "an established key at loads 19 and 20");
+    assert!(!world.items[&c].owed, "an established key at load 21, above C = 20");
+}
+
+#[test]
+fn of_two_tries_in_one_batch_one_runs_and_both_are_answered() {
+    let mut world = World::new(contract(), 1);
+    let (a, b) = world.arrive_together(1, 7);
+    world.step();
+    assert_eq!((world.items[&a].at, world.items[&b].at), (At::Attached(b), At::Running));
+    world.finish(b, RunOutcome::Completed);
+    world.pass(10 * MS);
+    assert_eq!(world.items[&a].at, At::Over);
+}
+
+#[test]
+fn a_repeat_read_after_the_entry_ran_out_is_not_run() {
+    let mut world = World::new(contract(), 1);
+    let first = world.arrive(1, 7, 0, None, 10.0);
+    world.step();
+    world.finish(first, RunOutcome::Completed);
+    world.pass(6500 * MS);
+    let again = world.arrive(1, 7, 900 * MS, None, 10.0);
+    world.step();
+    assert!(!world.items[&again].ran);
+}
+
+#[test]
+fn work_whose_last_start_is_now_does_not_spin() {
+    // Found by lbsim check: a held exchange was filed and looked at again without end.
+    let mut terms = contract();
+    terms.groups.iter_mut().for_each(|g| g.late_share = 0.2);
+    let mut world = World::new(terms, 1);
+    (0..40).for_each(|_| {
+        world.arrive(0, 1, 1500 * MS - 7000, None, 1.0);
+    });
+    world.pass(5000 * MS);
+    assert!(world.items.values().all(|x| !x.owed));
+}
+
+#[test]
+fn calls_that_take_long_are_left_out_and_dear_ones_go_first() {
+    // Found on apsa-lahore: everything queued in a slowed ledger until its caller gave up.
+    let mut terms = ServiceContract { calls_share: Some(4.0), ..contract() };
+    terms.groups[0].skip_share = 0.6;
+    let mut world = World::new(terms, 1);
+    let ids: Vec<_> = (0..4).map(|i| world.arrive(if i < 3 { 0 } else { 2 }, i, 0, None, 1.0)).collect();
+    world.step();
+    ids.iter().for_each(|id| world.need_call(*id));
+    world.pass(10 * MS);
+    assert_eq!(world.items[&ids[3]].at, At::Calling, "what cannot go on without its call goes first");
+    world.pass(400 * MS);
+    assert!(world.items.values().filter(|x| x.at == At::Running).count() >= 2, "the others went on");
+}
+
+#[test]
+fn odd_starts_and_odd_numbers_are_borne() {
+    let mut terms = contract();
+    terms.cores = 0;
+    terms.customers.clear();
+    terms.warm_after = 0;
+    terms.calls_share = Some(0.0);
+    terms.groups.truncate(1);
+    let mut world = World::new(ServiceContract { cold: true, ..terms }, 1);
+    let mut todo = Vec::new();
+    let nan = Gauges { busy_cores: Some(f32::NAN), memory: Some(f32::NAN), ..Gauges::default() };
+    let odd = Exchange { customer: 900, kb: f32::NAN, rank: f32::NAN, ..exchange(70, 0) };
+    let batch = [
+        Happened::Alarm { token: 5, gauges: nan },
+        Happened::Arrived(exchange(71, 200)),
+        Happened::Arrived(odd),
+    ];
+    world.door.happen(world.now, &batch, &mut todo);
+    assert!(todo.contains(&Todo::Terminate { id: 71 }), "an unknown endpoint group is answered at once");
+    world.door.happen(world.now + 9000 * MS, &[], &mut todo);
+    let answers = todo.iter().filter(|t| matches!(t, Todo::Deny { id: 70, .. } | Todo::Terminate { id: 70 }));
+    assert_eq!(answers.count(), 1);
+}
+
+#[test]
+fn calls_that_return_together_do_not_crowd_a_cold_node() {
+    let mut world = World::new(ServiceContract { cold: true, ..contract() }, 1);
+    (0..40).for_each(|i| {
+        world.arrive(2, i, 0, None, 1.0);
+    });
+    for _ in 0..8 {
+        world.step();
+        while let Some(id) = world.pick(At::Running, 0) {
+            world.need_call(id);
+        }
+    }
+    while let Some(id) = world.pick(At::Calling, 0) {
+        world.end_call(id, CallOutcome::Completed);
+    }
+    world.step();
+}
--- /dev/null
+++ b/tests/rules.rs
@@ -0,0 +1,151 @@
+//! Seeded random histories: the four rules hold after every step.
+
+mod common;
+
+use common::{At, MS, World, contract};
+use doortrack::*;
+use proptest::prelude::*;
+use proptest::test_runner::{Config, RngAlgorithm, RngSeed, TestRunner};
+
+#[derive(Clone, Debug)]
+struct Start {
+    stop: StopKind,
+    cold: bool,
+    share: Option<f32>,
+    skip: f32,
+    late: f32,
+    memory: f32,
+    passed: bool,
+    told: bool,
+    seed: u64,
+}
+
+fn starts() -> impl Strategy<Value = Start> {
+    let stop = prop_oneof![Just(StopKind::Never), Just(StopKind::Drop), Just(StopKind::Pause)];
+    let share = prop_oneof![Just(None), Just(Some(0.0)), Just(Some(0.4)), Just(Some(1.5))];
+    let halves = prop_oneof![Just(0.0f32), Just(0.5)];
+    let memory = prop_oneof![Just(3_000.0f32), Just(20_000.0)];
+    (stop, any::<bool>(), share, halves.clone(), halves, memory, any::<bool>(), any::<bool>(), any::<u64>())
+        .prop_map(|(stop, cold, share, skip, late, memory, passed, told, seed)| Start {
+            stop,
+            cold,
+            share,
+            skip,
+            late,
+            memory,
+            passed,
+            told,
+            seed,
+        })
+}
+
+fn world(start: &Start) -> World {
+    let mut terms = contract();
+    terms.stop = start.stop;
+    terms.cold = start.cold;
+    terms.calls_share = start.share;
+    terms.memory_kb = start.memory;
+    terms.groups[0].skip_share = start.skip;
+    terms.groups.iter_mut().for_each(|g| g.late_share = start.late);
+    World::new(terms, start.seed)
+}
+
+fn play(world: &mut World, start: &Start, op: u8, n: u32, span: Tenths) {
+    let left = start.passed.then_some(Tenths::from(n % 5000) * MS);
+    let (mark, age, kb) = (u64::from(n % 13) + 1, Tenths::from(n / 7 % 900) * MS, (10 + n % 60) as f32);
+    match op {
+        0..=7 => {
+            world.arrive((n % 3) as u8, mark, age, left, kb);
+        }
+        8 => {
+            world.arrive_together(1, mark);
+        }
+        9..=11 => {
+            if let Some(id) = world.pick(At::Running, n) {
+                world
+                    .finish(id, if n.is_multiple_of(9) { RunOutcome::Failed } else { RunOutcome::Completed });
+            }
+        }
+        12..=13 => {
+            if let Some(id) = world.pick(At::Running, n) {
+                world.need_call(id);
+            }
+        }
+        14..=15 => {
+            use CallOutcome::*;
+            let outcomes = [Completed, Completed, Completed, Failed, Bounced, TimedOut, Unreachable, Dropped];
+            if let Some(id) = world.pick(At::Calling, n) {
+                world.end_call(id, outcomes[n as usize / 16 % 8]);
+            }
+        }
+        16 if start.told => {
+            let at = [At::Held, At::Running, At::Calling][n as usize % 3];
+            if let Some(id) = world.pick(at, n / 3) {
+                world.caller_gone(id);
+            }
+        }
+        17 => world.busy = (n % 2) as f32,
+        18 if n.is_multiple_of(40) => world.leave_in(Tenths::from(800 + n % 3000) * MS),
+        19 => {
+            // What comes late, twice or for nobody changes nothing.
+            let id = n % 50 + 1;
+            if world.items.get(&id).is_none_or(|x| x.at == At::Over) {
+                world.events.push(Happened::RunEnded { id, outcome: RunOutcome::Moot });
+                world.events.push(Happened::CallEnded { id, outcome: CallOutcome::Moot, took: 1 });
+                world.events.push(Happened::CallerGone { id });
+                world.events.push(Happened::NeedsCall { id });
+            }
+        }
+        _ => {}
+    }
+    if n.is_multiple_of(4) {
+        world.pass(span * MS);
+    }
+}
+
+/// Whatever happens, and in whatever order, the rules hold and everything owed is answered.
+#[test]
+fn the_rules_hold_after_every_step() {
+    let seed = RngSeed::Fixed(0x0d00_77ac);
+    let config = Config { cases: 600, rng_seed: seed, failure_persistence: None, ..Config::default() };
+    let rng = proptest::test_runner::TestRng::deterministic_rng(RngAlgorithm::ChaCha);
+    let ops = proptest::collection::vec((0u8..20, any::<u32>(), 1u64..400), 1..160);
+    let mut runner = TestRunner::new_with_rng(config, rng);
+    runner
+        .run(&(starts(), ops), |(start, ops)| {
+            let mut world = world(&start);
+            for (op, n, span) in ops {
+                if world.leave.is_some_and(|(_, stop)| world.now + span * MS >= stop) {
+                    break;
+                }
+                play(&mut world, &start, op, n, span);
+            }
+            world.pass(9000 * MS);
+            prop_assert!(world.items.values().all(|x| !x.owed));
+            Ok(())
+        })
+        .unwrap();
+}
+
+/// The same history gives the same actions.
+#[test]
+fn same_input_same_output() {
+    let run = || {
+        let start = Start {
+            stop: StopKind::Drop,
+            cold: true,
+            share: Some(1.5),
+            skip: 0.5,
+            late: 0.5,
+            memory: 20_000.0,
+            passed: false,
+            told: true,
+            seed: 9,
+        };
+        let mut world = world(&start);
+        let mut rng = fastrand::Rng::with_seed(4);
+        (0..600).for_each(|_| play(&mut world, &start, rng.u8(0..20), rng.u32(..), rng.u64(1..300)));
+        format!("{:?}", world.done)
+    };
+    assert_eq!(run(), run());
+}
