--- a/src/logic.rs
+++ b/src/logic.rs
@@ -23,7 +23,7 @@
 /// The design's rule denies only while the busy-cores gauge reads this much.
 const BUSY: f32 = 0.95;
 /// C rises by so much for each run that met its SLO time under load, and falls to this share at a miss.
-const C_RISE: f32 = 0.2;
+const C_RISE: f32 = 0.5;
 const C_FALL: f32 = 0.93;
 /// A key stays established for one to two of these without a completed exchange; bound on each half.
 const IDLE_WINDOW: Tenths = 20_000 * MS;
@@ -31,7 +31,6 @@
 /// Share of what a node survives that it lets itself use: of crowd and calls, and of memory, which is exact.
 const MARGIN: f32 = 0.9;
 const MEMORY: f32 = 0.95;
-/// Time between two readings of the gauges.
 const BEAT: Tenths = 50 * MS;
 /// Weight of the newest run or call in what is learned.
 const NEWEST: f32 = 0.1;
@@ -74,10 +73,8 @@
 enum Stage {
     #[default]
     Held,
-    /// Waits for the outcome of the exchange it repeats.
     Attached,
     Running,
-    /// Stands at a call that has not been made.
     AtCall,
     Calling,
 }
@@ -88,17 +85,14 @@
     group: usize,
     subject: u64,
     stage: Stage,
-    /// The exchange it is attached to.
-    root: ExId,
+    attached_to: ExId,
     arrived: Tenths,
     slo_by: Tenths,
     due: Tenths,
-    /// When `look` is to see it next.
     look_at: Tenths,
     began: Tenths,
     work: f32,
     kb: f32,
-    /// Sent beyond its customer's share.
     over_share: bool,
     long: bool,
     /// Nothing is owed any more; only its end is still to come.
@@ -129,7 +123,7 @@
 struct State {
     now: Tenths,
     born: Tenths,
-    /// Next reading of the gauges, and the alarm that is set.
+    /// Next reading of the gauges.
     beat: Tenths,
     /// When a run last began or ended.
     last_change: Tenths,
@@ -223,7 +217,12 @@
     /// hung work, a frozen disk, a machine far slower than it was.
     fn stuck(&self) -> bool {
         let quiet = (self.st.now - self.st.last_change) as f32;
-        self.at(Stage::Running) >= self.places() && quiet > STUCK * self.st.mean_took.max(BEAT as f32)
+        let long = self.shortest_slo().max(STUCK * self.st.mean_took);
+        self.at(Stage::Running) >= self.places() && quiet > long
+    }
+
+    fn shortest_slo(&self) -> f32 {
+        self.terms.groups.iter().map(|group| group.slo_time).min().unwrap_or(0) as f32
     }
 
     fn fits(&self, kb: f32) -> bool {
@@ -238,16 +237,20 @@
         self.st.at_stage[stage as usize]
     }
 
-    /// C follows what the runs show: SLO times met under load raise it, missed ones lower it.
+    /// C follows what runs show: SLO times met under load raise it, missed ones lower it. What was given up in
+    /// the hold is no run; on few cores, where such is common, it would keep C too low for any hold.
     fn learn_capacity(&mut self, met: bool) {
         let cores = self.terms.cores.max(1) as f32;
+        // More than begins within the time held would be taken only to be given up.
+        let begins = 1.0 + HOLD * self.shortest_slo() / self.st.mean_took.max(1.0);
+        let most = (self.places() as f32 * begins).min(self.terms.tip_multiple * cores);
         if !met {
             self.capacity *= C_FALL;
         } else if self.load() > T1 * self.capacity {
             // Only a load near C says anything about C.
             self.capacity += C_RISE;
         }
-        self.capacity = self.capacity.clamp(cores, (self.terms.tip_multiple * cores).max(cores));
+        self.capacity = self.capacity.clamp(cores, most.max(cores));
     }
 
     fn arrived(&mut self, ex: &Exchange, todo: &mut Vec<Todo>) {
@@ -265,7 +268,7 @@
             group: ex.group as usize,
             subject: ex.subject,
             stage: if root.is_some() { Stage::Attached } else { Stage::Held },
-            root: root.unwrap_or(0),
+            attached_to: root.unwrap_or(0),
             arrived,
             slo_by: (arrived + group.slo_time + (group.slo_stretch * work) as Tenths).min(due),
             due,
@@ -322,7 +325,7 @@
     fn leads_back(&self, id: ExId, first: ExId) -> bool {
         let next = |at: &ExId| {
             let ex = &self.st.exs[*self.st.at_door.get(at)?];
-            (ex.stage == Stage::Attached).then_some(ex.root)
+            (ex.stage == Stage::Attached).then_some(ex.attached_to)
         };
         std::iter::successors(Some(first), next).take(self.st.exs.len() + 1).any(|at| at == id)
     }
@@ -435,7 +438,6 @@
         self.let_go(place);
     }
 
-    /// Takes an exchange out of every count.
     fn let_go(&mut self, place: Place) {
         if self.st.exs[place].stage == Stage::Calling {
             self.call_left(place, true);
@@ -493,7 +495,6 @@
         let others_wait = self.at(Stage::Held) > 0;
         match ex.stage {
             Stage::Held => {
-                self.learn_capacity(false);
                 todo.push(self.denial(id, true));
                 self.drop_held(place, todo);
             }
@@ -695,7 +696,7 @@
     }
 
     /// With many callers most idle connections are never used again and fill the table, so they are closed
-    /// early. A node that drowns in unread work lets the table fill: callers that find no room cost it nothing,
+    /// early. A node that drowns in unread work lets the table fill: callers that find no room cost nothing,
     /// while each exchange that it denies costs a read and perhaps a new connection.
     fn tell_idle_limit(&mut self, todo: &mut Vec<Todo>) {
         let Some(links) = self.st.gauges.connections else { return };
