A call waits until three times what one takes is left for it

Bounded by half of what may be saved up, else a slow ledger would never be called at a share like that.

Also guards against a ledger whose times vary much. Could harm where calls are so slow that three of them never fit.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -44,6 +44,8 @@
 /// what waits here instead goes by benefit or is left out.
 const CALL_ROOM: f32 = 0.3;
 const MORE_CALLS: u8 = 2;
+/// A call waits until this many times what one takes is left for it: one cut short has cost its time below.
+const CALL_TIMES: f32 = 3.0;
 /// Strain is the share lately denied: weight of the newest, decay in a beat, what is borne without measures.
 const STRAIN_NEWEST: f32 = 0.03;
 const STRAIN_DECAY: f32 = 0.96;
@@ -237,8 +239,7 @@
         self.st.at_stage[stage as usize]
     }
 
-    /// C follows what runs show: SLO times met under load raise it, missed ones lower it. What was given up in
-    /// the hold is no run; on few cores, where such is common, it would keep C too low for any hold.
+    /// C follows what runs show. What was given up in the hold is no run: on few cores it would hold C down.
     fn learn_capacity(&mut self, met: bool) {
         let cores = self.terms.cores.max(1) as f32;
         // More than begins within the time held would be taken only to be given up.
@@ -638,10 +639,9 @@
             return;
         }
         let share = self.terms.calls_share.map(|share| MARGIN * share / 2.0);
-        let inflow = share.unwrap_or(0.0) * (self.st.now - self.st.call_counted) as f32;
+        let inflow = share.map_or(f32::MAX, |s| s * (self.st.now - self.st.call_counted) as f32);
         let most = share.map_or(f32::MAX, |s| s * self.terms.calls_window as f32);
-        self.st.call_budget =
-            if share.is_some() { (self.st.call_budget + inflow).min(most) } else { f32::MAX };
+        self.st.call_budget = (self.st.call_budget + inflow).min(most);
         self.st.call_counted = self.st.now;
         let room = self.terms.calls_share.map_or(f32::MAX, |share| (CALL_ROOM * share).max(1.0));
         while let Some(&(_, _, Reverse(id), place)) = self.st.call_line.peek() {
@@ -653,7 +653,7 @@
                 let left = if skips { ex.slo_by } else { ex.due }.saturating_sub(self.st.now);
                 let left = if skips { left / 2 } else { left }.max(BEAT);
                 let limit = left.min((self.st.call_budget - self.terms.linger as f32).max(0.0) as Tenths);
-                let enough = left.min(self.st.call_took as Tenths).max(1);
+                let enough = left.min((CALL_TIMES * self.st.call_took).min(most / 2.0) as Tenths).max(1);
                 if (self.at(Stage::Calling) + 1) as f32 > room || limit < enough {
                     break;
                 }
