Half of the time saved up below is kept for calls that cannot be left out

Also guards against any slow or small shared dependency. Could harm where no group is bound to its calls, as half of what is saved up then lies idle.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -40,12 +40,14 @@
 /// Work is long from this multiple of the mean on; its share of the places while short work waits.
 const LONG: f32 = 2.0;
 const LONG_SHARE: f32 = 0.5;
-/// Calls out at once, as a share of those that what lies below survives: it slows down well before that, and
-/// what waits here instead goes by benefit or is left out.
-const CALL_ROOM: f32 = 0.3;
+/// Calls out in the mean, as a share of those that what lies below survives: it slows down well before that,
+/// and what waits here instead goes by benefit or is left out.
+const CALL_INFLOW: f32 = 0.3;
 const MORE_CALLS: u8 = 2;
 /// A call waits until this many times what one takes is left for it: one cut short has cost its time below.
 const CALL_TIMES: f32 = 3.0;
+/// Share of the time saved up for calls that is kept for those that cannot be left out.
+const CALL_RESERVE: f32 = 0.5;
 /// Strain is the share lately denied: weight of the newest, decay in a beat, what is borne without measures.
 const STRAIN_NEWEST: f32 = 0.03;
 const STRAIN_DECAY: f32 = 0.96;
@@ -334,8 +336,7 @@
     fn take_in(&mut self, ex: Ex) -> Place {
         self.st.memory_kb += f64::from(ex.kb);
         self.st.at_stage[ex.stage as usize] += 1;
-        let id = ex.id;
-        let place = self.st.exs.insert(ex);
+        let (id, place) = (ex.id, self.st.exs.insert(ex));
         self.st.at_door.insert(id, place);
         place
     }
@@ -631,30 +632,28 @@
         self.st.call_budget += ex.call_given as f32 - (self.st.now - ex.called + lingers) as f32;
     }
 
-    /// Makes the calls that there is room for. Any window's worth of the node's share below is kept by a
-    /// budget of time: half of it may be saved up, half of it flows in, and a call is charged beforehand with
-    /// all that it may take.
+    /// Makes the calls that there is room for. Any window's worth of the node's share below is kept by a budget
+    /// of time: a part of the share flows in, the rest of the window may be saved up, and a call is charged
+    /// beforehand with all that it may take.
     fn make_calls(&mut self, todo: &mut Vec<Todo>) {
-        if self.st.call_line.is_empty() {
-            return;
-        }
-        let share = self.terms.calls_share.map(|share| MARGIN * share / 2.0);
-        let inflow = share.map_or(f32::MAX, |s| s * (self.st.now - self.st.call_counted) as f32);
-        let most = share.map_or(f32::MAX, |s| s * self.terms.calls_window as f32);
+        let (share, window) = (self.terms.calls_share, self.terms.calls_window as f32);
+        let most = share.map_or(f32::MAX, |s| (MARGIN - CALL_INFLOW) * s * window);
+        let inflow =
+            share.map_or(f32::MAX, |s| CALL_INFLOW * s * (self.st.now - self.st.call_counted) as f32);
         self.st.call_budget = (self.st.call_budget + inflow).min(most);
         self.st.call_counted = self.st.now;
-        let room = self.terms.calls_share.map_or(f32::MAX, |share| (CALL_ROOM * share).max(1.0));
         while let Some(&(_, _, Reverse(id), place)) = self.st.call_line.peek() {
-            let waits = |x: &Ex| x.id == id && x.stage == Stage::AtCall && !x.answered;
-            if self.st.exs.get(place).is_some_and(waits) {
-                let ex = &self.st.exs[place];
+            let waits = |x: &&Ex| x.id == id && x.stage == Stage::AtCall && !x.answered;
+            if let Some(ex) = self.st.exs.get(place).filter(waits) {
                 // Where the call may be left out, it is given up while the rest can still be done in time.
                 let skips = self.terms.groups[ex.group].skip_share > 0.0;
                 let left = if skips { ex.slo_by } else { ex.due }.saturating_sub(self.st.now);
                 let left = if skips { left / 2 } else { left }.max(BEAT);
-                let limit = left.min((self.st.call_budget - self.terms.linger as f32).max(0.0) as Tenths);
-                let enough = left.min((CALL_TIMES * self.st.call_took).min(most / 2.0) as Tenths).max(1);
-                if (self.at(Stage::Calling) + 1) as f32 > room || limit < enough {
+                let kept = self.terms.linger as f32 + if skips { CALL_RESERVE * most } else { 0.0 };
+                let limit = left.min((self.st.call_budget - kept) as Tenths);
+                let enough =
+                    left.min((CALL_TIMES * self.st.call_took).min((most - kept) / 2.0) as Tenths).max(1);
+                if limit < enough {
                     break;
                 }
                 self.put(place, Stage::Calling);
