--- a/src/logic.rs
+++ b/src/logic.rs
@@ -632,9 +632,9 @@
         self.st.call_budget += ex.call_given as f32 - (self.st.now - ex.called + lingers) as f32;
     }
 
-    /// Makes the calls that there is room for. Any window's worth of the node's share below is kept by a budget
-    /// of time: a part of the share flows in, the rest of the window may be saved up, and a call is charged
-    /// beforehand with all that it may take.
+    /// Makes the calls that there is room for. A budget of time keeps the node's share below over any window:
+    /// a part of the share flows in, the rest of the window may be saved up, and a call is charged beforehand
+    /// with all that it may take.
     fn make_calls(&mut self, todo: &mut Vec<Todo>) {
         let (share, window) = (self.terms.calls_share, self.terms.calls_window as f32);
         let most = share.map_or(f32::MAX, |s| (MARGIN - CALL_INFLOW) * s * window);
--- a/tests/cases.rs
+++ b/tests/cases.rs
@@ -89,7 +89,7 @@
 
 #[test]
 fn calls_that_take_long_are_left_out_and_room_is_kept_for_dear_ones() {
-    // Found on apsa-lahore: all queued in a slowed ledger, and at full size light calls used up a small share.
+    // Found on apsa-lahore: all queued in a slowed ledger, or light calls used up a small share.
     let mut terms = ServiceContract { calls_share: Some(1.0), ..contract() };
     terms.groups[0].skip_share = 0.6;
     let mut world = World::new(terms, 1);
