--- a/src/logic.rs
+++ b/src/logic.rs
@@ -10,13 +10,12 @@
 use slab::Slab;
 
 use crate::{
-    CallOutcome, Effect, ExId, Exchange, Happened, LevelKind, RunOutcome, ServiceContract, StopKind, Tenths,
-    Todo,
+    CallOutcome, Effect, ExId, Exchange, Gauges, Happened, LevelKind, RunOutcome, ServiceContract, StopKind,
+    Tenths, Todo,
 };
 
 const MS: Tenths = 10;
 
-/// Exchanges that run at once, for each core.
 const RUNS_A_CORE: f32 = 1.5;
 /// Thresholds of the design, as shares of C.
 const T1: f32 = 0.75;
@@ -45,7 +44,6 @@
 /// Calls out at once, as a share of those that what lies below survives: it slows down well before that, and
 /// what waits here instead goes by benefit or is left out.
 const CALL_ROOM: f32 = 0.3;
-/// How often a call may be repeated.
 const MORE_CALLS: u8 = 2;
 /// Strain is the share lately denied: weight of the newest, decay in a beat, what is borne without measures.
 const STRAIN_NEWEST: f32 = 0.03;
@@ -59,6 +57,15 @@
 const READ_LATE: f32 = 0.1;
 /// Stuck: nothing ended for this many times what a run takes.
 const STUCK: f32 = 6.0;
+/// Connections a core up to which idle ones may stay: a fuller table costs cores and shuts callers out.
+const LINKS_A_CORE: f32 = 7.0;
+/// The idle limit's least, its rise in a beat below that and its fall above. It rises slowly, as a connection
+/// keeps the limit that it went idle under.
+const IDLE_LEAST: f32 = 100.0 * MS as f32;
+const IDLE_RISE: f32 = 1.05;
+const IDLE_FALL: f32 = 0.7;
+/// Share read too late to be held from which on the table is left to fill.
+const DROWNING: f32 = 0.1;
 /// A customer may send this multiple of its share at one node, and save up this much time of it.
 const SHARE_SLACK: f32 = 1.3;
 const SHARE_SAVED: f32 = 20_000.0;
@@ -93,7 +100,6 @@
     kb: f32,
     /// Sent beyond its customer's share.
     over_share: bool,
-    density: u32,
     long: bool,
     /// Nothing is owed any more; only its end is still to come.
     answered: bool,
@@ -103,13 +109,6 @@
     call_given: Tenths,
 }
 
-/// What differs by endpoint group beyond the contract: mean time of its runs, and mean work told for them.
-#[derive(Clone, Copy, Default)]
-struct Row {
-    took: f32,
-    work: f32,
-}
-
 type Place = usize;
 /// Best first: benefit for the work, then the oldest. Entries that no longer hold are passed over.
 type Line = BinaryHeap<(u32, Reverse<Tenths>, Reverse<ExId>, Place)>;
@@ -119,11 +118,11 @@
     rng: fastrand::Rng,
     /// C of the design.
     capacity: f32,
-    rows: Vec<Row>,
+    /// Mean time of a run, by endpoint group; what else differs by group stands in the contract.
+    took: Vec<f32>,
     /// What each customer has saved up of its share here, and when that was counted.
     saved: Vec<(f32, Tenths)>,
     st: State,
-    calls: Calls,
 }
 
 #[derive(Default)]
@@ -132,21 +131,25 @@
     born: Tenths,
     /// Next reading of the gauges, and the alarm that is set.
     beat: Tenths,
-    last_end: Tenths,
+    /// When a run last began or ended.
+    last_change: Tenths,
     told_good: bool,
     armed: Tenths,
     /// Last arrival that may be run, and the stop, once told to leave.
     leave: Option<(Tenths, Tenths)>,
-    busy: Option<f32>,
+    gauges: Gauges,
+    idle_limit: f32,
+    /// Share lately read too late to be held.
+    read_late: f32,
     exs: Slab<Ex>,
     at_door: FxHashMap<ExId, Place>,
-    /// Exchanges at each stage.
-    count: [usize; 5],
+    at_stage: [usize; 5],
     long_running: usize,
     /// Held exchanges, short and long work.
     lines: [Line; 2],
     watch: BinaryHeap<Reverse<(Tenths, ExId, Place)>>,
-    memory_kb: f32,
+    /// Summed in f64, so that what fractions drift stays far under the margin.
+    memory_kb: f64,
     mean_work: f32,
     mean_took: f32,
     /// Live entries of the node's table, and their ends.
@@ -157,15 +160,11 @@
     keys_turn: Tenths,
     strain: f32,
     level: f32,
-}
-
-#[derive(Default)]
-struct Calls {
-    line: Line,
+    call_line: Line,
     /// Time that calls may still spend below, and when that was counted.
-    budget: f32,
-    counted: Tenths,
-    took: f32,
+    call_budget: f32,
+    call_counted: Tenths,
+    call_took: f32,
 }
 
 impl Door {
@@ -173,10 +172,9 @@
         Door {
             rng: fastrand::Rng::with_seed(seed),
             capacity: terms.cores.max(1) as f32,
-            rows: vec![Row::default(); terms.groups.len()],
+            took: vec![0.0; terms.groups.len()],
             saved: vec![(0.0, 0); terms.customers.len()],
             st: State::default(),
-            calls: Calls::default(),
             terms,
         }
     }
@@ -193,7 +191,7 @@
                 Happened::CallEnded { id, outcome, took } => self.call_ended(*id, *outcome, *took, todo),
                 Happened::CallerGone { id } => self.caller_gone(*id, todo),
                 Happened::Leave { stop_at } => self.leave_by(*stop_at, todo),
-                Happened::Alarm { gauges, .. } => self.st.busy = gauges.busy_cores.filter(|b| b.is_finite()),
+                Happened::Alarm { gauges, .. } => self.st.gauges = *gauges,
             }
         }
         self.upkeep(todo);
@@ -209,7 +207,8 @@
     /// the overload, and above C all is denied.
     fn turned_away(&mut self, subject: u64, over_share: bool, unread: f32) -> bool {
         // With no reading the runs themselves tell whether the cores are busy.
-        let busy = self.st.busy.map_or(self.at(Stage::Running) >= self.places(), |share| share >= BUSY);
+        let gauge = self.st.gauges.busy_cores.filter(|share| share.is_finite());
+        let busy = gauge.map_or(self.at(Stage::Running) >= self.places(), |share| share >= BUSY);
         let (load, c) = (self.load(), self.capacity);
         // Little may be held while much stands unread, or while nothing comes to its end.
         if self.stuck() || (busy && (load > c || unread > HOLD)) {
@@ -223,16 +222,20 @@
     /// Every place is taken and nothing has ended for many times what a run takes, whatever the gauge says:
     /// hung work, a frozen disk, a machine far slower than it was.
     fn stuck(&self) -> bool {
-        let quiet = (self.st.now - self.st.last_end) as f32;
+        let quiet = (self.st.now - self.st.last_change) as f32;
         self.at(Stage::Running) >= self.places() && quiet > STUCK * self.st.mean_took.max(BEAT as f32)
     }
 
+    fn fits(&self, kb: f32) -> bool {
+        self.st.memory_kb + f64::from(kb) <= f64::from(self.terms.memory_kb * MEMORY)
+    }
+
     fn load(&self) -> f32 {
         (self.at(Stage::Held) + self.at(Stage::Running)) as f32
     }
 
     fn at(&self, stage: Stage) -> usize {
-        self.st.count[stage as usize]
+        self.st.at_stage[stage as usize]
     }
 
     /// C follows what the runs show: SLO times met under load raise it, missed ones lower it.
@@ -273,7 +276,7 @@
         };
         let records = root.is_none() && group.effect == Effect::Deduplicated;
         let needs = new.kb + if records { self.terms.record_kb } else { 0.0 };
-        let no_room = self.st.memory_kb + needs > self.terms.memory_kb * MEMORY;
+        let no_room = !self.fits(needs);
         if root.is_some() {
             // Whatever became of the first try, a repeat takes its outcome: it is neither run nor denied.
             todo.push(if no_room { Todo::Terminate { id: ex.id } } else { Todo::Attach { id: ex.id } });
@@ -286,8 +289,8 @@
         let unread = ex.age as f32 / group.slo_time.max(1) as f32;
         let too_late = self.st.now >= due || self.st.leave.is_some_and(|(last, _)| arrived + 1 > last);
         let denied = too_late || no_room || self.turned_away(ex.subject, over_share, unread);
-        self.st.strain +=
-            STRAIN_NEWEST * (f32::from(u8::from(denied || unread > READ_LATE)) - self.st.strain);
+        self.st.strain += STRAIN_NEWEST * (f32::from(denied || unread > READ_LATE) - self.st.strain);
+        self.st.read_late += NEWEST * (f32::from(unread > HOLD) - self.st.read_late);
         if denied {
             todo.push(self.denial(ex.id, ex.further_try || self.st.strain > STRAIN_BORNE));
             return;
@@ -298,7 +301,7 @@
             todo.push(Todo::Record { id: ex.id, lasting });
             self.st.records.insert(ex.id);
             self.st.record_ends.push_back((self.st.now + lasting, ex.id));
-            self.st.memory_kb += self.terms.record_kb;
+            self.st.memory_kb += f64::from(self.terms.record_kb);
         }
         let place = self.take_in(new);
         self.file(place);
@@ -311,7 +314,7 @@
         *saved = (*saved + rate * (self.st.now - *counted) as f32).min(rate * SHARE_SAVED);
         *counted = self.st.now;
         let over = *saved < 1.0;
-        *saved -= f32::from(u8::from(!over && !counted_before));
+        *saved -= f32::from(!over && !counted_before);
         over
     }
 
@@ -325,8 +328,8 @@
     }
 
     fn take_in(&mut self, ex: Ex) -> Place {
-        self.st.memory_kb += ex.kb;
-        self.st.count[ex.stage as usize] += 1;
+        self.st.memory_kb += f64::from(ex.kb);
+        self.st.at_stage[ex.stage as usize] += 1;
         let id = ex.id;
         let place = self.st.exs.insert(ex);
         self.st.at_door.insert(id, place);
@@ -337,29 +340,20 @@
     fn file(&mut self, place: Place) {
         let ex = &self.st.exs[place];
         let group = &self.terms.groups[ex.group];
-        let expected = self.expected(ex);
+        // Never more than half the SLO time, so that a node that has come to expect too much of a run still
+        // begins fresh work and learns better.
+        let expected = (self.took[ex.group] as Tenths).min(group.slo_time / 2);
         let patient_till = ex.arrived + (HOLD * (ex.slo_by.saturating_sub(ex.arrived)) as f32) as Tenths;
         let start_by = patient_till.min(ex.slo_by.saturating_sub(expected));
-        let late = self.st.now > start_by;
-        let share = if ex.over_share { self.terms.over_share } else { 1.0 };
-        let earns = share * group.benefit * if late { group.late_share } else { 1.0 };
-        let work = if ex.work > 0.0 { ex.work } else { self.rows[ex.group].took };
+        let earns = group.benefit * if ex.over_share { self.terms.over_share } else { 1.0 };
+        let work = if ex.work > 0.0 { ex.work } else { self.took[ex.group] };
         let need = if work > 0.0 && self.st.mean_work > 0.0 { work / self.st.mean_work } else { 1.0 };
         let density = 1000.0 * earns / if self.terms.by_work { 1.0 } else { need.max(0.01) };
-        let last_start = if late { ex.due.saturating_sub(expected) } else { start_by };
         let ex = &mut self.st.exs[place];
-        (ex.density, ex.long) = (density as u32, need > LONG);
-        let entry = (ex.density, Reverse(ex.arrived), Reverse(ex.id), place);
+        ex.long = need > LONG;
+        let entry = (density as u32, Reverse(ex.arrived), Reverse(ex.id), place);
         self.st.lines[usize::from(ex.long)].push(entry);
-        self.look_again(place, last_start.max(self.st.now) + 1);
-    }
-
-    /// Expected time of a run. Never more than half the SLO time, so that a node that has come to expect
-    /// too much still begins fresh work and learns better.
-    fn expected(&self, ex: &Ex) -> Tenths {
-        let row = &self.rows[ex.group];
-        let ratio = if ex.work > 0.0 && row.work > 0.0 { (ex.work / row.work).clamp(0.2, 5.0) } else { 1.0 };
-        ((row.took * ratio) as Tenths).min(self.terms.groups[ex.group].slo_time / 2)
+        self.look_again(place, start_by.max(self.st.now) + 1);
     }
 
     // --- Running ---
@@ -383,16 +377,14 @@
             && self.at(Stage::Running) + self.at(Stage::AtCall) + self.at(Stage::Calling) < most
         {
             let Some(place) = self.next_to_run(places) else { break };
-            let ex = &mut self.st.exs[place];
-            let more = ex.kb * (self.terms.run_factor - 1.0).max(0.0);
-            if self.st.memory_kb + more > self.terms.memory_kb * MEMORY {
+            let more = self.st.exs[place].kb * (self.terms.run_factor - 1.0).max(0.0);
+            if !self.fits(more) {
                 break;
             }
-            ex.began = self.st.now;
-            self.st.last_end =
-                if self.st.count[Stage::Running as usize] == 0 { ex.began } else { self.st.last_end };
+            let ex = &mut self.st.exs[place];
+            (ex.began, self.st.last_change) = (self.st.now, self.st.now);
             let (id, long, next) = (ex.id, ex.long, ex.slo_by.min(ex.due).max(self.st.now + 1));
-            self.st.memory_kb += more;
+            self.st.memory_kb += f64::from(more);
             self.st.lines[usize::from(long)].pop();
             self.st.long_running += usize::from(long);
             self.put(place, Stage::Running);
@@ -404,9 +396,8 @@
     /// The best head of the two lines. Long work leaves places to short work that waits.
     fn next_to_run(&mut self, places: usize) -> Option<Place> {
         for line in &mut self.st.lines {
-            let held = |x: &Ex, id, density| x.id == id && x.stage == Stage::Held && x.density == density;
-            while let Some(&(density, _, Reverse(id), place)) = line.peek()
-                && !self.st.exs.get(place).is_some_and(|x| held(x, id, density))
+            while let Some(&(.., Reverse(id), place)) = line.peek()
+                && !self.st.exs.get(place).is_some_and(|x| x.id == id && x.stage == Stage::Held)
             {
                 line.pop();
             }
@@ -420,8 +411,8 @@
 
     fn put(&mut self, place: Place, stage: Stage) {
         let ex = &mut self.st.exs[place];
-        self.st.count[ex.stage as usize] -= 1;
-        self.st.count[stage as usize] += 1;
+        self.st.at_stage[ex.stage as usize] -= 1;
+        self.st.at_stage[stage as usize] += 1;
         ex.stage = stage;
     }
 
@@ -431,18 +422,16 @@
         if outcome == RunOutcome::Completed && ex.stage != Stage::Held && !ex.answered {
             let (subject, met) = (ex.subject, self.st.now <= ex.slo_by);
             if ex.stage != Stage::Attached {
-                let (row, took) = (&mut self.rows[ex.group], (self.st.now - ex.began) as f32);
-                let work = if ex.work > 0.0 { ex.work } else { took };
-                learn(&mut row.took, took);
-                learn(&mut row.work, work);
+                let took = (self.st.now - ex.began) as f32;
+                learn(&mut self.took[ex.group], took);
                 learn(&mut self.st.mean_took, took);
-                learn(&mut self.st.mean_work, work);
+                learn(&mut self.st.mean_work, if ex.work > 0.0 { ex.work } else { took });
                 self.learn_capacity(met);
             }
             self.st.keys[0].insert(subject);
             self.st.keys_turn = if self.st.keys[0].len() < MOST_KEYS { self.st.keys_turn } else { 0 };
         }
-        self.st.last_end = self.st.now;
+        self.st.last_change = self.st.now;
         self.let_go(place);
     }
 
@@ -453,15 +442,11 @@
         }
         let ex = self.st.exs.remove(place);
         self.st.at_door.remove(&ex.id);
-        self.st.count[ex.stage as usize] -= 1;
-        self.st.memory_kb -= ex.kb;
+        self.st.at_stage[ex.stage as usize] -= 1;
+        self.st.memory_kb -= f64::from(ex.kb);
         if !matches!(ex.stage, Stage::Held | Stage::Attached) {
             self.st.long_running -= usize::from(ex.long);
-            self.st.memory_kb -= ex.kb * (self.terms.run_factor - 1.0).max(0.0);
-        }
-        // Sums of fractions drift; an empty node sets them right.
-        if self.st.exs.is_empty() {
-            self.st.memory_kb = self.st.records.len() as f32 * self.terms.record_kb;
+            self.st.memory_kb -= f64::from(ex.kb * (self.terms.run_factor - 1.0).max(0.0));
         }
     }
 
@@ -504,29 +489,24 @@
     fn look(&mut self, place: Place, todo: &mut Vec<Todo>) {
         let ex = &self.st.exs[place];
         let group = &self.terms.groups[ex.group];
-        let (id, due, now) = (ex.id, ex.due, self.st.now);
-        let (over, nothing_late) = (now >= due, group.late_share <= 0.0);
+        let (id, due, now, over) = (ex.id, ex.due, self.st.now, self.st.now >= ex.due);
         let others_wait = self.at(Stage::Held) > 0;
         match ex.stage {
-            Stage::Held
-                if over || nothing_late || self.at(Stage::Held) > 1 || now + self.expected(ex) > due =>
-            {
+            Stage::Held => {
                 self.learn_capacity(false);
                 todo.push(self.denial(id, true));
-                todo.extend(self.drop_record(id).then_some(Todo::Forget { id }));
-                self.let_go(place);
+                self.drop_held(place, todo);
             }
-            Stage::Held => self.file(place),
             Stage::Attached => {
                 todo.push(Todo::Terminate { id });
-                self.let_go(place);
+                self.drop_held(place, todo);
             }
             _ if ex.answered => self.stop(place, todo),
             Stage::AtCall if !over && group.skip_share > 0.0 => {
                 todo.push(Todo::SkipCall { id });
                 self.back_to_work(place);
             }
-            _ if over || (nothing_late && others_wait && self.terms.stop != StopKind::Never) => {
+            _ if over || (group.late_share <= 0.0 && others_wait && self.terms.stop != StopKind::Never) => {
                 self.learn_capacity(false);
                 self.end_running(place, todo);
             }
@@ -552,20 +532,23 @@
         self.look_again(place, if can { self.st.now + 5 * BEAT } else { Tenths::MAX });
     }
 
+    /// Lets go of what never ran, its entry included, so that a later try may run.
+    fn drop_held(&mut self, place: Place, todo: &mut Vec<Todo>) {
+        let id = self.st.exs[place].id;
+        todo.extend(self.drop_record(id).then_some(Todo::Forget { id }));
+        self.let_go(place);
+    }
+
     fn drop_record(&mut self, id: ExId) -> bool {
         let live = self.st.records.remove(&id);
-        self.st.memory_kb -= if live { self.terms.record_kb } else { 0.0 };
+        self.st.memory_kb -= if live { f64::from(self.terms.record_kb) } else { 0.0 };
         live
     }
 
     fn caller_gone(&mut self, id: ExId, todo: &mut Vec<Todo>) {
         let Some(&place) = self.st.at_door.get(&id) else { return };
         match self.st.exs[place].stage {
-            Stage::Held => {
-                todo.extend(self.drop_record(id).then_some(Todo::Forget { id }));
-                self.let_go(place);
-            }
-            Stage::Attached => self.let_go(place),
+            Stage::Held | Stage::Attached => self.drop_held(place, todo),
             _ => self.stop(place, todo),
         }
     }
@@ -598,7 +581,7 @@
         let group = &self.terms.groups[ex.group];
         // What cannot go on without its call goes first.
         let rank = (1000.0 * group.benefit * (1.0 - group.skip_share)) as u32;
-        self.calls.line.push((rank, Reverse(ex.arrived), Reverse(ex.id), place));
+        self.st.call_line.push((rank, Reverse(ex.arrived), Reverse(ex.id), place));
         if group.skip_share > 0.0 {
             let patience = (HOLD * group.slo_time as f32) as Tenths;
             let at = ex.look_at.min(self.st.now + patience);
@@ -614,7 +597,7 @@
         self.put(place, Stage::AtCall);
         self.call_left(place, outcome == CallOutcome::TimedOut);
         if outcome == CallOutcome::Completed {
-            learn(&mut self.calls.took, took as f32);
+            learn(&mut self.st.call_took, took as f32);
         }
         let ex = &self.st.exs[place];
         let group = &self.terms.groups[ex.group];
@@ -643,23 +626,24 @@
     fn call_left(&mut self, place: Place, abandoned: bool) {
         let ex = &self.st.exs[place];
         let lingers = if abandoned { self.terms.linger } else { 0 };
-        self.calls.budget += ex.call_given as f32 - (self.st.now - ex.called + lingers) as f32;
+        self.st.call_budget += ex.call_given as f32 - (self.st.now - ex.called + lingers) as f32;
     }
 
     /// Makes the calls that there is room for. Any window's worth of the node's share below is kept by a
     /// budget of time: half of it may be saved up, half of it flows in, and a call is charged beforehand with
     /// all that it may take.
     fn make_calls(&mut self, todo: &mut Vec<Todo>) {
-        if self.calls.line.is_empty() {
+        if self.st.call_line.is_empty() {
             return;
         }
         let share = self.terms.calls_share.map(|share| MARGIN * share / 2.0);
-        let inflow = share.unwrap_or(0.0) * (self.st.now - self.calls.counted) as f32;
+        let inflow = share.unwrap_or(0.0) * (self.st.now - self.st.call_counted) as f32;
         let most = share.map_or(f32::MAX, |s| s * self.terms.calls_window as f32);
-        self.calls.budget = if share.is_some() { (self.calls.budget + inflow).min(most) } else { f32::MAX };
-        self.calls.counted = self.st.now;
+        self.st.call_budget =
+            if share.is_some() { (self.st.call_budget + inflow).min(most) } else { f32::MAX };
+        self.st.call_counted = self.st.now;
         let room = self.terms.calls_share.map_or(f32::MAX, |share| (CALL_ROOM * share).max(1.0));
-        while let Some(&(_, _, Reverse(id), place)) = self.calls.line.peek() {
+        while let Some(&(_, _, Reverse(id), place)) = self.st.call_line.peek() {
             let waits = |x: &Ex| x.id == id && x.stage == Stage::AtCall && !x.answered;
             if self.st.exs.get(place).is_some_and(waits) {
                 let ex = &self.st.exs[place];
@@ -667,19 +651,18 @@
                 let skips = self.terms.groups[ex.group].skip_share > 0.0;
                 let left = if skips { ex.slo_by } else { ex.due }.saturating_sub(self.st.now);
                 let left = if skips { left / 2 } else { left }.max(BEAT);
-                let limit = left.min((self.calls.budget - self.terms.linger as f32).max(0.0) as Tenths);
-                let enough = left.min(self.calls.took as Tenths).max(1);
-                let full = (self.at(Stage::Calling) + 1) as f32 > room;
-                if full || limit < enough {
+                let limit = left.min((self.st.call_budget - self.terms.linger as f32).max(0.0) as Tenths);
+                let enough = left.min(self.st.call_took as Tenths).max(1);
+                if (self.at(Stage::Calling) + 1) as f32 > room || limit < enough {
                     break;
                 }
                 self.put(place, Stage::Calling);
                 let ex = &mut self.st.exs[place];
                 (ex.calls, ex.called, ex.call_given) = (ex.calls + 1, self.st.now, limit + self.terms.linger);
-                self.calls.budget -= ex.call_given as f32;
+                self.st.call_budget -= ex.call_given as f32;
                 todo.push(Todo::Call { id, limit });
             }
-            self.calls.line.pop();
+            self.st.call_line.pop();
         }
     }
 
@@ -698,6 +681,7 @@
             self.st.beat = self.st.now + BEAT;
             self.tell_level(todo);
             self.tell_health(todo);
+            self.tell_idle_limit(todo);
         }
     }
 
@@ -710,6 +694,22 @@
         }
     }
 
+    /// With many callers most idle connections are never used again and fill the table, so they are closed
+    /// early. A node that drowns in unread work lets the table fill: callers that find no room cost it nothing,
+    /// while each exchange that it denies costs a read and perhaps a new connection.
+    fn tell_idle_limit(&mut self, todo: &mut Vec<Todo>) {
+        let Some(links) = self.st.gauges.connections else { return };
+        let most = (self.terms.idle_limit as f32).max(IDLE_LEAST);
+        let crowded = links > LINKS_A_CORE * self.terms.cores as f32;
+        let next = self.st.idle_limit * if crowded { IDLE_FALL } else { IDLE_RISE };
+        let next = if self.st.read_late > DROWNING { most } else { next.clamp(IDLE_LEAST, most) };
+        if next != self.st.idle_limit {
+            todo.push(Todo::IdleLimit { after: (next as Tenths).min(self.terms.idle_limit) });
+        }
+        self.st.idle_limit = next;
+        self.st.read_late *= STRAIN_DECAY;
+    }
+
     /// Reading costs work, so callers are told to keep back the lowest ranks while much is denied.
     fn tell_level(&mut self, todo: &mut Vec<Todo>) {
         let over = self.st.strain - STRAIN_BORNE;
