An answer is bound to its request by a number of its own, never to a slot or id taken again

Seen by reading: ids of FastCGI and places of connections may be taken again within one turn, while the answer to their former holder is on its way (ABORT, then BEGIN with the same id, then DONE for the first). Caller named slot and id only, so the old result would have gone to the new request. Also: a request given up in the turn in which it came is not taken in, a listener without descriptors does not spin, the last reading takes all that is there, and what broke while writing is told at once.

--- a/node/src/life/log.rs
+++ b/node/src/life/log.rs
@@ -39,24 +39,28 @@
             second.left_out += 1;
             return Ok(());
         }
-        let mut line = Line(format!("{} {} {}", since.as_millis(), record.level(), record.msg()));
-        _ = record.kv().serialize(record, &mut line);
-        _ = values.serialize(record, &mut line);
+        let mut pairs = Pairs(Vec::new());
+        _ = record.kv().serialize(record, &mut pairs);
+        _ = values.serialize(record, &mut pairs);
+        let mut line = format!("{} {} {}", since.as_millis(), record.level(), record.msg());
+        // They are handed over last one first.
+        pairs.0.iter().rev().for_each(|pair| line.push_str(pair));
         if second.left_out > 0 {
-            _ = write!(line.0, " lines_left_out={}", second.left_out);
+            _ = write!(line, " lines_left_out={}", second.left_out);
             second.left_out = 0;
         }
-        line.0.push('\n');
-        _ = std::io::stderr().write_all(line.0.as_bytes());
+        line.push('\n');
+        // A log that can't be written is no reason to stop serving.
+        _ = std::io::stderr().write_all(line.as_bytes());
         Ok(())
     }
 }
 
-struct Line(String);
+struct Pairs(Vec<String>);
 
-impl Serializer for Line {
+impl Serializer for Pairs {
     fn emit_arguments(&mut self, key: Key, value: &Arguments) -> slog::Result {
-        write!(self.0, " {key}={value}")?;
+        self.0.push(format!(" {key}={value}"));
         Ok(())
     }
 }
--- a/node/src/life/orders.rs
+++ b/node/src/life/orders.rs
@@ -116,6 +116,9 @@
         }
         None if handed.group_names.is_empty() => Err("config.settings.lanes: at least one is wanted".into()),
         None if handed.group_names.len() > 256 => Err("config.settings.lanes: at most 256 are wanted".into()),
+        None if handed.customer_names.len() > 65_536 => {
+            Err("config.settings.parties: at most 65536 are wanted".into())
+        }
         None => Ok(()),
     }
 }
--- a/node/src/memory/results.rs
+++ b/node/src/memory/results.rs
@@ -93,9 +93,9 @@
     pub fn ended(&mut self, ex: ExId, result: Result<&[u8], NoResult>) {
         let Some(entry) = self.keys.get(&ex).and_then(|key| self.entries.get_mut(key)) else { return };
         let room = self.most_bytes.saturating_sub(self.bytes);
-        let end = result.and_then(|bytes| if bytes.len() <= room { Ok(bytes.into()) } else { Err(NoResult) });
-        self.bytes += end.as_ref().map_or(0, |bytes: &Box<[u8]>| bytes.len());
-        entry.end = Some(end);
+        let kept = result.ok().filter(|bytes| bytes.len() <= room);
+        self.bytes += kept.map_or(0, <[u8]>::len);
+        entry.end = Some(kept.map(Box::from).ok_or(NoResult));
     }
 
     pub fn result(&self, ex: ExId) -> Found<'_> {
--- a/node/src/serve.rs
+++ b/node/src/serve.rs
@@ -46,13 +46,6 @@
     arrival: Tenths,
 }
 
-#[derive(Default)]
-struct Answers {
-    completed: u64,
-    denied: u64,
-    terminated: u64,
-}
-
 pub struct Node {
     orders: Orders,
     log: Logger,
@@ -82,7 +75,6 @@
     /// When the loop ends at the latest, once told to leave.
     stop_at: Option<Tenths>,
     closing: bool,
-    answers: Answers,
     slowest: Slowest,
 }
 
@@ -108,7 +100,8 @@
         let mut dispatchers =
             Dispatchers::listen(orders.listen, poller.clone(), names, orders.room, patience)
                 .map_err(|e| format!("config.listen: {}: {e}", orders.listen))?;
-        dispatchers.level = (handed.contract.level != LevelKind::None).then_some(0.0);
+        // Nothing is said before the decisions do, but where the least rank is meant, none is held back.
+        dispatchers.level = (handed.contract.level == LevelKind::LowestRank).then_some(0.0);
         let registry = Registry::open(orders.listen, orders.registry, orders.name.clone())
             .map_err(|e| format!("config.registry: {}: {e}", orders.registry))?;
         let (room, link) = (orders.room, Link::new(orders.engine, poller.clone(), log.clone()));
@@ -137,7 +130,6 @@
             summary_at: 0,
             stop_at: None,
             closing: false,
-            answers: Answers::default(),
             slowest: Slowest::default(),
             orders,
         })
@@ -181,13 +173,7 @@
                 came.drain(..).for_each(|what| self.came(what));
                 self.decide();
             }
-            self.dispatchers.flush(self.now, &mut came);
-            self.link.flush(self.now);
-            // What broke while it was written is told at once, as nothing may come to wake the next turn.
-            if !came.is_empty() {
-                came.drain(..).for_each(|what| self.came(what));
-                self.decide();
-            }
+            self.send(&mut came, &mut told);
             let turn = self.clock.now().saturating_sub(self.now);
             self.slowest.turn = self.slowest.turn.max(turn);
             if self.now >= self.summary_at {
@@ -201,13 +187,27 @@
         }
     }
 
+    /// Writes what there is. What broke meanwhile is told at once, as nothing may come to wake the next turn.
+    fn send(&mut self, came: &mut Vec<Came>, told: &mut Vec<Told>) {
+        loop {
+            self.dispatchers.flush(self.now, came);
+            self.link.flush(self.now, told);
+            if came.is_empty() && told.is_empty() {
+                return;
+            }
+            told.drain(..).for_each(|what| self.told(what));
+            came.drain(..).for_each(|what| self.came(what));
+            self.decide();
+        }
+    }
+
     fn next_due(&self) -> Tenths {
         let alarm = self.alarms.peek().map_or(Tenths::MAX, |Reverse((at, _))| *at);
         let alarm = self.reading.map_or(alarm, |(_, till)| till);
         let link = if self.link.is_down() { self.link.next_try } else { Tenths::MAX };
         let stop = self.stop_at.unwrap_or(Tenths::MAX);
         let stop = if self.closing { stop } else { stop.saturating_sub(FLUSH) };
-        let sweep = if self.dispatchers.connections() > 0 { self.sweep_at } else { Tenths::MAX };
+        let sweep = if self.dispatchers.to_sweep() { self.sweep_at } else { Tenths::MAX };
         alarm.min(link).min(stop).min(sweep).min(self.registry.next).min(self.summary_at)
     }
 
@@ -221,6 +221,9 @@
     }
 
     fn arrived(&mut self, caller: Caller, request: Request, body: Vec<u8>) {
+        if !self.dispatchers.waits(caller) {
+            return; // Given up in the same turn in which it came.
+        }
         if self.door.is_none() || (request.mark.is_some() && !self.results.has_room()) {
             return self.dispatchers.answer(caller, Answer::NoRoom);
         }
@@ -284,16 +287,7 @@
     }
 
     fn finish(&mut self, caller: Caller, result: Option<&[u8]>) {
-        match result {
-            Some(result) => {
-                self.answers.completed += 1;
-                self.dispatchers.answer(caller, Answer::Completed(result));
-            }
-            None => {
-                self.answers.terminated += 1;
-                self.dispatchers.answer(caller, Answer::Terminated);
-            }
-        }
+        self.dispatchers.answer(caller, result.map_or(Answer::Terminated, Answer::Completed));
     }
 
     /// Answers those that wait for what this one brought.
@@ -351,6 +345,10 @@
                 }
             }
             Told::Notice(_) => {}
+            Told::Ended(end) => {
+                let running: Vec<ExId> = self.exs.running().map(|(id, _)| id).collect();
+                running.into_iter().for_each(|id| self.ended(id, end, &[]));
+            }
         }
     }
 
@@ -459,10 +457,6 @@
 
     fn final_answer(&mut self, id: ExId, answer: Answer) {
         let Some(caller) = self.exs.get(id).and_then(|ex| ex.caller.take()) else { return };
-        match answer {
-            Answer::Denied { .. } => self.answers.denied += 1,
-            _ => self.answers.terminated += 1,
-        }
         self.dispatchers.answer(caller, answer);
         self.drop_if_held(id);
     }
@@ -501,12 +495,12 @@
 
     fn summary(&mut self) {
         self.summary_at = self.now + SUMMARY;
-        let Answers { completed, denied, terminated } = self.answers;
         let counts = &self.dispatchers.counts;
-        info!(self.log, "so far"; "completed" => completed, "denied" => denied, "terminated" => terminated,
+        info!(self.log, "so far"; "completed" => counts.completed, "denied" => counts.denied,
+            "terminated" => counts.terminated,
             "in_hand" => self.exs.in_hand(), "connections" => self.dispatchers.connections(),
             "accepted" => counts.accepted, "unreadable" => counts.unreadable, "no_room" => counts.no_room,
-            "checks" => counts.health, "ends" => ?counts.ends, "unread_bytes" => self.dispatchers.unread(),
+            "checks" => counts.checks, "ends" => ?counts.ends, "unread_bytes" => self.dispatchers.unread(),
             "result_bytes" => self.results.bytes(), "link_losses" => self.link.losses,
             "turn_ms" => self.slowest.turn / MS, "reading_ms" => self.slowest.reading / MS,
             "read_after_ms" => self.slowest.arrival / MS, "memory_kb" => usage::peak_kb(),
--- a/node/src/wire/dispatchers.rs
+++ b/node/src/wire/dispatchers.rs
@@ -28,6 +28,8 @@
 const FAIR_UNREAD: usize = 16 * 1024;
 /// How much is read off one connection before the others have their turn.
 const TURN: usize = 64 * 1024;
+/// Turns of reading that a connection has at the very end: all that it may have open, with room to spare.
+const LAST_TURNS: usize = 8;
 /// Connections accepted before those that are open have their turn.
 const ACCEPTS: usize = 64;
 
@@ -36,6 +38,8 @@
 pub struct Caller {
     slot: usize,
     id: u16,
+    /// Never the same twice: slots and ids may be taken again while an answer is on its way.
+    nth: u64,
 }
 
 /// What the connections brought.
@@ -45,8 +49,10 @@
 }
 
 /// A request that has not been answered.
+#[derive(Default)]
 struct Open {
     id: u16,
+    nth: u64,
     began: Tenths,
     params: Vec<u8>,
     body: Vec<u8>,
@@ -58,6 +64,10 @@
 }
 
 impl Open {
+    fn caller(&self, slot: usize) -> Caller {
+        Caller { slot, id: self.id, nth: self.nth }
+    }
+
     fn half_read(&self) -> bool {
         !(self.params_whole && self.body_whole)
     }
@@ -94,9 +104,12 @@
 #[derive(Default)]
 pub struct Counts {
     pub accepted: u64,
+    pub completed: u64,
+    pub denied: u64,
+    pub terminated: u64,
+    pub checks: u64,
     pub unreadable: u64,
     pub no_room: u64,
-    pub health: u64,
     pub ends: std::collections::BTreeMap<&'static str, u64>,
 }
 
@@ -109,6 +122,8 @@
     room: Room,
     /// Requests open on all connections.
     open: usize,
+    /// Requests begun so far.
+    nth: u64,
     unread: usize,
     dirty: Vec<usize>,
     scratch: Vec<u8>,
@@ -146,6 +161,7 @@
             names,
             room,
             open: 0,
+            nth: 0,
             unread: 0,
             dirty: Vec::new(),
             scratch: vec![0; TURN],
@@ -177,7 +193,13 @@
             match listener.accept() {
                 Ok((sock, _)) => _ = self.take_in(sock, now),
                 Err(e) if matches!(e.kind(), ErrorKind::Interrupted | ErrorKind::ConnectionAborted) => {}
-                Err(_) => return false,
+                Err(e) => {
+                    // With no descriptor to be had the listener stays ready: it is asked again at the next sweep.
+                    if e.kind() != ErrorKind::WouldBlock {
+                        self.accept_again(false);
+                    }
+                    return false;
+                }
             }
         }
         true
@@ -250,7 +272,10 @@
             }
             // Nothing is waited for on one that is not read but errors, so this is one.
             Ok(_) if !was_reading => self.close(slot, End::Reset, came),
-            Ok(_) => self.stop_reading(slot, End::HalfClosed),
+            Ok(_) => {
+                let end = if conn.idle() { End::Closed } else { End::HalfClosed };
+                self.stop_reading(slot, end);
+            }
             Err(e) if matches!(e.kind(), ErrorKind::WouldBlock | ErrorKind::Interrupted) => {}
             Err(_) => self.close(slot, End::Reset, came),
         }
@@ -269,14 +294,16 @@
 
     /// Nothing more can be read: what is whole is answered yet, what is not is told so.
     fn malformed(&mut self, slot: usize) {
-        let half: Vec<u16> = self.conns[slot].open.iter().filter(|o| o.half_read()).map(|o| o.id).collect();
-        for id in half {
-            self.counts.unreadable += 1;
-            self.answer(Caller { slot, id }, Answer::Unreadable(Unreadable::Field("record")));
-        }
+        self.answer_half_read(slot, Answer::Unreadable(Unreadable::Field("record")));
         self.stop_reading(slot, End::Malformed);
     }
 
+    fn answer_half_read(&mut self, slot: usize, answer: Answer) {
+        let half = self.conns[slot].open.iter().filter(|open| open.half_read());
+        let callers: Vec<Caller> = half.map(|open| open.caller(slot)).collect();
+        callers.into_iter().for_each(|caller| self.answer(caller, answer));
+    }
+
     fn stop_reading(&mut self, slot: usize, end: End) {
         let conn = &mut self.conns[slot];
         conn.reading = false;
@@ -289,7 +316,6 @@
     }
 
     fn piece(&mut self, slot: usize, piece: Piece, now: Tenths, came: &mut Vec<Came>) {
-        let caller = |id| Caller { slot, id };
         let conn = &mut self.conns[slot];
         match piece {
             Piece::Begin { id, role, keep } => {
@@ -300,15 +326,15 @@
                     conn.last = Some(End::Closed);
                 }
                 let full = conn.open.len() >= MOST_OPEN || self.open >= self.room.requests;
-                let (began, params, body) = (now, Vec::new(), Vec::new());
-                let (params_whole, body_whole, too_long, ex) = (false, false, false, None);
-                conn.open.push(Open { id, began, params, body, params_whole, body_whole, too_long, ex });
+                self.nth += 1;
+                let open = Open { id, nth: self.nth, began: now, ..Open::default() };
+                let caller = open.caller(slot);
+                conn.open.push(open);
                 self.open += 1;
                 if role != RESPONDER {
-                    self.answer(caller(id), Answer::UnknownRole);
+                    self.answer(caller, Answer::UnknownRole);
                 } else if full {
-                    self.counts.no_room += 1;
-                    self.answer(caller(id), Answer::NoRoom);
+                    self.answer(caller, Answer::NoRoom);
                 }
             }
             Piece::Abort { id } => {
@@ -362,26 +388,24 @@
             return;
         }
         let (params, body) = (std::mem::take(&mut open.params), std::mem::take(&mut open.body));
-        let asked =
-            if open.too_long { Err(Unreadable::TooLong) } else { request::read(&params, &self.names) };
-        let caller = Caller { slot, id };
+        let (caller, too_long) = (open.caller(slot), open.too_long);
+        let asked = if too_long { Err(Unreadable::TooLong) } else { request::read(&params, &self.names) };
         match asked {
             Ok(Asked::Exchange(request)) => came.push(Came::Exchange { caller, request, body }),
-            Ok(Asked::Health) => {
-                self.counts.health += 1;
-                self.answer(caller, Answer::Health { good: self.good });
-            }
-            Err(unreadable) => {
-                self.counts.unreadable += 1;
-                self.answer(caller, Answer::Unreadable(unreadable));
-            }
+            Ok(Asked::Health) => self.answer(caller, Answer::Health { good: self.good }),
+            Err(unreadable) => self.answer(caller, Answer::Unreadable(unreadable)),
         }
     }
 
+    /// Whether an answer can still go there.
+    pub fn waits(&self, caller: Caller) -> bool {
+        self.conns.get(caller.slot).is_some_and(|conn| conn.open.iter().any(|open| open.nth == caller.nth))
+    }
+
     /// From here on the decisions know this request as `ex`.
     pub fn known_as(&mut self, caller: Caller, ex: ExId) {
-        let conn = &mut self.conns[caller.slot];
-        if let Some(open) = conn.open.iter_mut().find(|open| open.id == caller.id) {
+        let Some(conn) = self.conns.get_mut(caller.slot) else { return };
+        if let Some(open) = conn.open.iter_mut().find(|open| open.nth == caller.nth) {
             open.ex = Some(ex);
         }
     }
@@ -389,7 +413,15 @@
     /// Gives the one answer; a second one finds nothing open any more.
     pub fn answer(&mut self, caller: Caller, answer: Answer) {
         let Some(conn) = self.conns.get_mut(caller.slot) else { return };
-        let Some(place) = conn.open.iter().position(|open| open.id == caller.id) else { return };
+        let Some(place) = conn.open.iter().position(|open| open.nth == caller.nth) else { return };
+        match answer {
+            Answer::Completed(_) => self.counts.completed += 1,
+            Answer::Denied { .. } => self.counts.denied += 1,
+            Answer::Terminated => self.counts.terminated += 1,
+            Answer::Health { .. } => self.counts.checks += 1,
+            Answer::Unreadable(_) | Answer::UnknownRole => self.counts.unreadable += 1,
+            Answer::NoRoom => self.counts.no_room += 1,
+        }
         conn.open.swap_remove(place);
         self.open -= 1;
         if self.unread > self.room.unread && conn.unread() > FAIR_UNREAD {
@@ -488,6 +520,12 @@
         for (slot, end) in over {
             if end == End::Malformed { self.malformed(slot) } else { self.close(slot, end, came) }
         }
+        self.accept_again(self.conns.len() < self.room.connections);
+    }
+
+    /// Whether there is anything that a sweep could do.
+    pub fn to_sweep(&self) -> bool {
+        !self.conns.is_empty() || !self.accepting
     }
 
     /// Takes in no more connections; those in the machine's hands must have been accepted before.
@@ -503,13 +541,15 @@
         self.close_door();
         let slots: Vec<usize> = self.conns.iter().map(|(slot, _)| slot).collect();
         for slot in slots {
-            if self.conns[slot].reading {
-                self.read(slot, now, came);
+            for _ in 0..LAST_TURNS {
+                if self.conns.get(slot).is_some_and(|conn| conn.reading) {
+                    self.read(slot, now, came);
+                }
+            }
+            if self.conns.contains(slot) {
+                self.answer_half_read(slot, Answer::NoRoom);
+                self.stop_reading(slot, End::Left);
             }
-            let Some(conn) = self.conns.get_mut(slot) else { continue };
-            let half: Vec<u16> = conn.open.iter().filter(|o| o.half_read()).map(|o| o.id).collect();
-            half.into_iter().for_each(|id| self.answer(Caller { slot, id }, Answer::NoRoom));
-            self.stop_reading(slot, End::Left);
         }
     }
 }
--- a/node/src/wire/engine.rs
+++ b/node/src/wire/engine.rs
@@ -9,6 +9,7 @@
 use slog::{Logger, info, warn};
 use socket2::{Domain, Socket, Type};
 
+use super::end::End;
 use super::link::{self, Notice};
 use super::request::TryId;
 
@@ -44,6 +45,8 @@
         proven: u64,
     },
     Notice(Notice),
+    /// The link itself came to an end.
+    Ended(End),
 }
 
 pub struct Link {
@@ -125,13 +128,14 @@
         Ok(sock)
     }
 
-    fn lose(&mut self, now: Tenths, why: &str) {
+    fn lose(&mut self, now: Tenths, why: &str, told: &mut Vec<Told>) {
         if let Some(sock) = self.sock.take() {
             _ = self.poller.delete(&sock);
         }
         if self.state != State::Connecting {
             self.losses += 1;
             warn!(self.log, "engine link lost"; "why" => why, "last" => self.last);
+            told.push(Told::Ended(End::LinkLost));
         }
         self.state = State::Down;
         self.next_try = self.next_try.max(now);
@@ -147,7 +151,7 @@
                     self.state = State::Attaching;
                     link::attach(&mut self.out, self.last);
                 }
-                _ => return self.lose(now, "no connection"),
+                _ => return self.lose(now, "no connection", told),
             }
         }
         if event.readable {
@@ -162,10 +166,10 @@
         let got = sock.read(&mut self.input[start..]);
         self.input.truncate(start + got.as_ref().map_or(0, |n| *n));
         match got {
-            Ok(0) => return self.lose(now, "closed by the engine"),
+            Ok(0) => return self.lose(now, "closed by the engine", told),
             Ok(_) => {}
             Err(e) if matches!(e.kind(), ErrorKind::WouldBlock | ErrorKind::Interrupted) => return,
-            Err(e) => return self.lose(now, &e.to_string()),
+            Err(e) => return self.lose(now, &e.to_string(), told),
         }
         let input = std::mem::take(&mut self.input);
         let mut rest = &input[..];
@@ -173,11 +177,11 @@
             let line = &rest[..end];
             rest = &rest[end + 1..];
             if let Err(why) = self.line(line, told) {
-                return self.lose(now, why);
+                return self.lose(now, why, told);
             }
         }
         if rest.len() > MOST_LINE {
-            return self.lose(now, "a line without end");
+            return self.lose(now, "a line without end", told);
         }
         self.input = rest.to_vec();
     }
@@ -247,22 +251,22 @@
         link::halt(&mut self.out, try_id);
     }
 
-    pub fn flush(&mut self, now: Tenths) {
+    pub fn flush(&mut self, now: Tenths, told: &mut Vec<Told>) {
         let Some(sock) = self.sock.as_mut().filter(|_| self.state != State::Connecting) else { return };
         while self.written < self.out.len() {
             match sock.write(&self.out[self.written..]) {
                 Ok(n) if n > 0 => self.written += n,
                 Err(e) if e.kind() == ErrorKind::Interrupted => {}
                 Err(e) if e.kind() == ErrorKind::WouldBlock => break,
-                Ok(_) => return self.lose(now, "closed by the engine"),
-                Err(e) => return self.lose(now, &e.to_string()),
+                Ok(_) => return self.lose(now, "closed by the engine", told),
+                Err(e) => return self.lose(now, &e.to_string(), told),
             }
         }
         if self.written == self.out.len() {
             self.out.clear();
             self.written = 0;
         } else if self.out.len() - self.written > MOST_UNREAD {
-            return self.lose(now, "commands stay unread");
+            return self.lose(now, "commands stay unread", told);
         }
         let wants = !self.out.is_empty();
         if wants != self.watching_writes {
--- a/node/src/wire/fastcgi.rs
+++ b/node/src/wire/fastcgi.rs
@@ -204,8 +204,11 @@
     record(out, UNKNOWN_TYPE, 0, &[kind, 0, 0, 0, 0, 0, 0, 0]);
 }
 
+/// Name and value of a parameter, as they came.
+pub type Pair<'a> = (&'a [u8], &'a [u8]);
+
 /// Names and values of a whole parameter stream; an error where a length leads past its end.
-pub fn pairs(mut stream: &[u8]) -> Result<Vec<(&[u8], &[u8])>, Broken> {
+pub fn pairs(mut stream: &[u8]) -> Result<Vec<Pair<'_>>, Broken> {
     let mut found = Vec::with_capacity(16);
     while !stream.is_empty() {
         let (name, value) = (length(&mut stream)?, length(&mut stream)?);
--- a/node/src/wire/request.rs
+++ b/node/src/wire/request.rs
@@ -97,7 +97,7 @@
     }))
 }
 
-struct Fields<'a>(&'a [(&'a [u8], &'a [u8])]);
+struct Fields<'a>(&'a [fastcgi::Pair<'a>]);
 
 impl<'a> Fields<'a> {
     /// A doubled field is as bad as none: two readers could take different ones.
