Tests of the node: parts without sockets, and the program against a stand-in of our own

Found by them and mended: a full table closed one idle connection too many (room was made before it was known that another was waiting), one whose request had come but was not read yet could be closed as idle, and with all connections in use the backlog waited for a close even after some had become idle.

--- a/node/src/wire/dispatchers.rs
+++ b/node/src/wire/dispatchers.rs
@@ -99,6 +99,11 @@
     fn idle(&self) -> bool {
         self.open.is_empty() && self.unread() == 0 && self.splitter.at_boundary()
     }
+
+    /// The last look before an idle one is closed: a request that came since would be lost with it.
+    fn nothing_came(&self) -> bool {
+        self.sock.peek(&mut [0]).is_err_and(|e| e.kind() == ErrorKind::WouldBlock)
+    }
 }
 
 #[derive(Default)]
@@ -183,10 +188,11 @@
 
     /// Takes what the machine accepted; whether more may be waiting.
     pub fn accept(&mut self, now: Tenths, came: &mut Vec<Came>) -> bool {
-        for _ in 0..ACCEPTS {
-            if self.conns.len() >= self.room.connections && !self.make_room(came) {
+        for nth in 0..ACCEPTS {
+            // Only the first is known to be waiting, so room is made for no more than one.
+            if self.conns.len() >= self.room.connections && !(nth == 0 && self.make_room(came)) {
                 // A full table is no reason to fall over: the rest waits in the backlog for a close.
-                self.accept_again(false);
+                self.accept_again(nth > 0);
                 return false;
             }
             let Some(listener) = &self.listener else { return false };
@@ -230,7 +236,8 @@
     }
 
     fn make_room(&mut self, came: &mut Vec<Came>) -> bool {
-        let idle = self.conns.iter().filter(|(_, conn)| conn.idle()).min_by_key(|(_, conn)| conn.moved);
+        let idle = self.conns.iter().filter(|(_, conn)| conn.idle() && conn.nothing_came());
+        let idle = idle.min_by_key(|(_, conn)| conn.moved);
         let Some(slot) = idle.map(|(slot, _)| slot) else { return false };
         self.close(slot, End::Evicted, came);
         true
@@ -507,9 +514,7 @@
         for (slot, conn) in &mut self.conns {
             let quiet = now.saturating_sub(conn.moved);
             if conn.idle() && quiet >= self.idle_limit {
-                // One last look, as a request may have come since: it would be lost with the connection.
-                let nothing = conn.sock.peek(&mut [0]).is_err_and(|e| e.kind() == ErrorKind::WouldBlock);
-                over.extend(nothing.then_some((slot, End::Idle)));
+                over.extend(conn.nothing_came().then_some((slot, End::Idle)));
             } else if conn.unread() > 0 && quiet > self.patience {
                 over.push((slot, End::Unread));
             } else if conn.open.iter().any(|o| o.half_read() && now.saturating_sub(o.began) > self.patience) {
@@ -520,7 +525,8 @@
         for (slot, end) in over {
             if end == End::Malformed { self.malformed(slot) } else { self.close(slot, end, came) }
         }
-        self.accept_again(self.conns.len() < self.room.connections);
+        let full = self.conns.len() >= self.room.connections;
+        self.accept_again(!full || self.conns.iter().any(|(_, conn)| conn.idle()));
     }
 
     /// Whether there is anything that a sweep could do.
--- /dev/null
+++ b/node/tests/node/parts.rs
@@ -0,0 +1,432 @@
+//! Parsers, writers and tables, without sockets.
+
+use doortrack::RunOutcome;
+use doortrack_node::life::orders;
+use doortrack_node::memory::exchanges::{Ex, Exchanges, Stage};
+use doortrack_node::memory::results::{Found, NoResult, Results};
+use doortrack_node::wire::end::{End, Outcome};
+use doortrack_node::wire::fastcgi::{self, Piece, Splitter};
+use doortrack_node::wire::link::{self, Notice};
+use doortrack_node::wire::registry;
+use doortrack_node::wire::request::{self, Answer, Asked, Names, Unreadable};
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+use serde_json::{Value, json};
+
+use crate::config;
+
+const MS: u64 = 10;
+
+fn record(kind: u8, id: u16, content: &[u8], padding: u8) -> Vec<u8> {
+    let mut bytes = vec![1, kind];
+    bytes.extend(id.to_be_bytes());
+    bytes.extend((content.len() as u16).to_be_bytes());
+    bytes.extend([padding, 0]);
+    bytes.extend(content);
+    bytes.resize(bytes.len() + padding as usize, 0xee);
+    bytes
+}
+
+/// What a stream comes to, with the pieces of one content joined; the fault, if it broke.
+fn pieces(parts: &[&[u8]]) -> (Vec<(String, Vec<u8>)>, Option<&'static str>) {
+    let (mut splitter, mut found) = (Splitter::default(), Vec::<(String, Vec<u8>)>::new());
+    for part in parts {
+        let mut input = *part;
+        loop {
+            let (name, bytes): (String, &[u8]) = match splitter.next(&mut input) {
+                Ok(None) => break,
+                Err(broken) => return (found, Some(broken.0)),
+                Ok(Some(Piece::Params { id, bytes })) => (format!("params {id}"), bytes),
+                Ok(Some(Piece::Stdin { id, bytes })) => (format!("stdin {id}"), bytes),
+                Ok(Some(other)) => (format!("{other:?}"), &[]),
+            };
+            match found.last_mut() {
+                Some((last, joined)) if *last == name && !bytes.is_empty() => joined.extend(bytes),
+                _ => found.push((name, bytes.to_vec())),
+            }
+        }
+        assert!(input.is_empty(), "bytes were left unread");
+    }
+    (found, None)
+}
+
+fn whole_records() -> impl Strategy<Value = Vec<u8>> {
+    let content = prop::collection::vec(any::<u8>(), 0..300);
+    let one = (prop::sample::select(vec![1u8, 2, 4, 5, 8, 9, 77]), 1..40u16, content, any::<u8>());
+    prop::collection::vec(one, 1..12).prop_map(|records| {
+        records.into_iter().fold(Vec::new(), |mut all, (kind, id, content, padding)| {
+            let (id, content) = match kind {
+                1 => (id, &[0, 1, 1, 0, 0, 0, 0, 0][..]),
+                9 | 77 => (0, &content[..]),
+                _ => (id, &content[..]),
+            };
+            all.extend(record(kind, id, content, padding));
+            all
+        })
+    })
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 300, rng_seed: RngSeed::Fixed(0x0d00_77ac), failure_persistence: None, ..ProptestConfig::default() })]
+
+    #[test]
+    fn records_split_at_any_bytes_read_the_same(stream in whole_records(), cuts in prop::collection::vec(any::<prop::sample::Index>(), 0..9)) {
+        let (whole, fault) = pieces(&[&stream]);
+        prop_assert_eq!(fault, None);
+        let mut places: Vec<usize> = cuts.iter().map(|cut| cut.index(stream.len())).collect();
+        places.sort_unstable();
+        let (mut parts, mut from) = (Vec::new(), 0);
+        for place in places {
+            parts.push(&stream[from..place]);
+            from = place;
+        }
+        parts.push(&stream[from..]);
+        prop_assert_eq!(&pieces(&parts).0, &whole);
+        // Cut short anywhere, it is a beginning of the whole and no fault.
+        let (start, fault) = pieces(&[&stream[..from]]);
+        prop_assert_eq!(fault, None);
+        prop_assert!(start.len() <= whole.len());
+        prop_assert!(start.iter().zip(&whole).all(|(a, b)| a.0 == b.0 && b.1.starts_with(&a.1)));
+    }
+
+    #[test]
+    fn no_bytes_upset_a_parser(bytes in prop::collection::vec(any::<u8>(), 0..400)) {
+        pieces(&[&bytes]);
+        let names = names();
+        prop_assert!(request::read(&bytes, &names).is_err());
+        prop_assert!(link::read(&bytes).is_err());
+        prop_assert!(orders::parse(&bytes).is_err());
+        let mut sound = vec![1];
+        sound.extend(&bytes);
+        pieces(&[&sound]);
+    }
+
+    #[test]
+    fn parameters_of_any_length_come_back(fields in prop::collection::vec((prop::collection::vec(any::<u8>(), 0..200), prop::collection::vec(any::<u8>(), 0..200)), 0..8), long in any::<bool>(), cut in any::<prop::sample::Index>()) {
+        let stream = pairs(&fields, long);
+        let read = fastcgi::pairs(&stream).unwrap();
+        prop_assert_eq!(read.len(), fields.len());
+        prop_assert!(read.iter().zip(&fields).all(|(a, b)| *a.0 == b.0 && *a.1 == b.1));
+        if !stream.is_empty() {
+            let short = &stream[..cut.index(stream.len())];
+            prop_assert!(fastcgi::pairs(short).is_err() || fastcgi::pairs(short).unwrap().len() < fields.len());
+        }
+    }
+
+    #[test]
+    fn bodies_pass_the_engine_link_unchanged(body in prop::collection::vec(any::<u8>(), 0..2100), serial in any::<u64>()) {
+        let mut out = Vec::new();
+        link::run(&mut out, b"00112233445566aa", "\"a \\\" name\"", &body);
+        let sent: Value = serde_json::from_slice(&out).unwrap();
+        prop_assert_eq!(&sent["service"], "a \" name");
+        let line = json!({"msg": "DONE", "serial": serial, "call": sent["call"], "how": "OK", "duration": 1.5, "blob": sent["blob"]});
+        let done = Notice::Done { serial, try_id: *b"00112233445566aa", outcome: RunOutcome::Completed, result: body };
+        prop_assert_eq!(link::read(line.to_string().as_bytes()), Ok(done));
+    }
+}
+
+fn pairs<N: AsRef<[u8]>, V: AsRef<[u8]>>(fields: &[(N, V)], long: bool) -> Vec<u8> {
+    let mut stream = Vec::new();
+    for (name, value) in fields {
+        for length in [name.as_ref().len(), value.as_ref().len()] {
+            match length < 128 && !long {
+                true => stream.push(length as u8),
+                false => stream.extend((length as u32 | 1 << 31).to_be_bytes()),
+            }
+        }
+        stream.extend(name.as_ref().iter().chain(value.as_ref()));
+    }
+    stream
+}
+
+#[test]
+fn what_is_no_fastcgi_is_told_apart() {
+    let broken = |bytes: &[u8]| pieces(&[bytes]).1.is_some();
+    assert!(broken(&[2, 1, 0, 1, 0, 8, 0, 0]), "another version");
+    assert!(broken(&record(1, 1, &[0, 1, 0], 0)), "a short BEGIN_REQUEST");
+    assert!(broken(&record(5, 0, b"x", 0)), "an application's record with the id 0");
+    assert!(broken(&record(3, 1, &[0; 8], 0)), "a record that only an application sends");
+    assert!(broken(&record(12, 1, &[], 0)), "an unknown kind with an id");
+    assert!(!broken(&record(12, 0, &[], 0)), "an unknown kind of management");
+}
+
+#[test]
+fn a_parameter_may_not_be_longer_than_its_stream() {
+    assert!(fastcgi::pairs(&[3, 1, b'a']).is_err());
+    assert!(fastcgi::pairs(&[0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff]).is_err());
+    assert!(fastcgi::pairs(&[0x80, 0, 0]).is_err());
+}
+
+fn names() -> Names {
+    Names {
+        groups: vec!["look".into(), "pay".into()],
+        marked: vec![false, true],
+        customers: vec!["one".into()],
+    }
+}
+
+const FIELDS: [(&str, &str); 9] = [
+    ("SCRIPT_NAME", "/svc/pay"),
+    ("REQUEST_METHOD", "POST"),
+    ("HTTP_X_REQUEST_ID", "9b1f03aa5c7e2d41"),
+    ("HTTP_X_REQUEST_START", "1764576000123"),
+    ("HTTP_X_CALLER", "4"),
+    ("HTTP_X_TENANT", "one"),
+    ("HTTP_X_MEMORY_KB", "24.5"),
+    ("HTTP_X_RANK", "0.6250"),
+    ("HTTP_IDEMPOTENCY_KEY", "5c0f6e1a2b3d4c59a8b7c6d5e4f30211"),
+];
+
+fn read(fields: &[(&str, &str)]) -> Result<Asked, Unreadable> {
+    request::read(&pairs(fields, false), &names())
+}
+
+#[test]
+fn a_request_is_read_with_its_fields() {
+    let Ok(Asked::Exchange(request)) = read(&FIELDS) else { panic!("not read") };
+    assert_eq!((request.group, request.customer, request.caller), (1, 0, 4));
+    assert_eq!((request.stamp, request.kb, request.rank), (1_764_576_000_123 * MS, 24.5, 0.625));
+    assert_eq!((request.mark, request.subject), (Some(*b"5c0f6e1a2b3d4c59a8b7c6d5e4f30211"), 0));
+    assert!(!request.further_try);
+    let mut look = FIELDS[..8].to_vec();
+    look[0].1 = "/svc/look";
+    look.extend([
+        ("HTTP_X_RETRY", "1"),
+        ("HTTP_X_OBJECT", "7f3a9c21e0b4d655"),
+        ("HTTP_X_NEW", "passed over"),
+    ]);
+    let Ok(Asked::Exchange(request)) = read(&look) else { panic!("not read") };
+    assert_eq!((request.mark, request.subject, request.further_try), (None, 0x7f3a_9c21_e0b4_d655, true));
+    assert_eq!(read(&[("SCRIPT_NAME", "/status/live")]), Ok(Asked::Health));
+}
+
+#[test]
+fn a_field_that_is_missing_doubled_or_unreadable_is_named() {
+    for (place, (name, _)) in FIELDS.iter().enumerate() {
+        let mut fields = FIELDS.to_vec();
+        fields.remove(place);
+        assert_eq!(read(&fields), Err(Unreadable::Field(name)), "missing");
+        fields.extend([FIELDS[place]; 2]);
+        assert_eq!(read(&fields), Err(Unreadable::Field(name)), "doubled");
+        let mut fields = FIELDS.to_vec();
+        fields[place].1 = "\u{fffd}-1";
+        assert_eq!(read(&fields), Err(Unreadable::Field(name)), "unreadable");
+    }
+    for (place, value) in [(6, "0"), (6, "2000"), (6, "NaN"), (7, "1"), (7, "-0.1"), (3, "1.5"), (2, "9b1f")]
+    {
+        let mut fields = FIELDS.to_vec();
+        fields[place].1 = value;
+        assert_eq!(read(&fields), Err(Unreadable::Field(FIELDS[place].0)), "{value}");
+    }
+}
+
+#[test]
+fn answers_carry_what_was_decided() {
+    let text = |answer, level| {
+        let mut out = Vec::new();
+        request::write(&mut out, 7, answer, level);
+        (String::from_utf8_lossy(&out).into_owned(), out)
+    };
+    let (denied, _) = text(Answer::Denied { not_elsewhere: true, come_back_in: 1201 }, Some(0.25));
+    assert!(denied.contains("Status: 503 "), "{denied}");
+    assert!(denied.contains("Retry-After-Ms: 121\r\n"), "rounded up: {denied}");
+    assert!(denied.contains("X-Dont-Retry: 1\r\n") && denied.contains("X-Load-Signal: 0.25\r\n"), "{denied}");
+    let (denied, _) = text(Answer::Denied { not_elsewhere: false, come_back_in: 0 }, None);
+    assert!(
+        !denied.contains("Retry-After") && !denied.contains("Dont") && !denied.contains("Load"),
+        "{denied}"
+    );
+    let (_, full) = text(Answer::NoRoom, Some(0.0));
+    assert_eq!(full, record(3, 7, &[0, 0, 0, 0, 2, 0, 0, 0], 0), "OVERLOADED and nothing else");
+    let result: Vec<u8> = (0..70_000u32).map(|n| n as u8).collect();
+    let (_, long) = text(Answer::Completed(&result), None);
+    let first = u16::from_be_bytes([long[4], long[5]]) as usize;
+    assert_eq!((first, long[1], long[8 + first + 1]), (65_535, 6, 6), "a long result needs two records");
+}
+
+#[test]
+fn lines_of_the_engine_that_cannot_be_read_are_faults_or_ends() {
+    let read = |value: Value| link::read(value.to_string().as_bytes());
+    let done = |how: &str, blob: &str| {
+        read(json!({"msg": "DONE", "serial": 4, "call": "00112233445566aa", "how": how, "blob": blob}))
+    };
+    let outcome = |notice| match notice {
+        Ok(Notice::Done { outcome, .. }) => outcome,
+        other => panic!("{other:?}"),
+    };
+    assert_eq!(outcome(done("STOPPED", "")), RunOutcome::Stopped);
+    assert_eq!(outcome(done("MOOT", "")), RunOutcome::Moot);
+    assert_eq!(outcome(done("OK", "not base64!")), RunOutcome::Failed, "its result is lost, its end is not");
+    assert_eq!(outcome(done("GONE FISHING", "")), RunOutcome::Failed);
+    for value in [
+        json!([]),
+        json!({"msg": "HI"}),
+        json!({"msg": "DONE", "serial": -1, "call": "00112233445566aa", "how": "OK"}),
+        json!({"msg": "DONE", "serial": 1, "call": 7, "how": "OK"}),
+        json!({"msg": "HELLO", "how": "TEPID", "duration": 1}),
+        json!({"msg": "STATS", "cookie": "x", "stats": []}),
+    ] {
+        assert!(read(value.clone()).is_err(), "{value}");
+    }
+    let hello = read(json!({"msg": "HELLO", "how": "COLD", "duration": 12.5, "more": 1}));
+    assert_eq!(hello, Ok(Notice::Hello { cold: true, age: 125 }));
+}
+
+#[test]
+fn every_end_has_its_outcome() {
+    for end in [End::Aborted, End::Reset, End::Unread, End::Left] {
+        assert_eq!(end.outcome(), Outcome::CallerGone);
+    }
+    for end in [End::HalfClosed, End::Closed, End::Idle, End::Evicted, End::Malformed, End::LinkLost] {
+        assert_eq!(end.outcome(), Outcome::StillOwed);
+    }
+    assert_eq!(End::RunRefused.outcome(), Outcome::RunEnded(RunOutcome::Moot));
+    assert_eq!(End::Run(RunOutcome::Failed).outcome(), Outcome::RunEnded(RunOutcome::Failed));
+}
+
+#[test]
+fn reports_are_three_words() {
+    assert_eq!(registry::report("n3", false), "BEAT n3 ready");
+    assert_eq!(registry::report("n3", true), "BEAT n3 draining");
+}
+
+const KEY: (u8, [u8; 32]) = (1, [b'a'; 32]);
+
+#[test]
+fn the_window_goes_from_stamp_to_stamp_however_late_a_repeat_is_read() {
+    let mut results = Results::new(10, 100, 4500 * MS);
+    let (stamp, window) = (1000 * MS, 6000 * MS);
+    // Read 20 ms after it came, so 5980 ms of the window are left.
+    results.record(1, KEY, stamp, window - 20 * MS, stamp + 20 * MS);
+    assert_eq!(results.result(1), Found::Pending);
+    results.ended(1, Ok(b"done"));
+    results.tidy(stamp + window + 4000 * MS);
+    assert_eq!(results.repeats(&KEY, stamp + window), Some(1), "read 4 s after the window ran out");
+    assert_eq!(results.repeats(&KEY, stamp + window + 200 * MS), None, "it came after the window");
+    assert_eq!(results.repeats(&(0, KEY.1), stamp), None, "another endpoint group");
+    assert_eq!(results.result(1), Found::Result(b"done"));
+    results.tidy(stamp + window + 5000 * MS);
+    assert_eq!((results.repeats(&KEY, stamp), results.bytes()), (None, 0));
+}
+
+#[test]
+fn one_in_hand_is_repeated_even_past_its_window() {
+    let mut results = Results::new(10, 100, 0);
+    results.record(1, KEY, 0, 10 * MS, 0);
+    results.tidy(60_000 * MS);
+    assert_eq!(results.repeats(&KEY, 60_000 * MS), Some(1));
+}
+
+#[test]
+fn results_keep_within_their_bytes_and_entries() {
+    let mut results = Results::new(3, 10, 0);
+    for ex in 1..=3u32 {
+        assert!(results.has_room());
+        results.record(ex, (0, [ex as u8; 32]), 0, 1000 * MS, 0);
+        results.ended(ex, Ok(b"123456"));
+    }
+    assert!(!results.has_room());
+    assert_eq!(results.result(1), Found::Result(b"123456"));
+    assert_eq!(results.result(2), Found::None, "it ran, but there was no room for its result");
+    assert_eq!(results.repeats(&(0, [2; 32]), 0), Some(2), "so it must not run again");
+    results.forget(1);
+    assert!(results.has_room());
+    assert_eq!((results.bytes(), results.repeats(&(0, [1; 32]), 0)), (0, None));
+    results.record(4, (0, [3; 32]), 2000 * MS, 1000 * MS, 2000 * MS);
+    assert_eq!((results.result(3), results.result(4)), (Found::None, Found::Pending), "a new try holds it");
+    results.ended(4, Err(NoResult));
+    assert_eq!(results.result(4), Found::None);
+}
+
+#[test]
+fn a_stamp_in_the_future_ends_its_entry_all_the_same() {
+    let mut results = Results::new(3, 10, 0);
+    results.record(1, KEY, u64::MAX, 1000 * MS, 500 * MS);
+    results.ended(1, Ok(b"1"));
+    results.tidy(2000 * MS);
+    assert!(results.has_room() && results.bytes() == 0);
+}
+
+fn ex(try_id: u8) -> Ex {
+    Ex {
+        try_id: [try_id; 16],
+        group: 0,
+        key: None,
+        stamp: 0,
+        body: Vec::new(),
+        caller: None,
+        stage: Stage::Held,
+        repeats: None,
+    }
+}
+
+#[test]
+fn a_doubled_id_is_known_while_in_hand_and_after_and_names_are_new() {
+    let mut exs = Exchanges::default();
+    let first = exs.take_in(ex(1)).unwrap();
+    assert_eq!(exs.take_in(ex(1)), None);
+    exs.remove(first);
+    assert_eq!(exs.take_in(ex(1)), None);
+    assert_ne!(exs.take_in(ex(2)), Some(first));
+}
+
+#[test]
+fn a_repeat_that_went_away_is_waited_for_no_more() {
+    let mut exs = Exchanges::default();
+    let ids: Vec<_> = (1..=3).map(|n| exs.take_in(ex(n)).unwrap()).collect();
+    exs.attach(ids[1], ids[0]);
+    exs.attach(ids[2], ids[0]);
+    exs.remove(ids[1]);
+    assert_eq!(exs.waiting_for(ids[0]), [ids[2]]);
+    assert!(exs.waiting_for(ids[0]).is_empty());
+}
+
+fn fault(change: impl FnOnce(&mut Value)) -> String {
+    let mut value = config();
+    change(&mut value);
+    orders::parse(value.to_string().as_bytes()).expect_err("it was taken")
+}
+
+#[test]
+fn orders_are_read_with_their_defaults() {
+    let mut value = config();
+    value.as_object_mut().unwrap().retain(|key, _| key != "limits" && key != "seed");
+    let orders = orders::parse(value.to_string().as_bytes()).unwrap();
+    assert_eq!((orders.name.as_str(), orders.seed, orders.stop_after), ("n1", 0, 3200 * MS));
+    assert_eq!(orders.room, orders::parse(config().to_string().as_bytes()).unwrap().room);
+    assert!(orders.room.connections < 1024);
+    assert!(orders.handed.list_follows_health && orders.handed.customer_names.is_empty());
+    let bound = orders.room.requests * 10_500 + orders.room.entries * 300 + orders.room.result_bytes;
+    assert!(bound + orders.room.unread + orders.room.connections * 20_000 < 192_000_000);
+}
+
+#[test]
+fn a_fault_in_the_orders_names_its_key() {
+    for key in ["name", "listen", "engine", "registry", "stop_ms", "settings"] {
+        let missing = fault(|v| _ = v.as_object_mut().unwrap().remove(key));
+        assert!(missing.contains(&format!("'{key}' is missing")), "{missing}");
+        let wrong = fault(|v| v[key] = json!([]));
+        assert!(wrong.contains(key), "{wrong}");
+    }
+    for (path, value) in [
+        ("/limits/memory_mb", json!(4)),
+        ("/limits/sockets", json!(25)),
+        ("/limits/cores", json!(0)),
+        ("/seed", json!("xyz")),
+        ("/settings/family_info/below", json!("common")),
+        ("/settings/family_info/calls_by_class", json!([true])),
+        ("/settings/family_info/deep_checks", json!(true)),
+        ("/settings/family_info/passes_deadline", json!(true)),
+        ("/settings/family_info/halt", json!("soon")),
+        ("/settings/lanes/0/idempotency", json!("perhaps")),
+        ("/settings/lanes/0/worth", json!("much")),
+        ("/settings/lanes", json!([])),
+        ("/settings/safety/tip_multiple", json!(null)),
+        ("/settings/tick", json!(-1)),
+    ] {
+        let fault = fault(|v| *v.pointer_mut(path).unwrap() = value);
+        let key = path.trim_end_matches("/0").rsplit('/').next().unwrap();
+        let key = if key == "calls_by_class" { "below" } else { key };
+        assert!(fault.contains(key), "{path}: {fault}");
+    }
+}
--- /dev/null
+++ b/node/tests/node/sockets.rs
@@ -0,0 +1,618 @@
+//! Starts the program and speaks to it over sockets. What it waits for has long limits, so that a slow machine
+//! changes no verdict; nothing is judged by how long it took.
+
+use std::io::{BufRead, BufReader, ErrorKind, Read, Write};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream, UdpSocket};
+use std::path::PathBuf;
+use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicU32, Ordering};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+use base64::Engine as _;
+use base64::engine::general_purpose::STANDARD;
+use serde_json::{Value, json};
+
+use crate::config;
+
+const LONG: Duration = Duration::from_secs(20);
+static STARTED: AtomicU32 = AtomicU32::new(0);
+
+fn unix_ms() -> u64 {
+    SystemTime::now().duration_since(UNIX_EPOCH).unwrap().as_millis() as u64
+}
+
+/// The program, with its engine and registry played by the test.
+struct Bed {
+    program: Child,
+    folder: PathBuf,
+    at: SocketAddr,
+    door: TcpListener,
+    registry: UdpSocket,
+}
+
+impl Bed {
+    fn start(change: impl FnOnce(&mut Value)) -> Bed {
+        // An address of its own for each start, as ports may be in use and tests run side by side.
+        let nth = STARTED.fetch_add(1, Ordering::Relaxed);
+        let [.., b, c] = std::process::id().to_be_bytes();
+        let at: SocketAddr = format!("127.{}.{b}.{c}:9090", 20 + nth % 200).parse().unwrap();
+        let door = TcpListener::bind("127.0.0.1:0").unwrap();
+        let registry = UdpSocket::bind("127.0.0.1:0").unwrap();
+        registry.set_read_timeout(Some(LONG)).unwrap();
+        let mut config = config();
+        config["listen"] = json!(at.to_string());
+        config["engine"] = json!(door.local_addr().unwrap().to_string());
+        config["registry"] = json!(registry.local_addr().unwrap().to_string());
+        change(&mut config);
+        let folder = std::env::temp_dir().join(format!("doortrack-{}-{nth}", std::process::id()));
+        std::fs::create_dir_all(&folder).unwrap();
+        let file = folder.join("config.json");
+        std::fs::write(&file, config.to_string()).unwrap();
+        let program = Command::new(env!("CARGO_BIN_EXE_doortrack"))
+            .env("GW_CONFIG", &file)
+            .stderr(Stdio::piped())
+            .spawn()
+            .unwrap();
+        Bed { program, folder, at, door, registry }
+    }
+
+    /// A node whose engine is up.
+    fn up() -> (Bed, Engine) {
+        Bed::up_with(|_| {})
+    }
+
+    fn up_with(change: impl FnOnce(&mut Value)) -> (Bed, Engine) {
+        let bed = Bed::start(change);
+        let mut engine = bed.link();
+        engine.hello(0);
+        (bed, engine)
+    }
+
+    fn link(&self) -> Engine {
+        let (sock, _) = self.door.accept().unwrap();
+        sock.set_read_timeout(Some(LONG)).unwrap();
+        Engine { lines: BufReader::new(sock), busy: 0.0 }
+    }
+
+    fn client(&self) -> Client {
+        let until = Instant::now() + LONG;
+        loop {
+            match TcpStream::connect(self.at) {
+                Ok(sock) => {
+                    sock.set_read_timeout(Some(LONG)).unwrap();
+                    return Client { sock };
+                }
+                Err(e) => assert!(Instant::now() < until, "{}: {e}", self.at),
+            }
+            std::thread::sleep(Duration::from_millis(5));
+        }
+    }
+
+    fn report(&self) -> String {
+        let mut text = [0; 100];
+        let n = self.registry.recv(&mut text).unwrap();
+        String::from_utf8_lossy(&text[..n]).into_owned()
+    }
+
+    fn terminate(&self) {
+        let id = self.program.id().to_string();
+        assert!(Command::new("kill").args(["-TERM", &id]).status().unwrap().success());
+    }
+
+    /// Waits for the end of the program: its status, and its log.
+    fn end(mut self) -> (Option<i32>, String) {
+        let mut log = String::new();
+        self.program.stderr.take().unwrap().read_to_string(&mut log).unwrap();
+        (self.program.wait().unwrap().code(), log)
+    }
+}
+
+impl Drop for Bed {
+    fn drop(&mut self) {
+        _ = self.program.kill();
+        _ = self.program.wait();
+        _ = std::fs::remove_dir_all(&self.folder);
+    }
+}
+
+struct Engine {
+    lines: BufReader<TcpStream>,
+    /// What the gauge of busy cores reads.
+    busy: f32,
+}
+
+impl Engine {
+    fn line(&mut self) -> Value {
+        let mut line = String::new();
+        assert!(self.lines.read_line(&mut line).unwrap() > 0, "the node closed its link");
+        serde_json::from_str(&line).unwrap()
+    }
+
+    fn tell(&mut self, notice: Value) {
+        self.lines.get_mut().write_all(format!("{notice}\n").as_bytes()).unwrap();
+    }
+
+    fn answer_stat(&mut self, command: &Value) {
+        self.tell(json!({"msg": "STATS", "cookie": command["cookie"], "stats": [3, self.busy]}));
+    }
+
+    /// Takes the link up; `last` is what the node should say that it read.
+    fn hello(&mut self, last: u64) {
+        assert_eq!(self.line(), json!({"msg": "ATTACH", "serial": last}));
+        self.tell(json!({"msg": "HELLO", "how": "WARM", "duration": 60_000}));
+    }
+
+    /// The next command other than STAT, which is answered on the way.
+    fn command(&mut self) -> Value {
+        loop {
+            let command = self.line();
+            if command["msg"] != "STAT" {
+                return command;
+            }
+            self.answer_stat(&command);
+        }
+    }
+
+    /// The next RUN: its id and body.
+    fn run(&mut self) -> (String, Vec<u8>) {
+        let command = self.command();
+        assert_eq!(command["msg"], "RUN", "{command}");
+        let body = STANDARD.decode(command["blob"].as_str().unwrap()).unwrap();
+        (command["call"].as_str().unwrap().to_string(), body)
+    }
+
+    fn done(&mut self, serial: u64, call: &str, how: &str, result: &[u8]) {
+        let (blob, duration) = (STANDARD.encode(result), 12.5);
+        let done = json!({"msg": "DONE", "serial": serial, "call": call, "how": how, "duration": duration, "blob": blob});
+        self.tell(done);
+    }
+}
+
+#[derive(Debug, PartialEq)]
+struct Reply {
+    id: u16,
+    status: u16,
+    head: String,
+    body: Vec<u8>,
+}
+
+/// A dispatcher's connection.
+struct Client {
+    sock: TcpStream,
+}
+
+/// A field of a request under test; what is set twice is sent twice.
+type Fields<'a> = &'a [(&'a str, &'a str)];
+
+fn record(kind: u8, id: u16, content: &[u8]) -> Vec<u8> {
+    let mut bytes = vec![1, kind];
+    bytes.extend(id.to_be_bytes());
+    bytes.extend((content.len() as u16).to_be_bytes());
+    bytes.extend([3, 0]);
+    bytes.extend(content);
+    bytes.extend([0xaa; 3]);
+    bytes
+}
+
+fn try_id(n: u64) -> String {
+    format!("{n:016x}")
+}
+
+/// The records of one request. `more` replaces fields of the same name.
+fn request(id: u16, nth: u64, script: &str, more: Fields, body: &[u8]) -> Vec<u8> {
+    let (nth, now) = (try_id(nth), unix_ms().to_string());
+    let mut fields = vec![("SCRIPT_NAME", script), ("REQUEST_METHOD", "POST"), ("HTTP_X_REQUEST_ID", &nth)];
+    fields.extend([("HTTP_X_REQUEST_START", &*now), ("HTTP_X_CALLER", "1"), ("HTTP_X_MEMORY_KB", "2.5")]);
+    fields.push(("HTTP_X_RANK", "0.5"));
+    fields.retain(|(name, _)| more.iter().all(|(other, _)| other != name));
+    fields.extend(more);
+    let mut params = Vec::new();
+    for (name, value) in fields {
+        params.extend([name.len() as u8, value.len() as u8]);
+        params.extend(name.bytes().chain(value.bytes()));
+    }
+    let (early, late) = params.split_at(params.len() / 2);
+    let mut bytes = record(1, id, &[0, 1, 1, 0, 0, 0, 0, 0]);
+    bytes.extend([record(4, id, early), record(4, id, late), record(4, id, b"")].concat());
+    bytes.extend(if body.is_empty() { Vec::new() } else { record(5, id, body) });
+    bytes.extend(record(5, id, b""));
+    bytes
+}
+
+const MARK: (&str, &str) = ("HTTP_IDEMPOTENCY_KEY", "5c0f6e1a2b3d4c59a8b7c6d5e4f30211");
+
+impl Client {
+    fn send(&mut self, bytes: &[u8]) {
+        self.sock.write_all(bytes).unwrap();
+    }
+
+    fn look(&mut self, id: u16, nth: u64) {
+        self.send(&request(id, nth, "/svc/look", &[], b"body"));
+    }
+
+    /// The next whole answer. A refusal by the protocol's own status has that as its status.
+    fn reply(&mut self) -> Reply {
+        let mut out = Vec::new();
+        loop {
+            let mut head = [0; 8];
+            self.sock.read_exact(&mut head).unwrap();
+            let mut content = vec![0; u16::from_be_bytes([head[4], head[5]]) as usize + head[6] as usize];
+            self.sock.read_exact(&mut content).unwrap();
+            let id = u16::from_be_bytes([head[2], head[3]]);
+            match head[1] {
+                6 => out.extend(content),
+                3 if out.is_empty() => {
+                    return Reply { id, status: content[4].into(), head: String::new(), body: out };
+                }
+                3 => {
+                    let end = out.windows(4).position(|w| w == b"\r\n\r\n").unwrap();
+                    let head = String::from_utf8(out[..end + 2].to_vec()).unwrap();
+                    let status = head.strip_prefix("Status: ").unwrap()[..3].parse().unwrap();
+                    return Reply { id, status, head, body: out[end + 4..].to_vec() };
+                }
+                kind => panic!("record of kind {kind}"),
+            }
+        }
+    }
+
+    fn is_closed(&mut self) -> bool {
+        match self.sock.read(&mut [0]) {
+            Ok(n) => n == 0,
+            Err(e) => e.kind() == ErrorKind::ConnectionReset,
+        }
+    }
+}
+
+#[test]
+fn requests_of_one_connection_are_answered_in_any_order_and_bytes_pass_unchanged() {
+    let (bed, mut engine) = Bed::up();
+    let mut client = bed.client();
+    let body: Vec<u8> = (0..2048).map(|n| n as u8).collect();
+    let bytes = [request(1, 1, "/svc/look", &[], &body), request(2, 2, "/svc/look", &[], b"")].concat();
+    // Byte by byte at the front, so that a record's head is split too.
+    bytes[..20].iter().for_each(|byte| client.send(&[*byte]));
+    client.send(&bytes[20..]);
+    let (first, second) = (engine.run(), engine.run());
+    assert_eq!((&first, &second), (&(try_id(1), body.clone()), &(try_id(2), Vec::new())));
+    let result: Vec<u8> = body.iter().rev().copied().cycle().take(4096).collect();
+    engine.done(1, &second.0, "OK", b"");
+    engine.done(2, &first.0, "OK", &result);
+    let (one, two) = (client.reply(), client.reply());
+    assert_eq!((one.id, one.status, one.body), (2, 200, Vec::new()));
+    assert_eq!((two.id, two.status), (1, 200));
+    assert!(two.body == result, "a result was changed");
+    assert!(two.head.contains("X-Load-Signal: 0\r\n"), "{}", two.head);
+    // The id is free again.
+    client.look(1, 3);
+    let (call, _) = engine.run();
+    engine.done(3, &call, "ERROR", b"");
+    let failed = client.reply();
+    assert_eq!((failed.id, failed.status), (1, 500));
+}
+
+#[test]
+fn a_health_check_is_answered_on_a_connection_of_its_own_even_before_the_engine_is_up() {
+    let bed = Bed::start(|_| {});
+    let mut client = bed.client();
+    client.send(&request(1, 1, "/status/live", &[], b""));
+    assert_eq!(client.reply().status, 200);
+    assert_eq!(bed.report(), "BEAT n1 ready");
+    // An exchange that comes too early never ran.
+    client.look(2, 2);
+    assert_eq!(client.reply(), Reply { id: 2, status: 2, head: String::new(), body: Vec::new() });
+}
+
+#[test]
+fn what_finds_no_room_in_memory_is_denied() {
+    let (bed, _engine) = Bed::up_with(|config| config["settings"]["family_info"]["memory_kb"] = json!(1000));
+    let mut client = bed.client();
+    client.send(&request(1, 1, "/svc/look", &[("HTTP_X_MEMORY_KB", "1900")], b""));
+    let denied = client.reply();
+    assert_eq!((denied.status, denied.body), (503, Vec::new()));
+    assert!(denied.head.contains("X-Load-Signal: "), "{}", denied.head);
+}
+
+#[test]
+fn a_repeat_waits_for_the_run_or_takes_its_result_and_nothing_runs_twice() {
+    let (bed, mut engine) = Bed::up();
+    let (mut one, mut two) = (bed.client(), bed.client());
+    let pay = |id, nth| request(id, nth, "/svc/pay", &[MARK], b"one boat");
+    one.send(&[pay(1, 1), pay(2, 2)].concat());
+    let (call, body) = engine.run();
+    assert_eq!((call.as_str(), body.as_slice()), (&*try_id(1), &b"one boat"[..]));
+    two.send(&pay(1, 3));
+    // Its order among other exchanges shows that none of the repeats was run.
+    two.look(2, 4);
+    assert_eq!(engine.run().0, try_id(4));
+    engine.done(1, &call, "OK", b"paid");
+    assert_eq!(
+        (one.reply().body, one.reply().body, two.reply().body),
+        (b"paid".into(), b"paid".into(), b"paid".into())
+    );
+    two.send(&pay(3, 5));
+    let late = two.reply();
+    assert_eq!((late.id, late.status, late.body), (3, 200, b"paid".to_vec()));
+}
+
+#[test]
+fn a_repeat_of_a_run_that_failed_is_terminated_not_run_or_denied() {
+    let (bed, mut engine) = Bed::up();
+    let mut client = bed.client();
+    client.send(&request(1, 1, "/svc/pay", &[MARK], b""));
+    let (call, _) = engine.run();
+    engine.done(1, &call, "ERROR", b"");
+    assert_eq!(client.reply().status, 500);
+    client.send(&request(2, 2, "/svc/pay", &[MARK], b""));
+    assert_eq!(client.reply().status, 500);
+}
+
+#[test]
+fn an_aborted_exchange_is_stopped_and_its_id_may_be_used_anew() {
+    let (bed, mut engine) = Bed::up();
+    let mut client = bed.client();
+    client.look(1, 1);
+    let (call, _) = engine.run();
+    // The end of the first run comes after its id was taken by another request.
+    client.send(&[record(2, 1, b""), request(1, 2, "/svc/look", &[], b"")].concat());
+    let mut commands = [engine.command(), engine.command()];
+    commands.sort_by_key(|command| command["msg"].to_string());
+    assert_eq!(commands[0], json!({"msg": "HALT", "call": call}));
+    assert_eq!(commands[1]["call"], try_id(2));
+    engine.done(1, &call, "OK", b"of the first");
+    engine.done(2, &try_id(2), "OK", b"of the second");
+    assert_eq!(client.reply().body, b"of the second");
+}
+
+#[test]
+fn a_lost_link_is_taken_up_with_the_last_serial_and_nothing_is_lost_or_run_twice() {
+    let (bed, mut engine) = Bed::up();
+    let mut client = bed.client();
+    (1..=3).for_each(|n| client.look(n as u16, n));
+    let calls = [engine.run().0, engine.run().0, engine.run().0];
+    engine.done(1, &calls[0], "OK", b"first");
+    assert_eq!(client.reply().body, b"first");
+    // An answered STAT proves that what was sent before it arrived.
+    for _ in 0..2 {
+        let stat = engine.line();
+        assert_eq!(stat["msg"], "STAT");
+        engine.answer_stat(&stat);
+    }
+    drop(engine);
+    client.look(4, 4);
+    let mut engine = bed.link();
+    engine.hello(1);
+    // The notice missed comes with one that was seen before; then the STAT is answered.
+    engine.done(1, &calls[0], "OK", b"again");
+    engine.done(2, &calls[1], "OK", b"second");
+    assert_eq!(engine.run().0, try_id(4), "only what had not arrived is sent");
+    engine.done(3, &calls[2], "OK", b"third");
+    assert_eq!((client.reply().body, client.reply().body), (b"second".to_vec(), b"third".to_vec()));
+    engine.done(4, &try_id(4), "OK", b"fourth");
+    assert_eq!(client.reply().body, b"fourth");
+}
+
+#[test]
+fn a_run_that_may_not_have_arrived_is_sent_again_once_the_notices_missed_are_in() {
+    let (bed, mut engine) = Bed::up();
+    let mut client = bed.client();
+    let stat = engine.line();
+    engine.answer_stat(&stat);
+    client.look(1, 1);
+    client.look(2, 2);
+    // Both are read, but the node can't know: no STAT after them is answered.
+    let mut seen = 0;
+    while seen < 2 {
+        seen += usize::from(engine.line()["msg"] == "RUN");
+    }
+    drop(engine);
+    let mut engine = bed.link();
+    engine.hello(0);
+    engine.done(1, &try_id(1), "OK", b"one");
+    assert_eq!(engine.run().0, try_id(2));
+    engine.done(2, &try_id(2), "OK", b"two");
+    let bodies = (client.reply().body, client.reply().body);
+    assert_eq!(bodies, (b"one".to_vec(), b"two".to_vec()));
+}
+
+#[test]
+fn engine_lines_that_cannot_be_read_are_survived() {
+    let (bed, mut engine) = Bed::up();
+    let mut client = bed.client();
+    client.look(1, 1);
+    let (call, _) = engine.run();
+    engine.lines.get_mut().write_all(b"not a notice\n").unwrap();
+    // The link is made anew, as the line may have held an end; the same again is lived with.
+    let mut engine = bed.link();
+    engine.hello(0);
+    engine.lines.get_mut().write_all(b"not a notice\n").unwrap();
+    engine.tell(json!({"msg": "DONE", "serial": 1, "call": try_id(77), "how": "OK", "blob": ""}));
+    engine.tell(json!({"msg": "NOTE", "serial": 2, "how": "nothing"}));
+    engine.done(3, &call, "OK", b"good");
+    assert_eq!(client.reply().body, b"good");
+    client.look(2, 2);
+    let (call, _) = engine.run();
+    engine.tell(json!({"msg": "NO", "how": "RUN", "call": call}));
+    assert_eq!(client.reply().status, 500, "what the engine will not run is terminated");
+}
+
+#[test]
+fn a_broken_record_ends_its_connection_after_what_is_open_was_answered() {
+    let (bed, mut engine) = Bed::up();
+    let (mut broken, mut other) = (bed.client(), bed.client());
+    broken.look(1, 1);
+    let (call, _) = engine.run();
+    // One is half read when a record of another version comes.
+    broken.send(&record(1, 2, &[0, 1, 1, 0, 0, 0, 0, 0]));
+    broken.send(&[9, 1, 0, 1, 0, 0, 0, 0]);
+    let half = broken.reply();
+    assert_eq!((half.id, half.status), (2, 400));
+    other.look(1, 2);
+    let (second, _) = engine.run();
+    engine.done(1, &second, "OK", b"untouched");
+    assert_eq!(other.reply().body, b"untouched");
+    engine.done(2, &call, "OK", b"whole");
+    assert_eq!(broken.reply().body, b"whole");
+    assert!(broken.is_closed());
+}
+
+#[test]
+fn bad_requests_are_answered_alone_and_a_doubled_id_runs_nothing() {
+    let (bed, mut engine) = Bed::up();
+    let mut client = bed.client();
+    for (script, more, body, status) in [
+        ("/svc/dance", &[][..], 1, 400),
+        ("/svc/look", &[("HTTP_X_MEMORY_KB", "much")][..], 1, 400),
+        ("/svc/look", &[("HTTP_X_RANK", "0.1"), ("HTTP_X_RANK", "0.2")][..], 1, 400),
+        ("/svc/pay", &[][..], 1, 400),
+        ("/svc/look", &[][..], 2049, 413),
+    ] {
+        client.send(&request(1, 1, script, more, &vec![7; body]));
+        assert_eq!(client.reply().status, status, "{script} {more:?}");
+    }
+    // A role that is no Responder is refused in the protocol's own words.
+    client.send(&record(1, 1, &[0, 2, 1, 0, 0, 0, 0, 0]));
+    assert_eq!(client.reply().status, 3);
+    client.look(1, 1);
+    let (call, _) = engine.run();
+    client.look(2, 1);
+    let doubled = client.reply();
+    assert_eq!((doubled.id, doubled.status), (2, 400));
+    engine.done(1, &call, "OK", b"once");
+    assert_eq!(client.reply().body, b"once");
+    client.look(3, 1);
+    assert_eq!(client.reply().status, 400);
+}
+
+#[test]
+fn more_open_than_the_protocol_allows_is_refused_as_never_run() {
+    let (bed, mut engine) = Bed::up_with(|config| config["settings"]["family_info"]["cores"] = json!(100));
+    let mut client = bed.client();
+    (1..=33).for_each(|n| client.look(n as u16, n));
+    let refused = client.reply();
+    assert_eq!((refused.id, refused.status), (33, 2));
+    assert_eq!(engine.run().0, try_id(1));
+}
+
+#[test]
+fn a_half_closed_connection_still_gets_its_answers() {
+    let (bed, mut engine) = Bed::up();
+    let mut client = bed.client();
+    client.look(1, 1);
+    client.sock.shutdown(Shutdown::Write).unwrap();
+    let (call, _) = engine.run();
+    engine.done(1, &call, "OK", b"yours");
+    assert_eq!(client.reply().body, b"yours");
+    assert!(client.is_closed());
+}
+
+#[test]
+fn what_a_broken_connection_had_open_is_stopped() {
+    let (bed, mut engine) = Bed::up();
+    let (mut gone, mut client) = (bed.client(), bed.client());
+    gone.look(1, 1);
+    let (call, _) = engine.run();
+    engine.done(1, &call, "OK", b"never read");
+    gone.look(2, 2);
+    let (call, _) = engine.run();
+    // The first answer lies unread, so closing resets the connection.
+    drop(gone);
+    assert_eq!(engine.command(), json!({"msg": "HALT", "call": call}));
+    engine.done(2, &call, "STOPPED", b"");
+    client.look(1, 3);
+    let (call, _) = engine.run();
+    engine.done(3, &call, "OK", b"on it goes");
+    assert_eq!(client.reply().body, b"on it goes");
+}
+
+#[test]
+fn a_full_table_closes_an_idle_connection_and_never_one_with_a_request_open() {
+    let (bed, mut engine) = Bed::up_with(|config| config["limits"]["sockets"] = json!(32));
+    let mut clients: Vec<Client> = (0..8).map(|_| bed.client()).collect();
+    for (n, client) in clients.iter_mut().enumerate().skip(1) {
+        client.look(1, n as u64);
+    }
+    let runs: Vec<String> = (0..6).map(|_| engine.run().0).collect();
+    // The ninth takes the place of the one that has nothing open.
+    let mut ninth = bed.client();
+    ninth.send(&request(1, 9, "/status/live", &[], b""));
+    assert_eq!(ninth.reply().status, 200);
+    assert!(clients[0].is_closed());
+    // A tenth waits in the backlog until there is room again.
+    ninth.look(2, 10);
+    let mut tenth = bed.client();
+    tenth.send(&request(1, 11, "/status/live", &[], b""));
+    runs.iter().zip(1..).for_each(|(call, serial)| engine.done(serial, call, "OK", b"well"));
+    assert_eq!(clients[1].reply().body, b"well");
+    assert_eq!(tenth.reply().status, 200);
+}
+
+#[test]
+fn answers_that_nobody_reads_cost_bounded_memory_and_the_others_nothing() {
+    let (bed, mut engine) = Bed::up_with(|config| {
+        config["limits"]["memory_mb"] = json!(16);
+        config["settings"]["family_info"]["memory_kb"] = json!(1000);
+    });
+    let (mut deaf, mut client) = (bed.client(), bed.client());
+    deaf.sock.set_write_timeout(Some(Duration::from_millis(300))).unwrap();
+    // Each is denied at once for its size. Past what the sockets hold the node stops reading, or hangs up.
+    let bytes: Vec<u8> = (1..=50)
+        .flat_map(|n| request(n, n.into(), "/svc/look", &[("HTTP_X_MEMORY_KB", "1900")], b""))
+        .collect();
+    let stuck = (0..4000).any(|_| deaf.sock.write_all(&bytes).is_err());
+    assert!(stuck, "the node went on reading");
+    client.look(1, 99_999);
+    let (call, _) = engine.run();
+    engine.done(1, &call, "OK", b"as ever");
+    assert_eq!(client.reply().body, b"as ever");
+    let status = std::fs::read_to_string(format!("/proc/{}/status", bed.program.id())).unwrap();
+    let peak = status.lines().find_map(|line| line.strip_prefix("VmHWM:")).unwrap();
+    let kb: u64 = peak.split_whitespace().next().unwrap().parse().unwrap();
+    assert!(kb < 16_000, "{kb} kB");
+}
+
+#[test]
+fn a_drain_answers_what_it_took_in_denies_what_comes_late_and_ends_by_itself() {
+    let (bed, mut engine) = Bed::up_with(|config| {
+        config["stop_ms"] = json!(1500);
+        config["settings"]["safety"]["drain_grace"] = json!(0);
+    });
+    let mut client = bed.client();
+    client.look(1, 1);
+    client.look(2, 2);
+    let (call, _) = engine.run();
+    engine.run();
+    assert_eq!(bed.report(), "BEAT n1 ready");
+    bed.terminate();
+    while bed.report() != "BEAT n1 draining" {}
+    // Stamps are whole ms, so one that surely lies after the notice is a little in the future.
+    let stamp = (unix_ms() + 10).to_string();
+    client.send(&request(3, 3, "/svc/look", &[("HTTP_X_REQUEST_START", &stamp)], b""));
+    let late = client.reply();
+    assert_eq!((late.id, late.status), (3, 503), "it came after the grace");
+    client.send(&request(4, 4, "/status/live", &[], b""));
+    assert_eq!(client.reply().status, 503);
+    engine.done(1, &call, "OK", b"in time");
+    assert_eq!(client.reply().body, b"in time");
+    let cut = client.reply();
+    assert_eq!((cut.id, cut.status), (2, 500), "what can't be done by the stop is terminated before it");
+    assert!(client.is_closed());
+    let (code, log) = bed.end();
+    assert_eq!(code, Some(0), "{log}");
+    assert!(log.contains("told to leave"), "{log}");
+}
+
+#[test]
+fn faults_at_the_start_are_plain_and_name_the_key() {
+    let ends = |change: fn(&mut Value)| Bed::start(change).end();
+    let (code, log) = ends(|config| config["settings"]["family_info"]["below"] = json!("common"));
+    assert_eq!(code, Some(1));
+    assert!(log.contains("below") && log.lines().count() == 1, "{log}");
+    let (code, log) = ends(|config| config["listen"] = json!("192.0.2.1:9"));
+    assert_eq!(code, Some(1));
+    assert!(log.contains("config.listen") && !log.contains("panicked"), "{log}");
+    for (name, file) in [("GW_CONFIG", "/nowhere/at/all"), ("GW_OTHER", "")] {
+        let out = Command::new(env!("CARGO_BIN_EXE_doortrack")).env_clear().env(name, file).output().unwrap();
+        assert_eq!(out.status.code(), Some(1));
+        assert!(String::from_utf8_lossy(&out.stderr).contains("GW_CONFIG"));
+    }
+}
