The node split further: one connection, the start, the end and the report have files of their own

Also found while reading: a buffer whose last byte a slow peer never takes kept all that was written before; bytes written just before an error stayed counted as unread; an engine out of reach is logged once, not each 100 ms; a run that was never sent and that nobody waits for any more is not sent late.

--- a/node/src/life/mod.rs
+++ b/node/src/life/mod.rs
@@ -1,6 +1,8 @@
-//! Start and stop: what the node is handed, its clock and its log.
+//! Start and stop: what the node is handed, its clock and its log, and how it comes and goes.
 
 pub mod clock;
+pub(crate) mod leave;
 pub mod log;
 pub mod orders;
-pub mod usage;
+pub(crate) mod report;
+mod start;
--- /dev/null
+++ b/node/src/life/report.rs
@@ -0,0 +1,54 @@
+//! What the log tells now and then of how the node fares.
+
+use std::fs;
+
+use doortrack::Tenths;
+use slog::info;
+
+use crate::serve::{MS, Node};
+
+pub(crate) const EVERY: Tenths = 10_000 * MS;
+
+/// The longest of each since the last summary.
+#[derive(Default)]
+pub struct Slowest {
+    pub turn: Tenths,
+    pub reading: Tenths,
+    pub arrival: Tenths,
+}
+
+impl Node {
+    pub(crate) fn summary(&mut self) {
+        self.summary_at = self.now + EVERY;
+        let counts = &self.dispatchers.counts;
+        info!(self.log, "so far"; "completed" => counts.completed, "denied" => counts.denied,
+            "terminated" => counts.terminated,
+            "in_hand" => self.exs.in_hand(), "connections" => self.dispatchers.connections(),
+            "accepted" => counts.accepted, "unreadable" => counts.unreadable, "no_room" => counts.no_room,
+            "checks" => counts.checks, "ends" => ?counts.ends, "unread_bytes" => self.dispatchers.unread(),
+            "result_bytes" => self.results.bytes(), "link_losses" => self.link.losses,
+            "turn_ms" => self.slowest.turn / MS, "reading_ms" => self.slowest.reading / MS,
+            "read_after_ms" => self.slowest.arrival / MS, "memory_kb" => peak_kb(),
+            "cpu_ms" => cpu_ms(), "descriptors" => descriptors());
+        self.slowest = Slowest::default();
+    }
+}
+
+/// Absent figures read 0. The most memory held so far.
+fn peak_kb() -> u64 {
+    let status = fs::read_to_string("/proc/self/status").unwrap_or_default();
+    let line = status.lines().find_map(|line| line.strip_prefix("VmHWM:"));
+    line.and_then(|line| line.split_whitespace().next()?.parse().ok()).unwrap_or(0)
+}
+
+/// Time spent on a core, counted by the system in hundredths of a second.
+fn cpu_ms() -> u64 {
+    let stat = fs::read_to_string("/proc/self/stat").unwrap_or_default();
+    // The name may hold spaces; what follows it does not.
+    let fields = stat.rsplit(')').next().unwrap_or_default().split_whitespace();
+    fields.skip(11).take(2).filter_map(|ticks| ticks.parse::<u64>().ok()).sum::<u64>() * 10
+}
+
+fn descriptors() -> usize {
+    fs::read_dir("/proc/self/fd").map_or(0, |entries| entries.count())
+}
--- /dev/null
+++ b/node/src/life/start.rs
@@ -0,0 +1,99 @@
+//! The start: what the node needs of the system, and, once the engine is up, the decisions.
+
+use std::collections::{BinaryHeap, HashSet};
+use std::os::unix::net::UnixStream;
+use std::sync::Arc;
+
+use doortrack::logic::Door;
+use doortrack::{Effect, Gauges, Happened, LevelKind, Tenths};
+use doortrack_contract::Fault;
+use polling::{Event, PollMode, Poller};
+use serde_json::Value;
+use slog::{Logger, info};
+
+use super::clock::Clock;
+use super::leave::FLUSH;
+use super::orders::Orders;
+use super::report::Slowest;
+use crate::memory::exchanges::Exchanges;
+use crate::memory::results::Results;
+use crate::serve::{Node, SIGNAL_KEY};
+use crate::wire::dispatchers::Dispatchers;
+use crate::wire::engine::Link;
+use crate::wire::registry::Registry;
+use crate::wire::request::Names;
+
+impl Node {
+    pub fn start(orders: Orders, log: Logger) -> Result<Node, Fault> {
+        let plain = |what: &'static str| move |e: std::io::Error| format!("{what}: {e}");
+        let poller = Arc::new(Poller::new().map_err(plain("poller"))?);
+        let (signal, sender) = UnixStream::pair().map_err(plain("signals"))?;
+        signal.set_nonblocking(true).map_err(plain("signals"))?;
+        signal_hook::low_level::pipe::register(signal_hook::consts::SIGTERM, sender)
+            .map_err(plain("signals"))?;
+        // SAFETY: the node keeps the socket as long as the poller.
+        unsafe { poller.add_with_mode(&signal, Event::readable(SIGNAL_KEY), PollMode::Level) }
+            .map_err(plain("signals"))?;
+        let handed = &orders.handed;
+        let groups = &handed.contract.groups;
+        let patience = groups.iter().map(|group| group.async_timeout).max().unwrap_or(0);
+        let names = Names {
+            groups: handed.group_names.clone(),
+            marked: groups.iter().map(|group| group.effect == Effect::Deduplicated).collect(),
+            customers: handed.customer_names.clone(),
+        };
+        let mut dispatchers =
+            Dispatchers::listen(orders.listen, poller.clone(), names, orders.room, patience)
+                .map_err(|e| format!("config.listen: {}: {e}", orders.listen))?;
+        // Nothing is said before the decisions do, but where the least rank is meant, none is held back.
+        dispatchers.level = (handed.contract.level == LevelKind::LowestRank).then_some(0.0);
+        let registry = Registry::open(orders.listen, orders.registry, orders.name.clone())
+            .map_err(|e| format!("config.registry: {}: {e}", orders.registry))?;
+        let (room, link) = (orders.room, Link::new(orders.engine, poller.clone(), log.clone()));
+        info!(log, "listening"; "address" => %orders.listen, "connections" => room.connections,
+            "requests" => room.requests);
+        Ok(Node {
+            groups: handed.group_names.iter().map(|name| Value::from(name.as_str()).to_string()).collect(),
+            results: Results::new(room.entries, room.result_bytes, patience),
+            log,
+            clock: Clock::default(),
+            now: 0,
+            poller,
+            signal,
+            dispatchers,
+            link,
+            registry,
+            door: None,
+            exs: Exchanges::default(),
+            batch: Vec::new(),
+            marks: HashSet::new(),
+            alarms: BinaryHeap::new(),
+            reading: None,
+            gauges: Gauges::default(),
+            read_at: 0,
+            sweep_at: 0,
+            summary_at: 0,
+            stop_at: None,
+            closing: false,
+            slowest: Slowest::default(),
+            orders,
+        })
+    }
+
+    /// The engine is up, and with it the node. Its age counts for a cold one's speed.
+    pub(crate) fn open_door(&mut self, cold: bool, age: Tenths) {
+        if self.door.is_some() {
+            return;
+        }
+        let mut contract = self.orders.handed.contract.clone();
+        contract.cold = cold;
+        let mut door = Door::new(contract, self.orders.seed);
+        let mut todo = Vec::new();
+        door.happen(self.now.saturating_sub(age), &[Happened::Started], &mut todo);
+        self.door = Some(door);
+        todo.into_iter().for_each(|what| self.carry_out(what));
+        if let Some(stop) = self.stop_at {
+            self.batch.push(Happened::Leave { stop_at: stop.saturating_sub(FLUSH) });
+        }
+    }
+}
--- a/node/src/memory/results.rs
+++ b/node/src/memory/results.rs
@@ -11,6 +11,8 @@
 /// than both, as a repeat taken for one too long is merely answered from the table.
 const WINDOW_SLACK: Tenths = 1_000;
 
+const TIDY: Tenths = 5_000;
+
 /// Endpoint group and mark.
 pub type Key = (u8, Mark);
 
@@ -43,12 +45,13 @@
     most_bytes: usize,
     /// A repeat may be read so long after it came.
     patience: Tenths,
+    tidied: Tenths,
 }
 
 impl Results {
     pub fn new(most_entries: usize, most_bytes: usize, patience: Tenths) -> Self {
         let (entries, keys) = Default::default();
-        Results { entries, keys, bytes: 0, most_entries, most_bytes, patience }
+        Results { entries, keys, bytes: 0, most_entries, most_bytes, patience, tidied: 0 }
     }
 
     pub fn has_room(&self) -> bool {
@@ -106,8 +109,12 @@
         }
     }
 
-    /// Lets go of what no repeat can name any more.
+    /// Lets go of what no repeat can name any more; now and then, as it looks at every entry.
     pub fn tidy(&mut self, now: Tenths) {
+        if now < self.tidied + TIDY {
+            return;
+        }
+        self.tidied = now;
         let (keys, bytes) = (&mut self.keys, &mut self.bytes);
         self.entries.retain(|_, entry| {
             let keep = entry.end.is_none() || entry.kept_till >= now;
--- a/node/src/serve.rs
+++ b/node/src/serve.rs
@@ -2,144 +2,76 @@
 
 use std::cmp::Reverse;
 use std::collections::{BinaryHeap, HashSet};
-use std::io::Read;
 use std::os::unix::net::UnixStream;
 use std::sync::Arc;
 use std::time::Duration;
 
 use doortrack::logic::Door;
-use doortrack::{Effect, ExId, Exchange, Gauges, Happened, LevelKind, RunOutcome, Tenths, Todo};
+use doortrack::{ExId, Exchange, Gauges, Happened, RunOutcome, Tenths, Todo};
 use doortrack_contract::Fault;
-use polling::{Event, Events, PollMode, Poller};
-use serde_json::Value;
+use polling::{Events, Poller};
 use slog::{Logger, error, info, warn};
 
 use crate::life::clock::Clock;
+use crate::life::leave::FLUSH;
 use crate::life::orders::Orders;
-use crate::life::usage;
+use crate::life::report::{self, Slowest};
 use crate::memory::exchanges::{Ex, Exchanges, Stage};
-use crate::memory::results::{Found, NoResult, Results};
+use crate::memory::results::{Found, Key, NoResult, Results};
 use crate::wire::dispatchers::{Caller, Came, Dispatchers, LISTEN_KEY};
 use crate::wire::end::{End, Outcome};
 use crate::wire::engine::{ENGINE_KEY, Link, Told};
 use crate::wire::link::Notice;
 use crate::wire::registry::Registry;
-use crate::wire::request::{Answer, Mark, Names, Request, Unreadable};
+use crate::wire::request::{Answer, Request, Unreadable};
 
-const SIGNAL_KEY: usize = 2;
-const MS: Tenths = 10;
+pub(crate) const SIGNAL_KEY: usize = 2;
+pub(crate) const MS: Tenths = 10;
 /// A reading of the gauges is waited for so long; the engine may be slow or out of reach.
 const READING: Tenths = 5 * MS;
 /// A reading older than this says nothing about now.
 const STALE: Tenths = 250 * MS;
 /// How often connections are looked over for idle ones.
 const SWEEP: Tenths = 25 * MS;
-const SUMMARY: Tenths = 10_000 * MS;
-/// The last of the time before the stop is for what is still on its way out.
-const FLUSH: Tenths = 100 * MS;
-
-/// The longest of each since the last summary.
-#[derive(Default)]
-struct Slowest {
-    turn: Tenths,
-    reading: Tenths,
-    arrival: Tenths,
-}
 
 pub struct Node {
-    orders: Orders,
-    log: Logger,
-    clock: Clock,
-    now: Tenths,
-    poller: Arc<Poller>,
-    signal: UnixStream,
-    dispatchers: Dispatchers,
-    link: Link,
-    registry: Registry,
+    pub(crate) orders: Orders,
+    pub(crate) log: Logger,
+    pub(crate) clock: Clock,
+    pub(crate) now: Tenths,
+    pub(crate) poller: Arc<Poller>,
+    pub(crate) signal: UnixStream,
+    pub(crate) dispatchers: Dispatchers,
+    pub(crate) link: Link,
+    pub(crate) registry: Registry,
     /// None until the engine has come up.
-    door: Option<Door>,
-    exs: Exchanges,
-    results: Results,
+    pub(crate) door: Option<Door>,
+    pub(crate) exs: Exchanges,
+    pub(crate) results: Results,
     /// Names of the endpoint groups as JSON.
-    groups: Vec<String>,
-    batch: Vec<Happened>,
+    pub(crate) groups: Vec<String>,
+    pub(crate) batch: Vec<Happened>,
     /// Marks of the exchanges in the batch.
-    marks: HashSet<(u8, Mark)>,
-    alarms: BinaryHeap<Reverse<(Tenths, u64)>>,
+    pub(crate) marks: HashSet<Key>,
+    pub(crate) alarms: BinaryHeap<Reverse<(Tenths, u64)>>,
     /// A reading that alarms wait for, and when they stop waiting.
-    reading: Option<(u64, Tenths)>,
-    gauges: Gauges,
-    read_at: Tenths,
-    sweep_at: Tenths,
-    summary_at: Tenths,
+    pub(crate) reading: Option<(u64, Tenths)>,
+    pub(crate) gauges: Gauges,
+    pub(crate) read_at: Tenths,
+    pub(crate) sweep_at: Tenths,
+    pub(crate) summary_at: Tenths,
     /// When the loop ends at the latest, once told to leave.
-    stop_at: Option<Tenths>,
-    closing: bool,
-    slowest: Slowest,
+    pub(crate) stop_at: Option<Tenths>,
+    pub(crate) closing: bool,
+    pub(crate) slowest: Slowest,
 }
 
 impl Node {
-    pub fn start(orders: Orders, log: Logger) -> Result<Node, Fault> {
-        let plain = |what: &'static str| move |e: std::io::Error| format!("{what}: {e}");
-        let poller = Arc::new(Poller::new().map_err(plain("poller"))?);
-        let (signal, sender) = UnixStream::pair().map_err(plain("signals"))?;
-        signal.set_nonblocking(true).map_err(plain("signals"))?;
-        signal_hook::low_level::pipe::register(signal_hook::consts::SIGTERM, sender)
-            .map_err(plain("signals"))?;
-        // SAFETY: the node keeps the socket as long as the poller.
-        unsafe { poller.add_with_mode(&signal, Event::readable(SIGNAL_KEY), PollMode::Level) }
-            .map_err(plain("signals"))?;
-        let handed = &orders.handed;
-        let groups = &handed.contract.groups;
-        let patience = groups.iter().map(|group| group.async_timeout).max().unwrap_or(0);
-        let names = Names {
-            groups: handed.group_names.clone(),
-            marked: groups.iter().map(|group| group.effect == Effect::Deduplicated).collect(),
-            customers: handed.customer_names.clone(),
-        };
-        let mut dispatchers =
-            Dispatchers::listen(orders.listen, poller.clone(), names, orders.room, patience)
-                .map_err(|e| format!("config.listen: {}: {e}", orders.listen))?;
-        // Nothing is said before the decisions do, but where the least rank is meant, none is held back.
-        dispatchers.level = (handed.contract.level == LevelKind::LowestRank).then_some(0.0);
-        let registry = Registry::open(orders.listen, orders.registry, orders.name.clone())
-            .map_err(|e| format!("config.registry: {}: {e}", orders.registry))?;
-        let (room, link) = (orders.room, Link::new(orders.engine, poller.clone(), log.clone()));
-        info!(log, "listening"; "address" => %orders.listen, "connections" => room.connections,
-            "requests" => room.requests);
-        Ok(Node {
-            groups: handed.group_names.iter().map(|name| Value::from(name.as_str()).to_string()).collect(),
-            results: Results::new(room.entries, room.result_bytes, patience),
-            log,
-            clock: Clock::default(),
-            now: 0,
-            poller,
-            signal,
-            dispatchers,
-            link,
-            registry,
-            door: None,
-            exs: Exchanges::default(),
-            batch: Vec::new(),
-            marks: HashSet::new(),
-            alarms: BinaryHeap::new(),
-            reading: None,
-            gauges: Gauges::default(),
-            read_at: 0,
-            sweep_at: 0,
-            summary_at: 0,
-            stop_at: None,
-            closing: false,
-            slowest: Slowest::default(),
-            orders,
-        })
-    }
-
     pub fn serve(mut self) -> Result<(), Fault> {
         let mut events = Events::new();
         let (mut came, mut told) = (Vec::new(), Vec::new());
         self.now = self.clock.now();
-        self.summary_at = self.now + SUMMARY;
+        self.summary_at = self.now + report::EVERY;
         loop {
             self.link.tend(self.now);
             self.registry.beat(self.now);
@@ -315,7 +247,14 @@
                 let running = self.exs.running().filter(|(_, sent)| unproven(*sent));
                 let mut lost: Vec<ExId> = running.map(|(id, _)| id).collect();
                 lost.sort_unstable();
-                lost.into_iter().for_each(|id| self.run(id));
+                for id in lost {
+                    let sent = self.exs.get(id).filter(|ex| ex.caller.is_none()).map(|ex| ex.stage);
+                    match sent {
+                        // Nobody waits for it any more, and it surely never ran.
+                        Some(Stage::Running { sent: None }) => self.ended(id, End::Unsent, &[]),
+                        _ => self.run(id),
+                    }
+                }
             }
             Told::Notice(Notice::Done { try_id, outcome, result, .. }) => {
                 if let Some(id) = self.exs.of_try(&try_id) {
@@ -352,23 +291,6 @@
         }
     }
 
-    /// The engine is up, and with it the node. Its age counts for a cold one's speed.
-    fn open_door(&mut self, cold: bool, age: Tenths) {
-        if self.door.is_some() {
-            return;
-        }
-        let mut contract = self.orders.handed.contract.clone();
-        contract.cold = cold;
-        let mut door = Door::new(contract, self.orders.seed);
-        let mut todo = Vec::new();
-        door.happen(self.now.saturating_sub(age), &[Happened::Started], &mut todo);
-        self.door = Some(door);
-        todo.into_iter().for_each(|what| self.carry_out(what));
-        if let Some(stop) = self.stop_at {
-            self.batch.push(Happened::Leave { stop_at: stop.saturating_sub(FLUSH) });
-        }
-    }
-
     /// Alarms carry a reading of the gauges, fresh where the engine answers soon enough.
     fn take_reading(&mut self) {
         if self.alarms.peek().is_none_or(|Reverse((at, _))| *at > self.now) {
@@ -409,7 +331,7 @@
         self.marks.clear();
     }
 
-    fn carry_out(&mut self, what: Todo) {
+    pub(crate) fn carry_out(&mut self, what: Todo) {
         match what {
             Todo::Run { id } => self.run(id),
             Todo::Deny { id, not_elsewhere, come_back_in } => {
@@ -469,42 +391,4 @@
             self.settle(id);
         }
     }
-
-    // --- Leaving ---
-
-    fn leave(&mut self) {
-        _ = self.signal.read(&mut [0; 16]);
-        if self.stop_at.is_some() {
-            return;
-        }
-        let stop = self.now + self.orders.stop_after;
-        self.stop_at = Some(stop);
-        self.registry.tell(true);
-        info!(self.log, "told to leave"; "in_hand" => self.exs.in_hand());
-        if self.door.is_some() {
-            self.batch.push(Happened::Leave { stop_at: stop.saturating_sub(FLUSH) });
-        }
-    }
-
-    /// Whether the time has come to take in nothing more.
-    fn closes_now(&mut self) -> bool {
-        let now = !self.closing && self.stop_at.is_some_and(|stop| self.now + FLUSH >= stop);
-        self.closing |= now;
-        now
-    }
-
-    fn summary(&mut self) {
-        self.summary_at = self.now + SUMMARY;
-        let counts = &self.dispatchers.counts;
-        info!(self.log, "so far"; "completed" => counts.completed, "denied" => counts.denied,
-            "terminated" => counts.terminated,
-            "in_hand" => self.exs.in_hand(), "connections" => self.dispatchers.connections(),
-            "accepted" => counts.accepted, "unreadable" => counts.unreadable, "no_room" => counts.no_room,
-            "checks" => counts.checks, "ends" => ?counts.ends, "unread_bytes" => self.dispatchers.unread(),
-            "result_bytes" => self.results.bytes(), "link_losses" => self.link.losses,
-            "turn_ms" => self.slowest.turn / MS, "reading_ms" => self.slowest.reading / MS,
-            "read_after_ms" => self.slowest.arrival / MS, "memory_kb" => usage::peak_kb(),
-            "cpu_ms" => usage::cpu_ms(), "descriptors" => usage::descriptors());
-        self.slowest = Slowest::default();
-    }
 }
--- a/node/src/wire/dispatchers.rs
+++ b/node/src/wire/dispatchers.rs
@@ -1,6 +1,8 @@
-//! The dispatchers' connections: accepted, read, written and closed, within bounds that hold by design.
+//! The table of the dispatchers' connections: accepted, read, answered and closed, within bounds that hold by
+//! design.
 
-use std::io::{self, ErrorKind, Read, Write};
+use std::collections::BTreeMap;
+use std::io::{self, ErrorKind};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::Arc;
 
@@ -9,23 +11,16 @@
 use slab::Slab;
 use socket2::{Domain, Socket, Type};
 
+use super::conn::{Conn, FAIR_UNREAD, Stream};
 use super::end::End;
-use super::fastcgi::{self, Piece, RESPONDER, Splitter};
-use super::request::{self, Answer, Asked, MOST_BODY, Names, Request, Unreadable};
+use super::fastcgi::{self, Piece, RESPONDER};
+use super::request::{self, Answer, Asked, Names, Request, Unreadable};
 use crate::life::orders::Room;
 
 pub const LISTEN_KEY: usize = 0;
 /// Connections have the keys from here on.
 pub const FIRST_KEY: usize = 16;
 
-/// Requests that one connection may have open, by the protocol.
-const MOST_OPEN: usize = 32;
-/// Parameters of one request; with its body this is what a request may cost while it is read.
-pub const MOST_PARAMS: usize = 8192;
-/// A connection with so many answers unread is not read further until they are.
-const MOST_UNREAD: usize = 64 * 1024;
-/// While answers pile up everywhere, one with more than this is closed rather than given more.
-const FAIR_UNREAD: usize = 16 * 1024;
 /// How much is read off one connection before the others have their turn.
 const TURN: usize = 64 * 1024;
 /// Turns of reading that a connection has at the very end: all that it may have open, with room to spare.
@@ -33,12 +28,10 @@
 /// Connections accepted before those that are open have their turn.
 const ACCEPTS: usize = 64;
 
-/// Where an answer goes.
+/// Where an answer goes: a place in the table, and the number of a request there.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Caller {
     slot: usize,
-    id: u16,
-    /// Never the same twice: slots and ids may be taken again while an answer is on its way.
     nth: u64,
 }
 
@@ -48,64 +41,6 @@
     Ended { ex: ExId, end: End },
 }
 
-/// A request that has not been answered.
-#[derive(Default)]
-struct Open {
-    id: u16,
-    nth: u64,
-    began: Tenths,
-    params: Vec<u8>,
-    body: Vec<u8>,
-    params_whole: bool,
-    body_whole: bool,
-    too_long: bool,
-    /// Known to the decisions under this name.
-    ex: Option<ExId>,
-}
-
-impl Open {
-    fn caller(&self, slot: usize) -> Caller {
-        Caller { slot, id: self.id, nth: self.nth }
-    }
-
-    fn half_read(&self) -> bool {
-        !(self.params_whole && self.body_whole)
-    }
-}
-
-struct Conn {
-    sock: TcpStream,
-    splitter: Splitter,
-    open: Vec<Open>,
-    out: Vec<u8>,
-    written: usize,
-    /// Last time that anything was read, or that unread answers moved.
-    moved: Tenths,
-    /// Nothing more is read once it is half closed or malformed, or its peer wants it closed.
-    reading: bool,
-    /// It is to be closed once all that is open has been answered.
-    last: Option<End>,
-    /// It is to be closed as soon as the present turn is over.
-    doomed: Option<End>,
-    interest: (bool, bool),
-    dirty: bool,
-}
-
-impl Conn {
-    fn unread(&self) -> usize {
-        self.out.len() - self.written
-    }
-
-    fn idle(&self) -> bool {
-        self.open.is_empty() && self.unread() == 0 && self.splitter.at_boundary()
-    }
-
-    /// The last look before an idle one is closed: a request that came since would be lost with it.
-    fn nothing_came(&self) -> bool {
-        self.sock.peek(&mut [0]).is_err_and(|e| e.kind() == ErrorKind::WouldBlock)
-    }
-}
-
 #[derive(Default)]
 pub struct Counts {
     pub accepted: u64,
@@ -115,7 +50,7 @@
     pub checks: u64,
     pub unreadable: u64,
     pub no_room: u64,
-    pub ends: std::collections::BTreeMap<&'static str, u64>,
+    pub ends: BTreeMap<&'static str, u64>,
 }
 
 pub struct Dispatchers {
@@ -125,10 +60,10 @@
     conns: Slab<Conn>,
     names: Names,
     room: Room,
-    /// Requests open on all connections.
+    /// Requests open on all connections, and how many were begun so far.
     open: usize,
-    /// Requests begun so far.
-    nth: u64,
+    begun: u64,
+    /// Bytes of answers that were not read yet, on all connections.
     unread: usize,
     dirty: Vec<usize>,
     scratch: Vec<u8>,
@@ -166,7 +101,7 @@
             names,
             room,
             open: 0,
-            nth: 0,
+            begun: 0,
             unread: 0,
             dirty: Vec::new(),
             scratch: vec![0; TURN],
@@ -186,6 +121,8 @@
         self.unread
     }
 
+    // --- Coming and going ---
+
     /// Takes what the machine accepted; whether more may be waiting.
     pub fn accept(&mut self, now: Tenths, came: &mut Vec<Came>) -> bool {
         for nth in 0..ACCEPTS {
@@ -197,6 +134,7 @@
             }
             let Some(listener) = &self.listener else { return false };
             match listener.accept() {
+                // One that is gone again before it was taken in has brought nothing.
                 Ok((sock, _)) => _ = self.take_in(sock, now),
                 Err(e) if matches!(e.kind(), ErrorKind::Interrupted | ErrorKind::ConnectionAborted) => {}
                 Err(e) => {
@@ -215,30 +153,17 @@
         sock.set_nonblocking(true)?;
         sock.set_nodelay(true)?;
         let entry = self.conns.vacant_entry();
-        let key = FIRST_KEY + entry.key();
+        let interest = Event::readable(FIRST_KEY + entry.key());
         // SAFETY: the socket is taken out of the poller in `close`, before it is dropped.
-        unsafe { self.poller.add_with_mode(&sock, Event::readable(key), PollMode::Level)? };
+        unsafe { self.poller.add_with_mode(&sock, interest, PollMode::Level)? };
         self.counts.accepted += 1;
-        entry.insert(Conn {
-            sock,
-            splitter: Splitter::default(),
-            open: Vec::new(),
-            out: Vec::new(),
-            written: 0,
-            moved: now,
-            reading: true,
-            last: None,
-            doomed: None,
-            interest: (true, false),
-            dirty: false,
-        });
+        entry.insert(Conn::new(sock, now));
         Ok(())
     }
 
     fn make_room(&mut self, came: &mut Vec<Came>) -> bool {
         let idle = self.conns.iter().filter(|(_, conn)| conn.idle() && conn.nothing_came());
-        let idle = idle.min_by_key(|(_, conn)| conn.moved);
-        let Some(slot) = idle.map(|(slot, _)| slot) else { return false };
+        let Some((slot, _)) = idle.min_by_key(|(_, conn)| conn.moved) else { return false };
         self.close(slot, End::Evicted, came);
         true
     }
@@ -254,11 +179,69 @@
         }
     }
 
+    fn close(&mut self, slot: usize, end: End, came: &mut Vec<Came>) {
+        let conn = self.conns.remove(slot);
+        _ = self.poller.delete(&conn.sock);
+        self.open -= conn.open.len();
+        self.unread -= conn.unread();
+        came.extend(conn.open.iter().filter_map(|open| open.ex).map(|ex| Came::Ended { ex, end }));
+        *self.counts.ends.entry(end.name()).or_default() += 1;
+        self.accept_again(true);
+    }
+
+    /// Closes what lay idle for long enough, and what nobody can be waiting for any more.
+    pub fn sweep(&mut self, now: Tenths, came: &mut Vec<Came>) {
+        let mut over = Vec::new();
+        for (slot, conn) in &self.conns {
+            let quiet = now.saturating_sub(conn.moved);
+            if conn.idle() && quiet >= self.idle_limit && conn.nothing_came() {
+                over.push((slot, End::Idle));
+            } else if conn.unread() > 0 && quiet > self.patience {
+                over.push((slot, End::Unread));
+            } else if conn.trickles(now, self.patience) {
+                over.push((slot, End::Malformed));
+            }
+        }
+        for (slot, end) in over {
+            if end == End::Malformed { self.malformed(slot) } else { self.close(slot, end, came) }
+        }
+        let full = self.conns.len() >= self.room.connections;
+        self.accept_again(!full || self.conns.iter().any(|(_, conn)| conn.idle()));
+    }
+
+    /// Whether there is anything that a sweep could do.
+    pub fn to_sweep(&self) -> bool {
+        !self.conns.is_empty() || !self.accepting
+    }
+
+    /// Takes in what the machine has accepted, and nothing after it; reads each connection once more, and closes
+    /// those with nothing open from then on.
+    pub fn last_reading(&mut self, now: Tenths, came: &mut Vec<Came>) {
+        while self.accept(now, came) {}
+        if let Some(listener) = self.listener.take() {
+            _ = self.poller.delete(&listener);
+        }
+        let slots: Vec<usize> = self.conns.iter().map(|(slot, _)| slot).collect();
+        for slot in slots {
+            for _ in 0..LAST_TURNS {
+                if self.conns.get(slot).is_some_and(|conn| conn.reading) {
+                    self.read(slot, now, came);
+                }
+            }
+            if self.conns.contains(slot) {
+                self.answer_half_read(slot, Answer::NoRoom);
+                self.stop_reading(slot, End::Left);
+            }
+        }
+    }
+
+    // --- Reading ---
+
     /// A connection is ready, or broke.
     pub fn ready(&mut self, event: Event, now: Tenths, came: &mut Vec<Came>) {
         let slot = event.key - FIRST_KEY;
         if !self.conns.contains(slot) {
-            return;
+            return; // Closed earlier in this turn.
         }
         if event.writable {
             self.mark(slot);
@@ -269,22 +252,11 @@
     }
 
     fn read(&mut self, slot: usize, now: Tenths, came: &mut Vec<Came>) {
-        let conn = &mut self.conns[slot];
-        let was_reading = conn.reading;
         let mut scratch = std::mem::take(&mut self.scratch);
-        match conn.sock.read(&mut scratch) {
-            Ok(n) if n > 0 && was_reading => {
-                conn.moved = now;
-                self.split(slot, &scratch[..n], now, came);
-            }
-            // Nothing is waited for on one that is not read but errors, so this is one.
-            Ok(_) if !was_reading => self.close(slot, End::Reset, came),
-            Ok(_) => {
-                let end = if conn.idle() { End::Closed } else { End::HalfClosed };
-                self.stop_reading(slot, end);
-            }
-            Err(e) if matches!(e.kind(), ErrorKind::WouldBlock | ErrorKind::Interrupted) => {}
-            Err(_) => self.close(slot, End::Reset, came),
+        match self.conns[slot].read(&mut scratch, now) {
+            Ok(n) => self.split(slot, &scratch[..n], now, came),
+            Err(End::Reset) => self.close(slot, End::Reset, came),
+            Err(end) => self.stop_reading(slot, end),
         }
         self.scratch = scratch;
     }
@@ -307,103 +279,67 @@
 
     fn answer_half_read(&mut self, slot: usize, answer: Answer) {
         let half = self.conns[slot].open.iter().filter(|open| open.half_read());
-        let callers: Vec<Caller> = half.map(|open| open.caller(slot)).collect();
+        let callers: Vec<Caller> = half.map(|open| Caller { slot, nth: open.nth }).collect();
         callers.into_iter().for_each(|caller| self.answer(caller, answer));
     }
 
     fn stop_reading(&mut self, slot: usize, end: End) {
-        let conn = &mut self.conns[slot];
-        conn.reading = false;
-        conn.last = Some(end);
-        // What was not whole was never had; its rest can't come any more.
-        let before = conn.open.len();
-        conn.open.retain(|open| !open.half_read());
-        self.open -= before - conn.open.len();
+        self.open -= self.conns[slot].stop_reading(end);
         self.mark(slot);
     }
 
     fn piece(&mut self, slot: usize, piece: Piece, now: Tenths, came: &mut Vec<Came>) {
         let conn = &mut self.conns[slot];
         match piece {
+            Piece::Begin { id, .. } if conn.has(id) => self.malformed(slot),
             Piece::Begin { id, role, keep } => {
-                if conn.open.iter().any(|open| open.id == id) {
-                    return self.malformed(slot);
-                }
                 if !keep {
                     conn.last = Some(End::Closed);
                 }
-                let full = conn.open.len() >= MOST_OPEN || self.open >= self.room.requests;
-                self.nth += 1;
-                let open = Open { id, nth: self.nth, began: now, ..Open::default() };
-                let caller = open.caller(slot);
-                conn.open.push(open);
-                self.open += 1;
+                (self.begun, self.open) = (self.begun + 1, self.open + 1);
+                let caller = Caller { slot, nth: self.begun };
+                let too_many = conn.begin(id, caller.nth, now) || self.open > self.room.requests;
                 if role != RESPONDER {
                     self.answer(caller, Answer::UnknownRole);
-                } else if full {
+                } else if too_many {
                     self.answer(caller, Answer::NoRoom);
                 }
             }
             Piece::Abort { id } => {
-                if let Some(place) = conn.open.iter().position(|open| open.id == id) {
-                    let open = conn.open.swap_remove(place);
+                if let Some(open) = conn.take(|open| open.id == id) {
                     self.open -= 1;
                     came.extend(open.ex.map(|ex| Came::Ended { ex, end: End::Aborted }));
                     self.mark(slot);
                 }
             }
-            Piece::Params { id, bytes } => {
-                self.collect(slot, id, |open| (&mut open.params, MOST_PARAMS), bytes)
-            }
-            Piece::Stdin { id, bytes } => self.collect(slot, id, |open| (&mut open.body, MOST_BODY), bytes),
-            Piece::ParamsEnd { id } => self.whole(slot, id, |open| open.params_whole = true, came),
-            Piece::StdinEnd { id } => self.whole(slot, id, |open| open.body_whole = true, came),
+            Piece::Params { id, bytes } => conn.collect(id, Stream::Params, bytes),
+            Piece::Stdin { id, bytes } => conn.collect(id, Stream::Body, bytes),
+            Piece::ParamsEnd { id } => self.end_stream(slot, id, Stream::Params, came),
+            Piece::StdinEnd { id } => self.end_stream(slot, id, Stream::Body, came),
             Piece::GetValues => {
-                let before = conn.out.len();
-                fastcgi::values(&mut conn.out, self.room.connections, self.room.requests);
-                self.unread += conn.out.len() - before;
-                self.mark(slot);
-            }
-            Piece::Unknown { kind } => {
-                let before = conn.out.len();
-                fastcgi::unknown_type(&mut conn.out, kind);
-                self.unread += conn.out.len() - before;
-                self.mark(slot);
+                let (connections, requests) = (self.room.connections, self.room.requests);
+                self.put(slot, |out| fastcgi::values(out, connections, requests));
             }
+            Piece::Unknown { kind } => self.put(slot, |out| fastcgi::unknown_type(out, kind)),
         }
     }
 
-    /// Pieces for an id that is not open, or is whole, are of a request that was answered already.
-    fn half_read(&mut self, slot: usize, id: u16) -> Option<&mut Open> {
-        self.conns[slot].open.iter_mut().find(|open| open.id == id && open.half_read())
-    }
-
-    fn collect(&mut self, slot: usize, id: u16, part: fn(&mut Open) -> (&mut Vec<u8>, usize), bytes: &[u8]) {
-        let Some(open) = self.half_read(slot, id) else { return };
-        let (buffer, most) = part(open);
-        if buffer.len() + bytes.len() > most {
-            open.too_long = true;
-        } else {
-            buffer.extend(bytes);
-        }
-    }
-
-    fn whole(&mut self, slot: usize, id: u16, done: fn(&mut Open), came: &mut Vec<Came>) {
-        let Some(open) = self.half_read(slot, id) else { return };
-        done(open);
-        if open.half_read() {
-            return;
-        }
-        let (params, body) = (std::mem::take(&mut open.params), std::mem::take(&mut open.body));
-        let (caller, too_long) = (open.caller(slot), open.too_long);
-        let asked = if too_long { Err(Unreadable::TooLong) } else { request::read(&params, &self.names) };
+    fn end_stream(&mut self, slot: usize, id: u16, stream: Stream, came: &mut Vec<Came>) {
+        let Some(whole) = self.conns[slot].end_stream(id, stream) else { return };
+        let caller = Caller { slot, nth: whole.nth };
+        let asked = match whole.too_long {
+            true => Err(Unreadable::TooLong),
+            false => request::read(&whole.params, &self.names),
+        };
         match asked {
-            Ok(Asked::Exchange(request)) => came.push(Came::Exchange { caller, request, body }),
+            Ok(Asked::Exchange(request)) => came.push(Came::Exchange { caller, request, body: whole.body }),
             Ok(Asked::Health) => self.answer(caller, Answer::Health { good: self.good }),
             Err(unreadable) => self.answer(caller, Answer::Unreadable(unreadable)),
         }
     }
 
+    // --- Answering ---
+
     /// Whether an answer can still go there.
     pub fn waits(&self, caller: Caller) -> bool {
         self.conns.get(caller.slot).is_some_and(|conn| conn.open.iter().any(|open| open.nth == caller.nth))
@@ -420,7 +356,7 @@
     /// Gives the one answer; a second one finds nothing open any more.
     pub fn answer(&mut self, caller: Caller, answer: Answer) {
         let Some(conn) = self.conns.get_mut(caller.slot) else { return };
-        let Some(place) = conn.open.iter().position(|open| open.nth == caller.nth) else { return };
+        let Some(open) = conn.take(|open| open.nth == caller.nth) else { return };
         match answer {
             Answer::Completed(_) => self.counts.completed += 1,
             Answer::Denied { .. } => self.counts.denied += 1,
@@ -429,15 +365,21 @@
             Answer::Unreadable(_) | Answer::UnknownRole => self.counts.unreadable += 1,
             Answer::NoRoom => self.counts.no_room += 1,
         }
-        conn.open.swap_remove(place);
         self.open -= 1;
+        // While answers pile up everywhere, who leaves more than a fair part unread is not given more.
         if self.unread > self.room.unread && conn.unread() > FAIR_UNREAD {
             conn.doomed = Some(End::Unread);
         }
-        let before = conn.out.len();
-        request::write(&mut conn.out, caller.id, answer, self.level);
-        self.unread += conn.out.len() - before;
-        self.mark(caller.slot);
+        let level = self.level;
+        self.put(caller.slot, |out| request::write(out, open.id, answer, level));
+    }
+
+    fn put(&mut self, slot: usize, write: impl FnOnce(&mut Vec<u8>)) {
+        let out = &mut self.conns[slot].out;
+        let before = out.len();
+        write(out);
+        self.unread += out.len() - before;
+        self.mark(slot);
     }
 
     fn mark(&mut self, slot: usize) {
@@ -453,109 +395,24 @@
         for slot in dirty.drain(..) {
             let Some(conn) = self.conns.get_mut(slot).filter(|conn| conn.dirty) else { continue };
             conn.dirty = false;
-            if let Some(end) = conn.doomed.or_else(|| self.write(slot, now).err()) {
-                self.close(slot, end, came);
-                continue;
-            }
-            let conn = &self.conns[slot];
-            match conn.last {
-                Some(end) if conn.open.is_empty() && conn.unread() == 0 => self.close(slot, end, came),
-                _ => self.watch(slot),
+            let before = conn.unread();
+            let written = conn.doomed.map_or_else(|| conn.write(now), Err);
+            self.unread -= before - conn.unread();
+            let over = conn.last.filter(|_| conn.open.is_empty() && conn.unread() == 0);
+            match written.err().or(over) {
+                Some(end) => self.close(slot, end, came),
+                None => self.watch(slot),
             }
         }
         self.dirty = dirty;
     }
 
-    fn write(&mut self, slot: usize, now: Tenths) -> Result<(), End> {
-        let conn = &mut self.conns[slot];
-        while conn.unread() > 0 {
-            match conn.sock.write(&conn.out[conn.written..]) {
-                Ok(0) => return Err(End::Reset),
-                Ok(n) => {
-                    conn.written += n;
-                    self.unread -= n;
-                    conn.moved = now;
-                }
-                Err(e) if e.kind() == ErrorKind::Interrupted => {}
-                Err(e) if e.kind() == ErrorKind::WouldBlock => return Ok(()),
-                Err(_) => return Err(End::Reset),
-            }
-        }
-        conn.out.clear();
-        conn.out.shrink_to(FAIR_UNREAD);
-        conn.written = 0;
-        Ok(())
-    }
-
     fn watch(&mut self, slot: usize) {
         let conn = &mut self.conns[slot];
-        let interest = (conn.reading && conn.unread() < MOST_UNREAD, conn.unread() > 0);
-        let event = Event::new(FIRST_KEY + slot, interest.0, interest.1);
-        if interest != conn.interest
-            && self.poller.modify_with_mode(&conn.sock, event, PollMode::Level).is_ok()
-        {
-            conn.interest = interest;
-        }
-    }
-
-    fn close(&mut self, slot: usize, end: End, came: &mut Vec<Came>) {
-        let conn = self.conns.remove(slot);
-        _ = self.poller.delete(&conn.sock);
-        self.open -= conn.open.len();
-        self.unread -= conn.unread();
-        came.extend(conn.open.iter().filter_map(|open| open.ex).map(|ex| Came::Ended { ex, end }));
-        *self.counts.ends.entry(end.name()).or_default() += 1;
-        self.accept_again(true);
-    }
-
-    /// Closes what lay idle for long enough, and what nobody can be waiting for any more.
-    pub fn sweep(&mut self, now: Tenths, came: &mut Vec<Came>) {
-        let mut over = Vec::new();
-        for (slot, conn) in &mut self.conns {
-            let quiet = now.saturating_sub(conn.moved);
-            if conn.idle() && quiet >= self.idle_limit {
-                over.extend(conn.nothing_came().then_some((slot, End::Idle)));
-            } else if conn.unread() > 0 && quiet > self.patience {
-                over.push((slot, End::Unread));
-            } else if conn.open.iter().any(|o| o.half_read() && now.saturating_sub(o.began) > self.patience) {
-                // Trickled so slowly that its caller can't wait for it any more.
-                over.push((slot, End::Malformed));
-            }
-        }
-        for (slot, end) in over {
-            if end == End::Malformed { self.malformed(slot) } else { self.close(slot, end, came) }
-        }
-        let full = self.conns.len() >= self.room.connections;
-        self.accept_again(!full || self.conns.iter().any(|(_, conn)| conn.idle()));
-    }
-
-    /// Whether there is anything that a sweep could do.
-    pub fn to_sweep(&self) -> bool {
-        !self.conns.is_empty() || !self.accepting
-    }
-
-    /// Takes in no more connections; those in the machine's hands must have been accepted before.
-    pub fn close_door(&mut self) {
-        if let Some(listener) = self.listener.take() {
-            _ = self.poller.delete(&listener);
-        }
-    }
-
-    /// Reads each connection once more, and closes those with nothing open from then on.
-    pub fn last_reading(&mut self, now: Tenths, came: &mut Vec<Came>) {
-        while self.accept(now, came) {}
-        self.close_door();
-        let slots: Vec<usize> = self.conns.iter().map(|(slot, _)| slot).collect();
-        for slot in slots {
-            for _ in 0..LAST_TURNS {
-                if self.conns.get(slot).is_some_and(|conn| conn.reading) {
-                    self.read(slot, now, came);
-                }
-            }
-            if self.conns.contains(slot) {
-                self.answer_half_read(slot, Answer::NoRoom);
-                self.stop_reading(slot, End::Left);
-            }
+        let wants = conn.wants();
+        let event = Event::new(FIRST_KEY + slot, wants.0, wants.1);
+        if wants != conn.watched && self.poller.modify_with_mode(&conn.sock, event, PollMode::Level).is_ok() {
+            conn.watched = wants;
         }
     }
 }
--- a/node/src/wire/engine.rs
+++ b/node/src/wire/engine.rs
@@ -58,7 +58,6 @@
     pub next_try: Tenths,
     input: Vec<u8>,
     out: Vec<u8>,
-    written: usize,
     watching_writes: bool,
     /// Number of the last notice read.
     last: u64,
@@ -67,6 +66,8 @@
     proven: u64,
     /// After this notice something could not be read, and the link was made anew for it once already.
     doubted: Option<u64>,
+    /// It could not be reached, and this was told.
+    missed: bool,
     pub losses: u64,
 }
 
@@ -81,12 +82,12 @@
             next_try: 0,
             input: Vec::new(),
             out: Vec::new(),
-            written: 0,
             watching_writes: false,
             last: 0,
             cookie: 0,
             proven: 0,
             doubted: None,
+            missed: false,
             losses: 0,
         }
     }
@@ -107,7 +108,14 @@
         self.next_try = now + TRY_AGAIN;
         match self.connect() {
             Ok(sock) => (self.sock, self.state) = (Some(sock), State::Connecting),
-            Err(e) => warn!(self.log, "engine out of reach"; "error" => %e),
+            Err(e) => self.out_of_reach(&e.to_string()),
+        }
+    }
+
+    /// Told once until it is back, however often it is tried.
+    fn out_of_reach(&mut self, why: &str) {
+        if !std::mem::replace(&mut self.missed, true) {
+            warn!(self.log, "engine out of reach"; "why" => why);
         }
     }
 
@@ -132,7 +140,9 @@
         if let Some(sock) = self.sock.take() {
             _ = self.poller.delete(&sock);
         }
-        if self.state != State::Connecting {
+        if self.state == State::Connecting {
+            self.out_of_reach(why);
+        } else {
             self.losses += 1;
             warn!(self.log, "engine link lost"; "why" => why, "last" => self.last);
             told.push(Told::Ended(End::LinkLost));
@@ -141,18 +151,16 @@
         self.next_try = self.next_try.max(now);
         self.input.clear();
         self.out.clear();
-        self.written = 0;
     }
 
     pub fn ready(&mut self, event: Event, now: Tenths, told: &mut Vec<Told>) {
         if self.state == State::Connecting && (event.writable || event.readable) {
-            match self.sock.as_ref().map(|sock| (sock.take_error(), sock.peer_addr())) {
-                Some((Ok(None), Ok(_))) => {
-                    self.state = State::Attaching;
-                    link::attach(&mut self.out, self.last);
-                }
-                _ => return self.lose(now, "no connection", told),
+            let error = self.sock.as_ref().and_then(|sock| sock.take_error().transpose());
+            if let Some(Ok(e) | Err(e)) = error {
+                return self.lose(now, &e.to_string(), told);
             }
+            self.state = State::Attaching;
+            link::attach(&mut self.out, self.last);
         }
         if event.readable {
             self.read(now, told);
@@ -207,6 +215,7 @@
         match notice {
             Notice::Hello { cold, age } if self.state == State::Attaching => {
                 info!(self.log, "engine attached"; "cold" => cold, "age_ms" => age / 10, "last" => self.last);
+                self.missed = false;
                 told.push(Told::Hello { cold, age });
                 self.state = State::CatchingUp { cookie: self.cookie + 1 };
                 self.stat();
@@ -253,19 +262,18 @@
 
     pub fn flush(&mut self, now: Tenths, told: &mut Vec<Told>) {
         let Some(sock) = self.sock.as_mut().filter(|_| self.state != State::Connecting) else { return };
-        while self.written < self.out.len() {
-            match sock.write(&self.out[self.written..]) {
-                Ok(n) if n > 0 => self.written += n,
+        let mut written = 0;
+        while written < self.out.len() {
+            match sock.write(&self.out[written..]) {
+                Ok(n) if n > 0 => written += n,
                 Err(e) if e.kind() == ErrorKind::Interrupted => {}
                 Err(e) if e.kind() == ErrorKind::WouldBlock => break,
                 Ok(_) => return self.lose(now, "closed by the engine", told),
                 Err(e) => return self.lose(now, &e.to_string(), told),
             }
         }
-        if self.written == self.out.len() {
-            self.out.clear();
-            self.written = 0;
-        } else if self.out.len() - self.written > MOST_UNREAD {
+        self.out.drain(..written);
+        if self.out.len() > MOST_UNREAD {
             return self.lose(now, "commands stay unread", told);
         }
         let wants = !self.out.is_empty();
