--- a/node/tests/node/main.rs
+++ b/node/tests/node/main.rs
@@ -16,7 +16,7 @@
             "family_info": {
                 "below": "silent", "calls_by_class": [false, false], "calls_out": 0, "class_skip_worth": [0, 0],
                 "cores": 4, "deep_checks": false, "dep_window": 5_000_000, "fresh": 0, "fresh_start": false,
-                "gauges": ["links", "core_use"], "halt": "drop", "keepalive_max": 30_000_000, "key_kb": 50,
+                "gauges": ["core_use"], "halt": "drop", "keepalive_max": 30_000_000, "key_kb": 50,
                 "linger": 0, "memory_kb": 10_000, "passes_deadline": false, "readiness": true,
                 "run_factor": 8, "said_for": 1_000_000, "say": "min_rank"
             },
--- a/node/tests/node/sockets.rs
+++ b/node/tests/node/sockets.rs
@@ -133,7 +133,7 @@
     }
 
     fn answer_stat(&mut self, command: &Value) {
-        self.tell(json!({"msg": "STATS", "cookie": command["cookie"], "stats": [3, self.busy]}));
+        self.tell(json!({"msg": "STATS", "cookie": command["cookie"], "stats": [self.busy, 3]}));
     }
 
     /// Takes the link up; `last` is what the node should say that it read.
@@ -524,6 +524,56 @@
     assert_eq!(client.reply().body, b"on it goes");
 }
 
+#[test]
+fn an_idle_connection_is_closed_as_decided_and_one_with_a_request_open_is_not() {
+    let gauges = json!(["core_use", "links"]);
+    let (bed, mut engine) = Bed::up_with(|config| config["settings"]["family_info"]["gauges"] = gauges);
+    let (mut idle, mut client) = (bed.client(), bed.client());
+    client.look(1, 1);
+    let (call, _) = engine.run();
+    // How long one may lie idle is decided with a reading of the gauges.
+    for _ in 0..3 {
+        let stat = engine.line();
+        engine.answer_stat(&stat);
+    }
+    assert!(idle.is_closed());
+    engine.done(1, &call, "OK", b"still here");
+    assert_eq!(client.reply().body, b"still here");
+}
+
+#[test]
+fn a_request_that_trickles_is_answered_and_its_connection_closed() {
+    let (bed, _engine) = Bed::up_with(|config| {
+        for lane in 0..2 {
+            config["settings"]["lanes"][lane]["deadline"] = json!(200_000);
+        }
+    });
+    let mut client = bed.client();
+    client.send(&request(7, 1, "/svc/look", &[], b"never whole")[..60]);
+    let reply = client.reply();
+    assert_eq!((reply.id, reply.status), (7, 400));
+    assert!(client.is_closed());
+}
+
+#[test]
+fn a_node_whose_work_hangs_is_reported_unfit_until_it_goes_on() {
+    let (bed, mut engine) = Bed::up_with(|config| {
+        config["settings"]["family_info"]["cores"] = json!(1);
+        for lane in 0..2 {
+            config["settings"]["lanes"][lane]["target"] = json!(100_000);
+        }
+    });
+    let mut client = bed.client();
+    client.look(1, 1);
+    let (call, _) = engine.run();
+    while bed.report() != "BEAT n1 draining" {}
+    client.send(&request(2, 2, "/status/live", &[], b""));
+    assert_eq!(client.reply().status, 503);
+    engine.done(1, &call, "OK", b"at last");
+    assert_eq!(client.reply().body, b"at last");
+    while bed.report() != "BEAT n1 ready" {}
+}
+
 #[test]
 fn a_full_table_closes_an_idle_connection_and_never_one_with_a_request_open() {
     let (bed, mut engine) = Bed::up_with(|config| config["limits"]["sockets"] = json!(32));
