--- a/node/src/life/log.rs
+++ b/node/src/life/log.rs
@@ -5,10 +5,13 @@
 use std::sync::Mutex;
 use std::time::{SystemTime, UNIX_EPOCH};
 
+use rustix::event::{PollFd, PollFlags, Timespec};
 use slog::{Drain, KV, Key, Level, Logger, Never, OwnedKVList, Record, Serializer, o};
 
 /// Lines a second: a trouble that repeats itself must not slow the node down or fill the log.
 const MOST_LINES: u32 = 20;
+/// Bytes of a line: a pipe that is ready takes 4 kB without waiting.
+const LONGEST: usize = 4000;
 
 pub fn open(name: &str) -> Logger {
     let lines = Lines(Mutex::new(Second::default()));
@@ -49,13 +52,25 @@
             _ = write!(line, " lines_left_out={}", second.left_out);
             second.left_out = 0;
         }
+        // What others wrote into it must not look like a line of its own, nor be more than a pipe takes.
+        line.retain(|c| !c.is_control());
+        line.truncate(line.floor_char_boundary(LONGEST));
         line.push('\n');
-        // A log that can't be written is no reason to stop serving.
-        _ = std::io::stderr().write_all(line.as_bytes());
+        if !takes_a_line() || std::io::stderr().write_all(line.as_bytes()).is_err() {
+            second.left_out += 1;
+        }
         Ok(())
     }
 }
 
+/// Whether standard error takes a line at once. Nobody may be reading it: that must not stop the node.
+fn takes_a_line() -> bool {
+    let stderr = std::io::stderr();
+    let mut asked = [PollFd::new(&stderr, PollFlags::OUT)];
+    let at_once = Timespec { tv_sec: 0, tv_nsec: 0 };
+    rustix::event::poll(&mut asked, Some(&at_once)).is_ok_and(|ready| ready > 0)
+}
+
 struct Pairs(Vec<String>);
 
 impl Serializer for Pairs {
--- a/node/src/life/orders.rs
+++ b/node/src/life/orders.rs
@@ -10,7 +10,7 @@
 const CORES: f64 = 1.0;
 const MEMORY_MB: f64 = 192.0;
 const SOCKETS: f64 = 1024.0;
-/// Descriptors that are no dispatcher's: the standard ones, the poller's, the listener, the links, the signals.
+/// Descriptors that no dispatcher's connection may take: of the poller, the listener, the links, the signals.
 const OWN_DESCRIPTORS: usize = 24;
 const LEAST_CONNECTIONS: usize = 8;
 const LEAST_MEMORY_MB: f64 = 16.0;
@@ -32,8 +32,8 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Room {
     pub connections: usize,
-    /// Requests open at once, each with its parameters and body.
-    pub requests: usize,
+    /// Exchanges open at once, each with its parameters and body.
+    pub open: usize,
     /// Entries of the table of deduplicated exchanges, and bytes of results in it.
     pub entries: usize,
     pub result_bytes: usize,
@@ -42,13 +42,13 @@
 }
 
 impl Room {
-    /// A quarter of the memory each for requests and results, an eighth for unread answers and a sixteenth for
-    /// entries; the rest is for connections, the decisions and the program itself.
+    /// A quarter of the memory each for what is open and for results, an eighth for unread answers and a
+    /// sixteenth for entries; the rest is for connections, the decisions and the program itself.
     fn within(memory_mb: f64, sockets: usize) -> Room {
         let bytes = (memory_mb * 1e6) as usize;
         Room {
             connections: sockets.saturating_sub(OWN_DESCRIPTORS),
-            requests: bytes / 4 / 10_500,
+            open: bytes / 4 / 10_500,
             entries: bytes / 16 / 300,
             result_bytes: bytes / 4,
             unread: bytes / 8,
--- a/node/src/life/start.rs
+++ b/node/src/life/start.rs
@@ -51,7 +51,7 @@
             .map_err(|e| format!("config.registry: {}: {e}", orders.registry))?;
         let (room, link) = (orders.room, Link::new(orders.engine, poller.clone(), log.clone()));
         info!(log, "listening"; "address" => %orders.listen, "connections" => room.connections,
-            "requests" => room.requests);
+            "open" => room.open);
         Ok(Node {
             groups: handed.group_names.iter().map(|name| Value::from(name.as_str()).to_string()).collect(),
             results: Results::new(room.entries, room.result_bytes, patience),
--- a/node/src/memory/exchanges.rs
+++ b/node/src/memory/exchanges.rs
@@ -41,7 +41,8 @@
 
 #[derive(Default)]
 pub struct Exchanges {
-    last: ExId,
+    /// The next name to be given.
+    next: ExId,
     by_id: FxHashMap<ExId, Ex>,
     by_try: HashMap<TryId, ExId>,
     waiting: FxHashMap<ExId, Vec<ExId>>,
@@ -55,10 +56,15 @@
         if self.by_try.contains_key(&ex.try_id) || self.ended.contains(&ex.try_id) {
             return None;
         }
-        self.last += 1;
-        self.by_try.insert(ex.try_id, self.last);
-        self.by_id.insert(self.last, ex);
-        Some(self.last)
+        // After all the names there are, the first ones are long forgotten everywhere.
+        while self.next == 0 || self.by_id.contains_key(&self.next) {
+            self.next = self.next.wrapping_add(1);
+        }
+        self.by_try.insert(ex.try_id, self.next);
+        self.by_id.insert(self.next, ex);
+        let id = self.next;
+        self.next = self.next.wrapping_add(1);
+        Some(id)
     }
 
     pub fn get(&mut self, id: ExId) -> Option<&mut Ex> {
--- a/node/src/wire/dispatchers.rs
+++ b/node/src/wire/dispatchers.rs
@@ -138,7 +138,7 @@
                 Ok((sock, _)) => _ = self.take_in(sock, now),
                 Err(e) if matches!(e.kind(), ErrorKind::Interrupted | ErrorKind::ConnectionAborted) => {}
                 Err(e) => {
-                    // With no descriptor to be had the listener stays ready: it is asked again at the next sweep.
+                    // With no descriptor to be had the listener stays ready; it is asked again at a sweep.
                     if e.kind() != ErrorKind::WouldBlock {
                         self.accept_again(false);
                     }
@@ -214,8 +214,8 @@
         !self.conns.is_empty() || !self.accepting
     }
 
-    /// Takes in what the machine has accepted, and nothing after it; reads each connection once more, and closes
-    /// those with nothing open from then on.
+    /// Takes in what the machine has accepted, and nothing after it; reads each connection once more, and
+    /// closes those with nothing open from then on.
     pub fn last_reading(&mut self, now: Tenths, came: &mut Vec<Came>) {
         while self.accept(now, came) {}
         if let Some(listener) = self.listener.take() {
@@ -298,7 +298,7 @@
                 }
                 (self.begun, self.open) = (self.begun + 1, self.open + 1);
                 let caller = Caller { slot, nth: self.begun };
-                let too_many = conn.begin(id, caller.nth, now) || self.open > self.room.requests;
+                let too_many = conn.begin(id, caller.nth, now) || self.open > self.room.open;
                 if role != RESPONDER {
                     self.answer(caller, Answer::UnknownRole);
                 } else if too_many {
@@ -317,7 +317,7 @@
             Piece::ParamsEnd { id } => self.end_stream(slot, id, Stream::Params, came),
             Piece::StdinEnd { id } => self.end_stream(slot, id, Stream::Body, came),
             Piece::GetValues => {
-                let (connections, requests) = (self.room.connections, self.room.requests);
+                let (connections, requests) = (self.room.connections, self.room.open);
                 self.put(slot, |out| fastcgi::values(out, connections, requests));
             }
             Piece::Unknown { kind } => self.put(slot, |out| fastcgi::unknown_type(out, kind)),
--- a/node/src/wire/fastcgi.rs
+++ b/node/src/wire/fastcgi.rs
@@ -187,7 +187,7 @@
     record(out, END, id, &[0, 0, 0, 0, status as u8, 0, 0, 0]);
 }
 
-/// Answers a request for values; those of another name than the known ones are left out, as the protocol asks.
+/// Answers a request for values. All that are known go out; the peer passes over those it did not name.
 pub fn values(out: &mut Vec<u8>, connections: usize, requests: usize) {
     let mut content = Vec::new();
     let (connections, requests) = (connections.to_string(), requests.to_string());
--- a/node/tests/node/main.rs
+++ b/node/tests/node/main.rs
@@ -14,7 +14,8 @@
         "settings": {
             "bounds": {"max_retry_after": 1_000_000, "retry_after": true},
             "family_info": {
-                "below": "silent", "calls_by_class": [false, false], "calls_out": 0, "class_skip_worth": [0, 0],
+                "below": "silent", "calls_by_class": [false, false], "calls_out": 0,
+                "class_skip_worth": [0, 0],
                 "cores": 4, "deep_checks": false, "dep_window": 5_000_000, "fresh": 0, "fresh_start": false,
                 "gauges": ["core_use"], "halt": "drop", "keepalive_max": 30_000_000, "key_kb": 50,
                 "linger": 0, "memory_kb": 10_000, "passes_deadline": false, "readiness": true,
--- a/node/tests/node/parts.rs
+++ b/node/tests/node/parts.rs
@@ -10,6 +10,7 @@
 use doortrack_node::wire::registry;
 use doortrack_node::wire::request::{self, Answer, Asked, Names, Unreadable};
 use proptest::prelude::*;
+use proptest::sample::Index;
 use proptest::test_runner::RngSeed;
 use serde_json::{Value, json};
 
@@ -50,9 +51,17 @@
     (found, None)
 }
 
+fn seeded() -> ProptestConfig {
+    let rng_seed = RngSeed::Fixed(0x0d00_77ac);
+    ProptestConfig { cases: 300, rng_seed, failure_persistence: None, ..ProptestConfig::default() }
+}
+
+fn bytes(most: usize) -> impl Strategy<Value = Vec<u8>> {
+    prop::collection::vec(any::<u8>(), 0..most)
+}
+
 fn whole_records() -> impl Strategy<Value = Vec<u8>> {
-    let content = prop::collection::vec(any::<u8>(), 0..300);
-    let one = (prop::sample::select(vec![1u8, 2, 4, 5, 8, 9, 77]), 1..40u16, content, any::<u8>());
+    let one = (prop::sample::select(vec![1u8, 2, 4, 5, 8, 9, 77]), 1..40u16, bytes(300), any::<u8>());
     prop::collection::vec(one, 1..12).prop_map(|records| {
         records.into_iter().fold(Vec::new(), |mut all, (kind, id, content, padding)| {
             let (id, content) = match kind {
@@ -67,10 +76,13 @@
 }
 
 proptest! {
-    #![proptest_config(ProptestConfig { cases: 300, rng_seed: RngSeed::Fixed(0x0d00_77ac), failure_persistence: None, ..ProptestConfig::default() })]
+    #![proptest_config(seeded())]
 
     #[test]
-    fn records_split_at_any_bytes_read_the_same(stream in whole_records(), cuts in prop::collection::vec(any::<prop::sample::Index>(), 0..9)) {
+    fn records_split_at_any_bytes_read_the_same(
+        stream in whole_records(),
+        cuts in prop::collection::vec(any::<Index>(), 0..9),
+    ) {
         let (whole, fault) = pieces(&[&stream]);
         prop_assert_eq!(fault, None);
         let mut places: Vec<usize> = cuts.iter().map(|cut| cut.index(stream.len())).collect();
@@ -90,7 +102,7 @@
     }
 
     #[test]
-    fn no_bytes_upset_a_parser(bytes in prop::collection::vec(any::<u8>(), 0..400)) {
+    fn no_bytes_upset_a_parser(bytes in bytes(400)) {
         pieces(&[&bytes]);
         let names = names();
         prop_assert!(request::read(&bytes, &names).is_err());
@@ -102,25 +114,31 @@
     }
 
     #[test]
-    fn parameters_of_any_length_come_back(fields in prop::collection::vec((prop::collection::vec(any::<u8>(), 0..200), prop::collection::vec(any::<u8>(), 0..200)), 0..8), long in any::<bool>(), cut in any::<prop::sample::Index>()) {
+    fn parameters_of_any_length_come_back(
+        fields in prop::collection::vec((bytes(200), bytes(200)), 0..8),
+        long in any::<bool>(),
+        cut in any::<Index>(),
+    ) {
         let stream = pairs(&fields, long);
         let read = fastcgi::pairs(&stream).unwrap();
         prop_assert_eq!(read.len(), fields.len());
         prop_assert!(read.iter().zip(&fields).all(|(a, b)| *a.0 == b.0 && *a.1 == b.1));
         if !stream.is_empty() {
             let short = &stream[..cut.index(stream.len())];
-            prop_assert!(fastcgi::pairs(short).is_err() || fastcgi::pairs(short).unwrap().len() < fields.len());
+            prop_assert!(fastcgi::pairs(short).map_or(true, |read| read.len() < fields.len()));
         }
     }
 
     #[test]
-    fn bodies_pass_the_engine_link_unchanged(body in prop::collection::vec(any::<u8>(), 0..2100), serial in any::<u64>()) {
+    fn bodies_pass_the_engine_link_unchanged(body in bytes(2100), serial in any::<u64>()) {
         let mut out = Vec::new();
         link::run(&mut out, b"00112233445566aa", "\"a \\\" name\"", &body);
         let sent: Value = serde_json::from_slice(&out).unwrap();
         prop_assert_eq!(&sent["service"], "a \" name");
-        let line = json!({"msg": "DONE", "serial": serial, "call": sent["call"], "how": "OK", "duration": 1.5, "blob": sent["blob"]});
-        let done = Notice::Done { serial, try_id: *b"00112233445566aa", outcome: RunOutcome::Completed, result: body };
+        let (call, blob) = (&sent["call"], &sent["blob"]);
+        let line = json!({"msg": "DONE", "serial": serial, "call": call, "how": "OK", "blob": blob});
+        let (try_id, outcome) = (*b"00112233445566aa", RunOutcome::Completed);
+        let done = Notice::Done { serial, try_id, outcome, result: body };
         prop_assert_eq!(link::read(line.to_string().as_bytes()), Ok(done));
     }
 }
@@ -396,7 +414,7 @@
     assert_eq!(orders.room, orders::parse(config().to_string().as_bytes()).unwrap().room);
     assert!(orders.room.connections < 1024);
     assert!(orders.handed.list_follows_health && orders.handed.customer_names.is_empty());
-    let bound = orders.room.requests * 10_500 + orders.room.entries * 300 + orders.room.result_bytes;
+    let bound = orders.room.open * 10_500 + orders.room.entries * 300 + orders.room.result_bytes;
     assert!(bound + orders.room.unread + orders.room.connections * 20_000 < 192_000_000);
 }
 
--- a/node/tests/node/sockets.rs
+++ b/node/tests/node/sockets.rs
@@ -1,5 +1,5 @@
-//! Starts the program and speaks to it over sockets. What it waits for has long limits, so that a slow machine
-//! changes no verdict; nothing is judged by how long it took.
+//! Starts the program and speaks to it over sockets. What it waits for has long limits, so that a slow
+//! machine changes no verdict; nothing is judged by how long it took.
 
 use std::io::{BufRead, BufReader, ErrorKind, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream, UdpSocket};
@@ -162,9 +162,10 @@
     }
 
     fn done(&mut self, serial: u64, call: &str, how: &str, result: &[u8]) {
-        let (blob, duration) = (STANDARD.encode(result), 12.5);
-        let done = json!({"msg": "DONE", "serial": serial, "call": call, "how": how, "duration": duration, "blob": blob});
-        self.tell(done);
+        let blob = STANDARD.encode(result);
+        self.tell(
+            json!({"msg": "DONE", "serial": serial, "call": call, "how": how, "duration": 12, "blob": blob}),
+        );
     }
 }
 
@@ -435,6 +436,21 @@
     assert_eq!(client.reply().status, 500, "what the engine will not run is terminated");
 }
 
+#[test]
+fn a_log_that_nobody_reads_does_not_stop_the_node() {
+    let (bed, mut engine) = Bed::up();
+    // More than a pipe holds, in lines that are logged at the usual level.
+    let text = "x".repeat(20_000);
+    for serial in 1..=40 {
+        engine.tell(json!({"msg": "NOTE", "serial": serial, "how": text}));
+    }
+    let mut client = bed.client();
+    client.look(1, 1);
+    let (call, _) = engine.run();
+    engine.done(41, &call, "OK", b"on time");
+    assert_eq!(client.reply().body, b"on time");
+}
+
 #[test]
 fn a_broken_record_ends_its_connection_after_what_is_open_was_answered() {
     let (bed, mut engine) = Bed::up();
