Tests for what survived when lines were taken out by hand, and no test that hangs for a failure

New: what never began may run later, an entry past its window does not outlive its try, a cold engine's age, notices that come late again, who reads no answers.

--- a/node/tests/node/parts.rs
+++ b/node/tests/node/parts.rs
@@ -1,14 +1,20 @@
 //! Parsers, writers and tables, without sockets.
 
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::sync::Arc;
+
 use doortrack::RunOutcome;
-use doortrack_node::life::orders;
+use doortrack_node::life::orders::{self, Room};
 use doortrack_node::memory::exchanges::{Ex, Exchanges, Stage};
 use doortrack_node::memory::results::{Found, NoResult, Results};
+use doortrack_node::wire::dispatchers::{Dispatchers, FIRST_KEY};
 use doortrack_node::wire::end::{End, Outcome};
 use doortrack_node::wire::fastcgi::{self, Piece, Splitter};
 use doortrack_node::wire::link::{self, Notice};
 use doortrack_node::wire::registry;
 use doortrack_node::wire::request::{self, Answer, Asked, Names, Unreadable};
+use polling::{Event, Poller};
 use proptest::prelude::*;
 use proptest::sample::Index;
 use proptest::test_runner::RngSeed;
@@ -302,6 +308,32 @@
     assert_eq!(End::Run(RunOutcome::Failed).outcome(), Outcome::RunEnded(RunOutcome::Failed));
 }
 
+#[test]
+fn while_answers_pile_up_who_reads_none_is_closed_and_who_reads_is_served() {
+    let poller = Arc::new(Poller::new().unwrap());
+    let room = Room { connections: 8, open: 8, entries: 1, result_bytes: 1, unread: 1000 };
+    let [.., b, c] = std::process::id().to_be_bytes();
+    let at: SocketAddr = format!("127.19.{b}.{c}:9090").parse().unwrap();
+    let mut dispatchers = Dispatchers::listen(at, poller, names(), room, u64::MAX).unwrap();
+    let (mut deaf, mut sound) = (TcpStream::connect(at).unwrap(), TcpStream::connect(at).unwrap());
+    deaf.set_nonblocking(true).unwrap();
+    // Each is answered at once with 400, as its streams are empty.
+    let empty =
+        [record(1, 1, &[0, 1, 1, 0, 0, 0, 0, 0], 0), record(4, 1, b"", 0), record(5, 1, b"", 0)].concat();
+    let (batch, mut came) = (empty.repeat(200), Vec::new());
+    let closed = (0..20_000).any(|_| {
+        _ = deaf.write(&batch);
+        _ = sound.write_all(&empty);
+        dispatchers.accept(0, &mut came);
+        (FIRST_KEY..FIRST_KEY + 2).for_each(|key| dispatchers.ready(Event::all(key), 0, &mut came));
+        dispatchers.flush(0, &mut came);
+        _ = sound.read(&mut [0; 4096]).unwrap();
+        assert!(dispatchers.unread() < 200_000, "{} bytes pile up", dispatchers.unread());
+        dispatchers.counts.ends.contains_key("unread")
+    });
+    assert!(closed && dispatchers.connections() == 1 && dispatchers.unread() == 0);
+}
+
 #[test]
 fn reports_are_three_words() {
     assert_eq!(registry::report("n3", false), "BEAT n3 ready");
@@ -360,7 +392,9 @@
 fn a_stamp_in_the_future_ends_its_entry_all_the_same() {
     let mut results = Results::new(3, 10, 0);
     results.record(1, KEY, u64::MAX, 1000 * MS, 500 * MS);
+    assert_eq!(results.repeats(&KEY, 1500 * MS), Some(1));
     results.ended(1, Ok(b"1"));
+    assert_eq!(results.repeats(&KEY, 1700 * MS), None);
     results.tidy(2000 * MS);
     assert!(results.has_room() && results.bytes() == 0);
 }
--- a/node/tests/node/sockets.rs
+++ b/node/tests/node/sockets.rs
@@ -69,7 +69,16 @@
     }
 
     fn link(&self) -> Engine {
-        let (sock, _) = self.door.accept().unwrap();
+        let until = Instant::now() + LONG;
+        self.door.set_nonblocking(true).unwrap();
+        let sock = loop {
+            match self.door.accept() {
+                Ok((sock, _)) => break sock,
+                Err(e) => assert!(Instant::now() < until, "no link is made: {e}"),
+            }
+            std::thread::sleep(Duration::from_millis(2));
+        };
+        sock.set_nonblocking(false).unwrap();
         sock.set_read_timeout(Some(LONG)).unwrap();
         Engine { lines: BufReader::new(sock), busy: 0.0 }
     }
@@ -94,6 +103,12 @@
         String::from_utf8_lossy(&text[..n]).into_owned()
     }
 
+    /// Waits for a report of this state, among a bounded number of others.
+    fn reports(&self, state: &str) {
+        let wanted = format!("BEAT n1 {state}");
+        assert!((0..40).any(|_| self.report() == wanted), "never reported {state}");
+    }
+
     fn terminate(&self) {
         let id = self.program.id().to_string();
         assert!(Command::new("kill").args(["-TERM", &id]).status().unwrap().success());
@@ -138,13 +153,28 @@
 
     /// Takes the link up; `last` is what the node should say that it read.
     fn hello(&mut self, last: u64) {
+        self.hello_as(last, "WARM", 60_000);
+    }
+
+    fn hello_as(&mut self, last: u64, how: &str, age_ms: u64) {
         assert_eq!(self.line(), json!({"msg": "ATTACH", "serial": last}));
-        self.tell(json!({"msg": "HELLO", "how": "WARM", "duration": 60_000}));
+        self.tell(json!({"msg": "HELLO", "how": how, "duration": age_ms}));
+    }
+
+    /// Answers so many readings, between which there must be no other command.
+    fn readings(&mut self, count: usize) {
+        for _ in 0..count {
+            let stat = self.line();
+            assert_eq!(stat["msg"], "STAT", "{stat}");
+            self.answer_stat(&stat);
+        }
     }
 
     /// The next command other than STAT, which is answered on the way.
     fn command(&mut self) -> Value {
+        let until = Instant::now() + LONG;
         loop {
+            assert!(Instant::now() < until, "no command but STAT");
             let command = self.line();
             if command["msg"] != "STAT" {
                 return command;
@@ -347,6 +377,58 @@
     assert_eq!(client.reply().status, 500);
 }
 
+#[test]
+fn what_the_engine_never_began_may_run_in_a_later_try() {
+    let (bed, mut engine) = Bed::up();
+    let mut client = bed.client();
+    client.send(&request(1, 1, "/svc/pay", &[MARK], b""));
+    let (call, _) = engine.run();
+    engine.tell(json!({"msg": "NO", "how": "RUN", "call": call}));
+    assert_eq!(client.reply().status, 500);
+    client.send(&request(2, 2, "/svc/pay", &[MARK], b""));
+    let (call, _) = engine.run();
+    assert_eq!(call, try_id(2));
+    engine.done(1, &call, "OK", b"paid");
+    assert_eq!(client.reply().body, b"paid");
+}
+
+#[test]
+fn what_was_given_up_in_the_hold_leaves_no_entry_even_past_its_window() {
+    let (bed, mut engine) = Bed::up_with(|config| {
+        config["settings"]["family_info"]["cores"] = json!(1);
+        config["settings"]["lanes"][1]["window"] = json!(1000);
+    });
+    let mut client = bed.client();
+    client.look(1, 1);
+    let (first, _) = engine.run();
+    client.send(&request(2, 2, "/svc/pay", &[MARK], b""));
+    // Each reading is a turn later: by then the entry has run out for the decisions, and the try is held.
+    engine.readings(3);
+    client.send(&record(2, 2, b""));
+    engine.readings(2);
+    client.send(&request(3, 3, "/svc/pay", &[MARK], b""));
+    engine.readings(2);
+    engine.done(1, &first, "OK", b"");
+    assert_eq!(engine.run().0, try_id(3));
+}
+
+#[test]
+fn a_cold_engine_is_warm_by_its_age_not_by_when_the_node_met_it() {
+    for (age_ms, at_once) in [(0, 3), (60_000, 6)] {
+        let bed = Bed::start(|config| config["settings"]["safety"]["start_capacity"] = json!(0));
+        let mut engine = bed.link();
+        engine.hello_as(0, "COLD", age_ms);
+        engine.readings(2);
+        let mut client = bed.client();
+        let bytes: Vec<u8> = (1..=7).flat_map(|n| request(n, n.into(), "/svc/look", &[], b"")).collect();
+        client.send(&bytes);
+        for nth in 1..=at_once {
+            assert_eq!(engine.run().0, try_id(nth), "{age_ms} ms old");
+        }
+        engine.readings(2);
+    }
+}
+
 #[test]
 fn an_aborted_exchange_is_stopped_and_its_id_may_be_used_anew() {
     let (bed, mut engine) = Bed::up();
@@ -373,11 +455,7 @@
     engine.done(1, &calls[0], "OK", b"first");
     assert_eq!(client.reply().body, b"first");
     // An answered STAT proves that what was sent before it arrived.
-    for _ in 0..2 {
-        let stat = engine.line();
-        assert_eq!(stat["msg"], "STAT");
-        engine.answer_stat(&stat);
-    }
+    engine.readings(2);
     drop(engine);
     client.look(4, 4);
     let mut engine = bed.link();
@@ -390,14 +468,18 @@
     assert_eq!((client.reply().body, client.reply().body), (b"second".to_vec(), b"third".to_vec()));
     engine.done(4, &try_id(4), "OK", b"fourth");
     assert_eq!(client.reply().body, b"fourth");
+    // One that comes late again does not set the count back.
+    engine.done(2, &calls[1], "OK", b"second");
+    engine.readings(2);
+    drop(engine);
+    bed.link().hello(4);
 }
 
 #[test]
 fn a_run_that_may_not_have_arrived_is_sent_again_once_the_notices_missed_are_in() {
     let (bed, mut engine) = Bed::up();
     let mut client = bed.client();
-    let stat = engine.line();
-    engine.answer_stat(&stat);
+    engine.readings(1);
     client.look(1, 1);
     client.look(2, 2);
     // Both are read, but the node can't know: no STAT after them is answered.
@@ -548,10 +630,7 @@
     client.look(1, 1);
     let (call, _) = engine.run();
     // How long one may lie idle is decided with a reading of the gauges.
-    for _ in 0..3 {
-        let stat = engine.line();
-        engine.answer_stat(&stat);
-    }
+    engine.readings(3);
     assert!(idle.is_closed());
     engine.done(1, &call, "OK", b"still here");
     assert_eq!(client.reply().body, b"still here");
@@ -582,12 +661,12 @@
     let mut client = bed.client();
     client.look(1, 1);
     let (call, _) = engine.run();
-    while bed.report() != "BEAT n1 draining" {}
+    bed.reports("draining");
     client.send(&request(2, 2, "/status/live", &[], b""));
     assert_eq!(client.reply().status, 503);
     engine.done(1, &call, "OK", b"at last");
     assert_eq!(client.reply().body, b"at last");
-    while bed.report() != "BEAT n1 ready" {}
+    bed.reports("ready");
 }
 
 #[test]
@@ -649,7 +728,7 @@
     engine.run();
     assert_eq!(bed.report(), "BEAT n1 ready");
     bed.terminate();
-    while bed.report() != "BEAT n1 draining" {}
+    bed.reports("draining");
     // Stamps are whole ms, so one that surely lies after the notice is a little in the future.
     let stamp = (unix_ms() + 10).to_string();
     client.send(&request(3, 3, "/svc/look", &[("HTTP_X_REQUEST_START", &stamp)], b""));
