--- a/node/tests/node/sockets.rs
+++ b/node/tests/node/sockets.rs
@@ -401,6 +401,8 @@
     let mut client = bed.client();
     client.look(1, 1);
     let (first, _) = engine.run();
+    // With a gauge that reads idle the next is held, not denied.
+    engine.readings(2);
     client.send(&request(2, 2, "/svc/pay", &[MARK], b""));
     // Each reading is a turn later: by then the entry has run out for the decisions, and the try is held.
     engine.readings(3);
@@ -414,8 +416,11 @@
 
 #[test]
 fn a_cold_engine_is_warm_by_its_age_not_by_when_the_node_met_it() {
-    for (age_ms, at_once) in [(0, 3), (60_000, 6)] {
-        let bed = Bed::start(|config| config["settings"]["safety"]["start_capacity"] = json!(0));
+    for (age_ms, at_once) in [(0, 3), (3_600_000, 6)] {
+        let bed = Bed::start(|config| {
+            config["settings"]["safety"]["start_capacity"] = json!(0);
+            config["settings"]["safety"]["ramp_time"] = json!(3_600_000_000u64);
+        });
         let mut engine = bed.link();
         engine.hello_as(0, "COLD", age_ms);
         engine.readings(2);
