After a stall, what came meanwhile is read before times that ran out are acted upon

Seen in one of 24 test runs side by side: a run whose end lay in the socket was terminated after the process had stood still. The wait is broken off by the signal with nothing told, and the reading of the gauges had run out too, so the alarm was handed over alone. Ruled out: the order within a turn, as ends go first there. Lines at fault: the wait in serve.rs, which took 'interrupted' for 'nothing came'. It guards against any stall of process or machine between two turns; it costs one more system call after each.

--- a/node/src/serve.rs
+++ b/node/src/serve.rs
@@ -33,6 +33,8 @@
 const STALE: Tenths = 250 * MS;
 /// How often connections are looked over for idle ones.
 const SWEEP: Tenths = 25 * MS;
+/// Woken so much later than asked for, the process has stood still.
+const STALL: Tenths = 10 * MS;
 
 pub struct Node {
     pub(crate) orders: Orders,
@@ -75,20 +77,11 @@
         loop {
             self.link.tend(self.now);
             self.registry.beat(self.now);
-            let wait = Duration::from_micros(self.next_due().saturating_sub(self.now) * 100);
-            events.clear();
-            match self.poller.wait(&mut events, Some(wait)) {
-                Err(e) if e.kind() != std::io::ErrorKind::Interrupted => return Err(format!("poller: {e}")),
-                _ => {}
-            }
-            self.now = self.clock.now();
-            for event in events.iter() {
-                match event.key {
-                    LISTEN_KEY => _ = self.dispatchers.accept(self.now, &mut came),
-                    ENGINE_KEY => self.link.ready(event, self.now, &mut told),
-                    SIGNAL_KEY => self.leave(),
-                    _ => self.dispatchers.ready(event, self.now, &mut came),
-                }
+            let due = self.next_due();
+            self.gather(due.saturating_sub(self.now), &mut events, &mut came, &mut told)?;
+            if self.now > due + STALL {
+                // All stood still for a while. What came meanwhile counts before times that ran out.
+                self.gather(0, &mut events, &mut came, &mut told)?;
             }
             if self.now >= self.sweep_at {
                 self.sweep_at = self.now + SWEEP;
@@ -119,6 +112,30 @@
         }
     }
 
+    /// Waits until something is ready, and reads it.
+    fn gather(
+        &mut self,
+        wait: Tenths,
+        events: &mut Events,
+        came: &mut Vec<Came>,
+        told: &mut Vec<Told>,
+    ) -> Result<(), Fault> {
+        events.clear();
+        match self.poller.wait(events, Some(Duration::from_micros(wait * 100))) {
+            Err(e) if e.kind() != std::io::ErrorKind::Interrupted => return Err(format!("poller: {e}")),
+            _ => self.now = self.clock.now(),
+        }
+        for event in events.iter() {
+            match event.key {
+                LISTEN_KEY => _ = self.dispatchers.accept(self.now, came),
+                ENGINE_KEY => self.link.ready(event, self.now, told),
+                SIGNAL_KEY => self.leave(),
+                _ => self.dispatchers.ready(event, self.now, came),
+            }
+        }
+        Ok(())
+    }
+
     /// Writes what there is. What broke meanwhile is told at once, as nothing may come to wake the next turn.
     fn send(&mut self, came: &mut Vec<Came>, told: &mut Vec<Told>) {
         loop {
--- a/node/tests/node/parts.rs
+++ b/node/tests/node/parts.rs
@@ -14,7 +14,7 @@
 use doortrack_node::wire::link::{self, Notice};
 use doortrack_node::wire::registry;
 use doortrack_node::wire::request::{self, Answer, Asked, Names, Unreadable};
-use polling::{Event, Poller};
+use polling::{Events, Poller};
 use proptest::prelude::*;
 use proptest::sample::Index;
 use proptest::test_runner::RngSeed;
@@ -308,30 +308,52 @@
     assert_eq!(End::Run(RunOutcome::Failed).outcome(), Outcome::RunEnded(RunOutcome::Failed));
 }
 
-#[test]
-fn while_answers_pile_up_who_reads_none_is_closed_and_who_reads_is_served() {
+/// Two callers send what is answered at once, and one of them never reads, until it is closed or `turns` are
+/// over: whether it was closed. `nth` keeps the addresses apart.
+fn deaf_caller_is_closed(nth: u8, unread: usize, turns: usize) -> bool {
     let poller = Arc::new(Poller::new().unwrap());
-    let room = Room { connections: 8, open: 8, entries: 1, result_bytes: 1, unread: 1000 };
+    let room = Room { connections: 8, open: 8, entries: 1, result_bytes: 1, unread };
     let [.., b, c] = std::process::id().to_be_bytes();
-    let at: SocketAddr = format!("127.19.{b}.{c}:9090").parse().unwrap();
-    let mut dispatchers = Dispatchers::listen(at, poller, names(), room, u64::MAX).unwrap();
+    let at: SocketAddr = format!("127.{nth}.{b}.{c}:9090").parse().unwrap();
+    let mut dispatchers = Dispatchers::listen(at, poller.clone(), names(), room, u64::MAX).unwrap();
     let (mut deaf, mut sound) = (TcpStream::connect(at).unwrap(), TcpStream::connect(at).unwrap());
     deaf.set_nonblocking(true).unwrap();
-    // Each is answered at once with 400, as its streams are empty.
+    // Its streams are empty, so each is answered with 400.
     let empty =
         [record(1, 1, &[0, 1, 1, 0, 0, 0, 0, 0], 0), record(4, 1, b"", 0), record(5, 1, b"", 0)].concat();
-    let (batch, mut came) = (empty.repeat(200), Vec::new());
-    let closed = (0..20_000).any(|_| {
+    let (batch, mut came, mut events) = (empty.repeat(200), Vec::new(), Events::new());
+    for _ in 0..turns {
         _ = deaf.write(&batch);
-        _ = sound.write_all(&empty);
-        dispatchers.accept(0, &mut came);
-        (FIRST_KEY..FIRST_KEY + 2).for_each(|key| dispatchers.ready(Event::all(key), 0, &mut came));
-        dispatchers.flush(0, &mut came);
-        _ = sound.read(&mut [0; 4096]).unwrap();
+        sound.write_all(&empty).unwrap();
+        let before = dispatchers.counts.unreadable;
+        while dispatchers.counts.unreadable == before {
+            events.clear();
+            poller.wait(&mut events, None).unwrap();
+            dispatchers.accept(0, &mut came);
+            events.iter().filter(|e| e.key >= FIRST_KEY).for_each(|e| dispatchers.ready(e, 0, &mut came));
+            dispatchers.flush(0, &mut came);
+        }
         assert!(dispatchers.unread() < 200_000, "{} bytes pile up", dispatchers.unread());
-        dispatchers.counts.ends.contains_key("unread")
-    });
-    assert!(closed && dispatchers.connections() == 1 && dispatchers.unread() == 0);
+        if dispatchers.counts.ends.contains_key("unread") {
+            assert_eq!((dispatchers.connections(), dispatchers.unread()), (1, 0));
+            return true;
+        }
+    }
+    // Whoever reads gets all that is due.
+    let mut answers: Vec<u8> = Vec::new();
+    while answers.windows(6).filter(|w| w == b"Status").count() < turns {
+        let mut part = [0; 65_536];
+        let got = sound.read(&mut part).unwrap();
+        answers.extend(&part[..got]);
+        dispatchers.flush(0, &mut came);
+    }
+    false
+}
+
+#[test]
+fn who_reads_no_answers_is_not_read_and_while_answers_pile_up_is_closed() {
+    assert!(!deaf_caller_is_closed(18, 10_000_000, 2000));
+    assert!(deaf_caller_is_closed(19, 1000, 20_000));
 }
 
 #[test]
--- a/node/tests/node/sockets.rs
+++ b/node/tests/node/sockets.rs
@@ -109,9 +109,9 @@
         assert!((0..40).any(|_| self.report() == wanted), "never reported {state}");
     }
 
-    fn terminate(&self) {
+    fn signal(&self, name: &str) {
         let id = self.program.id().to_string();
-        assert!(Command::new("kill").args(["-TERM", &id]).status().unwrap().success());
+        assert!(Command::new("kill").args([name, &id]).status().unwrap().success());
     }
 
     /// Waits for the end of the program: its status, and its log.
@@ -655,6 +655,31 @@
     assert!(client.is_closed());
 }
 
+#[test]
+fn after_a_stall_ends_count_before_times_that_ran_out_and_all_is_answered_once() {
+    let (bed, mut engine) = Bed::up_with(|config| {
+        for lane in 0..2 {
+            config["settings"]["lanes"][lane]["deadline"] = json!(2_000_000);
+        }
+    });
+    let mut client = bed.client();
+    client.look(1, 1);
+    client.look(2, 2);
+    let (first, second) = (engine.run().0, engine.run().0);
+    bed.signal("-STOP");
+    engine.done(1, &first, "OK", b"came meanwhile");
+    (3..=5).for_each(|n| client.look(n, n.into()));
+    std::thread::sleep(Duration::from_millis(2200));
+    bed.signal("-CONT");
+    let mut replies: Vec<Reply> = (1..=5).map(|_| client.reply()).collect();
+    replies.sort_by_key(|reply| reply.id);
+    let statuses: Vec<u16> = replies.iter().map(|reply| reply.status).collect();
+    assert_eq!(statuses, [200, 500, 503, 503, 503]);
+    engine.done(2, &second, "OK", b"too late for any answer");
+    client.send(&request(9, 9, "/status/live", &[], b""));
+    assert_eq!(client.reply().id, 9, "one was answered twice");
+}
+
 #[test]
 fn a_node_whose_work_hangs_is_reported_unfit_until_it_goes_on() {
     let (bed, mut engine) = Bed::up_with(|config| {
@@ -691,6 +716,7 @@
     ninth.look(2, 10);
     let mut tenth = bed.client();
     tenth.send(&request(1, 11, "/status/live", &[], b""));
+    engine.readings(2);
     runs.iter().zip(1..).for_each(|(call, serial)| engine.done(serial, call, "OK", b"well"));
     assert_eq!(clients[1].reply().body, b"well");
     assert_eq!(tenth.reply().status, 200);
@@ -732,7 +758,7 @@
     let (call, _) = engine.run();
     engine.run();
     assert_eq!(bed.report(), "BEAT n1 ready");
-    bed.terminate();
+    bed.signal("-TERM");
     bed.reports("draining");
     // Stamps are whole ms, so one that surely lies after the notice is a little in the future.
     let stamp = (unix_ms() + 10).to_string();
