--- a/node/tests/node/sockets.rs
+++ b/node/tests/node/sockets.rs
@@ -586,6 +586,28 @@
     assert_eq!(client.reply().status, 400);
 }
 
+#[test]
+fn management_records_are_answered_and_a_connection_not_to_be_kept_is_closed_after_its_answer() {
+    let (bed, _engine) = Bed::up();
+    let mut client = bed.client();
+    client.send(&[record(9, 0, b"\x0e\0FCGI_MAX_CONNS"), record(77, 0, b"")].concat());
+    let mut read = |n: usize| {
+        let mut bytes = vec![0; n];
+        client.sock.read_exact(&mut bytes).unwrap();
+        bytes
+    };
+    let head = read(8);
+    assert_eq!(head[1], 10, "GET_VALUES_RESULT");
+    let values = read(u16::from_be_bytes([head[4], head[5]]).into());
+    assert!(values.windows(18).any(|w| w == b"FCGI_MAX_CONNS1000"), "{values:?}");
+    assert_eq!((read(8)[1], read(8)[0]), (11, 77), "UNKNOWN_TYPE of what was sent");
+    let mut check = request(5, 1, "/status/live", &[], b"");
+    check[8 + 2] = 0;
+    client.send(&check);
+    assert_eq!(client.reply().status, 200);
+    assert!(client.is_closed());
+}
+
 #[test]
 fn more_open_than_the_protocol_allows_is_refused_as_never_run() {
     let (bed, mut engine) = Bed::up_with(|config| config["settings"]["family_info"]["cores"] = json!(100));
