--- a/node/tests/node/sockets.rs
+++ b/node/tests/node/sockets.rs
@@ -1,6 +1,7 @@
 //! Starts the program and speaks to it over sockets. What it waits for has long limits, so that a slow
 //! machine changes no verdict; nothing is judged by how long it took.
 
+use std::collections::{BTreeMap, BTreeSet};
 use std::io::{BufRead, BufReader, ErrorKind, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream, UdpSocket};
 use std::path::PathBuf;
@@ -538,6 +539,128 @@
     assert_eq!(client.reply().body, b"on time");
 }
 
+/// The engine's side of a long play: what runs, what ended, and each notice, kept for links that are lost.
+#[derive(Default)]
+struct Play {
+    running: Vec<String>,
+    ended: BTreeSet<String>,
+    notices: Vec<Value>,
+    /// The try of each mark that was run.
+    ran: BTreeMap<usize, String>,
+    /// The mark of each try that has one.
+    marks: BTreeMap<String, usize>,
+}
+
+impl Play {
+    /// Takes the node's commands up to its next reading; whether there were any.
+    fn commands(&mut self, engine: &mut Engine) -> bool {
+        let mut any = false;
+        loop {
+            let command = engine.line();
+            let call = command["call"].as_str().unwrap_or_default().to_string();
+            match command["msg"].as_str().unwrap() {
+                "STAT" => {
+                    engine.answer_stat(&command);
+                    return any;
+                }
+                "RUN" => {
+                    assert!(!self.ended.contains(&call), "{call} was sent again after its end");
+                    if let Some(mark) = self.marks.get(&call) {
+                        let first = self.ran.entry(*mark).or_insert_with(|| call.clone());
+                        assert_eq!(*first, call, "mark {mark} runs twice");
+                    }
+                    if !self.running.contains(&call) {
+                        self.running.push(call);
+                    }
+                }
+                "HALT" => self.end(&call, "STOPPED"),
+                other => panic!("{other}"),
+            }
+            any = true;
+        }
+    }
+
+    fn end(&mut self, call: &str, how: &str) {
+        let Some(place) = self.running.iter().position(|running| running == call) else { return };
+        self.running.swap_remove(place);
+        self.ended.insert(call.to_string());
+        let (serial, blob) = (self.notices.len() + 1, STANDARD.encode(format!("of {call}")));
+        self.notices.push(json!({"msg": "DONE", "serial": serial, "call": call, "how": how, "blob": blob}));
+    }
+}
+
+#[test]
+fn over_a_long_play_with_lost_links_each_is_answered_once_and_no_mark_runs_twice() {
+    let (bed, mut engine) = Bed::up();
+    let (mut rng, mut play, mut told) = (fastrand::Rng::with_seed(0x0d00_77ac), Play::default(), 0);
+    let mut clients: Vec<Client> = (0..3).map(|_| bed.client()).collect();
+    let mut asked: Vec<(usize, u16, Option<usize>, bool)> = Vec::new();
+    play.commands(&mut engine);
+    let mut quiet = 0;
+    for round in 0.. {
+        if round < 25 {
+            for _ in 0..rng.usize(0..5) {
+                let (client, id) = (rng.usize(0..3), asked.len() as u16 + 1);
+                let mark = rng.bool().then(|| rng.usize(0..12));
+                let text = format!("{:032x}", mark.unwrap_or_default());
+                let script = if mark.is_some() { "/svc/pay" } else { "/svc/look" };
+                let more: Fields = &[("HTTP_IDEMPOTENCY_KEY", &text)];
+                clients[client].send(&request(id, id.into(), script, more, text.as_bytes()));
+                play.marks.extend(mark.map(|mark| (try_id(id.into()), mark)));
+                let aborted = rng.u8(0..8) == 0;
+                if aborted {
+                    clients[client].send(&record(2, id, b""));
+                }
+                asked.push((client, id, mark, aborted));
+            }
+        }
+        let any = play.commands(&mut engine);
+        quiet = if any || !play.running.is_empty() || round < 25 { 0 } else { quiet + 1 };
+        if quiet == 3 {
+            break;
+        }
+        if round < 25 && rng.u8(0..5) == 0 {
+            // What the node has sent and we did not read is lost with the link.
+            drop(engine);
+            if let Some(call) = rng.choice(&play.running).cloned() {
+                play.end(&call, "OK");
+            }
+            engine = bed.link();
+            let attach = engine.line();
+            assert_eq!(attach["msg"], "ATTACH");
+            told = attach["serial"].as_u64().unwrap() as usize;
+            engine.tell(json!({"msg": "HELLO", "how": "WARM", "duration": 1}));
+            // What had ended meanwhile is told first; then nothing ends until runs were sent again, since
+            // that is the one moment in which the node can't know.
+            play.notices[told..].iter().for_each(|notice| engine.tell(notice.clone()));
+            told = play.notices.len();
+            (0..2).for_each(|_| _ = play.commands(&mut engine));
+        }
+        for _ in 0..rng.usize(0..4) {
+            if let Some(call) = rng.choice(&play.running).cloned() {
+                play.end(&call, if rng.u8(0..5) == 0 { "ERROR" } else { "OK" });
+            }
+        }
+        play.notices[told..].iter().for_each(|notice| engine.tell(notice.clone()));
+        told = play.notices.len();
+    }
+    for (nth, client) in clients.iter_mut().enumerate() {
+        let mut open: BTreeMap<u16, (Option<usize>, bool)> = BTreeMap::new();
+        open.extend(
+            asked.iter().filter(|(c, ..)| *c == nth).map(|(_, id, mark, aborted)| (*id, (*mark, *aborted))),
+        );
+        while open.values().any(|(_, aborted)| !aborted) {
+            let reply = client.reply();
+            let (mark, _) = open.remove(&reply.id).expect("answered twice, or never asked");
+            if reply.status == 200 {
+                let run = mark.map_or(try_id(reply.id.into()), |mark| play.ran[&mark].clone());
+                assert_eq!(String::from_utf8_lossy(&reply.body), format!("of {run}"));
+            }
+        }
+    }
+    assert!(play.ended.len() > 20 && play.ran.len() > 3, "little was run");
+}
+
 #[test]
 fn a_broken_record_ends_its_connection_after_what_is_open_was_answered() {
     let (bed, mut engine) = Bed::up();
