--- a/node/tests/node/sockets.rs
+++ b/node/tests/node/sockets.rs
@@ -614,11 +614,6 @@
                 asked.push((client, id, mark, aborted));
             }
         }
-        let any = play.commands(&mut engine);
-        quiet = if any || !play.running.is_empty() || round < 25 { 0 } else { quiet + 1 };
-        if quiet == 3 {
-            break;
-        }
         if round < 25 && rng.u8(0..5) == 0 {
             // What the node has sent and we did not read is lost with the link.
             drop(engine);
@@ -634,7 +629,12 @@
             // that is the one moment in which the node can't know.
             play.notices[told..].iter().for_each(|notice| engine.tell(notice.clone()));
             told = play.notices.len();
-            (0..2).for_each(|_| _ = play.commands(&mut engine));
+            play.commands(&mut engine);
+        }
+        let any = play.commands(&mut engine);
+        quiet = if any || !play.running.is_empty() || round < 25 { 0 } else { quiet + 1 };
+        if quiet == 3 {
+            break;
         }
         for _ in 0..rng.usize(0..4) {
             if let Some(call) = rng.choice(&play.running).cloned() {
