SIGHUP moves engine and registry; a mark with another body is refused, not answered

Checked: an id in use is refused (exchanges.rs, take_in), an id the engine does not know ends by its NO; what was left is Results::repeats, which asked only for group and mark, so the mark of another exchange fetched that one's result whatever the body.

Now: both signals stand in life/signals.rs; life/reload.rs reads the file again and moves link and registry, what cannot be served is left out with a line in the log. An entry keeps a tag of its body, keyed by chance; another body within the window is answered 400 with the field's name.

Seen to fail without: the three tests.

--- a/node/src/life/leave.rs
+++ b/node/src/life/leave.rs
@@ -1,10 +1,9 @@
 //! The end: from the notice to leave to the stop.
 
-use std::io::Read;
-
 use doortrack::{Happened, Tenths};
 use slog::info;
 
+use super::signals::LEAVE_KEY;
 use crate::serve::{MS, Node};
 
 /// The last of the time before the stop is for what is still on its way out.
@@ -12,7 +11,7 @@
 
 impl Node {
     pub(crate) fn leave(&mut self) {
-        _ = self.signal.read(&mut [0; 16]);
+        self.signals.heard(LEAVE_KEY);
         if self.stop_at.is_some() {
             return;
         }
--- a/node/src/life/mod.rs
+++ b/node/src/life/mod.rs
@@ -4,5 +4,7 @@
 pub(crate) mod leave;
 pub mod log;
 pub mod orders;
+mod reload;
 pub(crate) mod report;
+pub(crate) mod signals;
 mod start;
--- a/node/src/life/start.rs
+++ b/node/src/life/start.rs
@@ -1,13 +1,12 @@
 //! The start: what the node needs of the system, and, once the engine is up, the decisions.
 
 use std::collections::{BinaryHeap, HashSet};
-use std::os::unix::net::UnixStream;
 use std::sync::Arc;
 
 use doortrack::logic::Door;
 use doortrack::{Effect, Gauges, Happened, LevelKind, Tenths};
 use doortrack_contract::Fault;
-use polling::{Event, PollMode, Poller};
+use polling::Poller;
 use serde_json::Value;
 use slog::{Logger, info};
 
@@ -15,9 +14,10 @@
 use super::leave::FLUSH;
 use super::orders::Orders;
 use super::report::Slowest;
+use super::signals::Signals;
 use crate::memory::exchanges::Exchanges;
 use crate::memory::results::Results;
-use crate::serve::{Node, SIGNAL_KEY};
+use crate::serve::Node;
 use crate::wire::dispatchers::Dispatchers;
 use crate::wire::engine::Link;
 use crate::wire::registry::Registry;
@@ -27,13 +27,7 @@
     pub fn start(orders: Orders, log: Logger) -> Result<Node, Fault> {
         let plain = |what: &'static str| move |e: std::io::Error| format!("{what}: {e}");
         let poller = Arc::new(Poller::new().map_err(plain("poller"))?);
-        let (signal, sender) = UnixStream::pair().map_err(plain("signals"))?;
-        signal.set_nonblocking(true).map_err(plain("signals"))?;
-        signal_hook::low_level::pipe::register(signal_hook::consts::SIGTERM, sender)
-            .map_err(plain("signals"))?;
-        // SAFETY: the node keeps the socket as long as the poller.
-        unsafe { poller.add_with_mode(&signal, Event::readable(SIGNAL_KEY), PollMode::Level) }
-            .map_err(plain("signals"))?;
+        let signals = Signals::open(&poller).map_err(plain("signals"))?;
         let handed = &orders.handed;
         let groups = &handed.contract.groups;
         let patience = groups.iter().map(|group| group.async_timeout).max().unwrap_or(0);
@@ -59,7 +53,7 @@
             clock: Clock::default(),
             now: 0,
             poller,
-            signal,
+            signals,
             dispatchers,
             link,
             registry,
--- a/node/src/memory/results.rs
+++ b/node/src/memory/results.rs
@@ -1,6 +1,7 @@
 //! The table of deduplicated exchanges: which mark was taken in when, and what its run brought.
 
 use std::collections::HashMap;
+use std::hash::{BuildHasher, RandomState};
 
 use doortrack::{ExId, Tenths};
 use rustc_hash::FxHashMap;
@@ -18,6 +19,8 @@
 
 struct Entry {
     ex: ExId,
+    /// Tells the body that it came with from others.
+    tag: u64,
     /// When the try that holds the entry came to the machine.
     stamp: Tenths,
     window: Tenths,
@@ -29,6 +32,15 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct NoResult;
 
+/// What one with a mark is to those that came before.
+#[derive(Debug, PartialEq)]
+pub enum Repeats {
+    Nothing,
+    Of(ExId),
+    /// The mark is in use for another body, by a mistake or by design: what that one brings is not for it.
+    Misused,
+}
+
 /// What a repeat may be answered with.
 #[derive(Debug, PartialEq)]
 pub enum Found<'a> {
@@ -39,6 +51,8 @@
 
 pub struct Results {
     entries: HashMap<Key, Entry>,
+    /// Keyed by chance, so that nobody can make a body that passes for another.
+    tags: RandomState,
     keys: FxHashMap<ExId, Key>,
     bytes: usize,
     most_entries: usize,
@@ -50,8 +64,8 @@
 
 impl Results {
     pub fn new(most_entries: usize, most_bytes: usize, patience: Tenths) -> Self {
-        let (entries, keys) = Default::default();
-        Results { entries, keys, bytes: 0, most_entries, most_bytes, patience, tidied: 0 }
+        let (entries, tags, keys) = Default::default();
+        Results { entries, tags, keys, bytes: 0, most_entries, most_bytes, patience, tidied: 0 }
     }
 
     pub fn has_room(&self) -> bool {
@@ -62,20 +76,25 @@
         self.bytes
     }
 
-    /// The exchange that one with this mark repeats. The window counts from stamp to stamp, so it does not
-    /// matter how late a repeat is read.
-    pub fn repeats(&self, key: &Key, stamp: Tenths) -> Option<ExId> {
-        let entry = self.entries.get(key)?;
+    /// What one with this mark and body repeats. The window counts from stamp to stamp, so it does not matter
+    /// how late a repeat is read.
+    pub fn repeats(&self, key: &Key, body: &[u8], stamp: Tenths) -> Repeats {
+        let Some(entry) = self.entries.get(key) else { return Repeats::Nothing };
         let within = stamp <= entry.stamp + entry.window + WINDOW_SLACK;
-        (within || entry.end.is_none()).then_some(entry.ex)
+        match within || entry.end.is_none() {
+            false => Repeats::Nothing,
+            true if entry.tag == self.tags.hash_one(body) => Repeats::Of(entry.ex),
+            true => Repeats::Misused,
+        }
     }
 
     /// Enters an exchange that came at `stamp`, for a window that has `lasting` left.
-    pub fn record(&mut self, ex: ExId, key: Key, stamp: Tenths, lasting: Tenths, now: Tenths) {
+    pub fn record(&mut self, ex: ExId, key: Key, body: &[u8], stamp: Tenths, lasting: Tenths, now: Tenths) {
         let stamp = stamp.min(now);
         let window = (now + lasting).saturating_sub(stamp);
         let kept_till = now + lasting + WINDOW_SLACK + self.patience;
-        let entry = Entry { ex, stamp, window, kept_till, end: None };
+        let tag = self.tags.hash_one(body);
+        let entry = Entry { ex, tag, stamp, window, kept_till, end: None };
         if let Some(old) = self.entries.insert(key, entry) {
             self.bytes -= size(&old);
             self.keys.remove(&old.ex);
--- a/node/src/serve.rs
+++ b/node/src/serve.rs
@@ -2,7 +2,6 @@
 
 use std::cmp::Reverse;
 use std::collections::{BinaryHeap, HashSet};
-use std::os::unix::net::UnixStream;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -16,8 +15,9 @@
 use crate::life::leave::FLUSH;
 use crate::life::orders::Orders;
 use crate::life::report::{self, Slowest};
+use crate::life::signals::{LEAVE_KEY, RELOAD_KEY, Signals};
 use crate::memory::exchanges::{Ex, Exchanges, Stage};
-use crate::memory::results::{Found, Key, NoResult, Results};
+use crate::memory::results::{Found, Key, NoResult, Repeats, Results};
 use crate::wire::dispatchers::{Caller, Came, Dispatchers, LISTEN_KEY};
 use crate::wire::end::{End, Outcome};
 use crate::wire::engine::{ENGINE_KEY, Link, Told};
@@ -25,7 +25,6 @@
 use crate::wire::registry::Registry;
 use crate::wire::request::{Answer, Request, Unreadable};
 
-pub(crate) const SIGNAL_KEY: usize = 2;
 pub(crate) const MS: Tenths = 10;
 /// A reading of the gauges is waited for so long; the engine may be slow or out of reach.
 const READING: Tenths = 5 * MS;
@@ -42,7 +41,7 @@
     pub(crate) clock: Clock,
     pub(crate) now: Tenths,
     pub(crate) poller: Arc<Poller>,
-    pub(crate) signal: UnixStream,
+    pub(crate) signals: Signals,
     pub(crate) dispatchers: Dispatchers,
     pub(crate) link: Link,
     pub(crate) registry: Registry,
@@ -125,14 +124,20 @@
             Err(e) if e.kind() != std::io::ErrorKind::Interrupted => return Err(format!("poller: {e}")),
             _ => self.now = self.clock.now(),
         }
+        let mut reload = false;
         for event in events.iter() {
             match event.key {
                 LISTEN_KEY => _ = self.dispatchers.accept(self.now, came),
                 ENGINE_KEY => self.link.ready(event, self.now, told),
-                SIGNAL_KEY => self.leave(),
+                LEAVE_KEY => self.leave(),
+                // Last, as what else is ready was read off the links that are to be left.
+                RELOAD_KEY => reload = true,
                 _ => self.dispatchers.ready(event, self.now, came),
             }
         }
+        if reload {
+            self.reload(told);
+        }
         Ok(())
     }
 
@@ -182,7 +187,15 @@
             self.decide();
             self.marks.extend(key);
         }
-        let repeats = key.and_then(|key| self.results.repeats(&key, request.stamp));
+        let found = key.map_or(Repeats::Nothing, |key| self.results.repeats(&key, &body, request.stamp));
+        let repeats = match found {
+            Repeats::Nothing => None,
+            Repeats::Of(first) => Some(first),
+            Repeats::Misused => {
+                let misused = Answer::Unreadable(Unreadable::Field("HTTP_IDEMPOTENCY_KEY"));
+                return self.dispatchers.answer(caller, misused);
+            }
+        };
         let (try_id, group, stamp) = (request.try_id, request.group, request.stamp);
         let ex = Ex { try_id, group, key, stamp, body, caller: Some(caller), stage: Stage::Held, repeats };
         let Some(id) = self.exs.take_in(ex) else {
@@ -362,7 +375,7 @@
             },
             Todo::Record { id, lasting } => {
                 if let Some((ex, key)) = self.exs.get(id).and_then(|ex| ex.key.map(|key| (ex, key))) {
-                    self.results.record(id, key, ex.stamp, lasting, self.now);
+                    self.results.record(id, key, &ex.body, ex.stamp, lasting, self.now);
                 }
             }
             Todo::Forget { id } => {
--- a/node/src/wire/engine.rs
+++ b/node/src/wire/engine.rs
@@ -153,6 +153,18 @@
         self.out.clear();
     }
 
+    /// The engine is to be found elsewhere from here on.
+    pub fn move_to(&mut self, at: SocketAddr, now: Tenths, told: &mut Vec<Told>) {
+        if at == self.at {
+            return;
+        }
+        (self.at, self.missed) = (at, false);
+        if self.state != State::Down {
+            self.lose(now, "the engine moved", told);
+        }
+        self.next_try = now;
+    }
+
     pub fn ready(&mut self, event: Event, now: Tenths, told: &mut Vec<Told>) {
         if self.state == State::Connecting && (event.writable || event.readable) {
             let error = self.sock.as_ref().and_then(|sock| sock.take_error().transpose());
--- a/node/src/wire/registry.rs
+++ b/node/src/wire/registry.rs
@@ -10,6 +10,7 @@
 
 pub struct Registry {
     sock: UdpSocket,
+    own: SocketAddr,
     name: String,
     pub next: Tenths,
     draining: bool,
@@ -17,10 +18,14 @@
 
 impl Registry {
     pub fn open(own: SocketAddr, registry: SocketAddr, name: String) -> io::Result<Self> {
-        let sock = UdpSocket::bind((own.ip(), 0))?;
-        sock.set_nonblocking(true)?;
-        sock.connect(registry)?;
-        Ok(Registry { sock, name, next: 0, draining: false })
+        Ok(Registry { sock: socket(own, registry)?, own, name, next: 0, draining: false })
+    }
+
+    /// Reports go elsewhere from here on, the next one at once.
+    pub fn move_to(&mut self, registry: SocketAddr) -> io::Result<()> {
+        self.sock = socket(self.own, registry)?;
+        self.next = 0;
+        Ok(())
     }
 
     /// What stands in the reports from here on; a change is told at once.
@@ -40,6 +45,13 @@
     }
 }
 
+fn socket(own: SocketAddr, registry: SocketAddr) -> io::Result<UdpSocket> {
+    let sock = UdpSocket::bind((own.ip(), 0))?;
+    sock.set_nonblocking(true)?;
+    sock.connect(registry)?;
+    Ok(sock)
+}
+
 pub fn report(name: &str, draining: bool) -> String {
     format!("BEAT {name} {}", if draining { "draining" } else { "ready" })
 }
--- a/node/tests/node/parts.rs
+++ b/node/tests/node/parts.rs
@@ -7,7 +7,7 @@
 use doortrack::RunOutcome;
 use doortrack_node::life::orders::{self, Room};
 use doortrack_node::memory::exchanges::{Ex, Exchanges, Stage};
-use doortrack_node::memory::results::{Found, NoResult, Results};
+use doortrack_node::memory::results::{Found, NoResult, Repeats, Results};
 use doortrack_node::wire::dispatchers::{Dispatchers, FIRST_KEY};
 use doortrack_node::wire::end::{End, Outcome};
 use doortrack_node::wire::fastcgi::{self, Piece, Splitter};
@@ -369,24 +369,34 @@
     let mut results = Results::new(10, 100, 4500 * MS);
     let (stamp, window) = (1000 * MS, 6000 * MS);
     // Read 20 ms after it came, so 5980 ms of the window are left.
-    results.record(1, KEY, stamp, window - 20 * MS, stamp + 20 * MS);
+    results.record(1, KEY, b"", stamp, window - 20 * MS, stamp + 20 * MS);
     assert_eq!(results.result(1), Found::Pending);
     results.ended(1, Ok(b"done"));
     results.tidy(stamp + window + 4000 * MS);
-    assert_eq!(results.repeats(&KEY, stamp + window), Some(1), "read 4 s after the window ran out");
-    assert_eq!(results.repeats(&KEY, stamp + window + 200 * MS), None, "it came after the window");
-    assert_eq!(results.repeats(&(0, KEY.1), stamp), None, "another endpoint group");
+    assert_eq!(
+        results.repeats(&KEY, b"", stamp + window),
+        Repeats::Of(1),
+        "read 4 s after the window ran out"
+    );
+    assert_eq!(
+        results.repeats(&KEY, b"", stamp + window + 200 * MS),
+        Repeats::Nothing,
+        "it came after the window"
+    );
+    assert_eq!(results.repeats(&(0, KEY.1), b"", stamp), Repeats::Nothing, "another endpoint group");
+    assert_eq!(results.repeats(&KEY, b"another body", stamp), Repeats::Misused);
+    assert_eq!(results.repeats(&KEY, b"another body", stamp + window + 200 * MS), Repeats::Nothing);
     assert_eq!(results.result(1), Found::Result(b"done"));
     results.tidy(stamp + window + 5000 * MS);
-    assert_eq!((results.repeats(&KEY, stamp), results.bytes()), (None, 0));
+    assert_eq!((results.repeats(&KEY, b"", stamp), results.bytes()), (Repeats::Nothing, 0));
 }
 
 #[test]
 fn one_in_hand_is_repeated_even_past_its_window() {
     let mut results = Results::new(10, 100, 0);
-    results.record(1, KEY, 0, 10 * MS, 0);
+    results.record(1, KEY, b"", 0, 10 * MS, 0);
     results.tidy(60_000 * MS);
-    assert_eq!(results.repeats(&KEY, 60_000 * MS), Some(1));
+    assert_eq!(results.repeats(&KEY, b"", 60_000 * MS), Repeats::Of(1));
 }
 
 #[test]
@@ -394,17 +404,17 @@
     let mut results = Results::new(3, 10, 0);
     for ex in 1..=3u32 {
         assert!(results.has_room());
-        results.record(ex, (0, [ex as u8; 32]), 0, 1000 * MS, 0);
+        results.record(ex, (0, [ex as u8; 32]), b"", 0, 1000 * MS, 0);
         results.ended(ex, Ok(b"123456"));
     }
     assert!(!results.has_room());
     assert_eq!(results.result(1), Found::Result(b"123456"));
     assert_eq!(results.result(2), Found::None, "it ran, but there was no room for its result");
-    assert_eq!(results.repeats(&(0, [2; 32]), 0), Some(2), "so it must not run again");
+    assert_eq!(results.repeats(&(0, [2; 32]), b"", 0), Repeats::Of(2), "so it must not run again");
     results.forget(1);
     assert!(results.has_room());
-    assert_eq!((results.bytes(), results.repeats(&(0, [1; 32]), 0)), (0, None));
-    results.record(4, (0, [3; 32]), 2000 * MS, 1000 * MS, 2000 * MS);
+    assert_eq!((results.bytes(), results.repeats(&(0, [1; 32]), b"", 0)), (0, Repeats::Nothing));
+    results.record(4, (0, [3; 32]), b"", 2000 * MS, 1000 * MS, 2000 * MS);
     assert_eq!((results.result(3), results.result(4)), (Found::None, Found::Pending), "a new try holds it");
     results.ended(4, Err(NoResult));
     assert_eq!(results.result(4), Found::None);
@@ -413,10 +423,10 @@
 #[test]
 fn a_stamp_in_the_future_ends_its_entry_all_the_same() {
     let mut results = Results::new(3, 10, 0);
-    results.record(1, KEY, u64::MAX, 1000 * MS, 500 * MS);
-    assert_eq!(results.repeats(&KEY, 1500 * MS), Some(1));
+    results.record(1, KEY, b"", u64::MAX, 1000 * MS, 500 * MS);
+    assert_eq!(results.repeats(&KEY, b"", 1500 * MS), Repeats::Of(1));
     results.ended(1, Ok(b"1"));
-    assert_eq!(results.repeats(&KEY, 1700 * MS), None);
+    assert_eq!(results.repeats(&KEY, b"", 1700 * MS), Repeats::Nothing);
     results.tidy(2000 * MS);
     assert!(results.has_room() && results.bytes() == 0);
 }
--- a/node/tests/node/sockets.rs
+++ b/node/tests/node/sockets.rs
@@ -22,6 +22,12 @@
     SystemTime::now().duration_since(UNIX_EPOCH).unwrap().as_millis() as u64
 }
 
+fn open_registry() -> UdpSocket {
+    let registry = UdpSocket::bind("127.0.0.1:0").unwrap();
+    registry.set_read_timeout(Some(LONG)).unwrap();
+    registry
+}
+
 /// The program, with its engine and registry played by the test.
 struct Bed {
     program: Child,
@@ -38,8 +44,7 @@
         let [.., b, c] = std::process::id().to_be_bytes();
         let at: SocketAddr = format!("127.{}.{b}.{c}:9090", 20 + nth % 200).parse().unwrap();
         let door = TcpListener::bind("127.0.0.1:0").unwrap();
-        let registry = UdpSocket::bind("127.0.0.1:0").unwrap();
-        registry.set_read_timeout(Some(LONG)).unwrap();
+        let registry = open_registry();
         let mut config = config();
         config["listen"] = json!(at.to_string());
         config["engine"] = json!(door.local_addr().unwrap().to_string());
@@ -110,6 +115,12 @@
         assert!((0..40).any(|_| self.report() == wanted), "never reported {state}");
     }
 
+    /// Replaces the configuration and tells the program so.
+    fn reload(&self, text: &str) {
+        std::fs::write(self.folder.join("config.json"), text).unwrap();
+        self.signal("-HUP");
+    }
+
     fn signal(&self, name: &str) {
         let id = self.program.id().to_string();
         assert!(Command::new("kill").args([name, &id]).status().unwrap().success());
@@ -378,6 +389,22 @@
     assert_eq!(client.reply().status, 500);
 }
 
+#[test]
+fn a_mark_that_comes_with_another_body_is_refused_and_never_answered_with_the_result() {
+    let (bed, mut engine) = Bed::up();
+    let mut client = bed.client();
+    let pay = |id, nth, body| request(id, nth, "/svc/pay", &[MARK], body);
+    client.send(&pay(1, 1, b"one boat"));
+    let (call, _) = engine.run();
+    client.send(&pay(2, 2, b"two boats"));
+    assert_eq!(client.reply().status, 400, "while the first runs");
+    engine.done(1, &call, "OK", b"paid");
+    assert_eq!(client.reply().body, b"paid");
+    client.send(&[pay(3, 3, b"two boats"), pay(4, 4, b"one boat")].concat());
+    let (other, same) = (client.reply(), client.reply());
+    assert_eq!((other.status, same.body), (400, b"paid".to_vec()), "once it has a result");
+}
+
 #[test]
 fn what_the_engine_never_began_may_run_in_a_later_try() {
     let (bed, mut engine) = Bed::up();
@@ -481,6 +508,36 @@
     bed.link().hello(4);
 }
 
+#[test]
+fn a_replaced_configuration_moves_engine_and_registry_and_what_runs_goes_on() {
+    let (mut bed, mut engine) = Bed::up();
+    let mut client = bed.client();
+    client.look(1, 1);
+    client.look(2, 2);
+    let (first, second) = (engine.run().0, engine.run().0);
+    engine.done(1, &first, "OK", b"before");
+    assert_eq!(client.reply().body, b"before");
+    engine.readings(2);
+    // One that can't be served changes nothing.
+    bed.reload("{");
+    engine.readings(3);
+    (bed.door, bed.registry) = (TcpListener::bind("127.0.0.1:0").unwrap(), open_registry());
+    let mut text = config();
+    text["listen"] = json!(bed.at.to_string());
+    text["engine"] = json!(bed.door.local_addr().unwrap().to_string());
+    text["registry"] = json!(bed.registry.local_addr().unwrap().to_string());
+    bed.reload(&text.to_string());
+    let mut engine = bed.link();
+    engine.hello(1);
+    assert_eq!(bed.report(), "BEAT n1 ready");
+    client.look(3, 3);
+    assert_eq!(engine.run().0, try_id(3), "what runs is not sent again");
+    engine.done(2, &second, "OK", b"meanwhile");
+    assert_eq!(client.reply().body, b"meanwhile");
+    engine.done(3, &try_id(3), "OK", b"after");
+    assert_eq!(client.reply().body, b"after");
+}
+
 #[test]
 fn a_run_that_may_not_have_arrived_is_sent_again_once_the_notices_missed_are_in() {
     let (bed, mut engine) = Bed::up();
