The number of a dispatcher may have any width; what cannot be read is counted by field

Ruled out: memory (3 of 32 MB), descriptors (152 of 384), the link. At fault: Request::caller in node/src/wire/request.rs was a u16, and numbers of dispatchers are always new, so they pass 65,535. Now u64, in the interface too; the decisions do not read it. Seen to fail: the case in a_request_is_read_with_its_fields.

--- a/drill/src/wire.rs
+++ b/drill/src/wire.rs
@@ -131,7 +131,7 @@
         let kb = self.f32("kb")?;
         let rank = self.f32("place")?;
         let bits = self.u8("state_bits")?;
-        let caller = self.u16("who")?;
+        let caller = self.u16("who")?.into();
         let age = self.u32("lay")?;
         let repeats = self.u32("prior")?;
         Ok(Exchange {
--- a/node/src/life/report.rs
+++ b/node/src/life/report.rs
@@ -24,7 +24,7 @@
         info!(self.log, "so far"; "completed" => counts.completed, "denied" => counts.denied,
             "terminated" => counts.terminated,
             "in_hand" => self.exs.in_hand(), "connections" => self.dispatchers.connections(),
-            "accepted" => counts.accepted, "unreadable" => counts.unreadable, "no_room" => counts.no_room,
+            "accepted" => counts.accepted, "unreadable" => ?counts.unreadable, "no_room" => counts.no_room,
             "checks" => counts.checks, "ends" => ?counts.ends, "unread_bytes" => self.dispatchers.unread(),
             "result_bytes" => self.results.bytes(), "link_losses" => self.link.losses,
             "turn_ms" => self.slowest.turn / MS, "reading_ms" => self.slowest.reading / MS,
--- a/node/src/wire/dispatchers.rs
+++ b/node/src/wire/dispatchers.rs
@@ -48,7 +48,8 @@
     pub denied: u64,
     pub terminated: u64,
     pub checks: u64,
-    pub unreadable: u64,
+    /// By what could not be read.
+    pub unreadable: BTreeMap<&'static str, u64>,
     pub no_room: u64,
     pub ends: BTreeMap<&'static str, u64>,
 }
@@ -362,7 +363,8 @@
             Answer::Denied { .. } => self.counts.denied += 1,
             Answer::Terminated => self.counts.terminated += 1,
             Answer::Health { .. } => self.counts.checks += 1,
-            Answer::Unreadable(_) | Answer::UnknownRole => self.counts.unreadable += 1,
+            Answer::Unreadable(what) => *self.counts.unreadable.entry(what.name()).or_default() += 1,
+            Answer::UnknownRole => *self.counts.unreadable.entry("role").or_default() += 1,
             Answer::NoRoom => self.counts.no_room += 1,
         }
         self.open -= 1;
--- a/node/src/wire/request.rs
+++ b/node/src/wire/request.rs
@@ -24,7 +24,7 @@
     pub stamp: Tenths,
     pub group: u8,
     pub customer: u16,
-    pub caller: u16,
+    pub caller: u64,
     pub further_try: bool,
     pub kb: f32,
     pub rank: f32,
@@ -45,6 +45,16 @@
     TooLong,
 }
 
+impl Unreadable {
+    /// The word for it in the log and in the answer.
+    pub fn name(self) -> &'static str {
+        match self {
+            Unreadable::Field(name) => name,
+            Unreadable::TooLong => "length",
+        }
+    }
+}
+
 /// The names that may stand in a request, in the order of the contract.
 pub struct Names {
     pub groups: Vec<String>,
--- a/node/tests/node/parts.rs
+++ b/node/tests/node/parts.rs
@@ -222,6 +222,9 @@
     let Ok(Asked::Exchange(request)) = read(&look) else { panic!("not read") };
     assert_eq!((request.mark, request.subject, request.further_try), (None, 0x7f3a_9c21_e0b4_d655, true));
     assert_eq!(read(&[("SCRIPT_NAME", "/status/live")]), Ok(Asked::Health));
+    // Found on a long day: numbers of dispatchers are always new, and past 65,535 all were turned away.
+    look[4].1 = "18446744073709551615";
+    assert!(matches!(read(&look), Ok(Asked::Exchange(request)) if request.caller == u64::MAX));
 }
 
 #[test]
@@ -325,7 +328,7 @@
     for _ in 0..turns {
         _ = deaf.write(&batch);
         sound.write_all(&empty).unwrap();
-        let before = dispatchers.counts.unreadable;
+        let before = dispatchers.counts.unreadable.clone();
         while dispatchers.counts.unreadable == before {
             events.clear();
             poller.wait(&mut events, None).unwrap();
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -65,8 +65,8 @@
     pub rank: f32,
     /// Marked as a further try or second copy.
     pub further_try: bool,
-    /// Which caller sent it.
-    pub caller: u16,
+    /// Which caller sent it; numbers are used up as callers come and go, so no width is too much.
+    pub caller: u64,
     /// Time since it reached the machine.
     pub age: Tenths,
     /// The recorded exchange that this one repeats.
