Bounds for bad clients in one place: silent, endless and repeated requests; reports every 0.3 s

The log by field told 2,900 to 3,600 unreadable SCRIPT_NAMEs a node in 20 s: whoever is turned away sends the same again at full speed.

--- /dev/null
+++ b/node/src/wire/bounds.rs
@@ -0,0 +1,47 @@
+//! What keeps a bad client or peer off: the bounds of the wire's own protection, in this one place. None of them
+//! is a decision on work, and a sound dispatcher meets none of them.
+
+use doortrack::Tenths;
+
+const MS: Tenths = 10;
+
+/// Requests that one connection may have open, by the protocol.
+pub const MOST_OPEN: usize = 32;
+/// Parameters of one request; with its body this is what a request may cost while it is read.
+pub const MOST_PARAMS: usize = 8192;
+pub const MOST_BODY: usize = 2048;
+/// Bytes read off one connection with no whole request in them: as many as all that it may have open can take,
+/// with their records. Past that come bodies of many MB, or records for nobody, and neither is worth its reading.
+pub const MOST_UNWHOLE: usize = MOST_OPEN * (MOST_PARAMS + MOST_BODY + 1024);
+/// A connection with so many answers unread is not read further until they are.
+pub const MOST_UNREAD: usize = 64 * 1024;
+/// What a buffer keeps once it is empty; so much unread is everyone's fair part of the room for answers.
+pub const FAIR_UNREAD: usize = 16 * 1024;
+/// How much is read off one connection before the others have their turn.
+pub const TURN: usize = 64 * 1024;
+/// Turns of reading that a connection has at the very end: all that it may have open, with room to spare.
+pub const LAST_TURNS: usize = 8;
+/// Connections accepted before those that are open have their turn.
+pub const ACCEPTS: usize = 64;
+/// Connections that never asked for anything, let go of at once where the table is full: so that looking them
+/// out costs each that comes little.
+pub const EVICTED: usize = 16;
+/// Most that a connection has for a whole request, from its start or from when one began to come.
+const WHOLE_WITHIN: Tenths = 2_000 * MS;
+/// A stamp so many times the longest async timeout away from now was not written by a sound clock. Handed over,
+/// it would pass for a node that drowns.
+const FAR_OFF: Tenths = 10;
+
+/// No notice of the engine is longer: a result of 4 KiB in base64 with its frame is a tenth of it.
+pub const MOST_LINE: usize = 64 * 1024;
+/// An engine that leaves so much unread is taken for hung, and the link made anew.
+pub const MOST_COMMANDS: usize = 4 * 1024 * 1024;
+
+/// How long a connection may take over a request, where nobody waits longer than `patience` for anything.
+pub fn whole_within(patience: Tenths) -> Tenths {
+    patience.min(WHOLE_WITHIN)
+}
+
+pub fn is_far_off(stamp: Tenths, now: Tenths, patience: Tenths) -> bool {
+    stamp.abs_diff(now) > patience.saturating_mul(FAR_OFF)
+}
--- a/node/src/wire/conn.rs
+++ b/node/src/wire/conn.rs
@@ -5,18 +5,9 @@
 
 use doortrack::{ExId, Tenths};
 
+use super::bounds::{FAIR_UNREAD, MOST_BODY, MOST_OPEN, MOST_PARAMS, MOST_UNREAD, MOST_UNWHOLE};
 use super::end::End;
 use super::fastcgi::Splitter;
-use super::request::MOST_BODY;
-
-/// Requests that one connection may have open, by the protocol.
-const MOST_OPEN: usize = 32;
-/// Parameters of one request; with its body this is what a request may cost while it is read.
-const MOST_PARAMS: usize = 8192;
-/// A connection with so many answers unread is not read further until they are.
-const MOST_UNREAD: usize = 64 * 1024;
-/// What a buffer keeps once it is empty; so much unread is everyone's fair part of the room for answers.
-pub const FAIR_UNREAD: usize = 16 * 1024;
 
 /// A request that has not been answered.
 #[derive(Default)]
@@ -24,12 +15,10 @@
     pub id: u16,
     /// Never the same twice: ids and places may be taken again while an answer is on its way.
     pub nth: u64,
-    began: Tenths,
     params: Vec<u8>,
     body: Vec<u8>,
     params_whole: bool,
     body_whole: bool,
-    too_long: bool,
     /// Known to the decisions under this name.
     pub ex: Option<ExId>,
 }
@@ -52,7 +41,6 @@
     pub nth: u64,
     pub params: Vec<u8>,
     pub body: Vec<u8>,
-    pub too_long: bool,
 }
 
 pub struct Conn {
@@ -63,6 +51,16 @@
     written: usize,
     /// Last time that anything was read, or that unread answers moved.
     pub moved: Tenths,
+    /// A whole request has come on it.
+    pub spoke: bool,
+    /// Since when a whole request is due: from the start, and while one is half read.
+    due_since: Option<Tenths>,
+    /// Bytes read with no whole request in them.
+    unwhole: usize,
+    /// Something on it could not be read: it is not read again before the next sweep, so that who sends the same
+    /// again at full speed has a few turns a second and no more. A sound dispatcher with a bad client waits as
+    /// long, for what that client brought.
+    pub rests: bool,
     /// Nothing more is read once it is half closed or malformed, or this node is about to end.
     pub reading: bool,
     /// It is to be closed once all that is open has been answered.
@@ -84,6 +82,10 @@
             out: Vec::new(),
             written: 0,
             moved: now,
+            spoke: false,
+            due_since: Some(now),
+            unwhole: 0,
+            rests: false,
             reading: true,
             last: None,
             doomed: None,
@@ -105,13 +107,26 @@
         self.sock.peek(&mut [0]).is_err_and(|e| e.kind() == ErrorKind::WouldBlock)
     }
 
-    /// Whether a request comes in so slowly that its caller can't wait for it any more.
-    pub fn trickles(&self, now: Tenths, patience: Tenths) -> bool {
-        self.open.iter().any(|open| open.half_read() && now.saturating_sub(open.began) > patience)
+    /// Whether a whole request has been due for longer than it may take: nothing came, or it trickles.
+    pub fn is_slow(&self, now: Tenths, within: Tenths) -> bool {
+        self.reading
+            && self.due_since.is_some_and(|since| now.saturating_sub(since) > within)
+            && (!self.idle() || self.nothing_came())
+    }
+
+    /// What came was taken in; whether it is more than any request can hold.
+    pub fn took_in(&mut self, bytes: usize, now: Tenths) -> bool {
+        let between = self.splitter.at_boundary() && !self.open.iter().any(Open::half_read);
+        match between && self.spoke {
+            true => self.due_since = None,
+            false => _ = self.due_since.get_or_insert(now),
+        }
+        self.unwhole += bytes;
+        self.unwhole > MOST_UNWHOLE
     }
 
     pub fn wants(&self) -> (bool, bool) {
-        (self.reading && self.unread() < MOST_UNREAD, self.unread() > 0)
+        (self.reading && !self.rests && self.unread() < MOST_UNREAD, self.unread() > 0)
     }
 
     /// Reads once; how many bytes came, or how it ended.
@@ -162,8 +177,8 @@
     }
 
     /// Begins a request; whether it is one too many.
-    pub fn begin(&mut self, id: u16, nth: u64, now: Tenths) -> bool {
-        self.open.push(Open { id, nth, began: now, ..Open::default() });
+    pub fn begin(&mut self, id: u16, nth: u64) -> bool {
+        self.open.push(Open { id, nth, ..Open::default() });
         self.open.len() > MOST_OPEN
     }
 
@@ -172,17 +187,18 @@
         self.open.iter_mut().find(|open| open.id == id && open.half_read())
     }
 
-    pub fn collect(&mut self, id: u16, stream: Stream, bytes: &[u8]) {
-        let Some(open) = self.unfinished(id) else { return };
+    /// Keeps a part of a request; the request's number, if it is longer than any may be.
+    pub fn collect(&mut self, id: u16, stream: Stream, bytes: &[u8]) -> Option<u64> {
+        let open = self.unfinished(id)?;
         let (buffer, most) = match stream {
             Stream::Params => (&mut open.params, MOST_PARAMS),
             Stream::Body => (&mut open.body, MOST_BODY),
         };
         if buffer.len() + bytes.len() > most {
-            open.too_long = true;
-        } else {
-            buffer.extend(bytes);
+            return Some(open.nth);
         }
+        buffer.extend(bytes);
+        None
     }
 
     /// One stream of a request has ended; the request, if it is whole with that.
@@ -192,13 +208,13 @@
             Stream::Params => open.params_whole = true,
             Stream::Body => open.body_whole = true,
         }
-        let (params, body) = (&mut open.params, &mut open.body);
-        (open.params_whole && open.body_whole).then(|| Whole {
-            nth: open.nth,
-            params: std::mem::take(params),
-            body: std::mem::take(body),
-            too_long: open.too_long,
-        })
+        if open.half_read() {
+            return None;
+        }
+        let (params, body) = (std::mem::take(&mut open.params), std::mem::take(&mut open.body));
+        let whole = Whole { nth: open.nth, params, body };
+        (self.spoke, self.due_since, self.unwhole) = (true, None, 0);
+        Some(whole)
     }
 
     /// Takes out a request by its id, or by its number.
--- a/node/src/wire/dispatchers.rs
+++ b/node/src/wire/dispatchers.rs
@@ -11,7 +11,8 @@
 use slab::Slab;
 use socket2::{Domain, Socket, Type};
 
-use super::conn::{Conn, FAIR_UNREAD, Stream};
+use super::bounds::{self, ACCEPTS, EVICTED, FAIR_UNREAD, LAST_TURNS, TURN};
+use super::conn::{Conn, Stream};
 use super::end::End;
 use super::fastcgi::{self, Piece, RESPONDER};
 use super::request::{self, Answer, Asked, Names, Request, Unreadable};
@@ -21,13 +22,6 @@
 /// Connections have the keys from here on.
 pub const FIRST_KEY: usize = 16;
 
-/// How much is read off one connection before the others have their turn.
-const TURN: usize = 64 * 1024;
-/// Turns of reading that a connection has at the very end: all that it may have open, with room to spare.
-const LAST_TURNS: usize = 8;
-/// Connections accepted before those that are open have their turn.
-const ACCEPTS: usize = 64;
-
 /// Where an answer goes: a place in the table, and the number of a request there.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Caller {
@@ -162,11 +156,24 @@
         Ok(())
     }
 
+    /// Lets go of some that never asked for anything, those first that came first; where there are none, of the
+    /// one that lay idle longest. Many that come only to sit there so cost those that ask little.
     fn make_room(&mut self, came: &mut Vec<Came>) -> bool {
-        let idle = self.conns.iter().filter(|(_, conn)| conn.idle() && conn.nothing_came());
-        let Some((slot, _)) = idle.min_by_key(|(_, conn)| conn.moved) else { return false };
-        self.close(slot, End::Evicted, came);
-        true
+        let useless = |conn: &Conn| conn.idle() || (!conn.spoke && conn.reading && conn.unread() == 0);
+        let useless = self.conns.iter().filter(|(_, conn)| useless(conn));
+        let mut useless: Vec<_> = useless.map(|(slot, conn)| (conn.spoke, conn.moved, slot)).collect();
+        useless.sort_unstable();
+        let silent = useless.partition_point(|(spoke, ..)| !spoke).min(EVICTED);
+        let before = self.conns.len();
+        for (spoke, _, slot) in useless {
+            if before - self.conns.len() >= if spoke { 1 } else { silent } {
+                break;
+            }
+            if self.conns[slot].nothing_came() {
+                self.close(slot, End::Evicted, came);
+            }
+        }
+        self.conns.len() < before
     }
 
     fn accept_again(&mut self, accepting: bool) {
@@ -193,18 +200,23 @@
     /// Closes what lay idle for long enough, and what nobody can be waiting for any more.
     pub fn sweep(&mut self, now: Tenths, came: &mut Vec<Came>) {
         let mut over = Vec::new();
-        for (slot, conn) in &self.conns {
+        let within = bounds::whole_within(self.patience);
+        for (slot, conn) in &mut self.conns {
+            if std::mem::take(&mut conn.rests) && !conn.dirty {
+                conn.dirty = true;
+                self.dirty.push(slot);
+            }
             let quiet = now.saturating_sub(conn.moved);
             if conn.idle() && quiet >= self.idle_limit && conn.nothing_came() {
                 over.push((slot, End::Idle));
             } else if conn.unread() > 0 && quiet > self.patience {
                 over.push((slot, End::Unread));
-            } else if conn.trickles(now, self.patience) {
-                over.push((slot, End::Malformed));
+            } else if conn.is_slow(now, within) {
+                over.push((slot, End::Slow));
             }
         }
         for (slot, end) in over {
-            if end == End::Malformed { self.malformed(slot) } else { self.close(slot, end, came) }
+            if end == End::Slow { self.give_up(slot, end) } else { self.close(slot, end, came) }
         }
         let full = self.conns.len() >= self.room.connections;
         self.accept_again(!full || self.conns.iter().any(|(_, conn)| conn.idle()));
@@ -263,19 +275,23 @@
     }
 
     fn split(&mut self, slot: usize, mut input: &[u8], now: Tenths, came: &mut Vec<Came>) {
+        let size = input.len();
         while self.conns[slot].reading {
             match self.conns[slot].splitter.next(&mut input) {
                 Ok(Some(piece)) => self.piece(slot, piece, now, came),
                 Ok(None) => break,
-                Err(_) => self.malformed(slot),
+                Err(_) => self.give_up(slot, End::Malformed),
             }
         }
+        if self.conns[slot].took_in(size, now) && self.conns[slot].reading {
+            self.give_up(slot, End::Malformed);
+        }
     }
 
-    /// Nothing more can be read: what is whole is answered yet, what is not is told so.
-    fn malformed(&mut self, slot: usize) {
+    /// Nothing more is read: what is whole is answered yet, what is not is told so.
+    fn give_up(&mut self, slot: usize, end: End) {
         self.answer_half_read(slot, Answer::Unreadable(Unreadable::Field("record")));
-        self.stop_reading(slot, End::Malformed);
+        self.stop_reading(slot, end);
     }
 
     fn answer_half_read(&mut self, slot: usize, answer: Answer) {
@@ -292,14 +308,14 @@
     fn piece(&mut self, slot: usize, piece: Piece, now: Tenths, came: &mut Vec<Came>) {
         let conn = &mut self.conns[slot];
         match piece {
-            Piece::Begin { id, .. } if conn.has(id) => self.malformed(slot),
+            Piece::Begin { id, .. } if conn.has(id) => self.give_up(slot, End::Malformed),
             Piece::Begin { id, role, keep } => {
                 if !keep {
                     conn.last = Some(End::Closed);
                 }
                 (self.begun, self.open) = (self.begun + 1, self.open + 1);
                 let caller = Caller { slot, nth: self.begun };
-                let too_many = conn.begin(id, caller.nth, now) || self.open > self.room.open;
+                let too_many = conn.begin(id, caller.nth) || self.open > self.room.open;
                 if role != RESPONDER {
                     self.answer(caller, Answer::UnknownRole);
                 } else if too_many {
@@ -313,10 +329,10 @@
                     self.mark(slot);
                 }
             }
-            Piece::Params { id, bytes } => conn.collect(id, Stream::Params, bytes),
-            Piece::Stdin { id, bytes } => conn.collect(id, Stream::Body, bytes),
-            Piece::ParamsEnd { id } => self.end_stream(slot, id, Stream::Params, came),
-            Piece::StdinEnd { id } => self.end_stream(slot, id, Stream::Body, came),
+            Piece::Params { id, bytes } => self.collect(slot, id, Stream::Params, bytes),
+            Piece::Stdin { id, bytes } => self.collect(slot, id, Stream::Body, bytes),
+            Piece::ParamsEnd { id } => self.end_stream(slot, id, Stream::Params, now, came),
+            Piece::StdinEnd { id } => self.end_stream(slot, id, Stream::Body, now, came),
             Piece::GetValues => {
                 let (connections, requests) = (self.room.connections, self.room.open);
                 self.put(slot, |out| fastcgi::values(out, connections, requests));
@@ -325,12 +341,21 @@
         }
     }
 
-    fn end_stream(&mut self, slot: usize, id: u16, stream: Stream, came: &mut Vec<Came>) {
+    /// One that is longer than any may be is told so at once: its end may never come.
+    fn collect(&mut self, slot: usize, id: u16, stream: Stream, bytes: &[u8]) {
+        if let Some(nth) = self.conns[slot].collect(id, stream, bytes) {
+            self.answer(Caller { slot, nth }, Answer::Unreadable(Unreadable::TooLong));
+        }
+    }
+
+    fn end_stream(&mut self, slot: usize, id: u16, stream: Stream, now: Tenths, came: &mut Vec<Came>) {
         let Some(whole) = self.conns[slot].end_stream(id, stream) else { return };
         let caller = Caller { slot, nth: whole.nth };
-        let asked = match whole.too_long {
-            true => Err(Unreadable::TooLong),
-            false => request::read(&whole.params, &self.names),
+        let asked = match request::read(&whole.params, &self.names) {
+            Ok(Asked::Exchange(request)) if bounds::is_far_off(request.stamp, now, self.patience) => {
+                Err(Unreadable::Field("HTTP_X_REQUEST_START"))
+            }
+            asked => asked,
         };
         match asked {
             Ok(Asked::Exchange(request)) => came.push(Came::Exchange { caller, request, body: whole.body }),
@@ -363,7 +388,10 @@
             Answer::Denied { .. } => self.counts.denied += 1,
             Answer::Terminated => self.counts.terminated += 1,
             Answer::Health { .. } => self.counts.checks += 1,
-            Answer::Unreadable(what) => *self.counts.unreadable.entry(what.name()).or_default() += 1,
+            Answer::Unreadable(what) => {
+                conn.rests = true;
+                *self.counts.unreadable.entry(what.name()).or_default() += 1
+            }
             Answer::UnknownRole => *self.counts.unreadable.entry("role").or_default() += 1,
             Answer::NoRoom => self.counts.no_room += 1,
         }
--- a/node/src/wire/end.rs
+++ b/node/src/wire/end.rs
@@ -18,6 +18,8 @@
     Evicted,
     /// What came on it can't be read any further.
     Malformed,
+    /// No whole request came in the time that one may take: nothing at all, or too little.
+    Slow,
     /// Its answers were not read for longer than anyone waits, or pile up.
     Unread,
     /// Closed at the end of the process.
@@ -49,9 +51,13 @@
         match self {
             End::Aborted | End::Reset | End::Unread | End::Left => Outcome::CallerGone,
             // A half-closed connection may be read to its end; only a reset proves that nobody listens.
-            End::HalfClosed | End::Closed | End::Idle | End::Evicted | End::Malformed | End::LinkLost => {
-                Outcome::StillOwed
-            }
+            End::HalfClosed
+            | End::Closed
+            | End::Idle
+            | End::Evicted
+            | End::Malformed
+            | End::Slow
+            | End::LinkLost => Outcome::StillOwed,
             End::Run(outcome) => Outcome::RunEnded(outcome),
             End::RunRefused | End::Unsent => Outcome::RunEnded(RunOutcome::Moot),
             End::StopRefused => Outcome::RunEnded(RunOutcome::Stopped),
@@ -68,6 +74,7 @@
             End::Idle => "idle",
             End::Evicted => "evicted",
             End::Malformed => "malformed",
+            End::Slow => "slow",
             End::Unread => "unread",
             End::Left => "left",
             End::Run(RunOutcome::Completed) => "completed",
--- a/node/src/wire/engine.rs
+++ b/node/src/wire/engine.rs
@@ -9,6 +9,7 @@
 use slog::{Logger, info, warn};
 use socket2::{Domain, Socket, Type};
 
+use super::bounds::{MOST_COMMANDS, MOST_LINE};
 use super::end::End;
 use super::link::{self, Notice};
 use super::request::TryId;
@@ -16,10 +17,6 @@
 pub const ENGINE_KEY: usize = 1;
 
 const TRY_AGAIN: Tenths = 1_000;
-/// No notice is longer: a result of 4 KiB in base64 with its frame is a tenth of it.
-const MOST_LINE: usize = 64 * 1024;
-/// An engine that leaves so much unread is taken for hung, and the link made anew.
-const MOST_UNREAD: usize = 4 * 1024 * 1024;
 
 #[derive(Clone, Copy, PartialEq)]
 enum State {
@@ -285,7 +282,7 @@
             }
         }
         self.out.drain(..written);
-        if self.out.len() > MOST_UNREAD {
+        if self.out.len() > MOST_COMMANDS {
             return self.lose(now, "commands stay unread", told);
         }
         let wants = !self.out.is_empty();
--- a/node/src/wire/mod.rs
+++ b/node/src/wire/mod.rs
@@ -1,5 +1,6 @@
 //! What is spoken on the wire. Parsers and writers (`fastcgi`, `request`, `link`) know no sockets.
 
+pub mod bounds;
 pub mod conn;
 pub mod dispatchers;
 pub mod end;
--- a/node/src/wire/registry.rs
+++ b/node/src/wire/registry.rs
@@ -5,8 +5,9 @@
 
 use doortrack::Tenths;
 
-/// A node leaves the list 3 s after its last report; at this pace three in a row may be lost.
-const EVERY: Tenths = 7_000;
+/// A node leaves the list 3 s after its last report. Reports are lost on the way, and one left out is a node that
+/// nobody sends to: at this pace nine in a row may be lost.
+const EVERY: Tenths = 3_000;
 
 pub struct Registry {
     sock: UdpSocket,
--- a/node/src/wire/request.rs
+++ b/node/src/wire/request.rs
@@ -11,8 +11,6 @@
 /// The mark of a deduplicated exchange, as it came.
 pub type Mark = [u8; 32];
 
-pub const MOST_BODY: usize = 2048;
-
 /// Tenths of a ms in one.
 const MS: u64 = 10;
 
--- a/node/tests/node/parts.rs
+++ b/node/tests/node/parts.rs
@@ -1,8 +1,9 @@
 //! Parsers, writers and tables, without sockets.
 
 use std::io::{Read, Write};
-use std::net::{SocketAddr, TcpStream};
+use std::net::{SocketAddr, TcpStream, UdpSocket};
 use std::sync::Arc;
+use std::time::Duration;
 
 use doortrack::RunOutcome;
 use doortrack_node::life::orders::{self, Room};
@@ -12,7 +13,7 @@
 use doortrack_node::wire::end::{End, Outcome};
 use doortrack_node::wire::fastcgi::{self, Piece, Splitter};
 use doortrack_node::wire::link::{self, Notice};
-use doortrack_node::wire::registry;
+use doortrack_node::wire::registry::{self, Registry};
 use doortrack_node::wire::request::{self, Answer, Asked, Names, Unreadable};
 use polling::{Events, Poller};
 use proptest::prelude::*;
@@ -326,6 +327,9 @@
         [record(1, 1, &[0, 1, 1, 0, 0, 0, 0, 0], 0), record(4, 1, b"", 0), record(5, 1, b"", 0)].concat();
     let (batch, mut came, mut events) = (empty.repeat(200), Vec::new(), Events::new());
     for _ in 0..turns {
+        // Who sends what can't be read is read again after a sweep.
+        dispatchers.sweep(0, &mut came);
+        dispatchers.flush(0, &mut came);
         _ = deaf.write(&batch);
         sound.write_all(&empty).unwrap();
         let before = dispatchers.counts.unreadable.clone();
@@ -359,6 +363,47 @@
     assert!(deaf_caller_is_closed(19, 1000, 20_000));
 }
 
+#[test]
+fn who_sends_what_cannot_be_read_is_not_read_again_before_the_next_sweep() {
+    let poller = Arc::new(Poller::new().unwrap());
+    let room = Room { connections: 8, open: 8, entries: 1, result_bytes: 1, unread: 1000 };
+    let [.., b, c] = std::process::id().to_be_bytes();
+    let at: SocketAddr = format!("127.17.{b}.{c}:9090").parse().unwrap();
+    let mut dispatchers = Dispatchers::listen(at, poller.clone(), names(), room, u64::MAX).unwrap();
+    let mut bad = TcpStream::connect(at).unwrap();
+    let empty =
+        [record(1, 1, &[0, 1, 1, 0, 0, 0, 0, 0], 0), record(4, 1, b"", 0), record(5, 1, b"", 0)].concat();
+    let (mut came, mut events, mut answer) = (Vec::new(), Events::new(), [0; 4096]);
+    dispatchers.accept(0, &mut came);
+    for answered in 1..=3 {
+        bad.write_all(&empty).unwrap();
+        // Its bytes lie there, but it is not told of.
+        events.clear();
+        let waits = if answered == 1 { None } else { Some(Duration::from_millis(20)) };
+        poller.wait(&mut events, waits).unwrap();
+        assert_eq!(events.iter().any(|e| e.key >= FIRST_KEY), answered == 1);
+        dispatchers.sweep(0, &mut came);
+        dispatchers.flush(0, &mut came);
+        events.clear();
+        poller.wait(&mut events, None).unwrap();
+        events.iter().filter(|e| e.key >= FIRST_KEY).for_each(|e| dispatchers.ready(e, 0, &mut came));
+        dispatchers.flush(0, &mut came);
+        assert!(bad.read(&mut answer).unwrap() > 0);
+        assert_eq!(dispatchers.counts.unreadable.values().sum::<u64>(), answered);
+    }
+}
+
+#[test]
+fn a_list_that_loses_eight_reports_in_a_row_still_lists_the_node() {
+    let list = UdpSocket::bind("127.0.0.1:0").unwrap();
+    list.set_nonblocking(true).unwrap();
+    let own = "127.0.0.1:9".parse().unwrap();
+    let mut registry = Registry::open(own, list.local_addr().unwrap(), "n3".into()).unwrap();
+    (0..3000).for_each(|ms| registry.beat(ms * MS));
+    let reports = (0..100).filter(|_| list.recv(&mut [0; 100]).is_ok()).count();
+    assert!((9..20).contains(&reports), "{reports} in 3 s");
+}
+
 #[test]
 fn reports_are_three_words() {
     assert_eq!(registry::report("n3", false), "BEAT n3 ready");
--- a/node/tests/node/sockets.rs
+++ b/node/tests/node/sockets.rs
@@ -747,6 +747,8 @@
         ("/svc/look", &[("HTTP_X_MEMORY_KB", "much")][..], 1, 400),
         ("/svc/look", &[("HTTP_X_RANK", "0.1"), ("HTTP_X_RANK", "0.2")][..], 1, 400),
         ("/svc/pay", &[][..], 1, 400),
+        ("/svc/look", &[("HTTP_X_REQUEST_START", "0")][..], 1, 400),
+        ("/svc/look", &[("HTTP_X_REQUEST_START", "18446744073709551615")][..], 1, 400),
         ("/svc/look", &[][..], 2049, 413),
     ] {
         client.send(&request(1, 1, script, more, &vec![7; body]));
@@ -857,6 +859,37 @@
     assert!(client.is_closed());
 }
 
+#[test]
+fn who_connects_and_asks_nothing_is_closed_and_who_asked_once_may_stay() {
+    let (bed, _engine) = Bed::up_with(|config| {
+        for lane in 0..2 {
+            config["settings"]["lanes"][lane]["deadline"] = json!(200_000);
+        }
+    });
+    let mut known = bed.client();
+    known.send(&request(1, 1, "/status/live", &[], b""));
+    assert_eq!(known.reply().status, 200);
+    let (mut silent, mut half) = (bed.client(), bed.client());
+    half.send(&[1, 1, 0]);
+    assert!(silent.is_closed() && half.is_closed());
+    known.send(&request(2, 2, "/status/live", &[], b""));
+    assert_eq!(known.reply().status, 200);
+}
+
+#[test]
+fn a_body_without_end_is_refused_at_once_and_its_connection_given_up() {
+    let (bed, _engine) = Bed::up();
+    let mut client = bed.client();
+    let whole = request(7, 1, "/svc/look", &[], &[9; 2048]);
+    // All but the end of the stream, and then more of it.
+    client.send(&[&whole[..whole.len() - 11], &record(5, 7, &[9; 2000])].concat());
+    let refused = client.reply();
+    assert_eq!((refused.id, refused.status), (7, 413), "before its end has come");
+    let more = record(5, 7, &[9; 60_000]);
+    let given_up = (0..1000).any(|_| client.sock.write_all(&more).is_err());
+    assert!(given_up, "60 MB were read");
+}
+
 #[test]
 fn after_a_stall_ends_count_before_times_that_ran_out_and_all_is_answered_once() {
     let (bed, mut engine) = Bed::up_with(|config| {
@@ -909,7 +942,7 @@
         client.look(1, n as u64);
     }
     let runs: Vec<String> = (0..6).map(|_| engine.run().0).collect();
-    // The ninth takes the place of the one that has nothing open.
+    // The ninth takes the place of the one that has nothing open and never asked for anything.
     let mut ninth = bed.client();
     ninth.send(&request(1, 9, "/status/live", &[], b""));
     assert_eq!(ninth.reply().status, 200);
