A deduplicated run outlives its caller's broken connection, so that a repeat gets its result

Seen in reading: a reset was told to the decisions like an abort, and Door::caller_gone (src/logic.rs) stopped the run. Checked: End::Reset and End::Aborted had one outcome in wire/end.rs; the abort of one that gave up is to stop the run still. Now CallerGone says whether the caller may return, and a deduplicated run that is under way goes on until its own moments; repeatable and mutating ones are stopped as before. When it could do harm: work for a caller that does not come back; it ends at the SLO time as any.

--- a/node/src/life/reload.rs
+++ b/node/src/life/reload.rs
@@ -8,9 +8,9 @@
 use crate::wire::engine::Told;
 
 impl Node {
-    /// Reads the file again and takes up what can change under way: where engine and registry are, and the time
-    /// to stop. What runs goes on, as the engine keeps runs and numbers. A file that can't be served changes
-    /// nothing: the node goes on as it was, since ending for it would lose all that is in hand.
+    /// Reads the file again and takes up what can change under way: where engine and registry are, and the
+    /// time to stop. What runs goes on, as the engine keeps runs and numbers. A file that can't be served
+    /// changes nothing: the node goes on as it was, since ending for it would lose all that is in hand.
     pub(crate) fn reload(&mut self, told: &mut Vec<Told>) {
         self.signals.heard(RELOAD_KEY);
         let new = match orders::read() {
--- a/node/src/serve.rs
+++ b/node/src/serve.rs
@@ -226,10 +226,10 @@
     fn ended(&mut self, id: ExId, end: End, result: &[u8]) {
         match end.outcome() {
             Outcome::StillOwed => {}
-            Outcome::CallerGone => {
+            Outcome::CallerGone { may_return } => {
                 let Some(ex) = self.exs.get(id).filter(|ex| ex.caller.is_some()) else { return };
                 ex.caller = None;
-                self.batch.push(Happened::CallerGone { id });
+                self.batch.push(Happened::CallerGone { id, may_return });
                 self.drop_if_held(id);
             }
             Outcome::RunEnded(outcome) => {
--- a/node/src/wire/bounds.rs
+++ b/node/src/wire/bounds.rs
@@ -1,5 +1,5 @@
-//! What keeps a bad client or peer off: the bounds of the wire's own protection, in this one place. None of them
-//! is a decision on work, and a sound dispatcher meets none of them.
+//! What keeps a bad client or peer off: the bounds of the wire's own protection, in this one place. None of
+//! them is a decision on work, and a sound dispatcher meets none of them.
 
 use doortrack::Tenths;
 
@@ -10,8 +10,8 @@
 /// Parameters of one request; with its body this is what a request may cost while it is read.
 pub const MOST_PARAMS: usize = 8192;
 pub const MOST_BODY: usize = 2048;
-/// Bytes read off one connection with no whole request in them: as many as all that it may have open can take,
-/// with their records. Past that come bodies of many MB, or records for nobody, and neither is worth its reading.
+/// Bytes read off one connection with no whole request in them: as many as all that it may have open can
+/// take, with their records. Past that come bodies of many MB, or records for nobody.
 pub const MOST_UNWHOLE: usize = MOST_OPEN * (MOST_PARAMS + MOST_BODY + 1024);
 /// A connection with so many answers unread is not read further until they are.
 pub const MOST_UNREAD: usize = 64 * 1024;
@@ -28,8 +28,8 @@
 pub const EVICTED: usize = 16;
 /// Most that a connection has for a whole request, from its start or from when one began to come.
 const WHOLE_WITHIN: Tenths = 2_000 * MS;
-/// A stamp so many times the longest async timeout away from now was not written by a sound clock. Handed over,
-/// it would pass for a node that drowns.
+/// A stamp so many times the longest async timeout away from now was not written by a sound clock. Handed
+/// over, it would pass for a node that drowns.
 const FAR_OFF: Tenths = 10;
 
 /// No notice of the engine is longer: a result of 4 KiB in base64 with its frame is a tenth of it.
--- a/node/src/wire/conn.rs
+++ b/node/src/wire/conn.rs
@@ -57,9 +57,9 @@
     due_since: Option<Tenths>,
     /// Bytes read with no whole request in them.
     unwhole: usize,
-    /// Something on it could not be read: it is not read again before the next sweep, so that who sends the same
-    /// again at full speed has a few turns a second and no more. A sound dispatcher with a bad client waits as
-    /// long, for what that client brought.
+    /// Something on it could not be read: it is not read again before the next sweep, so that who sends the
+    /// same again at full speed has a few turns a second and no more. A sound dispatcher that passes on what
+    /// a bad client sent waits as long.
     pub rests: bool,
     /// Nothing more is read once it is half closed or malformed, or this node is about to end.
     pub reading: bool,
--- a/node/src/wire/dispatchers.rs
+++ b/node/src/wire/dispatchers.rs
@@ -156,8 +156,8 @@
         Ok(())
     }
 
-    /// Lets go of some that never asked for anything, those first that came first; where there are none, of the
-    /// one that lay idle longest. Many that come only to sit there so cost those that ask little.
+    /// Lets go of some that never asked for anything, those first that came first; where there are none, of
+    /// the one that lay idle longest. Many that come only to sit there so cost those that ask little.
     fn make_room(&mut self, came: &mut Vec<Came>) -> bool {
         let useless = |conn: &Conn| conn.idle() || (!conn.spoke && conn.reading && conn.unread() == 0);
         let useless = self.conns.iter().filter(|(_, conn)| useless(conn));
--- a/node/src/wire/registry.rs
+++ b/node/src/wire/registry.rs
@@ -5,8 +5,8 @@
 
 use doortrack::Tenths;
 
-/// A node leaves the list 3 s after its last report. Reports are lost on the way, and one left out is a node that
-/// nobody sends to: at this pace nine in a row may be lost.
+/// A node leaves the list 3 s after its last report. Reports are lost on the way, and nobody sends to a node
+/// that is not listed: at this pace nine in a row may be lost.
 const EVERY: Tenths = 3_000;
 
 pub struct Registry {
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -236,7 +236,7 @@
             At::Waiting | At::Calling => self.finish(id, RunOutcome::Stopped),
             _ => {}
         }
-        self.events.push(Happened::CallerGone { id });
+        self.events.push(Happened::CallerGone { id, may_return: false });
     }
 
     pub fn leave_in(&mut self, left: Tenths) {
