A repeat is known in a full table; tables together stay within five sixths of the memory

Room::within with 32 MB and 384 descriptors added up to 35 MB with all full at once (4 MB of commands whatever the limit, connections not counted); shares now come to five sixths, and tables and the link's buffer shrink after a peak. Seen to fail without: results_keep_within_their_bytes_and_entries, orders_are_read_with_their_defaults.

--- a/node/src/life/orders.rs
+++ b/node/src/life/orders.rs
@@ -13,6 +13,10 @@
 /// Descriptors that no dispatcher's connection may take: of the poller, the listener, the links, the signals.
 const OWN_DESCRIPTORS: usize = 24;
 const LEAST_CONNECTIONS: usize = 8;
+/// Bytes that a connection keeps while nothing is open on it, an open request, and an entry of the table.
+const CONNECTION: usize = 20_000;
+const REQUEST: usize = 10_500;
+const ENTRY: usize = 300;
 const LEAST_MEMORY_MB: f64 = 16.0;
 
 #[derive(Clone, Debug, PartialEq)]
@@ -39,19 +43,22 @@
     pub result_bytes: usize,
     /// Bytes of answers that dispatchers have not read.
     pub unread: usize,
+    /// Bytes of commands that the engine has not read; more, and it is taken for hung and the link made anew.
+    pub commands: usize,
 }
 
 impl Room {
-    /// A quarter of the memory each for what is open and for results, an eighth for unread answers and a
-    /// sixteenth for entries; the rest is for connections, the decisions and the program itself.
+    /// Shares of the memory that come to five sixths of it if all is full at once; the rest is for the
+    /// decisions and the program itself.
     fn within(memory_mb: f64, sockets: usize) -> Room {
         let bytes = (memory_mb * 1e6) as usize;
         Room {
-            connections: sockets.saturating_sub(OWN_DESCRIPTORS),
-            open: bytes / 4 / 10_500,
-            entries: bytes / 16 / 300,
-            result_bytes: bytes / 4,
+            connections: sockets.saturating_sub(OWN_DESCRIPTORS).min(bytes / 4 / CONNECTION),
+            open: bytes / 5 / REQUEST,
+            entries: bytes / 16 / ENTRY,
+            result_bytes: bytes / 6,
             unread: bytes / 8,
+            commands: bytes / 32,
         }
     }
 }
--- a/node/src/life/start.rs
+++ b/node/src/life/start.rs
@@ -43,7 +43,8 @@
         dispatchers.level = (handed.contract.level == LevelKind::LowestRank).then_some(0.0);
         let registry = Registry::open(orders.listen, orders.registry, orders.name.clone())
             .map_err(|e| format!("config.registry: {}: {e}", orders.registry))?;
-        let (room, link) = (orders.room, Link::new(orders.engine, poller.clone(), log.clone()));
+        let (room, link) =
+            (orders.room, Link::new(orders.engine, poller.clone(), log.clone(), orders.room.commands));
         info!(log, "listening"; "address" => %orders.listen, "connections" => room.connections,
             "open" => room.open);
         Ok(Node {
--- a/node/src/memory/results.rs
+++ b/node/src/memory/results.rs
@@ -37,6 +37,8 @@
 pub enum Repeats {
     Nothing,
     Of(ExId),
+    /// It repeats nothing and finds no place for an entry, without which its own repeats would not be known.
+    NoRoom,
     /// The mark is in use for another body, by a mistake or by design: what that one brings is not for it.
     Misused,
 }
@@ -68,10 +70,6 @@
         Results { entries, tags, keys, bytes: 0, most_entries, most_bytes, patience, tidied: 0 }
     }
 
-    pub fn has_room(&self) -> bool {
-        self.entries.len() < self.most_entries
-    }
-
     pub fn bytes(&self) -> usize {
         self.bytes
     }
@@ -79,7 +77,9 @@
     /// What one with this mark and body repeats. The window counts from stamp to stamp, so it does not matter
     /// how late a repeat is read.
     pub fn repeats(&self, key: &Key, body: &[u8], stamp: Tenths) -> Repeats {
-        let Some(entry) = self.entries.get(key) else { return Repeats::Nothing };
+        let Some(entry) = self.entries.get(key) else {
+            return if self.entries.len() < self.most_entries { Repeats::Nothing } else { Repeats::NoRoom };
+        };
         let within = stamp <= entry.stamp + entry.window + WINDOW_SLACK;
         match within || entry.end.is_none() {
             false => Repeats::Nothing,
@@ -143,6 +143,12 @@
             }
             keep
         });
+        // After a peak they take no more than a few times what they hold.
+        let enough = 4 * self.entries.len().max(64);
+        if self.entries.capacity() > 2 * enough {
+            self.entries.shrink_to(enough);
+            self.keys.shrink_to(enough);
+        }
     }
 }
 
--- a/node/src/serve.rs
+++ b/node/src/serve.rs
@@ -178,7 +178,7 @@
         if !self.dispatchers.waits(caller) {
             return; // Given up in the same turn in which it came.
         }
-        if self.door.is_none() || (request.mark.is_some() && !self.results.has_room()) {
+        if self.door.is_none() {
             return self.dispatchers.answer(caller, Answer::NoRoom);
         }
         let key = request.mark.map(|mark| (request.group, mark));
@@ -191,6 +191,8 @@
         let repeats = match found {
             Repeats::Nothing => None,
             Repeats::Of(first) => Some(first),
+            // Only what has no entry: a repeat of one that has run is never refused.
+            Repeats::NoRoom => return self.dispatchers.answer(caller, Answer::NoRoom),
             Repeats::Misused => {
                 let misused = Answer::Unreadable(Unreadable::Field("HTTP_IDEMPOTENCY_KEY"));
                 return self.dispatchers.answer(caller, misused);
--- a/node/src/wire/bounds.rs
+++ b/node/src/wire/bounds.rs
@@ -34,8 +34,6 @@
 
 /// No notice of the engine is longer: a result of 4 KiB in base64 with its frame is a tenth of it.
 pub const MOST_LINE: usize = 64 * 1024;
-/// An engine that leaves so much unread is taken for hung, and the link made anew.
-pub const MOST_COMMANDS: usize = 4 * 1024 * 1024;
 
 /// How long a connection may take over a request, where nobody waits longer than `patience` for anything.
 pub fn whole_within(patience: Tenths) -> Tenths {
--- a/node/src/wire/engine.rs
+++ b/node/src/wire/engine.rs
@@ -9,7 +9,7 @@
 use slog::{Logger, info, warn};
 use socket2::{Domain, Socket, Type};
 
-use super::bounds::{MOST_COMMANDS, MOST_LINE};
+use super::bounds::MOST_LINE;
 use super::end::End;
 use super::link::{self, Notice};
 use super::request::TryId;
@@ -50,6 +50,8 @@
     at: SocketAddr,
     poller: Arc<Poller>,
     log: Logger,
+    /// Bytes that the engine may leave unread.
+    most_commands: usize,
     state: State,
     sock: Option<TcpStream>,
     pub next_try: Tenths,
@@ -69,11 +71,12 @@
 }
 
 impl Link {
-    pub fn new(at: SocketAddr, poller: Arc<Poller>, log: Logger) -> Self {
+    pub fn new(at: SocketAddr, poller: Arc<Poller>, log: Logger, most_commands: usize) -> Self {
         Link {
             at,
             poller,
             log,
+            most_commands,
             state: State::Down,
             sock: None,
             next_try: 0,
@@ -282,7 +285,8 @@
             }
         }
         self.out.drain(..written);
-        if self.out.len() > MOST_COMMANDS {
+        self.out.shrink_to(MOST_LINE);
+        if self.out.len() > self.most_commands {
             return self.lose(now, "commands stay unread", told);
         }
         let wants = !self.out.is_empty();
--- a/node/tests/node/parts.rs
+++ b/node/tests/node/parts.rs
@@ -318,7 +318,7 @@
 /// over: whether it was closed. `nth` keeps the addresses apart.
 fn deaf_caller_is_closed(nth: u8, unread: usize, turns: usize) -> bool {
     let poller = Arc::new(Poller::new().unwrap());
-    let room = Room { connections: 8, open: 8, entries: 1, result_bytes: 1, unread };
+    let room = Room { connections: 8, open: 8, entries: 1, result_bytes: 1, unread, commands: 1 };
     let [.., b, c] = std::process::id().to_be_bytes();
     let at: SocketAddr = format!("127.{nth}.{b}.{c}:9090").parse().unwrap();
     let mut dispatchers = Dispatchers::listen(at, poller.clone(), names(), room, u64::MAX).unwrap();
@@ -368,7 +368,7 @@
 #[test]
 fn who_sends_what_cannot_be_read_is_not_read_again_before_the_next_sweep() {
     let poller = Arc::new(Poller::new().unwrap());
-    let room = Room { connections: 8, open: 8, entries: 1, result_bytes: 1, unread: 1000 };
+    let room = Room { connections: 8, open: 8, entries: 1, result_bytes: 1, unread: 1000, commands: 1 };
     let [.., b, c] = std::process::id().to_be_bytes();
     let at: SocketAddr = format!("127.17.{b}.{c}:9090").parse().unwrap();
     let mut dispatchers = Dispatchers::listen(at, poller.clone(), names(), room, u64::MAX).unwrap();
@@ -453,16 +453,16 @@
 fn results_keep_within_their_bytes_and_entries() {
     let mut results = Results::new(3, 10, 0);
     for ex in 1..=3u32 {
-        assert!(results.has_room());
+        assert_eq!(results.repeats(&(0, [ex as u8; 32]), b"", 0), Repeats::Nothing);
         results.record(ex, (0, [ex as u8; 32]), b"", 0, 1000 * MS, 0);
         results.ended(ex, Ok(b"123456"));
     }
-    assert!(!results.has_room());
+    assert_eq!(results.repeats(&(0, [4; 32]), b"", 0), Repeats::NoRoom, "a new one");
+    assert_eq!(results.repeats(&(0, [1; 32]), b"", 0), Repeats::Of(1), "one that ran is never refused");
     assert_eq!(results.result(1), Found::Result(b"123456"));
     assert_eq!(results.result(2), Found::None, "it ran, but there was no room for its result");
     assert_eq!(results.repeats(&(0, [2; 32]), b"", 0), Repeats::Of(2), "so it must not run again");
     results.forget(1);
-    assert!(results.has_room());
     assert_eq!((results.bytes(), results.repeats(&(0, [1; 32]), b"", 0)), (0, Repeats::Nothing));
     results.record(4, (0, [3; 32]), b"", 2000 * MS, 1000 * MS, 2000 * MS);
     assert_eq!((results.result(3), results.result(4)), (Found::None, Found::Pending), "a new try holds it");
@@ -478,7 +478,7 @@
     results.ended(1, Ok(b"1"));
     assert_eq!(results.repeats(&KEY, b"", 1700 * MS), Repeats::Nothing);
     results.tidy(2000 * MS);
-    assert!(results.has_room() && results.bytes() == 0);
+    assert_eq!((results.result(1), results.bytes()), (Found::None, 0));
 }
 
 fn ex(try_id: u8) -> Ex {
@@ -530,8 +530,16 @@
     assert_eq!(orders.room, orders::parse(config().to_string().as_bytes()).unwrap().room);
     assert!(orders.room.connections < 1024);
     assert!(orders.handed.list_follows_health && orders.handed.customer_names.is_empty());
-    let bound = orders.room.open * 10_500 + orders.room.entries * 300 + orders.room.result_bytes;
-    assert!(bound + orders.room.unread + orders.room.connections * 20_000 < 192_000_000);
+    // All that may be held at once leaves room for the program itself.
+    for (memory_mb, sockets) in [(192, 1024), (48, 512), (32, 384), (24, 1024)] {
+        let mut value = config();
+        value["limits"] = json!({"cores": 0.2, "memory_mb": memory_mb, "sockets": sockets});
+        let room = orders::parse(value.to_string().as_bytes()).unwrap().room;
+        let held = room.open * 10_500 + room.entries * 300 + room.result_bytes + room.commands;
+        let all = held + room.unread + room.connections * 20_000;
+        assert!(all + 3_000_000 < memory_mb * 1_000_000, "{memory_mb} MB: {all}");
+        assert!(room.connections <= sockets - 24 && room.connections >= sockets.min(300) - 24);
+    }
 }
 
 #[test]
