--- /dev/null
+++ b/node/src/serve/events.rs
@@ -0,0 +1,196 @@
+//! What connections and links brought, put in the words of the decisions, and the ends that follow from it.
+
+use std::cmp::Reverse;
+
+use doortrack::{ExId, Exchange, Gauges, Happened, RunOutcome};
+use slog::warn;
+
+use super::{Node, READING, STALE};
+use crate::memory::exchanges::{Ex, Stage};
+use crate::memory::results::{Found, NoResult, Repeats};
+use crate::wire::dispatchers::{Caller, Came};
+use crate::wire::end::{End, Outcome};
+use crate::wire::engine::Told;
+use crate::wire::link::Notice;
+use crate::wire::request::{Answer, Request, Unreadable};
+
+impl Node {
+    pub(super) fn came(&mut self, what: Came) {
+        match what {
+            Came::Exchange { caller, request, body } => self.arrived(caller, request, body),
+            Came::Ended { ex, end } => self.ended(ex, end, &[]),
+        }
+    }
+
+    fn arrived(&mut self, caller: Caller, request: Request, body: Vec<u8>) {
+        if !self.dispatchers.waits(caller) {
+            return; // Given up in the same turn in which it came.
+        }
+        if self.door.is_none() {
+            return self.dispatchers.answer(caller, Answer::NoRoom);
+        }
+        let key = request.mark.map(|mark| (request.group, mark));
+        // A second try of one batch is decided upon once the first was, so that it sees what became of it.
+        if key.is_some_and(|key| !self.marks.insert(key)) {
+            self.decide();
+            self.marks.extend(key);
+        }
+        let found = key.map_or(Repeats::Nothing, |key| self.results.repeats(&key, &body, request.stamp));
+        let repeats = match found {
+            Repeats::Nothing => None,
+            Repeats::Of(first) => Some(first),
+            // Only what has no entry: a repeat of one that has run is never refused.
+            Repeats::NoRoom => return self.dispatchers.answer(caller, Answer::NoRoom),
+            Repeats::Misused => {
+                let misused = Answer::Unreadable(Unreadable::Field("HTTP_IDEMPOTENCY_KEY"));
+                return self.dispatchers.answer(caller, misused);
+            }
+        };
+        let (try_id, group, stamp) = (request.try_id, request.group, request.stamp);
+        let ex = Ex { try_id, group, key, stamp, body, caller: Some(caller), stage: Stage::Held, repeats };
+        let Some(id) = self.exs.take_in(ex) else {
+            let doubled = Answer::Unreadable(Unreadable::Field("HTTP_X_REQUEST_ID"));
+            return self.dispatchers.answer(caller, doubled);
+        };
+        self.dispatchers.known_as(caller, id);
+        // Stamps are whole ms, cut off: the age is never too small, so no answer comes late.
+        let age = self.now.saturating_sub(request.stamp);
+        self.slowest.arrival = self.slowest.arrival.max(age);
+        self.batch.push(Happened::Arrived(Exchange {
+            id,
+            group: request.group,
+            customer: request.customer,
+            subject: request.subject,
+            due: None,
+            work_hint: None,
+            kb: request.kb,
+            rank: request.rank,
+            further_try: request.further_try,
+            caller: request.caller,
+            age,
+            repeats,
+        }));
+    }
+
+    /// Something ended, with all that this means for the exchange it concerns.
+    pub(super) fn ended(&mut self, id: ExId, end: End, result: &[u8]) {
+        match end.outcome() {
+            Outcome::StillOwed => {}
+            Outcome::CallerGone { may_return } => {
+                let Some(ex) = self.exs.get(id).filter(|ex| ex.caller.is_some()) else { return };
+                ex.caller = None;
+                self.batch.push(Happened::CallerGone { id, may_return });
+                self.drop_if_held(id);
+            }
+            Outcome::RunEnded(outcome) => {
+                let Some(ex) = self.exs.remove(id) else { return };
+                self.batch.push(Happened::RunEnded { id, outcome });
+                if let Some(caller) = ex.caller {
+                    self.finish(caller, (outcome == RunOutcome::Completed).then_some(result));
+                }
+                match outcome {
+                    RunOutcome::Completed => self.results.ended(id, Ok(result)),
+                    RunOutcome::Failed | RunOutcome::Stopped => self.results.ended(id, Err(NoResult)),
+                    RunOutcome::Moot => self.results.forget(id),
+                }
+                self.settle(id);
+            }
+        }
+    }
+
+    fn finish(&mut self, caller: Caller, result: Option<&[u8]>) {
+        self.dispatchers.answer(caller, result.map_or(Answer::Terminated, Answer::Completed));
+    }
+
+    /// Answers those that wait for what this one brought.
+    pub(super) fn settle(&mut self, id: ExId) {
+        for waiting in self.exs.waiting_for(id) {
+            self.serve_from(waiting, id);
+        }
+    }
+
+    /// Ends a repeat with what the exchange that it repeats came to.
+    pub(super) fn serve_from(&mut self, id: ExId, root: ExId) {
+        let (end, result) = match self.results.result(root) {
+            Found::Pending => return self.exs.attach(id, root),
+            Found::Result(bytes) => (End::Run(RunOutcome::Completed), bytes.to_vec()),
+            Found::None => (End::Run(RunOutcome::Failed), Vec::new()),
+        };
+        self.ended(id, end, &result);
+    }
+
+    pub(super) fn told(&mut self, what: Told) {
+        match what {
+            Told::Hello { cold, age } => self.open_door(cold, age),
+            Told::CaughtUp { proven } => {
+                let unproven = |sent: Option<u64>| sent.is_none_or(|sent| sent >= proven);
+                let running = self.exs.running().filter(|(_, sent)| unproven(*sent));
+                let mut lost: Vec<ExId> = running.map(|(id, _)| id).collect();
+                lost.sort_unstable();
+                for id in lost {
+                    let sent = self.exs.get(id).filter(|ex| ex.caller.is_none()).map(|ex| ex.stage);
+                    match sent {
+                        // Nobody waits for it any more, and it surely never ran.
+                        Some(Stage::Running { sent: None }) => self.ended(id, End::Unsent, &[]),
+                        _ => self.run(id),
+                    }
+                }
+            }
+            Told::Notice(Notice::Done { try_id, outcome, result, .. }) => {
+                if let Some(id) = self.exs.of_try(&try_id) {
+                    self.ended(id, End::Run(outcome), &result);
+                }
+            }
+            Told::Notice(Notice::Not { command, try_id }) => {
+                warn!(self.log, "engine would not"; "command" => &command);
+                let id = try_id.and_then(|try_id| self.exs.of_try(&try_id));
+                let end = if command == "RUN" { End::RunRefused } else { End::StopRefused };
+                id.into_iter().for_each(|id| self.ended(id, end, &[]));
+            }
+            Told::Notice(Notice::Stats { cookie, values }) => {
+                let places = &self.orders.handed.gauges;
+                let read = |place: Option<usize>| place.and_then(|p| values.get(p).copied());
+                self.gauges = Gauges {
+                    busy_cores: read(places.busy_cores),
+                    on_cores: read(places.on_cores),
+                    memory: read(places.memory),
+                    connections: read(places.connections),
+                };
+                self.read_at = self.now;
+                if let Some((wanted, till)) = self.reading.filter(|(wanted, _)| *wanted <= cookie) {
+                    self.slowest.reading =
+                        self.slowest.reading.max((self.now + READING).saturating_sub(till));
+                    self.reading = Some((wanted, self.now));
+                }
+            }
+            Told::Notice(_) => {}
+            Told::Ended(end) => {
+                let running: Vec<ExId> = self.exs.running().map(|(id, _)| id).collect();
+                running.into_iter().for_each(|id| self.ended(id, end, &[]));
+            }
+        }
+    }
+
+    /// Alarms carry a reading of the gauges, fresh where the engine answers soon enough.
+    pub(super) fn take_reading(&mut self) {
+        if self.alarms.peek().is_none_or(|Reverse((at, _))| *at > self.now) {
+            return;
+        }
+        match self.reading {
+            None if self.link.is_up() => {
+                self.reading = Some((self.link.stat(), self.now + READING));
+                return;
+            }
+            Some((_, till)) if till > self.now => return,
+            _ => self.reading = None,
+        }
+        let stale = self.now.saturating_sub(self.read_at) > STALE;
+        let gauges = if stale { Gauges::default() } else { self.gauges };
+        while let Some(Reverse((at, token))) = self.alarms.peek().copied()
+            && at <= self.now
+        {
+            self.alarms.pop();
+            self.batch.push(Happened::Alarm { token, gauges });
+        }
+    }
+}
--- a/node/src/wire/dispatchers.rs
+++ b/node/src/wire/dispatchers.rs
@@ -1,5 +1,7 @@
-//! The table of the dispatchers' connections: accepted, read, answered and closed, within bounds that hold by
-//! design.
+//! The table of the dispatchers' connections: accepted, answered and closed, within bounds that hold by
+//! design. How they are read stands in `reading`.
+
+mod reading;
 
 use std::collections::BTreeMap;
 use std::io::{self, ErrorKind};
@@ -12,10 +14,9 @@
 use socket2::{Domain, Socket, Type};
 
 use super::bounds::{self, ACCEPTS, EVICTED, FAIR_UNREAD, LAST_TURNS, TURN};
-use super::conn::{Conn, Stream};
+use super::conn::Conn;
 use super::end::End;
-use super::fastcgi::{self, Piece, RESPONDER};
-use super::request::{self, Answer, Asked, Names, Request, Unreadable};
+use super::request::{self, Answer, Names, Request};
 use crate::life::orders::Room;
 
 pub const LISTEN_KEY: usize = 0;
@@ -248,122 +249,6 @@
         }
     }
 
-    // --- Reading ---
-
-    /// A connection is ready, or broke.
-    pub fn ready(&mut self, event: Event, now: Tenths, came: &mut Vec<Came>) {
-        let slot = event.key - FIRST_KEY;
-        if !self.conns.contains(slot) {
-            return; // Closed earlier in this turn.
-        }
-        if event.writable {
-            self.mark(slot);
-        }
-        if event.readable {
-            self.read(slot, now, came);
-        }
-    }
-
-    fn read(&mut self, slot: usize, now: Tenths, came: &mut Vec<Came>) {
-        let mut scratch = std::mem::take(&mut self.scratch);
-        match self.conns[slot].read(&mut scratch, now) {
-            Ok(n) => self.split(slot, &scratch[..n], now, came),
-            Err(End::Reset) => self.close(slot, End::Reset, came),
-            Err(end) => self.stop_reading(slot, end),
-        }
-        self.scratch = scratch;
-    }
-
-    fn split(&mut self, slot: usize, mut input: &[u8], now: Tenths, came: &mut Vec<Came>) {
-        let size = input.len();
-        while self.conns[slot].reading {
-            match self.conns[slot].splitter.next(&mut input) {
-                Ok(Some(piece)) => self.piece(slot, piece, now, came),
-                Ok(None) => break,
-                Err(_) => self.give_up(slot, End::Malformed),
-            }
-        }
-        if self.conns[slot].took_in(size, now) && self.conns[slot].reading {
-            self.give_up(slot, End::Malformed);
-        }
-    }
-
-    /// Nothing more is read: what is whole is answered yet, what is not is told so.
-    fn give_up(&mut self, slot: usize, end: End) {
-        self.answer_half_read(slot, Answer::Unreadable(Unreadable::Field("record")));
-        self.stop_reading(slot, end);
-    }
-
-    fn answer_half_read(&mut self, slot: usize, answer: Answer) {
-        let half = self.conns[slot].open.iter().filter(|open| open.half_read());
-        let callers: Vec<Caller> = half.map(|open| Caller { slot, nth: open.nth }).collect();
-        callers.into_iter().for_each(|caller| self.answer(caller, answer));
-    }
-
-    fn stop_reading(&mut self, slot: usize, end: End) {
-        self.open -= self.conns[slot].stop_reading(end);
-        self.mark(slot);
-    }
-
-    fn piece(&mut self, slot: usize, piece: Piece, now: Tenths, came: &mut Vec<Came>) {
-        let conn = &mut self.conns[slot];
-        match piece {
-            Piece::Begin { id, .. } if conn.has(id) => self.give_up(slot, End::Malformed),
-            Piece::Begin { id, role, keep } => {
-                if !keep {
-                    conn.last = Some(End::Closed);
-                }
-                (self.begun, self.open) = (self.begun + 1, self.open + 1);
-                let caller = Caller { slot, nth: self.begun };
-                let too_many = conn.begin(id, caller.nth) || self.open > self.room.open;
-                if role != RESPONDER {
-                    self.answer(caller, Answer::UnknownRole);
-                } else if too_many {
-                    self.answer(caller, Answer::NoRoom);
-                }
-            }
-            Piece::Abort { id } => {
-                if let Some(open) = conn.take(|open| open.id == id) {
-                    self.open -= 1;
-                    came.extend(open.ex.map(|ex| Came::Ended { ex, end: End::Aborted }));
-                    self.mark(slot);
-                }
-            }
-            Piece::Params { id, bytes } => self.collect(slot, id, Stream::Params, bytes),
-            Piece::Stdin { id, bytes } => self.collect(slot, id, Stream::Body, bytes),
-            Piece::ParamsEnd { id } => self.end_stream(slot, id, Stream::Params, now, came),
-            Piece::StdinEnd { id } => self.end_stream(slot, id, Stream::Body, now, came),
-            Piece::GetValues => {
-                let (connections, requests) = (self.room.connections, self.room.open);
-                self.put(slot, |out| fastcgi::values(out, connections, requests));
-            }
-            Piece::Unknown { kind } => self.put(slot, |out| fastcgi::unknown_type(out, kind)),
-        }
-    }
-
-    /// One that is longer than any may be is told so at once: its end may never come.
-    fn collect(&mut self, slot: usize, id: u16, stream: Stream, bytes: &[u8]) {
-        if let Some(nth) = self.conns[slot].collect(id, stream, bytes) {
-            self.answer(Caller { slot, nth }, Answer::Unreadable(Unreadable::TooLong));
-        }
-    }
-
-    fn end_stream(&mut self, slot: usize, id: u16, stream: Stream, now: Tenths, came: &mut Vec<Came>) {
-        let Some(whole) = self.conns[slot].end_stream(id, stream) else { return };
-        let caller = Caller { slot, nth: whole.nth };
-        let asked = match request::read(&whole.params, &self.names) {
-            Ok(Asked::Exchange(request)) if bounds::is_far_off(request.stamp, now, self.patience) => {
-                Err(Unreadable::Field("HTTP_X_REQUEST_START"))
-            }
-            asked => asked,
-        };
-        match asked {
-            Ok(Asked::Exchange(request)) => came.push(Came::Exchange { caller, request, body: whole.body }),
-            Ok(Asked::Health) => self.answer(caller, Answer::Health { good: self.good }),
-            Err(unreadable) => self.answer(caller, Answer::Unreadable(unreadable)),
-        }
-    }
-
     // --- Answering ---
 
     /// Whether an answer can still go there.
