--- a/drill/src/wire.rs
+++ b/drill/src/wire.rs
@@ -83,7 +83,7 @@
                 return Ok(Record::Provision { node, seed, text: self.take(len, "env")? });
             }
             2 => Happened::NeedsCall { id: self.u32("req")? },
-            3 => Happened::CallerGone { id: self.u32("req")?, may_return: false },
+            3 => Happened::CallerGone { id: self.u32("req")? },
             4 => return Ok(Record::Killed { node }),
             5 => {
                 let token = self.u64("key_back")?;
--- a/node/src/serve/events.rs
+++ b/node/src/serve/events.rs
@@ -76,10 +76,10 @@
     pub(super) fn ended(&mut self, id: ExId, end: End, result: &[u8]) {
         match end.outcome() {
             Outcome::StillOwed => {}
-            Outcome::CallerGone { may_return } => {
+            Outcome::CallerGone => {
                 let Some(ex) = self.exs.get(id).filter(|ex| ex.caller.is_some()) else { return };
                 ex.caller = None;
-                self.batch.push(Happened::CallerGone { id, may_return });
+                self.batch.push(Happened::CallerGone { id });
                 self.drop_if_held(id);
             }
             Outcome::RunEnded(outcome) => {
--- a/node/src/wire/end.rs
+++ b/node/src/wire/end.rs
@@ -41,10 +41,7 @@
 pub enum Outcome {
     /// Nothing changes: an answer is still owed and can be given.
     StillOwed,
-    CallerGone {
-        /// It broke off, and may ask for the same again.
-        may_return: bool,
-    },
+    CallerGone,
     RunEnded(RunOutcome),
 }
 
@@ -52,8 +49,7 @@
     /// The one place where ends are mapped to what the decisions are told.
     pub fn outcome(self) -> Outcome {
         match self {
-            End::Aborted | End::Left => Outcome::CallerGone { may_return: false },
-            End::Reset | End::Unread => Outcome::CallerGone { may_return: true },
+            End::Aborted | End::Reset | End::Unread | End::Left => Outcome::CallerGone,
             // A half-closed connection may be read to its end; only a reset proves that nobody listens.
             End::HalfClosed
             | End::Closed
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -33,10 +33,8 @@
         outcome: CallOutcome,
         took: Tenths,
     },
-    /// Nobody waits for it any more. One whose connection broke may ask again, one that gave up will not.
     CallerGone {
         id: ExId,
-        may_return: bool,
     },
     /// Notice to leave: the process is stopped at `stop_at`.
     Leave {
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -187,7 +187,7 @@
                 Happened::RunEnded { id, outcome } => self.run_ended(*id, *outcome),
                 Happened::NeedsCall { id } => self.needs_call(*id),
                 Happened::CallEnded { id, outcome, took } => self.call_ended(*id, *outcome, *took, todo),
-                Happened::CallerGone { id, may_return } => self.caller_gone(*id, *may_return, todo),
+                Happened::CallerGone { id } => self.caller_gone(*id, todo),
                 Happened::Leave { stop_at } => self.leave_by(*stop_at, todo),
                 Happened::Alarm { gauges, .. } => self.st.gauges = *gauges,
             }
@@ -548,12 +548,10 @@
         live
     }
 
-    fn caller_gone(&mut self, id: ExId, returns: bool, todo: &mut Vec<Todo>) {
+    fn caller_gone(&mut self, id: ExId, todo: &mut Vec<Todo>) {
         let Some(&place) = self.st.at_door.get(&id) else { return };
         match self.st.exs[place].stage {
             Stage::Held | Stage::Attached => self.drop_held(place, todo),
-            // Stopped, it could not be run again in its window, and who comes back for it would find nothing.
-            _ if returns && self.terms.groups[self.st.exs[place].group].effect == Effect::Deduplicated => {}
             _ => self.stop(place, todo),
         }
     }
@@ -640,8 +638,9 @@
     fn make_calls(&mut self, todo: &mut Vec<Todo>) {
         let (share, window) = (self.terms.calls_share, self.terms.calls_window as f32);
         let most = share.map_or(f32::MAX, |s| (MARGIN - CALL_INFLOW) * s * window);
-        let comes = share.map_or(f32::MAX, |s| CALL_INFLOW * s * (self.st.now - self.st.call_counted) as f32);
-        self.st.call_budget = (self.st.call_budget + comes).min(most);
+        let inflow =
+            share.map_or(f32::MAX, |s| CALL_INFLOW * s * (self.st.now - self.st.call_counted) as f32);
+        self.st.call_budget = (self.st.call_budget + inflow).min(most);
         self.st.call_counted = self.st.now;
         while let Some(&(_, _, Reverse(id), place)) = self.st.call_line.peek() {
             let waits = |x: &&Ex| x.id == id && x.stage == Stage::AtCall && !x.answered;
