--- a/emulator/src/lib.rs
+++ b/emulator/src/lib.rs
@@ -12,10 +12,12 @@
 //! processor sharing, Erlang's loss formula, and Little's law on each of them.
 
 mod law;
+mod net;
 mod queue;
 mod station;
 
 pub use law::{Law, LawFault, Stream, stream};
+pub use net::{Clock, Links, MachineId, Net, Next};
 pub use queue::Queue;
 pub use station::{JobId, Pace, Station};
 
--- /dev/null
+++ b/fleet/src/gossip.rs
@@ -0,0 +1,69 @@
+//! What is still to be passed on: of each member the latest claim, the least often sent first.
+
+use std::collections::VecDeque;
+
+use crate::table::Place;
+
+/// Members whose claim is still to be sent, by how often it was. At most one current entry a member, and
+/// older ones are dropped when met, so the whole is bounded by the news of one round and the members.
+#[derive(Default)]
+pub struct Gossip {
+    by_times: Vec<VecDeque<(Place, u32)>>,
+    queued: usize,
+}
+
+/// Past this many sendings nothing is passed on, however large the fleet.
+const MOST_TIMES: usize = 20;
+
+/// How often a claim is sent in a fleet of so many, so that all but surely everyone hears it.
+fn times(members: usize) -> usize {
+    let digits = (members + 1).ilog2() as usize + 1;
+    (digits + 2).min(MOST_TIMES)
+}
+
+impl Gossip {
+    /// `version` is that of the member's claim; entries of earlier ones are passed over.
+    pub fn add(&mut self, place: Place, version: u32) {
+        if self.by_times.is_empty() {
+            self.by_times.resize_with(MOST_TIMES, VecDeque::new);
+        }
+        self.by_times[0].push_back((place, version));
+        self.queued += 1;
+    }
+
+    pub fn is_empty(&self) -> bool {
+        self.queued == 0
+    }
+
+    /// Takes up to `room` claims, for one datagram. `current` tells whether an entry is still the latest of
+    /// its member.
+    pub fn take(
+        &mut self,
+        room: usize,
+        members: usize,
+        current: impl Fn(Place, u32) -> bool,
+        into: &mut Vec<Place>,
+    ) {
+        let most = times(members);
+        let mut taken: Vec<(usize, (Place, u32))> = Vec::new();
+        'full: for (sent, queue) in self.by_times.iter_mut().enumerate() {
+            while let Some(entry) = queue.pop_front() {
+                self.queued -= 1;
+                if !current(entry.0, entry.1) {
+                    continue;
+                }
+                taken.push((sent + 1, entry));
+                if taken.len() >= room {
+                    break 'full;
+                }
+            }
+        }
+        for (sent, entry) in taken {
+            into.push(entry.0);
+            if sent < most {
+                self.by_times[sent].push_back(entry);
+                self.queued += 1;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/fleet/src/probes.rs
@@ -0,0 +1,98 @@
+//! Probes under way, and those that were made for others.
+
+use std::collections::VecDeque;
+
+use doortrack::Tenths;
+
+use crate::table::Place;
+use crate::{Life, Name};
+
+/// Probes under way at once: one a period and second opinions.
+const MOST: usize = 16;
+/// Probes that failed whose answer may still come and tells how late the member is.
+const MOST_LATE: usize = 32;
+/// Probes made for others.
+const MOST_FOR_OTHERS: usize = 64;
+
+#[derive(Clone, Copy, Debug)]
+pub struct Probe {
+    pub nonce: u32,
+    pub place: Place,
+    pub life: Life,
+    pub began: Tenths,
+}
+
+#[derive(Clone, Debug)]
+pub struct ForOther {
+    pub nonce: u32,
+    pub asker: Name,
+    pub askers: u32,
+}
+
+#[derive(Default)]
+pub struct Probes {
+    under_way: Vec<Probe>,
+    late: VecDeque<Probe>,
+    for_others: VecDeque<ForOther>,
+}
+
+/// What an answer belongs to.
+pub enum Answered {
+    InTime(Probe),
+    Late(Probe),
+    ForOther(ForOther),
+    Nothing,
+}
+
+impl Probes {
+    /// Whether there was room for it.
+    pub fn begin(&mut self, probe: Probe) -> bool {
+        let room = self.under_way.len() < MOST;
+        if room {
+            self.under_way.push(probe);
+        }
+        room
+    }
+
+    pub fn is_under_way(&self, place: Place) -> bool {
+        self.under_way.iter().any(|probe| probe.place == place)
+    }
+
+    pub fn get(&self, nonce: u32) -> Option<Probe> {
+        self.under_way.iter().find(|probe| probe.nonce == nonce).copied()
+    }
+
+    /// Takes out one that is over without an answer; an answer that comes after all tells how late it was.
+    pub fn fail(&mut self, nonce: u32) -> Option<Probe> {
+        let place = self.under_way.iter().position(|probe| probe.nonce == nonce)?;
+        let probe = self.under_way.swap_remove(place);
+        if self.late.len() >= MOST_LATE {
+            self.late.pop_front();
+        }
+        self.late.push_back(probe);
+        Some(probe)
+    }
+
+    pub fn answered(&mut self, nonce: u32) -> Answered {
+        if let Some(place) = self.under_way.iter().position(|probe| probe.nonce == nonce) {
+            return Answered::InTime(self.under_way.swap_remove(place));
+        }
+        if let Some(place) = self.late.iter().position(|probe| probe.nonce == nonce) {
+            return self.late.remove(place).map_or(Answered::Nothing, Answered::Late);
+        }
+        let place = self.for_others.iter().position(|probe| probe.nonce == nonce);
+        place.and_then(|place| self.for_others.remove(place)).map_or(Answered::Nothing, Answered::ForOther)
+    }
+
+    pub fn for_other(&mut self, probe: ForOther) {
+        if self.for_others.len() >= MOST_FOR_OTHERS {
+            self.for_others.pop_front();
+        }
+        self.for_others.push_back(probe);
+    }
+
+    /// Nothing that was begun counts any more.
+    pub fn drop_all(&mut self) {
+        self.under_way.clear();
+    }
+}
--- /dev/null
+++ b/fleet/src/report.rs
@@ -0,0 +1,95 @@
+//! What a node tells of its fleet when asked.
+
+use std::net::SocketAddr;
+
+use doortrack::Tenths;
+use serde::{Deserialize, Serialize};
+
+use crate::fleet::{Fleet, Stage};
+use crate::{Life, Name, Stand};
+
+/// How a member stands, as operators read it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum State {
+    /// Not in the view yet: it looks for the fleet, or is held back for coming back too often.
+    Joining,
+    Alive,
+    Suspected,
+    Left,
+    Lost,
+}
+
+/// One member as one node sees it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Report {
+    pub name: Name,
+    pub life: Life,
+    pub address: SocketAddr,
+    pub state: State,
+    pub weight: u32,
+    /// How long it has stood so.
+    pub for_ms: u64,
+    /// It answers, but late.
+    pub slow: bool,
+}
+
+impl Fleet {
+    /// The members behind a name, up to `most`, the node itself among them; and whether there are more.
+    pub fn report(&self, after: Option<&Name>, most: usize, now: Tenths) -> (Vec<Report>, bool) {
+        let own = Report {
+            name: self.me.name.clone(),
+            life: self.me.life,
+            address: self.me.address,
+            state: match self.stage {
+                Stage::Joining => State::Joining,
+                Stage::Member => State::Alive,
+                Stage::Leaving => State::Left,
+                Stage::Displaced => State::Lost,
+            },
+            weight: self.me.weight,
+            for_ms: 0,
+            slow: false,
+        };
+        let mut own = Some(own).filter(|own| after.is_none_or(|after| own.name > *after));
+        let mut reports = Vec::new();
+        let mut others = self.table.after(after).peekable();
+        while reports.len() < most {
+            let before = |name: &Name| own.as_ref().is_some_and(|own| own.name < *name);
+            match others.peek() {
+                Some(member) if !before(&member.claim.name) => {
+                    let claim = &member.claim;
+                    let state = match claim.stand {
+                        Stand::Alive | Stand::Suspected { .. } if member.held_until.is_some() => {
+                            State::Joining
+                        }
+                        Stand::Alive => State::Alive,
+                        Stand::Suspected { .. } => State::Suspected,
+                        Stand::Lost => State::Lost,
+                        Stand::Left => State::Left,
+                    };
+                    reports.push(Report {
+                        name: claim.name.clone(),
+                        life: claim.life,
+                        address: claim.address,
+                        state,
+                        weight: claim.weight,
+                        for_ms: now.saturating_sub(member.since) / 10,
+                        slow: member.slow,
+                    });
+                    others.next();
+                }
+                _ => match own.take() {
+                    Some(own) => reports.push(own),
+                    None => break,
+                },
+            }
+        }
+        (reports, own.is_some() || others.peek().is_some())
+    }
+
+    /// Datagrams refused as they came twice, were meant for another life, or made no sense.
+    pub fn refused(&self) -> u64 {
+        self.refused
+    }
+}
--- /dev/null
+++ b/fleet/src/table.rs
@@ -0,0 +1,244 @@
+//! All other members that are known, by place and by name.
+
+use std::collections::BTreeMap;
+use std::ops::Bound;
+
+use doortrack::Tenths;
+
+use crate::doubt::Doubt;
+use crate::{Claim, Name, Stand};
+
+/// Place of a member in the table, in use again once it was forgotten.
+pub type Place = usize;
+
+/// Datagrams back that are still told apart from doubled ones.
+const WINDOW: u64 = 128;
+
+/// Which datagrams of one life were heard.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Heard {
+    last: u64,
+    bits: u128,
+}
+
+impl Heard {
+    /// Whether this one is heard for the first time; one that is too old to tell counts as doubled.
+    pub fn is_first(&mut self, nth: u64) -> bool {
+        if nth > self.last {
+            let by = nth - self.last;
+            self.bits = if by < WINDOW { self.bits << by } else { 0 } | 1;
+            self.last = nth;
+            return true;
+        }
+        let back = self.last - nth;
+        if back >= WINDOW || self.bits & (1 << back) != 0 {
+            return false;
+        }
+        self.bits |= 1 << back;
+        true
+    }
+}
+
+#[derive(Clone, Debug)]
+pub struct Member {
+    pub claim: Claim,
+    /// Grows with each change of the claim, for what waits to be passed on.
+    pub version: u32,
+    /// When the claim's stand last changed.
+    pub since: Tenths,
+    pub heard: Heard,
+    /// Smoothed time to answer; 0 before the first answer.
+    pub answers_in: Tenths,
+    pub slow: bool,
+    pub doubt: Option<Doubt>,
+    /// Times that it came back from being lost, and when last.
+    pub returns: u32,
+    pub returned_at: Tenths,
+    /// Kept out of the view until then, for having come back too often.
+    pub held_until: Option<Tenths>,
+    /// Its own place in the list of those that are there, or of those that are lost.
+    pub listed: usize,
+}
+
+impl Member {
+    fn new(claim: Claim, now: Tenths) -> Member {
+        Member {
+            claim,
+            version: 0,
+            since: now,
+            heard: Heard::default(),
+            answers_in: 0,
+            slow: false,
+            doubt: None,
+            returns: 0,
+            returned_at: 0,
+            held_until: None,
+            listed: 0,
+        }
+    }
+}
+
+/// The table. Members that are there and members that are lost are listed apart, for picking one by chance;
+/// those that left are only known by name.
+#[derive(Default)]
+pub struct Table {
+    slots: Vec<Option<Member>>,
+    free: Vec<Place>,
+    by_name: BTreeMap<Name, Place>,
+    there: Vec<Place>,
+    lost: Vec<Place>,
+    /// How many of `there` have had their turn in this round of probes.
+    probed: usize,
+}
+
+impl Table {
+    pub fn len(&self) -> usize {
+        self.by_name.len()
+    }
+
+    pub fn there(&self) -> usize {
+        self.there.len()
+    }
+
+    pub fn place(&self, name: &str) -> Option<Place> {
+        self.by_name.get(name).copied()
+    }
+
+    pub fn get(&self, place: Place) -> Option<&Member> {
+        self.slots.get(place)?.as_ref()
+    }
+
+    pub fn get_mut(&mut self, place: Place) -> Option<&mut Member> {
+        self.slots.get_mut(place)?.as_mut()
+    }
+
+    /// Members from behind a name on, in the order of names.
+    pub fn after(&self, name: Option<&Name>) -> impl Iterator<Item = &Member> {
+        let from = name.map_or(Bound::Unbounded, Bound::Excluded);
+        let places = self.by_name.range::<Name, _>((from, Bound::Unbounded)).map(|(_, place)| *place);
+        places.filter_map(|place| self.get(place))
+    }
+
+    pub fn insert(&mut self, claim: Claim, now: Tenths) -> Place {
+        let place = self.free.pop().unwrap_or_else(|| {
+            self.slots.push(None);
+            self.slots.len() - 1
+        });
+        let (name, stand) = (claim.name.clone(), claim.stand);
+        self.slots[place] = Some(Member::new(claim, now));
+        self.by_name.insert(name, place);
+        self.list(place, stand);
+        place
+    }
+
+    pub fn remove(&mut self, place: Place) -> Option<Member> {
+        let stand = self.get(place)?.claim.stand;
+        self.unlist(place, stand);
+        let member = self.slots[place].take()?;
+        self.by_name.remove(&member.claim.name);
+        self.free.push(place);
+        Some(member)
+    }
+
+    /// Replaces a member's claim, and keeps it in the list where it belongs.
+    pub fn set(&mut self, place: Place, claim: Claim, now: Tenths) {
+        let Some(member) = self.get_mut(place) else { return };
+        let (before, after) = (member.claim.stand, claim.stand);
+        if std::mem::discriminant(&before) != std::mem::discriminant(&after) {
+            member.since = now;
+        }
+        member.claim = claim;
+        member.version = member.version.wrapping_add(1);
+        let kind = |stand: Stand| (stand.is_there(), stand == Stand::Lost);
+        if kind(before) != kind(after) {
+            self.unlist(place, before);
+            self.list(place, after);
+        }
+    }
+
+    fn list(&mut self, place: Place, stand: Stand) {
+        let list = match stand {
+            Stand::Alive | Stand::Suspected { .. } => &mut self.there,
+            Stand::Lost => &mut self.lost,
+            Stand::Left => return,
+        };
+        list.push(place);
+        let listed = list.len() - 1;
+        if let Some(member) = self.get_mut(place) {
+            member.listed = listed;
+        }
+    }
+
+    fn unlist(&mut self, place: Place, stand: Stand) {
+        let Some(listed) = self.get(place).map(|member| member.listed) else { return };
+        if stand.is_there() && listed < self.probed {
+            // The last of those that had their turn takes its place, so that the rest keep theirs.
+            self.probed -= 1;
+            self.swap(listed, self.probed);
+            return self.unlist_at(self.probed, stand);
+        }
+        self.unlist_at(listed, stand);
+    }
+
+    fn unlist_at(&mut self, listed: usize, stand: Stand) {
+        let list = match stand {
+            Stand::Alive | Stand::Suspected { .. } => &mut self.there,
+            Stand::Lost => &mut self.lost,
+            Stand::Left => return,
+        };
+        if listed >= list.len() {
+            return;
+        }
+        list.swap_remove(listed);
+        let moved = list.get(listed).copied();
+        if let Some(member) = moved.and_then(|place| self.get_mut(place)) {
+            member.listed = listed;
+        }
+    }
+
+    fn swap(&mut self, one: usize, other: usize) {
+        self.there.swap(one, other);
+        for listed in [one, other] {
+            let place = self.there[listed];
+            if let Some(member) = self.get_mut(place) {
+                member.listed = listed;
+            }
+        }
+    }
+
+    /// The next to be probed: all that are there once a round, in an order that chance settles as it goes.
+    pub fn next_probe(&mut self, chance: &mut fastrand::Rng) -> Option<Place> {
+        if self.there.is_empty() {
+            return None;
+        }
+        if self.probed >= self.there.len() {
+            self.probed = 0;
+        }
+        let picked = chance.usize(self.probed..self.there.len());
+        self.swap(picked, self.probed);
+        self.probed += 1;
+        self.there.get(self.probed - 1).copied()
+    }
+
+    /// Up to `count` different members that are there, none of them `but`.
+    pub fn some(&self, count: usize, but: Option<Place>, chance: &mut fastrand::Rng) -> Vec<Place> {
+        let mut picked = Vec::with_capacity(count);
+        // Enough draws for a small fleet too; a draw that hits one again is not made good.
+        for _ in 0..count * 3 {
+            let place =
+                if self.there.is_empty() { break } else { self.there[chance.usize(..self.there.len())] };
+            if Some(place) != but && !picked.contains(&place) {
+                picked.push(place);
+                if picked.len() == count {
+                    break;
+                }
+            }
+        }
+        picked
+    }
+
+    /// One of those that are lost.
+    pub fn some_lost(&self, chance: &mut fastrand::Rng) -> Option<Place> {
+        if self.lost.is_empty() { None } else { self.lost.get(chance.usize(..self.lost.len())).copied() }
+    }
+}
--- /dev/null
+++ b/fleet/src/turning.rs
@@ -0,0 +1,137 @@
+//! What time brings: probes, doubts that end, news that goes out.
+
+use doortrack::Tenths;
+
+use crate::fleet::{Fleet, Stage, Timer};
+use crate::probes::Probe;
+use crate::table::Place;
+use crate::{Action, Claim, Message, News, Stand};
+
+impl Fleet {
+    pub(crate) fn turn(&mut self, now: Tenths, out: &mut Vec<Action>) {
+        while let Some(timer) = self.due(now) {
+            match timer {
+                Timer::Period => self.period(now, out),
+                Timer::Wait(nonce) => self.ask_helpers(nonce, out),
+                Timer::Over(nonce) => self.unanswered(now, nonce, out),
+                Timer::Doubt(place, since) => self.doubt_ends(now, place, since, out),
+                Timer::Admit(place) => self.admit(now, place, out),
+                Timer::News => {
+                    self.news_armed = false;
+                    self.news(now, out);
+                }
+                Timer::Knock => self.knock_again(now, out),
+                Timer::Forget(place, version) => {
+                    let dead =
+                        |of: &&crate::table::Member| of.version == version && !of.claim.stand.is_there();
+                    if self.table.get(place).filter(dead).is_some() {
+                        self.table.remove(place);
+                    }
+                }
+            }
+        }
+    }
+
+    fn knock_again(&mut self, now: Tenths, out: &mut Vec<Action>) {
+        if self.stage == Stage::Leaving {
+            return;
+        }
+        self.knock(out);
+        let jitter = self.chance.u64(0..self.terms.period.max(1));
+        self.arm(now + self.terms.knock_every() + jitter, Timer::Knock);
+    }
+
+    fn period(&mut self, now: Tenths, out: &mut Vec<Action>) {
+        if self.stage == Stage::Leaving {
+            return;
+        }
+        self.arm(now + self.terms.period, Timer::Period);
+        if std::mem::take(&mut self.answered) || self.table.there() == 0 {
+            self.silent = 0;
+        } else {
+            self.silent += 1;
+        }
+        if self.silent > self.terms.silent_periods && !self.cut_off {
+            self.cut_off = true;
+            out.push(Action::Tell(News::CutOff(true)));
+        }
+        if let Some(place) = self.table.next_probe(&mut self.chance) {
+            self.probe(now, place, out);
+        }
+    }
+
+    pub(crate) fn probe(&mut self, now: Tenths, place: Place, out: &mut Vec<Action>) {
+        let Some(member) = self.table.get(place) else { return };
+        if self.probes.is_under_way(place) {
+            return;
+        }
+        let (least, most) = (self.terms.answer_within, self.terms.longest_wait());
+        let wait = (member.answers_in * 3).clamp(least, most.max(least));
+        let nonce = self.chance.u32(..);
+        let life = member.claim.life;
+        if self.probes.begin(Probe { nonce, place, life, began: now }) {
+            self.arm(now + wait, Timer::Wait(nonce));
+            let rest = self.terms.period.saturating_sub(least).max(1);
+            self.arm(now + wait + rest, Timer::Over(nonce));
+            self.send(place, Message::Ping { nonce }, out);
+        }
+    }
+
+    /// Helpers tell a broken link from a lost node.
+    fn ask_helpers(&mut self, nonce: u32, out: &mut Vec<Action>) {
+        let Some(probe) = self.probes.get(nonce) else { return };
+        let Some(of) = self.table.get(probe.place).map(|member| member.claim.clone()) else { return };
+        for helper in self.table.some(self.terms.helpers, Some(probe.place), &mut self.chance) {
+            let message = Message::PingFor { nonce, name: of.name.clone(), life: of.life };
+            self.send(helper, message, out);
+        }
+    }
+
+    fn unanswered(&mut self, now: Tenths, nonce: u32, out: &mut Vec<Action>) {
+        let Some(probe) = self.probes.fail(nonce) else { return };
+        if self.frozen() {
+            return;
+        }
+        let Some(member) = self.table.get(probe.place) else { return };
+        let claim = member.claim.clone();
+        match claim.stand {
+            _ if claim.life != probe.life => {}
+            Stand::Alive => {
+                let stand = Stand::Suspected { by: self.mark };
+                self.take_up(now, Claim { stand, ..claim }, out);
+            }
+            Stand::Suspected { .. } => _ = self.also_doubted(now, probe.place, self.mark),
+            Stand::Lost | Stand::Left => {}
+        }
+    }
+
+    fn doubt_ends(&mut self, now: Tenths, place: Place, since: Tenths, out: &mut Vec<Action>) {
+        let members = self.view.members.len();
+        let Some(member) = self.table.get(place) else { return };
+        let Some(doubt) = member.doubt.filter(|doubt| doubt.since == since) else { return };
+        let ends = doubt.ends(&self.terms, members, self.thawed_at);
+        if self.frozen() {
+            self.arm(now + self.terms.period, Timer::Doubt(place, since));
+        } else if ends > now {
+            self.arm(ends, Timer::Doubt(place, since));
+        } else {
+            let lost = Claim { stand: Stand::Lost, ..member.claim.clone() };
+            self.take_up(now, lost, out);
+        }
+    }
+
+    /// One round of news, if there is any.
+    pub(crate) fn news(&mut self, now: Tenths, out: &mut Vec<Action>) {
+        if self.gossip.is_empty() && self.say == 0 {
+            return;
+        }
+        self.say = self.say.saturating_sub(1);
+        for place in self.table.some(self.terms.news_to, None, &mut self.chance) {
+            self.send(place, Message::News, out);
+        }
+        if !self.news_armed && (self.say > 0 || !self.gossip.is_empty()) && self.table.there() > 0 {
+            self.news_armed = true;
+            self.arm(now + self.terms.news_every, Timer::News);
+        }
+    }
+}
--- /dev/null
+++ b/fleet/src/view.rs
@@ -0,0 +1,62 @@
+//! The members on which decisions may rest.
+
+use std::net::SocketAddr;
+
+use imbl::OrdMap;
+
+use crate::{Life, Name};
+
+/// One member of a view.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Seat {
+    pub life: Life,
+    pub address: SocketAddr,
+    pub weight: u32,
+}
+
+/// The members as one node holds them, itself among them, in the order of their names. Cheap to keep:
+/// later views share what has not changed.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct View {
+    /// Grows by one with each change in this node; says nothing about other nodes' numbers.
+    pub number: u64,
+    /// The same in two nodes exactly when their members, lives and weights are, but for chance of 2^-64.
+    pub digest: u64,
+    pub members: OrdMap<Name, Seat>,
+}
+
+impl View {
+    pub(crate) fn put(&mut self, name: &Name, seat: Seat) {
+        if self.members.get(name) == Some(&seat) {
+            return;
+        }
+        if let Some(old) = self.members.insert(name.clone(), seat) {
+            self.digest ^= mark(name, old);
+        }
+        self.digest ^= mark(name, seat);
+        self.number += 1;
+    }
+
+    pub(crate) fn remove(&mut self, name: &Name) {
+        if let Some(old) = self.members.remove(name) {
+            self.digest ^= mark(name, old);
+            self.number += 1;
+        }
+    }
+
+    /// The sum of the members' weights.
+    pub fn weight(&self) -> u64 {
+        self.members.values().map(|seat| u64::from(seat.weight)).sum()
+    }
+}
+
+/// What a member adds to the digest. The same in every build, as nodes of two builds compare theirs.
+fn mark(name: &str, seat: Seat) -> u64 {
+    let mut hasher = blake3::Hasher::new();
+    hasher.update(name.as_bytes());
+    hasher.update(&seat.life.0.to_le_bytes());
+    hasher.update(&seat.weight.to_le_bytes());
+    let mut first = [0; 8];
+    first.copy_from_slice(&hasher.finalize().as_bytes()[..8]);
+    u64::from_le_bytes(first)
+}
--- a/installation/src/file.rs
+++ b/installation/src/file.rs
@@ -11,7 +11,7 @@
 use serde_json::Value;
 
 use crate::rules::{ExpressionLimits, RuleFile};
-use crate::{Fault, Faults, Orders, Servers, gather};
+use crate::{Fault, Faults, FleetFile, Orders, Servers, gather};
 
 /// Fronts that one node may have beside the platform's listener.
 pub const MOST_FRONTS: usize = 8;
@@ -43,6 +43,9 @@
     /// What expressions may cost and see.
     #[serde(default)]
     pub expressions: ExpressionLimits,
+    /// Other nodes, and how this one and they know of one another. Absent: it knows of none.
+    #[serde(default)]
+    pub fleet: Option<FleetFile>,
 }
 
 /// One address on which callers are taken in.
@@ -101,7 +104,9 @@
     let parts = lists.flat_map(|(key, list)| {
         list.iter().enumerate().map(move |(nth, part)| (format!("{AT}.{key}[{nth}]"), part))
     });
-    let parts = parts.chain([(AT.to_string(), &value)]).filter(|(_, part)| !part.is_object());
+    let fleet =
+        value.get("fleet").filter(|fleet| !fleet.is_null()).map(|fleet| (format!("{AT}.fleet"), fleet));
+    let parts = parts.chain(fleet).chain([(AT.to_string(), &value)]).filter(|(_, part)| !part.is_object());
     // A list would be taken for the values of an object in the order of its keys.
     let lists: Vec<Fault> = parts.map(|(at, _)| Fault::new(at, "an object is wanted")).collect();
     if !lists.is_empty() {
@@ -148,6 +153,9 @@
             faults.push(Fault::new("installation.pools", what));
         }
         self.expressions.faults(&mut faults);
+        if let Some(fleet) = &self.fleet {
+            fleet.faults(&mut faults);
+        }
         if self.otherwise.is_some() && self.rules.is_empty() {
             faults.push(Fault::new("installation.otherwise", "without rules there is nothing else"));
         }
@@ -176,7 +184,8 @@
         let fronts = if fronts.is_empty() { "no fronts".into() } else { fronts.join(", ") };
         let pools: String =
             self.pools_of_servers().map(|(_, pool)| format!("; {}", pool.in_one_line())).collect();
-        format!("good: {fronts}{pools}{rules}")
+        let fleet = self.fleet.as_ref().map_or(String::new(), |fleet| format!("; of fleet {}", fleet.name));
+        format!("good: {fronts}{pools}{rules}{fleet}")
     }
 
     /// What can't go together with the platform's configuration.
@@ -196,6 +205,9 @@
             );
             faults.push(Fault::new("installation.servers.at_once", what));
         }
+        if let Some(fleet) = &self.fleet {
+            fleet.beside(orders, &mut faults);
+        }
         if faults.is_empty() { Ok(()) } else { Err(Faults(faults)) }
     }
 }
--- a/installation/src/lib.rs
+++ b/installation/src/lib.rs
@@ -6,6 +6,7 @@
 //! in `installation.fronts[1].listen`. Nothing here opens a socket or looks at a clock.
 
 pub mod file;
+pub mod fleet;
 pub mod gather;
 pub mod orders;
 pub mod rules;
@@ -14,6 +15,7 @@
 use std::fmt;
 
 pub use file::{Front, Installation};
+pub use fleet::{FleetFile, FleetTimes};
 pub use orders::{Orders, Room};
 pub use servers::Servers;
 
--- /dev/null
+++ b/node/src/commands/fleet.rs
@@ -0,0 +1,197 @@
+//! `doortrack fleet`: asks a running node how it sees its fleet.
+
+use std::collections::BTreeMap;
+use std::net::{SocketAddr, UdpSocket};
+use std::path::PathBuf;
+use std::time::{Duration, Instant};
+
+use clap::{Args, Subcommand};
+use doortrack_fleet::{Name, Report};
+use doortrack_installation::fleet::read_key;
+use serde_json::{Value, json};
+
+use crate::peers::seal::{LONGEST, Seal};
+use crate::peers::spoken::{Ask, Spoken, Status};
+
+/// One answer is waited for so long, and asked for so often.
+const PATIENCE: Duration = Duration::from_millis(300);
+const TRIES: usize = 5;
+/// Members that are shown at the most.
+const MOST: usize = 10_000;
+
+#[derive(Subcommand)]
+pub enum FleetCommand {
+    /// Prints the members as one node sees them
+    Status {
+        #[command(flatten)]
+        whom: Whom,
+        /// As one JSON object
+        #[arg(long)]
+        json: bool,
+    },
+    /// Prints a line for each change that one node sees, until stopped
+    Watch {
+        #[command(flatten)]
+        whom: Whom,
+        /// How often the node is asked
+        #[arg(long, default_value = "500", value_name = "MS")]
+        every_ms: u64,
+        /// Ends after so long; absent: never
+        #[arg(long, value_name = "MS")]
+        for_ms: Option<u64>,
+    },
+}
+
+#[derive(Args)]
+pub struct Whom {
+    /// The node's fleet address
+    #[arg(long, value_name = "ADDRESS")]
+    peer: SocketAddr,
+    /// The fleet's key, where it has one
+    #[arg(long, value_name = "FILE")]
+    key_file: Option<PathBuf>,
+}
+
+/// A node's answer, all pages of it.
+pub struct Seen {
+    pub first: Status,
+    pub members: Vec<Report>,
+}
+
+impl Seen {
+    pub fn json(&self) -> Value {
+        let member = |of: &Report| {
+            json!({"name": &*of.name, "life": of.life.to_string(), "address": of.address.to_string(),
+                "state": of.state, "weight": of.weight, "slow": of.slow, "since_ms": of.for_ms})
+        };
+        let first = &self.first;
+        json!({"fleet": first.fleet, "name": &*first.name, "life": first.life.to_string(),
+            "view": first.view, "digest": format!("{:016x}", first.digest), "in_view": first.in_view,
+            "cut_off": first.cut_off, "displaced": first.displaced,
+            "members": self.members.iter().map(member).collect::<Vec<_>>()})
+    }
+
+    fn text(&self) -> String {
+        let first = &self.first;
+        let mut text = format!(
+            "{} of {}: view {} with {} members{}{}\n",
+            first.name,
+            first.fleet,
+            first.view,
+            first.in_view,
+            if first.cut_off { ", cut off" } else { "" },
+            if first.displaced { ", displaced by a process of the same name" } else { "" },
+        );
+        for of in &self.members {
+            let state = word(of);
+            let (name, address) = (&of.name, of.address);
+            text += &format!("{name:<16} {state:<10} {address:<22} weight {:<4} life {}", of.weight, of.life);
+            text += &format!("  for {} ms\n", of.for_ms);
+        }
+        text.pop();
+        text
+    }
+}
+
+fn word(of: &Report) -> String {
+    let word = serde_json::to_value(of.state).ok();
+    let word = word.as_ref().and_then(Value::as_str).unwrap_or_default().to_string();
+    if of.slow { word + ", slow" } else { word }
+}
+
+/// Asks a node, page by page.
+///
+/// # Errors
+/// In words: the key can't be read, or nobody answers.
+pub fn ask(peer: SocketAddr, key: Option<[u8; 32]>) -> Result<Seen, String> {
+    let seal = Seal::new(key, "");
+    let own = if peer.is_ipv4() { "0.0.0.0:0" } else { "[::]:0" };
+    let plain = |e: std::io::Error| format!("{peer}: {e}");
+    let sock = UdpSocket::bind(own).map_err(plain)?;
+    sock.set_read_timeout(Some(PATIENCE)).map_err(plain)?;
+    let mut seen: Option<Seen> = None;
+    let mut after: Option<Name> = None;
+    loop {
+        let page = page(&sock, &seal, peer, after.clone())?;
+        after = page.members.last().map(|last| last.name.clone());
+        let (more, members) = (page.more, page.members.clone());
+        let whole = seen.get_or_insert(Seen { first: page, members: Vec::new() });
+        whole.members.extend(members);
+        if !more || after.is_none() || whole.members.len() >= MOST {
+            return seen.ok_or_else(|| format!("{peer}: no answer"));
+        }
+    }
+}
+
+fn page(sock: &UdpSocket, seal: &Seal, peer: SocketAddr, after: Option<Name>) -> Result<Status, String> {
+    let mut bytes = [0; LONGEST];
+    for _ in 0..TRIES {
+        let nonce = fastrand::u64(..);
+        let asked = seal.close(&Spoken::Ask(Ask { nonce, after: after.clone() }));
+        let asked = asked.ok_or("too long a name")?;
+        sock.send_to(&asked, peer).map_err(|e| format!("{peer}: {e}"))?;
+        let till = Instant::now() + PATIENCE;
+        while Instant::now() < till {
+            let Ok((len, _)) = sock.recv_from(&mut bytes) else { break };
+            match seal.open(&bytes[..len]) {
+                Ok(Spoken::Told(status)) if status.nonce == nonce => return Ok(*status),
+                _ => {}
+            }
+        }
+    }
+    Err(format!("{peer}: no answer; is it a node's fleet address, and the key that fleet's?"))
+}
+
+/// Carries out one command; `say` is given each line.
+///
+/// # Errors
+/// In words, for the user.
+pub fn run(command: &FleetCommand, mut say: impl FnMut(&str)) -> Result<(), String> {
+    let key = |whom: &Whom| whom.key_file.as_deref().map(read_key).transpose();
+    match command {
+        FleetCommand::Status { whom, json } => {
+            let seen = ask(whom.peer, key(whom)?)?;
+            say(&if *json { seen.json().to_string() } else { seen.text() });
+            Ok(())
+        }
+        FleetCommand::Watch { whom, every_ms, for_ms } => {
+            let (key, began) = (key(whom)?, Instant::now());
+            let mut known: BTreeMap<Name, String> = BTreeMap::new();
+            let mut unanswered = false;
+            while for_ms.is_none_or(|most| began.elapsed() < Duration::from_millis(most)) {
+                match ask(whom.peer, key) {
+                    Ok(seen) => {
+                        unanswered = false;
+                        changes(&mut known, &seen).iter().for_each(|line| say(line));
+                    }
+                    Err(why) if known.is_empty() => return Err(why),
+                    Err(why) if !unanswered => {
+                        unanswered = true;
+                        say(&why);
+                    }
+                    Err(_) => {}
+                }
+                std::thread::sleep(Duration::from_millis((*every_ms).max(50)));
+            }
+            Ok(())
+        }
+    }
+}
+
+/// A line for each member that stands otherwise than `known` says, which is brought up to date.
+fn changes(known: &mut BTreeMap<Name, String>, seen: &Seen) -> Vec<String> {
+    let view = seen.first.view;
+    let mut lines = Vec::new();
+    let mut now = BTreeMap::new();
+    for of in &seen.members {
+        let stands = format!("{} (life {})", word(of), of.life);
+        if known.get(&of.name) != Some(&stands) {
+            lines.push(format!("view {view}: {} {stands}", of.name));
+        }
+        now.insert(of.name.clone(), stands);
+    }
+    let gone = known.keys().filter(|name| !now.contains_key(*name));
+    lines.extend(gone.map(|name| format!("view {view}: {name} forgotten")));
+    *known = now;
+    lines
+}
--- a/node/src/commands/mod.rs
+++ b/node/src/commands/mod.rs
@@ -2,5 +2,6 @@
 
 pub mod check;
 pub mod expr;
+pub mod fleet;
 pub mod routes;
 mod written;
--- a/node/src/lib.rs
+++ b/node/src/lib.rs
@@ -4,5 +4,7 @@
 pub mod commands;
 pub mod life;
 pub mod memory;
+pub mod parts;
+pub mod peers;
 pub mod serve;
 pub mod wire;
--- a/node/src/life/log.rs
+++ b/node/src/life/log.rs
@@ -13,7 +13,7 @@
 use slog_json::Json;
 
 /// Lines a second: a trouble that repeats itself must not slow the node down or fill the log.
-const MOST_LINES: u32 = 20;
+pub const MOST_LINES: u32 = 20;
 /// Bytes of a line: a pipe that is ready takes 4 kB without waiting.
 const LONGEST: usize = 4000;
 
@@ -23,7 +23,8 @@
     Json,
 }
 
-pub fn open(name: &str, format: Format, level: Level) -> Logger {
+/// `most` are the lines of a second.
+pub fn open(name: &str, format: Format, level: Level, most: u32) -> Logger {
     let writer = match format {
         Format::Text => Writer::Text,
         Format::Json => {
@@ -31,7 +32,7 @@
             Writer::Json(line.clone(), Box::new(json_writer(line)))
         }
     };
-    let lines = Lines(Mutex::new((Second::default(), writer)));
+    let lines = Lines { most, held: Mutex::new((Second::default(), writer)) };
     Logger::root(lines.filter_level(level).fuse(), o!("node" => name.to_string()))
 }
 
@@ -115,7 +116,10 @@
     left_out: u32,
 }
 
-struct Lines(Mutex<(Second, Writer)>);
+struct Lines {
+    most: u32,
+    held: Mutex<(Second, Writer)>,
+}
 
 impl Drain for Lines {
     type Ok = ();
@@ -123,13 +127,13 @@
 
     fn log(&self, record: &Record, values: &OwnedKVList) -> Result<(), Never> {
         let now = unix_ms() / 1000;
-        let Ok(mut held) = self.0.lock() else { return Ok(()) };
+        let Ok(mut held) = self.held.lock() else { return Ok(()) };
         let (second, writer) = &mut *held;
         if second.at != now {
             (second.at, second.written) = (now, 0);
         }
         second.written += 1;
-        if second.written > MOST_LINES {
+        if second.written > self.most {
             second.left_out += 1;
             return Ok(());
         }
--- a/node/src/main.rs
+++ b/node/src/main.rs
@@ -7,6 +7,7 @@
 use doortrack_installation::{Faults, Installation, file, orders};
 use doortrack_node::commands::check::check;
 use doortrack_node::commands::expr::{self, ExprCommand};
+use doortrack_node::commands::fleet::{self, FleetCommand};
 use doortrack_node::commands::routes::{self, RoutesCommand};
 use doortrack_node::life::log::{self, Format};
 use doortrack_node::serve::Node;
@@ -45,6 +46,9 @@
     /// Tries the rules of an installation file
     #[command(subcommand)]
     Routes(RoutesCommand),
+    /// Asks a running node how it sees its fleet
+    #[command(subcommand)]
+    Fleet(FleetCommand),
 }
 
 #[derive(Args)]
@@ -58,6 +62,9 @@
     /// The least severe lines written: critical, error, warning, info, debug or trace
     #[arg(long, default_value = "info", value_parser = level)]
     log_level: Level,
+    /// Lines a second; what is beyond is counted and left out
+    #[arg(long, default_value_t = log::MOST_LINES, value_name = "COUNT")]
+    log_lines: u32,
 }
 
 fn level(word: &str) -> Result<Level, String> {
@@ -90,6 +97,13 @@
         }
         Command::Expr(command) => told(expr::run(&command)),
         Command::Routes(command) => told(routes::run(&command)),
+        Command::Fleet(command) => match fleet::run(&command, |line| println!("{line}")) {
+            Ok(()) => ExitCode::SUCCESS,
+            Err(why) => {
+                eprintln!("doortrack: {why}");
+                ExitCode::FAILURE
+            }
+        },
     }
 }
 
@@ -114,7 +128,7 @@
         None => Installation::default(),
     };
     installation.beside(&orders).map_err(all)?;
-    let log = log::open(&orders.name, words.log_format, words.log_level);
+    let log = log::open(&orders.name, words.log_format, words.log_level, words.log_lines);
     let node = Node::start(orders, words.installation, installation, log);
     node.and_then(Node::serve).map_err(|fault| vec![fault])
 }
--- /dev/null
+++ b/node/src/parts.rs
@@ -0,0 +1,38 @@
+//! What plugs into the loop beside fronts, work and registry, each in a folder of its own: the loop does not
+//! know what they are.
+//!
+//! A part has a clock of its own and says how long it can wait. It may own some of the poller's keys from
+//! [`PART_KEYS`]. Where an installation asks for none, there is none: no socket, no line in the log.
+
+use std::ops::Range;
+
+use doortrack::Tenths;
+use doortrack_installation::{Installation, Orders};
+use slog::Logger;
+
+/// Keys of the poller that parts have, one each.
+pub const PART_KEYS: Range<usize> = 4..8;
+
+/// A part of the node. All calls return at once.
+pub trait Part {
+    /// The key of the poller under which it is told that something is ready.
+    fn key(&self) -> usize;
+
+    /// Reads what is ready, up to a bound for each turn of the loop.
+    fn ready(&mut self);
+
+    /// Does what is due. Called with each turn of the loop, after what is ready was read.
+    fn turn(&mut self);
+
+    /// How long it can wait, in tenths of a ms; [`Tenths::MAX`] for ever.
+    fn wait(&self) -> Tenths;
+
+    /// The node was told to leave.
+    fn leave(&mut self);
+
+    /// The operators' file was read again.
+    fn take_up(&mut self, installation: &Installation, orders: &Orders);
+
+    /// A line for the log now and then.
+    fn summary(&self, log: &Logger);
+}
--- /dev/null
+++ b/node/src/peers/link.rs
@@ -0,0 +1,254 @@
+//! The socket of the link, and the carrying out of what the decisions want.
+
+use std::collections::BTreeMap;
+use std::io::ErrorKind;
+use std::net::{SocketAddr, UdpSocket};
+use std::sync::Arc;
+use std::time::Instant;
+
+use doortrack::Tenths;
+use doortrack_fleet::{Action, Claim, Event, Fleet, Life, News, Stand};
+use doortrack_installation::{FleetFile, Installation, Orders};
+use polling::{Event as Ready, PollMode, Poller};
+use slog::{Logger, info, warn};
+
+use super::seal::{LONGEST, Refused, Seal};
+use super::spoken::{Ask, PAGE, Spoken, Status};
+use crate::parts::{PART_KEYS, Part};
+
+const KEY: usize = PART_KEYS.start;
+/// Datagrams read in one turn of the loop: a flood of them takes its turn like everything else.
+const TURN: usize = 64;
+/// How often one thing about strangers is told, in tenths of a ms.
+const TOLD_EVERY: Tenths = 600_000;
+
+/// What came and went.
+#[derive(Clone, Debug, Default)]
+struct Counts {
+    heard: u64,
+    sent: u64,
+    sent_bytes: u64,
+    /// Could not be sent, as the system had no room.
+    unsent: u64,
+    refused: BTreeMap<&'static str, u64>,
+}
+
+/// The link, with the decisions that it serves.
+pub struct Peers {
+    sock: UdpSocket,
+    log: Logger,
+    /// The fleet's own time: it neither jumps nor stands still with the system's.
+    zero: Instant,
+    file: FleetFile,
+    seal: Seal,
+    fleet: Fleet,
+    actions: Vec<Action>,
+    counts: Counts,
+    told_at: BTreeMap<&'static str, Tenths>,
+    /// Datagrams waited at the end of the last reading.
+    unread: bool,
+}
+
+impl Peers {
+    /// Opens the link that the operators' file asks for.
+    ///
+    /// # Errors
+    /// The key's file, or the address, with the path of its key.
+    pub fn open(
+        file: &FleetFile,
+        key: Option<[u8; 32]>,
+        orders: &Orders,
+        poller: &Arc<Poller>,
+        log: Logger,
+    ) -> Result<Peers, String> {
+        let at = |e: std::io::Error| format!("installation.fleet.listen: {}: {e}", file.listen);
+        let sock = UdpSocket::bind(file.listen).map_err(at)?;
+        sock.set_nonblocking(true).map_err(at)?;
+        // SAFETY: the part keeps the socket as long as the poller.
+        unsafe { poller.add_with_mode(&sock, Ready::readable(KEY), PollMode::Level).map_err(at)? };
+        let unix_ms = crate::life::clock::Clock::default().now() / 10;
+        let chance = fastrand::u64(..);
+        let weight = file.weight.unwrap_or(orders.handed.contract.cores).max(1);
+        let me = Claim {
+            name: orders.name.as_str().into(),
+            life: Life::started(unix_ms, chance),
+            turn: 0,
+            stand: Stand::Alive,
+            address: file.address(),
+            weight,
+        };
+        info!(log, "fleet"; "fleet" => &file.name, "listen" => %file.listen, "life" => %me.life,
+            "sealed" => key.is_some(), "seeds" => file.seeds.len());
+        let zero = Instant::now();
+        Ok(Peers {
+            sock,
+            log,
+            zero,
+            seal: Seal::new(key, &file.name),
+            fleet: Fleet::new(me, file.terms(), orders.seed ^ chance, 0),
+            file: file.clone(),
+            actions: Vec::new(),
+            counts: Counts::default(),
+            told_at: BTreeMap::new(),
+            unread: false,
+        })
+    }
+
+    fn now(&self) -> Tenths {
+        (self.zero.elapsed().as_micros() / 100) as Tenths
+    }
+
+    /// Reads one datagram; whether there may be more.
+    fn read_one(&mut self) -> bool {
+        let mut bytes = [0; LONGEST + 1];
+        let (len, from) = match self.sock.recv_from(&mut bytes) {
+            Ok(read) => read,
+            // What an earlier datagram met on its way is told here, and means nothing for the next.
+            Err(e) => return !matches!(e.kind(), ErrorKind::WouldBlock),
+        };
+        self.counts.heard += 1;
+        let opened = if len > LONGEST { Err(Refused::Unreadable) } else { self.seal.open(&bytes[..len]) };
+        let now = self.now();
+        match opened {
+            Ok(Spoken::Fleet(datagram)) => {
+                self.fleet.happen(now, Event::Heard { from, datagram }, &mut self.actions);
+                self.carry_out();
+            }
+            Ok(Spoken::Ask(ask)) => self.tell(ask, from),
+            Ok(Spoken::Told(_)) => {}
+            Err(refused) => self.refuse(refused, from),
+        }
+        true
+    }
+
+    /// Strangers cost a counter, and now and then a line.
+    fn refuse(&mut self, refused: Refused, from: SocketAddr) {
+        let name = refused.name();
+        *self.counts.refused.entry(name).or_default() += 1;
+        let now = self.now();
+        let due = self.told_at.get(name).is_none_or(|at| now >= at + TOLD_EVERY);
+        if due {
+            self.told_at.insert(name, now);
+            warn!(self.log, "stranger on the fleet's link"; "from" => %from, "why" => %refused);
+        }
+    }
+
+    fn tell(&mut self, ask: Ask, to: SocketAddr) {
+        let (members, more) = self.fleet.report(ask.after.as_ref(), PAGE, self.now());
+        let view = self.fleet.view();
+        let status = Status {
+            nonce: ask.nonce,
+            fleet: self.file.name.clone(),
+            name: self.fleet.me().name.clone(),
+            life: self.fleet.me().life,
+            view: view.number,
+            digest: view.digest,
+            in_view: view.members.len() as u32,
+            cut_off: self.fleet.is_cut_off(),
+            displaced: self.fleet.is_displaced(),
+            members,
+            more,
+        };
+        self.send(to, &Spoken::Told(Box::new(status)));
+    }
+
+    fn send(&mut self, to: SocketAddr, what: &Spoken) {
+        let Some(whole) = self.seal.close(what) else {
+            self.counts.unsent += 1;
+            return;
+        };
+        match self.sock.send_to(&whole, to) {
+            Ok(_) => {
+                self.counts.sent += 1;
+                self.counts.sent_bytes += whole.len() as u64;
+            }
+            // Nothing waits to be sent: a datagram may be lost on the way as well.
+            Err(_) => self.counts.unsent += 1,
+        }
+    }
+
+    fn carry_out(&mut self) {
+        for action in std::mem::take(&mut self.actions) {
+            match action {
+                Action::Send { to, datagram } => self.send(to, &Spoken::Fleet(*datagram)),
+                Action::Tell(news) => self.log(&news),
+            }
+        }
+    }
+
+    fn log(&self, news: &News) {
+        let (view, digest) = (self.fleet.view().number, format!("{:016x}", self.fleet.view().digest));
+        let members = self.fleet.view().members.len();
+        let word = news.word();
+        match news.about() {
+            Some((name, life)) => info!(self.log, "member"; "what" => word, "of" => &**name, "life" => %life,
+                "view" => view, "members" => members, "digest" => digest),
+            None if matches!(news, News::Displaced { .. } | News::Twin { .. } | News::CutOff(true)) => {
+                warn!(self.log, "member"; "what" => word, "why" => ?news, "view" => view);
+            }
+            None => info!(self.log, "member"; "what" => word, "why" => ?news, "view" => view),
+        }
+    }
+}
+
+impl Part for Peers {
+    fn key(&self) -> usize {
+        KEY
+    }
+
+    fn ready(&mut self) {
+        self.unread = (0..TURN).all(|_| self.read_one());
+    }
+
+    fn turn(&mut self) {
+        let now = self.now();
+        // What lies unread came before: an answer among it is no missing one.
+        if !self.unread && now >= self.fleet.next_due() {
+            self.fleet.happen(now, Event::Turn, &mut self.actions);
+            self.carry_out();
+        }
+        self.unread = false;
+    }
+
+    fn wait(&self) -> Tenths {
+        match self.fleet.next_due() {
+            Tenths::MAX => Tenths::MAX,
+            due => due.saturating_sub(self.now()),
+        }
+    }
+
+    fn leave(&mut self) {
+        self.fleet.happen(self.now(), Event::Leave, &mut self.actions);
+        self.carry_out();
+    }
+
+    fn take_up(&mut self, installation: &Installation, _: &Orders) {
+        let Some(file) = &installation.fleet else {
+            return warn!(self.log, "fleet needs a start"; "why" => "it can't be left under way");
+        };
+        let kept =
+            |of: &FleetFile| (of.name.clone(), of.listen, of.advertise, of.key_file.clone(), of.weight);
+        if kept(file) != kept(&self.file) {
+            warn!(self.log, "fleet needs a start"; "why" => "its name, addresses, key or weight changed");
+        }
+        // What can't change under way stays as it was.
+        self.file = FleetFile {
+            seeds: file.seeds.clone(),
+            voters: file.voters.clone(),
+            times: file.times,
+            ..self.file.clone()
+        };
+        let terms = Box::new(self.file.terms());
+        self.fleet.happen(self.now(), Event::Changed { terms }, &mut self.actions);
+        self.carry_out();
+    }
+
+    fn summary(&self, log: &Logger) {
+        let counts = &self.counts;
+        info!(log, "so far of the fleet"; "view" => self.fleet.view().number,
+            "members" => self.fleet.view().members.len(), "cut_off" => self.fleet.is_cut_off(),
+            "heard" => counts.heard, "sent" => counts.sent, "sent_bytes" => counts.sent_bytes,
+            "unsent" => counts.unsent, "refused" => slog::Serde(counts.refused.clone()),
+            "out_of_place" => self.fleet.refused());
+    }
+}
--- /dev/null
+++ b/node/src/peers/mod.rs
@@ -0,0 +1,7 @@
+//! The link to the other nodes of the fleet: one UDP socket. Who is there is decided by `doortrack-fleet`.
+
+mod link;
+pub mod seal;
+pub mod spoken;
+
+pub use link::Peers;
--- a/node/src/serve.rs
+++ b/node/src/serve.rs
@@ -25,6 +25,7 @@
 use crate::life::signals::{LEAVE_KEY, RELOAD_KEY, Signals};
 use crate::memory::exchanges::{Ex, Exchanges, Stage};
 use crate::memory::results::{Key, Made, Results};
+use crate::parts::{PART_KEYS, Part};
 use crate::wire::end::End;
 use crate::wire::engine::Told;
 use crate::wire::fronts::{Came, FIRST_KEY, Fronts, LISTEN_KEY};
@@ -78,6 +79,8 @@
     stop_at: Option<Tenths>,
     closing: bool,
     slowest: Slowest,
+    /// What plugs into the loop beside all this.
+    parts: Vec<Box<dyn Part>>,
 }
 
 impl Node {
@@ -110,6 +113,7 @@
                 came.drain(..).for_each(|what| self.came(what));
                 self.decide();
             }
+            self.parts.iter_mut().for_each(|part| part.turn());
             self.send(&mut came, &mut told);
             let turn = self.clock.now().saturating_sub(self.now);
             self.slowest.turn = self.slowest.turn.max(turn);
@@ -143,6 +147,9 @@
                 LEAVE_KEY => self.leave(),
                 // Last, as what else is ready was read off the links that are to be left.
                 RELOAD_KEY => reload = true,
+                key if PART_KEYS.contains(&key) => {
+                    self.parts.iter_mut().filter(|part| part.key() == key).for_each(|part| part.ready());
+                }
                 key if self.work.has(key) => self.work.ready(event, self.now, told),
                 LISTEN_KEY..FIRST_KEY => _ = self.fronts.accept(event.key - LISTEN_KEY, self.now, came),
                 _ => self.fronts.ready(event, self.now, came),
@@ -175,7 +182,9 @@
         let stop = self.stop_at.unwrap_or(Tenths::MAX);
         let stop = if self.closing { stop } else { stop.saturating_sub(FLUSH) };
         let sweep = if self.fronts.to_sweep() { self.sweep_at } else { Tenths::MAX };
-        alarm.min(work).min(stop).min(sweep).min(self.registry.next).min(self.summary_at)
+        let parts = self.parts.iter().map(|part| self.now.saturating_add(part.wait())).min();
+        let own = alarm.min(work).min(stop).min(sweep).min(self.registry.next).min(self.summary_at);
+        own.min(parts.unwrap_or(Tenths::MAX))
     }
 
     // --- Deciding and carrying out ---
--- a/node/src/serve/leave.rs
+++ b/node/src/serve/leave.rs
@@ -18,6 +18,7 @@
         let stop = self.now + self.orders.stop_after;
         self.stop_at = Some(stop);
         self.registry.tell(true);
+        self.parts.iter_mut().for_each(|part| part.leave());
         info!(self.log, "told to leave"; "in_hand" => self.exs.in_hand());
         if self.door.is_some() {
             self.batch.push(Happened::Leave { stop_at: stop.saturating_sub(FLUSH) });
--- a/node/src/serve/reload.rs
+++ b/node/src/serve/reload.rs
@@ -39,6 +39,10 @@
             warn!(self.log, "registry cannot be reached"; "why" => %e);
         }
         self.change_servers(&installation);
+        self.parts.iter_mut().for_each(|part| part.take_up(&installation, &self.orders));
+        if self.parts.is_empty() && installation.fleet.is_some() {
+            warn!(self.log, "fleet needs a start"; "why" => "it can't be joined under way");
+        }
         // As a whole, and for what is read from here on: what is in hand stays what it was.
         match (&mut self.fronts.rules, ruled) {
             (Some(rules), Some(new)) => rules.replace(new),
--- a/node/src/serve/report.rs
+++ b/node/src/serve/report.rs
@@ -33,6 +33,7 @@
             "read_after_ms" => self.slowest.arrival / MS, "memory_kb" => peak_kb(),
             "cpu_ms" => cpu_ms(), "descriptors" => descriptors());
         self.slowest = Slowest::default();
+        self.parts.iter().for_each(|part| part.summary(&self.log));
         let pools = if let Work::Servers(pools) = &self.work { &pools[..] } else { &[] };
         for (name, servers) in pools {
             let (pool, counts) = (servers.pool(), servers.pool().counts);
--- a/node/src/serve/start.rs
+++ b/node/src/serve/start.rs
@@ -1,7 +1,7 @@
 //! The start: what the node needs of the system, and, once the engine is up, the decisions.
 
 use std::collections::{BinaryHeap, HashSet};
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::sync::Arc;
 
 use doortrack::logic::Door;
@@ -19,6 +19,8 @@
 use crate::life::signals::Signals;
 use crate::memory::exchanges::Exchanges;
 use crate::memory::results::Results;
+use crate::parts::Part;
+use crate::peers::Peers;
 use crate::wire::engine::Link;
 use crate::wire::fronts::Fronts;
 use crate::wire::registry::Registry;
@@ -53,6 +55,20 @@
     Ok(Some(Rules::new(table, otherwise)))
 }
 
+/// What an installation asks for beside fronts and servers; nothing where it asks for nothing.
+fn parts(
+    installation: &Installation,
+    orders: &Orders,
+    file: Option<&Path>,
+    poller: &Arc<Poller>,
+    log: &Logger,
+) -> Result<Vec<Box<dyn Part>>, Fault> {
+    let Some(fleet) = &installation.fleet else { return Ok(Vec::new()) };
+    let folder = file.and_then(Path::parent).unwrap_or(Path::new(""));
+    let key = fleet.key(folder).map_err(|faults| faults.to_string())?;
+    Ok(vec![Box::new(Peers::open(fleet, key, orders, poller, log.clone())?)])
+}
+
 impl Node {
     /// Opens all that the node needs. `file` is where `installation` was read, to be read again at SIGHUP.
     pub fn start(
@@ -100,7 +116,9 @@
             .map_err(|e| format!("config.registry: {}: {e}", orders.registry))?;
         info!(log, "listening"; "address" => %orders.listen, "connections" => room.connections,
             "open" => room.open);
+        let parts = parts(&installation, &orders, file.as_deref(), &poller, &log)?;
         let mut node = Node {
+            parts,
             groups: handed.group_names.iter().map(|name| Value::from(name.as_str()).to_string()).collect(),
             results: Results::new(room.entries, room.result_bytes, patience),
             log,
--- /dev/null
+++ b/node/tests/fleet/link.rs
@@ -0,0 +1,217 @@
+//! What reaches the link that is not from the fleet, names used twice, seeds that are down, and the command
+//! line.
+
+use std::net::UdpSocket;
+use std::process::Command;
+use std::time::{Duration, Instant};
+
+use doortrack_fleet::{Action, Claim, Datagram, Event, Fleet, Head, Life, Message, Stand, Terms};
+use doortrack_node::peers::seal::{Refused, Seal};
+use doortrack_node::peers::spoken::{PAGE, Spoken, Status};
+use doortrack_rig::history::{History, What};
+use doortrack_rig::processes::Rig;
+use doortrack_rig::script::Fault;
+use serde_json::{Value, json};
+
+use crate::program;
+
+fn rig(nodes: usize) -> Rig {
+    Rig::new(program(), nodes, 1).unwrap()
+}
+
+fn all_there(rig: &Rig, of: usize, count: usize) {
+    let there = |members: &[doortrack_rig::history::Member]| {
+        members.iter().filter(|member| member.state == "alive").count() == count
+    };
+    assert!(rig.wait_for(of, there), "{:?}", rig.status(of));
+}
+
+fn told(history: &History, node: usize, wanted: &str) -> bool {
+    history.entries.iter().any(
+        |entry| matches!(&entry.what, What::News { node: by, word, .. } if *by == node && word == wanted),
+    )
+}
+
+/// A datagram of one that has no key, or another, or is of another fleet.
+fn strange(key: Option<[u8; 32]>, fleet: &str) -> Vec<u8> {
+    let of = Claim {
+        name: "stranger".into(),
+        life: Life(77),
+        turn: 0,
+        stand: Stand::Alive,
+        address: "127.0.0.1:9".parse().unwrap(),
+        weight: 1,
+    };
+    let head = Head { of, to: Life(0), nth: 1, digest: 0, view: 0 };
+    let datagram = Datagram { head, message: Message::Join, claims: Vec::new() };
+    Seal::new(key, fleet).close(&Spoken::Fleet(datagram)).unwrap()
+}
+
+#[test]
+fn garbage_and_strangers_cost_a_counter() {
+    let mut rig = rig(3);
+    rig.begin();
+    (0..3).for_each(|of| rig.start(of, of, &Value::Null).unwrap());
+    (0..3).for_each(|of| all_there(&rig, of, 3));
+    let sock = UdpSocket::bind("127.0.0.1:0").unwrap();
+    let mut chance = fastrand::Rng::with_seed(4);
+    let key = Some([0x5a; 32]);
+    let mut version = strange(key, "rig");
+    version[0] = 9;
+    let kinds = [strange(None, "rig"), strange(key, "other"), version, Vec::new(), vec![1], vec![1; 2_000]];
+    for nth in 0..30_000 {
+        let mut bytes = kinds[nth % kinds.len()].clone();
+        if nth % 4 == 0 {
+            bytes = (0..chance.usize(..600)).map(|_| chance.u8(..)).collect();
+        }
+        _ = sock.send_to(&bytes, rig.fleet(0));
+    }
+    (0..3).for_each(|of| all_there(&rig, of, 3));
+    let played = rig.finish();
+    assert!(!(0..3).any(|of| told(&played.history, of, "lost")), "{}", played.history.lines());
+}
+
+#[test]
+fn what_is_sealed_otherwise_is_told_apart() {
+    let key = Some([0x5a; 32]);
+    let seal = Seal::new(key, "rig");
+    let whole = strange(key, "rig");
+    assert!(seal.open(&whole).is_ok());
+    let longer = Seal::new(key, "rig").close(&seal.open(&whole).unwrap()).unwrap();
+    assert_eq!(longer, whole, "the same each time");
+    assert_eq!(seal.open(&strange(None, "rig")), Err(Refused::Hash));
+    assert_eq!(seal.open(&strange(key, "other")), Err(Refused::Fleet));
+    for place in 1..whole.len() {
+        let mut garbled = whole.clone();
+        garbled[place] ^= 1;
+        assert_eq!(seal.open(&garbled), Err(Refused::Hash), "byte {place}");
+    }
+    for len in 1..whole.len() {
+        assert!(seal.open(&whole[..len]).is_err(), "{len} bytes");
+    }
+    let mut other = whole;
+    other[0] = 2;
+    assert_eq!(seal.open(&other), Err(Refused::Version(2)));
+    assert_eq!(Refused::Version(2).to_string(), "speaks version 2, this build 1");
+}
+
+#[test]
+fn the_longest_claims_still_fit_a_datagram() {
+    let claim = |nth: usize| Claim {
+        name: format!("{nth:064}").into(),
+        life: Life(u64::MAX),
+        turn: u32::MAX,
+        stand: Stand::Suspected { by: u32::MAX },
+        address: "[2001:db8:ffff:ffff:ffff:ffff:ffff:ffff]:65535".parse().unwrap(),
+        weight: 1_000_000,
+    };
+    let head = Head { of: claim(0), to: Life(u64::MAX), nth: u64::MAX, digest: u64::MAX, view: u64::MAX };
+    let claims: Vec<Claim> = (0..doortrack_fleet::MOST_CLAIMS).map(claim).collect();
+    let message = Message::PingFor { nonce: u32::MAX, name: claim(1).name, life: Life(u64::MAX) };
+    let datagram = Datagram { head, message, claims };
+    let seal = Seal::new(None, &"x".repeat(64));
+    assert!(seal.close(&Spoken::Fleet(datagram)).is_some());
+    // So do the pages of a table of them, and the answers to those who ask.
+    let mut fleet = Fleet::new(claim(0), Terms::default(), 1, 0);
+    let mut out = Vec::new();
+    for nth in 1..60 {
+        let of = Claim { stand: Stand::Alive, ..claim(nth) };
+        let head = Head { of, to: Life(u64::MAX), nth: 1, digest: 0, view: 0 };
+        let message = if nth == 59 { Message::Ask { after: None } } else { Message::News };
+        let datagram = Datagram { head, message, claims: Vec::new() };
+        let from = claim(nth).address;
+        fleet.happen(0, Event::Heard { from, datagram }, &mut out);
+    }
+    let pages = out.into_iter().filter_map(|action| match action {
+        Action::Send { datagram, .. } if matches!(datagram.message, Message::Page { .. }) => Some(*datagram),
+        _ => None,
+    });
+    let pages: Vec<Datagram> = pages.collect();
+    assert!(pages.iter().any(|page| page.claims.len() >= 8));
+    assert!(pages.into_iter().all(|page| seal.close(&Spoken::Fleet(page)).is_some()));
+    let (members, more) = fleet.report(None, PAGE, 0);
+    let status = Status {
+        nonce: u64::MAX,
+        fleet: "x".repeat(64),
+        name: claim(0).name,
+        life: Life(u64::MAX),
+        view: u64::MAX,
+        digest: u64::MAX,
+        in_view: u32::MAX,
+        cut_off: true,
+        displaced: true,
+        members,
+        more,
+    };
+    assert!(more && seal.close(&Spoken::Told(Box::new(status))).is_some());
+}
+
+#[test]
+fn a_name_used_by_two_processes_stays_with_the_later_one() {
+    let mut rig = rig(4);
+    rig.begin();
+    (0..3).for_each(|of| rig.start(of, of, &Value::Null).unwrap());
+    (0..3).for_each(|of| all_there(&rig, of, 3));
+    // The fourth process goes by the name of the third.
+    rig.start(3, 2, &Value::Null).unwrap();
+    let displaced = |what: Option<What>| {
+        matches!(what, Some(What::Status { members, .. }) if
+        members.iter().any(|member| member.name == "n2" && member.state == "lost"))
+    };
+    let until = Instant::now() + Duration::from_secs(20);
+    while !displaced(rig.status(2)) && Instant::now() < until {
+        std::thread::sleep(Duration::from_millis(50));
+    }
+    [0, 1, 3].iter().for_each(|of| all_there(&rig, *of, 3));
+    let played = rig.finish();
+    assert!(told(&played.history, 2, "displaced"), "{}", played.history.lines());
+}
+
+#[test]
+fn with_all_seeds_down_a_node_serves_alone_and_joins_later() {
+    let mut rig = rig(5);
+    rig.begin();
+    [3, 4].iter().for_each(|of| rig.start(*of, *of, &Value::Null).unwrap());
+    let alone =
+        |members: &[doortrack_rig::history::Member]| members.len() == 1 && members[0].state == "joining";
+    assert!(rig.wait_for(3, alone) && rig.wait_for(4, alone));
+    rig.start(0, 0, &Value::Null).unwrap();
+    [0, 3, 4].iter().for_each(|of| all_there(&rig, *of, 3));
+}
+
+#[test]
+fn the_command_line_tells_how_a_node_sees_its_fleet() {
+    let mut rig = rig(3);
+    rig.begin();
+    (0..3).for_each(|of| rig.start(of, of, &Value::Null).unwrap());
+    (0..3).for_each(|of| all_there(&rig, of, 3));
+    rig.take_up(&Fault::Kill { nodes: vec![1] }, &|_| Value::Null).unwrap();
+    let lost =
+        |members: &[doortrack_rig::history::Member]| members.iter().any(|member| member.state == "lost");
+    assert!(rig.wait_for(0, lost));
+    let ask = |words: &[&str]| {
+        let mut command = Command::new(program());
+        command.args(["fleet", "status", "--peer", &rig.fleet(0).to_string()]).args(words);
+        command.output().unwrap()
+    };
+    let key = rig.key_file();
+    let key = key.to_str().unwrap();
+    let json = ask(&["--key-file", key, "--json"]);
+    let seen: Value = serde_json::from_slice(&json.stdout).unwrap();
+    assert_eq!(
+        (&seen["name"], &seen["fleet"], &seen["cut_off"]),
+        (&json!("n0"), &json!("rig"), &json!(false))
+    );
+    let states: Vec<_> = seen["members"].as_array().unwrap().iter().map(|of| &of["state"]).collect();
+    assert_eq!(states, ["alive", "lost", "alive"]);
+    let text = String::from_utf8(ask(&["--key-file", key]).stdout).unwrap();
+    assert!(text.starts_with("n0 of rig: view "), "{text}");
+    // Without the key nobody answers, and the answer says what to look at.
+    let refused = ask(&[]);
+    assert!(!refused.status.success());
+    assert!(String::from_utf8_lossy(&refused.stderr).contains("no answer"), "{refused:?}");
+    let at = rig.fleet(0).to_string();
+    let words = ["fleet", "watch", "--peer", &at, "--key-file", key, "--for-ms", "300", "--every-ms", "100"];
+    let watched = Command::new(program()).args(words).output().unwrap();
+    assert!(String::from_utf8_lossy(&watched.stdout).contains("n1 lost"), "{watched:?}");
+}
--- /dev/null
+++ b/node/tests/fleet/main.rs
@@ -0,0 +1,28 @@
+//! Several processes of the program and what lies between them broken: who is there is judged on the joint
+//! history by checkers that know nothing of the node's code.
+//!
+//! Every wait has a bound that a slow machine does not outlast; nothing is judged by how long it took.
+
+mod link;
+mod served;
+mod troubles;
+
+use std::path::Path;
+
+use doortrack_rig::checks::{judge, membership};
+use doortrack_rig::processes::Played;
+use doortrack_rig::script::{Fault, Script, Timed};
+
+fn program() -> &'static Path {
+    Path::new(env!("CARGO_BIN_EXE_doortrack"))
+}
+
+fn script(nodes: usize, ms: u64, faults: Vec<(u64, Fault)>) -> Script {
+    let faults = faults.into_iter().map(|(at_ms, fault)| Timed { at_ms, fault }).collect();
+    Script { nodes, ms, seed: 5, faults }
+}
+
+fn holds(played: &Played) {
+    let breaches = judge(&played.history, &membership());
+    assert!(breaches.is_empty(), "{breaches:#?}\n{}", played.history.lines());
+}
--- /dev/null
+++ b/node/tests/fleet/troubles.rs
@@ -0,0 +1,103 @@
+//! Processes that die, stop, leave and come back, and links that break.
+
+use doortrack_rig::history::What;
+use doortrack_rig::processes::{Played, play};
+use doortrack_rig::script::{Fault, Script};
+use serde_json::Value;
+
+use crate::{holds, program, script};
+
+fn played(script: &Script) -> Played {
+    let played = play(program(), script, &|_| Value::Null).unwrap();
+    holds(&played);
+    played
+}
+
+fn told(played: &Played, wanted: &str) -> usize {
+    let is = |what: &What| matches!(what, What::News { word, .. } if word == wanted);
+    played.history.entries.iter().filter(|entry| is(&entry.what)).count()
+}
+
+fn both(nodes: (Vec<usize>, Vec<usize>), at: u64, till: u64) -> Vec<(u64, Fault)> {
+    let (one, other) = nodes;
+    vec![
+        (at, Fault::Cut { from: one.clone(), to: other.clone() }),
+        (at, Fault::Cut { from: other.clone(), to: one.clone() }),
+        (till, Fault::Mend { from: one.clone(), to: other.clone() }),
+        (till, Fault::Mend { from: other, to: one }),
+    ]
+}
+
+#[test]
+fn half_of_a_fleet_killed_at_once_is_lost_and_comes_back() {
+    let half = vec![0, 1, 2];
+    let faults = vec![(2_000, Fault::Kill { nodes: half.clone() }), (7_000, Fault::Start { nodes: half })];
+    let played = played(&script(6, 9_000, faults));
+    assert!(told(&played, "lost") >= 9, "each of three lost three\n{}", played.history.lines());
+}
+
+#[test]
+fn all_started_anew_within_a_second_agree_again() {
+    let faults = (0..6).flat_map(|of| {
+        let at = 2_000 + of as u64 * 150;
+        [(at, Fault::Kill { nodes: vec![of] }), (at + 20, Fault::Start { nodes: vec![of] })]
+    });
+    played(&script(6, 4_000, faults.collect()));
+}
+
+#[test]
+fn a_release_in_steps_with_datagrams_lost_is_left_and_never_lost() {
+    let rough = Fault::Links { loss: 0.1, doubled: 0.05, garbled: 0.02, delay_ms: 5 };
+    let calm = Fault::Links { loss: 0.0, doubled: 0.0, garbled: 0.0, delay_ms: 0 };
+    let mut faults = vec![(1_500, rough), (11_000, calm)];
+    for of in 0..5 {
+        let at = 2_000 + of as u64 * 1_800;
+        faults.push((at, Fault::Leave { nodes: vec![of] }));
+        faults.push((at + 1_500, Fault::Start { nodes: vec![of] }));
+    }
+    let played = played(&script(5, 12_000, faults));
+    assert!(told(&played, "left") >= 10, "{}", played.history.lines());
+    assert!(played.passed.garbled > 0 && played.passed.lost > 0);
+}
+
+#[test]
+fn a_node_cut_off_one_way_holds_itself_for_the_cut_off_one() {
+    let faults = vec![
+        (2_000, Fault::Cut { from: vec![1, 2, 3, 4], to: vec![0] }),
+        (10_000, Fault::Mend { from: vec![1, 2, 3, 4], to: vec![0] }),
+    ];
+    let played = played(&script(5, 12_000, faults));
+    let own = |what: &What| matches!(what, What::News { node: 0, word, .. } if word == "lost");
+    assert!(!played.history.entries.iter().any(|entry| own(&entry.what)), "{}", played.history.lines());
+    assert!(told(&played, "cut_off") >= 1 && told(&played, "heard_again") >= 1);
+}
+
+#[test]
+fn two_halves_that_hear_nothing_of_one_another_heal_without_a_start() {
+    let played = played(&script(6, 11_000, both((vec![0, 1, 2], vec![3, 4, 5]), 2_000, 9_000)));
+    assert!(told(&played, "lost") >= 18, "{}", played.history.lines());
+    assert_eq!(played.history.entries.iter().filter(|e| matches!(e.what, What::Began { .. })).count(), 6);
+}
+
+#[test]
+fn a_node_stopped_for_five_seconds_wakes_and_believes_nothing_unchecked() {
+    // Meanwhile another left and a third came anew: its old view is wrong twice.
+    let faults = vec![
+        (2_000, Fault::Stop { nodes: vec![0] }),
+        (3_000, Fault::Leave { nodes: vec![3] }),
+        (3_500, Fault::Kill { nodes: vec![4] }),
+        (5_000, Fault::Start { nodes: vec![4] }),
+        (7_000, Fault::GoOn { nodes: vec![0] }),
+    ];
+    let played = played(&script(5, 9_000, faults));
+    let still = |what: &What| matches!(what, What::News { node: 0, word, .. } if word == "stood_still");
+    assert!(played.history.entries.iter().any(|entry| still(&entry.what)), "{}", played.history.lines());
+}
+
+#[test]
+fn troubles_drawn_from_seeds_break_no_promise() {
+    for seed in [3, 8] {
+        let script = Script::seeded(seed, 5, 3);
+        played(&Script { ms: script.ms - 10_000, ..script });
+    }
+}
--- a/node/tests/node/play.rs
+++ b/node/tests/node/play.rs
@@ -40,11 +40,6 @@
     }
 }
 
-fn ran(got: &Got) -> Ran {
-    let text = |name: &str| got.variable(name).map(|value| String::from_utf8_lossy(value).into_owned());
-    Ran { try_id: text("HTTP_X_REQUEST_ID").unwrap(), mark: text("HTTP_IDEMPOTENCY_KEY"), at: got.at }
-}
-
 /// Callers on both fronts, some of which leave; what they were told.
 struct Callers {
     rng: Rng,
@@ -166,7 +161,7 @@
                     let server = servers.remove(0);
                     let at = server.at;
                     thread::sleep(Duration::from_millis(2));
-                    gone.extend(server.kill_and_tell().iter().map(ran));
+                    gone.extend(server.kill_and_tell().iter().map(Ran::from));
                     servers.insert(0, Server::start_at(at, protocol, move |got| act(got, seed * 10)));
                 }
                 150 | 220 => {
@@ -177,7 +172,7 @@
             }
         }
         leave(bed, callers, || {
-            gone.extend(servers.iter().flat_map(|server| server.got()).map(|got| ran(&got)));
+            gone.extend(servers.iter().flat_map(|server| server.got()).map(|got| Ran::from(&got)));
             gone
         });
     }
--- /dev/null
+++ b/rig/src/checks.rs
@@ -0,0 +1,231 @@
+//! What must hold in every play, judged on its history alone.
+//!
+//! Each promise is an [`Invariant`] of its own; later parts of the program add theirs. The bounds here are
+//! those of the promise, never of how fast a machine is: a process that the machine let stand still says so,
+//! and what is said of it is excused.
+
+use std::collections::BTreeMap;
+
+use crate::course::Course;
+use crate::history::{History, What, name};
+
+/// A promise that was broken.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Breach {
+    pub rule: &'static str,
+    pub at_ms: u64,
+    pub what: String,
+}
+
+/// One promise.
+pub trait Invariant {
+    fn name(&self) -> &'static str;
+
+    /// Every breach in a history; `course` is what it says of the true state.
+    fn judge(&self, history: &History, course: &Course) -> Vec<(u64, String)>;
+}
+
+/// All promises about who is there.
+pub fn membership() -> Vec<Box<dyn Invariant>> {
+    vec![
+        Box::new(NobodyWronglyLost),
+        Box::new(LeftIsNotLost),
+        Box::new(LivesGoForward),
+        Box::new(CutOffLosesNobody),
+        Box::new(WokenLosesNobody),
+        Box::new(InTheEndAllAgree),
+    ]
+}
+
+/// Judges a history by these promises.
+pub fn judge(history: &History, by: &[Box<dyn Invariant>]) -> Vec<Breach> {
+    let course = Course::of(history);
+    let mut breaches = Vec::new();
+    for rule in by {
+        let found = rule.judge(history, &course).into_iter();
+        breaches.extend(found.map(|(at_ms, what)| Breach { rule: rule.name(), at_ms, what }));
+    }
+    breaches.sort_by_key(|breach| breach.at_ms);
+    breaches
+}
+
+/// The number of a node, by its name.
+fn number(name: &str) -> Option<usize> {
+    name.strip_prefix('n')?.parse().ok()
+}
+
+/// What was told with this word: when, by whom, of whom with which life.
+fn told<'a>(history: &'a History, wanted: &'a str) -> impl Iterator<Item = (u64, usize, usize, &'a str)> {
+    history.entries.iter().filter_map(move |entry| match &entry.what {
+        What::News { node, word, of: Some(of), life, .. } if word == wanted => {
+            Some((entry.at_ms, *node, number(of)?, life.as_deref().unwrap_or_default()))
+        }
+        _ => None,
+    })
+}
+
+/// Reasons for a loss lie within so many ms before it.
+const REASONS: u64 = 8_000;
+
+/// Who runs, and is reached by others, is held for lost by nobody: not for one broken link, nor for some
+/// datagrams lost.
+pub struct NobodyWronglyLost;
+
+impl Invariant for NobodyWronglyLost {
+    fn name(&self) -> &'static str {
+        "nobody wrongly lost"
+    }
+
+    fn judge(&self, history: &History, course: &Course) -> Vec<(u64, String)> {
+        let wrongly = told(history, "lost").filter(|(at, by, of, _)| {
+            let from = at.saturating_sub(REASONS);
+            let reason = |node| course.was_wrong(node, from, *at) || course.was_parted(node, from, *at);
+            !reason(*of) && !reason(*by) && !course.was_rough(from, *at)
+        });
+        wrongly.map(|(at, by, of, _)| (at, format!("{} held {} for lost", name(by), name(of)))).collect()
+    }
+}
+
+/// Who was told to leave, and is not killed at once, is never held for lost.
+pub struct LeftIsNotLost;
+
+/// What a node needs to say that it leaves.
+const SAYING: u64 = 2_000;
+
+impl Invariant for LeftIsNotLost {
+    fn name(&self) -> &'static str {
+        "left is not lost"
+    }
+
+    fn judge(&self, history: &History, course: &Course) -> Vec<(u64, String)> {
+        let wrongly = told(history, "lost").filter(|(at, by, of, _)| {
+            let leaves = course.left.get(of).into_iter().flatten();
+            let Some(left) = leaves.filter(|left| *left <= at).max() else { return false };
+            let anew = course.began[*of].iter().any(|began| began > left && began <= at);
+            let parted = |node| course.was_parted(node, left.saturating_sub(REASONS), left + SAYING);
+            let excused = parted(*of) || parted(*by) || course.was_rough(left.saturating_sub(REASONS), *at);
+            let reader = course.was_wrong(*by, left.saturating_sub(SAYING), *at);
+            !anew && !excused && !reader && *at > left + SAYING
+        });
+        wrongly
+            .map(|(at, by, of, _)| (at, format!("{} held {} for lost, which left", name(by), name(of))))
+            .collect()
+    }
+}
+
+/// No process goes back to an earlier life of another.
+pub struct LivesGoForward;
+
+impl Invariant for LivesGoForward {
+    fn name(&self) -> &'static str {
+        "lives go forward"
+    }
+
+    fn judge(&self, history: &History, _: &Course) -> Vec<(u64, String)> {
+        let (mut seen, mut broken) = (BTreeMap::new(), Vec::new());
+        for entry in &history.entries {
+            match &entry.what {
+                What::Began { node } => seen.retain(|(by, _), _| by != node),
+                What::News { node, word, of: Some(of), life: Some(life), .. }
+                    if matches!(&**word, "alive" | "back") =>
+                {
+                    let life = u64::from_str_radix(life, 16).unwrap_or_default();
+                    let last = seen.entry((*node, of.clone())).or_insert(life);
+                    if life < *last {
+                        let what =
+                            format!("{} went back from life {last:x} of {of} to {life:x}", name(*node));
+                        broken.push((entry.at_ms, what));
+                    }
+                    *last = life.max(*last);
+                }
+                _ => {}
+            }
+        }
+        broken
+    }
+}
+
+/// Who hears nobody lets nobody be lost: it is the one that is cut off.
+pub struct CutOffLosesNobody;
+
+impl Invariant for CutOffLosesNobody {
+    fn name(&self) -> &'static str {
+        "cut off, loses nobody"
+    }
+
+    fn judge(&self, history: &History, course: &Course) -> Vec<(u64, String)> {
+        let wrongly = told(history, "lost").filter(|(at, by, of, _)| {
+            // A doubt that others had shared before may come to its end just after the cut.
+            let within = course.cut_off(*by).iter().any(|span| *at >= span.from + SAYING && *at < span.till);
+            let known = course.was_wrong(*of, at.saturating_sub(REASONS), *at);
+            within && !known
+        });
+        wrongly
+            .map(|(at, by, of, _)| (at, format!("{}, cut off, held {} for lost", name(by), name(of))))
+            .collect()
+    }
+}
+
+/// Who stood still and wakes lets nobody be lost before it can have heard from anybody.
+pub struct WokenLosesNobody;
+
+/// The shortest doubt is longer than this.
+const WAKING: u64 = 250;
+
+impl Invariant for WokenLosesNobody {
+    fn name(&self) -> &'static str {
+        "woken, loses nobody"
+    }
+
+    fn judge(&self, history: &History, course: &Course) -> Vec<(u64, String)> {
+        let wrongly = told(history, "lost").filter(|(at, by, of, _)| {
+            let woken = |span: &crate::course::Span| {
+                span.till != u64::MAX
+                    && span.till >= span.from + 1_000
+                    && *at >= span.till
+                    && *at < span.till + WAKING
+            };
+            let Some(stop) = course.stops[*by].iter().find(|span| woken(span)) else { return false };
+            // What others tell it of one that was lost meanwhile is well founded.
+            !course.was_wrong(*of, stop.from.saturating_sub(REASONS), *at)
+        });
+        wrongly
+            .map(|(at, by, of, _)| (at, format!("{}, just woken, held {} for lost", name(by), name(of))))
+            .collect()
+    }
+}
+
+/// Once all is mended, those that run hold exactly those for there that run, and in one life.
+pub struct InTheEndAllAgree;
+
+impl Invariant for InTheEndAllAgree {
+    fn name(&self) -> &'static str {
+        "in the end all agree"
+    }
+
+    fn judge(&self, history: &History, course: &Course) -> Vec<(u64, String)> {
+        let running: Vec<String> = (0..history.nodes).filter(|of| course.running[*of]).map(name).collect();
+        let (mut broken, mut digests) = (Vec::new(), BTreeMap::new());
+        for entry in &history.entries {
+            let What::Status { node, members, digest, .. } = &entry.what else { continue };
+            if !course.running[*node] {
+                continue;
+            }
+            let there = members.iter().filter(|of| matches!(&*of.state, "alive" | "suspected"));
+            let mut there: Vec<String> = there.map(|of| of.name.clone()).collect();
+            there.sort_by_key(|name| number(name));
+            if there != running {
+                let missing: Vec<_> = running.iter().filter(|name| !there.contains(name)).collect();
+                let beyond: Vec<_> = there.iter().filter(|name| !running.contains(name)).collect();
+                let what = format!("{} misses {missing:?} and has {beyond:?} beyond", name(*node));
+                broken.push((entry.at_ms, what));
+            }
+            digests.entry(digest.clone()).or_insert((entry.at_ms, *node));
+        }
+        if broken.is_empty() && digests.len() > 1 {
+            let (at, _) = digests.values().max().copied().unwrap_or_default();
+            broken.push((at, format!("views differ: {digests:?}")));
+        }
+        broken
+    }
+}
--- /dev/null
+++ b/rig/src/history.rs
@@ -0,0 +1,106 @@
+//! What was done and what was told, by all, in the order of time. One JSON object a line when kept.
+
+use std::fmt::Write as _;
+
+use serde::{Deserialize, Serialize};
+
+use crate::script::Fault;
+
+/// One thing that happened.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Entry {
+    /// From the start of the play.
+    pub at_ms: u64,
+    #[serde(flatten)]
+    pub what: What,
+}
+
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(tag = "kind", rename_all = "snake_case")]
+pub enum What {
+    /// The rig did this.
+    Fault {
+        fault: Fault,
+    },
+    /// A process of this node began, and ended.
+    Began {
+        node: usize,
+    },
+    Ended {
+        node: usize,
+    },
+    /// A node told this of a member, or of itself where `of` is absent.
+    News {
+        node: usize,
+        word: String,
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        of: Option<String>,
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        life: Option<String>,
+        /// The view it rests on, and its members.
+        view: u64,
+        members: usize,
+    },
+    /// A node was asked how it sees its fleet.
+    Status {
+        node: usize,
+        cut_off: bool,
+        digest: String,
+        members: Vec<Member>,
+    },
+}
+
+/// A member in a status.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Member {
+    pub name: String,
+    pub life: String,
+    pub state: String,
+}
+
+/// One play, from its start to its end.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct History {
+    pub nodes: usize,
+    pub entries: Vec<Entry>,
+}
+
+/// The name of a node in a play.
+pub fn name(node: usize) -> String {
+    format!("n{node}")
+}
+
+impl History {
+    pub fn put(&mut self, at_ms: u64, what: What) {
+        self.entries.push(Entry { at_ms, what });
+    }
+
+    /// Entries that came by several ways are put in one order.
+    pub fn settle(&mut self) {
+        self.entries.sort_by_key(|entry| entry.at_ms);
+    }
+
+    /// One object a line, the number of nodes first.
+    pub fn lines(&self) -> String {
+        let mut text = format!("{{\"nodes\":{}}}\n", self.nodes);
+        for entry in &self.entries {
+            _ = writeln!(text, "{}", serde_json::to_string(entry).unwrap_or_default());
+        }
+        text
+    }
+
+    /// Reads what [`History::lines`] wrote.
+    ///
+    /// # Errors
+    /// The line that can't be read.
+    pub fn parse(text: &str) -> Result<History, String> {
+        let mut lines = text.lines().enumerate();
+        let (_, first) = lines.next().ok_or("line 1: the number of nodes is wanted")?;
+        let first: serde_json::Value = serde_json::from_str(first).map_err(|e| format!("line 1: {e}"))?;
+        let nodes = first["nodes"].as_u64().ok_or("line 1: the number of nodes is wanted")? as usize;
+        let entry = |(nth, line): (usize, &str)| {
+            serde_json::from_str(line).map_err(|e| format!("line {}: {e}", nth + 1))
+        };
+        Ok(History { nodes, entries: lines.map(entry).collect::<Result<_, _>>()? })
+    }
+}
--- /dev/null
+++ b/rig/src/main.rs
@@ -0,0 +1,140 @@
+//! `doortrack-rig`: plays scripts of faults on fleets, and judges what came of them.
+
+use std::path::{Path, PathBuf};
+use std::process::ExitCode;
+
+use clap::{Args, Parser, Subcommand};
+use doortrack_rig::checks::{Breach, judge, membership};
+use doortrack_rig::shrink::shrink;
+use doortrack_rig::simulated::{self, Ways};
+use doortrack_rig::{History, Script, processes, script};
+
+/// Plays fleets of doortrack nodes while parts of the system fail, and judges the joint history.
+#[derive(Parser)]
+#[command(version)]
+struct Cli {
+    #[command(subcommand)]
+    command: Command,
+}
+
+#[derive(Subcommand)]
+enum Command {
+    /// Plays one script
+    Play {
+        #[arg(long, value_name = "FILE")]
+        script: PathBuf,
+        #[command(flatten)]
+        on: On,
+    },
+    /// Plays scripts drawn from seeds, and tells the smallest script that still fails of the first that does
+    Seeds {
+        #[arg(long, default_value = "1")]
+        from: u64,
+        #[arg(long, default_value = "10")]
+        count: u64,
+        #[arg(long, default_value = "5")]
+        nodes: usize,
+        /// Troubles of each play
+        #[arg(long, default_value = "4")]
+        troubles: usize,
+        #[command(flatten)]
+        on: On,
+    },
+    /// Judges a history that was kept
+    Judge {
+        #[arg(value_name = "FILE")]
+        history: PathBuf,
+    },
+    /// Prints the JSON Schema of a script
+    Schema,
+}
+
+#[derive(Args)]
+struct On {
+    /// In simulated time instead of on processes
+    #[arg(long)]
+    simulated: bool,
+    /// The program that is played
+    #[arg(long, value_name = "FILE", default_value = "target/release/doortrack")]
+    program: PathBuf,
+    /// Where the history of a play, or of the first that fails, is kept
+    #[arg(long, value_name = "FILE")]
+    history: Option<PathBuf>,
+}
+
+impl On {
+    fn play(&self, script: &Script) -> Result<History, String> {
+        if self.simulated {
+            return Ok(simulated::play(script, &Ways::default()).0);
+        }
+        if script.nodes > script::MOST_PROCESSES {
+            return Err(format!("script.nodes: at most {} processes are played", script::MOST_PROCESSES));
+        }
+        let played = processes::play(&self.program, script, &|_| serde_json::Value::Null);
+        played.map(|played| played.history).map_err(|e| format!("{}: {e}", self.program.display()))
+    }
+
+    fn keep(&self, history: &History) -> Result<(), String> {
+        let Some(file) = &self.history else { return Ok(()) };
+        std::fs::write(file, history.lines()).map_err(|e| format!("{}: {e}", file.display()))
+    }
+}
+
+fn main() -> ExitCode {
+    match run(Cli::parse().command) {
+        Ok(true) => ExitCode::SUCCESS,
+        Ok(false) => ExitCode::FAILURE,
+        Err(why) => {
+            eprintln!("doortrack-rig: {why}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn text(file: &Path) -> Result<String, String> {
+    std::fs::read_to_string(file).map_err(|e| format!("{}: {e}", file.display()))
+}
+
+/// Prints what was broken; whether nothing was.
+fn verdict(of: &str, history: &History, breaches: &[Breach]) -> bool {
+    println!("{of}: {} entries, {} broken", history.entries.len(), breaches.len());
+    breaches.iter().for_each(|broken| println!("  {} ms: {}: {}", broken.at_ms, broken.rule, broken.what));
+    breaches.is_empty()
+}
+
+fn run(command: Command) -> Result<bool, String> {
+    match command {
+        Command::Schema => {
+            println!("{}", script::schema());
+            Ok(true)
+        }
+        Command::Judge { history } => {
+            let kept = History::parse(&text(&history)?)?;
+            Ok(verdict(&history.display().to_string(), &kept, &judge(&kept, &membership())))
+        }
+        Command::Play { script, on } => {
+            let history = on.play(&Script::parse(&text(&script)?)?)?;
+            on.keep(&history)?;
+            Ok(verdict(&script.display().to_string(), &history, &judge(&history, &membership())))
+        }
+        Command::Seeds { from, count, nodes, troubles, on } => {
+            for seed in from..from + count {
+                let script = Script::seeded(seed, nodes, troubles);
+                let history = on.play(&script)?;
+                if verdict(&format!("seed {seed}"), &history, &judge(&history, &membership())) {
+                    continue;
+                }
+                on.keep(&history)?;
+                let plays = if on.simulated { 200 } else { 12 };
+                let fails = |tried: &Script| {
+                    on.play(tried).is_ok_and(|history| !judge(&history, &membership()).is_empty())
+                };
+                let least = shrink(&script, plays, fails);
+                println!("the smallest script that still fails:");
+                println!("{}", serde_json::to_string_pretty(&least).unwrap_or_default());
+                return Ok(false);
+            }
+            Ok(true)
+        }
+    }
+}
--- /dev/null
+++ b/rig/src/processes.rs
@@ -0,0 +1,338 @@
+//! A script played on real processes of the program, over loopback.
+
+use std::io::{self, BufRead, BufReader};
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Stdio};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::thread::JoinHandle;
+use std::time::{Duration, Instant};
+
+use doortrack_node::commands::fleet::ask;
+use doortrack_standins::bed::{config, fresh_address};
+use rustix::process::{Pid, Signal, kill_process};
+use serde_json::{Value, json};
+
+use crate::history::{History, Member, What, name};
+use crate::relay::{Passed, Relay};
+use crate::script::{Fault, Script};
+
+const FRONT: u16 = 9_090;
+const FLEET: u16 = 7_400;
+const STAND_IN: u16 = 7_401;
+/// What a node may write in a second, so that no news is left out of the history.
+const LINES: &str = "5000";
+/// How long the last views are waited for, beyond the script: what must happen in the end has this long.
+const PATIENCE: Duration = Duration::from_secs(20);
+
+/// The nodes of one play and what lies between them. Every process is ended when it is dropped.
+pub struct Rig {
+    program: PathBuf,
+    nodes: Vec<Node>,
+    pub relay: Relay,
+    folder: PathBuf,
+    began: Instant,
+    history: Arc<Mutex<History>>,
+    readers: Vec<JoinHandle<()>>,
+}
+
+struct Node {
+    at: SocketAddr,
+    process: Option<Child>,
+    stopped: bool,
+}
+
+/// What a play on processes came to.
+pub struct Played {
+    pub history: History,
+    pub passed: Passed,
+}
+
+impl Node {
+    fn port(&self, port: u16) -> SocketAddr {
+        SocketAddr::new(self.at.ip(), port)
+    }
+
+    fn signal(&self, signal: Signal) {
+        let pid = self.process.as_ref().and_then(|process| Pid::from_raw(process.id() as i32));
+        if let Some(pid) = pid {
+            _ = kill_process(pid, signal);
+        }
+    }
+}
+
+/// What the nodes of a play have beside their fleet: more keys of the operators' file.
+pub type More<'a> = &'a dyn Fn(usize) -> Value;
+
+impl Rig {
+    /// Makes ready for so many nodes; none is started.
+    ///
+    /// # Errors
+    /// A folder or a relay that can't be had.
+    pub fn new(program: &Path, nodes: usize, seed: u64) -> io::Result<Rig> {
+        let nodes: Vec<Node> =
+            (0..nodes).map(|_| Node { at: fresh_address(), process: None, stopped: false }).collect();
+        let pairs: Vec<_> = nodes.iter().map(|node| (node.port(FLEET), node.port(STAND_IN))).collect();
+        let relay = Relay::open(&pairs, seed)?;
+        let first = nodes.first().map_or(String::new(), |node| node.at.ip().to_string());
+        let folder = std::env::temp_dir().join(format!("doortrack-rig-{}-{first}", std::process::id()));
+        std::fs::create_dir_all(&folder)?;
+        std::fs::write(folder.join("fleet.key"), "5a".repeat(32))?;
+        let history = Arc::new(Mutex::new(History { nodes: nodes.len(), entries: Vec::new() }));
+        let (began, readers) = (Instant::now(), Vec::new());
+        Ok(Rig { program: program.to_path_buf(), nodes, relay, folder, began, history, readers })
+    }
+
+    /// The start of the play's time.
+    pub fn begin(&mut self) {
+        self.began = Instant::now();
+    }
+
+    fn now_ms(&self) -> u64 {
+        self.began.elapsed().as_millis() as u64
+    }
+
+    fn put(&self, what: What) {
+        let at_ms = self.now_ms();
+        self.history.lock().unwrap_or_else(PoisonError::into_inner).put(at_ms, what);
+    }
+
+    /// Where callers reach a node, and where its fleet does without the relay.
+    pub fn front(&self, of: usize) -> SocketAddr {
+        self.nodes[of].port(FRONT)
+    }
+
+    pub fn fleet(&self, of: usize) -> SocketAddr {
+        self.nodes[of].port(FLEET)
+    }
+
+    pub fn key_file(&self) -> PathBuf {
+        self.folder.join("fleet.key")
+    }
+
+    pub fn pid(&self, of: usize) -> Option<u32> {
+        self.nodes[of].process.as_ref().map(Child::id)
+    }
+
+    /// What a node's operators' file says: its fleet, and `more`.
+    pub fn installation(&self, of: usize, more: &Value) -> Value {
+        let seeds: Vec<String> =
+            self.nodes.iter().take(3).map(|node| node.port(STAND_IN).to_string()).collect();
+        let mut whole = json!({"fleet": {"name": "rig", "listen": self.nodes[of].port(FLEET).to_string(),
+            "advertise": self.nodes[of].port(STAND_IN).to_string(), "seeds": seeds, "key_file": "fleet.key"}});
+        for (key, value) in more.as_object().into_iter().flatten() {
+            match (whole.get_mut(key).and_then(Value::as_object_mut), value.as_object()) {
+                (Some(old), Some(new)) => old.extend(new.clone()),
+                _ => whole[key] = value.clone(),
+            }
+        }
+        whole
+    }
+
+    /// Starts a process of a node, where none runs. `name_of` is the name under which it goes.
+    ///
+    /// # Errors
+    /// The program can't be started.
+    pub fn start(&mut self, of: usize, name_of: usize, more: &Value) -> io::Result<()> {
+        if let Some(process) = &mut self.nodes[of].process {
+            if process.try_wait()?.is_none() {
+                return Ok(());
+            }
+            self.put(What::Ended { node: of });
+        }
+        let mut handed = config();
+        handed["name"] = json!(name(name_of));
+        handed["listen"] = json!(self.front(of).to_string());
+        handed["stop_ms"] = json!(1_000);
+        handed["seed"] = json!(format!("{:016x}", 0x5eed_0000 + of as u64));
+        let (file, own) =
+            (self.folder.join(format!("{of}.json")), self.folder.join(format!("{of}.installation.json")));
+        std::fs::write(&file, handed.to_string())?;
+        std::fs::write(&own, self.installation(of, more).to_string())?;
+        let mut command = Command::new(&self.program);
+        command.arg("serve").arg("--installation").arg(&own);
+        command.args(["--log-format", "json", "--log-lines", LINES]);
+        command.env("GW_CONFIG", &file).stdout(Stdio::null()).stderr(Stdio::piped());
+        let mut process = command.spawn()?;
+        self.put(What::Began { node: of });
+        if let Some(log) = process.stderr.take() {
+            let (history, began) = (self.history.clone(), self.began);
+            let reader = std::thread::Builder::new().spawn(move || read(of, log, &history, began))?;
+            self.readers.push(reader);
+        }
+        self.nodes[of] = Node { process: Some(process), stopped: false, ..self.nodes[of] };
+        Ok(())
+    }
+
+    fn end(&mut self, of: usize) {
+        self.nodes[of].signal(Signal::KILL);
+        if let Some(mut process) = self.nodes[of].process.take() {
+            _ = process.wait();
+            self.put(What::Ended { node: of });
+        }
+    }
+
+    /// Does what a fault says, and takes note of it.
+    ///
+    /// # Errors
+    /// A process that can't be started.
+    pub fn take_up(&mut self, fault: &Fault, more: More) -> io::Result<()> {
+        self.put(What::Fault { fault: fault.clone() });
+        self.relay.take_up(fault);
+        match fault {
+            Fault::Kill { nodes } => nodes.iter().for_each(|of| self.end(*of)),
+            Fault::Start { nodes } => {
+                for of in nodes {
+                    // One that was told to leave has had its time to stop.
+                    let leaving = self.nodes[*of].process.is_some();
+                    if leaving {
+                        self.end(*of);
+                    }
+                    self.start(*of, *of, &more(*of))?;
+                }
+            }
+            Fault::Stop { nodes } => nodes.iter().for_each(|of| {
+                self.nodes[*of].stopped = true;
+                self.nodes[*of].signal(Signal::STOP);
+            }),
+            Fault::GoOn { nodes } => nodes.iter().for_each(|of| {
+                self.nodes[*of].stopped = false;
+                self.nodes[*of].signal(Signal::CONT);
+            }),
+            Fault::Leave { nodes } => nodes.iter().for_each(|of| self.nodes[*of].signal(Signal::TERM)),
+            Fault::Cut { .. } | Fault::Mend { .. } | Fault::Links { .. } => {}
+        }
+        Ok(())
+    }
+
+    /// How a node sees its fleet; none if it does not answer.
+    pub fn status(&self, of: usize) -> Option<What> {
+        let seen = ask(self.fleet(of), Some([0x5a; 32])).ok()?;
+        let members = seen.members.iter().map(|of| Member {
+            name: of.name.to_string(),
+            life: of.life.to_string(),
+            state: serde_json::to_value(of.state)
+                .ok()
+                .and_then(|v| v.as_str().map(str::to_string))
+                .unwrap_or_default(),
+        });
+        Some(What::Status {
+            node: of,
+            cut_off: seen.first.cut_off,
+            digest: format!("{:016x}", seen.first.digest),
+            members: members.collect(),
+        })
+    }
+
+    /// Waits until a node's status satisfies `wanted`, for as long as a slow machine may need.
+    pub fn wait_for(&self, of: usize, wanted: impl Fn(&[Member]) -> bool) -> bool {
+        let until = Instant::now() + PATIENCE;
+        while Instant::now() < until {
+            if let Some(What::Status { members, .. }) = self.status(of)
+                && wanted(&members)
+            {
+                return true;
+            }
+            std::thread::sleep(Duration::from_millis(50));
+        }
+        false
+    }
+
+    /// Asks all that run until their views agree with one another, or patience ends; the last answers go
+    /// into the history.
+    pub fn last_words(&mut self, expected: usize) {
+        let until = Instant::now() + PATIENCE;
+        loop {
+            let running: Vec<usize> = (0..self.nodes.len())
+                .filter(|of| self.nodes[*of].process.is_some() && !self.nodes[*of].stopped)
+                .collect();
+            let words: Vec<What> = running.iter().filter_map(|of| self.status(*of)).collect();
+            let there = |what: &What| match what {
+                What::Status { members, .. } => {
+                    members.iter().filter(|of| matches!(&*of.state, "alive" | "suspected")).count()
+                }
+                _ => 0,
+            };
+            let agreed = words.iter().filter(|what| there(what) == expected).count() >= expected;
+            if agreed || Instant::now() > until {
+                return words.into_iter().for_each(|what| self.put(what));
+            }
+            std::thread::sleep(Duration::from_millis(100));
+        }
+    }
+
+    /// Ends all processes, and gives what was told.
+    pub fn finish(mut self) -> Played {
+        (0..self.nodes.len()).for_each(|of| {
+            self.nodes[of].signal(Signal::KILL);
+            if let Some(mut process) = self.nodes[of].process.take() {
+                _ = process.wait();
+            }
+        });
+        for reader in std::mem::take(&mut self.readers) {
+            _ = reader.join();
+        }
+        let mut history = std::mem::take(&mut *self.history.lock().unwrap_or_else(PoisonError::into_inner));
+        history.settle();
+        Played { history, passed: self.relay.passed() }
+    }
+}
+
+impl Drop for Rig {
+    fn drop(&mut self) {
+        (0..self.nodes.len()).for_each(|of| self.end(of));
+        _ = std::fs::remove_dir_all(&self.folder);
+    }
+}
+
+/// Puts what a process logs of its fleet into the history.
+fn read(of: usize, log: impl io::Read, history: &Mutex<History>, began: Instant) {
+    for line in BufReader::new(log).lines().map_while(Result::ok) {
+        let Ok(line) = serde_json::from_str::<Value>(&line) else { continue };
+        if line["msg"] != "member" {
+            continue;
+        }
+        let word = |key: &str| line[key].as_str().map(str::to_string);
+        let number = |key: &str| line[key].as_u64().unwrap_or_default();
+        let what = What::News {
+            node: of,
+            word: word("what").unwrap_or_default(),
+            of: word("of"),
+            life: word("life"),
+            view: number("view"),
+            members: number("members") as usize,
+        };
+        let at_ms = began.elapsed().as_millis() as u64;
+        history.lock().unwrap_or_else(PoisonError::into_inner).put(at_ms, what);
+    }
+}
+
+/// Plays a script from its start to its end.
+///
+/// # Errors
+/// A process or a relay that can't be had.
+pub fn play(program: &Path, script: &Script, more: More) -> io::Result<Played> {
+    let mut rig = Rig::new(program, script.nodes, script.seed)?;
+    rig.begin();
+    for of in 0..script.nodes {
+        rig.start(of, of, &more(of))?;
+    }
+    let until = |rig: &Rig, at_ms: u64| {
+        std::thread::sleep(Duration::from_millis(at_ms.saturating_sub(rig.now_ms())));
+    };
+    let mut running = vec![true; script.nodes];
+    for timed in script.in_order() {
+        until(&rig, timed.at_ms);
+        rig.take_up(&timed.fault, more)?;
+        for of in timed.fault.nodes() {
+            match timed.fault {
+                Fault::Kill { .. } | Fault::Leave { .. } => running[of] = false,
+                Fault::Start { .. } => running[of] = true,
+                _ => {}
+            }
+        }
+    }
+    until(&rig, script.ms);
+    rig.last_words(running.iter().filter(|of| **of).count());
+    Ok(rig.finish())
+}
--- /dev/null
+++ b/rig/src/simulated.rs
@@ -0,0 +1,272 @@
+//! A script played in simulated time, on the decisions that the node runs. The same to the byte each time.
+
+use std::net::SocketAddr;
+use std::time::Instant;
+
+use doortrack_emulator::{Clock, Law, Links, MachineId, Micros, Net, Next};
+use doortrack_fleet::{Action, Claim, Datagram, Event, Fleet, Life, News, Stand, State, Terms};
+use doortrack_node::peers::seal::Seal;
+use doortrack_node::peers::spoken::Spoken;
+
+use crate::history::{History, Member, What, name};
+use crate::script::{Fault, Script};
+
+const MS: Micros = 1_000;
+/// Microseconds of a tenth of a ms.
+const TENTH: Micros = 100;
+/// Bytes of IP and UDP round each datagram.
+const ROUND: u64 = 28;
+/// Nodes that are asked for their views at the end, spread over all.
+const MOST_ASKED: usize = 60;
+
+/// How a play differs from the plainest.
+#[derive(Clone, Debug)]
+pub struct Ways {
+    pub terms: Terms,
+    pub latency: Law,
+    /// Zones that nodes are dealt out to, and microseconds that lie between two of them.
+    pub zones: u32,
+    pub between_zones: Micros,
+    /// Most that a clock is off, in ms, and drifts, in millionths.
+    pub offset_ms: u64,
+    pub drift_ppm: u64,
+    /// Whether the bytes of each datagram are counted, which costs most of the time.
+    pub weigh: bool,
+}
+
+impl Default for Ways {
+    fn default() -> Ways {
+        Ways {
+            terms: Terms::default(),
+            latency: Law::LogNormal { mean: 300.0, sigma: 0.5 },
+            zones: 1,
+            between_zones: 0,
+            offset_ms: 0,
+            drift_ppm: 0,
+            weigh: false,
+        }
+    }
+}
+
+/// What a play cost.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Cost {
+    pub events: u64,
+    /// Real time spent in decisions, in ns.
+    pub decisions_ns: u64,
+    pub datagrams: u64,
+    /// With IP and UDP; only where they are weighed.
+    pub bytes: u64,
+}
+
+struct World {
+    net: Net<Datagram>,
+    fleets: Vec<Option<Fleet>>,
+    seeds: Vec<SocketAddr>,
+    ways: Ways,
+    seal: Seal,
+    seed: u64,
+    history: History,
+    cost: Cost,
+    actions: Vec<Action>,
+}
+
+fn address(of: MachineId) -> SocketAddr {
+    SocketAddr::from(([10, 0, (of >> 8) as u8, of as u8], 7_400))
+}
+
+fn machine(at: SocketAddr) -> Option<MachineId> {
+    match at {
+        SocketAddr::V4(at) => {
+            let [_, _, high, low] = at.ip().octets();
+            Some(usize::from(high) << 8 | usize::from(low))
+        }
+        SocketAddr::V6(_) => None,
+    }
+}
+
+/// Plays a script.
+pub fn play(script: &Script, ways: &Ways) -> (History, Cost) {
+    let links = Links { latency: ways.latency, between_zones: ways.between_zones, ..Links::default() };
+    let mut net = Net::new(links, script.seed);
+    let mut chance = fastrand::Rng::with_seed(script.seed);
+    for of in 0..script.nodes {
+        let spread = |chance: &mut fastrand::Rng, most: u64| match most as i64 {
+            0 => 0,
+            most => chance.i64(-most..=most),
+        };
+        let offset = spread(&mut chance, ways.offset_ms) * MS as i64 + 10_000_000;
+        let clock = Clock { offset, drift_ppm: spread(&mut chance, ways.drift_ppm) };
+        net.add(clock, of as u32 % ways.zones.max(1));
+    }
+    let mut world = World {
+        net,
+        fleets: (0..script.nodes).map(|_| None).collect(),
+        seeds: (0..script.nodes.min(3)).map(address).collect(),
+        ways: ways.clone(),
+        seal: Seal::new(None, "simulated"),
+        seed: script.seed,
+        history: History { nodes: script.nodes, entries: Vec::new() },
+        cost: Cost::default(),
+        actions: Vec::new(),
+    };
+    world.play(script);
+    (world.history, world.cost)
+}
+
+impl World {
+    fn play(&mut self, script: &Script) {
+        let faults = script.in_order();
+        for (nth, timed) in faults.iter().enumerate() {
+            self.net.mark(timed.at_ms * MS, nth as u64);
+        }
+        (0..script.nodes).for_each(|of| self.start(of));
+        while let Some(next) = self.net.next(script.ms * MS) {
+            match next {
+                Next::Mark(nth) => self.fault(faults[nth as usize].fault.clone()),
+                Next::Wakes { of } => self.happen(of, Event::Turn),
+                Next::Hears { of, from, what } => {
+                    let from = address(from);
+                    self.happen(of, Event::Heard { from, datagram: what });
+                }
+            }
+        }
+        let step = script.nodes.div_ceil(MOST_ASKED).max(1);
+        (0..script.nodes).step_by(step).for_each(|of| self.ask(of, script.ms));
+    }
+
+    fn now_ms(&self) -> u64 {
+        self.net.now() / MS
+    }
+
+    fn start(&mut self, of: MachineId) {
+        if !self.net.is_down(of) {
+            return;
+        }
+        self.net.start(of);
+        let at_ms = self.now_ms();
+        self.history.put(at_ms, What::Began { node: of });
+        let shown = self.net.shown(of);
+        let me = Claim {
+            name: name(of).into(),
+            life: Life::started(shown / MS, of as u64),
+            turn: 0,
+            stand: Stand::Alive,
+            address: address(of),
+            weight: 4,
+        };
+        let terms = Terms { seeds: self.seeds.clone(), ..self.ways.terms.clone() };
+        let fleet = Fleet::new(me, terms, self.seed ^ self.net.now(), shown / TENTH);
+        self.wake(of, &fleet);
+        self.fleets[of] = Some(fleet);
+    }
+
+    fn wake(&mut self, of: MachineId, fleet: &Fleet) {
+        let due = fleet.next_due();
+        if due != u64::MAX {
+            self.net.wake(of, due * TENTH);
+        }
+    }
+
+    fn happen(&mut self, of: MachineId, event: Event) {
+        let now = self.net.shown(of) / TENTH;
+        let Some(mut fleet) = self.fleets[of].take() else { return };
+        let mut actions = std::mem::take(&mut self.actions);
+        let began = Instant::now();
+        fleet.happen(now, event, &mut actions);
+        self.cost.decisions_ns += began.elapsed().as_nanos() as u64;
+        self.cost.events += 1;
+        for action in actions.drain(..) {
+            match action {
+                Action::Send { to, datagram } => self.send(of, to, *datagram),
+                Action::Tell(news) => self.tell(of, &news, &fleet),
+            }
+        }
+        self.actions = actions;
+        self.wake(of, &fleet);
+        self.fleets[of] = Some(fleet);
+    }
+
+    fn send(&mut self, of: MachineId, to: SocketAddr, datagram: Datagram) {
+        self.cost.datagrams += 1;
+        let Some(to) = machine(to).filter(|to| *to < self.fleets.len()) else { return };
+        if self.ways.weigh {
+            let whole = self.seal.close(&Spoken::Fleet(datagram.clone()));
+            self.cost.bytes += whole.map_or(0, |whole| whole.len() as u64) + ROUND;
+        }
+        self.net.send(of, to, datagram);
+    }
+
+    fn tell(&mut self, of: MachineId, news: &News, fleet: &Fleet) {
+        let (about, view) = (news.about(), fleet.view());
+        let what = What::News {
+            node: of,
+            word: news.word().to_string(),
+            of: about.map(|(name, _)| name.to_string()),
+            life: about.map(|(_, life)| life.to_string()),
+            view: view.number,
+            members: view.members.len(),
+        };
+        let at_ms = self.now_ms();
+        self.history.put(at_ms, what);
+    }
+
+    fn fault(&mut self, fault: Fault) {
+        let at_ms = self.now_ms();
+        self.history.put(at_ms, What::Fault { fault: fault.clone() });
+        match fault {
+            Fault::Kill { nodes } => {
+                for of in nodes.into_iter().filter(|of| !self.net.is_down(*of)).collect::<Vec<_>>() {
+                    self.net.kill(of);
+                    self.fleets[of] = None;
+                    self.history.put(at_ms, What::Ended { node: of });
+                }
+            }
+            Fault::Start { nodes } => {
+                for of in nodes {
+                    // One that leaves still answers until it is started anew.
+                    if self.fleets[of].as_ref().is_some_and(|fleet| fleet.me().stand == Stand::Left) {
+                        self.net.kill(of);
+                        self.history.put(at_ms, What::Ended { node: of });
+                    }
+                    self.start(of);
+                }
+            }
+            Fault::Stop { nodes } => nodes.into_iter().for_each(|of| self.net.stop(of)),
+            Fault::GoOn { nodes } => nodes.into_iter().for_each(|of| self.net.go_on(of)),
+            Fault::Leave { nodes } => nodes.into_iter().for_each(|of| self.happen(of, Event::Leave)),
+            Fault::Cut { from, to } => self.cut(&from, &to, true),
+            Fault::Mend { from, to } => self.cut(&from, &to, false),
+            Fault::Links { loss, doubled, garbled, delay_ms } => {
+                let latency = match delay_ms {
+                    0 => self.ways.latency,
+                    ms => Law::Exponential { mean: (ms * MS) as f64 },
+                };
+                let links = self.net.links();
+                (links.loss, links.doubled, links.latency) = (loss + garbled, doubled, latency);
+            }
+        }
+    }
+
+    fn cut(&mut self, from: &[usize], to: &[usize], cut: bool) {
+        for of in from {
+            to.iter().for_each(|to| self.net.cut(*of, *to, cut));
+        }
+    }
+
+    fn ask(&mut self, of: MachineId, at_ms: u64) {
+        let now = self.net.shown(of) / TENTH;
+        let Some(fleet) = self.fleets[of].as_ref().filter(|_| self.net.is_up(of)) else { return };
+        let (reports, _) = fleet.report(None, usize::MAX, now);
+        let state =
+            |state: State| serde_json::to_value(state).ok().and_then(|v| v.as_str().map(str::to_string));
+        let member = |of: doortrack_fleet::Report| Member {
+            name: of.name.to_string(),
+            life: of.life.to_string(),
+            state: state(of.state).unwrap_or_default(),
+        };
+        let members = reports.into_iter().map(member).collect();
+        let (cut_off, digest) = (fleet.is_cut_off(), format!("{:016x}", fleet.view().digest));
+        self.history.put(at_ms, What::Status { node: of, cut_off, digest, members });
+    }
+}
--- /dev/null
+++ b/rig/tests/checkers.rs
@@ -0,0 +1,158 @@
+//! A checker that cannot fail is none: each is shown a good history, and the same one tampered with.
+
+use doortrack_rig::checks::{judge, membership};
+use doortrack_rig::history::{History, Member, What, name};
+use doortrack_rig::script::{Fault, Script, Timed};
+use doortrack_rig::shrink::shrink;
+
+fn news(node: usize, word: &str, of: usize, life: u64) -> What {
+    let (of, life) = (Some(name(of)), Some(format!("{life:x}")));
+    What::News { node, word: word.into(), of, life, view: 1, members: 3 }
+}
+
+fn status(node: usize, there: &[usize]) -> What {
+    let member = |of: &usize| Member { name: name(*of), life: "1".into(), state: "alive".into() };
+    let digest = format!("{there:?}");
+    What::Status { node, cut_off: false, digest, members: there.iter().map(member).collect() }
+}
+
+/// Three nodes that start, and say so of one another.
+fn good() -> History {
+    let mut history = History { nodes: 3, entries: Vec::new() };
+    (0..3).for_each(|node| history.put(0, What::Began { node }));
+    for node in 0..3 {
+        (0..3).filter(|of| *of != node).for_each(|of| history.put(500, news(node, "alive", of, 0x10)));
+    }
+    history
+}
+
+fn ended(mut history: History, there: &[usize]) -> History {
+    there.iter().for_each(|node| history.put(60_000, status(*node, there)));
+    history.settle();
+    history
+}
+
+fn broken(history: &History) -> Vec<&'static str> {
+    judge(history, &membership()).into_iter().map(|breach| breach.rule).collect()
+}
+
+fn fault(history: &mut History, at_ms: u64, fault: Fault) {
+    history.put(at_ms, What::Fault { fault });
+}
+
+#[test]
+fn a_good_history_passes_and_reads_back() {
+    let history = ended(good(), &[0, 1, 2]);
+    assert_eq!(broken(&history), Vec::<&str>::new());
+    assert_eq!(History::parse(&history.lines()), Ok(history.clone()));
+    let torn = history.lines().replacen("kind", "knid", 1);
+    assert!(History::parse(&torn).is_err_and(|why| why.starts_with("line 2")));
+}
+
+#[test]
+fn a_loss_without_a_reason_is_found() {
+    let mut history = good();
+    history.put(30_000, news(0, "lost", 1, 0x10));
+    history.put(30_200, news(0, "back", 1, 0x10));
+    assert_eq!(broken(&ended(history, &[0, 1, 2])), ["nobody wrongly lost"]);
+}
+
+#[test]
+fn one_broken_link_is_no_reason_and_a_stop_is_one() {
+    let mut history = good();
+    fault(&mut history, 20_000, Fault::Cut { from: vec![0], to: vec![1] });
+    history.put(25_000, news(0, "lost", 1, 0x10));
+    assert_eq!(broken(&ended(history, &[0, 1, 2])), ["nobody wrongly lost"]);
+    let mut history = good();
+    fault(&mut history, 20_000, Fault::Stop { nodes: vec![1] });
+    history.put(25_000, news(0, "lost", 1, 0x10));
+    fault(&mut history, 26_000, Fault::GoOn { nodes: vec![1] });
+    assert_eq!(broken(&ended(history, &[0, 1, 2])), Vec::<&str>::new());
+}
+
+#[test]
+fn one_that_left_and_is_held_for_lost_is_found() {
+    let mut history = good();
+    fault(&mut history, 20_000, Fault::Leave { nodes: vec![2] });
+    history.put(20_100, news(0, "left", 2, 0x10));
+    history.put(24_000, news(1, "lost", 2, 0x10));
+    assert_eq!(broken(&ended(history, &[0, 1])), ["left is not lost"]);
+}
+
+#[test]
+fn an_earlier_life_is_found() {
+    let mut history = good();
+    history.put(20_000, news(0, "alive", 2, 0x9));
+    assert_eq!(broken(&ended(history, &[0, 1, 2])), ["lives go forward"]);
+}
+
+#[test]
+fn a_loss_by_one_that_is_cut_off_is_found() {
+    let mut history = good();
+    fault(&mut history, 20_000, Fault::Cut { from: vec![0], to: vec![1, 2] });
+    fault(&mut history, 20_000, Fault::Cut { from: vec![1, 2], to: vec![0] });
+    history.put(24_000, news(0, "lost", 1, 0x10));
+    fault(&mut history, 30_000, Fault::Mend { from: vec![0], to: vec![1, 2] });
+    fault(&mut history, 30_000, Fault::Mend { from: vec![1, 2], to: vec![0] });
+    assert_eq!(broken(&ended(history, &[0, 1, 2])), ["cut off, loses nobody"]);
+}
+
+#[test]
+fn a_loss_by_one_that_just_woke_is_found() {
+    let mut history = good();
+    fault(&mut history, 20_000, Fault::Stop { nodes: vec![0] });
+    fault(&mut history, 25_000, Fault::GoOn { nodes: vec![0] });
+    history.put(25_050, news(0, "lost", 1, 0x10));
+    assert_eq!(broken(&ended(history, &[0, 1, 2])), ["woken, loses nobody"]);
+}
+
+#[test]
+fn views_that_differ_from_who_runs_or_from_one_another_are_found() {
+    let mut history = good();
+    fault(&mut history, 20_000, Fault::Kill { nodes: vec![2] });
+    history.put(20_001, What::Ended { node: 2 });
+    history.put(60_000, status(0, &[0, 1]));
+    history.put(60_000, status(1, &[0, 1, 2]));
+    assert_eq!(broken(&history), ["in the end all agree"]);
+    let mut history = ended(good(), &[0, 1, 2]);
+    if let Some(What::Status { digest, .. }) = history.entries.last_mut().map(|entry| &mut entry.what) {
+        *digest = "another".into();
+    }
+    assert_eq!(broken(&history), ["in the end all agree"]);
+}
+
+#[test]
+fn the_smallest_script_keeps_what_makes_it_fail() {
+    let put = |at_ms, fault| Timed { at_ms, fault };
+    let mut faults: Vec<Timed> = (0..20).map(|nth| put(nth, Fault::Stop { nodes: vec![1] })).collect();
+    faults.insert(7, put(7, Fault::Kill { nodes: vec![0] }));
+    faults.insert(13, put(13, Fault::Start { nodes: vec![0] }));
+    let script = Script { nodes: 3, ms: 100, seed: 1, faults };
+    let wanted = |script: &Script| {
+        let has = |kind: fn(&Fault) -> bool| script.faults.iter().any(|timed| kind(&timed.fault));
+        has(|fault| matches!(fault, Fault::Kill { .. })) && has(|fault| matches!(fault, Fault::Start { .. }))
+    };
+    let least = shrink(&script, 1_000, wanted);
+    assert_eq!(least.faults.len(), 2, "{least:?}");
+}
+
+#[test]
+fn a_script_tells_its_faults_by_their_paths() {
+    let wrong = [
+        (r#"{"nodes": 0, "ms": 1}"#, "script.nodes"),
+        (r#"{"nodes": 2, "ms": "x"}"#, "script.ms"),
+        (
+            r#"{"nodes": 2, "ms": 1, "faults": [{"at_ms": 1, "do": "kill", "nodes": [2]}]}"#,
+            "script.faults[0]",
+        ),
+        (r#"{"nodes": 2, "ms": 1, "faults": [{"at_ms": 1, "do": "links", "loss": 2}]}"#, "script.faults[0]"),
+        (r#"{"nodes": 2, "ms": 1, "faults": [{"at_ms": 1, "do": "melt"}]}"#, "script.faults[0]"),
+    ];
+    for (text, path) in wrong {
+        let why = Script::parse(text).unwrap_err();
+        assert!(why.starts_with(path), "{text}: {why}");
+    }
+    let seeded = Script::seeded(3, 5, 4);
+    let text = serde_json::to_string(&seeded).unwrap();
+    assert_eq!(Script::parse(&text), Ok(seeded));
+}
--- /dev/null
+++ b/rig/tests/simulated.rs
@@ -0,0 +1,121 @@
+//! Fleets in simulated time, on the decisions that the node runs, judged by the checkers that judge real
+//! processes.
+
+use doortrack_fleet::Terms;
+use doortrack_rig::checks::{judge, membership};
+use doortrack_rig::history::{History, What};
+use doortrack_rig::script::{Fault, Script, Timed};
+use doortrack_rig::simulated::{Ways, play};
+
+fn script(nodes: usize, ms: u64, faults: Vec<(u64, Fault)>) -> Script {
+    let faults = faults.into_iter().map(|(at_ms, fault)| Timed { at_ms, fault }).collect();
+    Script { nodes, ms, seed: 11, faults }
+}
+
+fn holds(script: &Script, ways: &Ways) -> History {
+    let (history, _) = play(script, ways);
+    let breaches = judge(&history, &membership());
+    assert!(breaches.is_empty(), "{breaches:#?}");
+    history
+}
+
+fn lost(history: &History) -> usize {
+    let lost = |what: &What| matches!(what, What::News { word, .. } if word == "lost");
+    history.entries.iter().filter(|entry| lost(&entry.what)).count()
+}
+
+#[test]
+fn drawn_troubles_break_no_promise_whatever_clocks_show() {
+    for seed in 1..=12 {
+        let ways =
+            Ways { offset_ms: 2_000, drift_ppm: 20_000, zones: 3, between_zones: 2_000, ..Ways::default() };
+        holds(&Script::seeded(seed, 7, 5), &ways);
+    }
+}
+
+#[test]
+fn the_same_script_is_the_same_play_to_the_byte() {
+    let script = Script::seeded(5, 9, 4);
+    let (one, other) = (play(&script, &Ways::default()).0, play(&script, &Ways::default()).0);
+    assert_eq!(one.lines(), other.lines());
+}
+
+#[test]
+fn half_of_sixty_die_at_once_and_come_back_at_once() {
+    let half: Vec<usize> = (0..30).collect();
+    let faults = vec![(5_000, Fault::Kill { nodes: half.clone() }), (12_000, Fault::Start { nodes: half })];
+    let history = holds(&script(60, 20_000, faults), &Ways::default());
+    assert!(lost(&history) >= 30 * 30);
+}
+
+#[test]
+fn halves_that_lose_one_another_find_together_within_three_seconds() {
+    let (one, other): (Vec<usize>, Vec<usize>) = ((0..25).collect(), (25..50).collect());
+    let cut = |from: &Vec<usize>, to: &Vec<usize>| Fault::Cut { from: from.clone(), to: to.clone() };
+    let mend = |from: &Vec<usize>, to: &Vec<usize>| Fault::Mend { from: from.clone(), to: to.clone() };
+    let faults = vec![
+        (5_000, cut(&one, &other)),
+        (5_000, cut(&other, &one)),
+        (25_000, mend(&one, &other)),
+        (25_000, mend(&other, &one)),
+    ];
+    let history = holds(&script(50, 28_000, faults), &Ways::default());
+    assert!(lost(&history) >= 2 * 25 * 25);
+}
+
+#[test]
+fn a_twentieth_of_all_datagrams_lost_loses_nobody_in_ten_minutes() {
+    let faults = vec![(0, Fault::Links { loss: 0.05, doubled: 0.01, garbled: 0.0, delay_ms: 2 })];
+    let history = holds(&script(50, 600_000, faults), &Ways::default());
+    assert_eq!(lost(&history), 0);
+}
+
+/// Plays that break a promise once a safeguard is taken out, which shows that the checkers see it.
+#[test]
+fn each_safeguard_taken_out_breaks_a_promise() {
+    let rest: Vec<usize> = (1..6).collect();
+    let cut_off = script(
+        6,
+        30_000,
+        vec![
+            (12_000, Fault::Cut { from: vec![0], to: rest.clone() }),
+            (12_000, Fault::Cut { from: rest.clone(), to: vec![0] }),
+            (26_000, Fault::Mend { from: vec![0], to: rest.clone() }),
+            (26_000, Fault::Mend { from: rest, to: vec![0] }),
+        ],
+    );
+    let one_link = script(
+        6,
+        30_000,
+        vec![
+            (12_000, Fault::Cut { from: vec![0], to: vec![1] }),
+            (12_000, Fault::Cut { from: vec![1], to: vec![0] }),
+        ],
+    );
+    let breaks = |script: &Script, terms: Terms| -> Vec<&'static str> {
+        let (history, _) = play(script, &Ways { terms, ..Ways::default() });
+        judge(&history, &membership()).into_iter().map(|breach| breach.rule).collect()
+    };
+    assert!(breaks(&cut_off, Terms::default()).is_empty());
+    let deaf = Terms { silent_periods: u32::MAX, ..Terms::default() };
+    assert!(breaks(&cut_off, deaf).contains(&"cut off, loses nobody"));
+    // Where doubts are hardly given time to be contradicted, what comes before them shows.
+    let hasty = Terms { doubt_least: 50, doubt_most: 100, ..Terms::default() };
+    assert!(breaks(&one_link, hasty.clone()).is_empty());
+    let alone = Terms { helpers: 0, ..hasty.clone() };
+    assert!(breaks(&one_link, alone).contains(&"nobody wrongly lost"));
+    let rest: Vec<usize> = (1..6).collect();
+    let woken = script(
+        6,
+        30_000,
+        vec![
+            (12_000, Fault::Cut { from: rest.clone(), to: vec![0] }),
+            (12_100, Fault::Stop { nodes: vec![0] }),
+            (17_000, Fault::GoOn { nodes: vec![0] }),
+            (17_300, Fault::Mend { from: rest, to: vec![0] }),
+        ],
+    );
+    assert!(!breaks(&woken, hasty.clone()).contains(&"woken, loses nobody"));
+    let unaware = Terms { stall: u64::MAX, ..hasty };
+    assert!(breaks(&woken, unaware).contains(&"woken, loses nobody"));
+}
--- a/standins/src/rules.rs
+++ b/standins/src/rules.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 
 use crate::caller::Seen;
+use crate::server::Got;
 use crate::try_id;
 
 /// One try as its caller knows it. Times are Unix ms.
@@ -24,6 +25,15 @@
     pub at: u64,
 }
 
+impl From<&Got> for Ran {
+    /// What an application server knows of a run: a request that named no try has none.
+    fn from(got: &Got) -> Ran {
+        let text = |name: &str| got.variable(name).map(|value| String::from_utf8_lossy(value).into_owned());
+        let try_id = text("HTTP_X_REQUEST_ID").unwrap_or_default();
+        Ran { try_id, mark: text("HTTP_IDEMPOTENCY_KEY"), at: got.at }
+    }
+}
+
 /// What the node was bound to.
 #[derive(Clone, Copy, Debug)]
 pub struct Bounds {
