--- a/emulator/src/net.rs
+++ b/emulator/src/net.rs
@@ -1,7 +1,7 @@
 //! Machines that send to one another over links that lose, delay, double and cut, each with a clock of its
 //! own. The machines themselves are the caller's; here is only what lies between them.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 
 use rand::RngExt;
 
@@ -71,10 +71,14 @@
     /// Grows with each start: what was set for an earlier one is void.
     start: u32,
     unread: Vec<(MachineId, M)>,
+    /// What last came to it, for a replay.
+    kept: VecDeque<(MachineId, M)>,
 }
 
 /// Bound on what lies unread at a machine that stands still; more is lost, as by a socket's buffer.
 const MOST_UNREAD: usize = 400;
+/// What is kept of what came, for a replay.
+const MOST_KEPT: usize = 100;
 
 enum Event<M> {
     Comes { from: MachineId, to: MachineId, start: u32, what: M },
@@ -107,6 +111,8 @@
     /// Cuts between groups of machines, one way each: by (from, to), counted, as cuts may lie over another.
     cuts: BTreeMap<(MachineId, MachineId), u32>,
     chance: Stream,
+    /// Whether what comes is kept, for [`Net::replay`].
+    pub keeps: bool,
     pub sent: u64,
     pub lost: u64,
 }
@@ -120,13 +126,21 @@
             links,
             cuts: BTreeMap::new(),
             chance: stream(seed, 1),
+            keeps: false,
             sent: 0,
             lost: 0,
         }
     }
 
     pub fn add(&mut self, clock: Clock, zone: u32) -> MachineId {
-        self.machines.push(Machine { clock, zone, running: Running::Down, start: 0, unread: Vec::new() });
+        self.machines.push(Machine {
+            clock,
+            zone,
+            running: Running::Down,
+            start: 0,
+            unread: Vec::new(),
+            kept: VecDeque::new(),
+        });
         self.wakes.push(0);
         self.machines.len() - 1
     }
@@ -189,6 +203,14 @@
         self.queue.put(now, Event::Wakes { of, start, nth: self.wakes[of] });
     }
 
+    /// What last came to this machine, in whatever start, comes again.
+    pub fn replay(&mut self, of: MachineId) {
+        let (now, start) = (self.queue.now(), self.machines[of].start);
+        for (from, what) in self.machines[of].kept.clone() {
+            self.queue.put(now, Event::Comes { from, to: of, start, what });
+        }
+    }
+
     /// Cuts what `from` sends to `to`, or mends that cut.
     pub fn cut(&mut self, from: MachineId, to: MachineId, cut: bool) {
         let count = self.cuts.entry((from, to)).or_default();
@@ -247,6 +269,12 @@
                     let machine = &mut self.machines[to];
                     match machine.running {
                         Running::Up if machine.start == start => {
+                            if self.keeps {
+                                if machine.kept.len() >= MOST_KEPT {
+                                    machine.kept.pop_front();
+                                }
+                                machine.kept.push_back((from, what.clone()));
+                            }
                             return Some(Next::Hears { of: to, from, what });
                         }
                         Running::Stopped if machine.start == start && machine.unread.len() < MOST_UNREAD => {
--- a/fleet/src/doubt.rs
+++ b/fleet/src/doubt.rs
@@ -34,9 +34,9 @@
         }
     }
 
-    /// Others hold it for lost already: all the word that is wanted.
-    pub fn confirm(&mut self) {
-        self.count = MOST_OTHERS;
+    /// Others hold it for lost already: all the word that is wanted. Whether it was still wanting.
+    pub fn confirm(&mut self) -> bool {
+        std::mem::replace(&mut self.count, MOST_OTHERS) < MOST_OTHERS
     }
 
     /// When the member counts as lost, in a view of so many. Where fewer than two others could share the
--- a/fleet/src/fleet.rs
+++ b/fleet/src/fleet.rs
@@ -37,6 +37,8 @@
     Over(u32),
     /// A doubt of this place that began then.
     Doubt(Place, Tenths),
+    /// A last look at one that is about to be lost.
+    Look(Place, Tenths),
     Admit(Place),
     News,
     Knock,
@@ -324,9 +326,8 @@
         let members = self.view.members.len();
         let Some(member) = self.table.get_mut(place) else { return };
         let (name, life) = (member.claim.name.clone(), member.claim.life);
-        let doubt = member.doubt.get_or_insert(Doubt::new(by, now));
-        let (since, ends) = (doubt.since, doubt.ends(&self.terms, members, 0));
-        self.arm(ends, Timer::Doubt(place, since));
+        member.doubt.get_or_insert(Doubt::new(by, now));
+        self.arm_doubt(now, place);
         out.push(Action::Tell(News::Suspected { name, life }));
         // A few of all that hear of it try for themselves, however many there are.
         let helpers = self.terms.helpers as f64;
@@ -337,14 +338,11 @@
 
     /// Somebody else's doubt about a member that is doubted already; whether it counts.
     pub(crate) fn also_doubted(&mut self, now: Tenths, place: Place, by: u32) -> bool {
-        let (members, thawed_at) = (self.view.members.len(), self.thawed_at);
         let Some(member) = self.table.get_mut(place) else { return false };
         let mut claim = member.claim.clone();
         let Some(doubt) = member.doubt.as_mut().filter(|doubt| !doubt.is_shared_by(by)) else { return false };
         doubt.share(by);
-        let since = doubt.since;
-        let ends = doubt.ends(&self.terms, members, thawed_at);
-        self.arm(ends.max(now), Timer::Doubt(place, since));
+        self.arm_doubt(now, place);
         // Passed on, as it is a word of its own.
         claim.stand = Stand::Suspected { by };
         self.table.set(place, claim, now);
@@ -352,6 +350,19 @@
         true
     }
 
+    /// Sets the end of a doubt, and two last looks before it: a word that cleared it may have passed this node
+    /// by, as news reaches all but one in some thousands.
+    pub(crate) fn arm_doubt(&mut self, now: Tenths, place: Place) {
+        let (members, thawed_at) = (self.view.members.len(), self.thawed_at);
+        let Some(doubt) = self.table.get(place).and_then(|member| member.doubt) else { return };
+        let ends = doubt.ends(&self.terms, members, thawed_at).max(now);
+        self.arm(ends, Timer::Doubt(place, doubt.since));
+        let wait = self.terms.answer_within * 3 / 2;
+        for before in [2 * wait, wait] {
+            self.arm(ends.saturating_sub(before).max(now), Timer::Look(place, doubt.since));
+        }
+    }
+
     pub(crate) fn change_view(&mut self, now: Tenths, change: impl FnOnce(&mut View)) {
         let before = self.view.number;
         change(&mut self.view);
--- a/fleet/src/gossip.rs
+++ b/fleet/src/gossip.rs
@@ -12,6 +12,9 @@
     queued: usize,
 }
 
+/// Entries that wait at once: several times the members that a table can hold, as older ones of one member are
+/// dropped only when met.
+const MOST_QUEUED: usize = 20_000;
 /// Past this many sendings nothing is passed on, however large the fleet.
 const MOST_TIMES: usize = 20;
 
@@ -27,6 +30,11 @@
         if self.by_times.is_empty() {
             self.by_times.resize_with(MOST_TIMES, VecDeque::new);
         }
+        if self.queued >= MOST_QUEUED {
+            // What was sent most often is missed least.
+            let often = self.by_times.iter_mut().rev().find(|queue| !queue.is_empty());
+            self.queued -= usize::from(often.is_some_and(|queue| queue.pop_front().is_some()));
+        }
         self.by_times[0].push_back((place, version));
         self.queued += 1;
     }
--- a/fleet/src/hearing.rs
+++ b/fleet/src/hearing.rs
@@ -4,7 +4,7 @@
 
 use doortrack::Tenths;
 
-use crate::fleet::{Fetch, Fleet, SAY, Stage, Timer};
+use crate::fleet::{Fetch, Fleet, SAY, Stage};
 use crate::probes::{Answered, ForOther, Probe};
 use crate::table::Place;
 use crate::{Action, Claim, Datagram, Head, Life, Message, News, Stand};
@@ -32,6 +32,11 @@
             return self.on_myself(now, &head.of, true, out);
         }
         if message == Message::Join && head.to == Life(0) {
+            if head.digest == self.view.digest {
+                // It knows all of this already.
+                let (to, life) = (head.of.address, head.of.life);
+                return self.send_to(to, life, Message::Page { next: None }, Vec::new(), out);
+            }
             return self.page(&head.of, None, out);
         }
         if head.to != self.me.life {
@@ -48,6 +53,11 @@
             self.say = SAY;
             self.arm_news(now);
         }
+        // A table like one's own is not read to its end.
+        let message = match message {
+            Message::Page { .. } if head.digest == self.view.digest => Message::Page { next: None },
+            message => message,
+        };
         self.act_on(now, place, message, out);
         self.compare(now, place, &head, out);
     }
@@ -133,11 +143,10 @@
             self.take_up(now, doubted, out);
             self.send(place, Message::News, out);
         }
-        let members = self.view.members.len();
         let Some(doubt) = self.table.get_mut(place).and_then(|member| member.doubt.as_mut()) else { return };
-        doubt.confirm();
-        let (since, ends) = (doubt.since, doubt.ends(&self.terms, members, 0));
-        self.arm(ends.max(now), Timer::Doubt(place, since));
+        if doubt.confirm() {
+            self.arm_doubt(now, place);
+        }
     }
 
     fn act_on(&mut self, now: Tenths, place: Place, message: Message, out: &mut Vec<Action>) {
@@ -179,9 +188,7 @@
                 let thawed = self.table.get_mut(probe.place).and_then(|member| member.doubt.as_mut());
                 if let Some(doubt) = thawed {
                     doubt.since = now;
-                    let doubt = *doubt;
-                    let ends = doubt.ends(&self.terms, self.view.members.len(), 0);
-                    self.arm(ends, Timer::Doubt(probe.place, now));
+                    self.arm_doubt(now, probe.place);
                 }
             }
             Answered::ForOther(probe) => {
--- a/fleet/src/joining.rs
+++ b/fleet/src/joining.rs
@@ -24,7 +24,8 @@
         let lonely = self.stage == Stage::Joining || self.cut_off || self.table.there() == 0;
         // All started at once, nodes find together in islands at first.
         let often = self.knocks <= EARLY_KNOCKS || self.knocks.is_multiple_of(SELDOM);
-        let seeds = if lonely || often { self.terms.seeds.len().min(MOST_AT_ONCE) } else { 0 };
+        let most = if lonely || self.knocks <= EARLY_KNOCKS { MOST_AT_ONCE } else { usize::from(often) };
+        let seeds = self.terms.seeds.len().min(most);
         let from = self.chance.usize(..self.terms.seeds.len().max(1));
         for nth in 0..seeds {
             let seed = self.terms.seeds[(from + nth) % self.terms.seeds.len()];
--- a/fleet/src/turning.rs
+++ b/fleet/src/turning.rs
@@ -15,6 +15,7 @@
                 Timer::Wait(nonce) => self.ask_helpers(nonce, out),
                 Timer::Over(nonce) => self.unanswered(now, nonce, out),
                 Timer::Doubt(place, since) => self.doubt_ends(now, place, since, out),
+                Timer::Look(place, since) => self.look(place, since, out),
                 Timer::Admit(place) => self.admit(now, place, out),
                 Timer::News => {
                     self.news_armed = false;
@@ -105,6 +106,15 @@
         }
     }
 
+    /// Its answer bears its turn, which ends the doubt if it was contradicted.
+    fn look(&mut self, place: Place, since: Tenths, out: &mut Vec<Action>) {
+        let doubted = |doubt: &crate::doubt::Doubt| doubt.since == since;
+        if self.table.get(place).and_then(|member| member.doubt).filter(doubted).is_some() {
+            let nonce = self.chance.u32(..);
+            self.send(place, Message::Ping { nonce }, out);
+        }
+    }
+
     fn doubt_ends(&mut self, now: Tenths, place: Place, since: Tenths, out: &mut Vec<Action>) {
         let members = self.view.members.len();
         let Some(member) = self.table.get(place) else { return };
--- a/node/src/commands/check.rs
+++ b/node/src/commands/check.rs
@@ -8,6 +8,10 @@
 pub fn check(installation: &Path, config: Option<&Path>) -> Result<String, Faults> {
     let mut faults = Vec::new();
     let read = Faults::keep(&mut faults, file::read(installation));
+    if let Some(fleet) = read.as_ref().and_then(|read| read.fleet.as_ref()) {
+        let folder = installation.parent().unwrap_or(Path::new(""));
+        Faults::keep(&mut faults, fleet.key(folder));
+    }
     let orders = config.map(|path| Faults::keep(&mut faults, orders::read_file(path)));
     match (&read, &orders) {
         (Some(read), Some(Some(orders))) => {
--- a/node/src/life/clock.rs
+++ b/node/src/life/clock.rs
@@ -7,15 +7,23 @@
 const MICROS: u128 = 100;
 
 /// Never goes back: where the system's clock does, time stands still until it has caught up.
-#[derive(Default)]
+#[derive(Clone, Copy, Default)]
 pub struct Clock {
     last: Tenths,
+    /// How far it is set off, in ms: for tests alone.
+    off: i64,
 }
 
 impl Clock {
+    /// A clock that is so many ms off.
+    pub fn set_off(off: i64) -> Clock {
+        Clock { last: 0, off }
+    }
+
     pub fn now(&mut self) -> Tenths {
         let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-        self.last = self.last.max((since.as_micros() / MICROS) as Tenths);
+        let shown = (since.as_micros() / MICROS) as Tenths;
+        self.last = self.last.max(shown.saturating_add_signed(self.off * 10));
         self.last
     }
 }
--- a/node/src/main.rs
+++ b/node/src/main.rs
@@ -9,6 +9,7 @@
 use doortrack_node::commands::expr::{self, ExprCommand};
 use doortrack_node::commands::fleet::{self, FleetCommand};
 use doortrack_node::commands::routes::{self, RoutesCommand};
+use doortrack_node::life::clock::Clock;
 use doortrack_node::life::log::{self, Format};
 use doortrack_node::serve::Node;
 use slog::Level;
@@ -65,6 +66,9 @@
     /// Lines a second; what is beyond is counted and left out
     #[arg(long, default_value_t = log::MOST_LINES, value_name = "COUNT")]
     log_lines: u32,
+    /// Sets this process's clock off by so many ms: for tests of fleets alone
+    #[arg(long, hide = true, default_value_t = 0, allow_negative_numbers = true, value_name = "MS")]
+    test_clock_ms: i64,
 }
 
 fn level(word: &str) -> Result<Level, String> {
@@ -129,6 +133,10 @@
     };
     installation.beside(&orders).map_err(all)?;
     let log = log::open(&orders.name, words.log_format, words.log_level, words.log_lines);
-    let node = Node::start(orders, words.installation, installation, log);
+    if words.test_clock_ms != 0 && installation.fleet.is_none() {
+        return Err(vec!["--test-clock-ms: only a node of a fleet may have its clock set off".into()]);
+    }
+    let clock = Clock::set_off(words.test_clock_ms);
+    let node = Node::start(orders, words.installation, installation, clock, log);
     node.and_then(Node::serve).map_err(|fault| vec![fault])
 }
--- a/node/src/memory/results.rs
+++ b/node/src/memory/results.rs
@@ -6,7 +6,7 @@
 use doortrack::{ExId, Tenths};
 use rustc_hash::FxHashMap;
 
-use crate::wire::request::Mark;
+use crate::wire::request::{Made, Mark};
 
 /// Stamps are whole ms and every limit on sockets is 50 ms longer; a window is held open for a little more
 /// than both, as a repeat taken for one too long is merely answered from the table.
@@ -28,20 +28,7 @@
     end: Option<Result<Kept, NoResult>>,
 }
 
-/// What a run brought: header lines of its answer, each with its end of line, and a body.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct Made<'a> {
-    pub headers: &'a [u8],
-    pub body: &'a [u8],
-}
-
-impl<'a> From<&'a [u8]> for Made<'a> {
-    fn from(body: &'a [u8]) -> Made<'a> {
-        Made { headers: &[], body }
-    }
-}
-
-/// The same, kept.
+/// What a run brought, kept.
 pub struct Kept {
     bytes: Box<[u8]>,
     body_from: usize,
--- a/node/src/peers/link.rs
+++ b/node/src/peers/link.rs
@@ -19,6 +19,8 @@
 const KEY: usize = PART_KEYS.start;
 /// Datagrams read in one turn of the loop: a flood of them takes its turn like everything else.
 const TURN: usize = 64;
+/// Turns of the loop for which what is due waits for what lies unread: a flood must not stop it for good.
+const MOST_WAITS: u32 = 4;
 /// How often one thing about strangers is told, in tenths of a ms.
 const TOLD_EVERY: Tenths = 600_000;
 
@@ -45,12 +47,13 @@
     actions: Vec<Action>,
     counts: Counts,
     told_at: BTreeMap<&'static str, Tenths>,
-    /// Datagrams waited at the end of the last reading.
+    /// Datagrams waited at the end of the last reading; and for how many turns what is due has waited for them.
     unread: bool,
+    waited: u32,
 }
 
 impl Peers {
-    /// Opens the link that the operators' file asks for.
+    /// Opens the link that the operators' file asks for. `unix_ms` is when this process started.
     ///
     /// # Errors
     /// The key's file, or the address, with the path of its key.
@@ -58,6 +61,7 @@
         file: &FleetFile,
         key: Option<[u8; 32]>,
         orders: &Orders,
+        unix_ms: u64,
         poller: &Arc<Poller>,
         log: Logger,
     ) -> Result<Peers, String> {
@@ -66,7 +70,6 @@
         sock.set_nonblocking(true).map_err(at)?;
         // SAFETY: the part keeps the socket as long as the poller.
         unsafe { poller.add_with_mode(&sock, Ready::readable(KEY), PollMode::Level).map_err(at)? };
-        let unix_ms = crate::life::clock::Clock::default().now() / 10;
         let chance = fastrand::u64(..);
         let weight = file.weight.unwrap_or(orders.handed.contract.cores).max(1);
         let me = Claim {
@@ -91,6 +94,7 @@
             counts: Counts::default(),
             told_at: BTreeMap::new(),
             unread: false,
+            waited: 0,
         })
     }
 
@@ -203,11 +207,14 @@
     fn turn(&mut self) {
         let now = self.now();
         // What lies unread came before: an answer among it is no missing one.
-        if !self.unread && now >= self.fleet.next_due() {
-            self.fleet.happen(now, Event::Turn, &mut self.actions);
-            self.carry_out();
+        let waits = std::mem::take(&mut self.unread) && self.waited < MOST_WAITS;
+        if now >= self.fleet.next_due() {
+            self.waited = if waits { self.waited + 1 } else { 0 };
+            if !waits {
+                self.fleet.happen(now, Event::Turn, &mut self.actions);
+                self.carry_out();
+            }
         }
-        self.unread = false;
     }
 
     fn wait(&self) -> Tenths {
--- a/node/src/serve.rs
+++ b/node/src/serve.rs
@@ -24,13 +24,13 @@
 use crate::life::clock::Clock;
 use crate::life::signals::{LEAVE_KEY, RELOAD_KEY, Signals};
 use crate::memory::exchanges::{Ex, Exchanges, Stage};
-use crate::memory::results::{Key, Made, Results};
+use crate::memory::results::{Key, Results};
 use crate::parts::{PART_KEYS, Part};
 use crate::wire::end::End;
 use crate::wire::engine::Told;
 use crate::wire::fronts::{Came, FIRST_KEY, Fronts, LISTEN_KEY};
 use crate::wire::registry::Registry;
-use crate::wire::request::Answer;
+use crate::wire::request::{Answer, Made};
 use crate::wire::work::Work;
 
 /// What ends the program before its time.
@@ -89,6 +89,8 @@
         let (mut came, mut told) = (Vec::new(), Vec::new());
         self.now = self.clock.now();
         self.summary_at = self.now + report::EVERY;
+        // Servers are up from the start: what is read first is not to find the door closed.
+        self.send(&mut came, &mut told);
         loop {
             self.work.tend(self.now);
             self.registry.beat(self.now);
--- a/node/src/serve/events.rs
+++ b/node/src/serve/events.rs
@@ -7,12 +7,12 @@
 
 use super::{Node, READING, STALE};
 use crate::memory::exchanges::{Ex, Stage};
-use crate::memory::results::{Found, Made, NoResult, Repeats};
+use crate::memory::results::{Found, NoResult, Repeats};
 use crate::wire::end::{End, Outcome};
 use crate::wire::engine::Told;
 use crate::wire::fronts::{Block, Caller, Came};
 use crate::wire::link::Notice;
-use crate::wire::request::{Answer, Request, Unreadable};
+use crate::wire::request::{Answer, Made, Request, Unreadable};
 
 impl Node {
     pub(super) fn came(&mut self, what: Came) {
--- a/node/src/serve/start.rs
+++ b/node/src/serve/start.rs
@@ -14,7 +14,7 @@
 
 use super::leave::FLUSH;
 use super::report::Slowest;
-use super::{Fault, Node};
+use super::{Fault, MS, Node};
 use crate::life::clock::Clock;
 use crate::life::signals::Signals;
 use crate::memory::exchanges::Exchanges;
@@ -60,13 +60,15 @@
     installation: &Installation,
     orders: &Orders,
     file: Option<&Path>,
+    mut clock: Clock,
     poller: &Arc<Poller>,
     log: &Logger,
 ) -> Result<Vec<Box<dyn Part>>, Fault> {
     let Some(fleet) = &installation.fleet else { return Ok(Vec::new()) };
     let folder = file.and_then(Path::parent).unwrap_or(Path::new(""));
     let key = fleet.key(folder).map_err(|faults| faults.to_string())?;
-    Ok(vec![Box::new(Peers::open(fleet, key, orders, poller, log.clone())?)])
+    let unix_ms = clock.now() / MS;
+    Ok(vec![Box::new(Peers::open(fleet, key, orders, unix_ms, poller, log.clone())?)])
 }
 
 impl Node {
@@ -75,6 +77,7 @@
         orders: Orders,
         file: Option<PathBuf>,
         installation: Installation,
+        clock: Clock,
         log: Logger,
     ) -> Result<Node, Fault> {
         let ruled = rules(&installation, &orders, &log).map_err(|faults| faults.to_string())?;
@@ -116,13 +119,13 @@
             .map_err(|e| format!("config.registry: {}: {e}", orders.registry))?;
         info!(log, "listening"; "address" => %orders.listen, "connections" => room.connections,
             "open" => room.open);
-        let parts = parts(&installation, &orders, file.as_deref(), &poller, &log)?;
+        let parts = parts(&installation, &orders, file.as_deref(), clock, &poller, &log)?;
         let mut node = Node {
             parts,
             groups: handed.group_names.iter().map(|name| Value::from(name.as_str()).to_string()).collect(),
             results: Results::new(room.entries, room.result_bytes, patience),
             log,
-            clock: Clock::default(),
+            clock,
             now: 0,
             poller,
             signals,
--- a/node/src/wire/request.rs
+++ b/node/src/wire/request.rs
@@ -5,13 +5,24 @@
 use doortrack_wire::fastcgi::{self, ProtocolStatus};
 use doortrack_wire::{Head, Pair, Protocol};
 
-use crate::memory::results::Made;
-
 /// The name by which dispatchers and the engine know a try: 16 hex digits, as they came.
 pub type TryId = [u8; 16];
 /// The mark of a deduplicated exchange, as it came.
 pub type Mark = [u8; 32];
 
+/// What a run brought: header lines of its answer, each with its end of line, and a body.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Made<'a> {
+    pub headers: &'a [u8],
+    pub body: &'a [u8],
+}
+
+impl<'a> From<&'a [u8]> for Made<'a> {
+    fn from(body: &'a [u8]) -> Made<'a> {
+        Made { headers: &[], body }
+    }
+}
+
 /// Tenths of a ms in one.
 const MS: u64 = 10;
 
--- a/node/tests/fleet/link.rs
+++ b/node/tests/fleet/link.rs
@@ -11,6 +11,7 @@
 use doortrack_rig::history::{History, What};
 use doortrack_rig::processes::Rig;
 use doortrack_rig::script::Fault;
+use doortrack_standins::bed::Plan;
 use serde_json::{Value, json};
 
 use crate::program;
@@ -146,6 +147,36 @@
     assert!(more && seal.close(&Spoken::Told(Box::new(status))).is_some());
 }
 
+/// Sockets of a process, and its threads.
+fn has(pid: u32) -> (usize, usize) {
+    let count = |what: &str| std::fs::read_dir(format!("/proc/{pid}/{what}")).unwrap();
+    let socket = |at: std::path::PathBuf| {
+        std::fs::read_link(at).is_ok_and(|to| to.to_string_lossy().starts_with("socket:"))
+    };
+    (count("fd").filter(|fd| socket(fd.as_ref().unwrap().path())).count(), count("task").count())
+}
+
+#[test]
+fn a_fleet_costs_one_socket_and_none_where_there_is_none() {
+    let (bed, _engine) = Plan::new(program()).up();
+    let (sockets, threads) = has(bed.program.id());
+    assert_eq!(threads, 1);
+    let mut plan = Plan::new(program());
+    let fleet = json!({"name": "delta", "listen": plan.port(7_400).to_string()});
+    plan.installation = Some(json!({"fleet": fleet}));
+    let (bed, _engine) = plan.up();
+    assert_eq!(has(bed.program.id()), (sockets + 1, 1));
+}
+
+#[test]
+fn the_clock_is_set_off_in_a_fleet_alone() {
+    let mut plan = Plan::new(program());
+    plan.words.push("--test-clock-ms=-2000".into());
+    let (code, log) = plan.start().end();
+    assert_eq!(code, Some(1));
+    assert!(log.contains("--test-clock-ms"), "{log}");
+}
+
 #[test]
 fn a_name_used_by_two_processes_stays_with_the_later_one() {
     let mut rig = rig(4);
--- a/node/tests/fleet/main.rs
+++ b/node/tests/fleet/main.rs
@@ -25,4 +25,6 @@
 fn holds(played: &Played) {
     let breaches = judge(&played.history, &membership());
     assert!(breaches.is_empty(), "{breaches:#?}\n{}", played.history.lines());
+    assert!(played.broken.is_empty(), "{:#?}", played.broken);
+    assert!(played.served.completed > 0, "{:?}", played.served);
 }
--- a/node/tests/fleet/troubles.rs
+++ b/node/tests/fleet/troubles.rs
@@ -3,12 +3,11 @@
 use doortrack_rig::history::What;
 use doortrack_rig::processes::{Played, play};
 use doortrack_rig::script::{Fault, Script};
-use serde_json::Value;
 
 use crate::{holds, program, script};
 
 fn played(script: &Script) -> Played {
-    let played = play(program(), script, &|_| Value::Null).unwrap();
+    let played = play(program(), script, 3).unwrap();
     holds(&played);
     played
 }
@@ -31,7 +30,10 @@
 #[test]
 fn half_of_a_fleet_killed_at_once_is_lost_and_comes_back() {
     let half = vec![0, 1, 2];
-    let faults = vec![(2_000, Fault::Kill { nodes: half.clone() }), (7_000, Fault::Start { nodes: half })];
+    let faults = vec![
+        (2_000, Fault::Kill { nodes: half.clone() }),
+        (7_000, Fault::Start { nodes: half, clock_ms: 0 }),
+    ];
     let played = played(&script(6, 9_000, faults));
     assert!(told(&played, "lost") >= 9, "each of three lost three\n{}", played.history.lines());
 }
@@ -40,7 +42,7 @@
 fn all_started_anew_within_a_second_agree_again() {
     let faults = (0..6).flat_map(|of| {
         let at = 2_000 + of as u64 * 150;
-        [(at, Fault::Kill { nodes: vec![of] }), (at + 20, Fault::Start { nodes: vec![of] })]
+        [(at, Fault::Kill { nodes: vec![of] }), (at + 20, Fault::Start { nodes: vec![of], clock_ms: 0 })]
     });
     played(&script(6, 4_000, faults.collect()));
 }
@@ -53,7 +55,7 @@
     for of in 0..5 {
         let at = 2_000 + of as u64 * 1_800;
         faults.push((at, Fault::Leave { nodes: vec![of] }));
-        faults.push((at + 1_500, Fault::Start { nodes: vec![of] }));
+        faults.push((at + 1_500, Fault::Start { nodes: vec![of], clock_ms: 0 }));
     }
     let played = played(&script(5, 12_000, faults));
     assert!(told(&played, "left") >= 10, "{}", played.history.lines());
@@ -86,7 +88,7 @@
         (2_000, Fault::Stop { nodes: vec![0] }),
         (3_000, Fault::Leave { nodes: vec![3] }),
         (3_500, Fault::Kill { nodes: vec![4] }),
-        (5_000, Fault::Start { nodes: vec![4] }),
+        (5_000, Fault::Start { nodes: vec![4], clock_ms: 0 }),
         (7_000, Fault::GoOn { nodes: vec![0] }),
     ];
     let played = played(&script(5, 9_000, faults));
@@ -94,6 +96,33 @@
     assert!(played.history.entries.iter().any(|entry| still(&entry.what)), "{}", played.history.lines());
 }
 
+#[test]
+fn a_start_with_the_clock_set_back_and_old_datagrams_replayed_change_nothing_else() {
+    let faults = vec![
+        (2_000, Fault::Kill { nodes: vec![1, 2] }),
+        (2_100, Fault::Start { nodes: vec![1, 2], clock_ms: -2_000 }),
+        (4_000, Fault::Replay { nodes: vec![0, 1, 2, 3] }),
+        (5_000, Fault::Kill { nodes: vec![3] }),
+        (8_000, Fault::Replay { nodes: vec![0, 1, 2] }),
+        (8_500, Fault::Start { nodes: vec![3], clock_ms: 2_000 }),
+        (9_500, Fault::Replay { nodes: vec![0, 1, 2, 3] }),
+    ];
+    let played = played(&script(4, 11_000, faults));
+    assert!(told(&played, "displaced") == 0, "{}", played.history.lines());
+}
+
+#[test]
+fn trouble_between_nodes_and_their_server_is_none_between_nodes() {
+    let server = |nodes: Vec<usize>, cut, broken| Fault::Server { nodes, cut, delay_ms: 5, broken };
+    let faults = vec![
+        (1_500, server(vec![0], true, 0.0)),
+        (1_500, server(vec![1], false, 0.3)),
+        (5_500, server(vec![0, 1], false, 0.0)),
+    ];
+    let played = played(&script(3, 6_500, faults));
+    assert_eq!(told(&played, "suspected"), 0, "{}", played.history.lines());
+}
+
 #[test]
 fn troubles_drawn_from_seeds_break_no_promise() {
     for seed in [3, 8] {
--- a/node/tests/node/fronts.rs
+++ b/node/tests/node/fronts.rs
@@ -525,6 +525,32 @@
     for path in ["fronts[0].listen", "fronts[2].listen", "fronts[2].connections"] {
         assert!(told.contains(&format!("installation.{path}: ")), "{path}\n{told}");
     }
+    let fleet = |more: Value| {
+        let mut whole = json!({"name": "delta", "listen": "127.0.0.1:7401"});
+        whole.as_object_mut().unwrap().extend(more.as_object().unwrap().clone());
+        json!({"fleet": whole})
+    };
+    let (code, said) = check(fleet(json!({"seeds": ["127.0.0.1:7402"], "voters": ["n1", "n2", "n3"]})));
+    assert_eq!((code, said.as_str()), (Some(0), "good: no fronts; of fleet delta\n"));
+    let wrong = [
+        (json!({"name": ""}), ".name"),
+        (json!({"listen": "0.0.0.0:7401"}), ".listen"),
+        (json!({"advertise": "127.0.0.1:0"}), ".advertise"),
+        (json!({"seeds": ["127.0.0.1:7402", "127.0.0.1:0"]}), ".seeds[1]"),
+        (json!({"voters": ["n1", "n1"]}), ".voters[1]"),
+        (json!({"weight": 0}), ".weight"),
+        (json!({"times": {"period_ms": 10}}), ".times.period_ms"),
+        (json!({"times": {"period_ms": 100, "answer_within_ms": 100}}), ".times.answer_within_ms"),
+        (json!({"times": {"doubt_least_ms": 500, "doubt_most_ms": 400}}), ".times.doubt_most_ms"),
+        (json!({"times": {"perod_ms": 10}}), ".times.perod_ms"),
+        (json!({"key_file": "nowhere"}), ".key_file"),
+    ];
+    for (more, path) in wrong {
+        let (code, told) = check(fleet(more));
+        assert_eq!(code, Some(1));
+        assert!(told.starts_with(&format!("installation.fleet{path}: ")), "{path}\n{told}");
+    }
+    assert!(check(json!({"fleet": ["delta", "127.0.0.1:7401"]})).1.contains("an object is wanted"));
     for text in ["", "[]", "nonsense", "{\"fronts\": 3}"] {
         std::fs::write(&file, text).unwrap();
         let (code, told, _) = doortrack(&["check", "--installation", file.to_str().unwrap()]);
--- a/rig/src/course.rs
+++ b/rig/src/course.rs
@@ -94,7 +94,7 @@
                     }
                 }
             }
-            Fault::Start { .. } => {}
+            Fault::Start { .. } | Fault::Replay { .. } | Fault::Server { .. } => {}
             Fault::GoOn { nodes } => {
                 for node in nodes {
                     self.close(*node, at);
--- a/rig/src/lib.rs
+++ b/rig/src/lib.rs
@@ -17,6 +17,8 @@
 pub mod script;
 pub mod shrink;
 pub mod simulated;
+pub mod streams;
+pub mod traffic;
 
 pub use history::{Entry, History, What};
 pub use script::{Fault, Script, Timed};
--- a/rig/src/main.rs
+++ b/rig/src/main.rs
@@ -57,21 +57,36 @@
     /// The program that is played
     #[arg(long, value_name = "FILE", default_value = "target/release/doortrack")]
     program: PathBuf,
+    /// Callers that ask the nodes meanwhile; judged by the four rules
+    #[arg(long, default_value = "3")]
+    callers: usize,
     /// Where the history of a play, or of the first that fails, is kept
     #[arg(long, value_name = "FILE")]
     history: Option<PathBuf>,
 }
 
 impl On {
-    fn play(&self, script: &Script) -> Result<History, String> {
+    /// The history of a play, and what was broken in it.
+    fn play(&self, script: &Script) -> Result<(History, Vec<Breach>), String> {
         if self.simulated {
-            return Ok(simulated::play(script, &Ways::default()).0);
+            let history = simulated::play(script, &Ways::default()).0;
+            let breaches = judge(&history, &membership());
+            return Ok((history, breaches));
         }
         if script.nodes > script::MOST_PROCESSES {
             return Err(format!("script.nodes: at most {} processes are played", script::MOST_PROCESSES));
         }
-        let played = processes::play(&self.program, script, &|_| serde_json::Value::Null);
-        played.map(|played| played.history).map_err(|e| format!("{}: {e}", self.program.display()))
+        let played = processes::play(&self.program, script, self.callers);
+        let played = played.map_err(|e| format!("{}: {e}", self.program.display()))?;
+        let mut breaches = judge(&played.history, &membership());
+        let broken = played.broken.into_iter();
+        breaches.extend(broken.map(|what| Breach { rule: "the four rules", at_ms: script.ms, what }));
+        let served = played.served;
+        println!(
+            "{} exchanges, {} completed, {} asked of processes that were ended",
+            served.asked, served.completed, served.unanswered
+        );
+        Ok((played.history, breaches))
     }
 
     fn keep(&self, history: &History) -> Result<(), String> {
@@ -113,22 +128,20 @@
             Ok(verdict(&history.display().to_string(), &kept, &judge(&kept, &membership())))
         }
         Command::Play { script, on } => {
-            let history = on.play(&Script::parse(&text(&script)?)?)?;
+            let (history, breaches) = on.play(&Script::parse(&text(&script)?)?)?;
             on.keep(&history)?;
-            Ok(verdict(&script.display().to_string(), &history, &judge(&history, &membership())))
+            Ok(verdict(&script.display().to_string(), &history, &breaches))
         }
         Command::Seeds { from, count, nodes, troubles, on } => {
             for seed in from..from + count {
                 let script = Script::seeded(seed, nodes, troubles);
-                let history = on.play(&script)?;
-                if verdict(&format!("seed {seed}"), &history, &judge(&history, &membership())) {
+                let (history, breaches) = on.play(&script)?;
+                if verdict(&format!("seed {seed}"), &history, &breaches) {
                     continue;
                 }
                 on.keep(&history)?;
                 let plays = if on.simulated { 200 } else { 12 };
-                let fails = |tried: &Script| {
-                    on.play(tried).is_ok_and(|history| !judge(&history, &membership()).is_empty())
-                };
+                let fails = |tried: &Script| on.play(tried).is_ok_and(|(_, breaches)| !breaches.is_empty());
                 let least = shrink(&script, plays, fails);
                 println!("the smallest script that still fails:");
                 println!("{}", serde_json::to_string_pretty(&least).unwrap_or_default());
--- a/rig/src/processes.rs
+++ b/rig/src/processes.rs
@@ -10,12 +10,15 @@
 
 use doortrack_node::commands::fleet::ask;
 use doortrack_standins::bed::{config, fresh_address};
+use doortrack_standins::unix_ms;
 use rustix::process::{Pid, Signal, kill_process};
 use serde_json::{Value, json};
 
 use crate::history::{History, Member, What, name};
 use crate::relay::{Passed, Relay};
 use crate::script::{Fault, Script};
+use crate::streams::{Stream, Weather};
+use crate::traffic::{Behind, Death, Served, Traffic};
 
 const FRONT: u16 = 9_090;
 const FLEET: u16 = 7_400;
@@ -34,6 +37,8 @@
     began: Instant,
     history: Arc<Mutex<History>>,
     readers: Vec<JoinHandle<()>>,
+    deaths: Vec<Death>,
+    streams: Vec<Stream>,
 }
 
 struct Node {
@@ -46,6 +51,9 @@
 pub struct Played {
     pub history: History,
     pub passed: Passed,
+    pub served: Served,
+    /// Breaches of the four rules, in words.
+    pub broken: Vec<String>,
 }
 
 impl Node {
@@ -80,7 +88,19 @@
         std::fs::write(folder.join("fleet.key"), "5a".repeat(32))?;
         let history = Arc::new(Mutex::new(History { nodes: nodes.len(), entries: Vec::new() }));
         let (began, readers) = (Instant::now(), Vec::new());
-        Ok(Rig { program: program.to_path_buf(), nodes, relay, folder, began, history, readers })
+        let (program, deaths) = (program.to_path_buf(), Vec::new());
+        Ok(Rig { program, nodes, relay, folder, began, history, readers, deaths, streams: Vec::new() })
+    }
+
+    /// What each node's operators' file says of the server behind all, each by a stream of its own.
+    ///
+    /// # Errors
+    /// No address can be had.
+    pub fn behind(&mut self, behind: &Behind) -> io::Result<Vec<Value>> {
+        for nth in 0..self.nodes.len() {
+            self.streams.push(Stream::to(behind.at(), nth as u64)?);
+        }
+        Ok(self.streams.iter().map(|stream| behind.installation(stream.at)).collect())
     }
 
     /// The start of the play's time.
@@ -134,6 +154,14 @@
     /// # Errors
     /// The program can't be started.
     pub fn start(&mut self, of: usize, name_of: usize, more: &Value) -> io::Result<()> {
+        self.start_off(of, name_of, 0, more)
+    }
+
+    /// As [`Rig::start`], with the process's clock so many ms off.
+    ///
+    /// # Errors
+    /// The program can't be started.
+    pub fn start_off(&mut self, of: usize, name_of: usize, clock_ms: i64, more: &Value) -> io::Result<()> {
         if let Some(process) = &mut self.nodes[of].process {
             if process.try_wait()?.is_none() {
                 return Ok(());
@@ -152,6 +180,7 @@
         let mut command = Command::new(&self.program);
         command.arg("serve").arg("--installation").arg(&own);
         command.args(["--log-format", "json", "--log-lines", LINES]);
+        command.arg(format!("--test-clock-ms={clock_ms}"));
         command.env("GW_CONFIG", &file).stdout(Stdio::null()).stderr(Stdio::piped());
         let mut process = command.spawn()?;
         self.put(What::Began { node: of });
@@ -169,6 +198,7 @@
         if let Some(mut process) = self.nodes[of].process.take() {
             _ = process.wait();
             self.put(What::Ended { node: of });
+            self.deaths.push((self.front(of), unix_ms()));
         }
     }
 
@@ -181,14 +211,14 @@
         self.relay.take_up(fault);
         match fault {
             Fault::Kill { nodes } => nodes.iter().for_each(|of| self.end(*of)),
-            Fault::Start { nodes } => {
+            Fault::Start { nodes, clock_ms } => {
                 for of in nodes {
                     // One that was told to leave has had its time to stop.
                     let leaving = self.nodes[*of].process.is_some();
                     if leaving {
                         self.end(*of);
                     }
-                    self.start(*of, *of, &more(*of))?;
+                    self.start_off(*of, *of, *clock_ms, &more(*of))?;
                 }
             }
             Fault::Stop { nodes } => nodes.iter().for_each(|of| {
@@ -200,7 +230,11 @@
                 self.nodes[*of].signal(Signal::CONT);
             }),
             Fault::Leave { nodes } => nodes.iter().for_each(|of| self.nodes[*of].signal(Signal::TERM)),
-            Fault::Cut { .. } | Fault::Mend { .. } | Fault::Links { .. } => {}
+            Fault::Server { nodes, cut, delay_ms, broken } => {
+                let weather = Weather { cut: *cut, delay_ms: *delay_ms, broken: *broken };
+                nodes.iter().filter_map(|of| self.streams.get(*of)).for_each(|stream| stream.change(weather));
+            }
+            Fault::Cut { .. } | Fault::Mend { .. } | Fault::Links { .. } | Fault::Replay { .. } => {}
         }
         Ok(())
     }
@@ -263,6 +297,15 @@
 
     /// Ends all processes, and gives what was told.
     pub fn finish(mut self) -> Played {
+        self.finish_with(None)
+    }
+
+    /// As [`Rig::finish`], once the callers have their last answers.
+    pub fn finish_with(&mut self, traffic: Option<(Traffic, &Behind)>) -> Played {
+        let (served, broken) = match traffic {
+            Some((traffic, behind)) => traffic.finish(behind, &self.deaths),
+            None => Default::default(),
+        };
         (0..self.nodes.len()).for_each(|of| {
             self.nodes[of].signal(Signal::KILL);
             if let Some(mut process) = self.nodes[of].process.take() {
@@ -274,7 +317,7 @@
         }
         let mut history = std::mem::take(&mut *self.history.lock().unwrap_or_else(PoisonError::into_inner));
         history.settle();
-        Played { history, passed: self.relay.passed() }
+        Played { history, passed: self.relay.passed(), served, broken }
     }
 }
 
@@ -307,16 +350,21 @@
     }
 }
 
-/// Plays a script from its start to its end.
+/// Plays a script from its start to its end, while `callers` ask the nodes and one server does their work.
 ///
 /// # Errors
 /// A process or a relay that can't be had.
-pub fn play(program: &Path, script: &Script, more: More) -> io::Result<Played> {
+pub fn play(program: &Path, script: &Script, callers: usize) -> io::Result<Played> {
+    let behind = Behind::start();
     let mut rig = Rig::new(program, script.nodes, script.seed)?;
+    let files = rig.behind(&behind)?;
+    let more = &|of: usize| files[of].clone();
     rig.begin();
     for of in 0..script.nodes {
         rig.start(of, of, &more(of))?;
     }
+    let fronts: Vec<SocketAddr> = (0..script.nodes).map(|of| rig.front(of)).collect();
+    let traffic = Traffic::start(callers, &fronts, script.seed);
     let until = |rig: &Rig, at_ms: u64| {
         std::thread::sleep(Duration::from_millis(at_ms.saturating_sub(rig.now_ms())));
     };
@@ -334,5 +382,5 @@
     }
     until(&rig, script.ms);
     rig.last_words(running.iter().filter(|of| **of).count());
-    Ok(rig.finish())
+    Ok(rig.finish_with(Some((traffic, &behind))))
 }
--- a/rig/src/relay.rs
+++ b/rig/src/relay.rs
@@ -4,7 +4,7 @@
 //! which link it is on, does to it what that link does, and passes it on from the sender's own stand-in.
 
 use std::cmp::Reverse;
-use std::collections::{BTreeMap, BinaryHeap};
+use std::collections::{BTreeMap, BinaryHeap, VecDeque};
 use std::io;
 use std::net::{SocketAddr, UdpSocket};
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -18,6 +18,8 @@
 const MOST_HELD: usize = 100_000;
 /// How long the relay rests where nothing comes.
 const REST: Duration = Duration::from_micros(300);
+/// Datagrams to each node that are kept for a replay.
+const MOST_KEPT: usize = 300;
 
 /// What the links do just now.
 #[derive(Default)]
@@ -27,6 +29,8 @@
     doubled: f64,
     garbled: f64,
     delay_ms: u64,
+    /// Nodes that are to get again what they got.
+    replay: Vec<usize>,
 }
 
 /// What was passed on and what was not.
@@ -97,6 +101,7 @@
             rules: rules.clone(),
             passed: passed.clone(),
             held: BinaryHeap::new(),
+            kept: vec![VecDeque::new(); nodes.len()],
             chance: fastrand::Rng::with_seed(seed),
             nth: 0,
         };
@@ -128,6 +133,7 @@
                 (rules.loss, rules.doubled, rules.garbled) = (*loss, *doubled, *garbled);
                 rules.delay_ms = *delay_ms;
             }
+            Fault::Replay { nodes } => rules.replay.extend(nodes),
             _ => {}
         }
     }
@@ -153,6 +159,8 @@
     rules: Arc<Mutex<Rules>>,
     passed: Arc<Mutex<Passed>>,
     held: BinaryHeap<Reverse<Held>>,
+    /// By node, what last came to it: from whom, and the bytes.
+    kept: Vec<VecDeque<(usize, Vec<u8>)>>,
     chance: fastrand::Rng,
     nth: u64,
 }
@@ -170,6 +178,7 @@
                     }
                 }
             }
+            self.replay();
             let now = Instant::now();
             while self.held.peek().is_some_and(|Reverse(held)| held.at <= now) {
                 if let Some(Reverse(held)) = self.held.pop() {
@@ -182,6 +191,18 @@
         }
     }
 
+    fn replay(&mut self) {
+        let again = {
+            let mut rules = self.rules.lock().unwrap_or_else(PoisonError::into_inner);
+            std::mem::take(&mut rules.replay)
+        };
+        for to in again.into_iter().filter(|to| *to < self.kept.len()) {
+            for (from, bytes) in &self.kept[to] {
+                _ = self.socks[*from].send_to(bytes, self.real[to]);
+            }
+        }
+    }
+
     fn came(&mut self, from: usize, to: usize, bytes: &[u8]) {
         let rules = self.rules.lock().unwrap_or_else(PoisonError::into_inner);
         let mut passed = self.passed.lock().unwrap_or_else(PoisonError::into_inner);
@@ -198,6 +219,10 @@
             let place = self.chance.usize(..bytes.len());
             bytes[place] ^= self.chance.u8(1..);
         }
+        if self.kept[to].len() >= MOST_KEPT {
+            self.kept[to].pop_front();
+        }
+        self.kept[to].push_back((from, bytes.clone()));
         let times = if self.chance.f64() < rules.doubled { 2 } else { 1 };
         for _ in 0..times {
             // Drawn anew for each, so that they overtake one another.
--- a/rig/src/script.rs
+++ b/rig/src/script.rs
@@ -43,9 +43,11 @@
     Kill {
         nodes: Vec<usize>,
     },
-    /// A new process under the same name and addresses, where none runs.
+    /// A new process under the same name and addresses, where none runs; its clock is so many ms off.
     Start {
         nodes: Vec<usize>,
+        #[serde(default)]
+        clock_ms: i64,
     },
     /// SIGSTOP, and SIGCONT.
     Stop {
@@ -68,6 +70,24 @@
         from: Vec<usize>,
         to: Vec<usize>,
     },
+    /// The last datagrams that reached these nodes, of whatever life, reach them again.
+    Replay {
+        nodes: Vec<usize>,
+    },
+    /// What lies between these nodes and the server behind them, from here on. Not in simulated time, which has
+    /// no exchanges.
+    Server {
+        nodes: Vec<usize>,
+        /// Nothing passes, and connections stay open.
+        #[serde(default)]
+        cut: bool,
+        /// Each piece waits so long.
+        #[serde(default)]
+        delay_ms: u64,
+        /// Share of pieces at which the connection is broken off instead.
+        #[serde(default)]
+        broken: f64,
+    },
     /// What all links do from here on: shares of what is sent, and ms of delay drawn anew for each.
     Links {
         #[serde(default)]
@@ -87,7 +107,9 @@
     pub fn nodes(&self) -> Vec<usize> {
         match self {
             Fault::Kill { nodes }
-            | Fault::Start { nodes }
+            | Fault::Start { nodes, .. }
+            | Fault::Replay { nodes }
+            | Fault::Server { nodes, .. }
             | Fault::Stop { nodes }
             | Fault::GoOn { nodes }
             | Fault::Leave { nodes } => nodes.clone(),
@@ -122,9 +144,12 @@
             if let Some(node) = timed.fault.nodes().into_iter().find(|node| *node >= self.nodes) {
                 return at(format!("there is no node {node}"));
             }
-            if let Fault::Links { loss, doubled, garbled, .. } = timed.fault
-                && [loss, doubled, garbled].iter().any(|share| !(0.0..=1.0).contains(share))
-            {
+            let shares = match timed.fault {
+                Fault::Links { loss, doubled, garbled, .. } => vec![loss, doubled, garbled],
+                Fault::Server { broken, .. } => vec![broken],
+                _ => Vec::new(),
+            };
+            if shares.iter().any(|share| !(0.0..=1.0).contains(share)) {
                 return at("shares from 0 to 1 are wanted".into());
             }
         }
@@ -151,10 +176,10 @@
             chance.shuffle(&mut some);
             let (few, rest) = some.split_at(chance.usize(1..=(nodes / 2).max(1)));
             let (few, rest) = (few.to_vec(), rest.to_vec());
-            match chance.u32(0..7) {
+            match chance.u32(0..8) {
                 0 => {
                     put(at, Fault::Kill { nodes: few.clone() });
-                    put(at + lasts, Fault::Start { nodes: few });
+                    put(at + lasts, Fault::Start { nodes: few, clock_ms: 0 });
                 }
                 1 => {
                     put(at, Fault::Stop { nodes: few.clone() });
@@ -176,12 +201,18 @@
                     put(at + lasts, Fault::Links { loss: 0.0, doubled: 0.0, garbled: 0.0, delay_ms: 0 });
                 }
                 5 => {
+                    let (cut, delay_ms, broken) = (chance.bool(), chance.u64(0..40), chance.f64() * 0.2);
+                    put(at, Fault::Server { nodes: few.clone(), cut, delay_ms, broken });
+                    put(at + lasts, Fault::Server { nodes: few, cut: false, delay_ms: 0, broken: 0.0 });
+                }
+                6 => {
                     put(at, Fault::Leave { nodes: few.clone() });
-                    put(at + 1_500 + lasts, Fault::Start { nodes: few });
+                    put(at + 1_500 + lasts, Fault::Start { nodes: few, clock_ms: 0 });
+                    put(at + 1_800 + lasts, Fault::Replay { nodes: rest });
                 }
                 _ => {
                     put(at, Fault::Kill { nodes: few.clone() });
-                    put(at, Fault::Start { nodes: few });
+                    put(at, Fault::Start { nodes: few, clock_ms: -chance.i64(0..2_000) });
                 }
             }
             at += lasts + chance.u64(1_500..4_000);
--- a/rig/src/simulated.rs
+++ b/rig/src/simulated.rs
@@ -14,6 +14,8 @@
 const MS: Micros = 1_000;
 /// Microseconds of a tenth of a ms.
 const TENTH: Micros = 100;
+/// What clocks show at the start of a play, so that one set back shows no time before all times.
+const BASE: i64 = 100_000 * MS as i64;
 /// Bytes of IP and UDP round each datagram.
 const ROUND: u64 = 28;
 /// Nodes that are asked for their views at the end, spread over all.
@@ -30,6 +32,8 @@
     /// Most that a clock is off, in ms, and drifts, in millionths.
     pub offset_ms: u64,
     pub drift_ppm: u64,
+    /// News told before this is not kept, for plays whose history would be too long.
+    pub quiet_until_ms: u64,
     /// Whether the bytes of each datagram are counted, which costs most of the time.
     pub weigh: bool,
 }
@@ -43,6 +47,7 @@
             between_zones: 0,
             offset_ms: 0,
             drift_ppm: 0,
+            quiet_until_ms: 0,
             weigh: false,
         }
     }
@@ -95,7 +100,7 @@
             0 => 0,
             most => chance.i64(-most..=most),
         };
-        let offset = spread(&mut chance, ways.offset_ms) * MS as i64 + 10_000_000;
+        let offset = spread(&mut chance, ways.offset_ms) * MS as i64 + BASE;
         let clock = Clock { offset, drift_ppm: spread(&mut chance, ways.drift_ppm) };
         net.add(clock, of as u32 % ways.zones.max(1));
     }
@@ -120,6 +125,7 @@
         for (nth, timed) in faults.iter().enumerate() {
             self.net.mark(timed.at_ms * MS, nth as u64);
         }
+        self.net.keeps = faults.iter().any(|timed| matches!(timed.fault, Fault::Replay { .. }));
         (0..script.nodes).for_each(|of| self.start(of));
         while let Some(next) = self.net.next(script.ms * MS) {
             match next {
@@ -198,6 +204,10 @@
     }
 
     fn tell(&mut self, of: MachineId, news: &News, fleet: &Fleet) {
+        let at_ms = self.now_ms();
+        if at_ms < self.ways.quiet_until_ms {
+            return;
+        }
         let (about, view) = (news.about(), fleet.view());
         let what = What::News {
             node: of,
@@ -207,7 +217,6 @@
             view: view.number,
             members: view.members.len(),
         };
-        let at_ms = self.now_ms();
         self.history.put(at_ms, what);
     }
 
@@ -222,19 +231,25 @@
                     self.history.put(at_ms, What::Ended { node: of });
                 }
             }
-            Fault::Start { nodes } => {
+            Fault::Start { nodes, clock_ms } => {
                 for of in nodes {
                     // One that leaves still answers until it is started anew.
                     if self.fleets[of].as_ref().is_some_and(|fleet| fleet.me().stand == Stand::Left) {
                         self.net.kill(of);
                         self.history.put(at_ms, What::Ended { node: of });
                     }
+                    if self.net.is_down(of) {
+                        let clock = Clock { offset: BASE + clock_ms * MS as i64, drift_ppm: 0 };
+                        self.net.set_clock(of, clock);
+                    }
                     self.start(of);
                 }
             }
+            Fault::Replay { nodes } => nodes.into_iter().for_each(|of| self.net.replay(of)),
             Fault::Stop { nodes } => nodes.into_iter().for_each(|of| self.net.stop(of)),
             Fault::GoOn { nodes } => nodes.into_iter().for_each(|of| self.net.go_on(of)),
             Fault::Leave { nodes } => nodes.into_iter().for_each(|of| self.happen(of, Event::Leave)),
+            Fault::Server { .. } => {}
             Fault::Cut { from, to } => self.cut(&from, &to, true),
             Fault::Mend { from, to } => self.cut(&from, &to, false),
             Fault::Links { loss, doubled, garbled, delay_ms } => {
--- /dev/null
+++ b/rig/src/traffic.rs
@@ -0,0 +1,162 @@
+//! Callers that ask nodes over FastCGI while a script is played, and the application server behind all nodes;
+//! what they know of one another's doings is judged by the four rules.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::thread::JoinHandle;
+use std::time::Duration;
+
+use doortrack_standins::caller::{Ask, Seen};
+use doortrack_standins::rules::{Bounds, Ran, Tried, broken};
+use doortrack_standins::server::{Act, Server};
+use doortrack_standins::unix_ms;
+use doortrack_wire::Protocol;
+use serde_json::{Value, json};
+
+/// The async timeout of both endpoint groups of `standins::bed::config`, and what a slow machine may add, in ms.
+const WITHIN: u64 = 30_000 + 10_000;
+/// A caller rests so long after each exchange, so that few of them do not take the machine.
+const REST: Duration = Duration::from_millis(15);
+/// What a node waits for an answer of the server, in ms.
+const ANSWER_WITHIN: u64 = 3_000;
+/// What a run takes.
+const WORK: Duration = Duration::from_millis(3);
+
+/// The server that does the work of all nodes.
+pub struct Behind {
+    server: Server,
+}
+
+fn result(try_id: &str) -> Vec<u8> {
+    format!("of {try_id}").into_bytes()
+}
+
+impl Behind {
+    pub fn start() -> Behind {
+        let server = Server::start(Protocol::FastCgi, |got| Act::Answer {
+            status: "200 OK",
+            body: result(&Ran::from(got).try_id),
+            after: WORK,
+        });
+        Behind { server }
+    }
+
+    pub fn at(&self) -> SocketAddr {
+        self.server.at
+    }
+
+    /// What a node's operators' file says of it, where it is reached at `at`.
+    pub fn installation(&self, at: SocketAddr) -> Value {
+        let (addresses, within) = ([at.to_string()], ANSWER_WITHIN);
+        json!({"servers": {"protocol": "fastcgi", "addresses": addresses, "at_once": 8,
+            "answer_within_ms": within}})
+    }
+}
+
+/// Callers under way.
+pub struct Traffic {
+    over: Arc<AtomicBool>,
+    callers: Vec<JoinHandle<Vec<(SocketAddr, Tried)>>>,
+}
+
+/// What the callers and the server came to.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Served {
+    pub asked: usize,
+    pub completed: usize,
+    /// Asked of a process that was ended before it answered.
+    pub unanswered: usize,
+}
+
+/// One caller: it asks one node after the other, and where it is denied or finds nobody it asks the next once,
+/// under the same mark.
+struct Caller {
+    nth: u64,
+    chance: fastrand::Rng,
+    fronts: Vec<SocketAddr>,
+    /// With the front that was asked.
+    tried: Vec<(SocketAddr, Tried)>,
+}
+
+/// The end of a process by the rig: of the node at this front, in Unix ms.
+pub type Death = (SocketAddr, u64);
+/// What came before an end may have been written to the dead process.
+const BEFORE: u64 = 1_000;
+
+impl Caller {
+    fn ask(&mut self, front: SocketAddr, mark: Option<&str>) -> Option<Seen> {
+        self.nth += 1;
+        let script = if mark.is_some() { "/svc/pay" } else { "/svc/look" };
+        let ask = Ask::new(self.nth, script, b"berth");
+        let ask = mark.map_or(ask.clone(), |mark| ask.with("HTTP_IDEMPOTENCY_KEY", mark));
+        let sent = unix_ms();
+        let seen = ask.try_send(front, Protocol::FastCgi).ok()?.seen();
+        let told = Some((seen.clone(), unix_ms()));
+        self.tried.push((front, Tried { nth: self.nth, mark: mark.map(str::to_string), sent, told }));
+        Some(seen)
+    }
+
+    fn run(mut self, over: &AtomicBool) -> Vec<(SocketAddr, Tried)> {
+        while !over.load(Ordering::Relaxed) {
+            let mark = self.chance.bool().then(|| format!("{:032x}", self.chance.u128(..)));
+            let from = self.chance.usize(..self.fronts.len());
+            for nth in 0..2.min(self.fronts.len()) {
+                let front = self.fronts[(from + nth) % self.fronts.len()];
+                match self.ask(front, mark.as_deref()) {
+                    // What may have run elsewhere is not asked of another: nodes share no marks yet.
+                    None | Some(Seen::Denied { .. }) => {}
+                    Some(_) => break,
+                }
+            }
+            std::thread::sleep(REST);
+        }
+        self.tried
+    }
+}
+
+impl Traffic {
+    /// So many callers, each of which asks all of these fronts.
+    pub fn start(callers: usize, fronts: &[SocketAddr], seed: u64) -> Traffic {
+        let over = Arc::new(AtomicBool::new(false));
+        let callers = (0..callers as u64).map(|place| {
+            let caller = Caller {
+                nth: (place + 1) << 32,
+                chance: fastrand::Rng::with_seed(seed ^ (place << 7)),
+                fronts: fronts.to_vec(),
+                tried: Vec::new(),
+            };
+            let over = over.clone();
+            std::thread::spawn(move || caller.run(&over))
+        });
+        Traffic { callers: callers.collect(), over }
+    }
+
+    /// Ends the callers once each has its answer, and judges; every breach in words. Who was ended by the rig
+    /// owes no answer.
+    pub fn finish(self, behind: &Behind, deaths: &[Death]) -> (Served, Vec<String>) {
+        self.over.store(true, Ordering::Relaxed);
+        let tried = self.callers.into_iter().filter_map(|caller| caller.join().ok()).flatten();
+        let tried: Vec<Tried> = tried
+            .map(|(front, mut tried)| {
+                let died = |at: u64| {
+                    deaths
+                        .iter()
+                        .any(|(of, when)| *of == front && *when + BEFORE >= tried.sent && *when <= at)
+                };
+                let owes_nothing = matches!(tried.told, Some((Seen::Nothing, at)) if died(at));
+                tried.told = tried.told.filter(|_| !owes_nothing);
+                tried
+            })
+            .collect();
+        let ran: Vec<Ran> = behind.server.got().iter().map(Ran::from).collect();
+        let bounds = Bounds { within: WITHIN, closed: None, tries: 3 };
+        let completed = |one: &&Tried| matches!(one.told, Some((Seen::Completed(_), _)));
+        let served = Served {
+            asked: tried.len(),
+            completed: tried.iter().filter(completed).count(),
+            unanswered: tried.iter().filter(|one| one.told.is_none()).count(),
+        };
+        (served, broken(&tried, &ran, bounds, result))
+    }
+}
--- a/rig/tests/checkers.rs
+++ b/rig/tests/checkers.rs
@@ -126,7 +126,7 @@
     let put = |at_ms, fault| Timed { at_ms, fault };
     let mut faults: Vec<Timed> = (0..20).map(|nth| put(nth, Fault::Stop { nodes: vec![1] })).collect();
     faults.insert(7, put(7, Fault::Kill { nodes: vec![0] }));
-    faults.insert(13, put(13, Fault::Start { nodes: vec![0] }));
+    faults.insert(13, put(13, Fault::Start { nodes: vec![0], clock_ms: 0 }));
     let script = Script { nodes: 3, ms: 100, seed: 1, faults };
     let wanted = |script: &Script| {
         let has = |kind: fn(&Fault) -> bool| script.faults.iter().any(|timed| kind(&timed.fault));
--- a/rig/tests/simulated.rs
+++ b/rig/tests/simulated.rs
@@ -43,7 +43,10 @@
 #[test]
 fn half_of_sixty_die_at_once_and_come_back_at_once() {
     let half: Vec<usize> = (0..30).collect();
-    let faults = vec![(5_000, Fault::Kill { nodes: half.clone() }), (12_000, Fault::Start { nodes: half })];
+    let faults = vec![
+        (5_000, Fault::Kill { nodes: half.clone() }),
+        (12_000, Fault::Start { nodes: half, clock_ms: 0 }),
+    ];
     let history = holds(&script(60, 20_000, faults), &Ways::default());
     assert!(lost(&history) >= 30 * 30);
 }
