--- a/node/src/serve.rs
+++ b/node/src/serve.rs
@@ -90,6 +90,7 @@
         self.now = self.clock.now();
         self.summary_at = self.now + report::EVERY;
         // Servers are up from the start: what is read first is not to find the door closed.
+        self.work.tend(self.now);
         self.send(&mut came, &mut told);
         loop {
             self.work.tend(self.now);
