--- a/bench/src/bin/membership.rs
+++ b/bench/src/bin/membership.rs
@@ -1,7 +1,7 @@
-//! How soon a fleet knows of a death, finds together after a cut, and what that costs: on real processes behind
-//! the rig's relay, and in simulated time on the same decisions.
+//! How soon a fleet knows of a death, finds together after a cut, and what that costs: on real processes
+//! behind the rig's relay, and in simulated time on the same decisions.
 //!
-//! `membership sim [SIZES]`, `membership processes [SIZES]`, `membership loss NODES SECONDS`. One line a figure.
+//! `membership sim SIZES`, `membership processes SIZES`, `membership loss NODES SECONDS`. A line a figure.
 
 use std::collections::BTreeMap;
 use std::path::Path;
@@ -178,7 +178,7 @@
     let seconds = (CALM - 2_000 - 8_000) as f64 / 1_000.0;
     let (bytes, sent) = (after.bytes - before.bytes, after.passed + after.lost - before.passed - before.lost);
     println!(
-        "processes {nodes}: calm, {:.0} bytes and {:.1} datagrams a second sent by each, {:.2}% of a core each",
+        "processes {nodes}: calm, {:.0} bytes and {:.1} datagrams a second sent by each, {:.2}% of a core",
         bytes as f64 / nodes as f64 / seconds,
         sent as f64 / nodes as f64 / seconds,
         spent as f64 / 10.0 / nodes as f64 / seconds,
--- a/fleet/src/fleet.rs
+++ b/fleet/src/fleet.rs
@@ -350,8 +350,8 @@
         true
     }
 
-    /// Sets the end of a doubt, and two last looks before it: a word that cleared it may have passed this node
-    /// by, as news reaches all but one in some thousands.
+    /// Sets the end of a doubt, and two last looks before it: a word that cleared it may have passed this
+    /// node by, as news reaches all but one in some thousands.
     pub(crate) fn arm_doubt(&mut self, now: Tenths, place: Place) {
         let (members, thawed_at) = (self.view.members.len(), self.thawed_at);
         let Some(doubt) = self.table.get(place).and_then(|member| member.doubt) else { return };
--- a/fleet/src/gossip.rs
+++ b/fleet/src/gossip.rs
@@ -12,8 +12,8 @@
     queued: usize,
 }
 
-/// Entries that wait at once: several times the members that a table can hold, as older ones of one member are
-/// dropped only when met.
+/// Entries that wait at once: several times the members that a table can hold, as older ones of one member
+/// are dropped only when met.
 const MOST_QUEUED: usize = 20_000;
 /// Past this many sendings nothing is passed on, however large the fleet.
 const MOST_TIMES: usize = 20;
--- a/fleet/src/hearing.rs
+++ b/fleet/src/hearing.rs
@@ -40,7 +40,7 @@
             return self.page(&head.of, None, out);
         }
         if head.to != self.me.life {
-            // Meant for an earlier life, or very old: the sender learns of this one, and nothing else is done.
+            // Meant for an earlier life, or very old: the sender learns of this one, nothing else is done.
             self.refused += 1;
             return self.send_to(head.of.address, head.of.life, Message::News, Vec::new(), out);
         }
--- a/installation/src/fleet.rs
+++ b/installation/src/fleet.rs
@@ -30,8 +30,8 @@
     /// What other nodes are told to reach this one at. Absent: `listen`.
     #[serde(default)]
     pub advertise: Option<SocketAddr>,
-    /// Where the fleet is looked for at start and now and then later; at most 64. This node's own may be among
-    /// them, so that one list serves all.
+    /// Where the fleet is looked for at start and now and then later; at most 64. This node's own may be
+    /// among them, so that one list serves all.
     #[serde(default)]
     #[schemars(length(max = 64))]
     pub seeds: Vec<SocketAddr>,
--- a/node/src/peers/link.rs
+++ b/node/src/peers/link.rs
@@ -47,8 +47,9 @@
     actions: Vec<Action>,
     counts: Counts,
     told_at: BTreeMap<&'static str, Tenths>,
-    /// Datagrams waited at the end of the last reading; and for how many turns what is due has waited for them.
+    /// Datagrams waited at the end of the last reading.
     unread: bool,
+    /// For how many turns what is due has waited for them.
     waited: u32,
 }
 
--- a/rig/src/script.rs
+++ b/rig/src/script.rs
@@ -74,8 +74,8 @@
     Replay {
         nodes: Vec<usize>,
     },
-    /// What lies between these nodes and the server behind them, from here on. Not in simulated time, which has
-    /// no exchanges.
+    /// What lies between these nodes and the server behind them, from here on. Not in simulated time, which
+    /// has no exchanges.
     Server {
         nodes: Vec<usize>,
         /// Nothing passes, and connections stay open.
--- a/tests/cases.rs
+++ b/tests/cases.rs
@@ -215,8 +215,8 @@
 
 #[test]
 fn idle_connections_stay_where_callers_come_again() {
-    // Found on the days at full size: 200 nodes closed what 150 callers used again within seconds, and spent a
-    // fifth of their cores on new connections.
+    // Found on the days at full size: 200 nodes closed what 150 callers used again within seconds, and spent
+    // a fifth of their cores on new connections.
     let limit = |t: &Todo| if let Todo::IdleLimit { after } = t { Some(*after) } else { None };
     let last = |world: &World| world.done.iter().rev().find_map(limit);
     let mut world = World::new(ServiceContract { cores: 6, ..contract() }, 1);
