--- a/rig/src/traffic.rs
+++ b/rig/src/traffic.rs
@@ -80,8 +80,8 @@
     tried: Vec<(SocketAddr, Tried)>,
 }
 
-/// The end of a process by the rig, in Unix ms: who was asked before it and had no answer by then was asked of
-/// the dead.
+/// The end of a process by the rig, in Unix ms: what was asked before it and had no answer by then was asked
+/// of the dead.
 #[derive(Clone, Copy, Debug)]
 pub struct Death {
     pub front: SocketAddr,
