Rig breaks what lies between nodes and callers, throttles links, starts an older build

Need: the rig broke only what lies between nodes and between nodes and their server; no test held the door's opening before the first reading; exchanges a second with a fleet were not measured.

--- a/bench/src/main.rs
+++ b/bench/src/main.rs
@@ -51,6 +51,9 @@
     /// Rules that the installation has, the last of which takes all; not for the platform's listener
     #[arg(long, default_value_t = 0)]
     rules: usize,
+    /// Nodes of the fleet that the node is one of, of which another dies and comes anew every 1.5 s; 1 for none
+    #[arg(long = "fleet", default_values = ["1"])]
+    fleets: Vec<usize>,
     /// Bytes of each body
     #[arg(long, default_value_t = 64)]
     body: usize,
@@ -121,22 +124,28 @@
                         FrontWord::Fastcgi => Some(Protocol::FastCgi),
                         FrontWord::Uwsgi => Some(Protocol::Uwsgi),
                     };
-                    let target = Target::start(path, spoken, behind, words.rules, words.core)?;
-                    let load = Load {
-                        at: target.at,
-                        protocol: spoken.unwrap_or(Protocol::FastCgi),
-                        pace: words.open.map_or(Pace::Closed(words.callers), Pace::Open),
-                        connections: words.connections,
-                        threads: words.threads,
-                        body: words.body,
-                        warm: Duration::from_secs_f64(words.seconds / 5.0),
-                        lasts: Duration::from_secs_f64(words.seconds),
-                        seed: round as u64,
-                    };
-                    let played = load.play(&target)?;
-                    let place = format!("{front:?} before {work:?}").to_lowercase();
-                    rows.push(Row::of(name, &place, round, &played));
-                    eprintln!("{}", rows[rows.len() - 1].line());
+                    for nodes in &words.fleets {
+                        let (rules, core) = (words.rules, words.core);
+                        let target = Target::start(path, spoken, behind, rules, core, *nodes)?;
+                        let load = Load {
+                            at: target.at,
+                            protocol: spoken.unwrap_or(Protocol::FastCgi),
+                            pace: words.open.map_or(Pace::Closed(words.callers), Pace::Open),
+                            connections: words.connections,
+                            threads: words.threads,
+                            body: words.body,
+                            warm: Duration::from_secs_f64(words.seconds / 5.0),
+                            lasts: Duration::from_secs_f64(words.seconds),
+                            seed: round as u64,
+                        };
+                        let played = load.play(&target)?;
+                        let mut place = format!("{front:?} before {work:?}").to_lowercase();
+                        if *nodes > 1 {
+                            place += &format!(", one of {nodes}");
+                        }
+                        rows.push(Row::of(name, &place, round, &played));
+                        eprintln!("{}", rows[rows.len() - 1].line());
+                    }
                 }
             }
         }
--- a/bench/src/target.rs
+++ b/bench/src/target.rs
@@ -5,6 +5,11 @@
 use std::net::{SocketAddr, TcpListener};
 use std::path::Path;
 
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::thread::JoinHandle;
+use std::time::Duration;
+
 use doortrack_standins::bed::{Bed, Plan, connect};
 use doortrack_standins::instant;
 use doortrack_wire::Protocol;
@@ -21,6 +26,51 @@
 pub struct Target {
     bed: Bed,
     pub at: SocketAddr,
+    _others: Option<Others>,
+}
+
+/// The rest of a fleet, of which one after the other is killed and started anew for as long as this lives.
+struct Others {
+    over: Arc<AtomicBool>,
+    thread: Option<JoinHandle<()>>,
+}
+
+/// Between a death and the next.
+const DEATH_EVERY: Duration = Duration::from_millis(1_500);
+
+fn member(program: &Path, seed: SocketAddr) -> Bed {
+    let mut plan = Plan::new(program);
+    plan.installation = Some(json!({"fleet": fleet(plan.port(7400), seed)}));
+    plan.start()
+}
+
+fn fleet(listen: SocketAddr, seed: SocketAddr) -> serde_json::Value {
+    json!({"name": "bench", "listen": listen.to_string(), "seeds": [seed.to_string()]})
+}
+
+impl Others {
+    fn start(program: &Path, count: usize, seed: SocketAddr) -> Others {
+        let over: Arc<AtomicBool> = Arc::default();
+        let (until, program) = (over.clone(), program.to_path_buf());
+        let thread = std::thread::spawn(move || {
+            let mut beds: Vec<Bed> = (0..count).map(|_| member(&program, seed)).collect();
+            let mut place = 0;
+            while !until.load(Ordering::Relaxed) {
+                std::thread::sleep(DEATH_EVERY);
+                place = (place + 1) % count;
+                // Dropped, it is killed: another life under the same name's stead.
+                beds[place] = member(&program, seed);
+            }
+        });
+        Others { over, thread: Some(thread) }
+    }
+}
+
+impl Drop for Others {
+    fn drop(&mut self) {
+        self.over.store(true, Ordering::Relaxed);
+        _ = self.thread.take().map(JoinHandle::join);
+    }
 }
 
 /// Time on the core so far, in microseconds, and memory now, in kB.
@@ -31,13 +81,15 @@
 }
 
 impl Target {
-    /// Without a front of its own the platform's listener is asked.
+    /// Without a front of its own the platform's listener is asked. `nodes` are those of its fleet, itself
+    /// included; 1 for none.
     pub fn start(
         program: &Path,
         front: Option<Protocol>,
         behind: Behind,
         rules: usize,
         core: usize,
+        nodes: usize,
     ) -> io::Result<Target> {
         let mut plan = Plan::new(program);
         // Nothing is to be denied: what is measured is the way of an exchange, not the decision on it.
@@ -67,6 +119,10 @@
                     json!({"protocol": protocol.name(), "addresses": [address.to_string()], "at_once": 64});
             }
         }
+        let link = plan.port(7400);
+        if nodes > 1 {
+            installation["fleet"] = fleet(link, link);
+        }
         // One of before knows no such file, and is asked where the platform does.
         plan.installation =
             installation.as_object().filter(|file| !file.is_empty()).map(|_| installation.clone());
@@ -77,7 +133,8 @@
         drop(connect(at));
         // Until its work is up a node refuses, and nobody asks it.
         std::thread::sleep(std::time::Duration::from_millis(300));
-        Ok(Target { bed, at })
+        let others = (nodes > 1).then(|| Others::start(program, nodes - 1, link));
+        Ok(Target { bed, at, _others: others })
     }
 
     pub fn used(&self) -> Used {
--- a/node/tests/fleet/troubles.rs
+++ b/node/tests/fleet/troubles.rs
@@ -1,8 +1,8 @@
 //! Processes that die, stop, leave and come back, and links that break.
 
 use doortrack_rig::history::What;
-use doortrack_rig::processes::{Played, play};
-use doortrack_rig::script::{Fault, Script};
+use doortrack_rig::processes::{Played, play, play_beside};
+use doortrack_rig::script::{Fault, Script, Weather};
 
 use crate::{holds, program, script};
 
@@ -113,7 +113,10 @@
 
 #[test]
 fn trouble_between_nodes_and_their_server_is_none_between_nodes() {
-    let server = |nodes: Vec<usize>, cut, broken| Fault::Server { nodes, cut, delay_ms: 5, broken };
+    let server = |nodes: Vec<usize>, cut, broken| {
+        let weather = Weather { cut, delay_ms: 5, broken, bytes_a_second: 0 };
+        Fault::Server { nodes, weather }
+    };
     let faults = vec![
         (1_500, server(vec![0], true, 0.0)),
         (1_500, server(vec![1], false, 0.3)),
@@ -123,6 +126,40 @@
     assert_eq!(told(&played, "suspected"), 0, "{}", played.history.lines());
 }
 
+#[test]
+fn trouble_between_nodes_and_their_callers_breaks_no_rule() {
+    let callers = |nodes: Vec<usize>, weather| Fault::Callers { nodes, weather };
+    let calm = Weather::default();
+    let faults = vec![
+        (1_500, callers(vec![0], Weather { cut: true, ..calm })),
+        (1_500, callers(vec![1], Weather { broken: 0.2, delay_ms: 10, ..calm })),
+        (1_500, callers(vec![2], Weather { bytes_a_second: 20_000, ..calm })),
+        (1_500, Fault::Throttle { bytes_a_second: 4_000 }),
+        (3_000, Fault::Kill { nodes: vec![1] }),
+        (4_000, Fault::Start { nodes: vec![1], clock_ms: 0 }),
+        (5_500, callers(vec![0, 1, 2], calm)),
+        (5_500, Fault::Throttle { bytes_a_second: 0 }),
+    ];
+    let played = played(&script(3, 7_000, faults));
+    // Some were broken off, and most went through.
+    let served = played.served;
+    assert!(served.unanswered > 0 && served.completed * 10 > served.asked * 5, "{served:?}");
+}
+
+/// Here both builds are this one; `docs/fleet.md` tells of a play beside a real older one.
+#[test]
+fn an_older_build_stands_beside_a_newer_one() {
+    let faults = vec![
+        (1_500, Fault::Kill { nodes: vec![1, 2] }),
+        (1_600, Fault::StartOlder { nodes: vec![1, 2] }),
+        (4_000, Fault::Leave { nodes: vec![1] }),
+        (5_600, Fault::Start { nodes: vec![1], clock_ms: 0 }),
+    ];
+    let script = script(4, 7_000, faults);
+    let played = play_beside(program(), Some(program()), &script, 3).unwrap();
+    holds(&played);
+}
+
 #[test]
 fn troubles_drawn_from_seeds_break_no_promise() {
     for seed in [3, 8] {
--- a/node/tests/node/conformance.rs
+++ b/node/tests/node/conformance.rs
@@ -258,6 +258,26 @@
     (plan.start(), fronts)
 }
 
+/// Callers wait before the node's first turn: what it reads then finds the door open. Without the fix most of
+/// these starts deny at least one; with it none can, however slow the machine.
+#[test]
+fn what_is_read_in_the_first_turn_is_served() {
+    let server = Server::start(FastCgi, |_| Act::ok("done"));
+    for _ in 0..8 {
+        let (_bed, [(front, at), _]) = with_servers(&[&server], |_| {});
+        let until = std::time::Instant::now() + LONG;
+        let ask = Ask::new(1, "/svc/look", b"");
+        // Asked as soon as the node listens, which is before its loop begins.
+        let waits = loop {
+            match ask.try_send(at, front) {
+                Ok(waits) => break waits,
+                Err(e) => assert!(std::time::Instant::now() < until, "no listener: {e}"),
+            }
+        };
+        assert_eq!(waits.seen(), Seen::Completed(b"done".to_vec()));
+    }
+}
+
 /// Everything that a server may do instead of answering.
 fn bad_acts(protocol: Protocol) -> Vec<(Act, &'static str)> {
     let cut = |at, how| Act::Cut { body: b"a result of some length".into(), at, how };
--- a/rig/src/course.rs
+++ b/rig/src/course.rs
@@ -49,7 +49,7 @@
             stops: vec![Vec::new(); nodes],
             running: vec![false; nodes],
         };
-        let mut rough = None;
+        let mut rough = [None; 2];
         for entry in &history.entries {
             let at = entry.at_ms;
             match &entry.what {
@@ -70,7 +70,7 @@
                 What::News { .. } | What::Status { .. } => {}
             }
         }
-        course.rough.extend(rough.map(|from| Span { from, till: u64::MAX }));
+        course.rough.extend(rough.into_iter().flatten().map(|from| Span { from, till: u64::MAX }));
         course
     }
 
@@ -79,7 +79,7 @@
         self.wrong[node].iter_mut().filter(|span| span.till == u64::MAX).for_each(|span| span.till = at);
     }
 
-    fn fault(&mut self, at: u64, fault: &Fault, rough: &mut Option<u64>) {
+    fn fault(&mut self, at: u64, fault: &Fault, rough: &mut [Option<u64>; 2]) {
         match fault {
             Fault::Kill { nodes } | Fault::Leave { nodes } | Fault::Stop { nodes } => {
                 for node in nodes {
@@ -94,7 +94,12 @@
                     }
                 }
             }
-            Fault::Start { .. } | Fault::Replay { .. } | Fault::Server { .. } => {}
+            Fault::Start { .. }
+            | Fault::StartOlder { .. }
+            | Fault::Replay { .. }
+            | Fault::Server { .. }
+            | Fault::Callers { .. } => {}
+            Fault::Throttle { bytes_a_second } => self.turn_rough(at, *bytes_a_second > 0, &mut rough[1]),
             Fault::GoOn { nodes } => {
                 for node in nodes {
                     self.close(*node, at);
@@ -114,15 +119,19 @@
             }
             Fault::Links { loss, garbled, delay_ms, .. } => {
                 let bad = loss + garbled >= ROUGH_LOSS || *delay_ms >= ROUGH_DELAY;
-                match (bad, *rough) {
-                    (true, None) => *rough = Some(at),
-                    (false, Some(from)) => {
-                        self.rough.push(Span { from, till: at });
-                        *rough = None;
-                    }
-                    _ => {}
-                }
+                self.turn_rough(at, bad, &mut rough[0]);
+            }
+        }
+    }
+
+    fn turn_rough(&mut self, at: u64, bad: bool, since: &mut Option<u64>) {
+        match (bad, *since) {
+            (true, None) => *since = Some(at),
+            (false, Some(from)) => {
+                self.rough.push(Span { from, till: at });
+                *since = None;
             }
+            _ => {}
         }
     }
 
--- a/rig/src/main.rs
+++ b/rig/src/main.rs
@@ -57,6 +57,9 @@
     /// The program that is played
     #[arg(long, value_name = "FILE", default_value = "target/release/doortrack")]
     program: PathBuf,
+    /// An older build, which `start_older` starts beside it
+    #[arg(long, value_name = "FILE")]
+    older: Option<PathBuf>,
     /// Callers that ask the nodes meanwhile; judged by the four rules
     #[arg(long, default_value = "3")]
     callers: usize,
@@ -76,7 +79,8 @@
         if script.nodes > script::MOST_PROCESSES {
             return Err(format!("script.nodes: at most {} processes are played", script::MOST_PROCESSES));
         }
-        let played = processes::play(&self.program, script, self.callers);
+        let older = self.older.as_deref();
+        let played = processes::play_beside(&self.program, older, script, self.callers);
         let played = played.map_err(|e| format!("{}: {e}", self.program.display()))?;
         let mut breaches = judge(&played.history, &membership());
         let broken = played.broken.into_iter();
--- a/rig/src/processes.rs
+++ b/rig/src/processes.rs
@@ -16,8 +16,8 @@
 
 use crate::history::{History, Member, What, name};
 use crate::relay::{Passed, Relay};
-use crate::script::{Fault, Script};
-use crate::streams::{Stream, Weather};
+use crate::script::{Fault, Script, Weather};
+use crate::streams::Stream;
 use crate::traffic::{Behind, Death, Served, Traffic};
 
 const FRONT: u16 = 9_090;
@@ -42,6 +42,10 @@
     readers: Vec<JoinHandle<()>>,
     deaths: Vec<Death>,
     streams: Vec<Stream>,
+    /// Between each node and those who ask it, where the play breaks that.
+    doors: Vec<Stream>,
+    /// An older build, for `start_older`.
+    pub older: Option<PathBuf>,
 }
 
 struct Node {
@@ -92,7 +96,20 @@
         let history = Arc::new(Mutex::new(History { nodes: nodes.len(), entries: Vec::new() }));
         let (began, readers) = (Instant::now(), Vec::new());
         let (program, deaths) = (program.to_path_buf(), Vec::new());
-        Ok(Rig { program, nodes, relay, folder, began, history, readers, deaths, streams: Vec::new() })
+        let (streams, doors) = Default::default();
+        Ok(Rig {
+            program,
+            nodes,
+            relay,
+            folder,
+            began,
+            history,
+            readers,
+            deaths,
+            streams,
+            doors,
+            older: None,
+        })
     }
 
     /// What each node's operators' file says of the server behind all, each by a stream of its own.
@@ -106,6 +123,22 @@
         Ok(self.streams.iter().map(|stream| behind.installation(stream.at)).collect())
     }
 
+    /// Puts a stream of its own between each node and those who ask it.
+    ///
+    /// # Errors
+    /// No address can be had.
+    pub fn open_doors(&mut self) -> io::Result<()> {
+        for of in 0..self.nodes.len() {
+            self.doors.push(Stream::to(self.front(of), 1_000 + of as u64)?);
+        }
+        Ok(())
+    }
+
+    /// Where callers are to ask a node.
+    pub fn door(&self, of: usize) -> SocketAddr {
+        self.doors.get(of).map_or(self.front(of), |door| door.at)
+    }
+
     /// The start of the play's time.
     pub fn begin(&mut self) {
         self.began = Instant::now();
@@ -161,6 +194,16 @@
         self.start_off(of, name_of, 0, more)
     }
 
+    /// Starts a process of the older build.
+    fn start_older(&mut self, of: usize, more: &Value) -> io::Result<()> {
+        let none = || io::Error::other("start_older: no older build was given");
+        let older = self.older.clone().ok_or_else(none)?;
+        let newer = std::mem::replace(&mut self.program, older);
+        let started = self.start(of, of, more);
+        self.program = newer;
+        started
+    }
+
     /// As [`Rig::start`], with the process's clock so many ms off.
     ///
     /// # Errors
@@ -198,11 +241,20 @@
     }
 
     fn end(&mut self, of: usize) {
+        // Before the signal: a caller may learn of the end sooner than the rig.
+        let at = unix_ms();
         self.nodes[of].signal(Signal::KILL);
         if let Some(mut process) = self.nodes[of].process.take() {
             _ = process.wait();
             self.put(What::Ended { node: of });
-            self.deaths.push(Death { front: self.front(of), at: unix_ms(), owed_before: 0 });
+            self.deaths.push(Death { front: self.door(of), at, owed_before: 0 });
+        }
+    }
+
+    /// One that was told to leave has had its time to stop.
+    fn end_leaving(&mut self, of: usize) {
+        if self.nodes[of].process.is_some() {
+            self.end(of);
         }
     }
 
@@ -217,14 +269,16 @@
             Fault::Kill { nodes } => nodes.iter().for_each(|of| self.end(*of)),
             Fault::Start { nodes, clock_ms } => {
                 for of in nodes {
-                    // One that was told to leave has had its time to stop.
-                    let leaving = self.nodes[*of].process.is_some();
-                    if leaving {
-                        self.end(*of);
-                    }
+                    self.end_leaving(*of);
                     self.start_off(*of, *of, *clock_ms, &more(*of))?;
                 }
             }
+            Fault::StartOlder { nodes } => {
+                for of in nodes {
+                    self.end_leaving(*of);
+                    self.start_older(*of, &more(*of))?;
+                }
+            }
             Fault::Stop { nodes } => nodes.iter().for_each(|of| {
                 self.nodes[*of].stopped = true;
                 self.nodes[*of].signal(Signal::STOP);
@@ -237,13 +291,15 @@
                 self.nodes[*of].signal(Signal::TERM);
                 // What comes in its last moments may find it gone before it was read.
                 let gone = unix_ms() + STOP_MS - LAST_MOMENTS;
-                self.deaths.push(Death { front: self.front(*of), at: gone, owed_before: gone });
+                self.deaths.push(Death { front: self.door(*of), at: gone, owed_before: gone });
             }),
-            Fault::Server { nodes, cut, delay_ms, broken } => {
-                let weather = Weather { cut: *cut, delay_ms: *delay_ms, broken: *broken };
-                nodes.iter().filter_map(|of| self.streams.get(*of)).for_each(|stream| stream.change(weather));
-            }
-            Fault::Cut { .. } | Fault::Mend { .. } | Fault::Links { .. } | Fault::Replay { .. } => {}
+            Fault::Server { nodes, weather } => change(&self.streams, nodes, *weather),
+            Fault::Callers { nodes, weather } => change(&self.doors, nodes, *weather),
+            Fault::Cut { .. }
+            | Fault::Mend { .. }
+            | Fault::Links { .. }
+            | Fault::Throttle { .. }
+            | Fault::Replay { .. } => {}
         }
         Ok(())
     }
@@ -312,7 +368,14 @@
     /// As [`Rig::finish`], once the callers have their last answers.
     pub fn finish_with(&mut self, traffic: Option<(Traffic, &Behind)>) -> Played {
         let (served, broken) = match traffic {
-            Some((traffic, behind)) => traffic.finish(behind, &self.deaths),
+            Some((traffic, behind)) => {
+                // What the rig itself broke off owes no answer, like what it ended.
+                let broke = self.doors.iter().flat_map(|door| {
+                    door.breaks().into_iter().map(|at| Death { front: door.at, at, owed_before: 0 })
+                });
+                let ended: Vec<Death> = self.deaths.iter().copied().chain(broke).collect();
+                traffic.finish(behind, &ended)
+            }
             None => Default::default(),
         };
         (0..self.nodes.len()).for_each(|of| {
@@ -337,6 +400,10 @@
     }
 }
 
+fn change(streams: &[Stream], nodes: &[usize], weather: Weather) {
+    nodes.iter().filter_map(|of| streams.get(*of)).for_each(|stream| stream.change(weather));
+}
+
 /// Puts what a process logs of its fleet into the history.
 fn read(of: usize, log: impl io::Read, history: &Mutex<History>, began: Instant) {
     for line in BufReader::new(log).lines().map_while(Result::ok) {
@@ -364,15 +431,32 @@
 /// # Errors
 /// A process or a relay that can't be had.
 pub fn play(program: &Path, script: &Script, callers: usize) -> io::Result<Played> {
+    play_beside(program, None, script, callers)
+}
+
+/// As [`play`], with an older build for `start_older`.
+///
+/// # Errors
+/// A process or a relay that can't be had; no older build where one is wanted.
+pub fn play_beside(
+    program: &Path,
+    older: Option<&Path>,
+    script: &Script,
+    callers: usize,
+) -> io::Result<Played> {
     let behind = Behind::start();
     let mut rig = Rig::new(program, script.nodes, script.seed)?;
+    rig.older = older.map(Path::to_path_buf);
+    if script.faults.iter().any(|timed| matches!(timed.fault, Fault::Callers { .. })) {
+        rig.open_doors()?;
+    }
     let files = rig.behind(&behind)?;
     let more = &|of: usize| files[of].clone();
     rig.begin();
     for of in 0..script.nodes {
         rig.start(of, of, &more(of))?;
     }
-    let fronts: Vec<SocketAddr> = (0..script.nodes).map(|of| rig.front(of)).collect();
+    let fronts: Vec<SocketAddr> = (0..script.nodes).map(|of| rig.door(of)).collect();
     let traffic = Traffic::start(callers, &fronts, script.seed);
     let until = |rig: &Rig, at_ms: u64| {
         std::thread::sleep(Duration::from_millis(at_ms.saturating_sub(rig.now_ms())));
@@ -384,7 +468,7 @@
         for of in timed.fault.nodes() {
             match timed.fault {
                 Fault::Kill { .. } | Fault::Leave { .. } => running[of] = false,
-                Fault::Start { .. } => running[of] = true,
+                Fault::Start { .. } | Fault::StartOlder { .. } => running[of] = true,
                 _ => {}
             }
         }
--- a/rig/src/relay.rs
+++ b/rig/src/relay.rs
@@ -20,6 +20,8 @@
 const REST: Duration = Duration::from_micros(300);
 /// Datagrams to each node that are kept for a replay.
 const MOST_KEPT: usize = 300;
+/// What would wait for its turn on a throttled link for longer is lost, as by a full queue.
+const LONGEST_QUEUE: Duration = Duration::from_secs(1);
 
 /// What the links do just now.
 #[derive(Default)]
@@ -29,6 +31,7 @@
     doubled: f64,
     garbled: f64,
     delay_ms: u64,
+    bytes_a_second: u64,
     /// Nodes that are to get again what they got.
     replay: Vec<usize>,
 }
@@ -104,6 +107,7 @@
             kept: vec![VecDeque::new(); nodes.len()],
             chance: fastrand::Rng::with_seed(seed),
             nth: 0,
+            free_at: BTreeMap::new(),
         };
         let until = over.clone();
         let thread = std::thread::Builder::new().name("relay".into()).spawn(move || run.run(&until))?;
@@ -133,6 +137,7 @@
                 (rules.loss, rules.doubled, rules.garbled) = (*loss, *doubled, *garbled);
                 rules.delay_ms = *delay_ms;
             }
+            Fault::Throttle { bytes_a_second } => rules.bytes_a_second = *bytes_a_second,
             Fault::Replay { nodes } => rules.replay.extend(nodes),
             _ => {}
         }
@@ -163,6 +168,8 @@
     kept: Vec<VecDeque<(usize, Vec<u8>)>>,
     chance: fastrand::Rng,
     nth: u64,
+    /// When a throttled link has passed what it took in.
+    free_at: BTreeMap<(usize, usize), Instant>,
 }
 
 impl Run {
@@ -208,10 +215,20 @@
         let mut passed = self.passed.lock().unwrap_or_else(PoisonError::into_inner);
         passed.bytes += bytes.len() as u64 + 28;
         let lost = rules.cuts.contains_key(&(from, to)) || self.chance.f64() < rules.loss;
-        if lost || self.held.len() >= MOST_HELD {
+        let now = Instant::now();
+        let mut passes_at = now;
+        let size = bytes.len() as u64 + 28;
+        if let Some(micros) = (size * 1_000_000).checked_div(rules.bytes_a_second) {
+            let free_at = self.free_at.get(&(from, to)).copied().unwrap_or(now).max(now);
+            passes_at = free_at + Duration::from_micros(micros);
+        }
+        if lost || self.held.len() >= MOST_HELD || passes_at > now + LONGEST_QUEUE {
             passed.lost += 1;
             return;
         }
+        if passes_at > now {
+            self.free_at.insert((from, to), passes_at);
+        }
         passed.passed += 1;
         let mut bytes = bytes.to_vec();
         if self.chance.f64() < rules.garbled && !bytes.is_empty() {
@@ -228,7 +245,7 @@
             // Drawn anew for each, so that they overtake one another.
             let wait = Duration::from_micros(self.chance.u64(0..=rules.delay_ms * 2_000));
             self.nth += 1;
-            let at = Instant::now() + wait;
+            let at = passes_at + wait;
             self.held.push(Reverse(Held { at, nth: self.nth, from, to, bytes: bytes.clone() }));
         }
     }
--- a/rig/src/script.rs
+++ b/rig/src/script.rs
@@ -35,6 +35,20 @@
     pub fault: Fault,
 }
 
+/// What is done to connections from here on; without a word, nothing.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize, JsonSchema)]
+#[serde(default)]
+pub struct Weather {
+    /// Nothing passes, and connections stay open.
+    pub cut: bool,
+    /// Each piece waits so long.
+    pub delay_ms: u64,
+    /// Share of pieces at which the connection is broken off instead.
+    pub broken: f64,
+    /// What one connection passes in a second, each way; 0 for all that comes.
+    pub bytes_a_second: u64,
+}
+
 /// What the rig does. Nodes go by their numbers.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize, JsonSchema)]
 #[serde(tag = "do", rename_all = "snake_case")]
@@ -74,19 +88,27 @@
     Replay {
         nodes: Vec<usize>,
     },
+    /// As `start`, of the older build that the rig was given beside the one that is played.
+    StartOlder {
+        nodes: Vec<usize>,
+    },
     /// What lies between these nodes and the server behind them, from here on. Not in simulated time, which
     /// has no exchanges.
     Server {
         nodes: Vec<usize>,
-        /// Nothing passes, and connections stay open.
-        #[serde(default)]
-        cut: bool,
-        /// Each piece waits so long.
-        #[serde(default)]
-        delay_ms: u64,
-        /// Share of pieces at which the connection is broken off instead.
-        #[serde(default)]
-        broken: f64,
+        #[serde(flatten)]
+        weather: Weather,
+    },
+    /// The same between these nodes and those who ask them.
+    Callers {
+        nodes: Vec<usize>,
+        #[serde(flatten)]
+        weather: Weather,
+    },
+    /// What each link between two nodes passes in a second at the most, each way; 0 for all that comes. What
+    /// would wait for over a second is lost. Not in simulated time.
+    Throttle {
+        bytes_a_second: u64,
     },
     /// What all links do from here on: shares of what is sent, and ms of delay drawn anew for each.
     Links {
@@ -108,13 +130,15 @@
         match self {
             Fault::Kill { nodes }
             | Fault::Start { nodes, .. }
+            | Fault::StartOlder { nodes }
             | Fault::Replay { nodes }
             | Fault::Server { nodes, .. }
+            | Fault::Callers { nodes, .. }
             | Fault::Stop { nodes }
             | Fault::GoOn { nodes }
             | Fault::Leave { nodes } => nodes.clone(),
             Fault::Cut { from, to } | Fault::Mend { from, to } => [&from[..], to].concat(),
-            Fault::Links { .. } => Vec::new(),
+            Fault::Links { .. } | Fault::Throttle { .. } => Vec::new(),
         }
     }
 }
@@ -146,7 +170,7 @@
             }
             let shares = match timed.fault {
                 Fault::Links { loss, doubled, garbled, .. } => vec![loss, doubled, garbled],
-                Fault::Server { broken, .. } => vec![broken],
+                Fault::Server { weather, .. } | Fault::Callers { weather, .. } => vec![weather.broken],
                 _ => Vec::new(),
             };
             if shares.iter().any(|share| !(0.0..=1.0).contains(share)) {
@@ -202,8 +226,15 @@
                 }
                 5 => {
                     let (cut, delay_ms, broken) = (chance.bool(), chance.u64(0..40), chance.f64() * 0.2);
-                    put(at, Fault::Server { nodes: few.clone(), cut, delay_ms, broken });
-                    put(at + lasts, Fault::Server { nodes: few, cut: false, delay_ms: 0, broken: 0.0 });
+                    let weather = Weather { cut, delay_ms, broken, bytes_a_second: 0 };
+                    let calm = Weather::default();
+                    if chance.bool() {
+                        put(at, Fault::Server { nodes: few.clone(), weather });
+                        put(at + lasts, Fault::Server { nodes: few, weather: calm });
+                    } else {
+                        put(at, Fault::Callers { nodes: few.clone(), weather });
+                        put(at + lasts, Fault::Callers { nodes: few, weather: calm });
+                    }
                 }
                 6 => {
                     put(at, Fault::Leave { nodes: few.clone() });
--- a/rig/src/simulated.rs
+++ b/rig/src/simulated.rs
@@ -231,25 +231,13 @@
                     self.history.put(at_ms, What::Ended { node: of });
                 }
             }
-            Fault::Start { nodes, clock_ms } => {
-                for of in nodes {
-                    // One that leaves still answers until it is started anew.
-                    if self.fleets[of].as_ref().is_some_and(|fleet| fleet.me().stand == Stand::Left) {
-                        self.net.kill(of);
-                        self.history.put(at_ms, What::Ended { node: of });
-                    }
-                    if self.net.is_down(of) {
-                        let clock = Clock { offset: BASE + clock_ms * MS as i64, drift_ppm: 0 };
-                        self.net.set_clock(of, clock);
-                    }
-                    self.start(of);
-                }
-            }
+            Fault::Start { nodes, clock_ms } => self.start_all(nodes, clock_ms),
+            Fault::StartOlder { nodes } => self.start_all(nodes, 0),
             Fault::Replay { nodes } => nodes.into_iter().for_each(|of| self.net.replay(of)),
             Fault::Stop { nodes } => nodes.into_iter().for_each(|of| self.net.stop(of)),
             Fault::GoOn { nodes } => nodes.into_iter().for_each(|of| self.net.go_on(of)),
             Fault::Leave { nodes } => nodes.into_iter().for_each(|of| self.happen(of, Event::Leave)),
-            Fault::Server { .. } => {}
+            Fault::Server { .. } | Fault::Callers { .. } | Fault::Throttle { .. } => {}
             Fault::Cut { from, to } => self.cut(&from, &to, true),
             Fault::Mend { from, to } => self.cut(&from, &to, false),
             Fault::Links { loss, doubled, garbled, delay_ms } => {
@@ -263,6 +251,22 @@
         }
     }
 
+    fn start_all(&mut self, nodes: Vec<usize>, clock_ms: i64) {
+        let at_ms = self.now_ms();
+        for of in nodes {
+            // One that leaves still answers until it is started anew.
+            if self.fleets[of].as_ref().is_some_and(|fleet| fleet.me().stand == Stand::Left) {
+                self.net.kill(of);
+                self.history.put(at_ms, What::Ended { node: of });
+            }
+            if self.net.is_down(of) {
+                let clock = Clock { offset: BASE + clock_ms * MS as i64, drift_ppm: 0 };
+                self.net.set_clock(of, clock);
+            }
+            self.start(of);
+        }
+    }
+
     fn cut(&mut self, from: &[usize], to: &[usize], cut: bool) {
         for of in from {
             to.iter().for_each(|to| self.net.cut(*of, *to, cut));
--- a/rig/src/streams.rs
+++ b/rig/src/streams.rs
@@ -1,4 +1,5 @@
-//! What lies between one node and the server behind it: TCP connections passed on, held up or broken off.
+//! What lies between one node and the server behind it, or those who ask it: TCP connections passed on, held
+//! up, slowed down or broken off.
 
 use std::io::{self, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
@@ -7,29 +8,30 @@
 use std::thread;
 use std::time::Duration;
 
+use doortrack_standins::unix_ms;
+
+use crate::script::Weather;
+
 /// Bytes passed on at once.
 const CHUNK: usize = 8_192;
 /// How often a connection looks whether it is to end, and one that is cut whether it is mended.
 const LOOK: Duration = Duration::from_millis(20);
 
-/// What is done to connections just now.
-#[derive(Clone, Copy, Debug, Default, PartialEq)]
-pub struct Weather {
-    /// Nothing passes, and connections stay open.
-    pub cut: bool,
-    /// Each piece waits so long.
-    pub delay_ms: u64,
-    /// Share of pieces at which the connection is broken off instead.
-    pub broken: f64,
-}
-
 /// One way through, until it is dropped.
 pub struct Stream {
     pub at: SocketAddr,
     weather: Arc<Mutex<Weather>>,
+    breaks: Breaks,
     over: Arc<AtomicBool>,
 }
 
+/// When, in Unix ms, the stream itself ended a connection.
+type Breaks = Arc<Mutex<Vec<u64>>>;
+
+fn broke(breaks: &Breaks) {
+    breaks.lock().unwrap_or_else(PoisonError::into_inner).push(unix_ms());
+}
+
 impl Stream {
     /// Passes on what comes to an address of its own.
     ///
@@ -38,18 +40,23 @@
     pub fn to(target: SocketAddr, seed: u64) -> io::Result<Stream> {
         let door = TcpListener::bind("127.0.0.1:0")?;
         let (weather, over): (Arc<Mutex<Weather>>, Arc<AtomicBool>) = Default::default();
-        let stream = Stream { at: door.local_addr()?, weather: weather.clone(), over: over.clone() };
+        let breaks = Breaks::default();
+        let at = door.local_addr()?;
+        let stream = Stream { at, weather: weather.clone(), breaks: breaks.clone(), over: over.clone() };
         thread::Builder::new().name("stream".into()).spawn(move || {
             let mut chance = fastrand::Rng::with_seed(seed);
             for near in door.incoming().map_while(Result::ok) {
                 if over.load(Ordering::Relaxed) {
                     return;
                 }
-                let Ok(far) = TcpStream::connect(target) else { continue };
+                let Ok(far) = TcpStream::connect(target) else {
+                    broke(&breaks);
+                    continue;
+                };
                 for (from, to) in [(&near, &far), (&far, &near)] {
                     let (Ok(from), Ok(to)) = (from.try_clone(), to.try_clone()) else { continue };
-                    let way =
-                        Way { from, to, weather: weather.clone(), over: over.clone(), chance: chance.fork() };
+                    let (weather, over, breaks) = (weather.clone(), over.clone(), breaks.clone());
+                    let way = Way { from, to, weather, over, breaks, chance: chance.fork() };
                     _ = thread::Builder::new().spawn(move || way.run());
                 }
             }
@@ -60,6 +67,11 @@
     pub fn change(&self, weather: Weather) {
         *self.weather.lock().unwrap_or_else(PoisonError::into_inner) = weather;
     }
+
+    /// When, in Unix ms, connections ended by the stream's doing.
+    pub fn breaks(&self) -> Vec<u64> {
+        self.breaks.lock().unwrap_or_else(PoisonError::into_inner).clone()
+    }
 }
 
 impl Drop for Stream {
@@ -76,10 +88,28 @@
     to: TcpStream,
     weather: Arc<Mutex<Weather>>,
     over: Arc<AtomicBool>,
+    breaks: Breaks,
     chance: fastrand::Rng,
 }
 
 impl Way {
+    /// That in which something passes: a cut is waited for, and takes note of what it held up.
+    fn weather(&self) -> Weather {
+        let mut held = false;
+        loop {
+            let weather = *self.weather.lock().unwrap_or_else(PoisonError::into_inner);
+            if !weather.cut || self.over.load(Ordering::Relaxed) {
+                if held {
+                    // The other side may have lost its patience meanwhile with what it never read.
+                    broke(&self.breaks);
+                }
+                return weather;
+            }
+            held = true;
+            thread::sleep(LOOK);
+        }
+    }
+
     fn run(mut self) {
         _ = self.from.set_read_timeout(Some(LOOK));
         let mut bytes = [0; CHUNK];
@@ -87,6 +117,7 @@
             let len = match self.from.read(&mut bytes) {
                 // The other direction may still have something to say.
                 Ok(0) => {
+                    self.weather();
                     _ = self.to.shutdown(Shutdown::Write);
                     return;
                 }
@@ -94,17 +125,13 @@
                 Err(e) if matches!(e.kind(), io::ErrorKind::WouldBlock | io::ErrorKind::TimedOut) => continue,
                 Err(_) => break,
             };
-            let weather = loop {
-                let weather = *self.weather.lock().unwrap_or_else(PoisonError::into_inner);
-                if !weather.cut || self.over.load(Ordering::Relaxed) {
-                    break weather;
-                }
-                thread::sleep(LOOK);
-            };
+            let weather = self.weather();
             if self.chance.f64() < weather.broken {
+                broke(&self.breaks);
                 break;
             }
-            thread::sleep(Duration::from_millis(weather.delay_ms));
+            let passes_in = (len as u64 * 1_000_000).checked_div(weather.bytes_a_second).unwrap_or(0);
+            thread::sleep(Duration::from_millis(weather.delay_ms) + Duration::from_micros(passes_in));
             if self.to.write_all(&bytes[..len]).is_err() {
                 break;
             }
