--- /dev/null
+++ b/budgets/src/account.rs
@@ -0,0 +1,192 @@
+//! What a keeper has lent, to whom and till when.
+
+use std::collections::{BTreeMap, VecDeque};
+
+use doortrack::Tenths;
+
+use crate::{Asks, Budget, Id, Item, Terms, Units, Who, divide};
+
+/// Shares sent and not yet confirmed, kept one by one; of more the two oldest are taken for the greater.
+const MOST_SENT: usize = 6;
+/// Rounds after which single steps that can't be divided go to the next.
+const TURN: u64 = 5;
+
+/// One holder's part of one budget.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+struct Line {
+    need: Units,
+    /// What it said it may have in use.
+    holding: Units,
+    /// What it was sent since: any of these may be in force, or come to be.
+    sent: VecDeque<(u64, Units)>,
+    /// What it is to have, by the last division.
+    target: Units,
+    /// From here on it has nothing in use of what is counted here.
+    till: Tenths,
+    whole: Units,
+    floor: Units,
+}
+
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
+struct Holder {
+    heard: u64,
+    weight: u32,
+    lines: BTreeMap<usize, Line>,
+}
+
+/// One budget as a whole.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+struct Book {
+    budget: Budget,
+    lent: Units,
+    /// What can be lent as all see it: by the least whole and the greatest floor that anybody was told of.
+    lendable: Units,
+}
+
+/// The books of one tenure; they begin empty.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
+pub(crate) struct Accounts {
+    books: Vec<Book>,
+    places: BTreeMap<Id, usize>,
+    holders: BTreeMap<Who, Holder>,
+    turn: u64,
+}
+
+impl Line {
+    fn outstanding(&self, terms: &Terms) -> Units {
+        if !terms.safeguards.confirm {
+            return self.sent.back().map_or(self.holding, |(_, share)| *share);
+        }
+        self.sent.iter().map(|(_, share)| *share).fold(self.holding, Units::max)
+    }
+
+    fn send(&mut self, seq: u64, share: Units) {
+        self.sent.push_back((seq, share));
+        if self.sent.len() > MOST_SENT
+            && let Some((_, oldest)) = self.sent.pop_front()
+            && let Some((_, next)) = self.sent.front_mut()
+        {
+            *next = oldest.max(*next);
+        }
+    }
+}
+
+impl Accounts {
+    pub fn new(list: &[Budget]) -> Accounts {
+        let book = |budget: &Budget| Book {
+            lent: 0,
+            lendable: budget.lent(budget.whole(), budget.floor()),
+            budget: budget.clone(),
+        };
+        let places = list.iter().enumerate().map(|(place, budget)| (budget.id(), place)).collect();
+        Accounts { books: list.iter().map(book).collect(), places, ..Accounts::default() }
+    }
+
+    /// Other budgets: what stays lent of those that remain is kept.
+    pub fn change(&mut self, list: &[Budget]) {
+        let old = std::mem::replace(self, Accounts::new(list));
+        for (who, holder) in old.holders {
+            let kept = holder.lines.into_iter().filter_map(|(place, line)| {
+                let place = *self.places.get(&old.books[place].budget.id())?;
+                Some((place, line))
+            });
+            let lines: BTreeMap<usize, Line> = kept.collect();
+            self.holders.insert(who, Holder { lines, ..holder });
+        }
+        for book in &mut self.books {
+            let before = old.places.get(&book.budget.id()).map(|place| &old.books[*place]);
+            book.lent = before.map_or(0, |before| before.lent);
+        }
+        self.turn = old.turn;
+    }
+
+    /// Takes a report in, and says what the holder may use; nothing for one that came late. `settled` tells of
+    /// each budget whether all that an earlier keeper lent is over.
+    pub fn report(
+        &mut self,
+        now: Tenths,
+        who: &Who,
+        (seq, weight): (u64, u32),
+        items: &[Item],
+        settled: impl Fn(&Budget) -> bool,
+        terms: &Terms,
+    ) -> Option<Vec<(Id, Units)>> {
+        let holder = self.holders.entry(who.clone()).or_default();
+        if seq <= holder.heard && terms.safeguards.in_order {
+            return None;
+        }
+        (holder.heard, holder.weight) = (seq, weight);
+        let mut shares = Vec::with_capacity(items.len());
+        for item in items {
+            let Some(place) = self.places.get(&item.id).copied() else { continue };
+            let book = &mut self.books[place];
+            let lendable = book.budget.lent(item.whole.min(book.budget.whole()), item.floor);
+            book.lendable = book.lendable.min(lendable);
+            let line = holder.lines.entry(place).or_insert_with(|| Line {
+                need: 0,
+                holding: 0,
+                sent: VecDeque::new(),
+                target: 0,
+                till: 0,
+                whole: item.whole,
+                floor: item.floor,
+            });
+            let before = line.outstanding(terms);
+            line.sent.retain(|(of, _)| *of > item.accepted);
+            line.holding = item.holding.min(book.budget.whole());
+            (line.need, line.whole, line.floor) = (item.need, item.whole, item.floor);
+            line.till = now + terms.lease + if terms.safeguards.held { book.budget.held_most() } else { 0 };
+            // What others may have is theirs, whatever this one needs.
+            let others = book.lent.saturating_sub(before);
+            let free = book.lendable.saturating_sub(others);
+            let wanted = if settled(&book.budget) { line.target } else { line.holding };
+            let share = wanted.min(free);
+            line.send(seq, share);
+            book.lent = others + line.outstanding(terms);
+            shares.push((item.id, share));
+        }
+        Some(shares)
+    }
+
+    /// Strikes out leases that are over, and divides anew what each is to have.
+    pub fn divide(&mut self, now: Tenths, terms: &Terms) {
+        self.turn += 1;
+        for holder in self.holders.values_mut() {
+            holder.lines.retain(|place, line| {
+                let over = line.till <= now;
+                if over {
+                    let book = &mut self.books[*place];
+                    book.lent = book.lent.saturating_sub(line.outstanding(terms));
+                }
+                !over
+            });
+        }
+        self.holders.retain(|_, holder| !holder.lines.is_empty());
+        let mut asks: Vec<Vec<Asks>> = vec![Vec::new(); self.books.len()];
+        let mut seen: Vec<(Units, Units)> =
+            self.books.iter().map(|book| (book.budget.whole(), book.budget.floor())).collect();
+        for (who, holder) in &self.holders {
+            for (place, line) in &holder.lines {
+                let most = self.books[*place].budget.most_lent(&who.name);
+                asks[*place].push(Asks { need: line.need, weight: holder.weight, most });
+                let (whole, floor) = &mut seen[*place];
+                (*whole, *floor) = (line.whole.min(*whole), line.floor.max(*floor));
+            }
+        }
+        let mut shares: Vec<std::vec::IntoIter<Units>> = Vec::with_capacity(self.books.len());
+        for ((book, asks), (whole, floor)) in self.books.iter_mut().zip(&asks).zip(seen) {
+            book.lendable = book.budget.lent(whole, floor);
+            shares.push(divide(book.lendable, book.budget.step(), asks, self.turn / TURN).into_iter());
+        }
+        for holder in self.holders.values_mut() {
+            for (place, line) in &mut holder.lines {
+                line.target = shares[*place].next().unwrap_or(0);
+            }
+        }
+    }
+
+    /// What is lent of a budget, by its place.
+    pub fn lent(&self, place: usize) -> Units {
+        self.books.get(place).map_or(0, |book| book.lent)
+    }
+}
--- /dev/null
+++ b/budgets/src/budgets.rs
@@ -0,0 +1,304 @@
+//! The whole of what a node knows of the fleet's budgets: how it is told and asked, and its part as a holder.
+
+use std::collections::{BTreeMap, VecDeque};
+
+use doortrack::Tenths;
+use doortrack_fleet::{Life, Name};
+
+use crate::account::Accounts;
+use crate::office::Office;
+use crate::share::Share;
+use crate::voter::Voter;
+use crate::{Action, Budget, Event, Item, Letter, MOST_ITEMS, Message, News, Terms, Units, Who};
+
+/// Reports whose answers still count when they come.
+const MOST_SENT: usize = 128;
+/// Rounds without an answer after which another is asked who keeps the budgets.
+const SILENT: u32 = 3;
+
+/// One node's budgets. See the crate's page for how to drive it.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct Budgets {
+    pub(crate) me: Who,
+    weight: u32,
+    pub(crate) terms: Terms,
+    pub(crate) shares: Vec<Share>,
+    /// Where this node is one of the voters.
+    pub(crate) voter: Option<Voter>,
+    pub(crate) office: Office,
+    /// Of this time in office.
+    pub(crate) accounts: Accounts,
+    /// Voters that are there.
+    pub(crate) voters: BTreeMap<Name, Life>,
+    pub(crate) keeper: Option<Who>,
+    /// Answers to reports before this are those of an earlier keeper.
+    bound_since: u64,
+    seq: u64,
+    sent: VecDeque<(u64, Tenths)>,
+    report_at: Tenths,
+    silent: u32,
+    asked: usize,
+    pub(crate) ballot: u64,
+    chance: u64,
+    pub(crate) leaves: bool,
+    displaced: bool,
+    /// What the node has told itself; empty between events.
+    local: VecDeque<Letter>,
+}
+
+impl Budgets {
+    /// A node that has just started. `weight` is its capacity, in a unit that all share; `list` at most
+    /// [`crate::MOST_BUDGETS`], each with an id of its own.
+    pub fn new(me: Who, weight: u32, terms: Terms, list: &[Budget], seed: u64, now: Tenths) -> Budgets {
+        let shares = list.iter().map(|budget| Share::new(budget.clone(), &me.name, now, &terms)).collect();
+        let voter = terms.voters.contains(&me.name).then(|| Voter::new(now, &terms));
+        let mut budgets = Budgets {
+            voter,
+            shares,
+            weight: weight.max(1),
+            office: Office::Out { try_at: Tenths::MAX },
+            accounts: Accounts::default(),
+            voters: BTreeMap::new(),
+            keeper: None,
+            bound_since: 0,
+            seq: 0,
+            sent: VecDeque::new(),
+            report_at: now,
+            silent: 0,
+            asked: 0,
+            ballot: 0,
+            chance: seed ^ me.life.0,
+            leaves: false,
+            displaced: false,
+            local: VecDeque::new(),
+            me,
+            terms,
+        };
+        // Those that start at one instant are not to seek votes at one instant, nor report ever after.
+        let jitter = budgets.random(budgets.terms.round);
+        if let Some(voter) = &budgets.voter {
+            budgets.office = Office::Out { try_at: voter.free_at() + jitter };
+            budgets.voters.insert(budgets.me.name.clone(), budgets.me.life);
+        }
+        budgets.report_at = now + budgets.random(budgets.terms.round);
+        budgets
+    }
+
+    pub(crate) fn random(&mut self, below: u64) -> u64 {
+        let mut chance = fastrand::Rng::with_seed(self.chance);
+        self.chance = chance.u64(..);
+        chance.u64(..below.max(1))
+    }
+
+    /// When [`Event::Turn`] is due at the latest; [`Tenths::MAX`] where nothing is.
+    pub fn next_due(&self) -> Tenths {
+        if self.displaced || self.shares.is_empty() {
+            return Tenths::MAX;
+        }
+        self.report_at.min(self.office.next_due(&self.terms))
+    }
+
+    /// Tells what happened; `now` never goes back. What is to be done is added to `out`, in order.
+    pub fn happen(&mut self, now: Tenths, event: Event, out: &mut Vec<Action>) {
+        if self.displaced {
+            return;
+        }
+        match event {
+            Event::Turn => self.turn(now, out),
+            Event::Heard(letter) => self.heard(now, letter, out),
+            Event::Members(view) => {
+                let seen = |name: &Name| view.members.get(name).map(|seat| (name.clone(), seat.life));
+                self.voters = self.terms.voters.iter().filter_map(seen).collect();
+                if self.voter.is_some() {
+                    self.voters.insert(self.me.name.clone(), self.me.life);
+                }
+            }
+            Event::Leave => {
+                self.leaves = true;
+                self.resign(now, out);
+                self.report_at = now;
+            }
+            Event::Displaced => {
+                self.displaced = true;
+                self.shares.iter_mut().for_each(Share::shut);
+            }
+            Event::Changed { terms, list } => self.change(now, terms, list),
+        }
+        while let Some(letter) = self.local.pop_front() {
+            self.heard(now, letter, out);
+        }
+    }
+
+    fn change(&mut self, now: Tenths, terms: Terms, list: Vec<Budget>) {
+        // Who votes, and for how long a word counts, needs a start: two fleets' votes would not meet.
+        self.terms = Terms { round: terms.round, ..self.terms.clone() };
+        let mut old: Vec<Option<Share>> = std::mem::take(&mut self.shares).into_iter().map(Some).collect();
+        for budget in list {
+            let same = |of: &&mut Option<Share>| {
+                of.as_ref().is_some_and(|of| {
+                    of.budget.id() == budget.id()
+                        && std::mem::discriminant(&of.budget.kind) == std::mem::discriminant(&budget.kind)
+                })
+            };
+            let share = match old.iter_mut().find(same).and_then(Option::take) {
+                Some(mut share) => {
+                    share.change(budget, &self.me.name);
+                    share
+                }
+                None => Share::new(budget, &self.me.name, now, &self.terms),
+            };
+            self.shares.push(share);
+        }
+        let list: Vec<Budget> = self.shares.iter().map(|share| share.budget.clone()).collect();
+        self.accounts.change(&list);
+    }
+
+    fn turn(&mut self, now: Tenths, out: &mut Vec<Action>) {
+        self.office_turn(now, out);
+        if now < self.report_at {
+            return;
+        }
+        self.report_at = now + self.terms.round;
+        for (place, share) in self.shares.iter_mut().enumerate() {
+            if let Some(share) = share.ran_out(now, &self.terms) {
+                out.push(Action::Tell(News::RanOut { place, share }));
+            }
+        }
+        self.silent += 1;
+        if self.silent > SILENT
+            && let Some(keeper) = self.keeper.take_if(|keeper| *keeper != self.me)
+        {
+            out.push(Action::Tell(News::KeeperSilent(keeper)));
+        }
+        let all: Vec<usize> = (0..self.shares.len()).collect();
+        self.report(now, &all, true, out);
+    }
+
+    /// Reports on these budgets to the keeper, or to whoever may know of one.
+    fn report(&mut self, now: Tenths, places: &[usize], round: bool, out: &mut Vec<Action>) {
+        let Some(to) = self.keeper.clone().or_else(|| self.next_asked()) else { return };
+        let (terms, leaves) = (&self.terms, self.leaves);
+        let items = places.iter().map(|place| self.shares[*place].item(now, terms, round, leaves));
+        let items: Vec<Item> = items.collect();
+        for items in items.chunks(MOST_ITEMS) {
+            self.seq += 1;
+            if self.sent.len() >= MOST_SENT {
+                self.sent.pop_front();
+            }
+            self.sent.push_back((self.seq, now));
+            let (seq, weight, items) = (self.seq, self.weight, items.to_vec());
+            self.send(to.clone(), Message::Report { seq, weight, items }, out);
+        }
+    }
+
+    /// The next of the other voters, one after the other.
+    fn next_asked(&mut self) -> Option<Who> {
+        let others: Vec<Who> = self.others().collect();
+        self.asked = self.asked.wrapping_add(1);
+        (!others.is_empty()).then(|| others[self.asked % others.len()].clone())
+    }
+
+    pub(crate) fn others(&self) -> impl Iterator<Item = Who> {
+        let all = self.voters.iter().map(|(name, life)| Who { name: name.clone(), life: *life });
+        all.filter(|who| who.name != self.me.name)
+    }
+
+    pub(crate) fn send(&mut self, to: Who, message: Message, out: &mut Vec<Action>) {
+        let letter = Letter { from: self.me.clone(), to, message };
+        if letter.to == self.me { self.local.push_back(letter) } else { out.push(Action::Send(letter)) }
+    }
+
+    pub(crate) fn bind(&mut self, to: Option<Who>, out: &mut Vec<Action>) {
+        if to == self.keeper {
+            return;
+        }
+        self.bound_since = self.seq + 1;
+        self.silent = 0;
+        if let Some(keeper) = &to {
+            out.push(Action::Tell(News::Keeper(keeper.clone())));
+        }
+        self.keeper = to;
+    }
+
+    fn heard(&mut self, now: Tenths, letter: Letter, out: &mut Vec<Action>) {
+        if letter.to != self.me {
+            return;
+        }
+        let from = letter.from;
+        match letter.message {
+            Message::Grant { seq, shares } => self.granted(now, &from, seq, &shares, out),
+            Message::Elsewhere { seq, keeper } => {
+                let known = keeper.is_some() && keeper != self.keeper;
+                // What one that is asked knows counts where no keeper answers; the keeper's own word always.
+                if seq >= self.bound_since && (self.keeper.is_none() || self.keeper.as_ref() == Some(&from)) {
+                    self.bind(keeper, out);
+                    if known {
+                        let all: Vec<usize> = (0..self.shares.len()).collect();
+                        self.report(now, &all, false, out);
+                    }
+                }
+            }
+            message => self.heard_by_voter(now, from, message, out),
+        }
+    }
+
+    fn granted(
+        &mut self,
+        now: Tenths,
+        from: &Who,
+        seq: u64,
+        shares: &[(crate::Id, Units)],
+        out: &mut Vec<Action>,
+    ) {
+        let in_order = self.terms.safeguards.in_order;
+        if self.keeper.as_ref() != Some(from) || (in_order && seq < self.bound_since) {
+            return;
+        }
+        let Some((_, sent)) = self.sent.iter().find(|(of, _)| *of == seq).copied() else { return };
+        let till = sent + self.terms.surely(self.terms.lease);
+        self.silent = 0;
+        if till <= now && self.terms.safeguards.run_out {
+            return;
+        }
+        let mut lowered = Vec::new();
+        for (id, share) in shares {
+            let Some(place) = self.shares.iter().position(|of| of.budget.id() == *id) else { continue };
+            let of = &mut self.shares[place];
+            if seq <= of.accepted && in_order {
+                continue;
+            }
+            let (was, is) = of.grant(now, seq, *share, till, &self.terms);
+            if was != is {
+                let lasts = till.saturating_sub(now);
+                out.push(Action::Tell(News::Share { place, was, share: is, lasts }));
+            }
+            if is < was {
+                lowered.push(place);
+            }
+        }
+        // What is given up can be lent to another as soon as this is known.
+        if !lowered.is_empty() {
+            self.report(now, &lowered, false, out);
+        }
+    }
+
+    // --- Before and after each use ---
+
+    /// Uses one unit of the budget at this place of the list.
+    ///
+    /// # Errors
+    /// Nothing is left; how long to wait before asking again, in tenths of a ms.
+    pub fn take(&mut self, place: usize, now: Tenths) -> Result<(), Tenths> {
+        self.shares[place].take(now, &self.terms)
+    }
+
+    /// What was taken came to nothing: of a rate it may be used again.
+    pub fn unused(&mut self, place: usize) {
+        self.shares[place].put_back(false);
+    }
+
+    /// A place that was taken is held no more. Of a rate this changes nothing.
+    pub fn done(&mut self, place: usize) {
+        self.shares[place].put_back(true);
+    }
+}
--- /dev/null
+++ b/budgets/src/divide.rs
@@ -0,0 +1,69 @@
+//! Max-min fair division with weights: nobody gets more than it needs while another that gets less for its
+//! weight is not served.
+
+use crate::Units;
+
+/// One holder's part in a division.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Asks {
+    pub need: Units,
+    pub weight: u32,
+    pub most: Units,
+}
+
+/// The shares of each, in the order of `asks`, multiples of `step` whose sum is at most `whole`. What is left
+/// beyond all needs goes to all by weight, up to their mosts. Single steps that can't be divided go to one
+/// after the other as `turn` grows, so that over turns they are divided as well.
+pub fn divide(whole: Units, step: Units, asks: &[Asks], turn: u64) -> Vec<Units> {
+    let step = step.max(1);
+    let steps = whole / step;
+    let needs: Vec<Units> = asks.iter().map(|of| of.need.min(of.most).div_ceil(step)).collect();
+    let mosts: Vec<Units> = asks.iter().map(|of| of.most / step).collect();
+    let needs: Vec<Units> = needs.iter().zip(&mosts).map(|(need, most)| *need.min(most)).collect();
+    let mut shares = level(steps, asks, &needs, turn);
+    let left = steps - shares.iter().sum::<Units>();
+    if left > 0 {
+        let room: Vec<Units> = mosts.iter().zip(&shares).map(|(most, share)| most - share).collect();
+        let more = level(left, asks, &room, turn);
+        shares.iter_mut().zip(more).for_each(|(share, more)| *share += more);
+    }
+    shares.iter().map(|share| share * step).collect()
+}
+
+/// Fills all up to one level by weight, each to its bound at the most.
+fn level(whole: Units, asks: &[Asks], bounds: &[Units], turn: u64) -> Vec<Units> {
+    let weight = |of: usize| u128::from(asks[of].weight.max(1));
+    // By bound for the weight: who needs least for its weight is filled first.
+    let mut order: Vec<usize> = (0..asks.len()).filter(|of| bounds[*of] > 0).collect();
+    order.sort_by(|a, b| {
+        let (one, other) = (u128::from(bounds[*a]) * weight(*b), u128::from(bounds[*b]) * weight(*a));
+        one.cmp(&other).then(a.cmp(b))
+    });
+    let mut shares = vec![0; asks.len()];
+    let mut weights: u128 = order.iter().map(|of| weight(*of)).sum();
+    let mut left = whole;
+    for (nth, of) in order.iter().enumerate() {
+        let fair = u128::from(left) * weight(*of) / weights.max(1);
+        if u128::from(bounds[*of]) > fair {
+            // From here on nobody is filled: all get what is fair of the rest.
+            let rest = &order[nth..];
+            for of in rest {
+                shares[*of] = ((u128::from(left) * weight(*of) / weights) as Units).min(bounds[*of]);
+            }
+            left -= rest.iter().map(|of| shares[*of]).sum::<Units>();
+            break;
+        }
+        shares[*of] = bounds[*of];
+        left -= bounds[*of];
+        weights -= weight(*of);
+    }
+    // Single steps, from a place that moves on.
+    let open: Vec<usize> = (0..asks.len()).filter(|of| shares[*of] < bounds[*of]).collect();
+    if !open.is_empty() {
+        let from = (turn % open.len() as u64) as usize;
+        for nth in 0..open.len().min(left as usize) {
+            shares[open[(from + nth) % open.len()]] += 1;
+        }
+    }
+    shares
+}
--- /dev/null
+++ b/budgets/src/letter.rs
@@ -0,0 +1,73 @@
+//! What nodes say to one another about budgets.
+
+use doortrack_fleet::{Life, Name};
+use serde::{Deserialize, Serialize};
+
+use crate::{Id, Units};
+
+/// Budgets that one message tells of, so that it fits a datagram.
+pub const MOST_ITEMS: usize = 40;
+
+/// One life of a node.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct Who {
+    pub name: Name,
+    pub life: Life,
+}
+
+/// A message on its way. What is meant for another life is not read.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct Letter {
+    pub from: Who,
+    pub to: Who,
+    pub message: Message,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub enum Message {
+    /// A candidate, or who is in office, asks for a vote.
+    Ask {
+        ballot: u64,
+    },
+    Vote {
+        ballot: u64,
+    },
+    Refused {
+        ballot: u64,
+    },
+    /// The vote of this ballot is given back: it puts nobody in office.
+    Release {
+        ballot: u64,
+    },
+    /// A holder's needs and what it may have in use.
+    Report {
+        seq: u64,
+        weight: u32,
+        items: Vec<Item>,
+    },
+    /// What the holder may use from the sending of that report on.
+    Grant {
+        seq: u64,
+        shares: Vec<(Id, Units)>,
+    },
+    /// The one that was reported to is not in office; who is, as far as it knows.
+    Elsewhere {
+        seq: u64,
+        keeper: Option<Who>,
+    },
+}
+
+/// One budget in a report.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct Item {
+    pub id: Id,
+    /// What could be used now, beyond the floor.
+    pub need: Units,
+    /// What may be in use at the most, beyond the floor.
+    pub holding: Units,
+    /// The newest report whose answer counts here.
+    pub accepted: u64,
+    /// The budget as this node was told of it.
+    pub whole: Units,
+    pub floor: Units,
+}
--- /dev/null
+++ b/budgets/src/lib.rs
@@ -0,0 +1,125 @@
+//! Decides how much of each budget of the whole fleet this node may use, so that all nodes together never use
+//! more than the whole.
+//!
+//! Every node holds one [`Budgets`]: what it heard is told to it with the time ([`Event`]), what is to be done
+//! comes back as [`Action`]s, and before each use it is asked ([`Budgets::take`]). Neither sockets nor a clock,
+//! and the same events with the same seed give the same actions.
+//!
+//! ```text
+//! let mut budgets = Budgets::new(me, weight, terms, list, seed, now);
+//! budgets.happen(now, Event::Turn, &mut actions);          // at budgets.next_due() at the latest
+//! if let Err(come_back) = budgets.take(place, now) { .. }  // with the clock read just before
+//! ```
+//!
+//! A **keeper**, one of the fleet's voters, lends shares to all nodes on leases. Nothing is written to a disk:
+//! - **Votes.** A voter gives its vote to one candidate for [`Terms::vote_lasts`] and to no other meanwhile;
+//!   who holds the votes of a majority is in office, by its own clock from when it *asked*. A voter that has
+//!   just started may have forgotten a vote, and gives none for as long as one lasts.
+//! - **Leases.** A share counts, for its holder, from when it *asked* for it, and for the keeper from when it
+//!   *answered*, so no delay makes the holder's end come after the keeper's. A lease is shorter for its
+//!   holder by what two clocks may drift apart.
+//! - **Moved shares.** What one holder is to give up is lent to another only once the first has said that it
+//!   uses no more, or its lease is over. Whatever was sent and not confirmed counts as lent.
+//! - **A new keeper** knows nothing of what was lent. Until all that an earlier one can have lent is over, it
+//!   only prolongs what holders say they hold.
+//! - **Floors** are set aside from the whole, for named nodes, and need no keeper.
+//!
+//! Assumptions: each process's time goes forward, and against true time by no more than [`Terms::drift`] too
+//! fast or too slow. Datagrams may be lost, doubled, delayed without bound and reordered. Any process may die
+//! (and start anew with nothing), stop and wake. One process at a time goes by a name; nodes do not lie about
+//! what they hold. What a broken assumption costs stands in `docs/budgets.md`.
+//!
+//! Bounds: budgets ([`MOST_BUDGETS`]), items a datagram, unconfirmed shares a holder. A check costs the same
+//! whatever there is; a report costs the keeper the logarithm of the holders, and a division, once a round,
+//! as much for each.
+
+mod account;
+mod budgets;
+mod divide;
+mod letter;
+mod need;
+mod office;
+mod reporting;
+mod share;
+mod terms;
+mod voter;
+
+use doortrack::Tenths;
+use doortrack_fleet::View;
+
+pub use budgets::Budgets;
+pub use divide::{Asks, divide};
+pub use letter::{Item, Letter, MOST_ITEMS, Message, Who};
+pub use reporting::Standing;
+pub use terms::{Budget, Id, Kind, Safeguards, Terms, Units, id_of};
+
+/// Budgets of one fleet.
+pub const MOST_BUDGETS: usize = 256;
+
+/// What happens to a node.
+#[derive(Clone, Debug)]
+pub enum Event {
+    /// Time has come to where [`Budgets::next_due`] said, or simply passes.
+    Turn,
+    Heard(Letter),
+    /// Who is there has changed.
+    Members(View),
+    /// The node was told to leave: it asks for nothing more, and gives up its office.
+    Leave,
+    /// Another process goes by this node's name: this one uses nothing more, floors included.
+    Displaced,
+    /// Other budgets and terms from here on. What a budget that stays has in use is kept.
+    Changed {
+        terms: Terms,
+        list: Vec<Budget>,
+    },
+}
+
+/// What is to be done.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Action {
+    /// To the node of that name, wherever it is reached; lost where it is not.
+    Send(Letter),
+    Tell(News),
+}
+
+/// What has changed, for the log.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum News {
+    /// This node keeps the budgets from here on, and lends what is free after so many tenths of a ms.
+    TookOffice {
+        lends_after: Tenths,
+    },
+    LeftOffice,
+    /// Whom this node reports to.
+    Keeper(Who),
+    /// No answer from the keeper for some rounds.
+    KeeperSilent(Who),
+    /// A share of the budget at this place has changed to so many units, for so many tenths of a ms.
+    Share {
+        place: usize,
+        was: Units,
+        share: Units,
+        lasts: Tenths,
+    },
+    /// The lease is over with so many units.
+    RanOut {
+        place: usize,
+        share: Units,
+    },
+}
+
+impl News {
+    /// Its name in logs and histories.
+    pub fn word(&self) -> &'static str {
+        match self {
+            News::TookOffice { .. } => "took_office",
+            News::LeftOffice => "left_office",
+            News::Keeper(_) => "keeper",
+            News::KeeperSilent(_) => "keeper_silent",
+            News::Share { was, share, .. } if share < was => "returned",
+            News::Share { .. } => "taken",
+            News::RanOut { .. } => "ran_out",
+        }
+    }
+}
--- /dev/null
+++ b/budgets/src/need.rs
@@ -0,0 +1,66 @@
+//! How much of a budget could be used, measured without swings.
+
+use doortrack::Tenths;
+
+use crate::{Budget, Kind, Units};
+
+/// Rising needs are followed faster than falling ones; in quarters of the way each round.
+const UP: Units = 3;
+const DOWN: Units = 2;
+/// What is told is left as it was while the need is above it by less than this part, or below.
+const LEFT_UP: Units = 32;
+const LEFT_DOWN: Units = 12;
+
+/// Uses that were asked for, those that were denied included.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
+pub(crate) struct Need {
+    /// Since the last round: asked for, denied, and the most that was in use at once.
+    asked: Units,
+    denied: Units,
+    peak: Units,
+    since: Tenths,
+    smooth: Units,
+    told: Units,
+}
+
+impl Need {
+    pub fn new(now: Tenths) -> Need {
+        Need { since: now, ..Need::default() }
+    }
+
+    pub fn asked(&mut self, granted: bool, in_use: Units) {
+        self.asked += 1;
+        self.denied += Units::from(!granted);
+        self.peak = self.peak.max(in_use);
+    }
+
+    /// What is to be told, at the end of a round.
+    pub fn round(&mut self, now: Tenths, budget: &Budget, in_use: Units) -> Units {
+        let span = now.saturating_sub(self.since);
+        if span == 0 {
+            return self.told;
+        }
+        let seen = match budget.kind {
+            Kind::Rate { .. } => self.asked * 1_000 * 10_000 / span,
+            Kind::Places { .. } => self.peak.max(in_use) + self.denied,
+        };
+        // No more than all there is: who reports the absurd gets what is fair among equals.
+        let seen = seen.min(budget.whole());
+        let (asked, denied, peak) = (0, 0, in_use);
+        let smooth = if seen > self.smooth {
+            (self.smooth * (4 - UP) + seen * UP).div_ceil(4)
+        } else {
+            (self.smooth * (4 - DOWN) + seen * DOWN) / 4
+        };
+        let told = self.told;
+        let left = if smooth > told { told / LEFT_UP } else { told / LEFT_DOWN };
+        // Nothing is added for what comes by chance: what all needs leave over is divided as well.
+        let told = if smooth.abs_diff(told) > left { smooth } else { told };
+        *self = Need { asked, denied, peak, since: now, smooth, told };
+        told
+    }
+
+    pub fn last(&self) -> Units {
+        self.told
+    }
+}
--- /dev/null
+++ b/budgets/src/office.rs
@@ -0,0 +1,255 @@
+//! How a voter comes into office, stays there and leaves it.
+
+use std::collections::{BTreeMap, VecDeque};
+
+use doortrack::Tenths;
+use doortrack_fleet::Name;
+
+use crate::account::Accounts;
+use crate::voter::Voter;
+use crate::{Action, Budget, Budgets, Item, Message, News, Terms, Who};
+
+/// Ballots whose votes still count when they come.
+const MOST_ASKED: usize = 8;
+
+/// The votes that one candidate holds.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
+pub(crate) struct Canvass {
+    /// Ballots and when they were sent: a vote counts from there.
+    asked: VecDeque<(u64, Tenths)>,
+    votes: BTreeMap<Name, Tenths>,
+}
+
+impl Canvass {
+    pub fn asked(&mut self, ballot: u64, now: Tenths) {
+        if self.asked.len() >= MOST_ASKED {
+            self.asked.pop_front();
+        }
+        self.asked.push_back((ballot, now));
+    }
+
+    pub fn vote(&mut self, from: &Name, ballot: u64, terms: &Terms) {
+        let Some((_, sent)) = self.asked.iter().find(|(of, _)| *of == ballot) else { return };
+        let till = sent + terms.surely(terms.vote_lasts);
+        let known = self.votes.entry(from.clone()).or_default();
+        *known = till.max(*known);
+    }
+
+    /// Till when a majority of the votes lasts; 0 for never.
+    pub fn till(&self, terms: &Terms) -> Tenths {
+        let mut ends: Vec<Tenths> = self.votes.values().copied().collect();
+        ends.sort_unstable_by(|a, b| b.cmp(a));
+        ends.get(terms.majority() - 1).copied().unwrap_or(0)
+    }
+
+    pub fn last_ballot(&self) -> Option<u64> {
+        self.asked.back().map(|(ballot, _)| *ballot)
+    }
+}
+
+/// Where a node stands towards the office of keeper.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub(crate) enum Office {
+    /// It may try from here on; never where it is no voter.
+    Out {
+        try_at: Tenths,
+    },
+    /// It has asked for votes, and gives up at a time.
+    Seeking {
+        canvass: Canvass,
+        till: Tenths,
+    },
+    In(Tenure),
+}
+
+/// One time in office without a gap.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub(crate) struct Tenure {
+    pub canvass: Canvass,
+    pub renew_at: Tenths,
+    /// From here on nothing is in use that an earlier keeper lent for longer than this budget's leases last;
+    /// what is held beyond a lease is added for each budget.
+    pub since: Tenths,
+    /// The next division.
+    pub divide_at: Tenths,
+}
+
+impl Office {
+    pub fn next_due(&self, terms: &Terms) -> Tenths {
+        match self {
+            Office::Out { try_at } => *try_at,
+            Office::Seeking { till, .. } => *till,
+            Office::In(tenure) => tenure.renew_at.min(tenure.divide_at).min(tenure.canvass.till(terms)),
+        }
+    }
+}
+
+impl Budgets {
+    /// What time brings to a voter.
+    pub(crate) fn office_turn(&mut self, now: Tenths, out: &mut Vec<Action>) {
+        match &self.office {
+            Office::Out { try_at } if now >= *try_at => self.seek(now, out),
+            Office::Seeking { till, .. } if now >= *till => self.give_up(now, out),
+            Office::In(tenure) => {
+                if now >= tenure.canvass.till(&self.terms) {
+                    // Another may be in office by now.
+                    self.leave_office(now, out);
+                } else if now >= tenure.renew_at {
+                    self.ask_all(now, out);
+                }
+            }
+            _ => {}
+        }
+        if let Office::In(tenure) = &mut self.office
+            && now >= tenure.divide_at
+        {
+            tenure.divide_at = now + self.terms.round;
+            self.accounts.divide(now, &self.terms);
+        }
+    }
+
+    fn seek(&mut self, now: Tenths, out: &mut Vec<Action>) {
+        let jitter = self.random(self.terms.round);
+        let free_at = self.voter.as_ref().map_or(Tenths::MAX, Voter::free_at);
+        if self.voters.len() < self.terms.majority() || free_at > now {
+            self.office = Office::Out { try_at: free_at.max(now + self.terms.round).saturating_add(jitter) };
+            return;
+        }
+        let till = now + self.terms.round;
+        self.office = Office::Seeking { canvass: Canvass::default(), till };
+        self.ask_all(now, out);
+    }
+
+    /// Asks all voters, this one too, for their votes under a new ballot.
+    fn ask_all(&mut self, now: Tenths, out: &mut Vec<Action>) {
+        self.ballot += 1;
+        let ballot = self.ballot;
+        match &mut self.office {
+            Office::Out { .. } => return,
+            Office::Seeking { canvass, .. } => canvass.asked(ballot, now),
+            Office::In(tenure) => {
+                tenure.canvass.asked(ballot, now);
+                tenure.renew_at = now + self.terms.round;
+            }
+        }
+        let others: Vec<Who> = self.others().collect();
+        for who in [self.me.clone()].into_iter().chain(others) {
+            self.send(who, Message::Ask { ballot }, out);
+        }
+    }
+
+    fn release(&mut self, out: &mut Vec<Action>) {
+        let canvass = match &self.office {
+            Office::Out { .. } => return,
+            Office::Seeking { canvass, .. } => canvass,
+            Office::In(tenure) => &tenure.canvass,
+        };
+        let Some(ballot) = canvass.last_ballot() else { return };
+        let others: Vec<Who> = self.others().collect();
+        for who in [self.me.clone()].into_iter().chain(others) {
+            self.send(who, Message::Release { ballot }, out);
+        }
+    }
+
+    /// Too few votes: they are given back, so that another may have them.
+    fn give_up(&mut self, now: Tenths, out: &mut Vec<Action>) {
+        self.release(out);
+        let wait = self.terms.round / 2 + self.random(2 * self.terms.round);
+        self.office = Office::Out { try_at: now + wait };
+    }
+
+    fn leave_office(&mut self, now: Tenths, out: &mut Vec<Action>) {
+        self.office = Office::Out { try_at: now + self.terms.round };
+        self.accounts = Accounts::default();
+        self.bind(None, out);
+        out.push(Action::Tell(News::LeftOffice));
+    }
+
+    /// Leaves the office for good, so that another may take it at once.
+    pub(crate) fn resign(&mut self, now: Tenths, out: &mut Vec<Action>) {
+        let held = matches!(self.office, Office::In(_));
+        self.release(out);
+        if held {
+            self.leave_office(now, out);
+        }
+        self.office = Office::Out { try_at: Tenths::MAX };
+    }
+
+    fn voted(&mut self, now: Tenths, from: &Who, ballot: u64, out: &mut Vec<Action>) {
+        match &mut self.office {
+            Office::Out { .. } => {}
+            Office::In(tenure) => tenure.canvass.vote(&from.name, ballot, &self.terms),
+            Office::Seeking { canvass, .. } => {
+                canvass.vote(&from.name, ballot, &self.terms);
+                if canvass.till(&self.terms) > now {
+                    let (renew_at, divide_at) = (now + self.terms.round, now);
+                    let canvass = std::mem::take(canvass);
+                    self.office = Office::In(Tenure { canvass, renew_at, since: now, divide_at });
+                    let list: Vec<Budget> = self.shares.iter().map(|share| share.budget.clone()).collect();
+                    self.accounts = Accounts::new(&list);
+                    let lends_after = if self.terms.safeguards.settle { self.terms.lease } else { 0 };
+                    out.push(Action::Tell(News::TookOffice { lends_after }));
+                    self.bind(Some(self.me.clone()), out);
+                }
+            }
+        }
+    }
+
+    /// What concerns voters, candidates and keepers.
+    pub(crate) fn heard_by_voter(&mut self, now: Tenths, from: Who, message: Message, out: &mut Vec<Action>) {
+        match message {
+            Message::Ask { ballot } => {
+                let Some(voter) = &mut self.voter else { return };
+                let given =
+                    self.terms.voters.contains(&from.name) && voter.ask(now, &from, ballot, &self.terms);
+                let answer = if given { Message::Vote { ballot } } else { Message::Refused { ballot } };
+                self.send(from, answer, out);
+            }
+            Message::Vote { ballot } if self.terms.voters.contains(&from.name) => {
+                self.voted(now, &from, ballot, out);
+            }
+            Message::Release { ballot } => {
+                let released = self.voter.as_mut().is_some_and(|voter| voter.release(&from, ballot));
+                let try_at = now + self.random(self.terms.round);
+                if let Office::Out { try_at: at } = &mut self.office
+                    && released
+                    && from != self.me
+                    && !self.leaves
+                {
+                    *at = try_at.min(*at);
+                }
+            }
+            Message::Report { seq, weight, items } => self.reported(now, from, (seq, weight), &items, out),
+            _ => {}
+        }
+    }
+
+    fn reported(
+        &mut self,
+        now: Tenths,
+        from: Who,
+        (seq, weight): (u64, u32),
+        items: &[Item],
+        out: &mut Vec<Action>,
+    ) {
+        let answer = match &self.office {
+            // The look at its own votes comes before every share that it lends.
+            Office::In(tenure) if tenure.canvass.till(&self.terms) > now => {
+                let (terms, since) = (&self.terms, tenure.since);
+                let settled = |budget: &Budget| {
+                    let held = if terms.safeguards.held { budget.held_most() } else { 0 };
+                    !terms.safeguards.settle || now >= since + terms.lease + held
+                };
+                let shares = self.accounts.report(now, &from, (seq, weight), items, settled, terms);
+                shares.map(|shares| Message::Grant { seq, shares })
+            }
+            _ => {
+                let keeper = self.voter.as_ref().and_then(|voter| voter.keeper(now)).cloned();
+                Some(Message::Elsewhere { seq, keeper: keeper.filter(|keeper| *keeper != self.me) })
+            }
+        };
+        if let Some(answer) = answer {
+            self.send(from, answer, out);
+        }
+    }
+}
--- /dev/null
+++ b/budgets/src/reporting.rs
@@ -0,0 +1,73 @@
+//! How things stand, for those who ask and for tests.
+
+use doortrack::Tenths;
+
+use crate::office::Office;
+use crate::{Budget, Budgets, Kind, Terms, Units, Who};
+
+/// One budget at one node.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Standing {
+    /// What this node may use now, its floor included, and of that what is on a lease.
+    pub share: Units,
+    pub leased: Units,
+    /// Places in use; 0 for a rate.
+    pub in_use: Units,
+    pub need: Units,
+    pub denied: u64,
+    /// For how long the lease lasts yet.
+    pub lasts: Option<Tenths>,
+    /// What it has lent, where this node is the keeper.
+    pub lent: Option<Units>,
+}
+
+impl Budgets {
+    pub fn me(&self) -> &Who {
+        &self.me
+    }
+
+    pub fn terms(&self) -> &Terms {
+        &self.terms
+    }
+
+    /// Whom this node reports to.
+    pub fn keeper(&self) -> Option<&Who> {
+        self.keeper.as_ref()
+    }
+
+    pub fn is_keeper(&self, now: Tenths) -> bool {
+        matches!(&self.office, Office::In(tenure) if tenure.canvass.till(&self.terms) > now)
+    }
+
+    /// The budgets, in the order of their places.
+    pub fn list(&self) -> impl Iterator<Item = &Budget> {
+        self.shares.iter().map(|share| &share.budget)
+    }
+
+    /// How the budget at this place stands.
+    pub fn standing(&mut self, place: usize, now: Tenths) -> Standing {
+        let keeper = self.is_keeper(now);
+        let share = &mut self.shares[place];
+        let usable = share.usable(now, &self.terms);
+        Standing {
+            share: usable,
+            leased: share.leased(),
+            in_use: share.in_use(),
+            need: share.need(),
+            denied: share.denied,
+            lasts: share.till().map(|till| till.saturating_sub(now)),
+            lent: keeper.then(|| self.accounts.lent(place)),
+        }
+    }
+
+    /// What may be in use at the most at this instant, whoever looks: a share that was not looked at since its
+    /// lease ended is none.
+    pub fn exposed(&self, place: usize, now: Tenths) -> Units {
+        let mut share = self.shares[place].clone();
+        let usable = share.usable(now, &self.terms);
+        match share.budget.kind {
+            Kind::Rate { .. } => usable,
+            Kind::Places { .. } => usable.max(share.in_use()),
+        }
+    }
+}
--- /dev/null
+++ b/budgets/src/share.rs
@@ -0,0 +1,212 @@
+//! What this node may use of one budget, and what it has in use.
+
+use doortrack::Tenths;
+
+use crate::need::Need;
+use crate::{Budget, Item, Kind, Terms, Units};
+
+/// What a unit is counted in, so that thousandths of a unit a second for a tenth of a ms are whole.
+const TOKEN: u64 = 10_000_000;
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+enum Uses {
+    /// Saved up, at most `cap`, as of `counted`.
+    Rate {
+        tokens: u64,
+        cap: u64,
+        counted: Tenths,
+    },
+    Places {
+        in_use: Units,
+    },
+}
+
+/// One budget at one node.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub(crate) struct Share {
+    pub budget: Budget,
+    floor: Units,
+    /// The floor may be used from here on: places that an earlier life had may be in use until then.
+    floor_from: Tenths,
+    leased: Units,
+    till: Tenths,
+    /// The newest report whose answer is in force.
+    pub accepted: u64,
+    uses: Uses,
+    need: Need,
+    /// Ran out with so much, and nobody was told yet.
+    ran_out: Option<Units>,
+    pub denied: u64,
+}
+
+impl Share {
+    pub fn new(budget: Budget, name: &str, now: Tenths, terms: &Terms) -> Share {
+        let held = if terms.safeguards.held { budget.held_most() } else { 0 };
+        let uses = match budget.kind {
+            Kind::Rate { .. } => Uses::Rate { tokens: 0, cap: 0, counted: now },
+            Kind::Places { .. } => Uses::Places { in_use: 0 },
+        };
+        let mut share = Share {
+            floor: budget.floor_of(name),
+            floor_from: now + held,
+            budget,
+            leased: 0,
+            till: 0,
+            accepted: 0,
+            uses,
+            need: Need::new(now),
+            ran_out: None,
+            denied: 0,
+        };
+        share.bound();
+        share
+    }
+
+    /// The same budget told of anew: what is in use stays so.
+    pub fn change(&mut self, budget: Budget, name: &str) {
+        self.floor = budget.floor_of(name);
+        // A lower whole holds at once for what this node may use.
+        self.leased = self.leased.min(budget.lent(budget.whole(), budget.floor()));
+        self.budget = budget;
+        self.bound();
+    }
+
+    /// Nothing of it may be used any more.
+    pub fn shut(&mut self) {
+        (self.floor, self.leased, self.till) = (0, 0, 0);
+        self.bound();
+    }
+
+    fn bound(&mut self) {
+        let (usable, whole) = (self.floor + self.leased, self.budget.whole());
+        if let (Uses::Rate { tokens, cap, .. }, Kind::Rate { burst }) = (&mut self.uses, self.budget.kind) {
+            let all = u128::from(burst) * u128::from(TOKEN);
+            *cap = (all * u128::from(usable.min(whole)) / u128::from(whole.max(1))) as u64;
+            *tokens = (*tokens).min(*cap);
+        }
+    }
+
+    /// Counts up to now; a lease that is over ends.
+    fn settle(&mut self, now: Tenths, terms: &Terms) {
+        if self.leased > 0 && self.till <= now && terms.safeguards.run_out {
+            self.count(self.till, terms);
+            self.ran_out = Some(self.leased);
+            self.leased = 0;
+            self.bound();
+        }
+        self.count(now, terms);
+    }
+
+    fn count(&mut self, now: Tenths, terms: &Terms) {
+        let rate = self.floor + self.leased;
+        if let Uses::Rate { tokens, cap, counted } = &mut self.uses {
+            let span = now.saturating_sub(*counted);
+            let mut more = rate.saturating_mul(span);
+            if terms.safeguards.drift {
+                // A clock that is too fast must not make more of a second than there is.
+                more = more.saturating_mul(1_000) / (1_000 + terms.drift);
+            }
+            *tokens = tokens.saturating_add(more).min(*cap);
+            *counted = now.max(*counted);
+        }
+    }
+
+    /// What may be used now, in all.
+    pub fn usable(&mut self, now: Tenths, terms: &Terms) -> Units {
+        self.settle(now, terms);
+        self.leased + if now >= self.floor_from { self.floor } else { 0 }
+    }
+
+    /// Uses one unit, or says how long to wait before asking again.
+    pub fn take(&mut self, now: Tenths, terms: &Terms) -> Result<(), Tenths> {
+        let usable = self.usable(now, terms);
+        let rate = self.floor + self.leased;
+        let (taken, in_use) = match &mut self.uses {
+            Uses::Rate { tokens, cap, .. } => {
+                if *tokens >= TOKEN {
+                    *tokens -= TOKEN;
+                    (Ok(()), 0)
+                } else if *cap >= TOKEN && rate > 0 {
+                    (Err((TOKEN - *tokens).div_ceil(rate).max(1)), 0)
+                } else {
+                    (Err(terms.round), 0)
+                }
+            }
+            Uses::Places { in_use } => {
+                let taken = if *in_use < usable { Ok(()) } else { Err(terms.round) };
+                *in_use += Units::from(taken.is_ok());
+                (taken, *in_use)
+            }
+        };
+        self.denied += u64::from(taken.is_err());
+        self.need.asked(taken.is_ok(), in_use);
+        taken
+    }
+
+    /// What was taken was not used, or, of a place, is used no more.
+    pub fn put_back(&mut self, used: bool) {
+        match &mut self.uses {
+            Uses::Rate { tokens, cap, .. } if !used => *tokens = (*tokens + TOKEN).min(*cap),
+            Uses::Rate { .. } => {}
+            Uses::Places { in_use } => *in_use = in_use.saturating_sub(1),
+        }
+    }
+
+    pub fn in_use(&self) -> Units {
+        match self.uses {
+            Uses::Rate { .. } => 0,
+            Uses::Places { in_use } => in_use,
+        }
+    }
+
+    /// What a report is to say; the end of a round for the measured need.
+    pub fn item(&mut self, now: Tenths, terms: &Terms, round: bool, leaves: bool) -> Item {
+        self.settle(now, terms);
+        let in_use = self.in_use();
+        let need = if round { self.need.round(now, &self.budget, in_use) } else { self.need.last() };
+        Item {
+            id: self.budget.id(),
+            need: if leaves { 0 } else { need.saturating_sub(self.floor) },
+            holding: self.leased.max(in_use.saturating_sub(self.floor)),
+            accepted: self.accepted,
+            whole: self.budget.whole(),
+            floor: self.budget.floor(),
+        }
+    }
+
+    /// The keeper's answer to report `seq`, sent so that the share lasts till `till`. What was, and is.
+    pub fn grant(
+        &mut self,
+        now: Tenths,
+        seq: u64,
+        share: Units,
+        till: Tenths,
+        terms: &Terms,
+    ) -> (Units, Units) {
+        self.settle(now, terms);
+        let was = self.leased;
+        self.leased = share.min(self.budget.lent(self.budget.whole(), self.budget.floor()));
+        (self.till, self.accepted, self.ran_out) = (till, seq, None);
+        self.bound();
+        (was, self.leased)
+    }
+
+    /// What ran out since the last time this was asked.
+    pub fn ran_out(&mut self, now: Tenths, terms: &Terms) -> Option<Units> {
+        self.settle(now, terms);
+        self.ran_out.take()
+    }
+
+    /// When the lease is over, if there is one.
+    pub fn till(&self) -> Option<Tenths> {
+        (self.leased > 0).then_some(self.till)
+    }
+
+    pub fn leased(&self) -> Units {
+        self.leased
+    }
+
+    pub fn need(&self) -> Units {
+        self.need.last()
+    }
+}
--- /dev/null
+++ b/budgets/src/terms.rs
@@ -0,0 +1,173 @@
+//! What budgets are made of, and how fast they are divided.
+
+use std::sync::Arc;
+
+use doortrack::Tenths;
+use doortrack_fleet::Name;
+
+const MS: Tenths = 10;
+
+/// A part of a budget: places, or thousandths of a unit a second.
+pub type Units = u64;
+
+/// By what nodes know a budget: its name, hashed. The same in every build.
+pub type Id = u32;
+
+/// The id of a budget's name (FNV-1a, 32 bits). Two names of one installation may not share one.
+pub fn id_of(name: &str) -> Id {
+    name.bytes().fold(0x811c_9dc5, |hash, byte| (hash ^ u32::from(byte)).wrapping_mul(0x0100_0193))
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum Kind {
+    /// Units a second. In any span the fleet uses at most `whole` times the span and `burst` beyond.
+    Rate {
+        /// Units.
+        burst: u32,
+    },
+    /// Units held at once.
+    Places {
+        /// What a place is held for at the longest, also by who is parted from all or has died.
+        held_most: Tenths,
+    },
+}
+
+/// One budget of the whole fleet.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct Budget {
+    pub name: Arc<str>,
+    pub kind: Kind,
+    /// Units a second, or places.
+    pub whole: u32,
+    /// Set aside for each of `floors_for`, in the same.
+    pub floor: u32,
+    /// Names of the nodes that have a floor.
+    pub floors_for: Arc<[Name]>,
+    /// The most that any one node may have, its floor included.
+    pub most: u32,
+}
+
+impl Budget {
+    fn scale(&self) -> Units {
+        match self.kind {
+            Kind::Rate { .. } => 1_000,
+            Kind::Places { .. } => 1,
+        }
+    }
+
+    pub fn id(&self) -> Id {
+        id_of(&self.name)
+    }
+
+    pub fn whole(&self) -> Units {
+        Units::from(self.whole) * self.scale()
+    }
+
+    pub fn floor(&self) -> Units {
+        Units::from(self.floor) * self.scale()
+    }
+
+    /// What can be lent, where all think so of the whole and the floor.
+    pub fn lent(&self, whole: Units, floor: Units) -> Units {
+        whole.saturating_sub(floor * self.floors_for.len() as Units)
+    }
+
+    /// The most that one node may be lent.
+    pub fn most_lent(&self, of: &str) -> Units {
+        (Units::from(self.most) * self.scale()).saturating_sub(self.floor_of(of))
+    }
+
+    pub fn floor_of(&self, name: &str) -> Units {
+        if self.floors_for.iter().any(|of| **of == *name) { self.floor() } else { 0 }
+    }
+
+    /// Shares are multiples of this: a smaller one has no whole unit of the burst, and can't be used.
+    pub fn step(&self) -> Units {
+        match self.kind {
+            Kind::Rate { burst } => self.whole().div_ceil(Units::from(burst.max(1))).max(1),
+            Kind::Places { .. } => 1,
+        }
+    }
+
+    /// How long after its lease something of it may still be in use.
+    pub fn held_most(&self) -> Tenths {
+        match self.kind {
+            Kind::Rate { .. } => 0,
+            Kind::Places { held_most } => held_most,
+        }
+    }
+}
+
+/// Times and bounds. All nodes of a fleet are to have the same.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct Terms {
+    /// Of whom a majority puts a keeper in office.
+    pub voters: Arc<[Name]>,
+    /// Needs are told, and shares answered, so often.
+    pub round: Tenths,
+    pub vote_lasts: Tenths,
+    pub lease: Tenths,
+    /// How far a clock may gain or lose against true time, in thousandths.
+    pub drift: u64,
+    pub safeguards: Safeguards,
+}
+
+impl Default for Terms {
+    fn default() -> Terms {
+        Terms {
+            voters: Arc::new([]),
+            round: 200 * MS,
+            vote_lasts: 800 * MS,
+            lease: 2_000 * MS,
+            drift: 20,
+            safeguards: Safeguards::default(),
+        }
+    }
+}
+
+impl Terms {
+    /// A span that is over by a clock that is too slow before it is by one that is too fast.
+    pub(crate) fn surely(&self, span: Tenths) -> Tenths {
+        if self.safeguards.drift { span * (1_000 - self.drift) / (1_000 + self.drift) } else { span }
+    }
+
+    pub(crate) fn majority(&self) -> usize {
+        if self.safeguards.majority { self.voters.len() / 2 + 1 } else { 1 }
+    }
+}
+
+/// What keeps the sum within the whole. All are on; tests show that each is needed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub struct Safeguards {
+    /// A voter that has just started gives no vote.
+    pub silent_start: bool,
+    /// A majority of the voters makes a keeper, not one.
+    pub majority: bool,
+    /// A new keeper lends nothing new until earlier leases are over.
+    pub settle: bool,
+    /// What was lent to another counts until it is confirmed as given up.
+    pub confirm: bool,
+    /// A holder looks whether its lease is over.
+    pub run_out: bool,
+    /// Leases are shorter for their holders by what clocks may drift.
+    pub drift: bool,
+    /// A holder takes only answers to what it asked of its present keeper, the newest first.
+    pub in_order: bool,
+    /// Places count as in use for as long as they may be, beyond a lease and after a start.
+    pub held: bool,
+}
+
+impl Default for Safeguards {
+    fn default() -> Safeguards {
+        Safeguards {
+            silent_start: true,
+            majority: true,
+            settle: true,
+            confirm: true,
+            run_out: true,
+            drift: true,
+            in_order: true,
+            held: true,
+        }
+    }
+}
--- /dev/null
+++ b/budgets/src/voter.rs
@@ -0,0 +1,55 @@
+//! A voter: one vote at a time, to one candidate, for a bounded time.
+
+use doortrack::Tenths;
+
+use crate::{Terms, Who};
+
+/// One voter's memory. It does not outlast its process, so a new one keeps silent for as long as a vote that
+/// its predecessor gave may last.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub(crate) struct Voter {
+    silent_until: Tenths,
+    vote: Option<Vote>,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+struct Vote {
+    to: Who,
+    ballot: u64,
+    till: Tenths,
+}
+
+impl Voter {
+    pub fn new(now: Tenths, terms: &Terms) -> Voter {
+        let silent = if terms.safeguards.silent_start { terms.vote_lasts } else { 0 };
+        Voter { silent_until: now + silent, vote: None }
+    }
+
+    /// Whether the candidate has the vote from here on, for `vote_lasts`.
+    pub fn ask(&mut self, now: Tenths, from: &Who, ballot: u64, terms: &Terms) -> bool {
+        let taken = self.vote.as_ref().is_some_and(|vote| vote.till > now && vote.to != *from);
+        if now < self.silent_until || taken {
+            return false;
+        }
+        let newest = self.vote.as_ref().filter(|vote| vote.to == *from).map_or(0, |vote| vote.ballot);
+        let till = now + terms.vote_lasts;
+        self.vote = Some(Vote { to: from.clone(), ballot: ballot.max(newest), till });
+        true
+    }
+
+    /// Gives the vote of this ballot back; a late word on an earlier one changes nothing.
+    pub fn release(&mut self, from: &Who, ballot: u64) -> bool {
+        let is = |vote: &Vote| vote.to == *from && vote.ballot == ballot;
+        self.vote.take_if(|vote| is(vote)).is_some()
+    }
+
+    /// Who has the vote now.
+    pub fn keeper(&self, now: Tenths) -> Option<&Who> {
+        self.vote.as_ref().filter(|vote| vote.till > now).map(|vote| &vote.to)
+    }
+
+    /// When a vote can next be given to another.
+    pub fn free_at(&self) -> Tenths {
+        self.vote.as_ref().map_or(0, |vote| vote.till).max(self.silent_until)
+    }
+}
--- /dev/null
+++ b/rig/src/divided.rs
@@ -0,0 +1,367 @@
+//! Fleet-wide budgets in simulated time, on the package that the node runs: a script of faults, demand by
+//! node and time, and an independent count of what was used.
+//!
+//! The count knows nothing of leases: it takes note of each use at its true time, and compares with the whole.
+
+use std::collections::BTreeMap;
+use std::time::Instant;
+
+use doortrack_budgets::{Action, Budget, Budgets, Event, Kind, Letter, Message, News, Terms, Who};
+use doortrack_emulator::{Clock, Law, Links, MachineId, Micros, Net, Next};
+use doortrack_fleet::{Life, Name, Seat, View};
+
+use crate::history::name;
+use crate::script::{Fault, Script};
+
+const MS: Micros = 1_000;
+const TENTH: Micros = 100;
+/// What clocks show at the start.
+const BASE: i64 = 100_000 * MS as i64;
+/// How often nodes look whether somebody asks.
+const STEP: Micros = 10 * MS;
+/// How late nodes learn of starts.
+const LEARN: Micros = 500 * MS;
+/// Bytes round each letter: IP, UDP, version, hash, the fleet's name.
+const ROUND: u64 = 52;
+const TOKEN: f64 = 1.0;
+
+/// How a play differs from the plainest.
+pub struct Ways<'a> {
+    pub terms: Terms,
+    pub list: Vec<Budget>,
+    pub latency: Law,
+    /// Least and most that clocks gain, in millionths.
+    pub drift_ppm: (i64, i64),
+    pub offset_ms: i64,
+    /// Uses that are asked for a second: of a node, of the budget at a place, at a time in ms.
+    pub demand: &'a dyn Fn(usize, usize, u64) -> f64,
+    /// How long places are held, in the mean; never longer than the budget says.
+    pub held_ms: u64,
+    /// Uses are counted from here on, for figures.
+    pub count_from_ms: u64,
+    pub weigh: bool,
+}
+
+/// What came of a play.
+#[derive(Clone, Debug, Default)]
+pub struct Outcome {
+    /// Breaches in words, the first of each budget.
+    pub broken: Vec<String>,
+    /// By budget: asked for and used since `count_from_ms`.
+    pub asked: Vec<u64>,
+    pub used: Vec<u64>,
+    /// Of the first budget, uses by node, and by node and tenth of a second since the start.
+    pub by_node: Vec<u64>,
+    pub by_time: BTreeMap<(usize, u64), u32>,
+    pub keepers: u64,
+    pub datagrams: u64,
+    pub bytes: u64,
+    /// Of the one that sent most.
+    pub most_bytes: u64,
+    pub events: u64,
+    pub decisions_ns: u64,
+    /// The same play gives the same mark.
+    pub digest: u64,
+}
+
+struct World<'a> {
+    net: Net<Letter>,
+    nodes: Vec<Option<Budgets>>,
+    lives: Vec<Life>,
+    started: u64,
+    ways: &'a Ways<'a>,
+    chance: fastrand::Rng,
+    /// By budget: what the leaky count of a rate stands at and when, or the ends of places held.
+    level: Vec<(f64, Micros)>,
+    held: Vec<Vec<(Micros, MachineId, Life)>>,
+    bytes: Vec<u64>,
+    out: Outcome,
+    actions: Vec<Action>,
+    asks_at: Vec<Micros>,
+}
+
+/// Plays a script.
+pub fn play(script: &Script, ways: &Ways) -> Outcome {
+    let links = Links { latency: ways.latency, ..Links::default() };
+    let mut net = Net::new(links, script.seed);
+    let mut chance = fastrand::Rng::with_seed(script.seed ^ 0xb0d6);
+    for _ in 0..script.nodes {
+        let offset = chance.i64(-ways.offset_ms..=ways.offset_ms) * MS as i64 + BASE;
+        net.add(Clock { offset, drift_ppm: chance.i64(ways.drift_ppm.0..=ways.drift_ppm.1) }, 0);
+    }
+    let count = ways.list.len();
+    let mut world = World {
+        net,
+        nodes: (0..script.nodes).map(|_| None).collect(),
+        lives: vec![Life(0); script.nodes],
+        started: 0,
+        ways,
+        chance,
+        level: vec![(0.0, 0); count],
+        held: vec![Vec::new(); count],
+        bytes: vec![0; script.nodes],
+        out: Outcome {
+            asked: vec![0; count],
+            used: vec![0; count],
+            by_node: vec![0; script.nodes],
+            ..Outcome::default()
+        },
+        actions: Vec::new(),
+        asks_at: vec![0; script.nodes],
+    };
+    world.play(script);
+    world.out.most_bytes = world.bytes.iter().copied().max().unwrap_or(0);
+    world.out
+}
+
+impl World<'_> {
+    fn play(&mut self, script: &Script) {
+        let faults = script.in_order();
+        for (nth, timed) in faults.iter().enumerate() {
+            self.net.mark(timed.at_ms * MS, nth as u64);
+        }
+        self.net.keeps = faults.iter().any(|timed| matches!(timed.fault, Fault::Replay { .. }));
+        (0..script.nodes).for_each(|of| self.start(of));
+        self.learn();
+        while let Some(next) = self.net.next(script.ms * MS) {
+            match next {
+                Next::Mark(u64::MAX) => self.learn(),
+                Next::Mark(nth) => self.fault(faults[nth as usize].fault.clone()),
+                Next::Wakes { of } => {
+                    self.happen(of, Event::Turn);
+                    self.asks(of);
+                    self.wake(of);
+                }
+                Next::Hears { of, what, .. } => {
+                    self.happen(of, Event::Heard(what));
+                    self.wake(of);
+                }
+            }
+        }
+    }
+
+    fn start(&mut self, of: MachineId) {
+        if !self.net.is_down(of) {
+            return;
+        }
+        self.net.start(of);
+        self.started += 1;
+        self.lives[of] = Life(self.started);
+        let me = Who { name: name(of).into(), life: self.lives[of] };
+        let now = self.net.shown(of) / TENTH;
+        let (terms, list) = (self.ways.terms.clone(), &self.ways.list);
+        self.nodes[of] = Some(Budgets::new(me, 4, terms, list, self.chance.u64(..), now));
+        self.asks_at[of] = self.net.shown(of);
+        self.wake(of);
+        self.net.mark(self.net.now() + LEARN, u64::MAX);
+    }
+
+    /// All nodes know the voters that run.
+    fn learn(&mut self) {
+        let mut view = View::default();
+        for voter in self.ways.terms.voters.iter() {
+            let of: Option<usize> = voter[1..].parse().ok();
+            if let Some(of) = of.filter(|of| *of < self.nodes.len() && !self.net.is_down(*of)) {
+                let address = std::net::SocketAddr::from(([10, 0, 0, 1], of as u16));
+                let seat = Seat { life: self.lives[of], address, weight: 4 };
+                view.members.insert(Name::clone(voter), seat);
+            }
+        }
+        for of in 0..self.nodes.len() {
+            self.happen(of, Event::Members(view.clone()));
+        }
+    }
+
+    fn wake(&mut self, of: MachineId) {
+        let Some(node) = &self.nodes[of] else { return };
+        let due = node.next_due().saturating_mul(TENTH).min(self.asks_at[of]);
+        self.net.wake(of, due);
+    }
+
+    fn happen(&mut self, of: MachineId, event: Event) {
+        let now = self.net.shown(of) / TENTH;
+        let Some(mut node) = self.nodes[of].take() else { return };
+        let mut actions = std::mem::take(&mut self.actions);
+        let began = Instant::now();
+        node.happen(now, event, &mut actions);
+        self.out.decisions_ns += began.elapsed().as_nanos() as u64;
+        self.out.events += 1;
+        for action in actions.drain(..) {
+            match action {
+                Action::Send(letter) => self.send(of, letter),
+                Action::Tell(news) => self.out.keepers += u64::from(matches!(news, News::TookOffice { .. })),
+            }
+        }
+        self.actions = actions;
+        self.nodes[of] = Some(node);
+    }
+
+    fn send(&mut self, of: MachineId, letter: Letter) {
+        let Some(to) = letter.to.name[1..].parse().ok().filter(|to| *to < self.nodes.len()) else { return };
+        if self.net.now() >= self.ways.count_from_ms * MS {
+            self.out.datagrams += 1;
+            if self.ways.weigh {
+                let bytes = weight(&letter) + ROUND;
+                self.out.bytes += bytes;
+                self.bytes[of] += bytes;
+            }
+        }
+        let seen = (self.net.now(), of, to, std::mem::discriminant(&letter.message));
+        self.mark(&seen);
+        self.net.send(of, to, letter);
+    }
+
+    fn mark(&mut self, what: &impl std::hash::Hash) {
+        use std::hash::{Hash, Hasher};
+        // The same in every run, unlike the library's own for maps.
+        let mut hasher = std::hash::DefaultHasher::new();
+        (self.out.digest, what).hash(&mut hasher);
+        self.out.digest = hasher.finish();
+    }
+
+    /// Those who come to a node, since it last looked.
+    fn asks(&mut self, of: MachineId) {
+        let shown = self.net.shown(of);
+        if shown < self.asks_at[of] {
+            return;
+        }
+        self.asks_at[of] = shown + STEP;
+        let at_ms = self.net.now() / MS;
+        for place in 0..self.ways.list.len() {
+            self.end_places(place);
+            let mean = (self.ways.demand)(of, place, at_ms) * STEP as f64 / 1e6;
+            // So many that the mean is met: exact but for chance in the fraction.
+            let count = mean as u64 + u64::from(self.chance.f64() < mean.fract());
+            for _ in 0..count {
+                self.ask(of, place);
+            }
+        }
+    }
+
+    fn ask(&mut self, of: MachineId, place: usize) {
+        let now = self.net.shown(of) / TENTH;
+        let counts = self.net.now() >= self.ways.count_from_ms * MS;
+        self.out.asked[place] += u64::from(counts);
+        let Some(node) = &mut self.nodes[of] else { return };
+        if node.take(place, now).is_err() {
+            return;
+        }
+        self.out.used[place] += u64::from(counts);
+        if place == 0 {
+            self.out.by_node[of] += u64::from(counts);
+            *self.out.by_time.entry((of, self.net.now() / (100 * MS))).or_default() += 1;
+        }
+        self.mark(&(self.net.now(), of, place));
+        self.used(of, place);
+    }
+
+    /// Counts one use at its true time.
+    fn used(&mut self, of: MachineId, place: usize) {
+        let (budget, now) = (&self.ways.list[place], self.net.now());
+        let whole = f64::from(budget.whole);
+        match budget.kind {
+            Kind::Rate { burst } => {
+                let (level, at) = self.level[place];
+                let level = (level - whole * (now - at) as f64 / 1e6).max(0.0) + TOKEN;
+                self.level[place] = (level, now);
+                // What is cut to whole tenths of a ms, by each node, may come to a thousandth of a unit.
+                if level > f64::from(burst) + 0.01 {
+                    self.breach(place, format!("{level:.3} beyond {whole} a second, a burst of {burst}"));
+                }
+            }
+            Kind::Places { held_most } => {
+                let mean = (self.ways.held_ms * MS) as f64;
+                let lasts = (-mean * self.chance.f64().max(1e-9).ln()).min((held_most * TENTH) as f64);
+                self.held[place].push((now + lasts as Micros, of, self.lives[of]));
+                let held = self.held[place].iter().filter(|(till, ..)| *till > now).count();
+                if held as u32 > budget.whole {
+                    self.breach(place, format!("{held} places of {whole} are held"));
+                }
+            }
+        }
+    }
+
+    /// Places come to their end; a node that stands still learns of it when it goes on.
+    fn end_places(&mut self, place: usize) {
+        let now = self.net.now();
+        let (nodes, lives, net) = (&mut self.nodes, &self.lives, &self.net);
+        self.held[place].retain(|(till, of, life)| {
+            let over = *till <= now && (net.is_up(*of) || lives[*of] != *life || net.is_down(*of));
+            if over
+                && lives[*of] == *life
+                && let Some(node) = &mut nodes[*of]
+            {
+                node.done(place);
+            }
+            !over
+        });
+    }
+
+    fn breach(&mut self, place: usize, what: String) {
+        let budget = &self.ways.list[place].name;
+        if !self.out.broken.iter().any(|broken| broken.contains(&**budget)) {
+            self.out.broken.push(format!("{} ms: {budget}: {what}", self.net.now() / MS));
+        }
+    }
+
+    fn fault(&mut self, fault: Fault) {
+        match fault {
+            Fault::Kill { nodes } => {
+                for of in nodes.into_iter().filter(|of| !self.net.is_down(*of)).collect::<Vec<_>>() {
+                    self.net.kill(of);
+                    self.nodes[of] = None;
+                }
+            }
+            Fault::Start { nodes, .. } | Fault::StartOlder { nodes } => {
+                for of in nodes {
+                    self.net.kill(of);
+                    self.nodes[of] = None;
+                    self.start(of);
+                }
+            }
+            Fault::Replay { nodes } => nodes.into_iter().for_each(|of| self.net.replay(of)),
+            Fault::Stop { nodes } => nodes.into_iter().for_each(|of| self.net.stop(of)),
+            Fault::GoOn { nodes } => nodes.into_iter().for_each(|of| self.net.go_on(of)),
+            Fault::Leave { nodes } => nodes.into_iter().for_each(|of| self.happen(of, Event::Leave)),
+            Fault::Cut { from, to } => self.cut(&from, &to, true),
+            Fault::Mend { from, to } => self.cut(&from, &to, false),
+            Fault::Links { loss, doubled, garbled, delay_ms } => {
+                let latency = match delay_ms {
+                    0 => self.ways.latency,
+                    ms => Law::Exponential { mean: (ms * MS) as f64 },
+                };
+                let links = self.net.links();
+                (links.loss, links.doubled, links.latency) = (loss + garbled, doubled, latency);
+            }
+            Fault::Server { .. } | Fault::Callers { .. } | Fault::Throttle { .. } => {}
+        }
+    }
+
+    fn cut(&mut self, from: &[usize], to: &[usize], cut: bool) {
+        for of in from {
+            to.iter().for_each(|to| self.net.cut(*of, *to, cut));
+        }
+    }
+}
+
+/// Bytes of a letter as the codec writes it, near enough to compare sizes.
+fn weight(letter: &Letter) -> u64 {
+    let small = |value: u64| 1 + u64::from(value > 127) + u64::from(value > 16_383);
+    let who = |who: &Who| 1 + who.name.len() as u64 + 9;
+    let message = match &letter.message {
+        Message::Ask { ballot } | Message::Vote { ballot } | Message::Refused { ballot } => small(*ballot),
+        Message::Release { ballot } => small(*ballot),
+        Message::Report { seq, items, .. } => {
+            let item = |item: &doortrack_budgets::Item| {
+                let units = [item.need, item.holding, item.accepted, item.whole, item.floor];
+                5 + units.into_iter().map(small).sum::<u64>()
+            };
+            small(*seq) + 2 + items.iter().map(item).sum::<u64>()
+        }
+        Message::Grant { seq, shares } => {
+            small(*seq) + 1 + shares.iter().map(|(_, share)| 5 + small(*share)).sum::<u64>()
+        }
+        Message::Elsewhere { seq, keeper } => small(*seq) + 1 + keeper.as_ref().map_or(0, who),
+    };
+    who(&letter.from) + who(&letter.to) + 1 + message
+}
--- a/rig/src/lib.rs
+++ b/rig/src/lib.rs
@@ -11,6 +11,7 @@
 
 pub mod checks;
 pub mod course;
+pub mod divided;
 pub mod history;
 pub mod processes;
 pub mod relay;
--- /dev/null
+++ b/rig/tests/divided.rs
@@ -0,0 +1,182 @@
+//! Budgets under faults in simulated time: never more than the whole, by a count that knows nothing of leases.
+//! Each safeguard is taken out in turn, and the count must tell.
+
+use std::sync::Arc;
+
+use doortrack_budgets::{Budget, Kind, Safeguards, Terms};
+use doortrack_emulator::Law;
+use doortrack_fleet::Name;
+use doortrack_rig::divided::{Outcome, Ways, play};
+use doortrack_rig::history::name;
+use doortrack_rig::script::{Fault, Script, Timed};
+
+const NODES: usize = 9;
+
+fn names(count: usize) -> Arc<[Name]> {
+    (0..count).map(|of| Name::from(name(of))).collect()
+}
+
+fn rate(whole: u32, burst: u32, floor: u32) -> Budget {
+    let kind = Kind::Rate { burst };
+    Budget { name: "rate".into(), kind, whole, floor, floors_for: names(5), most: whole }
+}
+
+fn places(whole: u32, floor: u32) -> Budget {
+    let kind = Kind::Places { held_most: 20_000 };
+    Budget { name: "places".into(), kind, whole, floor, floors_for: names(5), most: whole }
+}
+
+fn terms(safeguards: Safeguards) -> Terms {
+    Terms { voters: names(5), safeguards, ..Terms::default() }
+}
+
+/// More is asked for everywhere than there is, in turns most of it at one node.
+fn greedy(of: usize, place: usize, ms: u64) -> f64 {
+    let here = (ms / 1_000) as usize % NODES == of;
+    match place {
+        0 => {
+            if here {
+                900.0
+            } else {
+                60.0
+            }
+        }
+        _ => {
+            if here {
+                60.0
+            } else {
+                8.0
+            }
+        }
+    }
+}
+
+fn run(script: &Script, safeguards: Safeguards) -> Outcome {
+    run_with(script, safeguards, (-20_000, 20_000), &greedy)
+}
+
+fn run_with(
+    script: &Script,
+    safeguards: Safeguards,
+    drift_ppm: (i64, i64),
+    demand: &dyn Fn(usize, usize, u64) -> f64,
+) -> Outcome {
+    let ways = Ways {
+        terms: terms(safeguards),
+        list: vec![rate(600, 120, 20), places(30, 1)],
+        latency: Law::LogNormal { mean: 300.0, sigma: 0.5 },
+        drift_ppm,
+        offset_ms: 1_000,
+        demand,
+        held_ms: 1_500,
+        count_from_ms: 0,
+        weigh: false,
+    };
+    play(script, &ways)
+}
+
+fn holds(script: &Script) -> Outcome {
+    let out = run(script, Safeguards::default());
+    assert!(out.broken.is_empty(), "{:?}", out.broken);
+    out
+}
+
+fn script(ms: u64, seed: u64, faults: Vec<(u64, Fault)>) -> Script {
+    let faults = faults.into_iter().map(|(at_ms, fault)| Timed { at_ms, fault }).collect();
+    Script { nodes: NODES, ms, seed, faults }
+}
+
+#[test]
+fn healthy_it_is_put_to_use_and_the_same_each_time() {
+    let one = holds(&script(20_000, 1, vec![]));
+    // All but what went before there was a keeper that lends: 3 s of the 20.
+    assert!(one.used[0] > 17 * 600 * 85 / 100, "{} of {}", one.used[0], one.asked[0]);
+    assert_eq!(one.keepers, 1);
+    assert_eq!(one.digest, holds(&script(20_000, 1, vec![])).digest);
+}
+
+#[test]
+fn whatever_fails_the_whole_is_never_exceeded() {
+    for seed in 1..=40 {
+        holds(&Script::seeded(seed, NODES, 6));
+    }
+}
+
+#[test]
+fn with_most_voters_gone_shares_run_out_to_the_floors() {
+    let gone = script(20_000, 3, vec![(8_000, Fault::Kill { nodes: vec![0, 1, 2] })]);
+    let out = holds(&gone);
+    let used = |from: u64, till: u64| -> u32 {
+        out.by_time.iter().filter(|((_, at), _)| (from..till).contains(at)).map(|(_, count)| count).sum()
+    };
+    // Two floors of 20 a second are left, for 8 s.
+    assert!((250..=340).contains(&used(120, 200)), "{}", used(120, 200));
+    assert!(used(40, 80) > 1_800, "{}", used(40, 80));
+}
+
+/// The plays that each safeguard is there for.
+fn plays() -> Vec<Script> {
+    let all: Vec<usize> = (0..NODES).collect();
+    let cut = |from: Vec<usize>, to: Vec<usize>| Fault::Cut { from, to };
+    let mend = |from: Vec<usize>, to: Vec<usize>| Fault::Mend { from, to };
+    let mut plays: Vec<Script> = (1..=12).map(|seed| Script::seeded(seed, NODES, 6)).collect();
+    for seed in 1..=3 {
+        let (few, rest) = (vec![0, 1, 5, 6], vec![2, 3, 4, 7, 8]);
+        plays.push(script(
+            24_000,
+            seed,
+            vec![
+                (6_000, cut(few.clone(), rest.clone())),
+                (6_000, cut(rest.clone(), few.clone())),
+                (18_000, mend(few.clone(), rest.clone())),
+                (18_000, mend(rest, few)),
+            ],
+        ));
+        // All at once, twice; each keeper in turn, with nothing left of what it knew.
+        let again = |at| (at, Fault::Start { nodes: all.clone(), clock_ms: 0 });
+        plays.push(script(16_000, seed, vec![again(6_000), again(9_300), again(12_100)]));
+        let start = |at: u64, of: usize| (at, Fault::Start { nodes: vec![of], clock_ms: 0 });
+        plays.push(script(
+            20_000,
+            seed,
+            (0..30).map(|nth| start(5_000 + nth * 400, nth as usize % 5)).collect(),
+        ));
+        let rough = Fault::Links { loss: 0.1, doubled: 0.3, garbled: 0.0, delay_ms: 150 };
+        plays.push(script(25_000, seed, vec![(4_000, rough)]));
+        plays.push(script(
+            25_000,
+            seed,
+            vec![
+                (6_000, Fault::Stop { nodes: vec![5, 6, 7] }),
+                (9_500, Fault::GoOn { nodes: vec![5, 6, 7] }),
+            ],
+        ));
+    }
+    plays
+}
+
+fn breaks(what: &str, safeguards: Safeguards) {
+    let broken =
+        plays().iter().map(|script| run(script, safeguards).broken).find(|broken| !broken.is_empty());
+    assert!(broken.is_some(), "{what}: nothing came of taking it out");
+}
+
+#[test]
+fn with_all_safeguards_those_plays_hold() {
+    plays().iter().for_each(|script| _ = holds(script));
+}
+
+#[test]
+fn each_safeguard_is_needed() {
+    let all = Safeguards::default();
+    breaks("majority", Safeguards { majority: false, ..all });
+    breaks("settle", Safeguards { settle: false, ..all });
+    breaks("confirm", Safeguards { confirm: false, ..all });
+    breaks("run out", Safeguards { run_out: false, ..all });
+    breaks("held", Safeguards { held: false, ..all });
+    // All clocks too fast at once: each makes more of a second than there is.
+    let fast = script(30_000, 1, vec![]);
+    assert!(run_with(&fast, all, (20_000, 20_000), &|_, _, _| 200.0).broken.is_empty());
+    let without = run_with(&fast, Safeguards { drift: false, ..all }, (20_000, 20_000), &|_, _, _| 200.0);
+    assert!(!without.broken.is_empty(), "{}", without.used[0]);
+}
