--- a/drill/src/wire.rs
+++ b/drill/src/wire.rs
@@ -147,6 +147,7 @@
             caller,
             age: down(age.into()),
             repeats: (repeats > 0).then_some(repeats),
+            held_back: None,
         })
     }
 
--- /dev/null
+++ b/installation/src/budgets.rs
@@ -0,0 +1,279 @@
+//! The part on budgets: limits that belong to the whole fleet, and how fast they are divided.
+
+use std::collections::BTreeMap;
+
+use doortrack::Tenths;
+use doortrack_budgets::{Budget, Kind, MOST_BUDGETS, Terms, id_of};
+use doortrack_fleet::Name;
+use schemars::JsonSchema;
+use serde::Deserialize;
+
+use crate::{Fault, FleetFile, Installation, Orders};
+
+const MS: Tenths = 10;
+/// The greatest whole, floor, most and burst.
+const MOST_UNITS: u32 = 10_000_000;
+
+/// One limit of the whole fleet. The same on all nodes.
+#[derive(Clone, Debug, PartialEq, Eq, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields)]
+pub struct BudgetFile {
+    /// 1 to 64 bytes, each once.
+    #[schemars(length(min = 1, max = 64))]
+    pub name: String,
+    pub kind: BudgetKind,
+    /// Exchanges a second, or held at once, of all nodes together.
+    #[schemars(range(min = 1, max = 10_000_000))]
+    pub whole: u32,
+    /// Exchanges beyond `whole` times the span, in any span; at least one for each node that is to have a
+    /// share. Needed for a rate, and for no other.
+    #[serde(default)]
+    #[schemars(range(min = 1, max = 10_000_000))]
+    pub burst: Option<u32>,
+    /// Which exchanges it is for: one of the three.
+    #[serde(rename = "for")]
+    pub of: BudgetFor,
+    /// Set aside for each node of `floors_for`, so that it has this much even when it hears nobody. For a
+    /// rate at least `whole` / `burst`, or it holds no whole exchange.
+    #[serde(default)]
+    pub floor: u32,
+    /// Names of the nodes that have a floor. Absent: the voters.
+    #[serde(default)]
+    pub floors_for: Option<Vec<String>>,
+    /// The most that one node may have, its floor included. Absent: the whole.
+    #[serde(default)]
+    #[schemars(range(min = 1, max = 10_000_000))]
+    pub most: Option<u32>,
+    /// What a place is held for at the longest, also by a node that died: so long nobody else has it. Absent:
+    /// the longest async timeout of all endpoint groups. For places alone.
+    #[serde(default)]
+    #[schemars(range(min = 1, max = 3_600_000))]
+    pub held_most_ms: Option<u32>,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize, JsonSchema)]
+#[serde(rename_all = "lowercase")]
+pub enum BudgetKind {
+    /// Exchanges a second.
+    Rate,
+    /// Exchanges held at once, from being taken in to their end.
+    Places,
+}
+
+/// By what exchanges fall under a budget; each customer, group and pool under one at the most.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Deserialize, JsonSchema)]
+#[serde(rename_all = "lowercase", deny_unknown_fields)]
+pub enum BudgetFor {
+    Customer(String),
+    Group(String),
+    /// A pool of servers; `servers` is the one without a name.
+    Pool(String),
+}
+
+/// How fast budgets are divided; the same on all nodes of a fleet.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields, default)]
+pub struct LeaseTimes {
+    /// Needs are told, and shares lent, so often.
+    #[schemars(range(min = 20, max = 10_000))]
+    pub round_ms: u32,
+    /// A keeper that is not heard for so long may be replaced; at least 3 rounds.
+    #[schemars(range(min = 60, max = 60_000))]
+    pub vote_ms: u32,
+    /// A share that is not prolonged ends after so long; at least `vote_ms`.
+    #[schemars(range(min = 60, max = 600_000))]
+    pub lease_ms: u32,
+    /// How far any clock may gain or lose, in thousandths.
+    #[schemars(range(max = 200))]
+    pub drift_permille: u32,
+}
+
+impl Default for LeaseTimes {
+    fn default() -> LeaseTimes {
+        let (terms, ms) = (Terms::default(), |span: Tenths| (span / MS) as u32);
+        LeaseTimes {
+            round_ms: ms(terms.round),
+            vote_ms: ms(terms.vote_lasts),
+            lease_ms: ms(terms.lease),
+            drift_permille: terms.drift as u32,
+        }
+    }
+}
+
+impl LeaseTimes {
+    pub(crate) fn faults(&self, faults: &mut Vec<Fault>) {
+        let mut whole = |key: &str, value: u32, least: u32, most: u32| {
+            if !(least..=most).contains(&value) {
+                let what = format!("{least} to {most} is wanted, found {value}");
+                faults.push(Fault::new(format!("installation.fleet.leases.{key}"), what));
+            }
+        };
+        whole("round_ms", self.round_ms, 20, 10_000);
+        whole("vote_ms", self.vote_ms, self.round_ms.min(10_000) * 3, 60_000);
+        whole("lease_ms", self.lease_ms, self.vote_ms.min(60_000), 600_000);
+        whole("drift_permille", self.drift_permille, 0, 200);
+    }
+}
+
+/// Places of the budgets under which exchanges fall, by their group, customer and pool.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Falls {
+    pub groups: Vec<Option<u16>>,
+    pub customers: Vec<Option<u16>>,
+    /// The pool without a name first, then the others in the order of their names.
+    pub pools: Vec<Option<u16>>,
+}
+
+impl FleetFile {
+    /// What the division is handed.
+    pub fn lease_terms(&self) -> Terms {
+        let (times, ms) = (self.leases, |span: u32| Tenths::from(span) * MS);
+        Terms {
+            voters: self.voters.iter().map(|name| Name::from(name.as_str())).collect(),
+            round: ms(times.round_ms),
+            vote_lasts: ms(times.vote_ms),
+            lease: ms(times.lease_ms),
+            drift: u64::from(times.drift_permille),
+            safeguards: self.tests.safeguards,
+        }
+    }
+}
+
+impl BudgetFile {
+    fn budget(&self, voters: &[String], longest: Tenths) -> Budget {
+        let floors = self.floors_for.as_deref().unwrap_or(voters);
+        let held_most = self.held_most_ms.map_or(longest, |ms| Tenths::from(ms) * MS);
+        Budget {
+            name: self.name.as_str().into(),
+            kind: match self.kind {
+                BudgetKind::Rate => Kind::Rate { burst: self.burst.unwrap_or(1) },
+                BudgetKind::Places => Kind::Places { held_most },
+            },
+            whole: self.whole,
+            floor: self.floor,
+            floors_for: floors.iter().map(|name| Name::from(name.as_str())).collect(),
+            most: self.most.unwrap_or(self.whole).min(self.whole),
+        }
+    }
+
+    fn faults(&self, at: &str, voters: &[String], faults: &mut Vec<Fault>) {
+        let mut fault = |key: &str, what: String| faults.push(Fault::new(format!("{at}{key}"), what));
+        if !doortrack_fleet::is_name(&self.name) {
+            fault(".name", "1 to 64 bytes without control characters are wanted".into());
+        }
+        for (key, value, least) in [
+            (".whole", Some(self.whole), 1),
+            (".burst", self.burst, 1),
+            (".most", self.most, 1),
+            (".floor", Some(self.floor), 0),
+        ] {
+            if value.is_some_and(|value| !(least..=MOST_UNITS).contains(&value)) {
+                let found = value.unwrap_or(0);
+                fault(key, format!("{least} to {MOST_UNITS} is wanted, found {found}"));
+            }
+        }
+        match (self.kind, self.burst) {
+            (BudgetKind::Rate, None) => fault("", "needed key 'burst' is missing: a rate has one".into()),
+            (BudgetKind::Places, Some(_)) => fault(".burst", "only a rate has one".into()),
+            _ => {}
+        }
+        if self.kind == BudgetKind::Rate && self.held_most_ms.is_some() {
+            fault(".held_most_ms", "only places are held".into());
+        }
+        if self.held_most_ms.is_some_and(|ms| !(1..=3_600_000).contains(&ms)) {
+            fault(".held_most_ms", "1 to 3600000 is wanted".into());
+        }
+        let floors = self.floors_for.as_deref().unwrap_or(voters).len() as u64;
+        if u64::from(self.floor) * floors > u64::from(self.whole) {
+            let what = format!("{} for each of {floors} nodes are more than the whole", self.floor);
+            fault(".floor", what);
+        }
+        if self.most.is_some_and(|most| most < self.floor) {
+            fault(".most", "less than the floor".into());
+        }
+        let burst = u64::from(self.burst.unwrap_or(1));
+        let too_small = self.floor > 0 && u64::from(self.floor) * burst < u64::from(self.whole);
+        if self.kind == BudgetKind::Rate && too_small {
+            let least = u64::from(self.whole).div_ceil(burst);
+            fault(".floor", format!("at least {least} (whole / burst) is wanted, or it holds no whole one"));
+        }
+    }
+}
+
+impl Installation {
+    pub(crate) fn budget_faults(&self, faults: &mut Vec<Fault>) {
+        const AT: &str = "installation.budgets";
+        if self.budgets.is_empty() {
+            return;
+        }
+        if self.budgets.len() > MOST_BUDGETS {
+            let what = format!("at most {MOST_BUDGETS} are wanted, found {}", self.budgets.len());
+            faults.push(Fault::new(AT, what));
+        }
+        match &self.fleet {
+            None => faults.push(Fault::new(AT, "without 'fleet' there is nobody to divide them with")),
+            Some(fleet) if fleet.voters.is_empty() => {
+                faults.push(Fault::new("installation.fleet.voters", "budgets need at least one"));
+            }
+            Some(_) => {}
+        }
+        let voters = self.fleet.as_ref().map_or(&[][..], |fleet| &fleet.voters);
+        let (mut ids, mut falls) = (BTreeMap::new(), BTreeMap::new());
+        for (nth, budget) in self.budgets.iter().enumerate() {
+            budget.faults(&format!("{AT}[{nth}]"), voters, faults);
+            if let Some(other) = ids.insert(id_of(&budget.name), nth) {
+                let what = match budget.name == self.budgets[other].name {
+                    true => format!("the name of {AT}[{other}]"),
+                    false => format!("nodes could not tell it from that of {AT}[{other}]: take another"),
+                };
+                faults.push(Fault::new(format!("{AT}[{nth}].name"), what));
+            }
+            if let Some(other) = falls.insert(&budget.of, nth) {
+                let what = format!("under {AT}[{other}] already");
+                faults.push(Fault::new(format!("{AT}[{nth}].for"), what));
+            }
+        }
+    }
+
+    /// What can't go together with the platform's configuration.
+    pub(crate) fn budgets_beside(&self, orders: &Orders, faults: &mut Vec<Fault>) {
+        for (nth, budget) in self.budgets.iter().enumerate() {
+            let (kind, known, name) = match &budget.of {
+                BudgetFor::Customer(name) => ("customer", orders.handed.customer_names.contains(name), name),
+                BudgetFor::Group(name) => ("endpoint group", orders.handed.group_names.contains(name), name),
+                BudgetFor::Pool(name) => ("pool", self.pool_names().any(|pool| pool == name), name),
+            };
+            if !known {
+                let what = format!("there is no {kind} '{name}'");
+                faults.push(Fault::new(format!("installation.budgets[{nth}].for"), what));
+            }
+        }
+    }
+
+    fn pool_names(&self) -> impl Iterator<Item = &str> {
+        let first = self.servers.iter().map(|_| "servers");
+        first.chain(self.pools.keys().map(String::as_str))
+    }
+
+    /// The budgets, in the order of the file.
+    pub fn budget_list(&self, orders: &Orders) -> Vec<Budget> {
+        let voters = self.fleet.as_ref().map_or(&[][..], |fleet| &fleet.voters);
+        let groups = &orders.handed.contract.groups;
+        let longest = groups.iter().map(|group| group.async_timeout).max().unwrap_or(0);
+        self.budgets.iter().map(|budget| budget.budget(voters, longest)).collect()
+    }
+
+    /// Under which of them exchanges fall.
+    pub fn falls(&self, orders: &Orders) -> Falls {
+        let under =
+            |of: BudgetFor| self.budgets.iter().position(|budget| budget.of == of).map(|place| place as u16);
+        let all = |names: &[String], of: fn(String) -> BudgetFor| {
+            names.iter().map(|name| under(of(name.clone()))).collect()
+        };
+        Falls {
+            groups: all(&orders.handed.group_names, BudgetFor::Group),
+            customers: all(&orders.handed.customer_names, BudgetFor::Customer),
+            pools: self.pool_names().map(|name| under(BudgetFor::Pool(name.into()))).collect(),
+        }
+    }
+}
--- a/installation/src/file.rs
+++ b/installation/src/file.rs
@@ -11,7 +11,7 @@
 use serde_json::Value;
 
 use crate::rules::{ExpressionLimits, RuleFile};
-use crate::{Fault, Faults, FleetFile, Orders, Servers, gather};
+use crate::{BudgetFile, Fault, Faults, FleetFile, Orders, Servers, gather};
 
 /// Fronts that one node may have beside the platform's listener.
 pub const MOST_FRONTS: usize = 8;
@@ -46,6 +46,10 @@
     /// Other nodes, and how this one and they know of one another. Absent: it knows of none.
     #[serde(default)]
     pub fleet: Option<FleetFile>,
+    /// Limits that belong to the whole fleet; at most 256.
+    #[serde(default)]
+    #[schemars(length(max = 256))]
+    pub budgets: Vec<BudgetFile>,
 }
 
 /// One address on which callers are taken in.
@@ -100,7 +104,8 @@
 pub fn parse(text: &[u8]) -> Result<Installation, Faults> {
     const AT: &str = "installation";
     let value: Value = serde_json::from_slice(text).map_err(|e| Faults::one(AT, format!("not JSON: {e}")))?;
-    let lists = ["fronts", "rules"].into_iter().filter_map(|key| Some((key, value.get(key)?.as_array()?)));
+    let lists =
+        ["fronts", "rules", "budgets"].into_iter().filter_map(|key| Some((key, value.get(key)?.as_array()?)));
     let parts = lists.flat_map(|(key, list)| {
         list.iter().enumerate().map(move |(nth, part)| (format!("{AT}.{key}[{nth}]"), part))
     });
@@ -156,6 +161,7 @@
         if let Some(fleet) = &self.fleet {
             fleet.faults(&mut faults);
         }
+        self.budget_faults(&mut faults);
         if self.otherwise.is_some() && self.rules.is_empty() {
             faults.push(Fault::new("installation.otherwise", "without rules there is nothing else"));
         }
@@ -185,7 +191,11 @@
         let pools: String =
             self.pools_of_servers().map(|(_, pool)| format!("; {}", pool.in_one_line())).collect();
         let fleet = self.fleet.as_ref().map_or(String::new(), |fleet| format!("; of fleet {}", fleet.name));
-        format!("good: {fronts}{pools}{rules}{fleet}")
+        let budgets = match self.budgets.len() {
+            0 => String::new(),
+            count => format!("; {count} budgets"),
+        };
+        format!("good: {fronts}{pools}{rules}{fleet}{budgets}")
     }
 
     /// What can't go together with the platform's configuration.
@@ -208,6 +218,7 @@
         if let Some(fleet) = &self.fleet {
             fleet.beside(orders, &mut faults);
         }
+        self.budgets_beside(orders, &mut faults);
         if faults.is_empty() { Ok(()) } else { Err(Faults(faults)) }
     }
 }
--- a/installation/src/fleet.rs
+++ b/installation/src/fleet.rs
@@ -5,11 +5,12 @@
 use std::path::{Path, PathBuf};
 
 use doortrack::Tenths;
+use doortrack_budgets::Safeguards;
 use doortrack_fleet::{Terms, is_name};
 use schemars::JsonSchema;
 use serde::Deserialize;
 
-use crate::{Fault, Faults, Orders};
+use crate::{Fault, Faults, LeaseTimes, Orders};
 
 const MS: Tenths = 10;
 /// Seeds, and voters, that one file may name.
@@ -50,6 +51,20 @@
     pub weight: Option<u32>,
     #[serde(default)]
     pub times: FleetTimes,
+    /// How fast budgets are divided.
+    #[serde(default)]
+    pub leases: LeaseTimes,
+    /// Never read from a file.
+    #[serde(skip)]
+    pub tests: FleetTests,
+}
+
+/// What tests of fleets do to one process; set by words of the command line that are hidden.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct FleetTests {
+    /// The part's clock gains so many millionths.
+    pub drift_ppm: i32,
+    pub safeguards: Safeguards,
 }
 
 /// How fast members are probed and given up.
@@ -160,6 +175,7 @@
         whole(".times.doubt_least_ms", times.doubt_least_ms, 20, 600_000);
         whole(".times.doubt_most_ms", times.doubt_most_ms, times.doubt_least_ms.min(600_000), 600_000);
         whole(".times.forget_after_ms", times.forget_after_ms, 1_000, 86_400_000);
+        self.leases.faults(faults);
     }
 
     /// What can't go together with the platform's configuration.
--- a/installation/src/lib.rs
+++ b/installation/src/lib.rs
@@ -5,6 +5,7 @@
 //! Both are read whole before anything is done with them, and every [`Fault`] names the path of its key, as
 //! in `installation.fronts[1].listen`. Nothing here opens a socket or looks at a clock.
 
+pub mod budgets;
 pub mod file;
 pub mod fleet;
 pub mod gather;
@@ -14,8 +15,9 @@
 
 use std::fmt;
 
+pub use budgets::{BudgetFile, BudgetFor, BudgetKind, Falls, LeaseTimes};
 pub use file::{Front, Installation};
-pub use fleet::{FleetFile, FleetTimes};
+pub use fleet::{FleetFile, FleetTests, FleetTimes};
 pub use orders::{Orders, Room};
 pub use servers::Servers;
 
--- a/node/src/commands/fleet.rs
+++ b/node/src/commands/fleet.rs
@@ -6,16 +6,18 @@
 use std::time::{Duration, Instant};
 
 use clap::{Args, Subcommand};
+use doortrack_budgets::Units;
 use doortrack_fleet::{Name, Report};
 use doortrack_installation::fleet::read_key;
 use serde_json::{Value, json};
 
 use crate::peers::seal::{LONGEST, Seal};
-use crate::peers::spoken::{Ask, Spoken, Status};
+use crate::peers::spoken::{Ask, BudgetStatus, Spoken, Status};
 
 /// One answer is waited for so long, and asked for so often.
 const PATIENCE: Duration = Duration::from_millis(300);
 const TRIES: usize = 5;
+const TRIES_OF_BUDGETS: usize = 2;
 /// Members that are shown at the most.
 const MOST: usize = 10_000;
 
@@ -56,6 +58,17 @@
 pub struct Seen {
     pub first: Status,
     pub members: Vec<Report>,
+    /// As [`ask_budgets`] tells them; empty where nobody asked.
+    pub budgets: Vec<BudgetStatus>,
+    pub keeper: Option<Name>,
+}
+
+fn budget(of: &BudgetStatus, keeper: Option<&Name>) -> Value {
+    // Shares of a rate are thousandths on the wire, and exchanges a second for people.
+    let units = |units: Units| if of.rate { json!(units as f64 / 1_000.0) } else { json!(units) };
+    json!({"name": of.name, "kind": if of.rate { "rate" } else { "places" }, "whole": of.whole,
+        "share": units(of.share), "used": of.used, "denied": of.denied, "need": units(of.need),
+        "in_use": of.in_use, "until_ms": of.until_ms, "lent": of.lent.map(units), "keeper": keeper.map(|name| &**name)})
 }
 
 impl Seen {
@@ -68,7 +81,8 @@
         json!({"fleet": first.fleet, "name": &*first.name, "life": first.life.to_string(),
             "view": first.view, "digest": format!("{:016x}", first.digest), "in_view": first.in_view,
             "cut_off": first.cut_off, "displaced": first.displaced,
-            "members": self.members.iter().map(member).collect::<Vec<_>>()})
+            "members": self.members.iter().map(member).collect::<Vec<_>>(),
+            "budgets": self.budgets.iter().map(|of| budget(of, self.keeper.as_ref())).collect::<Vec<_>>()})
     }
 
     fn text(&self) -> String {
@@ -88,6 +102,13 @@
             text += &format!("{name:<16} {state:<10} {address:<22} weight {:<4} life {}", of.weight, of.life);
             text += &format!("  for {} ms\n", of.for_ms);
         }
+        for of in &self.budgets {
+            let scale = if of.rate { 1_000.0 } else { 1.0 };
+            let (share, need) = (of.share as f64 / scale, of.need as f64 / scale);
+            let lasts = of.until_ms.map_or(String::new(), |ms| format!("  for {ms} ms"));
+            text += &format!("budget {:<16} {share:.1} of {}, needs {need:.1}, ", of.name, of.whole);
+            text += &format!("{} used, {} denied{lasts}\n", of.used, of.denied);
+        }
         text.pop();
         text
     }
@@ -115,7 +136,8 @@
         let page = page(&sock, &seal, peer, after.clone())?;
         after = page.members.last().map(|last| last.name.clone());
         let (more, members) = (page.more, page.members.clone());
-        let whole = seen.get_or_insert(Seen { first: page, members: Vec::new() });
+        let whole =
+            seen.get_or_insert(Seen { first: page, members: Vec::new(), budgets: Vec::new(), keeper: None });
         whole.members.extend(members);
         if !more || after.is_none() || whole.members.len() >= MOST {
             return seen.ok_or_else(|| format!("{peer}: no answer"));
@@ -142,6 +164,40 @@
     Err(format!("{peer}: no answer; is it a node's fleet address, and the key that fleet's?"))
 }
 
+/// Asks a node for its budgets, page by page; none where it has none, or knows of no such thing.
+///
+/// # Errors
+/// In words: no socket can be had.
+pub fn ask_budgets(
+    peer: SocketAddr,
+    key: Option<[u8; 32]>,
+) -> Result<(Vec<BudgetStatus>, Option<Name>), String> {
+    let seal = Seal::new(key, "");
+    let own = if peer.is_ipv4() { "0.0.0.0:0" } else { "[::]:0" };
+    let plain = |e: std::io::Error| format!("{peer}: {e}");
+    let sock = UdpSocket::bind(own).map_err(plain)?;
+    sock.set_read_timeout(Some(PATIENCE)).map_err(plain)?;
+    let (mut budgets, mut keeper, mut tries) = (Vec::new(), None, 0);
+    let mut bytes = [0; LONGEST];
+    while tries < TRIES_OF_BUDGETS {
+        let nonce = fastrand::u64(..);
+        let asked = seal.close(&Spoken::AskBudgets { nonce, from: budgets.len() as u16 });
+        sock.send_to(&asked.unwrap_or_default(), peer).map_err(plain)?;
+        tries += 1;
+        let page = sock.recv_from(&mut bytes).ok().and_then(|(len, _)| seal.open(&bytes[..len]).ok());
+        if let Some(Spoken::ToldBudgets(page)) = page
+            && page.nonce == nonce
+        {
+            (tries, keeper) = (0, page.keeper);
+            budgets.extend(page.budgets);
+            if !page.more {
+                break;
+            }
+        }
+    }
+    Ok((budgets, keeper))
+}
+
 /// Carries out one command; `say` is given each line.
 ///
 /// # Errors
@@ -150,7 +206,8 @@
     let key = |whom: &Whom| whom.key_file.as_deref().map(read_key).transpose();
     match command {
         FleetCommand::Status { whom, json } => {
-            let seen = ask(whom.peer, key(whom)?)?;
+            let mut seen = ask(whom.peer, key(whom)?)?;
+            (seen.budgets, seen.keeper) = ask_budgets(whom.peer, key(whom)?)?;
             say(&if *json { seen.json().to_string() } else { seen.text() });
             Ok(())
         }
--- a/node/src/main.rs
+++ b/node/src/main.rs
@@ -4,7 +4,8 @@
 use std::process::ExitCode;
 
 use clap::{Args, Parser, Subcommand};
-use doortrack_installation::{Faults, Installation, file, orders};
+use doortrack_budgets::Safeguards;
+use doortrack_installation::{Faults, FleetTests, Installation, file, orders};
 use doortrack_node::commands::check::check;
 use doortrack_node::commands::expr::{self, ExprCommand};
 use doortrack_node::commands::fleet::{self, FleetCommand};
@@ -69,6 +70,24 @@
     /// Sets this process's clock off by so many ms: for tests of fleets alone
     #[arg(long, hide = true, default_value_t = 0, allow_negative_numbers = true, value_name = "MS")]
     test_clock_ms: i64,
+    /// Has the fleet's own time gain so many millionths: for tests of fleets alone
+    #[arg(long, hide = true, default_value_t = 0, allow_negative_numbers = true, value_name = "PPM")]
+    test_drift_ppm: i32,
+    /// Takes a safeguard of the budgets out: for tests of fleets alone
+    #[arg(long, hide = true, value_name = "SAFEGUARD", value_parser = without)]
+    test_without: Option<Safeguards>,
+}
+
+fn without(word: &str) -> Result<Safeguards, String> {
+    let mut safeguards = Safeguards::default();
+    match word {
+        "settle" => safeguards.settle = false,
+        "confirm" => safeguards.confirm = false,
+        "run-out" => safeguards.run_out = false,
+        "majority" => safeguards.majority = false,
+        _ => return Err("settle, confirm, run-out or majority is wanted".into()),
+    }
+    Ok(safeguards)
 }
 
 fn level(word: &str) -> Result<Level, String> {
@@ -127,10 +146,17 @@
 fn serve(words: Serve) -> Result<(), Vec<String>> {
     let all = |faults: Faults| faults.0.iter().map(ToString::to_string).collect::<Vec<_>>();
     let orders = orders::read().map_err(all)?;
-    let installation = match &words.installation {
+    let mut installation = match &words.installation {
         Some(path) => file::read(path).map_err(all)?,
         None => Installation::default(),
     };
+    let tests =
+        FleetTests { drift_ppm: words.test_drift_ppm, safeguards: words.test_without.unwrap_or_default() };
+    match &mut installation.fleet {
+        Some(fleet) => fleet.tests = tests,
+        None if tests == FleetTests::default() => {}
+        None => return Err(vec!["--test-drift-ppm, --test-without: for nodes of a fleet alone".into()]),
+    }
     installation.beside(&orders).map_err(all)?;
     let log = log::open(&orders.name, words.log_format, words.log_level, words.log_lines);
     if words.test_clock_ms != 0 && installation.fleet.is_none() {
--- a/node/src/memory/exchanges.rs
+++ b/node/src/memory/exchanges.rs
@@ -6,6 +6,7 @@
 use rustc_hash::FxHashMap;
 
 use super::results::Key;
+use crate::parts::Ticket;
 use crate::wire::fronts::{Block, Caller};
 use crate::wire::request::TryId;
 
@@ -42,6 +43,8 @@
     pub stage: Stage,
     /// The one that it repeats.
     pub repeats: Option<ExId>,
+    /// What it holds of the fleet's budgets.
+    pub ticket: Ticket,
 }
 
 #[derive(Default)]
--- a/node/src/parts.rs
+++ b/node/src/parts.rs
@@ -13,6 +13,19 @@
 /// Keys of the poller that parts have, one each.
 pub const PART_KEYS: Range<usize> = 4..8;
 
+/// What a part is told of an exchange that was read and repeats no other.
+#[derive(Clone, Copy, Debug)]
+pub struct Asked {
+    pub group: u8,
+    pub customer: u16,
+    /// The place of its pool of servers; 0 is the one without a name.
+    pub pool: u16,
+}
+
+/// What an exchange has taken of a part's budgets, by their places; it goes back when the exchange ends.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Ticket(pub [Option<u16>; 3]);
+
 /// A part of the node. All calls return at once.
 pub trait Part {
     /// The key of the poller under which it is told that something is ready.
@@ -33,6 +46,17 @@
     /// The operators' file was read again.
     fn take_up(&mut self, installation: &Installation, orders: &Orders);
 
+    /// Whether an exchange may be taken as far as this part goes; the decisions have the last word.
+    ///
+    /// # Errors
+    /// Nothing is left for it; how long to wait before it comes back, in tenths of a ms.
+    fn admit(&mut self, _: Asked) -> Result<Ticket, Tenths> {
+        Ok(Ticket::default())
+    }
+
+    /// An exchange that was let in has come to its end; `ran` if it was run, whatever came of it.
+    fn give_back(&mut self, _: Ticket, _ran: bool) {}
+
     /// A line for the log now and then.
     fn summary(&self, log: &Logger);
 }
--- a/node/src/peers/link.rs
+++ b/node/src/peers/link.rs
@@ -7,14 +7,16 @@
 use std::time::Instant;
 
 use doortrack::Tenths;
+use doortrack_budgets::Who;
 use doortrack_fleet::{Action, Claim, Event, Fleet, Life, News, Stand};
 use doortrack_installation::{FleetFile, Installation, Orders};
 use polling::{Event as Ready, PollMode, Poller};
 use slog::{Logger, info, warn};
 
 use super::seal::{LONGEST, Refused, Seal};
-use super::spoken::{Ask, PAGE, Spoken, Status};
-use crate::parts::{PART_KEYS, Part};
+use super::shares::Shares;
+use super::spoken::{Ask, BudgetPage, PAGE, Spoken, Status};
+use crate::parts::{Asked, PART_KEYS, Part, Ticket};
 
 const KEY: usize = PART_KEYS.start;
 /// Datagrams read in one turn of the loop: a flood of them takes its turn like everything else.
@@ -35,6 +37,13 @@
     refused: BTreeMap<&'static str, u64>,
 }
 
+/// The fleet's own time since `zero`; a test may have it gain.
+fn now(zero: Instant, drift_ppm: i32) -> Tenths {
+    let micros = zero.elapsed().as_micros() as i64;
+    let gained = if drift_ppm == 0 { 0 } else { micros / 1_000 * i64::from(drift_ppm) / 1_000 };
+    ((micros + gained) / 100) as Tenths
+}
+
 /// The link, with the decisions that it serves.
 pub struct Peers {
     sock: UdpSocket,
@@ -45,6 +54,8 @@
     seal: Seal,
     fleet: Fleet,
     actions: Vec<Action>,
+    /// The fleet's budgets, where there are any.
+    shares: Option<Shares>,
     counts: Counts,
     told_at: BTreeMap<&'static str, Tenths>,
     /// Datagrams waited at the end of the last reading.
@@ -59,6 +70,7 @@
     /// # Errors
     /// The key's file, or the address, with the path of its key.
     pub fn open(
+        installation: &Installation,
         file: &FleetFile,
         key: Option<[u8; 32]>,
         orders: &Orders,
@@ -84,7 +96,8 @@
         info!(log, "fleet"; "fleet" => &file.name, "listen" => %file.listen, "life" => %me.life,
             "sealed" => key.is_some(), "seeds" => file.seeds.len());
         let zero = Instant::now();
-        Ok(Peers {
+        let shares = Shares::open(file, installation, orders, Who { name: me.name.clone(), life: me.life });
+        let mut peers = Peers {
             sock,
             log,
             zero,
@@ -92,15 +105,47 @@
             fleet: Fleet::new(me, file.terms(), orders.seed ^ chance, 0),
             file: file.clone(),
             actions: Vec::new(),
+            shares,
             counts: Counts::default(),
             told_at: BTreeMap::new(),
             unread: false,
             waited: 0,
-        })
+        };
+        peers.tell_shares(None);
+        Ok(peers)
     }
 
     fn now(&self) -> Tenths {
-        (self.zero.elapsed().as_micros() / 100) as Tenths
+        now(self.zero, self.file.tests.drift_ppm)
+    }
+
+    /// Budgets rest on who is there; what they ask for is done.
+    fn tell_shares(&mut self, what: Option<doortrack_budgets::Event>) {
+        let now = self.now();
+        let Some(shares) = &mut self.shares else { return };
+        let what = what.unwrap_or_else(|| doortrack_budgets::Event::Members(self.fleet.view().clone()));
+        shares.budgets.happen(now, what, &mut shares.actions);
+        self.carry_out_shares();
+    }
+
+    fn carry_out_shares(&mut self) {
+        let Some(shares) = &mut self.shares else { return };
+        let actions = std::mem::take(&mut shares.actions);
+        for action in actions {
+            match action {
+                doortrack_budgets::Action::Send(letter) => {
+                    let seat = self.fleet.view().members.get(&letter.to.name).copied();
+                    if let Some(seat) = seat.filter(|seat| seat.life == letter.to.life) {
+                        self.send(seat.address, &Spoken::Budgets(letter));
+                    }
+                }
+                doortrack_budgets::Action::Tell(news) => {
+                    if let Some(shares) = &self.shares {
+                        shares.log(&self.log, &news);
+                    }
+                }
+            }
+        }
     }
 
     /// Reads one datagram; whether there may be more.
@@ -120,7 +165,13 @@
                 self.carry_out();
             }
             Ok(Spoken::Ask(ask)) => self.tell(ask, from),
-            Ok(Spoken::Told(_)) => {}
+            Ok(Spoken::Budgets(letter)) => self.tell_shares(Some(doortrack_budgets::Event::Heard(letter))),
+            Ok(Spoken::AskBudgets { nonce, from: place }) => {
+                let none = BudgetPage { nonce, keeper: None, budgets: Vec::new(), more: false };
+                let page = self.shares.as_mut().map_or(none, |shares| shares.page(nonce, place, now));
+                self.send(from, &Spoken::ToldBudgets(Box::new(page)));
+            }
+            Ok(Spoken::Told(_) | Spoken::ToldBudgets(_)) => {}
             Err(refused) => self.refuse(refused, from),
         }
         true
@@ -176,7 +227,11 @@
         for action in std::mem::take(&mut self.actions) {
             match action {
                 Action::Send { to, datagram } => self.send(to, &Spoken::Fleet(*datagram)),
-                Action::Tell(news) => self.log(&news),
+                Action::Tell(news) => {
+                    self.log(&news);
+                    let displaced = matches!(news, News::Displaced { .. });
+                    self.tell_shares(displaced.then_some(doortrack_budgets::Event::Displaced));
+                }
             }
         }
     }
@@ -216,21 +271,40 @@
                 self.carry_out();
             }
         }
+        if self.shares.as_ref().is_some_and(|shares| now >= shares.budgets.next_due()) {
+            self.tell_shares(Some(doortrack_budgets::Event::Turn));
+        }
+    }
+
+    fn admit(&mut self, asked: Asked) -> Result<Ticket, Tenths> {
+        let (zero, drift) = (self.zero, self.file.tests.drift_ppm);
+        match &mut self.shares {
+            Some(shares) => shares.admit(asked, || now(zero, drift)),
+            None => Ok(Ticket::default()),
+        }
+    }
+
+    fn give_back(&mut self, ticket: Ticket, ran: bool) {
+        if let Some(shares) = &mut self.shares {
+            shares.give_back(ticket, ran);
+        }
     }
 
     fn wait(&self) -> Tenths {
-        match self.fleet.next_due() {
+        let shares = self.shares.as_ref().map_or(Tenths::MAX, |shares| shares.budgets.next_due());
+        match self.fleet.next_due().min(shares) {
             Tenths::MAX => Tenths::MAX,
             due => due.saturating_sub(self.now()),
         }
     }
 
     fn leave(&mut self) {
+        self.tell_shares(Some(doortrack_budgets::Event::Leave));
         self.fleet.happen(self.now(), Event::Leave, &mut self.actions);
         self.carry_out();
     }
 
-    fn take_up(&mut self, installation: &Installation, _: &Orders) {
+    fn take_up(&mut self, installation: &Installation, orders: &Orders) {
         let Some(file) = &installation.fleet else {
             return warn!(self.log, "fleet needs a start"; "why" => "it can't be left under way");
         };
@@ -246,6 +320,15 @@
             times: file.times,
             ..self.file.clone()
         };
+        let now = self.now();
+        match &mut self.shares {
+            Some(shares) if shares.has_same_names(installation) => {
+                shares.change(now, &self.file, installation, orders);
+                self.carry_out_shares();
+            }
+            None if installation.budgets.is_empty() => {}
+            _ => warn!(self.log, "budgets need a start"; "why" => "some come, go, or change places"),
+        }
         let terms = Box::new(self.file.terms());
         self.fleet.happen(self.now(), Event::Changed { terms }, &mut self.actions);
         self.carry_out();
@@ -258,5 +341,8 @@
             "heard" => counts.heard, "sent" => counts.sent, "sent_bytes" => counts.sent_bytes,
             "unsent" => counts.unsent, "refused" => slog::Serde(counts.refused.clone()),
             "out_of_place" => self.fleet.refused());
+        if let Some(shares) = &self.shares {
+            shares.summary(log);
+        }
     }
 }
--- a/node/src/peers/mod.rs
+++ b/node/src/peers/mod.rs
@@ -2,6 +2,7 @@
 
 mod link;
 pub mod seal;
+pub mod shares;
 pub mod spoken;
 
 pub use link::Peers;
--- a/node/src/peers/seal.rs
+++ b/node/src/peers/seal.rs
@@ -110,7 +110,7 @@
         }
         // What a later build of this version adds at the end is passed over.
         let (body, _) = postcard::take_from_bytes::<Body<Spoken>>(body).map_err(|_| Refused::Unreadable)?;
-        let asks = body.fleet.is_empty() && matches!(body.what, Spoken::Ask(_));
+        let asks = body.fleet.is_empty() && matches!(body.what, Spoken::Ask(_) | Spoken::AskBudgets { .. });
         let told = self.fleet.is_empty();
         if body.fleet == self.fleet || asks || told { Ok(body.what) } else { Err(Refused::Fleet) }
     }
--- /dev/null
+++ b/node/src/peers/shares.rs
@@ -0,0 +1,146 @@
+//! What this node may use of the fleet's budgets: which of them an exchange falls under, and what is told of
+//! them. How they are divided is decided by `doortrack-budgets`.
+
+use doortrack::Tenths;
+use doortrack_budgets::{Action, Budgets, Event, Kind, News, Who};
+use doortrack_installation::{Falls, FleetFile, Installation, Orders};
+use slog::{Logger, info, warn};
+
+use super::spoken::{BUDGET_PAGE, BudgetPage, BudgetStatus};
+use crate::parts::{Asked, Ticket};
+
+const MS: Tenths = 10;
+/// A look at the clock and the use that follows are one turn of the processor apart; what stood still for longer
+/// between them is counted.
+const LATE: Tenths = 5 * MS;
+
+/// The budgets with what leads to them.
+pub struct Shares {
+    pub budgets: Budgets,
+    falls: Falls,
+    pub actions: Vec<Action>,
+    /// By place: exchanges that passed and were not given back.
+    used: Vec<u64>,
+    /// Uses before which the process stood still after it had looked at its lease.
+    late: u64,
+}
+
+impl Shares {
+    /// None where the installation has no budgets.
+    pub fn open(file: &FleetFile, installation: &Installation, orders: &Orders, me: Who) -> Option<Shares> {
+        if installation.budgets.is_empty() {
+            return None;
+        }
+        let list = installation.budget_list(orders);
+        let weight = file.weight.unwrap_or(orders.handed.contract.cores).max(1);
+        let budgets = Budgets::new(me, weight, file.lease_terms(), &list, fastrand::u64(..), 0);
+        let (falls, used) = (installation.falls(orders), vec![0; list.len()]);
+        Some(Shares { budgets, falls, actions: Vec::new(), used, late: 0 })
+    }
+
+    /// Other budgets under way.
+    pub fn change(&mut self, now: Tenths, file: &FleetFile, installation: &Installation, orders: &Orders) {
+        let list = installation.budget_list(orders);
+        let names: Vec<_> = self.budgets.list().map(|budget| budget.name.clone()).collect();
+        let used = |name: &std::sync::Arc<str>| names.iter().position(|of| of == name);
+        self.used = list.iter().map(|of| used(&of.name).map_or(0, |place| self.used[place])).collect();
+        self.falls = installation.falls(orders);
+        let terms = file.lease_terms();
+        self.budgets.happen(now, Event::Changed { terms, list }, &mut self.actions);
+    }
+
+    /// Whether the names stand in the same order: what exchanges in hand hold is known by its place.
+    pub fn has_same_names(&self, installation: &Installation) -> bool {
+        let new = installation.budgets.iter().map(|budget| &*budget.name);
+        self.budgets.list().map(|budget| &*budget.name).eq(new)
+    }
+
+    /// Takes one of each budget under which the exchange falls, or none. `now` looks at the clock.
+    pub fn admit(&mut self, asked: Asked, now: impl Fn() -> Tenths) -> Result<Ticket, Tenths> {
+        let falls = &self.falls;
+        let under = |list: &[Option<u16>], place: usize| list.get(place).copied().flatten();
+        let places = [
+            under(&falls.groups, usize::from(asked.group)),
+            under(&falls.customers, usize::from(asked.customer)),
+            under(&falls.pools, usize::from(asked.pool)),
+        ];
+        if places == [None; 3] {
+            return Ok(Ticket::default());
+        }
+        let looked = now();
+        for (nth, place) in places.iter().enumerate() {
+            let Some(place) = place.map(usize::from) else { continue };
+            if let Err(wait) = self.budgets.take(place, looked) {
+                let taken = places[..nth].iter().flatten();
+                taken.for_each(|place| self.put_back(usize::from(*place), false));
+                return Err(wait);
+            }
+            self.used[place] += 1;
+        }
+        self.late += u64::from(now() > looked + LATE);
+        Ok(Ticket(places))
+    }
+
+    fn put_back(&mut self, place: usize, ran: bool) {
+        if ran {
+            self.budgets.done(place);
+        } else {
+            self.budgets.unused(place);
+            self.used[place] = self.used[place].saturating_sub(1);
+        }
+    }
+
+    pub fn give_back(&mut self, ticket: Ticket, ran: bool) {
+        ticket.0.iter().flatten().for_each(|place| self.put_back(usize::from(*place), ran));
+    }
+
+    pub fn page(&mut self, nonce: u64, from: u16, now: Tenths) -> BudgetPage {
+        let count = self.used.len();
+        let places = usize::from(from).min(count)..(usize::from(from) + BUDGET_PAGE).min(count);
+        let more = places.end < count;
+        let kinds: Vec<_> = self.budgets.list().map(|of| (of.name.clone(), of.kind, of.whole)).collect();
+        let budgets = places.map(|place| {
+            let (stands, (name, kind, whole)) = (self.budgets.standing(place, now), &kinds[place]);
+            BudgetStatus {
+                name: name.to_string(),
+                rate: matches!(kind, Kind::Rate { .. }),
+                whole: *whole,
+                share: stands.share,
+                used: self.used[place],
+                denied: stands.denied,
+                need: stands.need,
+                in_use: stands.in_use,
+                until_ms: stands.lasts.map(|lasts| lasts / MS),
+                lent: stands.lent,
+            }
+        });
+        let budgets = budgets.collect();
+        BudgetPage { nonce, keeper: self.budgets.keeper().map(|who| who.name.clone()), budgets, more }
+    }
+
+    pub fn log(&self, log: &Logger, news: &News) {
+        let word = news.word();
+        let name = |place: usize| self.budgets.list().nth(place).map_or("", |budget| &budget.name);
+        match news {
+            News::TookOffice { lends_after } => {
+                info!(log, "budget"; "what" => word, "lends_after_ms" => lends_after / MS);
+            }
+            News::LeftOffice => info!(log, "budget"; "what" => word),
+            News::Keeper(who) => info!(log, "budget"; "what" => word, "of" => &*who.name),
+            News::KeeperSilent(who) => warn!(log, "budget"; "what" => word, "of" => &*who.name),
+            News::Share { place, was, share, lasts } => {
+                info!(log, "budget"; "what" => word, "budget" => name(*place), "was" => was, "share" => share,
+                    "lasts_ms" => lasts / MS);
+            }
+            News::RanOut { place, share } => {
+                warn!(log, "budget"; "what" => word, "budget" => name(*place), "was" => share);
+            }
+        }
+    }
+
+    pub fn summary(&self, log: &Logger) {
+        let keeper = self.budgets.keeper().map_or("", |who| &who.name);
+        info!(log, "so far of budgets"; "keeper" => keeper, "passed" => self.used.iter().sum::<u64>(),
+            "late_looks" => self.late);
+    }
+}
--- a/node/src/peers/spoken.rs
+++ b/node/src/peers/spoken.rs
@@ -1,5 +1,6 @@
 //! What is spoken between nodes, and with those that ask a node how things are.
 
+use doortrack_budgets::{Letter, Units};
 use doortrack_fleet::{Datagram, Life, Name, Report};
 use serde::{Deserialize, Serialize};
 
@@ -9,6 +10,10 @@
     Fleet(Datagram),
     Ask(Ask),
     Told(Box<Status>),
+    // What follows is read by builds of this version that have budgets; others count it as no message.
+    Budgets(Letter),
+    AskBudgets { nonce: u64, from: u16 },
+    ToldBudgets(Box<BudgetPage>),
 }
 
 /// Asks for the members from behind a name on.
@@ -37,3 +42,32 @@
     pub members: Vec<Report>,
     pub more: bool,
 }
+
+/// Budgets that one answer tells of.
+pub const BUDGET_PAGE: usize = 6;
+
+/// How a node's budgets stand, from a place on.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct BudgetPage {
+    pub nonce: u64,
+    pub keeper: Option<Name>,
+    pub budgets: Vec<BudgetStatus>,
+    pub more: bool,
+}
+
+/// One budget; shares and needs are places, or thousandths of an exchange a second.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct BudgetStatus {
+    pub name: String,
+    pub rate: bool,
+    pub whole: u32,
+    pub share: Units,
+    pub used: u64,
+    pub denied: u64,
+    pub need: Units,
+    pub in_use: Units,
+    /// For how long what is beyond the floor lasts.
+    pub until_ms: Option<u64>,
+    /// What this node has lent, as the keeper.
+    pub lent: Option<Units>,
+}
--- a/node/src/serve.rs
+++ b/node/src/serve.rs
@@ -265,7 +265,9 @@
     /// Lets go of what never ran and is owed nothing, its entry included, so that a later try may run.
     fn drop_if_held(&mut self, id: ExId) {
         if self.exs.get(id).is_some_and(|ex| !matches!(ex.stage, Stage::Running { .. })) {
-            self.exs.remove(id);
+            if let Some(ex) = self.exs.remove(id) {
+                self.give_back(ex.ticket, false);
+            }
             self.results.forget(id);
             self.settle(id);
         }
--- a/node/src/serve/events.rs
+++ b/node/src/serve/events.rs
@@ -8,6 +8,7 @@
 use super::{Node, READING, STALE};
 use crate::memory::exchanges::{Ex, Stage};
 use crate::memory::results::{Found, NoResult, Repeats};
+use crate::parts::{Asked, Ticket};
 use crate::wire::end::{End, Outcome};
 use crate::wire::engine::Told;
 use crate::wire::fronts::{Block, Caller, Came};
@@ -49,6 +50,12 @@
         let (try_id, group, stamp) = (request.try_id, request.group, request.stamp);
         let block = Some(block).filter(|_| self.work.wants_variables());
         let pool = request.pool.map_or(0, |place| place + 1);
+        // A repeat takes the outcome of the first: it uses nothing more.
+        let asked = Asked { group, customer: request.customer, pool };
+        let (ticket, held_back) = match repeats {
+            None => self.admit(asked),
+            Some(_) => Default::default(),
+        };
         let ex = Ex {
             try_id,
             group,
@@ -60,8 +67,10 @@
             caller: Some(caller),
             stage: Stage::Held,
             repeats,
+            ticket,
         };
         let Some(id) = self.exs.take_in(ex) else {
+            self.give_back(ticket, false);
             let doubled = Answer::Unreadable(Unreadable::Field("HTTP_X_REQUEST_ID"));
             return self.fronts.answer(caller, doubled);
         };
@@ -82,9 +91,30 @@
             caller: request.caller,
             age,
             repeats,
+            held_back,
         }));
     }
 
+    /// What it takes of the fleet's budgets, or when it is to come back.
+    fn admit(&mut self, asked: Asked) -> (Ticket, Option<Tenths>) {
+        let mut ticket = Ticket::default();
+        for part in &mut self.parts {
+            match part.admit(asked) {
+                // One part at the most has budgets.
+                Ok(taken) if taken == Ticket::default() => {}
+                Ok(taken) => ticket = taken,
+                Err(wait) => return (Ticket::default(), Some(wait)),
+            }
+        }
+        (ticket, None)
+    }
+
+    pub(super) fn give_back(&mut self, ticket: Ticket, ran: bool) {
+        if ticket != Ticket::default() {
+            self.parts.iter_mut().for_each(|part| part.give_back(ticket, ran));
+        }
+    }
+
     /// Something ended, with all that this means for the exchange it concerns.
     pub(super) fn ended(&mut self, id: ExId, end: End, made: Made) {
         match end.outcome() {
@@ -97,6 +127,7 @@
             }
             Outcome::RunEnded(outcome) => {
                 let Some(ex) = self.exs.remove(id) else { return };
+                self.give_back(ex.ticket, outcome != RunOutcome::Moot);
                 self.batch.push(Happened::RunEnded { id, outcome });
                 if let Some(caller) = ex.caller {
                     self.finish(caller, (outcome == RunOutcome::Completed).then_some(made));
--- a/node/src/serve/start.rs
+++ b/node/src/serve/start.rs
@@ -68,7 +68,7 @@
     let folder = file.and_then(Path::parent).unwrap_or(Path::new(""));
     let key = fleet.key(folder).map_err(|faults| faults.to_string())?;
     let unix_ms = clock.now() / MS;
-    Ok(vec![Box::new(Peers::open(fleet, key, orders, unix_ms, poller, log.clone())?)])
+    Ok(vec![Box::new(Peers::open(installation, fleet, key, orders, unix_ms, poller, log.clone())?)])
 }
 
 impl Node {
--- /dev/null
+++ b/node/tests/fleet/budgets.rs
@@ -0,0 +1,183 @@
+//! Budgets of a fleet of processes: never more than the whole, by the count of callers and server, whatever
+//! dies, stops and is cut; and shown to be more when a safeguard is taken out of the program.
+
+use std::time::Duration;
+
+use doortrack_node::commands::fleet::ask_budgets;
+use doortrack_node::peers::spoken::BudgetStatus;
+use doortrack_rig::crowd::{Asked, Crowd, Manner};
+use doortrack_rig::processes::Rig;
+use doortrack_rig::script::{Fault, Script};
+use doortrack_rig::spent::{places_broken, rate_broken, used};
+use serde_json::{Value, json};
+
+use crate::{program, script};
+
+const NODES: usize = 5;
+const WHOLE: u32 = 150;
+const BURST: u32 = 50;
+const PLACES: u32 = 5;
+const HELD_MS: u32 = 400;
+
+fn manner() -> Manner {
+    let ms = Duration::from_millis;
+    Manner { callers: 10, rest: ms(4), moves_every: Some(ms(1_500)), work: ms(40) }
+}
+
+fn budgets(whole: u32) -> Value {
+    let names: Vec<String> = (0..NODES).map(|of| format!("n{of}")).collect();
+    json!({"fleet": {"voters": names}, "budgets": [
+        {"name": "looks", "kind": "rate", "whole": whole, "burst": BURST, "for": {"group": "look"}, "floor": 4},
+        {"name": "pays", "kind": "places", "whole": PLACES, "for": {"group": "pay"}, "held_most_ms": HELD_MS}]})
+}
+
+fn with(mut one: Value, other: Value) -> Value {
+    for (key, value) in other.as_object().into_iter().flatten() {
+        one[key] = value.clone();
+    }
+    one
+}
+
+fn key() -> Option<[u8; 32]> {
+    Some([0x5a; 32])
+}
+
+fn standing(rig: &Rig, of: usize) -> Vec<BudgetStatus> {
+    ask_budgets(rig.fleet(of), key()).unwrap().0
+}
+
+/// Waits until what a node says of the first budget is as wanted.
+fn wait_for(rig: &Rig, of: usize, wanted: impl Fn(&BudgetStatus) -> bool) {
+    let until = std::time::Instant::now() + Duration::from_secs(30);
+    loop {
+        let stands = standing(rig, of);
+        if stands.first().is_some_and(&wanted) {
+            return;
+        }
+        assert!(std::time::Instant::now() < until, "n{of}: {stands:?}");
+        std::thread::sleep(Duration::from_millis(50));
+    }
+}
+
+fn play(script: &Script, words: &[&str]) -> Asked {
+    let mut crowd = Crowd::ready(manner());
+    let mut rig = Rig::new(program(), script.nodes, script.seed).unwrap();
+    for of in 0..script.nodes {
+        // Clocks go up to 2% apart, in turns ahead and behind.
+        let drift = if of % 2 == 0 { 15_000 } else { -15_000 };
+        let mut own = vec![format!("--test-drift-ppm={drift}")];
+        own.extend(words.iter().map(|word| word.to_string()));
+        rig.words.insert(of, own);
+    }
+    let more = with(budgets(WHOLE), crowd.installation());
+    let more = |_: usize| more.clone();
+    rig.begin();
+    (0..script.nodes).for_each(|of| rig.start(of, of, &more(of)).unwrap());
+    let fronts: Vec<_> = (0..script.nodes).map(|of| rig.front(of)).collect();
+    crowd.begin(&fronts, script.seed);
+    let began = std::time::Instant::now();
+    for timed in script.in_order() {
+        std::thread::sleep(Duration::from_millis(timed.at_ms).saturating_sub(began.elapsed()));
+        rig.take_up(&timed.fault, &more).unwrap();
+    }
+    std::thread::sleep(Duration::from_millis(script.ms).saturating_sub(began.elapsed()));
+    crowd.finish()
+}
+
+fn broken(asked: &Asked) -> Vec<String> {
+    let rate = rate_broken(&asked.looks, WHOLE, BURST).map(|what| format!("looks: {what}"));
+    let places = places_broken(&asked.runs, PLACES).map(|what| format!("pays: {what}"));
+    rate.into_iter().chain(places).collect()
+}
+
+fn halves(at: u64, till: u64) -> Vec<(u64, Fault)> {
+    let (one, other) = (vec![0, 1], vec![2, 3, 4]);
+    vec![
+        (at, Fault::Cut { from: one.clone(), to: other.clone() }),
+        (at, Fault::Cut { from: other.clone(), to: one.clone() }),
+        (till, Fault::Mend { from: one.clone(), to: other.clone() }),
+        (till, Fault::Mend { from: other, to: one }),
+    ]
+}
+
+#[test]
+fn keepers_die_holders_stop_and_halves_part_and_the_whole_is_never_exceeded() {
+    let start = |nodes: Vec<usize>| Fault::Start { nodes, clock_ms: 0 };
+    let mut faults = vec![
+        (5_000, Fault::Kill { nodes: vec![0] }),
+        (5_600, Fault::Kill { nodes: vec![1] }),
+        (6_200, start(vec![0, 1])),
+        (8_500, Fault::Stop { nodes: vec![2] }),
+        (11_200, Fault::GoOn { nodes: vec![2] }),
+        (16_500, Fault::Kill { nodes: vec![0, 1, 2, 3, 4] }),
+        (16_600, start(vec![0, 1, 2, 3, 4])),
+        (17_000, Fault::Leave { nodes: vec![4] }),
+        (18_600, start(vec![4])),
+    ];
+    faults.extend(halves(12_500, 15_500));
+    let asked = play(&script(NODES, 22_000, faults), &[]);
+    let broken = broken(&asked);
+    assert!(broken.is_empty(), "{broken:#?}");
+    // It was put to use: a good part of what a keeper could lend, however slow the machine.
+    assert!(asked.looks.len() > 300 && asked.pays.len() > 100, "{} {}", asked.looks.len(), asked.pays.len());
+}
+
+#[test]
+fn without_a_majority_two_halves_use_more_than_the_whole() {
+    let asked = play(&script(NODES, 13_000, halves(4_000, 12_500)), &["--test-without", "majority"]);
+    assert!(!broken(&asked).is_empty(), "{} looks", asked.looks.len());
+}
+
+#[test]
+fn shares_are_lent_run_out_to_the_floors_and_follow_a_lower_whole() {
+    let mut rig = Rig::new(program(), NODES, 3).unwrap();
+    let more = |_: usize| budgets(WHOLE);
+    rig.begin();
+    (0..NODES).for_each(|of| rig.start(of, of, &more(of)).unwrap());
+    // All alike: a fifth each, and 4 of it set aside.
+    (0..NODES).for_each(|of| wait_for(&rig, of, |of| of.share >= 24_000 && of.until_ms.is_some()));
+    // One node learns of a lower whole: all keep to it.
+    rig.reload(3, &budgets(50)).unwrap();
+    (0..NODES).for_each(|of| wait_for(&rig, of, |of| of.share <= 12_000));
+    rig.reload(3, &budgets(WHOLE)).unwrap();
+    (0..NODES).for_each(|of| wait_for(&rig, of, |of| of.share >= 24_000));
+    // Most voters gone: the floors are left.
+    rig.take_up(&Fault::Kill { nodes: vec![0, 1, 2] }, &more).unwrap();
+    [3, 4].iter().for_each(|of| wait_for(&rig, *of, |of| of.share == 4_000 && of.until_ms.is_none()));
+    rig.take_up(&Fault::Start { nodes: vec![0], clock_ms: 0 }, &more).unwrap();
+    [0, 3, 4].iter().for_each(|of| wait_for(&rig, *of, |of| of.share > 30_000));
+    let status = std::process::Command::new(program())
+        .args(["fleet", "status", "--json", "--peer", &rig.fleet(3).to_string(), "--key-file"])
+        .arg(rig.key_file())
+        .output()
+        .unwrap();
+    let seen: Value = serde_json::from_slice(&status.stdout).unwrap();
+    assert_eq!(seen["budgets"][0]["name"], "looks", "{seen}");
+    assert!(seen["budgets"][0]["keeper"].is_string() && seen["budgets"][1]["kind"] == "places", "{seen}");
+}
+
+#[test]
+fn what_is_denied_for_a_budget_is_told_at_once_and_a_repeat_is_never() {
+    let ms = Duration::from_millis;
+    let mut crowd = Crowd::ready(Manner { callers: 4, rest: ms(1), moves_every: None, work: ms(1) });
+    let mut rig = Rig::new(program(), 1, 3).unwrap();
+    // One node, whose floor is all there is.
+    let own = json!({"fleet": {"voters": ["n0"]}, "budgets": [
+        {"name": "looks", "kind": "rate", "whole": 20, "burst": 10, "for": {"pool": "servers"}, "floor": 20}]});
+    rig.start(0, 0, &with(own, crowd.installation())).unwrap();
+    drop(doortrack_standins::bed::connect(rig.front(0)));
+    let began = doortrack_standins::unix_ms();
+    crowd.begin(&[rig.front(0)], 1);
+    std::thread::sleep(ms(2_000));
+    let asked = crowd.finish();
+    let all: Vec<_> = asked.looks.iter().chain(&asked.pays).copied().collect();
+    assert_eq!(rate_broken(&all, 20, 10), None);
+    assert!(used(&all, 20, began, began + 2_000) > 0.5, "{}", all.len());
+    use doortrack_standins::caller::Seen;
+    let denied = asked.told.iter().filter_map(|told| match &told.seen {
+        Some(Seen::Denied { come_back, .. }) => Some(come_back.unwrap_or(0)),
+        _ => None,
+    });
+    let denied: Vec<u64> = denied.collect();
+    assert!(denied.len() > 20 && denied.iter().any(|ms| *ms > 0), "{denied:?}");
+}
--- a/node/tests/node/parts.rs
+++ b/node/tests/node/parts.rs
@@ -489,6 +489,7 @@
         caller: None,
         stage: Stage::Held,
         repeats: None,
+        ticket: Default::default(),
     }
 }
 
--- a/rig/src/lib.rs
+++ b/rig/src/lib.rs
@@ -11,6 +11,7 @@
 
 pub mod checks;
 pub mod course;
+pub mod crowd;
 pub mod divided;
 pub mod history;
 pub mod processes;
@@ -18,6 +19,7 @@
 pub mod script;
 pub mod shrink;
 pub mod simulated;
+pub mod spent;
 pub mod streams;
 pub mod traffic;
 
--- a/rig/src/processes.rs
+++ b/rig/src/processes.rs
@@ -1,5 +1,6 @@
 //! A script played on real processes of the program, over loopback.
 
+use std::collections::BTreeMap;
 use std::io::{self, BufRead, BufReader};
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
@@ -46,6 +47,8 @@
     doors: Vec<Stream>,
     /// An older build, for `start_older`.
     pub older: Option<PathBuf>,
+    /// Further words of a node's command line, by its number.
+    pub words: BTreeMap<usize, Vec<String>>,
 }
 
 struct Node {
@@ -109,6 +112,7 @@
             streams,
             doors,
             older: None,
+            words: BTreeMap::new(),
         })
     }
 
@@ -194,6 +198,20 @@
         self.start_off(of, name_of, 0, more)
     }
 
+    /// Has a node read another operators' file, by SIGHUP.
+    ///
+    /// # Errors
+    /// The file can't be written.
+    pub fn reload(&mut self, of: usize, more: &Value) -> io::Result<()> {
+        std::fs::write(self.own_file(of), self.installation(of, more).to_string())?;
+        self.nodes[of].signal(Signal::HUP);
+        Ok(())
+    }
+
+    fn own_file(&self, of: usize) -> PathBuf {
+        self.folder.join(format!("{of}.installation.json"))
+    }
+
     /// Starts a process of the older build.
     fn start_older(&mut self, of: usize, more: &Value) -> io::Result<()> {
         let none = || io::Error::other("start_older: no older build was given");
@@ -220,14 +238,14 @@
         handed["listen"] = json!(self.front(of).to_string());
         handed["stop_ms"] = json!(STOP_MS);
         handed["seed"] = json!(format!("{:016x}", 0x5eed_0000 + of as u64));
-        let (file, own) =
-            (self.folder.join(format!("{of}.json")), self.folder.join(format!("{of}.installation.json")));
+        let (file, own) = (self.folder.join(format!("{of}.json")), self.own_file(of));
         std::fs::write(&file, handed.to_string())?;
         std::fs::write(&own, self.installation(of, more).to_string())?;
         let mut command = Command::new(&self.program);
         command.arg("serve").arg("--installation").arg(&own);
         command.args(["--log-format", "json", "--log-lines", LINES]);
         command.arg(format!("--test-clock-ms={clock_ms}"));
+        command.args(self.words.get(&of).into_iter().flatten());
         command.env("GW_CONFIG", &file).stdout(Stdio::null()).stderr(Stdio::piped());
         let mut process = command.spawn()?;
         self.put(What::Began { node: of });
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -71,6 +71,8 @@
     pub age: Tenths,
     /// The recorded exchange that this one repeats.
     pub repeats: Option<ExId>,
+    /// A budget of the whole fleet has nothing left for it; when it may have.
+    pub held_back: Option<Tenths>,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -310,8 +310,9 @@
         let denied = too_late || no_room || self.turned_away(ex.subject, over_share, unread);
         self.st.strain += STRAIN_NEWEST * (f32::from(denied || unread > READ_LATE) - self.st.strain);
         self.st.read_late += NEWEST * (f32::from(unread > HOLD) - self.st.read_late);
-        if denied {
-            todo.push(self.denial(ex.id, ex.further_try || self.st.strain > STRAIN_BORNE));
+        if denied || ex.held_back.is_some() {
+            let wait = ex.held_back.unwrap_or(0);
+            todo.push(self.denial(ex.id, ex.further_try || self.st.strain > STRAIN_BORNE, wait));
             return;
         }
         if records {
@@ -476,9 +477,11 @@
     }
 
     /// Denied ones are told to come back when the load should be down at T1.
-    fn denial(&self, id: ExId, not_elsewhere: bool) -> Todo {
+    /// `wait` is what else keeps it from being taken.
+    fn denial(&self, id: ExId, not_elsewhere: bool, wait: Tenths) -> Todo {
         let over = (self.load() - T1 * self.capacity).max(0.0) * self.st.mean_took / self.places() as f32;
-        let wait = if self.st.leave.is_some() || self.stuck() { Tenths::MAX } else { over as Tenths };
+        let wait =
+            if self.st.leave.is_some() || self.stuck() { Tenths::MAX } else { wait.max(over as Tenths) };
         let not_elsewhere = not_elsewhere && !self.stuck();
         Todo::Deny { id, not_elsewhere, come_back_in: wait.min(self.terms.longest_come_back) }
     }
@@ -510,7 +513,7 @@
         let others_wait = self.at(Stage::Held) > 0;
         match ex.stage {
             Stage::Held => {
-                todo.push(self.denial(id, true));
+                todo.push(self.denial(id, true, 0));
                 self.drop_held(place, todo);
             }
             Stage::Attached => {
