Places of runs given up stay held; budgets measured; nine processes released in seven seconds

Need: a run that its node gave up may go on in its server, so its place is not free; followed demand took 1.1 s.

--- /dev/null
+++ b/bench/benches/budgets.rs
@@ -0,0 +1,40 @@
+//! The check of a budget on the ordinary path, by itself: the decision alone, without reading the clock.
+
+use std::hint::black_box;
+use std::sync::Arc;
+
+use criterion::{Criterion, criterion_group, criterion_main};
+use doortrack_budgets::{Budget, Budgets, Kind, Terms, Who};
+use doortrack_fleet::{Life, Name};
+
+fn checks(criterion: &mut Criterion) {
+    let me: Name = "n0".into();
+    for (what, kind) in [("rate", Kind::Rate { burst: 1_000 }), ("places", Kind::Places { held_most: 10 })] {
+        let list: Vec<Budget> = (0..200)
+            .map(|nth| Budget {
+                name: format!("b{nth}").into(),
+                kind,
+                whole: 1_000_000,
+                floor: 1_000_000,
+                floors_for: Arc::new([me.clone()]),
+                most: 1_000_000,
+            })
+            .collect();
+        let who = Who { name: me.clone(), life: Life(1) };
+        let mut budgets = Budgets::new(who, 1, Terms::default(), &list, 1, 0);
+        let (mut now, mut place) = (1_000_000, 0);
+        criterion.bench_function(&format!("check of a {what}, one of 200"), |bencher| {
+            bencher.iter(|| {
+                (now, place) = (now + 1, (place + 7) % 200);
+                let taken = budgets.take(place, black_box(now));
+                budgets.done(place);
+                taken
+            })
+        });
+    }
+    let zero = std::time::Instant::now();
+    criterion.bench_function("reading the clock", |bencher| bencher.iter(|| zero.elapsed()));
+}
+
+criterion_group!(benches, checks);
+criterion_main!(benches);
--- a/budgets/src/budgets.rs
+++ b/budgets/src/budgets.rs
@@ -158,7 +158,9 @@
         if now < self.report_at {
             return;
         }
-        self.report_at = now + self.terms.round;
+        // Who is short asks twice as often: what others give up is lent to it that much sooner.
+        let short = self.shares.iter().any(Share::is_short);
+        self.report_at = now + if short { self.terms.round.div_ceil(2) } else { self.terms.round };
         for (place, share) in self.shares.iter_mut().enumerate() {
             if let Some(share) = share.ran_out(now, &self.terms) {
                 out.push(Action::Tell(News::RanOut { place, share }));
--- a/budgets/src/need.rs
+++ b/budgets/src/need.rs
@@ -4,9 +4,12 @@
 
 use crate::{Budget, Kind, Units};
 
-/// Rising needs are followed faster than falling ones; in quarters of the way each round.
-const UP: Units = 3;
-const DOWN: Units = 2;
+/// How far needs are followed each round, in eighths of the way: rising ones at once, where a round has uses
+/// enough to tell; where it has few, chance speaks louder than need.
+const UP: Units = 8;
+const DOWN: Units = 6;
+const FEW: Units = 8;
+const BY_FEW: Units = 1;
 /// What is told is left as it was while the need is above it by less than this part, or below.
 const LEFT_UP: Units = 32;
 const LEFT_DOWN: Units = 12;
@@ -34,6 +37,11 @@
         self.peak = self.peak.max(in_use);
     }
 
+    /// Whether some were denied since the last round.
+    pub fn is_short(&self) -> bool {
+        self.denied > 0
+    }
+
     /// What is to be told, at the end of a round.
     pub fn round(&mut self, now: Tenths, budget: &Budget, in_use: Units) -> Units {
         let span = now.saturating_sub(self.since);
@@ -47,10 +55,19 @@
         // No more than all there is: who reports the absurd gets what is fair among equals.
         let seen = seen.min(budget.whole());
         let (asked, denied, peak) = (0, 0, in_use);
-        let smooth = if seen > self.smooth {
-            (self.smooth * (4 - UP) + seen * UP).div_ceil(4)
-        } else {
-            (self.smooth * (4 - DOWN) + seen * DOWN) / 4
+        let few = match budget.kind {
+            Kind::Rate { .. } => self.asked.max(self.smooth * span / 10_000_000) < FEW,
+            Kind::Places { .. } => false,
+        };
+        let smooth = match (seen > self.smooth, few) {
+            (true, few) => {
+                let part = if few { BY_FEW } else { UP };
+                (self.smooth * (8 - part) + seen * part).div_ceil(8)
+            }
+            (false, few) => {
+                let part = if few { BY_FEW } else { DOWN };
+                (self.smooth * (8 - part) + seen * part) / 8
+            }
         };
         let told = self.told;
         let left = if smooth > told { told / LEFT_UP } else { told / LEFT_DOWN };
--- a/budgets/src/office.rs
+++ b/budgets/src/office.rs
@@ -103,7 +103,7 @@
         if let Office::In(tenure) = &mut self.office
             && now >= tenure.divide_at
         {
-            tenure.divide_at = now + self.terms.round;
+            tenure.divide_at = now + self.terms.round.div_ceil(2);
             self.accounts.divide(now, &self.terms);
         }
     }
--- a/budgets/src/share.rs
+++ b/budgets/src/share.rs
@@ -152,6 +152,11 @@
         }
     }
 
+    /// Whether some were denied since the last round.
+    pub fn is_short(&self) -> bool {
+        self.need.is_short()
+    }
+
     pub fn in_use(&self) -> Units {
         match self.uses {
             Uses::Rate { .. } => 0,
--- a/node/src/parts.rs
+++ b/node/src/parts.rs
@@ -26,6 +26,16 @@
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Ticket(pub [Option<u16>; 3]);
 
+/// What became of an exchange that holds a ticket.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Use {
+    /// It was never run.
+    None,
+    Over,
+    /// Whoever ran it may still be at it, though nobody waits for it here.
+    MayGoOn,
+}
+
 /// A part of the node. All calls return at once.
 pub trait Part {
     /// The key of the poller under which it is told that something is ready.
@@ -54,8 +64,8 @@
         Ok(Ticket::default())
     }
 
-    /// An exchange that was let in has come to its end; `ran` if it was run, whatever came of it.
-    fn give_back(&mut self, _: Ticket, _ran: bool) {}
+    /// An exchange that was let in has come to its end.
+    fn give_back(&mut self, _: Ticket, _: Use) {}
 
     /// A line for the log now and then.
     fn summary(&self, log: &Logger);
--- a/node/src/peers/link.rs
+++ b/node/src/peers/link.rs
@@ -16,7 +16,7 @@
 use super::seal::{LONGEST, Refused, Seal};
 use super::shares::Shares;
 use super::spoken::{Ask, BudgetPage, PAGE, Spoken, Status};
-use crate::parts::{Asked, PART_KEYS, Part, Ticket};
+use crate::parts::{Asked, PART_KEYS, Part, Ticket, Use};
 
 const KEY: usize = PART_KEYS.start;
 /// Datagrams read in one turn of the loop: a flood of them takes its turn like everything else.
@@ -271,6 +271,9 @@
                 self.carry_out();
             }
         }
+        if let Some(shares) = &mut self.shares {
+            shares.free(now);
+        }
         if self.shares.as_ref().is_some_and(|shares| now >= shares.budgets.next_due()) {
             self.tell_shares(Some(doortrack_budgets::Event::Turn));
         }
@@ -284,9 +287,10 @@
         }
     }
 
-    fn give_back(&mut self, ticket: Ticket, ran: bool) {
+    fn give_back(&mut self, ticket: Ticket, came: Use) {
+        let now = self.now();
         if let Some(shares) = &mut self.shares {
-            shares.give_back(ticket, ran);
+            shares.give_back(ticket, came, now);
         }
     }
 
--- a/node/src/peers/shares.rs
+++ b/node/src/peers/shares.rs
@@ -1,13 +1,16 @@
 //! What this node may use of the fleet's budgets: which of them an exchange falls under, and what is told of
 //! them. How they are divided is decided by `doortrack-budgets`.
 
+use std::cmp::Reverse;
+use std::collections::BinaryHeap;
+
 use doortrack::Tenths;
-use doortrack_budgets::{Action, Budgets, Event, Kind, News, Who};
+use doortrack_budgets::{Action, Budget, Budgets, Event, Kind, News, Who};
 use doortrack_installation::{Falls, FleetFile, Installation, Orders};
 use slog::{Logger, info, warn};
 
 use super::spoken::{BUDGET_PAGE, BudgetPage, BudgetStatus};
-use crate::parts::{Asked, Ticket};
+use crate::parts::{Asked, Ticket, Use};
 
 const MS: Tenths = 10;
 /// A look at the clock and the use that follows are one turn of the processor apart; what stood still for longer
@@ -23,6 +26,8 @@
     used: Vec<u64>,
     /// Uses before which the process stood still after it had looked at its lease.
     late: u64,
+    /// Places of runs that were given up, till when they may go on.
+    lingering: BinaryHeap<Reverse<(Tenths, u16)>>,
 }
 
 impl Shares {
@@ -35,7 +40,7 @@
         let weight = file.weight.unwrap_or(orders.handed.contract.cores).max(1);
         let budgets = Budgets::new(me, weight, file.lease_terms(), &list, fastrand::u64(..), 0);
         let (falls, used) = (installation.falls(orders), vec![0; list.len()]);
-        Some(Shares { budgets, falls, actions: Vec::new(), used, late: 0 })
+        Some(Shares { budgets, falls, actions: Vec::new(), used, late: 0, lingering: BinaryHeap::new() })
     }
 
     /// Other budgets under way.
@@ -90,8 +95,25 @@
         }
     }
 
-    pub fn give_back(&mut self, ticket: Ticket, ran: bool) {
-        ticket.0.iter().flatten().for_each(|place| self.put_back(usize::from(*place), ran));
+    pub fn give_back(&mut self, ticket: Ticket, came: Use, now: Tenths) {
+        for place in ticket.0.into_iter().flatten() {
+            let held = self.budgets.list().nth(usize::from(place)).map_or(0, Budget::held_most);
+            if came == Use::MayGoOn && held > 0 {
+                self.lingering.push(Reverse((now + held, place)));
+            } else {
+                self.put_back(usize::from(place), came != Use::None);
+            }
+        }
+    }
+
+    /// Places of runs that are over by now, whoever ran them.
+    pub fn free(&mut self, now: Tenths) {
+        while let Some(Reverse((_, place))) =
+            self.lingering.peek().copied().filter(|Reverse((till, _))| *till <= now)
+        {
+            self.lingering.pop();
+            self.put_back(usize::from(place), true);
+        }
     }
 
     pub fn page(&mut self, nonce: u64, from: u16, now: Tenths) -> BudgetPage {
--- a/node/src/serve.rs
+++ b/node/src/serve.rs
@@ -25,7 +25,7 @@
 use crate::life::signals::{LEAVE_KEY, RELOAD_KEY, Signals};
 use crate::memory::exchanges::{Ex, Exchanges, Stage};
 use crate::memory::results::{Key, Results};
-use crate::parts::{PART_KEYS, Part};
+use crate::parts::{PART_KEYS, Part, Use};
 use crate::wire::end::End;
 use crate::wire::engine::Told;
 use crate::wire::fronts::{Came, FIRST_KEY, Fronts, LISTEN_KEY};
@@ -266,7 +266,7 @@
     fn drop_if_held(&mut self, id: ExId) {
         if self.exs.get(id).is_some_and(|ex| !matches!(ex.stage, Stage::Running { .. })) {
             if let Some(ex) = self.exs.remove(id) {
-                self.give_back(ex.ticket, false);
+                self.give_back(ex.ticket, Use::None);
             }
             self.results.forget(id);
             self.settle(id);
--- a/node/src/serve/events.rs
+++ b/node/src/serve/events.rs
@@ -8,7 +8,7 @@
 use super::{Node, READING, STALE};
 use crate::memory::exchanges::{Ex, Stage};
 use crate::memory::results::{Found, NoResult, Repeats};
-use crate::parts::{Asked, Ticket};
+use crate::parts::{Asked, Ticket, Use};
 use crate::wire::end::{End, Outcome};
 use crate::wire::engine::Told;
 use crate::wire::fronts::{Block, Caller, Came};
@@ -70,7 +70,7 @@
             ticket,
         };
         let Some(id) = self.exs.take_in(ex) else {
-            self.give_back(ticket, false);
+            self.give_back(ticket, Use::None);
             let doubled = Answer::Unreadable(Unreadable::Field("HTTP_X_REQUEST_ID"));
             return self.fronts.answer(caller, doubled);
         };
@@ -109,9 +109,9 @@
         (ticket, None)
     }
 
-    pub(super) fn give_back(&mut self, ticket: Ticket, ran: bool) {
+    pub(super) fn give_back(&mut self, ticket: Ticket, came: Use) {
         if ticket != Ticket::default() {
-            self.parts.iter_mut().for_each(|part| part.give_back(ticket, ran));
+            self.parts.iter_mut().for_each(|part| part.give_back(ticket, came));
         }
     }
 
@@ -127,7 +127,14 @@
             }
             Outcome::RunEnded(outcome) => {
                 let Some(ex) = self.exs.remove(id) else { return };
-                self.give_back(ex.ticket, outcome != RunOutcome::Moot);
+                self.give_back(
+                    ex.ticket,
+                    match outcome {
+                        RunOutcome::Completed => Use::Over,
+                        RunOutcome::Failed | RunOutcome::Stopped => Use::MayGoOn,
+                        RunOutcome::Moot => Use::None,
+                    },
+                );
                 self.batch.push(Happened::RunEnded { id, outcome });
                 if let Some(caller) = ex.caller {
                     self.finish(caller, (outcome == RunOutcome::Completed).then_some(made));
--- a/node/tests/fleet/budgets.rs
+++ b/node/tests/fleet/budgets.rs
@@ -9,6 +9,7 @@
 use doortrack_rig::processes::Rig;
 use doortrack_rig::script::{Fault, Script};
 use doortrack_rig::spent::{places_broken, rate_broken, used};
+use doortrack_standins::caller::Seen;
 use serde_json::{Value, json};
 
 use crate::{program, script};
@@ -60,7 +61,11 @@
 }
 
 fn play(script: &Script, words: &[&str]) -> Asked {
-    let mut crowd = Crowd::ready(manner());
+    play_with(script, words, manner(), &budgets(WHOLE))
+}
+
+fn play_with(script: &Script, words: &[&str], manner: Manner, own: &Value) -> Asked {
+    let mut crowd = Crowd::ready(manner);
     let mut rig = Rig::new(program(), script.nodes, script.seed).unwrap();
     for of in 0..script.nodes {
         // Clocks go up to 2% apart, in turns ahead and behind.
@@ -69,7 +74,7 @@
         own.extend(words.iter().map(|word| word.to_string()));
         rig.words.insert(of, own);
     }
-    let more = with(budgets(WHOLE), crowd.installation());
+    let more = with(own.clone(), crowd.installation());
     let more = |_: usize| more.clone();
     rig.begin();
     (0..script.nodes).for_each(|of| rig.start(of, of, &more(of)).unwrap());
@@ -122,6 +127,39 @@
     assert!(asked.looks.len() > 300 && asked.pays.len() > 100, "{} {}", asked.looks.len(), asked.pays.len());
 }
 
+/// Nine processes, five of which are replaced within 7 s, links rough, and one way to a voter cut.
+#[test]
+fn three_places_and_a_rate_among_nine_that_are_released_in_seven_seconds() {
+    let own = json!({"fleet": {"voters": ["n0", "n1", "n2", "n3", "n4"]}, "budgets": [
+        {"name": "looks", "kind": "rate", "whole": WHOLE, "burst": BURST, "for": {"group": "look"}},
+        {"name": "pays", "kind": "places", "whole": 3, "for": {"group": "pay"}, "held_most_ms": HELD_MS}]});
+    let rough = Fault::Links { loss: 0.05, doubled: 0.1, garbled: 0.01, delay_ms: 10 };
+    let others: Vec<usize> = vec![1, 2, 3, 4, 5, 6, 7, 8];
+    let mut faults = vec![
+        (4_000, rough),
+        (5_000, Fault::Cut { from: others.clone(), to: vec![0] }),
+        (8_000, Fault::Mend { from: others, to: vec![0] }),
+    ];
+    for nth in 0..5 {
+        let at = 9_000 + 1_300 * nth as u64;
+        faults.push((at, Fault::Leave { nodes: vec![nth + 2] }));
+        faults.push((at + 1_200, Fault::Start { nodes: vec![nth + 2], clock_ms: 0 }));
+    }
+    let ms = Duration::from_millis;
+    let manner = Manner { moves_every: Some(ms(1_000)), ..manner() };
+    let asked = play_with(&script(9, 19_000, faults), &[], manner, &own);
+    assert_eq!(rate_broken(&asked.looks, WHOLE, BURST), None);
+    assert_eq!(places_broken(&asked.runs, 3), None);
+    // Each place goes round: three places, and yet most nodes had one.
+    let fronts: std::collections::BTreeSet<usize> = asked
+        .told
+        .iter()
+        .filter(|told| told.marked && matches!(told.seen, Some(Seen::Completed(_))))
+        .map(|told| told.front)
+        .collect();
+    assert!(fronts.len() >= 6 && asked.pays.len() > 50, "{fronts:?} {}", asked.pays.len());
+}
+
 #[test]
 fn without_a_majority_two_halves_use_more_than_the_whole() {
     let asked = play(&script(NODES, 13_000, halves(4_000, 12_500)), &["--test-without", "majority"]);
@@ -173,7 +211,6 @@
     let all: Vec<_> = asked.looks.iter().chain(&asked.pays).copied().collect();
     assert_eq!(rate_broken(&all, 20, 10), None);
     assert!(used(&all, 20, began, began + 2_000) > 0.5, "{}", all.len());
-    use doortrack_standins::caller::Seen;
     let denied = asked.told.iter().filter_map(|told| match &told.seen {
         Some(Seen::Denied { come_back, .. }) => Some(come_back.unwrap_or(0)),
         _ => None,
--- a/rig/tests/divided.rs
+++ b/rig/tests/divided.rs
@@ -180,3 +180,32 @@
     let without = run_with(&fast, Safeguards { drift: false, ..all }, (20_000, 20_000), &|_, _, _| 200.0);
     assert!(!without.broken.is_empty(), "{}", without.used[0]);
 }
+
+/// Two hundred budgets go in pages; one node's need is absurd, and takes no more than its fair part.
+#[test]
+fn two_hundred_budgets_and_an_absurd_need() {
+    let list: Vec<Budget> =
+        (0..200).map(|nth| Budget { name: format!("b{nth}").into(), ..rate(90, 90, 0) }).collect();
+    let demand = |of: usize, place: usize, _: u64| match (place, of) {
+        (0, 8) => 1e6,
+        (0, _) => 20.0,
+        (199, 3) => 80.0,
+        _ => 0.0,
+    };
+    let ways = Ways {
+        terms: terms(Safeguards::default()),
+        list,
+        latency: Law::LogNormal { mean: 300.0, sigma: 0.5 },
+        drift_ppm: (-20_000, 20_000),
+        offset_ms: 0,
+        demand: &demand,
+        held_ms: 1,
+        count_from_ms: 6_000,
+        weigh: false,
+    };
+    let out = play(&script(16_000, 1, vec![]), &ways);
+    assert!(out.broken.is_empty(), "{:?}", out.broken);
+    // A ninth of 90 a second for 10 s each, whoever shouts.
+    assert!(out.by_node.iter().all(|used| (70..=120).contains(used)), "{:?}", out.by_node);
+    assert!(out.used[199] > 700, "{}", out.used[199]);
+}
