What is over at its holder is not prolonged: a late report can't bring back what was lent on

Cause: a keeper that left office and is in it again prolonged what a report said, though the report had been long on its way and another keeper had lent that share on meanwhile (account.rs, report: the unsettled branch; share.rs, grant). Change: a grant says whether it prolongs; the holder takes that only while its lease is in force. budgets/tests/holder.rs fails without.

--- a/budgets/src/account.rs
+++ b/budgets/src/account.rs
@@ -4,7 +4,7 @@
 
 use doortrack::Tenths;
 
-use crate::{Asks, Budget, Id, Item, Terms, Units, Who, divide};
+use crate::{Asks, Budget, Id, Item, Lent, Terms, Units, Who, divide};
 
 /// Shares sent and not yet confirmed, kept one by one; of more the two oldest are taken for the greater.
 const MOST_SENT: usize = 6;
@@ -111,7 +111,7 @@
         items: &[Item],
         settled: impl Fn(&Budget) -> bool,
         terms: &Terms,
-    ) -> Option<Vec<(Id, Units)>> {
+    ) -> Option<Vec<Lent>> {
         let holder = self.holders.entry(who.clone()).or_default();
         holder.weight = weight;
         let mut shares = Vec::with_capacity(items.len());
@@ -142,11 +142,12 @@
             // What others may have is theirs, whatever this one needs.
             let others = book.lent.saturating_sub(before);
             let free = book.lendable.saturating_sub(others);
-            let wanted = if settled(&book.budget) { line.target } else { line.holding };
+            let prolongs = !settled(&book.budget);
+            let wanted = if prolongs { line.holding } else { line.target };
             let share = wanted.min(free);
             line.send(seq, share);
             book.lent = others + line.outstanding(terms);
-            shares.push((item.id, share));
+            shares.push(Lent { id: item.id, share, prolongs });
         }
         (!shares.is_empty()).then_some(shares)
     }
--- a/budgets/src/budgets.rs
+++ b/budgets/src/budgets.rs
@@ -9,7 +9,7 @@
 use crate::office::Office;
 use crate::share::Share;
 use crate::voter::Voter;
-use crate::{Action, Budget, Event, Item, Letter, MOST_ITEMS, Message, News, Terms, Units, Who};
+use crate::{Action, Budget, Event, Id, Item, Lent, Letter, MOST_ITEMS, Message, News, Terms, Who};
 
 /// Reports whose answers still count when they come.
 const MOST_SENT: usize = 128;
@@ -23,6 +23,8 @@
     weight: u32,
     pub(crate) terms: Terms,
     pub(crate) shares: Vec<Share>,
+    /// Where each budget stands among the shares.
+    places: BTreeMap<Id, usize>,
     /// Where this node is one of the voters.
     pub(crate) voter: Option<Voter>,
     pub(crate) office: Office,
@@ -46,6 +48,10 @@
     local: VecDeque<Letter>,
 }
 
+fn places(list: &[Budget]) -> BTreeMap<Id, usize> {
+    list.iter().enumerate().map(|(place, budget)| (budget.id(), place)).collect()
+}
+
 impl Budgets {
     /// A node that has just started. `weight` is its capacity, in a unit that all share; `list` at most
     /// [`crate::MOST_BUDGETS`], each with an id of its own.
@@ -54,6 +60,7 @@
         let voter = terms.voters.contains(&me.name).then(|| Voter::new(now, &terms));
         let mut budgets = Budgets {
             voter,
+            places: places(list),
             shares,
             weight: weight.max(1),
             office: Office::Out { try_at: Tenths::MAX },
@@ -150,6 +157,7 @@
             self.shares.push(share);
         }
         let list: Vec<Budget> = self.shares.iter().map(|share| share.budget.clone()).collect();
+        self.places = places(&list);
         self.accounts.change(&list);
     }
 
@@ -244,14 +252,7 @@
         }
     }
 
-    fn granted(
-        &mut self,
-        now: Tenths,
-        from: &Who,
-        seq: u64,
-        shares: &[(crate::Id, Units)],
-        out: &mut Vec<Action>,
-    ) {
+    fn granted(&mut self, now: Tenths, from: &Who, seq: u64, shares: &[Lent], out: &mut Vec<Action>) {
         let in_order = self.terms.safeguards.in_order;
         if self.keeper.as_ref() != Some(from) || (in_order && seq < self.bound_since) {
             return;
@@ -263,13 +264,13 @@
             return;
         }
         let mut lowered = Vec::new();
-        for (id, share) in shares {
-            let Some(place) = self.shares.iter().position(|of| of.budget.id() == *id) else { continue };
+        for lent in shares {
+            let Some(place) = self.places.get(&lent.id).copied() else { continue };
             let of = &mut self.shares[place];
             if seq <= of.accepted && in_order {
                 continue;
             }
-            let (was, is) = of.grant(now, seq, *share, till, &self.terms);
+            let (was, is) = of.grant(now, seq, *lent, till, &self.terms);
             if was != is {
                 let lasts = till.saturating_sub(now);
                 out.push(Action::Tell(News::Share { place, was, share: is, lasts }));
--- a/budgets/src/letter.rs
+++ b/budgets/src/letter.rs
@@ -48,7 +48,7 @@
     /// What the holder may use from the sending of that report on.
     Grant {
         seq: u64,
-        shares: Vec<(Id, Units)>,
+        shares: Vec<Lent>,
     },
     /// The one that was reported to is not in office; who is, as far as it knows.
     Elsewhere {
@@ -57,6 +57,15 @@
     },
 }
 
+/// One budget in a grant.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct Lent {
+    pub id: Id,
+    pub share: Units,
+    /// It prolongs what the holder has: where that is over meanwhile, it is nothing.
+    pub prolongs: bool,
+}
+
 /// One budget in a report.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct Item {
--- a/budgets/src/lib.rs
+++ b/budgets/src/lib.rs
@@ -21,7 +21,7 @@
 //! - **Moved shares.** What one holder is to give up is lent to another only once the first has said that it
 //!   uses no more, or its lease is over. Whatever was sent and not confirmed counts as lent.
 //! - **A new keeper** knows nothing of what was lent. Until all that an earlier one can have lent is over, it
-//!   only prolongs what holders say they hold.
+//!   only prolongs what holders say they hold, and only where they still do when its word comes.
 //! - **Floors** are set aside from the whole, for named nodes, and need no keeper.
 //!
 //! Assumptions: each process's time goes forward, and against true time by no more than [`Terms::drift`] too
@@ -49,7 +49,7 @@
 
 pub use budgets::Budgets;
 pub use divide::{Asks, divide};
-pub use letter::{Item, Letter, MOST_ITEMS, Message, Who};
+pub use letter::{Item, Lent, Letter, MOST_ITEMS, Message, Who};
 pub use reporting::Standing;
 pub use terms::{Budget, Id, Kind, Safeguards, Terms, Units, id_of};
 
--- a/budgets/src/share.rs
+++ b/budgets/src/share.rs
@@ -3,7 +3,7 @@
 use doortrack::Tenths;
 
 use crate::need::Need;
-use crate::{Budget, Item, Kind, Terms, Units};
+use crate::{Budget, Item, Kind, Lent, Terms, Units};
 
 /// What a unit is counted in, so that thousandths of a unit a second for a tenth of a ms are whole.
 const TOKEN: u64 = 10_000_000;
@@ -184,13 +184,15 @@
         &mut self,
         now: Tenths,
         seq: u64,
-        share: Units,
+        lent: Lent,
         till: Tenths,
         terms: &Terms,
     ) -> (Units, Units) {
         self.settle(now, terms);
         let was = self.leased;
-        self.leased = share.min(self.budget.lent(self.budget.whole(), self.budget.floor()));
+        // A keeper that prolongs may not know that this has been lent to another since it was over here.
+        let most = if lent.prolongs && terms.safeguards.prolong { was } else { Units::MAX };
+        self.leased = lent.share.min(most).min(self.budget.lent(self.budget.whole(), self.budget.floor()));
         (self.till, self.accepted, self.ran_out) = (till, seq, None);
         self.bound();
         (was, self.leased)
--- a/budgets/src/terms.rs
+++ b/budgets/src/terms.rs
@@ -153,6 +153,8 @@
     pub drift: bool,
     /// A holder takes only answers to what it asked of its present keeper, the newest first.
     pub in_order: bool,
+    /// What is prolonged has to be in force yet.
+    pub prolong: bool,
     /// Places count as in use for as long as they may be, beyond a lease and after a start.
     pub held: bool,
 }
@@ -167,6 +169,7 @@
             run_out: true,
             drift: true,
             in_order: true,
+            prolong: true,
             held: true,
         }
     }
--- /dev/null
+++ b/budgets/tests/holder.rs
@@ -0,0 +1,113 @@
+//! A holder by itself: what it makes of a keeper's words, whenever they come.
+
+use std::sync::Arc;
+
+use doortrack::Tenths;
+use doortrack_budgets::{
+    Action, Budget, Budgets, Event, Kind, Lent, Letter, Message, Safeguards, Terms, Who,
+};
+use doortrack_fleet::{Life, Name, Seat, View};
+
+const MS: Tenths = 10;
+
+struct Holder {
+    budgets: Budgets,
+    keeper: Who,
+    now: Tenths,
+}
+
+impl Holder {
+    fn new(safeguards: Safeguards) -> Holder {
+        let keeper = Who { name: "k".into(), life: Life(1) };
+        let voters: Arc<[Name]> = Arc::new([keeper.name.clone()]);
+        let terms = Terms { voters, safeguards, ..Terms::default() };
+        let (kind, floors_for) = (Kind::Places { held_most: 0 }, Arc::new([]));
+        let list = [Budget { name: "b".into(), kind, whole: 20, floor: 0, floors_for, most: 20 }];
+        let me = Who { name: "h".into(), life: Life(2) };
+        let mut budgets = Budgets::new(me, 1, terms, &list, 1, 0);
+        let mut view = View::default();
+        let address = "127.0.0.1:1".parse().unwrap();
+        view.members.insert(keeper.name.clone(), Seat { life: Life(1), address, weight: 1 });
+        budgets.happen(0, Event::Members(view), &mut Vec::new());
+        Holder { budgets, keeper, now: 0 }
+    }
+
+    /// What it reports first when its turn comes, from `now` on.
+    fn reports(&mut self) -> u64 {
+        loop {
+            self.now = self.now.max(self.budgets.next_due());
+            let mut out = Vec::new();
+            self.budgets.happen(self.now, Event::Turn, &mut out);
+            let seq = out.iter().find_map(|action| match action {
+                Action::Send(Letter { message: Message::Report { seq, .. }, .. }) => Some(*seq),
+                _ => None,
+            });
+            if let Some(seq) = seq {
+                return seq;
+            }
+        }
+    }
+
+    fn hears(&mut self, message: Message) {
+        let letter = Letter { from: self.keeper.clone(), to: self.budgets.me().clone(), message };
+        self.budgets.happen(self.now, Event::Heard(letter), &mut Vec::new());
+    }
+
+    fn granted(&mut self, seq: u64, share: u64, prolongs: bool) -> u64 {
+        let id = doortrack_budgets::id_of("b");
+        self.hears(Message::Grant { seq, shares: vec![Lent { id, share, prolongs }] });
+        self.budgets.exposed(0, self.now)
+    }
+
+    /// Bound to its keeper, with ten places.
+    fn with_ten(safeguards: Safeguards) -> Holder {
+        let mut holder = Holder::new(safeguards);
+        let seq = holder.reports();
+        let keeper = Some(holder.keeper.clone());
+        holder.hears(Message::Elsewhere { seq, keeper });
+        let seq = holder.reports();
+        assert_eq!(holder.granted(seq, 10, false), 10);
+        holder
+    }
+}
+
+/// A keeper that left office and is in it again knows nothing of what another lent in between. Its word on a
+/// report that was long on its way must not bring back what was over meanwhile.
+fn late_word(safeguards: Safeguards) -> u64 {
+    let mut holder = Holder::with_ten(safeguards);
+    let granted_at = holder.now;
+    let mut late = 0;
+    while holder.now < granted_at + 400 * MS {
+        late = holder.reports();
+    }
+    // It stands still, so that it holds on to its keeper; its report was sent, and takes its time.
+    holder.now = granted_at + 1_500 * MS;
+    assert_eq!(holder.budgets.exposed(0, holder.now), 0, "its lease is over");
+    holder.granted(late, 10, true)
+}
+
+#[test]
+fn what_is_over_is_not_prolonged() {
+    assert_eq!(late_word(Safeguards::default()), 0);
+    assert_eq!(late_word(Safeguards { prolong: false, ..Safeguards::default() }), 10);
+}
+
+#[test]
+fn what_is_in_force_is_prolonged_and_never_raised_by_that() {
+    let mut holder = Holder::with_ten(Safeguards::default());
+    let seq = holder.reports();
+    assert_eq!(holder.granted(seq, 15, true), 10);
+    let seq = holder.reports();
+    assert_eq!(holder.granted(seq, 15, false), 15);
+    // An older answer that comes later changes nothing, nor does one that comes twice.
+    assert_eq!(holder.granted(seq - 1, 3, false), 15);
+    assert_eq!(holder.granted(seq, 3, false), 15);
+}
+
+#[test]
+fn one_that_is_displaced_uses_nothing_more() {
+    let mut holder = Holder::with_ten(Safeguards::default());
+    holder.budgets.happen(holder.now, Event::Displaced, &mut Vec::new());
+    assert_eq!(holder.budgets.exposed(0, holder.now), 0);
+    assert_eq!(holder.budgets.next_due(), Tenths::MAX);
+}
--- a/rig/src/divided.rs
+++ b/rig/src/divided.rs
@@ -359,7 +359,7 @@
             small(*seq) + 2 + items.iter().map(item).sum::<u64>()
         }
         Message::Grant { seq, shares } => {
-            small(*seq) + 1 + shares.iter().map(|(_, share)| 5 + small(*share)).sum::<u64>()
+            small(*seq) + 1 + shares.iter().map(|lent| 6 + small(lent.share)).sum::<u64>()
         }
         Message::Elsewhere { seq, keeper } => small(*seq) + 1 + keeper.as_ref().map_or(0, who),
     };
