Shares are logged where they change by over an eighth; one way to part two groups in tests

Need: shares follow the load, and each change took one of the 20 lines a second that the log may have.

--- a/bench/src/bin/storm.rs
+++ b/bench/src/bin/storm.rs
@@ -1,5 +1,5 @@
-//! A retry storm of a whole fleet against one shared pool: what is completed in time after the pool stood still
-//! for a moment, with each node's own bound on retries alone, with the fleet's budget beside it, and with no
+//! A retry storm of a whole fleet against one shared pool: what is completed in time after the pool stood
+//! still for a moment, with each node's own bound on retries alone, with the fleet's budget beside it, and with no
 //! retries at all. Played on processes behind the rig.
 
 use std::path::Path;
@@ -122,7 +122,7 @@
         ] {
             let came = play(tries, fleets);
             println!(
-                "round {round}, {what}: completed in time {:.3} of offered before the stall, {:.3} after it; {} runs",
+                "round {round}, {what}: completed in time {:.3} of offered before the stall, {:.3} after; {} runs",
                 came.before, came.after, came.runs
             );
         }
--- a/bench/src/main.rs
+++ b/bench/src/main.rs
@@ -51,7 +51,8 @@
     /// Rules that the installation has, the last of which takes all; not for the platform's listener
     #[arg(long, default_value_t = 0)]
     rules: usize,
-    /// Nodes of the fleet that the node is one of, of which another dies and comes anew every 1.5 s; 1 for none
+    /// Nodes of the fleet that the node is one of; another of them dies and comes anew every 1.5 s; 1 for
+    /// none
     #[arg(long = "fleet", default_values = ["1"])]
     fleets: Vec<usize>,
     /// Bytes of each body
--- a/budgets/src/account.rs
+++ b/budgets/src/account.rs
@@ -101,8 +101,8 @@
         self.turn = old.turn;
     }
 
-    /// Takes a report in, and says what the holder may use; nothing for one that came late. `settled` tells of
-    /// each budget whether all that an earlier keeper lent is over.
+    /// Takes a report in, and says what the holder may use; nothing for one that came late. `settled` tells
+    /// of each budget whether all that an earlier keeper lent is over.
     pub fn report(
         &mut self,
         now: Tenths,
--- a/budgets/src/lib.rs
+++ b/budgets/src/lib.rs
@@ -1,9 +1,9 @@
 //! Decides how much of each budget of the whole fleet this node may use, so that all nodes together never use
 //! more than the whole.
 //!
-//! Every node holds one [`Budgets`]: what it heard is told to it with the time ([`Event`]), what is to be done
-//! comes back as [`Action`]s, and before each use it is asked ([`Budgets::take`]). Neither sockets nor a clock,
-//! and the same events with the same seed give the same actions.
+//! Every node holds one [`Budgets`]: what it heard is told to it with the time ([`Event`]), what is to be
+//! done comes back as [`Action`]s, and before each use it is asked ([`Budgets::take`]). Neither sockets nor a
+//! clock, and the same events with the same seed give the same actions.
 //!
 //! ```text
 //! let mut budgets = Budgets::new(me, weight, terms, list, seed, now);
@@ -11,7 +11,7 @@
 //! if let Err(come_back) = budgets.take(place, now) { .. }  // with the clock read just before
 //! ```
 //!
-//! A **keeper**, one of the fleet's voters, lends shares to all nodes on leases. Nothing is written to a disk:
+//! A **keeper**, one of the fleet's voters, lends shares to all nodes on leases. Nothing is written to disk:
 //! - **Votes.** A voter gives its vote to one candidate for [`Terms::vote_lasts`] and to no other meanwhile;
 //!   who holds the votes of a majority is in office, by its own clock from when it *asked*. A voter that has
 //!   just started may have forgotten a vote, and gives none for as long as one lasts.
--- a/budgets/src/reporting.rs
+++ b/budgets/src/reporting.rs
@@ -60,8 +60,8 @@
         }
     }
 
-    /// What may be in use at the most at this instant, whoever looks: a share that was not looked at since its
-    /// lease ended is none.
+    /// What may be in use at the most at this instant, whoever looks: a share that was not looked at since
+    /// its lease ended is none.
     pub fn exposed(&self, place: usize, now: Tenths) -> Units {
         let mut share = self.shares[place].clone();
         let usable = share.usable(now, &self.terms);
--- a/node/src/commands/fleet.rs
+++ b/node/src/commands/fleet.rs
@@ -68,7 +68,8 @@
     let units = |units: Units| if of.rate { json!(units as f64 / 1_000.0) } else { json!(units) };
     json!({"name": of.name, "kind": if of.rate { "rate" } else { "places" }, "whole": of.whole,
         "share": units(of.share), "used": of.used, "denied": of.denied, "need": units(of.need),
-        "in_use": of.in_use, "until_ms": of.until_ms, "lent": of.lent.map(units), "keeper": keeper.map(|name| &**name)})
+        "in_use": of.in_use, "until_ms": of.until_ms, "lent": of.lent.map(units),
+        "keeper": keeper.map(|name| &**name)})
 }
 
 impl Seen {
--- a/node/src/peers/link.rs
+++ b/node/src/peers/link.rs
@@ -144,7 +144,7 @@
                 }
                 doortrack_budgets::Action::Tell(news) => {
                     if let Some(shares) = &self.shares {
-                        shares.borrow().log(&self.log, &news);
+                        shares.borrow_mut().log(&self.log, &news);
                     }
                 }
             }
--- a/node/src/peers/shares.rs
+++ b/node/src/peers/shares.rs
@@ -5,7 +5,7 @@
 use std::collections::BinaryHeap;
 
 use doortrack::Tenths;
-use doortrack_budgets::{Action, Budget, Budgets, Event, Kind, News, Who};
+use doortrack_budgets::{Action, Budget, Budgets, Event, Kind, News, Units, Who};
 use doortrack_installation::{Falls, FleetFile, Installation, Orders};
 use slog::{Logger, info, warn};
 
@@ -13,8 +13,8 @@
 use crate::parts::{Asked, Ticket, Use};
 
 const MS: Tenths = 10;
-/// A look at the clock and the use that follows are one turn of the processor apart; what stood still for longer
-/// between them is counted.
+/// Some hundred ns lie between a look at the clock and the use that follows. A process that stood still for
+/// longer there is counted.
 const LATE: Tenths = 5 * MS;
 
 /// The budgets with what leads to them.
@@ -22,8 +22,9 @@
     pub budgets: Budgets,
     falls: Falls,
     pub actions: Vec<Action>,
-    /// By place: exchanges that passed and were not given back.
+    /// By place: exchanges that passed and were not given back, and the share that the log told last.
     used: Vec<u64>,
+    told: Vec<Units>,
     /// Uses before which the process stood still after it had looked at its lease.
     late: u64,
     /// Places of runs that were given up, till when they may go on.
@@ -39,8 +40,16 @@
         let list = installation.budget_list(orders);
         let weight = file.weight.unwrap_or(orders.handed.contract.cores).max(1);
         let budgets = Budgets::new(me, weight, file.lease_terms(), &list, fastrand::u64(..), 0);
-        let (falls, used) = (installation.falls(orders), vec![0; list.len()]);
-        Some(Shares { budgets, falls, actions: Vec::new(), used, late: 0, lingering: BinaryHeap::new() })
+        let (falls, used, told) = (installation.falls(orders), vec![0; list.len()], vec![0; list.len()]);
+        Some(Shares {
+            budgets,
+            falls,
+            actions: Vec::new(),
+            used,
+            told,
+            late: 0,
+            lingering: BinaryHeap::new(),
+        })
     }
 
     pub fn happen(&mut self, now: Tenths, what: Event) {
@@ -156,7 +165,15 @@
         BudgetPage { nonce, keeper: self.budgets.keeper().map(|who| who.name.clone()), budgets, more }
     }
 
-    pub fn log(&self, log: &Logger, news: &News) {
+    /// A share is told where it has changed by over an eighth: it follows the load, and the log is bounded.
+    pub fn log(&mut self, log: &Logger, news: &News) {
+        if let News::Share { place, share, .. } = news {
+            let told = &mut self.told[*place];
+            if share.abs_diff(*told) <= (*told).max(*share) / 8 {
+                return;
+            }
+            *told = *share;
+        }
         let word = news.word();
         let name = |place: usize| self.budgets.list().nth(place).map_or("", |budget| &budget.name);
         match news {
--- a/node/tests/fleet/budgets.rs
+++ b/node/tests/fleet/budgets.rs
@@ -14,7 +14,7 @@
 use doortrack_wire::Protocol;
 use serde_json::{Value, json};
 
-use crate::{program, script};
+use crate::{parted, program, script};
 
 const NODES: usize = 5;
 const WHOLE: u32 = 150;
@@ -30,8 +30,10 @@
 fn budgets(whole: u32) -> Value {
     let names: Vec<String> = (0..NODES).map(|of| format!("n{of}")).collect();
     json!({"fleet": {"voters": names}, "budgets": [
-        {"name": "looks", "kind": "rate", "whole": whole, "burst": BURST, "for": {"group": "look"}, "floor": 4},
-        {"name": "pays", "kind": "places", "whole": PLACES, "for": {"group": "pay"}, "held_most_ms": HELD_MS}]})
+        {"name": "looks", "kind": "rate", "whole": whole, "burst": BURST, "floor": 4,
+            "for": {"group": "look"}},
+        {"name": "pays", "kind": "places", "whole": PLACES, "held_most_ms": HELD_MS,
+            "for": {"group": "pay"}}]})
 }
 
 fn with(mut one: Value, other: Value) -> Value {
@@ -98,13 +100,7 @@
 }
 
 fn halves(at: u64, till: u64) -> Vec<(u64, Fault)> {
-    let (one, other) = (vec![0, 1], vec![2, 3, 4]);
-    vec![
-        (at, Fault::Cut { from: one.clone(), to: other.clone() }),
-        (at, Fault::Cut { from: other.clone(), to: one.clone() }),
-        (till, Fault::Mend { from: one.clone(), to: other.clone() }),
-        (till, Fault::Mend { from: other, to: one }),
-    ]
+    parted((vec![0, 1], vec![2, 3, 4]), at, till)
 }
 
 #[test]
@@ -203,7 +199,8 @@
     let mut rig = Rig::new(program(), 1, 3).unwrap();
     // One node, whose floor is all there is.
     let own = json!({"fleet": {"voters": ["n0"]}, "budgets": [
-        {"name": "looks", "kind": "rate", "whole": 20, "burst": 10, "for": {"pool": "servers"}, "floor": 20}]});
+        {"name": "looks", "kind": "rate", "whole": 20, "burst": 10, "floor": 20,
+            "for": {"pool": "servers"}}]});
     rig.start(0, 0, &with(own, crowd.installation())).unwrap();
     drop(doortrack_standins::bed::connect(rig.front(0)));
     let began = doortrack_standins::unix_ms();
@@ -228,9 +225,11 @@
     let servers = [Server::start(Protocol::FastCgi, breaks), Server::start(Protocol::FastCgi, breaks)];
     let mut rig = Rig::new(program(), 3, 3).unwrap();
     let own = json!({"fleet": {"voters": ["n0", "n1", "n2"]},
-        "servers": {"protocol": "fastcgi", "addresses": servers.each_ref().map(|of| of.at.to_string()), "at_once": 8,
+        "servers": {"protocol": "fastcgi", "at_once": 8,
+            "addresses": servers.each_ref().map(|of| of.at.to_string()),
             "aside": {"failures": 1000}, "retries": {"share": 1.0, "burst": 1000, "tries": 3}},
-        "budgets": [{"name": "again", "kind": "rate", "whole": 12, "burst": 6, "for": {"retries": "servers"}}]});
+        "budgets": [{"name": "again", "kind": "rate", "whole": 12, "burst": 6,
+            "for": {"retries": "servers"}}]});
     (0..3).for_each(|of| rig.start(of, of, &own).unwrap());
     (0..3).for_each(|of| wait_for(&rig, of, |of| of.until_ms.is_some()));
     let began = doortrack_standins::unix_ms();
--- a/node/tests/fleet/main.rs
+++ b/node/tests/fleet/main.rs
@@ -29,3 +29,14 @@
     assert!(played.broken.is_empty(), "{:#?}", played.broken);
     assert!(played.served.completed > 0, "{:?}", played.served);
 }
+
+/// Nothing passes between two groups, either way, for a while.
+fn parted(nodes: (Vec<usize>, Vec<usize>), at: u64, till: u64) -> Vec<(u64, Fault)> {
+    let (one, other) = nodes;
+    vec![
+        (at, Fault::Cut { from: one.clone(), to: other.clone() }),
+        (at, Fault::Cut { from: other.clone(), to: one.clone() }),
+        (till, Fault::Mend { from: one.clone(), to: other.clone() }),
+        (till, Fault::Mend { from: other, to: one }),
+    ]
+}
--- a/node/tests/fleet/troubles.rs
+++ b/node/tests/fleet/troubles.rs
@@ -4,7 +4,7 @@
 use doortrack_rig::processes::{Played, play, play_beside};
 use doortrack_rig::script::{Fault, Script, Weather};
 
-use crate::{holds, program, script};
+use crate::{holds, parted, program, script};
 
 fn played(script: &Script) -> Played {
     let played = play(program(), script, 3).unwrap();
@@ -17,16 +17,6 @@
     played.history.entries.iter().filter(|entry| is(&entry.what)).count()
 }
 
-fn both(nodes: (Vec<usize>, Vec<usize>), at: u64, till: u64) -> Vec<(u64, Fault)> {
-    let (one, other) = nodes;
-    vec![
-        (at, Fault::Cut { from: one.clone(), to: other.clone() }),
-        (at, Fault::Cut { from: other.clone(), to: one.clone() }),
-        (till, Fault::Mend { from: one.clone(), to: other.clone() }),
-        (till, Fault::Mend { from: other, to: one }),
-    ]
-}
-
 #[test]
 fn half_of_a_fleet_killed_at_once_is_lost_and_comes_back() {
     let half = vec![0, 1, 2];
@@ -76,7 +66,7 @@
 
 #[test]
 fn two_halves_that_hear_nothing_of_one_another_heal_without_a_start() {
-    let played = played(&script(6, 11_000, both((vec![0, 1, 2], vec![3, 4, 5]), 2_000, 9_000)));
+    let played = played(&script(6, 11_000, parted((vec![0, 1, 2], vec![3, 4, 5]), 2_000, 9_000)));
     assert!(told(&played, "lost") >= 18, "{}", played.history.lines());
     assert_eq!(played.history.entries.iter().filter(|e| matches!(e.what, What::Began { .. })).count(), 6);
 }
--- a/rig/src/divided.rs
+++ b/rig/src/divided.rs
@@ -1,7 +1,8 @@
 //! Fleet-wide budgets in simulated time, on the package that the node runs: a script of faults, demand by
 //! node and time, and an independent count of what was used.
 //!
-//! The count knows nothing of leases: it takes note of each use at its true time, and compares with the whole.
+//! The count knows nothing of leases: it takes note of each use at its true time, and compares with the
+//! whole.
 
 use std::collections::BTreeMap;
 use std::time::Instant;
--- a/rig/src/spent.rs
+++ b/rig/src/spent.rs
@@ -8,8 +8,8 @@
     pub ran: u64,
 }
 
-/// The first span in which more passed than `whole` a second and `burst` beyond, whenever within its two times
-/// each did; none if there is none.
+/// The first span in which more passed than `whole` a second and `burst` beyond, whenever within its two
+/// times each did; none if there is none.
 pub fn rate_broken(passed: &[Passed], whole: u32, burst: u32) -> Option<String> {
     let mut by_asked = passed.to_vec();
     by_asked.sort_unstable();
--- a/rig/tests/divided.rs
+++ b/rig/tests/divided.rs
@@ -1,5 +1,5 @@
-//! Budgets under faults in simulated time: never more than the whole, by a count that knows nothing of leases.
-//! Each safeguard is taken out in turn, and the count must tell.
+//! Budgets under faults in simulated time: never more than the whole, by a count that knows nothing of
+//! leases. Each safeguard is taken out in turn, and the count must tell.
 
 use std::sync::Arc;
 
