--- a/bench/src/bin/budgets.rs
+++ b/bench/src/bin/budgets.rs
@@ -166,8 +166,8 @@
         let out = run(nodes, 15_000, CALM_MS, vec![], &little, 0);
         let each = |of: u64| of as f64 / nodes as f64 / 10.0;
         println!(
-            "{nodes} nodes: {:.1} datagrams and {:.0} bytes a second sent by each, {:.0} bytes by the keeper; \
-             {:.0} ns an event; {:.3} used",
+            "{nodes} nodes: {:.1} datagrams and {:.0} bytes a second sent by each, {:.0} bytes by the \
+             keeper; {:.0} ns an event; {:.3} used",
             each(out.datagrams),
             each(out.bytes),
             out.most_bytes as f64 / 10.0,
--- a/rig/src/checks.rs
+++ b/rig/src/checks.rs
@@ -54,14 +54,20 @@
     name.strip_prefix('n')?.parse().ok()
 }
 
-/// What was told with this word: when, by whom, of whom with which life.
-fn told<'a>(history: &'a History, wanted: &'a str) -> impl Iterator<Item = (u64, usize, usize, &'a str)> {
-    history.entries.iter().filter_map(move |entry| match &entry.what {
-        What::News { node, word, of: Some(of), life, .. } if word == wanted => {
-            Some((entry.at_ms, *node, number(of)?, life.as_deref().unwrap_or_default()))
+/// The losses that are wrong by `wrong` (when, told by whom, of whom), in the words of `say`.
+fn losses(
+    history: &History,
+    wrong: impl Fn(u64, usize, usize) -> bool,
+    say: impl Fn(String, String) -> String,
+) -> Vec<(u64, String)> {
+    let lost = history.entries.iter().filter_map(|entry| match &entry.what {
+        What::News { node, word, of: Some(of), .. } if word == "lost" => {
+            Some((entry.at_ms, *node, number(of)?))
         }
         _ => None,
-    })
+    });
+    let wrongly = lost.filter(|(at, by, of)| wrong(*at, *by, *of));
+    wrongly.map(|(at, by, of)| (at, say(name(by), name(of)))).collect()
 }
 
 /// Reasons for a loss lie within so many ms before it.
@@ -77,12 +83,12 @@
     }
 
     fn judge(&self, history: &History, course: &Course) -> Vec<(u64, String)> {
-        let wrongly = told(history, "lost").filter(|(at, by, of, _)| {
+        let wrong = |at: u64, by: usize, of: usize| {
             let from = at.saturating_sub(REASONS);
-            let reason = |node| course.was_wrong(node, from, *at) || course.was_parted(node, from, *at);
-            !reason(*of) && !reason(*by) && !course.was_rough(from, *at)
-        });
-        wrongly.map(|(at, by, of, _)| (at, format!("{} held {} for lost", name(by), name(of)))).collect()
+            let reason = |node| course.was_wrong(node, from, at) || course.was_parted(node, from, at);
+            !reason(of) && !reason(by) && !course.was_rough(from, at)
+        };
+        losses(history, wrong, |by, of| format!("{by} held {of} for lost"))
     }
 }
 
@@ -98,18 +104,16 @@
     }
 
     fn judge(&self, history: &History, course: &Course) -> Vec<(u64, String)> {
-        let wrongly = told(history, "lost").filter(|(at, by, of, _)| {
-            let leaves = course.left.get(of).into_iter().flatten();
-            let Some(left) = leaves.filter(|left| *left <= at).max() else { return false };
-            let anew = course.began[*of].iter().any(|began| began > left && began <= at);
+        let wrong = |at: u64, by: usize, of: usize| {
+            let leaves = course.left.get(&of).into_iter().flatten();
+            let Some(left) = leaves.filter(|left| **left <= at).max() else { return false };
+            let anew = course.began[of].iter().any(|began| began > left && *began <= at);
             let parted = |node| course.was_parted(node, left.saturating_sub(REASONS), left + SAYING);
-            let excused = parted(*of) || parted(*by) || course.was_rough(left.saturating_sub(REASONS), *at);
-            let reader = course.was_wrong(*by, left.saturating_sub(SAYING), *at);
-            !anew && !excused && !reader && *at > left + SAYING
-        });
-        wrongly
-            .map(|(at, by, of, _)| (at, format!("{} held {} for lost, which left", name(by), name(of))))
-            .collect()
+            let excused = parted(of) || parted(by) || course.was_rough(left.saturating_sub(REASONS), at);
+            let reader = course.was_wrong(by, left.saturating_sub(SAYING), at);
+            !anew && !excused && !reader && at > left + SAYING
+        };
+        losses(history, wrong, |by, of| format!("{by} held {of} for lost, which left"))
     }
 }
 
@@ -154,15 +158,12 @@
     }
 
     fn judge(&self, history: &History, course: &Course) -> Vec<(u64, String)> {
-        let wrongly = told(history, "lost").filter(|(at, by, of, _)| {
+        let wrong = |at: u64, by: usize, of: usize| {
             // A doubt that others had shared before may come to its end just after the cut.
-            let within = course.cut_off(*by).iter().any(|span| *at >= span.from + SAYING && *at < span.till);
-            let known = course.was_wrong(*of, at.saturating_sub(REASONS), *at);
-            within && !known
-        });
-        wrongly
-            .map(|(at, by, of, _)| (at, format!("{}, cut off, held {} for lost", name(by), name(of))))
-            .collect()
+            let within = course.cut_off(by).iter().any(|span| at >= span.from + SAYING && at < span.till);
+            within && !course.was_wrong(of, at.saturating_sub(REASONS), at)
+        };
+        losses(history, wrong, |by, of| format!("{by}, cut off, held {of} for lost"))
     }
 }
 
@@ -178,20 +179,16 @@
     }
 
     fn judge(&self, history: &History, course: &Course) -> Vec<(u64, String)> {
-        let wrongly = told(history, "lost").filter(|(at, by, of, _)| {
-            let woken = |span: &crate::course::Span| {
-                span.till != u64::MAX
-                    && span.till >= span.from + 1_000
-                    && *at >= span.till
-                    && *at < span.till + WAKING
+        let wrong = |at: u64, by: usize, of: usize| {
+            let woken = |span: &&crate::course::Span| {
+                let long = span.till != u64::MAX && span.till >= span.from + 1_000;
+                long && at >= span.till && at < span.till + WAKING
             };
-            let Some(stop) = course.stops[*by].iter().find(|span| woken(span)) else { return false };
+            let Some(stop) = course.stops[by].iter().find(woken) else { return false };
             // What others tell it of one that was lost meanwhile is well founded.
-            !course.was_wrong(*of, stop.from.saturating_sub(REASONS), *at)
-        });
-        wrongly
-            .map(|(at, by, of, _)| (at, format!("{}, just woken, held {} for lost", name(by), name(of))))
-            .collect()
+            !course.was_wrong(of, stop.from.saturating_sub(REASONS), at)
+        };
+        losses(history, wrong, |by, of| format!("{by}, just woken, held {of} for lost"))
     }
 }
 
--- a/rig/src/divided.rs
+++ b/rig/src/divided.rs
@@ -12,9 +12,9 @@
 use doortrack_fleet::{Life, Name, Seat, View};
 
 use crate::history::name;
+use crate::links::{self, MS};
 use crate::script::{Fault, Script};
 
-const MS: Micros = 1_000;
 const TENTH: Micros = 100;
 /// What clocks show at the start.
 const BASE: i64 = 100_000 * MS as i64;
@@ -306,6 +306,7 @@
     }
 
     fn fault(&mut self, fault: Fault) {
+        links::take_up(&mut self.net, self.ways.latency, &fault);
         match fault {
             Fault::Kill { nodes } => {
                 for of in nodes.into_iter().filter(|of| !self.net.is_down(*of)).collect::<Vec<_>>() {
@@ -320,27 +321,8 @@
                     self.start(of);
                 }
             }
-            Fault::Replay { nodes } => nodes.into_iter().for_each(|of| self.net.replay(of)),
-            Fault::Stop { nodes } => nodes.into_iter().for_each(|of| self.net.stop(of)),
-            Fault::GoOn { nodes } => nodes.into_iter().for_each(|of| self.net.go_on(of)),
             Fault::Leave { nodes } => nodes.into_iter().for_each(|of| self.happen(of, Event::Leave)),
-            Fault::Cut { from, to } => self.cut(&from, &to, true),
-            Fault::Mend { from, to } => self.cut(&from, &to, false),
-            Fault::Links { loss, doubled, garbled, delay_ms } => {
-                let latency = match delay_ms {
-                    0 => self.ways.latency,
-                    ms => Law::Exponential { mean: (ms * MS) as f64 },
-                };
-                let links = self.net.links();
-                (links.loss, links.doubled, links.latency) = (loss + garbled, doubled, latency);
-            }
-            Fault::Server { .. } | Fault::Callers { .. } | Fault::Throttle { .. } => {}
-        }
-    }
-
-    fn cut(&mut self, from: &[usize], to: &[usize], cut: bool) {
-        for of in from {
-            to.iter().for_each(|to| self.net.cut(*of, *to, cut));
+            _ => {}
         }
     }
 }
--- a/rig/src/lib.rs
+++ b/rig/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod crowd;
 pub mod divided;
 pub mod history;
+mod links;
 pub mod processes;
 pub mod relay;
 pub mod script;
--- a/rig/src/processes.rs
+++ b/rig/src/processes.rs
@@ -1,4 +1,9 @@
-//! A script played on real processes of the program, over loopback.
+//! Real processes of the program, over loopback: how they are started and ended, and what they tell. What faults
+//! do to them, how they are asked and how a script is played stand in files of their own.
+
+mod asking;
+mod faults;
+mod play;
 
 use std::collections::BTreeMap;
 use std::io::{self, BufRead, BufReader};
@@ -7,20 +12,20 @@
 use std::process::{Child, Command, Stdio};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::thread::JoinHandle;
-use std::time::{Duration, Instant};
+use std::time::Instant;
 
-use doortrack_node::commands::fleet::ask;
 use doortrack_standins::bed::{config, fresh_address};
 use doortrack_standins::unix_ms;
 use rustix::process::{Pid, Signal, kill_process};
 use serde_json::{Value, json};
 
-use crate::history::{History, Member, What, name};
+use crate::history::{History, What, name};
 use crate::relay::{Passed, Relay};
-use crate::script::{Fault, Script, Weather};
 use crate::streams::Stream;
 use crate::traffic::{Behind, Death, Served, Traffic};
 
+pub use play::{play, play_beside};
+
 const FRONT: u16 = 9_090;
 const FLEET: u16 = 7_400;
 const STAND_IN: u16 = 7_401;
@@ -29,9 +34,6 @@
 const LAST_MOMENTS: u64 = 300;
 /// What a node may write in a second, so that no news is left out of the history.
 const LINES: &str = "5000";
-/// How long the last views are waited for, beyond the script: what must happen in the end has this long.
-const PATIENCE: Duration = Duration::from_secs(20);
-
 /// The nodes of one play and what lies between them. Every process is ended when it is dropped.
 pub struct Rig {
     program: PathBuf,
@@ -276,108 +278,6 @@
         }
     }
 
-    /// Does what a fault says, and takes note of it.
-    ///
-    /// # Errors
-    /// A process that can't be started.
-    pub fn take_up(&mut self, fault: &Fault, more: More) -> io::Result<()> {
-        self.put(What::Fault { fault: fault.clone() });
-        self.relay.take_up(fault);
-        match fault {
-            Fault::Kill { nodes } => nodes.iter().for_each(|of| self.end(*of)),
-            Fault::Start { nodes, clock_ms } => {
-                for of in nodes {
-                    self.end_leaving(*of);
-                    self.start_off(*of, *of, *clock_ms, &more(*of))?;
-                }
-            }
-            Fault::StartOlder { nodes } => {
-                for of in nodes {
-                    self.end_leaving(*of);
-                    self.start_older(*of, &more(*of))?;
-                }
-            }
-            Fault::Stop { nodes } => nodes.iter().for_each(|of| {
-                self.nodes[*of].stopped = true;
-                self.nodes[*of].signal(Signal::STOP);
-            }),
-            Fault::GoOn { nodes } => nodes.iter().for_each(|of| {
-                self.nodes[*of].stopped = false;
-                self.nodes[*of].signal(Signal::CONT);
-            }),
-            Fault::Leave { nodes } => nodes.iter().for_each(|of| {
-                self.nodes[*of].signal(Signal::TERM);
-                // What comes in its last moments may find it gone before it was read.
-                let gone = unix_ms() + STOP_MS - LAST_MOMENTS;
-                self.deaths.push(Death { front: self.door(*of), at: gone, owed_before: gone });
-            }),
-            Fault::Server { nodes, weather } => change(&self.streams, nodes, *weather),
-            Fault::Callers { nodes, weather } => change(&self.doors, nodes, *weather),
-            Fault::Cut { .. }
-            | Fault::Mend { .. }
-            | Fault::Links { .. }
-            | Fault::Throttle { .. }
-            | Fault::Replay { .. } => {}
-        }
-        Ok(())
-    }
-
-    /// How a node sees its fleet; none if it does not answer.
-    pub fn status(&self, of: usize) -> Option<What> {
-        let seen = ask(self.fleet(of), Some([0x5a; 32])).ok()?;
-        let members = seen.members.iter().map(|of| Member {
-            name: of.name.to_string(),
-            life: of.life.to_string(),
-            state: serde_json::to_value(of.state)
-                .ok()
-                .and_then(|v| v.as_str().map(str::to_string))
-                .unwrap_or_default(),
-        });
-        Some(What::Status {
-            node: of,
-            cut_off: seen.first.cut_off,
-            digest: format!("{:016x}", seen.first.digest),
-            members: members.collect(),
-        })
-    }
-
-    /// Waits until a node's status satisfies `wanted`, for as long as a slow machine may need.
-    pub fn wait_for(&self, of: usize, wanted: impl Fn(&[Member]) -> bool) -> bool {
-        let until = Instant::now() + PATIENCE;
-        while Instant::now() < until {
-            if let Some(What::Status { members, .. }) = self.status(of)
-                && wanted(&members)
-            {
-                return true;
-            }
-            std::thread::sleep(Duration::from_millis(50));
-        }
-        false
-    }
-
-    /// Asks all that run until their views agree with one another, or patience ends; the last answers go
-    /// into the history.
-    pub fn last_words(&mut self, expected: usize) {
-        let until = Instant::now() + PATIENCE;
-        loop {
-            let running: Vec<usize> = (0..self.nodes.len())
-                .filter(|of| self.nodes[*of].process.is_some() && !self.nodes[*of].stopped)
-                .collect();
-            let words: Vec<What> = running.iter().filter_map(|of| self.status(*of)).collect();
-            let there = |what: &What| match what {
-                What::Status { members, .. } => {
-                    members.iter().filter(|of| matches!(&*of.state, "alive" | "suspected")).count()
-                }
-                _ => 0,
-            };
-            let agreed = words.iter().filter(|what| there(what) == expected).count() >= expected;
-            if agreed || Instant::now() > until {
-                return words.into_iter().for_each(|what| self.put(what));
-            }
-            std::thread::sleep(Duration::from_millis(100));
-        }
-    }
-
     /// Ends all processes, and gives what was told.
     pub fn finish(mut self) -> Played {
         self.finish_with(None)
@@ -418,10 +318,6 @@
     }
 }
 
-fn change(streams: &[Stream], nodes: &[usize], weather: Weather) {
-    nodes.iter().filter_map(|of| streams.get(*of)).for_each(|stream| stream.change(weather));
-}
-
 /// Puts what a process logs of its fleet into the history.
 fn read(of: usize, log: impl io::Read, history: &Mutex<History>, began: Instant) {
     for line in BufReader::new(log).lines().map_while(Result::ok) {
@@ -443,55 +339,3 @@
         history.lock().unwrap_or_else(PoisonError::into_inner).put(at_ms, what);
     }
 }
-
-/// Plays a script from its start to its end, while `callers` ask the nodes and one server does their work.
-///
-/// # Errors
-/// A process or a relay that can't be had.
-pub fn play(program: &Path, script: &Script, callers: usize) -> io::Result<Played> {
-    play_beside(program, None, script, callers)
-}
-
-/// As [`play`], with an older build for `start_older`.
-///
-/// # Errors
-/// A process or a relay that can't be had; no older build where one is wanted.
-pub fn play_beside(
-    program: &Path,
-    older: Option<&Path>,
-    script: &Script,
-    callers: usize,
-) -> io::Result<Played> {
-    let behind = Behind::start();
-    let mut rig = Rig::new(program, script.nodes, script.seed)?;
-    rig.older = older.map(Path::to_path_buf);
-    if script.faults.iter().any(|timed| matches!(timed.fault, Fault::Callers { .. })) {
-        rig.open_doors()?;
-    }
-    let files = rig.behind(&behind)?;
-    let more = &|of: usize| files[of].clone();
-    rig.begin();
-    for of in 0..script.nodes {
-        rig.start(of, of, &more(of))?;
-    }
-    let fronts: Vec<SocketAddr> = (0..script.nodes).map(|of| rig.door(of)).collect();
-    let traffic = Traffic::start(callers, &fronts, script.seed);
-    let until = |rig: &Rig, at_ms: u64| {
-        std::thread::sleep(Duration::from_millis(at_ms.saturating_sub(rig.now_ms())));
-    };
-    let mut running = vec![true; script.nodes];
-    for timed in script.in_order() {
-        until(&rig, timed.at_ms);
-        rig.take_up(&timed.fault, more)?;
-        for of in timed.fault.nodes() {
-            match timed.fault {
-                Fault::Kill { .. } | Fault::Leave { .. } => running[of] = false,
-                Fault::Start { .. } | Fault::StartOlder { .. } => running[of] = true,
-                _ => {}
-            }
-        }
-    }
-    until(&rig, script.ms);
-    rig.last_words(running.iter().filter(|of| **of).count());
-    Ok(rig.finish_with(Some((traffic, &behind))))
-}
--- a/rig/src/simulated.rs
+++ b/rig/src/simulated.rs
@@ -9,9 +9,9 @@
 use doortrack_node::peers::spoken::Spoken;
 
 use crate::history::{History, Member, What, name};
+use crate::links::{self, MS};
 use crate::script::{Fault, Script};
 
-const MS: Micros = 1_000;
 /// Microseconds of a tenth of a ms.
 const TENTH: Micros = 100;
 /// What clocks show at the start of a play, so that one set back shows no time before all times.
@@ -223,6 +223,7 @@
     fn fault(&mut self, fault: Fault) {
         let at_ms = self.now_ms();
         self.history.put(at_ms, What::Fault { fault: fault.clone() });
+        links::take_up(&mut self.net, self.ways.latency, &fault);
         match fault {
             Fault::Kill { nodes } => {
                 for of in nodes.into_iter().filter(|of| !self.net.is_down(*of)).collect::<Vec<_>>() {
@@ -233,21 +234,8 @@
             }
             Fault::Start { nodes, clock_ms } => self.start_all(nodes, clock_ms),
             Fault::StartOlder { nodes } => self.start_all(nodes, 0),
-            Fault::Replay { nodes } => nodes.into_iter().for_each(|of| self.net.replay(of)),
-            Fault::Stop { nodes } => nodes.into_iter().for_each(|of| self.net.stop(of)),
-            Fault::GoOn { nodes } => nodes.into_iter().for_each(|of| self.net.go_on(of)),
             Fault::Leave { nodes } => nodes.into_iter().for_each(|of| self.happen(of, Event::Leave)),
-            Fault::Server { .. } | Fault::Callers { .. } | Fault::Throttle { .. } => {}
-            Fault::Cut { from, to } => self.cut(&from, &to, true),
-            Fault::Mend { from, to } => self.cut(&from, &to, false),
-            Fault::Links { loss, doubled, garbled, delay_ms } => {
-                let latency = match delay_ms {
-                    0 => self.ways.latency,
-                    ms => Law::Exponential { mean: (ms * MS) as f64 },
-                };
-                let links = self.net.links();
-                (links.loss, links.doubled, links.latency) = (loss + garbled, doubled, latency);
-            }
+            _ => {}
         }
     }
 
@@ -267,12 +255,6 @@
         }
     }
 
-    fn cut(&mut self, from: &[usize], to: &[usize], cut: bool) {
-        for of in from {
-            to.iter().for_each(|to| self.net.cut(*of, *to, cut));
-        }
-    }
-
     fn ask(&mut self, of: MachineId, at_ms: u64) {
         let now = self.net.shown(of) / TENTH;
         let Some(fleet) = self.fleets[of].as_ref().filter(|_| self.net.is_up(of)) else { return };
--- a/servers/src/pool.rs
+++ b/servers/src/pool.rs
@@ -1,6 +1,7 @@
 //! The state of a pool of servers: runs, connections, and what each event makes of them.
 
 mod choose;
+mod lives;
 mod members;
 
 use std::collections::{BTreeMap, BTreeSet};
@@ -95,26 +96,9 @@
     dues: BTreeSet<(Tenths, ConnId)>,
     returns: BTreeSet<(Tenths, ServerId)>,
     budget: Budget,
-    gate: Gate,
     pub counts: Counts,
 }
 
-/// What else a retry must pass, beside the pool's own budget: one that others share.
-#[derive(Default)]
-struct Gate(Option<Box<dyn FnMut() -> bool>>);
-
-impl Gate {
-    fn lets_through(&mut self) -> bool {
-        self.0.as_mut().is_none_or(|gate| gate())
-    }
-}
-
-impl std::fmt::Debug for Gate {
-    fn fmt(&self, f: &mut std::fmt::Formatter) -> std::fmt::Result {
-        f.write_str(if self.0.is_some() { "Gate" } else { "no Gate" })
-    }
-}
-
 impl Pool {
     pub fn new(terms: Terms, seed: u64) -> Pool {
         let (servers, conns, open) = (Slab::new(), Slab::new(), Vec::new());
@@ -135,14 +119,13 @@
             dues,
             returns,
             budget,
-            gate: Gate::default(),
             counts,
         }
     }
 
     /// Each retry that the pool's own budget allows is to pass this as well; asked just before it is made.
     pub fn gate_retries(&mut self, gate: Box<dyn FnMut() -> bool>) {
-        self.gate = Gate(Some(gate));
+        self.budget.gate(gate);
     }
 
     // --- What is seen from outside ---
@@ -317,94 +300,4 @@
         }
         self.hand_out(now, todo);
     }
-
-    // --- The lives of connections and runs ---
-
-    fn carry(&mut self, conn: ConnId, run: RunId, now: Tenths, todo: &mut Vec<Todo>) {
-        self.stage(conn, Stage::Carrying { run, sent: false }, now + self.terms.answer_within);
-        todo.push(Todo::Send { conn, run });
-    }
-
-    fn stage(&mut self, conn: ConnId, stage: Stage, due: Tenths) {
-        let of = &mut self.conns[conn];
-        self.dues.remove(&(of.due, conn));
-        (of.stage, of.due) = (stage, due);
-        self.dues.insert((due, conn));
-    }
-
-    /// Its run is over: kept for the next one, or closed.
-    fn rest(&mut self, conn: ConnId, keep: bool, now: Tenths, todo: &mut Vec<Todo>) {
-        let server = self.conns[conn].server;
-        let of = &self.servers[server];
-        if !keep || self.terms.idle == 0 || of.removed || of.health.is_aside() || self.has_too_many(server) {
-            return self.close(conn, todo);
-        }
-        self.stage(conn, Stage::Idle, now + self.terms.idle);
-        self.conns[conn].used = true;
-        let of = &mut self.servers[server];
-        of.in_hand -= 1;
-        of.idle.push(conn);
-        self.place(server);
-    }
-
-    /// Whether it has more connections than it may; so only after it was given other terms.
-    fn has_too_many(&self, server: ServerId) -> bool {
-        let of = &self.servers[server];
-        of.in_hand + of.idle.len() as u32 > self.terms.at_once
-    }
-
-    fn close(&mut self, conn: ConnId, todo: &mut Vec<Todo>) {
-        let server = self.forget_conn(conn);
-        todo.push(Todo::Close { conn });
-        self.gone_if_over(server);
-    }
-
-    fn forget_conn(&mut self, conn: ConnId) -> ServerId {
-        let gone = self.conns.remove(conn);
-        self.dues.remove(&(gone.due, conn));
-        let of = &mut self.servers[gone.server];
-        if gone.stage == Stage::Idle {
-            of.idle.retain(|other| *other != conn);
-        } else {
-            of.in_hand -= 1;
-        }
-        self.place(gone.server);
-        gone.server
-    }
-
-    fn wait(&mut self, run: RunId) {
-        if let Some(of) = self.runs.get_mut(&run) {
-            of.conn = None;
-            self.waiting.insert(of.turn, run);
-        }
-    }
-
-    /// No whole answer came. What may have reached the server is tried again only if it may run twice.
-    fn after_loss(&mut self, run: RunId, sent: bool, end: RunEnd, todo: &mut Vec<Todo>) {
-        if !sent {
-            return self.again_or(run, RunEnd::NeverRan, todo);
-        }
-        match self.runs.get(&run).is_some_and(|of| of.repeatable) {
-            true => self.again_or(run, end, todo),
-            false => self.end(run, end, todo),
-        }
-    }
-
-    /// Tries a run again where tries and budget allow it; else it ends so.
-    fn again_or(&mut self, run: RunId, end: RunEnd, todo: &mut Vec<Todo>) {
-        let tries = self.runs.get(&run).map_or(u32::MAX, |of| of.tries);
-        if tries < self.terms.retries.tries {
-            if self.budget.take() && self.gate.lets_through() {
-                self.counts.retries += 1;
-                return self.wait(run);
-            }
-            self.counts.unbudgeted += 1;
-        }
-        self.end(run, end, todo);
-    }
-
-    fn end(&mut self, run: RunId, end: RunEnd, todo: &mut Vec<Todo>) {
-        self.runs.remove(&run);
-        todo.push(Todo::Ended { run, end });
-    }
 }
--- a/servers/src/pool/members.rs
+++ b/servers/src/pool/members.rs
@@ -3,7 +3,6 @@
 use doortrack::Tenths;
 
 use super::{Pool, Server};
-use crate::budget::Budget;
 use crate::health::{self, Health, Verdict};
 use crate::{ServerId, Standing, Terms, Todo};
 
@@ -11,7 +10,7 @@
     /// Other terms from here on; what is under way keeps the times that it was given.
     pub fn retune(&mut self, terms: Terms, now: Tenths, todo: &mut Vec<Todo>) {
         self.terms = terms;
-        self.budget = Budget::new(&terms.retries);
+        self.budget.retune(&terms.retries);
         let all: Vec<ServerId> = self.servers.iter().map(|(server, _)| server).collect();
         for server in all {
             // What is kept beyond the new bound goes.
