Budgets refuse what SIGHUP can't change, letters of non-members, another kind under a name

Cause, found on reading the change again: a SIGHUP with other voters or leases was half taken up and said nothing; a rate turned places under one name would have been read in the other's units; whoever was in no view could fill a keeper's books; a test's name claimed that repeats are never denied, and tried none. Change: budgets need a start for voters, leases, kinds; ids hash the kind too (by blake3, in place of a hash of our own); letters count from members of the view alone; tests for repeats and for places of runs given up, on the module and on sockets.

--- a/budgets/src/budgets.rs
+++ b/budgets/src/budgets.rs
@@ -129,24 +129,17 @@
                 self.displaced = true;
                 self.shares.iter_mut().for_each(Share::shut);
             }
-            Event::Changed { terms, list } => self.change(now, terms, list),
+            Event::Changed { list } => self.change(now, list),
         }
         while let Some(letter) = self.local.pop_front() {
             self.heard(now, letter, out);
         }
     }
 
-    fn change(&mut self, now: Tenths, terms: Terms, list: Vec<Budget>) {
-        // Who votes, and for how long a word counts, needs a start: two fleets' votes would not meet.
-        self.terms = Terms { round: terms.round, ..self.terms.clone() };
+    fn change(&mut self, now: Tenths, list: Vec<Budget>) {
         let mut old: Vec<Option<Share>> = std::mem::take(&mut self.shares).into_iter().map(Some).collect();
         for budget in list {
-            let same = |of: &&mut Option<Share>| {
-                of.as_ref().is_some_and(|of| {
-                    of.budget.id() == budget.id()
-                        && std::mem::discriminant(&of.budget.kind) == std::mem::discriminant(&budget.kind)
-                })
-            };
+            let same = |of: &&mut Option<Share>| of.as_ref().is_some_and(|of| of.budget.id() == budget.id());
             let share = match old.iter_mut().find(same).and_then(Option::take) {
                 Some(mut share) => {
                     share.change(budget, &self.me.name);
--- a/budgets/src/lib.rs
+++ b/budgets/src/lib.rs
@@ -30,8 +30,8 @@
 //! what they hold. What a broken assumption costs stands in `docs/budgets.md`.
 //!
 //! Bounds: budgets ([`MOST_BUDGETS`]), items a datagram, unconfirmed shares a holder. A check costs the same
-//! whatever there is; a report costs the keeper the logarithm of the holders, and a division, once a round,
-//! as much for each.
+//! whatever there is; a report costs the keeper the logarithm of the holders, and a division, twice a
+//! round, as much for each.
 
 mod account;
 mod budgets;
@@ -68,9 +68,8 @@
     Leave,
     /// Another process goes by this node's name: this one uses nothing more, floors included.
     Displaced,
-    /// Other budgets and terms from here on. What a budget that stays has in use is kept.
+    /// Other budgets from here on. What one that stays has in use is kept.
     Changed {
-        terms: Terms,
         list: Vec<Budget>,
     },
 }
--- a/budgets/src/terms.rs
+++ b/budgets/src/terms.rs
@@ -10,12 +10,17 @@
 /// A part of a budget: places, or thousandths of a unit a second.
 pub type Units = u64;
 
-/// By what nodes know a budget: its name, hashed. The same in every build.
+/// By what nodes know a budget: its name and kind, hashed. The same in every build. Nodes that were told of
+/// another kind under the name do not take one another's units for their own.
 pub type Id = u32;
 
-/// The id of a budget's name (FNV-1a, 32 bits). Two names of one installation may not share one.
-pub fn id_of(name: &str) -> Id {
-    name.bytes().fold(0x811c_9dc5, |hash, byte| (hash ^ u32::from(byte)).wrapping_mul(0x0100_0193))
+/// The id of a budget. Two of one installation may not share one.
+pub fn id_of(name: &str, kind: Kind) -> Id {
+    let mut hasher = blake3::Hasher::new();
+    hasher.update(&[u8::from(matches!(kind, Kind::Rate { .. }))]).update(name.as_bytes());
+    let mut first = [0; 4];
+    first.copy_from_slice(&hasher.finalize().as_bytes()[..4]);
+    Id::from_le_bytes(first)
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
@@ -56,7 +61,7 @@
     }
 
     pub fn id(&self) -> Id {
-        id_of(&self.name)
+        id_of(&self.name, self.kind)
     }
 
     pub fn whole(&self) -> Units {
--- a/budgets/tests/holder.rs
+++ b/budgets/tests/holder.rs
@@ -54,7 +54,7 @@
     }
 
     fn granted(&mut self, seq: u64, share: u64, prolongs: bool) -> u64 {
-        let id = doortrack_budgets::id_of("b");
+        let id = self.budgets.list().next().unwrap().id();
         self.hears(Message::Grant { seq, shares: vec![Lent { id, share, prolongs }] });
         self.budgets.exposed(0, self.now)
     }
--- a/installation/src/budgets.rs
+++ b/installation/src/budgets.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 
 use doortrack::Tenths;
-use doortrack_budgets::{Budget, Kind, MOST_BUDGETS, Terms, id_of};
+use doortrack_budgets::{Budget, Kind, MOST_BUDGETS, Terms};
 use doortrack_fleet::Name;
 use schemars::JsonSchema;
 use serde::Deserialize;
@@ -225,14 +225,14 @@
             Some(_) => {}
         }
         let voters = self.fleet.as_ref().map_or(&[][..], |fleet| &fleet.voters);
-        let (mut ids, mut falls) = (BTreeMap::new(), BTreeMap::new());
+        let (mut names, mut ids, mut falls) = (BTreeMap::new(), BTreeMap::new(), BTreeMap::new());
         for (nth, budget) in self.budgets.iter().enumerate() {
             budget.faults(&format!("{AT}[{nth}]"), voters, faults);
-            if let Some(other) = ids.insert(id_of(&budget.name), nth) {
-                let what = match budget.name == self.budgets[other].name {
-                    true => format!("the name of {AT}[{other}]"),
-                    false => format!("nodes could not tell it from that of {AT}[{other}]: take another"),
-                };
+            if let Some(other) = names.insert(&budget.name, nth) {
+                let what = format!("the name of {AT}[{other}]");
+                faults.push(Fault::new(format!("{AT}[{nth}].name"), what));
+            } else if let Some(other) = ids.insert(budget.budget(voters, 0).id(), nth) {
+                let what = format!("nodes could not tell it from that of {AT}[{other}]: take another");
                 faults.push(Fault::new(format!("{AT}[{nth}].name"), what));
             }
             if let Some(other) = falls.insert(&budget.of, nth) {
--- a/node/src/peers/link.rs
+++ b/node/src/peers/link.rs
@@ -131,6 +131,10 @@
         self.carry_out_shares();
     }
 
+    fn is_member(&self, who: &Who) -> bool {
+        self.fleet.view().members.get(&who.name).is_some_and(|seat| seat.life == who.life)
+    }
+
     fn carry_out_shares(&mut self) {
         let Some(shares) = &self.shares else { return };
         let actions = std::mem::take(&mut shares.borrow_mut().actions);
@@ -168,7 +172,11 @@
                 self.carry_out();
             }
             Ok(Spoken::Ask(ask)) => self.tell(ask, from),
-            Ok(Spoken::Budgets(letter)) => self.tell_shares(Some(doortrack_budgets::Event::Heard(letter))),
+            // Whoever is not in the view would get no answer, and could fill a keeper's books.
+            Ok(Spoken::Budgets(letter)) if self.is_member(&letter.from) => {
+                self.tell_shares(Some(doortrack_budgets::Event::Heard(letter)));
+            }
+            Ok(Spoken::Budgets(_)) => *self.counts.refused.entry("no_member").or_default() += 1,
             Ok(Spoken::AskBudgets { nonce, from: place }) => {
                 let none = BudgetPage { nonce, keeper: None, budgets: Vec::new(), more: false };
                 let page =
@@ -340,13 +348,21 @@
             ..self.file.clone()
         };
         let now = self.now();
-        match &self.shares {
-            Some(shares) if shares.borrow().has_same_names(installation) => {
-                shares.borrow_mut().change(now, &self.file, installation, orders);
-                self.carry_out_shares();
+        let why = match &self.shares {
+            None if installation.budgets.is_empty() => None,
+            None => Some("there were none".to_string()),
+            Some(shares) => {
+                let mut shares = shares.borrow_mut();
+                let why = shares.needs_a_start(file, installation, orders).map(str::to_string);
+                if why.is_none() {
+                    shares.change(now, installation, orders);
+                }
+                why
             }
-            None if installation.budgets.is_empty() => {}
-            _ => warn!(self.log, "budgets need a start"; "why" => "some come, go, or change places"),
+        };
+        match why {
+            Some(why) => warn!(self.log, "budgets need a start"; "why" => why),
+            None => self.carry_out_shares(),
         }
         let terms = Box::new(self.file.terms());
         self.fleet.happen(self.now(), Event::Changed { terms }, &mut self.actions);
--- a/node/src/peers/shares.rs
+++ b/node/src/peers/shares.rs
@@ -5,7 +5,7 @@
 use std::collections::BinaryHeap;
 
 use doortrack::Tenths;
-use doortrack_budgets::{Action, Budget, Budgets, Event, Kind, News, Units, Who};
+use doortrack_budgets::{Action, Budget, Budgets, Event, Kind, News, Terms, Units, Who};
 use doortrack_installation::{Falls, FleetFile, Installation, Orders};
 use slog::{Logger, info, warn};
 
@@ -57,20 +57,35 @@
     }
 
     /// Other budgets under way.
-    pub fn change(&mut self, now: Tenths, file: &FleetFile, installation: &Installation, orders: &Orders) {
+    pub fn change(&mut self, now: Tenths, installation: &Installation, orders: &Orders) {
         let list = installation.budget_list(orders);
         let names: Vec<_> = self.budgets.list().map(|budget| budget.name.clone()).collect();
         let used = |name: &std::sync::Arc<str>| names.iter().position(|of| of == name);
         self.used = list.iter().map(|of| used(&of.name).map_or(0, |place| self.used[place])).collect();
         self.falls = installation.falls(orders);
-        let terms = file.lease_terms();
-        self.budgets.happen(now, Event::Changed { terms, list }, &mut self.actions);
+        self.happen(now, Event::Changed { list });
     }
 
-    /// Whether the names stand in the same order: what exchanges in hand hold is known by its place.
-    pub fn has_same_names(&self, installation: &Installation) -> bool {
-        let new = installation.budgets.iter().map(|budget| &*budget.name);
-        self.budgets.list().map(|budget| &*budget.name).eq(new)
+    /// Why budgets of this file can't be taken up under way, if they can't: what exchanges in hand hold is
+    /// known by its place, and votes under two lists of voters, or of two lengths, would not meet.
+    pub fn needs_a_start(
+        &self,
+        file: &FleetFile,
+        installation: &Installation,
+        orders: &Orders,
+    ) -> Option<&str> {
+        let (old, new) = (self.budgets.terms(), file.lease_terms());
+        let times = |of: &Terms| (of.round, of.vote_lasts, of.lease, of.drift);
+        let list = installation.budget_list(orders);
+        if old.voters != new.voters {
+            Some("the voters changed")
+        } else if times(old) != times(&new) {
+            Some("fleet.leases changed")
+        } else if !self.budgets.list().map(Budget::id).eq(list.iter().map(Budget::id)) {
+            Some("some come, go, change places, or are of another kind")
+        } else {
+            None
+        }
     }
 
     /// Takes one of each budget under which the exchange falls, or none. `now` looks at the clock.
--- a/node/tests/fleet/budgets.rs
+++ b/node/tests/fleet/budgets.rs
@@ -9,7 +9,7 @@
 use doortrack_rig::processes::Rig;
 use doortrack_rig::script::{Fault, Script};
 use doortrack_rig::spent::{places_broken, rate_broken, used};
-use doortrack_standins::caller::Seen;
+use doortrack_standins::caller::{Ask, Seen};
 use doortrack_standins::server::{Act, CutBy, Got, Server};
 use doortrack_wire::Protocol;
 use serde_json::{Value, json};
@@ -177,6 +177,14 @@
     (0..NODES).for_each(|of| wait_for(&rig, of, |of| of.share <= 12_000));
     rig.reload(3, &budgets(WHOLE)).unwrap();
     (0..NODES).for_each(|of| wait_for(&rig, of, |of| of.share >= 24_000));
+    // Other voters, or another kind under the name, change nothing under way: they need a start.
+    let voters = with(budgets(20), json!({"fleet": {"voters": ["n3", "n4"]}}));
+    rig.reload(3, &voters).unwrap();
+    let mut places = budgets(20);
+    places["budgets"][0] = json!({"name": "looks", "kind": "places", "whole": 7, "for": {"group": "look"}});
+    rig.reload(4, &places).unwrap();
+    std::thread::sleep(Duration::from_millis(500));
+    (0..NODES).for_each(|of| wait_for(&rig, of, |of| of.share >= 24_000 && of.rate && of.whole == WHOLE));
     // Most voters gone: the floors are left.
     rig.take_up(&Fault::Kill { nodes: vec![0, 1, 2] }, &more).unwrap();
     [3, 4].iter().for_each(|of| wait_for(&rig, *of, |of| of.share == 4_000 && of.until_ms.is_none()));
@@ -193,7 +201,7 @@
 }
 
 #[test]
-fn what_is_denied_for_a_budget_is_told_at_once_and_a_repeat_is_never() {
+fn what_is_denied_for_a_budget_is_told_when_to_come_back() {
     let ms = Duration::from_millis;
     let mut crowd = Crowd::ready(Manner { callers: 4, rest: ms(1), moves_every: None, work: ms(1) });
     let mut rig = Rig::new(program(), 1, 3).unwrap();
@@ -247,3 +255,70 @@
     assert!(retries as f64 <= most, "{retries} retries of {asked} asked, {most} at most");
     assert!(retries > 10 && asked > 200, "{retries} retries of {asked} asked");
 }
+
+fn seen(rig: &Rig, nth: u64, mark: Option<&str>) -> Seen {
+    let ask = Ask::new(nth, if mark.is_some() { "/svc/pay" } else { "/svc/look" }, b"berth");
+    let ask = mark.map_or(ask.clone(), |mark| ask.with("HTTP_IDEMPOTENCY_KEY", mark));
+    ask.send(rig.front(0), Protocol::FastCgi).seen()
+}
+
+/// Asks under new ids until one is completed; the id.
+fn until_completed(rig: &Rig, mark: Option<&str>) -> u64 {
+    let until = std::time::Instant::now() + Duration::from_secs(30);
+    for nth in 1.. {
+        if matches!(seen(rig, nth, mark), Seen::Completed(_)) {
+            return nth;
+        }
+        assert!(std::time::Instant::now() < until, "nothing is ever taken");
+        std::thread::sleep(Duration::from_millis(20));
+    }
+    unreachable!()
+}
+
+fn alone(server: &Server, answer_within_ms: u32, budget: Value) -> Rig {
+    let mut rig = Rig::new(program(), 1, 3).unwrap();
+    let own = json!({"fleet": {"voters": ["n0"]}, "budgets": [budget],
+        "servers": {"protocol": "fastcgi", "addresses": [server.at.to_string()], "at_once": 8,
+            "answer_within_ms": answer_within_ms, "aside": {"failures": 1000}, "retries": {"tries": 1}}});
+    rig.start(0, 0, &own).unwrap();
+    drop(doortrack_standins::bed::connect(rig.front(0)));
+    rig
+}
+
+#[test]
+fn a_repeat_is_answered_while_its_budget_has_nothing_left() {
+    let server = Server::start(Protocol::FastCgi, |_| Act::ok("done"));
+    let budget = json!({"name": "pays", "kind": "rate", "whole": 1, "burst": 1, "floor": 1,
+        "for": {"group": "pay"}});
+    let rig = alone(&server, 5_000, budget);
+    let (mark, other) = ("00112233445566778899aabbccddeeff", "ffeeddccbbaa99887766554433221100");
+    let first = until_completed(&rig, Some(mark));
+    // However slow the machine: several repeats for each new mark that is denied.
+    let mut denied = 0;
+    for nth in (first + 1..).step_by(2).take(60) {
+        assert_eq!(seen(&rig, nth, Some(mark)), Seen::Completed(b"done".to_vec()));
+        denied += usize::from(matches!(seen(&rig, nth + 1, Some(other)), Seen::Denied { .. }));
+    }
+    assert!(denied > 0, "the budget was never empty");
+    assert!(server.got().len() <= 2, "{} runs of two marks", server.got().len());
+}
+
+/// What a node gives up may go on in its server: its place is free only once that is over.
+#[test]
+fn the_place_of_a_run_that_was_given_up_is_held_on() {
+    let server = Server::start(Protocol::FastCgi, |_| Act::Hang);
+    let budget = json!({"name": "all", "kind": "places", "whole": 1, "floor": 1, "held_most_ms": 3_000,
+        "for": {"pool": "servers"}});
+    let rig = alone(&server, 100, budget);
+    let until = std::time::Instant::now() + Duration::from_secs(30);
+    let mut nth = 0;
+    while server.got().len() < 3 {
+        nth += 1;
+        assert!(!matches!(seen(&rig, nth, None), Seen::Completed(_)));
+        assert!(std::time::Instant::now() < until, "{} runs", server.got().len());
+        std::thread::sleep(Duration::from_millis(10));
+    }
+    let at: Vec<u64> = server.got().iter().map(|got| got.at).collect();
+    // Each waits for the place of the one before, which was given up after 0.1 s.
+    assert!(at.windows(2).all(|two| two[1] >= two[0] + 3_000), "{at:?}");
+}
--- a/tests/cases.rs
+++ b/tests/cases.rs
@@ -254,3 +254,20 @@
     world.pass(2000 * MS);
     assert!(denied_of(&mut world, 20) >= 15, "3 run for 400 ms each, and a third of 1500 ms may be waited");
 }
+
+#[test]
+fn what_a_budget_holds_back_is_denied_with_its_wait_and_a_repeat_never() {
+    let mut world = World::new(contract(), 1);
+    let mut todo = Vec::new();
+    let held = |id, group| Exchange { held_back: Some(70 * MS), ..exchange(id, group) };
+    let deduplicated =
+        contract().groups.iter().position(|group| group.effect == Effect::Deduplicated).unwrap() as u8;
+    world.door.happen(world.now, &[Happened::Arrived(held(70, 0))], &mut todo);
+    assert!(todo.contains(&Todo::Deny { id: 70, not_elsewhere: false, come_back_in: 70 * MS }), "{todo:?}");
+    todo.clear();
+    let first = Happened::Arrived(exchange(71, deduplicated));
+    let again = Exchange { repeats: Some(71), ..held(72, deduplicated) };
+    world.door.happen(world.now, &[first, Happened::Arrived(again)], &mut todo);
+    assert!(todo.contains(&Todo::Attach { id: 72 }), "{todo:?}");
+    assert!(!todo.iter().any(|what| matches!(what, Todo::Deny { .. })), "{todo:?}");
+}
