One count of what decisions cost in both simulated worlds

Need: both worlds timed decisions by the same lines. Change: divided's outcome holds a Cost, and Cost times each event.

--- a/bench/src/bin/budgets.rs
+++ b/bench/src/bin/budgets.rs
@@ -168,10 +168,10 @@
         println!(
             "{nodes} nodes: {:.1} datagrams and {:.0} bytes a second sent by each, {:.0} bytes by the \
              keeper; {:.0} ns an event; {:.3} used",
-            each(out.datagrams),
-            each(out.bytes),
+            each(out.cost.datagrams),
+            each(out.cost.bytes),
             out.most_bytes as f64 / 10.0,
-            out.decisions_ns as f64 / out.events.max(1) as f64,
+            out.cost.decisions_ns as f64 / out.cost.events.max(1) as f64,
             out.used[0] as f64 / out.asked[0].max(1) as f64,
         );
     }
--- a/rig/src/divided.rs
+++ b/rig/src/divided.rs
@@ -5,7 +5,6 @@
 //! whole.
 
 use std::collections::BTreeMap;
-use std::time::Instant;
 
 use doortrack_budgets::{Action, Budget, Budgets, Event, Kind, Letter, Message, News, Terms, Who};
 use doortrack_emulator::{Clock, Law, Links, MachineId, Micros, Net, Next};
@@ -14,6 +13,7 @@
 use crate::history::name;
 use crate::links::{self, MS};
 use crate::script::{Fault, Script};
+use crate::simulated::Cost;
 
 const TENTH: Micros = 100;
 /// What clocks show at the start.
@@ -55,12 +55,10 @@
     pub by_node: Vec<u64>,
     pub by_time: BTreeMap<(usize, u64), u32>,
     pub keepers: u64,
-    pub datagrams: u64,
-    pub bytes: u64,
-    /// Of the one that sent most.
+    /// Datagrams and bytes since `count_from_ms`.
+    pub cost: Cost,
+    /// Bytes of the one that sent most.
     pub most_bytes: u64,
-    pub events: u64,
-    pub decisions_ns: u64,
     /// The same play gives the same mark.
     pub digest: u64,
 }
@@ -183,10 +181,7 @@
         let now = self.net.shown(of) / TENTH;
         let Some(mut node) = self.nodes[of].take() else { return };
         let mut actions = std::mem::take(&mut self.actions);
-        let began = Instant::now();
-        node.happen(now, event, &mut actions);
-        self.out.decisions_ns += began.elapsed().as_nanos() as u64;
-        self.out.events += 1;
+        self.out.cost.decide(|| node.happen(now, event, &mut actions));
         for action in actions.drain(..) {
             match action {
                 Action::Send(letter) => self.send(of, letter),
@@ -200,10 +195,10 @@
     fn send(&mut self, of: MachineId, letter: Letter) {
         let Some(to) = letter.to.name[1..].parse().ok().filter(|to| *to < self.nodes.len()) else { return };
         if self.net.now() >= self.ways.count_from_ms * MS {
-            self.out.datagrams += 1;
+            self.out.cost.datagrams += 1;
             if self.ways.weigh {
                 let bytes = weight(&letter) + ROUND;
-                self.out.bytes += bytes;
+                self.out.cost.bytes += bytes;
                 self.bytes[of] += bytes;
             }
         }
--- a/rig/src/simulated.rs
+++ b/rig/src/simulated.rs
@@ -64,6 +64,16 @@
     pub bytes: u64,
 }
 
+impl Cost {
+    /// One event's decisions, timed.
+    pub(crate) fn decide(&mut self, decide: impl FnOnce()) {
+        let began = Instant::now();
+        decide();
+        self.decisions_ns += began.elapsed().as_nanos() as u64;
+        self.events += 1;
+    }
+}
+
 struct World {
     net: Net<Datagram>,
     fleets: Vec<Option<Fleet>>,
@@ -178,10 +188,7 @@
         let now = self.net.shown(of) / TENTH;
         let Some(mut fleet) = self.fleets[of].take() else { return };
         let mut actions = std::mem::take(&mut self.actions);
-        let began = Instant::now();
-        fleet.happen(now, event, &mut actions);
-        self.cost.decisions_ns += began.elapsed().as_nanos() as u64;
-        self.cost.events += 1;
+        self.cost.decide(|| fleet.happen(now, event, &mut actions));
         for action in actions.drain(..) {
             match action {
                 Action::Send { to, datagram } => self.send(of, to, *datagram),
