--- a/bench/src/bin/storm.rs
+++ b/bench/src/bin/storm.rs
@@ -1,6 +1,6 @@
 //! A retry storm of a whole fleet against one shared pool: what is completed in time after the pool stood
-//! still for a moment, with each node's own bound on retries alone, with the fleet's budget beside it, and with
-//! no retries at all. Played on processes behind the rig.
+//! still for a moment, with each node's own bound on retries alone, with the fleet's budget beside it, and
+//! with no retries at all. Played on processes behind the rig.
 
 use std::path::Path;
 use std::sync::atomic::{AtomicU64, Ordering};
--- a/rig/src/divided.rs
+++ b/rig/src/divided.rs
@@ -115,11 +115,7 @@
 
 impl World<'_> {
     fn play(&mut self, script: &Script) {
-        let faults = script.in_order();
-        for (nth, timed) in faults.iter().enumerate() {
-            self.net.mark(timed.at_ms * MS, nth as u64);
-        }
-        self.net.keeps = faults.iter().any(|timed| matches!(timed.fault, Fault::Replay { .. }));
+        let faults = links::mark(&mut self.net, script);
         (0..script.nodes).for_each(|of| self.start(of));
         self.learn();
         while let Some(next) = self.net.next(script.ms * MS) {
--- a/rig/src/links.rs
+++ b/rig/src/links.rs
@@ -2,11 +2,21 @@
 
 use doortrack_emulator::{Law, Net};
 
-use crate::script::Fault;
+use crate::script::{Fault, Script, Timed};
 
 /// Microseconds of a ms.
 pub(crate) const MS: u64 = 1_000;
 
+/// The faults of a script by time; the net marks the time of each by its place.
+pub(crate) fn mark<M: Clone>(net: &mut Net<M>, script: &Script) -> Vec<Timed> {
+    let faults = script.in_order();
+    for (nth, timed) in faults.iter().enumerate() {
+        net.mark(timed.at_ms * MS, nth as u64);
+    }
+    net.keeps = faults.iter().any(|timed| matches!(timed.fault, Fault::Replay { .. }));
+    faults
+}
+
 /// Takes up a fault of links, or one of machines that keep what they know. `latency` is that of calm. Those
 /// that start, end or leave are the caller's.
 pub(crate) fn take_up<M: Clone>(net: &mut Net<M>, latency: Law, fault: &Fault) {
--- a/rig/src/processes.rs
+++ b/rig/src/processes.rs
@@ -1,5 +1,5 @@
-//! Real processes of the program, over loopback: how they are started and ended, and what they tell. What faults
-//! do to them, how they are asked and how a script is played stand in files of their own.
+//! Real processes of the program, over loopback: how they are started and ended, and what they tell. What
+//! faults do to them, how they are asked and how a script is played stand in files of their own.
 
 mod asking;
 mod faults;
--- a/servers/src/budget.rs
+++ b/servers/src/budget.rs
@@ -1,5 +1,5 @@
-//! The budget of retries: each run begun adds a share of one, each retry takes one. What others share may have a
-//! say beside it.
+//! The budget of retries: each run begun adds a share of one, each retry takes one. What others share may
+//! have a say beside it.
 
 use std::fmt;
 
