Ends in order: what crosses a close, a notice, a lost link or the stop is lost no more

Now one way, `Fronts::hang_up`: the end is said first, what still comes is passed over and never run, and the close waits for the peer's, 2 s at the most. - The grace counted from when the loop learnt of SIGTERM (`leave`): a process that stood still took the notice for as much younger, and ran what came after the grace. It now counts from the loop's last due time. - A notice before the engine was up was counted anew from the engine's coming up (`open_door`). `Leave` now carries its age. - Woken after its stop, a node with nothing new to hand over asked for a reading of the gauges and ended without answering what it had (`take_reading`). While it closes, nothing waits for a reading. - With a full table what stood in the backlog at the stop was reset with the listener (`accept` told `shut` that nothing more was waiting). Room is made as long as there is any to make. - RUN of a deduplicated or mutating exchange was sent again on a new link if it might not have arrived: where it had, and ended just before the second RUN was read, it ran twice (`CaughtUp`). It is now in doubt: its end is waited for; once answered, HALT and later RUN find out, as the engine begins nothing for a request that is over. Where runs can't be stopped it is sent again as before, since its place could be lost for good.

Ruled out by tests that passed before as well: a notice cut in the middle, a notice seen twice, an end that crosses HALT, a second SIGTERM and a reload during the drain, a registry that is gone.

--- a/drill/src/wire.rs
+++ b/drill/src/wire.rs
@@ -116,7 +116,7 @@
                 self.u32("time_taken")?;
                 Happened::RunEnded { id, outcome }
             }
-            _ => Happened::Leave { stop_at: down(self.u64("valid_until")?) },
+            _ => Happened::Leave { age: 0, stop_at: down(self.u64("valid_until")?) },
         };
         Ok(Record::Event { node, what })
     }
--- a/node/src/memory/exchanges.rs
+++ b/node/src/memory/exchanges.rs
@@ -25,6 +25,18 @@
     Running {
         sent: Option<u64>,
     },
+    /// Sent on a link that was lost then, and not told of since: it runs, or never arrived. Whether it was asked
+    /// to be stopped.
+    InDoubt {
+        stopped: bool,
+    },
+}
+
+impl Stage {
+    /// Whether its run may have begun.
+    pub fn may_run(self) -> bool {
+        matches!(self, Stage::Running { .. } | Stage::InDoubt { .. })
+    }
 }
 
 pub struct Ex {
--- a/node/src/serve.rs
+++ b/node/src/serve.rs
@@ -77,6 +77,8 @@
     summary_at: Tenths,
     /// When the loop ends at the latest, once told to leave.
     stop_at: Option<Tenths>,
+    /// When it was told so, at the earliest.
+    noticed: Tenths,
     closing: bool,
     slowest: Slowest,
     /// What plugs into the loop beside all this.
@@ -96,10 +98,10 @@
             self.work.tend(self.now);
             self.registry.beat(self.now);
             let due = self.next_due();
-            self.gather(due.saturating_sub(self.now), &mut events, &mut came, &mut told)?;
+            self.gather(due, &mut events, &mut came, &mut told)?;
             if self.now > due + STALL {
                 // All stood still for a while. What came meanwhile counts before times that ran out.
-                self.gather(0, &mut events, &mut came, &mut told)?;
+                self.gather(due, &mut events, &mut came, &mut told)?;
             }
             if self.now >= self.sweep_at {
                 self.sweep_at = self.now + SWEEP;
@@ -131,15 +133,16 @@
         }
     }
 
-    /// Waits until something is ready, and reads it.
+    /// Waits until something is ready or due, and reads it.
     fn gather(
         &mut self,
-        wait: Tenths,
+        due: Tenths,
         events: &mut Events,
         came: &mut Vec<Came>,
         told: &mut Vec<Told>,
     ) -> Result<(), Fault> {
         events.clear();
+        let wait = due.saturating_sub(self.now);
         match self.poller.wait(events, Some(Duration::from_micros(wait * 100))) {
             Err(e) if e.kind() != std::io::ErrorKind::Interrupted => return Err(format!("poller: {e}")),
             _ => self.now = self.clock.now(),
@@ -147,7 +150,8 @@
         let mut reload = false;
         for event in events.iter() {
             match event.key {
-                LEAVE_KEY => self.leave(),
+                // Woken late, it stood still, and the notice may be as old as that.
+                LEAVE_KEY => self.leave(self.now.min(due)),
                 // Last, as what else is ready was read off the links that are to be left.
                 RELOAD_KEY => reload = true,
                 key if PART_KEYS.contains(&key) => {
@@ -218,7 +222,15 @@
                 Some(Ex { stage: Stage::Running { sent: None }, .. }) => {
                     self.ended(id, End::Unsent, Made::default())
                 }
-                Some(ex) if matches!(ex.stage, Stage::Running { .. }) => self.work.stop(id, ex, self.now),
+                // Asked for again, so it was answered some time ago: to a RUN the engine now says that it runs, or
+                // that nothing is begun for a request that is over.
+                Some(Ex { stage: Stage::InDoubt { stopped: true }, .. }) if self.work.is_up() => self.run(id),
+                Some(ex) if ex.stage.may_run() => {
+                    self.work.stop(id, ex, self.now);
+                    if let Stage::InDoubt { stopped } = &mut ex.stage {
+                        *stopped = self.work.is_up();
+                    }
+                }
                 _ => {}
             },
             Todo::Record { id, lasting } => {
@@ -264,7 +276,7 @@
 
     /// Lets go of what never ran and is owed nothing, its entry included, so that a later try may run.
     fn drop_if_held(&mut self, id: ExId) {
-        if self.exs.get(id).is_some_and(|ex| !matches!(ex.stage, Stage::Running { .. })) {
+        if self.exs.get(id).is_some_and(|ex| !ex.stage.may_run()) {
             if let Some(ex) = self.exs.remove(id) {
                 self.give_back(ex.ticket, Use::None);
             }
--- a/node/src/serve/events.rs
+++ b/node/src/serve/events.rs
@@ -2,7 +2,7 @@
 
 use std::cmp::Reverse;
 
-use doortrack::{ExId, Exchange, Gauges, Happened, RunOutcome, Tenths};
+use doortrack::{Effect, ExId, Exchange, Gauges, Happened, RunOutcome, StopKind, Tenths};
 use slog::warn;
 
 use super::{Node, READING, STALE};
@@ -184,11 +184,19 @@
                 let mut lost: Vec<ExId> = running.map(|(id, _)| id).collect();
                 lost.sort_unstable();
                 for id in lost {
-                    let sent = self.exs.get(id).filter(|ex| ex.caller.is_none()).map(|ex| ex.stage);
-                    match sent {
-                        // Nobody waits for it any more, and it surely never ran.
-                        Some(Stage::Running { sent: None }) => self.ended(id, End::Unsent, Made::default()),
-                        _ => self.run(id),
+                    let Some(ex) = self.exs.get(id) else { continue };
+                    let (surely_not_run, waits) =
+                        (ex.stage == Stage::Running { sent: None }, ex.caller.is_some());
+                    let contract = &self.orders.handed.contract;
+                    let repeatable = contract.groups[usize::from(ex.group)].effect == Effect::Repeatable;
+                    if surely_not_run && !waits {
+                        self.ended(id, End::Unsent, Made::default());
+                    } else if surely_not_run || repeatable || contract.stop == StopKind::Never {
+                        self.run(id);
+                    } else {
+                        // Running, it may end before a second RUN is read, and that one would run it again. So
+                        // its end is waited for as any run's. Where runs can't be stopped that could be forever.
+                        ex.stage = Stage::InDoubt { stopped: false };
                     }
                 }
             }
@@ -236,6 +244,8 @@
             return;
         }
         match self.reading {
+            // While the node closes there is no time to wait for any: what is due is answered before the stop.
+            None if self.closes_next() => {}
             // Where nobody has gauges, alarms carry none.
             None => {
                 if let Some(cookie) = self.work.stat() {
@@ -243,7 +253,7 @@
                     return;
                 }
             }
-            Some((_, till)) if till > self.now => return,
+            Some((_, till)) if till > self.now && !self.closes_next() => return,
             Some(_) => self.reading = None,
         }
         let stale = self.now.saturating_sub(self.read_at) > STALE;
--- a/node/src/serve/leave.rs
+++ b/node/src/serve/leave.rs
@@ -10,24 +10,39 @@
 pub(super) const FLUSH: Tenths = 100 * MS;
 
 impl Node {
-    pub(super) fn leave(&mut self) {
+    /// The notice to leave came at `noticed`, or later: what is counted from it is over no later than it may be.
+    pub(super) fn leave(&mut self, noticed: Tenths) {
         self.signals.heard(LEAVE_KEY);
         if self.stop_at.is_some() {
             return;
         }
-        let stop = self.now + self.orders.stop_after;
-        self.stop_at = Some(stop);
+        let stop = noticed + self.orders.stop_after;
+        (self.stop_at, self.noticed) = (Some(stop), noticed);
         self.registry.tell(true);
         self.parts.iter_mut().for_each(|part| part.leave());
         info!(self.log, "told to leave"; "in_hand" => self.exs.in_hand());
         if self.door.is_some() {
-            self.batch.push(Happened::Leave { stop_at: stop.saturating_sub(FLUSH) });
+            self.pass_on_notice();
         }
     }
 
-    /// Whether the time has come to take in nothing more.
+    /// Hands the notice over, if there was one. The grace counts from when it came, though the engine, and with
+    /// it the decisions, may be up only later.
+    pub(super) fn pass_on_notice(&mut self) {
+        if let Some(stop) = self.stop_at {
+            let age = self.now.saturating_sub(self.noticed);
+            self.batch.push(Happened::Leave { age, stop_at: stop.saturating_sub(FLUSH) });
+        }
+    }
+
+    /// Whether so little is left before the stop that nothing more is taken in.
+    pub(super) fn closes_next(&self) -> bool {
+        self.stop_at.is_some_and(|stop| self.now + FLUSH >= stop)
+    }
+
+    /// The same, once.
     pub(super) fn closes_now(&mut self) -> bool {
-        let now = !self.closing && self.stop_at.is_some_and(|stop| self.now + FLUSH >= stop);
+        let now = !self.closing && self.closes_next();
         self.closing |= now;
         now
     }
--- a/node/src/serve/start.rs
+++ b/node/src/serve/start.rs
@@ -12,7 +12,6 @@
 use serde_json::Value;
 use slog::{Logger, info, o, warn};
 
-use super::leave::FLUSH;
 use super::report::Slowest;
 use super::{Fault, MS, Node};
 use crate::life::clock::Clock;
@@ -147,6 +146,7 @@
             sweep_at: 0,
             summary_at: 0,
             stop_at: None,
+            noticed: 0,
             closing: false,
             slowest: Slowest::default(),
             orders,
@@ -174,8 +174,6 @@
         door.happen(self.now.saturating_sub(age), &[Happened::Started], &mut todo);
         self.door = Some(door);
         todo.into_iter().for_each(|what| self.carry_out(what));
-        if let Some(stop) = self.stop_at {
-            self.batch.push(Happened::Leave { stop_at: stop.saturating_sub(FLUSH) });
-        }
+        self.pass_on_notice();
     }
 }
--- a/node/src/wire/conn.rs
+++ b/node/src/wire/conn.rs
@@ -159,11 +159,12 @@
         }
     }
 
-    /// All is written and nothing more is wanted. Closed now, with something unread, the system would reset
-    /// the connection, and the peer could lose an answer that it has not read: whether it is to linger
-    /// instead.
+    /// All is written and nothing more is wanted. Closed now, with something unread or about to come, the
+    /// system would reset the connection, and the peer could lose an answer that it has not read. So the end
+    /// is said first, and what comes is passed over until the peer ends too: whether that is waited for.
     pub fn linger(&mut self, now: Tenths) -> bool {
-        if self.lingers || self.ended || (self.reader.at_boundary() && self.nothing_came()) {
+        self.ended |= matches!(self.sock.peek(&mut [0]), Ok(0));
+        if self.lingers || self.ended {
             return self.lingers;
         }
         self.lingers = self.sock.shutdown(Shutdown::Write).is_ok();
--- a/node/src/wire/fronts.rs
+++ b/node/src/wire/fronts.rs
@@ -228,7 +228,7 @@
             let over = conn.last.filter(|_| conn.open.is_empty() && conn.unread() == 0);
             match (written, over) {
                 (Err(end), _) => self.close(slot, end, came),
-                (Ok(()), Some(end)) if !conn.linger(now) => self.close(slot, end, came),
+                (Ok(()), Some(end)) => self.hang_up(slot, end, now, came),
                 _ => self.watch(slot),
             }
         }
--- a/node/src/wire/fronts/coming.rs
+++ b/node/src/wire/fronts/coming.rs
@@ -105,7 +105,7 @@
             if self.is_full(front) && !(nth == 0 && self.make_room(front, came)) {
                 // A full table is no reason to fall over: the rest waits in the backlog for a close.
                 self.accept_again(front, nth > 0);
-                return false;
+                return nth > 0;
             }
             let Some(listener) = &self.fronts[front].listener else { return false };
             match listener.accept() {
@@ -183,6 +183,15 @@
         (0..self.fronts.capacity().min(MOST_FRONTS)).for_each(|front| self.accept_again(front, accepting));
     }
 
+    /// The one way in which this node ends a connection that nothing is owed on: it says so, passes over what
+    /// still comes, and closes once the peer has ended too. A request that crosses this is never run, and
+    /// its caller sees an orderly end and may send it again.
+    pub(super) fn hang_up(&mut self, slot: usize, end: End, now: Tenths, came: &mut Vec<Came>) {
+        let conn = &mut self.conns[slot];
+        (conn.reading, conn.last) = (false, Some(end));
+        if conn.linger(now) { self.watch(slot) } else { self.close(slot, end, came) }
+    }
+
     pub(super) fn close(&mut self, slot: usize, end: End, came: &mut Vec<Came>) {
         let conn = self.conns.remove(slot);
         _ = self.poller.delete(&conn.sock);
@@ -218,7 +227,12 @@
             }
         }
         for (slot, end) in over {
-            if end == End::Slow { self.give_up(slot, end) } else { self.close(slot, end, came) }
+            match end {
+                _ if self.conns[slot].lingers => self.close(slot, end, came),
+                End::Idle => self.hang_up(slot, end, now, came),
+                End::Slow => self.give_up(slot, end),
+                _ => self.close(slot, end, came),
+            }
         }
         let idle = self.conns.iter().any(|(_, conn)| conn.idle());
         for front in 0..self.fronts.capacity().min(MOST_FRONTS) {
--- a/node/src/wire/fronts/reading.rs
+++ b/node/src/wire/fronts/reading.rs
@@ -37,7 +37,8 @@
                     self.close(slot, end, came);
                 }
             }
-            Err(End::Closed | End::HalfClosed) if conn.lingers => {
+            // All was said, so however it ends takes nothing away.
+            Err(_) if conn.lingers => {
                 let end = conn.last.unwrap_or(End::Closed);
                 self.close(slot, end, came);
             }
--- a/node/src/wire/work.rs
+++ b/node/src/wire/work.rs
@@ -62,6 +62,14 @@
         }
     }
 
+    /// Whether what is asked for now is sent at once.
+    pub fn is_up(&self) -> bool {
+        match self {
+            Work::Engine(link) => link.is_up(),
+            Work::Servers(_) => true,
+        }
+    }
+
     /// Whether a run needs the variables that its request came with.
     pub fn wants_variables(&self) -> bool {
         matches!(self, Work::Servers(_))
--- /dev/null
+++ b/node/tests/node/instants.rs
@@ -0,0 +1,262 @@
+//! Narrow moments: what crosses the end of a connection, of a link or of the process itself. Both ends are
+//! played and each step waits for what the one before brought, so the order is the test's and not chance's.
+
+use std::io::{ErrorKind, Read, Write};
+use std::time::Duration;
+
+use doortrack_standins::records::{Client, MARK, request};
+use doortrack_standins::{try_id, unix_ms};
+use serde_json::{Value, json};
+
+use super::sockets::{start, up, up_with};
+
+/// Lets the clock pass `moment`, a little more than a stamp in whole ms can hide.
+fn wait_until(moment: u64) {
+    while unix_ms() <= moment + 2 {
+        std::thread::sleep(Duration::from_millis(5));
+    }
+}
+
+/// The node has ended this connection in order; what is sent on it now brings no reset, nor anything else.
+fn ends_in_order(client: &mut Client, crossing: &[u8], barrier: impl FnOnce()) {
+    assert_eq!(client.sock.read(&mut [0]).unwrap(), 0, "it is not ended");
+    client.sock.write_all(crossing).unwrap();
+    barrier();
+    // The system keeps a reset as the socket's error, though a reading after the end tells nothing of it.
+    assert_eq!(client.sock.take_error().unwrap().map(|e| e.kind()), None, "it was reset");
+}
+
+#[test]
+fn what_crosses_the_end_of_an_idle_connection_is_not_run_and_resets_nothing() {
+    let gauges = json!(["core_use", "links"]);
+    let (bed, mut engine) = up_with(|config| config["settings"]["family_info"]["gauges"] = gauges);
+    let (mut idle, mut client) = (bed.client(), bed.client());
+    idle.send(&request(1, 1, "/status/live", &[], b""));
+    assert_eq!(idle.reply().status, 200);
+    client.look(1, 2);
+    let (call, _) = engine.run();
+    engine.readings(3);
+    ends_in_order(&mut idle, &request(1, 3, "/svc/look", &[], b"crosses"), || {
+        client.look(2, 4);
+        assert_eq!(engine.run().0, try_id(4), "one that came after the end was run");
+    });
+    engine.end(&call, "OK", b"as ever");
+    assert_eq!(client.reply().body, b"as ever");
+}
+
+#[test]
+fn what_crosses_an_answer_that_ends_its_connection_takes_nothing_away() {
+    let (bed, _engine) = up();
+    let (mut once, mut other) = (bed.client(), bed.client());
+    let mut check = request(5, 1, "/status/live", &[], b"");
+    check[8 + 2] = 0;
+    once.send(&check);
+    assert_eq!(once.reply().status, 200);
+    ends_in_order(&mut once, &[1, 1, 0, 7], || {
+        other.send(&request(1, 2, "/status/live", &[], b""));
+        assert_eq!(other.reply().status, 200);
+    });
+}
+
+#[test]
+fn a_node_that_stood_still_over_its_stop_answers_what_it_had_read() {
+    let (bed, mut engine) = up_with(|config| config["stop_ms"] = json!(400));
+    let mut client = bed.client();
+    client.look(1, 1);
+    engine.run();
+    bed.signal("-TERM");
+    bed.reports("draining");
+    bed.signal("-STOP");
+    let stopped = unix_ms();
+    // Nothing comes meanwhile: only the time itself can move the node to answer.
+    wait_until(stopped + 400);
+    bed.signal("-CONT");
+    assert_eq!(client.reply().status, 500);
+    assert!(client.is_closed());
+    assert_eq!(bed.end().0, Some(0));
+}
+
+/// A caller and what the grace of a node that leaves was, in ms.
+const GRACE: u64 = 600;
+
+fn leaves_late(config: &mut Value) {
+    config["stop_ms"] = json!(20_000);
+    config["settings"]["safety"]["drain_grace"] = json!(GRACE * 1000);
+}
+
+#[test]
+fn the_grace_counts_from_the_notice_though_the_process_stood_still() {
+    let (bed, _engine) = up_with(leaves_late);
+    let mut client = bed.client();
+    client.send(&request(1, 1, "/status/live", &[], b""));
+    assert_eq!(client.reply().status, 200);
+    bed.signal("-STOP");
+    let noticed = unix_ms();
+    bed.signal("-TERM");
+    wait_until(noticed + GRACE);
+    bed.signal("-CONT");
+    bed.reports("draining");
+    // The process may have learnt of the notice up to its next due time later.
+    wait_until(noticed + GRACE + 400);
+    client.look(2, 2);
+    assert_eq!(client.reply().status, 503, "it came after the grace");
+}
+
+#[test]
+fn the_grace_counts_from_the_notice_though_the_engine_comes_up_later() {
+    let bed = start(leaves_late);
+    bed.reports("ready");
+    bed.signal("-TERM");
+    bed.reports("draining");
+    let reported = unix_ms();
+    wait_until(reported + GRACE);
+    let mut engine = bed.link();
+    engine.hello(0);
+    engine.readings(1);
+    let mut client = bed.client();
+    client.look(1, 1);
+    assert_eq!(client.reply().status, 503, "it came after the grace");
+}
+
+#[test]
+fn what_waits_in_a_full_backlog_at_the_end_is_answered_too() {
+    let (bed, mut engine) = up_with(|config| {
+        config["limits"]["sockets"] = json!(32);
+        config["stop_ms"] = json!(700);
+        config["settings"]["family_info"]["cores"] = json!(20);
+    });
+    let mut clients = Vec::new();
+    // Eight are taken in and run; three more wait where only the system has them.
+    for n in 0..11 {
+        let mut client = bed.client();
+        client.look(1, n);
+        clients.push(client);
+        if n < 8 {
+            engine.run();
+        }
+    }
+    assert_eq!(engine.command_within_readings(2), None);
+    bed.signal("-TERM");
+    for client in &mut clients[..8] {
+        assert_eq!(client.reply().status, 500, "it ran and was cut short by the stop");
+    }
+    for client in &mut clients[8..] {
+        assert!([2, 503].contains(&client.reply().status), "never run, and told so");
+    }
+    assert_eq!(bed.end().0, Some(0));
+}
+
+#[test]
+fn a_deduplicated_run_that_may_have_arrived_is_not_sent_again() {
+    let (bed, mut engine) = up();
+    let mut client = bed.client();
+    engine.readings(1);
+    client.send(&request(1, 1, "/svc/pay", &[MARK], b""));
+    while engine.line()["msg"] != "RUN" {}
+    drop(engine);
+    let mut engine = bed.link();
+    engine.hello(0);
+    engine.readings(3);
+    client.look(2, 2);
+    assert_eq!(engine.run().0, try_id(2), "what may run was sent again");
+    engine.end(&try_id(1), "OK", b"paid once");
+    assert_eq!(client.reply().body, b"paid once");
+}
+
+#[test]
+fn a_deduplicated_run_that_never_arrived_is_answered_in_time_and_a_later_try_runs() {
+    let (bed, mut engine) = up_with(|config| config["settings"]["lanes"][1]["deadline"] = json!(1_000_000));
+    let mut client = bed.client();
+    engine.readings(1);
+    client.send(&request(1, 1, "/svc/pay", &[MARK], b""));
+    while engine.line()["msg"] != "RUN" {}
+    drop(engine);
+    let mut engine = bed.link();
+    engine.hello(0);
+    assert_eq!(engine.command(), json!({"msg": "HALT", "call": try_id(1)}));
+    assert_eq!(client.reply().status, 500, "whether it ran is not known");
+    // The engine may know nothing of it, or keep silent; to a RUN it has to say what became of it.
+    assert_eq!(engine.run().0, try_id(1));
+    engine.end(&try_id(1), "MOOT", b"");
+    engine.readings(1);
+    client.send(&request(2, 2, "/svc/pay", &[MARK], b""));
+    assert_eq!(engine.run().0, try_id(2));
+    engine.end(&try_id(2), "OK", b"paid");
+    assert_eq!(client.reply().body, b"paid");
+}
+
+#[test]
+fn a_notice_cut_in_the_middle_by_a_lost_link_is_told_whole_on_the_next() {
+    let (bed, mut engine) = up();
+    let mut client = bed.client();
+    client.look(1, 1);
+    let (call, _) = engine.run();
+    let sock = engine.lines.get_mut();
+    write!(sock, "{{\"msg\":\"DONE\",\"serial\":1,\"call\":\"{call}\",\"how\":\"OK\",\"dura").unwrap();
+    drop(engine);
+    let mut engine = bed.link();
+    engine.hello(0);
+    engine.done(1, &call, "OK", b"whole");
+    assert_eq!(client.reply().body, b"whole");
+    // Seen twice under one number, it answers nothing twice.
+    engine.done(1, &call, "OK", b"again");
+    client.send(&request(2, 2, "/status/live", &[], b""));
+    assert_eq!(client.reply().id, 2);
+}
+
+#[test]
+fn an_end_that_crosses_the_halt_of_an_aborted_run_is_no_fault() {
+    let (bed, mut engine) = up();
+    let mut client = bed.client();
+    client.look(1, 1);
+    let (call, _) = engine.run();
+    client.send(&doortrack_standins::records::record(2, 1, b""));
+    assert_eq!(engine.command(), json!({"msg": "HALT", "call": call}));
+    engine.end(&call, "OK", b"nobody waits");
+    engine.tell(json!({"msg": "NO", "how": "HALT", "call": call}));
+    client.look(1, 2);
+    let (second, _) = engine.run();
+    engine.end(&second, "OK", b"the second");
+    assert_eq!(client.reply().body, b"the second");
+}
+
+#[test]
+fn a_second_notice_and_a_reload_during_the_drain_change_nothing_of_it() {
+    let (bed, mut engine) = up_with(|config| config["stop_ms"] = json!(900));
+    let mut client = bed.client();
+    client.look(1, 1);
+    engine.run();
+    let config = std::fs::read_to_string(bed.folder.join("config.json")).unwrap();
+    bed.signal("-TERM");
+    bed.reports("draining");
+    bed.reload(&config.replace("\"stop_ms\":900", "\"stop_ms\":900000"));
+    bed.signal("-TERM");
+    assert_eq!(client.reply().status, 500, "the first notice names the stop");
+    assert_eq!(bed.end().0, Some(0));
+}
+
+#[test]
+fn a_registry_that_is_gone_and_back_is_reported_to_and_ends_nothing() {
+    let mut plan = doortrack_standins::bed::Plan::new(env!("CARGO_BIN_EXE_doortrack"));
+    // A port that was open a moment ago: every datagram to it is refused.
+    let gone = doortrack_standins::bed::open_registry().local_addr().unwrap();
+    plan.config["registry"] = json!(gone.to_string());
+    let (bed, mut engine) = plan.up();
+    let mut client = bed.client();
+    client.look(1, 1);
+    let (call, _) = engine.run();
+    engine.end(&call, "OK", b"served");
+    assert_eq!(client.reply().body, b"served");
+    // More than one report was refused by now, as they go out every 0.3 s.
+    let since = unix_ms();
+    wait_until(since + 700);
+    let back = match std::net::UdpSocket::bind(gone) {
+        Ok(sock) => sock,
+        Err(e) if e.kind() == ErrorKind::AddrInUse => return, // Another test was given the port.
+        Err(e) => panic!("{e}"),
+    };
+    back.set_read_timeout(Some(doortrack_standins::LONG)).unwrap();
+    let mut text = [0; 64];
+    let n = back.recv(&mut text).unwrap();
+    assert_eq!(&text[..n], b"BEAT n1 ready");
+}
--- a/node/tests/node/main.rs
+++ b/node/tests/node/main.rs
@@ -2,6 +2,7 @@
 
 mod conformance;
 mod fronts;
+mod instants;
 mod parts;
 mod play;
 mod rules;
--- a/node/tests/node/sockets.rs
+++ b/node/tests/node/sockets.rs
@@ -15,19 +15,19 @@
 use doortrack_standins::{try_id, unix_ms};
 use serde_json::{Value, json};
 
-fn start(change: impl FnOnce(&mut Value)) -> Bed {
+pub fn start(change: impl FnOnce(&mut Value)) -> Bed {
     let mut plan = Plan::new(env!("CARGO_BIN_EXE_doortrack"));
     change(&mut plan.config);
     plan.start()
 }
 
-fn up_with(change: impl FnOnce(&mut Value)) -> (Bed, Engine) {
+pub fn up_with(change: impl FnOnce(&mut Value)) -> (Bed, Engine) {
     let mut plan = Plan::new(env!("CARGO_BIN_EXE_doortrack"));
     change(&mut plan.config);
     plan.up()
 }
 
-fn up() -> (Bed, Engine) {
+pub fn up() -> (Bed, Engine) {
     up_with(|_| {})
 }
 
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -36,8 +36,9 @@
     CallerGone {
         id: ExId,
     },
-    /// Notice to leave: the process is stopped at `stop_at`.
+    /// Notice to leave, which came this long ago: the process is stopped at `stop_at`.
     Leave {
+        age: Tenths,
         stop_at: Tenths,
     },
     Alarm {
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -200,7 +200,7 @@
                 Happened::NeedsCall { id } => self.needs_call(*id),
                 Happened::CallEnded { id, outcome, took } => self.call_ended(*id, *outcome, *took, todo),
                 Happened::CallerGone { id } => self.caller_gone(*id, todo),
-                Happened::Leave { stop_at } => self.leave_by(*stop_at, todo),
+                Happened::Leave { age, stop_at } => self.leave_by(*age, *stop_at, todo),
                 Happened::Alarm { gauges, .. } => self.st.gauges = *gauges,
             }
         }
@@ -572,8 +572,8 @@
         }
     }
 
-    fn leave_by(&mut self, stop_at: Tenths, todo: &mut Vec<Todo>) {
-        self.st.leave = Some((self.st.now + self.terms.drain_grace, stop_at));
+    fn leave_by(&mut self, age: Tenths, stop_at: Tenths, todo: &mut Vec<Todo>) {
+        self.st.leave = Some((self.st.now.saturating_sub(age) + self.terms.drain_grace, stop_at));
         self.tell_health(todo);
         let places: Vec<Place> = self.st.exs.iter().map(|(place, _)| place).collect();
         for place in places {
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -246,7 +246,7 @@
     pub fn leave_in(&mut self, left: Tenths) {
         if self.leave.is_none() {
             self.leave = Some((self.now + self.terms.drain_grace, self.now + left));
-            self.events.push(Happened::Leave { stop_at: self.now + left });
+            self.events.push(Happened::Leave { age: 0, stop_at: self.now + left });
         }
     }
 
