--- a/contract/src/lib.rs
+++ b/contract/src/lib.rs
@@ -72,6 +72,18 @@
         }
     }
 
+    /// A part of a whole.
+    fn fraction(&self) -> Result<f32, Fault> {
+        match self.value.as_f64() {
+            Some(n) if (0.0..=1.0).contains(&n) => Ok(n as f32),
+            _ => self.wrong("a share from 0 to 1"),
+        }
+    }
+
+    fn share(&self, key: &str) -> Result<f32, Fault> {
+        self.part(key)?.fraction()
+    }
+
     pub fn num(&self, key: &str) -> Result<f32, Fault> {
         Ok(self.part(key)?.number()? as f32)
     }
@@ -104,6 +116,15 @@
         let item = |(i, value)| Part { value, path: format!("{}[{i}]", part.path) };
         Ok(list.iter().enumerate().map(item).collect())
     }
+
+    /// A list with one item for each endpoint group.
+    fn list_by_group(&self, key: &str, groups: usize) -> Result<Vec<Part<'a>>, Fault> {
+        let list = self.list(key)?;
+        if list.len() != groups {
+            return self.part(key)?.wrong(&format!("one item for each of the {groups} groups in 'lanes'"));
+        }
+        Ok(list)
+    }
 }
 
 /// Reads the settings; keys that are not known are disregarded.
@@ -111,19 +132,21 @@
     let info = top.part("family_info")?;
     let safety = top.part("safety")?;
     let bounds = top.part("bounds")?;
-    let skip = info.list("class_skip_worth")?;
-    let calls = info.list("calls_by_class")?;
-    let (mut groups, mut group_names) = (Vec::new(), Vec::new());
-    for (i, lane) in top.list("lanes")?.iter().enumerate() {
-        let skip_share = skip.get(i).map_or(Ok(0.0), |part| part.number())?;
-        let calls = calls.get(i).is_some_and(|part| part.value.as_bool() == Some(true));
-        groups.push(group(lane, skip_share as f32, calls)?);
-        group_names.push(lane.word("name")?.0.to_string());
+    let lanes = top.list("lanes")?;
+    let skip = info.list_by_group("class_skip_worth", lanes.len())?;
+    let calls = info.list_by_group("calls_by_class", lanes.len())?;
+    let mut groups = Vec::new();
+    for ((lane, skip), calls) in lanes.iter().zip(&skip).zip(&calls) {
+        let calls = calls.value.as_bool().map_or_else(|| calls.wrong("true or false"), Ok)?;
+        groups.push(group(lane, skip.fraction()?, calls)?);
     }
+    let group_names = names(&lanes)?;
     let parties = if top.find("parties").is_some() { top.list("parties")? } else { Vec::new() };
     let customers = parties.iter().map(|p| p.num("allowance_per_s")).collect::<Result<_, _>>()?;
-    let names = parties.iter().map(|p| Ok(p.word("name")?.0.to_string()));
-    let customer_names = names.collect::<Result<_, Fault>>()?;
+    for party in parties.iter().filter(|party| party.find("share").is_some()) {
+        party.share("share")?;
+    }
+    let customer_names = names(&parties)?;
     let (below, below_part) = info.word("below")?;
     let calls_share = match below {
         "common" => Some(info.num("calls_out")?),
@@ -138,7 +161,7 @@
         record_kb: info.num("key_kb")?,
         groups,
         customers,
-        over_share: top.num("over_share_worth")?,
+        over_share: top.share("over_share_worth")?,
         by_work: top.word("worth_by")?.0 == "work",
         nodes: top.num("servers")? as u32,
         stop: stop_kind(&info)?,
@@ -149,7 +172,7 @@
         calls_window: down(info.us("dep_window")?),
         linger: up(info.us("linger")?),
         cold: info.flag("fresh_start")?,
-        start_speed: safety.num("start_capacity")?,
+        start_speed: safety.share("start_capacity")?,
         warm_after: up(safety.us("ramp_time")?),
         tip_multiple: safety.num("tip_multiple")?,
         crowd_window: down(safety.us("overload_for")?),
@@ -170,6 +193,19 @@
     })
 }
 
+/// The names of a list's items. Two alike would leave it open which one an exchange means.
+fn names(list: &[Part]) -> Result<Vec<String>, Fault> {
+    let mut names = Vec::new();
+    for item in list {
+        let (name, part) = item.word("name")?;
+        if names.iter().any(|other| other == name) {
+            return part.wrong("a name that none before it has");
+        }
+        names.push(name.to_string());
+    }
+    Ok(names)
+}
+
 fn group(lane: &Part, skip_share: f32, calls: bool) -> Result<EndpointGroup, Fault> {
     let (effect, part) = lane.word("idempotency")?;
     let effect = match effect {
@@ -186,7 +222,7 @@
         async_timeout: time("deadline")?,
         window: up(lane.us("window")?),
         benefit: lane.num("worth")?,
-        late_share: lane.num("late_worth")?,
+        late_share: lane.share("late_worth")?,
         skip_share,
         calls,
     })
--- a/node/src/memory/exchanges.rs
+++ b/node/src/memory/exchanges.rs
@@ -25,8 +25,8 @@
     Running {
         sent: Option<u64>,
     },
-    /// Sent on a link that was lost then, and not told of since: it runs, or never arrived. Whether it was asked
-    /// to be stopped.
+    /// Sent on a link that was lost then, and not told of since: it runs, or never arrived. Whether it was
+    /// asked to be stopped.
     InDoubt {
         stopped: bool,
     },
--- a/node/src/serve/events.rs
+++ b/node/src/serve/events.rs
@@ -194,8 +194,9 @@
                     } else if surely_not_run || repeatable || contract.stop == StopKind::Never {
                         self.run(id);
                     } else {
-                        // Running, it may end before a second RUN is read, and that one would run it again. So
-                        // its end is waited for as any run's. Where runs can't be stopped that could be forever.
+                        // Running, it may end before a second RUN is read, and that one would run it
+                        // again. So its end is waited for as any run's. Where runs can't be stopped that
+                        // could be forever.
                         ex.stage = Stage::InDoubt { stopped: false };
                     }
                 }
@@ -244,7 +245,7 @@
             return;
         }
         match self.reading {
-            // While the node closes there is no time to wait for any: what is due is answered before the stop.
+            // While the node closes there is no time for any: what is due is answered before the stop.
             None if self.closes_next() => {}
             // Where nobody has gauges, alarms carry none.
             None => {
--- a/node/src/serve/leave.rs
+++ b/node/src/serve/leave.rs
@@ -10,7 +10,8 @@
 pub(super) const FLUSH: Tenths = 100 * MS;
 
 impl Node {
-    /// The notice to leave came at `noticed`, or later: what is counted from it is over no later than it may be.
+    /// The notice to leave came at `noticed`, or later: what is counted from it is over no later than it may
+    /// be.
     pub(super) fn leave(&mut self, noticed: Tenths) {
         self.signals.heard(LEAVE_KEY);
         if self.stop_at.is_some() {
@@ -26,8 +27,8 @@
         }
     }
 
-    /// Hands the notice over, if there was one. The grace counts from when it came, though the engine, and with
-    /// it the decisions, may be up only later.
+    /// Hands the notice over, if there was one. The grace counts from when it came, though the engine, and
+    /// with it the decisions, may be up only later.
     pub(super) fn pass_on_notice(&mut self) {
         if let Some(stop) = self.stop_at {
             let age = self.now.saturating_sub(self.noticed);
--- a/node/tests/node/parts.rs
+++ b/node/tests/node/parts.rs
@@ -564,8 +564,25 @@
         ("/settings/lanes", json!([])),
         ("/settings/safety/tip_multiple", json!(null)),
         ("/settings/tick", json!(-1)),
+        ("/limits/memory_mb", json!(-64)),
+        ("/settings/lanes/0/deadline", json!(-1)),
+        ("/settings/lanes/1/name", json!("look")),
+        ("/settings/lanes/0/late_worth", json!(1.1)),
+        ("/settings/over_share_worth", json!(2)),
+        ("/settings/safety/start_capacity", json!(1.5)),
+        ("/settings/family_info/class_skip_worth", json!([0, 3])),
+        ("/settings/family_info/class_skip_worth", json!([0])),
+        ("/settings/family_info/calls_by_class", json!([false, "no"])),
+        ("/settings/parties", json!([{"name": "a", "allowance_per_s": 1, "share": 1.2}])),
+        ("/settings/parties", json!([{"name": "a", "allowance_per_s": -1}])),
     ] {
-        let fault = fault(|v| *v.pointer_mut(path).unwrap() = value);
+        let fault = fault(|v| {
+            let (above, key) = path.rsplit_once('/').unwrap();
+            match v.pointer_mut(above).unwrap() {
+                Value::Array(list) => list[key.parse::<usize>().unwrap()] = value,
+                object => object[key] = value,
+            }
+        });
         let key = path.trim_end_matches("/0").rsplit('/').next().unwrap();
         assert!(fault.contains(key), "{path}: {fault}");
     }
