--- a/node/tests/node/conformance.rs
+++ b/node/tests/node/conformance.rs
@@ -460,6 +460,9 @@
         let mut mutating = lanes[0].clone();
         (mutating["name"], mutating["idempotency"]) = (json!("write"), json!("unsafe"));
         lanes.push(mutating);
+        // These have one item for each of the groups.
+        plan.config["settings"]["family_info"]["calls_by_class"] = json!([false, false, false]);
+        plan.config["settings"]["family_info"]["class_skip_worth"] = json!([0, 0, 0]);
         plan.installation = Some(json!({
             "fronts": [{"protocol": "uwsgi", "listen": at.to_string()}],
             "servers": {"protocol": protocol.name(), "at_once": 16,
