What crosses an eviction, a slow request, a withdrawn front or a clock ahead is lost no more

Each has a test that fails without its mend (seen failing, all six) in node/tests/node/ends.rs, instants.rs and parts.rs. ends.rs drives the table of connections itself with the test's own clock, turn by turn.

Seen and at fault: - A connection let go of to make room was closed outright after a look (make_room in fronts/coming.rs): what crossed met a reset. Now a sixteenth of the places (16 at most) is kept free ahead of need, by telling those least missed the end in order (make_room_ahead, hang_up). Only a burst faster than peers close, or a table under 16 places, still closes outright. - Of a full table the newest connection was let go of while its first request was under way, so two callers that came at once pushed each other out. A stamp counts as no later than now, and a window from the stamp of the try that ran, in the future or not. The test that held a future stamp to be cut to now is replaced by one for this.

Ruled out in reading: a second answer, a descriptor or place lost on any of these paths (ends.rs counts connections at the end).

--- a/node/src/memory/results.rs
+++ b/node/src/memory/results.rs
@@ -21,9 +21,8 @@
     ex: ExId,
     /// Tells the body that it came with from others.
     tag: u64,
-    /// When the try that holds the entry came to the machine.
-    stamp: Tenths,
-    window: Tenths,
+    /// The last stamp that is within the window.
+    until: Tenths,
     kept_till: Tenths,
     end: Option<Result<Kept, NoResult>>,
 }
@@ -92,12 +91,13 @@
     }
 
     /// What one with this mark and body repeats. The window counts from stamp to stamp, so it does not matter
-    /// how late a repeat is read.
+    /// how late a repeat is read. `stamp` is never later than now: whatever its caller's clock says, it came
+    /// no later than that, and one that came within the window may not pass for a new one.
     pub fn repeats(&self, key: &Key, body: &[u8], stamp: Tenths) -> Repeats {
         let Some(entry) = self.entries.get(key) else {
             return if self.entries.len() < self.most_entries { Repeats::Nothing } else { Repeats::NoRoom };
         };
-        let within = stamp <= entry.stamp + entry.window + WINDOW_SLACK;
+        let within = stamp <= entry.until.saturating_add(WINDOW_SLACK);
         match within || entry.end.is_none() {
             false => Repeats::Nothing,
             true if entry.tag == self.tags.hash_one(body) => Repeats::Of(entry.ex),
@@ -105,13 +105,13 @@
         }
     }
 
-    /// Enters an exchange that came at `stamp`, for a window that has `lasting` left.
+    /// Enters an exchange that came at `stamp`, for a window that has `lasting` left. Where the stamp is of a
+    /// clock ahead of this one, nothing of the window is used up yet, and all of it counts from the stamp.
     pub fn record(&mut self, ex: ExId, key: Key, body: &[u8], stamp: Tenths, lasting: Tenths, now: Tenths) {
-        let stamp = stamp.min(now);
-        let window = (now + lasting).saturating_sub(stamp);
-        let kept_till = now + lasting + WINDOW_SLACK + self.patience;
+        let until = stamp.max(now).saturating_add(lasting);
+        let kept_till = until.saturating_add(WINDOW_SLACK + self.patience);
         let tag = self.tags.hash_one(body);
-        let entry = Entry { ex, tag, stamp, window, kept_till, end: None };
+        let entry = Entry { ex, tag, until, kept_till, end: None };
         if let Some(old) = self.entries.insert(key, entry) {
             self.bytes -= size(&old);
             self.keys.remove(&old.ex);
--- a/node/src/serve.rs
+++ b/node/src/serve.rs
@@ -222,8 +222,8 @@
                 Some(Ex { stage: Stage::Running { sent: None }, .. }) => {
                     self.ended(id, End::Unsent, Made::default())
                 }
-                // Asked for again, so it was answered some time ago: to a RUN the engine now says that it runs,
-                // or that nothing is begun for a request that is over.
+                // Asked for again, so it was answered some time ago: to a RUN the engine now says that it
+                // runs, or that nothing is begun for a request that is over.
                 Some(Ex { stage: Stage::InDoubt { stopped: true }, .. }) if self.work.is_up() => self.run(id),
                 Some(ex) if ex.stage.may_run() => {
                     self.work.stop(id, ex, self.now);
--- a/node/src/serve/events.rs
+++ b/node/src/serve/events.rs
@@ -36,7 +36,8 @@
             self.decide();
             self.marks.extend(key);
         }
-        let found = key.map_or(Repeats::Nothing, |key| self.results.repeats(&key, &body, request.stamp));
+        let found = key
+            .map_or(Repeats::Nothing, |key| self.results.repeats(&key, &body, request.stamp.min(self.now)));
         let repeats = match found {
             Repeats::Nothing => None,
             Repeats::Of(first) => Some(first),
--- a/node/src/wire/bounds.rs
+++ b/node/src/wire/bounds.rs
@@ -28,6 +28,12 @@
 /// Connections that never asked for anything, let go of at once where the table is full: so that looking them
 /// out costs each that comes little.
 pub const EVICTED: usize = 16;
+/// On a connection where something moved so lately a request may be under way, so it is not let go of for
+/// another: two callers that come at once would push each other out.
+pub const FRESH: Tenths = 25 * MS;
+/// One place in this many is kept free ahead of need, so that who is let go of can be told the end in order
+/// before its place is taken. A smaller table has none to spare.
+const PLACES_A_SPARE: usize = 16;
 /// Most that a connection has for a whole request, from its start or from when one began to come.
 const WHOLE_WITHIN: Tenths = 2_000 * MS;
 /// A stamp so many times the longest async timeout away from now was not written by a sound clock. Handed
@@ -42,6 +48,11 @@
     patience.min(WHOLE_WITHIN)
 }
 
+/// Places of a table that are kept free ahead of need.
+pub fn spare(places: usize) -> usize {
+    (places / PLACES_A_SPARE).min(EVICTED)
+}
+
 pub fn is_far_off(stamp: Tenths, now: Tenths, patience: Tenths) -> bool {
     stamp.abs_diff(now) > patience.saturating_mul(FAR_OFF)
 }
--- a/node/src/wire/conn.rs
+++ b/node/src/wire/conn.rs
@@ -66,7 +66,7 @@
     pub rests: bool,
     /// All was said here, but the peer may still be sending: what comes is passed over until it stops.
     pub lingers: bool,
-    /// Nothing more is read once it is half closed or malformed, or this node is about to end.
+    /// Nothing more is read once it is half closed or malformed, or has been told the end.
     pub reading: bool,
     /// The peer said that it sends nothing more.
     ended: bool,
@@ -118,9 +118,14 @@
         self.sock.peek(&mut [0]).is_err_and(|e| e.kind() == ErrorKind::WouldBlock)
     }
 
+    /// This node ends it once all that is open has been answered: what begins now would come too late.
+    pub fn is_ending(&self) -> bool {
+        matches!(self.last, Some(End::Slow | End::Withdrawn | End::Left))
+    }
+
     /// Whether a whole request has been due for longer than it may take: nothing came, or it trickles.
     pub fn is_slow(&self, now: Tenths, within: Tenths) -> bool {
-        (self.reading || self.lingers)
+        ((self.reading && !self.is_ending()) || self.lingers)
             && self.due_since.is_some_and(|since| now.saturating_sub(since) > within)
             && (!self.idle() || self.lingers || self.nothing_came())
     }
--- a/node/src/wire/fronts/coming.rs
+++ b/node/src/wire/fronts/coming.rs
@@ -9,10 +9,10 @@
 use socket2::{Domain, Socket, Type};
 
 use super::{Came, Counts, FIRST_KEY, Front, Fronts, LISTEN_KEY};
-use crate::wire::bounds::{self, ACCEPTS, EVICTED, LAST_TURNS, MOST_FRONTS};
+use crate::wire::bounds::{self, ACCEPTS, EVICTED, FRESH, LAST_TURNS, MOST_FRONTS};
 use crate::wire::conn::Conn;
 use crate::wire::end::End;
-use crate::wire::request::Answer;
+use crate::wire::request::{Answer, Unreadable};
 
 impl Fronts {
     /// Opens a front. `most` bounds its connections; all fronts together keep within the node's own bound.
@@ -50,7 +50,7 @@
     }
 
     /// Takes a front out of service: what the machine has accepted for it is still read, once more, and
-    /// answered; nothing is read after that, and it is forgotten with the last connection.
+    /// answered; what comes after that is refused, and it is forgotten with the last connection.
     pub fn withdraw(&mut self, at: SocketAddr, now: Tenths, came: &mut Vec<Came>) {
         let slots = self.fronts.iter().filter(|(_, front)| front.is_at(at));
         let slots: Vec<usize> = slots.map(|(front, _)| front).collect();
@@ -63,10 +63,11 @@
         slots.into_iter().for_each(|front| self.shut(front, End::Left, now, came));
     }
 
-    /// Takes in the backlog of a front, reads each of its connections once more, and closes those with
-    /// nothing open from then on.
+    /// Takes in the backlog of a front, reads each of its connections once more, and ends those with nothing
+    /// open from then on.
     fn shut(&mut self, front: usize, end: End, now: Tenths, came: &mut Vec<Came>) {
-        while self.accept(front, now, came) {}
+        // There is no later turn for what waits in the backlog, so nobody is spared for being fresh.
+        while self.accept_sparing(0, front, now, came) {}
         if let Some(listener) = self.fronts[front].listener.take() {
             _ = self.poller.delete(&listener);
         }
@@ -81,7 +82,7 @@
             }
             if self.conns.contains(slot) {
                 self.answer_half_read(slot, Answer::NoRoom);
-                self.stop_reading(slot, end);
+                self.end_once_answered(slot, end);
             }
         }
         self.forget_if_over(front);
@@ -97,12 +98,18 @@
 
     /// Takes what the machine accepted; whether more may be waiting.
     pub fn accept(&mut self, front: usize, now: Tenths, came: &mut Vec<Came>) -> bool {
+        self.accept_sparing(FRESH, front, now, came)
+    }
+
+    /// The same; where room has to be made, those are spared on which something moved so lately.
+    fn accept_sparing(&mut self, fresh: Tenths, front: usize, now: Tenths, came: &mut Vec<Came>) -> bool {
+        let quiet_since = now.saturating_sub(fresh);
         if !self.fronts.contains(front) {
             return false;
         }
         for nth in 0..ACCEPTS {
             // Only the first is known to be waiting, so room is made for no more than one.
-            if self.is_full(front) && !(nth == 0 && self.make_room(front, came)) {
+            if self.is_full(front) && !(nth == 0 && self.make_room(front, quiet_since, came)) {
                 // A full table is no reason to fall over: the rest waits in the backlog for a close.
                 self.accept_again(front, nth > 0);
                 return nth > 0;
@@ -110,7 +117,10 @@
             let Some(listener) = &self.fronts[front].listener else { return false };
             match listener.accept() {
                 // One that is gone again before it was taken in has brought nothing.
-                Ok((sock, peer)) => _ = self.take_in(sock, peer.ip(), front, now),
+                Ok((sock, peer)) => {
+                    _ = self.take_in(sock, peer.ip(), front, now);
+                    self.make_room_ahead(front, quiet_since, now, came);
+                }
                 Err(e) if matches!(e.kind(), ErrorKind::Interrupted | ErrorKind::ConnectionAborted) => {}
                 Err(e) => {
                     // With no descriptor to be had the listener stays ready; it is asked again at a sweep.
@@ -142,18 +152,11 @@
         Ok(())
     }
 
-    /// Lets go of some that never asked for anything, those first that came first; where there are none, of
-    /// the one that lay idle longest. Many that come only to sit there so cost those that ask little. A
-    /// front at its own bound makes room among its own.
-    fn make_room(&mut self, front: usize, came: &mut Vec<Came>) -> bool {
-        let own = self.conns.len() < self.room.connections;
-        // What lingers has had its answer, and only sends what nobody asked for.
-        let asks_nothing = |conn: &Conn| !conn.spoke && conn.reading && conn.unread() == 0;
-        let useless = |conn: &Conn| conn.lingers || conn.idle() || asks_nothing(conn);
-        let useless = self.conns.iter().filter(|(_, conn)| useless(conn) && (!own || conn.front == front));
-        let of = |(slot, conn): (usize, &Conn)| (conn.spoke && !conn.lingers, conn.moved, slot);
-        let mut useless: Vec<_> = useless.map(of).collect();
-        useless.sort_unstable();
+    /// Makes sure that a place is there, where `make_room_ahead` could not: closes some that were told the
+    /// end or never asked for anything, those first that came first; where there are none, the one that lay
+    /// idle longest. Many that come only to sit there so cost those that ask little.
+    fn make_room(&mut self, front: usize, quiet_since: Tenths, came: &mut Vec<Came>) -> bool {
+        let useless = self.least_missed(front, quiet_since);
         let silent = useless.partition_point(|(spoke, ..)| !spoke).min(EVICTED);
         let before = self.conns.len();
         for (spoke, _, slot) in useless {
@@ -167,6 +170,52 @@
         self.conns.len() < before
     }
 
+    /// Tells some the end while there are places left, so that what crosses it meets no reset. Only a burst
+    /// of callers faster than their peers close, and a table with no place to spare, come to `make_room`.
+    fn make_room_ahead(&mut self, front: usize, quiet_since: Tenths, now: Tenths, came: &mut Vec<Came>) {
+        let (own, places, free) = self.tighter_bound(front);
+        let spare = bounds::spare(places);
+        if free >= spare {
+            return;
+        }
+        let going = |conn: &Conn| conn.lingers && (!own || conn.front == front);
+        let going = self.conns.iter().filter(|(_, conn)| going(conn)).count();
+        let wanted = spare.saturating_sub(free + going);
+        // Half of them at once, as each look goes over all connections.
+        if 2 * wanted <= spare {
+            return;
+        }
+        let stays = |conn: &Conn| !conn.lingers && conn.open.is_empty() && conn.nothing_came();
+        let useless = self.least_missed(front, quiet_since).into_iter().map(|(.., slot)| slot);
+        let useless: Vec<usize> = useless.filter(|slot| stays(&self.conns[*slot])).take(wanted).collect();
+        useless.into_iter().for_each(|slot| self.hang_up(slot, End::Evicted, now, came));
+    }
+
+    /// Whether a front's own bound is met before that of the table, how many places that is, and how many of
+    /// them are free.
+    fn tighter_bound(&self, front: usize) -> (bool, usize, usize) {
+        let of = &self.fronts[front];
+        let own = (true, of.most, of.most.saturating_sub(of.connections));
+        let all = (false, self.room.connections, self.room.connections.saturating_sub(self.conns.len()));
+        if own.2 < all.2 { own } else { all }
+    }
+
+    /// Connections that could be let go of, those first that are missed least: whether they ever asked for
+    /// anything, when something last moved on them, and where they are. A front at its own bound makes room
+    /// among its own.
+    fn least_missed(&self, front: usize, quiet_since: Tenths) -> Vec<(bool, Tenths, usize)> {
+        let (own, ..) = self.tighter_bound(front);
+        // What lingers has had its answer, and only sends what nobody asked for.
+        let asks_nothing = |conn: &Conn| !conn.spoke && conn.reading && conn.unread() == 0;
+        let quiet = |conn: &Conn| conn.moved <= quiet_since;
+        let useless = |conn: &Conn| conn.lingers || (quiet(conn) && (conn.idle() || asks_nothing(conn)));
+        let useless = self.conns.iter().filter(|(_, conn)| useless(conn) && (!own || conn.front == front));
+        let of = |(slot, conn): (usize, &Conn)| (conn.spoke && !conn.lingers, conn.moved, slot);
+        let mut useless: Vec<_> = useless.map(of).collect();
+        useless.sort_unstable();
+        useless
+    }
+
     fn accept_again(&mut self, front: usize, accepting: bool) {
         let Some(of) = self.fronts.get_mut(front) else { return };
         if accepting != of.accepting
@@ -230,7 +279,11 @@
             match end {
                 _ if self.conns[slot].lingers => self.close(slot, end, came),
                 End::Idle => self.hang_up(slot, end, now, came),
-                End::Slow => self.give_up(slot, end),
+                // A dispatcher that passes on what a slow client sends may have others open on it.
+                End::Slow => {
+                    self.answer_half_read(slot, Answer::Unreadable(Unreadable::Field("record")));
+                    self.end_once_answered(slot, end);
+                }
                 _ => self.close(slot, end, came),
             }
         }
--- a/node/src/wire/fronts/reading.rs
+++ b/node/src/wire/fronts/reading.rs
@@ -63,8 +63,8 @@
         }
     }
 
-    /// Nothing more is read: what is whole is answered yet, what is not is told so.
-    pub(super) fn give_up(&mut self, slot: usize, end: End) {
+    /// What comes can't be read any further: what is whole is answered yet, what is not is told so.
+    fn give_up(&mut self, slot: usize, end: End) {
         self.answer_half_read(slot, Answer::Unreadable(Unreadable::Field("record")));
         self.stop_reading(slot, end);
     }
@@ -75,7 +75,14 @@
         callers.into_iter().for_each(|caller| self.answer(caller, answer));
     }
 
-    pub(super) fn stop_reading(&mut self, slot: usize, end: End) {
+    /// It ends once all that is open on it has been answered. Until then it is read, as the peer may be
+    /// writing requests that it could not know to be in vain; those are refused.
+    pub(super) fn end_once_answered(&mut self, slot: usize, end: End) {
+        self.conns[slot].last = Some(end);
+        self.mark(slot);
+    }
+
+    fn stop_reading(&mut self, slot: usize, end: End) {
         self.open -= self.conns[slot].stop_reading(end);
         self.mark(slot);
     }
@@ -85,7 +92,8 @@
         match piece {
             Piece::Begin { id, .. } if conn.has(id) => self.give_up(slot, End::Malformed),
             Piece::Begin { id, role, keep } => {
-                if !keep {
+                let ending = conn.is_ending();
+                if !keep && !ending {
                     conn.last = Some(End::Closed);
                 }
                 (self.begun, self.open) = (self.begun + 1, self.open + 1);
@@ -93,7 +101,7 @@
                 let too_many = conn.begin(id, caller.nth) || self.open > self.room.open;
                 if role != RESPONDER {
                     self.answer(caller, Answer::UnknownRole);
-                } else if too_many {
+                } else if too_many || ending {
                     self.answer(caller, Answer::NoRoom);
                 }
             }
--- /dev/null
+++ b/node/tests/node/ends.rs
@@ -0,0 +1,199 @@
+//! What crosses the end of a caller's connection, tried on the table of connections itself: real sockets, the
+//! test's own clock, and turns that are taken one by one, so the order is the test's and not chance's.
+
+use std::io::Read;
+use std::net::{SocketAddr, TcpStream};
+use std::sync::Arc;
+
+use doortrack_installation::orders::Room;
+use doortrack_node::wire::bounds::FRESH;
+use doortrack_node::wire::fronts::{Caller, Came, FIRST_KEY, Fronts, LISTEN_KEY};
+use doortrack_node::wire::request::{Answer, Made, Names};
+use doortrack_standins::LONG;
+use doortrack_standins::bed::fresh_address;
+use doortrack_standins::records::{Client, record, request};
+use doortrack_wire::Protocol;
+use polling::{Events, Poller};
+
+/// Tenths of a ms in a second.
+const S: u64 = 10_000;
+
+/// The table and its callers, on a clock that stands still unless it is moved.
+struct Table {
+    poller: Arc<Poller>,
+    fronts: Fronts,
+    at: SocketAddr,
+    now: u64,
+    /// Exchanges read so far.
+    exchanges: Vec<Caller>,
+}
+
+impl Table {
+    fn new(connections: usize) -> Table {
+        let poller = Arc::new(Poller::new().unwrap());
+        let room = Room { connections, open: 64, entries: 1, result_bytes: 1, unread: 100_000, commands: 1 };
+        let names = Names { groups: vec!["look".into()], marked: vec![false], customers: Vec::new() };
+        let mut fronts = Fronts::new(poller.clone(), names, room, 10 * S);
+        let at = fresh_address();
+        fronts.listen(at, Protocol::FastCgi, None).unwrap();
+        // Stamps of requests are of this time, so they are not far off.
+        let now = doortrack_standins::unix_ms() * 10;
+        Table { poller, fronts, at, now, exchanges: Vec::new() }
+    }
+
+    /// Takes in and reads what is ready, and writes; it waits for something to be.
+    fn turn(&mut self) {
+        let (mut events, mut came) = (Events::new(), Vec::new());
+        assert!(self.poller.wait(&mut events, Some(LONG)).unwrap() > 0, "nothing comes");
+        for event in events.iter() {
+            match event.key {
+                LISTEN_KEY..FIRST_KEY => _ = self.fronts.accept(event.key - LISTEN_KEY, self.now, &mut came),
+                _ => self.fronts.ready(event, self.now, &mut came),
+            }
+        }
+        self.fronts.flush(self.now, &mut came);
+        self.exchanges.extend(came.into_iter().filter_map(|came| match came {
+            Came::Exchange { caller, .. } => Some(caller),
+            Came::Ended { .. } => None,
+        }));
+    }
+
+    fn until(&mut self, over: impl Fn(&Table) -> bool) {
+        while !over(self) {
+            self.turn();
+        }
+    }
+
+    /// Lets time pass, and looks over what lay idle meanwhile.
+    fn pass(&mut self, time: u64) {
+        self.now += time;
+        let mut came = Vec::new();
+        self.fronts.sweep(self.now, &mut came);
+        self.fronts.flush(self.now, &mut came);
+    }
+
+    fn connect(&self, at: SocketAddr) -> Client {
+        let sock = TcpStream::connect(at).unwrap();
+        sock.set_read_timeout(Some(LONG)).unwrap();
+        Client { sock }
+    }
+
+    /// One more connection that was taken in.
+    fn caller(&mut self) -> Client {
+        let accepted = self.fronts.counts().accepted;
+        let client = self.connect(self.at);
+        self.until(|table| table.fronts.counts().accepted > accepted);
+        client
+    }
+
+    /// One that has an exchange open.
+    fn busy_caller(&mut self, nth: u64) -> Client {
+        let (mut client, open) = (self.caller(), self.exchanges.len());
+        client.look(1, nth);
+        self.until(|table| table.exchanges.len() > open);
+        client
+    }
+
+    fn checks(&mut self, client: &mut Client, nth: u64) {
+        let checks = self.fronts.counts().checks;
+        client.send(&request(9, nth, "/status/live", &[], b""));
+        self.until(|table| table.fronts.counts().checks > checks);
+        assert_eq!(client.reply().status, 200);
+    }
+
+    /// Sends one more exchange on a connection that is about to end, which is refused as never run.
+    fn refuses(&mut self, client: &mut Client, id: u16, nth: u64) {
+        let refused = self.fronts.counts().no_room;
+        client.look(id, nth);
+        self.until(|table| table.fronts.counts().no_room > refused);
+        let reply = client.reply();
+        assert_eq!((reply.id, reply.status), (id, 2));
+    }
+
+    fn serves(&mut self, exchange: usize, client: &mut Client) {
+        let made = Made { headers: b"", body: b"made" };
+        self.fronts.answer(self.exchanges[exchange], Answer::Completed(made));
+        self.fronts.flush(self.now, &mut Vec::new());
+        assert_eq!(client.reply().body, b"made");
+    }
+}
+
+fn has_ended(client: &mut Client) -> bool {
+    client.sock.read(&mut [0]).unwrap() == 0
+}
+
+#[test]
+fn what_crosses_the_end_of_one_that_makes_room_meets_no_reset_and_is_not_run() {
+    let mut table = Table::new(16);
+    let mut callers: Vec<Client> = Vec::new();
+    for nth in 0..15 {
+        let mut caller = table.caller();
+        table.checks(&mut caller, nth);
+        callers.push(caller);
+        table.pass(FRESH);
+    }
+    let mut newest = table.caller();
+    let longest_idle = &mut callers[0];
+    assert!(has_ended(longest_idle));
+    longest_idle.look(1, 20);
+    table.turn();
+    assert_eq!(longest_idle.sock.take_error().unwrap().map(|e| e.kind()), None, "it was reset");
+    assert!(table.exchanges.is_empty(), "what came after the end was taken in");
+    table.checks(&mut newest, 21);
+    drop(callers.remove(0));
+    table.until(|table| table.fronts.connections() == 15);
+    assert_eq!(table.fronts.counts().ends.get("evicted"), Some(&1));
+    callers.iter_mut().zip(22..).for_each(|(caller, nth)| table.checks(caller, nth));
+}
+
+#[test]
+fn a_new_caller_does_not_push_out_one_whose_first_request_is_under_way() {
+    let mut table = Table::new(8);
+    let _busy: Vec<Client> = (0..7).map(|nth| table.busy_caller(nth)).collect();
+    let mut eighth = table.caller();
+    let mut ninth = table.connect(table.at);
+    // The listener is looked at, and there is nobody to let go of.
+    table.turn();
+    assert_eq!(table.fronts.connections(), 8);
+    table.checks(&mut eighth, 10);
+    // With nothing more from it, it is the one that makes room.
+    table.pass(FRESH);
+    table.until(|table| table.fronts.counts().accepted == 9);
+    table.checks(&mut ninth, 11);
+    assert!(has_ended(&mut eighth));
+}
+
+#[test]
+fn a_slow_request_ends_its_connection_only_once_what_is_open_beside_it_is_answered() {
+    let mut table = Table::new(8);
+    let mut client = table.caller();
+    client.send(&record(1, 2, &[0, 1, 1, 0, 0, 0, 0, 0]));
+    client.look(1, 1);
+    table.until(|table| table.exchanges.len() == 1);
+    table.pass(3 * S);
+    let slow = client.reply();
+    assert_eq!((slow.id, slow.status), (2, 400));
+    // One that brought what can't be read rests until the next look.
+    table.pass(FRESH);
+    table.refuses(&mut client, 3, 3);
+    table.pass(3 * S);
+    table.serves(0, &mut client);
+    assert!(has_ended(&mut client));
+    assert_eq!(table.exchanges.len(), 1);
+}
+
+#[test]
+fn what_comes_to_a_front_that_was_withdrawn_is_refused_and_never_left_unread() {
+    let mut table = Table::new(8);
+    let front = SocketAddr::new(table.at.ip(), 9091);
+    table.fronts.listen(front, Protocol::FastCgi, None).unwrap();
+    let mut client = table.connect(front);
+    client.look(1, 1);
+    table.until(|table| table.exchanges.len() == 1);
+    table.fronts.withdraw(front, table.now, &mut Vec::new());
+    table.refuses(&mut client, 2, 2);
+    table.serves(0, &mut client);
+    assert!(has_ended(&mut client));
+    drop(client);
+    table.until(|table| table.fronts.each().count() == 1);
+}
--- a/node/tests/node/instants.rs
+++ b/node/tests/node/instants.rs
@@ -260,3 +260,19 @@
     let n = back.recv(&mut text).unwrap();
     assert_eq!(&text[..n], b"BEAT n1 ready");
 }
+
+#[test]
+fn a_repeat_whose_stamp_is_of_a_clock_ahead_does_not_run_again() {
+    let (bed, mut engine) = up();
+    let mut client = bed.client();
+    client.send(&request(1, 1, "/svc/pay", &[MARK], b""));
+    let (call, _) = engine.run();
+    engine.end(&call, "OK", b"paid once");
+    assert_eq!(client.reply().body, b"paid once");
+    // The window is 60 s; by this stamp it would be over, though it has hardly begun.
+    let ahead = (unix_ms() + 100_000).to_string();
+    client.send(&request(2, 2, "/svc/pay", &[MARK, ("HTTP_X_REQUEST_START", &ahead)], b""));
+    client.look(3, 3);
+    assert_eq!(engine.run().0, try_id(3), "it was run again");
+    assert_eq!(client.reply().body, b"paid once");
+}
--- a/node/tests/node/parts.rs
+++ b/node/tests/node/parts.rs
@@ -467,14 +467,20 @@
 }
 
 #[test]
-fn a_stamp_in_the_future_ends_its_entry_all_the_same() {
+fn the_window_of_a_clock_ahead_counts_from_its_stamp_and_ends_all_the_same() {
     let mut results = Results::new(3, 10, 0);
-    results.record(1, KEY, b"", u64::MAX, 1000 * MS, 500 * MS);
-    assert_eq!(results.repeats(&KEY, b"", 1500 * MS), Repeats::Of(1));
+    results.record(1, KEY, b"", 2500 * MS, 1000 * MS, 500 * MS);
     results.ended(1, Ok(Made::from(&b"1"[..])));
-    assert_eq!(results.repeats(&KEY, b"", 1700 * MS), Repeats::Nothing);
-    results.tidy(2000 * MS);
+    assert_eq!(results.repeats(&KEY, b"", 500 * MS), Repeats::Of(1));
+    assert_eq!(results.repeats(&KEY, b"", 3500 * MS), Repeats::Of(1));
+    assert_eq!(results.repeats(&KEY, b"", 3700 * MS), Repeats::Nothing);
+    results.tidy(3500 * MS);
+    assert_eq!(results.result(1), Found::Result(Made::from(&b"1"[..])));
+    results.tidy(4000 * MS);
     assert_eq!((results.result(1), results.bytes()), (Found::None, 0));
+    // However far ahead, nothing runs over.
+    results.record(2, KEY, b"", u64::MAX, 1000 * MS, 500 * MS);
+    assert_eq!(results.repeats(&KEY, b"", 500 * MS), Repeats::Of(2));
 }
 
 fn ex(try_id: u8) -> Ex {
