--- a/budgets/src/lib.rs
+++ b/budgets/src/lib.rs
@@ -7,7 +7,7 @@
 //!
 //! ```text
 //! let mut budgets = Budgets::new(me, weight, terms, list, seed, now);
-//! budgets.happen(now, Event::Turn, &mut actions);          // at budgets.next_due() at the latest
+//! budgets.handle(now, Event::Turn, &mut actions);          // at budgets.next_due() at the latest
 //! if let Err(come_back) = budgets.take(place, now) { .. }  // with the clock read just before
 //! ```
 //!
--- a/budgets/tests/holder.rs
+++ b/budgets/tests/holder.rs
@@ -28,7 +28,7 @@
         let mut view = View::default();
         let address = "127.0.0.1:1".parse().unwrap();
         view.members.insert(keeper.name.clone(), Seat { life: Life(1), address, weight: 1 });
-        budgets.happen(0, Event::Members(view), &mut Vec::new());
+        budgets.handle(0, Event::Members(view), &mut Vec::new());
         Holder { budgets, keeper, now: 0 }
     }
 
@@ -37,7 +37,7 @@
         loop {
             self.now = self.now.max(self.budgets.next_due());
             let mut out = Vec::new();
-            self.budgets.happen(self.now, Event::Turn, &mut out);
+            self.budgets.handle(self.now, Event::Turn, &mut out);
             let seq = out.iter().find_map(|action| match action {
                 Action::Send(Letter { message: Message::Report { seq, .. }, .. }) => Some(*seq),
                 _ => None,
@@ -50,7 +50,7 @@
 
     fn hears(&mut self, message: Message) {
         let letter = Letter { from: self.keeper.clone(), to: self.budgets.me().clone(), message };
-        self.budgets.happen(self.now, Event::Heard(letter), &mut Vec::new());
+        self.budgets.handle(self.now, Event::Heard(letter), &mut Vec::new());
     }
 
     fn granted(&mut self, seq: u64, share: u64, prolongs: bool) -> u64 {
@@ -107,7 +107,7 @@
 #[test]
 fn one_that_is_displaced_uses_nothing_more() {
     let mut holder = Holder::with_ten(Safeguards::default());
-    holder.budgets.happen(holder.now, Event::Displaced, &mut Vec::new());
+    holder.budgets.handle(holder.now, Event::Displaced, &mut Vec::new());
     assert_eq!(holder.budgets.exposed(0, holder.now), 0);
     assert_eq!(holder.budgets.next_due(), Tenths::MAX);
 }
--- a/budgets/tests/model.rs
+++ b/budgets/tests/model.rs
@@ -89,7 +89,7 @@
 
     fn tell(&self, state: &mut State, of: usize, event: Event) {
         let mut out = Vec::new();
-        state.nodes[of].happen(state.now, event, &mut out);
+        state.nodes[of].handle(state.now, event, &mut out);
         for action in out {
             // A refusal changes nothing where it comes.
             if let Action::Send(letter) = action
--- a/drill/src/main.rs
+++ b/drill/src/main.rs
@@ -7,14 +7,14 @@
 use std::process::ExitCode;
 
 use doortrack::logic::Door;
-use doortrack::{Happened, Todo};
+use doortrack::{Action, Event};
 use doortrack_contract::{Fault, GaugePlaces, Handed, Part};
 use wire::{Reader, Record};
 
 struct Node {
     door: Door,
     gauges: GaugePlaces,
-    batch: Vec<Happened>,
+    batch: Vec<Event>,
 }
 
 fn main() -> ExitCode {
@@ -30,7 +30,7 @@
 fn serve(mut input: impl Read, mut output: impl Write) -> Result<(), Fault> {
     let mut nodes: BTreeMap<u32, Node> = BTreeMap::new();
     let mut order: Vec<u32> = Vec::new();
-    let (mut body, mut reply, mut todo) = (Vec::new(), Vec::new(), Vec::new());
+    let (mut body, mut reply, mut actions) = (Vec::new(), Vec::new(), Vec::new());
     let mut place = 0u64;
     loop {
         let mut head = [0u8; 12];
@@ -59,9 +59,9 @@
         reply.extend([0; 4]);
         for id in order.drain(..) {
             let Some(node) = nodes.get_mut(&id).filter(|n| !n.batch.is_empty()) else { continue };
-            node.door.happen(now, &node.batch, &mut todo);
+            node.door.handle(now, &node.batch, &mut actions);
             node.batch.clear();
-            todo.drain(..).for_each(|what: Todo| wire::write(&mut reply, id, &what));
+            actions.drain(..).for_each(|what: Action| wire::write(&mut reply, id, &what));
         }
         let size =
             u32::try_from(reply.len() - 4).map_err(|_| format!("byte {place}: the reply is too long"))?;
@@ -77,7 +77,7 @@
     match record {
         Record::Provision { node, seed, text } => {
             let Handed { contract, gauges, .. } = read(text).map_err(|e| format!("node {node}: {e}"))?;
-            let batch = vec![Happened::Started];
+            let batch = vec![Event::Started];
             nodes.insert(node, Node { door: Door::new(contract, seed), gauges, batch });
             order.push(node);
         }
--- a/drill/src/wire.rs
+++ b/drill/src/wire.rs
@@ -1,12 +1,12 @@
 //! The bench's frames: little-endian records without padding, one reply for each batch.
 
-use doortrack::{CallOutcome, Exchange, Gauges, Happened, RunOutcome, Tenths, Todo};
+use doortrack::{Action, CallOutcome, Event, Exchange, Gauges, RunOutcome, Tenths};
 use doortrack_contract::{Fault, GaugePlaces, TENTH, down, up};
 
 pub enum Record<'a> {
     Provision { node: u32, seed: u64, text: &'a [u8] },
     Killed { node: u32 },
-    Event { node: u32, what: Happened },
+    Event { node: u32, what: Event },
 }
 
 pub struct Reader<'a> {
@@ -82,8 +82,8 @@
                 let len = self.u32("the length of env")? as usize;
                 return Ok(Record::Provision { node, seed, text: self.take(len, "env")? });
             }
-            2 => Happened::NeedsCall { id: self.u32("req")? },
-            3 => Happened::CallerGone { id: self.u32("req")? },
+            2 => Event::NeedsCall { id: self.u32("req")? },
+            3 => Event::CallerGone { id: self.u32("req")? },
             4 => return Ok(Record::Killed { node }),
             5 => {
                 let token = self.u64("key_back")?;
@@ -102,21 +102,21 @@
                     },
                     None => Gauges::default(),
                 };
-                Happened::Alarm { token, gauges }
+                Event::Alarm { token, gauges }
             }
-            6 => Happened::Arrived(self.exchange()?),
+            6 => Event::Arrived(self.exchange()?),
             7 => {
                 let id = self.u32("req")?;
                 let outcome = self.call_outcome()?;
-                Happened::CallEnded { id, outcome, took: up(self.u32("time_taken")?.into()) }
+                Event::CallEnded { id, outcome, took: up(self.u32("time_taken")?.into()) }
             }
             8 => {
                 let id = self.u32("req")?;
                 let outcome = self.run_outcome()?;
                 self.u32("time_taken")?;
-                Happened::RunEnded { id, outcome }
+                Event::RunEnded { id, outcome }
             }
-            _ => Happened::Leave { age: 0, stop_at: down(self.u64("valid_until")?) },
+            _ => Event::Leave { age: 0, stop_at: down(self.u64("valid_until")?) },
         };
         Ok(Record::Event { node, what })
     }
@@ -183,7 +183,7 @@
 }
 
 /// Adds one action to a reply.
-pub fn write(out: &mut Vec<u8>, node: u32, todo: &Todo) {
+pub fn write(out: &mut Vec<u8>, node: u32, action: &Action) {
     let mut head = |code: u8, id: Option<u32>| {
         out.push(code);
         out.extend(node.to_le_bytes());
@@ -191,39 +191,39 @@
             out.extend(id.to_le_bytes());
         }
     };
-    match *todo {
-        Todo::Run { id } => head(65, Some(id)),
-        Todo::Deny { id, not_elsewhere, come_back_in } => {
+    match *action {
+        Action::Run { id } => head(65, Some(id)),
+        Action::Deny { id, not_elsewhere, come_back_in } => {
             head(66, Some(id));
             out.push(not_elsewhere.into());
             out.extend(us32(come_back_in));
         }
-        Todo::Terminate { id } => head(67, Some(id)),
-        Todo::Stop { id } => head(68, Some(id)),
-        Todo::Call { id, limit } => {
+        Action::Terminate { id } => head(67, Some(id)),
+        Action::Stop { id } => head(68, Some(id)),
+        Action::Call { id, limit } => {
             head(69, Some(id));
             out.extend(us32(limit));
         }
-        Todo::SkipCall { id } => head(70, Some(id)),
-        Todo::Record { id, lasting } => {
+        Action::SkipCall { id } => head(70, Some(id)),
+        Action::Record { id, lasting } => {
             head(71, Some(id));
             out.extend(us32(lasting));
         }
-        Todo::Forget { id } => head(72, Some(id)),
-        Todo::Attach { id } => head(73, Some(id)),
-        Todo::Health { from_store, good } => {
+        Action::Forget { id } => head(72, Some(id)),
+        Action::Attach { id } => head(73, Some(id)),
+        Action::Health { from_store, good } => {
             head(74, None);
             out.extend([u8::from(from_store), u8::from(good)]);
         }
-        Todo::Level { level } => {
+        Action::Level { level } => {
             head(75, None);
             out.extend(level.to_le_bytes());
         }
-        Todo::IdleLimit { after } => {
+        Action::IdleLimit { after } => {
             head(76, None);
             out.extend(us32(after));
         }
-        Todo::Alarm { at, token } => {
+        Action::Alarm { at, token } => {
             head(77, None);
             out.extend(at.saturating_mul(TENTH).to_le_bytes());
             out.extend(token.to_le_bytes());
--- a/fleet/src/fleet.rs
+++ b/fleet/src/fleet.rs
@@ -137,7 +137,7 @@
     }
 
     /// Tells what happened; `now` never goes back. What is to be done is added to `out`, in order.
-    pub fn happen(&mut self, now: Tenths, event: Event, out: &mut Vec<Action>) {
+    pub fn handle(&mut self, now: Tenths, event: Event, out: &mut Vec<Action>) {
         if self.stage == Stage::Displaced {
             return;
         }
--- a/fleet/src/lib.rs
+++ b/fleet/src/lib.rs
@@ -6,8 +6,8 @@
 //!
 //! ```text
 //! let mut fleet = Fleet::new(me, terms, seed, now);
-//! fleet.happen(now, Event::Turn, &mut actions);            // at fleet.next_due() at the latest
-//! fleet.happen(now, Event::Heard { from, datagram }, &mut actions);
+//! fleet.handle(now, Event::Turn, &mut actions);            // at fleet.next_due() at the latest
+//! fleet.handle(now, Event::Heard { from, datagram }, &mut actions);
 //! ```
 //!
 //! The way is that of SWIM: each node probes one other a period, asks helpers to try before it doubts, and
--- a/fleet/tests/cases.rs
+++ b/fleet/tests/cases.rs
@@ -53,11 +53,11 @@
         Fleet::new(claim(of, life), terms, 7 + of as u64, now)
     }
 
-    fn happen(&mut self, of: usize, event: Event) {
+    fn handle(&mut self, of: usize, event: Event) {
         let mut queue = VecDeque::from([(of, event)]);
         while let Some((of, event)) = queue.pop_front() {
             let mut out = Vec::new();
-            self.fleets[of].happen(self.now, event, &mut out);
+            self.fleets[of].handle(self.now, event, &mut out);
             for action in out {
                 match action {
                     Action::Tell(news) => self.news.push((of, news)),
@@ -84,7 +84,7 @@
                 break;
             }
             self.now = self.now.max(due);
-            self.happen(of, Event::Turn);
+            self.handle(of, Event::Turn);
         }
         self.now = till;
     }
@@ -135,7 +135,7 @@
 fn one_that_leaves_is_left_at_once_and_never_lost() {
     let mut few = Few::new(5);
     few.pass(2_000);
-    few.happen(2, Event::Leave);
+    few.handle(2, Event::Leave);
     few.pass(400);
     few.stopped[2] = true;
     assert!([0, 1, 3, 4].iter().all(|of| few.told(*of, "left", "n2")), "{:?}", few.news);
@@ -275,7 +275,7 @@
     assert_eq!(few.members(0), 3);
     let (view, refused) = (few.fleets[0].view().number, few.fleets[0].refused());
     for datagram in &old {
-        few.happen(0, Event::Heard { from: address(3), datagram: datagram.clone() });
+        few.handle(0, Event::Heard { from: address(3), datagram: datagram.clone() });
     }
     assert_eq!(few.fleets[0].view().number, view, "to the same process");
     assert!(few.fleets[0].refused() > refused);
@@ -284,7 +284,7 @@
     let view = few.fleets[0].view().clone();
     assert_eq!(view.members.len(), 3);
     for datagram in old {
-        few.happen(0, Event::Heard { from: address(3), datagram });
+        few.handle(0, Event::Heard { from: address(3), datagram });
     }
     assert_eq!(few.fleets[0].view().number, view.number, "to a later one");
 }
@@ -332,7 +332,7 @@
         }
         while late.front().is_some_and(|(at, ..)| *at <= few.now) {
             let Some((_, to, datagram)) = late.pop_front() else { break };
-            few.happen(to, Event::Heard { from: address(2), datagram });
+            few.handle(to, Event::Heard { from: address(2), datagram });
         }
     }
     assert!(few.told(0, "slow", "n2") || few.told(1, "slow", "n2"), "{:?}", few.news);
@@ -357,11 +357,11 @@
     for of in odd {
         let head = Head { of, to: Life(100), nth: 1, digest: 0, view: 0 };
         let datagram = Datagram { head, message: Message::News, claims: Vec::new() };
-        few.happen(0, Event::Heard { from: address(9), datagram });
+        few.handle(0, Event::Heard { from: address(9), datagram });
     }
     let head = Head { of: claim(1, 100), to: Life(100), nth: 1 << 40, digest: view.digest, view: 0 };
     let claims = vec![sound.clone(); 65];
-    few.happen(
+    few.handle(
         0,
         Event::Heard { from: address(1), datagram: Datagram { head, message: Message::News, claims } },
     );
@@ -380,7 +380,7 @@
     for nth in 10..20 {
         let head = Head { of: claim(nth, 5), to: Life(100), nth: 1, digest: 0, view: 0 };
         let datagram = Datagram { head, message: Message::News, claims: Vec::new() };
-        few.happen(0, Event::Heard { from: address(nth), datagram });
+        few.handle(0, Event::Heard { from: address(nth), datagram });
     }
     assert_eq!(few.members(0), 4);
     assert!(few.news.iter().any(|(_, news)| matches!(news, News::NoRoom { .. })));
--- a/fleet/tests/random.rs
+++ b/fleet/tests/random.rs
@@ -96,7 +96,7 @@
                     let till = now + ms * MS;
                     while fleet.next_due() <= till {
                         now = now.max(fleet.next_due());
-                        fleet.happen(now, Event::Turn, &mut out);
+                        fleet.handle(now, Event::Turn, &mut out);
                         prop_assert!(fleet.next_due() > now, "a turn leaves nothing due");
                     }
                     now = till;
@@ -106,9 +106,9 @@
                     let from = of.address;
                     let head = Head { of, to, nth, digest: 0, view: 0 };
                     let datagram = Datagram { head, message, claims };
-                    fleet.happen(now, Event::Heard { from, datagram }, &mut out);
+                    fleet.handle(now, Event::Heard { from, datagram }, &mut out);
                 }
-                Step::Leave => fleet.happen(now, Event::Leave, &mut out),
+                Step::Leave => fleet.handle(now, Event::Leave, &mut out),
             }
             for action in out.drain(..) {
                 if let Action::Send { datagram, .. } = action {
--- a/node/src/peers/link.rs
+++ b/node/src/peers/link.rs
@@ -127,7 +127,7 @@
         let now = self.now();
         let Some(shares) = &self.shares else { return };
         let what = what.unwrap_or_else(|| doortrack_budgets::Event::Members(self.fleet.view().clone()));
-        shares.borrow_mut().happen(now, what);
+        shares.borrow_mut().handle(now, what);
         self.carry_out_shares();
     }
 
@@ -168,7 +168,7 @@
         let now = self.now();
         match opened {
             Ok(Spoken::Fleet(datagram)) => {
-                self.fleet.happen(now, Event::Heard { from, datagram }, &mut self.actions);
+                self.fleet.handle(now, Event::Heard { from, datagram }, &mut self.actions);
                 self.carry_out();
             }
             Ok(Spoken::Ask(ask)) => self.tell(ask, from),
@@ -279,7 +279,7 @@
         if now >= self.fleet.next_due() {
             self.waited = if waits { self.waited + 1 } else { 0 };
             if !waits {
-                self.fleet.happen(now, Event::Turn, &mut self.actions);
+                self.fleet.handle(now, Event::Turn, &mut self.actions);
                 self.carry_out();
             }
         }
@@ -327,7 +327,7 @@
 
     fn leave(&mut self) {
         self.tell_shares(Some(doortrack_budgets::Event::Leave));
-        self.fleet.happen(self.now(), Event::Leave, &mut self.actions);
+        self.fleet.handle(self.now(), Event::Leave, &mut self.actions);
         self.carry_out();
     }
 
@@ -365,7 +365,7 @@
             None => self.carry_out_shares(),
         }
         let terms = Box::new(self.file.terms());
-        self.fleet.happen(self.now(), Event::Changed { terms }, &mut self.actions);
+        self.fleet.handle(self.now(), Event::Changed { terms }, &mut self.actions);
         self.carry_out();
     }
 
--- a/node/src/peers/shares.rs
+++ b/node/src/peers/shares.rs
@@ -52,8 +52,8 @@
         })
     }
 
-    pub fn happen(&mut self, now: Tenths, what: Event) {
-        self.budgets.happen(now, what, &mut self.actions);
+    pub fn handle(&mut self, now: Tenths, what: Event) {
+        self.budgets.handle(now, what, &mut self.actions);
     }
 
     /// Other budgets under way.
@@ -63,7 +63,7 @@
         let used = |name: &std::sync::Arc<str>| names.iter().position(|of| of == name);
         self.used = list.iter().map(|of| used(&of.name).map_or(0, |place| self.used[place])).collect();
         self.falls = installation.falls(orders);
-        self.happen(now, Event::Changed { list });
+        self.handle(now, Event::Changed { list });
     }
 
     /// Why budgets of this file can't be taken up under way, if they can't: what exchanges in hand hold is
--- a/node/src/serve.rs
+++ b/node/src/serve.rs
@@ -14,7 +14,7 @@
 use std::time::Duration;
 
 use doortrack::logic::Door;
-use doortrack::{Effect, ExId, Gauges, Happened, Tenths, Todo};
+use doortrack::{Action, Effect, Event, ExId, Gauges, Tenths};
 use doortrack_installation::{Installation, Orders};
 use polling::{Events, Poller};
 use slog::{Logger, error, info};
@@ -65,7 +65,7 @@
     results: Results,
     /// Names of the endpoint groups as JSON.
     groups: Vec<String>,
-    batch: Vec<Happened>,
+    batch: Vec<Event>,
     /// Marks of the exchanges in the batch.
     marks: HashSet<Key>,
     alarms: BinaryHeap<Reverse<(Tenths, u64)>>,
@@ -198,11 +198,11 @@
 
     /// Hands over what happened until nothing new comes of it.
     fn decide(&mut self) {
-        let mut todo = Vec::new();
+        let mut actions = Vec::new();
         while let Some(door) = self.door.as_mut().filter(|_| !self.batch.is_empty()) {
             let mut batch = std::mem::take(&mut self.batch);
-            door.happen(self.now, &batch, &mut todo);
-            todo.drain(..).for_each(|what| self.carry_out(what));
+            door.handle(self.now, &batch, &mut actions);
+            actions.drain(..).for_each(|what| self.carry_out(what));
             batch.clear();
             if self.batch.is_empty() {
                 self.batch = batch;
@@ -211,14 +211,14 @@
         self.marks.clear();
     }
 
-    fn carry_out(&mut self, what: Todo) {
+    fn carry_out(&mut self, what: Action) {
         match what {
-            Todo::Run { id } => self.run(id),
-            Todo::Deny { id, not_elsewhere, come_back_in } => {
+            Action::Run { id } => self.run(id),
+            Action::Deny { id, not_elsewhere, come_back_in } => {
                 self.final_answer(id, Answer::Denied { not_elsewhere, come_back_in })
             }
-            Todo::Terminate { id } => self.final_answer(id, Answer::Terminated),
-            Todo::Stop { id } => match self.exs.get(id) {
+            Action::Terminate { id } => self.final_answer(id, Answer::Terminated),
+            Action::Stop { id } => match self.exs.get(id) {
                 Some(Ex { stage: Stage::Running { sent: None }, .. }) => {
                     self.ended(id, End::Unsent, Made::default())
                 }
@@ -233,30 +233,32 @@
                 }
                 _ => {}
             },
-            Todo::Record { id, lasting } => {
+            Action::Record { id, lasting } => {
                 if let Some((ex, key)) = self.exs.get(id).and_then(|ex| ex.key.map(|key| (ex, key))) {
                     self.results.record(id, key, &ex.body, ex.stamp, lasting, self.now);
                 }
             }
-            Todo::Forget { id } => {
+            Action::Forget { id } => {
                 self.results.forget(id);
                 self.settle(id);
             }
-            Todo::Attach { id } => {
+            Action::Attach { id } => {
                 let root = self.exs.get(id).and_then(|ex| ex.repeats);
                 root.into_iter().for_each(|root| self.serve_from(id, root));
             }
-            Todo::Health { good, .. } => {
+            Action::Health { good, .. } => {
                 self.fronts.good = good;
                 let follows = self.orders.handed.list_follows_health;
                 self.registry.tell(self.stop_at.is_some() || (follows && !good));
                 info!(self.log, "health"; "good" => good);
             }
-            Todo::Level { level } => self.fronts.level = Some(level),
-            Todo::IdleLimit { after } => self.fronts.idle_limit = after,
-            Todo::Alarm { at, token } => self.alarms.push(Reverse((at, token))),
+            Action::Level { level } => self.fronts.level = Some(level),
+            Action::IdleLimit { after } => self.fronts.idle_limit = after,
+            Action::Alarm { at, token } => self.alarms.push(Reverse((at, token))),
             // Refused at start, as this node can't make calls.
-            Todo::Call { id, .. } | Todo::SkipCall { id } => error!(self.log, "call asked for"; "ex" => id),
+            Action::Call { id, .. } | Action::SkipCall { id } => {
+                error!(self.log, "call asked for"; "ex" => id)
+            }
         }
     }
 
--- a/node/src/serve/events.rs
+++ b/node/src/serve/events.rs
@@ -2,7 +2,7 @@
 
 use std::cmp::Reverse;
 
-use doortrack::{Effect, ExId, Exchange, Gauges, Happened, RunOutcome, StopKind, Tenths};
+use doortrack::{Effect, Event, ExId, Exchange, Gauges, RunOutcome, StopKind, Tenths};
 use slog::warn;
 
 use super::{Node, READING, STALE};
@@ -79,7 +79,7 @@
         // Stamps are whole ms, cut off: the age is never too small, so no answer comes late.
         let age = self.now.saturating_sub(request.stamp);
         self.slowest.arrival = self.slowest.arrival.max(age);
-        self.batch.push(Happened::Arrived(Exchange {
+        self.batch.push(Event::Arrived(Exchange {
             id,
             group: request.group,
             customer: request.customer,
@@ -123,7 +123,7 @@
             Outcome::CallerGone => {
                 let Some(ex) = self.exs.get(id).filter(|ex| ex.caller.is_some()) else { return };
                 ex.caller = None;
-                self.batch.push(Happened::CallerGone { id });
+                self.batch.push(Event::CallerGone { id });
                 self.drop_if_held(id);
             }
             Outcome::RunEnded(outcome) => {
@@ -136,7 +136,7 @@
                         RunOutcome::Moot => Use::None,
                     },
                 );
-                self.batch.push(Happened::RunEnded { id, outcome });
+                self.batch.push(Event::RunEnded { id, outcome });
                 if let Some(caller) = ex.caller {
                     self.finish(caller, (outcome == RunOutcome::Completed).then_some(made));
                 }
@@ -264,7 +264,7 @@
             && at <= self.now
         {
             self.alarms.pop();
-            self.batch.push(Happened::Alarm { token, gauges });
+            self.batch.push(Event::Alarm { token, gauges });
         }
     }
 }
--- a/node/src/serve/start.rs
+++ b/node/src/serve/start.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 
 use doortrack::logic::Door;
-use doortrack::{Effect, Gauges, Happened, LevelKind, Tenths};
+use doortrack::{Effect, Event, Gauges, LevelKind, Tenths};
 use doortrack_installation::{Faults, Installation, Orders, Servers as Asked};
 use doortrack_wire::Protocol;
 use polling::Poller;
@@ -170,10 +170,10 @@
         let mut contract = self.orders.handed.contract.clone();
         contract.cold = cold;
         let mut door = Door::new(contract, self.orders.seed);
-        let mut todo = Vec::new();
-        door.happen(self.now.saturating_sub(age), &[Happened::Started], &mut todo);
+        let mut actions = Vec::new();
+        door.handle(self.now.saturating_sub(age), &[Event::Started], &mut actions);
         self.door = Some(door);
-        todo.into_iter().for_each(|what| self.carry_out(what));
+        actions.into_iter().for_each(|what| self.carry_out(what));
         self.pass_on_notice();
     }
 }
--- a/node/src/wire/servers.rs
+++ b/node/src/wire/servers.rs
@@ -8,7 +8,7 @@
 
 use doortrack::{ExId, RunOutcome, Tenths};
 use doortrack_installation::Servers as Asked;
-use doortrack_servers::{ConnId, Over, Pool, RunEnd, RunId, ServerId, Standing, Todo};
+use doortrack_servers::{Action, ConnId, Over, Pool, RunEnd, RunId, ServerId, Standing};
 use doortrack_wire::{Answer, AnswerReader, Answered, Pair, Protocol, write_request};
 use polling::{Event, PollMode, Poller};
 use rustc_hash::FxHashMap;
@@ -50,7 +50,7 @@
     /// What is to be sent for each run in hand, kept until it has ended, as it may be tried again.
     requests: FxHashMap<RunId, Vec<u8>>,
     results: FxHashMap<RunId, Answer>,
-    todo: Vec<Todo>,
+    actions: Vec<Action>,
     told: Vec<Told>,
     scratch: Vec<u8>,
     up: bool,
@@ -69,7 +69,7 @@
         longest: Tenths,
         seed: u64,
     ) -> Servers {
-        let (at, socks, todo, ends) = Default::default();
+        let (at, socks, actions, ends) = Default::default();
         let (requests, results, told) = Default::default();
         let pool = Pool::new(asked.terms(longest), seed);
         let (protocol, keep, most_answer) = (asked.protocol.into(), false, 0);
@@ -87,7 +87,7 @@
             socks,
             requests,
             results,
-            todo,
+            actions,
             told,
             scratch,
             up,
@@ -102,7 +102,7 @@
     pub fn take_up(&mut self, asked: &Asked, longest: Tenths, now: Tenths) {
         let terms = asked.terms(longest);
         (self.keep, self.most_answer) = (terms.idle > 0, asked.most_answer_bytes as usize);
-        self.pool.retune(terms, now, &mut self.todo);
+        self.pool.retune(terms, now, &mut self.actions);
         self.settle(now);
         let members: BTreeMap<SocketAddr, ServerId> = self
             .at
@@ -112,13 +112,13 @@
             .collect();
         // New ones first, so that what the others are given meanwhile has somewhere to go.
         for at in asked.addresses.iter().filter(|at| !members.contains_key(at)) {
-            let server = self.pool.add(now, &mut self.todo);
+            let server = self.pool.add(now, &mut self.actions);
             self.at.insert(server, *at);
             self.settle(now);
         }
         let wanted: BTreeSet<SocketAddr> = asked.addresses.iter().copied().collect();
         for (_, server) in members.iter().filter(|(at, _)| !wanted.contains(at)) {
-            self.pool.remove(*server, now, &mut self.todo);
+            self.pool.remove(*server, now, &mut self.actions);
             self.settle(now);
         }
         self.forget_gone();
@@ -144,7 +144,7 @@
             self.told.push(Told::Hello { cold: false, age: 0 });
         }
         if self.pool.next_due() <= now {
-            self.pool.tick(now, &mut self.todo);
+            self.pool.tick(now, &mut self.actions);
             self.settle(now);
         }
     }
@@ -163,12 +163,12 @@
         let written = write_request(self.protocol, &mut request, ID, self.keep, &variables, body);
         debug_assert!(written.is_ok(), "a block that was read is written again");
         self.requests.insert(run, request);
-        self.pool.begin(run, repeatable, now, &mut self.todo);
+        self.pool.begin(run, repeatable, now, &mut self.actions);
         self.settle(now);
     }
 
     pub fn stop(&mut self, run: ExId, now: Tenths) {
-        self.pool.stop(run, now, &mut self.todo);
+        self.pool.stop(run, now, &mut self.actions);
         self.settle(now);
     }
 
@@ -183,12 +183,12 @@
             match sock.sock.take_error() {
                 Ok(None) if event.writable => {
                     sock.opening = false;
-                    self.pool.opened(conn, now, &mut self.todo);
+                    self.pool.opened(conn, now, &mut self.actions);
                 }
                 Ok(None) => {}
                 _ => {
                     self.drop_sock(conn);
-                    self.pool.open_failed(conn, now, &mut self.todo);
+                    self.pool.open_failed(conn, now, &mut self.actions);
                 }
             }
             return;
@@ -210,23 +210,23 @@
     /// places of connections are used again at once, and an event of the one before would be taken for the
     /// next one's.
     fn settle(&mut self, now: Tenths) {
-        while !self.todo.is_empty() {
-            let todo = std::mem::take(&mut self.todo);
-            todo.into_iter().for_each(|what| self.carry_out(what, now));
+        while !self.actions.is_empty() {
+            let actions = std::mem::take(&mut self.actions);
+            actions.into_iter().for_each(|what| self.carry_out(what, now));
         }
     }
 
-    fn carry_out(&mut self, what: Todo, now: Tenths) {
+    fn carry_out(&mut self, what: Action, now: Tenths) {
         match what {
-            Todo::Open { conn, server } => {
+            Action::Open { conn, server } => {
                 if let Err(e) = self.open(conn, server) {
                     warn!(self.log, "server out of reach"; "address" => ?self.at.get(&server), "why" => %e);
-                    self.pool.open_failed(conn, now, &mut self.todo);
+                    self.pool.open_failed(conn, now, &mut self.actions);
                 }
             }
-            Todo::Send { conn, run } => self.send(conn, run, now),
-            Todo::Close { conn } => self.drop_sock(conn),
-            Todo::Ended { run, end } => {
+            Action::Send { conn, run } => self.send(conn, run, now),
+            Action::Close { conn } => self.drop_sock(conn),
+            Action::Ended { run, end } => {
                 self.requests.remove(&run);
                 let answer = self.results.remove(&run).unwrap_or_default();
                 let end = match end {
@@ -241,7 +241,7 @@
                 let headers = passed_on(&answer);
                 self.told.push(Told::RunEnded { id: run, end, headers, body: answer.body });
             }
-            Todo::Tell { server, standing } => {
+            Action::Tell { server, standing } => {
                 let (at, in_use) = (self.at.get(&server).copied(), self.pool.in_use());
                 let at = at.map_or_else(String::new, |at| at.to_string());
                 match standing {
@@ -281,7 +281,7 @@
 
     fn lost(&mut self, conn: ConnId, now: Tenths) {
         self.drop_sock(conn);
-        self.pool.lost(conn, now, &mut self.todo);
+        self.pool.lost(conn, now, &mut self.actions);
     }
 
     fn send(&mut self, conn: ConnId, run: RunId, now: Tenths) {
@@ -374,7 +374,7 @@
             }
             Answered::Refused(_) => Over::Refused { keep },
         };
-        self.pool.over(conn, over, now, &mut self.todo);
+        self.pool.over(conn, over, now, &mut self.actions);
         self.forget_gone();
     }
 }
--- a/rig/src/divided.rs
+++ b/rig/src/divided.rs
@@ -123,12 +123,12 @@
                 Next::Mark(u64::MAX) => self.learn(),
                 Next::Mark(nth) => self.fault(faults[nth as usize].fault.clone()),
                 Next::Wakes { of } => {
-                    self.happen(of, Event::Turn);
+                    self.handle(of, Event::Turn);
                     self.asks(of);
                     self.wake(of);
                 }
                 Next::Hears { of, what, .. } => {
-                    self.happen(of, Event::Heard(what));
+                    self.handle(of, Event::Heard(what));
                     self.wake(of);
                 }
             }
@@ -163,7 +163,7 @@
             }
         }
         for of in 0..self.nodes.len() {
-            self.happen(of, Event::Members(view.clone()));
+            self.handle(of, Event::Members(view.clone()));
         }
     }
 
@@ -173,11 +173,11 @@
         self.net.wake(of, due);
     }
 
-    fn happen(&mut self, of: MachineId, event: Event) {
+    fn handle(&mut self, of: MachineId, event: Event) {
         let now = self.net.shown(of) / TENTH;
         let Some(mut node) = self.nodes[of].take() else { return };
         let mut actions = std::mem::take(&mut self.actions);
-        self.out.cost.decide(|| node.happen(now, event, &mut actions));
+        self.out.cost.decide(|| node.handle(now, event, &mut actions));
         for action in actions.drain(..) {
             match action {
                 Action::Send(letter) => self.send(of, letter),
@@ -312,7 +312,7 @@
                     self.start(of);
                 }
             }
-            Fault::Leave { nodes } => nodes.into_iter().for_each(|of| self.happen(of, Event::Leave)),
+            Fault::Leave { nodes } => nodes.into_iter().for_each(|of| self.handle(of, Event::Leave)),
             _ => {}
         }
     }
--- a/rig/src/simulated.rs
+++ b/rig/src/simulated.rs
@@ -136,10 +136,10 @@
         while let Some(next) = self.net.next(script.ms * MS) {
             match next {
                 Next::Mark(nth) => self.fault(faults[nth as usize].fault.clone()),
-                Next::Wakes { of } => self.happen(of, Event::Turn),
+                Next::Wakes { of } => self.handle(of, Event::Turn),
                 Next::Hears { of, from, what } => {
                     let from = address(from);
-                    self.happen(of, Event::Heard { from, datagram: what });
+                    self.handle(of, Event::Heard { from, datagram: what });
                 }
             }
         }
@@ -180,11 +180,11 @@
         }
     }
 
-    fn happen(&mut self, of: MachineId, event: Event) {
+    fn handle(&mut self, of: MachineId, event: Event) {
         let now = self.net.shown(of) / TENTH;
         let Some(mut fleet) = self.fleets[of].take() else { return };
         let mut actions = std::mem::take(&mut self.actions);
-        self.cost.decide(|| fleet.happen(now, event, &mut actions));
+        self.cost.decide(|| fleet.handle(now, event, &mut actions));
         for action in actions.drain(..) {
             match action {
                 Action::Send { to, datagram } => self.send(of, to, *datagram),
@@ -237,7 +237,7 @@
             }
             Fault::Start { nodes, clock_ms } => self.start_all(nodes, clock_ms),
             Fault::StartOlder { nodes } => self.start_all(nodes, 0),
-            Fault::Leave { nodes } => nodes.into_iter().for_each(|of| self.happen(of, Event::Leave)),
+            Fault::Leave { nodes } => nodes.into_iter().for_each(|of| self.handle(of, Event::Leave)),
             _ => {}
         }
     }
--- a/servers/src/lib.rs
+++ b/servers/src/lib.rs
@@ -3,7 +3,7 @@
 //!
 //! Neither sockets nor a clock, and the same events with the same seed give the same actions: what happened
 //! is told to a [`Pool`] with the time, in tenths of a ms and never going back, and what is to be done
-//! comes back as [`Todo`]s, to be carried out in order before anything else is told. A run is one request
+//! comes back as [`Action`]s, to be carried out in order before anything else is told. A run is one request
 //! to one server on a connection that carries nothing else meanwhile.
 //!
 //! ```text
@@ -42,7 +42,7 @@
 
 /// One thing to be done.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Todo {
+pub enum Action {
     /// Open a connection; [`Pool::opened`] or [`Pool::open_failed`] follows.
     Open { conn: ConnId, server: ServerId },
     /// Send a run on a connection that is open and carries nothing.
--- a/servers/src/pool.rs
+++ b/servers/src/pool.rs
@@ -13,7 +13,7 @@
 
 use crate::budget::Budget;
 use crate::health::Health;
-use crate::{ConnId, Over, RunEnd, RunId, ServerId, Standing, Terms, Todo};
+use crate::{Action, ConnId, Over, RunEnd, RunId, ServerId, Standing, Terms};
 
 /// What happened so far.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -167,46 +167,46 @@
     // --- Runs ---
 
     /// Begins a run. One that is not repeatable is never sent twice.
-    pub fn begin(&mut self, run: RunId, repeatable: bool, now: Tenths, todo: &mut Vec<Todo>) {
+    pub fn begin(&mut self, run: RunId, repeatable: bool, now: Tenths, actions: &mut Vec<Action>) {
         self.counts.begun += 1;
         self.budget.run_begun();
         self.turns += 1;
         let turn = self.turns;
         self.runs.insert(run, Run { repeatable, turn, tries: 0, last: None, conn: None });
         self.waiting.insert(turn, run);
-        self.hand_out(now, todo);
+        self.hand_out(now, actions);
     }
 
     /// Stops a run; it ends at once.
-    pub fn stop(&mut self, run: RunId, now: Tenths, todo: &mut Vec<Todo>) {
+    pub fn stop(&mut self, run: RunId, now: Tenths, actions: &mut Vec<Action>) {
         let Some(of) = self.runs.get(&run) else { return };
         let Some(conn) = of.conn else {
             self.waiting.remove(&of.turn);
-            return self.end(run, RunEnd::NeverRan, todo);
+            return self.end(run, RunEnd::NeverRan, actions);
         };
         let sent = matches!(self.conns[conn].stage, Stage::Carrying { sent: true, .. });
-        self.close(conn, todo);
-        self.end(run, if sent { RunEnd::Stopped } else { RunEnd::NeverRan }, todo);
-        self.hand_out(now, todo);
+        self.close(conn, actions);
+        self.end(run, if sent { RunEnd::Stopped } else { RunEnd::NeverRan }, actions);
+        self.hand_out(now, actions);
     }
 
     // --- What became of connections ---
 
-    pub fn opened(&mut self, conn: ConnId, now: Tenths, todo: &mut Vec<Todo>) {
+    pub fn opened(&mut self, conn: ConnId, now: Tenths, actions: &mut Vec<Action>) {
         if let Some(Stage::Opening(run)) = self.conns.get(conn).map(|of| of.stage) {
             self.counts.opened += 1;
-            self.carry(conn, run, now, todo);
+            self.carry(conn, run, now, actions);
         }
     }
 
     /// It could not be opened, so nothing of its run was sent.
-    pub fn open_failed(&mut self, conn: ConnId, now: Tenths, todo: &mut Vec<Todo>) {
+    pub fn open_failed(&mut self, conn: ConnId, now: Tenths, actions: &mut Vec<Action>) {
         let Some(Stage::Opening(run)) = self.conns.get(conn).map(|of| of.stage) else { return };
         let server = self.forget_conn(conn);
-        self.failed(server, now, todo);
-        self.again_or(run, RunEnd::NeverRan, todo);
+        self.failed(server, now, actions);
+        self.again_or(run, RunEnd::NeverRan, actions);
         self.gone_if_over(server);
-        self.hand_out(now, todo);
+        self.hand_out(now, actions);
     }
 
     /// Some of the run that it carries was handed to the system, so that it may reach the server.
@@ -217,7 +217,7 @@
     }
 
     /// The answer to what it carries has come to its end.
-    pub fn over(&mut self, conn: ConnId, over: Over, now: Tenths, todo: &mut Vec<Todo>) {
+    pub fn over(&mut self, conn: ConnId, over: Over, now: Tenths, actions: &mut Vec<Action>) {
         let Some(of) = self.conns.get(conn) else { return };
         let (server, Stage::Carrying { run, .. }) = (of.server, of.stage) else { return };
         let (keep, end) = match over {
@@ -229,26 +229,26 @@
             let health = &mut self.servers[server].health;
             let before = std::mem::replace(health, health.succeeded(self.terms.at_once));
             if before.is_returning() && !health.is_returning() {
-                todo.push(Todo::Tell { server, standing: Standing::Fit });
+                actions.push(Action::Tell { server, standing: Standing::Fit });
             }
         } else {
-            self.failed(server, now, todo);
+            self.failed(server, now, actions);
         }
-        self.rest(conn, keep, now, todo);
+        self.rest(conn, keep, now, actions);
         if end == RunEnd::NeverRan {
-            self.again_or(run, end, todo);
+            self.again_or(run, end, actions);
         } else {
-            self.end(run, end, todo);
+            self.end(run, end, actions);
         }
         self.gone_if_over(server);
-        self.hand_out(now, todo);
+        self.hand_out(now, actions);
     }
 
     /// The connection has ended, or what came on it can't be read. It is not to be closed any more.
-    pub fn lost(&mut self, conn: ConnId, now: Tenths, todo: &mut Vec<Todo>) {
+    pub fn lost(&mut self, conn: ConnId, now: Tenths, actions: &mut Vec<Action>) {
         let Some(of) = self.conns.get(conn) else { return };
         match (of.stage, of.used) {
-            (Stage::Opening(_), _) => return self.open_failed(conn, now, todo),
+            (Stage::Opening(_), _) => return self.open_failed(conn, now, actions),
             (Stage::Idle, _) => {
                 let server = self.forget_conn(conn);
                 self.gone_if_over(server);
@@ -265,30 +265,30 @@
             }
             (Stage::Carrying { run, sent }, _) => {
                 let server = self.forget_conn(conn);
-                self.failed(server, now, todo);
-                self.after_loss(run, sent, RunEnd::Lost, todo);
+                self.failed(server, now, actions);
+                self.after_loss(run, sent, RunEnd::Lost, actions);
                 self.gone_if_over(server);
             }
         }
-        self.hand_out(now, todo);
+        self.hand_out(now, actions);
     }
 
     /// Acts on the times that ran out.
-    pub fn tick(&mut self, now: Tenths, todo: &mut Vec<Todo>) {
+    pub fn tick(&mut self, now: Tenths, actions: &mut Vec<Action>) {
         while let Some((due, conn)) = self.dues.first().copied()
             && due <= now
         {
             let (server, stage) = (self.conns[conn].server, self.conns[conn].stage);
-            self.close(conn, todo);
+            self.close(conn, actions);
             match stage {
                 Stage::Idle => {}
                 Stage::Opening(run) => {
-                    self.failed(server, now, todo);
-                    self.again_or(run, RunEnd::NeverRan, todo);
+                    self.failed(server, now, actions);
+                    self.again_or(run, RunEnd::NeverRan, actions);
                 }
                 Stage::Carrying { run, sent } => {
-                    self.failed(server, now, todo);
-                    self.after_loss(run, sent, RunEnd::Late, todo);
+                    self.failed(server, now, actions);
+                    self.after_loss(run, sent, RunEnd::Late, actions);
                 }
             }
             self.gone_if_over(server);
@@ -296,8 +296,8 @@
         while let Some((till, server)) = self.returns.first().copied()
             && till <= now
         {
-            self.take_back(till, server, todo);
+            self.take_back(till, server, actions);
         }
-        self.hand_out(now, todo);
+        self.hand_out(now, actions);
     }
 }
--- a/servers/src/pool/choose.rs
+++ b/servers/src/pool/choose.rs
@@ -3,11 +3,11 @@
 use doortrack::Tenths;
 
 use super::{Conn, Pool, Stage};
-use crate::{RunId, ServerId, Todo};
+use crate::{Action, RunId, ServerId};
 
 impl Pool {
     /// Gives what waits to servers that can take it, first come first served.
-    pub(super) fn hand_out(&mut self, now: Tenths, todo: &mut Vec<Todo>) {
+    pub(super) fn hand_out(&mut self, now: Tenths, actions: &mut Vec<Action>) {
         while let Some((turn, run)) = self.waiting.first_key_value().map(|(turn, run)| (*turn, *run))
             && !self.open.is_empty()
         {
@@ -25,10 +25,10 @@
             }
             self.place(server);
             if kept.is_some() {
-                self.carry(conn, run, now, todo);
+                self.carry(conn, run, now, actions);
             } else {
                 self.dues.insert((self.conns[conn].due, conn));
-                todo.push(Todo::Open { conn, server });
+                actions.push(Action::Open { conn, server });
             }
         }
     }
--- a/servers/src/pool/lives.rs
+++ b/servers/src/pool/lives.rs
@@ -3,12 +3,12 @@
 use doortrack::Tenths;
 
 use super::{Pool, Stage};
-use crate::{ConnId, RunEnd, RunId, ServerId, Todo};
+use crate::{Action, ConnId, RunEnd, RunId, ServerId};
 
 impl Pool {
-    pub(super) fn carry(&mut self, conn: ConnId, run: RunId, now: Tenths, todo: &mut Vec<Todo>) {
+    pub(super) fn carry(&mut self, conn: ConnId, run: RunId, now: Tenths, actions: &mut Vec<Action>) {
         self.stage(conn, Stage::Carrying { run, sent: false }, now + self.terms.answer_within);
-        todo.push(Todo::Send { conn, run });
+        actions.push(Action::Send { conn, run });
     }
 
     pub(super) fn stage(&mut self, conn: ConnId, stage: Stage, due: Tenths) {
@@ -19,11 +19,11 @@
     }
 
     /// Its run is over: kept for the next one, or closed.
-    pub(super) fn rest(&mut self, conn: ConnId, keep: bool, now: Tenths, todo: &mut Vec<Todo>) {
+    pub(super) fn rest(&mut self, conn: ConnId, keep: bool, now: Tenths, actions: &mut Vec<Action>) {
         let server = self.conns[conn].server;
         let of = &self.servers[server];
         if !keep || self.terms.idle == 0 || of.removed || of.health.is_aside() || self.has_too_many(server) {
-            return self.close(conn, todo);
+            return self.close(conn, actions);
         }
         self.stage(conn, Stage::Idle, now + self.terms.idle);
         self.conns[conn].used = true;
@@ -39,9 +39,9 @@
         of.in_hand + of.idle.len() as u32 > self.terms.at_once
     }
 
-    pub(super) fn close(&mut self, conn: ConnId, todo: &mut Vec<Todo>) {
+    pub(super) fn close(&mut self, conn: ConnId, actions: &mut Vec<Action>) {
         let server = self.forget_conn(conn);
-        todo.push(Todo::Close { conn });
+        actions.push(Action::Close { conn });
         self.gone_if_over(server);
     }
 
@@ -66,18 +66,18 @@
     }
 
     /// No whole answer came. What may have reached the server is tried again only if it may run twice.
-    pub(super) fn after_loss(&mut self, run: RunId, sent: bool, end: RunEnd, todo: &mut Vec<Todo>) {
+    pub(super) fn after_loss(&mut self, run: RunId, sent: bool, end: RunEnd, actions: &mut Vec<Action>) {
         if !sent {
-            return self.again_or(run, RunEnd::NeverRan, todo);
+            return self.again_or(run, RunEnd::NeverRan, actions);
         }
         match self.runs.get(&run).is_some_and(|of| of.repeatable) {
-            true => self.again_or(run, end, todo),
-            false => self.end(run, end, todo),
+            true => self.again_or(run, end, actions),
+            false => self.end(run, end, actions),
         }
     }
 
     /// Tries a run again where tries and budget allow it; else it ends so.
-    pub(super) fn again_or(&mut self, run: RunId, end: RunEnd, todo: &mut Vec<Todo>) {
+    pub(super) fn again_or(&mut self, run: RunId, end: RunEnd, actions: &mut Vec<Action>) {
         let tries = self.runs.get(&run).map_or(u32::MAX, |of| of.tries);
         if tries < self.terms.retries.tries {
             if self.budget.take() {
@@ -86,11 +86,11 @@
             }
             self.counts.unbudgeted += 1;
         }
-        self.end(run, end, todo);
+        self.end(run, end, actions);
     }
 
-    pub(super) fn end(&mut self, run: RunId, end: RunEnd, todo: &mut Vec<Todo>) {
+    pub(super) fn end(&mut self, run: RunId, end: RunEnd, actions: &mut Vec<Action>) {
         self.runs.remove(&run);
-        todo.push(Todo::Ended { run, end });
+        actions.push(Action::Ended { run, end });
     }
 }
--- a/servers/src/pool/members.rs
+++ b/servers/src/pool/members.rs
@@ -4,11 +4,11 @@
 
 use super::{Pool, Server};
 use crate::health::{self, Health, Verdict};
-use crate::{ServerId, Standing, Terms, Todo};
+use crate::{Action, ServerId, Standing, Terms};
 
 impl Pool {
     /// Other terms from here on; what is under way keeps the times that it was given.
-    pub fn retune(&mut self, terms: Terms, now: Tenths, todo: &mut Vec<Todo>) {
+    pub fn retune(&mut self, terms: Terms, now: Tenths, actions: &mut Vec<Action>) {
         self.terms = terms;
         self.budget.retune(&terms.retries);
         let all: Vec<ServerId> = self.servers.iter().map(|(server, _)| server).collect();
@@ -17,26 +17,26 @@
             while self.has_too_many(server)
                 && let Some(conn) = self.servers[server].idle.first().copied()
             {
-                self.close(conn, todo);
+                self.close(conn, actions);
             }
             self.place(server);
         }
-        self.hand_out(now, todo);
+        self.hand_out(now, actions);
     }
 
     /// A new server, trusted with all at once: most are there when the pool starts.
-    pub fn add(&mut self, now: Tenths, todo: &mut Vec<Todo>) -> ServerId {
+    pub fn add(&mut self, now: Tenths, actions: &mut Vec<Action>) -> ServerId {
         let fresh =
             Server { health: Health::FIT, in_hand: 0, idle: Vec::new(), open_place: None, removed: false };
         let server = self.servers.insert(fresh);
         (self.members, self.in_use) = (self.members + 1, self.in_use + 1);
         self.place(server);
-        self.hand_out(now, todo);
+        self.hand_out(now, actions);
         server
     }
 
     /// Takes a server out: it is given nothing more, what runs there may end.
-    pub fn remove(&mut self, server: ServerId, now: Tenths, todo: &mut Vec<Todo>) {
+    pub fn remove(&mut self, server: ServerId, now: Tenths, actions: &mut Vec<Action>) {
         let Some(of) = self.servers.get_mut(server).filter(|of| !of.removed) else { return };
         of.removed = true;
         self.members -= 1;
@@ -46,7 +46,7 @@
         }
         for conn in std::mem::take(&mut self.servers[server].idle) {
             self.forget_conn(conn);
-            todo.push(Todo::Close { conn });
+            actions.push(Action::Close { conn });
         }
         self.place(server);
         self.gone_if_over(server);
@@ -54,9 +54,9 @@
         while self.in_use < self.floor()
             && let Some((till, other)) = self.returns.first().copied()
         {
-            self.take_back(till, other, todo);
+            self.take_back(till, other, actions);
         }
-        self.hand_out(now, todo);
+        self.hand_out(now, actions);
     }
 
     pub(super) fn gone_if_over(&mut self, server: ServerId) {
@@ -65,18 +65,18 @@
         }
     }
 
-    pub(super) fn take_back(&mut self, till: Tenths, server: ServerId, todo: &mut Vec<Todo>) {
+    pub(super) fn take_back(&mut self, till: Tenths, server: ServerId, actions: &mut Vec<Action>) {
         self.returns.remove(&(till, server));
         if let Health::Aside { times, .. } = self.servers[server].health {
             self.servers[server].health = Health::Returning { trusted: 1, times };
             self.in_use += 1;
             self.place(server);
-            todo.push(Todo::Tell { server, standing: Standing::Returning });
+            actions.push(Action::Tell { server, standing: Standing::Returning });
         }
     }
 
     /// A server failed: it may be put aside, unless too few would be left.
-    pub(super) fn failed(&mut self, server: ServerId, now: Tenths, todo: &mut Vec<Todo>) {
+    pub(super) fn failed(&mut self, server: ServerId, now: Tenths, actions: &mut Vec<Action>) {
         self.counts.failures += 1;
         let Some(of) = self.servers.get_mut(server) else { return };
         let Verdict::PutAside { times } = of.health.failed(&self.terms.aside) else { return };
@@ -88,7 +88,7 @@
         self.returns.insert((till, server));
         self.in_use -= 1;
         self.counts.put_aside += 1;
-        todo.push(Todo::Tell { server, standing: Standing::PutAside { till } });
+        actions.push(Action::Tell { server, standing: Standing::PutAside { till } });
         self.place(server);
     }
 
--- a/servers/tests/pool.rs
+++ b/servers/tests/pool.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use doortrack::Tenths;
-use doortrack_servers::{Aside, ConnId, Over, Pool, Retries, RunEnd, RunId, ServerId, Terms, Todo};
+use doortrack_servers::{Action, Aside, ConnId, Over, Pool, Retries, RunEnd, RunId, ServerId, Terms};
 use fastrand::Rng;
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
@@ -79,28 +79,28 @@
 
     fn begin(&mut self, run: RunId, repeatable: bool) {
         self.repeatable.insert(run, repeatable);
-        let mut todo = Vec::new();
-        self.pool.begin(run, repeatable, self.now, &mut todo);
-        self.carry_out(todo);
+        let mut actions = Vec::new();
+        self.pool.begin(run, repeatable, self.now, &mut actions);
+        self.carry_out(actions);
     }
 
     fn stop(&mut self, run: RunId) {
-        let mut todo = Vec::new();
-        self.pool.stop(run, self.now, &mut todo);
-        self.carry_out(todo);
+        let mut actions = Vec::new();
+        self.pool.stop(run, self.now, &mut actions);
+        self.carry_out(actions);
     }
 
-    fn carry_out(&mut self, todo: Vec<Todo>) {
-        for what in todo {
+    fn carry_out(&mut self, actions: Vec<Action>) {
+        for what in actions {
             match what {
-                Todo::Open { conn, server } => {
+                Action::Open { conn, server } => {
                     assert!(self.conns.insert(conn, (server, None)).is_none(), "{conn} is open already");
                     let open = self.conns.values().filter(|(of, _)| *of == server).count();
                     let most = self.most_on_one.entry(server).or_default();
                     *most = open.max(*most);
                     self.at(if self.moods[&server] == Mood::Refuses { 2 } else { 1 }, conn);
                 }
-                Todo::Send { conn, run } => {
+                Action::Send { conn, run } => {
                     let (server, carries) = self.conns.get_mut(&conn).expect("sent on none");
                     assert_eq!(carries.replace(run), None, "two runs on one connection");
                     let sent = self.sent.entry(run).or_default();
@@ -116,12 +116,12 @@
                         Mood::Breaks | Mood::Fails | Mood::Refuses => self.at(MS, conn),
                     }
                 }
-                Todo::Close { conn } => {
+                Action::Close { conn } => {
                     assert!(self.conns.remove(&conn).is_some(), "closed twice");
                     self.next.retain(|(.., other)| *other != conn);
                 }
-                Todo::Tell { .. } => {}
-                Todo::Ended { run, end } => {
+                Action::Tell { .. } => {}
+                Action::Ended { run, end } => {
                     assert!(self.ended.insert(run, (end, self.now)).is_none(), "{run} ended twice");
                 }
             }
@@ -145,42 +145,42 @@
             let next = self.next.first().map_or(Tenths::MAX, |(at, ..)| *at);
             let due = self.pool.next_due();
             self.now = next.min(due).min(till).max(self.now);
-            let mut todo = Vec::new();
+            let mut actions = Vec::new();
             if next <= self.now && next <= due {
                 let (_, _, conn) = self.next.pop_first().unwrap();
-                self.happen(conn, &mut todo);
+                self.handle(conn, &mut actions);
             } else if due <= self.now {
-                self.pool.tick(self.now, &mut todo);
+                self.pool.tick(self.now, &mut actions);
                 assert!(self.pool.next_due() > self.now, "what was due is due again at once");
             } else {
                 return;
             }
-            self.carry_out(todo);
+            self.carry_out(actions);
         }
     }
 
-    fn happen(&mut self, conn: ConnId, todo: &mut Vec<Todo>) {
+    fn handle(&mut self, conn: ConnId, actions: &mut Vec<Action>) {
         let (server, carries) = self.conns[&conn];
         let mood = self.moods[&server];
         let Some(_) = carries else {
             if mood == Mood::Refuses {
                 self.conns.remove(&conn);
-                return self.pool.open_failed(conn, self.now, todo);
+                return self.pool.open_failed(conn, self.now, actions);
             }
-            return self.pool.opened(conn, self.now, todo);
+            return self.pool.opened(conn, self.now, actions);
         };
         match mood {
             Mood::Breaks | Mood::Refuses => {
                 self.conns.remove(&conn);
-                self.pool.lost(conn, self.now, todo);
+                self.pool.lost(conn, self.now, actions);
             }
             Mood::Fails => {
                 self.conns.get_mut(&conn).unwrap().1 = None;
-                self.pool.over(conn, Over::Failed { keep: true }, self.now, todo);
+                self.pool.over(conn, Over::Failed { keep: true }, self.now, actions);
             }
             _ => {
                 self.conns.get_mut(&conn).unwrap().1 = None;
-                self.pool.over(conn, Over::Completed { keep: true }, self.now, todo);
+                self.pool.over(conn, Over::Completed { keep: true }, self.now, actions);
             }
         }
     }
@@ -320,16 +320,16 @@
     world.begin(1, false);
     world.pass(100 * MS);
     let conn = *world.conns.keys().next().unwrap();
-    let (mut todo, now) = (Vec::new(), world.now);
-    world.pool.begin(2, false, now, &mut todo);
-    assert_eq!(todo, [Todo::Send { conn, run: 2 }]);
+    let (mut actions, now) = (Vec::new(), world.now);
+    world.pool.begin(2, false, now, &mut actions);
+    assert_eq!(actions, [Action::Send { conn, run: 2 }]);
     // Found closed before any byte of it was handed over.
     world.conns.remove(&conn);
-    todo.clear();
-    world.pool.lost(conn, now, &mut todo);
-    assert!(matches!(todo[..], [Todo::Open { server: 0, .. }]), "{todo:?}");
+    actions.clear();
+    world.pool.lost(conn, now, &mut actions);
+    assert!(matches!(actions[..], [Action::Open { server: 0, .. }]), "{actions:?}");
     world.repeatable.insert(2, false);
-    world.carry_out(todo);
+    world.carry_out(actions);
     world.pass(now + 100 * MS);
     let counts = world.pool.counts;
     assert_eq!(
@@ -360,13 +360,13 @@
     world.moods.insert(1, Mood::Hangs);
     (0..8).for_each(|run| world.begin(run, false));
     world.pass(10 * MS);
-    let mut todo = Vec::new();
-    world.pool.remove(0, world.now, &mut todo);
-    world.pool.remove(1, world.now, &mut todo);
-    world.pool.remove(1, world.now, &mut todo);
-    let fresh = world.pool.add(world.now, &mut todo);
+    let mut actions = Vec::new();
+    world.pool.remove(0, world.now, &mut actions);
+    world.pool.remove(1, world.now, &mut actions);
+    world.pool.remove(1, world.now, &mut actions);
+    let fresh = world.pool.add(world.now, &mut actions);
     world.moods.insert(fresh, Mood::Sound);
-    world.carry_out(todo);
+    world.carry_out(actions);
     assert!(world.pool.knows(1) && fresh > 1, "what runs there may end");
     (8..12).for_each(|run| world.begin(run, false));
     world.pass(5_000 * MS);
@@ -374,16 +374,16 @@
     assert_eq!(world.ended.len(), 12);
     assert!(!world.pool.knows(0) && !world.pool.knows(1));
     // Without any, runs wait for one; with fewer at once, what is kept beyond goes.
-    let mut todo = Vec::new();
-    world.pool.retune(Terms { at_once: 1, ..terms() }, world.now, &mut todo);
-    world.pool.remove(fresh, world.now, &mut todo);
-    world.carry_out(todo);
+    let mut actions = Vec::new();
+    world.pool.retune(Terms { at_once: 1, ..terms() }, world.now, &mut actions);
+    world.pool.remove(fresh, world.now, &mut actions);
+    world.carry_out(actions);
     world.begin(20, true);
     assert_eq!((world.pool.servers(), world.pool.in_hand(), world.pool.connections()), (0, 1, 0));
-    let mut todo = Vec::new();
-    let server = world.pool.add(world.now, &mut todo);
+    let mut actions = Vec::new();
+    let server = world.pool.add(world.now, &mut actions);
     world.moods.insert(server, Mood::Sound);
-    world.carry_out(todo);
+    world.carry_out(actions);
     world.pass(world.now + 100 * MS);
     assert_eq!(world.end(20), Some(RunEnd::Completed));
 }
@@ -418,7 +418,7 @@
     let mut world = World::new(terms(), 3, seed);
     let (mut members, mut runs) = (vec![0, 1, 2], 0);
     for step in steps {
-        let mut todo = Vec::new();
+        let mut actions = Vec::new();
         match step {
             Step::Begin { repeatable } => {
                 runs += 1;
@@ -436,21 +436,21 @@
                 if let Some(conn) = conn {
                     world.conns.remove(&conn);
                     world.next.retain(|(.., other)| *other != conn);
-                    world.pool.lost(conn, world.now, &mut todo);
+                    world.pool.lost(conn, world.now, &mut actions);
                 }
             }
             Step::Add if members.len() < 6 => {
-                let server = world.pool.add(world.now, &mut todo);
+                let server = world.pool.add(world.now, &mut actions);
                 world.moods.insert(server, Mood::Sound);
                 members.push(server);
             }
             Step::Remove(nth) if members.len() > 1 => {
                 let server = members.swap_remove(usize::from(*nth) % members.len());
-                world.pool.remove(server, world.now, &mut todo);
+                world.pool.remove(server, world.now, &mut actions);
             }
             _ => {}
         }
-        world.carry_out(todo);
+        world.carry_out(actions);
     }
     world.pass(world.now + 60_000 * MS);
     world
@@ -497,23 +497,23 @@
 #[test]
 fn what_a_server_says_it_did_not_run_is_tried_elsewhere_whatever_it_is() {
     let mut pool = Pool::new(terms(), 10);
-    let mut todo = Vec::new();
-    let servers = [pool.add(0, &mut todo), pool.add(0, &mut todo)];
-    pool.begin(1, false, 0, &mut todo);
+    let mut actions = Vec::new();
+    let servers = [pool.add(0, &mut actions), pool.add(0, &mut actions)];
+    pool.begin(1, false, 0, &mut actions);
     let mut seen = Vec::new();
     for _ in 0..3 {
-        let Some(Todo::Open { conn, server }) = todo.pop() else { panic!("{todo:?}") };
+        let Some(Action::Open { conn, server }) = actions.pop() else { panic!("{actions:?}") };
         seen.push(server);
-        todo.clear();
-        pool.opened(conn, 0, &mut todo);
-        assert_eq!(todo, [Todo::Send { conn, run: 1 }]);
+        actions.clear();
+        pool.opened(conn, 0, &mut actions);
+        assert_eq!(actions, [Action::Send { conn, run: 1 }]);
         pool.sent(conn);
-        todo.clear();
-        pool.over(conn, Over::Refused { keep: false }, 0, &mut todo);
-        assert!(todo.contains(&Todo::Close { conn }), "{todo:?}");
+        actions.clear();
+        pool.over(conn, Over::Refused { keep: false }, 0, &mut actions);
+        assert!(actions.contains(&Action::Close { conn }), "{actions:?}");
     }
     // Within its three tries, never twice in a row on one; then it ends as one that never ran.
     assert!(seen[0] != seen[1] && seen[1] != seen[2] && seen.iter().all(|server| servers.contains(server)));
-    assert!(todo.contains(&Todo::Ended { run: 1, end: RunEnd::NeverRan }), "{todo:?}");
+    assert!(actions.contains(&Action::Ended { run: 1, end: RunEnd::NeverRan }), "{actions:?}");
     assert_eq!((pool.counts.retries, pool.in_hand(), pool.connections()), (2, 0, 0));
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -14,12 +14,12 @@
 
 /// One thing that happened at this node.
 #[derive(Clone, Debug, PartialEq)]
-pub enum Happened {
+pub enum Event {
     /// The node is up; the first event of each life.
     Started,
     /// An exchange was read and is held; one final answer is owed from here on.
     Arrived(Exchange),
-    /// A run, or a wait begun with [`Todo::Attach`], came to its end.
+    /// A run, or a wait begun with [`Action::Attach`], came to its end.
     RunEnded {
         id: ExId,
         outcome: RunOutcome,
@@ -120,7 +120,7 @@
 
 /// One thing to be done.
 #[derive(Clone, Debug, PartialEq)]
-pub enum Todo {
+pub enum Action {
     /// Begin a held exchange or take up a paused one.
     Run {
         id: ExId,
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -1,4 +1,4 @@
-//! All decisions of a node. `Door::new` is handed the contract and a seed; from then on `Door::happen`
+//! All decisions of a node. `Door::new` is handed the contract and a seed; from then on `Door::handle`
 //! takes a batch of what happened, in order, and adds what is to be done. Both types are in `lib.rs`.
 //! Ordinary path: `arrived` asks `turned_away` (the design's rule), holds what is taken in one of two
 //! lines, and `begin_work` runs it. `look` acts at the moments at which an exchange is due for a decision.
@@ -10,8 +10,8 @@
 use slab::Slab;
 
 use crate::{
-    CallOutcome, Effect, ExId, Exchange, Gauges, Happened, LevelKind, RunOutcome, ServiceContract, StopKind,
-    Tenths, Todo,
+    Action, CallOutcome, Effect, Event, ExId, Exchange, Gauges, LevelKind, RunOutcome, ServiceContract,
+    StopKind, Tenths,
 };
 
 const MS: Tenths = 10;
@@ -190,25 +190,25 @@
     }
 
     /// The one entry point.
-    pub fn happen(&mut self, now: Tenths, batch: &[Happened], todo: &mut Vec<Todo>) {
+    pub fn handle(&mut self, now: Tenths, batch: &[Event], actions: &mut Vec<Action>) {
         self.st.now = now;
         for what in batch {
             match what {
-                Happened::Started => self.st.born = now,
-                Happened::Arrived(ex) => self.arrived(ex, todo),
-                Happened::RunEnded { id, outcome } => self.run_ended(*id, *outcome),
-                Happened::NeedsCall { id } => self.needs_call(*id),
-                Happened::CallEnded { id, outcome, took } => self.call_ended(*id, *outcome, *took, todo),
-                Happened::CallerGone { id } => self.caller_gone(*id, todo),
-                Happened::Leave { age, stop_at } => self.leave_by(*age, *stop_at, todo),
-                Happened::Alarm { gauges, .. } => self.st.gauges = *gauges,
+                Event::Started => self.st.born = now,
+                Event::Arrived(ex) => self.arrived(ex, actions),
+                Event::RunEnded { id, outcome } => self.run_ended(*id, *outcome),
+                Event::NeedsCall { id } => self.needs_call(*id),
+                Event::CallEnded { id, outcome, took } => self.call_ended(*id, *outcome, *took, actions),
+                Event::CallerGone { id } => self.caller_gone(*id, actions),
+                Event::Leave { age, stop_at } => self.leave_by(*age, *stop_at, actions),
+                Event::Alarm { gauges, .. } => self.st.gauges = *gauges,
             }
         }
-        self.upkeep(todo);
-        self.look_at_due(todo);
-        self.make_calls(todo);
-        self.begin_work(todo);
-        self.arm(todo);
+        self.upkeep(actions);
+        self.look_at_due(actions);
+        self.make_calls(actions);
+        self.begin_work(actions);
+        self.arm(actions);
     }
 
     // --- Admission ---
@@ -268,10 +268,10 @@
         self.capacity = self.capacity.clamp(cores, most.max(cores));
     }
 
-    fn arrived(&mut self, ex: &Exchange, todo: &mut Vec<Todo>) {
+    fn arrived(&mut self, ex: &Exchange, actions: &mut Vec<Action>) {
         self.note_caller(ex.caller);
         let Some(&group) = self.terms.groups.get(ex.group as usize) else {
-            todo.push(Todo::Terminate { id: ex.id });
+            actions.push(Action::Terminate { id: ex.id });
             return;
         };
         let arrived = self.st.now.saturating_sub(ex.age);
@@ -298,7 +298,11 @@
         let no_room = !self.fits(needs);
         if root.is_some() {
             // Whatever became of the first try, a repeat takes its outcome: it is neither run nor denied.
-            todo.push(if no_room { Todo::Terminate { id: ex.id } } else { Todo::Attach { id: ex.id } });
+            actions.push(if no_room {
+                Action::Terminate { id: ex.id }
+            } else {
+                Action::Attach { id: ex.id }
+            });
             if !no_room {
                 let place = self.take_in(new);
                 self.look_again(place, due);
@@ -312,13 +316,13 @@
         self.st.read_late += NEWEST * (f32::from(unread > HOLD) - self.st.read_late);
         if denied || ex.held_back.is_some() {
             let wait = ex.held_back.unwrap_or(0);
-            todo.push(self.denial(ex.id, ex.further_try || self.st.strain > STRAIN_BORNE, wait));
+            actions.push(self.denial(ex.id, ex.further_try || self.st.strain > STRAIN_BORNE, wait));
             return;
         }
         if records {
             // Entered on reading: a repeat of a try that is held without an entry would not be known as one.
             let lasting = group.window.saturating_sub(ex.age);
-            todo.push(Todo::Record { id: ex.id, lasting });
+            actions.push(Action::Record { id: ex.id, lasting });
             self.st.records.insert(ex.id);
             self.st.record_ends.push_back((self.st.now + lasting, ex.id));
             self.st.memory_kb += f64::from(self.terms.record_kb);
@@ -389,7 +393,7 @@
         (RUNS_A_CORE * self.terms.cores as f32).min(self.survivable()).max(1.0) as usize
     }
 
-    fn begin_work(&mut self, todo: &mut Vec<Todo>) {
+    fn begin_work(&mut self, actions: &mut Vec<Action>) {
         let (places, most) = (self.places(), self.survivable().max(1.0) as usize);
         // Calls that return put work back on the cores unasked, so they count for the crowd.
         while self.at(Stage::Running) < places
@@ -408,7 +412,7 @@
             self.st.long_running += usize::from(long);
             self.put(place, Stage::Running);
             self.look_again(place, next);
-            todo.push(Todo::Run { id });
+            actions.push(Action::Run { id });
         }
     }
 
@@ -478,15 +482,15 @@
 
     /// Denied ones are told to come back when the load should be down at T1.
     /// `wait` is what else keeps it from being taken.
-    fn denial(&self, id: ExId, not_elsewhere: bool, wait: Tenths) -> Todo {
+    fn denial(&self, id: ExId, not_elsewhere: bool, wait: Tenths) -> Action {
         let over = (self.load() - T1 * self.capacity).max(0.0) * self.st.mean_took / self.places() as f32;
         let wait =
             if self.st.leave.is_some() || self.stuck() { Tenths::MAX } else { wait.max(over as Tenths) };
         let not_elsewhere = not_elsewhere && !self.stuck();
-        Todo::Deny { id, not_elsewhere, come_back_in: wait.min(self.terms.longest_come_back) }
+        Action::Deny { id, not_elsewhere, come_back_in: wait.min(self.terms.longest_come_back) }
     }
 
-    fn look_at_due(&mut self, todo: &mut Vec<Todo>) {
+    fn look_at_due(&mut self, actions: &mut Vec<Action>) {
         while let Some(&Reverse((at, id, place))) = self.st.watch.peek() {
             let current = self.st.exs.get(place).is_some_and(|ex| ex.id == id && ex.look_at == at);
             if current && at > self.st.now {
@@ -494,7 +498,7 @@
             }
             self.st.watch.pop();
             if current {
-                self.look(place, todo);
+                self.look(place, actions);
             }
         }
     }
@@ -506,55 +510,55 @@
     }
 
     /// An exchange has come to the moment at which it is due for a decision.
-    fn look(&mut self, place: Place, todo: &mut Vec<Todo>) {
+    fn look(&mut self, place: Place, actions: &mut Vec<Action>) {
         let ex = &self.st.exs[place];
         let group = &self.terms.groups[ex.group];
         let (id, due, now, over) = (ex.id, ex.due, self.st.now, self.st.now >= ex.due);
         let others_wait = self.at(Stage::Held) > 0;
         match ex.stage {
             Stage::Held => {
-                todo.push(self.denial(id, true, 0));
-                self.drop_held(place, todo);
+                actions.push(self.denial(id, true, 0));
+                self.drop_held(place, actions);
             }
             Stage::Attached => {
-                todo.push(Todo::Terminate { id });
-                self.drop_held(place, todo);
+                actions.push(Action::Terminate { id });
+                self.drop_held(place, actions);
             }
-            _ if ex.answered => self.stop(place, todo),
+            _ if ex.answered => self.stop(place, actions),
             Stage::AtCall if !over && group.skip_share > 0.0 => {
-                todo.push(Todo::SkipCall { id });
+                actions.push(Action::SkipCall { id });
                 self.back_to_work(place);
             }
             _ if over || (group.late_share <= 0.0 && others_wait && self.terms.stop != StopKind::Never) => {
                 self.learn_capacity(false);
-                self.end_running(place, todo);
+                self.end_running(place, actions);
             }
             _ => self.look_again(place, if others_wait { due } else { due.min(now + BEAT) }),
         }
     }
 
     /// Answers running work and stops it where that is possible; its end is still to come.
-    fn end_running(&mut self, place: Place, todo: &mut Vec<Todo>) {
-        todo.push(Todo::Terminate { id: self.st.exs[place].id });
-        self.stop(place, todo);
+    fn end_running(&mut self, place: Place, actions: &mut Vec<Action>) {
+        actions.push(Action::Terminate { id: self.st.exs[place].id });
+        self.stop(place, actions);
     }
 
     /// Stops work that nobody waits for any more. A stop has no effect while the cores stand still, so it
     /// is asked for again until the end of the run is told.
-    fn stop(&mut self, place: Place, todo: &mut Vec<Todo>) {
+    fn stop(&mut self, place: Place, actions: &mut Vec<Action>) {
         let ex = &mut self.st.exs[place];
         ex.answered = true;
         let can = self.terms.stop != StopKind::Never;
         if can && ex.stage == Stage::Running {
-            todo.push(Todo::Stop { id: ex.id });
+            actions.push(Action::Stop { id: ex.id });
         }
         self.look_again(place, if can { self.st.now + 5 * BEAT } else { Tenths::MAX });
     }
 
     /// Lets go of what never ran, its entry included, so that a later try may run.
-    fn drop_held(&mut self, place: Place, todo: &mut Vec<Todo>) {
+    fn drop_held(&mut self, place: Place, actions: &mut Vec<Action>) {
         let id = self.st.exs[place].id;
-        todo.extend(self.drop_record(id).then_some(Todo::Forget { id }));
+        actions.extend(self.drop_record(id).then_some(Action::Forget { id }));
         self.let_go(place);
     }
 
@@ -564,17 +568,17 @@
         live
     }
 
-    fn caller_gone(&mut self, id: ExId, todo: &mut Vec<Todo>) {
+    fn caller_gone(&mut self, id: ExId, actions: &mut Vec<Action>) {
         let Some(&place) = self.st.at_door.get(&id) else { return };
         match self.st.exs[place].stage {
-            Stage::Held | Stage::Attached => self.drop_held(place, todo),
-            _ => self.stop(place, todo),
+            Stage::Held | Stage::Attached => self.drop_held(place, actions),
+            _ => self.stop(place, actions),
         }
     }
 
-    fn leave_by(&mut self, age: Tenths, stop_at: Tenths, todo: &mut Vec<Todo>) {
+    fn leave_by(&mut self, age: Tenths, stop_at: Tenths, actions: &mut Vec<Action>) {
         self.st.leave = Some((self.st.now.saturating_sub(age) + self.terms.drain_grace, stop_at));
-        self.tell_health(todo);
+        self.tell_health(actions);
         let places: Vec<Place> = self.st.exs.iter().map(|(place, _)| place).collect();
         for place in places {
             let due = self.last_answer(self.st.exs[place].due);
@@ -608,7 +612,7 @@
         }
     }
 
-    fn call_ended(&mut self, id: ExId, outcome: CallOutcome, took: Tenths, todo: &mut Vec<Todo>) {
+    fn call_ended(&mut self, id: ExId, outcome: CallOutcome, took: Tenths, actions: &mut Vec<Action>) {
         let Some(&place) = self.st.at_door.get(&id) else { return };
         if self.st.exs[place].stage != Stage::Calling {
             return;
@@ -626,12 +630,12 @@
         } else if ex.answered {
             // Its end is on the way.
         } else if group.skip_share > 0.0 {
-            todo.push(Todo::SkipCall { id });
+            actions.push(Action::SkipCall { id });
             self.back_to_work(place);
         } else if repeatable && ex.calls <= MORE_CALLS {
             self.line_up_for_call(place);
         } else {
-            self.end_running(place, todo);
+            self.end_running(place, actions);
         }
     }
 
@@ -651,7 +655,7 @@
     /// Makes the calls that there is room for. A budget of time keeps the node's share below over any window:
     /// a part of the share flows in, the rest of the window may be saved up, and a call is charged beforehand
     /// with all that it may take.
-    fn make_calls(&mut self, todo: &mut Vec<Todo>) {
+    fn make_calls(&mut self, actions: &mut Vec<Action>) {
         let (share, window) = (self.terms.calls_share, self.terms.calls_window as f32);
         let most = share.map_or(f32::MAX, |s| (MARGIN - CALL_INFLOW) * s * window);
         let inflow =
@@ -676,7 +680,7 @@
                 let ex = &mut self.st.exs[place];
                 (ex.calls, ex.called, ex.call_given) = (ex.calls + 1, self.st.now, limit + self.terms.linger);
                 self.st.call_budget -= ex.call_given as f32;
-                todo.push(Todo::Call { id, limit });
+                actions.push(Action::Call { id, limit });
             }
             self.st.call_line.pop();
         }
@@ -684,7 +688,7 @@
 
     // --- Time ---
 
-    fn upkeep(&mut self, todo: &mut Vec<Todo>) {
+    fn upkeep(&mut self, actions: &mut Vec<Action>) {
         while let Some((_, id)) = self.st.record_ends.pop_front_if(|(end, _)| *end < self.st.now) {
             self.drop_record(id);
         }
@@ -695,18 +699,18 @@
         }
         if self.st.now >= self.st.beat {
             self.st.beat = self.st.now + BEAT;
-            self.tell_level(todo);
-            self.tell_health(todo);
-            self.tell_idle_limit(todo);
+            self.tell_level(actions);
+            self.tell_health(actions);
+            self.tell_idle_limit(actions);
         }
     }
 
-    fn tell_health(&mut self, todo: &mut Vec<Todo>) {
+    fn tell_health(&mut self, actions: &mut Vec<Action>) {
         let good = self.st.leave.is_none() && !self.stuck();
         if good != self.st.told_good {
             self.st.told_good = good;
             // Checks that do real work would add to the very overload they are to report.
-            todo.push(Todo::Health { from_store: true, good });
+            actions.push(Action::Health { from_store: true, good });
         }
     }
 
@@ -724,7 +728,7 @@
     /// With many callers most idle connections are never used again and fill the table, so they are closed
     /// early. A node that drowns in unread work lets the table fill: callers that find no room cost nothing,
     /// while each exchange that it denies costs a read and perhaps a new connection.
-    fn tell_idle_limit(&mut self, todo: &mut Vec<Todo>) {
+    fn tell_idle_limit(&mut self, actions: &mut Vec<Action>) {
         let Some(links) = self.st.gauges.connections else { return };
         let most = (self.terms.idle_limit as f32).max(IDLE_LEAST);
         let most_links = if self.st.strangers < STRANGERS { LINKS_USED_AGAIN } else { LINKS_A_CORE };
@@ -732,31 +736,31 @@
         let next = self.st.idle_limit * if crowded { IDLE_FALL } else { IDLE_RISE };
         let next = if self.st.read_late > DROWNING { most } else { next.clamp(IDLE_LEAST, most) };
         if next != self.st.idle_limit {
-            todo.push(Todo::IdleLimit { after: (next as Tenths).min(self.terms.idle_limit) });
+            actions.push(Action::IdleLimit { after: (next as Tenths).min(self.terms.idle_limit) });
         }
         self.st.idle_limit = next;
         self.st.read_late *= STRAIN_DECAY;
     }
 
     /// Reading costs work, so callers are told to keep back the lowest ranks while much is denied.
-    fn tell_level(&mut self, todo: &mut Vec<Todo>) {
+    fn tell_level(&mut self, actions: &mut Vec<Action>) {
         let over = self.st.strain - STRAIN_BORNE;
         let change = if over > 0.0 { LEVEL_RISE * over } else { -LEVEL_FALL };
         let level = (self.st.level + change).clamp(0.0, LEVEL_MOST);
         if self.terms.level == LevelKind::LowestRank && self.st.level != level {
-            todo.push(Todo::Level { level });
+            actions.push(Action::Level { level });
         }
         self.st.level = level;
         self.st.strain *= STRAIN_DECAY;
     }
 
     /// One alarm for all times due: it is set whenever none is due as early as the earliest of them.
-    fn arm(&mut self, todo: &mut Vec<Todo>) {
+    fn arm(&mut self, actions: &mut Vec<Action>) {
         let due = self.st.watch.peek().map_or(Tenths::MAX, |Reverse((at, ..))| *at);
         let next = due.min(self.st.beat).max(self.st.now + 1);
         if self.st.armed <= self.st.now || next < self.st.armed {
             self.st.armed = next;
-            todo.push(Todo::Alarm { at: next, token: 0 });
+            actions.push(Action::Alarm { at: next, token: 0 });
         }
     }
 }
--- a/tests/cases.rs
+++ b/tests/cases.rs
@@ -10,7 +10,7 @@
     let before = world.done.len();
     (0..n).for_each(|_| _ = world.arrive(0, 0, 0, None, 1.0));
     world.step();
-    world.done[before..].iter().filter(|t| matches!(t, Todo::Deny { .. })).count()
+    world.done[before..].iter().filter(|t| matches!(t, Action::Deny { .. })).count()
 }
 
 fn busy_node(cores: u32, seed: u64) -> World {
@@ -111,18 +111,16 @@
         ServiceContract { cores: 0, warm_after: 0, cold: true, customers, calls_share, ..contract() };
     terms.groups.truncate(1);
     let mut world = World::new(terms, 1);
-    let mut todo = Vec::new();
+    let mut actions = Vec::new();
     let nan = Gauges { busy_cores: Some(f32::NAN), memory: Some(f32::NAN), ..Gauges::default() };
     let odd = Exchange { customer: 900, kb: f32::NAN, rank: f32::NAN, ..exchange(70, 0) };
-    let batch = [
-        Happened::Alarm { token: 5, gauges: nan },
-        Happened::Arrived(exchange(71, 200)),
-        Happened::Arrived(odd),
-    ];
-    world.door.happen(world.now, &batch, &mut todo);
-    assert!(todo.contains(&Todo::Terminate { id: 71 }), "an unknown endpoint group is answered at once");
-    world.door.happen(world.now + 9000 * MS, &[], &mut todo);
-    let answers = todo.iter().filter(|t| matches!(t, Todo::Deny { id: 70, .. } | Todo::Terminate { id: 70 }));
+    let batch =
+        [Event::Alarm { token: 5, gauges: nan }, Event::Arrived(exchange(71, 200)), Event::Arrived(odd)];
+    world.door.handle(world.now, &batch, &mut actions);
+    assert!(actions.contains(&Action::Terminate { id: 71 }), "an unknown endpoint group is answered at once");
+    world.door.handle(world.now + 9000 * MS, &[], &mut actions);
+    let answers =
+        actions.iter().filter(|t| matches!(t, Action::Deny { id: 70, .. } | Action::Terminate { id: 70 }));
     assert_eq!(answers.count(), 1);
 }
 
@@ -191,13 +189,13 @@
     let next = world.arrive(0, 50, 0, None, 1.0);
     world.step();
     assert!(!world.items[&next].owed, "denied at once, free to go elsewhere");
-    assert!(world.done.contains(&Todo::Health { from_store: true, good: false }));
+    assert!(world.done.contains(&Action::Health { from_store: true, good: false }));
 }
 
 #[test]
 fn a_table_full_of_idle_connections_is_emptied_unless_the_node_drowns() {
     // Found on tigre-principal-later: a thousand callers each kept a connection that they never used again.
-    let limit = |t: &Todo| if let Todo::IdleLimit { after } = t { Some(*after) } else { None };
+    let limit = |t: &Action| if let Action::IdleLimit { after } = t { Some(*after) } else { None };
     let last = |world: &World| world.done.iter().rev().find_map(limit);
     let mut world = World::new(ServiceContract { cores: 2, ..contract() }, 1);
     world.pass(20_000 * MS);
@@ -217,7 +215,7 @@
 fn idle_connections_stay_where_callers_come_again() {
     // Found on the days at full size: 200 nodes closed what 150 callers used again within seconds, and spent
     // a fifth of their cores on new connections.
-    let limit = |t: &Todo| if let Todo::IdleLimit { after } = t { Some(*after) } else { None };
+    let limit = |t: &Action| if let Action::IdleLimit { after } = t { Some(*after) } else { None };
     let last = |world: &World| world.done.iter().rev().find_map(limit);
     let mut world = World::new(ServiceContract { cores: 6, ..contract() }, 1);
     world.links = 90.0;
@@ -258,16 +256,19 @@
 #[test]
 fn what_a_budget_holds_back_is_denied_with_its_wait_and_a_repeat_never() {
     let mut world = World::new(contract(), 1);
-    let mut todo = Vec::new();
+    let mut actions = Vec::new();
     let held = |id, group| Exchange { held_back: Some(70 * MS), ..exchange(id, group) };
     let deduplicated =
         contract().groups.iter().position(|group| group.effect == Effect::Deduplicated).unwrap() as u8;
-    world.door.happen(world.now, &[Happened::Arrived(held(70, 0))], &mut todo);
-    assert!(todo.contains(&Todo::Deny { id: 70, not_elsewhere: false, come_back_in: 70 * MS }), "{todo:?}");
-    todo.clear();
-    let first = Happened::Arrived(exchange(71, deduplicated));
+    world.door.handle(world.now, &[Event::Arrived(held(70, 0))], &mut actions);
+    assert!(
+        actions.contains(&Action::Deny { id: 70, not_elsewhere: false, come_back_in: 70 * MS }),
+        "{actions:?}"
+    );
+    actions.clear();
+    let first = Event::Arrived(exchange(71, deduplicated));
     let again = Exchange { repeats: Some(71), ..held(72, deduplicated) };
-    world.door.happen(world.now, &[first, Happened::Arrived(again)], &mut todo);
-    assert!(todo.contains(&Todo::Attach { id: 72 }), "{todo:?}");
-    assert!(!todo.iter().any(|what| matches!(what, Todo::Deny { .. })), "{todo:?}");
+    world.door.handle(world.now, &[first, Event::Arrived(again)], &mut actions);
+    assert!(actions.contains(&Action::Attach { id: 72 }), "{actions:?}");
+    assert!(!actions.iter().any(|what| matches!(what, Action::Deny { .. })), "{actions:?}");
 }
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -92,7 +92,7 @@
     pub terms: ServiceContract,
     pub now: Tenths,
     pub items: BTreeMap<ExId, Item>,
-    pub events: Vec<Happened>,
+    pub events: Vec<Event>,
     pub alarms: BTreeSet<Tenths>,
     pub busy: f32,
     pub links: f32,
@@ -105,13 +105,13 @@
     pub leave: Option<(Tenths, Tenths)>,
     born: Tenths,
     next_id: ExId,
-    pub done: Vec<Todo>,
+    pub done: Vec<Action>,
 }
 
 impl World {
     pub fn new(terms: ServiceContract, seed: u64) -> World {
         let (born, door) = (60_000 * MS, Door::new(terms.clone(), seed));
-        let events = vec![Happened::Started];
+        let events = vec![Event::Started];
         let (items, alarms, table, calls, done) = Default::default();
         let (now, busy, links, leave, next_id) = (born, 1.0, 1.0, None, 1);
         let mut world = World {
@@ -157,7 +157,7 @@
             repeats,
             ..exchange(id, group)
         };
-        self.events.push(Happened::Arrived(ex));
+        self.events.push(Event::Arrived(ex));
         let group = group as usize;
         let item = Item {
             group,
@@ -177,7 +177,7 @@
     /// A try of the same mark that is read in the same batch.
     fn in_batch(&self, group: u8, mark: u64) -> Option<ExId> {
         self.events.iter().rev().find_map(|event| match event {
-            Happened::Arrived(ex) if ex.group == group && self.items[&ex.id].mark == mark => Some(ex.id),
+            Event::Arrived(ex) if ex.group == group && self.items[&ex.id].mark == mark => Some(ex.id),
             _ => None,
         })
     }
@@ -186,7 +186,7 @@
     pub fn arrive_together(&mut self, group: u8, mark: u64) -> (ExId, ExId) {
         let (a, b) = (self.arrive(group, mark, 0, None, 30.0), self.arrive(group, mark, 0, None, 30.0));
         for event in &mut self.events {
-            if let Happened::Arrived(ex) = event
+            if let Event::Arrived(ex) = event
                 && ex.repeats.is_none()
                 && [a, b].contains(&ex.id)
             {
@@ -208,7 +208,7 @@
         if let Some(from) = item.called.take() {
             self.calls.push((from, self.now + self.terms.linger));
         }
-        self.events.push(Happened::RunEnded { id, outcome });
+        self.events.push(Event::RunEnded { id, outcome });
     }
 
     pub fn need_call(&mut self, id: ExId) {
@@ -217,7 +217,7 @@
             return self.finish(id, RunOutcome::Stopped);
         }
         item.at = At::Waiting;
-        self.events.push(Happened::NeedsCall { id });
+        self.events.push(Event::NeedsCall { id });
     }
 
     pub fn end_call(&mut self, id: ExId, outcome: CallOutcome) {
@@ -229,7 +229,7 @@
         item.may_call = effect == Effect::Repeatable || outcome.proves_not_run();
         item.at = if outcome == CallOutcome::Completed { At::Running } else { At::Waiting };
         item.may_call |= outcome == CallOutcome::Completed;
-        self.events.push(Happened::CallEnded { id, outcome, took: self.now - from });
+        self.events.push(Event::CallEnded { id, outcome, took: self.now - from });
     }
 
     pub fn caller_gone(&mut self, id: ExId) {
@@ -240,13 +240,13 @@
             At::Waiting | At::Calling => self.finish(id, RunOutcome::Stopped),
             _ => {}
         }
-        self.events.push(Happened::CallerGone { id });
+        self.events.push(Event::CallerGone { id });
     }
 
     pub fn leave_in(&mut self, left: Tenths) {
         if self.leave.is_none() {
             self.leave = Some((self.now + self.terms.drain_grace, self.now + left));
-            self.events.push(Happened::Leave { age: 0, stop_at: self.now + left });
+            self.events.push(Event::Leave { age: 0, stop_at: self.now + left });
         }
     }
 
@@ -259,7 +259,7 @@
             self.now = self.now.max(at.next_multiple_of(self.terms.tick));
             let (busy_cores, connections) = (Some(self.busy), Some(self.links));
             let gauges = Gauges { busy_cores, connections, ..Gauges::default() };
-            self.events.push(Happened::Alarm { token: 0, gauges });
+            self.events.push(Event::Alarm { token: 0, gauges });
             self.step();
         }
         self.now = self.now.max(end.next_multiple_of(self.terms.tick));
@@ -271,12 +271,12 @@
         let over: Vec<_> = self.items.iter().filter(|(_, x)| over(x)).map(|(id, _)| *id).collect();
         over.into_iter().for_each(|id| self.end_call(id, CallOutcome::TimedOut));
         let batch = std::mem::take(&mut self.events);
-        let mut todo = Vec::new();
-        self.door.happen(self.now, &batch, &mut todo);
-        for what in &todo {
+        let mut actions = Vec::new();
+        self.door.handle(self.now, &batch, &mut actions);
+        for what in &actions {
             self.carry_out(what);
         }
-        self.done.extend(todo);
+        self.done.extend(actions);
         let waiting = self.items.iter().filter_map(|(id, x)| match x.at {
             At::Attached(root) => Some((*id, self.items[&root].at, self.items[&root].completed)),
             _ => None,
@@ -289,10 +289,10 @@
         self.check();
     }
 
-    fn carry_out(&mut self, what: &Todo) {
+    fn carry_out(&mut self, what: &Action) {
         let now = self.now;
         match *what {
-            Todo::Run { id } => {
+            Action::Run { id } => {
                 let x = &self.items[&id];
                 assert!(x.at == At::Held && !x.ran && x.owed, "run of {id} at {:?}", x.at);
                 let late = self.leave.is_some_and(|(last, _)| x.arrived > last);
@@ -305,8 +305,8 @@
                 let x = self.items.get_mut(&id).unwrap();
                 (x.at, x.ran) = (At::Running, true);
             }
-            Todo::Deny { id, .. } | Todo::Terminate { id } => {
-                let denied = matches!(what, Todo::Deny { .. });
+            Action::Deny { id, .. } | Action::Terminate { id } => {
+                let denied = matches!(what, Action::Deny { .. });
                 let x = self.items.get_mut(&id).unwrap();
                 assert!(!x.answered, "second answer for {id}");
                 x.answered = true;
@@ -322,7 +322,7 @@
                     _ => {}
                 }
             }
-            Todo::Stop { id } => {
+            Action::Stop { id } => {
                 assert!(self.terms.stop != StopKind::Never, "stop where nothing can be stopped");
                 let x = &self.items[&id];
                 assert!(!x.owed || x.at == At::Over, "{id} was stopped before it was answered");
@@ -330,30 +330,30 @@
                     self.finish(id, RunOutcome::Stopped);
                 }
             }
-            Todo::Call { id, limit } => {
+            Action::Call { id, limit } => {
                 let x = self.items.get_mut(&id).unwrap();
                 assert!(x.at == At::Waiting && x.may_call && limit > 0, "call of {id} at {:?}", x.at);
                 (x.at, x.called, x.given_up) = (At::Calling, Some(now), now + limit);
             }
-            Todo::SkipCall { id } => {
+            Action::SkipCall { id } => {
                 let x = self.items.get_mut(&id).unwrap();
                 assert!(x.at == At::Waiting && self.terms.groups[x.group].skip_share > 0.0);
                 x.at = At::Running;
             }
-            Todo::Record { id, lasting } => self.table.push((self.items[&id].mark, id, now + lasting)),
-            Todo::Forget { id } => self.table.retain(|(_, i, _)| *i != id),
-            Todo::Attach { id } => {
+            Action::Record { id, lasting } => self.table.push((self.items[&id].mark, id, now + lasting)),
+            Action::Forget { id } => self.table.retain(|(_, i, _)| *i != id),
+            Action::Attach { id } => {
                 let x = self.items.get_mut(&id).unwrap();
                 if x.at == At::Over {
                     return;
                 }
                 x.at = At::Attached(x.prior.expect("attached with nothing to repeat"));
             }
-            Todo::Alarm { at, .. } => {
+            Action::Alarm { at, .. } => {
                 assert!(at > now, "alarm in the past");
                 self.alarms.insert(at);
             }
-            Todo::Health { .. } | Todo::Level { .. } | Todo::IdleLimit { .. } => {}
+            Action::Health { .. } | Action::Level { .. } | Action::IdleLimit { .. } => {}
         }
     }
 
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -60,10 +60,10 @@
             // What comes late, twice or for nobody changes nothing.
             let id = n % 50 + 1;
             if world.items.get(&id).is_none_or(|x| x.at == At::Over) {
-                world.events.push(Happened::RunEnded { id, outcome: RunOutcome::Moot });
-                world.events.push(Happened::CallEnded { id, outcome: CallOutcome::Moot, took: 1 });
-                world.events.push(Happened::CallerGone { id });
-                world.events.push(Happened::NeedsCall { id });
+                world.events.push(Event::RunEnded { id, outcome: RunOutcome::Moot });
+                world.events.push(Event::CallEnded { id, outcome: CallOutcome::Moot, took: 1 });
+                world.events.push(Event::CallerGone { id });
+                world.events.push(Event::NeedsCall { id });
             }
         }
         _ => {}
