--- a/budgets/src/account.rs
+++ b/budgets/src/account.rs
@@ -15,7 +15,7 @@
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 struct Line {
     /// The newest report on it. Of one round's reports on different budgets any may come first.
-    heard: u64,
+    last_seq: u64,
     need: Units,
     /// What it said it may have in use.
     holding: Units,
@@ -121,7 +121,7 @@
             let lendable = book.budget.lent(item.whole.min(book.budget.whole()), item.floor);
             book.lendable = book.lendable.min(lendable);
             let line = holder.lines.entry(place).or_insert_with(|| Line {
-                heard: 0,
+                last_seq: 0,
                 need: 0,
                 holding: 0,
                 sent: VecDeque::new(),
@@ -130,10 +130,10 @@
                 whole: item.whole,
                 floor: item.floor,
             });
-            if seq <= line.heard && terms.safeguards.in_order {
+            if seq <= line.last_seq && terms.safeguards.in_order {
                 continue;
             }
-            line.heard = seq;
+            line.last_seq = seq;
             let before = line.outstanding(terms);
             line.sent.retain(|(of, _)| *of > item.accepted);
             line.holding = item.holding.min(book.budget.whole());
--- a/budgets/src/budgets.rs
+++ b/budgets/src/budgets.rs
@@ -6,10 +6,10 @@
 use doortrack_fleet::{Life, Name};
 
 use crate::account::Accounts;
-use crate::office::Office;
+use crate::leadership::Leadership;
 use crate::share::Share;
 use crate::voter::Voter;
-use crate::{Action, Budget, Event, Id, Item, Lent, Letter, MOST_ITEMS, Message, News, Terms, Who};
+use crate::{Action, Budget, Envelope, Event, Id, Item, Lent, MOST_ITEMS, Message, News, Terms, Who};
 
 /// Reports whose answers still count when they come.
 const MOST_SENT: usize = 128;
@@ -27,8 +27,8 @@
     places: BTreeMap<Id, usize>,
     /// Where this node is one of the voters.
     pub(crate) voter: Option<Voter>,
-    pub(crate) office: Office,
-    /// Of this time in office.
+    pub(crate) leadership: Leadership,
+    /// Of this time as keeper.
     pub(crate) accounts: Accounts,
     /// Voters that are there.
     pub(crate) voters: BTreeMap<Name, Life>,
@@ -45,7 +45,7 @@
     pub(crate) leaves: bool,
     displaced: bool,
     /// What the node has told itself; empty between events.
-    local: VecDeque<Letter>,
+    local: VecDeque<Envelope>,
 }
 
 fn places(list: &[Budget]) -> BTreeMap<Id, usize> {
@@ -63,7 +63,7 @@
             places: places(list),
             shares,
             weight: weight.max(1),
-            office: Office::Out { try_at: Tenths::MAX },
+            leadership: Leadership::Follower { try_at: Tenths::MAX },
             accounts: Accounts::default(),
             voters: BTreeMap::new(),
             keeper: None,
@@ -84,7 +84,7 @@
         // Those that start at one instant are not to seek votes at one instant, nor report ever after.
         let jitter = budgets.random(budgets.terms.round);
         if let Some(voter) = &budgets.voter {
-            budgets.office = Office::Out { try_at: voter.free_at() + jitter };
+            budgets.leadership = Leadership::Follower { try_at: voter.free_at() + jitter };
             budgets.voters.insert(budgets.me.name.clone(), budgets.me.life);
         }
         budgets.report_at = now + budgets.random(budgets.terms.round);
@@ -102,7 +102,7 @@
         if self.displaced || self.shares.is_empty() {
             return Tenths::MAX;
         }
-        self.report_at.min(self.office.next_due(&self.terms))
+        self.report_at.min(self.leadership.next_due(&self.terms))
     }
 
     /// Tells what happened; `now` never goes back. What is to be done is added to `out`, in order.
@@ -112,7 +112,7 @@
         }
         match event {
             Event::Turn => self.turn(now, out),
-            Event::Heard(letter) => self.heard(now, letter, out),
+            Event::Received(envelope) => self.received(now, envelope, out),
             Event::Members(view) => {
                 let seen = |name: &Name| view.members.get(name).map(|seat| (name.clone(), seat.life));
                 self.voters = self.terms.voters.iter().filter_map(seen).collect();
@@ -131,8 +131,8 @@
             }
             Event::Changed { list } => self.change(now, list),
         }
-        while let Some(letter) = self.local.pop_front() {
-            self.heard(now, letter, out);
+        while let Some(envelope) = self.local.pop_front() {
+            self.received(now, envelope, out);
         }
     }
 
@@ -155,7 +155,7 @@
     }
 
     fn turn(&mut self, now: Tenths, out: &mut Vec<Action>) {
-        self.office_turn(now, out);
+        self.leadership_turn(now, out);
         if now < self.report_at {
             return;
         }
@@ -164,14 +164,14 @@
         self.report_at = now + if short { self.terms.round.div_ceil(2) } else { self.terms.round };
         for (place, share) in self.shares.iter_mut().enumerate() {
             if let Some(share) = share.ran_out(now, &self.terms) {
-                out.push(Action::Tell(News::RanOut { place, share }));
+                out.push(Action::Report(News::RanOut { place, share }));
             }
         }
         self.silent += 1;
         if self.silent > SILENT
             && let Some(keeper) = self.keeper.take_if(|keeper| *keeper != self.me)
         {
-            out.push(Action::Tell(News::KeeperSilent(keeper)));
+            out.push(Action::Report(News::KeeperSilent(keeper)));
         }
         let all: Vec<usize> = (0..self.shares.len()).collect();
         self.report(now, &all, true, out);
@@ -207,8 +207,8 @@
     }
 
     pub(crate) fn send(&mut self, to: Who, message: Message, out: &mut Vec<Action>) {
-        let letter = Letter { from: self.me.clone(), to, message };
-        if letter.to == self.me { self.local.push_back(letter) } else { out.push(Action::Send(letter)) }
+        let envelope = Envelope { from: self.me.clone(), to, message };
+        if envelope.to == self.me { self.local.push_back(envelope) } else { out.push(Action::Send(envelope)) }
     }
 
     pub(crate) fn bind(&mut self, to: Option<Who>, out: &mut Vec<Action>) {
@@ -218,17 +218,17 @@
         self.bound_since = self.seq + 1;
         self.silent = 0;
         if let Some(keeper) = &to {
-            out.push(Action::Tell(News::Keeper(keeper.clone())));
+            out.push(Action::Report(News::Keeper(keeper.clone())));
         }
         self.keeper = to;
     }
 
-    fn heard(&mut self, now: Tenths, letter: Letter, out: &mut Vec<Action>) {
-        if letter.to != self.me {
+    fn received(&mut self, now: Tenths, envelope: Envelope, out: &mut Vec<Action>) {
+        if envelope.to != self.me {
             return;
         }
-        let from = letter.from;
-        match letter.message {
+        let from = envelope.from;
+        match envelope.message {
             Message::Grant { seq, shares } => self.granted(now, &from, seq, &shares, out),
             Message::Elsewhere { seq, keeper } => {
                 let known = keeper.is_some() && keeper != self.keeper;
@@ -241,7 +241,7 @@
                     }
                 }
             }
-            message => self.heard_by_voter(now, from, message, out),
+            message => self.received_by_voter(now, from, message, out),
         }
     }
 
@@ -266,7 +266,7 @@
             let (was, is) = of.grant(now, seq, *lent, till, &self.terms);
             if was != is {
                 let lasts = till.saturating_sub(now);
-                out.push(Action::Tell(News::Share { place, was, share: is, lasts }));
+                out.push(Action::Report(News::Share { place, was, share: is, lasts }));
             }
             if is < was {
                 lowered.push(place);
--- a/budgets/src/letter.rs
+++ b/budgets/src/envelope.rs
@@ -17,7 +17,7 @@
 
 /// A message on its way. What is meant for another life is not read.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
-pub struct Letter {
+pub struct Envelope {
     pub from: Who,
     pub to: Who,
     pub message: Message,
@@ -25,7 +25,7 @@
 
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub enum Message {
-    /// A candidate, or who is in office, asks for a vote.
+    /// A candidate, or the keeper, asks for a vote.
     Ask {
         ballot: u64,
     },
@@ -35,7 +35,7 @@
     Refused {
         ballot: u64,
     },
-    /// The vote of this ballot is given back: it puts nobody in office.
+    /// The vote of this ballot is given back: it makes nobody keeper.
     Release {
         ballot: u64,
     },
@@ -50,7 +50,7 @@
         seq: u64,
         shares: Vec<Lent>,
     },
-    /// The one that was reported to is not in office; who is, as far as it knows.
+    /// The one that was reported to is not the keeper; who is, as far as it knows.
     Elsewhere {
         seq: u64,
         keeper: Option<Who>,
--- a/budgets/src/office.rs
+++ b/budgets/src/leadership.rs
@@ -1,4 +1,4 @@
-//! How a voter comes into office, stays there and leaves it.
+//! How a voter becomes keeper, stays it and steps down.
 
 use std::collections::{BTreeMap, VecDeque};
 
@@ -47,22 +47,22 @@
     }
 }
 
-/// Where a node stands towards the office of keeper.
+/// Where a node stands towards being the keeper.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
-pub(crate) enum Office {
+pub(crate) enum Leadership {
     /// It may try from here on; never where it is no voter.
-    Out {
+    Follower {
         try_at: Tenths,
     },
     /// It has asked for votes, and gives up at a time.
-    Seeking {
+    Candidate {
         canvass: Canvass,
         till: Tenths,
     },
-    In(Tenure),
+    Leader(Tenure),
 }
 
-/// One time in office without a gap.
+/// One time as keeper without a gap.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub(crate) struct Tenure {
     pub canvass: Canvass,
@@ -74,33 +74,35 @@
     pub divide_at: Tenths,
 }
 
-impl Office {
+impl Leadership {
     pub fn next_due(&self, terms: &Terms) -> Tenths {
         match self {
-            Office::Out { try_at } => *try_at,
-            Office::Seeking { till, .. } => *till,
-            Office::In(tenure) => tenure.renew_at.min(tenure.divide_at).min(tenure.canvass.till(terms)),
+            Leadership::Follower { try_at } => *try_at,
+            Leadership::Candidate { till, .. } => *till,
+            Leadership::Leader(tenure) => {
+                tenure.renew_at.min(tenure.divide_at).min(tenure.canvass.till(terms))
+            }
         }
     }
 }
 
 impl Budgets {
     /// What time brings to a voter.
-    pub(crate) fn office_turn(&mut self, now: Tenths, out: &mut Vec<Action>) {
-        match &self.office {
-            Office::Out { try_at } if now >= *try_at => self.seek(now, out),
-            Office::Seeking { till, .. } if now >= *till => self.give_up(now, out),
-            Office::In(tenure) => {
+    pub(crate) fn leadership_turn(&mut self, now: Tenths, out: &mut Vec<Action>) {
+        match &self.leadership {
+            Leadership::Follower { try_at } if now >= *try_at => self.seek(now, out),
+            Leadership::Candidate { till, .. } if now >= *till => self.give_up(now, out),
+            Leadership::Leader(tenure) => {
                 if now >= tenure.canvass.till(&self.terms) {
-                    // Another may be in office by now.
-                    self.leave_office(now, out);
+                    // Another may be keeper by now.
+                    self.step_down(now, out);
                 } else if now >= tenure.renew_at {
                     self.ask_all(now, out);
                 }
             }
             _ => {}
         }
-        if let Office::In(tenure) = &mut self.office
+        if let Leadership::Leader(tenure) = &mut self.leadership
             && now >= tenure.divide_at
         {
             tenure.divide_at = now + self.terms.round.div_ceil(2);
@@ -112,11 +114,12 @@
         let jitter = self.random(self.terms.round);
         let free_at = self.voter.as_ref().map_or(Tenths::MAX, Voter::free_at);
         if self.voters.len() < self.terms.majority() || free_at > now {
-            self.office = Office::Out { try_at: free_at.max(now + self.terms.round).saturating_add(jitter) };
+            self.leadership =
+                Leadership::Follower { try_at: free_at.max(now + self.terms.round).saturating_add(jitter) };
             return;
         }
         let till = now + self.terms.round;
-        self.office = Office::Seeking { canvass: Canvass::default(), till };
+        self.leadership = Leadership::Candidate { canvass: Canvass::default(), till };
         self.ask_all(now, out);
     }
 
@@ -124,10 +127,10 @@
     fn ask_all(&mut self, now: Tenths, out: &mut Vec<Action>) {
         self.ballot += 1;
         let ballot = self.ballot;
-        match &mut self.office {
-            Office::Out { .. } => return,
-            Office::Seeking { canvass, .. } => canvass.asked(ballot, now),
-            Office::In(tenure) => {
+        match &mut self.leadership {
+            Leadership::Follower { .. } => return,
+            Leadership::Candidate { canvass, .. } => canvass.asked(ballot, now),
+            Leadership::Leader(tenure) => {
                 tenure.canvass.asked(ballot, now);
                 tenure.renew_at = now + self.terms.round;
             }
@@ -139,10 +142,10 @@
     }
 
     fn release(&mut self, out: &mut Vec<Action>) {
-        let canvass = match &self.office {
-            Office::Out { .. } => return,
-            Office::Seeking { canvass, .. } => canvass,
-            Office::In(tenure) => &tenure.canvass,
+        let canvass = match &self.leadership {
+            Leadership::Follower { .. } => return,
+            Leadership::Candidate { canvass, .. } => canvass,
+            Leadership::Leader(tenure) => &tenure.canvass,
         };
         let Some(ballot) = canvass.last_ballot() else { return };
         let others: Vec<Who> = self.others().collect();
@@ -155,40 +158,40 @@
     fn give_up(&mut self, now: Tenths, out: &mut Vec<Action>) {
         self.release(out);
         let wait = self.terms.round / 2 + self.random(2 * self.terms.round);
-        self.office = Office::Out { try_at: now + wait };
+        self.leadership = Leadership::Follower { try_at: now + wait };
     }
 
-    fn leave_office(&mut self, now: Tenths, out: &mut Vec<Action>) {
-        self.office = Office::Out { try_at: now + self.terms.round };
+    fn step_down(&mut self, now: Tenths, out: &mut Vec<Action>) {
+        self.leadership = Leadership::Follower { try_at: now + self.terms.round };
         self.accounts = Accounts::default();
         self.bind(None, out);
-        out.push(Action::Tell(News::LeftOffice));
+        out.push(Action::Report(News::SteppedDown));
     }
 
-    /// Leaves the office for good, so that another may take it at once.
+    /// Steps down for good, so that another may take it at once.
     pub(crate) fn resign(&mut self, now: Tenths, out: &mut Vec<Action>) {
-        let held = matches!(self.office, Office::In(_));
+        let held = matches!(self.leadership, Leadership::Leader(_));
         self.release(out);
         if held {
-            self.leave_office(now, out);
+            self.step_down(now, out);
         }
-        self.office = Office::Out { try_at: Tenths::MAX };
+        self.leadership = Leadership::Follower { try_at: Tenths::MAX };
     }
 
     fn voted(&mut self, now: Tenths, from: &Who, ballot: u64, out: &mut Vec<Action>) {
-        match &mut self.office {
-            Office::Out { .. } => {}
-            Office::In(tenure) => tenure.canvass.vote(&from.name, ballot, &self.terms),
-            Office::Seeking { canvass, .. } => {
+        match &mut self.leadership {
+            Leadership::Follower { .. } => {}
+            Leadership::Leader(tenure) => tenure.canvass.vote(&from.name, ballot, &self.terms),
+            Leadership::Candidate { canvass, .. } => {
                 canvass.vote(&from.name, ballot, &self.terms);
                 if canvass.till(&self.terms) > now {
                     let (renew_at, divide_at) = (now + self.terms.round, now);
                     let canvass = std::mem::take(canvass);
-                    self.office = Office::In(Tenure { canvass, renew_at, since: now, divide_at });
+                    self.leadership = Leadership::Leader(Tenure { canvass, renew_at, since: now, divide_at });
                     let list: Vec<Budget> = self.shares.iter().map(|share| share.budget.clone()).collect();
                     self.accounts = Accounts::new(&list);
                     let lends_after = if self.terms.safeguards.settle { self.terms.lease } else { 0 };
-                    out.push(Action::Tell(News::TookOffice { lends_after }));
+                    out.push(Action::Report(News::Elected { lends_after }));
                     self.bind(Some(self.me.clone()), out);
                 }
             }
@@ -196,7 +199,13 @@
     }
 
     /// What concerns voters, candidates and keepers.
-    pub(crate) fn heard_by_voter(&mut self, now: Tenths, from: Who, message: Message, out: &mut Vec<Action>) {
+    pub(crate) fn received_by_voter(
+        &mut self,
+        now: Tenths,
+        from: Who,
+        message: Message,
+        out: &mut Vec<Action>,
+    ) {
         match message {
             Message::Ask { ballot } => {
                 let Some(voter) = &mut self.voter else { return };
@@ -211,7 +220,7 @@
             Message::Release { ballot } => {
                 let released = self.voter.as_mut().is_some_and(|voter| voter.release(&from, ballot));
                 let try_at = now + self.random(self.terms.round);
-                if let Office::Out { try_at: at } = &mut self.office
+                if let Leadership::Follower { try_at: at } = &mut self.leadership
                     && released
                     && from != self.me
                     && !self.leaves
@@ -232,9 +241,9 @@
         items: &[Item],
         out: &mut Vec<Action>,
     ) {
-        let answer = match &self.office {
+        let answer = match &self.leadership {
             // The look at its own votes comes before every share that it lends.
-            Office::In(tenure) if tenure.canvass.till(&self.terms) > now => {
+            Leadership::Leader(tenure) if tenure.canvass.till(&self.terms) > now => {
                 let (terms, since) = (&self.terms, tenure.since);
                 let settled = |budget: &Budget| {
                     let held = if terms.safeguards.held { budget.held_most() } else { 0 };
--- a/budgets/src/lib.rs
+++ b/budgets/src/lib.rs
@@ -13,7 +13,7 @@
 //!
 //! A **keeper**, one of the fleet's voters, lends shares to all nodes on leases. Nothing is written to disk:
 //! - **Votes.** A voter gives its vote to one candidate for [`Terms::vote_lasts`] and to no other meanwhile;
-//!   who holds the votes of a majority is in office, by its own clock from when it *asked*. A voter that has
+//!   who holds the votes of a majority is keeper, by its own clock from when it *asked*. A voter that has
 //!   just started may have forgotten a vote, and gives none for as long as one lasts.
 //! - **Leases.** A share counts, for its holder, from when it *asked* for it, and for the keeper from when it
 //!   *answered*, so no delay makes the holder's end come after the keeper's. A lease is shorter for its
@@ -36,9 +36,9 @@
 mod account;
 mod budgets;
 mod divide;
-mod letter;
+mod envelope;
+mod leadership;
 mod need;
-mod office;
 mod reporting;
 mod share;
 mod terms;
@@ -49,7 +49,7 @@
 
 pub use budgets::Budgets;
 pub use divide::{Asks, divide};
-pub use letter::{Item, Lent, Letter, MOST_ITEMS, Message, Who};
+pub use envelope::{Envelope, Item, Lent, MOST_ITEMS, Message, Who};
 pub use reporting::Standing;
 pub use terms::{Budget, Id, Kind, Safeguards, Terms, Units, id_of};
 
@@ -61,10 +61,10 @@
 pub enum Event {
     /// Time has come to where [`Budgets::next_due`] said, or simply passes.
     Turn,
-    Heard(Letter),
+    Received(Envelope),
     /// Who is there has changed.
     Members(View),
-    /// The node was told to leave: it asks for nothing more, and gives up its office.
+    /// The node was told to leave: it asks for nothing more, and steps down as keeper.
     Leave,
     /// Another process goes by this node's name: this one uses nothing more, floors included.
     Displaced,
@@ -78,18 +78,18 @@
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Action {
     /// To the node of that name, wherever it is reached; lost where it is not.
-    Send(Letter),
-    Tell(News),
+    Send(Envelope),
+    Report(News),
 }
 
 /// What has changed, for the log.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum News {
     /// This node keeps the budgets from here on, and lends what is free after so many tenths of a ms.
-    TookOffice {
+    Elected {
         lends_after: Tenths,
     },
-    LeftOffice,
+    SteppedDown,
     /// Whom this node reports to.
     Keeper(Who),
     /// No answer from the keeper for some rounds.
@@ -112,8 +112,8 @@
     /// Its name in logs and histories.
     pub fn word(&self) -> &'static str {
         match self {
-            News::TookOffice { .. } => "took_office",
-            News::LeftOffice => "left_office",
+            News::Elected { .. } => "elected",
+            News::SteppedDown => "stepped_down",
             News::Keeper(_) => "keeper",
             News::KeeperSilent(_) => "keeper_silent",
             News::Share { was, share, .. } if share < was => "returned",
--- a/budgets/src/reporting.rs
+++ b/budgets/src/reporting.rs
@@ -2,7 +2,7 @@
 
 use doortrack::Tenths;
 
-use crate::office::Office;
+use crate::leadership::Leadership;
 use crate::{Budget, Budgets, Kind, Terms, Units, Who};
 
 /// One budget at one node.
@@ -36,7 +36,7 @@
     }
 
     pub fn is_keeper(&self, now: Tenths) -> bool {
-        matches!(&self.office, Office::In(tenure) if tenure.canvass.till(&self.terms) > now)
+        matches!(&self.leadership, Leadership::Leader(tenure) if tenure.canvass.till(&self.terms) > now)
     }
 
     /// The budgets, in the order of their places.
--- a/budgets/src/terms.rs
+++ b/budgets/src/terms.rs
@@ -106,7 +106,7 @@
 /// Times and bounds. All nodes of a fleet are to have the same.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub struct Terms {
-    /// Of whom a majority puts a keeper in office.
+    /// Of whom a majority makes a keeper.
     pub voters: Arc<[Name]>,
     /// Needs are told, and shares answered, so often.
     pub round: Tenths,
--- a/budgets/tests/holder.rs
+++ b/budgets/tests/holder.rs
@@ -4,7 +4,7 @@
 
 use doortrack::Tenths;
 use doortrack_budgets::{
-    Action, Budget, Budgets, Event, Kind, Lent, Letter, Message, Safeguards, Terms, Who,
+    Action, Budget, Budgets, Envelope, Event, Kind, Lent, Message, Safeguards, Terms, Who,
 };
 use doortrack_fleet::{Life, Name, Seat, View};
 
@@ -39,7 +39,7 @@
             let mut out = Vec::new();
             self.budgets.handle(self.now, Event::Turn, &mut out);
             let seq = out.iter().find_map(|action| match action {
-                Action::Send(Letter { message: Message::Report { seq, .. }, .. }) => Some(*seq),
+                Action::Send(Envelope { message: Message::Report { seq, .. }, .. }) => Some(*seq),
                 _ => None,
             });
             if let Some(seq) = seq {
@@ -49,8 +49,8 @@
     }
 
     fn hears(&mut self, message: Message) {
-        let letter = Letter { from: self.keeper.clone(), to: self.budgets.me().clone(), message };
-        self.budgets.handle(self.now, Event::Heard(letter), &mut Vec::new());
+        let envelope = Envelope { from: self.keeper.clone(), to: self.budgets.me().clone(), message };
+        self.budgets.handle(self.now, Event::Received(envelope), &mut Vec::new());
     }
 
     fn granted(&mut self, seq: u64, share: u64, prolongs: bool) -> u64 {
--- a/budgets/tests/model.rs
+++ b/budgets/tests/model.rs
@@ -7,7 +7,7 @@
 use std::sync::Arc;
 
 use doortrack::Tenths;
-use doortrack_budgets::{Action, Budget, Budgets, Event, Kind, Letter, Message, Safeguards, Terms, Who};
+use doortrack_budgets::{Action, Budget, Budgets, Envelope, Event, Kind, Message, Safeguards, Terms, Who};
 use doortrack_fleet::{Life, Name, Seat, View};
 use stateright::{Checker, Model, Property};
 
@@ -19,10 +19,10 @@
 struct Fleet {
     nodes: usize,
     safeguards: Safeguards,
-    /// Bounds of the search: ticks, faults of either kind, letters on their way.
+    /// Bounds of the search: ticks, faults of either kind, envelopes on their way.
     ticks: Tenths,
     faults: u8,
-    letters: usize,
+    envelopes: usize,
 }
 
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
@@ -30,7 +30,7 @@
     now: Tenths,
     nodes: Vec<Budgets>,
     stopped: Vec<bool>,
-    net: BTreeSet<Letter>,
+    net: BTreeSet<Envelope>,
     faults: u8,
     life: u64,
     ends: Tenths,
@@ -40,8 +40,8 @@
 enum Step {
     Tick,
     /// It comes, and stays on its way for a second time if this is a fault.
-    Comes(Letter, bool),
-    Lost(Letter),
+    Comes(Envelope, bool),
+    Lost(Envelope),
     Starts(usize),
     Stops(usize),
     GoesOn(usize),
@@ -92,11 +92,11 @@
         state.nodes[of].handle(state.now, event, &mut out);
         for action in out {
             // A refusal changes nothing where it comes.
-            if let Action::Send(letter) = action
-                && state.net.len() < self.letters
-                && !matches!(letter.message, Message::Refused { .. })
+            if let Action::Send(envelope) = action
+                && state.net.len() < self.envelopes
+                && !matches!(envelope.message, Message::Refused { .. })
             {
-                state.net.insert(letter);
+                state.net.insert(envelope);
             }
         }
     }
@@ -120,13 +120,13 @@
         let view = Self::view(&state);
         (0..self.nodes).for_each(|of| self.tell(&mut state, of, Event::Members(view.clone())));
         // In calm, all that is sent comes at once, until a share is lent: the search begins there.
-        let calm = Fleet { letters: 1_000, ..*self };
+        let calm = Fleet { envelopes: 1_000, ..*self };
         while state.nodes.iter().all(|node| node.exposed(0, state.now) == 0) {
             state.now += 1;
             for of in 0..self.nodes {
                 calm.tell(&mut state, of, Event::Turn);
-                while let Some(letter) = state.net.first().cloned() {
-                    state = calm.next_state(&state, Step::Comes(letter, false)).unwrap();
+                while let Some(envelope) = state.net.first().cloned() {
+                    state = calm.next_state(&state, Step::Comes(envelope, false)).unwrap();
                 }
             }
             assert!(state.now < 50, "nothing is ever lent");
@@ -140,11 +140,11 @@
         if state.now < state.ends {
             steps.push(Step::Tick);
         }
-        for letter in &state.net {
-            steps.push(Step::Comes(letter.clone(), false));
+        for envelope in &state.net {
+            steps.push(Step::Comes(envelope.clone(), false));
             if may_fail {
-                steps.push(Step::Comes(letter.clone(), true));
-                steps.push(Step::Lost(letter.clone()));
+                steps.push(Step::Comes(envelope.clone(), true));
+                steps.push(Step::Lost(envelope.clone()));
             }
         }
         for of in 0..self.nodes {
@@ -170,21 +170,21 @@
                     }
                 }
             }
-            Step::Comes(letter, again) => {
-                let of: usize = letter.to.name[1..].parse().ok()?;
+            Step::Comes(envelope, again) => {
+                let of: usize = envelope.to.name[1..].parse().ok()?;
                 if state.stopped[of] {
                     return None;
                 }
                 if again {
                     state.faults += 1;
                 } else {
-                    state.net.remove(&letter);
+                    state.net.remove(&envelope);
                 }
-                self.tell(&mut state, of, Event::Heard(letter));
+                self.tell(&mut state, of, Event::Received(envelope));
             }
-            Step::Lost(letter) => {
+            Step::Lost(envelope) => {
                 state.faults += 1;
-                state.net.remove(&letter);
+                state.net.remove(&envelope);
             }
             Step::Starts(of) => {
                 state.faults += 1;
@@ -223,7 +223,7 @@
 }
 
 fn fleet(nodes: usize, safeguards: Safeguards) -> Fleet {
-    Fleet { nodes, safeguards, ticks: 6, faults: 1, letters: 3 }
+    Fleet { nodes, safeguards, ticks: 6, faults: 1, envelopes: 3 }
 }
 
 /// Exhaustive up to so many steps from where a share is lent.
@@ -253,7 +253,7 @@
 
 /// Walks drawn from seeds; the first that breaks the promise.
 fn walk(nodes: usize, safeguards: Safeguards, mut seeds: Range<u64>) -> Option<u64> {
-    let fleet = Fleet { faults: 4, ticks: 16, letters: 10, ..fleet(nodes, safeguards) };
+    let fleet = Fleet { faults: 4, ticks: 16, envelopes: 10, ..fleet(nodes, safeguards) };
     let first = fleet.init_states().remove(0);
     let within = |state: &State| (fleet.properties()[0].condition)(&fleet, state);
     seeds.find(|seed| {
@@ -307,10 +307,10 @@
     }
 }
 
-/// A voter that forgets its vote makes a second keeper while the first is still in office: one that no chance
-/// walk meets in thousands, as the first's time is all but over.
+/// A voter that forgets its vote makes a second keeper while the first is still one: something that no chance
+/// walk meets in thousands, as the time of the first is all but over.
 fn forgets_its_vote(safeguards: Safeguards) -> u64 {
-    let fleet = Fleet { letters: 1_000, ..fleet(3, safeguards) };
+    let fleet = Fleet { envelopes: 1_000, ..fleet(3, safeguards) };
     let mut state = fleet.init_states().remove(0);
     let keeper = (0..3).find(|of| state.nodes[*of].is_keeper(state.now)).unwrap();
     let (voter, other) = ((keeper + 1) % 3, (keeper + 2) % 3);
@@ -318,11 +318,11 @@
     let turn = |state: &mut State, nodes: &[usize], pairs: &[(usize, usize)]| {
         for of in nodes {
             fleet.tell(state, *of, Event::Turn);
-            while let Some(letter) = state.net.first().cloned() {
+            while let Some(envelope) = state.net.first().cloned() {
                 let [from, to] =
-                    [&letter.from, &letter.to].map(|who| who.name[1..].parse::<usize>().unwrap());
+                    [&envelope.from, &envelope.to].map(|who| who.name[1..].parse::<usize>().unwrap());
                 let heard = pairs.contains(&(from, to)) || pairs.contains(&(to, from));
-                let step = if heard { Step::Comes(letter, false) } else { Step::Lost(letter) };
+                let step = if heard { Step::Comes(envelope, false) } else { Step::Lost(envelope) };
                 *state = fleet.next_state(state, step).unwrap();
             }
         }
--- a/emulator/tests/net.rs
+++ b/emulator/tests/net.rs
@@ -13,14 +13,14 @@
     net
 }
 
-fn heard(net: &mut Net<u32>, till: u64) -> Vec<(usize, u32, u64)> {
-    let mut heard = Vec::new();
+fn received(net: &mut Net<u32>, till: u64) -> Vec<(usize, u32, u64)> {
+    let mut received = Vec::new();
     while let Some(next) = net.next(till) {
         if let Next::Hears { of, what, .. } = next {
-            heard.push((of, what, net.now()));
+            received.push((of, what, net.now()));
         }
     }
-    heard
+    received
 }
 
 #[test]
@@ -29,15 +29,15 @@
     let mut net = net(3, links);
     net.send(0, 2, 1);
     net.send(0, 1, 2);
-    assert_eq!(heard(&mut net, 10 * MS), [(2, 1, 500), (1, 2, 2_500)]);
+    assert_eq!(received(&mut net, 10 * MS), [(2, 1, 500), (1, 2, 2_500)]);
 }
 
 #[test]
 fn shares_of_what_is_sent_are_lost_and_doubled() {
     let mut net = net(2, Links { loss: 0.2, doubled: 0.1, ..Links::default() });
     (0..10_000).for_each(|n| net.send(0, 1, n));
-    let heard = heard(&mut net, 100 * MS).len();
-    assert!((8_500..9_100).contains(&heard), "{heard} where 8,800 are expected");
+    let received = received(&mut net, 100 * MS).len();
+    assert!((8_500..9_100).contains(&received), "{received} where 8,800 are expected");
     assert!((1_850..2_150).contains(&net.lost));
 }
 
@@ -51,7 +51,7 @@
     net.send(1, 0, 2);
     net.cut(0, 1, false);
     net.send(0, 1, 3);
-    let mut whats: Vec<u32> = heard(&mut net, 100 * MS).iter().map(|(_, what, _)| *what).collect();
+    let mut whats: Vec<u32> = received(&mut net, 100 * MS).iter().map(|(_, what, _)| *what).collect();
     whats.sort_unstable();
     assert_eq!(whats, [2, 3]);
 }
@@ -64,7 +64,7 @@
     net.send(0, 1, 1);
     net.send(0, 2, 2);
     net.wake(1, 20 * MS);
-    assert!(heard(&mut net, 50 * MS).is_empty());
+    assert!(received(&mut net, 50 * MS).is_empty());
     net.mark(60 * MS, 4);
     assert!(matches!(net.next(100 * MS), Some(Next::Mark(4))));
     net.go_on(1);
@@ -74,7 +74,7 @@
     net.send(0, 1, 5);
     net.kill(1);
     net.start(1);
-    assert!(heard(&mut net, 200 * MS).is_empty());
+    assert!(received(&mut net, 200 * MS).is_empty());
 }
 
 #[test]
@@ -95,9 +95,9 @@
     let mut net = net(2, Links::default());
     net.keeps = true;
     net.send(0, 1, 9);
-    assert_eq!(heard(&mut net, 100 * MS).len(), 1);
+    assert_eq!(received(&mut net, 100 * MS).len(), 1);
     net.kill(1);
     net.start(1);
     net.replay(1);
-    assert_eq!(heard(&mut net, 200 * MS).len(), 1);
+    assert_eq!(received(&mut net, 200 * MS).len(), 1);
 }
--- a/fleet/src/fleet.rs
+++ b/fleet/src/fleet.rs
@@ -146,11 +146,11 @@
             // Answers may lie unread, or were lost while nobody read: what was begun says nothing.
             self.dazed = true;
             self.probes.drop_all();
-            out.push(Action::Tell(News::StoodStill { late }));
+            out.push(Action::Report(News::StoodStill { late }));
         }
         match event {
             Event::Turn => self.turn(now, out),
-            Event::Heard { from, datagram } => self.heard(now, from, datagram, out),
+            Event::Received { from, datagram } => self.received(now, from, datagram, out),
             Event::Leave => self.leave(now, out),
             Event::Changed { terms } => {
                 self.terms = *terms;
@@ -249,7 +249,7 @@
         let old = member.claim.clone();
         let reborn = claim.life != old.life;
         if reborn {
-            (member.heard, member.answers_in, member.slow) = (Default::default(), 0, false);
+            (member.received, member.answers_in, member.slow) = (Default::default(), 0, false);
         }
         let was_there = old.stand.is_there() && !reborn;
         if !matches!(claim.stand, Stand::Suspected { .. }) || reborn || claim.turn != old.turn {
@@ -276,7 +276,7 @@
 
     fn newcomer(&mut self, now: Tenths, claim: Claim, out: &mut Vec<Action>) -> Option<Place> {
         if self.table.len() >= self.terms.most_members {
-            out.push(Action::Tell(News::NoRoom { name: claim.name }));
+            out.push(Action::Report(News::NoRoom { name: claim.name }));
             return None;
         }
         let place = self.table.insert(claim.clone(), now);
@@ -294,7 +294,7 @@
                 if was.is_none() {
                     self.admit(now, place, out);
                 } else if cleared {
-                    out.push(Action::Tell(News::Cleared { name, life }));
+                    out.push(Action::Report(News::Cleared { name, life }));
                 }
             }
             Stand::Suspected { by } => {
@@ -312,7 +312,7 @@
                 self.change_view(now, |view| view.remove(&name));
                 if was.is_some() {
                     let left = claim.stand == Stand::Left;
-                    out.push(Action::Tell(if left {
+                    out.push(Action::Report(if left {
                         News::Left { name, life }
                     } else {
                         News::Lost { name, life }
@@ -328,7 +328,7 @@
         let (name, life) = (member.claim.name.clone(), member.claim.life);
         member.doubt.get_or_insert(Doubt::new(by, now));
         self.arm_doubt(now, place);
-        out.push(Action::Tell(News::Suspected { name, life }));
+        out.push(Action::Report(News::Suspected { name, life }));
         // A few of all that hear of it try for themselves, however many there are.
         let helpers = self.terms.helpers as f64;
         if by != self.mark && self.chance.f64() * members as f64 <= helpers {
--- a/fleet/src/joining.rs
+++ b/fleet/src/joining.rs
@@ -65,7 +65,7 @@
         let (name, life, back) = (claim.name.clone(), claim.life, member.returns > 0);
         let seat = Seat { life, address: claim.address, weight: claim.weight };
         self.change_view(now, |view| view.put(&name, seat));
-        out.push(Action::Tell(News::Alive { name, life, back }));
+        out.push(Action::Report(News::Alive { name, life, back }));
     }
 
     /// Counts that a member came back, and holds it back if it does so again and again. The first return is
@@ -86,7 +86,7 @@
         let (name, life) = (member.claim.name.clone(), member.claim.life);
         self.arm(now + wait, Timer::Admit(place));
         self.change_view(now, |view| view.remove(&name));
-        out.push(Action::Tell(News::HeldBack { name, life, wait }));
+        out.push(Action::Report(News::HeldBack { name, life, wait }));
     }
 
     /// Says that it leaves, at once and in some rounds more.
@@ -120,7 +120,7 @@
                 self.send_to(claim.address, claim.life, Message::News, Vec::new(), out);
                 if self.twin != claim.life {
                     self.twin = claim.life;
-                    out.push(Action::Tell(News::Twin { life: claim.life, address: claim.address }));
+                    out.push(Action::Report(News::Twin { life: claim.life, address: claim.address }));
                 }
             }
         } else if self.stage == Stage::Joining || !claim.stand.is_there() || claim.address == self.me.address
@@ -129,7 +129,7 @@
             self.live_on(now, claim.life, out);
         } else {
             self.stage = Stage::Displaced;
-            out.push(Action::Tell(News::Displaced { by: claim.life, address: claim.address }));
+            out.push(Action::Report(News::Displaced { by: claim.life, address: claim.address }));
         }
     }
 
@@ -142,6 +142,6 @@
         self.change_view(now, |view| view.put(&name, seat));
         self.say = SAY;
         self.arm_news(now);
-        out.push(Action::Tell(News::NewLife { life: self.me.life }));
+        out.push(Action::Report(News::NewLife { life: self.me.life }));
     }
 }
--- a/fleet/src/lib.rs
+++ b/fleet/src/lib.rs
@@ -7,7 +7,7 @@
 //! ```text
 //! let mut fleet = Fleet::new(me, terms, seed, now);
 //! fleet.handle(now, Event::Turn, &mut actions);            // at fleet.next_due() at the latest
-//! fleet.handle(now, Event::Heard { from, datagram }, &mut actions);
+//! fleet.handle(now, Event::Received { from, datagram }, &mut actions);
 //! ```
 //!
 //! The way is that of SWIM: each node probes one other a period, asks helpers to try before it doubts, and
@@ -38,10 +38,10 @@
 mod doubt;
 mod fleet;
 mod gossip;
-mod hearing;
 mod joining;
 mod message;
 mod probes;
+mod receiving;
 mod report;
 mod table;
 mod terms;
@@ -91,7 +91,7 @@
     /// Time has come to where [`Fleet::next_due`] said, or simply passes.
     Turn,
     /// A datagram came that was found whole and of this fleet.
-    Heard { from: SocketAddr, datagram: Datagram },
+    Received { from: SocketAddr, datagram: Datagram },
     /// The node was told to leave.
     Leave,
     /// Other terms and seeds from here on.
@@ -102,7 +102,7 @@
 #[derive(Clone, Debug)]
 pub enum Action {
     Send { to: SocketAddr, datagram: Box<Datagram> },
-    Tell(News),
+    Report(News),
 }
 
 /// What has changed, for the log and for those whose decisions rest on it. `life` is that of the member.
@@ -182,7 +182,7 @@
             News::HeldBack { .. } => "held_back",
             News::Slow { .. } => "slow",
             News::CutOff(true) => "cut_off",
-            News::CutOff(false) => "heard_again",
+            News::CutOff(false) => "reconnected",
             News::StoodStill { .. } => "stood_still",
             News::NewLife { .. } => "new_life",
             News::Displaced { .. } => "displaced",
--- a/fleet/src/hearing.rs
+++ b/fleet/src/receiving.rs
@@ -15,7 +15,7 @@
 const MOST_HEARD: usize = 64;
 
 impl Fleet {
-    pub(crate) fn heard(
+    pub(crate) fn received(
         &mut self,
         now: Tenths,
         _from: SocketAddr,
@@ -72,7 +72,7 @@
     ) -> Option<Place> {
         let Some(place) = self.table.place(&head.of.name) else {
             let place = self.take_up(now, head.of.clone(), out)?;
-            self.table.get_mut(place)?.heard.is_first(head.nth);
+            self.table.get_mut(place)?.received.is_first(head.nth);
             return Some(place).filter(|_| head.of.stand != Stand::Left);
         };
         let known = self.table.get(place)?.claim.clone();
@@ -86,7 +86,7 @@
             self.take_up(now, head.of.clone(), out);
         }
         let member = self.table.get_mut(place)?;
-        if !member.heard.is_first(head.nth) {
+        if !member.received.is_first(head.nth) {
             self.refused += 1;
             return None;
         }
@@ -213,7 +213,7 @@
         let slow = if member.slow { member.answers_in > late / 2 } else { member.answers_in > late };
         if slow && !member.slow {
             let (name, life) = (member.claim.name.clone(), member.claim.life);
-            out.push(Action::Tell(News::Slow { name, life, after: member.answers_in }));
+            out.push(Action::Report(News::Slow { name, life, after: member.answers_in }));
         }
         member.slow = slow;
     }
@@ -226,7 +226,7 @@
         }
         self.dazed = false;
         if std::mem::take(&mut self.cut_off) {
-            out.push(Action::Tell(News::CutOff(false)));
+            out.push(Action::Report(News::CutOff(false)));
         }
     }
 
--- a/fleet/src/table.rs
+++ b/fleet/src/table.rs
@@ -16,12 +16,12 @@
 
 /// Which datagrams of one life were heard.
 #[derive(Clone, Copy, Debug, Default)]
-pub struct Heard {
+pub struct Received {
     last: u64,
     bits: u128,
 }
 
-impl Heard {
+impl Received {
     /// Whether this one is heard for the first time; one that is too old to tell counts as doubled.
     pub fn is_first(&mut self, nth: u64) -> bool {
         if nth > self.last {
@@ -46,7 +46,7 @@
     pub version: u32,
     /// When the claim's stand last changed.
     pub since: Tenths,
-    pub heard: Heard,
+    pub received: Received,
     /// Smoothed time to answer; 0 before the first answer.
     pub answers_in: Tenths,
     pub slow: bool,
@@ -66,7 +66,7 @@
             claim,
             version: 0,
             since: now,
-            heard: Heard::default(),
+            received: Received::default(),
             answers_in: 0,
             slow: false,
             doubt: None,
--- a/fleet/src/turning.rs
+++ b/fleet/src/turning.rs
@@ -54,7 +54,7 @@
         }
         if self.silent > self.terms.silent_periods && !self.cut_off {
             self.cut_off = true;
-            out.push(Action::Tell(News::CutOff(true)));
+            out.push(Action::Report(News::CutOff(true)));
         }
         if let Some(place) = self.table.next_probe(&mut self.chance) {
             self.probe(now, place, out);
--- a/fleet/tests/cases.rs
+++ b/fleet/tests/cases.rs
@@ -60,13 +60,13 @@
             self.fleets[of].handle(self.now, event, &mut out);
             for action in out {
                 match action {
-                    Action::Tell(news) => self.news.push((of, news)),
+                    Action::Report(news) => self.news.push((of, news)),
                     Action::Send { to, datagram } => {
                         let Some(to) = (0..self.fleets.len()).find(|n| address(*n) == to) else { continue };
                         self.sent.push((of, to, (*datagram).clone()));
                         if !(self.cut)(of, to) && !self.stopped[to] {
                             let from = address(of);
-                            queue.push_back((to, Event::Heard { from, datagram: *datagram }));
+                            queue.push_back((to, Event::Received { from, datagram: *datagram }));
                         }
                     }
                 }
@@ -275,7 +275,7 @@
     assert_eq!(few.members(0), 3);
     let (view, refused) = (few.fleets[0].view().number, few.fleets[0].refused());
     for datagram in &old {
-        few.handle(0, Event::Heard { from: address(3), datagram: datagram.clone() });
+        few.handle(0, Event::Received { from: address(3), datagram: datagram.clone() });
     }
     assert_eq!(few.fleets[0].view().number, view, "to the same process");
     assert!(few.fleets[0].refused() > refused);
@@ -284,7 +284,7 @@
     let view = few.fleets[0].view().clone();
     assert_eq!(view.members.len(), 3);
     for datagram in old {
-        few.handle(0, Event::Heard { from: address(3), datagram });
+        few.handle(0, Event::Received { from: address(3), datagram });
     }
     assert_eq!(few.fleets[0].view().number, view.number, "to a later one");
 }
@@ -332,7 +332,7 @@
         }
         while late.front().is_some_and(|(at, ..)| *at <= few.now) {
             let Some((_, to, datagram)) = late.pop_front() else { break };
-            few.handle(to, Event::Heard { from: address(2), datagram });
+            few.handle(to, Event::Received { from: address(2), datagram });
         }
     }
     assert!(few.told(0, "slow", "n2") || few.told(1, "slow", "n2"), "{:?}", few.news);
@@ -357,13 +357,13 @@
     for of in odd {
         let head = Head { of, to: Life(100), nth: 1, digest: 0, view: 0 };
         let datagram = Datagram { head, message: Message::News, claims: Vec::new() };
-        few.handle(0, Event::Heard { from: address(9), datagram });
+        few.handle(0, Event::Received { from: address(9), datagram });
     }
     let head = Head { of: claim(1, 100), to: Life(100), nth: 1 << 40, digest: view.digest, view: 0 };
     let claims = vec![sound.clone(); 65];
     few.handle(
         0,
-        Event::Heard { from: address(1), datagram: Datagram { head, message: Message::News, claims } },
+        Event::Received { from: address(1), datagram: Datagram { head, message: Message::News, claims } },
     );
     assert_eq!(few.fleets[0].view().number, view.number);
     assert_eq!(few.fleets[0].refused(), 7);
@@ -380,7 +380,7 @@
     for nth in 10..20 {
         let head = Head { of: claim(nth, 5), to: Life(100), nth: 1, digest: 0, view: 0 };
         let datagram = Datagram { head, message: Message::News, claims: Vec::new() };
-        few.handle(0, Event::Heard { from: address(nth), datagram });
+        few.handle(0, Event::Received { from: address(nth), datagram });
     }
     assert_eq!(few.members(0), 4);
     assert!(few.news.iter().any(|(_, news)| matches!(news, News::NoRoom { .. })));
--- a/fleet/tests/random.rs
+++ b/fleet/tests/random.rs
@@ -106,7 +106,7 @@
                     let from = of.address;
                     let head = Head { of, to, nth, digest: 0, view: 0 };
                     let datagram = Datagram { head, message, claims };
-                    fleet.handle(now, Event::Heard { from, datagram }, &mut out);
+                    fleet.handle(now, Event::Received { from, datagram }, &mut out);
                 }
                 Step::Leave => fleet.handle(now, Event::Leave, &mut out),
             }
--- a/node/src/life/signals.rs
+++ b/node/src/life/signals.rs
@@ -29,7 +29,7 @@
     }
 
     /// Takes note of one, however often it was sent meanwhile.
-    pub(crate) fn heard(&mut self, key: usize) {
+    pub(crate) fn acknowledge(&mut self, key: usize) {
         let signal = if key == LEAVE_KEY { &mut self.leave } else { &mut self.reload };
         _ = signal.read(&mut [0; 64]);
     }
--- a/node/src/peers/link.rs
+++ b/node/src/peers/link.rs
@@ -31,7 +31,7 @@
 /// What came and went.
 #[derive(Clone, Debug, Default)]
 struct Counts {
-    heard: u64,
+    received: u64,
     sent: u64,
     sent_bytes: u64,
     /// Could not be sent, as the system had no room.
@@ -140,13 +140,13 @@
         let actions = std::mem::take(&mut shares.borrow_mut().actions);
         for action in actions {
             match action {
-                doortrack_budgets::Action::Send(letter) => {
-                    let seat = self.fleet.view().members.get(&letter.to.name).copied();
-                    if let Some(seat) = seat.filter(|seat| seat.life == letter.to.life) {
-                        self.send(seat.address, &Spoken::Budgets(letter));
+                doortrack_budgets::Action::Send(envelope) => {
+                    let seat = self.fleet.view().members.get(&envelope.to.name).copied();
+                    if let Some(seat) = seat.filter(|seat| seat.life == envelope.to.life) {
+                        self.send(seat.address, &Spoken::Budgets(envelope));
                     }
                 }
-                doortrack_budgets::Action::Tell(news) => {
+                doortrack_budgets::Action::Report(news) => {
                     if let Some(shares) = &self.shares {
                         shares.borrow_mut().log(&self.log, &news);
                     }
@@ -163,18 +163,18 @@
             // What an earlier datagram met on its way is told here, and means nothing for the next.
             Err(e) => return !matches!(e.kind(), ErrorKind::WouldBlock),
         };
-        self.counts.heard += 1;
+        self.counts.received += 1;
         let opened = if len > LONGEST { Err(Refused::Unreadable) } else { self.seal.open(&bytes[..len]) };
         let now = self.now();
         match opened {
             Ok(Spoken::Fleet(datagram)) => {
-                self.fleet.handle(now, Event::Heard { from, datagram }, &mut self.actions);
+                self.fleet.handle(now, Event::Received { from, datagram }, &mut self.actions);
                 self.carry_out();
             }
             Ok(Spoken::Ask(ask)) => self.tell(ask, from),
             // Whoever is not in the view would get no answer, and could fill a keeper's books.
-            Ok(Spoken::Budgets(letter)) if self.is_member(&letter.from) => {
-                self.tell_shares(Some(doortrack_budgets::Event::Heard(letter)));
+            Ok(Spoken::Budgets(envelope)) if self.is_member(&envelope.from) => {
+                self.tell_shares(Some(doortrack_budgets::Event::Received(envelope)));
             }
             Ok(Spoken::Budgets(_)) => *self.counts.refused.entry("no_member").or_default() += 1,
             Ok(Spoken::AskBudgets { nonce, from: place }) => {
@@ -239,7 +239,7 @@
         for action in std::mem::take(&mut self.actions) {
             match action {
                 Action::Send { to, datagram } => self.send(to, &Spoken::Fleet(*datagram)),
-                Action::Tell(news) => {
+                Action::Report(news) => {
                     self.log(&news);
                     let displaced = matches!(news, News::Displaced { .. });
                     self.tell_shares(displaced.then_some(doortrack_budgets::Event::Displaced));
@@ -373,7 +373,7 @@
         let counts = &self.counts;
         info!(log, "so far of the fleet"; "view" => self.fleet.view().number,
             "members" => self.fleet.view().members.len(), "cut_off" => self.fleet.is_cut_off(),
-            "heard" => counts.heard, "sent" => counts.sent, "sent_bytes" => counts.sent_bytes,
+            "received" => counts.received, "sent" => counts.sent, "sent_bytes" => counts.sent_bytes,
             "unsent" => counts.unsent, "refused" => slog::Serde(counts.refused.clone()),
             "out_of_place" => self.fleet.refused());
         if let Some(shares) = &self.shares {
--- a/node/src/peers/shares.rs
+++ b/node/src/peers/shares.rs
@@ -192,10 +192,10 @@
         let word = news.word();
         let name = |place: usize| self.budgets.list().nth(place).map_or("", |budget| &budget.name);
         match news {
-            News::TookOffice { lends_after } => {
+            News::Elected { lends_after } => {
                 info!(log, "budget"; "what" => word, "lends_after_ms" => lends_after / MS);
             }
-            News::LeftOffice => info!(log, "budget"; "what" => word),
+            News::SteppedDown => info!(log, "budget"; "what" => word),
             News::Keeper(who) => info!(log, "budget"; "what" => word, "of" => &*who.name),
             News::KeeperSilent(who) => warn!(log, "budget"; "what" => word, "of" => &*who.name),
             News::Share { place, was, share, lasts } => {
--- a/node/src/peers/spoken.rs
+++ b/node/src/peers/spoken.rs
@@ -1,6 +1,6 @@
 //! What is spoken between nodes, and with those that ask a node how things are.
 
-use doortrack_budgets::{Letter, Units};
+use doortrack_budgets::{Envelope, Units};
 use doortrack_fleet::{Datagram, Life, Name, Report};
 use serde::{Deserialize, Serialize};
 
@@ -11,7 +11,7 @@
     Ask(Ask),
     Told(Box<Status>),
     // What follows is read by builds of this version that have budgets; others count it as no message.
-    Budgets(Letter),
+    Budgets(Envelope),
     AskBudgets { nonce: u64, from: u16 },
     ToldBudgets(Box<BudgetPage>),
 }
--- a/node/src/serve/leave.rs
+++ b/node/src/serve/leave.rs
@@ -13,7 +13,7 @@
     /// The notice to leave came at `noticed`, or later: what is counted from it is over no later than it may
     /// be.
     pub(super) fn leave(&mut self, noticed: Tenths) {
-        self.signals.heard(LEAVE_KEY);
+        self.signals.acknowledge(LEAVE_KEY);
         if self.stop_at.is_some() {
             return;
         }
--- a/node/src/serve/reload.rs
+++ b/node/src/serve/reload.rs
@@ -19,7 +19,7 @@
     /// can't be served changes nothing, in the other one either: the node goes on as it was, since ending
     /// for it would lose all that is in hand.
     pub(super) fn reload(&mut self, came: &mut Vec<Came>, told: &mut Vec<Told>) {
-        self.signals.heard(RELOAD_KEY);
+        self.signals.acknowledge(RELOAD_KEY);
         let (new, mut installation) = match self.read_again() {
             Ok(read) => read,
             Err(faults) => return warn!(self.log, "configuration left out"; "fault" => %faults),
--- a/node/src/wire/servers.rs
+++ b/node/src/wire/servers.rs
@@ -241,7 +241,7 @@
                 let headers = passed_on(&answer);
                 self.told.push(Told::RunEnded { id: run, end, headers, body: answer.body });
             }
-            Action::Tell { server, standing } => {
+            Action::Report { server, standing } => {
                 let (at, in_use) = (self.at.get(&server).copied(), self.pool.in_use());
                 let at = at.map_or_else(String::new, |at| at.to_string());
                 match standing {
--- a/node/tests/fleet/link.rs
+++ b/node/tests/fleet/link.rs
@@ -121,7 +121,7 @@
         let message = if nth == 59 { Message::Ask { after: None } } else { Message::News };
         let datagram = Datagram { head, message, claims: Vec::new() };
         let from = claim(nth).address;
-        fleet.handle(0, Event::Heard { from, datagram }, &mut out);
+        fleet.handle(0, Event::Received { from, datagram }, &mut out);
     }
     let pages = out.into_iter().filter_map(|action| match action {
         Action::Send { datagram, .. } if matches!(datagram.message, Message::Page { .. }) => Some(*datagram),
--- a/node/tests/fleet/troubles.rs
+++ b/node/tests/fleet/troubles.rs
@@ -61,7 +61,7 @@
     let played = played(&script(5, 12_000, faults));
     let own = |what: &What| matches!(what, What::News { node: 0, word, .. } if word == "lost");
     assert!(!played.history.entries.iter().any(|entry| own(&entry.what)), "{}", played.history.lines());
-    assert!(told(&played, "cut_off") >= 1 && told(&played, "heard_again") >= 1);
+    assert!(told(&played, "cut_off") >= 1 && told(&played, "reconnected") >= 1);
 }
 
 #[test]
--- a/rig/src/divided.rs
+++ b/rig/src/divided.rs
@@ -6,7 +6,7 @@
 
 use std::collections::BTreeMap;
 
-use doortrack_budgets::{Action, Budget, Budgets, Event, Kind, Letter, Message, News, Terms, Who};
+use doortrack_budgets::{Action, Budget, Budgets, Envelope, Event, Kind, Message, News, Terms, Who};
 use doortrack_emulator::{Clock, Law, Links, MachineId, Micros, Net, Next};
 use doortrack_fleet::{Life, Name, Seat, View};
 
@@ -22,7 +22,7 @@
 const STEP: Micros = 10 * MS;
 /// How late nodes learn of starts.
 const LEARN: Micros = 500 * MS;
-/// Bytes round each letter: IP, UDP, version, hash, the fleet's name.
+/// Bytes round each envelope: IP, UDP, version, hash, the fleet's name.
 const ROUND: u64 = 52;
 const TOKEN: f64 = 1.0;
 
@@ -64,7 +64,7 @@
 }
 
 struct World<'a> {
-    net: Net<Letter>,
+    net: Net<Envelope>,
     nodes: Vec<Option<Budgets>>,
     lives: Vec<Life>,
     started: u64,
@@ -128,7 +128,7 @@
                     self.wake(of);
                 }
                 Next::Hears { of, what, .. } => {
-                    self.handle(of, Event::Heard(what));
+                    self.handle(of, Event::Received(what));
                     self.wake(of);
                 }
             }
@@ -180,27 +180,27 @@
         self.out.cost.decide(|| node.handle(now, event, &mut actions));
         for action in actions.drain(..) {
             match action {
-                Action::Send(letter) => self.send(of, letter),
-                Action::Tell(news) => self.out.keepers += u64::from(matches!(news, News::TookOffice { .. })),
+                Action::Send(envelope) => self.send(of, envelope),
+                Action::Report(news) => self.out.keepers += u64::from(matches!(news, News::Elected { .. })),
             }
         }
         self.actions = actions;
         self.nodes[of] = Some(node);
     }
 
-    fn send(&mut self, of: MachineId, letter: Letter) {
-        let Some(to) = letter.to.name[1..].parse().ok().filter(|to| *to < self.nodes.len()) else { return };
+    fn send(&mut self, of: MachineId, envelope: Envelope) {
+        let Some(to) = envelope.to.name[1..].parse().ok().filter(|to| *to < self.nodes.len()) else { return };
         if self.net.now() >= self.ways.count_from_ms * MS {
             self.out.cost.datagrams += 1;
             if self.ways.weigh {
-                let bytes = weight(&letter) + ROUND;
+                let bytes = weight(&envelope) + ROUND;
                 self.out.cost.bytes += bytes;
                 self.bytes[of] += bytes;
             }
         }
-        let seen = (self.net.now(), of, to, std::mem::discriminant(&letter.message));
+        let seen = (self.net.now(), of, to, std::mem::discriminant(&envelope.message));
         self.mark(&seen);
-        self.net.send(of, to, letter);
+        self.net.send(of, to, envelope);
     }
 
     fn mark(&mut self, what: &impl std::hash::Hash) {
@@ -318,11 +318,11 @@
     }
 }
 
-/// Bytes of a letter as the codec writes it, near enough to compare sizes.
-fn weight(letter: &Letter) -> u64 {
+/// Bytes of an envelope as the codec writes it, near enough to compare sizes.
+fn weight(envelope: &Envelope) -> u64 {
     let small = |value: u64| 1 + u64::from(value > 127) + u64::from(value > 16_383);
     let who = |who: &Who| 1 + who.name.len() as u64 + 9;
-    let message = match &letter.message {
+    let message = match &envelope.message {
         Message::Ask { ballot } | Message::Vote { ballot } | Message::Refused { ballot } => small(*ballot),
         Message::Release { ballot } => small(*ballot),
         Message::Report { seq, items, .. } => {
@@ -337,5 +337,5 @@
         }
         Message::Elsewhere { seq, keeper } => small(*seq) + 1 + keeper.as_ref().map_or(0, who),
     };
-    who(&letter.from) + who(&letter.to) + 1 + message
+    who(&envelope.from) + who(&envelope.to) + 1 + message
 }
--- a/rig/src/simulated.rs
+++ b/rig/src/simulated.rs
@@ -139,7 +139,7 @@
                 Next::Wakes { of } => self.handle(of, Event::Turn),
                 Next::Hears { of, from, what } => {
                     let from = address(from);
-                    self.handle(of, Event::Heard { from, datagram: what });
+                    self.handle(of, Event::Received { from, datagram: what });
                 }
             }
         }
@@ -188,7 +188,7 @@
         for action in actions.drain(..) {
             match action {
                 Action::Send { to, datagram } => self.send(of, to, *datagram),
-                Action::Tell(news) => self.tell(of, &news, &fleet),
+                Action::Report(news) => self.tell(of, &news, &fleet),
             }
         }
         self.actions = actions;
--- a/servers/src/pool.rs
+++ b/servers/src/pool.rs
@@ -229,7 +229,7 @@
             let health = &mut self.servers[server].health;
             let before = std::mem::replace(health, health.succeeded(self.terms.at_once));
             if before.is_returning() && !health.is_returning() {
-                actions.push(Action::Tell { server, standing: Standing::Fit });
+                actions.push(Action::Report { server, standing: Standing::Fit });
             }
         } else {
             self.failed(server, now, actions);
--- a/servers/src/pool/members.rs
+++ b/servers/src/pool/members.rs
@@ -71,7 +71,7 @@
             self.servers[server].health = Health::Returning { trusted: 1, times };
             self.in_use += 1;
             self.place(server);
-            actions.push(Action::Tell { server, standing: Standing::Returning });
+            actions.push(Action::Report { server, standing: Standing::Returning });
         }
     }
 
@@ -88,7 +88,7 @@
         self.returns.insert((till, server));
         self.in_use -= 1;
         self.counts.put_aside += 1;
-        actions.push(Action::Tell { server, standing: Standing::PutAside { till } });
+        actions.push(Action::Report { server, standing: Standing::PutAside { till } });
         self.place(server);
     }
 
--- a/servers/tests/pool.rs
+++ b/servers/tests/pool.rs
@@ -120,7 +120,7 @@
                     assert!(self.conns.remove(&conn).is_some(), "closed twice");
                     self.next.retain(|(.., other)| *other != conn);
                 }
-                Action::Tell { .. } => {}
+                Action::Report { .. } => {}
                 Action::Ended { run, end } => {
                     assert!(self.ended.insert(run, (end, self.now)).is_none(), "{run} ended twice");
                 }
