--- a/node/src/commands/fleet.rs
+++ b/node/src/commands/fleet.rs
@@ -157,7 +157,7 @@
         while Instant::now() < till {
             let Ok((len, _)) = sock.recv_from(&mut bytes) else { break };
             match seal.open(&bytes[..len]) {
-                Ok(Spoken::Told(status)) if status.nonce == nonce => return Ok(*status),
+                Ok(Spoken::Status(status)) if status.nonce == nonce => return Ok(*status),
                 _ => {}
             }
         }
@@ -186,7 +186,7 @@
         sock.send_to(&asked.unwrap_or_default(), peer).map_err(plain)?;
         tries += 1;
         let page = sock.recv_from(&mut bytes).ok().and_then(|(len, _)| seal.open(&bytes[..len]).ok());
-        if let Some(Spoken::ToldBudgets(page)) = page
+        if let Some(Spoken::BudgetStatus(page)) = page
             && page.nonce == nonce
         {
             (tries, keeper) = (0, page.keeper);
--- a/node/src/peers/link.rs
+++ b/node/src/peers/link.rs
@@ -181,9 +181,9 @@
                 let none = BudgetPage { nonce, keeper: None, budgets: Vec::new(), more: false };
                 let page =
                     self.shares.as_ref().map_or(none, |shares| shares.borrow_mut().page(nonce, place, now));
-                self.send(from, &Spoken::ToldBudgets(Box::new(page)));
+                self.send(from, &Spoken::BudgetStatus(Box::new(page)));
             }
-            Ok(Spoken::Told(_) | Spoken::ToldBudgets(_)) => {}
+            Ok(Spoken::Status(_) | Spoken::BudgetStatus(_)) => {}
             Err(refused) => self.refuse(refused, from),
         }
         true
@@ -217,7 +217,7 @@
             members,
             more,
         };
-        self.send(to, &Spoken::Told(Box::new(status)));
+        self.send(to, &Spoken::Status(Box::new(status)));
     }
 
     fn send(&mut self, to: SocketAddr, what: &Spoken) {
--- a/node/src/peers/spoken.rs
+++ b/node/src/peers/spoken.rs
@@ -9,11 +9,11 @@
 pub enum Spoken {
     Fleet(Datagram),
     Ask(Ask),
-    Told(Box<Status>),
+    Status(Box<Status>),
     // What follows is read by builds of this version that have budgets; others count it as no message.
     Budgets(Envelope),
     AskBudgets { nonce: u64, from: u16 },
-    ToldBudgets(Box<BudgetPage>),
+    BudgetStatus(Box<BudgetPage>),
 }
 
 /// Asks for the members from behind a name on.
--- a/node/src/serve.rs
+++ b/node/src/serve.rs
@@ -27,8 +27,8 @@
 use crate::memory::results::{Key, Results};
 use crate::parts::{PART_KEYS, Part, Use};
 use crate::wire::end::End;
-use crate::wire::engine::Told;
-use crate::wire::fronts::{Came, FIRST_KEY, Fronts, LISTEN_KEY};
+use crate::wire::engine::WorkEvent;
+use crate::wire::fronts::{FIRST_KEY, FrontEvent, Fronts, LISTEN_KEY};
 use crate::wire::registry::Registry;
 use crate::wire::request::{Answer, Made};
 use crate::wire::work::Work;
@@ -88,38 +88,38 @@
 impl Node {
     pub fn serve(mut self) -> Result<(), Fault> {
         let mut events = Events::new();
-        let (mut came, mut told) = (Vec::new(), Vec::new());
+        let (mut front_events, mut work_events) = (Vec::new(), Vec::new());
         self.now = self.clock.now();
         self.summary_at = self.now + report::EVERY;
         // Servers are up from the start: what is read first is not to find the door closed.
         self.work.tend(self.now);
-        self.send(&mut came, &mut told);
+        self.send(&mut front_events, &mut work_events);
         loop {
             self.work.tend(self.now);
             self.registry.beat(self.now);
             let due = self.next_due();
-            self.gather(due, &mut events, &mut came, &mut told)?;
+            self.gather(due, &mut events, &mut front_events, &mut work_events)?;
             if self.now > due + STALL {
                 // All stood still for a while. What came meanwhile counts before times that ran out.
-                self.gather(due, &mut events, &mut came, &mut told)?;
+                self.gather(due, &mut events, &mut front_events, &mut work_events)?;
             }
             if self.now >= self.sweep_at {
                 self.sweep_at = self.now + SWEEP;
-                self.fronts.sweep(self.now, &mut came);
+                self.fronts.sweep(self.now, &mut front_events);
                 self.results.tidy(self.now);
             }
             // Ends first: what they free is there for what has come.
-            told.drain(..).for_each(|what| self.told(what));
-            came.drain(..).for_each(|what| self.came(what));
+            work_events.drain(..).for_each(|what| self.work_event(what));
+            front_events.drain(..).for_each(|what| self.front_event(what));
             self.take_reading();
             self.decide();
             if self.closes_now() {
-                self.fronts.last_reading(self.now, &mut came);
-                came.drain(..).for_each(|what| self.came(what));
+                self.fronts.last_reading(self.now, &mut front_events);
+                front_events.drain(..).for_each(|what| self.front_event(what));
                 self.decide();
             }
             self.parts.iter_mut().for_each(|part| part.turn());
-            self.send(&mut came, &mut told);
+            self.send(&mut front_events, &mut work_events);
             let turn = self.clock.now().saturating_sub(self.now);
             self.slowest.turn = self.slowest.turn.max(turn);
             if self.now >= self.summary_at {
@@ -138,8 +138,8 @@
         &mut self,
         due: Tenths,
         events: &mut Events,
-        came: &mut Vec<Came>,
-        told: &mut Vec<Told>,
+        front_events: &mut Vec<FrontEvent>,
+        work_events: &mut Vec<WorkEvent>,
     ) -> Result<(), Fault> {
         events.clear();
         let wait = due.saturating_sub(self.now);
@@ -157,27 +157,29 @@
                 key if PART_KEYS.contains(&key) => {
                     self.parts.iter_mut().filter(|part| part.key() == key).for_each(|part| part.ready());
                 }
-                key if self.work.has(key) => self.work.ready(event, self.now, told),
-                LISTEN_KEY..FIRST_KEY => _ = self.fronts.accept(event.key - LISTEN_KEY, self.now, came),
-                _ => self.fronts.ready(event, self.now, came),
+                key if self.work.has(key) => self.work.ready(event, self.now, work_events),
+                LISTEN_KEY..FIRST_KEY => {
+                    _ = self.fronts.accept(event.key - LISTEN_KEY, self.now, front_events)
+                }
+                _ => self.fronts.ready(event, self.now, front_events),
             }
         }
         if reload {
-            self.reload(came, told);
+            self.reload(front_events, work_events);
         }
         Ok(())
     }
 
     /// Writes what there is. What broke meanwhile is told at once, as nothing may come to wake the next turn.
-    fn send(&mut self, came: &mut Vec<Came>, told: &mut Vec<Told>) {
+    fn send(&mut self, front_events: &mut Vec<FrontEvent>, work_events: &mut Vec<WorkEvent>) {
         loop {
-            self.fronts.flush(self.now, came);
-            self.work.flush(self.now, told);
-            if came.is_empty() && told.is_empty() {
+            self.fronts.flush(self.now, front_events);
+            self.work.flush(self.now, work_events);
+            if front_events.is_empty() && work_events.is_empty() {
                 return;
             }
-            told.drain(..).for_each(|what| self.told(what));
-            came.drain(..).for_each(|what| self.came(what));
+            work_events.drain(..).for_each(|what| self.work_event(what));
+            front_events.drain(..).for_each(|what| self.front_event(what));
             self.decide();
         }
     }
--- a/node/src/serve/events.rs
+++ b/node/src/serve/events.rs
@@ -10,16 +10,18 @@
 use crate::memory::results::{Found, NoResult, Repeats};
 use crate::parts::{Asked, Ticket, Use};
 use crate::wire::end::{End, Outcome};
-use crate::wire::engine::Told;
-use crate::wire::fronts::{Block, Caller, Came};
+use crate::wire::engine::WorkEvent;
+use crate::wire::fronts::{Block, Caller, FrontEvent};
 use crate::wire::link::Notice;
 use crate::wire::request::{Answer, Made, Request, Unreadable};
 
 impl Node {
-    pub(super) fn came(&mut self, what: Came) {
+    pub(super) fn front_event(&mut self, what: FrontEvent) {
         match what {
-            Came::Exchange { caller, request, block, body } => self.arrived(caller, request, block, body),
-            Came::Ended { ex, end } => self.ended(ex, end, Made::default()),
+            FrontEvent::Exchange { caller, request, block, body } => {
+                self.arrived(caller, request, block, body)
+            }
+            FrontEvent::Ended { ex, end } => self.ended(ex, end, Made::default()),
         }
     }
 
@@ -176,10 +178,10 @@
         self.ended(id, End::Run(RunOutcome::Completed), Made { headers: &headers, body: &body });
     }
 
-    pub(super) fn told(&mut self, what: Told) {
+    pub(super) fn work_event(&mut self, what: WorkEvent) {
         match what {
-            Told::Hello { cold, age } => self.open_door(cold, age),
-            Told::CaughtUp { proven } => {
+            WorkEvent::Hello { cold, age } => self.open_door(cold, age),
+            WorkEvent::CaughtUp { proven } => {
                 let unproven = |sent: Option<u64>| sent.is_none_or(|sent| sent >= proven);
                 let running = self.exs.running().filter(|(_, sent)| unproven(*sent));
                 let mut lost: Vec<ExId> = running.map(|(id, _)| id).collect();
@@ -202,18 +204,18 @@
                     }
                 }
             }
-            Told::Notice(Notice::Done { try_id, outcome, result, .. }) => {
+            WorkEvent::Notice(Notice::Done { try_id, outcome, result, .. }) => {
                 if let Some(id) = self.exs.of_try(&try_id) {
                     self.ended(id, End::Run(outcome), Made::from(&result[..]));
                 }
             }
-            Told::Notice(Notice::Not { command, try_id }) => {
+            WorkEvent::Notice(Notice::Not { command, try_id }) => {
                 warn!(self.log, "engine would not"; "command" => &command);
                 let id = try_id.and_then(|try_id| self.exs.of_try(&try_id));
                 let end = if command == "RUN" { End::RunRefused } else { End::StopRefused };
                 id.into_iter().for_each(|id| self.ended(id, end, Made::default()));
             }
-            Told::Notice(Notice::Stats { cookie, values }) => {
+            WorkEvent::Notice(Notice::Stats { cookie, values }) => {
                 let places = &self.orders.handed.gauges;
                 let read = |place: Option<usize>| place.and_then(|p| values.get(p).copied());
                 self.gauges = Gauges {
@@ -229,11 +231,11 @@
                     self.reading = Some((wanted, self.now));
                 }
             }
-            Told::Notice(_) => {}
-            Told::RunEnded { id, end, headers, body } => {
+            WorkEvent::Notice(_) => {}
+            WorkEvent::RunEnded { id, end, headers, body } => {
                 self.ended(id, end, Made { headers: &headers, body: &body })
             }
-            Told::Ended(end) => {
+            WorkEvent::Ended(end) => {
                 let running: Vec<ExId> = self.exs.running().map(|(id, _)| id).collect();
                 running.into_iter().for_each(|id| self.ended(id, end, Made::default()));
             }
--- a/node/src/serve/reload.rs
+++ b/node/src/serve/reload.rs
@@ -8,8 +8,8 @@
 use super::start::{pools, rules};
 use super::{MS, Node};
 use crate::life::signals::RELOAD_KEY;
-use crate::wire::engine::Told;
-use crate::wire::fronts::Came;
+use crate::wire::engine::WorkEvent;
+use crate::wire::fronts::FrontEvent;
 use crate::wire::ruled::Rules;
 use crate::wire::work::Work;
 
@@ -18,7 +18,7 @@
     /// time to stop, and the fronts. What runs goes on, as the engine keeps runs and numbers. A file that
     /// can't be served changes nothing, in the other one either: the node goes on as it was, since ending
     /// for it would lose all that is in hand.
-    pub(super) fn reload(&mut self, came: &mut Vec<Came>, told: &mut Vec<Told>) {
+    pub(super) fn reload(&mut self, front_events: &mut Vec<FrontEvent>, work_events: &mut Vec<WorkEvent>) {
         self.signals.acknowledge(RELOAD_KEY);
         let (new, mut installation) = match self.read_again() {
             Ok(read) => read,
@@ -34,7 +34,7 @@
         info!(self.log, "configuration read again"; "engine" => %engine, "registry" => %registry,
             "fronts" => installation.fronts.len(), "rest_needs_a_start" => next != new);
         self.orders = next;
-        self.work.move_to(engine, self.now, told);
+        self.work.move_to(engine, self.now, work_events);
         if let Err(e) = self.registry.move_to(registry) {
             warn!(self.log, "registry cannot be reached"; "why" => %e);
         }
@@ -48,7 +48,7 @@
             (Some(rules), Some(new)) => rules.replace(new),
             (rules, new) => *rules = new,
         }
-        self.change_fronts(installation, came);
+        self.change_fronts(installation, front_events);
     }
 
     /// The rules that are to be taken up. What a mark means may not change while marks of before are within
@@ -110,13 +110,13 @@
 
     /// Opens the fronts that are new and drains those that are gone. While the node leaves, no front is
     /// opened.
-    fn change_fronts(&mut self, installation: Installation, came: &mut Vec<Came>) {
+    fn change_fronts(&mut self, installation: Installation, front_events: &mut Vec<FrontEvent>) {
         let old = std::mem::replace(&mut self.installation, installation);
         let new = self.installation.fronts.clone();
         let place = |front: &Front| (front.listen, front.protocol);
         for front in old.fronts.iter().filter(|front| !new.iter().any(|other| place(other) == place(front))) {
             info!(self.log, "front withdrawn"; "address" => %front.listen);
-            self.fronts.withdraw(front.listen, self.now, came);
+            self.fronts.withdraw(front.listen, self.now, front_events);
         }
         for front in &new {
             if old.fronts.iter().any(|other| place(other) == place(front)) {
--- a/node/src/wire/engine.rs
+++ b/node/src/wire/engine.rs
@@ -32,7 +32,7 @@
 }
 
 /// What the link brought, in order.
-pub enum Told {
+pub enum WorkEvent {
     Hello {
         cold: bool,
         age: Tenths,
@@ -134,7 +134,7 @@
         Ok(sock)
     }
 
-    fn lose(&mut self, now: Tenths, why: &str, told: &mut Vec<Told>) {
+    fn lose(&mut self, now: Tenths, why: &str, work_events: &mut Vec<WorkEvent>) {
         if let Some(sock) = self.sock.take() {
             _ = self.poller.delete(&sock);
         }
@@ -143,7 +143,7 @@
         } else {
             self.losses += 1;
             warn!(self.log, "engine link lost"; "why" => why, "last" => self.last);
-            told.push(Told::Ended(End::LinkLost));
+            work_events.push(WorkEvent::Ended(End::LinkLost));
         }
         self.state = State::Down;
         self.next_try = self.next_try.max(now);
@@ -152,60 +152,60 @@
     }
 
     /// The engine is to be found elsewhere from here on.
-    pub fn move_to(&mut self, at: SocketAddr, now: Tenths, told: &mut Vec<Told>) {
+    pub fn move_to(&mut self, at: SocketAddr, now: Tenths, work_events: &mut Vec<WorkEvent>) {
         if at == self.at {
             return;
         }
         (self.at, self.missed) = (at, false);
         if self.state != State::Down {
-            self.lose(now, "the engine moved", told);
+            self.lose(now, "the engine moved", work_events);
         }
         self.next_try = now;
     }
 
-    pub fn ready(&mut self, event: Event, now: Tenths, told: &mut Vec<Told>) {
+    pub fn ready(&mut self, event: Event, now: Tenths, work_events: &mut Vec<WorkEvent>) {
         if self.state == State::Connecting && (event.writable || event.readable) {
             let error = self.sock.as_ref().and_then(|sock| sock.take_error().transpose());
             if let Some(Ok(e) | Err(e)) = error {
-                return self.lose(now, &e.to_string(), told);
+                return self.lose(now, &e.to_string(), work_events);
             }
             self.state = State::Attaching;
             link::attach(&mut self.out, self.last);
         }
         if event.readable {
-            self.read(now, told);
+            self.read(now, work_events);
         }
     }
 
-    fn read(&mut self, now: Tenths, told: &mut Vec<Told>) {
+    fn read(&mut self, now: Tenths, work_events: &mut Vec<WorkEvent>) {
         let Some(sock) = &mut self.sock else { return };
         let start = self.input.len();
         self.input.resize(start + MOST_LINE, 0);
         let got = sock.read(&mut self.input[start..]);
         self.input.truncate(start + got.as_ref().map_or(0, |n| *n));
         match got {
-            Ok(0) => return self.lose(now, "closed by the engine", told),
+            Ok(0) => return self.lose(now, "closed by the engine", work_events),
             Ok(_) => {}
             Err(e) if matches!(e.kind(), ErrorKind::WouldBlock | ErrorKind::Interrupted) => return,
-            Err(e) => return self.lose(now, &e.to_string(), told),
+            Err(e) => return self.lose(now, &e.to_string(), work_events),
         }
         let input = std::mem::take(&mut self.input);
         let mut rest = &input[..];
         while let Some(end) = rest.iter().position(|b| *b == b'\n') {
             let line = &rest[..end];
             rest = &rest[end + 1..];
-            if let Err(why) = self.line(line, told) {
-                return self.lose(now, why, told);
+            if let Err(why) = self.line(line, work_events) {
+                return self.lose(now, why, work_events);
             }
         }
         if rest.len() > MOST_LINE {
-            return self.lose(now, "a line without end", told);
+            return self.lose(now, "a line without end", work_events);
         }
         self.input = rest.to_vec();
     }
 
     /// Takes one line; an error where the link is to be made anew, so that what was missed comes again.
-    fn line(&mut self, line: &[u8], told: &mut Vec<Told>) -> Result<(), &'static str> {
+    fn line(&mut self, line: &[u8], work_events: &mut Vec<WorkEvent>) -> Result<(), &'static str> {
         let notice = match link::read(line) {
             Ok(notice) => notice,
             Err(what) => {
@@ -226,22 +226,22 @@
             Notice::Hello { cold, age } if self.state == State::Attaching => {
                 info!(self.log, "engine attached"; "cold" => cold, "age_ms" => age / 10, "last" => self.last);
                 self.missed = false;
-                told.push(Told::Hello { cold, age });
+                work_events.push(WorkEvent::Hello { cold, age });
                 self.state = State::CatchingUp { cookie: self.cookie + 1 };
                 self.stat();
             }
             Notice::Hello { .. } => return self.doubt("HELLO out of turn"),
             Notice::Stats { cookie, .. } if self.state == (State::CatchingUp { cookie }) => {
                 self.state = State::Up;
-                told.push(Told::CaughtUp { proven: self.proven });
+                work_events.push(WorkEvent::CaughtUp { proven: self.proven });
                 self.proven = cookie;
             }
             Notice::Stats { cookie, .. } => {
                 self.proven = self.proven.max(cookie.min(self.cookie));
-                told.push(Told::Notice(notice));
+                work_events.push(WorkEvent::Notice(notice));
             }
             Notice::Note { text, .. } => info!(self.log, "engine remark"; "text" => text),
-            _ => told.push(Told::Notice(notice)),
+            _ => work_events.push(WorkEvent::Notice(notice)),
         }
         Ok(())
     }
@@ -270,7 +270,7 @@
         link::halt(&mut self.out, try_id);
     }
 
-    pub fn flush(&mut self, now: Tenths, told: &mut Vec<Told>) {
+    pub fn flush(&mut self, now: Tenths, work_events: &mut Vec<WorkEvent>) {
         let Some(sock) = self.sock.as_mut().filter(|_| self.state != State::Connecting) else { return };
         let mut written = 0;
         while written < self.out.len() {
@@ -278,14 +278,14 @@
                 Ok(n) if n > 0 => written += n,
                 Err(e) if e.kind() == ErrorKind::Interrupted => {}
                 Err(e) if e.kind() == ErrorKind::WouldBlock => break,
-                Ok(_) => return self.lose(now, "closed by the engine", told),
-                Err(e) => return self.lose(now, &e.to_string(), told),
+                Ok(_) => return self.lose(now, "closed by the engine", work_events),
+                Err(e) => return self.lose(now, &e.to_string(), work_events),
             }
         }
         self.out.drain(..written);
         self.out.shrink_to(MOST_LINE);
         if self.out.len() > self.most_commands {
-            return self.lose(now, "commands stay unread", told);
+            return self.lose(now, "commands stay unread", work_events);
         }
         let wants = !self.out.is_empty();
         if wants != self.watching_writes {
--- a/node/src/wire/fronts.rs
+++ b/node/src/wire/fronts.rs
@@ -39,7 +39,7 @@
 }
 
 /// What the connections brought.
-pub enum Came {
+pub enum FrontEvent {
     Exchange { caller: Caller, request: Request, block: Block, body: Vec<u8> },
     Ended { ex: ExId, end: End },
 }
@@ -217,7 +217,7 @@
     }
 
     /// Writes what the present turn brought, and closes what is to be closed.
-    pub fn flush(&mut self, now: Tenths, came: &mut Vec<Came>) {
+    pub fn flush(&mut self, now: Tenths, front_events: &mut Vec<FrontEvent>) {
         let mut dirty = std::mem::take(&mut self.dirty);
         for slot in dirty.drain(..) {
             let Some(conn) = self.conns.get_mut(slot).filter(|conn| conn.dirty) else { continue };
@@ -227,8 +227,8 @@
             self.unread -= before - conn.unread();
             let over = conn.last.filter(|_| conn.open.is_empty() && conn.unread() == 0);
             match (written, over) {
-                (Err(end), _) => self.close(slot, end, came),
-                (Ok(()), Some(end)) => self.hang_up(slot, end, now, came),
+                (Err(end), _) => self.close(slot, end, front_events),
+                (Ok(()), Some(end)) => self.hang_up(slot, end, now, front_events),
                 _ => self.watch(slot),
             }
         }
--- a/node/src/wire/fronts/coming.rs
+++ b/node/src/wire/fronts/coming.rs
@@ -8,7 +8,7 @@
 use polling::{Event, PollMode};
 use socket2::{Domain, Socket, Type};
 
-use super::{Came, Counts, FIRST_KEY, Front, Fronts, LISTEN_KEY};
+use super::{Counts, FIRST_KEY, Front, FrontEvent, Fronts, LISTEN_KEY};
 use crate::wire::bounds::{self, ACCEPTS, EVICTED, FRESH, LAST_TURNS, MOST_FRONTS};
 use crate::wire::conn::Conn;
 use crate::wire::end::End;
@@ -51,23 +51,23 @@
 
     /// Takes a front out of service: what the machine has accepted for it is still read, once more, and
     /// answered; what comes after that is refused, and it is forgotten with the last connection.
-    pub fn withdraw(&mut self, at: SocketAddr, now: Tenths, came: &mut Vec<Came>) {
+    pub fn withdraw(&mut self, at: SocketAddr, now: Tenths, front_events: &mut Vec<FrontEvent>) {
         let slots = self.fronts.iter().filter(|(_, front)| front.is_at(at));
         let slots: Vec<usize> = slots.map(|(front, _)| front).collect();
-        slots.into_iter().for_each(|front| self.shut(front, End::Withdrawn, now, came));
+        slots.into_iter().for_each(|front| self.shut(front, End::Withdrawn, now, front_events));
     }
 
     /// Takes in what the machine has accepted on any front, and nothing after it.
-    pub fn last_reading(&mut self, now: Tenths, came: &mut Vec<Came>) {
+    pub fn last_reading(&mut self, now: Tenths, front_events: &mut Vec<FrontEvent>) {
         let slots: Vec<usize> = self.fronts.iter().map(|(front, _)| front).collect();
-        slots.into_iter().for_each(|front| self.shut(front, End::Left, now, came));
+        slots.into_iter().for_each(|front| self.shut(front, End::Left, now, front_events));
     }
 
     /// Takes in the backlog of a front, reads each of its connections once more, and ends those with nothing
     /// open from then on.
-    fn shut(&mut self, front: usize, end: End, now: Tenths, came: &mut Vec<Came>) {
+    fn shut(&mut self, front: usize, end: End, now: Tenths, front_events: &mut Vec<FrontEvent>) {
         // There is no later turn for what waits in the backlog, so nobody is spared for being fresh.
-        while self.accept_sparing(0, front, now, came) {}
+        while self.accept_sparing(0, front, now, front_events) {}
         if let Some(listener) = self.fronts[front].listener.take() {
             _ = self.poller.delete(&listener);
         }
@@ -77,7 +77,7 @@
         for slot in slots {
             for _ in 0..LAST_TURNS {
                 if self.conns.get(slot).is_some_and(|conn| conn.reading) {
-                    self.read(slot, now, came);
+                    self.read(slot, now, front_events);
                 }
             }
             if self.conns.contains(slot) {
@@ -97,19 +97,25 @@
     }
 
     /// Takes what the machine accepted; whether more may be waiting.
-    pub fn accept(&mut self, front: usize, now: Tenths, came: &mut Vec<Came>) -> bool {
-        self.accept_sparing(FRESH, front, now, came)
+    pub fn accept(&mut self, front: usize, now: Tenths, front_events: &mut Vec<FrontEvent>) -> bool {
+        self.accept_sparing(FRESH, front, now, front_events)
     }
 
     /// The same; where room has to be made, those are spared on which something moved so lately.
-    fn accept_sparing(&mut self, fresh: Tenths, front: usize, now: Tenths, came: &mut Vec<Came>) -> bool {
+    fn accept_sparing(
+        &mut self,
+        fresh: Tenths,
+        front: usize,
+        now: Tenths,
+        front_events: &mut Vec<FrontEvent>,
+    ) -> bool {
         let quiet_since = now.saturating_sub(fresh);
         if !self.fronts.contains(front) {
             return false;
         }
         for nth in 0..ACCEPTS {
             // Only the first is known to be waiting, so room is made for no more than one.
-            if self.is_full(front) && !(nth == 0 && self.make_room(front, quiet_since, came)) {
+            if self.is_full(front) && !(nth == 0 && self.make_room(front, quiet_since, front_events)) {
                 // A full table is no reason to fall over: the rest waits in the backlog for a close.
                 self.accept_again(front, nth > 0);
                 return nth > 0;
@@ -119,7 +125,7 @@
                 // One that is gone again before it was taken in has brought nothing.
                 Ok((sock, peer)) => {
                     _ = self.take_in(sock, peer.ip(), front, now);
-                    self.make_room_ahead(front, quiet_since, now, came);
+                    self.make_room_ahead(front, quiet_since, now, front_events);
                 }
                 Err(e) if matches!(e.kind(), ErrorKind::Interrupted | ErrorKind::ConnectionAborted) => {}
                 Err(e) => {
@@ -155,7 +161,7 @@
     /// Makes sure that a place is there, where `make_room_ahead` could not: closes some that were told the
     /// end or never asked for anything, those first that came first; where there are none, the one that lay
     /// idle longest. Many that come only to sit there so cost those that ask little.
-    fn make_room(&mut self, front: usize, quiet_since: Tenths, came: &mut Vec<Came>) -> bool {
+    fn make_room(&mut self, front: usize, quiet_since: Tenths, front_events: &mut Vec<FrontEvent>) -> bool {
         let useless = self.least_missed(front, quiet_since);
         let silent = useless.partition_point(|(spoke, ..)| !spoke).min(EVICTED);
         let before = self.conns.len();
@@ -164,7 +170,7 @@
                 break;
             }
             if self.conns[slot].lingers || self.conns[slot].nothing_came() {
-                self.close(slot, End::Evicted, came);
+                self.close(slot, End::Evicted, front_events);
             }
         }
         self.conns.len() < before
@@ -172,7 +178,13 @@
 
     /// Tells some the end while there are places left, so that what crosses it meets no reset. Only a burst
     /// of callers faster than their peers close, and a table with no place to spare, come to `make_room`.
-    fn make_room_ahead(&mut self, front: usize, quiet_since: Tenths, now: Tenths, came: &mut Vec<Came>) {
+    fn make_room_ahead(
+        &mut self,
+        front: usize,
+        quiet_since: Tenths,
+        now: Tenths,
+        front_events: &mut Vec<FrontEvent>,
+    ) {
         let (own, places, free) = self.tighter_bound(front);
         let spare = bounds::spare(places);
         if free >= spare {
@@ -188,7 +200,7 @@
         let stays = |conn: &Conn| !conn.lingers && conn.open.is_empty() && conn.nothing_came();
         let useless = self.least_missed(front, quiet_since).into_iter().map(|(.., slot)| slot);
         let useless: Vec<usize> = useless.filter(|slot| stays(&self.conns[*slot])).take(wanted).collect();
-        useless.into_iter().for_each(|slot| self.hang_up(slot, End::Evicted, now, came));
+        useless.into_iter().for_each(|slot| self.hang_up(slot, End::Evicted, now, front_events));
     }
 
     /// Whether a front's own bound is met before that of the table, how many places that is, and how many of
@@ -235,18 +247,19 @@
     /// The one way in which this node ends a connection that nothing is owed on: it says so, passes over what
     /// still comes, and closes once the peer has ended too. A request that crosses this is never run, and
     /// its caller sees an orderly end and may send it again.
-    pub(super) fn hang_up(&mut self, slot: usize, end: End, now: Tenths, came: &mut Vec<Came>) {
+    pub(super) fn hang_up(&mut self, slot: usize, end: End, now: Tenths, front_events: &mut Vec<FrontEvent>) {
         let conn = &mut self.conns[slot];
         (conn.reading, conn.last) = (false, Some(end));
-        if conn.linger(now) { self.watch(slot) } else { self.close(slot, end, came) }
+        if conn.linger(now) { self.watch(slot) } else { self.close(slot, end, front_events) }
     }
 
-    pub(super) fn close(&mut self, slot: usize, end: End, came: &mut Vec<Came>) {
+    pub(super) fn close(&mut self, slot: usize, end: End, front_events: &mut Vec<FrontEvent>) {
         let conn = self.conns.remove(slot);
         _ = self.poller.delete(&conn.sock);
         self.open -= conn.open.len();
         self.unread -= conn.unread();
-        came.extend(conn.open.iter().filter_map(|open| open.ex).map(|ex| Came::Ended { ex, end }));
+        front_events
+            .extend(conn.open.iter().filter_map(|open| open.ex).map(|ex| FrontEvent::Ended { ex, end }));
         let front = &mut self.fronts[conn.front];
         front.connections -= 1;
         *front.counts.ends.entry(end.name()).or_default() += 1;
@@ -255,7 +268,7 @@
     }
 
     /// Closes what lay idle for long enough, and what nobody can be waiting for any more.
-    pub fn sweep(&mut self, now: Tenths, came: &mut Vec<Came>) {
+    pub fn sweep(&mut self, now: Tenths, front_events: &mut Vec<FrontEvent>) {
         let mut over = Vec::new();
         let within = bounds::whole_within(self.patience);
         for (slot, conn) in &mut self.conns {
@@ -277,14 +290,14 @@
         }
         for (slot, end) in over {
             match end {
-                _ if self.conns[slot].lingers => self.close(slot, end, came),
-                End::Idle => self.hang_up(slot, end, now, came),
+                _ if self.conns[slot].lingers => self.close(slot, end, front_events),
+                End::Idle => self.hang_up(slot, end, now, front_events),
                 // A dispatcher that passes on what a slow client sends may have others open on it.
                 End::Slow => {
                     self.answer_half_read(slot, Answer::Unreadable(Unreadable::Field("record")));
                     self.end_once_answered(slot, end);
                 }
-                _ => self.close(slot, end, came),
+                _ => self.close(slot, end, front_events),
             }
         }
         let idle = self.conns.iter().any(|(_, conn)| conn.idle());
--- a/node/src/wire/fronts/reading.rs
+++ b/node/src/wire/fronts/reading.rs
@@ -3,7 +3,7 @@
 use doortrack::Tenths;
 use polling::Event;
 
-use super::{Block, Caller, Came, FIRST_KEY, Fronts};
+use super::{Block, Caller, FIRST_KEY, FrontEvent, Fronts};
 use crate::wire::bounds::{self, MOST_BODY};
 use crate::wire::conn::Stream;
 use crate::wire::end::End;
@@ -14,7 +14,7 @@
 
 impl Fronts {
     /// A connection is ready, or broke.
-    pub fn ready(&mut self, event: Event, now: Tenths, came: &mut Vec<Came>) {
+    pub fn ready(&mut self, event: Event, now: Tenths, front_events: &mut Vec<FrontEvent>) {
         let slot = event.key - FIRST_KEY;
         if !self.conns.contains(slot) {
             return; // Closed earlier in this turn.
@@ -23,37 +23,37 @@
             self.mark(slot);
         }
         if event.readable {
-            self.read(slot, now, came);
+            self.read(slot, now, front_events);
         }
     }
 
-    pub(super) fn read(&mut self, slot: usize, now: Tenths, came: &mut Vec<Came>) {
+    pub(super) fn read(&mut self, slot: usize, now: Tenths, front_events: &mut Vec<FrontEvent>) {
         let mut scratch = std::mem::take(&mut self.scratch);
         let conn = &mut self.conns[slot];
         match conn.read(&mut scratch, now) {
             Ok(n) if conn.lingers => {
                 if conn.passed_over(n) {
                     let end = conn.last.unwrap_or(End::Closed);
-                    self.close(slot, end, came);
+                    self.close(slot, end, front_events);
                 }
             }
             // All was said, so however it ends takes nothing away.
             Err(_) if conn.lingers => {
                 let end = conn.last.unwrap_or(End::Closed);
-                self.close(slot, end, came);
+                self.close(slot, end, front_events);
             }
-            Ok(n) => self.split(slot, &scratch[..n], now, came),
-            Err(End::Reset) => self.close(slot, End::Reset, came),
+            Ok(n) => self.split(slot, &scratch[..n], now, front_events),
+            Err(End::Reset) => self.close(slot, End::Reset, front_events),
             Err(end) => self.stop_reading(slot, end),
         }
         self.scratch = scratch;
     }
 
-    fn split(&mut self, slot: usize, mut input: &[u8], now: Tenths, came: &mut Vec<Came>) {
+    fn split(&mut self, slot: usize, mut input: &[u8], now: Tenths, front_events: &mut Vec<FrontEvent>) {
         let size = input.len();
         while self.conns[slot].reading {
             match self.conns[slot].reader.next(&mut input) {
-                Ok(Some(piece)) => self.piece(slot, piece, now, came),
+                Ok(Some(piece)) => self.piece(slot, piece, now, front_events),
                 Ok(None) => break,
                 Err(_) => self.give_up(slot, End::Malformed),
             }
@@ -87,7 +87,7 @@
         self.mark(slot);
     }
 
-    fn piece(&mut self, slot: usize, piece: Piece, now: Tenths, came: &mut Vec<Came>) {
+    fn piece(&mut self, slot: usize, piece: Piece, now: Tenths, front_events: &mut Vec<FrontEvent>) {
         let conn = &mut self.conns[slot];
         match piece {
             Piece::Begin { id, .. } if conn.has(id) => self.give_up(slot, End::Malformed),
@@ -108,14 +108,14 @@
             Piece::Abort { id } => {
                 if let Some(open) = conn.take(|open| open.id == id) {
                     self.open -= 1;
-                    came.extend(open.ex.map(|ex| Came::Ended { ex, end: End::Aborted }));
+                    front_events.extend(open.ex.map(|ex| FrontEvent::Ended { ex, end: End::Aborted }));
                     self.mark(slot);
                 }
             }
             Piece::Params { id, bytes } => self.collect(slot, id, Stream::Params, bytes),
             Piece::Stdin { id, bytes } => self.collect(slot, id, Stream::Body, bytes),
-            Piece::ParamsEnd { id } => self.end_stream(slot, id, Stream::Params, now, came),
-            Piece::StdinEnd { id } => self.end_stream(slot, id, Stream::Body, now, came),
+            Piece::ParamsEnd { id } => self.end_stream(slot, id, Stream::Params, now, front_events),
+            Piece::StdinEnd { id } => self.end_stream(slot, id, Stream::Body, now, front_events),
             Piece::BodyOf { id, length } => {
                 if length > MOST_BODY as u64
                     && let Some(open) = conn.open.iter().find(|open| open.id == id)
@@ -145,7 +145,14 @@
         }
     }
 
-    fn end_stream(&mut self, slot: usize, id: u16, stream: Stream, now: Tenths, came: &mut Vec<Came>) {
+    fn end_stream(
+        &mut self,
+        slot: usize,
+        id: u16,
+        stream: Stream,
+        now: Tenths,
+        front_events: &mut Vec<FrontEvent>,
+    ) {
         let Some(whole) = self.conns[slot].end_stream(id, stream) else { return };
         let caller = Caller { slot, nth: whole.nth };
         let conn = &self.conns[slot];
@@ -165,7 +172,7 @@
         match asked {
             Ok(Asked::Exchange(request)) => {
                 let block = Block { protocol, bytes: whole.params };
-                came.push(Came::Exchange { caller, request, block, body: whole.body });
+                front_events.push(FrontEvent::Exchange { caller, request, block, body: whole.body });
             }
             Ok(Asked::Health) => self.answer(caller, Answer::Health { good: self.good }),
             Err(unreadable) => self.answer(caller, Answer::Unreadable(unreadable)),
--- a/node/src/wire/servers.rs
+++ b/node/src/wire/servers.rs
@@ -16,7 +16,7 @@
 
 use super::bounds::TURN;
 use super::end::End;
-use super::engine::{Told, begin_to_connect};
+use super::engine::{WorkEvent, begin_to_connect};
 use super::fronts::Block;
 use super::headers::passed_on;
 
@@ -51,7 +51,7 @@
     requests: FxHashMap<RunId, Vec<u8>>,
     results: FxHashMap<RunId, Answer>,
     actions: Vec<Action>,
-    told: Vec<Told>,
+    work_events: Vec<WorkEvent>,
     scratch: Vec<u8>,
     up: bool,
     /// How runs ended.
@@ -70,7 +70,7 @@
         seed: u64,
     ) -> Servers {
         let (at, socks, actions, ends) = Default::default();
-        let (requests, results, told) = Default::default();
+        let (requests, results, work_events) = Default::default();
         let pool = Pool::new(asked.terms(longest), seed);
         let (protocol, keep, most_answer) = (asked.protocol.into(), false, 0);
         let (scratch, up) = (vec![0; TURN], false);
@@ -88,7 +88,7 @@
             requests,
             results,
             actions,
-            told,
+            work_events,
             scratch,
             up,
             ends,
@@ -141,7 +141,7 @@
     pub fn tend(&mut self, now: Tenths) {
         if !std::mem::replace(&mut self.up, true) {
             // Nobody tells whether servers are warm; a pool takes one at a time back that is not.
-            self.told.push(Told::Hello { cold: false, age: 0 });
+            self.work_events.push(WorkEvent::Hello { cold: false, age: 0 });
         }
         if self.pool.next_due() <= now {
             self.pool.tick(now, &mut self.actions);
@@ -151,7 +151,7 @@
 
     pub fn next_due(&self) -> Tenths {
         // What is to be told is not waited for.
-        if self.up && self.told.is_empty() { self.pool.next_due() } else { 0 }
+        if self.up && self.work_events.is_empty() { self.pool.next_due() } else { 0 }
     }
 
     pub fn run(&mut self, run: ExId, block: Option<Block>, body: &[u8], repeatable: bool, now: Tenths) {
@@ -202,8 +202,8 @@
     }
 
     /// What came of it all since the last time.
-    pub fn flush(&mut self, told: &mut Vec<Told>) {
-        told.append(&mut self.told);
+    pub fn flush(&mut self, work_events: &mut Vec<WorkEvent>) {
+        work_events.append(&mut self.work_events);
     }
 
     /// Carries out what the pool decided, until nothing new comes of it. That is done after each event:
@@ -239,7 +239,7 @@
                 };
                 *self.ends.entry(end.name()).or_default() += 1;
                 let headers = passed_on(&answer);
-                self.told.push(Told::RunEnded { id: run, end, headers, body: answer.body });
+                self.work_events.push(WorkEvent::RunEnded { id: run, end, headers, body: answer.body });
             }
             Action::Report { server, standing } => {
                 let (at, in_use) = (self.at.get(&server).copied(), self.pool.in_use());
--- a/node/src/wire/work.rs
+++ b/node/src/wire/work.rs
@@ -6,7 +6,7 @@
 use doortrack::{ExId, Tenths};
 use polling::Event;
 
-use super::engine::{ENGINE_KEY, Link, Told};
+use super::engine::{ENGINE_KEY, Link, WorkEvent};
 use super::servers::{POOL_KEYS, SERVER_KEY, Servers};
 use crate::memory::exchanges::Ex;
 
@@ -41,9 +41,9 @@
         key == ENGINE_KEY || key >= SERVER_KEY
     }
 
-    pub fn ready(&mut self, event: Event, now: Tenths, told: &mut Vec<Told>) {
+    pub fn ready(&mut self, event: Event, now: Tenths, work_events: &mut Vec<WorkEvent>) {
         match self {
-            Work::Engine(link) => link.ready(event, now, told),
+            Work::Engine(link) => link.ready(event, now, work_events),
             Work::Servers(pools) => {
                 let place = event.key.saturating_sub(SERVER_KEY) / POOL_KEYS;
                 if let Some((_, pool)) = pools.get_mut(place) {
@@ -114,17 +114,17 @@
     }
 
     /// Writes what there is, and tells what came of runs.
-    pub fn flush(&mut self, now: Tenths, told: &mut Vec<Told>) {
+    pub fn flush(&mut self, now: Tenths, work_events: &mut Vec<WorkEvent>) {
         match self {
-            Work::Engine(link) => link.flush(now, told),
-            Work::Servers(pools) => pools.iter_mut().for_each(|(_, pool)| pool.flush(told)),
+            Work::Engine(link) => link.flush(now, work_events),
+            Work::Servers(pools) => pools.iter_mut().for_each(|(_, pool)| pool.flush(work_events)),
         }
     }
 
     /// The engine is to be found elsewhere.
-    pub fn move_to(&mut self, at: SocketAddr, now: Tenths, told: &mut Vec<Told>) {
+    pub fn move_to(&mut self, at: SocketAddr, now: Tenths, work_events: &mut Vec<WorkEvent>) {
         if let Work::Engine(link) = self {
-            link.move_to(at, now, told);
+            link.move_to(at, now, work_events);
         }
     }
 
--- a/node/tests/fleet/link.rs
+++ b/node/tests/fleet/link.rs
@@ -144,7 +144,7 @@
         members,
         more,
     };
-    assert!(more && seal.close(&Spoken::Told(Box::new(status))).is_some());
+    assert!(more && seal.close(&Spoken::Status(Box::new(status))).is_some());
 }
 
 /// Sockets of a process, and its threads.
--- a/node/tests/node/ends.rs
+++ b/node/tests/node/ends.rs
@@ -7,7 +7,7 @@
 
 use doortrack_installation::orders::Room;
 use doortrack_node::wire::bounds::FRESH;
-use doortrack_node::wire::fronts::{Caller, Came, FIRST_KEY, Fronts, LISTEN_KEY};
+use doortrack_node::wire::fronts::{Caller, FIRST_KEY, FrontEvent, Fronts, LISTEN_KEY};
 use doortrack_node::wire::request::{Answer, Made, Names};
 use doortrack_standins::LONG;
 use doortrack_standins::bed::fresh_address;
@@ -43,18 +43,20 @@
 
     /// Takes in and reads what is ready, and writes; it waits for something to be.
     fn turn(&mut self) {
-        let (mut events, mut came) = (Events::new(), Vec::new());
+        let (mut events, mut front_events) = (Events::new(), Vec::new());
         assert!(self.poller.wait(&mut events, Some(LONG)).unwrap() > 0, "nothing comes");
         for event in events.iter() {
             match event.key {
-                LISTEN_KEY..FIRST_KEY => _ = self.fronts.accept(event.key - LISTEN_KEY, self.now, &mut came),
-                _ => self.fronts.ready(event, self.now, &mut came),
+                LISTEN_KEY..FIRST_KEY => {
+                    _ = self.fronts.accept(event.key - LISTEN_KEY, self.now, &mut front_events)
+                }
+                _ => self.fronts.ready(event, self.now, &mut front_events),
             }
         }
-        self.fronts.flush(self.now, &mut came);
-        self.exchanges.extend(came.into_iter().filter_map(|came| match came {
-            Came::Exchange { caller, .. } => Some(caller),
-            Came::Ended { .. } => None,
+        self.fronts.flush(self.now, &mut front_events);
+        self.exchanges.extend(front_events.into_iter().filter_map(|came| match came {
+            FrontEvent::Exchange { caller, .. } => Some(caller),
+            FrontEvent::Ended { .. } => None,
         }));
     }
 
@@ -67,9 +69,9 @@
     /// Lets time pass, and looks over what lay idle meanwhile.
     fn pass(&mut self, time: u64) {
         self.now += time;
-        let mut came = Vec::new();
-        self.fronts.sweep(self.now, &mut came);
-        self.fronts.flush(self.now, &mut came);
+        let mut front_events = Vec::new();
+        self.fronts.sweep(self.now, &mut front_events);
+        self.fronts.flush(self.now, &mut front_events);
     }
 
     fn connect(&self, at: SocketAddr) -> Client {
--- a/node/tests/node/parts.rs
+++ b/node/tests/node/parts.rs
@@ -322,20 +322,20 @@
     // Its streams are empty, so each is answered with 400.
     let empty =
         [record(1, 1, &[0, 1, 1, 0, 0, 0, 0, 0], 0), record(4, 1, b"", 0), record(5, 1, b"", 0)].concat();
-    let (batch, mut came, mut events) = (empty.repeat(200), Vec::new(), Events::new());
+    let (batch, mut front_events, mut events) = (empty.repeat(200), Vec::new(), Events::new());
     for _ in 0..turns {
         // Who sends what can't be read is read again after a sweep.
-        fronts.sweep(0, &mut came);
-        fronts.flush(0, &mut came);
+        fronts.sweep(0, &mut front_events);
+        fronts.flush(0, &mut front_events);
         _ = deaf.write(&batch);
         sound.write_all(&empty).unwrap();
         let before = fronts.counts().unreadable.clone();
         while fronts.counts().unreadable == before {
             events.clear();
             poller.wait(&mut events, None).unwrap();
-            fronts.accept(0, 0, &mut came);
-            events.iter().filter(|e| e.key >= FIRST_KEY).for_each(|e| fronts.ready(e, 0, &mut came));
-            fronts.flush(0, &mut came);
+            fronts.accept(0, 0, &mut front_events);
+            events.iter().filter(|e| e.key >= FIRST_KEY).for_each(|e| fronts.ready(e, 0, &mut front_events));
+            fronts.flush(0, &mut front_events);
         }
         assert!(fronts.unread() < 200_000, "{} bytes pile up", fronts.unread());
         if fronts.counts().ends.contains_key("unread") {
@@ -349,7 +349,7 @@
         let mut part = [0; 65_536];
         let got = sound.read(&mut part).unwrap();
         answers.extend(&part[..got]);
-        fronts.flush(0, &mut came);
+        fronts.flush(0, &mut front_events);
     }
     false
 }
@@ -371,8 +371,8 @@
     let mut bad = TcpStream::connect(at).unwrap();
     let empty =
         [record(1, 1, &[0, 1, 1, 0, 0, 0, 0, 0], 0), record(4, 1, b"", 0), record(5, 1, b"", 0)].concat();
-    let (mut came, mut events, mut answer) = (Vec::new(), Events::new(), [0; 4096]);
-    fronts.accept(0, 0, &mut came);
+    let (mut front_events, mut events, mut answer) = (Vec::new(), Events::new(), [0; 4096]);
+    fronts.accept(0, 0, &mut front_events);
     for answered in 1..=3 {
         bad.write_all(&empty).unwrap();
         // Its bytes lie there, but it is not told of.
@@ -380,12 +380,12 @@
         let waits = if answered == 1 { None } else { Some(Duration::from_millis(20)) };
         poller.wait(&mut events, waits).unwrap();
         assert_eq!(events.iter().any(|e| e.key >= FIRST_KEY), answered == 1);
-        fronts.sweep(0, &mut came);
-        fronts.flush(0, &mut came);
+        fronts.sweep(0, &mut front_events);
+        fronts.flush(0, &mut front_events);
         events.clear();
         poller.wait(&mut events, None).unwrap();
-        events.iter().filter(|e| e.key >= FIRST_KEY).for_each(|e| fronts.ready(e, 0, &mut came));
-        fronts.flush(0, &mut came);
+        events.iter().filter(|e| e.key >= FIRST_KEY).for_each(|e| fronts.ready(e, 0, &mut front_events));
+        fronts.flush(0, &mut front_events);
         assert!(bad.read(&mut answer).unwrap() > 0);
         assert_eq!(fronts.counts().unreadable.values().sum::<u64>(), answered);
     }
