--- a/budgets/src/lib.rs
+++ b/budgets/src/lib.rs
@@ -8,7 +8,7 @@
 //! ```text
 //! let mut budgets = Budgets::new(me, weight, terms, list, seed, now);
 //! budgets.handle(now, Event::Turn, &mut actions);          // at budgets.next_due() at the latest
-//! if let Err(come_back) = budgets.take(place, now) { .. }  // with the clock read just before
+//! if let Err(retry_after) = budgets.take(place, now) { .. }  // with the clock read just before
 //! ```
 //!
 //! A **keeper**, one of the fleet's voters, lends shares to all nodes on leases. Nothing is written to disk:
--- a/budgets/src/need.rs
+++ b/budgets/src/need.rs
@@ -14,12 +14,12 @@
 const LEFT_UP: Units = 32;
 const LEFT_DOWN: Units = 12;
 
-/// Uses that were asked for, those that were denied included.
+/// Uses that were asked for, those that were rejected included.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
 pub(crate) struct Need {
-    /// Since the last round: asked for, denied, and the most that was in use at once.
+    /// Since the last round: asked for, rejected, and the most that was in use at once.
     asked: Units,
-    denied: Units,
+    rejected: Units,
     peak: Units,
     since: Tenths,
     smooth: Units,
@@ -33,13 +33,13 @@
 
     pub fn asked(&mut self, granted: bool, in_use: Units) {
         self.asked += 1;
-        self.denied += Units::from(!granted);
+        self.rejected += Units::from(!granted);
         self.peak = self.peak.max(in_use);
     }
 
-    /// Whether some were denied since the last round.
+    /// Whether some were rejected since the last round.
     pub fn is_short(&self) -> bool {
-        self.denied > 0
+        self.rejected > 0
     }
 
     /// What is to be told, at the end of a round.
@@ -50,11 +50,11 @@
         }
         let seen = match budget.kind {
             Kind::Rate { .. } => self.asked * 1_000 * 10_000 / span,
-            Kind::Places { .. } => self.peak.max(in_use) + self.denied,
+            Kind::Places { .. } => self.peak.max(in_use) + self.rejected,
         };
         // No more than all there is: who reports the absurd gets what is fair among equals.
         let seen = seen.min(budget.whole());
-        let (asked, denied, peak) = (0, 0, in_use);
+        let (asked, rejected, peak) = (0, 0, in_use);
         let few = match budget.kind {
             Kind::Rate { .. } => self.asked.max(self.smooth * span / 10_000_000) < FEW,
             Kind::Places { .. } => false,
@@ -73,7 +73,7 @@
         let left = if smooth > told { told / LEFT_UP } else { told / LEFT_DOWN };
         // Nothing is added for what comes by chance: what all needs leave over is divided as well.
         let told = if smooth.abs_diff(told) > left { smooth } else { told };
-        *self = Need { asked, denied, peak, since: now, smooth, told };
+        *self = Need { asked, rejected, peak, since: now, smooth, told };
         told
     }
 
--- a/budgets/src/reporting.rs
+++ b/budgets/src/reporting.rs
@@ -14,7 +14,7 @@
     /// Places in use; 0 for a rate.
     pub in_use: Units,
     pub need: Units,
-    pub denied: u64,
+    pub rejected: u64,
     /// For how long the lease lasts yet.
     pub lasts: Option<Tenths>,
     /// What it has lent, where this node is the keeper.
@@ -54,7 +54,7 @@
             leased: share.leased(),
             in_use: share.in_use(),
             need: share.need(),
-            denied: share.denied,
+            rejected: share.rejected,
             lasts: share.till().map(|till| till.saturating_sub(now)),
             lent: keeper.then(|| self.accounts.lent(place)),
         }
--- a/budgets/src/share.rs
+++ b/budgets/src/share.rs
@@ -36,7 +36,7 @@
     need: Need,
     /// Ran out with so much, and nobody was told yet.
     ran_out: Option<Units>,
-    pub denied: u64,
+    pub rejected: u64,
 }
 
 impl Share {
@@ -56,7 +56,7 @@
             uses,
             need: Need::new(now),
             ran_out: None,
-            denied: 0,
+            rejected: 0,
         };
         share.bound();
         share
@@ -138,7 +138,7 @@
                 (taken, *in_use)
             }
         };
-        self.denied += u64::from(taken.is_err());
+        self.rejected += u64::from(taken.is_err());
         self.need.asked(taken.is_ok(), in_use);
         taken
     }
@@ -152,7 +152,7 @@
         }
     }
 
-    /// Whether some were denied since the last round.
+    /// Whether some were rejected since the last round.
     pub fn is_short(&self) -> bool {
         self.need.is_short()
     }
--- a/contract/src/lib.rs
+++ b/contract/src/lib.rs
@@ -178,7 +178,7 @@
         crowd_window: down(safety.us("overload_for")?),
         drain_grace: down(safety.us("drain_grace")?),
         idle_limit: down(info.us("keepalive_max")?),
-        longest_come_back: if passes_on { down(bounds.us("max_retry_after")?) } else { 0 },
+        longest_retry_after: if passes_on { down(bounds.us("max_retry_after")?) } else { 0 },
         tick: up(top.us("tick")?),
     };
     Ok(Handed {
@@ -219,7 +219,7 @@
         effect,
         slo_time: time("target")?,
         slo_stretch: lane.find("aim_stretch").map_or(Ok(0.0), |p| p.number())? as f32,
-        async_timeout: time("deadline")?,
+        deadline: time("deadline")?,
         window: up(lane.us("window")?),
         benefit: lane.num("worth")?,
         late_share: lane.share("late_worth")?,
--- a/drill/src/wire.rs
+++ b/drill/src/wire.rs
@@ -116,7 +116,7 @@
                 self.u32("time_taken")?;
                 Event::RunEnded { id, outcome }
             }
-            _ => Event::Leave { age: 0, stop_at: down(self.u64("valid_until")?) },
+            _ => Event::Drain { age: 0, stop_at: down(self.u64("valid_until")?) },
         };
         Ok(Record::Event { node, what })
     }
@@ -143,7 +143,7 @@
             work_hint: (bits & 1 != 0).then(|| up(hint.into())),
             kb,
             rank,
-            further_try: bits & 2 != 0,
+            retry: bits & 2 != 0,
             caller,
             age: down(age.into()),
             repeats: (repeats > 0).then_some(repeats),
@@ -193,12 +193,12 @@
     };
     match *action {
         Action::Run { id } => head(65, Some(id)),
-        Action::Deny { id, not_elsewhere, come_back_in } => {
+        Action::Reject { id, not_elsewhere, retry_after } => {
             head(66, Some(id));
             out.push(not_elsewhere.into());
-            out.extend(us32(come_back_in));
+            out.extend(us32(retry_after));
         }
-        Action::Terminate { id } => head(67, Some(id)),
+        Action::Fail { id } => head(67, Some(id)),
         Action::Stop { id } => head(68, Some(id)),
         Action::Call { id, limit } => {
             head(69, Some(id));
--- a/example/src/ask.rs
+++ b/example/src/ask.rs
@@ -31,9 +31,11 @@
     }
     match seen {
         Seen::Completed(body) => println!("completed: {}", String::from_utf8_lossy(&body)),
-        Seen::Denied { come_back: Some(ms), .. } => println!("denied: it never ran; come back in {ms} ms"),
-        Seen::Denied { come_back: None, .. } => println!("denied: it never ran"),
-        Seen::Terminated => println!("terminated: it may have run"),
+        Seen::Rejected { retry_after: Some(ms), .. } => {
+            println!("rejected: it never ran; come back in {ms} ms")
+        }
+        Seen::Rejected { retry_after: None, .. } => println!("rejected: it never ran"),
+        Seen::Failed => println!("failed: it may have run"),
         Seen::Unreadable(status, what) => println!("not understood: {status} {what}"),
         Seen::Nothing => println!("the connection ended without an answer"),
     }
--- a/installation/src/budgets.rs
+++ b/installation/src/budgets.rs
@@ -45,7 +45,7 @@
     #[schemars(range(min = 1, max = 10_000_000))]
     pub most: Option<u32>,
     /// What a place is held for at the longest, also by a node that died: so long nobody else has it. Absent:
-    /// the longest async timeout of all endpoint groups. For places alone.
+    /// the longest deadline of all endpoint groups. For places alone.
     #[serde(default)]
     #[schemars(range(min = 1, max = 3_600_000))]
     pub held_most_ms: Option<u32>,
@@ -268,7 +268,7 @@
     pub fn budget_list(&self, orders: &Orders) -> Vec<Budget> {
         let voters = self.fleet.as_ref().map_or(&[][..], |fleet| &fleet.voters);
         let groups = &orders.handed.contract.groups;
-        let longest = groups.iter().map(|group| group.async_timeout).max().unwrap_or(0);
+        let longest = groups.iter().map(|group| group.deadline).max().unwrap_or(0);
         self.budgets.iter().map(|budget| budget.budget(voters, longest)).collect()
     }
 
--- a/installation/src/rules.rs
+++ b/installation/src/rules.rs
@@ -32,7 +32,7 @@
     /// Its rank, a float from 0 to 1. Absent: the variable HTTP_X_RANK, or 0.5.
     #[serde(default)]
     pub rank: Option<String>,
-    /// How long its caller waits, a duration. Absent: the async timeout of its group.
+    /// How long its caller waits, a duration. Absent: the deadline of its group.
     #[serde(default)]
     pub due: Option<String>,
     /// The pool of servers that it goes to, by its name in `pools`. Absent: `servers`.
--- a/installation/src/servers.rs
+++ b/installation/src/servers.rs
@@ -115,7 +115,7 @@
 }
 
 impl Servers {
-    /// What the pool is handed; `longest` is the longest async timeout.
+    /// What the pool is handed; `longest` is the longest deadline.
     pub fn terms(&self, longest: Tenths) -> Terms {
         let ms = |ms: u32| Tenths::from(ms) * MS;
         let (aside, retries) = (self.aside, self.retries);
--- a/node/src/commands/fleet.rs
+++ b/node/src/commands/fleet.rs
@@ -67,7 +67,7 @@
     // Shares of a rate are thousandths on the wire, and exchanges a second for people.
     let units = |units: Units| if of.rate { json!(units as f64 / 1_000.0) } else { json!(units) };
     json!({"name": of.name, "kind": if of.rate { "rate" } else { "places" }, "whole": of.whole,
-        "share": units(of.share), "used": of.used, "denied": of.denied, "need": units(of.need),
+        "share": units(of.share), "used": of.used, "rejected": of.rejected, "need": units(of.need),
         "in_use": of.in_use, "until_ms": of.until_ms, "lent": of.lent.map(units),
         "keeper": keeper.map(|name| &**name)})
 }
@@ -108,7 +108,7 @@
             let (share, need) = (of.share as f64 / scale, of.need as f64 / scale);
             let lasts = of.until_ms.map_or(String::new(), |ms| format!("  for {ms} ms"));
             text += &format!("budget {:<16} {share:.1} of {}, needs {need:.1}, ", of.name, of.whole);
-            text += &format!("{} used, {} denied{lasts}\n", of.used, of.denied);
+            text += &format!("{} used, {} rejected{lasts}\n", of.used, of.rejected);
         }
         text.pop();
         text
--- a/node/src/memory/exchanges.rs
+++ b/node/src/memory/exchanges.rs
@@ -15,7 +15,7 @@
 
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Stage {
-    Held,
+    Queued,
     /// Waits for the result of another.
     Attached {
         to: ExId,
--- a/node/src/memory/results.rs
+++ b/node/src/memory/results.rs
@@ -76,14 +76,14 @@
     most_entries: usize,
     most_bytes: usize,
     /// A repeat may be read so long after it came.
-    patience: Tenths,
+    longest_deadline: Tenths,
     tidied: Tenths,
 }
 
 impl Results {
-    pub fn new(most_entries: usize, most_bytes: usize, patience: Tenths) -> Self {
+    pub fn new(most_entries: usize, most_bytes: usize, longest_deadline: Tenths) -> Self {
         let (entries, tags, keys) = Default::default();
-        Results { entries, tags, keys, bytes: 0, most_entries, most_bytes, patience, tidied: 0 }
+        Results { entries, tags, keys, bytes: 0, most_entries, most_bytes, longest_deadline, tidied: 0 }
     }
 
     pub fn bytes(&self) -> usize {
@@ -109,7 +109,7 @@
     /// clock ahead of this one, nothing of the window is used up yet, and all of it counts from the stamp.
     pub fn record(&mut self, ex: ExId, key: Key, body: &[u8], stamp: Tenths, lasting: Tenths, now: Tenths) {
         let until = stamp.max(now).saturating_add(lasting);
-        let kept_till = until.saturating_add(WINDOW_SLACK + self.patience);
+        let kept_till = until.saturating_add(WINDOW_SLACK + self.longest_deadline);
         let tag = self.tags.hash_one(body);
         let entry = Entry { ex, tag, until, kept_till, end: None };
         if let Some(old) = self.entries.insert(key, entry) {
--- a/node/src/peers/shares.rs
+++ b/node/src/peers/shares.rs
@@ -169,7 +169,7 @@
                 whole: *whole,
                 share: stands.share,
                 used: self.used[place],
-                denied: stands.denied,
+                rejected: stands.rejected,
                 need: stands.need,
                 in_use: stands.in_use,
                 until_ms: stands.lasts.map(|lasts| lasts / MS),
--- a/node/src/peers/spoken.rs
+++ b/node/src/peers/spoken.rs
@@ -63,7 +63,7 @@
     pub whole: u32,
     pub share: Units,
     pub used: u64,
-    pub denied: u64,
+    pub rejected: u64,
     pub need: Units,
     pub in_use: Units,
     /// For how long what is beyond the floor lasts.
--- a/node/src/serve.rs
+++ b/node/src/serve.rs
@@ -216,10 +216,10 @@
     fn carry_out(&mut self, what: Action) {
         match what {
             Action::Run { id } => self.run(id),
-            Action::Deny { id, not_elsewhere, come_back_in } => {
-                self.final_answer(id, Answer::Denied { not_elsewhere, come_back_in })
+            Action::Reject { id, not_elsewhere, retry_after } => {
+                self.final_answer(id, Answer::Rejected { not_elsewhere, retry_after })
             }
-            Action::Terminate { id } => self.final_answer(id, Answer::Terminated),
+            Action::Fail { id } => self.final_answer(id, Answer::Failed),
             Action::Stop { id } => match self.exs.get(id) {
                 Some(Ex { stage: Stage::Running { sent: None }, .. }) => {
                     self.ended(id, End::Unsent, Made::default())
@@ -275,11 +275,11 @@
     fn final_answer(&mut self, id: ExId, answer: Answer) {
         let Some(caller) = self.exs.get(id).and_then(|ex| ex.caller.take()) else { return };
         self.fronts.answer(caller, answer);
-        self.drop_if_held(id);
+        self.drop_if_queued(id);
     }
 
     /// Lets go of what never ran and is owed nothing, its entry included, so that a later try may run.
-    fn drop_if_held(&mut self, id: ExId) {
+    fn drop_if_queued(&mut self, id: ExId) {
         if self.exs.get(id).is_some_and(|ex| !ex.stage.may_run()) {
             if let Some(ex) = self.exs.remove(id) {
                 self.give_back(ex.ticket, Use::None);
--- a/node/src/serve/events.rs
+++ b/node/src/serve/events.rs
@@ -68,7 +68,7 @@
             block,
             pool,
             caller: Some(caller),
-            stage: Stage::Held,
+            stage: Stage::Queued,
             repeats,
             ticket,
         };
@@ -86,11 +86,11 @@
             group: request.group,
             customer: request.customer,
             subject: request.subject,
-            due: request.wait.map(|wait| request.stamp + wait.min(self.patience(request.group))),
+            due: request.wait.map(|wait| request.stamp + wait.min(self.deadline_of(request.group))),
             work_hint: None,
             kb: request.kb,
             rank: request.rank,
-            further_try: request.further_try,
+            retry: request.retry,
             caller: request.caller,
             age,
             repeats,
@@ -126,7 +126,7 @@
                 let Some(ex) = self.exs.get(id).filter(|ex| ex.caller.is_some()) else { return };
                 ex.caller = None;
                 self.batch.push(Event::CallerGone { id });
-                self.drop_if_held(id);
+                self.drop_if_queued(id);
             }
             Outcome::RunEnded(outcome) => {
                 let Some(ex) = self.exs.remove(id) else { return };
@@ -153,12 +153,12 @@
     }
 
     /// How long a caller of this group waits at the most.
-    fn patience(&self, group: u8) -> Tenths {
-        self.orders.handed.contract.groups[usize::from(group)].async_timeout
+    fn deadline_of(&self, group: u8) -> Tenths {
+        self.orders.handed.contract.groups[usize::from(group)].deadline
     }
 
     fn finish(&mut self, caller: Caller, made: Option<Made>) {
-        self.fronts.answer(caller, made.map_or(Answer::Terminated, Answer::Completed));
+        self.fronts.answer(caller, made.map_or(Answer::Failed, Answer::Completed));
     }
 
     /// Answers those that wait for what this one brought.
--- a/node/src/serve/reload.rs
+++ b/node/src/serve/reload.rs
@@ -100,7 +100,7 @@
     /// Servers come and go, and the pools' terms change.
     fn change_servers(&mut self, installation: &Installation) {
         let groups = &self.orders.handed.contract.groups;
-        let longest = groups.iter().map(|group| group.async_timeout).max().unwrap_or(0);
+        let longest = groups.iter().map(|group| group.deadline).max().unwrap_or(0);
         if let Work::Servers(of) = &mut self.work {
             for ((_, servers), (_, asked)) in of.iter_mut().zip(pools(installation)) {
                 servers.take_up(asked, longest, self.now);
--- a/node/src/serve/report.rs
+++ b/node/src/serve/report.rs
@@ -22,8 +22,8 @@
     pub(super) fn summary(&mut self) {
         self.summary_at = self.now + EVERY;
         let counts = self.fronts.counts();
-        info!(self.log, "so far"; "completed" => counts.completed, "denied" => counts.denied,
-            "terminated" => counts.terminated,
+        info!(self.log, "so far"; "completed" => counts.completed, "rejected" => counts.rejected,
+            "failed" => counts.failed,
             "in_hand" => self.exs.in_hand(), "connections" => self.fronts.connections(),
             "accepted" => counts.accepted, "unreadable" => Serde(counts.unreadable.clone()),
             "no_room" => counts.no_room, "checks" => counts.checks, "ends" => Serde(counts.ends.clone()),
@@ -48,8 +48,8 @@
         for front in self.fronts.each().filter(|_| self.fronts.each().count() > 1) {
             let counts = &front.counts;
             info!(self.log, "so far of a front"; "protocol" => front.protocol.name(), "address" => %front.at,
-                "completed" => counts.completed, "denied" => counts.denied,
-                "terminated" => counts.terminated, "connections" => front.connections,
+                "completed" => counts.completed, "rejected" => counts.rejected,
+                "failed" => counts.failed, "connections" => front.connections,
                 "accepted" => counts.accepted, "unreadable" => Serde(counts.unreadable.clone()),
                 "no_room" => counts.no_room, "checks" => counts.checks, "ends" => Serde(counts.ends.clone()));
         }
--- a/node/src/serve/start.rs
+++ b/node/src/serve/start.rs
@@ -85,7 +85,7 @@
         let signals = Signals::open(&poller).map_err(plain("signals"))?;
         let handed = &orders.handed;
         let groups = &handed.contract.groups;
-        let patience = groups.iter().map(|group| group.async_timeout).max().unwrap_or(0);
+        let longest_deadline = groups.iter().map(|group| group.deadline).max().unwrap_or(0);
         let names = Names {
             groups: handed.group_names.clone(),
             marked: groups.iter().map(|group| group.effect == Effect::Deduplicated).collect(),
@@ -99,7 +99,7 @@
             .map(|(place, (name, asked))| {
                 let (poller, log) = (poller.clone(), log.new(o!("pool" => name.clone())));
                 let seed = orders.seed.wrapping_add(place as u64);
-                (name, Servers::new(poller, log, asked, place, patience, seed))
+                (name, Servers::new(poller, log, asked, place, longest_deadline, seed))
             })
             .collect();
         let work = if pools.is_empty() {
@@ -108,7 +108,7 @@
         } else {
             Work::Servers(pools)
         };
-        let mut fronts = Fronts::new(poller.clone(), names, room, patience);
+        let mut fronts = Fronts::new(poller.clone(), names, room, longest_deadline);
         fronts
             .listen(orders.listen, Protocol::FastCgi, None)
             .map_err(|e| format!("config.listen: {}: {e}", orders.listen))?;
@@ -126,7 +126,7 @@
         let mut node = Node {
             parts,
             groups: handed.group_names.iter().map(|name| Value::from(name.as_str()).to_string()).collect(),
-            results: Results::new(room.entries, room.result_bytes, patience),
+            results: Results::new(room.entries, room.result_bytes, longest_deadline),
             log,
             clock,
             now: 0,
--- a/node/src/wire/bounds.rs
+++ b/node/src/wire/bounds.rs
@@ -36,16 +36,16 @@
 const PLACES_A_SPARE: usize = 16;
 /// Most that a connection has for a whole request, from its start or from when one began to come.
 const WHOLE_WITHIN: Tenths = 2_000 * MS;
-/// A stamp so many times the longest async timeout away from now was not written by a sound clock. Handed
+/// A stamp so many times the longest deadline away from now was not written by a sound clock. Handed
 /// over, it would pass for a node that drowns.
 const FAR_OFF: Tenths = 10;
 
 /// No notice of the engine is longer: a result of 4 KiB in base64 with its frame is a tenth of it.
 pub const MOST_LINE: usize = 64 * 1024;
 
-/// How long a connection may take over a request, where nobody waits longer than `patience` for anything.
-pub fn whole_within(patience: Tenths) -> Tenths {
-    patience.min(WHOLE_WITHIN)
+/// How long a connection may take over a request, where nobody waits for anything beyond `longest_deadline`.
+pub fn whole_within(longest_deadline: Tenths) -> Tenths {
+    longest_deadline.min(WHOLE_WITHIN)
 }
 
 /// Places of a table that are kept free ahead of need.
@@ -53,6 +53,6 @@
     (places / PLACES_A_SPARE).min(EVICTED)
 }
 
-pub fn is_far_off(stamp: Tenths, now: Tenths, patience: Tenths) -> bool {
-    stamp.abs_diff(now) > patience.saturating_mul(FAR_OFF)
+pub fn is_far_off(stamp: Tenths, now: Tenths, longest_deadline: Tenths) -> bool {
+    stamp.abs_diff(now) > longest_deadline.saturating_mul(FAR_OFF)
 }
--- a/node/src/wire/fronts.rs
+++ b/node/src/wire/fronts.rs
@@ -48,8 +48,8 @@
 pub struct Counts {
     pub accepted: u64,
     pub completed: u64,
-    pub denied: u64,
-    pub terminated: u64,
+    pub rejected: u64,
+    pub failed: u64,
     pub checks: u64,
     /// By what could not be read.
     pub unreadable: BTreeMap<&'static str, u64>,
@@ -61,8 +61,8 @@
     fn add(&mut self, other: &Counts) {
         self.accepted += other.accepted;
         self.completed += other.completed;
-        self.denied += other.denied;
-        self.terminated += other.terminated;
+        self.rejected += other.rejected;
+        self.failed += other.failed;
         self.checks += other.checks;
         self.no_room += other.no_room;
         other.unreadable.iter().for_each(|(what, n)| *self.unreadable.entry(what).or_default() += n);
@@ -108,7 +108,7 @@
     dirty: Vec<usize>,
     scratch: Vec<u8>,
     /// Nobody waits longer than this for anything.
-    patience: Tenths,
+    longest_deadline: Tenths,
     /// What goes out with each answer, and what health checks are told.
     pub level: Option<f32>,
     pub good: bool,
@@ -119,7 +119,7 @@
 
 impl Fronts {
     /// A table without any front yet.
-    pub fn new(poller: Arc<Poller>, names: Names, room: Room, patience: Tenths) -> Self {
+    pub fn new(poller: Arc<Poller>, names: Names, room: Room, longest_deadline: Tenths) -> Self {
         Fronts {
             poller,
             fronts: Slab::new(),
@@ -132,7 +132,7 @@
             unread: 0,
             dirty: Vec::new(),
             scratch: vec![0; TURN],
-            patience,
+            longest_deadline,
             level: None,
             good: true,
             idle_limit: Tenths::MAX,
@@ -182,8 +182,8 @@
         let counts = &mut self.fronts[conn.front].counts;
         match answer {
             Answer::Completed(_) => counts.completed += 1,
-            Answer::Denied { .. } => counts.denied += 1,
-            Answer::Terminated => counts.terminated += 1,
+            Answer::Rejected { .. } => counts.rejected += 1,
+            Answer::Failed => counts.failed += 1,
             Answer::Health { .. } => counts.checks += 1,
             Answer::Unreadable(what) => {
                 conn.rests = true;
--- a/node/src/wire/fronts/coming.rs
+++ b/node/src/wire/fronts/coming.rs
@@ -270,7 +270,7 @@
     /// Closes what lay idle for long enough, and what nobody can be waiting for any more.
     pub fn sweep(&mut self, now: Tenths, front_events: &mut Vec<FrontEvent>) {
         let mut over = Vec::new();
-        let within = bounds::whole_within(self.patience);
+        let within = bounds::whole_within(self.longest_deadline);
         for (slot, conn) in &mut self.conns {
             if std::mem::take(&mut conn.rests) && !conn.dirty {
                 conn.dirty = true;
@@ -282,7 +282,7 @@
                 over.extend(conn.last.filter(|_| slow).map(|end| (slot, end)));
             } else if conn.idle() && quiet >= self.idle_limit && conn.nothing_came() {
                 over.push((slot, End::Idle));
-            } else if conn.unread() > 0 && quiet > self.patience {
+            } else if conn.unread() > 0 && quiet > self.longest_deadline {
                 over.push((slot, End::Unread));
             } else if slow {
                 over.push((slot, End::Slow));
--- a/node/src/wire/fronts/reading.rs
+++ b/node/src/wire/fronts/reading.rs
@@ -164,7 +164,7 @@
             _ => request::read(protocol, &whole.params, &self.names),
         };
         let asked = match asked {
-            Ok(Asked::Exchange(request)) if bounds::is_far_off(request.stamp, now, self.patience) => {
+            Ok(Asked::Exchange(request)) if bounds::is_far_off(request.stamp, now, self.longest_deadline) => {
                 Err(Unreadable::Field("HTTP_X_REQUEST_START"))
             }
             asked => asked,
--- a/node/src/wire/request.rs
+++ b/node/src/wire/request.rs
@@ -35,7 +35,7 @@
     pub group: u8,
     pub customer: u16,
     pub caller: u64,
-    pub further_try: bool,
+    pub retry: bool,
     pub kb: f32,
     pub rank: f32,
     pub mark: Option<Mark>,
@@ -113,7 +113,7 @@
         group: group as u8,
         customer,
         caller: fields.number("HTTP_X_CALLER")?,
-        further_try: fields.find("HTTP_X_RETRY")?.is_some_and(|value| value == "1"),
+        retry: fields.find("HTTP_X_RETRY")?.is_some_and(|value| value == "1"),
         kb: in_range(kb, kb > 0.0 && kb < 2000.0, "HTTP_X_MEMORY_KB")?,
         rank: in_range(rank, (0.0..1.0).contains(&rank), "HTTP_X_RANK")?,
         mark: match names.marked[group] {
@@ -172,11 +172,11 @@
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Answer<'a> {
     Completed(Made<'a>),
-    Denied {
+    Rejected {
         not_elsewhere: bool,
-        come_back_in: Tenths,
+        retry_after: Tenths,
     },
-    Terminated,
+    Failed,
     Health {
         good: bool,
     },
@@ -199,15 +199,15 @@
     let (status, body): (&str, &[u8]) = match answer {
         Answer::Completed(made) => ("200 OK", made.body),
         Answer::Health { good: true } => ("200 OK", b"good\n"),
-        Answer::Health { good: false } | Answer::Denied { .. } | Answer::NoRoom => {
+        Answer::Health { good: false } | Answer::Rejected { .. } | Answer::NoRoom => {
             ("503 Service Unavailable", b"")
         }
         Answer::Unreadable(Unreadable::TooLong) => ("413 Content Too Large", b""),
         Answer::Unreadable(Unreadable::NoRule) => ("404 Not Found", b""),
         Answer::Unreadable(Unreadable::Field(name)) => ("400 Bad Request", name.as_bytes()),
-        Answer::Terminated | Answer::UnknownRole => ("500 Internal Server Error", b""),
+        Answer::Failed | Answer::UnknownRole => ("500 Internal Server Error", b""),
     };
-    let (level, wait) = (level.map(|level| level.to_string()), come_back(answer).to_string());
+    let (level, wait) = (level.map(|level| level.to_string()), retry_after(answer).to_string());
     let more = if let Answer::Completed(made) = answer { made.headers } else { b"" };
     let mut headers = [("Content-Type", "application/octet-stream"); 4];
     // A server's own headers say what its body is; the engine has none.
@@ -219,19 +219,19 @@
     if let Some(level) = &level {
         add("X-Load-Signal", level);
     }
-    if come_back(answer) > 0 {
+    if retry_after(answer) > 0 {
         add("Retry-After-Ms", &wait);
     }
-    if matches!(answer, Answer::Denied { not_elsewhere: true, .. }) {
+    if matches!(answer, Answer::Rejected { not_elsewhere: true, .. }) {
         add("X-Dont-Retry", "1");
     }
     doortrack_wire::write_answer(protocol, out, id, Head { status, headers: &headers[..count], more }, body);
 }
 
-/// The ms for which a denied caller is to stay away; 0 where nothing is said of it.
-fn come_back(answer: Answer) -> u64 {
+/// The ms for which a rejected caller is to stay away; 0 where nothing is said of it.
+fn retry_after(answer: Answer) -> u64 {
     match answer {
-        Answer::Denied { come_back_in, .. } => come_back_in.div_ceil(MS),
+        Answer::Rejected { retry_after, .. } => retry_after.div_ceil(MS),
         _ => 0,
     }
 }
--- a/node/src/wire/ruled.rs
+++ b/node/src/wire/ruled.rs
@@ -101,7 +101,7 @@
                 Some(text) => text.parse().map_err(|_| Unreadable::Field("HTTP_X_CALLER"))?,
                 None => 0,
             },
-            further_try: fields.find("HTTP_X_RETRY")?.is_some_and(|value| value == "1"),
+            retry: fields.find("HTTP_X_RETRY")?.is_some_and(|value| value == "1"),
             kb: in_range(kb, kb > 0.0 && kb < 2000.0, "HTTP_X_MEMORY_KB")?,
             rank: in_range(rank, (0.0..1.0).contains(&rank), "HTTP_X_RANK")?,
             mark: match (names.marked[usize::from(group)], said.and_then(|class| class.mark)) {
--- a/node/src/wire/servers.rs
+++ b/node/src/wire/servers.rs
@@ -59,7 +59,7 @@
 }
 
 impl Servers {
-    /// `longest` is the longest async timeout; chance in the pool starts from `seed`.
+    /// `longest` is the longest deadline; chance in the pool starts from `seed`.
     /// `place` is that of the pool among all.
     pub fn new(
         poller: Arc<Poller>,
--- a/node/tests/fleet/budgets.rs
+++ b/node/tests/fleet/budgets.rs
@@ -218,12 +218,12 @@
     let all: Vec<_> = asked.looks.iter().chain(&asked.pays).copied().collect();
     assert_eq!(rate_broken(&all, 20, 10), None);
     assert!(used(&all, 20, began, began + 2_000) > 0.5, "{}", all.len());
-    let denied = asked.told.iter().filter_map(|told| match &told.seen {
-        Some(Seen::Denied { come_back, .. }) => Some(come_back.unwrap_or(0)),
+    let rejected = asked.told.iter().filter_map(|told| match &told.seen {
+        Some(Seen::Rejected { retry_after, .. }) => Some(retry_after.unwrap_or(0)),
         _ => None,
     });
-    let denied: Vec<u64> = denied.collect();
-    assert!(denied.len() > 20 && denied.iter().any(|ms| *ms > 0), "{denied:?}");
+    let rejected: Vec<u64> = rejected.collect();
+    assert!(rejected.len() > 20 && rejected.iter().any(|ms| *ms > 0), "{rejected:?}");
 }
 
 /// All servers fail: each node by itself would retry far more than the fleet may.
@@ -293,13 +293,13 @@
     let rig = alone(&server, 5_000, budget);
     let (mark, other) = ("00112233445566778899aabbccddeeff", "ffeeddccbbaa99887766554433221100");
     let first = until_completed(&rig, Some(mark));
-    // However slow the machine: several repeats for each new mark that is denied.
-    let mut denied = 0;
+    // However slow the machine: several repeats for each new mark that is rejected.
+    let mut rejected = 0;
     for nth in (first + 1..).step_by(2).take(60) {
         assert_eq!(seen(&rig, nth, Some(mark)), Seen::Completed(b"done".to_vec()));
-        denied += usize::from(matches!(seen(&rig, nth + 1, Some(other)), Seen::Denied { .. }));
+        rejected += usize::from(matches!(seen(&rig, nth + 1, Some(other)), Seen::Rejected { .. }));
     }
-    assert!(denied > 0, "the budget was never empty");
+    assert!(rejected > 0, "the budget was never empty");
     assert!(server.got().len() <= 2, "{} runs of two marks", server.got().len());
 }
 
--- a/node/tests/fleet/served.rs
+++ b/node/tests/fleet/served.rs
@@ -18,7 +18,7 @@
     rig.begin();
     (0..3).for_each(|of| rig.start(of, of, &more(of)).unwrap());
     let fronts: Vec<_> = (0..3).map(|of| rig.front(of)).collect();
-    // Answers come only once a node has read of its server; asked before, it denies.
+    // Answers come only once a node has read of its server; asked before, it rejects.
     let traffic = Traffic::start(4, &fronts, 9);
     rig.take_up(&Fault::Links { loss: 0.2, doubled: 0.2, garbled: 0.1, delay_ms: 10 }, &more).unwrap();
     let sock = UdpSocket::bind("127.0.0.1:0").unwrap();
--- a/node/tests/node/conformance.rs
+++ b/node/tests/node/conformance.rs
@@ -1,4 +1,4 @@
-//! One suite for every pair of a front and what does the work behind it: outcomes, denials and drain are
+//! One suite for every pair of a front and what does the work behind it: outcomes, rejections and drain are
 //! the same whatever is spoken on either side.
 
 use std::io::Write;
@@ -125,7 +125,7 @@
 fn told(seen: &Seen) -> String {
     match seen {
         // How long to stay away follows from the moment.
-        Seen::Denied { not_elsewhere, .. } => format!("denied, not elsewhere: {not_elsewhere}"),
+        Seen::Rejected { not_elsewhere, .. } => format!("rejected, not elsewhere: {not_elsewhere}"),
         other => format!("{other:?}"),
     }
 }
@@ -259,7 +259,7 @@
 }
 
 /// Callers wait before the node's first turn: what it reads then finds the door open. Without the fix most of
-/// these starts deny at least one; with it none can, however slow the machine.
+/// these starts reject at least one; with it none can, however slow the machine.
 #[test]
 fn what_is_read_in_the_first_turn_is_served() {
     let server = Server::start(FastCgi, |_| Act::ok("done"));
@@ -320,14 +320,14 @@
                 held.recv_timeout(LONG).unwrap_or_else(|_| panic!("{protocol}: {what}: not tried again"));
             again.act(Act::ok("at last"));
             assert_eq!(waits.seen(), Seen::Completed(b"at last".into()), "{protocol}: {what}");
-            // Deduplicated: it may have run, so it is terminated, and so is its repeat.
+            // Deduplicated: it may have run, so it is failed, and so is its repeat.
             let pay = |n| {
                 Ask::new(n, "/svc/pay", b"").with("HTTP_IDEMPOTENCY_KEY", &"3".repeat(32)).send(at, front)
             };
             let waits = pay(2);
             held.recv_timeout(LONG).unwrap().act(act);
-            assert_eq!(waits.seen(), Seen::Terminated, "{protocol}: {what}");
-            assert_eq!(pay(3).seen(), Seen::Terminated, "{protocol}: {what}");
+            assert_eq!(waits.seen(), Seen::Failed, "{protocol}: {what}");
+            assert_eq!(pay(3).seen(), Seen::Failed, "{protocol}: {what}");
             assert_eq!(server.got().len(), 3, "{protocol}: {what}");
         }
     }
@@ -378,7 +378,7 @@
         assert!((0..30).all(|_| look() == Seen::Completed(b"sound".into())), "{protocol}");
         let place = server.kill();
         echo.join().unwrap();
-        assert_eq!(look(), Seen::Terminated, "{protocol}: one refuses, one hangs");
+        assert_eq!(look(), Seen::Failed, "{protocol}: one refuses, one hangs");
         let _again = Server::start_at(place, protocol, |_| Act::ok("back"));
         let until = std::time::Instant::now() + LONG;
         while look() != Seen::Completed(b"back".into()) {
@@ -512,8 +512,7 @@
         assert_eq!(run.got.variable("SCRIPT_NAME"), Some(&b"/svc/look"[..]));
         run.act(Act::ok("again"));
         for (script, waits) in waiting {
-            let wanted =
-                if script == "/svc/look" { Seen::Completed(b"again".into()) } else { Seen::Terminated };
+            let wanted = if script == "/svc/look" { Seen::Completed(b"again".into()) } else { Seen::Failed };
             assert_eq!(waits.seen(), wanted, "{protocol}: {script}");
         }
         assert!(held_too.try_recv().is_err(), "{protocol}: something was run twice");
--- a/node/tests/node/fronts.rs
+++ b/node/tests/node/fronts.rs
@@ -85,7 +85,7 @@
     };
     let told = fronts.map(|(protocol, at)| tell(protocol, at, if protocol == Uwsgi { 100 } else { 200 }));
     assert_eq!(told[0], told[1]);
-    let kinds = ["Terminated", "Completed", "Denied", "400", "400", "400", "400", "400", "400", "413", "400"];
+    let kinds = ["Failed", "Completed", "Rejected", "400", "400", "400", "400", "400", "400", "413", "400"];
     assert!(kinds.iter().zip(&told[0][1..]).all(|(kind, told)| told.contains(kind)), "{:#?}", told[0]);
 }
 
@@ -107,9 +107,9 @@
             let (_, two) = ask(again);
             engine.readings(4);
             engine.end(&call, how, b"moored");
-            let wanted = if how == "OK" { Seen::Completed(b"moored".into()) } else { Seen::Terminated };
+            let wanted = if how == "OK" { Seen::Completed(b"moored".into()) } else { Seen::Failed };
             assert_eq!([one.seen(), two.seen()], [wanted.clone(), wanted.clone()], "{how}");
-            // After its end: its result, or a termination; what never ran may run now.
+            // After its end: its result, or a failure; what never ran may run now.
             let (call, three) = ask(again);
             if how == "MOOT" {
                 assert_eq!(engine.run().0, call);
@@ -202,7 +202,7 @@
             let halted = round == 1 && engine.command_within_readings(6).is_some_and(|c| c["msg"] == "HALT");
             engine.end(&call, if halted { "STOPPED" } else { "OK" }, &result);
             let seen = again.take().unwrap().seen();
-            let wanted = if halted { Seen::Terminated } else { Seen::Completed(result) };
+            let wanted = if halted { Seen::Failed } else { Seen::Completed(result) };
             assert_eq!(seen, wanted, "round {round}");
         } else {
             assert_eq!(again.take().unwrap().seen(), Seen::Completed(result), "round {round}");
@@ -450,7 +450,7 @@
         Ask::new(n, "/svc/look", b"").with("HTTP_X_REQUEST_START", &stamp).send(at, protocol).seen()
     };
     let late = [late(50, fast), late(51, uwsgi)];
-    assert!(late.iter().all(|seen| matches!(seen, Seen::Denied { .. })), "{late:?}");
+    assert!(late.iter().all(|seen| matches!(seen, Seen::Rejected { .. })), "{late:?}");
     // Half a request at the stop is refused, not left without a word.
     let mut half = connect(uwsgi.1);
     half.write_all(&Ask::new(60, "/svc/look", b"body").bytes(Uwsgi)[..50]).unwrap();
@@ -461,8 +461,8 @@
     }
     let ends = held.map(|pending| pending.seen());
     assert!(!ends.contains(&Seen::Nothing), "{ends:?}");
-    assert_eq!(three.seen(), Seen::Terminated, "what can't be done by the stop is told so before it");
-    assert!(matches!(Pending { sock: half, protocol: Uwsgi }.seen(), Seen::Denied { .. }));
+    assert_eq!(three.seen(), Seen::Failed, "what can't be done by the stop is told so before it");
+    assert!(matches!(Pending { sock: half, protocol: Uwsgi }.seen(), Seen::Rejected { .. }));
     let (code, log) = bed.end();
     assert_eq!(code, Some(0), "{log}");
     let tells =
--- a/node/tests/node/parts.rs
+++ b/node/tests/node/parts.rs
@@ -208,7 +208,7 @@
     assert_eq!((request.group, request.customer, request.caller), (1, 0, 4));
     assert_eq!((request.stamp, request.kb, request.rank), (1_764_576_000_123 * MS, 24.5, 0.625));
     assert_eq!((request.mark, request.subject), (Some(*b"5c0f6e1a2b3d4c59a8b7c6d5e4f30211"), 0));
-    assert!(!request.further_try);
+    assert!(!request.retry);
     let mut look = FIELDS[..8].to_vec();
     look[0].1 = "/svc/look";
     look.extend([
@@ -217,7 +217,7 @@
         ("HTTP_X_NEW", "passed over"),
     ]);
     let Ok(Asked::Exchange(request)) = read(&look) else { panic!("not read") };
-    assert_eq!((request.mark, request.subject, request.further_try), (None, 0x7f3a_9c21_e0b4_d655, true));
+    assert_eq!((request.mark, request.subject, request.retry), (None, 0x7f3a_9c21_e0b4_d655, true));
     assert_eq!(read(&[("SCRIPT_NAME", "/status/live")]), Ok(Asked::Health));
     // Found on a long day: numbers of fronts are always new, and past 65,535 all were turned away.
     look[4].1 = "18446744073709551615";
@@ -251,14 +251,17 @@
         request::write(&mut out, Protocol::FastCgi, 7, answer, level);
         (String::from_utf8_lossy(&out).into_owned(), out)
     };
-    let (denied, _) = text(Answer::Denied { not_elsewhere: true, come_back_in: 1201 }, Some(0.25));
-    assert!(denied.contains("Status: 503 "), "{denied}");
-    assert!(denied.contains("Retry-After-Ms: 121\r\n"), "rounded up: {denied}");
-    assert!(denied.contains("X-Dont-Retry: 1\r\n") && denied.contains("X-Load-Signal: 0.25\r\n"), "{denied}");
-    let (denied, _) = text(Answer::Denied { not_elsewhere: false, come_back_in: 0 }, None);
+    let (rejected, _) = text(Answer::Rejected { not_elsewhere: true, retry_after: 1201 }, Some(0.25));
+    assert!(rejected.contains("Status: 503 "), "{rejected}");
+    assert!(rejected.contains("Retry-After-Ms: 121\r\n"), "rounded up: {rejected}");
     assert!(
-        !denied.contains("Retry-After") && !denied.contains("Dont") && !denied.contains("Load"),
-        "{denied}"
+        rejected.contains("X-Dont-Retry: 1\r\n") && rejected.contains("X-Load-Signal: 0.25\r\n"),
+        "{rejected}"
+    );
+    let (rejected, _) = text(Answer::Rejected { not_elsewhere: false, retry_after: 0 }, None);
+    assert!(
+        !rejected.contains("Retry-After") && !rejected.contains("Dont") && !rejected.contains("Load"),
+        "{rejected}"
     );
     let (_, full) = text(Answer::NoRoom, Some(0.0));
     assert_eq!(full, record(3, 7, &[0, 0, 0, 0, 2, 0, 0, 0], 0), "OVERLOADED and nothing else");
@@ -493,7 +496,7 @@
         stamp: 0,
         body: Vec::new(),
         caller: None,
-        stage: Stage::Held,
+        stage: Stage::Queued,
         repeats: None,
         ticket: Default::default(),
     }
--- a/node/tests/node/play.rs
+++ b/node/tests/node/play.rs
@@ -16,7 +16,7 @@
 use fastrand::Rng;
 use serde_json::{Value, json};
 
-/// The async timeout of both endpoint groups here, and what a slow machine may add.
+/// The deadline of both endpoint groups here, and what a slow machine may add.
 const TIMEOUT_MS: u64 = 2000;
 const SLOW_MACHINE_MS: u64 = 5000;
 
--- a/node/tests/node/rules.rs
+++ b/node/tests/node/rules.rs
@@ -200,7 +200,7 @@
     let look = |path: &str| bare(at, Protocol::Uwsgi, path, &[], b"").seen();
     for _ in 0..20 {
         assert_eq!(look("/quick/x"), Seen::Completed(b"quick".into()));
-        assert_eq!(look("/broken/x"), Seen::Terminated);
+        assert_eq!(look("/broken/x"), Seen::Failed);
         assert_eq!(look("/else"), Seen::Completed(b"main".into()));
     }
     assert_eq!((main.got().len(), quick.got().len(), quick.connections()), (20, 20, 1));
--- a/node/tests/node/sockets.rs
+++ b/node/tests/node/sockets.rs
@@ -75,9 +75,9 @@
     let (bed, _engine) = up_with(|config| config["settings"]["family_info"]["memory_kb"] = json!(1000));
     let mut client = bed.client();
     client.send(&request(1, 1, "/svc/look", &[("HTTP_X_MEMORY_KB", "1900")], b""));
-    let denied = client.reply();
-    assert_eq!((denied.status, denied.body), (503, Vec::new()));
-    assert!(denied.head.contains("X-Load-Signal: "), "{}", denied.head);
+    let rejected = client.reply();
+    assert_eq!((rejected.status, rejected.body), (503, Vec::new()));
+    assert!(rejected.head.contains("X-Load-Signal: "), "{}", rejected.head);
 }
 
 #[test]
@@ -154,7 +154,7 @@
     let mut client = bed.client();
     client.look(1, 1);
     let (first, _) = engine.run();
-    // With a gauge that reads idle the next is held, not denied.
+    // With a gauge that reads idle the next is held, not rejected.
     engine.readings(2);
     client.send(&request(2, 2, "/svc/pay", &[MARK], b""));
     // Each reading is a turn later: by then the entry has run out for the decisions, and the try is held.
@@ -303,7 +303,7 @@
     client.look(2, 2);
     let (call, _) = engine.run();
     engine.tell(json!({"msg": "NO", "how": "RUN", "call": call}));
-    assert_eq!(client.reply().status, 500, "what the engine will not run is terminated");
+    assert_eq!(client.reply().status, 500, "what the engine will not run is failed");
 }
 
 #[test]
@@ -691,7 +691,7 @@
     });
     let (mut deaf, mut client) = (bed.client(), bed.client());
     deaf.sock.set_write_timeout(Some(Duration::from_millis(300))).unwrap();
-    // Each is denied at once for its size. Past what the sockets hold the node stops reading, or hangs up.
+    // Each is rejected at once for its size. Past what the sockets hold the node stops reading, or hangs up.
     let bytes: Vec<u8> = (1..=50)
         .flat_map(|n| request(n, n.into(), "/svc/look", &[("HTTP_X_MEMORY_KB", "1900")], b""))
         .collect();
@@ -731,7 +731,7 @@
     engine.done(1, &call, "OK", b"in time");
     assert_eq!(client.reply().body, b"in time");
     let cut = client.reply();
-    assert_eq!((cut.id, cut.status), (2, 500), "what can't be done by the stop is terminated before it");
+    assert_eq!((cut.id, cut.status), (2, 500), "what can't be done by the stop is failed before it");
     assert!(client.is_closed());
     let (code, log) = bed.end();
     assert_eq!(code, Some(0), "{log}");
--- a/rig/src/traffic.rs
+++ b/rig/src/traffic.rs
@@ -14,7 +14,7 @@
 use doortrack_wire::Protocol;
 use serde_json::{Value, json};
 
-/// The async timeout of both endpoint groups of `standins::bed::config`, and what a slow machine may add,
+/// The deadline of both endpoint groups of `standins::bed::config`, and what a slow machine may add,
 /// in ms.
 const WITHIN: u64 = 30_000 + 10_000;
 /// A caller rests so long after each exchange, so that few of them do not take the machine.
@@ -70,7 +70,7 @@
     pub unanswered: usize,
 }
 
-/// One caller: it asks one node after the other, and where it is denied or finds nobody it asks the next
+/// One caller: it asks one node after the other, and where it is rejected or finds nobody it asks the next
 /// once, under the same mark.
 struct Caller {
     nth: u64,
@@ -113,7 +113,7 @@
                 let front = self.fronts[(from + nth) % self.fronts.len()];
                 match self.ask(front, mark.as_deref()) {
                     // What may have run elsewhere is not asked of another: nodes share no marks yet.
-                    None | Some(Seen::Denied { .. }) => {}
+                    None | Some(Seen::Rejected { .. }) => {}
                     Some(_) => break,
                 }
             }
--- a/routes/src/lib.rs
+++ b/routes/src/lib.rs
@@ -1,5 +1,5 @@
 //! A table of rules that classes exchanges: which endpoint group, customer, subject, mark, rank, due time
-//! and pool of servers each has. It never admits or denies; that is the decisions' job.
+//! and pool of servers each has. It never admits or rejects; that is the decisions' job.
 //!
 //! Rules are tried in order and the first whose condition holds wins. [`Table::build`] reads and checks all
 //! of them and gives a table that does not change, with [`Note`]s on rules that can never win; or every
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -17,7 +17,7 @@
 pub enum Event {
     /// The node is up; the first event of each life.
     Started,
-    /// An exchange was read and is held; one final answer is owed from here on.
+    /// An exchange was read and is queued; one final answer is owed from here on.
     Arrived(Exchange),
     /// A run, or a wait begun with [`Action::Attach`], came to its end.
     RunEnded {
@@ -37,7 +37,7 @@
         id: ExId,
     },
     /// Notice to leave, which came this long ago: the process is stopped at `stop_at`.
-    Leave {
+    Drain {
         age: Tenths,
         stop_at: Tenths,
     },
@@ -60,12 +60,12 @@
     pub due: Option<Tenths>,
     /// Expected work on a standard core.
     pub work_hint: Option<Tenths>,
-    /// Memory while held, in kB.
+    /// Memory while queued, in kB.
     pub kb: f32,
     /// 0 to under 1, rising with benefit.
     pub rank: f32,
     /// Marked as a further try or second copy.
-    pub further_try: bool,
+    pub retry: bool,
     /// Which caller sent it; numbers are used up as callers come and go, so no width is too much.
     pub caller: u64,
     /// Time since it reached the machine.
@@ -121,18 +121,18 @@
 /// One thing to be done.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Action {
-    /// Begin a held exchange or take up a paused one.
+    /// Begin a queued exchange or take up a paused one.
     Run {
         id: ExId,
     },
-    /// Final answer: denied, with the word that it never ran.
-    Deny {
+    /// Final answer: rejected, with the word that it never ran.
+    Reject {
         id: ExId,
         not_elsewhere: bool,
-        come_back_in: Tenths,
+        retry_after: Tenths,
     },
-    /// Final answer: terminated, with no word on what was done.
-    Terminate {
+    /// Final answer: failed, with no word on what was done.
+    Fail {
         id: ExId,
     },
     /// Stop running work; no answer by itself.
@@ -213,7 +213,7 @@
     pub slo_time: Tenths,
     /// The SLO time grows by this multiple of the exchange's own work.
     pub slo_stretch: f32,
-    pub async_timeout: Tenths,
+    pub deadline: Tenths,
     /// How long after its arrival a deduplicated exchange may come again.
     pub window: Tenths,
     pub benefit: f32,
@@ -229,7 +229,7 @@
 pub struct ServiceContract {
     pub cores: u32,
     pub memory_kb: f32,
-    /// Memory of a running exchange over that of a held one.
+    /// Memory of a running exchange over that of a queued one.
     pub run_factor: f32,
     pub record_kb: f32,
     pub groups: Vec<EndpointGroup>,
@@ -264,6 +264,6 @@
     /// Callers close idle connections after this.
     pub idle_limit: Tenths,
     /// Longest advice to stay away that is heeded; 0 where none is passed on.
-    pub longest_come_back: Tenths,
+    pub longest_retry_after: Tenths,
     pub tick: Tenths,
 }
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -1,7 +1,7 @@
 //! All decisions of a node. `Door::new` is handed the contract and a seed; from then on `Door::handle`
 //! takes a batch of what happened, in order, and adds what is to be done. Both types are in `lib.rs`.
-//! Ordinary path: `arrived` asks `turned_away` (the design's rule), holds what is taken in one of two
-//! lines, and `begin_work` runs it. `look` acts at the moments at which an exchange is due for a decision.
+//! Ordinary path: `arrived` asks `turned_away` (the design's rule), queues what is taken in one of two
+//! queues, and `begin_work` runs it. `look` acts at the moments at which an exchange is due for a decision.
 
 use std::cmp::Reverse;
 use std::collections::{BinaryHeap, VecDeque};
@@ -20,7 +20,7 @@
 /// Thresholds of the design, as shares of C.
 const T1: f32 = 0.75;
 const T2: f32 = 0.90;
-/// The design's rule denies only while the busy-cores gauge reads this much.
+/// The design's rule rejects only while the busy-cores gauge reads this much.
 const BUSY: f32 = 0.95;
 /// C rises by so much for each run that met its SLO time under load, and falls to this share at a miss.
 const C_RISE: f32 = 0.5;
@@ -34,9 +34,9 @@
 const BEAT: Tenths = 50 * MS;
 /// Weight of the newest run or call in what is learned.
 const NEWEST: f32 = 0.1;
-/// Share of its SLO time that an exchange may wait unread and held, as one denied later has no time left
+/// Share of its SLO time that an exchange may wait unread and queued, as one rejected later has no time left
 /// elsewhere; and again at a call that may be left out.
-const HOLD: f32 = 0.33;
+const QUEUE_SHARE: f32 = 0.33;
 /// Work is long from this multiple of the mean on; its share of the places while short work waits.
 const LONG: f32 = 2.0;
 const LONG_SHARE: f32 = 0.5;
@@ -48,7 +48,7 @@
 const CALL_TIMES: f32 = 3.0;
 /// Share of the time saved up for calls that is kept for those that cannot be left out.
 const CALL_RESERVE: f32 = 0.5;
-/// Strain is the share lately denied: weight of the newest, decay in a beat, what is borne without measures.
+/// Strain is the share lately rejected: weight of the newest, decay in a beat, what is borne without action.
 const STRAIN_NEWEST: f32 = 0.03;
 const STRAIN_DECAY: f32 = 0.96;
 const STRAIN_BORNE: f32 = 0.1;
@@ -56,7 +56,7 @@
 const LEVEL_RISE: f32 = 0.05;
 const LEVEL_FALL: f32 = 0.02;
 const LEVEL_MOST: f32 = 0.6;
-/// An exchange that was unread for this share of its SLO time counts for strain as if denied.
+/// An exchange that was unread for this share of its SLO time counts for strain as if rejected.
 const READ_LATE: f32 = 0.1;
 /// Stuck: nothing ended for this many times what a run takes.
 const STUCK: f32 = 6.0;
@@ -75,7 +75,7 @@
 const IDLE_LEAST: f32 = 100.0 * MS as f32;
 const IDLE_RISE: f32 = 1.05;
 const IDLE_FALL: f32 = 0.7;
-/// Share read too late to be held from which on the table is left to fill.
+/// Share read too late to be queued from which on the table is left to fill.
 const DROWNING: f32 = 0.1;
 /// A customer may send this multiple of its share at one node, and save up this much time of it.
 const SHARE_SLACK: f32 = 1.3;
@@ -84,7 +84,7 @@
 #[derive(Clone, Copy, Default, PartialEq)]
 enum Stage {
     #[default]
-    Held,
+    Queued,
     Attached,
     Running,
     AtCall,
@@ -117,7 +117,7 @@
 
 type Place = usize;
 /// Best first: benefit for the work, then the oldest. Entries that no longer hold are passed over.
-type Line = BinaryHeap<(u32, Reverse<Tenths>, Reverse<ExId>, Place)>;
+type Queue = BinaryHeap<(u32, Reverse<Tenths>, Reverse<ExId>, Place)>;
 
 pub struct Door {
     terms: ServiceContract,
@@ -145,14 +145,14 @@
     leave: Option<(Tenths, Tenths)>,
     gauges: Gauges,
     idle_limit: f32,
-    /// Share lately read too late to be held.
+    /// Share lately read too late to be queued.
     read_late: f32,
     exs: Slab<Ex>,
     at_door: FxHashMap<ExId, Place>,
     at_stage: [usize; 5],
     long_running: usize,
-    /// Held exchanges, short and long work.
-    lines: [Line; 2],
+    /// Queued exchanges, short and long work.
+    queues: [Queue; 2],
     watch: BinaryHeap<Reverse<(Tenths, ExId, Place)>>,
     /// Summed in f64, so that what fractions drift stays far under the margin.
     memory_kb: f64,
@@ -170,7 +170,7 @@
     strangers: f32,
     strain: f32,
     level: f32,
-    call_line: Line,
+    call_queue: Queue,
     /// Time that calls may still spend below, and when that was counted.
     call_budget: f32,
     call_counted: Tenths,
@@ -200,7 +200,7 @@
                 Event::NeedsCall { id } => self.needs_call(*id),
                 Event::CallEnded { id, outcome, took } => self.call_ended(*id, *outcome, *took, actions),
                 Event::CallerGone { id } => self.caller_gone(*id, actions),
-                Event::Leave { age, stop_at } => self.leave_by(*age, *stop_at, actions),
+                Event::Drain { age, stop_at } => self.leave_by(*age, *stop_at, actions),
                 Event::Alarm { gauges, .. } => self.st.gauges = *gauges,
             }
         }
@@ -213,15 +213,15 @@
 
     // --- Admission ---
 
-    /// The design's rule: who is denied on reading. Keys already served are sheltered, newcomers bear
-    /// the overload, and above C all is denied.
+    /// The design's rule: who is rejected on reading. Keys already served are sheltered, newcomers bear
+    /// the overload, and above C all is rejected.
     fn turned_away(&mut self, subject: u64, over_share: bool, unread: f32) -> bool {
         // With no reading the runs themselves tell whether the cores are busy.
         let gauge = self.st.gauges.busy_cores.filter(|share| share.is_finite());
         let busy = gauge.map_or(self.at(Stage::Running) >= self.places(), |share| share >= BUSY);
         let (load, c) = (self.load(), self.capacity);
-        // Little may be held while much stands unread, or while nothing comes to its end.
-        if self.stuck() || (busy && (load > c || unread > HOLD)) {
+        // Little may be queued while much stands unread, or while nothing comes to its end.
+        if self.stuck() || (busy && (load > c || unread > QUEUE_SHARE)) {
             return true;
         }
         let established = !over_share && subject != 0 && self.st.keys.iter().any(|k| k.contains(&subject));
@@ -246,18 +246,18 @@
     }
 
     fn load(&self) -> f32 {
-        (self.at(Stage::Held) + self.at(Stage::Running)) as f32
+        (self.at(Stage::Queued) + self.at(Stage::Running)) as f32
     }
 
     fn at(&self, stage: Stage) -> usize {
         self.st.at_stage[stage as usize]
     }
 
-    /// C follows what runs show. What was given up in the hold is no run: on few cores it would hold C down.
+    /// C follows what runs show. What was given up in the queue is no run: on few cores it would hold C down.
     fn learn_capacity(&mut self, met: bool) {
         let cores = self.terms.cores.max(1) as f32;
-        // More than begins within the time held would be taken only to be given up.
-        let begins = 1.0 + HOLD * self.shortest_slo() / self.st.mean_took.max(1.0);
+        // More than begins within the time queued would be taken only to be given up.
+        let begins = 1.0 + QUEUE_SHARE * self.shortest_slo() / self.st.mean_took.max(1.0);
         let most = (self.places() as f32 * begins).min(self.terms.tip_multiple * cores);
         if !met {
             self.capacity *= C_FALL;
@@ -271,19 +271,19 @@
     fn arrived(&mut self, ex: &Exchange, actions: &mut Vec<Action>) {
         self.note_caller(ex.caller);
         let Some(&group) = self.terms.groups.get(ex.group as usize) else {
-            actions.push(Action::Terminate { id: ex.id });
+            actions.push(Action::Fail { id: ex.id });
             return;
         };
         let arrived = self.st.now.saturating_sub(ex.age);
-        let due = self.last_answer(ex.due.unwrap_or((arrived + group.async_timeout).saturating_sub(1)));
+        let due = self.last_answer(ex.due.unwrap_or((arrived + group.deadline).saturating_sub(1)));
         let work = ex.work_hint.unwrap_or(0) as f32;
-        let over_share = self.over_share(ex.customer as usize, ex.further_try);
+        let over_share = self.over_share(ex.customer as usize, ex.retry);
         let root = ex.repeats.filter(|first| !self.leads_back(ex.id, *first));
         let new = Ex {
             id: ex.id,
             group: ex.group as usize,
             subject: ex.subject,
-            stage: if root.is_some() { Stage::Attached } else { Stage::Held },
+            stage: if root.is_some() { Stage::Attached } else { Stage::Queued },
             attached_to: root.unwrap_or(0),
             arrived,
             slo_by: (arrived + group.slo_time + (group.slo_stretch * work) as Tenths).min(due),
@@ -297,12 +297,8 @@
         let needs = new.kb + if records { self.terms.record_kb } else { 0.0 };
         let no_room = !self.fits(needs);
         if root.is_some() {
-            // Whatever became of the first try, a repeat takes its outcome: it is neither run nor denied.
-            actions.push(if no_room {
-                Action::Terminate { id: ex.id }
-            } else {
-                Action::Attach { id: ex.id }
-            });
+            // Whatever became of the first try, a repeat takes its outcome: it is neither run nor rejected.
+            actions.push(if no_room { Action::Fail { id: ex.id } } else { Action::Attach { id: ex.id } });
             if !no_room {
                 let place = self.take_in(new);
                 self.look_again(place, due);
@@ -311,16 +307,16 @@
         }
         let unread = ex.age as f32 / group.slo_time.max(1) as f32;
         let too_late = self.st.now >= due || self.st.leave.is_some_and(|(last, _)| arrived + 1 > last);
-        let denied = too_late || no_room || self.turned_away(ex.subject, over_share, unread);
-        self.st.strain += STRAIN_NEWEST * (f32::from(denied || unread > READ_LATE) - self.st.strain);
-        self.st.read_late += NEWEST * (f32::from(unread > HOLD) - self.st.read_late);
-        if denied || ex.held_back.is_some() {
+        let rejected = too_late || no_room || self.turned_away(ex.subject, over_share, unread);
+        self.st.strain += STRAIN_NEWEST * (f32::from(rejected || unread > READ_LATE) - self.st.strain);
+        self.st.read_late += NEWEST * (f32::from(unread > QUEUE_SHARE) - self.st.read_late);
+        if rejected || ex.held_back.is_some() {
             let wait = ex.held_back.unwrap_or(0);
-            actions.push(self.denial(ex.id, ex.further_try || self.st.strain > STRAIN_BORNE, wait));
+            actions.push(self.rejection(ex.id, ex.retry || self.st.strain > STRAIN_BORNE, wait));
             return;
         }
         if records {
-            // Entered on reading: a repeat of a try that is held without an entry would not be known as one.
+            // Entered on reading: a repeat of a try queued without an entry would not be known as one.
             let lasting = group.window.saturating_sub(ex.age);
             actions.push(Action::Record { id: ex.id, lasting });
             self.st.records.insert(ex.id);
@@ -359,14 +355,15 @@
         place
     }
 
-    /// Puts a held exchange in its line, by what it still earns for the work it needs.
+    /// Puts a queued exchange in its queue, by what it still earns for the work it needs.
     fn file(&mut self, place: Place) {
         let ex = &self.st.exs[place];
         let group = &self.terms.groups[ex.group];
         // Never more than half the SLO time, so that a node that has come to expect too much of a run still
         // begins fresh work and learns better.
         let expected = (self.took[ex.group] as Tenths).min(group.slo_time / 2);
-        let patient_till = ex.arrived + (HOLD * (ex.slo_by.saturating_sub(ex.arrived)) as f32) as Tenths;
+        let patient_till =
+            ex.arrived + (QUEUE_SHARE * (ex.slo_by.saturating_sub(ex.arrived)) as f32) as Tenths;
         let start_by = patient_till.min(ex.slo_by.saturating_sub(expected));
         let earns = group.benefit * if ex.over_share { self.terms.over_share } else { 1.0 };
         let work = if ex.work > 0.0 { ex.work } else { self.took[ex.group] };
@@ -375,7 +372,7 @@
         let ex = &mut self.st.exs[place];
         ex.long = need > LONG;
         let entry = (density as u32, Reverse(ex.arrived), Reverse(ex.id), place);
-        self.st.lines[usize::from(ex.long)].push(entry);
+        self.st.queues[usize::from(ex.long)].push(entry);
         self.look_again(place, start_by.max(self.st.now) + 1);
     }
 
@@ -408,7 +405,7 @@
             (ex.began, self.st.last_change) = (self.st.now, self.st.now);
             let (id, long, next) = (ex.id, ex.long, ex.slo_by.min(ex.due).max(self.st.now + 1));
             self.st.memory_kb += f64::from(more);
-            self.st.lines[usize::from(long)].pop();
+            self.st.queues[usize::from(long)].pop();
             self.st.long_running += usize::from(long);
             self.put(place, Stage::Running);
             self.look_again(place, next);
@@ -416,17 +413,17 @@
         }
     }
 
-    /// The best head of the two lines. Long work leaves places to short work that waits.
+    /// The best head of the two queues. Long work leaves places to short work that waits.
     fn next_to_run(&mut self, places: usize) -> Option<Place> {
-        for line in &mut self.st.lines {
-            while let Some(&(.., Reverse(id), place)) = line.peek()
-                && !self.st.exs.get(place).is_some_and(|x| x.id == id && x.stage == Stage::Held)
+        for queue in &mut self.st.queues {
+            while let Some(&(.., Reverse(id), place)) = queue.peek()
+                && !self.st.exs.get(place).is_some_and(|x| x.id == id && x.stage == Stage::Queued)
             {
-                line.pop();
+                queue.pop();
             }
         }
         let long_full = self.st.long_running as f32 >= LONG_SHARE * places as f32;
-        match (self.st.lines[0].peek(), self.st.lines[1].peek()) {
+        match (self.st.queues[0].peek(), self.st.queues[1].peek()) {
             (Some(s), Some(l)) => Some(if long_full || s >= l { s.3 } else { l.3 }),
             (s, l) => s.or(l).map(|head| head.3),
         }
@@ -442,7 +439,7 @@
     fn run_ended(&mut self, id: ExId, outcome: RunOutcome) {
         let Some(&place) = self.st.at_door.get(&id) else { return };
         let ex = &self.st.exs[place];
-        if outcome == RunOutcome::Completed && ex.stage != Stage::Held && !ex.answered {
+        if outcome == RunOutcome::Completed && ex.stage != Stage::Queued && !ex.answered {
             let (subject, met) = (ex.subject, self.st.now <= ex.slo_by);
             if ex.stage != Stage::Attached {
                 let took = (self.st.now - ex.began) as f32;
@@ -466,7 +463,7 @@
         self.st.at_door.remove(&ex.id);
         self.st.at_stage[ex.stage as usize] -= 1;
         self.st.memory_kb -= f64::from(ex.kb);
-        if !matches!(ex.stage, Stage::Held | Stage::Attached) {
+        if !matches!(ex.stage, Stage::Queued | Stage::Attached) {
             self.st.long_running -= usize::from(ex.long);
             self.st.memory_kb -= f64::from(ex.kb * (self.terms.run_factor - 1.0).max(0.0));
         }
@@ -480,14 +477,14 @@
         due.saturating_sub(2 * self.terms.tick)
     }
 
-    /// Denied ones are told to come back when the load should be down at T1.
+    /// Rejected ones are told to come back when the load should be down at T1.
     /// `wait` is what else keeps it from being taken.
-    fn denial(&self, id: ExId, not_elsewhere: bool, wait: Tenths) -> Action {
+    fn rejection(&self, id: ExId, not_elsewhere: bool, wait: Tenths) -> Action {
         let over = (self.load() - T1 * self.capacity).max(0.0) * self.st.mean_took / self.places() as f32;
         let wait =
             if self.st.leave.is_some() || self.stuck() { Tenths::MAX } else { wait.max(over as Tenths) };
         let not_elsewhere = not_elsewhere && !self.stuck();
-        Action::Deny { id, not_elsewhere, come_back_in: wait.min(self.terms.longest_come_back) }
+        Action::Reject { id, not_elsewhere, retry_after: wait.min(self.terms.longest_retry_after) }
     }
 
     fn look_at_due(&mut self, actions: &mut Vec<Action>) {
@@ -514,15 +511,15 @@
         let ex = &self.st.exs[place];
         let group = &self.terms.groups[ex.group];
         let (id, due, now, over) = (ex.id, ex.due, self.st.now, self.st.now >= ex.due);
-        let others_wait = self.at(Stage::Held) > 0;
+        let others_wait = self.at(Stage::Queued) > 0;
         match ex.stage {
-            Stage::Held => {
-                actions.push(self.denial(id, true, 0));
-                self.drop_held(place, actions);
+            Stage::Queued => {
+                actions.push(self.rejection(id, true, 0));
+                self.drop_queued(place, actions);
             }
             Stage::Attached => {
-                actions.push(Action::Terminate { id });
-                self.drop_held(place, actions);
+                actions.push(Action::Fail { id });
+                self.drop_queued(place, actions);
             }
             _ if ex.answered => self.stop(place, actions),
             Stage::AtCall if !over && group.skip_share > 0.0 => {
@@ -539,7 +536,7 @@
 
     /// Answers running work and stops it where that is possible; its end is still to come.
     fn end_running(&mut self, place: Place, actions: &mut Vec<Action>) {
-        actions.push(Action::Terminate { id: self.st.exs[place].id });
+        actions.push(Action::Fail { id: self.st.exs[place].id });
         self.stop(place, actions);
     }
 
@@ -556,7 +553,7 @@
     }
 
     /// Lets go of what never ran, its entry included, so that a later try may run.
-    fn drop_held(&mut self, place: Place, actions: &mut Vec<Action>) {
+    fn drop_queued(&mut self, place: Place, actions: &mut Vec<Action>) {
         let id = self.st.exs[place].id;
         actions.extend(self.drop_record(id).then_some(Action::Forget { id }));
         self.let_go(place);
@@ -571,7 +568,7 @@
     fn caller_gone(&mut self, id: ExId, actions: &mut Vec<Action>) {
         let Some(&place) = self.st.at_door.get(&id) else { return };
         match self.st.exs[place].stage {
-            Stage::Held | Stage::Attached => self.drop_held(place, actions),
+            Stage::Queued | Stage::Attached => self.drop_queued(place, actions),
             _ => self.stop(place, actions),
         }
     }
@@ -595,19 +592,19 @@
         let Some(&place) = self.st.at_door.get(&id) else { return };
         if self.st.exs[place].stage == Stage::Running {
             self.put(place, Stage::AtCall);
-            self.line_up_for_call(place);
+            self.queue_for_call(place);
         }
     }
 
-    fn line_up_for_call(&mut self, place: Place) {
+    fn queue_for_call(&mut self, place: Place) {
         let ex = &self.st.exs[place];
         let group = &self.terms.groups[ex.group];
         // What cannot go on without its call goes first.
         let rank = (1000.0 * group.benefit * (1.0 - group.skip_share)) as u32;
-        self.st.call_line.push((rank, Reverse(ex.arrived), Reverse(ex.id), place));
+        self.st.call_queue.push((rank, Reverse(ex.arrived), Reverse(ex.id), place));
         if group.skip_share > 0.0 {
-            let patience = (HOLD * group.slo_time as f32) as Tenths;
-            let at = ex.look_at.min(self.st.now + patience);
+            let wait = (QUEUE_SHARE * group.slo_time as f32) as Tenths;
+            let at = ex.look_at.min(self.st.now + wait);
             self.look_again(place, at);
         }
     }
@@ -633,7 +630,7 @@
             actions.push(Action::SkipCall { id });
             self.back_to_work(place);
         } else if repeatable && ex.calls <= MORE_CALLS {
-            self.line_up_for_call(place);
+            self.queue_for_call(place);
         } else {
             self.end_running(place, actions);
         }
@@ -662,7 +659,7 @@
             share.map_or(f32::MAX, |s| CALL_INFLOW * s * (self.st.now - self.st.call_counted) as f32);
         self.st.call_budget = (self.st.call_budget + inflow).min(most);
         self.st.call_counted = self.st.now;
-        while let Some(&(_, _, Reverse(id), place)) = self.st.call_line.peek() {
+        while let Some(&(_, _, Reverse(id), place)) = self.st.call_queue.peek() {
             let waits = |x: &&Ex| x.id == id && x.stage == Stage::AtCall && !x.answered;
             if let Some(ex) = self.st.exs.get(place).filter(waits) {
                 // Where the call may be left out, it is given up while the rest can still be done in time.
@@ -682,7 +679,7 @@
                 self.st.call_budget -= ex.call_given as f32;
                 actions.push(Action::Call { id, limit });
             }
-            self.st.call_line.pop();
+            self.st.call_queue.pop();
         }
     }
 
@@ -727,7 +724,7 @@
 
     /// With many callers most idle connections are never used again and fill the table, so they are closed
     /// early. A node that drowns in unread work lets the table fill: callers that find no room cost nothing,
-    /// while each exchange that it denies costs a read and perhaps a new connection.
+    /// while each exchange that it rejects costs a read and perhaps a new connection.
     fn tell_idle_limit(&mut self, actions: &mut Vec<Action>) {
         let Some(links) = self.st.gauges.connections else { return };
         let most = (self.terms.idle_limit as f32).max(IDLE_LEAST);
@@ -742,7 +739,7 @@
         self.st.read_late *= STRAIN_DECAY;
     }
 
-    /// Reading costs work, so callers are told to keep back the lowest ranks while much is denied.
+    /// Reading costs work, so callers are told to keep back the lowest ranks while much is rejected.
     fn tell_level(&mut self, actions: &mut Vec<Action>) {
         let over = self.st.strain - STRAIN_BORNE;
         let change = if over > 0.0 { LEVEL_RISE * over } else { -LEVEL_FALL };
--- a/standins/src/caller.rs
+++ b/standins/src/caller.rs
@@ -70,11 +70,11 @@
 pub enum Seen {
     Completed(Vec<u8>),
     /// Told that it was not run, with when to come back in ms, and whether to try no other node.
-    Denied {
-        come_back: Option<u64>,
+    Rejected {
+        retry_after: Option<u64>,
         not_elsewhere: bool,
     },
-    Terminated,
+    Failed,
     /// Answered as one that can't be read, by status and text.
     Unreadable(u16, String),
     /// The connection ended without a whole answer.
@@ -127,7 +127,7 @@
     assert!(input.is_empty(), "{} bytes follow the answer", input.len());
     let answer = match answered {
         Answered::Refused(_) => {
-            return (Seen::Denied { come_back: None, not_elsewhere: false }, BTreeMap::new());
+            return (Seen::Rejected { retry_after: None, not_elsewhere: false }, BTreeMap::new());
         }
         Answered::Whole(answer) => answer,
     };
@@ -136,11 +136,11 @@
         answer.headers.iter().map(|(name, value)| (name.clone(), text(value))).collect();
     let seen = match answer.status {
         200 => Seen::Completed(answer.body),
-        429 | 503 => Seen::Denied {
-            come_back: headers.get("Retry-After-Ms").map(|ms| ms.parse().unwrap()),
+        429 | 503 => Seen::Rejected {
+            retry_after: headers.get("Retry-After-Ms").map(|ms| ms.parse().unwrap()),
             not_elsewhere: headers.get("X-Dont-Retry").is_some_and(|value| value == "1"),
         },
-        500 => Seen::Terminated,
+        500 => Seen::Failed,
         status => Seen::Unreadable(status, text(&answer.body)),
     };
     (seen, headers)
--- a/standins/src/rules.rs
+++ b/standins/src/rules.rs
@@ -37,7 +37,7 @@
 /// What the node was bound to.
 #[derive(Clone, Copy, Debug)]
 pub struct Bounds {
-    /// The async timeout, and what a slow machine may add, in ms.
+    /// The deadline, and what a slow machine may add, in ms.
     pub within: u64,
     /// Nothing that was sent after this may be run: notice and grace, where the node was told to leave.
     pub closed: Option<u64>,
@@ -77,11 +77,11 @@
             _ if *at > tried.sent + bounds.within => {
                 broken.push(format!("rule 1: {id} was told {} ms after it was sent", at - tried.sent));
             }
-            Seen::Denied { .. } if runs.iter().any(|run| run.at < tried.sent) => {
-                broken.push(format!("rule 2: {id} was denied, and its mark had run before"));
+            Seen::Rejected { .. } if runs.iter().any(|run| run.at < tried.sent) => {
+                broken.push(format!("rule 2: {id} was rejected, and its mark had run before"));
             }
-            Seen::Denied { .. } if by_try.contains_key(id.as_str()) => {
-                broken.push(format!("rule 2: {id} was run and denied"));
+            Seen::Rejected { .. } if by_try.contains_key(id.as_str()) => {
+                broken.push(format!("rule 2: {id} was run and rejected"));
             }
             Seen::Completed(body) if !runs.iter().any(|run| *body == result(&run.try_id)) => {
                 broken.push(format!(
--- a/tests/cases.rs
+++ b/tests/cases.rs
@@ -5,12 +5,12 @@
 use common::{At, MS, World, contract, exchange};
 use doortrack::*;
 
-/// Sends `n` strangers in one batch to a busy node; how many were denied.
+/// Sends `n` strangers in one batch to a busy node; how many were rejected.
 fn denied_of(world: &mut World, n: usize) -> usize {
     let before = world.done.len();
     (0..n).for_each(|_| _ = world.arrive(0, 0, 0, None, 1.0));
     world.step();
-    world.done[before..].iter().filter(|t| matches!(t, Action::Deny { .. })).count()
+    world.done[before..].iter().filter(|t| matches!(t, Action::Reject { .. })).count()
 }
 
 fn busy_node(cores: u32, seed: u64) -> World {
@@ -32,7 +32,7 @@
 #[test]
 fn the_ramp_denies_by_its_chance() {
     // At load 17 of C = 20 the chance is (17 - 15) / (20 - 15).
-    let mut denied = 0;
+    let mut rejected = 0;
     for seed in 0..2000 {
         let mut world = busy_node(20, seed);
         world.busy = 0.0;
@@ -40,9 +40,9 @@
         assert_eq!(denied_of(&mut world, 17), 0);
         world.busy = 1.0;
         world.pass(60 * MS);
-        denied += denied_of(&mut world, 1);
+        rejected += denied_of(&mut world, 1);
     }
-    assert!((700..900).contains(&denied), "{denied} of 2000 denied, 800 expected");
+    assert!((700..900).contains(&rejected), "{rejected} of 2000 rejected, 800 expected");
 }
 
 #[test]
@@ -117,10 +117,10 @@
     let batch =
         [Event::Alarm { token: 5, gauges: nan }, Event::Arrived(exchange(71, 200)), Event::Arrived(odd)];
     world.door.handle(world.now, &batch, &mut actions);
-    assert!(actions.contains(&Action::Terminate { id: 71 }), "an unknown endpoint group is answered at once");
+    assert!(actions.contains(&Action::Fail { id: 71 }), "an unknown endpoint group is answered at once");
     world.door.handle(world.now + 9000 * MS, &[], &mut actions);
     let answers =
-        actions.iter().filter(|t| matches!(t, Action::Deny { id: 70, .. } | Action::Terminate { id: 70 }));
+        actions.iter().filter(|t| matches!(t, Action::Reject { id: 70, .. } | Action::Fail { id: 70 }));
     assert_eq!(answers.count(), 1);
 }
 
@@ -188,7 +188,7 @@
     world.pass(1600 * MS);
     let next = world.arrive(0, 50, 0, None, 1.0);
     world.step();
-    assert!(!world.items[&next].owed, "denied at once, free to go elsewhere");
+    assert!(!world.items[&next].owed, "rejected at once, free to go elsewhere");
     assert!(world.done.contains(&Action::Health { from_store: true, good: false }));
 }
 
@@ -262,7 +262,7 @@
         contract().groups.iter().position(|group| group.effect == Effect::Deduplicated).unwrap() as u8;
     world.door.handle(world.now, &[Event::Arrived(held(70, 0))], &mut actions);
     assert!(
-        actions.contains(&Action::Deny { id: 70, not_elsewhere: false, come_back_in: 70 * MS }),
+        actions.contains(&Action::Reject { id: 70, not_elsewhere: false, retry_after: 70 * MS }),
         "{actions:?}"
     );
     actions.clear();
@@ -270,5 +270,5 @@
     let again = Exchange { repeats: Some(71), ..held(72, deduplicated) };
     world.door.handle(world.now, &[first, Event::Arrived(again)], &mut actions);
     assert!(actions.contains(&Action::Attach { id: 72 }), "{actions:?}");
-    assert!(!actions.iter().any(|what| matches!(what, Action::Deny { .. })), "{actions:?}");
+    assert!(!actions.iter().any(|what| matches!(what, Action::Reject { .. })), "{actions:?}");
 }
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -13,7 +13,7 @@
         effect,
         slo_time: 1500 * MS,
         slo_stretch: 0.0,
-        async_timeout: 4000 * MS,
+        deadline: 4000 * MS,
         window: 6000 * MS,
         benefit: 1.0,
         late_share: 0.0,
@@ -48,7 +48,7 @@
         crowd_window: 2000 * MS,
         drain_grace: 1000 * MS,
         idle_limit: 30_000 * MS,
-        longest_come_back: 1000 * MS,
+        longest_retry_after: 1000 * MS,
         tick: 2 * MS,
     }
 }
@@ -60,7 +60,7 @@
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub enum At {
     #[default]
-    Held,
+    Queued,
     Attached(ExId),
     Running,
     Waiting,
@@ -141,9 +141,9 @@
         self.next_id += 1;
         let terms = &self.terms.groups[group as usize];
         let arrived = self.now - age;
-        let due = passed.map_or(arrived + terms.async_timeout, |left| self.now + left);
+        let due = passed.map_or(arrived + terms.deadline, |left| self.now + left);
         let deduplicated = terms.effect == Effect::Deduplicated;
-        let here = |i: &ExId| self.items[i].ran || self.items[i].at == At::Held;
+        let here = |i: &ExId| self.items[i].ran || self.items[i].at == At::Queued;
         let entry = self.table.iter().rev().find(|(m, i, end)| *m == mark && *end >= arrived && here(i));
         let repeats =
             entry.map(|(_, i, _)| *i).or_else(|| self.in_batch(group, mark)).filter(|_| deduplicated);
@@ -236,7 +236,7 @@
         let item = self.items.get_mut(&id).unwrap();
         item.owed = false;
         match item.at {
-            At::Held | At::Attached(_) => item.at = At::Over,
+            At::Queued | At::Attached(_) => item.at = At::Over,
             At::Waiting | At::Calling => self.finish(id, RunOutcome::Stopped),
             _ => {}
         }
@@ -246,7 +246,7 @@
     pub fn leave_in(&mut self, left: Tenths) {
         if self.leave.is_none() {
             self.leave = Some((self.now + self.terms.drain_grace, self.now + left));
-            self.events.push(Event::Leave { age: 0, stop_at: self.now + left });
+            self.events.push(Event::Drain { age: 0, stop_at: self.now + left });
         }
     }
 
@@ -294,7 +294,7 @@
         match *what {
             Action::Run { id } => {
                 let x = &self.items[&id];
-                assert!(x.at == At::Held && !x.ran && x.owed, "run of {id} at {:?}", x.at);
+                assert!(x.at == At::Queued && !x.ran && x.owed, "run of {id} at {:?}", x.at);
                 let late = self.leave.is_some_and(|(last, _)| x.arrived > last);
                 assert!(!late, "drain: {id} arrived after the grace and was run");
                 let group = &self.terms.groups[x.group];
@@ -305,8 +305,8 @@
                 let x = self.items.get_mut(&id).unwrap();
                 (x.at, x.ran) = (At::Running, true);
             }
-            Action::Deny { id, .. } | Action::Terminate { id } => {
-                let denied = matches!(what, Action::Deny { .. });
+            Action::Reject { id, .. } | Action::Fail { id } => {
+                let rejected = matches!(what, Action::Reject { .. });
                 let x = self.items.get_mut(&id).unwrap();
                 assert!(!x.answered, "second answer for {id}");
                 x.answered = true;
@@ -314,10 +314,10 @@
                     return; // It was over before this batch was answered: harmless.
                 }
                 let kept = self.terms.groups[x.group].effect != Effect::Repeatable;
-                assert!(!(denied && kept && x.ran), "{id} was denied after it ran");
+                assert!(!(rejected && kept && x.ran), "{id} was rejected after it ran");
                 x.owed = false;
                 match x.at {
-                    At::Held | At::Attached(_) => x.at = At::Over,
+                    At::Queued | At::Attached(_) => x.at = At::Over,
                     At::Waiting | At::Calling => self.finish(id, RunOutcome::Stopped),
                     _ => {}
                 }
@@ -367,7 +367,8 @@
         assert!(on_cores <= crowd, "fall-over: {on_cores} on the cores, {crowd} survived");
         let entries = self.table.iter().filter(|(.., end)| *end > self.now).count() as f32;
         let memory = live.clone().fold(entries * self.terms.record_kb, |sum, x| {
-            sum + x.kb * if matches!(x.at, At::Held | At::Attached(_)) { 1.0 } else { self.terms.run_factor }
+            sum + x.kb
+                * if matches!(x.at, At::Queued | At::Attached(_)) { 1.0 } else { self.terms.run_factor }
         });
         assert!(memory <= self.terms.memory_kb, "fall-over: memory {memory}");
         if let Some(share) = self.terms.calls_share {
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -51,7 +51,7 @@
             world.pick(At::Calling, n).into_iter().for_each(|id| world.end_call(id, outcome));
         }
         16 if start.7 => {
-            let at = [At::Held, At::Running, At::Calling][n as usize % 3];
+            let at = [At::Queued, At::Running, At::Calling][n as usize % 3];
             world.pick(at, n / 3).into_iter().for_each(|id| world.caller_gone(id));
         }
         17 => world.busy = (n % 2) as f32,
