--- a/bench/src/bin/bad-servers.rs
+++ b/bench/src/bin/bad-servers.rs
@@ -112,9 +112,9 @@
             let (told, within) = (told.clone(), Duration::from_millis(words.in_time_ms));
             thread::spawn(move || {
                 // Half of them may run twice, half may not.
-                let mark = format!("{nth:032x}");
+                let key = format!("{nth:032x}");
                 let ask = Ask::new(nth, if nth % 2 == 0 { "/svc/look" } else { "/svc/pay" }, b"");
-                let ask = if nth % 2 == 0 { ask } else { ask.with("HTTP_IDEMPOTENCY_KEY", &mark) };
+                let ask = if nth % 2 == 0 { ask } else { ask.with("HTTP_IDEMPOTENCY_KEY", &key) };
                 let good = matches!(ask.send(at, Protocol::Uwsgi).seen(), Seen::Completed(_));
                 // From when it was due: a caller that came late counts what it waited.
                 let in_time = good && start.elapsed() <= due + within;
--- a/example/src/ask.rs
+++ b/example/src/ask.rs
@@ -12,7 +12,7 @@
     pub group: &'a str,
     pub text: &'a str,
     pub customer: &'a str,
-    pub mark: Option<&'a str>,
+    pub idempotency_key: Option<&'a str>,
 }
 
 pub fn ask(node: SocketAddr, protocol: Protocol, wish: Wish) -> io::Result<()> {
@@ -22,8 +22,8 @@
     let mut ask = Ask::new(since.as_nanos() as u64, &script, wish.text.as_bytes())
         .with("HTTP_X_TENANT", wish.customer)
         .with("HTTP_X_MEMORY_KB", "20");
-    if let Some(mark) = wish.mark {
-        ask = ask.with("HTTP_IDEMPOTENCY_KEY", mark);
+    if let Some(key) = wish.idempotency_key {
+        ask = ask.with("HTTP_IDEMPOTENCY_KEY", key);
     }
     let (seen, headers) = ask.try_send(node, protocol)?.seen_whole();
     for (name, value) in headers {
--- a/example/src/main.rs
+++ b/example/src/main.rs
@@ -47,7 +47,7 @@
         #[arg(default_value = "east-quay")]
         customer: String,
         /// 32 hex digits, for the group `moor`
-        mark: Option<String>,
+        idempotency_key: Option<String>,
     },
 }
 
@@ -70,10 +70,15 @@
     let done = match Words::parse().command {
         Command::Serve => engine::serve(ENGINE, REGISTRY),
         Command::Work { protocol, listen } => work(protocol.into(), listen),
-        Command::Ask { protocol, node, group, text, customer, mark } => {
+        Command::Ask { protocol, node, group, text, customer, idempotency_key } => {
             let port = if matches!(protocol, Spoken::Uwsgi) { 9091 } else { 9090 };
             let node = node.unwrap_or(SocketAddr::from(([127, 0, 0, 1], port)));
-            let wish = Wish { group: &group, text: &text, customer: &customer, mark: mark.as_deref() };
+            let wish = Wish {
+                group: &group,
+                text: &text,
+                customer: &customer,
+                idempotency_key: idempotency_key.as_deref(),
+            };
             ask::ask(node, protocol.into(), wish)
         }
     };
--- a/installation/src/rules.rs
+++ b/installation/src/rules.rs
@@ -25,10 +25,10 @@
     /// one.
     #[serde(default)]
     pub subject: Option<String>,
-    /// The mark by which a repeat of a deduplicated exchange is known. Absent: the variable
+    /// The idempotency key by which a repeat of a deduplicated exchange is known. Absent: the variable
     /// HTTP_IDEMPOTENCY_KEY.
-    #[serde(default)]
-    pub mark: Option<String>,
+    #[serde(default, alias = "mark")]
+    pub idempotency_key: Option<String>,
     /// Its rank, a float from 0 to 1. Absent: the variable HTTP_X_RANK, or 0.5.
     #[serde(default)]
     pub rank: Option<String>,
@@ -95,8 +95,8 @@
     /// # Errors
     /// Every fault of the rules, each with its path.
     pub fn table(&self, handed: &Handed) -> Result<Option<Ruled>, Faults> {
-        let marked = handed.contract.groups.iter().map(|group| group.effect == Effect::Deduplicated);
-        let groups = handed.group_names.iter().cloned().zip(marked).collect();
+        let keyed = handed.contract.groups.iter().map(|group| group.effect == Effect::Deduplicated);
+        let groups = handed.group_names.iter().cloned().zip(keyed).collect();
         let table = self.build(&Names {
             groups,
             customers: handed.customer_names.clone(),
@@ -136,7 +136,7 @@
             group: rule.group.clone(),
             customer: rule.customer.clone(),
             subject: rule.subject.clone(),
-            mark: rule.mark.clone(),
+            idempotency_key: rule.idempotency_key.clone(),
             rank: rule.rank.clone(),
             due: rule.due.clone(),
             servers: rule.servers.clone(),
@@ -150,13 +150,16 @@
         built.map(Some).map_err(faults)
     }
 
-    /// What marks of each deduplicated group mean: the rules that give them, in order. A change of it while
-    /// marks of before are within their window could run something twice.
-    pub fn meaning_of_marks(&self, group: &str) -> Vec<(&str, Option<&str>)> {
+    /// What idempotency keys of each deduplicated group mean: the rules that give them, in order. A change of
+    /// it while keys of before are within their window could run something twice.
+    pub fn meaning_of_keys(&self, group: &str) -> Vec<(&str, Option<&str>)> {
         // A rule before may take what one of these took, so all up to the last count.
         let last = self.rules.iter().rposition(|rule| rule.group == group);
         let until = &self.rules[..last.map_or(0, |last| last + 1)];
-        let mark = |rule: &'_ RuleFile| rule.group == group;
-        until.iter().map(|rule| (rule.when.as_str(), rule.mark.as_deref().filter(|_| mark(rule)))).collect()
+        let keyed = |rule: &'_ RuleFile| rule.group == group;
+        until
+            .iter()
+            .map(|rule| (rule.when.as_str(), rule.idempotency_key.as_deref().filter(|_| keyed(rule))))
+            .collect()
     }
 }
--- a/node/src/commands/routes.rs
+++ b/node/src/commands/routes.rs
@@ -107,7 +107,9 @@
         Classed::Refused { rule, why: Refusal::Customer } => {
             format!("rules[{rule}], refused: no known customer")
         }
-        Classed::Refused { rule, why: Refusal::Mark } => format!("rules[{rule}], refused: no mark"),
+        Classed::Refused { rule, why: Refusal::IdempotencyKey } => {
+            format!("rules[{rule}], refused: no idempotency key")
+        }
         Classed::NoRule => match &read.installation.otherwise {
             Some(group) => format!("no rule, group {group}"),
             None => "no rule, 404".into(),
@@ -168,9 +170,9 @@
         out += &class.subject.map_or_else(String::new, |subject| of("subject", format!("{subject:016x}")));
         out += &class.rank.map_or_else(String::new, |rank| of("rank", rank.to_string()));
         out += &class.due.map_or_else(String::new, |due| of("due", format!("{} ms", due / 10)));
-        out += &class
-            .mark
-            .map_or_else(String::new, |mark| of("mark", format!("digest {:02x}{:02x}...", mark[0], mark[1])));
+        out += &class.idempotency_key.map_or_else(String::new, |key| {
+            of("idempotency_key", format!("digest {:02x}{:02x}...", key[0], key[1]))
+        });
     }
     let before = &read.installation.rules[..taken.unwrap_or(read.installation.rules.len())];
     for (nth, rule) in before.iter().enumerate() {
--- a/node/src/memory/results.rs
+++ b/node/src/memory/results.rs
@@ -1,4 +1,4 @@
-//! The table of deduplicated exchanges: which mark was taken in when, and what its run brought.
+//! The table of deduplicated exchanges: which idempotency key was taken in when, and what its run brought.
 
 use std::collections::HashMap;
 use std::hash::{BuildHasher, RandomState};
@@ -6,7 +6,7 @@
 use doortrack::{ExId, Tenths};
 use rustc_hash::FxHashMap;
 
-use crate::wire::request::{Made, Mark};
+use crate::wire::request::{IdempotencyKey, Made};
 
 /// Stamps are whole ms and every limit on sockets is 50 ms longer; a window is held open for a little more
 /// than both, as a repeat taken for one too long is merely answered from the table.
@@ -14,8 +14,8 @@
 
 const TIDY: Tenths = 5_000;
 
-/// Endpoint group and mark.
-pub type Key = (u8, Mark);
+/// Endpoint group and idempotency key.
+pub type Key = (u8, IdempotencyKey);
 
 struct Entry {
     ex: ExId,
@@ -48,14 +48,14 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct NoResult;
 
-/// What one with a mark is to those that came before.
+/// What one with an idempotency key is to those that came before.
 #[derive(Debug, PartialEq)]
 pub enum Repeats {
     Nothing,
     Of(ExId),
     /// It repeats nothing and finds no place for an entry, without which its own repeats would not be known.
     NoRoom,
-    /// The mark is in use for another body, by a mistake or by design: what that one brings is not for it.
+    /// The key is in use for another body, by a mistake or by design: what that one brings is not for it.
     Misused,
 }
 
@@ -90,7 +90,7 @@
         self.bytes
     }
 
-    /// What one with this mark and body repeats. The window counts from stamp to stamp, so it does not matter
+    /// What one with this key and body repeats. The window counts from stamp to stamp, so it does not matter
     /// how late a repeat is read. `stamp` is never later than now: whatever its caller's clock says, it came
     /// no later than that, and one that came within the window may not pass for a new one.
     pub fn repeats(&self, key: &Key, body: &[u8], stamp: Tenths) -> Repeats {
--- a/node/src/serve.rs
+++ b/node/src/serve.rs
@@ -67,7 +67,7 @@
     groups: Vec<String>,
     batch: Vec<Event>,
     /// Marks of the exchanges in the batch.
-    marks: HashSet<Key>,
+    batch_keys: HashSet<Key>,
     alarms: BinaryHeap<Reverse<(Tenths, u64)>>,
     /// A reading that alarms wait for, and when they stop waiting.
     reading: Option<(u64, Tenths)>,
@@ -210,7 +210,7 @@
                 self.batch = batch;
             }
         }
-        self.marks.clear();
+        self.batch_keys.clear();
     }
 
     fn carry_out(&mut self, what: Action) {
--- a/node/src/serve/events.rs
+++ b/node/src/serve/events.rs
@@ -32,11 +32,11 @@
         if self.door.is_none() {
             return self.fronts.answer(caller, Answer::NoRoom);
         }
-        let key = request.mark.map(|mark| (request.group, mark));
+        let key = request.idempotency_key.map(|key| (request.group, key));
         // A second try of one batch is decided upon once the first was, so that it sees what became of it.
-        if key.is_some_and(|key| !self.marks.insert(key)) {
+        if key.is_some_and(|key| !self.batch_keys.insert(key)) {
             self.decide();
-            self.marks.extend(key);
+            self.batch_keys.extend(key);
         }
         let found = key
             .map_or(Repeats::Nothing, |key| self.results.repeats(&key, &body, request.stamp.min(self.now)));
--- a/node/src/serve/reload.rs
+++ b/node/src/serve/reload.rs
@@ -51,13 +51,13 @@
         self.change_fronts(installation, front_events);
     }
 
-    /// The rules that are to be taken up. What a mark means may not change while marks of before are within
-    /// their window: the same exchange could come again under another one, and run twice.
+    /// The rules that are to be taken up. What an idempotency key means may not change while keys of
+    /// before are within their window: the same exchange could come again under another one, and run twice.
     fn read_rules(&self, installation: &Installation) -> Result<Option<Rules>, Faults> {
         let ruled = rules(installation, &self.orders, &self.log)?;
         let mut faults = Vec::new();
         for (place, name) in self.orders.handed.group_names.iter().enumerate() {
-            if installation.meaning_of_marks(name) == self.installation.meaning_of_marks(name) {
+            if installation.meaning_of_keys(name) == self.installation.meaning_of_keys(name) {
                 continue;
             }
             if let Some(last) = self.results.last_of(place as u8) {
@@ -66,7 +66,7 @@
                     |till| format!("in {} ms none is", till.saturating_sub(self.now).div_ceil(MS)),
                 );
                 let what = format!(
-                    "marks of '{name}' would mean something else while some are within their window; {wait}"
+                    "keys of '{name}' would mean something else while some are within their window; {wait}"
                 );
                 faults.push(Fault::new("installation.rules", what));
             }
--- a/node/src/serve/start.rs
+++ b/node/src/serve/start.rs
@@ -88,7 +88,7 @@
         let longest_deadline = groups.iter().map(|group| group.deadline).max().unwrap_or(0);
         let names = Names {
             groups: handed.group_names.clone(),
-            marked: groups.iter().map(|group| group.effect == Effect::Deduplicated).collect(),
+            keyed: groups.iter().map(|group| group.effect == Effect::Deduplicated).collect(),
             customers: handed.customer_names.clone(),
         };
         let mut room = orders.room;
@@ -138,7 +138,7 @@
             door: None,
             exs: Exchanges::default(),
             batch: Vec::new(),
-            marks: HashSet::new(),
+            batch_keys: HashSet::new(),
             alarms: BinaryHeap::new(),
             reading: None,
             gauges: Gauges::default(),
--- a/node/src/wire/fronts.rs
+++ b/node/src/wire/fronts.rs
@@ -206,10 +206,10 @@
         let before = out.len();
         write(out);
         self.unread += out.len() - before;
-        self.mark(slot);
+        self.mark_dirty(slot);
     }
 
-    pub(super) fn mark(&mut self, slot: usize) {
+    pub(super) fn mark_dirty(&mut self, slot: usize) {
         if !self.conns[slot].dirty {
             self.conns[slot].dirty = true;
             self.dirty.push(slot);
--- a/node/src/wire/fronts/reading.rs
+++ b/node/src/wire/fronts/reading.rs
@@ -20,7 +20,7 @@
             return; // Closed earlier in this turn.
         }
         if event.writable {
-            self.mark(slot);
+            self.mark_dirty(slot);
         }
         if event.readable {
             self.read(slot, now, front_events);
@@ -79,12 +79,12 @@
     /// writing requests that it could not know to be in vain; those are refused.
     pub(super) fn end_once_answered(&mut self, slot: usize, end: End) {
         self.conns[slot].last = Some(end);
-        self.mark(slot);
+        self.mark_dirty(slot);
     }
 
     fn stop_reading(&mut self, slot: usize, end: End) {
         self.open -= self.conns[slot].stop_reading(end);
-        self.mark(slot);
+        self.mark_dirty(slot);
     }
 
     fn piece(&mut self, slot: usize, piece: Piece, now: Tenths, front_events: &mut Vec<FrontEvent>) {
@@ -109,7 +109,7 @@
                 if let Some(open) = conn.take(|open| open.id == id) {
                     self.open -= 1;
                     front_events.extend(open.ex.map(|ex| FrontEvent::Ended { ex, end: End::Aborted }));
-                    self.mark(slot);
+                    self.mark_dirty(slot);
                 }
             }
             Piece::Params { id, bytes } => self.collect(slot, id, Stream::Params, bytes),
--- a/node/src/wire/request.rs
+++ b/node/src/wire/request.rs
@@ -7,8 +7,8 @@
 
 /// The name by which dispatchers and the engine know a try: 16 hex digits, as they came.
 pub type TryId = [u8; 16];
-/// The mark of a deduplicated exchange, as it came.
-pub type Mark = [u8; 32];
+/// The idempotency key of a deduplicated exchange, as it came.
+pub type IdempotencyKey = [u8; 32];
 
 /// What a run brought: header lines of its answer, each with its end of line, and a body.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -38,7 +38,7 @@
     pub retry: bool,
     pub kb: f32,
     pub rank: f32,
-    pub mark: Option<Mark>,
+    pub idempotency_key: Option<IdempotencyKey>,
     pub subject: u64,
     /// How long its caller waits, if that was told.
     pub wait: Option<Tenths>,
@@ -75,8 +75,8 @@
 /// The names that may stand in a request, in the order of the contract.
 pub struct Names {
     pub groups: Vec<String>,
-    /// Whether exchanges of the group carry a mark.
-    pub marked: Vec<bool>,
+    /// Whether exchanges of the group carry an idempotency key.
+    pub keyed: Vec<bool>,
     pub customers: Vec<String>,
 }
 
@@ -116,7 +116,7 @@
         retry: fields.find("HTTP_X_RETRY")?.is_some_and(|value| value == "1"),
         kb: in_range(kb, kb > 0.0 && kb < 2000.0, "HTTP_X_MEMORY_KB")?,
         rank: in_range(rank, (0.0..1.0).contains(&rank), "HTTP_X_RANK")?,
-        mark: match names.marked[group] {
+        idempotency_key: match names.keyed[group] {
             true => Some(hex(fields.needed("HTTP_IDEMPOTENCY_KEY")?, "HTTP_IDEMPOTENCY_KEY")?),
             false => None,
         },
--- a/node/src/wire/ruled.rs
+++ b/node/src/wire/ruled.rs
@@ -62,7 +62,9 @@
         let class = match self.table.classify(&view, &mut self.scratch) {
             Classed::As(class) => Some(class),
             Classed::Refused { why: Refusal::Customer, .. } => return Err(Unreadable::Field("customer")),
-            Classed::Refused { why: Refusal::Mark, .. } => return Err(Unreadable::Field("mark")),
+            Classed::Refused { why: Refusal::IdempotencyKey, .. } => {
+                return Err(Unreadable::Field("idempotency_key"));
+            }
             Classed::NoRule => None,
         };
         let group = class.map(|class| class.group).or(self.otherwise).ok_or(Unreadable::NoRule)?;
@@ -104,9 +106,12 @@
             retry: fields.find("HTTP_X_RETRY")?.is_some_and(|value| value == "1"),
             kb: in_range(kb, kb > 0.0 && kb < 2000.0, "HTTP_X_MEMORY_KB")?,
             rank: in_range(rank, (0.0..1.0).contains(&rank), "HTTP_X_RANK")?,
-            mark: match (names.marked[usize::from(group)], said.and_then(|class| class.mark)) {
+            idempotency_key: match (
+                names.keyed[usize::from(group)],
+                said.and_then(|class| class.idempotency_key),
+            ) {
                 (false, _) => None,
-                (true, Some(mark)) => Some(mark),
+                (true, Some(key)) => Some(key),
                 (true, None) => Some(hex(fields.needed("HTTP_IDEMPOTENCY_KEY")?, "HTTP_IDEMPOTENCY_KEY")?),
             },
             subject: said.and_then(|class: &Class| class.subject).map_or_else(|| fields.subject(), Ok)?,
--- a/node/tests/fleet/budgets.rs
+++ b/node/tests/fleet/budgets.rs
@@ -152,7 +152,7 @@
     let fronts: std::collections::BTreeSet<usize> = asked
         .told
         .iter()
-        .filter(|told| told.marked && matches!(told.seen, Some(Seen::Completed(_))))
+        .filter(|told| told.keyed && matches!(told.seen, Some(Seen::Completed(_))))
         .map(|told| told.front)
         .collect();
     assert!(fronts.len() >= 6 && asked.pays.len() > 50, "{fronts:?} {}", asked.pays.len());
@@ -256,17 +256,17 @@
     assert!(retries > 10 && asked > 200, "{retries} retries of {asked} asked");
 }
 
-fn seen(rig: &Rig, nth: u64, mark: Option<&str>) -> Seen {
-    let ask = Ask::new(nth, if mark.is_some() { "/svc/pay" } else { "/svc/look" }, b"berth");
-    let ask = mark.map_or(ask.clone(), |mark| ask.with("HTTP_IDEMPOTENCY_KEY", mark));
+fn seen(rig: &Rig, nth: u64, key: Option<&str>) -> Seen {
+    let ask = Ask::new(nth, if key.is_some() { "/svc/pay" } else { "/svc/look" }, b"berth");
+    let ask = key.map_or(ask.clone(), |key| ask.with("HTTP_IDEMPOTENCY_KEY", key));
     ask.send(rig.front(0), Protocol::FastCgi).seen()
 }
 
 /// Asks under new ids until one is completed; the id.
-fn until_completed(rig: &Rig, mark: Option<&str>) -> u64 {
+fn until_completed(rig: &Rig, key: Option<&str>) -> u64 {
     let until = std::time::Instant::now() + Duration::from_secs(30);
     for nth in 1.. {
-        if matches!(seen(rig, nth, mark), Seen::Completed(_)) {
+        if matches!(seen(rig, nth, key), Seen::Completed(_)) {
             return nth;
         }
         assert!(std::time::Instant::now() < until, "nothing is ever taken");
@@ -291,16 +291,16 @@
     let budget = json!({"name": "pays", "kind": "rate", "whole": 1, "burst": 1, "floor": 1,
         "for": {"group": "pay"}});
     let rig = alone(&server, 5_000, budget);
-    let (mark, other) = ("00112233445566778899aabbccddeeff", "ffeeddccbbaa99887766554433221100");
-    let first = until_completed(&rig, Some(mark));
-    // However slow the machine: several repeats for each new mark that is rejected.
+    let (key, other) = ("00112233445566778899aabbccddeeff", "ffeeddccbbaa99887766554433221100");
+    let first = until_completed(&rig, Some(key));
+    // However slow the machine: several repeats for each new idempotency key that is rejected.
     let mut rejected = 0;
     for nth in (first + 1..).step_by(2).take(60) {
-        assert_eq!(seen(&rig, nth, Some(mark)), Seen::Completed(b"done".to_vec()));
+        assert_eq!(seen(&rig, nth, Some(key)), Seen::Completed(b"done".to_vec()));
         rejected += usize::from(matches!(seen(&rig, nth + 1, Some(other)), Seen::Rejected { .. }));
     }
     assert!(rejected > 0, "the budget was never empty");
-    assert!(server.got().len() <= 2, "{} runs of two marks", server.got().len());
+    assert!(server.got().len() <= 2, "{} runs of two keys", server.got().len());
 }
 
 /// What a node gives up may go on in its server: its place is free only once that is over.
--- a/node/tests/node/conformance.rs
+++ b/node/tests/node/conformance.rs
@@ -83,10 +83,10 @@
         self.ask(script, body).send(at, front)
     }
 
-    fn pay(&mut self, mark: u8, body: &[u8]) -> Pending {
+    fn pay(&mut self, key: u8, body: &[u8]) -> Pending {
         let (at, front) = (self.at, self.front);
-        let mark = format!("{mark:032x}");
-        self.ask("/svc/pay", body).with("HTTP_IDEMPOTENCY_KEY", &mark).send(at, front)
+        let key = format!("{key:032x}");
+        self.ask("/svc/pay", body).with("HTTP_IDEMPOTENCY_KEY", &key).send(at, front)
     }
 }
 
@@ -162,18 +162,18 @@
         |_| {},
         |house| {
             let mut all = Vec::new();
-            for (mark, good) in [(1, true), (2, false)] {
-                let first = house.pay(mark, b"berth 4");
+            for (key, good) in [(1, true), (2, false)] {
+                let first = house.pay(key, b"berth 4");
                 let (call, _, run) = house.work.run();
-                let again = house.pay(mark, b"berth 4");
-                let other = house.pay(mark, b"another body");
+                let again = house.pay(key, b"berth 4");
+                let other = house.pay(key, b"another body");
                 all.push(told(&other.seen()));
                 if good {
                     house.work.complete(run, b"moored")
                 } else {
                     house.work.fail(run)
                 }
-                let later = house.pay(mark, b"berth 4").seen();
+                let later = house.pay(key, b"berth 4").seen();
                 all.extend([call, told(&first.seen()), told(&again.seen()), told(&later)]);
             }
             // Nothing else was run: the next run is that of the next exchange.
@@ -342,8 +342,8 @@
         let more = b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nbody and more".to_vec();
         held.recv_timeout(LONG).unwrap().act(Act::Garbage(more));
         assert_eq!(waits.seen(), Seen::Completed(b"body".into()));
-        let mark = format!("{n:032x}");
-        let pay = |n| Ask::new(n, "/svc/pay", b"").with("HTTP_IDEMPOTENCY_KEY", &mark).send(at, front);
+        let key = format!("{n:032x}");
+        let pay = |n| Ask::new(n, "/svc/pay", b"").with("HTTP_IDEMPOTENCY_KEY", &key).send(at, front);
         let waits = pay(10 + n as u64);
         let run = held.recv_timeout(LONG).unwrap();
         assert_eq!(run.got.variable("HTTP_X_CALLER"), Some(&b"1"[..]), "variables go on as they came");
@@ -479,8 +479,8 @@
                 n += 1;
                 let waits = match script {
                     "/svc/pay" => {
-                        let mark = format!("{n:032x}");
-                        Ask::new(n, script, b"").with("HTTP_IDEMPOTENCY_KEY", &mark).send(at, Uwsgi)
+                        let key = format!("{n:032x}");
+                        Ask::new(n, script, b"").with("HTTP_IDEMPOTENCY_KEY", &key).send(at, Uwsgi)
                     }
                     _ => ask(n, script),
                 };
--- a/node/tests/node/ends.rs
+++ b/node/tests/node/ends.rs
@@ -32,7 +32,7 @@
     fn new(connections: usize) -> Table {
         let poller = Arc::new(Poller::new().unwrap());
         let room = Room { connections, open: 64, entries: 1, result_bytes: 1, unread: 100_000, commands: 1 };
-        let names = Names { groups: vec!["look".into()], marked: vec![false], customers: Vec::new() };
+        let names = Names { groups: vec!["look".into()], keyed: vec![false], customers: Vec::new() };
         let mut fronts = Fronts::new(poller.clone(), names, room, 10 * S);
         let at = fresh_address();
         fronts.listen(at, Protocol::FastCgi, None).unwrap();
--- a/node/tests/node/fronts.rs
+++ b/node/tests/node/fronts.rs
@@ -8,7 +8,7 @@
 use doortrack_standins::bed::{Bed, Plan, connect};
 use doortrack_standins::caller::{Ask, Pending, Seen, read};
 use doortrack_standins::engine::Engine;
-use doortrack_standins::records::MARK;
+use doortrack_standins::records::IDEMPOTENCY_KEY;
 use doortrack_standins::{try_id, unix_ms};
 use doortrack_wire::Protocol::{self, FastCgi, Uwsgi};
 use serde_json::{Value, json};
@@ -31,7 +31,7 @@
 }
 
 fn pay(nth: u64, body: &[u8]) -> Ask<'_> {
-    Ask::new(nth, "/svc/pay", body).with(MARK.0, MARK.1)
+    Ask::new(nth, "/svc/pay", body).with(IDEMPOTENCY_KEY.0, IDEMPOTENCY_KEY.1)
 }
 
 /// Sends these bytes on a connection of their own and reads all that comes back.
@@ -95,10 +95,10 @@
     let mut nth = 0;
     for (first, again) in [(fast, uwsgi), (uwsgi, fast)] {
         for how in ["OK", "ERROR", "MOOT"] {
-            let mark = format!("{nth:032x}");
+            let key = format!("{nth:032x}");
             let mut ask = |(protocol, at): (Protocol, SocketAddr)| {
                 nth += 1;
-                let ask = Ask::new(nth, "/svc/pay", b"berth 4").with("HTTP_IDEMPOTENCY_KEY", &mark);
+                let ask = Ask::new(nth, "/svc/pay", b"berth 4").with("HTTP_IDEMPOTENCY_KEY", &key);
                 (try_id(nth), ask.send(at, protocol))
             };
             let (call, one) = ask(first);
@@ -128,8 +128,8 @@
         config["settings"]["family_info"]["cores"] = json!(1);
     });
     for (round, (first, again)) in [(fast, uwsgi), (uwsgi, fast)].into_iter().enumerate() {
-        let (base, mark) = (round as u64 * 10, format!("{round:032x}"));
-        let ask = |n| Ask::new(base + n, "/svc/pay", b"x").with("HTTP_IDEMPOTENCY_KEY", &mark);
+        let (base, key) = (round as u64 * 10, format!("{round:032x}"));
+        let ask = |n| Ask::new(base + n, "/svc/pay", b"x").with("HTTP_IDEMPOTENCY_KEY", &key);
         // The one core is taken, so the next is held.
         engine.readings(2);
         let busy = Ask::new(base + 1, "/svc/look", b"").send(fast.1, fast.0);
@@ -173,8 +173,8 @@
     }
     // Just after its last byte, and mid-answer: it runs once, and its result is there for the next try.
     for round in 0..4 {
-        let (n, mark) = (10 * (round + 1), format!("{round:032x}"));
-        let ask = |n| Ask::new(n, "/svc/pay", b"a body").with("HTTP_IDEMPOTENCY_KEY", &mark);
+        let (n, key) = (10 * (round + 1), format!("{round:032x}"));
+        let ask = |n| Ask::new(n, "/svc/pay", b"a body").with("HTTP_IDEMPOTENCY_KEY", &key);
         let pending = ask(n).send(uwsgi.1, Uwsgi);
         let result = vec![7; 4096];
         match round {
--- a/node/tests/node/instants.rs
+++ b/node/tests/node/instants.rs
@@ -4,7 +4,7 @@
 use std::io::{ErrorKind, Read, Write};
 use std::time::Duration;
 
-use doortrack_standins::records::{Client, MARK, request};
+use doortrack_standins::records::{Client, IDEMPOTENCY_KEY, request};
 use doortrack_standins::{try_id, unix_ms};
 use serde_json::{Value, json};
 
@@ -151,7 +151,7 @@
     let (bed, mut engine) = up();
     let mut client = bed.client();
     engine.readings(1);
-    client.send(&request(1, 1, "/svc/pay", &[MARK], b""));
+    client.send(&request(1, 1, "/svc/pay", &[IDEMPOTENCY_KEY], b""));
     while engine.line()["msg"] != "RUN" {}
     drop(engine);
     let mut engine = bed.link();
@@ -168,7 +168,7 @@
     let (bed, mut engine) = up_with(|config| config["settings"]["lanes"][1]["deadline"] = json!(1_000_000));
     let mut client = bed.client();
     engine.readings(1);
-    client.send(&request(1, 1, "/svc/pay", &[MARK], b""));
+    client.send(&request(1, 1, "/svc/pay", &[IDEMPOTENCY_KEY], b""));
     while engine.line()["msg"] != "RUN" {}
     drop(engine);
     let mut engine = bed.link();
@@ -179,7 +179,7 @@
     assert_eq!(engine.run().0, try_id(1));
     engine.end(&try_id(1), "MOOT", b"");
     engine.readings(1);
-    client.send(&request(2, 2, "/svc/pay", &[MARK], b""));
+    client.send(&request(2, 2, "/svc/pay", &[IDEMPOTENCY_KEY], b""));
     assert_eq!(engine.run().0, try_id(2));
     engine.end(&try_id(2), "OK", b"paid");
     assert_eq!(client.reply().body, b"paid");
@@ -265,13 +265,13 @@
 fn a_repeat_whose_stamp_is_of_a_clock_ahead_does_not_run_again() {
     let (bed, mut engine) = up();
     let mut client = bed.client();
-    client.send(&request(1, 1, "/svc/pay", &[MARK], b""));
+    client.send(&request(1, 1, "/svc/pay", &[IDEMPOTENCY_KEY], b""));
     let (call, _) = engine.run();
     engine.end(&call, "OK", b"paid once");
     assert_eq!(client.reply().body, b"paid once");
     // The window is 60 s; by this stamp it would be over, though it has hardly begun.
     let ahead = (unix_ms() + 100_000).to_string();
-    client.send(&request(2, 2, "/svc/pay", &[MARK, ("HTTP_X_REQUEST_START", &ahead)], b""));
+    client.send(&request(2, 2, "/svc/pay", &[IDEMPOTENCY_KEY, ("HTTP_X_REQUEST_START", &ahead)], b""));
     client.look(3, 3);
     assert_eq!(engine.run().0, try_id(3), "it was run again");
     assert_eq!(client.reply().body, b"paid once");
--- a/node/tests/node/parts.rs
+++ b/node/tests/node/parts.rs
@@ -181,7 +181,7 @@
 fn names() -> Names {
     Names {
         groups: vec!["look".into(), "pay".into()],
-        marked: vec![false, true],
+        keyed: vec![false, true],
         customers: vec!["one".into()],
     }
 }
@@ -207,7 +207,7 @@
     let Ok(Asked::Exchange(request)) = read(&FIELDS) else { panic!("not read") };
     assert_eq!((request.group, request.customer, request.caller), (1, 0, 4));
     assert_eq!((request.stamp, request.kb, request.rank), (1_764_576_000_123 * MS, 24.5, 0.625));
-    assert_eq!((request.mark, request.subject), (Some(*b"5c0f6e1a2b3d4c59a8b7c6d5e4f30211"), 0));
+    assert_eq!((request.idempotency_key, request.subject), (Some(*b"5c0f6e1a2b3d4c59a8b7c6d5e4f30211"), 0));
     assert!(!request.retry);
     let mut look = FIELDS[..8].to_vec();
     look[0].1 = "/svc/look";
@@ -217,7 +217,10 @@
         ("HTTP_X_NEW", "passed over"),
     ]);
     let Ok(Asked::Exchange(request)) = read(&look) else { panic!("not read") };
-    assert_eq!((request.mark, request.subject, request.retry), (None, 0x7f3a_9c21_e0b4_d655, true));
+    assert_eq!(
+        (request.idempotency_key, request.subject, request.retry),
+        (None, 0x7f3a_9c21_e0b4_d655, true)
+    );
     assert_eq!(read(&[("SCRIPT_NAME", "/status/live")]), Ok(Asked::Health));
     // Found on a long day: numbers of fronts are always new, and past 65,535 all were turned away.
     look[4].1 = "18446744073709551615";
--- a/node/tests/node/play.rs
+++ b/node/tests/node/play.rs
@@ -54,15 +54,15 @@
         Callers { rng: Rng::with_seed(seed), fronts, nth: 0, tried: Arc::default(), waiting: Vec::new() }
     }
 
-    /// One try by chance: of a mark that others use too, or of none; whoever asks may leave at any byte.
+    /// One try by chance: of a key that others use too, or of none; whoever asks may leave at any byte.
     fn ask(&mut self) {
         self.nth += 1;
         let (nth, (protocol, at)) = (self.nth, self.fronts[self.rng.usize(0..2)]);
-        let mark = self.rng.bool().then(|| format!("{:032x}", self.rng.u8(0..25)));
-        let script = if mark.is_some() { "/svc/pay" } else { "/svc/look" };
+        let key = self.rng.bool().then(|| format!("{:032x}", self.rng.u8(0..25)));
+        let script = if key.is_some() { "/svc/pay" } else { "/svc/look" };
         let mut ask = Ask::new(nth, script, b"berth");
-        if let Some(mark) = &mark {
-            ask = ask.with("HTTP_IDEMPOTENCY_KEY", mark);
+        if let Some(key) = &key {
+            ask = ask.with("HTTP_IDEMPOTENCY_KEY", key);
         }
         let leaves = self.rng.u8(0..12);
         let sent = unix_ms();
@@ -77,7 +77,7 @@
         }
         // Once the node has left nobody is there.
         let Ok(pending) = ask.try_send(at, protocol) else { return };
-        let mut tried = Tried { nth, mark, sent, told: None };
+        let mut tried = Tried { nth, idempotency_key: key, sent, told: None };
         let all = self.tried.clone();
         match leaves {
             1 => {
@@ -204,7 +204,7 @@
                 "RUN" if !runs.iter().any(|run| run.try_id == call) => {
                     let how = ["OK", "OK", "OK", "OK", "ERROR"][rng.usize(0..5)];
                     serial += 1;
-                    runs.push(Ran { try_id: call.clone(), mark: None, at: unix_ms() });
+                    runs.push(Ran { try_id: call.clone(), idempotency_key: None, at: unix_ms() });
                     let blob = Engine::blob(&result(&call));
                     notices.push(
                         json!({"msg": "DONE", "serial": serial, "call": call, "how": how, "blob": blob}),
@@ -238,11 +238,11 @@
     leave(bed, callers, move || {
         over.store(true, Ordering::SeqCst);
         let mut runs = engine.join().unwrap();
-        // The engine is told no marks; its runs have those of their tries.
+        // The engine is told no idempotency keys; its runs have those of their tries.
         let tried = tried.lock().unwrap();
         for run in &mut runs {
             let of = tried.iter().find(|tried| doortrack_standins::try_id(tried.nth) == run.try_id);
-            run.mark = of.and_then(|tried| tried.mark.clone());
+            run.idempotency_key = of.and_then(|tried| tried.idempotency_key.clone());
         }
         runs
     });
--- a/node/tests/node/rules.rs
+++ b/node/tests/node/rules.rs
@@ -21,7 +21,7 @@
 
 fn rules() -> Value {
     json!([
-        {"when": "path.starts_with(\"/confirm/\")", "group": "pay", "mark": "header(\"x-order\")",
+        {"when": "path.starts_with(\"/confirm/\")", "group": "pay", "idempotency_key": "header(\"x-order\")",
             "subject": "segment(1)", "rank": "0.9", "due": "10s"},
         {"when": "path.starts_with(\"/find/\") && cidr(peer, \"127.0.0.0/8\")", "group": "look",
             "rank": "if front == \"uwsgi\" { 0.25 } else { 0.5 }"}
@@ -61,18 +61,18 @@
         assert_eq!(body, b"when?");
         engine.end(&call, "OK", b"found");
         assert_eq!(waits.seen(), Seen::Completed(b"found".into()));
-        // The mark is what the rule says, over both fronts: only the first time is run.
+        // The idempotency key is what the rule says, over both fronts: only the first time is run.
         let waits = bare(at, protocol, "/confirm/4", &ORDER, b"berth 4");
         if nth == 0 {
             let (call, _) = engine.run();
             engine.end(&call, "OK", b"confirmed");
         }
         assert_eq!(waits.seen(), Seen::Completed(b"confirmed".into()));
-        // Absent and empty marks are refused, not taken for one exchange.
+        // Absent and empty idempotency keys are refused, not taken for one exchange.
         for more in [&[][..], &[("HTTP_X_ORDER", "")], &[("HTTP_X_ORDER", "1"), ("HTTP_X_ORDER", "2")]] {
             assert_eq!(
                 bare(at, protocol, "/confirm/4", more, b"").seen(),
-                Seen::Unreadable(400, "mark".into())
+                Seen::Unreadable(400, "idempotency_key".into())
             );
         }
         assert_eq!(bare(at, protocol, "/else", &[], b"").seen(), Seen::Unreadable(404, String::new()));
@@ -141,9 +141,9 @@
     let (call, _) = engine.run();
     engine.end(&call, "OK", b"confirmed");
     assert_eq!(waits.seen(), Seen::Completed(b"confirmed".into()));
-    // With another mark the same exchange would be a new one, and run again.
+    // With another idempotency key the same exchange would be a new one, and run again.
     let mut new = rules();
-    new[0]["mark"] = json!("(header(\"x-order\") ?? \"\") + path");
+    new[0]["idempotency_key"] = json!("(header(\"x-order\") ?? \"\") + path");
     bed.install(&installation(&fronts, new.clone()));
     engine.readings(3);
     let again = bare(at, protocol, "/confirm/4", &ORDER, b"berth 4");
@@ -154,7 +154,7 @@
         std::thread::sleep(std::time::Duration::from_millis(300));
         bed.install(&installation(&fronts, new.clone()));
         std::thread::sleep(std::time::Duration::from_millis(20));
-        // An empty order is a mark by the new rules, and a refusal by the old ones.
+        // An empty order is an idempotency key by the new rules, and a refusal by the old ones.
         let waits = bare(at, protocol, "/confirm/5", &[], b"berth 5");
         waits.sock.set_read_timeout(Some(std::time::Duration::from_millis(100))).unwrap();
         let refused = waits.sock.peek(&mut [0]).is_ok();
@@ -279,7 +279,7 @@
         "servers": {"protocol": "uwsgi", "addresses": ["127.0.0.1:7001"]},
         "pools": {"slow": {"protocol": "fastcgi", "addresses": ["127.0.0.1:7002"]}},
         "rules": [
-            {"when": "path.starts_with(\"/a\")", "group": "moor", "mark": "header(\"x-order\")",
+            {"when": "path.starts_with(\"/a\")", "group": "moor", "idempotency_key": "header(\"x-order\")",
                 "servers": "slow"},
             {"when": "true", "group": "tides", "rank": "0.5", "due": "1s", "subject": "segment(0)"}
         ],
@@ -308,7 +308,11 @@
         ("/rules/0/when", json!(1), "installation.rules[0].when: invalid type"),
         ("/rules/0/when", json!("(".repeat(5000)), "installation.rules[0].when: 1:"),
         ("/rules/0/group", json!("moorings"), "installation.rules[0].group: 'moorings' is none"),
-        ("/rules/0/mark", json!("1"), "installation.rules[0].mark: string or bytes is wanted"),
+        (
+            "/rules/0/idempotency_key",
+            json!("1"),
+            "installation.rules[0].idempotency_key: string or bytes is wanted",
+        ),
         (
             "/rules/0/servers",
             json!("fast"),
--- a/node/tests/node/sockets.rs
+++ b/node/tests/node/sockets.rs
@@ -11,7 +11,7 @@
 use base64::engine::general_purpose::STANDARD;
 use doortrack_standins::bed::{Bed, Plan, config, open_registry};
 use doortrack_standins::engine::Engine;
-use doortrack_standins::records::{self, Client, Fields, MARK, Reply, request};
+use doortrack_standins::records::{self, Client, Fields, IDEMPOTENCY_KEY, Reply, request};
 use doortrack_standins::{try_id, unix_ms};
 use serde_json::{Value, json};
 
@@ -84,7 +84,7 @@
 fn a_repeat_waits_for_the_run_or_takes_its_result_and_nothing_runs_twice() {
     let (bed, mut engine) = up();
     let (mut one, mut two) = (bed.client(), bed.client());
-    let pay = |id, nth| request(id, nth, "/svc/pay", &[MARK], b"one boat");
+    let pay = |id, nth| request(id, nth, "/svc/pay", &[IDEMPOTENCY_KEY], b"one boat");
     one.send(&[pay(1, 1), pay(2, 2)].concat());
     let (call, body) = engine.run();
     assert_eq!((call.as_str(), body.as_slice()), (&*try_id(1), &b"one boat"[..]));
@@ -106,11 +106,11 @@
 fn a_repeat_of_a_run_that_failed_is_terminated_not_run_or_denied() {
     let (bed, mut engine) = up();
     let mut client = bed.client();
-    client.send(&request(1, 1, "/svc/pay", &[MARK], b""));
+    client.send(&request(1, 1, "/svc/pay", &[IDEMPOTENCY_KEY], b""));
     let (call, _) = engine.run();
     engine.done(1, &call, "ERROR", b"");
     assert_eq!(client.reply().status, 500);
-    client.send(&request(2, 2, "/svc/pay", &[MARK], b""));
+    client.send(&request(2, 2, "/svc/pay", &[IDEMPOTENCY_KEY], b""));
     assert_eq!(client.reply().status, 500);
 }
 
@@ -118,7 +118,7 @@
 fn a_mark_that_comes_with_another_body_is_refused_and_never_answered_with_the_result() {
     let (bed, mut engine) = up();
     let mut client = bed.client();
-    let pay = |id, nth, body| request(id, nth, "/svc/pay", &[MARK], body);
+    let pay = |id, nth, body| request(id, nth, "/svc/pay", &[IDEMPOTENCY_KEY], body);
     client.send(&pay(1, 1, b"one boat"));
     let (call, _) = engine.run();
     client.send(&pay(2, 2, b"two boats"));
@@ -134,11 +134,11 @@
 fn what_the_engine_never_began_may_run_in_a_later_try() {
     let (bed, mut engine) = up();
     let mut client = bed.client();
-    client.send(&request(1, 1, "/svc/pay", &[MARK], b""));
+    client.send(&request(1, 1, "/svc/pay", &[IDEMPOTENCY_KEY], b""));
     let (call, _) = engine.run();
     engine.tell(json!({"msg": "NO", "how": "RUN", "call": call}));
     assert_eq!(client.reply().status, 500);
-    client.send(&request(2, 2, "/svc/pay", &[MARK], b""));
+    client.send(&request(2, 2, "/svc/pay", &[IDEMPOTENCY_KEY], b""));
     let (call, _) = engine.run();
     assert_eq!(call, try_id(2));
     engine.done(1, &call, "OK", b"paid");
@@ -156,12 +156,12 @@
     let (first, _) = engine.run();
     // With a gauge that reads idle the next is held, not rejected.
     engine.readings(2);
-    client.send(&request(2, 2, "/svc/pay", &[MARK], b""));
+    client.send(&request(2, 2, "/svc/pay", &[IDEMPOTENCY_KEY], b""));
     // Each reading is a turn later: by then the entry has run out for the decisions, and the try is held.
     engine.readings(3);
     client.send(&records::record(2, 2, b""));
     engine.readings(2);
-    client.send(&request(3, 3, "/svc/pay", &[MARK], b""));
+    client.send(&request(3, 3, "/svc/pay", &[IDEMPOTENCY_KEY], b""));
     engine.readings(2);
     engine.done(1, &first, "OK", b"");
     assert_eq!(engine.run().0, try_id(3));
@@ -327,10 +327,10 @@
     running: Vec<String>,
     ended: BTreeSet<String>,
     notices: Vec<Value>,
-    /// The try of each mark that was run.
+    /// The try of each idempotency key that was run.
     ran: BTreeMap<usize, String>,
-    /// The mark of each try that has one.
-    marks: BTreeMap<String, usize>,
+    /// The idempotency key of each try that has one.
+    keys: BTreeMap<String, usize>,
 }
 
 impl Play {
@@ -347,9 +347,9 @@
                 }
                 "RUN" => {
                     assert!(!self.ended.contains(&call), "{call} was sent again after its end");
-                    if let Some(mark) = self.marks.get(&call) {
-                        let first = self.ran.entry(*mark).or_insert_with(|| call.clone());
-                        assert_eq!(*first, call, "mark {mark} runs twice");
+                    if let Some(key) = self.keys.get(&call) {
+                        let first = self.ran.entry(*key).or_insert_with(|| call.clone());
+                        assert_eq!(*first, call, "key {key} runs twice");
                     }
                     if !self.running.contains(&call) {
                         self.running.push(call);
@@ -373,7 +373,7 @@
 
 #[test]
 fn over_a_long_play_with_lost_links_each_is_answered_once_and_no_mark_runs_twice() {
-    // A run with a mark that a lost link swallowed is in doubt until its deadline, which a reader waits for.
+    // A run with a key that a lost link swallowed is in doubt until its deadline, which a reader waits for.
     let (bed, mut engine) = up_with(|config| config["settings"]["lanes"][1]["deadline"] = json!(8_000_000));
     let (mut rng, mut play, mut told) = (fastrand::Rng::with_seed(0x0d00_77ac), Play::default(), 0);
     let mut clients: Vec<Client> = (0..3).map(|_| bed.client()).collect();
@@ -384,17 +384,17 @@
         if round < 25 {
             for _ in 0..rng.usize(0..5) {
                 let (client, id) = (rng.usize(0..3), asked.len() as u16 + 1);
-                let mark = rng.bool().then(|| rng.usize(0..12));
-                let text = format!("{:032x}", mark.unwrap_or_default());
-                let script = if mark.is_some() { "/svc/pay" } else { "/svc/look" };
+                let key = rng.bool().then(|| rng.usize(0..12));
+                let text = format!("{:032x}", key.unwrap_or_default());
+                let script = if key.is_some() { "/svc/pay" } else { "/svc/look" };
                 let more: Fields = &[("HTTP_IDEMPOTENCY_KEY", &text)];
                 clients[client].send(&request(id, id.into(), script, more, text.as_bytes()));
-                play.marks.extend(mark.map(|mark| (try_id(id.into()), mark)));
+                play.keys.extend(key.map(|key| (try_id(id.into()), key)));
                 let aborted = rng.u8(0..8) == 0;
                 if aborted {
                     clients[client].send(&records::record(2, id, b""));
                 }
-                asked.push((client, id, mark, aborted));
+                asked.push((client, id, key, aborted));
             }
         }
         if round < 25 && rng.u8(0..5) == 0 {
@@ -430,13 +430,13 @@
     for (nth, client) in clients.iter_mut().enumerate() {
         let mut open: BTreeMap<u16, (Option<usize>, bool)> = BTreeMap::new();
         open.extend(
-            asked.iter().filter(|(c, ..)| *c == nth).map(|(_, id, mark, aborted)| (*id, (*mark, *aborted))),
+            asked.iter().filter(|(c, ..)| *c == nth).map(|(_, id, key, aborted)| (*id, (*key, *aborted))),
         );
         while open.values().any(|(_, aborted)| !aborted) {
             let reply = client.reply();
-            let (mark, _) = open.remove(&reply.id).expect("answered twice, or never asked");
+            let (key, _) = open.remove(&reply.id).expect("answered twice, or never asked");
             if reply.status == 200 {
-                let run = mark.map_or(try_id(reply.id.into()), |mark| play.ran[&mark].clone());
+                let run = key.map_or(try_id(reply.id.into()), |key| play.ran[&key].clone());
                 assert_eq!(String::from_utf8_lossy(&reply.body), format!("of {run}"));
             }
         }
--- a/rig/src/crowd.rs
+++ b/rig/src/crowd.rs
@@ -34,7 +34,7 @@
 pub struct Told {
     pub nth: u64,
     pub front: usize,
-    pub marked: bool,
+    pub keyed: bool,
     pub asked: u64,
     pub seen: Option<Seen>,
     pub at: u64,
@@ -51,7 +51,7 @@
 /// What came of it.
 pub struct Asked {
     pub told: Vec<Told>,
-    /// Exchanges of either group that were run: unmarked (`look`) and marked (`pay`).
+    /// Exchanges of either group that were run: without a key (`look`) and with one (`pay`).
     pub looks: Vec<Passed>,
     pub pays: Vec<Passed>,
     /// When runs began and ended by the server's own clock, of marked ones.
@@ -112,7 +112,7 @@
             let ran = Ran::from(&got);
             let Some(told) = asked.get(&ran.try_id) else { continue };
             let passed = Passed { asked: told.asked, ran: ran.at };
-            if told.marked {
+            if told.keyed {
                 pays.push(passed);
                 runs.push((ran.at, ran.at + self.manner.work.as_millis() as u64));
             } else {
@@ -123,11 +123,11 @@
     }
 }
 
-fn ask(nth: u64, front: usize, at: SocketAddr, marked: bool) -> Told {
-    let ask = Ask::new(nth, if marked { "/svc/pay" } else { "/svc/look" }, b"berth");
-    let mark = format!("{nth:032x}");
-    let ask = if marked { ask.with("HTTP_IDEMPOTENCY_KEY", &mark) } else { ask };
+fn ask(nth: u64, front: usize, at: SocketAddr, keyed: bool) -> Told {
+    let ask = Ask::new(nth, if keyed { "/svc/pay" } else { "/svc/look" }, b"berth");
+    let key = format!("{nth:032x}");
+    let ask = if keyed { ask.with("HTTP_IDEMPOTENCY_KEY", &key) } else { ask };
     let asked = unix_ms();
     let seen = ask.try_send(at, Protocol::FastCgi).ok().map(|pending| pending.seen());
-    Told { nth, front, marked, asked, seen, at: unix_ms() }
+    Told { nth, front, keyed, asked, seen, at: unix_ms() }
 }
--- a/rig/src/traffic.rs
+++ b/rig/src/traffic.rs
@@ -71,7 +71,7 @@
 }
 
 /// One caller: it asks one node after the other, and where it is rejected or finds nobody it asks the next
-/// once, under the same mark.
+/// once, under the same idempotency key.
 struct Caller {
     nth: u64,
     chance: fastrand::Rng,
@@ -93,26 +93,27 @@
 const BEFORE: u64 = 1_000;
 
 impl Caller {
-    fn ask(&mut self, front: SocketAddr, mark: Option<&str>) -> Option<Seen> {
+    fn ask(&mut self, front: SocketAddr, key: Option<&str>) -> Option<Seen> {
         self.nth += 1;
-        let script = if mark.is_some() { "/svc/pay" } else { "/svc/look" };
+        let script = if key.is_some() { "/svc/pay" } else { "/svc/look" };
         let ask = Ask::new(self.nth, script, b"berth");
-        let ask = mark.map_or(ask.clone(), |mark| ask.with("HTTP_IDEMPOTENCY_KEY", mark));
+        let ask = key.map_or(ask.clone(), |key| ask.with("HTTP_IDEMPOTENCY_KEY", key));
         let sent = unix_ms();
         let seen = ask.try_send(front, Protocol::FastCgi).ok()?.seen();
         let told = Some((seen.clone(), unix_ms()));
-        self.tried.push((front, Tried { nth: self.nth, mark: mark.map(str::to_string), sent, told }));
+        self.tried
+            .push((front, Tried { nth: self.nth, idempotency_key: key.map(str::to_string), sent, told }));
         Some(seen)
     }
 
     fn run(mut self, over: &AtomicBool) -> Vec<(SocketAddr, Tried)> {
         while !over.load(Ordering::Relaxed) {
-            let mark = self.chance.bool().then(|| format!("{:032x}", self.chance.u128(..)));
+            let key = self.chance.bool().then(|| format!("{:032x}", self.chance.u128(..)));
             let from = self.chance.usize(..self.fronts.len());
             for nth in 0..2.min(self.fronts.len()) {
                 let front = self.fronts[(from + nth) % self.fronts.len()];
-                match self.ask(front, mark.as_deref()) {
-                    // What may have run elsewhere is not asked of another: nodes share no marks yet.
+                match self.ask(front, key.as_deref()) {
+                    // What may have run elsewhere is not asked of another: nodes share no keys yet.
                     None | Some(Seen::Rejected { .. }) => {}
                     Some(_) => break,
                 }
--- a/routes/src/build.rs
+++ b/routes/src/build.rs
@@ -21,8 +21,9 @@
     pub customer: Option<String>,
     /// What the exchange is about: string, bytes or int, or optional. Absent and empty are no subject.
     pub subject: Option<String>,
-    /// The mark of a deduplicated exchange: string or bytes, or optional. Absent and empty are a refusal.
-    pub mark: Option<String>,
+    /// The idempotency key of a deduplicated exchange: string or bytes, or optional. Absent and empty are
+    /// a refusal.
+    pub idempotency_key: Option<String>,
     /// From 0 to 1: float, or optional float.
     pub rank: Option<String>,
     /// How long its caller waits: duration, or optional duration.
@@ -34,7 +35,7 @@
 /// Names that rules may use, in the order of their places.
 #[derive(Clone, Debug, Default)]
 pub struct Names {
-    /// Endpoint groups, and whether their exchanges carry a mark.
+    /// Endpoint groups, and whether their exchanges carry an idempotency key.
     pub groups: Vec<(String, bool)>,
     pub customers: Vec<String>,
     pub pools: Vec<String>,
@@ -108,9 +109,9 @@
         }
         let customers =
             names.customers.iter().enumerate().map(|(nth, name)| (name.as_str().into(), nth as u16));
-        let marked = names.groups.iter().map(|(_, marked)| *marked).collect();
+        let keyed = names.groups.iter().map(|(_, keyed)| *keyed).collect();
         let table =
-            Table { rules: compiled, index: Index::new(&parts), customers: customers.collect(), marked };
+            Table { rules: compiled, index: Index::new(&parts), customers: customers.collect(), keyed };
         Ok((table, notes.found))
     }
 }
@@ -143,7 +144,7 @@
         };
         let customer = optional("customer", &rule.customer, &[Type::Str]);
         let subject = optional("subject", &rule.subject, &[Type::Str, Type::Bytes, Type::Int]);
-        let mark = optional("mark", &rule.mark, &[Type::Str, Type::Bytes]);
+        let key = optional("idempotency_key", &rule.idempotency_key, &[Type::Str, Type::Bytes]);
         let rank = optional("rank", &rule.rank, &[Type::Float]);
         let due = optional("due", &rule.due, &[Type::Duration]);
         let pool = rule.servers.as_ref().map(|name| self.names.pools.iter().position(|pool| pool == name));
@@ -152,10 +153,10 @@
             let name = rule.servers.as_deref().unwrap_or_default();
             self.fault(nth, "servers", format!("'{name}' is none of the pools {known}"));
         }
-        if mark.is_some() && group.is_some_and(|group| !self.names.groups[group].1) {
+        if key.is_some() && group.is_some_and(|group| !self.names.groups[group].1) {
             self.fault(
                 nth,
-                "mark",
+                "idempotency_key",
                 format!("exchanges of '{}' are not deduplicated and carry none", rule.group),
             );
         }
@@ -168,7 +169,7 @@
             group: group? as u8,
             customer: sound(customer)?,
             subject: sound(subject)?,
-            mark: sound(mark)?,
+            idempotency_key: sound(key)?,
             rank: sound(rank)?,
             due: sound(due)?,
             pool: match pool {
--- a/routes/src/classify.rs
+++ b/routes/src/classify.rs
@@ -17,8 +17,8 @@
     pub customer: Option<u16>,
     /// What it is about, none where it has no subject. Never 0.
     pub subject: Option<u64>,
-    /// A digest of its mark.
-    pub mark: Option<[u8; 32]>,
+    /// A digest of its idempotency key.
+    pub idempotency_key: Option<[u8; 32]>,
     /// From 0 to under 1.
     pub rank: Option<f32>,
     /// How long its caller waits.
@@ -32,9 +32,9 @@
 pub enum Refusal {
     /// Its customer is absent, or none of those known.
     Customer,
-    /// Its group is deduplicated and its mark is absent or empty: with an empty one all would be one
+    /// Its group is deduplicated and its key is absent or empty: with an empty one all would be one
     /// exchange.
-    Mark,
+    IdempotencyKey,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -77,12 +77,12 @@
                 None => return refused(Refusal::Customer),
             }
         }
-        let mut mark = None;
-        if let Some(program) = of.mark.as_ref().filter(|_| self.marked[usize::from(of.group)]) {
+        let mut key = None;
+        if let Some(program) = of.idempotency_key.as_ref().filter(|_| self.keyed[usize::from(of.group)]) {
             let value = program.eval(request, scratch);
             match text(value, scratch) {
-                [] => return refused(Refusal::Mark),
-                bytes => mark = Some(Sha256::digest(bytes).into()),
+                [] => return refused(Refusal::IdempotencyKey),
+                bytes => key = Some(Sha256::digest(bytes).into()),
             }
         }
         let subject = of.subject.as_ref().and_then(|program| match program.eval(request, scratch) {
@@ -100,7 +100,16 @@
             Value::Duration(micros) => Some(tenths(micros)),
             _ => None,
         });
-        Classed::As(Class { rule, group: of.group, customer, subject, mark, rank, due, pool: of.pool })
+        Classed::As(Class {
+            rule,
+            group: of.group,
+            customer,
+            subject,
+            idempotency_key: key,
+            rank,
+            due,
+            pool: of.pool,
+        })
     }
 }
 
--- a/routes/src/lib.rs
+++ b/routes/src/lib.rs
@@ -1,4 +1,4 @@
-//! A table of rules that classes exchanges: which endpoint group, customer, subject, mark, rank, due time
+//! A table of rules that classes exchanges: which endpoint group, customer, subject, key, rank, due time
 //! and pool of servers each has. It never admits or rejects; that is the decisions' job.
 //!
 //! Rules are tried in order and the first whose condition holds wins. [`Table::build`] reads and checks all
@@ -29,7 +29,7 @@
     group: u8,
     customer: Option<Program>,
     subject: Option<Program>,
-    mark: Option<Program>,
+    idempotency_key: Option<Program>,
     rank: Option<Program>,
     due: Option<Program>,
     pool: Option<u16>,
@@ -42,8 +42,8 @@
     rules: Vec<Compiled>,
     index: index::Index,
     customers: rustc_hash::FxHashMap<Box<str>, u16>,
-    /// Whether exchanges of a group carry a mark.
-    marked: Vec<bool>,
+    /// Whether exchanges of a group carry an idempotency key.
+    keyed: Vec<bool>,
 }
 
 impl Table {
--- a/routes/tests/table.rs
+++ b/routes/tests/table.rs
@@ -73,7 +73,7 @@
     let full = Rule {
         customer: Some("lower(header(\"x-yard\") ?? \"\")".into()),
         subject: Some("segment(1)".into()),
-        mark: Some("header(\"x-order\")".into()),
+        idempotency_key: Some("header(\"x-order\")".into()),
         rank: Some("if body_length > 10 { 7.5 } else { 0.25 }".into()),
         due: None,
         servers: Some("slow".into()),
@@ -92,12 +92,12 @@
     assert_eq!(one, again);
     let other = path("/pay/berth-5").header("x-yard", "South").header("x-order", "78");
     let Classed::As(other) = class(&Written { body: vec![0; 20], ..other }) else { panic!() };
-    assert!(other.subject != one.subject && other.mark != one.mark);
+    assert!(other.subject != one.subject && other.idempotency_key != one.idempotency_key);
     assert!(other.rank.is_some_and(|rank| rank < 1.0 && rank > 0.999), "kept under 1");
-    // An empty mark would make all exchanges one; an empty subject is none.
+    // An empty idempotency key would make all exchanges one; an empty subject is none.
     for (request, why) in [
-        (path("/pay/x").header("x-yard", "south"), Refusal::Mark),
-        (path("/pay/x").header("x-yard", "south").header("x-order", ""), Refusal::Mark),
+        (path("/pay/x").header("x-yard", "south"), Refusal::IdempotencyKey),
+        (path("/pay/x").header("x-yard", "south").header("x-order", ""), Refusal::IdempotencyKey),
         (path("/pay/x").header("x-order", "1"), Refusal::Customer),
         (path("/pay/x").header("x-order", "1").header("x-yard", "\u{fffd}"), Refusal::Customer),
     ] {
@@ -116,14 +116,14 @@
 fn every_fault_is_told_with_its_rule_and_key() {
     let told = faults(&[
         rule("pth == \"a\"", "look"),
-        Rule { customer: Some("1".into()), mark: Some("path".into()), ..rule("true", "look") },
+        Rule { customer: Some("1".into()), idempotency_key: Some("path".into()), ..rule("true", "look") },
         Rule { servers: Some("fast".into()), ..rule("header(\"x\")", "pays") },
         Rule { rank: Some("path".into()), subject: Some("(".into()), ..rule("true", "pay") },
     ]);
     for part in [
         "rules[0].when: 1:1: there is no value 'pth'; perhaps 'path' is meant",
         "rules[1].customer: string is wanted, this is int",
-        "rules[1].mark: exchanges of 'look' are not deduplicated",
+        "rules[1].idempotency_key: exchanges of 'look' are not deduplicated",
         "rules[2].when: bool is wanted, this is optional string",
         "rules[2].group: 'pays' is none of the endpoint groups look, pay",
         "rules[2].servers: 'fast' is none of the pools main, slow",
--- a/standins/src/records.rs
+++ b/standins/src/records.rs
@@ -52,7 +52,7 @@
     bytes
 }
 
-pub const MARK: (&str, &str) = ("HTTP_IDEMPOTENCY_KEY", "5c0f6e1a2b3d4c59a8b7c6d5e4f30211");
+pub const IDEMPOTENCY_KEY: (&str, &str) = ("HTTP_IDEMPOTENCY_KEY", "5c0f6e1a2b3d4c59a8b7c6d5e4f30211");
 
 impl Client {
     pub fn send(&mut self, bytes: &[u8]) {
--- a/standins/src/rules.rs
+++ b/standins/src/rules.rs
@@ -10,18 +10,18 @@
 #[derive(Clone, Debug)]
 pub struct Tried {
     pub nth: u64,
-    /// The mark, where it is deduplicated.
-    pub mark: Option<String>,
+    /// The idempotency key, where it is deduplicated.
+    pub idempotency_key: Option<String>,
     pub sent: u64,
     /// What it was told, and when; none where its caller left before.
     pub told: Option<(Seen, u64)>,
 }
 
-/// One run as who did it knows it: of which try, with which mark.
+/// One run as who did it knows it: of which try, with which idempotency key.
 #[derive(Clone, Debug)]
 pub struct Ran {
     pub try_id: String,
-    pub mark: Option<String>,
+    pub idempotency_key: Option<String>,
     pub at: u64,
 }
 
@@ -30,7 +30,7 @@
     fn from(got: &Got) -> Ran {
         let text = |name: &str| got.variable(name).map(|value| String::from_utf8_lossy(value).into_owned());
         let try_id = text("HTTP_X_REQUEST_ID").unwrap_or_default();
-        Ran { try_id, mark: text("HTTP_IDEMPOTENCY_KEY"), at: got.at }
+        Ran { try_id, idempotency_key: text("HTTP_IDEMPOTENCY_KEY"), at: got.at }
     }
 }
 
@@ -48,24 +48,24 @@
 /// What is broken, in words; empty where all is kept. `result` tells what a run of this try brings.
 pub fn broken(tried: &[Tried], ran: &[Ran], bounds: Bounds, result: impl Fn(&str) -> Vec<u8>) -> Vec<String> {
     let mut broken = Vec::new();
-    let mut by_mark: BTreeMap<&str, Vec<&Ran>> = BTreeMap::new();
+    let mut by_key: BTreeMap<&str, Vec<&Ran>> = BTreeMap::new();
     let mut by_try: BTreeMap<&str, Vec<&Ran>> = BTreeMap::new();
     for run in ran {
         by_try.entry(&run.try_id).or_default().push(run);
-        if let Some(mark) = &run.mark {
-            by_mark.entry(mark).or_default().push(run);
+        if let Some(key) = &run.idempotency_key {
+            by_key.entry(key).or_default().push(run);
         }
     }
-    for (mark, runs) in by_mark.iter().filter(|(_, runs)| runs.len() > 1) {
-        broken.push(format!("rule 2: {mark} ran {} times: {runs:?}", runs.len()));
+    for (key, runs) in by_key.iter().filter(|(_, runs)| runs.len() > 1) {
+        broken.push(format!("rule 2: {key} ran {} times: {runs:?}", runs.len()));
     }
     for (try_id, runs) in by_try.iter().filter(|(_, runs)| runs.len() > bounds.tries) {
         broken.push(format!("{try_id} was tried {} times", runs.len()));
     }
     for tried in tried {
         let id = try_id(tried.nth);
-        let runs: Vec<&Ran> = match &tried.mark {
-            Some(mark) => by_mark.get(mark.as_str()).cloned().unwrap_or_default(),
+        let runs: Vec<&Ran> = match &tried.idempotency_key {
+            Some(key) => by_key.get(key.as_str()).cloned().unwrap_or_default(),
             None => by_try.get(id.as_str()).cloned().unwrap_or_default(),
         };
         if bounds.closed.is_some_and(|closed| tried.sent > closed && by_try.contains_key(id.as_str())) {
@@ -78,7 +78,7 @@
                 broken.push(format!("rule 1: {id} was told {} ms after it was sent", at - tried.sent));
             }
             Seen::Rejected { .. } if runs.iter().any(|run| run.at < tried.sent) => {
-                broken.push(format!("rule 2: {id} was rejected, and its mark had run before"));
+                broken.push(format!("rule 2: {id} was rejected, and its key had run before"));
             }
             Seen::Rejected { .. } if by_try.contains_key(id.as_str()) => {
                 broken.push(format!("rule 2: {id} was run and rejected"));
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -72,7 +72,7 @@
 pub struct Item {
     pub group: usize,
     pub at: At,
-    pub mark: u64,
+    pub idempotency_key: u64,
     pub arrived: Tenths,
     pub due: Tenths,
     pub kb: f32,
@@ -98,7 +98,7 @@
     pub links: f32,
     /// Who sends what arrives.
     pub caller: u64,
-    /// Entries of the table: mark, exchange, end.
+    /// Entries of the table: idempotency key, exchange, end.
     pub table: Vec<(u64, ExId, Tenths)>,
     /// Calls in the hands of what lies below: from, to.
     calls: Vec<(Tenths, Tenths)>,
@@ -135,8 +135,8 @@
         world
     }
 
-    /// Reads one exchange into the node; a repeat of its mark is linked as the node's table says.
-    pub fn arrive(&mut self, group: u8, mark: u64, age: Tenths, passed: Option<Tenths>, kb: f32) -> ExId {
+    /// Reads one exchange into the node; a repeat of its idempotency key is linked as the node's table says.
+    pub fn arrive(&mut self, group: u8, key: u64, age: Tenths, passed: Option<Tenths>, kb: f32) -> ExId {
         let id = self.next_id;
         self.next_id += 1;
         let terms = &self.terms.groups[group as usize];
@@ -144,13 +144,13 @@
         let due = passed.map_or(arrived + terms.deadline, |left| self.now + left);
         let deduplicated = terms.effect == Effect::Deduplicated;
         let here = |i: &ExId| self.items[i].ran || self.items[i].at == At::Queued;
-        let entry = self.table.iter().rev().find(|(m, i, end)| *m == mark && *end >= arrived && here(i));
+        let entry = self.table.iter().rev().find(|(m, i, end)| *m == key && *end >= arrived && here(i));
         let repeats =
-            entry.map(|(_, i, _)| *i).or_else(|| self.in_batch(group, mark)).filter(|_| deduplicated);
+            entry.map(|(_, i, _)| *i).or_else(|| self.in_batch(group, key)).filter(|_| deduplicated);
         let ex = Exchange {
-            subject: if deduplicated { 0 } else { mark },
+            subject: if deduplicated { 0 } else { key },
             due: passed.map(|left| self.now + left),
-            customer: (mark % 3) as u16,
+            customer: (key % 3) as u16,
             caller: self.caller,
             kb,
             age,
@@ -161,7 +161,7 @@
         let group = group as usize;
         let item = Item {
             group,
-            mark,
+            idempotency_key: key,
             arrived,
             due,
             kb,
@@ -174,17 +174,19 @@
         id
     }
 
-    /// A try of the same mark that is read in the same batch.
-    fn in_batch(&self, group: u8, mark: u64) -> Option<ExId> {
+    /// A try of the same idempotency key that is read in the same batch.
+    fn in_batch(&self, group: u8, key: u64) -> Option<ExId> {
         self.events.iter().rev().find_map(|event| match event {
-            Event::Arrived(ex) if ex.group == group && self.items[&ex.id].mark == mark => Some(ex.id),
+            Event::Arrived(ex) if ex.group == group && self.items[&ex.id].idempotency_key == key => {
+                Some(ex.id)
+            }
             _ => None,
         })
     }
 
-    /// Two tries of one mark in one batch, each naming the other.
-    pub fn arrive_together(&mut self, group: u8, mark: u64) -> (ExId, ExId) {
-        let (a, b) = (self.arrive(group, mark, 0, None, 30.0), self.arrive(group, mark, 0, None, 30.0));
+    /// Two tries of one idempotency key in one batch, each naming the other.
+    pub fn arrive_together(&mut self, group: u8, key: u64) -> (ExId, ExId) {
+        let (a, b) = (self.arrive(group, key, 0, None, 30.0), self.arrive(group, key, 0, None, 30.0));
         for event in &mut self.events {
             if let Event::Arrived(ex) = event
                 && ex.repeats.is_none()
@@ -298,7 +300,11 @@
                 let late = self.leave.is_some_and(|(last, _)| x.arrived > last);
                 assert!(!late, "drain: {id} arrived after the grace and was run");
                 let group = &self.terms.groups[x.group];
-                for (other, y) in self.items.iter().filter(|(_, y)| y.mark == x.mark && y.group == x.group) {
+                for (other, y) in self
+                    .items
+                    .iter()
+                    .filter(|(_, y)| y.idempotency_key == x.idempotency_key && y.group == x.group)
+                {
                     let again = group.effect == Effect::Deduplicated && y.ran;
                     assert!(!again || x.arrived > y.arrived + group.window, "{id} runs again after {other}");
                 }
@@ -340,7 +346,9 @@
                 assert!(x.at == At::Waiting && self.terms.groups[x.group].skip_share > 0.0);
                 x.at = At::Running;
             }
-            Action::Record { id, lasting } => self.table.push((self.items[&id].mark, id, now + lasting)),
+            Action::Record { id, lasting } => {
+                self.table.push((self.items[&id].idempotency_key, id, now + lasting))
+            }
             Action::Forget { id } => self.table.retain(|(_, i, _)| *i != id),
             Action::Attach { id } => {
                 let x = self.items.get_mut(&id).unwrap();
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -29,13 +29,13 @@
 
 fn play(world: &mut World, start: &Start, op: u8, n: u32, span: Tenths) {
     let left = start.6.then_some(Tenths::from(n % 5000) * MS);
-    let (mark, age, kb) = (u64::from(n % 13) + 1, Tenths::from(n / 7 % 900) * MS, (10 + n % 60) as f32);
+    let (key, age, kb) = (u64::from(n % 13) + 1, Tenths::from(n / 7 % 900) * MS, (10 + n % 60) as f32);
     match op {
         0..=7 => {
-            world.arrive((n % 3) as u8, mark, age, left, kb);
+            world.arrive((n % 3) as u8, key, age, left, kb);
         }
         8 => {
-            world.arrive_together(1, mark);
+            world.arrive_together(1, key);
         }
         9..=11 => {
             let outcome = if n.is_multiple_of(9) { RunOutcome::Failed } else { RunOutcome::Completed };
