One run a core while the gauge reads all cores busy, 1.5 otherwise

The assumption that did not carry over: that one multiple serves both. Change: RUNS_A_CORE in places() holds only while the busy-cores gauge reads under 0.95; without a gauge as before. It covers whatever makes runs wait off the cores unseen, and slow or crowded machines; it could harm where a gauge reads busy for work that is not ours (a neighbour). Tests of the module hold.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -217,8 +217,7 @@
     /// the overload, and above C all is rejected.
     fn turned_away(&mut self, subject: u64, over_share: bool, unread: f32) -> bool {
         // With no reading the runs themselves tell whether the cores are busy.
-        let gauge = self.st.gauges.busy_cores.filter(|share| share.is_finite());
-        let busy = gauge.map_or(self.at(Stage::Running) >= self.places(), |share| share >= BUSY);
+        let busy = self.all_busy().unwrap_or(self.at(Stage::Running) >= self.places());
         let (load, c) = (self.load(), self.capacity);
         // Little may be queued while much stands unread, or while nothing comes to its end.
         if self.stuck() || (busy && (load > c || unread > QUEUE_SHARE)) {
@@ -386,8 +385,16 @@
         MARGIN * (1.0 + (self.terms.tip_multiple - 1.0).max(0.0) * speed) * self.terms.cores as f32
     }
 
+    /// Runs at once. Where the cores are all busy, more of them only make each take longer; where they are
+    /// not, some wait for what the node is not told of, such as a disk.
     fn places(&self) -> usize {
-        (RUNS_A_CORE * self.terms.cores as f32).min(self.survivable()).max(1.0) as usize
+        let a_core = if self.all_busy().unwrap_or(false) { 1.0 } else { RUNS_A_CORE };
+        (a_core * self.terms.cores as f32).min(self.survivable()).max(1.0) as usize
+    }
+
+    /// Whether the cores are all busy, by the gauge.
+    fn all_busy(&self) -> Option<bool> {
+        self.st.gauges.busy_cores.filter(|share| share.is_finite()).map(|share| share >= BUSY)
     }
 
     fn begin_work(&mut self, actions: &mut Vec<Action>) {
