--- a/tests/cases.rs
+++ b/tests/cases.rs
@@ -217,6 +217,7 @@
             let run = world.pick(At::Running, 0).unwrap();
             world.finish(run, RunOutcome::Completed);
         }
+        world.step();
         world.items.values().filter(|item| item.at == At::Running).count()
     };
     assert_eq!((running(1.0), running(0.9)), (4, 6));
