--- a/src/logic.rs
+++ b/src/logic.rs
@@ -391,9 +391,9 @@
         self.look_again(place, start_by.max(self.st.now) + 1);
     }
 
-    /// How long a run should take: by its hint, where there is one; else as its group's of late, and then never
-    /// more than half the SLO time, so that a node that has come to expect too much of a run still begins fresh
-    /// work and learns better.
+    /// How long a run should take: by its hint, where there is one; else as its group's of late, and then
+    /// never more than half the SLO time, so that a node that has come to expect too much of a run still begins
+    /// fresh work and learns better.
     fn expected(&self, group: usize, work: f32) -> Tenths {
         if work > 0.0 && self.st.hints.variance > 0.0 {
             return self.st.hints.took(work) as Tenths;
