Credit: callers are told their part of what is wanted in hand once a fifth is rejected

Change: from a strain of 0.2 each caller is told T1 of C over the callers of late, else what never binds; before the first need nothing is said. Work that by its hint can't be done here counts for no strain and is not asked to stay away from others: it says nothing of the load. It covers any surge where callers heed a credit; it could harm where one caller sends far more than others. The test of the module fails without it (seen failing).

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -58,6 +58,9 @@
 const LEVEL_RISE: f32 = 0.05;
 const LEVEL_FALL: f32 = 0.02;
 const LEVEL_MOST: f32 = 0.6;
+/// From this strain on each caller is told its part of what is wanted in hand. Less is borne without: it
+/// holds back a caller that sends more than others where nothing is short.
+const CREDIT_FROM: f32 = 0.2;
 /// An exchange that was unread for this share of its SLO time counts for strain as if rejected.
 const READ_LATE: f32 = 0.1;
 /// Stuck: nothing ended for this many times what a run takes.
@@ -177,6 +180,8 @@
     strangers: f32,
     strain: f32,
     level: f32,
+    /// What was last said to callers.
+    said: f32,
     call_queue: Queue,
     /// Time that calls may still spend below, and when that was counted.
     call_budget: f32,
@@ -318,15 +323,16 @@
         }
         let unread = ex.age as f32 / group.slo_time.max(1) as f32;
         let too_late = self.st.now >= due || self.st.leave.is_some_and(|(last, _)| arrived + 1 > last);
-        // It may still be done in time by a quicker node.
-        let hopeless =
-            group.late_share <= 0.0 && self.st.now + self.expected(ex.group as usize, work) > new.slo_by;
-        let rejected = hopeless || too_late || no_room || self.turned_away(ex.subject, over_share, unread);
+        let rejected = too_late || no_room || self.turned_away(ex.subject, over_share, unread);
         self.st.strain += STRAIN_NEWEST * (f32::from(rejected || unread > READ_LATE) - self.st.strain);
         self.st.read_late += NEWEST * (f32::from(unread > QUEUE_SHARE) - self.st.read_late);
-        if rejected || ex.held_back.is_some() {
+        // It may still be done in time by a quicker node, and says nothing of the load.
+        let hopeless =
+            group.late_share <= 0.0 && self.st.now + self.expected(ex.group as usize, work) > new.slo_by;
+        if rejected || hopeless || ex.held_back.is_some() {
             let wait = ex.held_back.unwrap_or(0);
-            actions.push(self.rejection(ex.id, ex.retry || self.st.strain > STRAIN_BORNE, wait));
+            let strained = (rejected || ex.held_back.is_some()) && self.st.strain > STRAIN_BORNE;
+            actions.push(self.rejection(ex.id, ex.retry || strained, wait));
             return;
         }
         if records {
@@ -392,8 +398,8 @@
     }
 
     /// How long a run should take: by its hint, where there is one; else as its group's of late, and then
-    /// never more than half the SLO time, so that a node that has come to expect too much of a run still begins
-    /// fresh work and learns better.
+    /// never more than half the SLO time, so that a node that has come to expect too much of a run still
+    /// begins fresh work and learns better.
     fn expected(&self, group: usize, work: f32) -> Tenths {
         if work > 0.0 && self.st.hints.variance > 0.0 {
             return self.st.hints.took(work) as Tenths;
@@ -783,7 +789,19 @@
         let over = self.st.strain - STRAIN_BORNE;
         let change = if over > 0.0 { LEVEL_RISE * over } else { -LEVEL_FALL };
         let level = (self.st.level + change).clamp(0.0, LEVEL_MOST);
-        if self.terms.level == LevelKind::LowestRank && self.st.level != level {
+        // A caller's part of what is wanted in hand. Nothing is said until the first need, and after it what
+        // never binds.
+        let callers = self.st.callers.iter().map(FxHashSet::len).max().unwrap_or(0).max(1) as f32;
+        let said = match self.terms.level {
+            LevelKind::LowestRank => Some(level),
+            LevelKind::InHand if self.st.strain > CREDIT_FROM => Some(T1 * self.capacity / callers),
+            LevelKind::InHand if self.st.said > 0.0 => {
+                Some(self.terms.tip_multiple * self.terms.cores as f32)
+            }
+            _ => None,
+        };
+        if let Some(level) = said.filter(|level| self.st.said != *level) {
+            self.st.said = level;
             actions.push(Action::Level { level });
         }
         self.st.level = level;
--- a/tests/cases.rs
+++ b/tests/cases.rs
@@ -174,6 +174,28 @@
     actions.iter().any(|what| matches!(what, Action::Reject { id: 900, .. }))
 }
 
+#[test]
+fn callers_are_told_their_part_of_what_is_wanted_in_hand_once_much_is_rejected() {
+    // Found on quito-central: where callers heed a credit and no lowest rank, nothing was said to them.
+    let terms = ServiceContract { level: LevelKind::InHand, customers: Vec::new(), ..contract() };
+    let mut world = World::new(terms, 1);
+    let said = |world: &World| {
+        let levels = world.done.iter().rev();
+        levels.filter_map(|what| if let Action::Level { level } = what { Some(*level) } else { None }).next()
+    };
+    world.pass(2_000 * MS);
+    assert_eq!(said(&world), None, "nothing is short");
+    for caller in 1..=30 {
+        world.caller = caller;
+        denied_of(&mut world, 3);
+    }
+    world.pass(60 * MS);
+    let credit = said(&world).unwrap();
+    assert!((0.05..0.2).contains(&credit), "{credit}: about three of C = 4 to 5 for 30 callers");
+    world.pass(20_000 * MS);
+    assert!(said(&world).unwrap() > 10.0, "it never binds once little is rejected");
+}
+
 #[test]
 fn work_that_cannot_be_done_in_time_is_rejected_at_once_if_hints_tell_it() {
     // Found on tunis-intake: long work was run on slow nodes, always late, with half of all benefit in it.
