--- a/src/logic.rs
+++ b/src/logic.rs
@@ -36,6 +36,9 @@
 const NEWEST: f32 = 0.1;
 /// Weight of the newest run in what hints tell.
 const HINT_NEWEST: f32 = 0.03;
+/// Spread of hints that the line begins with, flat, as a share of the first hint squared: two runs alone could
+/// make any line.
+const HINT_DOUBT: f32 = 0.1;
 /// Share of its SLO time that an exchange may wait unread and queued, as one rejected later has no time left
 /// elsewhere; and again at a call that may be left out.
 const QUEUE_SHARE: f32 = 0.33;
@@ -327,8 +330,8 @@
         self.st.strain += STRAIN_NEWEST * (f32::from(rejected || unread > READ_LATE) - self.st.strain);
         self.st.read_late += NEWEST * (f32::from(unread > QUEUE_SHARE) - self.st.read_late);
         // It may still be done in time by a quicker node, and says nothing of the load.
-        let hopeless =
-            group.late_share <= 0.0 && self.st.now + self.expected(ex.group as usize, work) > new.slo_by;
+        let ends = self.st.now.saturating_add(self.expected(ex.group as usize, work));
+        let hopeless = group.late_share <= 0.0 && ends > new.slo_by;
         if rejected || hopeless || ex.held_back.is_some() {
             let wait = ex.held_back.unwrap_or(0);
             let strained = (rejected || ex.held_back.is_some()) && self.st.strain > STRAIN_BORNE;
@@ -832,7 +835,7 @@
 impl Hints {
     fn learn(&mut self, hint: f32, took: f32) {
         if self.hint <= 0.0 {
-            (self.hint, self.took) = (hint, took);
+            (self.hint, self.took, self.variance) = (hint, took, HINT_DOUBT * hint * hint);
         }
         let (by, late) = (hint - self.hint, took - self.took);
         self.hint += HINT_NEWEST * by;
--- a/tests/cases.rs
+++ b/tests/cases.rs
@@ -205,6 +205,9 @@
     // Runs that all take long beside what they work: little of it follows from the hint.
     let fixed = || (0..200).map(|n| ((100 + n % 7 * 30) * MS, (600 + n % 7 * 30) * MS));
     assert!(!rejects_after(fixed(), 700 * MS), "1.2 s, though 3 s at the pace of the mean");
+    // Two runs alone, and hints of a like that leave no room for numbers.
+    assert!(!rejects_after([(100 * MS, 200 * MS), (101 * MS, 900 * MS)].into_iter(), 300 * MS));
+    assert!(!rejects_after([(1, 200 * MS), (1, 201 * MS)].into_iter(), Tenths::from(u32::MAX)));
     // Hints that tell nothing.
     let rough = || (0..200).map(|n| ((100 + n % 7 * 30) * MS, (300 + n % 5 * 30) * MS));
     assert!(!rejects_after(rough(), 2000 * MS));
