--- a/src/logic.rs
+++ b/src/logic.rs
@@ -36,8 +36,8 @@
 const NEWEST: f32 = 0.1;
 /// Weight of the newest run in what hints tell.
 const HINT_NEWEST: f32 = 0.03;
-/// Spread of hints that the line begins with, flat, as a share of the first hint squared: two runs alone could
-/// make any line.
+/// Spread of hints that the line begins with, flat, as a share of the first hint squared: two runs alone
+/// could make any line.
 const HINT_DOUBT: f32 = 0.1;
 /// Share of its SLO time that an exchange may wait unread and queued, as one rejected later has no time left
 /// elsewhere; and again at a call that may be left out.
