--- a/node/tests/node/instants.rs
+++ b/node/tests/node/instants.rs
@@ -5,7 +5,8 @@
 use std::os::unix::fs::PermissionsExt;
 use std::time::Duration;
 
-use doortrack_standins::bed::{Plan, fresh_address};
+use doortrack_standins::bed::{Bed, Plan, fresh_address};
+use doortrack_standins::engine::Engine;
 use doortrack_standins::records::{Client, IDEMPOTENCY_KEY, record, request};
 use doortrack_standins::{try_id, unix_ms};
 use serde_json::{Value, json};
@@ -148,16 +149,22 @@
     assert_eq!(bed.end().0, Some(0));
 }
 
-#[test]
-fn a_deduplicated_run_that_may_have_arrived_is_not_sent_again() {
-    let (bed, mut engine) = up();
-    let mut client = bed.client();
+/// A deduplicated exchange is asked for, and the link breaks behind its RUN: the next link.
+fn loses_the_link_over_a_run(bed: &Bed, mut engine: Engine, client: &mut Client) -> Engine {
     engine.readings(1);
     client.send(&request(1, 1, "/svc/pay", &[IDEMPOTENCY_KEY], b""));
     while engine.line()["msg"] != "RUN" {}
     drop(engine);
     let mut engine = bed.link();
     engine.hello(0);
+    engine
+}
+
+#[test]
+fn a_deduplicated_run_that_may_have_arrived_is_not_sent_again() {
+    let (bed, engine) = up();
+    let mut client = bed.client();
+    let mut engine = loses_the_link_over_a_run(&bed, engine, &mut client);
     engine.readings(3);
     client.look(2, 2);
     assert_eq!(engine.run().0, try_id(2), "what may run was sent again");
@@ -167,14 +174,9 @@
 
 #[test]
 fn a_deduplicated_run_that_never_arrived_is_answered_in_time_and_a_later_try_runs() {
-    let (bed, mut engine) = up_with(|config| config["settings"]["lanes"][1]["deadline"] = json!(1_000_000));
+    let (bed, engine) = up_with(|config| config["settings"]["lanes"][1]["deadline"] = json!(1_000_000));
     let mut client = bed.client();
-    engine.readings(1);
-    client.send(&request(1, 1, "/svc/pay", &[IDEMPOTENCY_KEY], b""));
-    while engine.line()["msg"] != "RUN" {}
-    drop(engine);
-    let mut engine = bed.link();
-    engine.hello(0);
+    let mut engine = loses_the_link_over_a_run(&bed, engine, &mut client);
     assert_eq!(engine.command(), json!({"msg": "HALT", "call": try_id(1)}));
     assert_eq!(client.reply().status, 500, "whether it ran is not known");
     // The engine may know nothing of it, or keep silent; to a RUN it has to say what became of it.
--- a/tests/cases.rs
+++ b/tests/cases.rs
@@ -213,6 +213,14 @@
     assert!(!rejects_after(rough(), 2000 * MS));
 }
 
+/// Takes in so many of this key, and has the gauge read busy from then on.
+fn fill(world: &mut World, key: u64, n: usize) {
+    (0..n).for_each(|_| _ = world.arrive(0, key, 0, None, 1.0));
+    world.step();
+    world.busy = 1.0;
+    world.pass(60 * MS);
+}
+
 /// Sends one exchange of this key; whether it was rejected.
 fn is_rejected(world: &mut World, key: u64) -> bool {
     let id = world.arrive(0, key, 0, None, 1.0);
@@ -232,10 +240,7 @@
     world.finish(established, RunOutcome::Completed);
     world.pass(10_000 * MS);
     // Of a customer without a share, up to past T1 = 15.
-    (0..16).for_each(|_| _ = world.arrive(0, 2, 0, None, 1.0));
-    world.step();
-    world.busy = 1.0;
-    world.pass(60 * MS);
+    fill(&mut world, 2, 16);
     let rejected = [(); 4].map(|()| is_rejected(&mut world, 6));
     assert_eq!(rejected, [false, false, false, true], "three are saved up, and C = 20 has room for a fourth");
 }
@@ -255,10 +260,7 @@
         }
     }
     world.pass(2000 * MS);
-    (0..10).for_each(|_| _ = world.arrive(0, 1, 0, None, 1.0));
-    world.step();
-    world.busy = 1.0;
-    world.pass(60 * MS);
+    fill(&mut world, 1, 10);
     assert!(is_rejected(&mut world, 4), "beyond the share itself, at load 10");
     assert!(!is_rejected(&mut world, 3), "within one: three run, and what is queued goes after it");
 }
