--- a/node/tests/node/instants.rs
+++ b/node/tests/node/instants.rs
@@ -5,7 +5,7 @@
 use std::os::unix::fs::PermissionsExt;
 use std::time::Duration;
 
-use doortrack_standins::bed::{Bed, Plan, fresh_address};
+use doortrack_standins::bed::{Bed, Plan, connect, fresh_address};
 use doortrack_standins::engine::Engine;
 use doortrack_standins::records::{Client, IDEMPOTENCY_KEY, record, request};
 use doortrack_standins::{try_id, unix_ms};
@@ -333,3 +333,23 @@
     assert_eq!(last.reply().status, 200);
     std::fs::remove_file(own).unwrap();
 }
+
+#[test]
+fn an_address_in_use_is_told_at_the_start_and_a_killed_node_comes_back_under_its_own() {
+    let (bed, _engine) = up();
+    let at = bed.at;
+    let again = || start(|config| config["listen"] = json!(at.to_string()));
+    let (code, log) = again().end();
+    assert_eq!(code, Some(1));
+    assert!(log.contains("config.listen") && log.contains(&at.to_string()), "{log}");
+    // Killed with a connection open, whose other end the system keeps for a while.
+    let mut client = bed.client();
+    client.send(&request(1, 1, "/status/live", &[], b""));
+    assert_eq!(client.reply().status, 200);
+    bed.signal("-KILL");
+    assert_eq!(bed.end().0, None);
+    let _back = again();
+    let mut client = Client { sock: connect(at) };
+    client.send(&request(1, 2, "/status/live", &[], b""));
+    assert_eq!(client.reply().status, 200);
+}
