Rig: the series that a scale run writes, one quantity of one role against one size

Need: several parts of the scale run are to write their figures in one form, so that slopes are fitted in one place. No behaviour, nothing measured.

--- a/rig/src/lib.rs
+++ b/rig/src/lib.rs
@@ -17,6 +17,7 @@
 mod links;
 pub mod processes;
 pub mod relay;
+pub mod scale;
 pub mod script;
 pub mod shrink;
 pub mod simulated;
--- /dev/null
+++ b/rig/src/scale.rs
@@ -0,0 +1,3 @@
+//! What a fleet costs as it grows: each quantity measured at several sizes, with the slope through them.
+
+pub mod series;
