Rig: scale run with hollow nodes, real nodes and voters; slopes by least squares

Need: the fleet is to grow to 770 nodes, and no figure told what control costs each node by size.

Change: 'doortrack-rig scale' plays one fleet for each size. Most of its nodes are hollow: the node's own link (Peers), codec, membership and budgets on sockets of their own, some hundred in one process and loop. Voters have a process each, real nodes serve callers beside them.

In the node: Peers::open is given its place at the poller, takes itself out of it when dropped, counts bytes that came in (also in the log's summary), and has a tap by which a rig drops datagrams and hears of losses.

--- a/node/src/peers/link.rs
+++ b/node/src/peers/link.rs
@@ -10,7 +10,7 @@
 
 use doortrack::Tenths;
 use doortrack_budgets::Who;
-use doortrack_fleet::{Action, Claim, Event, Fleet, Life, News, Stand};
+use doortrack_fleet::{Action, Claim, Event, Fleet, Life, Name, News, Stand};
 use doortrack_installation::{FleetFile, Installation, Orders};
 use polling::{Event as Ready, PollMode, Poller};
 use slog::{Logger, info, warn};
@@ -20,7 +20,8 @@
 use super::spoken::{Ask, BudgetPage, PAGE, Spoken, Status};
 use crate::parts::{Asked, PART_KEYS, Part, Ticket, Use};
 
-const KEY: usize = PART_KEYS.start;
+/// The poller's key of the link in a node's own loop.
+pub const KEY: usize = PART_KEYS.start;
 /// Datagrams read in one turn of the loop: a flood of them takes its turn like everything else.
 const TURN: usize = 64;
 /// Turns of the loop for which what is due waits for what lies unread: a flood must not stop it for good.
@@ -30,13 +31,31 @@
 
 /// What came and went.
 #[derive(Clone, Debug, Default)]
-struct Counts {
-    received: u64,
-    sent: u64,
-    sent_bytes: u64,
+pub struct Counts {
+    pub received: u64,
+    /// Without IP and UDP headers, like `sent_bytes`.
+    pub received_bytes: u64,
+    pub sent: u64,
+    pub sent_bytes: u64,
     /// Could not be sent, as the system had no room.
-    unsent: u64,
-    refused: BTreeMap<&'static str, u64>,
+    pub unsent: u64,
+    pub refused: BTreeMap<&'static str, u64>,
+}
+
+/// Where a link is told that it can read: several links of one process have a key each.
+#[derive(Clone, Copy)]
+pub struct Registration<'a> {
+    pub poller: &'a Arc<Poller>,
+    pub key: usize,
+}
+
+/// What a test rig puts between a link and its network.
+pub trait Tap {
+    /// Whether datagrams to and from this address pass.
+    fn passes(&self, other: SocketAddr) -> bool;
+
+    /// What this node has learned of its fleet.
+    fn learned(&mut self, news: &News);
 }
 
 /// The fleet's own time since `zero`; a test may have it gain.
@@ -49,6 +68,9 @@
 /// The link, with the decisions that it serves.
 pub struct Peers {
     sock: UdpSocket,
+    poller: Arc<Poller>,
+    key: usize,
+    tap: Option<Box<dyn Tap>>,
     log: Logger,
     /// The fleet's own time: it neither jumps nor stands still with the system's.
     zero: Instant,
@@ -77,14 +99,15 @@
         key: Option<[u8; 32]>,
         orders: &Orders,
         unix_ms: u64,
-        poller: &Arc<Poller>,
+        registration: Registration,
         log: Logger,
     ) -> Result<Peers, String> {
         let at = |e: std::io::Error| format!("installation.fleet.listen: {}: {e}", file.listen);
         let sock = UdpSocket::bind(file.listen).map_err(at)?;
         sock.set_nonblocking(true).map_err(at)?;
-        // SAFETY: the part keeps the socket as long as the poller.
-        unsafe { poller.add_with_mode(&sock, Ready::readable(KEY), PollMode::Level).map_err(at)? };
+        let Registration { poller, key: poller_key } = registration;
+        // SAFETY: the socket is taken out of the poller when the link is dropped.
+        unsafe { poller.add_with_mode(&sock, Ready::readable(poller_key), PollMode::Level).map_err(at)? };
         let chance = fastrand::u64(..);
         let weight = file.weight.unwrap_or(orders.handed.contract.cores).max(1);
         let me = Claim {
@@ -102,6 +125,9 @@
         let shares = shares.map(|shares| Rc::new(RefCell::new(shares)));
         let mut peers = Peers {
             sock,
+            poller: poller.clone(),
+            key: poller_key,
+            tap: None,
             log,
             zero,
             seal: Seal::new(key, &file.name),
@@ -118,6 +144,30 @@
         Ok(peers)
     }
 
+    /// Puts a rig's tap between this link and its network.
+    pub fn set_tap(&mut self, tap: Box<dyn Tap>) {
+        self.tap = Some(tap);
+    }
+
+    pub fn counts(&self) -> &Counts {
+        &self.counts
+    }
+
+    /// The decisions on who is there.
+    pub fn fleet(&self) -> &Fleet {
+        &self.fleet
+    }
+
+    /// The name of the node that lends the fleet's budgets, as far as this one knows.
+    pub fn leader(&self) -> Option<Name> {
+        let shares = self.shares.as_ref()?.borrow();
+        shares.budgets.keeper().map(|who| who.name.clone())
+    }
+
+    fn passes(&self, other: SocketAddr) -> bool {
+        self.tap.as_ref().is_none_or(|tap| tap.passes(other))
+    }
+
     fn now(&self) -> Tenths {
         now(self.zero, self.file.tests.drift_ppm)
     }
@@ -163,7 +213,11 @@
             // What an earlier datagram met on its way is told here, and means nothing for the next.
             Err(e) => return !matches!(e.kind(), ErrorKind::WouldBlock),
         };
+        if !self.passes(from) {
+            return true;
+        }
         self.counts.received += 1;
+        self.counts.received_bytes += len as u64;
         let opened = if len > LONGEST { Err(Refused::Unreadable) } else { self.seal.open(&bytes[..len]) };
         let now = self.now();
         match opened {
@@ -221,6 +275,9 @@
     }
 
     fn send(&mut self, to: SocketAddr, what: &Spoken) {
+        if !self.passes(to) {
+            return;
+        }
         let Some(whole) = self.seal.close(what) else {
             self.counts.unsent += 1;
             return;
@@ -241,6 +298,9 @@
                 Action::Send { to, datagram } => self.send(to, &Spoken::Fleet(*datagram)),
                 Action::Report(news) => {
                     self.log(&news);
+                    if let Some(tap) = &mut self.tap {
+                        tap.learned(&news);
+                    }
                     let displaced = matches!(news, News::Displaced { .. });
                     self.tell_shares(displaced.then_some(doortrack_budgets::Event::Displaced));
                 }
@@ -263,9 +323,15 @@
     }
 }
 
+impl Drop for Peers {
+    fn drop(&mut self) {
+        _ = self.poller.delete(&self.sock);
+    }
+}
+
 impl Part for Peers {
     fn key(&self) -> usize {
-        KEY
+        self.key
     }
 
     fn ready(&mut self) {
@@ -373,7 +439,7 @@
         let counts = &self.counts;
         info!(log, "so far of the fleet"; "view" => self.fleet.view().number,
             "members" => self.fleet.view().members.len(), "cut_off" => self.fleet.is_cut_off(),
-            "received" => counts.received, "sent" => counts.sent, "sent_bytes" => counts.sent_bytes,
+            "received" => counts.received, "received_bytes" => counts.received_bytes, "sent" => counts.sent, "sent_bytes" => counts.sent_bytes,
             "unsent" => counts.unsent, "refused" => slog::Serde(counts.refused.clone()),
             "out_of_place" => self.fleet.refused());
         if let Some(shares) = &self.shares {
--- a/node/src/peers/mod.rs
+++ b/node/src/peers/mod.rs
@@ -5,4 +5,4 @@
 pub mod shares;
 pub mod spoken;
 
-pub use link::Peers;
+pub use link::{Counts, KEY, Peers, Registration, Tap};
--- a/node/src/serve/start.rs
+++ b/node/src/serve/start.rs
@@ -19,7 +19,7 @@
 use crate::memory::exchanges::Exchanges;
 use crate::memory::results::Results;
 use crate::parts::Part;
-use crate::peers::Peers;
+use crate::peers::{KEY, Peers, Registration};
 use crate::wire::engine::Link;
 use crate::wire::fronts::Fronts;
 use crate::wire::registry::Registry;
@@ -67,7 +67,8 @@
     let folder = file.and_then(Path::parent).unwrap_or(Path::new(""));
     let key = fleet.key(folder).map_err(|faults| faults.to_string())?;
     let unix_ms = clock.now() / MS;
-    Ok(vec![Box::new(Peers::open(installation, fleet, key, orders, unix_ms, poller, log.clone())?)])
+    let registration = Registration { poller, key: KEY };
+    Ok(vec![Box::new(Peers::open(installation, fleet, key, orders, unix_ms, registration, log.clone())?)])
 }
 
 impl Node {
--- a/rig/src/main.rs
+++ b/rig/src/main.rs
@@ -5,6 +5,7 @@
 
 use clap::{Args, Parser, Subcommand};
 use doortrack_rig::checks::{Breach, judge, membership};
+use doortrack_rig::scale::command::{self, HollowArgs, ScaleArgs};
 use doortrack_rig::shrink::shrink;
 use doortrack_rig::simulated::{self, Ways};
 use doortrack_rig::{History, Script, processes, script};
@@ -47,6 +48,11 @@
     },
     /// Prints the JSON Schema of a script
     Schema,
+    /// Measures what a fleet costs by its size
+    Scale(ScaleArgs),
+    /// A process of hollow nodes, which `scale` starts
+    #[command(hide = true)]
+    Hollow(HollowArgs),
 }
 
 #[derive(Args)]
@@ -127,6 +133,8 @@
             println!("{}", script::schema());
             Ok(true)
         }
+        Command::Scale(args) => command::run(&args),
+        Command::Hollow(args) => command::run_hollow(&args).map(|()| true),
         Command::Judge { history } => {
             let kept = History::parse(&text(&history)?)?;
             Ok(verdict(&history.display().to_string(), &kept, &judge(&kept, &membership())))
--- /dev/null
+++ b/rig/src/scale/child.rs
@@ -0,0 +1,149 @@
+//! Processes of the rig's own, and what any process has used.
+
+use std::io::{self, BufRead, BufReader, Write};
+use std::ops::Range;
+use std::os::unix::process::CommandExt;
+use std::path::{Path, PathBuf};
+use std::process::{Child, ChildStdin, ChildStdout, Command, Stdio};
+use std::time::{Duration, Instant};
+
+use rustix::process::{Signal, set_parent_process_death_signal};
+use thiserror::Error;
+
+use super::protocol::{HollowCommand, HollowReply};
+
+/// What ends a play before its time.
+#[derive(Debug, Error)]
+pub enum ScaleError {
+    #[error("{what}: {source}")]
+    Io { what: String, source: io::Error },
+    #[error("process {pid}: {source}")]
+    Proc { pid: u32, source: procfs::ProcError },
+    #[error("hollow nodes {nodes:?}: {why}")]
+    Hollow { nodes: Range<usize>, why: String },
+    #[error("{0}")]
+    Play(String),
+}
+
+impl ScaleError {
+    /// For `map_err`, with what was tried.
+    pub fn io(what: impl ToString) -> impl FnOnce(io::Error) -> ScaleError {
+        let what = what.to_string();
+        move |source| ScaleError::Io { what, source }
+    }
+}
+
+/// Has the system kill a process when its parent ends, however that comes about.
+pub fn end_with_parent(command: &mut Command) {
+    let tie = || set_parent_process_death_signal(Some(Signal::KILL)).map_err(io::Error::from);
+    // SAFETY: one system call, no allocation and no lock between fork and exec.
+    unsafe { command.pre_exec(tie) };
+}
+
+/// What a process has used by a moment.
+#[derive(Clone, Copy, Debug)]
+pub struct Usage {
+    pub at: Instant,
+    /// User and system time of all threads, in steps of the system's tick (mostly 10 ms).
+    pub processor: Duration,
+    pub resident_kilobytes: u64,
+}
+
+/// Reads `/proc/PID/stat` and `/proc/PID/status`.
+///
+/// # Errors
+/// The process is gone.
+pub fn usage(pid: u32) -> Result<Usage, ScaleError> {
+    let wrap = |source| ScaleError::Proc { pid, source };
+    let process = procfs::process::Process::new(pid as i32).map_err(wrap)?;
+    let stat = process.stat().map_err(wrap)?;
+    let status = process.status().map_err(wrap)?;
+    let seconds = (stat.utime + stat.stime) as f64 / procfs::ticks_per_second() as f64;
+    let processor = Duration::from_secs_f64(seconds);
+    Ok(Usage { at: Instant::now(), processor, resident_kilobytes: status.vmrss.unwrap_or(0) })
+}
+
+/// A process of hollow nodes; ended when it is dropped.
+pub struct HollowProcess {
+    pub nodes: Range<usize>,
+    child: Child,
+    input: Option<ChildStdin>,
+    output: BufReader<ChildStdout>,
+}
+
+/// What a process of hollow nodes is started with.
+#[derive(Clone, Debug)]
+pub struct HollowProgram {
+    /// The rig's own program.
+    pub rig: PathBuf,
+    /// The plan as JSON.
+    pub plan_file: PathBuf,
+}
+
+impl HollowProcess {
+    /// Starts a process with the nodes of this range.
+    ///
+    /// # Errors
+    /// The program can't be started.
+    pub fn start(program: &HollowProgram, nodes: Range<usize>) -> Result<HollowProcess, ScaleError> {
+        let mut command = hollow_command(&program.rig, &program.plan_file, &nodes);
+        let mut child = command.spawn().map_err(ScaleError::io(program.rig.display()))?;
+        let (input, output) = (child.stdin.take(), child.stdout.take());
+        let no_pipe = || ScaleError::Hollow { nodes: nodes.clone(), why: "no pipe".into() };
+        let output = BufReader::new(output.ok_or_else(no_pipe)?);
+        Ok(HollowProcess { nodes, child, input, output })
+    }
+
+    pub fn pid(&self) -> u32 {
+        self.child.id()
+    }
+
+    /// Sends a command without waiting for its reply.
+    ///
+    /// # Errors
+    /// The process is gone.
+    pub fn send(&mut self, command: &HollowCommand) -> Result<(), ScaleError> {
+        let text = serde_json::to_string(command).map_err(|e| self.failed(e))?;
+        let input = self.input.as_mut();
+        let written = input.map_or(Err(io::ErrorKind::BrokenPipe.into()), |input| writeln!(input, "{text}"));
+        written.map_err(|e| self.failed(e))
+    }
+
+    /// Waits for the reply to the command that was sent first of those without one.
+    ///
+    /// # Errors
+    /// The process is gone, or could not do it.
+    pub fn receive(&mut self) -> Result<HollowReply, ScaleError> {
+        let mut line = String::new();
+        let len = self.output.read_line(&mut line).map_err(|e| self.failed(e))?;
+        if len == 0 {
+            return Err(self.failed("it has ended"));
+        }
+        match serde_json::from_str(&line).map_err(|e| self.failed(e))? {
+            HollowReply::Failed { why } => Err(self.failed(why)),
+            reply => Ok(reply),
+        }
+    }
+
+    fn failed(&self, why: impl ToString) -> ScaleError {
+        ScaleError::Hollow { nodes: self.nodes.clone(), why: why.to_string() }
+    }
+}
+
+impl Drop for HollowProcess {
+    fn drop(&mut self) {
+        self.input = None;
+        _ = self.child.kill();
+        _ = self.child.wait();
+    }
+}
+
+fn hollow_command(rig: &Path, plan_file: &Path, nodes: &Range<usize>) -> Command {
+    let mut command = Command::new(rig);
+    command.arg("hollow").arg("--plan").arg(plan_file);
+    command.arg("--from").arg(nodes.start.to_string());
+    command.arg("--to").arg(nodes.end.to_string());
+    command.stdin(Stdio::piped()).stdout(Stdio::piped());
+    end_with_parent(&mut command);
+    command
+}
--- /dev/null
+++ b/rig/src/scale/probe.rs
@@ -0,0 +1,61 @@
+//! Whether a node keeps serving: one caller that asks it again and again.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::thread::JoinHandle;
+use std::time::{Duration, Instant};
+
+use doortrack_standins::caller::{Ask, Seen};
+use doortrack_wire::Protocol;
+use serde::{Deserialize, Serialize};
+
+const REST: Duration = Duration::from_millis(20);
+
+/// What the caller came to.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Served {
+    pub asked: usize,
+    pub completed: usize,
+    /// The longest time from one completed answer to the next.
+    pub longest_gap_ms: u64,
+}
+
+/// A caller under way.
+pub struct Probe {
+    over: Arc<AtomicBool>,
+    caller: JoinHandle<Served>,
+}
+
+impl Probe {
+    pub fn start(front: SocketAddr) -> Probe {
+        let over = Arc::new(AtomicBool::new(false));
+        let until = over.clone();
+        let caller = std::thread::spawn(move || run(front, &until));
+        Probe { over, caller }
+    }
+
+    /// Ends the caller once it has its answer.
+    pub fn finish(self) -> Served {
+        self.over.store(true, Ordering::Relaxed);
+        self.caller.join().unwrap_or_default()
+    }
+}
+
+fn run(front: SocketAddr, over: &AtomicBool) -> Served {
+    let (mut served, mut last) = (Served::default(), Instant::now());
+    let mut nth = 7 << 56;
+    while !over.load(Ordering::Relaxed) {
+        nth += 1;
+        served.asked += 1;
+        let seen = Ask::new(nth, "/svc/look", b"berth").try_send(front, Protocol::FastCgi);
+        if matches!(seen.map(|pending| pending.seen()), Ok(Seen::Completed(_))) {
+            served.completed += 1;
+            served.longest_gap_ms = served.longest_gap_ms.max(last.elapsed().as_millis() as u64);
+            last = Instant::now();
+        }
+        std::thread::sleep(REST);
+    }
+    served.longest_gap_ms = served.longest_gap_ms.max(last.elapsed().as_millis() as u64);
+    served
+}
--- a/rig/src/scale/series.rs
+++ b/rig/src/scale/series.rs
@@ -12,6 +12,9 @@
     Voter,
     /// The elected leader of the budgets.
     Leader,
+    /// A node with its whole program, which serves callers meanwhile: its processor time and memory are for
+    /// both.
+    ServingNode,
     /// What a node spends on the callers that connect to it.
     Dispatcher,
 }
--- /dev/null
+++ b/rig/src/scale/sweep.rs
@@ -0,0 +1,201 @@
+//! One fleet for each size of a series: started, left to settle, measured for a window, ended.
+
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use indicatif::ProgressBar;
+use serde::{Deserialize, Serialize};
+
+use super::child::{ScaleError, Usage, usage};
+use super::fit::FittedSeries;
+use super::fleet::{Ports, Programs, RunningFleet};
+use super::measure::{Figure, LinkRates, figures, serving_figures};
+use super::plan::FleetPlan;
+use super::series::{Dimension, Point, Series};
+use crate::traffic::{Behind, Served, Traffic};
+
+/// What all plays of a run share.
+#[derive(Clone, Debug)]
+pub struct PlayTerms {
+    pub programs: Programs,
+    pub voters: usize,
+    pub real: usize,
+    pub callers: usize,
+    pub uses_per_second: u32,
+    pub start_spread: Duration,
+    /// Until all views agree and a leader is known.
+    pub agree_within: Duration,
+    pub settle: Duration,
+    pub window: Duration,
+}
+
+/// The size of one fleet.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Size {
+    pub nodes: usize,
+    pub budgets: usize,
+}
+
+/// What came of one fleet.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct PlayReport {
+    pub size: Size,
+    pub hollow: usize,
+    pub real: usize,
+    /// From the start of the processes until all views were the same and all knew one leader; none if that
+    /// did not come in time, and the figures are of a fleet that had not found together.
+    pub agreed_after_ms: Option<u64>,
+    pub window_ms: u64,
+    /// Before the window and after it.
+    pub leaders: [Option<String>; 2],
+    /// Datagrams of the whole machine that met a full receive buffer during the window.
+    pub receive_buffer_errors: u64,
+    /// Datagrams of hollow nodes and voters that the system did not take, and that were not listened to.
+    pub unsent: u64,
+    pub refused: u64,
+    /// What the stand-in callers of the real nodes came to, and each breach of the four rules in words.
+    pub asked: usize,
+    pub completed: usize,
+    pub broken_rules: Vec<String>,
+    pub figures: Vec<Figure>,
+}
+
+impl PlayTerms {
+    /// The plan of a fleet of this size.
+    pub fn plan(&self, size: Size, ports: &Ports) -> FleetPlan {
+        FleetPlan {
+            nodes: size.nodes,
+            voters: self.voters,
+            real: self.real,
+            budgets: size.budgets,
+            fleet_port: ports.fleet(),
+            front_port: ports.front(),
+            uses_per_second: self.uses_per_second,
+            start_spread_ms: self.start_spread.as_millis() as u64,
+        }
+    }
+}
+
+/// Plays a fleet of one size.
+///
+/// # Errors
+/// A process that can't be started, or that ended before its time.
+pub fn play(terms: &PlayTerms, size: Size, progress: &ProgressBar) -> Result<PlayReport, ScaleError> {
+    let ports = Ports::hold()?;
+    let behind = Behind::start();
+    let servers = behind.installation(behind.at())["servers"].clone();
+    let plan = terms.plan(size, &ports);
+    let label = format!("{} nodes, {} budgets", size.nodes, size.budgets);
+    progress.set_message(format!("{label}: start"));
+    let mut fleet = RunningFleet::start(&terms.programs, plan, &servers, |_| true)?;
+    let agreed = fleet.agree(size.nodes, terms.agree_within)?;
+    let fronts: Vec<SocketAddr> = fleet.real.iter().map(|real| real.front).collect();
+    let callers = if fronts.is_empty() { 0 } else { terms.callers };
+    let traffic = Traffic::start(callers, &fronts, size.nodes as u64);
+    progress.set_message(format!("{label}: settle"));
+    std::thread::sleep(terms.settle);
+    progress.set_message(format!("{label}: measure"));
+    let measured = measure(&mut fleet, terms.window);
+    let (served, broken_rules) = traffic.finish(&behind, &[]);
+    let measured = measured?;
+    Ok(report(&fleet, size, agreed, measured, served, broken_rules))
+}
+
+struct Measured {
+    window: Duration,
+    leaders: [Option<String>; 2],
+    receive_buffer_errors: u64,
+    unsent: u64,
+    refused: u64,
+    figures: Vec<Figure>,
+}
+
+fn measure(fleet: &mut RunningFleet, window: Duration) -> Result<Measured, ScaleError> {
+    let usages = |fleet: &RunningFleet| -> Result<Vec<Usage>, ScaleError> {
+        fleet.real.iter().map(|real| usage(real.pid())).collect()
+    };
+    let (errors_before, real_before) = (receive_buffer_errors(), usages(fleet)?);
+    let before = fleet.sample()?;
+    let began = Instant::now();
+    std::thread::sleep(window);
+    let after = fleet.sample()?;
+    let real_after = usages(fleet)?;
+    let leader =
+        |sample: &super::fleet::FleetSample| sample.nodes.first().and_then(|node| node.leader.clone());
+    let leaders = [leader(&before), leader(&after)];
+    let leads = leaders[1].as_deref().and_then(|name| fleet.plan.node_named(name));
+    let mut all = figures(&fleet.plan, &before, &after, leads);
+    let links = fleet.real.iter().filter_map(|real| {
+        let [(at, counts), (later, more)] = real.last_summaries()?;
+        Some(LinkRates::between(counts, more, later - at))
+    });
+    let links: Vec<LinkRates> = links.collect();
+    let pairs: Vec<(Usage, Usage)> = real_before.into_iter().zip(real_after).collect();
+    all.extend(serving_figures(&pairs, &links));
+    Ok(Measured {
+        window: began.elapsed(),
+        leaders,
+        receive_buffer_errors: receive_buffer_errors().saturating_sub(errors_before),
+        unsent: after.nodes.iter().map(|node| node.unsent).sum(),
+        refused: after.nodes.iter().map(|node| node.refused).sum(),
+        figures: all,
+    })
+}
+
+fn report(
+    fleet: &RunningFleet,
+    size: Size,
+    agreed: Option<Duration>,
+    measured: Measured,
+    served: Served,
+    broken_rules: Vec<String>,
+) -> PlayReport {
+    PlayReport {
+        size,
+        hollow: fleet.plan.hollow_nodes().len(),
+        real: fleet.real.len(),
+        agreed_after_ms: agreed.map(|span| span.as_millis() as u64),
+        window_ms: measured.window.as_millis() as u64,
+        leaders: measured.leaders,
+        receive_buffer_errors: measured.receive_buffer_errors,
+        unsent: measured.unsent,
+        refused: measured.refused,
+        asked: served.asked,
+        completed: served.completed,
+        broken_rules,
+        figures: measured.figures,
+    }
+}
+
+/// Of the whole machine since its start; 0 where the system does not tell.
+fn receive_buffer_errors() -> u64 {
+    procfs::net::snmp().map_or(0, |snmp| snmp.udp_rcvbuf_errors)
+}
+
+/// One series for each role and quantity of the plays, with the line through it, read at `wanted`.
+pub fn fitted(
+    plays: &[PlayReport],
+    dimension: Dimension,
+    held: &str,
+    size: impl Fn(Size) -> usize,
+    wanted: f64,
+) -> Vec<FittedSeries> {
+    let mut series: Vec<Series> = Vec::new();
+    for play in plays {
+        for figure in &play.figures {
+            let point = Point { size: size(play.size) as f64, value: figure.value };
+            let same = |one: &&mut Series| one.role == figure.role && one.quantity == figure.quantity;
+            match series.iter_mut().find(same) {
+                Some(one) => one.points.push(point),
+                None => series.push(Series {
+                    role: figure.role,
+                    quantity: figure.quantity,
+                    dimension,
+                    held: held.to_string(),
+                    points: vec![point],
+                }),
+            }
+        }
+    }
+    series.into_iter().map(|one| FittedSeries::of(one, Some(wanted))).collect()
+}
--- /dev/null
+++ b/rig/src/scale/table.rs
@@ -0,0 +1,84 @@
+//! Series and their lines as text.
+
+use comfy_table::presets::ASCII_MARKDOWN;
+use comfy_table::{CellAlignment, Table};
+use serde::Serialize;
+
+use super::fit::{Fit, FittedSeries, Projection};
+use super::series::Dimension;
+
+/// The name of a role, quantity or dimension, as it stands in the results.
+fn word(value: &impl Serialize) -> String {
+    let value = serde_json::to_value(value).ok();
+    value.as_ref().and_then(|value| value.as_str()).unwrap_or_default().to_string()
+}
+
+/// Four significant digits.
+pub fn number(value: f64) -> String {
+    if !value.is_finite() {
+        return "-".into();
+    }
+    let whole_digits = if value == 0.0 { 1 } else { value.abs().log10().floor() as i32 + 1 };
+    let decimals = (4 - whole_digits).clamp(0, 6) as usize;
+    format!("{value:.decimals$}")
+}
+
+/// One table for each dimension and what is held beside it, with a column for each size.
+pub fn text(all: &[FittedSeries]) -> String {
+    let mut groups: Vec<(Dimension, &str)> = Vec::new();
+    for one in all {
+        let group = (one.series.dimension, one.series.held.as_str());
+        if !groups.contains(&group) {
+            groups.push(group);
+        }
+    }
+    let tables = groups.into_iter().map(|(dimension, held)| {
+        let of_group = |one: &&FittedSeries| one.series.dimension == dimension && one.series.held == held;
+        let members: Vec<&FittedSeries> = all.iter().filter(of_group).collect();
+        format!("by {}, with {held}:\n{}\n", word(&dimension), table(&members))
+    });
+    tables.collect::<Vec<_>>().join("\n")
+}
+
+fn table(members: &[&FittedSeries]) -> Table {
+    let mut sizes: Vec<f64> =
+        members.iter().flat_map(|one| one.series.points.iter().map(|point| point.size)).collect();
+    sizes.sort_by(f64::total_cmp);
+    sizes.dedup();
+    let mut table = Table::new();
+    table.load_style(ASCII_MARKDOWN);
+    let mut header = vec!["role".to_string(), "quantity".to_string()];
+    header.extend(sizes.iter().map(|size| number(*size)));
+    header.extend(["at 0", "for each", "+-", "R2", "line says"].map(String::from));
+    table.set_header(header);
+    for one in members {
+        table.add_row(row(one, &sizes));
+    }
+    for column in table.column_iter_mut().skip(2) {
+        column.set_cell_alignment(CellAlignment::Right);
+    }
+    table
+}
+
+fn row(one: &FittedSeries, sizes: &[f64]) -> Vec<String> {
+    let mut row = vec![word(&one.series.role), word(&one.series.quantity)];
+    for size in sizes {
+        let values = one.series.points.iter().filter(|point| point.size == *size);
+        let values: Vec<String> = values.map(|point| number(point.value)).collect();
+        row.push(if values.is_empty() { "-".into() } else { values.join(", ") });
+    }
+    row.extend(fit_cells(one.fit.as_ref()));
+    row.push(one.projection.as_ref().map_or("-".into(), projection_cell));
+    row
+}
+
+fn fit_cells(fit: Option<&Fit>) -> [String; 4] {
+    let Some(fit) = fit else { return std::array::from_fn(|_| "-".into()) };
+    let r_squared = format!("{:.3}", fit.r_squared);
+    [number(fit.intercept), number(fit.slope), number(fit.slope_standard_error), r_squared]
+}
+
+fn projection_cell(projection: &Projection) -> String {
+    let how = if projection.extrapolated { "extrapolated" } else { "within" };
+    format!("{} at {} ({how})", number(projection.value), number(projection.size))
+}
