Rig: requests of the scale run name a tenant; faults tell when losses and rejections came

Cause: with more than one budget the nodes know tenants, and a request that names none is answered 400 (node/src/wire/request.rs, Names::customer): of 1,494 exchanges of a trial with 10 budgets none was completed, and nothing told so.

--- a/rig/src/scale/added.rs
+++ b/rig/src/scale/added.rs
@@ -17,6 +17,7 @@
 use super::child::{ScaleError, Usage, usage};
 use super::fleet::{Ports, RunningFleet};
 use super::measure::core_thousandths;
+use super::plan::{CALLERS_TENANT, TENANT_FIELD};
 use super::sweep::{PlayTerms, Size};
 
 /// Connections that a node keeps to the server behind it.
@@ -191,7 +192,7 @@
 
 /// Microseconds from before the connection to the end of the answer; none if it was not completed.
 fn time_one(front: SocketAddr, nth: u64) -> Option<f64> {
-    let ask = Ask::new(nth, "/svc/look", b"berth");
+    let ask = Ask::new(nth, "/svc/look", b"berth").with(TENANT_FIELD, CALLERS_TENANT);
     let began = Instant::now();
     let seen = ask.try_send(front, Protocol::FastCgi).ok()?.seen();
     let took = began.elapsed().as_secs_f64() * 1e6;
--- a/rig/src/scale/faults.rs
+++ b/rig/src/scale/faults.rs
@@ -12,6 +12,7 @@
 use super::child::ScaleError;
 use super::fleet::{Ports, RunningFleet};
 use super::losses::{Outage, wrongly_lost};
+use super::plan::CALLERS_TENANT;
 use super::probe::{Probe, Served};
 use super::protocol::{HollowCommand, HollowReply, Loss};
 use super::sweep::{PlayTerms, Size};
@@ -61,6 +62,8 @@
 pub struct FaultReport {
     pub size: Size,
     pub agreed_after_ms: Option<u64>,
+    /// When the processes were started; `at_ms` of events count from here.
+    pub began_unix_ms: u64,
     pub events: Vec<FaultEvent>,
     /// Losses that were seen by hollow nodes and voters, and those of them that nothing explains.
     pub losses: usize,
@@ -78,6 +81,7 @@
     fleet: RunningFleet,
     progress: &'a ProgressBar,
     began: Instant,
+    began_unix_ms: u64,
     down: BTreeSet<usize>,
     /// The nodes of the region that is parted from the others.
     parted: BTreeSet<usize>,
@@ -110,6 +114,7 @@
         fleet,
         progress,
         began: Instant::now(),
+        began_unix_ms: unix_ms(),
         down: BTreeSet::new(),
         parted: BTreeSet::new(),
         outages: Vec::new(),
@@ -125,7 +130,8 @@
     play.take_losses()?;
     play.losses.clear();
     let fronts: Vec<SocketAddr> = play.fleet.real.iter().map(|real| real.front).collect();
-    let traffic = Traffic::start(if fronts.is_empty() { 0 } else { terms.callers }, &fronts, 1);
+    let callers = if fronts.is_empty() { 0 } else { terms.callers };
+    let traffic = Traffic::start_for(Some(CALLERS_TENANT), callers, &fronts, 1);
     let probe = fronts.last().map(|front| Probe::start(*front));
     let played = play.all(parted_for);
     let never_killed = probe.map(Probe::finish);
@@ -135,6 +141,7 @@
     Ok(FaultReport {
         size,
         agreed_after_ms: agreed.map(|span| span.as_millis() as u64),
+        began_unix_ms: play.began_unix_ms,
         events: play.events,
         losses: play.losses.len(),
         wrongly_lost,
@@ -325,7 +332,7 @@
             "real nodes: {} asked, {} completed, {} asked of killed ones",
             self.asked, self.completed, self.unanswered_by_killed
         );
-        if let Some(served) = self.never_killed {
+        if let Some(served) = &self.never_killed {
             text += &format!(
                 "\none that was never killed: {} asked, {} completed, longest gap {} ms",
                 served.asked, served.completed, served.longest_gap_ms
@@ -339,8 +346,15 @@
         let mut faults: Vec<String> = Vec::new();
         let late = self.events.iter().filter(|event| event.known_after_ms.is_none());
         faults.extend(late.map(|event| format!("{:?} at {} ms: not known to all", event.kind, event.at_ms)));
-        let wrong = self.wrongly_lost.iter();
-        faults.extend(wrong.map(|loss| format!("node {} declared {} lost, which lived", loss.by, loss.name)));
+        if let Some(first) = self.wrongly_lost.first() {
+            let at_ms = first.unix_ms.saturating_sub(self.began_unix_ms);
+            faults.push(format!(
+                "{} losses of nodes that lived; the first: node {} declared {} lost at {at_ms} ms",
+                self.wrongly_lost.len(),
+                first.by,
+                first.name
+            ));
+        }
         faults.extend(self.broken_rules.iter().cloned());
         faults
     }
--- a/rig/src/scale/plan.rs
+++ b/rig/src/scale/plan.rs
@@ -15,6 +15,10 @@
 /// Wholes so great that no load is rejected, with a burst that leaves every node a share.
 const BUDGET_WHOLE: u32 = 1_000_000;
 const TENANT_ALLOWANCE_PER_SECOND: f64 = 1_000.0;
+/// The tenant on whose behalf the stand-in callers ask; nodes with one budget know none and disregard it.
+pub const CALLERS_TENANT: &str = "tenant-0000";
+/// The field of a request that names its tenant.
+pub const TENANT_FIELD: &str = "HTTP_X_TENANT";
 /// From SIGTERM to a real node's stop.
 const STOP_MS: u64 = 1_000;
 /// The first two bytes of all addresses.
--- a/rig/src/scale/probe.rs
+++ b/rig/src/scale/probe.rs
@@ -7,18 +7,33 @@
 use std::time::{Duration, Instant};
 
 use doortrack_standins::caller::{Ask, Seen};
+use doortrack_standins::unix_ms;
 use doortrack_wire::Protocol;
 use serde::{Deserialize, Serialize};
 
+use super::plan::{CALLERS_TENANT, TENANT_FIELD};
+
 const REST: Duration = Duration::from_millis(20);
 
+/// Exchanges without a completed answer that are told one by one.
+const MOST_TOLD: usize = 200;
+
+/// One exchange that was not completed.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct NotCompleted {
+    pub unix_ms: u64,
+    pub what: String,
+}
+
 /// What the caller came to.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Served {
     pub asked: usize,
     pub completed: usize,
     /// The longest time from one completed answer to the next.
     pub longest_gap_ms: u64,
+    /// The first of those that were not completed.
+    pub not_completed: Vec<NotCompleted>,
 }
 
 /// A caller under way.
@@ -48,11 +63,18 @@
     while !over.load(Ordering::Relaxed) {
         nth += 1;
         served.asked += 1;
-        let seen = Ask::new(nth, "/svc/look", b"berth").try_send(front, Protocol::FastCgi);
-        if matches!(seen.map(|pending| pending.seen()), Ok(Seen::Completed(_))) {
-            served.completed += 1;
-            served.longest_gap_ms = served.longest_gap_ms.max(last.elapsed().as_millis() as u64);
-            last = Instant::now();
+        let unix_ms = unix_ms();
+        let ask = Ask::new(nth, "/svc/look", b"berth").with(TENANT_FIELD, CALLERS_TENANT);
+        match ask.try_send(front, Protocol::FastCgi).map(|pending| pending.seen()) {
+            Ok(Seen::Completed(_)) => {
+                served.completed += 1;
+                served.longest_gap_ms = served.longest_gap_ms.max(last.elapsed().as_millis() as u64);
+                last = Instant::now();
+            }
+            other if served.not_completed.len() < MOST_TOLD => {
+                served.not_completed.push(NotCompleted { unix_ms, what: format!("{other:?}") });
+            }
+            _ => {}
         }
         std::thread::sleep(REST);
     }
--- a/rig/src/scale/sweep.rs
+++ b/rig/src/scale/sweep.rs
@@ -10,7 +10,7 @@
 use super::fit::FittedSeries;
 use super::fleet::{Ports, Programs, RunningFleet};
 use super::measure::{Figure, LinkRates, figures, serving_figures};
-use super::plan::FleetPlan;
+use super::plan::{CALLERS_TENANT, FleetPlan};
 use super::series::{Dimension, Point, Series};
 use crate::traffic::{Behind, Served, Traffic};
 
@@ -91,7 +91,7 @@
     let agreed = fleet.agree(size.nodes, terms.agree_within)?;
     let fronts: Vec<SocketAddr> = fleet.real.iter().map(|real| real.front).collect();
     let callers = if fronts.is_empty() { 0 } else { terms.callers };
-    let traffic = Traffic::start(callers, &fronts, size.nodes as u64);
+    let traffic = Traffic::start_for(Some(CALLERS_TENANT), callers, &fronts, size.nodes as u64);
     progress.set_message(format!("{label}: settle"));
     std::thread::sleep(terms.settle);
     progress.set_message(format!("{label}: measure"));
--- a/rig/src/traffic.rs
+++ b/rig/src/traffic.rs
@@ -76,6 +76,8 @@
     nth: u64,
     chance: fastrand::Rng,
     fronts: Vec<SocketAddr>,
+    /// Named in each request, where the nodes know customers.
+    tenant: Option<&'static str>,
     /// With the front that was asked.
     tried: Vec<(SocketAddr, Tried)>,
 }
@@ -98,6 +100,7 @@
         let script = if key.is_some() { "/svc/pay" } else { "/svc/look" };
         let ask = Ask::new(self.nth, script, b"berth");
         let ask = key.map_or(ask.clone(), |key| ask.with("HTTP_IDEMPOTENCY_KEY", key));
+        let ask = self.tenant.map_or(ask.clone(), |tenant| ask.with("HTTP_X_TENANT", tenant));
         let sent = unix_ms();
         let seen = ask.try_send(front, Protocol::FastCgi).ok()?.seen();
         let told = Some((seen.clone(), unix_ms()));
@@ -127,12 +130,23 @@
 impl Traffic {
     /// So many callers, each of which asks all of these fronts.
     pub fn start(callers: usize, fronts: &[SocketAddr], seed: u64) -> Traffic {
+        Traffic::start_for(None, callers, fronts, seed)
+    }
+
+    /// As [`Traffic::start`], on behalf of a customer that the nodes know.
+    pub fn start_for(
+        tenant: Option<&'static str>,
+        callers: usize,
+        fronts: &[SocketAddr],
+        seed: u64,
+    ) -> Traffic {
         let over = Arc::new(AtomicBool::new(false));
         let callers = (0..callers as u64).map(|place| {
             let caller = Caller {
                 nth: (place + 1) << 32,
                 chance: fastrand::Rng::with_seed(seed ^ (place << 7)),
                 fronts: fronts.to_vec(),
+                tenant,
                 tried: Vec::new(),
             };
             let over = over.clone();
