Rig: a fleet of the scale run is measured once its traffic stays the same

Change: two spans of 2 s whose traffic differs by under a twentieth end the wait (scale/settle.rs); a window that began without them is told as a fault, and real nodes' figures are of a span that began in the calm fleet.

--- a/rig/src/scale.rs
+++ b/rig/src/scale.rs
@@ -9,6 +9,7 @@
 pub mod added;
 pub mod child;
 pub mod command;
+pub mod fault_report;
 pub mod faults;
 pub mod fit;
 pub mod fleet;
@@ -20,6 +21,7 @@
 pub mod protocol;
 pub mod series;
 pub mod serving;
+pub mod settle;
 pub mod sweep;
 pub mod table;
 pub mod watchdog;
--- a/rig/src/scale/added.rs
+++ b/rig/src/scale/added.rs
@@ -18,6 +18,7 @@
 use super::fleet::{Ports, RunningFleet};
 use super::measure::core_thousandths;
 use super::plan::{CALLERS_TENANT, TENANT_FIELD};
+use super::settle::settle;
 use super::sweep::{PlayTerms, Size};
 
 /// Connections that a node keeps to the server behind it.
@@ -102,7 +103,7 @@
     let members = fleet.members();
     let agreed = fleet.agree(members, terms.agree_within)?;
     progress.set_message("settle");
-    std::thread::sleep(terms.settle);
+    settle(&mut fleet, terms.settle)?;
     progress.set_message("time requests");
     let fronts = |in_fleet: bool| -> Vec<SocketAddr> {
         fleet.real.iter().filter(|real| real.in_fleet == in_fleet).map(|real| real.front).collect()
--- a/rig/src/scale/command.rs
+++ b/rig/src/scale/command.rs
@@ -9,12 +9,14 @@
 
 use super::added::{self, AddedReport};
 use super::child::ScaleError;
-use super::faults::{self, FaultReport};
+use super::fault_report::FaultReport;
+use super::faults;
 use super::fit::FittedSeries;
 use super::fleet::Programs;
 use super::hollow;
 use super::plan::FleetPlan;
 use super::series::Dimension;
+use super::settle::SettleTerms;
 use super::sweep::{PlayReport, PlayTerms, Size, fitted, play};
 use super::table;
 use super::watchdog::Watchdog;
@@ -76,9 +78,12 @@
     /// How long all views are waited for to agree
     #[arg(long, default_value_t = 25.0, value_name = "SECONDS")]
     agree_within: f64,
-    /// From then on to the window
-    #[arg(long, default_value_t = 8.0, value_name = "SECONDS")]
+    /// From then on, at the least, until the fleet's traffic is looked at
+    #[arg(long, default_value_t = 5.0, value_name = "SECONDS")]
     settle: f64,
+    /// How long it is waited for to stay the same
+    #[arg(long, default_value_t = 35.0, value_name = "SECONDS")]
+    settle_most: f64,
     /// In which is measured
     #[arg(long, default_value_t = 10.0, value_name = "SECONDS")]
     window: f64,
@@ -156,6 +161,9 @@
     if play.agreed_after_ms.is_none() {
         faults.push(format!("{of}: views did not agree before the window"));
     }
+    if !play.calm {
+        faults.push(format!("{of}: traffic still changed when the window began"));
+    }
     if play.leaders[0] != play.leaders[1] {
         faults.push(format!("{of}: the leader changed in the window: {:?}", play.leaders));
     }
@@ -194,7 +202,10 @@
             uses_per_second: self.uses_per_second,
             start_spread: Duration::from_secs_f64(self.start_spread),
             agree_within: Duration::from_secs_f64(self.agree_within),
-            settle: Duration::from_secs_f64(self.settle),
+            settle: SettleTerms {
+                least: Duration::from_secs_f64(self.settle),
+                most: Duration::from_secs_f64(self.settle_most),
+            },
             window: Duration::from_secs_f64(self.window),
         })
     }
--- /dev/null
+++ b/rig/src/scale/fault_report.rs
@@ -0,0 +1,99 @@
+//! What a play of faults came to, and how it is told.
+
+use serde::{Deserialize, Serialize};
+
+use super::probe::Served;
+use super::protocol::Loss;
+use super::sweep::Size;
+
+/// What happened to the fleet.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum FaultKind {
+    HollowKilled,
+    RealKilled,
+    LeaderKilled,
+    Returned,
+    /// Killed, and started anew at once.
+    Restarted,
+    RackKilled,
+    RackReturned,
+    ZoneKilled,
+    ZoneReturned,
+    RegionsParted,
+    RegionsJoined,
+}
+
+/// One fault, and when all knew.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct FaultEvent {
+    pub kind: FaultKind,
+    pub nodes: usize,
+    pub at_ms: u64,
+    /// Until all live views were the same and right; none if not within 20 s.
+    pub known_after_ms: Option<u64>,
+}
+
+/// What came of a play.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct FaultReport {
+    pub size: Size,
+    pub agreed_after_ms: Option<u64>,
+    /// When the processes were started; `at_ms` of events count from here.
+    pub began_unix_ms: u64,
+    pub events: Vec<FaultEvent>,
+    /// Losses that were seen by hollow nodes and voters, and those of them that nothing explains.
+    pub losses: usize,
+    pub wrongly_lost: Vec<Loss>,
+    /// Of one real node that was never killed.
+    pub never_killed: Option<Served>,
+    /// Of all real nodes.
+    pub asked: usize,
+    pub completed: usize,
+    pub unanswered_by_killed: usize,
+    pub broken_rules: Vec<String>,
+}
+
+impl FaultReport {
+    /// For a reader: one line for each event.
+    pub fn text(&self) -> String {
+        let line = |event: &FaultEvent| {
+            let known = event.known_after_ms.map_or("not in time".into(), |ms| format!("{ms} ms"));
+            format!(
+                "{:>7} ms  {:?}, {} nodes: known to all after {known}\n",
+                event.at_ms, event.kind, event.nodes
+            )
+        };
+        let mut text: String = self.events.iter().map(line).collect();
+        text += &format!("losses told: {}, of nodes that lived: {}\n", self.losses, self.wrongly_lost.len());
+        text += &format!(
+            "real nodes: {} asked, {} completed, {} asked of killed ones",
+            self.asked, self.completed, self.unanswered_by_killed
+        );
+        if let Some(served) = &self.never_killed {
+            text += &format!(
+                "\none that was never killed: {} asked, {} completed, longest gap {} ms",
+                served.asked, served.completed, served.longest_gap_ms
+            );
+        }
+        text
+    }
+
+    /// What broke a promise.
+    pub fn faults(&self) -> Vec<String> {
+        let mut faults: Vec<String> = Vec::new();
+        let late = self.events.iter().filter(|event| event.known_after_ms.is_none());
+        faults.extend(late.map(|event| format!("{:?} at {} ms: not known to all", event.kind, event.at_ms)));
+        if let Some(first) = self.wrongly_lost.first() {
+            let at_ms = first.unix_ms.saturating_sub(self.began_unix_ms);
+            faults.push(format!(
+                "{} losses of nodes that lived; the first: node {} declared {} lost at {at_ms} ms",
+                self.wrongly_lost.len(),
+                first.by,
+                first.name
+            ));
+        }
+        faults.extend(self.broken_rules.iter().cloned());
+        faults
+    }
+}
--- a/rig/src/scale/faults.rs
+++ b/rig/src/scale/faults.rs
@@ -7,14 +7,15 @@
 
 use doortrack_standins::unix_ms;
 use indicatif::ProgressBar;
-use serde::{Deserialize, Serialize};
 
 use super::child::ScaleError;
+use super::fault_report::{FaultEvent, FaultKind, FaultReport};
 use super::fleet::{Ports, RunningFleet};
 use super::losses::{Outage, wrongly_lost};
 use super::plan::CALLERS_TENANT;
-use super::probe::{Probe, Served};
+use super::probe::Probe;
 use super::protocol::{HollowCommand, HollowReply, Loss};
+use super::settle::settle;
 use super::sweep::{PlayTerms, Size};
 use crate::traffic::{Behind, Death, Traffic};
 
@@ -29,54 +30,6 @@
 const PATIENCE: Duration = Duration::from_secs(20);
 const LOOK_EVERY: Duration = Duration::from_millis(50);
 
-/// What happened to the fleet.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(rename_all = "snake_case")]
-pub enum FaultKind {
-    HollowKilled,
-    RealKilled,
-    LeaderKilled,
-    Returned,
-    /// Killed, and started anew at once.
-    Restarted,
-    RackKilled,
-    RackReturned,
-    ZoneKilled,
-    ZoneReturned,
-    RegionsParted,
-    RegionsJoined,
-}
-
-/// One fault, and when all knew.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct FaultEvent {
-    pub kind: FaultKind,
-    pub nodes: usize,
-    pub at_ms: u64,
-    /// Until all live views were the same and right; none if not within 20 s.
-    pub known_after_ms: Option<u64>,
-}
-
-/// What came of a play.
-#[derive(Clone, Debug, Serialize, Deserialize)]
-pub struct FaultReport {
-    pub size: Size,
-    pub agreed_after_ms: Option<u64>,
-    /// When the processes were started; `at_ms` of events count from here.
-    pub began_unix_ms: u64,
-    pub events: Vec<FaultEvent>,
-    /// Losses that were seen by hollow nodes and voters, and those of them that nothing explains.
-    pub losses: usize,
-    pub wrongly_lost: Vec<Loss>,
-    /// Of one real node that was never killed.
-    pub never_killed: Option<Served>,
-    /// Of all real nodes.
-    pub asked: usize,
-    pub completed: usize,
-    pub unanswered_by_killed: usize,
-    pub broken_rules: Vec<String>,
-}
-
 struct FaultPlay<'a> {
     fleet: RunningFleet,
     progress: &'a ProgressBar,
@@ -110,22 +63,9 @@
     let plan = terms.plan(size, &ports);
     let fresh = plan.hollow_nodes();
     let fleet = RunningFleet::start(&terms.programs, plan, &servers, |_| true)?;
-    let mut play = FaultPlay {
-        fleet,
-        progress,
-        began: Instant::now(),
-        began_unix_ms: unix_ms(),
-        down: BTreeSet::new(),
-        parted: BTreeSet::new(),
-        outages: Vec::new(),
-        events: Vec::new(),
-        deaths: Vec::new(),
-        losses: Vec::new(),
-        fresh,
-        restart_at: Instant::now() + RESTART_EVERY,
-    };
+    let mut play = FaultPlay::new(fleet, fresh, progress);
     let agreed = play.fleet.agree(size.nodes, terms.agree_within)?;
-    std::thread::sleep(terms.settle);
+    settle(&mut play.fleet, terms.settle)?;
     // What was lost while it found together is not of this play.
     play.take_losses()?;
     play.losses.clear();
@@ -154,6 +94,23 @@
 }
 
 impl FaultPlay<'_> {
+    fn new(fleet: RunningFleet, fresh: std::ops::Range<usize>, progress: &ProgressBar) -> FaultPlay<'_> {
+        FaultPlay {
+            fleet,
+            progress,
+            began: Instant::now(),
+            began_unix_ms: unix_ms(),
+            down: BTreeSet::new(),
+            parted: BTreeSet::new(),
+            outages: Vec::new(),
+            events: Vec::new(),
+            deaths: Vec::new(),
+            losses: Vec::new(),
+            fresh,
+            restart_at: Instant::now() + RESTART_EVERY,
+        }
+    }
+
     fn all(&mut self, parted_for: Duration) -> Result<(), ScaleError> {
         for nth in 0..KILLS {
             self.one_kill(nth)?;
@@ -315,47 +272,3 @@
         Ok(())
     }
 }
-
-impl FaultReport {
-    /// For a reader: one line for each event.
-    pub fn text(&self) -> String {
-        let line = |event: &FaultEvent| {
-            let known = event.known_after_ms.map_or("not in time".into(), |ms| format!("{ms} ms"));
-            format!(
-                "{:>7} ms  {:?}, {} nodes: known to all after {known}\n",
-                event.at_ms, event.kind, event.nodes
-            )
-        };
-        let mut text: String = self.events.iter().map(line).collect();
-        text += &format!("losses told: {}, of nodes that lived: {}\n", self.losses, self.wrongly_lost.len());
-        text += &format!(
-            "real nodes: {} asked, {} completed, {} asked of killed ones",
-            self.asked, self.completed, self.unanswered_by_killed
-        );
-        if let Some(served) = &self.never_killed {
-            text += &format!(
-                "\none that was never killed: {} asked, {} completed, longest gap {} ms",
-                served.asked, served.completed, served.longest_gap_ms
-            );
-        }
-        text
-    }
-
-    /// What broke a promise.
-    pub fn faults(&self) -> Vec<String> {
-        let mut faults: Vec<String> = Vec::new();
-        let late = self.events.iter().filter(|event| event.known_after_ms.is_none());
-        faults.extend(late.map(|event| format!("{:?} at {} ms: not known to all", event.kind, event.at_ms)));
-        if let Some(first) = self.wrongly_lost.first() {
-            let at_ms = first.unix_ms.saturating_sub(self.began_unix_ms);
-            faults.push(format!(
-                "{} losses of nodes that lived; the first: node {} declared {} lost at {at_ms} ms",
-                self.wrongly_lost.len(),
-                first.by,
-                first.name
-            ));
-        }
-        faults.extend(self.broken_rules.iter().cloned());
-        faults
-    }
-}
--- a/rig/src/scale/sweep.rs
+++ b/rig/src/scale/sweep.rs
@@ -8,12 +8,18 @@
 
 use super::child::{ScaleError, Usage, usage};
 use super::fit::FittedSeries;
-use super::fleet::{Ports, Programs, RunningFleet};
+use super::fleet::{FleetSample, Ports, Programs, RunningFleet};
 use super::measure::{Figure, LinkRates, figures, serving_figures};
 use super::plan::{CALLERS_TENANT, FleetPlan};
 use super::series::{Dimension, Point, Series};
+use super::serving::RealNode;
+use super::settle::{SettleTerms, Settled, settle};
 use crate::traffic::{Behind, Served, Traffic};
 
+/// A node writes its counters to the log so often; a little more is waited.
+const SUMMARY_EVERY: Duration = Duration::from_millis(10_500);
+const LOOK_EVERY: Duration = Duration::from_millis(100);
+
 /// What all plays of a run share.
 #[derive(Clone, Debug)]
 pub struct PlayTerms {
@@ -25,7 +31,7 @@
     pub start_spread: Duration,
     /// Until all views agree and a leader is known.
     pub agree_within: Duration,
-    pub settle: Duration,
+    pub settle: SettleTerms,
     pub window: Duration,
 }
 
@@ -45,6 +51,8 @@
     /// From the start of the processes until all views were the same and all knew one leader; none if that
     /// did not come in time, and the figures are of a fleet that had not found together.
     pub agreed_after_ms: Option<u64>,
+    /// Whether its traffic stayed the same before the window.
+    pub calm: bool,
     pub window_ms: u64,
     /// Before the window and after it.
     pub leaders: [Option<String>; 2],
@@ -93,15 +101,15 @@
     let callers = if fronts.is_empty() { 0 } else { terms.callers };
     let traffic = Traffic::start_for(Some(CALLERS_TENANT), callers, &fronts, size.nodes as u64);
     progress.set_message(format!("{label}: settle"));
-    std::thread::sleep(terms.settle);
+    let settled = settle(&mut fleet, terms.settle)?;
     progress.set_message(format!("{label}: measure"));
-    let measured = measure(&mut fleet, terms.window);
+    let measured = measure(&mut fleet, terms.window, settled);
     let (served, broken_rules) = traffic.finish(&behind, &[]);
-    let measured = measured?;
-    Ok(report(&fleet, size, agreed, measured, served, broken_rules))
+    Ok(report(&fleet, size, agreed, measured?, served, broken_rules))
 }
 
 struct Measured {
+    calm: bool,
     window: Duration,
     leaders: [Option<String>; 2],
     receive_buffer_errors: u64,
@@ -110,38 +118,55 @@
     figures: Vec<Figure>,
 }
 
-fn measure(fleet: &mut RunningFleet, window: Duration) -> Result<Measured, ScaleError> {
-    let usages = |fleet: &RunningFleet| -> Result<Vec<Usage>, ScaleError> {
-        fleet.real.iter().map(|real| usage(real.pid())).collect()
-    };
+fn measure(fleet: &mut RunningFleet, window: Duration, settled: Settled) -> Result<Measured, ScaleError> {
     let (errors_before, real_before) = (receive_buffer_errors(), usages(fleet)?);
     let before = fleet.sample()?;
     let began = Instant::now();
     std::thread::sleep(window);
     let after = fleet.sample()?;
+    let lasted = began.elapsed();
+    let errors = receive_buffer_errors().saturating_sub(errors_before);
     let real_after = usages(fleet)?;
-    let leader =
-        |sample: &super::fleet::FleetSample| sample.nodes.first().and_then(|node| node.leader.clone());
+    let leader = |sample: &FleetSample| sample.nodes.first().and_then(|node| node.leader.clone());
     let leaders = [leader(&before), leader(&after)];
     let leads = leaders[1].as_deref().and_then(|name| fleet.plan.node_named(name));
     let mut all = figures(&fleet.plan, &before, &after, leads);
-    let links = fleet.real.iter().filter_map(|real| {
-        let [(at, counts), (later, more)] = real.last_summaries()?;
-        Some(LinkRates::between(counts, more, later - at))
-    });
-    let links: Vec<LinkRates> = links.collect();
+    let links = real_links(fleet, settled);
     let pairs: Vec<(Usage, Usage)> = real_before.into_iter().zip(real_after).collect();
     all.extend(serving_figures(&pairs, &links));
     Ok(Measured {
-        window: began.elapsed(),
+        calm: settled.calm_since.is_some(),
+        window: lasted,
         leaders,
-        receive_buffer_errors: receive_buffer_errors().saturating_sub(errors_before),
+        receive_buffer_errors: errors,
         unsent: after.nodes.iter().map(|node| node.unsent).sum(),
         refused: after.nodes.iter().map(|node| node.refused).sum(),
         figures: all,
     })
 }
 
+fn usages(fleet: &RunningFleet) -> Result<Vec<Usage>, ScaleError> {
+    fleet.real.iter().map(|real| usage(real.pid())).collect()
+}
+
+/// Of each real node the last span between two lines of its log that began in the calm fleet; waits for the
+/// next line where there is none yet.
+fn real_links(fleet: &RunningFleet, settled: Settled) -> Vec<LinkRates> {
+    let Some(calm_since) = settled.calm_since else { return Vec::new() };
+    let until = Instant::now() + SUMMARY_EVERY;
+    let in_calm = |real: &RealNode| {
+        let [(at, counts), (later, more)] = real.last_summaries()?;
+        (at >= calm_since).then(|| LinkRates::between(counts, more, later - at))
+    };
+    loop {
+        let links: Vec<LinkRates> = fleet.real.iter().filter_map(in_calm).collect();
+        if links.len() == fleet.real.len() || Instant::now() > until {
+            return links;
+        }
+        std::thread::sleep(LOOK_EVERY);
+    }
+}
+
 fn report(
     fleet: &RunningFleet,
     size: Size,
@@ -155,6 +180,7 @@
         hollow: fleet.plan.hollow_nodes().len(),
         real: fleet.real.len(),
         agreed_after_ms: agreed.map(|span| span.as_millis() as u64),
+        calm: measured.calm,
         window_ms: measured.window.as_millis() as u64,
         leaders: measured.leaders,
         receive_buffer_errors: measured.receive_buffer_errors,
--- a/rig/tests/scale.rs
+++ b/rig/tests/scale.rs
@@ -14,6 +14,7 @@
 use doortrack_rig::scale::protocol::{HollowCommand, HollowReply, Loss};
 use doortrack_rig::scale::series::{Dimension, Point, Quantity, Role, Series};
 use doortrack_rig::scale::serving::{LinkCounts, link_counts};
+use doortrack_rig::scale::settle::is_calm;
 use doortrack_rig::scale::table::{number, text};
 use serde_json::Value;
 
@@ -89,6 +90,13 @@
     assert_eq!((quantile(&[7.0], 0.99), quantile(&[], 0.5)), (7.0, 0.0));
 }
 
+#[test]
+fn a_fleet_is_calm_once_two_rates_are_the_same() {
+    assert!(!is_calm(&[]) && !is_calm(&[100.0]));
+    assert!(!is_calm(&[100.0, 100.0, 80.0]) && !is_calm(&[80.0, 100.0]));
+    assert!(is_calm(&[500.0, 100.0, 95.0]) && is_calm(&[95.0, 97.0]));
+}
+
 #[test]
 fn counters_are_read_off_the_log_and_made_rates() {
     let line = r#"{"msg":"so far of the fleet","level":"INFO","received":40,"received_bytes":4000,"sent":20,
@@ -206,7 +214,18 @@
 fn a_run_ends_by_itself_and_writes_its_results() {
     let file = std::env::temp_dir().join(format!("doortrack-scale-test-{}.json", std::process::id()));
     let words = ["scale", "--real", "0", "--voters", "3", "--nodes", "12", "--budgets", "0"];
-    let more = ["--start-spread", "0.1", "--settle", "0.1", "--window", "0.5", "--agree-within", "60"];
+    let more = [
+        "--start-spread",
+        "0.1",
+        "--settle",
+        "0.1",
+        "--settle-most",
+        "1",
+        "--window",
+        "0.5",
+        "--agree-within",
+        "60",
+    ];
     let run = Command::new(RIG).args(words).args(more).arg("--json").arg(&file).output().unwrap();
     let said = String::from_utf8_lossy(&run.stdout).into_owned();
     let text = std::fs::read_to_string(&file).unwrap();
