--- a/bench/src/bin/budgets.rs
+++ b/bench/src/bin/budgets.rs
@@ -144,7 +144,7 @@
     {
         let out = run(9, 30_000, 0, vec![(15_000, Fault::Kill { nodes: vec![gone] })], &hungry, 0);
         let after = from_when(&out, 15_000, 0.93 * whole / 10.0, None);
-        println!("{who} dies ({} keepers in all): 93% of the whole in use again after {after}", out.keepers);
+        println!("{who} dies ({} leaders in all): 93% of the whole in use again after {after}", out.leaders);
     }
     let equal = |_: usize, _: u64| whole * 0.3;
     for nodes in [9, 30] {
@@ -167,7 +167,7 @@
         let each = |of: u64| of as f64 / nodes as f64 / 10.0;
         println!(
             "{nodes} nodes: {:.1} datagrams and {:.0} bytes a second sent by each, {:.0} bytes by the \
-             keeper; {:.0} ns an event; {:.3} used",
+             leader; {:.0} ns an event; {:.3} used",
             each(out.cost.datagrams),
             each(out.cost.bytes),
             out.most_bytes as f64 / 10.0,
--- a/budgets/src/account.rs
+++ b/budgets/src/account.rs
@@ -1,4 +1,4 @@
-//! What a keeper has lent, to whom and till when.
+//! What a leader has lent, to whom and till when.
 
 use std::collections::{BTreeMap, VecDeque};
 
@@ -102,7 +102,7 @@
     }
 
     /// Takes a report in, and says what the holder may use; nothing for one that came late. `settled` tells
-    /// of each budget whether all that an earlier keeper lent is over.
+    /// of each budget whether all that an earlier leader lent is over.
     pub fn report(
         &mut self,
         now: Tenths,
--- a/budgets/src/budgets.rs
+++ b/budgets/src/budgets.rs
@@ -13,7 +13,7 @@
 
 /// Reports whose answers still count when they come.
 const MOST_SENT: usize = 128;
-/// Rounds without an answer after which another is asked who keeps the budgets.
+/// Rounds without an answer after which another is asked who the leader is.
 const SILENT: u32 = 3;
 
 /// One node's budgets. See the crate's page for how to drive it.
@@ -28,12 +28,12 @@
     /// Where this node is one of the voters.
     pub(crate) voter: Option<Voter>,
     pub(crate) leadership: Leadership,
-    /// Of this time as keeper.
+    /// Of this term as the leader.
     pub(crate) accounts: Accounts,
     /// Voters that are there.
     pub(crate) voters: BTreeMap<Name, Life>,
-    pub(crate) keeper: Option<Who>,
-    /// Answers to reports before this are those of an earlier keeper.
+    pub(crate) leader: Option<Who>,
+    /// Answers to reports before this are those of an earlier leader.
     bound_since: u64,
     seq: u64,
     sent: VecDeque<(u64, Tenths)>,
@@ -66,7 +66,7 @@
             leadership: Leadership::Follower { try_at: Tenths::MAX },
             accounts: Accounts::default(),
             voters: BTreeMap::new(),
-            keeper: None,
+            leader: None,
             bound_since: 0,
             seq: 0,
             sent: VecDeque::new(),
@@ -169,17 +169,17 @@
         }
         self.silent += 1;
         if self.silent > SILENT
-            && let Some(keeper) = self.keeper.take_if(|keeper| *keeper != self.me)
+            && let Some(leader) = self.leader.take_if(|leader| *leader != self.me)
         {
-            out.push(Action::Report(News::KeeperSilent(keeper)));
+            out.push(Action::Report(News::LeaderSilent(leader)));
         }
         let all: Vec<usize> = (0..self.shares.len()).collect();
         self.report(now, &all, true, out);
     }
 
-    /// Reports on these budgets to the keeper, or to whoever may know of one.
+    /// Reports on these budgets to the leader, or to whoever may know of one.
     fn report(&mut self, now: Tenths, places: &[usize], round: bool, out: &mut Vec<Action>) {
-        let Some(to) = self.keeper.clone().or_else(|| self.next_asked()) else { return };
+        let Some(to) = self.leader.clone().or_else(|| self.next_asked()) else { return };
         let (terms, leaves) = (&self.terms, self.leaves);
         let items = places.iter().map(|place| self.shares[*place].item(now, terms, round, leaves));
         let items: Vec<Item> = items.collect();
@@ -212,15 +212,15 @@
     }
 
     pub(crate) fn bind(&mut self, to: Option<Who>, out: &mut Vec<Action>) {
-        if to == self.keeper {
+        if to == self.leader {
             return;
         }
         self.bound_since = self.seq + 1;
         self.silent = 0;
-        if let Some(keeper) = &to {
-            out.push(Action::Report(News::Keeper(keeper.clone())));
+        if let Some(leader) = &to {
+            out.push(Action::Report(News::Leader(leader.clone())));
         }
-        self.keeper = to;
+        self.leader = to;
     }
 
     fn received(&mut self, now: Tenths, envelope: Envelope, out: &mut Vec<Action>) {
@@ -230,11 +230,11 @@
         let from = envelope.from;
         match envelope.message {
             Message::Grant { seq, shares } => self.granted(now, &from, seq, &shares, out),
-            Message::Elsewhere { seq, keeper } => {
-                let known = keeper.is_some() && keeper != self.keeper;
-                // What one that is asked knows counts where no keeper answers; the keeper's own word always.
-                if seq >= self.bound_since && (self.keeper.is_none() || self.keeper.as_ref() == Some(&from)) {
-                    self.bind(keeper, out);
+            Message::Elsewhere { seq, leader } => {
+                let known = leader.is_some() && leader != self.leader;
+                // What one that is asked knows counts where no leader answers; the leader's own word always.
+                if seq >= self.bound_since && (self.leader.is_none() || self.leader.as_ref() == Some(&from)) {
+                    self.bind(leader, out);
                     if known {
                         let all: Vec<usize> = (0..self.shares.len()).collect();
                         self.report(now, &all, false, out);
@@ -247,7 +247,7 @@
 
     fn granted(&mut self, now: Tenths, from: &Who, seq: u64, shares: &[Lent], out: &mut Vec<Action>) {
         let in_order = self.terms.safeguards.in_order;
-        if self.keeper.as_ref() != Some(from) || (in_order && seq < self.bound_since) {
+        if self.leader.as_ref() != Some(from) || (in_order && seq < self.bound_since) {
             return;
         }
         let Some((_, sent)) = self.sent.iter().find(|(of, _)| *of == seq).copied() else { return };
--- a/budgets/src/envelope.rs
+++ b/budgets/src/envelope.rs
@@ -25,7 +25,7 @@
 
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub enum Message {
-    /// A candidate, or the keeper, asks for a vote.
+    /// A candidate, or the leader, asks for a vote.
     Ask {
         ballot: u64,
     },
@@ -35,7 +35,7 @@
     Refused {
         ballot: u64,
     },
-    /// The vote of this ballot is given back: it makes nobody keeper.
+    /// The vote of this ballot is given back: it makes nobody the leader.
     Release {
         ballot: u64,
     },
@@ -50,10 +50,10 @@
         seq: u64,
         shares: Vec<Lent>,
     },
-    /// The one that was reported to is not the keeper; who is, as far as it knows.
+    /// The one that was reported to is not the leader; who is, as far as it knows.
     Elsewhere {
         seq: u64,
-        keeper: Option<Who>,
+        leader: Option<Who>,
     },
 }
 
--- a/budgets/src/leadership.rs
+++ b/budgets/src/leadership.rs
@@ -1,4 +1,4 @@
-//! How a voter becomes keeper, stays it and steps down.
+//! How a voter becomes the leader, stays it and steps down.
 
 use std::collections::{BTreeMap, VecDeque};
 
@@ -47,7 +47,7 @@
     }
 }
 
-/// Where a node stands towards being the keeper.
+/// Where a node stands towards being the leader.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub(crate) enum Leadership {
     /// It may try from here on; never where it is no voter.
@@ -62,12 +62,12 @@
     Leader(Tenure),
 }
 
-/// One time as keeper without a gap.
+/// One term as the leader, without a gap.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub(crate) struct Tenure {
     pub canvass: Canvass,
     pub renew_at: Tenths,
-    /// From here on nothing is in use that an earlier keeper lent for longer than this budget's leases last;
+    /// From here on nothing is in use that an earlier leader lent for longer than this budget's leases last;
     /// what is held beyond a lease is added for each budget.
     pub since: Tenths,
     /// The next division.
@@ -94,7 +94,7 @@
             Leadership::Candidate { till, .. } if now >= *till => self.give_up(now, out),
             Leadership::Leader(tenure) => {
                 if now >= tenure.canvass.till(&self.terms) {
-                    // Another may be keeper by now.
+                    // Another may be leader by now.
                     self.step_down(now, out);
                 } else if now >= tenure.renew_at {
                     self.ask_all(now, out);
@@ -198,7 +198,7 @@
         }
     }
 
-    /// What concerns voters, candidates and keepers.
+    /// What concerns voters, candidates and leaders.
     pub(crate) fn received_by_voter(
         &mut self,
         now: Tenths,
@@ -253,8 +253,8 @@
                 shares.map(|shares| Message::Grant { seq, shares })
             }
             _ => {
-                let keeper = self.voter.as_ref().and_then(|voter| voter.keeper(now)).cloned();
-                Some(Message::Elsewhere { seq, keeper: keeper.filter(|keeper| *keeper != self.me) })
+                let leader = self.voter.as_ref().and_then(|voter| voter.leader(now)).cloned();
+                Some(Message::Elsewhere { seq, leader: leader.filter(|leader| *leader != self.me) })
             }
         };
         if let Some(answer) = answer {
--- a/budgets/src/lib.rs
+++ b/budgets/src/lib.rs
@@ -11,18 +11,18 @@
 //! if let Err(retry_after) = budgets.take(place, now) { .. }  // with the clock read just before
 //! ```
 //!
-//! A **keeper**, one of the fleet's voters, lends shares to all nodes on leases. Nothing is written to disk:
+//! A **leader**, one of the fleet's voters, lends shares to all nodes on leases. Nothing is written to disk:
 //! - **Votes.** A voter gives its vote to one candidate for [`Terms::vote_lasts`] and to no other meanwhile;
-//!   who holds the votes of a majority is keeper, by its own clock from when it *asked*. A voter that has
+//!   who holds the votes of a majority is leader, by its own clock from when it *asked*. A voter that has
 //!   just started may have forgotten a vote, and gives none for as long as one lasts.
-//! - **Leases.** A share counts, for its holder, from when it *asked* for it, and for the keeper from when it
-//!   *answered*, so no delay makes the holder's end come after the keeper's. A lease is shorter for its
+//! - **Leases.** A share counts, for its holder, from when it *asked* for it, and for the leader from when it
+//!   *answered*, so no delay makes the holder's end come after the leader's. A lease is shorter for its
 //!   holder by what two clocks may drift apart.
 //! - **Moved shares.** What one holder is to give up is lent to another only once the first has said that it
 //!   uses no more, or its lease is over. Whatever was sent and not confirmed counts as lent.
-//! - **A new keeper** knows nothing of what was lent. Until all that an earlier one can have lent is over, it
+//! - **A new leader** knows nothing of what was lent. Until all that an earlier one can have lent is over, it
 //!   only prolongs what holders say they hold, and only where they still do when its word comes.
-//! - **Floors** are set aside from the whole, for named nodes, and need no keeper.
+//! - **Floors** are set aside from the whole, for named nodes, and need no leader.
 //!
 //! Assumptions: each process's time goes forward, and against true time by no more than [`Terms::drift`] too
 //! fast or too slow. Datagrams may be lost, doubled, delayed without bound and reordered. Any process may die
@@ -30,7 +30,7 @@
 //! what they hold. What a broken assumption costs stands in `docs/budgets.md`.
 //!
 //! Bounds: budgets ([`MOST_BUDGETS`]), items a datagram, unconfirmed shares a holder. A check costs the same
-//! whatever there is; a report costs the keeper the logarithm of the holders, and a division, twice a
+//! whatever there is; a report costs the leader the logarithm of the holders, and a division, twice a
 //! round, as much for each.
 
 mod account;
@@ -64,7 +64,7 @@
     Received(Envelope),
     /// Who is there has changed.
     Members(View),
-    /// The node was told to leave: it asks for nothing more, and steps down as keeper.
+    /// The node was told to leave: it asks for nothing more, and steps down as the leader.
     Leave,
     /// Another process goes by this node's name: this one uses nothing more, floors included.
     Displaced,
@@ -85,15 +85,15 @@
 /// What has changed, for the log.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum News {
-    /// This node keeps the budgets from here on, and lends what is free after so many tenths of a ms.
+    /// This node is the leader from here on, and lends what is free after so many tenths of a ms.
     Elected {
         lends_after: Tenths,
     },
     SteppedDown,
     /// Whom this node reports to.
-    Keeper(Who),
-    /// No answer from the keeper for some rounds.
-    KeeperSilent(Who),
+    Leader(Who),
+    /// No answer from the leader for some rounds.
+    LeaderSilent(Who),
     /// A share of the budget at this place has changed to so many units, for so many tenths of a ms.
     Share {
         place: usize,
@@ -114,8 +114,8 @@
         match self {
             News::Elected { .. } => "elected",
             News::SteppedDown => "stepped_down",
-            News::Keeper(_) => "keeper",
-            News::KeeperSilent(_) => "keeper_silent",
+            News::Leader(_) => "leader",
+            News::LeaderSilent(_) => "leader_silent",
             News::Share { was, share, .. } if share < was => "returned",
             News::Share { .. } => "taken",
             News::RanOut { .. } => "ran_out",
--- a/budgets/src/reporting.rs
+++ b/budgets/src/reporting.rs
@@ -17,7 +17,7 @@
     pub rejected: u64,
     /// For how long the lease lasts yet.
     pub lasts: Option<Tenths>,
-    /// What it has lent, where this node is the keeper.
+    /// What it has lent, where this node is the leader.
     pub lent: Option<Units>,
 }
 
@@ -31,11 +31,11 @@
     }
 
     /// Whom this node reports to.
-    pub fn keeper(&self) -> Option<&Who> {
-        self.keeper.as_ref()
+    pub fn leader(&self) -> Option<&Who> {
+        self.leader.as_ref()
     }
 
-    pub fn is_keeper(&self, now: Tenths) -> bool {
+    pub fn is_leader(&self, now: Tenths) -> bool {
         matches!(&self.leadership, Leadership::Leader(tenure) if tenure.canvass.till(&self.terms) > now)
     }
 
@@ -46,7 +46,7 @@
 
     /// How the budget at this place stands.
     pub fn standing(&mut self, place: usize, now: Tenths) -> Standing {
-        let keeper = self.is_keeper(now);
+        let leader = self.is_leader(now);
         let share = &mut self.shares[place];
         let usable = share.usable(now, &self.terms);
         Standing {
@@ -56,7 +56,7 @@
             need: share.need(),
             rejected: share.rejected,
             lasts: share.till().map(|till| till.saturating_sub(now)),
-            lent: keeper.then(|| self.accounts.lent(place)),
+            lent: leader.then(|| self.accounts.lent(place)),
         }
     }
 
--- a/budgets/src/share.rs
+++ b/budgets/src/share.rs
@@ -179,7 +179,7 @@
         }
     }
 
-    /// The keeper's answer to report `seq`, sent so that the share lasts till `till`. What was, and is.
+    /// The leader's answer to report `seq`, sent so that the share lasts till `till`. What was, and is.
     pub fn grant(
         &mut self,
         now: Tenths,
@@ -190,7 +190,7 @@
     ) -> (Units, Units) {
         self.settle(now, terms);
         let was = self.leased;
-        // A keeper that prolongs may not know that this has been lent to another since it was over here.
+        // A leader that prolongs may not know that this has been lent to another since it was over here.
         let most = if lent.prolongs && terms.safeguards.prolong { was } else { Units::MAX };
         self.leased = lent.share.min(most).min(self.budget.lent(self.budget.whole(), self.budget.floor()));
         (self.till, self.accepted, self.ran_out) = (till, seq, None);
--- a/budgets/src/terms.rs
+++ b/budgets/src/terms.rs
@@ -106,7 +106,7 @@
 /// Times and bounds. All nodes of a fleet are to have the same.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub struct Terms {
-    /// Of whom a majority makes a keeper.
+    /// Of whom a majority elects a leader.
     pub voters: Arc<[Name]>,
     /// Needs are told, and shares answered, so often.
     pub round: Tenths,
@@ -146,9 +146,9 @@
 pub struct Safeguards {
     /// A voter that has just started gives no vote.
     pub silent_start: bool,
-    /// A majority of the voters makes a keeper, not one.
+    /// A majority of the voters makes a leader, not one.
     pub majority: bool,
-    /// A new keeper lends nothing new until earlier leases are over.
+    /// A new leader lends nothing new until earlier leases are over.
     pub settle: bool,
     /// What was lent to another counts until it is confirmed as given up.
     pub confirm: bool,
@@ -156,7 +156,7 @@
     pub run_out: bool,
     /// Leases are shorter for their holders by what clocks may drift.
     pub drift: bool,
-    /// A holder takes only answers to what it asked of its present keeper, the newest first.
+    /// A holder takes only answers to what it asked of its present leader, the newest first.
     pub in_order: bool,
     /// What is prolonged has to be in force yet.
     pub prolong: bool,
--- a/budgets/src/voter.rs
+++ b/budgets/src/voter.rs
@@ -44,7 +44,7 @@
     }
 
     /// Who has the vote now.
-    pub fn keeper(&self, now: Tenths) -> Option<&Who> {
+    pub fn leader(&self, now: Tenths) -> Option<&Who> {
         self.vote.as_ref().filter(|vote| vote.till > now).map(|vote| &vote.to)
     }
 
--- a/budgets/tests/holder.rs
+++ b/budgets/tests/holder.rs
@@ -1,4 +1,4 @@
-//! A holder by itself: what it makes of a keeper's words, whenever they come.
+//! A holder by itself: what it makes of a leader's words, whenever they come.
 
 use std::sync::Arc;
 
@@ -12,14 +12,14 @@
 
 struct Holder {
     budgets: Budgets,
-    keeper: Who,
+    leader: Who,
     now: Tenths,
 }
 
 impl Holder {
     fn new(safeguards: Safeguards) -> Holder {
-        let keeper = Who { name: "k".into(), life: Life(1) };
-        let voters: Arc<[Name]> = Arc::new([keeper.name.clone()]);
+        let leader = Who { name: "k".into(), life: Life(1) };
+        let voters: Arc<[Name]> = Arc::new([leader.name.clone()]);
         let terms = Terms { voters, safeguards, ..Terms::default() };
         let (kind, floors_for) = (Kind::Places { held_most: 0 }, Arc::new([]));
         let list = [Budget { name: "b".into(), kind, whole: 20, floor: 0, floors_for, most: 20 }];
@@ -27,9 +27,9 @@
         let mut budgets = Budgets::new(me, 1, terms, &list, 1, 0);
         let mut view = View::default();
         let address = "127.0.0.1:1".parse().unwrap();
-        view.members.insert(keeper.name.clone(), Seat { life: Life(1), address, weight: 1 });
+        view.members.insert(leader.name.clone(), Seat { life: Life(1), address, weight: 1 });
         budgets.handle(0, Event::Members(view), &mut Vec::new());
-        Holder { budgets, keeper, now: 0 }
+        Holder { budgets, leader, now: 0 }
     }
 
     /// What it reports first when its turn comes, from `now` on.
@@ -49,7 +49,7 @@
     }
 
     fn hears(&mut self, message: Message) {
-        let envelope = Envelope { from: self.keeper.clone(), to: self.budgets.me().clone(), message };
+        let envelope = Envelope { from: self.leader.clone(), to: self.budgets.me().clone(), message };
         self.budgets.handle(self.now, Event::Received(envelope), &mut Vec::new());
     }
 
@@ -59,19 +59,19 @@
         self.budgets.exposed(0, self.now)
     }
 
-    /// Bound to its keeper, with ten places.
+    /// Bound to its leader, with ten places.
     fn with_ten(safeguards: Safeguards) -> Holder {
         let mut holder = Holder::new(safeguards);
         let seq = holder.reports();
-        let keeper = Some(holder.keeper.clone());
-        holder.hears(Message::Elsewhere { seq, keeper });
+        let leader = Some(holder.leader.clone());
+        holder.hears(Message::Elsewhere { seq, leader });
         let seq = holder.reports();
         assert_eq!(holder.granted(seq, 10, false), 10);
         holder
     }
 }
 
-/// A keeper that left office and is in it again knows nothing of what another lent in between. Its word on a
+/// A leader that left office and is in it again knows nothing of what another lent in between. Its word on a
 /// report that was long on its way must not bring back what was over meanwhile.
 fn late_word(safeguards: Safeguards) -> u64 {
     let mut holder = Holder::with_ten(safeguards);
@@ -80,7 +80,7 @@
     while holder.now < granted_at + 400 * MS {
         late = holder.reports();
     }
-    // It stands still, so that it holds on to its keeper; its report was sent, and takes its time.
+    // It stands still, so that it holds on to its leader; its report was sent, and takes its time.
     holder.now = granted_at + 1_500 * MS;
     assert_eq!(holder.budgets.exposed(0, holder.now), 0, "its lease is over");
     holder.granted(late, 10, true)
--- a/budgets/tests/model.rs
+++ b/budgets/tests/model.rs
@@ -1,4 +1,4 @@
-//! Keepers, votes and leases as a machine, searched exhaustively within small bounds: whatever dies, stops,
+//! Leaders, votes and leases as a machine, searched exhaustively within small bounds: whatever dies, stops,
 //! is lost, doubled or overtaken, the shares that may be used are never more than the whole. The model drives
 //! the package that the node runs. Each safeguard taken out must make it fail.
 
@@ -307,13 +307,13 @@
     }
 }
 
-/// A voter that forgets its vote makes a second keeper while the first is still one: something that no chance
+/// A voter that forgets its vote makes a second leader while the first is still one: something that no chance
 /// walk meets in thousands, as the time of the first is all but over.
 fn forgets_its_vote(safeguards: Safeguards) -> u64 {
     let fleet = Fleet { envelopes: 1_000, ..fleet(3, safeguards) };
     let mut state = fleet.init_states().remove(0);
-    let keeper = (0..3).find(|of| state.nodes[*of].is_keeper(state.now)).unwrap();
-    let (voter, other) = ((keeper + 1) % 3, (keeper + 2) % 3);
+    let leader = (0..3).find(|of| state.nodes[*of].is_leader(state.now)).unwrap();
+    let (voter, other) = ((leader + 1) % 3, (leader + 2) % 3);
     // One turn of these, and all that comes of it between pairs that hear one another.
     let turn = |state: &mut State, nodes: &[usize], pairs: &[(usize, usize)]| {
         for of in nodes {
@@ -329,18 +329,18 @@
     };
     for _ in 0..4 * LEASE {
         state.now += 1;
-        _ = state.nodes[keeper].take(0, state.now);
-        turn(&mut state, &[keeper, voter], &[(keeper, voter)]);
+        _ = state.nodes[leader].take(0, state.now);
+        turn(&mut state, &[leader, voter], &[(leader, voter)]);
     }
     state = fleet.next_state(&state, Step::Starts(voter)).unwrap();
     turn(&mut state, &[other, voter], &[(other, voter)]);
     let mut most = 0;
     for _ in 0..3 * LEASE {
         state.now += 1;
-        for of in [other, keeper] {
+        for of in [other, leader] {
             _ = state.nodes[of].take(0, state.now);
         }
-        turn(&mut state, &[other, voter, keeper], &[(other, voter)]);
+        turn(&mut state, &[other, voter, leader], &[(other, voter)]);
         most = most.max(state.nodes.iter().map(|node| node.exposed(0, state.now)).sum());
     }
     most
--- a/installation/src/budgets.rs
+++ b/installation/src/budgets.rs
@@ -79,7 +79,7 @@
     /// Needs are told, and shares lent, so often.
     #[schemars(range(min = 20, max = 10_000))]
     pub round_ms: u32,
-    /// A keeper that is not heard for so long may be replaced; at least 3 rounds.
+    /// A leader that is not heard for so long may be replaced; at least 3 rounds.
     #[schemars(range(min = 60, max = 60_000))]
     pub vote_ms: u32,
     /// A share that is not prolonged ends after so long; at least `vote_ms`.
--- a/node/src/commands/fleet.rs
+++ b/node/src/commands/fleet.rs
@@ -60,16 +60,16 @@
     pub members: Vec<Report>,
     /// As [`ask_budgets`] tells them; empty where nobody asked.
     pub budgets: Vec<BudgetStatus>,
-    pub keeper: Option<Name>,
+    pub leader: Option<Name>,
 }
 
-fn budget(of: &BudgetStatus, keeper: Option<&Name>) -> Value {
+fn budget(of: &BudgetStatus, leader: Option<&Name>) -> Value {
     // Shares of a rate are thousandths on the wire, and exchanges a second for people.
     let units = |units: Units| if of.rate { json!(units as f64 / 1_000.0) } else { json!(units) };
     json!({"name": of.name, "kind": if of.rate { "rate" } else { "places" }, "whole": of.whole,
         "share": units(of.share), "used": of.used, "rejected": of.rejected, "need": units(of.need),
         "in_use": of.in_use, "until_ms": of.until_ms, "lent": of.lent.map(units),
-        "keeper": keeper.map(|name| &**name)})
+        "leader": leader.map(|name| &**name)})
 }
 
 impl Seen {
@@ -83,7 +83,7 @@
             "view": first.view, "digest": format!("{:016x}", first.digest), "in_view": first.in_view,
             "cut_off": first.cut_off, "displaced": first.displaced,
             "members": self.members.iter().map(member).collect::<Vec<_>>(),
-            "budgets": self.budgets.iter().map(|of| budget(of, self.keeper.as_ref())).collect::<Vec<_>>()})
+            "budgets": self.budgets.iter().map(|of| budget(of, self.leader.as_ref())).collect::<Vec<_>>()})
     }
 
     fn text(&self) -> String {
@@ -138,7 +138,7 @@
         after = page.members.last().map(|last| last.name.clone());
         let (more, members) = (page.more, page.members.clone());
         let whole =
-            seen.get_or_insert(Seen { first: page, members: Vec::new(), budgets: Vec::new(), keeper: None });
+            seen.get_or_insert(Seen { first: page, members: Vec::new(), budgets: Vec::new(), leader: None });
         whole.members.extend(members);
         if !more || after.is_none() || whole.members.len() >= MOST {
             return seen.ok_or_else(|| format!("{peer}: no answer"));
@@ -178,7 +178,7 @@
     let plain = |e: std::io::Error| format!("{peer}: {e}");
     let sock = UdpSocket::bind(own).map_err(plain)?;
     sock.set_read_timeout(Some(PATIENCE)).map_err(plain)?;
-    let (mut budgets, mut keeper, mut tries) = (Vec::new(), None, 0);
+    let (mut budgets, mut leader, mut tries) = (Vec::new(), None, 0);
     let mut bytes = [0; LONGEST];
     while tries < TRIES_OF_BUDGETS {
         let nonce = fastrand::u64(..);
@@ -189,14 +189,14 @@
         if let Some(Spoken::BudgetStatus(page)) = page
             && page.nonce == nonce
         {
-            (tries, keeper) = (0, page.keeper);
+            (tries, leader) = (0, page.leader);
             budgets.extend(page.budgets);
             if !page.more {
                 break;
             }
         }
     }
-    Ok((budgets, keeper))
+    Ok((budgets, leader))
 }
 
 /// Carries out one command; `say` is given each line.
@@ -208,7 +208,7 @@
     match command {
         FleetCommand::Status { whom, json } => {
             let mut seen = ask(whom.peer, key(whom)?)?;
-            (seen.budgets, seen.keeper) = ask_budgets(whom.peer, key(whom)?)?;
+            (seen.budgets, seen.leader) = ask_budgets(whom.peer, key(whom)?)?;
             say(&if *json { seen.json().to_string() } else { seen.text() });
             Ok(())
         }
--- a/node/src/peers/link.rs
+++ b/node/src/peers/link.rs
@@ -172,13 +172,13 @@
                 self.carry_out();
             }
             Ok(Spoken::Ask(ask)) => self.tell(ask, from),
-            // Whoever is not in the view would get no answer, and could fill a keeper's books.
+            // Whoever is not in the view would get no answer, and could fill a leader's books.
             Ok(Spoken::Budgets(envelope)) if self.is_member(&envelope.from) => {
                 self.tell_shares(Some(doortrack_budgets::Event::Received(envelope)));
             }
             Ok(Spoken::Budgets(_)) => *self.counts.refused.entry("no_member").or_default() += 1,
             Ok(Spoken::AskBudgets { nonce, from: place }) => {
-                let none = BudgetPage { nonce, keeper: None, budgets: Vec::new(), more: false };
+                let none = BudgetPage { nonce, leader: None, budgets: Vec::new(), more: false };
                 let page =
                     self.shares.as_ref().map_or(none, |shares| shares.borrow_mut().page(nonce, place, now));
                 self.send(from, &Spoken::BudgetStatus(Box::new(page)));
--- a/node/src/peers/shares.rs
+++ b/node/src/peers/shares.rs
@@ -177,7 +177,7 @@
             }
         });
         let budgets = budgets.collect();
-        BudgetPage { nonce, keeper: self.budgets.keeper().map(|who| who.name.clone()), budgets, more }
+        BudgetPage { nonce, leader: self.budgets.leader().map(|who| who.name.clone()), budgets, more }
     }
 
     /// A share is told where it has changed by over an eighth: it follows the load, and the log is bounded.
@@ -196,8 +196,8 @@
                 info!(log, "budget"; "what" => word, "lends_after_ms" => lends_after / MS);
             }
             News::SteppedDown => info!(log, "budget"; "what" => word),
-            News::Keeper(who) => info!(log, "budget"; "what" => word, "of" => &*who.name),
-            News::KeeperSilent(who) => warn!(log, "budget"; "what" => word, "of" => &*who.name),
+            News::Leader(who) => info!(log, "budget"; "what" => word, "of" => &*who.name),
+            News::LeaderSilent(who) => warn!(log, "budget"; "what" => word, "of" => &*who.name),
             News::Share { place, was, share, lasts } => {
                 info!(log, "budget"; "what" => word, "budget" => name(*place), "was" => was, "share" => share,
                     "lasts_ms" => lasts / MS);
@@ -209,8 +209,8 @@
     }
 
     pub fn summary(&self, log: &Logger) {
-        let keeper = self.budgets.keeper().map_or("", |who| &who.name);
-        info!(log, "so far of budgets"; "keeper" => keeper, "passed" => self.used.iter().sum::<u64>(),
+        let leader = self.budgets.leader().map_or("", |who| &who.name);
+        info!(log, "so far of budgets"; "leader" => leader, "passed" => self.used.iter().sum::<u64>(),
             "late_looks" => self.late);
     }
 }
--- a/node/src/peers/spoken.rs
+++ b/node/src/peers/spoken.rs
@@ -50,7 +50,7 @@
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct BudgetPage {
     pub nonce: u64,
-    pub keeper: Option<Name>,
+    pub leader: Option<Name>,
     pub budgets: Vec<BudgetStatus>,
     pub more: bool,
 }
@@ -68,6 +68,6 @@
     pub in_use: Units,
     /// For how long what is beyond the floor lasts.
     pub until_ms: Option<u64>,
-    /// What this node has lent, as the keeper.
+    /// What this node has lent, as the leader.
     pub lent: Option<Units>,
 }
--- a/node/tests/fleet/budgets.rs
+++ b/node/tests/fleet/budgets.rs
@@ -104,7 +104,7 @@
 }
 
 #[test]
-fn keepers_die_holders_stop_and_halves_part_and_the_whole_is_never_exceeded() {
+fn leaders_die_holders_stop_and_halves_part_and_the_whole_is_never_exceeded() {
     let start = |nodes: Vec<usize>| Fault::Start { nodes, clock_ms: 0 };
     let mut faults = vec![
         (5_000, Fault::Kill { nodes: vec![0] }),
@@ -121,7 +121,7 @@
     let asked = play(&script(NODES, 22_000, faults), &[]);
     let broken = broken(&asked);
     assert!(broken.is_empty(), "{broken:#?}");
-    // It was put to use: a good part of what a keeper could lend, however slow the machine.
+    // It was put to use: a good part of what a leader could lend, however slow the machine.
     assert!(asked.looks.len() > 300 && asked.pays.len() > 100, "{} {}", asked.looks.len(), asked.pays.len());
 }
 
@@ -197,7 +197,7 @@
         .unwrap();
     let seen: Value = serde_json::from_slice(&status.stdout).unwrap();
     assert_eq!(seen["budgets"][0]["name"], "looks", "{seen}");
-    assert!(seen["budgets"][0]["keeper"].is_string() && seen["budgets"][1]["kind"] == "places", "{seen}");
+    assert!(seen["budgets"][0]["leader"].is_string() && seen["budgets"][1]["kind"] == "places", "{seen}");
 }
 
 #[test]
--- a/rig/src/divided.rs
+++ b/rig/src/divided.rs
@@ -54,7 +54,7 @@
     /// Of the first budget, uses by node, and by node and tenth of a second since the start.
     pub by_node: Vec<u64>,
     pub by_time: BTreeMap<(usize, u64), u32>,
-    pub keepers: u64,
+    pub leaders: u64,
     /// Datagrams and bytes since `count_from_ms`.
     pub cost: Cost,
     /// Bytes of the one that sent most.
@@ -181,7 +181,7 @@
         for action in actions.drain(..) {
             match action {
                 Action::Send(envelope) => self.send(of, envelope),
-                Action::Report(news) => self.out.keepers += u64::from(matches!(news, News::Elected { .. })),
+                Action::Report(news) => self.out.leaders += u64::from(matches!(news, News::Elected { .. })),
             }
         }
         self.actions = actions;
@@ -335,7 +335,7 @@
         Message::Grant { seq, shares } => {
             small(*seq) + 1 + shares.iter().map(|lent| 6 + small(lent.share)).sum::<u64>()
         }
-        Message::Elsewhere { seq, keeper } => small(*seq) + 1 + keeper.as_ref().map_or(0, who),
+        Message::Elsewhere { seq, leader } => small(*seq) + 1 + leader.as_ref().map_or(0, who),
     };
     who(&envelope.from) + who(&envelope.to) + 1 + message
 }
--- a/rig/tests/divided.rs
+++ b/rig/tests/divided.rs
@@ -89,9 +89,9 @@
 #[test]
 fn healthy_it_is_put_to_use_and_the_same_each_time() {
     let one = holds(&script(20_000, 1, vec![]));
-    // All but what went before there was a keeper that lends: 3 s of the 20.
+    // All but what went before there was a leader that lends: 3 s of the 20.
     assert!(one.used[0] > 17 * 600 * 85 / 100, "{} of {}", one.used[0], one.asked[0]);
-    assert_eq!(one.keepers, 1);
+    assert_eq!(one.leaders, 1);
     assert_eq!(one.digest, holds(&script(20_000, 1, vec![])).digest);
 }
 
@@ -132,7 +132,7 @@
                 (18_000, mend(rest, few)),
             ],
         ));
-        // All at once, twice; each keeper in turn, with nothing left of what it knew.
+        // All at once, twice; each leader in turn, with nothing left of what it knew.
         let again = |at| (at, Fault::Start { nodes: all.clone(), clock_ms: 0 });
         plays.push(script(16_000, seed, vec![again(6_000), again(9_300), again(12_100)]));
         let start = |at: u64, of: usize| (at, Fault::Start { nodes: vec![of], clock_ms: 0 });
