Names: an election and a term in place of canvass and tenure

Only private types of `budgets` change their names.

Checked: cargo check of fleet, budgets, installation, node, rig and bench, all targets.

--- a/budgets/src/account.rs
+++ b/budgets/src/account.rs
@@ -44,7 +44,7 @@
     lendable: Units,
 }
 
-/// The books of one tenure; they begin empty.
+/// The books of one term; they begin empty.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
 pub(crate) struct Accounts {
     books: Vec<Book>,
--- a/budgets/src/leadership.rs
+++ b/budgets/src/leadership.rs
@@ -14,13 +14,13 @@
 
 /// The votes that one candidate holds.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
-pub(crate) struct Canvass {
+pub(crate) struct Election {
     /// Ballots and when they were sent: a vote counts from there.
     asked: VecDeque<(u64, Tenths)>,
     votes: BTreeMap<Name, Tenths>,
 }
 
-impl Canvass {
+impl Election {
     pub fn asked(&mut self, ballot: u64, now: Tenths) {
         if self.asked.len() >= MOST_ASKED {
             self.asked.pop_front();
@@ -56,16 +56,16 @@
     },
     /// It has asked for votes, and gives up at a time.
     Candidate {
-        canvass: Canvass,
+        election: Election,
         till: Tenths,
     },
-    Leader(Tenure),
+    Leader(Term),
 }
 
 /// One term as the leader, without a gap.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
-pub(crate) struct Tenure {
-    pub canvass: Canvass,
+pub(crate) struct Term {
+    pub election: Election,
     pub renew_at: Tenths,
     /// From here on nothing is in use that an earlier leader lent for longer than this budget's leases last;
     /// what is held beyond a lease is added for each budget.
@@ -79,9 +79,7 @@
         match self {
             Leadership::Follower { try_at } => *try_at,
             Leadership::Candidate { till, .. } => *till,
-            Leadership::Leader(tenure) => {
-                tenure.renew_at.min(tenure.divide_at).min(tenure.canvass.till(terms))
-            }
+            Leadership::Leader(term) => term.renew_at.min(term.divide_at).min(term.election.till(terms)),
         }
     }
 }
@@ -92,20 +90,20 @@
         match &self.leadership {
             Leadership::Follower { try_at } if now >= *try_at => self.seek(now, out),
             Leadership::Candidate { till, .. } if now >= *till => self.give_up(now, out),
-            Leadership::Leader(tenure) => {
-                if now >= tenure.canvass.till(&self.terms) {
+            Leadership::Leader(term) => {
+                if now >= term.election.till(&self.terms) {
                     // Another may be leader by now.
                     self.step_down(now, out);
-                } else if now >= tenure.renew_at {
+                } else if now >= term.renew_at {
                     self.ask_all(now, out);
                 }
             }
             _ => {}
         }
-        if let Leadership::Leader(tenure) = &mut self.leadership
-            && now >= tenure.divide_at
+        if let Leadership::Leader(term) = &mut self.leadership
+            && now >= term.divide_at
         {
-            tenure.divide_at = now + self.terms.round.div_ceil(2);
+            term.divide_at = now + self.terms.round.div_ceil(2);
             self.accounts.divide(now, &self.terms);
         }
     }
@@ -119,7 +117,7 @@
             return;
         }
         let till = now + self.terms.round;
-        self.leadership = Leadership::Candidate { canvass: Canvass::default(), till };
+        self.leadership = Leadership::Candidate { election: Election::default(), till };
         self.ask_all(now, out);
     }
 
@@ -129,10 +127,10 @@
         let ballot = self.ballot;
         match &mut self.leadership {
             Leadership::Follower { .. } => return,
-            Leadership::Candidate { canvass, .. } => canvass.asked(ballot, now),
-            Leadership::Leader(tenure) => {
-                tenure.canvass.asked(ballot, now);
-                tenure.renew_at = now + self.terms.round;
+            Leadership::Candidate { election, .. } => election.asked(ballot, now),
+            Leadership::Leader(term) => {
+                term.election.asked(ballot, now);
+                term.renew_at = now + self.terms.round;
             }
         }
         let others: Vec<Who> = self.others().collect();
@@ -142,12 +140,12 @@
     }
 
     fn release(&mut self, out: &mut Vec<Action>) {
-        let canvass = match &self.leadership {
+        let election = match &self.leadership {
             Leadership::Follower { .. } => return,
-            Leadership::Candidate { canvass, .. } => canvass,
-            Leadership::Leader(tenure) => &tenure.canvass,
+            Leadership::Candidate { election, .. } => election,
+            Leadership::Leader(term) => &term.election,
         };
-        let Some(ballot) = canvass.last_ballot() else { return };
+        let Some(ballot) = election.last_ballot() else { return };
         let others: Vec<Who> = self.others().collect();
         for who in [self.me.clone()].into_iter().chain(others) {
             self.send(who, Message::Release { ballot }, out);
@@ -181,13 +179,13 @@
     fn voted(&mut self, now: Tenths, from: &Who, ballot: u64, out: &mut Vec<Action>) {
         match &mut self.leadership {
             Leadership::Follower { .. } => {}
-            Leadership::Leader(tenure) => tenure.canvass.vote(&from.name, ballot, &self.terms),
-            Leadership::Candidate { canvass, .. } => {
-                canvass.vote(&from.name, ballot, &self.terms);
-                if canvass.till(&self.terms) > now {
+            Leadership::Leader(term) => term.election.vote(&from.name, ballot, &self.terms),
+            Leadership::Candidate { election, .. } => {
+                election.vote(&from.name, ballot, &self.terms);
+                if election.till(&self.terms) > now {
                     let (renew_at, divide_at) = (now + self.terms.round, now);
-                    let canvass = std::mem::take(canvass);
-                    self.leadership = Leadership::Leader(Tenure { canvass, renew_at, since: now, divide_at });
+                    let election = std::mem::take(election);
+                    self.leadership = Leadership::Leader(Term { election, renew_at, since: now, divide_at });
                     let list: Vec<Budget> = self.shares.iter().map(|share| share.budget.clone()).collect();
                     self.accounts = Accounts::new(&list);
                     let lends_after = if self.terms.safeguards.settle { self.terms.lease } else { 0 };
@@ -243,8 +241,8 @@
     ) {
         let answer = match &self.leadership {
             // The look at its own votes comes before every share that it lends.
-            Leadership::Leader(tenure) if tenure.canvass.till(&self.terms) > now => {
-                let (terms, since) = (&self.terms, tenure.since);
+            Leadership::Leader(term) if term.election.till(&self.terms) > now => {
+                let (terms, since) = (&self.terms, term.since);
                 let settled = |budget: &Budget| {
                     let held = if terms.safeguards.held { budget.held_most() } else { 0 };
                     !terms.safeguards.settle || now >= since + terms.lease + held
--- a/budgets/src/reporting.rs
+++ b/budgets/src/reporting.rs
@@ -36,7 +36,7 @@
     }
 
     pub fn is_leader(&self, now: Tenths) -> bool {
-        matches!(&self.leadership, Leadership::Leader(tenure) if tenure.canvass.till(&self.terms) > now)
+        matches!(&self.leadership, Leadership::Leader(term) if term.election.till(&self.terms) > now)
     }
 
     /// The budgets, in the order of their places.
--- a/budgets/tests/holder.rs
+++ b/budgets/tests/holder.rs
@@ -71,8 +71,8 @@
     }
 }
 
-/// A leader that left office and is in it again knows nothing of what another lent in between. Its word on a
-/// report that was long on its way must not bring back what was over meanwhile.
+/// A leader that stepped down and was elected again knows nothing of what another lent in between. Its word
+/// on a report that was long on its way must not bring back what was over meanwhile.
 fn late_word(safeguards: Safeguards) -> u64 {
     let mut holder = Holder::with_ten(safeguards);
     let granted_at = holder.now;
