--- a/bench/src/bin/budgets.rs
+++ b/bench/src/bin/budgets.rs
@@ -14,7 +14,7 @@
 
 const WHOLE: u32 = 6_000;
 const VOTERS: usize = 5;
-/// Shares are lent from here on.
+/// Shares are granted from here on.
 const CALM_MS: u64 = 5_000;
 
 type Demand<'a> = &'a dyn Fn(usize, u64) -> f64;
--- a/budgets/src/account.rs
+++ b/budgets/src/account.rs
@@ -1,10 +1,10 @@
-//! What a leader has lent, to whom and till when.
+//! What a leader has granted, to whom and till when.
 
 use std::collections::{BTreeMap, VecDeque};
 
 use doortrack::Tenths;
 
-use crate::{Asks, Budget, Id, Item, Lent, Terms, Units, Who, divide};
+use crate::{Asks, Budget, Grant, Id, Item, Terms, Units, Who, divide};
 
 /// Shares sent and not yet confirmed, kept one by one; of more the two oldest are taken for the greater.
 const MOST_SENT: usize = 6;
@@ -39,9 +39,9 @@
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 struct Book {
     budget: Budget,
-    lent: Units,
-    /// What can be lent as all see it: by the least whole and the greatest floor that anybody was told of.
-    lendable: Units,
+    granted: Units,
+    /// What can be granted as all see it: by the least whole and the greatest floor that anybody was told of.
+    grantable: Units,
 }
 
 /// The books of one term; they begin empty.
@@ -75,15 +75,15 @@
 impl Accounts {
     pub fn new(list: &[Budget]) -> Accounts {
         let book = |budget: &Budget| Book {
-            lent: 0,
-            lendable: budget.lent(budget.whole(), budget.floor()),
+            granted: 0,
+            grantable: budget.grantable(budget.whole(), budget.floor()),
             budget: budget.clone(),
         };
         let places = list.iter().enumerate().map(|(place, budget)| (budget.id(), place)).collect();
         Accounts { books: list.iter().map(book).collect(), places, ..Accounts::default() }
     }
 
-    /// Other budgets: what stays lent of those that remain is kept.
+    /// Other budgets: what stays granted of those that remain is kept.
     pub fn change(&mut self, list: &[Budget]) {
         let old = std::mem::replace(self, Accounts::new(list));
         for (who, holder) in old.holders {
@@ -96,13 +96,13 @@
         }
         for book in &mut self.books {
             let before = old.places.get(&book.budget.id()).map(|place| &old.books[*place]);
-            book.lent = before.map_or(0, |before| before.lent);
+            book.granted = before.map_or(0, |before| before.granted);
         }
         self.turn = old.turn;
     }
 
     /// Takes a report in, and says what the holder may use; nothing for one that came late. `settled` tells
-    /// of each budget whether all that an earlier leader lent is over.
+    /// of each budget whether all that an earlier leader granted is over.
     pub fn report(
         &mut self,
         now: Tenths,
@@ -111,15 +111,15 @@
         items: &[Item],
         settled: impl Fn(&Budget) -> bool,
         terms: &Terms,
-    ) -> Option<Vec<Lent>> {
+    ) -> Option<Vec<Grant>> {
         let holder = self.holders.entry(who.clone()).or_default();
         holder.weight = weight;
-        let mut shares = Vec::with_capacity(items.len());
+        let mut grants = Vec::with_capacity(items.len());
         for item in items {
             let Some(place) = self.places.get(&item.id).copied() else { continue };
             let book = &mut self.books[place];
-            let lendable = book.budget.lent(item.whole.min(book.budget.whole()), item.floor);
-            book.lendable = book.lendable.min(lendable);
+            let grantable = book.budget.grantable(item.whole.min(book.budget.whole()), item.floor);
+            book.grantable = book.grantable.min(grantable);
             let line = holder.lines.entry(place).or_insert_with(|| Line {
                 last_seq: 0,
                 need: 0,
@@ -140,16 +140,16 @@
             (line.need, line.whole, line.floor) = (item.need, item.whole, item.floor);
             line.till = now + terms.lease + if terms.safeguards.held { book.budget.held_most() } else { 0 };
             // What others may have is theirs, whatever this one needs.
-            let others = book.lent.saturating_sub(before);
-            let free = book.lendable.saturating_sub(others);
+            let others = book.granted.saturating_sub(before);
+            let free = book.grantable.saturating_sub(others);
             let prolongs = !settled(&book.budget);
             let wanted = if prolongs { line.holding } else { line.target };
             let share = wanted.min(free);
             line.send(seq, share);
-            book.lent = others + line.outstanding(terms);
-            shares.push(Lent { id: item.id, share, prolongs });
+            book.granted = others + line.outstanding(terms);
+            grants.push(Grant { id: item.id, share, prolongs });
         }
-        (!shares.is_empty()).then_some(shares)
+        (!grants.is_empty()).then_some(grants)
     }
 
     /// Strikes out leases that are over, and divides anew what each is to have.
@@ -160,7 +160,7 @@
                 let over = line.till <= now;
                 if over {
                     let book = &mut self.books[*place];
-                    book.lent = book.lent.saturating_sub(line.outstanding(terms));
+                    book.granted = book.granted.saturating_sub(line.outstanding(terms));
                 }
                 !over
             });
@@ -171,7 +171,7 @@
             self.books.iter().map(|book| (book.budget.whole(), book.budget.floor())).collect();
         for (who, holder) in &self.holders {
             for (place, line) in &holder.lines {
-                let most = self.books[*place].budget.most_lent(&who.name);
+                let most = self.books[*place].budget.max_grant(&who.name);
                 asks[*place].push(Asks { need: line.need, weight: holder.weight, most });
                 let (whole, floor) = &mut seen[*place];
                 (*whole, *floor) = (line.whole.min(*whole), line.floor.max(*floor));
@@ -179,8 +179,8 @@
         }
         let mut shares: Vec<std::vec::IntoIter<Units>> = Vec::with_capacity(self.books.len());
         for ((book, asks), (whole, floor)) in self.books.iter_mut().zip(&asks).zip(seen) {
-            book.lendable = book.budget.lent(whole, floor);
-            shares.push(divide(book.lendable, book.budget.step(), asks, self.turn / TURN).into_iter());
+            book.grantable = book.budget.grantable(whole, floor);
+            shares.push(divide(book.grantable, book.budget.step(), asks, self.turn / TURN).into_iter());
         }
         for holder in self.holders.values_mut() {
             for (place, line) in &mut holder.lines {
@@ -189,8 +189,8 @@
         }
     }
 
-    /// What is lent of a budget, by its place.
-    pub fn lent(&self, place: usize) -> Units {
-        self.books.get(place).map_or(0, |book| book.lent)
+    /// What is granted of a budget, by its place.
+    pub fn granted(&self, place: usize) -> Units {
+        self.books.get(place).map_or(0, |book| book.granted)
     }
 }
--- a/budgets/src/budgets.rs
+++ b/budgets/src/budgets.rs
@@ -9,7 +9,7 @@
 use crate::leadership::Leadership;
 use crate::share::Share;
 use crate::voter::Voter;
-use crate::{Action, Budget, Envelope, Event, Id, Item, Lent, MOST_ITEMS, Message, News, Terms, Who};
+use crate::{Action, Budget, Envelope, Event, Grant, Id, Item, MOST_ITEMS, Message, News, Terms, Who};
 
 /// Reports whose answers still count when they come.
 const MOST_SENT: usize = 128;
@@ -159,7 +159,7 @@
         if now < self.report_at {
             return;
         }
-        // Who is short asks twice as often: what others give up is lent to it that much sooner.
+        // Who is short asks twice as often: what others give up is granted to it that much sooner.
         let short = self.shares.iter().any(Share::is_short);
         self.report_at = now + if short { self.terms.round.div_ceil(2) } else { self.terms.round };
         for (place, share) in self.shares.iter_mut().enumerate() {
@@ -229,7 +229,7 @@
         }
         let from = envelope.from;
         match envelope.message {
-            Message::Grant { seq, shares } => self.granted(now, &from, seq, &shares, out),
+            Message::Grant { seq, grants } => self.on_grant(now, &from, seq, &grants, out),
             Message::Elsewhere { seq, leader } => {
                 let known = leader.is_some() && leader != self.leader;
                 // What one that is asked knows counts where no leader answers; the leader's own word always.
@@ -245,7 +245,7 @@
         }
     }
 
-    fn granted(&mut self, now: Tenths, from: &Who, seq: u64, shares: &[Lent], out: &mut Vec<Action>) {
+    fn on_grant(&mut self, now: Tenths, from: &Who, seq: u64, grants: &[Grant], out: &mut Vec<Action>) {
         let in_order = self.terms.safeguards.in_order;
         if self.leader.as_ref() != Some(from) || (in_order && seq < self.bound_since) {
             return;
@@ -257,13 +257,13 @@
             return;
         }
         let mut lowered = Vec::new();
-        for lent in shares {
-            let Some(place) = self.places.get(&lent.id).copied() else { continue };
+        for grant in grants {
+            let Some(place) = self.places.get(&grant.id).copied() else { continue };
             let of = &mut self.shares[place];
             if seq <= of.accepted && in_order {
                 continue;
             }
-            let (was, is) = of.grant(now, seq, *lent, till, &self.terms);
+            let (was, is) = of.apply_grant(now, seq, *grant, till, &self.terms);
             if was != is {
                 let lasts = till.saturating_sub(now);
                 out.push(Action::Report(News::Share { place, was, share: is, lasts }));
@@ -272,7 +272,7 @@
                 lowered.push(place);
             }
         }
-        // What is given up can be lent to another as soon as this is known.
+        // What is given up can be granted to another as soon as this is known.
         if !lowered.is_empty() {
             self.report(now, &lowered, false, out);
         }
--- a/budgets/src/envelope.rs
+++ b/budgets/src/envelope.rs
@@ -48,7 +48,7 @@
     /// What the holder may use from the sending of that report on.
     Grant {
         seq: u64,
-        shares: Vec<Lent>,
+        grants: Vec<Grant>,
     },
     /// The one that was reported to is not the leader; who is, as far as it knows.
     Elsewhere {
@@ -59,7 +59,7 @@
 
 /// One budget in a grant.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
-pub struct Lent {
+pub struct Grant {
     pub id: Id,
     pub share: Units,
     /// It prolongs what the holder has: where that is over meanwhile, it is nothing.
--- a/budgets/src/leadership.rs
+++ b/budgets/src/leadership.rs
@@ -67,8 +67,8 @@
 pub(crate) struct Term {
     pub election: Election,
     pub renew_at: Tenths,
-    /// From here on nothing is in use that an earlier leader lent for longer than this budget's leases last;
-    /// what is held beyond a lease is added for each budget.
+    /// From here on nothing is in use that an earlier leader granted for longer than this budget's leases
+    /// last; what is held beyond a lease is added for each budget.
     pub since: Tenths,
     /// The next division.
     pub divide_at: Tenths,
@@ -188,8 +188,8 @@
                     self.leadership = Leadership::Leader(Term { election, renew_at, since: now, divide_at });
                     let list: Vec<Budget> = self.shares.iter().map(|share| share.budget.clone()).collect();
                     self.accounts = Accounts::new(&list);
-                    let lends_after = if self.terms.safeguards.settle { self.terms.lease } else { 0 };
-                    out.push(Action::Report(News::Elected { lends_after }));
+                    let grants_after = if self.terms.safeguards.settle { self.terms.lease } else { 0 };
+                    out.push(Action::Report(News::Elected { grants_after }));
                     self.bind(Some(self.me.clone()), out);
                 }
             }
@@ -240,15 +240,15 @@
         out: &mut Vec<Action>,
     ) {
         let answer = match &self.leadership {
-            // The look at its own votes comes before every share that it lends.
+            // The look at its own votes comes before every share that it grants.
             Leadership::Leader(term) if term.election.till(&self.terms) > now => {
                 let (terms, since) = (&self.terms, term.since);
                 let settled = |budget: &Budget| {
                     let held = if terms.safeguards.held { budget.held_most() } else { 0 };
                     !terms.safeguards.settle || now >= since + terms.lease + held
                 };
-                let shares = self.accounts.report(now, &from, (seq, weight), items, settled, terms);
-                shares.map(|shares| Message::Grant { seq, shares })
+                let grants = self.accounts.report(now, &from, (seq, weight), items, settled, terms);
+                grants.map(|grants| Message::Grant { seq, grants })
             }
             _ => {
                 let leader = self.voter.as_ref().and_then(|voter| voter.leader(now)).cloned();
--- a/budgets/src/lib.rs
+++ b/budgets/src/lib.rs
@@ -11,17 +11,17 @@
 //! if let Err(retry_after) = budgets.take(place, now) { .. }  // with the clock read just before
 //! ```
 //!
-//! A **leader**, one of the fleet's voters, lends shares to all nodes on leases. Nothing is written to disk:
+//! A **leader**, one of the fleet's voters, grants shares to all nodes on leases. Nothing is written to disk:
 //! - **Votes.** A voter gives its vote to one candidate for [`Terms::vote_lasts`] and to no other meanwhile;
 //!   who holds the votes of a majority is leader, by its own clock from when it *asked*. A voter that has
 //!   just started may have forgotten a vote, and gives none for as long as one lasts.
 //! - **Leases.** A share counts, for its holder, from when it *asked* for it, and for the leader from when it
 //!   *answered*, so no delay makes the holder's end come after the leader's. A lease is shorter for its
 //!   holder by what two clocks may drift apart.
-//! - **Moved shares.** What one holder is to give up is lent to another only once the first has said that it
-//!   uses no more, or its lease is over. Whatever was sent and not confirmed counts as lent.
-//! - **A new leader** knows nothing of what was lent. Until all that an earlier one can have lent is over, it
-//!   only prolongs what holders say they hold, and only where they still do when its word comes.
+//! - **Moved shares.** What one holder is to give up is granted to another only once the first has said that
+//!   it uses no more, or its lease is over. Whatever was sent and not confirmed counts as granted.
+//! - **A new leader** knows nothing of what was granted. Until all that an earlier one can have granted is
+//!   over, it only prolongs what holders say they hold, and only where they still do when its word comes.
 //! - **Floors** are set aside from the whole, for named nodes, and need no leader.
 //!
 //! Assumptions: each process's time goes forward, and against true time by no more than [`Terms::drift`] too
@@ -49,7 +49,7 @@
 
 pub use budgets::Budgets;
 pub use divide::{Asks, divide};
-pub use envelope::{Envelope, Item, Lent, MOST_ITEMS, Message, Who};
+pub use envelope::{Envelope, Grant, Item, MOST_ITEMS, Message, Who};
 pub use reporting::Standing;
 pub use terms::{Budget, Id, Kind, Safeguards, Terms, Units, id_of};
 
@@ -85,9 +85,9 @@
 /// What has changed, for the log.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum News {
-    /// This node is the leader from here on, and lends what is free after so many tenths of a ms.
+    /// This node is the leader from here on, and grants what is free after so many tenths of a ms.
     Elected {
-        lends_after: Tenths,
+        grants_after: Tenths,
     },
     SteppedDown,
     /// Whom this node reports to.
--- a/budgets/src/reporting.rs
+++ b/budgets/src/reporting.rs
@@ -17,8 +17,8 @@
     pub rejected: u64,
     /// For how long the lease lasts yet.
     pub lasts: Option<Tenths>,
-    /// What it has lent, where this node is the leader.
-    pub lent: Option<Units>,
+    /// What it has granted, where this node is the leader.
+    pub granted: Option<Units>,
 }
 
 impl Budgets {
@@ -56,7 +56,7 @@
             need: share.need(),
             rejected: share.rejected,
             lasts: share.till().map(|till| till.saturating_sub(now)),
-            lent: leader.then(|| self.accounts.lent(place)),
+            granted: leader.then(|| self.accounts.granted(place)),
         }
     }
 
--- a/budgets/src/share.rs
+++ b/budgets/src/share.rs
@@ -3,7 +3,7 @@
 use doortrack::Tenths;
 
 use crate::need::Need;
-use crate::{Budget, Item, Kind, Lent, Terms, Units};
+use crate::{Budget, Grant, Item, Kind, Terms, Units};
 
 /// What a unit is counted in, so that thousandths of a unit a second for a tenth of a ms are whole.
 const TOKEN: u64 = 10_000_000;
@@ -66,7 +66,7 @@
     pub fn change(&mut self, budget: Budget, name: &str) {
         self.floor = budget.floor_of(name);
         // A lower whole holds at once for what this node may use.
-        self.leased = self.leased.min(budget.lent(budget.whole(), budget.floor()));
+        self.leased = self.leased.min(budget.grantable(budget.whole(), budget.floor()));
         self.budget = budget;
         self.bound();
     }
@@ -180,19 +180,20 @@
     }
 
     /// The leader's answer to report `seq`, sent so that the share lasts till `till`. What was, and is.
-    pub fn grant(
+    pub fn apply_grant(
         &mut self,
         now: Tenths,
         seq: u64,
-        lent: Lent,
+        grant: Grant,
         till: Tenths,
         terms: &Terms,
     ) -> (Units, Units) {
         self.settle(now, terms);
         let was = self.leased;
-        // A leader that prolongs may not know that this has been lent to another since it was over here.
-        let most = if lent.prolongs && terms.safeguards.prolong { was } else { Units::MAX };
-        self.leased = lent.share.min(most).min(self.budget.lent(self.budget.whole(), self.budget.floor()));
+        // A leader that prolongs may not know that this has been granted to another since it was over here.
+        let most = if grant.prolongs && terms.safeguards.prolong { was } else { Units::MAX };
+        self.leased =
+            grant.share.min(most).min(self.budget.grantable(self.budget.whole(), self.budget.floor()));
         (self.till, self.accepted, self.ran_out) = (till, seq, None);
         self.bound();
         (was, self.leased)
--- a/budgets/src/terms.rs
+++ b/budgets/src/terms.rs
@@ -72,13 +72,13 @@
         Units::from(self.floor) * self.scale()
     }
 
-    /// What can be lent, where all think so of the whole and the floor.
-    pub fn lent(&self, whole: Units, floor: Units) -> Units {
+    /// What can be granted, where all think so of the whole and the floor.
+    pub fn grantable(&self, whole: Units, floor: Units) -> Units {
         whole.saturating_sub(floor * self.floors_for.len() as Units)
     }
 
-    /// The most that one node may be lent.
-    pub fn most_lent(&self, of: &str) -> Units {
+    /// The most that one node may be granted.
+    pub fn max_grant(&self, of: &str) -> Units {
         (Units::from(self.most) * self.scale()).saturating_sub(self.floor_of(of))
     }
 
@@ -148,9 +148,9 @@
     pub silent_start: bool,
     /// A majority of the voters makes a leader, not one.
     pub majority: bool,
-    /// A new leader lends nothing new until earlier leases are over.
+    /// A new leader grants nothing new until earlier leases are over.
     pub settle: bool,
-    /// What was lent to another counts until it is confirmed as given up.
+    /// What was granted to another counts until it is confirmed as given up.
     pub confirm: bool,
     /// A holder looks whether its lease is over.
     pub run_out: bool,
--- a/budgets/tests/holder.rs
+++ b/budgets/tests/holder.rs
@@ -4,7 +4,7 @@
 
 use doortrack::Tenths;
 use doortrack_budgets::{
-    Action, Budget, Budgets, Envelope, Event, Kind, Lent, Message, Safeguards, Terms, Who,
+    Action, Budget, Budgets, Envelope, Event, Grant, Kind, Message, Safeguards, Terms, Who,
 };
 use doortrack_fleet::{Life, Name, Seat, View};
 
@@ -55,7 +55,7 @@
 
     fn granted(&mut self, seq: u64, share: u64, prolongs: bool) -> u64 {
         let id = self.budgets.list().next().unwrap().id();
-        self.hears(Message::Grant { seq, shares: vec![Lent { id, share, prolongs }] });
+        self.hears(Message::Grant { seq, grants: vec![Grant { id, share, prolongs }] });
         self.budgets.exposed(0, self.now)
     }
 
@@ -71,8 +71,8 @@
     }
 }
 
-/// A leader that stepped down and was elected again knows nothing of what another lent in between. Its word
-/// on a report that was long on its way must not bring back what was over meanwhile.
+/// A leader that stepped down and was elected again knows nothing of what another granted in between. Its
+/// word on a report that was long on its way must not bring back what was over meanwhile.
 fn late_word(safeguards: Safeguards) -> u64 {
     let mut holder = Holder::with_ten(safeguards);
     let granted_at = holder.now;
--- a/budgets/tests/model.rs
+++ b/budgets/tests/model.rs
@@ -119,7 +119,7 @@
         };
         let view = Self::view(&state);
         (0..self.nodes).for_each(|of| self.tell(&mut state, of, Event::Members(view.clone())));
-        // In calm, all that is sent comes at once, until a share is lent: the search begins there.
+        // In calm, all that is sent comes at once, until a share is granted: the search begins there.
         let calm = Fleet { envelopes: 1_000, ..*self };
         while state.nodes.iter().all(|node| node.exposed(0, state.now) == 0) {
             state.now += 1;
@@ -129,7 +129,7 @@
                     state = calm.next_state(&state, Step::Comes(envelope, false)).unwrap();
                 }
             }
-            assert!(state.now < 50, "nothing is ever lent");
+            assert!(state.now < 50, "nothing is ever granted");
         }
         state.ends = state.now + self.ticks;
         vec![state]
@@ -212,7 +212,7 @@
                 let used: u64 = state.nodes.iter().map(|node| node.exposed(0, state.now)).sum();
                 used <= 1_000
             }),
-            Property::sometimes("a share is lent anew", |_, state: &State| {
+            Property::sometimes("a share is granted anew", |_, state: &State| {
                 state
                     .nodes
                     .iter()
@@ -226,7 +226,7 @@
     Fleet { nodes, safeguards, ticks: 6, faults: 1, envelopes: 3 }
 }
 
-/// Exhaustive up to so many steps from where a share is lent.
+/// Exhaustive up to so many steps from where a share is granted.
 fn search(nodes: usize, faults: u8, depth: usize) -> usize {
     let bounded = Fleet { faults, ..fleet(nodes, Safeguards::default()) };
     let checker = bounded.checker().threads(2).target_max_depth(depth).spawn_bfs().join();
--- a/installation/src/budgets.rs
+++ b/installation/src/budgets.rs
@@ -76,7 +76,7 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize, JsonSchema)]
 #[serde(deny_unknown_fields, default)]
 pub struct LeaseTimes {
-    /// Needs are told, and shares lent, so often.
+    /// Needs are told, and shares granted, so often.
     #[schemars(range(min = 20, max = 10_000))]
     pub round_ms: u32,
     /// A leader that is not heard for so long may be replaced; at least 3 rounds.
--- a/node/src/commands/fleet.rs
+++ b/node/src/commands/fleet.rs
@@ -68,7 +68,7 @@
     let units = |units: Units| if of.rate { json!(units as f64 / 1_000.0) } else { json!(units) };
     json!({"name": of.name, "kind": if of.rate { "rate" } else { "places" }, "whole": of.whole,
         "share": units(of.share), "used": of.used, "rejected": of.rejected, "need": units(of.need),
-        "in_use": of.in_use, "until_ms": of.until_ms, "lent": of.lent.map(units),
+        "in_use": of.in_use, "until_ms": of.until_ms, "granted": of.granted.map(units),
         "leader": leader.map(|name| &**name)})
 }
 
--- a/node/src/peers/shares.rs
+++ b/node/src/peers/shares.rs
@@ -173,7 +173,7 @@
                 need: stands.need,
                 in_use: stands.in_use,
                 until_ms: stands.lasts.map(|lasts| lasts / MS),
-                lent: stands.lent,
+                granted: stands.granted,
             }
         });
         let budgets = budgets.collect();
@@ -192,8 +192,8 @@
         let word = news.word();
         let name = |place: usize| self.budgets.list().nth(place).map_or("", |budget| &budget.name);
         match news {
-            News::Elected { lends_after } => {
-                info!(log, "budget"; "what" => word, "lends_after_ms" => lends_after / MS);
+            News::Elected { grants_after } => {
+                info!(log, "budget"; "what" => word, "grants_after_ms" => grants_after / MS);
             }
             News::SteppedDown => info!(log, "budget"; "what" => word),
             News::Leader(who) => info!(log, "budget"; "what" => word, "of" => &*who.name),
--- a/node/src/peers/spoken.rs
+++ b/node/src/peers/spoken.rs
@@ -68,6 +68,6 @@
     pub in_use: Units,
     /// For how long what is beyond the floor lasts.
     pub until_ms: Option<u64>,
-    /// What this node has lent, as the leader.
-    pub lent: Option<Units>,
+    /// What this node has granted, as the leader.
+    pub granted: Option<Units>,
 }
--- a/node/tests/fleet/budgets.rs
+++ b/node/tests/fleet/budgets.rs
@@ -121,7 +121,7 @@
     let asked = play(&script(NODES, 22_000, faults), &[]);
     let broken = broken(&asked);
     assert!(broken.is_empty(), "{broken:#?}");
-    // It was put to use: a good part of what a leader could lend, however slow the machine.
+    // It was put to use: a good part of what a leader could grant, however slow the machine.
     assert!(asked.looks.len() > 300 && asked.pays.len() > 100, "{} {}", asked.looks.len(), asked.pays.len());
 }
 
--- a/rig/src/divided.rs
+++ b/rig/src/divided.rs
@@ -332,8 +332,8 @@
             };
             small(*seq) + 2 + items.iter().map(item).sum::<u64>()
         }
-        Message::Grant { seq, shares } => {
-            small(*seq) + 1 + shares.iter().map(|lent| 6 + small(lent.share)).sum::<u64>()
+        Message::Grant { seq, grants } => {
+            small(*seq) + 1 + grants.iter().map(|grant| 6 + small(grant.share)).sum::<u64>()
         }
         Message::Elsewhere { seq, leader } => small(*seq) + 1 + leader.as_ref().map_or(0, who),
     };
--- a/rig/tests/divided.rs
+++ b/rig/tests/divided.rs
@@ -89,7 +89,7 @@
 #[test]
 fn healthy_it_is_put_to_use_and_the_same_each_time() {
     let one = holds(&script(20_000, 1, vec![]));
-    // All but what went before there was a leader that lends: 3 s of the 20.
+    // All but what went before there was a leader that grants: 3 s of the 20.
     assert!(one.used[0] > 17 * 600 * 85 / 100, "{} of {}", one.used[0], one.asked[0]);
     assert_eq!(one.leaders, 1);
     assert_eq!(one.digest, holds(&script(20_000, 1, vec![])).digest);
