Names: Event::Tick for time that passes, rotation for single steps

`turn` stood for three things in these two packages: the passing of time, the version of a member's update and whose turn it is in a division. The first becomes `tick`, the last `rotation`.

--- a/budgets/src/account.rs
+++ b/budgets/src/account.rs
@@ -9,7 +9,7 @@
 /// Shares sent and not yet confirmed, kept one by one; of more the two oldest are taken for the greater.
 const MOST_SENT: usize = 6;
 /// Rounds after which single steps that can't be divided go to the next.
-const TURN: u64 = 5;
+const ROTATE_AFTER: u64 = 5;
 
 /// One holder's part of one budget.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
@@ -50,7 +50,7 @@
     books: Vec<Book>,
     places: BTreeMap<Id, usize>,
     holders: BTreeMap<Who, Holder>,
-    turn: u64,
+    rotation: u64,
 }
 
 impl Line {
@@ -98,7 +98,7 @@
             let before = old.places.get(&book.budget.id()).map(|place| &old.books[*place]);
             book.granted = before.map_or(0, |before| before.granted);
         }
-        self.turn = old.turn;
+        self.rotation = old.rotation;
     }
 
     /// Takes a report in, and says what the holder may use; nothing for one that came late. `settled` tells
@@ -154,7 +154,7 @@
 
     /// Strikes out leases that are over, and divides anew what each is to have.
     pub fn divide(&mut self, now: Tenths, terms: &Terms) {
-        self.turn += 1;
+        self.rotation += 1;
         for holder in self.holders.values_mut() {
             holder.lines.retain(|place, line| {
                 let over = line.till <= now;
@@ -180,7 +180,9 @@
         let mut shares: Vec<std::vec::IntoIter<Units>> = Vec::with_capacity(self.books.len());
         for ((book, asks), (whole, floor)) in self.books.iter_mut().zip(&asks).zip(seen) {
             book.grantable = book.budget.grantable(whole, floor);
-            shares.push(divide(book.grantable, book.budget.step(), asks, self.turn / TURN).into_iter());
+            shares.push(
+                divide(book.grantable, book.budget.step(), asks, self.rotation / ROTATE_AFTER).into_iter(),
+            );
         }
         for holder in self.holders.values_mut() {
             for (place, line) in &mut holder.lines {
--- a/budgets/src/budgets.rs
+++ b/budgets/src/budgets.rs
@@ -97,7 +97,7 @@
         chance.u64(..below.max(1))
     }
 
-    /// When [`Event::Turn`] is due at the latest; [`Tenths::MAX`] where nothing is.
+    /// When [`Event::Tick`] is due at the latest; [`Tenths::MAX`] where nothing is.
     pub fn next_due(&self) -> Tenths {
         if self.displaced || self.shares.is_empty() {
             return Tenths::MAX;
@@ -111,7 +111,7 @@
             return;
         }
         match event {
-            Event::Turn => self.turn(now, out),
+            Event::Tick => self.on_tick(now, out),
             Event::Received(envelope) => self.received(now, envelope, out),
             Event::Members(view) => {
                 let seen = |name: &Name| view.members.get(name).map(|seat| (name.clone(), seat.life));
@@ -154,8 +154,8 @@
         self.accounts.change(&list);
     }
 
-    fn turn(&mut self, now: Tenths, out: &mut Vec<Action>) {
-        self.leadership_turn(now, out);
+    fn on_tick(&mut self, now: Tenths, out: &mut Vec<Action>) {
+        self.leadership_tick(now, out);
         if now < self.report_at {
             return;
         }
--- a/budgets/src/divide.rs
+++ b/budgets/src/divide.rs
@@ -13,25 +13,25 @@
 
 /// The shares of each, in the order of `asks`, multiples of `step` whose sum is at most `whole`. What is left
 /// beyond all needs goes to all by weight, up to their mosts. Single steps that can't be divided go to one
-/// after the other as `turn` grows, so that over turns they are divided as well.
-pub fn divide(whole: Units, step: Units, asks: &[Asks], turn: u64) -> Vec<Units> {
+/// after the other as `rotation` grows, so that in time they are divided as well.
+pub fn divide(whole: Units, step: Units, asks: &[Asks], rotation: u64) -> Vec<Units> {
     let step = step.max(1);
     let steps = whole / step;
     let needs: Vec<Units> = asks.iter().map(|of| of.need.min(of.most).div_ceil(step)).collect();
     let mosts: Vec<Units> = asks.iter().map(|of| of.most / step).collect();
     let needs: Vec<Units> = needs.iter().zip(&mosts).map(|(need, most)| *need.min(most)).collect();
-    let mut shares = level(steps, asks, &needs, turn);
+    let mut shares = level(steps, asks, &needs, rotation);
     let left = steps - shares.iter().sum::<Units>();
     if left > 0 {
         let room: Vec<Units> = mosts.iter().zip(&shares).map(|(most, share)| most - share).collect();
-        let more = level(left, asks, &room, turn);
+        let more = level(left, asks, &room, rotation);
         shares.iter_mut().zip(more).for_each(|(share, more)| *share += more);
     }
     shares.iter().map(|share| share * step).collect()
 }
 
 /// Fills all up to one level by weight, each to its bound at the most.
-fn level(whole: Units, asks: &[Asks], bounds: &[Units], turn: u64) -> Vec<Units> {
+fn level(whole: Units, asks: &[Asks], bounds: &[Units], rotation: u64) -> Vec<Units> {
     let weight = |of: usize| u128::from(asks[of].weight.max(1));
     // By bound for the weight: who needs least for its weight is filled first.
     let mut order: Vec<usize> = (0..asks.len()).filter(|of| bounds[*of] > 0).collect();
@@ -60,7 +60,7 @@
     // Single steps, from a place that moves on.
     let open: Vec<usize> = (0..asks.len()).filter(|of| shares[*of] < bounds[*of]).collect();
     if !open.is_empty() {
-        let from = (turn % open.len() as u64) as usize;
+        let from = (rotation % open.len() as u64) as usize;
         for nth in 0..open.len().min(left as usize) {
             shares[open[(from + nth) % open.len()]] += 1;
         }
--- a/budgets/src/leadership.rs
+++ b/budgets/src/leadership.rs
@@ -86,7 +86,7 @@
 
 impl Budgets {
     /// What time brings to a voter.
-    pub(crate) fn leadership_turn(&mut self, now: Tenths, out: &mut Vec<Action>) {
+    pub(crate) fn leadership_tick(&mut self, now: Tenths, out: &mut Vec<Action>) {
         match &self.leadership {
             Leadership::Follower { try_at } if now >= *try_at => self.seek(now, out),
             Leadership::Candidate { till, .. } if now >= *till => self.give_up(now, out),
--- a/budgets/src/lib.rs
+++ b/budgets/src/lib.rs
@@ -7,7 +7,7 @@
 //!
 //! ```text
 //! let mut budgets = Budgets::new(me, weight, terms, list, seed, now);
-//! budgets.handle(now, Event::Turn, &mut actions);          // at budgets.next_due() at the latest
+//! budgets.handle(now, Event::Tick, &mut actions);          // at budgets.next_due() at the latest
 //! if let Err(retry_after) = budgets.take(place, now) { .. }  // with the clock read just before
 //! ```
 //!
@@ -60,7 +60,7 @@
 #[derive(Clone, Debug)]
 pub enum Event {
     /// Time has come to where [`Budgets::next_due`] said, or simply passes.
-    Turn,
+    Tick,
     Received(Envelope),
     /// Who is there has changed.
     Members(View),
--- a/budgets/tests/holder.rs
+++ b/budgets/tests/holder.rs
@@ -37,7 +37,7 @@
         loop {
             self.now = self.now.max(self.budgets.next_due());
             let mut out = Vec::new();
-            self.budgets.handle(self.now, Event::Turn, &mut out);
+            self.budgets.handle(self.now, Event::Tick, &mut out);
             let seq = out.iter().find_map(|action| match action {
                 Action::Send(Envelope { message: Message::Report { seq, .. }, .. }) => Some(*seq),
                 _ => None,
--- a/budgets/tests/model.rs
+++ b/budgets/tests/model.rs
@@ -124,7 +124,7 @@
         while state.nodes.iter().all(|node| node.exposed(0, state.now) == 0) {
             state.now += 1;
             for of in 0..self.nodes {
-                calm.tell(&mut state, of, Event::Turn);
+                calm.tell(&mut state, of, Event::Tick);
                 while let Some(envelope) = state.net.first().cloned() {
                     state = calm.next_state(&state, Step::Comes(envelope, false)).unwrap();
                 }
@@ -166,7 +166,7 @@
                 state.now += 1;
                 for of in 0..self.nodes {
                     if !state.stopped[of] {
-                        self.tell(&mut state, of, Event::Turn);
+                        self.tell(&mut state, of, Event::Tick);
                     }
                 }
             }
@@ -200,7 +200,7 @@
             }
             Step::GoesOn(of) => {
                 state.stopped[of] = false;
-                self.tell(&mut state, of, Event::Turn);
+                self.tell(&mut state, of, Event::Tick);
             }
         }
         Some(state)
@@ -317,7 +317,7 @@
     // One turn of these, and all that comes of it between pairs that hear one another.
     let turn = |state: &mut State, nodes: &[usize], pairs: &[(usize, usize)]| {
         for of in nodes {
-            fleet.tell(state, *of, Event::Turn);
+            fleet.tell(state, *of, Event::Tick);
             while let Some(envelope) = state.net.first().cloned() {
                 let [from, to] =
                     [&envelope.from, &envelope.to].map(|who| who.name[1..].parse::<usize>().unwrap());
--- a/fleet/src/fleet.rs
+++ b/fleet/src/fleet.rs
@@ -128,7 +128,7 @@
         fleet
     }
 
-    /// When [`Event::Turn`] is due at the latest; [`Tenths::MAX`] where nothing is.
+    /// When [`Event::Tick`] is due at the latest; [`Tenths::MAX`] where nothing is.
     pub fn next_due(&self) -> Tenths {
         if self.stage == Stage::Displaced {
             return Tenths::MAX;
@@ -149,7 +149,7 @@
             out.push(Action::Report(News::StoodStill { late }));
         }
         match event {
-            Event::Turn => self.turn(now, out),
+            Event::Tick => self.on_tick(now, out),
             Event::Received { from, datagram } => self.received(now, from, datagram, out),
             Event::Leave => self.leave(now, out),
             Event::Changed { terms } => {
--- a/fleet/src/lib.rs
+++ b/fleet/src/lib.rs
@@ -6,7 +6,7 @@
 //!
 //! ```text
 //! let mut fleet = Fleet::new(me, terms, seed, now);
-//! fleet.handle(now, Event::Turn, &mut actions);            // at fleet.next_due() at the latest
+//! fleet.handle(now, Event::Tick, &mut actions);            // at fleet.next_due() at the latest
 //! fleet.handle(now, Event::Received { from, datagram }, &mut actions);
 //! ```
 //!
@@ -45,7 +45,7 @@
 mod report;
 mod table;
 mod terms;
-mod turning;
+mod timers;
 mod view;
 
 use std::fmt;
@@ -89,7 +89,7 @@
 #[derive(Clone, Debug)]
 pub enum Event {
     /// Time has come to where [`Fleet::next_due`] said, or simply passes.
-    Turn,
+    Tick,
     /// A datagram came that was found whole and of this fleet.
     Received { from: SocketAddr, datagram: Datagram },
     /// The node was told to leave.
--- a/fleet/src/turning.rs
+++ b/fleet/src/timers.rs
@@ -8,7 +8,7 @@
 use crate::{Action, Claim, Message, News, Stand};
 
 impl Fleet {
-    pub(crate) fn turn(&mut self, now: Tenths, out: &mut Vec<Action>) {
+    pub(crate) fn on_tick(&mut self, now: Tenths, out: &mut Vec<Action>) {
         while let Some(timer) = self.due(now) {
             match timer {
                 Timer::Period => self.period(now, out),
--- a/fleet/tests/cases.rs
+++ b/fleet/tests/cases.rs
@@ -84,7 +84,7 @@
                 break;
             }
             self.now = self.now.max(due);
-            self.handle(of, Event::Turn);
+            self.handle(of, Event::Tick);
         }
         self.now = till;
     }
--- a/fleet/tests/random.rs
+++ b/fleet/tests/random.rs
@@ -96,7 +96,7 @@
                     let till = now + ms * MS;
                     while fleet.next_due() <= till {
                         now = now.max(fleet.next_due());
-                        fleet.handle(now, Event::Turn, &mut out);
+                        fleet.handle(now, Event::Tick, &mut out);
                         prop_assert!(fleet.next_due() > now, "a turn leaves nothing due");
                     }
                     now = till;
--- a/node/src/peers/link.rs
+++ b/node/src/peers/link.rs
@@ -279,7 +279,7 @@
         if now >= self.fleet.next_due() {
             self.waited = if waits { self.waited + 1 } else { 0 };
             if !waits {
-                self.fleet.handle(now, Event::Turn, &mut self.actions);
+                self.fleet.handle(now, Event::Tick, &mut self.actions);
                 self.carry_out();
             }
         }
@@ -287,7 +287,7 @@
             shares.borrow_mut().free(now);
         }
         if self.shares.as_ref().is_some_and(|shares| now >= shares.borrow().budgets.next_due()) {
-            self.tell_shares(Some(doortrack_budgets::Event::Turn));
+            self.tell_shares(Some(doortrack_budgets::Event::Tick));
         }
     }
 
--- a/rig/src/divided.rs
+++ b/rig/src/divided.rs
@@ -123,7 +123,7 @@
                 Next::Mark(u64::MAX) => self.learn(),
                 Next::Mark(nth) => self.fault(faults[nth as usize].fault.clone()),
                 Next::Wakes { of } => {
-                    self.handle(of, Event::Turn);
+                    self.handle(of, Event::Tick);
                     self.asks(of);
                     self.wake(of);
                 }
--- a/rig/src/simulated.rs
+++ b/rig/src/simulated.rs
@@ -136,7 +136,7 @@
         while let Some(next) = self.net.next(script.ms * MS) {
             match next {
                 Next::Mark(nth) => self.fault(faults[nth as usize].fault.clone()),
-                Next::Wakes { of } => self.handle(of, Event::Turn),
+                Next::Wakes { of } => self.handle(of, Event::Tick),
                 Next::Hears { of, from, what } => {
                     let from = address(from);
                     self.handle(of, Event::Received { from, datagram: what });
