--- a/fleet/src/fleet.rs
+++ b/fleet/src/fleet.rs
@@ -10,7 +10,9 @@
 use crate::gossip::Gossip;
 use crate::probes::Probes;
 use crate::table::{Place, Table};
-use crate::{Action, Claim, Datagram, Event, Head, Life, MOST_CLAIMS, Message, Name, News, Seat, Stand};
+use crate::{
+    Action, Datagram, Event, Head, Life, MAX_UPDATES, MemberState, MemberUpdate, Message, Name, News, Seat,
+};
 use crate::{Terms, View};
 
 /// Rounds in which a node tells of itself after something about it changed.
@@ -42,7 +44,7 @@
     Admit(Place),
     News,
     Knock,
-    /// A dead member with the claim of this version.
+    /// A dead member with the update of this revision.
     Forget(Place, u32),
 }
 
@@ -55,7 +57,7 @@
 
 /// One node's membership. See the crate's page for how to drive it.
 pub struct Fleet {
-    pub(crate) me: Claim,
+    pub(crate) me: MemberUpdate,
     /// Tells this node from others that doubt.
     pub(crate) mark: u32,
     pub(crate) stage: Stage,
@@ -88,9 +90,9 @@
 }
 
 impl Fleet {
-    /// A node that has just started. `me.stand` and `me.turn` are set here.
-    pub fn new(me: Claim, terms: Terms, seed: u64, now: Tenths) -> Fleet {
-        let me = Claim { turn: 0, stand: Stand::Alive, ..me };
+    /// A node that has just started. `me.state` and `me.version` are set here.
+    pub fn new(me: MemberUpdate, terms: Terms, seed: u64, now: Tenths) -> Fleet {
+        let me = MemberUpdate { version: 0, state: MemberState::Alive, ..me };
         let mut view = View::default();
         view.put(&me.name, Seat { life: me.life, address: me.address, weight: me.weight });
         let mut chance = fastrand::Rng::with_seed(seed ^ me.life.0);
@@ -163,7 +165,7 @@
     }
 
     /// The node itself, as it tells others.
-    pub fn me(&self) -> &Claim {
+    pub fn me(&self) -> &MemberUpdate {
         &self.me
     }
 
@@ -207,23 +209,24 @@
 
     fn head(&mut self, to: Life) -> Head {
         self.nth += 1;
-        Head { of: self.me.clone(), to, nth: self.nth, digest: self.view.digest, view: self.view.number }
+        Head { sender: self.me.clone(), to, nth: self.nth, digest: self.view.digest, view: self.view.number }
     }
 
     /// Sends to a member, with what is thought of it if that is not the best, and what there is of news.
     pub(crate) fn send(&mut self, place: Place, message: Message, out: &mut Vec<Action>) {
-        let Some(member) = self.table.get(place) else { return };
-        let (to, life) = (member.claim.address, member.claim.life);
+        let Some(record) = self.table.get(place) else { return };
+        let (to, life) = (record.update.address, record.update.life);
         let mut places = Vec::new();
-        let mut claims = Vec::new();
-        if member.claim.stand != Stand::Alive {
-            claims.push(member.claim.clone());
+        let mut updates = Vec::new();
+        if record.update.state != MemberState::Alive {
+            updates.push(record.update.clone());
         }
         let (table, members) = (&self.table, self.view.members.len());
-        let current = |place: Place, version: u32| table.get(place).is_some_and(|of| of.version == version);
-        self.gossip.take(MOST_CLAIMS - claims.len(), members, current, &mut places);
-        claims.extend(places.iter().filter_map(|place| self.table.get(*place)).map(|of| of.claim.clone()));
-        let datagram = Box::new(Datagram { head: self.head(life), message, claims });
+        let current =
+            |place: Place, revision: u32| table.get(place).is_some_and(|of| of.revision == revision);
+        self.gossip.take(MAX_UPDATES - updates.len(), members, current, &mut places);
+        updates.extend(places.iter().filter_map(|place| self.table.get(*place)).map(|of| of.update.clone()));
+        let datagram = Box::new(Datagram { head: self.head(life), message, updates });
         out.push(Action::Send { to, datagram });
     }
 
@@ -233,85 +236,98 @@
         to: SocketAddr,
         life: Life,
         message: Message,
-        claims: Vec<Claim>,
+        updates: Vec<MemberUpdate>,
         out: &mut Vec<Action>,
     ) {
-        let datagram = Box::new(Datagram { head: self.head(life), message, claims });
+        let datagram = Box::new(Datagram { head: self.head(life), message, updates });
         out.push(Action::Send { to, datagram });
     }
 
     // --- What is thought of members ---
 
     /// Takes up a word on a member that holds against what was known, with all that follows.
-    pub(crate) fn take_up(&mut self, now: Tenths, claim: Claim, out: &mut Vec<Action>) -> Option<Place> {
-        let Some(place) = self.table.place(&claim.name) else { return self.newcomer(now, claim, out) };
-        let member = self.table.get_mut(place)?;
-        let old = member.claim.clone();
-        let reborn = claim.life != old.life;
+    pub(crate) fn take_up(
+        &mut self,
+        now: Tenths,
+        update: MemberUpdate,
+        out: &mut Vec<Action>,
+    ) -> Option<Place> {
+        let Some(place) = self.table.place(&update.name) else { return self.newcomer(now, update, out) };
+        let record = self.table.get_mut(place)?;
+        let old = record.update.clone();
+        let reborn = update.life != old.life;
         if reborn {
-            (member.received, member.answers_in, member.slow) = (Default::default(), 0, false);
+            (record.received, record.answers_in, record.slow) = (Default::default(), 0, false);
         }
-        let was_there = old.stand.is_there() && !reborn;
-        if !matches!(claim.stand, Stand::Suspected { .. }) || reborn || claim.turn != old.turn {
-            member.doubt = None;
+        let was_there = old.state.is_there() && !reborn;
+        if !matches!(update.state, MemberState::Suspected { .. }) || reborn || update.version != old.version {
+            record.doubt = None;
         }
         // Who left on its own word comes back as often as it likes.
-        let returns = claim.stand.is_there() && old.stand != Stand::Left && (reborn || !old.stand.is_there());
-        self.table.set(place, claim.clone(), now);
+        let returns =
+            update.state.is_there() && old.state != MemberState::Left && (reborn || !old.state.is_there());
+        self.table.set(place, update.clone(), now);
         if returns {
             self.came_back(now, place, out);
         }
         self.passed_on(now, place);
-        self.told(now, place, &claim, was_there.then_some(old.stand), out);
+        self.told(now, place, &update, was_there.then_some(old.state), out);
         Some(place)
     }
 
-    /// The claim of a member is news for the others.
+    /// The update of a member is news for the others.
     pub(crate) fn passed_on(&mut self, now: Tenths, place: Place) {
-        if let Some(member) = self.table.get(place) {
-            self.gossip.add(place, member.version);
+        if let Some(record) = self.table.get(place) {
+            self.gossip.add(place, record.revision);
             self.arm_news(now);
         }
     }
 
-    fn newcomer(&mut self, now: Tenths, claim: Claim, out: &mut Vec<Action>) -> Option<Place> {
+    fn newcomer(&mut self, now: Tenths, update: MemberUpdate, out: &mut Vec<Action>) -> Option<Place> {
         if self.table.len() >= self.terms.most_members {
-            out.push(Action::Report(News::NoRoom { name: claim.name }));
+            out.push(Action::Report(News::NoRoom { name: update.name }));
             return None;
         }
-        let place = self.table.insert(claim.clone(), now);
+        let place = self.table.insert(update.clone(), now);
         self.passed_on(now, place);
-        self.told(now, place, &claim, None, out);
+        self.told(now, place, &update, None, out);
         Some(place)
     }
 
     /// What a new word means for the view and the log. `was` is how the same life stood, if it was there.
-    fn told(&mut self, now: Tenths, place: Place, claim: &Claim, was: Option<Stand>, out: &mut Vec<Action>) {
-        let (name, life) = (claim.name.clone(), claim.life);
-        match claim.stand {
-            Stand::Alive => {
-                let cleared = matches!(was, Some(Stand::Suspected { .. }));
+    fn told(
+        &mut self,
+        now: Tenths,
+        place: Place,
+        update: &MemberUpdate,
+        was: Option<MemberState>,
+        out: &mut Vec<Action>,
+    ) {
+        let (name, life) = (update.name.clone(), update.life);
+        match update.state {
+            MemberState::Alive => {
+                let cleared = matches!(was, Some(MemberState::Suspected { .. }));
                 if was.is_none() {
                     self.admit(now, place, out);
                 } else if cleared {
                     out.push(Action::Report(News::Cleared { name, life }));
                 }
             }
-            Stand::Suspected { by } => {
+            MemberState::Suspected { by } => {
                 if was.is_none() {
                     self.admit(now, place, out);
                 }
                 self.doubted(now, place, by, out);
             }
-            Stand::Lost | Stand::Left => {
-                if let Some(member) = self.table.get_mut(place) {
-                    member.held_until = None;
-                    let version = member.version;
-                    self.arm(now + self.terms.forget_after, Timer::Forget(place, version));
+            MemberState::Lost | MemberState::Left => {
+                if let Some(record) = self.table.get_mut(place) {
+                    record.held_until = None;
+                    let revision = record.revision;
+                    self.arm(now + self.terms.forget_after, Timer::Forget(place, revision));
                 }
                 self.change_view(now, |view| view.remove(&name));
                 if was.is_some() {
-                    let left = claim.stand == Stand::Left;
+                    let left = update.state == MemberState::Left;
                     out.push(Action::Report(if left {
                         News::Left { name, life }
                     } else {
@@ -324,9 +340,9 @@
 
     fn doubted(&mut self, now: Tenths, place: Place, by: u32, out: &mut Vec<Action>) {
         let members = self.view.members.len();
-        let Some(member) = self.table.get_mut(place) else { return };
-        let (name, life) = (member.claim.name.clone(), member.claim.life);
-        member.doubt.get_or_insert(Doubt::new(by, now));
+        let Some(record) = self.table.get_mut(place) else { return };
+        let (name, life) = (record.update.name.clone(), record.update.life);
+        record.doubt.get_or_insert(Doubt::new(by, now));
         self.arm_doubt(now, place);
         out.push(Action::Report(News::Suspected { name, life }));
         // A few of all that hear of it try for themselves, however many there are.
@@ -338,14 +354,14 @@
 
     /// Somebody else's doubt about a member that is doubted already; whether it counts.
     pub(crate) fn also_doubted(&mut self, now: Tenths, place: Place, by: u32) -> bool {
-        let Some(member) = self.table.get_mut(place) else { return false };
-        let mut claim = member.claim.clone();
-        let Some(doubt) = member.doubt.as_mut().filter(|doubt| !doubt.is_shared_by(by)) else { return false };
+        let Some(record) = self.table.get_mut(place) else { return false };
+        let mut update = record.update.clone();
+        let Some(doubt) = record.doubt.as_mut().filter(|doubt| !doubt.is_shared_by(by)) else { return false };
         doubt.share(by);
         self.arm_doubt(now, place);
         // Passed on, as it is a word of its own.
-        claim.stand = Stand::Suspected { by };
-        self.table.set(place, claim, now);
+        update.state = MemberState::Suspected { by };
+        self.table.set(place, update, now);
         self.passed_on(now, place);
         true
     }
@@ -354,7 +370,7 @@
     /// node by, as news reaches all but one in some thousands.
     pub(crate) fn arm_doubt(&mut self, now: Tenths, place: Place) {
         let (members, thawed_at) = (self.view.members.len(), self.thawed_at);
-        let Some(doubt) = self.table.get(place).and_then(|member| member.doubt) else { return };
+        let Some(doubt) = self.table.get(place).and_then(|record| record.doubt) else { return };
         let ends = doubt.ends(&self.terms, members, thawed_at).max(now);
         self.arm(ends, Timer::Doubt(place, doubt.since));
         let wait = self.terms.answer_within * 3 / 2;
--- a/fleet/src/gossip.rs
+++ b/fleet/src/gossip.rs
@@ -1,10 +1,10 @@
-//! What is still to be passed on: of each member the latest claim, the least often sent first.
+//! What is still to be passed on: of each member the latest update, the least often sent first.
 
 use std::collections::VecDeque;
 
 use crate::table::Place;
 
-/// Members whose claim is still to be sent, by how often it was. At most one current entry a member, and
+/// Members whose update is still to be sent, by how often it was. At most one current entry a member, and
 /// older ones are dropped when met, so the whole is bounded by the news of one round and the members.
 #[derive(Default)]
 pub struct Gossip {
@@ -18,15 +18,15 @@
 /// Past this many sendings nothing is passed on, however large the fleet.
 const MOST_TIMES: usize = 20;
 
-/// How often a claim is sent in a fleet of so many, so that all but surely everyone hears it.
+/// How often an update is sent in a fleet of so many, so that all but surely everyone hears it.
 fn times(members: usize) -> usize {
     let digits = (members + 1).ilog2() as usize + 1;
     (digits + 2).min(MOST_TIMES)
 }
 
 impl Gossip {
-    /// `version` is that of the member's claim; entries of earlier ones are passed over.
-    pub fn add(&mut self, place: Place, version: u32) {
+    /// `revision` is that of the member's update; entries of earlier ones are passed over.
+    pub fn add(&mut self, place: Place, revision: u32) {
         if self.by_times.is_empty() {
             self.by_times.resize_with(MOST_TIMES, VecDeque::new);
         }
@@ -35,7 +35,7 @@
             let often = self.by_times.iter_mut().rev().find(|queue| !queue.is_empty());
             self.queued -= usize::from(often.is_some_and(|queue| queue.pop_front().is_some()));
         }
-        self.by_times[0].push_back((place, version));
+        self.by_times[0].push_back((place, revision));
         self.queued += 1;
     }
 
@@ -43,7 +43,7 @@
         self.queued == 0
     }
 
-    /// Takes up to `room` claims, for one datagram. `current` tells whether an entry is still the latest of
+    /// Takes up to `room` updates, for one datagram. `current` tells whether an entry is still the latest of
     /// its member.
     pub fn take(
         &mut self,
--- a/fleet/src/joining.rs
+++ b/fleet/src/joining.rs
@@ -4,11 +4,12 @@
 
 use crate::fleet::{Fleet, SAY, Stage, Timer};
 use crate::table::Place;
-use crate::{Action, Claim, Life, Message, News, Seat, Stand};
+use crate::{Action, Life, MemberState, MemberUpdate, Message, News, Seat};
 
-/// Bytes of claims on a page, past which none is added; a claim takes its name and at the most this beside.
+/// Bytes of updates on a page, past which none is added; an update takes its name and at the most this
+/// beside.
 const PAGE: usize = 1_000;
-const BESIDE_NAME: usize = 46;
+const UPDATE_OVERHEAD: usize = 46;
 
 /// Knocks at seeds that are all made; later ones only now and then.
 const EARLY_KNOCKS: u32 = 5;
@@ -41,29 +42,29 @@
 
     /// Answers one that knocks, or goes on with the table. Nothing is thought of who merely knocks: it may
     /// be an old datagram. It is a member once it speaks to this life.
-    pub(crate) fn page(&mut self, to: &Claim, after: Option<&crate::Name>, out: &mut Vec<Action>) {
-        let (mut claims, mut bytes, mut next) = (Vec::new(), 0, None);
-        for member in self.table.after(after) {
+    pub(crate) fn page(&mut self, to: &MemberUpdate, after: Option<&crate::Name>, out: &mut Vec<Action>) {
+        let (mut updates, mut bytes, mut next) = (Vec::new(), 0, None);
+        for record in self.table.after(after) {
             if bytes > PAGE {
-                next = claims.last().map(|claim: &Claim| claim.name.clone());
+                next = updates.last().map(|update: &MemberUpdate| update.name.clone());
                 break;
             }
-            bytes += member.claim.name.len() + BESIDE_NAME;
-            claims.push(member.claim.clone());
+            bytes += record.update.name.len() + UPDATE_OVERHEAD;
+            updates.push(record.update.clone());
         }
-        self.send_to(to.address, to.life, Message::Page { next }, claims, out);
+        self.send_to(to.address, to.life, Message::Page { next }, updates, out);
     }
 
     /// A member is in the view from here on, unless it is held back.
     pub(crate) fn admit(&mut self, now: Tenths, place: Place, out: &mut Vec<Action>) {
-        let Some(member) = self.table.get_mut(place).filter(|of| of.claim.stand.is_there()) else { return };
-        if member.held_until.is_some_and(|till| till > now) {
+        let Some(record) = self.table.get_mut(place).filter(|of| of.update.state.is_there()) else { return };
+        if record.held_until.is_some_and(|till| till > now) {
             return;
         }
-        member.held_until = None;
-        let claim = &member.claim;
-        let (name, life, back) = (claim.name.clone(), claim.life, member.returns > 0);
-        let seat = Seat { life, address: claim.address, weight: claim.weight };
+        record.held_until = None;
+        let update = &record.update;
+        let (name, life, back) = (update.name.clone(), update.life, record.returns > 0);
+        let seat = Seat { life, address: update.address, weight: update.weight };
         self.change_view(now, |view| view.put(&name, seat));
         out.push(Action::Report(News::Alive { name, life, back }));
     }
@@ -72,18 +73,18 @@
     /// free, as after a restart or a broken link.
     pub(crate) fn came_back(&mut self, now: Tenths, place: Place, out: &mut Vec<Action>) {
         let (first, most) = (self.terms.hold_first, self.terms.hold_most);
-        let Some(member) = self.table.get_mut(place) else { return };
-        if member.returned_at + 2 * most < now {
-            member.returns = 0;
+        let Some(record) = self.table.get_mut(place) else { return };
+        if record.returned_at + 2 * most < now {
+            record.returns = 0;
         }
-        member.returns = member.returns.saturating_add(1);
-        member.returned_at = now;
-        if member.returns < 2 {
+        record.returns = record.returns.saturating_add(1);
+        record.returned_at = now;
+        if record.returns < 2 {
             return;
         }
-        let wait = most.min(first << (member.returns - 2).min(20));
-        member.held_until = Some(now + wait);
-        let (name, life) = (member.claim.name.clone(), member.claim.life);
+        let wait = most.min(first << (record.returns - 2).min(20));
+        record.held_until = Some(now + wait);
+        let (name, life) = (record.update.name.clone(), record.update.life);
         self.arm(now + wait, Timer::Admit(place));
         self.change_view(now, |view| view.remove(&name));
         out.push(Action::Report(News::HeldBack { name, life, wait }));
@@ -95,7 +96,7 @@
             return;
         }
         self.stage = Stage::Leaving;
-        self.me.stand = Stand::Left;
+        self.me.state = MemberState::Left;
         let name = self.me.name.clone();
         self.change_view(now, |view| view.remove(&name));
         self.say = SAY;
@@ -103,42 +104,51 @@
     }
 
     /// A word on this node's own name.
-    pub(crate) fn on_myself(&mut self, now: Tenths, claim: &Claim, first_hand: bool, out: &mut Vec<Action>) {
-        if claim.life == self.me.life {
-            let doubted = claim.stand != Stand::Alive && claim.turn >= self.me.turn && !first_hand;
-            if doubted && claim.stand == Stand::Left && self.stage != Stage::Leaving {
+    pub(crate) fn on_myself(
+        &mut self,
+        now: Tenths,
+        update: &MemberUpdate,
+        first_hand: bool,
+        out: &mut Vec<Action>,
+    ) {
+        if update.life == self.me.life {
+            let doubted =
+                update.state != MemberState::Alive && update.version >= self.me.version && !first_hand;
+            if doubted && update.state == MemberState::Left && self.stage != Stage::Leaving {
                 // Final for that life, which this one therefore can't be.
-                self.live_on(now, claim.life, out);
+                self.live_on(now, update.life, out);
             } else if doubted && self.stage != Stage::Leaving {
-                self.me.turn = claim.turn + 1;
+                self.me.version = update.version + 1;
                 self.say = SAY;
                 self.arm_news(now);
             }
-        } else if claim.life < self.me.life {
+        } else if update.life < self.me.life {
             if first_hand {
                 // It learns of this life by the head, and steps aside.
-                self.send_to(claim.address, claim.life, Message::News, Vec::new(), out);
-                if self.twin != claim.life {
-                    self.twin = claim.life;
-                    out.push(Action::Report(News::Twin { life: claim.life, address: claim.address }));
+                self.send_to(update.address, update.life, Message::News, Vec::new(), out);
+                if self.twin != update.life {
+                    self.twin = update.life;
+                    out.push(Action::Report(News::Twin { life: update.life, address: update.address }));
                 }
             }
-        } else if self.stage == Stage::Joining || !claim.stand.is_there() || claim.address == self.me.address
+        } else if self.stage == Stage::Joining
+            || !update.state.is_there()
+            || update.address == self.me.address
         {
             // That life is over, as only this process is where it was, or this one joins after it.
-            self.live_on(now, claim.life, out);
+            self.live_on(now, update.life, out);
         } else {
             self.stage = Stage::Displaced;
-            out.push(Action::Report(News::Displaced { by: claim.life, address: claim.address }));
+            out.push(Action::Report(News::Displaced { by: update.life, address: update.address }));
         }
     }
 
     /// Goes on under a life younger than `than`.
     fn live_on(&mut self, now: Tenths, than: Life, out: &mut Vec<Action>) {
         self.me.life = Life(than.0.saturating_add(1 + self.chance.u64(..256)));
-        self.me.turn = 0;
-        let (name, claim) = (self.me.name.clone(), &self.me);
-        let seat = Seat { life: claim.life, address: claim.address, weight: claim.weight };
+        self.me.version = 0;
+        let (name, update) = (self.me.name.clone(), &self.me);
+        let seat = Seat { life: update.life, address: update.address, weight: update.weight };
         self.change_view(now, |view| view.put(&name, seat));
         self.say = SAY;
         self.arm_news(now);
--- a/fleet/src/lib.rs
+++ b/fleet/src/lib.rs
@@ -25,16 +25,15 @@
 //!
 //! Assumptions: time as told does not go back within one process; it need not agree between two. Any
 //! datagram may be lost, delayed, doubled or replayed. A member may die, stop and wake at any point. Names
-//! are told apart, but two processes may claim the same one: the life that joined later stays. Members of
+//! are told apart, but two processes may use the same one: the life that joined later stays. Members of
 //! one fleet do not lie; who does not hold the key is kept out before anything gets here.
 //!
 //! What is never promised: that two nodes hold the same view at the same time. A decision that needs this
 //! has to rest on leases or a majority, not on a view.
 //!
-//! Bounds: members ([`Terms::most_members`]), probes under way, claims a datagram, datagrams a period. The
+//! Bounds: members ([`Terms::most_members`]), probes under way, updates a datagram, datagrams a period. The
 //! cost of an event grows with the logarithm of the members at the most.
 
-mod claim;
 mod doubt;
 mod fleet;
 mod gossip;
@@ -46,6 +45,7 @@
 mod table;
 mod terms;
 mod timers;
+mod update;
 mod view;
 
 use std::fmt;
@@ -54,11 +54,11 @@
 
 use serde::{Deserialize, Serialize};
 
-pub use claim::{Claim, Stand};
 pub use fleet::Fleet;
-pub use message::{Datagram, Head, MOST_CLAIMS, Message};
+pub use message::{Datagram, Head, MAX_UPDATES, Message};
 pub use report::{Report, State};
 pub use terms::Terms;
+pub use update::{MemberState, MemberUpdate};
 pub use view::{Seat, View};
 
 /// The name of a node; see [`name`].
--- a/fleet/src/message.rs
+++ b/fleet/src/message.rs
@@ -2,16 +2,16 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::{Claim, Life, Name};
+use crate::{Life, MemberUpdate, Name};
 
-/// Claims that one datagram carries at the most: with the longest names and addresses 10 are 1,090 bytes.
-pub const MOST_CLAIMS: usize = 10;
+/// Updates that one datagram carries at the most: with the longest names and addresses 10 are 1,090 bytes.
+pub const MAX_UPDATES: usize = 10;
 
 /// Who says it, and to whom.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Head {
     /// The sender on itself.
-    pub of: Claim,
+    pub sender: MemberUpdate,
     /// Which life it is meant for; 0 where the sender does not know.
     pub to: Life,
     /// Grows with each datagram of the sender's life.
@@ -37,7 +37,7 @@
         name: Name,
         life: Life,
     },
-    /// Carries claims, and nothing else.
+    /// Carries updates, and nothing else.
     News,
     /// Asks for the table from behind this name.
     Ask {
@@ -53,5 +53,5 @@
 pub struct Datagram {
     pub head: Head,
     pub message: Message,
-    pub claims: Vec<Claim>,
+    pub updates: Vec<MemberUpdate>,
 }
--- a/fleet/src/receiving.rs
+++ b/fleet/src/receiving.rs
@@ -7,12 +7,12 @@
 use crate::fleet::{Fetch, Fleet, SAY, Stage};
 use crate::probes::{Answered, ForOther, Probe};
 use crate::table::Place;
-use crate::{Action, Claim, Datagram, Head, Life, Message, News, Stand};
+use crate::{Action, Datagram, Head, Life, MemberState, MemberUpdate, Message, News};
 
 /// Stands for all those that hold a member for lost.
 const OTHERS: u32 = 0;
-/// Claims that any datagram may carry.
-const MOST_HEARD: usize = 64;
+/// Updates that any datagram may carry.
+const MAX_UPDATES_READ: usize = 64;
 
 impl Fleet {
     pub(crate) fn received(
@@ -22,31 +22,31 @@
         datagram: Datagram,
         out: &mut Vec<Action>,
     ) {
-        let Datagram { head, message, claims } = datagram;
-        let of_itself = matches!(head.of.stand, Stand::Alive | Stand::Left);
-        if !head.of.is_sound() || !of_itself || claims.len() > MOST_HEARD {
+        let Datagram { head, message, updates } = datagram;
+        let of_itself = matches!(head.sender.state, MemberState::Alive | MemberState::Left);
+        if !head.sender.is_valid() || !of_itself || updates.len() > MAX_UPDATES_READ {
             self.refused += 1;
             return;
         }
-        if head.of.name == self.me.name {
-            return self.on_myself(now, &head.of, true, out);
+        if head.sender.name == self.me.name {
+            return self.on_myself(now, &head.sender, true, out);
         }
         if message == Message::Join && head.to == Life(0) {
             if head.digest == self.view.digest {
                 // It knows all of this already.
-                let (to, life) = (head.of.address, head.of.life);
+                let (to, life) = (head.sender.address, head.sender.life);
                 return self.send_to(to, life, Message::Page { next: None }, Vec::new(), out);
             }
-            return self.page(&head.of, None, out);
+            return self.page(&head.sender, None, out);
         }
         if head.to != self.me.life {
             // Meant for an earlier life, or very old: the sender learns of this one, nothing else is done.
             self.refused += 1;
-            return self.send_to(head.of.address, head.of.life, Message::News, Vec::new(), out);
+            return self.send_to(head.sender.address, head.sender.life, Message::News, Vec::new(), out);
         }
         let Some(place) = self.first_hand(now, &head, &message, out) else { return };
-        for claim in claims {
-            self.hearsay(now, claim, out);
+        for update in updates {
+            self.hearsay(now, update, out);
         }
         if self.stage == Stage::Joining {
             self.stage = Stage::Member;
@@ -70,31 +70,32 @@
         what: &Message,
         out: &mut Vec<Action>,
     ) -> Option<Place> {
-        let Some(place) = self.table.place(&head.of.name) else {
-            let place = self.take_up(now, head.of.clone(), out)?;
+        let Some(place) = self.table.place(&head.sender.name) else {
+            let place = self.take_up(now, head.sender.clone(), out)?;
             self.table.get_mut(place)?.received.is_first(head.nth);
-            return Some(place).filter(|_| head.of.stand != Stand::Left);
+            return Some(place).filter(|_| head.sender.state != MemberState::Left);
         };
-        let known = self.table.get(place)?.claim.clone();
-        if head.of.life < known.life {
+        let known = self.table.get(place)?.update.clone();
+        if head.sender.life < known.life {
             // An elder process of that name, or its last words: it is shown who came after it.
             self.refused += 1;
-            self.send_to(head.of.address, head.of.life, Message::News, vec![known], out);
+            self.send_to(head.sender.address, head.sender.life, Message::News, vec![known], out);
             return None;
         }
-        if head.of.beats(&known) {
-            self.take_up(now, head.of.clone(), out);
+        if head.sender.overrides(&known) {
+            self.take_up(now, head.sender.clone(), out);
         }
-        let member = self.table.get_mut(place)?;
-        if !member.received.is_first(head.nth) {
+        let record = self.table.get_mut(place)?;
+        if !record.received.is_first(head.nth) {
             self.refused += 1;
             return None;
         }
-        match member.claim.stand {
-            Stand::Left => return None,
-            Stand::Alive => {}
-            // It lives, but only its own later turn says so to all. Pings are answered with the doubt anyway.
-            Stand::Suspected { .. } | Stand::Lost => {
+        match record.update.state {
+            MemberState::Left => return None,
+            MemberState::Alive => {}
+            // It lives, but only its own later version says so to all. Pings are answered with the doubt
+            // anyway.
+            MemberState::Suspected { .. } | MemberState::Lost => {
                 if !matches!(what, Message::Ping { .. }) {
                     self.send(place, Message::News, out);
                 }
@@ -104,46 +105,46 @@
     }
 
     /// What others say of a member.
-    fn hearsay(&mut self, now: Tenths, claim: Claim, out: &mut Vec<Action>) {
-        if !claim.is_sound() {
+    fn hearsay(&mut self, now: Tenths, update: MemberUpdate, out: &mut Vec<Action>) {
+        if !update.is_valid() {
             self.refused += 1;
             return;
         }
-        if claim.name == self.me.name {
-            return self.on_myself(now, &claim, false, out);
+        if update.name == self.me.name {
+            return self.on_myself(now, &update, false, out);
         }
-        let Some(place) = self.table.place(&claim.name) else {
+        let Some(place) = self.table.place(&update.name) else {
             // Of one never heard of, only that it is there is worth knowing.
-            if claim.stand.is_there() {
-                self.take_up(now, claim, out);
+            if update.state.is_there() {
+                self.take_up(now, update, out);
             }
             return;
         };
-        let Some(known) = self.table.get(place).map(|member| &member.claim) else { return };
-        let same = claim.life == known.life && claim.turn == known.turn;
-        if claim.stand == Stand::Lost && known.stand.is_there() && claim.beats(known) {
-            return self.said_to_be_lost(now, place, claim, out);
+        let Some(known) = self.table.get(place).map(|record| &record.update) else { return };
+        let same = update.life == known.life && update.version == known.version;
+        if update.state == MemberState::Lost && known.state.is_there() && update.overrides(known) {
+            return self.said_to_be_lost(now, place, update, out);
         }
-        match (claim.stand, known.stand) {
-            (Stand::Suspected { by }, Stand::Suspected { .. }) if same => {
+        match (update.state, known.state) {
+            (MemberState::Suspected { by }, MemberState::Suspected { .. }) if same => {
                 self.also_doubted(now, place, by);
             }
-            _ if claim.beats(known) => _ = self.take_up(now, claim, out),
+            _ if update.overrides(known) => _ = self.take_up(now, update, out),
             _ => {}
         }
     }
 
     /// Others hold for lost who is there for this node: two halves that find together say so of one another's
     /// members. It is told to the member and doubted for the shortest time, in which it can contradict.
-    fn said_to_be_lost(&mut self, now: Tenths, place: Place, claim: Claim, out: &mut Vec<Action>) {
-        let stand = Stand::Suspected { by: OTHERS };
-        let doubted = Claim { stand, ..claim };
-        let known = self.table.get(place).is_some_and(|member| doubted.beats(&member.claim));
+    fn said_to_be_lost(&mut self, now: Tenths, place: Place, update: MemberUpdate, out: &mut Vec<Action>) {
+        let state = MemberState::Suspected { by: OTHERS };
+        let doubted = MemberUpdate { state, ..update };
+        let known = self.table.get(place).is_some_and(|record| doubted.overrides(&record.update));
         if known {
             self.take_up(now, doubted, out);
             self.send(place, Message::News, out);
         }
-        let Some(doubt) = self.table.get_mut(place).and_then(|member| member.doubt.as_mut()) else { return };
+        let Some(doubt) = self.table.get_mut(place).and_then(|record| record.doubt.as_mut()) else { return };
         if doubt.confirm() {
             self.arm_doubt(now, place);
         }
@@ -157,8 +158,8 @@
                 let of = self
                     .table
                     .place(&name)
-                    .filter(|of| self.table.get(*of).is_some_and(|member| member.claim.life == life));
-                let asker = self.table.get(place).map(|member| member.claim.name.clone());
+                    .filter(|of| self.table.get(*of).is_some_and(|record| record.update.life == life));
+                let asker = self.table.get(place).map(|record| record.update.name.clone());
                 if let (Some(of), Some(asker)) = (of, asker) {
                     let own = self.chance.u32(..);
                     self.probes.for_other(ForOther { nonce: own, asker, askers: nonce });
@@ -166,8 +167,8 @@
                 }
             }
             Message::Ask { after } => {
-                if let Some(claim) = self.table.get(place).map(|member| member.claim.clone()) {
-                    self.page(&claim, after.as_ref(), out);
+                if let Some(update) = self.table.get(place).map(|record| record.update.clone()) {
+                    self.page(&update, after.as_ref(), out);
                 }
             }
             Message::Page { next } => self.fetched(now, place, next, out),
@@ -185,7 +186,7 @@
                 self.somebody_answers(now, out);
                 self.took(now, probe, out);
                 // It lives, only late: what doubt there is begins anew, until its own word ends it.
-                let thawed = self.table.get_mut(probe.place).and_then(|member| member.doubt.as_mut());
+                let thawed = self.table.get_mut(probe.place).and_then(|record| record.doubt.as_mut());
                 if let Some(doubt) = thawed {
                     doubt.since = now;
                     self.arm_doubt(now, probe.place);
@@ -203,19 +204,19 @@
     /// How long a member took to answer; one that takes long is waited for longer.
     fn took(&mut self, now: Tenths, probe: Probe, out: &mut Vec<Action>) {
         let late = 3 * self.terms.answer_within;
-        let Some(member) = self.table.get_mut(probe.place) else { return };
-        if member.claim.life != probe.life {
+        let Some(record) = self.table.get_mut(probe.place) else { return };
+        if record.update.life != probe.life {
             return;
         }
         let took = now.saturating_sub(probe.began).max(1);
         // Up at once, down slowly: a wait too short makes doubts.
-        member.answers_in = if took > member.answers_in { took } else { (member.answers_in * 7 + took) / 8 };
-        let slow = if member.slow { member.answers_in > late / 2 } else { member.answers_in > late };
-        if slow && !member.slow {
-            let (name, life) = (member.claim.name.clone(), member.claim.life);
-            out.push(Action::Report(News::Slow { name, life, after: member.answers_in }));
+        record.answers_in = if took > record.answers_in { took } else { (record.answers_in * 7 + took) / 8 };
+        let slow = if record.slow { record.answers_in > late / 2 } else { record.answers_in > late };
+        if slow && !record.slow {
+            let (name, life) = (record.update.name.clone(), record.update.life);
+            out.push(Action::Report(News::Slow { name, life, after: record.answers_in }));
         }
-        member.slow = slow;
+        record.slow = slow;
     }
 
     fn somebody_answers(&mut self, now: Tenths, out: &mut Vec<Action>) {
@@ -241,14 +242,14 @@
         if self.fetch.as_ref().is_some_and(|fetch| fetch.till > now) || now < self.fetched_at + 5 * calm {
             return;
         }
-        self.fetch = Some(Fetch { of: head.of.name.clone(), till: now + 5 * calm });
+        self.fetch = Some(Fetch { of: head.sender.name.clone(), till: now + 5 * calm });
         self.fetched_at = now;
         self.send(place, Message::Ask { after: None }, out);
     }
 
     /// A page came: on with the next, if it is of the table that is being fetched or joined by.
     fn fetched(&mut self, now: Tenths, place: Place, next: Option<crate::Name>, out: &mut Vec<Action>) {
-        let Some(name) = self.table.get(place).map(|member| member.claim.name.clone()) else { return };
+        let Some(name) = self.table.get(place).map(|record| record.update.name.clone()) else { return };
         match (&self.fetch, next) {
             (Some(fetch), _) if fetch.of != name && fetch.till > now => {}
             (_, Some(next)) => {
--- a/fleet/src/report.rs
+++ b/fleet/src/report.rs
@@ -6,7 +6,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::fleet::{Fleet, Stage};
-use crate::{Life, Name, Stand};
+use crate::{Life, MemberState, Name};
 
 /// How a member stands, as operators read it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -57,25 +57,25 @@
         while reports.len() < most {
             let before = |name: &Name| own.as_ref().is_some_and(|own| own.name < *name);
             match others.peek() {
-                Some(member) if !before(&member.claim.name) => {
-                    let claim = &member.claim;
-                    let state = match claim.stand {
-                        Stand::Alive | Stand::Suspected { .. } if member.held_until.is_some() => {
+                Some(record) if !before(&record.update.name) => {
+                    let update = &record.update;
+                    let state = match update.state {
+                        MemberState::Alive | MemberState::Suspected { .. } if record.held_until.is_some() => {
                             State::Joining
                         }
-                        Stand::Alive => State::Alive,
-                        Stand::Suspected { .. } => State::Suspected,
-                        Stand::Lost => State::Lost,
-                        Stand::Left => State::Left,
+                        MemberState::Alive => State::Alive,
+                        MemberState::Suspected { .. } => State::Suspected,
+                        MemberState::Lost => State::Lost,
+                        MemberState::Left => State::Left,
                     };
                     reports.push(Report {
-                        name: claim.name.clone(),
-                        life: claim.life,
-                        address: claim.address,
+                        name: update.name.clone(),
+                        life: update.life,
+                        address: update.address,
                         state,
-                        weight: claim.weight,
-                        for_ms: now.saturating_sub(member.since) / 10,
-                        slow: member.slow,
+                        weight: update.weight,
+                        for_ms: now.saturating_sub(record.since) / 10,
+                        slow: record.slow,
                     });
                     others.next();
                 }
--- a/fleet/src/table.rs
+++ b/fleet/src/table.rs
@@ -6,7 +6,7 @@
 use doortrack::Tenths;
 
 use crate::doubt::Doubt;
-use crate::{Claim, Name, Stand};
+use crate::{MemberState, MemberUpdate, Name};
 
 /// Place of a member in the table, in use again once it was forgotten.
 pub type Place = usize;
@@ -40,11 +40,11 @@
 }
 
 #[derive(Clone, Debug)]
-pub struct Member {
-    pub claim: Claim,
-    /// Grows with each change of the claim, for what waits to be passed on.
-    pub version: u32,
-    /// When the claim's stand last changed.
+pub struct MemberRecord {
+    pub update: MemberUpdate,
+    /// Grows with each change of the update, for what waits to be passed on.
+    pub revision: u32,
+    /// When the state last changed.
     pub since: Tenths,
     pub received: Received,
     /// Smoothed time to answer; 0 before the first answer.
@@ -60,11 +60,11 @@
     pub listed: usize,
 }
 
-impl Member {
-    fn new(claim: Claim, now: Tenths) -> Member {
-        Member {
-            claim,
-            version: 0,
+impl MemberRecord {
+    fn new(update: MemberUpdate, now: Tenths) -> MemberRecord {
+        MemberRecord {
+            update,
+            revision: 0,
             since: now,
             received: Received::default(),
             answers_in: 0,
@@ -82,7 +82,7 @@
 /// those that left are only known by name.
 #[derive(Default)]
 pub struct Table {
-    slots: Vec<Option<Member>>,
+    slots: Vec<Option<MemberRecord>>,
     free: Vec<Place>,
     by_name: BTreeMap<Name, Place>,
     there: Vec<Place>,
@@ -104,95 +104,95 @@
         self.by_name.get(name).copied()
     }
 
-    pub fn get(&self, place: Place) -> Option<&Member> {
+    pub fn get(&self, place: Place) -> Option<&MemberRecord> {
         self.slots.get(place)?.as_ref()
     }
 
-    pub fn get_mut(&mut self, place: Place) -> Option<&mut Member> {
+    pub fn get_mut(&mut self, place: Place) -> Option<&mut MemberRecord> {
         self.slots.get_mut(place)?.as_mut()
     }
 
     /// Members from behind a name on, in the order of names.
-    pub fn after(&self, name: Option<&Name>) -> impl Iterator<Item = &Member> {
+    pub fn after(&self, name: Option<&Name>) -> impl Iterator<Item = &MemberRecord> {
         let from = name.map_or(Bound::Unbounded, Bound::Excluded);
         let places = self.by_name.range::<Name, _>((from, Bound::Unbounded)).map(|(_, place)| *place);
         places.filter_map(|place| self.get(place))
     }
 
-    pub fn insert(&mut self, claim: Claim, now: Tenths) -> Place {
+    pub fn insert(&mut self, update: MemberUpdate, now: Tenths) -> Place {
         let place = self.free.pop().unwrap_or_else(|| {
             self.slots.push(None);
             self.slots.len() - 1
         });
-        let (name, stand) = (claim.name.clone(), claim.stand);
-        self.slots[place] = Some(Member::new(claim, now));
+        let (name, state) = (update.name.clone(), update.state);
+        self.slots[place] = Some(MemberRecord::new(update, now));
         self.by_name.insert(name, place);
-        self.list(place, stand);
+        self.list(place, state);
         place
     }
 
-    pub fn remove(&mut self, place: Place) -> Option<Member> {
-        let stand = self.get(place)?.claim.stand;
-        self.unlist(place, stand);
-        let member = self.slots[place].take()?;
-        self.by_name.remove(&member.claim.name);
+    pub fn remove(&mut self, place: Place) -> Option<MemberRecord> {
+        let state = self.get(place)?.update.state;
+        self.unlist(place, state);
+        let record = self.slots[place].take()?;
+        self.by_name.remove(&record.update.name);
         self.free.push(place);
-        Some(member)
+        Some(record)
     }
 
-    /// Replaces a member's claim, and keeps it in the list where it belongs.
-    pub fn set(&mut self, place: Place, claim: Claim, now: Tenths) {
-        let Some(member) = self.get_mut(place) else { return };
-        let (before, after) = (member.claim.stand, claim.stand);
+    /// Replaces a member's update, and keeps it in the list where it belongs.
+    pub fn set(&mut self, place: Place, update: MemberUpdate, now: Tenths) {
+        let Some(record) = self.get_mut(place) else { return };
+        let (before, after) = (record.update.state, update.state);
         if std::mem::discriminant(&before) != std::mem::discriminant(&after) {
-            member.since = now;
+            record.since = now;
         }
-        member.claim = claim;
-        member.version = member.version.wrapping_add(1);
-        let kind = |stand: Stand| (stand.is_there(), stand == Stand::Lost);
+        record.update = update;
+        record.revision = record.revision.wrapping_add(1);
+        let kind = |state: MemberState| (state.is_there(), state == MemberState::Lost);
         if kind(before) != kind(after) {
             self.unlist(place, before);
             self.list(place, after);
         }
     }
 
-    fn list(&mut self, place: Place, stand: Stand) {
-        let list = match stand {
-            Stand::Alive | Stand::Suspected { .. } => &mut self.there,
-            Stand::Lost => &mut self.lost,
-            Stand::Left => return,
+    fn list(&mut self, place: Place, state: MemberState) {
+        let list = match state {
+            MemberState::Alive | MemberState::Suspected { .. } => &mut self.there,
+            MemberState::Lost => &mut self.lost,
+            MemberState::Left => return,
         };
         list.push(place);
         let listed = list.len() - 1;
-        if let Some(member) = self.get_mut(place) {
-            member.listed = listed;
+        if let Some(record) = self.get_mut(place) {
+            record.listed = listed;
         }
     }
 
-    fn unlist(&mut self, place: Place, stand: Stand) {
-        let Some(listed) = self.get(place).map(|member| member.listed) else { return };
-        if stand.is_there() && listed < self.probed {
+    fn unlist(&mut self, place: Place, state: MemberState) {
+        let Some(listed) = self.get(place).map(|record| record.listed) else { return };
+        if state.is_there() && listed < self.probed {
             // The last of those that had their turn takes its place, so that the rest keep theirs.
             self.probed -= 1;
             self.swap(listed, self.probed);
-            return self.unlist_at(self.probed, stand);
+            return self.unlist_at(self.probed, state);
         }
-        self.unlist_at(listed, stand);
+        self.unlist_at(listed, state);
     }
 
-    fn unlist_at(&mut self, listed: usize, stand: Stand) {
-        let list = match stand {
-            Stand::Alive | Stand::Suspected { .. } => &mut self.there,
-            Stand::Lost => &mut self.lost,
-            Stand::Left => return,
+    fn unlist_at(&mut self, listed: usize, state: MemberState) {
+        let list = match state {
+            MemberState::Alive | MemberState::Suspected { .. } => &mut self.there,
+            MemberState::Lost => &mut self.lost,
+            MemberState::Left => return,
         };
         if listed >= list.len() {
             return;
         }
         list.swap_remove(listed);
         let moved = list.get(listed).copied();
-        if let Some(member) = moved.and_then(|place| self.get_mut(place)) {
-            member.listed = listed;
+        if let Some(record) = moved.and_then(|place| self.get_mut(place)) {
+            record.listed = listed;
         }
     }
 
@@ -200,8 +200,8 @@
         self.there.swap(one, other);
         for listed in [one, other] {
             let place = self.there[listed];
-            if let Some(member) = self.get_mut(place) {
-                member.listed = listed;
+            if let Some(record) = self.get_mut(place) {
+                record.listed = listed;
             }
         }
     }
--- a/fleet/src/timers.rs
+++ b/fleet/src/timers.rs
@@ -5,7 +5,7 @@
 use crate::fleet::{Fleet, Stage, Timer};
 use crate::probes::Probe;
 use crate::table::Place;
-use crate::{Action, Claim, Message, News, Stand};
+use crate::{Action, MemberState, MemberUpdate, Message, News};
 
 impl Fleet {
     pub(crate) fn on_tick(&mut self, now: Tenths, out: &mut Vec<Action>) {
@@ -22,9 +22,10 @@
                     self.news(now, out);
                 }
                 Timer::Knock => self.knock_again(now, out),
-                Timer::Forget(place, version) => {
-                    let dead =
-                        |of: &&crate::table::Member| of.version == version && !of.claim.stand.is_there();
+                Timer::Forget(place, revision) => {
+                    let dead = |of: &&crate::table::MemberRecord| {
+                        of.revision == revision && !of.update.state.is_there()
+                    };
                     if self.table.get(place).filter(dead).is_some() {
                         self.table.remove(place);
                     }
@@ -62,14 +63,14 @@
     }
 
     pub(crate) fn probe(&mut self, now: Tenths, place: Place, out: &mut Vec<Action>) {
-        let Some(member) = self.table.get(place) else { return };
+        let Some(record) = self.table.get(place) else { return };
         if self.probes.is_under_way(place) {
             return;
         }
         let (least, most) = (self.terms.answer_within, self.terms.longest_wait());
-        let wait = (member.answers_in * 3).clamp(least, most.max(least));
+        let wait = (record.answers_in * 3).clamp(least, most.max(least));
         let nonce = self.chance.u32(..);
-        let life = member.claim.life;
+        let life = record.update.life;
         if self.probes.begin(Probe { nonce, place, life, began: now }) {
             self.arm(now + wait, Timer::Wait(nonce));
             let rest = self.terms.period.saturating_sub(least).max(1);
@@ -81,7 +82,7 @@
     /// Helpers tell a broken link from a lost node.
     fn ask_helpers(&mut self, nonce: u32, out: &mut Vec<Action>) {
         let Some(probe) = self.probes.get(nonce) else { return };
-        let Some(of) = self.table.get(probe.place).map(|member| member.claim.clone()) else { return };
+        let Some(of) = self.table.get(probe.place).map(|record| record.update.clone()) else { return };
         for helper in self.table.some(self.terms.helpers, Some(probe.place), &mut self.chance) {
             let message = Message::PingFor { nonce, name: of.name.clone(), life: of.life };
             self.send(helper, message, out);
@@ -93,23 +94,23 @@
         if self.frozen() {
             return;
         }
-        let Some(member) = self.table.get(probe.place) else { return };
-        let claim = member.claim.clone();
-        match claim.stand {
-            _ if claim.life != probe.life => {}
-            Stand::Alive => {
-                let stand = Stand::Suspected { by: self.mark };
-                self.take_up(now, Claim { stand, ..claim }, out);
+        let Some(record) = self.table.get(probe.place) else { return };
+        let update = record.update.clone();
+        match update.state {
+            _ if update.life != probe.life => {}
+            MemberState::Alive => {
+                let state = MemberState::Suspected { by: self.mark };
+                self.take_up(now, MemberUpdate { state, ..update }, out);
             }
-            Stand::Suspected { .. } => _ = self.also_doubted(now, probe.place, self.mark),
-            Stand::Lost | Stand::Left => {}
+            MemberState::Suspected { .. } => _ = self.also_doubted(now, probe.place, self.mark),
+            MemberState::Lost | MemberState::Left => {}
         }
     }
 
-    /// Its answer bears its turn, which ends the doubt if it was contradicted.
+    /// Its answer bears its version, which ends the doubt if it was contradicted.
     fn look(&mut self, place: Place, since: Tenths, out: &mut Vec<Action>) {
         let doubted = |doubt: &crate::doubt::Doubt| doubt.since == since;
-        if self.table.get(place).and_then(|member| member.doubt).filter(doubted).is_some() {
+        if self.table.get(place).and_then(|record| record.doubt).filter(doubted).is_some() {
             let nonce = self.chance.u32(..);
             self.send(place, Message::Ping { nonce }, out);
         }
@@ -117,15 +118,15 @@
 
     fn doubt_ends(&mut self, now: Tenths, place: Place, since: Tenths, out: &mut Vec<Action>) {
         let members = self.view.members.len();
-        let Some(member) = self.table.get(place) else { return };
-        let Some(doubt) = member.doubt.filter(|doubt| doubt.since == since) else { return };
+        let Some(record) = self.table.get(place) else { return };
+        let Some(doubt) = record.doubt.filter(|doubt| doubt.since == since) else { return };
         let ends = doubt.ends(&self.terms, members, self.thawed_at);
         if self.frozen() {
             self.arm(now + self.terms.period, Timer::Doubt(place, since));
         } else if ends > now {
             self.arm(ends, Timer::Doubt(place, since));
         } else {
-            let lost = Claim { stand: Stand::Lost, ..member.claim.clone() };
+            let lost = MemberUpdate { state: MemberState::Lost, ..record.update.clone() };
             self.take_up(now, lost, out);
         }
     }
--- a/fleet/src/claim.rs
+++ b/fleet/src/update.rs
@@ -6,12 +6,12 @@
 
 use crate::{Life, Name, is_name};
 
-/// The most capacity that a member can claim.
-pub const MOST_WEIGHT: u32 = 1_000_000;
+/// The most capacity that a member can announce.
+pub const MAX_WEIGHT: u32 = 1_000_000;
 
 /// How a member stands.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub enum Stand {
+pub enum MemberState {
     Alive,
     /// `by` tells doubters apart: a word passed on is no second one.
     Suspected {
@@ -22,49 +22,49 @@
     Left,
 }
 
-impl Stand {
-    /// Which of two words of the same turn holds.
+impl MemberState {
+    /// Which of two words of the same version holds.
     fn rank(self) -> u8 {
         match self {
-            Stand::Alive => 0,
-            Stand::Suspected { .. } => 1,
-            Stand::Lost => 2,
-            Stand::Left => 3,
+            MemberState::Alive => 0,
+            MemberState::Suspected { .. } => 1,
+            MemberState::Lost => 2,
+            MemberState::Left => 3,
         }
     }
 
     /// Whether it is or may be there.
     pub fn is_there(self) -> bool {
-        matches!(self, Stand::Alive | Stand::Suspected { .. })
+        matches!(self, MemberState::Alive | MemberState::Suspected { .. })
     }
 }
 
 /// One node's word on a member.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Claim {
+pub struct MemberUpdate {
     pub name: Name,
     pub life: Life,
     /// Raised by the member alone, to contradict a doubt.
-    pub turn: u32,
-    pub stand: Stand,
+    pub version: u32,
+    pub state: MemberState,
     /// Where it is reached.
     pub address: SocketAddr,
     /// Its capacity, in any unit that all members share; at least 1.
     pub weight: u32,
 }
 
-impl Claim {
+impl MemberUpdate {
     /// Whether the figures can be meant.
-    pub fn is_sound(&self) -> bool {
+    pub fn is_valid(&self) -> bool {
         let reachable = self.address.port() != 0 && !self.address.ip().is_unspecified();
-        is_name(&self.name) && self.life != Life(0) && reachable && (1..=MOST_WEIGHT).contains(&self.weight)
+        is_name(&self.name) && self.life != Life(0) && reachable && (1..=MAX_WEIGHT).contains(&self.weight)
     }
 
     /// Whether this word holds against `other` on the same name: a younger life; in one life having left,
-    /// then the later turn, then the graver word.
-    pub fn beats(&self, other: &Claim) -> bool {
-        let left = |claim: &Claim| claim.stand == Stand::Left;
-        let key = |claim: &Claim| (claim.life, left(claim), claim.turn, claim.stand.rank());
+    /// then the later version, then the graver word.
+    pub fn overrides(&self, other: &MemberUpdate) -> bool {
+        let left = |update: &MemberUpdate| update.state == MemberState::Left;
+        let key = |update: &MemberUpdate| (update.life, left(update), update.version, update.state.rank());
         key(self) > key(other)
     }
 }
--- a/fleet/tests/cases.rs
+++ b/fleet/tests/cases.rs
@@ -5,7 +5,7 @@
 use std::net::SocketAddr;
 
 use doortrack_fleet::{
-    Action, Claim, Datagram, Event, Fleet, Head, Life, Message, News, Stand, State, Terms,
+    Action, Datagram, Event, Fleet, Head, Life, MemberState, MemberUpdate, Message, News, State, Terms,
 };
 
 const MS: u64 = 10;
@@ -14,12 +14,12 @@
     SocketAddr::from(([10, 0, 0, of as u8 + 1], 7_400))
 }
 
-fn claim(of: usize, life: u64) -> Claim {
-    Claim {
+fn update(of: usize, life: u64) -> MemberUpdate {
+    MemberUpdate {
         name: format!("n{of}").into(),
         life: Life(life),
-        turn: 0,
-        stand: Stand::Alive,
+        version: 0,
+        state: MemberState::Alive,
         address: address(of),
         weight: 4,
     }
@@ -50,7 +50,7 @@
 
     fn node(of: usize, life: u64, now: u64) -> Fleet {
         let terms = Terms { seeds: vec![address(0), address(1)], ..Terms::default() };
-        Fleet::new(claim(of, life), terms, 7 + of as u64, now)
+        Fleet::new(update(of, life), terms, 7 + of as u64, now)
     }
 
     fn handle(&mut self, of: usize, event: Event) {
@@ -191,7 +191,7 @@
     for of in 0..5 {
         let terms =
             Terms { seeds: vec![address(0), address(1)], silent_periods: u32::MAX, ..Terms::default() };
-        few.fleets[of] = Fleet::new(claim(of, 100), terms, 7 + of as u64, 0);
+        few.fleets[of] = Fleet::new(update(of, 100), terms, 7 + of as u64, 0);
     }
     few.pass(2_000);
     few.cut = Box::new(|from, to| from == 0 || to == 0);
@@ -235,7 +235,7 @@
     let mut few = Few::new(4);
     few.pass(2_000);
     // A process elsewhere goes by the name of n3, and joins later.
-    let mut twin = claim(3, 300);
+    let mut twin = update(3, 300);
     twin.address = address(4);
     let terms = Terms { seeds: vec![address(0)], ..Terms::default() };
     few.fleets.push(Fleet::new(twin, terms, 99, few.now));
@@ -345,25 +345,25 @@
     let mut few = Few::new(3);
     few.pass(2_000);
     let view = few.fleets[0].view().clone();
-    let sound = claim(9, 5);
+    let sound = update(9, 5);
     let odd = [
-        Claim { name: "".into(), ..sound.clone() },
-        Claim { name: "x".repeat(65).into(), ..sound.clone() },
-        Claim { life: Life(0), ..sound.clone() },
-        Claim { address: SocketAddr::from(([0, 0, 0, 0], 1)), ..sound.clone() },
-        Claim { weight: 0, ..sound.clone() },
-        Claim { stand: Stand::Lost, ..sound.clone() },
+        MemberUpdate { name: "".into(), ..sound.clone() },
+        MemberUpdate { name: "x".repeat(65).into(), ..sound.clone() },
+        MemberUpdate { life: Life(0), ..sound.clone() },
+        MemberUpdate { address: SocketAddr::from(([0, 0, 0, 0], 1)), ..sound.clone() },
+        MemberUpdate { weight: 0, ..sound.clone() },
+        MemberUpdate { state: MemberState::Lost, ..sound.clone() },
     ];
-    for of in odd {
-        let head = Head { of, to: Life(100), nth: 1, digest: 0, view: 0 };
-        let datagram = Datagram { head, message: Message::News, claims: Vec::new() };
+    for sender in odd {
+        let head = Head { sender, to: Life(100), nth: 1, digest: 0, view: 0 };
+        let datagram = Datagram { head, message: Message::News, updates: Vec::new() };
         few.handle(0, Event::Received { from: address(9), datagram });
     }
-    let head = Head { of: claim(1, 100), to: Life(100), nth: 1 << 40, digest: view.digest, view: 0 };
-    let claims = vec![sound.clone(); 65];
+    let head = Head { sender: update(1, 100), to: Life(100), nth: 1 << 40, digest: view.digest, view: 0 };
+    let updates = vec![sound.clone(); 65];
     few.handle(
         0,
-        Event::Received { from: address(1), datagram: Datagram { head, message: Message::News, claims } },
+        Event::Received { from: address(1), datagram: Datagram { head, message: Message::News, updates } },
     );
     assert_eq!(few.fleets[0].view().number, view.number);
     assert_eq!(few.fleets[0].refused(), 7);
@@ -374,12 +374,12 @@
     let mut few = Few::new(2);
     for of in 0..2 {
         let terms = Terms { seeds: vec![address(0)], most_members: 3, ..Terms::default() };
-        few.fleets[of] = Fleet::new(claim(of, 100), terms, of as u64, 0);
+        few.fleets[of] = Fleet::new(update(of, 100), terms, of as u64, 0);
     }
     few.pass(2_000);
     for nth in 10..20 {
-        let head = Head { of: claim(nth, 5), to: Life(100), nth: 1, digest: 0, view: 0 };
-        let datagram = Datagram { head, message: Message::News, claims: Vec::new() };
+        let head = Head { sender: update(nth, 5), to: Life(100), nth: 1, digest: 0, view: 0 };
+        let datagram = Datagram { head, message: Message::News, updates: Vec::new() };
         few.handle(0, Event::Received { from: address(nth), datagram });
     }
     assert_eq!(few.members(0), 4);
--- a/fleet/tests/random.rs
+++ b/fleet/tests/random.rs
@@ -4,7 +4,8 @@
 use std::net::SocketAddr;
 
 use doortrack_fleet::{
-    Action, Claim, Datagram, Event, Fleet, Head, Life, MOST_CLAIMS, Message, Name, Seat, Stand, Terms,
+    Action, Datagram, Event, Fleet, Head, Life, MAX_UPDATES, MemberState, MemberUpdate, Message, Name, Seat,
+    Terms,
 };
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
@@ -16,21 +17,22 @@
     SocketAddr::from(([10, 0, 0, of + 1], 7_400))
 }
 
-fn stand() -> impl Strategy<Value = Stand> {
+fn state() -> impl Strategy<Value = MemberState> {
     prop_oneof![
-        4 => Just(Stand::Alive),
-        2 => (1u32..5).prop_map(|by| Stand::Suspected { by }),
-        2 => Just(Stand::Lost),
-        1 => Just(Stand::Left),
+        4 => Just(MemberState::Alive),
+        2 => (1u32..5).prop_map(|by| MemberState::Suspected { by }),
+        2 => Just(MemberState::Lost),
+        1 => Just(MemberState::Left),
     ]
 }
 
 prop_compose! {
     /// On one of 20 names, the node's own (n0) among them.
-    fn claim()(
-        of in 0u8..20, life in 1u64..4, turn in 0u32..3, stand in stand(), weight in 1u32..3,
-    ) -> Claim {
-        Claim { name: format!("n{of}").into(), life: Life(life), turn, stand, address: address(of), weight }
+    fn update()(
+        of in 0u8..20, life in 1u64..4, version in 0u32..3, state in state(), weight in 1u32..3,
+    ) -> MemberUpdate {
+        let (name, address) = (format!("n{of}").into(), address(of));
+        MemberUpdate { name, life: Life(life), version, state, address, weight }
     }
 }
 
@@ -53,17 +55,17 @@
 #[derive(Clone, Debug)]
 enum Step {
     Pass(u64),
-    Hear { of: Claim, to_me: bool, nth: u64, message: Message, claims: Vec<Claim> },
+    Hear { sender: MemberUpdate, to_me: bool, nth: u64, message: Message, updates: Vec<MemberUpdate> },
     Leave,
 }
 
 fn step() -> impl Strategy<Value = Step> {
     let hear =
-        (claim(), prop::bool::weighted(0.8), 1u64..300, message(), prop::collection::vec(claim(), 0..6));
+        (update(), prop::bool::weighted(0.8), 1u64..300, message(), prop::collection::vec(update(), 0..6));
     prop_oneof![
         30 => (0u64..800).prop_map(Step::Pass),
-        60 => hear.prop_map(|(of, to_me, nth, message, claims)| {
-            Step::Hear { of, to_me, nth, message, claims }
+        60 => hear.prop_map(|(sender, to_me, nth, message, updates)| {
+            Step::Hear { sender, to_me, nth, message, updates }
         }),
         1 => Just(Step::Leave),
     ]
@@ -77,11 +79,11 @@
     })]
     #[test]
     fn whatever_is_heard_views_stay_what_they_say(steps in prop::collection::vec(step(), 1..120), seed: u64) {
-        let me = Claim {
+        let me = MemberUpdate {
             name: "n0".into(),
             life: Life(2),
-            turn: 0,
-            stand: Stand::Alive,
+            version: 0,
+            state: MemberState::Alive,
             address: address(0),
             weight: 1,
         };
@@ -101,11 +103,11 @@
                     }
                     now = till;
                 }
-                Step::Hear { of, to_me, nth, message, claims } => {
+                Step::Hear { sender, to_me, nth, message, updates } => {
                     let to = if to_me { fleet.me().life } else { Life(0) };
-                    let from = of.address;
-                    let head = Head { of, to, nth, digest: 0, view: 0 };
-                    let datagram = Datagram { head, message, claims };
+                    let from = sender.address;
+                    let head = Head { sender, to, nth, digest: 0, view: 0 };
+                    let datagram = Datagram { head, message, updates };
                     fleet.handle(now, Event::Received { from, datagram }, &mut out);
                 }
                 Step::Leave => fleet.handle(now, Event::Leave, &mut out),
@@ -113,9 +115,9 @@
             for action in out.drain(..) {
                 if let Action::Send { datagram, .. } = action {
                     let page = matches!(datagram.message, Message::Page { .. });
-                    prop_assert!(page || datagram.claims.len() <= MOST_CLAIMS);
-                    let of = &datagram.head.of;
-                    prop_assert!(of.name == fleet.me().name && of.life <= fleet.me().life);
+                    prop_assert!(page || datagram.updates.len() <= MAX_UPDATES);
+                    let sender = &datagram.head.sender;
+                    prop_assert!(sender.name == fleet.me().name && sender.life <= fleet.me().life);
                 }
             }
             let view = fleet.view();
--- a/node/src/peers/link.rs
+++ b/node/src/peers/link.rs
@@ -10,7 +10,7 @@
 
 use doortrack::Tenths;
 use doortrack_budgets::Who;
-use doortrack_fleet::{Action, Claim, Event, Fleet, Life, News, Stand};
+use doortrack_fleet::{Action, Event, Fleet, Life, MemberState, MemberUpdate, News};
 use doortrack_installation::{FleetFile, Installation, Orders};
 use polling::{Event as Ready, PollMode, Poller};
 use slog::{Logger, info, warn};
@@ -87,11 +87,11 @@
         unsafe { poller.add_with_mode(&sock, Ready::readable(KEY), PollMode::Level).map_err(at)? };
         let chance = fastrand::u64(..);
         let weight = file.weight.unwrap_or(orders.handed.contract.cores).max(1);
-        let me = Claim {
+        let me = MemberUpdate {
             name: orders.name.as_str().into(),
             life: Life::started(unix_ms, chance),
-            turn: 0,
-            stand: Stand::Alive,
+            version: 0,
+            state: MemberState::Alive,
             address: file.address(),
             weight,
         };
--- a/node/tests/fleet/link.rs
+++ b/node/tests/fleet/link.rs
@@ -5,7 +5,9 @@
 use std::process::Command;
 use std::time::{Duration, Instant};
 
-use doortrack_fleet::{Action, Claim, Datagram, Event, Fleet, Head, Life, Message, Stand, Terms};
+use doortrack_fleet::{
+    Action, Datagram, Event, Fleet, Head, Life, MemberState, MemberUpdate, Message, Terms,
+};
 use doortrack_node::peers::seal::{Refused, Seal};
 use doortrack_node::peers::spoken::{PAGE, Spoken, Status};
 use doortrack_rig::history::{History, What};
@@ -35,16 +37,16 @@
 
 /// A datagram of one that has no key, or another, or is of another fleet.
 fn strange(key: Option<[u8; 32]>, fleet: &str) -> Vec<u8> {
-    let of = Claim {
+    let sender = MemberUpdate {
         name: "stranger".into(),
         life: Life(77),
-        turn: 0,
-        stand: Stand::Alive,
+        version: 0,
+        state: MemberState::Alive,
         address: "127.0.0.1:9".parse().unwrap(),
         weight: 1,
     };
-    let head = Head { of, to: Life(0), nth: 1, digest: 0, view: 0 };
-    let datagram = Datagram { head, message: Message::Join, claims: Vec::new() };
+    let head = Head { sender, to: Life(0), nth: 1, digest: 0, view: 0 };
+    let datagram = Datagram { head, message: Message::Join, updates: Vec::new() };
     Seal::new(key, fleet).close(&Spoken::Fleet(datagram)).unwrap()
 }
 
@@ -97,30 +99,31 @@
 }
 
 #[test]
-fn the_longest_claims_still_fit_a_datagram() {
-    let claim = |nth: usize| Claim {
+fn the_longest_updates_still_fit_a_datagram() {
+    let update = |nth: usize| MemberUpdate {
         name: format!("{nth:064}").into(),
         life: Life(u64::MAX),
-        turn: u32::MAX,
-        stand: Stand::Suspected { by: u32::MAX },
+        version: u32::MAX,
+        state: MemberState::Suspected { by: u32::MAX },
         address: "[2001:db8:ffff:ffff:ffff:ffff:ffff:ffff]:65535".parse().unwrap(),
         weight: 1_000_000,
     };
-    let head = Head { of: claim(0), to: Life(u64::MAX), nth: u64::MAX, digest: u64::MAX, view: u64::MAX };
-    let claims: Vec<Claim> = (0..doortrack_fleet::MOST_CLAIMS).map(claim).collect();
-    let message = Message::PingFor { nonce: u32::MAX, name: claim(1).name, life: Life(u64::MAX) };
-    let datagram = Datagram { head, message, claims };
+    let head =
+        Head { sender: update(0), to: Life(u64::MAX), nth: u64::MAX, digest: u64::MAX, view: u64::MAX };
+    let updates: Vec<MemberUpdate> = (0..doortrack_fleet::MAX_UPDATES).map(update).collect();
+    let message = Message::PingFor { nonce: u32::MAX, name: update(1).name, life: Life(u64::MAX) };
+    let datagram = Datagram { head, message, updates };
     let seal = Seal::new(None, &"x".repeat(64));
     assert!(seal.close(&Spoken::Fleet(datagram)).is_some());
     // So do the pages of a table of them, and the answers to those who ask.
-    let mut fleet = Fleet::new(claim(0), Terms::default(), 1, 0);
+    let mut fleet = Fleet::new(update(0), Terms::default(), 1, 0);
     let mut out = Vec::new();
     for nth in 1..60 {
-        let of = Claim { stand: Stand::Alive, ..claim(nth) };
-        let head = Head { of, to: Life(u64::MAX), nth: 1, digest: 0, view: 0 };
+        let sender = MemberUpdate { state: MemberState::Alive, ..update(nth) };
+        let head = Head { sender, to: Life(u64::MAX), nth: 1, digest: 0, view: 0 };
         let message = if nth == 59 { Message::Ask { after: None } } else { Message::News };
-        let datagram = Datagram { head, message, claims: Vec::new() };
-        let from = claim(nth).address;
+        let datagram = Datagram { head, message, updates: Vec::new() };
+        let from = update(nth).address;
         fleet.handle(0, Event::Received { from, datagram }, &mut out);
     }
     let pages = out.into_iter().filter_map(|action| match action {
@@ -128,13 +131,13 @@
         _ => None,
     });
     let pages: Vec<Datagram> = pages.collect();
-    assert!(pages.iter().any(|page| page.claims.len() >= 8));
+    assert!(pages.iter().any(|page| page.updates.len() >= 8));
     assert!(pages.into_iter().all(|page| seal.close(&Spoken::Fleet(page)).is_some()));
     let (members, more) = fleet.report(None, PAGE, 0);
     let status = Status {
         nonce: u64::MAX,
         fleet: "x".repeat(64),
-        name: claim(0).name,
+        name: update(0).name,
         life: Life(u64::MAX),
         view: u64::MAX,
         digest: u64::MAX,
--- a/rig/src/simulated.rs
+++ b/rig/src/simulated.rs
@@ -4,7 +4,7 @@
 use std::time::Instant;
 
 use doortrack_emulator::{Clock, Law, Links, MachineId, Micros, Net, Next};
-use doortrack_fleet::{Action, Claim, Datagram, Event, Fleet, Life, News, Stand, State, Terms};
+use doortrack_fleet::{Action, Datagram, Event, Fleet, Life, MemberState, MemberUpdate, News, State, Terms};
 use doortrack_node::peers::seal::Seal;
 use doortrack_node::peers::spoken::Spoken;
 
@@ -159,11 +159,11 @@
         let at_ms = self.now_ms();
         self.history.put(at_ms, What::Began { node: of });
         let shown = self.net.shown(of);
-        let me = Claim {
+        let me = MemberUpdate {
             name: name(of).into(),
             life: Life::started(shown / MS, of as u64),
-            turn: 0,
-            stand: Stand::Alive,
+            version: 0,
+            state: MemberState::Alive,
             address: address(of),
             weight: 4,
         };
@@ -246,7 +246,7 @@
         let at_ms = self.now_ms();
         for of in nodes {
             // One that leaves still answers until it is started anew.
-            if self.fleets[of].as_ref().is_some_and(|fleet| fleet.me().stand == Stand::Left) {
+            if self.fleets[of].as_ref().is_some_and(|fleet| fleet.me().state == MemberState::Left) {
                 self.net.kill(of);
                 self.history.put(at_ms, What::Ended { node: of });
             }
