Names: a view has members, a report tells of one

`Seat` becomes `Member`; `Report` and `State`, as operators read them, `MemberReport` and `ReportedState`.

--- a/budgets/src/budgets.rs
+++ b/budgets/src/budgets.rs
@@ -114,7 +114,7 @@
             Event::Tick => self.on_tick(now, out),
             Event::Received(envelope) => self.received(now, envelope, out),
             Event::Members(view) => {
-                let seen = |name: &Name| view.members.get(name).map(|seat| (name.clone(), seat.life));
+                let seen = |name: &Name| view.members.get(name).map(|member| (name.clone(), member.life));
                 self.voters = self.terms.voters.iter().filter_map(seen).collect();
                 if self.voter.is_some() {
                     self.voters.insert(self.me.name.clone(), self.me.life);
--- a/budgets/tests/holder.rs
+++ b/budgets/tests/holder.rs
@@ -6,7 +6,7 @@
 use doortrack_budgets::{
     Action, Budget, Budgets, Envelope, Event, Grant, Kind, Message, Safeguards, Terms, Who,
 };
-use doortrack_fleet::{Life, Name, Seat, View};
+use doortrack_fleet::{Life, Member, Name, View};
 
 const MS: Tenths = 10;
 
@@ -27,7 +27,7 @@
         let mut budgets = Budgets::new(me, 1, terms, &list, 1, 0);
         let mut view = View::default();
         let address = "127.0.0.1:1".parse().unwrap();
-        view.members.insert(leader.name.clone(), Seat { life: Life(1), address, weight: 1 });
+        view.members.insert(leader.name.clone(), Member { life: Life(1), address, weight: 1 });
         budgets.handle(0, Event::Members(view), &mut Vec::new());
         Holder { budgets, leader, now: 0 }
     }
--- a/budgets/tests/model.rs
+++ b/budgets/tests/model.rs
@@ -8,7 +8,7 @@
 
 use doortrack::Tenths;
 use doortrack_budgets::{Action, Budget, Budgets, Envelope, Event, Kind, Message, Safeguards, Terms, Who};
-use doortrack_fleet::{Life, Name, Seat, View};
+use doortrack_fleet::{Life, Member, Name, View};
 use stateright::{Checker, Model, Property};
 
 /// Times in ticks: the smallest at which votes and leases still differ from a round.
@@ -82,7 +82,7 @@
         let mut view = View::default();
         for node in &state.nodes {
             let address = "127.0.0.1:1".parse().unwrap();
-            view.members.insert(node.me().name.clone(), Seat { life: node.me().life, address, weight: 1 });
+            view.members.insert(node.me().name.clone(), Member { life: node.me().life, address, weight: 1 });
         }
         view
     }
--- a/fleet/src/fleet.rs
+++ b/fleet/src/fleet.rs
@@ -11,7 +11,7 @@
 use crate::probes::Probes;
 use crate::table::{Place, Table};
 use crate::{
-    Action, Datagram, Event, Head, Life, MAX_UPDATES, MemberState, MemberUpdate, Message, Name, News, Seat,
+    Action, Datagram, Event, Head, Life, MAX_UPDATES, Member, MemberState, MemberUpdate, Message, Name, News,
 };
 use crate::{Terms, View};
 
@@ -94,7 +94,7 @@
     pub fn new(me: MemberUpdate, terms: Terms, seed: u64, now: Tenths) -> Fleet {
         let me = MemberUpdate { version: 0, state: MemberState::Alive, ..me };
         let mut view = View::default();
-        view.put(&me.name, Seat { life: me.life, address: me.address, weight: me.weight });
+        view.put(&me.name, Member { life: me.life, address: me.address, weight: me.weight });
         let mut chance = fastrand::Rng::with_seed(seed ^ me.life.0);
         let alone = terms.seeds.iter().all(|seed| *seed == me.address);
         let mut fleet = Fleet {
--- a/fleet/src/joining.rs
+++ b/fleet/src/joining.rs
@@ -4,7 +4,7 @@
 
 use crate::fleet::{Fleet, SAY, Stage, Timer};
 use crate::table::Place;
-use crate::{Action, Life, MemberState, MemberUpdate, Message, News, Seat};
+use crate::{Action, Life, Member, MemberState, MemberUpdate, Message, News};
 
 /// Bytes of updates on a page, past which none is added; an update takes its name and at the most this
 /// beside.
@@ -64,8 +64,8 @@
         record.held_until = None;
         let update = &record.update;
         let (name, life, back) = (update.name.clone(), update.life, record.returns > 0);
-        let seat = Seat { life, address: update.address, weight: update.weight };
-        self.change_view(now, |view| view.put(&name, seat));
+        let member = Member { life, address: update.address, weight: update.weight };
+        self.change_view(now, |view| view.put(&name, member));
         out.push(Action::Report(News::Alive { name, life, back }));
     }
 
@@ -148,8 +148,8 @@
         self.me.life = Life(than.0.saturating_add(1 + self.chance.u64(..256)));
         self.me.version = 0;
         let (name, update) = (self.me.name.clone(), &self.me);
-        let seat = Seat { life: update.life, address: update.address, weight: update.weight };
-        self.change_view(now, |view| view.put(&name, seat));
+        let member = Member { life: update.life, address: update.address, weight: update.weight };
+        self.change_view(now, |view| view.put(&name, member));
         self.say = SAY;
         self.arm_news(now);
         out.push(Action::Report(News::NewLife { life: self.me.life }));
--- a/fleet/src/lib.rs
+++ b/fleet/src/lib.rs
@@ -56,10 +56,10 @@
 
 pub use fleet::Fleet;
 pub use message::{Datagram, Head, MAX_UPDATES, Message};
-pub use report::{Report, State};
+pub use report::{MemberReport, ReportedState};
 pub use terms::Terms;
 pub use update::{MemberState, MemberUpdate};
-pub use view::{Seat, View};
+pub use view::{Member, View};
 
 /// The name of a node; see [`name`].
 pub type Name = Arc<str>;
--- a/fleet/src/report.rs
+++ b/fleet/src/report.rs
@@ -11,7 +11,7 @@
 /// How a member stands, as operators read it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "lowercase")]
-pub enum State {
+pub enum ReportedState {
     /// Not in the view yet: it looks for the fleet, or is held back for coming back too often.
     Joining,
     Alive,
@@ -22,11 +22,11 @@
 
 /// One member as one node sees it.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Report {
+pub struct MemberReport {
     pub name: Name,
     pub life: Life,
     pub address: SocketAddr,
-    pub state: State,
+    pub state: ReportedState,
     pub weight: u32,
     /// How long it has stood so.
     pub for_ms: u64,
@@ -36,16 +36,16 @@
 
 impl Fleet {
     /// The members behind a name, up to `most`, the node itself among them; and whether there are more.
-    pub fn report(&self, after: Option<&Name>, most: usize, now: Tenths) -> (Vec<Report>, bool) {
-        let own = Report {
+    pub fn report(&self, after: Option<&Name>, most: usize, now: Tenths) -> (Vec<MemberReport>, bool) {
+        let own = MemberReport {
             name: self.me.name.clone(),
             life: self.me.life,
             address: self.me.address,
             state: match self.stage {
-                Stage::Joining => State::Joining,
-                Stage::Member => State::Alive,
-                Stage::Leaving => State::Left,
-                Stage::Displaced => State::Lost,
+                Stage::Joining => ReportedState::Joining,
+                Stage::Member => ReportedState::Alive,
+                Stage::Leaving => ReportedState::Left,
+                Stage::Displaced => ReportedState::Lost,
             },
             weight: self.me.weight,
             for_ms: 0,
@@ -61,14 +61,14 @@
                     let update = &record.update;
                     let state = match update.state {
                         MemberState::Alive | MemberState::Suspected { .. } if record.held_until.is_some() => {
-                            State::Joining
+                            ReportedState::Joining
                         }
-                        MemberState::Alive => State::Alive,
-                        MemberState::Suspected { .. } => State::Suspected,
-                        MemberState::Lost => State::Lost,
-                        MemberState::Left => State::Left,
+                        MemberState::Alive => ReportedState::Alive,
+                        MemberState::Suspected { .. } => ReportedState::Suspected,
+                        MemberState::Lost => ReportedState::Lost,
+                        MemberState::Left => ReportedState::Left,
                     };
-                    reports.push(Report {
+                    reports.push(MemberReport {
                         name: update.name.clone(),
                         life: update.life,
                         address: update.address,
--- a/fleet/src/view.rs
+++ b/fleet/src/view.rs
@@ -8,7 +8,7 @@
 
 /// One member of a view.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Seat {
+pub struct Member {
     pub life: Life,
     pub address: SocketAddr,
     pub weight: u32,
@@ -22,18 +22,18 @@
     pub number: u64,
     /// The same in two nodes exactly when their members, lives and weights are, but for chance of 2^-64.
     pub digest: u64,
-    pub members: OrdMap<Name, Seat>,
+    pub members: OrdMap<Name, Member>,
 }
 
 impl View {
-    pub(crate) fn put(&mut self, name: &Name, seat: Seat) {
-        if self.members.get(name) == Some(&seat) {
+    pub(crate) fn put(&mut self, name: &Name, member: Member) {
+        if self.members.get(name) == Some(&member) {
             return;
         }
-        if let Some(old) = self.members.insert(name.clone(), seat) {
+        if let Some(old) = self.members.insert(name.clone(), member) {
             self.digest ^= mark(name, old);
         }
-        self.digest ^= mark(name, seat);
+        self.digest ^= mark(name, member);
         self.number += 1;
     }
 
@@ -46,16 +46,16 @@
 
     /// The sum of the members' weights.
     pub fn weight(&self) -> u64 {
-        self.members.values().map(|seat| u64::from(seat.weight)).sum()
+        self.members.values().map(|member| u64::from(member.weight)).sum()
     }
 }
 
 /// What a member adds to the digest. The same in every build, as nodes of two builds compare theirs.
-fn mark(name: &str, seat: Seat) -> u64 {
+fn mark(name: &str, member: Member) -> u64 {
     let mut hasher = blake3::Hasher::new();
     hasher.update(name.as_bytes());
-    hasher.update(&seat.life.0.to_le_bytes());
-    hasher.update(&seat.weight.to_le_bytes());
+    hasher.update(&member.life.0.to_le_bytes());
+    hasher.update(&member.weight.to_le_bytes());
     let mut first = [0; 8];
     first.copy_from_slice(&hasher.finalize().as_bytes()[..8]);
     u64::from_le_bytes(first)
--- a/fleet/tests/cases.rs
+++ b/fleet/tests/cases.rs
@@ -5,7 +5,8 @@
 use std::net::SocketAddr;
 
 use doortrack_fleet::{
-    Action, Datagram, Event, Fleet, Head, Life, MemberState, MemberUpdate, Message, News, State, Terms,
+    Action, Datagram, Event, Fleet, Head, Life, MemberState, MemberUpdate, Message, News, ReportedState,
+    Terms,
 };
 
 const MS: u64 = 10;
@@ -94,7 +95,7 @@
         self.news.iter().any(|(by, news)| *by == of && news.word() == word && about(news))
     }
 
-    fn state(&self, of: usize, whom: usize) -> Option<State> {
+    fn state(&self, of: usize, whom: usize) -> Option<ReportedState> {
         let (reports, _) = self.fleets[of].report(None, 100, self.now);
         reports.iter().find(|report| *report.name == *format!("n{whom}")).map(|report| report.state)
     }
@@ -127,8 +128,8 @@
     few.stopped[4] = false;
     few.pass(3_000);
     assert!((0..5).all(|of| few.members(of) == 5), "{:?}", few.news);
-    let seat = few.fleets[0].view().members.get("n4").copied();
-    assert_eq!(seat.map(|seat| seat.life), Some(Life(200)));
+    let member = few.fleets[0].view().members.get("n4").copied();
+    assert_eq!(member.map(|member| member.life), Some(Life(200)));
 }
 
 #[test]
@@ -141,7 +142,7 @@
     assert!([0, 1, 3, 4].iter().all(|of| few.told(*of, "left", "n2")), "{:?}", few.news);
     few.pass(5_000);
     assert!([0, 1, 3, 4].iter().all(|of| !few.told(*of, "lost", "n2") && few.members(*of) == 4));
-    assert_eq!(few.state(0, 2), Some(State::Left));
+    assert_eq!(few.state(0, 2), Some(ReportedState::Left));
 }
 
 #[test]
@@ -246,7 +247,7 @@
     let sent = few.sent.iter().filter(|(by, ..)| *by == 3).count();
     few.pass(1_000);
     assert_eq!(few.sent.iter().filter(|(by, ..)| *by == 3).count(), sent, "it takes part no more");
-    assert_eq!(few.fleets[0].view().members.get("n3").map(|seat| seat.address), Some(address(4)));
+    assert_eq!(few.fleets[0].view().members.get("n3").map(|member| member.address), Some(address(4)));
 }
 
 #[test]
@@ -309,9 +310,9 @@
         })
         .collect();
     assert!(waits.len() >= 3 && waits.windows(2).all(|pair| pair[0] < pair[1]), "{waits:?}");
-    assert_eq!(few.state(0, 4), Some(State::Joining));
+    assert_eq!(few.state(0, 4), Some(ReportedState::Joining));
     few.pass(10_000);
-    assert_eq!(few.state(0, 4), Some(State::Alive));
+    assert_eq!(few.state(0, 4), Some(ReportedState::Alive));
 }
 
 #[test]
--- a/fleet/tests/random.rs
+++ b/fleet/tests/random.rs
@@ -4,8 +4,8 @@
 use std::net::SocketAddr;
 
 use doortrack_fleet::{
-    Action, Datagram, Event, Fleet, Head, Life, MAX_UPDATES, MemberState, MemberUpdate, Message, Name, Seat,
-    Terms,
+    Action, Datagram, Event, Fleet, Head, Life, MAX_UPDATES, Member, MemberState, MemberUpdate, Message,
+    Name, Terms,
 };
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
@@ -124,7 +124,7 @@
             prop_assert!(view.number >= number, "numbers grow");
             number = view.number;
             prop_assert!(view.members.len() <= MOST + 1);
-            let listed = |(name, seat): (&Name, &Seat)| (name.to_string(), seat.life, seat.weight);
+            let listed = |(name, member): (&Name, &Member)| (name.to_string(), member.life, member.weight);
             let members: Vec<_> = view.members.iter().map(listed).collect();
             let known = by_digest.entry(view.digest).or_insert_with(|| members.clone());
             prop_assert_eq!(known, &members, "one digest, one list");
--- a/node/src/commands/fleet.rs
+++ b/node/src/commands/fleet.rs
@@ -7,7 +7,7 @@
 
 use clap::{Args, Subcommand};
 use doortrack_budgets::Units;
-use doortrack_fleet::{Name, Report};
+use doortrack_fleet::{MemberReport, Name};
 use doortrack_installation::fleet::read_key;
 use serde_json::{Value, json};
 
@@ -57,7 +57,7 @@
 /// A node's answer, all pages of it.
 pub struct Seen {
     pub first: Status,
-    pub members: Vec<Report>,
+    pub members: Vec<MemberReport>,
     /// As [`ask_budgets`] tells them; empty where nobody asked.
     pub budgets: Vec<BudgetStatus>,
     pub leader: Option<Name>,
@@ -74,7 +74,7 @@
 
 impl Seen {
     pub fn json(&self) -> Value {
-        let member = |of: &Report| {
+        let member = |of: &MemberReport| {
             json!({"name": &*of.name, "life": of.life.to_string(), "address": of.address.to_string(),
                 "state": of.state, "weight": of.weight, "slow": of.slow, "since_ms": of.for_ms})
         };
@@ -115,7 +115,7 @@
     }
 }
 
-fn word(of: &Report) -> String {
+fn word(of: &MemberReport) -> String {
     let word = serde_json::to_value(of.state).ok();
     let word = word.as_ref().and_then(Value::as_str).unwrap_or_default().to_string();
     if of.slow { word + ", slow" } else { word }
--- a/node/src/peers/link.rs
+++ b/node/src/peers/link.rs
@@ -132,7 +132,7 @@
     }
 
     fn is_member(&self, who: &Who) -> bool {
-        self.fleet.view().members.get(&who.name).is_some_and(|seat| seat.life == who.life)
+        self.fleet.view().members.get(&who.name).is_some_and(|member| member.life == who.life)
     }
 
     fn carry_out_shares(&mut self) {
@@ -141,9 +141,9 @@
         for action in actions {
             match action {
                 doortrack_budgets::Action::Send(envelope) => {
-                    let seat = self.fleet.view().members.get(&envelope.to.name).copied();
-                    if let Some(seat) = seat.filter(|seat| seat.life == envelope.to.life) {
-                        self.send(seat.address, &Spoken::Budgets(envelope));
+                    let member = self.fleet.view().members.get(&envelope.to.name).copied();
+                    if let Some(member) = member.filter(|member| member.life == envelope.to.life) {
+                        self.send(member.address, &Spoken::Budgets(envelope));
                     }
                 }
                 doortrack_budgets::Action::Report(news) => {
--- a/node/src/peers/spoken.rs
+++ b/node/src/peers/spoken.rs
@@ -1,7 +1,7 @@
 //! What is spoken between nodes, and with those that ask a node how things are.
 
 use doortrack_budgets::{Envelope, Units};
-use doortrack_fleet::{Datagram, Life, Name, Report};
+use doortrack_fleet::{Datagram, Life, MemberReport, Name};
 use serde::{Deserialize, Serialize};
 
 /// One datagram, unsealed.
@@ -39,7 +39,7 @@
     pub in_view: u32,
     pub cut_off: bool,
     pub displaced: bool,
-    pub members: Vec<Report>,
+    pub members: Vec<MemberReport>,
     pub more: bool,
 }
 
--- a/rig/src/divided.rs
+++ b/rig/src/divided.rs
@@ -8,7 +8,7 @@
 
 use doortrack_budgets::{Action, Budget, Budgets, Envelope, Event, Kind, Message, News, Terms, Who};
 use doortrack_emulator::{Clock, Law, Links, MachineId, Micros, Net, Next};
-use doortrack_fleet::{Life, Name, Seat, View};
+use doortrack_fleet::{Life, Member, Name, View};
 
 use crate::history::name;
 use crate::links::{self, MS};
@@ -158,8 +158,8 @@
             let of: Option<usize> = voter[1..].parse().ok();
             if let Some(of) = of.filter(|of| *of < self.nodes.len() && !self.net.is_down(*of)) {
                 let address = std::net::SocketAddr::from(([10, 0, 0, 1], of as u16));
-                let seat = Seat { life: self.lives[of], address, weight: 4 };
-                view.members.insert(Name::clone(voter), seat);
+                let member = Member { life: self.lives[of], address, weight: 4 };
+                view.members.insert(Name::clone(voter), member);
             }
         }
         for of in 0..self.nodes.len() {
--- a/rig/src/simulated.rs
+++ b/rig/src/simulated.rs
@@ -4,7 +4,9 @@
 use std::time::Instant;
 
 use doortrack_emulator::{Clock, Law, Links, MachineId, Micros, Net, Next};
-use doortrack_fleet::{Action, Datagram, Event, Fleet, Life, MemberState, MemberUpdate, News, State, Terms};
+use doortrack_fleet::{
+    Action, Datagram, Event, Fleet, Life, MemberState, MemberUpdate, News, ReportedState, Terms,
+};
 use doortrack_node::peers::seal::Seal;
 use doortrack_node::peers::spoken::Spoken;
 
@@ -262,9 +264,10 @@
         let now = self.net.shown(of) / TENTH;
         let Some(fleet) = self.fleets[of].as_ref().filter(|_| self.net.is_up(of)) else { return };
         let (reports, _) = fleet.report(None, usize::MAX, now);
-        let state =
-            |state: State| serde_json::to_value(state).ok().and_then(|v| v.as_str().map(str::to_string));
-        let member = |of: doortrack_fleet::Report| Member {
+        let state = |state: ReportedState| {
+            serde_json::to_value(state).ok().and_then(|v| v.as_str().map(str::to_string))
+        };
+        let member = |of: doortrack_fleet::MemberReport| Member {
             name: of.name.to_string(),
             life: of.life.to_string(),
             state: state(of.state).unwrap_or_default(),
