--- a/bench/benches/budgets.rs
+++ b/bench/benches/budgets.rs
@@ -5,7 +5,7 @@
 
 use criterion::{Criterion, criterion_group, criterion_main};
 use doortrack_budgets::{Budget, Budgets, Kind, Terms, Who};
-use doortrack_fleet::{Life, Name};
+use doortrack_fleet::{Incarnation, Name};
 
 fn checks(criterion: &mut Criterion) {
     let me: Name = "n0".into();
@@ -20,7 +20,7 @@
                 most: 1_000_000,
             })
             .collect();
-        let who = Who { name: me.clone(), life: Life(1) };
+        let who = Who { name: me.clone(), incarnation: Incarnation(1) };
         let mut budgets = Budgets::new(who, 1, Terms::default(), &list, 1, 0);
         let (mut now, mut place) = (1_000_000, 0);
         criterion.bench_function(&format!("check of a {what}, one of 200"), |bencher| {
--- a/budgets/src/budgets.rs
+++ b/budgets/src/budgets.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeMap, VecDeque};
 
 use doortrack::Tenths;
-use doortrack_fleet::{Life, Name};
+use doortrack_fleet::{Incarnation, Name};
 
 use crate::account::Accounts;
 use crate::leadership::Leadership;
@@ -31,7 +31,7 @@
     /// Of this term as the leader.
     pub(crate) accounts: Accounts,
     /// Voters that are there.
-    pub(crate) voters: BTreeMap<Name, Life>,
+    pub(crate) voters: BTreeMap<Name, Incarnation>,
     pub(crate) leader: Option<Who>,
     /// Answers to reports before this are those of an earlier leader.
     bound_since: u64,
@@ -74,7 +74,7 @@
             silent: 0,
             asked: 0,
             ballot: 0,
-            chance: seed ^ me.life.0,
+            chance: seed ^ me.incarnation.0,
             leaves: false,
             displaced: false,
             local: VecDeque::new(),
@@ -85,7 +85,7 @@
         let jitter = budgets.random(budgets.terms.round);
         if let Some(voter) = &budgets.voter {
             budgets.leadership = Leadership::Follower { try_at: voter.free_at() + jitter };
-            budgets.voters.insert(budgets.me.name.clone(), budgets.me.life);
+            budgets.voters.insert(budgets.me.name.clone(), budgets.me.incarnation);
         }
         budgets.report_at = now + budgets.random(budgets.terms.round);
         budgets
@@ -114,10 +114,11 @@
             Event::Tick => self.on_tick(now, out),
             Event::Received(envelope) => self.received(now, envelope, out),
             Event::Members(view) => {
-                let seen = |name: &Name| view.members.get(name).map(|member| (name.clone(), member.life));
+                let seen =
+                    |name: &Name| view.members.get(name).map(|member| (name.clone(), member.incarnation));
                 self.voters = self.terms.voters.iter().filter_map(seen).collect();
                 if self.voter.is_some() {
-                    self.voters.insert(self.me.name.clone(), self.me.life);
+                    self.voters.insert(self.me.name.clone(), self.me.incarnation);
                 }
             }
             Event::Leave => {
@@ -202,7 +203,10 @@
     }
 
     pub(crate) fn others(&self) -> impl Iterator<Item = Who> {
-        let all = self.voters.iter().map(|(name, life)| Who { name: name.clone(), life: *life });
+        let all = self
+            .voters
+            .iter()
+            .map(|(name, incarnation)| Who { name: name.clone(), incarnation: *incarnation });
         all.filter(|who| who.name != self.me.name)
     }
 
--- a/budgets/src/envelope.rs
+++ b/budgets/src/envelope.rs
@@ -1,6 +1,6 @@
 //! What nodes say to one another about budgets.
 
-use doortrack_fleet::{Life, Name};
+use doortrack_fleet::{Incarnation, Name};
 use serde::{Deserialize, Serialize};
 
 use crate::{Id, Units};
@@ -8,14 +8,14 @@
 /// Budgets that one message tells of, so that it fits a datagram.
 pub const MOST_ITEMS: usize = 40;
 
-/// One life of a node.
+/// One incarnation of a node.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct Who {
     pub name: Name,
-    pub life: Life,
+    pub incarnation: Incarnation,
 }
 
-/// A message on its way. What is meant for another life is not read.
+/// A message on its way. What is meant for another incarnation is not read.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct Envelope {
     pub from: Who,
--- a/budgets/src/share.rs
+++ b/budgets/src/share.rs
@@ -26,7 +26,7 @@
 pub(crate) struct Share {
     pub budget: Budget,
     floor: Units,
-    /// The floor may be used from here on: places that an earlier life had may be in use until then.
+    /// The floor may be used from here on: places that an earlier incarnation had may be in use until then.
     floor_from: Tenths,
     leased: Units,
     till: Tenths,
--- a/budgets/tests/holder.rs
+++ b/budgets/tests/holder.rs
@@ -6,7 +6,7 @@
 use doortrack_budgets::{
     Action, Budget, Budgets, Envelope, Event, Grant, Kind, Message, Safeguards, Terms, Who,
 };
-use doortrack_fleet::{Life, Member, Name, View};
+use doortrack_fleet::{Incarnation, Member, Name, View};
 
 const MS: Tenths = 10;
 
@@ -18,16 +18,16 @@
 
 impl Holder {
     fn new(safeguards: Safeguards) -> Holder {
-        let leader = Who { name: "k".into(), life: Life(1) };
+        let leader = Who { name: "k".into(), incarnation: Incarnation(1) };
         let voters: Arc<[Name]> = Arc::new([leader.name.clone()]);
         let terms = Terms { voters, safeguards, ..Terms::default() };
         let (kind, floors_for) = (Kind::Places { held_most: 0 }, Arc::new([]));
         let list = [Budget { name: "b".into(), kind, whole: 20, floor: 0, floors_for, most: 20 }];
-        let me = Who { name: "h".into(), life: Life(2) };
+        let me = Who { name: "h".into(), incarnation: Incarnation(2) };
         let mut budgets = Budgets::new(me, 1, terms, &list, 1, 0);
         let mut view = View::default();
         let address = "127.0.0.1:1".parse().unwrap();
-        view.members.insert(leader.name.clone(), Member { life: Life(1), address, weight: 1 });
+        view.members.insert(leader.name.clone(), Member { incarnation: Incarnation(1), address, weight: 1 });
         budgets.handle(0, Event::Members(view), &mut Vec::new());
         Holder { budgets, leader, now: 0 }
     }
--- a/budgets/tests/model.rs
+++ b/budgets/tests/model.rs
@@ -8,7 +8,7 @@
 
 use doortrack::Tenths;
 use doortrack_budgets::{Action, Budget, Budgets, Envelope, Event, Kind, Message, Safeguards, Terms, Who};
-use doortrack_fleet::{Life, Member, Name, View};
+use doortrack_fleet::{Incarnation, Member, Name, View};
 use stateright::{Checker, Model, Property};
 
 /// Times in ticks: the smallest at which votes and leases still differ from a round.
@@ -32,7 +32,7 @@
     stopped: Vec<bool>,
     net: BTreeSet<Envelope>,
     faults: u8,
-    life: u64,
+    incarnation: u64,
     ends: Tenths,
 }
 
@@ -59,21 +59,21 @@
         }
     }
 
-    fn who(of: usize, life: u64) -> Who {
-        Who { name: format!("n{of}").into(), life: Life(life) }
+    fn who(of: usize, incarnation: u64) -> Who {
+        Who { name: format!("n{of}").into(), incarnation: Incarnation(incarnation) }
     }
 
-    fn start(&self, of: usize, life: u64, now: Tenths) -> Budgets {
+    fn start(&self, of: usize, incarnation: u64, now: Tenths) -> Budgets {
         // What may be used counts as used.
         let kind = Kind::Rate { burst: 1 };
         let floors_for = Arc::new([]);
         let budget = Budget { name: "b".into(), kind, whole: 1, floor: 0, floors_for, most: 1 };
         Budgets::new(
-            Self::who(of, life),
+            Self::who(of, incarnation),
             1,
             self.terms(),
             &[budget],
-            life.wrapping_mul(0x9e37_79b9_7f4a_7c15),
+            incarnation.wrapping_mul(0x9e37_79b9_7f4a_7c15),
             now,
         )
     }
@@ -82,7 +82,10 @@
         let mut view = View::default();
         for node in &state.nodes {
             let address = "127.0.0.1:1".parse().unwrap();
-            view.members.insert(node.me().name.clone(), Member { life: node.me().life, address, weight: 1 });
+            view.members.insert(
+                node.me().name.clone(),
+                Member { incarnation: node.me().incarnation, address, weight: 1 },
+            );
         }
         view
     }
@@ -114,7 +117,7 @@
             stopped: vec![false; self.nodes],
             net: BTreeSet::new(),
             faults: 0,
-            life: self.nodes as u64 + 1,
+            incarnation: self.nodes as u64 + 1,
             ends: Tenths::MAX,
         };
         let view = Self::view(&state);
@@ -189,8 +192,8 @@
             Step::Starts(of) => {
                 state.faults += 1;
                 let now = state.now;
-                state.nodes[of] = self.start(of, state.life, now);
-                state.life += 1;
+                state.nodes[of] = self.start(of, state.incarnation, now);
+                state.incarnation += 1;
                 let view = Self::view(&state);
                 (0..self.nodes).for_each(|of| self.tell(&mut state, of, Event::Members(view.clone())));
             }
@@ -213,10 +216,9 @@
                 used <= 1_000
             }),
             Property::sometimes("a share is granted anew", |_, state: &State| {
-                state
-                    .nodes
-                    .iter()
-                    .any(|node| node.me().life.0 > state.nodes.len() as u64 && node.exposed(0, state.now) > 0)
+                state.nodes.iter().any(|node| {
+                    node.me().incarnation.0 > state.nodes.len() as u64 && node.exposed(0, state.now) > 0
+                })
             }),
         ]
     }
--- a/fleet/src/fleet.rs
+++ b/fleet/src/fleet.rs
@@ -11,7 +11,8 @@
 use crate::probes::Probes;
 use crate::table::{Place, Table};
 use crate::{
-    Action, Datagram, Event, Head, Life, MAX_UPDATES, Member, MemberState, MemberUpdate, Message, Name, News,
+    Action, Datagram, Event, Head, Incarnation, MAX_UPDATES, Member, MemberState, MemberUpdate, Message,
+    Name, News,
 };
 use crate::{Terms, View};
 
@@ -21,7 +22,7 @@
 /// Where the node itself stands.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Stage {
-    /// Nobody has spoken to this life yet.
+    /// Nobody has spoken to this incarnation yet.
     Joining,
     Member,
     Leaving,
@@ -84,7 +85,7 @@
     pub(crate) knocks: u32,
     pub(crate) fetch: Option<Fetch>,
     pub(crate) fetched_at: Tenths,
-    pub(crate) twin: Life,
+    pub(crate) twin: Incarnation,
     /// Datagrams that were well formed and still made no sense or came twice.
     pub(crate) refused: u64,
 }
@@ -94,8 +95,8 @@
     pub fn new(me: MemberUpdate, terms: Terms, seed: u64, now: Tenths) -> Fleet {
         let me = MemberUpdate { version: 0, state: MemberState::Alive, ..me };
         let mut view = View::default();
-        view.put(&me.name, Member { life: me.life, address: me.address, weight: me.weight });
-        let mut chance = fastrand::Rng::with_seed(seed ^ me.life.0);
+        view.put(&me.name, Member { incarnation: me.incarnation, address: me.address, weight: me.weight });
+        let mut chance = fastrand::Rng::with_seed(seed ^ me.incarnation.0);
         let alone = terms.seeds.iter().all(|seed| *seed == me.address);
         let mut fleet = Fleet {
             mark: chance.u32(1..),
@@ -120,7 +121,7 @@
             knocks: 0,
             fetch: None,
             fetched_at: 0,
-            twin: Life(0),
+            twin: Incarnation(0),
             refused: 0,
         };
         // Nodes that start at one instant must not probe at one instant ever after.
@@ -207,7 +208,7 @@
 
     // --- Sending ---
 
-    fn head(&mut self, to: Life) -> Head {
+    fn head(&mut self, to: Incarnation) -> Head {
         self.nth += 1;
         Head { sender: self.me.clone(), to, nth: self.nth, digest: self.view.digest, view: self.view.number }
     }
@@ -215,7 +216,7 @@
     /// Sends to a member, with what is thought of it if that is not the best, and what there is of news.
     pub(crate) fn send(&mut self, place: Place, message: Message, out: &mut Vec<Action>) {
         let Some(record) = self.table.get(place) else { return };
-        let (to, life) = (record.update.address, record.update.life);
+        let (to, incarnation) = (record.update.address, record.update.incarnation);
         let mut places = Vec::new();
         let mut updates = Vec::new();
         if record.update.state != MemberState::Alive {
@@ -226,20 +227,20 @@
             |place: Place, revision: u32| table.get(place).is_some_and(|of| of.revision == revision);
         self.gossip.take(MAX_UPDATES - updates.len(), members, current, &mut places);
         updates.extend(places.iter().filter_map(|place| self.table.get(*place)).map(|of| of.update.clone()));
-        let datagram = Box::new(Datagram { head: self.head(life), message, updates });
+        let datagram = Box::new(Datagram { head: self.head(incarnation), message, updates });
         out.push(Action::Send { to, datagram });
     }
 
-    /// Sends to who is not, or not in this life, in the table.
+    /// Sends to who is not, or not in this incarnation, in the table.
     pub(crate) fn send_to(
         &mut self,
         to: SocketAddr,
-        life: Life,
+        incarnation: Incarnation,
         message: Message,
         updates: Vec<MemberUpdate>,
         out: &mut Vec<Action>,
     ) {
-        let datagram = Box::new(Datagram { head: self.head(life), message, updates });
+        let datagram = Box::new(Datagram { head: self.head(incarnation), message, updates });
         out.push(Action::Send { to, datagram });
     }
 
@@ -255,7 +256,7 @@
         let Some(place) = self.table.place(&update.name) else { return self.newcomer(now, update, out) };
         let record = self.table.get_mut(place)?;
         let old = record.update.clone();
-        let reborn = update.life != old.life;
+        let reborn = update.incarnation != old.incarnation;
         if reborn {
             (record.received, record.answers_in, record.slow) = (Default::default(), 0, false);
         }
@@ -294,7 +295,8 @@
         Some(place)
     }
 
-    /// What a new word means for the view and the log. `was` is how the same life stood, if it was there.
+    /// What a new word means for the view and the log. `was` is how the same incarnation stood, if it was
+    /// there.
     fn told(
         &mut self,
         now: Tenths,
@@ -303,14 +305,14 @@
         was: Option<MemberState>,
         out: &mut Vec<Action>,
     ) {
-        let (name, life) = (update.name.clone(), update.life);
+        let (name, incarnation) = (update.name.clone(), update.incarnation);
         match update.state {
             MemberState::Alive => {
                 let cleared = matches!(was, Some(MemberState::Suspected { .. }));
                 if was.is_none() {
                     self.admit(now, place, out);
                 } else if cleared {
-                    out.push(Action::Report(News::Cleared { name, life }));
+                    out.push(Action::Report(News::Cleared { name, incarnation }));
                 }
             }
             MemberState::Suspected { by } => {
@@ -329,9 +331,9 @@
                 if was.is_some() {
                     let left = update.state == MemberState::Left;
                     out.push(Action::Report(if left {
-                        News::Left { name, life }
+                        News::Left { name, incarnation }
                     } else {
-                        News::Lost { name, life }
+                        News::Lost { name, incarnation }
                     }));
                 }
             }
@@ -341,10 +343,10 @@
     fn doubted(&mut self, now: Tenths, place: Place, by: u32, out: &mut Vec<Action>) {
         let members = self.view.members.len();
         let Some(record) = self.table.get_mut(place) else { return };
-        let (name, life) = (record.update.name.clone(), record.update.life);
+        let (name, incarnation) = (record.update.name.clone(), record.update.incarnation);
         record.doubt.get_or_insert(Doubt::new(by, now));
         self.arm_doubt(now, place);
-        out.push(Action::Report(News::Suspected { name, life }));
+        out.push(Action::Report(News::Suspected { name, incarnation }));
         // A few of all that hear of it try for themselves, however many there are.
         let helpers = self.terms.helpers as f64;
         if by != self.mark && self.chance.f64() * members as f64 <= helpers {
--- a/fleet/src/joining.rs
+++ b/fleet/src/joining.rs
@@ -4,7 +4,7 @@
 
 use crate::fleet::{Fleet, SAY, Stage, Timer};
 use crate::table::Place;
-use crate::{Action, Life, Member, MemberState, MemberUpdate, Message, News};
+use crate::{Action, Incarnation, Member, MemberState, MemberUpdate, Message, News};
 
 /// Bytes of updates on a page, past which none is added; an update takes its name and at the most this
 /// beside.
@@ -31,7 +31,7 @@
         for nth in 0..seeds {
             let seed = self.terms.seeds[(from + nth) % self.terms.seeds.len()];
             if seed != self.me.address {
-                self.send_to(seed, Life(0), Message::Join, Vec::new(), out);
+                self.send_to(seed, Incarnation(0), Message::Join, Vec::new(), out);
             }
         }
         if let Some(place) = self.table.some_lost(&mut self.chance) {
@@ -41,7 +41,7 @@
     }
 
     /// Answers one that knocks, or goes on with the table. Nothing is thought of who merely knocks: it may
-    /// be an old datagram. It is a member once it speaks to this life.
+    /// be an old datagram. It is a member once it speaks to this incarnation.
     pub(crate) fn page(&mut self, to: &MemberUpdate, after: Option<&crate::Name>, out: &mut Vec<Action>) {
         let (mut updates, mut bytes, mut next) = (Vec::new(), 0, None);
         for record in self.table.after(after) {
@@ -52,7 +52,7 @@
             bytes += record.update.name.len() + UPDATE_OVERHEAD;
             updates.push(record.update.clone());
         }
-        self.send_to(to.address, to.life, Message::Page { next }, updates, out);
+        self.send_to(to.address, to.incarnation, Message::Page { next }, updates, out);
     }
 
     /// A member is in the view from here on, unless it is held back.
@@ -63,10 +63,10 @@
         }
         record.held_until = None;
         let update = &record.update;
-        let (name, life, back) = (update.name.clone(), update.life, record.returns > 0);
-        let member = Member { life, address: update.address, weight: update.weight };
+        let (name, incarnation, back) = (update.name.clone(), update.incarnation, record.returns > 0);
+        let member = Member { incarnation, address: update.address, weight: update.weight };
         self.change_view(now, |view| view.put(&name, member));
-        out.push(Action::Report(News::Alive { name, life, back }));
+        out.push(Action::Report(News::Alive { name, incarnation, back }));
     }
 
     /// Counts that a member came back, and holds it back if it does so again and again. The first return is
@@ -84,10 +84,10 @@
         }
         let wait = most.min(first << (record.returns - 2).min(20));
         record.held_until = Some(now + wait);
-        let (name, life) = (record.update.name.clone(), record.update.life);
+        let (name, incarnation) = (record.update.name.clone(), record.update.incarnation);
         self.arm(now + wait, Timer::Admit(place));
         self.change_view(now, |view| view.remove(&name));
-        out.push(Action::Report(News::HeldBack { name, life, wait }));
+        out.push(Action::Report(News::HeldBack { name, incarnation, wait }));
     }
 
     /// Says that it leaves, at once and in some rounds more.
@@ -111,47 +111,51 @@
         first_hand: bool,
         out: &mut Vec<Action>,
     ) {
-        if update.life == self.me.life {
+        if update.incarnation == self.me.incarnation {
             let doubted =
                 update.state != MemberState::Alive && update.version >= self.me.version && !first_hand;
             if doubted && update.state == MemberState::Left && self.stage != Stage::Leaving {
-                // Final for that life, which this one therefore can't be.
-                self.live_on(now, update.life, out);
+                // Final for that incarnation, which this one therefore can't be.
+                self.start_incarnation(now, update.incarnation, out);
             } else if doubted && self.stage != Stage::Leaving {
                 self.me.version = update.version + 1;
                 self.say = SAY;
                 self.arm_news(now);
             }
-        } else if update.life < self.me.life {
+        } else if update.incarnation < self.me.incarnation {
             if first_hand {
-                // It learns of this life by the head, and steps aside.
-                self.send_to(update.address, update.life, Message::News, Vec::new(), out);
-                if self.twin != update.life {
-                    self.twin = update.life;
-                    out.push(Action::Report(News::Twin { life: update.life, address: update.address }));
+                // It learns of this incarnation by the head, and steps aside.
+                self.send_to(update.address, update.incarnation, Message::News, Vec::new(), out);
+                if self.twin != update.incarnation {
+                    self.twin = update.incarnation;
+                    out.push(Action::Report(News::Twin {
+                        incarnation: update.incarnation,
+                        address: update.address,
+                    }));
                 }
             }
         } else if self.stage == Stage::Joining
             || !update.state.is_there()
             || update.address == self.me.address
         {
-            // That life is over, as only this process is where it was, or this one joins after it.
-            self.live_on(now, update.life, out);
+            // That incarnation is over, as only this process is where it was, or this one joins after it.
+            self.start_incarnation(now, update.incarnation, out);
         } else {
             self.stage = Stage::Displaced;
-            out.push(Action::Report(News::Displaced { by: update.life, address: update.address }));
+            out.push(Action::Report(News::Displaced { by: update.incarnation, address: update.address }));
         }
     }
 
-    /// Goes on under a life younger than `than`.
-    fn live_on(&mut self, now: Tenths, than: Life, out: &mut Vec<Action>) {
-        self.me.life = Life(than.0.saturating_add(1 + self.chance.u64(..256)));
+    /// Goes on under an incarnation later than `than`.
+    fn start_incarnation(&mut self, now: Tenths, than: Incarnation, out: &mut Vec<Action>) {
+        self.me.incarnation = Incarnation(than.0.saturating_add(1 + self.chance.u64(..256)));
         self.me.version = 0;
         let (name, update) = (self.me.name.clone(), &self.me);
-        let member = Member { life: update.life, address: update.address, weight: update.weight };
+        let member =
+            Member { incarnation: update.incarnation, address: update.address, weight: update.weight };
         self.change_view(now, |view| view.put(&name, member));
         self.say = SAY;
         self.arm_news(now);
-        out.push(Action::Report(News::NewLife { life: self.me.life }));
+        out.push(Action::Report(News::NewIncarnation { incarnation: self.me.incarnation }));
     }
 }
--- a/fleet/src/lib.rs
+++ b/fleet/src/lib.rs
@@ -12,8 +12,9 @@
 //!
 //! The way is that of SWIM: each node probes one other a period, asks helpers to try before it doubts, and
 //! news travels on whatever is sent. What is added, and why:
-//! - **Lives.** A node is known by its name and a [`Life`], a number that is never used twice. What concerns
-//!   an earlier life counts for nothing, and a datagram names the life it is meant for.
+//! - **Incarnations.** A node is known by its name and an [`Incarnation`], a number that is never used twice.
+//!   What concerns an earlier incarnation counts for nothing, and a datagram names the incarnation it is
+//!   meant for.
 //! - **Who stood still doubts nobody.** A turn that comes late by more than [`Terms::stall`] drops all
 //!   probes and starts all doubts anew; until another has answered, nobody is doubted.
 //! - **Who gets no answer from anybody holds itself for the one that is cut off**, and lets nobody be lost.
@@ -25,8 +26,8 @@
 //!
 //! Assumptions: time as told does not go back within one process; it need not agree between two. Any
 //! datagram may be lost, delayed, doubled or replayed. A member may die, stop and wake at any point. Names
-//! are told apart, but two processes may use the same one: the life that joined later stays. Members of
-//! one fleet do not lie; who does not hold the key is kept out before anything gets here.
+//! are told apart, but two processes may use the same one: the incarnation that joined later stays. Members
+//! of one fleet do not lie; who does not hold the key is kept out before anything gets here.
 //!
 //! What is never promised: that two nodes hold the same view at the same time. A decision that needs this
 //! has to rest on leases or a majority, not on a view.
@@ -67,21 +68,21 @@
 /// Bytes of a name.
 pub const LONGEST_NAME: usize = 64;
 
-/// One run of a node's process. Of two lives of one name the greater is the younger; 0 is none.
+/// One run of a node's process. Of two incarnations of one name the greater is the later; 0 is none.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
-pub struct Life(pub u64);
+pub struct Incarnation(pub u64);
 
-impl fmt::Display for Life {
+impl fmt::Display for Incarnation {
     fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
         write!(f, "{:x}", self.0)
     }
 }
 
-impl Life {
+impl Incarnation {
     /// That of a process started at this Unix time. The low bits are chance, so that two processes started
     /// in one ms differ.
-    pub fn started(unix_ms: u64, chance: u64) -> Life {
-        Life((unix_ms << 16) | (chance & 0xffff))
+    pub fn started(unix_ms: u64, chance: u64) -> Incarnation {
+        Incarnation((unix_ms << 16) | (chance & 0xffff))
     }
 }
 
@@ -105,42 +106,43 @@
     Report(News),
 }
 
-/// What has changed, for the log and for those whose decisions rest on it. `life` is that of the member.
+/// What has changed, for the log and for those whose decisions rest on it. `incarnation` is that of the
+/// member.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum News {
-    /// A member is in the view from here on; `back` if this life was lost before.
+    /// A member is in the view from here on; `back` if this incarnation was lost before.
     Alive {
         name: Name,
-        life: Life,
+        incarnation: Incarnation,
         back: bool,
     },
     Suspected {
         name: Name,
-        life: Life,
+        incarnation: Incarnation,
     },
     /// It answered after all.
     Cleared {
         name: Name,
-        life: Life,
+        incarnation: Incarnation,
     },
     Lost {
         name: Name,
-        life: Life,
+        incarnation: Incarnation,
     },
     Left {
         name: Name,
-        life: Life,
+        incarnation: Incarnation,
     },
     /// It has come back too often; it is in the view again after so many tenths of a ms.
     HeldBack {
         name: Name,
-        life: Life,
+        incarnation: Incarnation,
         wait: u64,
     },
     /// It answers, but late: its smoothed time to answer, in tenths of a ms.
     Slow {
         name: Name,
-        life: Life,
+        incarnation: Incarnation,
         after: u64,
     },
     /// Nobody answers this node, or somebody does again.
@@ -149,18 +151,18 @@
     StoodStill {
         late: u64,
     },
-    /// This node goes on under another life, as its name had been in use.
-    NewLife {
-        life: Life,
+    /// This node goes on under another incarnation, as its name had been in use.
+    NewIncarnation {
+        incarnation: Incarnation,
     },
     /// Another process goes by this node's name and joined later: this one no longer takes part.
     Displaced {
-        by: Life,
+        by: Incarnation,
         address: SocketAddr,
     },
     /// Another process goes by this node's name and joined earlier; it is to stop taking part.
     Twin {
-        life: Life,
+        incarnation: Incarnation,
         address: SocketAddr,
     },
     /// The table is full: a newcomer was left out.
@@ -184,23 +186,23 @@
             News::CutOff(true) => "cut_off",
             News::CutOff(false) => "reconnected",
             News::StoodStill { .. } => "stood_still",
-            News::NewLife { .. } => "new_life",
+            News::NewIncarnation { .. } => "new_incarnation",
             News::Displaced { .. } => "displaced",
             News::Twin { .. } => "twin",
             News::NoRoom { .. } => "no_room",
         }
     }
 
-    /// The other member that it is about, and its life.
-    pub fn about(&self) -> Option<(&Name, Life)> {
+    /// The other member that it is about, and its incarnation.
+    pub fn about(&self) -> Option<(&Name, Incarnation)> {
         match self {
-            News::Alive { name, life, .. }
-            | News::Suspected { name, life }
-            | News::Cleared { name, life }
-            | News::Lost { name, life }
-            | News::Left { name, life }
-            | News::HeldBack { name, life, .. }
-            | News::Slow { name, life, .. } => Some((name, *life)),
+            News::Alive { name, incarnation, .. }
+            | News::Suspected { name, incarnation }
+            | News::Cleared { name, incarnation }
+            | News::Lost { name, incarnation }
+            | News::Left { name, incarnation }
+            | News::HeldBack { name, incarnation, .. }
+            | News::Slow { name, incarnation, .. } => Some((name, *incarnation)),
             _ => None,
         }
     }
--- a/fleet/src/message.rs
+++ b/fleet/src/message.rs
@@ -2,7 +2,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::{Life, MemberUpdate, Name};
+use crate::{Incarnation, MemberUpdate, Name};
 
 /// Updates that one datagram carries at the most: with the longest names and addresses 10 are 1,090 bytes.
 pub const MAX_UPDATES: usize = 10;
@@ -12,9 +12,9 @@
 pub struct Head {
     /// The sender on itself.
     pub sender: MemberUpdate,
-    /// Which life it is meant for; 0 where the sender does not know.
-    pub to: Life,
-    /// Grows with each datagram of the sender's life.
+    /// Which incarnation it is meant for; 0 where the sender does not know.
+    pub to: Incarnation,
+    /// Grows with each datagram of the sender's incarnation.
     pub nth: u64,
     /// The digest of the sender's view, and its number.
     pub digest: u64,
@@ -23,7 +23,7 @@
 
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum Message {
-    /// Asks for the table from its start, from one whose life is not known.
+    /// Asks for the table from its start, from one whose incarnation is not known.
     Join,
     Ping {
         nonce: u32,
@@ -35,7 +35,7 @@
     PingFor {
         nonce: u32,
         name: Name,
-        life: Life,
+        incarnation: Incarnation,
     },
     /// Carries updates, and nothing else.
     News,
--- a/fleet/src/probes.rs
+++ b/fleet/src/probes.rs
@@ -5,7 +5,7 @@
 use doortrack::Tenths;
 
 use crate::table::Place;
-use crate::{Life, Name};
+use crate::{Incarnation, Name};
 
 /// Probes under way at once: one a period and second opinions.
 const MOST: usize = 16;
@@ -18,7 +18,7 @@
 pub struct Probe {
     pub nonce: u32,
     pub place: Place,
-    pub life: Life,
+    pub incarnation: Incarnation,
     pub began: Tenths,
 }
 
--- a/fleet/src/receiving.rs
+++ b/fleet/src/receiving.rs
@@ -7,7 +7,7 @@
 use crate::fleet::{Fetch, Fleet, SAY, Stage};
 use crate::probes::{Answered, ForOther, Probe};
 use crate::table::Place;
-use crate::{Action, Datagram, Head, Life, MemberState, MemberUpdate, Message, News};
+use crate::{Action, Datagram, Head, Incarnation, MemberState, MemberUpdate, Message, News};
 
 /// Stands for all those that hold a member for lost.
 const OTHERS: u32 = 0;
@@ -31,18 +31,25 @@
         if head.sender.name == self.me.name {
             return self.on_myself(now, &head.sender, true, out);
         }
-        if message == Message::Join && head.to == Life(0) {
+        if message == Message::Join && head.to == Incarnation(0) {
             if head.digest == self.view.digest {
                 // It knows all of this already.
-                let (to, life) = (head.sender.address, head.sender.life);
-                return self.send_to(to, life, Message::Page { next: None }, Vec::new(), out);
+                let (to, incarnation) = (head.sender.address, head.sender.incarnation);
+                return self.send_to(to, incarnation, Message::Page { next: None }, Vec::new(), out);
             }
             return self.page(&head.sender, None, out);
         }
-        if head.to != self.me.life {
-            // Meant for an earlier life, or very old: the sender learns of this one, nothing else is done.
+        if head.to != self.me.incarnation {
+            // Meant for an earlier incarnation, or very old: the sender learns of this one, nothing else is
+            // done.
             self.refused += 1;
-            return self.send_to(head.sender.address, head.sender.life, Message::News, Vec::new(), out);
+            return self.send_to(
+                head.sender.address,
+                head.sender.incarnation,
+                Message::News,
+                Vec::new(),
+                out,
+            );
         }
         let Some(place) = self.first_hand(now, &head, &message, out) else { return };
         for update in updates {
@@ -62,7 +69,7 @@
         self.compare(now, place, &head, out);
     }
 
-    /// What it means that this member spoke to this life: its place, if it is to be listened to.
+    /// What it means that this member spoke to this incarnation: its place, if it is to be listened to.
     fn first_hand(
         &mut self,
         now: Tenths,
@@ -76,10 +83,10 @@
             return Some(place).filter(|_| head.sender.state != MemberState::Left);
         };
         let known = self.table.get(place)?.update.clone();
-        if head.sender.life < known.life {
-            // An elder process of that name, or its last words: it is shown who came after it.
+        if head.sender.incarnation < known.incarnation {
+            // An earlier process of that name, or its last words: it is shown who came after it.
             self.refused += 1;
-            self.send_to(head.sender.address, head.sender.life, Message::News, vec![known], out);
+            self.send_to(head.sender.address, head.sender.incarnation, Message::News, vec![known], out);
             return None;
         }
         if head.sender.overrides(&known) {
@@ -93,7 +100,7 @@
         match record.update.state {
             MemberState::Left => return None,
             MemberState::Alive => {}
-            // It lives, but only its own later version says so to all. Pings are answered with the doubt
+            // It is alive, but only its own later version says so to all. Pings are answered with the doubt
             // anyway.
             MemberState::Suspected { .. } | MemberState::Lost => {
                 if !matches!(what, Message::Ping { .. }) {
@@ -121,7 +128,7 @@
             return;
         };
         let Some(known) = self.table.get(place).map(|record| &record.update) else { return };
-        let same = update.life == known.life && update.version == known.version;
+        let same = update.incarnation == known.incarnation && update.version == known.version;
         if update.state == MemberState::Lost && known.state.is_there() && update.overrides(known) {
             return self.said_to_be_lost(now, place, update, out);
         }
@@ -154,11 +161,10 @@
         match message {
             Message::Ping { nonce } => self.send(place, Message::Ack { nonce }, out),
             Message::Ack { nonce } => self.answered(now, nonce, out),
-            Message::PingFor { nonce, name, life } => {
-                let of = self
-                    .table
-                    .place(&name)
-                    .filter(|of| self.table.get(*of).is_some_and(|record| record.update.life == life));
+            Message::PingFor { nonce, name, incarnation } => {
+                let of = self.table.place(&name).filter(|of| {
+                    self.table.get(*of).is_some_and(|record| record.update.incarnation == incarnation)
+                });
                 let asker = self.table.get(place).map(|record| record.update.name.clone());
                 if let (Some(of), Some(asker)) = (of, asker) {
                     let own = self.chance.u32(..);
@@ -185,7 +191,7 @@
             Answered::Late(probe) => {
                 self.somebody_answers(now, out);
                 self.took(now, probe, out);
-                // It lives, only late: what doubt there is begins anew, until its own word ends it.
+                // It is alive, only late: what doubt there is begins anew, until its own word ends it.
                 let thawed = self.table.get_mut(probe.place).and_then(|record| record.doubt.as_mut());
                 if let Some(doubt) = thawed {
                     doubt.since = now;
@@ -205,7 +211,7 @@
     fn took(&mut self, now: Tenths, probe: Probe, out: &mut Vec<Action>) {
         let late = 3 * self.terms.answer_within;
         let Some(record) = self.table.get_mut(probe.place) else { return };
-        if record.update.life != probe.life {
+        if record.update.incarnation != probe.incarnation {
             return;
         }
         let took = now.saturating_sub(probe.began).max(1);
@@ -213,8 +219,8 @@
         record.answers_in = if took > record.answers_in { took } else { (record.answers_in * 7 + took) / 8 };
         let slow = if record.slow { record.answers_in > late / 2 } else { record.answers_in > late };
         if slow && !record.slow {
-            let (name, life) = (record.update.name.clone(), record.update.life);
-            out.push(Action::Report(News::Slow { name, life, after: record.answers_in }));
+            let (name, incarnation) = (record.update.name.clone(), record.update.incarnation);
+            out.push(Action::Report(News::Slow { name, incarnation, after: record.answers_in }));
         }
         record.slow = slow;
     }
--- a/fleet/src/report.rs
+++ b/fleet/src/report.rs
@@ -6,7 +6,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::fleet::{Fleet, Stage};
-use crate::{Life, MemberState, Name};
+use crate::{Incarnation, MemberState, Name};
 
 /// How a member stands, as operators read it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -24,7 +24,7 @@
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct MemberReport {
     pub name: Name,
-    pub life: Life,
+    pub incarnation: Incarnation,
     pub address: SocketAddr,
     pub state: ReportedState,
     pub weight: u32,
@@ -39,7 +39,7 @@
     pub fn report(&self, after: Option<&Name>, most: usize, now: Tenths) -> (Vec<MemberReport>, bool) {
         let own = MemberReport {
             name: self.me.name.clone(),
-            life: self.me.life,
+            incarnation: self.me.incarnation,
             address: self.me.address,
             state: match self.stage {
                 Stage::Joining => ReportedState::Joining,
@@ -70,7 +70,7 @@
                     };
                     reports.push(MemberReport {
                         name: update.name.clone(),
-                        life: update.life,
+                        incarnation: update.incarnation,
                         address: update.address,
                         state,
                         weight: update.weight,
@@ -88,7 +88,7 @@
         (reports, own.is_some() || others.peek().is_some())
     }
 
-    /// Datagrams refused as they came twice, were meant for another life, or made no sense.
+    /// Datagrams refused as they came twice, were meant for another incarnation, or made no sense.
     pub fn refused(&self) -> u64 {
         self.refused
     }
--- a/fleet/src/table.rs
+++ b/fleet/src/table.rs
@@ -14,7 +14,7 @@
 /// Datagrams back that are still told apart from doubled ones.
 const WINDOW: u64 = 128;
 
-/// Which datagrams of one life were heard.
+/// Which datagrams of one incarnation were heard.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Received {
     last: u64,
--- a/fleet/src/timers.rs
+++ b/fleet/src/timers.rs
@@ -70,8 +70,8 @@
         let (least, most) = (self.terms.answer_within, self.terms.longest_wait());
         let wait = (record.answers_in * 3).clamp(least, most.max(least));
         let nonce = self.chance.u32(..);
-        let life = record.update.life;
-        if self.probes.begin(Probe { nonce, place, life, began: now }) {
+        let incarnation = record.update.incarnation;
+        if self.probes.begin(Probe { nonce, place, incarnation, began: now }) {
             self.arm(now + wait, Timer::Wait(nonce));
             let rest = self.terms.period.saturating_sub(least).max(1);
             self.arm(now + wait + rest, Timer::Over(nonce));
@@ -84,7 +84,7 @@
         let Some(probe) = self.probes.get(nonce) else { return };
         let Some(of) = self.table.get(probe.place).map(|record| record.update.clone()) else { return };
         for helper in self.table.some(self.terms.helpers, Some(probe.place), &mut self.chance) {
-            let message = Message::PingFor { nonce, name: of.name.clone(), life: of.life };
+            let message = Message::PingFor { nonce, name: of.name.clone(), incarnation: of.incarnation };
             self.send(helper, message, out);
         }
     }
@@ -97,7 +97,7 @@
         let Some(record) = self.table.get(probe.place) else { return };
         let update = record.update.clone();
         match update.state {
-            _ if update.life != probe.life => {}
+            _ if update.incarnation != probe.incarnation => {}
             MemberState::Alive => {
                 let state = MemberState::Suspected { by: self.mark };
                 self.take_up(now, MemberUpdate { state, ..update }, out);
--- a/fleet/src/update.rs
+++ b/fleet/src/update.rs
@@ -4,7 +4,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::{Life, Name, is_name};
+use crate::{Incarnation, Name, is_name};
 
 /// The most capacity that a member can announce.
 pub const MAX_WEIGHT: u32 = 1_000_000;
@@ -18,7 +18,7 @@
         by: u32,
     },
     Lost,
-    /// Said by the member itself; final for its life.
+    /// Said by the member itself; final for its incarnation.
     Left,
 }
 
@@ -43,7 +43,7 @@
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct MemberUpdate {
     pub name: Name,
-    pub life: Life,
+    pub incarnation: Incarnation,
     /// Raised by the member alone, to contradict a doubt.
     pub version: u32,
     pub state: MemberState,
@@ -57,14 +57,18 @@
     /// Whether the figures can be meant.
     pub fn is_valid(&self) -> bool {
         let reachable = self.address.port() != 0 && !self.address.ip().is_unspecified();
-        is_name(&self.name) && self.life != Life(0) && reachable && (1..=MAX_WEIGHT).contains(&self.weight)
+        is_name(&self.name)
+            && self.incarnation != Incarnation(0)
+            && reachable
+            && (1..=MAX_WEIGHT).contains(&self.weight)
     }
 
-    /// Whether this word holds against `other` on the same name: a younger life; in one life having left,
-    /// then the later version, then the graver word.
+    /// Whether this word holds against `other` on the same name: a later incarnation; in one incarnation
+    /// having left, then the later version, then the graver word.
     pub fn overrides(&self, other: &MemberUpdate) -> bool {
         let left = |update: &MemberUpdate| update.state == MemberState::Left;
-        let key = |update: &MemberUpdate| (update.life, left(update), update.version, update.state.rank());
+        let key =
+            |update: &MemberUpdate| (update.incarnation, left(update), update.version, update.state.rank());
         key(self) > key(other)
     }
 }
--- a/fleet/src/view.rs
+++ b/fleet/src/view.rs
@@ -4,12 +4,12 @@
 
 use imbl::OrdMap;
 
-use crate::{Life, Name};
+use crate::{Incarnation, Name};
 
 /// One member of a view.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Member {
-    pub life: Life,
+    pub incarnation: Incarnation,
     pub address: SocketAddr,
     pub weight: u32,
 }
@@ -20,7 +20,8 @@
 pub struct View {
     /// Grows by one with each change in this node; says nothing about other nodes' numbers.
     pub number: u64,
-    /// The same in two nodes exactly when their members, lives and weights are, but for chance of 2^-64.
+    /// The same in two nodes exactly when their members, incarnations and weights are, but for chance of
+    /// 2^-64.
     pub digest: u64,
     pub members: OrdMap<Name, Member>,
 }
@@ -54,7 +55,7 @@
 fn mark(name: &str, member: Member) -> u64 {
     let mut hasher = blake3::Hasher::new();
     hasher.update(name.as_bytes());
-    hasher.update(&member.life.0.to_le_bytes());
+    hasher.update(&member.incarnation.0.to_le_bytes());
     hasher.update(&member.weight.to_le_bytes());
     let mut first = [0; 8];
     first.copy_from_slice(&hasher.finalize().as_bytes()[..8]);
--- a/fleet/tests/cases.rs
+++ b/fleet/tests/cases.rs
@@ -5,8 +5,8 @@
 use std::net::SocketAddr;
 
 use doortrack_fleet::{
-    Action, Datagram, Event, Fleet, Head, Life, MemberState, MemberUpdate, Message, News, ReportedState,
-    Terms,
+    Action, Datagram, Event, Fleet, Head, Incarnation, MemberState, MemberUpdate, Message, News,
+    ReportedState, Terms,
 };
 
 const MS: u64 = 10;
@@ -15,10 +15,10 @@
     SocketAddr::from(([10, 0, 0, of as u8 + 1], 7_400))
 }
 
-fn update(of: usize, life: u64) -> MemberUpdate {
+fn update(of: usize, incarnation: u64) -> MemberUpdate {
     MemberUpdate {
         name: format!("n{of}").into(),
-        life: Life(life),
+        incarnation: Incarnation(incarnation),
         version: 0,
         state: MemberState::Alive,
         address: address(of),
@@ -49,9 +49,9 @@
         }
     }
 
-    fn node(of: usize, life: u64, now: u64) -> Fleet {
+    fn node(of: usize, incarnation: u64, now: u64) -> Fleet {
         let terms = Terms { seeds: vec![address(0), address(1)], ..Terms::default() };
-        Fleet::new(update(of, life), terms, 7 + of as u64, now)
+        Fleet::new(update(of, incarnation), terms, 7 + of as u64, now)
     }
 
     fn handle(&mut self, of: usize, event: Event) {
@@ -118,7 +118,7 @@
 }
 
 #[test]
-fn one_that_dies_is_lost_and_comes_back_under_a_new_life() {
+fn one_that_dies_is_lost_and_comes_back_under_a_new_incarnation() {
     let mut few = Few::new(5);
     few.pass(2_000);
     few.stopped[4] = true;
@@ -129,7 +129,7 @@
     few.pass(3_000);
     assert!((0..5).all(|of| few.members(of) == 5), "{:?}", few.news);
     let member = few.fleets[0].view().members.get("n4").copied();
-    assert_eq!(member.map(|member| member.life), Some(Life(200)));
+    assert_eq!(member.map(|member| member.incarnation), Some(Incarnation(200)));
 }
 
 #[test]
@@ -228,7 +228,10 @@
     few.cut = Box::new(|_, _| false);
     few.pass(4_000);
     assert!((0..8).all(|of| few.members(of) == 8), "{:?}", few.news);
-    assert!((0..8).all(|of| few.fleets[of].me().life == Life(100)), "no life was given up");
+    assert!(
+        (0..8).all(|of| few.fleets[of].me().incarnation == Incarnation(100)),
+        "no incarnation was given up"
+    );
 }
 
 #[test]
@@ -251,12 +254,16 @@
 }
 
 #[test]
-fn a_start_with_the_clock_set_back_takes_a_younger_life() {
+fn a_start_with_the_clock_set_back_takes_a_later_incarnation() {
     let mut few = Few::new(4);
     few.pass(2_000);
     few.fleets[3] = Few::node(3, 50, few.now);
     few.pass(4_000);
-    assert!(few.fleets[3].me().life > Life(100) && !few.fleets[3].is_displaced(), "{:?}", few.news);
+    assert!(
+        few.fleets[3].me().incarnation > Incarnation(100) && !few.fleets[3].is_displaced(),
+        "{:?}",
+        few.news
+    );
     assert!((0..4).all(|of| few.members(of) == 4));
 }
 
@@ -294,10 +301,10 @@
 fn one_that_comes_back_again_and_again_is_held_back_longer() {
     let mut few = Few::new(5);
     few.pass(2_000);
-    for life in 1..5 {
+    for incarnation in 1..5 {
         few.stopped[4] = true;
         few.pass(3_000);
-        few.fleets[4] = Few::node(4, 100 + life, few.now);
+        few.fleets[4] = Few::node(4, 100 + incarnation, few.now);
         few.stopped[4] = false;
         few.pass(500);
     }
@@ -350,17 +357,18 @@
     let odd = [
         MemberUpdate { name: "".into(), ..sound.clone() },
         MemberUpdate { name: "x".repeat(65).into(), ..sound.clone() },
-        MemberUpdate { life: Life(0), ..sound.clone() },
+        MemberUpdate { incarnation: Incarnation(0), ..sound.clone() },
         MemberUpdate { address: SocketAddr::from(([0, 0, 0, 0], 1)), ..sound.clone() },
         MemberUpdate { weight: 0, ..sound.clone() },
         MemberUpdate { state: MemberState::Lost, ..sound.clone() },
     ];
     for sender in odd {
-        let head = Head { sender, to: Life(100), nth: 1, digest: 0, view: 0 };
+        let head = Head { sender, to: Incarnation(100), nth: 1, digest: 0, view: 0 };
         let datagram = Datagram { head, message: Message::News, updates: Vec::new() };
         few.handle(0, Event::Received { from: address(9), datagram });
     }
-    let head = Head { sender: update(1, 100), to: Life(100), nth: 1 << 40, digest: view.digest, view: 0 };
+    let head =
+        Head { sender: update(1, 100), to: Incarnation(100), nth: 1 << 40, digest: view.digest, view: 0 };
     let updates = vec![sound.clone(); 65];
     few.handle(
         0,
@@ -379,7 +387,7 @@
     }
     few.pass(2_000);
     for nth in 10..20 {
-        let head = Head { sender: update(nth, 5), to: Life(100), nth: 1, digest: 0, view: 0 };
+        let head = Head { sender: update(nth, 5), to: Incarnation(100), nth: 1, digest: 0, view: 0 };
         let datagram = Datagram { head, message: Message::News, updates: Vec::new() };
         few.handle(0, Event::Received { from: address(nth), datagram });
     }
--- a/fleet/tests/random.rs
+++ b/fleet/tests/random.rs
@@ -4,8 +4,8 @@
 use std::net::SocketAddr;
 
 use doortrack_fleet::{
-    Action, Datagram, Event, Fleet, Head, Life, MAX_UPDATES, Member, MemberState, MemberUpdate, Message,
-    Name, Terms,
+    Action, Datagram, Event, Fleet, Head, Incarnation, MAX_UPDATES, Member, MemberState, MemberUpdate,
+    Message, Name, Terms,
 };
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
@@ -29,10 +29,10 @@
 prop_compose! {
     /// On one of 20 names, the node's own (n0) among them.
     fn update()(
-        of in 0u8..20, life in 1u64..4, version in 0u32..3, state in state(), weight in 1u32..3,
+        of in 0u8..20, incarnation in 1u64..4, version in 0u32..3, state in state(), weight in 1u32..3,
     ) -> MemberUpdate {
         let (name, address) = (format!("n{of}").into(), address(of));
-        MemberUpdate { name, life: Life(life), version, state, address, weight }
+        MemberUpdate { name, incarnation: Incarnation(incarnation), version, state, address, weight }
     }
 }
 
@@ -41,8 +41,8 @@
         Just(Message::Join),
         any::<u32>().prop_map(|nonce| Message::Ping { nonce }),
         any::<u32>().prop_map(|nonce| Message::Ack { nonce }),
-        (any::<u32>(), 0u8..20, 1u64..4).prop_map(|(nonce, of, life)| {
-            Message::PingFor { nonce, name: format!("n{of}").into(), life: Life(life) }
+        (any::<u32>(), 0u8..20, 1u64..4).prop_map(|(nonce, of, incarnation)| {
+            Message::PingFor { nonce, name: format!("n{of}").into(), incarnation: Incarnation(incarnation) }
         }),
         Just(Message::News),
         proptest::option::of(0u8..20)
@@ -81,7 +81,7 @@
     fn whatever_is_heard_views_stay_what_they_say(steps in prop::collection::vec(step(), 1..120), seed: u64) {
         let me = MemberUpdate {
             name: "n0".into(),
-            life: Life(2),
+            incarnation: Incarnation(2),
             version: 0,
             state: MemberState::Alive,
             address: address(0),
@@ -90,8 +90,8 @@
         let terms = Terms { seeds: vec![address(1)], most_members: MOST, ..Terms::default() };
         let mut fleet = Fleet::new(me, terms, seed, 0);
         let (mut now, mut out, mut number) = (0, Vec::new(), 0);
-        let mut by_digest: BTreeMap<u64, Vec<(String, Life, u32)>> = BTreeMap::new();
-        let mut life = Life(2);
+        let mut by_digest: BTreeMap<u64, Vec<(String, Incarnation, u32)>> = BTreeMap::new();
+        let mut incarnation = Incarnation(2);
         for step in steps {
             match step {
                 Step::Pass(ms) => {
@@ -104,7 +104,7 @@
                     now = till;
                 }
                 Step::Hear { sender, to_me, nth, message, updates } => {
-                    let to = if to_me { fleet.me().life } else { Life(0) };
+                    let to = if to_me { fleet.me().incarnation } else { Incarnation(0) };
                     let from = sender.address;
                     let head = Head { sender, to, nth, digest: 0, view: 0 };
                     let datagram = Datagram { head, message, updates };
@@ -117,19 +117,21 @@
                     let page = matches!(datagram.message, Message::Page { .. });
                     prop_assert!(page || datagram.updates.len() <= MAX_UPDATES);
                     let sender = &datagram.head.sender;
-                    prop_assert!(sender.name == fleet.me().name && sender.life <= fleet.me().life);
+                    prop_assert!(sender.name == fleet.me().name && sender.incarnation <= fleet.me().incarnation);
                 }
             }
             let view = fleet.view();
             prop_assert!(view.number >= number, "numbers grow");
             number = view.number;
             prop_assert!(view.members.len() <= MOST + 1);
-            let listed = |(name, member): (&Name, &Member)| (name.to_string(), member.life, member.weight);
+            let listed = |(name, member): (&Name, &Member)| {
+                (name.to_string(), member.incarnation, member.weight)
+            };
             let members: Vec<_> = view.members.iter().map(listed).collect();
             let known = by_digest.entry(view.digest).or_insert_with(|| members.clone());
             prop_assert_eq!(known, &members, "one digest, one list");
-            prop_assert!(fleet.me().life >= life, "its own lives go forward");
-            life = fleet.me().life;
+            prop_assert!(fleet.me().incarnation >= incarnation, "its own incarnations go forward");
+            incarnation = fleet.me().incarnation;
             let (reports, more) = fleet.report(None, 100, now);
             prop_assert!(!more && reports.windows(2).all(|pair| pair[0].name < pair[1].name));
         }
--- a/node/src/commands/fleet.rs
+++ b/node/src/commands/fleet.rs
@@ -75,11 +75,12 @@
 impl Seen {
     pub fn json(&self) -> Value {
         let member = |of: &MemberReport| {
-            json!({"name": &*of.name, "life": of.life.to_string(), "address": of.address.to_string(),
-                "state": of.state, "weight": of.weight, "slow": of.slow, "since_ms": of.for_ms})
+            json!({"name": &*of.name, "incarnation": of.incarnation.to_string(),
+                "address": of.address.to_string(), "state": of.state, "weight": of.weight,
+                "slow": of.slow, "since_ms": of.for_ms})
         };
         let first = &self.first;
-        json!({"fleet": first.fleet, "name": &*first.name, "life": first.life.to_string(),
+        json!({"fleet": first.fleet, "name": &*first.name, "incarnation": first.incarnation.to_string(),
             "view": first.view, "digest": format!("{:016x}", first.digest), "in_view": first.in_view,
             "cut_off": first.cut_off, "displaced": first.displaced,
             "members": self.members.iter().map(member).collect::<Vec<_>>(),
@@ -100,7 +101,10 @@
         for of in &self.members {
             let state = word(of);
             let (name, address) = (&of.name, of.address);
-            text += &format!("{name:<16} {state:<10} {address:<22} weight {:<4} life {}", of.weight, of.life);
+            text += &format!(
+                "{name:<16} {state:<10} {address:<22} weight {:<4} incarnation {}",
+                of.weight, of.incarnation
+            );
             text += &format!("  for {} ms\n", of.for_ms);
         }
         for of in &self.budgets {
@@ -242,7 +246,7 @@
     let mut lines = Vec::new();
     let mut now = BTreeMap::new();
     for of in &seen.members {
-        let stands = format!("{} (life {})", word(of), of.life);
+        let stands = format!("{} (incarnation {})", word(of), of.incarnation);
         if known.get(&of.name) != Some(&stands) {
             lines.push(format!("view {view}: {} {stands}", of.name));
         }
--- a/node/src/peers/link.rs
+++ b/node/src/peers/link.rs
@@ -10,7 +10,7 @@
 
 use doortrack::Tenths;
 use doortrack_budgets::Who;
-use doortrack_fleet::{Action, Event, Fleet, Life, MemberState, MemberUpdate, News};
+use doortrack_fleet::{Action, Event, Fleet, Incarnation, MemberState, MemberUpdate, News};
 use doortrack_installation::{FleetFile, Installation, Orders};
 use polling::{Event as Ready, PollMode, Poller};
 use slog::{Logger, info, warn};
@@ -89,16 +89,21 @@
         let weight = file.weight.unwrap_or(orders.handed.contract.cores).max(1);
         let me = MemberUpdate {
             name: orders.name.as_str().into(),
-            life: Life::started(unix_ms, chance),
+            incarnation: Incarnation::started(unix_ms, chance),
             version: 0,
             state: MemberState::Alive,
             address: file.address(),
             weight,
         };
-        info!(log, "fleet"; "fleet" => &file.name, "listen" => %file.listen, "life" => %me.life,
+        info!(log, "fleet"; "fleet" => &file.name, "listen" => %file.listen, "incarnation" => %me.incarnation,
             "sealed" => key.is_some(), "seeds" => file.seeds.len());
         let zero = Instant::now();
-        let shares = Shares::open(file, installation, orders, Who { name: me.name.clone(), life: me.life });
+        let shares = Shares::open(
+            file,
+            installation,
+            orders,
+            Who { name: me.name.clone(), incarnation: me.incarnation },
+        );
         let shares = shares.map(|shares| Rc::new(RefCell::new(shares)));
         let mut peers = Peers {
             sock,
@@ -132,7 +137,7 @@
     }
 
     fn is_member(&self, who: &Who) -> bool {
-        self.fleet.view().members.get(&who.name).is_some_and(|member| member.life == who.life)
+        self.fleet.view().members.get(&who.name).is_some_and(|member| member.incarnation == who.incarnation)
     }
 
     fn carry_out_shares(&mut self) {
@@ -142,7 +147,9 @@
             match action {
                 doortrack_budgets::Action::Send(envelope) => {
                     let member = self.fleet.view().members.get(&envelope.to.name).copied();
-                    if let Some(member) = member.filter(|member| member.life == envelope.to.life) {
+                    if let Some(member) =
+                        member.filter(|member| member.incarnation == envelope.to.incarnation)
+                    {
                         self.send(member.address, &Spoken::Budgets(envelope));
                     }
                 }
@@ -208,7 +215,7 @@
             nonce: ask.nonce,
             fleet: self.file.name.clone(),
             name: self.fleet.me().name.clone(),
-            life: self.fleet.me().life,
+            incarnation: self.fleet.me().incarnation,
             view: view.number,
             digest: view.digest,
             in_view: view.members.len() as u32,
@@ -253,8 +260,10 @@
         let members = self.fleet.view().members.len();
         let word = news.word();
         match news.about() {
-            Some((name, life)) => info!(self.log, "member"; "what" => word, "of" => &**name, "life" => %life,
-                "view" => view, "members" => members, "digest" => digest),
+            Some((name, incarnation)) => {
+                info!(self.log, "member"; "what" => word, "of" => &**name, "incarnation" => %incarnation,
+                "view" => view, "members" => members, "digest" => digest)
+            }
             None if matches!(news, News::Displaced { .. } | News::Twin { .. } | News::CutOff(true)) => {
                 warn!(self.log, "member"; "what" => word, "why" => ?news, "view" => view);
             }
--- a/node/src/peers/spoken.rs
+++ b/node/src/peers/spoken.rs
@@ -1,7 +1,7 @@
 //! What is spoken between nodes, and with those that ask a node how things are.
 
 use doortrack_budgets::{Envelope, Units};
-use doortrack_fleet::{Datagram, Life, MemberReport, Name};
+use doortrack_fleet::{Datagram, Incarnation, MemberReport, Name};
 use serde::{Deserialize, Serialize};
 
 /// One datagram, unsealed.
@@ -33,7 +33,7 @@
     pub nonce: u64,
     pub fleet: String,
     pub name: Name,
-    pub life: Life,
+    pub incarnation: Incarnation,
     pub view: u64,
     pub digest: u64,
     pub in_view: u32,
--- a/node/tests/fleet/link.rs
+++ b/node/tests/fleet/link.rs
@@ -6,7 +6,7 @@
 use std::time::{Duration, Instant};
 
 use doortrack_fleet::{
-    Action, Datagram, Event, Fleet, Head, Life, MemberState, MemberUpdate, Message, Terms,
+    Action, Datagram, Event, Fleet, Head, Incarnation, MemberState, MemberUpdate, Message, Terms,
 };
 use doortrack_node::peers::seal::{Refused, Seal};
 use doortrack_node::peers::spoken::{PAGE, Spoken, Status};
@@ -39,13 +39,13 @@
 fn strange(key: Option<[u8; 32]>, fleet: &str) -> Vec<u8> {
     let sender = MemberUpdate {
         name: "stranger".into(),
-        life: Life(77),
+        incarnation: Incarnation(77),
         version: 0,
         state: MemberState::Alive,
         address: "127.0.0.1:9".parse().unwrap(),
         weight: 1,
     };
-    let head = Head { sender, to: Life(0), nth: 1, digest: 0, view: 0 };
+    let head = Head { sender, to: Incarnation(0), nth: 1, digest: 0, view: 0 };
     let datagram = Datagram { head, message: Message::Join, updates: Vec::new() };
     Seal::new(key, fleet).close(&Spoken::Fleet(datagram)).unwrap()
 }
@@ -102,16 +102,22 @@
 fn the_longest_updates_still_fit_a_datagram() {
     let update = |nth: usize| MemberUpdate {
         name: format!("{nth:064}").into(),
-        life: Life(u64::MAX),
+        incarnation: Incarnation(u64::MAX),
         version: u32::MAX,
         state: MemberState::Suspected { by: u32::MAX },
         address: "[2001:db8:ffff:ffff:ffff:ffff:ffff:ffff]:65535".parse().unwrap(),
         weight: 1_000_000,
     };
-    let head =
-        Head { sender: update(0), to: Life(u64::MAX), nth: u64::MAX, digest: u64::MAX, view: u64::MAX };
+    let head = Head {
+        sender: update(0),
+        to: Incarnation(u64::MAX),
+        nth: u64::MAX,
+        digest: u64::MAX,
+        view: u64::MAX,
+    };
     let updates: Vec<MemberUpdate> = (0..doortrack_fleet::MAX_UPDATES).map(update).collect();
-    let message = Message::PingFor { nonce: u32::MAX, name: update(1).name, life: Life(u64::MAX) };
+    let message =
+        Message::PingFor { nonce: u32::MAX, name: update(1).name, incarnation: Incarnation(u64::MAX) };
     let datagram = Datagram { head, message, updates };
     let seal = Seal::new(None, &"x".repeat(64));
     assert!(seal.close(&Spoken::Fleet(datagram)).is_some());
@@ -120,7 +126,7 @@
     let mut out = Vec::new();
     for nth in 1..60 {
         let sender = MemberUpdate { state: MemberState::Alive, ..update(nth) };
-        let head = Head { sender, to: Life(u64::MAX), nth: 1, digest: 0, view: 0 };
+        let head = Head { sender, to: Incarnation(u64::MAX), nth: 1, digest: 0, view: 0 };
         let message = if nth == 59 { Message::Ask { after: None } } else { Message::News };
         let datagram = Datagram { head, message, updates: Vec::new() };
         let from = update(nth).address;
@@ -138,7 +144,7 @@
         nonce: u64::MAX,
         fleet: "x".repeat(64),
         name: update(0).name,
-        life: Life(u64::MAX),
+        incarnation: Incarnation(u64::MAX),
         view: u64::MAX,
         digest: u64::MAX,
         in_view: u32::MAX,
--- a/rig/src/checks.rs
+++ b/rig/src/checks.rs
@@ -30,7 +30,7 @@
     vec![
         Box::new(NobodyWronglyLost),
         Box::new(LeftIsNotLost),
-        Box::new(LivesGoForward),
+        Box::new(IncarnationsGoForward),
         Box::new(CutOffLosesNobody),
         Box::new(WokenLosesNobody),
         Box::new(InTheEndAllAgree),
@@ -117,12 +117,12 @@
     }
 }
 
-/// No process goes back to an earlier life of another.
-pub struct LivesGoForward;
+/// No process goes back to an earlier incarnation of another.
+pub struct IncarnationsGoForward;
 
-impl Invariant for LivesGoForward {
+impl Invariant for IncarnationsGoForward {
     fn name(&self) -> &'static str {
-        "lives go forward"
+        "incarnations go forward"
     }
 
     fn judge(&self, history: &History, _: &Course) -> Vec<(u64, String)> {
@@ -130,17 +130,19 @@
         for entry in &history.entries {
             match &entry.what {
                 What::Began { node } => seen.retain(|(by, _), _| by != node),
-                What::News { node, word, of: Some(of), life: Some(life), .. }
+                What::News { node, word, of: Some(of), incarnation: Some(incarnation), .. }
                     if matches!(&**word, "alive" | "back") =>
                 {
-                    let life = u64::from_str_radix(life, 16).unwrap_or_default();
-                    let last = seen.entry((*node, of.clone())).or_insert(life);
-                    if life < *last {
-                        let what =
-                            format!("{} went back from life {last:x} of {of} to {life:x}", name(*node));
+                    let incarnation = u64::from_str_radix(incarnation, 16).unwrap_or_default();
+                    let last = seen.entry((*node, of.clone())).or_insert(incarnation);
+                    if incarnation < *last {
+                        let what = format!(
+                            "{} went back from incarnation {last:x} of {of} to {incarnation:x}",
+                            name(*node)
+                        );
                         broken.push((entry.at_ms, what));
                     }
-                    *last = life.max(*last);
+                    *last = incarnation.max(*last);
                 }
                 _ => {}
             }
@@ -192,7 +194,7 @@
     }
 }
 
-/// Once all is mended, those that run hold exactly those for there that run, and in one life.
+/// Once all is mended, those that run hold exactly those for there that run, and in one incarnation.
 pub struct InTheEndAllAgree;
 
 impl Invariant for InTheEndAllAgree {
--- a/rig/src/divided.rs
+++ b/rig/src/divided.rs
@@ -8,7 +8,7 @@
 
 use doortrack_budgets::{Action, Budget, Budgets, Envelope, Event, Kind, Message, News, Terms, Who};
 use doortrack_emulator::{Clock, Law, Links, MachineId, Micros, Net, Next};
-use doortrack_fleet::{Life, Member, Name, View};
+use doortrack_fleet::{Incarnation, Member, Name, View};
 
 use crate::history::name;
 use crate::links::{self, MS};
@@ -66,13 +66,13 @@
 struct World<'a> {
     net: Net<Envelope>,
     nodes: Vec<Option<Budgets>>,
-    lives: Vec<Life>,
+    incarnations: Vec<Incarnation>,
     started: u64,
     ways: &'a Ways<'a>,
     chance: fastrand::Rng,
     /// By budget: what the leaky count of a rate stands at and when, or the ends of places held.
     level: Vec<(f64, Micros)>,
-    held: Vec<Vec<(Micros, MachineId, Life)>>,
+    held: Vec<Vec<(Micros, MachineId, Incarnation)>>,
     bytes: Vec<u64>,
     out: Outcome,
     actions: Vec<Action>,
@@ -92,7 +92,7 @@
     let mut world = World {
         net,
         nodes: (0..script.nodes).map(|_| None).collect(),
-        lives: vec![Life(0); script.nodes],
+        incarnations: vec![Incarnation(0); script.nodes],
         started: 0,
         ways,
         chance,
@@ -141,8 +141,8 @@
         }
         self.net.start(of);
         self.started += 1;
-        self.lives[of] = Life(self.started);
-        let me = Who { name: name(of).into(), life: self.lives[of] };
+        self.incarnations[of] = Incarnation(self.started);
+        let me = Who { name: name(of).into(), incarnation: self.incarnations[of] };
         let now = self.net.shown(of) / TENTH;
         let (terms, list) = (self.ways.terms.clone(), &self.ways.list);
         self.nodes[of] = Some(Budgets::new(me, 4, terms, list, self.chance.u64(..), now));
@@ -158,7 +158,7 @@
             let of: Option<usize> = voter[1..].parse().ok();
             if let Some(of) = of.filter(|of| *of < self.nodes.len() && !self.net.is_down(*of)) {
                 let address = std::net::SocketAddr::from(([10, 0, 0, 1], of as u16));
-                let member = Member { life: self.lives[of], address, weight: 4 };
+                let member = Member { incarnation: self.incarnations[of], address, weight: 4 };
                 view.members.insert(Name::clone(voter), member);
             }
         }
@@ -264,7 +264,7 @@
             Kind::Places { held_most } => {
                 let mean = (self.ways.held_ms * MS) as f64;
                 let lasts = (-mean * self.chance.f64().max(1e-9).ln()).min((held_most * TENTH) as f64);
-                self.held[place].push((now + lasts as Micros, of, self.lives[of]));
+                self.held[place].push((now + lasts as Micros, of, self.incarnations[of]));
                 let held = self.held[place].iter().filter(|(till, ..)| *till > now).count();
                 if held as u32 > budget.whole {
                     self.breach(place, format!("{held} places of {whole} are held"));
@@ -276,11 +276,12 @@
     /// Places come to their end; a node that stands still learns of it when it goes on.
     fn end_places(&mut self, place: usize) {
         let now = self.net.now();
-        let (nodes, lives, net) = (&mut self.nodes, &self.lives, &self.net);
-        self.held[place].retain(|(till, of, life)| {
-            let over = *till <= now && (net.is_up(*of) || lives[*of] != *life || net.is_down(*of));
+        let (nodes, incarnations, net) = (&mut self.nodes, &self.incarnations, &self.net);
+        self.held[place].retain(|(till, of, incarnation)| {
+            let over =
+                *till <= now && (net.is_up(*of) || incarnations[*of] != *incarnation || net.is_down(*of));
             if over
-                && lives[*of] == *life
+                && incarnations[*of] == *incarnation
                 && let Some(node) = &mut nodes[*of]
             {
                 node.done(place);
--- a/rig/src/history.rs
+++ b/rig/src/history.rs
@@ -35,8 +35,8 @@
         word: String,
         #[serde(default, skip_serializing_if = "Option::is_none")]
         of: Option<String>,
-        #[serde(default, skip_serializing_if = "Option::is_none")]
-        life: Option<String>,
+        #[serde(default, skip_serializing_if = "Option::is_none", alias = "life")]
+        incarnation: Option<String>,
         /// The view it rests on, and its members.
         view: u64,
         members: usize,
@@ -54,7 +54,8 @@
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Member {
     pub name: String,
-    pub life: String,
+    #[serde(alias = "life")]
+    pub incarnation: String,
     pub state: String,
 }
 
--- a/rig/src/links.rs
+++ b/rig/src/links.rs
@@ -1,4 +1,4 @@
-//! What a fault of a script does to a simulated net, whoever lives in it.
+//! What a fault of a script does to a simulated net, whoever runs in it.
 
 use doortrack_emulator::{Law, Net};
 
--- a/rig/src/processes.rs
+++ b/rig/src/processes.rs
@@ -331,7 +331,8 @@
             node: of,
             word: word("what").unwrap_or_default(),
             of: word("of"),
-            life: word("life"),
+            // Builds before the renaming log it as `life`.
+            incarnation: word("incarnation").or_else(|| word("life")),
             view: number("view"),
             members: number("members") as usize,
         };
--- a/rig/src/processes/asking.rs
+++ b/rig/src/processes/asking.rs
@@ -16,7 +16,7 @@
         let seen = ask(self.fleet(of), Some([0x5a; 32])).ok()?;
         let members = seen.members.iter().map(|of| Member {
             name: of.name.to_string(),
-            life: of.life.to_string(),
+            incarnation: of.incarnation.to_string(),
             state: serde_json::to_value(of.state)
                 .ok()
                 .and_then(|v| v.as_str().map(str::to_string))
--- a/rig/src/script.rs
+++ b/rig/src/script.rs
@@ -84,7 +84,7 @@
         from: Vec<usize>,
         to: Vec<usize>,
     },
-    /// The last datagrams that reached these nodes, of whatever life, reach them again.
+    /// The last datagrams that reached these nodes, of whatever incarnation, reach them again.
     Replay {
         nodes: Vec<usize>,
     },
--- a/rig/src/simulated.rs
+++ b/rig/src/simulated.rs
@@ -5,7 +5,7 @@
 
 use doortrack_emulator::{Clock, Law, Links, MachineId, Micros, Net, Next};
 use doortrack_fleet::{
-    Action, Datagram, Event, Fleet, Life, MemberState, MemberUpdate, News, ReportedState, Terms,
+    Action, Datagram, Event, Fleet, Incarnation, MemberState, MemberUpdate, News, ReportedState, Terms,
 };
 use doortrack_node::peers::seal::Seal;
 use doortrack_node::peers::spoken::Spoken;
@@ -163,7 +163,7 @@
         let shown = self.net.shown(of);
         let me = MemberUpdate {
             name: name(of).into(),
-            life: Life::started(shown / MS, of as u64),
+            incarnation: Incarnation::started(shown / MS, of as u64),
             version: 0,
             state: MemberState::Alive,
             address: address(of),
@@ -218,7 +218,7 @@
             node: of,
             word: news.word().to_string(),
             of: about.map(|(name, _)| name.to_string()),
-            life: about.map(|(_, life)| life.to_string()),
+            incarnation: about.map(|(_, incarnation)| incarnation.to_string()),
             view: view.number,
             members: view.members.len(),
         };
@@ -269,7 +269,7 @@
         };
         let member = |of: doortrack_fleet::MemberReport| Member {
             name: of.name.to_string(),
-            life: of.life.to_string(),
+            incarnation: of.incarnation.to_string(),
             state: state(of.state).unwrap_or_default(),
         };
         let members = reports.into_iter().map(member).collect();
--- a/rig/tests/checkers.rs
+++ b/rig/tests/checkers.rs
@@ -6,13 +6,13 @@
 use doortrack_rig::shrink::shrink;
 use doortrack_rig::spent::{Passed, places_broken, rate_broken, used};
 
-fn news(node: usize, word: &str, of: usize, life: u64) -> What {
-    let (of, life) = (Some(name(of)), Some(format!("{life:x}")));
-    What::News { node, word: word.into(), of, life, view: 1, members: 3 }
+fn news(node: usize, word: &str, of: usize, incarnation: u64) -> What {
+    let (of, incarnation) = (Some(name(of)), Some(format!("{incarnation:x}")));
+    What::News { node, word: word.into(), of, incarnation, view: 1, members: 3 }
 }
 
 fn status(node: usize, there: &[usize]) -> What {
-    let member = |of: &usize| Member { name: name(*of), life: "1".into(), state: "alive".into() };
+    let member = |of: &usize| Member { name: name(*of), incarnation: "1".into(), state: "alive".into() };
     let digest = format!("{there:?}");
     What::Status { node, cut_off: false, digest, members: there.iter().map(member).collect() }
 }
@@ -81,10 +81,10 @@
 }
 
 #[test]
-fn an_earlier_life_is_found() {
+fn an_earlier_incarnation_is_found() {
     let mut history = good();
     history.put(20_000, news(0, "alive", 2, 0x9));
-    assert_eq!(broken(&ended(history, &[0, 1, 2])), ["lives go forward"]);
+    assert_eq!(broken(&ended(history, &[0, 1, 2])), ["incarnations go forward"]);
 }
 
 #[test]
