Names: suspicion in place of doubt; the settings' old keys are still read

`times.doubt_least_ms` and `doubt_most_ms` become `suspicion_min_ms` and `suspicion_max_ms`; the old keys are serde aliases. `doubt.rs` is `suspicion.rs`, others `confirm` one.

--- a/bench/src/bin/membership.rs
+++ b/bench/src/bin/membership.rs
@@ -150,7 +150,7 @@
         history.entries.iter().filter(|entry| is(&entry.what)).count()
     };
     println!(
-        "simulated {nodes}: {seconds} s with 5% lost: {} doubts, {} losses",
+        "simulated {nodes}: {seconds} s with 5% lost: {} suspicions, {} losses",
         count("suspected"),
         count("lost")
     );
--- a/fleet/src/fleet.rs
+++ b/fleet/src/fleet.rs
@@ -6,9 +6,9 @@
 
 use doortrack::Tenths;
 
-use crate::doubt::Doubt;
 use crate::gossip::Gossip;
 use crate::probes::Probes;
+use crate::suspicion::Suspicion;
 use crate::table::{Place, Table};
 use crate::{
     Action, Datagram, Event, Head, Incarnation, MAX_UPDATES, Member, MemberState, MemberUpdate, Message,
@@ -38,8 +38,8 @@
     Wait(u32),
     /// No answer at all.
     Over(u32),
-    /// A doubt of this place that began then.
-    Doubt(Place, Tenths),
+    /// A suspicion of this place that began then.
+    Suspicion(Place, Tenths),
     /// A last look at one that is about to be lost.
     Look(Place, Tenths),
     Admit(Place),
@@ -59,7 +59,7 @@
 /// One node's membership. See the crate's page for how to drive it.
 pub struct Fleet {
     pub(crate) me: MemberUpdate,
-    /// Tells this node from others that doubt.
+    /// Tells this node from others that suspect.
     pub(crate) mark: u32,
     pub(crate) stage: Stage,
     pub(crate) terms: Terms,
@@ -80,7 +80,7 @@
     pub(crate) cut_off: bool,
     /// Stood still, and has heard no answer since.
     pub(crate) dazed: bool,
-    /// Doubts count from here at the earliest.
+    /// Suspicions count from here at the earliest.
     pub(crate) thawed_at: Tenths,
     pub(crate) knocks: u32,
     pub(crate) fetch: Option<Fetch>,
@@ -262,7 +262,7 @@
         }
         let was_there = old.state.is_there() && !reborn;
         if !matches!(update.state, MemberState::Suspected { .. }) || reborn || update.version != old.version {
-            record.doubt = None;
+            record.suspicion = None;
         }
         // Who left on its own word comes back as often as it likes.
         let returns =
@@ -319,7 +319,7 @@
                 if was.is_none() {
                     self.admit(now, place, out);
                 }
-                self.doubted(now, place, by, out);
+                self.suspected(now, place, by, out);
             }
             MemberState::Lost | MemberState::Left => {
                 if let Some(record) = self.table.get_mut(place) {
@@ -340,12 +340,12 @@
         }
     }
 
-    fn doubted(&mut self, now: Tenths, place: Place, by: u32, out: &mut Vec<Action>) {
+    fn suspected(&mut self, now: Tenths, place: Place, by: u32, out: &mut Vec<Action>) {
         let members = self.view.members.len();
         let Some(record) = self.table.get_mut(place) else { return };
         let (name, incarnation) = (record.update.name.clone(), record.update.incarnation);
-        record.doubt.get_or_insert(Doubt::new(by, now));
-        self.arm_doubt(now, place);
+        record.suspicion.get_or_insert(Suspicion::new(by, now));
+        self.arm_suspicion(now, place);
         out.push(Action::Report(News::Suspected { name, incarnation }));
         // A few of all that hear of it try for themselves, however many there are.
         let helpers = self.terms.helpers as f64;
@@ -354,13 +354,16 @@
         }
     }
 
-    /// Somebody else's doubt about a member that is doubted already; whether it counts.
-    pub(crate) fn also_doubted(&mut self, now: Tenths, place: Place, by: u32) -> bool {
+    /// Somebody else's suspicion about a member that is suspected already; whether it counts.
+    pub(crate) fn confirm_suspicion(&mut self, now: Tenths, place: Place, by: u32) -> bool {
         let Some(record) = self.table.get_mut(place) else { return false };
         let mut update = record.update.clone();
-        let Some(doubt) = record.doubt.as_mut().filter(|doubt| !doubt.is_shared_by(by)) else { return false };
-        doubt.share(by);
-        self.arm_doubt(now, place);
+        let Some(suspicion) = record.suspicion.as_mut().filter(|suspicion| !suspicion.is_confirmed_by(by))
+        else {
+            return false;
+        };
+        suspicion.confirm(by);
+        self.arm_suspicion(now, place);
         // Passed on, as it is a word of its own.
         update.state = MemberState::Suspected { by };
         self.table.set(place, update, now);
@@ -368,16 +371,16 @@
         true
     }
 
-    /// Sets the end of a doubt, and two last looks before it: a word that cleared it may have passed this
+    /// Sets the end of a suspicion, and two last looks before it: a word that cleared it may have passed this
     /// node by, as news reaches all but one in some thousands.
-    pub(crate) fn arm_doubt(&mut self, now: Tenths, place: Place) {
+    pub(crate) fn arm_suspicion(&mut self, now: Tenths, place: Place) {
         let (members, thawed_at) = (self.view.members.len(), self.thawed_at);
-        let Some(doubt) = self.table.get(place).and_then(|record| record.doubt) else { return };
-        let ends = doubt.ends(&self.terms, members, thawed_at).max(now);
-        self.arm(ends, Timer::Doubt(place, doubt.since));
+        let Some(suspicion) = self.table.get(place).and_then(|record| record.suspicion) else { return };
+        let ends = suspicion.ends(&self.terms, members, thawed_at).max(now);
+        self.arm(ends, Timer::Suspicion(place, suspicion.since));
         let wait = self.terms.answer_within * 3 / 2;
         for before in [2 * wait, wait] {
-            self.arm(ends.saturating_sub(before).max(now), Timer::Look(place, doubt.since));
+            self.arm(ends.saturating_sub(before).max(now), Timer::Look(place, suspicion.since));
         }
     }
 
--- a/fleet/src/joining.rs
+++ b/fleet/src/joining.rs
@@ -112,12 +112,12 @@
         out: &mut Vec<Action>,
     ) {
         if update.incarnation == self.me.incarnation {
-            let doubted =
+            let suspected =
                 update.state != MemberState::Alive && update.version >= self.me.version && !first_hand;
-            if doubted && update.state == MemberState::Left && self.stage != Stage::Leaving {
+            if suspected && update.state == MemberState::Left && self.stage != Stage::Leaving {
                 // Final for that incarnation, which this one therefore can't be.
                 self.start_incarnation(now, update.incarnation, out);
-            } else if doubted && self.stage != Stage::Leaving {
+            } else if suspected && self.stage != Stage::Leaving {
                 self.me.version = update.version + 1;
                 self.say = SAY;
                 self.arm_news(now);
--- a/fleet/src/lib.rs
+++ b/fleet/src/lib.rs
@@ -10,16 +10,16 @@
 //! fleet.handle(now, Event::Received { from, datagram }, &mut actions);
 //! ```
 //!
-//! The way is that of SWIM: each node probes one other a period, asks helpers to try before it doubts, and
+//! The way is that of SWIM: each node probes one other a period, asks helpers to try before it suspects, and
 //! news travels on whatever is sent. What is added, and why:
 //! - **Incarnations.** A node is known by its name and an [`Incarnation`], a number that is never used twice.
 //!   What concerns an earlier incarnation counts for nothing, and a datagram names the incarnation it is
 //!   meant for.
-//! - **Who stood still doubts nobody.** A turn that comes late by more than [`Terms::stall`] drops all
-//!   probes and starts all doubts anew; until another has answered, nobody is doubted.
+//! - **Who stood still suspects nobody.** A turn that comes late by more than [`Terms::stall`] drops all
+//!   probes and starts all suspicions anew; until another has answered, nobody is suspected.
 //! - **Who gets no answer from anybody holds itself for the one that is cut off**, and lets nobody be lost.
-//! - **Second opinions.** Some of those that hear of a doubt try for themselves. Each that fails shortens it;
-//!   the word of one alone takes the longest time.
+//! - **Second opinions.** Some of those that hear of a suspicion try for themselves. Each that fails shortens
+//!   it; the word of one alone takes the longest time.
 //! - **Left is not lost**, and a node that comes back again and again is held back longer each time.
 //! - **[`View`]s.** The members on which decisions may rest, in order, with a number that grows by one with
 //!   each change and a digest that is the same in two nodes exactly when their members are.
@@ -35,7 +35,6 @@
 //! Bounds: members ([`Terms::most_members`]), probes under way, updates a datagram, datagrams a period. The
 //! cost of an event grows with the logarithm of the members at the most.
 
-mod doubt;
 mod fleet;
 mod gossip;
 mod joining;
@@ -43,6 +42,7 @@
 mod probes;
 mod receiving;
 mod report;
+mod suspicion;
 mod table;
 mod terms;
 mod timers;
--- a/fleet/src/receiving.rs
+++ b/fleet/src/receiving.rs
@@ -100,8 +100,8 @@
         match record.update.state {
             MemberState::Left => return None,
             MemberState::Alive => {}
-            // It is alive, but only its own later version says so to all. Pings are answered with the doubt
-            // anyway.
+            // It is alive, but only its own later version says so to all. Pings are answered with the
+            // suspicion anyway.
             MemberState::Suspected { .. } | MemberState::Lost => {
                 if !matches!(what, Message::Ping { .. }) {
                     self.send(place, Message::News, out);
@@ -134,7 +134,7 @@
         }
         match (update.state, known.state) {
             (MemberState::Suspected { by }, MemberState::Suspected { .. }) if same => {
-                self.also_doubted(now, place, by);
+                self.confirm_suspicion(now, place, by);
             }
             _ if update.overrides(known) => _ = self.take_up(now, update, out),
             _ => {}
@@ -142,18 +142,20 @@
     }
 
     /// Others hold for lost who is there for this node: two halves that find together say so of one another's
-    /// members. It is told to the member and doubted for the shortest time, in which it can contradict.
+    /// members. It is told to the member and suspected for the shortest time, in which it can contradict.
     fn said_to_be_lost(&mut self, now: Tenths, place: Place, update: MemberUpdate, out: &mut Vec<Action>) {
         let state = MemberState::Suspected { by: OTHERS };
-        let doubted = MemberUpdate { state, ..update };
-        let known = self.table.get(place).is_some_and(|record| doubted.overrides(&record.update));
+        let suspected = MemberUpdate { state, ..update };
+        let known = self.table.get(place).is_some_and(|record| suspected.overrides(&record.update));
         if known {
-            self.take_up(now, doubted, out);
+            self.take_up(now, suspected, out);
             self.send(place, Message::News, out);
         }
-        let Some(doubt) = self.table.get_mut(place).and_then(|record| record.doubt.as_mut()) else { return };
-        if doubt.confirm() {
-            self.arm_doubt(now, place);
+        let Some(suspicion) = self.table.get_mut(place).and_then(|record| record.suspicion.as_mut()) else {
+            return;
+        };
+        if suspicion.confirm_fully() {
+            self.arm_suspicion(now, place);
         }
     }
 
@@ -191,11 +193,11 @@
             Answered::Late(probe) => {
                 self.somebody_answers(now, out);
                 self.took(now, probe, out);
-                // It is alive, only late: what doubt there is begins anew, until its own word ends it.
-                let thawed = self.table.get_mut(probe.place).and_then(|record| record.doubt.as_mut());
-                if let Some(doubt) = thawed {
-                    doubt.since = now;
-                    self.arm_doubt(now, probe.place);
+                // It is alive, only late: what suspicion there is begins anew, until its own word ends it.
+                let thawed = self.table.get_mut(probe.place).and_then(|record| record.suspicion.as_mut());
+                if let Some(suspicion) = thawed {
+                    suspicion.since = now;
+                    self.arm_suspicion(now, probe.place);
                 }
             }
             Answered::ForOther(probe) => {
@@ -215,7 +217,7 @@
             return;
         }
         let took = now.saturating_sub(probe.began).max(1);
-        // Up at once, down slowly: a wait too short makes doubts.
+        // Up at once, down slowly: a wait too short makes suspicions.
         record.answers_in = if took > record.answers_in { took } else { (record.answers_in * 7 + took) / 8 };
         let slow = if record.slow { record.answers_in > late / 2 } else { record.answers_in > late };
         if slow && !record.slow {
--- a/fleet/src/doubt.rs
+++ b/fleet/src/suspicion.rs
@@ -1,51 +1,52 @@
-//! How long a doubt stands before its member counts as lost.
+//! How long a suspicion stands before its member counts as lost.
 
 use doortrack::Tenths;
 
 use crate::Terms;
 
-/// Others whose word shortens a doubt.
+/// Others whose word shortens a suspicion.
 const MOST_OTHERS: usize = 2;
 
-/// A doubt about one member.
+/// A suspicion about one member.
 #[derive(Clone, Copy, Debug)]
-pub struct Doubt {
+pub struct Suspicion {
     pub since: Tenths,
     first: u32,
     others: [u32; MOST_OTHERS],
     count: usize,
 }
 
-impl Doubt {
-    pub fn new(by: u32, since: Tenths) -> Doubt {
-        Doubt { since, first: by, others: [0; MOST_OTHERS], count: 0 }
+impl Suspicion {
+    pub fn new(by: u32, since: Tenths) -> Suspicion {
+        Suspicion { since, first: by, others: [0; MOST_OTHERS], count: 0 }
     }
 
     /// Whether this one's word is counted already, or can't be any more.
-    pub fn is_shared_by(&self, by: u32) -> bool {
+    pub fn is_confirmed_by(&self, by: u32) -> bool {
         by == self.first || self.others[..self.count].contains(&by) || self.count == MOST_OTHERS
     }
 
-    /// Takes note of another that doubts, where [`Doubt::is_shared_by`] did not say that it is known.
-    pub fn share(&mut self, by: u32) {
-        if !self.is_shared_by(by) {
+    /// Takes note of another that suspects, where [`Suspicion::is_confirmed_by`] did not say that it is
+    /// known.
+    pub fn confirm(&mut self, by: u32) {
+        if !self.is_confirmed_by(by) {
             self.others[self.count] = by;
             self.count += 1;
         }
     }
 
     /// Others hold it for lost already: all the word that is wanted. Whether it was still wanting.
-    pub fn confirm(&mut self) -> bool {
+    pub fn confirm_fully(&mut self) -> bool {
         std::mem::replace(&mut self.count, MOST_OTHERS) < MOST_OTHERS
     }
 
     /// When the member counts as lost, in a view of so many. Where fewer than two others could share the
-    /// doubt, it takes those there are; where nobody can, it stands to the last. Time before `thawed_at` does
-    /// not count.
+    /// suspicion, it takes those there are; where nobody can, it stands to the last. Time before `thawed_at`
+    /// does not count.
     pub fn ends(&self, terms: &Terms, members: usize, thawed_at: Tenths) -> Tenths {
         let since = self.since.max(thawed_at);
         let wanted = members.saturating_sub(2).min(MOST_OTHERS);
-        let (least, most) = (terms.doubt_least, terms.doubt_most.max(terms.doubt_least));
+        let (least, most) = (terms.suspicion_min, terms.suspicion_max.max(terms.suspicion_min));
         if wanted == 0 {
             return since + most;
         }
--- a/fleet/src/table.rs
+++ b/fleet/src/table.rs
@@ -5,7 +5,7 @@
 
 use doortrack::Tenths;
 
-use crate::doubt::Doubt;
+use crate::suspicion::Suspicion;
 use crate::{MemberState, MemberUpdate, Name};
 
 /// Place of a member in the table, in use again once it was forgotten.
@@ -50,7 +50,7 @@
     /// Smoothed time to answer; 0 before the first answer.
     pub answers_in: Tenths,
     pub slow: bool,
-    pub doubt: Option<Doubt>,
+    pub suspicion: Option<Suspicion>,
     /// Times that it came back from being lost, and when last.
     pub returns: u32,
     pub returned_at: Tenths,
@@ -69,7 +69,7 @@
             received: Received::default(),
             answers_in: 0,
             slow: false,
-            doubt: None,
+            suspicion: None,
             returns: 0,
             returned_at: 0,
             held_until: None,
--- a/fleet/src/terms.rs
+++ b/fleet/src/terms.rs
@@ -17,9 +17,10 @@
     pub answer_within: Tenths,
     /// Helpers asked.
     pub helpers: usize,
-    /// How long a doubt stands before the member counts as lost: when others share it, and on one's own word.
-    pub doubt_least: Tenths,
-    pub doubt_most: Tenths,
+    /// How long a suspicion stands before the member counts as lost: when others share it, and on one's own
+    /// word.
+    pub suspicion_min: Tenths,
+    pub suspicion_max: Tenths,
     /// News goes out so often while there is any, to so many members.
     pub news_every: Tenths,
     pub news_to: usize,
@@ -42,8 +43,8 @@
             period: 200 * MS,
             answer_within: 70 * MS,
             helpers: 3,
-            doubt_least: 400 * MS,
-            doubt_most: 2_000 * MS,
+            suspicion_min: 400 * MS,
+            suspicion_max: 2_000 * MS,
             news_every: 50 * MS,
             news_to: 3,
             stall: 100 * MS,
@@ -64,6 +65,6 @@
 
     /// Silence after which a member that answers late is no longer only slow.
     pub fn longest_wait(&self) -> Tenths {
-        self.doubt_most
+        self.suspicion_max
     }
 }
--- a/fleet/src/timers.rs
+++ b/fleet/src/timers.rs
@@ -1,4 +1,4 @@
-//! What time brings: probes, doubts that end, news that goes out.
+//! What time brings: probes, suspicions that end, news that goes out.
 
 use doortrack::Tenths;
 
@@ -14,7 +14,7 @@
                 Timer::Period => self.period(now, out),
                 Timer::Wait(nonce) => self.ask_helpers(nonce, out),
                 Timer::Over(nonce) => self.unanswered(now, nonce, out),
-                Timer::Doubt(place, since) => self.doubt_ends(now, place, since, out),
+                Timer::Suspicion(place, since) => self.suspicion_ends(now, place, since, out),
                 Timer::Look(place, since) => self.look(place, since, out),
                 Timer::Admit(place) => self.admit(now, place, out),
                 Timer::News => {
@@ -102,29 +102,29 @@
                 let state = MemberState::Suspected { by: self.mark };
                 self.take_up(now, MemberUpdate { state, ..update }, out);
             }
-            MemberState::Suspected { .. } => _ = self.also_doubted(now, probe.place, self.mark),
+            MemberState::Suspected { .. } => _ = self.confirm_suspicion(now, probe.place, self.mark),
             MemberState::Lost | MemberState::Left => {}
         }
     }
 
-    /// Its answer bears its version, which ends the doubt if it was contradicted.
+    /// Its answer bears its version, which ends the suspicion if it was contradicted.
     fn look(&mut self, place: Place, since: Tenths, out: &mut Vec<Action>) {
-        let doubted = |doubt: &crate::doubt::Doubt| doubt.since == since;
-        if self.table.get(place).and_then(|record| record.doubt).filter(doubted).is_some() {
+        let suspected = |suspicion: &crate::suspicion::Suspicion| suspicion.since == since;
+        if self.table.get(place).and_then(|record| record.suspicion).filter(suspected).is_some() {
             let nonce = self.chance.u32(..);
             self.send(place, Message::Ping { nonce }, out);
         }
     }
 
-    fn doubt_ends(&mut self, now: Tenths, place: Place, since: Tenths, out: &mut Vec<Action>) {
+    fn suspicion_ends(&mut self, now: Tenths, place: Place, since: Tenths, out: &mut Vec<Action>) {
         let members = self.view.members.len();
         let Some(record) = self.table.get(place) else { return };
-        let Some(doubt) = record.doubt.filter(|doubt| doubt.since == since) else { return };
-        let ends = doubt.ends(&self.terms, members, self.thawed_at);
+        let Some(suspicion) = record.suspicion.filter(|suspicion| suspicion.since == since) else { return };
+        let ends = suspicion.ends(&self.terms, members, self.thawed_at);
         if self.frozen() {
-            self.arm(now + self.terms.period, Timer::Doubt(place, since));
+            self.arm(now + self.terms.period, Timer::Suspicion(place, since));
         } else if ends > now {
-            self.arm(ends, Timer::Doubt(place, since));
+            self.arm(ends, Timer::Suspicion(place, since));
         } else {
             let lost = MemberUpdate { state: MemberState::Lost, ..record.update.clone() };
             self.take_up(now, lost, out);
--- a/fleet/src/update.rs
+++ b/fleet/src/update.rs
@@ -13,7 +13,7 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum MemberState {
     Alive,
-    /// `by` tells doubters apart: a word passed on is no second one.
+    /// `by` tells suspecting nodes apart: a word passed on is no second one.
     Suspected {
         by: u32,
     },
@@ -44,7 +44,7 @@
 pub struct MemberUpdate {
     pub name: Name,
     pub incarnation: Incarnation,
-    /// Raised by the member alone, to contradict a doubt.
+    /// Raised by the member alone, to contradict a suspicion.
     pub version: u32,
     pub state: MemberState,
     /// Where it is reached.
--- a/fleet/tests/cases.rs
+++ b/fleet/tests/cases.rs
@@ -201,7 +201,7 @@
 }
 
 #[test]
-fn who_stood_still_says_so_and_doubts_nobody_before_it_heard() {
+fn who_stood_still_says_so_and_suspects_nobody_before_it_heard() {
     let mut few = Few::new(4);
     few.pass(2_000);
     few.stopped[0] = true;
--- a/installation/src/fleet.rs
+++ b/installation/src/fleet.rs
@@ -78,11 +78,13 @@
     #[schemars(range(min = 5, max = 30_000))]
     pub answer_within_ms: u32,
     /// How long a member is suspected before it is lost, where others suspect it too.
+    #[serde(alias = "doubt_least_ms")]
     #[schemars(range(min = 20, max = 600_000))]
-    pub doubt_least_ms: u32,
-    /// The same on one node's word alone; at least `doubt_least_ms`.
+    pub suspicion_min_ms: u32,
+    /// The same on one node's word alone; at least `suspicion_min_ms`.
+    #[serde(alias = "doubt_most_ms")]
     #[schemars(range(min = 20, max = 600_000))]
-    pub doubt_most_ms: u32,
+    pub suspicion_max_ms: u32,
     /// Lost and left members are shown so long.
     #[schemars(range(min = 1_000, max = 86_400_000))]
     pub forget_after_ms: u32,
@@ -94,8 +96,8 @@
         FleetTimes {
             period_ms: ms(terms.period),
             answer_within_ms: ms(terms.answer_within),
-            doubt_least_ms: ms(terms.doubt_least),
-            doubt_most_ms: ms(terms.doubt_most),
+            suspicion_min_ms: ms(terms.suspicion_min),
+            suspicion_max_ms: ms(terms.suspicion_max),
             forget_after_ms: ms(terms.forget_after),
         }
     }
@@ -109,8 +111,8 @@
             seeds: self.seeds.clone(),
             period: ms(times.period_ms),
             answer_within: ms(times.answer_within_ms),
-            doubt_least: ms(times.doubt_least_ms),
-            doubt_most: ms(times.doubt_most_ms),
+            suspicion_min: ms(times.suspicion_min_ms),
+            suspicion_max: ms(times.suspicion_max_ms),
             forget_after: ms(times.forget_after_ms),
             ..Terms::default()
         }
@@ -172,8 +174,13 @@
         whole(".times.period_ms", times.period_ms, 20, 60_000);
         let longest = 30_000.min(times.period_ms.saturating_sub(1)).max(5);
         whole(".times.answer_within_ms", times.answer_within_ms, 5, longest);
-        whole(".times.doubt_least_ms", times.doubt_least_ms, 20, 600_000);
-        whole(".times.doubt_most_ms", times.doubt_most_ms, times.doubt_least_ms.min(600_000), 600_000);
+        whole(".times.suspicion_min_ms", times.suspicion_min_ms, 20, 600_000);
+        whole(
+            ".times.suspicion_max_ms",
+            times.suspicion_max_ms,
+            times.suspicion_min_ms.min(600_000),
+            600_000,
+        );
         whole(".times.forget_after_ms", times.forget_after_ms, 1_000, 86_400_000);
         self.leases.faults(faults);
     }
--- a/node/tests/node/fronts.rs
+++ b/node/tests/node/fronts.rs
@@ -541,7 +541,7 @@
         (json!({"weight": 0}), ".weight"),
         (json!({"times": {"period_ms": 10}}), ".times.period_ms"),
         (json!({"times": {"period_ms": 100, "answer_within_ms": 100}}), ".times.answer_within_ms"),
-        (json!({"times": {"doubt_least_ms": 500, "doubt_most_ms": 400}}), ".times.doubt_most_ms"),
+        (json!({"times": {"suspicion_min_ms": 500, "suspicion_max_ms": 400}}), ".times.suspicion_max_ms"),
         (json!({"times": {"perod_ms": 10}}), ".times.perod_ms"),
         (json!({"key_file": "nowhere"}), ".key_file"),
     ];
--- a/rig/src/checks.rs
+++ b/rig/src/checks.rs
@@ -161,7 +161,7 @@
 
     fn judge(&self, history: &History, course: &Course) -> Vec<(u64, String)> {
         let wrong = |at: u64, by: usize, of: usize| {
-            // A doubt that others had shared before may come to its end just after the cut.
+            // A suspicion that others had shared before may come to its end just after the cut.
             let within = course.cut_off(by).iter().any(|span| at >= span.from + SAYING && at < span.till);
             within && !course.was_wrong(of, at.saturating_sub(REASONS), at)
         };
@@ -172,7 +172,7 @@
 /// Who stood still and wakes lets nobody be lost before it can have heard from anybody.
 pub struct WokenLosesNobody;
 
-/// The shortest doubt is longer than this.
+/// The shortest suspicion is longer than this.
 const WAKING: u64 = 250;
 
 impl Invariant for WokenLosesNobody {
--- a/rig/src/course.rs
+++ b/rig/src/course.rs
@@ -140,7 +140,7 @@
         self.wrong[node].iter().any(|span| span.meets(from, till))
     }
 
-    /// Whether links were so bad for all that doubts are no wonder.
+    /// Whether links were so bad for all that suspicions are no wonder.
     pub fn was_rough(&self, from: u64, till: u64) -> bool {
         self.rough.iter().any(|span| span.meets(from, till))
     }
--- a/rig/tests/simulated.rs
+++ b/rig/tests/simulated.rs
@@ -102,8 +102,8 @@
     assert!(breaks(&cut_off, Terms::default()).is_empty());
     let deaf = Terms { silent_periods: u32::MAX, ..Terms::default() };
     assert!(breaks(&cut_off, deaf).contains(&"cut off, loses nobody"));
-    // Where doubts are hardly given time to be contradicted, what comes before them shows.
-    let hasty = Terms { doubt_least: 50, doubt_most: 100, ..Terms::default() };
+    // Where suspicions are hardly given time to be contradicted, what comes before them shows.
+    let hasty = Terms { suspicion_min: 50, suspicion_max: 100, ..Terms::default() };
     assert!(breaks(&one_link, hasty.clone()).is_empty());
     let alone = Terms { helpers: 0, ..hasty.clone() };
     assert!(breaks(&one_link, alone).contains(&"nobody wrongly lost"));
