--- a/fleet/src/fleet.rs
+++ b/fleet/src/fleet.rs
@@ -44,7 +44,7 @@
     Look(Place, Tenths),
     Admit(Place),
     News,
-    Knock,
+    JoinRequest,
     /// A dead member with the update of this revision.
     Forget(Place, u32),
 }
@@ -82,7 +82,7 @@
     pub(crate) dazed: bool,
     /// Suspicions count from here at the earliest.
     pub(crate) thawed_at: Tenths,
-    pub(crate) knocks: u32,
+    pub(crate) join_requests: u32,
     pub(crate) fetch: Option<Fetch>,
     pub(crate) fetched_at: Tenths,
     pub(crate) twin: Incarnation,
@@ -118,7 +118,7 @@
             cut_off: false,
             dazed: false,
             thawed_at: 0,
-            knocks: 0,
+            join_requests: 0,
             fetch: None,
             fetched_at: 0,
             twin: Incarnation(0),
@@ -127,7 +127,7 @@
         // Nodes that start at one instant must not probe at one instant ever after.
         let offset = fleet.chance.u64(0..fleet.terms.period);
         fleet.arm(now + offset, Timer::Period);
-        fleet.arm(now, Timer::Knock);
+        fleet.arm(now, Timer::JoinRequest);
         fleet
     }
 
--- a/fleet/src/joining.rs
+++ b/fleet/src/joining.rs
@@ -11,21 +11,26 @@
 const PAGE: usize = 1_000;
 const UPDATE_OVERHEAD: usize = 46;
 
-/// Knocks at seeds that are all made; later ones only now and then.
-const EARLY_KNOCKS: u32 = 5;
-const SELDOM: u32 = 4;
-/// Seeds that are knocked at together.
-const MOST_AT_ONCE: usize = 3;
+/// Join requests to seeds that are all made; later ones only now and then.
+const EARLY_JOIN_REQUESTS: u32 = 5;
+const LATER_REQUESTS_EVERY: u32 = 4;
+/// Seeds that are asked together.
+const MAX_SEEDS_AT_ONCE: usize = 3;
 
 impl Fleet {
-    /// Knocks where somebody may be who is not in the view: at one that is dead, now and then at a seed, and
-    /// at seeds alone while nobody answers.
-    pub(crate) fn knock(&mut self, out: &mut Vec<Action>) {
-        self.knocks = self.knocks.saturating_add(1);
+    /// Asks to join where somebody may be who is not in the view: one that is dead, now and then at a seed,
+    /// and at seeds alone while nobody answers.
+    pub(crate) fn send_join_requests(&mut self, out: &mut Vec<Action>) {
+        self.join_requests = self.join_requests.saturating_add(1);
         let lonely = self.stage == Stage::Joining || self.cut_off || self.table.there() == 0;
         // All started at once, nodes find together in islands at first.
-        let often = self.knocks <= EARLY_KNOCKS || self.knocks.is_multiple_of(SELDOM);
-        let most = if lonely || self.knocks <= EARLY_KNOCKS { MOST_AT_ONCE } else { usize::from(often) };
+        let often = self.join_requests <= EARLY_JOIN_REQUESTS
+            || self.join_requests.is_multiple_of(LATER_REQUESTS_EVERY);
+        let most = if lonely || self.join_requests <= EARLY_JOIN_REQUESTS {
+            MAX_SEEDS_AT_ONCE
+        } else {
+            usize::from(often)
+        };
         let seeds = self.terms.seeds.len().min(most);
         let from = self.chance.usize(..self.terms.seeds.len().max(1));
         for nth in 0..seeds {
@@ -40,7 +45,7 @@
         }
     }
 
-    /// Answers one that knocks, or goes on with the table. Nothing is thought of who merely knocks: it may
+    /// Answers a join request, or goes on with the table. Nothing is thought of who merely asks: it may
     /// be an old datagram. It is a member once it speaks to this incarnation.
     pub(crate) fn page(&mut self, to: &MemberUpdate, after: Option<&crate::Name>, out: &mut Vec<Action>) {
         let (mut updates, mut bytes, mut next) = (Vec::new(), 0, None);
--- a/fleet/src/terms.rs
+++ b/fleet/src/terms.rs
@@ -9,7 +9,7 @@
 /// Times in tenths of a ms. What is said of each is checked by who reads the operators' file.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Terms {
-    /// Addresses to knock at when joining, and now and then later, so that halves find together again.
+    /// Addresses to ask when joining, and now and then later, so that halves find together again.
     pub seeds: Vec<SocketAddr>,
     /// One member is probed each period.
     pub period: Tenths,
@@ -58,8 +58,8 @@
 }
 
 impl Terms {
-    /// How often a node knocks at a door that is not in its view.
-    pub fn knock_every(&self) -> Tenths {
+    /// How often a node asks to join where it knows of nobody in its view.
+    pub fn join_request_interval(&self) -> Tenths {
         self.period * 5
     }
 
--- a/fleet/src/timers.rs
+++ b/fleet/src/timers.rs
@@ -21,7 +21,7 @@
                     self.news_armed = false;
                     self.news(now, out);
                 }
-                Timer::Knock => self.knock_again(now, out),
+                Timer::JoinRequest => self.repeat_join_request(now, out),
                 Timer::Forget(place, revision) => {
                     let dead = |of: &&crate::table::MemberRecord| {
                         of.revision == revision && !of.update.state.is_there()
@@ -34,13 +34,13 @@
         }
     }
 
-    fn knock_again(&mut self, now: Tenths, out: &mut Vec<Action>) {
+    fn repeat_join_request(&mut self, now: Tenths, out: &mut Vec<Action>) {
         if self.stage == Stage::Leaving {
             return;
         }
-        self.knock(out);
+        self.send_join_requests(out);
         let jitter = self.chance.u64(0..self.terms.period.max(1));
-        self.arm(now + self.terms.knock_every() + jitter, Timer::Knock);
+        self.arm(now + self.terms.join_request_interval() + jitter, Timer::JoinRequest);
     }
 
     fn period(&mut self, now: Tenths, out: &mut Vec<Action>) {
