Names: pending updates and retransmissions in place of news and say

`Message::News` becomes `Message::Updates` (its place among the variants stays), `news_every` and `news_to` `gossip_interval` and `gossip_fanout`.

--- a/fleet/src/fleet.rs
+++ b/fleet/src/fleet.rs
@@ -17,7 +17,7 @@
 use crate::{Terms, View};
 
 /// Rounds in which a node tells of itself after something about it changed.
-pub(crate) const SAY: u32 = 6;
+pub(crate) const RETRANSMISSIONS: u32 = 6;
 
 /// Where the node itself stands.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -43,7 +43,7 @@
     /// A last look at one that is about to be declared dead.
     Look(Place, Tenths),
     Admit(Place),
-    News,
+    PendingUpdates,
     JoinRequest,
     /// A dead member with the update of this revision.
     Forget(Place, u32),
@@ -72,8 +72,8 @@
     timers: BinaryHeap<Reverse<(Tenths, Timer)>>,
     pub(crate) nth: u64,
     /// Rounds in which to tell of itself.
-    pub(crate) say: u32,
-    pub(crate) news_armed: bool,
+    pub(crate) retransmissions: u32,
+    pub(crate) updates_armed: bool,
     /// Whether anybody answered since the last period, and for how many periods nobody has.
     pub(crate) answered: bool,
     pub(crate) silent: u32,
@@ -111,8 +111,8 @@
             chance,
             timers: BinaryHeap::new(),
             nth: 0,
-            say: 0,
-            news_armed: false,
+            retransmissions: 0,
+            updates_armed: false,
             answered: false,
             silent: 0,
             cut_off: false,
@@ -196,13 +196,13 @@
         Some(timer)
     }
 
-    /// News goes out soon, if it does not already.
-    pub(crate) fn arm_news(&mut self, now: Tenths) {
-        if !self.news_armed {
-            self.news_armed = true;
+    /// Pending updates go out soon, if it does not already.
+    pub(crate) fn arm_updates(&mut self, now: Tenths) {
+        if !self.updates_armed {
+            self.updates_armed = true;
             // A little chance keeps those that heard the same thing from passing it on in one instant.
-            let wait = self.chance.u64(0..self.terms.news_every.max(1));
-            self.arm(now + wait, Timer::News);
+            let wait = self.chance.u64(0..self.terms.gossip_interval.max(1));
+            self.arm(now + wait, Timer::PendingUpdates);
         }
     }
 
@@ -213,7 +213,7 @@
         Head { sender: self.me.clone(), to, nth: self.nth, digest: self.view.digest, view: self.view.number }
     }
 
-    /// Sends to a member, with what is thought of it if that is not the best, and what there is of news.
+    /// Sends to a member, with what is thought of it if that is not the best, and pending updates.
     pub(crate) fn send(&mut self, place: Place, message: Message, out: &mut Vec<Action>) {
         let Some(record) = self.table.get(place) else { return };
         let (to, incarnation) = (record.update.address, record.update.incarnation);
@@ -225,7 +225,7 @@
         let (table, members) = (&self.table, self.view.members.len());
         let current =
             |place: Place, revision: u32| table.get(place).is_some_and(|of| of.revision == revision);
-        self.gossip.take(MAX_UPDATES - updates.len(), members, current, &mut places);
+        self.gossip.next_updates(MAX_UPDATES - updates.len(), members, current, &mut places);
         updates.extend(places.iter().filter_map(|place| self.table.get(*place)).map(|of| of.update.clone()));
         let datagram = Box::new(Datagram { head: self.head(incarnation), message, updates });
         out.push(Action::Send { to, datagram });
@@ -271,16 +271,16 @@
         if returns {
             self.came_back(now, place, out);
         }
-        self.passed_on(now, place);
+        self.queue_update(now, place);
         self.told(now, place, &update, was_there.then_some(old.state), out);
         Some(place)
     }
 
-    /// The update of a member is news for the others.
-    pub(crate) fn passed_on(&mut self, now: Tenths, place: Place) {
+    /// The update of a member is queued for the others.
+    pub(crate) fn queue_update(&mut self, now: Tenths, place: Place) {
         if let Some(record) = self.table.get(place) {
             self.gossip.add(place, record.revision);
-            self.arm_news(now);
+            self.arm_updates(now);
         }
     }
 
@@ -290,7 +290,7 @@
             return None;
         }
         let place = self.table.insert(update.clone(), now);
-        self.passed_on(now, place);
+        self.queue_update(now, place);
         self.told(now, place, &update, None, out);
         Some(place)
     }
@@ -367,12 +367,12 @@
         // Passed on, as it is a word of its own.
         update.state = MemberState::Suspected { by };
         self.table.set(place, update, now);
-        self.passed_on(now, place);
+        self.queue_update(now, place);
         true
     }
 
     /// Sets the end of a suspicion, and two last looks before it: a word that cleared it may have passed this
-    /// node by, as news reaches all but one in some thousands.
+    /// node by, as updates reach all but one in some thousands.
     pub(crate) fn arm_suspicion(&mut self, now: Tenths, place: Place) {
         let (members, thawed_at) = (self.view.members.len(), self.thawed_at);
         let Some(suspicion) = self.table.get(place).and_then(|record| record.suspicion) else { return };
--- a/fleet/src/gossip.rs
+++ b/fleet/src/gossip.rs
@@ -5,37 +5,37 @@
 use crate::table::Place;
 
 /// Members whose update is still to be sent, by how often it was. At most one current entry a member, and
-/// older ones are dropped when met, so the whole is bounded by the news of one round and the members.
+/// older ones are dropped when met, so the whole is bounded by the updates of one round and the members.
 #[derive(Default)]
 pub struct Gossip {
-    by_times: Vec<VecDeque<(Place, u32)>>,
+    by_transmissions: Vec<VecDeque<(Place, u32)>>,
     queued: usize,
 }
 
 /// Entries that wait at once: several times the members that a table can hold, as older ones of one member
 /// are dropped only when met.
-const MOST_QUEUED: usize = 20_000;
+const MAX_QUEUED: usize = 20_000;
 /// Past this many sendings nothing is passed on, however large the fleet.
-const MOST_TIMES: usize = 20;
+const MAX_TRANSMISSIONS: usize = 20;
 
 /// How often an update is sent in a fleet of so many, so that all but surely everyone hears it.
-fn times(members: usize) -> usize {
+fn transmissions(members: usize) -> usize {
     let digits = (members + 1).ilog2() as usize + 1;
-    (digits + 2).min(MOST_TIMES)
+    (digits + 2).min(MAX_TRANSMISSIONS)
 }
 
 impl Gossip {
     /// `revision` is that of the member's update; entries of earlier ones are passed over.
     pub fn add(&mut self, place: Place, revision: u32) {
-        if self.by_times.is_empty() {
-            self.by_times.resize_with(MOST_TIMES, VecDeque::new);
+        if self.by_transmissions.is_empty() {
+            self.by_transmissions.resize_with(MAX_TRANSMISSIONS, VecDeque::new);
         }
-        if self.queued >= MOST_QUEUED {
+        if self.queued >= MAX_QUEUED {
             // What was sent most often is missed least.
-            let often = self.by_times.iter_mut().rev().find(|queue| !queue.is_empty());
+            let often = self.by_transmissions.iter_mut().rev().find(|queue| !queue.is_empty());
             self.queued -= usize::from(often.is_some_and(|queue| queue.pop_front().is_some()));
         }
-        self.by_times[0].push_back((place, revision));
+        self.by_transmissions[0].push_back((place, revision));
         self.queued += 1;
     }
 
@@ -45,16 +45,16 @@
 
     /// Takes up to `room` updates, for one datagram. `current` tells whether an entry is still the latest of
     /// its member.
-    pub fn take(
+    pub fn next_updates(
         &mut self,
         room: usize,
         members: usize,
         current: impl Fn(Place, u32) -> bool,
         into: &mut Vec<Place>,
     ) {
-        let most = times(members);
+        let most = transmissions(members);
         let mut taken: Vec<(usize, (Place, u32))> = Vec::new();
-        'full: for (sent, queue) in self.by_times.iter_mut().enumerate() {
+        'full: for (sent, queue) in self.by_transmissions.iter_mut().enumerate() {
             while let Some(entry) = queue.pop_front() {
                 self.queued -= 1;
                 if !current(entry.0, entry.1) {
@@ -69,7 +69,7 @@
         for (sent, entry) in taken {
             into.push(entry.0);
             if sent < most {
-                self.by_times[sent].push_back(entry);
+                self.by_transmissions[sent].push_back(entry);
                 self.queued += 1;
             }
         }
--- a/fleet/src/joining.rs
+++ b/fleet/src/joining.rs
@@ -2,7 +2,7 @@
 
 use doortrack::Tenths;
 
-use crate::fleet::{Fleet, SAY, Stage, Timer};
+use crate::fleet::{Fleet, RETRANSMISSIONS, Stage, Timer};
 use crate::table::Place;
 use crate::{Action, Incarnation, Member, MemberState, MemberUpdate, Message, News};
 
@@ -104,8 +104,8 @@
         self.me.state = MemberState::Left;
         let name = self.me.name.clone();
         self.change_view(now, |view| view.remove(&name));
-        self.say = SAY;
-        self.news(now, out);
+        self.retransmissions = RETRANSMISSIONS;
+        self.send_updates(now, out);
     }
 
     /// A word on this node's own name.
@@ -124,13 +124,13 @@
                 self.start_incarnation(now, update.incarnation, out);
             } else if suspected && self.stage != Stage::Leaving {
                 self.me.version = update.version + 1;
-                self.say = SAY;
-                self.arm_news(now);
+                self.retransmissions = RETRANSMISSIONS;
+                self.arm_updates(now);
             }
         } else if update.incarnation < self.me.incarnation {
             if first_hand {
                 // It learns of this incarnation by the head, and steps aside.
-                self.send_to(update.address, update.incarnation, Message::News, Vec::new(), out);
+                self.send_to(update.address, update.incarnation, Message::Updates, Vec::new(), out);
                 if self.twin != update.incarnation {
                     self.twin = update.incarnation;
                     out.push(Action::Report(News::Twin {
@@ -159,8 +159,8 @@
         let member =
             Member { incarnation: update.incarnation, address: update.address, weight: update.weight };
         self.change_view(now, |view| view.put(&name, member));
-        self.say = SAY;
-        self.arm_news(now);
+        self.retransmissions = RETRANSMISSIONS;
+        self.arm_updates(now);
         out.push(Action::Report(News::NewIncarnation { incarnation: self.me.incarnation }));
     }
 }
--- a/fleet/src/message.rs
+++ b/fleet/src/message.rs
@@ -38,7 +38,7 @@
         incarnation: Incarnation,
     },
     /// Carries updates, and nothing else.
-    News,
+    Updates,
     /// Asks for the table from behind this name.
     Ask {
         after: Option<Name>,
--- a/fleet/src/receiving.rs
+++ b/fleet/src/receiving.rs
@@ -4,7 +4,7 @@
 
 use doortrack::Tenths;
 
-use crate::fleet::{Fetch, Fleet, SAY, Stage};
+use crate::fleet::{Fetch, Fleet, RETRANSMISSIONS, Stage};
 use crate::probes::{Answered, ForOther, Probe};
 use crate::table::Place;
 use crate::{Action, Datagram, Head, Incarnation, MemberState, MemberUpdate, Message, News};
@@ -46,7 +46,7 @@
             return self.send_to(
                 head.sender.address,
                 head.sender.incarnation,
-                Message::News,
+                Message::Updates,
                 Vec::new(),
                 out,
             );
@@ -57,8 +57,8 @@
         }
         if self.stage == Stage::Joining {
             self.stage = Stage::Member;
-            self.say = SAY;
-            self.arm_news(now);
+            self.retransmissions = RETRANSMISSIONS;
+            self.arm_updates(now);
         }
         // A table like one's own is not read to its end.
         let message = match message {
@@ -86,7 +86,7 @@
         if head.sender.incarnation < known.incarnation {
             // An earlier process of that name, or its last words: it is shown who came after it.
             self.refused += 1;
-            self.send_to(head.sender.address, head.sender.incarnation, Message::News, vec![known], out);
+            self.send_to(head.sender.address, head.sender.incarnation, Message::Updates, vec![known], out);
             return None;
         }
         if head.sender.overrides(&known) {
@@ -104,7 +104,7 @@
             // suspicion anyway.
             MemberState::Suspected { .. } | MemberState::Dead => {
                 if !matches!(what, Message::Ping { .. }) {
-                    self.send(place, Message::News, out);
+                    self.send(place, Message::Updates, out);
                 }
             }
         }
@@ -149,7 +149,7 @@
         let known = self.table.get(place).is_some_and(|record| suspected.overrides(&record.update));
         if known {
             self.take_up(now, suspected, out);
-            self.send(place, Message::News, out);
+            self.send(place, Message::Updates, out);
         }
         let Some(suspicion) = self.table.get_mut(place).and_then(|record| record.suspicion.as_mut()) else {
             return;
@@ -180,7 +180,7 @@
                 }
             }
             Message::Page { next } => self.fetched(now, place, next, out),
-            Message::Join | Message::News => {}
+            Message::Join | Message::Updates => {}
         }
     }
 
@@ -243,7 +243,7 @@
 
     /// A member that rests on another view than this node for a while: its table is fetched.
     fn compare(&mut self, now: Tenths, place: Place, head: &Head, out: &mut Vec<Action>) {
-        let calm = 4 * self.terms.news_every;
+        let calm = 4 * self.terms.gossip_interval;
         if head.digest == self.view.digest || now < self.view_since + calm {
             return;
         }
@@ -261,7 +261,7 @@
         match (&self.fetch, next) {
             (Some(fetch), _) if fetch.of != name && fetch.till > now => {}
             (_, Some(next)) => {
-                self.fetch = Some(Fetch { of: name, till: now + 20 * self.terms.news_every });
+                self.fetch = Some(Fetch { of: name, till: now + 20 * self.terms.gossip_interval });
                 self.send(place, Message::Ask { after: Some(next) }, out);
             }
             (_, None) => self.fetch = None,
--- a/fleet/src/terms.rs
+++ b/fleet/src/terms.rs
@@ -21,9 +21,9 @@
     /// word.
     pub suspicion_min: Tenths,
     pub suspicion_max: Tenths,
-    /// News goes out so often while there is any, to so many members.
-    pub news_every: Tenths,
-    pub news_to: usize,
+    /// Pending updates go out so often while there are any, to so many members.
+    pub gossip_interval: Tenths,
+    pub gossip_fanout: usize,
     /// Woken so much later than asked for, the process has stood still.
     pub stall: Tenths,
     /// Periods without any answer after which this node holds itself for the one that is cut off.
@@ -45,8 +45,8 @@
             helpers: 3,
             suspicion_min: 400 * MS,
             suspicion_max: 2_000 * MS,
-            news_every: 50 * MS,
-            news_to: 3,
+            gossip_interval: 50 * MS,
+            gossip_fanout: 3,
             stall: 100 * MS,
             silent_periods: 4,
             hold_first: 1_000 * MS,
--- a/fleet/src/timers.rs
+++ b/fleet/src/timers.rs
@@ -1,4 +1,4 @@
-//! What time brings: probes, suspicions that end, news that goes out.
+//! What time brings: probes, suspicions that end, updates that go out.
 
 use doortrack::Tenths;
 
@@ -17,9 +17,9 @@
                 Timer::Suspicion(place, since) => self.suspicion_ends(now, place, since, out),
                 Timer::Look(place, since) => self.look(place, since, out),
                 Timer::Admit(place) => self.admit(now, place, out),
-                Timer::News => {
-                    self.news_armed = false;
-                    self.news(now, out);
+                Timer::PendingUpdates => {
+                    self.updates_armed = false;
+                    self.send_updates(now, out);
                 }
                 Timer::JoinRequest => self.repeat_join_request(now, out),
                 Timer::Forget(place, revision) => {
@@ -131,18 +131,21 @@
         }
     }
 
-    /// One round of news, if there is any.
-    pub(crate) fn news(&mut self, now: Tenths, out: &mut Vec<Action>) {
-        if self.gossip.is_empty() && self.say == 0 {
+    /// One round of pending updates, if there are any.
+    pub(crate) fn send_updates(&mut self, now: Tenths, out: &mut Vec<Action>) {
+        if self.gossip.is_empty() && self.retransmissions == 0 {
             return;
         }
-        self.say = self.say.saturating_sub(1);
-        for place in self.table.some(self.terms.news_to, None, &mut self.chance) {
-            self.send(place, Message::News, out);
+        self.retransmissions = self.retransmissions.saturating_sub(1);
+        for place in self.table.some(self.terms.gossip_fanout, None, &mut self.chance) {
+            self.send(place, Message::Updates, out);
         }
-        if !self.news_armed && (self.say > 0 || !self.gossip.is_empty()) && self.table.there() > 0 {
-            self.news_armed = true;
-            self.arm(now + self.terms.news_every, Timer::News);
+        if !self.updates_armed
+            && (self.retransmissions > 0 || !self.gossip.is_empty())
+            && self.table.there() > 0
+        {
+            self.updates_armed = true;
+            self.arm(now + self.terms.gossip_interval, Timer::PendingUpdates);
         }
     }
 }
--- a/fleet/tests/cases.rs
+++ b/fleet/tests/cases.rs
@@ -364,7 +364,7 @@
     ];
     for sender in odd {
         let head = Head { sender, to: Incarnation(100), nth: 1, digest: 0, view: 0 };
-        let datagram = Datagram { head, message: Message::News, updates: Vec::new() };
+        let datagram = Datagram { head, message: Message::Updates, updates: Vec::new() };
         few.handle(0, Event::Received { from: address(9), datagram });
     }
     let head =
@@ -372,7 +372,7 @@
     let updates = vec![sound.clone(); 65];
     few.handle(
         0,
-        Event::Received { from: address(1), datagram: Datagram { head, message: Message::News, updates } },
+        Event::Received { from: address(1), datagram: Datagram { head, message: Message::Updates, updates } },
     );
     assert_eq!(few.fleets[0].view().number, view.number);
     assert_eq!(few.fleets[0].refused(), 7);
@@ -388,7 +388,7 @@
     few.pass(2_000);
     for nth in 10..20 {
         let head = Head { sender: update(nth, 5), to: Incarnation(100), nth: 1, digest: 0, view: 0 };
-        let datagram = Datagram { head, message: Message::News, updates: Vec::new() };
+        let datagram = Datagram { head, message: Message::Updates, updates: Vec::new() };
         few.handle(0, Event::Received { from: address(nth), datagram });
     }
     assert_eq!(few.members(0), 4);
--- a/fleet/tests/random.rs
+++ b/fleet/tests/random.rs
@@ -44,7 +44,7 @@
         (any::<u32>(), 0u8..20, 1u64..4).prop_map(|(nonce, of, incarnation)| {
             Message::PingFor { nonce, name: format!("n{of}").into(), incarnation: Incarnation(incarnation) }
         }),
-        Just(Message::News),
+        Just(Message::Updates),
         proptest::option::of(0u8..20)
             .prop_map(|of| Message::Ask { after: of.map(|of| format!("n{of}").into()) }),
         proptest::option::of(0u8..20)
--- a/node/tests/fleet/link.rs
+++ b/node/tests/fleet/link.rs
@@ -127,7 +127,7 @@
     for nth in 1..60 {
         let sender = MemberUpdate { state: MemberState::Alive, ..update(nth) };
         let head = Head { sender, to: Incarnation(u64::MAX), nth: 1, digest: 0, view: 0 };
-        let message = if nth == 59 { Message::Ask { after: None } } else { Message::News };
+        let message = if nth == 59 { Message::Ask { after: None } } else { Message::Updates };
         let datagram = Datagram { head, message, updates: Vec::new() };
         let from = update(nth).address;
         fleet.handle(0, Event::Received { from, datagram }, &mut out);
