Names: what a package reports is a Change

`News` of `fleet` and of `budgets` becomes `Change`: what has changed, for the log and those who rest on it.

--- a/budgets/src/budgets.rs
+++ b/budgets/src/budgets.rs
@@ -9,7 +9,7 @@
 use crate::leadership::Leadership;
 use crate::share::Share;
 use crate::voter::Voter;
-use crate::{Action, Budget, Envelope, Event, Grant, Id, Item, MOST_ITEMS, Message, News, Terms, Who};
+use crate::{Action, Budget, Change, Envelope, Event, Grant, Id, Item, MOST_ITEMS, Message, Terms, Who};
 
 /// Reports whose answers still count when they come.
 const MOST_SENT: usize = 128;
@@ -165,14 +165,14 @@
         self.report_at = now + if short { self.terms.round.div_ceil(2) } else { self.terms.round };
         for (place, share) in self.shares.iter_mut().enumerate() {
             if let Some(share) = share.ran_out(now, &self.terms) {
-                out.push(Action::Report(News::RanOut { place, share }));
+                out.push(Action::Report(Change::RanOut { place, share }));
             }
         }
         self.silent += 1;
         if self.silent > SILENT
             && let Some(leader) = self.leader.take_if(|leader| *leader != self.me)
         {
-            out.push(Action::Report(News::LeaderSilent(leader)));
+            out.push(Action::Report(Change::LeaderSilent(leader)));
         }
         let all: Vec<usize> = (0..self.shares.len()).collect();
         self.report(now, &all, true, out);
@@ -222,7 +222,7 @@
         self.bound_since = self.seq + 1;
         self.silent = 0;
         if let Some(leader) = &to {
-            out.push(Action::Report(News::Leader(leader.clone())));
+            out.push(Action::Report(Change::Leader(leader.clone())));
         }
         self.leader = to;
     }
@@ -270,7 +270,7 @@
             let (was, is) = of.apply_grant(now, seq, *grant, till, &self.terms);
             if was != is {
                 let lasts = till.saturating_sub(now);
-                out.push(Action::Report(News::Share { place, was, share: is, lasts }));
+                out.push(Action::Report(Change::Share { place, was, share: is, lasts }));
             }
             if is < was {
                 lowered.push(place);
--- a/budgets/src/leadership.rs
+++ b/budgets/src/leadership.rs
@@ -7,7 +7,7 @@
 
 use crate::account::Accounts;
 use crate::voter::Voter;
-use crate::{Action, Budget, Budgets, Item, Message, News, Terms, Who};
+use crate::{Action, Budget, Budgets, Change, Item, Message, Terms, Who};
 
 /// Ballots whose votes still count when they come.
 const MOST_ASKED: usize = 8;
@@ -163,7 +163,7 @@
         self.leadership = Leadership::Follower { try_at: now + self.terms.round };
         self.accounts = Accounts::default();
         self.bind(None, out);
-        out.push(Action::Report(News::SteppedDown));
+        out.push(Action::Report(Change::SteppedDown));
     }
 
     /// Steps down for good, so that another may take it at once.
@@ -189,7 +189,7 @@
                     let list: Vec<Budget> = self.shares.iter().map(|share| share.budget.clone()).collect();
                     self.accounts = Accounts::new(&list);
                     let grants_after = if self.terms.safeguards.settle { self.terms.lease } else { 0 };
-                    out.push(Action::Report(News::Elected { grants_after }));
+                    out.push(Action::Report(Change::Elected { grants_after }));
                     self.bind(Some(self.me.clone()), out);
                 }
             }
--- a/budgets/src/lib.rs
+++ b/budgets/src/lib.rs
@@ -79,12 +79,12 @@
 pub enum Action {
     /// To the node of that name, wherever it is reached; lost where it is not.
     Send(Envelope),
-    Report(News),
+    Report(Change),
 }
 
 /// What has changed, for the log.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub enum News {
+pub enum Change {
     /// This node is the leader from here on, and grants what is free after so many tenths of a ms.
     Elected {
         grants_after: Tenths,
@@ -108,17 +108,17 @@
     },
 }
 
-impl News {
+impl Change {
     /// Its name in logs and histories.
     pub fn word(&self) -> &'static str {
         match self {
-            News::Elected { .. } => "elected",
-            News::SteppedDown => "stepped_down",
-            News::Leader(_) => "leader",
-            News::LeaderSilent(_) => "leader_silent",
-            News::Share { was, share, .. } if share < was => "returned",
-            News::Share { .. } => "taken",
-            News::RanOut { .. } => "ran_out",
+            Change::Elected { .. } => "elected",
+            Change::SteppedDown => "stepped_down",
+            Change::Leader(_) => "leader",
+            Change::LeaderSilent(_) => "leader_silent",
+            Change::Share { was, share, .. } if share < was => "returned",
+            Change::Share { .. } => "taken",
+            Change::RanOut { .. } => "ran_out",
         }
     }
 }
--- a/fleet/src/fleet.rs
+++ b/fleet/src/fleet.rs
@@ -11,8 +11,8 @@
 use crate::suspicion::Suspicion;
 use crate::table::{Place, Table};
 use crate::{
-    Action, Datagram, Event, Head, Incarnation, MAX_UPDATES, Member, MemberState, MemberUpdate, Message,
-    Name, News,
+    Action, Change, Datagram, Event, Head, Incarnation, MAX_UPDATES, Member, MemberState, MemberUpdate,
+    Message, Name,
 };
 use crate::{Terms, View};
 
@@ -149,7 +149,7 @@
             // Answers may lie unread, or were lost while nobody read: what was begun says nothing.
             self.dazed = true;
             self.probes.drop_all();
-            out.push(Action::Report(News::StoodStill { late }));
+            out.push(Action::Report(Change::StoodStill { late }));
         }
         match event {
             Event::Tick => self.on_tick(now, out),
@@ -286,7 +286,7 @@
 
     fn newcomer(&mut self, now: Tenths, update: MemberUpdate, out: &mut Vec<Action>) -> Option<Place> {
         if self.table.len() >= self.terms.most_members {
-            out.push(Action::Report(News::NoRoom { name: update.name }));
+            out.push(Action::Report(Change::NoRoom { name: update.name }));
             return None;
         }
         let place = self.table.insert(update.clone(), now);
@@ -312,7 +312,7 @@
                 if was.is_none() {
                     self.admit(now, place, out);
                 } else if cleared {
-                    out.push(Action::Report(News::Cleared { name, incarnation }));
+                    out.push(Action::Report(Change::Cleared { name, incarnation }));
                 }
             }
             MemberState::Suspected { by } => {
@@ -331,9 +331,9 @@
                 if was.is_some() {
                     let left = update.state == MemberState::Left;
                     out.push(Action::Report(if left {
-                        News::Left { name, incarnation }
+                        Change::Left { name, incarnation }
                     } else {
-                        News::Dead { name, incarnation }
+                        Change::Dead { name, incarnation }
                     }));
                 }
             }
@@ -346,7 +346,7 @@
         let (name, incarnation) = (record.update.name.clone(), record.update.incarnation);
         record.suspicion.get_or_insert(Suspicion::new(by, now));
         self.arm_suspicion(now, place);
-        out.push(Action::Report(News::Suspected { name, incarnation }));
+        out.push(Action::Report(Change::Suspected { name, incarnation }));
         // A few of all that hear of it try for themselves, however many there are.
         let helpers = self.terms.helpers as f64;
         if by != self.mark && self.chance.f64() * members as f64 <= helpers {
--- a/fleet/src/joining.rs
+++ b/fleet/src/joining.rs
@@ -4,7 +4,7 @@
 
 use crate::fleet::{Fleet, RETRANSMISSIONS, Stage, Timer};
 use crate::table::Place;
-use crate::{Action, Incarnation, Member, MemberState, MemberUpdate, Message, News};
+use crate::{Action, Change, Incarnation, Member, MemberState, MemberUpdate, Message};
 
 /// Bytes of updates on a page, past which none is added; an update takes its name and at the most this
 /// beside.
@@ -71,7 +71,7 @@
         let (name, incarnation, back) = (update.name.clone(), update.incarnation, record.returns > 0);
         let member = Member { incarnation, address: update.address, weight: update.weight };
         self.change_view(now, |view| view.put(&name, member));
-        out.push(Action::Report(News::Alive { name, incarnation, back }));
+        out.push(Action::Report(Change::Alive { name, incarnation, back }));
     }
 
     /// Counts that a member came back, and holds it back if it does so again and again. The first return is
@@ -92,7 +92,7 @@
         let (name, incarnation) = (record.update.name.clone(), record.update.incarnation);
         self.arm(now + wait, Timer::Admit(place));
         self.change_view(now, |view| view.remove(&name));
-        out.push(Action::Report(News::HeldBack { name, incarnation, wait }));
+        out.push(Action::Report(Change::HeldBack { name, incarnation, wait }));
     }
 
     /// Says that it leaves, at once and in some rounds more.
@@ -133,7 +133,7 @@
                 self.send_to(update.address, update.incarnation, Message::Updates, Vec::new(), out);
                 if self.twin != update.incarnation {
                     self.twin = update.incarnation;
-                    out.push(Action::Report(News::Twin {
+                    out.push(Action::Report(Change::Twin {
                         incarnation: update.incarnation,
                         address: update.address,
                     }));
@@ -147,7 +147,7 @@
             self.start_incarnation(now, update.incarnation, out);
         } else {
             self.stage = Stage::Displaced;
-            out.push(Action::Report(News::Displaced { by: update.incarnation, address: update.address }));
+            out.push(Action::Report(Change::Displaced { by: update.incarnation, address: update.address }));
         }
     }
 
@@ -161,6 +161,6 @@
         self.change_view(now, |view| view.put(&name, member));
         self.retransmissions = RETRANSMISSIONS;
         self.arm_updates(now);
-        out.push(Action::Report(News::NewIncarnation { incarnation: self.me.incarnation }));
+        out.push(Action::Report(Change::NewIncarnation { incarnation: self.me.incarnation }));
     }
 }
--- a/fleet/src/lib.rs
+++ b/fleet/src/lib.rs
@@ -103,13 +103,13 @@
 #[derive(Clone, Debug)]
 pub enum Action {
     Send { to: SocketAddr, datagram: Box<Datagram> },
-    Report(News),
+    Report(Change),
 }
 
 /// What has changed, for the log and for those whose decisions rest on it. `incarnation` is that of the
 /// member.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub enum News {
+pub enum Change {
     /// A member is in the view from here on; `back` if this incarnation was dead before.
     Alive {
         name: Name,
@@ -171,38 +171,38 @@
     },
 }
 
-impl News {
+impl Change {
     /// Its name in logs and histories.
     pub fn word(&self) -> &'static str {
         match self {
-            News::Alive { back: false, .. } => "alive",
-            News::Alive { back: true, .. } => "back",
-            News::Suspected { .. } => "suspected",
-            News::Cleared { .. } => "cleared",
-            News::Dead { .. } => "dead",
-            News::Left { .. } => "left",
-            News::HeldBack { .. } => "held_back",
-            News::Slow { .. } => "slow",
-            News::CutOff(true) => "cut_off",
-            News::CutOff(false) => "reconnected",
-            News::StoodStill { .. } => "stood_still",
-            News::NewIncarnation { .. } => "new_incarnation",
-            News::Displaced { .. } => "displaced",
-            News::Twin { .. } => "twin",
-            News::NoRoom { .. } => "no_room",
+            Change::Alive { back: false, .. } => "alive",
+            Change::Alive { back: true, .. } => "back",
+            Change::Suspected { .. } => "suspected",
+            Change::Cleared { .. } => "cleared",
+            Change::Dead { .. } => "dead",
+            Change::Left { .. } => "left",
+            Change::HeldBack { .. } => "held_back",
+            Change::Slow { .. } => "slow",
+            Change::CutOff(true) => "cut_off",
+            Change::CutOff(false) => "reconnected",
+            Change::StoodStill { .. } => "stood_still",
+            Change::NewIncarnation { .. } => "new_incarnation",
+            Change::Displaced { .. } => "displaced",
+            Change::Twin { .. } => "twin",
+            Change::NoRoom { .. } => "no_room",
         }
     }
 
     /// The other member that it is about, and its incarnation.
     pub fn about(&self) -> Option<(&Name, Incarnation)> {
         match self {
-            News::Alive { name, incarnation, .. }
-            | News::Suspected { name, incarnation }
-            | News::Cleared { name, incarnation }
-            | News::Dead { name, incarnation }
-            | News::Left { name, incarnation }
-            | News::HeldBack { name, incarnation, .. }
-            | News::Slow { name, incarnation, .. } => Some((name, *incarnation)),
+            Change::Alive { name, incarnation, .. }
+            | Change::Suspected { name, incarnation }
+            | Change::Cleared { name, incarnation }
+            | Change::Dead { name, incarnation }
+            | Change::Left { name, incarnation }
+            | Change::HeldBack { name, incarnation, .. }
+            | Change::Slow { name, incarnation, .. } => Some((name, *incarnation)),
             _ => None,
         }
     }
--- a/fleet/src/receiving.rs
+++ b/fleet/src/receiving.rs
@@ -7,7 +7,7 @@
 use crate::fleet::{Fetch, Fleet, RETRANSMISSIONS, Stage};
 use crate::probes::{Answered, ForOther, Probe};
 use crate::table::Place;
-use crate::{Action, Datagram, Head, Incarnation, MemberState, MemberUpdate, Message, News};
+use crate::{Action, Change, Datagram, Head, Incarnation, MemberState, MemberUpdate, Message};
 
 /// Stands for all those that declare a member dead.
 const OTHERS: u32 = 0;
@@ -222,7 +222,7 @@
         let slow = if record.slow { record.answers_in > late / 2 } else { record.answers_in > late };
         if slow && !record.slow {
             let (name, incarnation) = (record.update.name.clone(), record.update.incarnation);
-            out.push(Action::Report(News::Slow { name, incarnation, after: record.answers_in }));
+            out.push(Action::Report(Change::Slow { name, incarnation, after: record.answers_in }));
         }
         record.slow = slow;
     }
@@ -235,7 +235,7 @@
         }
         self.dazed = false;
         if std::mem::take(&mut self.cut_off) {
-            out.push(Action::Report(News::CutOff(false)));
+            out.push(Action::Report(Change::CutOff(false)));
         }
     }
 
--- a/fleet/src/timers.rs
+++ b/fleet/src/timers.rs
@@ -5,7 +5,7 @@
 use crate::fleet::{Fleet, Stage, Timer};
 use crate::probes::Probe;
 use crate::table::Place;
-use crate::{Action, MemberState, MemberUpdate, Message, News};
+use crate::{Action, Change, MemberState, MemberUpdate, Message};
 
 impl Fleet {
     pub(crate) fn on_tick(&mut self, now: Tenths, out: &mut Vec<Action>) {
@@ -55,7 +55,7 @@
         }
         if self.silent > self.terms.silent_periods && !self.cut_off {
             self.cut_off = true;
-            out.push(Action::Report(News::CutOff(true)));
+            out.push(Action::Report(Change::CutOff(true)));
         }
         if let Some(place) = self.table.next_probe(&mut self.chance) {
             self.probe(now, place, out);
--- a/fleet/tests/cases.rs
+++ b/fleet/tests/cases.rs
@@ -5,7 +5,7 @@
 use std::net::SocketAddr;
 
 use doortrack_fleet::{
-    Action, Datagram, Event, Fleet, Head, Incarnation, MemberState, MemberUpdate, Message, News,
+    Action, Change, Datagram, Event, Fleet, Head, Incarnation, MemberState, MemberUpdate, Message,
     ReportedState, Terms,
 };
 
@@ -32,7 +32,7 @@
     now: u64,
     cut: Box<dyn Fn(usize, usize) -> bool>,
     stopped: Vec<bool>,
-    news: Vec<(usize, News)>,
+    changes: Vec<(usize, Change)>,
     sent: Vec<(usize, usize, Datagram)>,
 }
 
@@ -44,7 +44,7 @@
             now: 0,
             cut: Box::new(|_, _| false),
             stopped: vec![false; count],
-            news: Vec::new(),
+            changes: Vec::new(),
             sent: Vec::new(),
         }
     }
@@ -61,7 +61,7 @@
             self.fleets[of].handle(self.now, event, &mut out);
             for action in out {
                 match action {
-                    Action::Report(news) => self.news.push((of, news)),
+                    Action::Report(change) => self.changes.push((of, change)),
                     Action::Send { to, datagram } => {
                         let Some(to) = (0..self.fleets.len()).find(|n| address(*n) == to) else { continue };
                         self.sent.push((of, to, (*datagram).clone()));
@@ -91,8 +91,8 @@
     }
 
     fn told(&self, of: usize, word: &str, whom: &str) -> bool {
-        let about = |news: &News| news.about().is_some_and(|(name, _)| &**name == whom);
-        self.news.iter().any(|(by, news)| *by == of && news.word() == word && about(news))
+        let about = |change: &Change| change.about().is_some_and(|(name, _)| &**name == whom);
+        self.changes.iter().any(|(by, change)| *by == of && change.word() == word && about(change))
     }
 
     fn state(&self, of: usize, whom: usize) -> Option<ReportedState> {
@@ -114,7 +114,7 @@
         assert_eq!(few.fleets[of].view().digest, few.fleets[0].view().digest);
         assert_eq!(few.fleets[of].view().weight(), 24);
     }
-    assert!(few.news.iter().all(|(_, news)| news.word() != "suspected"), "{:?}", few.news);
+    assert!(few.changes.iter().all(|(_, change)| change.word() != "suspected"), "{:?}", few.changes);
 }
 
 #[test]
@@ -127,7 +127,7 @@
     few.fleets[4] = Few::node(4, 200, few.now);
     few.stopped[4] = false;
     few.pass(3_000);
-    assert!((0..5).all(|of| few.members(of) == 5), "{:?}", few.news);
+    assert!((0..5).all(|of| few.members(of) == 5), "{:?}", few.changes);
     let member = few.fleets[0].view().members.get("n4").copied();
     assert_eq!(member.map(|member| member.incarnation), Some(Incarnation(200)));
 }
@@ -139,7 +139,7 @@
     few.handle(2, Event::Leave);
     few.pass(400);
     few.stopped[2] = true;
-    assert!([0, 1, 3, 4].iter().all(|of| few.told(*of, "left", "n2")), "{:?}", few.news);
+    assert!([0, 1, 3, 4].iter().all(|of| few.told(*of, "left", "n2")), "{:?}", few.changes);
     few.pass(5_000);
     assert!([0, 1, 3, 4].iter().all(|of| !few.told(*of, "dead", "n2") && few.members(*of) == 4));
     assert_eq!(few.state(0, 2), Some(ReportedState::Left));
@@ -152,7 +152,7 @@
     few.cut = Box::new(|from, to| from.min(to) == 0 && from.max(to) == 1);
     few.pass(20_000);
     assert!((0..5).all(|of| few.members(of) == 5));
-    assert!(!few.told(0, "dead", "n1") && !few.told(1, "dead", "n0"), "{:?}", few.news);
+    assert!(!few.told(0, "dead", "n1") && !few.told(1, "dead", "n0"), "{:?}", few.changes);
 }
 
 #[test]
@@ -166,7 +166,7 @@
     assert!((1..5).all(|of| few.told(of, "dead", "n0") && few.members(of) == 4));
     few.cut = Box::new(|_, _| false);
     few.pass(3_000);
-    assert!((0..5).all(|of| few.members(of) == 5 && !few.fleets[of].is_cut_off()), "{:?}", few.news);
+    assert!((0..5).all(|of| few.members(of) == 5 && !few.fleets[of].is_cut_off()), "{:?}", few.changes);
 }
 
 #[test]
@@ -180,7 +180,7 @@
         assert!(
             (1..5).all(|of| !few.told(0, "dead", &format!("n{of}"))),
             "outward {outward}: {:?}",
-            few.news
+            few.changes
         );
     }
 }
@@ -211,11 +211,11 @@
     few.stopped[0] = false;
     // It wakes, and nothing reaches it yet.
     few.cut = Box::new(|_, to| to == 0);
-    few.news.clear();
+    few.changes.clear();
     few.pass(2_500);
-    let own: Vec<&News> = few.news.iter().filter(|(by, _)| *by == 0).map(|(_, news)| news).collect();
-    assert!(matches!(own[0], News::StoodStill { late } if *late > 4_000 * MS), "{own:?}");
-    assert!(!own.iter().any(|news| matches!(news.word(), "suspected" | "dead")), "{own:?}");
+    let own: Vec<&Change> = few.changes.iter().filter(|(by, _)| *by == 0).map(|(_, change)| change).collect();
+    assert!(matches!(own[0], Change::StoodStill { late } if *late > 4_000 * MS), "{own:?}");
+    assert!(!own.iter().any(|change| matches!(change.word(), "suspected" | "dead")), "{own:?}");
 }
 
 #[test]
@@ -224,10 +224,10 @@
     few.pass(3_000);
     few.cut = Box::new(|from, to| (from < 4) != (to < 4));
     few.pass(8_000);
-    assert!((0..8).all(|of| few.members(of) == 4), "{:?}", few.news);
+    assert!((0..8).all(|of| few.members(of) == 4), "{:?}", few.changes);
     few.cut = Box::new(|_, _| false);
     few.pass(4_000);
-    assert!((0..8).all(|of| few.members(of) == 8), "{:?}", few.news);
+    assert!((0..8).all(|of| few.members(of) == 8), "{:?}", few.changes);
     assert!(
         (0..8).all(|of| few.fleets[of].me().incarnation == Incarnation(100)),
         "no incarnation was given up"
@@ -245,8 +245,8 @@
     few.fleets.push(Fleet::new(twin, terms, 99, few.now));
     few.stopped.push(false);
     few.pass(3_000);
-    assert!(few.fleets[3].is_displaced(), "{:?}", few.news);
-    assert!(few.news.iter().any(|(by, news)| *by == 3 && matches!(news, News::Displaced { .. })));
+    assert!(few.fleets[3].is_displaced(), "{:?}", few.changes);
+    assert!(few.changes.iter().any(|(by, change)| *by == 3 && matches!(change, Change::Displaced { .. })));
     let sent = few.sent.iter().filter(|(by, ..)| *by == 3).count();
     few.pass(1_000);
     assert_eq!(few.sent.iter().filter(|(by, ..)| *by == 3).count(), sent, "it takes part no more");
@@ -262,7 +262,7 @@
     assert!(
         few.fleets[3].me().incarnation > Incarnation(100) && !few.fleets[3].is_displaced(),
         "{:?}",
-        few.news
+        few.changes
     );
     assert!((0..4).all(|of| few.members(of) == 4));
 }
@@ -309,10 +309,10 @@
         few.pass(500);
     }
     let waits: Vec<u64> = few
-        .news
+        .changes
         .iter()
-        .filter_map(|(by, news)| match news {
-            News::HeldBack { wait, .. } if *by == 0 => Some(*wait),
+        .filter_map(|(by, change)| match change {
+            Change::HeldBack { wait, .. } if *by == 0 => Some(*wait),
             _ => None,
         })
         .collect();
@@ -329,7 +329,7 @@
     few.pass(2_000);
     few.cut = Box::new(|from, _| from == 2);
     let mut late: VecDeque<(u64, usize, Datagram)> = VecDeque::new();
-    few.news.clear();
+    few.changes.clear();
     for _ in 0..1_200 {
         let sent = few.sent.len();
         few.pass(10);
@@ -343,8 +343,8 @@
             few.handle(to, Event::Received { from: address(2), datagram });
         }
     }
-    assert!(few.told(0, "slow", "n2") || few.told(1, "slow", "n2"), "{:?}", few.news);
-    assert!(!few.told(0, "dead", "n2") && !few.told(1, "dead", "n2"), "{:?}", few.news);
+    assert!(few.told(0, "slow", "n2") || few.told(1, "slow", "n2"), "{:?}", few.changes);
+    assert!(!few.told(0, "dead", "n2") && !few.told(1, "dead", "n2"), "{:?}", few.changes);
     assert_eq!(few.members(0), 3);
 }
 
@@ -392,5 +392,5 @@
         few.handle(0, Event::Received { from: address(nth), datagram });
     }
     assert_eq!(few.members(0), 4);
-    assert!(few.news.iter().any(|(_, news)| matches!(news, News::NoRoom { .. })));
+    assert!(few.changes.iter().any(|(_, change)| matches!(change, Change::NoRoom { .. })));
 }
--- a/node/src/peers/link.rs
+++ b/node/src/peers/link.rs
@@ -10,7 +10,7 @@
 
 use doortrack::Tenths;
 use doortrack_budgets::Who;
-use doortrack_fleet::{Action, Event, Fleet, Incarnation, MemberState, MemberUpdate, News};
+use doortrack_fleet::{Action, Change, Event, Fleet, Incarnation, MemberState, MemberUpdate};
 use doortrack_installation::{FleetFile, Installation, Orders};
 use polling::{Event as Ready, PollMode, Poller};
 use slog::{Logger, info, warn};
@@ -153,9 +153,9 @@
                         self.send(member.address, &Spoken::Budgets(envelope));
                     }
                 }
-                doortrack_budgets::Action::Report(news) => {
+                doortrack_budgets::Action::Report(change) => {
                     if let Some(shares) = &self.shares {
-                        shares.borrow_mut().log(&self.log, &news);
+                        shares.borrow_mut().log(&self.log, &change);
                     }
                 }
             }
@@ -246,28 +246,32 @@
         for action in std::mem::take(&mut self.actions) {
             match action {
                 Action::Send { to, datagram } => self.send(to, &Spoken::Fleet(*datagram)),
-                Action::Report(news) => {
-                    self.log(&news);
-                    let displaced = matches!(news, News::Displaced { .. });
+                Action::Report(change) => {
+                    self.log(&change);
+                    let displaced = matches!(change, Change::Displaced { .. });
                     self.tell_shares(displaced.then_some(doortrack_budgets::Event::Displaced));
                 }
             }
         }
     }
 
-    fn log(&self, news: &News) {
+    fn log(&self, change: &Change) {
         let (view, digest) = (self.fleet.view().number, format!("{:016x}", self.fleet.view().digest));
         let members = self.fleet.view().members.len();
-        let word = news.word();
-        match news.about() {
+        let word = change.word();
+        match change.about() {
             Some((name, incarnation)) => {
                 info!(self.log, "member"; "what" => word, "of" => &**name, "incarnation" => %incarnation,
                 "view" => view, "members" => members, "digest" => digest)
             }
-            None if matches!(news, News::Displaced { .. } | News::Twin { .. } | News::CutOff(true)) => {
-                warn!(self.log, "member"; "what" => word, "why" => ?news, "view" => view);
+            None if matches!(
+                change,
+                Change::Displaced { .. } | Change::Twin { .. } | Change::CutOff(true)
+            ) =>
+            {
+                warn!(self.log, "member"; "what" => word, "why" => ?change, "view" => view);
             }
-            None => info!(self.log, "member"; "what" => word, "why" => ?news, "view" => view),
+            None => info!(self.log, "member"; "what" => word, "why" => ?change, "view" => view),
         }
     }
 }
--- a/node/src/peers/shares.rs
+++ b/node/src/peers/shares.rs
@@ -5,7 +5,7 @@
 use std::collections::BinaryHeap;
 
 use doortrack::Tenths;
-use doortrack_budgets::{Action, Budget, Budgets, Event, Kind, News, Terms, Units, Who};
+use doortrack_budgets::{Action, Budget, Budgets, Change, Event, Kind, Terms, Units, Who};
 use doortrack_installation::{Falls, FleetFile, Installation, Orders};
 use slog::{Logger, info, warn};
 
@@ -181,28 +181,28 @@
     }
 
     /// A share is told where it has changed by over an eighth: it follows the load, and the log is bounded.
-    pub fn log(&mut self, log: &Logger, news: &News) {
-        if let News::Share { place, share, .. } = news {
+    pub fn log(&mut self, log: &Logger, change: &Change) {
+        if let Change::Share { place, share, .. } = change {
             let told = &mut self.told[*place];
             if share.abs_diff(*told) <= (*told).max(*share) / 8 {
                 return;
             }
             *told = *share;
         }
-        let word = news.word();
+        let word = change.word();
         let name = |place: usize| self.budgets.list().nth(place).map_or("", |budget| &budget.name);
-        match news {
-            News::Elected { grants_after } => {
+        match change {
+            Change::Elected { grants_after } => {
                 info!(log, "budget"; "what" => word, "grants_after_ms" => grants_after / MS);
             }
-            News::SteppedDown => info!(log, "budget"; "what" => word),
-            News::Leader(who) => info!(log, "budget"; "what" => word, "of" => &*who.name),
-            News::LeaderSilent(who) => warn!(log, "budget"; "what" => word, "of" => &*who.name),
-            News::Share { place, was, share, lasts } => {
+            Change::SteppedDown => info!(log, "budget"; "what" => word),
+            Change::Leader(who) => info!(log, "budget"; "what" => word, "of" => &*who.name),
+            Change::LeaderSilent(who) => warn!(log, "budget"; "what" => word, "of" => &*who.name),
+            Change::Share { place, was, share, lasts } => {
                 info!(log, "budget"; "what" => word, "budget" => name(*place), "was" => was, "share" => share,
                     "lasts_ms" => lasts / MS);
             }
-            News::RanOut { place, share } => {
+            Change::RanOut { place, share } => {
                 warn!(log, "budget"; "what" => word, "budget" => name(*place), "was" => share);
             }
         }
--- a/rig/src/divided.rs
+++ b/rig/src/divided.rs
@@ -6,7 +6,7 @@
 
 use std::collections::BTreeMap;
 
-use doortrack_budgets::{Action, Budget, Budgets, Envelope, Event, Kind, Message, News, Terms, Who};
+use doortrack_budgets::{Action, Budget, Budgets, Change, Envelope, Event, Kind, Message, Terms, Who};
 use doortrack_emulator::{Clock, Law, Links, MachineId, Micros, Net, Next};
 use doortrack_fleet::{Incarnation, Member, Name, View};
 
@@ -181,7 +181,9 @@
         for action in actions.drain(..) {
             match action {
                 Action::Send(envelope) => self.send(of, envelope),
-                Action::Report(news) => self.out.leaders += u64::from(matches!(news, News::Elected { .. })),
+                Action::Report(change) => {
+                    self.out.leaders += u64::from(matches!(change, Change::Elected { .. }))
+                }
             }
         }
         self.actions = actions;
--- a/rig/src/simulated.rs
+++ b/rig/src/simulated.rs
@@ -5,7 +5,7 @@
 
 use doortrack_emulator::{Clock, Law, Links, MachineId, Micros, Net, Next};
 use doortrack_fleet::{
-    Action, Datagram, Event, Fleet, Incarnation, MemberState, MemberUpdate, News, ReportedState, Terms,
+    Action, Change, Datagram, Event, Fleet, Incarnation, MemberState, MemberUpdate, ReportedState, Terms,
 };
 use doortrack_node::peers::seal::Seal;
 use doortrack_node::peers::spoken::Spoken;
@@ -34,7 +34,7 @@
     /// Most that a clock is off, in ms, and drifts, in millionths.
     pub offset_ms: u64,
     pub drift_ppm: u64,
-    /// News told before this is not kept, for plays whose history would be too long.
+    /// Changes told before this is not kept, for plays whose history would be too long.
     pub quiet_until_ms: u64,
     /// Whether the bytes of each datagram are counted, which costs most of the time.
     pub weigh: bool,
@@ -190,7 +190,7 @@
         for action in actions.drain(..) {
             match action {
                 Action::Send { to, datagram } => self.send(of, to, *datagram),
-                Action::Report(news) => self.tell(of, &news, &fleet),
+                Action::Report(change) => self.tell(of, &change, &fleet),
             }
         }
         self.actions = actions;
@@ -208,15 +208,15 @@
         self.net.send(of, to, datagram);
     }
 
-    fn tell(&mut self, of: MachineId, news: &News, fleet: &Fleet) {
+    fn tell(&mut self, of: MachineId, change: &Change, fleet: &Fleet) {
         let at_ms = self.now_ms();
         if at_ms < self.ways.quiet_until_ms {
             return;
         }
-        let (about, view) = (news.about(), fleet.view());
+        let (about, view) = (change.about(), fleet.view());
         let what = What::News {
             node: of,
-            word: news.word().to_string(),
+            word: change.word().to_string(),
             of: about.map(|(name, _)| name.to_string()),
             incarnation: about.map(|(_, incarnation)| incarnation.to_string()),
             view: view.number,
