--- a/fleet/src/joining.rs
+++ b/fleet/src/joining.rs
@@ -113,12 +113,12 @@
         &mut self,
         now: Tenths,
         update: &MemberUpdate,
-        first_hand: bool,
+        direct: bool,
         out: &mut Vec<Action>,
     ) {
         if update.incarnation == self.me.incarnation {
             let suspected =
-                update.state != MemberState::Alive && update.version >= self.me.version && !first_hand;
+                update.state != MemberState::Alive && update.version >= self.me.version && !direct;
             if suspected && update.state == MemberState::Left && self.stage != Stage::Leaving {
                 // Final for that incarnation, which this one therefore can't be.
                 self.start_incarnation(now, update.incarnation, out);
@@ -128,7 +128,7 @@
                 self.arm_updates(now);
             }
         } else if update.incarnation < self.me.incarnation {
-            if first_hand {
+            if direct {
                 // It learns of this incarnation by the head, and steps aside.
                 self.send_to(update.address, update.incarnation, Message::Updates, Vec::new(), out);
                 if self.twin != update.incarnation {
--- a/fleet/src/probes.rs
+++ b/fleet/src/probes.rs
@@ -10,7 +10,7 @@
 /// Probes under way at once: one a period and second opinions.
 const MOST: usize = 16;
 /// Probes that failed whose answer may still come and tells how late the member is.
-const MOST_LATE: usize = 32;
+const MAX_LATE: usize = 32;
 /// Probes made for others.
 const MOST_FOR_OTHERS: usize = 64;
 
@@ -66,7 +66,7 @@
     pub fn fail(&mut self, nonce: u32) -> Option<Probe> {
         let place = self.under_way.iter().position(|probe| probe.nonce == nonce)?;
         let probe = self.under_way.swap_remove(place);
-        if self.late.len() >= MOST_LATE {
+        if self.late.len() >= MAX_LATE {
             self.late.pop_front();
         }
         self.late.push_back(probe);
--- a/fleet/src/receiving.rs
+++ b/fleet/src/receiving.rs
@@ -51,9 +51,9 @@
                 out,
             );
         }
-        let Some(place) = self.first_hand(now, &head, &message, out) else { return };
+        let Some(place) = self.direct_evidence(now, &head, &message, out) else { return };
         for update in updates {
-            self.hearsay(now, update, out);
+            self.indirect_evidence(now, update, out);
         }
         if self.stage == Stage::Joining {
             self.stage = Stage::Member;
@@ -70,7 +70,7 @@
     }
 
     /// What it means that this member spoke to this incarnation: its place, if it is to be listened to.
-    fn first_hand(
+    fn direct_evidence(
         &mut self,
         now: Tenths,
         head: &Head,
@@ -112,7 +112,7 @@
     }
 
     /// What others say of a member.
-    fn hearsay(&mut self, now: Tenths, update: MemberUpdate, out: &mut Vec<Action>) {
+    fn indirect_evidence(&mut self, now: Tenths, update: MemberUpdate, out: &mut Vec<Action>) {
         if !update.is_valid() {
             self.refused += 1;
             return;
