Names: a process resumed after a pause

`dazed`, `thawed_at`, `StoodStill` and `stall` become `resumed`, `resumed_at`, `Resumed` and `max_lateness`; the log word `stood_still` is `resumed`, which the rig still reads by its old name.

--- a/fleet/src/fleet.rs
+++ b/fleet/src/fleet.rs
@@ -78,10 +78,10 @@
     pub(crate) answered: bool,
     pub(crate) silent: u32,
     pub(crate) cut_off: bool,
-    /// Stood still, and has heard no answer since.
-    pub(crate) dazed: bool,
+    /// Resumed after a pause of the process, and has heard no answer since.
+    pub(crate) resumed: bool,
     /// Suspicions count from here at the earliest.
-    pub(crate) thawed_at: Tenths,
+    pub(crate) resumed_at: Tenths,
     pub(crate) join_requests: u32,
     pub(crate) fetch: Option<Fetch>,
     pub(crate) fetched_at: Tenths,
@@ -116,8 +116,8 @@
             answered: false,
             silent: 0,
             cut_off: false,
-            dazed: false,
-            thawed_at: 0,
+            resumed: false,
+            resumed_at: 0,
             join_requests: 0,
             fetch: None,
             fetched_at: 0,
@@ -145,11 +145,11 @@
             return;
         }
         let late = now.saturating_sub(self.next_due());
-        if late > self.terms.stall && !self.dazed {
+        if late > self.terms.max_lateness && !self.resumed {
             // Answers may lie unread, or were lost while nobody read: what was begun says nothing.
-            self.dazed = true;
+            self.resumed = true;
             self.probes.drop_all();
-            out.push(Action::Report(Change::StoodStill { late }));
+            out.push(Action::Report(Change::Resumed { late }));
         }
         match event {
             Event::Tick => self.on_tick(now, out),
@@ -179,8 +179,8 @@
         self.stage == Stage::Displaced
     }
 
-    pub(crate) fn frozen(&self) -> bool {
-        self.cut_off || self.dazed
+    pub(crate) fn suspects_nobody(&self) -> bool {
+        self.cut_off || self.resumed
     }
 
     pub(crate) fn arm(&mut self, at: Tenths, timer: Timer) {
@@ -374,9 +374,9 @@
     /// Sets the end of a suspicion, and two last looks before it: a word that cleared it may have passed this
     /// node by, as updates reach all but one in some thousands.
     pub(crate) fn arm_suspicion(&mut self, now: Tenths, place: Place) {
-        let (members, thawed_at) = (self.view.members.len(), self.thawed_at);
+        let (members, resumed_at) = (self.view.members.len(), self.resumed_at);
         let Some(suspicion) = self.table.get(place).and_then(|record| record.suspicion) else { return };
-        let ends = suspicion.ends(&self.terms, members, thawed_at).max(now);
+        let ends = suspicion.ends(&self.terms, members, resumed_at).max(now);
         self.arm(ends, Timer::Suspicion(place, suspicion.since));
         let wait = self.terms.answer_within * 3 / 2;
         for before in [2 * wait, wait] {
--- a/fleet/src/lib.rs
+++ b/fleet/src/lib.rs
@@ -15,8 +15,8 @@
 //! - **Incarnations.** A node is known by its name and an [`Incarnation`], a number that is never used twice.
 //!   What concerns an earlier incarnation counts for nothing, and a datagram names the incarnation it is
 //!   meant for.
-//! - **Who stood still suspects nobody.** A turn that comes late by more than [`Terms::stall`] drops all
-//!   probes and starts all suspicions anew; until another has answered, nobody is suspected.
+//! - **Who was paused suspects nobody.** A turn that comes late by more than [`Terms::max_lateness`] drops
+//!   all probes and starts all suspicions anew; until another has answered, nobody is suspected.
 //! - **Who gets no answer from anybody holds itself for the one that is cut off**, and declares nobody dead.
 //! - **Second opinions.** Some of those that hear of a suspicion try for themselves. Each that fails shortens
 //!   it; the word of one alone takes the longest time.
@@ -147,8 +147,8 @@
     },
     /// Nobody answers this node, or somebody does again.
     CutOff(bool),
-    /// This node stood still for so many tenths of a ms.
-    StoodStill {
+    /// This process was paused, and woke so many tenths of a ms late.
+    Resumed {
         late: u64,
     },
     /// This node goes on under another incarnation, as its name had been in use.
@@ -185,7 +185,7 @@
             Change::Slow { .. } => "slow",
             Change::CutOff(true) => "cut_off",
             Change::CutOff(false) => "reconnected",
-            Change::StoodStill { .. } => "stood_still",
+            Change::Resumed { .. } => "resumed",
             Change::NewIncarnation { .. } => "new_incarnation",
             Change::Displaced { .. } => "displaced",
             Change::Twin { .. } => "twin",
--- a/fleet/src/receiving.rs
+++ b/fleet/src/receiving.rs
@@ -194,8 +194,8 @@
                 self.somebody_answers(now, out);
                 self.took(now, probe, out);
                 // It is alive, only late: what suspicion there is begins anew, until its own word ends it.
-                let thawed = self.table.get_mut(probe.place).and_then(|record| record.suspicion.as_mut());
-                if let Some(suspicion) = thawed {
+                let suspicion = self.table.get_mut(probe.place).and_then(|record| record.suspicion.as_mut());
+                if let Some(suspicion) = suspicion {
                     suspicion.since = now;
                     self.arm_suspicion(now, probe.place);
                 }
@@ -230,10 +230,10 @@
     fn somebody_answers(&mut self, now: Tenths, out: &mut Vec<Action>) {
         self.answered = true;
         self.silent = 0;
-        if self.frozen() {
-            self.thawed_at = now;
+        if self.suspects_nobody() {
+            self.resumed_at = now;
         }
-        self.dazed = false;
+        self.resumed = false;
         if std::mem::take(&mut self.cut_off) {
             out.push(Action::Report(Change::CutOff(false)));
         }
--- a/fleet/src/suspicion.rs
+++ b/fleet/src/suspicion.rs
@@ -41,10 +41,10 @@
     }
 
     /// When the member is declared dead, in a view of so many. Where fewer than two others could share the
-    /// suspicion, it takes those there are; where nobody can, it stands to the last. Time before `thawed_at`
+    /// suspicion, it takes those there are; where nobody can, it stands to the last. Time before `resumed_at`
     /// does not count.
-    pub fn ends(&self, terms: &Terms, members: usize, thawed_at: Tenths) -> Tenths {
-        let since = self.since.max(thawed_at);
+    pub fn ends(&self, terms: &Terms, members: usize, resumed_at: Tenths) -> Tenths {
+        let since = self.since.max(resumed_at);
         let wanted = members.saturating_sub(2).min(MOST_OTHERS);
         let (least, most) = (terms.suspicion_min, terms.suspicion_max.max(terms.suspicion_min));
         if wanted == 0 {
--- a/fleet/src/terms.rs
+++ b/fleet/src/terms.rs
@@ -24,8 +24,8 @@
     /// Pending updates go out so often while there are any, to so many members.
     pub gossip_interval: Tenths,
     pub gossip_fanout: usize,
-    /// Woken so much later than asked for, the process has stood still.
-    pub stall: Tenths,
+    /// Woken by more than this later than asked for, the process counts as having been paused.
+    pub max_lateness: Tenths,
     /// Periods without any answer after which this node holds itself for the one that is cut off.
     pub silent_periods: u32,
     /// Wait before a member that came back twice is in the view again; doubled each time, up to the most.
@@ -47,7 +47,7 @@
             suspicion_max: 2_000 * MS,
             gossip_interval: 50 * MS,
             gossip_fanout: 3,
-            stall: 100 * MS,
+            max_lateness: 100 * MS,
             silent_periods: 4,
             hold_first: 1_000 * MS,
             hold_most: 30_000 * MS,
--- a/fleet/src/timers.rs
+++ b/fleet/src/timers.rs
@@ -91,7 +91,7 @@
 
     fn unanswered(&mut self, now: Tenths, nonce: u32, out: &mut Vec<Action>) {
         let Some(probe) = self.probes.fail(nonce) else { return };
-        if self.frozen() {
+        if self.suspects_nobody() {
             return;
         }
         let Some(record) = self.table.get(probe.place) else { return };
@@ -120,8 +120,8 @@
         let members = self.view.members.len();
         let Some(record) = self.table.get(place) else { return };
         let Some(suspicion) = record.suspicion.filter(|suspicion| suspicion.since == since) else { return };
-        let ends = suspicion.ends(&self.terms, members, self.thawed_at);
-        if self.frozen() {
+        let ends = suspicion.ends(&self.terms, members, self.resumed_at);
+        if self.suspects_nobody() {
             self.arm(now + self.terms.period, Timer::Suspicion(place, since));
         } else if ends > now {
             self.arm(ends, Timer::Suspicion(place, since));
--- a/fleet/tests/cases.rs
+++ b/fleet/tests/cases.rs
@@ -201,7 +201,7 @@
 }
 
 #[test]
-fn who_stood_still_says_so_and_suspects_nobody_before_it_heard() {
+fn who_was_paused_says_so_and_suspects_nobody_before_it_heard() {
     let mut few = Few::new(4);
     few.pass(2_000);
     few.stopped[0] = true;
@@ -214,7 +214,7 @@
     few.changes.clear();
     few.pass(2_500);
     let own: Vec<&Change> = few.changes.iter().filter(|(by, _)| *by == 0).map(|(_, change)| change).collect();
-    assert!(matches!(own[0], Change::StoodStill { late } if *late > 4_000 * MS), "{own:?}");
+    assert!(matches!(own[0], Change::Resumed { late } if *late > 4_000 * MS), "{own:?}");
     assert!(!own.iter().any(|change| matches!(change.word(), "suspected" | "dead")), "{own:?}");
 }
 
--- a/node/tests/fleet/troubles.rs
+++ b/node/tests/fleet/troubles.rs
@@ -82,7 +82,7 @@
         (7_000, Fault::GoOn { nodes: vec![0] }),
     ];
     let played = played(&script(5, 9_000, faults));
-    let still = |what: &What| matches!(what, What::News { node: 0, word, .. } if word == "stood_still");
+    let still = |what: &What| matches!(what, What::News { node: 0, word, .. } if word == "resumed");
     assert!(played.history.entries.iter().any(|entry| still(&entry.what)), "{}", played.history.lines());
 }
 
--- a/rig/src/checks.rs
+++ b/rig/src/checks.rs
@@ -32,7 +32,7 @@
         Box::new(LeftIsNotDead),
         Box::new(IncarnationsGoForward),
         Box::new(CutOffDeclaresNobodyDead),
-        Box::new(WokenDeclaresNobodyDead),
+        Box::new(ResumedDeclaresNobodyDead),
         Box::new(InTheEndAllAgree),
     ]
 }
@@ -170,14 +170,14 @@
 }
 
 /// Who stood still and wakes declares nobody dead before it can have heard from anybody.
-pub struct WokenDeclaresNobodyDead;
+pub struct ResumedDeclaresNobodyDead;
 
 /// The shortest suspicion is longer than this.
 const WAKING: u64 = 250;
 
-impl Invariant for WokenDeclaresNobodyDead {
+impl Invariant for ResumedDeclaresNobodyDead {
     fn name(&self) -> &'static str {
-        "woken, declares nobody dead"
+        "resumed, declares nobody dead"
     }
 
     fn judge(&self, history: &History, course: &Course) -> Vec<(u64, String)> {
--- a/rig/src/course.rs
+++ b/rig/src/course.rs
@@ -64,7 +64,7 @@
                     course.running[*node] = false;
                     course.wrong[*node].push(Span { from: at, till: u64::MAX });
                 }
-                What::News { node, word, .. } if word == "stood_still" => {
+                What::News { node, word, .. } if word == "resumed" => {
                     course.wrong[*node].push(Span { from: at, till: at });
                 }
                 What::News { .. } | What::Status { .. } => {}
--- a/rig/src/history.rs
+++ b/rig/src/history.rs
@@ -72,6 +72,7 @@
 pub fn current_word(word: &str) -> &str {
     match word {
         "lost" => "dead",
+        "stood_still" => "resumed",
         word => word,
     }
 }
--- a/rig/tests/checkers.rs
+++ b/rig/tests/checkers.rs
@@ -104,7 +104,7 @@
     fault(&mut history, 20_000, Fault::Stop { nodes: vec![0] });
     fault(&mut history, 25_000, Fault::GoOn { nodes: vec![0] });
     history.put(25_050, news(0, "dead", 1, 0x10));
-    assert_eq!(broken(&ended(history, &[0, 1, 2])), ["woken, declares nobody dead"]);
+    assert_eq!(broken(&ended(history, &[0, 1, 2])), ["resumed, declares nobody dead"]);
 }
 
 #[test]
--- a/rig/tests/simulated.rs
+++ b/rig/tests/simulated.rs
@@ -118,7 +118,7 @@
             (17_300, Fault::Mend { from: rest, to: vec![0] }),
         ],
     );
-    assert!(!breaks(&woken, hasty.clone()).contains(&"woken, declares nobody dead"));
-    let unaware = Terms { stall: u64::MAX, ..hasty };
-    assert!(breaks(&woken, unaware).contains(&"woken, declares nobody dead"));
+    assert!(!breaks(&woken, hasty.clone()).contains(&"resumed, declares nobody dead"));
+    let unaware = Terms { max_lateness: u64::MAX, ..hasty };
+    assert!(breaks(&woken, unaware).contains(&"resumed, declares nobody dead"));
 }
