--- a/budgets/src/budgets.rs
+++ b/budgets/src/budgets.rs
@@ -43,7 +43,7 @@
     pub(crate) ballot: u64,
     chance: u64,
     pub(crate) leaves: bool,
-    displaced: bool,
+    superseded: bool,
     /// What the node has told itself; empty between events.
     local: VecDeque<Envelope>,
 }
@@ -76,7 +76,7 @@
             ballot: 0,
             chance: seed ^ me.incarnation.0,
             leaves: false,
-            displaced: false,
+            superseded: false,
             local: VecDeque::new(),
             me,
             terms,
@@ -99,7 +99,7 @@
 
     /// When [`Event::Tick`] is due at the latest; [`Tenths::MAX`] where nothing is.
     pub fn next_due(&self) -> Tenths {
-        if self.displaced || self.shares.is_empty() {
+        if self.superseded || self.shares.is_empty() {
             return Tenths::MAX;
         }
         self.report_at.min(self.leadership.next_due(&self.terms))
@@ -107,7 +107,7 @@
 
     /// Tells what happened; `now` never goes back. What is to be done is added to `out`, in order.
     pub fn handle(&mut self, now: Tenths, event: Event, out: &mut Vec<Action>) {
-        if self.displaced {
+        if self.superseded {
             return;
         }
         match event {
@@ -126,8 +126,8 @@
                 self.resign(now, out);
                 self.report_at = now;
             }
-            Event::Displaced => {
-                self.displaced = true;
+            Event::Superseded => {
+                self.superseded = true;
                 self.shares.iter_mut().for_each(Share::shut);
             }
             Event::Changed { list } => self.change(now, list),
--- a/budgets/src/lib.rs
+++ b/budgets/src/lib.rs
@@ -67,7 +67,7 @@
     /// The node was told to leave: it asks for nothing more, and steps down as the leader.
     Leave,
     /// Another process goes by this node's name: this one uses nothing more, floors included.
-    Displaced,
+    Superseded,
     /// Other budgets from here on. What one that stays has in use is kept.
     Changed {
         list: Vec<Budget>,
--- a/budgets/tests/holder.rs
+++ b/budgets/tests/holder.rs
@@ -105,9 +105,9 @@
 }
 
 #[test]
-fn one_that_is_displaced_uses_nothing_more() {
+fn one_that_is_superseded_uses_nothing_more() {
     let mut holder = Holder::with_ten(Safeguards::default());
-    holder.budgets.handle(holder.now, Event::Displaced, &mut Vec::new());
+    holder.budgets.handle(holder.now, Event::Superseded, &mut Vec::new());
     assert_eq!(holder.budgets.exposed(0, holder.now), 0);
     assert_eq!(holder.budgets.next_due(), Tenths::MAX);
 }
--- a/fleet/src/fleet.rs
+++ b/fleet/src/fleet.rs
@@ -27,7 +27,7 @@
     Member,
     Leaving,
     /// Another process of the same name joined later.
-    Displaced,
+    Superseded,
 }
 
 /// What is to be done at a time. What it was set for may be over by then.
@@ -85,7 +85,7 @@
     pub(crate) join_requests: u32,
     pub(crate) fetch: Option<Fetch>,
     pub(crate) fetched_at: Tenths,
-    pub(crate) twin: Incarnation,
+    pub(crate) duplicate: Incarnation,
     /// Datagrams that were well formed and still made no sense or came twice.
     pub(crate) refused: u64,
 }
@@ -121,7 +121,7 @@
             join_requests: 0,
             fetch: None,
             fetched_at: 0,
-            twin: Incarnation(0),
+            duplicate: Incarnation(0),
             refused: 0,
         };
         // Nodes that start at one instant must not probe at one instant ever after.
@@ -133,7 +133,7 @@
 
     /// When [`Event::Tick`] is due at the latest; [`Tenths::MAX`] where nothing is.
     pub fn next_due(&self) -> Tenths {
-        if self.stage == Stage::Displaced {
+        if self.stage == Stage::Superseded {
             return Tenths::MAX;
         }
         self.timers.peek().map_or(Tenths::MAX, |Reverse((at, _))| *at)
@@ -141,7 +141,7 @@
 
     /// Tells what happened; `now` never goes back. What is to be done is added to `out`, in order.
     pub fn handle(&mut self, now: Tenths, event: Event, out: &mut Vec<Action>) {
-        if self.stage == Stage::Displaced {
+        if self.stage == Stage::Superseded {
             return;
         }
         let late = now.saturating_sub(self.next_due());
@@ -175,8 +175,8 @@
         self.cut_off
     }
 
-    pub fn is_displaced(&self) -> bool {
-        self.stage == Stage::Displaced
+    pub fn is_superseded(&self) -> bool {
+        self.stage == Stage::Superseded
     }
 
     pub(crate) fn suspects_nobody(&self) -> bool {
--- a/fleet/src/joining.rs
+++ b/fleet/src/joining.rs
@@ -131,9 +131,9 @@
             if direct {
                 // It learns of this incarnation by the head, and steps aside.
                 self.send_to(update.address, update.incarnation, Message::Updates, Vec::new(), out);
-                if self.twin != update.incarnation {
-                    self.twin = update.incarnation;
-                    out.push(Action::Report(Change::Twin {
+                if self.duplicate != update.incarnation {
+                    self.duplicate = update.incarnation;
+                    out.push(Action::Report(Change::DuplicateName {
                         incarnation: update.incarnation,
                         address: update.address,
                     }));
@@ -146,8 +146,8 @@
             // That incarnation is over, as only this process is where it was, or this one joins after it.
             self.start_incarnation(now, update.incarnation, out);
         } else {
-            self.stage = Stage::Displaced;
-            out.push(Action::Report(Change::Displaced { by: update.incarnation, address: update.address }));
+            self.stage = Stage::Superseded;
+            out.push(Action::Report(Change::Superseded { by: update.incarnation, address: update.address }));
         }
     }
 
--- a/fleet/src/lib.rs
+++ b/fleet/src/lib.rs
@@ -156,12 +156,12 @@
         incarnation: Incarnation,
     },
     /// Another process goes by this node's name and joined later: this one no longer takes part.
-    Displaced {
+    Superseded {
         by: Incarnation,
         address: SocketAddr,
     },
     /// Another process goes by this node's name and joined earlier; it is to stop taking part.
-    Twin {
+    DuplicateName {
         incarnation: Incarnation,
         address: SocketAddr,
     },
@@ -187,8 +187,8 @@
             Change::CutOff(false) => "reconnected",
             Change::Resumed { .. } => "resumed",
             Change::NewIncarnation { .. } => "new_incarnation",
-            Change::Displaced { .. } => "displaced",
-            Change::Twin { .. } => "twin",
+            Change::Superseded { .. } => "superseded",
+            Change::DuplicateName { .. } => "duplicate_name",
             Change::NoRoom { .. } => "no_room",
         }
     }
--- a/fleet/src/report.rs
+++ b/fleet/src/report.rs
@@ -45,7 +45,7 @@
                 Stage::Joining => ReportedState::Joining,
                 Stage::Member => ReportedState::Alive,
                 Stage::Leaving => ReportedState::Left,
-                Stage::Displaced => ReportedState::Dead,
+                Stage::Superseded => ReportedState::Dead,
             },
             weight: self.me.weight,
             for_ms: 0,
--- a/fleet/tests/cases.rs
+++ b/fleet/tests/cases.rs
@@ -239,14 +239,14 @@
     let mut few = Few::new(4);
     few.pass(2_000);
     // A process elsewhere goes by the name of n3, and joins later.
-    let mut twin = update(3, 300);
-    twin.address = address(4);
+    let mut duplicate = update(3, 300);
+    duplicate.address = address(4);
     let terms = Terms { seeds: vec![address(0)], ..Terms::default() };
-    few.fleets.push(Fleet::new(twin, terms, 99, few.now));
+    few.fleets.push(Fleet::new(duplicate, terms, 99, few.now));
     few.stopped.push(false);
     few.pass(3_000);
-    assert!(few.fleets[3].is_displaced(), "{:?}", few.changes);
-    assert!(few.changes.iter().any(|(by, change)| *by == 3 && matches!(change, Change::Displaced { .. })));
+    assert!(few.fleets[3].is_superseded(), "{:?}", few.changes);
+    assert!(few.changes.iter().any(|(by, change)| *by == 3 && matches!(change, Change::Superseded { .. })));
     let sent = few.sent.iter().filter(|(by, ..)| *by == 3).count();
     few.pass(1_000);
     assert_eq!(few.sent.iter().filter(|(by, ..)| *by == 3).count(), sent, "it takes part no more");
@@ -260,7 +260,7 @@
     few.fleets[3] = Few::node(3, 50, few.now);
     few.pass(4_000);
     assert!(
-        few.fleets[3].me().incarnation > Incarnation(100) && !few.fleets[3].is_displaced(),
+        few.fleets[3].me().incarnation > Incarnation(100) && !few.fleets[3].is_superseded(),
         "{:?}",
         few.changes
     );
--- a/node/src/peers/link.rs
+++ b/node/src/peers/link.rs
@@ -220,7 +220,7 @@
             digest: view.digest,
             in_view: view.members.len() as u32,
             cut_off: self.fleet.is_cut_off(),
-            displaced: self.fleet.is_displaced(),
+            superseded: self.fleet.is_superseded(),
             members,
             more,
         };
@@ -248,8 +248,8 @@
                 Action::Send { to, datagram } => self.send(to, &Spoken::Fleet(*datagram)),
                 Action::Report(change) => {
                     self.log(&change);
-                    let displaced = matches!(change, Change::Displaced { .. });
-                    self.tell_shares(displaced.then_some(doortrack_budgets::Event::Displaced));
+                    let superseded = matches!(change, Change::Superseded { .. });
+                    self.tell_shares(superseded.then_some(doortrack_budgets::Event::Superseded));
                 }
             }
         }
@@ -266,7 +266,7 @@
             }
             None if matches!(
                 change,
-                Change::Displaced { .. } | Change::Twin { .. } | Change::CutOff(true)
+                Change::Superseded { .. } | Change::DuplicateName { .. } | Change::CutOff(true)
             ) =>
             {
                 warn!(self.log, "member"; "what" => word, "why" => ?change, "view" => view);
--- a/node/src/peers/spoken.rs
+++ b/node/src/peers/spoken.rs
@@ -38,7 +38,7 @@
     pub digest: u64,
     pub in_view: u32,
     pub cut_off: bool,
-    pub displaced: bool,
+    pub superseded: bool,
     pub members: Vec<MemberReport>,
     pub more: bool,
 }
--- a/node/tests/fleet/link.rs
+++ b/node/tests/fleet/link.rs
@@ -149,7 +149,7 @@
         digest: u64::MAX,
         in_view: u32::MAX,
         cut_off: true,
-        displaced: true,
+        superseded: true,
         members,
         more,
     };
@@ -194,17 +194,17 @@
     (0..3).for_each(|of| all_there(&rig, of, 3));
     // The fourth process goes by the name of the third.
     rig.start(3, 2, &Value::Null).unwrap();
-    let displaced = |what: Option<What>| {
+    let superseded = |what: Option<What>| {
         matches!(what, Some(What::Status { members, .. }) if
         members.iter().any(|member| member.name == "n2" && member.state == "dead"))
     };
     let until = Instant::now() + Duration::from_secs(20);
-    while !displaced(rig.status(2)) && Instant::now() < until {
+    while !superseded(rig.status(2)) && Instant::now() < until {
         std::thread::sleep(Duration::from_millis(50));
     }
     [0, 1, 3].iter().for_each(|of| all_there(&rig, *of, 3));
     let played = rig.finish();
-    assert!(told(&played.history, 2, "displaced"), "{}", played.history.lines());
+    assert!(told(&played.history, 2, "superseded"), "{}", played.history.lines());
 }
 
 #[test]
--- a/node/tests/fleet/troubles.rs
+++ b/node/tests/fleet/troubles.rs
@@ -98,7 +98,7 @@
         (9_500, Fault::Replay { nodes: vec![0, 1, 2, 3] }),
     ];
     let played = played(&script(4, 11_000, faults));
-    assert!(told(&played, "displaced") == 0, "{}", played.history.lines());
+    assert!(told(&played, "superseded") == 0, "{}", played.history.lines());
 }
 
 #[test]
--- a/rig/src/history.rs
+++ b/rig/src/history.rs
@@ -72,6 +72,8 @@
 pub fn current_word(word: &str) -> &str {
     match word {
         "lost" => "dead",
+        "twin" => "duplicate_name",
+        "displaced" => "superseded",
         "stood_still" => "resumed",
         word => word,
     }
