--- a/node/src/peers/link.rs
+++ b/node/src/peers/link.rs
@@ -25,7 +25,7 @@
 const TURN: usize = 64;
 /// Turns of the loop for which what is due waits for what lies unread: a flood must not stop it for good.
 const MOST_WAITS: u32 = 4;
-/// How often one thing about strangers is told, in tenths of a ms.
+/// How often one thing about unknown peers is told, in tenths of a ms.
 const TOLD_EVERY: Tenths = 600_000;
 
 /// What came and went.
@@ -196,7 +196,7 @@
         true
     }
 
-    /// Strangers cost a counter, and now and then a line.
+    /// Unknown peers cost a counter, and now and then a line.
     fn refuse(&mut self, refused: Refused, from: SocketAddr) {
         let name = refused.name();
         *self.counts.refused.entry(name).or_default() += 1;
@@ -204,7 +204,7 @@
         let due = self.told_at.get(name).is_none_or(|at| now >= at + TOLD_EVERY);
         if due {
             self.told_at.insert(name, now);
-            warn!(self.log, "stranger on the fleet's link"; "from" => %from, "why" => %refused);
+            warn!(self.log, "unknown peer on the fleet's link"; "from" => %from, "why" => %refused);
         }
     }
 
--- a/node/tests/fleet/link.rs
+++ b/node/tests/fleet/link.rs
@@ -38,7 +38,7 @@
 /// A datagram of one that has no key, or another, or is of another fleet.
 fn strange(key: Option<[u8; 32]>, fleet: &str) -> Vec<u8> {
     let sender = MemberUpdate {
-        name: "stranger".into(),
+        name: "unknown-peer".into(),
         incarnation: Incarnation(77),
         version: 0,
         state: MemberState::Alive,
@@ -51,7 +51,7 @@
 }
 
 #[test]
-fn garbage_and_strangers_cost_a_counter() {
+fn garbage_and_unknown_peers_cost_a_counter() {
     let mut rig = rig(3);
     rig.begin();
     (0..3).for_each(|of| rig.start(of, of, &Value::Null).unwrap());
