--- a/fleet/src/fleet.rs
+++ b/fleet/src/fleet.rs
@@ -34,7 +34,7 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub(crate) enum Timer {
     Period,
-    /// No direct answer yet: ask helpers.
+    /// No direct answer yet: ask indirect probers.
     Wait(u32),
     /// No answer at all.
     Over(u32),
@@ -348,8 +348,8 @@
         self.arm_suspicion(now, place);
         out.push(Action::Report(Change::Suspected { name, incarnation }));
         // A few of all that hear of it try for themselves, however many there are.
-        let helpers = self.terms.helpers as f64;
-        if by != self.mark && self.chance.f64() * members as f64 <= helpers {
+        let indirect_probers = self.terms.indirect_probers as f64;
+        if by != self.mark && self.chance.f64() * members as f64 <= indirect_probers {
             self.probe(now, place, out);
         }
     }
--- a/fleet/src/lib.rs
+++ b/fleet/src/lib.rs
@@ -10,8 +10,8 @@
 //! fleet.handle(now, Event::Received { from, datagram }, &mut actions);
 //! ```
 //!
-//! The way is that of SWIM: each node probes one other a period, asks helpers to try before it suspects, and
-//! updates travel on whatever is sent. What is added, and why:
+//! The way is that of SWIM: each node probes one other a period, asks indirect probers to try before it
+//! suspects, and updates travel on whatever is sent. What is added, and why:
 //! - **Incarnations.** A node is known by its name and an [`Incarnation`], a number that is never used twice.
 //!   What concerns an earlier incarnation counts for nothing, and a datagram names the incarnation it is
 //!   meant for.
--- a/fleet/src/message.rs
+++ b/fleet/src/message.rs
@@ -31,8 +31,8 @@
     Ack {
         nonce: u32,
     },
-    /// Asks a helper to probe another.
-    PingFor {
+    /// Asks the receiver to probe another member.
+    PingRequest {
         nonce: u32,
         name: Name,
         incarnation: Incarnation,
--- a/fleet/src/probes.rs
+++ b/fleet/src/probes.rs
@@ -12,7 +12,7 @@
 /// Probes that failed whose answer may still come and tells how late the member is.
 const MAX_LATE: usize = 32;
 /// Probes made for others.
-const MOST_FOR_OTHERS: usize = 64;
+const MAX_INDIRECT: usize = 64;
 
 #[derive(Clone, Copy, Debug)]
 pub struct Probe {
@@ -23,24 +23,24 @@
 }
 
 #[derive(Clone, Debug)]
-pub struct ForOther {
+pub struct IndirectProbe {
     pub nonce: u32,
     pub asker: Name,
-    pub askers: u32,
+    pub asker_nonce: u32,
 }
 
 #[derive(Default)]
 pub struct Probes {
     under_way: Vec<Probe>,
     late: VecDeque<Probe>,
-    for_others: VecDeque<ForOther>,
+    indirect: VecDeque<IndirectProbe>,
 }
 
 /// What an answer belongs to.
 pub enum Answered {
     InTime(Probe),
     Late(Probe),
-    ForOther(ForOther),
+    IndirectProbe(IndirectProbe),
     Nothing,
 }
 
@@ -80,15 +80,15 @@
         if let Some(place) = self.late.iter().position(|probe| probe.nonce == nonce) {
             return self.late.remove(place).map_or(Answered::Nothing, Answered::Late);
         }
-        let place = self.for_others.iter().position(|probe| probe.nonce == nonce);
-        place.and_then(|place| self.for_others.remove(place)).map_or(Answered::Nothing, Answered::ForOther)
+        let place = self.indirect.iter().position(|probe| probe.nonce == nonce);
+        place.and_then(|place| self.indirect.remove(place)).map_or(Answered::Nothing, Answered::IndirectProbe)
     }
 
-    pub fn for_other(&mut self, probe: ForOther) {
-        if self.for_others.len() >= MOST_FOR_OTHERS {
-            self.for_others.pop_front();
+    pub fn begin_indirect(&mut self, probe: IndirectProbe) {
+        if self.indirect.len() >= MAX_INDIRECT {
+            self.indirect.pop_front();
         }
-        self.for_others.push_back(probe);
+        self.indirect.push_back(probe);
     }
 
     /// Nothing that was begun counts any more.
--- a/fleet/src/receiving.rs
+++ b/fleet/src/receiving.rs
@@ -5,7 +5,7 @@
 use doortrack::Tenths;
 
 use crate::fleet::{Fetch, Fleet, RETRANSMISSIONS, Stage};
-use crate::probes::{Answered, ForOther, Probe};
+use crate::probes::{Answered, IndirectProbe, Probe};
 use crate::table::Place;
 use crate::{Action, Change, Datagram, Head, Incarnation, MemberState, MemberUpdate, Message};
 
@@ -163,14 +163,14 @@
         match message {
             Message::Ping { nonce } => self.send(place, Message::Ack { nonce }, out),
             Message::Ack { nonce } => self.answered(now, nonce, out),
-            Message::PingFor { nonce, name, incarnation } => {
+            Message::PingRequest { nonce, name, incarnation } => {
                 let of = self.table.place(&name).filter(|of| {
                     self.table.get(*of).is_some_and(|record| record.update.incarnation == incarnation)
                 });
                 let asker = self.table.get(place).map(|record| record.update.name.clone());
                 if let (Some(of), Some(asker)) = (of, asker) {
                     let own = self.chance.u32(..);
-                    self.probes.for_other(ForOther { nonce: own, asker, askers: nonce });
+                    self.probes.begin_indirect(IndirectProbe { nonce: own, asker, asker_nonce: nonce });
                     self.send(of, Message::Ping { nonce: own }, out);
                 }
             }
@@ -200,9 +200,9 @@
                     self.arm_suspicion(now, probe.place);
                 }
             }
-            Answered::ForOther(probe) => {
+            Answered::IndirectProbe(probe) => {
                 if let Some(asker) = self.table.place(&probe.asker) {
-                    self.send(asker, Message::Ack { nonce: probe.askers }, out);
+                    self.send(asker, Message::Ack { nonce: probe.asker_nonce }, out);
                 }
             }
             Answered::Nothing => {}
--- a/fleet/src/terms.rs
+++ b/fleet/src/terms.rs
@@ -13,10 +13,10 @@
     pub seeds: Vec<SocketAddr>,
     /// One member is probed each period.
     pub period: Tenths,
-    /// An answer is waited for so long before helpers are asked; less than `period`.
+    /// An answer is waited for so long before indirect probers are asked; less than `period`.
     pub answer_within: Tenths,
-    /// Helpers asked.
-    pub helpers: usize,
+    /// Members that are asked to probe in its place.
+    pub indirect_probers: usize,
     /// How long a suspicion stands before the member is declared dead: when others share it, and on one's own
     /// word.
     pub suspicion_min: Tenths,
@@ -42,7 +42,7 @@
             seeds: Vec::new(),
             period: 200 * MS,
             answer_within: 70 * MS,
-            helpers: 3,
+            indirect_probers: 3,
             suspicion_min: 400 * MS,
             suspicion_max: 2_000 * MS,
             gossip_interval: 50 * MS,
--- a/fleet/src/timers.rs
+++ b/fleet/src/timers.rs
@@ -12,7 +12,7 @@
         while let Some(timer) = self.due(now) {
             match timer {
                 Timer::Period => self.period(now, out),
-                Timer::Wait(nonce) => self.ask_helpers(nonce, out),
+                Timer::Wait(nonce) => self.ask_indirect_probers(nonce, out),
                 Timer::Over(nonce) => self.unanswered(now, nonce, out),
                 Timer::Suspicion(place, since) => self.suspicion_ends(now, place, since, out),
                 Timer::Look(place, since) => self.look(place, since, out),
@@ -79,13 +79,13 @@
         }
     }
 
-    /// Helpers tell a broken link from a dead node.
-    fn ask_helpers(&mut self, nonce: u32, out: &mut Vec<Action>) {
+    /// Indirect probes tell a broken link from a dead node.
+    fn ask_indirect_probers(&mut self, nonce: u32, out: &mut Vec<Action>) {
         let Some(probe) = self.probes.get(nonce) else { return };
         let Some(of) = self.table.get(probe.place).map(|record| record.update.clone()) else { return };
-        for helper in self.table.some(self.terms.helpers, Some(probe.place), &mut self.chance) {
-            let message = Message::PingFor { nonce, name: of.name.clone(), incarnation: of.incarnation };
-            self.send(helper, message, out);
+        for prober in self.table.some(self.terms.indirect_probers, Some(probe.place), &mut self.chance) {
+            let message = Message::PingRequest { nonce, name: of.name.clone(), incarnation: of.incarnation };
+            self.send(prober, message, out);
         }
     }
 
--- a/fleet/tests/random.rs
+++ b/fleet/tests/random.rs
@@ -42,7 +42,11 @@
         any::<u32>().prop_map(|nonce| Message::Ping { nonce }),
         any::<u32>().prop_map(|nonce| Message::Ack { nonce }),
         (any::<u32>(), 0u8..20, 1u64..4).prop_map(|(nonce, of, incarnation)| {
-            Message::PingFor { nonce, name: format!("n{of}").into(), incarnation: Incarnation(incarnation) }
+            Message::PingRequest {
+                nonce,
+                name: format!("n{of}").into(),
+                incarnation: Incarnation(incarnation),
+            }
         }),
         Just(Message::Updates),
         proptest::option::of(0u8..20)
--- a/installation/src/fleet.rs
+++ b/installation/src/fleet.rs
@@ -74,7 +74,7 @@
     /// Each node probes one other so often.
     #[schemars(range(min = 20, max = 60_000))]
     pub period_ms: u32,
-    /// An answer that takes longer has helpers asked; less than `period_ms`.
+    /// An answer that takes longer has indirect probers asked; less than `period_ms`.
     #[schemars(range(min = 5, max = 30_000))]
     pub answer_within_ms: u32,
     /// How long a member is suspected before it is declared dead, where others suspect it too.
--- a/node/tests/fleet/link.rs
+++ b/node/tests/fleet/link.rs
@@ -117,7 +117,7 @@
     };
     let updates: Vec<MemberUpdate> = (0..doortrack_fleet::MAX_UPDATES).map(update).collect();
     let message =
-        Message::PingFor { nonce: u32::MAX, name: update(1).name, incarnation: Incarnation(u64::MAX) };
+        Message::PingRequest { nonce: u32::MAX, name: update(1).name, incarnation: Incarnation(u64::MAX) };
     let datagram = Datagram { head, message, updates };
     let seal = Seal::new(None, &"x".repeat(64));
     assert!(seal.close(&Spoken::Fleet(datagram)).is_some());
--- a/rig/src/course.rs
+++ b/rig/src/course.rs
@@ -146,7 +146,7 @@
     }
 
     /// Whether a cut parted the node from more than one other. One broken link is no reason to declare
-    /// anybody dead: there are helpers.
+    /// anybody dead: there are indirect probers.
     pub fn was_parted(&self, node: usize, from: u64, till: u64) -> bool {
         self.cuts.iter().filter(|(.., span)| span.meets(from, till)).any(|(of, to, _)| {
             let alone = of.len() == 1 && to.len() == 1;
--- a/rig/tests/simulated.rs
+++ b/rig/tests/simulated.rs
@@ -105,7 +105,7 @@
     // Where suspicions are hardly given time to be contradicted, what comes before them shows.
     let hasty = Terms { suspicion_min: 50, suspicion_max: 100, ..Terms::default() };
     assert!(breaks(&one_link, hasty.clone()).is_empty());
-    let alone = Terms { helpers: 0, ..hasty.clone() };
+    let alone = Terms { indirect_probers: 0, ..hasty.clone() };
     assert!(breaks(&one_link, alone).contains(&"nobody wrongly declared dead"));
     let rest: Vec<usize> = (1..6).collect();
     let woken = script(
