--- a/fleet/src/fleet.rs
+++ b/fleet/src/fleet.rs
@@ -77,7 +77,7 @@
     /// Whether anybody answered since the last period, and for how many periods nobody has.
     pub(crate) answered: bool,
     pub(crate) silent: u32,
-    pub(crate) cut_off: bool,
+    pub(crate) isolated: bool,
     /// Resumed after a pause of the process, and has heard no answer since.
     pub(crate) resumed: bool,
     /// Suspicions count from here at the earliest.
@@ -115,7 +115,7 @@
             updates_armed: false,
             answered: false,
             silent: 0,
-            cut_off: false,
+            isolated: false,
             resumed: false,
             resumed_at: 0,
             join_requests: 0,
@@ -171,8 +171,8 @@
     }
 
     /// Whether nobody answers this node.
-    pub fn is_cut_off(&self) -> bool {
-        self.cut_off
+    pub fn is_isolated(&self) -> bool {
+        self.isolated
     }
 
     pub fn is_superseded(&self) -> bool {
@@ -180,7 +180,7 @@
     }
 
     pub(crate) fn suspects_nobody(&self) -> bool {
-        self.cut_off || self.resumed
+        self.isolated || self.resumed
     }
 
     pub(crate) fn arm(&mut self, at: Tenths, timer: Timer) {
--- a/fleet/src/joining.rs
+++ b/fleet/src/joining.rs
@@ -22,7 +22,7 @@
     /// and at seeds alone while nobody answers.
     pub(crate) fn send_join_requests(&mut self, out: &mut Vec<Action>) {
         self.join_requests = self.join_requests.saturating_add(1);
-        let lonely = self.stage == Stage::Joining || self.cut_off || self.table.there() == 0;
+        let lonely = self.stage == Stage::Joining || self.isolated || self.table.there() == 0;
         // All started at once, nodes find together in islands at first.
         let often = self.join_requests <= EARLY_JOIN_REQUESTS
             || self.join_requests.is_multiple_of(LATER_REQUESTS_EVERY);
--- a/fleet/src/lib.rs
+++ b/fleet/src/lib.rs
@@ -17,7 +17,7 @@
 //!   meant for.
 //! - **Who was paused suspects nobody.** A turn that comes late by more than [`Terms::max_lateness`] drops
 //!   all probes and starts all suspicions anew; until another has answered, nobody is suspected.
-//! - **Who gets no answer from anybody holds itself for the one that is cut off**, and declares nobody dead.
+//! - **Who gets no answer from anybody considers itself isolated**, and declares nobody dead.
 //! - **Second opinions.** Some of those that hear of a suspicion try for themselves. Each that fails shortens
 //!   it; the word of one alone takes the longest time.
 //! - **Left is not dead**, and a node that comes back again and again is held back longer each time.
@@ -146,7 +146,7 @@
         after: u64,
     },
     /// Nobody answers this node, or somebody does again.
-    CutOff(bool),
+    Isolated(bool),
     /// This process was paused, and woke so many tenths of a ms late.
     Resumed {
         late: u64,
@@ -183,8 +183,8 @@
             Change::Left { .. } => "left",
             Change::HeldBack { .. } => "held_back",
             Change::Slow { .. } => "slow",
-            Change::CutOff(true) => "cut_off",
-            Change::CutOff(false) => "reconnected",
+            Change::Isolated(true) => "isolated",
+            Change::Isolated(false) => "reconnected",
             Change::Resumed { .. } => "resumed",
             Change::NewIncarnation { .. } => "new_incarnation",
             Change::Superseded { .. } => "superseded",
--- a/fleet/src/receiving.rs
+++ b/fleet/src/receiving.rs
@@ -234,8 +234,8 @@
             self.resumed_at = now;
         }
         self.resumed = false;
-        if std::mem::take(&mut self.cut_off) {
-            out.push(Action::Report(Change::CutOff(false)));
+        if std::mem::take(&mut self.isolated) {
+            out.push(Action::Report(Change::Isolated(false)));
         }
     }
 
--- a/fleet/src/terms.rs
+++ b/fleet/src/terms.rs
@@ -26,7 +26,7 @@
     pub gossip_fanout: usize,
     /// Woken by more than this later than asked for, the process counts as having been paused.
     pub max_lateness: Tenths,
-    /// Periods without any answer after which this node holds itself for the one that is cut off.
+    /// Periods without any answer after which this node considers itself isolated.
     pub silent_periods: u32,
     /// Wait before a member that came back twice is in the view again; doubled each time, up to the most.
     pub hold_first: Tenths,
--- a/fleet/src/timers.rs
+++ b/fleet/src/timers.rs
@@ -53,9 +53,9 @@
         } else {
             self.silent += 1;
         }
-        if self.silent > self.terms.silent_periods && !self.cut_off {
-            self.cut_off = true;
-            out.push(Action::Report(Change::CutOff(true)));
+        if self.silent > self.terms.silent_periods && !self.isolated {
+            self.isolated = true;
+            out.push(Action::Report(Change::Isolated(true)));
         }
         if let Some(place) = self.table.next_probe(&mut self.chance) {
             self.probe(now, place, out);
--- a/fleet/tests/cases.rs
+++ b/fleet/tests/cases.rs
@@ -156,27 +156,27 @@
 }
 
 #[test]
-fn who_hears_nobody_holds_itself_for_cut_off_and_declares_nobody_dead() {
+fn who_hears_nobody_considers_itself_isolated_and_declares_nobody_dead() {
     let mut few = Few::new(5);
     few.pass(2_000);
     few.cut = Box::new(|from, to| from == 0 || to == 0);
     few.pass(20_000);
-    assert!(few.fleets[0].is_cut_off());
+    assert!(few.fleets[0].is_isolated());
     assert_eq!(few.members(0), 5);
     assert!((1..5).all(|of| few.told(of, "dead", "n0") && few.members(of) == 4));
     few.cut = Box::new(|_, _| false);
     few.pass(3_000);
-    assert!((0..5).all(|of| few.members(of) == 5 && !few.fleets[of].is_cut_off()), "{:?}", few.changes);
+    assert!((0..5).all(|of| few.members(of) == 5 && !few.fleets[of].is_isolated()), "{:?}", few.changes);
 }
 
 #[test]
-fn who_is_heard_but_hears_nothing_back_is_the_cut_off_one_too() {
+fn who_is_heard_but_hears_nothing_back_is_isolated_too() {
     for outward in [true, false] {
         let mut few = Few::new(5);
         few.pass(2_000);
         few.cut = Box::new(move |from, to| if outward { from == 0 } else { to == 0 });
         few.pass(10_000);
-        assert!(few.fleets[0].is_cut_off(), "outward {outward}");
+        assert!(few.fleets[0].is_isolated(), "outward {outward}");
         assert!(
             (1..5).all(|of| !few.told(0, "dead", &format!("n{of}"))),
             "outward {outward}: {:?}",
@@ -186,7 +186,7 @@
 }
 
 #[test]
-fn without_the_word_cut_off_everybody_would_be_declared_dead() {
+fn without_the_word_isolated_everybody_would_be_declared_dead() {
     // The safeguard taken out: silence means nothing.
     let mut few = Few::new(5);
     for of in 0..5 {
--- a/node/src/commands/fleet.rs
+++ b/node/src/commands/fleet.rs
@@ -82,7 +82,7 @@
         let first = &self.first;
         json!({"fleet": first.fleet, "name": &*first.name, "incarnation": first.incarnation.to_string(),
             "view": first.view, "digest": format!("{:016x}", first.digest), "in_view": first.in_view,
-            "cut_off": first.cut_off, "superseded": first.superseded,
+            "isolated": first.isolated, "superseded": first.superseded,
             "members": self.members.iter().map(member).collect::<Vec<_>>(),
             "budgets": self.budgets.iter().map(|of| budget(of, self.leader.as_ref())).collect::<Vec<_>>()})
     }
@@ -95,7 +95,7 @@
             first.fleet,
             first.view,
             first.in_view,
-            if first.cut_off { ", cut off" } else { "" },
+            if first.isolated { ", isolated" } else { "" },
             if first.superseded { ", superseded by a process of the same name" } else { "" },
         );
         for of in &self.members {
--- a/node/src/peers/link.rs
+++ b/node/src/peers/link.rs
@@ -219,7 +219,7 @@
             view: view.number,
             digest: view.digest,
             in_view: view.members.len() as u32,
-            cut_off: self.fleet.is_cut_off(),
+            isolated: self.fleet.is_isolated(),
             superseded: self.fleet.is_superseded(),
             members,
             more,
@@ -266,7 +266,7 @@
             }
             None if matches!(
                 change,
-                Change::Superseded { .. } | Change::DuplicateName { .. } | Change::CutOff(true)
+                Change::Superseded { .. } | Change::DuplicateName { .. } | Change::Isolated(true)
             ) =>
             {
                 warn!(self.log, "member"; "what" => word, "why" => ?change, "view" => view);
@@ -385,7 +385,7 @@
     fn summary(&self, log: &Logger) {
         let counts = &self.counts;
         info!(log, "so far of the fleet"; "view" => self.fleet.view().number,
-            "members" => self.fleet.view().members.len(), "cut_off" => self.fleet.is_cut_off(),
+            "members" => self.fleet.view().members.len(), "isolated" => self.fleet.is_isolated(),
             "received" => counts.received, "sent" => counts.sent, "sent_bytes" => counts.sent_bytes,
             "unsent" => counts.unsent, "refused" => slog::Serde(counts.refused.clone()),
             "out_of_place" => self.fleet.refused());
--- a/node/src/peers/spoken.rs
+++ b/node/src/peers/spoken.rs
@@ -37,7 +37,7 @@
     pub view: u64,
     pub digest: u64,
     pub in_view: u32,
-    pub cut_off: bool,
+    pub isolated: bool,
     pub superseded: bool,
     pub members: Vec<MemberReport>,
     pub more: bool,
--- a/node/tests/fleet/link.rs
+++ b/node/tests/fleet/link.rs
@@ -148,7 +148,7 @@
         view: u64::MAX,
         digest: u64::MAX,
         in_view: u32::MAX,
-        cut_off: true,
+        isolated: true,
         superseded: true,
         members,
         more,
@@ -239,7 +239,7 @@
     let json = ask(&["--key-file", key, "--json"]);
     let seen: Value = serde_json::from_slice(&json.stdout).unwrap();
     assert_eq!(
-        (&seen["name"], &seen["fleet"], &seen["cut_off"]),
+        (&seen["name"], &seen["fleet"], &seen["isolated"]),
         (&json!("n0"), &json!("rig"), &json!(false))
     );
     let states: Vec<_> = seen["members"].as_array().unwrap().iter().map(|of| &of["state"]).collect();
--- a/node/tests/fleet/troubles.rs
+++ b/node/tests/fleet/troubles.rs
@@ -53,7 +53,7 @@
 }
 
 #[test]
-fn a_node_cut_off_one_way_holds_itself_for_the_cut_off_one() {
+fn a_node_cut_off_one_way_considers_itself_isolated() {
     let faults = vec![
         (2_000, Fault::Cut { from: vec![1, 2, 3, 4], to: vec![0] }),
         (10_000, Fault::Mend { from: vec![1, 2, 3, 4], to: vec![0] }),
@@ -61,7 +61,7 @@
     let played = played(&script(5, 12_000, faults));
     let own = |what: &What| matches!(what, What::News { node: 0, word, .. } if word == "dead");
     assert!(!played.history.entries.iter().any(|entry| own(&entry.what)), "{}", played.history.lines());
-    assert!(told(&played, "cut_off") >= 1 && told(&played, "reconnected") >= 1);
+    assert!(told(&played, "isolated") >= 1 && told(&played, "reconnected") >= 1);
 }
 
 #[test]
--- a/rig/src/checks.rs
+++ b/rig/src/checks.rs
@@ -31,7 +31,7 @@
         Box::new(NoFalseDeath),
         Box::new(LeftIsNotDead),
         Box::new(IncarnationsGoForward),
-        Box::new(CutOffDeclaresNobodyDead),
+        Box::new(IsolatedDeclaresNobodyDead),
         Box::new(ResumedDeclaresNobodyDead),
         Box::new(InTheEndAllAgree),
     ]
@@ -151,21 +151,21 @@
     }
 }
 
-/// Who hears nobody declares nobody dead: it is the one that is cut off.
-pub struct CutOffDeclaresNobodyDead;
+/// Who hears nobody declares nobody dead: it is the one that is isolated.
+pub struct IsolatedDeclaresNobodyDead;
 
-impl Invariant for CutOffDeclaresNobodyDead {
+impl Invariant for IsolatedDeclaresNobodyDead {
     fn name(&self) -> &'static str {
-        "cut off, declares nobody dead"
+        "isolated, declares nobody dead"
     }
 
     fn judge(&self, history: &History, course: &Course) -> Vec<(u64, String)> {
         let wrong = |at: u64, by: usize, of: usize| {
             // A suspicion that others had shared before may come to its end just after the cut.
-            let within = course.cut_off(by).iter().any(|span| at >= span.from + SAYING && at < span.till);
+            let within = course.isolated(by).iter().any(|span| at >= span.from + SAYING && at < span.till);
             within && !course.was_wrong(of, at.saturating_sub(REASONS), at)
         };
-        deaths(history, wrong, |by, of| format!("{by}, cut off, declared {of} dead"))
+        deaths(history, wrong, |by, of| format!("{by}, isolated, declared {of} dead"))
     }
 }
 
--- a/rig/src/course.rs
+++ b/rig/src/course.rs
@@ -155,7 +155,7 @@
     }
 
     /// The spans in which nothing went either way between this node and any other.
-    pub fn cut_off(&self, node: usize) -> Vec<Span> {
+    pub fn isolated(&self, node: usize) -> Vec<Span> {
         let whole = |list: &[usize]| (0..self.wrong.len()).all(|of| of == node || list.contains(&of));
         let ways = |outward: bool| {
             self.cuts.iter().filter(move |(of, to, _)| {
--- a/rig/src/history.rs
+++ b/rig/src/history.rs
@@ -44,7 +44,8 @@
     /// A node was asked how it sees its fleet.
     Status {
         node: usize,
-        cut_off: bool,
+        #[serde(alias = "cut_off")]
+        isolated: bool,
         digest: String,
         members: Vec<Member>,
     },
@@ -72,6 +73,7 @@
 pub fn current_word(word: &str) -> &str {
     match word {
         "lost" => "dead",
+        "cut_off" => "isolated",
         "twin" => "duplicate_name",
         "displaced" => "superseded",
         "stood_still" => "resumed",
--- a/rig/src/processes/asking.rs
+++ b/rig/src/processes/asking.rs
@@ -24,7 +24,7 @@
         });
         Some(What::Status {
             node: of,
-            cut_off: seen.first.cut_off,
+            isolated: seen.first.isolated,
             digest: format!("{:016x}", seen.first.digest),
             members: members.collect(),
         })
--- a/rig/src/simulated.rs
+++ b/rig/src/simulated.rs
@@ -273,7 +273,7 @@
             state: state(of.state).unwrap_or_default(),
         };
         let members = reports.into_iter().map(member).collect();
-        let (cut_off, digest) = (fleet.is_cut_off(), format!("{:016x}", fleet.view().digest));
-        self.history.put(at_ms, What::Status { node: of, cut_off, digest, members });
+        let (isolated, digest) = (fleet.is_isolated(), format!("{:016x}", fleet.view().digest));
+        self.history.put(at_ms, What::Status { node: of, isolated, digest, members });
     }
 }
--- a/rig/tests/checkers.rs
+++ b/rig/tests/checkers.rs
@@ -14,7 +14,7 @@
 fn status(node: usize, there: &[usize]) -> What {
     let member = |of: &usize| Member { name: name(*of), incarnation: "1".into(), state: "alive".into() };
     let digest = format!("{there:?}");
-    What::Status { node, cut_off: false, digest, members: there.iter().map(member).collect() }
+    What::Status { node, isolated: false, digest, members: there.iter().map(member).collect() }
 }
 
 /// Three nodes that start, and say so of one another.
@@ -88,14 +88,14 @@
 }
 
 #[test]
-fn a_death_declared_by_one_that_is_cut_off_is_found() {
+fn a_death_declared_by_one_that_is_isolated_is_found() {
     let mut history = good();
     fault(&mut history, 20_000, Fault::Cut { from: vec![0], to: vec![1, 2] });
     fault(&mut history, 20_000, Fault::Cut { from: vec![1, 2], to: vec![0] });
     history.put(24_000, news(0, "dead", 1, 0x10));
     fault(&mut history, 30_000, Fault::Mend { from: vec![0], to: vec![1, 2] });
     fault(&mut history, 30_000, Fault::Mend { from: vec![1, 2], to: vec![0] });
-    assert_eq!(broken(&ended(history, &[0, 1, 2])), ["cut off, declares nobody dead"]);
+    assert_eq!(broken(&ended(history, &[0, 1, 2])), ["isolated, declares nobody dead"]);
 }
 
 #[test]
--- a/rig/tests/simulated.rs
+++ b/rig/tests/simulated.rs
@@ -77,7 +77,7 @@
 #[test]
 fn each_safeguard_taken_out_breaks_a_promise() {
     let rest: Vec<usize> = (1..6).collect();
-    let cut_off = script(
+    let isolated = script(
         6,
         30_000,
         vec![
@@ -99,9 +99,9 @@
         let (history, _) = play(script, &Ways { terms, ..Ways::default() });
         judge(&history, &membership()).into_iter().map(|breach| breach.rule).collect()
     };
-    assert!(breaks(&cut_off, Terms::default()).is_empty());
+    assert!(breaks(&isolated, Terms::default()).is_empty());
     let deaf = Terms { silent_periods: u32::MAX, ..Terms::default() };
-    assert!(breaks(&cut_off, deaf).contains(&"cut off, declares nobody dead"));
+    assert!(breaks(&isolated, deaf).contains(&"isolated, declares nobody dead"));
     // Where suspicions are hardly given time to be contradicted, what comes before them shows.
     let hasty = Terms { suspicion_min: 50, suspicion_max: 100, ..Terms::default() };
     assert!(breaks(&one_link, hasty.clone()).is_empty());
