--- a/bench/benches/budgets.rs
+++ b/bench/benches/budgets.rs
@@ -9,15 +9,15 @@
 
 fn checks(criterion: &mut Criterion) {
     let me: Name = "n0".into();
-    for (what, kind) in [("rate", Kind::Rate { burst: 1_000 }), ("places", Kind::Places { held_most: 10 })] {
+    for (what, kind) in [("rate", Kind::Rate { burst: 1_000 }), ("places", Kind::Places { max_hold: 10 })] {
         let list: Vec<Budget> = (0..200)
             .map(|nth| Budget {
                 name: format!("b{nth}").into(),
                 kind,
-                whole: 1_000_000,
-                floor: 1_000_000,
-                floors_for: Arc::new([me.clone()]),
-                most: 1_000_000,
+                limit: 1_000_000,
+                reserved: 1_000_000,
+                reserved_for: Arc::new([me.clone()]),
+                max_per_node: 1_000_000,
             })
             .collect();
         let who = Who { name: me.clone(), incarnation: Incarnation(1) };
--- a/bench/src/bin/budgets.rs
+++ b/bench/src/bin/budgets.rs
@@ -12,7 +12,7 @@
 use doortrack_rig::history::name;
 use doortrack_rig::script::{Fault, Script, Timed};
 
-const WHOLE: u32 = 6_000;
+const LIMIT: u32 = 6_000;
 const VOTERS: usize = 5;
 /// Shares are granted from here on.
 const CALM_MS: u64 = 5_000;
@@ -23,13 +23,20 @@
     (0..count).map(|of| Name::from(name(of))).collect()
 }
 
-fn run(nodes: usize, ms: u64, from: u64, faults: Vec<(u64, Fault)>, demand: Demand, floor: u32) -> Outcome {
+fn run(
+    nodes: usize,
+    ms: u64,
+    from: u64,
+    faults: Vec<(u64, Fault)>,
+    demand: Demand,
+    reserved: u32,
+) -> Outcome {
     let away = away_of(&faults);
     let faults = faults.into_iter().map(|(at_ms, fault)| Timed { at_ms, fault }).collect();
     let script = Script { nodes, ms, seed: 7, faults };
-    let kind = Kind::Rate { burst: WHOLE };
-    let floors_for = names(nodes);
-    let budget = Budget { name: "b".into(), kind, whole: WHOLE, floor, floors_for, most: WHOLE };
+    let kind = Kind::Rate { burst: LIMIT };
+    let reserved_for = names(nodes);
+    let budget = Budget { name: "b".into(), kind, limit: LIMIT, reserved, reserved_for, max_per_node: LIMIT };
     let ways = Ways {
         terms: Terms { voters: names(VOTERS.min(nodes)), ..Terms::default() },
         list: vec![budget],
@@ -55,11 +62,11 @@
     demand: Demand,
     away: &dyn Fn(usize, u64) -> bool,
 ) -> (f64, f64) {
-    let (whole, fixed) = (f64::from(WHOLE), f64::from(WHOLE) / nodes as f64);
+    let (limit, fixed) = (f64::from(LIMIT), f64::from(LIMIT) / nodes as f64);
     let (mut knows, mut fixes) = (0.0, 0.0);
     for ms in (from..till).step_by(10) {
         let asked: Vec<f64> = (0..nodes).map(|of| if away(of, ms) { 0.0 } else { demand(of, ms) }).collect();
-        knows += asked.iter().sum::<f64>().min(whole) / 100.0;
+        knows += asked.iter().sum::<f64>().min(limit) / 100.0;
         fixes += asked.iter().map(|of| of.min(fixed)).sum::<f64>() / 100.0;
     }
     (knows, fixes)
@@ -75,10 +82,10 @@
     move |of, ms| starts.iter().any(|(who, at)| *who == of && ms + 1_000 >= *at && ms < *at)
 }
 
-fn put_to_use(what: &str, nodes: usize, faults: Vec<(u64, Fault)>, demand: Demand, floor: u32) {
+fn put_to_use(what: &str, nodes: usize, faults: Vec<(u64, Fault)>, demand: Demand, reserved: u32) {
     let till = 35_000;
     let away = away_of(&faults);
-    let out = run(nodes, till, CALM_MS, faults, demand, floor);
+    let out = run(nodes, till, CALM_MS, faults, demand, reserved);
     let (knows, fixes) = could(nodes, CALM_MS, till, demand, &away);
     println!(
         "{what}, {nodes} nodes: {:.3} of what one who knows all puts to use; fixed shares {:.3}",
@@ -109,13 +116,13 @@
 }
 
 fn main() {
-    let whole = f64::from(WHOLE);
+    let limit = f64::from(LIMIT);
     for nodes in [9, 30] {
-        let still = move |of: usize, _: u64| if of == 7 { whole * 0.9 } else { whole * 0.2 / nodes as f64 };
+        let still = move |of: usize, _: u64| if of == 7 { limit * 0.9 } else { limit * 0.2 / nodes as f64 };
         put_to_use("skewed, always the same node", nodes, vec![], &still, 0);
-        // Nine tenths of the whole at one node, which changes every 5 s; a little at the others.
+        // Nine tenths of the limit at one node, which changes every 5 s; a little at the others.
         let skewed = move |of: usize, ms: u64| {
-            if (ms / 5_000) as usize % nodes == of { whole * 0.9 } else { whole * 0.2 / nodes as f64 }
+            if (ms / 5_000) as usize % nodes == of { limit * 0.9 } else { limit * 0.2 / nodes as f64 }
         };
         put_to_use("skewed, another node every 5 s", nodes, vec![], &skewed, 0);
         let mut release = Vec::new();
@@ -127,42 +134,42 @@
         }
         put_to_use("the same while six in ten are replaced within 7 s", nodes, release, &skewed, 0);
         let every_second = move |of: usize, ms: u64| {
-            if (ms / 1_000) as usize % nodes == of { whole * 0.9 } else { whole * 0.2 / nodes as f64 }
+            if (ms / 1_000) as usize % nodes == of { limit * 0.9 } else { limit * 0.2 / nodes as f64 }
         };
         put_to_use("moving every second", nodes, vec![], &every_second, 0);
     }
     let jump = |of: usize, ms: u64| match (of, ms < 15_000) {
-        (6, true) | (7, false) => whole * 1.2,
-        _ => whole * 0.01,
+        (6, true) | (7, false) => limit * 1.2,
+        _ => limit * 0.01,
     };
     let out = run(9, 25_000, 0, vec![], &jump, 0);
-    let after = from_when(&out, 15_000, 0.8 * whole * 0.9 / 10.0, Some(7));
+    let after = from_when(&out, 15_000, 0.8 * limit * 0.9 / 10.0, Some(7));
     println!("demand that moves is followed to 80% after {after}");
-    let hungry = |of: usize, _: u64| if of == 8 { whole * 2.0 } else { whole * 0.5 };
+    let hungry = |of: usize, _: u64| if of == 8 { limit * 2.0 } else { limit * 0.5 };
     for (who, gone) in
         [("a holder", 8), ("a voter", 0), ("a voter", 1), ("a voter", 2), ("a voter", 3), ("a voter", 4)]
     {
         let out = run(9, 30_000, 0, vec![(15_000, Fault::Kill { nodes: vec![gone] })], &hungry, 0);
-        let after = from_when(&out, 15_000, 0.93 * whole / 10.0, None);
-        println!("{who} dies ({} leaders in all): 93% of the whole in use again after {after}", out.leaders);
+        let after = from_when(&out, 15_000, 0.93 * limit / 10.0, None);
+        println!("{who} dies ({} leaders in all): 93% of the limit in use again after {after}", out.leaders);
     }
-    let equal = |_: usize, _: u64| whole * 0.3;
+    let equal = |_: usize, _: u64| limit * 0.3;
     for nodes in [9, 30] {
         let out = run(nodes, 35_000, CALM_MS, vec![], &equal, 0);
         println!(
-            "equal need, {nodes} nodes: Jain's index {:.4}, {:.3} of the whole used",
+            "equal need, {nodes} nodes: Jain's index {:.4}, {:.3} of the limit used",
             jain(&out.by_node),
-            out.used[0] as f64 / (whole * 30.0)
+            out.used[0] as f64 / (limit * 30.0)
         );
     }
     // How much shares swing where needs do not.
-    let steady = |of: usize, _: u64| whole * if of.is_multiple_of(2) { 0.4 } else { 0.6 };
+    let steady = |of: usize, _: u64| limit * if of.is_multiple_of(2) { 0.4 } else { 0.6 };
     let out = run(2, 35_000, CALM_MS, vec![], &steady, 0);
     let by_second: Vec<u32> =
         (10..35).map(|s| (s * 10..s * 10 + 10).filter_map(|t| out.by_time.get(&(0, t))).sum()).collect();
     println!("two nodes that need 0.4 and 0.6: the first uses {by_second:?} a second");
     for nodes in [10, 30, 100, 300, 1_000, 3_000] {
-        let little = move |_: usize, _: u64| whole * 0.8 / nodes as f64;
+        let little = move |_: usize, _: u64| limit * 0.8 / nodes as f64;
         let out = run(nodes, 15_000, CALM_MS, vec![], &little, 0);
         let each = |of: u64| of as f64 / nodes as f64 / 10.0;
         println!(
--- a/bench/src/bin/storm.rs
+++ b/bench/src/bin/storm.rs
@@ -73,8 +73,8 @@
     let mut file = json!({"fleet": {"voters": ["n0", "n1", "n2"]}, "servers": {"protocol": "fastcgi",
         "addresses": [server.at.to_string()], "at_once": 200, "answer_within_ms": 150, "idle_ms": 0,
         "aside": {"failures": 1000}, "retries": {"share": 1.0, "burst": 100, "tries": tries}}});
-    if let Some(whole) = fleets {
-        file["budgets"] = json!([{"name": "again", "kind": "rate", "whole": whole, "burst": whole, "for":
+    if let Some(limit) = fleets {
+        file["budgets"] = json!([{"name": "again", "kind": "rate", "limit": limit, "burst": limit, "for":
             {"retries": "servers"}}]);
     }
     let mut rig = Rig::new(Path::new("target/release/doortrack"), NODES, 1).expect("a rig");
--- a/budgets/src/account.rs
+++ b/budgets/src/account.rs
@@ -25,8 +25,8 @@
     target: Units,
     /// From here on it has nothing in use of what is counted here.
     till: Tenths,
-    whole: Units,
-    floor: Units,
+    limit: Units,
+    reserved: Units,
 }
 
 #[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
@@ -40,7 +40,8 @@
 struct Book {
     budget: Budget,
     granted: Units,
-    /// What can be granted as all see it: by the least whole and the greatest floor that anybody was told of.
+    /// What can be granted as all see it: by the lowest limit and the greatest reservation that anybody was
+    /// told of.
     grantable: Units,
 }
 
@@ -76,7 +77,7 @@
     pub fn new(list: &[Budget]) -> Accounts {
         let book = |budget: &Budget| Book {
             granted: 0,
-            grantable: budget.grantable(budget.whole(), budget.floor()),
+            grantable: budget.grantable(budget.limit(), budget.reserved()),
             budget: budget.clone(),
         };
         let places = list.iter().enumerate().map(|(place, budget)| (budget.id(), place)).collect();
@@ -118,7 +119,7 @@
         for item in items {
             let Some(place) = self.places.get(&item.id).copied() else { continue };
             let book = &mut self.books[place];
-            let grantable = book.budget.grantable(item.whole.min(book.budget.whole()), item.floor);
+            let grantable = book.budget.grantable(item.limit.min(book.budget.limit()), item.reserved);
             book.grantable = book.grantable.min(grantable);
             let line = holder.lines.entry(place).or_insert_with(|| Line {
                 last_seq: 0,
@@ -127,8 +128,8 @@
                 sent: VecDeque::new(),
                 target: 0,
                 till: 0,
-                whole: item.whole,
-                floor: item.floor,
+                limit: item.limit,
+                reserved: item.reserved,
             });
             if seq <= line.last_seq && terms.safeguards.in_order {
                 continue;
@@ -136,9 +137,9 @@
             line.last_seq = seq;
             let before = line.outstanding(terms);
             line.sent.retain(|(of, _)| *of > item.accepted);
-            line.holding = item.holding.min(book.budget.whole());
-            (line.need, line.whole, line.floor) = (item.need, item.whole, item.floor);
-            line.till = now + terms.lease + if terms.safeguards.held { book.budget.held_most() } else { 0 };
+            line.holding = item.holding.min(book.budget.limit());
+            (line.need, line.limit, line.reserved) = (item.need, item.limit, item.reserved);
+            line.till = now + terms.lease + if terms.safeguards.held { book.budget.max_hold() } else { 0 };
             // What others may have is theirs, whatever this one needs.
             let others = book.granted.saturating_sub(before);
             let free = book.grantable.saturating_sub(others);
@@ -168,18 +169,18 @@
         self.holders.retain(|_, holder| !holder.lines.is_empty());
         let mut asks: Vec<Vec<Asks>> = vec![Vec::new(); self.books.len()];
         let mut seen: Vec<(Units, Units)> =
-            self.books.iter().map(|book| (book.budget.whole(), book.budget.floor())).collect();
+            self.books.iter().map(|book| (book.budget.limit(), book.budget.reserved())).collect();
         for (who, holder) in &self.holders {
             for (place, line) in &holder.lines {
                 let most = self.books[*place].budget.max_grant(&who.name);
                 asks[*place].push(Asks { need: line.need, weight: holder.weight, most });
-                let (whole, floor) = &mut seen[*place];
-                (*whole, *floor) = (line.whole.min(*whole), line.floor.max(*floor));
+                let (limit, reserved) = &mut seen[*place];
+                (*limit, *reserved) = (line.limit.min(*limit), line.reserved.max(*reserved));
             }
         }
         let mut shares: Vec<std::vec::IntoIter<Units>> = Vec::with_capacity(self.books.len());
-        for ((book, asks), (whole, floor)) in self.books.iter_mut().zip(&asks).zip(seen) {
-            book.grantable = book.budget.grantable(whole, floor);
+        for ((book, asks), (limit, reserved)) in self.books.iter_mut().zip(&asks).zip(seen) {
+            book.grantable = book.budget.grantable(limit, reserved);
             shares.push(
                 divide(book.grantable, book.budget.step(), asks, self.rotation / ROTATE_AFTER).into_iter(),
             );
--- a/budgets/src/divide.rs
+++ b/budgets/src/divide.rs
@@ -11,12 +11,12 @@
     pub most: Units,
 }
 
-/// The shares of each, in the order of `asks`, multiples of `step` whose sum is at most `whole`. What is left
+/// The shares of each, in the order of `asks`, multiples of `step` whose sum is at most `limit`. What is left
 /// beyond all needs goes to all by weight, up to their mosts. Single steps that can't be divided go to one
 /// after the other as `rotation` grows, so that in time they are divided as well.
-pub fn divide(whole: Units, step: Units, asks: &[Asks], rotation: u64) -> Vec<Units> {
+pub fn divide(limit: Units, step: Units, asks: &[Asks], rotation: u64) -> Vec<Units> {
     let step = step.max(1);
-    let steps = whole / step;
+    let steps = limit / step;
     let needs: Vec<Units> = asks.iter().map(|of| of.need.min(of.most).div_ceil(step)).collect();
     let mosts: Vec<Units> = asks.iter().map(|of| of.most / step).collect();
     let needs: Vec<Units> = needs.iter().zip(&mosts).map(|(need, most)| *need.min(most)).collect();
@@ -31,7 +31,7 @@
 }
 
 /// Fills all up to one level by weight, each to its bound at the most.
-fn level(whole: Units, asks: &[Asks], bounds: &[Units], rotation: u64) -> Vec<Units> {
+fn level(limit: Units, asks: &[Asks], bounds: &[Units], rotation: u64) -> Vec<Units> {
     let weight = |of: usize| u128::from(asks[of].weight.max(1));
     // By bound for the weight: who needs least for its weight is filled first.
     let mut order: Vec<usize> = (0..asks.len()).filter(|of| bounds[*of] > 0).collect();
@@ -41,7 +41,7 @@
     });
     let mut shares = vec![0; asks.len()];
     let mut weights: u128 = order.iter().map(|of| weight(*of)).sum();
-    let mut left = whole;
+    let mut left = limit;
     for (nth, of) in order.iter().enumerate() {
         let fair = u128::from(left) * weight(*of) / weights.max(1);
         if u128::from(bounds[*of]) > fair {
--- a/budgets/src/envelope.rs
+++ b/budgets/src/envelope.rs
@@ -70,13 +70,13 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct Item {
     pub id: Id,
-    /// What could be used now, beyond the floor.
+    /// What could be used now, beyond the reserved minimum.
     pub need: Units,
-    /// What may be in use at the most, beyond the floor.
+    /// What may be in use at the most, beyond the reserved minimum.
     pub holding: Units,
     /// The newest report whose answer counts here.
     pub accepted: u64,
     /// The budget as this node was told of it.
-    pub whole: Units,
-    pub floor: Units,
+    pub limit: Units,
+    pub reserved: Units,
 }
--- a/budgets/src/leadership.rs
+++ b/budgets/src/leadership.rs
@@ -244,7 +244,7 @@
             Leadership::Leader(term) if term.election.till(&self.terms) > now => {
                 let (terms, since) = (&self.terms, term.since);
                 let settled = |budget: &Budget| {
-                    let held = if terms.safeguards.held { budget.held_most() } else { 0 };
+                    let held = if terms.safeguards.held { budget.max_hold() } else { 0 };
                     !terms.safeguards.settle || now >= since + terms.lease + held
                 };
                 let grants = self.accounts.report(now, &from, (seq, weight), items, settled, terms);
--- a/budgets/src/lib.rs
+++ b/budgets/src/lib.rs
@@ -1,5 +1,5 @@
 //! Decides how much of each budget of the whole fleet this node may use, so that all nodes together never use
-//! more than the whole.
+//! more than the limit.
 //!
 //! Every node holds one [`Budgets`]: what it heard is told to it with the time ([`Event`]), what is to be
 //! done comes back as [`Action`]s, and before each use it is asked ([`Budgets::take`]). Neither sockets nor a
@@ -22,7 +22,7 @@
 //!   it uses no more, or its lease is over. Whatever was sent and not confirmed counts as granted.
 //! - **A new leader** knows nothing of what was granted. Until all that an earlier one can have granted is
 //!   over, it only prolongs what holders say they hold, and only where they still do when its word comes.
-//! - **Floors** are set aside from the whole, for named nodes, and need no leader.
+//! - **Reserved minimums** are set aside from the limit, for named nodes, and need no leader.
 //!
 //! Assumptions: each process's time goes forward, and against true time by no more than [`Terms::drift`] too
 //! fast or too slow. Datagrams may be lost, doubled, delayed without bound and reordered. Any process may die
@@ -66,7 +66,7 @@
     Members(View),
     /// The node was told to leave: it asks for nothing more, and steps down as the leader.
     Leave,
-    /// Another process goes by this node's name: this one uses nothing more, floors included.
+    /// Another process goes by this node's name: this one uses nothing more, reserved minimums included.
     Superseded,
     /// Other budgets from here on. What one that stays has in use is kept.
     Changed {
--- a/budgets/src/need.rs
+++ b/budgets/src/need.rs
@@ -53,7 +53,7 @@
             Kind::Places { .. } => self.peak.max(in_use) + self.rejected,
         };
         // No more than all there is: who reports the absurd gets what is fair among equals.
-        let seen = seen.min(budget.whole());
+        let seen = seen.min(budget.limit());
         let (asked, rejected, peak) = (0, 0, in_use);
         let few = match budget.kind {
             Kind::Rate { .. } => self.asked.max(self.smooth * span / 10_000_000) < FEW,
--- a/budgets/src/reporting.rs
+++ b/budgets/src/reporting.rs
@@ -8,7 +8,7 @@
 /// One budget at one node.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Standing {
-    /// What this node may use now, its floor included, and of that what is on a lease.
+    /// What this node may use now, its reserved minimum included, and of that what is on a lease.
     pub share: Units,
     pub leased: Units,
     /// Places in use; 0 for a rate.
--- a/budgets/src/share.rs
+++ b/budgets/src/share.rs
@@ -25,9 +25,10 @@
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub(crate) struct Share {
     pub budget: Budget,
-    floor: Units,
-    /// The floor may be used from here on: places that an earlier incarnation had may be in use until then.
-    floor_from: Tenths,
+    reserved: Units,
+    /// The reserved minimum may be used from here on: places that an earlier incarnation had may be in use
+    /// until then.
+    reserved_from: Tenths,
     leased: Units,
     till: Tenths,
     /// The newest report whose answer is in force.
@@ -41,14 +42,14 @@
 
 impl Share {
     pub fn new(budget: Budget, name: &str, now: Tenths, terms: &Terms) -> Share {
-        let held = if terms.safeguards.held { budget.held_most() } else { 0 };
+        let held = if terms.safeguards.held { budget.max_hold() } else { 0 };
         let uses = match budget.kind {
             Kind::Rate { .. } => Uses::Rate { tokens: 0, cap: 0, counted: now },
             Kind::Places { .. } => Uses::Places { in_use: 0 },
         };
         let mut share = Share {
-            floor: budget.floor_of(name),
-            floor_from: now + held,
+            reserved: budget.reserved_at(name),
+            reserved_from: now + held,
             budget,
             leased: 0,
             till: 0,
@@ -64,24 +65,24 @@
 
     /// The same budget told of anew: what is in use stays so.
     pub fn change(&mut self, budget: Budget, name: &str) {
-        self.floor = budget.floor_of(name);
-        // A lower whole holds at once for what this node may use.
-        self.leased = self.leased.min(budget.grantable(budget.whole(), budget.floor()));
+        self.reserved = budget.reserved_at(name);
+        // A lower limit holds at once for what this node may use.
+        self.leased = self.leased.min(budget.grantable(budget.limit(), budget.reserved()));
         self.budget = budget;
         self.bound();
     }
 
     /// Nothing of it may be used any more.
     pub fn shut(&mut self) {
-        (self.floor, self.leased, self.till) = (0, 0, 0);
+        (self.reserved, self.leased, self.till) = (0, 0, 0);
         self.bound();
     }
 
     fn bound(&mut self) {
-        let (usable, whole) = (self.floor + self.leased, self.budget.whole());
+        let (usable, limit) = (self.reserved + self.leased, self.budget.limit());
         if let (Uses::Rate { tokens, cap, .. }, Kind::Rate { burst }) = (&mut self.uses, self.budget.kind) {
             let all = u128::from(burst) * u128::from(TOKEN);
-            *cap = (all * u128::from(usable.min(whole)) / u128::from(whole.max(1))) as u64;
+            *cap = (all * u128::from(usable.min(limit)) / u128::from(limit.max(1))) as u64;
             *tokens = (*tokens).min(*cap);
         }
     }
@@ -98,7 +99,7 @@
     }
 
     fn count(&mut self, now: Tenths, terms: &Terms) {
-        let rate = self.floor + self.leased;
+        let rate = self.reserved + self.leased;
         if let Uses::Rate { tokens, cap, counted } = &mut self.uses {
             let span = now.saturating_sub(*counted);
             let mut more = rate.saturating_mul(span);
@@ -114,13 +115,13 @@
     /// What may be used now, in all.
     pub fn usable(&mut self, now: Tenths, terms: &Terms) -> Units {
         self.settle(now, terms);
-        self.leased + if now >= self.floor_from { self.floor } else { 0 }
+        self.leased + if now >= self.reserved_from { self.reserved } else { 0 }
     }
 
     /// Uses one unit, or says how long to wait before asking again.
     pub fn take(&mut self, now: Tenths, terms: &Terms) -> Result<(), Tenths> {
         let usable = self.usable(now, terms);
-        let rate = self.floor + self.leased;
+        let rate = self.reserved + self.leased;
         let (taken, in_use) = match &mut self.uses {
             Uses::Rate { tokens, cap, .. } => {
                 if *tokens >= TOKEN {
@@ -171,11 +172,11 @@
         let need = if round { self.need.round(now, &self.budget, in_use) } else { self.need.last() };
         Item {
             id: self.budget.id(),
-            need: if leaves { 0 } else { need.saturating_sub(self.floor) },
-            holding: self.leased.max(in_use.saturating_sub(self.floor)),
+            need: if leaves { 0 } else { need.saturating_sub(self.reserved) },
+            holding: self.leased.max(in_use.saturating_sub(self.reserved)),
             accepted: self.accepted,
-            whole: self.budget.whole(),
-            floor: self.budget.floor(),
+            limit: self.budget.limit(),
+            reserved: self.budget.reserved(),
         }
     }
 
@@ -193,7 +194,7 @@
         // A leader that prolongs may not know that this has been granted to another since it was over here.
         let most = if grant.prolongs && terms.safeguards.prolong { was } else { Units::MAX };
         self.leased =
-            grant.share.min(most).min(self.budget.grantable(self.budget.whole(), self.budget.floor()));
+            grant.share.min(most).min(self.budget.grantable(self.budget.limit(), self.budget.reserved()));
         (self.till, self.accepted, self.ran_out) = (till, seq, None);
         self.bound();
         (was, self.leased)
--- a/budgets/src/terms.rs
+++ b/budgets/src/terms.rs
@@ -25,7 +25,7 @@
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub enum Kind {
-    /// Units a second. In any span the fleet uses at most `whole` times the span and `burst` beyond.
+    /// Units a second. In any span the fleet uses at most `limit` times the span and `burst` beyond.
     Rate {
         /// Units.
         burst: u32,
@@ -33,7 +33,7 @@
     /// Units held at once.
     Places {
         /// What a place is held for at the longest, also by who is parted from all or has died.
-        held_most: Tenths,
+        max_hold: Tenths,
     },
 }
 
@@ -43,13 +43,13 @@
     pub name: Arc<str>,
     pub kind: Kind,
     /// Units a second, or places.
-    pub whole: u32,
-    /// Set aside for each of `floors_for`, in the same.
-    pub floor: u32,
-    /// Names of the nodes that have a floor.
-    pub floors_for: Arc<[Name]>,
-    /// The most that any one node may have, its floor included.
-    pub most: u32,
+    pub limit: u32,
+    /// Set aside for each of `reserved_for`, in the same.
+    pub reserved: u32,
+    /// Names of the nodes that have a reserved minimum.
+    pub reserved_for: Arc<[Name]>,
+    /// The most that any one node may have, its reserved minimum included.
+    pub max_per_node: u32,
 }
 
 impl Budget {
@@ -64,41 +64,41 @@
         id_of(&self.name, self.kind)
     }
 
-    pub fn whole(&self) -> Units {
-        Units::from(self.whole) * self.scale()
+    pub fn limit(&self) -> Units {
+        Units::from(self.limit) * self.scale()
     }
 
-    pub fn floor(&self) -> Units {
-        Units::from(self.floor) * self.scale()
+    pub fn reserved(&self) -> Units {
+        Units::from(self.reserved) * self.scale()
     }
 
-    /// What can be granted, where all think so of the whole and the floor.
-    pub fn grantable(&self, whole: Units, floor: Units) -> Units {
-        whole.saturating_sub(floor * self.floors_for.len() as Units)
+    /// What can be granted, where all think so of the limit and the reserved minimum.
+    pub fn grantable(&self, limit: Units, reserved: Units) -> Units {
+        limit.saturating_sub(reserved * self.reserved_for.len() as Units)
     }
 
     /// The most that one node may be granted.
     pub fn max_grant(&self, of: &str) -> Units {
-        (Units::from(self.most) * self.scale()).saturating_sub(self.floor_of(of))
+        (Units::from(self.max_per_node) * self.scale()).saturating_sub(self.reserved_at(of))
     }
 
-    pub fn floor_of(&self, name: &str) -> Units {
-        if self.floors_for.iter().any(|of| **of == *name) { self.floor() } else { 0 }
+    pub fn reserved_at(&self, name: &str) -> Units {
+        if self.reserved_for.iter().any(|of| **of == *name) { self.reserved() } else { 0 }
     }
 
     /// Shares are multiples of this: a smaller one has no whole unit of the burst, and can't be used.
     pub fn step(&self) -> Units {
         match self.kind {
-            Kind::Rate { burst } => self.whole().div_ceil(Units::from(burst.max(1))).max(1),
+            Kind::Rate { burst } => self.limit().div_ceil(Units::from(burst.max(1))).max(1),
             Kind::Places { .. } => 1,
         }
     }
 
     /// How long after its lease something of it may still be in use.
-    pub fn held_most(&self) -> Tenths {
+    pub fn max_hold(&self) -> Tenths {
         match self.kind {
             Kind::Rate { .. } => 0,
-            Kind::Places { held_most } => held_most,
+            Kind::Places { max_hold } => max_hold,
         }
     }
 }
@@ -141,7 +141,7 @@
     }
 }
 
-/// What keeps the sum within the whole. All are on; tests show that each is needed.
+/// What keeps the sum within the limit. All are on; tests show that each is needed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub struct Safeguards {
     /// A voter that has just started gives no vote.
--- a/budgets/tests/holder.rs
+++ b/budgets/tests/holder.rs
@@ -21,8 +21,9 @@
         let leader = Who { name: "k".into(), incarnation: Incarnation(1) };
         let voters: Arc<[Name]> = Arc::new([leader.name.clone()]);
         let terms = Terms { voters, safeguards, ..Terms::default() };
-        let (kind, floors_for) = (Kind::Places { held_most: 0 }, Arc::new([]));
-        let list = [Budget { name: "b".into(), kind, whole: 20, floor: 0, floors_for, most: 20 }];
+        let (kind, reserved_for) = (Kind::Places { max_hold: 0 }, Arc::new([]));
+        let list =
+            [Budget { name: "b".into(), kind, limit: 20, reserved: 0, reserved_for, max_per_node: 20 }];
         let me = Who { name: "h".into(), incarnation: Incarnation(2) };
         let mut budgets = Budgets::new(me, 1, terms, &list, 1, 0);
         let mut view = View::default();
--- a/budgets/tests/model.rs
+++ b/budgets/tests/model.rs
@@ -1,5 +1,5 @@
 //! Leaders, votes and leases as a machine, searched exhaustively within small bounds: whatever dies, stops,
-//! is lost, doubled or overtaken, the shares that may be used are never more than the whole. The model drives
+//! is lost, doubled or overtaken, the shares that may be used are never more than the limit. The model drives
 //! the package that the node runs. Each safeguard taken out must make it fail.
 
 use std::collections::BTreeSet;
@@ -66,8 +66,8 @@
     fn start(&self, of: usize, incarnation: u64, now: Tenths) -> Budgets {
         // What may be used counts as used.
         let kind = Kind::Rate { burst: 1 };
-        let floors_for = Arc::new([]);
-        let budget = Budget { name: "b".into(), kind, whole: 1, floor: 0, floors_for, most: 1 };
+        let reserved_for = Arc::new([]);
+        let budget = Budget { name: "b".into(), kind, limit: 1, reserved: 0, reserved_for, max_per_node: 1 };
         Budgets::new(
             Self::who(of, incarnation),
             1,
@@ -211,7 +211,7 @@
 
     fn properties(&self) -> Vec<Property<Fleet>> {
         vec![
-            Property::always("never more than the whole", |_, state: &State| {
+            Property::always("never more than the limit", |_, state: &State| {
                 let used: u64 = state.nodes.iter().map(|node| node.exposed(0, state.now)).sum();
                 used <= 1_000
             }),
@@ -232,12 +232,12 @@
 fn search(nodes: usize, faults: u8, depth: usize) -> usize {
     let bounded = Fleet { faults, ..fleet(nodes, Safeguards::default()) };
     let checker = bounded.checker().threads(2).target_max_depth(depth).spawn_bfs().join();
-    checker.assert_no_discovery("never more than the whole");
+    checker.assert_no_discovery("never more than the limit");
     checker.unique_state_count()
 }
 
 #[test]
-fn within_small_bounds_the_whole_is_never_exceeded() {
+fn within_small_bounds_the_limit_is_never_exceeded() {
     assert!(search(2, 1, 9) > 10_000);
     assert!(search(3, 2, 7) > 20_000);
     assert_eq!(walk(3, Safeguards::default(), 0..100), None);
--- a/fleet/tests/random.rs
+++ b/fleet/tests/random.rs
@@ -121,7 +121,8 @@
                     let page = matches!(datagram.message, Message::Page { .. });
                     prop_assert!(page || datagram.updates.len() <= MAX_UPDATES);
                     let sender = &datagram.head.sender;
-                    prop_assert!(sender.name == fleet.me().name && sender.incarnation <= fleet.me().incarnation);
+                    let me = fleet.me();
+                    prop_assert!(sender.name == me.name && sender.incarnation <= me.incarnation);
                 }
             }
             let view = fleet.view();
--- a/installation/src/budgets.rs
+++ b/installation/src/budgets.rs
@@ -11,7 +11,7 @@
 use crate::{Fault, FleetFile, Installation, Orders};
 
 const MS: Tenths = 10;
-/// The greatest whole, floor, most and burst.
+/// The greatest limit, reserved minimum, maximum and burst.
 const MOST_UNITS: u32 = 10_000_000;
 
 /// One limit of the whole fleet. The same on all nodes.
@@ -24,8 +24,9 @@
     pub kind: BudgetKind,
     /// Exchanges a second, or held at once, of all nodes together.
     #[schemars(range(min = 1, max = 10_000_000))]
-    pub whole: u32,
-    /// Exchanges beyond `whole` times the span, in any span; at least one for each node that is to have a
+    #[serde(alias = "whole")]
+    pub limit: u32,
+    /// Exchanges beyond `limit` times the span, in any span; at least one for each node that is to have a
     /// share. Needed for a rate, and for no other.
     #[serde(default)]
     #[schemars(range(min = 1, max = 10_000_000))]
@@ -33,22 +34,22 @@
     /// Which exchanges it is for: one of the four.
     #[serde(rename = "for")]
     pub of: BudgetFor,
-    /// Set aside for each node of `floors_for`, so that it has this much even when it hears nobody. For a
-    /// rate at least `whole` / `burst`, or it holds no whole exchange.
-    #[serde(default)]
-    pub floor: u32,
-    /// Names of the nodes that have a floor. Absent: the voters.
-    #[serde(default)]
-    pub floors_for: Option<Vec<String>>,
-    /// The most that one node may have, its floor included. Absent: the whole.
-    #[serde(default)]
+    /// Set aside for each node of `reserved_for`, so that it has this much even when it hears nobody. For a
+    /// rate at least `limit` / `burst`, or it holds no whole exchange.
+    #[serde(default, alias = "floor")]
+    pub reserved: u32,
+    /// Names of the nodes that have a reserved minimum. Absent: the voters.
+    #[serde(default, alias = "floors_for")]
+    pub reserved_for: Option<Vec<String>>,
+    /// The most that one node may have, its reserved minimum included. Absent: the limit.
+    #[serde(default, alias = "most")]
     #[schemars(range(min = 1, max = 10_000_000))]
-    pub most: Option<u32>,
+    pub max_per_node: Option<u32>,
     /// What a place is held for at the longest, also by a node that died: so long nobody else has it. Absent:
     /// the longest deadline of all endpoint groups. For places alone.
-    #[serde(default)]
+    #[serde(default, alias = "held_most_ms")]
     #[schemars(range(min = 1, max = 3_600_000))]
-    pub held_most_ms: Option<u32>,
+    pub max_hold_ms: Option<u32>,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize, JsonSchema)]
@@ -104,16 +105,16 @@
 
 impl LeaseTimes {
     pub(crate) fn faults(&self, faults: &mut Vec<Fault>) {
-        let mut whole = |key: &str, value: u32, least: u32, most: u32| {
+        let mut check_range = |key: &str, value: u32, least: u32, most: u32| {
             if !(least..=most).contains(&value) {
                 let what = format!("{least} to {most} is wanted, found {value}");
                 faults.push(Fault::new(format!("installation.fleet.leases.{key}"), what));
             }
         };
-        whole("round_ms", self.round_ms, 20, 10_000);
-        whole("vote_ms", self.vote_ms, self.round_ms.min(10_000) * 3, 60_000);
-        whole("lease_ms", self.lease_ms, self.vote_ms.min(60_000), 600_000);
-        whole("drift_permille", self.drift_permille, 0, 200);
+        check_range("round_ms", self.round_ms, 20, 10_000);
+        check_range("vote_ms", self.vote_ms, self.round_ms.min(10_000) * 3, 60_000);
+        check_range("lease_ms", self.lease_ms, self.vote_ms.min(60_000), 600_000);
+        check_range("drift_permille", self.drift_permille, 0, 200);
     }
 }
 
@@ -145,18 +146,18 @@
 
 impl BudgetFile {
     fn budget(&self, voters: &[String], longest: Tenths) -> Budget {
-        let floors = self.floors_for.as_deref().unwrap_or(voters);
-        let held_most = self.held_most_ms.map_or(longest, |ms| Tenths::from(ms) * MS);
+        let reserved_for = self.reserved_for.as_deref().unwrap_or(voters);
+        let max_hold = self.max_hold_ms.map_or(longest, |ms| Tenths::from(ms) * MS);
         Budget {
             name: self.name.as_str().into(),
             kind: match self.kind {
                 BudgetKind::Rate => Kind::Rate { burst: self.burst.unwrap_or(1) },
-                BudgetKind::Places => Kind::Places { held_most },
+                BudgetKind::Places => Kind::Places { max_hold },
             },
-            whole: self.whole,
-            floor: self.floor,
-            floors_for: floors.iter().map(|name| Name::from(name.as_str())).collect(),
-            most: self.most.unwrap_or(self.whole).min(self.whole),
+            limit: self.limit,
+            reserved: self.reserved,
+            reserved_for: reserved_for.iter().map(|name| Name::from(name.as_str())).collect(),
+            max_per_node: self.max_per_node.unwrap_or(self.limit).min(self.limit),
         }
     }
 
@@ -166,10 +167,10 @@
             fault(".name", "1 to 64 bytes without control characters are wanted".into());
         }
         for (key, value, least) in [
-            (".whole", Some(self.whole), 1),
+            (".limit", Some(self.limit), 1),
             (".burst", self.burst, 1),
-            (".most", self.most, 1),
-            (".floor", Some(self.floor), 0),
+            (".max_per_node", self.max_per_node, 1),
+            (".reserved", Some(self.reserved), 0),
         ] {
             if value.is_some_and(|value| !(least..=MOST_UNITS).contains(&value)) {
                 let found = value.unwrap_or(0);
@@ -181,28 +182,31 @@
             (BudgetKind::Places, Some(_)) => fault(".burst", "only a rate has one".into()),
             _ => {}
         }
-        if self.kind == BudgetKind::Rate && self.held_most_ms.is_some() {
-            fault(".held_most_ms", "only places are held".into());
+        if self.kind == BudgetKind::Rate && self.max_hold_ms.is_some() {
+            fault(".max_hold_ms", "only places are held".into());
         }
         if self.kind == BudgetKind::Places && matches!(self.of, BudgetFor::Retries(_)) {
             fault(".kind", "retries are a rate".into());
         }
-        if self.held_most_ms.is_some_and(|ms| !(1..=3_600_000).contains(&ms)) {
-            fault(".held_most_ms", "1 to 3600000 is wanted".into());
+        if self.max_hold_ms.is_some_and(|ms| !(1..=3_600_000).contains(&ms)) {
+            fault(".max_hold_ms", "1 to 3600000 is wanted".into());
         }
-        let floors = self.floors_for.as_deref().unwrap_or(voters).len() as u64;
-        if u64::from(self.floor) * floors > u64::from(self.whole) {
-            let what = format!("{} for each of {floors} nodes are more than the whole", self.floor);
-            fault(".floor", what);
+        let nodes = self.reserved_for.as_deref().unwrap_or(voters).len() as u64;
+        if u64::from(self.reserved) * nodes > u64::from(self.limit) {
+            let what = format!("{} for each of {nodes} nodes are more than the limit", self.reserved);
+            fault(".reserved", what);
         }
-        if self.most.is_some_and(|most| most < self.floor) {
-            fault(".most", "less than the floor".into());
+        if self.max_per_node.is_some_and(|max| max < self.reserved) {
+            fault(".max_per_node", "less than what is reserved".into());
         }
         let burst = u64::from(self.burst.unwrap_or(1));
-        let too_small = self.floor > 0 && u64::from(self.floor) * burst < u64::from(self.whole);
+        let too_small = self.reserved > 0 && u64::from(self.reserved) * burst < u64::from(self.limit);
         if self.kind == BudgetKind::Rate && too_small {
-            let least = u64::from(self.whole).div_ceil(burst);
-            fault(".floor", format!("at least {least} (whole / burst) is wanted, or it holds no whole one"));
+            let least = u64::from(self.limit).div_ceil(burst);
+            fault(
+                ".reserved",
+                format!("at least {least} (limit / burst) is wanted, or it holds no whole one"),
+            );
         }
     }
 }
--- a/installation/src/fleet.rs
+++ b/installation/src/fleet.rs
@@ -165,23 +165,23 @@
             }
         }
         let times = self.times;
-        let mut whole = |key: &str, value: u32, least: u32, most: u32| {
+        let mut check_range = |key: &str, value: u32, least: u32, most: u32| {
             if !(least..=most).contains(&value) {
                 fault(key, format!("a whole number from {least} to {most} is wanted, found {value}"));
             }
         };
-        whole(".weight", self.weight.unwrap_or(1), 1, 1_000_000);
-        whole(".times.period_ms", times.period_ms, 20, 60_000);
+        check_range(".weight", self.weight.unwrap_or(1), 1, 1_000_000);
+        check_range(".times.period_ms", times.period_ms, 20, 60_000);
         let longest = 30_000.min(times.period_ms.saturating_sub(1)).max(5);
-        whole(".times.answer_within_ms", times.answer_within_ms, 5, longest);
-        whole(".times.suspicion_min_ms", times.suspicion_min_ms, 20, 600_000);
-        whole(
+        check_range(".times.answer_within_ms", times.answer_within_ms, 5, longest);
+        check_range(".times.suspicion_min_ms", times.suspicion_min_ms, 20, 600_000);
+        check_range(
             ".times.suspicion_max_ms",
             times.suspicion_max_ms,
             times.suspicion_min_ms.min(600_000),
             600_000,
         );
-        whole(".times.forget_after_ms", times.forget_after_ms, 1_000, 86_400_000);
+        check_range(".times.forget_after_ms", times.forget_after_ms, 1_000, 86_400_000);
         self.leases.faults(faults);
     }
 
--- a/node/src/peers/shares.rs
+++ b/node/src/peers/shares.rs
@@ -137,7 +137,7 @@
 
     pub fn give_back(&mut self, ticket: Ticket, came: Use, now: Tenths) {
         for place in ticket.0.into_iter().flatten() {
-            let held = self.budgets.list().nth(usize::from(place)).map_or(0, Budget::held_most);
+            let held = self.budgets.list().nth(usize::from(place)).map_or(0, Budget::max_hold);
             if came == Use::MayGoOn && held > 0 {
                 self.lingering.push(Reverse((now + held, place)));
             } else {
@@ -160,13 +160,13 @@
         let count = self.used.len();
         let places = usize::from(from).min(count)..(usize::from(from) + BUDGET_PAGE).min(count);
         let more = places.end < count;
-        let kinds: Vec<_> = self.budgets.list().map(|of| (of.name.clone(), of.kind, of.whole)).collect();
+        let kinds: Vec<_> = self.budgets.list().map(|of| (of.name.clone(), of.kind, of.limit)).collect();
         let budgets = places.map(|place| {
-            let (stands, (name, kind, whole)) = (self.budgets.standing(place, now), &kinds[place]);
+            let (stands, (name, kind, limit)) = (self.budgets.standing(place, now), &kinds[place]);
             BudgetStatus {
                 name: name.to_string(),
                 rate: matches!(kind, Kind::Rate { .. }),
-                whole: *whole,
+                limit: *limit,
                 share: stands.share,
                 used: self.used[place],
                 rejected: stands.rejected,
--- a/node/src/peers/spoken.rs
+++ b/node/src/peers/spoken.rs
@@ -60,13 +60,13 @@
 pub struct BudgetStatus {
     pub name: String,
     pub rate: bool,
-    pub whole: u32,
+    pub limit: u32,
     pub share: Units,
     pub used: u64,
     pub rejected: u64,
     pub need: Units,
     pub in_use: Units,
-    /// For how long what is beyond the floor lasts.
+    /// For how long what is beyond the reserved minimum lasts.
     pub until_ms: Option<u64>,
     /// What this node has granted, as the leader.
     pub granted: Option<Units>,
--- a/node/tests/fleet/budgets.rs
+++ b/node/tests/fleet/budgets.rs
@@ -1,4 +1,4 @@
-//! Budgets of a fleet of processes: never more than the whole, by the count of callers and server, whatever
+//! Budgets of a fleet of processes: never more than the limit, by the count of callers and server, whatever
 //! dies, stops and is cut; and shown to be more when a safeguard is taken out of the program.
 
 use std::time::Duration;
@@ -17,7 +17,7 @@
 use crate::{parted, program, script};
 
 const NODES: usize = 5;
-const WHOLE: u32 = 150;
+const LIMIT: u32 = 150;
 const BURST: u32 = 50;
 const PLACES: u32 = 5;
 const HELD_MS: u32 = 400;
@@ -27,12 +27,12 @@
     Manner { callers: 10, rest: ms(4), moves_every: Some(ms(1_500)), work: ms(40) }
 }
 
-fn budgets(whole: u32) -> Value {
+fn budgets(limit: u32) -> Value {
     let names: Vec<String> = (0..NODES).map(|of| format!("n{of}")).collect();
     json!({"fleet": {"voters": names}, "budgets": [
-        {"name": "looks", "kind": "rate", "whole": whole, "burst": BURST, "floor": 4,
+        {"name": "looks", "kind": "rate", "limit": limit, "burst": BURST, "reserved": 4,
             "for": {"group": "look"}},
-        {"name": "pays", "kind": "places", "whole": PLACES, "held_most_ms": HELD_MS,
+        {"name": "pays", "kind": "places", "limit": PLACES, "max_hold_ms": HELD_MS,
             "for": {"group": "pay"}}]})
 }
 
@@ -65,7 +65,7 @@
 }
 
 fn play(script: &Script, words: &[&str]) -> Asked {
-    play_with(script, words, manner(), &budgets(WHOLE))
+    play_with(script, words, manner(), &budgets(LIMIT))
 }
 
 fn play_with(script: &Script, words: &[&str], manner: Manner, own: &Value) -> Asked {
@@ -94,7 +94,7 @@
 }
 
 fn broken(asked: &Asked) -> Vec<String> {
-    let rate = rate_broken(&asked.looks, WHOLE, BURST).map(|what| format!("looks: {what}"));
+    let rate = rate_broken(&asked.looks, LIMIT, BURST).map(|what| format!("looks: {what}"));
     let places = places_broken(&asked.runs, PLACES).map(|what| format!("pays: {what}"));
     rate.into_iter().chain(places).collect()
 }
@@ -104,7 +104,7 @@
 }
 
 #[test]
-fn leaders_die_holders_stop_and_halves_part_and_the_whole_is_never_exceeded() {
+fn leaders_die_holders_stop_and_halves_part_and_the_limit_is_never_exceeded() {
     let start = |nodes: Vec<usize>| Fault::Start { nodes, clock_ms: 0 };
     let mut faults = vec![
         (5_000, Fault::Kill { nodes: vec![0] }),
@@ -129,8 +129,8 @@
 #[test]
 fn three_places_and_a_rate_among_nine_that_are_released_in_seven_seconds() {
     let own = json!({"fleet": {"voters": ["n0", "n1", "n2", "n3", "n4"]}, "budgets": [
-        {"name": "looks", "kind": "rate", "whole": WHOLE, "burst": BURST, "for": {"group": "look"}},
-        {"name": "pays", "kind": "places", "whole": 3, "for": {"group": "pay"}, "held_most_ms": HELD_MS}]});
+        {"name": "looks", "kind": "rate", "limit": LIMIT, "burst": BURST, "for": {"group": "look"}},
+        {"name": "pays", "kind": "places", "limit": 3, "for": {"group": "pay"}, "max_hold_ms": HELD_MS}]});
     let rough = Fault::Links { loss: 0.05, doubled: 0.1, garbled: 0.01, delay_ms: 10 };
     let others: Vec<usize> = vec![1, 2, 3, 4, 5, 6, 7, 8];
     let mut faults = vec![
@@ -146,7 +146,7 @@
     let ms = Duration::from_millis;
     let manner = Manner { moves_every: Some(ms(1_000)), ..manner() };
     let asked = play_with(&script(9, 19_000, faults), &[], manner, &own);
-    assert_eq!(rate_broken(&asked.looks, WHOLE, BURST), None);
+    assert_eq!(rate_broken(&asked.looks, LIMIT, BURST), None);
     assert_eq!(places_broken(&asked.runs, 3), None);
     // Each place goes round: three places, and yet most nodes had one.
     let fronts: std::collections::BTreeSet<usize> = asked
@@ -159,33 +159,33 @@
 }
 
 #[test]
-fn without_a_majority_two_halves_use_more_than_the_whole() {
+fn without_a_majority_two_halves_use_more_than_the_limit() {
     let asked = play(&script(NODES, 13_000, halves(4_000, 12_500)), &["--test-without", "majority"]);
     assert!(!broken(&asked).is_empty(), "{} looks", asked.looks.len());
 }
 
 #[test]
-fn shares_are_lent_run_out_to_the_floors_and_follow_a_lower_whole() {
+fn shares_are_granted_run_out_to_the_reserved_minimums_and_follow_a_lower_limit() {
     let mut rig = Rig::new(program(), NODES, 3).unwrap();
-    let more = |_: usize| budgets(WHOLE);
+    let more = |_: usize| budgets(LIMIT);
     rig.begin();
     (0..NODES).for_each(|of| rig.start(of, of, &more(of)).unwrap());
     // All alike: a fifth each, and 4 of it set aside.
     (0..NODES).for_each(|of| wait_for(&rig, of, |of| of.share >= 24_000 && of.until_ms.is_some()));
-    // One node learns of a lower whole: all keep to it.
+    // One node learns of a lower limit: all keep to it.
     rig.reload(3, &budgets(50)).unwrap();
     (0..NODES).for_each(|of| wait_for(&rig, of, |of| of.share <= 12_000));
-    rig.reload(3, &budgets(WHOLE)).unwrap();
+    rig.reload(3, &budgets(LIMIT)).unwrap();
     (0..NODES).for_each(|of| wait_for(&rig, of, |of| of.share >= 24_000));
     // Other voters, or another kind under the name, change nothing under way: they need a start.
     let voters = with(budgets(20), json!({"fleet": {"voters": ["n3", "n4"]}}));
     rig.reload(3, &voters).unwrap();
     let mut places = budgets(20);
-    places["budgets"][0] = json!({"name": "looks", "kind": "places", "whole": 7, "for": {"group": "look"}});
+    places["budgets"][0] = json!({"name": "looks", "kind": "places", "limit": 7, "for": {"group": "look"}});
     rig.reload(4, &places).unwrap();
     std::thread::sleep(Duration::from_millis(500));
-    (0..NODES).for_each(|of| wait_for(&rig, of, |of| of.share >= 24_000 && of.rate && of.whole == WHOLE));
-    // Most voters gone: the floors are left.
+    (0..NODES).for_each(|of| wait_for(&rig, of, |of| of.share >= 24_000 && of.rate && of.limit == LIMIT));
+    // Most voters gone: the reserved minimums are left.
     rig.take_up(&Fault::Kill { nodes: vec![0, 1, 2] }, &more).unwrap();
     [3, 4].iter().for_each(|of| wait_for(&rig, *of, |of| of.share == 4_000 && of.until_ms.is_none()));
     rig.take_up(&Fault::Start { nodes: vec![0], clock_ms: 0 }, &more).unwrap();
@@ -205,9 +205,9 @@
     let ms = Duration::from_millis;
     let mut crowd = Crowd::ready(Manner { callers: 4, rest: ms(1), moves_every: None, work: ms(1) });
     let mut rig = Rig::new(program(), 1, 3).unwrap();
-    // One node, whose floor is all there is.
+    // One node, whose reserved minimum is all there is.
     let own = json!({"fleet": {"voters": ["n0"]}, "budgets": [
-        {"name": "looks", "kind": "rate", "whole": 20, "burst": 10, "floor": 20,
+        {"name": "looks", "kind": "rate", "limit": 20, "burst": 10, "reserved": 20,
             "for": {"pool": "servers"}}]});
     rig.start(0, 0, &with(own, crowd.installation())).unwrap();
     drop(doortrack_standins::bed::connect(rig.front(0)));
@@ -236,7 +236,7 @@
         "servers": {"protocol": "fastcgi", "at_once": 8,
             "addresses": servers.each_ref().map(|of| of.at.to_string()),
             "aside": {"failures": 1000}, "retries": {"share": 1.0, "burst": 1000, "tries": 3}},
-        "budgets": [{"name": "again", "kind": "rate", "whole": 12, "burst": 6,
+        "budgets": [{"name": "again", "kind": "rate", "limit": 12, "burst": 6,
             "for": {"retries": "servers"}}]});
     (0..3).for_each(|of| rig.start(of, of, &own).unwrap());
     (0..3).for_each(|of| wait_for(&rig, of, |of| of.until_ms.is_some()));
@@ -288,7 +288,7 @@
 #[test]
 fn a_repeat_is_answered_while_its_budget_has_nothing_left() {
     let server = Server::start(Protocol::FastCgi, |_| Act::ok("done"));
-    let budget = json!({"name": "pays", "kind": "rate", "whole": 1, "burst": 1, "floor": 1,
+    let budget = json!({"name": "pays", "kind": "rate", "limit": 1, "burst": 1, "reserved": 1,
         "for": {"group": "pay"}});
     let rig = alone(&server, 5_000, budget);
     let (key, other) = ("00112233445566778899aabbccddeeff", "ffeeddccbbaa99887766554433221100");
@@ -307,7 +307,7 @@
 #[test]
 fn the_place_of_a_run_that_was_given_up_is_held_on() {
     let server = Server::start(Protocol::FastCgi, |_| Act::Hang);
-    let budget = json!({"name": "all", "kind": "places", "whole": 1, "floor": 1, "held_most_ms": 3_000,
+    let budget = json!({"name": "all", "kind": "places", "limit": 1, "reserved": 1, "max_hold_ms": 3_000,
         "for": {"pool": "servers"}});
     let rig = alone(&server, 100, budget);
     let until = std::time::Instant::now() + Duration::from_secs(30);
--- a/rig/src/divided.rs
+++ b/rig/src/divided.rs
@@ -2,7 +2,7 @@
 //! node and time, and an independent count of what was used.
 //!
 //! The count knows nothing of leases: it takes note of each use at its true time, and compares with the
-//! whole.
+//! limit.
 
 use std::collections::BTreeMap;
 
@@ -252,24 +252,24 @@
     /// Counts one use at its true time.
     fn used(&mut self, of: MachineId, place: usize) {
         let (budget, now) = (&self.ways.list[place], self.net.now());
-        let whole = f64::from(budget.whole);
+        let limit = f64::from(budget.limit);
         match budget.kind {
             Kind::Rate { burst } => {
                 let (level, at) = self.level[place];
-                let level = (level - whole * (now - at) as f64 / 1e6).max(0.0) + TOKEN;
+                let level = (level - limit * (now - at) as f64 / 1e6).max(0.0) + TOKEN;
                 self.level[place] = (level, now);
                 // What is cut to whole tenths of a ms, by each node, may come to a thousandth of a unit.
                 if level > f64::from(burst) + 0.01 {
-                    self.breach(place, format!("{level:.3} beyond {whole} a second, a burst of {burst}"));
+                    self.breach(place, format!("{level:.3} beyond {limit} a second, a burst of {burst}"));
                 }
             }
-            Kind::Places { held_most } => {
+            Kind::Places { max_hold } => {
                 let mean = (self.ways.held_ms * MS) as f64;
-                let lasts = (-mean * self.chance.f64().max(1e-9).ln()).min((held_most * TENTH) as f64);
+                let lasts = (-mean * self.chance.f64().max(1e-9).ln()).min((max_hold * TENTH) as f64);
                 self.held[place].push((now + lasts as Micros, of, self.incarnations[of]));
                 let held = self.held[place].iter().filter(|(till, ..)| *till > now).count();
-                if held as u32 > budget.whole {
-                    self.breach(place, format!("{held} places of {whole} are held"));
+                if held as u32 > budget.limit {
+                    self.breach(place, format!("{held} places of {limit} are held"));
                 }
             }
         }
@@ -330,7 +330,7 @@
         Message::Release { ballot } => small(*ballot),
         Message::Report { seq, items, .. } => {
             let item = |item: &doortrack_budgets::Item| {
-                let units = [item.need, item.holding, item.accepted, item.whole, item.floor];
+                let units = [item.need, item.holding, item.accepted, item.limit, item.reserved];
                 5 + units.into_iter().map(small).sum::<u64>()
             };
             small(*seq) + 2 + items.iter().map(item).sum::<u64>()
--- a/rig/src/spent.rs
+++ b/rig/src/spent.rs
@@ -8,14 +8,14 @@
     pub ran: u64,
 }
 
-/// The first span in which more passed than `whole` a second and `burst` beyond, whenever within its two
+/// The first span in which more passed than `limit` a second and `burst` beyond, whenever within its two
 /// times each did; none if there is none.
-pub fn rate_broken(passed: &[Passed], whole: u32, burst: u32) -> Option<String> {
+pub fn rate_broken(passed: &[Passed], limit: u32, burst: u32) -> Option<String> {
     let mut by_asked = passed.to_vec();
     by_asked.sort_unstable();
     // Times are cut to whole ms, so a span is up to 1 ms longer than it looks.
     let most =
-        |from: u64, till: u64| f64::from(whole) * (till - from + 1) as f64 / 1_000.0 + f64::from(burst);
+        |from: u64, till: u64| f64::from(limit) * (till - from + 1) as f64 / 1_000.0 + f64::from(burst);
     for (nth, first) in by_asked.iter().enumerate() {
         let mut ends: Vec<u64> = by_asked[nth..].iter().map(|of| of.ran).collect();
         ends.sort_unstable();
@@ -30,8 +30,8 @@
     None
 }
 
-/// The first moment at which more than `whole` were run at once; each began and ended at these times, in ms.
-pub fn places_broken(runs: &[(u64, u64)], whole: u32) -> Option<String> {
+/// The first moment at which more than `limit` were run at once; each began and ended at these times, in ms.
+pub fn places_broken(runs: &[(u64, u64)], limit: u32) -> Option<String> {
     // Cut to whole ms: what ends in the ms in which another begins may have ended before.
     let mut edges: Vec<(u64, i32)> = runs
         .iter()
@@ -42,15 +42,15 @@
     let mut held = 0;
     for (at, change) in edges {
         held += change;
-        if held > whole as i32 {
-            return Some(format!("{held} at {at} ms, {whole} at most"));
+        if held > limit as i32 {
+            return Some(format!("{held} at {at} ms, {limit} at most"));
         }
     }
     None
 }
 
-/// How much of the whole was used from `from` to `till`, as a share; of those that surely passed then.
-pub fn used(passed: &[Passed], whole: u32, from: u64, till: u64) -> f64 {
+/// How much of the limit was used from `from` to `till`, as a share; of those that surely passed then.
+pub fn used(passed: &[Passed], limit: u32, from: u64, till: u64) -> f64 {
     let count = passed.iter().filter(|of| of.asked >= from && of.ran < till).count();
-    count as f64 * 1_000.0 / f64::from(whole) / (till - from).max(1) as f64
+    count as f64 * 1_000.0 / f64::from(limit) / (till - from).max(1) as f64
 }
--- a/rig/tests/divided.rs
+++ b/rig/tests/divided.rs
@@ -1,4 +1,4 @@
-//! Budgets under faults in simulated time: never more than the whole, by a count that knows nothing of
+//! Budgets under faults in simulated time: never more than the limit, by a count that knows nothing of
 //! leases. Each safeguard is taken out in turn, and the count must tell.
 
 use std::sync::Arc;
@@ -16,14 +16,14 @@
     (0..count).map(|of| Name::from(name(of))).collect()
 }
 
-fn rate(whole: u32, burst: u32, floor: u32) -> Budget {
+fn rate(limit: u32, burst: u32, reserved: u32) -> Budget {
     let kind = Kind::Rate { burst };
-    Budget { name: "rate".into(), kind, whole, floor, floors_for: names(5), most: whole }
+    Budget { name: "rate".into(), kind, limit, reserved, reserved_for: names(5), max_per_node: limit }
 }
 
-fn places(whole: u32, floor: u32) -> Budget {
-    let kind = Kind::Places { held_most: 20_000 };
-    Budget { name: "places".into(), kind, whole, floor, floors_for: names(5), most: whole }
+fn places(limit: u32, reserved: u32) -> Budget {
+    let kind = Kind::Places { max_hold: 20_000 };
+    Budget { name: "places".into(), kind, limit, reserved, reserved_for: names(5), max_per_node: limit }
 }
 
 fn terms(safeguards: Safeguards) -> Terms {
@@ -96,20 +96,20 @@
 }
 
 #[test]
-fn whatever_fails_the_whole_is_never_exceeded() {
+fn whatever_fails_the_limit_is_never_exceeded() {
     for seed in 1..=40 {
         holds(&Script::seeded(seed, NODES, 6));
     }
 }
 
 #[test]
-fn with_most_voters_gone_shares_run_out_to_the_floors() {
+fn with_most_voters_gone_shares_run_out_to_the_reserved_minimums() {
     let gone = script(20_000, 3, vec![(8_000, Fault::Kill { nodes: vec![0, 1, 2] })]);
     let out = holds(&gone);
     let used = |from: u64, till: u64| -> u32 {
         out.by_time.iter().filter(|((_, at), _)| (from..till).contains(at)).map(|(_, count)| count).sum()
     };
-    // Two floors of 20 a second are left, for 8 s.
+    // Two reserved minimums of 20 a second are left, for 8 s.
     assert!((250..=340).contains(&used(120, 200)), "{}", used(120, 200));
     assert!(used(40, 80) > 1_800, "{}", used(40, 80));
 }
