--- a/bench/src/bin/budgets.rs
+++ b/bench/src/bin/budgets.rs
@@ -14,7 +14,7 @@
 
 const LIMIT: u32 = 6_000;
 const VOTERS: usize = 5;
-/// Shares are granted from here on.
+/// Allocations are granted from here on.
 const CALM_MS: u64 = 5_000;
 
 type Demand<'a> = &'a dyn Fn(usize, u64) -> f64;
@@ -162,7 +162,7 @@
             out.used[0] as f64 / (limit * 30.0)
         );
     }
-    // How much shares swing where needs do not.
+    // How much allocations swing where needs do not.
     let steady = |of: usize, _: u64| limit * if of.is_multiple_of(2) { 0.4 } else { 0.6 };
     let out = run(2, 35_000, CALM_MS, vec![], &steady, 0);
     let by_second: Vec<u32> =
--- a/budgets/src/account.rs
+++ b/budgets/src/account.rs
@@ -6,7 +6,7 @@
 
 use crate::{Asks, Budget, Grant, Id, Item, Terms, Units, Who, divide};
 
-/// Shares sent and not yet confirmed, kept one by one; of more the two oldest are taken for the greater.
+/// Allocations sent and not yet confirmed, kept one by one; of more the two oldest are taken for the greater.
 const MOST_SENT: usize = 6;
 /// Rounds after which single steps that can't be divided go to the next.
 const ROTATE_AFTER: u64 = 5;
@@ -57,13 +57,13 @@
 impl Line {
     fn outstanding(&self, terms: &Terms) -> Units {
         if !terms.safeguards.confirm {
-            return self.sent.back().map_or(self.holding, |(_, share)| *share);
+            return self.sent.back().map_or(self.holding, |(_, allocation)| *allocation);
         }
-        self.sent.iter().map(|(_, share)| *share).fold(self.holding, Units::max)
+        self.sent.iter().map(|(_, allocation)| *allocation).fold(self.holding, Units::max)
     }
 
-    fn send(&mut self, seq: u64, share: Units) {
-        self.sent.push_back((seq, share));
+    fn send(&mut self, seq: u64, allocation: Units) {
+        self.sent.push_back((seq, allocation));
         if self.sent.len() > MOST_SENT
             && let Some((_, oldest)) = self.sent.pop_front()
             && let Some((_, next)) = self.sent.front_mut()
@@ -145,10 +145,10 @@
             let free = book.grantable.saturating_sub(others);
             let prolongs = !settled(&book.budget);
             let wanted = if prolongs { line.holding } else { line.target };
-            let share = wanted.min(free);
-            line.send(seq, share);
+            let allocation = wanted.min(free);
+            line.send(seq, allocation);
             book.granted = others + line.outstanding(terms);
-            grants.push(Grant { id: item.id, share, prolongs });
+            grants.push(Grant { id: item.id, allocation, prolongs });
         }
         (!grants.is_empty()).then_some(grants)
     }
@@ -178,16 +178,16 @@
                 (*limit, *reserved) = (line.limit.min(*limit), line.reserved.max(*reserved));
             }
         }
-        let mut shares: Vec<std::vec::IntoIter<Units>> = Vec::with_capacity(self.books.len());
+        let mut allocations: Vec<std::vec::IntoIter<Units>> = Vec::with_capacity(self.books.len());
         for ((book, asks), (limit, reserved)) in self.books.iter_mut().zip(&asks).zip(seen) {
             book.grantable = book.budget.grantable(limit, reserved);
-            shares.push(
+            allocations.push(
                 divide(book.grantable, book.budget.step(), asks, self.rotation / ROTATE_AFTER).into_iter(),
             );
         }
         for holder in self.holders.values_mut() {
             for (place, line) in &mut holder.lines {
-                line.target = shares[*place].next().unwrap_or(0);
+                line.target = allocations[*place].next().unwrap_or(0);
             }
         }
     }
--- a/budgets/src/share.rs
+++ b/budgets/src/allocation.rs
@@ -23,7 +23,7 @@
 
 /// One budget at one node.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
-pub(crate) struct Share {
+pub(crate) struct Allocation {
     pub budget: Budget,
     reserved: Units,
     /// The reserved minimum may be used from here on: places that an earlier incarnation had may be in use
@@ -40,14 +40,14 @@
     pub rejected: u64,
 }
 
-impl Share {
-    pub fn new(budget: Budget, name: &str, now: Tenths, terms: &Terms) -> Share {
+impl Allocation {
+    pub fn new(budget: Budget, name: &str, now: Tenths, terms: &Terms) -> Allocation {
         let held = if terms.safeguards.held { budget.max_hold() } else { 0 };
         let uses = match budget.kind {
             Kind::Rate { .. } => Uses::Rate { tokens: 0, cap: 0, counted: now },
             Kind::Places { .. } => Uses::Places { in_use: 0 },
         };
-        let mut share = Share {
+        let mut allocation = Allocation {
             reserved: budget.reserved_at(name),
             reserved_from: now + held,
             budget,
@@ -59,8 +59,8 @@
             ran_out: None,
             rejected: 0,
         };
-        share.bound();
-        share
+        allocation.bound();
+        allocation
     }
 
     /// The same budget told of anew: what is in use stays so.
@@ -180,7 +180,7 @@
         }
     }
 
-    /// The leader's answer to report `seq`, sent so that the share lasts till `till`. What was, and is.
+    /// The leader's answer to report `seq`, sent so that the allocation lasts till `till`. What was, and is.
     pub fn apply_grant(
         &mut self,
         now: Tenths,
@@ -193,8 +193,10 @@
         let was = self.leased;
         // A leader that prolongs may not know that this has been granted to another since it was over here.
         let most = if grant.prolongs && terms.safeguards.prolong { was } else { Units::MAX };
-        self.leased =
-            grant.share.min(most).min(self.budget.grantable(self.budget.limit(), self.budget.reserved()));
+        self.leased = grant
+            .allocation
+            .min(most)
+            .min(self.budget.grantable(self.budget.limit(), self.budget.reserved()));
         (self.till, self.accepted, self.ran_out) = (till, seq, None);
         self.bound();
         (was, self.leased)
--- a/budgets/src/budgets.rs
+++ b/budgets/src/budgets.rs
@@ -6,8 +6,8 @@
 use doortrack_fleet::{Incarnation, Name};
 
 use crate::account::Accounts;
+use crate::allocation::Allocation;
 use crate::leadership::Leadership;
-use crate::share::Share;
 use crate::voter::Voter;
 use crate::{Action, Budget, Change, Envelope, Event, Grant, Id, Item, MOST_ITEMS, Message, Terms, Who};
 
@@ -22,8 +22,8 @@
     pub(crate) me: Who,
     weight: u32,
     pub(crate) terms: Terms,
-    pub(crate) shares: Vec<Share>,
-    /// Where each budget stands among the shares.
+    pub(crate) allocations: Vec<Allocation>,
+    /// Where each budget stands among the allocations.
     places: BTreeMap<Id, usize>,
     /// Where this node is one of the voters.
     pub(crate) voter: Option<Voter>,
@@ -56,12 +56,13 @@
     /// A node that has just started. `weight` is its capacity, in a unit that all share; `list` at most
     /// [`crate::MOST_BUDGETS`], each with an id of its own.
     pub fn new(me: Who, weight: u32, terms: Terms, list: &[Budget], seed: u64, now: Tenths) -> Budgets {
-        let shares = list.iter().map(|budget| Share::new(budget.clone(), &me.name, now, &terms)).collect();
+        let allocations =
+            list.iter().map(|budget| Allocation::new(budget.clone(), &me.name, now, &terms)).collect();
         let voter = terms.voters.contains(&me.name).then(|| Voter::new(now, &terms));
         let mut budgets = Budgets {
             voter,
             places: places(list),
-            shares,
+            allocations,
             weight: weight.max(1),
             leadership: Leadership::Follower { try_at: Tenths::MAX },
             accounts: Accounts::default(),
@@ -99,7 +100,7 @@
 
     /// When [`Event::Tick`] is due at the latest; [`Tenths::MAX`] where nothing is.
     pub fn next_due(&self) -> Tenths {
-        if self.superseded || self.shares.is_empty() {
+        if self.superseded || self.allocations.is_empty() {
             return Tenths::MAX;
         }
         self.report_at.min(self.leadership.next_due(&self.terms))
@@ -128,7 +129,7 @@
             }
             Event::Superseded => {
                 self.superseded = true;
-                self.shares.iter_mut().for_each(Share::shut);
+                self.allocations.iter_mut().for_each(Allocation::shut);
             }
             Event::Changed { list } => self.change(now, list),
         }
@@ -138,19 +139,21 @@
     }
 
     fn change(&mut self, now: Tenths, list: Vec<Budget>) {
-        let mut old: Vec<Option<Share>> = std::mem::take(&mut self.shares).into_iter().map(Some).collect();
+        let mut old: Vec<Option<Allocation>> =
+            std::mem::take(&mut self.allocations).into_iter().map(Some).collect();
         for budget in list {
-            let same = |of: &&mut Option<Share>| of.as_ref().is_some_and(|of| of.budget.id() == budget.id());
-            let share = match old.iter_mut().find(same).and_then(Option::take) {
-                Some(mut share) => {
-                    share.change(budget, &self.me.name);
-                    share
+            let same =
+                |of: &&mut Option<Allocation>| of.as_ref().is_some_and(|of| of.budget.id() == budget.id());
+            let allocation = match old.iter_mut().find(same).and_then(Option::take) {
+                Some(mut allocation) => {
+                    allocation.change(budget, &self.me.name);
+                    allocation
                 }
-                None => Share::new(budget, &self.me.name, now, &self.terms),
+                None => Allocation::new(budget, &self.me.name, now, &self.terms),
             };
-            self.shares.push(share);
+            self.allocations.push(allocation);
         }
-        let list: Vec<Budget> = self.shares.iter().map(|share| share.budget.clone()).collect();
+        let list: Vec<Budget> = self.allocations.iter().map(|allocation| allocation.budget.clone()).collect();
         self.places = places(&list);
         self.accounts.change(&list);
     }
@@ -161,11 +164,11 @@
             return;
         }
         // Who is short asks twice as often: what others give up is granted to it that much sooner.
-        let short = self.shares.iter().any(Share::is_short);
+        let short = self.allocations.iter().any(Allocation::is_short);
         self.report_at = now + if short { self.terms.round.div_ceil(2) } else { self.terms.round };
-        for (place, share) in self.shares.iter_mut().enumerate() {
-            if let Some(share) = share.ran_out(now, &self.terms) {
-                out.push(Action::Report(Change::RanOut { place, share }));
+        for (place, allocation) in self.allocations.iter_mut().enumerate() {
+            if let Some(allocation) = allocation.ran_out(now, &self.terms) {
+                out.push(Action::Report(Change::RanOut { place, allocation }));
             }
         }
         self.silent += 1;
@@ -174,7 +177,7 @@
         {
             out.push(Action::Report(Change::LeaderSilent(leader)));
         }
-        let all: Vec<usize> = (0..self.shares.len()).collect();
+        let all: Vec<usize> = (0..self.allocations.len()).collect();
         self.report(now, &all, true, out);
     }
 
@@ -182,7 +185,7 @@
     fn report(&mut self, now: Tenths, places: &[usize], round: bool, out: &mut Vec<Action>) {
         let Some(to) = self.leader.clone().or_else(|| self.next_asked()) else { return };
         let (terms, leaves) = (&self.terms, self.leaves);
-        let items = places.iter().map(|place| self.shares[*place].item(now, terms, round, leaves));
+        let items = places.iter().map(|place| self.allocations[*place].item(now, terms, round, leaves));
         let items: Vec<Item> = items.collect();
         for items in items.chunks(MOST_ITEMS) {
             self.seq += 1;
@@ -240,7 +243,7 @@
                 if seq >= self.bound_since && (self.leader.is_none() || self.leader.as_ref() == Some(&from)) {
                     self.bind(leader, out);
                     if known {
-                        let all: Vec<usize> = (0..self.shares.len()).collect();
+                        let all: Vec<usize> = (0..self.allocations.len()).collect();
                         self.report(now, &all, false, out);
                     }
                 }
@@ -263,14 +266,14 @@
         let mut lowered = Vec::new();
         for grant in grants {
             let Some(place) = self.places.get(&grant.id).copied() else { continue };
-            let of = &mut self.shares[place];
+            let of = &mut self.allocations[place];
             if seq <= of.accepted && in_order {
                 continue;
             }
             let (was, is) = of.apply_grant(now, seq, *grant, till, &self.terms);
             if was != is {
                 let lasts = till.saturating_sub(now);
-                out.push(Action::Report(Change::Share { place, was, share: is, lasts }));
+                out.push(Action::Report(Change::Allocation { place, was, allocation: is, lasts }));
             }
             if is < was {
                 lowered.push(place);
@@ -289,16 +292,16 @@
     /// # Errors
     /// Nothing is left; how long to wait before asking again, in tenths of a ms.
     pub fn take(&mut self, place: usize, now: Tenths) -> Result<(), Tenths> {
-        self.shares[place].take(now, &self.terms)
+        self.allocations[place].take(now, &self.terms)
     }
 
     /// What was taken came to nothing: of a rate it may be used again.
     pub fn unused(&mut self, place: usize) {
-        self.shares[place].put_back(false);
+        self.allocations[place].put_back(false);
     }
 
     /// A place that was taken is held no more. Of a rate this changes nothing.
     pub fn done(&mut self, place: usize) {
-        self.shares[place].put_back(true);
+        self.allocations[place].put_back(true);
     }
 }
--- a/budgets/src/divide.rs
+++ b/budgets/src/divide.rs
@@ -11,23 +11,24 @@
     pub most: Units,
 }
 
-/// The shares of each, in the order of `asks`, multiples of `step` whose sum is at most `limit`. What is left
-/// beyond all needs goes to all by weight, up to their mosts. Single steps that can't be divided go to one
-/// after the other as `rotation` grows, so that in time they are divided as well.
+/// The allocations of each, in the order of `asks`, multiples of `step` whose sum is at most `limit`. What is
+/// left beyond all needs goes to all by weight, up to their mosts. Single steps that can't be divided go to
+/// one after the other as `rotation` grows, so that in time they are divided as well.
 pub fn divide(limit: Units, step: Units, asks: &[Asks], rotation: u64) -> Vec<Units> {
     let step = step.max(1);
     let steps = limit / step;
     let needs: Vec<Units> = asks.iter().map(|of| of.need.min(of.most).div_ceil(step)).collect();
     let mosts: Vec<Units> = asks.iter().map(|of| of.most / step).collect();
     let needs: Vec<Units> = needs.iter().zip(&mosts).map(|(need, most)| *need.min(most)).collect();
-    let mut shares = level(steps, asks, &needs, rotation);
-    let left = steps - shares.iter().sum::<Units>();
+    let mut allocations = level(steps, asks, &needs, rotation);
+    let left = steps - allocations.iter().sum::<Units>();
     if left > 0 {
-        let room: Vec<Units> = mosts.iter().zip(&shares).map(|(most, share)| most - share).collect();
+        let room: Vec<Units> =
+            mosts.iter().zip(&allocations).map(|(most, allocation)| most - allocation).collect();
         let more = level(left, asks, &room, rotation);
-        shares.iter_mut().zip(more).for_each(|(share, more)| *share += more);
+        allocations.iter_mut().zip(more).for_each(|(allocation, more)| *allocation += more);
     }
-    shares.iter().map(|share| share * step).collect()
+    allocations.iter().map(|allocation| allocation * step).collect()
 }
 
 /// Fills all up to one level by weight, each to its bound at the most.
@@ -39,7 +40,7 @@
         let (one, other) = (u128::from(bounds[*a]) * weight(*b), u128::from(bounds[*b]) * weight(*a));
         one.cmp(&other).then(a.cmp(b))
     });
-    let mut shares = vec![0; asks.len()];
+    let mut allocations = vec![0; asks.len()];
     let mut weights: u128 = order.iter().map(|of| weight(*of)).sum();
     let mut left = limit;
     for (nth, of) in order.iter().enumerate() {
@@ -48,22 +49,22 @@
             // From here on nobody is filled: all get what is fair of the rest.
             let rest = &order[nth..];
             for of in rest {
-                shares[*of] = ((u128::from(left) * weight(*of) / weights) as Units).min(bounds[*of]);
+                allocations[*of] = ((u128::from(left) * weight(*of) / weights) as Units).min(bounds[*of]);
             }
-            left -= rest.iter().map(|of| shares[*of]).sum::<Units>();
+            left -= rest.iter().map(|of| allocations[*of]).sum::<Units>();
             break;
         }
-        shares[*of] = bounds[*of];
+        allocations[*of] = bounds[*of];
         left -= bounds[*of];
         weights -= weight(*of);
     }
     // Single steps, from a place that moves on.
-    let open: Vec<usize> = (0..asks.len()).filter(|of| shares[*of] < bounds[*of]).collect();
+    let open: Vec<usize> = (0..asks.len()).filter(|of| allocations[*of] < bounds[*of]).collect();
     if !open.is_empty() {
         let from = (rotation % open.len() as u64) as usize;
         for nth in 0..open.len().min(left as usize) {
-            shares[open[(from + nth) % open.len()]] += 1;
+            allocations[open[(from + nth) % open.len()]] += 1;
         }
     }
-    shares
+    allocations
 }
--- a/budgets/src/envelope.rs
+++ b/budgets/src/envelope.rs
@@ -61,7 +61,7 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct Grant {
     pub id: Id,
-    pub share: Units,
+    pub allocation: Units,
     /// It prolongs what the holder has: where that is over meanwhile, it is nothing.
     pub prolongs: bool,
 }
--- a/budgets/src/leadership.rs
+++ b/budgets/src/leadership.rs
@@ -186,7 +186,8 @@
                     let (renew_at, divide_at) = (now + self.terms.round, now);
                     let election = std::mem::take(election);
                     self.leadership = Leadership::Leader(Term { election, renew_at, since: now, divide_at });
-                    let list: Vec<Budget> = self.shares.iter().map(|share| share.budget.clone()).collect();
+                    let list: Vec<Budget> =
+                        self.allocations.iter().map(|allocation| allocation.budget.clone()).collect();
                     self.accounts = Accounts::new(&list);
                     let grants_after = if self.terms.safeguards.settle { self.terms.lease } else { 0 };
                     out.push(Action::Report(Change::Elected { grants_after }));
@@ -240,7 +241,7 @@
         out: &mut Vec<Action>,
     ) {
         let answer = match &self.leadership {
-            // The look at its own votes comes before every share that it grants.
+            // The look at its own votes comes before every allocation that it grants.
             Leadership::Leader(term) if term.election.till(&self.terms) > now => {
                 let (terms, since) = (&self.terms, term.since);
                 let settled = |budget: &Budget| {
--- a/budgets/src/lib.rs
+++ b/budgets/src/lib.rs
@@ -11,15 +11,16 @@
 //! if let Err(retry_after) = budgets.take(place, now) { .. }  // with the clock read just before
 //! ```
 //!
-//! A **leader**, one of the fleet's voters, grants shares to all nodes on leases. Nothing is written to disk:
+//! A **leader**, one of the fleet's voters, grants allocations to all nodes on leases. Nothing is written to
+//! disk:
 //! - **Votes.** A voter gives its vote to one candidate for [`Terms::vote_lasts`] and to no other meanwhile;
 //!   who holds the votes of a majority is leader, by its own clock from when it *asked*. A voter that has
 //!   just started may have forgotten a vote, and gives none for as long as one lasts.
-//! - **Leases.** A share counts, for its holder, from when it *asked* for it, and for the leader from when it
-//!   *answered*, so no delay makes the holder's end come after the leader's. A lease is shorter for its
-//!   holder by what two clocks may drift apart.
-//! - **Moved shares.** What one holder is to give up is granted to another only once the first has said that
-//!   it uses no more, or its lease is over. Whatever was sent and not confirmed counts as granted.
+//! - **Leases.** An allocation counts, for its holder, from when it *asked* for it, and for the leader from
+//!   when it *answered*, so no delay makes the holder's end come after the leader's. A lease is shorter for
+//!   its holder by what two clocks may drift apart.
+//! - **Moved allocations.** What one holder is to give up is granted to another only once the first has said
+//!   that it uses no more, or its lease is over. Whatever was sent and not confirmed counts as granted.
 //! - **A new leader** knows nothing of what was granted. Until all that an earlier one can have granted is
 //!   over, it only prolongs what holders say they hold, and only where they still do when its word comes.
 //! - **Reserved minimums** are set aside from the limit, for named nodes, and need no leader.
@@ -29,18 +30,18 @@
 //! (and start anew with nothing), stop and wake. One process at a time goes by a name; nodes do not lie about
 //! what they hold. What a broken assumption costs stands in `docs/budgets.md`.
 //!
-//! Bounds: budgets ([`MOST_BUDGETS`]), items a datagram, unconfirmed shares a holder. A check costs the same
-//! whatever there is; a report costs the leader the logarithm of the holders, and a division, twice a
+//! Bounds: budgets ([`MOST_BUDGETS`]), items a datagram, unconfirmed allocations a holder. A check costs the
+//! same whatever there is; a report costs the leader the logarithm of the holders, and a division, twice a
 //! round, as much for each.
 
 mod account;
+mod allocation;
 mod budgets;
 mod divide;
 mod envelope;
 mod leadership;
 mod need;
 mod reporting;
-mod share;
 mod terms;
 mod voter;
 
@@ -94,17 +95,17 @@
     Leader(Who),
     /// No answer from the leader for some rounds.
     LeaderSilent(Who),
-    /// A share of the budget at this place has changed to so many units, for so many tenths of a ms.
-    Share {
+    /// An allocation of the budget at this place has changed to so many units, for so many tenths of a ms.
+    Allocation {
         place: usize,
         was: Units,
-        share: Units,
+        allocation: Units,
         lasts: Tenths,
     },
     /// The lease is over with so many units.
     RanOut {
         place: usize,
-        share: Units,
+        allocation: Units,
     },
 }
 
@@ -116,8 +117,8 @@
             Change::SteppedDown => "stepped_down",
             Change::Leader(_) => "leader",
             Change::LeaderSilent(_) => "leader_silent",
-            Change::Share { was, share, .. } if share < was => "returned",
-            Change::Share { .. } => "taken",
+            Change::Allocation { was, allocation, .. } if allocation < was => "returned",
+            Change::Allocation { .. } => "taken",
             Change::RanOut { .. } => "ran_out",
         }
     }
--- a/budgets/src/reporting.rs
+++ b/budgets/src/reporting.rs
@@ -9,7 +9,7 @@
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Standing {
     /// What this node may use now, its reserved minimum included, and of that what is on a lease.
-    pub share: Units,
+    pub allocation: Units,
     pub leased: Units,
     /// Places in use; 0 for a rate.
     pub in_use: Units,
@@ -41,33 +41,33 @@
 
     /// The budgets, in the order of their places.
     pub fn list(&self) -> impl Iterator<Item = &Budget> {
-        self.shares.iter().map(|share| &share.budget)
+        self.allocations.iter().map(|allocation| &allocation.budget)
     }
 
     /// How the budget at this place stands.
     pub fn standing(&mut self, place: usize, now: Tenths) -> Standing {
         let leader = self.is_leader(now);
-        let share = &mut self.shares[place];
-        let usable = share.usable(now, &self.terms);
+        let allocation = &mut self.allocations[place];
+        let usable = allocation.usable(now, &self.terms);
         Standing {
-            share: usable,
-            leased: share.leased(),
-            in_use: share.in_use(),
-            need: share.need(),
-            rejected: share.rejected,
-            lasts: share.till().map(|till| till.saturating_sub(now)),
+            allocation: usable,
+            leased: allocation.leased(),
+            in_use: allocation.in_use(),
+            need: allocation.need(),
+            rejected: allocation.rejected,
+            lasts: allocation.till().map(|till| till.saturating_sub(now)),
             granted: leader.then(|| self.accounts.granted(place)),
         }
     }
 
-    /// What may be in use at the most at this instant, whoever looks: a share that was not looked at since
-    /// its lease ended is none.
+    /// What may be in use at the most at this instant, whoever looks: an allocation that was not looked at
+    /// since its lease ended is none.
     pub fn exposed(&self, place: usize, now: Tenths) -> Units {
-        let mut share = self.shares[place].clone();
-        let usable = share.usable(now, &self.terms);
-        match share.budget.kind {
+        let mut allocation = self.allocations[place].clone();
+        let usable = allocation.usable(now, &self.terms);
+        match allocation.budget.kind {
             Kind::Rate { .. } => usable,
-            Kind::Places { .. } => usable.max(share.in_use()),
+            Kind::Places { .. } => usable.max(allocation.in_use()),
         }
     }
 }
--- a/budgets/src/terms.rs
+++ b/budgets/src/terms.rs
@@ -86,7 +86,7 @@
         if self.reserved_for.iter().any(|of| **of == *name) { self.reserved() } else { 0 }
     }
 
-    /// Shares are multiples of this: a smaller one has no whole unit of the burst, and can't be used.
+    /// Allocations are multiples of this: a smaller one has no whole unit of the burst, and can't be used.
     pub fn step(&self) -> Units {
         match self.kind {
             Kind::Rate { burst } => self.limit().div_ceil(Units::from(burst.max(1))).max(1),
@@ -108,7 +108,7 @@
 pub struct Terms {
     /// Of whom a majority elects a leader.
     pub voters: Arc<[Name]>,
-    /// Needs are told, and shares answered, so often.
+    /// Needs are told, and allocations answered, so often.
     pub round: Tenths,
     pub vote_lasts: Tenths,
     pub lease: Tenths,
--- a/budgets/tests/holder.rs
+++ b/budgets/tests/holder.rs
@@ -54,9 +54,9 @@
         self.budgets.handle(self.now, Event::Received(envelope), &mut Vec::new());
     }
 
-    fn granted(&mut self, seq: u64, share: u64, prolongs: bool) -> u64 {
+    fn granted(&mut self, seq: u64, allocation: u64, prolongs: bool) -> u64 {
         let id = self.budgets.list().next().unwrap().id();
-        self.hears(Message::Grant { seq, grants: vec![Grant { id, share, prolongs }] });
+        self.hears(Message::Grant { seq, grants: vec![Grant { id, allocation, prolongs }] });
         self.budgets.exposed(0, self.now)
     }
 
--- a/budgets/tests/model.rs
+++ b/budgets/tests/model.rs
@@ -1,6 +1,6 @@
 //! Leaders, votes and leases as a machine, searched exhaustively within small bounds: whatever dies, stops,
-//! is lost, doubled or overtaken, the shares that may be used are never more than the limit. The model drives
-//! the package that the node runs. Each safeguard taken out must make it fail.
+//! is lost, doubled or overtaken, the allocations that may be used are never more than the limit. The model
+//! drives the package that the node runs. Each safeguard taken out must make it fail.
 
 use std::collections::BTreeSet;
 use std::ops::Range;
@@ -122,7 +122,7 @@
         };
         let view = Self::view(&state);
         (0..self.nodes).for_each(|of| self.tell(&mut state, of, Event::Members(view.clone())));
-        // In calm, all that is sent comes at once, until a share is granted: the search begins there.
+        // In calm, all that is sent comes at once, until an allocation is granted: the search begins there.
         let calm = Fleet { envelopes: 1_000, ..*self };
         while state.nodes.iter().all(|node| node.exposed(0, state.now) == 0) {
             state.now += 1;
@@ -215,7 +215,7 @@
                 let used: u64 = state.nodes.iter().map(|node| node.exposed(0, state.now)).sum();
                 used <= 1_000
             }),
-            Property::sometimes("a share is granted anew", |_, state: &State| {
+            Property::sometimes("an allocation is granted anew", |_, state: &State| {
                 state.nodes.iter().any(|node| {
                     node.me().incarnation.0 > state.nodes.len() as u64 && node.exposed(0, state.now) > 0
                 })
@@ -228,7 +228,7 @@
     Fleet { nodes, safeguards, ticks: 6, faults: 1, envelopes: 3 }
 }
 
-/// Exhaustive up to so many steps from where a share is granted.
+/// Exhaustive up to so many steps from where an allocation is granted.
 fn search(nodes: usize, faults: u8, depth: usize) -> usize {
     let bounded = Fleet { faults, ..fleet(nodes, Safeguards::default()) };
     let checker = bounded.checker().threads(2).target_max_depth(depth).spawn_bfs().join();
--- a/installation/src/budgets.rs
+++ b/installation/src/budgets.rs
@@ -26,8 +26,8 @@
     #[schemars(range(min = 1, max = 10_000_000))]
     #[serde(alias = "whole")]
     pub limit: u32,
-    /// Exchanges beyond `limit` times the span, in any span; at least one for each node that is to have a
-    /// share. Needed for a rate, and for no other.
+    /// Exchanges beyond `limit` times the span, in any span; at least one for each node that is to have an
+    /// allocation. Needed for a rate, and for no other.
     #[serde(default)]
     #[schemars(range(min = 1, max = 10_000_000))]
     pub burst: Option<u32>,
@@ -77,13 +77,13 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize, JsonSchema)]
 #[serde(deny_unknown_fields, default)]
 pub struct LeaseTimes {
-    /// Needs are told, and shares granted, so often.
+    /// Needs are told, and allocations granted, so often.
     #[schemars(range(min = 20, max = 10_000))]
     pub round_ms: u32,
     /// A leader that is not heard for so long may be replaced; at least 3 rounds.
     #[schemars(range(min = 60, max = 60_000))]
     pub vote_ms: u32,
-    /// A share that is not prolonged ends after so long; at least `vote_ms`.
+    /// An allocation that is not prolonged ends after so long; at least `vote_ms`.
     #[schemars(range(min = 60, max = 600_000))]
     pub lease_ms: u32,
     /// How far any clock may gain or lose, in thousandths.
--- a/node/src/commands/fleet.rs
+++ b/node/src/commands/fleet.rs
@@ -64,10 +64,10 @@
 }
 
 fn budget(of: &BudgetStatus, leader: Option<&Name>) -> Value {
-    // Shares of a rate are thousandths on the wire, and exchanges a second for people.
+    // Allocations of a rate are thousandths on the wire, and exchanges a second for people.
     let units = |units: Units| if of.rate { json!(units as f64 / 1_000.0) } else { json!(units) };
     json!({"name": of.name, "kind": if of.rate { "rate" } else { "places" }, "limit": of.limit,
-        "share": units(of.share), "used": of.used, "rejected": of.rejected, "need": units(of.need),
+        "allocation": units(of.allocation), "used": of.used, "rejected": of.rejected, "need": units(of.need),
         "in_use": of.in_use, "until_ms": of.until_ms, "granted": of.granted.map(units),
         "leader": leader.map(|name| &**name)})
 }
@@ -109,9 +109,9 @@
         }
         for of in &self.budgets {
             let scale = if of.rate { 1_000.0 } else { 1.0 };
-            let (share, need) = (of.share as f64 / scale, of.need as f64 / scale);
+            let (allocation, need) = (of.allocation as f64 / scale, of.need as f64 / scale);
             let lasts = of.until_ms.map_or(String::new(), |ms| format!("  for {ms} ms"));
-            text += &format!("budget {:<16} {share:.1} of {}, needs {need:.1}, ", of.name, of.limit);
+            text += &format!("budget {:<16} {allocation:.1} of {}, needs {need:.1}, ", of.name, of.limit);
             text += &format!("{} used, {} rejected{lasts}\n", of.used, of.rejected);
         }
         text.pop();
--- a/node/src/peers/shares.rs
+++ b/node/src/peers/budgets.rs
@@ -18,11 +18,11 @@
 const LATE: Tenths = 5 * MS;
 
 /// The budgets with what leads to them.
-pub struct Shares {
+pub struct FleetBudgets {
     pub budgets: Budgets,
     falls: Falls,
     pub actions: Vec<Action>,
-    /// By place: exchanges that passed and were not given back, and the share that the log told last.
+    /// By place: exchanges that passed and were not given back, and the allocation that the log told last.
     used: Vec<u64>,
     told: Vec<Units>,
     /// Uses before which the process stood still after it had looked at its lease.
@@ -31,9 +31,14 @@
     lingering: BinaryHeap<Reverse<(Tenths, u16)>>,
 }
 
-impl Shares {
+impl FleetBudgets {
     /// None where the installation has no budgets.
-    pub fn open(file: &FleetFile, installation: &Installation, orders: &Orders, me: Who) -> Option<Shares> {
+    pub fn open(
+        file: &FleetFile,
+        installation: &Installation,
+        orders: &Orders,
+        me: Who,
+    ) -> Option<FleetBudgets> {
         if installation.budgets.is_empty() {
             return None;
         }
@@ -41,7 +46,7 @@
         let weight = file.weight.unwrap_or(orders.handed.contract.cores).max(1);
         let budgets = Budgets::new(me, weight, file.lease_terms(), &list, fastrand::u64(..), 0);
         let (falls, used, told) = (installation.falls(orders), vec![0; list.len()], vec![0; list.len()]);
-        Some(Shares {
+        Some(FleetBudgets {
             budgets,
             falls,
             actions: Vec::new(),
@@ -167,7 +172,7 @@
                 name: name.to_string(),
                 rate: matches!(kind, Kind::Rate { .. }),
                 limit: *limit,
-                share: stands.share,
+                allocation: stands.allocation,
                 used: self.used[place],
                 rejected: stands.rejected,
                 need: stands.need,
@@ -180,14 +185,15 @@
         BudgetPage { nonce, leader: self.budgets.leader().map(|who| who.name.clone()), budgets, more }
     }
 
-    /// A share is told where it has changed by over an eighth: it follows the load, and the log is bounded.
+    /// An allocation is told where it has changed by over an eighth: it follows the load, and the log is
+    /// bounded.
     pub fn log(&mut self, log: &Logger, change: &Change) {
-        if let Change::Share { place, share, .. } = change {
+        if let Change::Allocation { place, allocation, .. } = change {
             let told = &mut self.told[*place];
-            if share.abs_diff(*told) <= (*told).max(*share) / 8 {
+            if allocation.abs_diff(*told) <= (*told).max(*allocation) / 8 {
                 return;
             }
-            *told = *share;
+            *told = *allocation;
         }
         let word = change.word();
         let name = |place: usize| self.budgets.list().nth(place).map_or("", |budget| &budget.name);
@@ -198,12 +204,12 @@
             Change::SteppedDown => info!(log, "budget"; "what" => word),
             Change::Leader(who) => info!(log, "budget"; "what" => word, "of" => &*who.name),
             Change::LeaderSilent(who) => warn!(log, "budget"; "what" => word, "of" => &*who.name),
-            Change::Share { place, was, share, lasts } => {
-                info!(log, "budget"; "what" => word, "budget" => name(*place), "was" => was, "share" => share,
-                    "lasts_ms" => lasts / MS);
+            Change::Allocation { place, was, allocation, lasts } => {
+                info!(log, "budget"; "what" => word, "budget" => name(*place), "was" => was,
+                    "allocation" => allocation, "lasts_ms" => lasts / MS);
             }
-            Change::RanOut { place, share } => {
-                warn!(log, "budget"; "what" => word, "budget" => name(*place), "was" => share);
+            Change::RanOut { place, allocation } => {
+                warn!(log, "budget"; "what" => word, "budget" => name(*place), "was" => allocation);
             }
         }
     }
--- a/node/src/peers/link.rs
+++ b/node/src/peers/link.rs
@@ -15,8 +15,8 @@
 use polling::{Event as Ready, PollMode, Poller};
 use slog::{Logger, info, warn};
 
+use super::budgets::FleetBudgets;
 use super::seal::{LONGEST, Refused, Seal};
-use super::shares::Shares;
 use super::spoken::{Ask, BudgetPage, PAGE, Spoken, Status};
 use crate::parts::{Asked, PART_KEYS, Part, Ticket, Use};
 
@@ -57,7 +57,7 @@
     fleet: Fleet,
     actions: Vec<Action>,
     /// The fleet's budgets, where there are any.
-    shares: Option<Rc<RefCell<Shares>>>,
+    budgets: Option<Rc<RefCell<FleetBudgets>>>,
     counts: Counts,
     told_at: BTreeMap<&'static str, Tenths>,
     /// Datagrams waited at the end of the last reading.
@@ -98,13 +98,13 @@
         info!(log, "fleet"; "fleet" => &file.name, "listen" => %file.listen, "incarnation" => %me.incarnation,
             "sealed" => key.is_some(), "seeds" => file.seeds.len());
         let zero = Instant::now();
-        let shares = Shares::open(
+        let budgets = FleetBudgets::open(
             file,
             installation,
             orders,
             Who { name: me.name.clone(), incarnation: me.incarnation },
         );
-        let shares = shares.map(|shares| Rc::new(RefCell::new(shares)));
+        let budgets = budgets.map(|budgets| Rc::new(RefCell::new(budgets)));
         let mut peers = Peers {
             sock,
             log,
@@ -113,13 +113,13 @@
             fleet: Fleet::new(me, file.terms(), orders.seed ^ chance, 0),
             file: file.clone(),
             actions: Vec::new(),
-            shares,
+            budgets,
             counts: Counts::default(),
             told_at: BTreeMap::new(),
             unread: false,
             waited: 0,
         };
-        peers.tell_shares(None);
+        peers.tell_budgets(None);
         Ok(peers)
     }
 
@@ -128,21 +128,21 @@
     }
 
     /// Budgets rest on who is there; what they ask for is done.
-    fn tell_shares(&mut self, what: Option<doortrack_budgets::Event>) {
+    fn tell_budgets(&mut self, what: Option<doortrack_budgets::Event>) {
         let now = self.now();
-        let Some(shares) = &self.shares else { return };
+        let Some(budgets) = &self.budgets else { return };
         let what = what.unwrap_or_else(|| doortrack_budgets::Event::Members(self.fleet.view().clone()));
-        shares.borrow_mut().handle(now, what);
-        self.carry_out_shares();
+        budgets.borrow_mut().handle(now, what);
+        self.carry_out_budget_actions();
     }
 
     fn is_member(&self, who: &Who) -> bool {
         self.fleet.view().members.get(&who.name).is_some_and(|member| member.incarnation == who.incarnation)
     }
 
-    fn carry_out_shares(&mut self) {
-        let Some(shares) = &self.shares else { return };
-        let actions = std::mem::take(&mut shares.borrow_mut().actions);
+    fn carry_out_budget_actions(&mut self) {
+        let Some(budgets) = &self.budgets else { return };
+        let actions = std::mem::take(&mut budgets.borrow_mut().actions);
         for action in actions {
             match action {
                 doortrack_budgets::Action::Send(envelope) => {
@@ -154,8 +154,8 @@
                     }
                 }
                 doortrack_budgets::Action::Report(change) => {
-                    if let Some(shares) = &self.shares {
-                        shares.borrow_mut().log(&self.log, &change);
+                    if let Some(budgets) = &self.budgets {
+                        budgets.borrow_mut().log(&self.log, &change);
                     }
                 }
             }
@@ -181,13 +181,15 @@
             Ok(Spoken::Ask(ask)) => self.tell(ask, from),
             // Whoever is not in the view would get no answer, and could fill a leader's books.
             Ok(Spoken::Budgets(envelope)) if self.is_member(&envelope.from) => {
-                self.tell_shares(Some(doortrack_budgets::Event::Received(envelope)));
+                self.tell_budgets(Some(doortrack_budgets::Event::Received(envelope)));
             }
             Ok(Spoken::Budgets(_)) => *self.counts.refused.entry("no_member").or_default() += 1,
             Ok(Spoken::AskBudgets { nonce, from: place }) => {
                 let none = BudgetPage { nonce, leader: None, budgets: Vec::new(), more: false };
-                let page =
-                    self.shares.as_ref().map_or(none, |shares| shares.borrow_mut().page(nonce, place, now));
+                let page = self
+                    .budgets
+                    .as_ref()
+                    .map_or(none, |budgets| budgets.borrow_mut().page(nonce, place, now));
                 self.send(from, &Spoken::BudgetStatus(Box::new(page)));
             }
             Ok(Spoken::Status(_) | Spoken::BudgetStatus(_)) => {}
@@ -249,7 +251,7 @@
                 Action::Report(change) => {
                     self.log(&change);
                     let superseded = matches!(change, Change::Superseded { .. });
-                    self.tell_shares(superseded.then_some(doortrack_budgets::Event::Superseded));
+                    self.tell_budgets(superseded.then_some(doortrack_budgets::Event::Superseded));
                 }
             }
         }
@@ -296,50 +298,51 @@
                 self.carry_out();
             }
         }
-        if let Some(shares) = &self.shares {
-            shares.borrow_mut().free(now);
+        if let Some(budgets) = &self.budgets {
+            budgets.borrow_mut().free(now);
         }
-        if self.shares.as_ref().is_some_and(|shares| now >= shares.borrow().budgets.next_due()) {
-            self.tell_shares(Some(doortrack_budgets::Event::Tick));
+        if self.budgets.as_ref().is_some_and(|budgets| now >= budgets.borrow().budgets.next_due()) {
+            self.tell_budgets(Some(doortrack_budgets::Event::Tick));
         }
     }
 
     fn admit(&mut self, asked: Asked) -> Result<Ticket, Tenths> {
         let (zero, drift) = (self.zero, self.file.tests.drift_ppm);
-        match &self.shares {
-            Some(shares) => shares.borrow_mut().admit(asked, || now(zero, drift)),
+        match &self.budgets {
+            Some(budgets) => budgets.borrow_mut().admit(asked, || now(zero, drift)),
             None => Ok(Ticket::default()),
         }
     }
 
     fn retry_gate(&self, pool: u16) -> Option<Box<dyn FnMut() -> bool>> {
         let (zero, drift) = (self.zero, self.file.tests.drift_ppm);
-        let shares = self.shares.clone()?;
+        let budgets = self.budgets.clone()?;
         // Looked up each time: a SIGHUP may bring it, or take it away.
         Some(Box::new(move || {
-            let mut shares = shares.borrow_mut();
-            let place = shares.retries(pool);
-            place.is_none_or(|place| shares.retry(place, now(zero, drift)))
+            let mut budgets = budgets.borrow_mut();
+            let place = budgets.retries(pool);
+            place.is_none_or(|place| budgets.retry(place, now(zero, drift)))
         }))
     }
 
     fn give_back(&mut self, ticket: Ticket, came: Use) {
         let now = self.now();
-        if let Some(shares) = &self.shares {
-            shares.borrow_mut().give_back(ticket, came, now);
+        if let Some(budgets) = &self.budgets {
+            budgets.borrow_mut().give_back(ticket, came, now);
         }
     }
 
     fn wait(&self) -> Tenths {
-        let shares = self.shares.as_ref().map_or(Tenths::MAX, |shares| shares.borrow().budgets.next_due());
-        match self.fleet.next_due().min(shares) {
+        let budgets =
+            self.budgets.as_ref().map_or(Tenths::MAX, |budgets| budgets.borrow().budgets.next_due());
+        match self.fleet.next_due().min(budgets) {
             Tenths::MAX => Tenths::MAX,
             due => due.saturating_sub(self.now()),
         }
     }
 
     fn leave(&mut self) {
-        self.tell_shares(Some(doortrack_budgets::Event::Leave));
+        self.tell_budgets(Some(doortrack_budgets::Event::Leave));
         self.fleet.handle(self.now(), Event::Leave, &mut self.actions);
         self.carry_out();
     }
@@ -361,21 +364,21 @@
             ..self.file.clone()
         };
         let now = self.now();
-        let why = match &self.shares {
+        let why = match &self.budgets {
             None if installation.budgets.is_empty() => None,
             None => Some("there were none".to_string()),
-            Some(shares) => {
-                let mut shares = shares.borrow_mut();
-                let why = shares.needs_a_start(file, installation, orders).map(str::to_string);
+            Some(budgets) => {
+                let mut budgets = budgets.borrow_mut();
+                let why = budgets.needs_a_start(file, installation, orders).map(str::to_string);
                 if why.is_none() {
-                    shares.change(now, installation, orders);
+                    budgets.change(now, installation, orders);
                 }
                 why
             }
         };
         match why {
             Some(why) => warn!(self.log, "budgets need a start"; "why" => why),
-            None => self.carry_out_shares(),
+            None => self.carry_out_budget_actions(),
         }
         let terms = Box::new(self.file.terms());
         self.fleet.handle(self.now(), Event::Changed { terms }, &mut self.actions);
@@ -389,8 +392,8 @@
             "received" => counts.received, "sent" => counts.sent, "sent_bytes" => counts.sent_bytes,
             "unsent" => counts.unsent, "refused" => slog::Serde(counts.refused.clone()),
             "out_of_place" => self.fleet.refused());
-        if let Some(shares) = &self.shares {
-            shares.borrow().summary(log);
+        if let Some(budgets) = &self.budgets {
+            budgets.borrow().summary(log);
         }
     }
 }
--- a/node/src/peers/spoken.rs
+++ b/node/src/peers/spoken.rs
@@ -55,13 +55,13 @@
     pub more: bool,
 }
 
-/// One budget; shares and needs are places, or thousandths of an exchange a second.
+/// One budget; allocations and needs are places, or thousandths of an exchange a second.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct BudgetStatus {
     pub name: String,
     pub rate: bool,
     pub limit: u32,
-    pub share: Units,
+    pub allocation: Units,
     pub used: u64,
     pub rejected: u64,
     pub need: Units,
--- a/node/tests/fleet/budgets.rs
+++ b/node/tests/fleet/budgets.rs
@@ -165,18 +165,18 @@
 }
 
 #[test]
-fn shares_are_granted_run_out_to_the_reserved_minimums_and_follow_a_lower_limit() {
+fn allocations_are_granted_run_out_to_the_reserved_minimums_and_follow_a_lower_limit() {
     let mut rig = Rig::new(program(), NODES, 3).unwrap();
     let more = |_: usize| budgets(LIMIT);
     rig.begin();
     (0..NODES).for_each(|of| rig.start(of, of, &more(of)).unwrap());
     // All alike: a fifth each, and 4 of it set aside.
-    (0..NODES).for_each(|of| wait_for(&rig, of, |of| of.share >= 24_000 && of.until_ms.is_some()));
+    (0..NODES).for_each(|of| wait_for(&rig, of, |of| of.allocation >= 24_000 && of.until_ms.is_some()));
     // One node learns of a lower limit: all keep to it.
     rig.reload(3, &budgets(50)).unwrap();
-    (0..NODES).for_each(|of| wait_for(&rig, of, |of| of.share <= 12_000));
+    (0..NODES).for_each(|of| wait_for(&rig, of, |of| of.allocation <= 12_000));
     rig.reload(3, &budgets(LIMIT)).unwrap();
-    (0..NODES).for_each(|of| wait_for(&rig, of, |of| of.share >= 24_000));
+    (0..NODES).for_each(|of| wait_for(&rig, of, |of| of.allocation >= 24_000));
     // Other voters, or another kind under the name, change nothing under way: they need a start.
     let voters = with(budgets(20), json!({"fleet": {"voters": ["n3", "n4"]}}));
     rig.reload(3, &voters).unwrap();
@@ -184,12 +184,13 @@
     places["budgets"][0] = json!({"name": "looks", "kind": "places", "limit": 7, "for": {"group": "look"}});
     rig.reload(4, &places).unwrap();
     std::thread::sleep(Duration::from_millis(500));
-    (0..NODES).for_each(|of| wait_for(&rig, of, |of| of.share >= 24_000 && of.rate && of.limit == LIMIT));
+    (0..NODES)
+        .for_each(|of| wait_for(&rig, of, |of| of.allocation >= 24_000 && of.rate && of.limit == LIMIT));
     // Most voters gone: the reserved minimums are left.
     rig.take_up(&Fault::Kill { nodes: vec![0, 1, 2] }, &more).unwrap();
-    [3, 4].iter().for_each(|of| wait_for(&rig, *of, |of| of.share == 4_000 && of.until_ms.is_none()));
+    [3, 4].iter().for_each(|of| wait_for(&rig, *of, |of| of.allocation == 4_000 && of.until_ms.is_none()));
     rig.take_up(&Fault::Start { nodes: vec![0], clock_ms: 0 }, &more).unwrap();
-    [0, 3, 4].iter().for_each(|of| wait_for(&rig, *of, |of| of.share > 30_000));
+    [0, 3, 4].iter().for_each(|of| wait_for(&rig, *of, |of| of.allocation > 30_000));
     let status = std::process::Command::new(program())
         .args(["fleet", "status", "--json", "--peer", &rig.fleet(3).to_string(), "--key-file"])
         .arg(rig.key_file())
--- a/rig/src/divided.rs
+++ b/rig/src/divided.rs
@@ -336,7 +336,7 @@
             small(*seq) + 2 + items.iter().map(item).sum::<u64>()
         }
         Message::Grant { seq, grants } => {
-            small(*seq) + 1 + grants.iter().map(|grant| 6 + small(grant.share)).sum::<u64>()
+            small(*seq) + 1 + grants.iter().map(|grant| 6 + small(grant.allocation)).sum::<u64>()
         }
         Message::Elsewhere { seq, leader } => small(*seq) + 1 + leader.as_ref().map_or(0, who),
     };
--- a/rig/tests/divided.rs
+++ b/rig/tests/divided.rs
@@ -103,7 +103,7 @@
 }
 
 #[test]
-fn with_most_voters_gone_shares_run_out_to_the_reserved_minimums() {
+fn with_most_voters_gone_allocations_run_out_to_the_reserved_minimums() {
     let gone = script(20_000, 3, vec![(8_000, Fault::Kill { nodes: vec![0, 1, 2] })]);
     let out = holds(&gone);
     let used = |from: u64, till: u64| -> u32 {
