--- a/bench/benches/budgets.rs
+++ b/bench/benches/budgets.rs
@@ -9,7 +9,9 @@
 
 fn checks(criterion: &mut Criterion) {
     let me: Name = "n0".into();
-    for (what, kind) in [("rate", Kind::Rate { burst: 1_000 }), ("places", Kind::Places { max_hold: 10 })] {
+    for (what, kind) in
+        [("rate", Kind::Rate { burst: 1_000 }), ("concurrency", Kind::Concurrency { max_hold: 10 })]
+    {
         let list: Vec<Budget> = (0..200)
             .map(|nth| Budget {
                 name: format!("b{nth}").into(),
--- a/budgets/src/allocation.rs
+++ b/budgets/src/allocation.rs
@@ -16,7 +16,7 @@
         cap: u64,
         counted: Tenths,
     },
-    Places {
+    Concurrency {
         in_use: Units,
     },
 }
@@ -26,7 +26,7 @@
 pub(crate) struct Allocation {
     pub budget: Budget,
     reserved: Units,
-    /// The reserved minimum may be used from here on: places that an earlier incarnation had may be in use
+    /// The reserved minimum may be used from here on: what an earlier incarnation had may be in use
     /// until then.
     reserved_from: Tenths,
     leased: Units,
@@ -45,7 +45,7 @@
         let held = if terms.safeguards.held { budget.max_hold() } else { 0 };
         let uses = match budget.kind {
             Kind::Rate { .. } => Uses::Rate { tokens: 0, cap: 0, counted: now },
-            Kind::Places { .. } => Uses::Places { in_use: 0 },
+            Kind::Concurrency { .. } => Uses::Concurrency { in_use: 0 },
         };
         let mut allocation = Allocation {
             reserved: budget.reserved_at(name),
@@ -133,7 +133,7 @@
                     (Err(terms.round), 0)
                 }
             }
-            Uses::Places { in_use } => {
+            Uses::Concurrency { in_use } => {
                 let taken = if *in_use < usable { Ok(()) } else { Err(terms.round) };
                 *in_use += Units::from(taken.is_ok());
                 (taken, *in_use)
@@ -144,12 +144,12 @@
         taken
     }
 
-    /// What was taken was not used, or, of a place, is used no more.
+    /// What was taken was not used, or, of a concurrency, is used no more.
     pub fn put_back(&mut self, used: bool) {
         match &mut self.uses {
             Uses::Rate { tokens, cap, .. } if !used => *tokens = (*tokens + TOKEN).min(*cap),
             Uses::Rate { .. } => {}
-            Uses::Places { in_use } => *in_use = in_use.saturating_sub(1),
+            Uses::Concurrency { in_use } => *in_use = in_use.saturating_sub(1),
         }
     }
 
@@ -161,7 +161,7 @@
     pub fn in_use(&self) -> Units {
         match self.uses {
             Uses::Rate { .. } => 0,
-            Uses::Places { in_use } => in_use,
+            Uses::Concurrency { in_use } => in_use,
         }
     }
 
--- a/budgets/src/budgets.rs
+++ b/budgets/src/budgets.rs
@@ -300,7 +300,7 @@
         self.allocations[place].put_back(false);
     }
 
-    /// A place that was taken is held no more. Of a rate this changes nothing.
+    /// A unit that was held is held no more. Of a rate this changes nothing.
     pub fn done(&mut self, place: usize) {
         self.allocations[place].put_back(true);
     }
--- a/budgets/src/need.rs
+++ b/budgets/src/need.rs
@@ -50,14 +50,14 @@
         }
         let seen = match budget.kind {
             Kind::Rate { .. } => self.asked * 1_000 * 10_000 / span,
-            Kind::Places { .. } => self.peak.max(in_use) + self.rejected,
+            Kind::Concurrency { .. } => self.peak.max(in_use) + self.rejected,
         };
         // No more than all there is: who reports the absurd gets what is fair among equals.
         let seen = seen.min(budget.limit());
         let (asked, rejected, peak) = (0, 0, in_use);
         let few = match budget.kind {
             Kind::Rate { .. } => self.asked.max(self.smooth * span / 10_000_000) < FEW,
-            Kind::Places { .. } => false,
+            Kind::Concurrency { .. } => false,
         };
         let smooth = match (seen > self.smooth, few) {
             (true, few) => {
--- a/budgets/src/reporting.rs
+++ b/budgets/src/reporting.rs
@@ -11,7 +11,7 @@
     /// What this node may use now, its reserved minimum included, and of that what is on a lease.
     pub allocation: Units,
     pub leased: Units,
-    /// Places in use; 0 for a rate.
+    /// Units in use; 0 for a rate.
     pub in_use: Units,
     pub need: Units,
     pub rejected: u64,
@@ -67,7 +67,7 @@
         let usable = allocation.usable(now, &self.terms);
         match allocation.budget.kind {
             Kind::Rate { .. } => usable,
-            Kind::Places { .. } => usable.max(allocation.in_use()),
+            Kind::Concurrency { .. } => usable.max(allocation.in_use()),
         }
     }
 }
--- a/budgets/src/terms.rs
+++ b/budgets/src/terms.rs
@@ -7,7 +7,7 @@
 
 const MS: Tenths = 10;
 
-/// A part of a budget: places, or thousandths of a unit a second.
+/// A part of a budget: units held at once, or thousandths of a unit a second.
 pub type Units = u64;
 
 /// By what nodes know a budget: its name and kind, hashed. The same in every build. Nodes that were told of
@@ -31,8 +31,8 @@
         burst: u32,
     },
     /// Units held at once.
-    Places {
-        /// What a place is held for at the longest, also by who is parted from all or has died.
+    Concurrency {
+        /// What one is held for at the longest, also by who is parted from all or has died.
         max_hold: Tenths,
     },
 }
@@ -42,7 +42,7 @@
 pub struct Budget {
     pub name: Arc<str>,
     pub kind: Kind,
-    /// Units a second, or places.
+    /// Units a second, or units held at once.
     pub limit: u32,
     /// Set aside for each of `reserved_for`, in the same.
     pub reserved: u32,
@@ -56,7 +56,7 @@
     fn scale(&self) -> Units {
         match self.kind {
             Kind::Rate { .. } => 1_000,
-            Kind::Places { .. } => 1,
+            Kind::Concurrency { .. } => 1,
         }
     }
 
@@ -90,7 +90,7 @@
     pub fn step(&self) -> Units {
         match self.kind {
             Kind::Rate { burst } => self.limit().div_ceil(Units::from(burst.max(1))).max(1),
-            Kind::Places { .. } => 1,
+            Kind::Concurrency { .. } => 1,
         }
     }
 
@@ -98,7 +98,7 @@
     pub fn max_hold(&self) -> Tenths {
         match self.kind {
             Kind::Rate { .. } => 0,
-            Kind::Places { max_hold } => max_hold,
+            Kind::Concurrency { max_hold } => max_hold,
         }
     }
 }
@@ -160,7 +160,7 @@
     pub in_order: bool,
     /// What is prolonged has to be in force yet.
     pub prolong: bool,
-    /// Places count as in use for as long as they may be, beyond a lease and after a start.
+    /// Units count as in use for as long as they may be, beyond a lease and after a start.
     pub held: bool,
 }
 
--- a/budgets/tests/holder.rs
+++ b/budgets/tests/holder.rs
@@ -21,7 +21,7 @@
         let leader = Who { name: "k".into(), incarnation: Incarnation(1) };
         let voters: Arc<[Name]> = Arc::new([leader.name.clone()]);
         let terms = Terms { voters, safeguards, ..Terms::default() };
-        let (kind, reserved_for) = (Kind::Places { max_hold: 0 }, Arc::new([]));
+        let (kind, reserved_for) = (Kind::Concurrency { max_hold: 0 }, Arc::new([]));
         let list =
             [Budget { name: "b".into(), kind, limit: 20, reserved: 0, reserved_for, max_per_node: 20 }];
         let me = Who { name: "h".into(), incarnation: Incarnation(2) };
@@ -60,7 +60,7 @@
         self.budgets.exposed(0, self.now)
     }
 
-    /// Bound to its leader, with ten places.
+    /// Bound to its leader, with ten units.
     fn with_ten(safeguards: Safeguards) -> Holder {
         let mut holder = Holder::new(safeguards);
         let seq = holder.reports();
--- a/installation/src/budgets.rs
+++ b/installation/src/budgets.rs
@@ -45,8 +45,8 @@
     #[serde(default, alias = "most")]
     #[schemars(range(min = 1, max = 10_000_000))]
     pub max_per_node: Option<u32>,
-    /// What a place is held for at the longest, also by a node that died: so long nobody else has it. Absent:
-    /// the longest deadline of all endpoint groups. For places alone.
+    /// What one is held for at the longest, also by a node that died: so long nobody else has it. Absent:
+    /// the longest deadline of all endpoint groups. For a concurrency alone.
     #[serde(default, alias = "held_most_ms")]
     #[schemars(range(min = 1, max = 3_600_000))]
     pub max_hold_ms: Option<u32>,
@@ -58,7 +58,8 @@
     /// Exchanges a second.
     Rate,
     /// Exchanges held at once, from being taken in to their end.
-    Places,
+    #[serde(alias = "places")]
+    Concurrency,
 }
 
 /// By what exchanges fall under a budget; each customer, group and pool under one at the most.
@@ -152,7 +153,7 @@
             name: self.name.as_str().into(),
             kind: match self.kind {
                 BudgetKind::Rate => Kind::Rate { burst: self.burst.unwrap_or(1) },
-                BudgetKind::Places => Kind::Places { max_hold },
+                BudgetKind::Concurrency => Kind::Concurrency { max_hold },
             },
             limit: self.limit,
             reserved: self.reserved,
@@ -179,13 +180,13 @@
         }
         match (self.kind, self.burst) {
             (BudgetKind::Rate, None) => fault("", "needed key 'burst' is missing: a rate has one".into()),
-            (BudgetKind::Places, Some(_)) => fault(".burst", "only a rate has one".into()),
+            (BudgetKind::Concurrency, Some(_)) => fault(".burst", "only a rate has one".into()),
             _ => {}
         }
         if self.kind == BudgetKind::Rate && self.max_hold_ms.is_some() {
-            fault(".max_hold_ms", "only places are held".into());
+            fault(".max_hold_ms", "only a concurrency is held".into());
         }
-        if self.kind == BudgetKind::Places && matches!(self.of, BudgetFor::Retries(_)) {
+        if self.kind == BudgetKind::Concurrency && matches!(self.of, BudgetFor::Retries(_)) {
             fault(".kind", "retries are a rate".into());
         }
         if self.max_hold_ms.is_some_and(|ms| !(1..=3_600_000).contains(&ms)) {
--- a/node/src/commands/fleet.rs
+++ b/node/src/commands/fleet.rs
@@ -66,7 +66,7 @@
 fn budget(of: &BudgetStatus, leader: Option<&Name>) -> Value {
     // Allocations of a rate are thousandths on the wire, and exchanges a second for people.
     let units = |units: Units| if of.rate { json!(units as f64 / 1_000.0) } else { json!(units) };
-    json!({"name": of.name, "kind": if of.rate { "rate" } else { "places" }, "limit": of.limit,
+    json!({"name": of.name, "kind": if of.rate { "rate" } else { "concurrency" }, "limit": of.limit,
         "allocation": units(of.allocation), "used": of.used, "rejected": of.rejected, "need": units(of.need),
         "in_use": of.in_use, "until_ms": of.until_ms, "granted": of.granted.map(units),
         "leader": leader.map(|name| &**name)})
--- a/node/src/peers/budgets.rs
+++ b/node/src/peers/budgets.rs
@@ -27,7 +27,7 @@
     told: Vec<Units>,
     /// Uses before which the process stood still after it had looked at its lease.
     late: u64,
-    /// Places of runs that were given up, till when they may go on.
+    /// Permits of runs that were given up, till when they may go on.
     lingering: BinaryHeap<Reverse<(Tenths, u16)>>,
 }
 
@@ -151,7 +151,7 @@
         }
     }
 
-    /// Places of runs that are over by now, whoever ran them.
+    /// Permits of runs that are over by now, whoever ran them.
     pub fn free(&mut self, now: Tenths) {
         while let Some(Reverse((_, place))) =
             self.lingering.peek().copied().filter(|Reverse((till, _))| *till <= now)
--- a/node/src/peers/spoken.rs
+++ b/node/src/peers/spoken.rs
@@ -55,7 +55,7 @@
     pub more: bool,
 }
 
-/// One budget; allocations and needs are places, or thousandths of an exchange a second.
+/// One budget; allocations and needs are units held at once, or thousandths of an exchange a second.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct BudgetStatus {
     pub name: String,
--- a/node/tests/fleet/budgets.rs
+++ b/node/tests/fleet/budgets.rs
@@ -8,7 +8,7 @@
 use doortrack_rig::crowd::{Asked, Crowd, Manner};
 use doortrack_rig::processes::Rig;
 use doortrack_rig::script::{Fault, Script};
-use doortrack_rig::spent::{places_broken, rate_broken, used};
+use doortrack_rig::spent::{concurrency_exceeded, rate_exceeded, used};
 use doortrack_standins::caller::{Ask, Seen};
 use doortrack_standins::server::{Act, CutBy, Got, Server};
 use doortrack_wire::Protocol;
@@ -19,7 +19,7 @@
 const NODES: usize = 5;
 const LIMIT: u32 = 150;
 const BURST: u32 = 50;
-const PLACES: u32 = 5;
+const CONCURRENCY: u32 = 5;
 const HELD_MS: u32 = 400;
 
 fn manner() -> Manner {
@@ -32,7 +32,7 @@
     json!({"fleet": {"voters": names}, "budgets": [
         {"name": "looks", "kind": "rate", "limit": limit, "burst": BURST, "reserved": 4,
             "for": {"group": "look"}},
-        {"name": "pays", "kind": "places", "limit": PLACES, "max_hold_ms": HELD_MS,
+        {"name": "pays", "kind": "concurrency", "limit": CONCURRENCY, "max_hold_ms": HELD_MS,
             "for": {"group": "pay"}}]})
 }
 
@@ -94,9 +94,9 @@
 }
 
 fn broken(asked: &Asked) -> Vec<String> {
-    let rate = rate_broken(&asked.looks, LIMIT, BURST).map(|what| format!("looks: {what}"));
-    let places = places_broken(&asked.runs, PLACES).map(|what| format!("pays: {what}"));
-    rate.into_iter().chain(places).collect()
+    let rate = rate_exceeded(&asked.looks, LIMIT, BURST).map(|what| format!("looks: {what}"));
+    let concurrency = concurrency_exceeded(&asked.runs, CONCURRENCY).map(|what| format!("pays: {what}"));
+    rate.into_iter().chain(concurrency).collect()
 }
 
 fn halves(at: u64, till: u64) -> Vec<(u64, Fault)> {
@@ -127,10 +127,11 @@
 
 /// Nine processes, five of which are replaced within 7 s, links rough, and one way to a voter cut.
 #[test]
-fn three_places_and_a_rate_among_nine_that_are_released_in_seven_seconds() {
+fn a_concurrency_of_three_and_a_rate_among_nine_that_are_released_in_seven_seconds() {
     let own = json!({"fleet": {"voters": ["n0", "n1", "n2", "n3", "n4"]}, "budgets": [
         {"name": "looks", "kind": "rate", "limit": LIMIT, "burst": BURST, "for": {"group": "look"}},
-        {"name": "pays", "kind": "places", "limit": 3, "for": {"group": "pay"}, "max_hold_ms": HELD_MS}]});
+        {"name": "pays", "kind": "concurrency", "limit": 3, "max_hold_ms": HELD_MS,
+            "for": {"group": "pay"}}]});
     let rough = Fault::Links { loss: 0.05, doubled: 0.1, garbled: 0.01, delay_ms: 10 };
     let others: Vec<usize> = vec![1, 2, 3, 4, 5, 6, 7, 8];
     let mut faults = vec![
@@ -146,9 +147,9 @@
     let ms = Duration::from_millis;
     let manner = Manner { moves_every: Some(ms(1_000)), ..manner() };
     let asked = play_with(&script(9, 19_000, faults), &[], manner, &own);
-    assert_eq!(rate_broken(&asked.looks, LIMIT, BURST), None);
-    assert_eq!(places_broken(&asked.runs, 3), None);
-    // Each place goes round: three places, and yet most nodes had one.
+    assert_eq!(rate_exceeded(&asked.looks, LIMIT, BURST), None);
+    assert_eq!(concurrency_exceeded(&asked.runs, 3), None);
+    // Each permit goes round: three, and yet most nodes had one.
     let fronts: std::collections::BTreeSet<usize> = asked
         .told
         .iter()
@@ -180,9 +181,10 @@
     // Other voters, or another kind under the name, change nothing under way: they need a start.
     let voters = with(budgets(20), json!({"fleet": {"voters": ["n3", "n4"]}}));
     rig.reload(3, &voters).unwrap();
-    let mut places = budgets(20);
-    places["budgets"][0] = json!({"name": "looks", "kind": "places", "limit": 7, "for": {"group": "look"}});
-    rig.reload(4, &places).unwrap();
+    let mut other_kind = budgets(20);
+    other_kind["budgets"][0] =
+        json!({"name": "looks", "kind": "concurrency", "limit": 7, "for": {"group": "look"}});
+    rig.reload(4, &other_kind).unwrap();
     std::thread::sleep(Duration::from_millis(500));
     (0..NODES)
         .for_each(|of| wait_for(&rig, of, |of| of.allocation >= 24_000 && of.rate && of.limit == LIMIT));
@@ -198,7 +200,10 @@
         .unwrap();
     let seen: Value = serde_json::from_slice(&status.stdout).unwrap();
     assert_eq!(seen["budgets"][0]["name"], "looks", "{seen}");
-    assert!(seen["budgets"][0]["leader"].is_string() && seen["budgets"][1]["kind"] == "places", "{seen}");
+    assert!(
+        seen["budgets"][0]["leader"].is_string() && seen["budgets"][1]["kind"] == "concurrency",
+        "{seen}"
+    );
 }
 
 #[test]
@@ -217,7 +222,7 @@
     std::thread::sleep(ms(2_000));
     let asked = crowd.finish();
     let all: Vec<_> = asked.looks.iter().chain(&asked.pays).copied().collect();
-    assert_eq!(rate_broken(&all, 20, 10), None);
+    assert_eq!(rate_exceeded(&all, 20, 10), None);
     assert!(used(&all, 20, began, began + 2_000) > 0.5, "{}", all.len());
     let rejected = asked.told.iter().filter_map(|told| match &told.seen {
         Some(Seen::Rejected { retry_after, .. }) => Some(retry_after.unwrap_or(0)),
@@ -304,11 +309,11 @@
     assert!(server.got().len() <= 2, "{} runs of two keys", server.got().len());
 }
 
-/// What a node gives up may go on in its server: its place is free only once that is over.
+/// What a node gives up may go on in its server: its permit is free only once that is over.
 #[test]
-fn the_place_of_a_run_that_was_given_up_is_held_on() {
+fn the_permit_of_a_run_that_was_given_up_is_held_on() {
     let server = Server::start(Protocol::FastCgi, |_| Act::Hang);
-    let budget = json!({"name": "all", "kind": "places", "limit": 1, "reserved": 1, "max_hold_ms": 3_000,
+    let budget = json!({"name": "all", "kind": "concurrency", "limit": 1, "reserved": 1, "max_hold_ms": 3_000,
         "for": {"pool": "servers"}});
     let rig = alone(&server, 100, budget);
     let until = std::time::Instant::now() + Duration::from_secs(30);
@@ -320,6 +325,6 @@
         std::thread::sleep(Duration::from_millis(10));
     }
     let at: Vec<u64> = server.got().iter().map(|got| got.at).collect();
-    // Each waits for the place of the one before, which was given up after 0.1 s.
+    // Each waits for the permit of the one before, which was given up after 0.1 s.
     assert!(at.windows(2).all(|two| two[1] >= two[0] + 3_000), "{at:?}");
 }
--- a/rig/src/divided.rs
+++ b/rig/src/divided.rs
@@ -36,7 +36,7 @@
     pub offset_ms: i64,
     /// Uses that are asked for a second: of a node, of the budget at a place, at a time in ms.
     pub demand: &'a dyn Fn(usize, usize, u64) -> f64,
-    /// How long places are held, in the mean; never longer than the budget says.
+    /// How long units are held, in the mean; never longer than the budget says.
     pub held_ms: u64,
     /// Uses are counted from here on, for figures.
     pub count_from_ms: u64,
@@ -70,7 +70,7 @@
     started: u64,
     ways: &'a Ways<'a>,
     chance: fastrand::Rng,
-    /// By budget: what the leaky count of a rate stands at and when, or the ends of places held.
+    /// By budget: what the leaky count of a rate stands at and when, or the ends of what is held.
     level: Vec<(f64, Micros)>,
     held: Vec<Vec<(Micros, MachineId, Incarnation)>>,
     bytes: Vec<u64>,
@@ -222,7 +222,7 @@
         self.asks_at[of] = shown + STEP;
         let at_ms = self.net.now() / MS;
         for place in 0..self.ways.list.len() {
-            self.end_places(place);
+            self.end_holds(place);
             let mean = (self.ways.demand)(of, place, at_ms) * STEP as f64 / 1e6;
             // So many that the mean is met: exact but for chance in the fraction.
             let count = mean as u64 + u64::from(self.chance.f64() < mean.fract());
@@ -263,20 +263,20 @@
                     self.breach(place, format!("{level:.3} beyond {limit} a second, a burst of {burst}"));
                 }
             }
-            Kind::Places { max_hold } => {
+            Kind::Concurrency { max_hold } => {
                 let mean = (self.ways.held_ms * MS) as f64;
                 let lasts = (-mean * self.chance.f64().max(1e-9).ln()).min((max_hold * TENTH) as f64);
                 self.held[place].push((now + lasts as Micros, of, self.incarnations[of]));
                 let held = self.held[place].iter().filter(|(till, ..)| *till > now).count();
                 if held as u32 > budget.limit {
-                    self.breach(place, format!("{held} places of {limit} are held"));
+                    self.breach(place, format!("{held} of {limit} are held at once"));
                 }
             }
         }
     }
 
-    /// Places come to their end; a node that stands still learns of it when it goes on.
-    fn end_places(&mut self, place: usize) {
+    /// What is held comes to its end; a node that stands still learns of it when it goes on.
+    fn end_holds(&mut self, place: usize) {
         let now = self.net.now();
         let (nodes, incarnations, net) = (&mut self.nodes, &self.incarnations, &self.net);
         self.held[place].retain(|(till, of, incarnation)| {
--- a/rig/src/spent.rs
+++ b/rig/src/spent.rs
@@ -10,7 +10,7 @@
 
 /// The first span in which more passed than `limit` a second and `burst` beyond, whenever within its two
 /// times each did; none if there is none.
-pub fn rate_broken(passed: &[Passed], limit: u32, burst: u32) -> Option<String> {
+pub fn rate_exceeded(passed: &[Passed], limit: u32, burst: u32) -> Option<String> {
     let mut by_asked = passed.to_vec();
     by_asked.sort_unstable();
     // Times are cut to whole ms, so a span is up to 1 ms longer than it looks.
@@ -31,7 +31,7 @@
 }
 
 /// The first moment at which more than `limit` were run at once; each began and ended at these times, in ms.
-pub fn places_broken(runs: &[(u64, u64)], limit: u32) -> Option<String> {
+pub fn concurrency_exceeded(runs: &[(u64, u64)], limit: u32) -> Option<String> {
     // Cut to whole ms: what ends in the ms in which another begins may have ended before.
     let mut edges: Vec<(u64, i32)> = runs
         .iter()
--- a/rig/tests/divided.rs
+++ b/rig/tests/divided.rs
@@ -21,8 +21,8 @@
     Budget { name: "rate".into(), kind, limit, reserved, reserved_for: names(5), max_per_node: limit }
 }
 
-fn places(limit: u32, reserved: u32) -> Budget {
-    let kind = Kind::Places { max_hold: 20_000 };
+fn concurrency(limit: u32, reserved: u32) -> Budget {
+    let kind = Kind::Concurrency { max_hold: 20_000 };
     Budget { name: "places".into(), kind, limit, reserved, reserved_for: names(5), max_per_node: limit }
 }
 
@@ -63,7 +63,7 @@
 ) -> Outcome {
     let ways = Ways {
         terms: terms(safeguards),
-        list: vec![rate(600, 120, 20), places(30, 1)],
+        list: vec![rate(600, 120, 20), concurrency(30, 1)],
         latency: Law::LogNormal { mean: 300.0, sigma: 0.5 },
         drift_ppm,
         offset_ms: 1_000,
