Names: a permit is acquired and released

`take`, `put_back`, `unused`, `done`, `give_back` and `Ticket` become `acquire`, `cancel`, `release` and `Permit`. Where the loop holds a permit only what the change of the interface forces is renamed.

Checked: cargo check of fleet, budgets, installation, node, rig and bench, all targets.

--- a/bench/benches/budgets.rs
+++ b/bench/benches/budgets.rs
@@ -28,8 +28,8 @@
         criterion.bench_function(&format!("check of a {what}, one of 200"), |bencher| {
             bencher.iter(|| {
                 (now, place) = (now + 1, (place + 7) % 200);
-                let taken = budgets.take(place, black_box(now));
-                budgets.done(place);
+                let taken = budgets.acquire(place, black_box(now));
+                budgets.release(place);
                 taken
             })
         });
--- a/budgets/src/allocation.rs
+++ b/budgets/src/allocation.rs
@@ -119,7 +119,7 @@
     }
 
     /// Uses one unit, or says how long to wait before asking again.
-    pub fn take(&mut self, now: Tenths, terms: &Terms) -> Result<(), Tenths> {
+    pub fn acquire(&mut self, now: Tenths, terms: &Terms) -> Result<(), Tenths> {
         let usable = self.usable(now, terms);
         let rate = self.reserved + self.leased;
         let (taken, in_use) = match &mut self.uses {
@@ -145,7 +145,7 @@
     }
 
     /// What was taken was not used, or, of a concurrency, is used no more.
-    pub fn put_back(&mut self, used: bool) {
+    pub fn release(&mut self, used: bool) {
         match &mut self.uses {
             Uses::Rate { tokens, cap, .. } if !used => *tokens = (*tokens + TOKEN).min(*cap),
             Uses::Rate { .. } => {}
--- a/budgets/src/budgets.rs
+++ b/budgets/src/budgets.rs
@@ -291,17 +291,17 @@
     ///
     /// # Errors
     /// Nothing is left; how long to wait before asking again, in tenths of a ms.
-    pub fn take(&mut self, place: usize, now: Tenths) -> Result<(), Tenths> {
-        self.allocations[place].take(now, &self.terms)
+    pub fn acquire(&mut self, place: usize, now: Tenths) -> Result<(), Tenths> {
+        self.allocations[place].acquire(now, &self.terms)
     }
 
     /// What was taken came to nothing: of a rate it may be used again.
-    pub fn unused(&mut self, place: usize) {
-        self.allocations[place].put_back(false);
+    pub fn cancel(&mut self, place: usize) {
+        self.allocations[place].release(false);
     }
 
     /// A unit that was held is held no more. Of a rate this changes nothing.
-    pub fn done(&mut self, place: usize) {
-        self.allocations[place].put_back(true);
+    pub fn release(&mut self, place: usize) {
+        self.allocations[place].release(true);
     }
 }
--- a/budgets/src/leadership.rs
+++ b/budgets/src/leadership.rs
@@ -139,7 +139,7 @@
         }
     }
 
-    fn release(&mut self, out: &mut Vec<Action>) {
+    fn release_votes(&mut self, out: &mut Vec<Action>) {
         let election = match &self.leadership {
             Leadership::Follower { .. } => return,
             Leadership::Candidate { election, .. } => election,
@@ -154,7 +154,7 @@
 
     /// Too few votes: they are given back, so that another may have them.
     fn give_up(&mut self, now: Tenths, out: &mut Vec<Action>) {
-        self.release(out);
+        self.release_votes(out);
         let wait = self.terms.round / 2 + self.random(2 * self.terms.round);
         self.leadership = Leadership::Follower { try_at: now + wait };
     }
@@ -169,7 +169,7 @@
     /// Steps down for good, so that another may take it at once.
     pub(crate) fn resign(&mut self, now: Tenths, out: &mut Vec<Action>) {
         let held = matches!(self.leadership, Leadership::Leader(_));
-        self.release(out);
+        self.release_votes(out);
         if held {
             self.step_down(now, out);
         }
--- a/budgets/src/lib.rs
+++ b/budgets/src/lib.rs
@@ -2,13 +2,13 @@
 //! more than the limit.
 //!
 //! Every node holds one [`Budgets`]: what it heard is told to it with the time ([`Event`]), what is to be
-//! done comes back as [`Action`]s, and before each use it is asked ([`Budgets::take`]). Neither sockets nor a
-//! clock, and the same events with the same seed give the same actions.
+//! done comes back as [`Action`]s, and before each use it is asked ([`Budgets::acquire`]). Neither sockets
+//! nor a clock, and the same events with the same seed give the same actions.
 //!
 //! ```text
 //! let mut budgets = Budgets::new(me, weight, terms, list, seed, now);
 //! budgets.handle(now, Event::Tick, &mut actions);          // at budgets.next_due() at the latest
-//! if let Err(retry_after) = budgets.take(place, now) { .. }  // with the clock read just before
+//! if let Err(retry_after) = budgets.acquire(place, now) { .. }  // with the clock read just before
 //! ```
 //!
 //! A **leader**, one of the fleet's voters, grants allocations to all nodes on leases. Nothing is written to
--- a/budgets/tests/model.rs
+++ b/budgets/tests/model.rs
@@ -331,7 +331,7 @@
     };
     for _ in 0..4 * LEASE {
         state.now += 1;
-        _ = state.nodes[leader].take(0, state.now);
+        _ = state.nodes[leader].acquire(0, state.now);
         turn(&mut state, &[leader, voter], &[(leader, voter)]);
     }
     state = fleet.next_state(&state, Step::Starts(voter)).unwrap();
@@ -340,7 +340,7 @@
     for _ in 0..3 * LEASE {
         state.now += 1;
         for of in [other, leader] {
-            _ = state.nodes[of].take(0, state.now);
+            _ = state.nodes[of].acquire(0, state.now);
         }
         turn(&mut state, &[other, voter, leader], &[(other, voter)]);
         most = most.max(state.nodes.iter().map(|node| node.exposed(0, state.now)).sum());
--- a/node/src/memory/exchanges.rs
+++ b/node/src/memory/exchanges.rs
@@ -6,7 +6,7 @@
 use rustc_hash::FxHashMap;
 
 use super::results::Key;
-use crate::parts::Ticket;
+use crate::parts::Permit;
 use crate::wire::fronts::{Block, Caller};
 use crate::wire::request::TryId;
 
@@ -56,7 +56,7 @@
     /// The one that it repeats.
     pub repeats: Option<ExId>,
     /// What it holds of the fleet's budgets.
-    pub ticket: Ticket,
+    pub ticket: Permit,
 }
 
 #[derive(Default)]
--- a/node/src/parts.rs
+++ b/node/src/parts.rs
@@ -24,9 +24,9 @@
 
 /// What an exchange has taken of a part's budgets, by their places; it goes back when the exchange ends.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct Ticket(pub [Option<u16>; 3]);
+pub struct Permit(pub [Option<u16>; 3]);
 
-/// What became of an exchange that holds a ticket.
+/// What became of an exchange that holds a permit.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Use {
     /// It was never run.
@@ -60,8 +60,8 @@
     ///
     /// # Errors
     /// Nothing is left for it; how long to wait before it comes back, in tenths of a ms.
-    fn admit(&mut self, _: Asked) -> Result<Ticket, Tenths> {
-        Ok(Ticket::default())
+    fn admit(&mut self, _: Asked) -> Result<Permit, Tenths> {
+        Ok(Permit::default())
     }
 
     /// What retries to the pool at this place are to pass, if this part bounds them.
@@ -70,7 +70,7 @@
     }
 
     /// An exchange that was let in has come to its end.
-    fn give_back(&mut self, _: Ticket, _: Use) {}
+    fn release(&mut self, _: Permit, _: Use) {}
 
     /// A line for the log now and then.
     fn summary(&self, log: &Logger);
--- a/node/src/peers/budgets.rs
+++ b/node/src/peers/budgets.rs
@@ -10,7 +10,7 @@
 use slog::{Logger, info, warn};
 
 use super::spoken::{BUDGET_PAGE, BudgetPage, BudgetStatus};
-use crate::parts::{Asked, Ticket, Use};
+use crate::parts::{Asked, Permit, Use};
 
 const MS: Tenths = 10;
 /// Some hundred ns lie between a look at the clock and the use that follows. A process that stood still for
@@ -94,7 +94,7 @@
     }
 
     /// Takes one of each budget under which the exchange falls, or none. `now` looks at the clock.
-    pub fn admit(&mut self, asked: Asked, now: impl Fn() -> Tenths) -> Result<Ticket, Tenths> {
+    pub fn admit(&mut self, asked: Asked, now: impl Fn() -> Tenths) -> Result<Permit, Tenths> {
         let falls = &self.falls;
         let under = |list: &[Option<u16>], place: usize| list.get(place).copied().flatten();
         let places = [
@@ -103,20 +103,20 @@
             under(&falls.pools, usize::from(asked.pool)),
         ];
         if places == [None; 3] {
-            return Ok(Ticket::default());
+            return Ok(Permit::default());
         }
         let looked = now();
         for (nth, place) in places.iter().enumerate() {
             let Some(place) = place.map(usize::from) else { continue };
-            if let Err(wait) = self.budgets.take(place, looked) {
+            if let Err(wait) = self.budgets.acquire(place, looked) {
                 let taken = places[..nth].iter().flatten();
-                taken.for_each(|place| self.put_back(usize::from(*place), false));
+                taken.for_each(|place| self.release_one(usize::from(*place), false));
                 return Err(wait);
             }
             self.used[place] += 1;
         }
         self.late += u64::from(now() > looked + LATE);
-        Ok(Ticket(places))
+        Ok(Permit(places))
     }
 
     /// The budget of retries to the pool at this place.
@@ -126,27 +126,27 @@
 
     /// Whether one more retry may be made.
     pub fn retry(&mut self, place: u16, now: Tenths) -> bool {
-        let taken = self.budgets.take(usize::from(place), now).is_ok();
+        let taken = self.budgets.acquire(usize::from(place), now).is_ok();
         self.used[usize::from(place)] += u64::from(taken);
         taken
     }
 
-    fn put_back(&mut self, place: usize, ran: bool) {
+    fn release_one(&mut self, place: usize, ran: bool) {
         if ran {
-            self.budgets.done(place);
+            self.budgets.release(place);
         } else {
-            self.budgets.unused(place);
+            self.budgets.cancel(place);
             self.used[place] = self.used[place].saturating_sub(1);
         }
     }
 
-    pub fn give_back(&mut self, ticket: Ticket, came: Use, now: Tenths) {
-        for place in ticket.0.into_iter().flatten() {
+    pub fn release(&mut self, permit: Permit, came: Use, now: Tenths) {
+        for place in permit.0.into_iter().flatten() {
             let held = self.budgets.list().nth(usize::from(place)).map_or(0, Budget::max_hold);
             if came == Use::MayGoOn && held > 0 {
                 self.lingering.push(Reverse((now + held, place)));
             } else {
-                self.put_back(usize::from(place), came != Use::None);
+                self.release_one(usize::from(place), came != Use::None);
             }
         }
     }
@@ -157,7 +157,7 @@
             self.lingering.peek().copied().filter(|Reverse((till, _))| *till <= now)
         {
             self.lingering.pop();
-            self.put_back(usize::from(place), true);
+            self.release_one(usize::from(place), true);
         }
     }
 
--- a/node/src/peers/link.rs
+++ b/node/src/peers/link.rs
@@ -18,7 +18,7 @@
 use super::budgets::FleetBudgets;
 use super::seal::{LONGEST, Refused, Seal};
 use super::spoken::{Ask, BudgetPage, PAGE, Spoken, Status};
-use crate::parts::{Asked, PART_KEYS, Part, Ticket, Use};
+use crate::parts::{Asked, PART_KEYS, Part, Permit, Use};
 
 const KEY: usize = PART_KEYS.start;
 /// Datagrams read in one turn of the loop: a flood of them takes its turn like everything else.
@@ -306,11 +306,11 @@
         }
     }
 
-    fn admit(&mut self, asked: Asked) -> Result<Ticket, Tenths> {
+    fn admit(&mut self, asked: Asked) -> Result<Permit, Tenths> {
         let (zero, drift) = (self.zero, self.file.tests.drift_ppm);
         match &self.budgets {
             Some(budgets) => budgets.borrow_mut().admit(asked, || now(zero, drift)),
-            None => Ok(Ticket::default()),
+            None => Ok(Permit::default()),
         }
     }
 
@@ -325,10 +325,10 @@
         }))
     }
 
-    fn give_back(&mut self, ticket: Ticket, came: Use) {
+    fn release(&mut self, permit: Permit, came: Use) {
         let now = self.now();
         if let Some(budgets) = &self.budgets {
-            budgets.borrow_mut().give_back(ticket, came, now);
+            budgets.borrow_mut().release(permit, came, now);
         }
     }
 
--- a/node/src/serve/events.rs
+++ b/node/src/serve/events.rs
@@ -8,7 +8,7 @@
 use super::{Node, READING, STALE};
 use crate::memory::exchanges::{Ex, Stage};
 use crate::memory::results::{Found, NoResult, Repeats};
-use crate::parts::{Asked, Ticket, Use};
+use crate::parts::{Asked, Permit, Use};
 use crate::wire::end::{End, Outcome};
 use crate::wire::engine::WorkEvent;
 use crate::wire::fronts::{Block, Caller, FrontEvent};
@@ -99,22 +99,22 @@
     }
 
     /// What it takes of the fleet's budgets, or when it is to come back.
-    fn admit(&mut self, asked: Asked) -> (Ticket, Option<Tenths>) {
-        let mut ticket = Ticket::default();
+    fn admit(&mut self, asked: Asked) -> (Permit, Option<Tenths>) {
+        let mut ticket = Permit::default();
         for part in &mut self.parts {
             match part.admit(asked) {
                 // One part at the most has budgets.
-                Ok(taken) if taken == Ticket::default() => {}
+                Ok(taken) if taken == Permit::default() => {}
                 Ok(taken) => ticket = taken,
-                Err(wait) => return (Ticket::default(), Some(wait)),
+                Err(wait) => return (Permit::default(), Some(wait)),
             }
         }
         (ticket, None)
     }
 
-    pub(super) fn give_back(&mut self, ticket: Ticket, came: Use) {
-        if ticket != Ticket::default() {
-            self.parts.iter_mut().for_each(|part| part.give_back(ticket, came));
+    pub(super) fn give_back(&mut self, ticket: Permit, came: Use) {
+        if ticket != Permit::default() {
+            self.parts.iter_mut().for_each(|part| part.release(ticket, came));
         }
     }
 
--- a/rig/src/divided.rs
+++ b/rig/src/divided.rs
@@ -237,7 +237,7 @@
         let counts = self.net.now() >= self.ways.count_from_ms * MS;
         self.out.asked[place] += u64::from(counts);
         let Some(node) = &mut self.nodes[of] else { return };
-        if node.take(place, now).is_err() {
+        if node.acquire(place, now).is_err() {
             return;
         }
         self.out.used[place] += u64::from(counts);
@@ -286,7 +286,7 @@
                 && incarnations[*of] == *incarnation
                 && let Some(node) = &mut nodes[*of]
             {
-                node.done(place);
+                node.release(place);
             }
             !over
         });
