--- a/bench/src/bin/budgets.rs
+++ b/bench/src/bin/budgets.rs
@@ -5,7 +5,7 @@
 
 use std::sync::Arc;
 
-use doortrack_budgets::{Budget, Kind, Terms};
+use doortrack_budgets::{Budget, Kind, Parameters};
 use doortrack_emulator::Law;
 use doortrack_fleet::Name;
 use doortrack_rig::divided::{Outcome, Ways, play};
@@ -38,7 +38,7 @@
     let reserved_for = names(nodes);
     let budget = Budget { name: "b".into(), kind, limit: LIMIT, reserved, reserved_for, max_per_node: LIMIT };
     let ways = Ways {
-        terms: Terms { voters: names(VOTERS.min(nodes)), ..Terms::default() },
+        parameters: Parameters { voters: names(VOTERS.min(nodes)), ..Parameters::default() },
         list: vec![budget],
         latency: Law::LogNormal { mean: 300.0, sigma: 0.5 },
         drift_ppm: (-10_000, 10_000),
--- a/budgets/src/account.rs
+++ b/budgets/src/account.rs
@@ -4,7 +4,7 @@
 
 use doortrack::Tenths;
 
-use crate::{Asks, Budget, Grant, Id, Item, Terms, Units, Who, divide};
+use crate::{Asks, Budget, Grant, Id, Item, Parameters, Units, Who, divide};
 
 /// Allocations sent and not yet confirmed, kept one by one; of more the two oldest are taken for the greater.
 const MOST_SENT: usize = 6;
@@ -55,8 +55,8 @@
 }
 
 impl Line {
-    fn outstanding(&self, terms: &Terms) -> Units {
-        if !terms.safeguards.confirm {
+    fn outstanding(&self, parameters: &Parameters) -> Units {
+        if !parameters.safeguards.confirm {
             return self.sent.back().map_or(self.holding, |(_, allocation)| *allocation);
         }
         self.sent.iter().map(|(_, allocation)| *allocation).fold(self.holding, Units::max)
@@ -111,7 +111,7 @@
         (seq, weight): (u64, u32),
         items: &[Item],
         settled: impl Fn(&Budget) -> bool,
-        terms: &Terms,
+        parameters: &Parameters,
     ) -> Option<Vec<Grant>> {
         let holder = self.holders.entry(who.clone()).or_default();
         holder.weight = weight;
@@ -131,15 +131,16 @@
                 limit: item.limit,
                 reserved: item.reserved,
             });
-            if seq <= line.last_seq && terms.safeguards.in_order {
+            if seq <= line.last_seq && parameters.safeguards.in_order {
                 continue;
             }
             line.last_seq = seq;
-            let before = line.outstanding(terms);
+            let before = line.outstanding(parameters);
             line.sent.retain(|(of, _)| *of > item.accepted);
             line.holding = item.holding.min(book.budget.limit());
             (line.need, line.limit, line.reserved) = (item.need, item.limit, item.reserved);
-            line.till = now + terms.lease + if terms.safeguards.held { book.budget.max_hold() } else { 0 };
+            line.till =
+                now + parameters.lease + if parameters.safeguards.held { book.budget.max_hold() } else { 0 };
             // What others may have is theirs, whatever this one needs.
             let others = book.granted.saturating_sub(before);
             let free = book.grantable.saturating_sub(others);
@@ -147,21 +148,21 @@
             let wanted = if prolongs { line.holding } else { line.target };
             let allocation = wanted.min(free);
             line.send(seq, allocation);
-            book.granted = others + line.outstanding(terms);
+            book.granted = others + line.outstanding(parameters);
             grants.push(Grant { id: item.id, allocation, prolongs });
         }
         (!grants.is_empty()).then_some(grants)
     }
 
     /// Strikes out leases that are over, and divides anew what each is to have.
-    pub fn divide(&mut self, now: Tenths, terms: &Terms) {
+    pub fn divide(&mut self, now: Tenths, parameters: &Parameters) {
         self.rotation += 1;
         for holder in self.holders.values_mut() {
             holder.lines.retain(|place, line| {
                 let over = line.till <= now;
                 if over {
                     let book = &mut self.books[*place];
-                    book.granted = book.granted.saturating_sub(line.outstanding(terms));
+                    book.granted = book.granted.saturating_sub(line.outstanding(parameters));
                 }
                 !over
             });
--- a/budgets/src/allocation.rs
+++ b/budgets/src/allocation.rs
@@ -3,7 +3,7 @@
 use doortrack::Tenths;
 
 use crate::need::Need;
-use crate::{Budget, Grant, Item, Kind, Terms, Units};
+use crate::{Budget, Grant, Item, Kind, Parameters, Units};
 
 /// What a unit is counted in, so that thousandths of a unit a second for a tenth of a ms are whole.
 const TOKEN: u64 = 10_000_000;
@@ -41,8 +41,8 @@
 }
 
 impl Allocation {
-    pub fn new(budget: Budget, name: &str, now: Tenths, terms: &Terms) -> Allocation {
-        let held = if terms.safeguards.held { budget.max_hold() } else { 0 };
+    pub fn new(budget: Budget, name: &str, now: Tenths, parameters: &Parameters) -> Allocation {
+        let held = if parameters.safeguards.held { budget.max_hold() } else { 0 };
         let uses = match budget.kind {
             Kind::Rate { .. } => Uses::Rate { tokens: 0, cap: 0, counted: now },
             Kind::Concurrency { .. } => Uses::Concurrency { in_use: 0 },
@@ -88,24 +88,24 @@
     }
 
     /// Counts up to now; a lease that is over ends.
-    fn settle(&mut self, now: Tenths, terms: &Terms) {
-        if self.leased > 0 && self.till <= now && terms.safeguards.run_out {
-            self.count(self.till, terms);
+    fn settle(&mut self, now: Tenths, parameters: &Parameters) {
+        if self.leased > 0 && self.till <= now && parameters.safeguards.run_out {
+            self.count(self.till, parameters);
             self.ran_out = Some(self.leased);
             self.leased = 0;
             self.bound();
         }
-        self.count(now, terms);
+        self.count(now, parameters);
     }
 
-    fn count(&mut self, now: Tenths, terms: &Terms) {
+    fn count(&mut self, now: Tenths, parameters: &Parameters) {
         let rate = self.reserved + self.leased;
         if let Uses::Rate { tokens, cap, counted } = &mut self.uses {
             let span = now.saturating_sub(*counted);
             let mut more = rate.saturating_mul(span);
-            if terms.safeguards.drift {
+            if parameters.safeguards.drift {
                 // A clock that is too fast must not make more of a second than there is.
-                more = more.saturating_mul(1_000) / (1_000 + terms.drift);
+                more = more.saturating_mul(1_000) / (1_000 + parameters.drift);
             }
             *tokens = tokens.saturating_add(more).min(*cap);
             *counted = now.max(*counted);
@@ -113,14 +113,14 @@
     }
 
     /// What may be used now, in all.
-    pub fn usable(&mut self, now: Tenths, terms: &Terms) -> Units {
-        self.settle(now, terms);
+    pub fn usable(&mut self, now: Tenths, parameters: &Parameters) -> Units {
+        self.settle(now, parameters);
         self.leased + if now >= self.reserved_from { self.reserved } else { 0 }
     }
 
     /// Uses one unit, or says how long to wait before asking again.
-    pub fn acquire(&mut self, now: Tenths, terms: &Terms) -> Result<(), Tenths> {
-        let usable = self.usable(now, terms);
+    pub fn acquire(&mut self, now: Tenths, parameters: &Parameters) -> Result<(), Tenths> {
+        let usable = self.usable(now, parameters);
         let rate = self.reserved + self.leased;
         let (taken, in_use) = match &mut self.uses {
             Uses::Rate { tokens, cap, .. } => {
@@ -130,11 +130,11 @@
                 } else if *cap >= TOKEN && rate > 0 {
                     (Err((TOKEN - *tokens).div_ceil(rate).max(1)), 0)
                 } else {
-                    (Err(terms.round), 0)
+                    (Err(parameters.round), 0)
                 }
             }
             Uses::Concurrency { in_use } => {
-                let taken = if *in_use < usable { Ok(()) } else { Err(terms.round) };
+                let taken = if *in_use < usable { Ok(()) } else { Err(parameters.round) };
                 *in_use += Units::from(taken.is_ok());
                 (taken, *in_use)
             }
@@ -166,8 +166,8 @@
     }
 
     /// What a report is to say; the end of a round for the measured need.
-    pub fn item(&mut self, now: Tenths, terms: &Terms, round: bool, leaves: bool) -> Item {
-        self.settle(now, terms);
+    pub fn item(&mut self, now: Tenths, parameters: &Parameters, round: bool, leaves: bool) -> Item {
+        self.settle(now, parameters);
         let in_use = self.in_use();
         let need = if round { self.need.round(now, &self.budget, in_use) } else { self.need.last() };
         Item {
@@ -187,12 +187,12 @@
         seq: u64,
         grant: Grant,
         till: Tenths,
-        terms: &Terms,
+        parameters: &Parameters,
     ) -> (Units, Units) {
-        self.settle(now, terms);
+        self.settle(now, parameters);
         let was = self.leased;
         // A leader that prolongs may not know that this has been granted to another since it was over here.
-        let most = if grant.prolongs && terms.safeguards.prolong { was } else { Units::MAX };
+        let most = if grant.prolongs && parameters.safeguards.prolong { was } else { Units::MAX };
         self.leased = grant
             .allocation
             .min(most)
@@ -203,8 +203,8 @@
     }
 
     /// What ran out since the last time this was asked.
-    pub fn ran_out(&mut self, now: Tenths, terms: &Terms) -> Option<Units> {
-        self.settle(now, terms);
+    pub fn ran_out(&mut self, now: Tenths, parameters: &Parameters) -> Option<Units> {
+        self.settle(now, parameters);
         self.ran_out.take()
     }
 
--- a/budgets/src/budgets.rs
+++ b/budgets/src/budgets.rs
@@ -9,7 +9,7 @@
 use crate::allocation::Allocation;
 use crate::leadership::Leadership;
 use crate::voter::Voter;
-use crate::{Action, Budget, Change, Envelope, Event, Grant, Id, Item, MOST_ITEMS, Message, Terms, Who};
+use crate::{Action, Budget, Change, Envelope, Event, Grant, Id, Item, MOST_ITEMS, Message, Parameters, Who};
 
 /// Reports whose answers still count when they come.
 const MOST_SENT: usize = 128;
@@ -21,7 +21,7 @@
 pub struct Budgets {
     pub(crate) me: Who,
     weight: u32,
-    pub(crate) terms: Terms,
+    pub(crate) parameters: Parameters,
     pub(crate) allocations: Vec<Allocation>,
     /// Where each budget stands among the allocations.
     places: BTreeMap<Id, usize>,
@@ -55,10 +55,17 @@
 impl Budgets {
     /// A node that has just started. `weight` is its capacity, in a unit that all share; `list` at most
     /// [`crate::MOST_BUDGETS`], each with an id of its own.
-    pub fn new(me: Who, weight: u32, terms: Terms, list: &[Budget], seed: u64, now: Tenths) -> Budgets {
+    pub fn new(
+        me: Who,
+        weight: u32,
+        parameters: Parameters,
+        list: &[Budget],
+        seed: u64,
+        now: Tenths,
+    ) -> Budgets {
         let allocations =
-            list.iter().map(|budget| Allocation::new(budget.clone(), &me.name, now, &terms)).collect();
-        let voter = terms.voters.contains(&me.name).then(|| Voter::new(now, &terms));
+            list.iter().map(|budget| Allocation::new(budget.clone(), &me.name, now, &parameters)).collect();
+        let voter = parameters.voters.contains(&me.name).then(|| Voter::new(now, &parameters));
         let mut budgets = Budgets {
             voter,
             places: places(list),
@@ -80,15 +87,15 @@
             superseded: false,
             local: VecDeque::new(),
             me,
-            terms,
+            parameters,
         };
         // Those that start at one instant are not to seek votes at one instant, nor report ever after.
-        let jitter = budgets.random(budgets.terms.round);
+        let jitter = budgets.random(budgets.parameters.round);
         if let Some(voter) = &budgets.voter {
             budgets.leadership = Leadership::Follower { try_at: voter.free_at() + jitter };
             budgets.voters.insert(budgets.me.name.clone(), budgets.me.incarnation);
         }
-        budgets.report_at = now + budgets.random(budgets.terms.round);
+        budgets.report_at = now + budgets.random(budgets.parameters.round);
         budgets
     }
 
@@ -103,7 +110,7 @@
         if self.superseded || self.allocations.is_empty() {
             return Tenths::MAX;
         }
-        self.report_at.min(self.leadership.next_due(&self.terms))
+        self.report_at.min(self.leadership.next_due(&self.parameters))
     }
 
     /// Tells what happened; `now` never goes back. What is to be done is added to `out`, in order.
@@ -117,7 +124,7 @@
             Event::Members(view) => {
                 let seen =
                     |name: &Name| view.members.get(name).map(|member| (name.clone(), member.incarnation));
-                self.voters = self.terms.voters.iter().filter_map(seen).collect();
+                self.voters = self.parameters.voters.iter().filter_map(seen).collect();
                 if self.voter.is_some() {
                     self.voters.insert(self.me.name.clone(), self.me.incarnation);
                 }
@@ -149,7 +156,7 @@
                     allocation.change(budget, &self.me.name);
                     allocation
                 }
-                None => Allocation::new(budget, &self.me.name, now, &self.terms),
+                None => Allocation::new(budget, &self.me.name, now, &self.parameters),
             };
             self.allocations.push(allocation);
         }
@@ -165,9 +172,9 @@
         }
         // Who is short asks twice as often: what others give up is granted to it that much sooner.
         let short = self.allocations.iter().any(Allocation::is_short);
-        self.report_at = now + if short { self.terms.round.div_ceil(2) } else { self.terms.round };
+        self.report_at = now + if short { self.parameters.round.div_ceil(2) } else { self.parameters.round };
         for (place, allocation) in self.allocations.iter_mut().enumerate() {
-            if let Some(allocation) = allocation.ran_out(now, &self.terms) {
+            if let Some(allocation) = allocation.ran_out(now, &self.parameters) {
                 out.push(Action::Report(Change::RanOut { place, allocation }));
             }
         }
@@ -184,8 +191,8 @@
     /// Reports on these budgets to the leader, or to whoever may know of one.
     fn report(&mut self, now: Tenths, places: &[usize], round: bool, out: &mut Vec<Action>) {
         let Some(to) = self.leader.clone().or_else(|| self.next_asked()) else { return };
-        let (terms, leaves) = (&self.terms, self.leaves);
-        let items = places.iter().map(|place| self.allocations[*place].item(now, terms, round, leaves));
+        let (parameters, leaves) = (&self.parameters, self.leaves);
+        let items = places.iter().map(|place| self.allocations[*place].item(now, parameters, round, leaves));
         let items: Vec<Item> = items.collect();
         for items in items.chunks(MOST_ITEMS) {
             self.seq += 1;
@@ -253,14 +260,14 @@
     }
 
     fn on_grant(&mut self, now: Tenths, from: &Who, seq: u64, grants: &[Grant], out: &mut Vec<Action>) {
-        let in_order = self.terms.safeguards.in_order;
+        let in_order = self.parameters.safeguards.in_order;
         if self.leader.as_ref() != Some(from) || (in_order && seq < self.bound_since) {
             return;
         }
         let Some((_, sent)) = self.sent.iter().find(|(of, _)| *of == seq).copied() else { return };
-        let till = sent + self.terms.surely(self.terms.lease);
+        let till = sent + self.parameters.surely(self.parameters.lease);
         self.silent = 0;
-        if till <= now && self.terms.safeguards.run_out {
+        if till <= now && self.parameters.safeguards.run_out {
             return;
         }
         let mut lowered = Vec::new();
@@ -270,7 +277,7 @@
             if seq <= of.accepted && in_order {
                 continue;
             }
-            let (was, is) = of.apply_grant(now, seq, *grant, till, &self.terms);
+            let (was, is) = of.apply_grant(now, seq, *grant, till, &self.parameters);
             if was != is {
                 let lasts = till.saturating_sub(now);
                 out.push(Action::Report(Change::Allocation { place, was, allocation: is, lasts }));
@@ -292,7 +299,7 @@
     /// # Errors
     /// Nothing is left; how long to wait before asking again, in tenths of a ms.
     pub fn acquire(&mut self, place: usize, now: Tenths) -> Result<(), Tenths> {
-        self.allocations[place].acquire(now, &self.terms)
+        self.allocations[place].acquire(now, &self.parameters)
     }
 
     /// What was taken came to nothing: of a rate it may be used again.
--- a/budgets/src/leadership.rs
+++ b/budgets/src/leadership.rs
@@ -7,7 +7,7 @@
 
 use crate::account::Accounts;
 use crate::voter::Voter;
-use crate::{Action, Budget, Budgets, Change, Item, Message, Terms, Who};
+use crate::{Action, Budget, Budgets, Change, Item, Message, Parameters, Who};
 
 /// Ballots whose votes still count when they come.
 const MOST_ASKED: usize = 8;
@@ -28,18 +28,18 @@
         self.asked.push_back((ballot, now));
     }
 
-    pub fn vote(&mut self, from: &Name, ballot: u64, terms: &Terms) {
+    pub fn vote(&mut self, from: &Name, ballot: u64, parameters: &Parameters) {
         let Some((_, sent)) = self.asked.iter().find(|(of, _)| *of == ballot) else { return };
-        let till = sent + terms.surely(terms.vote_lasts);
+        let till = sent + parameters.surely(parameters.vote_lasts);
         let known = self.votes.entry(from.clone()).or_default();
         *known = till.max(*known);
     }
 
     /// Till when a majority of the votes lasts; 0 for never.
-    pub fn till(&self, terms: &Terms) -> Tenths {
+    pub fn till(&self, parameters: &Parameters) -> Tenths {
         let mut ends: Vec<Tenths> = self.votes.values().copied().collect();
         ends.sort_unstable_by(|a, b| b.cmp(a));
-        ends.get(terms.majority() - 1).copied().unwrap_or(0)
+        ends.get(parameters.majority() - 1).copied().unwrap_or(0)
     }
 
     pub fn last_ballot(&self) -> Option<u64> {
@@ -75,11 +75,11 @@
 }
 
 impl Leadership {
-    pub fn next_due(&self, terms: &Terms) -> Tenths {
+    pub fn next_due(&self, parameters: &Parameters) -> Tenths {
         match self {
             Leadership::Follower { try_at } => *try_at,
             Leadership::Candidate { till, .. } => *till,
-            Leadership::Leader(term) => term.renew_at.min(term.divide_at).min(term.election.till(terms)),
+            Leadership::Leader(term) => term.renew_at.min(term.divide_at).min(term.election.till(parameters)),
         }
     }
 }
@@ -91,7 +91,7 @@
             Leadership::Follower { try_at } if now >= *try_at => self.seek(now, out),
             Leadership::Candidate { till, .. } if now >= *till => self.give_up(now, out),
             Leadership::Leader(term) => {
-                if now >= term.election.till(&self.terms) {
+                if now >= term.election.till(&self.parameters) {
                     // Another may be leader by now.
                     self.step_down(now, out);
                 } else if now >= term.renew_at {
@@ -103,20 +103,21 @@
         if let Leadership::Leader(term) = &mut self.leadership
             && now >= term.divide_at
         {
-            term.divide_at = now + self.terms.round.div_ceil(2);
-            self.accounts.divide(now, &self.terms);
+            term.divide_at = now + self.parameters.round.div_ceil(2);
+            self.accounts.divide(now, &self.parameters);
         }
     }
 
     fn seek(&mut self, now: Tenths, out: &mut Vec<Action>) {
-        let jitter = self.random(self.terms.round);
+        let jitter = self.random(self.parameters.round);
         let free_at = self.voter.as_ref().map_or(Tenths::MAX, Voter::free_at);
-        if self.voters.len() < self.terms.majority() || free_at > now {
-            self.leadership =
-                Leadership::Follower { try_at: free_at.max(now + self.terms.round).saturating_add(jitter) };
+        if self.voters.len() < self.parameters.majority() || free_at > now {
+            self.leadership = Leadership::Follower {
+                try_at: free_at.max(now + self.parameters.round).saturating_add(jitter),
+            };
             return;
         }
-        let till = now + self.terms.round;
+        let till = now + self.parameters.round;
         self.leadership = Leadership::Candidate { election: Election::default(), till };
         self.ask_all(now, out);
     }
@@ -130,7 +131,7 @@
             Leadership::Candidate { election, .. } => election.asked(ballot, now),
             Leadership::Leader(term) => {
                 term.election.asked(ballot, now);
-                term.renew_at = now + self.terms.round;
+                term.renew_at = now + self.parameters.round;
             }
         }
         let others: Vec<Who> = self.others().collect();
@@ -155,12 +156,12 @@
     /// Too few votes: they are given back, so that another may have them.
     fn give_up(&mut self, now: Tenths, out: &mut Vec<Action>) {
         self.release_votes(out);
-        let wait = self.terms.round / 2 + self.random(2 * self.terms.round);
+        let wait = self.parameters.round / 2 + self.random(2 * self.parameters.round);
         self.leadership = Leadership::Follower { try_at: now + wait };
     }
 
     fn step_down(&mut self, now: Tenths, out: &mut Vec<Action>) {
-        self.leadership = Leadership::Follower { try_at: now + self.terms.round };
+        self.leadership = Leadership::Follower { try_at: now + self.parameters.round };
         self.accounts = Accounts::default();
         self.bind(None, out);
         out.push(Action::Report(Change::SteppedDown));
@@ -179,17 +180,18 @@
     fn voted(&mut self, now: Tenths, from: &Who, ballot: u64, out: &mut Vec<Action>) {
         match &mut self.leadership {
             Leadership::Follower { .. } => {}
-            Leadership::Leader(term) => term.election.vote(&from.name, ballot, &self.terms),
+            Leadership::Leader(term) => term.election.vote(&from.name, ballot, &self.parameters),
             Leadership::Candidate { election, .. } => {
-                election.vote(&from.name, ballot, &self.terms);
-                if election.till(&self.terms) > now {
-                    let (renew_at, divide_at) = (now + self.terms.round, now);
+                election.vote(&from.name, ballot, &self.parameters);
+                if election.till(&self.parameters) > now {
+                    let (renew_at, divide_at) = (now + self.parameters.round, now);
                     let election = std::mem::take(election);
                     self.leadership = Leadership::Leader(Term { election, renew_at, since: now, divide_at });
                     let list: Vec<Budget> =
                         self.allocations.iter().map(|allocation| allocation.budget.clone()).collect();
                     self.accounts = Accounts::new(&list);
-                    let grants_after = if self.terms.safeguards.settle { self.terms.lease } else { 0 };
+                    let grants_after =
+                        if self.parameters.safeguards.settle { self.parameters.lease } else { 0 };
                     out.push(Action::Report(Change::Elected { grants_after }));
                     self.bind(Some(self.me.clone()), out);
                 }
@@ -208,17 +210,17 @@
         match message {
             Message::Ask { ballot } => {
                 let Some(voter) = &mut self.voter else { return };
-                let given =
-                    self.terms.voters.contains(&from.name) && voter.ask(now, &from, ballot, &self.terms);
+                let given = self.parameters.voters.contains(&from.name)
+                    && voter.ask(now, &from, ballot, &self.parameters);
                 let answer = if given { Message::Vote { ballot } } else { Message::Refused { ballot } };
                 self.send(from, answer, out);
             }
-            Message::Vote { ballot } if self.terms.voters.contains(&from.name) => {
+            Message::Vote { ballot } if self.parameters.voters.contains(&from.name) => {
                 self.voted(now, &from, ballot, out);
             }
             Message::Release { ballot } => {
                 let released = self.voter.as_mut().is_some_and(|voter| voter.release(&from, ballot));
-                let try_at = now + self.random(self.terms.round);
+                let try_at = now + self.random(self.parameters.round);
                 if let Leadership::Follower { try_at: at } = &mut self.leadership
                     && released
                     && from != self.me
@@ -242,13 +244,13 @@
     ) {
         let answer = match &self.leadership {
             // The look at its own votes comes before every allocation that it grants.
-            Leadership::Leader(term) if term.election.till(&self.terms) > now => {
-                let (terms, since) = (&self.terms, term.since);
+            Leadership::Leader(term) if term.election.till(&self.parameters) > now => {
+                let (parameters, since) = (&self.parameters, term.since);
                 let settled = |budget: &Budget| {
-                    let held = if terms.safeguards.held { budget.max_hold() } else { 0 };
-                    !terms.safeguards.settle || now >= since + terms.lease + held
+                    let held = if parameters.safeguards.held { budget.max_hold() } else { 0 };
+                    !parameters.safeguards.settle || now >= since + parameters.lease + held
                 };
-                let grants = self.accounts.report(now, &from, (seq, weight), items, settled, terms);
+                let grants = self.accounts.report(now, &from, (seq, weight), items, settled, parameters);
                 grants.map(|grants| Message::Grant { seq, grants })
             }
             _ => {
--- a/budgets/src/lib.rs
+++ b/budgets/src/lib.rs
@@ -6,16 +6,16 @@
 //! nor a clock, and the same events with the same seed give the same actions.
 //!
 //! ```text
-//! let mut budgets = Budgets::new(me, weight, terms, list, seed, now);
+//! let mut budgets = Budgets::new(me, weight, parameters, list, seed, now);
 //! budgets.handle(now, Event::Tick, &mut actions);          // at budgets.next_due() at the latest
 //! if let Err(retry_after) = budgets.acquire(place, now) { .. }  // with the clock read just before
 //! ```
 //!
 //! A **leader**, one of the fleet's voters, grants allocations to all nodes on leases. Nothing is written to
 //! disk:
-//! - **Votes.** A voter gives its vote to one candidate for [`Terms::vote_lasts`] and to no other meanwhile;
-//!   who holds the votes of a majority is leader, by its own clock from when it *asked*. A voter that has
-//!   just started may have forgotten a vote, and gives none for as long as one lasts.
+//! - **Votes.** A voter gives its vote to one candidate for [`Parameters::vote_lasts`] and to no other
+//!   meanwhile; who holds the votes of a majority is leader, by its own clock from when it *asked*. A voter
+//!   that has just started may have forgotten a vote, and gives none for as long as one lasts.
 //! - **Leases.** An allocation counts, for its holder, from when it *asked* for it, and for the leader from
 //!   when it *answered*, so no delay makes the holder's end come after the leader's. A lease is shorter for
 //!   its holder by what two clocks may drift apart.
@@ -25,10 +25,10 @@
 //!   over, it only prolongs what holders say they hold, and only where they still do when its word comes.
 //! - **Reserved minimums** are set aside from the limit, for named nodes, and need no leader.
 //!
-//! Assumptions: each process's time goes forward, and against true time by no more than [`Terms::drift`] too
-//! fast or too slow. Datagrams may be lost, doubled, delayed without bound and reordered. Any process may die
-//! (and start anew with nothing), stop and wake. One process at a time goes by a name; nodes do not lie about
-//! what they hold. What a broken assumption costs stands in `docs/budgets.md`.
+//! Assumptions: each process's time goes forward, and against true time by no more than [`Parameters::drift`]
+//! too fast or too slow. Datagrams may be lost, doubled, delayed without bound and reordered. Any process may
+//! die (and start anew with nothing), stop and wake. One process at a time goes by a name; nodes do not lie
+//! about what they hold. What a broken assumption costs stands in `docs/budgets.md`.
 //!
 //! Bounds: budgets ([`MOST_BUDGETS`]), items a datagram, unconfirmed allocations a holder. A check costs the
 //! same whatever there is; a report costs the leader the logarithm of the holders, and a division, twice a
@@ -41,8 +41,8 @@
 mod envelope;
 mod leadership;
 mod need;
+mod parameters;
 mod reporting;
-mod terms;
 mod voter;
 
 use doortrack::Tenths;
@@ -51,8 +51,8 @@
 pub use budgets::Budgets;
 pub use divide::{Asks, divide};
 pub use envelope::{Envelope, Grant, Item, MOST_ITEMS, Message, Who};
+pub use parameters::{Budget, Id, Kind, Parameters, Safeguards, Units, id_of};
 pub use reporting::Standing;
-pub use terms::{Budget, Id, Kind, Safeguards, Terms, Units, id_of};
 
 /// Budgets of one fleet.
 pub const MOST_BUDGETS: usize = 256;
--- a/budgets/src/terms.rs
+++ b/budgets/src/parameters.rs
@@ -105,7 +105,7 @@
 
 /// Times and bounds. All nodes of a fleet are to have the same.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
-pub struct Terms {
+pub struct Parameters {
     /// Of whom a majority elects a leader.
     pub voters: Arc<[Name]>,
     /// Needs are told, and allocations answered, so often.
@@ -117,9 +117,9 @@
     pub safeguards: Safeguards,
 }
 
-impl Default for Terms {
-    fn default() -> Terms {
-        Terms {
+impl Default for Parameters {
+    fn default() -> Parameters {
+        Parameters {
             voters: Arc::new([]),
             round: 200 * MS,
             vote_lasts: 800 * MS,
@@ -130,7 +130,7 @@
     }
 }
 
-impl Terms {
+impl Parameters {
     /// A span that is over by a clock that is too slow before it is by one that is too fast.
     pub(crate) fn surely(&self, span: Tenths) -> Tenths {
         if self.safeguards.drift { span * (1_000 - self.drift) / (1_000 + self.drift) } else { span }
--- a/budgets/src/reporting.rs
+++ b/budgets/src/reporting.rs
@@ -3,7 +3,7 @@
 use doortrack::Tenths;
 
 use crate::leadership::Leadership;
-use crate::{Budget, Budgets, Kind, Terms, Units, Who};
+use crate::{Budget, Budgets, Kind, Parameters, Units, Who};
 
 /// One budget at one node.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -26,8 +26,8 @@
         &self.me
     }
 
-    pub fn terms(&self) -> &Terms {
-        &self.terms
+    pub fn parameters(&self) -> &Parameters {
+        &self.parameters
     }
 
     /// Whom this node reports to.
@@ -36,7 +36,7 @@
     }
 
     pub fn is_leader(&self, now: Tenths) -> bool {
-        matches!(&self.leadership, Leadership::Leader(term) if term.election.till(&self.terms) > now)
+        matches!(&self.leadership, Leadership::Leader(term) if term.election.till(&self.parameters) > now)
     }
 
     /// The budgets, in the order of their places.
@@ -48,7 +48,7 @@
     pub fn standing(&mut self, place: usize, now: Tenths) -> Standing {
         let leader = self.is_leader(now);
         let allocation = &mut self.allocations[place];
-        let usable = allocation.usable(now, &self.terms);
+        let usable = allocation.usable(now, &self.parameters);
         Standing {
             allocation: usable,
             leased: allocation.leased(),
@@ -64,7 +64,7 @@
     /// since its lease ended is none.
     pub fn exposed(&self, place: usize, now: Tenths) -> Units {
         let mut allocation = self.allocations[place].clone();
-        let usable = allocation.usable(now, &self.terms);
+        let usable = allocation.usable(now, &self.parameters);
         match allocation.budget.kind {
             Kind::Rate { .. } => usable,
             Kind::Concurrency { .. } => usable.max(allocation.in_use()),
--- a/budgets/src/voter.rs
+++ b/budgets/src/voter.rs
@@ -2,7 +2,7 @@
 
 use doortrack::Tenths;
 
-use crate::{Terms, Who};
+use crate::{Parameters, Who};
 
 /// One voter's memory. It does not outlast its process, so a new one keeps silent for as long as a vote that
 /// its predecessor gave may last.
@@ -20,19 +20,19 @@
 }
 
 impl Voter {
-    pub fn new(now: Tenths, terms: &Terms) -> Voter {
-        let silent = if terms.safeguards.silent_start { terms.vote_lasts } else { 0 };
+    pub fn new(now: Tenths, parameters: &Parameters) -> Voter {
+        let silent = if parameters.safeguards.silent_start { parameters.vote_lasts } else { 0 };
         Voter { silent_until: now + silent, vote: None }
     }
 
     /// Whether the candidate has the vote from here on, for `vote_lasts`.
-    pub fn ask(&mut self, now: Tenths, from: &Who, ballot: u64, terms: &Terms) -> bool {
+    pub fn ask(&mut self, now: Tenths, from: &Who, ballot: u64, parameters: &Parameters) -> bool {
         let taken = self.vote.as_ref().is_some_and(|vote| vote.till > now && vote.to != *from);
         if now < self.silent_until || taken {
             return false;
         }
         let newest = self.vote.as_ref().filter(|vote| vote.to == *from).map_or(0, |vote| vote.ballot);
-        let till = now + terms.vote_lasts;
+        let till = now + parameters.vote_lasts;
         self.vote = Some(Vote { to: from.clone(), ballot: ballot.max(newest), till });
         true
     }
--- a/budgets/tests/holder.rs
+++ b/budgets/tests/holder.rs
@@ -4,7 +4,7 @@
 
 use doortrack::Tenths;
 use doortrack_budgets::{
-    Action, Budget, Budgets, Envelope, Event, Grant, Kind, Message, Safeguards, Terms, Who,
+    Action, Budget, Budgets, Envelope, Event, Grant, Kind, Message, Parameters, Safeguards, Who,
 };
 use doortrack_fleet::{Incarnation, Member, Name, View};
 
@@ -20,12 +20,12 @@
     fn new(safeguards: Safeguards) -> Holder {
         let leader = Who { name: "k".into(), incarnation: Incarnation(1) };
         let voters: Arc<[Name]> = Arc::new([leader.name.clone()]);
-        let terms = Terms { voters, safeguards, ..Terms::default() };
+        let parameters = Parameters { voters, safeguards, ..Parameters::default() };
         let (kind, reserved_for) = (Kind::Concurrency { max_hold: 0 }, Arc::new([]));
         let list =
             [Budget { name: "b".into(), kind, limit: 20, reserved: 0, reserved_for, max_per_node: 20 }];
         let me = Who { name: "h".into(), incarnation: Incarnation(2) };
-        let mut budgets = Budgets::new(me, 1, terms, &list, 1, 0);
+        let mut budgets = Budgets::new(me, 1, parameters, &list, 1, 0);
         let mut view = View::default();
         let address = "127.0.0.1:1".parse().unwrap();
         view.members.insert(leader.name.clone(), Member { incarnation: Incarnation(1), address, weight: 1 });
--- a/budgets/tests/model.rs
+++ b/budgets/tests/model.rs
@@ -7,7 +7,9 @@
 use std::sync::Arc;
 
 use doortrack::Tenths;
-use doortrack_budgets::{Action, Budget, Budgets, Envelope, Event, Kind, Message, Safeguards, Terms, Who};
+use doortrack_budgets::{
+    Action, Budget, Budgets, Envelope, Event, Kind, Message, Parameters, Safeguards, Who,
+};
 use doortrack_fleet::{Incarnation, Member, Name, View};
 use stateright::{Checker, Model, Property};
 
@@ -48,8 +50,8 @@
 }
 
 impl Fleet {
-    fn terms(&self) -> Terms {
-        Terms {
+    fn parameters(&self) -> Parameters {
+        Parameters {
             voters: (0..self.nodes).map(|of| Name::from(format!("n{of}"))).collect(),
             round: ROUND,
             vote_lasts: VOTE,
@@ -71,7 +73,7 @@
         Budgets::new(
             Self::who(of, incarnation),
             1,
-            self.terms(),
+            self.parameters(),
             &[budget],
             incarnation.wrapping_mul(0x9e37_79b9_7f4a_7c15),
             now,
--- a/fleet/src/fleet.rs
+++ b/fleet/src/fleet.rs
@@ -14,7 +14,7 @@
     Action, Change, Datagram, Event, Head, Incarnation, MAX_UPDATES, Member, MemberState, MemberUpdate,
     Message, Name,
 };
-use crate::{Terms, View};
+use crate::{Parameters, View};
 
 /// Rounds in which a node tells of itself after something about it changed.
 pub(crate) const RETRANSMISSIONS: u32 = 6;
@@ -62,7 +62,7 @@
     /// Tells this node from others that suspect.
     pub(crate) mark: u32,
     pub(crate) stage: Stage,
-    pub(crate) terms: Terms,
+    pub(crate) parameters: Parameters,
     pub(crate) table: Table,
     pub(crate) view: View,
     pub(crate) view_since: Tenths,
@@ -92,17 +92,17 @@
 
 impl Fleet {
     /// A node that has just started. `me.state` and `me.version` are set here.
-    pub fn new(me: MemberUpdate, terms: Terms, seed: u64, now: Tenths) -> Fleet {
+    pub fn new(me: MemberUpdate, parameters: Parameters, seed: u64, now: Tenths) -> Fleet {
         let me = MemberUpdate { version: 0, state: MemberState::Alive, ..me };
         let mut view = View::default();
         view.put(&me.name, Member { incarnation: me.incarnation, address: me.address, weight: me.weight });
         let mut chance = fastrand::Rng::with_seed(seed ^ me.incarnation.0);
-        let alone = terms.seeds.iter().all(|seed| *seed == me.address);
+        let alone = parameters.seeds.iter().all(|seed| *seed == me.address);
         let mut fleet = Fleet {
             mark: chance.u32(1..),
             stage: if alone { Stage::Member } else { Stage::Joining },
             me,
-            terms,
+            parameters,
             table: Table::default(),
             view,
             view_since: now,
@@ -125,7 +125,7 @@
             refused: 0,
         };
         // Nodes that start at one instant must not probe at one instant ever after.
-        let offset = fleet.chance.u64(0..fleet.terms.period);
+        let offset = fleet.chance.u64(0..fleet.parameters.period);
         fleet.arm(now + offset, Timer::Period);
         fleet.arm(now, Timer::JoinRequest);
         fleet
@@ -145,7 +145,7 @@
             return;
         }
         let late = now.saturating_sub(self.next_due());
-        if late > self.terms.max_lateness && !self.resumed {
+        if late > self.parameters.max_lateness && !self.resumed {
             // Answers may lie unread, or were lost while nobody read: what was begun says nothing.
             self.resumed = true;
             self.probes.drop_all();
@@ -155,8 +155,8 @@
             Event::Tick => self.on_tick(now, out),
             Event::Received { from, datagram } => self.received(now, from, datagram, out),
             Event::Leave => self.leave(now, out),
-            Event::Changed { terms } => {
-                self.terms = *terms;
+            Event::Changed { parameters } => {
+                self.parameters = *parameters;
             }
         }
     }
@@ -201,7 +201,7 @@
         if !self.updates_armed {
             self.updates_armed = true;
             // A little chance keeps those that heard the same thing from passing it on in one instant.
-            let wait = self.chance.u64(0..self.terms.gossip_interval.max(1));
+            let wait = self.chance.u64(0..self.parameters.gossip_interval.max(1));
             self.arm(now + wait, Timer::PendingUpdates);
         }
     }
@@ -285,7 +285,7 @@
     }
 
     fn newcomer(&mut self, now: Tenths, update: MemberUpdate, out: &mut Vec<Action>) -> Option<Place> {
-        if self.table.len() >= self.terms.most_members {
+        if self.table.len() >= self.parameters.most_members {
             out.push(Action::Report(Change::NoRoom { name: update.name }));
             return None;
         }
@@ -325,7 +325,7 @@
                 if let Some(record) = self.table.get_mut(place) {
                     record.held_until = None;
                     let revision = record.revision;
-                    self.arm(now + self.terms.forget_after, Timer::Forget(place, revision));
+                    self.arm(now + self.parameters.forget_after, Timer::Forget(place, revision));
                 }
                 self.change_view(now, |view| view.remove(&name));
                 if was.is_some() {
@@ -348,7 +348,7 @@
         self.arm_suspicion(now, place);
         out.push(Action::Report(Change::Suspected { name, incarnation }));
         // A few of all that hear of it try for themselves, however many there are.
-        let indirect_probers = self.terms.indirect_probers as f64;
+        let indirect_probers = self.parameters.indirect_probers as f64;
         if by != self.mark && self.chance.f64() * members as f64 <= indirect_probers {
             self.probe(now, place, out);
         }
@@ -376,9 +376,9 @@
     pub(crate) fn arm_suspicion(&mut self, now: Tenths, place: Place) {
         let (members, resumed_at) = (self.view.members.len(), self.resumed_at);
         let Some(suspicion) = self.table.get(place).and_then(|record| record.suspicion) else { return };
-        let ends = suspicion.ends(&self.terms, members, resumed_at).max(now);
+        let ends = suspicion.ends(&self.parameters, members, resumed_at).max(now);
         self.arm(ends, Timer::Suspicion(place, suspicion.since));
-        let wait = self.terms.answer_within * 3 / 2;
+        let wait = self.parameters.answer_within * 3 / 2;
         for before in [2 * wait, wait] {
             self.arm(ends.saturating_sub(before).max(now), Timer::Look(place, suspicion.since));
         }
--- a/fleet/src/joining.rs
+++ b/fleet/src/joining.rs
@@ -31,10 +31,10 @@
         } else {
             usize::from(often)
         };
-        let seeds = self.terms.seeds.len().min(most);
-        let from = self.chance.usize(..self.terms.seeds.len().max(1));
+        let seeds = self.parameters.seeds.len().min(most);
+        let from = self.chance.usize(..self.parameters.seeds.len().max(1));
         for nth in 0..seeds {
-            let seed = self.terms.seeds[(from + nth) % self.terms.seeds.len()];
+            let seed = self.parameters.seeds[(from + nth) % self.parameters.seeds.len()];
             if seed != self.me.address {
                 self.send_to(seed, Incarnation(0), Message::Join, Vec::new(), out);
             }
@@ -77,7 +77,7 @@
     /// Counts that a member came back, and holds it back if it does so again and again. The first return is
     /// free, as after a restart or a broken link.
     pub(crate) fn came_back(&mut self, now: Tenths, place: Place, out: &mut Vec<Action>) {
-        let (first, most) = (self.terms.hold_first, self.terms.hold_most);
+        let (first, most) = (self.parameters.hold_first, self.parameters.hold_most);
         let Some(record) = self.table.get_mut(place) else { return };
         if record.returned_at + 2 * most < now {
             record.returns = 0;
--- a/fleet/src/lib.rs
+++ b/fleet/src/lib.rs
@@ -5,7 +5,7 @@
 //! same actions, so the node, the emulator and the tests drive the same code.
 //!
 //! ```text
-//! let mut fleet = Fleet::new(me, terms, seed, now);
+//! let mut fleet = Fleet::new(me, parameters, seed, now);
 //! fleet.handle(now, Event::Tick, &mut actions);            // at fleet.next_due() at the latest
 //! fleet.handle(now, Event::Received { from, datagram }, &mut actions);
 //! ```
@@ -15,8 +15,8 @@
 //! - **Incarnations.** A node is known by its name and an [`Incarnation`], a number that is never used twice.
 //!   What concerns an earlier incarnation counts for nothing, and a datagram names the incarnation it is
 //!   meant for.
-//! - **Who was paused suspects nobody.** A turn that comes late by more than [`Terms::max_lateness`] drops
-//!   all probes and starts all suspicions anew; until another has answered, nobody is suspected.
+//! - **Who was paused suspects nobody.** A turn that comes late by more than [`Parameters::max_lateness`]
+//!   drops all probes and starts all suspicions anew; until another has answered, nobody is suspected.
 //! - **Who gets no answer from anybody considers itself isolated**, and declares nobody dead.
 //! - **Second opinions.** Some of those that hear of a suspicion try for themselves. Each that fails shortens
 //!   it; the word of one alone takes the longest time.
@@ -32,19 +32,19 @@
 //! What is never promised: that two nodes hold the same view at the same time. A decision that needs this
 //! has to rest on leases or a majority, not on a view.
 //!
-//! Bounds: members ([`Terms::most_members`]), probes under way, updates a datagram, datagrams a period. The
-//! cost of an event grows with the logarithm of the members at the most.
+//! Bounds: members ([`Parameters::most_members`]), probes under way, updates a datagram, datagrams a period.
+//! The cost of an event grows with the logarithm of the members at the most.
 
 mod fleet;
 mod gossip;
 mod joining;
 mod message;
+mod parameters;
 mod probes;
 mod receiving;
 mod report;
 mod suspicion;
 mod table;
-mod terms;
 mod timers;
 mod update;
 mod view;
@@ -57,8 +57,8 @@
 
 pub use fleet::Fleet;
 pub use message::{Datagram, Head, MAX_UPDATES, Message};
+pub use parameters::Parameters;
 pub use report::{MemberReport, ReportedState};
-pub use terms::Terms;
 pub use update::{MemberState, MemberUpdate};
 pub use view::{Member, View};
 
@@ -95,8 +95,8 @@
     Received { from: SocketAddr, datagram: Datagram },
     /// The node was told to leave.
     Leave,
-    /// Other terms and seeds from here on.
-    Changed { terms: Box<Terms> },
+    /// Other parameters and seeds from here on.
+    Changed { parameters: Box<Parameters> },
 }
 
 /// What is to be done.
--- a/fleet/src/terms.rs
+++ b/fleet/src/parameters.rs
@@ -8,7 +8,7 @@
 
 /// Times in tenths of a ms. What is said of each is checked by who reads the operators' file.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Terms {
+pub struct Parameters {
     /// Addresses to ask when joining, and now and then later, so that halves find together again.
     pub seeds: Vec<SocketAddr>,
     /// One member is probed each period.
@@ -36,9 +36,9 @@
     pub most_members: usize,
 }
 
-impl Default for Terms {
-    fn default() -> Terms {
-        Terms {
+impl Default for Parameters {
+    fn default() -> Parameters {
+        Parameters {
             seeds: Vec::new(),
             period: 200 * MS,
             answer_within: 70 * MS,
@@ -57,7 +57,7 @@
     }
 }
 
-impl Terms {
+impl Parameters {
     /// How often a node asks to join where it knows of nobody in its view.
     pub fn join_request_interval(&self) -> Tenths {
         self.period * 5
--- a/fleet/src/receiving.rs
+++ b/fleet/src/receiving.rs
@@ -211,7 +211,7 @@
 
     /// How long a member took to answer; one that takes long is waited for longer.
     fn took(&mut self, now: Tenths, probe: Probe, out: &mut Vec<Action>) {
-        let late = 3 * self.terms.answer_within;
+        let late = 3 * self.parameters.answer_within;
         let Some(record) = self.table.get_mut(probe.place) else { return };
         if record.update.incarnation != probe.incarnation {
             return;
@@ -243,7 +243,7 @@
 
     /// A member that rests on another view than this node for a while: its table is fetched.
     fn compare(&mut self, now: Tenths, place: Place, head: &Head, out: &mut Vec<Action>) {
-        let calm = 4 * self.terms.gossip_interval;
+        let calm = 4 * self.parameters.gossip_interval;
         if head.digest == self.view.digest || now < self.view_since + calm {
             return;
         }
@@ -261,7 +261,7 @@
         match (&self.fetch, next) {
             (Some(fetch), _) if fetch.of != name && fetch.till > now => {}
             (_, Some(next)) => {
-                self.fetch = Some(Fetch { of: name, till: now + 20 * self.terms.gossip_interval });
+                self.fetch = Some(Fetch { of: name, till: now + 20 * self.parameters.gossip_interval });
                 self.send(place, Message::Ask { after: Some(next) }, out);
             }
             (_, None) => self.fetch = None,
--- a/fleet/src/suspicion.rs
+++ b/fleet/src/suspicion.rs
@@ -2,7 +2,7 @@
 
 use doortrack::Tenths;
 
-use crate::Terms;
+use crate::Parameters;
 
 /// Others whose word shortens a suspicion.
 const MOST_OTHERS: usize = 2;
@@ -43,10 +43,11 @@
     /// When the member is declared dead, in a view of so many. Where fewer than two others could share the
     /// suspicion, it takes those there are; where nobody can, it stands to the last. Time before `resumed_at`
     /// does not count.
-    pub fn ends(&self, terms: &Terms, members: usize, resumed_at: Tenths) -> Tenths {
+    pub fn ends(&self, parameters: &Parameters, members: usize, resumed_at: Tenths) -> Tenths {
         let since = self.since.max(resumed_at);
         let wanted = members.saturating_sub(2).min(MOST_OTHERS);
-        let (least, most) = (terms.suspicion_min, terms.suspicion_max.max(terms.suspicion_min));
+        let (least, most) =
+            (parameters.suspicion_min, parameters.suspicion_max.max(parameters.suspicion_min));
         if wanted == 0 {
             return since + most;
         }
--- a/fleet/src/timers.rs
+++ b/fleet/src/timers.rs
@@ -39,21 +39,21 @@
             return;
         }
         self.send_join_requests(out);
-        let jitter = self.chance.u64(0..self.terms.period.max(1));
-        self.arm(now + self.terms.join_request_interval() + jitter, Timer::JoinRequest);
+        let jitter = self.chance.u64(0..self.parameters.period.max(1));
+        self.arm(now + self.parameters.join_request_interval() + jitter, Timer::JoinRequest);
     }
 
     fn period(&mut self, now: Tenths, out: &mut Vec<Action>) {
         if self.stage == Stage::Leaving {
             return;
         }
-        self.arm(now + self.terms.period, Timer::Period);
+        self.arm(now + self.parameters.period, Timer::Period);
         if std::mem::take(&mut self.answered) || self.table.there() == 0 {
             self.silent = 0;
         } else {
             self.silent += 1;
         }
-        if self.silent > self.terms.silent_periods && !self.isolated {
+        if self.silent > self.parameters.silent_periods && !self.isolated {
             self.isolated = true;
             out.push(Action::Report(Change::Isolated(true)));
         }
@@ -67,13 +67,13 @@
         if self.probes.is_under_way(place) {
             return;
         }
-        let (least, most) = (self.terms.answer_within, self.terms.longest_wait());
+        let (least, most) = (self.parameters.answer_within, self.parameters.longest_wait());
         let wait = (record.answers_in * 3).clamp(least, most.max(least));
         let nonce = self.chance.u32(..);
         let incarnation = record.update.incarnation;
         if self.probes.begin(Probe { nonce, place, incarnation, began: now }) {
             self.arm(now + wait, Timer::Wait(nonce));
-            let rest = self.terms.period.saturating_sub(least).max(1);
+            let rest = self.parameters.period.saturating_sub(least).max(1);
             self.arm(now + wait + rest, Timer::Over(nonce));
             self.send(place, Message::Ping { nonce }, out);
         }
@@ -83,7 +83,7 @@
     fn ask_indirect_probers(&mut self, nonce: u32, out: &mut Vec<Action>) {
         let Some(probe) = self.probes.get(nonce) else { return };
         let Some(of) = self.table.get(probe.place).map(|record| record.update.clone()) else { return };
-        for prober in self.table.some(self.terms.indirect_probers, Some(probe.place), &mut self.chance) {
+        for prober in self.table.some(self.parameters.indirect_probers, Some(probe.place), &mut self.chance) {
             let message = Message::PingRequest { nonce, name: of.name.clone(), incarnation: of.incarnation };
             self.send(prober, message, out);
         }
@@ -120,9 +120,9 @@
         let members = self.view.members.len();
         let Some(record) = self.table.get(place) else { return };
         let Some(suspicion) = record.suspicion.filter(|suspicion| suspicion.since == since) else { return };
-        let ends = suspicion.ends(&self.terms, members, self.resumed_at);
+        let ends = suspicion.ends(&self.parameters, members, self.resumed_at);
         if self.suspects_nobody() {
-            self.arm(now + self.terms.period, Timer::Suspicion(place, since));
+            self.arm(now + self.parameters.period, Timer::Suspicion(place, since));
         } else if ends > now {
             self.arm(ends, Timer::Suspicion(place, since));
         } else {
@@ -137,7 +137,7 @@
             return;
         }
         self.retransmissions = self.retransmissions.saturating_sub(1);
-        for place in self.table.some(self.terms.gossip_fanout, None, &mut self.chance) {
+        for place in self.table.some(self.parameters.gossip_fanout, None, &mut self.chance) {
             self.send(place, Message::Updates, out);
         }
         if !self.updates_armed
@@ -145,7 +145,7 @@
             && self.table.there() > 0
         {
             self.updates_armed = true;
-            self.arm(now + self.terms.gossip_interval, Timer::PendingUpdates);
+            self.arm(now + self.parameters.gossip_interval, Timer::PendingUpdates);
         }
     }
 }
--- a/fleet/tests/cases.rs
+++ b/fleet/tests/cases.rs
@@ -6,7 +6,7 @@
 
 use doortrack_fleet::{
     Action, Change, Datagram, Event, Fleet, Head, Incarnation, MemberState, MemberUpdate, Message,
-    ReportedState, Terms,
+    Parameters, ReportedState,
 };
 
 const MS: u64 = 10;
@@ -50,8 +50,8 @@
     }
 
     fn node(of: usize, incarnation: u64, now: u64) -> Fleet {
-        let terms = Terms { seeds: vec![address(0), address(1)], ..Terms::default() };
-        Fleet::new(update(of, incarnation), terms, 7 + of as u64, now)
+        let parameters = Parameters { seeds: vec![address(0), address(1)], ..Parameters::default() };
+        Fleet::new(update(of, incarnation), parameters, 7 + of as u64, now)
     }
 
     fn handle(&mut self, of: usize, event: Event) {
@@ -190,9 +190,12 @@
     // The safeguard taken out: silence means nothing.
     let mut few = Few::new(5);
     for of in 0..5 {
-        let terms =
-            Terms { seeds: vec![address(0), address(1)], silent_periods: u32::MAX, ..Terms::default() };
-        few.fleets[of] = Fleet::new(update(of, 100), terms, 7 + of as u64, 0);
+        let parameters = Parameters {
+            seeds: vec![address(0), address(1)],
+            silent_periods: u32::MAX,
+            ..Parameters::default()
+        };
+        few.fleets[of] = Fleet::new(update(of, 100), parameters, 7 + of as u64, 0);
     }
     few.pass(2_000);
     few.cut = Box::new(|from, to| from == 0 || to == 0);
@@ -241,8 +244,8 @@
     // A process elsewhere goes by the name of n3, and joins later.
     let mut duplicate = update(3, 300);
     duplicate.address = address(4);
-    let terms = Terms { seeds: vec![address(0)], ..Terms::default() };
-    few.fleets.push(Fleet::new(duplicate, terms, 99, few.now));
+    let parameters = Parameters { seeds: vec![address(0)], ..Parameters::default() };
+    few.fleets.push(Fleet::new(duplicate, parameters, 99, few.now));
     few.stopped.push(false);
     few.pass(3_000);
     assert!(few.fleets[3].is_superseded(), "{:?}", few.changes);
@@ -382,8 +385,8 @@
 fn a_full_table_leaves_newcomers_out() {
     let mut few = Few::new(2);
     for of in 0..2 {
-        let terms = Terms { seeds: vec![address(0)], most_members: 3, ..Terms::default() };
-        few.fleets[of] = Fleet::new(update(of, 100), terms, of as u64, 0);
+        let parameters = Parameters { seeds: vec![address(0)], most_members: 3, ..Parameters::default() };
+        few.fleets[of] = Fleet::new(update(of, 100), parameters, of as u64, 0);
     }
     few.pass(2_000);
     for nth in 10..20 {
--- a/fleet/tests/random.rs
+++ b/fleet/tests/random.rs
@@ -5,7 +5,7 @@
 
 use doortrack_fleet::{
     Action, Datagram, Event, Fleet, Head, Incarnation, MAX_UPDATES, Member, MemberState, MemberUpdate,
-    Message, Name, Terms,
+    Message, Name, Parameters,
 };
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
@@ -91,8 +91,8 @@
             address: address(0),
             weight: 1,
         };
-        let terms = Terms { seeds: vec![address(1)], most_members: MOST, ..Terms::default() };
-        let mut fleet = Fleet::new(me, terms, seed, 0);
+        let parameters = Parameters { seeds: vec![address(1)], most_members: MOST, ..Parameters::default() };
+        let mut fleet = Fleet::new(me, parameters, seed, 0);
         let (mut now, mut out, mut number) = (0, Vec::new(), 0);
         let mut by_digest: BTreeMap<u64, Vec<(String, Incarnation, u32)>> = BTreeMap::new();
         let mut incarnation = Incarnation(2);
--- a/installation/src/budgets.rs
+++ b/installation/src/budgets.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 
 use doortrack::Tenths;
-use doortrack_budgets::{Budget, Kind, MOST_BUDGETS, Terms};
+use doortrack_budgets::{Budget, Kind, MOST_BUDGETS, Parameters};
 use doortrack_fleet::Name;
 use schemars::JsonSchema;
 use serde::Deserialize;
@@ -94,12 +94,12 @@
 
 impl Default for LeaseTimes {
     fn default() -> LeaseTimes {
-        let (terms, ms) = (Terms::default(), |span: Tenths| (span / MS) as u32);
+        let (parameters, ms) = (Parameters::default(), |span: Tenths| (span / MS) as u32);
         LeaseTimes {
-            round_ms: ms(terms.round),
-            vote_ms: ms(terms.vote_lasts),
-            lease_ms: ms(terms.lease),
-            drift_permille: terms.drift as u32,
+            round_ms: ms(parameters.round),
+            vote_ms: ms(parameters.vote_lasts),
+            lease_ms: ms(parameters.lease),
+            drift_permille: parameters.drift as u32,
         }
     }
 }
@@ -132,9 +132,9 @@
 
 impl FleetFile {
     /// What the division is handed.
-    pub fn lease_terms(&self) -> Terms {
+    pub fn budget_parameters(&self) -> Parameters {
         let (times, ms) = (self.leases, |span: u32| Tenths::from(span) * MS);
-        Terms {
+        Parameters {
             voters: self.voters.iter().map(|name| Name::from(name.as_str())).collect(),
             round: ms(times.round_ms),
             vote_lasts: ms(times.vote_ms),
--- a/installation/src/fleet.rs
+++ b/installation/src/fleet.rs
@@ -6,7 +6,7 @@
 
 use doortrack::Tenths;
 use doortrack_budgets::Safeguards;
-use doortrack_fleet::{Terms, is_name};
+use doortrack_fleet::{Parameters, is_name};
 use schemars::JsonSchema;
 use serde::Deserialize;
 
@@ -92,29 +92,29 @@
 
 impl Default for FleetTimes {
     fn default() -> FleetTimes {
-        let (terms, ms) = (Terms::default(), |span: Tenths| (span / MS) as u32);
+        let (parameters, ms) = (Parameters::default(), |span: Tenths| (span / MS) as u32);
         FleetTimes {
-            period_ms: ms(terms.period),
-            answer_within_ms: ms(terms.answer_within),
-            suspicion_min_ms: ms(terms.suspicion_min),
-            suspicion_max_ms: ms(terms.suspicion_max),
-            forget_after_ms: ms(terms.forget_after),
+            period_ms: ms(parameters.period),
+            answer_within_ms: ms(parameters.answer_within),
+            suspicion_min_ms: ms(parameters.suspicion_min),
+            suspicion_max_ms: ms(parameters.suspicion_max),
+            forget_after_ms: ms(parameters.forget_after),
         }
     }
 }
 
 impl FleetFile {
     /// What the decisions are handed.
-    pub fn terms(&self) -> Terms {
+    pub fn fleet_parameters(&self) -> Parameters {
         let (times, ms) = (self.times, |span: u32| Tenths::from(span) * MS);
-        Terms {
+        Parameters {
             seeds: self.seeds.clone(),
             period: ms(times.period_ms),
             answer_within: ms(times.answer_within_ms),
             suspicion_min: ms(times.suspicion_min_ms),
             suspicion_max: ms(times.suspicion_max_ms),
             forget_after: ms(times.forget_after_ms),
-            ..Terms::default()
+            ..Parameters::default()
         }
     }
 
--- a/node/src/peers/budgets.rs
+++ b/node/src/peers/budgets.rs
@@ -5,7 +5,7 @@
 use std::collections::BinaryHeap;
 
 use doortrack::Tenths;
-use doortrack_budgets::{Action, Budget, Budgets, Change, Event, Kind, Terms, Units, Who};
+use doortrack_budgets::{Action, Budget, Budgets, Change, Event, Kind, Parameters, Units, Who};
 use doortrack_installation::{Falls, FleetFile, Installation, Orders};
 use slog::{Logger, info, warn};
 
@@ -44,7 +44,7 @@
         }
         let list = installation.budget_list(orders);
         let weight = file.weight.unwrap_or(orders.handed.contract.cores).max(1);
-        let budgets = Budgets::new(me, weight, file.lease_terms(), &list, fastrand::u64(..), 0);
+        let budgets = Budgets::new(me, weight, file.budget_parameters(), &list, fastrand::u64(..), 0);
         let (falls, used, told) = (installation.falls(orders), vec![0; list.len()], vec![0; list.len()]);
         Some(FleetBudgets {
             budgets,
@@ -79,8 +79,8 @@
         installation: &Installation,
         orders: &Orders,
     ) -> Option<&str> {
-        let (old, new) = (self.budgets.terms(), file.lease_terms());
-        let times = |of: &Terms| (of.round, of.vote_lasts, of.lease, of.drift);
+        let (old, new) = (self.budgets.parameters(), file.budget_parameters());
+        let times = |of: &Parameters| (of.round, of.vote_lasts, of.lease, of.drift);
         let list = installation.budget_list(orders);
         if old.voters != new.voters {
             Some("the voters changed")
--- a/node/src/peers/link.rs
+++ b/node/src/peers/link.rs
@@ -110,7 +110,7 @@
             log,
             zero,
             seal: Seal::new(key, &file.name),
-            fleet: Fleet::new(me, file.terms(), orders.seed ^ chance, 0),
+            fleet: Fleet::new(me, file.fleet_parameters(), orders.seed ^ chance, 0),
             file: file.clone(),
             actions: Vec::new(),
             budgets,
@@ -380,8 +380,8 @@
             Some(why) => warn!(self.log, "budgets need a start"; "why" => why),
             None => self.carry_out_budget_actions(),
         }
-        let terms = Box::new(self.file.terms());
-        self.fleet.handle(self.now(), Event::Changed { terms }, &mut self.actions);
+        let parameters = Box::new(self.file.fleet_parameters());
+        self.fleet.handle(self.now(), Event::Changed { parameters }, &mut self.actions);
         self.carry_out();
     }
 
--- a/node/tests/fleet/link.rs
+++ b/node/tests/fleet/link.rs
@@ -6,7 +6,7 @@
 use std::time::{Duration, Instant};
 
 use doortrack_fleet::{
-    Action, Datagram, Event, Fleet, Head, Incarnation, MemberState, MemberUpdate, Message, Terms,
+    Action, Datagram, Event, Fleet, Head, Incarnation, MemberState, MemberUpdate, Message, Parameters,
 };
 use doortrack_node::peers::seal::{Refused, Seal};
 use doortrack_node::peers::spoken::{PAGE, Spoken, Status};
@@ -122,7 +122,7 @@
     let seal = Seal::new(None, &"x".repeat(64));
     assert!(seal.close(&Spoken::Fleet(datagram)).is_some());
     // So do the pages of a table of them, and the answers to those who ask.
-    let mut fleet = Fleet::new(update(0), Terms::default(), 1, 0);
+    let mut fleet = Fleet::new(update(0), Parameters::default(), 1, 0);
     let mut out = Vec::new();
     for nth in 1..60 {
         let sender = MemberUpdate { state: MemberState::Alive, ..update(nth) };
--- a/rig/src/divided.rs
+++ b/rig/src/divided.rs
@@ -6,7 +6,7 @@
 
 use std::collections::BTreeMap;
 
-use doortrack_budgets::{Action, Budget, Budgets, Change, Envelope, Event, Kind, Message, Terms, Who};
+use doortrack_budgets::{Action, Budget, Budgets, Change, Envelope, Event, Kind, Message, Parameters, Who};
 use doortrack_emulator::{Clock, Law, Links, MachineId, Micros, Net, Next};
 use doortrack_fleet::{Incarnation, Member, Name, View};
 
@@ -28,7 +28,7 @@
 
 /// How a play differs from the plainest.
 pub struct Ways<'a> {
-    pub terms: Terms,
+    pub parameters: Parameters,
     pub list: Vec<Budget>,
     pub latency: Law,
     /// Least and most that clocks gain, in millionths.
@@ -144,8 +144,8 @@
         self.incarnations[of] = Incarnation(self.started);
         let me = Who { name: name(of).into(), incarnation: self.incarnations[of] };
         let now = self.net.shown(of) / TENTH;
-        let (terms, list) = (self.ways.terms.clone(), &self.ways.list);
-        self.nodes[of] = Some(Budgets::new(me, 4, terms, list, self.chance.u64(..), now));
+        let (parameters, list) = (self.ways.parameters.clone(), &self.ways.list);
+        self.nodes[of] = Some(Budgets::new(me, 4, parameters, list, self.chance.u64(..), now));
         self.asks_at[of] = self.net.shown(of);
         self.wake(of);
         self.net.mark(self.net.now() + LEARN, u64::MAX);
@@ -154,7 +154,7 @@
     /// All nodes know the voters that run.
     fn learn(&mut self) {
         let mut view = View::default();
-        for voter in self.ways.terms.voters.iter() {
+        for voter in self.ways.parameters.voters.iter() {
             let of: Option<usize> = voter[1..].parse().ok();
             if let Some(of) = of.filter(|of| *of < self.nodes.len() && !self.net.is_down(*of)) {
                 let address = std::net::SocketAddr::from(([10, 0, 0, 1], of as u16));
--- a/rig/src/simulated.rs
+++ b/rig/src/simulated.rs
@@ -5,7 +5,7 @@
 
 use doortrack_emulator::{Clock, Law, Links, MachineId, Micros, Net, Next};
 use doortrack_fleet::{
-    Action, Change, Datagram, Event, Fleet, Incarnation, MemberState, MemberUpdate, ReportedState, Terms,
+    Action, Change, Datagram, Event, Fleet, Incarnation, MemberState, MemberUpdate, Parameters, ReportedState,
 };
 use doortrack_node::peers::seal::Seal;
 use doortrack_node::peers::spoken::Spoken;
@@ -26,7 +26,7 @@
 /// How a play differs from the plainest.
 #[derive(Clone, Debug)]
 pub struct Ways {
-    pub terms: Terms,
+    pub parameters: Parameters,
     pub latency: Law,
     /// Zones that nodes are dealt out to, and microseconds that lie between two of them.
     pub zones: u32,
@@ -43,7 +43,7 @@
 impl Default for Ways {
     fn default() -> Ways {
         Ways {
-            terms: Terms::default(),
+            parameters: Parameters::default(),
             latency: Law::LogNormal { mean: 300.0, sigma: 0.5 },
             zones: 1,
             between_zones: 0,
@@ -169,8 +169,8 @@
             address: address(of),
             weight: 4,
         };
-        let terms = Terms { seeds: self.seeds.clone(), ..self.ways.terms.clone() };
-        let fleet = Fleet::new(me, terms, self.seed ^ self.net.now(), shown / TENTH);
+        let parameters = Parameters { seeds: self.seeds.clone(), ..self.ways.parameters.clone() };
+        let fleet = Fleet::new(me, parameters, self.seed ^ self.net.now(), shown / TENTH);
         self.wake(of, &fleet);
         self.fleets[of] = Some(fleet);
     }
--- a/rig/tests/divided.rs
+++ b/rig/tests/divided.rs
@@ -3,7 +3,7 @@
 
 use std::sync::Arc;
 
-use doortrack_budgets::{Budget, Kind, Safeguards, Terms};
+use doortrack_budgets::{Budget, Kind, Parameters, Safeguards};
 use doortrack_emulator::Law;
 use doortrack_fleet::Name;
 use doortrack_rig::divided::{Outcome, Ways, play};
@@ -26,8 +26,8 @@
     Budget { name: "places".into(), kind, limit, reserved, reserved_for: names(5), max_per_node: limit }
 }
 
-fn terms(safeguards: Safeguards) -> Terms {
-    Terms { voters: names(5), safeguards, ..Terms::default() }
+fn parameters(safeguards: Safeguards) -> Parameters {
+    Parameters { voters: names(5), safeguards, ..Parameters::default() }
 }
 
 /// More is asked for everywhere than there is, in turns most of it at one node.
@@ -62,7 +62,7 @@
     demand: &dyn Fn(usize, usize, u64) -> f64,
 ) -> Outcome {
     let ways = Ways {
-        terms: terms(safeguards),
+        parameters: parameters(safeguards),
         list: vec![rate(600, 120, 20), concurrency(30, 1)],
         latency: Law::LogNormal { mean: 300.0, sigma: 0.5 },
         drift_ppm,
@@ -193,7 +193,7 @@
         _ => 0.0,
     };
     let ways = Ways {
-        terms: terms(Safeguards::default()),
+        parameters: parameters(Safeguards::default()),
         list,
         latency: Law::LogNormal { mean: 300.0, sigma: 0.5 },
         drift_ppm: (-20_000, 20_000),
--- a/rig/tests/simulated.rs
+++ b/rig/tests/simulated.rs
@@ -1,7 +1,7 @@
 //! Fleets in simulated time, on the decisions that the node runs, judged by the checkers that judge real
 //! processes.
 
-use doortrack_fleet::Terms;
+use doortrack_fleet::Parameters;
 use doortrack_rig::checks::{judge, membership};
 use doortrack_rig::history::{History, What};
 use doortrack_rig::script::{Fault, Script, Timed};
@@ -95,17 +95,17 @@
             (12_000, Fault::Cut { from: vec![1], to: vec![0] }),
         ],
     );
-    let breaks = |script: &Script, terms: Terms| -> Vec<&'static str> {
-        let (history, _) = play(script, &Ways { terms, ..Ways::default() });
+    let breaks = |script: &Script, parameters: Parameters| -> Vec<&'static str> {
+        let (history, _) = play(script, &Ways { parameters, ..Ways::default() });
         judge(&history, &membership()).into_iter().map(|breach| breach.rule).collect()
     };
-    assert!(breaks(&isolated, Terms::default()).is_empty());
-    let deaf = Terms { silent_periods: u32::MAX, ..Terms::default() };
+    assert!(breaks(&isolated, Parameters::default()).is_empty());
+    let deaf = Parameters { silent_periods: u32::MAX, ..Parameters::default() };
     assert!(breaks(&isolated, deaf).contains(&"isolated, declares nobody dead"));
     // Where suspicions are hardly given time to be contradicted, what comes before them shows.
-    let hasty = Terms { suspicion_min: 50, suspicion_max: 100, ..Terms::default() };
+    let hasty = Parameters { suspicion_min: 50, suspicion_max: 100, ..Parameters::default() };
     assert!(breaks(&one_link, hasty.clone()).is_empty());
-    let alone = Terms { indirect_probers: 0, ..hasty.clone() };
+    let alone = Parameters { indirect_probers: 0, ..hasty.clone() };
     assert!(breaks(&one_link, alone).contains(&"nobody wrongly declared dead"));
     let rest: Vec<usize> = (1..6).collect();
     let woken = script(
@@ -119,6 +119,6 @@
         ],
     );
     assert!(!breaks(&woken, hasty.clone()).contains(&"resumed, declares nobody dead"));
-    let unaware = Terms { max_lateness: u64::MAX, ..hasty };
+    let unaware = Parameters { max_lateness: u64::MAX, ..hasty };
     assert!(breaks(&woken, unaware).contains(&"resumed, declares nobody dead"));
 }
