--- a/budgets/src/account.rs
+++ b/budgets/src/account.rs
@@ -7,7 +7,7 @@
 use crate::{Asks, Budget, Grant, Id, Item, Parameters, Units, Who, divide};
 
 /// Allocations sent and not yet confirmed, kept one by one; of more the two oldest are taken for the greater.
-const MOST_SENT: usize = 6;
+const MAX_SENT: usize = 6;
 /// Rounds after which single steps that can't be divided go to the next.
 const ROTATE_AFTER: u64 = 5;
 
@@ -64,7 +64,7 @@
 
     fn send(&mut self, seq: u64, allocation: Units) {
         self.sent.push_back((seq, allocation));
-        if self.sent.len() > MOST_SENT
+        if self.sent.len() > MAX_SENT
             && let Some((_, oldest)) = self.sent.pop_front()
             && let Some((_, next)) = self.sent.front_mut()
         {
@@ -173,8 +173,8 @@
             self.books.iter().map(|book| (book.budget.limit(), book.budget.reserved())).collect();
         for (who, holder) in &self.holders {
             for (place, line) in &holder.lines {
-                let most = self.books[*place].budget.max_grant(&who.name);
-                asks[*place].push(Asks { need: line.need, weight: holder.weight, most });
+                let max = self.books[*place].budget.max_grant(&who.name);
+                asks[*place].push(Asks { need: line.need, weight: holder.weight, max });
                 let (limit, reserved) = &mut seen[*place];
                 (*limit, *reserved) = (line.limit.min(*limit), line.reserved.max(*reserved));
             }
--- a/budgets/src/allocation.rs
+++ b/budgets/src/allocation.rs
@@ -192,11 +192,9 @@
         self.settle(now, parameters);
         let was = self.leased;
         // A leader that prolongs may not know that this has been granted to another since it was over here.
-        let most = if grant.prolongs && parameters.safeguards.prolong { was } else { Units::MAX };
-        self.leased = grant
-            .allocation
-            .min(most)
-            .min(self.budget.grantable(self.budget.limit(), self.budget.reserved()));
+        let max = if grant.prolongs && parameters.safeguards.prolong { was } else { Units::MAX };
+        self.leased =
+            grant.allocation.min(max).min(self.budget.grantable(self.budget.limit(), self.budget.reserved()));
         (self.till, self.accepted, self.ran_out) = (till, seq, None);
         self.bound();
         (was, self.leased)
--- a/budgets/src/budgets.rs
+++ b/budgets/src/budgets.rs
@@ -9,10 +9,10 @@
 use crate::allocation::Allocation;
 use crate::leadership::Leadership;
 use crate::voter::Voter;
-use crate::{Action, Budget, Change, Envelope, Event, Grant, Id, Item, MOST_ITEMS, Message, Parameters, Who};
+use crate::{Action, Budget, Change, Envelope, Event, Grant, Id, Item, MAX_ITEMS, Message, Parameters, Who};
 
 /// Reports whose answers still count when they come.
-const MOST_SENT: usize = 128;
+const MAX_SENT: usize = 128;
 /// Rounds without an answer after which another is asked who the leader is.
 const SILENT: u32 = 3;
 
@@ -54,7 +54,7 @@
 
 impl Budgets {
     /// A node that has just started. `weight` is its capacity, in a unit that all share; `list` at most
-    /// [`crate::MOST_BUDGETS`], each with an id of its own.
+    /// [`crate::MAX_BUDGETS`], each with an id of its own.
     pub fn new(
         me: Who,
         weight: u32,
@@ -194,9 +194,9 @@
         let (parameters, leaves) = (&self.parameters, self.leaves);
         let items = places.iter().map(|place| self.allocations[*place].item(now, parameters, round, leaves));
         let items: Vec<Item> = items.collect();
-        for items in items.chunks(MOST_ITEMS) {
+        for items in items.chunks(MAX_ITEMS) {
             self.seq += 1;
-            if self.sent.len() >= MOST_SENT {
+            if self.sent.len() >= MAX_SENT {
                 self.sent.pop_front();
             }
             self.sent.push_back((self.seq, now));
--- a/budgets/src/divide.rs
+++ b/budgets/src/divide.rs
@@ -8,23 +8,23 @@
 pub struct Asks {
     pub need: Units,
     pub weight: u32,
-    pub most: Units,
+    pub max: Units,
 }
 
 /// The allocations of each, in the order of `asks`, multiples of `step` whose sum is at most `limit`. What is
-/// left beyond all needs goes to all by weight, up to their mosts. Single steps that can't be divided go to
+/// left beyond all needs goes to all by weight, up to their maxima. Single steps that can't be divided go to
 /// one after the other as `rotation` grows, so that in time they are divided as well.
 pub fn divide(limit: Units, step: Units, asks: &[Asks], rotation: u64) -> Vec<Units> {
     let step = step.max(1);
     let steps = limit / step;
-    let needs: Vec<Units> = asks.iter().map(|of| of.need.min(of.most).div_ceil(step)).collect();
-    let mosts: Vec<Units> = asks.iter().map(|of| of.most / step).collect();
-    let needs: Vec<Units> = needs.iter().zip(&mosts).map(|(need, most)| *need.min(most)).collect();
+    let needs: Vec<Units> = asks.iter().map(|of| of.need.min(of.max).div_ceil(step)).collect();
+    let maxima: Vec<Units> = asks.iter().map(|of| of.max / step).collect();
+    let needs: Vec<Units> = needs.iter().zip(&maxima).map(|(need, max)| *need.min(max)).collect();
     let mut allocations = level(steps, asks, &needs, rotation);
     let left = steps - allocations.iter().sum::<Units>();
     if left > 0 {
         let room: Vec<Units> =
-            mosts.iter().zip(&allocations).map(|(most, allocation)| most - allocation).collect();
+            maxima.iter().zip(&allocations).map(|(max, allocation)| max - allocation).collect();
         let more = level(left, asks, &room, rotation);
         allocations.iter_mut().zip(more).for_each(|(allocation, more)| *allocation += more);
     }
--- a/budgets/src/envelope.rs
+++ b/budgets/src/envelope.rs
@@ -6,7 +6,7 @@
 use crate::{Id, Units};
 
 /// Budgets that one message tells of, so that it fits a datagram.
-pub const MOST_ITEMS: usize = 40;
+pub const MAX_ITEMS: usize = 40;
 
 /// One incarnation of a node.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
--- a/budgets/src/leadership.rs
+++ b/budgets/src/leadership.rs
@@ -10,7 +10,7 @@
 use crate::{Action, Budget, Budgets, Change, Item, Message, Parameters, Who};
 
 /// Ballots whose votes still count when they come.
-const MOST_ASKED: usize = 8;
+const MAX_ASKED: usize = 8;
 
 /// The votes that one candidate holds.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
@@ -22,7 +22,7 @@
 
 impl Election {
     pub fn asked(&mut self, ballot: u64, now: Tenths) {
-        if self.asked.len() >= MOST_ASKED {
+        if self.asked.len() >= MAX_ASKED {
             self.asked.pop_front();
         }
         self.asked.push_back((ballot, now));
--- a/budgets/src/lib.rs
+++ b/budgets/src/lib.rs
@@ -30,7 +30,7 @@
 //! die (and start anew with nothing), stop and wake. One process at a time goes by a name; nodes do not lie
 //! about what they hold. What a broken assumption costs stands in `docs/budgets.md`.
 //!
-//! Bounds: budgets ([`MOST_BUDGETS`]), items a datagram, unconfirmed allocations a holder. A check costs the
+//! Bounds: budgets ([`MAX_BUDGETS`]), items a datagram, unconfirmed allocations a holder. A check costs the
 //! same whatever there is; a report costs the leader the logarithm of the holders, and a division, twice a
 //! round, as much for each.
 
@@ -50,12 +50,12 @@
 
 pub use budgets::Budgets;
 pub use divide::{Asks, divide};
-pub use envelope::{Envelope, Grant, Item, MOST_ITEMS, Message, Who};
+pub use envelope::{Envelope, Grant, Item, MAX_ITEMS, Message, Who};
 pub use parameters::{Budget, Id, Kind, Parameters, Safeguards, Units, id_of};
 pub use reporting::Standing;
 
 /// Budgets of one fleet.
-pub const MOST_BUDGETS: usize = 256;
+pub const MAX_BUDGETS: usize = 256;
 
 /// What happens to a node.
 #[derive(Clone, Debug)]
--- a/fleet/src/fleet.rs
+++ b/fleet/src/fleet.rs
@@ -285,7 +285,7 @@
     }
 
     fn newcomer(&mut self, now: Tenths, update: MemberUpdate, out: &mut Vec<Action>) -> Option<Place> {
-        if self.table.len() >= self.parameters.most_members {
+        if self.table.len() >= self.parameters.max_members {
             out.push(Action::Report(Change::NoRoom { name: update.name }));
             return None;
         }
--- a/fleet/src/gossip.rs
+++ b/fleet/src/gossip.rs
@@ -52,7 +52,7 @@
         current: impl Fn(Place, u32) -> bool,
         into: &mut Vec<Place>,
     ) {
-        let most = transmissions(members);
+        let max = transmissions(members);
         let mut taken: Vec<(usize, (Place, u32))> = Vec::new();
         'full: for (sent, queue) in self.by_transmissions.iter_mut().enumerate() {
             while let Some(entry) = queue.pop_front() {
@@ -68,7 +68,7 @@
         }
         for (sent, entry) in taken {
             into.push(entry.0);
-            if sent < most {
+            if sent < max {
                 self.by_transmissions[sent].push_back(entry);
                 self.queued += 1;
             }
--- a/fleet/src/joining.rs
+++ b/fleet/src/joining.rs
@@ -26,12 +26,12 @@
         // All started at once, nodes find together in islands at first.
         let often = self.join_requests <= EARLY_JOIN_REQUESTS
             || self.join_requests.is_multiple_of(LATER_REQUESTS_EVERY);
-        let most = if lonely || self.join_requests <= EARLY_JOIN_REQUESTS {
+        let max = if lonely || self.join_requests <= EARLY_JOIN_REQUESTS {
             MAX_SEEDS_AT_ONCE
         } else {
             usize::from(often)
         };
-        let seeds = self.parameters.seeds.len().min(most);
+        let seeds = self.parameters.seeds.len().min(max);
         let from = self.chance.usize(..self.parameters.seeds.len().max(1));
         for nth in 0..seeds {
             let seed = self.parameters.seeds[(from + nth) % self.parameters.seeds.len()];
@@ -77,9 +77,9 @@
     /// Counts that a member came back, and holds it back if it does so again and again. The first return is
     /// free, as after a restart or a broken link.
     pub(crate) fn came_back(&mut self, now: Tenths, place: Place, out: &mut Vec<Action>) {
-        let (first, most) = (self.parameters.hold_first, self.parameters.hold_most);
+        let (first, max) = (self.parameters.hold_first, self.parameters.hold_max);
         let Some(record) = self.table.get_mut(place) else { return };
-        if record.returned_at + 2 * most < now {
+        if record.returned_at + 2 * max < now {
             record.returns = 0;
         }
         record.returns = record.returns.saturating_add(1);
@@ -87,7 +87,7 @@
         if record.returns < 2 {
             return;
         }
-        let wait = most.min(first << (record.returns - 2).min(20));
+        let wait = max.min(first << (record.returns - 2).min(20));
         record.held_until = Some(now + wait);
         let (name, incarnation) = (record.update.name.clone(), record.update.incarnation);
         self.arm(now + wait, Timer::Admit(place));
--- a/fleet/src/lib.rs
+++ b/fleet/src/lib.rs
@@ -32,7 +32,7 @@
 //! What is never promised: that two nodes hold the same view at the same time. A decision that needs this
 //! has to rest on leases or a majority, not on a view.
 //!
-//! Bounds: members ([`Parameters::most_members`]), probes under way, updates a datagram, datagrams a period.
+//! Bounds: members ([`Parameters::max_members`]), probes under way, updates a datagram, datagrams a period.
 //! The cost of an event grows with the logarithm of the members at the most.
 
 mod fleet;
@@ -66,7 +66,7 @@
 pub type Name = Arc<str>;
 
 /// Bytes of a name.
-pub const LONGEST_NAME: usize = 64;
+pub const MAX_NAME_LEN: usize = 64;
 
 /// One run of a node's process. Of two incarnations of one name the greater is the later; 0 is none.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
@@ -210,5 +210,5 @@
 
 /// Whether this can be a node's name: 1 to 64 bytes without control characters.
 pub fn is_name(word: &str) -> bool {
-    (1..=LONGEST_NAME).contains(&word.len()) && !word.chars().any(char::is_control)
+    (1..=MAX_NAME_LEN).contains(&word.len()) && !word.chars().any(char::is_control)
 }
--- a/fleet/src/parameters.rs
+++ b/fleet/src/parameters.rs
@@ -30,10 +30,10 @@
     pub silent_periods: u32,
     /// Wait before a member that came back twice is in the view again; doubled each time, up to the most.
     pub hold_first: Tenths,
-    pub hold_most: Tenths,
+    pub hold_max: Tenths,
     /// Dead and left members are forgotten after this.
     pub forget_after: Tenths,
-    pub most_members: usize,
+    pub max_members: usize,
 }
 
 impl Default for Parameters {
@@ -50,9 +50,9 @@
             max_lateness: 100 * MS,
             silent_periods: 4,
             hold_first: 1_000 * MS,
-            hold_most: 30_000 * MS,
+            hold_max: 30_000 * MS,
             forget_after: 60_000 * MS,
-            most_members: 4_096,
+            max_members: 4_096,
         }
     }
 }
@@ -64,7 +64,7 @@
     }
 
     /// Silence after which a member that answers late is no longer only slow.
-    pub fn longest_wait(&self) -> Tenths {
+    pub fn max_wait(&self) -> Tenths {
         self.suspicion_max
     }
 }
--- a/fleet/src/probes.rs
+++ b/fleet/src/probes.rs
@@ -8,7 +8,7 @@
 use crate::{Incarnation, Name};
 
 /// Probes under way at once: one a period and second opinions.
-const MOST: usize = 16;
+const MAX_UNDER_WAY: usize = 16;
 /// Probes that failed whose answer may still come and tells how late the member is.
 const MAX_LATE: usize = 32;
 /// Probes made for others.
@@ -47,7 +47,7 @@
 impl Probes {
     /// Whether there was room for it.
     pub fn begin(&mut self, probe: Probe) -> bool {
-        let room = self.under_way.len() < MOST;
+        let room = self.under_way.len() < MAX_UNDER_WAY;
         if room {
             self.under_way.push(probe);
         }
--- a/fleet/src/report.rs
+++ b/fleet/src/report.rs
@@ -35,8 +35,8 @@
 }
 
 impl Fleet {
-    /// The members behind a name, up to `most`, the node itself among them; and whether there are more.
-    pub fn report(&self, after: Option<&Name>, most: usize, now: Tenths) -> (Vec<MemberReport>, bool) {
+    /// The members behind a name, up to `max`, the node itself among them; and whether there are more.
+    pub fn report(&self, after: Option<&Name>, max: usize, now: Tenths) -> (Vec<MemberReport>, bool) {
         let own = MemberReport {
             name: self.me.name.clone(),
             incarnation: self.me.incarnation,
@@ -54,7 +54,7 @@
         let mut own = Some(own).filter(|own| after.is_none_or(|after| own.name > *after));
         let mut reports = Vec::new();
         let mut others = self.table.after(after).peekable();
-        while reports.len() < most {
+        while reports.len() < max {
             let before = |name: &Name| own.as_ref().is_some_and(|own| own.name < *name);
             match others.peek() {
                 Some(record) if !before(&record.update.name) => {
--- a/fleet/src/timers.rs
+++ b/fleet/src/timers.rs
@@ -67,13 +67,13 @@
         if self.probes.is_under_way(place) {
             return;
         }
-        let (least, most) = (self.parameters.answer_within, self.parameters.longest_wait());
-        let wait = (record.answers_in * 3).clamp(least, most.max(least));
+        let (min, max) = (self.parameters.answer_within, self.parameters.max_wait());
+        let wait = (record.answers_in * 3).clamp(min, max.max(min));
         let nonce = self.chance.u32(..);
         let incarnation = record.update.incarnation;
         if self.probes.begin(Probe { nonce, place, incarnation, began: now }) {
             self.arm(now + wait, Timer::Wait(nonce));
-            let rest = self.parameters.period.saturating_sub(least).max(1);
+            let rest = self.parameters.period.saturating_sub(min).max(1);
             self.arm(now + wait + rest, Timer::Over(nonce));
             self.send(place, Message::Ping { nonce }, out);
         }
--- a/fleet/tests/cases.rs
+++ b/fleet/tests/cases.rs
@@ -385,7 +385,7 @@
 fn a_full_table_leaves_newcomers_out() {
     let mut few = Few::new(2);
     for of in 0..2 {
-        let parameters = Parameters { seeds: vec![address(0)], most_members: 3, ..Parameters::default() };
+        let parameters = Parameters { seeds: vec![address(0)], max_members: 3, ..Parameters::default() };
         few.fleets[of] = Fleet::new(update(of, 100), parameters, of as u64, 0);
     }
     few.pass(2_000);
--- a/fleet/tests/random.rs
+++ b/fleet/tests/random.rs
@@ -11,7 +11,7 @@
 use proptest::test_runner::RngSeed;
 
 const MS: u64 = 10;
-const MOST: usize = 12;
+const MAX_MEMBERS: usize = 12;
 
 fn address(of: u8) -> SocketAddr {
     SocketAddr::from(([10, 0, 0, of + 1], 7_400))
@@ -91,7 +91,8 @@
             address: address(0),
             weight: 1,
         };
-        let parameters = Parameters { seeds: vec![address(1)], most_members: MOST, ..Parameters::default() };
+        let seeds = vec![address(1)];
+        let parameters = Parameters { seeds, max_members: MAX_MEMBERS, ..Parameters::default() };
         let mut fleet = Fleet::new(me, parameters, seed, 0);
         let (mut now, mut out, mut number) = (0, Vec::new(), 0);
         let mut by_digest: BTreeMap<u64, Vec<(String, Incarnation, u32)>> = BTreeMap::new();
@@ -128,7 +129,7 @@
             let view = fleet.view();
             prop_assert!(view.number >= number, "numbers grow");
             number = view.number;
-            prop_assert!(view.members.len() <= MOST + 1);
+            prop_assert!(view.members.len() <= MAX_MEMBERS + 1);
             let listed = |(name, member): (&Name, &Member)| {
                 (name.to_string(), member.incarnation, member.weight)
             };
--- a/installation/src/budgets.rs
+++ b/installation/src/budgets.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 
 use doortrack::Tenths;
-use doortrack_budgets::{Budget, Kind, MOST_BUDGETS, Parameters};
+use doortrack_budgets::{Budget, Kind, MAX_BUDGETS, Parameters};
 use doortrack_fleet::Name;
 use schemars::JsonSchema;
 use serde::Deserialize;
@@ -12,7 +12,7 @@
 
 const MS: Tenths = 10;
 /// The greatest limit, reserved minimum, maximum and burst.
-const MOST_UNITS: u32 = 10_000_000;
+const MAX_UNITS: u32 = 10_000_000;
 
 /// One limit of the whole fleet. The same on all nodes.
 #[derive(Clone, Debug, PartialEq, Eq, Deserialize, JsonSchema)]
@@ -173,9 +173,9 @@
             (".max_per_node", self.max_per_node, 1),
             (".reserved", Some(self.reserved), 0),
         ] {
-            if value.is_some_and(|value| !(least..=MOST_UNITS).contains(&value)) {
+            if value.is_some_and(|value| !(least..=MAX_UNITS).contains(&value)) {
                 let found = value.unwrap_or(0);
-                fault(key, format!("{least} to {MOST_UNITS} is wanted, found {found}"));
+                fault(key, format!("{least} to {MAX_UNITS} is wanted, found {found}"));
             }
         }
         match (self.kind, self.burst) {
@@ -218,8 +218,8 @@
         if self.budgets.is_empty() {
             return;
         }
-        if self.budgets.len() > MOST_BUDGETS {
-            let what = format!("at most {MOST_BUDGETS} are wanted, found {}", self.budgets.len());
+        if self.budgets.len() > MAX_BUDGETS {
+            let what = format!("at most {MAX_BUDGETS} are wanted, found {}", self.budgets.len());
             faults.push(Fault::new(AT, what));
         }
         match &self.fleet {
--- a/installation/src/fleet.rs
+++ b/installation/src/fleet.rs
@@ -14,8 +14,8 @@
 
 const MS: Tenths = 10;
 /// Seeds, and voters, that one file may name.
-const MOST_SEEDS: usize = 64;
-const MOST_VOTERS: usize = 9;
+const MAX_SEEDS: usize = 64;
+const MAX_VOTERS: usize = 9;
 /// Bytes of a key.
 const KEY: usize = 32;
 
@@ -147,11 +147,11 @@
                 fault(&key, format!("{} can't be reached by others", at.unwrap_or(self.listen)));
             }
         }
-        if self.seeds.len() > MOST_SEEDS {
-            fault(".seeds", format!("at most {MOST_SEEDS} are wanted, found {}", self.seeds.len()));
+        if self.seeds.len() > MAX_SEEDS {
+            fault(".seeds", format!("at most {MAX_SEEDS} are wanted, found {}", self.seeds.len()));
         }
-        if self.voters.len() > MOST_VOTERS {
-            fault(".voters", format!("at most {MOST_VOTERS} are wanted, found {}", self.voters.len()));
+        if self.voters.len() > MAX_VOTERS {
+            fault(".voters", format!("at most {MAX_VOTERS} are wanted, found {}", self.voters.len()));
         }
         let mut seen = BTreeSet::new();
         for (nth, voter) in self.voters.iter().enumerate() {
--- a/node/src/commands/fleet.rs
+++ b/node/src/commands/fleet.rs
@@ -19,7 +19,7 @@
 const TRIES: usize = 5;
 const TRIES_OF_BUDGETS: usize = 2;
 /// Members that are shown at the most.
-const MOST: usize = 10_000;
+const MAX_MEMBERS: usize = 10_000;
 
 #[derive(Subcommand)]
 pub enum FleetCommand {
@@ -144,7 +144,7 @@
         let whole =
             seen.get_or_insert(Seen { first: page, members: Vec::new(), budgets: Vec::new(), leader: None });
         whole.members.extend(members);
-        if !more || after.is_none() || whole.members.len() >= MOST {
+        if !more || after.is_none() || whole.members.len() >= MAX_MEMBERS {
             return seen.ok_or_else(|| format!("{peer}: no answer"));
         }
     }
@@ -220,7 +220,7 @@
             let (key, began) = (key(whom)?, Instant::now());
             let mut known: BTreeMap<Name, String> = BTreeMap::new();
             let mut unanswered = false;
-            while for_ms.is_none_or(|most| began.elapsed() < Duration::from_millis(most)) {
+            while for_ms.is_none_or(|max| began.elapsed() < Duration::from_millis(max)) {
                 match ask(whom.peer, key) {
                     Ok(seen) => {
                         unanswered = false;
--- a/node/src/peers/link.rs
+++ b/node/src/peers/link.rs
@@ -24,7 +24,7 @@
 /// Datagrams read in one turn of the loop: a flood of them takes its turn like everything else.
 const TURN: usize = 64;
 /// Turns of the loop for which what is due waits for what lies unread: a flood must not stop it for good.
-const MOST_WAITS: u32 = 4;
+const MAX_WAITS: u32 = 4;
 /// How often one thing about unknown peers is told, in tenths of a ms.
 const TOLD_EVERY: Tenths = 600_000;
 
@@ -290,7 +290,7 @@
     fn turn(&mut self) {
         let now = self.now();
         // What lies unread came before: an answer among it is no missing one.
-        let waits = std::mem::take(&mut self.unread) && self.waited < MOST_WAITS;
+        let waits = std::mem::take(&mut self.unread) && self.waited < MAX_WAITS;
         if now >= self.fleet.next_due() {
             self.waited = if waits { self.waited + 1 } else { 0 };
             if !waits {
