--- a/bench/benches/budgets.rs
+++ b/bench/benches/budgets.rs
@@ -24,12 +24,12 @@
             .collect();
         let who = Who { name: me.clone(), incarnation: Incarnation(1) };
         let mut budgets = Budgets::new(who, 1, Parameters::default(), &list, 1, 0);
-        let (mut now, mut place) = (1_000_000, 0);
+        let (mut now, mut index) = (1_000_000, 0);
         criterion.bench_function(&format!("check of a {what}, one of 200"), |bencher| {
             bencher.iter(|| {
-                (now, place) = (now + 1, (place + 7) % 200);
-                let taken = budgets.acquire(place, black_box(now));
-                budgets.release(place);
+                (now, index) = (now + 1, (index + 7) % 200);
+                let taken = budgets.acquire(index, black_box(now));
+                budgets.release(index);
                 taken
             })
         });
--- a/budgets/src/account.rs
+++ b/budgets/src/account.rs
@@ -49,7 +49,7 @@
 #[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
 pub(crate) struct Accounts {
     books: Vec<Book>,
-    places: BTreeMap<Id, usize>,
+    indices: BTreeMap<Id, usize>,
     holders: BTreeMap<Who, Holder>,
     rotation: u64,
 }
@@ -80,23 +80,23 @@
             grantable: budget.grantable(budget.limit(), budget.reserved()),
             budget: budget.clone(),
         };
-        let places = list.iter().enumerate().map(|(place, budget)| (budget.id(), place)).collect();
-        Accounts { books: list.iter().map(book).collect(), places, ..Accounts::default() }
+        let indices = list.iter().enumerate().map(|(index, budget)| (budget.id(), index)).collect();
+        Accounts { books: list.iter().map(book).collect(), indices, ..Accounts::default() }
     }
 
     /// Other budgets: what stays granted of those that remain is kept.
     pub fn change(&mut self, list: &[Budget]) {
         let old = std::mem::replace(self, Accounts::new(list));
         for (who, holder) in old.holders {
-            let kept = holder.lines.into_iter().filter_map(|(place, line)| {
-                let place = *self.places.get(&old.books[place].budget.id())?;
-                Some((place, line))
+            let kept = holder.lines.into_iter().filter_map(|(index, line)| {
+                let index = *self.indices.get(&old.books[index].budget.id())?;
+                Some((index, line))
             });
             let lines: BTreeMap<usize, Line> = kept.collect();
             self.holders.insert(who, Holder { lines, ..holder });
         }
         for book in &mut self.books {
-            let before = old.places.get(&book.budget.id()).map(|place| &old.books[*place]);
+            let before = old.indices.get(&book.budget.id()).map(|index| &old.books[*index]);
             book.granted = before.map_or(0, |before| before.granted);
         }
         self.rotation = old.rotation;
@@ -117,11 +117,11 @@
         holder.weight = weight;
         let mut grants = Vec::with_capacity(items.len());
         for item in items {
-            let Some(place) = self.places.get(&item.id).copied() else { continue };
-            let book = &mut self.books[place];
+            let Some(index) = self.indices.get(&item.id).copied() else { continue };
+            let book = &mut self.books[index];
             let grantable = book.budget.grantable(item.limit.min(book.budget.limit()), item.reserved);
             book.grantable = book.grantable.min(grantable);
-            let line = holder.lines.entry(place).or_insert_with(|| Line {
+            let line = holder.lines.entry(index).or_insert_with(|| Line {
                 last_seq: 0,
                 need: 0,
                 holding: 0,
@@ -158,10 +158,10 @@
     pub fn divide(&mut self, now: Tenths, parameters: &Parameters) {
         self.rotation += 1;
         for holder in self.holders.values_mut() {
-            holder.lines.retain(|place, line| {
+            holder.lines.retain(|index, line| {
                 let over = line.till <= now;
                 if over {
-                    let book = &mut self.books[*place];
+                    let book = &mut self.books[*index];
                     book.granted = book.granted.saturating_sub(line.outstanding(parameters));
                 }
                 !over
@@ -172,10 +172,10 @@
         let mut seen: Vec<(Units, Units)> =
             self.books.iter().map(|book| (book.budget.limit(), book.budget.reserved())).collect();
         for (who, holder) in &self.holders {
-            for (place, line) in &holder.lines {
-                let max = self.books[*place].budget.max_grant(&who.name);
-                asks[*place].push(Asks { need: line.need, weight: holder.weight, max });
-                let (limit, reserved) = &mut seen[*place];
+            for (index, line) in &holder.lines {
+                let max = self.books[*index].budget.max_grant(&who.name);
+                asks[*index].push(Asks { need: line.need, weight: holder.weight, max });
+                let (limit, reserved) = &mut seen[*index];
                 (*limit, *reserved) = (line.limit.min(*limit), line.reserved.max(*reserved));
             }
         }
@@ -187,14 +187,14 @@
             );
         }
         for holder in self.holders.values_mut() {
-            for (place, line) in &mut holder.lines {
-                line.target = allocations[*place].next().unwrap_or(0);
+            for (index, line) in &mut holder.lines {
+                line.target = allocations[*index].next().unwrap_or(0);
             }
         }
     }
 
-    /// What is granted of a budget, by its place.
-    pub fn granted(&self, place: usize) -> Units {
-        self.books.get(place).map_or(0, |book| book.granted)
+    /// What is granted of a budget, by its index.
+    pub fn granted(&self, index: usize) -> Units {
+        self.books.get(index).map_or(0, |book| book.granted)
     }
 }
--- a/budgets/src/budgets.rs
+++ b/budgets/src/budgets.rs
@@ -23,8 +23,8 @@
     weight: u32,
     pub(crate) parameters: Parameters,
     pub(crate) allocations: Vec<Allocation>,
-    /// Where each budget stands among the allocations.
-    places: BTreeMap<Id, usize>,
+    /// The index of each budget among the allocations.
+    indices: BTreeMap<Id, usize>,
     /// Where this node is one of the voters.
     pub(crate) voter: Option<Voter>,
     pub(crate) leadership: Leadership,
@@ -48,8 +48,8 @@
     local: VecDeque<Envelope>,
 }
 
-fn places(list: &[Budget]) -> BTreeMap<Id, usize> {
-    list.iter().enumerate().map(|(place, budget)| (budget.id(), place)).collect()
+fn indices(list: &[Budget]) -> BTreeMap<Id, usize> {
+    list.iter().enumerate().map(|(index, budget)| (budget.id(), index)).collect()
 }
 
 impl Budgets {
@@ -68,7 +68,7 @@
         let voter = parameters.voters.contains(&me.name).then(|| Voter::new(now, &parameters));
         let mut budgets = Budgets {
             voter,
-            places: places(list),
+            indices: indices(list),
             allocations,
             weight: weight.max(1),
             leadership: Leadership::Follower { try_at: Tenths::MAX },
@@ -161,7 +161,7 @@
             self.allocations.push(allocation);
         }
         let list: Vec<Budget> = self.allocations.iter().map(|allocation| allocation.budget.clone()).collect();
-        self.places = places(&list);
+        self.indices = indices(&list);
         self.accounts.change(&list);
     }
 
@@ -173,9 +173,9 @@
         // Who is short asks twice as often: what others give up is granted to it that much sooner.
         let short = self.allocations.iter().any(Allocation::is_short);
         self.report_at = now + if short { self.parameters.round.div_ceil(2) } else { self.parameters.round };
-        for (place, allocation) in self.allocations.iter_mut().enumerate() {
+        for (index, allocation) in self.allocations.iter_mut().enumerate() {
             if let Some(allocation) = allocation.ran_out(now, &self.parameters) {
-                out.push(Action::Report(Change::RanOut { place, allocation }));
+                out.push(Action::Report(Change::RanOut { index, allocation }));
             }
         }
         self.silent += 1;
@@ -189,10 +189,10 @@
     }
 
     /// Reports on these budgets to the leader, or to whoever may know of one.
-    fn report(&mut self, now: Tenths, places: &[usize], round: bool, out: &mut Vec<Action>) {
+    fn report(&mut self, now: Tenths, indices: &[usize], round: bool, out: &mut Vec<Action>) {
         let Some(to) = self.leader.clone().or_else(|| self.next_asked()) else { return };
         let (parameters, leaves) = (&self.parameters, self.leaves);
-        let items = places.iter().map(|place| self.allocations[*place].item(now, parameters, round, leaves));
+        let items = indices.iter().map(|index| self.allocations[*index].item(now, parameters, round, leaves));
         let items: Vec<Item> = items.collect();
         for items in items.chunks(MAX_ITEMS) {
             self.seq += 1;
@@ -272,18 +272,18 @@
         }
         let mut lowered = Vec::new();
         for grant in grants {
-            let Some(place) = self.places.get(&grant.id).copied() else { continue };
-            let of = &mut self.allocations[place];
+            let Some(index) = self.indices.get(&grant.id).copied() else { continue };
+            let of = &mut self.allocations[index];
             if seq <= of.accepted && in_order {
                 continue;
             }
             let (was, is) = of.apply_grant(now, seq, *grant, till, &self.parameters);
             if was != is {
                 let lasts = till.saturating_sub(now);
-                out.push(Action::Report(Change::Allocation { place, was, allocation: is, lasts }));
+                out.push(Action::Report(Change::Allocation { index, was, allocation: is, lasts }));
             }
             if is < was {
-                lowered.push(place);
+                lowered.push(index);
             }
         }
         // What is given up can be granted to another as soon as this is known.
@@ -294,21 +294,21 @@
 
     // --- Before and after each use ---
 
-    /// Uses one unit of the budget at this place of the list.
+    /// Uses one unit of the budget at this index of the list.
     ///
     /// # Errors
     /// Nothing is left; how long to wait before asking again, in tenths of a ms.
-    pub fn acquire(&mut self, place: usize, now: Tenths) -> Result<(), Tenths> {
-        self.allocations[place].acquire(now, &self.parameters)
+    pub fn acquire(&mut self, index: usize, now: Tenths) -> Result<(), Tenths> {
+        self.allocations[index].acquire(now, &self.parameters)
     }
 
     /// What was taken came to nothing: of a rate it may be used again.
-    pub fn cancel(&mut self, place: usize) {
-        self.allocations[place].release(false);
+    pub fn cancel(&mut self, index: usize) {
+        self.allocations[index].release(false);
     }
 
     /// A unit that was held is held no more. Of a rate this changes nothing.
-    pub fn release(&mut self, place: usize) {
-        self.allocations[place].release(true);
+    pub fn release(&mut self, index: usize) {
+        self.allocations[index].release(true);
     }
 }
--- a/budgets/src/divide.rs
+++ b/budgets/src/divide.rs
@@ -58,7 +58,7 @@
         left -= bounds[*of];
         weights -= weight(*of);
     }
-    // Single steps, from a place that moves on.
+    // Single steps, from an index that moves on.
     let open: Vec<usize> = (0..asks.len()).filter(|of| allocations[*of] < bounds[*of]).collect();
     if !open.is_empty() {
         let from = (rotation % open.len() as u64) as usize;
--- a/budgets/src/lib.rs
+++ b/budgets/src/lib.rs
@@ -95,16 +95,16 @@
     Leader(Who),
     /// No answer from the leader for some rounds.
     LeaderSilent(Who),
-    /// An allocation of the budget at this place has changed to so many units, for so many tenths of a ms.
+    /// An allocation of the budget at this index has changed to so many units, for so many tenths of a ms.
     Allocation {
-        place: usize,
+        index: usize,
         was: Units,
         allocation: Units,
         lasts: Tenths,
     },
     /// The lease is over with so many units.
     RanOut {
-        place: usize,
+        index: usize,
         allocation: Units,
     },
 }
--- a/budgets/src/reporting.rs
+++ b/budgets/src/reporting.rs
@@ -39,15 +39,15 @@
         matches!(&self.leadership, Leadership::Leader(term) if term.election.till(&self.parameters) > now)
     }
 
-    /// The budgets, in the order of their places.
+    /// The budgets, in the order of their indices.
     pub fn list(&self) -> impl Iterator<Item = &Budget> {
         self.allocations.iter().map(|allocation| &allocation.budget)
     }
 
-    /// How the budget at this place stands.
-    pub fn standing(&mut self, place: usize, now: Tenths) -> Standing {
+    /// How the budget at this index stands.
+    pub fn standing(&mut self, index: usize, now: Tenths) -> Standing {
         let leader = self.is_leader(now);
-        let allocation = &mut self.allocations[place];
+        let allocation = &mut self.allocations[index];
         let usable = allocation.usable(now, &self.parameters);
         Standing {
             allocation: usable,
@@ -56,14 +56,14 @@
             need: allocation.need(),
             rejected: allocation.rejected,
             lasts: allocation.till().map(|till| till.saturating_sub(now)),
-            granted: leader.then(|| self.accounts.granted(place)),
+            granted: leader.then(|| self.accounts.granted(index)),
         }
     }
 
     /// What may be in use at the most at this instant, whoever looks: an allocation that was not looked at
     /// since its lease ended is none.
-    pub fn exposed(&self, place: usize, now: Tenths) -> Units {
-        let mut allocation = self.allocations[place].clone();
+    pub fn exposed(&self, index: usize, now: Tenths) -> Units {
+        let mut allocation = self.allocations[index].clone();
         let usable = allocation.usable(now, &self.parameters);
         match allocation.budget.kind {
             Kind::Rate { .. } => usable,
--- a/fleet/src/fleet.rs
+++ b/fleet/src/fleet.rs
@@ -9,7 +9,7 @@
 use crate::gossip::Gossip;
 use crate::probes::Probes;
 use crate::suspicion::Suspicion;
-use crate::table::{Place, Table};
+use crate::table::{MemberIndex, Table};
 use crate::{
     Action, Change, Datagram, Event, Head, Incarnation, MAX_UPDATES, Member, MemberState, MemberUpdate,
     Message, Name,
@@ -38,15 +38,15 @@
     Wait(u32),
     /// No answer at all.
     Over(u32),
-    /// A suspicion of this place that began then.
-    Suspicion(Place, Tenths),
+    /// A suspicion of this member that began then.
+    Suspicion(MemberIndex, Tenths),
     /// A last look at one that is about to be declared dead.
-    Look(Place, Tenths),
-    Admit(Place),
+    Look(MemberIndex, Tenths),
+    Admit(MemberIndex),
     PendingUpdates,
     JoinRequest,
     /// A dead member with the update of this revision.
-    Forget(Place, u32),
+    Forget(MemberIndex, u32),
 }
 
 /// A table that is being fetched from another, page by page.
@@ -214,19 +214,19 @@
     }
 
     /// Sends to a member, with what is thought of it if that is not the best, and pending updates.
-    pub(crate) fn send(&mut self, place: Place, message: Message, out: &mut Vec<Action>) {
-        let Some(record) = self.table.get(place) else { return };
+    pub(crate) fn send(&mut self, index: MemberIndex, message: Message, out: &mut Vec<Action>) {
+        let Some(record) = self.table.get(index) else { return };
         let (to, incarnation) = (record.update.address, record.update.incarnation);
-        let mut places = Vec::new();
+        let mut indices = Vec::new();
         let mut updates = Vec::new();
         if record.update.state != MemberState::Alive {
             updates.push(record.update.clone());
         }
         let (table, members) = (&self.table, self.view.members.len());
         let current =
-            |place: Place, revision: u32| table.get(place).is_some_and(|of| of.revision == revision);
-        self.gossip.next_updates(MAX_UPDATES - updates.len(), members, current, &mut places);
-        updates.extend(places.iter().filter_map(|place| self.table.get(*place)).map(|of| of.update.clone()));
+            |index: MemberIndex, revision: u32| table.get(index).is_some_and(|of| of.revision == revision);
+        self.gossip.next_updates(MAX_UPDATES - updates.len(), members, current, &mut indices);
+        updates.extend(indices.iter().filter_map(|index| self.table.get(*index)).map(|of| of.update.clone()));
         let datagram = Box::new(Datagram { head: self.head(incarnation), message, updates });
         out.push(Action::Send { to, datagram });
     }
@@ -252,9 +252,9 @@
         now: Tenths,
         update: MemberUpdate,
         out: &mut Vec<Action>,
-    ) -> Option<Place> {
-        let Some(place) = self.table.place(&update.name) else { return self.newcomer(now, update, out) };
-        let record = self.table.get_mut(place)?;
+    ) -> Option<MemberIndex> {
+        let Some(index) = self.table.index_of(&update.name) else { return self.newcomer(now, update, out) };
+        let record = self.table.get_mut(index)?;
         let old = record.update.clone();
         let reborn = update.incarnation != old.incarnation;
         if reborn {
@@ -267,32 +267,32 @@
         // Who left on its own word comes back as often as it likes.
         let returns =
             update.state.is_there() && old.state != MemberState::Left && (reborn || !old.state.is_there());
-        self.table.set(place, update.clone(), now);
+        self.table.set(index, update.clone(), now);
         if returns {
-            self.came_back(now, place, out);
+            self.came_back(now, index, out);
         }
-        self.queue_update(now, place);
-        self.told(now, place, &update, was_there.then_some(old.state), out);
-        Some(place)
+        self.queue_update(now, index);
+        self.told(now, index, &update, was_there.then_some(old.state), out);
+        Some(index)
     }
 
     /// The update of a member is queued for the others.
-    pub(crate) fn queue_update(&mut self, now: Tenths, place: Place) {
-        if let Some(record) = self.table.get(place) {
-            self.gossip.add(place, record.revision);
+    pub(crate) fn queue_update(&mut self, now: Tenths, index: MemberIndex) {
+        if let Some(record) = self.table.get(index) {
+            self.gossip.add(index, record.revision);
             self.arm_updates(now);
         }
     }
 
-    fn newcomer(&mut self, now: Tenths, update: MemberUpdate, out: &mut Vec<Action>) -> Option<Place> {
+    fn newcomer(&mut self, now: Tenths, update: MemberUpdate, out: &mut Vec<Action>) -> Option<MemberIndex> {
         if self.table.len() >= self.parameters.max_members {
             out.push(Action::Report(Change::NoRoom { name: update.name }));
             return None;
         }
-        let place = self.table.insert(update.clone(), now);
-        self.queue_update(now, place);
-        self.told(now, place, &update, None, out);
-        Some(place)
+        let index = self.table.insert(update.clone(), now);
+        self.queue_update(now, index);
+        self.told(now, index, &update, None, out);
+        Some(index)
     }
 
     /// What a new word means for the view and the log. `was` is how the same incarnation stood, if it was
@@ -300,7 +300,7 @@
     fn told(
         &mut self,
         now: Tenths,
-        place: Place,
+        index: MemberIndex,
         update: &MemberUpdate,
         was: Option<MemberState>,
         out: &mut Vec<Action>,
@@ -310,22 +310,22 @@
             MemberState::Alive => {
                 let cleared = matches!(was, Some(MemberState::Suspected { .. }));
                 if was.is_none() {
-                    self.admit(now, place, out);
+                    self.admit(now, index, out);
                 } else if cleared {
                     out.push(Action::Report(Change::Cleared { name, incarnation }));
                 }
             }
             MemberState::Suspected { by } => {
                 if was.is_none() {
-                    self.admit(now, place, out);
+                    self.admit(now, index, out);
                 }
-                self.suspected(now, place, by, out);
+                self.suspected(now, index, by, out);
             }
             MemberState::Dead | MemberState::Left => {
-                if let Some(record) = self.table.get_mut(place) {
+                if let Some(record) = self.table.get_mut(index) {
                     record.held_until = None;
                     let revision = record.revision;
-                    self.arm(now + self.parameters.forget_after, Timer::Forget(place, revision));
+                    self.arm(now + self.parameters.forget_after, Timer::Forget(index, revision));
                 }
                 self.change_view(now, |view| view.remove(&name));
                 if was.is_some() {
@@ -340,47 +340,47 @@
         }
     }
 
-    fn suspected(&mut self, now: Tenths, place: Place, by: u32, out: &mut Vec<Action>) {
+    fn suspected(&mut self, now: Tenths, index: MemberIndex, by: u32, out: &mut Vec<Action>) {
         let members = self.view.members.len();
-        let Some(record) = self.table.get_mut(place) else { return };
+        let Some(record) = self.table.get_mut(index) else { return };
         let (name, incarnation) = (record.update.name.clone(), record.update.incarnation);
         record.suspicion.get_or_insert(Suspicion::new(by, now));
-        self.arm_suspicion(now, place);
+        self.arm_suspicion(now, index);
         out.push(Action::Report(Change::Suspected { name, incarnation }));
         // A few of all that hear of it try for themselves, however many there are.
         let indirect_probers = self.parameters.indirect_probers as f64;
         if by != self.mark && self.chance.f64() * members as f64 <= indirect_probers {
-            self.probe(now, place, out);
+            self.probe(now, index, out);
         }
     }
 
     /// Somebody else's suspicion about a member that is suspected already; whether it counts.
-    pub(crate) fn confirm_suspicion(&mut self, now: Tenths, place: Place, by: u32) -> bool {
-        let Some(record) = self.table.get_mut(place) else { return false };
+    pub(crate) fn confirm_suspicion(&mut self, now: Tenths, index: MemberIndex, by: u32) -> bool {
+        let Some(record) = self.table.get_mut(index) else { return false };
         let mut update = record.update.clone();
         let Some(suspicion) = record.suspicion.as_mut().filter(|suspicion| !suspicion.is_confirmed_by(by))
         else {
             return false;
         };
         suspicion.confirm(by);
-        self.arm_suspicion(now, place);
+        self.arm_suspicion(now, index);
         // Passed on, as it is a word of its own.
         update.state = MemberState::Suspected { by };
-        self.table.set(place, update, now);
-        self.queue_update(now, place);
+        self.table.set(index, update, now);
+        self.queue_update(now, index);
         true
     }
 
     /// Sets the end of a suspicion, and two last looks before it: a word that cleared it may have passed this
     /// node by, as updates reach all but one in some thousands.
-    pub(crate) fn arm_suspicion(&mut self, now: Tenths, place: Place) {
+    pub(crate) fn arm_suspicion(&mut self, now: Tenths, index: MemberIndex) {
         let (members, resumed_at) = (self.view.members.len(), self.resumed_at);
-        let Some(suspicion) = self.table.get(place).and_then(|record| record.suspicion) else { return };
+        let Some(suspicion) = self.table.get(index).and_then(|record| record.suspicion) else { return };
         let ends = suspicion.ends(&self.parameters, members, resumed_at).max(now);
-        self.arm(ends, Timer::Suspicion(place, suspicion.since));
+        self.arm(ends, Timer::Suspicion(index, suspicion.since));
         let wait = self.parameters.answer_within * 3 / 2;
         for before in [2 * wait, wait] {
-            self.arm(ends.saturating_sub(before).max(now), Timer::Look(place, suspicion.since));
+            self.arm(ends.saturating_sub(before).max(now), Timer::Look(index, suspicion.since));
         }
     }
 
--- a/fleet/src/gossip.rs
+++ b/fleet/src/gossip.rs
@@ -2,13 +2,13 @@
 
 use std::collections::VecDeque;
 
-use crate::table::Place;
+use crate::table::MemberIndex;
 
 /// Members whose update is still to be sent, by how often it was. At most one current entry a member, and
 /// older ones are dropped when met, so the whole is bounded by the updates of one round and the members.
 #[derive(Default)]
 pub struct Gossip {
-    by_transmissions: Vec<VecDeque<(Place, u32)>>,
+    by_transmissions: Vec<VecDeque<(MemberIndex, u32)>>,
     queued: usize,
 }
 
@@ -26,7 +26,7 @@
 
 impl Gossip {
     /// `revision` is that of the member's update; entries of earlier ones are passed over.
-    pub fn add(&mut self, place: Place, revision: u32) {
+    pub fn add(&mut self, index: MemberIndex, revision: u32) {
         if self.by_transmissions.is_empty() {
             self.by_transmissions.resize_with(MAX_TRANSMISSIONS, VecDeque::new);
         }
@@ -35,7 +35,7 @@
             let often = self.by_transmissions.iter_mut().rev().find(|queue| !queue.is_empty());
             self.queued -= usize::from(often.is_some_and(|queue| queue.pop_front().is_some()));
         }
-        self.by_transmissions[0].push_back((place, revision));
+        self.by_transmissions[0].push_back((index, revision));
         self.queued += 1;
     }
 
@@ -49,11 +49,11 @@
         &mut self,
         room: usize,
         members: usize,
-        current: impl Fn(Place, u32) -> bool,
-        into: &mut Vec<Place>,
+        current: impl Fn(MemberIndex, u32) -> bool,
+        into: &mut Vec<MemberIndex>,
     ) {
         let max = transmissions(members);
-        let mut taken: Vec<(usize, (Place, u32))> = Vec::new();
+        let mut taken: Vec<(usize, (MemberIndex, u32))> = Vec::new();
         'full: for (sent, queue) in self.by_transmissions.iter_mut().enumerate() {
             while let Some(entry) = queue.pop_front() {
                 self.queued -= 1;
--- a/fleet/src/joining.rs
+++ b/fleet/src/joining.rs
@@ -3,7 +3,7 @@
 use doortrack::Tenths;
 
 use crate::fleet::{Fleet, RETRANSMISSIONS, Stage, Timer};
-use crate::table::Place;
+use crate::table::MemberIndex;
 use crate::{Action, Change, Incarnation, Member, MemberState, MemberUpdate, Message};
 
 /// Bytes of updates on a page, past which none is added; an update takes its name and at the most this
@@ -39,9 +39,9 @@
                 self.send_to(seed, Incarnation(0), Message::Join, Vec::new(), out);
             }
         }
-        if let Some(place) = self.table.some_dead(&mut self.chance) {
+        if let Some(index) = self.table.some_dead(&mut self.chance) {
             let nonce = self.chance.u32(..);
-            self.send(place, Message::Ping { nonce }, out);
+            self.send(index, Message::Ping { nonce }, out);
         }
     }
 
@@ -61,8 +61,8 @@
     }
 
     /// A member is in the view from here on, unless it is held back.
-    pub(crate) fn admit(&mut self, now: Tenths, place: Place, out: &mut Vec<Action>) {
-        let Some(record) = self.table.get_mut(place).filter(|of| of.update.state.is_there()) else { return };
+    pub(crate) fn admit(&mut self, now: Tenths, index: MemberIndex, out: &mut Vec<Action>) {
+        let Some(record) = self.table.get_mut(index).filter(|of| of.update.state.is_there()) else { return };
         if record.held_until.is_some_and(|till| till > now) {
             return;
         }
@@ -76,9 +76,9 @@
 
     /// Counts that a member came back, and holds it back if it does so again and again. The first return is
     /// free, as after a restart or a broken link.
-    pub(crate) fn came_back(&mut self, now: Tenths, place: Place, out: &mut Vec<Action>) {
+    pub(crate) fn came_back(&mut self, now: Tenths, index: MemberIndex, out: &mut Vec<Action>) {
         let (first, max) = (self.parameters.hold_first, self.parameters.hold_max);
-        let Some(record) = self.table.get_mut(place) else { return };
+        let Some(record) = self.table.get_mut(index) else { return };
         if record.returned_at + 2 * max < now {
             record.returns = 0;
         }
@@ -90,7 +90,7 @@
         let wait = max.min(first << (record.returns - 2).min(20));
         record.held_until = Some(now + wait);
         let (name, incarnation) = (record.update.name.clone(), record.update.incarnation);
-        self.arm(now + wait, Timer::Admit(place));
+        self.arm(now + wait, Timer::Admit(index));
         self.change_view(now, |view| view.remove(&name));
         out.push(Action::Report(Change::HeldBack { name, incarnation, wait }));
     }
--- a/fleet/src/probes.rs
+++ b/fleet/src/probes.rs
@@ -4,7 +4,7 @@
 
 use doortrack::Tenths;
 
-use crate::table::Place;
+use crate::table::MemberIndex;
 use crate::{Incarnation, Name};
 
 /// Probes under way at once: one a period and second opinions.
@@ -17,7 +17,7 @@
 #[derive(Clone, Copy, Debug)]
 pub struct Probe {
     pub nonce: u32,
-    pub place: Place,
+    pub index: MemberIndex,
     pub incarnation: Incarnation,
     pub began: Tenths,
 }
@@ -54,8 +54,8 @@
         room
     }
 
-    pub fn is_under_way(&self, place: Place) -> bool {
-        self.under_way.iter().any(|probe| probe.place == place)
+    pub fn is_under_way(&self, index: MemberIndex) -> bool {
+        self.under_way.iter().any(|probe| probe.index == index)
     }
 
     pub fn get(&self, nonce: u32) -> Option<Probe> {
@@ -64,8 +64,8 @@
 
     /// Takes out one that is over without an answer; an answer that comes after all tells how late it was.
     pub fn fail(&mut self, nonce: u32) -> Option<Probe> {
-        let place = self.under_way.iter().position(|probe| probe.nonce == nonce)?;
-        let probe = self.under_way.swap_remove(place);
+        let index = self.under_way.iter().position(|probe| probe.nonce == nonce)?;
+        let probe = self.under_way.swap_remove(index);
         if self.late.len() >= MAX_LATE {
             self.late.pop_front();
         }
@@ -74,14 +74,14 @@
     }
 
     pub fn answered(&mut self, nonce: u32) -> Answered {
-        if let Some(place) = self.under_way.iter().position(|probe| probe.nonce == nonce) {
-            return Answered::InTime(self.under_way.swap_remove(place));
+        if let Some(index) = self.under_way.iter().position(|probe| probe.nonce == nonce) {
+            return Answered::InTime(self.under_way.swap_remove(index));
         }
-        if let Some(place) = self.late.iter().position(|probe| probe.nonce == nonce) {
-            return self.late.remove(place).map_or(Answered::Nothing, Answered::Late);
+        if let Some(index) = self.late.iter().position(|probe| probe.nonce == nonce) {
+            return self.late.remove(index).map_or(Answered::Nothing, Answered::Late);
         }
-        let place = self.indirect.iter().position(|probe| probe.nonce == nonce);
-        place.and_then(|place| self.indirect.remove(place)).map_or(Answered::Nothing, Answered::IndirectProbe)
+        let index = self.indirect.iter().position(|probe| probe.nonce == nonce);
+        index.and_then(|index| self.indirect.remove(index)).map_or(Answered::Nothing, Answered::IndirectProbe)
     }
 
     pub fn begin_indirect(&mut self, probe: IndirectProbe) {
--- a/fleet/src/receiving.rs
+++ b/fleet/src/receiving.rs
@@ -6,7 +6,7 @@
 
 use crate::fleet::{Fetch, Fleet, RETRANSMISSIONS, Stage};
 use crate::probes::{Answered, IndirectProbe, Probe};
-use crate::table::Place;
+use crate::table::MemberIndex;
 use crate::{Action, Change, Datagram, Head, Incarnation, MemberState, MemberUpdate, Message};
 
 /// Stands for all those that declare a member dead.
@@ -51,7 +51,7 @@
                 out,
             );
         }
-        let Some(place) = self.direct_evidence(now, &head, &message, out) else { return };
+        let Some(index) = self.direct_evidence(now, &head, &message, out) else { return };
         for update in updates {
             self.indirect_evidence(now, update, out);
         }
@@ -65,24 +65,24 @@
             Message::Page { .. } if head.digest == self.view.digest => Message::Page { next: None },
             message => message,
         };
-        self.act_on(now, place, message, out);
-        self.compare(now, place, &head, out);
+        self.act_on(now, index, message, out);
+        self.compare(now, index, &head, out);
     }
 
-    /// What it means that this member spoke to this incarnation: its place, if it is to be listened to.
+    /// What it means that this member spoke to this incarnation: its index, if it is to be listened to.
     fn direct_evidence(
         &mut self,
         now: Tenths,
         head: &Head,
         what: &Message,
         out: &mut Vec<Action>,
-    ) -> Option<Place> {
-        let Some(place) = self.table.place(&head.sender.name) else {
-            let place = self.take_up(now, head.sender.clone(), out)?;
-            self.table.get_mut(place)?.received.is_first(head.nth);
-            return Some(place).filter(|_| head.sender.state != MemberState::Left);
+    ) -> Option<MemberIndex> {
+        let Some(index) = self.table.index_of(&head.sender.name) else {
+            let index = self.take_up(now, head.sender.clone(), out)?;
+            self.table.get_mut(index)?.received.is_first(head.nth);
+            return Some(index).filter(|_| head.sender.state != MemberState::Left);
         };
-        let known = self.table.get(place)?.update.clone();
+        let known = self.table.get(index)?.update.clone();
         if head.sender.incarnation < known.incarnation {
             // An earlier process of that name, or its last words: it is shown who came after it.
             self.refused += 1;
@@ -92,7 +92,7 @@
         if head.sender.overrides(&known) {
             self.take_up(now, head.sender.clone(), out);
         }
-        let record = self.table.get_mut(place)?;
+        let record = self.table.get_mut(index)?;
         if !record.received.is_first(head.nth) {
             self.refused += 1;
             return None;
@@ -104,11 +104,11 @@
             // suspicion anyway.
             MemberState::Suspected { .. } | MemberState::Dead => {
                 if !matches!(what, Message::Ping { .. }) {
-                    self.send(place, Message::Updates, out);
+                    self.send(index, Message::Updates, out);
                 }
             }
         }
-        Some(place)
+        Some(index)
     }
 
     /// What others say of a member.
@@ -120,21 +120,21 @@
         if update.name == self.me.name {
             return self.on_myself(now, &update, false, out);
         }
-        let Some(place) = self.table.place(&update.name) else {
+        let Some(index) = self.table.index_of(&update.name) else {
             // Of one never heard of, only that it is there is worth knowing.
             if update.state.is_there() {
                 self.take_up(now, update, out);
             }
             return;
         };
-        let Some(known) = self.table.get(place).map(|record| &record.update) else { return };
+        let Some(known) = self.table.get(index).map(|record| &record.update) else { return };
         let same = update.incarnation == known.incarnation && update.version == known.version;
         if update.state == MemberState::Dead && known.state.is_there() && update.overrides(known) {
-            return self.reported_dead(now, place, update, out);
+            return self.reported_dead(now, index, update, out);
         }
         match (update.state, known.state) {
             (MemberState::Suspected { by }, MemberState::Suspected { .. }) if same => {
-                self.confirm_suspicion(now, place, by);
+                self.confirm_suspicion(now, index, by);
             }
             _ if update.overrides(known) => _ = self.take_up(now, update, out),
             _ => {}
@@ -143,31 +143,37 @@
 
     /// Others declare dead who is there for this node: two halves that find together say so of one another's
     /// members. It is told to the member and suspected for the shortest time, in which it can contradict.
-    fn reported_dead(&mut self, now: Tenths, place: Place, update: MemberUpdate, out: &mut Vec<Action>) {
+    fn reported_dead(
+        &mut self,
+        now: Tenths,
+        index: MemberIndex,
+        update: MemberUpdate,
+        out: &mut Vec<Action>,
+    ) {
         let state = MemberState::Suspected { by: OTHERS };
         let suspected = MemberUpdate { state, ..update };
-        let known = self.table.get(place).is_some_and(|record| suspected.overrides(&record.update));
+        let known = self.table.get(index).is_some_and(|record| suspected.overrides(&record.update));
         if known {
             self.take_up(now, suspected, out);
-            self.send(place, Message::Updates, out);
+            self.send(index, Message::Updates, out);
         }
-        let Some(suspicion) = self.table.get_mut(place).and_then(|record| record.suspicion.as_mut()) else {
+        let Some(suspicion) = self.table.get_mut(index).and_then(|record| record.suspicion.as_mut()) else {
             return;
         };
         if suspicion.confirm_fully() {
-            self.arm_suspicion(now, place);
+            self.arm_suspicion(now, index);
         }
     }
 
-    fn act_on(&mut self, now: Tenths, place: Place, message: Message, out: &mut Vec<Action>) {
+    fn act_on(&mut self, now: Tenths, index: MemberIndex, message: Message, out: &mut Vec<Action>) {
         match message {
-            Message::Ping { nonce } => self.send(place, Message::Ack { nonce }, out),
+            Message::Ping { nonce } => self.send(index, Message::Ack { nonce }, out),
             Message::Ack { nonce } => self.answered(now, nonce, out),
             Message::PingRequest { nonce, name, incarnation } => {
-                let of = self.table.place(&name).filter(|of| {
+                let of = self.table.index_of(&name).filter(|of| {
                     self.table.get(*of).is_some_and(|record| record.update.incarnation == incarnation)
                 });
-                let asker = self.table.get(place).map(|record| record.update.name.clone());
+                let asker = self.table.get(index).map(|record| record.update.name.clone());
                 if let (Some(of), Some(asker)) = (of, asker) {
                     let own = self.chance.u32(..);
                     self.probes.begin_indirect(IndirectProbe { nonce: own, asker, asker_nonce: nonce });
@@ -175,11 +181,11 @@
                 }
             }
             Message::Ask { after } => {
-                if let Some(update) = self.table.get(place).map(|record| record.update.clone()) {
+                if let Some(update) = self.table.get(index).map(|record| record.update.clone()) {
                     self.page(&update, after.as_ref(), out);
                 }
             }
-            Message::Page { next } => self.fetched(now, place, next, out),
+            Message::Page { next } => self.fetched(now, index, next, out),
             Message::Join | Message::Updates => {}
         }
     }
@@ -194,14 +200,14 @@
                 self.somebody_answers(now, out);
                 self.took(now, probe, out);
                 // It is alive, only late: what suspicion there is begins anew, until its own word ends it.
-                let suspicion = self.table.get_mut(probe.place).and_then(|record| record.suspicion.as_mut());
+                let suspicion = self.table.get_mut(probe.index).and_then(|record| record.suspicion.as_mut());
                 if let Some(suspicion) = suspicion {
                     suspicion.since = now;
-                    self.arm_suspicion(now, probe.place);
+                    self.arm_suspicion(now, probe.index);
                 }
             }
             Answered::IndirectProbe(probe) => {
-                if let Some(asker) = self.table.place(&probe.asker) {
+                if let Some(asker) = self.table.index_of(&probe.asker) {
                     self.send(asker, Message::Ack { nonce: probe.asker_nonce }, out);
                 }
             }
@@ -212,7 +218,7 @@
     /// How long a member took to answer; one that takes long is waited for longer.
     fn took(&mut self, now: Tenths, probe: Probe, out: &mut Vec<Action>) {
         let late = 3 * self.parameters.answer_within;
-        let Some(record) = self.table.get_mut(probe.place) else { return };
+        let Some(record) = self.table.get_mut(probe.index) else { return };
         if record.update.incarnation != probe.incarnation {
             return;
         }
@@ -242,7 +248,7 @@
     // --- Finding out what the other knows ---
 
     /// A member that rests on another view than this node for a while: its table is fetched.
-    fn compare(&mut self, now: Tenths, place: Place, head: &Head, out: &mut Vec<Action>) {
+    fn compare(&mut self, now: Tenths, index: MemberIndex, head: &Head, out: &mut Vec<Action>) {
         let calm = 4 * self.parameters.gossip_interval;
         if head.digest == self.view.digest || now < self.view_since + calm {
             return;
@@ -252,17 +258,17 @@
         }
         self.fetch = Some(Fetch { of: head.sender.name.clone(), till: now + 5 * calm });
         self.fetched_at = now;
-        self.send(place, Message::Ask { after: None }, out);
+        self.send(index, Message::Ask { after: None }, out);
     }
 
     /// A page came: on with the next, if it is of the table that is being fetched or joined by.
-    fn fetched(&mut self, now: Tenths, place: Place, next: Option<crate::Name>, out: &mut Vec<Action>) {
-        let Some(name) = self.table.get(place).map(|record| record.update.name.clone()) else { return };
+    fn fetched(&mut self, now: Tenths, index: MemberIndex, next: Option<crate::Name>, out: &mut Vec<Action>) {
+        let Some(name) = self.table.get(index).map(|record| record.update.name.clone()) else { return };
         match (&self.fetch, next) {
             (Some(fetch), _) if fetch.of != name && fetch.till > now => {}
             (_, Some(next)) => {
                 self.fetch = Some(Fetch { of: name, till: now + 20 * self.parameters.gossip_interval });
-                self.send(place, Message::Ask { after: Some(next) }, out);
+                self.send(index, Message::Ask { after: Some(next) }, out);
             }
             (_, None) => self.fetch = None,
         }
--- a/fleet/src/table.rs
+++ b/fleet/src/table.rs
@@ -1,4 +1,4 @@
-//! All other members that are known, by place and by name.
+//! All other members that are known, by index and by name.
 
 use std::collections::BTreeMap;
 use std::ops::Bound;
@@ -8,8 +8,8 @@
 use crate::suspicion::Suspicion;
 use crate::{MemberState, MemberUpdate, Name};
 
-/// Place of a member in the table, in use again once it was forgotten.
-pub type Place = usize;
+/// Index of a member in the table; used again once that member was forgotten.
+pub type MemberIndex = usize;
 
 /// Datagrams back that are still told apart from doubled ones.
 const WINDOW: u64 = 128;
@@ -56,7 +56,7 @@
     pub returned_at: Tenths,
     /// Kept out of the view until then, for having come back too often.
     pub held_until: Option<Tenths>,
-    /// Its own place in the list of those that are there, or of those that are dead.
+    /// Its own index in the list of those that are there, or of those that are dead.
     pub listed: usize,
 }
 
@@ -83,10 +83,10 @@
 #[derive(Default)]
 pub struct Table {
     slots: Vec<Option<MemberRecord>>,
-    free: Vec<Place>,
-    by_name: BTreeMap<Name, Place>,
-    there: Vec<Place>,
-    dead: Vec<Place>,
+    free: Vec<MemberIndex>,
+    by_name: BTreeMap<Name, MemberIndex>,
+    there: Vec<MemberIndex>,
+    dead: Vec<MemberIndex>,
     /// How many of `there` have had their turn in this round of probes.
     probed: usize,
 }
@@ -100,49 +100,49 @@
         self.there.len()
     }
 
-    pub fn place(&self, name: &str) -> Option<Place> {
+    pub fn index_of(&self, name: &str) -> Option<MemberIndex> {
         self.by_name.get(name).copied()
     }
 
-    pub fn get(&self, place: Place) -> Option<&MemberRecord> {
-        self.slots.get(place)?.as_ref()
+    pub fn get(&self, index: MemberIndex) -> Option<&MemberRecord> {
+        self.slots.get(index)?.as_ref()
     }
 
-    pub fn get_mut(&mut self, place: Place) -> Option<&mut MemberRecord> {
-        self.slots.get_mut(place)?.as_mut()
+    pub fn get_mut(&mut self, index: MemberIndex) -> Option<&mut MemberRecord> {
+        self.slots.get_mut(index)?.as_mut()
     }
 
     /// Members from behind a name on, in the order of names.
     pub fn after(&self, name: Option<&Name>) -> impl Iterator<Item = &MemberRecord> {
         let from = name.map_or(Bound::Unbounded, Bound::Excluded);
-        let places = self.by_name.range::<Name, _>((from, Bound::Unbounded)).map(|(_, place)| *place);
-        places.filter_map(|place| self.get(place))
+        let indices = self.by_name.range::<Name, _>((from, Bound::Unbounded)).map(|(_, index)| *index);
+        indices.filter_map(|index| self.get(index))
     }
 
-    pub fn insert(&mut self, update: MemberUpdate, now: Tenths) -> Place {
-        let place = self.free.pop().unwrap_or_else(|| {
+    pub fn insert(&mut self, update: MemberUpdate, now: Tenths) -> MemberIndex {
+        let index = self.free.pop().unwrap_or_else(|| {
             self.slots.push(None);
             self.slots.len() - 1
         });
         let (name, state) = (update.name.clone(), update.state);
-        self.slots[place] = Some(MemberRecord::new(update, now));
-        self.by_name.insert(name, place);
-        self.list(place, state);
-        place
+        self.slots[index] = Some(MemberRecord::new(update, now));
+        self.by_name.insert(name, index);
+        self.list(index, state);
+        index
     }
 
-    pub fn remove(&mut self, place: Place) -> Option<MemberRecord> {
-        let state = self.get(place)?.update.state;
-        self.unlist(place, state);
-        let record = self.slots[place].take()?;
+    pub fn remove(&mut self, index: MemberIndex) -> Option<MemberRecord> {
+        let state = self.get(index)?.update.state;
+        self.unlist(index, state);
+        let record = self.slots[index].take()?;
         self.by_name.remove(&record.update.name);
-        self.free.push(place);
+        self.free.push(index);
         Some(record)
     }
 
     /// Replaces a member's update, and keeps it in the list where it belongs.
-    pub fn set(&mut self, place: Place, update: MemberUpdate, now: Tenths) {
-        let Some(record) = self.get_mut(place) else { return };
+    pub fn set(&mut self, index: MemberIndex, update: MemberUpdate, now: Tenths) {
+        let Some(record) = self.get_mut(index) else { return };
         let (before, after) = (record.update.state, update.state);
         if std::mem::discriminant(&before) != std::mem::discriminant(&after) {
             record.since = now;
@@ -151,26 +151,26 @@
         record.revision = record.revision.wrapping_add(1);
         let kind = |state: MemberState| (state.is_there(), state == MemberState::Dead);
         if kind(before) != kind(after) {
-            self.unlist(place, before);
-            self.list(place, after);
+            self.unlist(index, before);
+            self.list(index, after);
         }
     }
 
-    fn list(&mut self, place: Place, state: MemberState) {
+    fn list(&mut self, index: MemberIndex, state: MemberState) {
         let list = match state {
             MemberState::Alive | MemberState::Suspected { .. } => &mut self.there,
             MemberState::Dead => &mut self.dead,
             MemberState::Left => return,
         };
-        list.push(place);
+        list.push(index);
         let listed = list.len() - 1;
-        if let Some(record) = self.get_mut(place) {
+        if let Some(record) = self.get_mut(index) {
             record.listed = listed;
         }
     }
 
-    fn unlist(&mut self, place: Place, state: MemberState) {
-        let Some(listed) = self.get(place).map(|record| record.listed) else { return };
+    fn unlist(&mut self, index: MemberIndex, state: MemberState) {
+        let Some(listed) = self.get(index).map(|record| record.listed) else { return };
         if state.is_there() && listed < self.probed {
             // The last of those that had their turn takes its place, so that the rest keep theirs.
             self.probed -= 1;
@@ -191,7 +191,7 @@
         }
         list.swap_remove(listed);
         let moved = list.get(listed).copied();
-        if let Some(record) = moved.and_then(|place| self.get_mut(place)) {
+        if let Some(record) = moved.and_then(|index| self.get_mut(index)) {
             record.listed = listed;
         }
     }
@@ -199,15 +199,15 @@
     fn swap(&mut self, one: usize, other: usize) {
         self.there.swap(one, other);
         for listed in [one, other] {
-            let place = self.there[listed];
-            if let Some(record) = self.get_mut(place) {
+            let index = self.there[listed];
+            if let Some(record) = self.get_mut(index) {
                 record.listed = listed;
             }
         }
     }
 
     /// The next to be probed: all that are there once a round, in an order that chance settles as it goes.
-    pub fn next_probe(&mut self, chance: &mut fastrand::Rng) -> Option<Place> {
+    pub fn next_probe(&mut self, chance: &mut fastrand::Rng) -> Option<MemberIndex> {
         if self.there.is_empty() {
             return None;
         }
@@ -221,14 +221,19 @@
     }
 
     /// Up to `count` different members that are there, none of them `but`.
-    pub fn some(&self, count: usize, but: Option<Place>, chance: &mut fastrand::Rng) -> Vec<Place> {
+    pub fn some(
+        &self,
+        count: usize,
+        but: Option<MemberIndex>,
+        chance: &mut fastrand::Rng,
+    ) -> Vec<MemberIndex> {
         let mut picked = Vec::with_capacity(count);
         // Enough draws for a small fleet too; a draw that hits one again is not made good.
         for _ in 0..count * 3 {
-            let place =
+            let index =
                 if self.there.is_empty() { break } else { self.there[chance.usize(..self.there.len())] };
-            if Some(place) != but && !picked.contains(&place) {
-                picked.push(place);
+            if Some(index) != but && !picked.contains(&index) {
+                picked.push(index);
                 if picked.len() == count {
                     break;
                 }
@@ -238,7 +243,7 @@
     }
 
     /// One of those that are dead.
-    pub fn some_dead(&self, chance: &mut fastrand::Rng) -> Option<Place> {
+    pub fn some_dead(&self, chance: &mut fastrand::Rng) -> Option<MemberIndex> {
         if self.dead.is_empty() { None } else { self.dead.get(chance.usize(..self.dead.len())).copied() }
     }
 }
--- a/fleet/src/timers.rs
+++ b/fleet/src/timers.rs
@@ -4,7 +4,7 @@
 
 use crate::fleet::{Fleet, Stage, Timer};
 use crate::probes::Probe;
-use crate::table::Place;
+use crate::table::MemberIndex;
 use crate::{Action, Change, MemberState, MemberUpdate, Message};
 
 impl Fleet {
@@ -14,20 +14,20 @@
                 Timer::Period => self.period(now, out),
                 Timer::Wait(nonce) => self.ask_indirect_probers(nonce, out),
                 Timer::Over(nonce) => self.unanswered(now, nonce, out),
-                Timer::Suspicion(place, since) => self.suspicion_ends(now, place, since, out),
-                Timer::Look(place, since) => self.look(place, since, out),
-                Timer::Admit(place) => self.admit(now, place, out),
+                Timer::Suspicion(index, since) => self.suspicion_ends(now, index, since, out),
+                Timer::Look(index, since) => self.look(index, since, out),
+                Timer::Admit(index) => self.admit(now, index, out),
                 Timer::PendingUpdates => {
                     self.updates_armed = false;
                     self.send_updates(now, out);
                 }
                 Timer::JoinRequest => self.repeat_join_request(now, out),
-                Timer::Forget(place, revision) => {
+                Timer::Forget(index, revision) => {
                     let dead = |of: &&crate::table::MemberRecord| {
                         of.revision == revision && !of.update.state.is_there()
                     };
-                    if self.table.get(place).filter(dead).is_some() {
-                        self.table.remove(place);
+                    if self.table.get(index).filter(dead).is_some() {
+                        self.table.remove(index);
                     }
                 }
             }
@@ -57,33 +57,33 @@
             self.isolated = true;
             out.push(Action::Report(Change::Isolated(true)));
         }
-        if let Some(place) = self.table.next_probe(&mut self.chance) {
-            self.probe(now, place, out);
+        if let Some(index) = self.table.next_probe(&mut self.chance) {
+            self.probe(now, index, out);
         }
     }
 
-    pub(crate) fn probe(&mut self, now: Tenths, place: Place, out: &mut Vec<Action>) {
-        let Some(record) = self.table.get(place) else { return };
-        if self.probes.is_under_way(place) {
+    pub(crate) fn probe(&mut self, now: Tenths, index: MemberIndex, out: &mut Vec<Action>) {
+        let Some(record) = self.table.get(index) else { return };
+        if self.probes.is_under_way(index) {
             return;
         }
         let (min, max) = (self.parameters.answer_within, self.parameters.max_wait());
         let wait = (record.answers_in * 3).clamp(min, max.max(min));
         let nonce = self.chance.u32(..);
         let incarnation = record.update.incarnation;
-        if self.probes.begin(Probe { nonce, place, incarnation, began: now }) {
+        if self.probes.begin(Probe { nonce, index, incarnation, began: now }) {
             self.arm(now + wait, Timer::Wait(nonce));
             let rest = self.parameters.period.saturating_sub(min).max(1);
             self.arm(now + wait + rest, Timer::Over(nonce));
-            self.send(place, Message::Ping { nonce }, out);
+            self.send(index, Message::Ping { nonce }, out);
         }
     }
 
     /// Indirect probes tell a broken link from a dead node.
     fn ask_indirect_probers(&mut self, nonce: u32, out: &mut Vec<Action>) {
         let Some(probe) = self.probes.get(nonce) else { return };
-        let Some(of) = self.table.get(probe.place).map(|record| record.update.clone()) else { return };
-        for prober in self.table.some(self.parameters.indirect_probers, Some(probe.place), &mut self.chance) {
+        let Some(of) = self.table.get(probe.index).map(|record| record.update.clone()) else { return };
+        for prober in self.table.some(self.parameters.indirect_probers, Some(probe.index), &mut self.chance) {
             let message = Message::PingRequest { nonce, name: of.name.clone(), incarnation: of.incarnation };
             self.send(prober, message, out);
         }
@@ -94,7 +94,7 @@
         if self.suspects_nobody() {
             return;
         }
-        let Some(record) = self.table.get(probe.place) else { return };
+        let Some(record) = self.table.get(probe.index) else { return };
         let update = record.update.clone();
         match update.state {
             _ if update.incarnation != probe.incarnation => {}
@@ -102,29 +102,29 @@
                 let state = MemberState::Suspected { by: self.mark };
                 self.take_up(now, MemberUpdate { state, ..update }, out);
             }
-            MemberState::Suspected { .. } => _ = self.confirm_suspicion(now, probe.place, self.mark),
+            MemberState::Suspected { .. } => _ = self.confirm_suspicion(now, probe.index, self.mark),
             MemberState::Dead | MemberState::Left => {}
         }
     }
 
     /// Its answer bears its version, which ends the suspicion if it was contradicted.
-    fn look(&mut self, place: Place, since: Tenths, out: &mut Vec<Action>) {
+    fn look(&mut self, index: MemberIndex, since: Tenths, out: &mut Vec<Action>) {
         let suspected = |suspicion: &crate::suspicion::Suspicion| suspicion.since == since;
-        if self.table.get(place).and_then(|record| record.suspicion).filter(suspected).is_some() {
+        if self.table.get(index).and_then(|record| record.suspicion).filter(suspected).is_some() {
             let nonce = self.chance.u32(..);
-            self.send(place, Message::Ping { nonce }, out);
+            self.send(index, Message::Ping { nonce }, out);
         }
     }
 
-    fn suspicion_ends(&mut self, now: Tenths, place: Place, since: Tenths, out: &mut Vec<Action>) {
+    fn suspicion_ends(&mut self, now: Tenths, index: MemberIndex, since: Tenths, out: &mut Vec<Action>) {
         let members = self.view.members.len();
-        let Some(record) = self.table.get(place) else { return };
+        let Some(record) = self.table.get(index) else { return };
         let Some(suspicion) = record.suspicion.filter(|suspicion| suspicion.since == since) else { return };
         let ends = suspicion.ends(&self.parameters, members, self.resumed_at);
         if self.suspects_nobody() {
-            self.arm(now + self.parameters.period, Timer::Suspicion(place, since));
+            self.arm(now + self.parameters.period, Timer::Suspicion(index, since));
         } else if ends > now {
-            self.arm(ends, Timer::Suspicion(place, since));
+            self.arm(ends, Timer::Suspicion(index, since));
         } else {
             let dead = MemberUpdate { state: MemberState::Dead, ..record.update.clone() };
             self.take_up(now, dead, out);
@@ -137,8 +137,8 @@
             return;
         }
         self.retransmissions = self.retransmissions.saturating_sub(1);
-        for place in self.table.some(self.parameters.gossip_fanout, None, &mut self.chance) {
-            self.send(place, Message::Updates, out);
+        for index in self.table.some(self.parameters.gossip_fanout, None, &mut self.chance) {
+            self.send(index, Message::Updates, out);
         }
         if !self.updates_armed
             && (self.retransmissions > 0 || !self.gossip.is_empty())
--- a/node/src/peers/budgets.rs
+++ b/node/src/peers/budgets.rs
@@ -22,7 +22,7 @@
     pub budgets: Budgets,
     falls: Falls,
     pub actions: Vec<Action>,
-    /// By place: exchanges that passed and were not given back, and the allocation that the log told last.
+    /// By index: exchanges that passed and were not given back, and the allocation that the log told last.
     used: Vec<u64>,
     told: Vec<Units>,
     /// Uses before which the process stood still after it had looked at its lease.
@@ -66,13 +66,13 @@
         let list = installation.budget_list(orders);
         let names: Vec<_> = self.budgets.list().map(|budget| budget.name.clone()).collect();
         let used = |name: &std::sync::Arc<str>| names.iter().position(|of| of == name);
-        self.used = list.iter().map(|of| used(&of.name).map_or(0, |place| self.used[place])).collect();
+        self.used = list.iter().map(|of| used(&of.name).map_or(0, |index| self.used[index])).collect();
         self.falls = installation.falls(orders);
         self.handle(now, Event::Changed { list });
     }
 
     /// Why budgets of this file can't be taken up under way, if they can't: what exchanges in hand hold is
-    /// known by its place, and votes under two lists of voters, or of two lengths, would not meet.
+    /// known by its index, and votes under two lists of voters, or of two lengths, would not meet.
     pub fn needs_a_start(
         &self,
         file: &FleetFile,
@@ -96,84 +96,84 @@
     /// Takes one of each budget under which the exchange falls, or none. `now` looks at the clock.
     pub fn admit(&mut self, asked: Asked, now: impl Fn() -> Tenths) -> Result<Permit, Tenths> {
         let falls = &self.falls;
-        let under = |list: &[Option<u16>], place: usize| list.get(place).copied().flatten();
-        let places = [
+        let under = |list: &[Option<u16>], index: usize| list.get(index).copied().flatten();
+        let indices = [
             under(&falls.groups, usize::from(asked.group)),
             under(&falls.customers, usize::from(asked.customer)),
             under(&falls.pools, usize::from(asked.pool)),
         ];
-        if places == [None; 3] {
+        if indices == [None; 3] {
             return Ok(Permit::default());
         }
         let looked = now();
-        for (nth, place) in places.iter().enumerate() {
-            let Some(place) = place.map(usize::from) else { continue };
-            if let Err(wait) = self.budgets.acquire(place, looked) {
-                let taken = places[..nth].iter().flatten();
-                taken.for_each(|place| self.release_one(usize::from(*place), false));
+        for (nth, index) in indices.iter().enumerate() {
+            let Some(index) = index.map(usize::from) else { continue };
+            if let Err(wait) = self.budgets.acquire(index, looked) {
+                let taken = indices[..nth].iter().flatten();
+                taken.for_each(|index| self.release_one(usize::from(*index), false));
                 return Err(wait);
             }
-            self.used[place] += 1;
+            self.used[index] += 1;
         }
         self.late += u64::from(now() > looked + LATE);
-        Ok(Permit(places))
+        Ok(Permit(indices))
     }
 
-    /// The budget of retries to the pool at this place.
+    /// The budget of retries to the pool at this index.
     pub fn retries(&self, pool: u16) -> Option<u16> {
         self.falls.retries.get(usize::from(pool)).copied().flatten()
     }
 
     /// Whether one more retry may be made.
-    pub fn retry(&mut self, place: u16, now: Tenths) -> bool {
-        let taken = self.budgets.acquire(usize::from(place), now).is_ok();
-        self.used[usize::from(place)] += u64::from(taken);
+    pub fn retry(&mut self, index: u16, now: Tenths) -> bool {
+        let taken = self.budgets.acquire(usize::from(index), now).is_ok();
+        self.used[usize::from(index)] += u64::from(taken);
         taken
     }
 
-    fn release_one(&mut self, place: usize, ran: bool) {
+    fn release_one(&mut self, index: usize, ran: bool) {
         if ran {
-            self.budgets.release(place);
+            self.budgets.release(index);
         } else {
-            self.budgets.cancel(place);
-            self.used[place] = self.used[place].saturating_sub(1);
+            self.budgets.cancel(index);
+            self.used[index] = self.used[index].saturating_sub(1);
         }
     }
 
     pub fn release(&mut self, permit: Permit, came: Use, now: Tenths) {
-        for place in permit.0.into_iter().flatten() {
-            let held = self.budgets.list().nth(usize::from(place)).map_or(0, Budget::max_hold);
+        for index in permit.0.into_iter().flatten() {
+            let held = self.budgets.list().nth(usize::from(index)).map_or(0, Budget::max_hold);
             if came == Use::MayGoOn && held > 0 {
-                self.lingering.push(Reverse((now + held, place)));
+                self.lingering.push(Reverse((now + held, index)));
             } else {
-                self.release_one(usize::from(place), came != Use::None);
+                self.release_one(usize::from(index), came != Use::None);
             }
         }
     }
 
     /// Permits of runs that are over by now, whoever ran them.
     pub fn free(&mut self, now: Tenths) {
-        while let Some(Reverse((_, place))) =
+        while let Some(Reverse((_, index))) =
             self.lingering.peek().copied().filter(|Reverse((till, _))| *till <= now)
         {
             self.lingering.pop();
-            self.release_one(usize::from(place), true);
+            self.release_one(usize::from(index), true);
         }
     }
 
     pub fn page(&mut self, nonce: u64, from: u16, now: Tenths) -> BudgetPage {
         let count = self.used.len();
-        let places = usize::from(from).min(count)..(usize::from(from) + BUDGET_PAGE).min(count);
-        let more = places.end < count;
+        let indices = usize::from(from).min(count)..(usize::from(from) + BUDGET_PAGE).min(count);
+        let more = indices.end < count;
         let kinds: Vec<_> = self.budgets.list().map(|of| (of.name.clone(), of.kind, of.limit)).collect();
-        let budgets = places.map(|place| {
-            let (stands, (name, kind, limit)) = (self.budgets.standing(place, now), &kinds[place]);
+        let budgets = indices.map(|index| {
+            let (stands, (name, kind, limit)) = (self.budgets.standing(index, now), &kinds[index]);
             BudgetStatus {
                 name: name.to_string(),
                 rate: matches!(kind, Kind::Rate { .. }),
                 limit: *limit,
                 allocation: stands.allocation,
-                used: self.used[place],
+                used: self.used[index],
                 rejected: stands.rejected,
                 need: stands.need,
                 in_use: stands.in_use,
@@ -188,15 +188,15 @@
     /// An allocation is told where it has changed by over an eighth: it follows the load, and the log is
     /// bounded.
     pub fn log(&mut self, log: &Logger, change: &Change) {
-        if let Change::Allocation { place, allocation, .. } = change {
-            let told = &mut self.told[*place];
+        if let Change::Allocation { index, allocation, .. } = change {
+            let told = &mut self.told[*index];
             if allocation.abs_diff(*told) <= (*told).max(*allocation) / 8 {
                 return;
             }
             *told = *allocation;
         }
         let word = change.word();
-        let name = |place: usize| self.budgets.list().nth(place).map_or("", |budget| &budget.name);
+        let name = |index: usize| self.budgets.list().nth(index).map_or("", |budget| &budget.name);
         match change {
             Change::Elected { grants_after } => {
                 info!(log, "budget"; "what" => word, "grants_after_ms" => grants_after / MS);
@@ -204,12 +204,12 @@
             Change::SteppedDown => info!(log, "budget"; "what" => word),
             Change::Leader(who) => info!(log, "budget"; "what" => word, "of" => &*who.name),
             Change::LeaderSilent(who) => warn!(log, "budget"; "what" => word, "of" => &*who.name),
-            Change::Allocation { place, was, allocation, lasts } => {
-                info!(log, "budget"; "what" => word, "budget" => name(*place), "was" => was,
+            Change::Allocation { index, was, allocation, lasts } => {
+                info!(log, "budget"; "what" => word, "budget" => name(*index), "was" => was,
                     "allocation" => allocation, "lasts_ms" => lasts / MS);
             }
-            Change::RanOut { place, allocation } => {
-                warn!(log, "budget"; "what" => word, "budget" => name(*place), "was" => allocation);
+            Change::RanOut { index, allocation } => {
+                warn!(log, "budget"; "what" => word, "budget" => name(*index), "was" => allocation);
             }
         }
     }
--- a/node/src/peers/link.rs
+++ b/node/src/peers/link.rs
@@ -184,12 +184,12 @@
                 self.tell_budgets(Some(doortrack_budgets::Event::Received(envelope)));
             }
             Ok(Spoken::Budgets(_)) => *self.counts.refused.entry("no_member").or_default() += 1,
-            Ok(Spoken::AskBudgets { nonce, from: place }) => {
+            Ok(Spoken::AskBudgets { nonce, from: index }) => {
                 let none = BudgetPage { nonce, leader: None, budgets: Vec::new(), more: false };
                 let page = self
                     .budgets
                     .as_ref()
-                    .map_or(none, |budgets| budgets.borrow_mut().page(nonce, place, now));
+                    .map_or(none, |budgets| budgets.borrow_mut().page(nonce, index, now));
                 self.send(from, &Spoken::BudgetStatus(Box::new(page)));
             }
             Ok(Spoken::Status(_) | Spoken::BudgetStatus(_)) => {}
@@ -320,8 +320,8 @@
         // Looked up each time: a SIGHUP may bring it, or take it away.
         Some(Box::new(move || {
             let mut budgets = budgets.borrow_mut();
-            let place = budgets.retries(pool);
-            place.is_none_or(|place| budgets.retry(place, now(zero, drift)))
+            let index = budgets.retries(pool);
+            index.is_none_or(|index| budgets.retry(index, now(zero, drift)))
         }))
     }
 
--- a/node/src/peers/spoken.rs
+++ b/node/src/peers/spoken.rs
@@ -46,7 +46,7 @@
 /// Budgets that one answer tells of.
 pub const BUDGET_PAGE: usize = 6;
 
-/// How a node's budgets stand, from a place on.
+/// How a node's budgets stand, from an index on.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct BudgetPage {
     pub nonce: u64,
--- a/rig/src/divided.rs
+++ b/rig/src/divided.rs
@@ -34,7 +34,7 @@
     /// Least and most that clocks gain, in millionths.
     pub drift_ppm: (i64, i64),
     pub offset_ms: i64,
-    /// Uses that are asked for a second: of a node, of the budget at a place, at a time in ms.
+    /// Uses that are asked for a second: of a node, of the budget at an index, at a time in ms.
     pub demand: &'a dyn Fn(usize, usize, u64) -> f64,
     /// How long units are held, in the mean; never longer than the budget says.
     pub held_ms: u64,
@@ -221,79 +221,79 @@
         }
         self.asks_at[of] = shown + STEP;
         let at_ms = self.net.now() / MS;
-        for place in 0..self.ways.list.len() {
-            self.end_holds(place);
-            let mean = (self.ways.demand)(of, place, at_ms) * STEP as f64 / 1e6;
+        for index in 0..self.ways.list.len() {
+            self.end_holds(index);
+            let mean = (self.ways.demand)(of, index, at_ms) * STEP as f64 / 1e6;
             // So many that the mean is met: exact but for chance in the fraction.
             let count = mean as u64 + u64::from(self.chance.f64() < mean.fract());
             for _ in 0..count {
-                self.ask(of, place);
+                self.ask(of, index);
             }
         }
     }
 
-    fn ask(&mut self, of: MachineId, place: usize) {
+    fn ask(&mut self, of: MachineId, index: usize) {
         let now = self.net.shown(of) / TENTH;
         let counts = self.net.now() >= self.ways.count_from_ms * MS;
-        self.out.asked[place] += u64::from(counts);
+        self.out.asked[index] += u64::from(counts);
         let Some(node) = &mut self.nodes[of] else { return };
-        if node.acquire(place, now).is_err() {
+        if node.acquire(index, now).is_err() {
             return;
         }
-        self.out.used[place] += u64::from(counts);
-        if place == 0 {
+        self.out.used[index] += u64::from(counts);
+        if index == 0 {
             self.out.by_node[of] += u64::from(counts);
             *self.out.by_time.entry((of, self.net.now() / (100 * MS))).or_default() += 1;
         }
-        self.mark(&(self.net.now(), of, place));
-        self.used(of, place);
+        self.mark(&(self.net.now(), of, index));
+        self.used(of, index);
     }
 
     /// Counts one use at its true time.
-    fn used(&mut self, of: MachineId, place: usize) {
-        let (budget, now) = (&self.ways.list[place], self.net.now());
+    fn used(&mut self, of: MachineId, index: usize) {
+        let (budget, now) = (&self.ways.list[index], self.net.now());
         let limit = f64::from(budget.limit);
         match budget.kind {
             Kind::Rate { burst } => {
-                let (level, at) = self.level[place];
+                let (level, at) = self.level[index];
                 let level = (level - limit * (now - at) as f64 / 1e6).max(0.0) + TOKEN;
-                self.level[place] = (level, now);
+                self.level[index] = (level, now);
                 // What is cut to whole tenths of a ms, by each node, may come to a thousandth of a unit.
                 if level > f64::from(burst) + 0.01 {
-                    self.breach(place, format!("{level:.3} beyond {limit} a second, a burst of {burst}"));
+                    self.breach(index, format!("{level:.3} beyond {limit} a second, a burst of {burst}"));
                 }
             }
             Kind::Concurrency { max_hold } => {
                 let mean = (self.ways.held_ms * MS) as f64;
                 let lasts = (-mean * self.chance.f64().max(1e-9).ln()).min((max_hold * TENTH) as f64);
-                self.held[place].push((now + lasts as Micros, of, self.incarnations[of]));
-                let held = self.held[place].iter().filter(|(till, ..)| *till > now).count();
+                self.held[index].push((now + lasts as Micros, of, self.incarnations[of]));
+                let held = self.held[index].iter().filter(|(till, ..)| *till > now).count();
                 if held as u32 > budget.limit {
-                    self.breach(place, format!("{held} of {limit} are held at once"));
+                    self.breach(index, format!("{held} of {limit} are held at once"));
                 }
             }
         }
     }
 
     /// What is held comes to its end; a node that stands still learns of it when it goes on.
-    fn end_holds(&mut self, place: usize) {
+    fn end_holds(&mut self, index: usize) {
         let now = self.net.now();
         let (nodes, incarnations, net) = (&mut self.nodes, &self.incarnations, &self.net);
-        self.held[place].retain(|(till, of, incarnation)| {
+        self.held[index].retain(|(till, of, incarnation)| {
             let over =
                 *till <= now && (net.is_up(*of) || incarnations[*of] != *incarnation || net.is_down(*of));
             if over
                 && incarnations[*of] == *incarnation
                 && let Some(node) = &mut nodes[*of]
             {
-                node.release(place);
+                node.release(index);
             }
             !over
         });
     }
 
-    fn breach(&mut self, place: usize, what: String) {
-        let budget = &self.ways.list[place].name;
+    fn breach(&mut self, index: usize, what: String) {
+        let budget = &self.ways.list[index].name;
         if !self.out.broken.iter().any(|broken| broken.contains(&**budget)) {
             self.out.broken.push(format!("{} ms: {budget}: {what}", self.net.now() / MS));
         }
--- a/rig/tests/divided.rs
+++ b/rig/tests/divided.rs
@@ -31,9 +31,9 @@
 }
 
 /// More is asked for everywhere than there is, in turns most of it at one node.
-fn greedy(of: usize, place: usize, ms: u64) -> f64 {
+fn greedy(of: usize, index: usize, ms: u64) -> f64 {
     let here = (ms / 1_000) as usize % NODES == of;
-    match place {
+    match index {
         0 => {
             if here {
                 900.0
@@ -186,7 +186,7 @@
 fn two_hundred_budgets_and_an_absurd_need() {
     let list: Vec<Budget> =
         (0..200).map(|nth| Budget { name: format!("b{nth}").into(), ..rate(90, 90, 0) }).collect();
-    let demand = |of: usize, place: usize, _: u64| match (place, of) {
+    let demand = |of: usize, index: usize, _: u64| match (index, of) {
         (0, 8) => 1e6,
         (0, _) => 20.0,
         (199, 3) => 80.0,
