--- a/bench/benches/budgets.rs
+++ b/bench/benches/budgets.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 
 use criterion::{Criterion, criterion_group, criterion_main};
-use doortrack_budgets::{Budget, Budgets, Kind, Parameters, Who};
+use doortrack_budgets::{Budget, Budgets, Kind, NodeId, Parameters};
 use doortrack_fleet::{Incarnation, Name};
 
 fn checks(criterion: &mut Criterion) {
@@ -22,7 +22,7 @@
                 max_per_node: 1_000_000,
             })
             .collect();
-        let who = Who { name: me.clone(), incarnation: Incarnation(1) };
+        let who = NodeId { name: me.clone(), incarnation: Incarnation(1) };
         let mut budgets = Budgets::new(who, 1, Parameters::default(), &list, 1, 0);
         let (mut now, mut index) = (1_000_000, 0);
         criterion.bench_function(&format!("check of a {what}, one of 200"), |bencher| {
--- a/budgets/src/account.rs
+++ b/budgets/src/account.rs
@@ -4,7 +4,7 @@
 
 use doortrack::Tenths;
 
-use crate::{Asks, Budget, Grant, Id, Item, Parameters, Units, Who, divide};
+use crate::{Asks, Budget, Grant, Id, Item, NodeId, Parameters, Units, divide};
 
 /// Allocations sent and not yet confirmed, kept one by one; of more the two oldest are taken for the greater.
 const MAX_SENT: usize = 6;
@@ -50,7 +50,7 @@
 pub(crate) struct Accounts {
     books: Vec<Book>,
     indices: BTreeMap<Id, usize>,
-    holders: BTreeMap<Who, Holder>,
+    holders: BTreeMap<NodeId, Holder>,
     rotation: u64,
 }
 
@@ -107,7 +107,7 @@
     pub fn report(
         &mut self,
         now: Tenths,
-        who: &Who,
+        who: &NodeId,
         (seq, weight): (u64, u32),
         items: &[Item],
         settled: impl Fn(&Budget) -> bool,
--- a/budgets/src/budgets.rs
+++ b/budgets/src/budgets.rs
@@ -9,7 +9,9 @@
 use crate::allocation::Allocation;
 use crate::leadership::Leadership;
 use crate::voter::Voter;
-use crate::{Action, Budget, Change, Envelope, Event, Grant, Id, Item, MAX_ITEMS, Message, Parameters, Who};
+use crate::{
+    Action, Budget, Change, Envelope, Event, Grant, Id, Item, MAX_ITEMS, Message, NodeId, Parameters,
+};
 
 /// Reports whose answers still count when they come.
 const MAX_SENT: usize = 128;
@@ -19,7 +21,7 @@
 /// One node's budgets. See the crate's page for how to drive it.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub struct Budgets {
-    pub(crate) me: Who,
+    pub(crate) me: NodeId,
     weight: u32,
     pub(crate) parameters: Parameters,
     pub(crate) allocations: Vec<Allocation>,
@@ -32,7 +34,7 @@
     pub(crate) accounts: Accounts,
     /// Voters that are there.
     pub(crate) voters: BTreeMap<Name, Incarnation>,
-    pub(crate) leader: Option<Who>,
+    pub(crate) leader: Option<NodeId>,
     /// Answers to reports before this are those of an earlier leader.
     bound_since: u64,
     seq: u64,
@@ -56,7 +58,7 @@
     /// A node that has just started. `weight` is its capacity, in a unit that all share; `list` at most
     /// [`crate::MAX_BUDGETS`], each with an id of its own.
     pub fn new(
-        me: Who,
+        me: NodeId,
         weight: u32,
         parameters: Parameters,
         list: &[Budget],
@@ -206,26 +208,26 @@
     }
 
     /// The next of the other voters, one after the other.
-    fn next_asked(&mut self) -> Option<Who> {
-        let others: Vec<Who> = self.others().collect();
+    fn next_asked(&mut self) -> Option<NodeId> {
+        let others: Vec<NodeId> = self.others().collect();
         self.asked = self.asked.wrapping_add(1);
         (!others.is_empty()).then(|| others[self.asked % others.len()].clone())
     }
 
-    pub(crate) fn others(&self) -> impl Iterator<Item = Who> {
+    pub(crate) fn others(&self) -> impl Iterator<Item = NodeId> {
         let all = self
             .voters
             .iter()
-            .map(|(name, incarnation)| Who { name: name.clone(), incarnation: *incarnation });
+            .map(|(name, incarnation)| NodeId { name: name.clone(), incarnation: *incarnation });
         all.filter(|who| who.name != self.me.name)
     }
 
-    pub(crate) fn send(&mut self, to: Who, message: Message, out: &mut Vec<Action>) {
+    pub(crate) fn send(&mut self, to: NodeId, message: Message, out: &mut Vec<Action>) {
         let envelope = Envelope { from: self.me.clone(), to, message };
         if envelope.to == self.me { self.local.push_back(envelope) } else { out.push(Action::Send(envelope)) }
     }
 
-    pub(crate) fn bind(&mut self, to: Option<Who>, out: &mut Vec<Action>) {
+    pub(crate) fn bind(&mut self, to: Option<NodeId>, out: &mut Vec<Action>) {
         if to == self.leader {
             return;
         }
@@ -259,7 +261,7 @@
         }
     }
 
-    fn on_grant(&mut self, now: Tenths, from: &Who, seq: u64, grants: &[Grant], out: &mut Vec<Action>) {
+    fn on_grant(&mut self, now: Tenths, from: &NodeId, seq: u64, grants: &[Grant], out: &mut Vec<Action>) {
         let in_order = self.parameters.safeguards.in_order;
         if self.leader.as_ref() != Some(from) || (in_order && seq < self.bound_since) {
             return;
--- a/budgets/src/envelope.rs
+++ b/budgets/src/envelope.rs
@@ -10,7 +10,7 @@
 
 /// One incarnation of a node.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
-pub struct Who {
+pub struct NodeId {
     pub name: Name,
     pub incarnation: Incarnation,
 }
@@ -18,8 +18,8 @@
 /// A message on its way. What is meant for another incarnation is not read.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct Envelope {
-    pub from: Who,
-    pub to: Who,
+    pub from: NodeId,
+    pub to: NodeId,
     pub message: Message,
 }
 
@@ -53,7 +53,7 @@
     /// The one that was reported to is not the leader; who is, as far as it knows.
     Elsewhere {
         seq: u64,
-        leader: Option<Who>,
+        leader: Option<NodeId>,
     },
 }
 
--- a/budgets/src/leadership.rs
+++ b/budgets/src/leadership.rs
@@ -7,7 +7,7 @@
 
 use crate::account::Accounts;
 use crate::voter::Voter;
-use crate::{Action, Budget, Budgets, Change, Item, Message, Parameters, Who};
+use crate::{Action, Budget, Budgets, Change, Item, Message, NodeId, Parameters};
 
 /// Ballots whose votes still count when they come.
 const MAX_ASKED: usize = 8;
@@ -134,7 +134,7 @@
                 term.renew_at = now + self.parameters.round;
             }
         }
-        let others: Vec<Who> = self.others().collect();
+        let others: Vec<NodeId> = self.others().collect();
         for who in [self.me.clone()].into_iter().chain(others) {
             self.send(who, Message::Ask { ballot }, out);
         }
@@ -147,7 +147,7 @@
             Leadership::Leader(term) => &term.election,
         };
         let Some(ballot) = election.last_ballot() else { return };
-        let others: Vec<Who> = self.others().collect();
+        let others: Vec<NodeId> = self.others().collect();
         for who in [self.me.clone()].into_iter().chain(others) {
             self.send(who, Message::Release { ballot }, out);
         }
@@ -177,7 +177,7 @@
         self.leadership = Leadership::Follower { try_at: Tenths::MAX };
     }
 
-    fn voted(&mut self, now: Tenths, from: &Who, ballot: u64, out: &mut Vec<Action>) {
+    fn voted(&mut self, now: Tenths, from: &NodeId, ballot: u64, out: &mut Vec<Action>) {
         match &mut self.leadership {
             Leadership::Follower { .. } => {}
             Leadership::Leader(term) => term.election.vote(&from.name, ballot, &self.parameters),
@@ -203,7 +203,7 @@
     pub(crate) fn received_by_voter(
         &mut self,
         now: Tenths,
-        from: Who,
+        from: NodeId,
         message: Message,
         out: &mut Vec<Action>,
     ) {
@@ -237,7 +237,7 @@
     fn reported(
         &mut self,
         now: Tenths,
-        from: Who,
+        from: NodeId,
         (seq, weight): (u64, u32),
         items: &[Item],
         out: &mut Vec<Action>,
--- a/budgets/src/lib.rs
+++ b/budgets/src/lib.rs
@@ -50,7 +50,7 @@
 
 pub use budgets::Budgets;
 pub use divide::{Asks, divide};
-pub use envelope::{Envelope, Grant, Item, MAX_ITEMS, Message, Who};
+pub use envelope::{Envelope, Grant, Item, MAX_ITEMS, Message, NodeId};
 pub use parameters::{Budget, Id, Kind, Parameters, Safeguards, Units, id_of};
 pub use reporting::Standing;
 
@@ -92,9 +92,9 @@
     },
     SteppedDown,
     /// Whom this node reports to.
-    Leader(Who),
+    Leader(NodeId),
     /// No answer from the leader for some rounds.
-    LeaderSilent(Who),
+    LeaderSilent(NodeId),
     /// An allocation of the budget at this index has changed to so many units, for so many tenths of a ms.
     Allocation {
         index: usize,
--- a/budgets/src/reporting.rs
+++ b/budgets/src/reporting.rs
@@ -3,7 +3,7 @@
 use doortrack::Tenths;
 
 use crate::leadership::Leadership;
-use crate::{Budget, Budgets, Kind, Parameters, Units, Who};
+use crate::{Budget, Budgets, Kind, NodeId, Parameters, Units};
 
 /// One budget at one node.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -22,7 +22,7 @@
 }
 
 impl Budgets {
-    pub fn me(&self) -> &Who {
+    pub fn me(&self) -> &NodeId {
         &self.me
     }
 
@@ -31,7 +31,7 @@
     }
 
     /// Whom this node reports to.
-    pub fn leader(&self) -> Option<&Who> {
+    pub fn leader(&self) -> Option<&NodeId> {
         self.leader.as_ref()
     }
 
--- a/budgets/src/voter.rs
+++ b/budgets/src/voter.rs
@@ -2,7 +2,7 @@
 
 use doortrack::Tenths;
 
-use crate::{Parameters, Who};
+use crate::{NodeId, Parameters};
 
 /// One voter's memory. It does not outlast its process, so a new one keeps silent for as long as a vote that
 /// its predecessor gave may last.
@@ -14,7 +14,7 @@
 
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 struct Vote {
-    to: Who,
+    to: NodeId,
     ballot: u64,
     till: Tenths,
 }
@@ -26,7 +26,7 @@
     }
 
     /// Whether the candidate has the vote from here on, for `vote_lasts`.
-    pub fn ask(&mut self, now: Tenths, from: &Who, ballot: u64, parameters: &Parameters) -> bool {
+    pub fn ask(&mut self, now: Tenths, from: &NodeId, ballot: u64, parameters: &Parameters) -> bool {
         let taken = self.vote.as_ref().is_some_and(|vote| vote.till > now && vote.to != *from);
         if now < self.silent_until || taken {
             return false;
@@ -38,13 +38,13 @@
     }
 
     /// Gives the vote of this ballot back; a late word on an earlier one changes nothing.
-    pub fn release(&mut self, from: &Who, ballot: u64) -> bool {
+    pub fn release(&mut self, from: &NodeId, ballot: u64) -> bool {
         let is = |vote: &Vote| vote.to == *from && vote.ballot == ballot;
         self.vote.take_if(|vote| is(vote)).is_some()
     }
 
     /// Who has the vote now.
-    pub fn leader(&self, now: Tenths) -> Option<&Who> {
+    pub fn leader(&self, now: Tenths) -> Option<&NodeId> {
         self.vote.as_ref().filter(|vote| vote.till > now).map(|vote| &vote.to)
     }
 
--- a/budgets/tests/holder.rs
+++ b/budgets/tests/holder.rs
@@ -4,7 +4,7 @@
 
 use doortrack::Tenths;
 use doortrack_budgets::{
-    Action, Budget, Budgets, Envelope, Event, Grant, Kind, Message, Parameters, Safeguards, Who,
+    Action, Budget, Budgets, Envelope, Event, Grant, Kind, Message, NodeId, Parameters, Safeguards,
 };
 use doortrack_fleet::{Incarnation, Member, Name, View};
 
@@ -12,19 +12,19 @@
 
 struct Holder {
     budgets: Budgets,
-    leader: Who,
+    leader: NodeId,
     now: Tenths,
 }
 
 impl Holder {
     fn new(safeguards: Safeguards) -> Holder {
-        let leader = Who { name: "k".into(), incarnation: Incarnation(1) };
+        let leader = NodeId { name: "k".into(), incarnation: Incarnation(1) };
         let voters: Arc<[Name]> = Arc::new([leader.name.clone()]);
         let parameters = Parameters { voters, safeguards, ..Parameters::default() };
         let (kind, reserved_for) = (Kind::Concurrency { max_hold: 0 }, Arc::new([]));
         let list =
             [Budget { name: "b".into(), kind, limit: 20, reserved: 0, reserved_for, max_per_node: 20 }];
-        let me = Who { name: "h".into(), incarnation: Incarnation(2) };
+        let me = NodeId { name: "h".into(), incarnation: Incarnation(2) };
         let mut budgets = Budgets::new(me, 1, parameters, &list, 1, 0);
         let mut view = View::default();
         let address = "127.0.0.1:1".parse().unwrap();
--- a/budgets/tests/model.rs
+++ b/budgets/tests/model.rs
@@ -8,7 +8,7 @@
 
 use doortrack::Tenths;
 use doortrack_budgets::{
-    Action, Budget, Budgets, Envelope, Event, Kind, Message, Parameters, Safeguards, Who,
+    Action, Budget, Budgets, Envelope, Event, Kind, Message, NodeId, Parameters, Safeguards,
 };
 use doortrack_fleet::{Incarnation, Member, Name, View};
 use stateright::{Checker, Model, Property};
@@ -61,8 +61,8 @@
         }
     }
 
-    fn who(of: usize, incarnation: u64) -> Who {
-        Who { name: format!("n{of}").into(), incarnation: Incarnation(incarnation) }
+    fn who(of: usize, incarnation: u64) -> NodeId {
+        NodeId { name: format!("n{of}").into(), incarnation: Incarnation(incarnation) }
     }
 
     fn start(&self, of: usize, incarnation: u64, now: Tenths) -> Budgets {
--- a/node/src/peers/budgets.rs
+++ b/node/src/peers/budgets.rs
@@ -5,7 +5,7 @@
 use std::collections::BinaryHeap;
 
 use doortrack::Tenths;
-use doortrack_budgets::{Action, Budget, Budgets, Change, Event, Kind, Parameters, Units, Who};
+use doortrack_budgets::{Action, Budget, Budgets, Change, Event, Kind, NodeId, Parameters, Units};
 use doortrack_installation::{Falls, FleetFile, Installation, Orders};
 use slog::{Logger, info, warn};
 
@@ -37,7 +37,7 @@
         file: &FleetFile,
         installation: &Installation,
         orders: &Orders,
-        me: Who,
+        me: NodeId,
     ) -> Option<FleetBudgets> {
         if installation.budgets.is_empty() {
             return None;
--- a/node/src/peers/link.rs
+++ b/node/src/peers/link.rs
@@ -9,7 +9,7 @@
 use std::time::Instant;
 
 use doortrack::Tenths;
-use doortrack_budgets::Who;
+use doortrack_budgets::NodeId;
 use doortrack_fleet::{Action, Change, Event, Fleet, Incarnation, MemberState, MemberUpdate};
 use doortrack_installation::{FleetFile, Installation, Orders};
 use polling::{Event as Ready, PollMode, Poller};
@@ -102,7 +102,7 @@
             file,
             installation,
             orders,
-            Who { name: me.name.clone(), incarnation: me.incarnation },
+            NodeId { name: me.name.clone(), incarnation: me.incarnation },
         );
         let budgets = budgets.map(|budgets| Rc::new(RefCell::new(budgets)));
         let mut peers = Peers {
@@ -136,7 +136,7 @@
         self.carry_out_budget_actions();
     }
 
-    fn is_member(&self, who: &Who) -> bool {
+    fn is_member(&self, who: &NodeId) -> bool {
         self.fleet.view().members.get(&who.name).is_some_and(|member| member.incarnation == who.incarnation)
     }
 
--- a/rig/src/divided.rs
+++ b/rig/src/divided.rs
@@ -6,7 +6,9 @@
 
 use std::collections::BTreeMap;
 
-use doortrack_budgets::{Action, Budget, Budgets, Change, Envelope, Event, Kind, Message, Parameters, Who};
+use doortrack_budgets::{
+    Action, Budget, Budgets, Change, Envelope, Event, Kind, Message, NodeId, Parameters,
+};
 use doortrack_emulator::{Clock, Law, Links, MachineId, Micros, Net, Next};
 use doortrack_fleet::{Incarnation, Member, Name, View};
 
@@ -142,7 +144,7 @@
         self.net.start(of);
         self.started += 1;
         self.incarnations[of] = Incarnation(self.started);
-        let me = Who { name: name(of).into(), incarnation: self.incarnations[of] };
+        let me = NodeId { name: name(of).into(), incarnation: self.incarnations[of] };
         let now = self.net.shown(of) / TENTH;
         let (parameters, list) = (self.ways.parameters.clone(), &self.ways.list);
         self.nodes[of] = Some(Budgets::new(me, 4, parameters, list, self.chance.u64(..), now));
@@ -324,7 +326,7 @@
 /// Bytes of an envelope as the codec writes it, near enough to compare sizes.
 fn weight(envelope: &Envelope) -> u64 {
     let small = |value: u64| 1 + u64::from(value > 127) + u64::from(value > 16_383);
-    let who = |who: &Who| 1 + who.name.len() as u64 + 9;
+    let who = |who: &NodeId| 1 + who.name.len() as u64 + 9;
     let message = match &envelope.message {
         Message::Ask { ballot } | Message::Vote { ballot } | Message::Refused { ballot } => small(*ballot),
         Message::Release { ballot } => small(*ballot),
