--- a/src/logic.rs
+++ b/src/logic.rs
@@ -74,8 +74,8 @@
 const LINKS_USED_AGAIN: f32 = 24.0;
 /// Callers come again: fewer than this share of what is read is from one not seen for one to two turns. The
 /// share is a mean of about as many reads; the bound is on the callers of a turn.
-const STRANGERS: f32 = 0.6;
-const STRANGERS_NEWEST: f32 = 0.02;
+const UNKNOWN_CALLERS: f32 = 0.6;
+const UNKNOWN_CALLERS_NEWEST: f32 = 0.02;
 const CALLERS_TURN: Tenths = 10_000 * MS;
 const MOST_CALLERS: usize = 4096;
 /// The idle limit's least, its rise in a beat below that and its fall above. It rises slowly, as a connection
@@ -84,7 +84,7 @@
 const IDLE_RISE: f32 = 1.05;
 const IDLE_FALL: f32 = 0.7;
 /// Share read too late to be queued from which on the table is left to fill.
-const DROWNING: f32 = 0.1;
+const OVERLOAD_READS: f32 = 0.1;
 /// A customer may send this multiple of its share at one node, and save up this much time of it.
 const SHARE_SLACK: f32 = 1.3;
 const SHARE_SAVED: f32 = 20_000.0;
@@ -180,7 +180,7 @@
     /// Callers that were read from, of this turn and the one before, and the share of reads from others.
     callers: [FxHashSet<u64>; 2],
     callers_turn: Tenths,
-    strangers: f32,
+    unknown_callers: f32,
     strain: f32,
     level: f32,
     /// What was last said to callers.
@@ -199,7 +199,7 @@
             capacity: terms.cores.max(1) as f32,
             took: vec![0.0; terms.groups.len()],
             saved: vec![(0.0, 0); terms.customers.len()],
-            st: State { strangers: 1.0, ..State::default() },
+            st: State { unknown_callers: 1.0, ..State::default() },
             terms,
         }
     }
@@ -760,8 +760,9 @@
     }
 
     fn note_caller(&mut self, caller: u64) {
-        let stranger = !self.st.callers.iter().any(|seen| seen.contains(&caller));
-        self.st.strangers += STRANGERS_NEWEST * (f32::from(stranger) - self.st.strangers);
+        let unknown_caller = !self.st.callers.iter().any(|seen| seen.contains(&caller));
+        self.st.unknown_callers +=
+            UNKNOWN_CALLERS_NEWEST * (f32::from(unknown_caller) - self.st.unknown_callers);
         if self.st.now >= self.st.callers_turn || self.st.callers[0].len() >= MOST_CALLERS {
             self.st.callers.swap(0, 1);
             self.st.callers[0].clear();
@@ -771,15 +772,16 @@
     }
 
     /// With many callers most idle connections are never used again and fill the table, so they are closed
-    /// early. A node that drowns in unread work lets the table fill: callers that find no room cost nothing,
-    /// while each exchange that it rejects costs a read and perhaps a new connection.
+    /// early. A node that is overloaded with unread work lets the table fill: callers that find no room cost
+    /// nothing, while each exchange that it rejects costs a read and perhaps a new connection.
     fn tell_idle_limit(&mut self, actions: &mut Vec<Action>) {
         let Some(links) = self.st.gauges.connections else { return };
         let most = (self.terms.idle_limit as f32).max(IDLE_LEAST);
-        let most_links = if self.st.strangers < STRANGERS { LINKS_USED_AGAIN } else { LINKS_A_CORE };
+        let most_links =
+            if self.st.unknown_callers < UNKNOWN_CALLERS { LINKS_USED_AGAIN } else { LINKS_A_CORE };
         let crowded = links > most_links * self.terms.cores as f32;
         let next = self.st.idle_limit * if crowded { IDLE_FALL } else { IDLE_RISE };
-        let next = if self.st.read_late > DROWNING { most } else { next.clamp(IDLE_LEAST, most) };
+        let next = if self.st.read_late > OVERLOAD_READS { most } else { next.clamp(IDLE_LEAST, most) };
         if next != self.st.idle_limit {
             actions.push(Action::IdleLimit { after: (next as Tenths).min(self.terms.idle_limit) });
         }
--- a/tests/cases.rs
+++ b/tests/cases.rs
@@ -6,7 +6,7 @@
 use doortrack::logic::Door;
 use doortrack::*;
 
-/// Sends `n` strangers in one batch to a busy node; how many were rejected.
+/// Sends `n` unknown callers in one batch to a busy node; how many were rejected.
 fn denied_of(world: &mut World, n: usize) -> usize {
     let before = world.done.len();
     (0..n).for_each(|_| _ = world.arrive(0, 0, 0, None, 1.0));
@@ -57,7 +57,7 @@
     denied_of(&mut world, 19);
     world.busy = 1.0;
     world.pass(60 * MS);
-    assert_eq!(denied_of(&mut world, 1), 1, "a stranger at load 19, past T2 = 18");
+    assert_eq!(denied_of(&mut world, 1), 1, "an unknown caller at load 19, past T2 = 18");
     let (a, b) = (world.arrive(0, 5, 0, None, 1.0), world.arrive(0, 5, 0, None, 1.0));
     let c = world.arrive(0, 5, 0, None, 1.0);
     world.step();
