--- a/fleet/src/fleet.rs
+++ b/fleet/src/fleet.rs
@@ -8,13 +8,11 @@
 
 use crate::gossip::Gossip;
 use crate::probes::Probes;
-use crate::suspicion::Suspicion;
 use crate::table::{MemberIndex, Table};
 use crate::{
     Action, Change, Datagram, Event, Head, Incarnation, MAX_UPDATES, Member, MemberState, MemberUpdate,
-    Message, Name,
+    Message, Name, Parameters, View,
 };
-use crate::{Parameters, View};
 
 /// Rounds in which a node tells of itself after something about it changed.
 pub(crate) const RETRANSMISSIONS: u32 = 6;
@@ -243,152 +241,4 @@
         let datagram = Box::new(Datagram { head: self.head(incarnation), message, updates });
         out.push(Action::Send { to, datagram });
     }
-
-    // --- What is thought of members ---
-
-    /// Takes up a word on a member that holds against what was known, with all that follows.
-    pub(crate) fn take_up(
-        &mut self,
-        now: Tenths,
-        update: MemberUpdate,
-        out: &mut Vec<Action>,
-    ) -> Option<MemberIndex> {
-        let Some(index) = self.table.index_of(&update.name) else { return self.newcomer(now, update, out) };
-        let record = self.table.get_mut(index)?;
-        let old = record.update.clone();
-        let reborn = update.incarnation != old.incarnation;
-        if reborn {
-            (record.received, record.answers_in, record.slow) = (Default::default(), 0, false);
-        }
-        let was_there = old.state.is_there() && !reborn;
-        if !matches!(update.state, MemberState::Suspected { .. }) || reborn || update.version != old.version {
-            record.suspicion = None;
-        }
-        // Who left on its own word comes back as often as it likes.
-        let returns =
-            update.state.is_there() && old.state != MemberState::Left && (reborn || !old.state.is_there());
-        self.table.set(index, update.clone(), now);
-        if returns {
-            self.came_back(now, index, out);
-        }
-        self.queue_update(now, index);
-        self.told(now, index, &update, was_there.then_some(old.state), out);
-        Some(index)
-    }
-
-    /// The update of a member is queued for the others.
-    pub(crate) fn queue_update(&mut self, now: Tenths, index: MemberIndex) {
-        if let Some(record) = self.table.get(index) {
-            self.gossip.add(index, record.revision);
-            self.arm_updates(now);
-        }
-    }
-
-    fn newcomer(&mut self, now: Tenths, update: MemberUpdate, out: &mut Vec<Action>) -> Option<MemberIndex> {
-        if self.table.len() >= self.parameters.max_members {
-            out.push(Action::Report(Change::NoRoom { name: update.name }));
-            return None;
-        }
-        let index = self.table.insert(update.clone(), now);
-        self.queue_update(now, index);
-        self.told(now, index, &update, None, out);
-        Some(index)
-    }
-
-    /// What a new word means for the view and the log. `was` is how the same incarnation stood, if it was
-    /// there.
-    fn told(
-        &mut self,
-        now: Tenths,
-        index: MemberIndex,
-        update: &MemberUpdate,
-        was: Option<MemberState>,
-        out: &mut Vec<Action>,
-    ) {
-        let (name, incarnation) = (update.name.clone(), update.incarnation);
-        match update.state {
-            MemberState::Alive => {
-                let cleared = matches!(was, Some(MemberState::Suspected { .. }));
-                if was.is_none() {
-                    self.admit(now, index, out);
-                } else if cleared {
-                    out.push(Action::Report(Change::Cleared { name, incarnation }));
-                }
-            }
-            MemberState::Suspected { by } => {
-                if was.is_none() {
-                    self.admit(now, index, out);
-                }
-                self.suspected(now, index, by, out);
-            }
-            MemberState::Dead | MemberState::Left => {
-                if let Some(record) = self.table.get_mut(index) {
-                    record.held_until = None;
-                    let revision = record.revision;
-                    self.arm(now + self.parameters.forget_after, Timer::Forget(index, revision));
-                }
-                self.change_view(now, |view| view.remove(&name));
-                if was.is_some() {
-                    let left = update.state == MemberState::Left;
-                    out.push(Action::Report(if left {
-                        Change::Left { name, incarnation }
-                    } else {
-                        Change::Dead { name, incarnation }
-                    }));
-                }
-            }
-        }
-    }
-
-    fn suspected(&mut self, now: Tenths, index: MemberIndex, by: u32, out: &mut Vec<Action>) {
-        let members = self.view.members.len();
-        let Some(record) = self.table.get_mut(index) else { return };
-        let (name, incarnation) = (record.update.name.clone(), record.update.incarnation);
-        record.suspicion.get_or_insert(Suspicion::new(by, now));
-        self.arm_suspicion(now, index);
-        out.push(Action::Report(Change::Suspected { name, incarnation }));
-        // A few of all that hear of it try for themselves, however many there are.
-        let indirect_probers = self.parameters.indirect_probers as f64;
-        if by != self.mark && self.chance.f64() * members as f64 <= indirect_probers {
-            self.probe(now, index, out);
-        }
-    }
-
-    /// Somebody else's suspicion about a member that is suspected already; whether it counts.
-    pub(crate) fn confirm_suspicion(&mut self, now: Tenths, index: MemberIndex, by: u32) -> bool {
-        let Some(record) = self.table.get_mut(index) else { return false };
-        let mut update = record.update.clone();
-        let Some(suspicion) = record.suspicion.as_mut().filter(|suspicion| !suspicion.is_confirmed_by(by))
-        else {
-            return false;
-        };
-        suspicion.confirm(by);
-        self.arm_suspicion(now, index);
-        // Passed on, as it is a word of its own.
-        update.state = MemberState::Suspected { by };
-        self.table.set(index, update, now);
-        self.queue_update(now, index);
-        true
-    }
-
-    /// Sets the end of a suspicion, and two last looks before it: a word that cleared it may have passed this
-    /// node by, as updates reach all but one in some thousands.
-    pub(crate) fn arm_suspicion(&mut self, now: Tenths, index: MemberIndex) {
-        let (members, resumed_at) = (self.view.members.len(), self.resumed_at);
-        let Some(suspicion) = self.table.get(index).and_then(|record| record.suspicion) else { return };
-        let ends = suspicion.ends(&self.parameters, members, resumed_at).max(now);
-        self.arm(ends, Timer::Suspicion(index, suspicion.since));
-        let wait = self.parameters.answer_within * 3 / 2;
-        for before in [2 * wait, wait] {
-            self.arm(ends.saturating_sub(before).max(now), Timer::Look(index, suspicion.since));
-        }
-    }
-
-    pub(crate) fn change_view(&mut self, now: Tenths, change: impl FnOnce(&mut View)) {
-        let before = self.view.number;
-        change(&mut self.view);
-        if self.view.number != before {
-            self.view_since = now;
-        }
-    }
 }
--- a/fleet/src/lib.rs
+++ b/fleet/src/lib.rs
@@ -35,6 +35,7 @@
 //! Bounds: members ([`Parameters::max_members`]), probes under way, updates a datagram, datagrams a period.
 //! The cost of an event grows with the logarithm of the members at the most.
 
+mod applying;
 mod fleet;
 mod gossip;
 mod joining;
