Names: handlers, timers and variables of fleet and budgets say what they do and hold

Handlers of a message or timer are `on_...`, the timers `AckTimeout`, `ProbeTimeout` and `FinalProbe`, members that are there `present`, the smoothed time to answer `response_time`; in `budgets` a node `follow`s a leader and a voter `start`s or `abandon`s an election. Variables named `of` and `what` are named for what they hold. No behaviour changes.

--- a/budgets/src/account.rs
+++ b/budgets/src/account.rs
@@ -136,7 +136,7 @@
             }
             line.last_seq = seq;
             let before = line.outstanding(parameters);
-            line.sent.retain(|(of, _)| *of > item.accepted);
+            line.sent.retain(|(seq, _)| *seq > item.accepted);
             line.holding = item.holding.min(book.budget.limit());
             (line.need, line.limit, line.reserved) = (item.need, item.limit, item.reserved);
             line.till =
--- a/budgets/src/allocation.rs
+++ b/budgets/src/allocation.rs
@@ -59,7 +59,7 @@
             ran_out: None,
             rejected: 0,
         };
-        allocation.bound();
+        allocation.apply_cap();
         allocation
     }
 
@@ -69,16 +69,16 @@
         // A lower limit holds at once for what this node may use.
         self.leased = self.leased.min(budget.grantable(budget.limit(), budget.reserved()));
         self.budget = budget;
-        self.bound();
+        self.apply_cap();
     }
 
     /// Nothing of it may be used any more.
-    pub fn shut(&mut self) {
+    pub fn close(&mut self) {
         (self.reserved, self.leased, self.till) = (0, 0, 0);
-        self.bound();
+        self.apply_cap();
     }
 
-    fn bound(&mut self) {
+    fn apply_cap(&mut self) {
         let (usable, limit) = (self.reserved + self.leased, self.budget.limit());
         if let (Uses::Rate { tokens, cap, .. }, Kind::Rate { burst }) = (&mut self.uses, self.budget.kind) {
             let all = u128::from(burst) * u128::from(TOKEN);
@@ -93,7 +93,7 @@
             self.count(self.till, parameters);
             self.ran_out = Some(self.leased);
             self.leased = 0;
-            self.bound();
+            self.apply_cap();
         }
         self.count(now, parameters);
     }
@@ -196,7 +196,7 @@
         self.leased =
             grant.allocation.min(max).min(self.budget.grantable(self.budget.limit(), self.budget.reserved()));
         (self.till, self.accepted, self.ran_out) = (till, seq, None);
-        self.bound();
+        self.apply_cap();
         (was, self.leased)
     }
 
--- a/budgets/src/budgets.rs
+++ b/budgets/src/budgets.rs
@@ -36,7 +36,7 @@
     pub(crate) voters: BTreeMap<Name, Incarnation>,
     pub(crate) leader: Option<NodeId>,
     /// Answers to reports before this are those of an earlier leader.
-    bound_since: u64,
+    following_since: u64,
     seq: u64,
     sent: VecDeque<(u64, Tenths)>,
     report_at: Tenths,
@@ -77,7 +77,7 @@
             accounts: Accounts::default(),
             voters: BTreeMap::new(),
             leader: None,
-            bound_since: 0,
+            following_since: 0,
             seq: 0,
             sent: VecDeque::new(),
             report_at: now,
@@ -122,7 +122,7 @@
         }
         match event {
             Event::Tick => self.on_tick(now, out),
-            Event::Received(envelope) => self.received(now, envelope, out),
+            Event::Received(envelope) => self.on_envelope(now, envelope, out),
             Event::Members(view) => {
                 let seen =
                     |name: &Name| view.members.get(name).map(|member| (name.clone(), member.incarnation));
@@ -138,12 +138,12 @@
             }
             Event::Superseded => {
                 self.superseded = true;
-                self.allocations.iter_mut().for_each(Allocation::shut);
+                self.allocations.iter_mut().for_each(Allocation::close);
             }
             Event::Changed { list } => self.change(now, list),
         }
         while let Some(envelope) = self.local.pop_front() {
-            self.received(now, envelope, out);
+            self.on_envelope(now, envelope, out);
         }
     }
 
@@ -151,8 +151,9 @@
         let mut old: Vec<Option<Allocation>> =
             std::mem::take(&mut self.allocations).into_iter().map(Some).collect();
         for budget in list {
-            let same =
-                |of: &&mut Option<Allocation>| of.as_ref().is_some_and(|of| of.budget.id() == budget.id());
+            let same = |old: &&mut Option<Allocation>| {
+                old.as_ref().is_some_and(|old| old.budget.id() == budget.id())
+            };
             let allocation = match old.iter_mut().find(same).and_then(Option::take) {
                 Some(mut allocation) => {
                     allocation.change(budget, &self.me.name);
@@ -227,11 +228,11 @@
         if envelope.to == self.me { self.local.push_back(envelope) } else { out.push(Action::Send(envelope)) }
     }
 
-    pub(crate) fn bind(&mut self, to: Option<NodeId>, out: &mut Vec<Action>) {
+    pub(crate) fn follow(&mut self, to: Option<NodeId>, out: &mut Vec<Action>) {
         if to == self.leader {
             return;
         }
-        self.bound_since = self.seq + 1;
+        self.following_since = self.seq + 1;
         self.silent = 0;
         if let Some(leader) = &to {
             out.push(Action::Report(Change::Leader(leader.clone())));
@@ -239,7 +240,7 @@
         self.leader = to;
     }
 
-    fn received(&mut self, now: Tenths, envelope: Envelope, out: &mut Vec<Action>) {
+    fn on_envelope(&mut self, now: Tenths, envelope: Envelope, out: &mut Vec<Action>) {
         if envelope.to != self.me {
             return;
         }
@@ -249,24 +250,28 @@
             Message::Elsewhere { seq, leader } => {
                 let known = leader.is_some() && leader != self.leader;
                 // What one that is asked knows counts where no leader answers; the leader's own word always.
-                if seq >= self.bound_since && (self.leader.is_none() || self.leader.as_ref() == Some(&from)) {
-                    self.bind(leader, out);
+                if seq >= self.following_since
+                    && (self.leader.is_none() || self.leader.as_ref() == Some(&from))
+                {
+                    self.follow(leader, out);
                     if known {
                         let all: Vec<usize> = (0..self.allocations.len()).collect();
                         self.report(now, &all, false, out);
                     }
                 }
             }
-            message => self.received_by_voter(now, from, message, out),
+            message => self.on_voter_message(now, from, message, out),
         }
     }
 
     fn on_grant(&mut self, now: Tenths, from: &NodeId, seq: u64, grants: &[Grant], out: &mut Vec<Action>) {
         let in_order = self.parameters.safeguards.in_order;
-        if self.leader.as_ref() != Some(from) || (in_order && seq < self.bound_since) {
+        if self.leader.as_ref() != Some(from) || (in_order && seq < self.following_since) {
             return;
         }
-        let Some((_, sent)) = self.sent.iter().find(|(of, _)| *of == seq).copied() else { return };
+        let Some((_, sent)) = self.sent.iter().find(|(sent_seq, _)| *sent_seq == seq).copied() else {
+            return;
+        };
         let till = sent + self.parameters.surely(self.parameters.lease);
         self.silent = 0;
         if till <= now && self.parameters.safeguards.run_out {
@@ -275,11 +280,11 @@
         let mut lowered = Vec::new();
         for grant in grants {
             let Some(index) = self.indices.get(&grant.id).copied() else { continue };
-            let of = &mut self.allocations[index];
-            if seq <= of.accepted && in_order {
+            let allocation = &mut self.allocations[index];
+            if seq <= allocation.accepted && in_order {
                 continue;
             }
-            let (was, is) = of.apply_grant(now, seq, *grant, till, &self.parameters);
+            let (was, is) = allocation.apply_grant(now, seq, *grant, till, &self.parameters);
             if was != is {
                 let lasts = till.saturating_sub(now);
                 out.push(Action::Report(Change::Allocation { index, was, allocation: is, lasts }));
--- a/budgets/src/divide.rs
+++ b/budgets/src/divide.rs
@@ -17,8 +17,8 @@
 pub fn divide(limit: Units, step: Units, asks: &[Asks], rotation: u64) -> Vec<Units> {
     let step = step.max(1);
     let steps = limit / step;
-    let needs: Vec<Units> = asks.iter().map(|of| of.need.min(of.max).div_ceil(step)).collect();
-    let maxima: Vec<Units> = asks.iter().map(|of| of.max / step).collect();
+    let needs: Vec<Units> = asks.iter().map(|holder| holder.need.min(holder.max).div_ceil(step)).collect();
+    let maxima: Vec<Units> = asks.iter().map(|holder| holder.max / step).collect();
     let needs: Vec<Units> = needs.iter().zip(&maxima).map(|(need, max)| *need.min(max)).collect();
     let mut allocations = level(steps, asks, &needs, rotation);
     let left = steps - allocations.iter().sum::<Units>();
@@ -33,33 +33,34 @@
 
 /// Fills all up to one level by weight, each to its bound at the most.
 fn level(limit: Units, asks: &[Asks], bounds: &[Units], rotation: u64) -> Vec<Units> {
-    let weight = |of: usize| u128::from(asks[of].weight.max(1));
+    let weight = |holder: usize| u128::from(asks[holder].weight.max(1));
     // By bound for the weight: who needs least for its weight is filled first.
-    let mut order: Vec<usize> = (0..asks.len()).filter(|of| bounds[*of] > 0).collect();
+    let mut order: Vec<usize> = (0..asks.len()).filter(|holder| bounds[*holder] > 0).collect();
     order.sort_by(|a, b| {
-        let (one, other) = (u128::from(bounds[*a]) * weight(*b), u128::from(bounds[*b]) * weight(*a));
-        one.cmp(&other).then(a.cmp(b))
+        let (first, second) = (u128::from(bounds[*a]) * weight(*b), u128::from(bounds[*b]) * weight(*a));
+        first.cmp(&second).then(a.cmp(b))
     });
     let mut allocations = vec![0; asks.len()];
-    let mut weights: u128 = order.iter().map(|of| weight(*of)).sum();
+    let mut weights: u128 = order.iter().map(|holder| weight(*holder)).sum();
     let mut left = limit;
-    for (nth, of) in order.iter().enumerate() {
-        let fair = u128::from(left) * weight(*of) / weights.max(1);
-        if u128::from(bounds[*of]) > fair {
+    for (nth, holder) in order.iter().enumerate() {
+        let fair = u128::from(left) * weight(*holder) / weights.max(1);
+        if u128::from(bounds[*holder]) > fair {
             // From here on nobody is filled: all get what is fair of the rest.
             let rest = &order[nth..];
-            for of in rest {
-                allocations[*of] = ((u128::from(left) * weight(*of) / weights) as Units).min(bounds[*of]);
+            for holder in rest {
+                allocations[*holder] =
+                    ((u128::from(left) * weight(*holder) / weights) as Units).min(bounds[*holder]);
             }
-            left -= rest.iter().map(|of| allocations[*of]).sum::<Units>();
+            left -= rest.iter().map(|holder| allocations[*holder]).sum::<Units>();
             break;
         }
-        allocations[*of] = bounds[*of];
-        left -= bounds[*of];
-        weights -= weight(*of);
+        allocations[*holder] = bounds[*holder];
+        left -= bounds[*holder];
+        weights -= weight(*holder);
     }
     // Single steps, from an index that moves on.
-    let open: Vec<usize> = (0..asks.len()).filter(|of| allocations[*of] < bounds[*of]).collect();
+    let open: Vec<usize> = (0..asks.len()).filter(|holder| allocations[*holder] < bounds[*holder]).collect();
     if !open.is_empty() {
         let from = (rotation % open.len() as u64) as usize;
         for nth in 0..open.len().min(left as usize) {
--- a/budgets/src/leadership.rs
+++ b/budgets/src/leadership.rs
@@ -29,7 +29,7 @@
     }
 
     pub fn vote(&mut self, from: &Name, ballot: u64, parameters: &Parameters) {
-        let Some((_, sent)) = self.asked.iter().find(|(of, _)| *of == ballot) else { return };
+        let Some((_, sent)) = self.asked.iter().find(|(asked, _)| *asked == ballot) else { return };
         let till = sent + parameters.surely(parameters.vote_lasts);
         let known = self.votes.entry(from.clone()).or_default();
         *known = till.max(*known);
@@ -88,8 +88,8 @@
     /// What time brings to a voter.
     pub(crate) fn leadership_tick(&mut self, now: Tenths, out: &mut Vec<Action>) {
         match &self.leadership {
-            Leadership::Follower { try_at } if now >= *try_at => self.seek(now, out),
-            Leadership::Candidate { till, .. } if now >= *till => self.give_up(now, out),
+            Leadership::Follower { try_at } if now >= *try_at => self.start_election(now, out),
+            Leadership::Candidate { till, .. } if now >= *till => self.abandon_election(now, out),
             Leadership::Leader(term) => {
                 if now >= term.election.till(&self.parameters) {
                     // Another may be leader by now.
@@ -108,7 +108,7 @@
         }
     }
 
-    fn seek(&mut self, now: Tenths, out: &mut Vec<Action>) {
+    fn start_election(&mut self, now: Tenths, out: &mut Vec<Action>) {
         let jitter = self.random(self.parameters.round);
         let free_at = self.voter.as_ref().map_or(Tenths::MAX, Voter::free_at);
         if self.voters.len() < self.parameters.majority() || free_at > now {
@@ -154,7 +154,7 @@
     }
 
     /// Too few votes: they are given back, so that another may have them.
-    fn give_up(&mut self, now: Tenths, out: &mut Vec<Action>) {
+    fn abandon_election(&mut self, now: Tenths, out: &mut Vec<Action>) {
         self.release_votes(out);
         let wait = self.parameters.round / 2 + self.random(2 * self.parameters.round);
         self.leadership = Leadership::Follower { try_at: now + wait };
@@ -163,7 +163,7 @@
     fn step_down(&mut self, now: Tenths, out: &mut Vec<Action>) {
         self.leadership = Leadership::Follower { try_at: now + self.parameters.round };
         self.accounts = Accounts::default();
-        self.bind(None, out);
+        self.follow(None, out);
         out.push(Action::Report(Change::SteppedDown));
     }
 
@@ -177,7 +177,7 @@
         self.leadership = Leadership::Follower { try_at: Tenths::MAX };
     }
 
-    fn voted(&mut self, now: Tenths, from: &NodeId, ballot: u64, out: &mut Vec<Action>) {
+    fn on_vote(&mut self, now: Tenths, from: &NodeId, ballot: u64, out: &mut Vec<Action>) {
         match &mut self.leadership {
             Leadership::Follower { .. } => {}
             Leadership::Leader(term) => term.election.vote(&from.name, ballot, &self.parameters),
@@ -193,14 +193,14 @@
                     let grants_after =
                         if self.parameters.safeguards.settle { self.parameters.lease } else { 0 };
                     out.push(Action::Report(Change::Elected { grants_after }));
-                    self.bind(Some(self.me.clone()), out);
+                    self.follow(Some(self.me.clone()), out);
                 }
             }
         }
     }
 
     /// What concerns voters, candidates and leaders.
-    pub(crate) fn received_by_voter(
+    pub(crate) fn on_voter_message(
         &mut self,
         now: Tenths,
         from: NodeId,
@@ -216,7 +216,7 @@
                 self.send(from, answer, out);
             }
             Message::Vote { ballot } if self.parameters.voters.contains(&from.name) => {
-                self.voted(now, &from, ballot, out);
+                self.on_vote(now, &from, ballot, out);
             }
             Message::Release { ballot } => {
                 let released = self.voter.as_mut().is_some_and(|voter| voter.release(&from, ballot));
@@ -229,12 +229,12 @@
                     *at = try_at.min(*at);
                 }
             }
-            Message::Report { seq, weight, items } => self.reported(now, from, (seq, weight), &items, out),
+            Message::Report { seq, weight, items } => self.on_report(now, from, (seq, weight), &items, out),
             _ => {}
         }
     }
 
-    fn reported(
+    fn on_report(
         &mut self,
         now: Tenths,
         from: NodeId,
--- a/budgets/src/parameters.rs
+++ b/budgets/src/parameters.rs
@@ -78,12 +78,12 @@
     }
 
     /// The most that one node may be granted.
-    pub fn max_grant(&self, of: &str) -> Units {
-        (Units::from(self.max_per_node) * self.scale()).saturating_sub(self.reserved_at(of))
+    pub fn max_grant(&self, name: &str) -> Units {
+        (Units::from(self.max_per_node) * self.scale()).saturating_sub(self.reserved_at(name))
     }
 
     pub fn reserved_at(&self, name: &str) -> Units {
-        if self.reserved_for.iter().any(|of| **of == *name) { self.reserved() } else { 0 }
+        if self.reserved_for.iter().any(|node| **node == *name) { self.reserved() } else { 0 }
     }
 
     /// Allocations are multiples of this: a smaller one has no whole unit of the burst, and can't be used.
--- a/fleet/src/applying.rs
+++ b/fleet/src/applying.rs
@@ -9,32 +9,36 @@
 
 impl Fleet {
     /// Takes up a word on a member that holds against what was known, with all that follows.
-    pub(crate) fn take_up(
+    pub(crate) fn apply(
         &mut self,
         now: Tenths,
         update: MemberUpdate,
         out: &mut Vec<Action>,
     ) -> Option<MemberIndex> {
-        let Some(index) = self.table.index_of(&update.name) else { return self.newcomer(now, update, out) };
+        let Some(index) = self.table.index_of(&update.name) else { return self.add_member(now, update, out) };
         let record = self.table.get_mut(index)?;
         let old = record.update.clone();
-        let reborn = update.incarnation != old.incarnation;
-        if reborn {
-            (record.received, record.answers_in, record.slow) = (Default::default(), 0, false);
+        let restarted = update.incarnation != old.incarnation;
+        if restarted {
+            (record.received, record.response_time, record.slow) = (Default::default(), 0, false);
         }
-        let was_there = old.state.is_there() && !reborn;
-        if !matches!(update.state, MemberState::Suspected { .. }) || reborn || update.version != old.version {
+        let was_present = old.state.is_present() && !restarted;
+        if !matches!(update.state, MemberState::Suspected { .. })
+            || restarted
+            || update.version != old.version
+        {
             record.suspicion = None;
         }
         // Who left on its own word comes back as often as it likes.
-        let returns =
-            update.state.is_there() && old.state != MemberState::Left && (reborn || !old.state.is_there());
+        let returns = update.state.is_present()
+            && old.state != MemberState::Left
+            && (restarted || !old.state.is_present());
         self.table.set(index, update.clone(), now);
         if returns {
-            self.came_back(now, index, out);
+            self.note_return(now, index, out);
         }
         self.queue_update(now, index);
-        self.told(now, index, &update, was_there.then_some(old.state), out);
+        self.follow_state(now, index, &update, was_present.then_some(old.state), out);
         Some(index)
     }
 
@@ -46,20 +50,25 @@
         }
     }
 
-    fn newcomer(&mut self, now: Tenths, update: MemberUpdate, out: &mut Vec<Action>) -> Option<MemberIndex> {
+    fn add_member(
+        &mut self,
+        now: Tenths,
+        update: MemberUpdate,
+        out: &mut Vec<Action>,
+    ) -> Option<MemberIndex> {
         if self.table.len() >= self.parameters.max_members {
             out.push(Action::Report(Change::NoRoom { name: update.name }));
             return None;
         }
         let index = self.table.insert(update.clone(), now);
         self.queue_update(now, index);
-        self.told(now, index, &update, None, out);
+        self.follow_state(now, index, &update, None, out);
         Some(index)
     }
 
     /// What a new word means for the view and the log. `was` is how the same incarnation stood, if it was
     /// there.
-    fn told(
+    fn follow_state(
         &mut self,
         now: Tenths,
         index: MemberIndex,
@@ -142,7 +151,7 @@
         self.arm(ends, Timer::Suspicion(index, suspicion.since));
         let wait = self.parameters.answer_within * 3 / 2;
         for before in [2 * wait, wait] {
-            self.arm(ends.saturating_sub(before).max(now), Timer::Look(index, suspicion.since));
+            self.arm(ends.saturating_sub(before).max(now), Timer::FinalProbe(index, suspicion.since));
         }
     }
 
--- a/fleet/src/fleet.rs
+++ b/fleet/src/fleet.rs
@@ -33,13 +33,13 @@
 pub(crate) enum Timer {
     Period,
     /// No direct answer yet: ask indirect probers.
-    Wait(u32),
+    AckTimeout(u32),
     /// No answer at all.
-    Over(u32),
+    ProbeTimeout(u32),
     /// A suspicion of this member that began then.
     Suspicion(MemberIndex, Tenths),
     /// A last look at one that is about to be declared dead.
-    Look(MemberIndex, Tenths),
+    FinalProbe(MemberIndex, Tenths),
     Admit(MemberIndex),
     PendingUpdates,
     JoinRequest,
@@ -50,7 +50,7 @@
 /// A table that is being fetched from another, page by page.
 #[derive(Clone, Debug)]
 pub(crate) struct Fetch {
-    pub of: Name,
+    pub from: Name,
     pub till: Tenths,
 }
 
@@ -151,8 +151,8 @@
         }
         match event {
             Event::Tick => self.on_tick(now, out),
-            Event::Received { from, datagram } => self.received(now, from, datagram, out),
-            Event::Leave => self.leave(now, out),
+            Event::Received { from, datagram } => self.on_datagram(now, from, datagram, out),
+            Event::Leave => self.on_leave(now, out),
             Event::Changed { parameters } => {
                 self.parameters = *parameters;
             }
@@ -221,10 +221,13 @@
             updates.push(record.update.clone());
         }
         let (table, members) = (&self.table, self.view.members.len());
-        let current =
-            |index: MemberIndex, revision: u32| table.get(index).is_some_and(|of| of.revision == revision);
+        let current = |index: MemberIndex, revision: u32| {
+            table.get(index).is_some_and(|record| record.revision == revision)
+        };
         self.gossip.next_updates(MAX_UPDATES - updates.len(), members, current, &mut indices);
-        updates.extend(indices.iter().filter_map(|index| self.table.get(*index)).map(|of| of.update.clone()));
+        updates.extend(
+            indices.iter().filter_map(|index| self.table.get(*index)).map(|record| record.update.clone()),
+        );
         let datagram = Box::new(Datagram { head: self.head(incarnation), message, updates });
         out.push(Action::Send { to, datagram });
     }
--- a/fleet/src/joining.rs
+++ b/fleet/src/joining.rs
@@ -22,11 +22,11 @@
     /// and at seeds alone while nobody answers.
     pub(crate) fn send_join_requests(&mut self, out: &mut Vec<Action>) {
         self.join_requests = self.join_requests.saturating_add(1);
-        let lonely = self.stage == Stage::Joining || self.isolated || self.table.there() == 0;
+        let alone = self.stage == Stage::Joining || self.isolated || self.table.present() == 0;
         // All started at once, nodes find together in islands at first.
         let often = self.join_requests <= EARLY_JOIN_REQUESTS
             || self.join_requests.is_multiple_of(LATER_REQUESTS_EVERY);
-        let max = if lonely || self.join_requests <= EARLY_JOIN_REQUESTS {
+        let max = if alone || self.join_requests <= EARLY_JOIN_REQUESTS {
             MAX_SEEDS_AT_ONCE
         } else {
             usize::from(often)
@@ -47,7 +47,12 @@
 
     /// Answers a join request, or goes on with the table. Nothing is thought of who merely asks: it may
     /// be an old datagram. It is a member once it speaks to this incarnation.
-    pub(crate) fn page(&mut self, to: &MemberUpdate, after: Option<&crate::Name>, out: &mut Vec<Action>) {
+    pub(crate) fn send_page(
+        &mut self,
+        to: &MemberUpdate,
+        after: Option<&crate::Name>,
+        out: &mut Vec<Action>,
+    ) {
         let (mut updates, mut bytes, mut next) = (Vec::new(), 0, None);
         for record in self.table.after(after) {
             if bytes > PAGE {
@@ -62,7 +67,9 @@
 
     /// A member is in the view from here on, unless it is held back.
     pub(crate) fn admit(&mut self, now: Tenths, index: MemberIndex, out: &mut Vec<Action>) {
-        let Some(record) = self.table.get_mut(index).filter(|of| of.update.state.is_there()) else { return };
+        let Some(record) = self.table.get_mut(index).filter(|record| record.update.state.is_present()) else {
+            return;
+        };
         if record.held_until.is_some_and(|till| till > now) {
             return;
         }
@@ -76,7 +83,7 @@
 
     /// Counts that a member came back, and holds it back if it does so again and again. The first return is
     /// free, as after a restart or a broken link.
-    pub(crate) fn came_back(&mut self, now: Tenths, index: MemberIndex, out: &mut Vec<Action>) {
+    pub(crate) fn note_return(&mut self, now: Tenths, index: MemberIndex, out: &mut Vec<Action>) {
         let (first, max) = (self.parameters.hold_first, self.parameters.hold_max);
         let Some(record) = self.table.get_mut(index) else { return };
         if record.returned_at + 2 * max < now {
@@ -96,7 +103,7 @@
     }
 
     /// Says that it leaves, at once and in some rounds more.
-    pub(crate) fn leave(&mut self, now: Tenths, out: &mut Vec<Action>) {
+    pub(crate) fn on_leave(&mut self, now: Tenths, out: &mut Vec<Action>) {
         if self.stage == Stage::Leaving {
             return;
         }
@@ -109,7 +116,7 @@
     }
 
     /// A word on this node's own name.
-    pub(crate) fn on_myself(
+    pub(crate) fn on_own_name(
         &mut self,
         now: Tenths,
         update: &MemberUpdate,
@@ -140,7 +147,7 @@
                 }
             }
         } else if self.stage == Stage::Joining
-            || !update.state.is_there()
+            || !update.state.is_present()
             || update.address == self.me.address
         {
             // That incarnation is over, as only this process is where it was, or this one joins after it.
--- a/fleet/src/receiving.rs
+++ b/fleet/src/receiving.rs
@@ -15,7 +15,7 @@
 const MAX_UPDATES_READ: usize = 64;
 
 impl Fleet {
-    pub(crate) fn received(
+    pub(crate) fn on_datagram(
         &mut self,
         now: Tenths,
         _from: SocketAddr,
@@ -29,7 +29,7 @@
             return;
         }
         if head.sender.name == self.me.name {
-            return self.on_myself(now, &head.sender, true, out);
+            return self.on_own_name(now, &head.sender, true, out);
         }
         if message == Message::Join && head.to == Incarnation(0) {
             if head.digest == self.view.digest {
@@ -37,7 +37,7 @@
                 let (to, incarnation) = (head.sender.address, head.sender.incarnation);
                 return self.send_to(to, incarnation, Message::Page { next: None }, Vec::new(), out);
             }
-            return self.page(&head.sender, None, out);
+            return self.send_page(&head.sender, None, out);
         }
         if head.to != self.me.incarnation {
             // Meant for an earlier incarnation, or very old: the sender learns of this one, nothing else is
@@ -65,8 +65,8 @@
             Message::Page { .. } if head.digest == self.view.digest => Message::Page { next: None },
             message => message,
         };
-        self.act_on(now, index, message, out);
-        self.compare(now, index, &head, out);
+        self.handle_message(now, index, message, out);
+        self.compare_views(now, index, &head, out);
     }
 
     /// What it means that this member spoke to this incarnation: its index, if it is to be listened to.
@@ -74,11 +74,11 @@
         &mut self,
         now: Tenths,
         head: &Head,
-        what: &Message,
+        message: &Message,
         out: &mut Vec<Action>,
     ) -> Option<MemberIndex> {
         let Some(index) = self.table.index_of(&head.sender.name) else {
-            let index = self.take_up(now, head.sender.clone(), out)?;
+            let index = self.apply(now, head.sender.clone(), out)?;
             self.table.get_mut(index)?.received.is_first(head.nth);
             return Some(index).filter(|_| head.sender.state != MemberState::Left);
         };
@@ -90,7 +90,7 @@
             return None;
         }
         if head.sender.overrides(&known) {
-            self.take_up(now, head.sender.clone(), out);
+            self.apply(now, head.sender.clone(), out);
         }
         let record = self.table.get_mut(index)?;
         if !record.received.is_first(head.nth) {
@@ -103,7 +103,7 @@
             // It is alive, but only its own later version says so to all. Pings are answered with the
             // suspicion anyway.
             MemberState::Suspected { .. } | MemberState::Dead => {
-                if !matches!(what, Message::Ping { .. }) {
+                if !matches!(message, Message::Ping { .. }) {
                     self.send(index, Message::Updates, out);
                 }
             }
@@ -118,25 +118,25 @@
             return;
         }
         if update.name == self.me.name {
-            return self.on_myself(now, &update, false, out);
+            return self.on_own_name(now, &update, false, out);
         }
         let Some(index) = self.table.index_of(&update.name) else {
             // Of one never heard of, only that it is there is worth knowing.
-            if update.state.is_there() {
-                self.take_up(now, update, out);
+            if update.state.is_present() {
+                self.apply(now, update, out);
             }
             return;
         };
         let Some(known) = self.table.get(index).map(|record| &record.update) else { return };
         let same = update.incarnation == known.incarnation && update.version == known.version;
-        if update.state == MemberState::Dead && known.state.is_there() && update.overrides(known) {
+        if update.state == MemberState::Dead && known.state.is_present() && update.overrides(known) {
             return self.reported_dead(now, index, update, out);
         }
         match (update.state, known.state) {
             (MemberState::Suspected { by }, MemberState::Suspected { .. }) if same => {
                 self.confirm_suspicion(now, index, by);
             }
-            _ if update.overrides(known) => _ = self.take_up(now, update, out),
+            _ if update.overrides(known) => _ = self.apply(now, update, out),
             _ => {}
         }
     }
@@ -154,7 +154,7 @@
         let suspected = MemberUpdate { state, ..update };
         let known = self.table.get(index).is_some_and(|record| suspected.overrides(&record.update));
         if known {
-            self.take_up(now, suspected, out);
+            self.apply(now, suspected, out);
             self.send(index, Message::Updates, out);
         }
         let Some(suspicion) = self.table.get_mut(index).and_then(|record| record.suspicion.as_mut()) else {
@@ -165,40 +165,40 @@
         }
     }
 
-    fn act_on(&mut self, now: Tenths, index: MemberIndex, message: Message, out: &mut Vec<Action>) {
+    fn handle_message(&mut self, now: Tenths, index: MemberIndex, message: Message, out: &mut Vec<Action>) {
         match message {
             Message::Ping { nonce } => self.send(index, Message::Ack { nonce }, out),
-            Message::Ack { nonce } => self.answered(now, nonce, out),
+            Message::Ack { nonce } => self.on_ack(now, nonce, out),
             Message::PingRequest { nonce, name, incarnation } => {
-                let of = self.table.index_of(&name).filter(|of| {
-                    self.table.get(*of).is_some_and(|record| record.update.incarnation == incarnation)
+                let target = self.table.index_of(&name).filter(|target| {
+                    self.table.get(*target).is_some_and(|record| record.update.incarnation == incarnation)
                 });
                 let asker = self.table.get(index).map(|record| record.update.name.clone());
-                if let (Some(of), Some(asker)) = (of, asker) {
+                if let (Some(target), Some(asker)) = (target, asker) {
                     let own = self.chance.u32(..);
                     self.probes.begin_indirect(IndirectProbe { nonce: own, asker, asker_nonce: nonce });
-                    self.send(of, Message::Ping { nonce: own }, out);
+                    self.send(target, Message::Ping { nonce: own }, out);
                 }
             }
             Message::Ask { after } => {
                 if let Some(update) = self.table.get(index).map(|record| record.update.clone()) {
-                    self.page(&update, after.as_ref(), out);
+                    self.send_page(&update, after.as_ref(), out);
                 }
             }
-            Message::Page { next } => self.fetched(now, index, next, out),
+            Message::Page { next } => self.on_page(now, index, next, out),
             Message::Join | Message::Updates => {}
         }
     }
 
-    fn answered(&mut self, now: Tenths, nonce: u32, out: &mut Vec<Action>) {
+    fn on_ack(&mut self, now: Tenths, nonce: u32, out: &mut Vec<Action>) {
         match self.probes.answered(nonce) {
             Answered::InTime(probe) => {
-                self.somebody_answers(now, out);
-                self.took(now, probe, out);
+                self.note_answer(now, out);
+                self.note_response_time(now, probe, out);
             }
             Answered::Late(probe) => {
-                self.somebody_answers(now, out);
-                self.took(now, probe, out);
+                self.note_answer(now, out);
+                self.note_response_time(now, probe, out);
                 // It is alive, only late: what suspicion there is begins anew, until its own word ends it.
                 let suspicion = self.table.get_mut(probe.index).and_then(|record| record.suspicion.as_mut());
                 if let Some(suspicion) = suspicion {
@@ -216,7 +216,7 @@
     }
 
     /// How long a member took to answer; one that takes long is waited for longer.
-    fn took(&mut self, now: Tenths, probe: Probe, out: &mut Vec<Action>) {
+    fn note_response_time(&mut self, now: Tenths, probe: Probe, out: &mut Vec<Action>) {
         let late = 3 * self.parameters.answer_within;
         let Some(record) = self.table.get_mut(probe.index) else { return };
         if record.update.incarnation != probe.incarnation {
@@ -224,16 +224,17 @@
         }
         let took = now.saturating_sub(probe.began).max(1);
         // Up at once, down slowly: a wait too short makes suspicions.
-        record.answers_in = if took > record.answers_in { took } else { (record.answers_in * 7 + took) / 8 };
-        let slow = if record.slow { record.answers_in > late / 2 } else { record.answers_in > late };
+        record.response_time =
+            if took > record.response_time { took } else { (record.response_time * 7 + took) / 8 };
+        let slow = if record.slow { record.response_time > late / 2 } else { record.response_time > late };
         if slow && !record.slow {
             let (name, incarnation) = (record.update.name.clone(), record.update.incarnation);
-            out.push(Action::Report(Change::Slow { name, incarnation, after: record.answers_in }));
+            out.push(Action::Report(Change::Slow { name, incarnation, after: record.response_time }));
         }
         record.slow = slow;
     }
 
-    fn somebody_answers(&mut self, now: Tenths, out: &mut Vec<Action>) {
+    fn note_answer(&mut self, now: Tenths, out: &mut Vec<Action>) {
         self.answered = true;
         self.silent = 0;
         if self.suspects_nobody() {
@@ -248,7 +249,7 @@
     // --- Finding out what the other knows ---
 
     /// A member that rests on another view than this node for a while: its table is fetched.
-    fn compare(&mut self, now: Tenths, index: MemberIndex, head: &Head, out: &mut Vec<Action>) {
+    fn compare_views(&mut self, now: Tenths, index: MemberIndex, head: &Head, out: &mut Vec<Action>) {
         let calm = 4 * self.parameters.gossip_interval;
         if head.digest == self.view.digest || now < self.view_since + calm {
             return;
@@ -256,18 +257,18 @@
         if self.fetch.as_ref().is_some_and(|fetch| fetch.till > now) || now < self.fetched_at + 5 * calm {
             return;
         }
-        self.fetch = Some(Fetch { of: head.sender.name.clone(), till: now + 5 * calm });
+        self.fetch = Some(Fetch { from: head.sender.name.clone(), till: now + 5 * calm });
         self.fetched_at = now;
         self.send(index, Message::Ask { after: None }, out);
     }
 
     /// A page came: on with the next, if it is of the table that is being fetched or joined by.
-    fn fetched(&mut self, now: Tenths, index: MemberIndex, next: Option<crate::Name>, out: &mut Vec<Action>) {
+    fn on_page(&mut self, now: Tenths, index: MemberIndex, next: Option<crate::Name>, out: &mut Vec<Action>) {
         let Some(name) = self.table.get(index).map(|record| record.update.name.clone()) else { return };
         match (&self.fetch, next) {
-            (Some(fetch), _) if fetch.of != name && fetch.till > now => {}
+            (Some(fetch), _) if fetch.from != name && fetch.till > now => {}
             (_, Some(next)) => {
-                self.fetch = Some(Fetch { of: name, till: now + 20 * self.parameters.gossip_interval });
+                self.fetch = Some(Fetch { from: name, till: now + 20 * self.parameters.gossip_interval });
                 self.send(index, Message::Ask { after: Some(next) }, out);
             }
             (_, None) => self.fetch = None,
--- a/fleet/src/table.rs
+++ b/fleet/src/table.rs
@@ -48,7 +48,7 @@
     pub since: Tenths,
     pub received: Received,
     /// Smoothed time to answer; 0 before the first answer.
-    pub answers_in: Tenths,
+    pub response_time: Tenths,
     pub slow: bool,
     pub suspicion: Option<Suspicion>,
     /// Times that it came back from being dead, and when last.
@@ -67,7 +67,7 @@
             revision: 0,
             since: now,
             received: Received::default(),
-            answers_in: 0,
+            response_time: 0,
             slow: false,
             suspicion: None,
             returns: 0,
@@ -85,9 +85,9 @@
     slots: Vec<Option<MemberRecord>>,
     free: Vec<MemberIndex>,
     by_name: BTreeMap<Name, MemberIndex>,
-    there: Vec<MemberIndex>,
+    present: Vec<MemberIndex>,
     dead: Vec<MemberIndex>,
-    /// How many of `there` have had their turn in this round of probes.
+    /// How many of `present` have had their turn in this round of probes.
     probed: usize,
 }
 
@@ -96,8 +96,8 @@
         self.by_name.len()
     }
 
-    pub fn there(&self) -> usize {
-        self.there.len()
+    pub fn present(&self) -> usize {
+        self.present.len()
     }
 
     pub fn index_of(&self, name: &str) -> Option<MemberIndex> {
@@ -149,7 +149,7 @@
         }
         record.update = update;
         record.revision = record.revision.wrapping_add(1);
-        let kind = |state: MemberState| (state.is_there(), state == MemberState::Dead);
+        let kind = |state: MemberState| (state.is_present(), state == MemberState::Dead);
         if kind(before) != kind(after) {
             self.unlist(index, before);
             self.list(index, after);
@@ -158,7 +158,7 @@
 
     fn list(&mut self, index: MemberIndex, state: MemberState) {
         let list = match state {
-            MemberState::Alive | MemberState::Suspected { .. } => &mut self.there,
+            MemberState::Alive | MemberState::Suspected { .. } => &mut self.present,
             MemberState::Dead => &mut self.dead,
             MemberState::Left => return,
         };
@@ -171,7 +171,7 @@
 
     fn unlist(&mut self, index: MemberIndex, state: MemberState) {
         let Some(listed) = self.get(index).map(|record| record.listed) else { return };
-        if state.is_there() && listed < self.probed {
+        if state.is_present() && listed < self.probed {
             // The last of those that had their turn takes its place, so that the rest keep theirs.
             self.probed -= 1;
             self.swap(listed, self.probed);
@@ -182,7 +182,7 @@
 
     fn unlist_at(&mut self, listed: usize, state: MemberState) {
         let list = match state {
-            MemberState::Alive | MemberState::Suspected { .. } => &mut self.there,
+            MemberState::Alive | MemberState::Suspected { .. } => &mut self.present,
             MemberState::Dead => &mut self.dead,
             MemberState::Left => return,
         };
@@ -196,10 +196,10 @@
         }
     }
 
-    fn swap(&mut self, one: usize, other: usize) {
-        self.there.swap(one, other);
-        for listed in [one, other] {
-            let index = self.there[listed];
+    fn swap(&mut self, left: usize, right: usize) {
+        self.present.swap(left, right);
+        for listed in [left, right] {
+            let index = self.present[listed];
             if let Some(record) = self.get_mut(index) {
                 record.listed = listed;
             }
@@ -208,16 +208,16 @@
 
     /// The next to be probed: all that are there once a round, in an order that chance settles as it goes.
     pub fn next_probe(&mut self, chance: &mut fastrand::Rng) -> Option<MemberIndex> {
-        if self.there.is_empty() {
+        if self.present.is_empty() {
             return None;
         }
-        if self.probed >= self.there.len() {
+        if self.probed >= self.present.len() {
             self.probed = 0;
         }
-        let picked = chance.usize(self.probed..self.there.len());
+        let picked = chance.usize(self.probed..self.present.len());
         self.swap(picked, self.probed);
         self.probed += 1;
-        self.there.get(self.probed - 1).copied()
+        self.present.get(self.probed - 1).copied()
     }
 
     /// Up to `count` different members that are there, none of them `but`.
@@ -230,8 +230,11 @@
         let mut picked = Vec::with_capacity(count);
         // Enough draws for a small fleet too; a draw that hits one again is not made good.
         for _ in 0..count * 3 {
-            let index =
-                if self.there.is_empty() { break } else { self.there[chance.usize(..self.there.len())] };
+            let index = if self.present.is_empty() {
+                break;
+            } else {
+                self.present[chance.usize(..self.present.len())]
+            };
             if Some(index) != but && !picked.contains(&index) {
                 picked.push(index);
                 if picked.len() == count {
--- a/fleet/src/timers.rs
+++ b/fleet/src/timers.rs
@@ -11,11 +11,11 @@
     pub(crate) fn on_tick(&mut self, now: Tenths, out: &mut Vec<Action>) {
         while let Some(timer) = self.due(now) {
             match timer {
-                Timer::Period => self.period(now, out),
-                Timer::Wait(nonce) => self.ask_indirect_probers(nonce, out),
-                Timer::Over(nonce) => self.unanswered(now, nonce, out),
+                Timer::Period => self.on_period(now, out),
+                Timer::AckTimeout(nonce) => self.ask_indirect_probers(nonce, out),
+                Timer::ProbeTimeout(nonce) => self.on_probe_timeout(now, nonce, out),
                 Timer::Suspicion(index, since) => self.suspicion_ends(now, index, since, out),
-                Timer::Look(index, since) => self.look(index, since, out),
+                Timer::FinalProbe(index, since) => self.final_probe(index, since, out),
                 Timer::Admit(index) => self.admit(now, index, out),
                 Timer::PendingUpdates => {
                     self.updates_armed = false;
@@ -23,10 +23,10 @@
                 }
                 Timer::JoinRequest => self.repeat_join_request(now, out),
                 Timer::Forget(index, revision) => {
-                    let dead = |of: &&crate::table::MemberRecord| {
-                        of.revision == revision && !of.update.state.is_there()
+                    let gone = |record: &&crate::table::MemberRecord| {
+                        record.revision == revision && !record.update.state.is_present()
                     };
-                    if self.table.get(index).filter(dead).is_some() {
+                    if self.table.get(index).filter(gone).is_some() {
                         self.table.remove(index);
                     }
                 }
@@ -43,12 +43,12 @@
         self.arm(now + self.parameters.join_request_interval() + jitter, Timer::JoinRequest);
     }
 
-    fn period(&mut self, now: Tenths, out: &mut Vec<Action>) {
+    fn on_period(&mut self, now: Tenths, out: &mut Vec<Action>) {
         if self.stage == Stage::Leaving {
             return;
         }
         self.arm(now + self.parameters.period, Timer::Period);
-        if std::mem::take(&mut self.answered) || self.table.there() == 0 {
+        if std::mem::take(&mut self.answered) || self.table.present() == 0 {
             self.silent = 0;
         } else {
             self.silent += 1;
@@ -68,13 +68,13 @@
             return;
         }
         let (min, max) = (self.parameters.answer_within, self.parameters.max_wait());
-        let wait = (record.answers_in * 3).clamp(min, max.max(min));
+        let wait = (record.response_time * 3).clamp(min, max.max(min));
         let nonce = self.chance.u32(..);
         let incarnation = record.update.incarnation;
         if self.probes.begin(Probe { nonce, index, incarnation, began: now }) {
-            self.arm(now + wait, Timer::Wait(nonce));
+            self.arm(now + wait, Timer::AckTimeout(nonce));
             let rest = self.parameters.period.saturating_sub(min).max(1);
-            self.arm(now + wait + rest, Timer::Over(nonce));
+            self.arm(now + wait + rest, Timer::ProbeTimeout(nonce));
             self.send(index, Message::Ping { nonce }, out);
         }
     }
@@ -82,14 +82,15 @@
     /// Indirect probes tell a broken link from a dead node.
     fn ask_indirect_probers(&mut self, nonce: u32, out: &mut Vec<Action>) {
         let Some(probe) = self.probes.get(nonce) else { return };
-        let Some(of) = self.table.get(probe.index).map(|record| record.update.clone()) else { return };
+        let Some(update) = self.table.get(probe.index).map(|record| record.update.clone()) else { return };
         for prober in self.table.some(self.parameters.indirect_probers, Some(probe.index), &mut self.chance) {
-            let message = Message::PingRequest { nonce, name: of.name.clone(), incarnation: of.incarnation };
+            let message =
+                Message::PingRequest { nonce, name: update.name.clone(), incarnation: update.incarnation };
             self.send(prober, message, out);
         }
     }
 
-    fn unanswered(&mut self, now: Tenths, nonce: u32, out: &mut Vec<Action>) {
+    fn on_probe_timeout(&mut self, now: Tenths, nonce: u32, out: &mut Vec<Action>) {
         let Some(probe) = self.probes.fail(nonce) else { return };
         if self.suspects_nobody() {
             return;
@@ -100,7 +101,7 @@
             _ if update.incarnation != probe.incarnation => {}
             MemberState::Alive => {
                 let state = MemberState::Suspected { by: self.mark };
-                self.take_up(now, MemberUpdate { state, ..update }, out);
+                self.apply(now, MemberUpdate { state, ..update }, out);
             }
             MemberState::Suspected { .. } => _ = self.confirm_suspicion(now, probe.index, self.mark),
             MemberState::Dead | MemberState::Left => {}
@@ -108,7 +109,7 @@
     }
 
     /// Its answer bears its version, which ends the suspicion if it was contradicted.
-    fn look(&mut self, index: MemberIndex, since: Tenths, out: &mut Vec<Action>) {
+    fn final_probe(&mut self, index: MemberIndex, since: Tenths, out: &mut Vec<Action>) {
         let suspected = |suspicion: &crate::suspicion::Suspicion| suspicion.since == since;
         if self.table.get(index).and_then(|record| record.suspicion).filter(suspected).is_some() {
             let nonce = self.chance.u32(..);
@@ -127,7 +128,7 @@
             self.arm(ends, Timer::Suspicion(index, since));
         } else {
             let dead = MemberUpdate { state: MemberState::Dead, ..record.update.clone() };
-            self.take_up(now, dead, out);
+            self.apply(now, dead, out);
         }
     }
 
@@ -142,7 +143,7 @@
         }
         if !self.updates_armed
             && (self.retransmissions > 0 || !self.gossip.is_empty())
-            && self.table.there() > 0
+            && self.table.present() > 0
         {
             self.updates_armed = true;
             self.arm(now + self.parameters.gossip_interval, Timer::PendingUpdates);
--- a/fleet/src/update.rs
+++ b/fleet/src/update.rs
@@ -34,7 +34,7 @@
     }
 
     /// Whether it is or may be there.
-    pub fn is_there(self) -> bool {
+    pub fn is_present(self) -> bool {
         matches!(self, MemberState::Alive | MemberState::Suspected { .. })
     }
 }
--- a/node/src/commands/fleet.rs
+++ b/node/src/commands/fleet.rs
@@ -63,28 +63,30 @@
     pub leader: Option<Name>,
 }
 
-fn budget(of: &BudgetStatus, leader: Option<&Name>) -> Value {
+fn budget(status: &BudgetStatus, leader: Option<&Name>) -> Value {
     // Allocations of a rate are thousandths on the wire, and exchanges a second for people.
-    let units = |units: Units| if of.rate { json!(units as f64 / 1_000.0) } else { json!(units) };
-    json!({"name": of.name, "kind": if of.rate { "rate" } else { "concurrency" }, "limit": of.limit,
-        "allocation": units(of.allocation), "used": of.used, "rejected": of.rejected, "need": units(of.need),
-        "in_use": of.in_use, "until_ms": of.until_ms, "granted": of.granted.map(units),
+    let units = |units: Units| if status.rate { json!(units as f64 / 1_000.0) } else { json!(units) };
+    let kind = if status.rate { "rate" } else { "concurrency" };
+    json!({"name": status.name, "kind": kind, "limit": status.limit,
+        "allocation": units(status.allocation), "used": status.used, "rejected": status.rejected,
+        "need": units(status.need), "in_use": status.in_use, "until_ms": status.until_ms, "granted": status.granted.map(units),
         "leader": leader.map(|name| &**name)})
 }
 
 impl Seen {
     pub fn json(&self) -> Value {
-        let member = |of: &MemberReport| {
-            json!({"name": &*of.name, "incarnation": of.incarnation.to_string(),
-                "address": of.address.to_string(), "state": of.state, "weight": of.weight,
-                "slow": of.slow, "since_ms": of.for_ms})
+        let member = |report: &MemberReport| {
+            json!({"name": &*report.name, "incarnation": report.incarnation.to_string(),
+                "address": report.address.to_string(), "state": report.state, "weight": report.weight,
+                "slow": report.slow, "since_ms": report.for_ms})
         };
         let first = &self.first;
+        let budgets = self.budgets.iter().map(|status| budget(status, self.leader.as_ref()));
         json!({"fleet": first.fleet, "name": &*first.name, "incarnation": first.incarnation.to_string(),
             "view": first.view, "digest": format!("{:016x}", first.digest), "in_view": first.in_view,
             "isolated": first.isolated, "superseded": first.superseded,
             "members": self.members.iter().map(member).collect::<Vec<_>>(),
-            "budgets": self.budgets.iter().map(|of| budget(of, self.leader.as_ref())).collect::<Vec<_>>()})
+            "budgets": budgets.collect::<Vec<_>>()})
     }
 
     fn text(&self) -> String {
@@ -98,31 +100,32 @@
             if first.isolated { ", isolated" } else { "" },
             if first.superseded { ", superseded by a process of the same name" } else { "" },
         );
-        for of in &self.members {
-            let state = word(of);
-            let (name, address) = (&of.name, of.address);
+        for report in &self.members {
+            let state = word(report);
+            let (name, address) = (&report.name, report.address);
             text += &format!(
                 "{name:<16} {state:<10} {address:<22} weight {:<4} incarnation {}",
-                of.weight, of.incarnation
+                report.weight, report.incarnation
             );
-            text += &format!("  for {} ms\n", of.for_ms);
+            text += &format!("  for {} ms\n", report.for_ms);
         }
-        for of in &self.budgets {
-            let scale = if of.rate { 1_000.0 } else { 1.0 };
-            let (allocation, need) = (of.allocation as f64 / scale, of.need as f64 / scale);
-            let lasts = of.until_ms.map_or(String::new(), |ms| format!("  for {ms} ms"));
-            text += &format!("budget {:<16} {allocation:.1} of {}, needs {need:.1}, ", of.name, of.limit);
-            text += &format!("{} used, {} rejected{lasts}\n", of.used, of.rejected);
+        for budget in &self.budgets {
+            let scale = if budget.rate { 1_000.0 } else { 1.0 };
+            let (allocation, need) = (budget.allocation as f64 / scale, budget.need as f64 / scale);
+            let lasts = budget.until_ms.map_or(String::new(), |ms| format!("  for {ms} ms"));
+            text +=
+                &format!("budget {:<16} {allocation:.1} of {}, needs {need:.1}, ", budget.name, budget.limit);
+            text += &format!("{} used, {} rejected{lasts}\n", budget.used, budget.rejected);
         }
         text.pop();
         text
     }
 }
 
-fn word(of: &MemberReport) -> String {
-    let word = serde_json::to_value(of.state).ok();
+fn word(report: &MemberReport) -> String {
+    let word = serde_json::to_value(report.state).ok();
     let word = word.as_ref().and_then(Value::as_str).unwrap_or_default().to_string();
-    if of.slow { word + ", slow" } else { word }
+    if report.slow { word + ", slow" } else { word }
 }
 
 /// Asks a node, page by page.
@@ -245,12 +248,12 @@
     let view = seen.first.view;
     let mut lines = Vec::new();
     let mut now = BTreeMap::new();
-    for of in &seen.members {
-        let stands = format!("{} (incarnation {})", word(of), of.incarnation);
-        if known.get(&of.name) != Some(&stands) {
-            lines.push(format!("view {view}: {} {stands}", of.name));
+    for report in &seen.members {
+        let stands = format!("{} (incarnation {})", word(report), report.incarnation);
+        if known.get(&report.name) != Some(&stands) {
+            lines.push(format!("view {view}: {} {stands}", report.name));
         }
-        now.insert(of.name.clone(), stands);
+        now.insert(report.name.clone(), stands);
     }
     let gone = known.keys().filter(|name| !now.contains_key(*name));
     lines.extend(gone.map(|name| format!("view {view}: {name} forgotten")));
--- a/node/src/peers/budgets.rs
+++ b/node/src/peers/budgets.rs
@@ -57,16 +57,17 @@
         })
     }
 
-    pub fn handle(&mut self, now: Tenths, what: Event) {
-        self.budgets.handle(now, what, &mut self.actions);
+    pub fn handle(&mut self, now: Tenths, event: Event) {
+        self.budgets.handle(now, event, &mut self.actions);
     }
 
     /// Other budgets under way.
     pub fn change(&mut self, now: Tenths, installation: &Installation, orders: &Orders) {
         let list = installation.budget_list(orders);
         let names: Vec<_> = self.budgets.list().map(|budget| budget.name.clone()).collect();
-        let used = |name: &std::sync::Arc<str>| names.iter().position(|of| of == name);
-        self.used = list.iter().map(|of| used(&of.name).map_or(0, |index| self.used[index])).collect();
+        let used = |name: &std::sync::Arc<str>| names.iter().position(|known| known == name);
+        self.used =
+            list.iter().map(|budget| used(&budget.name).map_or(0, |index| self.used[index])).collect();
         self.falls = installation.falls(orders);
         self.handle(now, Event::Changed { list });
     }
@@ -80,7 +81,9 @@
         orders: &Orders,
     ) -> Option<&str> {
         let (old, new) = (self.budgets.parameters(), file.budget_parameters());
-        let times = |of: &Parameters| (of.round, of.vote_lasts, of.lease, of.drift);
+        let times = |parameters: &Parameters| {
+            (parameters.round, parameters.vote_lasts, parameters.lease, parameters.drift)
+        };
         let list = installation.budget_list(orders);
         if old.voters != new.voters {
             Some("the voters changed")
@@ -165,20 +168,21 @@
         let count = self.used.len();
         let indices = usize::from(from).min(count)..(usize::from(from) + BUDGET_PAGE).min(count);
         let more = indices.end < count;
-        let kinds: Vec<_> = self.budgets.list().map(|of| (of.name.clone(), of.kind, of.limit)).collect();
+        let kinds: Vec<_> =
+            self.budgets.list().map(|budget| (budget.name.clone(), budget.kind, budget.limit)).collect();
         let budgets = indices.map(|index| {
-            let (stands, (name, kind, limit)) = (self.budgets.standing(index, now), &kinds[index]);
+            let (standing, (name, kind, limit)) = (self.budgets.standing(index, now), &kinds[index]);
             BudgetStatus {
                 name: name.to_string(),
                 rate: matches!(kind, Kind::Rate { .. }),
                 limit: *limit,
-                allocation: stands.allocation,
+                allocation: standing.allocation,
                 used: self.used[index],
-                rejected: stands.rejected,
-                need: stands.need,
-                in_use: stands.in_use,
-                until_ms: stands.lasts.map(|lasts| lasts / MS),
-                granted: stands.granted,
+                rejected: standing.rejected,
+                need: standing.need,
+                in_use: standing.in_use,
+                until_ms: standing.lasts.map(|lasts| lasts / MS),
+                granted: standing.granted,
             }
         });
         let budgets = budgets.collect();
--- a/node/src/peers/link.rs
+++ b/node/src/peers/link.rs
@@ -128,11 +128,11 @@
     }
 
     /// Budgets rest on who is there; what they ask for is done.
-    fn tell_budgets(&mut self, what: Option<doortrack_budgets::Event>) {
+    fn tell_budgets(&mut self, event: Option<doortrack_budgets::Event>) {
         let now = self.now();
         let Some(budgets) = &self.budgets else { return };
-        let what = what.unwrap_or_else(|| doortrack_budgets::Event::Members(self.fleet.view().clone()));
-        budgets.borrow_mut().handle(now, what);
+        let event = event.unwrap_or_else(|| doortrack_budgets::Event::Members(self.fleet.view().clone()));
+        budgets.borrow_mut().handle(now, event);
         self.carry_out_budget_actions();
     }
 
@@ -229,15 +229,15 @@
         self.send(to, &Spoken::Status(Box::new(status)));
     }
 
-    fn send(&mut self, to: SocketAddr, what: &Spoken) {
-        let Some(whole) = self.seal.close(what) else {
+    fn send(&mut self, to: SocketAddr, spoken: &Spoken) {
+        let Some(datagram) = self.seal.close(spoken) else {
             self.counts.unsent += 1;
             return;
         };
-        match self.sock.send_to(&whole, to) {
+        match self.sock.send_to(&datagram, to) {
             Ok(_) => {
                 self.counts.sent += 1;
-                self.counts.sent_bytes += whole.len() as u64;
+                self.counts.sent_bytes += datagram.len() as u64;
             }
             // Nothing waits to be sent: a datagram may be lost on the way as well.
             Err(_) => self.counts.unsent += 1,
@@ -351,8 +351,9 @@
         let Some(file) = &installation.fleet else {
             return warn!(self.log, "fleet needs a start"; "why" => "it can't be left under way");
         };
-        let kept =
-            |of: &FleetFile| (of.name.clone(), of.listen, of.advertise, of.key_file.clone(), of.weight);
+        let kept = |file: &FleetFile| {
+            (file.name.clone(), file.listen, file.advertise, file.key_file.clone(), file.weight)
+        };
         if kept(file) != kept(&self.file) {
             warn!(self.log, "fleet needs a start"; "why" => "its name, addresses, key or weight changed");
         }
