Test: the bytes of every message between nodes stay what earlier builds wrote

A name may change, an encoding may not: nodes of two builds stand beside one another. The expected bytes were printed by the same values on, before the names changed; each message, state and answer is compared.

--- a/node/src/commands/fleet.rs
+++ b/node/src/commands/fleet.rs
@@ -69,8 +69,8 @@
     let kind = if status.rate { "rate" } else { "concurrency" };
     json!({"name": status.name, "kind": kind, "limit": status.limit,
         "allocation": units(status.allocation), "used": status.used, "rejected": status.rejected,
-        "need": units(status.need), "in_use": status.in_use, "until_ms": status.until_ms, "granted": status.granted.map(units),
-        "leader": leader.map(|name| &**name)})
+        "need": units(status.need), "in_use": status.in_use, "until_ms": status.until_ms,
+        "granted": status.granted.map(units), "leader": leader.map(|name| &**name)})
 }
 
 impl Seen {
--- a/node/tests/fleet/main.rs
+++ b/node/tests/fleet/main.rs
@@ -4,6 +4,7 @@
 //! Every wait has a bound that a slow machine does not outlast; nothing is judged by how long it took.
 
 mod budgets;
+mod encoding;
 mod link;
 mod served;
 mod troubles;
