--- a/fleet/src/applying.rs
+++ b/fleet/src/applying.rs
@@ -1,4 +1,4 @@
-//! What an update changes: the table, the view, the log and what is passed on.
+//! Applies updates: to the table, to the view, and to what is passed on.
 
 use doortrack::Tenths;
 
@@ -8,7 +8,8 @@
 use crate::{Action, Change, MemberState, MemberUpdate, View};
 
 impl Fleet {
-    /// Takes up a word on a member that holds against what was known, with all that follows.
+    /// Applies an update that takes precedence over what was known. Returns the member's index, or none if
+    /// the table is full.
     pub(crate) fn apply(
         &mut self,
         now: Tenths,
@@ -42,7 +43,7 @@
         Some(index)
     }
 
-    /// The update of a member is queued for the others.
+    /// Queues the latest update on a member for dissemination.
     pub(crate) fn queue_update(&mut self, now: Tenths, index: MemberIndex) {
         if let Some(record) = self.table.get(index) {
             self.gossip.add(index, record.revision);
@@ -66,8 +67,8 @@
         Some(index)
     }
 
-    /// What a new word means for the view and the log. `was` is how the same incarnation stood, if it was
-    /// there.
+    /// Brings the view and the log in line with a new state. `was` is the previous state of the same
+    /// incarnation, if it was present.
     fn follow_state(
         &mut self,
         now: Tenths,
@@ -111,6 +112,7 @@
         }
     }
 
+    /// Begins a suspicion, and may probe the member to confirm or clear it.
     fn suspected(&mut self, now: Tenths, index: MemberIndex, by: u32, out: &mut Vec<Action>) {
         let members = self.view.members.len();
         let Some(record) = self.table.get_mut(index) else { return };
@@ -125,7 +127,7 @@
         }
     }
 
-    /// Somebody else's suspicion about a member that is suspected already; whether it counts.
+    /// Counts the suspicion of another node on a member that is suspected already; `false` if it is not new.
     pub(crate) fn confirm_suspicion(&mut self, now: Tenths, index: MemberIndex, by: u32) -> bool {
         let Some(record) = self.table.get_mut(index) else { return false };
         let mut update = record.update.clone();
@@ -142,8 +144,8 @@
         true
     }
 
-    /// Sets the end of a suspicion, and two last looks before it: a word that cleared it may have passed this
-    /// node by, as updates reach all but one in some thousands.
+    /// Sets the end of a suspicion, and two final probes before it: an update that cleared it may have missed
+    /// this node, as dissemination reaches all but one in some thousands.
     pub(crate) fn arm_suspicion(&mut self, now: Tenths, index: MemberIndex) {
         let (members, resumed_at) = (self.view.members.len(), self.resumed_at);
         let Some(suspicion) = self.table.get(index).and_then(|record| record.suspicion) else { return };
@@ -155,6 +157,7 @@
         }
     }
 
+    /// Changes the view, and takes note of when it changed.
     pub(crate) fn change_view(&mut self, now: Tenths, change: impl FnOnce(&mut View)) {
         let before = self.view.number;
         change(&mut self.view);
--- a/fleet/src/fleet.rs
+++ b/fleet/src/fleet.rs
@@ -1,4 +1,4 @@
-//! The whole of what a node knows of its fleet, and how it is told and asked.
+//! The state of one node's membership, its interface, and how datagrams are sent.
 
 use std::cmp::Reverse;
 use std::collections::BinaryHeap;
@@ -14,82 +14,97 @@
     Message, Name, Parameters, View,
 };
 
-/// Rounds in which a node tells of itself after something about it changed.
+/// Rounds of updates in which a node announces a change of itself.
 pub(crate) const RETRANSMISSIONS: u32 = 6;
 
-/// Where the node itself stands.
+/// The stage of the node's own membership.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Stage {
-    /// Nobody has spoken to this incarnation yet.
+    /// No member has answered this incarnation yet.
     Joining,
+    /// In the fleet, or the first of one.
     Member,
+    /// It announces that it leaves.
     Leaving,
     /// Another process of the same name joined later.
     Superseded,
 }
 
-/// What is to be done at a time. What it was set for may be over by then.
+/// What is to be done at a time. A timer is never cancelled: what it was set for may be over when it fires.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub(crate) enum Timer {
+    /// The next period begins: probe the next member.
     Period,
-    /// No direct answer yet: ask indirect probers.
+    /// If the probe of this nonce has no direct answer yet, ask indirect probers.
     AckTimeout(u32),
-    /// No answer at all.
+    /// If the probe of this nonce has no answer at all, suspect the member.
     ProbeTimeout(u32),
-    /// A suspicion of this member that began then.
+    /// The suspicion of this member that began then may end.
     Suspicion(MemberIndex, Tenths),
-    /// A last look at one that is about to be declared dead.
+    /// Probe a member whose suspicion, begun then, is about to end.
     FinalProbe(MemberIndex, Tenths),
+    /// A member that was held back may enter the view.
     Admit(MemberIndex),
+    /// Send a round of pending updates.
     PendingUpdates,
+    /// Send join requests.
     JoinRequest,
-    /// A dead member with the update of this revision.
+    /// Forget a member, if it is not present and its record still has this revision.
     Forget(MemberIndex, u32),
 }
 
-/// A table that is being fetched from another, page by page.
+/// The table of another member, which is being fetched page by page.
 #[derive(Clone, Debug)]
 pub(crate) struct Fetch {
     pub from: Name,
+    /// When the fetch is given up, in tenths of a ms.
     pub till: Tenths,
 }
 
-/// One node's membership. See the crate's page for how to drive it.
+/// One node's membership. The crate's documentation says how to drive it.
 pub struct Fleet {
+    /// What this node announces about itself.
     pub(crate) me: MemberUpdate,
-    /// Tells this node from others that suspect.
+    /// Distinguishes this node among those that suspect a member.
     pub(crate) mark: u32,
     pub(crate) stage: Stage,
     pub(crate) parameters: Parameters,
     pub(crate) table: Table,
     pub(crate) view: View,
+    /// When the view last changed.
     pub(crate) view_since: Tenths,
     pub(crate) gossip: Gossip,
     pub(crate) probes: Probes,
     pub(crate) chance: fastrand::Rng,
     timers: BinaryHeap<Reverse<(Tenths, Timer)>>,
+    /// The number of the last datagram sent.
     pub(crate) nth: u64,
-    /// Rounds in which to tell of itself.
+    /// Rounds left in which this node announces a change of itself.
     pub(crate) retransmissions: u32,
+    /// Whether [`Timer::PendingUpdates`] is set.
     pub(crate) updates_armed: bool,
-    /// Whether anybody answered since the last period, and for how many periods nobody has.
+    /// Whether anybody answered since the last period began, and for how many periods nobody has.
     pub(crate) answered: bool,
     pub(crate) silent: u32,
     pub(crate) isolated: bool,
-    /// Resumed after a pause of the process, and has heard no answer since.
+    /// The process resumed after a pause and has had no answer since.
     pub(crate) resumed: bool,
-    /// Suspicions count from here at the earliest.
+    /// When the first answer came after a pause or isolation: suspicions count from here at the earliest.
     pub(crate) resumed_at: Tenths,
+    /// Rounds of join requests sent.
     pub(crate) join_requests: u32,
     pub(crate) fetch: Option<Fetch>,
+    /// When the last fetch began.
     pub(crate) fetched_at: Tenths,
+    /// The earlier incarnation of this node's name that was last reported as a duplicate.
     pub(crate) duplicate: Incarnation,
-    /// Datagrams that were well formed and still made no sense or came twice.
+    /// Datagrams refused; see [`Fleet::refused`].
     pub(crate) refused: u64,
 }
 
 impl Fleet {
-    /// A node that has just started. `me.state` and `me.version` are set here.
+    /// The membership of a node that has just started. `me.state` and `me.version` are set here; `now` is in
+    /// tenths of a ms from any zero.
     pub fn new(me: MemberUpdate, parameters: Parameters, seed: u64, now: Tenths) -> Fleet {
         let me = MemberUpdate { version: 0, state: MemberState::Alive, ..me };
         let mut view = View::default();
@@ -129,7 +144,7 @@
         fleet
     }
 
-    /// When [`Event::Tick`] is due at the latest; [`Tenths::MAX`] where nothing is.
+    /// When [`Event::Tick`] is due at the latest; [`Tenths::MAX`] for never.
     pub fn next_due(&self) -> Tenths {
         if self.stage == Stage::Superseded {
             return Tenths::MAX;
@@ -137,7 +152,7 @@
         self.timers.peek().map_or(Tenths::MAX, |Reverse((at, _))| *at)
     }
 
-    /// Tells what happened; `now` never goes back. What is to be done is added to `out`, in order.
+    /// Handles one event at the time `now`, which must not go back. Actions are added to `out`, in order.
     pub fn handle(&mut self, now: Tenths, event: Event, out: &mut Vec<Action>) {
         if self.stage == Stage::Superseded {
             return;
@@ -159,24 +174,27 @@
         }
     }
 
+    /// The members on which decisions may rest.
     pub fn view(&self) -> &View {
         &self.view
     }
 
-    /// The node itself, as it tells others.
+    /// The node itself, as it announces itself to others.
     pub fn me(&self) -> &MemberUpdate {
         &self.me
     }
 
-    /// Whether nobody answers this node.
+    /// Whether no member answers this node.
     pub fn is_isolated(&self) -> bool {
         self.isolated
     }
 
+    /// Whether a later process of the same name has taken this node's part.
     pub fn is_superseded(&self) -> bool {
         self.stage == Stage::Superseded
     }
 
+    /// Whether missing answers are this node's own fault as far as it knows.
     pub(crate) fn suspects_nobody(&self) -> bool {
         self.isolated || self.resumed
     }
@@ -194,7 +212,7 @@
         Some(timer)
     }
 
-    /// Pending updates go out soon, if it does not already.
+    /// Sees to it that pending updates are sent soon.
     pub(crate) fn arm_updates(&mut self, now: Tenths) {
         if !self.updates_armed {
             self.updates_armed = true;
@@ -211,7 +229,8 @@
         Head { sender: self.me.clone(), to, nth: self.nth, digest: self.view.digest, view: self.view.number }
     }
 
-    /// Sends to a member, with what is thought of it if that is not the best, and pending updates.
+    /// Sends to a member, with pending updates; if it is not known as alive, that comes first, so that it can
+    /// refute it.
     pub(crate) fn send(&mut self, index: MemberIndex, message: Message, out: &mut Vec<Action>) {
         let Some(record) = self.table.get(index) else { return };
         let (to, incarnation) = (record.update.address, record.update.incarnation);
@@ -232,7 +251,7 @@
         out.push(Action::Send { to, datagram });
     }
 
-    /// Sends to who is not, or not in this incarnation, in the table.
+    /// Sends to a node that is not in the table, or in it under another incarnation.
     pub(crate) fn send_to(
         &mut self,
         to: SocketAddr,
--- a/fleet/src/gossip.rs
+++ b/fleet/src/gossip.rs
@@ -1,31 +1,32 @@
-//! What is still to be passed on: of each member the latest update, the least often sent first.
+//! Dissemination: the updates that are still to be sent on, the least often sent first.
 
 use std::collections::VecDeque;
 
 use crate::table::MemberIndex;
 
-/// Members whose update is still to be sent, by how often it was. At most one current entry a member, and
-/// older ones are dropped when met, so the whole is bounded by the updates of one round and the members.
+/// Members whose latest update is still to be sent, by how often it was sent. A member has at most one entry
+/// of its current revision; entries of earlier ones are dropped when they come up.
 #[derive(Default)]
 pub struct Gossip {
     by_transmissions: Vec<VecDeque<(MemberIndex, u32)>>,
     queued: usize,
 }
 
-/// Entries that wait at once: several times the members that a table can hold, as older ones of one member
-/// are dropped only when met.
+/// Entries that wait at once: several times the members of a table, as outdated ones are dropped only when
+/// they come up.
 const MAX_QUEUED: usize = 20_000;
-/// Past this many sendings nothing is passed on, however large the fleet.
+/// Upper bound of [`transmissions`], however large the fleet.
 const MAX_TRANSMISSIONS: usize = 20;
 
-/// How often an update is sent in a fleet of so many, so that all but surely everyone hears it.
+/// How often each node sends an update in a fleet of this size, so that it reaches everyone with near
+/// certainty: it grows with the logarithm of the members.
 fn transmissions(members: usize) -> usize {
     let digits = (members + 1).ilog2() as usize + 1;
     (digits + 2).min(MAX_TRANSMISSIONS)
 }
 
 impl Gossip {
-    /// `revision` is that of the member's update; entries of earlier ones are passed over.
+    /// Queues the latest update of a member, which has this revision.
     pub fn add(&mut self, index: MemberIndex, revision: u32) {
         if self.by_transmissions.is_empty() {
             self.by_transmissions.resize_with(MAX_TRANSMISSIONS, VecDeque::new);
@@ -39,12 +40,13 @@
         self.queued += 1;
     }
 
+    /// Whether nothing is queued.
     pub fn is_empty(&self) -> bool {
         self.queued == 0
     }
 
-    /// Takes up to `room` updates, for one datagram. `current` tells whether an entry is still the latest of
-    /// its member.
+    /// Chooses up to `room` updates for one datagram and adds their members to `into`. `members` is the size
+    /// of the fleet; `current` tells whether an entry has its member's latest revision.
     pub fn next_updates(
         &mut self,
         room: usize,
--- a/fleet/src/joining.rs
+++ b/fleet/src/joining.rs
@@ -1,4 +1,4 @@
-//! How a node gets in, comes back, leaves, and what becomes of a name that is used twice.
+//! Joining, returning and leaving, and names that are used twice.
 
 use doortrack::Tenths;
 
@@ -6,20 +6,20 @@
 use crate::table::MemberIndex;
 use crate::{Action, Change, Incarnation, Member, MemberState, MemberUpdate, Message};
 
-/// Bytes of updates on a page, past which none is added; an update takes its name and at the most this
-/// beside.
+/// Bytes of updates on a page past which none is added; an update takes its name and at most
+/// [`UPDATE_OVERHEAD`] beside.
 const PAGE: usize = 1_000;
 const UPDATE_OVERHEAD: usize = 46;
 
-/// Join requests to seeds that are all made; later ones only now and then.
+/// Rounds of join requests that all go to seeds; of later rounds only every so many.
 const EARLY_JOIN_REQUESTS: u32 = 5;
 const LATER_REQUESTS_EVERY: u32 = 4;
-/// Seeds that are asked together.
+/// Seeds that are asked in one round.
 const MAX_SEEDS_AT_ONCE: usize = 3;
 
 impl Fleet {
-    /// Asks to join where somebody may be who is not in the view: one that is dead, now and then at a seed,
-    /// and at seeds alone while nobody answers.
+    /// Sends one round of join requests to nodes that may be present though not in the view: a dead member,
+    /// and seeds, more of them while nobody answers.
     pub(crate) fn send_join_requests(&mut self, out: &mut Vec<Action>) {
         self.join_requests = self.join_requests.saturating_add(1);
         let alone = self.stage == Stage::Joining || self.isolated || self.table.present() == 0;
@@ -45,8 +45,8 @@
         }
     }
 
-    /// Answers a join request, or goes on with the table. Nothing is thought of who merely asks: it may
-    /// be an old datagram. It is a member once it speaks to this incarnation.
+    /// Sends a page of the table, in answer to a join request or for a fetch. A join request alone makes no
+    /// member, as it may be replayed: the sender is one once it addresses this incarnation.
     pub(crate) fn send_page(
         &mut self,
         to: &MemberUpdate,
@@ -65,7 +65,7 @@
         self.send_to(to.address, to.incarnation, Message::Page { next }, updates, out);
     }
 
-    /// A member is in the view from here on, unless it is held back.
+    /// Puts a present member into the view, unless it is held back.
     pub(crate) fn admit(&mut self, now: Tenths, index: MemberIndex, out: &mut Vec<Action>) {
         let Some(record) = self.table.get_mut(index).filter(|record| record.update.state.is_present()) else {
             return;
@@ -81,8 +81,8 @@
         out.push(Action::Report(Change::Alive { name, incarnation, back }));
     }
 
-    /// Counts that a member came back, and holds it back if it does so again and again. The first return is
-    /// free, as after a restart or a broken link.
+    /// Counts a return from being dead, and holds the member back if it returns repeatedly. The first return
+    /// is free, as after a restart or a broken link.
     pub(crate) fn note_return(&mut self, now: Tenths, index: MemberIndex, out: &mut Vec<Action>) {
         let (first, max) = (self.parameters.hold_first, self.parameters.hold_max);
         let Some(record) = self.table.get_mut(index) else { return };
@@ -102,7 +102,7 @@
         out.push(Action::Report(Change::HeldBack { name, incarnation, wait }));
     }
 
-    /// Says that it leaves, at once and in some rounds more.
+    /// Announces that this node leaves, at once and in further rounds.
     pub(crate) fn on_leave(&mut self, now: Tenths, out: &mut Vec<Action>) {
         if self.stage == Stage::Leaving {
             return;
@@ -115,7 +115,7 @@
         self.send_updates(now, out);
     }
 
-    /// A word on this node's own name.
+    /// Handles an update on this node's own name; `direct` if a process of that name sent it.
     pub(crate) fn on_own_name(
         &mut self,
         now: Tenths,
@@ -158,7 +158,7 @@
         }
     }
 
-    /// Goes on under an incarnation later than `than`.
+    /// Continues under an incarnation later than `than`.
     fn start_incarnation(&mut self, now: Tenths, than: Incarnation, out: &mut Vec<Action>) {
         self.me.incarnation = Incarnation(than.0.saturating_add(1 + self.chance.u64(..256)));
         self.me.version = 0;
--- a/fleet/src/lib.rs
+++ b/fleet/src/lib.rs
@@ -1,8 +1,8 @@
-//! Decides which nodes of a fleet are there.
+//! Membership: decides which nodes of a fleet are present.
 //!
-//! Every node holds a [`Fleet`]: what it heard is told to it with the time ([`Event`]), what is to be done
-//! comes back as [`Action`]s. Neither sockets nor a clock, and the same events with the same seed give the
-//! same actions, so the node, the emulator and the tests drive the same code.
+//! Every node holds a [`Fleet`]. It is driven by [`Event`]s with the time of each, and returns [`Action`]s to
+//! carry out. There are neither sockets nor a clock here, and the same events with the same seed give the
+//! same actions, so that the node, the emulator and the tests drive the same code.
 //!
 //! ```text
 //! let mut fleet = Fleet::new(me, parameters, seed, now);
@@ -10,30 +10,31 @@
 //! fleet.handle(now, Event::Received { from, datagram }, &mut actions);
 //! ```
 //!
-//! The way is that of SWIM: each node probes one other a period, asks indirect probers to try before it
-//! suspects, and updates travel on whatever is sent. What is added, and why:
-//! - **Incarnations.** A node is known by its name and an [`Incarnation`], a number that is never used twice.
-//!   What concerns an earlier incarnation counts for nothing, and a datagram names the incarnation it is
-//!   meant for.
-//! - **Who was paused suspects nobody.** A turn that comes late by more than [`Parameters::max_lateness`]
-//!   drops all probes and starts all suspicions anew; until another has answered, nobody is suspected.
-//! - **Who gets no answer from anybody considers itself isolated**, and declares nobody dead.
-//! - **Second opinions.** Some of those that hear of a suspicion try for themselves. Each that fails shortens
-//!   it; the word of one alone takes the longest time.
-//! - **Left is not dead**, and a node that comes back again and again is held back longer each time.
+//! The protocol is SWIM: each node probes one other in each period, asks indirect probers to try before it
+//! suspects the member, and updates travel on the datagrams that are sent anyway. Additions, and why:
+//! - **Incarnations.** A node is identified by its name and an [`Incarnation`], a number that is never used
+//!   twice. Updates on an earlier incarnation are ignored, and a datagram names the incarnation that it is
+//!   meant for, so that replays change nothing.
+//! - **A process that was paused suspects nobody.** A tick that comes late by more than
+//!   [`Parameters::max_lateness`] drops all probes and restarts all suspicions; until another node has
+//!   answered, nobody is suspected.
+//! - **A node that nobody answers considers itself isolated**, and declares nobody dead.
+//! - **Confirmations.** Some of the nodes that hear of a suspicion probe the member themselves. Each probe
+//!   that fails shortens the suspicion; an unconfirmed one lasts longest.
+//! - **Left is not dead**, and a member that comes back repeatedly is held back longer each time.
 //! - **[`View`]s.** The members on which decisions may rest, in order, with a number that grows by one with
-//!   each change and a digest that is the same in two nodes exactly when their members are.
+//!   each change and a digest that is equal in two nodes exactly when their members are.
 //!
-//! Assumptions: time as told does not go back within one process; it need not agree between two. Any
-//! datagram may be lost, delayed, doubled or replayed. A member may die, stop and wake at any point. Names
-//! are told apart, but two processes may use the same one: the incarnation that joined later stays. Members
-//! of one fleet do not lie; who does not hold the key is kept out before anything gets here.
+//! Assumptions: the time of events does not go back within one process; it need not agree between two. Any
+//! datagram may be lost, delayed, duplicated or replayed. A member may die, pause and resume at any point.
+//! Two processes may use the same name: the incarnation that joined later stays. Members of one fleet do not
+//! lie; whoever does not hold the key is kept out before anything gets here.
 //!
-//! What is never promised: that two nodes hold the same view at the same time. A decision that needs this
-//! has to rest on leases or a majority, not on a view.
+//! Not guaranteed: that two nodes have the same view at the same time. A decision that needs this has to rest
+//! on leases or a majority, not on a view.
 //!
-//! Bounds: members ([`Parameters::max_members`]), probes under way, updates a datagram, datagrams a period.
-//! The cost of an event grows with the logarithm of the members at the most.
+//! Bounds: members ([`Parameters::max_members`]), probes under way, updates in a datagram, datagrams in a
+//! period. The cost of an event grows at most with the logarithm of the members.
 
 mod applying;
 mod fleet;
@@ -63,13 +64,14 @@
 pub use update::{MemberState, MemberUpdate};
 pub use view::{Member, View};
 
-/// The name of a node; see [`name`].
+/// The name of a node; see [`is_name`].
 pub type Name = Arc<str>;
 
-/// Bytes of a name.
+/// The longest name, in bytes.
 pub const MAX_NAME_LEN: usize = 64;
 
-/// One run of a node's process. Of two incarnations of one name the greater is the later; 0 is none.
+/// One run of a node's process. Of two incarnations of one name the greater one is the later; 0 stands for
+/// none.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct Incarnation(pub u64);
 
@@ -80,100 +82,68 @@
 }
 
 impl Incarnation {
-    /// That of a process started at this Unix time. The low bits are chance, so that two processes started
-    /// in one ms differ.
+    /// The incarnation of a process started at this Unix time in ms. Its low 16 bits are random, so that two
+    /// processes started in the same ms differ.
     pub fn started(unix_ms: u64, chance: u64) -> Incarnation {
         Incarnation((unix_ms << 16) | (chance & 0xffff))
     }
 }
 
-/// What happens to a node.
+/// An input of [`Fleet::handle`].
 #[derive(Clone, Debug)]
 pub enum Event {
-    /// Time has come to where [`Fleet::next_due`] said, or simply passes.
+    /// Time has passed; due by [`Fleet::next_due`] at the latest.
     Tick,
-    /// A datagram came that was found whole and of this fleet.
+    /// A datagram arrived that is intact and belongs to this fleet.
     Received { from: SocketAddr, datagram: Datagram },
     /// The node was told to leave.
     Leave,
-    /// Other parameters and seeds from here on.
+    /// The parameters and seeds were changed.
     Changed { parameters: Box<Parameters> },
 }
 
-/// What is to be done.
+/// An output of [`Fleet::handle`], to be carried out in order.
 #[derive(Clone, Debug)]
 pub enum Action {
+    /// Send a datagram to this address; it may get lost.
     Send { to: SocketAddr, datagram: Box<Datagram> },
+    /// Tell the log, and those whose decisions rest on the view.
     Report(Change),
 }
 
-/// What has changed, for the log and for those whose decisions rest on it. `incarnation` is that of the
-/// member.
+/// A change of membership. `name` and `incarnation` are those of the member.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Change {
-    /// A member is in the view from here on; `back` if this incarnation was dead before.
-    Alive {
-        name: Name,
-        incarnation: Incarnation,
-        back: bool,
-    },
-    Suspected {
-        name: Name,
-        incarnation: Incarnation,
-    },
-    /// It answered after all.
-    Cleared {
-        name: Name,
-        incarnation: Incarnation,
-    },
-    Dead {
-        name: Name,
-        incarnation: Incarnation,
-    },
-    Left {
-        name: Name,
-        incarnation: Incarnation,
-    },
-    /// It has come back too often; it is in the view again after so many tenths of a ms.
-    HeldBack {
-        name: Name,
-        incarnation: Incarnation,
-        wait: u64,
-    },
-    /// It answers, but late: its smoothed time to answer, in tenths of a ms.
-    Slow {
-        name: Name,
-        incarnation: Incarnation,
-        after: u64,
-    },
-    /// Nobody answers this node, or somebody does again.
+    /// A member entered the view; `back` if it was dead before.
+    Alive { name: Name, incarnation: Incarnation, back: bool },
+    /// A probe of a member failed, here or elsewhere.
+    Suspected { name: Name, incarnation: Incarnation },
+    /// A suspected member refuted the suspicion.
+    Cleared { name: Name, incarnation: Incarnation },
+    /// A member was declared dead and left the view.
+    Dead { name: Name, incarnation: Incarnation },
+    /// A member announced that it leaves, and left the view.
+    Left { name: Name, incarnation: Incarnation },
+    /// A member came back too often; it enters the view again after `wait`, in tenths of a ms.
+    HeldBack { name: Name, incarnation: Incarnation, wait: u64 },
+    /// A member answers, but late: `after` is its smoothed response time in tenths of a ms.
+    Slow { name: Name, incarnation: Incarnation, after: u64 },
+    /// Nobody answers this node (`true`), or somebody does again.
     Isolated(bool),
-    /// This process was paused, and woke so many tenths of a ms late.
-    Resumed {
-        late: u64,
-    },
-    /// This node goes on under another incarnation, as its name had been in use.
-    NewIncarnation {
-        incarnation: Incarnation,
-    },
-    /// Another process goes by this node's name and joined later: this one no longer takes part.
-    Superseded {
-        by: Incarnation,
-        address: SocketAddr,
-    },
-    /// Another process goes by this node's name and joined earlier; it is to stop taking part.
-    DuplicateName {
-        incarnation: Incarnation,
-        address: SocketAddr,
-    },
-    /// The table is full: a newcomer was left out.
-    NoRoom {
-        name: Name,
-    },
+    /// This process was paused and resumed `late`, in tenths of a ms, by its own clock.
+    Resumed { late: u64 },
+    /// This node continues under another incarnation, as a later one of its name was known.
+    NewIncarnation { incarnation: Incarnation },
+    /// Another process of this node's name joined later: this one takes part no longer.
+    Superseded { by: Incarnation, address: SocketAddr },
+    /// Another process of this node's name joined earlier; it is told to stop taking part.
+    DuplicateName { incarnation: Incarnation, address: SocketAddr },
+    /// The table is full: a new member was left out.
+    NoRoom { name: Name },
 }
 
 impl Change {
-    /// Its name in logs and histories.
+    /// Its word in logs and histories.
     pub fn word(&self) -> &'static str {
         match self {
             Change::Alive { back: false, .. } => "alive",
@@ -194,7 +164,7 @@
         }
     }
 
-    /// The other member that it is about, and its incarnation.
+    /// The member that it is about, unless that is this node.
     pub fn about(&self) -> Option<(&Name, Incarnation)> {
         match self {
             Change::Alive { name, incarnation, .. }
--- a/fleet/src/message.rs
+++ b/fleet/src/message.rs
@@ -1,57 +1,51 @@
-//! What nodes send to one another.
+//! The messages between nodes. They are encoded by position (postcard): the order of fields and variants is
+//! part of the wire format, their names are not.
 
 use serde::{Deserialize, Serialize};
 
 use crate::{Incarnation, MemberUpdate, Name};
 
-/// Updates that one datagram carries at the most: with the longest names and addresses 10 are 1,090 bytes.
+/// Updates that one datagram carries at most: with the longest names and addresses 10 are 1,090 bytes.
 pub const MAX_UPDATES: usize = 10;
 
-/// Who says it, and to whom.
+/// The sender of a datagram, and the incarnation that it is meant for.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Head {
-    /// The sender on itself.
+    /// What the sender announces about itself.
     pub sender: MemberUpdate,
-    /// Which incarnation it is meant for; 0 where the sender does not know.
+    /// The receiver's incarnation; 0 where the sender does not know it.
     pub to: Incarnation,
-    /// Grows with each datagram of the sender's incarnation.
+    /// The number of the datagram, which grows within the sender's incarnation: replays are recognized by it.
     pub nth: u64,
-    /// The digest of the sender's view, and its number.
+    /// Digest and number of the sender's [`View`](crate::View).
     pub digest: u64,
     pub view: u64,
 }
 
+/// What a datagram is for, beside the updates that it carries.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum Message {
-    /// Asks for the table from its start, from one whose incarnation is not known.
+    /// Asks a node whose incarnation is not known for its table, from the start.
     Join,
-    Ping {
-        nonce: u32,
-    },
-    Ack {
-        nonce: u32,
-    },
+    /// Probes the receiver, which answers with [`Message::Ack`].
+    Ping { nonce: u32 },
+    /// Answers a probe, made directly or through the sender.
+    Ack { nonce: u32 },
     /// Asks the receiver to probe another member.
-    PingRequest {
-        nonce: u32,
-        name: Name,
-        incarnation: Incarnation,
-    },
-    /// Carries updates, and nothing else.
+    PingRequest { nonce: u32, name: Name, incarnation: Incarnation },
+    /// Carries updates and nothing else.
     Updates,
-    /// Asks for the table from behind this name.
-    Ask {
-        after: Option<Name>,
-    },
-    /// A page of the table; `next` is where to go on, if there is more.
-    Page {
-        next: Option<Name>,
-    },
+    /// Asks for the table from behind this name; from its start for none.
+    Ask { after: Option<Name> },
+    /// A page of the table, as updates; `next` is the name to go on from, if there is more.
+    Page { next: Option<Name> },
 }
 
+/// One datagram, before it is sealed.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Datagram {
     pub head: Head,
     pub message: Message,
+    /// Updates on any members; at most [`MAX_UPDATES`] but on a page of the table.
     pub updates: Vec<MemberUpdate>,
 }
--- a/fleet/src/parameters.rs
+++ b/fleet/src/parameters.rs
@@ -1,4 +1,4 @@
-//! Times and bounds, as the operators set them.
+//! Timing and bounds of membership, as the operators set them.
 
 use std::net::SocketAddr;
 
@@ -6,33 +6,35 @@
 
 const MS: Tenths = 10;
 
-/// Times in tenths of a ms. What is said of each is checked by who reads the operators' file.
+/// Timing and bounds. All times are in tenths of a ms. The reader of the operators' file checks their ranges;
+/// nothing here does.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Parameters {
-    /// Addresses to ask when joining, and now and then later, so that halves find together again.
+    /// Addresses that join requests go to, at start and now and then later, so that a split fleet heals.
     pub seeds: Vec<SocketAddr>,
-    /// One member is probed each period.
+    /// One member is probed in each period.
     pub period: Tenths,
-    /// An answer is waited for so long before indirect probers are asked; less than `period`.
+    /// How long a direct answer is awaited before indirect probers are asked; less than `period`.
     pub answer_within: Tenths,
-    /// Members that are asked to probe in its place.
+    /// Members that are asked to probe in this node's place when there is no direct answer.
     pub indirect_probers: usize,
-    /// How long a suspicion stands before the member is declared dead: when others share it, and on one's own
-    /// word.
+    /// How long a suspicion lasts before the member is declared dead: confirmed by others, and unconfirmed.
     pub suspicion_min: Tenths,
     pub suspicion_max: Tenths,
-    /// Pending updates go out so often while there are any, to so many members.
+    /// The interval at which pending updates are sent, and the members that each round of them goes to.
     pub gossip_interval: Tenths,
     pub gossip_fanout: usize,
-    /// Woken by more than this later than asked for, the process counts as having been paused.
+    /// A process that runs later than it asked for by more than this counts as having been paused.
     pub max_lateness: Tenths,
     /// Periods without any answer after which this node considers itself isolated.
     pub silent_periods: u32,
-    /// Wait before a member that came back twice is in the view again; doubled each time, up to the most.
+    /// How long a member that came back for the second time is kept out of the view; doubled with each
+    /// further return, up to the maximum.
     pub hold_first: Tenths,
     pub hold_max: Tenths,
     /// Dead and left members are forgotten after this.
     pub forget_after: Tenths,
+    /// Members that the table holds beside this node; further ones are left out.
     pub max_members: usize,
 }
 
@@ -58,12 +60,12 @@
 }
 
 impl Parameters {
-    /// How often a node asks to join where it knows of nobody in its view.
+    /// The interval between join requests to nodes outside the view.
     pub fn join_request_interval(&self) -> Tenths {
         self.period * 5
     }
 
-    /// Silence after which a member that answers late is no longer only slow.
+    /// The longest time that an answer is awaited, however slow the member.
     pub fn max_wait(&self) -> Tenths {
         self.suspicion_max
     }
--- a/fleet/src/probes.rs
+++ b/fleet/src/probes.rs
@@ -1,4 +1,4 @@
-//! Probes under way, and those that were made for others.
+//! Bookkeeping of probes: those under way, those that failed lately, and those made for other nodes.
 
 use std::collections::VecDeque;
 
@@ -7,28 +7,36 @@
 use crate::table::MemberIndex;
 use crate::{Incarnation, Name};
 
-/// Probes under way at once: one a period and second opinions.
+/// Probes under way at once: one each period, and those that a suspicion heard of gives cause for.
 const MAX_UNDER_WAY: usize = 16;
-/// Probes that failed whose answer may still come and tells how late the member is.
+/// Failed probes that are remembered, as a late answer tells how slow the member is.
 const MAX_LATE: usize = 32;
-/// Probes made for others.
+/// Probes made for other nodes that are remembered; the oldest makes room.
 const MAX_INDIRECT: usize = 64;
 
+/// A probe of one member.
 #[derive(Clone, Copy, Debug)]
 pub struct Probe {
+    /// Comes back with the answer.
     pub nonce: u32,
+    /// The member that is probed, and its incarnation at that time.
     pub index: MemberIndex,
     pub incarnation: Incarnation,
+    /// When it was sent, in tenths of a ms.
     pub began: Tenths,
 }
 
+/// A probe that another node asked for.
 #[derive(Clone, Debug)]
 pub struct IndirectProbe {
+    /// Of this node's ping.
     pub nonce: u32,
+    /// Who is to have the answer, under which nonce.
     pub asker: Name,
     pub asker_nonce: u32,
 }
 
+/// All probes of one node; every list is bounded.
 #[derive(Default)]
 pub struct Probes {
     under_way: Vec<Probe>,
@@ -36,16 +44,20 @@
     indirect: VecDeque<IndirectProbe>,
 }
 
-/// What an answer belongs to.
+/// Which probe an answer belongs to.
 pub enum Answered {
+    /// One under way.
     InTime(Probe),
+    /// One that had failed.
     Late(Probe),
+    /// One that was made for another node.
     IndirectProbe(IndirectProbe),
+    /// None that is remembered.
     Nothing,
 }
 
 impl Probes {
-    /// Whether there was room for it.
+    /// Takes note of a probe; `false` where [`MAX_UNDER_WAY`] are under way, and it is not to be sent.
     pub fn begin(&mut self, probe: Probe) -> bool {
         let room = self.under_way.len() < MAX_UNDER_WAY;
         if room {
@@ -54,15 +66,17 @@
         room
     }
 
+    /// Whether a probe of this member is under way.
     pub fn is_under_way(&self, index: MemberIndex) -> bool {
         self.under_way.iter().any(|probe| probe.index == index)
     }
 
+    /// The probe under way with this nonce.
     pub fn get(&self, nonce: u32) -> Option<Probe> {
         self.under_way.iter().find(|probe| probe.nonce == nonce).copied()
     }
 
-    /// Takes out one that is over without an answer; an answer that comes after all tells how late it was.
+    /// Moves a probe that was not answered in time to the failed ones.
     pub fn fail(&mut self, nonce: u32) -> Option<Probe> {
         let index = self.under_way.iter().position(|probe| probe.nonce == nonce)?;
         let probe = self.under_way.swap_remove(index);
@@ -73,6 +87,7 @@
         Some(probe)
     }
 
+    /// Takes out the probe that an answer belongs to.
     pub fn answered(&mut self, nonce: u32) -> Answered {
         if let Some(index) = self.under_way.iter().position(|probe| probe.nonce == nonce) {
             return Answered::InTime(self.under_way.swap_remove(index));
@@ -84,6 +99,7 @@
         index.and_then(|index| self.indirect.remove(index)).map_or(Answered::Nothing, Answered::IndirectProbe)
     }
 
+    /// Takes note of a probe made for another node.
     pub fn begin_indirect(&mut self, probe: IndirectProbe) {
         if self.indirect.len() >= MAX_INDIRECT {
             self.indirect.pop_front();
@@ -91,7 +107,7 @@
         self.indirect.push_back(probe);
     }
 
-    /// Nothing that was begun counts any more.
+    /// Forgets the probes under way: after a pause of the process they tell nothing.
     pub fn drop_all(&mut self) {
         self.under_way.clear();
     }
--- a/fleet/src/receiving.rs
+++ b/fleet/src/receiving.rs
@@ -1,4 +1,4 @@
-//! What a datagram means.
+//! Handles datagrams: direct evidence of the sender, indirect evidence of others, and the message itself.
 
 use std::net::SocketAddr;
 
@@ -9,9 +9,9 @@
 use crate::table::MemberIndex;
 use crate::{Action, Change, Datagram, Head, Incarnation, MemberState, MemberUpdate, Message};
 
-/// Stands for all those that declare a member dead.
+/// The mark of a suspicion that rests on other nodes' having declared the member dead.
 const OTHERS: u32 = 0;
-/// Updates that any datagram may carry.
+/// Updates in a datagram above which it is refused.
 const MAX_UPDATES_READ: usize = 64;
 
 impl Fleet {
@@ -69,7 +69,8 @@
         self.compare_views(now, index, &head, out);
     }
 
-    /// What it means that this member spoke to this incarnation: its index, if it is to be listened to.
+    /// Takes in the sender's update on itself. Returns its index if the rest of the datagram is to be
+    /// handled: it is not replayed, and not of an earlier incarnation or a member that left.
     fn direct_evidence(
         &mut self,
         now: Tenths,
@@ -111,7 +112,7 @@
         Some(index)
     }
 
-    /// What others say of a member.
+    /// Takes in an update on another member than the sender.
     fn indirect_evidence(&mut self, now: Tenths, update: MemberUpdate, out: &mut Vec<Action>) {
         if !update.is_valid() {
             self.refused += 1;
@@ -141,8 +142,8 @@
         }
     }
 
-    /// Others declare dead who is there for this node: two halves that find together say so of one another's
-    /// members. It is told to the member and suspected for the shortest time, in which it can contradict.
+    /// Other nodes declared a member dead that is present here, as two halves of a split fleet do once they
+    /// find together. The member is told and suspected for the shortest time, in which it can refute it.
     fn reported_dead(
         &mut self,
         now: Tenths,
@@ -215,7 +216,7 @@
         }
     }
 
-    /// How long a member took to answer; one that takes long is waited for longer.
+    /// Smooths a member's response time; a slow member is given longer to answer.
     fn note_response_time(&mut self, now: Tenths, probe: Probe, out: &mut Vec<Action>) {
         let late = 3 * self.parameters.answer_within;
         let Some(record) = self.table.get_mut(probe.index) else { return };
@@ -246,9 +247,9 @@
         }
     }
 
-    // --- Finding out what the other knows ---
+    // --- Comparing views ---
 
-    /// A member that rests on another view than this node for a while: its table is fetched.
+    /// Fetches the table of a member whose view differs while this node's has not changed for a while.
     fn compare_views(&mut self, now: Tenths, index: MemberIndex, head: &Head, out: &mut Vec<Action>) {
         let calm = 4 * self.parameters.gossip_interval;
         if head.digest == self.view.digest || now < self.view_since + calm {
@@ -262,7 +263,7 @@
         self.send(index, Message::Ask { after: None }, out);
     }
 
-    /// A page came: on with the next, if it is of the table that is being fetched or joined by.
+    /// Asks for the next page, if this one is of the table that is being fetched.
     fn on_page(&mut self, now: Tenths, index: MemberIndex, next: Option<crate::Name>, out: &mut Vec<Action>) {
         let Some(name) = self.table.get(index).map(|record| record.update.name.clone()) else { return };
         match (&self.fetch, next) {
--- a/fleet/src/report.rs
+++ b/fleet/src/report.rs
@@ -1,4 +1,4 @@
-//! What a node tells of its fleet when asked.
+//! How a node reports its fleet to operators.
 
 use std::net::SocketAddr;
 
@@ -8,19 +8,23 @@
 use crate::fleet::{Fleet, Stage};
 use crate::{Incarnation, MemberState, Name};
 
-/// How a member stands, as operators read it.
+/// The state of a member as operators read it. The order of the variants is part of the wire format.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "lowercase")]
 pub enum ReportedState {
     /// Not in the view yet: it looks for the fleet, or is held back for coming back too often.
     Joining,
+    /// In the view.
     Alive,
+    /// In the view; a probe of it failed.
     Suspected,
+    /// It announced that it left.
     Left,
+    /// Out of the view, as it did not answer. Of the node itself: it was superseded.
     Dead,
 }
 
-/// One member as one node sees it.
+/// One member as one node sees it. The order of the fields is part of the wire format.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct MemberReport {
     pub name: Name,
@@ -28,14 +32,15 @@
     pub address: SocketAddr,
     pub state: ReportedState,
     pub weight: u32,
-    /// How long it has stood so.
+    /// How long it has been in this state, in ms.
     pub for_ms: u64,
     /// It answers, but late.
     pub slow: bool,
 }
 
 impl Fleet {
-    /// The members behind a name, up to `max`, the node itself among them; and whether there are more.
+    /// Up to `max` members behind a name, the node itself among them, in the order of names; and whether
+    /// there are more.
     pub fn report(&self, after: Option<&Name>, max: usize, now: Tenths) -> (Vec<MemberReport>, bool) {
         let own = MemberReport {
             name: self.me.name.clone(),
@@ -88,7 +93,7 @@
         (reports, own.is_some() || others.peek().is_some())
     }
 
-    /// Datagrams refused as they came twice, were meant for another incarnation, or made no sense.
+    /// Datagrams refused since the start: replayed, meant for another incarnation, or out of bounds.
     pub fn refused(&self) -> u64 {
         self.refused
     }
--- a/fleet/src/suspicion.rs
+++ b/fleet/src/suspicion.rs
@@ -1,33 +1,37 @@
-//! How long a suspicion stands before its member is declared dead.
+//! A suspicion of one member, and when it ends with the member declared dead.
+//!
+//! As in Lifeguard's extension of SWIM, the timeout shrinks with each independent confirmation.
 
 use doortrack::Tenths;
 
 use crate::Parameters;
 
-/// Others whose word shortens a suspicion.
+/// Confirmations by other nodes that shorten a suspicion; further ones change nothing.
 const MAX_CONFIRMATIONS: usize = 2;
 
-/// A suspicion about one member.
+/// The suspicion of one member.
 #[derive(Clone, Copy, Debug)]
 pub struct Suspicion {
+    /// When it began, in tenths of a ms of the node's own clock.
     pub since: Tenths,
+    /// Marks of the node that suspected first, and of those that confirmed it.
     first: u32,
     others: [u32; MAX_CONFIRMATIONS],
     count: usize,
 }
 
 impl Suspicion {
+    /// A suspicion by the node with this mark.
     pub fn new(by: u32, since: Tenths) -> Suspicion {
         Suspicion { since, first: by, others: [0; MAX_CONFIRMATIONS], count: 0 }
     }
 
-    /// Whether this one's word is counted already, or can't be any more.
+    /// Whether a confirmation by this node is counted already, or no more are counted.
     pub fn is_confirmed_by(&self, by: u32) -> bool {
         by == self.first || self.others[..self.count].contains(&by) || self.count == MAX_CONFIRMATIONS
     }
 
-    /// Takes note of another that suspects, where [`Suspicion::is_confirmed_by`] did not say that it is
-    /// known.
+    /// Counts a confirmation by another node, unless [`Suspicion::is_confirmed_by`] it already.
     pub fn confirm(&mut self, by: u32) {
         if !self.is_confirmed_by(by) {
             self.others[self.count] = by;
@@ -35,14 +39,18 @@
         }
     }
 
-    /// Others have declared it dead already: no further confirmation is needed. Whether it was still wanting.
+    /// Counts all confirmations at once, as other nodes have already declared the member dead. Returns
+    /// whether any were still missing.
     pub fn confirm_fully(&mut self) -> bool {
         std::mem::replace(&mut self.count, MAX_CONFIRMATIONS) < MAX_CONFIRMATIONS
     }
 
-    /// When the member is declared dead, in a view of so many. Where fewer than two others could share the
-    /// suspicion, it takes those there are; where nobody can, it stands to the last. Time before `resumed_at`
-    /// does not count.
+    /// When the member is declared dead, in tenths of a ms, given the members in the node's view.
+    ///
+    /// The suspicion lasts `suspicion_max`, less in proportion to the confirmations, down to `suspicion_min`
+    /// once all that can be expected are there. Fewer than [`MAX_CONFIRMATIONS`] are expected of a small
+    /// view, and none of a view of two, where it always lasts `suspicion_max`. Time before `resumed_at`,
+    /// when this process was paused or isolated, does not count.
     pub fn ends(&self, parameters: &Parameters, members: usize, resumed_at: Tenths) -> Tenths {
         let since = self.since.max(resumed_at);
         let wanted = members.saturating_sub(2).min(MAX_CONFIRMATIONS);
--- a/fleet/src/table.rs
+++ b/fleet/src/table.rs
@@ -1,4 +1,4 @@
-//! All other members that are known, by index and by name.
+//! The table of all other members that are known, by index and by name.
 
 use std::collections::BTreeMap;
 use std::ops::Bound;
@@ -11,18 +11,20 @@
 /// Index of a member in the table; used again once that member was forgotten.
 pub type MemberIndex = usize;
 
-/// Datagrams back that are still told apart from doubled ones.
+/// Datagrams back from the latest within which a replayed one is recognized.
 const WINDOW: u64 = 128;
 
-/// Which datagrams of one incarnation were heard.
+/// Which datagrams of one incarnation were received: a sliding window against replays.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Received {
+    /// The greatest number received.
     last: u64,
+    /// Bit `n`: number `last - n` was received.
     bits: u128,
 }
 
 impl Received {
-    /// Whether this one is heard for the first time; one that is too old to tell counts as doubled.
+    /// Takes note of a datagram's number; `false` if it came before, or is too old to tell.
     pub fn is_first(&mut self, nth: u64) -> bool {
         if nth > self.last {
             let by = nth - self.last;
@@ -39,24 +41,29 @@
     }
 }
 
+/// All that is kept of one member.
 #[derive(Clone, Debug)]
 pub struct MemberRecord {
+    /// The update that takes precedence among all received.
     pub update: MemberUpdate,
-    /// Grows with each change of the update, for what waits to be passed on.
+    /// Grows with each change of the update, so that queued copies of earlier ones are recognized.
     pub revision: u32,
-    /// When the state last changed.
+    /// When the state last changed, in tenths of a ms.
     pub since: Tenths,
+    /// Its datagrams of this incarnation.
     pub received: Received,
-    /// Smoothed time to answer; 0 before the first answer.
+    /// Smoothed response time in tenths of a ms; 0 before the first answer.
     pub response_time: Tenths,
+    /// Whether it was reported as slow.
     pub slow: bool,
+    /// The suspicion under way, if its state is [`MemberState::Suspected`].
     pub suspicion: Option<Suspicion>,
-    /// Times that it came back from being dead, and when last.
+    /// Times that it came back from being dead, and when it last did.
     pub returns: u32,
     pub returned_at: Tenths,
-    /// Kept out of the view until then, for having come back too often.
+    /// Kept out of the view until then, as it came back too often.
     pub held_until: Option<Tenths>,
-    /// Its own index in the list of those that are there, or of those that are dead.
+    /// Its position in the list of present members, or of dead ones.
     pub listed: usize,
 }
 
@@ -78,8 +85,8 @@
     }
 }
 
-/// The table. Members that are there and members that are dead are listed apart, for picking one by chance;
-/// those that left are only known by name.
+/// The table. Present and dead members are listed apart, so that one of either can be drawn at random in
+/// constant time; members that left are found by name only.
 #[derive(Default)]
 pub struct Table {
     slots: Vec<Option<MemberRecord>>,
@@ -87,38 +94,44 @@
     by_name: BTreeMap<Name, MemberIndex>,
     present: Vec<MemberIndex>,
     dead: Vec<MemberIndex>,
-    /// How many of `present` have had their turn in this round of probes.
+    /// How many of `present`, from its start, were probed in this round.
     probed: usize,
 }
 
 impl Table {
+    /// Members in the table, in whatever state.
     pub fn len(&self) -> usize {
         self.by_name.len()
     }
 
+    /// Members that are present.
     pub fn present(&self) -> usize {
         self.present.len()
     }
 
+    /// The index of the member with this name.
     pub fn index_of(&self, name: &str) -> Option<MemberIndex> {
         self.by_name.get(name).copied()
     }
 
+    /// The record of a member; none once it was forgotten.
     pub fn get(&self, index: MemberIndex) -> Option<&MemberRecord> {
         self.slots.get(index)?.as_ref()
     }
 
+    /// As [`Table::get`], to change it. The update is changed by [`Table::set`] alone.
     pub fn get_mut(&mut self, index: MemberIndex) -> Option<&mut MemberRecord> {
         self.slots.get_mut(index)?.as_mut()
     }
 
-    /// Members from behind a name on, in the order of names.
+    /// The members behind a name, in the order of names; all for none.
     pub fn after(&self, name: Option<&Name>) -> impl Iterator<Item = &MemberRecord> {
         let from = name.map_or(Bound::Unbounded, Bound::Excluded);
         let indices = self.by_name.range::<Name, _>((from, Bound::Unbounded)).map(|(_, index)| *index);
         indices.filter_map(|index| self.get(index))
     }
 
+    /// Adds a member that is not in the table.
     pub fn insert(&mut self, update: MemberUpdate, now: Tenths) -> MemberIndex {
         let index = self.free.pop().unwrap_or_else(|| {
             self.slots.push(None);
@@ -131,6 +144,7 @@
         index
     }
 
+    /// Forgets a member; its index may be used again.
     pub fn remove(&mut self, index: MemberIndex) -> Option<MemberRecord> {
         let state = self.get(index)?.update.state;
         self.unlist(index, state);
@@ -140,7 +154,7 @@
         Some(record)
     }
 
-    /// Replaces a member's update, and keeps it in the list where it belongs.
+    /// Replaces a member's update, and moves the member to the list of its new state.
     pub fn set(&mut self, index: MemberIndex, update: MemberUpdate, now: Tenths) {
         let Some(record) = self.get_mut(index) else { return };
         let (before, after) = (record.update.state, update.state);
@@ -206,7 +220,7 @@
         }
     }
 
-    /// The next to be probed: all that are there once a round, in an order that chance settles as it goes.
+    /// The next member to probe: each present member once a round, in an order drawn as the round goes.
     pub fn next_probe(&mut self, chance: &mut fastrand::Rng) -> Option<MemberIndex> {
         if self.present.is_empty() {
             return None;
@@ -220,7 +234,7 @@
         self.present.get(self.probed - 1).copied()
     }
 
-    /// Up to `count` different members that are there, none of them `but`.
+    /// Up to `count` different present members drawn at random, none of them `but`.
     pub fn some(
         &self,
         count: usize,
@@ -245,7 +259,7 @@
         picked
     }
 
-    /// One of those that are dead.
+    /// A dead member drawn at random.
     pub fn some_dead(&self, chance: &mut fastrand::Rng) -> Option<MemberIndex> {
         if self.dead.is_empty() { None } else { self.dead.get(chance.usize(..self.dead.len())).copied() }
     }
--- a/fleet/src/timers.rs
+++ b/fleet/src/timers.rs
@@ -1,4 +1,4 @@
-//! What time brings: probes, suspicions that end, updates that go out.
+//! Handles timers: probes, suspicions that end, rounds of updates.
 
 use doortrack::Tenths;
 
@@ -79,7 +79,7 @@
         }
     }
 
-    /// Indirect probes tell a broken link from a dead node.
+    /// Asks other members to probe one that did not answer directly, as only the link to it may be broken.
     fn ask_indirect_probers(&mut self, nonce: u32, out: &mut Vec<Action>) {
         let Some(probe) = self.probes.get(nonce) else { return };
         let Some(update) = self.table.get(probe.index).map(|record| record.update.clone()) else { return };
@@ -108,7 +108,8 @@
         }
     }
 
-    /// Its answer bears its version, which ends the suspicion if it was contradicted.
+    /// Probes a member once more before its suspicion ends: its answer carries its version, which clears the
+    /// suspicion if it was refuted.
     fn final_probe(&mut self, index: MemberIndex, since: Tenths, out: &mut Vec<Action>) {
         let suspected = |suspicion: &crate::suspicion::Suspicion| suspicion.since == since;
         if self.table.get(index).and_then(|record| record.suspicion).filter(suspected).is_some() {
@@ -132,7 +133,7 @@
         }
     }
 
-    /// One round of pending updates, if there are any.
+    /// Sends one round of pending updates, if there are any.
     pub(crate) fn send_updates(&mut self, now: Tenths, out: &mut Vec<Action>) {
         if self.gossip.is_empty() && self.retransmissions == 0 {
             return;
--- a/fleet/src/update.rs
+++ b/fleet/src/update.rs
@@ -1,4 +1,4 @@
-//! What one node says of another, and which of two such words holds.
+//! Updates on members, and which of two updates on the same member takes precedence.
 
 use std::net::SocketAddr;
 
@@ -6,24 +6,28 @@
 
 use crate::{Incarnation, Name, is_name};
 
-/// The most capacity that a member can announce.
+/// The greatest [`MemberUpdate::weight`] that is accepted.
 pub const MAX_WEIGHT: u32 = 1_000_000;
 
-/// How a member stands.
+/// The state of a member, as one node sees it. The order of the variants is part of the wire format.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum MemberState {
+    /// It answers probes.
     Alive,
-    /// `by` tells suspecting nodes apart: a word passed on is no second one.
+    /// A probe of it failed; it is declared dead unless it refutes this in time.
     Suspected {
+        /// A random mark of the node that suspects it, so that a suspicion which is passed on is not taken
+        /// for a second, independent one.
         by: u32,
     },
+    /// Its suspicion was not refuted in time. Undone by a later version or incarnation.
     Dead,
-    /// Said by the member itself; final for its incarnation.
+    /// It announced that it leaves; final for its incarnation.
     Left,
 }
 
 impl MemberState {
-    /// Which of two words of the same version holds.
+    /// Precedence among updates of one version: the greater one is kept.
     fn rank(self) -> u8 {
         match self {
             MemberState::Alive => 0,
@@ -33,28 +37,31 @@
         }
     }
 
-    /// Whether it is or may be there.
+    /// Whether the member counts as present: alive, or suspected only.
     pub fn is_present(self) -> bool {
         matches!(self, MemberState::Alive | MemberState::Suspected { .. })
     }
 }
 
-/// One node's word on a member.
+/// What one node announces about a member. The order of the fields is part of the wire format.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct MemberUpdate {
+    /// The member.
     pub name: Name,
+    /// The run of its process that the update is about.
     pub incarnation: Incarnation,
-    /// Raised by the member alone, to contradict a suspicion.
+    /// Raised by the member alone, to refute a suspicion of this incarnation.
     pub version: u32,
+    /// Its state.
     pub state: MemberState,
-    /// Where it is reached.
+    /// Where other nodes reach it (UDP).
     pub address: SocketAddr,
-    /// Its capacity, in any unit that all members share; at least 1.
+    /// Its capacity, 1 to [`MAX_WEIGHT`], in any unit that all members share.
     pub weight: u32,
 }
 
 impl MemberUpdate {
-    /// Whether the figures can be meant.
+    /// Whether every field is within its bounds; updates that are not are ignored.
     pub fn is_valid(&self) -> bool {
         let reachable = self.address.port() != 0 && !self.address.ip().is_unspecified();
         is_name(&self.name)
@@ -63,8 +70,8 @@
             && (1..=MAX_WEIGHT).contains(&self.weight)
     }
 
-    /// Whether this word holds against `other` on the same name: a later incarnation; in one incarnation
-    /// having left, then the later version, then the graver word.
+    /// Whether this update takes precedence over another on the same name. In order: the later incarnation,
+    /// having left, the later version, the graver state.
     pub fn overrides(&self, other: &MemberUpdate) -> bool {
         let left = |update: &MemberUpdate| update.state == MemberState::Left;
         let key =
--- a/fleet/src/view.rs
+++ b/fleet/src/view.rs
@@ -1,4 +1,4 @@
-//! The members on which decisions may rest.
+//! Views: the members on which decisions may rest.
 
 use std::net::SocketAddr;
 
@@ -6,23 +6,27 @@
 
 use crate::{Incarnation, Name};
 
-/// One member of a view.
+/// One member of a [`View`].
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Member {
+    /// The run of its process.
     pub incarnation: Incarnation,
+    /// Where it is reached (UDP).
     pub address: SocketAddr,
+    /// Its capacity, in a unit that all members share.
     pub weight: u32,
 }
 
-/// The members as one node holds them, itself among them, in the order of their names. Cheap to keep:
-/// later views share what has not changed.
+/// The present members as one node sees them, itself among them, in the order of their names. A copy is
+/// cheap, as it shares what has not changed since.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct View {
-    /// Grows by one with each change in this node; says nothing about other nodes' numbers.
+    /// Grows by one with each change in this node; not comparable between nodes.
     pub number: u64,
-    /// The same in two nodes exactly when their members, incarnations and weights are, but for chance of
+    /// Equal in two nodes exactly when their members, incarnations and weights are, but for a chance of
     /// 2^-64.
     pub digest: u64,
+    /// The members by name.
     pub members: OrdMap<Name, Member>,
 }
 
