Budgets: a ledger, need estimates and allocation status, and documentation in technical English

`Accounts` with its books and lines becomes `Ledger` with accounts, `Asks` `HolderDemand`, `Item` `ReportItem`, `Need` `NeedEstimate`, `Standing` `AllocationStatus`, `vote_lasts` `vote_duration`, `surely` `shortened_by_drift`. Each module and public item says what it is, its units and bounds, and what of it is part of the wire format. No behaviour changes.

--- a/budgets/src/allocation.rs
+++ b/budgets/src/allocation.rs
@@ -1,46 +1,44 @@
-//! What this node may use of one budget, and what it has in use.
+//! The allocation of one budget at this node, and what of it is in use.
 
 use doortrack::Tenths;
 
-use crate::need::Need;
-use crate::{Budget, Grant, Item, Kind, Parameters, Units};
+use crate::need::NeedEstimate;
+use crate::{Budget, Grant, Kind, Parameters, ReportItem, Units};
 
-/// What a unit is counted in, so that thousandths of a unit a second for a tenth of a ms are whole.
+/// The fractions that one unit of a rate is counted in: a thousandth of a unit a second makes one in a tenth
+/// of a ms.
 const TOKEN: u64 = 10_000_000;
 
+/// How use is counted.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 enum Uses {
-    /// Saved up, at most `cap`, as of `counted`.
-    Rate {
-        tokens: u64,
-        cap: u64,
-        counted: Tenths,
-    },
-    Concurrency {
-        in_use: Units,
-    },
+    /// A token bucket: `tokens` as of `counted`, at most `cap`, in fractions of [`TOKEN`].
+    Rate { tokens: u64, cap: u64, counted: Tenths },
+    /// Units held.
+    Concurrency { in_use: Units },
 }
 
-/// One budget at one node.
+/// The allocation of one budget.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub(crate) struct Allocation {
     pub budget: Budget,
     reserved: Units,
-    /// The reserved minimum may be used from here on: what an earlier incarnation had may be in use
-    /// until then.
+    /// When the reserved minimum may be used: what an earlier incarnation held may be in use until then.
     reserved_from: Tenths,
     leased: Units,
     till: Tenths,
-    /// The newest report whose answer is in force.
+    /// The latest report whose answer is in force.
     pub accepted: u64,
     uses: Uses,
-    need: Need,
-    /// Ran out with so much, and nobody was told yet.
+    need: NeedEstimate,
+    /// What was on a lease that expired, until it is reported.
     ran_out: Option<Units>,
+    /// Requests for a unit that were rejected since the start.
     pub rejected: u64,
 }
 
 impl Allocation {
+    /// Nothing is leased yet; `name` is that of the node.
     pub fn new(budget: Budget, name: &str, now: Tenths, parameters: &Parameters) -> Allocation {
         let held = if parameters.safeguards.held { budget.max_hold() } else { 0 };
         let uses = match budget.kind {
@@ -55,7 +53,7 @@
             till: 0,
             accepted: 0,
             uses,
-            need: Need::new(now),
+            need: NeedEstimate::new(now),
             ran_out: None,
             rejected: 0,
         };
@@ -63,7 +61,7 @@
         allocation
     }
 
-    /// The same budget told of anew: what is in use stays so.
+    /// Changes the budget; what is in use stays so.
     pub fn change(&mut self, budget: Budget, name: &str) {
         self.reserved = budget.reserved_at(name);
         // A lower limit holds at once for what this node may use.
@@ -72,12 +70,13 @@
         self.apply_cap();
     }
 
-    /// Nothing of it may be used any more.
+    /// Takes back everything: nothing may be used any more.
     pub fn close(&mut self) {
         (self.reserved, self.leased, self.till) = (0, 0, 0);
         self.apply_cap();
     }
 
+    /// Adapts the token bucket to what is allocated.
     fn apply_cap(&mut self) {
         let (usable, limit) = (self.reserved + self.leased, self.budget.limit());
         if let (Uses::Rate { tokens, cap, .. }, Kind::Rate { burst }) = (&mut self.uses, self.budget.kind) {
@@ -87,7 +86,7 @@
         }
     }
 
-    /// Counts up to now; a lease that is over ends.
+    /// Counts up to now, and ends a lease that has expired.
     fn settle(&mut self, now: Tenths, parameters: &Parameters) {
         if self.leased > 0 && self.till <= now && parameters.safeguards.run_out {
             self.count(self.till, parameters);
@@ -98,6 +97,7 @@
         self.count(now, parameters);
     }
 
+    /// Adds the tokens of the time since the last count.
     fn count(&mut self, now: Tenths, parameters: &Parameters) {
         let rate = self.reserved + self.leased;
         if let Uses::Rate { tokens, cap, counted } = &mut self.uses {
@@ -112,13 +112,16 @@
         }
     }
 
-    /// What may be used now, in all.
+    /// What may be used now, the reserved minimum included.
     pub fn usable(&mut self, now: Tenths, parameters: &Parameters) -> Units {
         self.settle(now, parameters);
         self.leased + if now >= self.reserved_from { self.reserved } else { 0 }
     }
 
-    /// Uses one unit, or says how long to wait before asking again.
+    /// Acquires one unit.
+    ///
+    /// # Errors
+    /// None is left: how long to wait before asking again, in tenths of a ms.
     pub fn acquire(&mut self, now: Tenths, parameters: &Parameters) -> Result<(), Tenths> {
         let usable = self.usable(now, parameters);
         let rate = self.reserved + self.leased;
@@ -144,7 +147,7 @@
         taken
     }
 
-    /// What was taken was not used, or, of a concurrency, is used no more.
+    /// Gives back a unit: of a concurrency always, of a rate only if it was not used.
     pub fn release(&mut self, used: bool) {
         match &mut self.uses {
             Uses::Rate { tokens, cap, .. } if !used => *tokens = (*tokens + TOKEN).min(*cap),
@@ -153,11 +156,12 @@
         }
     }
 
-    /// Whether some were rejected since the last round.
+    /// Whether requests were rejected since the last round.
     pub fn is_short(&self) -> bool {
         self.need.is_short()
     }
 
+    /// Units held; 0 for a rate.
     pub fn in_use(&self) -> Units {
         match self.uses {
             Uses::Rate { .. } => 0,
@@ -165,12 +169,12 @@
         }
     }
 
-    /// What a report is to say; the end of a round for the measured need.
-    pub fn item(&mut self, now: Tenths, parameters: &Parameters, round: bool, leaves: bool) -> Item {
+    /// The item of a report; with `round` it ends a round of the measured need.
+    pub fn item(&mut self, now: Tenths, parameters: &Parameters, round: bool, leaves: bool) -> ReportItem {
         self.settle(now, parameters);
         let in_use = self.in_use();
         let need = if round { self.need.round(now, &self.budget, in_use) } else { self.need.last() };
-        Item {
+        ReportItem {
             id: self.budget.id(),
             need: if leaves { 0 } else { need.saturating_sub(self.reserved) },
             holding: self.leased.max(in_use.saturating_sub(self.reserved)),
@@ -180,7 +184,8 @@
         }
     }
 
-    /// The leader's answer to report `seq`, sent so that the allocation lasts till `till`. What was, and is.
+    /// Applies the leader's answer to report `seq`, whose lease expires at `till`. Returns what was and what
+    /// is leased.
     pub fn apply_grant(
         &mut self,
         now: Tenths,
@@ -200,21 +205,23 @@
         (was, self.leased)
     }
 
-    /// What ran out since the last time this was asked.
+    /// What was on a lease that expired since this was last asked.
     pub fn ran_out(&mut self, now: Tenths, parameters: &Parameters) -> Option<Units> {
         self.settle(now, parameters);
         self.ran_out.take()
     }
 
-    /// When the lease is over, if there is one.
+    /// When the lease expires, if there is one.
     pub fn till(&self) -> Option<Tenths> {
         (self.leased > 0).then_some(self.till)
     }
 
+    /// What is on a lease.
     pub fn leased(&self) -> Units {
         self.leased
     }
 
+    /// The need as last reported.
     pub fn need(&self) -> Units {
         self.need.last()
     }
--- a/budgets/src/budgets.rs
+++ b/budgets/src/budgets.rs
@@ -1,52 +1,52 @@
-//! The whole of what a node knows of the fleet's budgets: how it is told and asked, and its part as a holder.
+//! The state of one node's budgets, their interface, and the node's part as a holder of allocations.
 
 use std::collections::{BTreeMap, VecDeque};
 
 use doortrack::Tenths;
 use doortrack_fleet::{Incarnation, Name};
 
-use crate::account::Accounts;
 use crate::allocation::Allocation;
 use crate::leadership::Leadership;
+use crate::ledger::Ledger;
 use crate::voter::Voter;
 use crate::{
-    Action, Budget, Change, Envelope, Event, Grant, Id, Item, MAX_ITEMS, Message, NodeId, Parameters,
+    Action, Budget, Change, Envelope, Event, Grant, Id, MAX_ITEMS, Message, NodeId, Parameters, ReportItem,
 };
 
-/// Reports whose answers still count when they come.
+/// Reports that are remembered, as an answer counts from when its report was sent.
 const MAX_SENT: usize = 128;
-/// Rounds without an answer after which another is asked who the leader is.
-const SILENT: u32 = 3;
+/// Rounds without an answer after which the leader is given up and the voters are asked for another.
+const MAX_UNANSWERED_ROUNDS: u32 = 3;
 
-/// One node's budgets. See the crate's page for how to drive it.
+/// One node's budgets. The crate's documentation says how to drive them.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub struct Budgets {
     pub(crate) me: NodeId,
     weight: u32,
     pub(crate) parameters: Parameters,
     pub(crate) allocations: Vec<Allocation>,
-    /// The index of each budget among the allocations.
+    /// The index of each budget in `allocations`.
     indices: BTreeMap<Id, usize>,
-    /// Where this node is one of the voters.
+    /// Present if this node is one of the voters.
     pub(crate) voter: Option<Voter>,
     pub(crate) leadership: Leadership,
-    /// Of this term as the leader.
-    pub(crate) accounts: Accounts,
-    /// Voters that are there.
+    /// What was granted in this term as the leader.
+    pub(crate) ledger: Ledger,
+    /// The voters that are present.
     pub(crate) voters: BTreeMap<Name, Incarnation>,
     pub(crate) leader: Option<NodeId>,
-    /// Answers to reports before this are those of an earlier leader.
+    /// Answers to reports before this one are those of an earlier leader.
     following_since: u64,
     seq: u64,
     sent: VecDeque<(u64, Tenths)>,
     report_at: Tenths,
-    silent: u32,
+    unanswered_rounds: u32,
     asked: usize,
     pub(crate) ballot: u64,
     chance: u64,
-    pub(crate) leaves: bool,
+    pub(crate) leaving: bool,
     superseded: bool,
-    /// What the node has told itself; empty between events.
+    /// Messages to this node itself; empty between events.
     local: VecDeque<Envelope>,
 }
 
@@ -55,8 +55,8 @@
 }
 
 impl Budgets {
-    /// A node that has just started. `weight` is its capacity, in a unit that all share; `list` at most
-    /// [`crate::MAX_BUDGETS`], each with an id of its own.
+    /// The budgets of a node that has just started. `weight` is its capacity, in a unit that all nodes share;
+    /// `list` has at most [`crate::MAX_BUDGETS`], each with an id of its own; `now` is in tenths of a ms.
     pub fn new(
         me: NodeId,
         weight: u32,
@@ -74,18 +74,18 @@
             allocations,
             weight: weight.max(1),
             leadership: Leadership::Follower { try_at: Tenths::MAX },
-            accounts: Accounts::default(),
+            ledger: Ledger::default(),
             voters: BTreeMap::new(),
             leader: None,
             following_since: 0,
             seq: 0,
             sent: VecDeque::new(),
             report_at: now,
-            silent: 0,
+            unanswered_rounds: 0,
             asked: 0,
             ballot: 0,
             chance: seed ^ me.incarnation.0,
-            leaves: false,
+            leaving: false,
             superseded: false,
             local: VecDeque::new(),
             me,
@@ -107,7 +107,7 @@
         chance.u64(..below.max(1))
     }
 
-    /// When [`Event::Tick`] is due at the latest; [`Tenths::MAX`] where nothing is.
+    /// When [`Event::Tick`] is due at the latest; [`Tenths::MAX`] for never.
     pub fn next_due(&self) -> Tenths {
         if self.superseded || self.allocations.is_empty() {
             return Tenths::MAX;
@@ -115,7 +115,7 @@
         self.report_at.min(self.leadership.next_due(&self.parameters))
     }
 
-    /// Tells what happened; `now` never goes back. What is to be done is added to `out`, in order.
+    /// Handles one event at the time `now`, which must not go back. Actions are added to `out`, in order.
     pub fn handle(&mut self, now: Tenths, event: Event, out: &mut Vec<Action>) {
         if self.superseded {
             return;
@@ -132,7 +132,7 @@
                 }
             }
             Event::Leave => {
-                self.leaves = true;
+                self.leaving = true;
                 self.resign(now, out);
                 self.report_at = now;
             }
@@ -165,7 +165,7 @@
         }
         let list: Vec<Budget> = self.allocations.iter().map(|allocation| allocation.budget.clone()).collect();
         self.indices = indices(&list);
-        self.accounts.change(&list);
+        self.ledger.change(&list);
     }
 
     fn on_tick(&mut self, now: Tenths, out: &mut Vec<Action>) {
@@ -181,8 +181,8 @@
                 out.push(Action::Report(Change::RanOut { index, allocation }));
             }
         }
-        self.silent += 1;
-        if self.silent > SILENT
+        self.unanswered_rounds += 1;
+        if self.unanswered_rounds > MAX_UNANSWERED_ROUNDS
             && let Some(leader) = self.leader.take_if(|leader| *leader != self.me)
         {
             out.push(Action::Report(Change::LeaderSilent(leader)));
@@ -191,12 +191,12 @@
         self.report(now, &all, true, out);
     }
 
-    /// Reports on these budgets to the leader, or to whoever may know of one.
+    /// Reports these budgets to the leader, or, if none is known, to a voter that may know one.
     fn report(&mut self, now: Tenths, indices: &[usize], round: bool, out: &mut Vec<Action>) {
         let Some(to) = self.leader.clone().or_else(|| self.next_asked()) else { return };
-        let (parameters, leaves) = (&self.parameters, self.leaves);
+        let (parameters, leaves) = (&self.parameters, self.leaving);
         let items = indices.iter().map(|index| self.allocations[*index].item(now, parameters, round, leaves));
-        let items: Vec<Item> = items.collect();
+        let items: Vec<ReportItem> = items.collect();
         for items in items.chunks(MAX_ITEMS) {
             self.seq += 1;
             if self.sent.len() >= MAX_SENT {
@@ -208,7 +208,7 @@
         }
     }
 
-    /// The next of the other voters, one after the other.
+    /// The next of the other voters, in turn.
     fn next_asked(&mut self) -> Option<NodeId> {
         let others: Vec<NodeId> = self.others().collect();
         self.asked = self.asked.wrapping_add(1);
@@ -233,7 +233,7 @@
             return;
         }
         self.following_since = self.seq + 1;
-        self.silent = 0;
+        self.unanswered_rounds = 0;
         if let Some(leader) = &to {
             out.push(Action::Report(Change::Leader(leader.clone())));
         }
@@ -272,8 +272,8 @@
         let Some((_, sent)) = self.sent.iter().find(|(sent_seq, _)| *sent_seq == seq).copied() else {
             return;
         };
-        let till = sent + self.parameters.surely(self.parameters.lease);
-        self.silent = 0;
+        let till = sent + self.parameters.shortened_by_drift(self.parameters.lease);
+        self.unanswered_rounds = 0;
         if till <= now && self.parameters.safeguards.run_out {
             return;
         }
@@ -301,20 +301,20 @@
 
     // --- Before and after each use ---
 
-    /// Uses one unit of the budget at this index of the list.
+    /// Acquires one unit of the budget at this index of the list.
     ///
     /// # Errors
-    /// Nothing is left; how long to wait before asking again, in tenths of a ms.
+    /// None is left: how long to wait before asking again, in tenths of a ms.
     pub fn acquire(&mut self, index: usize, now: Tenths) -> Result<(), Tenths> {
         self.allocations[index].acquire(now, &self.parameters)
     }
 
-    /// What was taken came to nothing: of a rate it may be used again.
+    /// Gives back a unit that was acquired and not used, also of a rate.
     pub fn cancel(&mut self, index: usize) {
         self.allocations[index].release(false);
     }
 
-    /// A unit that was held is held no more. Of a rate this changes nothing.
+    /// Releases a unit of a concurrency that was used. Of a rate this changes nothing.
     pub fn release(&mut self, index: usize) {
         self.allocations[index].release(true);
     }
--- a/budgets/src/leadership.rs
+++ b/budgets/src/leadership.rs
@@ -1,26 +1,28 @@
-//! How a voter becomes the leader, stays it and steps down.
+//! Elections: how a voter becomes the leader, remains it and steps down.
 
 use std::collections::{BTreeMap, VecDeque};
 
 use doortrack::Tenths;
 use doortrack_fleet::Name;
 
-use crate::account::Accounts;
+use crate::ledger::Ledger;
 use crate::voter::Voter;
-use crate::{Action, Budget, Budgets, Change, Item, Message, NodeId, Parameters};
+use crate::{Action, Budget, Budgets, Change, Message, NodeId, Parameters, ReportItem};
 
-/// Ballots whose votes still count when they come.
+/// Ballots that are remembered, as a vote counts from when its ballot was sent.
 const MAX_ASKED: usize = 8;
 
-/// The votes that one candidate holds.
+/// The votes that a candidate or leader holds.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
 pub(crate) struct Election {
-    /// Ballots and when they were sent: a vote counts from there.
+    /// Ballots, and when each was sent.
     asked: VecDeque<(u64, Tenths)>,
+    /// When each voter's vote expires.
     votes: BTreeMap<Name, Tenths>,
 }
 
 impl Election {
+    /// Takes note of a ballot that is sent now.
     pub fn asked(&mut self, ballot: u64, now: Tenths) {
         if self.asked.len() >= MAX_ASKED {
             self.asked.pop_front();
@@ -28,53 +30,53 @@
         self.asked.push_back((ballot, now));
     }
 
+    /// Counts a vote; one for a ballot that is not remembered is ignored.
     pub fn vote(&mut self, from: &Name, ballot: u64, parameters: &Parameters) {
         let Some((_, sent)) = self.asked.iter().find(|(asked, _)| *asked == ballot) else { return };
-        let till = sent + parameters.surely(parameters.vote_lasts);
+        let till = sent + parameters.shortened_by_drift(parameters.vote_duration);
         let known = self.votes.entry(from.clone()).or_default();
         *known = till.max(*known);
     }
 
-    /// Till when a majority of the votes lasts; 0 for never.
+    /// When the votes no longer make a majority; 0 if they never did.
     pub fn till(&self, parameters: &Parameters) -> Tenths {
         let mut ends: Vec<Tenths> = self.votes.values().copied().collect();
         ends.sort_unstable_by(|a, b| b.cmp(a));
         ends.get(parameters.majority() - 1).copied().unwrap_or(0)
     }
 
+    /// The ballot sent last.
     pub fn last_ballot(&self) -> Option<u64> {
         self.asked.back().map(|(ballot, _)| *ballot)
     }
 }
 
-/// Where a node stands towards being the leader.
+/// The node's role in elections.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub(crate) enum Leadership {
-    /// It may try from here on; never where it is no voter.
-    Follower {
-        try_at: Tenths,
-    },
-    /// It has asked for votes, and gives up at a time.
-    Candidate {
-        election: Election,
-        till: Tenths,
-    },
+    /// It may start an election at this time; never if it is no voter.
+    Follower { try_at: Tenths },
+    /// It has asked for votes, and abandons the election at a time.
+    Candidate { election: Election, till: Tenths },
+    /// It holds the votes of a majority.
     Leader(Term),
 }
 
-/// One term as the leader, without a gap.
+/// One uninterrupted term as the leader.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub(crate) struct Term {
     pub election: Election,
+    /// When votes are asked for again.
     pub renew_at: Tenths,
-    /// From here on nothing is in use that an earlier leader granted for longer than this budget's leases
-    /// last; what is held beyond a lease is added for each budget.
+    /// When the term began. A lease of an earlier leader has expired one lease later; what a budget's units
+    /// may be held beyond that is added.
     pub since: Tenths,
-    /// The next division.
+    /// When the budgets are divided next.
     pub divide_at: Tenths,
 }
 
 impl Leadership {
+    /// When there is something to do at the latest.
     pub fn next_due(&self, parameters: &Parameters) -> Tenths {
         match self {
             Leadership::Follower { try_at } => *try_at,
@@ -85,7 +87,7 @@
 }
 
 impl Budgets {
-    /// What time brings to a voter.
+    /// Does what is due of elections and, as the leader, of divisions.
     pub(crate) fn leadership_tick(&mut self, now: Tenths, out: &mut Vec<Action>) {
         match &self.leadership {
             Leadership::Follower { try_at } if now >= *try_at => self.start_election(now, out),
@@ -104,7 +106,7 @@
             && now >= term.divide_at
         {
             term.divide_at = now + self.parameters.round.div_ceil(2);
-            self.accounts.divide(now, &self.parameters);
+            self.ledger.divide(now, &self.parameters);
         }
     }
 
@@ -122,7 +124,7 @@
         self.ask_all(now, out);
     }
 
-    /// Asks all voters, this one too, for their votes under a new ballot.
+    /// Asks all voters, this node included, for their votes under a new ballot.
     fn ask_all(&mut self, now: Tenths, out: &mut Vec<Action>) {
         self.ballot += 1;
         let ballot = self.ballot;
@@ -153,7 +155,7 @@
         }
     }
 
-    /// Too few votes: they are given back, so that another may have them.
+    /// Gives up for want of votes; those given are released, so that another may have them.
     fn abandon_election(&mut self, now: Tenths, out: &mut Vec<Action>) {
         self.release_votes(out);
         let wait = self.parameters.round / 2 + self.random(2 * self.parameters.round);
@@ -162,12 +164,12 @@
 
     fn step_down(&mut self, now: Tenths, out: &mut Vec<Action>) {
         self.leadership = Leadership::Follower { try_at: now + self.parameters.round };
-        self.accounts = Accounts::default();
+        self.ledger = Ledger::default();
         self.follow(None, out);
         out.push(Action::Report(Change::SteppedDown));
     }
 
-    /// Steps down for good, so that another may take it at once.
+    /// Steps down for good and releases all votes, so that another can be elected at once.
     pub(crate) fn resign(&mut self, now: Tenths, out: &mut Vec<Action>) {
         let held = matches!(self.leadership, Leadership::Leader(_));
         self.release_votes(out);
@@ -189,7 +191,7 @@
                     self.leadership = Leadership::Leader(Term { election, renew_at, since: now, divide_at });
                     let list: Vec<Budget> =
                         self.allocations.iter().map(|allocation| allocation.budget.clone()).collect();
-                    self.accounts = Accounts::new(&list);
+                    self.ledger = Ledger::new(&list);
                     let grants_after =
                         if self.parameters.safeguards.settle { self.parameters.lease } else { 0 };
                     out.push(Action::Report(Change::Elected { grants_after }));
@@ -199,7 +201,7 @@
         }
     }
 
-    /// What concerns voters, candidates and leaders.
+    /// Handles the messages to voters, candidates and leaders.
     pub(crate) fn on_voter_message(
         &mut self,
         now: Tenths,
@@ -224,7 +226,7 @@
                 if let Leadership::Follower { try_at: at } = &mut self.leadership
                     && released
                     && from != self.me
-                    && !self.leaves
+                    && !self.leaving
                 {
                     *at = try_at.min(*at);
                 }
@@ -239,7 +241,7 @@
         now: Tenths,
         from: NodeId,
         (seq, weight): (u64, u32),
-        items: &[Item],
+        items: &[ReportItem],
         out: &mut Vec<Action>,
     ) {
         let answer = match &self.leadership {
@@ -250,7 +252,7 @@
                     let held = if parameters.safeguards.held { budget.max_hold() } else { 0 };
                     !parameters.safeguards.settle || now >= since + parameters.lease + held
                 };
-                let grants = self.accounts.report(now, &from, (seq, weight), items, settled, parameters);
+                let grants = self.ledger.report(now, &from, (seq, weight), items, settled, parameters);
                 grants.map(|grants| Message::Grant { seq, grants })
             }
             _ => {
--- a/budgets/src/lib.rs
+++ b/budgets/src/lib.rs
@@ -1,45 +1,47 @@
-//! Decides how much of each budget of the whole fleet this node may use, so that all nodes together never use
-//! more than the limit.
+//! Fleet-wide budgets: decides how much of each budget this node may use, so that all nodes together never
+//! use more than its limit.
 //!
-//! Every node holds one [`Budgets`]: what it heard is told to it with the time ([`Event`]), what is to be
-//! done comes back as [`Action`]s, and before each use it is asked ([`Budgets::acquire`]). Neither sockets
-//! nor a clock, and the same events with the same seed give the same actions.
+//! Every node holds one [`Budgets`]. It is driven by [`Event`]s with the time of each, returns [`Action`]s to
+//! carry out, and is asked before each use ([`Budgets::acquire`]). There are neither sockets nor a clock
+//! here, and the same events with the same seed give the same actions.
 //!
 //! ```text
 //! let mut budgets = Budgets::new(me, weight, parameters, list, seed, now);
 //! budgets.handle(now, Event::Tick, &mut actions);          // at budgets.next_due() at the latest
-//! if let Err(retry_after) = budgets.acquire(place, now) { .. }  // with the clock read just before
+//! if let Err(retry_after) = budgets.acquire(index, now) { .. }  // with the clock read just before
 //! ```
 //!
 //! A **leader**, one of the fleet's voters, grants allocations to all nodes on leases. Nothing is written to
 //! disk:
-//! - **Votes.** A voter gives its vote to one candidate for [`Parameters::vote_lasts`] and to no other
-//!   meanwhile; who holds the votes of a majority is leader, by its own clock from when it *asked*. A voter
-//!   that has just started may have forgotten a vote, and gives none for as long as one lasts.
-//! - **Leases.** An allocation counts, for its holder, from when it *asked* for it, and for the leader from
-//!   when it *answered*, so no delay makes the holder's end come after the leader's. A lease is shorter for
-//!   its holder by what two clocks may drift apart.
-//! - **Moved allocations.** What one holder is to give up is granted to another only once the first has said
-//!   that it uses no more, or its lease is over. Whatever was sent and not confirmed counts as granted.
-//! - **A new leader** knows nothing of what was granted. Until all that an earlier one can have granted is
-//!   over, it only prolongs what holders say they hold, and only where they still do when its word comes.
+//! - **Votes.** A voter gives its vote to one candidate for [`Parameters::vote_duration`] and to no other
+//!   meanwhile; a candidate with the votes of a majority is the leader, by its own clock from when it
+//!   *asked*. A voter that has just started may have forgotten a vote, and gives none for as long as one
+//!   lasts.
+//! - **Leases.** A lease runs, for its holder, from when it *asked*, and for the leader from when it
+//!   *answered*, so that under any delay the holder's lease ends first. It is shortened for the holder by
+//!   what two clocks may drift apart.
+//! - **Moved allocations.** What one holder is to give up is granted to another only once the first has
+//!   confirmed that it uses no more, or its lease has expired. Whatever was sent and not confirmed counts as
+//!   granted.
+//! - **A new leader** knows nothing of what was granted. Until every lease of an earlier leader has expired,
+//!   it only prolongs what holders report, and only where they still hold it when its answer arrives.
 //! - **Reserved minimums** are set aside from the limit, for named nodes, and need no leader.
 //!
-//! Assumptions: each process's time goes forward, and against true time by no more than [`Parameters::drift`]
-//! too fast or too slow. Datagrams may be lost, doubled, delayed without bound and reordered. Any process may
-//! die (and start anew with nothing), stop and wake. One process at a time goes by a name; nodes do not lie
-//! about what they hold. What a broken assumption costs stands in `docs/budgets.md`.
+//! Assumptions: each process's time goes forward, and drifts from true time by no more than
+//! [`Parameters::drift`]. Datagrams may be lost, duplicated, delayed without bound and reordered. Any process
+//! may die (and restart with nothing), pause and resume. One process at a time uses a name; nodes do not lie
+//! about what they hold. `docs/budgets.md` says what a broken assumption costs.
 //!
-//! Bounds: budgets ([`MAX_BUDGETS`]), items a datagram, unconfirmed allocations a holder. A check costs the
-//! same whatever there is; a report costs the leader the logarithm of the holders, and a division, twice a
-//! round, as much for each.
+//! Bounds: budgets ([`MAX_BUDGETS`]), items in a datagram, unconfirmed allocations of a holder. A check takes
+//! constant time; a report costs the leader the logarithm of the holders, and a division, twice a round, as
+//! much for each holder.
 
-mod account;
 mod allocation;
 mod budgets;
 mod divide;
 mod envelope;
 mod leadership;
+mod ledger;
 mod need;
 mod parameters;
 mod reporting;
@@ -49,68 +51,59 @@
 use doortrack_fleet::View;
 
 pub use budgets::Budgets;
-pub use divide::{Asks, divide};
-pub use envelope::{Envelope, Grant, Item, MAX_ITEMS, Message, NodeId};
+pub use divide::{HolderDemand, divide};
+pub use envelope::{Envelope, Grant, MAX_ITEMS, Message, NodeId, ReportItem};
 pub use parameters::{Budget, Id, Kind, Parameters, Safeguards, Units, id_of};
-pub use reporting::Standing;
+pub use reporting::AllocationStatus;
 
-/// Budgets of one fleet.
+/// Budgets that one fleet may have.
 pub const MAX_BUDGETS: usize = 256;
 
-/// What happens to a node.
+/// An input of [`Budgets::handle`].
 #[derive(Clone, Debug)]
 pub enum Event {
-    /// Time has come to where [`Budgets::next_due`] said, or simply passes.
+    /// Time has passed; due by [`Budgets::next_due`] at the latest.
     Tick,
+    /// A message arrived from another node.
     Received(Envelope),
-    /// Who is there has changed.
+    /// The members present have changed.
     Members(View),
-    /// The node was told to leave: it asks for nothing more, and steps down as the leader.
+    /// The node is to leave: it asks for nothing more, and steps down as the leader.
     Leave,
-    /// Another process goes by this node's name: this one uses nothing more, reserved minimums included.
+    /// A later process uses this node's name: this one uses nothing more, reserved minimums included.
     Superseded,
-    /// Other budgets from here on. What one that stays has in use is kept.
-    Changed {
-        list: Vec<Budget>,
-    },
+    /// The budgets were changed. Use of those that remain is kept.
+    Changed { list: Vec<Budget> },
 }
 
-/// What is to be done.
+/// An output of [`Budgets::handle`], to be carried out in order.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Action {
-    /// To the node of that name, wherever it is reached; lost where it is not.
+    /// Send a message to the node that it names; it may get lost.
     Send(Envelope),
+    /// Tell the log.
     Report(Change),
 }
 
-/// What has changed, for the log.
+/// A change that the log tells. Allocations are in [`Units`], times in tenths of a ms.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Change {
-    /// This node is the leader from here on, and grants what is free after so many tenths of a ms.
-    Elected {
-        grants_after: Tenths,
-    },
+    /// This node became the leader; it grants what is free after `grants_after`.
+    Elected { grants_after: Tenths },
+    /// This node is no longer the leader.
     SteppedDown,
-    /// Whom this node reports to.
+    /// The leader that this node reports to from here on.
     Leader(NodeId),
-    /// No answer from the leader for some rounds.
+    /// The leader has not answered for some rounds.
     LeaderSilent(NodeId),
-    /// An allocation of the budget at this index has changed to so many units, for so many tenths of a ms.
-    Allocation {
-        index: usize,
-        was: Units,
-        allocation: Units,
-        lasts: Tenths,
-    },
-    /// The lease is over with so many units.
-    RanOut {
-        index: usize,
-        allocation: Units,
-    },
+    /// The allocation of the budget at this index changed, and now lasts for `lasts`.
+    Allocation { index: usize, was: Units, allocation: Units, lasts: Tenths },
+    /// The lease expired; `allocation` was on it.
+    RanOut { index: usize, allocation: Units },
 }
 
 impl Change {
-    /// Its name in logs and histories.
+    /// Its word in logs and histories.
     pub fn word(&self) -> &'static str {
         match self {
             Change::Elected { .. } => "elected",
--- a/budgets/src/need.rs
+++ b/budgets/src/need.rs
@@ -1,23 +1,24 @@
-//! How much of a budget could be used, measured without swings.
+//! Estimates how much of a budget a node could use, smoothed so that allocations do not oscillate.
 
 use doortrack::Tenths;
 
 use crate::{Budget, Kind, Units};
 
-/// How far needs are followed each round, in eighths of the way: rising ones at once, where a round has uses
-/// enough to tell; where it has few, chance speaks louder than need.
+/// How far the estimate moves to the measured need in a round, in eighths: when it rises, and when it falls.
 const UP: Units = 8;
 const DOWN: Units = 6;
+/// Uses in a round below which chance outweighs need, and how far the estimate moves then.
 const FEW: Units = 8;
 const BY_FEW: Units = 1;
-/// What is told is left as it was while the need is above it by less than this part, or below.
+/// The reported need is left unchanged while the estimate is above it by less than this fraction of it, or
+/// below it by less than the second one.
 const LEFT_UP: Units = 32;
 const LEFT_DOWN: Units = 12;
 
-/// Uses that were asked for, those that were rejected included.
+/// The need of one budget: uses that were asked for, rejected ones included.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
-pub(crate) struct Need {
-    /// Since the last round: asked for, rejected, and the most that was in use at once.
+pub(crate) struct NeedEstimate {
+    /// Since the last round: uses asked for, rejected, and the most held at once.
     asked: Units,
     rejected: Units,
     peak: Units,
@@ -26,23 +27,25 @@
     told: Units,
 }
 
-impl Need {
-    pub fn new(now: Tenths) -> Need {
-        Need { since: now, ..Need::default() }
+impl NeedEstimate {
+    /// No need is known yet.
+    pub fn new(now: Tenths) -> NeedEstimate {
+        NeedEstimate { since: now, ..NeedEstimate::default() }
     }
 
+    /// Counts a use that was asked for.
     pub fn asked(&mut self, granted: bool, in_use: Units) {
         self.asked += 1;
         self.rejected += Units::from(!granted);
         self.peak = self.peak.max(in_use);
     }
 
-    /// Whether some were rejected since the last round.
+    /// Whether uses were rejected since the last round.
     pub fn is_short(&self) -> bool {
         self.rejected > 0
     }
 
-    /// What is to be told, at the end of a round.
+    /// Ends a round, and returns the need to report.
     pub fn round(&mut self, now: Tenths, budget: &Budget, in_use: Units) -> Units {
         let span = now.saturating_sub(self.since);
         if span == 0 {
@@ -73,10 +76,11 @@
         let left = if smooth > told { told / LEFT_UP } else { told / LEFT_DOWN };
         // Nothing is added for what comes by chance: what all needs leave over is divided as well.
         let told = if smooth.abs_diff(told) > left { smooth } else { told };
-        *self = Need { asked, rejected, peak, since: now, smooth, told };
+        *self = NeedEstimate { asked, rejected, peak, since: now, smooth, told };
         told
     }
 
+    /// The need as last reported.
     pub fn last(&self) -> Units {
         self.told
     }
--- a/budgets/src/parameters.rs
+++ b/budgets/src/parameters.rs
@@ -1,4 +1,4 @@
-//! What budgets are made of, and how fast they are divided.
+//! Budgets as they are configured, and the timing of their division.
 
 use std::sync::Arc;
 
@@ -7,14 +7,14 @@
 
 const MS: Tenths = 10;
 
-/// A part of a budget: units held at once, or thousandths of a unit a second.
+/// An amount of a budget: units held at once, or thousandths of a unit a second.
 pub type Units = u64;
 
-/// By what nodes know a budget: its name and kind, hashed. The same in every build. Nodes that were told of
-/// another kind under the name do not take one another's units for their own.
+/// Identifies a budget between nodes: a hash of its name and kind, the same in every build. Nodes configured
+/// with another kind under the same name do not mistake one another's units.
 pub type Id = u32;
 
-/// The id of a budget. Two of one installation may not share one.
+/// The id of a budget; unique within an installation, which is checked when its file is read.
 pub fn id_of(name: &str, kind: Kind) -> Id {
     let mut hasher = blake3::Hasher::new();
     hasher.update(&[u8::from(matches!(kind, Kind::Rate { .. }))]).update(name.as_bytes());
@@ -23,16 +23,17 @@
     Id::from_le_bytes(first)
 }
 
+/// What a budget limits.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub enum Kind {
-    /// Units a second. In any span the fleet uses at most `limit` times the span and `burst` beyond.
+    /// Units a second. In any span the fleet uses at most `limit` times the span, and `burst` beyond.
     Rate {
         /// Units.
         burst: u32,
     },
     /// Units held at once.
     Concurrency {
-        /// What one is held for at the longest, also by who is parted from all or has died.
+        /// The longest that a unit is held, in tenths of a ms, also by a node that is isolated or has died.
         max_hold: Tenths,
     },
 }
@@ -42,17 +43,18 @@
 pub struct Budget {
     pub name: Arc<str>,
     pub kind: Kind,
-    /// Units a second, or units held at once.
+    /// Of the whole fleet: units a second, or units held at once.
     pub limit: u32,
-    /// Set aside for each of `reserved_for`, in the same.
+    /// The minimum reserved for each of `reserved_for`, in the same unit.
     pub reserved: u32,
-    /// Names of the nodes that have a reserved minimum.
+    /// The names of the nodes that have a reserved minimum.
     pub reserved_for: Arc<[Name]>,
-    /// The most that any one node may have, its reserved minimum included.
+    /// The most that one node may have, its reserved minimum included.
     pub max_per_node: u32,
 }
 
 impl Budget {
+    /// [`Units`] of one unit.
     fn scale(&self) -> Units {
         match self.kind {
             Kind::Rate { .. } => 1_000,
@@ -60,33 +62,38 @@
         }
     }
 
+    /// See [`Id`].
     pub fn id(&self) -> Id {
         id_of(&self.name, self.kind)
     }
 
+    /// The limit in [`Units`].
     pub fn limit(&self) -> Units {
         Units::from(self.limit) * self.scale()
     }
 
+    /// The reserved minimum in [`Units`].
     pub fn reserved(&self) -> Units {
         Units::from(self.reserved) * self.scale()
     }
 
-    /// What can be granted, where all think so of the limit and the reserved minimum.
+    /// What can be granted to all nodes together, given the limit and the reserved minimum of each.
     pub fn grantable(&self, limit: Units, reserved: Units) -> Units {
         limit.saturating_sub(reserved * self.reserved_for.len() as Units)
     }
 
-    /// The most that one node may be granted.
+    /// The most that the node of this name may be granted.
     pub fn max_grant(&self, name: &str) -> Units {
         (Units::from(self.max_per_node) * self.scale()).saturating_sub(self.reserved_at(name))
     }
 
+    /// The reserved minimum of the node of this name.
     pub fn reserved_at(&self, name: &str) -> Units {
         if self.reserved_for.iter().any(|node| **node == *name) { self.reserved() } else { 0 }
     }
 
-    /// Allocations are multiples of this: a smaller one has no whole unit of the burst, and can't be used.
+    /// Allocations are multiples of this: a smaller one holds less than one unit of the burst, and is
+    /// useless.
     pub fn step(&self) -> Units {
         match self.kind {
             Kind::Rate { burst } => self.limit().div_ceil(Units::from(burst.max(1))).max(1),
@@ -94,7 +101,7 @@
         }
     }
 
-    /// How long after its lease something of it may still be in use.
+    /// How long after its lease a unit may still be in use, in tenths of a ms.
     pub fn max_hold(&self) -> Tenths {
         match self.kind {
             Kind::Rate { .. } => 0,
@@ -103,17 +110,20 @@
     }
 }
 
-/// Times and bounds. All nodes of a fleet are to have the same.
+/// Timing and voters, the same on all nodes of a fleet. Times are in tenths of a ms.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub struct Parameters {
-    /// Of whom a majority elects a leader.
+    /// The names of the nodes of which a majority elects the leader.
     pub voters: Arc<[Name]>,
-    /// Needs are told, and allocations answered, so often.
+    /// The interval at which holders report.
     pub round: Tenths,
-    pub vote_lasts: Tenths,
+    /// How long a vote lasts.
+    pub vote_duration: Tenths,
+    /// How long a lease lasts.
     pub lease: Tenths,
     /// How far a clock may gain or lose against true time, in thousandths.
     pub drift: u64,
+    /// All on but in tests.
     pub safeguards: Safeguards,
 }
 
@@ -122,7 +132,7 @@
         Parameters {
             voters: Arc::new([]),
             round: 200 * MS,
-            vote_lasts: 800 * MS,
+            vote_duration: 800 * MS,
             lease: 1_500 * MS,
             drift: 20,
             safeguards: Safeguards::default(),
@@ -131,36 +141,38 @@
 }
 
 impl Parameters {
-    /// A span that is over by a clock that is too slow before it is by one that is too fast.
-    pub(crate) fn surely(&self, span: Tenths) -> Tenths {
+    /// A span that has passed by the slowest admissible clock before `span` has by the fastest.
+    pub(crate) fn shortened_by_drift(&self, span: Tenths) -> Tenths {
         if self.safeguards.drift { span * (1_000 - self.drift) / (1_000 + self.drift) } else { span }
     }
 
+    /// Votes that make a majority.
     pub(crate) fn majority(&self) -> usize {
         if self.safeguards.majority { self.voters.len() / 2 + 1 } else { 1 }
     }
 }
 
-/// What keeps the sum within the limit. All are on; tests show that each is needed.
+/// The rules that keep the sum within the limit. All are on; tests show that each is needed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub struct Safeguards {
-    /// A voter that has just started gives no vote.
+    /// A voter that has just started gives no vote for as long as one lasts.
     pub silent_start: bool,
-    /// A majority of the voters makes a leader, not one.
+    /// A majority of the voters elects a leader, not a single one.
     pub majority: bool,
-    /// A new leader grants nothing new until earlier leases are over.
+    /// A new leader grants nothing new until the leases of earlier ones have expired.
     pub settle: bool,
-    /// What was granted to another counts until it is confirmed as given up.
+    /// What was granted counts until the holder has confirmed that it gave it up.
     pub confirm: bool,
-    /// A holder looks whether its lease is over.
+    /// A holder checks whether its lease has expired.
     pub run_out: bool,
-    /// Leases are shorter for their holders by what clocks may drift.
+    /// Leases are shortened for their holders by what clocks may drift.
     pub drift: bool,
-    /// A holder takes only answers to what it asked of its present leader, the newest first.
+    /// A holder accepts only answers to its reports to the present leader, and none older than the last.
     pub in_order: bool,
-    /// What is prolonged has to be in force yet.
+    /// Only what is still in force is prolonged.
     pub prolong: bool,
-    /// Units count as in use for as long as they may be, beyond a lease and after a start.
+    /// Units of a concurrency count as in use for as long as they may be held, beyond a lease and after a
+    /// start.
     pub held: bool,
 }
 
--- a/budgets/src/reporting.rs
+++ b/budgets/src/reporting.rs
@@ -1,40 +1,45 @@
-//! How things stand, for those who ask and for tests.
+//! The state of the budgets, for operators and tests.
 
 use doortrack::Tenths;
 
 use crate::leadership::Leadership;
 use crate::{Budget, Budgets, Kind, NodeId, Parameters, Units};
 
-/// One budget at one node.
+/// The state of one budget at one node.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Standing {
+pub struct AllocationStatus {
     /// What this node may use now, its reserved minimum included, and of that what is on a lease.
     pub allocation: Units,
     pub leased: Units,
     /// Units in use; 0 for a rate.
     pub in_use: Units,
+    /// What the node could use, as last reported.
     pub need: Units,
+    /// Requests for a unit that were rejected since the start.
     pub rejected: u64,
-    /// For how long the lease lasts yet.
+    /// How long the lease still lasts, in tenths of a ms.
     pub lasts: Option<Tenths>,
-    /// What it has granted, where this node is the leader.
+    /// What this node has granted to all, if it is the leader.
     pub granted: Option<Units>,
 }
 
 impl Budgets {
+    /// This node.
     pub fn me(&self) -> &NodeId {
         &self.me
     }
 
+    /// The parameters in force.
     pub fn parameters(&self) -> &Parameters {
         &self.parameters
     }
 
-    /// Whom this node reports to.
+    /// The leader that this node reports to.
     pub fn leader(&self) -> Option<&NodeId> {
         self.leader.as_ref()
     }
 
+    /// Whether this node holds the votes of a majority at `now`.
     pub fn is_leader(&self, now: Tenths) -> bool {
         matches!(&self.leadership, Leadership::Leader(term) if term.election.till(&self.parameters) > now)
     }
@@ -44,24 +49,23 @@
         self.allocations.iter().map(|allocation| &allocation.budget)
     }
 
-    /// How the budget at this index stands.
-    pub fn standing(&mut self, index: usize, now: Tenths) -> Standing {
+    /// The state of the budget at this index.
+    pub fn status(&mut self, index: usize, now: Tenths) -> AllocationStatus {
         let leader = self.is_leader(now);
         let allocation = &mut self.allocations[index];
         let usable = allocation.usable(now, &self.parameters);
-        Standing {
+        AllocationStatus {
             allocation: usable,
             leased: allocation.leased(),
             in_use: allocation.in_use(),
             need: allocation.need(),
             rejected: allocation.rejected,
             lasts: allocation.till().map(|till| till.saturating_sub(now)),
-            granted: leader.then(|| self.accounts.granted(index)),
+            granted: leader.then(|| self.ledger.granted(index)),
         }
     }
 
-    /// What may be in use at the most at this instant, whoever looks: an allocation that was not looked at
-    /// since its lease ended is none.
+    /// What may be in use at most at `now`, without changing anything: for tests of the sum over all nodes.
     pub fn exposed(&self, index: usize, now: Tenths) -> Units {
         let mut allocation = self.allocations[index].clone();
         let usable = allocation.usable(now, &self.parameters);
--- a/budgets/src/voter.rs
+++ b/budgets/src/voter.rs
@@ -1,11 +1,11 @@
-//! A voter: one vote at a time, to one candidate, for a bounded time.
+//! A voter: it gives one vote at a time, to one candidate, for a bounded time.
 
 use doortrack::Tenths;
 
 use crate::{NodeId, Parameters};
 
-/// One voter's memory. It does not outlast its process, so a new one keeps silent for as long as a vote that
-/// its predecessor gave may last.
+/// One voter's memory. It does not outlast the process, so a new one gives no vote for as long as a vote of
+/// its predecessor may last.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub(crate) struct Voter {
     silent_until: Tenths,
@@ -20,35 +20,37 @@
 }
 
 impl Voter {
+    /// A voter that has just started.
     pub fn new(now: Tenths, parameters: &Parameters) -> Voter {
-        let silent = if parameters.safeguards.silent_start { parameters.vote_lasts } else { 0 };
+        let silent = if parameters.safeguards.silent_start { parameters.vote_duration } else { 0 };
         Voter { silent_until: now + silent, vote: None }
     }
 
-    /// Whether the candidate has the vote from here on, for `vote_lasts`.
+    /// Handles a request for the vote; whether the candidate has it from now on, for `vote_duration`.
     pub fn ask(&mut self, now: Tenths, from: &NodeId, ballot: u64, parameters: &Parameters) -> bool {
         let taken = self.vote.as_ref().is_some_and(|vote| vote.till > now && vote.to != *from);
         if now < self.silent_until || taken {
             return false;
         }
         let newest = self.vote.as_ref().filter(|vote| vote.to == *from).map_or(0, |vote| vote.ballot);
-        let till = now + parameters.vote_lasts;
+        let till = now + parameters.vote_duration;
         self.vote = Some(Vote { to: from.clone(), ballot: ballot.max(newest), till });
         true
     }
 
-    /// Gives the vote of this ballot back; a late word on an earlier one changes nothing.
+    /// Takes the vote of this ballot back from the candidate; a late release of an earlier one changes
+    /// nothing.
     pub fn release(&mut self, from: &NodeId, ballot: u64) -> bool {
         let is = |vote: &Vote| vote.to == *from && vote.ballot == ballot;
         self.vote.take_if(|vote| is(vote)).is_some()
     }
 
-    /// Who has the vote now.
+    /// The node that has the vote now.
     pub fn leader(&self, now: Tenths) -> Option<&NodeId> {
         self.vote.as_ref().filter(|vote| vote.till > now).map(|vote| &vote.to)
     }
 
-    /// When a vote can next be given to another.
+    /// When the vote can next be given to another candidate.
     pub fn free_at(&self) -> Tenths {
         self.vote.as_ref().map_or(0, |vote| vote.till).max(self.silent_until)
     }
--- a/budgets/tests/model.rs
+++ b/budgets/tests/model.rs
@@ -54,7 +54,7 @@
         Parameters {
             voters: (0..self.nodes).map(|of| Name::from(format!("n{of}"))).collect(),
             round: ROUND,
-            vote_lasts: VOTE,
+            vote_duration: VOTE,
             lease: LEASE,
             drift: 0,
             safeguards: self.safeguards,
--- a/installation/src/budgets.rs
+++ b/installation/src/budgets.rs
@@ -97,7 +97,7 @@
         let (parameters, ms) = (Parameters::default(), |span: Tenths| (span / MS) as u32);
         LeaseTimes {
             round_ms: ms(parameters.round),
-            vote_ms: ms(parameters.vote_lasts),
+            vote_ms: ms(parameters.vote_duration),
             lease_ms: ms(parameters.lease),
             drift_permille: parameters.drift as u32,
         }
@@ -137,7 +137,7 @@
         Parameters {
             voters: self.voters.iter().map(|name| Name::from(name.as_str())).collect(),
             round: ms(times.round_ms),
-            vote_lasts: ms(times.vote_ms),
+            vote_duration: ms(times.vote_ms),
             lease: ms(times.lease_ms),
             drift: u64::from(times.drift_permille),
             safeguards: self.tests.safeguards,
--- a/node/src/peers/budgets.rs
+++ b/node/src/peers/budgets.rs
@@ -82,7 +82,7 @@
     ) -> Option<&str> {
         let (old, new) = (self.budgets.parameters(), file.budget_parameters());
         let times = |parameters: &Parameters| {
-            (parameters.round, parameters.vote_lasts, parameters.lease, parameters.drift)
+            (parameters.round, parameters.vote_duration, parameters.lease, parameters.drift)
         };
         let list = installation.budget_list(orders);
         if old.voters != new.voters {
@@ -171,18 +171,18 @@
         let kinds: Vec<_> =
             self.budgets.list().map(|budget| (budget.name.clone(), budget.kind, budget.limit)).collect();
         let budgets = indices.map(|index| {
-            let (standing, (name, kind, limit)) = (self.budgets.standing(index, now), &kinds[index]);
+            let (status, (name, kind, limit)) = (self.budgets.status(index, now), &kinds[index]);
             BudgetStatus {
                 name: name.to_string(),
                 rate: matches!(kind, Kind::Rate { .. }),
                 limit: *limit,
-                allocation: standing.allocation,
+                allocation: status.allocation,
                 used: self.used[index],
-                rejected: standing.rejected,
-                need: standing.need,
-                in_use: standing.in_use,
-                until_ms: standing.lasts.map(|lasts| lasts / MS),
-                granted: standing.granted,
+                rejected: status.rejected,
+                need: status.need,
+                in_use: status.in_use,
+                until_ms: status.lasts.map(|lasts| lasts / MS),
+                granted: status.granted,
             }
         });
         let budgets = budgets.collect();
--- a/node/tests/fleet/encoding.rs
+++ b/node/tests/fleet/encoding.rs
@@ -1,7 +1,7 @@
 //! The bytes of every message between nodes, as builds before the present names wrote them: nodes of two
 //! builds stand beside one another, so a name may change and an encoding may not.
 
-use doortrack_budgets::{Envelope, Grant, Item, Message as BudgetMessage, NodeId};
+use doortrack_budgets::{Envelope, Grant, Message as BudgetMessage, NodeId, ReportItem};
 use doortrack_fleet::{
     Datagram, Head, Incarnation, MemberReport, MemberState, MemberUpdate, Message, ReportedState,
 };
@@ -112,7 +112,7 @@
 
 #[test]
 fn envelopes_of_budgets_keep_their_bytes() {
-    let item = Item { id: 11, need: 1, holding: 2, accepted: 3, limit: 4, reserved: 5 };
+    let item = ReportItem { id: 11, need: 1, holding: 2, accepted: 3, limit: 4, reserved: 5 };
     let grant = Grant { id: 11, allocation: 6, prolongs: true };
     let messages = [
         (BudgetMessage::Ask { ballot: 1 }, "0001"),
--- a/rig/src/divided.rs
+++ b/rig/src/divided.rs
@@ -331,7 +331,7 @@
         Message::Ask { ballot } | Message::Vote { ballot } | Message::Refused { ballot } => small(*ballot),
         Message::Release { ballot } => small(*ballot),
         Message::Report { seq, items, .. } => {
-            let item = |item: &doortrack_budgets::Item| {
+            let item = |item: &doortrack_budgets::ReportItem| {
                 let units = [item.need, item.holding, item.accepted, item.limit, item.reserved];
                 5 + units.into_iter().map(small).sum::<u64>()
             };
