Fleet: the member of an update and the list of a state are each told in one place

The same three fields were copied in three places, the same match stood in two. No behaviour changes.

--- a/fleet/src/fleet.rs
+++ b/fleet/src/fleet.rs
@@ -10,8 +10,8 @@
 use crate::probes::Probes;
 use crate::table::{MemberIndex, Table};
 use crate::{
-    Action, Change, Datagram, Event, Head, Incarnation, MAX_UPDATES, Member, MemberState, MemberUpdate,
-    Message, Name, Parameters, View,
+    Action, Change, Datagram, Event, Head, Incarnation, MAX_UPDATES, MemberState, MemberUpdate, Message,
+    Name, Parameters, View,
 };
 
 /// Rounds of updates in which a node announces a change of itself.
@@ -108,7 +108,7 @@
     pub fn new(me: MemberUpdate, parameters: Parameters, seed: u64, now: Tenths) -> Fleet {
         let me = MemberUpdate { version: 0, state: MemberState::Alive, ..me };
         let mut view = View::default();
-        view.put(&me.name, Member { incarnation: me.incarnation, address: me.address, weight: me.weight });
+        view.put(&me.name, me.member());
         let mut chance = fastrand::Rng::with_seed(seed ^ me.incarnation.0);
         let alone = parameters.seeds.iter().all(|seed| *seed == me.address);
         let mut fleet = Fleet {
--- a/fleet/src/joining.rs
+++ b/fleet/src/joining.rs
@@ -4,7 +4,7 @@
 
 use crate::fleet::{Fleet, RETRANSMISSIONS, Stage, Timer};
 use crate::table::MemberIndex;
-use crate::{Action, Change, Incarnation, Member, MemberState, MemberUpdate, Message};
+use crate::{Action, Change, Incarnation, MemberState, MemberUpdate, Message};
 
 /// Bytes of updates on a page past which none is added; an update takes its name and at most
 /// [`UPDATE_OVERHEAD`] beside.
@@ -76,7 +76,7 @@
         record.held_until = None;
         let update = &record.update;
         let (name, incarnation, back) = (update.name.clone(), update.incarnation, record.returns > 0);
-        let member = Member { incarnation, address: update.address, weight: update.weight };
+        let member = update.member();
         self.change_view(now, |view| view.put(&name, member));
         out.push(Action::Report(Change::Alive { name, incarnation, back }));
     }
@@ -163,8 +163,7 @@
         self.me.incarnation = Incarnation(than.0.saturating_add(1 + self.chance.u64(..256)));
         self.me.version = 0;
         let (name, update) = (self.me.name.clone(), &self.me);
-        let member =
-            Member { incarnation: update.incarnation, address: update.address, weight: update.weight };
+        let member = update.member();
         self.change_view(now, |view| view.put(&name, member));
         self.retransmissions = RETRANSMISSIONS;
         self.arm_updates(now);
--- a/fleet/src/table.rs
+++ b/fleet/src/table.rs
@@ -170,12 +170,17 @@
         }
     }
 
+    /// The list in which members of a state are kept; none for those that left.
+    fn list_of(&mut self, state: MemberState) -> Option<&mut Vec<MemberIndex>> {
+        match state {
+            MemberState::Alive | MemberState::Suspected { .. } => Some(&mut self.present),
+            MemberState::Dead => Some(&mut self.dead),
+            MemberState::Left => None,
+        }
+    }
+
     fn list(&mut self, index: MemberIndex, state: MemberState) {
-        let list = match state {
-            MemberState::Alive | MemberState::Suspected { .. } => &mut self.present,
-            MemberState::Dead => &mut self.dead,
-            MemberState::Left => return,
-        };
+        let Some(list) = self.list_of(state) else { return };
         list.push(index);
         let listed = list.len() - 1;
         if let Some(record) = self.get_mut(index) {
@@ -195,11 +200,7 @@
     }
 
     fn unlist_at(&mut self, listed: usize, state: MemberState) {
-        let list = match state {
-            MemberState::Alive | MemberState::Suspected { .. } => &mut self.present,
-            MemberState::Dead => &mut self.dead,
-            MemberState::Left => return,
-        };
+        let Some(list) = self.list_of(state) else { return };
         if listed >= list.len() {
             return;
         }
--- a/fleet/src/update.rs
+++ b/fleet/src/update.rs
@@ -4,7 +4,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::{Incarnation, Name, is_name};
+use crate::{Incarnation, Member, Name, is_name};
 
 /// The greatest [`MemberUpdate::weight`] that is accepted.
 pub const MAX_WEIGHT: u32 = 1_000_000;
@@ -61,6 +61,11 @@
 }
 
 impl MemberUpdate {
+    /// The member as it stands in a view.
+    pub fn member(&self) -> Member {
+        Member { incarnation: self.incarnation, address: self.address, weight: self.weight }
+    }
+
     /// Whether every field is within its bounds; updates that are not are ignored.
     pub fn is_valid(&self) -> bool {
         let reachable = self.address.port() != 0 && !self.address.ip().is_unspecified();
