--- a/expr/src/check.rs
+++ b/expr/src/check.rs
@@ -159,60 +159,13 @@
             Kind::Bytes(bytes) => self.constant(span, bytes, Type::Bytes),
             Kind::Name(name) => self.name(span, name),
             Kind::List(items) => self.list(span, items),
-            Kind::Not(of) => {
-                let known = self.check(of);
-                if !self.is(&known, of.span, &Type::Bool) {
-                    return self.wrong();
-                }
-                self.known(span, Node::Not(known.place), Type::Bool, 1, &[&known])
-            }
-            Kind::Neg(of) => {
-                let known = self.check(of);
-                match known.ty.clone() {
-                    Some(ty @ (Type::Int | Type::Float | Type::Duration)) => {
-                        // Of a number in the source it is one itself.
-                        let node = match self.nodes[known.place as usize] {
-                            Node::Int(n) => Node::Int(n.saturating_neg()),
-                            Node::Float(n) => Node::Float(-n),
-                            Node::Duration(n) => Node::Duration(n.saturating_neg()),
-                            _ => Node::Neg(known.place),
-                        };
-                        self.known(span, node, ty, 1, &[&known])
-                    }
-                    Some(ty) => self.fault(
-                        of.span,
-                        format!("a number or a duration is wanted, this is {ty}"),
-                        "no number",
-                    ),
-                    None => self.wrong(),
-                }
-            }
-            Kind::All(parts) | Kind::Any(parts) => {
-                let known: Vec<Known> = parts.iter().map(|part| self.check(part)).collect();
-                let mut good = true;
-                for (part, known) in parts.iter().zip(&known) {
-                    good &= self.is(known, part.span, &Type::Bool);
-                }
-                if !good {
-                    return self.wrong();
-                }
-                let places: Box<[Place]> = known.iter().map(|known| known.place).collect();
-                let all = matches!(expr.kind, Kind::All(_));
-                let node = if all { Node::All(places) } else { Node::Any(places) };
-                self.known(span, node, Type::Bool, 1, &known.iter().collect::<Vec<_>>())
-            }
+            Kind::Not(operand) => self.not(span, operand),
+            Kind::Neg(operand) => self.negate(span, operand),
+            Kind::All(parts) => self.junction(span, parts, Node::All),
+            Kind::Any(parts) => self.junction(span, parts, Node::Any),
             Kind::Binary(op, left, right) => self.binary(span, *op, left, right),
             Kind::If(when, then, other) => self.choice(span, when, then, other),
-            Kind::Let { name, at, value, body } => {
-                let value = self.check(value);
-                let Some(slot) = self.bind(name, *at, value.clone()) else { return self.wrong() };
-                let body = self.check(body);
-                self.names.pop();
-                let Some(ty) = body.ty.clone().filter(|_| value.ty.is_some()) else { return self.wrong() };
-                let node = Node::Let { slot, value: value.place, body: body.place };
-                let known = self.known(span, node, ty, 1, &[&value, &body]);
-                Known { len: body.len, items: body.items, ..known }
-            }
+            Kind::Let { name, at, value, body } => self.binding(span, name, *at, value, body),
             Kind::Call { name, at, args } => self.call(span, name, *at, args),
             Kind::Each { at, .. } => {
                 self.fault(*at, "'->' can only stand in any, all and first", "no function of a list")
@@ -226,6 +179,18 @@
         Known { len: bytes.len() as u64, ..known }
     }
 
+    /// `let name = value; body`: the name is known in the body alone.
+    fn binding(&mut self, span: Span, name: &str, at: Span, value: &Expr, body: &Expr) -> Known {
+        let value = self.check(value);
+        let Some(slot) = self.bind(name, at, value.clone()) else { return self.wrong() };
+        let body = self.check(body);
+        self.names.pop();
+        let Some(ty) = body.ty.clone().filter(|_| value.ty.is_some()) else { return self.wrong() };
+        let node = Node::Let { slot, value: value.place, body: body.place };
+        let known = self.known(span, node, ty, 1, &[&value, &body]);
+        Known { len: body.len, items: body.items, ..known }
+    }
+
     fn bind(&mut self, name: &str, at: Span, known: Known) -> Option<u8> {
         if self.slots >= MOST_NAMES {
             self.fault(at, format!("at most {MOST_NAMES} names can be bound"), "one too many");
--- a/expr/src/check/functions.rs
+++ b/expr/src/check/functions.rs
@@ -11,6 +11,21 @@
 use crate::program::{Fun, Loop, Node};
 use crate::{MOST_REGEX, Type, cgi_name};
 
+/// Digits that `hex` writes of an int.
+const HEX_DIGITS: u64 = 16;
+
+/// What a function makes of its values, and the most that it costs.
+struct Signature {
+    function: Fun,
+    result: Type,
+    /// Steps that it takes by itself.
+    steps: u64,
+    /// Bytes that it builds.
+    built: u64,
+    /// Length of the result, in bytes.
+    len: u64,
+}
+
 impl Checker {
     pub(super) fn call(&mut self, span: Span, name: &str, at: Span, args: &[Expr]) -> Known {
         let Some(usage) = usage(name) else {
@@ -202,79 +217,96 @@
     /// Functions that look only at the types of one or two values.
     fn plain(&mut self, span: Span, name: &str, usage: &str, args: &[Expr]) -> Known {
         let known: Vec<Known> = args.iter().map(|arg| self.check(arg)).collect();
-        let tys: Option<Vec<Type>> = known.iter().map(|known| known.ty.clone()).collect();
-        let Some(tys) = tys else { return self.wrong() };
-        let (of, len) = (known[0].place, known[0].len);
+        let types: Option<Vec<Type>> = known.iter().map(|known| known.ty.clone()).collect();
+        let Some(types) = types else { return self.wrong() };
+        if let ("bytes", [Type::Str]) = (name, &types[..]) {
+            // The same bytes under another type.
+            return Known { ty: Some(Type::Bytes), ..known[0].clone() };
+        }
+        let Some(found) = self.signature(name, &types, &known) else {
+            return self.not_taken(span, name, usage, &types);
+        };
+        let with = known.get(1).map(|with| with.place);
+        let node = Node::Call { fun: found.function, of: known[0].place, with };
+        let parts: Vec<&Known> = known.iter().collect();
+        let whole = self.known(span, node, found.result, found.steps, &parts);
+        Known { built: whole.built.saturating_add(found.built), len: found.len, ..whole }
+    }
+
+    /// What a function of this name makes of values of these types, and what it costs at the most; none
+    /// where it takes no such values.
+    fn signature(&self, name: &str, types: &[Type], known: &[Known]) -> Option<Signature> {
+        let (len, items) = (known[0].len, known[0].items);
         let scan = 1 + through(len);
-        // Function, type, own steps, bytes built, length.
-        let found = match (name, &tys[..]) {
-            ("lower", [Type::Str]) => (Fun::Lower, Type::Str, scan, len, len),
-            ("upper", [Type::Str]) => (Fun::Upper, Type::Str, scan, len, len),
-            ("trim", [Type::Str]) => (Fun::Trim, Type::Str, scan, 0, len),
-            ("len", [Type::Str | Type::Bytes]) => (Fun::Length, Type::Int, 1, 0, 0),
+        let other_len = known.get(1).map_or(0, |other| other.len);
+        let signature = |function, result, steps| Signature { function, result, steps, built: 0, len: 0 };
+        let text = |function, built| Signature { function, result: Type::Str, steps: scan, built, len };
+        let found = match (name, types) {
+            ("lower", [Type::Str]) => text(Fun::Lower, len),
+            ("upper", [Type::Str]) => text(Fun::Upper, len),
+            ("trim", [Type::Str]) => text(Fun::Trim, 0),
+            ("len", [Type::Str | Type::Bytes]) => signature(Fun::Length, Type::Int, 1),
             ("len", [Type::List(_)]) => {
-                (Fun::Count, Type::Int, 1 + known[0].items.steps, known[0].items.built, 0)
+                Signature { built: items.built, ..signature(Fun::Count, Type::Int, 1 + items.steps) }
             }
-            ("hash", [Type::Str | Type::Bytes]) => (Fun::Hash, Type::Int, 1 + len, 0, 0),
-            ("hex", [Type::Int]) => (Fun::Hex, Type::Str, 2, 16, 16),
-            ("int", [Type::Str]) => (Fun::ParseInt, Type::Int.optional(), scan, 0, 0),
-            ("int", [Type::Float]) => (Fun::FloatToInt, Type::Int, 1, 0, 0),
-            ("float", [Type::Str]) => (Fun::ParseFloat, Type::Float.optional(), scan, 0, 0),
-            ("float", [Type::Int]) => (Fun::IntToFloat, Type::Float, 1, 0, 0),
-            ("text", [Type::Bytes]) => (Fun::BytesToText, Type::Str.optional(), scan, 0, len),
-            // The same bytes under another type.
-            ("bytes", [Type::Str]) => return Known { ty: Some(Type::Bytes), ..known[0].clone() },
-            ("present", [Type::Optional(_)]) => (Fun::Present, Type::Bool, 1, 0, 0),
+            ("hash", [Type::Str | Type::Bytes]) => signature(Fun::Hash, Type::Int, 1 + len),
+            ("hex", [Type::Int]) => {
+                Signature { built: HEX_DIGITS, len: HEX_DIGITS, ..signature(Fun::Hex, Type::Str, 2) }
+            }
+            ("int", [Type::Str]) => signature(Fun::ParseInt, Type::Int.optional(), scan),
+            ("int", [Type::Float]) => signature(Fun::FloatToInt, Type::Int, 1),
+            ("float", [Type::Str]) => signature(Fun::ParseFloat, Type::Float.optional(), scan),
+            ("float", [Type::Int]) => signature(Fun::IntToFloat, Type::Float, 1),
+            ("text", [Type::Bytes]) => {
+                Signature { len, ..signature(Fun::BytesToText, Type::Str.optional(), scan) }
+            }
+            ("present", [Type::Optional(_)]) => signature(Fun::Present, Type::Bool, 1),
             ("segment", [Type::Int]) => {
-                let (own, len) =
-                    (1 + self.limits.segments + through(self.limits.variable), self.limits.variable);
-                (Fun::Segment, Type::Str.optional(), own, 0, len)
+                let (segments, path) = (self.limits.segments, self.limits.variable);
+                let steps = 1 + segments + through(path);
+                Signature { len: path, ..signature(Fun::Segment, Type::Str.optional(), steps) }
             }
             ("starts_with", [Type::Str, Type::Str]) => {
-                (Fun::StartsWith, Type::Bool, 1 + through(len.min(known[1].len)), 0, 0)
+                signature(Fun::StartsWith, Type::Bool, 1 + through(len.min(other_len)))
             }
             ("ends_with", [Type::Str, Type::Str]) => {
-                (Fun::EndsWith, Type::Bool, 1 + through(len.min(known[1].len)), 0, 0)
+                signature(Fun::EndsWith, Type::Bool, 1 + through(len.min(other_len)))
             }
-            // Looked for from every place; what is looked for is bounded so that the product is.
-            ("contains", [Type::Str, Type::Str]) => (
-                Fun::Contains,
-                Type::Bool,
-                (1 + through(len)).saturating_mul(1 + through(known[1].len)),
-                0,
-                0,
-            ),
-            ("get", [Type::List(item), Type::Int]) => {
-                let items = known[0].items;
-                (Fun::Get, (**item).clone().optional(), 1 + items.steps, items.built, items.len)
+            ("contains", [Type::Str, Type::Str]) => {
+                // Looked for from every place; what is looked for is bounded so that the product is.
+                signature(Fun::Contains, Type::Bool, scan.saturating_mul(1 + through(other_len)))
             }
-            ("min" | "max", [one, two])
-                if one == two && matches!(one, Type::Int | Type::Float | Type::Duration) =>
-            {
-                let fun = if name == "min" { Fun::Min } else { Fun::Max };
-                (fun, one.clone(), 1, 0, 0)
+            ("get", [Type::List(item), Type::Int]) => {
+                let result = (**item).clone().optional();
+                let get = signature(Fun::Get, result, 1 + items.steps);
+                Signature { built: items.built, len: items.len, ..get }
             }
-            _ => {
-                let found: Vec<String> = tys.iter().map(Type::to_string).collect();
-                let what = format!("'{name}' does not take {}", found.join(" and "));
-                let fault = Diagnostic::new(span, what, "this call");
-                let help = match &tys[0] {
-                    Type::Optional(of) => {
-                        format!("it is called as `{usage}`; the {of} may be absent: `it ?? other`")
-                    }
-                    _ => format!("it is called as `{usage}`"),
-                };
-                self.faults.push(fault.help(help));
-                return self.wrong();
+            ("min", [one, two]) if one == two && is_number(one) => signature(Fun::Min, one.clone(), 1),
+            ("max", [one, two]) if one == two && is_number(one) => signature(Fun::Max, one.clone(), 1),
+            _ => return None,
+        };
+        Some(found)
+    }
+
+    fn not_taken(&mut self, span: Span, name: &str, usage: &str, types: &[Type]) -> Known {
+        let found: Vec<String> = types.iter().map(Type::to_string).collect();
+        let what = format!("'{name}' does not take {}", found.join(" and "));
+        let fault = Diagnostic::new(span, what, "this call");
+        let help = match &types[0] {
+            Type::Optional(inner) => {
+                format!("it is called as `{usage}`; the {inner} may be absent: `it ?? other`")
             }
+            _ => format!("it is called as `{usage}`"),
         };
-        let (fun, ty, own, built, len) = found;
-        let node = Node::Call { fun, of, with: known.get(1).map(|with| with.place) };
-        let whole = self.known(span, node, ty, own, &known.iter().collect::<Vec<_>>());
-        Known { built: whole.built.saturating_add(built), len, ..whole }
+        self.faults.push(fault.help(help));
+        self.wrong()
     }
 }
 
+fn is_number(ty: &Type) -> bool {
+    matches!(ty, Type::Int | Type::Float | Type::Duration)
+}
+
 fn network(text: &str) -> Option<(IpAddr, u8)> {
     let (address, bits) = text.split_once('/')?;
     let (address, bits): (IpAddr, u8) = (address.parse().ok()?, bits.parse().ok()?);
--- a/expr/src/check/operators.rs
+++ b/expr/src/check/operators.rs
@@ -5,9 +5,22 @@
 use super::{Checker, Items, Known, through};
 use crate::ast::{Expr, Op, Span};
 use crate::diagnostic::Diagnostic;
-use crate::program::Node;
+use crate::program::{Node, Place};
 use crate::{MOST_STRING, Type};
 
+/// One side of an operator: where it stands, what is known of it, and its type.
+struct Operand<'e> {
+    span: Span,
+    known: &'e Known,
+    ty: Type,
+}
+
+impl<'e> Operand<'e> {
+    fn new(expr: &Expr, known: &'e Known, ty: Type) -> Operand<'e> {
+        Operand { span: expr.span, known, ty }
+    }
+}
+
 impl Checker {
     pub(super) fn choice(&mut self, span: Span, when: &Expr, then: &Expr, other: &Expr) -> Known {
         let (asked, one, two) = (self.check(when), self.check(then), self.check(other));
@@ -39,92 +52,130 @@
         }
     }
 
+    pub(super) fn not(&mut self, span: Span, operand: &Expr) -> Known {
+        let known = self.check(operand);
+        if !self.is(&known, operand.span, &Type::Bool) {
+            return self.wrong();
+        }
+        self.known(span, Node::Not(known.place), Type::Bool, 1, &[&known])
+    }
+
+    pub(super) fn negate(&mut self, span: Span, operand: &Expr) -> Known {
+        let known = self.check(operand);
+        let ty = match known.ty.clone() {
+            Some(ty @ (Type::Int | Type::Float | Type::Duration)) => ty,
+            Some(ty) => {
+                let what = format!("a number or a duration is wanted, this is {ty}");
+                return self.fault(operand.span, what, "no number");
+            }
+            None => return self.wrong(),
+        };
+        // A negated constant is a constant itself.
+        let node = match self.nodes[known.place as usize] {
+            Node::Int(n) => Node::Int(n.saturating_neg()),
+            Node::Float(n) => Node::Float(-n),
+            Node::Duration(n) => Node::Duration(n.saturating_neg()),
+            _ => Node::Neg(known.place),
+        };
+        self.known(span, node, ty, 1, &[&known])
+    }
+
+    /// A conjunction or disjunction of bools; `node` makes the one or the other of its parts.
+    pub(super) fn junction(&mut self, span: Span, parts: &[Expr], node: fn(Box<[Place]>) -> Node) -> Known {
+        let known: Vec<Known> = parts.iter().map(|part| self.check(part)).collect();
+        let mut good = true;
+        for (part, known) in parts.iter().zip(&known) {
+            good &= self.is(known, part.span, &Type::Bool);
+        }
+        if !good {
+            return self.wrong();
+        }
+        let places = known.iter().map(|known| known.place).collect();
+        self.known(span, node(places), Type::Bool, 1, &known.iter().collect::<Vec<_>>())
+    }
+
     pub(super) fn binary(&mut self, span: Span, op: Op, left: &Expr, right: &Expr) -> Known {
         let (one, two) = (self.check(left), self.check(right));
         let (Some(first), Some(second)) = (one.ty.clone(), two.ty.clone()) else { return self.wrong() };
-        let (a, b) = (one.place, two.place);
+        let (left, right) = (Operand::new(left, &one, first), Operand::new(right, &two, second));
         match op {
-            Op::Else => {
-                let Type::Optional(of) = &first else {
-                    return self.fault(
-                        left.span,
-                        format!("this is {first}, and never absent"),
-                        "always there",
-                    );
-                };
-                let ty = match &second {
-                    second if **of == *second => (**of).clone(),
-                    Type::Optional(other) if of == other => second.clone(),
-                    _ => return self.mismatch(right.span, of, &second),
-                };
-                let known = self.known(span, Node::Else { left: a, right: b }, ty, 1, &[&one, &two]);
-                Known { len: one.len.max(two.len), ..known }
-            }
-            Op::In => self.within(span, (left, &one), (right, &two)),
-            Op::Eq | Op::Ne | Op::Lt | Op::Le | Op::Gt | Op::Ge => {
-                if first != second {
-                    return self.mismatch(right.span, &first, &second);
-                }
-                let can =
-                    if matches!(op, Op::Eq | Op::Ne) { first.has_equality() } else { first.has_order() };
-                if !can {
-                    let what = format!("'{}' does not compare {first}", op.sign());
-                    let fault = Diagnostic::new(span, what, "not comparable");
-                    let absent = matches!(first, Type::Optional(_));
-                    self.faults.push(if absent {
-                        fault.help("say what stands for it where it is absent: `it ?? other`")
-                    } else {
-                        fault
-                    });
-                    return self.wrong();
-                }
-                let own = 1 + through(one.len.min(two.len));
-                self.known(span, Node::Compare { op, left: a, right: b }, Type::Bool, own, &[&one, &two])
-            }
-            Op::Add if first == Type::Str || first == Type::Bytes => {
-                if first != second {
-                    return self.mismatch(right.span, &first, &second);
-                }
-                let len = one.len.saturating_add(two.len);
-                if len > MOST_STRING {
-                    let what = format!("this may be {len} bytes long, and at most {MOST_STRING} are allowed");
-                    return self.fault(span, what, "too long");
-                }
-                let known = self.known(
-                    span,
-                    Node::Join { left: a, right: b },
-                    first,
-                    1 + through(len),
-                    &[&one, &two],
-                );
-                Known { len, built: known.built.saturating_add(len), ..known }
+            Op::Else => self.otherwise(span, &left, &right),
+            Op::In => self.within(span, &left, &right),
+            Op::Eq | Op::Ne | Op::Lt | Op::Le | Op::Gt | Op::Ge => self.comparison(span, op, &left, &right),
+            Op::Add if matches!(left.ty, Type::Str | Type::Bytes) => self.join(span, &left, &right),
+            _ => self.arithmetic(span, op, &left, &right),
+        }
+    }
+
+    /// `left ?? right`: what stands for an optional value where it is absent.
+    fn otherwise(&mut self, span: Span, left: &Operand, right: &Operand) -> Known {
+        let Type::Optional(inner) = &left.ty else {
+            let what = format!("this is {}, and never absent", left.ty);
+            return self.fault(left.span, what, "always there");
+        };
+        let ty = match &right.ty {
+            second if **inner == *second => (**inner).clone(),
+            Type::Optional(second) if inner == second => right.ty.clone(),
+            _ => return self.mismatch(right.span, inner, &right.ty),
+        };
+        let node = Node::Else { left: left.known.place, right: right.known.place };
+        let known = self.known(span, node, ty, 1, &[left.known, right.known]);
+        Known { len: left.known.len.max(right.known.len), ..known }
+    }
+
+    fn comparison(&mut self, span: Span, op: Op, left: &Operand, right: &Operand) -> Known {
+        let ty = &left.ty;
+        if *ty != right.ty {
+            return self.mismatch(right.span, ty, &right.ty);
+        }
+        let is_equality = matches!(op, Op::Eq | Op::Ne);
+        let comparable = if is_equality { ty.has_equality() } else { ty.has_order() };
+        if !comparable {
+            let what = format!("'{}' does not compare {ty}", op.sign());
+            let mut fault = Diagnostic::new(span, what, "not comparable");
+            if matches!(ty, Type::Optional(_)) {
+                fault = fault.help("say what stands for it where it is absent: `it ?? other`");
             }
-            _ => self.arithmetic(span, op, (left, &one, first), (right, &two, second)),
+            self.faults.push(fault);
+            return self.wrong();
+        }
+        let own = 1 + through(left.known.len.min(right.known.len));
+        let node = Node::Compare { op, left: left.known.place, right: right.known.place };
+        self.known(span, node, Type::Bool, own, &[left.known, right.known])
+    }
+
+    /// Two texts, or the bytes of two, one behind the other.
+    fn join(&mut self, span: Span, left: &Operand, right: &Operand) -> Known {
+        if left.ty != right.ty {
+            return self.mismatch(right.span, &left.ty, &right.ty);
+        }
+        let len = left.known.len.saturating_add(right.known.len);
+        if len > MOST_STRING {
+            let what = format!("this may be {len} bytes long, and at most {MOST_STRING} are allowed");
+            return self.fault(span, what, "too long");
         }
+        let node = Node::Join { left: left.known.place, right: right.known.place };
+        let own = 1 + through(len);
+        let known = self.known(span, node, left.ty.clone(), own, &[left.known, right.known]);
+        Known { len, built: known.built.saturating_add(len), ..known }
     }
 
-    fn arithmetic(
-        &mut self,
-        span: Span,
-        op: Op,
-        left: (&Expr, &Known, Type),
-        right: (&Expr, &Known, Type),
-    ) -> Known {
-        let ty = match (op, &left.2, &right.2) {
+    fn arithmetic(&mut self, span: Span, op: Op, left: &Operand, right: &Operand) -> Known {
+        let ty = match (op, &left.ty, &right.ty) {
             (_, Type::Int, Type::Int) => Type::Int,
             (Op::Add | Op::Sub | Op::Mul | Op::Div, Type::Float, Type::Float) => Type::Float,
             (Op::Add | Op::Sub | Op::Rem, Type::Duration, Type::Duration) => Type::Duration,
             (Op::Mul | Op::Div, Type::Duration, Type::Int) => Type::Duration,
             (_, Type::Int | Type::Float | Type::Duration, _) => {
-                return self.mismatch(right.0.span, &left.2, &right.2);
+                return self.mismatch(right.span, &left.ty, &right.ty);
             }
             _ => {
-                let what = format!("'{}' is for numbers and durations, this is {}", op.sign(), left.2);
-                return self.fault(left.0.span, what, "no number");
+                let what = format!("'{}' is for numbers and durations, this is {}", op.sign(), left.ty);
+                return self.fault(left.span, what, "no number");
             }
         };
-        let (a, b) = (left.1.place, right.1.place);
-        let parts = [left.1, right.1];
+        let (a, b) = (left.known.place, right.known.place);
+        let parts = [left.known, right.known];
         if !matches!(op, Op::Div | Op::Rem) {
             return self.known(span, Node::Arith { op, left: a, right: b }, ty, 1, &parts);
         }
@@ -137,21 +188,18 @@
         self.known(span, Node::Divide { op, left: a, right: b }, ty, 1, &parts)
     }
 
-    fn within(&mut self, span: Span, (left, one): (&Expr, &Known), (right, two): (&Expr, &Known)) -> Known {
-        let (Some(first), Some(Type::List(of))) = (one.ty.clone(), two.ty.clone()) else {
-            let found = two.ty.clone().map_or_else(String::new, |ty| ty.to_string());
-            return self.fault(
-                right.span,
-                format!("a list is wanted behind 'in', this is {found}"),
-                "no list",
-            );
+    fn within(&mut self, span: Span, left: &Operand, right: &Operand) -> Known {
+        let Type::List(item) = &right.ty else {
+            let what = format!("a list is wanted behind 'in', this is {}", right.ty);
+            return self.fault(right.span, what, "no list");
         };
-        if first != *of {
-            return self.mismatch(left.span, &of, &first);
+        if left.ty != **item {
+            return self.mismatch(left.span, item, &left.ty);
         }
-        if !first.has_equality() {
-            return self.fault(span, format!("'in' does not compare {first}"), "not comparable");
+        if !left.ty.has_equality() {
+            return self.fault(span, format!("'in' does not compare {}", left.ty), "not comparable");
         }
+        let (one, two) = (left.known, right.known);
         // A list that is known beforehand is looked up and not gone through.
         if let Node::List(items) = &self.nodes[two.place as usize] {
             let texts = items.iter().map(|item| match &self.nodes[*item as usize] {
--- a/expr/src/eval.rs
+++ b/expr/src/eval.rs
@@ -113,12 +113,7 @@
             Node::All(parts) => Value::Bool(parts.iter().all(|part| self.eval(*part).is_true())),
             Node::Any(parts) => Value::Bool(parts.iter().any(|part| self.eval(*part).is_true())),
             Node::Not(of) => Value::Bool(!self.eval(*of).is_true()),
-            Node::Neg(of) => match self.eval(*of) {
-                Value::Int(n) => Value::Int(n.saturating_neg()),
-                Value::Duration(n) => Value::Duration(n.saturating_neg()),
-                Value::Float(n) => Value::Float(-n),
-                other => other,
-            },
+            Node::Neg(of) => negate(self.eval(*of)),
             Node::Arith { op, left, right } => {
                 let (left, right) = (self.eval(*left), self.eval(*right));
                 arithmetic(*op, left, right)
@@ -129,14 +124,19 @@
             }
             Node::Join { left, right } => {
                 let (left, right) = (self.eval(*left), self.eval(*right));
-                self.step(through(self.len(left) + self.len(right)));
-                let (Value::Text(left), Value::Text(right)) = (left, right) else { return Value::Absent };
-                Value::Text(self.join(left, right))
+                self.concatenate(left, right)
             }
             Node::Else { left, right } => match self.eval(*left) {
                 Value::Absent => self.eval(*right),
                 value => value,
             },
+            node => self.search(node),
+        }
+    }
+
+    /// Nodes that look through a text, a list or a set.
+    fn search(&mut self, node: &'v Node) -> Value<'v> {
+        match node {
             Node::InTexts { of, set } => {
                 let value = self.eval(*of);
                 self.step(1 + through(self.len(value)));
@@ -150,13 +150,7 @@
             Node::InList { of, list } => {
                 let value = self.eval(*of);
                 let Value::List(list) = self.eval(*list) else { return Value::Bool(false) };
-                let mut found = false;
-                self.items(list, &mut |eval, item| {
-                    eval.step(1 + through(eval.len(value).min(eval.len(item))));
-                    found = eval.order(value, item) == Some(Ordering::Equal);
-                    !found
-                });
-                Value::Bool(found)
+                Value::Bool(self.list_contains(list, value))
             }
             Node::List(items) => Value::List(List::Items(items)),
             Node::Split { of, by, most } => match self.eval(*of) {
@@ -177,13 +171,30 @@
             Node::Networks { of, nets } => {
                 let value = self.eval(*of);
                 self.step(nets.len() as u64);
-                let Value::Addr(addr) = value else { return Value::Bool(false) };
-                Value::Bool(nets.iter().any(|(net, bits)| is_in(addr, *net, *bits)))
+                Value::Bool(is_in_any(value, nets))
             }
-            Node::Compare { .. } | Node::Call { .. } => Value::Absent,
+            _ => Value::Absent,
         }
     }
 
+    fn concatenate(&mut self, left: Value<'v>, right: Value<'v>) -> Value<'v> {
+        self.step(through(self.len(left) + self.len(right)));
+        match (left, right) {
+            (Value::Text(left), Value::Text(right)) => Value::Text(self.join(left, right)),
+            _ => Value::Absent,
+        }
+    }
+
+    fn list_contains(&mut self, list: List<'v>, value: Value<'v>) -> bool {
+        let mut found = false;
+        self.items(list, &mut |eval, item| {
+            eval.step(1 + through(eval.len(value).min(eval.len(item))));
+            found = eval.order(value, item) == Some(Ordering::Equal);
+            !found
+        });
+        found
+    }
+
     // --- What the request holds ---
 
     /// Longer than was declared it is not seen at all: a part would be taken for the whole.
@@ -252,6 +263,20 @@
     }
 }
 
+fn negate(value: Value) -> Value {
+    match value {
+        Value::Int(n) => Value::Int(n.saturating_neg()),
+        Value::Duration(n) => Value::Duration(n.saturating_neg()),
+        Value::Float(n) => Value::Float(-n),
+        other => other,
+    }
+}
+
+fn is_in_any(value: Value, networks: &[(IpAddr, u8)]) -> bool {
+    let Value::Addr(address) = value else { return false };
+    networks.iter().any(|(network, bits)| is_in(address, *network, *bits))
+}
+
 /// Whether an address is in a network; an IPv4 address that came as IPv6 is what it stands for.
 fn is_in(addr: IpAddr, net: IpAddr, bits: u8) -> bool {
     match (addr.to_canonical(), net) {
--- a/expr/src/eval/functions.rs
+++ b/expr/src/eval/functions.rs
@@ -75,61 +75,24 @@
     pub(super) fn call(&mut self, fun: Fun, of: Place, with: Option<Place>) -> Value<'v> {
         let value = self.eval(of);
         let other = with.map_or(Value::Absent, |with| self.eval(with));
-        let (len, other_len) = (self.len(value), self.len(other));
-        let scan = 1 + through(len);
-        self.step(match fun {
-            Fun::Lower | Fun::Upper | Fun::Trim | Fun::ParseInt | Fun::ParseFloat | Fun::BytesToText => scan,
-            Fun::Hash => 1 + len,
-            Fun::Hex => 2,
-            Fun::StartsWith | Fun::EndsWith => 1 + through(len.min(other_len)),
-            Fun::Contains => (1 + through(len)).saturating_mul(1 + through(other_len)),
-            _ => 1,
-        });
+        let len = self.len(value);
+        self.step(own_steps(fun, len, self.len(other)));
         match fun {
             Fun::Lower => self.recase(value, u8::is_ascii_uppercase, <[u8]>::make_ascii_lowercase),
             Fun::Upper => self.recase(value, u8::is_ascii_lowercase, <[u8]>::make_ascii_uppercase),
-            Fun::Trim => {
-                let Value::Text(text) = value else { return value };
-                let whole = utf8(self.scratch.text(text));
-                let from = whole.len() - whole.trim_start().len();
-                Value::Text(part(text, from, (from + whole.trim().len()).max(from)))
-            }
+            Fun::Trim => self.trim(value),
             Fun::Length => Value::Int(len as i64),
             Fun::Count => self.count(value),
             Fun::Hash => Value::Int(hash(self.bytes(value))),
-            Fun::Hex => {
-                let Value::Int(n) = value else { return value };
-                Value::Text(self.scratch.build(|built| {
-                    let digit = |place: u32| b"0123456789abcdef"[(n as u64 >> (4 * place) & 15) as usize];
-                    built.extend((0..16).rev().map(digit));
-                }))
-            }
+            Fun::Hex => self.hex(value),
             Fun::ParseInt => utf8(self.bytes(value)).parse().map_or(Value::Absent, Value::Int),
             Fun::ParseFloat => match utf8(self.bytes(value)).parse::<f64>() {
                 Ok(number) if number.is_finite() => Value::Float(number),
                 _ => Value::Absent,
             },
-            Fun::FloatToInt => {
-                if let Value::Float(n) = value {
-                    Value::Int(n as i64)
-                } else {
-                    value
-                }
-            }
-            Fun::IntToFloat => {
-                if let Value::Int(n) = value {
-                    Value::Float(n as f64)
-                } else {
-                    value
-                }
-            }
-            Fun::BytesToText => {
-                if std::str::from_utf8(self.bytes(value)).is_ok() {
-                    value
-                } else {
-                    Value::Absent
-                }
-            }
+            Fun::FloatToInt | Fun::IntToFloat => convert(value),
+            Fun::BytesToText if std::str::from_utf8(self.bytes(value)).is_ok() => value,
+            Fun::BytesToText => Value::Absent,
             Fun::Present => Value::Bool(value != Value::Absent),
             Fun::Segment => {
                 let Value::Int(place) = value else { return value };
@@ -139,30 +102,32 @@
             Fun::StartsWith => Value::Bool(self.bytes(value).starts_with(self.bytes(other))),
             Fun::EndsWith => Value::Bool(self.bytes(value).ends_with(self.bytes(other))),
             Fun::Contains => Value::Bool(find(self.bytes(value), self.bytes(other)).is_some()),
-            Fun::Get => {
-                if let Value::Int(place) = other {
-                    self.get(value, place)
-                } else {
-                    Value::Absent
-                }
-            }
-            Fun::Min => {
-                if self.order(other, value) == Some(Ordering::Less) {
-                    other
-                } else {
-                    value
-                }
-            }
-            Fun::Max => {
-                if self.order(other, value) == Some(Ordering::Greater) {
-                    other
-                } else {
-                    value
-                }
-            }
+            Fun::Get => match other {
+                Value::Int(place) => self.get(value, place),
+                _ => Value::Absent,
+            },
+            Fun::Min if self.order(other, value) == Some(Ordering::Less) => other,
+            Fun::Max if self.order(other, value) == Some(Ordering::Greater) => other,
+            Fun::Min | Fun::Max => value,
         }
     }
 
+    fn trim(&self, value: Value<'v>) -> Value<'v> {
+        let Value::Text(text) = value else { return value };
+        let whole = utf8(self.scratch.text(text));
+        let from = whole.len() - whole.trim_start().len();
+        Value::Text(part(text, from, (from + whole.trim().len()).max(from)))
+    }
+
+    /// The sixteen hex digits of an int.
+    fn hex(&mut self, value: Value<'v>) -> Value<'v> {
+        let Value::Int(n) = value else { return value };
+        Value::Text(self.scratch.build(|built| {
+            let digit = |place: u32| b"0123456789abcdef"[(n as u64 >> (4 * place) & 15) as usize];
+            built.extend((0..16).rev().map(digit));
+        }))
+    }
+
     pub(super) fn count(&mut self, list: Value<'v>) -> Value<'v> {
         let Value::List(list) = list else { return Value::Int(0) };
         if let List::Items(items) = list {
@@ -176,3 +141,27 @@
         Value::Int(count)
     }
 }
+
+/// Steps that a function takes by itself over a value and another of these lengths in bytes, as the check
+/// bounds them.
+fn own_steps(fun: Fun, len: u64, other_len: u64) -> u64 {
+    match fun {
+        Fun::Lower | Fun::Upper | Fun::Trim | Fun::ParseInt | Fun::ParseFloat | Fun::BytesToText => {
+            1 + through(len)
+        }
+        Fun::Hash => 1 + len,
+        Fun::Hex => 2,
+        Fun::StartsWith | Fun::EndsWith => 1 + through(len.min(other_len)),
+        Fun::Contains => (1 + through(len)).saturating_mul(1 + through(other_len)),
+        _ => 1,
+    }
+}
+
+/// An int of a float, towards zero, and a float of an int.
+fn convert(value: Value) -> Value {
+    match value {
+        Value::Float(n) => Value::Int(n as i64),
+        Value::Int(n) => Value::Float(n as f64),
+        other => other,
+    }
+}
