Rules on requests: the reading of one is split, each optional number read in one way

Change: parsed, idempotency_key and classify have functions of their own; the order in which faults are found stays.

--- a/node/src/wire/ruled.rs
+++ b/node/src/wire/ruled.rs
@@ -2,6 +2,7 @@
 //! platform's variables: what neither a rule nor a variable says has a default.
 
 use std::net::IpAddr;
+use std::str::FromStr;
 use std::sync::Arc;
 
 use doortrack::Tenths;
@@ -9,7 +10,7 @@
 use doortrack_routes::{Class, Classed, Refusal, Table};
 use doortrack_wire::{Pair, Protocol};
 
-use super::request::{Asked, Fields, Names, Request, TryId, Unreadable, hex, in_range};
+use super::request::{Asked, Fields, IdempotencyKey, Names, Request, TryId, Unreadable, hex, in_range};
 
 const MS: u64 = 10;
 const DAY: Tenths = 86_400_000 * MS;
@@ -47,6 +48,9 @@
     }
 
     /// Reads a whole request by the rules.
+    ///
+    /// # Errors
+    /// A field that can't be read, or a request that no rule takes where no group stands for the rest.
     pub fn read(
         &mut self,
         block: &[u8],
@@ -59,67 +63,54 @@
         if view.path == "/status/live" {
             return Ok(Asked::Health);
         }
-        let class = match self.table.classify(&view, &mut self.scratch) {
-            Classed::As(class) => Some(class),
-            Classed::Refused { why: Refusal::Customer, .. } => return Err(Unreadable::Field("customer")),
-            Classed::Refused { why: Refusal::IdempotencyKey, .. } => {
-                return Err(Unreadable::Field("idempotency_key"));
-            }
-            Classed::NoRule => None,
-        };
-        let group = class.map(|class| class.group).or(self.otherwise).ok_or(Unreadable::NoRule)?;
+        let class = self.classify(&view)?;
+        let group = class.as_ref().map(|class| class.group);
+        let group = group.or(self.otherwise).ok_or(Unreadable::NoRule)?;
         let fields = Fields(&pairs);
-        let said = class.as_ref();
-        let customer = match said.and_then(|class| class.customer) {
+        let customer = match class.as_ref().and_then(|class| class.customer) {
             Some(customer) => customer,
             None => names.customer(&fields)?,
         };
-        let number = |name: &'static str| -> Result<Option<f32>, Unreadable> {
-            let parse = |text: &str| text.parse().map_err(|_| Unreadable::Field(name));
-            fields.find(name)?.map(parse).transpose()
-        };
-        let rank = match said.and_then(|class| class.rank) {
+        let rank = match class.as_ref().and_then(|class| class.rank) {
             Some(rank) => rank,
-            None => number("HTTP_X_RANK")?.unwrap_or(RANK),
+            None => parsed(&fields, "HTTP_X_RANK")?.unwrap_or(RANK),
         };
         // Where nobody books memory, what was read is what it takes.
-        let kb = number("HTTP_X_MEMORY_KB")?.unwrap_or((block.len() + body.len()) as f32 / 1024.0);
-        let stamp = match fields.find("HTTP_X_REQUEST_START")? {
-            Some(text) => {
-                let ms: u64 = text.parse().map_err(|_| Unreadable::Field("HTTP_X_REQUEST_START"))?;
-                ms.saturating_mul(MS)
-            }
-            None => origin.now,
+        let read_kb = (block.len() + body.len()) as f32 / 1024.0;
+        let kb = parsed(&fields, "HTTP_X_MEMORY_KB")?.unwrap_or(read_kb);
+        let stamp_ms: Option<u64> = parsed(&fields, "HTTP_X_REQUEST_START")?;
+        let try_id = match fields.find("HTTP_X_REQUEST_ID")? {
+            Some(text) => hex(text, "HTTP_X_REQUEST_ID")?,
+            None => self.name(),
         };
         Ok(Asked::Exchange(Request {
-            try_id: match fields.find("HTTP_X_REQUEST_ID")? {
-                Some(text) => hex(text, "HTTP_X_REQUEST_ID")?,
-                None => self.name(),
-            },
-            stamp,
+            try_id,
+            stamp: stamp_ms.map_or(origin.now, |ms| ms.saturating_mul(MS)),
             group,
             customer,
-            caller: match fields.find("HTTP_X_CALLER")? {
-                Some(text) => text.parse().map_err(|_| Unreadable::Field("HTTP_X_CALLER"))?,
-                None => 0,
-            },
+            caller: parsed(&fields, "HTTP_X_CALLER")?.unwrap_or(0),
             retry: fields.find("HTTP_X_RETRY")?.is_some_and(|value| value == "1"),
             kb: in_range(kb, kb > 0.0 && kb < 2000.0, "HTTP_X_MEMORY_KB")?,
             rank: in_range(rank, (0.0..1.0).contains(&rank), "HTTP_X_RANK")?,
-            idempotency_key: match (
-                names.keyed[usize::from(group)],
-                said.and_then(|class| class.idempotency_key),
-            ) {
-                (false, _) => None,
-                (true, Some(key)) => Some(key),
-                (true, None) => Some(hex(fields.needed("HTTP_IDEMPOTENCY_KEY")?, "HTTP_IDEMPOTENCY_KEY")?),
-            },
-            subject: said.and_then(|class: &Class| class.subject).map_or_else(|| fields.subject(), Ok)?,
-            wait: said.and_then(|class| class.due),
-            pool: said.and_then(|class| class.pool),
+            idempotency_key: idempotency_key(names.keyed[usize::from(group)], class.as_ref(), &fields)?,
+            subject: class.as_ref().and_then(|class| class.subject).map_or_else(|| fields.subject(), Ok)?,
+            wait: class.as_ref().and_then(|class| class.due),
+            pool: class.as_ref().and_then(|class| class.pool),
         }))
     }
 
+    /// What the first rule that holds makes of a request; none where no rule holds.
+    fn classify(&mut self, view: &View) -> Result<Option<Class>, Unreadable> {
+        match self.table.classify(view, &mut self.scratch) {
+            Classed::As(class) => Ok(Some(class)),
+            Classed::NoRule => Ok(None),
+            Classed::Refused { why: Refusal::Customer, .. } => Err(Unreadable::Field("customer")),
+            Classed::Refused { why: Refusal::IdempotencyKey, .. } => {
+                Err(Unreadable::Field("idempotency_key"))
+            }
+        }
+    }
+
     /// A name for a try that came without one. Callers write hex digits, so none of theirs is like it.
     fn name(&mut self) -> TryId {
         self.unnamed += 1;
@@ -133,6 +124,27 @@
     }
 }
 
+/// A variable that is a number, if it is there.
+fn parsed<T: FromStr>(fields: &Fields, name: &'static str) -> Result<Option<T>, Unreadable> {
+    let parse = |text: &str| text.parse().map_err(|_| Unreadable::Field(name));
+    fields.find(name)?.map(parse).transpose()
+}
+
+/// The key of a request of a group whose requests carry one: what the rule says, or the variable.
+fn idempotency_key(
+    keyed: bool,
+    class: Option<&Class>,
+    fields: &Fields,
+) -> Result<Option<IdempotencyKey>, Unreadable> {
+    if !keyed {
+        return Ok(None);
+    }
+    match class.and_then(|class| class.idempotency_key) {
+        Some(key) => Ok(Some(key)),
+        None => hex(fields.needed("HTTP_IDEMPOTENCY_KEY")?, "HTTP_IDEMPOTENCY_KEY").map(Some),
+    }
+}
+
 /// A request as expressions see it.
 struct View<'r> {
     pairs: &'r [Pair<'r>],
