fleet status: one asker for members and budgets

The socket, its timeout and the key were set up in two places, and each read answers in its own way. `Asker` does it once; what is asked, how often and for how long is as before.

--- a/node/src/commands/fleet.rs
+++ b/node/src/commands/fleet.rs
@@ -12,7 +12,7 @@
 use serde_json::{Value, json};
 
 use crate::peers::seal::{LONGEST, Seal};
-use crate::peers::spoken::{Ask, BudgetStatus, Spoken, Status};
+use crate::peers::spoken::{Ask, BudgetPage, BudgetStatus, Spoken, Status};
 
 /// One answer is waited for so long, and asked for so often.
 const PATIENCE: Duration = Duration::from_millis(300);
@@ -128,48 +128,86 @@
     if report.slow { word + ", slow" } else { word }
 }
 
-/// Asks a node, page by page.
-///
-/// # Errors
-/// In words: the key can't be read, or nobody answers.
-pub fn ask(peer: SocketAddr, key: Option<[u8; 32]>) -> Result<Seen, String> {
-    let seal = Seal::new(key, "");
-    let own = if peer.is_ipv4() { "0.0.0.0:0" } else { "[::]:0" };
-    let plain = |e: std::io::Error| format!("{peer}: {e}");
-    let sock = UdpSocket::bind(own).map_err(plain)?;
-    sock.set_read_timeout(Some(PATIENCE)).map_err(plain)?;
-    let mut seen: Option<Seen> = None;
-    let mut after: Option<Name> = None;
-    loop {
-        let page = page(&sock, &seal, peer, after.clone())?;
-        after = page.members.last().map(|last| last.name.clone());
-        let (more, members) = (page.more, page.members.clone());
-        let whole =
-            seen.get_or_insert(Seen { first: page, members: Vec::new(), budgets: Vec::new(), leader: None });
-        whole.members.extend(members);
-        if !more || after.is_none() || whole.members.len() >= MAX_MEMBERS {
-            return seen.ok_or_else(|| format!("{peer}: no answer"));
+/// A socket on which one node is asked.
+struct Asker {
+    sock: UdpSocket,
+    seal: Seal,
+    peer: SocketAddr,
+}
+
+impl Asker {
+    fn open(peer: SocketAddr, key: Option<[u8; 32]>) -> Result<Asker, String> {
+        let own = if peer.is_ipv4() { "0.0.0.0:0" } else { "[::]:0" };
+        let in_words = |error: std::io::Error| format!("{peer}: {error}");
+        let sock = UdpSocket::bind(own).map_err(in_words)?;
+        sock.set_read_timeout(Some(PATIENCE)).map_err(in_words)?;
+        Ok(Asker { sock, seal: Seal::new(key, ""), peer })
+    }
+
+    fn send(&self, question: &Spoken) -> Result<(), String> {
+        let datagram = self.seal.close(question).ok_or("too long a name")?;
+        self.sock.send_to(&datagram, self.peer).map_err(|error| format!("{}: {error}", self.peer))?;
+        Ok(())
+    }
+
+    /// The next datagram that can be read; none where it can't, or where nothing comes in time.
+    fn receive(&self) -> Received {
+        let mut bytes = [0; LONGEST];
+        let Ok((len, _)) = self.sock.recv_from(&mut bytes) else { return Received::Nothing };
+        self.seal.open(&bytes[..len]).map_or(Received::Unreadable, Received::Answer)
+    }
+
+    /// The members from behind a name on, asked for several times.
+    fn members(&self, after: Option<&Name>) -> Result<Status, String> {
+        for _ in 0..TRIES {
+            let nonce = fastrand::u64(..);
+            self.send(&Spoken::Ask(Ask { nonce, after: after.cloned() }))?;
+            let till = Instant::now() + PATIENCE;
+            while Instant::now() < till {
+                match self.receive() {
+                    Received::Answer(Spoken::Status(status)) if status.nonce == nonce => return Ok(*status),
+                    Received::Answer(_) | Received::Unreadable => {}
+                    Received::Nothing => break,
+                }
+            }
         }
+        let peer = self.peer;
+        Err(format!("{peer}: no answer; is it a node's fleet address, and the key that fleet's?"))
     }
-}
 
-fn page(sock: &UdpSocket, seal: &Seal, peer: SocketAddr, after: Option<Name>) -> Result<Status, String> {
-    let mut bytes = [0; LONGEST];
-    for _ in 0..TRIES {
+    /// The budgets from an index on, asked for once.
+    fn budgets(&self, from: usize) -> Result<Option<BudgetPage>, String> {
         let nonce = fastrand::u64(..);
-        let asked = seal.close(&Spoken::Ask(Ask { nonce, after: after.clone() }));
-        let asked = asked.ok_or("too long a name")?;
-        sock.send_to(&asked, peer).map_err(|e| format!("{peer}: {e}"))?;
-        let till = Instant::now() + PATIENCE;
-        while Instant::now() < till {
-            let Ok((len, _)) = sock.recv_from(&mut bytes) else { break };
-            match seal.open(&bytes[..len]) {
-                Ok(Spoken::Status(status)) if status.nonce == nonce => return Ok(*status),
-                _ => {}
-            }
+        self.send(&Spoken::AskBudgets { nonce, from: from as u16 })?;
+        match self.receive() {
+            Received::Answer(Spoken::BudgetStatus(page)) if page.nonce == nonce => Ok(Some(*page)),
+            _ => Ok(None),
         }
     }
-    Err(format!("{peer}: no answer; is it a node's fleet address, and the key that fleet's?"))
+}
+
+/// What came of waiting for an answer.
+enum Received {
+    Answer(Spoken),
+    Unreadable,
+    Nothing,
+}
+
+/// Asks a node, page by page.
+///
+/// # Errors
+/// In words: no socket can be had, or nobody answers.
+pub fn ask(peer: SocketAddr, key: Option<[u8; 32]>) -> Result<Seen, String> {
+    let asker = Asker::open(peer, key)?;
+    let first = asker.members(None)?;
+    let (mut more, members) = (first.more, first.members.clone());
+    let mut seen = Seen { first, members, budgets: Vec::new(), leader: None };
+    while let Some(last) = seen.members.last().filter(|_| more && seen.members.len() < MAX_MEMBERS) {
+        let page = asker.members(Some(&last.name))?;
+        more = page.more && !page.members.is_empty();
+        seen.members.extend(page.members);
+    }
+    Ok(seen)
 }
 
 /// Asks a node for its budgets, page by page; none where it has none, or knows of no such thing.
@@ -180,27 +218,15 @@
     peer: SocketAddr,
     key: Option<[u8; 32]>,
 ) -> Result<(Vec<BudgetStatus>, Option<Name>), String> {
-    let seal = Seal::new(key, "");
-    let own = if peer.is_ipv4() { "0.0.0.0:0" } else { "[::]:0" };
-    let plain = |e: std::io::Error| format!("{peer}: {e}");
-    let sock = UdpSocket::bind(own).map_err(plain)?;
-    sock.set_read_timeout(Some(PATIENCE)).map_err(plain)?;
+    let asker = Asker::open(peer, key)?;
     let (mut budgets, mut leader, mut tries) = (Vec::new(), None, 0);
-    let mut bytes = [0; LONGEST];
     while tries < TRIES_OF_BUDGETS {
-        let nonce = fastrand::u64(..);
-        let asked = seal.close(&Spoken::AskBudgets { nonce, from: budgets.len() as u16 });
-        sock.send_to(&asked.unwrap_or_default(), peer).map_err(plain)?;
         tries += 1;
-        let page = sock.recv_from(&mut bytes).ok().and_then(|(len, _)| seal.open(&bytes[..len]).ok());
-        if let Some(Spoken::BudgetStatus(page)) = page
-            && page.nonce == nonce
-        {
-            (tries, leader) = (0, page.leader);
-            budgets.extend(page.budgets);
-            if !page.more {
-                break;
-            }
+        let Some(page) = asker.budgets(budgets.len())? else { continue };
+        (tries, leader) = (0, page.leader);
+        budgets.extend(page.budgets);
+        if !page.more {
+            break;
         }
     }
     Ok((budgets, leader))
