--- a/rig/src/scale/added.rs
+++ b/rig/src/scale/added.rs
@@ -1,4 +1,4 @@
-//! What control adds to a request: half of the real nodes have fleet and budgets, the other half have neither.
+//! What control adds to a request: half of the real nodes have fleet and budgets, the others have neither.
 //!
 //! Callers ask one of each half in turns, in changing order, while the hollow nodes of a whole fleet run
 //! beside them. So both halves meet the same machine at the same time, and are compared pair by pair.
--- a/rig/src/scale/command.rs
+++ b/rig/src/scale/command.rs
@@ -164,6 +164,9 @@
     if !play.calm {
         faults.push(format!("{of}: traffic still changed when the window began"));
     }
+    if play.declared_dead > 0 {
+        faults.push(format!("{of}: nodes were declared dead {} times in the window", play.declared_dead));
+    }
     if play.leaders[0] != play.leaders[1] {
         faults.push(format!("{of}: the leader changed in the window: {:?}", play.leaders));
     }
--- a/rig/src/scale/faults.rs
+++ b/rig/src/scale/faults.rs
@@ -14,7 +14,7 @@
 use super::losses::{Outage, wrongly_lost};
 use super::plan::CALLERS_TENANT;
 use super::probe::Probe;
-use super::protocol::{HollowCommand, HollowReply, Loss};
+use super::protocol::{HollowCommand, Loss};
 use super::settle::settle;
 use super::sweep::{PlayTerms, Size};
 use crate::traffic::{Behind, Death, Traffic};
@@ -264,11 +264,7 @@
     }
 
     fn take_losses(&mut self) -> Result<(), ScaleError> {
-        for reply in self.fleet.ask_all(&HollowCommand::Losses)? {
-            if let HollowReply::Losses { losses } = reply {
-                self.losses.extend(losses);
-            }
-        }
+        self.losses.extend(self.fleet.take_losses()?);
         Ok(())
     }
 }
--- a/rig/src/scale/fleet.rs
+++ b/rig/src/scale/fleet.rs
@@ -8,7 +8,7 @@
 
 use super::child::{HollowProcess, HollowProgram, ScaleError, Usage, usage};
 use super::plan::{FLEET_KEY, FleetPlan};
-use super::protocol::{HollowCommand, HollowReply, NodeSample};
+use super::protocol::{HollowCommand, HollowReply, Loss, NodeSample};
 use super::serving::{KEY_FILE, RealNode, ServeProgram};
 
 /// Hollow nodes that share a process.
@@ -156,6 +156,19 @@
         Ok(nodes.collect())
     }
 
+    /// Members that voters and hollow nodes declared dead since this was last asked.
+    ///
+    /// # Errors
+    /// A process that is gone.
+    pub fn take_losses(&mut self) -> Result<Vec<Loss>, ScaleError> {
+        let replies = self.ask_all(&HollowCommand::Losses)?.into_iter();
+        let losses = replies.flat_map(|reply| match reply {
+            HollowReply::Losses { losses } => losses,
+            _ => Vec::new(),
+        });
+        Ok(losses.collect())
+    }
+
     /// Counters, views and what the processes have used.
     ///
     /// # Errors
--- a/rig/src/scale/sweep.rs
+++ b/rig/src/scale/sweep.rs
@@ -58,6 +58,8 @@
     pub leaders: [Option<String>; 2],
     /// Datagrams of the whole machine that met a full receive buffer during the window.
     pub receive_buffer_errors: u64,
+    /// How often a voter or hollow node declared another dead in the window, in which none dies.
+    pub declared_dead: usize,
     /// Datagrams of hollow nodes and voters that the system did not take, and that were not listened to.
     pub unsent: u64,
     pub refused: u64,
@@ -113,6 +115,7 @@
     window: Duration,
     leaders: [Option<String>; 2],
     receive_buffer_errors: u64,
+    declared_dead: usize,
     unsent: u64,
     refused: u64,
     figures: Vec<Figure>,
@@ -120,11 +123,13 @@
 
 fn measure(fleet: &mut RunningFleet, window: Duration, settled: Settled) -> Result<Measured, ScaleError> {
     let (errors_before, real_before) = (receive_buffer_errors(), usages(fleet)?);
+    fleet.take_losses()?;
     let before = fleet.sample()?;
     let began = Instant::now();
     std::thread::sleep(window);
     let after = fleet.sample()?;
     let lasted = began.elapsed();
+    let declared_dead = fleet.take_losses()?.len();
     let errors = receive_buffer_errors().saturating_sub(errors_before);
     let real_after = usages(fleet)?;
     let leader = |sample: &FleetSample| sample.nodes.first().and_then(|node| node.leader.clone());
@@ -139,6 +144,7 @@
         window: lasted,
         leaders,
         receive_buffer_errors: errors,
+        declared_dead,
         unsent: after.nodes.iter().map(|node| node.unsent).sum(),
         refused: after.nodes.iter().map(|node| node.refused).sum(),
         figures: all,
@@ -184,6 +190,7 @@
         window_ms: measured.window.as_millis() as u64,
         leaders: measured.leaders,
         receive_buffer_errors: measured.receive_buffer_errors,
+        declared_dead: measured.declared_dead,
         unsent: measured.unsent,
         refused: measured.refused,
         asked: served.asked,
--- a/rig/tests/scale.rs
+++ b/rig/tests/scale.rs
@@ -11,7 +11,7 @@
 use doortrack_rig::scale::losses::{EXCUSED_MS, Outage, wrongly_lost};
 use doortrack_rig::scale::measure::{HEADER_BYTES, LinkRates};
 use doortrack_rig::scale::plan::FleetPlan;
-use doortrack_rig::scale::protocol::{HollowCommand, HollowReply, Loss};
+use doortrack_rig::scale::protocol::{HollowCommand, Loss};
 use doortrack_rig::scale::series::{Dimension, Point, Quantity, Role, Series};
 use doortrack_rig::scale::serving::{LinkCounts, link_counts};
 use doortrack_rig::scale::settle::is_calm;
@@ -39,7 +39,8 @@
     assert!(near(line.at(1_000.0).value, 2_010.0));
 }
 
-/// Worked by hand: sizes 1 to 4, values 2, 4, 5, 4 have the line 2 + 0.7 x, with a sum of squares of 2.3 about it.
+/// Worked by hand: sizes 1 to 4 with values 2, 4, 5, 4 have the line 2 + 0.7 x; 2.3 is the sum of squares
+/// about it.
 #[test]
 fn errors_of_a_line_are_those_of_the_textbook() {
     let line = fit(&points(&[(1.0, 2.0), (2.0, 4.0), (3.0, 5.0), (4.0, 4.0)])).unwrap();
@@ -194,11 +195,7 @@
     });
     fleet.ask_all(&HollowCommand::Kill { nodes: vec![5, 11] }).unwrap();
     until(&mut fleet, "two that died are lost", |fleet| fleet.agrees(10).unwrap());
-    let losses = fleet.ask_all(&HollowCommand::Losses).unwrap().into_iter();
-    let losses = losses.flat_map(|reply| match reply {
-        HollowReply::Losses { losses } => losses,
-        _ => Vec::new(),
-    });
+    let losses = fleet.take_losses().unwrap().into_iter();
     let mut lost: Vec<String> = losses.map(|loss| loss.name).collect();
     lost.sort_unstable();
     lost.dedup();
