Test of a cold node that thirty callers discover at once

A node itself may be the cold one (`contract.cold`). Change: tests/cold.rs, on the decisions as they are: 30 callers send 10 exchanges each at once, read in one turn or in thirty. What runs stays within what the settings allow a cold node at each age; everything else is rejected, none of it ran, each is answered once (the world's own checks). With a reading of the gauge that says busy all 295 and more are rejected in the turn in which they were read, at most five are held. Seen, and left as it is: before the first reading of a gauge, or where there is none, a node takes its cores for idle until its places are taken (`turned_away` in src/logic.rs, `all_busy().unwrap_or(...)`), so all that is read in one turn is queued; what does not begin is rejected after a third of the SLO time, not at once. A test says so.

--- /dev/null
+++ b/tests/cold.rs
@@ -0,0 +1,112 @@
+//! A cold node that all its callers discover at once: what it runs stays within what a cold one survives, and
+//! what is beyond that is rejected within the four rules, which the world checks at every step.
+
+mod common;
+
+use common::{At, MS, World, contract};
+use doortrack::*;
+
+const CALLERS: u64 = 30;
+/// Exchanges that each caller sends at once.
+const EACH: usize = 10;
+const SLO_TIME: Tenths = 1500 * MS;
+
+/// A node of four cores that survives few runs while it is cold: 3 at first, by its margin of a tenth.
+fn cold() -> ServiceContract {
+    ServiceContract { cold: true, start_speed: 0.05, tip_multiple: 2.0, customers: Vec::new(), ..contract() }
+}
+
+/// Runs that a cold node is allowed to have at once after `age`.
+fn allowed(terms: &ServiceContract, age: Tenths) -> usize {
+    let warmth = (age as f32 / terms.warm_after as f32).min(1.0);
+    let speed = terms.start_speed + (1.0 - terms.start_speed) * warmth;
+    ((1.0 + (terms.tip_multiple - 1.0) * speed) * terms.cores as f32) as usize
+}
+
+fn count(world: &World, at: At) -> usize {
+    world.items.values().filter(|item| item.at == at).count()
+}
+
+/// Every caller sends what it has; all of it is read in one turn, or each caller's in a turn of its own.
+fn flood(world: &mut World, in_one_turn: bool) {
+    for caller in 1..=CALLERS {
+        world.caller = caller;
+        (0..EACH).for_each(|_| _ = world.arrive(0, 0, 0, None, 1.0));
+        if !in_one_turn {
+            world.step();
+        }
+    }
+    world.step();
+}
+
+/// What was taken in and is not rejected: it runs, or is queued.
+fn held(world: &World) -> usize {
+    world.items.values().filter(|item| item.owed).count()
+}
+
+fn none_ran_of_the_rejected(world: &World) {
+    let ran = world.done.iter().filter_map(|action| match action {
+        Action::Reject { id, .. } => Some(world.items[id].ran),
+        _ => None,
+    });
+    assert!(!ran.into_iter().any(|ran| ran), "a rejected one ran");
+}
+
+#[test]
+fn a_flood_of_thirty_callers_on_a_cold_node_is_rejected_at_once_beyond_what_it_holds() {
+    for in_one_turn in [true, false] {
+        let terms = cold();
+        let mut world = World::new(terms.clone(), 1);
+        // Its first reading of the gauge says that its cores are busy.
+        world.pass(60 * MS);
+        flood(&mut world, in_one_turn);
+        assert!(count(&world, At::Running) <= allowed(&terms, 60 * MS), "{} run", count(&world, At::Running));
+        // C is as many as there are cores, and one more is taken at a load of just that.
+        assert!((1..=5).contains(&held(&world)), "{} of 300 are held", held(&world));
+        let rejected = world.done.iter().filter(|action| matches!(action, Action::Reject { .. })).count();
+        assert_eq!(rejected + held(&world), CALLERS as usize * EACH);
+        none_ran_of_the_rejected(&world);
+    }
+}
+
+/// Before its first reading a node takes its cores for idle until its places are taken, so that all of one
+/// turn is queued: what does not begin is rejected while two thirds of its SLO time are left.
+#[test]
+fn a_flood_before_the_first_reading_is_answered_by_a_third_of_the_slo_time() {
+    for in_one_turn in [true, false] {
+        let terms = cold();
+        let mut world = World::new(terms.clone(), 2);
+        flood(&mut world, in_one_turn);
+        assert!(count(&world, At::Running) <= allowed(&terms, 0), "{} run", count(&world, At::Running));
+        world.pass(SLO_TIME / 3 + 20 * MS);
+        assert_eq!(count(&world, At::Queued), 0, "none is left to its deadline");
+        assert!(held(&world) <= allowed(&terms, 0), "{} are held", held(&world));
+        none_ran_of_the_rejected(&world);
+    }
+}
+
+#[test]
+fn a_flood_that_goes_on_is_served_by_more_and_more_as_the_node_warms_up() {
+    let terms = cold();
+    let mut world = World::new(terms.clone(), 3);
+    world.pass(60 * MS);
+    let (mut age, mut served) = (60 * MS, Vec::new());
+    // Once a second, for twice the time in which the node warms up.
+    while age < 2 * terms.warm_after {
+        flood(&mut world, true);
+        let running = count(&world, At::Running);
+        assert!(running <= allowed(&terms, age), "{running} run at an age of {} ms", age / MS);
+        served.push(running);
+        world.pass(1_000 * MS);
+        age += 1_000 * MS;
+        while let Some(run) = world.pick(At::Running, 0) {
+            world.finish(run, RunOutcome::Completed);
+        }
+        world.step();
+    }
+    assert_eq!(served.first(), Some(&3), "a cold one runs three");
+    assert_eq!(served.last(), Some(&4), "a warm and busy one runs one a core");
+    world.pass(4_000 * MS);
+    assert!(world.items.values().all(|item| !item.owed || item.at == At::Running), "some were left");
+    none_ran_of_the_rejected(&world);
+}
