Servers that were down ramp up: N runs in T at a growing rate, one ramp for a whole fleet

Change, in force where `ramp` stands under `servers` or a pool: - servers/: a connection that is refused, or losses up to the threshold, put a server down whatever the floor. It is probed by one run at a time; the first connection that opens begins its ramp, with the probe as a debt. Runs follow N * (t/T)^2, credit is kept for 0.1 s at most. Kept connections of before are closed, one begun before is no sign of a return. - While no server is there but cold ones, exchanges are admitted on credit alone (Pool::admit, a reservation until the run begins), all others are held back with a time to come back, which the module rejects as for a budget. What was begun without credit ends at once as never run. Wired as for retries. Without a share nothing is sent but the probe. - A server that SIGHUP adds is cold. Not covered: a node that noticed nothing of a short outage goes on at full load; see docs/servers.md.

--- a/installation/src/budgets.rs
+++ b/installation/src/budgets.rs
@@ -30,7 +30,7 @@
     #[serde(default)]
     #[schemars(range(min = 1, max = 10_000_000))]
     pub burst: Option<u32>,
-    /// Which exchanges it is for: one of the four.
+    /// Which exchanges it is for: one of the five.
     #[serde(rename = "for")]
     pub of: BudgetFor,
     /// Set aside for each node of `floors_for`, so that it has this much even when it hears nobody. For a
@@ -70,6 +70,9 @@
     Pool(String),
     /// Retries to that pool, beside what each node allows itself: a rate. What is over is not tried again.
     Retries(String),
+    /// First runs on servers of that pool that were down: a rate. A second, `2 * runs / over_ms` of the pool's
+    /// `ramp`.
+    Ramp(String),
 }
 
 /// How fast budgets are divided; the same on all nodes of a fleet.
@@ -126,6 +129,8 @@
     pub pools: Vec<Option<u16>>,
     /// The same for retries to a pool.
     pub retries: Vec<Option<u16>>,
+    /// The same for the ramps of its servers.
+    pub ramps: Vec<Option<u16>>,
 }
 
 impl FleetFile {
@@ -187,6 +192,9 @@
         if self.kind == BudgetKind::Places && matches!(self.of, BudgetFor::Retries(_)) {
             fault(".kind", "retries are a rate".into());
         }
+        if self.kind == BudgetKind::Places && matches!(self.of, BudgetFor::Ramp(_)) {
+            fault(".kind", "a ramp is a rate".into());
+        }
         if self.held_most_ms.is_some_and(|ms| !(1..=3_600_000).contains(&ms)) {
             fault(".held_most_ms", "1 to 3600000 is wanted".into());
         }
@@ -248,7 +256,7 @@
             let (kind, known, name) = match &budget.of {
                 BudgetFor::Customer(name) => ("customer", orders.handed.customer_names.contains(name), name),
                 BudgetFor::Group(name) => ("endpoint group", orders.handed.group_names.contains(name), name),
-                BudgetFor::Pool(name) | BudgetFor::Retries(name) => {
+                BudgetFor::Pool(name) | BudgetFor::Retries(name) | BudgetFor::Ramp(name) => {
                     ("pool", self.pool_names().any(|pool| pool == name), name)
                 }
             };
@@ -256,6 +264,28 @@
                 let what = format!("there is no {kind} '{name}'");
                 faults.push(Fault::new(format!("installation.budgets[{nth}].for"), what));
             }
+            if let BudgetFor::Ramp(name) = &budget.of
+                && known
+            {
+                self.ramp_fault(budget.whole, name, &format!("installation.budgets[{nth}]"), faults);
+            }
+        }
+    }
+
+    /// A budget for the ramp of a pool that has none, or one that grants more than that ramp.
+    fn ramp_fault(&self, whole: u32, pool: &str, at: &str, faults: &mut Vec<Fault>) {
+        let place = self.pool_names().position(|name| name == pool);
+        let servers = place.and_then(|place| self.pools_of_servers().nth(place));
+        let Some((path, servers)) = servers else { return };
+        let Some(ramp) = servers.ramp else {
+            return faults.push(Fault::new(format!("{at}.for"), format!("{path} has no ramp")));
+        };
+        let most = ramp.tokens_a_second();
+        if u64::from(whole) > most {
+            let what = format!(
+                "at most {most} is wanted, 2 * runs / over_ms a second of {path}.ramp; found {whole}"
+            );
+            faults.push(Fault::new(format!("{at}.whole"), what));
         }
     }
 
@@ -284,6 +314,7 @@
             customers: all(&orders.handed.customer_names, BudgetFor::Customer),
             pools: self.pool_names().map(|name| under(BudgetFor::Pool(name.into()))).collect(),
             retries: self.pool_names().map(|name| under(BudgetFor::Retries(name.into()))).collect(),
+            ramps: self.pool_names().map(|name| under(BudgetFor::Ramp(name.into()))).collect(),
         }
     }
 }
--- a/installation/src/servers.rs
+++ b/installation/src/servers.rs
@@ -4,7 +4,7 @@
 use std::net::SocketAddr;
 
 use doortrack::Tenths;
-use doortrack_servers::{Aside, Retries, Terms};
+use doortrack_servers::{Aside, Ramp, Retries, Terms};
 use schemars::JsonSchema;
 use serde::Deserialize;
 
@@ -52,6 +52,9 @@
     pub aside: PutAside,
     #[serde(default)]
     pub retries: Again,
+    /// How a server that was down is taken into use again. Absent: it is sent all at once.
+    #[serde(default)]
+    pub ramp: Option<RampFile>,
 }
 
 /// When a server that fails is put aside.
@@ -86,6 +89,26 @@
     pub tries: u32,
 }
 
+/// The first load of a server that was down.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields)]
+pub struct RampFile {
+    /// How long it is bounded, from the first connection that opens; its rate grows linearly.
+    #[schemars(range(min = 10, max = 3_600_000))]
+    pub over_ms: u32,
+    /// Runs that this node sends it meanwhile; of all nodes together where a budget is for this pool's ramp.
+    #[schemars(range(min = 1, max = 10_000_000))]
+    pub runs: u32,
+}
+
+impl RampFile {
+    /// Tokens a second that the budget of a fleet needs for it, rounded up: each is worth as much of a run
+    /// as is over of the ramp.
+    pub fn tokens_a_second(&self) -> u64 {
+        (2_000 * u64::from(self.runs)).div_ceil(u64::from(self.over_ms.max(1)))
+    }
+}
+
 impl Default for PutAside {
     fn default() -> Self {
         PutAside { failures: 3, first_ms: 500, longest_ms: 30_000, floor: 0.25 }
@@ -132,6 +155,7 @@
                 floor: aside.floor,
             },
             retries: Retries { share: retries.share, burst: retries.burst, tries: retries.tries },
+            ramp: self.ramp.map(|ramp| Ramp { over: ms(ramp.over_ms), runs: ramp.runs }),
         }
     }
 
@@ -166,6 +190,10 @@
         whole("aside.longest_ms", self.aside.longest_ms, self.aside.first_ms, 3_600_000);
         whole("retries.burst", self.retries.burst, 0, 100_000);
         whole("retries.tries", self.retries.tries, 1, 10);
+        if let Some(ramp) = self.ramp {
+            whole("ramp.over_ms", ramp.over_ms, 10, 3_600_000);
+            whole("ramp.runs", ramp.runs, 1, 10_000_000);
+        }
         for (key, share) in [("aside.floor", self.aside.floor), ("retries.share", self.retries.share)] {
             if !(0.0..=1.0).contains(&share) {
                 let what = format!("a share from 0 to 1 is wanted, found {share}");
--- a/node/src/memory/exchanges.rs
+++ b/node/src/memory/exchanges.rs
@@ -3,6 +3,7 @@
 use std::collections::{HashMap, HashSet, VecDeque};
 
 use doortrack::{ExId, Tenths};
+use doortrack_servers::Admission;
 use rustc_hash::FxHashMap;
 
 use super::results::Key;
@@ -55,8 +56,16 @@
     pub stage: Stage,
     /// The one that it repeats.
     pub repeats: Option<ExId>,
-    /// What it holds of the fleet's budgets.
+    pub hold: Hold,
+}
+
+/// What an exchange holds until it ends, or until its run begins.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Hold {
+    /// Of the fleet's budgets.
     pub ticket: Ticket,
+    /// Of what its pool's servers may be sent; used up once its run begins.
+    pub admission: Admission,
 }
 
 #[derive(Default)]
--- a/node/src/parts.rs
+++ b/node/src/parts.rs
@@ -8,6 +8,7 @@
 
 use doortrack::Tenths;
 use doortrack_installation::{Installation, Orders};
+use doortrack_servers::Token;
 use slog::Logger;
 
 /// Keys of the poller that parts have, one each.
@@ -69,6 +70,11 @@
         None
     }
 
+    /// Where tokens for ramps in the pool at this place are asked for, if this part shares them.
+    fn ramp_gate(&self, _pool: u16) -> Option<Box<dyn FnMut() -> Token>> {
+        None
+    }
+
     /// An exchange that was let in has come to its end.
     fn give_back(&mut self, _: Ticket, _: Use) {}
 
--- a/node/src/peers/link.rs
+++ b/node/src/peers/link.rs
@@ -12,6 +12,7 @@
 use doortrack_budgets::Who;
 use doortrack_fleet::{Action, Claim, Event, Fleet, Life, News, Stand};
 use doortrack_installation::{FleetFile, Installation, Orders};
+use doortrack_servers::Token;
 use polling::{Event as Ready, PollMode, Poller};
 use slog::{Logger, info, warn};
 
@@ -310,6 +311,20 @@
         }))
     }
 
+    fn ramp_gate(&self, pool: u16) -> Option<Box<dyn FnMut() -> Token>> {
+        let (zero, drift) = (self.zero, self.file.tests.drift_ppm);
+        let shares = self.shares.clone()?;
+        // Looked up each time, as for retries.
+        Some(Box::new(move || {
+            let mut shares = shares.borrow_mut();
+            match shares.ramp(pool) {
+                None => Token::Unshared,
+                Some(place) if shares.take_one(place, now(zero, drift)) => Token::Granted,
+                Some(_) => Token::Refused,
+            }
+        }))
+    }
+
     fn give_back(&mut self, ticket: Ticket, came: Use) {
         let now = self.now();
         if let Some(shares) = &self.shares {
--- a/node/src/peers/shares.rs
+++ b/node/src/peers/shares.rs
@@ -121,6 +121,16 @@
 
     /// Whether one more retry may be made.
     pub fn retry(&mut self, place: u16, now: Tenths) -> bool {
+        self.take_one(place, now)
+    }
+
+    /// The budget of the ramps in the pool at this place.
+    pub fn ramp(&self, pool: u16) -> Option<u16> {
+        self.falls.ramps.get(usize::from(pool)).copied().flatten()
+    }
+
+    /// Takes one token of the budget at this place, if there is one.
+    pub fn take_one(&mut self, place: u16, now: Tenths) -> bool {
         let taken = self.budgets.take(usize::from(place), now).is_ok();
         self.used[usize::from(place)] += u64::from(taken);
         taken
--- a/node/src/serve.rs
+++ b/node/src/serve.rs
@@ -25,7 +25,7 @@
 use crate::life::signals::{LEAVE_KEY, RELOAD_KEY, Signals};
 use crate::memory::exchanges::{Ex, Exchanges, Stage};
 use crate::memory::results::{Key, Results};
-use crate::parts::{PART_KEYS, Part, Use};
+use crate::parts::{PART_KEYS, Part};
 use crate::wire::end::End;
 use crate::wire::engine::WorkEvent;
 use crate::wire::fronts::{FIRST_KEY, FrontEvent, Fronts, LISTEN_KEY};
@@ -268,6 +268,8 @@
         let Some(ex) = self.exs.get(id) else { return };
         let group = ex.group as usize;
         let repeatable = self.orders.handed.contract.groups[group].effect == Effect::Repeatable;
+        // Its reservation is used up by the run itself, at once.
+        self.work.release(ex.pool, std::mem::take(&mut ex.hold.admission));
         let sent = self.work.run(id, ex, &self.groups[group], repeatable, self.now);
         ex.stage = Stage::Running { sent };
     }
@@ -282,7 +284,7 @@
     fn drop_if_queued(&mut self, id: ExId) {
         if self.exs.get(id).is_some_and(|ex| !ex.stage.may_run()) {
             if let Some(ex) = self.exs.remove(id) {
-                self.give_back(ex.ticket, Use::None);
+                self.let_go(ex.pool, ex.hold);
             }
             self.results.forget(id);
             self.settle(id);
--- a/node/src/serve/events.rs
+++ b/node/src/serve/events.rs
@@ -6,7 +6,7 @@
 use slog::warn;
 
 use super::{Node, READING, STALE};
-use crate::memory::exchanges::{Ex, Stage};
+use crate::memory::exchanges::{Ex, Hold, Stage};
 use crate::memory::results::{Found, NoResult, Repeats};
 use crate::parts::{Asked, Ticket, Use};
 use crate::wire::end::{End, Outcome};
@@ -55,7 +55,7 @@
         let pool = request.pool.map_or(0, |place| place + 1);
         // A repeat takes the outcome of the first: it uses nothing more.
         let asked = Asked { group, customer: request.customer, pool };
-        let (ticket, held_back) = match repeats {
+        let (hold, held_back) = match repeats {
             None => self.admit(asked),
             Some(_) => Default::default(),
         };
@@ -70,10 +70,10 @@
             caller: Some(caller),
             stage: Stage::Queued,
             repeats,
-            ticket,
+            hold,
         };
         let Some(id) = self.exs.take_in(ex) else {
-            self.give_back(ticket, Use::None);
+            self.let_go(pool, hold);
             let doubled = Answer::Unreadable(Unreadable::Field("HTTP_X_REQUEST_ID"));
             return self.fronts.answer(caller, doubled);
         };
@@ -98,18 +98,31 @@
         }));
     }
 
-    /// What it takes of the fleet's budgets, or when it is to come back.
-    fn admit(&mut self, asked: Asked) -> (Ticket, Option<Tenths>) {
-        let mut ticket = Ticket::default();
+    /// What it holds of the fleet's budgets and of its pool's servers, or when it is to come back.
+    fn admit(&mut self, asked: Asked) -> (Hold, Option<Tenths>) {
+        let admission = match self.work.admit(asked.pool, self.now) {
+            Ok(admission) => admission,
+            Err(wait) => return (Hold::default(), Some(wait)),
+        };
+        let mut hold = Hold { ticket: Ticket::default(), admission };
         for part in &mut self.parts {
             match part.admit(asked) {
                 // One part at the most has budgets.
                 Ok(taken) if taken == Ticket::default() => {}
-                Ok(taken) => ticket = taken,
-                Err(wait) => return (Ticket::default(), Some(wait)),
+                Ok(taken) => hold.ticket = taken,
+                Err(wait) => {
+                    self.let_go(asked.pool, hold);
+                    return (Hold::default(), Some(wait));
+                }
             }
         }
-        (ticket, None)
+        (hold, None)
+    }
+
+    /// What an exchange holds that will not be run.
+    pub(super) fn let_go(&mut self, pool: u16, hold: Hold) {
+        self.give_back(hold.ticket, Use::None);
+        self.work.release(pool, hold.admission);
     }
 
     pub(super) fn give_back(&mut self, ticket: Ticket, came: Use) {
@@ -130,8 +143,9 @@
             }
             Outcome::RunEnded(outcome) => {
                 let Some(ex) = self.exs.remove(id) else { return };
+                self.work.release(ex.pool, ex.hold.admission);
                 self.give_back(
-                    ex.ticket,
+                    ex.hold.ticket,
                     match outcome {
                         RunOutcome::Completed => Use::Over,
                         RunOutcome::Failed | RunOutcome::Stopped => Use::MayGoOn,
--- a/node/src/serve/report.rs
+++ b/node/src/serve/report.rs
@@ -42,7 +42,8 @@
                 "connections" => pool.connections(), "in_hand" => pool.in_hand(), "begun" => counts.begun,
                 "ends" => Serde(servers.ends.clone()), "retries" => counts.retries,
                 "unbudgeted" => counts.unbudgeted, "failures" => counts.failures,
-                "put_aside" => counts.put_aside, "opened" => counts.opened, "stale" => counts.stale);
+                "put_aside" => counts.put_aside, "opened" => counts.opened, "stale" => counts.stale,
+                "cold" => pool.cold(), "ramps" => counts.ramps, "held_back" => counts.held_back);
         }
         // With the platform's listener alone the whole is that front's.
         for front in self.fronts.each().filter(|_| self.fronts.each().count() > 1) {
--- a/node/src/serve/start.rs
+++ b/node/src/serve/start.rs
@@ -122,6 +122,7 @@
         let mut work = work;
         for part in &parts {
             work.gate_retries(|pool| part.retry_gate(pool));
+            work.gate_ramps(|pool| part.ramp_gate(pool));
         }
         let mut node = Node {
             parts,
--- a/node/src/wire/mod.rs
+++ b/node/src/wire/mod.rs
@@ -12,4 +12,5 @@
 pub mod request;
 pub mod ruled;
 pub mod servers;
+mod standing;
 pub mod work;
--- a/node/src/wire/servers.rs
+++ b/node/src/wire/servers.rs
@@ -1,24 +1,27 @@
 //! The connections to application servers. All that is decided about them is the pool's (package `servers/`);
 //! here it is carried out on sockets.
 
+mod transfer;
+
 use std::collections::{BTreeMap, BTreeSet};
-use std::io::{ErrorKind, Read, Write};
+use std::io::ErrorKind;
 use std::net::{SocketAddr, TcpStream};
 use std::sync::Arc;
 
 use doortrack::{ExId, RunOutcome, Tenths};
 use doortrack_installation::Servers as Asked;
-use doortrack_servers::{Action, ConnId, Over, Pool, RunEnd, RunId, ServerId, Standing};
-use doortrack_wire::{Answer, AnswerReader, Answered, Pair, Protocol, write_request};
+use doortrack_servers::{Action, Admission, ConnId, Pool, RunEnd, RunId, ServerId, Token};
+use doortrack_wire::{Answer, AnswerReader, Pair, Protocol, write_request};
 use polling::{Event, PollMode, Poller};
 use rustc_hash::FxHashMap;
-use slog::{Logger, info, warn};
+use slog::{Logger, warn};
 
 use super::bounds::TURN;
 use super::end::End;
 use super::engine::{WorkEvent, begin_to_connect};
 use super::fronts::Block;
 use super::headers::passed_on;
+use super::standing::log_standing;
 
 /// Connections to servers have the keys from here on, those of each pool so many.
 pub const SERVER_KEY: usize = 1 << 40;
@@ -112,7 +115,11 @@
             .collect();
         // New ones first, so that what the others are given meanwhile has somewhere to go.
         for at in asked.addresses.iter().filter(|at| !members.contains_key(at)) {
-            let server = self.pool.add(now, &mut self.actions);
+            // What is known from the node's own start on counts as warm.
+            let server = match self.up {
+                true => self.pool.add_cold(now, &mut self.actions),
+                false => self.pool.add(now, &mut self.actions),
+            };
             self.at.insert(server, *at);
             self.settle(now);
         }
@@ -134,6 +141,25 @@
         self.pool.gate_retries(gate);
     }
 
+    /// Ramps are shared with others, who grant tokens of them.
+    pub fn gate_ramps(&mut self, gate: Box<dyn FnMut() -> Token>) {
+        self.pool.gate_ramps(gate);
+    }
+
+    /// Whether one more exchange may be admitted.
+    ///
+    /// # Errors
+    /// How long to wait before it comes back, in tenths of a ms.
+    pub fn admit(&mut self, now: Tenths) -> Result<Admission, Tenths> {
+        let admission = self.pool.admit(now);
+        self.settle(now);
+        admission
+    }
+
+    pub fn release(&mut self) {
+        self.pool.release();
+    }
+
     pub fn pool(&self) -> &Pool {
         &self.pool
     }
@@ -186,9 +212,9 @@
                     self.pool.opened(conn, now, &mut self.actions);
                 }
                 Ok(None) => {}
-                _ => {
+                failed => {
                     self.drop_sock(conn);
-                    self.pool.open_failed(conn, now, &mut self.actions);
+                    self.not_opened(conn, failed.ok().flatten(), now);
                 }
             }
             return;
@@ -201,6 +227,15 @@
         }
     }
 
+    /// A connection did not open. Refused, there is no doubt that nothing listens there.
+    fn not_opened(&mut self, conn: ConnId, why: Option<std::io::Error>, now: Tenths) {
+        if why.is_some_and(|e| e.kind() == ErrorKind::ConnectionRefused) {
+            self.pool.refused(conn, now, &mut self.actions);
+        } else {
+            self.pool.open_failed(conn, now, &mut self.actions);
+        }
+    }
+
     /// What came of it all since the last time.
     pub fn flush(&mut self, work_events: &mut Vec<WorkEvent>) {
         work_events.append(&mut self.work_events);
@@ -221,7 +256,7 @@
             Action::Open { conn, server } => {
                 if let Err(e) = self.open(conn, server) {
                     warn!(self.log, "server out of reach"; "address" => ?self.at.get(&server), "why" => %e);
-                    self.pool.open_failed(conn, now, &mut self.actions);
+                    self.not_opened(conn, Some(e), now);
                 }
             }
             Action::Send { conn, run } => self.send(conn, run, now),
@@ -242,16 +277,8 @@
                 self.work_events.push(WorkEvent::RunEnded { id: run, end, headers, body: answer.body });
             }
             Action::Report { server, standing } => {
-                let (at, in_use) = (self.at.get(&server).copied(), self.pool.in_use());
-                let at = at.map_or_else(String::new, |at| at.to_string());
-                match standing {
-                    Standing::PutAside { till } => warn!(self.log, "server put aside"; "address" => at,
-                        "for_ms" => (till - now.min(till)) / 10, "in_use" => in_use),
-                    Standing::Returning => {
-                        info!(self.log, "server probed"; "address" => at, "in_use" => in_use)
-                    }
-                    Standing::Fit => info!(self.log, "server fit again"; "address" => at, "in_use" => in_use),
-                }
+                let address = self.at.get(&server).map_or_else(String::new, SocketAddr::to_string);
+                log_standing(&self.log, &address, self.pool.in_use(), standing, now);
             }
         }
     }
@@ -278,103 +305,4 @@
             self.socks.pop();
         }
     }
-
-    fn lost(&mut self, conn: ConnId, now: Tenths) {
-        self.drop_sock(conn);
-        self.pool.lost(conn, now, &mut self.actions);
-    }
-
-    fn send(&mut self, conn: ConnId, run: RunId, now: Tenths) {
-        let Some(sock) = self.socks.get_mut(conn).and_then(Option::as_mut) else { return };
-        // The last look before a kept one is used: what its server closed meanwhile would take the run with
-        // it.
-        if !sock.sock.peek(&mut [0]).is_err_and(|e| e.kind() == ErrorKind::WouldBlock) {
-            return self.lost(conn, now);
-        }
-        (sock.run, sock.written) = (Some(run), 0);
-        sock.reader = AnswerReader::new(self.protocol, ID, self.most_answer);
-        self.write(conn, now);
-    }
-
-    fn write(&mut self, conn: ConnId, now: Tenths) {
-        let Some(sock) = self.socks.get_mut(conn).and_then(Option::as_mut) else { return };
-        let request = sock.run.and_then(|run| self.requests.get(&run)).map_or(&[][..], Vec::as_slice);
-        while sock.written < request.len() {
-            match sock.sock.write(&request[sock.written..]) {
-                Ok(n) if n > 0 => {
-                    if sock.written == 0 {
-                        self.pool.sent(conn);
-                    }
-                    sock.written += n;
-                }
-                Err(e) if e.kind() == ErrorKind::Interrupted => {}
-                Err(e) if e.kind() == ErrorKind::WouldBlock => break,
-                // It takes no more of it; perhaps it has answered already. If not, reading tells.
-                _ if sock.written > 0 => {
-                    sock.written = request.len();
-                    return self.read(conn, now);
-                }
-                _ => return self.lost(conn, now),
-            }
-        }
-        let wants = sock.written < request.len();
-        if wants != sock.watches_writes {
-            let event = Event::new(self.first_key + conn, true, wants);
-            if self.poller.modify_with_mode(&sock.sock, event, PollMode::Level).is_ok() {
-                sock.watches_writes = wants;
-            }
-        }
-    }
-
-    fn read(&mut self, conn: ConnId, now: Tenths) {
-        let mut scratch = std::mem::take(&mut self.scratch);
-        self.read_into(conn, &mut scratch, now);
-        self.scratch = scratch;
-    }
-
-    fn read_into(&mut self, conn: ConnId, scratch: &mut [u8], now: Tenths) {
-        let Some(sock) = self.socks.get_mut(conn).and_then(Option::as_mut) else { return };
-        let n = match sock.sock.read(scratch) {
-            Ok(n) => n,
-            Err(e) if matches!(e.kind(), ErrorKind::WouldBlock | ErrorKind::Interrupted) => return,
-            Err(_) => return self.lost(conn, now),
-        };
-        // On one that carries nothing there is nothing to be read but its end.
-        if sock.run.is_none() {
-            return self.lost(conn, now);
-        }
-        if n == 0 {
-            return match sock.reader.closed() {
-                Ok(answer) => self.over(conn, Answered::Whole(answer), false, now),
-                Err(_) => self.lost(conn, now),
-            };
-        }
-        let mut input = &scratch[..n];
-        match sock.reader.take(&mut input) {
-            Ok(Some(answered)) => self.over(conn, answered, input.is_empty(), now),
-            Ok(None) => {}
-            Err(_) => self.lost(conn, now),
-        }
-    }
-
-    fn over(&mut self, conn: ConnId, answered: Answered, clean: bool, now: Tenths) {
-        let Some(sock) = self.socks.get_mut(conn).and_then(Option::as_mut) else { return };
-        let Some(run) = sock.run.take() else { return };
-        let whole = self.requests.get(&run).is_some_and(|request| request.len() == sock.written);
-        let keep = clean && whole && self.keep && self.protocol == Protocol::FastCgi;
-        let over = match answered {
-            Answered::Whole(answer) => {
-                let keep = keep && !answer.excess;
-                if (200..300).contains(&answer.status) {
-                    self.results.insert(run, answer);
-                    Over::Completed { keep }
-                } else {
-                    Over::Failed { keep }
-                }
-            }
-            Answered::Refused(_) => Over::Refused { keep },
-        };
-        self.pool.over(conn, over, now, &mut self.actions);
-        self.forget_gone();
-    }
 }
--- a/node/src/wire/work.rs
+++ b/node/src/wire/work.rs
@@ -4,6 +4,7 @@
 use std::net::SocketAddr;
 
 use doortrack::{ExId, Tenths};
+use doortrack_servers::{Admission, Token};
 use polling::Event;
 
 use super::engine::{ENGINE_KEY, Link, WorkEvent};
@@ -16,6 +17,11 @@
     Servers(Vec<(String, Servers)>),
 }
 
+/// Rules are read with the pools that there are; whatever else an exchange says, it is run.
+fn pool_place(pool: u16, pools: usize) -> usize {
+    if usize::from(pool) < pools { usize::from(pool) } else { 0 }
+}
+
 impl Work {
     /// Does what is due: makes a link, gives up what took too long.
     pub fn tend(&mut self, now: Tenths) {
@@ -62,6 +68,37 @@
         }
     }
 
+    /// Pools whose ramps are shared with others: by place, where they ask for tokens.
+    pub fn gate_ramps(&mut self, mut gate: impl FnMut(u16) -> Option<Box<dyn FnMut() -> Token>>) {
+        if let Work::Servers(pools) = self {
+            for (place, (_, pool)) in pools.iter_mut().enumerate() {
+                gate(place as u16).into_iter().for_each(|gate| pool.gate_ramps(gate));
+            }
+        }
+    }
+
+    /// Whether one more exchange may be admitted to the pool at this place, as far as its servers go.
+    ///
+    /// # Errors
+    /// How long to wait before it comes back, in tenths of a ms.
+    pub fn admit(&mut self, pool: u16, now: Tenths) -> Result<Admission, Tenths> {
+        match self {
+            Work::Engine(_) => Ok(Admission::Free),
+            Work::Servers(pools) => {
+                let place = pool_place(pool, pools.len());
+                pools.get_mut(place).map_or(Ok(Admission::Free), |(_, pool)| pool.admit(now))
+            }
+        }
+    }
+
+    /// What was reserved for an exchange is begun next, or not wanted any more.
+    pub fn release(&mut self, pool: u16, admission: Admission) {
+        if let (Work::Servers(pools), Admission::Reserved) = (self, admission) {
+            let place = pool_place(pool, pools.len());
+            pools.get_mut(place).into_iter().for_each(|(_, pool)| pool.release());
+        }
+    }
+
     /// Whether what is asked for now is sent at once.
     pub fn is_up(&self) -> bool {
         match self {
@@ -82,8 +119,7 @@
             Work::Engine(link) => link.is_up().then(|| link.run(&ex.try_id, group, &ex.body)),
             Work::Servers(pools) => {
                 let block = ex.block.take();
-                // Rules are read with the pools that there are; whatever else it says, it is run.
-                ex.pool = if usize::from(ex.pool) < pools.len() { ex.pool } else { 0 };
+                ex.pool = pool_place(ex.pool, pools.len()) as u16;
                 if let Some((_, pool)) = pools.get_mut(usize::from(ex.pool)) {
                     pool.run(id, block, &ex.body, repeatable, now);
                 }
--- a/node/tests/fleet/ramp.rs
+++ b/node/tests/fleet/ramp.rs
@@ -7,6 +7,7 @@
 use std::thread::JoinHandle;
 use std::time::{Duration, Instant};
 
+use doortrack_node::commands::fleet::ask_budgets;
 use doortrack_rig::processes::Rig;
 use doortrack_standins::caller::{Ask, Seen};
 use doortrack_standins::server::{Act, Server};
@@ -21,6 +22,8 @@
 /// Runs that the server is to get in the first `OVER_MS` after its return, from all nodes together.
 const RUNS: u32 = 144;
 const OVER_MS: u64 = 6_000;
+/// Tokens a second of the fleet's budget: `2 * RUNS / OVER_MS`.
+const TOKENS: u32 = 48;
 /// What a run takes in the server.
 const WORK: Duration = Duration::from_millis(5);
 /// Between the answer to a caller and its next exchange.
@@ -138,6 +141,10 @@
     json!({"servers": servers})
 }
 
+fn ramp(runs: u32) -> Value {
+    json!({"ramp": {"over_ms": OVER_MS, "runs": runs}})
+}
+
 /// What reached the server after its return.
 #[derive(Debug)]
 struct Returned {
@@ -203,3 +210,91 @@
     let returned = come_back(&mut rig, NODES, server);
     assert!(returned.since_listening > most(RUNS), "{returned:?}");
 }
+
+#[test]
+fn one_node_alone_sends_a_server_that_returns_no_more_than_its_ramp() {
+    let (mut rig, server) = started(1, |at| installation(at, ramp(RUNS)));
+    let returned = come_back(&mut rig, 1, server);
+    assert!(returned.since_listening <= most(RUNS) && returned.since_listening > 30, "{returned:?}");
+}
+
+#[test]
+fn all_nodes_together_send_a_server_that_returns_no_more_than_one_ramp() {
+    let (mut rig, server) = started(NODES, |at| {
+        let mut whole = installation(at, ramp(RUNS));
+        whole["fleet"] = json!({"voters": ["n0", "n1", "n2"]});
+        whole["budgets"] = json!([{"name": "returns", "kind": "rate", "whole": TOKENS, "burst": NODES,
+            "for": {"ramp": "servers"}}]);
+        whole
+    });
+    (0..NODES).for_each(|of| wait_for_share(&rig, of));
+    let returned = come_back(&mut rig, NODES, server);
+    assert!(returned.since_listening <= most(RUNS), "{returned:?}");
+    assert!(returned.since_listening >= NODES, "each sends its probe: {returned:?}");
+}
+
+/// Waits until a node has a share of the one budget.
+fn wait_for_share(rig: &Rig, of: usize) {
+    let until = Instant::now() + LONGEST;
+    loop {
+        let standing = ask_budgets(rig.fleet(of), Some([0x5a; 32])).unwrap().0;
+        if standing.first().is_some_and(|budget| budget.until_ms.is_some()) {
+            return;
+        }
+        assert!(Instant::now() < until, "n{of} has no share: {standing:?}");
+        std::thread::sleep(Duration::from_millis(50));
+    }
+}
+
+/// Sends one exchange, under an idempotency key if there is one.
+fn seen(rig: &Rig, nth: u64, key: Option<&str>) -> Seen {
+    let ask = Ask::new(nth, if key.is_some() { "/svc/pay" } else { "/svc/look" }, b"berth");
+    let ask = key.map_or(ask.clone(), |key| ask.with("HTTP_IDEMPOTENCY_KEY", key));
+    ask.send(rig.front(0), Protocol::FastCgi).seen()
+}
+
+#[test]
+fn while_the_server_is_down_a_repeat_is_answered_and_all_else_is_told_when_to_come_back() {
+    let (rig, server) = started(1, |at| installation(at, ramp(RUNS)));
+    drop(doortrack_standins::bed::connect(rig.front(0)));
+    let (key, other) = ("00112233445566778899aabbccddeeff", "ffeeddccbbaa99887766554433221100");
+    assert_eq!(seen(&rig, 1, Some(key)), Seen::Completed(b"done".to_vec()));
+    server.kill();
+    let (mut waits, mut failed) = (Vec::new(), 0);
+    for nth in (2..).step_by(3).take(40) {
+        assert_eq!(seen(&rig, nth, Some(key)), Seen::Completed(b"done".to_vec()));
+        for seen in [seen(&rig, nth + 1, Some(other)), seen(&rig, nth + 2, None)] {
+            match seen {
+                Seen::Rejected { retry_after, not_elsewhere: false } => waits.push(retry_after),
+                // A probe: its connection was refused.
+                Seen::Failed => failed += 1,
+                seen => panic!("{seen:?}"),
+            }
+        }
+        std::thread::sleep(Duration::from_millis(5));
+    }
+    assert!(waits.iter().all(|wait| wait.is_some_and(|ms| ms > 0)), "{waits:?}");
+    assert!(waits.len() > 20 && failed > 0, "{} rejected, {failed} failed", waits.len());
+}
+
+/// An address that a SIGHUP brings is cold; one that the node knew from its start is not.
+#[test]
+fn a_server_that_is_added_under_way_ramps_up_beside_one_that_takes_the_rest() {
+    let (mut rig, first) = started(1, |at| installation(at, ramp(RUNS)));
+    drop(doortrack_standins::bed::connect(rig.front(0)));
+    let fronts = vec![rig.front(0); 4];
+    let mut callers = Callers::start(&fronts);
+    callers.wait_for("served before", |tally| tally.completed.load(Ordering::Relaxed) >= 10);
+    let second = server("127.0.0.1:0".parse().unwrap());
+    let added = unix_ms();
+    let mut own = installation(first.at, ramp(RUNS));
+    own["servers"]["addresses"] = json!([first.at.to_string(), second.at.to_string()]);
+    rig.reload(0, &own).unwrap();
+    std::thread::sleep(Duration::from_millis(OVER_MS));
+    callers.finish();
+    let got = second.got().iter().filter(|got| got.at < added + OVER_MS).count();
+    assert!((5..=RUNS as usize).contains(&got), "{got} on the new one");
+    assert!(first.got().len() > got, "{} on the first", first.got().len());
+    let bad = callers.sum(|tally| &tally.rejected) + callers.sum(|tally| &tally.failed);
+    assert_eq!(bad + callers.sum(|tally| &tally.unanswered), 0, "{}", callers.tallies[0].in_words());
+}
--- a/node/tests/node/parts.rs
+++ b/node/tests/node/parts.rs
@@ -501,7 +501,7 @@
         caller: None,
         stage: Stage::Queued,
         repeats: None,
-        ticket: Default::default(),
+        hold: Default::default(),
     }
 }
 
--- a/servers/src/health.rs
+++ b/servers/src/health.rs
@@ -15,6 +15,17 @@
     Returning { trusted: u32, times: u32 },
 }
 
+/// In what way a server failed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Failure {
+    /// Nothing listens there.
+    Refused,
+    /// A connection did not open, or broke, or brought nothing in time.
+    Lost,
+    /// It answered, and the answer says that it failed or would not run it.
+    Answered,
+}
+
 /// What a failure calls for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Verdict {
--- a/servers/src/lib.rs
+++ b/servers/src/lib.rs
@@ -18,7 +18,9 @@
 //!   server said that it did not run it;
 //! - retries are at most a burst and a share of the runs begun, so an outage is not multiplied;
 //! - each server has at most `at_once` connections, and runs on no more of them than it is trusted with;
-//! - servers that fail are put aside, but never more of them than leaves the floor in use.
+//! - servers that fail are put aside, but never more of them than leaves the floor in use;
+//! - with a ramp, a server that was down is sent probes alone until it returns, whatever the floor, and then
+//!   no more than its ramp allows.
 //!
 //! Cost: choosing looks at two servers however many there are; times are kept in ordered sets of what is
 //! open.
@@ -26,12 +28,14 @@
 mod budget;
 mod health;
 mod pool;
+mod ramp;
 mod terms;
 
 use doortrack::Tenths;
 
-pub use pool::{Counts, Pool};
-pub use terms::{Aside, Retries, Terms};
+pub use pool::{Admission, Counts, Pool};
+pub use ramp::Token;
+pub use terms::{Aside, Ramp, Retries, Terms};
 
 /// The name of a run, given by who begins it; never used twice at the same time.
 pub type RunId = u32;
@@ -64,6 +68,12 @@
     Returning,
     /// Trusted with all.
     Fit,
+    /// Nothing answers there; probed for the first time then.
+    Down { till: Tenths },
+    /// It has returned, and its ramp is over then.
+    Ramping { till: Tenths },
+    /// Its ramp is over.
+    Warm,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/servers/src/pool.rs
+++ b/servers/src/pool.rs
@@ -3,6 +3,7 @@
 mod choose;
 mod lives;
 mod members;
+mod ramps;
 
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -12,9 +13,13 @@
 use slab::Slab;
 
 use crate::budget::Budget;
-use crate::health::Health;
+use crate::health::{Failure, Health};
+use crate::pool::ramps::Ramps;
+use crate::ramp::Cold;
 use crate::{Action, ConnId, Over, RunEnd, RunId, ServerId, Standing, Terms};
 
+pub use ramps::Admission;
+
 /// What happened so far.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Counts {
@@ -30,6 +35,10 @@
     pub opened: u64,
     /// Kept connections that were found closed when they were to be used.
     pub stale: u64,
+    /// Returns of servers that began a ramp.
+    pub ramps: u64,
+    /// Exchanges that were not admitted as no server was there but cold ones.
+    pub held_back: u64,
 }
 
 #[derive(Debug)]
@@ -43,6 +52,12 @@
     open_place: Option<usize>,
     /// It is gone once nothing is on it any more.
     removed: bool,
+    /// It was down, and its ramp is not over; only where the terms have one.
+    cold: Option<Cold>,
+    /// It counts among those that are in use and not cold.
+    counted_warm: bool,
+    /// Times that it went down.
+    downs: u32,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -64,6 +79,8 @@
     due: Tenths,
     /// It carried a run before.
     used: bool,
+    /// Times that its server had gone down when it was begun.
+    downs: u32,
 }
 
 #[derive(Debug)]
@@ -75,6 +92,8 @@
     /// Where it was tried last.
     last: Option<ServerId>,
     conn: Option<ConnId>,
+    /// How it ends if no server is left that it could wait for.
+    otherwise: RunEnd,
 }
 
 /// Servers, and the runs that they are given.
@@ -96,13 +115,14 @@
     dues: BTreeSet<(Tenths, ConnId)>,
     returns: BTreeSet<(Tenths, ServerId)>,
     budget: Budget,
+    ramps: Ramps,
     pub counts: Counts,
 }
 
 impl Pool {
     pub fn new(terms: Terms, seed: u64) -> Pool {
         let (servers, conns, open) = (Slab::new(), Slab::new(), Vec::new());
-        let (runs, waiting, dues, returns, counts) = Default::default();
+        let (runs, waiting, dues, returns, ramps, counts) = Default::default();
         let (rng, budget) = (Rng::with_seed(seed), Budget::new(&terms.retries));
         let (turns, in_use, members) = (0, 0, 0);
         Pool {
@@ -119,6 +139,7 @@
             dues,
             returns,
             budget,
+            ramps,
             counts,
         }
     }
@@ -161,7 +182,8 @@
     /// When [`Pool::tick`] is due.
     pub fn next_due(&self) -> Tenths {
         let conn = self.dues.first().map_or(Tenths::MAX, |(due, _)| *due);
-        conn.min(self.returns.first().map_or(Tenths::MAX, |(till, _)| *till))
+        let returns = self.returns.first().map_or(Tenths::MAX, |(till, _)| *till);
+        conn.min(returns).min(self.next_wake())
     }
 
     // --- Runs ---
@@ -172,7 +194,8 @@
         self.budget.run_begun();
         self.turns += 1;
         let turn = self.turns;
-        self.runs.insert(run, Run { repeatable, turn, tries: 0, last: None, conn: None });
+        let otherwise = RunEnd::NeverRan;
+        self.runs.insert(run, Run { repeatable, turn, tries: 0, last: None, conn: None, otherwise });
         self.waiting.insert(turn, run);
         self.hand_out(now, actions);
     }
@@ -193,17 +216,35 @@
     // --- What became of connections ---
 
     pub fn opened(&mut self, conn: ConnId, now: Tenths, actions: &mut Vec<Action>) {
-        if let Some(Stage::Opening(run)) = self.conns.get(conn).map(|of| of.stage) {
-            self.counts.opened += 1;
-            self.carry(conn, run, now, actions);
+        let Some(Conn { server, stage: Stage::Opening(run), downs, .. }) = self.conns.get(conn) else {
+            return;
+        };
+        let (server, run, current) = (*server, *run, *downs == self.servers[*server].downs);
+        self.counts.opened += 1;
+        if current {
+            self.has_opened(server, now, actions);
+            return self.carry(conn, run, now, actions);
         }
+        // Its server has gone down since: this is no probe, and its run is not within a ramp.
+        self.close(conn, actions);
+        self.again_or(run, RunEnd::NeverRan, actions);
+        self.hand_out(now, actions);
     }
 
     /// It could not be opened, so nothing of its run was sent.
     pub fn open_failed(&mut self, conn: ConnId, now: Tenths, actions: &mut Vec<Action>) {
+        self.not_opened(conn, Failure::Lost, now, actions);
+    }
+
+    /// It was refused: nothing listens there, and nothing of its run was sent.
+    pub fn refused(&mut self, conn: ConnId, now: Tenths, actions: &mut Vec<Action>) {
+        self.not_opened(conn, Failure::Refused, now, actions);
+    }
+
+    fn not_opened(&mut self, conn: ConnId, failure: Failure, now: Tenths, actions: &mut Vec<Action>) {
         let Some(Stage::Opening(run)) = self.conns.get(conn).map(|of| of.stage) else { return };
         let server = self.forget_conn(conn);
-        self.failed(server, now, actions);
+        self.failed(server, failure, now, actions);
         self.again_or(run, RunEnd::NeverRan, actions);
         self.gone_if_over(server);
         self.hand_out(now, actions);
@@ -232,7 +273,7 @@
                 actions.push(Action::Report { server, standing: Standing::Fit });
             }
         } else {
-            self.failed(server, now, actions);
+            self.failed(server, Failure::Answered, now, actions);
         }
         self.rest(conn, keep, now, actions);
         if end == RunEnd::NeverRan {
@@ -265,7 +306,7 @@
             }
             (Stage::Carrying { run, sent }, _) => {
                 let server = self.forget_conn(conn);
-                self.failed(server, now, actions);
+                self.failed(server, Failure::Lost, now, actions);
                 self.after_loss(run, sent, RunEnd::Lost, actions);
                 self.gone_if_over(server);
             }
@@ -283,11 +324,11 @@
             match stage {
                 Stage::Idle => {}
                 Stage::Opening(run) => {
-                    self.failed(server, now, actions);
+                    self.failed(server, Failure::Lost, now, actions);
                     self.again_or(run, RunEnd::NeverRan, actions);
                 }
                 Stage::Carrying { run, sent } => {
-                    self.failed(server, now, actions);
+                    self.failed(server, Failure::Lost, now, actions);
                     self.after_loss(run, sent, RunEnd::Late, actions);
                 }
             }
@@ -298,6 +339,7 @@
         {
             self.take_back(till, server, actions);
         }
+        self.wake_ramping(now, actions);
         self.hand_out(now, actions);
     }
 }
--- a/servers/src/pool/choose.rs
+++ b/servers/src/pool/choose.rs
@@ -3,6 +3,7 @@
 use doortrack::Tenths;
 
 use super::{Conn, Pool, Stage};
+use crate::ramp::Cold;
 use crate::{Action, RunId, ServerId};
 
 impl Pool {
@@ -10,15 +11,19 @@
     pub(super) fn hand_out(&mut self, now: Tenths, actions: &mut Vec<Action>) {
         while let Some((turn, run)) = self.waiting.first_key_value().map(|(turn, run)| (*turn, *run))
             && !self.open.is_empty()
+            && self.may_hand_out(now)
         {
-            self.waiting.remove(&turn);
             let server = self.choose(run);
+            if !self.charge(server, now) {
+                continue;
+            }
+            self.waiting.remove(&turn);
             let of = &mut self.servers[server];
             of.in_hand += 1;
-            let kept = of.idle.pop();
+            let (kept, downs) = (of.idle.pop(), of.downs);
             let conn = kept.unwrap_or_else(|| {
                 let due = now + self.terms.open_within;
-                self.conns.insert(Conn { server, stage: Stage::Opening(run), due, used: false })
+                self.conns.insert(Conn { server, stage: Stage::Opening(run), due, used: false, downs })
             });
             if let Some(of) = self.runs.get_mut(&run) {
                 (of.conn, of.last, of.tries) = (Some(conn), Some(server), of.tries + 1);
@@ -31,6 +36,7 @@
                 actions.push(Action::Open { conn, server });
             }
         }
+        self.give_up_waiting(now, actions);
     }
 
     /// Of two drawn by chance the one with less in hand for what it is trusted with. Before that counts
@@ -52,8 +58,13 @@
 
     /// Puts a server among those that can take a run, or takes it out, as it now is.
     pub(super) fn place(&mut self, server: ServerId) {
-        let Some(of) = self.servers.get(server) else { return };
-        let can = !of.removed && of.in_hand < of.health.trusted(self.terms.at_once);
+        if !self.servers.contains(server) {
+            return;
+        }
+        self.recount(server);
+        let of = &self.servers[server];
+        let ready = of.cold.as_ref().is_none_or(Cold::can_take);
+        let can = ready && !of.removed && of.in_hand < of.health.trusted(self.terms.at_once);
         match (can, of.open_place) {
             (true, None) => {
                 self.servers[server].open_place = Some(self.open.len());
--- a/servers/src/pool/lives.rs
+++ b/servers/src/pool/lives.rs
@@ -22,7 +22,10 @@
     pub(super) fn rest(&mut self, conn: ConnId, keep: bool, now: Tenths, actions: &mut Vec<Action>) {
         let server = self.conns[conn].server;
         let of = &self.servers[server];
-        if !keep || self.terms.idle == 0 || of.removed || of.health.is_aside() || self.has_too_many(server) {
+        // It may be one from before the server went down, which proves nothing of its return.
+        let down = of.cold.as_ref().is_some_and(|cold| cold.ramping.is_none());
+        let given_up = of.removed || down || of.health.is_aside();
+        if !keep || self.terms.idle == 0 || given_up || self.has_too_many(server) {
             return self.close(conn, actions);
         }
         self.stage(conn, Stage::Idle, now + self.terms.idle);
@@ -82,6 +85,9 @@
         if tries < self.terms.retries.tries {
             if self.budget.take() {
                 self.counts.retries += 1;
+                if let Some(of) = self.runs.get_mut(&run) {
+                    of.otherwise = end;
+                }
                 return self.wait(run);
             }
             self.counts.unbudgeted += 1;
--- a/servers/src/pool/members.rs
+++ b/servers/src/pool/members.rs
@@ -3,7 +3,8 @@
 use doortrack::Tenths;
 
 use super::{Pool, Server};
-use crate::health::{self, Health, Verdict};
+use crate::health::{self, Failure, Health, Verdict};
+use crate::ramp::Cold;
 use crate::{Action, ServerId, Standing, Terms};
 
 impl Pool {
@@ -19,6 +20,9 @@
             {
                 self.close(conn, actions);
             }
+            if terms.ramp.is_none() {
+                self.becomes_warm(server);
+            }
             self.place(server);
         }
         self.hand_out(now, actions);
@@ -26,8 +30,27 @@
 
     /// A new server, trusted with all at once: most are there when the pool starts.
     pub fn add(&mut self, now: Tenths, actions: &mut Vec<Action>) -> ServerId {
-        let fresh =
-            Server { health: Health::FIT, in_hand: 0, idle: Vec::new(), open_place: None, removed: false };
+        self.add_as(Health::FIT, None, now, actions)
+    }
+
+    /// A new server that came later than the others: with a ramp it is probed, and then ramps up.
+    pub fn add_cold(&mut self, now: Tenths, actions: &mut Vec<Action>) -> ServerId {
+        if self.terms.ramp.is_none() {
+            return self.add(now, actions);
+        }
+        let health = Health::Returning { trusted: 1, times: 0 };
+        self.add_as(health, Some(Cold::default()), now, actions)
+    }
+
+    fn add_as(
+        &mut self,
+        health: Health,
+        cold: Option<Cold>,
+        now: Tenths,
+        actions: &mut Vec<Action>,
+    ) -> ServerId {
+        let (in_hand, idle, open_place, removed, counted_warm, downs) = Default::default();
+        let fresh = Server { health, in_hand, idle, open_place, removed, cold, counted_warm, downs };
         let server = self.servers.insert(fresh);
         (self.members, self.in_use) = (self.members + 1, self.in_use + 1);
         self.place(server);
@@ -48,6 +71,7 @@
             self.forget_conn(conn);
             actions.push(Action::Close { conn });
         }
+        self.stop_ramping(server);
         self.place(server);
         self.gone_if_over(server);
         // With it may go the last one in use: then those come back that were to come back first.
@@ -71,15 +95,33 @@
             self.servers[server].health = Health::Returning { trusted: 1, times };
             self.in_use += 1;
             self.place(server);
-            actions.push(Action::Report { server, standing: Standing::Returning });
+            // One that is down is probed often, and that is told once.
+            if self.servers[server].cold.is_none() {
+                actions.push(Action::Report { server, standing: Standing::Returning });
+            }
         }
     }
 
     /// A server failed: it may be put aside, unless too few would be left.
-    pub(super) fn failed(&mut self, server: ServerId, now: Tenths, actions: &mut Vec<Action>) {
+    pub(super) fn failed(
+        &mut self,
+        server: ServerId,
+        failure: Failure,
+        now: Tenths,
+        actions: &mut Vec<Action>,
+    ) {
         self.counts.failures += 1;
         let Some(of) = self.servers.get_mut(server) else { return };
-        let Verdict::PutAside { times } = of.health.failed(&self.terms.aside) else { return };
+        let verdict = of.health.failed(&self.terms.aside);
+        let lost = match failure {
+            Failure::Refused => true,
+            Failure::Lost => verdict != Verdict::Stays || of.cold.is_some() && of.health.is_aside(),
+            Failure::Answered => false,
+        };
+        if lost && self.terms.ramp.is_some() && !of.removed {
+            return self.goes_down(server, verdict, now, actions);
+        }
+        let Verdict::PutAside { times } = verdict else { return };
         if of.removed || self.in_use <= self.floor() {
             return self.place(server);
         }
@@ -93,7 +135,7 @@
     }
 
     /// Servers that are in use whatever they do.
-    fn floor(&self) -> usize {
+    pub(super) fn floor(&self) -> usize {
         let share = (self.members as f64 * f64::from(self.terms.aside.floor.clamp(0.0, 1.0))).ceil();
         (share as usize).max(1)
     }
--- a/servers/src/terms.rs
+++ b/servers/src/terms.rs
@@ -15,6 +15,8 @@
     pub answer_within: Tenths,
     pub aside: Aside,
     pub retries: Retries,
+    /// Absent: a server that returns is sent all at once.
+    pub ramp: Option<Ramp>,
 }
 
 /// When a server is put aside, for how long, and how many may be.
@@ -30,6 +32,15 @@
     pub floor: f32,
 }
 
+/// Bounds on the first runs of a server that was down.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Ramp {
+    /// How long the ramp takes; at least 1.
+    pub over: Tenths,
+    /// Runs that one server is sent meanwhile, at a rate that grows linearly; at least 1.
+    pub runs: u32,
+}
+
 /// Bounds on trying a run again.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Retries {
--- a/servers/tests/pool.rs
+++ b/servers/tests/pool.rs
@@ -18,6 +18,7 @@
         answer_within: 1_000 * MS,
         aside: Aside { failures: 3, first: 500 * MS, longest: 8_000 * MS, floor: 0.25 },
         retries: Retries { share: 0.1, burst: 10, tries: 3 },
+        ramp: None,
     }
 }
 
