A ramp's probe is made up for also where nothing more is wanted

Need: where a fleet shares a ramp, each node's probe is a debt against its part of the tokens. A node that wanted nothing after its probe never asked for tokens, so its probe came on top of what the others send: up to N + nodes in all, which is more than N + 2 sqrt(N) + 2 for 24 nodes and N of 100. Change: servers/src/ramp.rs, `wakes`: while the debt is there, tokens are asked for every 0.1 s, also without demand; then no more. `draw` and this share `gather`. Test: the_probe_is_made_up_for_also_where_nothing_more_is_wanted (no token was asked for before).

--- a/servers/src/pool/ramps.rs
+++ b/servers/src/pool/ramps.rs
@@ -147,16 +147,16 @@
     }
 
     fn runs_dry(&mut self, server: ServerId, now: Tenths) {
-        self.change_wake(server, |ramping| ramping.runs_dry(now));
+        self.change_wake(server, |ramping, _| ramping.runs_dry(now));
         self.place(server);
     }
 
-    /// Changes when a ramping server is to be looked at.
-    fn change_wake(&mut self, server: ServerId, change: impl FnOnce(&mut Ramping)) {
+    /// Changes a ramping server, and when it is to be looked at.
+    fn change_wake(&mut self, server: ServerId, change: impl FnOnce(&mut Ramping, &mut Gate)) {
         let cold = self.servers[server].cold.as_mut();
         let Some(ramping) = cold.and_then(|cold| cold.ramping.as_mut()) else { return };
         self.ramps.wakes.remove(&(ramping.wake, server));
-        change(ramping);
+        change(ramping, &mut self.ramps.gate);
         self.ramps.wakes.insert((ramping.wake, server));
     }
 
@@ -172,7 +172,7 @@
                 self.becomes_warm(server);
                 actions.push(Action::Report { server, standing: Standing::Warm });
             } else {
-                self.change_wake(server, Ramping::wakes);
+                self.change_wake(server, |ramping, gate| ramping.wakes(gate, now));
                 self.place(server);
             }
         }
--- a/servers/src/ramp.rs
+++ b/servers/src/ramp.rs
@@ -16,6 +16,8 @@
 const KEPT: Tenths = 1_000;
 /// How long a pool that was refused a token waits before it asks for another.
 const REFUSED: Tenths = 200;
+/// How often a debt is asked tokens for where nothing else is wanted.
+const DEBT: Tenths = 1_000;
 /// Tokens that are asked for at once at the most: early in a ramp each is worth very little.
 const MOST_TOKENS: u32 = 64;
 
@@ -69,7 +71,7 @@
     /// Begins with the run of the probe as a debt.
     pub(crate) fn begin(terms: Ramp, now: Tenths) -> Ramping {
         let end = now.saturating_add(terms.over.max(1));
-        Ramping { terms, since: now, counted: now, credit: -1.0, dry: false, wake: end }
+        Ramping { terms, since: now, counted: now, credit: -1.0, dry: false, wake: end.min(now + DEBT) }
     }
 
     pub(crate) fn end(&self) -> Tenths {
@@ -89,9 +91,18 @@
 
     /// Takes the credit of one run, if there is so much.
     pub(crate) fn draw(&mut self, gate: &mut Gate, now: Tenths) -> bool {
+        let has_one = self.gather(1.0, gate, now);
+        if has_one {
+            self.credit -= 1.0;
+        }
+        has_one
+    }
+
+    /// Asks for credit until there is so much, or none is given.
+    fn gather(&mut self, wanted: f64, gate: &mut Gate, now: Tenths) -> bool {
         let progress = self.progress(now);
         let mut asked = 0;
-        while self.credit < 1.0 && progress > 0.0 && asked < MOST_TOKENS {
+        while self.credit < wanted && progress > 0.0 && asked < MOST_TOKENS {
             asked += 1;
             match gate.ask() {
                 Token::Granted => (self.credit, self.counted) = (self.credit + progress, now),
@@ -105,11 +116,7 @@
                 }
             }
         }
-        let has_one = self.credit >= 1.0;
-        if has_one {
-            self.credit -= 1.0;
-        }
-        has_one
+        self.credit >= wanted
     }
 
     /// Adds what came in since the last time.
@@ -138,9 +145,12 @@
         self.wake = next.min(now + REFUSED).min(self.end()).max(now + 1);
     }
 
-    /// It may be asked for credit again.
-    pub(crate) fn wakes(&mut self) {
-        (self.dry, self.wake) = (false, self.end());
+    /// It may be asked for credit again. The probe is made up for also where nothing more is wanted: others
+    /// who share the ramp would send as much without it.
+    pub(crate) fn wakes(&mut self, gate: &mut Gate, now: Tenths) {
+        let made_up = self.gather(0.0, gate, now);
+        let next = if made_up { Tenths::MAX } else { now + DEBT };
+        (self.dry, self.wake) = (false, next.min(self.end()));
     }
 }
 
--- a/servers/tests/ramp.rs
+++ b/servers/tests/ramp.rs
@@ -434,6 +434,26 @@
     assert!(sent.iter().all(|count| *count >= 5), "{sent:?}");
 }
 
+#[test]
+fn the_probe_is_made_up_for_also_where_nothing_more_is_wanted() {
+    let mut world = returned(terms());
+    let asked = Rc::new(RefCell::new(0));
+    let counter = asked.clone();
+    world.pool.gate_ramps(Box::new(move || {
+        *counter.borrow_mut() += 1;
+        Token::Granted
+    }));
+    while world.now < 2 * OVER && world.ramps.is_empty() {
+        world.load(5 * MS, 5 * MS);
+    }
+    world.pass(OVER / 2);
+    // One run's worth, at tokens of a hundredth and more; then no more are asked for.
+    let taken = *asked.borrow();
+    assert!((3..=100).contains(&taken), "{taken} tokens");
+    world.pass(OVER / 4);
+    assert_eq!(*asked.borrow(), taken);
+}
+
 #[test]
 fn without_a_share_nothing_is_sent_but_the_probe_and_nothing_waits() {
     let mut world = returned(terms());
