--- a/fleet/src/lib.rs
+++ b/fleet/src/lib.rs
@@ -1,51 +1,54 @@
-//! Decides which nodes of a fleet are there.
+//! Membership: decides which nodes of a fleet are present.
 //!
-//! Every node holds a [`Fleet`]: what it heard is told to it with the time ([`Event`]), what is to be done
-//! comes back as [`Action`]s. Neither sockets nor a clock, and the same events with the same seed give the
-//! same actions, so the node, the emulator and the tests drive the same code.
+//! Every node holds a [`Fleet`]. It is driven by [`Event`]s with the time of each, and returns [`Action`]s to
+//! carry out. There are neither sockets nor a clock here, and the same events with the same seed give the
+//! same actions, so that the node, the emulator and the tests drive the same code.
 //!
 //! ```text
-//! let mut fleet = Fleet::new(me, terms, seed, now);
-//! fleet.handle(now, Event::Turn, &mut actions);            // at fleet.next_due() at the latest
+//! let mut fleet = Fleet::new(me, parameters, seed, now);
+//! fleet.handle(now, Event::Tick, &mut actions);            // at fleet.next_due() at the latest
 //! fleet.handle(now, Event::Received { from, datagram }, &mut actions);
 //! ```
 //!
-//! The way is that of SWIM: each node probes one other a period, asks helpers to try before it doubts, and
-//! news travels on whatever is sent. What is added, and why:
-//! - **Lives.** A node is known by its name and a [`Life`], a number that is never used twice. What concerns
-//!   an earlier life counts for nothing, and a datagram names the life it is meant for.
-//! - **Who stood still doubts nobody.** A turn that comes late by more than [`Terms::stall`] drops all
-//!   probes and starts all doubts anew; until another has answered, nobody is doubted.
-//! - **Who gets no answer from anybody holds itself for the one that is cut off**, and lets nobody be lost.
-//! - **Second opinions.** Some of those that hear of a doubt try for themselves. Each that fails shortens it;
-//!   the word of one alone takes the longest time.
-//! - **Left is not lost**, and a node that comes back again and again is held back longer each time.
+//! The protocol is SWIM: each node probes one other in each period, asks indirect probers to try before it
+//! suspects the member, and updates travel on the datagrams that are sent anyway. Additions, and why:
+//! - **Incarnations.** A node is identified by its name and an [`Incarnation`], a number that is never used
+//!   twice. Updates on an earlier incarnation are ignored, and a datagram names the incarnation that it is
+//!   meant for, so that replays change nothing.
+//! - **A process that was paused suspects nobody.** A tick that comes late by more than
+//!   [`Parameters::max_lateness`] drops all probes and restarts all suspicions; until another node has
+//!   answered, nobody is suspected.
+//! - **A node that nobody answers considers itself isolated**, and declares nobody dead.
+//! - **Confirmations.** Some of the nodes that hear of a suspicion probe the member themselves. Each probe
+//!   that fails shortens the suspicion; an unconfirmed one lasts longest.
+//! - **Left is not dead**, and a member that comes back repeatedly is held back longer each time.
 //! - **[`View`]s.** The members on which decisions may rest, in order, with a number that grows by one with
-//!   each change and a digest that is the same in two nodes exactly when their members are.
+//!   each change and a digest that is equal in two nodes exactly when their members are.
 //!
-//! Assumptions: time as told does not go back within one process; it need not agree between two. Any
-//! datagram may be lost, delayed, doubled or replayed. A member may die, stop and wake at any point. Names
-//! are told apart, but two processes may claim the same one: the life that joined later stays. Members of
-//! one fleet do not lie; who does not hold the key is kept out before anything gets here.
+//! Assumptions: the time of events does not go back within one process; it need not agree between two. Any
+//! datagram may be lost, delayed, duplicated or replayed. A member may die, pause and resume at any point.
+//! Two processes may use the same name: the incarnation that joined later stays. Members of one fleet do not
+//! lie; whoever does not hold the key is kept out before anything gets here.
 //!
-//! What is never promised: that two nodes hold the same view at the same time. A decision that needs this
-//! has to rest on leases or a majority, not on a view.
+//! Not guaranteed: that two nodes have the same view at the same time. A decision that needs this has to rest
+//! on leases or a majority, not on a view.
 //!
-//! Bounds: members ([`Terms::most_members`]), probes under way, claims a datagram, datagrams a period. The
-//! cost of an event grows with the logarithm of the members at the most.
+//! Bounds: members ([`Parameters::max_members`]), probes under way, updates in a datagram, datagrams in a
+//! period. The cost of an event grows at most with the logarithm of the members.
 
-mod claim;
-mod doubt;
+mod applying;
 mod fleet;
 mod gossip;
 mod joining;
 mod message;
+mod parameters;
 mod probes;
 mod receiving;
 mod report;
+mod suspicion;
 mod table;
-mod terms;
-mod turning;
+mod timers;
+mod update;
 mod view;
 
 use std::fmt;
@@ -54,153 +57,123 @@
 
 use serde::{Deserialize, Serialize};
 
-pub use claim::{Claim, Stand};
 pub use fleet::Fleet;
-pub use message::{Datagram, Head, MOST_CLAIMS, Message};
-pub use report::{Report, State};
-pub use terms::Terms;
-pub use view::{Seat, View};
+pub use message::{Datagram, Head, MAX_UPDATES, Message};
+pub use parameters::Parameters;
+pub use report::{MemberReport, ReportedState};
+pub use update::{MemberState, MemberUpdate};
+pub use view::{Member, View};
 
-/// The name of a node; see [`name`].
+/// The name of a node; see [`is_name`].
 pub type Name = Arc<str>;
 
-/// Bytes of a name.
-pub const LONGEST_NAME: usize = 64;
+/// The longest name, in bytes.
+pub const MAX_NAME_LEN: usize = 64;
 
-/// One run of a node's process. Of two lives of one name the greater is the younger; 0 is none.
+/// One run of a node's process. Of two incarnations of one name the greater one is the later; 0 stands for
+/// none.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
-pub struct Life(pub u64);
+pub struct Incarnation(pub u64);
 
-impl fmt::Display for Life {
+impl fmt::Display for Incarnation {
     fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
         write!(f, "{:x}", self.0)
     }
 }
 
-impl Life {
-    /// That of a process started at this Unix time. The low bits are chance, so that two processes started
-    /// in one ms differ.
-    pub fn started(unix_ms: u64, chance: u64) -> Life {
-        Life((unix_ms << 16) | (chance & 0xffff))
+impl Incarnation {
+    /// The incarnation of a process started at this Unix time in ms. Its low 16 bits are random, so that two
+    /// processes started in the same ms differ.
+    pub fn started(unix_ms: u64, chance: u64) -> Incarnation {
+        Incarnation((unix_ms << 16) | (chance & 0xffff))
     }
 }
 
-/// What happens to a node.
+/// An input of [`Fleet::handle`].
 #[derive(Clone, Debug)]
 pub enum Event {
-    /// Time has come to where [`Fleet::next_due`] said, or simply passes.
-    Turn,
-    /// A datagram came that was found whole and of this fleet.
+    /// Time has passed; due by [`Fleet::next_due`] at the latest.
+    Tick,
+    /// A datagram arrived that is intact and belongs to this fleet.
     Received { from: SocketAddr, datagram: Datagram },
     /// The node was told to leave.
     Leave,
-    /// Other terms and seeds from here on.
-    Changed { terms: Box<Terms> },
+    /// The parameters and seeds were changed.
+    Changed { parameters: Box<Parameters> },
 }
 
-/// What is to be done.
+/// An output of [`Fleet::handle`], to be carried out in order.
 #[derive(Clone, Debug)]
 pub enum Action {
+    /// Send a datagram to this address; it may get lost.
     Send { to: SocketAddr, datagram: Box<Datagram> },
-    Report(News),
+    /// Tell the log, and those whose decisions rest on the view.
+    Report(Change),
 }
 
-/// What has changed, for the log and for those whose decisions rest on it. `life` is that of the member.
+/// A change of membership. `name` and `incarnation` are those of the member.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub enum News {
-    /// A member is in the view from here on; `back` if this life was lost before.
-    Alive {
-        name: Name,
-        life: Life,
-        back: bool,
-    },
-    Suspected {
-        name: Name,
-        life: Life,
-    },
-    /// It answered after all.
-    Cleared {
-        name: Name,
-        life: Life,
-    },
-    Lost {
-        name: Name,
-        life: Life,
-    },
-    Left {
-        name: Name,
-        life: Life,
-    },
-    /// It has come back too often; it is in the view again after so many tenths of a ms.
-    HeldBack {
-        name: Name,
-        life: Life,
-        wait: u64,
-    },
-    /// It answers, but late: its smoothed time to answer, in tenths of a ms.
-    Slow {
-        name: Name,
-        life: Life,
-        after: u64,
-    },
-    /// Nobody answers this node, or somebody does again.
-    CutOff(bool),
-    /// This node stood still for so many tenths of a ms.
-    StoodStill {
-        late: u64,
-    },
-    /// This node goes on under another life, as its name had been in use.
-    NewLife {
-        life: Life,
-    },
-    /// Another process goes by this node's name and joined later: this one no longer takes part.
-    Displaced {
-        by: Life,
-        address: SocketAddr,
-    },
-    /// Another process goes by this node's name and joined earlier; it is to stop taking part.
-    Twin {
-        life: Life,
-        address: SocketAddr,
-    },
-    /// The table is full: a newcomer was left out.
-    NoRoom {
-        name: Name,
-    },
+pub enum Change {
+    /// A member entered the view; `back` if it was dead before.
+    Alive { name: Name, incarnation: Incarnation, back: bool },
+    /// A probe of a member failed, here or elsewhere.
+    Suspected { name: Name, incarnation: Incarnation },
+    /// A suspected member refuted the suspicion.
+    Cleared { name: Name, incarnation: Incarnation },
+    /// A member was declared dead and left the view.
+    Dead { name: Name, incarnation: Incarnation },
+    /// A member announced that it leaves, and left the view.
+    Left { name: Name, incarnation: Incarnation },
+    /// A member came back too often; it enters the view again after `wait`, in tenths of a ms.
+    HeldBack { name: Name, incarnation: Incarnation, wait: u64 },
+    /// A member answers, but late: `after` is its smoothed response time in tenths of a ms.
+    Slow { name: Name, incarnation: Incarnation, after: u64 },
+    /// Nobody answers this node (`true`), or somebody does again.
+    Isolated(bool),
+    /// This process was paused and resumed `late`, in tenths of a ms, by its own clock.
+    Resumed { late: u64 },
+    /// This node continues under another incarnation, as a later one of its name was known.
+    NewIncarnation { incarnation: Incarnation },
+    /// Another process of this node's name joined later: this one takes part no longer.
+    Superseded { by: Incarnation, address: SocketAddr },
+    /// Another process of this node's name joined earlier; it is told to stop taking part.
+    DuplicateName { incarnation: Incarnation, address: SocketAddr },
+    /// The table is full: a new member was left out.
+    NoRoom { name: Name },
 }
 
-impl News {
-    /// Its name in logs and histories.
+impl Change {
+    /// Its word in logs and histories.
     pub fn word(&self) -> &'static str {
         match self {
-            News::Alive { back: false, .. } => "alive",
-            News::Alive { back: true, .. } => "back",
-            News::Suspected { .. } => "suspected",
-            News::Cleared { .. } => "cleared",
-            News::Lost { .. } => "lost",
-            News::Left { .. } => "left",
-            News::HeldBack { .. } => "held_back",
-            News::Slow { .. } => "slow",
-            News::CutOff(true) => "cut_off",
-            News::CutOff(false) => "reconnected",
-            News::StoodStill { .. } => "stood_still",
-            News::NewLife { .. } => "new_life",
-            News::Displaced { .. } => "displaced",
-            News::Twin { .. } => "twin",
-            News::NoRoom { .. } => "no_room",
+            Change::Alive { back: false, .. } => "alive",
+            Change::Alive { back: true, .. } => "back",
+            Change::Suspected { .. } => "suspected",
+            Change::Cleared { .. } => "cleared",
+            Change::Dead { .. } => "dead",
+            Change::Left { .. } => "left",
+            Change::HeldBack { .. } => "held_back",
+            Change::Slow { .. } => "slow",
+            Change::Isolated(true) => "isolated",
+            Change::Isolated(false) => "reconnected",
+            Change::Resumed { .. } => "resumed",
+            Change::NewIncarnation { .. } => "new_incarnation",
+            Change::Superseded { .. } => "superseded",
+            Change::DuplicateName { .. } => "duplicate_name",
+            Change::NoRoom { .. } => "no_room",
         }
     }
 
-    /// The other member that it is about, and its life.
-    pub fn about(&self) -> Option<(&Name, Life)> {
+    /// The member that it is about, unless that is this node.
+    pub fn about(&self) -> Option<(&Name, Incarnation)> {
         match self {
-            News::Alive { name, life, .. }
-            | News::Suspected { name, life }
-            | News::Cleared { name, life }
-            | News::Lost { name, life }
-            | News::Left { name, life }
-            | News::HeldBack { name, life, .. }
-            | News::Slow { name, life, .. } => Some((name, *life)),
+            Change::Alive { name, incarnation, .. }
+            | Change::Suspected { name, incarnation }
+            | Change::Cleared { name, incarnation }
+            | Change::Dead { name, incarnation }
+            | Change::Left { name, incarnation }
+            | Change::HeldBack { name, incarnation, .. }
+            | Change::Slow { name, incarnation, .. } => Some((name, *incarnation)),
             _ => None,
         }
     }
@@ -208,5 +181,5 @@
 
 /// Whether this can be a node's name: 1 to 64 bytes without control characters.
 pub fn is_name(word: &str) -> bool {
-    (1..=LONGEST_NAME).contains(&word.len()) && !word.chars().any(char::is_control)
+    (1..=MAX_NAME_LEN).contains(&word.len()) && !word.chars().any(char::is_control)
 }
--- a/node/src/memory/exchanges.rs
+++ b/node/src/memory/exchanges.rs
@@ -7,7 +7,7 @@
 use rustc_hash::FxHashMap;
 
 use super::results::Key;
-use crate::parts::Ticket;
+use crate::parts::Permit;
 use crate::wire::fronts::{Block, Caller};
 use crate::wire::request::TryId;
 
@@ -63,7 +63,7 @@
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Hold {
     /// Of the fleet's budgets.
-    pub ticket: Ticket,
+    pub permit: Permit,
     /// Of what its pool's servers may be sent; used up once its run begins.
     pub admission: Admission,
 }
--- a/node/src/serve/events.rs
+++ b/node/src/serve/events.rs
@@ -8,7 +8,7 @@
 use super::{Node, READING, STALE};
 use crate::memory::exchanges::{Ex, Hold, Stage};
 use crate::memory::results::{Found, NoResult, Repeats};
-use crate::parts::{Asked, Ticket, Use};
+use crate::parts::{Asked, Permit, Use};
 use crate::wire::end::{End, Outcome};
 use crate::wire::engine::WorkEvent;
 use crate::wire::fronts::{Block, Caller, FrontEvent};
@@ -104,12 +104,12 @@
             Ok(admission) => admission,
             Err(wait) => return (Hold::default(), Some(wait)),
         };
-        let mut hold = Hold { ticket: Ticket::default(), admission };
+        let mut hold = Hold { permit: Permit::default(), admission };
         for part in &mut self.parts {
             match part.admit(asked) {
                 // One part at the most has budgets.
-                Ok(taken) if taken == Ticket::default() => {}
-                Ok(taken) => hold.ticket = taken,
+                Ok(taken) if taken == Permit::default() => {}
+                Ok(taken) => hold.permit = taken,
                 Err(wait) => {
                     self.let_go(asked.pool, hold);
                     return (Hold::default(), Some(wait));
@@ -121,13 +121,13 @@
 
     /// What an exchange holds that will not be run.
     pub(super) fn let_go(&mut self, pool: u16, hold: Hold) {
-        self.give_back(hold.ticket, Use::None);
+        self.give_back(hold.permit, Use::None);
         self.work.release(pool, hold.admission);
     }
 
-    pub(super) fn give_back(&mut self, ticket: Ticket, came: Use) {
-        if ticket != Ticket::default() {
-            self.parts.iter_mut().for_each(|part| part.give_back(ticket, came));
+    pub(super) fn give_back(&mut self, permit: Permit, came: Use) {
+        if permit != Permit::default() {
+            self.parts.iter_mut().for_each(|part| part.release(permit, came));
         }
     }
 
@@ -145,7 +145,7 @@
                 let Some(ex) = self.exs.remove(id) else { return };
                 self.work.release(ex.pool, ex.hold.admission);
                 self.give_back(
-                    ex.hold.ticket,
+                    ex.hold.permit,
                     match outcome {
                         RunOutcome::Completed => Use::Over,
                         RunOutcome::Failed | RunOutcome::Stopped => Use::MayGoOn,
--- a/node/tests/fleet/ramp.rs
+++ b/node/tests/fleet/ramp.rs
@@ -223,25 +223,25 @@
     let (mut rig, server) = started(NODES, |at| {
         let mut whole = installation(at, ramp(RUNS));
         whole["fleet"] = json!({"voters": ["n0", "n1", "n2"]});
-        whole["budgets"] = json!([{"name": "returns", "kind": "rate", "whole": TOKENS, "burst": NODES,
+        whole["budgets"] = json!([{"name": "returns", "kind": "rate", "limit": TOKENS, "burst": NODES,
             "for": {"ramp": "servers"}}]);
         whole
     });
-    (0..NODES).for_each(|of| wait_for_share(&rig, of));
+    (0..NODES).for_each(|of| wait_for_allocation(&rig, of));
     let returned = come_back(&mut rig, NODES, server);
     assert!(returned.since_listening <= most(RUNS), "{returned:?}");
     assert!(returned.since_listening >= NODES, "each sends its probe: {returned:?}");
 }
 
-/// Waits until a node has a share of the one budget.
-fn wait_for_share(rig: &Rig, of: usize) {
+/// Waits until a node has an allocation of the one budget.
+fn wait_for_allocation(rig: &Rig, of: usize) {
     let until = Instant::now() + LONGEST;
     loop {
         let standing = ask_budgets(rig.fleet(of), Some([0x5a; 32])).unwrap().0;
         if standing.first().is_some_and(|budget| budget.until_ms.is_some()) {
             return;
         }
-        assert!(Instant::now() < until, "n{of} has no share: {standing:?}");
+        assert!(Instant::now() < until, "n{of} has no allocation: {standing:?}");
         std::thread::sleep(Duration::from_millis(50));
     }
 }
--- a/node/tests/node/ramps.rs
+++ b/node/tests/node/ramps.rs
@@ -11,7 +11,7 @@
         "pools": {"boats": {"protocol": "fastcgi", "addresses": ["127.0.0.1:7002"],
             "ramp": {"over_ms": 10_000, "runs": 100}}},
         "fleet": {"name": "delta", "listen": "127.0.0.1:7401", "voters": ["n1"]},
-        "budgets": [{"name": "boats return", "kind": "rate", "whole": 20, "burst": 10,
+        "budgets": [{"name": "boats return", "kind": "rate", "limit": 20, "burst": 10,
             "for": {"ramp": "boats"}}]
     })
 }
@@ -52,8 +52,8 @@
             "installation.budgets[0].for: installation.servers has",
         ),
         ("/budgets/0/for", json!({"ramp": "ships"}), "installation.budgets[0].for: there is no pool 'ships'"),
-        ("/budgets/0/whole", json!(21), "installation.budgets[0].whole: at most 20 is wanted"),
-        ("/budgets/0/kind", json!("places"), "installation.budgets[0].kind: a ramp is a rate"),
+        ("/budgets/0/limit", json!(21), "installation.budgets[0].limit: at most 20 is wanted"),
+        ("/budgets/0/kind", json!("concurrency"), "installation.budgets[0].kind: a ramp is a rate"),
     ] {
         let mut changed = good();
         *changed.pointer_mut(place).unwrap() = value;
--- a/rig/src/history.rs
+++ b/rig/src/history.rs
@@ -35,8 +35,8 @@
         word: String,
         #[serde(default, skip_serializing_if = "Option::is_none")]
         of: Option<String>,
-        #[serde(default, skip_serializing_if = "Option::is_none")]
-        life: Option<String>,
+        #[serde(default, skip_serializing_if = "Option::is_none", alias = "life")]
+        incarnation: Option<String>,
         /// The view it rests on, and its members.
         view: u64,
         members: usize,
@@ -44,7 +44,8 @@
     /// A node was asked how it sees its fleet.
     Status {
         node: usize,
-        cut_off: bool,
+        #[serde(alias = "cut_off")]
+        isolated: bool,
         digest: String,
         members: Vec<Member>,
     },
@@ -54,7 +55,8 @@
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Member {
     pub name: String,
-    pub life: String,
+    #[serde(alias = "life")]
+    pub incarnation: String,
     pub state: String,
 }
 
@@ -65,11 +67,41 @@
     pub entries: Vec<Entry>,
 }
 
+/// The present word for one that earlier builds wrote in logs and histories; any other as it is.
+///
+/// Nodes of an earlier build may stand beside newer ones in a play, and their news is judged alike.
+pub fn current_word(word: &str) -> &str {
+    match word {
+        "lost" => "dead",
+        "cut_off" => "isolated",
+        "twin" => "duplicate_name",
+        "displaced" => "superseded",
+        "stood_still" => "resumed",
+        word => word,
+    }
+}
+
 /// The name of a node in a play.
 pub fn name(node: usize) -> String {
     format!("n{node}")
 }
 
+impl Entry {
+    /// The entry, with words of earlier builds replaced by the present ones.
+    fn in_current_words(mut self) -> Entry {
+        match &mut self.what {
+            What::News { word, .. } => *word = current_word(word).to_string(),
+            What::Status { members, .. } => {
+                for member in members {
+                    member.state = current_word(&member.state).to_string();
+                }
+            }
+            What::Fault { .. } | What::Began { .. } | What::Ended { .. } => {}
+        }
+        self
+    }
+}
+
 impl History {
     pub fn put(&mut self, at_ms: u64, what: What) {
         self.entries.push(Entry { at_ms, what });
@@ -99,8 +131,9 @@
         let first: serde_json::Value = serde_json::from_str(first).map_err(|e| format!("line 1: {e}"))?;
         let nodes = first["nodes"].as_u64().ok_or("line 1: the number of nodes is wanted")? as usize;
         let entry = |(nth, line): (usize, &str)| {
-            serde_json::from_str(line).map_err(|e| format!("line {}: {e}", nth + 1))
+            let entry: Entry = serde_json::from_str(line).map_err(|e| format!("line {}: {e}", nth + 1))?;
+            Ok(entry.in_current_words())
         };
-        Ok(History { nodes, entries: lines.map(entry).collect::<Result<_, _>>()? })
+        Ok(History { nodes, entries: lines.map(entry).collect::<Result<_, String>>()? })
     }
 }
--- a/rig/src/simulated.rs
+++ b/rig/src/simulated.rs
@@ -4,7 +4,9 @@
 use std::time::Instant;
 
 use doortrack_emulator::{Clock, Law, Links, MachineId, Micros, Net, Next};
-use doortrack_fleet::{Action, Claim, Datagram, Event, Fleet, Life, News, Stand, State, Terms};
+use doortrack_fleet::{
+    Action, Change, Datagram, Event, Fleet, Incarnation, MemberState, MemberUpdate, Parameters, ReportedState,
+};
 use doortrack_node::peers::seal::Seal;
 use doortrack_node::peers::spoken::Spoken;
 
@@ -24,7 +26,7 @@
 /// How a play differs from the plainest.
 #[derive(Clone, Debug)]
 pub struct Ways {
-    pub terms: Terms,
+    pub parameters: Parameters,
     pub latency: Law,
     /// Zones that nodes are dealt out to, and microseconds that lie between two of them.
     pub zones: u32,
@@ -32,7 +34,7 @@
     /// Most that a clock is off, in ms, and drifts, in millionths.
     pub offset_ms: u64,
     pub drift_ppm: u64,
-    /// News told before this is not kept, for plays whose history would be too long.
+    /// Changes told before this is not kept, for plays whose history would be too long.
     pub quiet_until_ms: u64,
     /// Whether the bytes of each datagram are counted, which costs most of the time.
     pub weigh: bool,
@@ -41,7 +43,7 @@
 impl Default for Ways {
     fn default() -> Ways {
         Ways {
-            terms: Terms::default(),
+            parameters: Parameters::default(),
             latency: Law::LogNormal { mean: 300.0, sigma: 0.5 },
             zones: 1,
             between_zones: 0,
@@ -136,7 +138,7 @@
         while let Some(next) = self.net.next(script.ms * MS) {
             match next {
                 Next::Mark(nth) => self.fault(faults[nth as usize].fault.clone()),
-                Next::Wakes { of } => self.handle(of, Event::Turn),
+                Next::Wakes { of } => self.handle(of, Event::Tick),
                 Next::Hears { of, from, what } => {
                     let from = address(from);
                     self.handle(of, Event::Received { from, datagram: what });
@@ -159,16 +161,16 @@
         let at_ms = self.now_ms();
         self.history.put(at_ms, What::Began { node: of });
         let shown = self.net.shown(of);
-        let me = Claim {
+        let me = MemberUpdate {
             name: name(of).into(),
-            life: Life::started(shown / MS, of as u64),
-            turn: 0,
-            stand: Stand::Alive,
+            incarnation: Incarnation::started(shown / MS, of as u64),
+            version: 0,
+            state: MemberState::Alive,
             address: address(of),
             weight: 4,
         };
-        let terms = Terms { seeds: self.seeds.clone(), ..self.ways.terms.clone() };
-        let fleet = Fleet::new(me, terms, self.seed ^ self.net.now(), shown / TENTH);
+        let parameters = Parameters { seeds: self.seeds.clone(), ..self.ways.parameters.clone() };
+        let fleet = Fleet::new(me, parameters, self.seed ^ self.net.now(), shown / TENTH);
         self.wake(of, &fleet);
         self.fleets[of] = Some(fleet);
     }
@@ -188,7 +190,7 @@
         for action in actions.drain(..) {
             match action {
                 Action::Send { to, datagram } => self.send(of, to, *datagram),
-                Action::Report(news) => self.tell(of, &news, &fleet),
+                Action::Report(change) => self.tell(of, &change, &fleet),
             }
         }
         self.actions = actions;
@@ -206,17 +208,17 @@
         self.net.send(of, to, datagram);
     }
 
-    fn tell(&mut self, of: MachineId, news: &News, fleet: &Fleet) {
+    fn tell(&mut self, of: MachineId, change: &Change, fleet: &Fleet) {
         let at_ms = self.now_ms();
         if at_ms < self.ways.quiet_until_ms {
             return;
         }
-        let (about, view) = (news.about(), fleet.view());
+        let (about, view) = (change.about(), fleet.view());
         let what = What::News {
             node: of,
-            word: news.word().to_string(),
+            word: change.word().to_string(),
             of: about.map(|(name, _)| name.to_string()),
-            life: about.map(|(_, life)| life.to_string()),
+            incarnation: about.map(|(_, incarnation)| incarnation.to_string()),
             view: view.number,
             members: view.members.len(),
         };
@@ -246,7 +248,7 @@
         let at_ms = self.now_ms();
         for of in nodes {
             // One that leaves still answers until it is started anew.
-            if self.fleets[of].as_ref().is_some_and(|fleet| fleet.me().stand == Stand::Left) {
+            if self.fleets[of].as_ref().is_some_and(|fleet| fleet.me().state == MemberState::Left) {
                 self.net.kill(of);
                 self.history.put(at_ms, What::Ended { node: of });
             }
@@ -262,15 +264,16 @@
         let now = self.net.shown(of) / TENTH;
         let Some(fleet) = self.fleets[of].as_ref().filter(|_| self.net.is_up(of)) else { return };
         let (reports, _) = fleet.report(None, usize::MAX, now);
-        let state =
-            |state: State| serde_json::to_value(state).ok().and_then(|v| v.as_str().map(str::to_string));
-        let member = |of: doortrack_fleet::Report| Member {
+        let state = |state: ReportedState| {
+            serde_json::to_value(state).ok().and_then(|v| v.as_str().map(str::to_string))
+        };
+        let member = |of: doortrack_fleet::MemberReport| Member {
             name: of.name.to_string(),
-            life: of.life.to_string(),
+            incarnation: of.incarnation.to_string(),
             state: state(of.state).unwrap_or_default(),
         };
         let members = reports.into_iter().map(member).collect();
-        let (cut_off, digest) = (fleet.is_cut_off(), format!("{:016x}", fleet.view().digest));
-        self.history.put(at_ms, What::Status { node: of, cut_off, digest, members });
+        let (isolated, digest) = (fleet.is_isolated(), format!("{:016x}", fleet.view().digest));
+        self.history.put(at_ms, What::Status { node: of, isolated, digest, members });
     }
 }
