--- a/installation/src/budgets.rs
+++ b/installation/src/budgets.rs
@@ -72,8 +72,8 @@
     Pool(String),
     /// Retries to that pool, beside what each node allows itself: a rate. What is over is not tried again.
     Retries(String),
-    /// First runs on servers of that pool that were down: a rate. A second, `2 * runs / over_ms` of the pool's
-    /// `ramp`.
+    /// First runs on servers of that pool that were down: a rate, each second `2 * runs / over_ms` of the
+    /// pool's `ramp`.
     Ramp(String),
 }
 
