A burst before the first reading is rejected at once beyond C, as one read in many turns is

Seen (tests/cold.rs): 300 requests read in one turn before the first reading of the gauge were all queued, and rejected only after a third of their SLO time; read in thirty turns all but 5 were rejected on reading. Lines at fault: should busy be told without a reading, turned_away in src/logic.rs counted what runs, and nothing of a batch runs before all of it was read. Ruled out: the learnt C (4 in both cases), places (3). Change: without a reading the cores count as busy once what runs and is queued takes all places. Where a reading is there nothing changes, as the design's rule goes by it. Test: the one that told the old behaviour is replaced by a stricter one; 300 of 300 held before, at most 5 after.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -231,8 +231,10 @@
     /// The design's rule: who is rejected on reading. Keys already served are sheltered, newcomers bear
     /// the overload, and above C all is rejected.
     fn turned_away(&mut self, subject: u64, over_share: bool, unread: f32) -> bool {
-        // With no reading the runs themselves tell whether the cores are busy.
-        let busy = self.all_busy().unwrap_or(self.at(Stage::Running) >= self.places());
+        // With no reading it is told by what runs and what of this batch is queued ahead: whether a burst is
+        // read in one turn or in many makes no difference.
+        let taken = self.at(Stage::Running) + self.at(Stage::Queued);
+        let busy = self.all_busy().unwrap_or(taken >= self.places());
         let (load, c) = (self.load_before(over_share), self.capacity);
         // Little may be queued while much stands unread, or while nothing comes to its end.
         if self.stuck() || (busy && (load > c || unread > QUEUE_SHARE)) {
--- a/tests/cold.rs
+++ b/tests/cold.rs
@@ -69,15 +69,16 @@
     }
 }
 
-/// Before its first reading a node takes its cores for idle until its places are taken, so that all of one
-/// turn is queued: what does not begin is rejected while two thirds of its SLO time are left.
+/// Before its first reading, and where there is no gauge, what runs and is queued tells that the cores are
+/// busy, so that a flood is rejected in the turn in which it is read.
 #[test]
-fn a_flood_before_the_first_reading_is_answered_by_a_third_of_the_slo_time() {
+fn a_flood_before_the_first_reading_is_rejected_at_once_beyond_what_is_held() {
     for in_one_turn in [true, false] {
         let terms = cold();
         let mut world = World::new(terms.clone(), 2);
         flood(&mut world, in_one_turn);
         assert!(count(&world, At::Running) <= allowed(&terms, 0), "{} run", count(&world, At::Running));
+        assert!((1..=5).contains(&held(&world)), "{} of 300 are held", held(&world));
         world.pass(SLO_TIME / 3 + 20 * MS);
         assert_eq!(count(&world, At::Queued), 0, "none is left to its deadline");
         assert!(held(&world) <= allowed(&terms, 0), "{} are held", held(&world));
