Emulator: regions of zones with a latency law between them, cuts looked up by hash

Change: `Links` has `zones_of_region` and `between_regions`, drawn only between two regions, so that plays without regions draw the same chance as before. Cuts are looked up in a hash map in place of a tree: parted regions of 774 machines are some 290,000 pairs, looked up at every send. The map is never walked, so its order changes no play. Test: between two zones and between two regions, to the microsecond.

--- a/emulator/src/net.rs
+++ b/emulator/src/net.rs
@@ -1,7 +1,7 @@
 //! Machines that send to one another over links that lose, delay, double and cut, each with a clock of its
 //! own. The machines themselves are the caller's; here is only what lies between them.
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{HashMap, VecDeque};
 
 use rand::RngExt;
 
@@ -16,6 +16,10 @@
     pub latency: Law,
     /// Added between machines of different zones, in microseconds.
     pub between_zones: Micros,
+    /// Zones of one region, numbered one after the other; 0 where all zones lie in one region.
+    pub zones_of_region: u32,
+    /// Drawn and added between machines of different regions.
+    pub between_regions: Law,
     /// Share of all that is lost on the way, and that comes twice.
     pub loss: f64,
     pub doubled: f64,
@@ -26,12 +30,33 @@
         Links {
             latency: Law::LogNormal { mean: 300.0, sigma: 0.5 },
             between_zones: 0,
+            zones_of_region: 0,
+            between_regions: Law::Fixed(0.0),
             loss: 0.0,
             doubled: 0.0,
         }
     }
 }
 
+impl Links {
+    /// The region in which a zone lies.
+    pub fn region(&self, zone: u32) -> u32 {
+        zone.checked_div(self.zones_of_region).unwrap_or(0)
+    }
+
+    /// Draws how long a datagram takes from one zone to another.
+    fn draw(&self, from: u32, to: u32, chance: &mut Stream) -> Micros {
+        let mut took = self.latency.draw(chance);
+        if from != to {
+            took += self.between_zones;
+        }
+        if self.region(from) != self.region(to) {
+            took += self.between_regions.draw(chance);
+        }
+        took
+    }
+}
+
 /// A machine's clock: how far it is off, and how fast it goes against true time.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Clock {
@@ -108,8 +133,9 @@
     machines: Vec<Machine<M>>,
     wakes: Vec<u64>,
     links: Links,
-    /// Cuts between groups of machines, one way each: by (from, to), counted, as cuts may lie over another.
-    cuts: BTreeMap<(MachineId, MachineId), u32>,
+    /// Cuts between groups of machines, one way each: by (from, to), counted, as cuts may lie over another. Only
+    /// looked up, never walked, so that its order makes no difference to a play.
+    cuts: HashMap<(MachineId, MachineId), u32>,
     chance: Stream,
     /// Whether what comes is kept, for [`Net::replay`].
     pub keeps: bool,
@@ -124,7 +150,7 @@
             machines: Vec::new(),
             wakes: Vec::new(),
             links,
-            cuts: BTreeMap::new(),
+            cuts: HashMap::new(),
             chance: stream(seed, 1),
             keeps: false,
             sent: 0,
@@ -235,8 +261,8 @@
     }
 
     fn put(&mut self, from: MachineId, to: MachineId, what: M) {
-        let far = self.machines[from].zone != self.machines[to].zone;
-        let took = self.links.latency.draw(&mut self.chance) + if far { self.links.between_zones } else { 0 };
+        let (from_zone, to_zone) = (self.machines[from].zone, self.machines[to].zone);
+        let took = self.links.draw(from_zone, to_zone, &mut self.chance);
         let start = self.machines[to].start;
         self.queue.put(self.queue.now() + took, Event::Comes { from, to, start, what });
     }
--- a/emulator/tests/net.rs
+++ b/emulator/tests/net.rs
@@ -32,6 +32,20 @@
     assert_eq!(received(&mut net, 10 * MS), [(2, 1, 500), (1, 2, 2_500)]);
 }
 
+#[test]
+fn between_regions_takes_longer_than_between_zones() {
+    let (latency, between_regions) = (Law::Fixed(500.0), Law::Fixed(15_000.0));
+    let links =
+        Links { latency, between_zones: 2 * MS, zones_of_region: 2, between_regions, ..Links::default() };
+    let mut net = Net::new(links, 7);
+    for zone in 0..4 {
+        net.add(Clock { offset: 0, drift_ppm: 0 }, zone);
+        net.start(zone as usize);
+    }
+    (1..4).for_each(|to| net.send(0, to, to as u32));
+    assert_eq!(received(&mut net, 100 * MS), [(1, 1, 2_500), (2, 2, 17_500), (3, 3, 17_500)]);
+}
+
 #[test]
 fn shares_of_what_is_sent_are_lost_and_doubled() {
     let mut net = net(2, Links { loss: 0.2, doubled: 0.1, ..Links::default() });
