Rig: membership and budgets together at full size in simulated time, judged, with traffic by role

Need: the size of two years (770 nodes in seven zones of two regions, four voters) had no play; membership and budgets were played apart, without regions. Change: rig/src/scale/simulated/ plays both packages on each machine as the node's link joins them. Judged: the rig's promises, losses within one side while parted (the rig's own checker excuses everybody while a cut lasts), the whole of each budget by uses at true time and by the sum of what all may use, time until views are one and until 0.9 of the budget is in use, each side of a parting, one machine's peak against calm. `doortrack-rig scale-simulated` prints and keeps it, with traffic by role over nodes and budgets as `Series`.

--- a/rig/src/main.rs
+++ b/rig/src/main.rs
@@ -5,6 +5,7 @@
 
 use clap::{Args, Parser, Subcommand};
 use doortrack_rig::checks::{Breach, judge, membership};
+use doortrack_rig::scale::simulated::command::{Options, scale_simulated};
 use doortrack_rig::shrink::shrink;
 use doortrack_rig::simulated::{self, Ways};
 use doortrack_rig::{History, Script, processes, script};
@@ -45,6 +46,8 @@
         #[arg(value_name = "FILE")]
         history: PathBuf,
     },
+    /// Plays a fleet at full size in simulated time
+    ScaleSimulated(Options),
     /// Prints the JSON Schema of a script
     Schema,
 }
@@ -127,6 +130,7 @@
             println!("{}", script::schema());
             Ok(true)
         }
+        Command::ScaleSimulated(options) => scale_simulated(&options),
         Command::Judge { history } => {
             let kept = History::parse(&text(&history)?)?;
             Ok(verdict(&history.display().to_string(), &kept, &judge(&kept, &membership())))
--- /dev/null
+++ b/rig/src/scale/simulated/command.rs
@@ -0,0 +1,209 @@
+//! `doortrack-rig scale-simulated`: plays fleets of this size, and prints what came of them.
+
+use std::collections::BTreeMap;
+use std::path::PathBuf;
+use std::sync::Mutex;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::Instant;
+
+use clap::{Args, ValueEnum};
+use serde::{Deserialize, Serialize};
+
+use super::scenario::{SLOT_MS, Scenario};
+use super::slopes;
+use super::topology::Topology;
+use super::traffic::{Load, Peaks};
+use super::verdict::{Measured, Outcome, run};
+use crate::scale::series::Series;
+
+/// Machines that fail in a day, each by itself.
+const SINGLES: usize = 15;
+const LOSS: f64 = 0.05;
+const SHORT_PARTING_MS: u64 = 30_000;
+/// Breaches of one play that are printed.
+const MOST_PRINTED: usize = 12;
+
+/// What is played.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, ValueEnum)]
+pub enum Kind {
+    /// Restarts at the rate of a day, single machines, a rack, a zone, the leader and a voter
+    Day,
+    /// The same with 5% of all datagrams lost
+    DayLoss,
+    /// The regions parted for `--parted-s`
+    Parted,
+    /// The regions parted for 30 s
+    PartedShort,
+    /// Traffic in calm over nodes, and over budgets
+    Slopes,
+}
+
+/// Plays a fleet of nodes and voters in simulated time, and judges it
+#[derive(Args, Debug)]
+pub struct Options {
+    #[arg(long, default_value = "770")]
+    nodes: usize,
+    #[arg(
+        long,
+        value_enum,
+        value_delimiter = ',',
+        default_value = "day,day-loss,parted,parted-short,slopes"
+    )]
+    play: Vec<Kind>,
+    #[arg(long, default_value = "1")]
+    from: u64,
+    /// Seeds of each play; slopes are measured with the first alone
+    #[arg(long, default_value = "1")]
+    seeds: u64,
+    #[arg(long, default_value = "3600")]
+    parted_s: u64,
+    /// Nodes of the fleet whose slope over budgets is measured
+    #[arg(long, default_value = "770")]
+    budget_nodes: usize,
+    /// Plays at once
+    #[arg(long, default_value = "2")]
+    threads: usize,
+    /// Where outcomes and series are kept
+    #[arg(long, value_name = "FILE")]
+    json: Option<PathBuf>,
+}
+
+/// All that one run of the command found.
+#[derive(Debug, Default, Serialize, Deserialize)]
+pub struct Report {
+    pub outcomes: Vec<Outcome>,
+    pub series: Vec<Series>,
+}
+
+/// One thing to do, apart from all others.
+enum Task {
+    Play(Box<Scenario>, u64),
+    OverNodes(u64),
+    OverBudgets(u64),
+}
+
+impl Options {
+    fn tasks(&self) -> Vec<Task> {
+        let topology = Topology { nodes: self.nodes };
+        let mut tasks = Vec::new();
+        for kind in &self.play {
+            let scenario = |seed: u64| match kind {
+                Kind::Day => Scenario::day(topology, SINGLES, SLOT_MS, seed),
+                Kind::DayLoss => Scenario::day(topology, SINGLES, SLOT_MS, seed).with_loss(LOSS),
+                Kind::PartedShort => Scenario::parted(topology, SHORT_PARTING_MS, seed),
+                Kind::Parted | Kind::Slopes => Scenario::parted(topology, self.parted_s * 1_000, seed),
+            };
+            if *kind == Kind::Slopes {
+                tasks.extend([Task::OverNodes(self.from), Task::OverBudgets(self.from)]);
+            } else {
+                let seeds = self.from..self.from + self.seeds;
+                tasks.extend(seeds.map(|seed| Task::Play(Box::new(scenario(seed)), seed)));
+            }
+        }
+        tasks
+    }
+}
+
+/// Plays what is asked for; whether no promise was broken.
+///
+/// # Errors
+/// The file that can't be written.
+pub fn scale_simulated(options: &Options) -> Result<bool, String> {
+    let tasks = options.tasks();
+    let (next, report) = (AtomicUsize::new(0), Mutex::new(Report::default()));
+    std::thread::scope(|scope| {
+        for _ in 0..options.threads.max(1) {
+            scope.spawn(|| {
+                while let Some(task) = tasks.get(next.fetch_add(1, Ordering::Relaxed)) {
+                    carry_out(options, task, &report);
+                }
+            });
+        }
+    });
+    let mut report = report.into_inner().unwrap_or_else(|poisoned| poisoned.into_inner());
+    report.outcomes.sort_by(|a, b| (&a.scenario, a.seed).cmp(&(&b.scenario, b.seed)));
+    if let Some(file) = &options.json {
+        let text = serde_json::to_string_pretty(&report).map_err(|e| e.to_string())?;
+        std::fs::write(file, text).map_err(|e| format!("{}: {e}", file.display()))?;
+    }
+    Ok(report.outcomes.iter().all(|outcome| outcome.breaches.is_empty()))
+}
+
+fn carry_out(options: &Options, task: &Task, report: &Mutex<Report>) {
+    let began = Instant::now();
+    let (mut outcomes, mut series) = (Vec::new(), Vec::new());
+    match task {
+        Task::Play(scenario, seed) => outcomes.push(run(scenario, *seed)),
+        Task::OverNodes(seed) => series = slopes::over_nodes(&slopes::NODES, *seed),
+        Task::OverBudgets(seed) => {
+            series = slopes::over_budgets(options.budget_nodes, &slopes::BUDGETS, *seed);
+        }
+    }
+    let took = began.elapsed().as_secs_f64();
+    let mut report = report.lock().unwrap_or_else(|poisoned| poisoned.into_inner());
+    outcomes.iter().for_each(|outcome| print!("{}", outcome_table(outcome)));
+    series.iter().for_each(|series| println!("{}", series_line(series)));
+    println!("took {took:.1} s\n");
+    report.outcomes.extend(outcomes);
+    report.series.extend(series);
+}
+
+/// One outcome for a reader; incidents of one kind are summed up by their middle and worst.
+pub fn outcome_table(outcome: &Outcome) -> String {
+    let Outcome { scenario, seed, nodes, machines, simulated_s, events, doubts, leaders, .. } = outcome;
+    let calm = &outcome.calm;
+    let mut text = format!(
+        "{scenario} seed {seed}: {nodes} nodes, {machines} machines, {simulated_s} s simulated, \
+         {events} events, {doubts} doubts, {leaders} leaders\n"
+    );
+    text += "| incident | times | views one, ms: middle (worst) | budget 0.9 in use, ms: middle (worst) | \
+             peak B/s in/out: node | voter | leader | fleet, out |\n\
+             | --- | --- | --- | --- | --- | --- | --- | --- |\n";
+    let started = calm.started_agree_ms.map_or("never".into(), |ms| ms.to_string());
+    text += &format!("| calm; started | 1 | {started} | {:.3} used | ", calm.used);
+    text += &peak_columns(calm.peaks, calm.fleet_peak.bytes_out);
+    let mut by_label: BTreeMap<&str, Vec<&Measured>> = BTreeMap::new();
+    outcome.measured.iter().for_each(|one| by_label.entry(&one.label).or_default().push(one));
+    by_label.iter().for_each(|(label, list)| text += &incident_line(label, list));
+    if let Some(apart) = &outcome.apart {
+        text += &format!(
+            "parted: with a majority {:.1} of {:.1} a second used, without {:.1} where {:.1} are reserved\n",
+            apart.with_majority, apart.whole, apart.without_majority, apart.reserved
+        );
+    }
+    text += &format!("{} broken\n", outcome.breaches.len());
+    outcome.breaches.iter().take(MOST_PRINTED).for_each(|breach| text += &format!("  {breach}\n"));
+    text
+}
+
+fn peak_columns(peaks: Peaks, fleet: u64) -> String {
+    let column = |load: Load| format!("{}/{}", load.bytes_in, load.bytes_out);
+    format!("{} | {} | {} | {fleet} |\n", column(peaks.node), column(peaks.voter), column(peaks.leader))
+}
+
+fn incident_line(label: &str, list: &[&Measured]) -> String {
+    let never = u64::MAX;
+    let middle = |mut values: Vec<u64>| {
+        values.sort_unstable();
+        let say = |value: u64| if value == never { "never".to_string() } else { value.to_string() };
+        format!("{} ({})", say(values[values.len() / 2]), say(values[values.len() - 1]))
+    };
+    let agree = middle(list.iter().map(|one| one.agree_ms.unwrap_or(never)).collect());
+    let budget = middle(list.iter().map(|one| one.budget_ms).collect());
+    let peaks = list.iter().map(|one| one.peaks).fold(Peaks::default(), Peaks::most);
+    let fleet = list.iter().map(|one| one.fleet_peak.bytes_out).max().unwrap_or(0);
+    format!("| {label} | {} | {agree} | {budget} | {}", list.len(), peak_columns(peaks, fleet))
+}
+
+fn series_line(series: &Series) -> String {
+    let points = series.points.iter().map(|point| format!("{}: {:.1}", point.size, point.value));
+    let points: Vec<String> = points.collect();
+    format!(
+        "{:?} {:?} over {:?}, {}: {}",
+        series.role,
+        series.quantity,
+        series.dimension,
+        series.held,
+        points.join(", ")
+    )
+}
--- /dev/null
+++ b/rig/src/scale/simulated/machine.rs
@@ -0,0 +1,118 @@
+//! One running process: its membership and its budgets, and the datagrams between two of them.
+
+use std::net::SocketAddr;
+
+use doortrack::Tenths;
+use doortrack_budgets::{Budget, Budgets, Envelope, Who};
+use doortrack_emulator::MachineId;
+use doortrack_fleet::{Claim, Datagram, Fleet, Life, Stand, Terms};
+use postcard::experimental::serialized_size;
+
+use crate::history::name;
+
+/// Bytes round what is said: IP and UDP, version, hash, the fleet's name and its length, the kind.
+const HEADERS: u64 = 28;
+const SEAL: u64 = 1 + 16;
+/// The fleet's name, for its length alone.
+pub const FLEET: &str = "simulated";
+const KIND: u64 = 1;
+/// Capacity of every machine; equal, so that equal needs have equal shares.
+const WEIGHT: u32 = 4;
+
+/// What one datagram carries.
+#[derive(Clone, Debug)]
+pub enum Content {
+    Membership(Box<Datagram>),
+    Budgets(Box<Envelope>),
+}
+
+/// One datagram with its length on the wire, in bytes with IP and UDP headers.
+#[derive(Clone, Debug)]
+pub struct Parcel {
+    pub bytes: u32,
+    pub content: Content,
+}
+
+impl Parcel {
+    pub fn new(content: Content) -> Parcel {
+        let said = match &content {
+            Content::Membership(datagram) => serialized_size(&**datagram),
+            Content::Budgets(envelope) => serialized_size(&**envelope),
+        };
+        let round = HEADERS + SEAL + 1 + FLEET.len() as u64 + KIND;
+        Parcel { bytes: (round + said.unwrap_or(0) as u64) as u32, content }
+    }
+}
+
+/// One running process.
+pub struct Machine {
+    pub fleet: Fleet,
+    pub budgets: Budgets,
+    /// When it asked to be woken; [`Tenths::MAX`] for not at all.
+    pub due: Tenths,
+    pub leaves: bool,
+}
+
+/// What a process is started with.
+pub struct Start<'a> {
+    pub machine: MachineId,
+    pub unix_ms: u64,
+    /// What its clock shows.
+    pub now: Tenths,
+    pub seed: u64,
+    pub membership: Terms,
+    pub leases: doortrack_budgets::Terms,
+    pub list: &'a [Budget],
+}
+
+impl Machine {
+    pub fn new(start: Start) -> Machine {
+        let me = Claim {
+            name: name(start.machine).into(),
+            life: Life::started(start.unix_ms, start.machine as u64),
+            turn: 0,
+            stand: Stand::Alive,
+            address: address(start.machine),
+            weight: WEIGHT,
+        };
+        let who = Who { name: me.name.clone(), life: me.life };
+        Machine {
+            fleet: Fleet::new(me, start.membership, start.seed, start.now),
+            budgets: Budgets::new(who, WEIGHT, start.leases, start.list, start.seed, start.now),
+            due: Tenths::MAX,
+            leaves: false,
+        }
+    }
+
+    /// When it has to be woken at the latest.
+    pub fn next_due(&self) -> Tenths {
+        self.fleet.next_due().min(self.budgets.next_due())
+    }
+
+    /// Whether this one is in its view.
+    pub fn knows(&self, who: &Who) -> bool {
+        self.fleet.view().members.get(&who.name).is_some_and(|seat| seat.life == who.life)
+    }
+
+    /// Where a member of the view is reached; nothing for another life of it.
+    pub fn reaches(&self, who: &Who) -> Option<SocketAddr> {
+        let seat = self.fleet.view().members.get(&who.name)?;
+        (seat.life == who.life).then_some(seat.address)
+    }
+}
+
+/// The address of a machine, which tells its number.
+pub fn address(machine: MachineId) -> SocketAddr {
+    SocketAddr::from(([10, 0, (machine >> 8) as u8, machine as u8], 7_400))
+}
+
+/// The machine that has this address.
+pub fn machine_at(address: SocketAddr) -> Option<MachineId> {
+    match address {
+        SocketAddr::V4(address) => {
+            let [_, _, high, low] = address.ip().octets();
+            Some(usize::from(high) << 8 | usize::from(low))
+        }
+        SocketAddr::V6(_) => None,
+    }
+}
--- /dev/null
+++ b/rig/src/scale/simulated/world/carrying.rs
@@ -0,0 +1,85 @@
+//! Carries out what a machine's decisions ask for, as the node's link does.
+
+use doortrack_budgets::{Action as BudgetAction, Event as BudgetEvent};
+use doortrack_emulator::MachineId;
+use doortrack_fleet::{Action, Event, News};
+
+use super::{QUIET, World};
+use crate::history::What;
+use crate::scale::simulated::machine::{Content, Machine, Parcel, machine_at};
+
+impl World<'_> {
+    pub(super) fn membership(&mut self, machine: MachineId, own: &mut Machine, event: Event) {
+        let now = self.shown(machine);
+        let mut actions = std::mem::take(&mut self.fleet_actions);
+        own.fleet.handle(now, event, &mut actions);
+        for action in actions.drain(..) {
+            match action {
+                Action::Send { to, datagram } => {
+                    self.send(machine, machine_at(to), Content::Membership(datagram));
+                }
+                Action::Report(news) => {
+                    self.note(machine, &news, own);
+                    match news {
+                        News::Displaced { .. } => self.budgets(machine, own, BudgetEvent::Displaced),
+                        _ => self.tell_members(machine, own),
+                    }
+                }
+            }
+        }
+        self.fleet_actions = actions;
+    }
+
+    /// Budgets rest on who is there.
+    pub(super) fn tell_members(&mut self, machine: MachineId, own: &mut Machine) {
+        let view = own.fleet.view().clone();
+        self.budgets(machine, own, BudgetEvent::Members(view));
+    }
+
+    pub(super) fn budgets(&mut self, machine: MachineId, own: &mut Machine, event: BudgetEvent) {
+        let now = self.shown(machine);
+        let mut actions = std::mem::take(&mut self.budget_actions);
+        own.budgets.handle(now, event, &mut actions);
+        for action in actions.drain(..) {
+            if let BudgetAction::Send(envelope) = action
+                && let Some(to) = own.reaches(&envelope.to)
+            {
+                self.send(machine, machine_at(to), Content::Budgets(Box::new(envelope)));
+            }
+        }
+        self.budget_actions = actions;
+    }
+
+    fn send(&mut self, from: MachineId, to: Option<MachineId>, content: Content) {
+        let parcel = Parcel::new(content);
+        let now = self.net.now();
+        self.played.traffic.sent(now, from, u64::from(parcel.bytes));
+        if let Some(to) = to.filter(|to| *to < self.machines.len()) {
+            self.net.send(from, to, parcel);
+        }
+    }
+
+    /// Keeps what the checkers read. Doubts are only counted: one is told by every machine.
+    fn note(&mut self, machine: MachineId, news: &News, own: &Machine) {
+        if self.net.now() < QUIET {
+            return;
+        }
+        if matches!(news, News::Suspected { .. }) {
+            self.played.doubts += 1;
+        }
+        if matches!(news, News::Suspected { .. } | News::Cleared { .. } | News::Slow { .. }) {
+            return;
+        }
+        let (about, view) = (news.about(), own.fleet.view());
+        let what = What::News {
+            node: machine,
+            word: news.word().to_string(),
+            of: about.map(|(name, _)| name.to_string()),
+            life: about.map(|(_, life)| life.to_string()),
+            view: view.number,
+            members: view.members.len(),
+        };
+        let at_ms = self.now_ms();
+        self.played.history.put(at_ms, what);
+    }
+}
--- /dev/null
+++ b/rig/tests/scale.rs
@@ -0,0 +1,166 @@
+//! Membership and budgets together over zones and regions, in simulated time: small fleets with every fault
+//! of the full size. Each checker is shown to fail with a safeguard taken out.
+
+use doortrack_budgets::Safeguards;
+use doortrack_fleet::Terms;
+use doortrack_rig::scale::simulated::agreement::{Agreement, Held};
+use doortrack_rig::scale::simulated::scenario::Scenario;
+use doortrack_rig::scale::simulated::slopes;
+use doortrack_rig::scale::simulated::topology::{Topology, VOTER_ZONES, ZONES};
+use doortrack_rig::scale::simulated::traffic::{Load, Peaks};
+use doortrack_rig::scale::simulated::verdict::{
+    Apart, Measured, Outcome, late, run, side_breaches, stampede,
+};
+
+const SMALL: Topology = Topology { nodes: 70 };
+const FULL: Topology = Topology { nodes: 770 };
+const SLOT_MS: u64 = 20_000;
+
+fn holds(scenario: &Scenario, seed: u64) -> Outcome {
+    let outcome = run(scenario, seed);
+    assert!(outcome.breaches.is_empty(), "{}: {:#?}", scenario.name, outcome.breaches);
+    outcome
+}
+
+fn breaks(scenario: &Scenario, seed: u64, wanted: &str) {
+    let outcome = run(scenario, seed);
+    let found = outcome.breaches.iter().any(|breach| breach.contains(wanted));
+    assert!(found, "{wanted}: not among {:#?}", outcome.breaches);
+}
+
+#[test]
+fn machines_are_dealt_out_over_racks_zones_and_regions() {
+    assert_eq!(FULL.machines(), 774);
+    for zone in 0..ZONES {
+        let voters = VOTER_ZONES.iter().filter(|of| **of == zone).count();
+        assert_eq!(FULL.in_zone(zone).len(), 110 + voters, "zone {zone}");
+    }
+    assert_eq!(FULL.in_region(0).len(), 4 * 110 + 3);
+    assert_eq!(FULL.in_region(1).len(), 3 * 110 + 1);
+    let rack = FULL.in_rack(2);
+    assert_eq!((rack.len(), rack[0]), (30, 60));
+    let zones: Vec<usize> = FULL.reserved().iter().map(|node| FULL.zone(*node)).collect();
+    assert_eq!(zones, [0, 0, 1, 1, 2, 2, 3, 3, 4, 4, 5, 5, 6, 6]);
+}
+
+#[test]
+fn a_day_of_failures_breaks_no_promise_and_is_the_same_each_time() {
+    let day = Scenario::day(SMALL, 1, SLOT_MS, 1);
+    let outcome = holds(&day, 1);
+    assert_eq!(outcome, run(&day, 1));
+}
+
+#[test]
+fn a_day_of_failures_breaks_no_promise_while_datagrams_are_lost() {
+    holds(&Scenario::day(SMALL, 1, SLOT_MS, 2).with_loss(0.05), 2);
+}
+
+/// Longer than lost members are remembered: the regions find together by their seeds alone.
+#[test]
+fn regions_parted_for_longer_than_the_lost_are_remembered_find_together() {
+    let outcome = holds(&Scenario::parted(SMALL, 90_000, 1), 1);
+    assert!(outcome.measured.iter().any(|measured| measured.label == "restart while parted"));
+}
+
+#[test]
+fn without_seeds_parted_regions_stay_parted() {
+    let mut parted = Scenario::parted(SMALL, 90_000, 1);
+    holds(&parted, 1);
+    // Started with seeds, they find together once; without them nobody does.
+    parted.membership.seeds.clear();
+    breaks(&parted, 1, "never one");
+}
+
+#[test]
+fn without_a_majority_both_sides_use_the_whole() {
+    let parted = Scenario::parted(SMALL, 30_000, 1);
+    let safeguards = Safeguards { majority: false, ..Safeguards::default() };
+    breaks(&Scenario { safeguards, ..parted }, 1, "over the whole");
+}
+
+#[test]
+fn where_leases_do_not_run_out_what_the_parted_hold_is_used_twice() {
+    let parted = Scenario::parted(SMALL, 30_000, 1);
+    let safeguards = Safeguards { run_out: false, ..Safeguards::default() };
+    breaks(&Scenario { safeguards, ..parted }, 1, "over the whole");
+}
+
+#[test]
+fn where_doubts_have_no_time_somebody_is_wrongly_lost() {
+    let day = Scenario::day(SMALL, 0, SLOT_MS, 1).with_loss(0.05);
+    let seeds = day.membership.seeds.clone();
+    let hasty = Terms { seeds, helpers: 0, doubt_least: 50, doubt_most: 100, ..Terms::default() };
+    breaks(&Scenario { membership: hasty, ..day }, 1, "nobody wrongly lost");
+}
+
+fn measured(agree_ms: Option<u64>, budget_ms: u64, bytes_out: u64) -> Measured {
+    let node = Load { bytes_out, ..Load::default() };
+    Measured {
+        label: "zone back".into(),
+        at_ms: 30_000,
+        agree_ms,
+        budget_ms,
+        peaks: Peaks { node, ..Peaks::default() },
+        fleet_peak: node,
+    }
+}
+
+#[test]
+fn what_takes_too_long_and_what_sends_too_much_is_told() {
+    assert!(late(&measured(Some(4_000), 5_000, 0), 4_000).is_empty());
+    assert_eq!(late(&measured(Some(4_001), 5_001, 0), 4_000).len(), 2);
+    assert_eq!(late(&measured(None, 0, 0), 4_000).len(), 1);
+    let calm = Load { bytes_out: 1_000, ..Load::default() };
+    assert_eq!(stampede(&measured(None, 0, 4_000), calm), None);
+    assert!(stampede(&measured(None, 0, 4_001), calm).is_some());
+    let apart = |with_majority, without_majority| Apart {
+        with_majority,
+        without_majority,
+        reserved: 42.0,
+        whole: 1_000.0,
+    };
+    assert!(side_breaches(&apart(950.0, 41.5)).is_empty());
+    assert_eq!(side_breaches(&apart(950.0, 43.0)).len(), 1);
+    assert_eq!(side_breaches(&apart(950.0, 0.0)).len(), 1);
+    assert_eq!(side_breaches(&apart(890.0, 42.0)).len(), 1);
+}
+
+#[test]
+fn views_agree_where_all_live_machines_hold_the_live_ones() {
+    let topology = Topology { nodes: 7 };
+    let mut agreement = Agreement::new(topology);
+    let held = |digest: u64, members: usize| Some(Held { digest, members });
+    for machine in 0..topology.machines() {
+        agreement.put(10, machine, held(1, 11));
+    }
+    assert_eq!(agreement.first(0, |state| state.all_agree), Some(10));
+    // One dies; the others learn of it one after the other.
+    agreement.put(20, 6, None);
+    for machine in (0..topology.machines()).filter(|machine| *machine != 6) {
+        agreement.put(30 + machine as u64, machine, held(2, 10));
+    }
+    assert_eq!(agreement.first(20, |state| state.all_agree), Some(40));
+    // Parted, each region holds its own: four nodes and three voters, two nodes and a voter.
+    for machine in (0..topology.machines()).filter(|machine| *machine != 6) {
+        let (digest, members) = if topology.region(machine) == 0 { (3, 7) } else { (4, 3) };
+        agreement.put(50, machine, held(digest, members));
+    }
+    assert_eq!(agreement.first(50, |state| state.all_agree), None);
+    assert_eq!(agreement.first(50, |state| state.region_agrees == [true, true]), Some(50));
+}
+
+#[test]
+fn the_leader_bears_what_grows_with_nodes() {
+    let series = slopes::over_nodes(&[14, 28], 1);
+    let names: Vec<String> = series
+        .iter()
+        .map(|one| serde_json::to_string(&(one.role, one.quantity)).unwrap_or_default())
+        .collect();
+    let of = |name: &str| names.iter().position(|of| of == name).unwrap();
+    let growth = |name: &str| {
+        let points = &series[of(name)].points;
+        points[1].value / points[0].value
+    };
+    assert!(growth(r#"["leader","datagrams_in_per_second"]"#) > 1.5);
+    assert!((0.8..1.25).contains(&growth(r#"["node","bytes_out_per_second"]"#)));
+}
