Fleet: one that others hold for lost is looked at once more before an old doubt of it ends

Cause, found by the scale play: regions parted for 30 s find together; a member is doubted through its own side's gossip of the other side's word, contradicts within 0.2 s, and 0.5 s later, before the contradiction has come by, the other side's word itself arrives. `said_to_be_lost` (fleet/src/receiving.rs) then called `Doubt::confirm`, which made the doubt end at `since` + 0.4 s: in the past, so the member was lost in the same turn, and `arm_doubt`'s two last looks came after it. Ruled out: loss of datagrams (there was none), the contradiction not made (turn 1 after 186 ms). Change: a confirmed doubt ends no earlier than the last looks take, 3 x `answer_within`, 210 ms. Tests: fleet/tests/cases.rs by hand, rig/tests/scale.rs at 280 nodes; both fail without the change.

--- a/fleet/src/doubt.rs
+++ b/fleet/src/doubt.rs
@@ -14,11 +14,14 @@
     first: u32,
     others: [u32; MOST_OTHERS],
     count: usize,
+    /// It ends no earlier: a doubt that began long ago must not end at a word of others before the member was
+    /// looked at once more.
+    not_before: Tenths,
 }
 
 impl Doubt {
     pub fn new(by: u32, since: Tenths) -> Doubt {
-        Doubt { since, first: by, others: [0; MOST_OTHERS], count: 0 }
+        Doubt { since, first: by, others: [0; MOST_OTHERS], count: 0, not_before: 0 }
     }
 
     /// Whether this one's word is counted already, or can't be any more.
@@ -34,9 +37,14 @@
         }
     }
 
-    /// Others hold it for lost already: all the word that is wanted. Whether it was still wanting.
-    pub fn confirm(&mut self) -> bool {
-        std::mem::replace(&mut self.count, MOST_OTHERS) < MOST_OTHERS
+    /// Others hold it for lost already: all the word that is wanted, but it ends no earlier than `not_before`.
+    /// Whether it was still wanting.
+    pub fn confirm(&mut self, not_before: Tenths) -> bool {
+        let wanting = std::mem::replace(&mut self.count, MOST_OTHERS) < MOST_OTHERS;
+        if wanting {
+            self.not_before = not_before;
+        }
+        wanting
     }
 
     /// When the member counts as lost, in a view of so many. Where fewer than two others could share the
@@ -50,6 +58,6 @@
             return since + most;
         }
         let missing = wanted.saturating_sub(self.count) as u64;
-        since + least + (most - least) * missing / wanted as u64
+        (since + least + (most - least) * missing / wanted as u64).max(self.not_before)
     }
 }
--- a/fleet/src/fleet.rs
+++ b/fleet/src/fleet.rs
@@ -357,8 +357,8 @@
         let Some(doubt) = self.table.get(place).and_then(|member| member.doubt) else { return };
         let ends = doubt.ends(&self.terms, members, thawed_at).max(now);
         self.arm(ends, Timer::Doubt(place, doubt.since));
-        let wait = self.terms.answer_within * 3 / 2;
-        for before in [2 * wait, wait] {
+        let looks = self.terms.last_looks();
+        for before in [looks, looks / 2] {
             self.arm(ends.saturating_sub(before).max(now), Timer::Look(place, doubt.since));
         }
     }
--- a/fleet/src/receiving.rs
+++ b/fleet/src/receiving.rs
@@ -134,8 +134,10 @@
     }
 
     /// Others hold for lost who is there for this node: two halves that find together say so of one another's
-    /// members. It is told to the member and doubted for the shortest time, in which it can contradict.
+    /// members. It is told to the member and doubted for the shortest time, in which it can contradict. Where it was
+    /// doubted for longer already, there is time for the last looks at it.
     fn said_to_be_lost(&mut self, now: Tenths, place: Place, claim: Claim, out: &mut Vec<Action>) {
+        let looks = self.terms.last_looks();
         let stand = Stand::Suspected { by: OTHERS };
         let doubted = Claim { stand, ..claim };
         let known = self.table.get(place).is_some_and(|member| doubted.beats(&member.claim));
@@ -144,7 +146,7 @@
             self.send(place, Message::News, out);
         }
         let Some(doubt) = self.table.get_mut(place).and_then(|member| member.doubt.as_mut()) else { return };
-        if doubt.confirm() {
+        if doubt.confirm(now + looks) {
             self.arm_doubt(now, place);
         }
     }
--- a/fleet/src/terms.rs
+++ b/fleet/src/terms.rs
@@ -62,6 +62,11 @@
         self.period * 5
     }
 
+    /// How long before its end a doubted member is looked at, and again half so long before.
+    pub(crate) fn last_looks(&self) -> Tenths {
+        self.answer_within * 3
+    }
+
     /// Silence after which a member that answers late is no longer only slow.
     pub fn longest_wait(&self) -> Tenths {
         self.doubt_most
--- a/fleet/tests/cases.rs
+++ b/fleet/tests/cases.rs
@@ -385,3 +385,35 @@
     assert_eq!(few.members(0), 4);
     assert!(few.news.iter().any(|(_, news)| matches!(news, News::NoRoom { .. })));
 }
+
+/// Two halves find together: of a member that is doubted for long already, another says that it is lost, and
+/// its contradiction has not come by yet.
+#[test]
+fn one_that_others_hold_for_lost_is_looked_at_before_it_is_lost_here() {
+    let mut few = Few::new(6);
+    few.pass(3_000);
+    let word = |few: &mut Few, from: usize, nth: u64, stand: Stand| {
+        let head = Head { of: claim(from, 100), to: Life(100), nth, digest: 0, view: 0 };
+        let claims = vec![Claim { stand, ..claim(2, 100) }];
+        let datagram = Datagram { head, message: Message::News, claims };
+        few.handle(0, Event::Received { from: address(from), datagram });
+    };
+    // Nothing reaches it for a while, so that nobody clears the doubt; too short for it to be cut off.
+    few.cut = Box::new(|from, to| from == 0 || to == 0);
+    word(&mut few, 1, 10_000, Stand::Suspected { by: 0 });
+    assert_eq!(few.state(0, 2), Some(State::Suspected));
+    few.pass(450);
+    assert_eq!(few.state(0, 2), Some(State::Suspected));
+    few.cut = Box::new(|_, _| false);
+    let sent = few.sent.len();
+    word(&mut few, 3, 10_000, Stand::Lost);
+    few.pass(1);
+    assert!(!few.told(0, "lost", "n2"), "lost at once");
+    few.pass(2_000);
+    let looks = few.sent[sent..].iter();
+    let looks = looks
+        .filter(|(from, to, what)| (*from, *to) == (0, 2) && matches!(what.message, Message::Ping { .. }));
+    assert!(looks.count() > 0, "no look at it");
+    assert!(!few.told(0, "lost", "n2"));
+    assert_eq!(few.state(0, 2), Some(State::Alive));
+}
--- a/rig/tests/scale.rs
+++ b/rig/tests/scale.rs
@@ -62,6 +62,14 @@
     assert!(outcome.measured.iter().any(|measured| measured.label == "restart while parted"));
 }
 
+/// Each side says of the other's members that they are lost: none may be lost by its own side for that.
+#[test]
+fn regions_that_find_together_lose_nobody_of_their_own_side() {
+    let parted = Scenario::parted(Topology { nodes: 280 }, 30_000, 8);
+    let ms = parted.parting.map_or(0, |parting| parting.till_ms) + 6_000;
+    holds(&Scenario { ms, ..parted }, 8);
+}
+
 #[test]
 fn without_seeds_parted_regions_stay_parted() {
     let mut parted = Scenario::parted(SMALL, 90_000, 1);
