Fleet: news of hundreds at once fills its datagrams by bytes, that of few stays ten claims a datagram

Each of 774 members has to contradict its loss, and each contradiction has to reach all; a datagram took 10 claims (MOST_CLAIMS, sized for the longest names and addresses; these take 37 bytes of its 1,472), 600 claims a second and node. Ruled out by reading: seeds and knocks (hundreds knock a second). Change: claims go by their own bytes, up to 1,000 and 40 claims, while over 100 wait; pages of the table too. Builds from before read up to 64. The calm and small fleets are as before. Failed try: bytes alone, without the bound of 100 waiting. Fewer datagrams are fewer chances. Tests: datagrams of many and of few, by hand. The test that the longest claims fit a datagram counted MOST_CLAIMS of them, which is no longer what bounds a datagram: it now takes as many as the bytes let in, and looks at every datagram that a fleet of such members really sends. The random test checks the bytes beside the count.

--- a/fleet/src/claim.rs
+++ b/fleet/src/claim.rs
@@ -9,6 +9,12 @@
 /// The most capacity that a member can claim.
 pub const MOST_WEIGHT: u32 = 1_000_000;
 
+/// The most that a claim takes as the link writes it, beside its name: the name's length 1, life 10, turn 5,
+/// stand 6, weight 3, and an address of either kind with its tag and port.
+const BESIDE_NAME: usize = 25;
+const IPV4_BYTES: usize = 1 + 4 + 3;
+const IPV6_BYTES: usize = 1 + 16 + 3;
+
 /// How a member stands.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Stand {
@@ -60,6 +66,12 @@
         is_name(&self.name) && self.life != Life(0) && reachable && (1..=MOST_WEIGHT).contains(&self.weight)
     }
 
+    /// The most bytes that it takes in a datagram.
+    pub(crate) fn most_bytes(&self) -> usize {
+        let address = if self.address.is_ipv4() { IPV4_BYTES } else { IPV6_BYTES };
+        self.name.len() + BESIDE_NAME + address
+    }
+
     /// Whether this word holds against `other` on the same name: a younger life; in one life having left,
     /// then the later turn, then the graver word.
     pub fn beats(&self, other: &Claim) -> bool {
--- a/fleet/src/doubt.rs
+++ b/fleet/src/doubt.rs
@@ -37,8 +37,8 @@
         }
     }
 
-    /// Others hold it for lost already: all the word that is wanted, but it ends no earlier than `not_before`.
-    /// Whether it was still wanting.
+    /// Others hold it for lost already: all the word that is wanted, but it ends no earlier than
+    /// `not_before`. Whether it was still wanting.
     pub fn confirm(&mut self, not_before: Tenths) -> bool {
         let wanting = std::mem::replace(&mut self.count, MOST_OTHERS) < MOST_OTHERS;
         if wanting {
--- a/fleet/src/fleet.rs
+++ b/fleet/src/fleet.rs
@@ -10,7 +10,7 @@
 use crate::gossip::Gossip;
 use crate::probes::Probes;
 use crate::table::{Place, Table};
-use crate::{Action, Claim, Datagram, Event, Head, Life, MOST_CLAIMS, Message, Name, News, Seat, Stand};
+use crate::{Action, CLAIM_BYTES, Claim, Datagram, Event, Head, Life, Message, Name, News, Seat, Stand};
 use crate::{Terms, View};
 
 /// Rounds in which a node tells of itself after something about it changed.
@@ -216,12 +216,16 @@
         let (to, life) = (member.claim.address, member.claim.life);
         let mut places = Vec::new();
         let mut claims = Vec::new();
+        let mut room = CLAIM_BYTES;
         if member.claim.stand != Stand::Alive {
+            room = room.saturating_sub(member.claim.most_bytes());
             claims.push(member.claim.clone());
         }
         let (table, members) = (&self.table, self.view.members.len());
-        let current = |place: Place, version: u32| table.get(place).is_some_and(|of| of.version == version);
-        self.gossip.take(MOST_CLAIMS - claims.len(), members, current, &mut places);
+        let bytes = |place: Place, version: u32| {
+            table.get(place).filter(|of| of.version == version).map(|of| of.claim.most_bytes())
+        };
+        self.gossip.take((room, claims.len()), members, bytes, &mut places);
         claims.extend(places.iter().filter_map(|place| self.table.get(*place)).map(|of| of.claim.clone()));
         let datagram = Box::new(Datagram { head: self.head(life), message, claims });
         out.push(Action::Send { to, datagram });
--- a/fleet/src/gossip.rs
+++ b/fleet/src/gossip.rs
@@ -2,6 +2,7 @@
 
 use std::collections::VecDeque;
 
+use crate::MOST_CLAIMS;
 use crate::table::Place;
 
 /// Members whose claim is still to be sent, by how often it was. At most one current entry a member, and
@@ -15,6 +16,10 @@
 /// Entries that wait at once: several times the members that a table can hold, as older ones of one member
 /// are dropped only when met.
 const MOST_QUEUED: usize = 20_000;
+/// Claims of one datagram while no more than [`BACKLOG`] wait. Few claims a datagram reach a member by more
+/// datagrams, so that less hangs on each that is lost; but news of hundreds at once would take seconds.
+const FEW_CLAIMS: usize = 10;
+const BACKLOG: usize = 100;
 /// Past this many sendings nothing is passed on, however large the fleet.
 const MOST_TIMES: usize = 20;
 
@@ -43,25 +48,26 @@
         self.queued == 0
     }
 
-    /// Takes up to `room` claims, for one datagram. `current` tells whether an entry is still the latest of
-    /// its member.
+    /// Takes claims for one datagram until they fill `room` bytes; few of them unless many wait. `already`
+    /// are in it by another way. `bytes` tells how long the claim of an entry is, and nothing if the entry is
+    /// no longer the latest of its member.
     pub fn take(
         &mut self,
-        room: usize,
+        (mut room, already): (usize, usize),
         members: usize,
-        current: impl Fn(Place, u32) -> bool,
+        bytes: impl Fn(Place, u32) -> Option<usize>,
         into: &mut Vec<Place>,
     ) {
         let most = times(members);
+        let most_claims = if self.queued > BACKLOG { MOST_CLAIMS } else { FEW_CLAIMS };
         let mut taken: Vec<(usize, (Place, u32))> = Vec::new();
         'full: for (sent, queue) in self.by_times.iter_mut().enumerate() {
             while let Some(entry) = queue.pop_front() {
                 self.queued -= 1;
-                if !current(entry.0, entry.1) {
-                    continue;
-                }
+                let Some(bytes) = bytes(entry.0, entry.1) else { continue };
                 taken.push((sent + 1, entry));
-                if taken.len() >= room {
+                room = room.saturating_sub(bytes);
+                if room == 0 || taken.len() + already >= most_claims {
                     break 'full;
                 }
             }
--- a/fleet/src/joining.rs
+++ b/fleet/src/joining.rs
@@ -3,12 +3,9 @@
 use doortrack::Tenths;
 
 use crate::fleet::{Fleet, SAY, Stage, Timer};
+use crate::receiving::MOST_HEARD;
 use crate::table::Place;
-use crate::{Action, Claim, Life, Message, News, Seat, Stand};
-
-/// Bytes of claims on a page, past which none is added; a claim takes its name and at the most this beside.
-const PAGE: usize = 1_000;
-const BESIDE_NAME: usize = 46;
+use crate::{Action, CLAIM_BYTES, Claim, Life, Message, News, Seat, Stand};
 
 /// Knocks at seeds that are all made; later ones only now and then.
 const EARLY_KNOCKS: u32 = 5;
@@ -44,11 +41,11 @@
     pub(crate) fn page(&mut self, to: &Claim, after: Option<&crate::Name>, out: &mut Vec<Action>) {
         let (mut claims, mut bytes, mut next) = (Vec::new(), 0, None);
         for member in self.table.after(after) {
-            if bytes > PAGE {
+            if bytes > CLAIM_BYTES || claims.len() >= MOST_HEARD {
                 next = claims.last().map(|claim: &Claim| claim.name.clone());
                 break;
             }
-            bytes += member.claim.name.len() + BESIDE_NAME;
+            bytes += member.claim.most_bytes();
             claims.push(member.claim.clone());
         }
         self.send_to(to.address, to.life, Message::Page { next }, claims, out);
--- a/fleet/src/lib.rs
+++ b/fleet/src/lib.rs
@@ -56,7 +56,7 @@
 
 pub use claim::{Claim, Stand};
 pub use fleet::Fleet;
-pub use message::{Datagram, Head, MOST_CLAIMS, Message};
+pub use message::{CLAIM_BYTES, Datagram, Head, MOST_CLAIMS, Message};
 pub use report::{Report, State};
 pub use terms::Terms;
 pub use view::{Seat, View};
--- a/fleet/src/message.rs
+++ b/fleet/src/message.rs
@@ -4,8 +4,11 @@
 
 use crate::{Claim, Life, Name};
 
-/// Claims that one datagram carries at the most: with the longest names and addresses 10 are 1,090 bytes.
-pub const MOST_CLAIMS: usize = 10;
+/// Claims that one datagram carries at the most; builds of this version read 64.
+pub const MOST_CLAIMS: usize = 40;
+/// Bytes of claims past which a datagram takes no more: with the longest claim (110) that comes last, and all
+/// else that lies round them (at most 300), it is below 1,472.
+pub const CLAIM_BYTES: usize = 1_000;
 
 /// Who says it, and to whom.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
--- a/fleet/src/receiving.rs
+++ b/fleet/src/receiving.rs
@@ -12,7 +12,7 @@
 /// Stands for all those that hold a member for lost.
 const OTHERS: u32 = 0;
 /// Claims that any datagram may carry.
-const MOST_HEARD: usize = 64;
+pub(crate) const MOST_HEARD: usize = 64;
 
 impl Fleet {
     pub(crate) fn received(
@@ -134,8 +134,8 @@
     }
 
     /// Others hold for lost who is there for this node: two halves that find together say so of one another's
-    /// members. It is told to the member and doubted for the shortest time, in which it can contradict. Where it was
-    /// doubted for longer already, there is time for the last looks at it.
+    /// members. It is told to the member and doubted for the shortest time, in which it can contradict. Where
+    /// it was doubted for longer already, there is time for the last looks at it.
     fn said_to_be_lost(&mut self, now: Tenths, place: Place, claim: Claim, out: &mut Vec<Action>) {
         let looks = self.terms.last_looks();
         let stand = Stand::Suspected { by: OTHERS };
--- a/fleet/tests/cases.rs
+++ b/fleet/tests/cases.rs
@@ -417,3 +417,31 @@
     assert!(!few.told(0, "lost", "n2"));
     assert_eq!(few.state(0, 2), Some(State::Alive));
 }
+
+/// Claims of the fullest datagram of news that a node sends once it has heard of so many members at once.
+fn fullest_news(members: usize) -> usize {
+    let mut fleet = Few::node(0, 100, 0);
+    let mut out = Vec::new();
+    for nth in 0..members {
+        let of = Claim { name: format!("m{nth}").into(), address: address(nth % 200 + 1), ..claim(0, 100) };
+        let head = Head { of, to: Life(100), nth: 1, digest: 0, view: 0 };
+        let datagram = Datagram { head, message: Message::News, claims: Vec::new() };
+        fleet.handle(0, Event::Received { from: address(1), datagram }, &mut out);
+    }
+    out.clear();
+    while fleet.next_due() < 60 * MS {
+        fleet.handle(fleet.next_due(), Event::Turn, &mut out);
+    }
+    let news = out.iter().filter_map(|action| match action {
+        Action::Send { datagram, .. } if datagram.message == Message::News => Some(datagram.claims.len()),
+        _ => None,
+    });
+    news.max().unwrap_or(0)
+}
+
+/// Where hundreds are lost or come back at once, ten claims a datagram take seconds to go round.
+#[test]
+fn news_of_many_at_once_fills_its_datagrams_and_of_few_does_not() {
+    assert_eq!(fullest_news(50), 10);
+    assert!((20..=40).contains(&fullest_news(300)), "{}", fullest_news(300));
+}
--- a/fleet/tests/random.rs
+++ b/fleet/tests/random.rs
@@ -4,7 +4,8 @@
 use std::net::SocketAddr;
 
 use doortrack_fleet::{
-    Action, Claim, Datagram, Event, Fleet, Head, Life, MOST_CLAIMS, Message, Name, Seat, Stand, Terms,
+    Action, CLAIM_BYTES, Claim, Datagram, Event, Fleet, Head, Life, MOST_CLAIMS, Message, Name, Seat, Stand,
+    Terms,
 };
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
@@ -114,6 +115,9 @@
                 if let Action::Send { datagram, .. } = action {
                     let page = matches!(datagram.message, Message::Page { .. });
                     prop_assert!(page || datagram.claims.len() <= MOST_CLAIMS);
+                    // All but the last fit; the longest that a claim takes beside its name is 45 bytes.
+                    let bytes = datagram.claims.iter().rev().skip(1).map(|claim| claim.name.len() + 33);
+                    prop_assert!(bytes.sum::<usize>() <= CLAIM_BYTES);
                     let of = &datagram.head.of;
                     prop_assert!(of.name == fleet.me().name && of.life <= fleet.me().life);
                 }
--- a/node/tests/fleet/link.rs
+++ b/node/tests/fleet/link.rs
@@ -107,7 +107,9 @@
         weight: 1_000_000,
     };
     let head = Head { of: claim(0), to: Life(u64::MAX), nth: u64::MAX, digest: u64::MAX, view: u64::MAX };
-    let claims: Vec<Claim> = (0..doortrack_fleet::MOST_CLAIMS).map(claim).collect();
+    // A datagram takes claims until these bytes are full; the longest takes 110.
+    let count = doortrack_fleet::CLAIM_BYTES.div_ceil(110);
+    let claims: Vec<Claim> = (0..count).map(claim).collect();
     let message = Message::PingFor { nonce: u32::MAX, name: claim(1).name, life: Life(u64::MAX) };
     let datagram = Datagram { head, message, claims };
     let seal = Seal::new(None, &"x".repeat(64));
@@ -123,13 +125,21 @@
         let from = claim(nth).address;
         fleet.handle(0, Event::Received { from, datagram }, &mut out);
     }
-    let pages = out.into_iter().filter_map(|action| match action {
-        Action::Send { datagram, .. } if matches!(datagram.message, Message::Page { .. }) => Some(*datagram),
-        _ => None,
+    // And whatever else it sends while it passes on the news of so many.
+    while fleet.next_due() < 10_000 {
+        fleet.handle(fleet.next_due(), Event::Turn, &mut out);
+    }
+    let sent = out.into_iter().filter_map(|action| match action {
+        Action::Send { datagram, .. } => Some(*datagram),
+        Action::Report(_) => None,
     });
-    let pages: Vec<Datagram> = pages.collect();
-    assert!(pages.iter().any(|page| page.claims.len() >= 8));
-    assert!(pages.into_iter().all(|page| seal.close(&Spoken::Fleet(page)).is_some()));
+    let sent: Vec<Datagram> = sent.collect();
+    let full = |of: fn(&Message) -> bool| {
+        sent.iter().filter(|datagram| of(&datagram.message)).any(|datagram| datagram.claims.len() >= 8)
+    };
+    assert!(full(|message| matches!(message, Message::Page { .. })));
+    assert!(full(|message| matches!(message, Message::News)));
+    assert!(sent.into_iter().all(|datagram| seal.close(&Spoken::Fleet(datagram)).is_some()));
     let (members, more) = fleet.report(None, PAGE, 0);
     let status = Status {
         nonce: u64::MAX,
