--- a/bench/benches/budgets.rs
+++ b/bench/benches/budgets.rs
@@ -4,30 +4,32 @@
 use std::sync::Arc;
 
 use criterion::{Criterion, criterion_group, criterion_main};
-use doortrack_budgets::{Budget, Budgets, Kind, Terms, Who};
-use doortrack_fleet::{Life, Name};
+use doortrack_budgets::{Budget, Budgets, Kind, NodeId, Parameters};
+use doortrack_fleet::{Incarnation, Name};
 
 fn checks(criterion: &mut Criterion) {
     let me: Name = "n0".into();
-    for (what, kind) in [("rate", Kind::Rate { burst: 1_000 }), ("places", Kind::Places { held_most: 10 })] {
+    for (what, kind) in
+        [("rate", Kind::Rate { burst: 1_000 }), ("concurrency", Kind::Concurrency { max_hold: 10 })]
+    {
         let list: Vec<Budget> = (0..200)
             .map(|nth| Budget {
                 name: format!("b{nth}").into(),
                 kind,
-                whole: 1_000_000,
-                floor: 1_000_000,
-                floors_for: Arc::new([me.clone()]),
-                most: 1_000_000,
+                limit: 1_000_000,
+                reserved: 1_000_000,
+                reserved_for: Arc::new([me.clone()]),
+                max_per_node: 1_000_000,
             })
             .collect();
-        let who = Who { name: me.clone(), life: Life(1) };
-        let mut budgets = Budgets::new(who, 1, Terms::default(), &list, 1, 0);
-        let (mut now, mut place) = (1_000_000, 0);
+        let who = NodeId { name: me.clone(), incarnation: Incarnation(1) };
+        let mut budgets = Budgets::new(who, 1, Parameters::default(), &list, 1, 0);
+        let (mut now, mut index) = (1_000_000, 0);
         criterion.bench_function(&format!("check of a {what}, one of 200"), |bencher| {
             bencher.iter(|| {
-                (now, place) = (now + 1, (place + 7) % 200);
-                let taken = budgets.take(place, black_box(now));
-                budgets.done(place);
+                (now, index) = (now + 1, (index + 7) % 200);
+                let taken = budgets.acquire(index, black_box(now));
+                budgets.release(index);
                 taken
             })
         });
--- a/budgets/src/budgets.rs
+++ b/budgets/src/budgets.rs
@@ -1,93 +1,103 @@
-//! The whole of what a node knows of the fleet's budgets: how it is told and asked, and its part as a holder.
+//! The state of one node's budgets, their interface, and the node's part as a holder of allocations.
 
 use std::collections::{BTreeMap, VecDeque};
 
 use doortrack::Tenths;
-use doortrack_fleet::{Life, Name};
+use doortrack_fleet::{Incarnation, Name};
 
-use crate::account::Accounts;
+use crate::allocation::Allocation;
 use crate::leadership::Leadership;
-use crate::share::Share;
+use crate::ledger::Ledger;
 use crate::voter::Voter;
-use crate::{Action, Budget, Envelope, Event, Id, Item, Lent, MOST_ITEMS, Message, News, Terms, Who};
+use crate::{
+    Action, Budget, Change, Envelope, Event, Grant, Id, MAX_ITEMS, Message, NodeId, Parameters, ReportItem,
+};
 
-/// Reports whose answers still count when they come.
-const MOST_SENT: usize = 128;
-/// Rounds without an answer after which another is asked who keeps the budgets.
-const SILENT: u32 = 3;
+/// Reports that are remembered, as an answer counts from when its report was sent.
+const MAX_SENT: usize = 128;
+/// Rounds without an answer after which the leader is given up and the voters are asked for another.
+const MAX_UNANSWERED_ROUNDS: u32 = 3;
 
-/// One node's budgets. See the crate's page for how to drive it.
+/// One node's budgets. The crate's documentation says how to drive them.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub struct Budgets {
-    pub(crate) me: Who,
+    pub(crate) me: NodeId,
     weight: u32,
-    pub(crate) terms: Terms,
-    pub(crate) shares: Vec<Share>,
-    /// Where each budget stands among the shares.
-    places: BTreeMap<Id, usize>,
-    /// Where this node is one of the voters.
+    pub(crate) parameters: Parameters,
+    pub(crate) allocations: Vec<Allocation>,
+    /// The index of each budget in `allocations`.
+    indices: BTreeMap<Id, usize>,
+    /// Present if this node is one of the voters.
     pub(crate) voter: Option<Voter>,
     pub(crate) leadership: Leadership,
-    /// Of this time as keeper.
-    pub(crate) accounts: Accounts,
-    /// Voters that are there.
-    pub(crate) voters: BTreeMap<Name, Life>,
-    pub(crate) keeper: Option<Who>,
-    /// Answers to reports before this are those of an earlier keeper.
-    bound_since: u64,
+    /// What was granted in this term as the leader.
+    pub(crate) ledger: Ledger,
+    /// The voters that are present.
+    pub(crate) voters: BTreeMap<Name, Incarnation>,
+    pub(crate) leader: Option<NodeId>,
+    /// Answers to reports before this one are those of an earlier leader.
+    following_since: u64,
     seq: u64,
     sent: VecDeque<(u64, Tenths)>,
     report_at: Tenths,
-    silent: u32,
+    unanswered_rounds: u32,
     asked: usize,
     pub(crate) ballot: u64,
     chance: u64,
-    pub(crate) leaves: bool,
-    displaced: bool,
-    /// What the node has told itself; empty between events.
+    pub(crate) leaving: bool,
+    superseded: bool,
+    /// Messages to this node itself; empty between events.
     local: VecDeque<Envelope>,
 }
 
-fn places(list: &[Budget]) -> BTreeMap<Id, usize> {
-    list.iter().enumerate().map(|(place, budget)| (budget.id(), place)).collect()
+fn indices(list: &[Budget]) -> BTreeMap<Id, usize> {
+    list.iter().enumerate().map(|(index, budget)| (budget.id(), index)).collect()
 }
 
 impl Budgets {
-    /// A node that has just started. `weight` is its capacity, in a unit that all share; `list` at most
-    /// [`crate::MOST_BUDGETS`], each with an id of its own.
-    pub fn new(me: Who, weight: u32, terms: Terms, list: &[Budget], seed: u64, now: Tenths) -> Budgets {
-        let shares = list.iter().map(|budget| Share::new(budget.clone(), &me.name, now, &terms)).collect();
-        let voter = terms.voters.contains(&me.name).then(|| Voter::new(now, &terms));
+    /// The budgets of a node that has just started. `weight` is its capacity, in a unit that all nodes share;
+    /// `list` has at most [`crate::MAX_BUDGETS`], each with an id of its own; `now` is in tenths of a ms.
+    pub fn new(
+        me: NodeId,
+        weight: u32,
+        parameters: Parameters,
+        list: &[Budget],
+        seed: u64,
+        now: Tenths,
+    ) -> Budgets {
+        let allocations =
+            list.iter().map(|budget| Allocation::new(budget.clone(), &me.name, now, &parameters)).collect();
+        let voter = parameters.voters.contains(&me.name).then(|| Voter::new(now, &parameters));
         let mut budgets = Budgets {
             voter,
-            places: places(list),
-            shares,
+            indices: indices(list),
+            allocations,
             weight: weight.max(1),
             leadership: Leadership::Follower { try_at: Tenths::MAX },
-            accounts: Accounts::default(),
+            ledger: Ledger::default(),
             voters: BTreeMap::new(),
-            keeper: None,
-            bound_since: 0,
+            leader: None,
+            following_since: 0,
             seq: 0,
             sent: VecDeque::new(),
             report_at: now,
-            silent: 0,
+            unanswered_rounds: 0,
             asked: 0,
             ballot: 0,
-            chance: seed ^ me.life.0,
-            leaves: false,
-            displaced: false,
+            chance: seed ^ me.incarnation.0,
+            leaving: false,
+            superseded: false,
             local: VecDeque::new(),
             me,
-            terms,
+            parameters,
         };
         // Those that start at one instant are not to seek votes at one instant, nor report ever after.
-        let jitter = budgets.random(budgets.terms.round);
+        let jitter = budgets.random(budgets.parameters.round);
         if let Some(voter) = &budgets.voter {
             budgets.leadership = Leadership::Follower { try_at: voter.free_at() + jitter };
-            budgets.voters.insert(budgets.me.name.clone(), budgets.me.life);
+            budgets.voters.insert(budgets.me.name.clone(), budgets.me.incarnation);
         }
-        budgets.report_at = now + budgets.random(budgets.terms.round);
+        budgets.report_at = now + budgets.random(budgets.parameters.round);
         budgets
     }
 
@@ -97,95 +107,99 @@
         chance.u64(..below.max(1))
     }
 
-    /// When [`Event::Turn`] is due at the latest; [`Tenths::MAX`] where nothing is.
+    /// When [`Event::Tick`] is due at the latest; [`Tenths::MAX`] for never.
     pub fn next_due(&self) -> Tenths {
-        if self.displaced || self.shares.is_empty() {
+        if self.superseded || self.allocations.is_empty() {
             return Tenths::MAX;
         }
-        self.report_at.min(self.leadership.next_due(&self.terms))
+        self.report_at.min(self.leadership.next_due(&self.parameters))
     }
 
-    /// Tells what happened; `now` never goes back. What is to be done is added to `out`, in order.
+    /// Handles one event at the time `now`, which must not go back. Actions are added to `out`, in order.
     pub fn handle(&mut self, now: Tenths, event: Event, out: &mut Vec<Action>) {
-        if self.displaced {
+        if self.superseded {
             return;
         }
         match event {
-            Event::Turn => self.turn(now, out),
-            Event::Received(envelope) => self.received(now, envelope, out),
+            Event::Tick => self.on_tick(now, out),
+            Event::Received(envelope) => self.on_envelope(now, envelope, out),
             Event::Members(view) => {
-                let seen = |name: &Name| view.members.get(name).map(|seat| (name.clone(), seat.life));
-                self.voters = self.terms.voters.iter().filter_map(seen).collect();
+                let seen =
+                    |name: &Name| view.members.get(name).map(|member| (name.clone(), member.incarnation));
+                self.voters = self.parameters.voters.iter().filter_map(seen).collect();
                 if self.voter.is_some() {
-                    self.voters.insert(self.me.name.clone(), self.me.life);
+                    self.voters.insert(self.me.name.clone(), self.me.incarnation);
                 }
             }
             Event::Leave => {
-                self.leaves = true;
+                self.leaving = true;
                 self.resign(now, out);
                 self.report_at = now;
             }
-            Event::Displaced => {
-                self.displaced = true;
-                self.shares.iter_mut().for_each(Share::shut);
+            Event::Superseded => {
+                self.superseded = true;
+                self.allocations.iter_mut().for_each(Allocation::close);
             }
             Event::Changed { list } => self.change(now, list),
         }
         while let Some(envelope) = self.local.pop_front() {
-            self.received(now, envelope, out);
+            self.on_envelope(now, envelope, out);
         }
     }
 
     fn change(&mut self, now: Tenths, list: Vec<Budget>) {
-        let mut old: Vec<Option<Share>> = std::mem::take(&mut self.shares).into_iter().map(Some).collect();
+        let mut old: Vec<Option<Allocation>> =
+            std::mem::take(&mut self.allocations).into_iter().map(Some).collect();
         for budget in list {
-            let same = |of: &&mut Option<Share>| of.as_ref().is_some_and(|of| of.budget.id() == budget.id());
-            let share = match old.iter_mut().find(same).and_then(Option::take) {
-                Some(mut share) => {
-                    share.change(budget, &self.me.name);
-                    share
+            let same = |old: &&mut Option<Allocation>| {
+                old.as_ref().is_some_and(|old| old.budget.id() == budget.id())
+            };
+            let allocation = match old.iter_mut().find(same).and_then(Option::take) {
+                Some(mut allocation) => {
+                    allocation.change(budget, &self.me.name);
+                    allocation
                 }
-                None => Share::new(budget, &self.me.name, now, &self.terms),
+                None => Allocation::new(budget, &self.me.name, now, &self.parameters),
             };
-            self.shares.push(share);
+            self.allocations.push(allocation);
         }
-        let list: Vec<Budget> = self.shares.iter().map(|share| share.budget.clone()).collect();
-        self.places = places(&list);
-        self.accounts.change(&list);
+        let list: Vec<Budget> = self.allocations.iter().map(|allocation| allocation.budget.clone()).collect();
+        self.indices = indices(&list);
+        self.ledger.change(&list);
     }
 
-    fn turn(&mut self, now: Tenths, out: &mut Vec<Action>) {
-        self.leadership_turn(now, out);
+    fn on_tick(&mut self, now: Tenths, out: &mut Vec<Action>) {
+        self.leadership_tick(now, out);
         if now < self.report_at {
             return;
         }
-        // Who is short asks twice as often: what others give up is lent to it that much sooner.
-        let short = self.shares.iter().any(Share::is_short);
-        self.report_at = now + if short { self.terms.round.div_ceil(2) } else { self.terms.round };
-        for (place, share) in self.shares.iter_mut().enumerate() {
-            if let Some(share) = share.ran_out(now, &self.terms) {
-                out.push(Action::Report(News::RanOut { place, share }));
+        // Who is short asks twice as often: what others give up is granted to it that much sooner.
+        let short = self.allocations.iter().any(Allocation::is_short);
+        self.report_at = now + if short { self.parameters.round.div_ceil(2) } else { self.parameters.round };
+        for (index, allocation) in self.allocations.iter_mut().enumerate() {
+            if let Some(allocation) = allocation.ran_out(now, &self.parameters) {
+                out.push(Action::Report(Change::RanOut { index, allocation }));
             }
         }
-        self.silent += 1;
-        if self.silent > SILENT
-            && let Some(keeper) = self.keeper.take_if(|keeper| *keeper != self.me)
+        self.unanswered_rounds += 1;
+        if self.unanswered_rounds > MAX_UNANSWERED_ROUNDS
+            && let Some(leader) = self.leader.take_if(|leader| *leader != self.me)
         {
-            out.push(Action::Report(News::KeeperSilent(keeper)));
+            out.push(Action::Report(Change::LeaderSilent(leader)));
         }
-        let all: Vec<usize> = (0..self.shares.len()).collect();
+        let all: Vec<usize> = (0..self.allocations.len()).collect();
         self.report(now, &all, true, out);
     }
 
-    /// Reports on these budgets to the keeper, or to whoever may know of one.
-    fn report(&mut self, now: Tenths, places: &[usize], round: bool, out: &mut Vec<Action>) {
-        let Some(to) = self.keeper.clone().or_else(|| self.next_asked()) else { return };
-        let (terms, leaves) = (&self.terms, self.leaves);
-        let items = places.iter().map(|place| self.shares[*place].item(now, terms, round, leaves));
-        let items: Vec<Item> = items.collect();
-        for items in items.chunks(MOST_ITEMS) {
+    /// Reports these budgets to the leader, or, if none is known, to a voter that may know one.
+    fn report(&mut self, now: Tenths, indices: &[usize], round: bool, out: &mut Vec<Action>) {
+        let Some(to) = self.leader.clone().or_else(|| self.next_asked()) else { return };
+        let (parameters, leaves) = (&self.parameters, self.leaving);
+        let items = indices.iter().map(|index| self.allocations[*index].item(now, parameters, round, leaves));
+        let items: Vec<ReportItem> = items.collect();
+        for items in items.chunks(MAX_ITEMS) {
             self.seq += 1;
-            if self.sent.len() >= MOST_SENT {
+            if self.sent.len() >= MAX_SENT {
                 self.sent.pop_front();
             }
             self.sent.push_back((self.seq, now));
@@ -194,85 +208,92 @@
         }
     }
 
-    /// The next of the other voters, one after the other.
-    fn next_asked(&mut self) -> Option<Who> {
-        let others: Vec<Who> = self.others().collect();
+    /// The next of the other voters, in turn.
+    fn next_asked(&mut self) -> Option<NodeId> {
+        let others: Vec<NodeId> = self.others().collect();
         self.asked = self.asked.wrapping_add(1);
         (!others.is_empty()).then(|| others[self.asked % others.len()].clone())
     }
 
-    pub(crate) fn others(&self) -> impl Iterator<Item = Who> {
-        let all = self.voters.iter().map(|(name, life)| Who { name: name.clone(), life: *life });
+    pub(crate) fn others(&self) -> impl Iterator<Item = NodeId> {
+        let all = self
+            .voters
+            .iter()
+            .map(|(name, incarnation)| NodeId { name: name.clone(), incarnation: *incarnation });
         all.filter(|who| who.name != self.me.name)
     }
 
-    pub(crate) fn send(&mut self, to: Who, message: Message, out: &mut Vec<Action>) {
+    pub(crate) fn send(&mut self, to: NodeId, message: Message, out: &mut Vec<Action>) {
         let envelope = Envelope { from: self.me.clone(), to, message };
         if envelope.to == self.me { self.local.push_back(envelope) } else { out.push(Action::Send(envelope)) }
     }
 
-    pub(crate) fn bind(&mut self, to: Option<Who>, out: &mut Vec<Action>) {
-        if to == self.keeper {
+    pub(crate) fn follow(&mut self, to: Option<NodeId>, out: &mut Vec<Action>) {
+        if to == self.leader {
             return;
         }
-        self.bound_since = self.seq + 1;
-        self.silent = 0;
-        if let Some(keeper) = &to {
-            out.push(Action::Report(News::Keeper(keeper.clone())));
+        self.following_since = self.seq + 1;
+        self.unanswered_rounds = 0;
+        if let Some(leader) = &to {
+            out.push(Action::Report(Change::Leader(leader.clone())));
         }
-        self.keeper = to;
+        self.leader = to;
     }
 
-    fn received(&mut self, now: Tenths, envelope: Envelope, out: &mut Vec<Action>) {
+    fn on_envelope(&mut self, now: Tenths, envelope: Envelope, out: &mut Vec<Action>) {
         if envelope.to != self.me {
             return;
         }
         let from = envelope.from;
         match envelope.message {
-            Message::Grant { seq, shares } => self.granted(now, &from, seq, &shares, out),
-            Message::Elsewhere { seq, keeper } => {
-                let known = keeper.is_some() && keeper != self.keeper;
-                // What one that is asked knows counts where no keeper answers; the keeper's own word always.
-                if seq >= self.bound_since && (self.keeper.is_none() || self.keeper.as_ref() == Some(&from)) {
-                    self.bind(keeper, out);
+            Message::Grant { seq, grants } => self.on_grant(now, &from, seq, &grants, out),
+            Message::Elsewhere { seq, leader } => {
+                let known = leader.is_some() && leader != self.leader;
+                // What one that is asked knows counts where no leader answers; the leader's own word always.
+                if seq >= self.following_since
+                    && (self.leader.is_none() || self.leader.as_ref() == Some(&from))
+                {
+                    self.follow(leader, out);
                     if known {
-                        let all: Vec<usize> = (0..self.shares.len()).collect();
+                        let all: Vec<usize> = (0..self.allocations.len()).collect();
                         self.report(now, &all, false, out);
                     }
                 }
             }
-            message => self.received_by_voter(now, from, message, out),
+            message => self.on_voter_message(now, from, message, out),
         }
     }
 
-    fn granted(&mut self, now: Tenths, from: &Who, seq: u64, shares: &[Lent], out: &mut Vec<Action>) {
-        let in_order = self.terms.safeguards.in_order;
-        if self.keeper.as_ref() != Some(from) || (in_order && seq < self.bound_since) {
+    fn on_grant(&mut self, now: Tenths, from: &NodeId, seq: u64, grants: &[Grant], out: &mut Vec<Action>) {
+        let in_order = self.parameters.safeguards.in_order;
+        if self.leader.as_ref() != Some(from) || (in_order && seq < self.following_since) {
             return;
         }
-        let Some((_, sent)) = self.sent.iter().find(|(of, _)| *of == seq).copied() else { return };
-        let till = sent + self.terms.surely(self.terms.lease);
-        self.silent = 0;
-        if till <= now && self.terms.safeguards.run_out {
+        let Some((_, sent)) = self.sent.iter().find(|(sent_seq, _)| *sent_seq == seq).copied() else {
+            return;
+        };
+        let till = sent + self.parameters.shortened_by_drift(self.parameters.lease);
+        self.unanswered_rounds = 0;
+        if till <= now && self.parameters.safeguards.run_out {
             return;
         }
         let mut lowered = Vec::new();
-        for lent in shares {
-            let Some(place) = self.places.get(&lent.id).copied() else { continue };
-            let of = &mut self.shares[place];
-            if seq <= of.accepted && in_order {
+        for grant in grants {
+            let Some(index) = self.indices.get(&grant.id).copied() else { continue };
+            let allocation = &mut self.allocations[index];
+            if seq <= allocation.accepted && in_order {
                 continue;
             }
-            let (was, is) = of.grant(now, seq, *lent, till, &self.terms);
+            let (was, is) = allocation.apply_grant(now, seq, *grant, till, &self.parameters);
             if was != is {
                 let lasts = till.saturating_sub(now);
-                out.push(Action::Report(News::Share { place, was, share: is, lasts }));
+                out.push(Action::Report(Change::Allocation { index, was, allocation: is, lasts }));
             }
             if is < was {
-                lowered.push(place);
+                lowered.push(index);
             }
         }
-        // What is given up can be lent to another as soon as this is known.
+        // What is given up can be granted to another as soon as this is known.
         if !lowered.is_empty() {
             self.report(now, &lowered, false, out);
         }
@@ -280,21 +301,21 @@
 
     // --- Before and after each use ---
 
-    /// Uses one unit of the budget at this place of the list.
+    /// Acquires one unit of the budget at this index of the list.
     ///
     /// # Errors
-    /// Nothing is left; how long to wait before asking again, in tenths of a ms.
-    pub fn take(&mut self, place: usize, now: Tenths) -> Result<(), Tenths> {
-        self.shares[place].take(now, &self.terms)
+    /// None is left: how long to wait before asking again, in tenths of a ms.
+    pub fn acquire(&mut self, index: usize, now: Tenths) -> Result<(), Tenths> {
+        self.allocations[index].acquire(now, &self.parameters)
     }
 
-    /// What was taken came to nothing: of a rate it may be used again.
-    pub fn unused(&mut self, place: usize) {
-        self.shares[place].put_back(false);
+    /// Gives back a unit that was acquired and not used, also of a rate.
+    pub fn cancel(&mut self, index: usize) {
+        self.allocations[index].release(false);
     }
 
-    /// A place that was taken is held no more. Of a rate this changes nothing.
-    pub fn done(&mut self, place: usize) {
-        self.shares[place].put_back(true);
+    /// Releases a unit of a concurrency that was used. Of a rate this changes nothing.
+    pub fn release(&mut self, index: usize) {
+        self.allocations[index].release(true);
     }
 }
--- a/budgets/tests/holder.rs
+++ b/budgets/tests/holder.rs
@@ -1,35 +1,36 @@
-//! A holder by itself: what it makes of a keeper's words, whenever they come.
+//! A holder by itself: what it makes of a leader's words, whenever they come.
 
 use std::sync::Arc;
 
 use doortrack::Tenths;
 use doortrack_budgets::{
-    Action, Budget, Budgets, Envelope, Event, Kind, Lent, Message, Safeguards, Terms, Who,
+    Action, Budget, Budgets, Envelope, Event, Grant, Kind, Message, NodeId, Parameters, Safeguards,
 };
-use doortrack_fleet::{Life, Name, Seat, View};
+use doortrack_fleet::{Incarnation, Member, Name, View};
 
 const MS: Tenths = 10;
 
 struct Holder {
     budgets: Budgets,
-    keeper: Who,
+    leader: NodeId,
     now: Tenths,
 }
 
 impl Holder {
     fn new(safeguards: Safeguards) -> Holder {
-        let keeper = Who { name: "k".into(), life: Life(1) };
-        let voters: Arc<[Name]> = Arc::new([keeper.name.clone()]);
-        let terms = Terms { voters, safeguards, ..Terms::default() };
-        let (kind, floors_for) = (Kind::Places { held_most: 0 }, Arc::new([]));
-        let list = [Budget { name: "b".into(), kind, whole: 20, floor: 0, floors_for, most: 20 }];
-        let me = Who { name: "h".into(), life: Life(2) };
-        let mut budgets = Budgets::new(me, 1, terms, &list, 1, 0);
+        let leader = NodeId { name: "k".into(), incarnation: Incarnation(1) };
+        let voters: Arc<[Name]> = Arc::new([leader.name.clone()]);
+        let parameters = Parameters { voters, safeguards, ..Parameters::default() };
+        let (kind, reserved_for) = (Kind::Concurrency { max_hold: 0 }, Arc::new([]));
+        let list =
+            [Budget { name: "b".into(), kind, limit: 20, reserved: 0, reserved_for, max_per_node: 20 }];
+        let me = NodeId { name: "h".into(), incarnation: Incarnation(2) };
+        let mut budgets = Budgets::new(me, 1, parameters, &list, 1, 0);
         let mut view = View::default();
         let address = "127.0.0.1:1".parse().unwrap();
-        view.members.insert(keeper.name.clone(), Seat { life: Life(1), address, weight: 1 });
+        view.members.insert(leader.name.clone(), Member { incarnation: Incarnation(1), address, weight: 1 });
         budgets.handle(0, Event::Members(view), &mut Vec::new());
-        Holder { budgets, keeper, now: 0 }
+        Holder { budgets, leader, now: 0 }
     }
 
     /// What it reports first when its turn comes, from `now` on.
@@ -37,7 +38,7 @@
         loop {
             self.now = self.now.max(self.budgets.next_due());
             let mut out = Vec::new();
-            self.budgets.handle(self.now, Event::Turn, &mut out);
+            self.budgets.handle(self.now, Event::Tick, &mut out);
             let seq = out.iter().find_map(|action| match action {
                 Action::Send(Envelope { message: Message::Report { seq, .. }, .. }) => Some(*seq),
                 _ => None,
@@ -49,30 +50,30 @@
     }
 
     fn hears(&mut self, message: Message) {
-        let envelope = Envelope { from: self.keeper.clone(), to: self.budgets.me().clone(), message };
+        let envelope = Envelope { from: self.leader.clone(), to: self.budgets.me().clone(), message };
         self.budgets.handle(self.now, Event::Received(envelope), &mut Vec::new());
     }
 
-    fn granted(&mut self, seq: u64, share: u64, prolongs: bool) -> u64 {
+    fn granted(&mut self, seq: u64, allocation: u64, prolongs: bool) -> u64 {
         let id = self.budgets.list().next().unwrap().id();
-        self.hears(Message::Grant { seq, shares: vec![Lent { id, share, prolongs }] });
+        self.hears(Message::Grant { seq, grants: vec![Grant { id, allocation, prolongs }] });
         self.budgets.exposed(0, self.now)
     }
 
-    /// Bound to its keeper, with ten places.
+    /// Bound to its leader, with ten units.
     fn with_ten(safeguards: Safeguards) -> Holder {
         let mut holder = Holder::new(safeguards);
         let seq = holder.reports();
-        let keeper = Some(holder.keeper.clone());
-        holder.hears(Message::Elsewhere { seq, keeper });
+        let leader = Some(holder.leader.clone());
+        holder.hears(Message::Elsewhere { seq, leader });
         let seq = holder.reports();
         assert_eq!(holder.granted(seq, 10, false), 10);
         holder
     }
 }
 
-/// A keeper that left office and is in it again knows nothing of what another lent in between. Its word on a
-/// report that was long on its way must not bring back what was over meanwhile.
+/// A leader that stepped down and was elected again knows nothing of what another granted in between. Its
+/// word on a report that was long on its way must not bring back what was over meanwhile.
 fn late_word(safeguards: Safeguards) -> u64 {
     let mut holder = Holder::with_ten(safeguards);
     let granted_at = holder.now;
@@ -80,7 +81,7 @@
     while holder.now < granted_at + 400 * MS {
         late = holder.reports();
     }
-    // It stands still, so that it holds on to its keeper; its report was sent, and takes its time.
+    // It stands still, so that it holds on to its leader; its report was sent, and takes its time.
     holder.now = granted_at + 1_500 * MS;
     assert_eq!(holder.budgets.exposed(0, holder.now), 0, "its lease is over");
     holder.granted(late, 10, true)
@@ -105,9 +106,9 @@
 }
 
 #[test]
-fn one_that_is_displaced_uses_nothing_more() {
+fn one_that_is_superseded_uses_nothing_more() {
     let mut holder = Holder::with_ten(Safeguards::default());
-    holder.budgets.handle(holder.now, Event::Displaced, &mut Vec::new());
+    holder.budgets.handle(holder.now, Event::Superseded, &mut Vec::new());
     assert_eq!(holder.budgets.exposed(0, holder.now), 0);
     assert_eq!(holder.budgets.next_due(), Tenths::MAX);
 }
--- a/budgets/tests/model.rs
+++ b/budgets/tests/model.rs
@@ -1,14 +1,16 @@
-//! Keepers, votes and leases as a machine, searched exhaustively within small bounds: whatever dies, stops,
-//! is lost, doubled or overtaken, the shares that may be used are never more than the whole. The model drives
-//! the package that the node runs. Each safeguard taken out must make it fail.
+//! Leaders, votes and leases as a machine, searched exhaustively within small bounds: whatever dies, stops,
+//! is lost, doubled or overtaken, the allocations that may be used are never more than the limit. The model
+//! drives the package that the node runs. Each safeguard taken out must make it fail.
 
 use std::collections::BTreeSet;
 use std::ops::Range;
 use std::sync::Arc;
 
 use doortrack::Tenths;
-use doortrack_budgets::{Action, Budget, Budgets, Envelope, Event, Kind, Message, Safeguards, Terms, Who};
-use doortrack_fleet::{Life, Name, Seat, View};
+use doortrack_budgets::{
+    Action, Budget, Budgets, Envelope, Event, Kind, Message, NodeId, Parameters, Safeguards,
+};
+use doortrack_fleet::{Incarnation, Member, Name, View};
 use stateright::{Checker, Model, Property};
 
 /// Times in ticks: the smallest at which votes and leases still differ from a round.
@@ -32,7 +34,7 @@
     stopped: Vec<bool>,
     net: BTreeSet<Envelope>,
     faults: u8,
-    life: u64,
+    incarnation: u64,
     ends: Tenths,
 }
 
@@ -48,32 +50,32 @@
 }
 
 impl Fleet {
-    fn terms(&self) -> Terms {
-        Terms {
+    fn parameters(&self) -> Parameters {
+        Parameters {
             voters: (0..self.nodes).map(|of| Name::from(format!("n{of}"))).collect(),
             round: ROUND,
-            vote_lasts: VOTE,
+            vote_duration: VOTE,
             lease: LEASE,
             drift: 0,
             safeguards: self.safeguards,
         }
     }
 
-    fn who(of: usize, life: u64) -> Who {
-        Who { name: format!("n{of}").into(), life: Life(life) }
+    fn who(of: usize, incarnation: u64) -> NodeId {
+        NodeId { name: format!("n{of}").into(), incarnation: Incarnation(incarnation) }
     }
 
-    fn start(&self, of: usize, life: u64, now: Tenths) -> Budgets {
+    fn start(&self, of: usize, incarnation: u64, now: Tenths) -> Budgets {
         // What may be used counts as used.
         let kind = Kind::Rate { burst: 1 };
-        let floors_for = Arc::new([]);
-        let budget = Budget { name: "b".into(), kind, whole: 1, floor: 0, floors_for, most: 1 };
+        let reserved_for = Arc::new([]);
+        let budget = Budget { name: "b".into(), kind, limit: 1, reserved: 0, reserved_for, max_per_node: 1 };
         Budgets::new(
-            Self::who(of, life),
+            Self::who(of, incarnation),
             1,
-            self.terms(),
+            self.parameters(),
             &[budget],
-            life.wrapping_mul(0x9e37_79b9_7f4a_7c15),
+            incarnation.wrapping_mul(0x9e37_79b9_7f4a_7c15),
             now,
         )
     }
@@ -82,7 +84,10 @@
         let mut view = View::default();
         for node in &state.nodes {
             let address = "127.0.0.1:1".parse().unwrap();
-            view.members.insert(node.me().name.clone(), Seat { life: node.me().life, address, weight: 1 });
+            view.members.insert(
+                node.me().name.clone(),
+                Member { incarnation: node.me().incarnation, address, weight: 1 },
+            );
         }
         view
     }
@@ -114,22 +119,22 @@
             stopped: vec![false; self.nodes],
             net: BTreeSet::new(),
             faults: 0,
-            life: self.nodes as u64 + 1,
+            incarnation: self.nodes as u64 + 1,
             ends: Tenths::MAX,
         };
         let view = Self::view(&state);
         (0..self.nodes).for_each(|of| self.tell(&mut state, of, Event::Members(view.clone())));
-        // In calm, all that is sent comes at once, until a share is lent: the search begins there.
+        // In calm, all that is sent comes at once, until an allocation is granted: the search begins there.
         let calm = Fleet { envelopes: 1_000, ..*self };
         while state.nodes.iter().all(|node| node.exposed(0, state.now) == 0) {
             state.now += 1;
             for of in 0..self.nodes {
-                calm.tell(&mut state, of, Event::Turn);
+                calm.tell(&mut state, of, Event::Tick);
                 while let Some(envelope) = state.net.first().cloned() {
                     state = calm.next_state(&state, Step::Comes(envelope, false)).unwrap();
                 }
             }
-            assert!(state.now < 50, "nothing is ever lent");
+            assert!(state.now < 50, "nothing is ever granted");
         }
         state.ends = state.now + self.ticks;
         vec![state]
@@ -166,7 +171,7 @@
                 state.now += 1;
                 for of in 0..self.nodes {
                     if !state.stopped[of] {
-                        self.tell(&mut state, of, Event::Turn);
+                        self.tell(&mut state, of, Event::Tick);
                     }
                 }
             }
@@ -189,8 +194,8 @@
             Step::Starts(of) => {
                 state.faults += 1;
                 let now = state.now;
-                state.nodes[of] = self.start(of, state.life, now);
-                state.life += 1;
+                state.nodes[of] = self.start(of, state.incarnation, now);
+                state.incarnation += 1;
                 let view = Self::view(&state);
                 (0..self.nodes).for_each(|of| self.tell(&mut state, of, Event::Members(view.clone())));
             }
@@ -200,7 +205,7 @@
             }
             Step::GoesOn(of) => {
                 state.stopped[of] = false;
-                self.tell(&mut state, of, Event::Turn);
+                self.tell(&mut state, of, Event::Tick);
             }
         }
         Some(state)
@@ -208,15 +213,14 @@
 
     fn properties(&self) -> Vec<Property<Fleet>> {
         vec![
-            Property::always("never more than the whole", |_, state: &State| {
+            Property::always("never more than the limit", |_, state: &State| {
                 let used: u64 = state.nodes.iter().map(|node| node.exposed(0, state.now)).sum();
                 used <= 1_000
             }),
-            Property::sometimes("a share is lent anew", |_, state: &State| {
-                state
-                    .nodes
-                    .iter()
-                    .any(|node| node.me().life.0 > state.nodes.len() as u64 && node.exposed(0, state.now) > 0)
+            Property::sometimes("an allocation is granted anew", |_, state: &State| {
+                state.nodes.iter().any(|node| {
+                    node.me().incarnation.0 > state.nodes.len() as u64 && node.exposed(0, state.now) > 0
+                })
             }),
         ]
     }
@@ -226,16 +230,16 @@
     Fleet { nodes, safeguards, ticks: 6, faults: 1, envelopes: 3 }
 }
 
-/// Exhaustive up to so many steps from where a share is lent.
+/// Exhaustive up to so many steps from where an allocation is granted.
 fn search(nodes: usize, faults: u8, depth: usize) -> usize {
     let bounded = Fleet { faults, ..fleet(nodes, Safeguards::default()) };
     let checker = bounded.checker().threads(2).target_max_depth(depth).spawn_bfs().join();
-    checker.assert_no_discovery("never more than the whole");
+    checker.assert_no_discovery("never more than the limit");
     checker.unique_state_count()
 }
 
 #[test]
-fn within_small_bounds_the_whole_is_never_exceeded() {
+fn within_small_bounds_the_limit_is_never_exceeded() {
     assert!(search(2, 1, 9) > 10_000);
     assert!(search(3, 2, 7) > 20_000);
     assert_eq!(walk(3, Safeguards::default(), 0..100), None);
@@ -307,17 +311,17 @@
     }
 }
 
-/// A voter that forgets its vote makes a second keeper while the first is still one: something that no chance
+/// A voter that forgets its vote makes a second leader while the first is still one: something that no chance
 /// walk meets in thousands, as the time of the first is all but over.
 fn forgets_its_vote(safeguards: Safeguards) -> u64 {
     let fleet = Fleet { envelopes: 1_000, ..fleet(3, safeguards) };
     let mut state = fleet.init_states().remove(0);
-    let keeper = (0..3).find(|of| state.nodes[*of].is_keeper(state.now)).unwrap();
-    let (voter, other) = ((keeper + 1) % 3, (keeper + 2) % 3);
+    let leader = (0..3).find(|of| state.nodes[*of].is_leader(state.now)).unwrap();
+    let (voter, other) = ((leader + 1) % 3, (leader + 2) % 3);
     // One turn of these, and all that comes of it between pairs that hear one another.
     let turn = |state: &mut State, nodes: &[usize], pairs: &[(usize, usize)]| {
         for of in nodes {
-            fleet.tell(state, *of, Event::Turn);
+            fleet.tell(state, *of, Event::Tick);
             while let Some(envelope) = state.net.first().cloned() {
                 let [from, to] =
                     [&envelope.from, &envelope.to].map(|who| who.name[1..].parse::<usize>().unwrap());
@@ -329,18 +333,18 @@
     };
     for _ in 0..4 * LEASE {
         state.now += 1;
-        _ = state.nodes[keeper].take(0, state.now);
-        turn(&mut state, &[keeper, voter], &[(keeper, voter)]);
+        _ = state.nodes[leader].acquire(0, state.now);
+        turn(&mut state, &[leader, voter], &[(leader, voter)]);
     }
     state = fleet.next_state(&state, Step::Starts(voter)).unwrap();
     turn(&mut state, &[other, voter], &[(other, voter)]);
     let mut most = 0;
     for _ in 0..3 * LEASE {
         state.now += 1;
-        for of in [other, keeper] {
-            _ = state.nodes[of].take(0, state.now);
+        for of in [other, leader] {
+            _ = state.nodes[of].acquire(0, state.now);
         }
-        turn(&mut state, &[other, voter, keeper], &[(other, voter)]);
+        turn(&mut state, &[other, voter, leader], &[(other, voter)]);
         most = most.max(state.nodes.iter().map(|node| node.exposed(0, state.now)).sum());
     }
     most
--- a/fleet/src/gossip.rs
+++ b/fleet/src/gossip.rs
@@ -1,81 +1,83 @@
-//! What is still to be passed on: of each member the latest claim, the least often sent first.
+//! Dissemination: the updates that are still to be sent on, the least often sent first.
 
 use std::collections::VecDeque;
 
-use crate::MOST_CLAIMS;
-use crate::table::Place;
+use crate::MAX_UPDATES;
+use crate::table::MemberIndex;
 
-/// Members whose claim is still to be sent, by how often it was. At most one current entry a member, and
-/// older ones are dropped when met, so the whole is bounded by the news of one round and the members.
+/// Members whose latest update is still to be sent, by how often it was sent. A member has at most one entry
+/// of its current revision; entries of earlier ones are dropped when they come up.
 #[derive(Default)]
 pub struct Gossip {
-    by_times: Vec<VecDeque<(Place, u32)>>,
+    by_transmissions: Vec<VecDeque<(MemberIndex, u32)>>,
     queued: usize,
 }
 
-/// Entries that wait at once: several times the members that a table can hold, as older ones of one member
-/// are dropped only when met.
-const MOST_QUEUED: usize = 20_000;
-/// Claims of one datagram while no more than [`BACKLOG`] wait. Few claims a datagram reach a member by more
-/// datagrams, so that less hangs on each that is lost; but news of hundreds at once would take seconds.
-const FEW_CLAIMS: usize = 10;
+/// Entries that wait at once: several times the members of a table, as outdated ones are dropped only when
+/// they come up.
+const MAX_QUEUED: usize = 20_000;
+/// Updates of one datagram while no more than [`BACKLOG`] wait. A few at a time reach a member by more
+/// datagrams, so that less hangs on each that is lost; but hundreds would take seconds to go round.
+const FEW_UPDATES: usize = 10;
 const BACKLOG: usize = 100;
-/// Past this many sendings nothing is passed on, however large the fleet.
-const MOST_TIMES: usize = 20;
+/// Upper bound of [`transmissions`], however large the fleet.
+const MAX_TRANSMISSIONS: usize = 20;
 
-/// How often a claim is sent in a fleet of so many, so that all but surely everyone hears it.
-fn times(members: usize) -> usize {
+/// How often each node sends an update in a fleet of this size, so that it reaches everyone with near
+/// certainty: it grows with the logarithm of the members.
+fn transmissions(members: usize) -> usize {
     let digits = (members + 1).ilog2() as usize + 1;
-    (digits + 2).min(MOST_TIMES)
+    (digits + 2).min(MAX_TRANSMISSIONS)
 }
 
 impl Gossip {
-    /// `version` is that of the member's claim; entries of earlier ones are passed over.
-    pub fn add(&mut self, place: Place, version: u32) {
-        if self.by_times.is_empty() {
-            self.by_times.resize_with(MOST_TIMES, VecDeque::new);
+    /// Queues the latest update of a member, which has this revision.
+    pub fn add(&mut self, index: MemberIndex, revision: u32) {
+        if self.by_transmissions.is_empty() {
+            self.by_transmissions.resize_with(MAX_TRANSMISSIONS, VecDeque::new);
         }
-        if self.queued >= MOST_QUEUED {
+        if self.queued >= MAX_QUEUED {
             // What was sent most often is missed least.
-            let often = self.by_times.iter_mut().rev().find(|queue| !queue.is_empty());
+            let often = self.by_transmissions.iter_mut().rev().find(|queue| !queue.is_empty());
             self.queued -= usize::from(often.is_some_and(|queue| queue.pop_front().is_some()));
         }
-        self.by_times[0].push_back((place, version));
+        self.by_transmissions[0].push_back((index, revision));
         self.queued += 1;
     }
 
+    /// Whether nothing is queued.
     pub fn is_empty(&self) -> bool {
         self.queued == 0
     }
 
-    /// Takes claims for one datagram until they fill `room` bytes; few of them unless many wait. `already`
-    /// are in it by another way. `bytes` tells how long the claim of an entry is, and nothing if the entry is
-    /// no longer the latest of its member.
-    pub fn take(
+    /// Chooses updates for one datagram until they fill `room` bytes, few of them unless many wait, and adds
+    /// their members to `into`. `already` are in the datagram by another way; `members` is the size of the
+    /// fleet; `bytes` tells how long an entry's update is, and nothing if the entry is outdated.
+    pub fn next_updates(
         &mut self,
         (mut room, already): (usize, usize),
         members: usize,
-        bytes: impl Fn(Place, u32) -> Option<usize>,
-        into: &mut Vec<Place>,
+        bytes: impl Fn(MemberIndex, u32) -> Option<usize>,
+        into: &mut Vec<MemberIndex>,
     ) {
-        let most = times(members);
-        let most_claims = if self.queued > BACKLOG { MOST_CLAIMS } else { FEW_CLAIMS };
-        let mut taken: Vec<(usize, (Place, u32))> = Vec::new();
-        'full: for (sent, queue) in self.by_times.iter_mut().enumerate() {
+        let max = transmissions(members);
+        let max_updates = if self.queued > BACKLOG { MAX_UPDATES } else { FEW_UPDATES };
+        let mut taken: Vec<(usize, (MemberIndex, u32))> = Vec::new();
+        'full: for (sent, queue) in self.by_transmissions.iter_mut().enumerate() {
             while let Some(entry) = queue.pop_front() {
                 self.queued -= 1;
                 let Some(bytes) = bytes(entry.0, entry.1) else { continue };
                 taken.push((sent + 1, entry));
                 room = room.saturating_sub(bytes);
-                if room == 0 || taken.len() + already >= most_claims {
+                if room == 0 || taken.len() + already >= max_updates {
                     break 'full;
                 }
             }
         }
         for (sent, entry) in taken {
             into.push(entry.0);
-            if sent < most {
-                self.by_times[sent].push_back(entry);
+            if sent < max {
+                self.by_transmissions[sent].push_back(entry);
                 self.queued += 1;
             }
         }
--- a/node/src/commands/fleet.rs
+++ b/node/src/commands/fleet.rs
@@ -7,19 +7,19 @@
 
 use clap::{Args, Subcommand};
 use doortrack_budgets::Units;
-use doortrack_fleet::{Name, Report};
+use doortrack_fleet::{MemberReport, Name};
 use doortrack_installation::fleet::read_key;
 use serde_json::{Value, json};
 
 use crate::peers::seal::{LONGEST, Seal};
-use crate::peers::spoken::{Ask, BudgetStatus, Spoken, Status};
+use crate::peers::spoken::{Ask, BudgetPage, BudgetStatus, Spoken, Status};
 
 /// One answer is waited for so long, and asked for so often.
 const PATIENCE: Duration = Duration::from_millis(300);
 const TRIES: usize = 5;
 const TRIES_OF_BUDGETS: usize = 2;
 /// Members that are shown at the most.
-const MOST: usize = 10_000;
+const MAX_MEMBERS: usize = 10_000;
 
 #[derive(Subcommand)]
 pub enum FleetCommand {
@@ -57,33 +57,36 @@
 /// A node's answer, all pages of it.
 pub struct Seen {
     pub first: Status,
-    pub members: Vec<Report>,
+    pub members: Vec<MemberReport>,
     /// As [`ask_budgets`] tells them; empty where nobody asked.
     pub budgets: Vec<BudgetStatus>,
-    pub keeper: Option<Name>,
+    pub leader: Option<Name>,
 }
 
-fn budget(of: &BudgetStatus, keeper: Option<&Name>) -> Value {
-    // Shares of a rate are thousandths on the wire, and exchanges a second for people.
-    let units = |units: Units| if of.rate { json!(units as f64 / 1_000.0) } else { json!(units) };
-    json!({"name": of.name, "kind": if of.rate { "rate" } else { "places" }, "whole": of.whole,
-        "share": units(of.share), "used": of.used, "rejected": of.rejected, "need": units(of.need),
-        "in_use": of.in_use, "until_ms": of.until_ms, "lent": of.lent.map(units),
-        "keeper": keeper.map(|name| &**name)})
+fn budget(status: &BudgetStatus, leader: Option<&Name>) -> Value {
+    // Allocations of a rate are thousandths on the wire, and exchanges a second for people.
+    let units = |units: Units| if status.rate { json!(units as f64 / 1_000.0) } else { json!(units) };
+    let kind = if status.rate { "rate" } else { "concurrency" };
+    json!({"name": status.name, "kind": kind, "limit": status.limit,
+        "allocation": units(status.allocation), "used": status.used, "rejected": status.rejected,
+        "need": units(status.need), "in_use": status.in_use, "until_ms": status.until_ms,
+        "granted": status.granted.map(units), "leader": leader.map(|name| &**name)})
 }
 
 impl Seen {
     pub fn json(&self) -> Value {
-        let member = |of: &Report| {
-            json!({"name": &*of.name, "life": of.life.to_string(), "address": of.address.to_string(),
-                "state": of.state, "weight": of.weight, "slow": of.slow, "since_ms": of.for_ms})
+        let member = |report: &MemberReport| {
+            json!({"name": &*report.name, "incarnation": report.incarnation.to_string(),
+                "address": report.address.to_string(), "state": report.state, "weight": report.weight,
+                "slow": report.slow, "since_ms": report.for_ms})
         };
         let first = &self.first;
-        json!({"fleet": first.fleet, "name": &*first.name, "life": first.life.to_string(),
+        let budgets = self.budgets.iter().map(|status| budget(status, self.leader.as_ref()));
+        json!({"fleet": first.fleet, "name": &*first.name, "incarnation": first.incarnation.to_string(),
             "view": first.view, "digest": format!("{:016x}", first.digest), "in_view": first.in_view,
-            "cut_off": first.cut_off, "displaced": first.displaced,
+            "isolated": first.isolated, "superseded": first.superseded,
             "members": self.members.iter().map(member).collect::<Vec<_>>(),
-            "budgets": self.budgets.iter().map(|of| budget(of, self.keeper.as_ref())).collect::<Vec<_>>()})
+            "budgets": budgets.collect::<Vec<_>>()})
     }
 
     fn text(&self) -> String {
@@ -94,75 +97,117 @@
             first.fleet,
             first.view,
             first.in_view,
-            if first.cut_off { ", cut off" } else { "" },
-            if first.displaced { ", displaced by a process of the same name" } else { "" },
+            if first.isolated { ", isolated" } else { "" },
+            if first.superseded { ", superseded by a process of the same name" } else { "" },
         );
-        for of in &self.members {
-            let state = word(of);
-            let (name, address) = (&of.name, of.address);
-            text += &format!("{name:<16} {state:<10} {address:<22} weight {:<4} life {}", of.weight, of.life);
-            text += &format!("  for {} ms\n", of.for_ms);
+        for report in &self.members {
+            let state = word(report);
+            let (name, address) = (&report.name, report.address);
+            text += &format!(
+                "{name:<16} {state:<10} {address:<22} weight {:<4} incarnation {}",
+                report.weight, report.incarnation
+            );
+            text += &format!("  for {} ms\n", report.for_ms);
         }
-        for of in &self.budgets {
-            let scale = if of.rate { 1_000.0 } else { 1.0 };
-            let (share, need) = (of.share as f64 / scale, of.need as f64 / scale);
-            let lasts = of.until_ms.map_or(String::new(), |ms| format!("  for {ms} ms"));
-            text += &format!("budget {:<16} {share:.1} of {}, needs {need:.1}, ", of.name, of.whole);
-            text += &format!("{} used, {} rejected{lasts}\n", of.used, of.rejected);
+        for budget in &self.budgets {
+            let scale = if budget.rate { 1_000.0 } else { 1.0 };
+            let (allocation, need) = (budget.allocation as f64 / scale, budget.need as f64 / scale);
+            let lasts = budget.until_ms.map_or(String::new(), |ms| format!("  for {ms} ms"));
+            text +=
+                &format!("budget {:<16} {allocation:.1} of {}, needs {need:.1}, ", budget.name, budget.limit);
+            text += &format!("{} used, {} rejected{lasts}\n", budget.used, budget.rejected);
         }
         text.pop();
         text
     }
 }
 
-fn word(of: &Report) -> String {
-    let word = serde_json::to_value(of.state).ok();
+fn word(report: &MemberReport) -> String {
+    let word = serde_json::to_value(report.state).ok();
     let word = word.as_ref().and_then(Value::as_str).unwrap_or_default().to_string();
-    if of.slow { word + ", slow" } else { word }
+    if report.slow { word + ", slow" } else { word }
 }
 
-/// Asks a node, page by page.
-///
-/// # Errors
-/// In words: the key can't be read, or nobody answers.
-pub fn ask(peer: SocketAddr, key: Option<[u8; 32]>) -> Result<Seen, String> {
-    let seal = Seal::new(key, "");
-    let own = if peer.is_ipv4() { "0.0.0.0:0" } else { "[::]:0" };
-    let plain = |e: std::io::Error| format!("{peer}: {e}");
-    let sock = UdpSocket::bind(own).map_err(plain)?;
-    sock.set_read_timeout(Some(PATIENCE)).map_err(plain)?;
-    let mut seen: Option<Seen> = None;
-    let mut after: Option<Name> = None;
-    loop {
-        let page = page(&sock, &seal, peer, after.clone())?;
-        after = page.members.last().map(|last| last.name.clone());
-        let (more, members) = (page.more, page.members.clone());
-        let whole =
-            seen.get_or_insert(Seen { first: page, members: Vec::new(), budgets: Vec::new(), keeper: None });
-        whole.members.extend(members);
-        if !more || after.is_none() || whole.members.len() >= MOST {
-            return seen.ok_or_else(|| format!("{peer}: no answer"));
+/// A socket on which one node is asked.
+struct Asker {
+    sock: UdpSocket,
+    seal: Seal,
+    peer: SocketAddr,
+}
+
+impl Asker {
+    fn open(peer: SocketAddr, key: Option<[u8; 32]>) -> Result<Asker, String> {
+        let own = if peer.is_ipv4() { "0.0.0.0:0" } else { "[::]:0" };
+        let in_words = |error: std::io::Error| format!("{peer}: {error}");
+        let sock = UdpSocket::bind(own).map_err(in_words)?;
+        sock.set_read_timeout(Some(PATIENCE)).map_err(in_words)?;
+        Ok(Asker { sock, seal: Seal::new(key, ""), peer })
+    }
+
+    fn send(&self, question: &Spoken) -> Result<(), String> {
+        let datagram = self.seal.close(question).ok_or("too long a name")?;
+        self.sock.send_to(&datagram, self.peer).map_err(|error| format!("{}: {error}", self.peer))?;
+        Ok(())
+    }
+
+    /// The next datagram that can be read; none where it can't, or where nothing comes in time.
+    fn receive(&self) -> Received {
+        let mut bytes = [0; LONGEST];
+        let Ok((len, _)) = self.sock.recv_from(&mut bytes) else { return Received::Nothing };
+        self.seal.open(&bytes[..len]).map_or(Received::Unreadable, Received::Answer)
+    }
+
+    /// The members from behind a name on, asked for several times.
+    fn members(&self, after: Option<&Name>) -> Result<Status, String> {
+        for _ in 0..TRIES {
+            let nonce = fastrand::u64(..);
+            self.send(&Spoken::Ask(Ask { nonce, after: after.cloned() }))?;
+            let till = Instant::now() + PATIENCE;
+            while Instant::now() < till {
+                match self.receive() {
+                    Received::Answer(Spoken::Status(status)) if status.nonce == nonce => return Ok(*status),
+                    Received::Answer(_) | Received::Unreadable => {}
+                    Received::Nothing => break,
+                }
+            }
         }
+        let peer = self.peer;
+        Err(format!("{peer}: no answer; is it a node's fleet address, and the key that fleet's?"))
     }
-}
 
-fn page(sock: &UdpSocket, seal: &Seal, peer: SocketAddr, after: Option<Name>) -> Result<Status, String> {
-    let mut bytes = [0; LONGEST];
-    for _ in 0..TRIES {
+    /// The budgets from an index on, asked for once.
+    fn budgets(&self, from: usize) -> Result<Option<BudgetPage>, String> {
         let nonce = fastrand::u64(..);
-        let asked = seal.close(&Spoken::Ask(Ask { nonce, after: after.clone() }));
-        let asked = asked.ok_or("too long a name")?;
-        sock.send_to(&asked, peer).map_err(|e| format!("{peer}: {e}"))?;
-        let till = Instant::now() + PATIENCE;
-        while Instant::now() < till {
-            let Ok((len, _)) = sock.recv_from(&mut bytes) else { break };
-            match seal.open(&bytes[..len]) {
-                Ok(Spoken::Status(status)) if status.nonce == nonce => return Ok(*status),
-                _ => {}
-            }
+        self.send(&Spoken::AskBudgets { nonce, from: from as u16 })?;
+        match self.receive() {
+            Received::Answer(Spoken::BudgetStatus(page)) if page.nonce == nonce => Ok(Some(*page)),
+            _ => Ok(None),
         }
     }
-    Err(format!("{peer}: no answer; is it a node's fleet address, and the key that fleet's?"))
+}
+
+/// What came of waiting for an answer.
+enum Received {
+    Answer(Spoken),
+    Unreadable,
+    Nothing,
+}
+
+/// Asks a node, page by page.
+///
+/// # Errors
+/// In words: no socket can be had, or nobody answers.
+pub fn ask(peer: SocketAddr, key: Option<[u8; 32]>) -> Result<Seen, String> {
+    let asker = Asker::open(peer, key)?;
+    let first = asker.members(None)?;
+    let (mut more, members) = (first.more, first.members.clone());
+    let mut seen = Seen { first, members, budgets: Vec::new(), leader: None };
+    while let Some(last) = seen.members.last().filter(|_| more && seen.members.len() < MAX_MEMBERS) {
+        let page = asker.members(Some(&last.name))?;
+        more = page.more && !page.members.is_empty();
+        seen.members.extend(page.members);
+    }
+    Ok(seen)
 }
 
 /// Asks a node for its budgets, page by page; none where it has none, or knows of no such thing.
@@ -173,30 +218,18 @@
     peer: SocketAddr,
     key: Option<[u8; 32]>,
 ) -> Result<(Vec<BudgetStatus>, Option<Name>), String> {
-    let seal = Seal::new(key, "");
-    let own = if peer.is_ipv4() { "0.0.0.0:0" } else { "[::]:0" };
-    let plain = |e: std::io::Error| format!("{peer}: {e}");
-    let sock = UdpSocket::bind(own).map_err(plain)?;
-    sock.set_read_timeout(Some(PATIENCE)).map_err(plain)?;
-    let (mut budgets, mut keeper, mut tries) = (Vec::new(), None, 0);
-    let mut bytes = [0; LONGEST];
+    let asker = Asker::open(peer, key)?;
+    let (mut budgets, mut leader, mut tries) = (Vec::new(), None, 0);
     while tries < TRIES_OF_BUDGETS {
-        let nonce = fastrand::u64(..);
-        let asked = seal.close(&Spoken::AskBudgets { nonce, from: budgets.len() as u16 });
-        sock.send_to(&asked.unwrap_or_default(), peer).map_err(plain)?;
         tries += 1;
-        let page = sock.recv_from(&mut bytes).ok().and_then(|(len, _)| seal.open(&bytes[..len]).ok());
-        if let Some(Spoken::BudgetStatus(page)) = page
-            && page.nonce == nonce
-        {
-            (tries, keeper) = (0, page.keeper);
-            budgets.extend(page.budgets);
-            if !page.more {
-                break;
-            }
+        let Some(page) = asker.budgets(budgets.len())? else { continue };
+        (tries, leader) = (0, page.leader);
+        budgets.extend(page.budgets);
+        if !page.more {
+            break;
         }
     }
-    Ok((budgets, keeper))
+    Ok((budgets, leader))
 }
 
 /// Carries out one command; `say` is given each line.
@@ -208,7 +241,7 @@
     match command {
         FleetCommand::Status { whom, json } => {
             let mut seen = ask(whom.peer, key(whom)?)?;
-            (seen.budgets, seen.keeper) = ask_budgets(whom.peer, key(whom)?)?;
+            (seen.budgets, seen.leader) = ask_budgets(whom.peer, key(whom)?)?;
             say(&if *json { seen.json().to_string() } else { seen.text() });
             Ok(())
         }
@@ -216,7 +249,7 @@
             let (key, began) = (key(whom)?, Instant::now());
             let mut known: BTreeMap<Name, String> = BTreeMap::new();
             let mut unanswered = false;
-            while for_ms.is_none_or(|most| began.elapsed() < Duration::from_millis(most)) {
+            while for_ms.is_none_or(|max| began.elapsed() < Duration::from_millis(max)) {
                 match ask(whom.peer, key) {
                     Ok(seen) => {
                         unanswered = false;
@@ -241,12 +274,12 @@
     let view = seen.first.view;
     let mut lines = Vec::new();
     let mut now = BTreeMap::new();
-    for of in &seen.members {
-        let stands = format!("{} (life {})", word(of), of.life);
-        if known.get(&of.name) != Some(&stands) {
-            lines.push(format!("view {view}: {} {stands}", of.name));
+    for report in &seen.members {
+        let stands = format!("{} (incarnation {})", word(report), report.incarnation);
+        if known.get(&report.name) != Some(&stands) {
+            lines.push(format!("view {view}: {} {stands}", report.name));
         }
-        now.insert(of.name.clone(), stands);
+        now.insert(report.name.clone(), stands);
     }
     let gone = known.keys().filter(|name| !now.contains_key(*name));
     lines.extend(gone.map(|name| format!("view {view}: {name} forgotten")));
--- /dev/null
+++ b/node/src/peers/budgets.rs
@@ -0,0 +1,226 @@
+//! What this node may use of the fleet's budgets: which of them an exchange falls under, and what is told of
+//! them. How they are divided is decided by `doortrack-budgets`.
+
+use std::cmp::Reverse;
+use std::collections::BinaryHeap;
+
+use doortrack::Tenths;
+use doortrack_budgets::{Action, Budget, Budgets, Change, Event, Kind, NodeId, Parameters, Units};
+use doortrack_installation::{Falls, FleetFile, Installation, Orders};
+use slog::{Logger, info, warn};
+
+use super::spoken::{BUDGET_PAGE, BudgetPage, BudgetStatus};
+use crate::parts::{Asked, Permit, Use};
+
+const MS: Tenths = 10;
+/// Some hundred ns lie between a look at the clock and the use that follows. A process that stood still for
+/// longer there is counted.
+const LATE: Tenths = 5 * MS;
+
+/// The budgets with what leads to them.
+pub struct FleetBudgets {
+    pub budgets: Budgets,
+    falls: Falls,
+    pub actions: Vec<Action>,
+    /// By index: exchanges that passed and were not given back, and the allocation that the log told last.
+    used: Vec<u64>,
+    told: Vec<Units>,
+    /// Uses before which the process stood still after it had looked at its lease.
+    late: u64,
+    /// Permits of runs that were given up, till when they may go on.
+    lingering: BinaryHeap<Reverse<(Tenths, u16)>>,
+}
+
+impl FleetBudgets {
+    /// None where the installation has no budgets.
+    pub fn open(
+        file: &FleetFile,
+        installation: &Installation,
+        orders: &Orders,
+        me: NodeId,
+    ) -> Option<FleetBudgets> {
+        if installation.budgets.is_empty() {
+            return None;
+        }
+        let list = installation.budget_list(orders);
+        let weight = file.weight.unwrap_or(orders.handed.contract.cores).max(1);
+        let budgets = Budgets::new(me, weight, file.budget_parameters(), &list, fastrand::u64(..), 0);
+        let (falls, used, told) = (installation.falls(orders), vec![0; list.len()], vec![0; list.len()]);
+        Some(FleetBudgets {
+            budgets,
+            falls,
+            actions: Vec::new(),
+            used,
+            told,
+            late: 0,
+            lingering: BinaryHeap::new(),
+        })
+    }
+
+    pub fn handle(&mut self, now: Tenths, event: Event) {
+        self.budgets.handle(now, event, &mut self.actions);
+    }
+
+    /// Other budgets under way.
+    pub fn change(&mut self, now: Tenths, installation: &Installation, orders: &Orders) {
+        let list = installation.budget_list(orders);
+        let names: Vec<_> = self.budgets.list().map(|budget| budget.name.clone()).collect();
+        let used = |name: &std::sync::Arc<str>| names.iter().position(|known| known == name);
+        self.used =
+            list.iter().map(|budget| used(&budget.name).map_or(0, |index| self.used[index])).collect();
+        self.falls = installation.falls(orders);
+        self.handle(now, Event::Changed { list });
+    }
+
+    /// Why budgets of this file can't be taken up under way, if they can't: what exchanges in hand hold is
+    /// known by its index, and votes under two lists of voters, or of two lengths, would not meet.
+    pub fn needs_a_start(
+        &self,
+        file: &FleetFile,
+        installation: &Installation,
+        orders: &Orders,
+    ) -> Option<&str> {
+        let (old, new) = (self.budgets.parameters(), file.budget_parameters());
+        let times = |parameters: &Parameters| {
+            (parameters.round, parameters.vote_duration, parameters.lease, parameters.drift)
+        };
+        let list = installation.budget_list(orders);
+        if old.voters != new.voters {
+            Some("the voters changed")
+        } else if times(old) != times(&new) {
+            Some("fleet.leases changed")
+        } else if !self.budgets.list().map(Budget::id).eq(list.iter().map(Budget::id)) {
+            Some("some come, go, change places, or are of another kind")
+        } else {
+            None
+        }
+    }
+
+    /// Takes one of each budget under which the exchange falls, or none. `now` looks at the clock.
+    pub fn admit(&mut self, asked: Asked, now: impl Fn() -> Tenths) -> Result<Permit, Tenths> {
+        let falls = &self.falls;
+        let under = |list: &[Option<u16>], index: usize| list.get(index).copied().flatten();
+        let indices = [
+            under(&falls.groups, usize::from(asked.group)),
+            under(&falls.customers, usize::from(asked.customer)),
+            under(&falls.pools, usize::from(asked.pool)),
+        ];
+        if indices == [None; 3] {
+            return Ok(Permit::default());
+        }
+        let looked = now();
+        for (nth, index) in indices.iter().enumerate() {
+            let Some(index) = index.map(usize::from) else { continue };
+            if let Err(wait) = self.budgets.acquire(index, looked) {
+                let taken = indices[..nth].iter().flatten();
+                taken.for_each(|index| self.release_one(usize::from(*index), false));
+                return Err(wait);
+            }
+            self.used[index] += 1;
+        }
+        self.late += u64::from(now() > looked + LATE);
+        Ok(Permit(indices))
+    }
+
+    /// The budget of retries to the pool at this index.
+    pub fn retries(&self, pool: u16) -> Option<u16> {
+        self.falls.retries.get(usize::from(pool)).copied().flatten()
+    }
+
+    /// Whether one more retry may be made.
+    pub fn retry(&mut self, index: u16, now: Tenths) -> bool {
+        let taken = self.budgets.acquire(usize::from(index), now).is_ok();
+        self.used[usize::from(index)] += u64::from(taken);
+        taken
+    }
+
+    fn release_one(&mut self, index: usize, ran: bool) {
+        if ran {
+            self.budgets.release(index);
+        } else {
+            self.budgets.cancel(index);
+            self.used[index] = self.used[index].saturating_sub(1);
+        }
+    }
+
+    pub fn release(&mut self, permit: Permit, came: Use, now: Tenths) {
+        for index in permit.0.into_iter().flatten() {
+            let held = self.budgets.list().nth(usize::from(index)).map_or(0, Budget::max_hold);
+            if came == Use::MayGoOn && held > 0 {
+                self.lingering.push(Reverse((now + held, index)));
+            } else {
+                self.release_one(usize::from(index), came != Use::None);
+            }
+        }
+    }
+
+    /// Permits of runs that are over by now, whoever ran them.
+    pub fn free(&mut self, now: Tenths) {
+        while let Some(Reverse((_, index))) =
+            self.lingering.peek().copied().filter(|Reverse((till, _))| *till <= now)
+        {
+            self.lingering.pop();
+            self.release_one(usize::from(index), true);
+        }
+    }
+
+    pub fn page(&mut self, nonce: u64, from: u16, now: Tenths) -> BudgetPage {
+        let count = self.used.len();
+        let indices = usize::from(from).min(count)..(usize::from(from) + BUDGET_PAGE).min(count);
+        let more = indices.end < count;
+        let kinds: Vec<_> =
+            self.budgets.list().map(|budget| (budget.name.clone(), budget.kind, budget.limit)).collect();
+        let budgets = indices.map(|index| {
+            let (status, (name, kind, limit)) = (self.budgets.status(index, now), &kinds[index]);
+            BudgetStatus {
+                name: name.to_string(),
+                rate: matches!(kind, Kind::Rate { .. }),
+                limit: *limit,
+                allocation: status.allocation,
+                used: self.used[index],
+                rejected: status.rejected,
+                need: status.need,
+                in_use: status.in_use,
+                until_ms: status.lasts.map(|lasts| lasts / MS),
+                granted: status.granted,
+            }
+        });
+        let budgets = budgets.collect();
+        BudgetPage { nonce, leader: self.budgets.leader().map(|who| who.name.clone()), budgets, more }
+    }
+
+    /// An allocation is told where it has changed by over an eighth: it follows the load, and the log is
+    /// bounded.
+    pub fn log(&mut self, log: &Logger, change: &Change) {
+        if let Change::Allocation { index, allocation, .. } = change {
+            let told = &mut self.told[*index];
+            if allocation.abs_diff(*told) <= (*told).max(*allocation) / 8 {
+                return;
+            }
+            *told = *allocation;
+        }
+        let word = change.word();
+        let name = |index: usize| self.budgets.list().nth(index).map_or("", |budget| &budget.name);
+        match change {
+            Change::Elected { grants_after } => {
+                info!(log, "budget"; "what" => word, "grants_after_ms" => grants_after / MS);
+            }
+            Change::SteppedDown => info!(log, "budget"; "what" => word),
+            Change::Leader(who) => info!(log, "budget"; "what" => word, "of" => &*who.name),
+            Change::LeaderSilent(who) => warn!(log, "budget"; "what" => word, "of" => &*who.name),
+            Change::Allocation { index, was, allocation, lasts } => {
+                info!(log, "budget"; "what" => word, "budget" => name(*index), "was" => was,
+                    "allocation" => allocation, "lasts_ms" => lasts / MS);
+            }
+            Change::RanOut { index, allocation } => {
+                warn!(log, "budget"; "what" => word, "budget" => name(*index), "was" => allocation);
+            }
+        }
+    }
+
+    pub fn summary(&self, log: &Logger) {
+        let leader = self.budgets.leader().map_or("", |who| &who.name);
+        info!(log, "so far of budgets"; "leader" => leader, "passed" => self.used.iter().sum::<u64>(),
+            "late_looks" => self.late);
+    }
+}
--- a/node/src/peers/spoken.rs
+++ b/node/src/peers/spoken.rs
@@ -1,7 +1,7 @@
 //! What is spoken between nodes, and with those that ask a node how things are.
 
 use doortrack_budgets::{Envelope, Units};
-use doortrack_fleet::{Datagram, Life, Name, Report};
+use doortrack_fleet::{Datagram, Incarnation, MemberReport, Name};
 use serde::{Deserialize, Serialize};
 
 /// One datagram, unsealed.
@@ -33,41 +33,41 @@
     pub nonce: u64,
     pub fleet: String,
     pub name: Name,
-    pub life: Life,
+    pub incarnation: Incarnation,
     pub view: u64,
     pub digest: u64,
     pub in_view: u32,
-    pub cut_off: bool,
-    pub displaced: bool,
-    pub members: Vec<Report>,
+    pub isolated: bool,
+    pub superseded: bool,
+    pub members: Vec<MemberReport>,
     pub more: bool,
 }
 
 /// Budgets that one answer tells of.
 pub const BUDGET_PAGE: usize = 6;
 
-/// How a node's budgets stand, from a place on.
+/// How a node's budgets stand, from an index on.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct BudgetPage {
     pub nonce: u64,
-    pub keeper: Option<Name>,
+    pub leader: Option<Name>,
     pub budgets: Vec<BudgetStatus>,
     pub more: bool,
 }
 
-/// One budget; shares and needs are places, or thousandths of an exchange a second.
+/// One budget; allocations and needs are units held at once, or thousandths of an exchange a second.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct BudgetStatus {
     pub name: String,
     pub rate: bool,
-    pub whole: u32,
-    pub share: Units,
+    pub limit: u32,
+    pub allocation: Units,
     pub used: u64,
     pub rejected: u64,
     pub need: Units,
     pub in_use: Units,
-    /// For how long what is beyond the floor lasts.
+    /// For how long what is beyond the reserved minimum lasts.
     pub until_ms: Option<u64>,
-    /// What this node has lent, as the keeper.
-    pub lent: Option<Units>,
+    /// What this node has granted, as the leader.
+    pub granted: Option<Units>,
 }
--- a/rig/src/scale/simulated/machine.rs
+++ b/rig/src/scale/simulated/machine.rs
@@ -3,9 +3,9 @@
 use std::net::SocketAddr;
 
 use doortrack::Tenths;
-use doortrack_budgets::{Budget, Budgets, Envelope, Who};
+use doortrack_budgets::{Budget, Budgets, Envelope, NodeId};
 use doortrack_emulator::MachineId;
-use doortrack_fleet::{Claim, Datagram, Fleet, Life, Stand, Terms};
+use doortrack_fleet::{Datagram, Fleet, Incarnation, MemberState, MemberUpdate, Parameters};
 use postcard::experimental::serialized_size;
 
 use crate::history::name;
@@ -60,25 +60,25 @@
     /// What its clock shows.
     pub now: Tenths,
     pub seed: u64,
-    pub membership: Terms,
-    pub leases: doortrack_budgets::Terms,
+    pub membership: Parameters,
+    pub leases: doortrack_budgets::Parameters,
     pub list: &'a [Budget],
 }
 
 impl Machine {
     pub fn new(start: Start) -> Machine {
-        let me = Claim {
+        let me = MemberUpdate {
             name: name(start.machine).into(),
-            life: Life::started(start.unix_ms, start.machine as u64),
-            turn: 0,
-            stand: Stand::Alive,
+            incarnation: Incarnation::started(start.unix_ms, start.machine as u64),
+            version: 0,
+            state: MemberState::Alive,
             address: address(start.machine),
             weight: WEIGHT,
         };
-        let who = Who { name: me.name.clone(), life: me.life };
+        let id = NodeId { name: me.name.clone(), incarnation: me.incarnation };
         Machine {
             fleet: Fleet::new(me, start.membership, start.seed, start.now),
-            budgets: Budgets::new(who, WEIGHT, start.leases, start.list, start.seed, start.now),
+            budgets: Budgets::new(id, WEIGHT, start.leases, start.list, start.seed, start.now),
             due: Tenths::MAX,
             leaves: false,
         }
@@ -90,14 +90,14 @@
     }
 
     /// Whether this one is in its view.
-    pub fn knows(&self, who: &Who) -> bool {
-        self.fleet.view().members.get(&who.name).is_some_and(|seat| seat.life == who.life)
+    pub fn knows(&self, id: &NodeId) -> bool {
+        self.fleet.view().members.get(&id.name).is_some_and(|member| member.incarnation == id.incarnation)
     }
 
-    /// Where a member of the view is reached; nothing for another life of it.
-    pub fn reaches(&self, who: &Who) -> Option<SocketAddr> {
-        let seat = self.fleet.view().members.get(&who.name)?;
-        (seat.life == who.life).then_some(seat.address)
+    /// Where a member of the view is reached; nothing for another incarnation of it.
+    pub fn reaches(&self, id: &NodeId) -> Option<SocketAddr> {
+        let member = self.fleet.view().members.get(&id.name)?;
+        (member.incarnation == id.incarnation).then_some(member.address)
     }
 }
 
--- a/rig/src/scale/simulated/scenario.rs
+++ b/rig/src/scale/simulated/scenario.rs
@@ -1,7 +1,7 @@
 //! What fails in a fleet of this size, and when.
 
 use doortrack_budgets::{Budget, Safeguards};
-use doortrack_fleet::Terms;
+use doortrack_fleet::Parameters;
 
 use super::machine::address;
 use super::topology::{Topology, ZONES};
@@ -76,7 +76,7 @@
     pub first: f64,
     /// Of each other budget.
     pub others: f64,
-    /// How long a place is held.
+    /// How long a unit of a concurrency is held.
     pub held_ms: u64,
 }
 
@@ -90,7 +90,7 @@
     pub parting: Option<Parting>,
     /// Share of all datagrams that is lost.
     pub loss: f64,
-    pub membership: Terms,
+    pub membership: Parameters,
     pub safeguards: Safeguards,
     pub list: Vec<Budget>,
     pub demand: Demand,
@@ -109,7 +109,7 @@
 
 /// Units a second for each node of the first budget, and what is asked for: twice as much.
 const PER_NODE: u32 = 30;
-const PLACES_PER_NODE: u32 = 3;
+const HELD_PER_NODE: u32 = 3;
 const HELD_MOST_MS: u64 = 2_000;
 
 impl Scenario {
@@ -123,11 +123,11 @@
             steps: Vec::new(),
             parting: None,
             loss: 0.0,
-            membership: Terms { seeds, ..Terms::default() },
+            membership: Parameters { seeds, ..Parameters::default() },
             safeguards: Safeguards::default(),
             list: vec![
                 topology.rate("requests", PER_NODE),
-                topology.places("slots", PLACES_PER_NODE, HELD_MOST_MS),
+                topology.concurrency("slots", HELD_PER_NODE, HELD_MOST_MS),
             ],
             demand: Demand { first: 2.0 * f64::from(PER_NODE), others: 4.0, held_ms: 500 },
         }
--- a/rig/src/scale/simulated/topology.rs
+++ b/rig/src/scale/simulated/topology.rs
@@ -99,21 +99,21 @@
 
     /// A rate budget of so many units a second for each node.
     pub fn rate(self, name: &str, per_node: u32) -> Budget {
-        let whole = per_node * self.nodes as u32;
+        let limit = per_node * self.nodes as u32;
         // A step of the share is then a quarter of a node's part.
         let kind = Kind::Rate { burst: 4 * self.nodes as u32 };
-        // A minimum below a step (whole / burst) has no whole unit of the burst, and can never be used.
-        self.budget(name, kind, whole, (per_node / 2).max(1))
+        // A minimum below a step (limit / burst) has no whole unit of the burst, and can never be used.
+        self.budget(name, kind, limit, (per_node / 2).max(1))
     }
 
-    /// A budget of places, so many for each node.
-    pub fn places(self, name: &str, per_node: u32, held_most_ms: u64) -> Budget {
-        let kind = Kind::Places { held_most: held_most_ms * 10 };
+    /// A concurrency budget, so many units for each node.
+    pub fn concurrency(self, name: &str, per_node: u32, max_hold_ms: u64) -> Budget {
+        let kind = Kind::Concurrency { max_hold: max_hold_ms * 10 };
         self.budget(name, kind, per_node * self.nodes as u32, 1)
     }
 
-    fn budget(self, name: &str, kind: Kind, whole: u32, floor: u32) -> Budget {
-        let floors_for = Topology::names(self.reserved()).into();
-        Budget { name: name.into(), kind, whole, floor, floors_for, most: whole }
+    fn budget(self, name: &str, kind: Kind, limit: u32, reserved: u32) -> Budget {
+        let reserved_for = Topology::names(self.reserved()).into();
+        Budget { name: name.into(), kind, limit, reserved, reserved_for, max_per_node: limit }
     }
 }
--- a/rig/src/scale/simulated/usage.rs
+++ b/rig/src/scale/simulated/usage.rs
@@ -49,25 +49,25 @@
             self.bins[bin][region] += 1;
         }
         let Kind::Rate { burst } = self.list[budget].kind else { return };
-        let whole = f64::from(self.list[budget].whole);
+        let limit = f64::from(self.list[budget].limit);
         let (level, at) = self.levels[budget];
-        let level = (level - whole * (now - at) as f64 / 1e6).max(0.0) + 1.0;
+        let level = (level - limit * (now - at) as f64 / 1e6).max(0.0) + 1.0;
         self.levels[budget] = (level, now);
         if level > f64::from(burst) + CUT {
-            self.breach(now, budget, format!("{level:.3} used beyond {whole} a second, burst {burst}"));
+            self.breach(now, budget, format!("{level:.3} used beyond {limit} a second, burst {burst}"));
         }
     }
 
     /// One place taken.
     pub fn held(&mut self, now: Micros, budget: usize, place: Place) {
         self.held[budget].push(Reverse(place));
-        let whole = self.list[budget].whole;
-        if self.held[budget].len() <= whole as usize {
+        let limit = self.list[budget].limit;
+        if self.held[budget].len() <= limit as usize {
             return;
         }
         let count = self.held[budget].iter().filter(|Reverse((till, ..))| *till > now).count();
-        if count > whole as usize {
-            self.breach(now, budget, format!("{count} places are held of {whole}"));
+        if count > limit as usize {
+            self.breach(now, budget, format!("{count} are held at once of {limit}"));
         }
     }
 
@@ -79,9 +79,9 @@
 
     /// What all live machines together may use at this instant.
     pub fn exposed(&mut self, now: Micros, budget: usize, sum: u64) {
-        if sum > self.list[budget].whole() {
-            let whole = self.list[budget].whole();
-            self.breach(now, budget, format!("{sum} may be used at once of {whole}"));
+        if sum > self.list[budget].limit() {
+            let limit = self.list[budget].limit();
+            self.breach(now, budget, format!("{sum} may be used at once of {limit}"));
         }
     }
 
@@ -110,7 +110,7 @@
     /// How long after `at` the last bin before `till` ended in which less than this share of the whole was
     /// used; 0 if there was none.
     pub fn back_after(&self, at: Micros, till: Micros, share: f64) -> Micros {
-        let least = share * f64::from(self.list[0].whole) * BIN as f64 / 1e6;
+        let least = share * f64::from(self.list[0].limit) * BIN as f64 / 1e6;
         let bins = at.div_ceil(BIN)..till / BIN;
         let short = |bin: &u64| {
             let used = self.bins.get(*bin as usize).map_or(0, |bin| bin.iter().sum());
--- a/rig/src/scale/simulated/verdict.rs
+++ b/rig/src/scale/simulated/verdict.rs
@@ -129,7 +129,7 @@
         started_agree_ms: played.agreement.first(0, |state| state.all_agree).map(|at| at / MS),
         peaks: played.peaks(scenario.topology, from, till),
         fleet_peak: played.traffic.fleet_peak(from, till),
-        used: used / f64::from(scenario.list[0].whole),
+        used: used / f64::from(scenario.list[0].limit),
     }
 }
 
@@ -164,15 +164,15 @@
     Apart {
         with_majority: played.usage.rate(from, till, 0),
         without_majority: played.usage.rate(from, till, 1),
-        reserved: reserved as f64 * f64::from(scenario.list[0].floor),
-        whole: f64::from(scenario.list[0].whole),
+        reserved: reserved as f64 * f64::from(scenario.list[0].reserved),
+        whole: f64::from(scenario.list[0].limit),
     }
 }
 
 fn breaches(scenario: &Scenario, played: &Played, outcome: &Outcome) -> Vec<String> {
     let mut rules = membership();
     if let Some(parting) = scenario.parting {
-        rules.push(Box::new(OwnSideLosesNobody { topology: scenario.topology, parting }));
+        rules.push(Box::new(OwnSideDeclaresNobodyDead { topology: scenario.topology, parting }));
     }
     let found = judge(&played.history, &rules);
     let mut breaches: Vec<String> = found
@@ -230,19 +230,19 @@
     breaches
 }
 
-/// While regions are parted, each side holds its own for there: their parting is no reason for a loss within
-/// one side.
-pub struct OwnSideLosesNobody {
+/// While regions are parted, each side holds its own members for present: their parting is no reason to
+/// declare a death within one side.
+pub struct OwnSideDeclaresNobodyDead {
     pub topology: Topology,
     pub parting: Parting,
 }
 
-/// Reasons for a loss lie within so many ms before it.
+/// Reasons to declare a death lie within so many ms before it.
 const REASONS_MS: u64 = 8_000;
 
-impl Invariant for OwnSideLosesNobody {
+impl Invariant for OwnSideDeclaresNobodyDead {
     fn name(&self) -> &'static str {
-        "own side, nobody wrongly lost"
+        "own side, nobody wrongly declared dead"
     }
 
     fn judge(&self, history: &History, course: &Course) -> Vec<(u64, String)> {
@@ -252,7 +252,7 @@
             let Some(of) = of.strip_prefix('n').and_then(|of| of.parse::<usize>().ok()) else { continue };
             let parted = (self.parting.from_ms..self.parting.till_ms + REASONS_MS).contains(&entry.at_ms);
             let one_side = self.topology.region(*node) == self.topology.region(of);
-            if word != "lost" || !parted || !one_side {
+            if word != "dead" || !parted || !one_side {
                 continue;
             }
             let since = entry.at_ms.saturating_sub(REASONS_MS);
@@ -260,7 +260,7 @@
                 || course.was_wrong(*node, since, entry.at_ms)
                 || course.was_rough(since, entry.at_ms);
             if !reason {
-                breaches.push((entry.at_ms, format!("{} held {} for lost", name(*node), name(of))));
+                breaches.push((entry.at_ms, format!("{} declared {} dead", name(*node), name(of))));
             }
         }
         breaches
--- a/rig/src/scale/simulated/world.rs
+++ b/rig/src/scale/simulated/world.rs
@@ -1,9 +1,9 @@
 //! The play itself: machines, their clocks and links, and what is done to them.
 
 use doortrack::Tenths;
-use doortrack_budgets::{Event as BudgetEvent, Terms as LeaseTerms};
+use doortrack_budgets::{Event as BudgetEvent, Parameters as LeaseParameters};
 use doortrack_emulator::{Clock, MachineId, Micros, Net, Next};
-use doortrack_fleet::{Event, Terms};
+use doortrack_fleet::{Event, Parameters};
 
 use super::agreement::{Agreement, Held};
 use super::machine::{Content, Machine, Parcel, Start};
@@ -32,7 +32,7 @@
 const EXPOSED_SELDOM: u64 = 400;
 const MANY_BUDGETS: usize = 10;
 const LEADER_EVERY: u64 = 200;
-/// News before this is not kept: every machine tells of every other as all start.
+/// Changes before this is not kept: every machine tells of every other as all start.
 const QUIET: Micros = 20_000 * MS;
 /// Machines that are asked for their views at the end, spread over all.
 const MOST_ASKED: usize = 60;
@@ -170,17 +170,17 @@
             unix_ms: shown / MS,
             now: shown / TENTH,
             seed: self.seed ^ self.now() ^ (machine as u64) << 32,
-            membership: Terms::clone(&self.scenario.membership),
-            leases: self.lease_terms(),
+            membership: Parameters::clone(&self.scenario.membership),
+            leases: self.lease_parameters(),
             list: &self.scenario.list,
         });
         self.machines[machine] = Some(Box::new(started));
         self.with(machine, |world, own| world.tell_members(machine, own));
     }
 
-    fn lease_terms(&self) -> LeaseTerms {
+    fn lease_parameters(&self) -> LeaseParameters {
         let voters = Topology::names(self.scenario.topology.voters()).into();
-        LeaseTerms { voters, safeguards: self.scenario.safeguards, ..LeaseTerms::default() }
+        LeaseParameters { voters, safeguards: self.scenario.safeguards, ..LeaseParameters::default() }
     }
 
     /// Lends one machine out, then takes note of its view and of when it has to be woken.
@@ -207,10 +207,10 @@
             own.due = Tenths::MAX;
             let now = world.shown(machine);
             if now >= own.fleet.next_due() {
-                world.membership(machine, own, Event::Turn);
+                world.membership(machine, own, Event::Tick);
             }
             if now >= own.budgets.next_due() {
-                world.budgets(machine, own, BudgetEvent::Turn);
+                world.budgets(machine, own, BudgetEvent::Tick);
             }
         });
     }
@@ -220,7 +220,7 @@
         self.played.traffic.received(now, machine, u64::from(parcel.bytes));
         self.with(machine, |world, own| match parcel.content {
             Content::Membership(datagram) => {
-                let from = datagram.head.of.address;
+                let from = datagram.head.sender.address;
                 world.membership(machine, own, Event::Received { from, datagram: *datagram });
             }
             // As the node does: a stranger could fill a leader's books.
@@ -266,7 +266,7 @@
     fn leader(&self) -> Option<MachineId> {
         self.scenario.topology.voters().find(|voter| {
             let now = self.shown(*voter);
-            self.machines[*voter].as_ref().is_some_and(|own| own.budgets.is_keeper(now))
+            self.machines[*voter].as_ref().is_some_and(|own| own.budgets.is_leader(now))
         })
     }
 
@@ -314,12 +314,12 @@
         let (reports, _) = own.fleet.report(None, usize::MAX, now);
         let members = reports.into_iter().map(|report| Member {
             name: report.name.to_string(),
-            life: report.life.to_string(),
+            incarnation: report.incarnation.to_string(),
             state: format!("{:?}", report.state).to_lowercase(),
         });
         let members = members.collect();
-        let (cut_off, digest) = (own.fleet.is_cut_off(), format!("{:016x}", own.fleet.view().digest));
+        let (isolated, digest) = (own.fleet.is_isolated(), format!("{:016x}", own.fleet.view().digest));
         let at_ms = self.now_ms();
-        self.played.history.put(at_ms, What::Status { node: machine, cut_off, digest, members });
+        self.played.history.put(at_ms, What::Status { node: machine, isolated, digest, members });
     }
 }
--- a/rig/src/scale/simulated/world/carrying.rs
+++ b/rig/src/scale/simulated/world/carrying.rs
@@ -2,7 +2,7 @@
 
 use doortrack_budgets::{Action as BudgetAction, Event as BudgetEvent};
 use doortrack_emulator::MachineId;
-use doortrack_fleet::{Action, Event, News};
+use doortrack_fleet::{Action, Change, Event};
 
 use super::{QUIET, World};
 use crate::history::What;
@@ -18,10 +18,10 @@
                 Action::Send { to, datagram } => {
                     self.send(machine, machine_at(to), Content::Membership(datagram));
                 }
-                Action::Report(news) => {
-                    self.note(machine, &news, own);
-                    match news {
-                        News::Displaced { .. } => self.budgets(machine, own, BudgetEvent::Displaced),
+                Action::Report(change) => {
+                    self.note(machine, &change, own);
+                    match change {
+                        Change::Superseded { .. } => self.budgets(machine, own, BudgetEvent::Superseded),
                         _ => self.tell_members(machine, own),
                     }
                 }
@@ -60,22 +60,22 @@
     }
 
     /// Keeps what the checkers read. Doubts are only counted: one is told by every machine.
-    fn note(&mut self, machine: MachineId, news: &News, own: &Machine) {
+    fn note(&mut self, machine: MachineId, change: &Change, own: &Machine) {
         if self.net.now() < QUIET {
             return;
         }
-        if matches!(news, News::Suspected { .. }) {
+        if matches!(change, Change::Suspected { .. }) {
             self.played.doubts += 1;
         }
-        if matches!(news, News::Suspected { .. } | News::Cleared { .. } | News::Slow { .. }) {
+        if matches!(change, Change::Suspected { .. } | Change::Cleared { .. } | Change::Slow { .. }) {
             return;
         }
-        let (about, view) = (news.about(), own.fleet.view());
+        let (about, view) = (change.about(), own.fleet.view());
         let what = What::News {
             node: machine,
-            word: news.word().to_string(),
+            word: change.word().to_string(),
             of: about.map(|(name, _)| name.to_string()),
-            life: about.map(|(_, life)| life.to_string()),
+            incarnation: about.map(|(_, incarnation)| incarnation.to_string()),
             view: view.number,
             members: view.members.len(),
         };
--- a/rig/src/scale/simulated/world/demand.rs
+++ b/rig/src/scale/simulated/world/demand.rs
@@ -40,12 +40,12 @@
             *owed += a_second * (GROUPS * TICK) as f64 / 1e6;
             while *owed >= 1.0 {
                 *owed -= 1.0;
-                if own.budgets.take(budget, shown).is_err() {
+                if own.budgets.acquire(budget, shown).is_err() {
                     continue;
                 }
                 match self.scenario.list[budget].kind {
                     Kind::Rate { .. } => self.played.usage.used(now, budget, region),
-                    Kind::Places { .. } => {
+                    Kind::Concurrency { .. } => {
                         let till = now + demand.held_ms * MS;
                         self.played.usage.held(now, budget, (till, node, self.starts[node]));
                     }
@@ -59,7 +59,7 @@
         for budget in 0..self.scenario.list.len() {
             while let Some((_, node, start)) = self.played.usage.over(now, budget) {
                 if let Some(own) = self.machines[node].as_mut().filter(|_| self.starts[node] == start) {
-                    own.budgets.done(budget);
+                    own.budgets.release(budget);
                 }
             }
         }
--- a/rig/tests/scale.rs
+++ b/rig/tests/scale.rs
@@ -2,7 +2,7 @@
 //! of the full size. Each checker is shown to fail with a safeguard taken out.
 
 use doortrack_budgets::Safeguards;
-use doortrack_fleet::Terms;
+use doortrack_fleet::Parameters;
 use doortrack_rig::scale::simulated::agreement::{Agreement, Held};
 use doortrack_rig::scale::simulated::scenario::Scenario;
 use doortrack_rig::scale::simulated::slopes;
@@ -97,8 +97,14 @@
 fn where_doubts_have_no_time_somebody_is_wrongly_lost() {
     let day = Scenario::day(SMALL, 0, SLOT_MS, 1).with_loss(0.05);
     let seeds = day.membership.seeds.clone();
-    let hasty = Terms { seeds, helpers: 0, doubt_least: 50, doubt_most: 100, ..Terms::default() };
-    breaks(&Scenario { membership: hasty, ..day }, 1, "nobody wrongly lost");
+    let hasty = Parameters {
+        seeds,
+        indirect_probers: 0,
+        suspicion_min: 50,
+        suspicion_max: 100,
+        ..Parameters::default()
+    };
+    breaks(&Scenario { membership: hasty, ..day }, 1, "nobody wrongly declared dead");
 }
 
 fn measured(agree_ms: Option<u64>, budget_ms: u64, bytes_out: u64) -> Measured {
