--- a/fleet/src/gossip.rs
+++ b/fleet/src/gossip.rs
@@ -2,6 +2,7 @@
 
 use std::collections::VecDeque;
 
+use crate::MAX_UPDATES;
 use crate::table::MemberIndex;
 
 /// Members whose latest update is still to be sent, by how often it was sent. A member has at most one entry
@@ -15,6 +16,10 @@
 /// Entries that wait at once: several times the members of a table, as outdated ones are dropped only when
 /// they come up.
 const MAX_QUEUED: usize = 20_000;
+/// Updates of one datagram while no more than [`BACKLOG`] wait. A few at a time reach a member by more
+/// datagrams, so that less hangs on each that is lost; but hundreds would take seconds to go round.
+const FEW_UPDATES: usize = 10;
+const BACKLOG: usize = 100;
 /// Upper bound of [`transmissions`], however large the fleet.
 const MAX_TRANSMISSIONS: usize = 20;
 
@@ -45,25 +50,26 @@
         self.queued == 0
     }
 
-    /// Chooses up to `room` updates for one datagram and adds their members to `into`. `members` is the size
-    /// of the fleet; `current` tells whether an entry has its member's latest revision.
+    /// Chooses updates for one datagram until they fill `room` bytes, few of them unless many wait, and adds
+    /// their members to `into`. `already` are in the datagram by another way; `members` is the size of the
+    /// fleet; `bytes` tells how long an entry's update is, and nothing if the entry is outdated.
     pub fn next_updates(
         &mut self,
-        room: usize,
+        (mut room, already): (usize, usize),
         members: usize,
-        current: impl Fn(MemberIndex, u32) -> bool,
+        bytes: impl Fn(MemberIndex, u32) -> Option<usize>,
         into: &mut Vec<MemberIndex>,
     ) {
         let max = transmissions(members);
+        let max_updates = if self.queued > BACKLOG { MAX_UPDATES } else { FEW_UPDATES };
         let mut taken: Vec<(usize, (MemberIndex, u32))> = Vec::new();
         'full: for (sent, queue) in self.by_transmissions.iter_mut().enumerate() {
             while let Some(entry) = queue.pop_front() {
                 self.queued -= 1;
-                if !current(entry.0, entry.1) {
-                    continue;
-                }
+                let Some(bytes) = bytes(entry.0, entry.1) else { continue };
                 taken.push((sent + 1, entry));
-                if taken.len() >= room {
+                room = room.saturating_sub(bytes);
+                if room == 0 || taken.len() + already >= max_updates {
                     break 'full;
                 }
             }
--- a/fleet/src/joining.rs
+++ b/fleet/src/joining.rs
@@ -3,13 +3,9 @@
 use doortrack::Tenths;
 
 use crate::fleet::{Fleet, RETRANSMISSIONS, Stage, Timer};
+use crate::receiving::MAX_UPDATES_READ;
 use crate::table::MemberIndex;
-use crate::{Action, Change, Incarnation, MemberState, MemberUpdate, Message};
-
-/// Bytes of updates on a page past which none is added; an update takes its name and at most
-/// [`UPDATE_OVERHEAD`] beside.
-const PAGE: usize = 1_000;
-const UPDATE_OVERHEAD: usize = 46;
+use crate::{Action, Change, Incarnation, MemberState, MemberUpdate, Message, UPDATE_BYTES};
 
 /// Rounds of join requests that all go to seeds; of later rounds only every so many.
 const EARLY_JOIN_REQUESTS: u32 = 5;
@@ -55,11 +51,11 @@
     ) {
         let (mut updates, mut bytes, mut next) = (Vec::new(), 0, None);
         for record in self.table.after(after) {
-            if bytes > PAGE {
+            if bytes > UPDATE_BYTES || updates.len() >= MAX_UPDATES_READ {
                 next = updates.last().map(|update: &MemberUpdate| update.name.clone());
                 break;
             }
-            bytes += record.update.name.len() + UPDATE_OVERHEAD;
+            bytes += record.update.max_bytes();
             updates.push(record.update.clone());
         }
         self.send_to(to.address, to.incarnation, Message::Page { next }, updates, out);
--- a/fleet/src/message.rs
+++ b/fleet/src/message.rs
@@ -5,8 +5,11 @@
 
 use crate::{Incarnation, MemberUpdate, Name};
 
-/// Updates that one datagram carries at most: with the longest names and addresses 10 are 1,090 bytes.
-pub const MAX_UPDATES: usize = 10;
+/// Updates that one datagram carries at most; builds of this version read 64.
+pub const MAX_UPDATES: usize = 40;
+/// Bytes of updates past which a datagram takes no more: with the longest update (110) that comes last, and
+/// all else that lies round them (at most 300), it is below 1,472.
+pub const UPDATE_BYTES: usize = 1_000;
 
 /// The sender of a datagram, and the incarnation that it is meant for.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
--- a/fleet/src/receiving.rs
+++ b/fleet/src/receiving.rs
@@ -12,7 +12,7 @@
 /// The mark of a suspicion that rests on other nodes' having declared the member dead.
 const OTHERS: u32 = 0;
 /// Updates in a datagram above which it is refused.
-const MAX_UPDATES_READ: usize = 64;
+pub(crate) const MAX_UPDATES_READ: usize = 64;
 
 impl Fleet {
     pub(crate) fn on_datagram(
@@ -144,6 +144,7 @@
 
     /// Other nodes declared a member dead that is present here, as two halves of a split fleet do once they
     /// find together. The member is told and suspected for the shortest time, in which it can refute it.
+    /// Where it was suspected for longer already, there is time for the final probes.
     fn reported_dead(
         &mut self,
         now: Tenths,
@@ -161,7 +162,7 @@
         let Some(suspicion) = self.table.get_mut(index).and_then(|record| record.suspicion.as_mut()) else {
             return;
         };
-        if suspicion.confirm_fully() {
+        if suspicion.confirm_fully(now + self.parameters.final_probes()) {
             self.arm_suspicion(now, index);
         }
     }
--- a/node/tests/fleet/link.rs
+++ b/node/tests/fleet/link.rs
@@ -115,7 +115,9 @@
         digest: u64::MAX,
         view: u64::MAX,
     };
-    let updates: Vec<MemberUpdate> = (0..doortrack_fleet::MAX_UPDATES).map(update).collect();
+    // A datagram takes updates until these bytes are full; the longest takes 110.
+    let count = doortrack_fleet::UPDATE_BYTES.div_ceil(110);
+    let updates: Vec<MemberUpdate> = (0..count).map(update).collect();
     let message =
         Message::PingRequest { nonce: u32::MAX, name: update(1).name, incarnation: Incarnation(u64::MAX) };
     let datagram = Datagram { head, message, updates };
@@ -132,13 +134,21 @@
         let from = update(nth).address;
         fleet.handle(0, Event::Received { from, datagram }, &mut out);
     }
-    let pages = out.into_iter().filter_map(|action| match action {
-        Action::Send { datagram, .. } if matches!(datagram.message, Message::Page { .. }) => Some(*datagram),
-        _ => None,
+    // And whatever else it sends while it passes on the updates of so many.
+    while fleet.next_due() < 10_000 {
+        fleet.handle(fleet.next_due(), Event::Tick, &mut out);
+    }
+    let sent = out.into_iter().filter_map(|action| match action {
+        Action::Send { datagram, .. } => Some(*datagram),
+        Action::Report(_) => None,
     });
-    let pages: Vec<Datagram> = pages.collect();
-    assert!(pages.iter().any(|page| page.updates.len() >= 8));
-    assert!(pages.into_iter().all(|page| seal.close(&Spoken::Fleet(page)).is_some()));
+    let sent: Vec<Datagram> = sent.collect();
+    let full = |of: fn(&Message) -> bool| {
+        sent.iter().filter(|datagram| of(&datagram.message)).any(|datagram| datagram.updates.len() >= 8)
+    };
+    assert!(full(|message| matches!(message, Message::Page { .. })));
+    assert!(full(|message| matches!(message, Message::Updates)));
+    assert!(sent.into_iter().all(|datagram| seal.close(&Spoken::Fleet(datagram)).is_some()));
     let (members, more) = fleet.report(None, PAGE, 0);
     let status = Status {
         nonce: u64::MAX,
