Tests of requests in pieces: every cut, woven records, every uwsgi form, at reload and drain

The splitters by themselves were tried at any cut (`parts.rs`), the node on sockets at single places only.

Change: over loopback against the real process, FastCGI cut at every byte; three requests woven record by record beside a fourth that is aborted half-way, in pieces of 1 to 40 bytes; nine forms of uwsgi request, the plain one cut at every byte; a ping; requests whose rest comes after a reload (bad files and good ones) and after the notice to leave, and halves whose rest never comes.

Halves are told what docs/node.md says; with fewer than 16 bytes (FastCGI) or 4 (uwsgi) there is no request yet and the connection ends in order.

--- a/node/tests/node/main.rs
+++ b/node/tests/node/main.rs
@@ -5,6 +5,7 @@
 mod fronts;
 mod instants;
 mod parts;
+mod pieces;
 mod play;
 mod rules;
 mod sockets;
