A withdrawn front that goes during the last look at a full table ends the node no more

Cause: `Fronts::last_reading` lists all fronts and has `shut` look at each. With the table full, `shut` makes room for who may wait in the backlog; what lingers on a front that was withdrawn before goes first, and with its last connection `forget_if_over` takes the front out of the table. `shut` then looked at that front (`self.fronts[front]`): a panic, exit 101, and all that was open on the node without an answer. It takes a reload that withdraws a front, a drain, and a peer that does not close within 2 s of the end it was told. Ruled out: a stale listener's event (fronts are forgotten with no listener in the poller), a connection without its front (a front is forgotten with no connection left).

Change: one that takes in nobody any more is not asked for its backlog, one that is forgotten is passed over, and a front that was withdrawn stays so at the last look.

Tests: reload and notice together, in both orders and with nothing between: bad files, a front withdrawn with requests open, engine and registry that move, an engine that moves out of reach; and the full table. Before the change the last one ended with `left: Some(101), right: Some(0)`, the others passed.

--- a/node/src/wire/fronts/coming.rs
+++ b/node/src/wire/fronts/coming.rs
@@ -66,12 +66,16 @@
     /// Takes in the backlog of a front, reads each of its connections once more, and ends those with nothing
     /// open from then on.
     fn shut(&mut self, front: usize, end: End, now: Tenths, front_events: &mut Vec<FrontEvent>) {
-        // There is no later turn for what waits in the backlog, so nobody is spared for being fresh.
-        while self.accept_sparing(0, front, now, front_events) {}
-        if let Some(listener) = self.fronts[front].listener.take() {
+        // One that was withdrawn before takes in nobody. It may go with its last connection meanwhile.
+        if self.fronts.get(front).is_some_and(|front| front.listener.is_some()) {
+            // There is no later turn for what waits in the backlog, so nobody is spared for being fresh.
+            while self.accept_sparing(0, front, now, front_events) {}
+        }
+        let Some(shut) = self.fronts.get_mut(front) else { return };
+        if let Some(listener) = shut.listener.take() {
             _ = self.poller.delete(&listener);
         }
-        self.fronts[front].withdrawn = end == End::Withdrawn;
+        shut.withdrawn |= end == End::Withdrawn;
         let slots = self.conns.iter().filter(|(_, conn)| conn.front == front);
         let slots: Vec<usize> = slots.map(|(slot, _)| slot).collect();
         for slot in slots {
