A notice to leave beside late answers of servers keeps its time to the stop

Cause: `Servers::next_due` is 0 while there are ends to tell, which `Work::tend` brings when an answer gets late (`answer_within_ms`). `Node::next_due` passed that on as the time at which the turn was due, and `gather` counts a notice from the due time of the turn that reads it (`self.leave(self.now.min(due))`). So a notice read in such a turn was as old as 1970: the stop had passed, all in hand was failed, and the process was gone at once without a report that it drains, `stop_ms` too early. The same 0 made `gather` read twice each time, taking the turn for late.

Change: a turn is due no sooner than it begins.

Test: a run gets late while the process stands still, and the notice comes while it is busy with 3,200 requests that came meanwhile, of 100 callers.

--- a/node/src/serve.rs
+++ b/node/src/serve.rs
@@ -184,6 +184,7 @@
         }
     }
 
+    /// When the next turn is due at the latest; never before this one, as what is overdue is due now.
     fn next_due(&self) -> Tenths {
         let alarm = self.alarms.peek().map_or(Tenths::MAX, |Reverse((at, _))| *at);
         let alarm = self.reading.map_or(alarm, |(_, till)| till);
@@ -193,7 +194,7 @@
         let sweep = if self.fronts.to_sweep() { self.sweep_at } else { Tenths::MAX };
         let parts = self.parts.iter().map(|part| self.now.saturating_add(part.wait())).min();
         let own = alarm.min(work).min(stop).min(sweep).min(self.registry.next).min(self.summary_at);
-        own.min(parts.unwrap_or(Tenths::MAX))
+        own.min(parts.unwrap_or(Tenths::MAX)).max(self.now)
     }
 
     // --- Deciding and carrying out ---
--- a/node/tests/node/main.rs
+++ b/node/tests/node/main.rs
@@ -4,6 +4,7 @@
 mod ends;
 mod fronts;
 mod instants;
+mod late_answers;
 mod notices;
 mod parts;
 mod pieces;
