Reload and notice learnt of in one turn: the nearer stop holds, whichever was sent first

Cause: `gather` takes a notice where it stands among what is ready, and a reload after all else, since what is ready was read off links that the reload may leave. A reload sent before the notice and learnt of in the same turn came after it, and a reload moves no stop that was named (`leave`). With `stop_ms` shortened from 600 s to 1.2 s and both signals sent with nothing between, the node kept to the 600 s; whoever reckons with the file ends it long before, with all that is open. The system does not tell the order of two signals.

Change: where both are learnt of in one turn the nearer of both stops holds. A reload in a later turn moves nothing, as before.

Tests: both orders, with the process standing still (both in one turn) and running.

--- a/node/src/serve.rs
+++ b/node/src/serve.rs
@@ -148,6 +148,7 @@
             _ => self.now = self.clock.now(),
         }
         let mut reload = false;
+        let leaves_already = self.stop_at.is_some();
         for event in events.iter() {
             match event.key {
                 // Woken late, it stood still, and the notice may be as old as that.
@@ -166,6 +167,9 @@
         }
         if reload {
             self.reload(front_events, work_events);
+            if !leaves_already {
+                self.keep_to_the_nearer_stop();
+            }
         }
         Ok(())
     }
--- a/node/src/serve/leave.rs
+++ b/node/src/serve/leave.rs
@@ -27,6 +27,18 @@
         }
     }
 
+    /// Notice and reload were learnt of in one turn, and which of them was sent first can't be told. Whoever
+    /// sent them counts on the stop of before or on that of the new configuration; the nearer one keeps both.
+    pub(super) fn keep_to_the_nearer_stop(&mut self) {
+        let nearer = self.noticed + self.orders.stop_after;
+        if self.stop_at.is_some_and(|stop| nearer < stop) {
+            self.stop_at = Some(nearer);
+            if self.door.is_some() {
+                self.pass_on_notice();
+            }
+        }
+    }
+
     /// Hands the notice over, if there was one. The grace counts from when it came, though the engine, and
     /// with it the decisions, may be up only later.
     pub(super) fn pass_on_notice(&mut self) {
--- a/node/tests/node/main.rs
+++ b/node/tests/node/main.rs
@@ -5,6 +5,7 @@
 mod fronts;
 mod instants;
 mod late_answers;
+mod near_stops;
 mod notices;
 mod parts;
 mod pieces;
