SIGHUP and SIGTERM are heeded from the first moment of a start

Cause: `Signals::open` was called by `Node::start`, after both files had been read and checked (`main.rs`, `serve`). Until then either signal did what it does by default: a reload sent to all nodes killed one that was just starting, and a notice to leave ended it by a signal and not with exit code 0. A large configuration takes a while to read.

Change: `Signals::heed` is the first thing that `serve` does; `Signals::watch` has the poller tell of what came, once there is one. A reload that came meanwhile is done in the first turn, a notice is then counted from there.

Tests: the configuration is a pipe, so that the test says how long it is read.

--- a/node/src/life/mod.rs
+++ b/node/src/life/mod.rs
@@ -3,4 +3,4 @@
 pub(crate) mod addresses;
 pub mod clock;
 pub mod log;
-pub(crate) mod signals;
+pub mod signals;
--- a/node/src/life/signals.rs
+++ b/node/src/life/signals.rs
@@ -10,22 +10,35 @@
 pub(crate) const LEAVE_KEY: usize = 2;
 pub(crate) const RELOAD_KEY: usize = 3;
 
-pub(crate) struct Signals {
+/// The signals that came, kept until the loop reads them.
+pub struct Signals {
     leave: UnixStream,
     reload: UnixStream,
 }
 
 impl Signals {
-    pub(crate) fn open(poller: &Poller) -> io::Result<Signals> {
-        let watch = |signal, key| {
+    /// Heeds them from here on. Before this either signal ends the process, so it is the first thing that a
+    /// start does: reading a large configuration takes a while.
+    ///
+    /// # Errors
+    /// No socket can be had.
+    pub fn heed() -> io::Result<Signals> {
+        let heed = |signal| {
             let (heard, sender) = UnixStream::pair()?;
             heard.set_nonblocking(true)?;
             signal_hook::low_level::pipe::register(signal, sender)?;
-            // SAFETY: the node keeps the socket as long as the poller.
-            unsafe { poller.add_with_mode(&heard, Event::readable(key), PollMode::Level)? };
             io::Result::Ok(heard)
         };
-        Ok(Signals { leave: watch(SIGTERM, LEAVE_KEY)?, reload: watch(SIGHUP, RELOAD_KEY)? })
+        Ok(Signals { leave: heed(SIGTERM)?, reload: heed(SIGHUP)? })
+    }
+
+    /// Has the poller tell of them, those included that came before.
+    pub(crate) fn watch(&self, poller: &Poller) -> io::Result<()> {
+        for (heard, key) in [(&self.leave, LEAVE_KEY), (&self.reload, RELOAD_KEY)] {
+            // SAFETY: the node keeps the sockets as long as the poller.
+            unsafe { poller.add_with_mode(heard, Event::readable(key), PollMode::Level)? };
+        }
+        Ok(())
     }
 
     /// Takes note of one, however often it was sent meanwhile.
--- a/node/src/main.rs
+++ b/node/src/main.rs
@@ -12,6 +12,7 @@
 use doortrack_node::commands::routes::{self, RoutesCommand};
 use doortrack_node::life::clock::Clock;
 use doortrack_node::life::log::{self, Format};
+use doortrack_node::life::signals::Signals;
 use doortrack_node::serve::Node;
 use slog::Level;
 
@@ -144,6 +145,7 @@
 }
 
 fn serve(words: Serve) -> Result<(), Vec<String>> {
+    let signals = Signals::heed().map_err(|e| vec![format!("signals: {e}")])?;
     let all = |faults: Faults| faults.0.iter().map(ToString::to_string).collect::<Vec<_>>();
     let orders = orders::read().map_err(all)?;
     let mut installation = match &words.installation {
@@ -163,6 +165,6 @@
         return Err(vec!["--test-clock-ms: only a node of a fleet may have its clock set off".into()]);
     }
     let clock = Clock::set_off(words.test_clock_ms);
-    let node = Node::start(orders, words.installation, installation, clock, log);
+    let node = Node::start(signals, orders, words.installation, installation, clock, log);
     node.and_then(Node::serve).map_err(|fault| vec![fault])
 }
--- a/node/src/serve/start.rs
+++ b/node/src/serve/start.rs
@@ -74,6 +74,7 @@
 impl Node {
     /// Opens all that the node needs. `file` is where `installation` was read, to be read again at SIGHUP.
     pub fn start(
+        signals: Signals,
         orders: Orders,
         file: Option<PathBuf>,
         installation: Installation,
@@ -83,7 +84,7 @@
         let ruled = rules(&installation, &orders, &log).map_err(|faults| faults.to_string())?;
         let plain = |what: &'static str| move |e: std::io::Error| format!("{what}: {e}");
         let poller = Arc::new(Poller::new().map_err(plain("poller"))?);
-        let signals = Signals::open(&poller).map_err(plain("signals"))?;
+        signals.watch(&poller).map_err(plain("signals"))?;
         let handed = &orders.handed;
         let groups = &handed.contract.groups;
         let longest_deadline = groups.iter().map(|group| group.deadline).max().unwrap_or(0);
--- a/node/tests/node/main.rs
+++ b/node/tests/node/main.rs
@@ -2,6 +2,7 @@
 
 mod accepts;
 mod conformance;
+mod early_signals;
 mod ends;
 mod fronts;
 mod instants;
