Rig: a check for processes that serve nobody, and 24 nodes killed and restarted in turns

Need: four rules hold for each exchange, and yet a process that runs and completes nothing of what it is offered breaks none of them. It is to count as a failure.

Change: `rig/src/serving.rs` finds stretches in which a process that was ready completed nothing, though so much was offered to it. Connections that were refused count as offers. `Traffic::end` gives what callers took note of, `Asked::judge` judges it as `Traffic::finish` did. `node/tests/fleet/rolling.rs`: 24 processes before three application servers, 16 callers, three processes at a time killed and started again at once; judged by the four rules, by what has no answer, and by the new check (3 s, 10 offers).

--- a/node/tests/fleet/main.rs
+++ b/node/tests/fleet/main.rs
@@ -5,6 +5,7 @@
 
 mod budgets;
 mod link;
+mod rolling;
 mod served;
 mod troubles;
 
--- /dev/null
+++ b/node/tests/fleet/rolling.rs
@@ -0,0 +1,99 @@
+//! Many processes before application servers, killed and started again in turns while callers ask all of them.
+
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use doortrack_rig::processes::Rig;
+use doortrack_rig::script::Fault;
+use doortrack_rig::serving::{Life, Patience, serves_nobody};
+use doortrack_rig::traffic::{Death, Traffic, result};
+use doortrack_standins::caller::{Ask, Seen};
+use doortrack_standins::rules::Ran;
+use doortrack_standins::server::{Act, Server};
+use doortrack_standins::{LONG, unix_ms};
+use doortrack_wire::Protocol;
+use serde_json::{Value, json};
+
+use crate::program;
+
+const NODES: usize = 24;
+/// Nodes that are killed at once, and how long the others are left in peace after each turn.
+const AT_ONCE: usize = 3;
+const BETWEEN: Duration = Duration::from_millis(250);
+/// How long all serve on after the last turn: longer than the window of `PATIENCE`.
+const AFTERWARDS: Duration = Duration::from_millis(4_500);
+const PATIENCE: Patience = Patience { window_ms: 3_000, least_offers: 10 };
+const CALLERS: usize = 16;
+const SERVERS: usize = 3;
+/// What a run takes.
+const WORK: Duration = Duration::from_millis(3);
+
+fn servers() -> Vec<Server> {
+    let script =
+        |got: &_| Act::Answer { status: "200 OK", body: result(&Ran::from(got).try_id), after: WORK };
+    (0..SERVERS).map(|_| Server::start(Protocol::FastCgi, script)).collect()
+}
+
+fn installation(servers: &[Server]) -> Value {
+    let addresses: Vec<String> = servers.iter().map(|server| server.at.to_string()).collect();
+    json!({"servers": {"protocol": "fastcgi", "addresses": addresses, "at_once": 4,
+        "answer_within_ms": 3_000}})
+}
+
+/// Waits until a node answers that it is well; when it did.
+fn ready_at(front: SocketAddr) -> u64 {
+    let until = Instant::now() + LONG;
+    loop {
+        if let Ok(pending) = Ask::new(1, "/status/live", b"").try_send(front, Protocol::FastCgi)
+            && matches!(pending.seen(), Seen::Completed(_))
+        {
+            return unix_ms();
+        }
+        assert!(Instant::now() < until, "{front} is never ready");
+        std::thread::sleep(Duration::from_millis(5));
+    }
+}
+
+#[test]
+fn nodes_killed_and_started_again_in_turns_answer_all_and_every_one_serves() {
+    let servers = servers();
+    let more = installation(&servers);
+    let mut rig = Rig::new(program(), NODES, 7).unwrap();
+    rig.begin();
+    (0..NODES).for_each(|node| rig.start(node, node, &more).unwrap());
+    let fronts: Vec<SocketAddr> = (0..NODES).map(|node| rig.front(node)).collect();
+    let mut ready: Vec<u64> = fronts.iter().map(|front| ready_at(*front)).collect();
+    let traffic = Traffic::start(CALLERS, &fronts, 11);
+    let (mut lives, mut deaths) = (Vec::new(), Vec::new());
+    let in_turns: Vec<usize> = (0..NODES).collect();
+    for nodes in in_turns.chunks(AT_ONCE) {
+        std::thread::sleep(BETWEEN);
+        let ended_at = unix_ms();
+        rig.take_up(&Fault::Kill { nodes: nodes.to_vec() }, &|_| Value::Null).unwrap();
+        nodes.iter().for_each(|node| rig.start(*node, *node, &more).unwrap());
+        for node in nodes {
+            lives.push(Life { front: fronts[*node], ready_at: ready[*node], ended_at });
+            deaths.push(Death { front: fronts[*node], at: ended_at, owed_before: 0 });
+            ready[*node] = ready_at(fronts[*node]);
+        }
+    }
+    std::thread::sleep(AFTERWARDS);
+    let ended_at = unix_ms();
+    lives.extend(fronts.iter().zip(ready).map(|(front, ready_at)| Life {
+        front: *front,
+        ready_at,
+        ended_at,
+    }));
+    // None has ended by itself.
+    fronts.iter().for_each(|front| _ = ready_at(*front));
+    let asked = traffic.end();
+    let offers = asked.offers();
+    let ran: Vec<Ran> = servers.iter().flat_map(Server::got).map(|got| Ran::from(&got)).collect();
+    let (served, broken) = asked.judge(&ran, &deaths);
+    assert!(broken.is_empty(), "{broken:#?}");
+    let idle = serves_nobody(&lives, &offers, PATIENCE);
+    assert!(idle.is_empty(), "{idle:#?}");
+    // What was asked of a process that was then killed, and nothing else, has no answer.
+    assert!(served.unanswered * 10 < served.asked, "{served:?}");
+    assert!(served.asked > 500 && served.completed * 10 > served.asked * 8, "{served:?}");
+}
--- a/rig/src/lib.rs
+++ b/rig/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod relay;
 pub mod scale;
 pub mod script;
+pub mod serving;
 pub mod shrink;
 pub mod simulated;
 pub mod spent;
--- a/rig/src/traffic.rs
+++ b/rig/src/traffic.rs
@@ -14,6 +14,8 @@
 use doortrack_wire::Protocol;
 use serde_json::{Value, json};
 
+use crate::serving::Offer;
+
 /// The deadline of both endpoint groups of `standins::bed::config`, and what a slow machine may add,
 /// in ms.
 const WITHIN: u64 = 30_000 + 10_000;
@@ -29,7 +31,8 @@
     server: Server,
 }
 
-fn result(try_id: &str) -> Vec<u8> {
+/// What a run of this try brings; a server of one's own has to bring the same.
+pub fn result(try_id: &str) -> Vec<u8> {
     format!("of {try_id}").into_bytes()
 }
 
@@ -58,7 +61,18 @@
 /// Callers under way.
 pub struct Traffic {
     over: Arc<AtomicBool>,
-    callers: Vec<JoinHandle<Vec<(SocketAddr, Tried)>>>,
+    callers: Vec<JoinHandle<Caller>>,
+}
+
+/// What callers took note of, until they were ended.
+#[derive(Debug, Default)]
+pub struct Asked {
+    /// Each exchange with the front that was asked.
+    pub tried: Vec<(SocketAddr, Tried)>,
+    /// Fronts that took no connection, and when, in Unix ms.
+    pub refused: Vec<(SocketAddr, u64)>,
+    /// Callers that saw no end of a connection within their long patience.
+    pub stuck: usize,
 }
 
 /// What the callers and the server came to.
@@ -78,6 +92,7 @@
     fronts: Vec<SocketAddr>,
     /// With the front that was asked.
     tried: Vec<(SocketAddr, Tried)>,
+    refused: Vec<(SocketAddr, u64)>,
 }
 
 /// The end of a process by the rig, in Unix ms: what was asked before it and had no answer by then was asked
@@ -99,14 +114,18 @@
         let ask = Ask::new(self.nth, script, b"berth");
         let ask = key.map_or(ask.clone(), |key| ask.with("HTTP_IDEMPOTENCY_KEY", key));
         let sent = unix_ms();
-        let seen = ask.try_send(front, Protocol::FastCgi).ok()?.seen();
+        let Ok(pending) = ask.try_send(front, Protocol::FastCgi) else {
+            self.refused.push((front, sent));
+            return None;
+        };
+        let seen = pending.seen();
         let told = Some((seen.clone(), unix_ms()));
         self.tried
             .push((front, Tried { nth: self.nth, idempotency_key: key.map(str::to_string), sent, told }));
         Some(seen)
     }
 
-    fn run(mut self, over: &AtomicBool) -> Vec<(SocketAddr, Tried)> {
+    fn run(mut self, over: &AtomicBool) -> Caller {
         while !over.load(Ordering::Relaxed) {
             let key = self.chance.bool().then(|| format!("{:032x}", self.chance.u128(..)));
             let from = self.chance.usize(..self.fronts.len());
@@ -120,7 +139,7 @@
             }
             std::thread::sleep(REST);
         }
-        self.tried
+        self
     }
 }
 
@@ -134,6 +153,7 @@
                 chance: fastrand::Rng::with_seed(seed ^ (place << 7)),
                 fronts: fronts.to_vec(),
                 tried: Vec::new(),
+                refused: Vec::new(),
             };
             let over = over.clone();
             std::thread::spawn(move || caller.run(&over))
@@ -141,26 +161,51 @@
         Traffic { callers: callers.collect(), over }
     }
 
+    /// Ends the callers once each has its answer.
+    pub fn end(self) -> Asked {
+        self.over.store(true, Ordering::Relaxed);
+        let mut asked = Asked::default();
+        for caller in self.callers {
+            // A caller that saw no end of its connection within its long patience has ended in a panic.
+            match caller.join() {
+                Ok(caller) => {
+                    asked.tried.extend(caller.tried);
+                    asked.refused.extend(caller.refused);
+                }
+                Err(_) => asked.stuck += 1,
+            }
+        }
+        asked
+    }
+
     /// Ends the callers once each has its answer, and judges; every breach in words. Who was ended by the rig
     /// owes no answer.
     pub fn finish(self, behind: &Behind, deaths: &[Death]) -> (Served, Vec<String>) {
-        self.over.store(true, Ordering::Relaxed);
-        let mut stuck = 0;
-        let tried = self.callers.into_iter().map(|caller| caller.join());
-        // A caller that saw no end of its connection within its long patience has ended in a panic.
-        let tried = tried.filter_map(|joined| joined.inspect_err(|_| stuck += 1).ok()).flatten();
-        let tried: Vec<Tried> = tried
-            .map(|(front, mut tried)| {
-                let died = |at: u64| {
-                    let of = |death: &&Death| death.front == front && tried.sent >= death.owed_before;
-                    deaths.iter().filter(of).any(|death| death.at + BEFORE >= tried.sent && death.at <= at)
-                };
-                let owes_nothing = matches!(tried.told, Some((Seen::Nothing, at)) if died(at));
-                tried.told = tried.told.filter(|_| !owes_nothing);
-                tried
-            })
-            .collect();
+        let asked = self.end();
         let ran: Vec<Ran> = behind.server.got().iter().map(Ran::from).collect();
+        asked.judge(&ran, deaths)
+    }
+}
+
+impl Asked {
+    /// What was offered to each front, for [`crate::serving`].
+    pub fn offers(&self) -> Vec<Offer> {
+        let tried = self.tried.iter().map(|(front, tried)| {
+            let completed_at = match tried.told {
+                Some((Seen::Completed(_), at)) => Some(at),
+                _ => None,
+            };
+            Offer { front: *front, at: tried.sent, completed_at }
+        });
+        let refused =
+            self.refused.iter().map(|(front, at)| Offer { front: *front, at: *at, completed_at: None });
+        tried.chain(refused).collect()
+    }
+
+    /// Judges by the four rules; every breach in words. Who was ended by the rig owes no answer.
+    pub fn judge(self, ran: &[Ran], deaths: &[Death]) -> (Served, Vec<String>) {
+        let tried: Vec<Tried> =
+            self.tried.into_iter().map(|(front, tried)| excuse(front, tried, deaths)).collect();
         let bounds = Bounds { within: WITHIN, closed: None, tries: 3 };
         let completed = |one: &&Tried| matches!(one.told, Some((Seen::Completed(_), _)));
         let served = Served {
@@ -168,10 +213,21 @@
             completed: tried.iter().filter(completed).count(),
             unanswered: tried.iter().filter(|one| one.told.is_none()).count(),
         };
-        let mut breaches = broken(&tried, &ran, bounds, result);
-        if stuck > 0 {
-            breaches.push(format!("rule 1: {stuck} callers saw no end of a connection"));
+        let mut breaches = broken(&tried, ran, bounds, result);
+        if self.stuck > 0 {
+            breaches.push(format!("rule 1: {} callers saw no end of a connection", self.stuck));
         }
         (served, breaches)
     }
 }
+
+/// Takes an exchange for one whose caller left, if it was asked of a process that died before its answer.
+fn excuse(front: SocketAddr, mut tried: Tried, deaths: &[Death]) -> Tried {
+    let died = |at: u64| {
+        let of = |death: &&Death| death.front == front && tried.sent >= death.owed_before;
+        deaths.iter().filter(of).any(|death| death.at + BEFORE >= tried.sent && death.at <= at)
+    };
+    let owes_nothing = matches!(tried.told, Some((Seen::Nothing, at)) if died(at));
+    tried.told = tried.told.filter(|_| !owes_nothing);
+    tried
+}
