--- a/node/tests/node/pieces.rs
+++ b/node/tests/node/pieces.rs
@@ -36,11 +36,18 @@
     }
 }
 
-/// A node with a uwsgi front beside its own listener, whose engine ends every run at once.
+/// From the notice to the stop where nothing is open any more, in ms.
+const SHORT_STOP: u64 = 300;
+
 fn up() -> (Bed, SocketAddr) {
+    up_with_stop(SHORT_STOP)
+}
+
+/// A node with a uwsgi front beside its own listener, whose engine ends every run at once.
+fn up_with_stop(stop_ms: u64) -> (Bed, SocketAddr) {
     let mut plan = Plan::new(env!("CARGO_BIN_EXE_doortrack"));
     let uwsgi = plan.port(9092);
-    plan.config["stop_ms"] = json!(1_200);
+    plan.config["stop_ms"] = json!(stop_ms);
     plan.installation = Some(json!({"fronts": [{"protocol": "uwsgi", "listen": uwsgi.to_string()}]}));
     let bed = plan.start();
     instant::engine(bed.door.try_clone().unwrap());
@@ -280,7 +287,7 @@
 
 #[test]
 fn a_piece_that_ends_as_the_node_leaves_is_answered_and_a_half_is_told_so() {
-    let (bed, uwsgi) = up();
+    let (bed, uwsgi) = up_with_stop(1_200);
     let mut followed = Half::all(10_000, bed.at, FastCgi, 11);
     followed.extend(Half::all(15_000, uwsgi, Uwsgi, 11));
     let mut left = Half::all(20_000, bed.at, FastCgi, 31);
--- a/node/tests/node/silences.rs
+++ b/node/tests/node/silences.rs
@@ -79,6 +79,7 @@
     let fronts = [(FastCgi, plan.port(9091)), (Uwsgi, plan.port(9092))];
     let listed = fronts.map(|(protocol, at)| json!({"protocol": protocol.name(), "listen": at.to_string()}));
     plan.installation = Some(json!({"fronts": listed}));
+    plan.config["stop_ms"] = json!(300);
     let bed = plan.start();
     instant::engine(bed.door.try_clone().unwrap());
     super::pieces::until_served(fronts[0].1);
