--- a/fleet/src/report.rs
+++ b/fleet/src/report.rs
@@ -1,4 +1,4 @@
-//! What a node tells of its fleet when asked.
+//! How a node reports its fleet to operators.
 
 use std::net::SocketAddr;
 
@@ -6,46 +6,51 @@
 use serde::{Deserialize, Serialize};
 
 use crate::fleet::{Fleet, Stage};
-use crate::{Life, Name, Stand};
+use crate::{Incarnation, MemberState, Name};
 
-/// How a member stands, as operators read it.
+/// The state of a member as operators read it. The order of the variants is part of the wire format.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "lowercase")]
-pub enum State {
+pub enum ReportedState {
     /// Not in the view yet: it looks for the fleet, or is held back for coming back too often.
     Joining,
+    /// In the view.
     Alive,
+    /// In the view; a probe of it failed.
     Suspected,
+    /// It announced that it left.
     Left,
-    Lost,
+    /// Out of the view, as it did not answer. Of the node itself: it was superseded.
+    Dead,
 }
 
-/// One member as one node sees it.
+/// One member as one node sees it. The order of the fields is part of the wire format.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Report {
+pub struct MemberReport {
     pub name: Name,
-    pub life: Life,
+    pub incarnation: Incarnation,
     pub address: SocketAddr,
-    pub state: State,
+    pub state: ReportedState,
     pub weight: u32,
-    /// How long it has stood so.
+    /// How long it has been in this state, in ms.
     pub for_ms: u64,
     /// It answers, but late.
     pub slow: bool,
 }
 
 impl Fleet {
-    /// The members behind a name, up to `most`, the node itself among them; and whether there are more.
-    pub fn report(&self, after: Option<&Name>, most: usize, now: Tenths) -> (Vec<Report>, bool) {
-        let own = Report {
+    /// Up to `max` members behind a name, the node itself among them, in the order of names; and whether
+    /// there are more.
+    pub fn report(&self, after: Option<&Name>, max: usize, now: Tenths) -> (Vec<MemberReport>, bool) {
+        let own = MemberReport {
             name: self.me.name.clone(),
-            life: self.me.life,
+            incarnation: self.me.incarnation,
             address: self.me.address,
             state: match self.stage {
-                Stage::Joining => State::Joining,
-                Stage::Member => State::Alive,
-                Stage::Leaving => State::Left,
-                Stage::Displaced => State::Lost,
+                Stage::Joining => ReportedState::Joining,
+                Stage::Member => ReportedState::Alive,
+                Stage::Leaving => ReportedState::Left,
+                Stage::Superseded => ReportedState::Dead,
             },
             weight: self.me.weight,
             for_ms: 0,
@@ -54,28 +59,28 @@
         let mut own = Some(own).filter(|own| after.is_none_or(|after| own.name > *after));
         let mut reports = Vec::new();
         let mut others = self.table.after(after).peekable();
-        while reports.len() < most {
+        while reports.len() < max {
             let before = |name: &Name| own.as_ref().is_some_and(|own| own.name < *name);
             match others.peek() {
-                Some(member) if !before(&member.claim.name) => {
-                    let claim = &member.claim;
-                    let state = match claim.stand {
-                        Stand::Alive | Stand::Suspected { .. } if member.held_until.is_some() => {
-                            State::Joining
+                Some(record) if !before(&record.update.name) => {
+                    let update = &record.update;
+                    let state = match update.state {
+                        MemberState::Alive | MemberState::Suspected { .. } if record.held_until.is_some() => {
+                            ReportedState::Joining
                         }
-                        Stand::Alive => State::Alive,
-                        Stand::Suspected { .. } => State::Suspected,
-                        Stand::Lost => State::Lost,
-                        Stand::Left => State::Left,
+                        MemberState::Alive => ReportedState::Alive,
+                        MemberState::Suspected { .. } => ReportedState::Suspected,
+                        MemberState::Dead => ReportedState::Dead,
+                        MemberState::Left => ReportedState::Left,
                     };
-                    reports.push(Report {
-                        name: claim.name.clone(),
-                        life: claim.life,
-                        address: claim.address,
+                    reports.push(MemberReport {
+                        name: update.name.clone(),
+                        incarnation: update.incarnation,
+                        address: update.address,
                         state,
-                        weight: claim.weight,
-                        for_ms: now.saturating_sub(member.since) / 10,
-                        slow: member.slow,
+                        weight: update.weight,
+                        for_ms: now.saturating_sub(record.since) / 10,
+                        slow: record.slow,
                     });
                     others.next();
                 }
@@ -88,7 +93,7 @@
         (reports, own.is_some() || others.peek().is_some())
     }
 
-    /// Datagrams refused as they came twice, were meant for another life, or made no sense.
+    /// Datagrams refused since the start: replayed, meant for another incarnation, or out of bounds.
     pub fn refused(&self) -> u64 {
         self.refused
     }
