A half-closed caller is answered also where one turn reads twice

Cause: woken late, the loop reads twice in one turn (`serve.rs`, STALL). The end of a caller's stream that the first reading met ends the reading (`stop_reading`), but the poller is told so only by `flush`, at the end of the turn (`watch`). So the second reading was told of the same end, and `Conn::read` takes whatever comes on a connection that is not read for a reset: closed, the run stopped, a whole request without an answer. It takes a pause over 10 ms between a request and its turn, so it shows on busy machines.

Change: what was ended in this turn, and is still watched, is not read again in it. A reset in that moment is told of in the next turn.

The new test, on the table with turns taken one by one, fails each time without the change.

--- a/node/src/wire/fronts/reading.rs
+++ b/node/src/wire/fronts/reading.rs
@@ -22,7 +22,11 @@
         if event.writable {
             self.mark_dirty(slot);
         }
-        if event.readable {
+        // A turn that stood still reads twice, and what the first reading ended is told of again by the second:
+        // the poller learns only at the end of the turn that it is not to be read any more.
+        let conn = &self.conns[slot];
+        let ended_in_this_turn = !conn.reading && !conn.lingers && conn.watched.0;
+        if event.readable && !ended_in_this_turn {
             self.read(slot, now, front_events);
         }
     }
--- a/node/tests/node/main.rs
+++ b/node/tests/node/main.rs
@@ -5,6 +5,7 @@
 mod early_signals;
 mod ends;
 mod fronts;
+mod half_closed;
 mod instants;
 mod late_answers;
 mod near_stops;
