The last answers of a drain are written before the last look at the backlog

Cause: the decisions give the last answers 0.1 s before the stop, and there the loop takes in the backlog as well (`closes_now`, `last_reading`). Where the process was late both fell into one turn: what was answered was not written yet, so none of a full table could make room (`least_missed`), and the listener closed over those who waited. They were reset. Ruled out: unread bytes at the process's end (all is read in the last look).

Change: what there is to write is written before the last look.

Test: the process stands still over its stop with a full table and three callers in the backlog: failed each time without the change (connection reset).

--- a/node/src/serve.rs
+++ b/node/src/serve.rs
@@ -114,6 +114,8 @@
             self.take_reading();
             self.decide();
             if self.closes_now() {
+                // What is answered by now makes room for who still waits.
+                self.send(&mut front_events, &mut work_events);
                 self.fronts.last_reading(self.now, &mut front_events);
                 front_events.drain(..).for_each(|what| self.front_event(what));
                 self.decide();
--- /dev/null
+++ b/node/tests/node/late_stops.rs
@@ -0,0 +1,47 @@
+//! The end of a drain whose last answers and last look at the backlog fall into one turn.
+
+use std::time::Duration;
+
+use doortrack_standins::records::Client;
+use doortrack_standins::unix_ms;
+use serde_json::json;
+
+use super::notices::{LEAVE, ends_well};
+use super::sockets::up_with;
+
+const STOP_MS: u64 = 1_000;
+
+#[test]
+fn a_full_backlog_is_answered_though_the_node_stood_still_over_its_stop() {
+    let (bed, mut engine) = up_with(|config| {
+        config["limits"]["sockets"] = json!(32);
+        config["stop_ms"] = json!(STOP_MS);
+        config["settings"]["family_info"]["cores"] = json!(20);
+    });
+    let mut clients: Vec<Client> = Vec::new();
+    // Eight are taken in and run; three more wait where only the system has them.
+    for n in 0..11 {
+        let mut client = bed.client();
+        client.look(1, n);
+        clients.push(client);
+        if n < 8 {
+            engine.run();
+        }
+    }
+    assert_eq!(engine.command_within_readings(2), None);
+    bed.signal(LEAVE);
+    bed.reports("draining");
+    let told = unix_ms();
+    bed.signal("-STOP");
+    while unix_ms() <= told + STOP_MS {
+        std::thread::sleep(Duration::from_millis(5));
+    }
+    bed.signal("-CONT");
+    for client in &mut clients[..8] {
+        assert_eq!(client.reply().status, 500, "it ran and was cut short by the stop");
+    }
+    for client in &mut clients[8..] {
+        assert!([2, 503].contains(&client.reply().status), "never run, and told so");
+    }
+    ends_well(bed);
+}
--- a/node/tests/node/main.rs
+++ b/node/tests/node/main.rs
@@ -8,6 +8,7 @@
 mod half_closed;
 mod instants;
 mod late_answers;
+mod late_stops;
 mod near_stops;
 mod notices;
 mod parts;
