--- a/node/src/peers/link.rs
+++ b/node/src/peers/link.rs
@@ -19,6 +19,7 @@
 use super::budgets::FleetBudgets;
 use super::seal::{LONGEST, Refused, Seal};
 use super::spoken::{Ask, BudgetPage, PAGE, Spoken, Status};
+use crate::life::addresses::once_free;
 use crate::parts::{Asked, PART_KEYS, Part, Permit, Use};
 
 /// The poller's key of the link in a node's own loop.
@@ -104,7 +105,7 @@
         log: Logger,
     ) -> Result<Peers, String> {
         let at = |e: std::io::Error| format!("installation.fleet.listen: {}: {e}", file.listen);
-        let sock = UdpSocket::bind(file.listen).map_err(at)?;
+        let sock = once_free(|| UdpSocket::bind(file.listen)).map_err(at)?;
         sock.set_nonblocking(true).map_err(at)?;
         let Registration { poller, key: poller_key } = registration;
         // SAFETY: the socket is taken out of the poller when the link is dropped.
--- a/node/src/serve.rs
+++ b/node/src/serve.rs
@@ -114,6 +114,8 @@
             self.take_reading();
             self.decide();
             if self.closes_now() {
+                // What is answered by now makes room for who still waits.
+                self.send(&mut front_events, &mut work_events);
                 self.fronts.last_reading(self.now, &mut front_events);
                 front_events.drain(..).for_each(|what| self.front_event(what));
                 self.decide();
@@ -148,6 +150,7 @@
             _ => self.now = self.clock.now(),
         }
         let mut reload = false;
+        let leaves_already = self.stop_at.is_some();
         for event in events.iter() {
             match event.key {
                 // Woken late, it stood still, and the notice may be as old as that.
@@ -166,6 +169,9 @@
         }
         if reload {
             self.reload(front_events, work_events);
+            if !leaves_already {
+                self.keep_to_the_nearer_stop();
+            }
         }
         Ok(())
     }
@@ -184,6 +190,7 @@
         }
     }
 
+    /// When the next turn is due at the latest; never before this one, as what is overdue is due now.
     fn next_due(&self) -> Tenths {
         let alarm = self.alarms.peek().map_or(Tenths::MAX, |Reverse((at, _))| *at);
         let alarm = self.reading.map_or(alarm, |(_, till)| till);
@@ -193,7 +200,7 @@
         let sweep = if self.fronts.to_sweep() { self.sweep_at } else { Tenths::MAX };
         let parts = self.parts.iter().map(|part| self.now.saturating_add(part.wait())).min();
         let own = alarm.min(work).min(stop).min(sweep).min(self.registry.next).min(self.summary_at);
-        own.min(parts.unwrap_or(Tenths::MAX))
+        own.min(parts.unwrap_or(Tenths::MAX)).max(self.now)
     }
 
     // --- Deciding and carrying out ---
--- a/node/src/serve/start.rs
+++ b/node/src/serve/start.rs
@@ -14,6 +14,7 @@
 
 use super::report::Slowest;
 use super::{Fault, MS, Node};
+use crate::life::addresses::once_free;
 use crate::life::clock::Clock;
 use crate::life::signals::Signals;
 use crate::memory::exchanges::Exchanges;
@@ -74,6 +75,7 @@
 impl Node {
     /// Opens all that the node needs. `file` is where `installation` was read, to be read again at SIGHUP.
     pub fn start(
+        signals: Signals,
         orders: Orders,
         file: Option<PathBuf>,
         installation: Installation,
@@ -83,7 +85,7 @@
         let ruled = rules(&installation, &orders, &log).map_err(|faults| faults.to_string())?;
         let plain = |what: &'static str| move |e: std::io::Error| format!("{what}: {e}");
         let poller = Arc::new(Poller::new().map_err(plain("poller"))?);
-        let signals = Signals::open(&poller).map_err(plain("signals"))?;
+        signals.watch(&poller).map_err(plain("signals"))?;
         let handed = &orders.handed;
         let groups = &handed.contract.groups;
         let longest_deadline = groups.iter().map(|group| group.deadline).max().unwrap_or(0);
@@ -110,8 +112,7 @@
             Work::Servers(pools)
         };
         let mut fronts = Fronts::new(poller.clone(), names, room, longest_deadline);
-        fronts
-            .listen(orders.listen, Protocol::FastCgi, None)
+        once_free(|| fronts.listen(orders.listen, Protocol::FastCgi, None))
             .map_err(|e| format!("config.listen: {}: {e}", orders.listen))?;
         // Nothing is said before the decisions do, but where the least rank is meant, none is held back.
         fronts.level = (handed.contract.level == LevelKind::LowestRank).then_some(0.0);
@@ -156,7 +157,7 @@
             installation: Installation::default(),
         };
         for (nth, front) in installation.fronts.iter().enumerate() {
-            node.open_front(front)
+            once_free(|| node.open_front(front))
                 .map_err(|e| format!("installation.fronts[{nth}].listen: {}: {e}", front.listen))?;
         }
         node.fronts.rules = ruled;
--- a/node/tests/node/main.rs
+++ b/node/tests/node/main.rs
@@ -1,11 +1,20 @@
 //! The node: its parts by themselves, and the program on sockets against stand-ins for all it talks to.
 
+mod accepts;
 mod conformance;
+mod early_signals;
 mod ends;
 mod fronts;
+mod half_closed;
 mod instants;
+mod late_answers;
+mod late_stops;
+mod near_stops;
+mod notices;
 mod parts;
+mod pieces;
 mod play;
 mod ramps;
 mod rules;
+mod silences;
 mod sockets;
