--- /dev/null
+++ b/contract/tests/settings.rs
@@ -0,0 +1,56 @@
+//! Reading settings of any size: the time grows with the number of customers and not with its square.
+
+use std::time::{Duration, Instant};
+
+use doortrack_contract::{Part, read};
+use serde_json::{Value, json};
+
+fn settings(customers: usize) -> Value {
+    let customer = |nth: usize| json!({"name": format!("customer-{nth:06}"), "allowance_per_s": 1});
+    json!({
+        "bounds": {"max_retry_after": 1_000_000, "retry_after": true},
+        "family_info": {
+            "below": "silent", "calls_by_class": [false], "calls_out": 0, "class_skip_worth": [0],
+            "cores": 4, "deep_checks": false, "dep_window": 5_000_000, "fresh": 0, "fresh_start": false,
+            "gauges": ["core_use"], "halt": "drop", "keepalive_max": 30_000_000, "key_kb": 50,
+            "linger": 0, "memory_kb": 10_000, "passes_deadline": false, "readiness": true,
+            "run_factor": 8, "said_for": 1_000_000, "say": "min_rank"
+        },
+        "lanes": [{"deadline": 30_000_000, "idempotency": "safe", "late_worth": 0, "name": "look",
+            "target": 20_000_000, "window": 5_000_000, "worth": 1}],
+        "over_share_worth": 0.1,
+        "parties": (0..customers).map(customer).collect::<Value>(),
+        "safety": {"drain_grace": 1_000_000, "overload_for": 2_000_000, "ramp_time": 10_000_000,
+            "start_capacity": 0.25, "tip_multiple": 5},
+        "servers": 3, "tick": 4000, "worth_by": "request"
+    })
+}
+
+/// The shortest of three readings, as anything else on the machine only makes one longer.
+fn time_to_read(customers: usize) -> Duration {
+    let settings = settings(customers);
+    let top = Part { value: &settings, path: "settings".into() };
+    let once = || {
+        let since = Instant::now();
+        assert_eq!(read(&top).unwrap().customer_names.len(), customers);
+        since.elapsed()
+    };
+    (0..3).map(|_| once()).min().unwrap()
+}
+
+#[test]
+fn reading_customers_takes_time_that_grows_with_their_number_alone() {
+    const FEW: usize = 2_000;
+    const TIMES: u32 = 32;
+    let (few, many) = (time_to_read(FEW), time_to_read(FEW * TIMES as usize));
+    // In proportion it is 32 times as long; compared each with each it would be 1,024 times.
+    assert!(many < few * TIMES * 8, "{few:?} for {FEW}, {many:?} for {TIMES} times as many");
+}
+
+#[test]
+fn a_name_that_stands_twice_is_told_with_its_path() {
+    let mut settings = settings(3);
+    settings["parties"][2]["name"] = json!("customer-000000");
+    let fault = read(&Part { value: &settings, path: "settings".into() }).unwrap_err();
+    assert!(fault.starts_with("settings.parties[2].name: a name that none before it has"), "{fault}");
+}
