The last look at a backlog: answers of the same turn are written first, and make room

Seen: `what_waits_in_a_full_backlog_at_the_end...` failed in 2 of 6 runs of all tests beside builds: a caller in the backlog was reset. Cause: node/src/serve.rs, `serve`: where the answers to all that runs and the last look at the backlog fall into one turn, as after a stall, those answers are not written yet when `Fronts::last_reading` looks for room. No connection is idle then, `make_room` finds nobody, and the listener is closed over what waits in it: told nothing. Ruled out: the order of notice and stop (both tests pass where the two are in different turns, which they mostly are). Change: the answers are written before the last look; a connection whose answer is out makes room as it always did. Test: `what_waits_in_a_full_backlog_is_answered_though_the_node_stood_still_over_its_stop` stops the process over its stop, so that both always fall into one turn: failed 3 of 3 without the change, passed 5 of 5 with it.

--- a/node/src/serve.rs
+++ b/node/src/serve.rs
@@ -114,6 +114,8 @@
             self.take_reading();
             self.decide();
             if self.closes_now() {
+                // What was answered in this turn is written, so that its connections can make room.
+                self.fronts.flush(self.now, &mut front_events);
                 self.fronts.last_reading(self.now, &mut front_events);
                 front_events.drain(..).for_each(|what| self.front_event(what));
                 self.decide();
--- a/node/tests/node/instants.rs
+++ b/node/tests/node/instants.rs
@@ -149,6 +149,38 @@
     assert_eq!(bed.end().0, Some(0));
 }
 
+#[test]
+fn what_waits_in_a_full_backlog_is_answered_though_the_node_stood_still_over_its_stop() {
+    let (bed, mut engine) = up_with(|config| {
+        config["limits"]["sockets"] = json!(32);
+        config["stop_ms"] = json!(700);
+        config["settings"]["family_info"]["cores"] = json!(20);
+    });
+    let mut clients = Vec::new();
+    for n in 0..11 {
+        let mut client = bed.client();
+        client.look(1, n);
+        clients.push(client);
+        if n < 8 {
+            engine.run();
+        }
+    }
+    bed.signal("-TERM");
+    bed.reports("draining");
+    bed.signal("-STOP");
+    let stopped = unix_ms();
+    // The answers to what runs and the last look at the backlog fall into one turn.
+    wait_until(stopped + 700);
+    bed.signal("-CONT");
+    for client in &mut clients[..8] {
+        assert_eq!(client.reply().status, 500, "it ran and was cut short by the stop");
+    }
+    for client in &mut clients[8..] {
+        assert!([2, 503].contains(&client.reply().status), "never run, and told so");
+    }
+    assert_eq!(bed.end().0, Some(0));
+}
+
 /// A deduplicated exchange is asked for, and the link breaks behind its RUN: the next link.
 fn loses_the_link_over_a_run(bed: &Bed, mut engine: Engine, client: &mut Client) -> Engine {
     engine.readings(1);
