Idle clients that fill the descriptors keep nobody out

New tests: node/tests/node/idle.rs, two in ends.rs; stand-in idle clients that come back whenever they are let go of. Now room is made as in a full table. `a_limit_that_is_lowered_under_way...`. - serve/start.rs: `limits.sockets` alone bounded connections, so callers took the descriptors of connections to servers, and sound servers were put aside. Now RLIMIT_NOFILE is read at start (life/descriptors.rs), bounds callers and pools, and is told (`few descriptors`); pools that could take more than half are refused at the start. `application_servers_are_reached...`. Both look at one predicate now (`Conn::asks_nothing`). `half_requests_that_fill_the_table...`. - coming.rs, `listen`: the backlog was as small as the table; who finds no place is tried again by its system after 1 s and more. At least 1,024 now. `more_than_the_table_holds_may_wait...`.

--- a/node/src/life/mod.rs
+++ b/node/src/life/mod.rs
@@ -1,5 +1,6 @@
 //! What the node needs of the system it lives on: its clock, its log, the signals it heeds.
 
 pub mod clock;
+pub mod descriptors;
 pub mod log;
 pub(crate) mod signals;
--- a/node/src/serve/report.rs
+++ b/node/src/serve/report.rs
@@ -6,6 +6,7 @@
 use slog::{Serde, info};
 
 use super::{MS, Node};
+use crate::life::descriptors;
 use crate::wire::work::Work;
 
 pub(super) const EVERY: Tenths = 10_000 * MS;
@@ -31,7 +32,7 @@
             "result_bytes" => self.results.bytes(), "link_losses" => self.work.link_losses(),
             "turn_ms" => self.slowest.turn / MS, "reading_ms" => self.slowest.reading / MS,
             "read_after_ms" => self.slowest.arrival / MS, "memory_kb" => peak_kb(),
-            "cpu_ms" => cpu_ms(), "descriptors" => descriptors());
+            "cpu_ms" => cpu_ms(), "descriptors" => descriptors::open());
         self.slowest = Slowest::default();
         self.parts.iter().for_each(|part| part.summary(&self.log));
         let pools = if let Work::Servers(pools) = &self.work { &pools[..] } else { &[] };
@@ -70,7 +71,3 @@
     let fields = stat.rsplit(')').next().unwrap_or_default().split_whitespace();
     fields.skip(11).take(2).filter_map(|ticks| ticks.parse::<u64>().ok()).sum::<u64>() * 10
 }
-
-fn descriptors() -> usize {
-    fs::read_dir("/proc/self/fd").map_or(0, |entries| entries.count())
-}
--- a/node/src/serve/start.rs
+++ b/node/src/serve/start.rs
@@ -15,6 +15,7 @@
 use super::report::Slowest;
 use super::{Fault, MS, Node};
 use crate::life::clock::Clock;
+use crate::life::descriptors;
 use crate::life::signals::Signals;
 use crate::memory::exchanges::Exchanges;
 use crate::memory::results::Results;
@@ -54,6 +55,27 @@
     Ok(Some(Rules::new(table, otherwise)))
 }
 
+/// Connections that callers may have: all sockets together keep within the node's own bound, and within what
+/// the system lets this process have.
+///
+/// # Errors
+/// The pools of servers could take more than half of what the system lets it have.
+fn connections(installation: &Installation, wanted: usize, log: &Logger) -> Result<usize, Fault> {
+    let all = wanted.min(descriptors::connections());
+    let servers = installation.server_connections();
+    if all < wanted {
+        let limit = descriptors::limit();
+        if servers > all / 2 {
+            return Err(format!(
+                "installation.servers.at_once: all pools together may have {servers} connections, more than \
+                 half of the {all} for which there are descriptors; raise the limit of {limit} or lower it"
+            ));
+        }
+        warn!(log, "few descriptors"; "limit" => limit, "connections" => all, "wanted" => wanted);
+    }
+    Ok(all - servers.min(all / 2))
+}
+
 /// What an installation asks for beside fronts and servers; nothing where it asks for nothing.
 fn parts(
     installation: &Installation,
@@ -92,8 +114,7 @@
             customers: handed.customer_names.clone(),
         };
         let mut room = orders.room;
-        // All sockets together keep within the node's own bound.
-        room.connections -= installation.server_connections().min(room.connections / 2);
+        room.connections = connections(&installation, room.connections, &log)?;
         let pools: Vec<(String, Servers)> = pools(&installation)
             .enumerate()
             .map(|(place, (name, asked))| {
--- a/node/src/wire/bounds.rs
+++ b/node/src/wire/bounds.rs
@@ -34,6 +34,7 @@
 /// One place in this many is kept free ahead of need, so that who is let go of can be told the end in order
 /// before its place is taken. A smaller table has none to spare.
 const PLACES_A_SPARE: usize = 16;
+const LEAST_BACKLOG: usize = 1024;
 /// Most that a connection has for a whole request, from its start or from when one began to come.
 const WHOLE_WITHIN: Tenths = 2_000 * MS;
 /// A stamp so many times the longest deadline away from now was not written by a sound clock. Handed
@@ -48,6 +49,12 @@
     longest_deadline.min(WHOLE_WITHIN)
 }
 
+/// Connections that the system holds for a front until they are accepted: as many as the table has places. A
+/// small one has more, as those that find no place there are asked again by their system only after 1 s.
+pub fn backlog(places: usize) -> i32 {
+    i32::try_from(places.max(LEAST_BACKLOG)).unwrap_or(i32::MAX)
+}
+
 /// Places of a table that are kept free ahead of need.
 pub fn spare(places: usize) -> usize {
     (places / PLACES_A_SPARE).min(EVICTED)
--- a/node/src/wire/conn.rs
+++ b/node/src/wire/conn.rs
@@ -43,6 +43,17 @@
     pub body: Vec<u8>,
 }
 
+/// What a connection on which nobody waits for an answer is good for, the least first.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Use {
+    /// It never asked for anything, or has been told the end.
+    None,
+    /// It asked before, and may again.
+    Idle,
+    /// It asked before, and a part of a request has come since.
+    HalfRequest,
+}
+
 pub struct Conn {
     pub sock: TcpStream,
     pub peer: IpAddr,
@@ -113,6 +124,21 @@
         self.open.is_empty() && self.unread() == 0 && self.reader.at_boundary()
     }
 
+    /// Nobody waits for anything on it: it is idle, or what is open on it never came whole. What lingers has
+    /// had its answer as well, and only sends what nobody asked for.
+    pub fn asks_nothing(&self) -> bool {
+        self.idle() || (self.reading && self.unread() == 0 && self.open.iter().all(Open::half_read))
+    }
+
+    /// How much it would be missed, where it asks nothing.
+    pub fn use_of(&self) -> Use {
+        match (self.spoke && !self.lingers, self.idle()) {
+            (false, _) => Use::None,
+            (true, true) => Use::Idle,
+            (true, false) => Use::HalfRequest,
+        }
+    }
+
     /// The last look before an idle one is closed: a request that came since would be lost with it.
     pub fn nothing_came(&self) -> bool {
         self.sock.peek(&mut [0]).is_err_and(|e| e.kind() == ErrorKind::WouldBlock)
--- a/node/src/wire/fronts/coming.rs
+++ b/node/src/wire/fronts/coming.rs
@@ -6,14 +6,20 @@
 use doortrack::Tenths;
 use doortrack_wire::{Protocol, RequestReader};
 use polling::{Event, PollMode};
+use rustix::io::Errno;
 use socket2::{Domain, Socket, Type};
 
 use super::{Counts, FIRST_KEY, Front, FrontEvent, Fronts, LISTEN_KEY};
 use crate::wire::bounds::{self, ACCEPTS, EVICTED, FRESH, LAST_TURNS, MOST_FRONTS};
-use crate::wire::conn::Conn;
+use crate::wire::conn::{Conn, Use};
 use crate::wire::end::End;
 use crate::wire::request::{Answer, Unreadable};
 
+/// Whether the process (EMFILE) or the whole system (ENFILE) has no descriptor left.
+fn lacks_descriptor(error: &io::Error) -> bool {
+    matches!(Errno::from_io_error(error), Some(Errno::MFILE | Errno::NFILE))
+}
+
 impl Fronts {
     /// Opens a front. `most` bounds its connections; all fronts together keep within the node's own bound.
     pub fn listen(&mut self, at: SocketAddr, protocol: Protocol, most: Option<usize>) -> io::Result<()> {
@@ -24,7 +30,7 @@
         // A node that was killed comes back under its address at once.
         socket.set_reuse_address(true)?;
         socket.bind(&at.into())?;
-        socket.listen(self.room.connections as i32)?;
+        socket.listen(bounds::backlog(self.room.connections))?;
         socket.set_nonblocking(true)?;
         let listener = TcpListener::from(socket);
         let entry = self.fronts.vacant_entry();
@@ -115,7 +121,8 @@
         }
         for nth in 0..ACCEPTS {
             // Only the first is known to be waiting, so room is made for no more than one.
-            if self.is_full(front) && !(nth == 0 && self.make_room(front, quiet_since, front_events)) {
+            let bounded = self.bounded(front);
+            if self.is_full(front) && !(nth == 0 && self.make_room(bounded, quiet_since, front_events)) {
                 // A full table is no reason to fall over: the rest waits in the backlog for a close.
                 self.accept_again(front, nth > 0);
                 return nth > 0;
@@ -128,8 +135,16 @@
                     self.make_room_ahead(front, quiet_since, now, front_events);
                 }
                 Err(e) if matches!(e.kind(), ErrorKind::Interrupted | ErrorKind::ConnectionAborted) => {}
+                // The system takes a descriptor before it looks for a connection, so after the first one
+                // this says nothing of whether more are waiting.
+                Err(e) if lacks_descriptor(&e) => {
+                    if nth > 0 || !self.make_room(None, quiet_since, front_events) {
+                        self.accept_again(front, nth > 0);
+                        return nth > 0;
+                    }
+                }
                 Err(e) => {
-                    // With no descriptor to be had the listener stays ready; it is asked again at a sweep.
+                    // The listener may stay ready; it is asked again at a sweep.
                     if e.kind() != ErrorKind::WouldBlock {
                         self.accept_again(front, false);
                     }
@@ -160,13 +175,20 @@
 
     /// Makes sure that a place is there, where `make_room_ahead` could not: closes some that were told the
     /// end or never asked for anything, those first that came first; where there are none, the one that lay
-    /// idle longest. Many that come only to sit there so cost those that ask little.
-    fn make_room(&mut self, front: usize, quiet_since: Tenths, front_events: &mut Vec<FrontEvent>) -> bool {
-        let useless = self.least_missed(front, quiet_since);
-        let silent = useless.partition_point(|(spoke, ..)| !spoke).min(EVICTED);
+    /// idle longest, or the part of a request that stands still longest. Many that come only to sit there so
+    /// cost those that ask little. `among` is the front whose own bound is met; none where the table is full,
+    /// or the process has no descriptor left.
+    fn make_room(
+        &mut self,
+        among: Option<usize>,
+        quiet_since: Tenths,
+        front_events: &mut Vec<FrontEvent>,
+    ) -> bool {
+        let useless = self.least_missed(among, quiet_since);
+        let silent = useless.partition_point(|(good_for, ..)| *good_for == Use::None).min(EVICTED);
         let before = self.conns.len();
-        for (spoke, _, slot) in useless {
-            if before - self.conns.len() >= if spoke { 1 } else { silent } {
+        for (good_for, _, slot) in useless {
+            if before - self.conns.len() >= if good_for == Use::None { silent } else { 1 } {
                 break;
             }
             if self.conns[slot].lingers || self.conns[slot].nothing_came() {
@@ -185,12 +207,13 @@
         now: Tenths,
         front_events: &mut Vec<FrontEvent>,
     ) {
-        let (own, places, free) = self.tighter_bound(front);
+        let among = self.bounded(front);
+        let (_, places, free) = self.tighter_bound(front);
         let spare = bounds::spare(places);
         if free >= spare {
             return;
         }
-        let going = |conn: &Conn| conn.lingers && (!own || conn.front == front);
+        let going = |conn: &Conn| conn.lingers && among.is_none_or(|front| conn.front == front);
         let going = self.conns.iter().filter(|(_, conn)| going(conn)).count();
         let wanted = spare.saturating_sub(free + going);
         // Half of them at once, as each look goes over all connections.
@@ -198,7 +221,7 @@
             return;
         }
         let stays = |conn: &Conn| !conn.lingers && conn.open.is_empty() && conn.nothing_came();
-        let useless = self.least_missed(front, quiet_since).into_iter().map(|(.., slot)| slot);
+        let useless = self.least_missed(among, quiet_since).into_iter().map(|(.., slot)| slot);
         let useless: Vec<usize> = useless.filter(|slot| stays(&self.conns[*slot])).take(wanted).collect();
         useless.into_iter().for_each(|slot| self.hang_up(slot, End::Evicted, now, front_events));
     }
@@ -212,18 +235,21 @@
         if own.2 < all.2 { own } else { all }
     }
 
-    /// Connections that could be let go of, those first that are missed least: whether they ever asked for
-    /// anything, when something last moved on them, and where they are. A front at its own bound makes room
-    /// among its own.
-    fn least_missed(&self, front: usize, quiet_since: Tenths) -> Vec<(bool, Tenths, usize)> {
+    /// The front among whose connections room is made for one more on `front`: itself, if it is at its own
+    /// bound; none where that of the table is met first.
+    fn bounded(&self, front: usize) -> Option<usize> {
         let (own, ..) = self.tighter_bound(front);
-        // What lingers has had its answer, and only sends what nobody asked for.
-        let asks_nothing = |conn: &Conn| !conn.spoke && conn.reading && conn.unread() == 0;
-        let quiet = |conn: &Conn| conn.moved <= quiet_since;
-        let useless = |conn: &Conn| conn.lingers || (quiet(conn) && (conn.idle() || asks_nothing(conn)));
-        let useless = self.conns.iter().filter(|(_, conn)| useless(conn) && (!own || conn.front == front));
-        let of = |(slot, conn): (usize, &Conn)| (conn.spoke && !conn.lingers, conn.moved, slot);
-        let mut useless: Vec<_> = useless.map(of).collect();
+        own.then_some(front)
+    }
+
+    /// Connections that could be let go of, those first that are missed least: what they are good for, when
+    /// something last moved on them, and where they are.
+    fn least_missed(&self, among: Option<usize>, quiet_since: Tenths) -> Vec<(Use, Tenths, usize)> {
+        let useless = |conn: &Conn| conn.lingers || (conn.moved <= quiet_since && conn.asks_nothing());
+        let concerned = |conn: &Conn| among.is_none_or(|front| conn.front == front);
+        let useless = self.conns.iter().filter(|(_, conn)| useless(conn) && concerned(conn));
+        let rank = |(slot, conn): (usize, &Conn)| (conn.use_of(), conn.moved, slot);
+        let mut useless: Vec<_> = useless.map(rank).collect();
         useless.sort_unstable();
         useless
     }
@@ -300,10 +326,10 @@
                 _ => self.close(slot, end, front_events),
             }
         }
-        let idle = self.conns.iter().any(|(_, conn)| conn.idle());
+        let makes_room = self.conns.iter().any(|(_, conn)| conn.lingers || conn.asks_nothing());
         for front in 0..self.fronts.capacity().min(MOST_FRONTS) {
             if self.fronts.contains(front) {
-                self.accept_again(front, idle || !self.is_full(front));
+                self.accept_again(front, makes_room || !self.is_full(front));
             }
         }
     }
--- a/node/tests/node/ends.rs
+++ b/node/tests/node/ends.rs
@@ -165,6 +165,47 @@
     assert!(has_ended(&mut eighth));
 }
 
+#[test]
+fn half_requests_that_fill_the_table_make_room_at_the_next_look() {
+    let mut table = Table::new(8);
+    let mut halves: Vec<Client> = (0..8).map(|_| table.caller()).collect();
+    for half in &mut halves {
+        half.send(&record(1, 1, &[0, 1, 1, 0, 0, 0, 0, 0]));
+        table.turn();
+    }
+    let mut check = table.connect(table.at);
+    // Something moved on all of them just now, so there is nobody to let go of.
+    table.turn();
+    assert_eq!(table.fronts.connections(), 8);
+    table.pass(FRESH);
+    table.checks(&mut check, 1);
+    assert_eq!(table.fronts.counts().ends.get("evicted"), Some(&8));
+}
+
+#[test]
+fn half_requests_after_whole_ones_make_room_once_nobody_idle_is_left() {
+    let mut table = Table::new(8);
+    let mut halves: Vec<Client> = (0..7).map(|_| table.caller()).collect();
+    for (half, nth) in halves.iter_mut().zip(1..) {
+        table.checks(half, nth);
+        half.send(&record(1, 1, &[0, 1, 1, 0, 0, 0, 0, 0]));
+        table.turn();
+    }
+    let mut idle = table.caller();
+    table.checks(&mut idle, 10);
+    table.pass(FRESH);
+    let mut first = table.caller();
+    table.checks(&mut first, 11);
+    assert!(has_ended(&mut idle), "one that is idle goes before a part of a request");
+    first.look(1, 12);
+    table.until(|table| table.exchanges.len() == 1);
+    table.pass(FRESH);
+    let mut second = table.caller();
+    table.checks(&mut second, 13);
+    table.serves(0, &mut first);
+    assert_eq!(table.fronts.counts().ends.get("evicted"), Some(&2));
+}
+
 #[test]
 fn a_slow_request_ends_its_connection_only_once_what_is_open_beside_it_is_answered() {
     let mut table = Table::new(8);
--- a/node/tests/node/main.rs
+++ b/node/tests/node/main.rs
@@ -3,6 +3,7 @@
 mod conformance;
 mod ends;
 mod fronts;
+mod idle;
 mod instants;
 mod parts;
 mod play;
--- a/standins/src/bed.rs
+++ b/standins/src/bed.rs
@@ -37,6 +37,8 @@
     pub installation: Option<Value>,
     /// Words of the command line after `serve`.
     pub words: Vec<String>,
+    /// The soft limit on its descriptors (RLIMIT_NOFILE), where it is to have a lower one than the test.
+    pub descriptors: Option<u64>,
     door: TcpListener,
     registry: UdpSocket,
 }
@@ -50,7 +52,7 @@
         config["engine"] = json!(door.local_addr().unwrap().to_string());
         config["registry"] = json!(registry.local_addr().unwrap().to_string());
         let program = program.as_ref().to_path_buf();
-        Plan { program, at, config, installation: None, words: Vec::new(), door, registry }
+        Plan { program, at, config, installation: None, words: Vec::new(), descriptors: None, door, registry }
     }
 
     /// The same address with another port.
@@ -64,7 +66,14 @@
         std::fs::create_dir_all(&folder).unwrap();
         let file = folder.join("config.json");
         std::fs::write(&file, self.config.to_string()).unwrap();
-        let mut command = Command::new(&self.program);
+        let mut command = match self.descriptors {
+            None => Command::new(&self.program),
+            Some(limit) => {
+                let mut shell = Command::new("/bin/sh");
+                shell.args(["-c", &format!("ulimit -S -n {limit}; exec \"$0\" \"$@\"")]).arg(&self.program);
+                shell
+            }
+        };
         // Without any word of its own it is started as the platform does it.
         if self.installation.is_some() || !self.words.is_empty() {
             command.arg("serve").args(&self.words);
--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -3,7 +3,7 @@
 //! [`bed::Plan`] starts the program on an address of its own. [`engine::Engine`] plays the engine a line at a
 //! time. [`caller`] asks over either protocol as one does that knows its manners, [`records`] builds FastCGI
 //! byte by byte for those that do not, and [`server::Server`] is an application server over either protocol
-//! whose every answer follows a [`server::Act`].
+//! whose every answer follows a [`server::Act`]. [`idle::IdleClients`] hold connections open and ask little.
 //!
 //! Whatever waits here has long limits, so that a slow machine changes no verdict. A failure is a panic: a
 //! stand-in is part of its test.
@@ -11,6 +11,7 @@
 pub mod bed;
 pub mod caller;
 pub mod engine;
+pub mod idle;
 pub mod instant;
 pub mod records;
 pub mod rules;
