--- a/fleet/src/table.rs
+++ b/fleet/src/table.rs
@@ -1,28 +1,30 @@
-//! All other members that are known, by place and by name.
+//! The table of all other members that are known, by index and by name.
 
 use std::collections::BTreeMap;
 use std::ops::Bound;
 
 use doortrack::Tenths;
 
-use crate::doubt::Doubt;
-use crate::{Claim, Name, Stand};
+use crate::suspicion::Suspicion;
+use crate::{MemberState, MemberUpdate, Name};
 
-/// Place of a member in the table, in use again once it was forgotten.
-pub type Place = usize;
+/// Index of a member in the table; used again once that member was forgotten.
+pub type MemberIndex = usize;
 
-/// Datagrams back that are still told apart from doubled ones.
+/// Datagrams back from the latest within which a replayed one is recognized.
 const WINDOW: u64 = 128;
 
-/// Which datagrams of one life were heard.
+/// Which datagrams of one incarnation were received: a sliding window against replays.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Received {
+    /// The greatest number received.
     last: u64,
+    /// Bit `n`: number `last - n` was received.
     bits: u128,
 }
 
 impl Received {
-    /// Whether this one is heard for the first time; one that is too old to tell counts as doubled.
+    /// Takes note of a datagram's number; `false` if it came before, or is too old to tell.
     pub fn is_first(&mut self, nth: u64) -> bool {
         if nth > self.last {
             let by = nth - self.last;
@@ -39,37 +41,42 @@
     }
 }
 
+/// All that is kept of one member.
 #[derive(Clone, Debug)]
-pub struct Member {
-    pub claim: Claim,
-    /// Grows with each change of the claim, for what waits to be passed on.
-    pub version: u32,
-    /// When the claim's stand last changed.
+pub struct MemberRecord {
+    /// The update that takes precedence among all received.
+    pub update: MemberUpdate,
+    /// Grows with each change of the update, so that queued copies of earlier ones are recognized.
+    pub revision: u32,
+    /// When the state last changed, in tenths of a ms.
     pub since: Tenths,
+    /// Its datagrams of this incarnation.
     pub received: Received,
-    /// Smoothed time to answer; 0 before the first answer.
-    pub answers_in: Tenths,
+    /// Smoothed response time in tenths of a ms; 0 before the first answer.
+    pub response_time: Tenths,
+    /// Whether it was reported as slow.
     pub slow: bool,
-    pub doubt: Option<Doubt>,
-    /// Times that it came back from being lost, and when last.
+    /// The suspicion under way, if its state is [`MemberState::Suspected`].
+    pub suspicion: Option<Suspicion>,
+    /// Times that it came back from being dead, and when it last did.
     pub returns: u32,
     pub returned_at: Tenths,
-    /// Kept out of the view until then, for having come back too often.
+    /// Kept out of the view until then, as it came back too often.
     pub held_until: Option<Tenths>,
-    /// Its own place in the list of those that are there, or of those that are lost.
+    /// Its position in the list of present members, or of dead ones.
     pub listed: usize,
 }
 
-impl Member {
-    fn new(claim: Claim, now: Tenths) -> Member {
-        Member {
-            claim,
-            version: 0,
+impl MemberRecord {
+    fn new(update: MemberUpdate, now: Tenths) -> MemberRecord {
+        MemberRecord {
+            update,
+            revision: 0,
             since: now,
             received: Received::default(),
-            answers_in: 0,
+            response_time: 0,
             slow: false,
-            doubt: None,
+            suspicion: None,
             returns: 0,
             returned_at: 0,
             held_until: None,
@@ -78,157 +85,173 @@
     }
 }
 
-/// The table. Members that are there and members that are lost are listed apart, for picking one by chance;
-/// those that left are only known by name.
+/// The table. Present and dead members are listed apart, so that one of either can be drawn at random in
+/// constant time; members that left are found by name only.
 #[derive(Default)]
 pub struct Table {
-    slots: Vec<Option<Member>>,
-    free: Vec<Place>,
-    by_name: BTreeMap<Name, Place>,
-    there: Vec<Place>,
-    lost: Vec<Place>,
-    /// How many of `there` have had their turn in this round of probes.
+    slots: Vec<Option<MemberRecord>>,
+    free: Vec<MemberIndex>,
+    by_name: BTreeMap<Name, MemberIndex>,
+    present: Vec<MemberIndex>,
+    dead: Vec<MemberIndex>,
+    /// How many of `present`, from its start, were probed in this round.
     probed: usize,
 }
 
 impl Table {
+    /// Members in the table, in whatever state.
     pub fn len(&self) -> usize {
         self.by_name.len()
     }
 
-    pub fn there(&self) -> usize {
-        self.there.len()
+    /// Members that are present.
+    pub fn present(&self) -> usize {
+        self.present.len()
     }
 
-    pub fn place(&self, name: &str) -> Option<Place> {
+    /// The index of the member with this name.
+    pub fn index_of(&self, name: &str) -> Option<MemberIndex> {
         self.by_name.get(name).copied()
     }
 
-    pub fn get(&self, place: Place) -> Option<&Member> {
-        self.slots.get(place)?.as_ref()
+    /// The record of a member; none once it was forgotten.
+    pub fn get(&self, index: MemberIndex) -> Option<&MemberRecord> {
+        self.slots.get(index)?.as_ref()
     }
 
-    pub fn get_mut(&mut self, place: Place) -> Option<&mut Member> {
-        self.slots.get_mut(place)?.as_mut()
+    /// As [`Table::get`], to change it. The update is changed by [`Table::set`] alone.
+    pub fn get_mut(&mut self, index: MemberIndex) -> Option<&mut MemberRecord> {
+        self.slots.get_mut(index)?.as_mut()
     }
 
-    /// Members from behind a name on, in the order of names.
-    pub fn after(&self, name: Option<&Name>) -> impl Iterator<Item = &Member> {
+    /// The members behind a name, in the order of names; all for none.
+    pub fn after(&self, name: Option<&Name>) -> impl Iterator<Item = &MemberRecord> {
         let from = name.map_or(Bound::Unbounded, Bound::Excluded);
-        let places = self.by_name.range::<Name, _>((from, Bound::Unbounded)).map(|(_, place)| *place);
-        places.filter_map(|place| self.get(place))
+        let indices = self.by_name.range::<Name, _>((from, Bound::Unbounded)).map(|(_, index)| *index);
+        indices.filter_map(|index| self.get(index))
     }
 
-    pub fn insert(&mut self, claim: Claim, now: Tenths) -> Place {
-        let place = self.free.pop().unwrap_or_else(|| {
+    /// Adds a member that is not in the table.
+    pub fn insert(&mut self, update: MemberUpdate, now: Tenths) -> MemberIndex {
+        let index = self.free.pop().unwrap_or_else(|| {
             self.slots.push(None);
             self.slots.len() - 1
         });
-        let (name, stand) = (claim.name.clone(), claim.stand);
-        self.slots[place] = Some(Member::new(claim, now));
-        self.by_name.insert(name, place);
-        self.list(place, stand);
-        place
-    }
-
-    pub fn remove(&mut self, place: Place) -> Option<Member> {
-        let stand = self.get(place)?.claim.stand;
-        self.unlist(place, stand);
-        let member = self.slots[place].take()?;
-        self.by_name.remove(&member.claim.name);
-        self.free.push(place);
-        Some(member)
-    }
-
-    /// Replaces a member's claim, and keeps it in the list where it belongs.
-    pub fn set(&mut self, place: Place, claim: Claim, now: Tenths) {
-        let Some(member) = self.get_mut(place) else { return };
-        let (before, after) = (member.claim.stand, claim.stand);
+        let (name, state) = (update.name.clone(), update.state);
+        self.slots[index] = Some(MemberRecord::new(update, now));
+        self.by_name.insert(name, index);
+        self.list(index, state);
+        index
+    }
+
+    /// Forgets a member; its index may be used again.
+    pub fn remove(&mut self, index: MemberIndex) -> Option<MemberRecord> {
+        let state = self.get(index)?.update.state;
+        self.unlist(index, state);
+        let record = self.slots[index].take()?;
+        self.by_name.remove(&record.update.name);
+        self.free.push(index);
+        Some(record)
+    }
+
+    /// Replaces a member's update, and moves the member to the list of its new state.
+    pub fn set(&mut self, index: MemberIndex, update: MemberUpdate, now: Tenths) {
+        let Some(record) = self.get_mut(index) else { return };
+        let (before, after) = (record.update.state, update.state);
         if std::mem::discriminant(&before) != std::mem::discriminant(&after) {
-            member.since = now;
+            record.since = now;
         }
-        member.claim = claim;
-        member.version = member.version.wrapping_add(1);
-        let kind = |stand: Stand| (stand.is_there(), stand == Stand::Lost);
+        record.update = update;
+        record.revision = record.revision.wrapping_add(1);
+        let kind = |state: MemberState| (state.is_present(), state == MemberState::Dead);
         if kind(before) != kind(after) {
-            self.unlist(place, before);
-            self.list(place, after);
+            self.unlist(index, before);
+            self.list(index, after);
+        }
+    }
+
+    /// The list in which members of a state are kept; none for those that left.
+    fn list_of(&mut self, state: MemberState) -> Option<&mut Vec<MemberIndex>> {
+        match state {
+            MemberState::Alive | MemberState::Suspected { .. } => Some(&mut self.present),
+            MemberState::Dead => Some(&mut self.dead),
+            MemberState::Left => None,
         }
     }
 
-    fn list(&mut self, place: Place, stand: Stand) {
-        let list = match stand {
-            Stand::Alive | Stand::Suspected { .. } => &mut self.there,
-            Stand::Lost => &mut self.lost,
-            Stand::Left => return,
-        };
-        list.push(place);
+    fn list(&mut self, index: MemberIndex, state: MemberState) {
+        let Some(list) = self.list_of(state) else { return };
+        list.push(index);
         let listed = list.len() - 1;
-        if let Some(member) = self.get_mut(place) {
-            member.listed = listed;
+        if let Some(record) = self.get_mut(index) {
+            record.listed = listed;
         }
     }
 
-    fn unlist(&mut self, place: Place, stand: Stand) {
-        let Some(listed) = self.get(place).map(|member| member.listed) else { return };
-        if stand.is_there() && listed < self.probed {
+    fn unlist(&mut self, index: MemberIndex, state: MemberState) {
+        let Some(listed) = self.get(index).map(|record| record.listed) else { return };
+        if state.is_present() && listed < self.probed {
             // The last of those that had their turn takes its place, so that the rest keep theirs.
             self.probed -= 1;
             self.swap(listed, self.probed);
-            return self.unlist_at(self.probed, stand);
+            return self.unlist_at(self.probed, state);
         }
-        self.unlist_at(listed, stand);
+        self.unlist_at(listed, state);
     }
 
-    fn unlist_at(&mut self, listed: usize, stand: Stand) {
-        let list = match stand {
-            Stand::Alive | Stand::Suspected { .. } => &mut self.there,
-            Stand::Lost => &mut self.lost,
-            Stand::Left => return,
-        };
+    fn unlist_at(&mut self, listed: usize, state: MemberState) {
+        let Some(list) = self.list_of(state) else { return };
         if listed >= list.len() {
             return;
         }
         list.swap_remove(listed);
         let moved = list.get(listed).copied();
-        if let Some(member) = moved.and_then(|place| self.get_mut(place)) {
-            member.listed = listed;
+        if let Some(record) = moved.and_then(|index| self.get_mut(index)) {
+            record.listed = listed;
         }
     }
 
-    fn swap(&mut self, one: usize, other: usize) {
-        self.there.swap(one, other);
-        for listed in [one, other] {
-            let place = self.there[listed];
-            if let Some(member) = self.get_mut(place) {
-                member.listed = listed;
+    fn swap(&mut self, left: usize, right: usize) {
+        self.present.swap(left, right);
+        for listed in [left, right] {
+            let index = self.present[listed];
+            if let Some(record) = self.get_mut(index) {
+                record.listed = listed;
             }
         }
     }
 
-    /// The next to be probed: all that are there once a round, in an order that chance settles as it goes.
-    pub fn next_probe(&mut self, chance: &mut fastrand::Rng) -> Option<Place> {
-        if self.there.is_empty() {
+    /// The next member to probe: each present member once a round, in an order drawn as the round goes.
+    pub fn next_probe(&mut self, chance: &mut fastrand::Rng) -> Option<MemberIndex> {
+        if self.present.is_empty() {
             return None;
         }
-        if self.probed >= self.there.len() {
+        if self.probed >= self.present.len() {
             self.probed = 0;
         }
-        let picked = chance.usize(self.probed..self.there.len());
+        let picked = chance.usize(self.probed..self.present.len());
         self.swap(picked, self.probed);
         self.probed += 1;
-        self.there.get(self.probed - 1).copied()
+        self.present.get(self.probed - 1).copied()
     }
 
-    /// Up to `count` different members that are there, none of them `but`.
-    pub fn some(&self, count: usize, but: Option<Place>, chance: &mut fastrand::Rng) -> Vec<Place> {
+    /// Up to `count` different present members drawn at random, none of them `but`.
+    pub fn some(
+        &self,
+        count: usize,
+        but: Option<MemberIndex>,
+        chance: &mut fastrand::Rng,
+    ) -> Vec<MemberIndex> {
         let mut picked = Vec::with_capacity(count);
         // Enough draws for a small fleet too; a draw that hits one again is not made good.
         for _ in 0..count * 3 {
-            let place =
-                if self.there.is_empty() { break } else { self.there[chance.usize(..self.there.len())] };
-            if Some(place) != but && !picked.contains(&place) {
-                picked.push(place);
+            let index = if self.present.is_empty() {
+                break;
+            } else {
+                self.present[chance.usize(..self.present.len())]
+            };
+            if Some(index) != but && !picked.contains(&index) {
+                picked.push(index);
                 if picked.len() == count {
                     break;
                 }
@@ -237,8 +260,8 @@
         picked
     }
 
-    /// One of those that are lost.
-    pub fn some_lost(&self, chance: &mut fastrand::Rng) -> Option<Place> {
-        if self.lost.is_empty() { None } else { self.lost.get(chance.usize(..self.lost.len())).copied() }
+    /// A dead member drawn at random.
+    pub fn some_dead(&self, chance: &mut fastrand::Rng) -> Option<MemberIndex> {
+        if self.dead.is_empty() { None } else { self.dead.get(chance.usize(..self.dead.len())).copied() }
     }
 }
--- a/node/tests/fleet/main.rs
+++ b/node/tests/fleet/main.rs
@@ -4,7 +4,9 @@
 //! Every wait has a bound that a slow machine does not outlast; nothing is judged by how long it took.
 
 mod budgets;
+mod encoding;
 mod link;
+mod ramp;
 mod served;
 mod troubles;
 
--- a/node/tests/node/main.rs
+++ b/node/tests/node/main.rs
@@ -7,6 +7,7 @@
 mod instants;
 mod parts;
 mod play;
+mod ramps;
 mod restart;
 mod rules;
 mod sockets;
--- a/rig/src/checks.rs
+++ b/rig/src/checks.rs
@@ -28,11 +28,11 @@
 /// All promises about who is there.
 pub fn membership() -> Vec<Box<dyn Invariant>> {
     vec![
-        Box::new(NobodyWronglyLost),
-        Box::new(LeftIsNotLost),
-        Box::new(LivesGoForward),
-        Box::new(CutOffLosesNobody),
-        Box::new(WokenLosesNobody),
+        Box::new(NoFalseDeath),
+        Box::new(LeftIsNotDead),
+        Box::new(IncarnationsGoForward),
+        Box::new(IsolatedDeclaresNobodyDead),
+        Box::new(ResumedDeclaresNobodyDead),
         Box::new(InTheEndAllAgree),
     ]
 }
@@ -54,32 +54,32 @@
     name.strip_prefix('n')?.parse().ok()
 }
 
-/// The losses that are wrong by `wrong` (when, told by whom, of whom), in the words of `say`.
-fn losses(
+/// The deaths declared that are wrong by `wrong` (when, told by whom, of whom), in the words of `say`.
+fn deaths(
     history: &History,
     wrong: impl Fn(u64, usize, usize) -> bool,
     say: impl Fn(String, String) -> String,
 ) -> Vec<(u64, String)> {
-    let lost = history.entries.iter().filter_map(|entry| match &entry.what {
-        What::News { node, word, of: Some(of), .. } if word == "lost" => {
+    let declared = history.entries.iter().filter_map(|entry| match &entry.what {
+        What::News { node, word, of: Some(of), .. } if word == "dead" => {
             Some((entry.at_ms, *node, number(of)?))
         }
         _ => None,
     });
-    let wrongly = lost.filter(|(at, by, of)| wrong(*at, *by, *of));
+    let wrongly = declared.filter(|(at, by, of)| wrong(*at, *by, *of));
     wrongly.map(|(at, by, of)| (at, say(name(by), name(of)))).collect()
 }
 
-/// Reasons for a loss lie within so many ms before it.
+/// Reasons to declare a death lie within so many ms before it.
 const REASONS: u64 = 8_000;
 
-/// Who runs, and is reached by others, is held for lost by nobody: not for one broken link, nor for some
+/// Who runs, and is reached by others, is declared dead by nobody: not for one broken link, nor for some
 /// datagrams lost.
-pub struct NobodyWronglyLost;
+pub struct NoFalseDeath;
 
-impl Invariant for NobodyWronglyLost {
+impl Invariant for NoFalseDeath {
     fn name(&self) -> &'static str {
-        "nobody wrongly lost"
+        "nobody wrongly declared dead"
     }
 
     fn judge(&self, history: &History, course: &Course) -> Vec<(u64, String)> {
@@ -88,19 +88,19 @@
             let reason = |node| course.was_wrong(node, from, at) || course.was_parted(node, from, at);
             !reason(of) && !reason(by) && !course.was_rough(from, at)
         };
-        losses(history, wrong, |by, of| format!("{by} held {of} for lost"))
+        deaths(history, wrong, |by, of| format!("{by} declared {of} dead"))
     }
 }
 
-/// Who was told to leave, and is not killed at once, is never held for lost.
-pub struct LeftIsNotLost;
+/// Who was told to leave, and is not killed at once, is never declared dead.
+pub struct LeftIsNotDead;
 
 /// What a node needs to say that it leaves.
 const SAYING: u64 = 2_000;
 
-impl Invariant for LeftIsNotLost {
+impl Invariant for LeftIsNotDead {
     fn name(&self) -> &'static str {
-        "left is not lost"
+        "left is not dead"
     }
 
     fn judge(&self, history: &History, course: &Course) -> Vec<(u64, String)> {
@@ -113,16 +113,16 @@
             let reader = course.was_wrong(by, left.saturating_sub(SAYING), at);
             !anew && !excused && !reader && at > left + SAYING
         };
-        losses(history, wrong, |by, of| format!("{by} held {of} for lost, which left"))
+        deaths(history, wrong, |by, of| format!("{by} declared {of} dead, which left"))
     }
 }
 
-/// No process goes back to an earlier life of another.
-pub struct LivesGoForward;
+/// No process goes back to an earlier incarnation of another.
+pub struct IncarnationsGoForward;
 
-impl Invariant for LivesGoForward {
+impl Invariant for IncarnationsGoForward {
     fn name(&self) -> &'static str {
-        "lives go forward"
+        "incarnations go forward"
     }
 
     fn judge(&self, history: &History, _: &Course) -> Vec<(u64, String)> {
@@ -130,17 +130,19 @@
         for entry in &history.entries {
             match &entry.what {
                 What::Began { node } => seen.retain(|(by, _), _| by != node),
-                What::News { node, word, of: Some(of), life: Some(life), .. }
+                What::News { node, word, of: Some(of), incarnation: Some(incarnation), .. }
                     if matches!(&**word, "alive" | "back") =>
                 {
-                    let life = u64::from_str_radix(life, 16).unwrap_or_default();
-                    let last = seen.entry((*node, of.clone())).or_insert(life);
-                    if life < *last {
-                        let what =
-                            format!("{} went back from life {last:x} of {of} to {life:x}", name(*node));
+                    let incarnation = u64::from_str_radix(incarnation, 16).unwrap_or_default();
+                    let last = seen.entry((*node, of.clone())).or_insert(incarnation);
+                    if incarnation < *last {
+                        let what = format!(
+                            "{} went back from incarnation {last:x} of {of} to {incarnation:x}",
+                            name(*node)
+                        );
                         broken.push((entry.at_ms, what));
                     }
-                    *last = life.max(*last);
+                    *last = incarnation.max(*last);
                 }
                 _ => {}
             }
@@ -149,33 +151,33 @@
     }
 }
 
-/// Who hears nobody lets nobody be lost: it is the one that is cut off.
-pub struct CutOffLosesNobody;
+/// Who hears nobody declares nobody dead: it is the one that is isolated.
+pub struct IsolatedDeclaresNobodyDead;
 
-impl Invariant for CutOffLosesNobody {
+impl Invariant for IsolatedDeclaresNobodyDead {
     fn name(&self) -> &'static str {
-        "cut off, loses nobody"
+        "isolated, declares nobody dead"
     }
 
     fn judge(&self, history: &History, course: &Course) -> Vec<(u64, String)> {
         let wrong = |at: u64, by: usize, of: usize| {
-            // A doubt that others had shared before may come to its end just after the cut.
-            let within = course.cut_off(by).iter().any(|span| at >= span.from + SAYING && at < span.till);
+            // A suspicion that others had shared before may come to its end just after the cut.
+            let within = course.isolated(by).iter().any(|span| at >= span.from + SAYING && at < span.till);
             within && !course.was_wrong(of, at.saturating_sub(REASONS), at)
         };
-        losses(history, wrong, |by, of| format!("{by}, cut off, held {of} for lost"))
+        deaths(history, wrong, |by, of| format!("{by}, isolated, declared {of} dead"))
     }
 }
 
-/// Who stood still and wakes lets nobody be lost before it can have heard from anybody.
-pub struct WokenLosesNobody;
+/// Who stood still and wakes declares nobody dead before it can have heard from anybody.
+pub struct ResumedDeclaresNobodyDead;
 
-/// The shortest doubt is longer than this.
+/// The shortest suspicion is longer than this.
 const WAKING: u64 = 250;
 
-impl Invariant for WokenLosesNobody {
+impl Invariant for ResumedDeclaresNobodyDead {
     fn name(&self) -> &'static str {
-        "woken, loses nobody"
+        "resumed, declares nobody dead"
     }
 
     fn judge(&self, history: &History, course: &Course) -> Vec<(u64, String)> {
@@ -185,14 +187,14 @@
                 long && at >= span.till && at < span.till + WAKING
             };
             let Some(stop) = course.stops[by].iter().find(woken) else { return false };
-            // What others tell it of one that was lost meanwhile is well founded.
+            // What others tell it of one that died meanwhile is well founded.
             !course.was_wrong(of, stop.from.saturating_sub(REASONS), at)
         };
-        losses(history, wrong, |by, of| format!("{by}, just woken, held {of} for lost"))
+        deaths(history, wrong, |by, of| format!("{by}, just woken, declared {of} dead"))
     }
 }
 
-/// Once all is mended, those that run hold exactly those for there that run, and in one life.
+/// Once all is mended, those that run hold exactly those for there that run, and in one incarnation.
 pub struct InTheEndAllAgree;
 
 impl Invariant for InTheEndAllAgree {
--- a/rig/src/course.rs
+++ b/rig/src/course.rs
@@ -64,7 +64,7 @@
                     course.running[*node] = false;
                     course.wrong[*node].push(Span { from: at, till: u64::MAX });
                 }
-                What::News { node, word, .. } if word == "stood_still" => {
+                What::News { node, word, .. } if word == "resumed" => {
                     course.wrong[*node].push(Span { from: at, till: at });
                 }
                 What::News { .. } | What::Status { .. } => {}
@@ -135,18 +135,18 @@
         }
     }
 
-    /// Whether the node itself gave reason, in this span, to be held for lost.
+    /// Whether the node itself gave reason, in this span, to be declared dead.
     pub fn was_wrong(&self, node: usize, from: u64, till: u64) -> bool {
         self.wrong[node].iter().any(|span| span.meets(from, till))
     }
 
-    /// Whether links were so bad for all that doubts are no wonder.
+    /// Whether links were so bad for all that suspicions are no wonder.
     pub fn was_rough(&self, from: u64, till: u64) -> bool {
         self.rough.iter().any(|span| span.meets(from, till))
     }
 
-    /// Whether a cut parted the node from more than one other. One broken link is no reason to hold anybody
-    /// for lost: there are helpers.
+    /// Whether a cut parted the node from more than one other. One broken link is no reason to declare
+    /// anybody dead: there are indirect probers.
     pub fn was_parted(&self, node: usize, from: u64, till: u64) -> bool {
         self.cuts.iter().filter(|(.., span)| span.meets(from, till)).any(|(of, to, _)| {
             let alone = of.len() == 1 && to.len() == 1;
@@ -155,7 +155,7 @@
     }
 
     /// The spans in which nothing went either way between this node and any other.
-    pub fn cut_off(&self, node: usize) -> Vec<Span> {
+    pub fn isolated(&self, node: usize) -> Vec<Span> {
         let whole = |list: &[usize]| (0..self.wrong.len()).all(|of| of == node || list.contains(&of));
         let ways = |outward: bool| {
             self.cuts.iter().filter(move |(of, to, _)| {
--- a/rig/src/divided.rs
+++ b/rig/src/divided.rs
@@ -2,13 +2,15 @@
 //! node and time, and an independent count of what was used.
 //!
 //! The count knows nothing of leases: it takes note of each use at its true time, and compares with the
-//! whole.
+//! limit.
 
 use std::collections::BTreeMap;
 
-use doortrack_budgets::{Action, Budget, Budgets, Envelope, Event, Kind, Message, News, Terms, Who};
+use doortrack_budgets::{
+    Action, Budget, Budgets, Change, Envelope, Event, Kind, Message, NodeId, Parameters,
+};
 use doortrack_emulator::{Clock, Law, Links, MachineId, Micros, Net, Next};
-use doortrack_fleet::{Life, Name, Seat, View};
+use doortrack_fleet::{Incarnation, Member, Name, View};
 
 use crate::history::name;
 use crate::links::{self, MS};
@@ -28,15 +30,15 @@
 
 /// How a play differs from the plainest.
 pub struct Ways<'a> {
-    pub terms: Terms,
+    pub parameters: Parameters,
     pub list: Vec<Budget>,
     pub latency: Law,
     /// Least and most that clocks gain, in millionths.
     pub drift_ppm: (i64, i64),
     pub offset_ms: i64,
-    /// Uses that are asked for a second: of a node, of the budget at a place, at a time in ms.
+    /// Uses that are asked for a second: of a node, of the budget at an index, at a time in ms.
     pub demand: &'a dyn Fn(usize, usize, u64) -> f64,
-    /// How long places are held, in the mean; never longer than the budget says.
+    /// How long units are held, in the mean; never longer than the budget says.
     pub held_ms: u64,
     /// Uses are counted from here on, for figures.
     pub count_from_ms: u64,
@@ -54,7 +56,7 @@
     /// Of the first budget, uses by node, and by node and tenth of a second since the start.
     pub by_node: Vec<u64>,
     pub by_time: BTreeMap<(usize, u64), u32>,
-    pub keepers: u64,
+    pub leaders: u64,
     /// Datagrams and bytes since `count_from_ms`.
     pub cost: Cost,
     /// Bytes of the one that sent most.
@@ -66,13 +68,13 @@
 struct World<'a> {
     net: Net<Envelope>,
     nodes: Vec<Option<Budgets>>,
-    lives: Vec<Life>,
+    incarnations: Vec<Incarnation>,
     started: u64,
     ways: &'a Ways<'a>,
     chance: fastrand::Rng,
-    /// By budget: what the leaky count of a rate stands at and when, or the ends of places held.
+    /// By budget: what the leaky count of a rate stands at and when, or the ends of what is held.
     level: Vec<(f64, Micros)>,
-    held: Vec<Vec<(Micros, MachineId, Life)>>,
+    held: Vec<Vec<(Micros, MachineId, Incarnation)>>,
     bytes: Vec<u64>,
     out: Outcome,
     actions: Vec<Action>,
@@ -92,7 +94,7 @@
     let mut world = World {
         net,
         nodes: (0..script.nodes).map(|_| None).collect(),
-        lives: vec![Life(0); script.nodes],
+        incarnations: vec![Incarnation(0); script.nodes],
         started: 0,
         ways,
         chance,
@@ -123,7 +125,7 @@
                 Next::Mark(u64::MAX) => self.learn(),
                 Next::Mark(nth) => self.fault(faults[nth as usize].fault.clone()),
                 Next::Wakes { of } => {
-                    self.handle(of, Event::Turn);
+                    self.handle(of, Event::Tick);
                     self.asks(of);
                     self.wake(of);
                 }
@@ -141,11 +143,11 @@
         }
         self.net.start(of);
         self.started += 1;
-        self.lives[of] = Life(self.started);
-        let me = Who { name: name(of).into(), life: self.lives[of] };
+        self.incarnations[of] = Incarnation(self.started);
+        let me = NodeId { name: name(of).into(), incarnation: self.incarnations[of] };
         let now = self.net.shown(of) / TENTH;
-        let (terms, list) = (self.ways.terms.clone(), &self.ways.list);
-        self.nodes[of] = Some(Budgets::new(me, 4, terms, list, self.chance.u64(..), now));
+        let (parameters, list) = (self.ways.parameters.clone(), &self.ways.list);
+        self.nodes[of] = Some(Budgets::new(me, 4, parameters, list, self.chance.u64(..), now));
         self.asks_at[of] = self.net.shown(of);
         self.wake(of);
         self.net.mark(self.net.now() + LEARN, u64::MAX);
@@ -154,12 +156,12 @@
     /// All nodes know the voters that run.
     fn learn(&mut self) {
         let mut view = View::default();
-        for voter in self.ways.terms.voters.iter() {
+        for voter in self.ways.parameters.voters.iter() {
             let of: Option<usize> = voter[1..].parse().ok();
             if let Some(of) = of.filter(|of| *of < self.nodes.len() && !self.net.is_down(*of)) {
                 let address = std::net::SocketAddr::from(([10, 0, 0, 1], of as u16));
-                let seat = Seat { life: self.lives[of], address, weight: 4 };
-                view.members.insert(Name::clone(voter), seat);
+                let member = Member { incarnation: self.incarnations[of], address, weight: 4 };
+                view.members.insert(Name::clone(voter), member);
             }
         }
         for of in 0..self.nodes.len() {
@@ -181,7 +183,9 @@
         for action in actions.drain(..) {
             match action {
                 Action::Send(envelope) => self.send(of, envelope),
-                Action::Report(news) => self.out.keepers += u64::from(matches!(news, News::Elected { .. })),
+                Action::Report(change) => {
+                    self.out.leaders += u64::from(matches!(change, Change::Elected { .. }))
+                }
             }
         }
         self.actions = actions;
@@ -219,78 +223,79 @@
         }
         self.asks_at[of] = shown + STEP;
         let at_ms = self.net.now() / MS;
-        for place in 0..self.ways.list.len() {
-            self.end_places(place);
-            let mean = (self.ways.demand)(of, place, at_ms) * STEP as f64 / 1e6;
+        for index in 0..self.ways.list.len() {
+            self.end_holds(index);
+            let mean = (self.ways.demand)(of, index, at_ms) * STEP as f64 / 1e6;
             // So many that the mean is met: exact but for chance in the fraction.
             let count = mean as u64 + u64::from(self.chance.f64() < mean.fract());
             for _ in 0..count {
-                self.ask(of, place);
+                self.ask(of, index);
             }
         }
     }
 
-    fn ask(&mut self, of: MachineId, place: usize) {
+    fn ask(&mut self, of: MachineId, index: usize) {
         let now = self.net.shown(of) / TENTH;
         let counts = self.net.now() >= self.ways.count_from_ms * MS;
-        self.out.asked[place] += u64::from(counts);
+        self.out.asked[index] += u64::from(counts);
         let Some(node) = &mut self.nodes[of] else { return };
-        if node.take(place, now).is_err() {
+        if node.acquire(index, now).is_err() {
             return;
         }
-        self.out.used[place] += u64::from(counts);
-        if place == 0 {
+        self.out.used[index] += u64::from(counts);
+        if index == 0 {
             self.out.by_node[of] += u64::from(counts);
             *self.out.by_time.entry((of, self.net.now() / (100 * MS))).or_default() += 1;
         }
-        self.mark(&(self.net.now(), of, place));
-        self.used(of, place);
+        self.mark(&(self.net.now(), of, index));
+        self.used(of, index);
     }
 
     /// Counts one use at its true time.
-    fn used(&mut self, of: MachineId, place: usize) {
-        let (budget, now) = (&self.ways.list[place], self.net.now());
-        let whole = f64::from(budget.whole);
+    fn used(&mut self, of: MachineId, index: usize) {
+        let (budget, now) = (&self.ways.list[index], self.net.now());
+        let limit = f64::from(budget.limit);
         match budget.kind {
             Kind::Rate { burst } => {
-                let (level, at) = self.level[place];
-                let level = (level - whole * (now - at) as f64 / 1e6).max(0.0) + TOKEN;
-                self.level[place] = (level, now);
+                let (level, at) = self.level[index];
+                let level = (level - limit * (now - at) as f64 / 1e6).max(0.0) + TOKEN;
+                self.level[index] = (level, now);
                 // What is cut to whole tenths of a ms, by each node, may come to a thousandth of a unit.
                 if level > f64::from(burst) + 0.01 {
-                    self.breach(place, format!("{level:.3} beyond {whole} a second, a burst of {burst}"));
+                    self.breach(index, format!("{level:.3} beyond {limit} a second, a burst of {burst}"));
                 }
             }
-            Kind::Places { held_most } => {
+            Kind::Concurrency { max_hold } => {
                 let mean = (self.ways.held_ms * MS) as f64;
-                let lasts = (-mean * self.chance.f64().max(1e-9).ln()).min((held_most * TENTH) as f64);
-                self.held[place].push((now + lasts as Micros, of, self.lives[of]));
-                let held = self.held[place].iter().filter(|(till, ..)| *till > now).count();
-                if held as u32 > budget.whole {
-                    self.breach(place, format!("{held} places of {whole} are held"));
+                let lasts = (-mean * self.chance.f64().max(1e-9).ln()).min((max_hold * TENTH) as f64);
+                self.held[index].push((now + lasts as Micros, of, self.incarnations[of]));
+                let held = self.held[index].iter().filter(|(till, ..)| *till > now).count();
+                if held as u32 > budget.limit {
+                    self.breach(index, format!("{held} of {limit} are held at once"));
                 }
             }
         }
     }
 
-    /// Places come to their end; a node that stands still learns of it when it goes on.
-    fn end_places(&mut self, place: usize) {
+    /// What is held comes to its end; a node that stands still learns of it when it goes on.
+    fn end_holds(&mut self, index: usize) {
         let now = self.net.now();
-        let (nodes, lives, net) = (&mut self.nodes, &self.lives, &self.net);
-        self.held[place].retain(|(till, of, life)| {
-            let over = *till <= now && (net.is_up(*of) || lives[*of] != *life || net.is_down(*of));
+        let (nodes, incarnations, net) = (&mut self.nodes, &self.incarnations, &self.net);
+        self.held[index].retain(|(till, of, incarnation)| {
+            let over =
+                *till <= now && (net.is_up(*of) || incarnations[*of] != *incarnation || net.is_down(*of));
             if over
-                && lives[*of] == *life
+                && incarnations[*of] == *incarnation
                 && let Some(node) = &mut nodes[*of]
             {
-                node.done(place);
+                node.release(index);
             }
             !over
         });
     }
 
-    fn breach(&mut self, place: usize, what: String) {
-        let budget = &self.ways.list[place].name;
+    fn breach(&mut self, index: usize, what: String) {
+        let budget = &self.ways.list[index].name;
         if !self.out.broken.iter().any(|broken| broken.contains(&**budget)) {
             self.out.broken.push(format!("{} ms: {budget}: {what}", self.net.now() / MS));
         }
@@ -321,21 +326,21 @@
 /// Bytes of an envelope as the codec writes it, near enough to compare sizes.
 fn weight(envelope: &Envelope) -> u64 {
     let small = |value: u64| 1 + u64::from(value > 127) + u64::from(value > 16_383);
-    let who = |who: &Who| 1 + who.name.len() as u64 + 9;
+    let who = |who: &NodeId| 1 + who.name.len() as u64 + 9;
     let message = match &envelope.message {
         Message::Ask { ballot } | Message::Vote { ballot } | Message::Refused { ballot } => small(*ballot),
         Message::Release { ballot } => small(*ballot),
         Message::Report { seq, items, .. } => {
-            let item = |item: &doortrack_budgets::Item| {
-                let units = [item.need, item.holding, item.accepted, item.whole, item.floor];
+            let item = |item: &doortrack_budgets::ReportItem| {
+                let units = [item.need, item.holding, item.accepted, item.limit, item.reserved];
                 5 + units.into_iter().map(small).sum::<u64>()
             };
             small(*seq) + 2 + items.iter().map(item).sum::<u64>()
         }
-        Message::Grant { seq, shares } => {
-            small(*seq) + 1 + shares.iter().map(|lent| 6 + small(lent.share)).sum::<u64>()
+        Message::Grant { seq, grants } => {
+            small(*seq) + 1 + grants.iter().map(|grant| 6 + small(grant.allocation)).sum::<u64>()
         }
-        Message::Elsewhere { seq, keeper } => small(*seq) + 1 + keeper.as_ref().map_or(0, who),
+        Message::Elsewhere { seq, leader } => small(*seq) + 1 + leader.as_ref().map_or(0, who),
     };
     who(&envelope.from) + who(&envelope.to) + 1 + message
 }
