--- a/expr/src/lib.rs
+++ b/expr/src/lib.rs
@@ -78,7 +78,15 @@
 
 /// The same without a wanted type; the program tells which it has.
 pub fn infer(source: &str, limits: Limits) -> Result<Program, Vec<Diagnostic>> {
-    check::compile(&parse(source)?, None, limits)
+    infer_parsed(&parse(source)?, limits)
+}
+
+/// As [`infer`], of an expression that was read before.
+///
+/// # Errors
+/// Every fault that could be told apart, in the order of their places.
+pub fn infer_parsed(expr: &Expr, limits: Limits) -> Result<Program, Vec<Diagnostic>> {
+    check::compile(expr, None, limits)
 }
 
 /// Reads an expression without checking it.
--- a/routes/src/build.rs
+++ b/routes/src/build.rs
@@ -1,14 +1,15 @@
 //! From rules as they were written to a table, or to every fault of theirs.
 
-use std::collections::BTreeMap;
 use std::fmt;
+use std::sync::Arc;
 
-use doortrack_expr::{Expr, Kind, Limits, Program, Type, infer, parse};
+use doortrack_expr::Limits;
 use rustc_hash::FxHashMap;
 
+use crate::compile::{Compiled, Compiler, source_digest};
 use crate::index::Index;
-use crate::lift::{self, Part};
-use crate::{Compiled, MOST_RULES, Table};
+use crate::shadows::{Digest, Shadows};
+use crate::{MOST_RULES, Table};
 
 /// A rule as operators write it. All but `group` and `servers` are expressions.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
@@ -33,7 +34,7 @@
 }
 
 /// Names that rules may use, in the order of their places.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Names {
     /// Endpoint groups, and whether their exchanges carry an idempotency key.
     pub groups: Vec<(String, bool)>,
@@ -77,202 +78,107 @@
 /// Faults after which no more are looked for.
 const MOST_FAULTS: usize = 50;
 
+/// A table with what is to be told of it.
+#[derive(Debug)]
+pub struct Built {
+    pub table: Table,
+    /// Rules that can never win.
+    pub notes: Vec<Note>,
+    /// Rules that were taken over from the previous table, compiled as they were.
+    pub reused: usize,
+}
+
+/// What a rule's compiled form depends on beside its own source.
+#[derive(Debug, PartialEq, Eq)]
+pub(crate) struct Environment {
+    pub(crate) groups: Vec<(String, bool)>,
+    pub(crate) pools: Vec<String>,
+    /// Which customers there are is looked up for each request, and is no part of a compiled rule.
+    pub(crate) has_customers: bool,
+    pub(crate) limits: Limits,
+}
+
+impl Environment {
+    fn new(names: &Names, limits: Limits) -> Environment {
+        Environment {
+            groups: names.groups.clone(),
+            pools: names.pools.clone(),
+            has_customers: !names.customers.is_empty(),
+            limits,
+        }
+    }
+}
+
+type Customers = FxHashMap<Box<str>, u16>;
+
 impl Table {
     /// Reads, checks and compiles all rules.
     ///
     /// # Errors
     /// Every fault, up to fifty, in the order of the rules.
     pub fn build(rules: &[Rule], names: &Names, limits: Limits) -> Result<(Table, Vec<Note>), Vec<Fault>> {
+        Table::build_from(None, rules, names, limits).map(|built| (built.table, built.notes))
+    }
+
+    /// As [`Table::build`], where rules that stand in `previous` as well are shared with it and neither read
+    /// nor checked again. The outcome is the same table.
+    ///
+    /// # Errors
+    /// Every fault, up to fifty, in the order of the rules.
+    pub fn build_from(
+        previous: Option<&Table>,
+        rules: &[Rule],
+        names: &Names,
+        limits: Limits,
+    ) -> Result<Built, Vec<Fault>> {
         if rules.len() > MOST_RULES {
             let what = format!("at most {MOST_RULES} are wanted, found {}", rules.len());
             return Err(vec![Fault { path: "rules".into(), what }]);
         }
-        let groups: FxHashMap<&str, usize> =
-            names.groups.iter().enumerate().map(|(nth, (name, _))| (name.as_str(), nth)).collect();
-        let mut builder = Builder { names, groups, limits, faults: Vec::new() };
-        let (mut compiled, mut parts, mut notes) =
-            (Vec::with_capacity(rules.len()), Vec::new(), Shadows::default());
-        for (nth, rule) in rules.iter().enumerate() {
-            if builder.faults.len() >= MOST_FAULTS {
+        let environment = Environment::new(names, limits);
+        let known = previous.filter(|table| table.environment == environment).map_or_else(
+            FxHashMap::default,
+            |table| -> FxHashMap<Digest, &Arc<Compiled>> {
+                table.rules.iter().map(|rule| (rule.source, rule)).collect()
+            },
+        );
+        let mut compiler = Compiler::new(&environment);
+        let (mut compiled, mut shadows) = (Vec::with_capacity(rules.len()), Shadows::default());
+        let mut reused = 0;
+        for (place, rule) in rules.iter().enumerate() {
+            if compiler.faults.len() >= MOST_FAULTS {
                 break;
             }
-            let parsed = parse(&rule.when).ok();
-            compiled.extend(builder.rule(nth, rule));
-            if let Some(when) = parsed {
-                let lifted = lift::parts(&when);
-                notes.add(nth, &when, &lifted);
-                parts.push(lifted);
-            }
-        }
-        if !builder.faults.is_empty() {
-            return Err(builder.faults);
-        }
-        let customers =
-            names.customers.iter().enumerate().map(|(nth, name)| (name.as_str().into(), nth as u16));
-        let keyed = names.groups.iter().map(|(_, keyed)| *keyed).collect();
-        let table =
-            Table { rules: compiled, index: Index::new(&parts), customers: customers.collect(), keyed };
-        Ok((table, notes.found))
-    }
-}
-
-struct Builder<'n> {
-    names: &'n Names,
-    groups: FxHashMap<&'n str, usize>,
-    limits: Limits,
-    faults: Vec<Fault>,
-}
-
-impl Builder<'_> {
-    fn fault(&mut self, nth: usize, key: &str, what: impl Into<String>) {
-        self.faults.push(Fault { path: format!("rules[{nth}].{key}"), what: what.into() });
-    }
-
-    fn rule(&mut self, nth: usize, rule: &Rule) -> Option<Compiled> {
-        let when = self.program(nth, "when", &rule.when, &[Type::Bool]);
-        let group = self.groups.get(rule.group.as_str()).copied();
-        if group.is_none() {
-            let known: Vec<&str> = self.names.groups.iter().map(|(name, _)| name.as_str()).collect();
-            self.fault(
-                nth,
-                "group",
-                format!("'{}' is none of the endpoint groups {}", rule.group, known.join(", ")),
-            );
-        }
-        let mut optional = |key: &str, source: &Option<String>, types: &[Type]| {
-            source.as_ref().map(|source| self.program(nth, key, source, types))
-        };
-        let customer = optional("customer", &rule.customer, &[Type::Str]);
-        let subject = optional("subject", &rule.subject, &[Type::Str, Type::Bytes, Type::Int]);
-        let key = optional("idempotency_key", &rule.idempotency_key, &[Type::Str, Type::Bytes]);
-        let rank = optional("rank", &rule.rank, &[Type::Float]);
-        let due = optional("due", &rule.due, &[Type::Duration]);
-        let pool = rule.servers.as_ref().map(|name| self.names.pools.iter().position(|pool| pool == name));
-        if pool == Some(None) {
-            let known = self.names.pools.join(", ");
-            let name = rule.servers.as_deref().unwrap_or_default();
-            self.fault(nth, "servers", format!("'{name}' is none of the pools {known}"));
+            let source = source_digest(rule);
+            let known = known.get(&source).map(|rule| Arc::clone(rule));
+            reused += usize::from(known.is_some());
+            let Some(rule) = known.or_else(|| compiler.rule(place, rule, source).map(Arc::new)) else {
+                continue;
+            };
+            shadows.add(place, &rule.condition, &rule.lifted);
+            compiled.push(rule);
         }
-        if key.is_some() && group.is_some_and(|group| !self.names.groups[group].1) {
-            self.fault(
-                nth,
-                "idempotency_key",
-                format!("exchanges of '{}' are not deduplicated and carry none", rule.group),
-            );
-        }
-        if customer.is_some() && self.names.customers.is_empty() {
-            self.fault(nth, "customer", "the deployment has no customers");
-        }
-        // A part that is there and wrong was told, and takes the whole with it.
-        Some(Compiled {
-            when: when?,
-            group: group? as u8,
-            customer: sound(customer)?,
-            subject: sound(subject)?,
-            idempotency_key: sound(key)?,
-            rank: sound(rank)?,
-            due: sound(due)?,
-            pool: match pool {
-                None => None,
-                Some(found) => Some(found? as u16),
-            },
-        })
-    }
-
-    fn program(&mut self, nth: usize, key: &str, source: &str, types: &[Type]) -> Option<Program> {
-        match infer(source, self.limits) {
-            Ok(program) => {
-                let of = if let Type::Optional(of) = program.ty() { of } else { program.ty() };
-                if types.contains(of) && (key != "when" || of == program.ty()) {
-                    return Some(program);
-                }
-                let wanted: Vec<String> = types.iter().map(Type::to_string).collect();
-                let what = format!("{} is wanted, this is {}", wanted.join(" or "), program.ty());
-                self.fault(nth, key, what);
-            }
-            Err(faults) => faults.iter().for_each(|fault| self.fault(nth, key, fault.line(source))),
+        if !compiler.faults.is_empty() {
+            return Err(compiler.faults);
         }
-        None
-    }
-}
-
-/// Nothing where there was nothing; nothing at all where it was wrong.
-#[expect(clippy::option_option, reason = "three cases that each mean something else")]
-fn sound(part: Option<Option<Program>>) -> Option<Option<Program>> {
-    match part {
-        None => Some(None),
-        Some(found) => found.map(Some),
+        let index = Index::new(compiled.iter().map(|rule| &rule.lifted[..]));
+        let customers = customers(previous, &names.customers);
+        let table = Table { rules: compiled, index, customers, environment };
+        Ok(Built { table, notes: shadows.into_notes(), reused })
     }
 }
 
-/// Tells rules that an earlier one stands before, as far as that can be told at a cost that does not grow
-/// with the number of rules: the same condition, one that always holds, one that asks a part of the same.
-#[derive(Default)]
-struct Shadows {
-    /// Conditions with one part only, by that part.
-    single: BTreeMap<String, usize>,
-    /// Conditions with several, as a whole.
-    whole: BTreeMap<String, usize>,
-    /// Starts of the path that are a whole condition.
-    starts: BTreeMap<String, usize>,
-    always: Option<usize>,
-    found: Vec<Note>,
-}
-
-impl Shadows {
-    fn add(&mut self, rule: usize, when: &Expr, lifted: &[Part]) {
-        let mut parts: Vec<String> = lift::conjuncts(when).iter().map(plain).collect();
-        parts.sort_unstable();
-        parts.dedup();
-        let whole = parts.join(" && ");
-        let mut behind: Option<usize> = self.always;
-        let mut earlier = |found: Option<&usize>| behind = behind.into_iter().chain(found.copied()).min();
-        parts.iter().for_each(|part| earlier(self.single.get(part)));
-        earlier(self.whole.get(&whole));
-        for part in lifted {
-            match part {
-                Part::Prefix(start) => self.starts_of(start, &mut earlier),
-                Part::OneOf(lift::Place::Path, texts) if texts.len() == 1 => {
-                    self.starts_of(&texts[0], &mut earlier)
-                }
-                Part::OneOf(..) => {}
-            }
-        }
-        if let Some(behind) = behind {
-            self.found.push(Note { rule, behind });
-            return;
-        }
-        if when.kind == Kind::Bool(true) {
-            self.always = Some(rule);
-        }
-        match (&parts[..], lifted) {
-            ([_], [Part::Prefix(start)]) => _ = self.starts.insert(start.clone(), rule),
-            ([part], _) => _ = self.single.insert(part.clone(), rule),
-            _ => _ = self.whole.insert(whole, rule),
+/// The places of customers by their names, shared with the previous table where they are the same.
+fn customers(previous: Option<&Table>, names: &[String]) -> Arc<Customers> {
+    let same = |customers: &Customers| {
+        let has = |(place, name): (usize, &String)| customers.get(name.as_str()) == Some(&(place as u16));
+        customers.len() == names.len() && names.iter().enumerate().all(has)
+    };
+    match previous.map(|table| &table.customers).filter(|customers| same(customers)) {
+        Some(customers) => Arc::clone(customers),
+        None => {
+            let place = |(place, name): (usize, &String)| (name.as_str().into(), place as u16);
+            Arc::new(names.iter().enumerate().map(place).collect())
         }
     }
-
-    fn starts_of(&self, path: &str, earlier: &mut impl FnMut(Option<&usize>)) {
-        for end in (1..=path.len()).filter(|end| path.is_char_boundary(*end)) {
-            earlier(self.starts.get(&path[..end]));
-        }
-    }
-}
-
-/// An expression without its places, so that the same one reads the same wherever it stands.
-fn plain(expr: &Expr) -> String {
-    let all = |exprs: &[Expr]| exprs.iter().map(plain).collect::<Vec<_>>().join(",");
-    match &expr.kind {
-        Kind::List(items) => format!("[{}]", all(items)),
-        Kind::Not(of) => format!("!({})", plain(of)),
-        Kind::Neg(of) => format!("-({})", plain(of)),
-        Kind::All(parts) => format!("all({})", all(parts)),
-        Kind::Any(parts) => format!("any({})", all(parts)),
-        Kind::Binary(op, left, right) => format!("({}{}{})", plain(left), op.sign(), plain(right)),
-        Kind::If(when, then, other) => format!("if({},{},{})", plain(when), plain(then), plain(other)),
-        Kind::Let { name, value, body, .. } => format!("let({name},{},{})", plain(value), plain(body)),
-        Kind::Call { name, args, .. } => format!("{name}({})", all(args)),
-        Kind::Each { name, body, .. } => format!("{name}->{}", plain(body)),
-        other => format!("{other:?}"),
-    }
 }
--- a/routes/src/classify.rs
+++ b/routes/src/classify.rs
@@ -78,7 +78,9 @@
             }
         }
         let mut key = None;
-        if let Some(program) = of.idempotency_key.as_ref().filter(|_| self.keyed[usize::from(of.group)]) {
+        if let Some(program) =
+            of.idempotency_key.as_ref().filter(|_| self.environment.groups[usize::from(of.group)].1)
+        {
             let value = program.eval(request, scratch);
             match text(value, scratch) {
                 [] => return refused(Refusal::IdempotencyKey),
--- a/routes/src/index.rs
+++ b/routes/src/index.rs
@@ -38,10 +38,10 @@
 
 impl Index {
     /// Files each rule under the part of its condition that it shares with the fewest.
-    pub(crate) fn new(parts: &[Vec<Part>]) -> Index {
+    pub(crate) fn new<'p>(parts: impl Iterator<Item = &'p [Part]> + Clone) -> Index {
         let mut index = Index::default();
         let mut places: BTreeMap<&Place, usize> = BTreeMap::new();
-        for part in parts.iter().flatten() {
+        for part in parts.clone().flatten() {
             if let Part::OneOf(place, _) = part {
                 *places.entry(place).or_default() += 1;
             }
@@ -61,10 +61,10 @@
             }
         };
         let mut shared: FxHashMap<Key, usize> = FxHashMap::default();
-        for key in parts.iter().flatten().filter_map(keys).flatten() {
+        for key in parts.clone().flatten().filter_map(keys).flatten() {
             *shared.entry(key).or_default() += 1;
         }
-        for (rule, parts) in parts.iter().enumerate() {
+        for (rule, parts) in parts.enumerate() {
             let cost = |keys: &Vec<Key>| keys.iter().map(|key| shared[key]).sum::<usize>();
             let best = parts.iter().filter_map(|part| keys(part).map(|keys| (cost(&keys), part, keys)));
             let Some((_, part, keys)) = best.min_by_key(|(cost, ..)| *cost) else {
--- a/routes/src/lib.rs
+++ b/routes/src/lib.rs
@@ -6,44 +6,34 @@
 //! [`Fault`]. Conditions that compare the path, a segment, a header or the like with known texts are lifted
 //! into an index, so that what a match costs does not grow with the number of rules; what the index offers
 //! is still asked its whole condition, in order, so the outcome is that of trying all. No I/O, no clock.
+//! [`Table::build_from`] takes over from a previous table what did not change.
 
 mod build;
 mod classify;
+mod compile;
 mod index;
 mod lift;
+mod shadows;
+
+use std::sync::Arc;
 
 use doortrack::Tenths;
 
-pub use build::{Fault, Names, Note, Rule};
+pub use build::{Built, Fault, Names, Note, Rule};
 pub use classify::{Class, Classed, Refusal};
 
-use doortrack_expr::Program;
-
 /// Rules that one table may have.
 pub const MOST_RULES: usize = 100_000;
 
-/// One rule, checked and compiled.
-#[derive(Debug)]
-pub(crate) struct Compiled {
-    when: Program,
-    group: u8,
-    customer: Option<Program>,
-    subject: Option<Program>,
-    idempotency_key: Option<Program>,
-    rank: Option<Program>,
-    due: Option<Program>,
-    pool: Option<u16>,
-}
-
 /// Rules in their order, with an index over their conditions. It is never changed: a new one takes its
 /// place as a whole.
 #[derive(Debug)]
 pub struct Table {
-    rules: Vec<Compiled>,
+    rules: Vec<Arc<compile::Compiled>>,
     index: index::Index,
-    customers: rustc_hash::FxHashMap<Box<str>, u16>,
-    /// Whether exchanges of a group carry an idempotency key.
-    keyed: Vec<bool>,
+    customers: Arc<rustc_hash::FxHashMap<Box<str>, u16>>,
+    /// Names that rules may use; of groups also whether their exchanges carry an idempotency key.
+    environment: build::Environment,
 }
 
 impl Table {
