--- a/installation/src/budgets.rs
+++ b/installation/src/budgets.rs
@@ -1,6 +1,6 @@
 //! The part on budgets: limits that belong to the whole fleet, and how fast they are divided.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, HashMap, HashSet};
 
 use doortrack::Tenths;
 use doortrack_budgets::{Budget, Kind, MOST_BUDGETS, Terms};
@@ -244,9 +244,13 @@
 
     /// What can't go together with the platform's configuration.
     pub(crate) fn budgets_beside(&self, orders: &Orders, faults: &mut Vec<Fault>) {
+        if self.budgets.is_empty() {
+            return;
+        }
+        let customers: HashSet<&str> = orders.handed.customer_names.iter().map(String::as_str).collect();
         for (nth, budget) in self.budgets.iter().enumerate() {
             let (kind, known, name) = match &budget.of {
-                BudgetFor::Customer(name) => ("customer", orders.handed.customer_names.contains(name), name),
+                BudgetFor::Customer(name) => ("customer", customers.contains(name.as_str()), name),
                 BudgetFor::Group(name) => ("endpoint group", orders.handed.group_names.contains(name), name),
                 BudgetFor::Pool(name) | BudgetFor::Retries(name) => {
                     ("pool", self.pool_names().any(|pool| pool == name), name)
@@ -274,8 +278,9 @@
 
     /// Under which of them exchanges fall.
     pub fn falls(&self, orders: &Orders) -> Falls {
-        let under =
-            |of: BudgetFor| self.budgets.iter().position(|budget| budget.of == of).map(|place| place as u16);
+        let places: HashMap<&BudgetFor, u16> =
+            self.budgets.iter().enumerate().map(|(place, budget)| (&budget.of, place as u16)).collect();
+        let under = |of: BudgetFor| places.get(&of).copied();
         let all = |names: &[String], of: fn(String) -> BudgetFor| {
             names.iter().map(|name| under(of(name.clone()))).collect()
         };
--- a/installation/src/file.rs
+++ b/installation/src/file.rs
@@ -11,7 +11,7 @@
 use serde_json::Value;
 
 use crate::rules::{ExpressionLimits, RuleFile};
-use crate::{BudgetFile, Fault, Faults, FleetFile, Orders, Servers, gather};
+use crate::{BudgetFile, Fault, Faults, FleetFile, Orders, Servers, gather, stable};
 
 /// Fronts that one node may have beside the platform's listener.
 pub const MOST_FRONTS: usize = 8;
@@ -93,7 +93,7 @@
 
 /// Reads and checks the file.
 pub fn read(path: &Path) -> Result<Installation, Faults> {
-    let text = std::fs::read(path).map_err(|e| Faults::one(path.display().to_string(), e.to_string()))?;
+    let text = stable::read(path).map_err(|e| Faults::one(path.display().to_string(), e.to_string()))?;
     parse(&text)
 }
 
@@ -174,6 +174,12 @@
         first.chain(self.pools.iter().map(|(name, servers)| (format!("installation.pools.{name}"), servers)))
     }
 
+    /// All pools of servers with their names; the one without a name comes first and goes by `servers`.
+    pub fn named_pools(&self) -> impl Iterator<Item = (&str, &Servers)> {
+        let first = self.servers.iter().map(|servers| ("servers", servers));
+        first.chain(self.pools.iter().map(|(name, servers)| (name.as_str(), servers)))
+    }
+
     /// Connections that all servers together may have at once.
     pub fn server_connections(&self) -> usize {
         self.pools_of_servers().map(|(_, servers)| servers.connections()).sum()
--- a/installation/src/gather.rs
+++ b/installation/src/gather.rs
@@ -16,6 +16,10 @@
 /// Every key that is unknown, of a wrong type or missing, each with its path; of several that are missing
 /// from one object the first.
 pub fn read<T: DeserializeOwned>(value: &Value, at: &str) -> Result<T, Faults> {
+    // A value without faults is read once, and neither copied nor followed by its paths.
+    if let Ok(whole) = T::deserialize(value) {
+        return Ok(whole);
+    }
     let mut faults: Vec<Fault> = Vec::new();
     let mut rest = value.clone();
     let mut taken_out: Vec<(String, usize)> = Vec::new();
--- a/installation/src/lib.rs
+++ b/installation/src/lib.rs
@@ -10,8 +10,10 @@
 pub mod fleet;
 pub mod gather;
 pub mod orders;
+pub mod reload;
 pub mod rules;
 pub mod servers;
+mod stable;
 
 use std::fmt;
 
--- a/installation/src/orders.rs
+++ b/installation/src/orders.rs
@@ -1,13 +1,14 @@
 //! What the node is handed at start, read, checked and given its defaults in this one place.
 
 use std::net::SocketAddr;
-use std::path::Path;
+use std::path::{Path, PathBuf};
 
 use doortrack::Tenths;
 use doortrack_contract::{Handed, Part};
 use serde_json::Value;
+use sha2::{Digest as _, Sha256};
 
-use crate::{Fault, Faults};
+use crate::{Fault, Faults, stable};
 
 const MS: Tenths = 10;
 const CORES: f64 = 1.0;
@@ -33,6 +34,16 @@
     pub stop_after: Tenths,
     pub room: Room,
     pub handed: Handed,
+    /// Of the text that says all this.
+    pub source: Digest,
+}
+
+/// Stands for a text of any length.
+pub type Digest = [u8; 32];
+
+/// By which one text is told from another.
+pub fn digest(text: &[u8]) -> Digest {
+    Sha256::digest(text).into()
 }
 
 /// How much of everything there may be, so that the limits hold whatever comes.
@@ -67,16 +78,45 @@
 }
 
 /// Reads the file named by `GW_CONFIG`.
+///
+/// # Errors
+/// The variable is not set, or as [`read_file`].
 pub fn read() -> Result<Orders, Faults> {
-    let path = std::env::var_os("GW_CONFIG").ok_or_else(|| Faults::one("GW_CONFIG", "is not set"))?;
-    read_file(Path::new(&path))
+    read_file(&path()?)
 }
 
+/// The file named by `GW_CONFIG`.
+///
+/// # Errors
+/// The variable is not set.
+pub fn path() -> Result<PathBuf, Faults> {
+    std::env::var_os("GW_CONFIG").map(PathBuf::from).ok_or_else(|| Faults::one("GW_CONFIG", "is not set"))
+}
+
+/// Reads and checks a file.
+///
+/// # Errors
+/// It can't be read, or all its faults.
 pub fn read_file(path: &Path) -> Result<Orders, Faults> {
-    let name = path.display().to_string();
-    let text = std::fs::read(path).map_err(|e| Faults::one(format!("GW_CONFIG: {name}"), e.to_string()))?;
+    parse_file(path, &read_bytes(path)?)
+}
+
+/// Reads a file without looking at what it says.
+///
+/// # Errors
+/// It can't be read.
+pub fn read_bytes(path: &Path) -> Result<Vec<u8>, Faults> {
+    stable::read(path).map_err(|e| Faults::one(format!("GW_CONFIG: {}", path.display()), e.to_string()))
+}
+
+/// Reads and checks what a file says.
+///
+/// # Errors
+/// All its faults, each with the file's name and the path of its key.
+pub fn parse_file(path: &Path, text: &[u8]) -> Result<Orders, Faults> {
+    let name = path.display();
     let told_where = |fault: Fault| Fault::new(format!("{name}: {}", fault.path), fault.what);
-    parse(&text).map_err(|faults| Faults(faults.0.into_iter().map(told_where).collect()))
+    parse(text).map_err(|faults| Faults(faults.0.into_iter().map(told_where).collect()))
 }
 
 /// A fault as the contract's reader words it: a path, and after it what is wrong.
@@ -123,7 +163,8 @@
             Some(room),
             Some(handed),
         ) if faults.is_empty() => {
-            Ok(Orders { name, listen, engine, registry, seed, stop_after, room, handed })
+            let source = digest(text);
+            Ok(Orders { name, listen, engine, registry, seed, stop_after, room, handed, source })
         }
         _ => Err(Faults(faults)),
     }
--- a/installation/src/rules.rs
+++ b/installation/src/rules.rs
@@ -3,7 +3,7 @@
 use doortrack::Effect;
 use doortrack_contract::Handed;
 use doortrack_expr::Limits;
-use doortrack_routes::{Names, Note, Rule, Table};
+use doortrack_routes::{Built, Names, Note, Rule, Table};
 use schemars::JsonSchema;
 use serde::Deserialize;
 
@@ -89,19 +89,29 @@
 /// Rules as a table, and what to be told of them.
 pub type Ruled = (Table, Vec<Note>);
 
+fn ruled(built: Built) -> Ruled {
+    (built.table, built.notes)
+}
+
 impl Installation {
     /// The table of its rules over the deployment's names; none where it has no rules.
     ///
     /// # Errors
     /// Every fault of the rules, each with its path.
     pub fn table(&self, handed: &Handed) -> Result<Option<Ruled>, Faults> {
+        Ok(self.table_from(None, handed)?.map(ruled))
+    }
+
+    /// As [`Installation::table`], sharing the rules that stand in `previous` as well.
+    ///
+    /// # Errors
+    /// Every fault of the rules, each with its path.
+    pub fn table_from(&self, previous: Option<&Table>, handed: &Handed) -> Result<Option<Built>, Faults> {
         let keyed = handed.contract.groups.iter().map(|group| group.effect == Effect::Deduplicated);
         let groups = handed.group_names.iter().cloned().zip(keyed).collect();
-        let table = self.build(&Names {
-            groups,
-            customers: handed.customer_names.clone(),
-            pools: self.pools.keys().cloned().collect(),
-        })?;
+        let customers = handed.customer_names.clone();
+        let pools = self.pools.keys().cloned().collect();
+        let table = self.build(previous, &Names { groups, customers, pools })?;
         if let Some(name) = self.otherwise.as_ref().filter(|name| !handed.group_names.contains(name)) {
             let what = format!("'{name}' is none of the endpoint groups {}", handed.group_names.join(", "));
             return Err(Faults::one("installation.otherwise", what));
@@ -112,11 +122,9 @@
     /// The same where the deployment is not known: its names are taken to be those that the rules use.
     pub fn table_by_itself(&self) -> Result<Option<Ruled>, Faults> {
         let groups = self.groups_named().into_iter().map(|name| (name, true)).collect();
-        self.build(&Names {
-            groups,
-            customers: vec!["any".into()],
-            pools: self.pools.keys().cloned().collect(),
-        })
+        let pools = self.pools.keys().cloned().collect();
+        let built = self.build(None, &Names { groups, customers: vec!["any".into()], pools })?;
+        Ok(built.map(ruled))
     }
 
     /// The endpoint groups that its rules name, each once, in the order of their names.
@@ -127,7 +135,7 @@
         groups
     }
 
-    fn build(&self, names: &Names) -> Result<Option<Ruled>, Faults> {
+    fn build(&self, previous: Option<&Table>, names: &Names) -> Result<Option<Built>, Faults> {
         if self.rules.is_empty() {
             return Ok(None);
         }
@@ -143,23 +151,10 @@
         };
         let rules: Vec<Rule> = self.rules.iter().map(rule).collect();
         let path = |path: String| format!("installation.{path}");
-        let built = Table::build(&rules, names, self.expressions.limits());
+        let built = Table::build_from(previous, &rules, names, self.expressions.limits());
         let faults = |faults: Vec<doortrack_routes::Fault>| {
             Faults(faults.into_iter().map(|fault| Fault::new(path(fault.path), fault.what)).collect())
         };
         built.map(Some).map_err(faults)
     }
-
-    /// What idempotency keys of each deduplicated group mean: the rules that give them, in order. A change of
-    /// it while keys of before are within their window could run something twice.
-    pub fn meaning_of_keys(&self, group: &str) -> Vec<(&str, Option<&str>)> {
-        // A rule before may take what one of these took, so all up to the last count.
-        let last = self.rules.iter().rposition(|rule| rule.group == group);
-        let until = &self.rules[..last.map_or(0, |last| last + 1)];
-        let keyed = |rule: &'_ RuleFile| rule.group == group;
-        until
-            .iter()
-            .map(|rule| (rule.when.as_str(), rule.idempotency_key.as_deref().filter(|_| keyed(rule))))
-            .collect()
-    }
 }
--- /dev/null
+++ b/installation/tests/reload.rs
@@ -0,0 +1,290 @@
+//! What a new configuration changes while a node serves, what needs a start, and when builds are begun.
+
+use std::sync::Arc;
+
+use doortrack_installation::orders;
+use doortrack_installation::reload::{
+    Builds, Finished, FrontChanges, KeyMeanings, NeedsStart, Plan, Platform, PlatformRead, Started, plan,
+};
+use doortrack_installation::{Faults, Front, Installation, Orders, file};
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+use serde_json::{Value, json};
+
+fn orders(change: impl Fn(&mut Value)) -> Orders {
+    let mut value = doortrack_standins::bed::config();
+    value["settings"]["parties"] = json!([{"name": "north", "allowance_per_s": 1}]);
+    change(&mut value);
+    orders::parse(value.to_string().as_bytes()).unwrap()
+}
+
+fn started(in_fleet: bool) -> Started {
+    Started { orders: Arc::new(orders(|_| {})), in_fleet }
+}
+
+fn installation(value: &Value) -> Installation {
+    file::parse(value.to_string().as_bytes()).unwrap()
+}
+
+fn planned(started: &Started, old: &Value, new: &Value) -> Result<Plan, Faults> {
+    let platform = PlatformRead::new(&started.orders, &started.orders);
+    plan(started, &installation(old), platform, installation(new))
+}
+
+fn pool(port: u16, protocol: &str) -> Value {
+    json!({"protocol": protocol, "addresses": [format!("127.0.0.1:{port}")]})
+}
+
+#[test]
+fn of_the_platform_four_things_change_and_the_rest_needs_a_start() {
+    let started = orders(|_| {});
+    let moved = orders(|value| {
+        value["engine"] = json!("127.0.0.1:4499");
+        value["registry"] = json!("127.0.0.1:2399");
+        value["stop_ms"] = json!(4000);
+        value["seed"] = json!("1");
+    });
+    let read = PlatformRead::new(&started, &moved);
+    let wanted = Platform {
+        engine: "127.0.0.1:4499".parse().unwrap(),
+        registry: "127.0.0.1:2399".parse().unwrap(),
+        stop_after: 40_000,
+        seed: 1,
+    };
+    assert_eq!(read, PlatformRead { platform: wanted, rest_needs_start: false });
+    for change in [
+        |value: &mut Value| value["name"] = json!("n2"),
+        |value: &mut Value| value["listen"] = json!("127.0.0.1:9095"),
+        |value: &mut Value| value["limits"]["memory_mb"] = json!(64),
+        |value: &mut Value| value["settings"]["lanes"][0]["deadline"] = json!(1_000_000),
+        |value: &mut Value| value["settings"]["parties"][0]["name"] = json!("south"),
+    ] {
+        assert!(PlatformRead::new(&started, &orders(change)).rest_needs_start);
+    }
+}
+
+#[test]
+fn pools_that_come_or_go_need_a_start_and_stay_as_they_are() {
+    let started = started(false);
+    let old = json!({"servers": pool(7001, "uwsgi"), "pools": {"slow": pool(7002, "uwsgi")}});
+    // What a pool holds changes.
+    let new = json!({"servers": pool(7009, "uwsgi"), "pools": {"slow": pool(7002, "uwsgi")}});
+    let changed = planned(&started, &old, &new).unwrap();
+    assert_eq!((changed.needs_start, &*changed.installation), (vec![], &installation(&new)));
+    // Which pools there are and what they speak does not; the rest of the file is taken up.
+    for pools in [
+        json!({"servers": pool(7009, "uwsgi")}),
+        json!({"servers": pool(7009, "fastcgi"), "pools": {"slow": pool(7002, "uwsgi")}}),
+        json!({"servers": pool(7009, "uwsgi"), "pools": {"fast": pool(7002, "uwsgi")}}),
+        json!({}),
+    ] {
+        let mut new = pools;
+        new["rules"] = json!([{"when": "true", "group": "look"}]);
+        let changed = planned(&started, &old, &new).unwrap();
+        assert_eq!(changed.needs_start, [NeedsStart::Pools]);
+        assert_eq!(changed.installation.servers, installation(&old).servers);
+        assert_eq!(changed.installation.pools, installation(&old).pools);
+        assert_eq!(changed.installation.rules.len(), 1);
+    }
+}
+
+#[test]
+fn a_fleet_is_joined_at_the_start_alone() {
+    let fleet = json!({"fleet": {"name": "f", "listen": "127.0.0.1:7401"}});
+    let changed = planned(&started(false), &json!({}), &fleet).unwrap();
+    assert_eq!(changed.needs_start, [NeedsStart::JoinFleet]);
+    // Told each time, though the installation in force says it by then.
+    let again = planned(&started(false), &fleet, &fleet).unwrap();
+    assert_eq!(again.needs_start, [NeedsStart::JoinFleet]);
+    let member = planned(&started(true), &fleet, &fleet).unwrap();
+    assert_eq!(member.needs_start, []);
+    // One who leaves it and comes back was in it all the time.
+    assert_eq!(planned(&started(true), &json!({}), &fleet).unwrap().needs_start, []);
+}
+
+#[test]
+fn what_does_not_fit_the_platform_is_refused_with_its_path() {
+    let front = |at: &str| json!({"fronts": [{"protocol": "uwsgi", "listen": at}]});
+    let clash = planned(&started(false), &json!({}), &front("127.0.0.1:9090")).err().unwrap();
+    assert!(clash.to_string().starts_with("installation.fronts[0].listen: "), "{clash}");
+    let fleet = json!({"name": "f", "listen": "127.0.0.1:7401", "voters": ["n1"]});
+    let budget = |of: Value| json!({"name": "b", "kind": "rate", "whole": 10, "burst": 10, "for": of});
+    let budgets = |of: Value| json!({"fleet": fleet, "budgets": [budget(of)]});
+    let known = planned(&started(true), &json!({}), &budgets(json!({"customer": "north"}))).unwrap();
+    assert_eq!(known.fleet.falls.customers, [Some(0)]);
+    let unknown = planned(&started(true), &json!({}), &budgets(json!({"customer": "east"}))).err().unwrap();
+    assert!(unknown.to_string().starts_with("installation.budgets[0].for: "), "{unknown}");
+}
+
+#[test]
+fn fronts_are_told_apart_by_address_and_protocol() {
+    let front = |port: u16, protocol: &str, connections: u32| -> Front {
+        let value = json!({"protocol": protocol, "listen": format!("127.0.0.1:{port}"),
+            "connections": connections});
+        serde_json::from_value(value).unwrap()
+    };
+    let open = [front(1, "uwsgi", 5), front(2, "uwsgi", 5), front(3, "uwsgi", 5)];
+    let wanted = [front(1, "uwsgi", 9), front(2, "fastcgi", 5), front(4, "uwsgi", 5)];
+    let changes = FrontChanges::between(&open, &wanted);
+    assert_eq!(changes.kept, [front(1, "uwsgi", 9)]);
+    assert_eq!(changes.opened, [front(2, "fastcgi", 5), front(4, "uwsgi", 5)]);
+    assert_eq!(changes.withdrawn, [front(2, "uwsgi", 5), front(3, "uwsgi", 5)]);
+    assert_eq!(FrontChanges::between(&open, &open).kept, open);
+}
+
+const GROUPS: [&str; 3] = ["look", "pay", "book"];
+
+fn group_names() -> Vec<String> {
+    GROUPS.map(String::from).to_vec()
+}
+
+fn meanings(value: &Value) -> KeyMeanings {
+    KeyMeanings::new(&installation(value), &group_names())
+}
+
+fn changed(old: &Value, new: &Value) -> Vec<&'static str> {
+    meanings(old).changed(&meanings(new)).into_iter().map(|place| GROUPS[place]).collect()
+}
+
+#[test]
+fn keys_keep_their_meaning_only_where_all_that_leads_to_them_stays() {
+    let rule = |when: &str, group: &str, key: Option<&str>| json!({"when": when, "group": group, "idempotency_key": key});
+    let look = rule("path == \"/look\"", "look", None);
+    let pay = rule("path == \"/pay\"", "pay", Some("query"));
+    let book = rule("path == \"/book\"", "book", None);
+    let base = json!({"rules": [look, pay, book]});
+    let with = |rules: Value| json!({"rules": rules});
+    assert_eq!(changed(&base, &base), [""; 0]);
+    // What comes after the last rule of a group does not concern it.
+    assert_eq!(changed(&base, &with(json!([look, pay, book, rule("true", "look", None)]))), ["look"]);
+    assert_eq!(changed(&base, &with(json!([look, pay]))), ["book"]);
+    // A rule before may take what one after it took.
+    assert_eq!(changed(&base, &with(json!([pay, book]))), GROUPS);
+    assert_eq!(
+        changed(&base, &with(json!([look, rule("true", "pay", Some("query")), book]))),
+        ["pay", "book"]
+    );
+    assert_eq!(
+        changed(&base, &with(json!([look, rule("path == \"/pay\"", "pay", Some("path")), book]))),
+        ["pay"]
+    );
+    assert_eq!(changed(&base, &with(json!([look, rule("path == \"/pay\"", "pay", None), book]))), ["pay"]);
+    // A rule without a key that goes over to another group takes its exchanges with it.
+    let last = rule("path == \"/last\"", "book", None);
+    let keyless = with(json!([look, book, last]));
+    let gone = with(json!([look, rule("path == \"/book\"", "look", None), last]));
+    assert_eq!(changed(&keyless, &gone), ["look", "book"]);
+}
+
+#[test]
+fn what_no_rule_takes_and_what_rules_see_are_part_of_the_meaning() {
+    let rule = json!({"when": "path == \"/pay\"", "group": "pay"});
+    let base = json!({"rules": [rule], "otherwise": "book"});
+    assert_eq!(changed(&base, &json!({"rules": [rule], "otherwise": "look"})), ["look", "book"]);
+    assert_eq!(changed(&base, &json!({"rules": [rule]})), ["book"]);
+    // Any rule more takes something of what was left.
+    let more = json!({"when": "path == \"/x\"", "group": "look"});
+    assert_eq!(changed(&base, &json!({"rules": [rule, more], "otherwise": "book"})), ["look", "book"]);
+    let longer = json!({"rules": [rule], "otherwise": "book", "expressions": {"variable_bytes": 100}});
+    assert_eq!(changed(&base, &longer), ["pay", "book"]);
+    // Where there are fronts and no rules, variables say of which group an exchange is: of any.
+    let front = json!([{"protocol": "uwsgi", "listen": "127.0.0.1:9091"}]);
+    let ruled = json!({"fronts": front, "rules": [rule]});
+    assert_eq!(changed(&json!({"fronts": front}), &ruled), GROUPS);
+    assert_eq!(changed(&json!({}), &ruled), ["pay"]);
+    assert_eq!(changed(&json!({"fronts": front}), &json!({})), [""; 0]);
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 300, failure_persistence: None, rng_seed: RngSeed::Fixed(0x0d00_3702),
+        ..ProptestConfig::default()
+    })]
+
+    /// Against the rules themselves: the conditions up to the last rule of a group, which of those rules are
+    /// of the group, and their keys.
+    #[test]
+    fn digests_tell_what_comparing_the_rules_tells(
+        old in prop::collection::vec((0..4u8, 0..3usize, 0..3u8), 0..6),
+        edits in prop::collection::vec((0..6usize, 0..4u8, 0..3usize, 0..3u8), 0..3),
+    ) {
+        let mut new = old.clone();
+        for (place, when, group, key) in edits {
+            match place % (new.len() + 1) {
+                place if place == new.len() => new.push((when, group, key)),
+                place => new[place] = (when, group, key),
+            }
+        }
+        let value = |rules: &[(u8, usize, u8)]| -> Value {
+            let rule = |(when, group, key): &(u8, usize, u8)| {
+                let key = (*key > 0).then(|| format!("\"key-{key}\" + path"));
+                json!({"when": format!("path == \"/{when}\""), "group": GROUPS[*group],
+                    "idempotency_key": key})
+            };
+            json!({"rules": rules.iter().map(rule).collect::<Vec<_>>()})
+        };
+        let meaning = |rules: &[(u8, usize, u8)], group: usize| -> Vec<(u8, Option<u8>)> {
+            let last = rules.iter().rposition(|rule| rule.1 == group).map_or(0, |last| last + 1);
+            rules[..last].iter().map(|rule| (rule.0, (rule.1 == group).then_some(rule.2))).collect()
+        };
+        let wanted: Vec<&str> =
+            (0..3).filter(|group| meaning(&old, *group) != meaning(&new, *group)).map(|group| GROUPS[group]).collect();
+        prop_assert_eq!(changed(&value(&old), &value(&new)), wanted);
+    }
+}
+
+#[test]
+fn one_build_is_under_way_and_one_waits_at_the_most() {
+    let mut builds = Builds::default();
+    assert!(!builds.is_under_way());
+    assert!(builds.notice(), "the first is begun at once");
+    assert!((0..100).all(|_| !builds.notice()), "those that come meanwhile wait together");
+    assert_eq!(builds.finished(), Finished { take_up: true, begin_next: true });
+    assert!(builds.is_under_way());
+    assert_eq!(builds.finished(), Finished { take_up: true, begin_next: false });
+    assert!(!builds.is_under_way() && builds.notice());
+}
+
+#[test]
+fn what_was_begun_before_the_notice_to_leave_is_dropped() {
+    let mut builds = Builds::default();
+    builds.leave();
+    assert!(builds.notice(), "a move of the engine is followed also while the node leaves");
+    assert_eq!(builds.finished(), Finished { take_up: true, begin_next: false });
+    builds.notice();
+    builds.notice();
+    builds.leave();
+    assert_eq!(builds.finished(), Finished { take_up: false, begin_next: false });
+    builds.notice();
+    builds.leave();
+    assert!(!builds.notice());
+    assert_eq!(builds.finished(), Finished { take_up: false, begin_next: true });
+    assert_eq!(builds.finished(), Finished { take_up: true, begin_next: false });
+}
+
+#[test]
+fn a_file_that_is_replaced_while_it_is_read_is_read_as_one_or_the_other() {
+    let folder = std::env::temp_dir().join(format!("doortrack-replaced-{}", std::process::id()));
+    std::fs::create_dir_all(&folder).unwrap();
+    let (path, next) = (folder.join("installation.json"), folder.join("next.json"));
+    let content = |group: &str| {
+        let rule = |nth: usize| json!({"when": format!("path == \"/{nth}\""), "group": group});
+        json!({"rules": (0..2_000).map(rule).collect::<Vec<_>>()}).to_string()
+    };
+    let contents = [content("look"), content("pay")];
+    std::fs::write(&path, &contents[0]).unwrap();
+    std::thread::scope(|scope| {
+        let writer = scope.spawn(|| {
+            for nth in 0..200 {
+                std::fs::write(&next, &contents[nth % 2]).unwrap();
+                std::fs::rename(&next, &path).unwrap();
+            }
+        });
+        while !writer.is_finished() {
+            let read = file::read(&path).unwrap();
+            let groups = read.groups_named();
+            assert_eq!((read.rules.len(), groups.len()), (2_000, 1), "{groups:?}");
+        }
+    });
+    _ = std::fs::remove_dir_all(folder);
+}
--- a/node/src/parts.rs
+++ b/node/src/parts.rs
@@ -7,7 +7,7 @@
 use std::ops::Range;
 
 use doortrack::Tenths;
-use doortrack_installation::{Installation, Orders};
+use doortrack_installation::reload::FleetChange;
 use slog::Logger;
 
 /// Keys of the poller that parts have, one each.
@@ -53,8 +53,9 @@
     /// The node was told to leave.
     fn leave(&mut self);
 
-    /// The operators' file was read again.
-    fn take_up(&mut self, installation: &Installation, orders: &Orders);
+    /// A new configuration comes into force. What is no longer used may be left in `change`, which is dropped
+    /// beside the loop.
+    fn take_up(&mut self, change: &mut FleetChange);
 
     /// Whether an exchange may be taken as far as this part goes; the decisions have the last word.
     ///
--- a/node/src/peers/link.rs
+++ b/node/src/peers/link.rs
@@ -11,6 +11,7 @@
 use doortrack::Tenths;
 use doortrack_budgets::Who;
 use doortrack_fleet::{Action, Claim, Event, Fleet, Life, News, Stand};
+use doortrack_installation::reload::FleetChange;
 use doortrack_installation::{FleetFile, Installation, Orders};
 use polling::{Event as Ready, PollMode, Poller};
 use slog::{Logger, info, warn};
@@ -331,13 +332,13 @@
         self.carry_out();
     }
 
-    fn take_up(&mut self, installation: &Installation, orders: &Orders) {
-        let Some(file) = &installation.fleet else {
+    fn take_up(&mut self, change: &mut FleetChange) {
+        let Some(file) = change.file.take() else {
             return warn!(self.log, "fleet needs a start"; "why" => "it can't be left under way");
         };
         let kept =
             |of: &FleetFile| (of.name.clone(), of.listen, of.advertise, of.key_file.clone(), of.weight);
-        if kept(file) != kept(&self.file) {
+        if kept(&file) != kept(&self.file) {
             warn!(self.log, "fleet needs a start"; "why" => "its name, addresses, key or weight changed");
         }
         // What can't change under way stays as it was.
@@ -349,13 +350,13 @@
         };
         let now = self.now();
         let why = match &self.shares {
-            None if installation.budgets.is_empty() => None,
+            None if change.budgets.is_empty() => None,
             None => Some("there were none".to_string()),
             Some(shares) => {
                 let mut shares = shares.borrow_mut();
-                let why = shares.needs_a_start(file, installation, orders).map(str::to_string);
+                let why = shares.needs_a_start(&file, &change.budgets).map(str::to_string);
                 if why.is_none() {
-                    shares.change(now, installation, orders);
+                    shares.change(now, change);
                 }
                 why
             }
--- a/node/src/peers/shares.rs
+++ b/node/src/peers/shares.rs
@@ -6,6 +6,7 @@
 
 use doortrack::Tenths;
 use doortrack_budgets::{Action, Budget, Budgets, Event, Kind, News, Terms, Units, Who};
+use doortrack_installation::reload::FleetChange;
 use doortrack_installation::{Falls, FleetFile, Installation, Orders};
 use slog::{Logger, info, warn};
 
@@ -57,26 +58,20 @@
     }
 
     /// Other budgets under way.
-    pub fn change(&mut self, now: Tenths, installation: &Installation, orders: &Orders) {
-        let list = installation.budget_list(orders);
+    pub fn change(&mut self, now: Tenths, change: &mut FleetChange) {
+        let list = std::mem::take(&mut change.budgets);
         let names: Vec<_> = self.budgets.list().map(|budget| budget.name.clone()).collect();
         let used = |name: &std::sync::Arc<str>| names.iter().position(|of| of == name);
         self.used = list.iter().map(|of| used(&of.name).map_or(0, |place| self.used[place])).collect();
-        self.falls = installation.falls(orders);
+        std::mem::swap(&mut self.falls, &mut change.falls);
         self.handle(now, Event::Changed { list });
     }
 
     /// Why budgets of this file can't be taken up under way, if they can't: what exchanges in hand hold is
     /// known by its place, and votes under two lists of voters, or of two lengths, would not meet.
-    pub fn needs_a_start(
-        &self,
-        file: &FleetFile,
-        installation: &Installation,
-        orders: &Orders,
-    ) -> Option<&str> {
+    pub fn needs_a_start(&self, file: &FleetFile, list: &[Budget]) -> Option<&str> {
         let (old, new) = (self.budgets.terms(), file.lease_terms());
         let times = |of: &Terms| (of.round, of.vote_lasts, of.lease, of.drift);
-        let list = installation.budget_list(orders);
         if old.voters != new.voters {
             Some("the voters changed")
         } else if times(old) != times(&new) {
--- a/node/src/serve.rs
+++ b/node/src/serve.rs
@@ -1,6 +1,8 @@
 //! The node's one loop: gather what is ready, hand it to the decisions in one go, carry out what came back.
 //! What the wire brought is put in the decisions' words in `events`.
 
+mod build;
+mod builds;
 mod events;
 mod leave;
 mod reload;
@@ -9,16 +11,17 @@
 
 use std::cmp::Reverse;
 use std::collections::{BinaryHeap, HashSet};
-use std::path::PathBuf;
 use std::sync::Arc;
 use std::time::Duration;
 
 use doortrack::logic::Door;
 use doortrack::{Action, Effect, Event, ExId, Gauges, Tenths};
-use doortrack_installation::{Installation, Orders};
+use doortrack_installation::reload::{KeyMeanings, Platform};
+use doortrack_installation::{Front, Installation, Orders};
 use polling::{Events, Poller};
 use slog::{Logger, error, info};
 
+use self::builds::Reloader;
 use self::leave::FLUSH;
 use self::report::Slowest;
 use crate::life::clock::Clock;
@@ -47,10 +50,15 @@
 const STALL: Tenths = 10 * MS;
 
 pub struct Node {
-    orders: Orders,
-    /// Where the operators' own file is, if there is one, and what it says.
-    file: Option<PathBuf>,
-    installation: Installation,
+    /// The platform's configuration as it was at the start, and what of it may change.
+    orders: Arc<Orders>,
+    platform: Platform,
+    /// What the operators' own file says, and what idempotency keys mean by it.
+    installation: Arc<Installation>,
+    keys: KeyMeanings,
+    /// The installation's fronts that could be opened.
+    listening: Vec<Front>,
+    reloader: Reloader,
     log: Logger,
     clock: Clock,
     now: Tenths,
@@ -165,8 +173,9 @@
             }
         }
         if reload {
-            self.reload(front_events, work_events);
+            self.reload();
         }
+        self.take_up_built(front_events, work_events);
         Ok(())
     }
 
--- a/node/src/serve/leave.rs
+++ b/node/src/serve/leave.rs
@@ -17,10 +17,11 @@
         if self.stop_at.is_some() {
             return;
         }
-        let stop = noticed + self.orders.stop_after;
+        let stop = noticed + self.platform.stop_after;
         (self.stop_at, self.noticed) = (Some(stop), noticed);
         self.registry.tell(true);
         self.parts.iter_mut().for_each(|part| part.leave());
+        self.reloader.leave();
         info!(self.log, "told to leave"; "in_hand" => self.exs.in_hand());
         if self.door.is_some() {
             self.pass_on_notice();
--- a/node/src/serve/reload.rs
+++ b/node/src/serve/reload.rs
@@ -1,99 +1,141 @@
-//! A configuration replaced while the node serves.
+//! A configuration replaced while the node serves. What changes is decided beforehand
+//! (`doortrack_installation::reload`) and built beside the loop; here it comes into force, as a whole, between
+//! two turns.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Instant;
 
-use doortrack_installation::{Fault, Faults, Front, Installation, Orders, file, orders};
-use slog::{info, warn};
+use doortrack_installation::reload::{FrontChanges, KeyMeanings, NeedsStart, PlatformRead};
+use doortrack_installation::{Fault, Faults, Front, Installation};
+use slog::{debug, info, warn};
 
-use super::start::{pools, rules};
+use super::build::{Candidate, Running};
+use super::builds::Retired;
+use super::start::log_rules;
 use super::{MS, Node};
 use crate::life::signals::RELOAD_KEY;
 use crate::wire::engine::WorkEvent;
 use crate::wire::fronts::FrontEvent;
-use crate::wire::ruled::Rules;
+use crate::wire::ruled::{RuleTable, Rules};
 use crate::wire::work::Work;
 
 impl Node {
-    /// Reads both files again and takes up what can change under way: where engine and registry are, the
-    /// time to stop, and the fronts. What runs goes on, as the engine keeps runs and numbers. A file that
-    /// can't be served changes nothing, in the other one either: the node goes on as it was, since ending
-    /// for it would lose all that is in hand.
-    pub(super) fn reload(&mut self, front_events: &mut Vec<FrontEvent>, work_events: &mut Vec<WorkEvent>) {
+    /// SIGHUP came: both files are to be read again.
+    pub(super) fn reload(&mut self) {
         self.signals.acknowledge(RELOAD_KEY);
-        let (new, mut installation) = match self.read_again() {
-            Ok(read) => read,
-            Err(faults) => return warn!(self.log, "configuration left out"; "fault" => %faults),
-        };
-        self.keep_pools(&mut installation);
-        let ruled = match self.read_rules(&installation) {
-            Ok(ruled) => ruled,
-            Err(faults) => return warn!(self.log, "configuration left out"; "fault" => %faults),
-        };
-        let (engine, registry, stop_after) = (new.engine, new.registry, new.stop_after);
-        let next = Orders { engine, registry, stop_after, seed: new.seed, ..self.orders.clone() };
-        info!(self.log, "configuration read again"; "engine" => %engine, "registry" => %registry,
-            "fronts" => installation.fronts.len(), "rest_needs_a_start" => next != new);
-        self.orders = next;
-        self.work.move_to(engine, self.now, work_events);
-        if let Err(e) = self.registry.move_to(registry) {
-            warn!(self.log, "registry cannot be reached"; "why" => %e);
+        if self.reloader.notice() {
+            self.begin_build();
         }
-        self.change_servers(&installation);
-        self.parts.iter_mut().for_each(|part| part.take_up(&installation, &self.orders));
-        if self.parts.is_empty() && installation.fleet.is_some() {
-            warn!(self.log, "fleet needs a start"; "why" => "it can't be joined under way");
+    }
+
+    fn begin_build(&mut self) {
+        debug!(self.log, "configuration being read");
+        let table = self.fronts.rules.as_ref().map(|rules| Arc::clone(rules.table()));
+        self.reloader.begin(Running { installation: Arc::clone(&self.installation), table });
+    }
+
+    /// Brings into force what was built meanwhile, if anything was. A configuration that can't be served
+    /// changes nothing: the node goes on as it was, since ending for it would lose all that is in hand.
+    pub(super) fn take_up_built(
+        &mut self,
+        front_events: &mut Vec<FrontEvent>,
+        work_events: &mut Vec<WorkEvent>,
+    ) {
+        while let Some((built, finished)) = self.reloader.poll() {
+            let retired = match built {
+                Ok(candidate) if finished.take_up => self.take_up(candidate, front_events, work_events),
+                Ok(candidate) => {
+                    info!(self.log, "configuration left out"; "fault" => "told to leave while it was built");
+                    Box::new(candidate)
+                }
+                Err(rejected) => {
+                    self.log_needs_start(&rejected.needs_start);
+                    warn!(self.log, "configuration left out"; "fault" => %rejected.faults);
+                    Box::new(rejected)
+                }
+            };
+            self.reloader.retire(retired);
+            if finished.begin_next {
+                self.begin_build();
+            }
         }
-        // As a whole, and for what is read from here on: what is in hand stays what it was.
-        match (&mut self.fronts.rules, ruled) {
-            (Some(rules), Some(new)) => rules.replace(new),
-            (rules, new) => *rules = new,
+    }
+
+    /// Brings a configuration into force, unless keys would change their meaning. Returns what is not in
+    /// force any more, or not at all.
+    fn take_up(
+        &mut self,
+        candidate: Candidate,
+        front_events: &mut Vec<FrontEvent>,
+        work_events: &mut Vec<WorkEvent>,
+    ) -> Retired {
+        self.log_needs_start(&candidate.plan.needs_start);
+        if let Err(faults) = self.check_keys(&candidate.plan.keys) {
+            warn!(self.log, "configuration left out"; "fault" => %faults);
+            return Box::new(candidate);
         }
-        self.change_fronts(installation, front_events);
+        self.bring_into_force(candidate, front_events, work_events)
     }
 
-    /// The rules that are to be taken up. What an idempotency key means may not change while keys of
-    /// before are within their window: the same exchange could come again under another one, and run twice.
-    fn read_rules(&self, installation: &Installation) -> Result<Option<Rules>, Faults> {
-        let ruled = rules(installation, &self.orders, &self.log)?;
+    fn log_needs_start(&self, parts: &[NeedsStart]) {
+        for part in parts {
+            warn!(self.log, "{}", part.subject(); "why" => %part);
+        }
+    }
+
+    /// What an idempotency key means may not change while keys of before are within their window: the same
+    /// exchange could come again under another one, and run twice.
+    fn check_keys(&self, new: &KeyMeanings) -> Result<(), Faults> {
         let mut faults = Vec::new();
-        for (place, name) in self.orders.handed.group_names.iter().enumerate() {
-            if installation.meaning_of_keys(name) == self.installation.meaning_of_keys(name) {
-                continue;
-            }
-            if let Some(last) = self.results.last_of(place as u8) {
-                let wait = last.map_or_else(
-                    || "one of them is in hand".to_string(),
-                    |till| format!("in {} ms none is", till.saturating_sub(self.now).div_ceil(MS)),
-                );
-                let what = format!(
-                    "keys of '{name}' would mean something else while some are within their window; {wait}"
-                );
-                faults.push(Fault::new("installation.rules", what));
-            }
+        for place in self.keys.changed(new) {
+            let Some(last) = self.results.last_of(place as u8) else { continue };
+            let wait = last.map_or_else(
+                || "one of them is in hand".to_string(),
+                |till| format!("in {} ms none is", till.saturating_sub(self.now).div_ceil(MS)),
+            );
+            let name = &self.orders.handed.group_names[place];
+            let what = format!(
+                "keys of '{name}' would mean something else while some are within their window; {wait}"
+            );
+            faults.push(Fault::new("installation.rules", what));
         }
-        if faults.is_empty() { Ok(ruled) } else { Err(Faults(faults)) }
+        if faults.is_empty() { Ok(()) } else { Err(Faults(faults)) }
     }
 
-    fn read_again(&self) -> Result<(Orders, Installation), Faults> {
-        let new = orders::read()?;
-        let installation = match &self.file {
-            Some(path) => file::read(path)?,
-            None => Installation::default(),
-        };
-        // What can't change under way is as it was at the start.
-        installation.beside(&self.orders)?;
-        Ok((new, installation))
+    /// Takes up all that changes, in one go, and returns what is no longer in force. What is in hand keeps
+    /// what it began under.
+    fn bring_into_force(
+        &mut self,
+        candidate: Candidate,
+        front_events: &mut Vec<FrontEvent>,
+        work_events: &mut Vec<WorkEvent>,
+    ) -> Retired {
+        let begun = Instant::now();
+        let Candidate { plan, rules, took } = candidate;
+        self.change_platform(plan.platform, plan.installation.fronts.len(), work_events);
+        self.change_servers(&plan.installation);
+        let mut fleet = plan.fleet;
+        self.parts.iter_mut().for_each(|part| part.take_up(&mut fleet));
+        let old_rules = self.change_rules(rules);
+        let old_keys = std::mem::replace(&mut self.keys, plan.keys);
+        self.change_fronts(&plan.installation, front_events);
+        let old_installation = std::mem::replace(&mut self.installation, plan.installation);
+        info!(self.log, "configuration in force"; "built_ms" => took.as_millis() as u64,
+            "held_us" => begun.elapsed().as_micros() as u64);
+        Box::new((old_rules, old_keys, old_installation, fleet))
     }
 
-    /// Which pools there are, and what they speak, needs a start: until then they are as they were, and
-    /// rules are read with those.
-    fn keep_pools(&self, installation: &mut Installation) {
-        let kinds =
-            |of: &Installation| pools(of).map(|(name, asked)| (name, asked.protocol)).collect::<Vec<_>>();
-        if kinds(&self.installation) != kinds(installation) {
-            warn!(self.log, "servers need a start"; "why" => "pools come or go, or speak something else");
-            installation.servers.clone_from(&self.installation.servers);
-            installation.pools.clone_from(&self.installation.pools);
+    /// Where engine and registry are, and the time to stop. What runs goes on, as the engine keeps runs and
+    /// numbers.
+    fn change_platform(&mut self, read: PlatformRead, fronts: usize, work_events: &mut Vec<WorkEvent>) {
+        let (engine, registry) = (read.platform.engine, read.platform.registry);
+        info!(self.log, "configuration read again"; "engine" => %engine, "registry" => %registry,
+            "fronts" => fronts, "rest_needs_a_start" => read.rest_needs_start);
+        self.platform = read.platform;
+        self.work.move_to(engine, self.now, work_events);
+        if let Err(e) = self.registry.move_to(registry) {
+            warn!(self.log, "registry cannot be reached"; "why" => %e);
         }
     }
 
@@ -101,32 +143,44 @@
     fn change_servers(&mut self, installation: &Installation) {
         let groups = &self.orders.handed.contract.groups;
         let longest = groups.iter().map(|group| group.deadline).max().unwrap_or(0);
-        if let Work::Servers(of) = &mut self.work {
-            for ((_, servers), (_, asked)) in of.iter_mut().zip(pools(installation)) {
-                servers.take_up(asked, longest, self.now);
+        if let Work::Servers(pools) = &mut self.work {
+            for ((_, pool), (_, servers)) in pools.iter_mut().zip(installation.named_pools()) {
+                pool.take_up(servers, longest, self.now);
             }
         }
     }
 
+    /// Another table, as a whole, for what is read from here on. Returns the one of before.
+    fn change_rules(&mut self, new: Option<RuleTable>) -> Retired {
+        if let Some(table) = &new {
+            log_rules(&self.log, table);
+        }
+        match (&mut self.fronts.rules, new) {
+            (Some(rules), Some(new)) => Box::new(rules.replace(new)),
+            (rules, new) => Box::new(std::mem::replace(rules, new.map(Rules::new))),
+        }
+    }
+
     /// Opens the fronts that are new and drains those that are gone. While the node leaves, no front is
     /// opened.
-    fn change_fronts(&mut self, installation: Installation, front_events: &mut Vec<FrontEvent>) {
-        let old = std::mem::replace(&mut self.installation, installation);
-        let new = self.installation.fronts.clone();
-        let place = |front: &Front| (front.listen, front.protocol);
-        for front in old.fronts.iter().filter(|front| !new.iter().any(|other| place(other) == place(front))) {
+    fn change_fronts(&mut self, installation: &Installation, front_events: &mut Vec<FrontEvent>) {
+        let changes = FrontChanges::between(&self.listening, &installation.fronts);
+        for front in &changes.withdrawn {
             info!(self.log, "front withdrawn"; "address" => %front.listen);
             self.fronts.withdraw(front.listen, self.now, front_events);
         }
-        for front in &new {
-            if old.fronts.iter().any(|other| place(other) == place(front)) {
-                self.fronts.bound(front.listen, front.connections.map(|most| most as usize));
-            } else if self.stop_at.is_none()
-                && let Err(e) = self.open_front(front)
-            {
+        for front in &changes.kept {
+            self.fronts.bound(front.listen, front.connections.map(|most| most as usize));
+        }
+        self.listening = changes.kept;
+        let opened = if self.stop_at.is_none() { changes.opened } else { Vec::new() };
+        for front in opened {
+            match self.open_front(&front) {
+                Ok(()) => self.listening.push(front),
                 // The others go on; a SIGHUP tries it again.
-                warn!(self.log, "front cannot be opened"; "address" => %front.listen, "why" => %e);
-                self.installation.fronts.retain(|other| place(other) != place(front));
+                Err(e) => {
+                    warn!(self.log, "front cannot be opened"; "address" => %front.listen, "why" => %e);
+                }
             }
         }
     }
--- a/node/src/serve/start.rs
+++ b/node/src/serve/start.rs
@@ -6,12 +6,15 @@
 
 use doortrack::logic::Door;
 use doortrack::{Effect, Event, Gauges, LevelKind, Tenths};
-use doortrack_installation::{Faults, Installation, Orders, Servers as Asked};
+use doortrack_installation::reload::{KeyMeanings, Platform, Started};
+use doortrack_installation::{Installation, Orders};
 use doortrack_wire::Protocol;
 use polling::Poller;
 use serde_json::Value;
 use slog::{Logger, info, o, warn};
 
+use super::build::Sources;
+use super::builds::Reloader;
 use super::report::Slowest;
 use super::{Fault, MS, Node};
 use crate::life::clock::Clock;
@@ -24,34 +27,20 @@
 use crate::wire::fronts::Fronts;
 use crate::wire::registry::Registry;
 use crate::wire::request::Names;
-use crate::wire::ruled::Rules;
+use crate::wire::ruled::{RuleTable, Rules};
 use crate::wire::servers::Servers;
 use crate::wire::work::Work;
 
 /// Rules without effect that are told one by one.
 const MOST_NOTES: usize = 5;
 
-/// The pools of servers of an installation with their names; the one without a name goes by `servers`.
-pub(super) fn pools(installation: &Installation) -> impl Iterator<Item = (String, &Asked)> {
-    let first = installation.servers.iter().map(|servers| ("servers".to_string(), servers));
-    first.chain(installation.pools.iter().map(|(name, servers)| (name.clone(), servers)))
-}
-
-/// The rules of an installation, if it has any; those that can never win are told.
-pub(super) fn rules(
-    installation: &Installation,
-    orders: &Orders,
-    log: &Logger,
-) -> Result<Option<Rules>, Faults> {
-    let Some((table, notes)) = installation.table(&orders.handed)? else { return Ok(None) };
-    let place = |name: &String| orders.handed.group_names.iter().position(|group| group == name);
-    let otherwise = installation.otherwise.as_ref().and_then(place).map(|place| place as u8);
-    for note in notes.iter().take(MOST_NOTES) {
+/// Tells what rules there are, and those that can never win.
+pub(super) fn log_rules(log: &Logger, rules: &RuleTable) {
+    for note in rules.notes.iter().take(MOST_NOTES) {
         warn!(log, "rule without effect"; "why" => %note);
     }
-    info!(log, "rules"; "rules" => table.len(), "asked_in_order" => table.unindexed(),
-        "without_effect" => notes.len());
-    Ok(Some(Rules::new(table, otherwise)))
+    info!(log, "rules"; "rules" => rules.table.len(), "asked_in_order" => rules.table.unindexed(),
+        "without_effect" => rules.notes.len(), "reused" => rules.reused);
 }
 
 /// What an installation asks for beside fronts and servers; nothing where it asks for nothing.
@@ -79,7 +68,12 @@
         clock: Clock,
         log: Logger,
     ) -> Result<Node, Fault> {
-        let ruled = rules(&installation, &orders, &log).map_err(|faults| faults.to_string())?;
+        let orders = Arc::new(orders);
+        let built = installation.table_from(None, &orders.handed).map_err(|faults| faults.to_string())?;
+        let rules = built.map(|built| RuleTable::new(built, &installation, &orders.handed));
+        if let Some(rules) = &rules {
+            log_rules(&log, rules);
+        }
         let plain = |what: &'static str| move |e: std::io::Error| format!("{what}: {e}");
         let poller = Arc::new(Poller::new().map_err(plain("poller"))?);
         let signals = Signals::open(&poller).map_err(plain("signals"))?;
@@ -94,12 +88,13 @@
         let mut room = orders.room;
         // All sockets together keep within the node's own bound.
         room.connections -= installation.server_connections().min(room.connections / 2);
-        let pools: Vec<(String, Servers)> = pools(&installation)
+        let pools: Vec<(String, Servers)> = installation
+            .named_pools()
             .enumerate()
             .map(|(place, (name, asked))| {
-                let (poller, log) = (poller.clone(), log.new(o!("pool" => name.clone())));
+                let (poller, log) = (poller.clone(), log.new(o!("pool" => name.to_string())));
                 let seed = orders.seed.wrapping_add(place as u64);
-                (name, Servers::new(poller, log, asked, place, longest_deadline, seed))
+                (name.to_string(), Servers::new(poller, log, asked, place, longest_deadline, seed))
             })
             .collect();
         let work = if pools.is_empty() {
@@ -123,6 +118,9 @@
         for part in &parts {
             work.gate_retries(|pool| part.retry_gate(pool));
         }
+        let started = Started { orders: Arc::clone(&orders), in_fleet: installation.fleet.is_some() };
+        let reloader = Reloader::new(Sources { started, file }, poller.clone());
+        let keys = KeyMeanings::new(&installation, &orders.handed.group_names);
         let mut node = Node {
             parts,
             groups: handed.group_names.iter().map(|name| Value::from(name.as_str()).to_string()).collect(),
@@ -149,16 +147,19 @@
             noticed: 0,
             closing: false,
             slowest: Slowest::default(),
-            orders,
-            file,
-            installation: Installation::default(),
+            platform: Platform::new(&orders),
+            orders: Arc::clone(&orders),
+            keys,
+            listening: installation.fronts.clone(),
+            reloader,
+            installation: Arc::new(installation),
         };
+        let installation = Arc::clone(&node.installation);
         for (nth, front) in installation.fronts.iter().enumerate() {
             node.open_front(front)
                 .map_err(|e| format!("installation.fronts[{nth}].listen: {}: {e}", front.listen))?;
         }
-        node.fronts.rules = ruled;
-        node.installation = installation;
+        node.fronts.rules = rules.map(Rules::new);
         Ok(node)
     }
 
@@ -169,7 +170,7 @@
         }
         let mut contract = self.orders.handed.contract.clone();
         contract.cold = cold;
-        let mut door = Door::new(contract, self.orders.seed);
+        let mut door = Door::new(contract, self.platform.seed);
         let mut actions = Vec::new();
         door.handle(self.now.saturating_sub(age), &[Event::Started], &mut actions);
         self.door = Some(door);
--- a/node/src/wire/ruled.rs
+++ b/node/src/wire/ruled.rs
@@ -5,8 +5,10 @@
 use std::sync::Arc;
 
 use doortrack::Tenths;
+use doortrack_contract::Handed;
 use doortrack_expr::{Request as Seen, Scratch};
-use doortrack_routes::{Class, Classed, Refusal, Table};
+use doortrack_installation::Installation;
+use doortrack_routes::{Built, Class, Classed, Note, Refusal, Table};
 use doortrack_wire::{Pair, Protocol};
 
 use super::request::{Asked, Fields, Names, Request, TryId, Unreadable, hex, in_range};
@@ -18,11 +20,29 @@
 /// Rank and memory of an exchange of which nothing is said.
 const RANK: f32 = 0.5;
 
-/// What the installation says of exchanges; taken up as a whole.
-pub struct Rules {
-    table: Arc<Table>,
+/// What the installation says of exchanges, with what is to be told of it. It does not change.
+pub struct RuleTable {
+    pub table: Arc<Table>,
     /// The group of what no rule takes.
     otherwise: Option<u8>,
+    /// Rules that can never win.
+    pub notes: Vec<Note>,
+    /// Rules that the table shares with the one before it.
+    pub reused: usize,
+}
+
+impl RuleTable {
+    pub fn new(built: Built, installation: &Installation, handed: &Handed) -> RuleTable {
+        let place = |name: &String| handed.group_names.iter().position(|group| group == name);
+        let otherwise = installation.otherwise.as_ref().and_then(place).map(|place| place as u8);
+        let Built { table, notes, reused } = built;
+        RuleTable { table: Arc::new(table), otherwise, notes, reused }
+    }
+}
+
+/// How exchanges are classed; another table is taken up as a whole.
+pub struct Rules {
+    rules: RuleTable,
     scratch: Scratch,
     /// Tries that came without a name, by which they get one.
     unnamed: u64,
@@ -37,13 +57,17 @@
 }
 
 impl Rules {
-    pub fn new(table: Table, otherwise: Option<u8>) -> Rules {
-        Rules { table: Arc::new(table), otherwise, scratch: Scratch::default(), unnamed: 0 }
+    pub fn new(rules: RuleTable) -> Rules {
+        Rules { rules, scratch: Scratch::default(), unnamed: 0 }
+    }
+
+    pub fn table(&self) -> &Arc<Table> {
+        &self.rules.table
     }
 
-    /// Takes up another table, and goes on counting.
-    pub fn replace(&mut self, new: Rules) {
-        (self.table, self.otherwise) = (new.table, new.otherwise);
+    /// Takes up another table, and goes on counting. Returns the one of before.
+    pub fn replace(&mut self, new: RuleTable) -> RuleTable {
+        std::mem::replace(&mut self.rules, new)
     }
 
     /// Reads a whole request by the rules.
@@ -59,7 +83,7 @@
         if view.path == "/status/live" {
             return Ok(Asked::Health);
         }
-        let class = match self.table.classify(&view, &mut self.scratch) {
+        let class = match self.rules.table.classify(&view, &mut self.scratch) {
             Classed::As(class) => Some(class),
             Classed::Refused { why: Refusal::Customer, .. } => return Err(Unreadable::Field("customer")),
             Classed::Refused { why: Refusal::IdempotencyKey, .. } => {
@@ -67,7 +91,7 @@
             }
             Classed::NoRule => None,
         };
-        let group = class.map(|class| class.group).or(self.otherwise).ok_or(Unreadable::NoRule)?;
+        let group = class.map(|class| class.group).or(self.rules.otherwise).ok_or(Unreadable::NoRule)?;
         let fields = Fields(&pairs);
         let said = class.as_ref();
         let customer = match said.and_then(|class| class.customer) {
--- a/node/tests/node/main.rs
+++ b/node/tests/node/main.rs
@@ -6,5 +6,6 @@
 mod instants;
 mod parts;
 mod play;
+mod reloads;
 mod rules;
 mod sockets;
