--- a/bench/src/bin/reload.rs
+++ b/bench/src/bin/reload.rs
@@ -40,6 +40,9 @@
     /// Seconds with changes, and as many without
     #[arg(long, default_value_t = 20)]
     seconds: u32,
+    /// Deadline of every exchange
+    #[arg(long, default_value_t = 30_000)]
+    deadline_ms: u64,
     /// Changes one right after the other; memory is read after 10 and after all
     #[arg(long, default_value_t = 500)]
     changes: usize,
@@ -70,6 +73,10 @@
         let party = |nth: usize| json!({"name": format!("customer-{nth:05}"), "allowance_per_s": 1});
         plan.config["settings"]["parties"] = (0..words.customers).map(party).collect();
         plan.config["settings"]["family_info"]["cores"] = json!(64);
+        for group in plan.config["settings"]["lanes"].as_array_mut().unwrap() {
+            group["deadline"] = json!(words.deadline_ms * 1000);
+            group["target"] = json!(words.deadline_ms * 1000 * 2 / 3);
+        }
         let version = |nth| installation(words.rules, front, &servers, nth);
         plan.installation = Some(version(0));
         let versions = (0..POOLS).map(|nth| version(nth).to_string()).collect();
@@ -256,6 +263,8 @@
         let figure = |line: &str| line.split_once(name)?.1.split_whitespace().next()?.parse().ok();
         log.lines().filter_map(figure).collect()
     };
+    // How runs ended at the servers tells why requests were not completed.
+    log.lines().filter(|line| line.contains("so far of servers")).for_each(|line| println!("{line}"));
     println!("by its log: held_us {:?}, built_ms {:?}", figures(" held_us="), figures(" built_ms="));
 }
 
