--- a/budgets/src/reporting.rs
+++ b/budgets/src/reporting.rs
@@ -1,73 +1,77 @@
-//! How things stand, for those who ask and for tests.
+//! The state of the budgets, for operators and tests.
 
 use doortrack::Tenths;
 
 use crate::leadership::Leadership;
-use crate::{Budget, Budgets, Kind, Terms, Units, Who};
+use crate::{Budget, Budgets, Kind, NodeId, Parameters, Units};
 
-/// One budget at one node.
+/// The state of one budget at one node.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Standing {
-    /// What this node may use now, its floor included, and of that what is on a lease.
-    pub share: Units,
+pub struct AllocationStatus {
+    /// What this node may use now, its reserved minimum included, and of that what is on a lease.
+    pub allocation: Units,
     pub leased: Units,
-    /// Places in use; 0 for a rate.
+    /// Units in use; 0 for a rate.
     pub in_use: Units,
+    /// What the node could use, as last reported.
     pub need: Units,
+    /// Requests for a unit that were rejected since the start.
     pub rejected: u64,
-    /// For how long the lease lasts yet.
+    /// How long the lease still lasts, in tenths of a ms.
     pub lasts: Option<Tenths>,
-    /// What it has lent, where this node is the keeper.
-    pub lent: Option<Units>,
+    /// What this node has granted to all, if it is the leader.
+    pub granted: Option<Units>,
 }
 
 impl Budgets {
-    pub fn me(&self) -> &Who {
+    /// This node.
+    pub fn me(&self) -> &NodeId {
         &self.me
     }
 
-    pub fn terms(&self) -> &Terms {
-        &self.terms
+    /// The parameters in force.
+    pub fn parameters(&self) -> &Parameters {
+        &self.parameters
     }
 
-    /// Whom this node reports to.
-    pub fn keeper(&self) -> Option<&Who> {
-        self.keeper.as_ref()
+    /// The leader that this node reports to.
+    pub fn leader(&self) -> Option<&NodeId> {
+        self.leader.as_ref()
     }
 
-    pub fn is_keeper(&self, now: Tenths) -> bool {
-        matches!(&self.leadership, Leadership::Leader(tenure) if tenure.canvass.till(&self.terms) > now)
+    /// Whether this node holds the votes of a majority at `now`.
+    pub fn is_leader(&self, now: Tenths) -> bool {
+        matches!(&self.leadership, Leadership::Leader(term) if term.election.till(&self.parameters) > now)
     }
 
-    /// The budgets, in the order of their places.
+    /// The budgets, in the order of their indices.
     pub fn list(&self) -> impl Iterator<Item = &Budget> {
-        self.shares.iter().map(|share| &share.budget)
+        self.allocations.iter().map(|allocation| &allocation.budget)
     }
 
-    /// How the budget at this place stands.
-    pub fn standing(&mut self, place: usize, now: Tenths) -> Standing {
-        let keeper = self.is_keeper(now);
-        let share = &mut self.shares[place];
-        let usable = share.usable(now, &self.terms);
-        Standing {
-            share: usable,
-            leased: share.leased(),
-            in_use: share.in_use(),
-            need: share.need(),
-            rejected: share.rejected,
-            lasts: share.till().map(|till| till.saturating_sub(now)),
-            lent: keeper.then(|| self.accounts.lent(place)),
+    /// The state of the budget at this index.
+    pub fn status(&mut self, index: usize, now: Tenths) -> AllocationStatus {
+        let leader = self.is_leader(now);
+        let allocation = &mut self.allocations[index];
+        let usable = allocation.usable(now, &self.parameters);
+        AllocationStatus {
+            allocation: usable,
+            leased: allocation.leased(),
+            in_use: allocation.in_use(),
+            need: allocation.need(),
+            rejected: allocation.rejected,
+            lasts: allocation.till().map(|till| till.saturating_sub(now)),
+            granted: leader.then(|| self.ledger.granted(index)),
         }
     }
 
-    /// What may be in use at the most at this instant, whoever looks: a share that was not looked at since
-    /// its lease ended is none.
-    pub fn exposed(&self, place: usize, now: Tenths) -> Units {
-        let mut share = self.shares[place].clone();
-        let usable = share.usable(now, &self.terms);
-        match share.budget.kind {
+    /// What may be in use at most at `now`, without changing anything: for tests of the sum over all nodes.
+    pub fn exposed(&self, index: usize, now: Tenths) -> Units {
+        let mut allocation = self.allocations[index].clone();
+        let usable = allocation.usable(now, &self.parameters);
+        match allocation.budget.kind {
             Kind::Rate { .. } => usable,
-            Kind::Places { .. } => usable.max(share.in_use()),
+            Kind::Concurrency { .. } => usable.max(allocation.in_use()),
         }
     }
 }
--- a/fleet/src/joining.rs
+++ b/fleet/src/joining.rs
@@ -1,147 +1,172 @@
-//! How a node gets in, comes back, leaves, and what becomes of a name that is used twice.
+//! Joining, returning and leaving, and names that are used twice.
 
 use doortrack::Tenths;
 
-use crate::fleet::{Fleet, SAY, Stage, Timer};
-use crate::table::Place;
-use crate::{Action, Claim, Life, Message, News, Seat, Stand};
+use crate::fleet::{Fleet, RETRANSMISSIONS, Stage, Timer};
+use crate::table::MemberIndex;
+use crate::{Action, Change, Incarnation, MemberState, MemberUpdate, Message};
 
-/// Bytes of claims on a page, past which none is added; a claim takes its name and at the most this beside.
+/// Bytes of updates on a page past which none is added; an update takes its name and at most
+/// [`UPDATE_OVERHEAD`] beside.
 const PAGE: usize = 1_000;
-const BESIDE_NAME: usize = 46;
+const UPDATE_OVERHEAD: usize = 46;
 
-/// Knocks at seeds that are all made; later ones only now and then.
-const EARLY_KNOCKS: u32 = 5;
-const SELDOM: u32 = 4;
-/// Seeds that are knocked at together.
-const MOST_AT_ONCE: usize = 3;
+/// Rounds of join requests that all go to seeds; of later rounds only every so many.
+const EARLY_JOIN_REQUESTS: u32 = 5;
+const LATER_REQUESTS_EVERY: u32 = 4;
+/// Seeds that are asked in one round.
+const MAX_SEEDS_AT_ONCE: usize = 3;
 
 impl Fleet {
-    /// Knocks where somebody may be who is not in the view: at one that is lost, now and then at a seed, and
-    /// at seeds alone while nobody answers.
-    pub(crate) fn knock(&mut self, out: &mut Vec<Action>) {
-        self.knocks = self.knocks.saturating_add(1);
-        let lonely = self.stage == Stage::Joining || self.cut_off || self.table.there() == 0;
+    /// Sends one round of join requests to nodes that may be present though not in the view: a dead member,
+    /// and seeds, more of them while nobody answers.
+    pub(crate) fn send_join_requests(&mut self, out: &mut Vec<Action>) {
+        self.join_requests = self.join_requests.saturating_add(1);
+        let alone = self.stage == Stage::Joining || self.isolated || self.table.present() == 0;
         // All started at once, nodes find together in islands at first.
-        let often = self.knocks <= EARLY_KNOCKS || self.knocks.is_multiple_of(SELDOM);
-        let most = if lonely || self.knocks <= EARLY_KNOCKS { MOST_AT_ONCE } else { usize::from(often) };
-        let seeds = self.terms.seeds.len().min(most);
-        let from = self.chance.usize(..self.terms.seeds.len().max(1));
+        let often = self.join_requests <= EARLY_JOIN_REQUESTS
+            || self.join_requests.is_multiple_of(LATER_REQUESTS_EVERY);
+        let max = if alone || self.join_requests <= EARLY_JOIN_REQUESTS {
+            MAX_SEEDS_AT_ONCE
+        } else {
+            usize::from(often)
+        };
+        let seeds = self.parameters.seeds.len().min(max);
+        let from = self.chance.usize(..self.parameters.seeds.len().max(1));
         for nth in 0..seeds {
-            let seed = self.terms.seeds[(from + nth) % self.terms.seeds.len()];
+            let seed = self.parameters.seeds[(from + nth) % self.parameters.seeds.len()];
             if seed != self.me.address {
-                self.send_to(seed, Life(0), Message::Join, Vec::new(), out);
+                self.send_to(seed, Incarnation(0), Message::Join, Vec::new(), out);
             }
         }
-        if let Some(place) = self.table.some_lost(&mut self.chance) {
+        if let Some(index) = self.table.some_dead(&mut self.chance) {
             let nonce = self.chance.u32(..);
-            self.send(place, Message::Ping { nonce }, out);
+            self.send(index, Message::Ping { nonce }, out);
         }
     }
 
-    /// Answers one that knocks, or goes on with the table. Nothing is thought of who merely knocks: it may
-    /// be an old datagram. It is a member once it speaks to this life.
-    pub(crate) fn page(&mut self, to: &Claim, after: Option<&crate::Name>, out: &mut Vec<Action>) {
-        let (mut claims, mut bytes, mut next) = (Vec::new(), 0, None);
-        for member in self.table.after(after) {
+    /// Sends a page of the table, in answer to a join request or for a fetch. A join request alone makes no
+    /// member, as it may be replayed: the sender is one once it addresses this incarnation.
+    pub(crate) fn send_page(
+        &mut self,
+        to: &MemberUpdate,
+        after: Option<&crate::Name>,
+        out: &mut Vec<Action>,
+    ) {
+        let (mut updates, mut bytes, mut next) = (Vec::new(), 0, None);
+        for record in self.table.after(after) {
             if bytes > PAGE {
-                next = claims.last().map(|claim: &Claim| claim.name.clone());
+                next = updates.last().map(|update: &MemberUpdate| update.name.clone());
                 break;
             }
-            bytes += member.claim.name.len() + BESIDE_NAME;
-            claims.push(member.claim.clone());
+            bytes += record.update.name.len() + UPDATE_OVERHEAD;
+            updates.push(record.update.clone());
         }
-        self.send_to(to.address, to.life, Message::Page { next }, claims, out);
+        self.send_to(to.address, to.incarnation, Message::Page { next }, updates, out);
     }
 
-    /// A member is in the view from here on, unless it is held back.
-    pub(crate) fn admit(&mut self, now: Tenths, place: Place, out: &mut Vec<Action>) {
-        let Some(member) = self.table.get_mut(place).filter(|of| of.claim.stand.is_there()) else { return };
-        if member.held_until.is_some_and(|till| till > now) {
+    /// Puts a present member into the view, unless it is held back.
+    pub(crate) fn admit(&mut self, now: Tenths, index: MemberIndex, out: &mut Vec<Action>) {
+        let Some(record) = self.table.get_mut(index).filter(|record| record.update.state.is_present()) else {
+            return;
+        };
+        if record.held_until.is_some_and(|till| till > now) {
             return;
         }
-        member.held_until = None;
-        let claim = &member.claim;
-        let (name, life, back) = (claim.name.clone(), claim.life, member.returns > 0);
-        let seat = Seat { life, address: claim.address, weight: claim.weight };
-        self.change_view(now, |view| view.put(&name, seat));
-        out.push(Action::Report(News::Alive { name, life, back }));
+        record.held_until = None;
+        let update = &record.update;
+        let (name, incarnation, back) = (update.name.clone(), update.incarnation, record.returns > 0);
+        let member = update.member();
+        self.change_view(now, |view| view.put(&name, member));
+        out.push(Action::Report(Change::Alive { name, incarnation, back }));
     }
 
-    /// Counts that a member came back, and holds it back if it does so again and again. The first return is
-    /// free, as after a restart or a broken link.
-    pub(crate) fn came_back(&mut self, now: Tenths, place: Place, out: &mut Vec<Action>) {
-        let (first, most) = (self.terms.hold_first, self.terms.hold_most);
-        let Some(member) = self.table.get_mut(place) else { return };
-        if member.returned_at + 2 * most < now {
-            member.returns = 0;
+    /// Counts a return from being dead, and holds the member back if it returns repeatedly. The first return
+    /// is free, as after a restart or a broken link.
+    pub(crate) fn note_return(&mut self, now: Tenths, index: MemberIndex, out: &mut Vec<Action>) {
+        let (first, max) = (self.parameters.hold_first, self.parameters.hold_max);
+        let Some(record) = self.table.get_mut(index) else { return };
+        if record.returned_at + 2 * max < now {
+            record.returns = 0;
         }
-        member.returns = member.returns.saturating_add(1);
-        member.returned_at = now;
-        if member.returns < 2 {
+        record.returns = record.returns.saturating_add(1);
+        record.returned_at = now;
+        if record.returns < 2 {
             return;
         }
-        let wait = most.min(first << (member.returns - 2).min(20));
-        member.held_until = Some(now + wait);
-        let (name, life) = (member.claim.name.clone(), member.claim.life);
-        self.arm(now + wait, Timer::Admit(place));
+        let wait = max.min(first << (record.returns - 2).min(20));
+        record.held_until = Some(now + wait);
+        let (name, incarnation) = (record.update.name.clone(), record.update.incarnation);
+        self.arm(now + wait, Timer::Admit(index));
         self.change_view(now, |view| view.remove(&name));
-        out.push(Action::Report(News::HeldBack { name, life, wait }));
+        out.push(Action::Report(Change::HeldBack { name, incarnation, wait }));
     }
 
-    /// Says that it leaves, at once and in some rounds more.
-    pub(crate) fn leave(&mut self, now: Tenths, out: &mut Vec<Action>) {
+    /// Announces that this node leaves, at once and in further rounds.
+    pub(crate) fn on_leave(&mut self, now: Tenths, out: &mut Vec<Action>) {
         if self.stage == Stage::Leaving {
             return;
         }
         self.stage = Stage::Leaving;
-        self.me.stand = Stand::Left;
+        self.me.state = MemberState::Left;
         let name = self.me.name.clone();
         self.change_view(now, |view| view.remove(&name));
-        self.say = SAY;
-        self.news(now, out);
+        self.retransmissions = RETRANSMISSIONS;
+        self.send_updates(now, out);
     }
 
-    /// A word on this node's own name.
-    pub(crate) fn on_myself(&mut self, now: Tenths, claim: &Claim, first_hand: bool, out: &mut Vec<Action>) {
-        if claim.life == self.me.life {
-            let doubted = claim.stand != Stand::Alive && claim.turn >= self.me.turn && !first_hand;
-            if doubted && claim.stand == Stand::Left && self.stage != Stage::Leaving {
-                // Final for that life, which this one therefore can't be.
-                self.live_on(now, claim.life, out);
-            } else if doubted && self.stage != Stage::Leaving {
-                self.me.turn = claim.turn + 1;
-                self.say = SAY;
-                self.arm_news(now);
+    /// Handles an update on this node's own name; `direct` if a process of that name sent it.
+    pub(crate) fn on_own_name(
+        &mut self,
+        now: Tenths,
+        update: &MemberUpdate,
+        direct: bool,
+        out: &mut Vec<Action>,
+    ) {
+        if update.incarnation == self.me.incarnation {
+            let suspected =
+                update.state != MemberState::Alive && update.version >= self.me.version && !direct;
+            if suspected && update.state == MemberState::Left && self.stage != Stage::Leaving {
+                // Final for that incarnation, which this one therefore can't be.
+                self.start_incarnation(now, update.incarnation, out);
+            } else if suspected && self.stage != Stage::Leaving {
+                self.me.version = update.version + 1;
+                self.retransmissions = RETRANSMISSIONS;
+                self.arm_updates(now);
             }
-        } else if claim.life < self.me.life {
-            if first_hand {
-                // It learns of this life by the head, and steps aside.
-                self.send_to(claim.address, claim.life, Message::News, Vec::new(), out);
-                if self.twin != claim.life {
-                    self.twin = claim.life;
-                    out.push(Action::Report(News::Twin { life: claim.life, address: claim.address }));
+        } else if update.incarnation < self.me.incarnation {
+            if direct {
+                // It learns of this incarnation by the head, and steps aside.
+                self.send_to(update.address, update.incarnation, Message::Updates, Vec::new(), out);
+                if self.duplicate != update.incarnation {
+                    self.duplicate = update.incarnation;
+                    out.push(Action::Report(Change::DuplicateName {
+                        incarnation: update.incarnation,
+                        address: update.address,
+                    }));
                 }
             }
-        } else if self.stage == Stage::Joining || !claim.stand.is_there() || claim.address == self.me.address
+        } else if self.stage == Stage::Joining
+            || !update.state.is_present()
+            || update.address == self.me.address
         {
-            // That life is over, as only this process is where it was, or this one joins after it.
-            self.live_on(now, claim.life, out);
+            // That incarnation is over, as only this process is where it was, or this one joins after it.
+            self.start_incarnation(now, update.incarnation, out);
         } else {
-            self.stage = Stage::Displaced;
-            out.push(Action::Report(News::Displaced { by: claim.life, address: claim.address }));
+            self.stage = Stage::Superseded;
+            out.push(Action::Report(Change::Superseded { by: update.incarnation, address: update.address }));
         }
     }
 
-    /// Goes on under a life younger than `than`.
-    fn live_on(&mut self, now: Tenths, than: Life, out: &mut Vec<Action>) {
-        self.me.life = Life(than.0.saturating_add(1 + self.chance.u64(..256)));
-        self.me.turn = 0;
-        let (name, claim) = (self.me.name.clone(), &self.me);
-        let seat = Seat { life: claim.life, address: claim.address, weight: claim.weight };
-        self.change_view(now, |view| view.put(&name, seat));
-        self.say = SAY;
-        self.arm_news(now);
-        out.push(Action::Report(News::NewLife { life: self.me.life }));
+    /// Continues under an incarnation later than `than`.
+    fn start_incarnation(&mut self, now: Tenths, than: Incarnation, out: &mut Vec<Action>) {
+        self.me.incarnation = Incarnation(than.0.saturating_add(1 + self.chance.u64(..256)));
+        self.me.version = 0;
+        let (name, update) = (self.me.name.clone(), &self.me);
+        let member = update.member();
+        self.change_view(now, |view| view.put(&name, member));
+        self.retransmissions = RETRANSMISSIONS;
+        self.arm_updates(now);
+        out.push(Action::Report(Change::NewIncarnation { incarnation: self.me.incarnation }));
     }
 }
--- a/fleet/src/receiving.rs
+++ b/fleet/src/receiving.rs
@@ -1,259 +1,276 @@
-//! What a datagram means.
+//! Handles datagrams: direct evidence of the sender, indirect evidence of others, and the message itself.
 
 use std::net::SocketAddr;
 
 use doortrack::Tenths;
 
-use crate::fleet::{Fetch, Fleet, SAY, Stage};
-use crate::probes::{Answered, ForOther, Probe};
-use crate::table::Place;
-use crate::{Action, Claim, Datagram, Head, Life, Message, News, Stand};
+use crate::fleet::{Fetch, Fleet, RETRANSMISSIONS, Stage};
+use crate::probes::{Answered, IndirectProbe, Probe};
+use crate::table::MemberIndex;
+use crate::{Action, Change, Datagram, Head, Incarnation, MemberState, MemberUpdate, Message};
 
-/// Stands for all those that hold a member for lost.
+/// The mark of a suspicion that rests on other nodes' having declared the member dead.
 const OTHERS: u32 = 0;
-/// Claims that any datagram may carry.
-const MOST_HEARD: usize = 64;
+/// Updates in a datagram above which it is refused.
+const MAX_UPDATES_READ: usize = 64;
 
 impl Fleet {
-    pub(crate) fn received(
+    pub(crate) fn on_datagram(
         &mut self,
         now: Tenths,
         _from: SocketAddr,
         datagram: Datagram,
         out: &mut Vec<Action>,
     ) {
-        let Datagram { head, message, claims } = datagram;
-        let of_itself = matches!(head.of.stand, Stand::Alive | Stand::Left);
-        if !head.of.is_sound() || !of_itself || claims.len() > MOST_HEARD {
+        let Datagram { head, message, updates } = datagram;
+        let of_itself = matches!(head.sender.state, MemberState::Alive | MemberState::Left);
+        if !head.sender.is_valid() || !of_itself || updates.len() > MAX_UPDATES_READ {
             self.refused += 1;
             return;
         }
-        if head.of.name == self.me.name {
-            return self.on_myself(now, &head.of, true, out);
+        if head.sender.name == self.me.name {
+            return self.on_own_name(now, &head.sender, true, out);
         }
-        if message == Message::Join && head.to == Life(0) {
+        if message == Message::Join && head.to == Incarnation(0) {
             if head.digest == self.view.digest {
                 // It knows all of this already.
-                let (to, life) = (head.of.address, head.of.life);
-                return self.send_to(to, life, Message::Page { next: None }, Vec::new(), out);
+                let (to, incarnation) = (head.sender.address, head.sender.incarnation);
+                return self.send_to(to, incarnation, Message::Page { next: None }, Vec::new(), out);
             }
-            return self.page(&head.of, None, out);
+            return self.send_page(&head.sender, None, out);
         }
-        if head.to != self.me.life {
-            // Meant for an earlier life, or very old: the sender learns of this one, nothing else is done.
+        if head.to != self.me.incarnation {
+            // Meant for an earlier incarnation, or very old: the sender learns of this one, nothing else is
+            // done.
             self.refused += 1;
-            return self.send_to(head.of.address, head.of.life, Message::News, Vec::new(), out);
+            return self.send_to(
+                head.sender.address,
+                head.sender.incarnation,
+                Message::Updates,
+                Vec::new(),
+                out,
+            );
         }
-        let Some(place) = self.first_hand(now, &head, &message, out) else { return };
-        for claim in claims {
-            self.hearsay(now, claim, out);
+        let Some(index) = self.direct_evidence(now, &head, &message, out) else { return };
+        for update in updates {
+            self.indirect_evidence(now, update, out);
         }
         if self.stage == Stage::Joining {
             self.stage = Stage::Member;
-            self.say = SAY;
-            self.arm_news(now);
+            self.retransmissions = RETRANSMISSIONS;
+            self.arm_updates(now);
         }
         // A table like one's own is not read to its end.
         let message = match message {
             Message::Page { .. } if head.digest == self.view.digest => Message::Page { next: None },
             message => message,
         };
-        self.act_on(now, place, message, out);
-        self.compare(now, place, &head, out);
+        self.handle_message(now, index, message, out);
+        self.compare_views(now, index, &head, out);
     }
 
-    /// What it means that this member spoke to this life: its place, if it is to be listened to.
-    fn first_hand(
+    /// Takes in the sender's update on itself. Returns its index if the rest of the datagram is to be
+    /// handled: it is not replayed, and not of an earlier incarnation or a member that left.
+    fn direct_evidence(
         &mut self,
         now: Tenths,
         head: &Head,
-        what: &Message,
+        message: &Message,
         out: &mut Vec<Action>,
-    ) -> Option<Place> {
-        let Some(place) = self.table.place(&head.of.name) else {
-            let place = self.take_up(now, head.of.clone(), out)?;
-            self.table.get_mut(place)?.received.is_first(head.nth);
-            return Some(place).filter(|_| head.of.stand != Stand::Left);
+    ) -> Option<MemberIndex> {
+        let Some(index) = self.table.index_of(&head.sender.name) else {
+            let index = self.apply(now, head.sender.clone(), out)?;
+            self.table.get_mut(index)?.received.is_first(head.nth);
+            return Some(index).filter(|_| head.sender.state != MemberState::Left);
         };
-        let known = self.table.get(place)?.claim.clone();
-        if head.of.life < known.life {
-            // An elder process of that name, or its last words: it is shown who came after it.
+        let known = self.table.get(index)?.update.clone();
+        if head.sender.incarnation < known.incarnation {
+            // An earlier process of that name, or its last words: it is shown who came after it.
             self.refused += 1;
-            self.send_to(head.of.address, head.of.life, Message::News, vec![known], out);
+            self.send_to(head.sender.address, head.sender.incarnation, Message::Updates, vec![known], out);
             return None;
         }
-        if head.of.beats(&known) {
-            self.take_up(now, head.of.clone(), out);
+        if head.sender.overrides(&known) {
+            self.apply(now, head.sender.clone(), out);
         }
-        let member = self.table.get_mut(place)?;
-        if !member.received.is_first(head.nth) {
+        let record = self.table.get_mut(index)?;
+        if !record.received.is_first(head.nth) {
             self.refused += 1;
             return None;
         }
-        match member.claim.stand {
-            Stand::Left => return None,
-            Stand::Alive => {}
-            // It lives, but only its own later turn says so to all. Pings are answered with the doubt anyway.
-            Stand::Suspected { .. } | Stand::Lost => {
-                if !matches!(what, Message::Ping { .. }) {
-                    self.send(place, Message::News, out);
+        match record.update.state {
+            MemberState::Left => return None,
+            MemberState::Alive => {}
+            // It is alive, but only its own later version says so to all. Pings are answered with the
+            // suspicion anyway.
+            MemberState::Suspected { .. } | MemberState::Dead => {
+                if !matches!(message, Message::Ping { .. }) {
+                    self.send(index, Message::Updates, out);
                 }
             }
         }
-        Some(place)
+        Some(index)
     }
 
-    /// What others say of a member.
-    fn hearsay(&mut self, now: Tenths, claim: Claim, out: &mut Vec<Action>) {
-        if !claim.is_sound() {
+    /// Takes in an update on another member than the sender.
+    fn indirect_evidence(&mut self, now: Tenths, update: MemberUpdate, out: &mut Vec<Action>) {
+        if !update.is_valid() {
             self.refused += 1;
             return;
         }
-        if claim.name == self.me.name {
-            return self.on_myself(now, &claim, false, out);
+        if update.name == self.me.name {
+            return self.on_own_name(now, &update, false, out);
         }
-        let Some(place) = self.table.place(&claim.name) else {
+        let Some(index) = self.table.index_of(&update.name) else {
             // Of one never heard of, only that it is there is worth knowing.
-            if claim.stand.is_there() {
-                self.take_up(now, claim, out);
+            if update.state.is_present() {
+                self.apply(now, update, out);
             }
             return;
         };
-        let Some(known) = self.table.get(place).map(|member| &member.claim) else { return };
-        let same = claim.life == known.life && claim.turn == known.turn;
-        if claim.stand == Stand::Lost && known.stand.is_there() && claim.beats(known) {
-            return self.said_to_be_lost(now, place, claim, out);
+        let Some(known) = self.table.get(index).map(|record| &record.update) else { return };
+        let same = update.incarnation == known.incarnation && update.version == known.version;
+        if update.state == MemberState::Dead && known.state.is_present() && update.overrides(known) {
+            return self.reported_dead(now, index, update, out);
         }
-        match (claim.stand, known.stand) {
-            (Stand::Suspected { by }, Stand::Suspected { .. }) if same => {
-                self.also_doubted(now, place, by);
+        match (update.state, known.state) {
+            (MemberState::Suspected { by }, MemberState::Suspected { .. }) if same => {
+                self.confirm_suspicion(now, index, by);
             }
-            _ if claim.beats(known) => _ = self.take_up(now, claim, out),
+            _ if update.overrides(known) => _ = self.apply(now, update, out),
             _ => {}
         }
     }
 
-    /// Others hold for lost who is there for this node: two halves that find together say so of one another's
-    /// members. It is told to the member and doubted for the shortest time, in which it can contradict.
-    fn said_to_be_lost(&mut self, now: Tenths, place: Place, claim: Claim, out: &mut Vec<Action>) {
-        let stand = Stand::Suspected { by: OTHERS };
-        let doubted = Claim { stand, ..claim };
-        let known = self.table.get(place).is_some_and(|member| doubted.beats(&member.claim));
+    /// Other nodes declared a member dead that is present here, as two halves of a split fleet do once they
+    /// find together. The member is told and suspected for the shortest time, in which it can refute it.
+    fn reported_dead(
+        &mut self,
+        now: Tenths,
+        index: MemberIndex,
+        update: MemberUpdate,
+        out: &mut Vec<Action>,
+    ) {
+        let state = MemberState::Suspected { by: OTHERS };
+        let suspected = MemberUpdate { state, ..update };
+        let known = self.table.get(index).is_some_and(|record| suspected.overrides(&record.update));
         if known {
-            self.take_up(now, doubted, out);
-            self.send(place, Message::News, out);
+            self.apply(now, suspected, out);
+            self.send(index, Message::Updates, out);
         }
-        let Some(doubt) = self.table.get_mut(place).and_then(|member| member.doubt.as_mut()) else { return };
-        if doubt.confirm() {
-            self.arm_doubt(now, place);
+        let Some(suspicion) = self.table.get_mut(index).and_then(|record| record.suspicion.as_mut()) else {
+            return;
+        };
+        if suspicion.confirm_fully() {
+            self.arm_suspicion(now, index);
         }
     }
 
-    fn act_on(&mut self, now: Tenths, place: Place, message: Message, out: &mut Vec<Action>) {
+    fn handle_message(&mut self, now: Tenths, index: MemberIndex, message: Message, out: &mut Vec<Action>) {
         match message {
-            Message::Ping { nonce } => self.send(place, Message::Ack { nonce }, out),
-            Message::Ack { nonce } => self.answered(now, nonce, out),
-            Message::PingFor { nonce, name, life } => {
-                let of = self
-                    .table
-                    .place(&name)
-                    .filter(|of| self.table.get(*of).is_some_and(|member| member.claim.life == life));
-                let asker = self.table.get(place).map(|member| member.claim.name.clone());
-                if let (Some(of), Some(asker)) = (of, asker) {
+            Message::Ping { nonce } => self.send(index, Message::Ack { nonce }, out),
+            Message::Ack { nonce } => self.on_ack(now, nonce, out),
+            Message::PingRequest { nonce, name, incarnation } => {
+                let target = self.table.index_of(&name).filter(|target| {
+                    self.table.get(*target).is_some_and(|record| record.update.incarnation == incarnation)
+                });
+                let asker = self.table.get(index).map(|record| record.update.name.clone());
+                if let (Some(target), Some(asker)) = (target, asker) {
                     let own = self.chance.u32(..);
-                    self.probes.for_other(ForOther { nonce: own, asker, askers: nonce });
-                    self.send(of, Message::Ping { nonce: own }, out);
+                    self.probes.begin_indirect(IndirectProbe { nonce: own, asker, asker_nonce: nonce });
+                    self.send(target, Message::Ping { nonce: own }, out);
                 }
             }
             Message::Ask { after } => {
-                if let Some(claim) = self.table.get(place).map(|member| member.claim.clone()) {
-                    self.page(&claim, after.as_ref(), out);
+                if let Some(update) = self.table.get(index).map(|record| record.update.clone()) {
+                    self.send_page(&update, after.as_ref(), out);
                 }
             }
-            Message::Page { next } => self.fetched(now, place, next, out),
-            Message::Join | Message::News => {}
+            Message::Page { next } => self.on_page(now, index, next, out),
+            Message::Join | Message::Updates => {}
         }
     }
 
-    fn answered(&mut self, now: Tenths, nonce: u32, out: &mut Vec<Action>) {
+    fn on_ack(&mut self, now: Tenths, nonce: u32, out: &mut Vec<Action>) {
         match self.probes.answered(nonce) {
             Answered::InTime(probe) => {
-                self.somebody_answers(now, out);
-                self.took(now, probe, out);
+                self.note_answer(now, out);
+                self.note_response_time(now, probe, out);
             }
             Answered::Late(probe) => {
-                self.somebody_answers(now, out);
-                self.took(now, probe, out);
-                // It lives, only late: what doubt there is begins anew, until its own word ends it.
-                let thawed = self.table.get_mut(probe.place).and_then(|member| member.doubt.as_mut());
-                if let Some(doubt) = thawed {
-                    doubt.since = now;
-                    self.arm_doubt(now, probe.place);
+                self.note_answer(now, out);
+                self.note_response_time(now, probe, out);
+                // It is alive, only late: what suspicion there is begins anew, until its own word ends it.
+                let suspicion = self.table.get_mut(probe.index).and_then(|record| record.suspicion.as_mut());
+                if let Some(suspicion) = suspicion {
+                    suspicion.since = now;
+                    self.arm_suspicion(now, probe.index);
                 }
             }
-            Answered::ForOther(probe) => {
-                if let Some(asker) = self.table.place(&probe.asker) {
-                    self.send(asker, Message::Ack { nonce: probe.askers }, out);
+            Answered::IndirectProbe(probe) => {
+                if let Some(asker) = self.table.index_of(&probe.asker) {
+                    self.send(asker, Message::Ack { nonce: probe.asker_nonce }, out);
                 }
             }
             Answered::Nothing => {}
         }
     }
 
-    /// How long a member took to answer; one that takes long is waited for longer.
-    fn took(&mut self, now: Tenths, probe: Probe, out: &mut Vec<Action>) {
-        let late = 3 * self.terms.answer_within;
-        let Some(member) = self.table.get_mut(probe.place) else { return };
-        if member.claim.life != probe.life {
+    /// Smooths a member's response time; a slow member is given longer to answer.
+    fn note_response_time(&mut self, now: Tenths, probe: Probe, out: &mut Vec<Action>) {
+        let late = 3 * self.parameters.answer_within;
+        let Some(record) = self.table.get_mut(probe.index) else { return };
+        if record.update.incarnation != probe.incarnation {
             return;
         }
         let took = now.saturating_sub(probe.began).max(1);
-        // Up at once, down slowly: a wait too short makes doubts.
-        member.answers_in = if took > member.answers_in { took } else { (member.answers_in * 7 + took) / 8 };
-        let slow = if member.slow { member.answers_in > late / 2 } else { member.answers_in > late };
-        if slow && !member.slow {
-            let (name, life) = (member.claim.name.clone(), member.claim.life);
-            out.push(Action::Report(News::Slow { name, life, after: member.answers_in }));
+        // Up at once, down slowly: a wait too short makes suspicions.
+        record.response_time =
+            if took > record.response_time { took } else { (record.response_time * 7 + took) / 8 };
+        let slow = if record.slow { record.response_time > late / 2 } else { record.response_time > late };
+        if slow && !record.slow {
+            let (name, incarnation) = (record.update.name.clone(), record.update.incarnation);
+            out.push(Action::Report(Change::Slow { name, incarnation, after: record.response_time }));
         }
-        member.slow = slow;
+        record.slow = slow;
     }
 
-    fn somebody_answers(&mut self, now: Tenths, out: &mut Vec<Action>) {
+    fn note_answer(&mut self, now: Tenths, out: &mut Vec<Action>) {
         self.answered = true;
         self.silent = 0;
-        if self.frozen() {
-            self.thawed_at = now;
+        if self.suspects_nobody() {
+            self.resumed_at = now;
         }
-        self.dazed = false;
-        if std::mem::take(&mut self.cut_off) {
-            out.push(Action::Report(News::CutOff(false)));
+        self.resumed = false;
+        if std::mem::take(&mut self.isolated) {
+            out.push(Action::Report(Change::Isolated(false)));
         }
     }
 
-    // --- Finding out what the other knows ---
+    // --- Comparing views ---
 
-    /// A member that rests on another view than this node for a while: its table is fetched.
-    fn compare(&mut self, now: Tenths, place: Place, head: &Head, out: &mut Vec<Action>) {
-        let calm = 4 * self.terms.news_every;
+    /// Fetches the table of a member whose view differs while this node's has not changed for a while.
+    fn compare_views(&mut self, now: Tenths, index: MemberIndex, head: &Head, out: &mut Vec<Action>) {
+        let calm = 4 * self.parameters.gossip_interval;
         if head.digest == self.view.digest || now < self.view_since + calm {
             return;
         }
         if self.fetch.as_ref().is_some_and(|fetch| fetch.till > now) || now < self.fetched_at + 5 * calm {
             return;
         }
-        self.fetch = Some(Fetch { of: head.of.name.clone(), till: now + 5 * calm });
+        self.fetch = Some(Fetch { from: head.sender.name.clone(), till: now + 5 * calm });
         self.fetched_at = now;
-        self.send(place, Message::Ask { after: None }, out);
+        self.send(index, Message::Ask { after: None }, out);
     }
 
-    /// A page came: on with the next, if it is of the table that is being fetched or joined by.
-    fn fetched(&mut self, now: Tenths, place: Place, next: Option<crate::Name>, out: &mut Vec<Action>) {
-        let Some(name) = self.table.get(place).map(|member| member.claim.name.clone()) else { return };
+    /// Asks for the next page, if this one is of the table that is being fetched.
+    fn on_page(&mut self, now: Tenths, index: MemberIndex, next: Option<crate::Name>, out: &mut Vec<Action>) {
+        let Some(name) = self.table.get(index).map(|record| record.update.name.clone()) else { return };
         match (&self.fetch, next) {
-            (Some(fetch), _) if fetch.of != name && fetch.till > now => {}
+            (Some(fetch), _) if fetch.from != name && fetch.till > now => {}
             (_, Some(next)) => {
-                self.fetch = Some(Fetch { of: name, till: now + 20 * self.terms.news_every });
-                self.send(place, Message::Ask { after: Some(next) }, out);
+                self.fetch = Some(Fetch { from: name, till: now + 20 * self.parameters.gossip_interval });
+                self.send(index, Message::Ask { after: Some(next) }, out);
             }
             (_, None) => self.fetch = None,
         }
--- a/fleet/tests/random.rs
+++ b/fleet/tests/random.rs
@@ -4,33 +4,35 @@
 use std::net::SocketAddr;
 
 use doortrack_fleet::{
-    Action, Claim, Datagram, Event, Fleet, Head, Life, MOST_CLAIMS, Message, Name, Seat, Stand, Terms,
+    Action, Datagram, Event, Fleet, Head, Incarnation, MAX_UPDATES, Member, MemberState, MemberUpdate,
+    Message, Name, Parameters,
 };
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
 
 const MS: u64 = 10;
-const MOST: usize = 12;
+const MAX_MEMBERS: usize = 12;
 
 fn address(of: u8) -> SocketAddr {
     SocketAddr::from(([10, 0, 0, of + 1], 7_400))
 }
 
-fn stand() -> impl Strategy<Value = Stand> {
+fn state() -> impl Strategy<Value = MemberState> {
     prop_oneof![
-        4 => Just(Stand::Alive),
-        2 => (1u32..5).prop_map(|by| Stand::Suspected { by }),
-        2 => Just(Stand::Lost),
-        1 => Just(Stand::Left),
+        4 => Just(MemberState::Alive),
+        2 => (1u32..5).prop_map(|by| MemberState::Suspected { by }),
+        2 => Just(MemberState::Dead),
+        1 => Just(MemberState::Left),
     ]
 }
 
 prop_compose! {
     /// On one of 20 names, the node's own (n0) among them.
-    fn claim()(
-        of in 0u8..20, life in 1u64..4, turn in 0u32..3, stand in stand(), weight in 1u32..3,
-    ) -> Claim {
-        Claim { name: format!("n{of}").into(), life: Life(life), turn, stand, address: address(of), weight }
+    fn update()(
+        of in 0u8..20, incarnation in 1u64..4, version in 0u32..3, state in state(), weight in 1u32..3,
+    ) -> MemberUpdate {
+        let (name, address) = (format!("n{of}").into(), address(of));
+        MemberUpdate { name, incarnation: Incarnation(incarnation), version, state, address, weight }
     }
 }
 
@@ -39,10 +41,14 @@
         Just(Message::Join),
         any::<u32>().prop_map(|nonce| Message::Ping { nonce }),
         any::<u32>().prop_map(|nonce| Message::Ack { nonce }),
-        (any::<u32>(), 0u8..20, 1u64..4).prop_map(|(nonce, of, life)| {
-            Message::PingFor { nonce, name: format!("n{of}").into(), life: Life(life) }
+        (any::<u32>(), 0u8..20, 1u64..4).prop_map(|(nonce, of, incarnation)| {
+            Message::PingRequest {
+                nonce,
+                name: format!("n{of}").into(),
+                incarnation: Incarnation(incarnation),
+            }
         }),
-        Just(Message::News),
+        Just(Message::Updates),
         proptest::option::of(0u8..20)
             .prop_map(|of| Message::Ask { after: of.map(|of| format!("n{of}").into()) }),
         proptest::option::of(0u8..20)
@@ -53,17 +59,17 @@
 #[derive(Clone, Debug)]
 enum Step {
     Pass(u64),
-    Hear { of: Claim, to_me: bool, nth: u64, message: Message, claims: Vec<Claim> },
+    Hear { sender: MemberUpdate, to_me: bool, nth: u64, message: Message, updates: Vec<MemberUpdate> },
     Leave,
 }
 
 fn step() -> impl Strategy<Value = Step> {
     let hear =
-        (claim(), prop::bool::weighted(0.8), 1u64..300, message(), prop::collection::vec(claim(), 0..6));
+        (update(), prop::bool::weighted(0.8), 1u64..300, message(), prop::collection::vec(update(), 0..6));
     prop_oneof![
         30 => (0u64..800).prop_map(Step::Pass),
-        60 => hear.prop_map(|(of, to_me, nth, message, claims)| {
-            Step::Hear { of, to_me, nth, message, claims }
+        60 => hear.prop_map(|(sender, to_me, nth, message, updates)| {
+            Step::Hear { sender, to_me, nth, message, updates }
         }),
         1 => Just(Step::Leave),
     ]
@@ -77,35 +83,36 @@
     })]
     #[test]
     fn whatever_is_heard_views_stay_what_they_say(steps in prop::collection::vec(step(), 1..120), seed: u64) {
-        let me = Claim {
+        let me = MemberUpdate {
             name: "n0".into(),
-            life: Life(2),
-            turn: 0,
-            stand: Stand::Alive,
+            incarnation: Incarnation(2),
+            version: 0,
+            state: MemberState::Alive,
             address: address(0),
             weight: 1,
         };
-        let terms = Terms { seeds: vec![address(1)], most_members: MOST, ..Terms::default() };
-        let mut fleet = Fleet::new(me, terms, seed, 0);
+        let seeds = vec![address(1)];
+        let parameters = Parameters { seeds, max_members: MAX_MEMBERS, ..Parameters::default() };
+        let mut fleet = Fleet::new(me, parameters, seed, 0);
         let (mut now, mut out, mut number) = (0, Vec::new(), 0);
-        let mut by_digest: BTreeMap<u64, Vec<(String, Life, u32)>> = BTreeMap::new();
-        let mut life = Life(2);
+        let mut by_digest: BTreeMap<u64, Vec<(String, Incarnation, u32)>> = BTreeMap::new();
+        let mut incarnation = Incarnation(2);
         for step in steps {
             match step {
                 Step::Pass(ms) => {
                     let till = now + ms * MS;
                     while fleet.next_due() <= till {
                         now = now.max(fleet.next_due());
-                        fleet.handle(now, Event::Turn, &mut out);
+                        fleet.handle(now, Event::Tick, &mut out);
                         prop_assert!(fleet.next_due() > now, "a turn leaves nothing due");
                     }
                     now = till;
                 }
-                Step::Hear { of, to_me, nth, message, claims } => {
-                    let to = if to_me { fleet.me().life } else { Life(0) };
-                    let from = of.address;
-                    let head = Head { of, to, nth, digest: 0, view: 0 };
-                    let datagram = Datagram { head, message, claims };
+                Step::Hear { sender, to_me, nth, message, updates } => {
+                    let to = if to_me { fleet.me().incarnation } else { Incarnation(0) };
+                    let from = sender.address;
+                    let head = Head { sender, to, nth, digest: 0, view: 0 };
+                    let datagram = Datagram { head, message, updates };
                     fleet.handle(now, Event::Received { from, datagram }, &mut out);
                 }
                 Step::Leave => fleet.handle(now, Event::Leave, &mut out),
@@ -113,21 +120,24 @@
             for action in out.drain(..) {
                 if let Action::Send { datagram, .. } = action {
                     let page = matches!(datagram.message, Message::Page { .. });
-                    prop_assert!(page || datagram.claims.len() <= MOST_CLAIMS);
-                    let of = &datagram.head.of;
-                    prop_assert!(of.name == fleet.me().name && of.life <= fleet.me().life);
+                    prop_assert!(page || datagram.updates.len() <= MAX_UPDATES);
+                    let sender = &datagram.head.sender;
+                    let me = fleet.me();
+                    prop_assert!(sender.name == me.name && sender.incarnation <= me.incarnation);
                 }
             }
             let view = fleet.view();
             prop_assert!(view.number >= number, "numbers grow");
             number = view.number;
-            prop_assert!(view.members.len() <= MOST + 1);
-            let listed = |(name, seat): (&Name, &Seat)| (name.to_string(), seat.life, seat.weight);
+            prop_assert!(view.members.len() <= MAX_MEMBERS + 1);
+            let listed = |(name, member): (&Name, &Member)| {
+                (name.to_string(), member.incarnation, member.weight)
+            };
             let members: Vec<_> = view.members.iter().map(listed).collect();
             let known = by_digest.entry(view.digest).or_insert_with(|| members.clone());
             prop_assert_eq!(known, &members, "one digest, one list");
-            prop_assert!(fleet.me().life >= life, "its own lives go forward");
-            life = fleet.me().life;
+            prop_assert!(fleet.me().incarnation >= incarnation, "its own incarnations go forward");
+            incarnation = fleet.me().incarnation;
             let (reports, more) = fleet.report(None, 100, now);
             prop_assert!(!more && reports.windows(2).all(|pair| pair[0].name < pair[1].name));
         }
--- a/installation/tests/reload.rs
+++ b/installation/tests/reload.rs
@@ -108,7 +108,7 @@
     let clash = planned(&started(false), &json!({}), &front("127.0.0.1:9090")).err().unwrap();
     assert!(clash.to_string().starts_with("installation.fronts[0].listen: "), "{clash}");
     let fleet = json!({"name": "f", "listen": "127.0.0.1:7401", "voters": ["n1"]});
-    let budget = |of: Value| json!({"name": "b", "kind": "rate", "whole": 10, "burst": 10, "for": of});
+    let budget = |of: Value| json!({"name": "b", "kind": "rate", "limit": 10, "burst": 10, "for": of});
     let budgets = |of: Value| json!({"fleet": fleet, "budgets": [budget(of)]});
     let known = planned(&started(true), &json!({}), &budgets(json!({"customer": "north"}))).unwrap();
     assert_eq!(known.fleet.falls.customers, [Some(0)]);
--- a/node/tests/fleet/link.rs
+++ b/node/tests/fleet/link.rs
@@ -5,7 +5,9 @@
 use std::process::Command;
 use std::time::{Duration, Instant};
 
-use doortrack_fleet::{Action, Claim, Datagram, Event, Fleet, Head, Life, Message, Stand, Terms};
+use doortrack_fleet::{
+    Action, Datagram, Event, Fleet, Head, Incarnation, MemberState, MemberUpdate, Message, Parameters,
+};
 use doortrack_node::peers::seal::{Refused, Seal};
 use doortrack_node::peers::spoken::{PAGE, Spoken, Status};
 use doortrack_rig::history::{History, What};
@@ -35,21 +37,21 @@
 
 /// A datagram of one that has no key, or another, or is of another fleet.
 fn strange(key: Option<[u8; 32]>, fleet: &str) -> Vec<u8> {
-    let of = Claim {
-        name: "stranger".into(),
-        life: Life(77),
-        turn: 0,
-        stand: Stand::Alive,
+    let sender = MemberUpdate {
+        name: "unknown-peer".into(),
+        incarnation: Incarnation(77),
+        version: 0,
+        state: MemberState::Alive,
         address: "127.0.0.1:9".parse().unwrap(),
         weight: 1,
     };
-    let head = Head { of, to: Life(0), nth: 1, digest: 0, view: 0 };
-    let datagram = Datagram { head, message: Message::Join, claims: Vec::new() };
+    let head = Head { sender, to: Incarnation(0), nth: 1, digest: 0, view: 0 };
+    let datagram = Datagram { head, message: Message::Join, updates: Vec::new() };
     Seal::new(key, fleet).close(&Spoken::Fleet(datagram)).unwrap()
 }
 
 #[test]
-fn garbage_and_strangers_cost_a_counter() {
+fn garbage_and_unknown_peers_cost_a_counter() {
     let mut rig = rig(3);
     rig.begin();
     (0..3).for_each(|of| rig.start(of, of, &Value::Null).unwrap());
@@ -69,7 +71,7 @@
     }
     (0..3).for_each(|of| all_there(&rig, of, 3));
     let played = rig.finish();
-    assert!(!(0..3).any(|of| told(&played.history, of, "lost")), "{}", played.history.lines());
+    assert!(!(0..3).any(|of| told(&played.history, of, "dead")), "{}", played.history.lines());
 }
 
 #[test]
@@ -97,30 +99,37 @@
 }
 
 #[test]
-fn the_longest_claims_still_fit_a_datagram() {
-    let claim = |nth: usize| Claim {
+fn the_longest_updates_still_fit_a_datagram() {
+    let update = |nth: usize| MemberUpdate {
         name: format!("{nth:064}").into(),
-        life: Life(u64::MAX),
-        turn: u32::MAX,
-        stand: Stand::Suspected { by: u32::MAX },
+        incarnation: Incarnation(u64::MAX),
+        version: u32::MAX,
+        state: MemberState::Suspected { by: u32::MAX },
         address: "[2001:db8:ffff:ffff:ffff:ffff:ffff:ffff]:65535".parse().unwrap(),
         weight: 1_000_000,
     };
-    let head = Head { of: claim(0), to: Life(u64::MAX), nth: u64::MAX, digest: u64::MAX, view: u64::MAX };
-    let claims: Vec<Claim> = (0..doortrack_fleet::MOST_CLAIMS).map(claim).collect();
-    let message = Message::PingFor { nonce: u32::MAX, name: claim(1).name, life: Life(u64::MAX) };
-    let datagram = Datagram { head, message, claims };
+    let head = Head {
+        sender: update(0),
+        to: Incarnation(u64::MAX),
+        nth: u64::MAX,
+        digest: u64::MAX,
+        view: u64::MAX,
+    };
+    let updates: Vec<MemberUpdate> = (0..doortrack_fleet::MAX_UPDATES).map(update).collect();
+    let message =
+        Message::PingRequest { nonce: u32::MAX, name: update(1).name, incarnation: Incarnation(u64::MAX) };
+    let datagram = Datagram { head, message, updates };
     let seal = Seal::new(None, &"x".repeat(64));
     assert!(seal.close(&Spoken::Fleet(datagram)).is_some());
     // So do the pages of a table of them, and the answers to those who ask.
-    let mut fleet = Fleet::new(claim(0), Terms::default(), 1, 0);
+    let mut fleet = Fleet::new(update(0), Parameters::default(), 1, 0);
     let mut out = Vec::new();
     for nth in 1..60 {
-        let of = Claim { stand: Stand::Alive, ..claim(nth) };
-        let head = Head { of, to: Life(u64::MAX), nth: 1, digest: 0, view: 0 };
-        let message = if nth == 59 { Message::Ask { after: None } } else { Message::News };
-        let datagram = Datagram { head, message, claims: Vec::new() };
-        let from = claim(nth).address;
+        let sender = MemberUpdate { state: MemberState::Alive, ..update(nth) };
+        let head = Head { sender, to: Incarnation(u64::MAX), nth: 1, digest: 0, view: 0 };
+        let message = if nth == 59 { Message::Ask { after: None } } else { Message::Updates };
+        let datagram = Datagram { head, message, updates: Vec::new() };
+        let from = update(nth).address;
         fleet.handle(0, Event::Received { from, datagram }, &mut out);
     }
     let pages = out.into_iter().filter_map(|action| match action {
@@ -128,19 +137,19 @@
         _ => None,
     });
     let pages: Vec<Datagram> = pages.collect();
-    assert!(pages.iter().any(|page| page.claims.len() >= 8));
+    assert!(pages.iter().any(|page| page.updates.len() >= 8));
     assert!(pages.into_iter().all(|page| seal.close(&Spoken::Fleet(page)).is_some()));
     let (members, more) = fleet.report(None, PAGE, 0);
     let status = Status {
         nonce: u64::MAX,
         fleet: "x".repeat(64),
-        name: claim(0).name,
-        life: Life(u64::MAX),
+        name: update(0).name,
+        incarnation: Incarnation(u64::MAX),
         view: u64::MAX,
         digest: u64::MAX,
         in_view: u32::MAX,
-        cut_off: true,
-        displaced: true,
+        isolated: true,
+        superseded: true,
         members,
         more,
     };
@@ -185,17 +194,17 @@
     (0..3).for_each(|of| all_there(&rig, of, 3));
     // The fourth process goes by the name of the third.
     rig.start(3, 2, &Value::Null).unwrap();
-    let displaced = |what: Option<What>| {
+    let superseded = |what: Option<What>| {
         matches!(what, Some(What::Status { members, .. }) if
-        members.iter().any(|member| member.name == "n2" && member.state == "lost"))
+        members.iter().any(|member| member.name == "n2" && member.state == "dead"))
     };
     let until = Instant::now() + Duration::from_secs(20);
-    while !displaced(rig.status(2)) && Instant::now() < until {
+    while !superseded(rig.status(2)) && Instant::now() < until {
         std::thread::sleep(Duration::from_millis(50));
     }
     [0, 1, 3].iter().for_each(|of| all_there(&rig, *of, 3));
     let played = rig.finish();
-    assert!(told(&played.history, 2, "displaced"), "{}", played.history.lines());
+    assert!(told(&played.history, 2, "superseded"), "{}", played.history.lines());
 }
 
 #[test]
@@ -217,9 +226,9 @@
     (0..3).for_each(|of| rig.start(of, of, &Value::Null).unwrap());
     (0..3).for_each(|of| all_there(&rig, of, 3));
     rig.take_up(&Fault::Kill { nodes: vec![1] }, &|_| Value::Null).unwrap();
-    let lost =
-        |members: &[doortrack_rig::history::Member]| members.iter().any(|member| member.state == "lost");
-    assert!(rig.wait_for(0, lost));
+    let dead =
+        |members: &[doortrack_rig::history::Member]| members.iter().any(|member| member.state == "dead");
+    assert!(rig.wait_for(0, dead));
     let ask = |words: &[&str]| {
         let mut command = Command::new(program());
         command.args(["fleet", "status", "--peer", &rig.fleet(0).to_string()]).args(words);
@@ -230,11 +239,11 @@
     let json = ask(&["--key-file", key, "--json"]);
     let seen: Value = serde_json::from_slice(&json.stdout).unwrap();
     assert_eq!(
-        (&seen["name"], &seen["fleet"], &seen["cut_off"]),
+        (&seen["name"], &seen["fleet"], &seen["isolated"]),
         (&json!("n0"), &json!("rig"), &json!(false))
     );
     let states: Vec<_> = seen["members"].as_array().unwrap().iter().map(|of| &of["state"]).collect();
-    assert_eq!(states, ["alive", "lost", "alive"]);
+    assert_eq!(states, ["alive", "dead", "alive"]);
     let text = String::from_utf8(ask(&["--key-file", key]).stdout).unwrap();
     assert!(text.starts_with("n0 of rig: view "), "{text}");
     // Without the key nobody answers, and the answer says what to look at.
@@ -244,5 +253,5 @@
     let at = rig.fleet(0).to_string();
     let words = ["fleet", "watch", "--peer", &at, "--key-file", key, "--for-ms", "300", "--every-ms", "100"];
     let watched = Command::new(program()).args(words).output().unwrap();
-    assert!(String::from_utf8_lossy(&watched.stdout).contains("n1 lost"), "{watched:?}");
+    assert!(String::from_utf8_lossy(&watched.stdout).contains("n1 dead"), "{watched:?}");
 }
--- a/rig/src/processes/asking.rs
+++ b/rig/src/processes/asking.rs
@@ -16,7 +16,7 @@
         let seen = ask(self.fleet(of), Some([0x5a; 32])).ok()?;
         let members = seen.members.iter().map(|of| Member {
             name: of.name.to_string(),
-            life: of.life.to_string(),
+            incarnation: of.incarnation.to_string(),
             state: serde_json::to_value(of.state)
                 .ok()
                 .and_then(|v| v.as_str().map(str::to_string))
@@ -24,7 +24,7 @@
         });
         Some(What::Status {
             node: of,
-            cut_off: seen.first.cut_off,
+            isolated: seen.first.isolated,
             digest: format!("{:016x}", seen.first.digest),
             members: members.collect(),
         })
--- a/rig/tests/divided.rs
+++ b/rig/tests/divided.rs
@@ -1,9 +1,9 @@
-//! Budgets under faults in simulated time: never more than the whole, by a count that knows nothing of
+//! Budgets under faults in simulated time: never more than the limit, by a count that knows nothing of
 //! leases. Each safeguard is taken out in turn, and the count must tell.
 
 use std::sync::Arc;
 
-use doortrack_budgets::{Budget, Kind, Safeguards, Terms};
+use doortrack_budgets::{Budget, Kind, Parameters, Safeguards};
 use doortrack_emulator::Law;
 use doortrack_fleet::Name;
 use doortrack_rig::divided::{Outcome, Ways, play};
@@ -16,24 +16,24 @@
     (0..count).map(|of| Name::from(name(of))).collect()
 }
 
-fn rate(whole: u32, burst: u32, floor: u32) -> Budget {
+fn rate(limit: u32, burst: u32, reserved: u32) -> Budget {
     let kind = Kind::Rate { burst };
-    Budget { name: "rate".into(), kind, whole, floor, floors_for: names(5), most: whole }
+    Budget { name: "rate".into(), kind, limit, reserved, reserved_for: names(5), max_per_node: limit }
 }
 
-fn places(whole: u32, floor: u32) -> Budget {
-    let kind = Kind::Places { held_most: 20_000 };
-    Budget { name: "places".into(), kind, whole, floor, floors_for: names(5), most: whole }
+fn concurrency(limit: u32, reserved: u32) -> Budget {
+    let kind = Kind::Concurrency { max_hold: 20_000 };
+    Budget { name: "places".into(), kind, limit, reserved, reserved_for: names(5), max_per_node: limit }
 }
 
-fn terms(safeguards: Safeguards) -> Terms {
-    Terms { voters: names(5), safeguards, ..Terms::default() }
+fn parameters(safeguards: Safeguards) -> Parameters {
+    Parameters { voters: names(5), safeguards, ..Parameters::default() }
 }
 
 /// More is asked for everywhere than there is, in turns most of it at one node.
-fn greedy(of: usize, place: usize, ms: u64) -> f64 {
+fn greedy(of: usize, index: usize, ms: u64) -> f64 {
     let here = (ms / 1_000) as usize % NODES == of;
-    match place {
+    match index {
         0 => {
             if here {
                 900.0
@@ -62,8 +62,8 @@
     demand: &dyn Fn(usize, usize, u64) -> f64,
 ) -> Outcome {
     let ways = Ways {
-        terms: terms(safeguards),
-        list: vec![rate(600, 120, 20), places(30, 1)],
+        parameters: parameters(safeguards),
+        list: vec![rate(600, 120, 20), concurrency(30, 1)],
         latency: Law::LogNormal { mean: 300.0, sigma: 0.5 },
         drift_ppm,
         offset_ms: 1_000,
@@ -89,27 +89,27 @@
 #[test]
 fn healthy_it_is_put_to_use_and_the_same_each_time() {
     let one = holds(&script(20_000, 1, vec![]));
-    // All but what went before there was a keeper that lends: 3 s of the 20.
+    // All but what went before there was a leader that grants: 3 s of the 20.
     assert!(one.used[0] > 17 * 600 * 85 / 100, "{} of {}", one.used[0], one.asked[0]);
-    assert_eq!(one.keepers, 1);
+    assert_eq!(one.leaders, 1);
     assert_eq!(one.digest, holds(&script(20_000, 1, vec![])).digest);
 }
 
 #[test]
-fn whatever_fails_the_whole_is_never_exceeded() {
+fn whatever_fails_the_limit_is_never_exceeded() {
     for seed in 1..=40 {
         holds(&Script::seeded(seed, NODES, 6));
     }
 }
 
 #[test]
-fn with_most_voters_gone_shares_run_out_to_the_floors() {
+fn with_most_voters_gone_allocations_run_out_to_the_reserved_minimums() {
     let gone = script(20_000, 3, vec![(8_000, Fault::Kill { nodes: vec![0, 1, 2] })]);
     let out = holds(&gone);
     let used = |from: u64, till: u64| -> u32 {
         out.by_time.iter().filter(|((_, at), _)| (from..till).contains(at)).map(|(_, count)| count).sum()
     };
-    // Two floors of 20 a second are left, for 8 s.
+    // Two reserved minimums of 20 a second are left, for 8 s.
     assert!((250..=340).contains(&used(120, 200)), "{}", used(120, 200));
     assert!(used(40, 80) > 1_800, "{}", used(40, 80));
 }
@@ -132,7 +132,7 @@
                 (18_000, mend(rest, few)),
             ],
         ));
-        // All at once, twice; each keeper in turn, with nothing left of what it knew.
+        // All at once, twice; each leader in turn, with nothing left of what it knew.
         let again = |at| (at, Fault::Start { nodes: all.clone(), clock_ms: 0 });
         plays.push(script(16_000, seed, vec![again(6_000), again(9_300), again(12_100)]));
         let start = |at: u64, of: usize| (at, Fault::Start { nodes: vec![of], clock_ms: 0 });
@@ -186,14 +186,14 @@
 fn two_hundred_budgets_and_an_absurd_need() {
     let list: Vec<Budget> =
         (0..200).map(|nth| Budget { name: format!("b{nth}").into(), ..rate(90, 90, 0) }).collect();
-    let demand = |of: usize, place: usize, _: u64| match (place, of) {
+    let demand = |of: usize, index: usize, _: u64| match (index, of) {
         (0, 8) => 1e6,
         (0, _) => 20.0,
         (199, 3) => 80.0,
         _ => 0.0,
     };
     let ways = Ways {
-        terms: terms(Safeguards::default()),
+        parameters: parameters(Safeguards::default()),
         list,
         latency: Law::LogNormal { mean: 300.0, sigma: 0.5 },
         drift_ppm: (-20_000, 20_000),
