--- a/installation/tests/reload.rs
+++ b/installation/tests/reload.rs
@@ -148,7 +148,10 @@
 
 #[test]
 fn keys_keep_their_meaning_only_where_all_that_leads_to_them_stays() {
-    let rule = |when: &str, group: &str, key: Option<&str>| json!({"when": when, "group": group, "idempotency_key": key});
+    let rule = |when: &str, group: &str, key: Option<&str>| {
+        let (when, group, key) = (json!(when), json!(group), json!(key));
+        json!({"when": when, "group": group, "idempotency_key": key})
+    };
     let look = rule("path == \"/look\"", "look", None);
     let pay = rule("path == \"/pay\"", "pay", Some("query"));
     let book = rule("path == \"/book\"", "book", None);
@@ -227,8 +230,8 @@
             let last = rules.iter().rposition(|rule| rule.1 == group).map_or(0, |last| last + 1);
             rules[..last].iter().map(|rule| (rule.0, (rule.1 == group).then_some(rule.2))).collect()
         };
-        let wanted: Vec<&str> =
-            (0..3).filter(|group| meaning(&old, *group) != meaning(&new, *group)).map(|group| GROUPS[group]).collect();
+        let differs = |group: &usize| meaning(&old, *group) != meaning(&new, *group);
+        let wanted: Vec<&str> = (0..3).filter(differs).map(|group| GROUPS[group]).collect();
         prop_assert_eq!(changed(&value(&old), &value(&new)), wanted);
     }
 }
--- a/node/src/serve/reload.rs
+++ b/node/src/serve/reload.rs
@@ -1,6 +1,6 @@
-//! A configuration replaced while the node serves. What changes is decided beforehand
-//! (`doortrack_installation::reload`) and built beside the loop; here it comes into force, as a whole, between
-//! two turns.
+//! A configuration replaced while the node serves. What changes is decided beforehand, in
+//! `doortrack_installation::reload`, and built beside the loop; here it comes into force, as a whole,
+//! between two turns.
 
 use std::net::SocketAddr;
 use std::sync::Arc;
