--- a/node/tests/node/main.rs
+++ b/node/tests/node/main.rs
@@ -6,6 +6,7 @@
 mod instants;
 mod parts;
 mod play;
+mod ramps;
 mod reloads;
 mod rules;
 mod sockets;
