Join configurations built beside the loop with the mended notices to leave

The notice to leave and a reload sent right before it meet: where an operators' file is in use the build was dropped at the notice, so that a shorter stop of the new file was passed over and a moved engine not followed. What is being built at the notice comes into force within the drain, which waits for no build; of both stops the nearer holds (near_stops, with an operators' file too). The account of builds is simpler for it.

--- a/node/src/peers/link.rs
+++ b/node/src/peers/link.rs
@@ -11,6 +11,7 @@
 use doortrack::Tenths;
 use doortrack_budgets::NodeId;
 use doortrack_fleet::{Action, Change, Event, Fleet, Incarnation, MemberState, MemberUpdate, Name};
+use doortrack_installation::reload::FleetChange;
 use doortrack_installation::{FleetFile, Installation, Orders};
 use doortrack_servers::Token;
 use polling::{Event as Ready, PollMode, Poller};
@@ -429,14 +430,14 @@
         self.carry_out();
     }
 
-    fn take_up(&mut self, installation: &Installation, orders: &Orders) {
-        let Some(file) = &installation.fleet else {
+    fn take_up(&mut self, change: &mut FleetChange) {
+        let Some(file) = change.file.take() else {
             return warn!(self.log, "fleet needs a start"; "why" => "it can't be left under way");
         };
         let kept = |file: &FleetFile| {
             (file.name.clone(), file.listen, file.advertise, file.key_file.clone(), file.weight)
         };
-        if kept(file) != kept(&self.file) {
+        if kept(&file) != kept(&self.file) {
             warn!(self.log, "fleet needs a start"; "why" => "its name, addresses, key or weight changed");
         }
         // What can't change under way stays as it was.
@@ -448,13 +449,13 @@
         };
         let now = self.now();
         let why = match &self.budgets {
-            None if installation.budgets.is_empty() => None,
+            None if change.budgets.is_empty() => None,
             None => Some("there were none".to_string()),
             Some(budgets) => {
                 let mut budgets = budgets.borrow_mut();
-                let why = budgets.needs_a_start(file, installation, orders).map(str::to_string);
+                let why = budgets.needs_a_start(&file, &change.budgets).map(str::to_string);
                 if why.is_none() {
-                    budgets.change(now, installation, orders);
+                    budgets.change(now, change);
                 }
                 why
             }
--- a/node/tests/node/main.rs
+++ b/node/tests/node/main.rs
@@ -16,6 +16,7 @@
 mod pieces;
 mod play;
 mod ramps;
+mod reloads;
 mod restart;
 mod rules;
 mod silences;
