--- a/standins/src/bed.rs
+++ b/standins/src/bed.rs
@@ -1,6 +1,6 @@
 //! The program under test, started on an address that no other start uses.
 
-use std::io::Read;
+use std::io::{ErrorKind, Read};
 use std::net::{SocketAddr, TcpListener, TcpStream, UdpSocket};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
@@ -118,7 +118,13 @@
 
     pub fn report(&self) -> String {
         let mut text = [0; 100];
-        let n = self.registry.recv(&mut text).unwrap();
+        let n = loop {
+            match self.registry.recv(&mut text) {
+                // The process was stopped and went on: of the node that says nothing.
+                Err(e) if e.kind() == ErrorKind::Interrupted => {}
+                received => break received.unwrap(),
+            }
+        };
         String::from_utf8_lossy(&text[..n]).into_owned()
     }
 
--- a/standins/src/records.rs
+++ b/standins/src/records.rs
@@ -89,9 +89,13 @@
     }
 
     pub fn is_closed(&mut self) -> bool {
-        match self.sock.read(&mut [0]) {
-            Ok(n) => n == 0,
-            Err(e) => e.kind() == ErrorKind::ConnectionReset,
+        loop {
+            match self.sock.read(&mut [0]) {
+                Ok(n) => return n == 0,
+                // The process was stopped and went on: of the connection that says nothing.
+                Err(e) if e.kind() == ErrorKind::Interrupted => {}
+                Err(e) => return e.kind() == ErrorKind::ConnectionReset,
+            }
         }
     }
 }
