--- a/fleet/src/fleet.rs
+++ b/fleet/src/fleet.rs
@@ -10,8 +10,8 @@
 use crate::probes::Probes;
 use crate::table::{MemberIndex, Table};
 use crate::{
-    Action, Change, Datagram, Event, Head, Incarnation, MAX_UPDATES, MemberState, MemberUpdate, Message,
-    Name, Parameters, View,
+    Action, Change, Datagram, Event, Head, Incarnation, MemberState, MemberUpdate, Message, Name, Parameters,
+    UPDATE_BYTES, View,
 };
 
 /// Rounds of updates in which a node announces a change of itself.
@@ -236,14 +236,17 @@
         let (to, incarnation) = (record.update.address, record.update.incarnation);
         let mut indices = Vec::new();
         let mut updates = Vec::new();
+        let mut room = UPDATE_BYTES;
         if record.update.state != MemberState::Alive {
+            room = room.saturating_sub(record.update.max_bytes());
             updates.push(record.update.clone());
         }
         let (table, members) = (&self.table, self.view.members.len());
-        let current = |index: MemberIndex, revision: u32| {
-            table.get(index).is_some_and(|record| record.revision == revision)
+        let bytes = |index: MemberIndex, revision: u32| {
+            let record = table.get(index).filter(|record| record.revision == revision)?;
+            Some(record.update.max_bytes())
         };
-        self.gossip.next_updates(MAX_UPDATES - updates.len(), members, current, &mut indices);
+        self.gossip.next_updates((room, updates.len()), members, bytes, &mut indices);
         updates.extend(
             indices.iter().filter_map(|index| self.table.get(*index)).map(|record| record.update.clone()),
         );
--- a/fleet/tests/cases.rs
+++ b/fleet/tests/cases.rs
@@ -397,3 +397,64 @@
     assert_eq!(few.members(0), 4);
     assert!(few.changes.iter().any(|(_, change)| matches!(change, Change::NoRoom { .. })));
 }
+
+/// Two halves find together: of a member that is suspected for long already, another says that it is dead,
+/// and its refutation has not come by yet.
+#[test]
+fn one_that_others_hold_for_dead_is_probed_before_it_is_dead_here() {
+    let mut few = Few::new(6);
+    few.pass(3_000);
+    let word = |few: &mut Few, from: usize, nth: u64, state: MemberState| {
+        let head = Head { sender: update(from, 100), to: Incarnation(100), nth, digest: 0, view: 0 };
+        let updates = vec![MemberUpdate { state, ..update(2, 100) }];
+        let datagram = Datagram { head, message: Message::Updates, updates };
+        few.handle(0, Event::Received { from: address(from), datagram });
+    };
+    // Nothing reaches it for a while, so that nobody clears the suspicion; too short for it to be isolated.
+    few.cut = Box::new(|from, to| from == 0 || to == 0);
+    word(&mut few, 1, 10_000, MemberState::Suspected { by: 0 });
+    assert_eq!(few.state(0, 2), Some(ReportedState::Suspected));
+    few.pass(450);
+    assert_eq!(few.state(0, 2), Some(ReportedState::Suspected));
+    few.cut = Box::new(|_, _| false);
+    let sent = few.sent.len();
+    word(&mut few, 3, 10_000, MemberState::Dead);
+    few.pass(1);
+    assert!(!few.told(0, "dead", "n2"), "dead at once");
+    few.pass(2_000);
+    let probes = few.sent[sent..].iter();
+    let probes = probes
+        .filter(|(from, to, what)| (*from, *to) == (0, 2) && matches!(what.message, Message::Ping { .. }));
+    assert!(probes.count() > 0, "no probe of it");
+    assert!(!few.told(0, "dead", "n2"));
+    assert_eq!(few.state(0, 2), Some(ReportedState::Alive));
+}
+
+/// Updates of the fullest datagram of updates that a node sends once it has heard of so many members at once.
+fn fullest_datagram(members: usize) -> usize {
+    let mut fleet = Few::node(0, 100, 0);
+    let mut out = Vec::new();
+    for nth in 0..members {
+        let name = format!("m{nth}").into();
+        let sender = MemberUpdate { name, address: address(nth % 200 + 1), ..update(0, 100) };
+        let head = Head { sender, to: Incarnation(100), nth: 1, digest: 0, view: 0 };
+        let datagram = Datagram { head, message: Message::Updates, updates: Vec::new() };
+        fleet.handle(0, Event::Received { from: address(1), datagram }, &mut out);
+    }
+    out.clear();
+    while fleet.next_due() < 60 * MS {
+        fleet.handle(fleet.next_due(), Event::Tick, &mut out);
+    }
+    let news = out.iter().filter_map(|action| match action {
+        Action::Send { datagram, .. } if datagram.message == Message::Updates => Some(datagram.updates.len()),
+        _ => None,
+    });
+    news.max().unwrap_or(0)
+}
+
+/// Where hundreds die or come back at once, ten updates a datagram take seconds to go round.
+#[test]
+fn updates_on_many_at_once_fill_their_datagrams_and_on_few_do_not() {
+    assert_eq!(fullest_datagram(50), 10);
+    assert!((20..=40).contains(&fullest_datagram(300)), "{}", fullest_datagram(300));
+}
--- a/fleet/tests/random.rs
+++ b/fleet/tests/random.rs
@@ -5,7 +5,7 @@
 
 use doortrack_fleet::{
     Action, Datagram, Event, Fleet, Head, Incarnation, MAX_UPDATES, Member, MemberState, MemberUpdate,
-    Message, Name, Parameters,
+    Message, Name, Parameters, UPDATE_BYTES,
 };
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
@@ -121,6 +121,9 @@
                 if let Action::Send { datagram, .. } = action {
                     let page = matches!(datagram.message, Message::Page { .. });
                     prop_assert!(page || datagram.updates.len() <= MAX_UPDATES);
+                    // All but the last fit; beside its name an update with an address of IPv4 takes up to 33.
+                    let bytes = datagram.updates.iter().rev().skip(1).map(|update| update.name.len() + 33);
+                    prop_assert!(bytes.sum::<usize>() <= UPDATE_BYTES);
                     let sender = &datagram.head.sender;
                     let me = fleet.me();
                     prop_assert!(sender.name == me.name && sender.incarnation <= me.incarnation);
--- a/node/src/life/mod.rs
+++ b/node/src/life/mod.rs
@@ -2,5 +2,6 @@
 
 pub(crate) mod addresses;
 pub mod clock;
+pub mod descriptors;
 pub mod log;
 pub mod signals;
--- a/node/src/peers/mod.rs
+++ b/node/src/peers/mod.rs
@@ -5,4 +5,4 @@
 pub mod seal;
 pub mod spoken;
 
-pub use link::Peers;
+pub use link::{Counts, KEY, Peers, Registration, Tap};
