Test of what comes and goes: the slow exchanges are in hand before the others come

Change: it waits until the server has both. What it asserts of them is unchanged: completed, nothing else.

--- a/node/tests/node/accepts.rs
+++ b/node/tests/node/accepts.rs
@@ -118,6 +118,12 @@
         .zip(500..)
         .map(|((at, protocol), nth)| Ask::new(nth, "/svc/look", b"slow").send(at, protocol))
         .collect();
+    // In hand before the others come: beside them it could be rejected, which is no fault.
+    let until = Instant::now() + LONG;
+    while server.got().iter().filter(|got| got.body == b"slow").count() < 2 {
+        assert!(Instant::now() < until, "the slow ones are not run");
+        std::thread::sleep(Duration::from_millis(5));
+    }
     let before = descriptors();
     for nth in 10_000..10_600 {
         let (at, protocol) = if nth / 6 % 2 == 0 { (at, FastCgi) } else { (front, Uwsgi) };
