--- a/rig/src/main.rs
+++ b/rig/src/main.rs
@@ -5,6 +5,7 @@
 
 use clap::{Args, Parser, Subcommand};
 use doortrack_rig::checks::{Breach, judge, membership};
+use doortrack_rig::scale::command::{self, HollowArgs, ScaleArgs};
 use doortrack_rig::scale::simulated::command::{Options, scale_simulated};
 use doortrack_rig::shrink::shrink;
 use doortrack_rig::simulated::{self, Ways};
@@ -50,6 +51,11 @@
     ScaleSimulated(Options),
     /// Prints the JSON Schema of a script
     Schema,
+    /// Measures what a fleet costs by its size
+    Scale(ScaleArgs),
+    /// A process of hollow nodes, which `scale` starts
+    #[command(hide = true)]
+    Hollow(HollowArgs),
 }
 
 #[derive(Args)]
@@ -131,6 +137,8 @@
             Ok(true)
         }
         Command::ScaleSimulated(options) => scale_simulated(&options),
+        Command::Scale(args) => command::run(&args),
+        Command::Hollow(args) => command::run_hollow(&args).map(|()| true),
         Command::Judge { history } => {
             let kept = History::parse(&text(&history)?)?;
             Ok(verdict(&history.display().to_string(), &kept, &judge(&kept, &membership())))
--- a/rig/src/scale/simulated/traffic.rs
+++ b/rig/src/scale/simulated/traffic.rs
@@ -48,7 +48,7 @@
         match role {
             Role::Leader => &mut self.leader,
             Role::Voter => &mut self.voter,
-            Role::Node | Role::Dispatcher => &mut self.node,
+            Role::Node | Role::ServingNode | Role::Dispatcher => &mut self.node,
         }
     }
 
