Rig: scale-node measures what one real node costs as settings and callers grow

Need: the cost of a node at the size of two years (3,400 routes, 20,000 tenants, 460 services, 12,000 callers) was known by trials alone.

The change: `doortrack-rig scale-node` starts real processes with generated settings and measures each dimension alone at fixed others: time and processor time of the start, resident memory, processor share at rest and under 110 requests a second, the time added to a request (through the node less straight to the server, by one caller in one run), a changed rule from the signal until it is in force with the worst wait of a caller that asks every ms; then all dimensions together, reloads one after the other, idempotency keys up to a full table, 12,000 callers at 1,024 sockets, log volume in four situations and a node that hears neither its registry nor its fleet. Tables, and JSON with one series a quantity. Off a terminal no progress is shown; each process is ended by the run that started it.

Failed tries, told too: the probe of a changed rule first asked a path that no rule took, and each such answer makes its connection rest up to 25 ms, so 100 of them took 2.4 s and hid the reload; now the changed rule refuses what it served. Without rules the platform wants all of its own variables: 0 of 160 were completed until they were sent. Pools of one server are never put aside, so the log of a server gone was empty; now each pool has four.

Times added at p99 sway from -2.8 to 5.5 ms on a machine that others use: they need a machine of their own.

--- a/rig/src/main.rs
+++ b/rig/src/main.rs
@@ -5,6 +5,7 @@
 
 use clap::{Args, Parser, Subcommand};
 use doortrack_rig::checks::{Breach, judge, membership};
+use doortrack_rig::scale::node_cost;
 use doortrack_rig::shrink::shrink;
 use doortrack_rig::simulated::{self, Ways};
 use doortrack_rig::{History, Script, processes, script};
@@ -47,6 +48,7 @@
     },
     /// Prints the JSON Schema of a script
     Schema,
+    ScaleNode(node_cost::Options),
 }
 
 #[derive(Args)]
@@ -123,6 +125,7 @@
 
 fn run(command: Command) -> Result<bool, String> {
     match command {
+        Command::ScaleNode(options) => node_cost::run(&options),
         Command::Schema => {
             println!("{}", script::schema());
             Ok(true)
--- /dev/null
+++ b/rig/src/scale/node_cost/caller.rs
@@ -0,0 +1,195 @@
+//! A caller: one kept FastCGI connection with one request in hand at a time, and a pace to ask at.
+
+use std::io::{self, Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::{Duration, Instant};
+
+use doortrack_standins::unix_ms;
+use doortrack_wire::{AnswerReader, Answered, Protocol, write_request};
+use hdrhistogram::Histogram;
+use serde::Serialize;
+
+/// An answer is waited for so long.
+const ANSWER_WITHIN: Duration = Duration::from_secs(20);
+const REQUEST_ID: u16 = 1;
+const MOST_ANSWER: usize = 64 * 1024;
+/// Longest latency that is told apart, in ns.
+const LONGEST_LATENCY: u64 = 60_000_000_000;
+
+/// The try ids that were used.
+static TRIES: AtomicU64 = AtomicU64::new(1);
+
+/// What is asked.
+#[derive(Clone, Copy, Debug)]
+pub struct Request<'a> {
+    pub path: &'a str,
+    pub tenant: &'a str,
+    pub idempotency_key: Option<u64>,
+}
+
+/// What an answer said.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Outcome {
+    Completed,
+    /// Never run: 429 or 503.
+    Rejected,
+    /// FastCGI's OVERLOADED: there is no room for it in a table.
+    Refused,
+    Failed,
+    /// Answered as one that can't be read or classed, with this status.
+    Unreadable(u16),
+}
+
+/// How many requests came to what.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize)]
+pub struct Outcomes {
+    pub completed: u64,
+    pub rejected: u64,
+    pub refused: u64,
+    pub failed: u64,
+    pub unreadable: u64,
+    /// The connection ended, or nothing came in time.
+    pub unanswered: u64,
+}
+
+impl Outcomes {
+    pub fn count(&mut self, outcome: &io::Result<Outcome>) {
+        let counter = match outcome {
+            Ok(Outcome::Completed) => &mut self.completed,
+            Ok(Outcome::Rejected) => &mut self.rejected,
+            Ok(Outcome::Refused) => &mut self.refused,
+            Ok(Outcome::Failed) => &mut self.failed,
+            Ok(Outcome::Unreadable(_)) => &mut self.unreadable,
+            Err(_) => &mut self.unanswered,
+        };
+        *counter += 1;
+    }
+
+    pub fn add(&mut self, other: &Outcomes) {
+        self.completed += other.completed;
+        self.rejected += other.rejected;
+        self.refused += other.refused;
+        self.failed += other.failed;
+        self.unreadable += other.unreadable;
+        self.unanswered += other.unanswered;
+    }
+
+    pub fn all(&self) -> u64 {
+        self.completed + self.rejected + self.refused + self.failed + self.unreadable + self.unanswered
+    }
+}
+
+/// One connection that is kept from request to request.
+pub struct Connection {
+    socket: TcpStream,
+    buffer: Vec<u8>,
+}
+
+impl Connection {
+    /// # Errors
+    /// The address takes no connection.
+    pub fn open(address: SocketAddr) -> io::Result<Connection> {
+        Connection::on(TcpStream::connect(address)?, ANSWER_WITHIN)
+    }
+
+    /// The same with bounds on connecting and on each answer.
+    ///
+    /// # Errors
+    /// The address takes no connection within `within`.
+    pub fn open_within(address: SocketAddr, within: Duration) -> io::Result<Connection> {
+        Connection::on(TcpStream::connect_timeout(&address, within)?, within)
+    }
+
+    fn on(socket: TcpStream, within: Duration) -> io::Result<Connection> {
+        socket.set_nodelay(true)?;
+        socket.set_read_timeout(Some(within))?;
+        Ok(Connection { socket, buffer: vec![0; 4096] })
+    }
+
+    /// Asks and waits for the answer.
+    ///
+    /// # Errors
+    /// The connection ends, or no answer comes in time.
+    pub fn ask(&mut self, request: &Request) -> io::Result<Outcome> {
+        let try_id = format!("{:016x}", TRIES.fetch_add(1, Ordering::Relaxed));
+        let key = request.idempotency_key.map(|key| format!("{key:032x}"));
+        let now = unix_ms().to_string();
+        let mut fields = vec![
+            ("SCRIPT_NAME", request.path),
+            ("REQUEST_METHOD", "POST"),
+            ("HTTP_X_REQUEST_ID", &*try_id),
+            ("HTTP_X_REQUEST_START", &*now),
+            ("HTTP_X_CALLER", "1"),
+            ("HTTP_X_MEMORY_KB", "2.5"),
+            ("HTTP_X_RANK", "0.5"),
+            ("HTTP_X_TENANT", request.tenant),
+        ];
+        fields.extend(key.as_deref().map(|key| ("HTTP_IDEMPOTENCY_KEY", key)));
+        self.exchange(&fields)
+    }
+
+    /// Asks for the health of a node.
+    ///
+    /// # Errors
+    /// As [`Connection::ask`].
+    pub fn check_health(&mut self) -> io::Result<Outcome> {
+        self.exchange(&[("SCRIPT_NAME", "/status/live"), ("REQUEST_METHOD", "GET")])
+    }
+
+    /// Whether the other side has not ended it. Nothing is to be in hand.
+    pub fn is_open(&self) -> bool {
+        let unblocked = self.socket.set_nonblocking(true).is_ok();
+        let seen = self.socket.peek(&mut [0]);
+        let blocked = self.socket.set_nonblocking(false).is_ok();
+        unblocked && blocked && seen.is_err_and(|e| e.kind() == io::ErrorKind::WouldBlock)
+    }
+
+    fn exchange(&mut self, fields: &[(&str, &str)]) -> io::Result<Outcome> {
+        let pairs: Vec<_> = fields.iter().map(|(name, value)| (name.as_bytes(), value.as_bytes())).collect();
+        let mut bytes = Vec::with_capacity(512);
+        write_request(Protocol::FastCgi, &mut bytes, REQUEST_ID, true, &pairs, b"{}")
+            .map_err(io::Error::other)?;
+        self.socket.write_all(&bytes)?;
+        let mut reader = AnswerReader::new(Protocol::FastCgi, REQUEST_ID, MOST_ANSWER);
+        loop {
+            let count = self.socket.read(&mut self.buffer)?;
+            if count == 0 {
+                return Err(io::ErrorKind::UnexpectedEof.into());
+            }
+            let mut input = &self.buffer[..count];
+            if let Some(answered) = reader.take(&mut input).map_err(io::Error::other)? {
+                return Ok(outcome(&answered));
+            }
+        }
+    }
+}
+
+fn outcome(answered: &Answered) -> Outcome {
+    match answered {
+        Answered::Refused(_) => Outcome::Refused,
+        Answered::Whole(answer) => match answer.status {
+            200 => Outcome::Completed,
+            429 | 503 => Outcome::Rejected,
+            500 => Outcome::Failed,
+            status => Outcome::Unreadable(status),
+        },
+    }
+}
+
+/// An empty histogram of latencies in ns.
+pub fn histogram() -> Histogram<u64> {
+    Histogram::new_with_bounds(1, LONGEST_LATENCY, 3).expect("bounds that make sense")
+}
+
+/// Does something `rate` times a second, at equal distances, for so long; handed the number of the turn and
+/// when it was due. A turn that is late is not left out.
+pub fn paced(rate: f64, lasts: Duration, mut turn: impl FnMut(usize, Instant)) {
+    let start = Instant::now();
+    let period = Duration::from_secs_f64(1.0 / rate);
+    for nth in 0..(rate * lasts.as_secs_f64()) as usize {
+        let due = start + period * nth as u32;
+        std::thread::sleep(due.saturating_duration_since(Instant::now()));
+        turn(nth, due);
+    }
+}
--- /dev/null
+++ b/rig/tests/state_bytes.rs
@@ -0,0 +1,248 @@
+//! What each thing that a node keeps takes of its memory, counted by the allocator, against the bound that
+//! the node's own sizes rest on. `cargo test -p doortrack-rig --test state_bytes -- --nocapture` prints all.
+
+use std::alloc::{GlobalAlloc, Layout, System};
+use std::cell::Cell;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use doortrack_budgets::{Budget, Budgets, Envelope, Event as BudgetEvent, Item, Kind, Message, Who};
+use doortrack_expr::Limits;
+use doortrack_fleet::{Claim, Datagram, Event as FleetEvent, Fleet, Head, Life, Stand, Terms};
+use doortrack_node::memory::exchanges::{Ex, Exchanges, Stage};
+use doortrack_node::memory::results::Results;
+use doortrack_node::wire::conn::{Conn, Open};
+use doortrack_node::wire::request::Made;
+use doortrack_rig::scale::node_cost::settings::{Addresses, Size, installation};
+use doortrack_routes::{Names, Rule, Table};
+
+/// Counts the bytes that a thread has taken and not given back.
+struct Counting;
+
+thread_local! {
+    static HELD: Cell<i64> = const { Cell::new(0) };
+}
+
+// SAFETY: everything is handed on to the system's allocator.
+unsafe impl GlobalAlloc for Counting {
+    unsafe fn alloc(&self, layout: Layout) -> *mut u8 {
+        _ = HELD.try_with(|held| held.set(held.get() + layout.size() as i64));
+        unsafe { System.alloc(layout) }
+    }
+
+    unsafe fn dealloc(&self, at: *mut u8, layout: Layout) {
+        _ = HELD.try_with(|held| held.set(held.get() - layout.size() as i64));
+        unsafe { System.dealloc(at, layout) }
+    }
+}
+
+#[global_allocator]
+static COUNTING: Counting = Counting;
+
+fn held() -> i64 {
+    HELD.with(Cell::get)
+}
+
+/// Bytes of what `make` makes, for each of `count`.
+fn bytes_each<T>(count: usize, make: impl FnOnce() -> T) -> f64 {
+    let before = held();
+    let made = make();
+    let bytes = (held() - before) as f64;
+    drop(made);
+    bytes / count as f64
+}
+
+/// Prints a figure; it is to be within what the pages and the node's own bounds reckon with.
+fn within(what: &str, bytes: f64, most: f64) {
+    println!("{what}: {bytes:.0} bytes (at most {most:.0})");
+    assert!(bytes > 0.0 && bytes <= most, "{what}: {bytes} bytes, at most {most} are reckoned with");
+}
+
+/// The bounds of `installation::orders`: an entry of the table of keys, a connection with nothing open.
+const ENTRY: f64 = 300.0;
+const CONNECTION: f64 = 20_000.0;
+
+#[test]
+fn an_idempotency_key_and_its_result_are_within_their_bound() {
+    const COUNT: usize = 20_000;
+    let result = Made { headers: &[], body: b"done" };
+    let bytes = bytes_each(COUNT, || {
+        let mut results = Results::new(COUNT, usize::MAX, 10_000);
+        for nth in 0..COUNT {
+            let mut key = [0; 32];
+            key[..8].copy_from_slice(&nth.to_le_bytes());
+            results.record(nth as u32, (1, key), b"{}", 0, 600_000, 0);
+            results.ended(nth as u32, Ok(result));
+        }
+        results
+    });
+    within("an idempotency key with a result of 4 bytes", bytes, ENTRY);
+}
+
+fn exchange(nth: usize) -> Ex {
+    let mut try_id = [0; 16];
+    try_id[..8].copy_from_slice(&nth.to_le_bytes());
+    Ex {
+        try_id,
+        group: 0,
+        key: None,
+        stamp: 0,
+        body: vec![0; 2],
+        block: None,
+        pool: 0,
+        caller: None,
+        stage: Stage::Queued,
+        repeats: None,
+        ticket: Default::default(),
+    }
+}
+
+#[test]
+fn exchanges_in_hand_and_ended_tries_are_small() {
+    const COUNT: usize = 10_000;
+    let bytes = bytes_each(COUNT, || {
+        let mut exchanges = Exchanges::default();
+        (0..COUNT).for_each(|nth| _ = exchanges.take_in(exchange(nth)));
+        exchanges
+    });
+    within("an exchange in hand, with a body of 2 bytes and no variables", bytes, 600.0);
+    let bytes = bytes_each(COUNT, || {
+        let mut exchanges = Exchanges::default();
+        for nth in 0..COUNT {
+            let id = exchanges.take_in(exchange(nth)).unwrap();
+            exchanges.remove(id).unwrap();
+        }
+        exchanges
+    });
+    within("the id of a try that has ended, of the last 16384", bytes, 100.0);
+}
+
+#[test]
+fn a_connection_by_its_type_is_within_its_bound() {
+    within("a connection without its buffers", size_of::<Conn>() as f64, CONNECTION);
+    within("an open request without its parameters and body", size_of::<Open>() as f64, 200.0);
+}
+
+#[test]
+fn a_route_and_a_customer_are_small() {
+    let address = SocketAddr::from(([127, 0, 0, 1], 1));
+    let addresses =
+        Addresses { listen: address, front: address, fleet: address, registry: address, server: address };
+    let size = Size { routes: 3_400, tenants: 20_000, ..Size::HELD };
+    let generated = installation("n1", &size, &addresses);
+    let text = |rule: &serde_json::Value, key: &str| rule[key].as_str().map(str::to_string);
+    let rules: Vec<Rule> = generated["rules"]
+        .as_array()
+        .unwrap()
+        .iter()
+        .map(|rule| Rule {
+            when: text(rule, "when").unwrap(),
+            group: text(rule, "group").unwrap(),
+            servers: text(rule, "servers"),
+            ..Rule::default()
+        })
+        .collect();
+    let pools: Vec<String> = generated["pools"].as_object().unwrap().keys().cloned().collect();
+    let names = |customers: usize| Names {
+        groups: vec![("look".into(), false), ("pay".into(), true)],
+        customers: (0..customers).map(|nth| format!("tenant-{nth}")).collect(),
+        pools: pools.clone(),
+    };
+    let (few, many) = (names(1), names(size.tenants));
+    let table = |names: &Names| Table::build(&rules, names, Limits::default()).unwrap();
+    let bytes = bytes_each(rules.len(), || table(&few));
+    within("a route, compiled and in the index", bytes, 2_000.0);
+    let bytes = bytes_each(size.tenants, || table(&many)) - bytes * rules.len() as f64 / size.tenants as f64;
+    within("a customer in the table of routes", bytes, 100.0);
+}
+
+fn claim(nth: usize) -> Claim {
+    let address = SocketAddr::from(([10, 0, (nth >> 8) as u8, nth as u8], 7_400));
+    let (name, life) = (format!("node-{nth:04}").into(), Life(1_000 + nth as u64));
+    Claim { name, life, turn: 0, stand: Stand::Alive, address, weight: 4 }
+}
+
+/// A node that was told of so many members by one of them.
+fn fleet_of(members: usize) -> Fleet {
+    let me = claim(0);
+    let life = me.life;
+    let mut fleet = Fleet::new(me, Terms::default(), 1, 0);
+    let mut out = Vec::new();
+    let all: Vec<usize> = (1..members).collect();
+    for (nth, part) in all.chunks(10).enumerate() {
+        let head = Head { of: claim(1), to: life, nth: nth as u64 + 1, digest: 0, view: 0 };
+        let claims = part.iter().map(|nth| claim(*nth)).collect();
+        let datagram = Datagram { head, message: doortrack_fleet::Message::News, claims };
+        let from = claim(1).address;
+        fleet.handle(nth as u64, FleetEvent::Received { from, datagram }, &mut out);
+        out.clear();
+    }
+    assert_eq!(fleet.view().members.len(), members);
+    fleet
+}
+
+#[test]
+fn a_member_is_small() {
+    const MEMBERS: usize = 770;
+    let bytes = bytes_each(MEMBERS, || fleet_of(MEMBERS));
+    within("a member, with what is still to be passed on of it", bytes, 2_000.0);
+}
+
+fn budget(nth: usize) -> Budget {
+    Budget {
+        name: format!("budget-{nth}").into(),
+        kind: Kind::Rate { burst: 10_000 },
+        whole: 10_000,
+        floor: 0,
+        floors_for: Arc::new([]),
+        most: 10_000,
+    }
+}
+
+fn who(nth: usize) -> Who {
+    Who { name: format!("node-{nth:04}").into(), life: Life(1 + nth as u64) }
+}
+
+/// A node that is its fleet's only voter and has been elected.
+fn leader(budgets: &[Budget]) -> (Budgets, u64) {
+    let terms = doortrack_budgets::Terms { voters: Arc::new([who(0).name]), ..Default::default() };
+    let mut leader = Budgets::new(who(0), 1, terms, budgets, 1, 0);
+    let (mut now, mut out) = (0, Vec::new());
+    while !leader.is_keeper(now) {
+        now = leader.next_due();
+        leader.handle(now, BudgetEvent::Turn, &mut out);
+        out.clear();
+    }
+    (leader, now)
+}
+
+/// The same with reports of so many holders on all budgets.
+fn leader_of(holders: usize, budgets: &[Budget]) -> Budgets {
+    let (mut leader, now) = leader(budgets);
+    let mut out = Vec::new();
+    let item = |budget: &Budget| {
+        let (whole, floor) = (budget.whole(), 0);
+        Item { id: budget.id(), need: 5_000, holding: 0, accepted: 0, whole, floor }
+    };
+    for holder in 1..=holders {
+        let items = budgets.iter().map(item).collect();
+        let message = Message::Report { seq: 1, weight: 1, items };
+        let envelope = Envelope { from: who(holder), to: who(0), message };
+        leader.handle(now, BudgetEvent::Received(envelope), &mut out);
+        out.clear();
+    }
+    leader
+}
+
+#[test]
+fn budgets_are_small_at_a_node_and_at_the_leader() {
+    const HOLDERS: usize = 770;
+    let list: Vec<Budget> = (0..40).map(budget).collect();
+    let node = bytes_each(list.len(), || leader(&list));
+    within("a budget at one node", node, 1_000.0);
+    let one = bytes_each(HOLDERS, || leader_of(HOLDERS, &list[..1]));
+    let forty = bytes_each(HOLDERS, || leader_of(HOLDERS, &list));
+    within("a holder of one budget at the leader", one, 2_000.0);
+    let line = (forty - one) / (list.len() - 1) as f64;
+    within("each further budget of a holder at the leader", line, 1_000.0);
+}
