--- a/fleet/tests/cases.rs
+++ b/fleet/tests/cases.rs
@@ -5,7 +5,8 @@
 use std::net::SocketAddr;
 
 use doortrack_fleet::{
-    Action, Claim, Datagram, Event, Fleet, Head, Life, Message, News, Stand, State, Terms,
+    Action, Change, Datagram, Event, Fleet, Head, Incarnation, MemberState, MemberUpdate, Message,
+    Parameters, ReportedState,
 };
 
 const MS: u64 = 10;
@@ -14,12 +15,12 @@
     SocketAddr::from(([10, 0, 0, of as u8 + 1], 7_400))
 }
 
-fn claim(of: usize, life: u64) -> Claim {
-    Claim {
+fn update(of: usize, incarnation: u64) -> MemberUpdate {
+    MemberUpdate {
         name: format!("n{of}").into(),
-        life: Life(life),
-        turn: 0,
-        stand: Stand::Alive,
+        incarnation: Incarnation(incarnation),
+        version: 0,
+        state: MemberState::Alive,
         address: address(of),
         weight: 4,
     }
@@ -31,7 +32,7 @@
     now: u64,
     cut: Box<dyn Fn(usize, usize) -> bool>,
     stopped: Vec<bool>,
-    news: Vec<(usize, News)>,
+    changes: Vec<(usize, Change)>,
     sent: Vec<(usize, usize, Datagram)>,
 }
 
@@ -43,14 +44,14 @@
             now: 0,
             cut: Box::new(|_, _| false),
             stopped: vec![false; count],
-            news: Vec::new(),
+            changes: Vec::new(),
             sent: Vec::new(),
         }
     }
 
-    fn node(of: usize, life: u64, now: u64) -> Fleet {
-        let terms = Terms { seeds: vec![address(0), address(1)], ..Terms::default() };
-        Fleet::new(claim(of, life), terms, 7 + of as u64, now)
+    fn node(of: usize, incarnation: u64, now: u64) -> Fleet {
+        let parameters = Parameters { seeds: vec![address(0), address(1)], ..Parameters::default() };
+        Fleet::new(update(of, incarnation), parameters, 7 + of as u64, now)
     }
 
     fn handle(&mut self, of: usize, event: Event) {
@@ -60,7 +61,7 @@
             self.fleets[of].handle(self.now, event, &mut out);
             for action in out {
                 match action {
-                    Action::Report(news) => self.news.push((of, news)),
+                    Action::Report(change) => self.changes.push((of, change)),
                     Action::Send { to, datagram } => {
                         let Some(to) = (0..self.fleets.len()).find(|n| address(*n) == to) else { continue };
                         self.sent.push((of, to, (*datagram).clone()));
@@ -84,17 +85,17 @@
                 break;
             }
             self.now = self.now.max(due);
-            self.handle(of, Event::Turn);
+            self.handle(of, Event::Tick);
         }
         self.now = till;
     }
 
     fn told(&self, of: usize, word: &str, whom: &str) -> bool {
-        let about = |news: &News| news.about().is_some_and(|(name, _)| &**name == whom);
-        self.news.iter().any(|(by, news)| *by == of && news.word() == word && about(news))
+        let about = |change: &Change| change.about().is_some_and(|(name, _)| &**name == whom);
+        self.changes.iter().any(|(by, change)| *by == of && change.word() == word && about(change))
     }
 
-    fn state(&self, of: usize, whom: usize) -> Option<State> {
+    fn state(&self, of: usize, whom: usize) -> Option<ReportedState> {
         let (reports, _) = self.fleets[of].report(None, 100, self.now);
         reports.iter().find(|report| *report.name == *format!("n{whom}")).map(|report| report.state)
     }
@@ -113,85 +114,88 @@
         assert_eq!(few.fleets[of].view().digest, few.fleets[0].view().digest);
         assert_eq!(few.fleets[of].view().weight(), 24);
     }
-    assert!(few.news.iter().all(|(_, news)| news.word() != "suspected"), "{:?}", few.news);
+    assert!(few.changes.iter().all(|(_, change)| change.word() != "suspected"), "{:?}", few.changes);
 }
 
 #[test]
-fn one_that_dies_is_lost_and_comes_back_under_a_new_life() {
+fn one_that_dies_is_declared_dead_and_comes_back_under_a_new_incarnation() {
     let mut few = Few::new(5);
     few.pass(2_000);
     few.stopped[4] = true;
     few.pass(3_000);
-    assert!((0..4).all(|of| few.told(of, "lost", "n4") && few.members(of) == 4));
+    assert!((0..4).all(|of| few.told(of, "dead", "n4") && few.members(of) == 4));
     few.fleets[4] = Few::node(4, 200, few.now);
     few.stopped[4] = false;
     few.pass(3_000);
-    assert!((0..5).all(|of| few.members(of) == 5), "{:?}", few.news);
-    let seat = few.fleets[0].view().members.get("n4").copied();
-    assert_eq!(seat.map(|seat| seat.life), Some(Life(200)));
+    assert!((0..5).all(|of| few.members(of) == 5), "{:?}", few.changes);
+    let member = few.fleets[0].view().members.get("n4").copied();
+    assert_eq!(member.map(|member| member.incarnation), Some(Incarnation(200)));
 }
 
 #[test]
-fn one_that_leaves_is_left_at_once_and_never_lost() {
+fn one_that_leaves_is_left_at_once_and_never_dead() {
     let mut few = Few::new(5);
     few.pass(2_000);
     few.handle(2, Event::Leave);
     few.pass(400);
     few.stopped[2] = true;
-    assert!([0, 1, 3, 4].iter().all(|of| few.told(*of, "left", "n2")), "{:?}", few.news);
+    assert!([0, 1, 3, 4].iter().all(|of| few.told(*of, "left", "n2")), "{:?}", few.changes);
     few.pass(5_000);
-    assert!([0, 1, 3, 4].iter().all(|of| !few.told(*of, "lost", "n2") && few.members(*of) == 4));
-    assert_eq!(few.state(0, 2), Some(State::Left));
+    assert!([0, 1, 3, 4].iter().all(|of| !few.told(*of, "dead", "n2") && few.members(*of) == 4));
+    assert_eq!(few.state(0, 2), Some(ReportedState::Left));
 }
 
 #[test]
-fn a_broken_link_between_two_loses_nobody() {
+fn a_broken_link_between_two_declares_nobody_dead() {
     let mut few = Few::new(5);
     few.pass(2_000);
     few.cut = Box::new(|from, to| from.min(to) == 0 && from.max(to) == 1);
     few.pass(20_000);
     assert!((0..5).all(|of| few.members(of) == 5));
-    assert!(!few.told(0, "lost", "n1") && !few.told(1, "lost", "n0"), "{:?}", few.news);
+    assert!(!few.told(0, "dead", "n1") && !few.told(1, "dead", "n0"), "{:?}", few.changes);
 }
 
 #[test]
-fn who_hears_nobody_holds_itself_for_cut_off_and_loses_nobody() {
+fn who_hears_nobody_considers_itself_isolated_and_declares_nobody_dead() {
     let mut few = Few::new(5);
     few.pass(2_000);
     few.cut = Box::new(|from, to| from == 0 || to == 0);
     few.pass(20_000);
-    assert!(few.fleets[0].is_cut_off());
+    assert!(few.fleets[0].is_isolated());
     assert_eq!(few.members(0), 5);
-    assert!((1..5).all(|of| few.told(of, "lost", "n0") && few.members(of) == 4));
+    assert!((1..5).all(|of| few.told(of, "dead", "n0") && few.members(of) == 4));
     few.cut = Box::new(|_, _| false);
     few.pass(3_000);
-    assert!((0..5).all(|of| few.members(of) == 5 && !few.fleets[of].is_cut_off()), "{:?}", few.news);
+    assert!((0..5).all(|of| few.members(of) == 5 && !few.fleets[of].is_isolated()), "{:?}", few.changes);
 }
 
 #[test]
-fn who_is_heard_but_hears_nothing_back_is_the_cut_off_one_too() {
+fn who_is_heard_but_hears_nothing_back_is_isolated_too() {
     for outward in [true, false] {
         let mut few = Few::new(5);
         few.pass(2_000);
         few.cut = Box::new(move |from, to| if outward { from == 0 } else { to == 0 });
         few.pass(10_000);
-        assert!(few.fleets[0].is_cut_off(), "outward {outward}");
+        assert!(few.fleets[0].is_isolated(), "outward {outward}");
         assert!(
-            (1..5).all(|of| !few.told(0, "lost", &format!("n{of}"))),
+            (1..5).all(|of| !few.told(0, "dead", &format!("n{of}"))),
             "outward {outward}: {:?}",
-            few.news
+            few.changes
         );
     }
 }
 
 #[test]
-fn without_the_word_cut_off_everybody_would_be_lost() {
+fn without_the_word_isolated_everybody_would_be_declared_dead() {
     // The safeguard taken out: silence means nothing.
     let mut few = Few::new(5);
     for of in 0..5 {
-        let terms =
-            Terms { seeds: vec![address(0), address(1)], silent_periods: u32::MAX, ..Terms::default() };
-        few.fleets[of] = Fleet::new(claim(of, 100), terms, 7 + of as u64, 0);
+        let parameters = Parameters {
+            seeds: vec![address(0), address(1)],
+            silent_periods: u32::MAX,
+            ..Parameters::default()
+        };
+        few.fleets[of] = Fleet::new(update(of, 100), parameters, 7 + of as u64, 0);
     }
     few.pass(2_000);
     few.cut = Box::new(|from, to| from == 0 || to == 0);
@@ -200,7 +204,7 @@
 }
 
 #[test]
-fn who_stood_still_says_so_and_doubts_nobody_before_it_heard() {
+fn who_was_paused_says_so_and_suspects_nobody_before_it_heard() {
     let mut few = Few::new(4);
     few.pass(2_000);
     few.stopped[0] = true;
@@ -210,24 +214,27 @@
     few.stopped[0] = false;
     // It wakes, and nothing reaches it yet.
     few.cut = Box::new(|_, to| to == 0);
-    few.news.clear();
+    few.changes.clear();
     few.pass(2_500);
-    let own: Vec<&News> = few.news.iter().filter(|(by, _)| *by == 0).map(|(_, news)| news).collect();
-    assert!(matches!(own[0], News::StoodStill { late } if *late > 4_000 * MS), "{own:?}");
-    assert!(!own.iter().any(|news| matches!(news.word(), "suspected" | "lost")), "{own:?}");
+    let own: Vec<&Change> = few.changes.iter().filter(|(by, _)| *by == 0).map(|(_, change)| change).collect();
+    assert!(matches!(own[0], Change::Resumed { late } if *late > 4_000 * MS), "{own:?}");
+    assert!(!own.iter().any(|change| matches!(change.word(), "suspected" | "dead")), "{own:?}");
 }
 
 #[test]
-fn two_halves_lose_one_another_and_find_together_without_a_start() {
+fn two_halves_declare_one_another_dead_and_find_together_without_a_start() {
     let mut few = Few::new(8);
     few.pass(3_000);
     few.cut = Box::new(|from, to| (from < 4) != (to < 4));
     few.pass(8_000);
-    assert!((0..8).all(|of| few.members(of) == 4), "{:?}", few.news);
+    assert!((0..8).all(|of| few.members(of) == 4), "{:?}", few.changes);
     few.cut = Box::new(|_, _| false);
     few.pass(4_000);
-    assert!((0..8).all(|of| few.members(of) == 8), "{:?}", few.news);
-    assert!((0..8).all(|of| few.fleets[of].me().life == Life(100)), "no life was given up");
+    assert!((0..8).all(|of| few.members(of) == 8), "{:?}", few.changes);
+    assert!(
+        (0..8).all(|of| few.fleets[of].me().incarnation == Incarnation(100)),
+        "no incarnation was given up"
+    );
 }
 
 #[test]
@@ -235,27 +242,31 @@
     let mut few = Few::new(4);
     few.pass(2_000);
     // A process elsewhere goes by the name of n3, and joins later.
-    let mut twin = claim(3, 300);
-    twin.address = address(4);
-    let terms = Terms { seeds: vec![address(0)], ..Terms::default() };
-    few.fleets.push(Fleet::new(twin, terms, 99, few.now));
+    let mut duplicate = update(3, 300);
+    duplicate.address = address(4);
+    let parameters = Parameters { seeds: vec![address(0)], ..Parameters::default() };
+    few.fleets.push(Fleet::new(duplicate, parameters, 99, few.now));
     few.stopped.push(false);
     few.pass(3_000);
-    assert!(few.fleets[3].is_displaced(), "{:?}", few.news);
-    assert!(few.news.iter().any(|(by, news)| *by == 3 && matches!(news, News::Displaced { .. })));
+    assert!(few.fleets[3].is_superseded(), "{:?}", few.changes);
+    assert!(few.changes.iter().any(|(by, change)| *by == 3 && matches!(change, Change::Superseded { .. })));
     let sent = few.sent.iter().filter(|(by, ..)| *by == 3).count();
     few.pass(1_000);
     assert_eq!(few.sent.iter().filter(|(by, ..)| *by == 3).count(), sent, "it takes part no more");
-    assert_eq!(few.fleets[0].view().members.get("n3").map(|seat| seat.address), Some(address(4)));
+    assert_eq!(few.fleets[0].view().members.get("n3").map(|member| member.address), Some(address(4)));
 }
 
 #[test]
-fn a_start_with_the_clock_set_back_takes_a_younger_life() {
+fn a_start_with_the_clock_set_back_takes_a_later_incarnation() {
     let mut few = Few::new(4);
     few.pass(2_000);
     few.fleets[3] = Few::node(3, 50, few.now);
     few.pass(4_000);
-    assert!(few.fleets[3].me().life > Life(100) && !few.fleets[3].is_displaced(), "{:?}", few.news);
+    assert!(
+        few.fleets[3].me().incarnation > Incarnation(100) && !few.fleets[3].is_superseded(),
+        "{:?}",
+        few.changes
+    );
     assert!((0..4).all(|of| few.members(of) == 4));
 }
 
@@ -293,35 +304,35 @@
 fn one_that_comes_back_again_and_again_is_held_back_longer() {
     let mut few = Few::new(5);
     few.pass(2_000);
-    for life in 1..5 {
+    for incarnation in 1..5 {
         few.stopped[4] = true;
         few.pass(3_000);
-        few.fleets[4] = Few::node(4, 100 + life, few.now);
+        few.fleets[4] = Few::node(4, 100 + incarnation, few.now);
         few.stopped[4] = false;
         few.pass(500);
     }
     let waits: Vec<u64> = few
-        .news
+        .changes
         .iter()
-        .filter_map(|(by, news)| match news {
-            News::HeldBack { wait, .. } if *by == 0 => Some(*wait),
+        .filter_map(|(by, change)| match change {
+            Change::HeldBack { wait, .. } if *by == 0 => Some(*wait),
             _ => None,
         })
         .collect();
     assert!(waits.len() >= 3 && waits.windows(2).all(|pair| pair[0] < pair[1]), "{waits:?}");
-    assert_eq!(few.state(0, 4), Some(State::Joining));
+    assert_eq!(few.state(0, 4), Some(ReportedState::Joining));
     few.pass(10_000);
-    assert_eq!(few.state(0, 4), Some(State::Alive));
+    assert_eq!(few.state(0, 4), Some(ReportedState::Alive));
 }
 
 #[test]
-fn a_slow_one_is_told_apart_from_a_lost_one() {
+fn a_slow_one_is_told_apart_from_a_dead_one() {
     // Two nodes by hand: the answer comes after 600 ms, each time.
     let mut few = Few::new(3);
     few.pass(2_000);
     few.cut = Box::new(|from, _| from == 2);
     let mut late: VecDeque<(u64, usize, Datagram)> = VecDeque::new();
-    few.news.clear();
+    few.changes.clear();
     for _ in 0..1_200 {
         let sent = few.sent.len();
         few.pass(10);
@@ -335,8 +346,8 @@
             few.handle(to, Event::Received { from: address(2), datagram });
         }
     }
-    assert!(few.told(0, "slow", "n2") || few.told(1, "slow", "n2"), "{:?}", few.news);
-    assert!(!few.told(0, "lost", "n2") && !few.told(1, "lost", "n2"), "{:?}", few.news);
+    assert!(few.told(0, "slow", "n2") || few.told(1, "slow", "n2"), "{:?}", few.changes);
+    assert!(!few.told(0, "dead", "n2") && !few.told(1, "dead", "n2"), "{:?}", few.changes);
     assert_eq!(few.members(0), 3);
 }
 
@@ -345,25 +356,26 @@
     let mut few = Few::new(3);
     few.pass(2_000);
     let view = few.fleets[0].view().clone();
-    let sound = claim(9, 5);
+    let sound = update(9, 5);
     let odd = [
-        Claim { name: "".into(), ..sound.clone() },
-        Claim { name: "x".repeat(65).into(), ..sound.clone() },
-        Claim { life: Life(0), ..sound.clone() },
-        Claim { address: SocketAddr::from(([0, 0, 0, 0], 1)), ..sound.clone() },
-        Claim { weight: 0, ..sound.clone() },
-        Claim { stand: Stand::Lost, ..sound.clone() },
+        MemberUpdate { name: "".into(), ..sound.clone() },
+        MemberUpdate { name: "x".repeat(65).into(), ..sound.clone() },
+        MemberUpdate { incarnation: Incarnation(0), ..sound.clone() },
+        MemberUpdate { address: SocketAddr::from(([0, 0, 0, 0], 1)), ..sound.clone() },
+        MemberUpdate { weight: 0, ..sound.clone() },
+        MemberUpdate { state: MemberState::Dead, ..sound.clone() },
     ];
-    for of in odd {
-        let head = Head { of, to: Life(100), nth: 1, digest: 0, view: 0 };
-        let datagram = Datagram { head, message: Message::News, claims: Vec::new() };
+    for sender in odd {
+        let head = Head { sender, to: Incarnation(100), nth: 1, digest: 0, view: 0 };
+        let datagram = Datagram { head, message: Message::Updates, updates: Vec::new() };
         few.handle(0, Event::Received { from: address(9), datagram });
     }
-    let head = Head { of: claim(1, 100), to: Life(100), nth: 1 << 40, digest: view.digest, view: 0 };
-    let claims = vec![sound.clone(); 65];
+    let head =
+        Head { sender: update(1, 100), to: Incarnation(100), nth: 1 << 40, digest: view.digest, view: 0 };
+    let updates = vec![sound.clone(); 65];
     few.handle(
         0,
-        Event::Received { from: address(1), datagram: Datagram { head, message: Message::News, claims } },
+        Event::Received { from: address(1), datagram: Datagram { head, message: Message::Updates, updates } },
     );
     assert_eq!(few.fleets[0].view().number, view.number);
     assert_eq!(few.fleets[0].refused(), 7);
@@ -373,15 +385,15 @@
 fn a_full_table_leaves_newcomers_out() {
     let mut few = Few::new(2);
     for of in 0..2 {
-        let terms = Terms { seeds: vec![address(0)], most_members: 3, ..Terms::default() };
-        few.fleets[of] = Fleet::new(claim(of, 100), terms, of as u64, 0);
+        let parameters = Parameters { seeds: vec![address(0)], max_members: 3, ..Parameters::default() };
+        few.fleets[of] = Fleet::new(update(of, 100), parameters, of as u64, 0);
     }
     few.pass(2_000);
     for nth in 10..20 {
-        let head = Head { of: claim(nth, 5), to: Life(100), nth: 1, digest: 0, view: 0 };
-        let datagram = Datagram { head, message: Message::News, claims: Vec::new() };
+        let head = Head { sender: update(nth, 5), to: Incarnation(100), nth: 1, digest: 0, view: 0 };
+        let datagram = Datagram { head, message: Message::Updates, updates: Vec::new() };
         few.handle(0, Event::Received { from: address(nth), datagram });
     }
     assert_eq!(few.members(0), 4);
-    assert!(few.news.iter().any(|(_, news)| matches!(news, News::NoRoom { .. })));
+    assert!(few.changes.iter().any(|(_, change)| matches!(change, Change::NoRoom { .. })));
 }
--- a/installation/src/budgets.rs
+++ b/installation/src/budgets.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 
 use doortrack::Tenths;
-use doortrack_budgets::{Budget, Kind, MOST_BUDGETS, Terms};
+use doortrack_budgets::{Budget, Kind, MAX_BUDGETS, Parameters};
 use doortrack_fleet::Name;
 use schemars::JsonSchema;
 use serde::Deserialize;
@@ -11,8 +11,8 @@
 use crate::{Fault, FleetFile, Installation, Orders};
 
 const MS: Tenths = 10;
-/// The greatest whole, floor, most and burst.
-const MOST_UNITS: u32 = 10_000_000;
+/// The greatest limit, reserved minimum, maximum and burst.
+const MAX_UNITS: u32 = 10_000_000;
 
 /// One limit of the whole fleet. The same on all nodes.
 #[derive(Clone, Debug, PartialEq, Eq, Deserialize, JsonSchema)]
@@ -24,31 +24,32 @@
     pub kind: BudgetKind,
     /// Exchanges a second, or held at once, of all nodes together.
     #[schemars(range(min = 1, max = 10_000_000))]
-    pub whole: u32,
-    /// Exchanges beyond `whole` times the span, in any span; at least one for each node that is to have a
-    /// share. Needed for a rate, and for no other.
+    #[serde(alias = "whole")]
+    pub limit: u32,
+    /// Exchanges beyond `limit` times the span, in any span; at least one for each node that is to have an
+    /// allocation. Needed for a rate, and for no other.
     #[serde(default)]
     #[schemars(range(min = 1, max = 10_000_000))]
     pub burst: Option<u32>,
     /// Which exchanges it is for: one of the four.
     #[serde(rename = "for")]
     pub of: BudgetFor,
-    /// Set aside for each node of `floors_for`, so that it has this much even when it hears nobody. For a
-    /// rate at least `whole` / `burst`, or it holds no whole exchange.
-    #[serde(default)]
-    pub floor: u32,
-    /// Names of the nodes that have a floor. Absent: the voters.
-    #[serde(default)]
-    pub floors_for: Option<Vec<String>>,
-    /// The most that one node may have, its floor included. Absent: the whole.
-    #[serde(default)]
+    /// Set aside for each node of `reserved_for`, so that it has this much even when it hears nobody. For a
+    /// rate at least `limit` / `burst`, or it holds no whole exchange.
+    #[serde(default, alias = "floor")]
+    pub reserved: u32,
+    /// Names of the nodes that have a reserved minimum. Absent: the voters.
+    #[serde(default, alias = "floors_for")]
+    pub reserved_for: Option<Vec<String>>,
+    /// The most that one node may have, its reserved minimum included. Absent: the limit.
+    #[serde(default, alias = "most")]
     #[schemars(range(min = 1, max = 10_000_000))]
-    pub most: Option<u32>,
-    /// What a place is held for at the longest, also by a node that died: so long nobody else has it. Absent:
-    /// the longest deadline of all endpoint groups. For places alone.
-    #[serde(default)]
+    pub max_per_node: Option<u32>,
+    /// What one is held for at the longest, also by a node that died: so long nobody else has it. Absent:
+    /// the longest deadline of all endpoint groups. For a concurrency alone.
+    #[serde(default, alias = "held_most_ms")]
     #[schemars(range(min = 1, max = 3_600_000))]
-    pub held_most_ms: Option<u32>,
+    pub max_hold_ms: Option<u32>,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize, JsonSchema)]
@@ -57,7 +58,8 @@
     /// Exchanges a second.
     Rate,
     /// Exchanges held at once, from being taken in to their end.
-    Places,
+    #[serde(alias = "places")]
+    Concurrency,
 }
 
 /// By what exchanges fall under a budget; each customer, group and pool under one at the most.
@@ -76,13 +78,13 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize, JsonSchema)]
 #[serde(deny_unknown_fields, default)]
 pub struct LeaseTimes {
-    /// Needs are told, and shares lent, so often.
+    /// Needs are told, and allocations granted, so often.
     #[schemars(range(min = 20, max = 10_000))]
     pub round_ms: u32,
-    /// A keeper that is not heard for so long may be replaced; at least 3 rounds.
+    /// A leader that is not heard for so long may be replaced; at least 3 rounds.
     #[schemars(range(min = 60, max = 60_000))]
     pub vote_ms: u32,
-    /// A share that is not prolonged ends after so long; at least `vote_ms`.
+    /// An allocation that is not prolonged ends after so long; at least `vote_ms`.
     #[schemars(range(min = 60, max = 600_000))]
     pub lease_ms: u32,
     /// How far any clock may gain or lose, in thousandths.
@@ -92,28 +94,28 @@
 
 impl Default for LeaseTimes {
     fn default() -> LeaseTimes {
-        let (terms, ms) = (Terms::default(), |span: Tenths| (span / MS) as u32);
+        let (parameters, ms) = (Parameters::default(), |span: Tenths| (span / MS) as u32);
         LeaseTimes {
-            round_ms: ms(terms.round),
-            vote_ms: ms(terms.vote_lasts),
-            lease_ms: ms(terms.lease),
-            drift_permille: terms.drift as u32,
+            round_ms: ms(parameters.round),
+            vote_ms: ms(parameters.vote_duration),
+            lease_ms: ms(parameters.lease),
+            drift_permille: parameters.drift as u32,
         }
     }
 }
 
 impl LeaseTimes {
     pub(crate) fn faults(&self, faults: &mut Vec<Fault>) {
-        let mut whole = |key: &str, value: u32, least: u32, most: u32| {
+        let mut check_range = |key: &str, value: u32, least: u32, most: u32| {
             if !(least..=most).contains(&value) {
                 let what = format!("{least} to {most} is wanted, found {value}");
                 faults.push(Fault::new(format!("installation.fleet.leases.{key}"), what));
             }
         };
-        whole("round_ms", self.round_ms, 20, 10_000);
-        whole("vote_ms", self.vote_ms, self.round_ms.min(10_000) * 3, 60_000);
-        whole("lease_ms", self.lease_ms, self.vote_ms.min(60_000), 600_000);
-        whole("drift_permille", self.drift_permille, 0, 200);
+        check_range("round_ms", self.round_ms, 20, 10_000);
+        check_range("vote_ms", self.vote_ms, self.round_ms.min(10_000) * 3, 60_000);
+        check_range("lease_ms", self.lease_ms, self.vote_ms.min(60_000), 600_000);
+        check_range("drift_permille", self.drift_permille, 0, 200);
     }
 }
 
@@ -130,12 +132,12 @@
 
 impl FleetFile {
     /// What the division is handed.
-    pub fn lease_terms(&self) -> Terms {
+    pub fn budget_parameters(&self) -> Parameters {
         let (times, ms) = (self.leases, |span: u32| Tenths::from(span) * MS);
-        Terms {
+        Parameters {
             voters: self.voters.iter().map(|name| Name::from(name.as_str())).collect(),
             round: ms(times.round_ms),
-            vote_lasts: ms(times.vote_ms),
+            vote_duration: ms(times.vote_ms),
             lease: ms(times.lease_ms),
             drift: u64::from(times.drift_permille),
             safeguards: self.tests.safeguards,
@@ -145,18 +147,18 @@
 
 impl BudgetFile {
     fn budget(&self, voters: &[String], longest: Tenths) -> Budget {
-        let floors = self.floors_for.as_deref().unwrap_or(voters);
-        let held_most = self.held_most_ms.map_or(longest, |ms| Tenths::from(ms) * MS);
+        let reserved_for = self.reserved_for.as_deref().unwrap_or(voters);
+        let max_hold = self.max_hold_ms.map_or(longest, |ms| Tenths::from(ms) * MS);
         Budget {
             name: self.name.as_str().into(),
             kind: match self.kind {
                 BudgetKind::Rate => Kind::Rate { burst: self.burst.unwrap_or(1) },
-                BudgetKind::Places => Kind::Places { held_most },
+                BudgetKind::Concurrency => Kind::Concurrency { max_hold },
             },
-            whole: self.whole,
-            floor: self.floor,
-            floors_for: floors.iter().map(|name| Name::from(name.as_str())).collect(),
-            most: self.most.unwrap_or(self.whole).min(self.whole),
+            limit: self.limit,
+            reserved: self.reserved,
+            reserved_for: reserved_for.iter().map(|name| Name::from(name.as_str())).collect(),
+            max_per_node: self.max_per_node.unwrap_or(self.limit).min(self.limit),
         }
     }
 
@@ -166,43 +168,46 @@
             fault(".name", "1 to 64 bytes without control characters are wanted".into());
         }
         for (key, value, least) in [
-            (".whole", Some(self.whole), 1),
+            (".limit", Some(self.limit), 1),
             (".burst", self.burst, 1),
-            (".most", self.most, 1),
-            (".floor", Some(self.floor), 0),
+            (".max_per_node", self.max_per_node, 1),
+            (".reserved", Some(self.reserved), 0),
         ] {
-            if value.is_some_and(|value| !(least..=MOST_UNITS).contains(&value)) {
+            if value.is_some_and(|value| !(least..=MAX_UNITS).contains(&value)) {
                 let found = value.unwrap_or(0);
-                fault(key, format!("{least} to {MOST_UNITS} is wanted, found {found}"));
+                fault(key, format!("{least} to {MAX_UNITS} is wanted, found {found}"));
             }
         }
         match (self.kind, self.burst) {
             (BudgetKind::Rate, None) => fault("", "needed key 'burst' is missing: a rate has one".into()),
-            (BudgetKind::Places, Some(_)) => fault(".burst", "only a rate has one".into()),
+            (BudgetKind::Concurrency, Some(_)) => fault(".burst", "only a rate has one".into()),
             _ => {}
         }
-        if self.kind == BudgetKind::Rate && self.held_most_ms.is_some() {
-            fault(".held_most_ms", "only places are held".into());
+        if self.kind == BudgetKind::Rate && self.max_hold_ms.is_some() {
+            fault(".max_hold_ms", "only a concurrency is held".into());
         }
-        if self.kind == BudgetKind::Places && matches!(self.of, BudgetFor::Retries(_)) {
+        if self.kind == BudgetKind::Concurrency && matches!(self.of, BudgetFor::Retries(_)) {
             fault(".kind", "retries are a rate".into());
         }
-        if self.held_most_ms.is_some_and(|ms| !(1..=3_600_000).contains(&ms)) {
-            fault(".held_most_ms", "1 to 3600000 is wanted".into());
+        if self.max_hold_ms.is_some_and(|ms| !(1..=3_600_000).contains(&ms)) {
+            fault(".max_hold_ms", "1 to 3600000 is wanted".into());
         }
-        let floors = self.floors_for.as_deref().unwrap_or(voters).len() as u64;
-        if u64::from(self.floor) * floors > u64::from(self.whole) {
-            let what = format!("{} for each of {floors} nodes are more than the whole", self.floor);
-            fault(".floor", what);
+        let nodes = self.reserved_for.as_deref().unwrap_or(voters).len() as u64;
+        if u64::from(self.reserved) * nodes > u64::from(self.limit) {
+            let what = format!("{} for each of {nodes} nodes are more than the limit", self.reserved);
+            fault(".reserved", what);
         }
-        if self.most.is_some_and(|most| most < self.floor) {
-            fault(".most", "less than the floor".into());
+        if self.max_per_node.is_some_and(|max| max < self.reserved) {
+            fault(".max_per_node", "less than what is reserved".into());
         }
         let burst = u64::from(self.burst.unwrap_or(1));
-        let too_small = self.floor > 0 && u64::from(self.floor) * burst < u64::from(self.whole);
+        let too_small = self.reserved > 0 && u64::from(self.reserved) * burst < u64::from(self.limit);
         if self.kind == BudgetKind::Rate && too_small {
-            let least = u64::from(self.whole).div_ceil(burst);
-            fault(".floor", format!("at least {least} (whole / burst) is wanted, or it holds no whole one"));
+            let least = u64::from(self.limit).div_ceil(burst);
+            fault(
+                ".reserved",
+                format!("at least {least} (limit / burst) is wanted, or it holds no whole one"),
+            );
         }
     }
 }
@@ -213,8 +218,8 @@
         if self.budgets.is_empty() {
             return;
         }
-        if self.budgets.len() > MOST_BUDGETS {
-            let what = format!("at most {MOST_BUDGETS} are wanted, found {}", self.budgets.len());
+        if self.budgets.len() > MAX_BUDGETS {
+            let what = format!("at most {MAX_BUDGETS} are wanted, found {}", self.budgets.len());
             faults.push(Fault::new(AT, what));
         }
         match &self.fleet {
