--- a/rig/src/scale/node_cost.rs
+++ b/rig/src/scale/node_cost.rs
@@ -15,7 +15,7 @@
 use std::time::{Duration, Instant};
 
 use clap::Args;
-use doortrack_budgets::MOST_BUDGETS;
+use doortrack_budgets::MAX_BUDGETS;
 use doortrack_installation::file::MOST_POOLS;
 use indicatif::{ProgressBar, ProgressStyle};
 
@@ -31,7 +31,7 @@
     tenants: 20_000,
     services: MOST_POOLS + 1,
     callers: 700,
-    budgets: Some(MOST_BUDGETS),
+    budgets: Some(MAX_BUDGETS),
 };
 /// Callers of the whole fleet, all at one node.
 const ALL_CALLERS: usize = 12_000;
--- a/rig/src/scale/node_cost/settings.rs
+++ b/rig/src/scale/node_cost/settings.rs
@@ -200,6 +200,7 @@
     rule
 }
 
+/// By the keys that builds of before the settings' new names read too, so that these can be measured.
 fn budget(nth: usize) -> Value {
     json!({"name": format!("budget-{nth}"), "kind": "rate", "whole": AMPLE_BUDGET, "burst": AMPLE_BUDGET,
         "for": {"customer": tenant(nth)}})
--- a/rig/tests/state_bytes.rs
+++ b/rig/tests/state_bytes.rs
@@ -6,9 +6,12 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-use doortrack_budgets::{Budget, Budgets, Envelope, Event as BudgetEvent, Item, Kind, Message, Who};
+use doortrack_budgets::{Budget, Budgets, Envelope, Event as BudgetEvent, Kind, Message, NodeId, ReportItem};
 use doortrack_expr::Limits;
-use doortrack_fleet::{Claim, Datagram, Event as FleetEvent, Fleet, Head, Life, Stand, Terms};
+use doortrack_fleet::{
+    Datagram, Event as FleetEvent, Fleet, Head, Incarnation, MAX_UPDATES, MemberState, MemberUpdate,
+    Parameters,
+};
 use doortrack_node::memory::exchanges::{Ex, Exchanges, Stage};
 use doortrack_node::memory::results::Results;
 use doortrack_node::wire::conn::{Conn, Open};
@@ -156,24 +159,24 @@
     within("a customer in the table of routes", bytes, 100.0);
 }
 
-fn claim(nth: usize) -> Claim {
+fn update(nth: usize) -> MemberUpdate {
     let address = SocketAddr::from(([10, 0, (nth >> 8) as u8, nth as u8], 7_400));
-    let (name, life) = (format!("node-{nth:04}").into(), Life(1_000 + nth as u64));
-    Claim { name, life, turn: 0, stand: Stand::Alive, address, weight: 4 }
+    let (name, incarnation) = (format!("node-{nth:04}").into(), Incarnation(1_000 + nth as u64));
+    MemberUpdate { name, incarnation, version: 0, state: MemberState::Alive, address, weight: 4 }
 }
 
 /// A node that was told of so many members by one of them.
 fn fleet_of(members: usize) -> Fleet {
-    let me = claim(0);
-    let life = me.life;
-    let mut fleet = Fleet::new(me, Terms::default(), 1, 0);
+    let me = update(0);
+    let incarnation = me.incarnation;
+    let mut fleet = Fleet::new(me, Parameters::default(), 1, 0);
     let mut out = Vec::new();
     let all: Vec<usize> = (1..members).collect();
-    for (nth, part) in all.chunks(10).enumerate() {
-        let head = Head { of: claim(1), to: life, nth: nth as u64 + 1, digest: 0, view: 0 };
-        let claims = part.iter().map(|nth| claim(*nth)).collect();
-        let datagram = Datagram { head, message: doortrack_fleet::Message::News, claims };
-        let from = claim(1).address;
+    for (nth, part) in all.chunks(MAX_UPDATES).enumerate() {
+        let head = Head { sender: update(1), to: incarnation, nth: nth as u64 + 1, digest: 0, view: 0 };
+        let updates = part.iter().map(|nth| update(*nth)).collect();
+        let datagram = Datagram { head, message: doortrack_fleet::Message::Updates, updates };
+        let from = update(1).address;
         fleet.handle(nth as u64, FleetEvent::Received { from, datagram }, &mut out);
         out.clear();
     }
@@ -192,25 +195,26 @@
     Budget {
         name: format!("budget-{nth}").into(),
         kind: Kind::Rate { burst: 10_000 },
-        whole: 10_000,
-        floor: 0,
-        floors_for: Arc::new([]),
-        most: 10_000,
+        limit: 10_000,
+        reserved: 0,
+        reserved_for: Arc::new([]),
+        max_per_node: 10_000,
     }
 }
 
-fn who(nth: usize) -> Who {
-    Who { name: format!("node-{nth:04}").into(), life: Life(1 + nth as u64) }
+fn node_id(nth: usize) -> NodeId {
+    NodeId { name: format!("node-{nth:04}").into(), incarnation: Incarnation(1 + nth as u64) }
 }
 
 /// A node that is its fleet's only voter and has been elected.
 fn leader(budgets: &[Budget]) -> (Budgets, u64) {
-    let terms = doortrack_budgets::Terms { voters: Arc::new([who(0).name]), ..Default::default() };
-    let mut leader = Budgets::new(who(0), 1, terms, budgets, 1, 0);
+    let parameters =
+        doortrack_budgets::Parameters { voters: Arc::new([node_id(0).name]), ..Default::default() };
+    let mut leader = Budgets::new(node_id(0), 1, parameters, budgets, 1, 0);
     let (mut now, mut out) = (0, Vec::new());
-    while !leader.is_keeper(now) {
+    while !leader.is_leader(now) {
         now = leader.next_due();
-        leader.handle(now, BudgetEvent::Turn, &mut out);
+        leader.handle(now, BudgetEvent::Tick, &mut out);
         out.clear();
     }
     (leader, now)
@@ -221,13 +225,13 @@
     let (mut leader, now) = leader(budgets);
     let mut out = Vec::new();
     let item = |budget: &Budget| {
-        let (whole, floor) = (budget.whole(), 0);
-        Item { id: budget.id(), need: 5_000, holding: 0, accepted: 0, whole, floor }
+        let (limit, reserved) = (budget.limit(), 0);
+        ReportItem { id: budget.id(), need: 5_000, holding: 0, accepted: 0, limit, reserved }
     };
     for holder in 1..=holders {
         let items = budgets.iter().map(item).collect();
         let message = Message::Report { seq: 1, weight: 1, items };
-        let envelope = Envelope { from: who(holder), to: who(0), message };
+        let envelope = Envelope { from: node_id(holder), to: node_id(0), message };
         leader.handle(now, BudgetEvent::Received(envelope), &mut out);
         out.clear();
     }
