--- a/rig/tests/state_bytes.rs
+++ b/rig/tests/state_bytes.rs
@@ -6,7 +6,10 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-use doortrack_budgets::{Budget, Budgets, Envelope, Event as BudgetEvent, Kind, Message, NodeId, ReportItem};
+use doortrack_budgets::{
+    Budget, Budgets, Envelope, Event as BudgetEvent, Kind, MAX_BUDGETS, MAX_ITEMS, Message, NodeId,
+    ReportItem,
+};
 use doortrack_expr::Limits;
 use doortrack_fleet::{
     Datagram, Event as FleetEvent, Fleet, Head, Incarnation, MAX_UPDATES, MemberState, MemberUpdate,
@@ -229,11 +232,13 @@
         ReportItem { id: budget.id(), need: 5_000, holding: 0, accepted: 0, limit, reserved }
     };
     for holder in 1..=holders {
-        let items = budgets.iter().map(item).collect();
-        let message = Message::Report { seq: 1, weight: 1, items };
-        let envelope = Envelope { from: node_id(holder), to: node_id(0), message };
-        leader.handle(now, BudgetEvent::Received(envelope), &mut out);
-        out.clear();
+        for (nth, part) in budgets.chunks(MAX_ITEMS).enumerate() {
+            let items = part.iter().map(item).collect();
+            let message = Message::Report { seq: nth as u64 + 1, weight: 1, items };
+            let envelope = Envelope { from: node_id(holder), to: node_id(0), message };
+            leader.handle(now, BudgetEvent::Received(envelope), &mut out);
+            out.clear();
+        }
     }
     leader
 }
@@ -249,4 +254,7 @@
     within("a holder of one budget at the leader", one, 2_000.0);
     let line = (forty - one) / (list.len() - 1) as f64;
     within("each further budget of a holder at the leader", line, 1_000.0);
+    let most: Vec<Budget> = (0..MAX_BUDGETS).map(budget).collect();
+    let whole = bytes_each(1, || leader_of(HOLDERS, &most));
+    within("the leader of 770 holders with as many budgets as there may be", whole, 60_000_000.0);
 }
