--- a/rig/src/scale/node_cost/process.rs
+++ b/rig/src/scale/node_cost/process.rs
@@ -43,6 +43,7 @@
 /// What a process has used so far.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Usage {
+    /// Processor time of the threads that there are now.
     pub processor: Duration,
     pub resident_kb: u64,
     /// The most that was resident so far.
@@ -143,8 +144,11 @@
     pub fn usage(&self) -> Result<Usage, Fault> {
         let process = Process::new(self.child.id() as i32)?;
         let status = process.status()?;
+        // The process's own file tells of its first thread alone.
+        let of_threads = process.tasks()?.map(|thread| Ok(thread?.schedstat()?.sum_exec_runtime));
+        let processor_ns = of_threads.sum::<Result<u64, procfs::ProcError>>()?;
         Ok(Usage {
-            processor: Duration::from_nanos(process.schedstat()?.sum_exec_runtime),
+            processor: Duration::from_nanos(processor_ns),
             resident_kb: status.vmrss.unwrap_or(0),
             peak_resident_kb: status.vmhwm.unwrap_or(0),
             descriptors: process.fd_count()?,
