Rig: nodes of a scale run end with it, also when it is killed

Cause: a scale run that was ended by a signal ran no destructor and left its nodes behind. The change: each is killed by the system when the thread that started it ends.

--- a/rig/src/scale/node_cost/process.rs
+++ b/rig/src/scale/node_cost/process.rs
@@ -2,6 +2,7 @@
 
 use std::io::{self, Read};
 use std::net::{SocketAddr, UdpSocket};
+use std::os::unix::process::CommandExt;
 use std::path::{Path, PathBuf};
 use std::process::{Child, ChildStderr, Command, Stdio};
 use std::sync::{Arc, Mutex, PoisonError};
@@ -10,7 +11,7 @@
 
 use doortrack_standins::bed::fresh_address;
 use procfs::process::Process;
-use rustix::process::{Pid, Signal, kill_process};
+use rustix::process::{Pid, Signal, kill_process, set_parent_process_death_signal};
 use serde_json::Value;
 use thiserror::Error;
 
@@ -72,7 +73,8 @@
     })
 }
 
-/// One `doortrack serve`. Dropped, it is killed and its folder removed.
+/// One `doortrack serve`. Dropped, it is killed and its folder removed; it is killed as well when the thread that
+/// started it ends, however that comes.
 pub struct NodeProcess {
     child: Child,
     folder: PathBuf,
@@ -102,6 +104,8 @@
         let mut command = Command::new(program);
         command.arg("serve").arg("--installation").arg(folder.join("installation.json"));
         command.env("GW_CONFIG", &configuration_file).stdin(Stdio::null()).stdout(Stdio::null());
+        // SAFETY: between fork and exec nothing is called but one system call.
+        unsafe { command.pre_exec(|| Ok(set_parent_process_death_signal(Some(Signal::KILL))?)) };
         let started = Instant::now();
         let mut child = command.stderr(Stdio::piped()).spawn()?;
         let log: Arc<Mutex<Log>> = Arc::default();
