--- a/rig/src/main.rs
+++ b/rig/src/main.rs
@@ -5,6 +5,7 @@
 
 use clap::{Args, Parser, Subcommand};
 use doortrack_rig::checks::{Breach, judge, membership};
+use doortrack_rig::scale::command::{self, HollowArgs, ScaleArgs};
 use doortrack_rig::scale::node_cost;
 use doortrack_rig::shrink::shrink;
 use doortrack_rig::simulated::{self, Ways};
@@ -48,7 +49,12 @@
     },
     /// Prints the JSON Schema of a script
     Schema,
+    /// Measures what a fleet costs by its size
+    Scale(ScaleArgs),
     ScaleNode(node_cost::Options),
+    /// A process of hollow nodes, which `scale` starts
+    #[command(hide = true)]
+    Hollow(HollowArgs),
 }
 
 #[derive(Args)]
@@ -125,11 +131,13 @@
 
 fn run(command: Command) -> Result<bool, String> {
     match command {
-        Command::ScaleNode(options) => node_cost::run(&options),
         Command::Schema => {
             println!("{}", script::schema());
             Ok(true)
         }
+        Command::ScaleNode(options) => node_cost::run(&options),
+        Command::Scale(args) => command::run(&args),
+        Command::Hollow(args) => command::run_hollow(&args).map(|()| true),
         Command::Judge { history } => {
             let kept = History::parse(&text(&history)?)?;
             Ok(verdict(&history.display().to_string(), &kept, &judge(&kept, &membership())))
--- a/rig/src/scale/node_cost/report.rs
+++ b/rig/src/scale/node_cost/report.rs
@@ -1,7 +1,6 @@
 //! What a run found: as JSON for the pages, and as tables for a reader.
 
 use comfy_table::{Table, presets};
-use linregress::{FormulaRegressionBuilder, RegressionDataBuilder};
 use serde::Serialize;
 
 use super::alone::{Alone, Quarters};
@@ -10,6 +9,7 @@
 use super::keys::KeysHeld;
 use super::log_volume::{LogVolume, LogVolumes};
 use super::measure::Measured;
+use crate::scale::fit::fit;
 use crate::scale::series::{Dimension, Point, Quantity, Role, Series};
 
 /// One size of one dimension: measured, or refused by the program with what it said.
@@ -28,14 +28,6 @@
     pub taken: Vec<(usize, Taken)>,
 }
 
-/// A line through measured points by least squares.
-#[derive(Clone, Copy, Debug, PartialEq, Serialize)]
-pub struct Line {
-    pub intercept: f64,
-    pub slope: f64,
-    pub r_squared: f64,
-}
-
 /// Everything that one run found.
 #[derive(Clone, Debug, Serialize)]
 pub struct Report {
@@ -92,19 +84,6 @@
     }
 }
 
-/// The line through at least three points; none where there are fewer or it can't be told.
-pub fn line(points: &[Point]) -> Option<Line> {
-    if points.len() < 3 {
-        return None;
-    }
-    let column = |read: fn(&Point) -> f64| points.iter().map(read).collect::<Vec<_>>();
-    let columns = vec![("size", column(|point| point.size)), ("value", column(|point| point.value))];
-    let data = RegressionDataBuilder::new().build_from(columns).ok()?;
-    let model = FormulaRegressionBuilder::new().data(&data).formula("value ~ size").fit().ok()?;
-    let [intercept, slope] = model.parameters() else { return None };
-    Some(Line { intercept: *intercept, slope: *slope, r_squared: model.rsquared() })
-}
-
 fn table(title: &str, header: &[&str], rows: Vec<Vec<String>>) -> String {
     let mut table = Table::new();
     table.load_style(presets::ASCII_MARKDOWN).set_header(header.iter().copied());
@@ -157,7 +136,7 @@
     let rows = swept.taken.iter().map(row).collect();
     let mut text = table(&format!("{:?}; held: {}", swept.dimension, swept.held), &MEASURED_HEADER, rows);
     for series in swept.series() {
-        if let Some(line) = line(&series.points) {
+        if let Ok(line) = fit(&series.points) {
             text.push_str(&format!(
                 "  {:?}: {:.3} + {:.6} each (r2 {:.3})\n",
                 series.quantity, line.intercept, line.slope, line.r_squared
@@ -197,7 +176,7 @@
     });
     let mut text = table("Idempotency keys held", &["keys", "resident kB", "bytes a key"], rows.collect());
     for (name, points) in [("at the peak's rate", &keys.at_peak), ("beyond", &keys.beyond)] {
-        if let Some(line) = line(points) {
+        if let Ok(line) = fit(points) {
             text.push_str(&format!(
                 "  {name}: {:.0} bytes a key (r2 {:.3})\n",
                 line.slope * 1_024.0,
--- a/rig/tests/scale_node.rs
+++ b/rig/tests/scale_node.rs
@@ -6,9 +6,9 @@
 
 use doortrack_expr::{Scratch, Written};
 use doortrack_installation::{Installation, Orders, file, orders};
+use doortrack_rig::scale::fit::fit;
 use doortrack_rig::scale::node_cost::caller::{Outcome, Outcomes, paced};
 use doortrack_rig::scale::node_cost::process::Log;
-use doortrack_rig::scale::node_cost::report::line;
 use doortrack_rig::scale::node_cost::settings::{
     Addresses, KEYED_PATH, Size, configuration, installation, installation_changed, probe_path, request_path,
     tenant, unchanged_path,
@@ -167,10 +167,10 @@
 fn a_line_goes_through_points_that_lie_on_one() {
     let points: Vec<Point> =
         [0.0, 340.0, 850.0, 3_400.0].map(|size| Point { size, value: 12.5 + 0.25 * size }).into();
-    let line = line(&points).unwrap();
+    let line = fit(&points).unwrap();
     assert!((line.intercept - 12.5).abs() < 1e-6 && (line.slope - 0.25).abs() < 1e-9, "{line:?}");
     assert!(line.r_squared > 0.999_999);
-    assert!(doortrack_rig::scale::node_cost::report::line(&points[..2]).is_none());
+    assert!(fit(&points[..2]).is_err());
 }
 
 #[test]
