--- a/node/tests/fleet/main.rs
+++ b/node/tests/fleet/main.rs
@@ -6,6 +6,7 @@
 mod budgets;
 mod encoding;
 mod link;
+mod ramp;
 mod served;
 mod troubles;
 
