--- a/rig/tests/state_bytes.rs
+++ b/rig/tests/state_bytes.rs
@@ -99,7 +99,7 @@
         caller: None,
         stage: Stage::Queued,
         repeats: None,
-        ticket: Default::default(),
+        hold: Default::default(),
     }
 }
 
