--- a/rig/src/main.rs
+++ b/rig/src/main.rs
@@ -6,6 +6,7 @@
 use clap::{Args, Parser, Subcommand};
 use doortrack_rig::checks::{Breach, judge, membership};
 use doortrack_rig::scale::command::{self, HollowArgs, ScaleArgs};
+use doortrack_rig::scale::node_cost;
 use doortrack_rig::scale::simulated::command::{Options, scale_simulated};
 use doortrack_rig::shrink::shrink;
 use doortrack_rig::simulated::{self, Ways};
@@ -53,6 +54,7 @@
     Schema,
     /// Measures what a fleet costs by its size
     Scale(ScaleArgs),
+    ScaleNode(node_cost::Options),
     /// A process of hollow nodes, which `scale` starts
     #[command(hide = true)]
     Hollow(HollowArgs),
@@ -136,6 +138,7 @@
             println!("{}", script::schema());
             Ok(true)
         }
+        Command::ScaleNode(options) => node_cost::run(&options),
         Command::Scale(args) => command::run(&args),
         Command::Hollow(args) => command::run_hollow(&args).map(|()| true),
         Command::ScaleSimulated(options) => scale_simulated(&options),
--- a/rig/src/scale.rs
+++ b/rig/src/scale.rs
@@ -5,6 +5,7 @@
 //! process and a loop ([`hollow`]). Beside them run real `doortrack serve` processes under load, and one
 //! process for each voter. [`plan`] lays a fleet out, [`fleet`] starts and ends it, [`measure`] takes the
 //! figures, [`sweep`] plays one fleet for each size, [`fit`] and [`table`] make slopes and text of them.
+//! What one real node costs by its settings and callers is measured by [`node_cost`].
 
 pub mod added;
 pub mod child;
@@ -16,6 +17,7 @@
 pub mod hollow;
 pub mod losses;
 pub mod measure;
+pub mod node_cost;
 pub mod plan;
 pub mod probe;
 pub mod protocol;
