Names: the rig's weather is network conditions

Change: Weather is NetworkConditions, and the proxy that applies them says what its parts do (Direction, wait_while_cut, record_break, POLL_INTERVAL). Keys of scripts stay.

--- a/node/tests/fleet/troubles.rs
+++ b/node/tests/fleet/troubles.rs
@@ -2,7 +2,7 @@
 
 use doortrack_rig::history::What;
 use doortrack_rig::processes::{Played, play, play_beside};
-use doortrack_rig::script::{Fault, Script, Weather};
+use doortrack_rig::script::{Fault, NetworkConditions, Script};
 
 use crate::{holds, parted, program, script};
 
@@ -104,8 +104,8 @@
 #[test]
 fn trouble_between_nodes_and_their_server_is_none_between_nodes() {
     let server = |nodes: Vec<usize>, cut, broken| {
-        let weather = Weather { cut, delay_ms: 5, broken, bytes_a_second: 0 };
-        Fault::Server { nodes, weather }
+        let conditions = NetworkConditions { cut, delay_ms: 5, broken, bytes_a_second: 0 };
+        Fault::Server { nodes, conditions }
     };
     let faults = vec![
         (1_500, server(vec![0], true, 0.0)),
@@ -118,12 +118,12 @@
 
 #[test]
 fn trouble_between_nodes_and_their_callers_breaks_no_rule() {
-    let callers = |nodes: Vec<usize>, weather| Fault::Callers { nodes, weather };
-    let calm = Weather::default();
+    let callers = |nodes: Vec<usize>, conditions| Fault::Callers { nodes, conditions };
+    let calm = NetworkConditions::default();
     let faults = vec![
-        (1_500, callers(vec![0], Weather { cut: true, ..calm })),
-        (1_500, callers(vec![1], Weather { broken: 0.2, delay_ms: 10, ..calm })),
-        (1_500, callers(vec![2], Weather { bytes_a_second: 20_000, ..calm })),
+        (1_500, callers(vec![0], NetworkConditions { cut: true, ..calm })),
+        (1_500, callers(vec![1], NetworkConditions { broken: 0.2, delay_ms: 10, ..calm })),
+        (1_500, callers(vec![2], NetworkConditions { bytes_a_second: 20_000, ..calm })),
         (1_500, Fault::Throttle { bytes_a_second: 4_000 }),
         (3_000, Fault::Kill { nodes: vec![1] }),
         (4_000, Fault::Start { nodes: vec![1], clock_ms: 0 }),
--- a/rig/src/processes/faults.rs
+++ b/rig/src/processes/faults.rs
@@ -7,7 +7,7 @@
 
 use super::{LAST_MOMENTS, More, Rig, STOP_MS};
 use crate::history::What;
-use crate::script::{Fault, Weather};
+use crate::script::{Fault, NetworkConditions};
 use crate::streams::Stream;
 use crate::traffic::Death;
 
@@ -47,8 +47,8 @@
                 let gone = unix_ms() + STOP_MS - LAST_MOMENTS;
                 self.deaths.push(Death { front: self.door(*of), at: gone, owed_before: gone });
             }),
-            Fault::Server { nodes, weather } => change(&self.streams, nodes, *weather),
-            Fault::Callers { nodes, weather } => change(&self.doors, nodes, *weather),
+            Fault::Server { nodes, conditions } => change(&self.streams, nodes, *conditions),
+            Fault::Callers { nodes, conditions } => change(&self.doors, nodes, *conditions),
             Fault::Cut { .. }
             | Fault::Mend { .. }
             | Fault::Links { .. }
@@ -59,6 +59,6 @@
     }
 }
 
-fn change(streams: &[Stream], nodes: &[usize], weather: Weather) {
-    nodes.iter().filter_map(|of| streams.get(*of)).for_each(|stream| stream.change(weather));
+fn change(streams: &[Stream], nodes: &[usize], conditions: NetworkConditions) {
+    nodes.iter().filter_map(|of| streams.get(*of)).for_each(|stream| stream.change(conditions));
 }
--- a/rig/src/script.rs
+++ b/rig/src/script.rs
@@ -35,17 +35,17 @@
     pub fault: Fault,
 }
 
-/// What is done to connections from here on; without a word, nothing.
+/// Impairments of the TCP connections through a proxy. The default impairs nothing.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize, JsonSchema)]
 #[serde(default)]
-pub struct Weather {
-    /// Nothing passes, and connections stay open.
+pub struct NetworkConditions {
+    /// Nothing passes, while connections stay open.
     pub cut: bool,
-    /// Each piece waits so long.
+    /// Delay of each chunk, in ms.
     pub delay_ms: u64,
-    /// Share of pieces at which the connection is broken off instead.
+    /// Probability, from 0 to 1, that a chunk closes its connection instead of passing.
     pub broken: f64,
-    /// What one connection passes in a second, each way; 0 for all that comes.
+    /// Bandwidth of one connection in each direction, in bytes a second; 0 for no limit.
     pub bytes_a_second: u64,
 }
 
@@ -97,13 +97,13 @@
     Server {
         nodes: Vec<usize>,
         #[serde(flatten)]
-        weather: Weather,
+        conditions: NetworkConditions,
     },
     /// The same between these nodes and those who ask them.
     Callers {
         nodes: Vec<usize>,
         #[serde(flatten)]
-        weather: Weather,
+        conditions: NetworkConditions,
     },
     /// What each link between two nodes passes in a second at the most, each way; 0 for all that comes. What
     /// would wait for over a second is lost. Not in simulated time.
@@ -170,7 +170,9 @@
             }
             let shares = match timed.fault {
                 Fault::Links { loss, doubled, garbled, .. } => vec![loss, doubled, garbled],
-                Fault::Server { weather, .. } | Fault::Callers { weather, .. } => vec![weather.broken],
+                Fault::Server { conditions, .. } | Fault::Callers { conditions, .. } => {
+                    vec![conditions.broken]
+                }
                 _ => Vec::new(),
             };
             if shares.iter().any(|share| !(0.0..=1.0).contains(share)) {
@@ -226,14 +228,14 @@
                 }
                 5 => {
                     let (cut, delay_ms, broken) = (chance.bool(), chance.u64(0..40), chance.f64() * 0.2);
-                    let weather = Weather { cut, delay_ms, broken, bytes_a_second: 0 };
-                    let calm = Weather::default();
+                    let conditions = NetworkConditions { cut, delay_ms, broken, bytes_a_second: 0 };
+                    let calm = NetworkConditions::default();
                     if chance.bool() {
-                        put(at, Fault::Server { nodes: few.clone(), weather });
-                        put(at + lasts, Fault::Server { nodes: few, weather: calm });
+                        put(at, Fault::Server { nodes: few.clone(), conditions });
+                        put(at + lasts, Fault::Server { nodes: few, conditions: calm });
                     } else {
-                        put(at, Fault::Callers { nodes: few.clone(), weather });
-                        put(at + lasts, Fault::Callers { nodes: few, weather: calm });
+                        put(at, Fault::Callers { nodes: few.clone(), conditions });
+                        put(at + lasts, Fault::Callers { nodes: few, conditions: calm });
                     }
                 }
                 6 => {
--- a/rig/src/streams.rs
+++ b/rig/src/streams.rs
@@ -1,5 +1,5 @@
-//! What lies between one node and the server behind it, or those who ask it: TCP connections passed on, held
-//! up, slowed down or broken off.
+//! A TCP proxy between one node and its server, or between a node and its callers: it forwards connections
+//! under the [`NetworkConditions`] of the moment.
 
 use std::io::{self, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
@@ -10,65 +10,67 @@
 
 use doortrack_standins::unix_ms;
 
-use crate::script::Weather;
+use crate::script::NetworkConditions;
 
-/// Bytes passed on at once.
+/// Bytes forwarded at once.
 const CHUNK: usize = 8_192;
-/// How often a connection looks whether it is to end, and one that is cut whether it is mended.
-const LOOK: Duration = Duration::from_millis(20);
+/// How often a connection checks whether the proxy has ended, or a cut has been mended.
+const POLL_INTERVAL: Duration = Duration::from_millis(20);
 
-/// One way through, until it is dropped.
+/// A proxy that runs until it is dropped.
 pub struct Stream {
     pub at: SocketAddr,
-    weather: Arc<Mutex<Weather>>,
+    conditions: Arc<Mutex<NetworkConditions>>,
     breaks: Breaks,
     over: Arc<AtomicBool>,
 }
 
-/// When, in Unix ms, the stream itself ended a connection.
+/// When, in Unix ms, the proxy itself closed or held up a connection.
 type Breaks = Arc<Mutex<Vec<u64>>>;
 
-fn broke(breaks: &Breaks) {
+fn record_break(breaks: &Breaks) {
     breaks.lock().unwrap_or_else(PoisonError::into_inner).push(unix_ms());
 }
 
 impl Stream {
-    /// Passes on what comes to an address of its own.
+    /// Starts a proxy that forwards to `target` what reaches its own address, [`Stream::at`].
     ///
     /// # Errors
-    /// No address can be had.
+    /// The listening socket, or the thread, can't be created.
     pub fn to(target: SocketAddr, seed: u64) -> io::Result<Stream> {
-        let door = TcpListener::bind("127.0.0.1:0")?;
-        let (weather, over): (Arc<Mutex<Weather>>, Arc<AtomicBool>) = Default::default();
+        let listener = TcpListener::bind("127.0.0.1:0")?;
+        let (conditions, over): (Arc<Mutex<NetworkConditions>>, Arc<AtomicBool>) = Default::default();
         let breaks = Breaks::default();
-        let at = door.local_addr()?;
-        let stream = Stream { at, weather: weather.clone(), breaks: breaks.clone(), over: over.clone() };
+        let at = listener.local_addr()?;
+        let stream =
+            Stream { at, conditions: conditions.clone(), breaks: breaks.clone(), over: over.clone() };
         thread::Builder::new().name("stream".into()).spawn(move || {
             let mut chance = fastrand::Rng::with_seed(seed);
-            for near in door.incoming().map_while(Result::ok) {
+            for near in listener.incoming().map_while(Result::ok) {
                 if over.load(Ordering::Relaxed) {
                     return;
                 }
                 let Ok(far) = TcpStream::connect(target) else {
-                    broke(&breaks);
+                    record_break(&breaks);
                     continue;
                 };
                 for (from, to) in [(&near, &far), (&far, &near)] {
                     let (Ok(from), Ok(to)) = (from.try_clone(), to.try_clone()) else { continue };
-                    let (weather, over, breaks) = (weather.clone(), over.clone(), breaks.clone());
-                    let way = Way { from, to, weather, over, breaks, chance: chance.fork() };
-                    _ = thread::Builder::new().spawn(move || way.run());
+                    let (conditions, over, breaks) = (conditions.clone(), over.clone(), breaks.clone());
+                    let direction = Direction { from, to, conditions, over, breaks, chance: chance.fork() };
+                    _ = thread::Builder::new().spawn(move || direction.run());
                 }
             }
         })?;
         Ok(stream)
     }
 
-    pub fn change(&self, weather: Weather) {
-        *self.weather.lock().unwrap_or_else(PoisonError::into_inner) = weather;
+    /// Replaces the conditions of all connections, also of open ones.
+    pub fn change(&self, conditions: NetworkConditions) {
+        *self.conditions.lock().unwrap_or_else(PoisonError::into_inner) = conditions;
     }
 
-    /// When, in Unix ms, connections ended by the stream's doing.
+    /// When, in Unix ms, the proxy itself closed or held up a connection.
     pub fn breaks(&self) -> Vec<u64> {
         self.breaks.lock().unwrap_or_else(PoisonError::into_inner).clone()
     }
@@ -77,47 +79,47 @@
 impl Drop for Stream {
     fn drop(&mut self) {
         self.over.store(true, Ordering::Relaxed);
-        // Wakes the one that accepts.
+        // Wakes the accepting thread.
         _ = TcpStream::connect(self.at);
     }
 }
 
 /// One direction of one connection.
-struct Way {
+struct Direction {
     from: TcpStream,
     to: TcpStream,
-    weather: Arc<Mutex<Weather>>,
+    conditions: Arc<Mutex<NetworkConditions>>,
     over: Arc<AtomicBool>,
     breaks: Breaks,
     chance: fastrand::Rng,
 }
 
-impl Way {
-    /// That in which something passes: a cut is waited for, and takes note of what it held up.
-    fn weather(&self) -> Weather {
+impl Direction {
+    /// Waits for the end of a cut, and returns the conditions then; a connection held up counts as a break.
+    fn wait_while_cut(&self) -> NetworkConditions {
         let mut held = false;
         loop {
-            let weather = *self.weather.lock().unwrap_or_else(PoisonError::into_inner);
-            if !weather.cut || self.over.load(Ordering::Relaxed) {
+            let conditions = *self.conditions.lock().unwrap_or_else(PoisonError::into_inner);
+            if !conditions.cut || self.over.load(Ordering::Relaxed) {
                 if held {
-                    // The other side may have lost its patience meanwhile with what it never read.
-                    broke(&self.breaks);
+                    // The other side may have timed out meanwhile.
+                    record_break(&self.breaks);
                 }
-                return weather;
+                return conditions;
             }
             held = true;
-            thread::sleep(LOOK);
+            thread::sleep(POLL_INTERVAL);
         }
     }
 
     fn run(mut self) {
-        _ = self.from.set_read_timeout(Some(LOOK));
+        _ = self.from.set_read_timeout(Some(POLL_INTERVAL));
         let mut bytes = [0; CHUNK];
         while !self.over.load(Ordering::Relaxed) {
             let len = match self.from.read(&mut bytes) {
-                // The other direction may still have something to say.
+                // The other direction may still carry data.
                 Ok(0) => {
-                    self.weather();
+                    self.wait_while_cut();
                     _ = self.to.shutdown(Shutdown::Write);
                     return;
                 }
@@ -125,13 +127,16 @@
                 Err(e) if matches!(e.kind(), io::ErrorKind::WouldBlock | io::ErrorKind::TimedOut) => continue,
                 Err(_) => break,
             };
-            let weather = self.weather();
-            if self.chance.f64() < weather.broken {
-                broke(&self.breaks);
+            let conditions = self.wait_while_cut();
+            if self.chance.f64() < conditions.broken {
+                record_break(&self.breaks);
                 break;
             }
-            let passes_in = (len as u64 * 1_000_000).checked_div(weather.bytes_a_second).unwrap_or(0);
-            thread::sleep(Duration::from_millis(weather.delay_ms) + Duration::from_micros(passes_in));
+            let transmission_micros =
+                (len as u64 * 1_000_000).checked_div(conditions.bytes_a_second).unwrap_or(0);
+            thread::sleep(
+                Duration::from_millis(conditions.delay_ms) + Duration::from_micros(transmission_micros),
+            );
             if self.to.write_all(&bytes[..len]).is_err() {
                 break;
             }
