--- a/bench/src/bin/budgets.rs
+++ b/bench/src/bin/budgets.rs
@@ -49,7 +49,7 @@
         weigh: true,
     };
     let out = play(&script, &ways);
-    assert!(out.broken.is_empty(), "{:?}", out.broken);
+    assert!(out.violations.is_empty(), "{:?}", out.violations);
     out
 }
 
--- a/node/tests/fleet/budgets.rs
+++ b/node/tests/fleet/budgets.rs
@@ -93,7 +93,7 @@
     crowd.finish()
 }
 
-fn broken(asked: &Asked) -> Vec<String> {
+fn violations(asked: &Asked) -> Vec<String> {
     let rate = rate_exceeded(&asked.looks, LIMIT, BURST).map(|what| format!("looks: {what}"));
     let concurrency = concurrency_exceeded(&asked.runs, CONCURRENCY).map(|what| format!("pays: {what}"));
     rate.into_iter().chain(concurrency).collect()
@@ -119,8 +119,8 @@
     ];
     faults.extend(halves(12_500, 15_500));
     let asked = play(&script(NODES, 22_000, faults), &[]);
-    let broken = broken(&asked);
-    assert!(broken.is_empty(), "{broken:#?}");
+    let violations = violations(&asked);
+    assert!(violations.is_empty(), "{violations:#?}");
     // It was put to use: a good part of what a leader could grant, however slow the machine.
     assert!(asked.looks.len() > 300 && asked.pays.len() > 100, "{} {}", asked.looks.len(), asked.pays.len());
 }
@@ -162,7 +162,7 @@
 #[test]
 fn without_a_majority_two_halves_use_more_than_the_limit() {
     let asked = play(&script(NODES, 13_000, halves(4_000, 12_500)), &["--test-without", "majority"]);
-    assert!(!broken(&asked).is_empty(), "{} looks", asked.looks.len());
+    assert!(!violations(&asked).is_empty(), "{} looks", asked.looks.len());
 }
 
 #[test]
--- a/node/tests/fleet/main.rs
+++ b/node/tests/fleet/main.rs
@@ -25,9 +25,9 @@
 }
 
 fn holds(played: &Played) {
-    let breaches = judge(&played.history, &membership());
-    assert!(breaches.is_empty(), "{breaches:#?}\n{}", played.history.lines());
-    assert!(played.broken.is_empty(), "{:#?}", played.broken);
+    let violations = judge(&played.history, &membership());
+    assert!(violations.is_empty(), "{violations:#?}\n{}", played.history.lines());
+    assert!(played.violations.is_empty(), "{:#?}", played.violations);
     assert!(played.served.completed > 0, "{:?}", played.served);
 }
 
--- a/node/tests/fleet/served.rs
+++ b/node/tests/fleet/served.rs
@@ -31,7 +31,7 @@
         }
     }
     let played = rig.finish_with(Some((traffic, &behind)));
-    assert!(played.broken.is_empty(), "{:#?}", played.broken);
+    assert!(played.violations.is_empty(), "{:#?}", played.violations);
     let served = played.served;
     assert!(served.completed * 10 >= served.asked * 8 && served.asked > 100, "{served:?}");
 }
--- a/rig/src/checks.rs
+++ b/rig/src/checks.rs
@@ -9,9 +9,9 @@
 use crate::course::Course;
 use crate::history::{History, What, name};
 
-/// A promise that was broken.
+/// One violation of an invariant.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Breach {
+pub struct Violation {
     pub rule: &'static str,
     pub at_ms: u64,
     pub what: String,
@@ -21,7 +21,7 @@
 pub trait Invariant {
     fn name(&self) -> &'static str;
 
-    /// Every breach in a history; `course` is what it says of the true state.
+    /// Every violation in a history, with its time in ms; `course` is the true state it implies.
     fn judge(&self, history: &History, course: &Course) -> Vec<(u64, String)>;
 }
 
@@ -38,15 +38,15 @@
 }
 
 /// Judges a history by these promises.
-pub fn judge(history: &History, by: &[Box<dyn Invariant>]) -> Vec<Breach> {
+pub fn judge(history: &History, by: &[Box<dyn Invariant>]) -> Vec<Violation> {
     let course = Course::of(history);
-    let mut breaches = Vec::new();
+    let mut violations = Vec::new();
     for rule in by {
         let found = rule.judge(history, &course).into_iter();
-        breaches.extend(found.map(|(at_ms, what)| Breach { rule: rule.name(), at_ms, what }));
+        violations.extend(found.map(|(at_ms, what)| Violation { rule: rule.name(), at_ms, what }));
     }
-    breaches.sort_by_key(|breach| breach.at_ms);
-    breaches
+    violations.sort_by_key(|violation| violation.at_ms);
+    violations
 }
 
 /// The number of a node, by its name.
@@ -126,7 +126,7 @@
     }
 
     fn judge(&self, history: &History, _: &Course) -> Vec<(u64, String)> {
-        let (mut seen, mut broken) = (BTreeMap::new(), Vec::new());
+        let (mut seen, mut violations) = (BTreeMap::new(), Vec::new());
         for entry in &history.entries {
             match &entry.what {
                 What::Began { node } => seen.retain(|(by, _), _| by != node),
@@ -140,14 +140,14 @@
                             "{} went back from incarnation {last:x} of {of} to {incarnation:x}",
                             name(*node)
                         );
-                        broken.push((entry.at_ms, what));
+                        violations.push((entry.at_ms, what));
                     }
                     *last = incarnation.max(*last);
                 }
                 _ => {}
             }
         }
-        broken
+        violations
     }
 }
 
@@ -204,7 +204,7 @@
 
     fn judge(&self, history: &History, course: &Course) -> Vec<(u64, String)> {
         let running: Vec<String> = (0..history.nodes).filter(|of| course.running[*of]).map(name).collect();
-        let (mut broken, mut digests) = (Vec::new(), BTreeMap::new());
+        let (mut violations, mut digests) = (Vec::new(), BTreeMap::new());
         for entry in &history.entries {
             let What::Status { node, members, digest, .. } = &entry.what else { continue };
             if !course.running[*node] {
@@ -217,14 +217,14 @@
                 let missing: Vec<_> = running.iter().filter(|name| !there.contains(name)).collect();
                 let beyond: Vec<_> = there.iter().filter(|name| !running.contains(name)).collect();
                 let what = format!("{} misses {missing:?} and has {beyond:?} beyond", name(*node));
-                broken.push((entry.at_ms, what));
+                violations.push((entry.at_ms, what));
             }
             digests.entry(digest.clone()).or_insert((entry.at_ms, *node));
         }
-        if broken.is_empty() && digests.len() > 1 {
+        if violations.is_empty() && digests.len() > 1 {
             let (at, _) = digests.values().max().copied().unwrap_or_default();
-            broken.push((at, format!("views differ: {digests:?}")));
+            violations.push((at, format!("views differ: {digests:?}")));
         }
-        broken
+        violations
     }
 }
--- a/rig/src/divided.rs
+++ b/rig/src/divided.rs
@@ -49,7 +49,7 @@
 #[derive(Clone, Debug, Default)]
 pub struct Outcome {
     /// Breaches in words, the first of each budget.
-    pub broken: Vec<String>,
+    pub violations: Vec<String>,
     /// By budget: asked for and used since `count_from_ms`.
     pub asked: Vec<u64>,
     pub used: Vec<u64>,
@@ -262,7 +262,10 @@
                 self.level[index] = (level, now);
                 // What is cut to whole tenths of a ms, by each node, may come to a thousandth of a unit.
                 if level > f64::from(burst) + 0.01 {
-                    self.breach(index, format!("{level:.3} beyond {limit} a second, a burst of {burst}"));
+                    self.record_violation(
+                        index,
+                        format!("{level:.3} beyond {limit} a second, a burst of {burst}"),
+                    );
                 }
             }
             Kind::Concurrency { max_hold } => {
@@ -271,7 +274,7 @@
                 self.held[index].push((now + lasts as Micros, of, self.incarnations[of]));
                 let held = self.held[index].iter().filter(|(till, ..)| *till > now).count();
                 if held as u32 > budget.limit {
-                    self.breach(index, format!("{held} of {limit} are held at once"));
+                    self.record_violation(index, format!("{held} of {limit} are held at once"));
                 }
             }
         }
@@ -294,10 +297,10 @@
         });
     }
 
-    fn breach(&mut self, index: usize, what: String) {
+    fn record_violation(&mut self, index: usize, what: String) {
         let budget = &self.ways.list[index].name;
-        if !self.out.broken.iter().any(|broken| broken.contains(&**budget)) {
-            self.out.broken.push(format!("{} ms: {budget}: {what}", self.net.now() / MS));
+        if !self.out.violations.iter().any(|found| found.contains(&**budget)) {
+            self.out.violations.push(format!("{} ms: {budget}: {what}", self.net.now() / MS));
         }
     }
 
--- a/rig/src/main.rs
+++ b/rig/src/main.rs
@@ -4,7 +4,7 @@
 use std::process::ExitCode;
 
 use clap::{Args, Parser, Subcommand};
-use doortrack_rig::checks::{Breach, judge, membership};
+use doortrack_rig::checks::{Violation, judge, membership};
 use doortrack_rig::shrink::shrink;
 use doortrack_rig::simulated::{self, Ways};
 use doortrack_rig::{History, Script, processes, script};
@@ -69,12 +69,12 @@
 }
 
 impl On {
-    /// The history of a play, and what was broken in it.
-    fn play(&self, script: &Script) -> Result<(History, Vec<Breach>), String> {
+    /// The history of a play, and its violations.
+    fn play(&self, script: &Script) -> Result<(History, Vec<Violation>), String> {
         if self.simulated {
             let history = simulated::play(script, &Ways::default()).0;
-            let breaches = judge(&history, &membership());
-            return Ok((history, breaches));
+            let violations = judge(&history, &membership());
+            return Ok((history, violations));
         }
         if script.nodes > script::MOST_PROCESSES {
             return Err(format!("script.nodes: at most {} processes are played", script::MOST_PROCESSES));
@@ -82,15 +82,15 @@
         let older = self.older.as_deref();
         let played = processes::play_beside(&self.program, older, script, self.callers);
         let played = played.map_err(|e| format!("{}: {e}", self.program.display()))?;
-        let mut breaches = judge(&played.history, &membership());
-        let broken = played.broken.into_iter();
-        breaches.extend(broken.map(|what| Breach { rule: "the four rules", at_ms: script.ms, what }));
+        let mut violations = judge(&played.history, &membership());
+        let found = played.violations.into_iter();
+        violations.extend(found.map(|what| Violation { rule: "the four rules", at_ms: script.ms, what }));
         let served = played.served;
         println!(
             "{} exchanges, {} completed, {} asked of processes that were ended",
             served.asked, served.completed, served.unanswered
         );
-        Ok((played.history, breaches))
+        Ok((played.history, violations))
     }
 
     fn keep(&self, history: &History) -> Result<(), String> {
@@ -115,10 +115,10 @@
 }
 
 /// Prints what was broken; whether nothing was.
-fn verdict(of: &str, history: &History, breaches: &[Breach]) -> bool {
-    println!("{of}: {} entries, {} broken", history.entries.len(), breaches.len());
-    breaches.iter().for_each(|broken| println!("  {} ms: {}: {}", broken.at_ms, broken.rule, broken.what));
-    breaches.is_empty()
+fn verdict(of: &str, history: &History, violations: &[Violation]) -> bool {
+    println!("{of}: {} entries, {} broken", history.entries.len(), violations.len());
+    violations.iter().for_each(|found| println!("  {} ms: {}: {}", found.at_ms, found.rule, found.what));
+    violations.is_empty()
 }
 
 fn run(command: Command) -> Result<bool, String> {
@@ -132,20 +132,21 @@
             Ok(verdict(&history.display().to_string(), &kept, &judge(&kept, &membership())))
         }
         Command::Play { script, on } => {
-            let (history, breaches) = on.play(&Script::parse(&text(&script)?)?)?;
+            let (history, violations) = on.play(&Script::parse(&text(&script)?)?)?;
             on.keep(&history)?;
-            Ok(verdict(&script.display().to_string(), &history, &breaches))
+            Ok(verdict(&script.display().to_string(), &history, &violations))
         }
         Command::Seeds { from, count, nodes, troubles, on } => {
             for seed in from..from + count {
                 let script = Script::seeded(seed, nodes, troubles);
-                let (history, breaches) = on.play(&script)?;
-                if verdict(&format!("seed {seed}"), &history, &breaches) {
+                let (history, violations) = on.play(&script)?;
+                if verdict(&format!("seed {seed}"), &history, &violations) {
                     continue;
                 }
                 on.keep(&history)?;
                 let plays = if on.simulated { 200 } else { 12 };
-                let fails = |tried: &Script| on.play(tried).is_ok_and(|(_, breaches)| !breaches.is_empty());
+                let fails =
+                    |tried: &Script| on.play(tried).is_ok_and(|(_, violations)| !violations.is_empty());
                 let least = shrink(&script, plays, fails);
                 println!("the smallest script that still fails:");
                 println!("{}", serde_json::to_string_pretty(&least).unwrap_or_default());
--- a/rig/src/processes.rs
+++ b/rig/src/processes.rs
@@ -65,7 +65,7 @@
     pub passed: Passed,
     pub served: Served,
     /// Breaches of the four rules, in words.
-    pub broken: Vec<String>,
+    pub violations: Vec<String>,
 }
 
 impl Node {
@@ -285,7 +285,7 @@
 
     /// As [`Rig::finish`], once the callers have their last answers.
     pub fn finish_with(&mut self, traffic: Option<(Traffic, &Behind)>) -> Played {
-        let (served, broken) = match traffic {
+        let (served, violations) = match traffic {
             Some((traffic, behind)) => {
                 // What the rig itself broke off owes no answer, like what it ended.
                 let broke = self.doors.iter().flat_map(|door| {
@@ -307,7 +307,7 @@
         }
         let mut history = std::mem::take(&mut *self.history.lock().unwrap_or_else(PoisonError::into_inner));
         history.settle();
-        Played { history, passed: self.relay.passed(), served, broken }
+        Played { history, passed: self.relay.passed(), served, violations }
     }
 }
 
--- a/rig/tests/checkers.rs
+++ b/rig/tests/checkers.rs
@@ -33,8 +33,8 @@
     history
 }
 
-fn broken(history: &History) -> Vec<&'static str> {
-    judge(history, &membership()).into_iter().map(|breach| breach.rule).collect()
+fn violated(history: &History) -> Vec<&'static str> {
+    judge(history, &membership()).into_iter().map(|violation| violation.rule).collect()
 }
 
 fn fault(history: &mut History, at_ms: u64, fault: Fault) {
@@ -44,7 +44,7 @@
 #[test]
 fn a_good_history_passes_and_reads_back() {
     let history = ended(good(), &[0, 1, 2]);
-    assert_eq!(broken(&history), Vec::<&str>::new());
+    assert_eq!(violated(&history), Vec::<&str>::new());
     assert_eq!(History::parse(&history.lines()), Ok(history.clone()));
     let torn = history.lines().replacen("kind", "knid", 1);
     assert!(History::parse(&torn).is_err_and(|why| why.starts_with("line 2")));
@@ -55,7 +55,7 @@
     let mut history = good();
     history.put(30_000, news(0, "dead", 1, 0x10));
     history.put(30_200, news(0, "back", 1, 0x10));
-    assert_eq!(broken(&ended(history, &[0, 1, 2])), ["nobody wrongly declared dead"]);
+    assert_eq!(violated(&ended(history, &[0, 1, 2])), ["nobody wrongly declared dead"]);
 }
 
 #[test]
@@ -63,12 +63,12 @@
     let mut history = good();
     fault(&mut history, 20_000, Fault::Cut { from: vec![0], to: vec![1] });
     history.put(25_000, news(0, "dead", 1, 0x10));
-    assert_eq!(broken(&ended(history, &[0, 1, 2])), ["nobody wrongly declared dead"]);
+    assert_eq!(violated(&ended(history, &[0, 1, 2])), ["nobody wrongly declared dead"]);
     let mut history = good();
     fault(&mut history, 20_000, Fault::Stop { nodes: vec![1] });
     history.put(25_000, news(0, "dead", 1, 0x10));
     fault(&mut history, 26_000, Fault::GoOn { nodes: vec![1] });
-    assert_eq!(broken(&ended(history, &[0, 1, 2])), Vec::<&str>::new());
+    assert_eq!(violated(&ended(history, &[0, 1, 2])), Vec::<&str>::new());
 }
 
 #[test]
@@ -77,14 +77,14 @@
     fault(&mut history, 20_000, Fault::Leave { nodes: vec![2] });
     history.put(20_100, news(0, "left", 2, 0x10));
     history.put(24_000, news(1, "dead", 2, 0x10));
-    assert_eq!(broken(&ended(history, &[0, 1])), ["left is not dead"]);
+    assert_eq!(violated(&ended(history, &[0, 1])), ["left is not dead"]);
 }
 
 #[test]
 fn an_earlier_incarnation_is_found() {
     let mut history = good();
     history.put(20_000, news(0, "alive", 2, 0x9));
-    assert_eq!(broken(&ended(history, &[0, 1, 2])), ["incarnations go forward"]);
+    assert_eq!(violated(&ended(history, &[0, 1, 2])), ["incarnations go forward"]);
 }
 
 #[test]
@@ -95,7 +95,7 @@
     history.put(24_000, news(0, "dead", 1, 0x10));
     fault(&mut history, 30_000, Fault::Mend { from: vec![0], to: vec![1, 2] });
     fault(&mut history, 30_000, Fault::Mend { from: vec![1, 2], to: vec![0] });
-    assert_eq!(broken(&ended(history, &[0, 1, 2])), ["isolated, declares nobody dead"]);
+    assert_eq!(violated(&ended(history, &[0, 1, 2])), ["isolated, declares nobody dead"]);
 }
 
 #[test]
@@ -104,7 +104,7 @@
     fault(&mut history, 20_000, Fault::Stop { nodes: vec![0] });
     fault(&mut history, 25_000, Fault::GoOn { nodes: vec![0] });
     history.put(25_050, news(0, "dead", 1, 0x10));
-    assert_eq!(broken(&ended(history, &[0, 1, 2])), ["resumed, declares nobody dead"]);
+    assert_eq!(violated(&ended(history, &[0, 1, 2])), ["resumed, declares nobody dead"]);
 }
 
 #[test]
@@ -114,12 +114,12 @@
     history.put(20_001, What::Ended { node: 2 });
     history.put(60_000, status(0, &[0, 1]));
     history.put(60_000, status(1, &[0, 1, 2]));
-    assert_eq!(broken(&history), ["in the end all agree"]);
+    assert_eq!(violated(&history), ["in the end all agree"]);
     let mut history = ended(good(), &[0, 1, 2]);
     if let Some(What::Status { digest, .. }) = history.entries.last_mut().map(|entry| &mut entry.what) {
         *digest = "another".into();
     }
-    assert_eq!(broken(&history), ["in the end all agree"]);
+    assert_eq!(violated(&history), ["in the end all agree"]);
 }
 
 #[test]
@@ -186,5 +186,5 @@
     assert_ne!(earlier, history.lines());
     let read = History::parse(&earlier).unwrap();
     assert_eq!(read, history);
-    assert_eq!(broken(&read), ["nobody wrongly declared dead"]);
+    assert_eq!(violated(&read), ["nobody wrongly declared dead"]);
 }
--- a/rig/tests/divided.rs
+++ b/rig/tests/divided.rs
@@ -77,7 +77,7 @@
 
 fn holds(script: &Script) -> Outcome {
     let out = run(script, Safeguards::default());
-    assert!(out.broken.is_empty(), "{:?}", out.broken);
+    assert!(out.violations.is_empty(), "{:?}", out.violations);
     out
 }
 
@@ -156,9 +156,11 @@
 }
 
 fn breaks(what: &str, safeguards: Safeguards) {
-    let broken =
-        plays().iter().map(|script| run(script, safeguards).broken).find(|broken| !broken.is_empty());
-    assert!(broken.is_some(), "{what}: nothing came of taking it out");
+    let found = plays()
+        .iter()
+        .map(|script| run(script, safeguards).violations)
+        .find(|violations| !violations.is_empty());
+    assert!(found.is_some(), "{what}: nothing came of taking it out");
 }
 
 #[test]
@@ -176,9 +178,9 @@
     breaks("held", Safeguards { held: false, ..all });
     // All clocks too fast at once: each makes more of a second than there is.
     let fast = script(30_000, 1, vec![]);
-    assert!(run_with(&fast, all, (20_000, 20_000), &|_, _, _| 200.0).broken.is_empty());
+    assert!(run_with(&fast, all, (20_000, 20_000), &|_, _, _| 200.0).violations.is_empty());
     let without = run_with(&fast, Safeguards { drift: false, ..all }, (20_000, 20_000), &|_, _, _| 200.0);
-    assert!(!without.broken.is_empty(), "{}", without.used[0]);
+    assert!(!without.violations.is_empty(), "{}", without.used[0]);
 }
 
 /// Two hundred budgets go in pages; one node's need is absurd, and takes no more than its fair part.
@@ -204,7 +206,7 @@
         weigh: false,
     };
     let out = play(&script(16_000, 1, vec![]), &ways);
-    assert!(out.broken.is_empty(), "{:?}", out.broken);
+    assert!(out.violations.is_empty(), "{:?}", out.violations);
     // A ninth of 90 a second for 10 s each, whoever shouts.
     assert!(out.by_node.iter().all(|used| (88..=110).contains(used)), "{:?}", out.by_node);
     assert!(out.used[199] > 700, "{}", out.used[199]);
--- a/rig/tests/simulated.rs
+++ b/rig/tests/simulated.rs
@@ -14,8 +14,8 @@
 
 fn holds(script: &Script, ways: &Ways) -> History {
     let (history, _) = play(script, ways);
-    let breaches = judge(&history, &membership());
-    assert!(breaches.is_empty(), "{breaches:#?}");
+    let violations = judge(&history, &membership());
+    assert!(violations.is_empty(), "{violations:#?}");
     history
 }
 
@@ -97,7 +97,7 @@
     );
     let breaks = |script: &Script, parameters: Parameters| -> Vec<&'static str> {
         let (history, _) = play(script, &Ways { parameters, ..Ways::default() });
-        judge(&history, &membership()).into_iter().map(|breach| breach.rule).collect()
+        judge(&history, &membership()).into_iter().map(|violation| violation.rule).collect()
     };
     assert!(breaks(&isolated, Parameters::default()).is_empty());
     let deaf = Parameters { silent_periods: u32::MAX, ..Parameters::default() };
