--- a/bench/src/bin/budgets.rs
+++ b/bench/src/bin/budgets.rs
@@ -8,7 +8,7 @@
 use doortrack_budgets::{Budget, Kind, Parameters};
 use doortrack_emulator::Law;
 use doortrack_fleet::Name;
-use doortrack_rig::divided::{Outcome, Ways, play};
+use doortrack_rig::divided::{Options, Outcome, play};
 use doortrack_rig::history::name;
 use doortrack_rig::script::{Fault, Script, Timed};
 
@@ -37,18 +37,18 @@
     let kind = Kind::Rate { burst: LIMIT };
     let reserved_for = names(nodes);
     let budget = Budget { name: "b".into(), kind, limit: LIMIT, reserved, reserved_for, max_per_node: LIMIT };
-    let ways = Ways {
+    let options = Options {
         parameters: Parameters { voters: names(VOTERS.min(nodes)), ..Parameters::default() },
-        list: vec![budget],
+        budgets: vec![budget],
         latency: Law::LogNormal { mean: 300.0, sigma: 0.5 },
         drift_ppm: (-10_000, 10_000),
         offset_ms: 500,
         demand: &|of, _, ms| if away(of, ms) { 0.0 } else { demand(of, ms) },
-        held_ms: 1,
+        mean_hold_ms: 1,
         count_from_ms: from,
-        weigh: true,
+        count_bytes: true,
     };
-    let out = play(&script, &ways);
+    let out = play(&script, &options);
     assert!(out.violations.is_empty(), "{:?}", out.violations);
     out
 }
--- a/bench/src/bin/membership.rs
+++ b/bench/src/bin/membership.rs
@@ -11,7 +11,7 @@
 use doortrack_rig::history::{History, What, name};
 use doortrack_rig::processes::Rig;
 use doortrack_rig::script::{Fault, Script, Timed};
-use doortrack_rig::simulated::{Ways, play};
+use doortrack_rig::simulated::{Options, play};
 use serde_json::Value;
 
 /// Kills of one play, this far apart in ms.
@@ -109,17 +109,17 @@
 }
 
 fn simulated(nodes: usize) {
-    let ways = |quiet_until_ms| Ways { quiet_until_ms, ..Ways::default() };
+    let options = |record_from_ms| Options { record_from_ms, ..Options::default() };
     let (mut found, began) = (Vec::new(), Instant::now());
     for seed in 1..=if nodes > 500 { 1 } else { 5 } {
         let script = Script { nodes, ms: CALM + APART * (KILLS as u64 + 1), seed, faults: kills(nodes) };
-        found.extend(known(&play(&script, &ways(CALM)).0));
+        found.extend(known(&play(&script, &options(CALM)).0));
     }
     tell("simulated", nodes, &found);
     // Alike but for ten calm seconds more: the difference is what calm costs.
     let calm = |ms| {
         let script = Script { nodes, ms, seed: 1, faults: Vec::new() };
-        play(&script, &Ways { weigh: true, ..ways(u64::MAX) }).1
+        play(&script, &Options { count_bytes: true, ..options(u64::MAX) }).1
     };
     let (short, long) = (calm(CALM), calm(CALM + 10_000));
     let each = |of: u64| of as f64 / nodes as f64 / 10.0;
@@ -132,7 +132,7 @@
     if nodes <= 300 {
         let heals = (1..=3).map(|seed| {
             let script = Script { nodes, ms: 40_000, seed, faults: cuts(nodes, 20_000, 30_000) };
-            whole_again(&play(&script, &ways(0)).0, 30_000)
+            whole_again(&play(&script, &options(0)).0, 30_000)
         });
         println!("simulated {nodes}: whole again {} ms after a cut in halves", middle(heals.collect()));
     }
@@ -144,7 +144,7 @@
     let rough = Fault::Links { loss: 0.05, doubled: 0.0, garbled: 0.0, delay_ms: 2 };
     let faults = vec![Timed { at_ms: 5_000, fault: rough }];
     let script = Script { nodes, ms: seconds * 1_000, seed: 1, faults };
-    let (history, _) = play(&script, &Ways { quiet_until_ms: 5_000, ..Ways::default() });
+    let (history, _) = play(&script, &Options { record_from_ms: 5_000, ..Options::default() });
     let count = |wanted: &str| {
         let is = |what: &What| matches!(what, What::News { word, .. } if word == wanted);
         history.entries.iter().filter(|entry| is(&entry.what)).count()
--- a/rig/src/divided.rs
+++ b/rig/src/divided.rs
@@ -28,21 +28,23 @@
 const ROUND: u64 = 52;
 const TOKEN: f64 = 1.0;
 
-/// How a play differs from the plainest.
-pub struct Ways<'a> {
+/// Options of a run.
+pub struct Options<'a> {
     pub parameters: Parameters,
-    pub list: Vec<Budget>,
+    pub budgets: Vec<Budget>,
     pub latency: Law,
-    /// Least and most that clocks gain, in millionths.
+    /// Least and greatest drift of clocks, in parts per million.
     pub drift_ppm: (i64, i64),
+    /// Bound of each clock's offset, in ms, in either direction.
     pub offset_ms: i64,
-    /// Uses that are asked for a second: of a node, of the budget at an index, at a time in ms.
+    /// Requested uses a second, by node, index of the budget, and time in ms.
     pub demand: &'a dyn Fn(usize, usize, u64) -> f64,
-    /// How long units are held, in the mean; never longer than the budget says.
-    pub held_ms: u64,
-    /// Uses are counted from here on, for figures.
+    /// Mean hold time of a unit of concurrency, in ms; bounded by the budget's `max_hold`.
+    pub mean_hold_ms: u64,
+    /// Start of the counts in [`Outcome`], in ms.
     pub count_from_ms: u64,
-    pub weigh: bool,
+    /// Whether the bytes of messages are counted.
+    pub count_bytes: bool,
 }
 
 /// What came of a play.
@@ -70,7 +72,7 @@
     nodes: Vec<Option<Budgets>>,
     incarnations: Vec<Incarnation>,
     started: u64,
-    ways: &'a Ways<'a>,
+    options: &'a Options<'a>,
     chance: fastrand::Rng,
     /// By budget: what the leaky count of a rate stands at and when, or the ends of what is held.
     level: Vec<(f64, Micros)>,
@@ -82,21 +84,21 @@
 }
 
 /// Plays a script.
-pub fn play(script: &Script, ways: &Ways) -> Outcome {
-    let links = Links { latency: ways.latency, ..Links::default() };
+pub fn play(script: &Script, options: &Options) -> Outcome {
+    let links = Links { latency: options.latency, ..Links::default() };
     let mut net = Net::new(links, script.seed);
     let mut chance = fastrand::Rng::with_seed(script.seed ^ 0xb0d6);
     for _ in 0..script.nodes {
-        let offset = chance.i64(-ways.offset_ms..=ways.offset_ms) * MS as i64 + BASE;
-        net.add(Clock { offset, drift_ppm: chance.i64(ways.drift_ppm.0..=ways.drift_ppm.1) }, 0);
+        let offset = chance.i64(-options.offset_ms..=options.offset_ms) * MS as i64 + BASE;
+        net.add(Clock { offset, drift_ppm: chance.i64(options.drift_ppm.0..=options.drift_ppm.1) }, 0);
     }
-    let count = ways.list.len();
+    let count = options.budgets.len();
     let mut world = World {
         net,
         nodes: (0..script.nodes).map(|_| None).collect(),
         incarnations: vec![Incarnation(0); script.nodes],
         started: 0,
-        ways,
+        options,
         chance,
         level: vec![(0.0, 0); count],
         held: vec![Vec::new(); count],
@@ -146,7 +148,7 @@
         self.incarnations[of] = Incarnation(self.started);
         let me = NodeId { name: name(of).into(), incarnation: self.incarnations[of] };
         let now = self.net.shown(of) / TENTH;
-        let (parameters, list) = (self.ways.parameters.clone(), &self.ways.list);
+        let (parameters, list) = (self.options.parameters.clone(), &self.options.budgets);
         self.nodes[of] = Some(Budgets::new(me, 4, parameters, list, self.chance.u64(..), now));
         self.asks_at[of] = self.net.shown(of);
         self.wake(of);
@@ -156,7 +158,7 @@
     /// All nodes know the voters that run.
     fn learn(&mut self) {
         let mut view = View::default();
-        for voter in self.ways.parameters.voters.iter() {
+        for voter in self.options.parameters.voters.iter() {
             let of: Option<usize> = voter[1..].parse().ok();
             if let Some(of) = of.filter(|of| *of < self.nodes.len() && !self.net.is_down(*of)) {
                 let address = std::net::SocketAddr::from(([10, 0, 0, 1], of as u16));
@@ -194,9 +196,9 @@
 
     fn send(&mut self, of: MachineId, envelope: Envelope) {
         let Some(to) = envelope.to.name[1..].parse().ok().filter(|to| *to < self.nodes.len()) else { return };
-        if self.net.now() >= self.ways.count_from_ms * MS {
+        if self.net.now() >= self.options.count_from_ms * MS {
             self.out.cost.datagrams += 1;
-            if self.ways.weigh {
+            if self.options.count_bytes {
                 let bytes = weight(&envelope) + ROUND;
                 self.out.cost.bytes += bytes;
                 self.bytes[of] += bytes;
@@ -223,9 +225,9 @@
         }
         self.asks_at[of] = shown + STEP;
         let at_ms = self.net.now() / MS;
-        for index in 0..self.ways.list.len() {
+        for index in 0..self.options.budgets.len() {
             self.end_holds(index);
-            let mean = (self.ways.demand)(of, index, at_ms) * STEP as f64 / 1e6;
+            let mean = (self.options.demand)(of, index, at_ms) * STEP as f64 / 1e6;
             // So many that the mean is met: exact but for chance in the fraction.
             let count = mean as u64 + u64::from(self.chance.f64() < mean.fract());
             for _ in 0..count {
@@ -236,7 +238,7 @@
 
     fn ask(&mut self, of: MachineId, index: usize) {
         let now = self.net.shown(of) / TENTH;
-        let counts = self.net.now() >= self.ways.count_from_ms * MS;
+        let counts = self.net.now() >= self.options.count_from_ms * MS;
         self.out.asked[index] += u64::from(counts);
         let Some(node) = &mut self.nodes[of] else { return };
         if node.acquire(index, now).is_err() {
@@ -253,7 +255,7 @@
 
     /// Counts one use at its true time.
     fn used(&mut self, of: MachineId, index: usize) {
-        let (budget, now) = (&self.ways.list[index], self.net.now());
+        let (budget, now) = (&self.options.budgets[index], self.net.now());
         let limit = f64::from(budget.limit);
         match budget.kind {
             Kind::Rate { burst } => {
@@ -269,7 +271,7 @@
                 }
             }
             Kind::Concurrency { max_hold } => {
-                let mean = (self.ways.held_ms * MS) as f64;
+                let mean = (self.options.mean_hold_ms * MS) as f64;
                 let lasts = (-mean * self.chance.f64().max(1e-9).ln()).min((max_hold * TENTH) as f64);
                 self.held[index].push((now + lasts as Micros, of, self.incarnations[of]));
                 let held = self.held[index].iter().filter(|(till, ..)| *till > now).count();
@@ -298,14 +300,14 @@
     }
 
     fn record_violation(&mut self, index: usize, what: String) {
-        let budget = &self.ways.list[index].name;
+        let budget = &self.options.budgets[index].name;
         if !self.out.violations.iter().any(|found| found.contains(&**budget)) {
             self.out.violations.push(format!("{} ms: {budget}: {what}", self.net.now() / MS));
         }
     }
 
     fn fault(&mut self, fault: Fault) {
-        links::take_up(&mut self.net, self.ways.latency, &fault);
+        links::take_up(&mut self.net, self.options.latency, &fault);
         match fault {
             Fault::Kill { nodes } => {
                 for of in nodes.into_iter().filter(|of| !self.net.is_down(*of)).collect::<Vec<_>>() {
--- a/rig/src/main.rs
+++ b/rig/src/main.rs
@@ -6,7 +6,7 @@
 use clap::{Args, Parser, Subcommand};
 use doortrack_rig::checks::{Violation, judge, membership};
 use doortrack_rig::shrink::shrink;
-use doortrack_rig::simulated::{self, Ways};
+use doortrack_rig::simulated;
 use doortrack_rig::{History, Script, processes, script};
 
 /// Plays fleets of doortrack nodes while parts of the system fail, and judges the joint history.
@@ -72,7 +72,7 @@
     /// The history of a play, and its violations.
     fn play(&self, script: &Script) -> Result<(History, Vec<Violation>), String> {
         if self.simulated {
-            let history = simulated::play(script, &Ways::default()).0;
+            let history = simulated::play(script, &simulated::Options::default()).0;
             let violations = judge(&history, &membership());
             return Ok((history, violations));
         }
--- a/rig/src/simulated.rs
+++ b/rig/src/simulated.rs
@@ -23,34 +23,36 @@
 /// Nodes that are asked for their views at the end, spread over all.
 const MOST_ASKED: usize = 60;
 
-/// How a play differs from the plainest.
+/// Options of a run. The defaults are one zone, exact clocks and a log-normal latency of 0.3 ms in the mean.
 #[derive(Clone, Debug)]
-pub struct Ways {
+pub struct Options {
     pub parameters: Parameters,
     pub latency: Law,
-    /// Zones that nodes are dealt out to, and microseconds that lie between two of them.
+    /// Zones, to which nodes are assigned in turn.
     pub zones: u32,
+    /// Additional latency between two zones, in microseconds.
     pub between_zones: Micros,
-    /// Most that a clock is off, in ms, and drifts, in millionths.
+    /// Bound of each clock's offset, in ms, in either direction.
     pub offset_ms: u64,
+    /// Bound of each clock's drift, in parts per million, in either direction.
     pub drift_ppm: u64,
-    /// Changes told before this is not kept, for plays whose history would be too long.
-    pub quiet_until_ms: u64,
-    /// Whether the bytes of each datagram are counted, which costs most of the time.
-    pub weigh: bool,
+    /// Membership changes before this time, in ms, are not recorded, to bound the history's length.
+    pub record_from_ms: u64,
+    /// Whether the bytes of datagrams are counted. Encoding them takes most of a run's time.
+    pub count_bytes: bool,
 }
 
-impl Default for Ways {
-    fn default() -> Ways {
-        Ways {
+impl Default for Options {
+    fn default() -> Options {
+        Options {
             parameters: Parameters::default(),
             latency: Law::LogNormal { mean: 300.0, sigma: 0.5 },
             zones: 1,
             between_zones: 0,
             offset_ms: 0,
             drift_ppm: 0,
-            quiet_until_ms: 0,
-            weigh: false,
+            record_from_ms: 0,
+            count_bytes: false,
         }
     }
 }
@@ -62,7 +64,7 @@
     /// Real time spent in decisions, in ns.
     pub decisions_ns: u64,
     pub datagrams: u64,
-    /// With IP and UDP; only where they are weighed.
+    /// With IP and UDP headers; only with [`Options::count_bytes`].
     pub bytes: u64,
 }
 
@@ -80,7 +82,7 @@
     net: Net<Datagram>,
     fleets: Vec<Option<Fleet>>,
     seeds: Vec<SocketAddr>,
-    ways: Ways,
+    options: Options,
     seal: Seal,
     seed: u64,
     history: History,
@@ -103,8 +105,8 @@
 }
 
 /// Plays a script.
-pub fn play(script: &Script, ways: &Ways) -> (History, Cost) {
-    let links = Links { latency: ways.latency, between_zones: ways.between_zones, ..Links::default() };
+pub fn play(script: &Script, options: &Options) -> (History, Cost) {
+    let links = Links { latency: options.latency, between_zones: options.between_zones, ..Links::default() };
     let mut net = Net::new(links, script.seed);
     let mut chance = fastrand::Rng::with_seed(script.seed);
     for of in 0..script.nodes {
@@ -112,15 +114,15 @@
             0 => 0,
             most => chance.i64(-most..=most),
         };
-        let offset = spread(&mut chance, ways.offset_ms) * MS as i64 + BASE;
-        let clock = Clock { offset, drift_ppm: spread(&mut chance, ways.drift_ppm) };
-        net.add(clock, of as u32 % ways.zones.max(1));
+        let offset = spread(&mut chance, options.offset_ms) * MS as i64 + BASE;
+        let clock = Clock { offset, drift_ppm: spread(&mut chance, options.drift_ppm) };
+        net.add(clock, of as u32 % options.zones.max(1));
     }
     let mut world = World {
         net,
         fleets: (0..script.nodes).map(|_| None).collect(),
         seeds: (0..script.nodes.min(3)).map(address).collect(),
-        ways: ways.clone(),
+        options: options.clone(),
         seal: Seal::new(None, "simulated"),
         seed: script.seed,
         history: History { nodes: script.nodes, entries: Vec::new() },
@@ -169,7 +171,7 @@
             address: address(of),
             weight: 4,
         };
-        let parameters = Parameters { seeds: self.seeds.clone(), ..self.ways.parameters.clone() };
+        let parameters = Parameters { seeds: self.seeds.clone(), ..self.options.parameters.clone() };
         let fleet = Fleet::new(me, parameters, self.seed ^ self.net.now(), shown / TENTH);
         self.wake(of, &fleet);
         self.fleets[of] = Some(fleet);
@@ -201,7 +203,7 @@
     fn send(&mut self, of: MachineId, to: SocketAddr, datagram: Datagram) {
         self.cost.datagrams += 1;
         let Some(to) = machine(to).filter(|to| *to < self.fleets.len()) else { return };
-        if self.ways.weigh {
+        if self.options.count_bytes {
             let whole = self.seal.close(&Spoken::Fleet(datagram.clone()));
             self.cost.bytes += whole.map_or(0, |whole| whole.len() as u64) + ROUND;
         }
@@ -210,7 +212,7 @@
 
     fn tell(&mut self, of: MachineId, change: &Change, fleet: &Fleet) {
         let at_ms = self.now_ms();
-        if at_ms < self.ways.quiet_until_ms {
+        if at_ms < self.options.record_from_ms {
             return;
         }
         let (about, view) = (change.about(), fleet.view());
@@ -228,7 +230,7 @@
     fn fault(&mut self, fault: Fault) {
         let at_ms = self.now_ms();
         self.history.put(at_ms, What::Fault { fault: fault.clone() });
-        links::take_up(&mut self.net, self.ways.latency, &fault);
+        links::take_up(&mut self.net, self.options.latency, &fault);
         match fault {
             Fault::Kill { nodes } => {
                 for of in nodes.into_iter().filter(|of| !self.net.is_down(*of)).collect::<Vec<_>>() {
--- a/rig/tests/divided.rs
+++ b/rig/tests/divided.rs
@@ -6,7 +6,7 @@
 use doortrack_budgets::{Budget, Kind, Parameters, Safeguards};
 use doortrack_emulator::Law;
 use doortrack_fleet::Name;
-use doortrack_rig::divided::{Outcome, Ways, play};
+use doortrack_rig::divided::{Options, Outcome, play};
 use doortrack_rig::history::name;
 use doortrack_rig::script::{Fault, Script, Timed};
 
@@ -61,18 +61,18 @@
     drift_ppm: (i64, i64),
     demand: &dyn Fn(usize, usize, u64) -> f64,
 ) -> Outcome {
-    let ways = Ways {
+    let options = Options {
         parameters: parameters(safeguards),
-        list: vec![rate(600, 120, 20), concurrency(30, 1)],
+        budgets: vec![rate(600, 120, 20), concurrency(30, 1)],
         latency: Law::LogNormal { mean: 300.0, sigma: 0.5 },
         drift_ppm,
         offset_ms: 1_000,
         demand,
-        held_ms: 1_500,
+        mean_hold_ms: 1_500,
         count_from_ms: 0,
-        weigh: false,
+        count_bytes: false,
     };
-    play(script, &ways)
+    play(script, &options)
 }
 
 fn holds(script: &Script) -> Outcome {
@@ -186,7 +186,7 @@
 /// Two hundred budgets go in pages; one node's need is absurd, and takes no more than its fair part.
 #[test]
 fn two_hundred_budgets_and_an_absurd_need() {
-    let list: Vec<Budget> =
+    let budgets: Vec<Budget> =
         (0..200).map(|nth| Budget { name: format!("b{nth}").into(), ..rate(90, 90, 0) }).collect();
     let demand = |of: usize, index: usize, _: u64| match (index, of) {
         (0, 8) => 1e6,
@@ -194,18 +194,18 @@
         (199, 3) => 80.0,
         _ => 0.0,
     };
-    let ways = Ways {
+    let options = Options {
         parameters: parameters(Safeguards::default()),
-        list,
+        budgets,
         latency: Law::LogNormal { mean: 300.0, sigma: 0.5 },
         drift_ppm: (-20_000, 20_000),
         offset_ms: 0,
         demand: &demand,
-        held_ms: 1,
+        mean_hold_ms: 1,
         count_from_ms: 6_000,
-        weigh: false,
+        count_bytes: false,
     };
-    let out = play(&script(16_000, 1, vec![]), &ways);
+    let out = play(&script(16_000, 1, vec![]), &options);
     assert!(out.violations.is_empty(), "{:?}", out.violations);
     // A ninth of 90 a second for 10 s each, whoever shouts.
     assert!(out.by_node.iter().all(|used| (88..=110).contains(used)), "{:?}", out.by_node);
--- a/rig/tests/simulated.rs
+++ b/rig/tests/simulated.rs
@@ -5,15 +5,15 @@
 use doortrack_rig::checks::{judge, membership};
 use doortrack_rig::history::{History, What};
 use doortrack_rig::script::{Fault, Script, Timed};
-use doortrack_rig::simulated::{Ways, play};
+use doortrack_rig::simulated::{Options, play};
 
 fn script(nodes: usize, ms: u64, faults: Vec<(u64, Fault)>) -> Script {
     let faults = faults.into_iter().map(|(at_ms, fault)| Timed { at_ms, fault }).collect();
     Script { nodes, ms, seed: 11, faults }
 }
 
-fn holds(script: &Script, ways: &Ways) -> History {
-    let (history, _) = play(script, ways);
+fn holds(script: &Script, options: &Options) -> History {
+    let (history, _) = play(script, options);
     let violations = judge(&history, &membership());
     assert!(violations.is_empty(), "{violations:#?}");
     history
@@ -27,16 +27,21 @@
 #[test]
 fn drawn_troubles_break_no_promise_whatever_clocks_show() {
     for seed in 1..=12 {
-        let ways =
-            Ways { offset_ms: 2_000, drift_ppm: 20_000, zones: 3, between_zones: 2_000, ..Ways::default() };
-        holds(&Script::seeded(seed, 7, 5), &ways);
+        let options = Options {
+            offset_ms: 2_000,
+            drift_ppm: 20_000,
+            zones: 3,
+            between_zones: 2_000,
+            ..Options::default()
+        };
+        holds(&Script::seeded(seed, 7, 5), &options);
     }
 }
 
 #[test]
 fn the_same_script_is_the_same_play_to_the_byte() {
     let script = Script::seeded(5, 9, 4);
-    let (one, other) = (play(&script, &Ways::default()).0, play(&script, &Ways::default()).0);
+    let (one, other) = (play(&script, &Options::default()).0, play(&script, &Options::default()).0);
     assert_eq!(one.lines(), other.lines());
 }
 
@@ -47,7 +52,7 @@
         (5_000, Fault::Kill { nodes: half.clone() }),
         (12_000, Fault::Start { nodes: half, clock_ms: 0 }),
     ];
-    let history = holds(&script(60, 20_000, faults), &Ways::default());
+    let history = holds(&script(60, 20_000, faults), &Options::default());
     assert!(deaths(&history) >= 30 * 30);
 }
 
@@ -62,14 +67,14 @@
         (25_000, mend(&one, &other)),
         (25_000, mend(&other, &one)),
     ];
-    let history = holds(&script(50, 28_000, faults), &Ways::default());
+    let history = holds(&script(50, 28_000, faults), &Options::default());
     assert!(deaths(&history) >= 2 * 25 * 25);
 }
 
 #[test]
 fn a_twentieth_of_all_datagrams_lost_declares_nobody_dead_in_ten_minutes() {
     let faults = vec![(0, Fault::Links { loss: 0.05, doubled: 0.01, garbled: 0.0, delay_ms: 2 })];
-    let history = holds(&script(50, 600_000, faults), &Ways::default());
+    let history = holds(&script(50, 600_000, faults), &Options::default());
     assert_eq!(deaths(&history), 0);
 }
 
@@ -96,7 +101,7 @@
         ],
     );
     let breaks = |script: &Script, parameters: Parameters| -> Vec<&'static str> {
-        let (history, _) = play(script, &Ways { parameters, ..Ways::default() });
+        let (history, _) = play(script, &Options { parameters, ..Options::default() });
         judge(&history, &membership()).into_iter().map(|violation| violation.rule).collect()
     };
     assert!(breaks(&isolated, Parameters::default()).is_empty());
