Names: what a history implies of the true state is the ground truth

Course told which process ran when and who could reach whom; 'scenario' would name the plan instead, which is a Script.

--- a/rig/src/checks.rs
+++ b/rig/src/checks.rs
@@ -6,7 +6,7 @@
 
 use std::collections::BTreeMap;
 
-use crate::course::Course;
+use crate::ground_truth::GroundTruth;
 use crate::history::{History, What, name};
 
 /// One violation of an invariant.
@@ -21,8 +21,8 @@
 pub trait Invariant {
     fn name(&self) -> &'static str;
 
-    /// Every violation in a history, with its time in ms; `course` is the true state it implies.
-    fn judge(&self, history: &History, course: &Course) -> Vec<(u64, String)>;
+    /// Every violation in a history, with its time in ms; `truth` is the true state it implies.
+    fn judge(&self, history: &History, truth: &GroundTruth) -> Vec<(u64, String)>;
 }
 
 /// All promises about who is there.
@@ -39,10 +39,10 @@
 
 /// Judges a history by these promises.
 pub fn judge(history: &History, by: &[Box<dyn Invariant>]) -> Vec<Violation> {
-    let course = Course::of(history);
+    let truth = GroundTruth::of(history);
     let mut violations = Vec::new();
     for rule in by {
-        let found = rule.judge(history, &course).into_iter();
+        let found = rule.judge(history, &truth).into_iter();
         violations.extend(found.map(|(at_ms, what)| Violation { rule: rule.name(), at_ms, what }));
     }
     violations.sort_by_key(|violation| violation.at_ms);
@@ -82,11 +82,11 @@
         "nobody wrongly declared dead"
     }
 
-    fn judge(&self, history: &History, course: &Course) -> Vec<(u64, String)> {
+    fn judge(&self, history: &History, truth: &GroundTruth) -> Vec<(u64, String)> {
         let wrong = |at: u64, by: usize, of: usize| {
             let from = at.saturating_sub(REASONS);
-            let reason = |node| course.was_wrong(node, from, at) || course.was_parted(node, from, at);
-            !reason(of) && !reason(by) && !course.was_rough(from, at)
+            let reason = |node| truth.was_unhealthy(node, from, at) || truth.was_partitioned(node, from, at);
+            !reason(of) && !reason(by) && !truth.was_degraded(from, at)
         };
         deaths(history, wrong, |by, of| format!("{by} declared {of} dead"))
     }
@@ -103,14 +103,14 @@
         "left is not dead"
     }
 
-    fn judge(&self, history: &History, course: &Course) -> Vec<(u64, String)> {
+    fn judge(&self, history: &History, truth: &GroundTruth) -> Vec<(u64, String)> {
         let wrong = |at: u64, by: usize, of: usize| {
-            let leaves = course.left.get(&of).into_iter().flatten();
+            let leaves = truth.left.get(&of).into_iter().flatten();
             let Some(left) = leaves.filter(|left| **left <= at).max() else { return false };
-            let anew = course.began[of].iter().any(|began| began > left && *began <= at);
-            let parted = |node| course.was_parted(node, left.saturating_sub(REASONS), left + SAYING);
-            let excused = parted(of) || parted(by) || course.was_rough(left.saturating_sub(REASONS), at);
-            let reader = course.was_wrong(by, left.saturating_sub(SAYING), at);
+            let anew = truth.began[of].iter().any(|began| began > left && *began <= at);
+            let parted = |node| truth.was_partitioned(node, left.saturating_sub(REASONS), left + SAYING);
+            let excused = parted(of) || parted(by) || truth.was_degraded(left.saturating_sub(REASONS), at);
+            let reader = truth.was_unhealthy(by, left.saturating_sub(SAYING), at);
             !anew && !excused && !reader && at > left + SAYING
         };
         deaths(history, wrong, |by, of| format!("{by} declared {of} dead, which left"))
@@ -125,7 +125,7 @@
         "incarnations go forward"
     }
 
-    fn judge(&self, history: &History, _: &Course) -> Vec<(u64, String)> {
+    fn judge(&self, history: &History, _: &GroundTruth) -> Vec<(u64, String)> {
         let (mut seen, mut violations) = (BTreeMap::new(), Vec::new());
         for entry in &history.entries {
             match &entry.what {
@@ -159,11 +159,11 @@
         "isolated, declares nobody dead"
     }
 
-    fn judge(&self, history: &History, course: &Course) -> Vec<(u64, String)> {
+    fn judge(&self, history: &History, truth: &GroundTruth) -> Vec<(u64, String)> {
         let wrong = |at: u64, by: usize, of: usize| {
             // A suspicion that others had shared before may come to its end just after the cut.
-            let within = course.isolated(by).iter().any(|span| at >= span.from + SAYING && at < span.till);
-            within && !course.was_wrong(of, at.saturating_sub(REASONS), at)
+            let within = truth.isolated(by).iter().any(|span| at >= span.start + SAYING && at < span.end);
+            within && !truth.was_unhealthy(of, at.saturating_sub(REASONS), at)
         };
         deaths(history, wrong, |by, of| format!("{by}, isolated, declared {of} dead"))
     }
@@ -180,15 +180,15 @@
         "resumed, declares nobody dead"
     }
 
-    fn judge(&self, history: &History, course: &Course) -> Vec<(u64, String)> {
+    fn judge(&self, history: &History, truth: &GroundTruth) -> Vec<(u64, String)> {
         let wrong = |at: u64, by: usize, of: usize| {
-            let woken = |span: &&crate::course::Span| {
-                let long = span.till != u64::MAX && span.till >= span.from + 1_000;
-                long && at >= span.till && at < span.till + WAKING
+            let woken = |span: &&crate::ground_truth::Span| {
+                let long = span.end != u64::MAX && span.end >= span.start + 1_000;
+                long && at >= span.end && at < span.end + WAKING
             };
-            let Some(stop) = course.stops[by].iter().find(woken) else { return false };
+            let Some(stop) = truth.stops[by].iter().find(woken) else { return false };
             // What others tell it of one that died meanwhile is well founded.
-            !course.was_wrong(of, stop.from.saturating_sub(REASONS), at)
+            !truth.was_unhealthy(of, stop.start.saturating_sub(REASONS), at)
         };
         deaths(history, wrong, |by, of| format!("{by}, just woken, declared {of} dead"))
     }
@@ -202,12 +202,12 @@
         "in the end all agree"
     }
 
-    fn judge(&self, history: &History, course: &Course) -> Vec<(u64, String)> {
-        let running: Vec<String> = (0..history.nodes).filter(|of| course.running[*of]).map(name).collect();
+    fn judge(&self, history: &History, truth: &GroundTruth) -> Vec<(u64, String)> {
+        let running: Vec<String> = (0..history.nodes).filter(|of| truth.running[*of]).map(name).collect();
         let (mut violations, mut digests) = (Vec::new(), BTreeMap::new());
         for entry in &history.entries {
             let What::Status { node, members, digest, .. } = &entry.what else { continue };
-            if !course.running[*node] {
+            if !truth.running[*node] {
                 continue;
             }
             let there = members.iter().filter(|of| matches!(&*of.state, "alive" | "suspected"));
--- /dev/null
+++ b/rig/src/ground_truth.rs
@@ -0,0 +1,219 @@
+//! The true state of a run, derived from its history: which process ran when, and which nodes could
+//! communicate.
+
+use std::collections::BTreeMap;
+
+use crate::history::{History, What};
+use crate::script::Fault;
+
+/// Loss, and delay in ms, from which all links count as degraded.
+const DEGRADED_LOSS: f64 = 0.2;
+const DEGRADED_DELAY_MS: u64 = 100;
+
+/// A span of time in ms, both ends included. The end is `u64::MAX` while it is not known.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Span {
+    pub start: u64,
+    pub end: u64,
+}
+
+impl Span {
+    fn instant(at: u64) -> Span {
+        Span { start: at, end: at }
+    }
+
+    fn open(start: u64) -> Span {
+        Span { start, end: u64::MAX }
+    }
+
+    fn is_open(self) -> bool {
+        self.end == u64::MAX
+    }
+
+    fn overlaps(self, start: u64, end: u64) -> bool {
+        self.start <= end && self.end >= start
+    }
+}
+
+/// Ends the open spans among these.
+fn close(spans: &mut [Span], at: u64) {
+    spans.iter_mut().filter(|span| span.is_open()).for_each(|span| span.end = at);
+}
+
+/// Datagrams from some nodes to others were dropped for a while.
+struct Cut {
+    from: Vec<usize>,
+    to: Vec<usize>,
+    span: Span,
+}
+
+/// When the present degradation of all links began, by its cause.
+#[derive(Default)]
+struct DegradedSince {
+    links: Option<u64>,
+    throttle: Option<u64>,
+}
+
+/// What a history implies of the true state. Vectors are indexed by node; times are in ms.
+pub struct GroundTruth {
+    /// When a node itself was at fault: not running, just started, stopped, resumed or leaving.
+    unhealthy: Vec<Vec<Span>>,
+    cuts: Vec<Cut>,
+    /// When all links were degraded, by [`DEGRADED_LOSS`], [`DEGRADED_DELAY_MS`] or a throttle.
+    degraded: Vec<Span>,
+    /// When each node was told to leave.
+    pub left: BTreeMap<usize, Vec<u64>>,
+    /// When each process of a node began.
+    pub began: Vec<Vec<u64>>,
+    /// When each node was stopped by a signal.
+    pub stops: Vec<Vec<Span>>,
+    /// Whether a node runs at the end, and was not told to leave.
+    pub running: Vec<bool>,
+}
+
+impl GroundTruth {
+    /// The true state that a history implies.
+    pub fn of(history: &History) -> GroundTruth {
+        let nodes = history.nodes;
+        let mut truth = GroundTruth {
+            unhealthy: vec![Vec::new(); nodes],
+            cuts: Vec::new(),
+            degraded: Vec::new(),
+            left: BTreeMap::new(),
+            began: vec![Vec::new(); nodes],
+            stops: vec![Vec::new(); nodes],
+            running: vec![false; nodes],
+        };
+        let mut since = DegradedSince::default();
+        for entry in &history.entries {
+            truth.record(entry.at_ms, &entry.what, &mut since);
+        }
+        let open = [since.links, since.throttle].into_iter().flatten();
+        truth.degraded.extend(open.map(Span::open));
+        truth
+    }
+
+    fn record(&mut self, at: u64, what: &What, since: &mut DegradedSince) {
+        match what {
+            What::Fault { fault } => self.record_fault(at, fault, since),
+            What::Began { node } => {
+                close(&mut self.unhealthy[*node], at);
+                self.unhealthy[*node].push(Span::instant(at));
+                self.began[*node].push(at);
+                self.running[*node] = true;
+            }
+            What::Ended { node } => {
+                self.running[*node] = false;
+                self.unhealthy[*node].push(Span::open(at));
+            }
+            What::News { node, word, .. } if word == "resumed" => {
+                self.unhealthy[*node].push(Span::instant(at));
+            }
+            What::News { .. } | What::Status { .. } => {}
+        }
+    }
+
+    fn record_fault(&mut self, at: u64, fault: &Fault, since: &mut DegradedSince) {
+        match fault {
+            Fault::Kill { nodes } => nodes.iter().for_each(|node| self.record_exit(*node, at)),
+            Fault::Leave { nodes } => {
+                for node in nodes {
+                    self.record_exit(*node, at);
+                    self.left.entry(*node).or_default().push(at);
+                }
+            }
+            Fault::Stop { nodes } => {
+                for node in nodes {
+                    self.unhealthy[*node].push(Span::open(at));
+                    self.stops[*node].push(Span::open(at));
+                }
+            }
+            Fault::GoOn { nodes } => {
+                for node in nodes {
+                    close(&mut self.unhealthy[*node], at);
+                    close(&mut self.stops[*node], at);
+                }
+            }
+            Fault::Cut { from, to } => {
+                self.cuts.push(Cut { from: from.clone(), to: to.clone(), span: Span::open(at) });
+            }
+            Fault::Mend { from, to } => self.record_mend(at, from, to),
+            Fault::Links { loss, garbled, delay_ms, .. } => {
+                let degraded = loss + garbled >= DEGRADED_LOSS || *delay_ms >= DEGRADED_DELAY_MS;
+                self.record_degradation(at, degraded, &mut since.links);
+            }
+            Fault::Throttle { bytes_a_second } => {
+                self.record_degradation(at, *bytes_a_second > 0, &mut since.throttle);
+            }
+            Fault::Start { .. }
+            | Fault::StartOlder { .. }
+            | Fault::Replay { .. }
+            | Fault::Server { .. }
+            | Fault::Callers { .. } => {}
+        }
+    }
+
+    fn record_exit(&mut self, node: usize, at: u64) {
+        self.unhealthy[node].push(Span::open(at));
+        self.running[node] = false;
+    }
+
+    /// Ends the earliest open cut between exactly these nodes.
+    fn record_mend(&mut self, at: u64, from: &[usize], to: &[usize]) {
+        let mended = |cut: &&mut Cut| cut.from == from && cut.to == to && cut.span.is_open();
+        if let Some(cut) = self.cuts.iter_mut().find(mended) {
+            cut.span.end = at;
+        }
+    }
+
+    fn record_degradation(&mut self, at: u64, degraded: bool, since: &mut Option<u64>) {
+        match (degraded, *since) {
+            (true, None) => *since = Some(at),
+            (false, Some(start)) => {
+                self.degraded.push(Span { start, end: at });
+                *since = None;
+            }
+            _ => {}
+        }
+    }
+
+    /// Whether the node itself gave reason, from `start` to `end`, to be declared dead.
+    pub fn was_unhealthy(&self, node: usize, start: u64, end: u64) -> bool {
+        self.unhealthy[node].iter().any(|span| span.overlaps(start, end))
+    }
+
+    /// Whether all links were so bad, from `start` to `end`, that suspicions are to be expected.
+    pub fn was_degraded(&self, start: u64, end: u64) -> bool {
+        self.degraded.iter().any(|span| span.overlaps(start, end))
+    }
+
+    /// Whether a cut, from `start` to `end`, separated the node from more than one other. A single broken
+    /// link is no reason to declare a node dead, as there are indirect probers.
+    pub fn was_partitioned(&self, node: usize, start: u64, end: u64) -> bool {
+        let mut cuts = self.cuts.iter().filter(|cut| cut.span.overlaps(start, end));
+        cuts.any(|cut| {
+            let single_link = cut.from.len() == 1 && cut.to.len() == 1;
+            !single_link && (cut.from.contains(&node) || cut.to.contains(&node))
+        })
+    }
+
+    /// The spans in which cuts stopped everything from this node to all others, and from all others to it.
+    pub fn isolated(&self, node: usize) -> Vec<Span> {
+        let all_others =
+            |nodes: &[usize]| (0..self.running.len()).all(|id| id == node || nodes.contains(&id));
+        let outward = self.cuts.iter().filter(|cut| cut.from == [node] && all_others(&cut.to));
+        let mut spans = Vec::new();
+        for outward in outward {
+            for inward in self.cuts.iter().filter(|cut| cut.to == [node] && all_others(&cut.from)) {
+                let both = Span {
+                    start: outward.span.start.max(inward.span.start),
+                    end: outward.span.end.min(inward.span.end),
+                };
+                if both.start < both.end {
+                    spans.push(both);
+                }
+            }
+        }
+        spans
+    }
+}
--- a/rig/src/lib.rs
+++ b/rig/src/lib.rs
@@ -10,9 +10,9 @@
 //! asked for after a time that a slow machine does not outlast.
 
 pub mod checks;
-pub mod course;
 pub mod crowd;
 pub mod divided;
+pub mod ground_truth;
 pub mod history;
 mod links;
 pub mod processes;
