Names: the rig's crowd is a load, with requests recorded and admitted

Crowd, Manner, Told, Asked and Passed are Load, LoadProfile, RequestRecord, LoadReport and Admitted; the caller is a type of its own with one step a function.

--- a/node/tests/fleet/budgets.rs
+++ b/node/tests/fleet/budgets.rs
@@ -5,10 +5,10 @@
 
 use doortrack_node::commands::fleet::ask_budgets;
 use doortrack_node::peers::spoken::BudgetStatus;
-use doortrack_rig::crowd::{Asked, Crowd, Manner};
+use doortrack_rig::load::{Load, LoadProfile, LoadReport};
 use doortrack_rig::processes::Rig;
 use doortrack_rig::script::{Fault, Script};
-use doortrack_rig::spent::{concurrency_exceeded, rate_exceeded, used};
+use doortrack_rig::usage::{concurrency_exceeded, rate_exceeded, used};
 use doortrack_standins::caller::{Ask, Seen};
 use doortrack_standins::server::{Act, CutBy, Got, Server};
 use doortrack_wire::Protocol;
@@ -22,9 +22,9 @@
 const CONCURRENCY: u32 = 5;
 const HELD_MS: u32 = 400;
 
-fn manner() -> Manner {
+fn profile() -> LoadProfile {
     let ms = Duration::from_millis;
-    Manner { callers: 10, rest: ms(4), moves_every: Some(ms(1_500)), work: ms(40) }
+    LoadProfile { callers: 10, pause: ms(4), preferred_for: Some(ms(1_500)), run_time: ms(40) }
 }
 
 fn budgets(limit: u32) -> Value {
@@ -64,12 +64,12 @@
     }
 }
 
-fn play(script: &Script, words: &[&str]) -> Asked {
-    play_with(script, words, manner(), &budgets(LIMIT))
+fn play(script: &Script, words: &[&str]) -> LoadReport {
+    play_with(script, words, profile(), &budgets(LIMIT))
 }
 
-fn play_with(script: &Script, words: &[&str], manner: Manner, own: &Value) -> Asked {
-    let mut crowd = Crowd::ready(manner);
+fn play_with(script: &Script, words: &[&str], profile: LoadProfile, own: &Value) -> LoadReport {
+    let mut load = Load::new(profile);
     let mut rig = Rig::new(program(), script.nodes, script.seed).unwrap();
     for of in 0..script.nodes {
         // Clocks go up to 2% apart, in turns ahead and behind.
@@ -78,24 +78,25 @@
         own.extend(words.iter().map(|word| word.to_string()));
         rig.words.insert(of, own);
     }
-    let more = with(own.clone(), crowd.installation());
+    let more = with(own.clone(), load.installation());
     let more = |_: usize| more.clone();
     rig.begin();
     (0..script.nodes).for_each(|of| rig.start(of, of, &more(of)).unwrap());
     let fronts: Vec<_> = (0..script.nodes).map(|of| rig.front(of)).collect();
-    crowd.begin(&fronts, script.seed);
+    load.start(&fronts, script.seed);
     let began = std::time::Instant::now();
     for timed in script.in_order() {
         std::thread::sleep(Duration::from_millis(timed.at_ms).saturating_sub(began.elapsed()));
         rig.take_up(&timed.fault, &more).unwrap();
     }
     std::thread::sleep(Duration::from_millis(script.ms).saturating_sub(began.elapsed()));
-    crowd.finish()
+    load.finish()
 }
 
-fn violations(asked: &Asked) -> Vec<String> {
-    let rate = rate_exceeded(&asked.looks, LIMIT, BURST).map(|what| format!("looks: {what}"));
-    let concurrency = concurrency_exceeded(&asked.runs, CONCURRENCY).map(|what| format!("pays: {what}"));
+fn violations(report: &LoadReport) -> Vec<String> {
+    let rate = rate_exceeded(&report.unkeyed, LIMIT, BURST).map(|what| format!("without a key: {what}"));
+    let concurrency =
+        concurrency_exceeded(&report.runs, CONCURRENCY).map(|what| format!("with a key: {what}"));
     rate.into_iter().chain(concurrency).collect()
 }
 
@@ -118,11 +119,16 @@
         (18_600, start(vec![4])),
     ];
     faults.extend(halves(12_500, 15_500));
-    let asked = play(&script(NODES, 22_000, faults), &[]);
-    let violations = violations(&asked);
+    let report = play(&script(NODES, 22_000, faults), &[]);
+    let violations = violations(&report);
     assert!(violations.is_empty(), "{violations:#?}");
     // It was put to use: a good part of what a leader could grant, however slow the machine.
-    assert!(asked.looks.len() > 300 && asked.pays.len() > 100, "{} {}", asked.looks.len(), asked.pays.len());
+    assert!(
+        report.unkeyed.len() > 300 && report.keyed.len() > 100,
+        "{} {}",
+        report.unkeyed.len(),
+        report.keyed.len()
+    );
 }
 
 /// Nine processes, five of which are replaced within 7 s, links rough, and one way to a voter cut.
@@ -145,24 +151,24 @@
         faults.push((at + 1_200, Fault::Start { nodes: vec![nth + 2], clock_ms: 0 }));
     }
     let ms = Duration::from_millis;
-    let manner = Manner { moves_every: Some(ms(1_000)), ..manner() };
-    let asked = play_with(&script(9, 19_000, faults), &[], manner, &own);
-    assert_eq!(rate_exceeded(&asked.looks, LIMIT, BURST), None);
-    assert_eq!(concurrency_exceeded(&asked.runs, 3), None);
+    let profile = LoadProfile { preferred_for: Some(ms(1_000)), ..profile() };
+    let report = play_with(&script(9, 19_000, faults), &[], profile, &own);
+    assert_eq!(rate_exceeded(&report.unkeyed, LIMIT, BURST), None);
+    assert_eq!(concurrency_exceeded(&report.runs, 3), None);
     // Each permit goes round: three, and yet most nodes had one.
-    let fronts: std::collections::BTreeSet<usize> = asked
-        .told
+    let fronts: std::collections::BTreeSet<usize> = report
+        .requests
         .iter()
-        .filter(|told| told.keyed && matches!(told.seen, Some(Seen::Completed(_))))
-        .map(|told| told.front)
+        .filter(|request| request.keyed && matches!(request.answer, Some(Seen::Completed(_))))
+        .map(|request| request.node)
         .collect();
-    assert!(fronts.len() >= 6 && asked.pays.len() > 50, "{fronts:?} {}", asked.pays.len());
+    assert!(fronts.len() >= 6 && report.keyed.len() > 50, "{fronts:?} {}", report.keyed.len());
 }
 
 #[test]
 fn without_a_majority_two_halves_use_more_than_the_limit() {
-    let asked = play(&script(NODES, 13_000, halves(4_000, 12_500)), &["--test-without", "majority"]);
-    assert!(!violations(&asked).is_empty(), "{} looks", asked.looks.len());
+    let report = play(&script(NODES, 13_000, halves(4_000, 12_500)), &["--test-without", "majority"]);
+    assert!(!violations(&report).is_empty(), "{} ran without a key", report.unkeyed.len());
 }
 
 #[test]
@@ -209,22 +215,22 @@
 #[test]
 fn what_is_denied_for_a_budget_is_told_when_to_come_back() {
     let ms = Duration::from_millis;
-    let mut crowd = Crowd::ready(Manner { callers: 4, rest: ms(1), moves_every: None, work: ms(1) });
+    let mut load = Load::new(LoadProfile { callers: 4, pause: ms(1), preferred_for: None, run_time: ms(1) });
     let mut rig = Rig::new(program(), 1, 3).unwrap();
     // One node, whose reserved minimum is all there is.
     let own = json!({"fleet": {"voters": ["n0"]}, "budgets": [
         {"name": "looks", "kind": "rate", "limit": 20, "burst": 10, "reserved": 20,
             "for": {"pool": "servers"}}]});
-    rig.start(0, 0, &with(own, crowd.installation())).unwrap();
+    rig.start(0, 0, &with(own, load.installation())).unwrap();
     drop(doortrack_standins::bed::connect(rig.front(0)));
     let began = doortrack_standins::unix_ms();
-    crowd.begin(&[rig.front(0)], 1);
+    load.start(&[rig.front(0)], 1);
     std::thread::sleep(ms(2_000));
-    let asked = crowd.finish();
-    let all: Vec<_> = asked.looks.iter().chain(&asked.pays).copied().collect();
+    let report = load.finish();
+    let all: Vec<_> = report.unkeyed.iter().chain(&report.keyed).copied().collect();
     assert_eq!(rate_exceeded(&all, 20, 10), None);
     assert!(used(&all, 20, began, began + 2_000) > 0.5, "{}", all.len());
-    let rejected = asked.told.iter().filter_map(|told| match &told.seen {
+    let rejected = report.requests.iter().filter_map(|request| match &request.answer {
         Some(Seen::Rejected { retry_after, .. }) => Some(retry_after.unwrap_or(0)),
         _ => None,
     });
@@ -247,10 +253,10 @@
     (0..3).for_each(|of| rig.start(of, of, &own).unwrap());
     (0..3).for_each(|of| wait_for(&rig, of, |of| of.until_ms.is_some()));
     let began = doortrack_standins::unix_ms();
-    let mut crowd = Crowd::ready(Manner { callers: 6, rest: Duration::from_millis(5), ..manner() });
-    crowd.begin(&(0..3).map(|of| rig.front(of)).collect::<Vec<_>>(), 2);
+    let mut load = Load::new(LoadProfile { callers: 6, pause: Duration::from_millis(5), ..profile() });
+    load.start(&(0..3).map(|of| rig.front(of)).collect::<Vec<_>>(), 2);
     std::thread::sleep(Duration::from_millis(4_000));
-    let asked = crowd.finish().told.len();
+    let requests = load.finish().requests.len();
     let lasted = doortrack_standins::unix_ms() - began;
     let mut tries = std::collections::BTreeMap::new();
     for got in servers.iter().flat_map(Server::got) {
@@ -258,8 +264,8 @@
     }
     let retries: u64 = tries.values().map(|count| count - 1).sum();
     let most = 12.0 * (lasted + 1_000) as f64 / 1_000.0 + 6.0;
-    assert!(retries as f64 <= most, "{retries} retries of {asked} asked, {most} at most");
-    assert!(retries > 10 && asked > 200, "{retries} retries of {asked} asked");
+    assert!(retries as f64 <= most, "{retries} retries of {requests} requests, {most} at most");
+    assert!(retries > 10 && requests > 200, "{retries} retries of {requests} requests");
 }
 
 fn seen(rig: &Rig, nth: u64, key: Option<&str>) -> Seen {
--- a/rig/src/lib.rs
+++ b/rig/src/lib.rs
@@ -10,20 +10,20 @@
 //! asked for after a time that a slow machine does not outlast.
 
 pub mod checks;
-pub mod crowd;
 pub mod divided;
 pub mod ground_truth;
 pub mod history;
 mod links;
+pub mod load;
 pub mod processes;
 pub mod relay;
 pub mod scale;
 pub mod script;
 pub mod shrink;
 pub mod simulated;
-pub mod spent;
 pub mod streams;
 pub mod traffic;
+pub mod usage;
 
 pub use history::{Entry, History, What};
 pub use script::{Fault, Script, Timed};
--- /dev/null
+++ b/rig/src/load.rs
@@ -0,0 +1,171 @@
+//! Load for the tests of budgets: callers that together send more than the budgets admit, most of it to one
+//! node that changes, and a server that records each run.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::thread::JoinHandle;
+use std::time::{Duration, Instant};
+
+use doortrack_standins::caller::{Ask, Seen};
+use doortrack_standins::rules::Ran;
+use doortrack_standins::server::{Act, Server};
+use doortrack_standins::unix_ms;
+use doortrack_wire::Protocol;
+use serde_json::{Value, json};
+
+use crate::usage::Admitted;
+
+/// Share of requests that go to the preferred node, where there is one.
+const PREFERRED_SHARE: f64 = 0.6;
+/// The server's concurrency, as the operators' file says it.
+const SERVER_CONCURRENCY: u32 = 64;
+
+/// How callers send requests, and how long the server runs them.
+#[derive(Clone, Copy, Debug)]
+pub struct LoadProfile {
+    pub callers: usize,
+    /// Pause between two requests of a caller.
+    pub pause: Duration,
+    /// After this time the next node is preferred; `None`: all nodes alike.
+    pub preferred_for: Option<Duration>,
+    /// Run time of a request.
+    pub run_time: Duration,
+}
+
+/// One request as its caller knows it. Times are in Unix ms.
+#[derive(Clone, Debug)]
+pub struct RequestRecord {
+    pub id: u64,
+    /// Index of the node that it was sent to.
+    pub node: usize,
+    /// Whether it had an idempotency key.
+    pub keyed: bool,
+    pub sent: u64,
+    /// `None`: the connection failed.
+    pub answer: Option<Seen>,
+    pub answered: u64,
+}
+
+/// Callers, and the server behind the nodes.
+pub struct Load {
+    server: Server,
+    profile: LoadProfile,
+    stop: Arc<AtomicBool>,
+    callers: Vec<JoinHandle<Vec<RequestRecord>>>,
+}
+
+/// What callers and server recorded.
+pub struct LoadReport {
+    pub requests: Vec<RequestRecord>,
+    /// Requests that ran, without an idempotency key (`/svc/look`) and with one (`/svc/pay`).
+    pub unkeyed: Vec<Admitted>,
+    pub keyed: Vec<Admitted>,
+    /// Start and end of the runs of keyed requests by the server's clock, in Unix ms.
+    pub runs: Vec<(u64, u64)>,
+}
+
+/// One caller.
+struct Caller {
+    profile: LoadProfile,
+    addresses: Vec<SocketAddr>,
+    random: fastrand::Rng,
+    next_id: u64,
+    requests: Vec<RequestRecord>,
+}
+
+impl Load {
+    /// Starts the server; callers are started by [`Load::start`].
+    pub fn new(profile: LoadProfile) -> Load {
+        let run_time = profile.run_time;
+        let server = Server::start(Protocol::FastCgi, move |_| Act::Answer {
+            status: "200 OK",
+            body: b"done".to_vec(),
+            after: run_time,
+        });
+        Load { server, profile, stop: Arc::default(), callers: Vec::new() }
+    }
+
+    /// The part of a node's operators' file that names the server.
+    pub fn installation(&self) -> Value {
+        let addresses = [self.server.at.to_string()];
+        json!({"servers": {"protocol": "fastcgi", "addresses": addresses, "at_once": SERVER_CONCURRENCY}})
+    }
+
+    /// Starts the callers, which send to the nodes at these addresses.
+    pub fn start(&mut self, addresses: &[SocketAddr], seed: u64) {
+        let started = Instant::now();
+        for index in 0..self.profile.callers as u64 {
+            let caller = Caller {
+                profile: self.profile,
+                addresses: addresses.to_vec(),
+                random: fastrand::Rng::with_seed(seed ^ (index << 9)),
+                next_id: ((index + 1) << 32) + 1,
+                requests: Vec::new(),
+            };
+            let stop = self.stop.clone();
+            self.callers.push(std::thread::spawn(move || caller.run(started, &stop)));
+        }
+    }
+
+    /// Stops the callers, once each has the answer to its last request.
+    pub fn finish(mut self) -> LoadReport {
+        self.stop.store(true, Ordering::Relaxed);
+        let callers = std::mem::take(&mut self.callers).into_iter();
+        let requests: Vec<RequestRecord> =
+            callers.filter_map(|caller| caller.join().ok()).flatten().collect();
+        let by_try_id: BTreeMap<String, &RequestRecord> =
+            requests.iter().map(|request| (doortrack_standins::try_id(request.id), request)).collect();
+        let run_ms = self.profile.run_time.as_millis() as u64;
+        let (mut unkeyed, mut keyed, mut runs) = (Vec::new(), Vec::new(), Vec::new());
+        for got in self.server.got() {
+            let ran = Ran::from(&got);
+            let Some(request) = by_try_id.get(&ran.try_id) else { continue };
+            let admitted = Admitted { sent: request.sent, ran: ran.at };
+            if request.keyed {
+                keyed.push(admitted);
+                runs.push((ran.at, ran.at + run_ms));
+            } else {
+                unkeyed.push(admitted);
+            }
+        }
+        LoadReport { unkeyed, keyed, runs, requests }
+    }
+}
+
+impl Caller {
+    fn run(mut self, started: Instant, stop: &AtomicBool) -> Vec<RequestRecord> {
+        while !stop.load(Ordering::Relaxed) {
+            let node = self.choose_node(started.elapsed());
+            let keyed = self.random.bool();
+            self.send(node, keyed);
+            std::thread::sleep(self.profile.pause);
+        }
+        self.requests
+    }
+
+    fn choose_node(&mut self, elapsed: Duration) -> usize {
+        let nodes = self.addresses.len();
+        let preferred = self.profile.preferred_for.map(|each| {
+            let turns = elapsed.as_millis() / each.as_millis().max(1);
+            turns as usize % nodes
+        });
+        match preferred {
+            Some(preferred) if self.random.f64() < PREFERRED_SHARE => preferred,
+            _ => self.random.usize(..nodes),
+        }
+    }
+
+    fn send(&mut self, node: usize, keyed: bool) {
+        let id = self.next_id;
+        self.next_id += 1;
+        let ask = Ask::new(id, if keyed { "/svc/pay" } else { "/svc/look" }, b"berth");
+        let key = format!("{id:032x}");
+        let ask = if keyed { ask.with("HTTP_IDEMPOTENCY_KEY", &key) } else { ask };
+        let sent = unix_ms();
+        let answer = ask.try_send(self.addresses[node], Protocol::FastCgi).ok();
+        let answer = answer.map(|pending| pending.seen());
+        self.requests.push(RequestRecord { id, node, keyed, sent, answer, answered: unix_ms() });
+    }
+}
--- a/rig/tests/checkers.rs
+++ b/rig/tests/checkers.rs
@@ -4,7 +4,7 @@
 use doortrack_rig::history::{History, Member, What, name};
 use doortrack_rig::script::{Fault, Script, Timed};
 use doortrack_rig::shrink::shrink;
-use doortrack_rig::spent::{Passed, concurrency_exceeded, rate_exceeded, used};
+use doortrack_rig::usage::{Admitted, concurrency_exceeded, rate_exceeded, used};
 
 fn news(node: usize, word: &str, of: usize, incarnation: u64) -> What {
     let (of, incarnation) = (Some(name(of)), Some(format!("{incarnation:x}")));
@@ -160,16 +160,16 @@
 
 #[test]
 fn more_than_a_budget_is_seen_and_what_may_have_passed_earlier_is_not() {
-    let passed = |asked: u64, ran: u64| Passed { asked, ran };
-    let even: Vec<Passed> = (0..100).map(|nth| passed(nth * 10, nth * 10 + 2)).collect();
+    let admitted = |sent: u64, ran: u64| Admitted { sent, ran };
+    let even: Vec<Admitted> = (0..100).map(|nth| admitted(nth * 10, nth * 10 + 2)).collect();
     assert_eq!(rate_exceeded(&even, 100, 5), None);
     let mut more = even.clone();
-    more.extend((0..6).map(|nth| passed(500 + nth, 503 + nth)));
+    more.extend((0..6).map(|nth| admitted(500 + nth, 503 + nth)));
     assert!(rate_exceeded(&more, 100, 5).is_some());
     // The same six, asked long before: they may have passed whenever there was room.
     let mut early = even.clone();
     early.truncate(50);
-    early.extend((0..6).map(|nth| passed(100, 503 + nth)));
+    early.extend((0..6).map(|nth| admitted(100, 503 + nth)));
     assert_eq!(rate_exceeded(&early, 120, 5), None);
     assert_eq!(concurrency_exceeded(&[(0, 10), (5, 15), (10, 20), (15, 30)], 2), None);
     assert!(concurrency_exceeded(&[(0, 10), (5, 15), (9, 20)], 2).is_some());
