Names: a node's report of a member in a history is a member change

What::News{word, of} is What::MemberChange{change, member}; histories of earlier builds (kind news, word, of) are read by alias, and the test of an earlier build's history now covers these keys too, each shown to occur. The checks take a Declaration (at, node, member) in place of three numbers, and speak of members and nodes.

--- a/bench/src/bin/membership.rs
+++ b/bench/src/bin/membership.rs
@@ -45,7 +45,9 @@
     for (nth, (at, of)) in kills.iter().enumerate() {
         let left = history.nodes - nth - 1;
         let told = history.entries.iter().filter_map(|entry| match &entry.what {
-            What::News { word, of: Some(whom), .. } if word == "dead" && *whom == name(*of) => {
+            What::MemberChange { change, member: Some(member), .. }
+                if change == "dead" && *member == name(*of) =>
+            {
                 entry.at_ms.checked_sub(*at)
             }
             _ => None,
@@ -88,7 +90,7 @@
 fn whole_again(history: &History, at: u64) -> u64 {
     let mut last: BTreeMap<usize, (u64, usize)> = BTreeMap::new();
     for entry in &history.entries {
-        if let What::News { node, members, .. } = entry.what {
+        if let What::MemberChange { node, members, .. } = entry.what {
             let before = last.get(&node).map_or(0, |(_, members)| *members);
             if members != before {
                 last.insert(node, (entry.at_ms, members));
@@ -146,7 +148,7 @@
     let script = Script { nodes, ms: seconds * 1_000, seed: 1, faults };
     let (history, _) = play(&script, &Options { record_from_ms: 5_000, ..Options::default() });
     let count = |wanted: &str| {
-        let is = |what: &What| matches!(what, What::News { word, .. } if word == wanted);
+        let is = |what: &What| matches!(what, What::MemberChange { change, .. } if change == wanted);
         history.entries.iter().filter(|entry| is(&entry.what)).count()
     };
     println!(
--- a/node/tests/fleet/link.rs
+++ b/node/tests/fleet/link.rs
@@ -30,9 +30,10 @@
 }
 
 fn told(history: &History, node: usize, wanted: &str) -> bool {
-    history.entries.iter().any(
-        |entry| matches!(&entry.what, What::News { node: by, word, .. } if *by == node && word == wanted),
-    )
+    history.entries.iter().any(|entry| match &entry.what {
+        What::MemberChange { node: observer, change, .. } => *observer == node && change == wanted,
+        _ => false,
+    })
 }
 
 /// A datagram of one that has no key, or another, or is of another fleet.
--- a/node/tests/fleet/troubles.rs
+++ b/node/tests/fleet/troubles.rs
@@ -13,7 +13,7 @@
 }
 
 fn told(played: &Played, wanted: &str) -> usize {
-    let is = |what: &What| matches!(what, What::News { word, .. } if word == wanted);
+    let is = |what: &What| matches!(what, What::MemberChange { change, .. } if change == wanted);
     played.history.entries.iter().filter(|entry| is(&entry.what)).count()
 }
 
@@ -59,7 +59,7 @@
         (10_000, Fault::Mend { from: vec![1, 2, 3, 4], to: vec![0] }),
     ];
     let played = played(&script(5, 12_000, faults));
-    let own = |what: &What| matches!(what, What::News { node: 0, word, .. } if word == "dead");
+    let own = |what: &What| matches!(what, What::MemberChange { node: 0, change, .. } if change == "dead");
     assert!(!played.history.entries.iter().any(|entry| own(&entry.what)), "{}", played.history.lines());
     assert!(told(&played, "isolated") >= 1 && told(&played, "reconnected") >= 1);
 }
@@ -82,7 +82,8 @@
         (7_000, Fault::GoOn { nodes: vec![0] }),
     ];
     let played = played(&script(5, 9_000, faults));
-    let still = |what: &What| matches!(what, What::News { node: 0, word, .. } if word == "resumed");
+    let still =
+        |what: &What| matches!(what, What::MemberChange { node: 0, change, .. } if change == "resumed");
     assert!(played.history.entries.iter().any(|entry| still(&entry.what)), "{}", played.history.lines());
 }
 
--- a/rig/src/checks.rs
+++ b/rig/src/checks.rs
@@ -1,12 +1,11 @@
-//! What must hold in every play, judged on its history alone.
+//! Invariants of every run, judged on its history alone.
 //!
-//! Each promise is an [`Invariant`] of its own; later parts of the program add theirs. The bounds here are
-//! those of the promise, never of how fast a machine is: a process that the machine let stand still says so,
-//! and what is said of it is excused.
+//! Bounds here are those of the promise to operators, never of a machine's speed: a process that the machine
+//! did not run for a while logs `resumed`, and declarations about it are excused.
 
 use std::collections::BTreeMap;
 
-use crate::ground_truth::GroundTruth;
+use crate::ground_truth::{GroundTruth, Span};
 use crate::history::{History, What, name};
 
 /// One violation of an invariant.
@@ -17,15 +16,16 @@
     pub what: String,
 }
 
-/// One promise.
+/// A rule that must hold in every history.
 pub trait Invariant {
+    /// What is printed with a violation.
     fn name(&self) -> &'static str;
 
     /// Every violation in a history, with its time in ms; `truth` is the true state it implies.
     fn judge(&self, history: &History, truth: &GroundTruth) -> Vec<(u64, String)>;
 }
 
-/// All promises about who is there.
+/// All invariants of membership.
 pub fn membership() -> Vec<Box<dyn Invariant>> {
     vec![
         Box::new(NoFalseDeath),
@@ -37,44 +37,54 @@
     ]
 }
 
-/// Judges a history by these promises.
-pub fn judge(history: &History, by: &[Box<dyn Invariant>]) -> Vec<Violation> {
+/// All violations of these invariants in a history, by time.
+pub fn judge(history: &History, invariants: &[Box<dyn Invariant>]) -> Vec<Violation> {
     let truth = GroundTruth::of(history);
     let mut violations = Vec::new();
-    for rule in by {
-        let found = rule.judge(history, &truth).into_iter();
-        violations.extend(found.map(|(at_ms, what)| Violation { rule: rule.name(), at_ms, what }));
+    for invariant in invariants {
+        let found = invariant.judge(history, &truth).into_iter();
+        violations.extend(found.map(|(at_ms, what)| Violation { rule: invariant.name(), at_ms, what }));
     }
     violations.sort_by_key(|violation| violation.at_ms);
     violations
 }
 
-/// The number of a node, by its name.
-fn number(name: &str) -> Option<usize> {
+/// The number of a node by its name.
+fn node_number(name: &str) -> Option<usize> {
     name.strip_prefix('n')?.parse().ok()
 }
 
-/// The deaths declared that are wrong by `wrong` (when, told by whom, of whom), in the words of `say`.
-fn deaths(
+/// A node declared a member dead.
+#[derive(Clone, Copy)]
+struct Declaration {
+    at: u64,
+    /// The node that declared it.
+    node: usize,
+    /// The member that was declared dead.
+    member: usize,
+}
+
+/// The declarations of death that are wrong, each described by `describe` from the names of node and member.
+fn wrong_declarations(
     history: &History,
-    wrong: impl Fn(u64, usize, usize) -> bool,
-    say: impl Fn(String, String) -> String,
+    is_wrong: impl Fn(Declaration) -> bool,
+    describe: impl Fn(String, String) -> String,
 ) -> Vec<(u64, String)> {
     let declared = history.entries.iter().filter_map(|entry| match &entry.what {
-        What::News { node, word, of: Some(of), .. } if word == "dead" => {
-            Some((entry.at_ms, *node, number(of)?))
+        What::MemberChange { node, change, member: Some(member), .. } if change == "dead" => {
+            Some(Declaration { at: entry.at_ms, node: *node, member: node_number(member)? })
         }
         _ => None,
     });
-    let wrongly = declared.filter(|(at, by, of)| wrong(*at, *by, *of));
-    wrongly.map(|(at, by, of)| (at, say(name(by), name(of)))).collect()
+    let wrong = declared.filter(|declaration| is_wrong(*declaration));
+    wrong.map(|wrong| (wrong.at, describe(name(wrong.node), name(wrong.member)))).collect()
 }
 
-/// Reasons to declare a death lie within so many ms before it.
-const REASONS: u64 = 8_000;
+/// A reason for a declaration of death lies at most so many ms before it.
+const MAX_REASON_AGE: u64 = 8_000;
 
-/// Who runs, and is reached by others, is declared dead by nobody: not for one broken link, nor for some
-/// datagrams lost.
+/// A node that runs and is reached by others is never declared dead: neither for a single broken link nor for
+/// some lost datagrams.
 pub struct NoFalseDeath;
 
 impl Invariant for NoFalseDeath {
@@ -83,20 +93,21 @@
     }
 
     fn judge(&self, history: &History, truth: &GroundTruth) -> Vec<(u64, String)> {
-        let wrong = |at: u64, by: usize, of: usize| {
-            let from = at.saturating_sub(REASONS);
-            let reason = |node| truth.was_unhealthy(node, from, at) || truth.was_partitioned(node, from, at);
-            !reason(of) && !reason(by) && !truth.was_degraded(from, at)
+        let is_wrong = |Declaration { at, node, member }: Declaration| {
+            let since = at.saturating_sub(MAX_REASON_AGE);
+            let reason =
+                |node| truth.was_unhealthy(node, since, at) || truth.was_partitioned(node, since, at);
+            !reason(member) && !reason(node) && !truth.was_degraded(since, at)
         };
-        deaths(history, wrong, |by, of| format!("{by} declared {of} dead"))
+        wrong_declarations(history, is_wrong, |node, member| format!("{node} declared {member} dead"))
     }
 }
 
-/// Who was told to leave, and is not killed at once, is never declared dead.
+/// A node that was told to leave, and not killed at once, is never declared dead.
 pub struct LeftIsNotDead;
 
-/// What a node needs to say that it leaves.
-const SAYING: u64 = 2_000;
+/// Time in which a node that leaves, or is isolated, makes it known, in ms.
+const ANNOUNCEMENT: u64 = 2_000;
 
 impl Invariant for LeftIsNotDead {
     fn name(&self) -> &'static str {
@@ -104,20 +115,22 @@
     }
 
     fn judge(&self, history: &History, truth: &GroundTruth) -> Vec<(u64, String)> {
-        let wrong = |at: u64, by: usize, of: usize| {
-            let leaves = truth.left.get(&of).into_iter().flatten();
-            let Some(left) = leaves.filter(|left| **left <= at).max() else { return false };
-            let anew = truth.began[of].iter().any(|began| began > left && *began <= at);
-            let parted = |node| truth.was_partitioned(node, left.saturating_sub(REASONS), left + SAYING);
-            let excused = parted(of) || parted(by) || truth.was_degraded(left.saturating_sub(REASONS), at);
-            let reader = truth.was_unhealthy(by, left.saturating_sub(SAYING), at);
-            !anew && !excused && !reader && at > left + SAYING
+        let is_wrong = |Declaration { at, node, member }: Declaration| {
+            let departures = truth.left.get(&member).into_iter().flatten();
+            let Some(left) = departures.filter(|left| **left <= at).max() else { return false };
+            let restarted = truth.began[member].iter().any(|began| began > left && *began <= at);
+            let since = left.saturating_sub(MAX_REASON_AGE);
+            let partitioned = |node| truth.was_partitioned(node, since, left + ANNOUNCEMENT);
+            let excused = partitioned(member) || partitioned(node) || truth.was_degraded(since, at);
+            let receiver_unhealthy = truth.was_unhealthy(node, left.saturating_sub(ANNOUNCEMENT), at);
+            !restarted && !excused && !receiver_unhealthy && at > left + ANNOUNCEMENT
         };
-        deaths(history, wrong, |by, of| format!("{by} declared {of} dead, which left"))
+        let describe = |node, member| format!("{node} declared {member} dead, which left");
+        wrong_declarations(history, is_wrong, describe)
     }
 }
 
-/// No process goes back to an earlier incarnation of another.
+/// No process returns to an earlier incarnation of a member.
 pub struct IncarnationsGoForward;
 
 impl Invariant for IncarnationsGoForward {
@@ -129,15 +142,19 @@
         let (mut seen, mut violations) = (BTreeMap::new(), Vec::new());
         for entry in &history.entries {
             match &entry.what {
-                What::Began { node } => seen.retain(|(by, _), _| by != node),
-                What::News { node, word, of: Some(of), incarnation: Some(incarnation), .. }
-                    if matches!(&**word, "alive" | "back") =>
-                {
+                What::Began { node } => seen.retain(|(observer, _), _| observer != node),
+                What::MemberChange {
+                    node,
+                    change,
+                    member: Some(member),
+                    incarnation: Some(incarnation),
+                    ..
+                } if matches!(&**change, "alive" | "back") => {
                     let incarnation = u64::from_str_radix(incarnation, 16).unwrap_or_default();
-                    let last = seen.entry((*node, of.clone())).or_insert(incarnation);
+                    let last = seen.entry((*node, member.clone())).or_insert(incarnation);
                     if incarnation < *last {
                         let what = format!(
-                            "{} went back from incarnation {last:x} of {of} to {incarnation:x}",
+                            "{} went back from incarnation {last:x} of {member} to {incarnation:x}",
                             name(*node)
                         );
                         violations.push((entry.at_ms, what));
@@ -151,7 +168,7 @@
     }
 }
 
-/// Who hears nobody declares nobody dead: it is the one that is isolated.
+/// An isolated node, which receives nothing, declares no member dead.
 pub struct IsolatedDeclaresNobodyDead;
 
 impl Invariant for IsolatedDeclaresNobodyDead {
@@ -160,20 +177,25 @@
     }
 
     fn judge(&self, history: &History, truth: &GroundTruth) -> Vec<(u64, String)> {
-        let wrong = |at: u64, by: usize, of: usize| {
-            // A suspicion that others had shared before may come to its end just after the cut.
-            let within = truth.isolated(by).iter().any(|span| at >= span.start + SAYING && at < span.end);
-            within && !truth.was_unhealthy(of, at.saturating_sub(REASONS), at)
+        let is_wrong = |Declaration { at, node, member }: Declaration| {
+            // A suspicion that others confirmed before may time out just after the cut.
+            let isolated = truth.isolated(node);
+            let within = isolated.iter().any(|span| at >= span.start + ANNOUNCEMENT && at < span.end);
+            within && !truth.was_unhealthy(member, at.saturating_sub(MAX_REASON_AGE), at)
         };
-        deaths(history, wrong, |by, of| format!("{by}, isolated, declared {of} dead"))
+        let describe = |node, member| format!("{node}, isolated, declared {member} dead");
+        wrong_declarations(history, is_wrong, describe)
     }
 }
 
-/// Who stood still and wakes declares nobody dead before it can have heard from anybody.
+/// A node that resumes after a pause of its process declares no member dead before it can have received
+/// anything.
 pub struct ResumedDeclaresNobodyDead;
 
-/// The shortest suspicion is longer than this.
-const WAKING: u64 = 250;
+/// Time after a resumption, in ms; shorter than every suspicion.
+const RESUMPTION: u64 = 250;
+/// Shorter pauses, in ms, are not judged.
+const MIN_PAUSE: u64 = 1_000;
 
 impl Invariant for ResumedDeclaresNobodyDead {
     fn name(&self) -> &'static str {
@@ -181,20 +203,21 @@
     }
 
     fn judge(&self, history: &History, truth: &GroundTruth) -> Vec<(u64, String)> {
-        let wrong = |at: u64, by: usize, of: usize| {
-            let woken = |span: &&crate::ground_truth::Span| {
-                let long = span.end != u64::MAX && span.end >= span.start + 1_000;
-                long && at >= span.end && at < span.end + WAKING
+        let is_wrong = |Declaration { at, node, member }: Declaration| {
+            let just_resumed = |stop: &&Span| {
+                let long = stop.end != u64::MAX && stop.end >= stop.start + MIN_PAUSE;
+                long && at >= stop.end && at < stop.end + RESUMPTION
             };
-            let Some(stop) = truth.stops[by].iter().find(woken) else { return false };
-            // What others tell it of one that died meanwhile is well founded.
-            !truth.was_unhealthy(of, stop.start.saturating_sub(REASONS), at)
+            let Some(stop) = truth.stops[node].iter().find(just_resumed) else { return false };
+            // A member that died meanwhile is rightly declared dead: others say so.
+            !truth.was_unhealthy(member, stop.start.saturating_sub(MAX_REASON_AGE), at)
         };
-        deaths(history, wrong, |by, of| format!("{by}, just woken, declared {of} dead"))
+        let describe = |node, member| format!("{node}, just resumed, declared {member} dead");
+        wrong_declarations(history, is_wrong, describe)
     }
 }
 
-/// Once all is mended, those that run hold exactly those for there that run, and in one incarnation.
+/// At the end, after all faults, the running nodes agree on one view, whose members are exactly those nodes.
 pub struct InTheEndAllAgree;
 
 impl Invariant for InTheEndAllAgree {
@@ -203,20 +226,20 @@
     }
 
     fn judge(&self, history: &History, truth: &GroundTruth) -> Vec<(u64, String)> {
-        let running: Vec<String> = (0..history.nodes).filter(|of| truth.running[*of]).map(name).collect();
+        let running: Vec<String> = (0..history.nodes).filter(|node| truth.running[*node]).map(name).collect();
         let (mut violations, mut digests) = (Vec::new(), BTreeMap::new());
         for entry in &history.entries {
             let What::Status { node, members, digest, .. } = &entry.what else { continue };
             if !truth.running[*node] {
                 continue;
             }
-            let there = members.iter().filter(|of| matches!(&*of.state, "alive" | "suspected"));
-            let mut there: Vec<String> = there.map(|of| of.name.clone()).collect();
-            there.sort_by_key(|name| number(name));
-            if there != running {
-                let missing: Vec<_> = running.iter().filter(|name| !there.contains(name)).collect();
-                let beyond: Vec<_> = there.iter().filter(|name| !running.contains(name)).collect();
-                let what = format!("{} misses {missing:?} and has {beyond:?} beyond", name(*node));
+            let present = members.iter().filter(|member| matches!(&*member.state, "alive" | "suspected"));
+            let mut present: Vec<String> = present.map(|member| member.name.clone()).collect();
+            present.sort_by_key(|name| node_number(name));
+            if present != running {
+                let missing: Vec<_> = running.iter().filter(|name| !present.contains(name)).collect();
+                let extra: Vec<_> = present.iter().filter(|name| !running.contains(name)).collect();
+                let what = format!("{} lacks {missing:?} and has {extra:?} besides", name(*node));
                 violations.push((entry.at_ms, what));
             }
             digests.entry(digest.clone()).or_insert((entry.at_ms, *node));
--- a/rig/src/ground_truth.rs
+++ b/rig/src/ground_truth.rs
@@ -106,10 +106,10 @@
                 self.running[*node] = false;
                 self.unhealthy[*node].push(Span::open(at));
             }
-            What::News { node, word, .. } if word == "resumed" => {
+            What::MemberChange { node, change, .. } if change == "resumed" => {
                 self.unhealthy[*node].push(Span::instant(at));
             }
-            What::News { .. } | What::Status { .. } => {}
+            What::MemberChange { .. } | What::Status { .. } => {}
         }
     }
 
--- a/rig/src/history.rs
+++ b/rig/src/history.rs
@@ -1,4 +1,5 @@
-//! What was done and what was told, by all, in the order of time. One JSON object a line when kept.
+//! The joint history of a run: what the rig did and what each node reported, by time. In a file, one JSON
+//! object a line.
 
 use std::fmt::Write as _;
 
@@ -6,42 +7,43 @@
 
 use crate::script::Fault;
 
-/// One thing that happened.
+/// One event of a run.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Entry {
-    /// From the start of the play.
+    /// Time since the start of the run.
     pub at_ms: u64,
     #[serde(flatten)]
     pub what: What,
 }
 
+/// What happened. Nodes are numbers; names are those of [`name`].
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(tag = "kind", rename_all = "snake_case")]
 pub enum What {
-    /// The rig did this.
-    Fault {
-        fault: Fault,
-    },
-    /// A process of this node began, and ended.
-    Began {
-        node: usize,
-    },
-    Ended {
-        node: usize,
-    },
-    /// A node told this of a member, or of itself where `of` is absent.
-    News {
+    /// The rig injected this fault.
+    Fault { fault: Fault },
+    /// A process of this node began.
+    Began { node: usize },
+    /// The process of this node ended.
+    Ended { node: usize },
+    /// A node reported a change of a member, or of itself where `member` is absent. Earlier builds wrote it
+    /// as `news`, with `word` and `of`.
+    #[serde(alias = "news")]
+    MemberChange {
         node: usize,
-        word: String,
-        #[serde(default, skip_serializing_if = "Option::is_none")]
-        of: Option<String>,
+        /// As in the node's log: `alive`, `suspected`, `dead`, `left` and so on.
+        #[serde(alias = "word")]
+        change: String,
+        #[serde(default, skip_serializing_if = "Option::is_none", alias = "of")]
+        member: Option<String>,
         #[serde(default, skip_serializing_if = "Option::is_none", alias = "life")]
         incarnation: Option<String>,
-        /// The view it rests on, and its members.
+        /// Number of the node's view at that time.
         view: u64,
+        /// Members of that view.
         members: usize,
     },
-    /// A node was asked how it sees its fleet.
+    /// A node's answer to a query of its view.
     Status {
         node: usize,
         #[serde(alias = "cut_off")]
@@ -51,7 +53,7 @@
     },
 }
 
-/// A member in a status.
+/// A member in a [`What::Status`].
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Member {
     pub name: String,
@@ -60,40 +62,40 @@
     pub state: String,
 }
 
-/// One play, from its start to its end.
+/// The history of one run.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct History {
     pub nodes: usize,
     pub entries: Vec<Entry>,
 }
 
-/// The present word for one that earlier builds wrote in logs and histories; any other as it is.
+/// The present name of a change or state that earlier builds wrote in logs and histories; others unchanged.
 ///
-/// Nodes of an earlier build may stand beside newer ones in a play, and their news is judged alike.
-pub fn current_word(word: &str) -> &str {
-    match word {
+/// Nodes of an earlier build may run beside newer ones, and their reports are judged alike.
+pub fn current_name(written: &str) -> &str {
+    match written {
         "lost" => "dead",
         "cut_off" => "isolated",
         "twin" => "duplicate_name",
         "displaced" => "superseded",
         "stood_still" => "resumed",
-        word => word,
+        current => current,
     }
 }
 
-/// The name of a node in a play.
+/// The name of a node by its number.
 pub fn name(node: usize) -> String {
     format!("n{node}")
 }
 
 impl Entry {
-    /// The entry, with words of earlier builds replaced by the present ones.
-    fn in_current_words(mut self) -> Entry {
+    /// The entry, with names of earlier builds replaced by the present ones.
+    fn with_current_names(mut self) -> Entry {
         match &mut self.what {
-            What::News { word, .. } => *word = current_word(word).to_string(),
+            What::MemberChange { change, .. } => *change = current_name(change).to_string(),
             What::Status { members, .. } => {
                 for member in members {
-                    member.state = current_word(&member.state).to_string();
+                    member.state = current_name(&member.state).to_string();
                 }
             }
             What::Fault { .. } | What::Began { .. } | What::Ended { .. } => {}
@@ -103,16 +105,17 @@
 }
 
 impl History {
+    /// Appends an event.
     pub fn put(&mut self, at_ms: u64, what: What) {
         self.entries.push(Entry { at_ms, what });
     }
 
-    /// Entries that came by several ways are put in one order.
-    pub fn settle(&mut self) {
+    /// Sorts entries, which several threads recorded, by time.
+    pub fn sort(&mut self) {
         self.entries.sort_by_key(|entry| entry.at_ms);
     }
 
-    /// One object a line, the number of nodes first.
+    /// The text of a history file; its first line is the number of nodes.
     pub fn lines(&self) -> String {
         let mut text = format!("{{\"nodes\":{}}}\n", self.nodes);
         for entry in &self.entries {
@@ -121,10 +124,10 @@
         text
     }
 
-    /// Reads what [`History::lines`] wrote.
+    /// Reads the text of a history file, also one of an earlier build.
     ///
     /// # Errors
-    /// The line that can't be read.
+    /// The first line that can't be read, by its number.
     pub fn parse(text: &str) -> Result<History, String> {
         let mut lines = text.lines().enumerate();
         let (_, first) = lines.next().ok_or("line 1: the number of nodes is wanted")?;
@@ -132,7 +135,7 @@
         let nodes = first["nodes"].as_u64().ok_or("line 1: the number of nodes is wanted")? as usize;
         let entry = |(nth, line): (usize, &str)| {
             let entry: Entry = serde_json::from_str(line).map_err(|e| format!("line {}: {e}", nth + 1))?;
-            Ok(entry.in_current_words())
+            Ok(entry.with_current_names())
         };
         Ok(History { nodes, entries: lines.map(entry).collect::<Result<_, String>>()? })
     }
--- a/rig/src/processes.rs
+++ b/rig/src/processes.rs
@@ -19,7 +19,7 @@
 use rustix::process::{Pid, Signal, kill_process};
 use serde_json::{Value, json};
 
-use crate::history::{History, What, current_word, name};
+use crate::history::{History, What, current_name, name};
 use crate::relay::{Passed, Relay};
 use crate::streams::Stream;
 use crate::traffic::{Behind, Death, Served, Traffic};
@@ -306,7 +306,7 @@
             _ = reader.join();
         }
         let mut history = std::mem::take(&mut *self.history.lock().unwrap_or_else(PoisonError::into_inner));
-        history.settle();
+        history.sort();
         Played { history, passed: self.relay.passed(), served, violations }
     }
 }
@@ -325,14 +325,14 @@
         if line["msg"] != "member" {
             continue;
         }
-        let word = |key: &str| line[key].as_str().map(str::to_string);
+        let text = |key: &str| line[key].as_str().map(str::to_string);
         let number = |key: &str| line[key].as_u64().unwrap_or_default();
-        let what = What::News {
+        let what = What::MemberChange {
             node: of,
-            word: word("what").map_or(String::new(), |word| current_word(&word).to_string()),
-            of: word("of"),
+            change: text("what").map_or(String::new(), |change| current_name(&change).to_string()),
+            member: text("of"),
             // Builds before the renaming log it as `life`.
-            incarnation: word("incarnation").or_else(|| word("life")),
+            incarnation: text("incarnation").or_else(|| text("life")),
             view: number("view"),
             members: number("members") as usize,
         };
--- a/rig/src/simulated.rs
+++ b/rig/src/simulated.rs
@@ -216,10 +216,10 @@
             return;
         }
         let (about, view) = (change.about(), fleet.view());
-        let what = What::News {
+        let what = What::MemberChange {
             node: of,
-            word: change.word().to_string(),
-            of: about.map(|(name, _)| name.to_string()),
+            change: change.word().to_string(),
+            member: about.map(|(name, _)| name.to_string()),
             incarnation: about.map(|(_, incarnation)| incarnation.to_string()),
             view: view.number,
             members: view.members.len(),
--- a/rig/tests/checkers.rs
+++ b/rig/tests/checkers.rs
@@ -6,9 +6,9 @@
 use doortrack_rig::shrink::shrink;
 use doortrack_rig::usage::{Admitted, concurrency_exceeded, rate_exceeded, used};
 
-fn news(node: usize, word: &str, of: usize, incarnation: u64) -> What {
-    let (of, incarnation) = (Some(name(of)), Some(format!("{incarnation:x}")));
-    What::News { node, word: word.into(), of, incarnation, view: 1, members: 3 }
+fn reported(node: usize, change: &str, member: usize, incarnation: u64) -> What {
+    let (member, incarnation) = (Some(name(member)), Some(format!("{incarnation:x}")));
+    What::MemberChange { node, change: change.into(), member, incarnation, view: 1, members: 3 }
 }
 
 fn status(node: usize, there: &[usize]) -> What {
@@ -22,14 +22,14 @@
     let mut history = History { nodes: 3, entries: Vec::new() };
     (0..3).for_each(|node| history.put(0, What::Began { node }));
     for node in 0..3 {
-        (0..3).filter(|of| *of != node).for_each(|of| history.put(500, news(node, "alive", of, 0x10)));
+        (0..3).filter(|of| *of != node).for_each(|of| history.put(500, reported(node, "alive", of, 0x10)));
     }
     history
 }
 
 fn ended(mut history: History, there: &[usize]) -> History {
     there.iter().for_each(|node| history.put(60_000, status(*node, there)));
-    history.settle();
+    history.sort();
     history
 }
 
@@ -53,8 +53,8 @@
 #[test]
 fn a_loss_without_a_reason_is_found() {
     let mut history = good();
-    history.put(30_000, news(0, "dead", 1, 0x10));
-    history.put(30_200, news(0, "back", 1, 0x10));
+    history.put(30_000, reported(0, "dead", 1, 0x10));
+    history.put(30_200, reported(0, "back", 1, 0x10));
     assert_eq!(violated(&ended(history, &[0, 1, 2])), ["nobody wrongly declared dead"]);
 }
 
@@ -62,11 +62,11 @@
 fn one_broken_link_is_no_reason_and_a_stop_is_one() {
     let mut history = good();
     fault(&mut history, 20_000, Fault::Cut { from: vec![0], to: vec![1] });
-    history.put(25_000, news(0, "dead", 1, 0x10));
+    history.put(25_000, reported(0, "dead", 1, 0x10));
     assert_eq!(violated(&ended(history, &[0, 1, 2])), ["nobody wrongly declared dead"]);
     let mut history = good();
     fault(&mut history, 20_000, Fault::Stop { nodes: vec![1] });
-    history.put(25_000, news(0, "dead", 1, 0x10));
+    history.put(25_000, reported(0, "dead", 1, 0x10));
     fault(&mut history, 26_000, Fault::GoOn { nodes: vec![1] });
     assert_eq!(violated(&ended(history, &[0, 1, 2])), Vec::<&str>::new());
 }
@@ -75,15 +75,15 @@
 fn one_that_left_and_is_declared_dead_is_found() {
     let mut history = good();
     fault(&mut history, 20_000, Fault::Leave { nodes: vec![2] });
-    history.put(20_100, news(0, "left", 2, 0x10));
-    history.put(24_000, news(1, "dead", 2, 0x10));
+    history.put(20_100, reported(0, "left", 2, 0x10));
+    history.put(24_000, reported(1, "dead", 2, 0x10));
     assert_eq!(violated(&ended(history, &[0, 1])), ["left is not dead"]);
 }
 
 #[test]
 fn an_earlier_incarnation_is_found() {
     let mut history = good();
-    history.put(20_000, news(0, "alive", 2, 0x9));
+    history.put(20_000, reported(0, "alive", 2, 0x9));
     assert_eq!(violated(&ended(history, &[0, 1, 2])), ["incarnations go forward"]);
 }
 
@@ -92,7 +92,7 @@
     let mut history = good();
     fault(&mut history, 20_000, Fault::Cut { from: vec![0], to: vec![1, 2] });
     fault(&mut history, 20_000, Fault::Cut { from: vec![1, 2], to: vec![0] });
-    history.put(24_000, news(0, "dead", 1, 0x10));
+    history.put(24_000, reported(0, "dead", 1, 0x10));
     fault(&mut history, 30_000, Fault::Mend { from: vec![0], to: vec![1, 2] });
     fault(&mut history, 30_000, Fault::Mend { from: vec![1, 2], to: vec![0] });
     assert_eq!(violated(&ended(history, &[0, 1, 2])), ["isolated, declares nobody dead"]);
@@ -103,7 +103,7 @@
     let mut history = good();
     fault(&mut history, 20_000, Fault::Stop { nodes: vec![0] });
     fault(&mut history, 25_000, Fault::GoOn { nodes: vec![0] });
-    history.put(25_050, news(0, "dead", 1, 0x10));
+    history.put(25_050, reported(0, "dead", 1, 0x10));
     assert_eq!(violated(&ended(history, &[0, 1, 2])), ["resumed, declares nobody dead"]);
 }
 
@@ -180,10 +180,21 @@
 #[test]
 fn a_history_in_the_words_of_an_earlier_build_is_judged_alike() {
     let mut history = good();
-    history.put(25_000, news(0, "dead", 1, 0x10));
+    history.put(25_000, reported(0, "dead", 1, 0x10));
     let history = ended(history, &[0, 1, 2]);
-    let earlier = history.lines().replace("\"incarnation\"", "\"life\"").replace("\"dead\"", "\"lost\"");
-    assert_ne!(earlier, history.lines());
+    let earlier_words = [
+        ("\"incarnation\":", "\"life\":"),
+        ("\"dead\"", "\"lost\""),
+        ("\"kind\":\"member_change\"", "\"kind\":\"news\""),
+        ("\"change\":", "\"word\":"),
+        ("\"member\":", "\"of\":"),
+    ];
+    let mut earlier = history.lines();
+    for (present, before) in earlier_words {
+        let replaced = earlier.replace(present, before);
+        assert_ne!(replaced, earlier, "{present} is not written");
+        earlier = replaced;
+    }
     let read = History::parse(&earlier).unwrap();
     assert_eq!(read, history);
     assert_eq!(violated(&read), ["nobody wrongly declared dead"]);
--- a/rig/tests/simulated.rs
+++ b/rig/tests/simulated.rs
@@ -20,7 +20,7 @@
 }
 
 fn deaths(history: &History) -> usize {
-    let dead = |what: &What| matches!(what, What::News { word, .. } if word == "dead");
+    let dead = |what: &What| matches!(what, What::MemberChange { change, .. } if change == "dead");
     history.entries.iter().filter(|entry| dead(&entry.what)).count()
 }
 
