--- a/bench/src/bin/budgets.rs
+++ b/bench/src/bin/budgets.rs
@@ -8,7 +8,7 @@
 use doortrack_budgets::{Budget, Kind, Parameters};
 use doortrack_emulator::Law;
 use doortrack_fleet::Name;
-use doortrack_rig::divided::{Options, Outcome, play};
+use doortrack_rig::divided::{self, Options, Outcome};
 use doortrack_rig::history::name;
 use doortrack_rig::script::{Fault, Script, Timed};
 
@@ -48,7 +48,7 @@
         count_from_ms: from,
         count_bytes: true,
     };
-    let out = play(&script, &options);
+    let out = divided::run(&script, &options);
     assert!(out.violations.is_empty(), "{:?}", out.violations);
     out
 }
--- a/bench/src/bin/membership.rs
+++ b/bench/src/bin/membership.rs
@@ -11,7 +11,7 @@
 use doortrack_rig::history::{History, What, name};
 use doortrack_rig::processes::Rig;
 use doortrack_rig::script::{Fault, Script, Timed};
-use doortrack_rig::simulated::{Options, play};
+use doortrack_rig::simulated::{Options, run};
 use serde_json::Value;
 
 /// Kills of one play, this far apart in ms.
@@ -115,13 +115,13 @@
     let (mut found, began) = (Vec::new(), Instant::now());
     for seed in 1..=if nodes > 500 { 1 } else { 5 } {
         let script = Script { nodes, ms: CALM + APART * (KILLS as u64 + 1), seed, faults: kills(nodes) };
-        found.extend(known(&play(&script, &options(CALM)).0));
+        found.extend(known(&run(&script, &options(CALM)).0));
     }
     tell("simulated", nodes, &found);
     // Alike but for ten calm seconds more: the difference is what calm costs.
     let calm = |ms| {
         let script = Script { nodes, ms, seed: 1, faults: Vec::new() };
-        play(&script, &Options { count_bytes: true, ..options(u64::MAX) }).1
+        run(&script, &Options { count_bytes: true, ..options(u64::MAX) }).1
     };
     let (short, long) = (calm(CALM), calm(CALM + 10_000));
     let each = |of: u64| of as f64 / nodes as f64 / 10.0;
@@ -134,7 +134,7 @@
     if nodes <= 300 {
         let heals = (1..=3).map(|seed| {
             let script = Script { nodes, ms: 40_000, seed, faults: cuts(nodes, 20_000, 30_000) };
-            whole_again(&play(&script, &options(0)).0, 30_000)
+            whole_again(&run(&script, &options(0)).0, 30_000)
         });
         println!("simulated {nodes}: whole again {} ms after a cut in halves", middle(heals.collect()));
     }
@@ -146,7 +146,7 @@
     let rough = Fault::Links { loss: 0.05, doubled: 0.0, garbled: 0.0, delay_ms: 2 };
     let faults = vec![Timed { at_ms: 5_000, fault: rough }];
     let script = Script { nodes, ms: seconds * 1_000, seed: 1, faults };
-    let (history, _) = play(&script, &Options { record_from_ms: 5_000, ..Options::default() });
+    let (history, _) = run(&script, &Options { record_from_ms: 5_000, ..Options::default() });
     let count = |wanted: &str| {
         let is = |what: &What| matches!(what, What::MemberChange { change, .. } if change == wanted);
         history.entries.iter().filter(|entry| is(&entry.what)).count()
@@ -174,9 +174,9 @@
     (0..nodes).for_each(|of| rig.start(of, of, &Value::Null).expect("a process"));
     until(8_000);
     let cpu = |rig: &Rig| (0..nodes).filter_map(|of| rig.pid(of)).map(cpu_ms).sum::<u64>();
-    let (cpu_before, before) = (cpu(&rig), rig.relay.passed());
+    let (cpu_before, before) = (cpu(&rig), rig.relay.counts());
     until(CALM - 2_000);
-    let (spent, after) = (cpu(&rig) - cpu_before, rig.relay.passed());
+    let (spent, after) = (cpu(&rig) - cpu_before, rig.relay.counts());
     let seconds = (CALM - 2_000 - 8_000) as f64 / 1_000.0;
     let (bytes, sent) = (after.bytes - before.bytes, after.passed + after.lost - before.passed - before.lost);
     println!(
@@ -199,8 +199,8 @@
         rig.take_up(&timed.fault, &more).expect("a cut");
     }
     until(rest + 28_000);
-    let played = rig.finish();
-    tell("processes", nodes, &known(&played.history));
-    let whole = whole_again(&played.history, rest + 18_000);
+    let result = rig.finish();
+    tell("processes", nodes, &known(&result.history));
+    let whole = whole_again(&result.history, rest + 18_000);
     println!("processes {nodes}: whole again {whole} ms after a cut in halves");
 }
--- a/node/tests/fleet/budgets.rs
+++ b/node/tests/fleet/budgets.rs
@@ -76,7 +76,7 @@
         let drift = if of % 2 == 0 { 15_000 } else { -15_000 };
         let mut own = vec![format!("--test-drift-ppm={drift}")];
         own.extend(words.iter().map(|word| word.to_string()));
-        rig.words.insert(of, own);
+        rig.arguments.insert(of, own);
     }
     let more = with(own.clone(), load.installation());
     let more = |_: usize| more.clone();
--- a/node/tests/fleet/link.rs
+++ b/node/tests/fleet/link.rs
@@ -71,8 +71,8 @@
         _ = sock.send_to(&bytes, rig.fleet(0));
     }
     (0..3).for_each(|of| all_there(&rig, of, 3));
-    let played = rig.finish();
-    assert!(!(0..3).any(|of| told(&played.history, of, "dead")), "{}", played.history.lines());
+    let result = rig.finish();
+    assert!(!(0..3).any(|of| told(&result.history, of, "dead")), "{}", result.history.lines());
 }
 
 #[test]
@@ -204,8 +204,8 @@
         std::thread::sleep(Duration::from_millis(50));
     }
     [0, 1, 3].iter().for_each(|of| all_there(&rig, *of, 3));
-    let played = rig.finish();
-    assert!(told(&played.history, 2, "superseded"), "{}", played.history.lines());
+    let result = rig.finish();
+    assert!(told(&result.history, 2, "superseded"), "{}", result.history.lines());
 }
 
 #[test]
--- a/node/tests/fleet/main.rs
+++ b/node/tests/fleet/main.rs
@@ -12,7 +12,7 @@
 use std::path::Path;
 
 use doortrack_rig::checks::{judge, membership};
-use doortrack_rig::processes::Played;
+use doortrack_rig::processes::RunResult;
 use doortrack_rig::script::{Fault, Script, Timed};
 
 fn program() -> &'static Path {
@@ -24,11 +24,11 @@
     Script { nodes, ms, seed: 5, faults }
 }
 
-fn holds(played: &Played) {
-    let violations = judge(&played.history, &membership());
-    assert!(violations.is_empty(), "{violations:#?}\n{}", played.history.lines());
-    assert!(played.violations.is_empty(), "{:#?}", played.violations);
-    assert!(played.served.completed > 0, "{:?}", played.served);
+fn holds(result: &RunResult) {
+    let violations = judge(&result.history, &membership());
+    assert!(violations.is_empty(), "{violations:#?}\n{}", result.history.lines());
+    assert!(result.violations.is_empty(), "{:#?}", result.violations);
+    assert!(result.served.completed > 0, "{:?}", result.served);
 }
 
 /// Nothing passes between two groups, either way, for a while.
--- a/node/tests/fleet/served.rs
+++ b/node/tests/fleet/served.rs
@@ -30,8 +30,8 @@
             std::thread::sleep(Duration::from_millis(5));
         }
     }
-    let played = rig.finish_with(Some((traffic, &behind)));
-    assert!(played.violations.is_empty(), "{:#?}", played.violations);
-    let served = played.served;
+    let result = rig.finish_with(Some((traffic, &behind)));
+    assert!(result.violations.is_empty(), "{:#?}", result.violations);
+    let served = result.served;
     assert!(served.completed * 10 >= served.asked * 8 && served.asked > 100, "{served:?}");
 }
--- a/node/tests/fleet/troubles.rs
+++ b/node/tests/fleet/troubles.rs
@@ -1,20 +1,20 @@
 //! Processes that die, stop, leave and come back, and links that break.
 
 use doortrack_rig::history::What;
-use doortrack_rig::processes::{Played, play, play_beside};
+use doortrack_rig::processes::{RunResult, run, run_with_older};
 use doortrack_rig::script::{Fault, NetworkConditions, Script};
 
 use crate::{holds, parted, program, script};
 
-fn played(script: &Script) -> Played {
-    let played = play(program(), script, 3).unwrap();
-    holds(&played);
-    played
+fn run_and_judge(script: &Script) -> RunResult {
+    let result = run(program(), script, 3).unwrap();
+    holds(&result);
+    result
 }
 
-fn told(played: &Played, wanted: &str) -> usize {
+fn told(result: &RunResult, wanted: &str) -> usize {
     let is = |what: &What| matches!(what, What::MemberChange { change, .. } if change == wanted);
-    played.history.entries.iter().filter(|entry| is(&entry.what)).count()
+    result.history.entries.iter().filter(|entry| is(&entry.what)).count()
 }
 
 #[test]
@@ -24,8 +24,8 @@
         (2_000, Fault::Kill { nodes: half.clone() }),
         (7_000, Fault::Start { nodes: half, clock_ms: 0 }),
     ];
-    let played = played(&script(6, 9_000, faults));
-    assert!(told(&played, "dead") >= 9, "each of three declared three dead\n{}", played.history.lines());
+    let result = run_and_judge(&script(6, 9_000, faults));
+    assert!(told(&result, "dead") >= 9, "each of three declared three dead\n{}", result.history.lines());
 }
 
 #[test]
@@ -34,7 +34,7 @@
         let at = 2_000 + of as u64 * 150;
         [(at, Fault::Kill { nodes: vec![of] }), (at + 20, Fault::Start { nodes: vec![of], clock_ms: 0 })]
     });
-    played(&script(6, 4_000, faults.collect()));
+    run_and_judge(&script(6, 4_000, faults.collect()));
 }
 
 #[test]
@@ -47,9 +47,9 @@
         faults.push((at, Fault::Leave { nodes: vec![of] }));
         faults.push((at + 1_500, Fault::Start { nodes: vec![of], clock_ms: 0 }));
     }
-    let played = played(&script(5, 12_000, faults));
-    assert!(told(&played, "left") >= 10, "{}", played.history.lines());
-    assert!(played.passed.garbled > 0 && played.passed.lost > 0);
+    let result = run_and_judge(&script(5, 12_000, faults));
+    assert!(told(&result, "left") >= 10, "{}", result.history.lines());
+    assert!(result.relay.garbled > 0 && result.relay.lost > 0);
 }
 
 #[test]
@@ -58,17 +58,17 @@
         (2_000, Fault::Cut { from: vec![1, 2, 3, 4], to: vec![0] }),
         (10_000, Fault::Mend { from: vec![1, 2, 3, 4], to: vec![0] }),
     ];
-    let played = played(&script(5, 12_000, faults));
+    let result = run_and_judge(&script(5, 12_000, faults));
     let own = |what: &What| matches!(what, What::MemberChange { node: 0, change, .. } if change == "dead");
-    assert!(!played.history.entries.iter().any(|entry| own(&entry.what)), "{}", played.history.lines());
-    assert!(told(&played, "isolated") >= 1 && told(&played, "reconnected") >= 1);
+    assert!(!result.history.entries.iter().any(|entry| own(&entry.what)), "{}", result.history.lines());
+    assert!(told(&result, "isolated") >= 1 && told(&result, "reconnected") >= 1);
 }
 
 #[test]
 fn two_halves_that_hear_nothing_of_one_another_heal_without_a_start() {
-    let played = played(&script(6, 11_000, parted((vec![0, 1, 2], vec![3, 4, 5]), 2_000, 9_000)));
-    assert!(told(&played, "dead") >= 18, "{}", played.history.lines());
-    assert_eq!(played.history.entries.iter().filter(|e| matches!(e.what, What::Began { .. })).count(), 6);
+    let result = run_and_judge(&script(6, 11_000, parted((vec![0, 1, 2], vec![3, 4, 5]), 2_000, 9_000)));
+    assert!(told(&result, "dead") >= 18, "{}", result.history.lines());
+    assert_eq!(result.history.entries.iter().filter(|e| matches!(e.what, What::Began { .. })).count(), 6);
 }
 
 #[test]
@@ -81,10 +81,10 @@
         (5_000, Fault::Start { nodes: vec![4], clock_ms: 0 }),
         (7_000, Fault::GoOn { nodes: vec![0] }),
     ];
-    let played = played(&script(5, 9_000, faults));
+    let result = run_and_judge(&script(5, 9_000, faults));
     let still =
         |what: &What| matches!(what, What::MemberChange { node: 0, change, .. } if change == "resumed");
-    assert!(played.history.entries.iter().any(|entry| still(&entry.what)), "{}", played.history.lines());
+    assert!(result.history.entries.iter().any(|entry| still(&entry.what)), "{}", result.history.lines());
 }
 
 #[test]
@@ -98,8 +98,8 @@
         (8_500, Fault::Start { nodes: vec![3], clock_ms: 2_000 }),
         (9_500, Fault::Replay { nodes: vec![0, 1, 2, 3] }),
     ];
-    let played = played(&script(4, 11_000, faults));
-    assert!(told(&played, "superseded") == 0, "{}", played.history.lines());
+    let result = run_and_judge(&script(4, 11_000, faults));
+    assert!(told(&result, "superseded") == 0, "{}", result.history.lines());
 }
 
 #[test]
@@ -113,8 +113,8 @@
         (1_500, server(vec![1], false, 0.3)),
         (5_500, server(vec![0, 1], false, 0.0)),
     ];
-    let played = played(&script(3, 6_500, faults));
-    assert_eq!(told(&played, "suspected"), 0, "{}", played.history.lines());
+    let result = run_and_judge(&script(3, 6_500, faults));
+    assert_eq!(told(&result, "suspected"), 0, "{}", result.history.lines());
 }
 
 #[test]
@@ -131,9 +131,9 @@
         (5_500, callers(vec![0, 1, 2], calm)),
         (5_500, Fault::Throttle { bytes_a_second: 0 }),
     ];
-    let played = played(&script(3, 7_000, faults));
+    let result = run_and_judge(&script(3, 7_000, faults));
     // Some were broken off, and most went through.
-    let served = played.served;
+    let served = result.served;
     assert!(served.unanswered > 0 && served.completed * 10 > served.asked * 5, "{served:?}");
 }
 
@@ -147,14 +147,14 @@
         (5_600, Fault::Start { nodes: vec![1], clock_ms: 0 }),
     ];
     let script = script(4, 7_000, faults);
-    let played = play_beside(program(), Some(program()), &script, 3).unwrap();
-    holds(&played);
+    let result = run_with_older(program(), Some(program()), &script, 3).unwrap();
+    holds(&result);
 }
 
 #[test]
 fn troubles_drawn_from_seeds_break_no_promise() {
     for seed in [3, 8] {
         let script = Script::seeded(seed, 5, 3);
-        played(&Script { ms: script.ms - 10_000, ..script });
+        run_and_judge(&Script { ms: script.ms - 10_000, ..script });
     }
 }
--- a/rig/src/divided.rs
+++ b/rig/src/divided.rs
@@ -84,7 +84,7 @@
 }
 
 /// Plays a script.
-pub fn play(script: &Script, options: &Options) -> Outcome {
+pub fn run(script: &Script, options: &Options) -> Outcome {
     let links = Links { latency: options.latency, ..Links::default() };
     let mut net = Net::new(links, script.seed);
     let mut chance = fastrand::Rng::with_seed(script.seed ^ 0xb0d6);
@@ -112,13 +112,13 @@
         actions: Vec::new(),
         asks_at: vec![0; script.nodes],
     };
-    world.play(script);
+    world.run(script);
     world.out.most_bytes = world.bytes.iter().copied().max().unwrap_or(0);
     world.out
 }
 
 impl World<'_> {
-    fn play(&mut self, script: &Script) {
+    fn run(&mut self, script: &Script) {
         let faults = links::mark(&mut self.net, script);
         (0..script.nodes).for_each(|of| self.start(of));
         self.learn();
--- a/rig/src/lib.rs
+++ b/rig/src/lib.rs
@@ -1,7 +1,7 @@
 //! Many nodes at once, and everything between them broken by a script.
 //!
-//! A [`Script`] says what goes wrong and when. It is played by [`processes::play`] on real `doortrack`
-//! processes with a relay between every pair of them, or by [`simulated::play`] in simulated time on the same
+//! A [`Script`] says what goes wrong and when. It is played by [`processes::run`] on real `doortrack`
+//! processes with a relay between every pair of them, or by [`simulated::run`] in simulated time on the same
 //! decisions. Either way what comes of it is one [`History`]: what the rig did, and what each node told.
 //! [`checks`] judge a history and know nothing of a node's code; [`shrink`] takes faults out of a script for
 //! as long as it still fails.
--- a/rig/src/main.rs
+++ b/rig/src/main.rs
@@ -72,15 +72,15 @@
     /// The history of a play, and its violations.
     fn play(&self, script: &Script) -> Result<(History, Vec<Violation>), String> {
         if self.simulated {
-            let history = simulated::play(script, &simulated::Options::default()).0;
+            let history = simulated::run(script, &simulated::Options::default()).0;
             let violations = judge(&history, &membership());
             return Ok((history, violations));
         }
-        if script.nodes > script::MOST_PROCESSES {
-            return Err(format!("script.nodes: at most {} processes are played", script::MOST_PROCESSES));
+        if script.nodes > script::MAX_PROCESSES {
+            return Err(format!("script.nodes: at most {} processes are played", script::MAX_PROCESSES));
         }
         let older = self.older.as_deref();
-        let played = processes::play_beside(&self.program, older, script, self.callers);
+        let played = processes::run_with_older(&self.program, older, script, self.callers);
         let played = played.map_err(|e| format!("{}: {e}", self.program.display()))?;
         let mut violations = judge(&played.history, &membership());
         let found = played.violations.into_iter();
--- a/rig/src/processes.rs
+++ b/rig/src/processes.rs
@@ -1,9 +1,9 @@
-//! Real processes of the program, over loopback: how they are started and ended, and what they tell. What
-//! faults do to them, how they are asked and how a script is played stand in files of their own.
+//! Real processes of the program on loopback: how they are started and ended, and how their logs are read.
+//! The modules below inject faults, query nodes and run scripts.
 
-mod asking;
 mod faults;
-mod play;
+mod querying;
+mod run;
 
 use std::collections::BTreeMap;
 use std::io::{self, BufRead, BufReader};
@@ -20,21 +20,25 @@
 use serde_json::{Value, json};
 
 use crate::history::{History, What, current_name, name};
-use crate::relay::{Passed, Relay};
+use crate::relay::{Relay, RelayCounts};
 use crate::streams::Stream;
 use crate::traffic::{Behind, Death, Served, Traffic};
 
-pub use play::{play, play_beside};
+pub use run::{run, run_with_older};
 
+/// Ports at each node's own loopback address: of its callers, of its fleet, and of the relay for its fleet.
 const FRONT: u16 = 9_090;
 const FLEET: u16 = 7_400;
 const STAND_IN: u16 = 7_401;
-/// From SIGTERM to a node's stop, and the last of it, in which it takes nothing more.
+/// Time from SIGTERM to a node's exit, in ms, and the end of that time, in which it accepts nothing more.
 const STOP_MS: u64 = 1_000;
 const LAST_MOMENTS: u64 = 300;
-/// What a node may write in a second, so that no news is left out of the history.
+/// Log lines a second that a node may write: enough for every member change.
 const LINES: &str = "5000";
-/// The nodes of one play and what lies between them. Every process is ended when it is dropped.
+/// Each byte of the fleet's key.
+const KEY_BYTE: u8 = 0x5a;
+
+/// The nodes of one run and what connects them. Every process is killed when it is dropped.
 pub struct Rig {
     program: PathBuf,
     nodes: Vec<Node>,
@@ -45,12 +49,12 @@
     readers: Vec<JoinHandle<()>>,
     deaths: Vec<Death>,
     streams: Vec<Stream>,
-    /// Between each node and those who ask it, where the play breaks that.
+    /// Proxies between each node and its callers, where the script has faults for them.
     doors: Vec<Stream>,
     /// An older build, for `start_older`.
     pub older: Option<PathBuf>,
-    /// Further words of a node's command line, by its number.
-    pub words: BTreeMap<usize, Vec<String>>,
+    /// Further arguments of a node's command line, by its number.
+    pub arguments: BTreeMap<usize, Vec<String>>,
 }
 
 struct Node {
@@ -59,12 +63,12 @@
     stopped: bool,
 }
 
-/// What a play on processes came to.
-pub struct Played {
+/// The result of a run on processes.
+pub struct RunResult {
     pub history: History,
-    pub passed: Passed,
+    pub relay: RelayCounts,
     pub served: Served,
-    /// Breaches of the four rules, in words.
+    /// Violations of the four rules, described.
     pub violations: Vec<String>,
 }
 
@@ -81,14 +85,14 @@
     }
 }
 
-/// What the nodes of a play have beside their fleet: more keys of the operators' file.
+/// Further keys of each node's operators' file, beside its fleet.
 pub type More<'a> = &'a dyn Fn(usize) -> Value;
 
 impl Rig {
-    /// Makes ready for so many nodes; none is started.
+    /// Prepares addresses, files and the relay of so many nodes; none is started.
     ///
     /// # Errors
-    /// A folder or a relay that can't be had.
+    /// The folder can't be created, or the relay can't be opened.
     pub fn new(program: &Path, nodes: usize, seed: u64) -> io::Result<Rig> {
         let nodes: Vec<Node> =
             (0..nodes).map(|_| Node { at: fresh_address(), process: None, stopped: false }).collect();
@@ -97,7 +101,7 @@
         let first = nodes.first().map_or(String::new(), |node| node.at.ip().to_string());
         let folder = std::env::temp_dir().join(format!("doortrack-rig-{}-{first}", std::process::id()));
         std::fs::create_dir_all(&folder)?;
-        std::fs::write(folder.join("fleet.key"), "5a".repeat(32))?;
+        std::fs::write(folder.join("fleet.key"), format!("{KEY_BYTE:02x}").repeat(32))?;
         let history = Arc::new(Mutex::new(History { nodes: nodes.len(), entries: Vec::new() }));
         let (began, readers) = (Instant::now(), Vec::new());
         let (program, deaths) = (program.to_path_buf(), Vec::new());
@@ -114,38 +118,38 @@
             streams,
             doors,
             older: None,
-            words: BTreeMap::new(),
+            arguments: BTreeMap::new(),
         })
     }
 
-    /// What each node's operators' file says of the server behind all, each by a stream of its own.
+    /// The part of each node's operators' file that names the server, reached through a proxy of its own.
     ///
     /// # Errors
-    /// No address can be had.
+    /// A proxy can't be started.
     pub fn behind(&mut self, behind: &Behind) -> io::Result<Vec<Value>> {
-        for nth in 0..self.nodes.len() {
-            self.streams.push(Stream::to(behind.at(), nth as u64)?);
+        for node in 0..self.nodes.len() {
+            self.streams.push(Stream::to(behind.at(), node as u64)?);
         }
         Ok(self.streams.iter().map(|stream| behind.installation(stream.at)).collect())
     }
 
-    /// Puts a stream of its own between each node and those who ask it.
+    /// Puts a proxy between each node and its callers.
     ///
     /// # Errors
-    /// No address can be had.
+    /// A proxy can't be started.
     pub fn open_doors(&mut self) -> io::Result<()> {
-        for of in 0..self.nodes.len() {
-            self.doors.push(Stream::to(self.front(of), 1_000 + of as u64)?);
+        for node in 0..self.nodes.len() {
+            self.doors.push(Stream::to(self.front(node), 1_000 + node as u64)?);
         }
         Ok(())
     }
 
-    /// Where callers are to ask a node.
-    pub fn door(&self, of: usize) -> SocketAddr {
-        self.doors.get(of).map_or(self.front(of), |door| door.at)
+    /// The address for callers: of the node, or of the proxy before it.
+    pub fn door(&self, node: usize) -> SocketAddr {
+        self.doors.get(node).map_or(self.front(node), |door| door.at)
     }
 
-    /// The start of the play's time.
+    /// Starts the run's clock.
     pub fn begin(&mut self) {
         self.began = Instant::now();
     }
@@ -159,29 +163,32 @@
         self.history.lock().unwrap_or_else(PoisonError::into_inner).put(at_ms, what);
     }
 
-    /// Where callers reach a node, and where its fleet does without the relay.
-    pub fn front(&self, of: usize) -> SocketAddr {
-        self.nodes[of].port(FRONT)
+    /// The node's own address for callers.
+    pub fn front(&self, node: usize) -> SocketAddr {
+        self.nodes[node].port(FRONT)
     }
 
-    pub fn fleet(&self, of: usize) -> SocketAddr {
-        self.nodes[of].port(FLEET)
+    /// The node's own address for its fleet, without the relay.
+    pub fn fleet(&self, node: usize) -> SocketAddr {
+        self.nodes[node].port(FLEET)
     }
 
+    /// The file of the fleet's key.
     pub fn key_file(&self) -> PathBuf {
         self.folder.join("fleet.key")
     }
 
-    pub fn pid(&self, of: usize) -> Option<u32> {
-        self.nodes[of].process.as_ref().map(Child::id)
+    /// The process id of a node; `None` if none was started.
+    pub fn pid(&self, node: usize) -> Option<u32> {
+        self.nodes[node].process.as_ref().map(Child::id)
     }
 
-    /// What a node's operators' file says: its fleet, and `more`.
-    pub fn installation(&self, of: usize, more: &Value) -> Value {
+    /// A node's operators' file: its fleet, and `more`.
+    pub fn installation(&self, node: usize, more: &Value) -> Value {
         let seeds: Vec<String> =
             self.nodes.iter().take(3).map(|node| node.port(STAND_IN).to_string()).collect();
-        let mut whole = json!({"fleet": {"name": "rig", "listen": self.nodes[of].port(FLEET).to_string(),
-            "advertise": self.nodes[of].port(STAND_IN).to_string(), "seeds": seeds,
+        let mut whole = json!({"fleet": {"name": "rig", "listen": self.nodes[node].port(FLEET).to_string(),
+            "advertise": self.nodes[node].port(STAND_IN).to_string(), "seeds": seeds,
             "key_file": "fleet.key"}});
         for (key, value) in more.as_object().into_iter().flatten() {
             match (whole.get_mut(key).and_then(Value::as_object_mut), value.as_object()) {
@@ -192,102 +199,103 @@
         whole
     }
 
-    /// Starts a process of a node, where none runs. `name_of` is the name under which it goes.
+    /// Starts a node's process, unless one runs. It is configured with the name of node `named`.
     ///
     /// # Errors
     /// The program can't be started.
-    pub fn start(&mut self, of: usize, name_of: usize, more: &Value) -> io::Result<()> {
-        self.start_off(of, name_of, 0, more)
+    pub fn start(&mut self, node: usize, named: usize, more: &Value) -> io::Result<()> {
+        self.start_off(node, named, 0, more)
     }
 
-    /// Has a node read another operators' file, by SIGHUP.
+    /// Has a node reload a new operators' file, by SIGHUP.
     ///
     /// # Errors
     /// The file can't be written.
-    pub fn reload(&mut self, of: usize, more: &Value) -> io::Result<()> {
-        std::fs::write(self.own_file(of), self.installation(of, more).to_string())?;
-        self.nodes[of].signal(Signal::HUP);
+    pub fn reload(&mut self, node: usize, more: &Value) -> io::Result<()> {
+        std::fs::write(self.installation_file(node), self.installation(node, more).to_string())?;
+        self.nodes[node].signal(Signal::HUP);
         Ok(())
     }
 
-    fn own_file(&self, of: usize) -> PathBuf {
-        self.folder.join(format!("{of}.installation.json"))
+    fn installation_file(&self, node: usize) -> PathBuf {
+        self.folder.join(format!("{node}.installation.json"))
     }
 
     /// Starts a process of the older build.
-    fn start_older(&mut self, of: usize, more: &Value) -> io::Result<()> {
+    fn start_older(&mut self, node: usize, more: &Value) -> io::Result<()> {
         let none = || io::Error::other("start_older: no older build was given");
         let older = self.older.clone().ok_or_else(none)?;
         let newer = std::mem::replace(&mut self.program, older);
-        let started = self.start(of, of, more);
+        let started = self.start(node, node, more);
         self.program = newer;
         started
     }
 
-    /// As [`Rig::start`], with the process's clock so many ms off.
+    /// As [`Rig::start`], with an offset of the process's clock in ms.
     ///
     /// # Errors
     /// The program can't be started.
-    pub fn start_off(&mut self, of: usize, name_of: usize, clock_ms: i64, more: &Value) -> io::Result<()> {
-        if let Some(process) = &mut self.nodes[of].process {
+    pub fn start_off(&mut self, node: usize, named: usize, clock_ms: i64, more: &Value) -> io::Result<()> {
+        if let Some(process) = &mut self.nodes[node].process {
             if process.try_wait()?.is_none() {
                 return Ok(());
             }
-            self.put(What::Ended { node: of });
+            self.put(What::Ended { node });
         }
-        let mut handed = config();
-        handed["name"] = json!(name(name_of));
-        handed["listen"] = json!(self.front(of).to_string());
-        handed["stop_ms"] = json!(STOP_MS);
-        handed["seed"] = json!(format!("{:016x}", 0x5eed_0000 + of as u64));
-        let (file, own) = (self.folder.join(format!("{of}.json")), self.own_file(of));
-        std::fs::write(&file, handed.to_string())?;
-        std::fs::write(&own, self.installation(of, more).to_string())?;
+        let mut config = config();
+        config["name"] = json!(name(named));
+        config["listen"] = json!(self.front(node).to_string());
+        config["stop_ms"] = json!(STOP_MS);
+        config["seed"] = json!(format!("{:016x}", 0x5eed_0000 + node as u64));
+        let config_file = self.folder.join(format!("{node}.json"));
+        let installation_file = self.installation_file(node);
+        std::fs::write(&config_file, config.to_string())?;
+        std::fs::write(&installation_file, self.installation(node, more).to_string())?;
         let mut command = Command::new(&self.program);
-        command.arg("serve").arg("--installation").arg(&own);
+        command.arg("serve").arg("--installation").arg(&installation_file);
         command.args(["--log-format", "json", "--log-lines", LINES]);
         command.arg(format!("--test-clock-ms={clock_ms}"));
-        command.args(self.words.get(&of).into_iter().flatten());
-        command.env("GW_CONFIG", &file).stdout(Stdio::null()).stderr(Stdio::piped());
+        command.args(self.arguments.get(&node).into_iter().flatten());
+        command.env("GW_CONFIG", &config_file).stdout(Stdio::null()).stderr(Stdio::piped());
         let mut process = command.spawn()?;
-        self.put(What::Began { node: of });
+        self.put(What::Began { node });
         if let Some(log) = process.stderr.take() {
             let (history, began) = (self.history.clone(), self.began);
-            let reader = std::thread::Builder::new().spawn(move || read(of, log, &history, began))?;
+            let reader = std::thread::Builder::new().spawn(move || read_log(node, log, &history, began))?;
             self.readers.push(reader);
         }
-        self.nodes[of] = Node { process: Some(process), stopped: false, ..self.nodes[of] };
+        self.nodes[node] = Node { process: Some(process), stopped: false, ..self.nodes[node] };
         Ok(())
     }
 
-    fn end(&mut self, of: usize) {
-        // Before the signal: a caller may learn of the end sooner than the rig.
+    fn kill(&mut self, node: usize) {
+        // Before the signal: a caller may notice the exit sooner than the rig.
         let at = unix_ms();
-        self.nodes[of].signal(Signal::KILL);
-        if let Some(mut process) = self.nodes[of].process.take() {
+        self.nodes[node].signal(Signal::KILL);
+        if let Some(mut process) = self.nodes[node].process.take() {
             _ = process.wait();
-            self.put(What::Ended { node: of });
-            self.deaths.push(Death { front: self.door(of), at, owed_before: 0 });
+            self.put(What::Ended { node });
+            self.deaths.push(Death { front: self.door(node), at, owed_before: 0 });
         }
     }
 
-    /// One that was told to leave has had its time to stop.
-    fn end_leaving(&mut self, of: usize) {
-        if self.nodes[of].process.is_some() {
-            self.end(of);
+    /// Kills a process that was told to leave, before the node is started again.
+    fn kill_leaving(&mut self, node: usize) {
+        if self.nodes[node].process.is_some() {
+            self.kill(node);
         }
     }
 
-    /// Ends all processes, and gives what was told.
-    pub fn finish(mut self) -> Played {
+    /// Kills all processes and returns what was recorded.
+    pub fn finish(mut self) -> RunResult {
         self.finish_with(None)
     }
 
-    /// As [`Rig::finish`], once the callers have their last answers.
-    pub fn finish_with(&mut self, traffic: Option<(Traffic, &Behind)>) -> Played {
+    /// As [`Rig::finish`], once the callers have their last answers, which are judged.
+    pub fn finish_with(&mut self, traffic: Option<(Traffic, &Behind)>) -> RunResult {
         let (served, violations) = match traffic {
             Some((traffic, behind)) => {
-                // What the rig itself broke off owes no answer, like what it ended.
+                // A request whose connection the rig broke needs no answer, like one to a killed process.
                 let broke = self.doors.iter().flat_map(|door| {
                     door.breaks().into_iter().map(|at| Death { front: door.at, at, owed_before: 0 })
                 });
@@ -296,30 +304,30 @@
             }
             None => Default::default(),
         };
-        (0..self.nodes.len()).for_each(|of| {
-            self.nodes[of].signal(Signal::KILL);
-            if let Some(mut process) = self.nodes[of].process.take() {
+        for node in &mut self.nodes {
+            node.signal(Signal::KILL);
+            if let Some(mut process) = node.process.take() {
                 _ = process.wait();
             }
-        });
+        }
         for reader in std::mem::take(&mut self.readers) {
             _ = reader.join();
         }
         let mut history = std::mem::take(&mut *self.history.lock().unwrap_or_else(PoisonError::into_inner));
         history.sort();
-        Played { history, passed: self.relay.passed(), served, violations }
+        RunResult { history, relay: self.relay.counts(), served, violations }
     }
 }
 
 impl Drop for Rig {
     fn drop(&mut self) {
-        (0..self.nodes.len()).for_each(|of| self.end(of));
+        (0..self.nodes.len()).for_each(|node| self.kill(node));
         _ = std::fs::remove_dir_all(&self.folder);
     }
 }
 
-/// Puts what a process logs of its fleet into the history.
-fn read(of: usize, log: impl io::Read, history: &Mutex<History>, began: Instant) {
+/// Records the member changes that a process logs in the history.
+fn read_log(node: usize, log: impl io::Read, history: &Mutex<History>, began: Instant) {
     for line in BufReader::new(log).lines().map_while(Result::ok) {
         let Ok(line) = serde_json::from_str::<Value>(&line) else { continue };
         if line["msg"] != "member" {
@@ -328,7 +336,7 @@
         let text = |key: &str| line[key].as_str().map(str::to_string);
         let number = |key: &str| line[key].as_u64().unwrap_or_default();
         let what = What::MemberChange {
-            node: of,
+            node,
             change: text("what").map_or(String::new(), |change| current_name(&change).to_string()),
             member: text("of"),
             // Builds before the renaming log it as `life`.
--- a/rig/src/processes/faults.rs
+++ b/rig/src/processes/faults.rs
@@ -1,4 +1,4 @@
-//! What a fault of a script does to processes and to what lies between them.
+//! Injects the faults of a script into processes and what connects them.
 
 use std::io;
 
@@ -12,43 +12,43 @@
 use crate::traffic::Death;
 
 impl Rig {
-    /// Does what a fault says, and takes note of it.
+    /// Injects a fault and records it.
     ///
     /// # Errors
-    /// A process that can't be started.
+    /// A process can't be started.
     pub fn take_up(&mut self, fault: &Fault, more: More) -> io::Result<()> {
         self.put(What::Fault { fault: fault.clone() });
         self.relay.take_up(fault);
         match fault {
-            Fault::Kill { nodes } => nodes.iter().for_each(|of| self.end(*of)),
+            Fault::Kill { nodes } => nodes.iter().for_each(|node| self.kill(*node)),
             Fault::Start { nodes, clock_ms } => {
-                for of in nodes {
-                    self.end_leaving(*of);
-                    self.start_off(*of, *of, *clock_ms, &more(*of))?;
+                for node in nodes {
+                    self.kill_leaving(*node);
+                    self.start_off(*node, *node, *clock_ms, &more(*node))?;
                 }
             }
             Fault::StartOlder { nodes } => {
-                for of in nodes {
-                    self.end_leaving(*of);
-                    self.start_older(*of, &more(*of))?;
+                for node in nodes {
+                    self.kill_leaving(*node);
+                    self.start_older(*node, &more(*node))?;
                 }
             }
-            Fault::Stop { nodes } => nodes.iter().for_each(|of| {
-                self.nodes[*of].stopped = true;
-                self.nodes[*of].signal(Signal::STOP);
+            Fault::Stop { nodes } => nodes.iter().for_each(|node| {
+                self.nodes[*node].stopped = true;
+                self.nodes[*node].signal(Signal::STOP);
             }),
-            Fault::GoOn { nodes } => nodes.iter().for_each(|of| {
-                self.nodes[*of].stopped = false;
-                self.nodes[*of].signal(Signal::CONT);
+            Fault::GoOn { nodes } => nodes.iter().for_each(|node| {
+                self.nodes[*node].stopped = false;
+                self.nodes[*node].signal(Signal::CONT);
             }),
-            Fault::Leave { nodes } => nodes.iter().for_each(|of| {
-                self.nodes[*of].signal(Signal::TERM);
-                // What comes in its last moments may find it gone before it was read.
+            Fault::Leave { nodes } => nodes.iter().for_each(|node| {
+                self.nodes[*node].signal(Signal::TERM);
+                // A request in its last moments may arrive and not be read before the exit.
                 let gone = unix_ms() + STOP_MS - LAST_MOMENTS;
-                self.deaths.push(Death { front: self.door(*of), at: gone, owed_before: gone });
+                self.deaths.push(Death { front: self.door(*node), at: gone, owed_before: gone });
             }),
-            Fault::Server { nodes, conditions } => change(&self.streams, nodes, *conditions),
-            Fault::Callers { nodes, conditions } => change(&self.doors, nodes, *conditions),
+            Fault::Server { nodes, conditions } => set_conditions(&self.streams, nodes, *conditions),
+            Fault::Callers { nodes, conditions } => set_conditions(&self.doors, nodes, *conditions),
             Fault::Cut { .. }
             | Fault::Mend { .. }
             | Fault::Links { .. }
@@ -59,6 +59,6 @@
     }
 }
 
-fn change(streams: &[Stream], nodes: &[usize], conditions: NetworkConditions) {
-    nodes.iter().filter_map(|of| streams.get(*of)).for_each(|stream| stream.change(conditions));
+fn set_conditions(streams: &[Stream], nodes: &[usize], conditions: NetworkConditions) {
+    nodes.iter().filter_map(|node| streams.get(*node)).for_each(|stream| stream.change(conditions));
 }
--- /dev/null
+++ b/rig/src/processes/querying.rs
@@ -0,0 +1,78 @@
+//! Queries of a node's view of its fleet.
+
+use std::time::{Duration, Instant};
+
+use doortrack_node::commands::fleet::ask;
+
+use super::{KEY_BYTE, Rig};
+use crate::history::{Member, What};
+
+/// How long nodes have to reach an expected state. Generous, so that a slow machine changes no verdict.
+const TIMEOUT: Duration = Duration::from_secs(20);
+/// Pauses between two queries of one node, and of all.
+const QUERY_INTERVAL: Duration = Duration::from_millis(50);
+const ROUND_INTERVAL: Duration = Duration::from_millis(100);
+
+/// Members that a status counts as present.
+fn present(status: &What) -> usize {
+    match status {
+        What::Status { members, .. } => {
+            members.iter().filter(|member| matches!(&*member.state, "alive" | "suspected")).count()
+        }
+        _ => 0,
+    }
+}
+
+impl Rig {
+    /// A node's view of its fleet; `None` if it does not answer.
+    pub fn status(&self, node: usize) -> Option<What> {
+        let answer = ask(self.fleet(node), Some([KEY_BYTE; 32])).ok()?;
+        let members = answer.members.iter().map(|member| Member {
+            name: member.name.to_string(),
+            incarnation: member.incarnation.to_string(),
+            state: serde_json::to_value(member.state)
+                .ok()
+                .and_then(|state| state.as_str().map(str::to_string))
+                .unwrap_or_default(),
+        });
+        Some(What::Status {
+            node,
+            isolated: answer.first.isolated,
+            digest: format!("{:016x}", answer.first.digest),
+            members: members.collect(),
+        })
+    }
+
+    /// Waits until `accepts` holds for the members of a node's view; false after the timeout.
+    pub fn wait_for(&self, node: usize, accepts: impl Fn(&[Member]) -> bool) -> bool {
+        let until = Instant::now() + TIMEOUT;
+        while Instant::now() < until {
+            if let Some(What::Status { members, .. }) = self.status(node)
+                && accepts(&members)
+            {
+                return true;
+            }
+            std::thread::sleep(QUERY_INTERVAL);
+        }
+        false
+    }
+
+    /// Queries all running nodes until `expected` of them see `expected` members each, or the timeout passes.
+    /// The last answers are recorded in the history.
+    pub fn query_until_agreed(&mut self, expected: usize) {
+        let until = Instant::now() + TIMEOUT;
+        loop {
+            let statuses: Vec<What> = self.running().filter_map(|node| self.status(node)).collect();
+            let agreed = statuses.iter().filter(|status| present(status) == expected).count() >= expected;
+            if agreed || Instant::now() > until {
+                return statuses.into_iter().for_each(|status| self.put(status));
+            }
+            std::thread::sleep(ROUND_INTERVAL);
+        }
+    }
+
+    /// Nodes whose process runs and is not stopped by a signal.
+    fn running(&self) -> impl Iterator<Item = usize> {
+        (0..self.nodes.len()).filter(|node| self.nodes[*node].process.is_some() && !self.nodes[*node].stopped)
+    }
+}
--- a/rig/src/relay.rs
+++ b/rig/src/relay.rs
@@ -15,13 +15,13 @@
 use crate::script::Fault;
 
 /// Datagrams on their way at once; more are lost.
-const MOST_HELD: usize = 100_000;
+const MAX_QUEUED: usize = 100_000;
 /// How long the relay rests where nothing comes.
 const REST: Duration = Duration::from_micros(300);
 /// Datagrams to each node that are kept for a replay.
-const MOST_KEPT: usize = 300;
+const MAX_RETAINED: usize = 300;
 /// What would wait for its turn on a throttled link for longer is lost, as by a full queue.
-const LONGEST_QUEUE: Duration = Duration::from_secs(1);
+const MAX_QUEUE_TIME: Duration = Duration::from_secs(1);
 
 /// What the links do just now.
 #[derive(Default)]
@@ -38,7 +38,7 @@
 
 /// What was passed on and what was not.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct Passed {
+pub struct RelayCounts {
     pub passed: u64,
     pub lost: u64,
     pub garbled: u64,
@@ -49,7 +49,7 @@
 /// A relay that runs until it is dropped.
 pub struct Relay {
     rules: Arc<Mutex<Rules>>,
-    passed: Arc<Mutex<Passed>>,
+    counts: Arc<Mutex<RelayCounts>>,
     over: Arc<AtomicBool>,
     thread: Option<JoinHandle<()>>,
 }
@@ -95,14 +95,14 @@
             socks.push(sock);
         }
         let real: Vec<SocketAddr> = nodes.iter().map(|(real, _)| *real).collect();
-        let (rules, passed, over): (Arc<Mutex<Rules>>, Arc<Mutex<Passed>>, Arc<AtomicBool>) =
+        let (rules, counts, over): (Arc<Mutex<Rules>>, Arc<Mutex<RelayCounts>>, Arc<AtomicBool>) =
             Default::default();
         let run = Run {
             socks,
             by_address: real.iter().enumerate().map(|(nth, at)| (*at, nth)).collect(),
             real,
             rules: rules.clone(),
-            passed: passed.clone(),
+            counts: counts.clone(),
             held: BinaryHeap::new(),
             kept: vec![VecDeque::new(); nodes.len()],
             chance: fastrand::Rng::with_seed(seed),
@@ -111,7 +111,7 @@
         };
         let until = over.clone();
         let thread = std::thread::Builder::new().name("relay".into()).spawn(move || run.run(&until))?;
-        Ok(Relay { rules, passed, over, thread: Some(thread) })
+        Ok(Relay { rules, counts, over, thread: Some(thread) })
     }
 
     /// Takes up a fault, if it is one of links.
@@ -143,8 +143,8 @@
         }
     }
 
-    pub fn passed(&self) -> Passed {
-        *self.passed.lock().unwrap_or_else(PoisonError::into_inner)
+    pub fn counts(&self) -> RelayCounts {
+        *self.counts.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
 
@@ -162,7 +162,7 @@
     real: Vec<SocketAddr>,
     by_address: BTreeMap<SocketAddr, usize>,
     rules: Arc<Mutex<Rules>>,
-    passed: Arc<Mutex<Passed>>,
+    counts: Arc<Mutex<RelayCounts>>,
     held: BinaryHeap<Reverse<Held>>,
     /// By node, what last came to it: from whom, and the bytes.
     kept: Vec<VecDeque<(usize, Vec<u8>)>>,
@@ -212,8 +212,8 @@
 
     fn came(&mut self, from: usize, to: usize, bytes: &[u8]) {
         let rules = self.rules.lock().unwrap_or_else(PoisonError::into_inner);
-        let mut passed = self.passed.lock().unwrap_or_else(PoisonError::into_inner);
-        passed.bytes += bytes.len() as u64 + 28;
+        let mut counts = self.counts.lock().unwrap_or_else(PoisonError::into_inner);
+        counts.bytes += bytes.len() as u64 + 28;
         let lost = rules.cuts.contains_key(&(from, to)) || self.chance.f64() < rules.loss;
         let now = Instant::now();
         let mut passes_at = now;
@@ -222,21 +222,21 @@
             let free_at = self.free_at.get(&(from, to)).copied().unwrap_or(now).max(now);
             passes_at = free_at + Duration::from_micros(micros);
         }
-        if lost || self.held.len() >= MOST_HELD || passes_at > now + LONGEST_QUEUE {
-            passed.lost += 1;
+        if lost || self.held.len() >= MAX_QUEUED || passes_at > now + MAX_QUEUE_TIME {
+            counts.lost += 1;
             return;
         }
         if passes_at > now {
             self.free_at.insert((from, to), passes_at);
         }
-        passed.passed += 1;
+        counts.passed += 1;
         let mut bytes = bytes.to_vec();
         if self.chance.f64() < rules.garbled && !bytes.is_empty() {
-            passed.garbled += 1;
+            counts.garbled += 1;
             let place = self.chance.usize(..bytes.len());
             bytes[place] ^= self.chance.u8(1..);
         }
-        if self.kept[to].len() >= MOST_KEPT {
+        if self.kept[to].len() >= MAX_RETAINED {
             self.kept[to].pop_front();
         }
         self.kept[to].push_back((from, bytes.clone()));
--- a/rig/src/script.rs
+++ b/rig/src/script.rs
@@ -4,9 +4,9 @@
 use serde::{Deserialize, Serialize};
 
 /// Nodes of one play on real processes, and in simulated time.
-pub const MOST_PROCESSES: usize = 50;
-pub const MOST_SIMULATED: usize = 5_000;
-const MOST_FAULTS: usize = 10_000;
+pub const MAX_PROCESSES: usize = 50;
+pub const MAX_SIMULATED: usize = 5_000;
+const MAX_FAULTS: usize = 10_000;
 
 /// One play.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize, JsonSchema)]
@@ -157,11 +157,11 @@
     }
 
     fn check(&self) -> Result<(), String> {
-        if !(1..=MOST_SIMULATED).contains(&self.nodes) {
-            return Err(format!("script.nodes: 1 to {MOST_SIMULATED} are wanted, found {}", self.nodes));
+        if !(1..=MAX_SIMULATED).contains(&self.nodes) {
+            return Err(format!("script.nodes: 1 to {MAX_SIMULATED} are wanted, found {}", self.nodes));
         }
-        if self.faults.len() > MOST_FAULTS {
-            return Err(format!("script.faults: at most {MOST_FAULTS} are wanted"));
+        if self.faults.len() > MAX_FAULTS {
+            return Err(format!("script.faults: at most {MAX_FAULTS} are wanted"));
         }
         for (nth, timed) in self.faults.iter().enumerate() {
             let at = |what: String| Err(format!("script.faults[{nth}]: {what}"));
--- a/rig/src/shrink.rs
+++ b/rig/src/shrink.rs
@@ -1,29 +1,29 @@
-//! The smallest script that still fails.
+//! Reduces a failing script to a smaller one.
 
 use crate::script::Script;
 
-/// Takes out faults, half of them at first and one at a time in the end, for as long as `fails` says so of
-/// what is left. At most `plays` plays are made.
-pub fn shrink(script: &Script, plays: usize, mut fails: impl FnMut(&Script) -> bool) -> Script {
-    let mut least = script.clone();
-    let (mut chunk, mut left) = (least.faults.len().div_ceil(2), plays);
+/// Removes faults from a failing script, half of them at first and one at a time in the end, as long as
+/// `fails` holds for the rest. `fails` is called at most `max_runs` times.
+pub fn shrink(script: &Script, max_runs: usize, mut fails: impl FnMut(&Script) -> bool) -> Script {
+    let mut smallest = script.clone();
+    let (mut chunk, mut runs_left) = (smallest.faults.len().div_ceil(2), max_runs);
     while chunk > 0 {
-        let (mut from, mut smaller) = (0, false);
-        while from < least.faults.len() && left > 0 {
-            let mut tried = least.clone();
-            let till = (from + chunk).min(tried.faults.len());
-            tried.faults.drain(from..till);
-            left -= 1;
-            if fails(&tried) {
-                (least, smaller) = (tried, true);
+        let (mut start, mut shrunk) = (0, false);
+        while start < smallest.faults.len() && runs_left > 0 {
+            let mut candidate = smallest.clone();
+            let end = (start + chunk).min(candidate.faults.len());
+            candidate.faults.drain(start..end);
+            runs_left -= 1;
+            if fails(&candidate) {
+                (smallest, shrunk) = (candidate, true);
             } else {
-                from = till;
+                start = end;
             }
         }
-        if left == 0 || (chunk == 1 && !smaller) {
+        if runs_left == 0 || (chunk == 1 && !shrunk) {
             break;
         }
         chunk = if chunk == 1 { 1 } else { chunk / 2 };
     }
-    least
+    smallest
 }
--- a/rig/src/simulated.rs
+++ b/rig/src/simulated.rs
@@ -21,7 +21,7 @@
 /// Bytes of IP and UDP round each datagram.
 const ROUND: u64 = 28;
 /// Nodes that are asked for their views at the end, spread over all.
-const MOST_ASKED: usize = 60;
+const MAX_QUERIED: usize = 60;
 
 /// Options of a run. The defaults are one zone, exact clocks and a log-normal latency of 0.3 ms in the mean.
 #[derive(Clone, Debug)]
@@ -105,7 +105,7 @@
 }
 
 /// Plays a script.
-pub fn play(script: &Script, options: &Options) -> (History, Cost) {
+pub fn run(script: &Script, options: &Options) -> (History, Cost) {
     let links = Links { latency: options.latency, between_zones: options.between_zones, ..Links::default() };
     let mut net = Net::new(links, script.seed);
     let mut chance = fastrand::Rng::with_seed(script.seed);
@@ -129,12 +129,12 @@
         cost: Cost::default(),
         actions: Vec::new(),
     };
-    world.play(script);
+    world.run(script);
     (world.history, world.cost)
 }
 
 impl World {
-    fn play(&mut self, script: &Script) {
+    fn run(&mut self, script: &Script) {
         let faults = links::mark(&mut self.net, script);
         (0..script.nodes).for_each(|of| self.start(of));
         while let Some(next) = self.net.next(script.ms * MS) {
@@ -147,7 +147,7 @@
                 }
             }
         }
-        let step = script.nodes.div_ceil(MOST_ASKED).max(1);
+        let step = script.nodes.div_ceil(MAX_QUERIED).max(1);
         (0..script.nodes).step_by(step).for_each(|of| self.ask(of, script.ms));
     }
 
--- a/rig/tests/divided.rs
+++ b/rig/tests/divided.rs
@@ -6,7 +6,7 @@
 use doortrack_budgets::{Budget, Kind, Parameters, Safeguards};
 use doortrack_emulator::Law;
 use doortrack_fleet::Name;
-use doortrack_rig::divided::{Options, Outcome, play};
+use doortrack_rig::divided::{self, Options, Outcome};
 use doortrack_rig::history::name;
 use doortrack_rig::script::{Fault, Script, Timed};
 
@@ -72,7 +72,7 @@
         count_from_ms: 0,
         count_bytes: false,
     };
-    play(script, &options)
+    divided::run(script, &options)
 }
 
 fn holds(script: &Script) -> Outcome {
@@ -114,15 +114,15 @@
     assert!(used(40, 80) > 1_800, "{}", used(40, 80));
 }
 
-/// The plays that each safeguard is there for.
-fn plays() -> Vec<Script> {
+/// The scripts that each safeguard is there for.
+fn scripts() -> Vec<Script> {
     let all: Vec<usize> = (0..NODES).collect();
     let cut = |from: Vec<usize>, to: Vec<usize>| Fault::Cut { from, to };
     let mend = |from: Vec<usize>, to: Vec<usize>| Fault::Mend { from, to };
-    let mut plays: Vec<Script> = (1..=12).map(|seed| Script::seeded(seed, NODES, 6)).collect();
+    let mut scripts: Vec<Script> = (1..=12).map(|seed| Script::seeded(seed, NODES, 6)).collect();
     for seed in 1..=3 {
         let (few, rest) = (vec![0, 1, 5, 6], vec![2, 3, 4, 7, 8]);
-        plays.push(script(
+        scripts.push(script(
             24_000,
             seed,
             vec![
@@ -134,16 +134,16 @@
         ));
         // All at once, twice; each leader in turn, with nothing left of what it knew.
         let again = |at| (at, Fault::Start { nodes: all.clone(), clock_ms: 0 });
-        plays.push(script(16_000, seed, vec![again(6_000), again(9_300), again(12_100)]));
+        scripts.push(script(16_000, seed, vec![again(6_000), again(9_300), again(12_100)]));
         let start = |at: u64, of: usize| (at, Fault::Start { nodes: vec![of], clock_ms: 0 });
-        plays.push(script(
+        scripts.push(script(
             20_000,
             seed,
             (0..30).map(|nth| start(5_000 + nth * 400, nth as usize % 5)).collect(),
         ));
         let rough = Fault::Links { loss: 0.1, doubled: 0.3, garbled: 0.0, delay_ms: 150 };
-        plays.push(script(25_000, seed, vec![(4_000, rough)]));
-        plays.push(script(
+        scripts.push(script(25_000, seed, vec![(4_000, rough)]));
+        scripts.push(script(
             25_000,
             seed,
             vec![
@@ -152,11 +152,11 @@
             ],
         ));
     }
-    plays
+    scripts
 }
 
 fn breaks(what: &str, safeguards: Safeguards) {
-    let found = plays()
+    let found = scripts()
         .iter()
         .map(|script| run(script, safeguards).violations)
         .find(|violations| !violations.is_empty());
@@ -165,7 +165,7 @@
 
 #[test]
 fn with_all_safeguards_those_plays_hold() {
-    plays().iter().for_each(|script| _ = holds(script));
+    scripts().iter().for_each(|script| _ = holds(script));
 }
 
 #[test]
@@ -205,7 +205,7 @@
         count_from_ms: 6_000,
         count_bytes: false,
     };
-    let out = play(&script(16_000, 1, vec![]), &options);
+    let out = divided::run(&script(16_000, 1, vec![]), &options);
     assert!(out.violations.is_empty(), "{:?}", out.violations);
     // A ninth of 90 a second for 10 s each, whoever shouts.
     assert!(out.by_node.iter().all(|used| (88..=110).contains(used)), "{:?}", out.by_node);
--- a/rig/tests/simulated.rs
+++ b/rig/tests/simulated.rs
@@ -5,7 +5,7 @@
 use doortrack_rig::checks::{judge, membership};
 use doortrack_rig::history::{History, What};
 use doortrack_rig::script::{Fault, Script, Timed};
-use doortrack_rig::simulated::{Options, play};
+use doortrack_rig::simulated::{Options, run};
 
 fn script(nodes: usize, ms: u64, faults: Vec<(u64, Fault)>) -> Script {
     let faults = faults.into_iter().map(|(at_ms, fault)| Timed { at_ms, fault }).collect();
@@ -13,7 +13,7 @@
 }
 
 fn holds(script: &Script, options: &Options) -> History {
-    let (history, _) = play(script, options);
+    let (history, _) = run(script, options);
     let violations = judge(&history, &membership());
     assert!(violations.is_empty(), "{violations:#?}");
     history
@@ -41,7 +41,7 @@
 #[test]
 fn the_same_script_is_the_same_play_to_the_byte() {
     let script = Script::seeded(5, 9, 4);
-    let (one, other) = (play(&script, &Options::default()).0, play(&script, &Options::default()).0);
+    let (one, other) = (run(&script, &Options::default()).0, run(&script, &Options::default()).0);
     assert_eq!(one.lines(), other.lines());
 }
 
@@ -101,7 +101,7 @@
         ],
     );
     let breaks = |script: &Script, parameters: Parameters| -> Vec<&'static str> {
-        let (history, _) = play(script, &Options { parameters, ..Options::default() });
+        let (history, _) = run(script, &Options { parameters, ..Options::default() });
         judge(&history, &membership()).into_iter().map(|violation| violation.rule).collect()
     };
     assert!(breaks(&isolated, Parameters::default()).is_empty());
