Names: simulated runs of membership and budgets speak of nodes, members and uses

Variables of, what they hold; fields and functions of both simulations say what they record; the size of an encoded envelope has a module of its own. Order of draws of chance and of hashed values unchanged.

--- a/bench/src/bin/budgets.rs
+++ b/bench/src/bin/budgets.rs
@@ -177,7 +177,7 @@
              leader; {:.0} ns an event; {:.3} used",
             each(out.cost.datagrams),
             each(out.cost.bytes),
-            out.most_bytes as f64 / 10.0,
+            out.max_bytes as f64 / 10.0,
             out.cost.decisions_ns as f64 / out.cost.events.max(1) as f64,
             out.used[0] as f64 / out.asked[0].max(1) as f64,
         );
--- a/rig/src/divided.rs
+++ b/rig/src/divided.rs
@@ -1,32 +1,34 @@
 //! Fleet-wide budgets in simulated time, on the package that the node runs: a script of faults, demand by
-//! node and time, and an independent count of what was used.
+//! node and time, and an independent count of uses.
 //!
-//! The count knows nothing of leases: it takes note of each use at its true time, and compares with the
-//! limit.
+//! The count knows nothing of leases: it records each use at its true time and compares with the limit.
+
+mod message_size;
 
 use std::collections::BTreeMap;
 
-use doortrack_budgets::{
-    Action, Budget, Budgets, Change, Envelope, Event, Kind, Message, NodeId, Parameters,
-};
+use doortrack_budgets::{Action, Budget, Budgets, Change, Envelope, Event, Kind, NodeId, Parameters};
 use doortrack_emulator::{Clock, Law, Links, MachineId, Micros, Net, Next};
 use doortrack_fleet::{Incarnation, Member, Name, View};
 
+use self::message_size::encoded_size;
 use crate::history::name;
 use crate::links::{self, MS};
 use crate::script::{Fault, Script};
 use crate::simulated::Cost;
 
+/// Microseconds in a tenth of a ms, the unit of the decisions' time.
 const TENTH: Micros = 100;
-/// What clocks show at the start.
+/// What clocks show at the start of a run.
 const BASE: i64 = 100_000 * MS as i64;
-/// How often nodes look whether somebody asks.
-const STEP: Micros = 10 * MS;
-/// How late nodes learn of starts.
-const LEARN: Micros = 500 * MS;
-/// Bytes round each envelope: IP, UDP, version, hash, the fleet's name.
-const ROUND: u64 = 52;
-const TOKEN: f64 = 1.0;
+/// Interval at which a node's demand arrives.
+const DEMAND_INTERVAL: Micros = 10 * MS;
+/// Delay after which all nodes know of a start.
+const MEMBERSHIP_DELAY: Micros = 500 * MS;
+/// Bytes around each envelope: IP, UDP, version, hash, the fleet's name.
+const OVERHEAD_BYTES: u64 = 52;
+/// Tolerance of a rate, in units: each node truncates times to tenths of a ms.
+const TOLERANCE: f64 = 0.01;
 
 /// Options of a run.
 pub struct Options<'a> {
@@ -47,23 +49,24 @@
     pub count_bytes: bool,
 }
 
-/// What came of a play.
+/// The result of a run.
 #[derive(Clone, Debug, Default)]
 pub struct Outcome {
-    /// Breaches in words, the first of each budget.
+    /// Violations, described; the first of each budget.
     pub violations: Vec<String>,
-    /// By budget: asked for and used since `count_from_ms`.
+    /// By budget: uses requested and admitted since `count_from_ms`.
     pub asked: Vec<u64>,
     pub used: Vec<u64>,
-    /// Of the first budget, uses by node, and by node and tenth of a second since the start.
+    /// Uses of the first budget by node, and by node and tenth of a second since the start.
     pub by_node: Vec<u64>,
     pub by_time: BTreeMap<(usize, u64), u32>,
+    /// Elections won.
     pub leaders: u64,
     /// Datagrams and bytes since `count_from_ms`.
     pub cost: Cost,
-    /// Bytes of the one that sent most.
-    pub most_bytes: u64,
-    /// The same play gives the same mark.
+    /// Bytes sent by the node that sent most.
+    pub max_bytes: u64,
+    /// A hash of all messages and uses: the same for the same script and options.
     pub digest: u64,
 }
 
@@ -74,16 +77,16 @@
     started: u64,
     options: &'a Options<'a>,
     chance: fastrand::Rng,
-    /// By budget: what the leaky count of a rate stands at and when, or the ends of what is held.
+    /// By budget: the level of a rate's leaky bucket and its time, or the holds of a concurrency.
     level: Vec<(f64, Micros)>,
     held: Vec<Vec<(Micros, MachineId, Incarnation)>>,
     bytes: Vec<u64>,
     out: Outcome,
     actions: Vec<Action>,
-    asks_at: Vec<Micros>,
+    next_demand: Vec<Micros>,
 }
 
-/// Plays a script.
+/// Runs a script.
 pub fn run(script: &Script, options: &Options) -> Outcome {
     let links = Links { latency: options.latency, ..Links::default() };
     let mut net = Net::new(links, script.seed);
@@ -110,160 +113,159 @@
             ..Outcome::default()
         },
         actions: Vec::new(),
-        asks_at: vec![0; script.nodes],
+        next_demand: vec![0; script.nodes],
     };
     world.run(script);
-    world.out.most_bytes = world.bytes.iter().copied().max().unwrap_or(0);
+    world.out.max_bytes = world.bytes.iter().copied().max().unwrap_or(0);
     world.out
 }
 
 impl World<'_> {
     fn run(&mut self, script: &Script) {
         let faults = links::mark(&mut self.net, script);
-        (0..script.nodes).for_each(|of| self.start(of));
-        self.learn();
+        (0..script.nodes).for_each(|node| self.start(node));
+        self.announce_members();
         while let Some(next) = self.net.next(script.ms * MS) {
             match next {
-                Next::Mark(u64::MAX) => self.learn(),
-                Next::Mark(nth) => self.fault(faults[nth as usize].fault.clone()),
-                Next::Wakes { of } => {
-                    self.handle(of, Event::Tick);
-                    self.asks(of);
-                    self.wake(of);
+                Next::Mark(u64::MAX) => self.announce_members(),
+                Next::Mark(index) => self.inject(faults[index as usize].fault.clone()),
+                Next::Wakes { of: node } => {
+                    self.handle(node, Event::Tick);
+                    self.demand(node);
+                    self.wake(node);
                 }
-                Next::Hears { of, what, .. } => {
-                    self.handle(of, Event::Received(what));
-                    self.wake(of);
+                Next::Hears { of: node, what, .. } => {
+                    self.handle(node, Event::Received(what));
+                    self.wake(node);
                 }
             }
         }
     }
 
-    fn start(&mut self, of: MachineId) {
-        if !self.net.is_down(of) {
+    fn start(&mut self, node: MachineId) {
+        if !self.net.is_down(node) {
             return;
         }
-        self.net.start(of);
+        self.net.start(node);
         self.started += 1;
-        self.incarnations[of] = Incarnation(self.started);
-        let me = NodeId { name: name(of).into(), incarnation: self.incarnations[of] };
-        let now = self.net.shown(of) / TENTH;
+        self.incarnations[node] = Incarnation(self.started);
+        let me = NodeId { name: name(node).into(), incarnation: self.incarnations[node] };
+        let now = self.net.shown(node) / TENTH;
         let (parameters, list) = (self.options.parameters.clone(), &self.options.budgets);
-        self.nodes[of] = Some(Budgets::new(me, 4, parameters, list, self.chance.u64(..), now));
-        self.asks_at[of] = self.net.shown(of);
-        self.wake(of);
-        self.net.mark(self.net.now() + LEARN, u64::MAX);
+        self.nodes[node] = Some(Budgets::new(me, 4, parameters, list, self.chance.u64(..), now));
+        self.next_demand[node] = self.net.shown(node);
+        self.wake(node);
+        self.net.mark(self.net.now() + MEMBERSHIP_DELAY, u64::MAX);
     }
 
-    /// All nodes know the voters that run.
-    fn learn(&mut self) {
+    /// Tells all nodes which voters run.
+    fn announce_members(&mut self) {
         let mut view = View::default();
         for voter in self.options.parameters.voters.iter() {
-            let of: Option<usize> = voter[1..].parse().ok();
-            if let Some(of) = of.filter(|of| *of < self.nodes.len() && !self.net.is_down(*of)) {
-                let address = std::net::SocketAddr::from(([10, 0, 0, 1], of as u16));
-                let member = Member { incarnation: self.incarnations[of], address, weight: 4 };
+            let number: Option<usize> = voter[1..].parse().ok();
+            if let Some(node) = number.filter(|node| *node < self.nodes.len() && !self.net.is_down(*node)) {
+                let address = std::net::SocketAddr::from(([10, 0, 0, 1], node as u16));
+                let member = Member { incarnation: self.incarnations[node], address, weight: 4 };
                 view.members.insert(Name::clone(voter), member);
             }
         }
-        for of in 0..self.nodes.len() {
-            self.handle(of, Event::Members(view.clone()));
+        for node in 0..self.nodes.len() {
+            self.handle(node, Event::Members(view.clone()));
         }
     }
 
-    fn wake(&mut self, of: MachineId) {
-        let Some(node) = &self.nodes[of] else { return };
-        let due = node.next_due().saturating_mul(TENTH).min(self.asks_at[of]);
-        self.net.wake(of, due);
+    fn wake(&mut self, node: MachineId) {
+        let Some(budgets) = &self.nodes[node] else { return };
+        let due = budgets.next_due().saturating_mul(TENTH).min(self.next_demand[node]);
+        self.net.wake(node, due);
     }
 
-    fn handle(&mut self, of: MachineId, event: Event) {
-        let now = self.net.shown(of) / TENTH;
-        let Some(mut node) = self.nodes[of].take() else { return };
+    fn handle(&mut self, node: MachineId, event: Event) {
+        let now = self.net.shown(node) / TENTH;
+        let Some(mut budgets) = self.nodes[node].take() else { return };
         let mut actions = std::mem::take(&mut self.actions);
-        self.out.cost.decide(|| node.handle(now, event, &mut actions));
+        self.out.cost.decide(|| budgets.handle(now, event, &mut actions));
         for action in actions.drain(..) {
             match action {
-                Action::Send(envelope) => self.send(of, envelope),
+                Action::Send(envelope) => self.send(node, envelope),
                 Action::Report(change) => {
                     self.out.leaders += u64::from(matches!(change, Change::Elected { .. }))
                 }
             }
         }
         self.actions = actions;
-        self.nodes[of] = Some(node);
+        self.nodes[node] = Some(budgets);
     }
 
-    fn send(&mut self, of: MachineId, envelope: Envelope) {
+    fn send(&mut self, node: MachineId, envelope: Envelope) {
         let Some(to) = envelope.to.name[1..].parse().ok().filter(|to| *to < self.nodes.len()) else { return };
         if self.net.now() >= self.options.count_from_ms * MS {
             self.out.cost.datagrams += 1;
             if self.options.count_bytes {
-                let bytes = weight(&envelope) + ROUND;
+                let bytes = encoded_size(&envelope) + OVERHEAD_BYTES;
                 self.out.cost.bytes += bytes;
-                self.bytes[of] += bytes;
+                self.bytes[node] += bytes;
             }
         }
-        let seen = (self.net.now(), of, to, std::mem::discriminant(&envelope.message));
-        self.mark(&seen);
-        self.net.send(of, to, envelope);
+        let sent = (self.net.now(), node, to, std::mem::discriminant(&envelope.message));
+        self.hash(&sent);
+        self.net.send(node, to, envelope);
     }
 
-    fn mark(&mut self, what: &impl std::hash::Hash) {
+    fn hash(&mut self, what: &impl std::hash::Hash) {
         use std::hash::{Hash, Hasher};
-        // The same in every run, unlike the library's own for maps.
+        // The same in every run, unlike the standard library's hasher of maps.
         let mut hasher = std::hash::DefaultHasher::new();
         (self.out.digest, what).hash(&mut hasher);
         self.out.digest = hasher.finish();
     }
 
-    /// Those who come to a node, since it last looked.
-    fn asks(&mut self, of: MachineId) {
-        let shown = self.net.shown(of);
-        if shown < self.asks_at[of] {
+    /// The demand at a node since the last interval.
+    fn demand(&mut self, node: MachineId) {
+        let shown = self.net.shown(node);
+        if shown < self.next_demand[node] {
             return;
         }
-        self.asks_at[of] = shown + STEP;
+        self.next_demand[node] = shown + DEMAND_INTERVAL;
         let at_ms = self.net.now() / MS;
         for index in 0..self.options.budgets.len() {
             self.end_holds(index);
-            let mean = (self.options.demand)(of, index, at_ms) * STEP as f64 / 1e6;
-            // So many that the mean is met: exact but for chance in the fraction.
+            let mean = (self.options.demand)(node, index, at_ms) * DEMAND_INTERVAL as f64 / 1e6;
+            // The mean is met exactly; its fraction by chance.
             let count = mean as u64 + u64::from(self.chance.f64() < mean.fract());
             for _ in 0..count {
-                self.ask(of, index);
+                self.request(node, index);
             }
         }
     }
 
-    fn ask(&mut self, of: MachineId, index: usize) {
-        let now = self.net.shown(of) / TENTH;
-        let counts = self.net.now() >= self.options.count_from_ms * MS;
-        self.out.asked[index] += u64::from(counts);
-        let Some(node) = &mut self.nodes[of] else { return };
-        if node.acquire(index, now).is_err() {
+    fn request(&mut self, node: MachineId, index: usize) {
+        let now = self.net.shown(node) / TENTH;
+        let counted = self.net.now() >= self.options.count_from_ms * MS;
+        self.out.asked[index] += u64::from(counted);
+        let Some(budgets) = &mut self.nodes[node] else { return };
+        if budgets.acquire(index, now).is_err() {
             return;
         }
-        self.out.used[index] += u64::from(counts);
+        self.out.used[index] += u64::from(counted);
         if index == 0 {
-            self.out.by_node[of] += u64::from(counts);
-            *self.out.by_time.entry((of, self.net.now() / (100 * MS))).or_default() += 1;
+            self.out.by_node[node] += u64::from(counted);
+            *self.out.by_time.entry((node, self.net.now() / (100 * MS))).or_default() += 1;
         }
-        self.mark(&(self.net.now(), of, index));
-        self.used(of, index);
+        self.hash(&(self.net.now(), node, index));
+        self.record_use(node, index);
     }
 
-    /// Counts one use at its true time.
-    fn used(&mut self, of: MachineId, index: usize) {
+    /// Records one use at its true time.
+    fn record_use(&mut self, node: MachineId, index: usize) {
         let (budget, now) = (&self.options.budgets[index], self.net.now());
         let limit = f64::from(budget.limit);
         match budget.kind {
             Kind::Rate { burst } => {
                 let (level, at) = self.level[index];
-                let level = (level - limit * (now - at) as f64 / 1e6).max(0.0) + TOKEN;
+                let level = (level - limit * (now - at) as f64 / 1e6).max(0.0) + 1.0;
                 self.level[index] = (level, now);
-                // What is cut to whole tenths of a ms, by each node, may come to a thousandth of a unit.
-                if level > f64::from(burst) + 0.01 {
+                if level > f64::from(burst) + TOLERANCE {
                     self.record_violation(
                         index,
                         format!("{level:.3} beyond {limit} a second, a burst of {burst}"),
@@ -273,8 +275,8 @@
             Kind::Concurrency { max_hold } => {
                 let mean = (self.options.mean_hold_ms * MS) as f64;
                 let lasts = (-mean * self.chance.f64().max(1e-9).ln()).min((max_hold * TENTH) as f64);
-                self.held[index].push((now + lasts as Micros, of, self.incarnations[of]));
-                let held = self.held[index].iter().filter(|(till, ..)| *till > now).count();
+                self.held[index].push((now + lasts as Micros, node, self.incarnations[node]));
+                let held = self.held[index].iter().filter(|(end, ..)| *end > now).count();
                 if held as u32 > budget.limit {
                     self.record_violation(index, format!("{held} of {limit} are held at once"));
                 }
@@ -282,18 +284,18 @@
         }
     }
 
-    /// What is held comes to its end; a node that stands still learns of it when it goes on.
+    /// Ends holds whose time has come; a stopped node releases them when it continues.
     fn end_holds(&mut self, index: usize) {
         let now = self.net.now();
         let (nodes, incarnations, net) = (&mut self.nodes, &self.incarnations, &self.net);
-        self.held[index].retain(|(till, of, incarnation)| {
-            let over =
-                *till <= now && (net.is_up(*of) || incarnations[*of] != *incarnation || net.is_down(*of));
+        self.held[index].retain(|(end, node, incarnation)| {
+            let over = *end <= now
+                && (net.is_up(*node) || incarnations[*node] != *incarnation || net.is_down(*node));
             if over
-                && incarnations[*of] == *incarnation
-                && let Some(node) = &mut nodes[*of]
+                && incarnations[*node] == *incarnation
+                && let Some(budgets) = &mut nodes[*node]
             {
-                node.release(index);
+                budgets.release(index);
             }
             !over
         });
@@ -306,46 +308,24 @@
         }
     }
 
-    fn fault(&mut self, fault: Fault) {
+    fn inject(&mut self, fault: Fault) {
         links::take_up(&mut self.net, self.options.latency, &fault);
         match fault {
             Fault::Kill { nodes } => {
-                for of in nodes.into_iter().filter(|of| !self.net.is_down(*of)).collect::<Vec<_>>() {
-                    self.net.kill(of);
-                    self.nodes[of] = None;
+                for node in nodes.into_iter().filter(|node| !self.net.is_down(*node)).collect::<Vec<_>>() {
+                    self.net.kill(node);
+                    self.nodes[node] = None;
                 }
             }
             Fault::Start { nodes, .. } | Fault::StartOlder { nodes } => {
-                for of in nodes {
-                    self.net.kill(of);
-                    self.nodes[of] = None;
-                    self.start(of);
+                for node in nodes {
+                    self.net.kill(node);
+                    self.nodes[node] = None;
+                    self.start(node);
                 }
             }
-            Fault::Leave { nodes } => nodes.into_iter().for_each(|of| self.handle(of, Event::Leave)),
+            Fault::Leave { nodes } => nodes.into_iter().for_each(|node| self.handle(node, Event::Leave)),
             _ => {}
         }
     }
 }
-
-/// Bytes of an envelope as the codec writes it, near enough to compare sizes.
-fn weight(envelope: &Envelope) -> u64 {
-    let small = |value: u64| 1 + u64::from(value > 127) + u64::from(value > 16_383);
-    let who = |who: &NodeId| 1 + who.name.len() as u64 + 9;
-    let message = match &envelope.message {
-        Message::Ask { ballot } | Message::Vote { ballot } | Message::Refused { ballot } => small(*ballot),
-        Message::Release { ballot } => small(*ballot),
-        Message::Report { seq, items, .. } => {
-            let item = |item: &doortrack_budgets::ReportItem| {
-                let units = [item.need, item.holding, item.accepted, item.limit, item.reserved];
-                5 + units.into_iter().map(small).sum::<u64>()
-            };
-            small(*seq) + 2 + items.iter().map(item).sum::<u64>()
-        }
-        Message::Grant { seq, grants } => {
-            small(*seq) + 1 + grants.iter().map(|grant| 6 + small(grant.allocation)).sum::<u64>()
-        }
-        Message::Elsewhere { seq, leader } => small(*seq) + 1 + leader.as_ref().map_or(0, who),
-    };
-    who(&envelope.from) + who(&envelope.to) + 1 + message
-}
--- a/rig/src/simulated.rs
+++ b/rig/src/simulated.rs
@@ -1,4 +1,5 @@
-//! A script played in simulated time, on the decisions that the node runs. The same to the byte each time.
+//! Runs a script in simulated time, on the decisions that the node runs. Every run gives the same history to
+//! the byte.
 
 use std::net::SocketAddr;
 use std::time::Instant;
@@ -14,13 +15,13 @@
 use crate::links::{self, MS};
 use crate::script::{Fault, Script};
 
-/// Microseconds of a tenth of a ms.
+/// Microseconds in a tenth of a ms, the unit of the decisions' time.
 const TENTH: Micros = 100;
-/// What clocks show at the start of a play, so that one set back shows no time before all times.
+/// What clocks show at the start of a run; large enough that a clock set back shows no negative time.
 const BASE: i64 = 100_000 * MS as i64;
-/// Bytes of IP and UDP round each datagram.
-const ROUND: u64 = 28;
-/// Nodes that are asked for their views at the end, spread over all.
+/// Bytes of IP and UDP headers of each datagram.
+const HEADER_BYTES: u64 = 28;
+/// Nodes queried for their views at the end, spread evenly.
 const MAX_QUERIED: usize = 60;
 
 /// Options of a run. The defaults are one zone, exact clocks and a log-normal latency of 0.3 ms in the mean.
@@ -57,9 +58,10 @@
     }
 }
 
-/// What a play cost.
+/// The cost of a run.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Cost {
+    /// Events handled by the decisions.
     pub events: u64,
     /// Real time spent in decisions, in ns.
     pub decisions_ns: u64,
@@ -69,7 +71,7 @@
 }
 
 impl Cost {
-    /// One event's decisions, timed.
+    /// Runs the decisions of one event and adds their time.
     pub(crate) fn decide(&mut self, decide: impl FnOnce()) {
         let began = Instant::now();
         decide();
@@ -90,33 +92,33 @@
     actions: Vec<Action>,
 }
 
-fn address(of: MachineId) -> SocketAddr {
-    SocketAddr::from(([10, 0, (of >> 8) as u8, of as u8], 7_400))
+fn address(node: MachineId) -> SocketAddr {
+    SocketAddr::from(([10, 0, (node >> 8) as u8, node as u8], 7_400))
 }
 
-fn machine(at: SocketAddr) -> Option<MachineId> {
-    match at {
-        SocketAddr::V4(at) => {
-            let [_, _, high, low] = at.ip().octets();
+fn machine(address: SocketAddr) -> Option<MachineId> {
+    match address {
+        SocketAddr::V4(address) => {
+            let [_, _, high, low] = address.ip().octets();
             Some(usize::from(high) << 8 | usize::from(low))
         }
         SocketAddr::V6(_) => None,
     }
 }
 
-/// Plays a script.
+/// Runs a script; returns its history and cost.
 pub fn run(script: &Script, options: &Options) -> (History, Cost) {
     let links = Links { latency: options.latency, between_zones: options.between_zones, ..Links::default() };
     let mut net = Net::new(links, script.seed);
     let mut chance = fastrand::Rng::with_seed(script.seed);
-    for of in 0..script.nodes {
-        let spread = |chance: &mut fastrand::Rng, most: u64| match most as i64 {
+    for node in 0..script.nodes {
+        let spread = |chance: &mut fastrand::Rng, bound: u64| match bound as i64 {
             0 => 0,
-            most => chance.i64(-most..=most),
+            bound => chance.i64(-bound..=bound),
         };
         let offset = spread(&mut chance, options.offset_ms) * MS as i64 + BASE;
         let clock = Clock { offset, drift_ppm: spread(&mut chance, options.drift_ppm) };
-        net.add(clock, of as u32 % options.zones.max(1));
+        net.add(clock, node as u32 % options.zones.max(1));
     }
     let mut world = World {
         net,
@@ -136,146 +138,146 @@
 impl World {
     fn run(&mut self, script: &Script) {
         let faults = links::mark(&mut self.net, script);
-        (0..script.nodes).for_each(|of| self.start(of));
+        (0..script.nodes).for_each(|node| self.start(node));
         while let Some(next) = self.net.next(script.ms * MS) {
             match next {
-                Next::Mark(nth) => self.fault(faults[nth as usize].fault.clone()),
-                Next::Wakes { of } => self.handle(of, Event::Tick),
-                Next::Hears { of, from, what } => {
+                Next::Mark(index) => self.inject(faults[index as usize].fault.clone()),
+                Next::Wakes { of: node } => self.handle(node, Event::Tick),
+                Next::Hears { of: node, from, what } => {
                     let from = address(from);
-                    self.handle(of, Event::Received { from, datagram: what });
+                    self.handle(node, Event::Received { from, datagram: what });
                 }
             }
         }
         let step = script.nodes.div_ceil(MAX_QUERIED).max(1);
-        (0..script.nodes).step_by(step).for_each(|of| self.ask(of, script.ms));
+        (0..script.nodes).step_by(step).for_each(|node| self.record_status(node, script.ms));
     }
 
     fn now_ms(&self) -> u64 {
         self.net.now() / MS
     }
 
-    fn start(&mut self, of: MachineId) {
-        if !self.net.is_down(of) {
+    fn start(&mut self, node: MachineId) {
+        if !self.net.is_down(node) {
             return;
         }
-        self.net.start(of);
+        self.net.start(node);
         let at_ms = self.now_ms();
-        self.history.put(at_ms, What::Began { node: of });
-        let shown = self.net.shown(of);
+        self.history.put(at_ms, What::Began { node });
+        let shown = self.net.shown(node);
         let me = MemberUpdate {
-            name: name(of).into(),
-            incarnation: Incarnation::started(shown / MS, of as u64),
+            name: name(node).into(),
+            incarnation: Incarnation::started(shown / MS, node as u64),
             version: 0,
             state: MemberState::Alive,
-            address: address(of),
+            address: address(node),
             weight: 4,
         };
         let parameters = Parameters { seeds: self.seeds.clone(), ..self.options.parameters.clone() };
         let fleet = Fleet::new(me, parameters, self.seed ^ self.net.now(), shown / TENTH);
-        self.wake(of, &fleet);
-        self.fleets[of] = Some(fleet);
+        self.wake(node, &fleet);
+        self.fleets[node] = Some(fleet);
     }
 
-    fn wake(&mut self, of: MachineId, fleet: &Fleet) {
+    fn wake(&mut self, node: MachineId, fleet: &Fleet) {
         let due = fleet.next_due();
         if due != u64::MAX {
-            self.net.wake(of, due * TENTH);
+            self.net.wake(node, due * TENTH);
         }
     }
 
-    fn handle(&mut self, of: MachineId, event: Event) {
-        let now = self.net.shown(of) / TENTH;
-        let Some(mut fleet) = self.fleets[of].take() else { return };
+    fn handle(&mut self, node: MachineId, event: Event) {
+        let now = self.net.shown(node) / TENTH;
+        let Some(mut fleet) = self.fleets[node].take() else { return };
         let mut actions = std::mem::take(&mut self.actions);
         self.cost.decide(|| fleet.handle(now, event, &mut actions));
         for action in actions.drain(..) {
             match action {
-                Action::Send { to, datagram } => self.send(of, to, *datagram),
-                Action::Report(change) => self.tell(of, &change, &fleet),
+                Action::Send { to, datagram } => self.send(node, to, *datagram),
+                Action::Report(change) => self.record_change(node, &change, &fleet),
             }
         }
         self.actions = actions;
-        self.wake(of, &fleet);
-        self.fleets[of] = Some(fleet);
+        self.wake(node, &fleet);
+        self.fleets[node] = Some(fleet);
     }
 
-    fn send(&mut self, of: MachineId, to: SocketAddr, datagram: Datagram) {
+    fn send(&mut self, node: MachineId, to: SocketAddr, datagram: Datagram) {
         self.cost.datagrams += 1;
         let Some(to) = machine(to).filter(|to| *to < self.fleets.len()) else { return };
         if self.options.count_bytes {
-            let whole = self.seal.close(&Spoken::Fleet(datagram.clone()));
-            self.cost.bytes += whole.map_or(0, |whole| whole.len() as u64) + ROUND;
+            let sealed = self.seal.close(&Spoken::Fleet(datagram.clone()));
+            self.cost.bytes += sealed.map_or(0, |bytes| bytes.len() as u64) + HEADER_BYTES;
         }
-        self.net.send(of, to, datagram);
+        self.net.send(node, to, datagram);
     }
 
-    fn tell(&mut self, of: MachineId, change: &Change, fleet: &Fleet) {
+    fn record_change(&mut self, node: MachineId, change: &Change, fleet: &Fleet) {
         let at_ms = self.now_ms();
         if at_ms < self.options.record_from_ms {
             return;
         }
-        let (about, view) = (change.about(), fleet.view());
+        let (member, view) = (change.about(), fleet.view());
         let what = What::MemberChange {
-            node: of,
+            node,
             change: change.word().to_string(),
-            member: about.map(|(name, _)| name.to_string()),
-            incarnation: about.map(|(_, incarnation)| incarnation.to_string()),
+            member: member.map(|(name, _)| name.to_string()),
+            incarnation: member.map(|(_, incarnation)| incarnation.to_string()),
             view: view.number,
             members: view.members.len(),
         };
         self.history.put(at_ms, what);
     }
 
-    fn fault(&mut self, fault: Fault) {
+    fn inject(&mut self, fault: Fault) {
         let at_ms = self.now_ms();
         self.history.put(at_ms, What::Fault { fault: fault.clone() });
         links::take_up(&mut self.net, self.options.latency, &fault);
         match fault {
             Fault::Kill { nodes } => {
-                for of in nodes.into_iter().filter(|of| !self.net.is_down(*of)).collect::<Vec<_>>() {
-                    self.net.kill(of);
-                    self.fleets[of] = None;
-                    self.history.put(at_ms, What::Ended { node: of });
+                for node in nodes.into_iter().filter(|node| !self.net.is_down(*node)).collect::<Vec<_>>() {
+                    self.net.kill(node);
+                    self.fleets[node] = None;
+                    self.history.put(at_ms, What::Ended { node });
                 }
             }
             Fault::Start { nodes, clock_ms } => self.start_all(nodes, clock_ms),
             Fault::StartOlder { nodes } => self.start_all(nodes, 0),
-            Fault::Leave { nodes } => nodes.into_iter().for_each(|of| self.handle(of, Event::Leave)),
+            Fault::Leave { nodes } => nodes.into_iter().for_each(|node| self.handle(node, Event::Leave)),
             _ => {}
         }
     }
 
     fn start_all(&mut self, nodes: Vec<usize>, clock_ms: i64) {
         let at_ms = self.now_ms();
-        for of in nodes {
-            // One that leaves still answers until it is started anew.
-            if self.fleets[of].as_ref().is_some_and(|fleet| fleet.me().state == MemberState::Left) {
-                self.net.kill(of);
-                self.history.put(at_ms, What::Ended { node: of });
+        for node in nodes {
+            // A node that left still answers until it is restarted.
+            if self.fleets[node].as_ref().is_some_and(|fleet| fleet.me().state == MemberState::Left) {
+                self.net.kill(node);
+                self.history.put(at_ms, What::Ended { node });
             }
-            if self.net.is_down(of) {
+            if self.net.is_down(node) {
                 let clock = Clock { offset: BASE + clock_ms * MS as i64, drift_ppm: 0 };
-                self.net.set_clock(of, clock);
+                self.net.set_clock(node, clock);
             }
-            self.start(of);
+            self.start(node);
         }
     }
 
-    fn ask(&mut self, of: MachineId, at_ms: u64) {
-        let now = self.net.shown(of) / TENTH;
-        let Some(fleet) = self.fleets[of].as_ref().filter(|_| self.net.is_up(of)) else { return };
+    fn record_status(&mut self, node: MachineId, at_ms: u64) {
+        let now = self.net.shown(node) / TENTH;
+        let Some(fleet) = self.fleets[node].as_ref().filter(|_| self.net.is_up(node)) else { return };
         let (reports, _) = fleet.report(None, usize::MAX, now);
         let state = |state: ReportedState| {
             serde_json::to_value(state).ok().and_then(|v| v.as_str().map(str::to_string))
         };
-        let member = |of: doortrack_fleet::MemberReport| Member {
-            name: of.name.to_string(),
-            incarnation: of.incarnation.to_string(),
-            state: state(of.state).unwrap_or_default(),
+        let member = |report: doortrack_fleet::MemberReport| Member {
+            name: report.name.to_string(),
+            incarnation: report.incarnation.to_string(),
+            state: state(report.state).unwrap_or_default(),
         };
         let members = reports.into_iter().map(member).collect();
         let (isolated, digest) = (fleet.is_isolated(), format!("{:016x}", fleet.view().digest));
-        self.history.put(at_ms, What::Status { node: of, isolated, digest, members });
+        self.history.put(at_ms, What::Status { node, isolated, digest, members });
     }
 }
