--- a/rig/src/relay.rs
+++ b/rig/src/relay.rs
@@ -1,7 +1,8 @@
-//! What lies between the nodes: a socket for each, which the others take for the node itself.
+//! A relay of datagrams between nodes: it has a stand-in socket for each node, whose address the node
+//! advertises to the others.
 //!
-//! A datagram that comes to a node's stand-in came from the one whose address it bears; so the relay knows
-//! which link it is on, does to it what that link does, and passes it on from the sender's own stand-in.
+//! A datagram that reaches a node's stand-in was sent by the node whose address it bears. So the relay knows
+//! its link, applies the link's faults, and forwards it from the sender's own stand-in.
 
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BinaryHeap, VecDeque};
@@ -14,16 +15,18 @@
 
 use crate::script::Fault;
 
-/// Datagrams on their way at once; more are lost.
+/// Datagrams queued at once; further ones are dropped.
 const MAX_QUEUED: usize = 100_000;
-/// How long the relay rests where nothing comes.
-const REST: Duration = Duration::from_micros(300);
-/// Datagrams to each node that are kept for a replay.
+/// Bytes of IP and UDP headers of each datagram.
+const HEADER_BYTES: u64 = 28;
+/// Pause of the relay when no datagram arrives.
+const IDLE_PAUSE: Duration = Duration::from_micros(300);
+/// Datagrams to each node that are retained for a replay.
 const MAX_RETAINED: usize = 300;
-/// What would wait for its turn on a throttled link for longer is lost, as by a full queue.
+/// On a throttled link, a datagram that would wait longer is dropped, as by a full queue.
 const MAX_QUEUE_TIME: Duration = Duration::from_secs(1);
 
-/// What the links do just now.
+/// The present faults of links, by pairs of nodes (from, to) or for all.
 #[derive(Default)]
 struct Rules {
     cuts: BTreeMap<(usize, usize), u32>,
@@ -32,17 +35,17 @@
     garbled: f64,
     delay_ms: u64,
     bytes_a_second: u64,
-    /// Nodes that are to get again what they got.
+    /// Nodes whose retained datagrams are to be sent again.
     replay: Vec<usize>,
 }
 
-/// What was passed on and what was not.
+/// Counts of datagrams.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct RelayCounts {
     pub passed: u64,
     pub lost: u64,
     pub garbled: u64,
-    /// With IP and UDP.
+    /// Bytes received by the relay, with IP and UDP headers.
     pub bytes: u64,
 }
 
@@ -54,77 +57,79 @@
     thread: Option<JoinHandle<()>>,
 }
 
-struct Held {
+/// A datagram to be forwarded at a time.
+struct Queued {
     at: Instant,
-    nth: u64,
+    /// Order of arrival, among those of one time.
+    sequence: u64,
     from: usize,
     to: usize,
     bytes: Vec<u8>,
 }
 
-impl PartialEq for Held {
-    fn eq(&self, other: &Held) -> bool {
-        self.nth == other.nth
+impl PartialEq for Queued {
+    fn eq(&self, other: &Queued) -> bool {
+        self.sequence == other.sequence
     }
 }
 
-impl Eq for Held {}
+impl Eq for Queued {}
 
-impl PartialOrd for Held {
-    fn partial_cmp(&self, other: &Held) -> Option<std::cmp::Ordering> {
+impl PartialOrd for Queued {
+    fn partial_cmp(&self, other: &Queued) -> Option<std::cmp::Ordering> {
         Some(self.cmp(other))
     }
 }
 
-impl Ord for Held {
-    fn cmp(&self, other: &Held) -> std::cmp::Ordering {
-        (self.at, self.nth).cmp(&(other.at, other.nth))
+impl Ord for Queued {
+    fn cmp(&self, other: &Queued) -> std::cmp::Ordering {
+        (self.at, self.sequence).cmp(&(other.at, other.sequence))
     }
 }
 
 impl Relay {
-    /// `nodes` are the real address of each and the one at which the relay stands in for it.
+    /// Opens a relay for nodes, each with its real address and that of its stand-in.
     ///
     /// # Errors
-    /// A stand-in's address that can't be had.
+    /// A stand-in's socket can't be bound.
     pub fn open(nodes: &[(SocketAddr, SocketAddr)], seed: u64) -> io::Result<Relay> {
-        let mut socks = Vec::new();
+        let mut sockets = Vec::new();
         for (_, stand_in) in nodes {
-            let sock = UdpSocket::bind(stand_in)?;
-            sock.set_nonblocking(true)?;
-            socks.push(sock);
+            let socket = UdpSocket::bind(stand_in)?;
+            socket.set_nonblocking(true)?;
+            sockets.push(socket);
         }
         let real: Vec<SocketAddr> = nodes.iter().map(|(real, _)| *real).collect();
         let (rules, counts, over): (Arc<Mutex<Rules>>, Arc<Mutex<RelayCounts>>, Arc<AtomicBool>) =
             Default::default();
-        let run = Run {
-            socks,
-            by_address: real.iter().enumerate().map(|(nth, at)| (*at, nth)).collect(),
+        let forwarder = Forwarder {
+            sockets,
+            by_address: real.iter().enumerate().map(|(node, address)| (*address, node)).collect(),
             real,
             rules: rules.clone(),
             counts: counts.clone(),
-            held: BinaryHeap::new(),
-            kept: vec![VecDeque::new(); nodes.len()],
+            queue: BinaryHeap::new(),
+            retained: vec![VecDeque::new(); nodes.len()],
             chance: fastrand::Rng::with_seed(seed),
-            nth: 0,
+            sequence: 0,
             free_at: BTreeMap::new(),
         };
-        let until = over.clone();
-        let thread = std::thread::Builder::new().name("relay".into()).spawn(move || run.run(&until))?;
+        let stop = over.clone();
+        let thread = std::thread::Builder::new().name("relay".into()).spawn(move || forwarder.run(&stop))?;
         Ok(Relay { rules, counts, over, thread: Some(thread) })
     }
 
-    /// Takes up a fault, if it is one of links.
+    /// Injects a fault, if it is one of links between nodes.
     pub fn take_up(&self, fault: &Fault) {
         let mut rules = self.rules.lock().unwrap_or_else(PoisonError::into_inner);
         match fault {
             Fault::Cut { from, to } => {
-                for pair in from.iter().flat_map(|of| to.iter().map(move |to| (*of, *to))) {
+                for pair in pairs(from, to) {
                     *rules.cuts.entry(pair).or_default() += 1;
                 }
             }
             Fault::Mend { from, to } => {
-                for pair in from.iter().flat_map(|of| to.iter().map(move |to| (*of, *to))) {
+                for pair in pairs(from, to) {
                     let left = rules.cuts.get(&pair).map_or(0, |count| count.saturating_sub(1));
                     if left == 0 {
                         rules.cuts.remove(&pair);
@@ -143,11 +148,17 @@
         }
     }
 
+    /// What was forwarded so far.
     pub fn counts(&self) -> RelayCounts {
         *self.counts.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
 
+/// All links from one group of nodes to another.
+fn pairs(from: &[usize], to: &[usize]) -> impl Iterator<Item = (usize, usize)> {
+    from.iter().flat_map(|from| to.iter().map(|to| (*from, *to)))
+}
+
 impl Drop for Relay {
     fn drop(&mut self) {
         self.over.store(true, Ordering::Relaxed);
@@ -157,96 +168,97 @@
     }
 }
 
-struct Run {
-    socks: Vec<UdpSocket>,
+/// The relay's thread.
+struct Forwarder {
+    sockets: Vec<UdpSocket>,
     real: Vec<SocketAddr>,
     by_address: BTreeMap<SocketAddr, usize>,
     rules: Arc<Mutex<Rules>>,
     counts: Arc<Mutex<RelayCounts>>,
-    held: BinaryHeap<Reverse<Held>>,
-    /// By node, what last came to it: from whom, and the bytes.
-    kept: Vec<VecDeque<(usize, Vec<u8>)>>,
+    queue: BinaryHeap<Reverse<Queued>>,
+    /// By receiving node, the last datagrams: the sending node, and the bytes.
+    retained: Vec<VecDeque<(usize, Vec<u8>)>>,
     chance: fastrand::Rng,
-    nth: u64,
-    /// When a throttled link has passed what it took in.
+    sequence: u64,
+    /// When a throttled link will have sent what it accepted.
     free_at: BTreeMap<(usize, usize), Instant>,
 }
 
-impl Run {
+impl Forwarder {
     fn run(mut self, over: &AtomicBool) {
         let mut bytes = [0; 2_048];
         while !over.load(Ordering::Relaxed) {
             let mut idle = true;
-            for to in 0..self.socks.len() {
-                while let Ok((len, from)) = self.socks[to].recv_from(&mut bytes) {
+            for to in 0..self.sockets.len() {
+                while let Ok((len, from)) = self.sockets[to].recv_from(&mut bytes) {
                     idle = false;
                     if let Some(from) = self.by_address.get(&from).copied() {
-                        self.came(from, to, &bytes[..len]);
+                        self.forward(from, to, &bytes[..len]);
                     }
                 }
             }
             self.replay();
             let now = Instant::now();
-            while self.held.peek().is_some_and(|Reverse(held)| held.at <= now) {
-                if let Some(Reverse(held)) = self.held.pop() {
-                    _ = self.socks[held.from].send_to(&held.bytes, self.real[held.to]);
+            while self.queue.peek().is_some_and(|Reverse(queued)| queued.at <= now) {
+                if let Some(Reverse(queued)) = self.queue.pop() {
+                    _ = self.sockets[queued.from].send_to(&queued.bytes, self.real[queued.to]);
                 }
             }
             if idle {
-                std::thread::sleep(REST);
+                std::thread::sleep(IDLE_PAUSE);
             }
         }
     }
 
     fn replay(&mut self) {
-        let again = {
+        let nodes = {
             let mut rules = self.rules.lock().unwrap_or_else(PoisonError::into_inner);
             std::mem::take(&mut rules.replay)
         };
-        for to in again.into_iter().filter(|to| *to < self.kept.len()) {
-            for (from, bytes) in &self.kept[to] {
-                _ = self.socks[*from].send_to(bytes, self.real[to]);
+        for to in nodes.into_iter().filter(|to| *to < self.retained.len()) {
+            for (from, bytes) in &self.retained[to] {
+                _ = self.sockets[*from].send_to(bytes, self.real[to]);
             }
         }
     }
 
-    fn came(&mut self, from: usize, to: usize, bytes: &[u8]) {
+    fn forward(&mut self, from: usize, to: usize, bytes: &[u8]) {
         let rules = self.rules.lock().unwrap_or_else(PoisonError::into_inner);
         let mut counts = self.counts.lock().unwrap_or_else(PoisonError::into_inner);
-        counts.bytes += bytes.len() as u64 + 28;
+        let size = bytes.len() as u64 + HEADER_BYTES;
+        counts.bytes += size;
         let lost = rules.cuts.contains_key(&(from, to)) || self.chance.f64() < rules.loss;
         let now = Instant::now();
-        let mut passes_at = now;
-        let size = bytes.len() as u64 + 28;
+        let mut sent_at = now;
         if let Some(micros) = (size * 1_000_000).checked_div(rules.bytes_a_second) {
             let free_at = self.free_at.get(&(from, to)).copied().unwrap_or(now).max(now);
-            passes_at = free_at + Duration::from_micros(micros);
+            sent_at = free_at + Duration::from_micros(micros);
         }
-        if lost || self.held.len() >= MAX_QUEUED || passes_at > now + MAX_QUEUE_TIME {
+        if lost || self.queue.len() >= MAX_QUEUED || sent_at > now + MAX_QUEUE_TIME {
             counts.lost += 1;
             return;
         }
-        if passes_at > now {
-            self.free_at.insert((from, to), passes_at);
+        if sent_at > now {
+            self.free_at.insert((from, to), sent_at);
         }
         counts.passed += 1;
         let mut bytes = bytes.to_vec();
         if self.chance.f64() < rules.garbled && !bytes.is_empty() {
             counts.garbled += 1;
-            let place = self.chance.usize(..bytes.len());
-            bytes[place] ^= self.chance.u8(1..);
+            let index = self.chance.usize(..bytes.len());
+            bytes[index] ^= self.chance.u8(1..);
         }
-        if self.kept[to].len() >= MAX_RETAINED {
-            self.kept[to].pop_front();
+        if self.retained[to].len() >= MAX_RETAINED {
+            self.retained[to].pop_front();
         }
-        self.kept[to].push_back((from, bytes.clone()));
-        let times = if self.chance.f64() < rules.doubled { 2 } else { 1 };
-        for _ in 0..times {
-            // Drawn anew for each, so that they overtake one another.
-            let wait = Duration::from_micros(self.chance.u64(0..=rules.delay_ms * 2_000));
-            self.nth += 1;
-            let at = passes_at + wait;
-            self.held.push(Reverse(Held { at, nth: self.nth, from, to, bytes: bytes.clone() }));
+        self.retained[to].push_back((from, bytes.clone()));
+        let copies = if self.chance.f64() < rules.doubled { 2 } else { 1 };
+        for _ in 0..copies {
+            // Drawn for each copy, so that datagrams overtake one another.
+            let delay = Duration::from_micros(self.chance.u64(0..=rules.delay_ms * 2_000));
+            self.sequence += 1;
+            let at = sent_at + delay;
+            self.queue.push(Reverse(Queued { at, sequence: self.sequence, from, to, bytes: bytes.clone() }));
         }
     }
 }
