--- a/rig/src/lib.rs
+++ b/rig/src/lib.rs
@@ -1,13 +1,12 @@
-//! Many nodes at once, and everything between them broken by a script.
+//! Fault injection on many nodes at once.
 //!
-//! A [`Script`] says what goes wrong and when. It is played by [`processes::run`] on real `doortrack`
+//! A [`Script`] says which faults occur and when. It is run by [`processes::run`] on real `doortrack`
 //! processes with a relay between every pair of them, or by [`simulated::run`] in simulated time on the same
-//! decisions. Either way what comes of it is one [`History`]: what the rig did, and what each node told.
-//! [`checks`] judge a history and know nothing of a node's code; [`shrink`] takes faults out of a script for
-//! as long as it still fails.
+//! decisions. Both give one [`History`]: what the rig did, and what each node reported. [`checks`] judge a history and
+//! know nothing of a node's code; [`shrink`] reduces a script that fails.
 //!
-//! What must never happen is judged always. What must happen in the end is judged by the nodes' last words,
-//! asked for after a time that a slow machine does not outlast.
+//! Safety is judged at all times. Liveness is judged by the nodes' final views, for which the rig waits long
+//! enough that a slow machine changes no verdict.
 
 pub mod checks;
 pub mod divided;
