--- a/node/src/peers/link.rs
+++ b/node/src/peers/link.rs
@@ -1,4 +1,9 @@
-//! The socket of the link, and the carrying out of what the decisions want.
+//! The link's socket, and the actions that follow from the decisions on membership. The modules below carry
+//! out the actions of budgets, answer status queries and write log lines.
+
+mod budget_actions;
+mod logging;
+mod status;
 
 use std::cell::RefCell;
 use std::collections::BTreeMap;
@@ -17,7 +22,7 @@
 
 use super::budgets::FleetBudgets;
 use super::seal::{LONGEST, Refused, Seal};
-use super::spoken::{Ask, BudgetPage, PAGE, Spoken, Status};
+use super::spoken::Spoken;
 use crate::parts::{Asked, PART_KEYS, Part, Permit, Use};
 
 const KEY: usize = PART_KEYS.start;
@@ -25,8 +30,6 @@
 const TURN: usize = 64;
 /// Turns of the loop for which what is due waits for what lies unread: a flood must not stop it for good.
 const MAX_WAITS: u32 = 4;
-/// How often one thing about unknown peers is told, in tenths of a ms.
-const TOLD_EVERY: Tenths = 600_000;
 
 /// What came and went.
 #[derive(Clone, Debug, Default)]
@@ -127,41 +130,6 @@
         now(self.zero, self.file.tests.drift_ppm)
     }
 
-    /// Budgets rest on who is there; what they ask for is done.
-    fn tell_budgets(&mut self, event: Option<doortrack_budgets::Event>) {
-        let now = self.now();
-        let Some(budgets) = &self.budgets else { return };
-        let event = event.unwrap_or_else(|| doortrack_budgets::Event::Members(self.fleet.view().clone()));
-        budgets.borrow_mut().handle(now, event);
-        self.carry_out_budget_actions();
-    }
-
-    fn is_member(&self, who: &NodeId) -> bool {
-        self.fleet.view().members.get(&who.name).is_some_and(|member| member.incarnation == who.incarnation)
-    }
-
-    fn carry_out_budget_actions(&mut self) {
-        let Some(budgets) = &self.budgets else { return };
-        let actions = std::mem::take(&mut budgets.borrow_mut().actions);
-        for action in actions {
-            match action {
-                doortrack_budgets::Action::Send(envelope) => {
-                    let member = self.fleet.view().members.get(&envelope.to.name).copied();
-                    if let Some(member) =
-                        member.filter(|member| member.incarnation == envelope.to.incarnation)
-                    {
-                        self.send(member.address, &Spoken::Budgets(envelope));
-                    }
-                }
-                doortrack_budgets::Action::Report(change) => {
-                    if let Some(budgets) = &self.budgets {
-                        budgets.borrow_mut().log(&self.log, &change);
-                    }
-                }
-            }
-        }
-    }
-
     /// Reads one datagram; whether there may be more.
     fn read_one(&mut self) -> bool {
         let mut bytes = [0; LONGEST + 1];
@@ -178,19 +146,14 @@
                 self.fleet.handle(now, Event::Received { from, datagram }, &mut self.actions);
                 self.carry_out();
             }
-            Ok(Spoken::Ask(ask)) => self.tell(ask, from),
+            Ok(Spoken::Ask(ask)) => self.answer_status(ask, from),
             // Whoever is not in the view would get no answer, and could fill a leader's books.
             Ok(Spoken::Budgets(envelope)) if self.is_member(&envelope.from) => {
                 self.tell_budgets(Some(doortrack_budgets::Event::Received(envelope)));
             }
             Ok(Spoken::Budgets(_)) => *self.counts.refused.entry("no_member").or_default() += 1,
             Ok(Spoken::AskBudgets { nonce, from: index }) => {
-                let none = BudgetPage { nonce, leader: None, budgets: Vec::new(), more: false };
-                let page = self
-                    .budgets
-                    .as_ref()
-                    .map_or(none, |budgets| budgets.borrow_mut().page(nonce, index, now));
-                self.send(from, &Spoken::BudgetStatus(Box::new(page)));
+                self.answer_budget_status(nonce, index, from);
             }
             Ok(Spoken::Status(_) | Spoken::BudgetStatus(_)) => {}
             Err(refused) => self.refuse(refused, from),
@@ -198,37 +161,6 @@
         true
     }
 
-    /// Unknown peers cost a counter, and now and then a line.
-    fn refuse(&mut self, refused: Refused, from: SocketAddr) {
-        let name = refused.name();
-        *self.counts.refused.entry(name).or_default() += 1;
-        let now = self.now();
-        let due = self.told_at.get(name).is_none_or(|at| now >= at + TOLD_EVERY);
-        if due {
-            self.told_at.insert(name, now);
-            warn!(self.log, "unknown peer on the fleet's link"; "from" => %from, "why" => %refused);
-        }
-    }
-
-    fn tell(&mut self, ask: Ask, to: SocketAddr) {
-        let (members, more) = self.fleet.report(ask.after.as_ref(), PAGE, self.now());
-        let view = self.fleet.view();
-        let status = Status {
-            nonce: ask.nonce,
-            fleet: self.file.name.clone(),
-            name: self.fleet.me().name.clone(),
-            incarnation: self.fleet.me().incarnation,
-            view: view.number,
-            digest: view.digest,
-            in_view: view.members.len() as u32,
-            isolated: self.fleet.is_isolated(),
-            superseded: self.fleet.is_superseded(),
-            members,
-            more,
-        };
-        self.send(to, &Spoken::Status(Box::new(status)));
-    }
-
     fn send(&mut self, to: SocketAddr, spoken: &Spoken) {
         let Some(datagram) = self.seal.close(spoken) else {
             self.counts.unsent += 1;
@@ -256,26 +188,6 @@
             }
         }
     }
-
-    fn log(&self, change: &Change) {
-        let (view, digest) = (self.fleet.view().number, format!("{:016x}", self.fleet.view().digest));
-        let members = self.fleet.view().members.len();
-        let word = change.word();
-        match change.about() {
-            Some((name, incarnation)) => {
-                info!(self.log, "member"; "what" => word, "of" => &**name, "incarnation" => %incarnation,
-                "view" => view, "members" => members, "digest" => digest)
-            }
-            None if matches!(
-                change,
-                Change::Superseded { .. } | Change::DuplicateName { .. } | Change::Isolated(true)
-            ) =>
-            {
-                warn!(self.log, "member"; "what" => word, "why" => ?change, "view" => view);
-            }
-            None => info!(self.log, "member"; "what" => word, "why" => ?change, "view" => view),
-        }
-    }
 }
 
 impl Part for Peers {
--- /dev/null
+++ b/node/src/peers/link/logging.rs
@@ -0,0 +1,50 @@
+//! Log lines about members and about unknown peers.
+
+use std::net::SocketAddr;
+
+use doortrack::Tenths;
+use doortrack_fleet::Change;
+use slog::{info, warn};
+
+use super::Peers;
+use crate::peers::seal::Refused;
+
+/// Interval between two log lines of one kind about unknown peers, in tenths of a ms.
+const REFUSAL_LOG_INTERVAL: Tenths = 600_000;
+
+impl Peers {
+    /// Counts a datagram that was refused, and logs the first of its kind in each interval: a flood must not
+    /// fill the log.
+    pub(super) fn refuse(&mut self, refused: Refused, from: SocketAddr) {
+        let name = refused.name();
+        *self.counts.refused.entry(name).or_default() += 1;
+        let now = self.now();
+        let due = self.told_at.get(name).is_none_or(|at| now >= at + REFUSAL_LOG_INTERVAL);
+        if due {
+            self.told_at.insert(name, now);
+            warn!(self.log, "unknown peer on the fleet's link"; "from" => %from, "why" => %refused);
+        }
+    }
+
+    /// Logs a change of a member or of this node's own standing.
+    pub(super) fn log(&self, change: &Change) {
+        let view = self.fleet.view();
+        let digest = format!("{:016x}", view.digest);
+        let word = change.word();
+        match change.about() {
+            Some((name, incarnation)) => {
+                info!(self.log, "member"; "what" => word, "of" => &**name, "incarnation" => %incarnation,
+                    "view" => view.number, "members" => view.members.len(), "digest" => digest);
+            }
+            None if needs_attention(change) => {
+                warn!(self.log, "member"; "what" => word, "why" => ?change, "view" => view.number);
+            }
+            None => info!(self.log, "member"; "what" => word, "why" => ?change, "view" => view.number),
+        }
+    }
+}
+
+/// Whether a change of this node's own standing calls for an operator.
+fn needs_attention(change: &Change) -> bool {
+    matches!(change, Change::Superseded { .. } | Change::DuplicateName { .. } | Change::Isolated(true))
+}
--- /dev/null
+++ b/node/src/peers/link/status.rs
@@ -0,0 +1,38 @@
+//! Answers to queries of a node's status, as `doortrack fleet status` sends them.
+
+use std::net::SocketAddr;
+
+use super::Peers;
+use crate::peers::spoken::{Ask, BudgetPage, PAGE, Spoken, Status};
+
+impl Peers {
+    /// Answers with the node's own state and one page of its members.
+    pub(super) fn answer_status(&mut self, ask: Ask, to: SocketAddr) {
+        let (members, more) = self.fleet.report(ask.after.as_ref(), PAGE, self.now());
+        let view = self.fleet.view();
+        let status = Status {
+            nonce: ask.nonce,
+            fleet: self.file.name.clone(),
+            name: self.fleet.me().name.clone(),
+            incarnation: self.fleet.me().incarnation,
+            view: view.number,
+            digest: view.digest,
+            in_view: view.members.len() as u32,
+            isolated: self.fleet.is_isolated(),
+            superseded: self.fleet.is_superseded(),
+            members,
+            more,
+        };
+        self.send(to, &Spoken::Status(Box::new(status)));
+    }
+
+    /// Answers with one page of budgets from an index on; an empty one where the fleet has no budgets.
+    pub(super) fn answer_budget_status(&mut self, nonce: u64, from_index: u16, to: SocketAddr) {
+        let now = self.now();
+        let page = match &self.budgets {
+            Some(budgets) => budgets.borrow_mut().page(nonce, from_index, now),
+            None => BudgetPage { nonce, leader: None, budgets: Vec::new(), more: false },
+        };
+        self.send(to, &Spoken::BudgetStatus(Box::new(page)));
+    }
+}
