Names: what a budget applies to, and the indices of budgets by request

BudgetFile.of is applies_to (its key in the file stays 'for'); Falls is BudgetIndices; documentation of the node's budgets in technical English. The schema of the operators' file is unchanged.

--- a/installation/src/budgets.rs
+++ b/installation/src/budgets.rs
@@ -1,4 +1,4 @@
-//! The part on budgets: limits that belong to the whole fleet, and how fast they are divided.
+//! The section on budgets: limits of the whole fleet, and the times of their leases.
 
 use std::collections::BTreeMap;
 
@@ -11,7 +11,7 @@
 use crate::{Fault, FleetFile, Installation, Orders};
 
 const MS: Tenths = 10;
-/// The greatest limit, reserved minimum, maximum and burst.
+/// Upper bound of a limit, reserved minimum, maximum a node, and burst.
 const MAX_UNITS: u32 = 10_000_000;
 
 /// One limit of the whole fleet. The same on all nodes.
@@ -33,7 +33,7 @@
     pub burst: Option<u32>,
     /// Which exchanges it is for: one of the four.
     #[serde(rename = "for")]
-    pub of: BudgetFor,
+    pub applies_to: BudgetFor,
     /// Set aside for each node of `reserved_for`, so that it has this much even when it hears nobody. For a
     /// rate at least `limit` / `burst`, or it holds no whole exchange.
     #[serde(default, alias = "floor")]
@@ -119,19 +119,22 @@
     }
 }
 
-/// Places of the budgets under which exchanges fall, by their group, customer and pool.
+/// Indices of the budgets that apply to requests, by group, tenant and pool; `None` where there is no budget.
+/// An index is a position in [`Installation::budget_list`].
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
-pub struct Falls {
+pub struct BudgetIndices {
+    /// By endpoint group, in the order of the platform's configuration.
     pub groups: Vec<Option<u16>>,
+    /// By customer, in the same order.
     pub customers: Vec<Option<u16>>,
-    /// The pool without a name first, then the others in the order of their names.
+    /// By pool of servers: the pool without a name first, then the others by name.
     pub pools: Vec<Option<u16>>,
-    /// The same for retries to a pool.
+    /// Of retries, by pool.
     pub retries: Vec<Option<u16>>,
 }
 
 impl FleetFile {
-    /// What the division is handed.
+    /// The parameters of the decisions on budgets.
     pub fn budget_parameters(&self) -> Parameters {
         let (times, ms) = (self.leases, |span: u32| Tenths::from(span) * MS);
         Parameters {
@@ -186,7 +189,7 @@
         if self.kind == BudgetKind::Rate && self.max_hold_ms.is_some() {
             fault(".max_hold_ms", "only a concurrency is held".into());
         }
-        if self.kind == BudgetKind::Concurrency && matches!(self.of, BudgetFor::Retries(_)) {
+        if self.kind == BudgetKind::Concurrency && matches!(self.applies_to, BudgetFor::Retries(_)) {
             fault(".kind", "retries are a rate".into());
         }
         if self.max_hold_ms.is_some_and(|ms| !(1..=3_600_000).contains(&ms)) {
@@ -230,7 +233,7 @@
             Some(_) => {}
         }
         let voters = self.fleet.as_ref().map_or(&[][..], |fleet| &fleet.voters);
-        let (mut names, mut ids, mut falls) = (BTreeMap::new(), BTreeMap::new(), BTreeMap::new());
+        let (mut names, mut ids, mut targets) = (BTreeMap::new(), BTreeMap::new(), BTreeMap::new());
         for (nth, budget) in self.budgets.iter().enumerate() {
             budget.faults(&format!("{AT}[{nth}]"), voters, faults);
             if let Some(other) = names.insert(&budget.name, nth) {
@@ -240,17 +243,17 @@
                 let what = format!("nodes could not tell it from that of {AT}[{other}]: take another");
                 faults.push(Fault::new(format!("{AT}[{nth}].name"), what));
             }
-            if let Some(other) = falls.insert(&budget.of, nth) {
+            if let Some(other) = targets.insert(&budget.applies_to, nth) {
                 let what = format!("under {AT}[{other}] already");
                 faults.push(Fault::new(format!("{AT}[{nth}].for"), what));
             }
         }
     }
 
-    /// What can't go together with the platform's configuration.
+    /// Conflicts with the platform's configuration.
     pub(crate) fn budgets_beside(&self, orders: &Orders, faults: &mut Vec<Fault>) {
         for (nth, budget) in self.budgets.iter().enumerate() {
-            let (kind, known, name) = match &budget.of {
+            let (kind, known, name) = match &budget.applies_to {
                 BudgetFor::Customer(name) => ("customer", orders.handed.customer_names.contains(name), name),
                 BudgetFor::Group(name) => ("endpoint group", orders.handed.group_names.contains(name), name),
                 BudgetFor::Pool(name) | BudgetFor::Retries(name) => {
@@ -269,7 +272,8 @@
         first.chain(self.pools.keys().map(String::as_str))
     }
 
-    /// The budgets, in the order of the file.
+    /// The budgets in the order of the file. A concurrency without a maximum hold time has the longest
+    /// deadline of all endpoint groups.
     pub fn budget_list(&self, orders: &Orders) -> Vec<Budget> {
         let voters = self.fleet.as_ref().map_or(&[][..], |fleet| &fleet.voters);
         let groups = &orders.handed.contract.groups;
@@ -277,14 +281,15 @@
         self.budgets.iter().map(|budget| budget.budget(voters, longest)).collect()
     }
 
-    /// Under which of them exchanges fall.
-    pub fn falls(&self, orders: &Orders) -> Falls {
-        let under =
-            |of: BudgetFor| self.budgets.iter().position(|budget| budget.of == of).map(|place| place as u16);
+    /// Which budgets apply to which requests.
+    pub fn budget_indices(&self, orders: &Orders) -> BudgetIndices {
+        let under = |of: BudgetFor| {
+            self.budgets.iter().position(|budget| budget.applies_to == of).map(|place| place as u16)
+        };
         let all = |names: &[String], of: fn(String) -> BudgetFor| {
             names.iter().map(|name| under(of(name.clone()))).collect()
         };
-        Falls {
+        BudgetIndices {
             groups: all(&orders.handed.group_names, BudgetFor::Group),
             customers: all(&orders.handed.customer_names, BudgetFor::Customer),
             pools: self.pool_names().map(|name| under(BudgetFor::Pool(name.into()))).collect(),
--- a/installation/src/lib.rs
+++ b/installation/src/lib.rs
@@ -15,7 +15,7 @@
 
 use std::fmt;
 
-pub use budgets::{BudgetFile, BudgetFor, BudgetKind, Falls, LeaseTimes};
+pub use budgets::{BudgetFile, BudgetFor, BudgetIndices, BudgetKind, LeaseTimes};
 pub use file::{Front, Installation};
 pub use fleet::{FleetFile, FleetTests, FleetTimes};
 pub use orders::{Orders, Room};
--- a/node/src/peers/budgets.rs
+++ b/node/src/peers/budgets.rs
@@ -1,38 +1,39 @@
-//! What this node may use of the fleet's budgets: which of them an exchange falls under, and what is told of
-//! them. How they are divided is decided by `doortrack-budgets`.
+//! The fleet's budgets at this node: which of them apply to a request, permits, and what is logged and
+//! reported. How budgets are divided is decided by `doortrack-budgets`.
 
 use std::cmp::Reverse;
 use std::collections::BinaryHeap;
 
 use doortrack::Tenths;
 use doortrack_budgets::{Action, Budget, Budgets, Change, Event, Kind, NodeId, Parameters, Units};
-use doortrack_installation::{Falls, FleetFile, Installation, Orders};
+use doortrack_installation::{BudgetIndices, FleetFile, Installation, Orders};
 use slog::{Logger, info, warn};
 
 use super::spoken::{BUDGET_PAGE, BudgetPage, BudgetStatus};
 use crate::parts::{Asked, Permit, Use};
 
 const MS: Tenths = 10;
-/// Some hundred ns lie between a look at the clock and the use that follows. A process that stood still for
-/// longer there is counted.
+/// Between reading the clock and the use that follows lie some hundred ns. A use after a longer pause of the
+/// process is counted as late.
 const LATE: Tenths = 5 * MS;
 
-/// The budgets with what leads to them.
+/// The decisions on budgets, and which budgets apply to which requests.
 pub struct FleetBudgets {
     pub budgets: Budgets,
-    falls: Falls,
+    indices: BudgetIndices,
     pub actions: Vec<Action>,
-    /// By index: exchanges that passed and were not given back, and the allocation that the log told last.
+    /// By index: units used and not cancelled.
     used: Vec<u64>,
-    told: Vec<Units>,
-    /// Uses before which the process stood still after it had looked at its lease.
+    /// By index: the allocation that was logged last.
+    logged: Vec<Units>,
+    /// Uses after a pause of the process, between reading the clock and the use.
     late: u64,
-    /// Permits of runs that were given up, till when they may go on.
+    /// Budgets held by abandoned runs, and until when those may go on.
     lingering: BinaryHeap<Reverse<(Tenths, u16)>>,
 }
 
 impl FleetBudgets {
-    /// None where the installation has no budgets.
+    /// `None` where the installation has no budgets.
     pub fn open(
         file: &FleetFile,
         installation: &Installation,
@@ -45,13 +46,14 @@
         let list = installation.budget_list(orders);
         let weight = file.weight.unwrap_or(orders.handed.contract.cores).max(1);
         let budgets = Budgets::new(me, weight, file.budget_parameters(), &list, fastrand::u64(..), 0);
-        let (falls, used, told) = (installation.falls(orders), vec![0; list.len()], vec![0; list.len()]);
+        let (indices, used, logged) =
+            (installation.budget_indices(orders), vec![0; list.len()], vec![0; list.len()]);
         Some(FleetBudgets {
             budgets,
-            falls,
+            indices,
             actions: Vec::new(),
             used,
-            told,
+            logged,
             late: 0,
             lingering: BinaryHeap::new(),
         })
@@ -61,14 +63,14 @@
         self.budgets.handle(now, event, &mut self.actions);
     }
 
-    /// Other budgets under way.
+    /// Takes over changed budgets from a reload; [`FleetBudgets::needs_a_start`] says which can't be.
     pub fn change(&mut self, now: Tenths, installation: &Installation, orders: &Orders) {
         let list = installation.budget_list(orders);
         let names: Vec<_> = self.budgets.list().map(|budget| budget.name.clone()).collect();
         let used = |name: &std::sync::Arc<str>| names.iter().position(|known| known == name);
         self.used =
             list.iter().map(|budget| used(&budget.name).map_or(0, |index| self.used[index])).collect();
-        self.falls = installation.falls(orders);
+        self.indices = installation.budget_indices(orders);
         self.handle(now, Event::Changed { list });
     }
 
@@ -96,14 +98,17 @@
         }
     }
 
-    /// Takes one of each budget under which the exchange falls, or none. `now` looks at the clock.
+    /// Acquires one unit of each budget that applies to the request, or none. `now` reads the clock.
+    ///
+    /// # Errors
+    /// One of them has none left; how long to wait, in tenths of a ms.
     pub fn admit(&mut self, asked: Asked, now: impl Fn() -> Tenths) -> Result<Permit, Tenths> {
-        let falls = &self.falls;
+        let by = &self.indices;
         let under = |list: &[Option<u16>], index: usize| list.get(index).copied().flatten();
         let indices = [
-            under(&falls.groups, usize::from(asked.group)),
-            under(&falls.customers, usize::from(asked.customer)),
-            under(&falls.pools, usize::from(asked.pool)),
+            under(&by.groups, usize::from(asked.group)),
+            under(&by.customers, usize::from(asked.customer)),
+            under(&by.pools, usize::from(asked.pool)),
         ];
         if indices == [None; 3] {
             return Ok(Permit::default());
@@ -124,10 +129,10 @@
 
     /// The budget of retries to the pool at this index.
     pub fn retries(&self, pool: u16) -> Option<u16> {
-        self.falls.retries.get(usize::from(pool)).copied().flatten()
+        self.indices.retries.get(usize::from(pool)).copied().flatten()
     }
 
-    /// Whether one more retry may be made.
+    /// Acquires one retry; false if there is none left.
     pub fn retry(&mut self, index: u16, now: Tenths) -> bool {
         let taken = self.budgets.acquire(usize::from(index), now).is_ok();
         self.used[usize::from(index)] += u64::from(taken);
@@ -154,7 +159,7 @@
         }
     }
 
-    /// Permits of runs that are over by now, whoever ran them.
+    /// Releases what abandoned runs held, once their maximum hold time is over.
     pub fn free(&mut self, now: Tenths) {
         while let Some(Reverse((_, index))) =
             self.lingering.peek().copied().filter(|Reverse((till, _))| *till <= now)
@@ -189,15 +194,15 @@
         BudgetPage { nonce, leader: self.budgets.leader().map(|who| who.name.clone()), budgets, more }
     }
 
-    /// An allocation is told where it has changed by over an eighth: it follows the load, and the log is
-    /// bounded.
+    /// Logs a change. An allocation is logged only after a change of over an eighth: it follows the load, and
+    /// the log is bounded.
     pub fn log(&mut self, log: &Logger, change: &Change) {
         if let Change::Allocation { index, allocation, .. } = change {
-            let told = &mut self.told[*index];
-            if allocation.abs_diff(*told) <= (*told).max(*allocation) / 8 {
+            let logged = &mut self.logged[*index];
+            if allocation.abs_diff(*logged) <= (*logged).max(*allocation) / 8 {
                 return;
             }
-            *told = *allocation;
+            *logged = *allocation;
         }
         let word = change.word();
         let name = |index: usize| self.budgets.list().nth(index).map_or("", |budget| &budget.name);
