--- a/node/src/peers/link.rs
+++ b/node/src/peers/link.rs
@@ -1,27 +1,28 @@
-//! The link's socket, and the actions that follow from the decisions on membership. The modules below carry
-//! out the actions of budgets, answer status queries and write log lines.
+//! The link to the other nodes: messages are handed to the decisions on membership, and their actions carried
+//! out. The modules below hold the socket, carry out the actions of budgets, answer status queries and write
+//! log lines.
 
 mod budget_actions;
 mod logging;
+mod socket;
 mod status;
 
 use std::cell::RefCell;
 use std::collections::BTreeMap;
-use std::io::ErrorKind;
-use std::net::{SocketAddr, UdpSocket};
+use std::net::SocketAddr;
 use std::rc::Rc;
-use std::sync::Arc;
 use std::time::Instant;
 
 use doortrack::Tenths;
 use doortrack_budgets::NodeId;
 use doortrack_fleet::{Action, Change, Event, Fleet, Incarnation, MemberState, MemberUpdate, Name};
 use doortrack_installation::{FleetFile, Installation, Orders};
-use polling::{Event as Ready, PollMode, Poller};
 use slog::{Logger, info, warn};
 
+pub use self::socket::{Counts, Registration, Tap};
+use self::socket::{Received, SealedSocket};
 use super::budgets::FleetBudgets;
-use super::seal::{LONGEST, Refused, Seal};
+use super::seal::Seal;
 use super::spoken::Spoken;
 use crate::parts::{Asked, PART_KEYS, Part, Permit, Use};
 
@@ -32,35 +33,6 @@
 /// Turns of the loop for which what is due waits for what lies unread: a flood must not stop it for good.
 const MAX_WAITS: u32 = 4;
 
-/// What came and went.
-#[derive(Clone, Debug, Default)]
-pub struct Counts {
-    pub received: u64,
-    /// Without IP and UDP headers, like `sent_bytes`.
-    pub received_bytes: u64,
-    pub sent: u64,
-    pub sent_bytes: u64,
-    /// Could not be sent, as the system had no room.
-    pub unsent: u64,
-    pub refused: BTreeMap<&'static str, u64>,
-}
-
-/// Where a link is told that it can read: several links of one process have a key each.
-#[derive(Clone, Copy)]
-pub struct Registration<'a> {
-    pub poller: &'a Arc<Poller>,
-    pub key: usize,
-}
-
-/// What a test rig puts between a link and its network.
-pub trait Tap {
-    /// Whether datagrams to and from this address pass.
-    fn passes(&self, other: SocketAddr) -> bool;
-
-    /// What this node has learned of its fleet.
-    fn learned(&mut self, change: &Change);
-}
-
 /// The fleet's own time since `zero`; a test may have it gain.
 fn now(zero: Instant, drift_ppm: i32) -> Tenths {
     let micros = zero.elapsed().as_micros() as i64;
@@ -70,20 +42,15 @@
 
 /// The link, with the decisions that it serves.
 pub struct Peers {
-    sock: UdpSocket,
-    poller: Arc<Poller>,
-    key: usize,
-    tap: Option<Box<dyn Tap>>,
+    socket: SealedSocket,
     log: Logger,
     /// The fleet's own time: it neither jumps nor stands still with the system's.
     zero: Instant,
     file: FleetFile,
-    seal: Seal,
     fleet: Fleet,
     actions: Vec<Action>,
     /// The fleet's budgets, where there are any.
     budgets: Option<Rc<RefCell<FleetBudgets>>>,
-    counts: Counts,
     told_at: BTreeMap<&'static str, Tenths>,
     /// Datagrams waited at the end of the last reading.
     unread: bool,
@@ -106,11 +73,8 @@
         log: Logger,
     ) -> Result<Peers, String> {
         let at = |e: std::io::Error| format!("installation.fleet.listen: {}: {e}", file.listen);
-        let sock = UdpSocket::bind(file.listen).map_err(at)?;
-        sock.set_nonblocking(true).map_err(at)?;
-        let Registration { poller, key: poller_key } = registration;
-        // SAFETY: the socket is taken out of the poller when the link is dropped.
-        unsafe { poller.add_with_mode(&sock, Ready::readable(poller_key), PollMode::Level).map_err(at)? };
+        let seal = Seal::new(key, &file.name);
+        let socket = SealedSocket::bind(file.listen, registration, seal).map_err(at)?;
         let chance = fastrand::u64(..);
         let weight = file.weight.unwrap_or(orders.handed.contract.cores).max(1);
         let me = MemberUpdate {
@@ -132,18 +96,13 @@
         );
         let budgets = budgets.map(|budgets| Rc::new(RefCell::new(budgets)));
         let mut peers = Peers {
-            sock,
-            poller: poller.clone(),
-            key: poller_key,
-            tap: None,
+            socket,
             log,
             zero,
-            seal: Seal::new(key, &file.name),
             fleet: Fleet::new(me, file.fleet_parameters(), orders.seed ^ chance, 0),
             file: file.clone(),
             actions: Vec::new(),
             budgets,
-            counts: Counts::default(),
             told_at: BTreeMap::new(),
             unread: false,
             waited: 0,
@@ -154,14 +113,15 @@
 
     /// Puts a rig's tap between this link and its network.
     pub fn set_tap(&mut self, tap: Box<dyn Tap>) {
-        self.tap = Some(tap);
+        self.socket.tap = Some(tap);
     }
 
+    /// Counts of the link's datagrams.
     pub fn counts(&self) -> &Counts {
-        &self.counts
+        &self.socket.counts
     }
 
-    /// The decisions on who is there.
+    /// The decisions on membership.
     pub fn fleet(&self) -> &Fleet {
         &self.fleet
     }
@@ -172,74 +132,50 @@
         budgets.budgets.leader().map(|leader| leader.name.clone())
     }
 
-    fn passes(&self, other: SocketAddr) -> bool {
-        self.tap.as_ref().is_none_or(|tap| tap.passes(other))
-    }
-
     fn now(&self) -> Tenths {
         now(self.zero, self.file.tests.drift_ppm)
     }
 
-    /// Reads one datagram; whether there may be more.
+    /// Reads and handles one datagram; false if none waited.
     fn read_one(&mut self) -> bool {
-        let mut bytes = [0; LONGEST + 1];
-        let (len, from) = match self.sock.recv_from(&mut bytes) {
-            Ok(read) => read,
-            // What an earlier datagram met on its way is told here, and means nothing for the next.
-            Err(e) => return !matches!(e.kind(), ErrorKind::WouldBlock),
-        };
-        if !self.passes(from) {
-            return true;
+        match self.socket.receive() {
+            Received::Empty => return false,
+            Received::Nothing => {}
+            Received::Datagram { from, opened: Ok(spoken) } => self.handle(from, spoken),
+            Received::Datagram { from, opened: Err(refused) } => self.refuse(refused, from),
         }
-        self.counts.received += 1;
-        self.counts.received_bytes += len as u64;
-        let opened = if len > LONGEST { Err(Refused::Unreadable) } else { self.seal.open(&bytes[..len]) };
-        let now = self.now();
-        match opened {
-            Ok(Spoken::Fleet(datagram)) => {
-                self.fleet.handle(now, Event::Received { from, datagram }, &mut self.actions);
+        true
+    }
+
+    fn handle(&mut self, from: SocketAddr, spoken: Spoken) {
+        match spoken {
+            Spoken::Fleet(datagram) => {
+                self.fleet.handle(self.now(), Event::Received { from, datagram }, &mut self.actions);
                 self.carry_out();
             }
-            Ok(Spoken::Ask(ask)) => self.answer_status(ask, from),
-            // Whoever is not in the view would get no answer, and could fill a leader's books.
-            Ok(Spoken::Budgets(envelope)) if self.is_member(&envelope.from) => {
+            Spoken::Ask(ask) => self.answer_status(ask, from),
+            // A node that is no member would get no answer, and could fill the leader's ledger.
+            Spoken::Budgets(envelope) if self.is_member(&envelope.from) => {
                 self.tell_budgets(Some(doortrack_budgets::Event::Received(envelope)));
             }
-            Ok(Spoken::Budgets(_)) => *self.counts.refused.entry("no_member").or_default() += 1,
-            Ok(Spoken::AskBudgets { nonce, from: index }) => {
-                self.answer_budget_status(nonce, index, from);
-            }
-            Ok(Spoken::Status(_) | Spoken::BudgetStatus(_)) => {}
-            Err(refused) => self.refuse(refused, from),
+            Spoken::Budgets(_) => *self.socket.counts.refused.entry("no_member").or_default() += 1,
+            Spoken::AskBudgets { nonce, from: index } => self.answer_budget_status(nonce, index, from),
+            Spoken::Status(_) | Spoken::BudgetStatus(_) => {}
         }
-        true
     }
 
     fn send(&mut self, to: SocketAddr, spoken: &Spoken) {
-        if !self.passes(to) {
-            return;
-        }
-        let Some(datagram) = self.seal.close(spoken) else {
-            self.counts.unsent += 1;
-            return;
-        };
-        match self.sock.send_to(&datagram, to) {
-            Ok(_) => {
-                self.counts.sent += 1;
-                self.counts.sent_bytes += datagram.len() as u64;
-            }
-            // Nothing waits to be sent: a datagram may be lost on the way as well.
-            Err(_) => self.counts.unsent += 1,
-        }
+        self.socket.send(to, spoken);
     }
 
+    /// Carries out what the decisions on membership want.
     fn carry_out(&mut self) {
         for action in std::mem::take(&mut self.actions) {
             match action {
                 Action::Send { to, datagram } => self.send(to, &Spoken::Fleet(*datagram)),
                 Action::Report(change) => {
                     self.log(&change);
-                    if let Some(tap) = &mut self.tap {
+                    if let Some(tap) = &mut self.socket.tap {
                         tap.learned(&change);
                     }
                     let superseded = matches!(change, Change::Superseded { .. });
@@ -250,15 +186,9 @@
     }
 }
 
-impl Drop for Peers {
-    fn drop(&mut self) {
-        _ = self.poller.delete(&self.sock);
-    }
-}
-
 impl Part for Peers {
     fn key(&self) -> usize {
-        self.key
+        self.socket.key
     }
 
     fn ready(&mut self) {
@@ -365,7 +295,7 @@
     }
 
     fn summary(&self, log: &Logger) {
-        let counts = &self.counts;
+        let counts = &self.socket.counts;
         info!(log, "so far of the fleet"; "view" => self.fleet.view().number,
             "members" => self.fleet.view().members.len(), "isolated" => self.fleet.is_isolated(),
             "received" => counts.received, "received_bytes" => counts.received_bytes,
--- a/node/src/peers/link/logging.rs
+++ b/node/src/peers/link/logging.rs
@@ -17,7 +17,7 @@
     /// fill the log.
     pub(super) fn refuse(&mut self, refused: Refused, from: SocketAddr) {
         let name = refused.name();
-        *self.counts.refused.entry(name).or_default() += 1;
+        *self.socket.counts.refused.entry(name).or_default() += 1;
         let now = self.now();
         let due = self.told_at.get(name).is_none_or(|at| now >= at + REFUSAL_LOG_INTERVAL);
         if due {
--- /dev/null
+++ b/node/src/peers/link/socket.rs
@@ -0,0 +1,125 @@
+//! The link's UDP socket: datagrams are sealed and opened, counted, and passed by a test rig's tap.
+
+use std::collections::BTreeMap;
+use std::io::{self, ErrorKind};
+use std::net::{SocketAddr, UdpSocket};
+use std::sync::Arc;
+
+use doortrack_fleet::Change;
+use polling::{Event, PollMode, Poller};
+
+use crate::peers::seal::{LONGEST, Refused, Seal};
+use crate::peers::spoken::Spoken;
+
+/// Counts of datagrams and their bytes, without IP and UDP headers.
+#[derive(Clone, Debug, Default)]
+pub struct Counts {
+    pub received: u64,
+    pub received_bytes: u64,
+    pub sent: u64,
+    pub sent_bytes: u64,
+    /// Could not be sent: the system had no room, or the message was too long.
+    pub unsent: u64,
+    /// Received and not listened to, by reason.
+    pub refused: BTreeMap<&'static str, u64>,
+}
+
+/// The poller that watches a link, and the link's key: several links of one process have a key each.
+#[derive(Clone, Copy)]
+pub struct Registration<'a> {
+    pub poller: &'a Arc<Poller>,
+    pub key: usize,
+}
+
+/// What a test rig puts between a link and its network.
+pub trait Tap {
+    /// Whether datagrams to and from this address pass.
+    fn passes(&self, peer: SocketAddr) -> bool;
+
+    /// What this node has learned of its fleet.
+    fn learned(&mut self, change: &Change);
+}
+
+/// The result of one read.
+pub(super) enum Received {
+    /// Nothing waits to be read.
+    Empty,
+    /// The read gave nothing to handle; there may be more.
+    Nothing,
+    Datagram {
+        from: SocketAddr,
+        opened: Result<Spoken, Refused>,
+    },
+}
+
+/// A nonblocking socket of one fleet, registered with a poller until it is dropped.
+pub(super) struct SealedSocket {
+    socket: UdpSocket,
+    poller: Arc<Poller>,
+    pub(super) key: usize,
+    seal: Seal,
+    pub(super) tap: Option<Box<dyn Tap>>,
+    pub(super) counts: Counts,
+}
+
+impl SealedSocket {
+    /// Binds the socket and registers it for reading.
+    ///
+    /// # Errors
+    /// The address can't be bound, or the poller refuses the socket.
+    pub(super) fn bind(address: SocketAddr, registration: Registration, seal: Seal) -> io::Result<Self> {
+        let socket = UdpSocket::bind(address)?;
+        socket.set_nonblocking(true)?;
+        let Registration { poller, key } = registration;
+        // SAFETY: the socket is taken out of the poller when it is dropped.
+        unsafe { poller.add_with_mode(&socket, Event::readable(key), PollMode::Level)? };
+        let counts = Counts::default();
+        Ok(SealedSocket { socket, poller: poller.clone(), key, seal, tap: None, counts })
+    }
+
+    /// Reads and opens one datagram.
+    pub(super) fn receive(&mut self) -> Received {
+        let mut bytes = [0; LONGEST + 1];
+        let (len, from) = match self.socket.recv_from(&mut bytes) {
+            Ok(read) => read,
+            Err(error) if error.kind() == ErrorKind::WouldBlock => return Received::Empty,
+            // The fate of an earlier datagram is reported here, and says nothing of the next.
+            Err(_) => return Received::Nothing,
+        };
+        if !self.passes(from) {
+            return Received::Nothing;
+        }
+        self.counts.received += 1;
+        self.counts.received_bytes += len as u64;
+        let opened = if len > LONGEST { Err(Refused::Unreadable) } else { self.seal.open(&bytes[..len]) };
+        Received::Datagram { from, opened }
+    }
+
+    /// Seals and sends a message. A failure is counted, as the datagram may be lost on its way as well.
+    pub(super) fn send(&mut self, to: SocketAddr, spoken: &Spoken) {
+        if !self.passes(to) {
+            return;
+        }
+        let Some(datagram) = self.seal.close(spoken) else {
+            self.counts.unsent += 1;
+            return;
+        };
+        match self.socket.send_to(&datagram, to) {
+            Ok(_) => {
+                self.counts.sent += 1;
+                self.counts.sent_bytes += datagram.len() as u64;
+            }
+            Err(_) => self.counts.unsent += 1,
+        }
+    }
+
+    fn passes(&self, peer: SocketAddr) -> bool {
+        self.tap.as_ref().is_none_or(|tap| tap.passes(peer))
+    }
+}
+
+impl Drop for SealedSocket {
+    fn drop(&mut self) {
+        _ = self.poller.delete(&self.socket);
+    }
+}
