--- a/node/src/peers/budgets.rs
+++ b/node/src/peers/budgets.rs
@@ -134,6 +134,16 @@
 
     /// Acquires one retry; false if there is none left.
     pub fn retry(&mut self, index: u16, now: Tenths) -> bool {
+        self.acquire_one(index, now)
+    }
+
+    /// The budget of the ramps in the pool at this index.
+    pub fn ramp(&self, pool: u16) -> Option<u16> {
+        self.indices.ramps.get(usize::from(pool)).copied().flatten()
+    }
+
+    /// Takes one token of the budget at this index, if there is one.
+    pub fn acquire_one(&mut self, index: u16, now: Tenths) -> bool {
         let taken = self.budgets.acquire(usize::from(index), now).is_ok();
         self.used[usize::from(index)] += u64::from(taken);
         taken
--- a/node/src/peers/link.rs
+++ b/node/src/peers/link.rs
@@ -17,6 +17,7 @@
 use doortrack_budgets::NodeId;
 use doortrack_fleet::{Action, Change, Event, Fleet, Incarnation, MemberState, MemberUpdate, Name};
 use doortrack_installation::{FleetFile, Installation, Orders};
+use doortrack_servers::Token;
 use slog::{Logger, info, warn};
 
 pub use self::socket::{Counts, Registration, Tap};
@@ -233,6 +234,20 @@
         }))
     }
 
+    fn ramp_gate(&self, pool: u16) -> Option<Box<dyn FnMut() -> Token>> {
+        let (zero, drift) = (self.zero, self.file.tests.drift_ppm);
+        let budgets = self.budgets.clone()?;
+        // Looked up each time, as for retries.
+        Some(Box::new(move || {
+            let mut budgets = budgets.borrow_mut();
+            match budgets.ramp(pool) {
+                None => Token::Unshared,
+                Some(index) if budgets.acquire_one(index, now(zero, drift)) => Token::Granted,
+                Some(_) => Token::Refused,
+            }
+        }))
+    }
+
     fn release(&mut self, permit: Permit, came: Use) {
         let now = self.now();
         if let Some(budgets) = &self.budgets {
