--- a/emulator/src/law.rs
+++ b/emulator/src/law.rs
@@ -1,4 +1,4 @@
-//! Laws by which spans of time are drawn.
+//! Probability distributions of durations.
 
 use std::fmt;
 
@@ -8,36 +8,35 @@
 
 use crate::Micros;
 
-/// A stream of chance.
+/// A stream of random numbers.
 pub type Stream = ChaCha12Rng;
 
-/// The stream of one part of a world: parts draw from streams of their own, so that one more draw
-/// of one changes
-/// nothing for the others.
+/// The stream of one part of a world. Each part has a stream of its own, so that one more draw in one part
+/// changes nothing in the others.
 pub fn stream(seed: u64, part: u64) -> Stream {
     let mut stream = ChaCha12Rng::seed_from_u64(seed);
     stream.set_stream(part);
     stream
 }
 
-/// A law of spans. All are told by their mean, so that one can stand for another.
+/// A distribution of durations in microseconds. All are given by their mean, so that one can replace another.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Law {
     Fixed(f64),
     Exponential {
         mean: f64,
     },
-    /// `sigma` is that of the logarithm.
+    /// `sigma` is the standard deviation of the logarithm.
     LogNormal {
         mean: f64,
         sigma: f64,
     },
-    /// Heavy tails: over 1, and below 2 with no bound on the variance.
+    /// Heavy-tailed. `shape` is over 1; below 2 the variance is infinite.
     Pareto {
         mean: f64,
         shape: f64,
     },
-    /// `share` of all are `long`, the rest `short`.
+    /// A `share` of the durations is `long`, the rest `short`.
     Bimodal {
         short: f64,
         long: f64,
@@ -45,10 +44,10 @@
     },
 }
 
-/// What makes no law.
+/// A parameter that is out of range.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct LawFault {
-    /// The number at fault, by its name.
+    /// The name of the parameter.
     pub what: &'static str,
     pub found: f64,
 }
@@ -62,7 +61,10 @@
 impl std::error::Error for LawFault {}
 
 impl Law {
-    /// Checks the numbers of a law.
+    /// Validates the parameters.
+    ///
+    /// # Errors
+    /// The first parameter out of range.
     pub fn check(self) -> Result<Law, LawFault> {
         let positive =
             |what, n: f64| if n > 0.0 && n.is_finite() { Ok(()) } else { Err(LawFault { what, found: n }) };
@@ -89,7 +91,7 @@
         Ok(self)
     }
 
-    /// In microseconds.
+    /// The mean in microseconds.
     pub fn mean(self) -> f64 {
         match self {
             Law::Fixed(mean)
@@ -100,7 +102,7 @@
         }
     }
 
-    /// Draws a span, in microseconds and at least one.
+    /// Draws a duration in microseconds, at least one.
     pub fn draw(self, stream: &mut Stream) -> Micros {
         let drawn = match self {
             Law::Fixed(mean) => mean,
--- a/emulator/src/lib.rs
+++ b/emulator/src/lib.rs
@@ -1,15 +1,12 @@
-//! Fleets in simulated time, for trying designs at sizes that sockets do not reach.
+//! Discrete-event simulation of fleets, at sizes that real sockets do not reach.
 //!
-//! This package holds what every emulated world is made of, apart from any world: a [`Queue`] of
-//! events whose order
-//! is settled for equal times, [`Law`]s by which times are drawn, and a [`Station`], a machine
-//! whose cores all work
-//! shares. Time is whole microseconds from the start of the play, [`Micros`]; chance comes from one
-//! seeded stream a
-//! world, so the same seed gives the same play to the byte.
+//! This package holds the parts that all simulated worlds share: a [`Queue`] of events, with a defined order
+//! of events at one time, [`Law`]s from which durations are drawn, a [`Station`], a machine whose cores are
+//! shared by all jobs, and a [`Net`] between machines. Time is whole microseconds since the start of the run,
+//! [`Micros`]. Randomness comes from seeded streams, so the same seed gives the same run to the byte.
 //!
-//! What a station does is checked against queueing theory by this package's tests: M/M/1, M/M/c, M/G/1 with
-//! processor sharing, Erlang's loss formula, and Little's law on each of them.
+//! This package's tests check stations against queueing theory: M/M/1, M/M/c, M/G/1 with processor sharing,
+//! Erlang's loss formula, and Little's law on each of them.
 
 mod law;
 mod net;
--- a/emulator/src/queue.rs
+++ b/emulator/src/queue.rs
@@ -1,40 +1,37 @@
-//! What happens next: events by time, and those of one time in the order in which they were put in.
+//! The event queue: events by time, and those of one time in the order of insertion.
 
 use crate::Micros;
 
-/// Children of a place in the heap: four lie in one line of the cache, and the heap is half as deep
-/// as with two.
+/// Children of a node of the heap: four share a cache line, and the heap is half as deep as with two.
 const WIDTH: usize = 4;
 
 struct Entry<E> {
     at: Micros,
-    nth: u64,
+    sequence: u64,
     event: E,
 }
 
 impl<E> Entry<E> {
-    fn goes_before(&self, other: &Entry<E>) -> bool {
-        (self.at, self.nth) < (other.at, other.nth)
+    fn is_before(&self, other: &Entry<E>) -> bool {
+        (self.at, self.sequence) < (other.at, other.sequence)
     }
 }
 
-/// A queue of events. Putting in and taking out cost the logarithm of its size; nothing is
-/// allocated while it does
-/// not grow.
+/// A queue of events. Insertion and removal cost the logarithm of its size, and allocate only when it grows.
 pub struct Queue<E> {
     heap: Vec<Entry<E>>,
-    nth: u64,
+    sequence: u64,
     now: Micros,
 }
 
 impl<E> Default for Queue<E> {
     fn default() -> Self {
-        Queue { heap: Vec::new(), nth: 0, now: 0 }
+        Queue { heap: Vec::new(), sequence: 0, now: 0 }
     }
 }
 
 impl<E> Queue<E> {
-    /// The time of the last event taken out.
+    /// The time of the last event removed.
     pub fn now(&self) -> Micros {
         self.now
     }
@@ -47,18 +44,18 @@
         self.heap.is_empty()
     }
 
-    /// Puts in an event. One of the past happens now.
+    /// Inserts an event. An event of the past happens now.
     pub fn put(&mut self, at: Micros, event: E) {
-        self.nth += 1;
-        self.heap.push(Entry { at: at.max(self.now), nth: self.nth, event });
-        let mut place = self.heap.len() - 1;
-        while place > 0 {
-            let above = (place - 1) / WIDTH;
-            if !self.heap[place].goes_before(&self.heap[above]) {
+        self.sequence += 1;
+        self.heap.push(Entry { at: at.max(self.now), sequence: self.sequence, event });
+        let mut index = self.heap.len() - 1;
+        while index > 0 {
+            let parent = (index - 1) / WIDTH;
+            if !self.heap[index].is_before(&self.heap[parent]) {
                 break;
             }
-            self.heap.swap(place, above);
-            place = above;
+            self.heap.swap(index, parent);
+            index = parent;
         }
     }
 
@@ -67,25 +64,23 @@
         self.heap.first().map(|entry| entry.at)
     }
 
-    /// Takes out the next event, and lets time pass up to it.
+    /// Removes the next event and advances the time to it.
     pub fn take(&mut self) -> Option<(Micros, E)> {
         if self.heap.is_empty() {
             return None;
         }
         let entry = self.heap.swap_remove(0);
-        let mut place = 0;
+        let mut index = 0;
         loop {
-            let first = place * WIDTH + 1;
+            let first = index * WIDTH + 1;
             let children = first..(first + WIDTH).min(self.heap.len());
             let least = children
-                .reduce(|one, other| if self.heap[other].goes_before(&self.heap[one]) { other } else { one });
+                .reduce(|one, other| if self.heap[other].is_before(&self.heap[one]) { other } else { one });
             match least {
-                Some(least) if self.heap[least].goes_before(&self.heap[place]) => {
-                    self.heap.swap(place, least)
-                }
+                Some(least) if self.heap[least].is_before(&self.heap[index]) => self.heap.swap(index, least),
                 _ => break,
             }
-            place = least.unwrap_or(place);
+            index = least.unwrap_or(index);
         }
         self.now = entry.at;
         Some((entry.at, entry.event))
--- a/emulator/src/station.rs
+++ b/emulator/src/station.rs
@@ -1,4 +1,4 @@
-//! A machine whose cores are shared by all that runs on it.
+//! A machine whose cores are shared by all its jobs.
 
 use std::cmp::Reverse;
 use std::collections::BinaryHeap;
@@ -7,23 +7,23 @@
 
 use crate::Micros;
 
-/// Place of a job on its station.
+/// The key of a job on its station.
 pub type JobId = usize;
 
-/// How fast a station works.
+/// The speed of a station.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Pace {
     pub cores: f64,
     /// Work done by one core in a microsecond, in microseconds of a standard core.
     pub speed: f64,
-    /// Jobs a core past which the crowd itself costs: caches, memory, switching.
+    /// Jobs a core beyond which further jobs slow down all: caches, memory, context switches.
     pub tip: f64,
-    /// Share of the pace lost for each whole tip beyond it; 0 where a crowd costs nothing.
+    /// Slowdown for each multiple of `tip` beyond it; 0 for no slowdown.
     pub loss: f64,
 }
 
 impl Pace {
-    /// Work done for each of `jobs` in a microsecond.
+    /// Work done for each of `jobs` jobs in a microsecond.
     fn each(&self, jobs: usize) -> f64 {
         let jobs = jobs as f64;
         let beyond = (jobs / (self.cores * self.tip) - 1.0).max(0.0);
@@ -31,26 +31,25 @@
     }
 }
 
-/// Tells a job from one that had its place before.
+/// Distinguishes a job from an earlier one with the same key.
 struct Job {
-    nth: u64,
+    sequence: u64,
 }
 
-/// Processor sharing: all jobs get the same, each ends once it got its work. Every step costs the
-/// logarithm of
-/// the number of jobs, as only what each has been given so far is counted on, and not the jobs.
+/// Processor sharing: all jobs get the same share of the cores, and each ends once its work is done. A step
+/// costs the logarithm of the number of jobs, as only the work given to each is advanced, not the jobs.
 pub struct Station {
     pace: Pace,
     jobs: Slab<Job>,
-    /// By when they are done, in work given to each; those that were stopped are passed over.
+    /// Jobs by the value of `given` at which they are done; stopped ones are skipped.
     order: BinaryHeap<Reverse<(Work, u64, JobId)>>,
-    /// Work given to each that has been there all the time.
+    /// Work given to each job that has been present from the start.
     given: f64,
     at: Micros,
-    nth: u64,
+    sequence: u64,
 }
 
-/// Finite, so that it has an order.
+/// An amount of work. Always finite, so that it is ordered.
 #[derive(Clone, Copy, PartialEq)]
 struct Work(f64);
 
@@ -70,56 +69,56 @@
 
 impl Station {
     pub fn new(pace: Pace) -> Station {
-        Station { pace, jobs: Slab::new(), order: BinaryHeap::new(), given: 0.0, at: 0, nth: 0 }
+        Station { pace, jobs: Slab::new(), order: BinaryHeap::new(), given: 0.0, at: 0, sequence: 0 }
     }
 
     pub fn jobs(&self) -> usize {
         self.jobs.len()
     }
 
-    /// Share of the cores that is in use.
+    /// The share of the cores in use.
     pub fn busy(&self) -> f64 {
         (self.jobs.len() as f64 / self.pace.cores).min(1.0)
     }
 
-    /// Lets time pass. It must not pass beyond [`Station::next_end`].
+    /// Advances the time, at most to [`Station::next_end`].
     pub fn pass(&mut self, now: Micros) {
         if !self.jobs.is_empty() {
             self.given += (now - self.at) as f64 * self.pace.each(self.jobs.len());
         } else {
-            // Nothing depends on it, and sums stay small.
+            // No job depends on the sum, which stays small.
             self.given = 0.0;
             self.order.clear();
         }
         self.at = now;
     }
 
-    /// Another pace from `now` on.
+    /// Changes the speed from `now` on.
     pub fn change(&mut self, pace: Pace, now: Micros) {
         self.pass(now);
         self.pace = pace;
     }
 
-    /// Takes in a job of so much work on a standard core.
+    /// Starts a job; `work` is in microseconds of a standard core.
     pub fn begin(&mut self, work: Micros, now: Micros) -> JobId {
         self.pass(now);
-        self.nth += 1;
+        self.sequence += 1;
         let done_at = self.given + work as f64;
-        let job = self.jobs.insert(Job { nth: self.nth });
-        self.order.push(Reverse((Work(done_at), self.nth, job)));
+        let job = self.jobs.insert(Job { sequence: self.sequence });
+        self.order.push(Reverse((Work(done_at), self.sequence, job)));
         job
     }
 
-    /// Stops a job; whether there was one.
+    /// Stops a job; false if there is none of this key.
     pub fn stop(&mut self, job: JobId, now: Micros) -> bool {
         self.pass(now);
         self.jobs.try_remove(job).is_some()
     }
 
-    /// When the next job is done if none comes or goes before: rounded up, so that it is done by then.
+    /// When the next job is done if none is started or stopped before; rounded up.
     pub fn next_end(&mut self) -> Option<Micros> {
-        while let Some(Reverse((_, nth, job))) = self.order.peek() {
-            if self.jobs.get(*job).is_some_and(|of| of.nth == *nth) {
+        while let Some(Reverse((_, sequence, job))) = self.order.peek() {
+            if self.jobs.get(*job).is_some_and(|job| job.sequence == *sequence) {
                 break;
             }
             self.order.pop();
@@ -129,7 +128,7 @@
         Some(self.at + left.ceil() as Micros)
     }
 
-    /// Takes out a job that is done by `now`, the first first.
+    /// Removes the first job that is done by `now`.
     pub fn take_done(&mut self, now: Micros) -> Option<JobId> {
         let next = self.next_end().filter(|end| *end <= now)?;
         self.pass(next.max(self.at));
