--- a/node/src/peers/link.rs
+++ b/node/src/peers/link.rs
@@ -29,23 +29,23 @@
 
 /// The poller's key of the link in a node's own loop.
 pub const KEY: usize = PART_KEYS.start;
-/// Datagrams read in one turn of the loop: a flood of them takes its turn like everything else.
-const TURN: usize = 64;
-/// Turns of the loop for which what is due waits for what lies unread: a flood must not stop it for good.
+/// Datagrams read in one turn of the loop, so that a flood does not starve other work.
+const MAX_READS: usize = 64;
+/// Turns of the loop for which due timers wait for unread datagrams, so that a flood does not stop them.
 const MAX_WAITS: u32 = 4;
 
-/// The fleet's own time since `zero`; a test may have it gain.
+/// The link's time since `zero`, in tenths of a ms; a test may make it drift, by millionths.
 fn now(zero: Instant, drift_ppm: i32) -> Tenths {
     let micros = zero.elapsed().as_micros() as i64;
     let gained = if drift_ppm == 0 { 0 } else { micros / 1_000 * i64::from(drift_ppm) / 1_000 };
     ((micros + gained) / 100) as Tenths
 }
 
-/// The link, with the decisions that it serves.
+/// The link, with the decisions on membership and budgets.
 pub struct Peers {
     socket: SealedSocket,
     log: Logger,
-    /// The fleet's own time: it neither jumps nor stands still with the system's.
+    /// Start of the link's monotonic time, which does not follow the system clock.
     zero: Instant,
     file: FleetFile,
     fleet: Fleet,
@@ -53,17 +53,17 @@
     /// The fleet's budgets, where there are any.
     budgets: Option<Rc<RefCell<FleetBudgets>>>,
     told_at: BTreeMap<&'static str, Tenths>,
-    /// Datagrams waited at the end of the last reading.
+    /// Datagrams may still wait after the last reading.
     unread: bool,
-    /// For how many turns what is due has waited for them.
+    /// Turns for which due timers have waited for them.
     waited: u32,
 }
 
 impl Peers {
-    /// Opens the link that the operators' file asks for. `unix_ms` is when this process started.
+    /// Opens the link that the operators' file configures. `unix_ms` is the start time of this process.
     ///
     /// # Errors
-    /// The key's file, or the address, with the path of its key.
+    /// The address can't be bound; the message names the path of its key.
     pub fn open(
         installation: &Installation,
         file: &FleetFile,
@@ -112,7 +112,7 @@
         Ok(peers)
     }
 
-    /// Puts a rig's tap between this link and its network.
+    /// Puts a test rig's tap between this link and its network.
     pub fn set_tap(&mut self, tap: Box<dyn Tap>) {
         self.socket.tap = Some(tap);
     }
@@ -193,12 +193,12 @@
     }
 
     fn ready(&mut self) {
-        self.unread = (0..TURN).all(|_| self.read_one());
+        self.unread = (0..MAX_READS).all(|_| self.read_one());
     }
 
     fn turn(&mut self) {
         let now = self.now();
-        // What lies unread came before: an answer among it is no missing one.
+        // Unread datagrams came before the timer: an answer among them is not missing.
         let waits = std::mem::take(&mut self.unread) && self.waited < MAX_WAITS;
         if now >= self.fleet.next_due() {
             self.waited = if waits { self.waited + 1 } else { 0 };
@@ -226,7 +226,7 @@
     fn retry_gate(&self, pool: u16) -> Option<Box<dyn FnMut() -> bool>> {
         let (zero, drift) = (self.zero, self.file.tests.drift_ppm);
         let budgets = self.budgets.clone()?;
-        // Looked up each time: a SIGHUP may bring it, or take it away.
+        // Looked up each time: a reload may add or remove it.
         Some(Box::new(move || {
             let mut budgets = budgets.borrow_mut();
             let index = budgets.retries(pool);
@@ -280,7 +280,7 @@
         if kept(file) != kept(&self.file) {
             warn!(self.log, "fleet needs a start"; "why" => "its name, addresses, key or weight changed");
         }
-        // What can't change under way stays as it was.
+        // What needs a restart stays as it was.
         self.file = FleetFile {
             seeds: file.seeds.clone(),
             voters: file.voters.clone(),
--- a/node/src/peers/mod.rs
+++ b/node/src/peers/mod.rs
@@ -1,4 +1,5 @@
-//! The link to the other nodes of the fleet: one UDP socket. Who is there is decided by `doortrack-fleet`.
+//! The link to the other nodes of the fleet: one UDP socket. Membership is decided by `doortrack-fleet`, the
+//! division of budgets by `doortrack-budgets`.
 
 pub mod budgets;
 mod link;
--- a/node/src/peers/seal.rs
+++ b/node/src/peers/seal.rs
@@ -1,8 +1,8 @@
-//! What lies round each datagram between nodes: version, keyed hash, fleet name. The codec is postcard, the
-//! hash BLAKE3; neither is ours.
+//! The envelope of each datagram between nodes: version, keyed hash, fleet name. The codec is postcard, the
+//! hash BLAKE3, both from libraries.
 //!
-//! `version (1) | hash (16) | body`. The hash is over version and body, under the fleet's key, or under one
-//! that everybody can make where there is none: then it only tells what was garbled on the way.
+//! `version (1) | hash (16) | body`. The hash is over version and body, under the fleet's key, or under a
+//! public one where there is none: then it only detects corruption.
 
 use std::fmt;
 
@@ -10,29 +10,29 @@
 
 use super::spoken::Spoken;
 
-/// What this build speaks. Fields are only ever added at the end of a message within one version.
+/// The version that this build speaks. Fields are only ever added at the end of a message within one version.
 pub const VERSION: u8 = 1;
 const HASH: usize = 16;
-/// Bytes of a whole datagram; none of ours is longer, and none longer is read.
+/// Maximum bytes of a datagram, sent or received: an Ethernet frame without IP and UDP headers.
 pub const LONGEST: usize = 1_472;
 
-/// The key of a fleet, made ready.
+/// Seals and opens the datagrams of one fleet.
 #[derive(Clone)]
 pub struct Seal {
     key: [u8; 32],
     fleet: String,
 }
 
-/// Why a datagram was not listened to.
+/// Why a datagram was refused.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Refused {
-    /// Of another version of the program; what it speaks.
+    /// Of another version of the program, which is given.
     Version(u8),
-    /// Garbled on the way, or from one that does not have the key.
+    /// Corrupted, or sealed with another key.
     Hash,
     /// Of another fleet.
     Fleet,
-    /// Whole, but no message.
+    /// Intact, but no message.
     Unreadable,
 }
 
@@ -51,7 +51,7 @@
 impl fmt::Display for Refused {
     fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
         match self {
-            Refused::Version(of) => write!(f, "speaks version {of}, this build {VERSION}"),
+            Refused::Version(version) => write!(f, "speaks version {version}, this build {VERSION}"),
             Refused::Hash => f.write_str("garbled, or sealed with another key"),
             Refused::Fleet => f.write_str("of another fleet"),
             Refused::Unreadable => f.write_str("no message"),
@@ -63,13 +63,13 @@
 
 #[derive(Serialize, Deserialize)]
 struct Body<'a, T> {
-    /// Empty from those that only ask how things are.
+    /// Empty in a status query.
     fleet: &'a str,
     what: T,
 }
 
 impl Seal {
-    /// That of the fleet `name`; an empty one for who only asks.
+    /// The seal of the fleet `name`; an empty name for status queries.
     pub fn new(key: Option<[u8; 32]>, name: &str) -> Seal {
         let key = blake3::derive_key("doortrack 2026-12 fleet datagrams", &key.unwrap_or_default());
         Seal { key, fleet: name.to_string() }
@@ -83,35 +83,36 @@
         first
     }
 
-    /// The whole datagram; none if it would be too long.
+    /// Encodes and seals a message; `None` if the datagram would be longer than [`LONGEST`].
     pub fn close(&self, what: &Spoken) -> Option<Vec<u8>> {
         let body = postcard::to_allocvec(&Body { fleet: &self.fleet, what }).ok()?;
-        let mut whole = Vec::with_capacity(1 + HASH + body.len());
-        whole.push(VERSION);
-        whole.extend(self.hash(VERSION, &body));
-        whole.extend(body);
-        (whole.len() <= LONGEST).then_some(whole)
+        let mut datagram = Vec::with_capacity(1 + HASH + body.len());
+        datagram.push(VERSION);
+        datagram.extend(self.hash(VERSION, &body));
+        datagram.extend(body);
+        (datagram.len() <= LONGEST).then_some(datagram)
     }
 
-    /// What a datagram says.
+    /// Verifies and decodes a datagram.
     ///
     /// # Errors
-    /// Why it is not listened to; the version is looked at first, as others may lay out the rest otherwise.
-    pub fn open(&self, whole: &[u8]) -> Result<Spoken, Refused> {
-        let (version, rest) = whole.split_first().ok_or(Refused::Unreadable)?;
+    /// Why it is refused. The version is checked first, as other versions may have another layout.
+    pub fn open(&self, datagram: &[u8]) -> Result<Spoken, Refused> {
+        let (version, rest) = datagram.split_first().ok_or(Refused::Unreadable)?;
         if *version != VERSION {
             return Err(Refused::Version(*version));
         }
         let (hash, body) = rest.split_at_checked(HASH).ok_or(Refused::Unreadable)?;
-        // Compared in a time that does not tell how much of it was right.
+        // Compared in constant time.
         let wrong = hash.iter().zip(self.hash(*version, body)).fold(0, |wrong, (a, b)| wrong | (a ^ b));
         if wrong != 0 {
             return Err(Refused::Hash);
         }
-        // What a later build of this version adds at the end is passed over.
+        // Fields that a later build of this version adds at the end are ignored.
         let (body, _) = postcard::take_from_bytes::<Body<Spoken>>(body).map_err(|_| Refused::Unreadable)?;
-        let asks = body.fleet.is_empty() && matches!(body.what, Spoken::Ask(_) | Spoken::AskBudgets { .. });
-        let told = self.fleet.is_empty();
-        if body.fleet == self.fleet || asks || told { Ok(body.what) } else { Err(Refused::Fleet) }
+        let is_query =
+            body.fleet.is_empty() && matches!(body.what, Spoken::Ask(_) | Spoken::AskBudgets { .. });
+        let sent_query = self.fleet.is_empty();
+        if body.fleet == self.fleet || is_query || sent_query { Ok(body.what) } else { Err(Refused::Fleet) }
     }
 }
--- a/node/src/peers/spoken.rs
+++ b/node/src/peers/spoken.rs
@@ -1,33 +1,33 @@
-//! What is spoken between nodes, and with those that ask a node how things are.
+//! Messages between nodes, and status queries with their answers.
 
 use doortrack_budgets::{Envelope, Units};
 use doortrack_fleet::{Datagram, Incarnation, MemberReport, Name};
 use serde::{Deserialize, Serialize};
 
-/// One datagram, unsealed.
+/// The message of one datagram.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum Spoken {
     Fleet(Datagram),
     Ask(Ask),
     Status(Box<Status>),
-    // What follows is read by builds of this version that have budgets; others count it as no message.
+    // Builds of this version without budgets count the following as no message.
     Budgets(Envelope),
     AskBudgets { nonce: u64, from: u16 },
     BudgetStatus(Box<BudgetPage>),
 }
 
-/// Asks for the members from behind a name on.
+/// A query for members, by name, after `after`.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Ask {
-    /// Comes back with the answer.
+    /// Repeated in the answer.
     pub nonce: u64,
     pub after: Option<Name>,
 }
 
-/// Members that one answer tells of; more are asked for from the last one on.
+/// Members in one answer; the next page starts after the last of them.
 pub const PAGE: usize = 8;
 
-/// How a node sees its fleet.
+/// A node's view of its fleet, with one page of members.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Status {
     pub nonce: u64,
@@ -43,10 +43,10 @@
     pub more: bool,
 }
 
-/// Budgets that one answer tells of.
+/// Budgets in one answer.
 pub const BUDGET_PAGE: usize = 6;
 
-/// How a node's budgets stand, from an index on.
+/// The status of a node's budgets, one page from an index on.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct BudgetPage {
     pub nonce: u64,
@@ -55,7 +55,7 @@
     pub more: bool,
 }
 
-/// One budget; allocations and needs are units held at once, or thousandths of an exchange a second.
+/// One budget; allocations and needs are units held at once, or thousandths of a request a second.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct BudgetStatus {
     pub name: String,
@@ -66,8 +66,8 @@
     pub rejected: u64,
     pub need: Units,
     pub in_use: Units,
-    /// For how long what is beyond the reserved minimum lasts.
+    /// Remaining time, in ms, of what exceeds the reserved minimum.
     pub until_ms: Option<u64>,
-    /// What this node has granted, as the leader.
+    /// What this node has granted as the leader; `None` if it is not.
     pub granted: Option<Units>,
 }
