--- a/fleet/src/parameters.rs
+++ b/fleet/src/parameters.rs
@@ -65,6 +65,11 @@
         self.period * 5
     }
 
+    /// How long before its end a suspected member is first probed finally; again after half of it.
+    pub(crate) fn final_probes(&self) -> Tenths {
+        self.answer_within * 3
+    }
+
     /// The longest time that an answer is awaited, however slow the member.
     pub fn max_wait(&self) -> Tenths {
         self.suspicion_max
--- a/fleet/src/suspicion.rs
+++ b/fleet/src/suspicion.rs
@@ -18,12 +18,15 @@
     first: u32,
     others: [u32; MAX_CONFIRMATIONS],
     count: usize,
+    /// It ends no earlier: one that began long ago must not end at a report of others before the member was
+    /// probed once more.
+    not_before: Tenths,
 }
 
 impl Suspicion {
     /// A suspicion by the node with this mark.
     pub fn new(by: u32, since: Tenths) -> Suspicion {
-        Suspicion { since, first: by, others: [0; MAX_CONFIRMATIONS], count: 0 }
+        Suspicion { since, first: by, others: [0; MAX_CONFIRMATIONS], count: 0, not_before: 0 }
     }
 
     /// Whether a confirmation by this node is counted already, or no more are counted.
@@ -39,10 +42,14 @@
         }
     }
 
-    /// Counts all confirmations at once, as other nodes have already declared the member dead. Returns
-    /// whether any were still missing.
-    pub fn confirm_fully(&mut self) -> bool {
-        std::mem::replace(&mut self.count, MAX_CONFIRMATIONS) < MAX_CONFIRMATIONS
+    /// Counts all confirmations at once, as other nodes have already declared the member dead; it still ends
+    /// no earlier than `not_before`. Returns whether any were still missing.
+    pub fn confirm_fully(&mut self, not_before: Tenths) -> bool {
+        let missing = std::mem::replace(&mut self.count, MAX_CONFIRMATIONS) < MAX_CONFIRMATIONS;
+        if missing {
+            self.not_before = not_before;
+        }
+        missing
     }
 
     /// When the member is declared dead, in tenths of a ms, given the members in the node's view.
@@ -59,6 +66,6 @@
             return since + max;
         }
         let missing = wanted.saturating_sub(self.count) as u64;
-        since + min + (max - min) * missing / wanted as u64
+        (since + min + (max - min) * missing / wanted as u64).max(self.not_before)
     }
 }
--- a/node/src/peers/link/socket.rs
+++ b/node/src/peers/link/socket.rs
@@ -8,6 +8,7 @@
 use doortrack_fleet::Change;
 use polling::{Event, PollMode, Poller};
 
+use crate::life::addresses::once_free;
 use crate::peers::seal::{LONGEST, Refused, Seal};
 use crate::peers::spoken::Spoken;
 
@@ -68,7 +69,7 @@
     /// # Errors
     /// The address can't be bound, or the poller refuses the socket.
     pub(super) fn bind(address: SocketAddr, registration: Registration, seal: Seal) -> io::Result<Self> {
-        let socket = UdpSocket::bind(address)?;
+        let socket = once_free(|| UdpSocket::bind(address))?;
         socket.set_nonblocking(true)?;
         let Registration { poller, key } = registration;
         // SAFETY: the socket is taken out of the poller when it is dropped.
--- a/node/src/serve/start.rs
+++ b/node/src/serve/start.rs
@@ -14,7 +14,9 @@
 
 use super::report::Slowest;
 use super::{Fault, MS, Node};
+use crate::life::addresses::once_free;
 use crate::life::clock::Clock;
+use crate::life::descriptors;
 use crate::life::signals::Signals;
 use crate::memory::exchanges::Exchanges;
 use crate::memory::results::Results;
@@ -54,6 +56,27 @@
     Ok(Some(Rules::new(table, otherwise)))
 }
 
+/// Connections that callers may have: all sockets together keep within the node's own bound, and within what
+/// the system lets this process have.
+///
+/// # Errors
+/// The pools of servers could take more than half of what the system lets it have.
+fn connections(installation: &Installation, wanted: usize, log: &Logger) -> Result<usize, Fault> {
+    let all = wanted.min(descriptors::connections());
+    let servers = installation.server_connections();
+    if all < wanted {
+        let limit = descriptors::limit();
+        if servers > all / 2 {
+            return Err(format!(
+                "installation.servers.at_once: all pools together may have {servers} connections, more than \
+                 half of the {all} for which there are descriptors; raise the limit of {limit} or lower it"
+            ));
+        }
+        warn!(log, "few descriptors"; "limit" => limit, "connections" => all, "wanted" => wanted);
+    }
+    Ok(all - servers.min(all / 2))
+}
+
 /// What an installation asks for beside fronts and servers; nothing where it asks for nothing.
 fn parts(
     installation: &Installation,
@@ -74,6 +97,7 @@
 impl Node {
     /// Opens all that the node needs. `file` is where `installation` was read, to be read again at SIGHUP.
     pub fn start(
+        signals: Signals,
         orders: Orders,
         file: Option<PathBuf>,
         installation: Installation,
@@ -83,7 +107,7 @@
         let ruled = rules(&installation, &orders, &log).map_err(|faults| faults.to_string())?;
         let plain = |what: &'static str| move |e: std::io::Error| format!("{what}: {e}");
         let poller = Arc::new(Poller::new().map_err(plain("poller"))?);
-        let signals = Signals::open(&poller).map_err(plain("signals"))?;
+        signals.watch(&poller).map_err(plain("signals"))?;
         let handed = &orders.handed;
         let groups = &handed.contract.groups;
         let longest_deadline = groups.iter().map(|group| group.deadline).max().unwrap_or(0);
@@ -93,8 +117,7 @@
             customers: handed.customer_names.clone(),
         };
         let mut room = orders.room;
-        // All sockets together keep within the node's own bound.
-        room.connections -= installation.server_connections().min(room.connections / 2);
+        room.connections = connections(&installation, room.connections, &log)?;
         let pools: Vec<(String, Servers)> = pools(&installation)
             .enumerate()
             .map(|(place, (name, asked))| {
@@ -110,8 +133,7 @@
             Work::Servers(pools)
         };
         let mut fronts = Fronts::new(poller.clone(), names, room, longest_deadline);
-        fronts
-            .listen(orders.listen, Protocol::FastCgi, None)
+        once_free(|| fronts.listen(orders.listen, Protocol::FastCgi, None))
             .map_err(|e| format!("config.listen: {}: {e}", orders.listen))?;
         // Nothing is said before the decisions do, but where the least rank is meant, none is held back.
         fronts.level = (handed.contract.level == LevelKind::LowestRank).then_some(0.0);
@@ -156,7 +178,7 @@
             installation: Installation::default(),
         };
         for (nth, front) in installation.fronts.iter().enumerate() {
-            node.open_front(front)
+            once_free(|| node.open_front(front))
                 .map_err(|e| format!("installation.fronts[{nth}].listen: {}: {e}", front.listen))?;
         }
         node.fronts.rules = ruled;
--- a/rig/src/lib.rs
+++ b/rig/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod relay;
 pub mod scale;
 pub mod script;
+pub mod serving;
 pub mod shrink;
 pub mod simulated;
 pub mod streams;
--- a/rig/src/scale.rs
+++ b/rig/src/scale.rs
@@ -22,6 +22,7 @@
 pub mod series;
 pub mod serving;
 pub mod settle;
+pub mod simulated;
 pub mod sweep;
 pub mod table;
 pub mod watchdog;
