--- a/installation/src/budgets.rs
+++ b/installation/src/budgets.rs
@@ -1,6 +1,6 @@
 //! The section on budgets: limits of the whole fleet, and the times of their leases.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, HashMap, HashSet};
 
 use doortrack::Tenths;
 use doortrack_budgets::{Budget, Kind, MAX_BUDGETS, Parameters};
@@ -260,9 +260,13 @@
 
     /// Conflicts with the platform's configuration.
     pub(crate) fn budgets_beside(&self, orders: &Orders, faults: &mut Vec<Fault>) {
+        if self.budgets.is_empty() {
+            return;
+        }
+        let customers: HashSet<&str> = orders.handed.customer_names.iter().map(String::as_str).collect();
         for (nth, budget) in self.budgets.iter().enumerate() {
             let (kind, known, name) = match &budget.applies_to {
-                BudgetFor::Customer(name) => ("customer", orders.handed.customer_names.contains(name), name),
+                BudgetFor::Customer(name) => ("customer", customers.contains(name.as_str()), name),
                 BudgetFor::Group(name) => ("endpoint group", orders.handed.group_names.contains(name), name),
                 BudgetFor::Pool(name) | BudgetFor::Retries(name) | BudgetFor::Ramp(name) => {
                     ("pool", self.pool_names().any(|pool| pool == name), name)
@@ -313,9 +317,13 @@
 
     /// Which budgets apply to which requests.
     pub fn budget_indices(&self, orders: &Orders) -> BudgetIndices {
-        let under = |of: BudgetFor| {
-            self.budgets.iter().position(|budget| budget.applies_to == of).map(|place| place as u16)
-        };
+        let indices: HashMap<&BudgetFor, u16> = self
+            .budgets
+            .iter()
+            .enumerate()
+            .map(|(index, budget)| (&budget.applies_to, index as u16))
+            .collect();
+        let under = |of: BudgetFor| indices.get(&of).copied();
         let all = |names: &[String], of: fn(String) -> BudgetFor| {
             names.iter().map(|name| under(of(name.clone()))).collect()
         };
--- a/node/src/peers/budgets.rs
+++ b/node/src/peers/budgets.rs
@@ -6,6 +6,7 @@
 
 use doortrack::Tenths;
 use doortrack_budgets::{Action, Budget, Budgets, Change, Event, Kind, NodeId, Parameters, Units};
+use doortrack_installation::reload::FleetChange;
 use doortrack_installation::{BudgetIndices, FleetFile, Installation, Orders};
 use slog::{Logger, info, warn};
 
@@ -64,29 +65,23 @@
     }
 
     /// Takes over changed budgets from a reload; [`FleetBudgets::needs_a_start`] says which can't be.
-    pub fn change(&mut self, now: Tenths, installation: &Installation, orders: &Orders) {
-        let list = installation.budget_list(orders);
+    pub fn change(&mut self, now: Tenths, change: &mut FleetChange) {
+        let list = std::mem::take(&mut change.budgets);
         let names: Vec<_> = self.budgets.list().map(|budget| budget.name.clone()).collect();
         let used = |name: &std::sync::Arc<str>| names.iter().position(|known| known == name);
         self.used =
             list.iter().map(|budget| used(&budget.name).map_or(0, |index| self.used[index])).collect();
-        self.indices = installation.budget_indices(orders);
+        std::mem::swap(&mut self.indices, &mut change.indices);
         self.handle(now, Event::Changed { list });
     }
 
     /// Why budgets of this file can't be taken up under way, if they can't: what exchanges in hand hold is
     /// known by its index, and votes under two lists of voters, or of two lengths, would not meet.
-    pub fn needs_a_start(
-        &self,
-        file: &FleetFile,
-        installation: &Installation,
-        orders: &Orders,
-    ) -> Option<&str> {
+    pub fn needs_a_start(&self, file: &FleetFile, list: &[Budget]) -> Option<&str> {
         let (old, new) = (self.budgets.parameters(), file.budget_parameters());
         let times = |parameters: &Parameters| {
             (parameters.round, parameters.vote_duration, parameters.lease, parameters.drift)
         };
-        let list = installation.budget_list(orders);
         if old.voters != new.voters {
             Some("the voters changed")
         } else if times(old) != times(&new) {
--- a/node/src/peers/link.rs
+++ b/node/src/peers/link.rs
@@ -16,6 +16,7 @@
 use doortrack::Tenths;
 use doortrack_budgets::NodeId;
 use doortrack_fleet::{Action, Change, Event, Fleet, Incarnation, MemberState, MemberUpdate, Name};
+use doortrack_installation::reload::FleetChange;
 use doortrack_installation::{FleetFile, Installation, Orders};
 use doortrack_servers::Token;
 use slog::{Logger, info, warn};
@@ -270,14 +271,14 @@
         self.carry_out();
     }
 
-    fn take_up(&mut self, installation: &Installation, orders: &Orders) {
-        let Some(file) = &installation.fleet else {
+    fn take_up(&mut self, change: &mut FleetChange) {
+        let Some(file) = change.file.take() else {
             return warn!(self.log, "fleet needs a start"; "why" => "it can't be left under way");
         };
         let kept = |file: &FleetFile| {
             (file.name.clone(), file.listen, file.advertise, file.key_file.clone(), file.weight)
         };
-        if kept(file) != kept(&self.file) {
+        if kept(&file) != kept(&self.file) {
             warn!(self.log, "fleet needs a start"; "why" => "its name, addresses, key or weight changed");
         }
         // What needs a restart stays as it was.
@@ -289,13 +290,13 @@
         };
         let now = self.now();
         let why = match &self.budgets {
-            None if installation.budgets.is_empty() => None,
+            None if change.budgets.is_empty() => None,
             None => Some("there were none".to_string()),
             Some(budgets) => {
                 let mut budgets = budgets.borrow_mut();
-                let why = budgets.needs_a_start(file, installation, orders).map(str::to_string);
+                let why = budgets.needs_a_start(&file, &change.budgets).map(str::to_string);
                 if why.is_none() {
-                    budgets.change(now, installation, orders);
+                    budgets.change(now, change);
                 }
                 why
             }
--- a/node/src/serve/leave.rs
+++ b/node/src/serve/leave.rs
@@ -17,20 +17,21 @@
         if self.stop_at.is_some() {
             return;
         }
-        let stop = noticed + self.orders.stop_after;
+        let stop = noticed + self.platform.stop_after;
         (self.stop_at, self.noticed) = (Some(stop), noticed);
         self.registry.tell(true);
         self.parts.iter_mut().for_each(|part| part.leave());
+        self.build_names_stop = self.reloader.is_under_way();
         info!(self.log, "told to leave"; "in_hand" => self.exs.in_hand());
         if self.door.is_some() {
             self.pass_on_notice();
         }
     }
 
-    /// Notice and reload were learnt of in one turn, and which of them was sent first can't be told. Whoever
-    /// sent them counts on the stop of before or on that of the new configuration; the nearer one keeps both.
+    /// A reload was noticed before the notice to leave, or beside it, and has come into force since. Whoever
+    /// sent both counts on the stop of before or on that of the new configuration; the nearer one keeps both.
     pub(super) fn keep_to_the_nearer_stop(&mut self) {
-        let nearer = self.noticed + self.orders.stop_after;
+        let nearer = self.noticed + self.platform.stop_after;
         if self.stop_at.is_some_and(|stop| nearer < stop) {
             self.stop_at = Some(nearer);
             if self.door.is_some() {
--- a/node/src/wire/ruled.rs
+++ b/node/src/wire/ruled.rs
@@ -6,8 +6,10 @@
 use std::sync::Arc;
 
 use doortrack::Tenths;
+use doortrack_contract::Handed;
 use doortrack_expr::{Request as Seen, Scratch};
-use doortrack_routes::{Class, Classed, Refusal, Table};
+use doortrack_installation::Installation;
+use doortrack_routes::{Built, Class, Classed, Note, Refusal, Table};
 use doortrack_wire::{Pair, Protocol};
 
 use super::request::{Asked, Fields, IdempotencyKey, Names, Request, TryId, Unreadable, hex, in_range};
@@ -19,11 +21,29 @@
 /// Rank and memory of an exchange of which nothing is said.
 const RANK: f32 = 0.5;
 
-/// What the installation says of exchanges; taken up as a whole.
-pub struct Rules {
-    table: Arc<Table>,
+/// What the installation says of exchanges, with what is to be told of it. It does not change.
+pub struct RuleTable {
+    pub table: Arc<Table>,
     /// The group of what no rule takes.
     otherwise: Option<u8>,
+    /// Rules that can never win.
+    pub notes: Vec<Note>,
+    /// Rules that the table shares with the one before it.
+    pub reused: usize,
+}
+
+impl RuleTable {
+    pub fn new(built: Built, installation: &Installation, handed: &Handed) -> RuleTable {
+        let place = |name: &String| handed.group_names.iter().position(|group| group == name);
+        let otherwise = installation.otherwise.as_ref().and_then(place).map(|place| place as u8);
+        let Built { table, notes, reused } = built;
+        RuleTable { table: Arc::new(table), otherwise, notes, reused }
+    }
+}
+
+/// How exchanges are classed; another table is taken up as a whole.
+pub struct Rules {
+    rules: RuleTable,
     scratch: Scratch,
     /// Tries that came without a name, by which they get one.
     unnamed: u64,
@@ -38,13 +58,17 @@
 }
 
 impl Rules {
-    pub fn new(table: Table, otherwise: Option<u8>) -> Rules {
-        Rules { table: Arc::new(table), otherwise, scratch: Scratch::default(), unnamed: 0 }
+    pub fn new(rules: RuleTable) -> Rules {
+        Rules { rules, scratch: Scratch::default(), unnamed: 0 }
+    }
+
+    pub fn table(&self) -> &Arc<Table> {
+        &self.rules.table
     }
 
-    /// Takes up another table, and goes on counting.
-    pub fn replace(&mut self, new: Rules) {
-        (self.table, self.otherwise) = (new.table, new.otherwise);
+    /// Takes up another table, and goes on counting. Returns the one of before.
+    pub fn replace(&mut self, new: RuleTable) -> RuleTable {
+        std::mem::replace(&mut self.rules, new)
     }
 
     /// Reads a whole request by the rules.
@@ -65,7 +89,7 @@
         }
         let class = self.classify(&view)?;
         let group = class.as_ref().map(|class| class.group);
-        let group = group.or(self.otherwise).ok_or(Unreadable::NoRule)?;
+        let group = group.or(self.rules.otherwise).ok_or(Unreadable::NoRule)?;
         let fields = Fields(&pairs);
         let customer = match class.as_ref().and_then(|class| class.customer) {
             Some(customer) => customer,
@@ -101,7 +125,7 @@
 
     /// What the first rule that holds makes of a request; none where no rule holds.
     fn classify(&mut self, view: &View) -> Result<Option<Class>, Unreadable> {
-        match self.table.classify(view, &mut self.scratch) {
+        match self.rules.table.classify(view, &mut self.scratch) {
             Classed::As(class) => Ok(Some(class)),
             Classed::NoRule => Ok(None),
             Classed::Refused { why: Refusal::Customer, .. } => Err(Unreadable::Field("customer")),
