--- a/installation/src/reload/plan.rs
+++ b/installation/src/reload/plan.rs
@@ -10,7 +10,7 @@
 
 use super::KeyMeanings;
 use crate::file::Spoken;
-use crate::{Falls, Faults, FleetFile, Front, Installation, Orders, Room};
+use crate::{BudgetIndices, Faults, FleetFile, Front, Installation, Orders, Room};
 
 /// What of the platform's configuration may change while a node serves.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -93,7 +93,7 @@
     /// None where the new configuration has no fleet.
     pub file: Option<FleetFile>,
     pub budgets: Vec<Budget>,
-    pub falls: Falls,
+    pub indices: BudgetIndices,
 }
 
 impl FleetChange {
@@ -101,7 +101,7 @@
         FleetChange {
             file: installation.fleet.clone(),
             budgets: installation.budget_list(started),
-            falls: installation.falls(started),
+            indices: installation.budget_indices(started),
         }
     }
 }
--- a/installation/tests/reload.rs
+++ b/installation/tests/reload.rs
@@ -111,7 +111,7 @@
     let budget = |of: Value| json!({"name": "b", "kind": "rate", "limit": 10, "burst": 10, "for": of});
     let budgets = |of: Value| json!({"fleet": fleet, "budgets": [budget(of)]});
     let known = planned(&started(true), &json!({}), &budgets(json!({"customer": "north"}))).unwrap();
-    assert_eq!(known.fleet.falls.customers, [Some(0)]);
+    assert_eq!(known.fleet.indices.customers, [Some(0)]);
     let unknown = planned(&started(true), &json!({}), &budgets(json!({"customer": "east"}))).err().unwrap();
     assert!(unknown.to_string().starts_with("installation.budgets[0].for: "), "{unknown}");
 }
--- a/rig/src/lib.rs
+++ b/rig/src/lib.rs
@@ -1,20 +1,19 @@
-//! Many nodes at once, and everything between them broken by a script.
+//! Fault injection on many nodes at once.
 //!
-//! A [`Script`] says what goes wrong and when. It is played by [`processes::play`] on real `doortrack`
-//! processes with a relay between every pair of them, or by [`simulated::play`] in simulated time on the same
-//! decisions. Either way what comes of it is one [`History`]: what the rig did, and what each node told.
-//! [`checks`] judge a history and know nothing of a node's code; [`shrink`] takes faults out of a script for
-//! as long as it still fails.
+//! A [`Script`] says which faults occur and when. It is run by [`processes::run`] on real `doortrack`
+//! processes with a relay between every pair of them, or by [`simulated::run`] in simulated time on the same
+//! decisions. Both give one [`History`]: what the rig did, and what each node reported. [`checks`] judge a history and
+//! know nothing of a node's code; [`shrink`] reduces a script that fails.
 //!
-//! What must never happen is judged always. What must happen in the end is judged by the nodes' last words,
-//! asked for after a time that a slow machine does not outlast.
+//! Safety is judged at all times. Liveness is judged by the nodes' final views, for which the rig waits long
+//! enough that a slow machine changes no verdict.
 
 pub mod checks;
-pub mod course;
-pub mod crowd;
 pub mod divided;
+pub mod ground_truth;
 pub mod history;
 mod links;
+pub mod load;
 pub mod processes;
 pub mod relay;
 pub mod scale;
@@ -22,9 +21,9 @@
 pub mod serving;
 pub mod shrink;
 pub mod simulated;
-pub mod spent;
 pub mod streams;
 pub mod traffic;
+pub mod usage;
 
 pub use history::{Entry, History, What};
 pub use script::{Fault, Script, Timed};
--- a/rig/src/scale/simulated/verdict.rs
+++ b/rig/src/scale/simulated/verdict.rs
@@ -8,7 +8,7 @@
 use super::traffic::{Load, Peaks};
 use super::world::{Played, Watched, play};
 use crate::checks::{Invariant, judge, membership};
-use crate::course::Course;
+use crate::ground_truth::GroundTruth;
 use crate::history::{History, What, name};
 use crate::scale::series::Role;
 
@@ -245,22 +245,25 @@
         "own side, nobody wrongly declared dead"
     }
 
-    fn judge(&self, history: &History, course: &Course) -> Vec<(u64, String)> {
+    fn judge(&self, history: &History, truth: &GroundTruth) -> Vec<(u64, String)> {
         let mut breaches = Vec::new();
         for entry in &history.entries {
-            let What::News { node, word, of: Some(of), .. } = &entry.what else { continue };
-            let Some(of) = of.strip_prefix('n').and_then(|of| of.parse::<usize>().ok()) else { continue };
+            let What::MemberChange { node, change, member: Some(member), .. } = &entry.what else { continue };
+            let Some(member) = member.strip_prefix('n').and_then(|number| number.parse::<usize>().ok())
+            else {
+                continue;
+            };
             let parted = (self.parting.from_ms..self.parting.till_ms + REASONS_MS).contains(&entry.at_ms);
-            let one_side = self.topology.region(*node) == self.topology.region(of);
-            if word != "dead" || !parted || !one_side {
+            let one_side = self.topology.region(*node) == self.topology.region(member);
+            if change != "dead" || !parted || !one_side {
                 continue;
             }
             let since = entry.at_ms.saturating_sub(REASONS_MS);
-            let reason = course.was_wrong(of, since, entry.at_ms)
-                || course.was_wrong(*node, since, entry.at_ms)
-                || course.was_rough(since, entry.at_ms);
+            let reason = truth.was_unhealthy(member, since, entry.at_ms)
+                || truth.was_unhealthy(*node, since, entry.at_ms)
+                || truth.was_degraded(since, entry.at_ms);
             if !reason {
-                breaches.push((entry.at_ms, format!("{} declared {} dead", name(*node), name(of))));
+                breaches.push((entry.at_ms, format!("{} declared {} dead", name(*node), name(member))));
             }
         }
         breaches
--- a/rig/tests/checkers.rs
+++ b/rig/tests/checkers.rs
@@ -4,11 +4,11 @@
 use doortrack_rig::history::{History, Member, What, name};
 use doortrack_rig::script::{Fault, Script, Timed};
 use doortrack_rig::shrink::shrink;
-use doortrack_rig::spent::{Passed, concurrency_exceeded, rate_exceeded, used};
+use doortrack_rig::usage::{Admitted, concurrency_exceeded, rate_exceeded, used};
 
-fn news(node: usize, word: &str, of: usize, incarnation: u64) -> What {
-    let (of, incarnation) = (Some(name(of)), Some(format!("{incarnation:x}")));
-    What::News { node, word: word.into(), of, incarnation, view: 1, members: 3 }
+fn reported(node: usize, change: &str, member: usize, incarnation: u64) -> What {
+    let (member, incarnation) = (Some(name(member)), Some(format!("{incarnation:x}")));
+    What::MemberChange { node, change: change.into(), member, incarnation, view: 1, members: 3 }
 }
 
 fn status(node: usize, there: &[usize]) -> What {
@@ -22,19 +22,19 @@
     let mut history = History { nodes: 3, entries: Vec::new() };
     (0..3).for_each(|node| history.put(0, What::Began { node }));
     for node in 0..3 {
-        (0..3).filter(|of| *of != node).for_each(|of| history.put(500, news(node, "alive", of, 0x10)));
+        (0..3).filter(|of| *of != node).for_each(|of| history.put(500, reported(node, "alive", of, 0x10)));
     }
     history
 }
 
 fn ended(mut history: History, there: &[usize]) -> History {
     there.iter().for_each(|node| history.put(60_000, status(*node, there)));
-    history.settle();
+    history.sort();
     history
 }
 
-fn broken(history: &History) -> Vec<&'static str> {
-    judge(history, &membership()).into_iter().map(|breach| breach.rule).collect()
+fn violated(history: &History) -> Vec<&'static str> {
+    judge(history, &membership()).into_iter().map(|violation| violation.rule).collect()
 }
 
 fn fault(history: &mut History, at_ms: u64, fault: Fault) {
@@ -44,7 +44,7 @@
 #[test]
 fn a_good_history_passes_and_reads_back() {
     let history = ended(good(), &[0, 1, 2]);
-    assert_eq!(broken(&history), Vec::<&str>::new());
+    assert_eq!(violated(&history), Vec::<&str>::new());
     assert_eq!(History::parse(&history.lines()), Ok(history.clone()));
     let torn = history.lines().replacen("kind", "knid", 1);
     assert!(History::parse(&torn).is_err_and(|why| why.starts_with("line 2")));
@@ -53,38 +53,38 @@
 #[test]
 fn a_loss_without_a_reason_is_found() {
     let mut history = good();
-    history.put(30_000, news(0, "dead", 1, 0x10));
-    history.put(30_200, news(0, "back", 1, 0x10));
-    assert_eq!(broken(&ended(history, &[0, 1, 2])), ["nobody wrongly declared dead"]);
+    history.put(30_000, reported(0, "dead", 1, 0x10));
+    history.put(30_200, reported(0, "back", 1, 0x10));
+    assert_eq!(violated(&ended(history, &[0, 1, 2])), ["nobody wrongly declared dead"]);
 }
 
 #[test]
 fn one_broken_link_is_no_reason_and_a_stop_is_one() {
     let mut history = good();
     fault(&mut history, 20_000, Fault::Cut { from: vec![0], to: vec![1] });
-    history.put(25_000, news(0, "dead", 1, 0x10));
-    assert_eq!(broken(&ended(history, &[0, 1, 2])), ["nobody wrongly declared dead"]);
+    history.put(25_000, reported(0, "dead", 1, 0x10));
+    assert_eq!(violated(&ended(history, &[0, 1, 2])), ["nobody wrongly declared dead"]);
     let mut history = good();
     fault(&mut history, 20_000, Fault::Stop { nodes: vec![1] });
-    history.put(25_000, news(0, "dead", 1, 0x10));
+    history.put(25_000, reported(0, "dead", 1, 0x10));
     fault(&mut history, 26_000, Fault::GoOn { nodes: vec![1] });
-    assert_eq!(broken(&ended(history, &[0, 1, 2])), Vec::<&str>::new());
+    assert_eq!(violated(&ended(history, &[0, 1, 2])), Vec::<&str>::new());
 }
 
 #[test]
 fn one_that_left_and_is_declared_dead_is_found() {
     let mut history = good();
     fault(&mut history, 20_000, Fault::Leave { nodes: vec![2] });
-    history.put(20_100, news(0, "left", 2, 0x10));
-    history.put(24_000, news(1, "dead", 2, 0x10));
-    assert_eq!(broken(&ended(history, &[0, 1])), ["left is not dead"]);
+    history.put(20_100, reported(0, "left", 2, 0x10));
+    history.put(24_000, reported(1, "dead", 2, 0x10));
+    assert_eq!(violated(&ended(history, &[0, 1])), ["left is not dead"]);
 }
 
 #[test]
 fn an_earlier_incarnation_is_found() {
     let mut history = good();
-    history.put(20_000, news(0, "alive", 2, 0x9));
-    assert_eq!(broken(&ended(history, &[0, 1, 2])), ["incarnations go forward"]);
+    history.put(20_000, reported(0, "alive", 2, 0x9));
+    assert_eq!(violated(&ended(history, &[0, 1, 2])), ["incarnations go forward"]);
 }
 
 #[test]
@@ -92,10 +92,10 @@
     let mut history = good();
     fault(&mut history, 20_000, Fault::Cut { from: vec![0], to: vec![1, 2] });
     fault(&mut history, 20_000, Fault::Cut { from: vec![1, 2], to: vec![0] });
-    history.put(24_000, news(0, "dead", 1, 0x10));
+    history.put(24_000, reported(0, "dead", 1, 0x10));
     fault(&mut history, 30_000, Fault::Mend { from: vec![0], to: vec![1, 2] });
     fault(&mut history, 30_000, Fault::Mend { from: vec![1, 2], to: vec![0] });
-    assert_eq!(broken(&ended(history, &[0, 1, 2])), ["isolated, declares nobody dead"]);
+    assert_eq!(violated(&ended(history, &[0, 1, 2])), ["isolated, declares nobody dead"]);
 }
 
 #[test]
@@ -103,8 +103,8 @@
     let mut history = good();
     fault(&mut history, 20_000, Fault::Stop { nodes: vec![0] });
     fault(&mut history, 25_000, Fault::GoOn { nodes: vec![0] });
-    history.put(25_050, news(0, "dead", 1, 0x10));
-    assert_eq!(broken(&ended(history, &[0, 1, 2])), ["resumed, declares nobody dead"]);
+    history.put(25_050, reported(0, "dead", 1, 0x10));
+    assert_eq!(violated(&ended(history, &[0, 1, 2])), ["resumed, declares nobody dead"]);
 }
 
 #[test]
@@ -114,12 +114,12 @@
     history.put(20_001, What::Ended { node: 2 });
     history.put(60_000, status(0, &[0, 1]));
     history.put(60_000, status(1, &[0, 1, 2]));
-    assert_eq!(broken(&history), ["in the end all agree"]);
+    assert_eq!(violated(&history), ["in the end all agree"]);
     let mut history = ended(good(), &[0, 1, 2]);
     if let Some(What::Status { digest, .. }) = history.entries.last_mut().map(|entry| &mut entry.what) {
         *digest = "another".into();
     }
-    assert_eq!(broken(&history), ["in the end all agree"]);
+    assert_eq!(violated(&history), ["in the end all agree"]);
 }
 
 #[test]
@@ -160,16 +160,16 @@
 
 #[test]
 fn more_than_a_budget_is_seen_and_what_may_have_passed_earlier_is_not() {
-    let passed = |asked: u64, ran: u64| Passed { asked, ran };
-    let even: Vec<Passed> = (0..100).map(|nth| passed(nth * 10, nth * 10 + 2)).collect();
+    let admitted = |sent: u64, ran: u64| Admitted { sent, ran };
+    let even: Vec<Admitted> = (0..100).map(|nth| admitted(nth * 10, nth * 10 + 2)).collect();
     assert_eq!(rate_exceeded(&even, 100, 5), None);
     let mut more = even.clone();
-    more.extend((0..6).map(|nth| passed(500 + nth, 503 + nth)));
+    more.extend((0..6).map(|nth| admitted(500 + nth, 503 + nth)));
     assert!(rate_exceeded(&more, 100, 5).is_some());
     // The same six, asked long before: they may have passed whenever there was room.
     let mut early = even.clone();
     early.truncate(50);
-    early.extend((0..6).map(|nth| passed(100, 503 + nth)));
+    early.extend((0..6).map(|nth| admitted(100, 503 + nth)));
     assert_eq!(rate_exceeded(&early, 120, 5), None);
     assert_eq!(concurrency_exceeded(&[(0, 10), (5, 15), (10, 20), (15, 30)], 2), None);
     assert!(concurrency_exceeded(&[(0, 10), (5, 15), (9, 20)], 2).is_some());
@@ -180,11 +180,22 @@
 #[test]
 fn a_history_in_the_words_of_an_earlier_build_is_judged_alike() {
     let mut history = good();
-    history.put(25_000, news(0, "dead", 1, 0x10));
+    history.put(25_000, reported(0, "dead", 1, 0x10));
     let history = ended(history, &[0, 1, 2]);
-    let earlier = history.lines().replace("\"incarnation\"", "\"life\"").replace("\"dead\"", "\"lost\"");
-    assert_ne!(earlier, history.lines());
+    let earlier_words = [
+        ("\"incarnation\":", "\"life\":"),
+        ("\"dead\"", "\"lost\""),
+        ("\"kind\":\"member_change\"", "\"kind\":\"news\""),
+        ("\"change\":", "\"word\":"),
+        ("\"member\":", "\"of\":"),
+    ];
+    let mut earlier = history.lines();
+    for (present, before) in earlier_words {
+        let replaced = earlier.replace(present, before);
+        assert_ne!(replaced, earlier, "{present} is not written");
+        earlier = replaced;
+    }
     let read = History::parse(&earlier).unwrap();
     assert_eq!(read, history);
-    assert_eq!(broken(&read), ["nobody wrongly declared dead"]);
+    assert_eq!(violated(&read), ["nobody wrongly declared dead"]);
 }
--- a/rig/tests/divided.rs
+++ b/rig/tests/divided.rs
@@ -6,7 +6,7 @@
 use doortrack_budgets::{Budget, Kind, Parameters, Safeguards};
 use doortrack_emulator::Law;
 use doortrack_fleet::Name;
-use doortrack_rig::divided::{Outcome, Ways, play};
+use doortrack_rig::divided::{self, Options, Outcome};
 use doortrack_rig::history::name;
 use doortrack_rig::script::{Fault, Script, Timed};
 
@@ -61,23 +61,23 @@
     drift_ppm: (i64, i64),
     demand: &dyn Fn(usize, usize, u64) -> f64,
 ) -> Outcome {
-    let ways = Ways {
+    let options = Options {
         parameters: parameters(safeguards),
-        list: vec![rate(600, 120, 20), concurrency(30, 1)],
+        budgets: vec![rate(600, 120, 20), concurrency(30, 1)],
         latency: Law::LogNormal { mean: 300.0, sigma: 0.5 },
         drift_ppm,
         offset_ms: 1_000,
         demand,
-        held_ms: 1_500,
+        mean_hold_ms: 1_500,
         count_from_ms: 0,
-        weigh: false,
+        count_bytes: false,
     };
-    play(script, &ways)
+    divided::run(script, &options)
 }
 
 fn holds(script: &Script) -> Outcome {
     let out = run(script, Safeguards::default());
-    assert!(out.broken.is_empty(), "{:?}", out.broken);
+    assert!(out.violations.is_empty(), "{:?}", out.violations);
     out
 }
 
@@ -114,15 +114,15 @@
     assert!(used(40, 80) > 1_800, "{}", used(40, 80));
 }
 
-/// The plays that each safeguard is there for.
-fn plays() -> Vec<Script> {
+/// The scripts that each safeguard is there for.
+fn scripts() -> Vec<Script> {
     let all: Vec<usize> = (0..NODES).collect();
     let cut = |from: Vec<usize>, to: Vec<usize>| Fault::Cut { from, to };
     let mend = |from: Vec<usize>, to: Vec<usize>| Fault::Mend { from, to };
-    let mut plays: Vec<Script> = (1..=12).map(|seed| Script::seeded(seed, NODES, 6)).collect();
+    let mut scripts: Vec<Script> = (1..=12).map(|seed| Script::seeded(seed, NODES, 6)).collect();
     for seed in 1..=3 {
         let (few, rest) = (vec![0, 1, 5, 6], vec![2, 3, 4, 7, 8]);
-        plays.push(script(
+        scripts.push(script(
             24_000,
             seed,
             vec![
@@ -134,16 +134,16 @@
         ));
         // All at once, twice; each leader in turn, with nothing left of what it knew.
         let again = |at| (at, Fault::Start { nodes: all.clone(), clock_ms: 0 });
-        plays.push(script(16_000, seed, vec![again(6_000), again(9_300), again(12_100)]));
+        scripts.push(script(16_000, seed, vec![again(6_000), again(9_300), again(12_100)]));
         let start = |at: u64, of: usize| (at, Fault::Start { nodes: vec![of], clock_ms: 0 });
-        plays.push(script(
+        scripts.push(script(
             20_000,
             seed,
             (0..30).map(|nth| start(5_000 + nth * 400, nth as usize % 5)).collect(),
         ));
         let rough = Fault::Links { loss: 0.1, doubled: 0.3, garbled: 0.0, delay_ms: 150 };
-        plays.push(script(25_000, seed, vec![(4_000, rough)]));
-        plays.push(script(
+        scripts.push(script(25_000, seed, vec![(4_000, rough)]));
+        scripts.push(script(
             25_000,
             seed,
             vec![
@@ -152,18 +152,20 @@
             ],
         ));
     }
-    plays
+    scripts
 }
 
 fn breaks(what: &str, safeguards: Safeguards) {
-    let broken =
-        plays().iter().map(|script| run(script, safeguards).broken).find(|broken| !broken.is_empty());
-    assert!(broken.is_some(), "{what}: nothing came of taking it out");
+    let found = scripts()
+        .iter()
+        .map(|script| run(script, safeguards).violations)
+        .find(|violations| !violations.is_empty());
+    assert!(found.is_some(), "{what}: nothing came of taking it out");
 }
 
 #[test]
 fn with_all_safeguards_those_plays_hold() {
-    plays().iter().for_each(|script| _ = holds(script));
+    scripts().iter().for_each(|script| _ = holds(script));
 }
 
 #[test]
@@ -176,15 +178,15 @@
     breaks("held", Safeguards { held: false, ..all });
     // All clocks too fast at once: each makes more of a second than there is.
     let fast = script(30_000, 1, vec![]);
-    assert!(run_with(&fast, all, (20_000, 20_000), &|_, _, _| 200.0).broken.is_empty());
+    assert!(run_with(&fast, all, (20_000, 20_000), &|_, _, _| 200.0).violations.is_empty());
     let without = run_with(&fast, Safeguards { drift: false, ..all }, (20_000, 20_000), &|_, _, _| 200.0);
-    assert!(!without.broken.is_empty(), "{}", without.used[0]);
+    assert!(!without.violations.is_empty(), "{}", without.used[0]);
 }
 
 /// Two hundred budgets go in pages; one node's need is absurd, and takes no more than its fair part.
 #[test]
 fn two_hundred_budgets_and_an_absurd_need() {
-    let list: Vec<Budget> =
+    let budgets: Vec<Budget> =
         (0..200).map(|nth| Budget { name: format!("b{nth}").into(), ..rate(90, 90, 0) }).collect();
     let demand = |of: usize, index: usize, _: u64| match (index, of) {
         (0, 8) => 1e6,
@@ -192,19 +194,19 @@
         (199, 3) => 80.0,
         _ => 0.0,
     };
-    let ways = Ways {
+    let options = Options {
         parameters: parameters(Safeguards::default()),
-        list,
+        budgets,
         latency: Law::LogNormal { mean: 300.0, sigma: 0.5 },
         drift_ppm: (-20_000, 20_000),
         offset_ms: 0,
         demand: &demand,
-        held_ms: 1,
+        mean_hold_ms: 1,
         count_from_ms: 6_000,
-        weigh: false,
+        count_bytes: false,
     };
-    let out = play(&script(16_000, 1, vec![]), &ways);
-    assert!(out.broken.is_empty(), "{:?}", out.broken);
+    let out = divided::run(&script(16_000, 1, vec![]), &options);
+    assert!(out.violations.is_empty(), "{:?}", out.violations);
     // A ninth of 90 a second for 10 s each, whoever shouts.
     assert!(out.by_node.iter().all(|used| (88..=110).contains(used)), "{:?}", out.by_node);
     assert!(out.used[199] > 700, "{}", out.used[199]);
