--- a/contract/src/lib.rs
+++ b/contract/src/lib.rs
@@ -197,8 +197,8 @@
 
 /// The names of a list's items. Two alike would leave it open which one an exchange means.
 fn names(list: &[Part]) -> Result<Vec<String>, Fault> {
-    let mut seen = HashSet::with_capacity(list.len());
     let mut names = Vec::with_capacity(list.len());
+    let mut seen = HashSet::with_capacity(list.len());
     for item in list {
         let (name, part) = item.word("name")?;
         if !seen.insert(name) {
--- a/fleet/src/applying.rs
+++ b/fleet/src/applying.rs
@@ -151,8 +151,8 @@
         let Some(suspicion) = self.table.get(index).and_then(|record| record.suspicion) else { return };
         let ends = suspicion.ends(&self.parameters, members, resumed_at).max(now);
         self.arm(ends, Timer::Suspicion(index, suspicion.since));
-        let wait = self.parameters.answer_within * 3 / 2;
-        for before in [2 * wait, wait] {
+        let first = self.parameters.final_probes();
+        for before in [first, first / 2] {
             self.arm(ends.saturating_sub(before).max(now), Timer::FinalProbe(index, suspicion.since));
         }
     }
--- a/fleet/src/lib.rs
+++ b/fleet/src/lib.rs
@@ -58,7 +58,7 @@
 use serde::{Deserialize, Serialize};
 
 pub use fleet::Fleet;
-pub use message::{Datagram, Head, MAX_UPDATES, Message};
+pub use message::{Datagram, Head, MAX_UPDATES, Message, UPDATE_BYTES};
 pub use parameters::Parameters;
 pub use report::{MemberReport, ReportedState};
 pub use update::{MemberState, MemberUpdate};
--- a/fleet/src/update.rs
+++ b/fleet/src/update.rs
@@ -43,6 +43,12 @@
     }
 }
 
+/// The most that an update takes in a datagram beside its name: the name's length 1, incarnation 10, version
+/// 5, state 6, weight 3; and an address of either family with its tag and port.
+const OVERHEAD: usize = 25;
+const IPV4_BYTES: usize = 1 + 4 + 3;
+const IPV6_BYTES: usize = 1 + 16 + 3;
+
 /// What one node announces about a member. The order of the fields is part of the wire format.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct MemberUpdate {
@@ -66,6 +72,12 @@
         Member { incarnation: self.incarnation, address: self.address, weight: self.weight }
     }
 
+    /// The most bytes that it takes in a datagram.
+    pub(crate) fn max_bytes(&self) -> usize {
+        let address = if self.address.is_ipv4() { IPV4_BYTES } else { IPV6_BYTES };
+        self.name.len() + OVERHEAD + address
+    }
+
     /// Whether every field is within its bounds; updates that are not are ignored.
     pub fn is_valid(&self) -> bool {
         let reachable = self.address.port() != 0 && !self.address.ip().is_unspecified();
--- a/node/src/serve.rs
+++ b/node/src/serve.rs
@@ -88,6 +88,8 @@
     /// When it was told so, at the earliest.
     noticed: Tenths,
     closing: bool,
+    /// The notice to leave and one of new files were learnt of in one turn, and these are not built yet.
+    stop_in_doubt: bool,
     slowest: Slowest,
     /// What plugs into the loop beside all this.
     parts: Vec<Box<dyn Part>>,
@@ -122,6 +124,8 @@
             self.take_reading();
             self.decide();
             if self.closes_now() {
+                // What is answered by now makes room for who still waits.
+                self.send(&mut front_events, &mut work_events);
                 self.fronts.last_reading(self.now, &mut front_events);
                 front_events.drain(..).for_each(|what| self.front_event(what));
                 self.decide();
@@ -156,6 +160,7 @@
             _ => self.now = self.clock.now(),
         }
         let mut reload = false;
+        let leaves_already = self.stop_at.is_some();
         for event in events.iter() {
             match event.key {
                 // Woken late, it stood still, and the notice may be as old as that.
@@ -174,6 +179,7 @@
         }
         if reload {
             self.reload();
+            self.stop_in_doubt = !leaves_already && self.stop_at.is_some();
         }
         self.take_up_built(front_events, work_events);
         Ok(())
@@ -193,6 +199,7 @@
         }
     }
 
+    /// When the next turn is due at the latest; never before this one, as what is overdue is due now.
     fn next_due(&self) -> Tenths {
         let alarm = self.alarms.peek().map_or(Tenths::MAX, |Reverse((at, _))| *at);
         let alarm = self.reading.map_or(alarm, |(_, till)| till);
@@ -202,7 +209,7 @@
         let sweep = if self.fronts.to_sweep() { self.sweep_at } else { Tenths::MAX };
         let parts = self.parts.iter().map(|part| self.now.saturating_add(part.wait())).min();
         let own = alarm.min(work).min(stop).min(sweep).min(self.registry.next).min(self.summary_at);
-        own.min(parts.unwrap_or(Tenths::MAX))
+        own.min(parts.unwrap_or(Tenths::MAX)).max(self.now)
     }
 
     // --- Deciding and carrying out ---
--- a/node/src/serve/reload.rs
+++ b/node/src/serve/reload.rs
@@ -58,6 +58,8 @@
             self.reloader.retire(retired);
             if finished.begin_next {
                 self.begin_build();
+            } else {
+                self.stop_in_doubt = false;
             }
         }
     }
@@ -137,6 +139,9 @@
         if let Err(e) = self.registry.move_to(registry) {
             warn!(self.log, "registry cannot be reached"; "why" => %e);
         }
+        if self.stop_in_doubt {
+            self.keep_to_the_nearer_stop();
+        }
     }
 
     /// Servers come and go, and the pools' terms change.
--- a/node/src/serve/start.rs
+++ b/node/src/serve/start.rs
@@ -17,7 +17,9 @@
 use super::builds::Reloader;
 use super::report::Slowest;
 use super::{Fault, MS, Node};
+use crate::life::addresses::once_free;
 use crate::life::clock::Clock;
+use crate::life::descriptors;
 use crate::life::signals::Signals;
 use crate::memory::exchanges::Exchanges;
 use crate::memory::results::Results;
@@ -43,6 +45,27 @@
         "without_effect" => rules.notes.len(), "reused" => rules.reused);
 }
 
+/// Connections that callers may have: all sockets together keep within the node's own bound, and within what
+/// the system lets this process have.
+///
+/// # Errors
+/// The pools of servers could take more than half of what the system lets it have.
+fn connections(installation: &Installation, wanted: usize, log: &Logger) -> Result<usize, Fault> {
+    let all = wanted.min(descriptors::connections());
+    let servers = installation.server_connections();
+    if all < wanted {
+        let limit = descriptors::limit();
+        if servers > all / 2 {
+            return Err(format!(
+                "installation.servers.at_once: all pools together may have {servers} connections, more than \
+                 half of the {all} for which there are descriptors; raise the limit of {limit} or lower it"
+            ));
+        }
+        warn!(log, "few descriptors"; "limit" => limit, "connections" => all, "wanted" => wanted);
+    }
+    Ok(all - servers.min(all / 2))
+}
+
 /// What an installation asks for beside fronts and servers; nothing where it asks for nothing.
 fn parts(
     installation: &Installation,
@@ -63,6 +86,7 @@
 impl Node {
     /// Opens all that the node needs. `file` is where `installation` was read, to be read again at SIGHUP.
     pub fn start(
+        signals: Signals,
         orders: Orders,
         file: Option<PathBuf>,
         installation: Installation,
@@ -77,7 +101,7 @@
         }
         let plain = |what: &'static str| move |e: std::io::Error| format!("{what}: {e}");
         let poller = Arc::new(Poller::new().map_err(plain("poller"))?);
-        let signals = Signals::open(&poller).map_err(plain("signals"))?;
+        signals.watch(&poller).map_err(plain("signals"))?;
         let handed = &orders.handed;
         let groups = &handed.contract.groups;
         let longest_deadline = groups.iter().map(|group| group.deadline).max().unwrap_or(0);
@@ -87,8 +111,7 @@
             customers: handed.customer_names.clone(),
         };
         let mut room = orders.room;
-        // All sockets together keep within the node's own bound.
-        room.connections -= installation.server_connections().min(room.connections / 2);
+        room.connections = connections(&installation, room.connections, &log)?;
         let pools: Vec<(String, Servers)> = installation
             .named_pools()
             .enumerate()
@@ -105,8 +128,7 @@
             Work::Servers(pools)
         };
         let mut fronts = Fronts::new(poller.clone(), names, room, longest_deadline);
-        fronts
-            .listen(orders.listen, Protocol::FastCgi, None)
+        once_free(|| fronts.listen(orders.listen, Protocol::FastCgi, None))
             .map_err(|e| format!("config.listen: {}: {e}", orders.listen))?;
         // Nothing is said before the decisions do, but where the least rank is meant, none is held back.
         fronts.level = (handed.contract.level == LevelKind::LowestRank).then_some(0.0);
@@ -148,6 +170,7 @@
             stop_at: None,
             noticed: 0,
             closing: false,
+            stop_in_doubt: false,
             slowest: Slowest::default(),
             platform: Platform::new(&orders),
             orders: Arc::clone(&orders),
@@ -158,7 +181,7 @@
         };
         let installation = Arc::clone(&node.installation);
         for (nth, front) in installation.fronts.iter().enumerate() {
-            node.open_front(front)
+            once_free(|| node.open_front(front))
                 .map_err(|e| format!("installation.fronts[{nth}].listen: {}: {e}", front.listen))?;
         }
         node.fronts.rules = rules.map(Rules::new);
