A node told to leave takes a nearer stop of what is being built, and where engine and registry are

With builds beside the loop the notice can come while one is built; dropping all of it left the node at the old stop, though whoever replaced the files may end it at the new one with exchanges in hand, and at an engine's old address. Change: such a build, and one that waits, is still finished and its rules, pools and fronts dropped; engine, registry and a nearer stop are taken up. The drain waits for neither.

--- a/installation/tests/reload.rs
+++ b/installation/tests/reload.rs
@@ -257,6 +257,8 @@
     builds.notice();
     builds.notice();
     builds.leave();
+    // The one that waited has the newest files, with a stop that may be nearer.
+    assert_eq!(builds.finished(), Finished { take_up: false, begin_next: true });
     assert_eq!(builds.finished(), Finished { take_up: false, begin_next: false });
     builds.notice();
     builds.leave();
--- a/node/src/serve/reload.rs
+++ b/node/src/serve/reload.rs
@@ -45,10 +45,7 @@
         while let Some((built, finished)) = self.reloader.poll() {
             let retired = match built {
                 Ok(candidate) if finished.take_up => self.take_up(candidate, front_events, work_events),
-                Ok(candidate) => {
-                    info!(self.log, "configuration left out"; "fault" => "told to leave while it was built");
-                    Box::new(candidate)
-                }
+                Ok(candidate) => self.take_up_for_leaving(candidate, work_events),
                 Err(rejected) => {
                     self.log_needs_start(&rejected.needs_start);
                     warn!(self.log, "configuration left out"; "fault" => %rejected.faults);
@@ -80,6 +77,17 @@
         self.bring_into_force(candidate, front_events, work_events)
     }
 
+    /// Told to leave while it was built: of all that it says, only what matters to a node that leaves is taken
+    /// up. Runs end at the engine, callers are told by the registry, and whoever sent the notice may count on
+    /// the stop that the files name by now.
+    fn take_up_for_leaving(&mut self, candidate: Candidate, work_events: &mut Vec<WorkEvent>) -> Retired {
+        self.change_platform(candidate.plan.platform, self.listening.len(), work_events);
+        self.keep_to_the_nearer_stop();
+        info!(self.log, "configuration left out"; "fault" => "told to leave while it was built",
+            "taken_up" => "engine, registry and a nearer stop");
+        Box::new(candidate)
+    }
+
     fn log_needs_start(&self, parts: &[NeedsStart]) {
         for part in parts {
             warn!(self.log, "{}", part.subject(); "why" => %part);
