--- a/emulator/src/net.rs
+++ b/emulator/src/net.rs
@@ -133,8 +133,8 @@
     machines: Vec<Machine<M>>,
     wakes: Vec<u64>,
     links: Links,
-    /// Cuts between groups of machines, one way each: by (from, to), counted, as cuts may lie over another. Only
-    /// looked up, never walked, so that its order makes no difference to a play.
+    /// Cuts between groups of machines, one way each: by (from, to), counted, as cuts may lie over another.
+    /// Only looked up, never walked, so that its order makes no difference to a play.
     cuts: HashMap<(MachineId, MachineId), u32>,
     chance: Stream,
     /// Whether what comes is kept, for [`Net::replay`].
--- a/installation/tests/old_keys.rs
+++ b/installation/tests/old_keys.rs
@@ -8,7 +8,8 @@
     "budgets": [
         {"name": "rate", "kind": "rate", "limit": 600, "burst": 120, "for": {"customer": "east-quay"},
             "reserved": 20, "reserved_for": ["n1", "n2"], "max_per_node": 400},
-        {"name": "held", "kind": "concurrency", "limit": 40, "for": {"group": "pay"}, "max_hold_ms": 5000}]}"#;
+        {"name": "held", "kind": "concurrency", "limit": 40, "for": {"group": "pay"},
+            "max_hold_ms": 5000}]}"#;
 
 const EARLIER: &str = r#"{
     "fleet": {"name": "delta", "listen": "127.0.0.1:7401", "voters": ["n1", "n2", "n3"],
--- a/node/src/serve/events.rs
+++ b/node/src/serve/events.rs
@@ -7,7 +7,7 @@
 
 use super::{Node, READING, STALE};
 use crate::memory::exchanges::{Ex, Hold, Stage};
-use crate::memory::results::{Found, NoResult, Repeats};
+use crate::memory::results::{Found, Key, NoResult, Repeats};
 use crate::parts::{Asked, Permit, Use};
 use crate::wire::end::{End, Outcome};
 use crate::wire::engine::WorkEvent;
@@ -38,17 +38,9 @@
             self.decide();
             self.batch_keys.extend(key);
         }
-        let found = key
-            .map_or(Repeats::Nothing, |key| self.results.repeats(&key, &body, request.stamp.min(self.now)));
-        let repeats = match found {
-            Repeats::Nothing => None,
-            Repeats::Of(first) => Some(first),
-            // Only what has no entry: a repeat of one that has run is never refused.
-            Repeats::NoRoom => return self.fronts.answer(caller, Answer::NoRoom),
-            Repeats::Misused => {
-                let misused = Answer::Unreadable(Unreadable::Field("HTTP_IDEMPOTENCY_KEY"));
-                return self.fronts.answer(caller, misused);
-            }
+        let repeats = match key.map(|key| self.first_try(&key, &body, request.stamp)).transpose() {
+            Ok(first) => first.flatten(),
+            Err(answer) => return self.fronts.answer(caller, answer),
         };
         let (try_id, group, stamp) = (request.try_id, request.group, request.stamp);
         let block = Some(block).filter(|_| self.work.wants_variables());
@@ -98,6 +90,20 @@
         }));
     }
 
+    /// The exchange that one with this key repeats, if it repeats any.
+    ///
+    /// # Errors
+    /// The answer to one that can't be taken: only what has no entry, as a repeat of one that has run is never
+    /// refused.
+    fn first_try(&mut self, key: &Key, body: &[u8], stamp: Tenths) -> Result<Option<ExId>, Answer<'static>> {
+        match self.results.repeats(key, body, stamp.min(self.now)) {
+            Repeats::Nothing => Ok(None),
+            Repeats::Of(first) => Ok(Some(first)),
+            Repeats::NoRoom => Err(Answer::NoRoom),
+            Repeats::Misused => Err(Answer::Unreadable(Unreadable::Field("HTTP_IDEMPOTENCY_KEY"))),
+        }
+    }
+
     /// What it holds of the fleet's budgets and of its pool's servers, or when it is to come back.
     fn admit(&mut self, asked: Asked) -> (Hold, Option<Tenths>) {
         let admission = match self.work.admit(asked.pool, self.now) {
@@ -195,29 +201,7 @@
     pub(super) fn work_event(&mut self, what: WorkEvent) {
         match what {
             WorkEvent::Hello { cold, age } => self.open_door(cold, age),
-            WorkEvent::CaughtUp { proven } => {
-                let unproven = |sent: Option<u64>| sent.is_none_or(|sent| sent >= proven);
-                let running = self.exs.running().filter(|(_, sent)| unproven(*sent));
-                let mut lost: Vec<ExId> = running.map(|(id, _)| id).collect();
-                lost.sort_unstable();
-                for id in lost {
-                    let Some(ex) = self.exs.get(id) else { continue };
-                    let (surely_not_run, waits) =
-                        (ex.stage == Stage::Running { sent: None }, ex.caller.is_some());
-                    let contract = &self.orders.handed.contract;
-                    let repeatable = contract.groups[usize::from(ex.group)].effect == Effect::Repeatable;
-                    if surely_not_run && !waits {
-                        self.ended(id, End::Unsent, Made::default());
-                    } else if surely_not_run || repeatable || contract.stop == StopKind::Never {
-                        self.run(id);
-                    } else {
-                        // Running, it may end before a second RUN is read, and that one would run it
-                        // again. So its end is waited for as any run's. Where runs can't be stopped that
-                        // could be forever.
-                        ex.stage = Stage::InDoubt { stopped: false };
-                    }
-                }
-            }
+            WorkEvent::CaughtUp { proven } => self.caught_up(proven),
             WorkEvent::Notice(Notice::Done { try_id, outcome, result, .. }) => {
                 if let Some(id) = self.exs.of_try(&try_id) {
                     self.ended(id, End::Run(outcome), Made::from(&result[..]));
@@ -229,22 +213,7 @@
                 let end = if command == "RUN" { End::RunRefused } else { End::StopRefused };
                 id.into_iter().for_each(|id| self.ended(id, end, Made::default()));
             }
-            WorkEvent::Notice(Notice::Stats { cookie, values }) => {
-                let places = &self.orders.handed.gauges;
-                let read = |place: Option<usize>| place.and_then(|p| values.get(p).copied());
-                self.gauges = Gauges {
-                    busy_cores: read(places.busy_cores),
-                    on_cores: read(places.on_cores),
-                    memory: read(places.memory),
-                    connections: read(places.connections),
-                };
-                self.read_at = self.now;
-                if let Some((wanted, till)) = self.reading.filter(|(wanted, _)| *wanted <= cookie) {
-                    self.slowest.reading =
-                        self.slowest.reading.max((self.now + READING).saturating_sub(till));
-                    self.reading = Some((wanted, self.now));
-                }
-            }
+            WorkEvent::Notice(Notice::Stats { cookie, values }) => self.gauges_read(cookie, &values),
             WorkEvent::Notice(_) => {}
             WorkEvent::RunEnded { id, end, headers, body } => {
                 self.ended(id, end, Made { headers: &headers, body: &body })
@@ -256,6 +225,49 @@
         }
     }
 
+    /// The link was made anew, and all notices that were missed are read. What was sent before the reading
+    /// `proven` has arrived. Of the rest, what was never sent is sent now, and what may have arrived is sent
+    /// again only where it may run twice.
+    fn caught_up(&mut self, proven: u64) {
+        let unproven = |sent: Option<u64>| sent.is_none_or(|sent| sent >= proven);
+        let running = self.exs.running().filter(|(_, sent)| unproven(*sent));
+        let mut lost: Vec<ExId> = running.map(|(id, _)| id).collect();
+        lost.sort_unstable();
+        for id in lost {
+            let Some(ex) = self.exs.get(id) else { continue };
+            let (surely_not_run, waits) = (ex.stage == Stage::Running { sent: None }, ex.caller.is_some());
+            let contract = &self.orders.handed.contract;
+            let repeatable = contract.groups[usize::from(ex.group)].effect == Effect::Repeatable;
+            if surely_not_run && !waits {
+                self.ended(id, End::Unsent, Made::default());
+            } else if surely_not_run || repeatable || contract.stop == StopKind::Never {
+                self.run(id);
+            } else {
+                // Running, it may end before a second RUN is read, and that one would run it
+                // again. So its end is waited for as any run's. Where runs can't be stopped that
+                // could be forever.
+                ex.stage = Stage::InDoubt { stopped: false };
+            }
+        }
+    }
+
+    /// A reading of the gauges came; alarms that waited for it wait no more.
+    fn gauges_read(&mut self, cookie: u64, values: &[f32]) {
+        let places = &self.orders.handed.gauges;
+        let read = |place: Option<usize>| place.and_then(|p| values.get(p).copied());
+        self.gauges = Gauges {
+            busy_cores: read(places.busy_cores),
+            on_cores: read(places.on_cores),
+            memory: read(places.memory),
+            connections: read(places.connections),
+        };
+        self.read_at = self.now;
+        if let Some((wanted, till)) = self.reading.filter(|(wanted, _)| *wanted <= cookie) {
+            self.slowest.reading = self.slowest.reading.max((self.now + READING).saturating_sub(till));
+            self.reading = Some((wanted, self.now));
+        }
+    }
+
     /// Alarms carry a reading of the gauges, fresh where the engine answers soon enough.
     pub(super) fn take_reading(&mut self) {
         if self.alarms.peek().is_none_or(|Reverse((at, _))| *at > self.now) {
--- a/node/src/serve/start.rs
+++ b/node/src/serve/start.rs
@@ -5,9 +5,9 @@
 use std::sync::Arc;
 
 use doortrack::logic::Door;
-use doortrack::{Effect, Event, Gauges, LevelKind, Tenths};
+use doortrack::{Effect, EndpointGroup, Event, Gauges, LevelKind, Tenths};
 use doortrack_installation::reload::{KeyMeanings, Platform, Started};
-use doortrack_installation::{Installation, Orders};
+use doortrack_installation::{Installation, Orders, Servers as ServerSettings};
 use doortrack_wire::Protocol;
 use polling::Poller;
 use serde_json::Value;
@@ -66,6 +66,57 @@
     Ok(all - servers.min(all / 2))
 }
 
+/// The rules of an installation, if it has any.
+///
+/// # Errors
+/// Every fault of the rules, each with its path.
+fn rule_table(
+    installation: &Installation,
+    orders: &Orders,
+    log: &Logger,
+) -> Result<Option<RuleTable>, Fault> {
+    let built = installation.table_from(None, &orders.handed).map_err(|faults| faults.to_string())?;
+    let rules = built.map(|built| RuleTable::new(built, installation, &orders.handed));
+    if let Some(rules) = &rules {
+        log_rules(log, rules);
+    }
+    Ok(rules)
+}
+
+/// The names by which callers speak of groups and customers.
+fn names(orders: &Orders) -> Names {
+    let handed = &orders.handed;
+    let is_keyed = |group: &EndpointGroup| group.effect == Effect::Deduplicated;
+    Names {
+        groups: handed.group_names.clone(),
+        keyed: handed.contract.groups.iter().map(is_keyed).collect(),
+        customers: handed.customer_names.clone(),
+    }
+}
+
+/// What runs exchanges: the engine, or the application servers where an installation names any.
+fn open_work(
+    installation: &Installation,
+    orders: &Orders,
+    longest_deadline: Tenths,
+    poller: &Arc<Poller>,
+    log: &Logger,
+) -> Work {
+    let open_pool = |(index, (name, settings)): (usize, (&str, &ServerSettings))| {
+        let pool_log = log.new(o!("pool" => name.to_string()));
+        let seed = orders.seed.wrapping_add(index as u64);
+        let servers = Servers::new(poller.clone(), pool_log, settings, index, longest_deadline, seed);
+        (name.to_string(), servers)
+    };
+    let pools: Vec<(String, Servers)> = installation.named_pools().enumerate().map(open_pool).collect();
+    if pools.is_empty() {
+        let link = Link::new(orders.engine, poller.clone(), log.clone(), orders.room.commands);
+        Work::Engine(Box::new(link))
+    } else {
+        Work::Servers(pools)
+    }
+}
+
 /// What an installation asks for beside fronts and servers; nothing where it asks for nothing.
 fn parts(
     installation: &Installation,
@@ -94,40 +145,17 @@
         log: Logger,
     ) -> Result<Node, Fault> {
         let orders = Arc::new(orders);
-        let built = installation.table_from(None, &orders.handed).map_err(|faults| faults.to_string())?;
-        let rules = built.map(|built| RuleTable::new(built, &installation, &orders.handed));
-        if let Some(rules) = &rules {
-            log_rules(&log, rules);
-        }
+        let rules = rule_table(&installation, &orders, &log)?;
         let plain = |what: &'static str| move |e: std::io::Error| format!("{what}: {e}");
         let poller = Arc::new(Poller::new().map_err(plain("poller"))?);
         signals.watch(&poller).map_err(plain("signals"))?;
         let handed = &orders.handed;
         let groups = &handed.contract.groups;
         let longest_deadline = groups.iter().map(|group| group.deadline).max().unwrap_or(0);
-        let names = Names {
-            groups: handed.group_names.clone(),
-            keyed: groups.iter().map(|group| group.effect == Effect::Deduplicated).collect(),
-            customers: handed.customer_names.clone(),
-        };
         let mut room = orders.room;
         room.connections = connections(&installation, room.connections, &log)?;
-        let pools: Vec<(String, Servers)> = installation
-            .named_pools()
-            .enumerate()
-            .map(|(place, (name, asked))| {
-                let (poller, log) = (poller.clone(), log.new(o!("pool" => name.to_string())));
-                let seed = orders.seed.wrapping_add(place as u64);
-                (name.to_string(), Servers::new(poller, log, asked, place, longest_deadline, seed))
-            })
-            .collect();
-        let work = if pools.is_empty() {
-            let (poller, log) = (poller.clone(), log.clone());
-            Work::Engine(Box::new(Link::new(orders.engine, poller, log, room.commands)))
-        } else {
-            Work::Servers(pools)
-        };
-        let mut fronts = Fronts::new(poller.clone(), names, room, longest_deadline);
+        let mut work = open_work(&installation, &orders, longest_deadline, &poller, &log);
+        let mut fronts = Fronts::new(poller.clone(), names(&orders), room, longest_deadline);
         once_free(|| fronts.listen(orders.listen, Protocol::FastCgi, None))
             .map_err(|e| format!("config.listen: {}: {e}", orders.listen))?;
         // Nothing is said before the decisions do, but where the least rank is meant, none is held back.
@@ -137,7 +165,6 @@
         info!(log, "listening"; "address" => %orders.listen, "connections" => room.connections,
             "open" => room.open);
         let parts = parts(&installation, &orders, file.as_deref(), clock, &poller, &log)?;
-        let mut work = work;
         for part in &parts {
             work.gate_retries(|pool| part.retry_gate(pool));
             work.gate_ramps(|pool| part.ramp_gate(pool));
@@ -179,13 +206,18 @@
             reloader,
             installation: Arc::new(installation),
         };
-        let installation = Arc::clone(&node.installation);
+        node.open_installation_fronts()?;
+        node.fronts.rules = rules.map(Rules::new);
+        Ok(node)
+    }
+
+    fn open_installation_fronts(&mut self) -> Result<(), Fault> {
+        let installation = Arc::clone(&self.installation);
         for (nth, front) in installation.fronts.iter().enumerate() {
-            once_free(|| node.open_front(front))
+            once_free(|| self.open_front(front))
                 .map_err(|e| format!("installation.fronts[{nth}].listen: {}: {e}", front.listen))?;
         }
-        node.fronts.rules = rules.map(Rules::new);
-        Ok(node)
+        Ok(())
     }
 
     /// The engine is up, and with it the node. Its age counts for a cold one's speed.
--- a/node/src/wire/fronts/reading.rs
+++ b/node/src/wire/fronts/reading.rs
@@ -22,8 +22,8 @@
         if event.writable {
             self.mark_dirty(slot);
         }
-        // A turn that stood still reads twice, and what the first reading ended is told of again by the second:
-        // the poller learns only at the end of the turn that it is not to be read any more.
+        // A turn that stood still reads twice, and what the first reading ended is told of again by the
+        // second: the poller learns only at the end of the turn that it is not to be read any more.
         let conn = &self.conns[slot];
         let ended_in_this_turn = !conn.reading && !conn.lingers && conn.watched.0;
         if event.readable && !ended_in_this_turn {
--- a/node/tests/fleet/rolling.rs
+++ b/node/tests/fleet/rolling.rs
@@ -1,4 +1,5 @@
-//! Many processes before application servers, killed and started again in turns while callers ask all of them.
+//! Many processes before application servers, killed and started again in turns while callers ask all of
+//! them.
 
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
--- a/node/tests/node/accepts.rs
+++ b/node/tests/node/accepts.rs
@@ -1,5 +1,5 @@
-//! Ends that come right after a connection was accepted: of the node, which is started again under its address
-//! at once, and of the connection.
+//! Ends that come right after a connection was accepted: of the node, which is started again under its
+//! address at once, and of the connection.
 
 use std::io::Write;
 use std::net::{SocketAddr, TcpStream};
--- a/node/tests/node/half_closed.rs
+++ b/node/tests/node/half_closed.rs
@@ -1,5 +1,5 @@
-//! A caller that has sent its last byte, and is told of to the node more than once before a turn ends: after a
-//! pause of the process the loop reads twice in one turn.
+//! A caller that has sent its last byte, and is told of to the node more than once before a turn ends: after
+//! a pause of the process the loop reads twice in one turn.
 
 use std::net::{Shutdown, SocketAddr, TcpStream};
 use std::sync::Arc;
--- a/node/tests/node/late_answers.rs
+++ b/node/tests/node/late_answers.rs
@@ -15,9 +15,9 @@
 /// Longer than the process stands still here, also on a busy machine: a notice may count as old as that.
 const STOP_MS: u64 = 3_000;
 
-/// Found by reading: a turn that had ends to tell counted as due at the time 0, and a notice read in it as old as
-/// that, so the process was gone at once. Here a run gets late while the node stands still, and the notice
-/// comes while it is busy with all that came meanwhile.
+/// Found by reading: a turn that had ends to tell counted as due at the time 0, and a notice read in it as
+/// old as that, so the process was gone at once. Here a run gets late while the node stands still, and the
+/// notice comes while it is busy with all that came meanwhile.
 #[test]
 fn a_notice_that_is_read_beside_a_late_answer_leaves_the_whole_time_to_the_stop() {
     const CALLERS: u64 = 100;
--- a/node/tests/node/pieces.rs
+++ b/node/tests/node/pieces.rs
@@ -1,5 +1,5 @@
-//! Requests that come in pieces, cut at every byte and in every form that a protocol allows: each whole one is
-//! answered once, and half ones are told so, also where a piece ends just as the node reloads or leaves.
+//! Requests that come in pieces, cut at every byte and in every form that a protocol allows: each whole one
+//! is answered once, and half ones are told so, also where a piece ends just as the node reloads or leaves.
 
 use std::collections::BTreeSet;
 use std::io::{Read, Write};
--- a/node/tests/node/restart.rs
+++ b/node/tests/node/restart.rs
@@ -45,8 +45,8 @@
         1 => json!({"when": format!("(header(\"x-yard\") ?? \"\") == \"yard-{nth}\" && method == \"POST\""),
             "group": "pay", "idempotency_key": "header(\"x-order\")", "rank": "0.9"}),
         2 => {
-            json!({"when": format!("(segment(0) ?? \"\") in [\"yard-{nth}\", \"dock-{nth}\"] && body_length < 4096"),
-            "group": "look", "subject": "segment(1)"})
+            let place = format!("(segment(0) ?? \"\") in [\"yard-{nth}\", \"dock-{nth}\"]");
+            json!({"when": format!("{place} && body_length < 4096"), "group": "look", "subject": "segment(1)"})
         }
         _ => json!({"when": format!("matches(path, \"^/book/{nth}/berth-[0-9]+$\")"), "group": "look",
             "due": "5s"}),
--- a/node/tests/node/silences.rs
+++ b/node/tests/node/silences.rs
@@ -55,7 +55,8 @@
     assert_eq!(bed.end().0, Some(0));
 }
 
-/// Found by reading: the system keeps the refusal of one datagram and gives it to the next, which is not sent.
+/// Found by reading: the system keeps the refusal of one datagram and gives it to the next, which is not
+/// sent.
 #[test]
 fn the_report_after_one_that_was_refused_goes_out() {
     let list = UdpSocket::bind("127.0.0.1:0").unwrap();
--- a/rig/src/lib.rs
+++ b/rig/src/lib.rs
@@ -2,8 +2,8 @@
 //!
 //! A [`Script`] says which faults occur and when. It is run by [`processes::run`] on real `doortrack`
 //! processes with a relay between every pair of them, or by [`simulated::run`] in simulated time on the same
-//! decisions. Both give one [`History`]: what the rig did, and what each node reported. [`checks`] judge a history and
-//! know nothing of a node's code; [`shrink`] reduces a script that fails.
+//! decisions. Both give one [`History`]: what the rig did, and what each node reported. [`checks`] judge a
+//! history and know nothing of a node's code; [`shrink`] reduces a script that fails.
 //!
 //! Safety is judged at all times. Liveness is judged by the nodes' final views, for which the rig waits long
 //! enough that a slow machine changes no verdict.
--- a/rig/src/scale/node_cost/keys.rs
+++ b/rig/src/scale/node_cost/keys.rs
@@ -54,8 +54,8 @@
     }
 }
 
-/// Asks for `at_peak_for`, which is to be no longer than the window of the settings, at the peak's rate; then,
-/// if the table is to be filled, as fast as possible until it is full.
+/// Asks for `at_peak_for`, which is to be no longer than the window of the settings, at the peak's rate;
+/// then, if the table is to be filled, as fast as possible until it is full.
 ///
 /// # Errors
 /// The process does not start, or ends a connection.
--- a/rig/src/scale/node_cost/process.rs
+++ b/rig/src/scale/node_cost/process.rs
@@ -73,8 +73,8 @@
     })
 }
 
-/// One `doortrack serve`. Dropped, it is killed and its folder removed; it is killed as well when the thread that
-/// started it ends, however that comes.
+/// One `doortrack serve`. Dropped, it is killed and its folder removed; it is killed as well when the thread
+/// that started it ends, however that comes.
 pub struct NodeProcess {
     child: Child,
     folder: PathBuf,
--- a/rig/src/scale/node_cost/settings.rs
+++ b/rig/src/scale/node_cost/settings.rs
@@ -173,8 +173,8 @@
     changed
 }
 
-/// The rules: the first is for the deduplicated group, the last takes the path of the probe, and those between
-/// are routes of services.
+/// The rules: the first is for the deduplicated group, the last takes the path of the probe, and those
+/// between are routes of services.
 fn rules(size: &Size) -> Vec<Value> {
     let keyed = json!({"when": format!("path.starts_with(\"{KEYED_PATH}\")"), "group": "pay"});
     let probe = json!({"when": format!("path == \"{PROBE_PATH}\""), "group": "look"});
