Node: two lines within their width

Need: 110 characters a line. A comment and a test's text are broken anew; nothing else changes. Format, clippy and the tests of the node pass.

--- a/node/src/serve/events.rs
+++ b/node/src/serve/events.rs
@@ -93,8 +93,8 @@
     /// The exchange that one with this key repeats, if it repeats any.
     ///
     /// # Errors
-    /// The answer to one that can't be taken: only what has no entry, as a repeat of one that has run is never
-    /// refused.
+    /// The answer to one that can't be taken: only what has no entry, as a repeat of one that has run is
+    /// never refused.
     fn first_try(&mut self, key: &Key, body: &[u8], stamp: Tenths) -> Result<Option<ExId>, Answer<'static>> {
         match self.results.repeats(key, body, stamp.min(self.now)) {
             Repeats::Nothing => Ok(None),
--- a/node/tests/node/restart.rs
+++ b/node/tests/node/restart.rs
@@ -46,7 +46,8 @@
             "group": "pay", "idempotency_key": "header(\"x-order\")", "rank": "0.9"}),
         2 => {
             let place = format!("(segment(0) ?? \"\") in [\"yard-{nth}\", \"dock-{nth}\"]");
-            json!({"when": format!("{place} && body_length < 4096"), "group": "look", "subject": "segment(1)"})
+            let when = format!("{place} && body_length < 4096");
+            json!({"when": when, "group": "look", "subject": "segment(1)"})
         }
         _ => json!({"when": format!("matches(path, \"^/book/{nth}/berth-[0-9]+$\")"), "group": "look",
             "due": "5s"}),
