A burst of zero beside a reserved minimum is refused with its key in place of a panic

Operators saw `doortrack check`, a start and the build after SIGHUP end in a panic, without the key at fault.

Cause: BudgetConfig::validate_reserved divided the limit by the burst; errors of ranges are collected, so the burst of zero got there. The rule on reserved minimums of a rate is a function of its own now and leaves a burst out of range to its own error.

The test of all refusals no longer leaves the case out, and a property test replaces one to three numbers of a complete file by edges of ranges: both failed before (division by zero, validate.rs:113), both pass; 20,000 files of the property passed.

Elsewhere: the divisions of config, settings, budgets and upstream were read; each other divisor is a constant or at least 1.

--- a/crates/config/src/budgets/validate.rs
+++ b/crates/config/src/budgets/validate.rs
@@ -107,9 +107,18 @@
         if self.max_per_node.is_some_and(|max| max < self.reserved) {
             errors.push(format!("{path}.max_per_node"), "less than what is reserved");
         }
+        self.validate_reserved_rate(path, errors);
+    }
+
+    /// What is reserved of a rate has to hold a whole request: `burst` units in the time of `limit` requests.
+    fn validate_reserved_rate(&self, path: &str, errors: &mut ErrorCollector) {
+        let (limit, reserved) = (u64::from(self.limit), u64::from(self.reserved));
         let burst = u64::from(self.burst.unwrap_or(1));
-        let holds_a_request = reserved == 0 || reserved * burst >= limit;
-        if self.kind == BudgetKind::Rate && !holds_a_request {
+        let burst_in_range = burst > 0; // Otherwise it has an error of its own.
+        if self.kind != BudgetKind::Rate || reserved == 0 || !burst_in_range {
+            return;
+        }
+        if reserved * burst < limit {
             let min = limit.div_ceil(burst);
             let rule =
                 format!("at least {min} (limit / burst) is wanted, or it holds no whole one");
--- a/crates/config/tests/refusals.rs
+++ b/crates/config/tests/refusals.rs
@@ -9,6 +9,7 @@
 use std::path::Path;
 
 use doortrack_config::{installation, node_config};
+use proptest::prelude::*;
 use serde_json::{Value, json};
 
 const EXPECTED: &str = include_str!("data/refusals.txt");
@@ -170,10 +171,6 @@
         remove(&mut without, pointer);
         lines.push(format!("{name}{pointer} removed: {}", outcome(&without)));
         for replacement in replacements() {
-            // A zero burst beside a reserved minimum divides by zero in place of being refused.
-            if pointer == "/budgets/0/burst" && replacement == json!(0) {
-                continue;
-            }
             let mut changed = complete.clone();
             *changed.pointer_mut(pointer).unwrap() = replacement.clone();
             let outcome = outcome(&changed);
@@ -252,6 +249,27 @@
     );
 }
 
+/// Numbers at the ends of their ranges, and just beyond them.
+const EDGE_NUMBERS: [u64; 8] = [0, 1, 2, 10, 600, 10_000_000, u32::MAX as u64, u64::MAX];
+
+proptest! {
+    /// Guards against a check that relies on another key being within its range: it panicked on such a file.
+    #[test]
+    fn numbers_out_of_range_are_refused_or_accepted_and_never_panic(
+        changes in proptest::collection::vec((any::<prop::sample::Index>(), 0..EDGE_NUMBERS.len()), 1..4)
+    ) {
+        let mut installation = complete_installation();
+        let mut all = Vec::new();
+        pointers(&installation, "", &mut all);
+        all.retain(|pointer| installation.pointer(pointer).is_some_and(Value::is_number));
+        for (place, number) in changes {
+            let pointer: &String = place.get(all.as_slice());
+            *installation.pointer_mut(pointer).unwrap() = json!(EDGE_NUMBERS[number]);
+        }
+        prop_assert!(!installation_outcome(&installation).is_empty());
+    }
+}
+
 /// Changes a node's configuration.
 type Change<'a> = &'a dyn Fn(&mut Value);
 
