Unread answers keep within their bounds by construction, whatever one read holds

What was seen: memory for answers that a caller does not read grew past the 64 kB of a connection: 200,080 to 249,140 bytes under load, 491,520 bytes where messages of eight bytes are sent. The sum over all connections was bounded only where single ones had over 16 kB unread.

Cause: a read of up to 64 kB was split into requests to its end, and the bound looked at only after it, when the poller was told what to report next (Connection::interest). How much one read holds depends on how long the node was off the core.

Change: Listeners::split stops once unread answers meet the connection's bound. The rest of the read waits in the connection, and the flush that brings the answers below the bound goes on with it, so nothing that was read is lost. Before an answer is added while the sum meets unread_answer_bytes, what peers take is written, then the connections with the most are closed. Bounds: a connection 64 kB, the answer that meets it and the answers to what is pending; all unread_answer_bytes and one answer, or one read where input that waits is counted in.

Elsewhere: peers' datagrams are read one at a time, 64 a turn, each handled before the next; lines of the engine are bounded by 64 kB of an unfinished line beside one read of 64 kB; answers of servers by most_answer_bytes in the reader itself; commands waiting for the engine are checked after they were written, and one turn can add no more than open requests hold, a fifth of the memory. None grows with what a peer leaves unread.

--- a/crates/node/src/network/bounds.rs
+++ b/crates/node/src/network/bounds.rs
@@ -15,11 +15,12 @@
 /// Bytes read from one connection without completing a request: as many as all its pending requests can need.
 pub const MAX_INCOMPLETE_BYTES: usize =
     MAX_PENDING_REQUESTS * (MAX_PARAMS_BYTES + MAX_BODY_BYTES + MAX_FRAMING_BYTES);
-/// A connection with this many bytes of answers that its peer has not read is not read from.
+/// While a connection has this many bytes of answers that its peer has not read, nothing is read from it, and what
+/// was read already is not split into further requests. It can have more by the one answer that meets the bound,
+/// and by the answers to requests that are pending on it then.
 pub const MAX_UNREAD_ANSWER_BYTES: usize = 64 * 1024;
-/// Bytes that an empty write buffer keeps allocated. While unread answers pile up on all connections, one with
-/// more than this is closed.
-pub const FAIR_UNREAD_ANSWER_BYTES: usize = 16 * 1024;
+/// Bytes that an empty write buffer keeps allocated.
+pub const RETAINED_WRITE_BUFFER_BYTES: usize = 16 * 1024;
 /// Bytes read from one connection before the next one gets its turn.
 pub const READ_BUFFER_BYTES: usize = 64 * 1024;
 /// Listeners at once, those that are draining included.
--- a/crates/node/src/network/connection.rs
+++ b/crates/node/src/network/connection.rs
@@ -32,8 +32,10 @@
     carried_request: bool,
     /// Since when a complete request is due: from the start, and while one is incomplete.
     request_due_since: Option<TenthMillis>,
-    /// Bytes read since the last complete request.
+    /// Bytes split since the last complete request.
     incomplete_bytes: usize,
+    /// Input that was read and waits to be split until the peer has read answers.
+    suspended: Option<Vec<u8>>,
     /// Something unreadable arrived: it is not read again before the next sweep, which bounds how often a
     /// client can repeat that. A dispatcher that passed it on for its client waits as long.
     paused: bool,
@@ -101,6 +103,7 @@
                 carried_request: false,
                 request_due_since: Some(now),
                 incomplete_bytes: 0,
+                suspended: None,
                 paused: false,
             },
             lifecycle: Lifecycle {
@@ -132,7 +135,8 @@
 
     /// Whether no request is pending and no answer unread.
     pub fn is_idle(&self) -> bool {
-        self.pending.is_empty() && self.out.is_empty() && self.input.reader.at_boundary()
+        let nothing_read = self.input.reader.at_boundary() && !self.is_suspended();
+        self.pending.is_empty() && self.out.is_empty() && nothing_read
     }
 
     /// Whether this node closes it once all pending requests are answered: one that begins now is too late.
@@ -143,10 +147,34 @@
         )
     }
 
+    /// Whether so many answers are unread that its requests have to wait.
+    pub fn is_backlogged(&self) -> bool {
+        self.out.len() >= MAX_UNREAD_ANSWER_BYTES
+    }
+
+    /// Whether input that was read waits to be split.
+    pub fn is_suspended(&self) -> bool {
+        self.input.suspended.is_some()
+    }
+
+    /// Whether further requests of it can be taken at present.
+    pub fn accepts_requests(&self) -> bool {
+        self.lifecycle.reading && self.lifecycle.close_now.is_none() && !self.is_backlogged()
+    }
+
+    /// Bytes that are kept because its peer does not read: answers, and input that waits for them.
+    pub fn backlog_bytes(&self) -> usize {
+        self.out.len() + self.suspended_bytes()
+    }
+
+    /// Bytes of input that was read and waits to be split.
+    pub fn suspended_bytes(&self) -> usize {
+        self.input.suspended.as_ref().map_or(0, Vec::len)
+    }
+
     /// What the poller should report of it.
     pub fn interest(&self) -> Interest {
-        let backlogged = self.out.len() >= MAX_UNREAD_ANSWER_BYTES;
-        let reads = self.lifecycle.reading && !self.input.paused && !backlogged;
+        let reads = self.lifecycle.reading && !self.input.paused && !self.is_backlogged();
         Interest {
             readable: reads || self.lifecycle.lingering,
             writable: !self.out.is_empty(),
@@ -183,14 +211,23 @@
         }
     }
 
+    /// Keeps input that was read, to be split once the peer has read answers.
+    pub fn suspend(&mut self, input: &[u8]) {
+        self.input.suspended = Some(input.to_vec());
+    }
+
+    /// Takes the input that waits to be split, if any does.
+    pub fn take_suspended(&mut self) -> Option<Vec<u8>> {
+        self.input.suspended.take()
+    }
+
     /// Splits what was read into events of requests.
     pub fn reader(&mut self) -> &mut RequestReader {
         &mut self.input.reader
     }
 
-    /// Accounts for bytes that were read and split; whether too many have come without completing
-    /// a request.
-    pub fn account_read(&mut self, bytes: usize, now: TenthMillis) -> bool {
+    /// Accounts for bytes that were split; whether too many have come without completing a request.
+    pub fn account_split(&mut self, bytes: usize, now: TenthMillis) -> bool {
         let between_requests = self.input.reader.at_boundary() && !self.pending.any_incomplete();
         if between_requests && self.input.carried_request {
             self.input.request_due_since = None;
@@ -243,10 +280,20 @@
     /// # Errors
     /// The connection is broken.
     pub fn write(&mut self, now: TenthMillis) -> Result<(), Termination> {
-        if self.out.write_to(&self.sock)? {
+        let written = self.write_early();
+        if self.out.take_progress() {
             self.last_activity = now;
         }
-        Ok(())
+        written
+    }
+
+    /// Writes what the peer takes before the end of the turn; that counts as activity with the next
+    /// [`Connection::write`].
+    ///
+    /// # Errors
+    /// The connection is broken.
+    pub fn write_early(&mut self) -> Result<(), Termination> {
+        self.out.write_to(&self.sock)
     }
 
     /// Closes it at the end of the present turn, whatever is pending.
@@ -273,7 +320,7 @@
     pub fn due_close(&self) -> Option<Termination> {
         self.lifecycle
             .close_when_answered
-            .filter(|_| self.pending.is_empty() && self.out.is_empty())
+            .filter(|_| self.pending.is_empty() && self.out.is_empty() && !self.is_suspended())
     }
 
     /// Reads no more requests and drops incomplete ones, whose rest can't come; how many those were.
--- a/crates/node/src/network/connection/expiry.rs
+++ b/crates/node/src/network/connection/expiry.rs
@@ -32,8 +32,8 @@
 impl Connection {
     /// Whether no caller waits for an answer: it is idle, or all that is pending on it is incomplete.
     pub fn has_no_waiting_caller(&self) -> bool {
-        self.is_idle()
-            || (self.lifecycle.reading && self.out.is_empty() && self.pending.all_incomplete())
+        let is_answered = self.out.is_empty() && !self.is_suspended();
+        self.is_idle() || (self.lifecycle.reading && is_answered && self.pending.all_incomplete())
     }
 
     /// What it is worth keeping for, if no caller waits on it.
--- a/crates/node/src/network/connection/write_buffer.rs
+++ b/crates/node/src/network/connection/write_buffer.rs
@@ -2,7 +2,7 @@
 
 use std::io::{ErrorKind, Write};
 
-use crate::network::bounds::FAIR_UNREAD_ANSWER_BYTES;
+use crate::network::bounds::RETAINED_WRITE_BUFFER_BYTES;
 use crate::network::termination::Termination;
 
 /// Encoded answers that the peer has not taken yet.
@@ -11,6 +11,8 @@
     bytes: Vec<u8>,
     /// How many of `bytes` the system has taken.
     written: usize,
+    /// The peer has taken something since [`WriteBuffer::take_progress`].
+    progressed: bool,
 }
 
 impl WriteBuffer {
@@ -31,31 +33,47 @@
         self.bytes.len() - before
     }
 
-    /// Writes as much as `peer` takes without blocking; whether it took anything.
+    /// Drops everything; how many bytes that was.
+    pub fn discard(&mut self) -> usize {
+        let discarded = self.len();
+        *self = WriteBuffer {
+            progressed: self.progressed,
+            ..WriteBuffer::default()
+        };
+        discarded
+    }
+
+    /// Whether the peer has taken anything since the last call.
+    pub fn take_progress(&mut self) -> bool {
+        std::mem::take(&mut self.progressed)
+    }
+
+    /// Writes as much as `peer` takes without blocking.
     ///
     /// # Errors
     /// The connection is broken.
-    pub fn write_to(&mut self, mut peer: impl Write) -> Result<bool, Termination> {
-        let before = self.written;
+    pub fn write_to(&mut self, mut peer: impl Write) -> Result<(), Termination> {
         while !self.is_empty() {
             match peer.write(&self.bytes[self.written..]) {
                 Ok(0) => return Err(Termination::Reset),
-                Ok(count) => self.written += count,
+                Ok(count) => {
+                    self.written += count;
+                    self.progressed = true;
+                }
                 Err(e) if e.kind() == ErrorKind::Interrupted => {}
                 Err(e) if e.kind() == ErrorKind::WouldBlock => break,
                 Err(_) => return Err(Termination::Reset),
             }
         }
-        let progressed = self.written > before;
         self.release_memory();
-        Ok(progressed)
+        Ok(())
     }
 
     /// Drops what was written. A slow peer may never empty the buffer, so that is not waited for.
     fn release_memory(&mut self) {
-        if self.is_empty() || self.written > FAIR_UNREAD_ANSWER_BYTES {
+        if self.is_empty() || self.written > RETAINED_WRITE_BUFFER_BYTES {
             self.bytes.drain(..self.written);
-            self.bytes.shrink_to(FAIR_UNREAD_ANSWER_BYTES);
+            self.bytes.shrink_to(RETAINED_WRITE_BUFFER_BYTES);
             self.written = 0;
         }
     }
--- a/crates/node/src/network/listeners.rs
+++ b/crates/node/src/network/listeners.rs
@@ -5,6 +5,7 @@
 
 mod accept;
 mod answers;
+mod backlog;
 mod close;
 mod counts;
 mod drain;
@@ -88,6 +89,8 @@
     requests_begun: u64,
     /// Bytes of answers on all connections that the peers have not taken.
     unread_answer_bytes: usize,
+    /// Bytes of input on all connections that waits for that.
+    suspended_bytes: usize,
     /// Slots of the connections that the next flush is to look at.
     flush_queue: Vec<usize>,
     read_buffer: Vec<u8>,
@@ -121,6 +124,7 @@
             pending_requests: 0,
             requests_begun: 0,
             unread_answer_bytes: 0,
+            suspended_bytes: 0,
             flush_queue: Vec::new(),
             read_buffer: vec![0; READ_BUFFER_BYTES],
             longest_deadline,
@@ -136,11 +140,6 @@
         self.connections.len()
     }
 
-    /// Bytes of answers on all connections that the peers have not taken.
-    pub fn unread_answer_bytes(&self) -> usize {
-        self.unread_answer_bytes
-    }
-
     /// The listeners that are open or draining.
     pub fn iter(&self) -> impl Iterator<Item = &Listener> {
         self.listeners.iter().map(|(_, listener)| listener)
--- a/crates/node/src/network/listeners/answers.rs
+++ b/crates/node/src/network/listeners/answers.rs
@@ -5,9 +5,7 @@
 use polling::{Event, PollMode};
 
 use super::{Caller, Counts, FIRST_KEY, ListenerEvent, Listeners};
-use crate::network::bounds::FAIR_UNREAD_ANSWER_BYTES;
 use crate::network::request::{self, Answer};
-use crate::network::termination::Termination;
 
 impl Listeners {
     /// Whether an answer can still go there.
@@ -39,12 +37,6 @@
         }
         count_answer(&mut self.listeners[connection.listener].counts, answer);
         self.pending_requests -= 1;
-        // While unread answers pile up on all connections, one with more than its fair part gets no more.
-        if self.unread_answer_bytes > self.limits.unread_answer_bytes
-            && connection.out.len() > FAIR_UNREAD_ANSWER_BYTES
-        {
-            connection.close_now(Termination::Unread);
-        }
         let (backpressure, protocol) = (self.backpressure, connection.protocol());
         self.write(caller.slot, |out| {
             request::write(out, protocol, request.wire_id, answer, backpressure)
@@ -58,9 +50,13 @@
         }
     }
 
-    /// Appends what `encode` writes to a connection's answers.
+    /// Appends what `encode` writes to a connection's answers, unless it is about to be closed.
     pub(super) fn write(&mut self, slot: usize, encode: impl FnOnce(&mut Vec<u8>)) {
-        self.unread_answer_bytes += self.connections[slot].out.append(encode);
+        self.limit_backlog();
+        let connection = &mut self.connections[slot];
+        if connection.immediate_close().is_none() {
+            self.unread_answer_bytes += connection.out.append(encode);
+        }
         self.queue_flush(slot);
     }
 
@@ -75,11 +71,13 @@
 
     /// Writes what the present turn produced, and closes what is to be closed.
     pub fn flush(&mut self, now: TenthMillis, events: &mut Vec<ListenerEvent>) {
-        let mut queue = std::mem::take(&mut self.flush_queue);
-        for slot in queue.drain(..) {
+        // Grows meanwhile: what the peer takes lets further requests of it be answered.
+        let mut index = 0;
+        while let Some(slot) = self.flush_queue.get(index).copied() {
             self.flush_connection(slot, now, events);
+            index += 1;
         }
-        self.flush_queue = queue;
+        self.flush_queue.clear();
     }
 
     fn flush_connection(&mut self, slot: usize, now: TenthMillis, events: &mut Vec<ListenerEvent>) {
@@ -94,10 +92,13 @@
             .immediate_close()
             .map_or_else(|| connection.write(now), Err);
         self.unread_answer_bytes -= before - connection.out.len();
-        match (written, connection.due_close()) {
-            (Err(termination), _) => self.close(slot, termination, events),
-            (Ok(()), Some(termination)) => self.linger(slot, termination, now, events),
-            (Ok(()), None) => self.update_interest(slot),
+        if let Err(termination) = written {
+            return self.close(slot, termination, events);
+        }
+        self.resume_suspended(slot, now, events);
+        match self.connections[slot].due_close() {
+            Some(termination) => self.linger(slot, termination, now, events),
+            None => self.update_interest(slot),
         }
     }
 
--- /dev/null
+++ b/crates/node/src/network/listeners/backlog.rs
@@ -0,0 +1,112 @@
+//! Bounds what is kept for clients that do not read their answers.
+//!
+//! A connection takes no further request while its unread answers meet [`MAX_UNREAD_ANSWER_BYTES`]: input that was read
+//! with the last one is suspended, at most [`READ_BUFFER_BYTES`]. Over all connections, unread answers and suspended
+//! input keep within `ResourceLimits::unread_answer_bytes`, plus the one answer or the one read that meets it.
+//!
+//! [`MAX_UNREAD_ANSWER_BYTES`]: crate::network::bounds::MAX_UNREAD_ANSWER_BYTES
+//! [`READ_BUFFER_BYTES`]: crate::network::bounds::READ_BUFFER_BYTES
+
+use doortrack_time::TenthMillis;
+
+use super::{ListenerEvent, Listeners};
+use crate::network::termination::Termination;
+
+impl Listeners {
+    /// Bytes of answers on all connections that the peers have not taken.
+    pub fn unread_answer_bytes(&self) -> usize {
+        self.unread_answer_bytes
+    }
+
+    /// Bytes that are kept because peers do not read: answers, and input that waits for them.
+    pub fn backlog_bytes(&self) -> usize {
+        self.unread_answer_bytes + self.suspended_bytes
+    }
+
+    /// Keeps the rest of a connection's input if it can't be split now.
+    pub(super) fn suspend_if_backlogged(&mut self, slot: usize, rest: &[u8]) {
+        let connection = &mut self.connections[slot];
+        let waits = connection.is_reading() && connection.immediate_close().is_none();
+        if waits && connection.is_backlogged() {
+            connection.suspend(rest);
+            self.suspended_bytes += rest.len();
+            self.limit_backlog();
+        }
+    }
+
+    /// Goes on with a connection's suspended input once its peer has read enough answers.
+    pub(super) fn resume_suspended(
+        &mut self,
+        slot: usize,
+        now: TenthMillis,
+        events: &mut Vec<ListenerEvent>,
+    ) {
+        let connection = &mut self.connections[slot];
+        if connection.is_backlogged() {
+            return;
+        }
+        if let Some(input) = connection.take_suspended() {
+            self.suspended_bytes -= input.len();
+            self.split(slot, &input, now, events);
+        }
+    }
+
+    /// Makes room where the backlog of all connections meets its bound: writes what peers take, and then closes the
+    /// connections with the largest backlogs.
+    pub(super) fn limit_backlog(&mut self) {
+        if !self.is_backlog_full() {
+            return;
+        }
+        self.write_queued();
+        while self.is_backlog_full() {
+            let Some(slot) = self.largest_backlog() else {
+                return;
+            };
+            self.discard_backlog(slot, Termination::Unread);
+        }
+    }
+
+    fn is_backlog_full(&self) -> bool {
+        self.backlog_bytes() >= self.limits.unread_answer_bytes
+    }
+
+    /// Writes what the present turn produced so far.
+    fn write_queued(&mut self) {
+        for index in 0..self.flush_queue.len() {
+            let slot = self.flush_queue[index];
+            let connection = self.connections.get_mut(slot);
+            let Some(connection) = connection.filter(|connection| connection.flush_queued) else {
+                continue; // Closed, or flushed already: what a flush leaves is not to be written unnoticed by it.
+            };
+            let before = connection.out.len();
+            let written = connection.write_early();
+            self.unread_answer_bytes -= before - connection.out.len();
+            if let Err(termination) = written {
+                self.discard_backlog(slot, termination);
+            }
+        }
+    }
+
+    /// The connection with the largest backlog, if any has one.
+    fn largest_backlog(&self) -> Option<usize> {
+        let backlogs = self
+            .connections
+            .iter()
+            .map(|(slot, connection)| (connection.backlog_bytes(), slot));
+        backlogs
+            .filter(|(bytes, _)| *bytes > 0)
+            .max()
+            .map(|(_, slot)| slot)
+    }
+
+    /// Drops a connection's backlog and has it closed at the end of the turn.
+    fn discard_backlog(&mut self, slot: usize, termination: Termination) {
+        let connection = &mut self.connections[slot];
+        self.unread_answer_bytes -= connection.out.discard();
+        if let Some(input) = connection.take_suspended() {
+            self.suspended_bytes -= input.len();
+        }
+        connection.close_now(termination);
+        self.queue_flush(slot);
+    }
+}
--- a/crates/node/src/network/listeners/close.rs
+++ b/crates/node/src/network/listeners/close.rs
@@ -37,6 +37,7 @@
         _ = self.poller.delete(&connection.sock);
         self.pending_requests -= connection.pending.len();
         self.unread_answer_bytes -= connection.out.len();
+        self.suspended_bytes -= connection.suspended_bytes();
         let ids = connection.pending.iter().filter_map(|pending| pending.id);
         events.extend(ids.map(|id| ListenerEvent::Ended { id, termination }));
         let owner = &mut self.listeners[connection.listener];
--- a/crates/node/src/network/listeners/reading.rs
+++ b/crates/node/src/network/listeners/reading.rs
@@ -35,8 +35,12 @@
 
     /// Reads a connection once.
     pub(super) fn read(&mut self, slot: usize, now: TenthMillis, events: &mut Vec<ListenerEvent>) {
-        let mut buffer = std::mem::take(&mut self.read_buffer);
         let connection = &mut self.connections[slot];
+        let waits = connection.is_backlogged() || connection.is_suspended();
+        if connection.is_reading() && waits {
+            return; // What it sends next stays with the system until its peer has read answers.
+        }
+        let mut buffer = std::mem::take(&mut self.read_buffer);
         let received = connection.read(&mut buffer, now);
         if connection.is_lingering() {
             self.discard(slot, received, events);
@@ -66,7 +70,8 @@
         }
     }
 
-    fn split(
+    /// Splits input into requests, as far as the connection's unread answers allow; the rest waits for them.
+    pub(super) fn split(
         &mut self,
         slot: usize,
         mut input: &[u8],
@@ -74,7 +79,7 @@
         events: &mut Vec<ListenerEvent>,
     ) {
         let size = input.len();
-        while self.connections[slot].is_reading() {
+        while self.connections[slot].accepts_requests() {
             match self.connections[slot].reader().next(&mut input) {
                 Ok(Some(request_event)) => self.on_request_event(slot, request_event, now, events),
                 Ok(None) => break,
@@ -82,9 +87,10 @@
             }
         }
         let connection = &mut self.connections[slot];
-        if connection.account_read(size, now) && connection.is_reading() {
+        if connection.account_split(size - input.len(), now) && connection.is_reading() {
             self.give_up(slot);
         }
+        self.suspend_if_backlogged(slot, input);
     }
 
     /// Stops reading a connection whose input is malformed. Complete requests on it are still answered.
--- a/crates/node/tests/node/main.rs
+++ b/crates/node/tests/node/main.rs
@@ -6,6 +6,7 @@
 )]
 
 mod accepts;
+mod backlog;
 mod conformance;
 mod early_signals;
 mod ends;
