Harness: callers keep requests in flight, so a weakened fleet is seen to exceed at any load

What was seen: without_a_majority_two_halves_use_more_than_the_limit failed now and then on busy machines (713 and 968 runs without a key). Where it does not see the excess, a fleet without its safeguard looks sound.

Cause, in the harness: each of ten callers waited for an answer before it sent its next request. With runs of 40 ms all together could have some 220 a second admitted, where two halves admit 300 without a key alone; and less as answers take longer on a busy machine.

--- a/crates/fault-harness/src/load.rs
+++ b/crates/fault-harness/src/load.rs
@@ -19,6 +19,9 @@
 
 /// Share of requests that go to the preferred node, where there is one.
 const PREFERRED_SHARE: f64 = 0.6;
+/// Requests that a caller has in flight at once at the most. With fewer, callers that wait for slow answers would send
+/// less than the budgets admit, and nothing could be exceeded.
+const REQUESTS_IN_FLIGHT: u32 = 8;
 /// The server's concurrency, as the installation file says it.
 const SERVER_CONCURRENCY: u32 = 64;
 
@@ -27,7 +30,7 @@
 pub struct LoadProfile {
     /// Number of callers.
     pub callers: usize,
-    /// Pause between two requests of a caller.
+    /// Pause between two requests of a caller while answers come at once.
     pub pause: Duration,
     /// After this time the next node is preferred; `None`: all nodes alike.
     pub preferred_for: Option<Duration>,
@@ -57,7 +60,7 @@
     server: Server,
     profile: LoadProfile,
     is_over: Arc<AtomicBool>,
-    callers: Vec<JoinHandle<Vec<RequestRecord>>>,
+    senders: Vec<JoinHandle<Vec<RequestRecord>>>,
 }
 
 /// What callers and server recorded.
@@ -72,8 +75,8 @@
     pub runs: Vec<(u64, u64)>,
 }
 
-/// One caller.
-struct Caller {
+/// One of the [`REQUESTS_IN_FLIGHT`] of a caller: sends one request after the other.
+struct Sender {
     profile: LoadProfile,
     addresses: Vec<SocketAddr>,
     random: fastrand::Rng,
@@ -94,7 +97,7 @@
             server,
             profile,
             is_over: Arc::default(),
-            callers: Vec::new(),
+            senders: Vec::new(),
         }
     }
 
@@ -107,8 +110,9 @@
     /// Starts the callers, which send to the nodes at these addresses.
     pub fn start(&mut self, addresses: &[SocketAddr], seed: u64) {
         let started = Instant::now();
-        for index in 0..self.profile.callers as u64 {
-            let caller = Caller {
+        let senders = self.profile.callers as u64 * u64::from(REQUESTS_IN_FLIGHT);
+        for index in 0..senders {
+            let sender = Sender {
                 profile: self.profile,
                 addresses: addresses.to_vec(),
                 random: fastrand::Rng::with_seed(seed ^ (index << 9)),
@@ -116,17 +120,17 @@
                 requests: Vec::new(),
             };
             let is_over = self.is_over.clone();
-            self.callers
-                .push(std::thread::spawn(move || caller.run(started, &is_over)));
+            self.senders
+                .push(std::thread::spawn(move || sender.run(started, &is_over)));
         }
     }
 
     /// Stops the callers, once each has the answer to its last request.
     pub fn finish(mut self) -> LoadReport {
         self.is_over.store(true, Ordering::Relaxed);
-        let callers = std::mem::take(&mut self.callers).into_iter();
-        let requests: Vec<RequestRecord> = callers
-            .filter_map(|caller| caller.join().ok())
+        let senders = std::mem::take(&mut self.senders).into_iter();
+        let requests: Vec<RequestRecord> = senders
+            .filter_map(|sender| sender.join().ok())
             .flatten()
             .collect();
         let by_attempt: BTreeMap<String, &RequestRecord> = requests
@@ -160,13 +164,13 @@
     }
 }
 
-impl Caller {
+impl Sender {
     fn run(mut self, started: Instant, is_over: &AtomicBool) -> Vec<RequestRecord> {
         while !is_over.load(Ordering::Relaxed) {
             let node = self.choose_node(started.elapsed());
             let keyed = self.random.bool();
             self.send(node, keyed);
-            std::thread::sleep(self.profile.pause);
+            std::thread::sleep(self.profile.pause * REQUESTS_IN_FLIGHT);
         }
         self.requests
     }
