A panic while a configuration is built is a refusal with place and cause; others are a log line

What operators saw: after SIGHUP with a file that made the build panic, raw text amid JSON lines and then `configuration rejected` without place or cause, on an idle node only when something else woke it. Without an installation file, where the build runs in the loop, the process ended. Any other panic left raw text as well.

Cause: nothing caught a panic of the build; the thread of builds took its channel with it and told nobody. The standard hook writes text of its own.

Change: system::panics has a hook that writes one line in the log's form (`panicked`: place, why, thread, node), and `catch`, under which every build runs. The thread of builds wakes the loop whenever it ends, and one that has ended is replaced by the next build.

--- a/crates/node/src/commands/serve.rs
+++ b/crates/node/src/commands/serve.rs
@@ -11,7 +11,10 @@
 use crate::event_loop::{Node, ServeError, StartError};
 use crate::system::clock::Clock;
 use crate::system::log::{self, Format};
+use crate::system::panics;
 use crate::system::signals::Signals;
+#[cfg(debug_assertions)]
+use crate::system::test_panics;
 
 /// The arguments of `doortrack serve`.
 #[derive(Args)]
@@ -49,6 +52,10 @@
     /// Takes a safeguard of the budgets out: for tests of fleets alone
     #[arg(long, hide = true, value_name = "SAFEGUARD", value_parser = parse_safeguards)]
     test_without: Option<Safeguards>,
+    /// Has the place that this file names panic: for tests alone
+    #[cfg(debug_assertions)]
+    #[arg(long, hide = true, value_name = "FILE")]
+    test_panic: Option<PathBuf>,
 }
 
 /// Why a node does not serve, or ended before its shutdown.
@@ -109,7 +116,13 @@
 pub fn run(args: ServeArgs) -> Result<(), ServeCommandError> {
     // First of all, as a signal would end the process before this.
     let signals = Signals::register().map_err(ServeCommandError::Signals)?;
+    panics::report_in_log(args.log_format, None);
+    #[cfg(debug_assertions)]
+    if let Some(path) = &args.test_panic {
+        test_panics::set_file(path.clone());
+    }
     let config = node_config::read()?;
+    panics::report_in_log(args.log_format, Some(&config.name));
     let mut installation = match &args.installation {
         Some(path) => installation::read(path)?,
         None => Installation::default(),
--- a/crates/node/src/event_loop/config_build.rs
+++ b/crates/node/src/event_loop/config_build.rs
@@ -11,6 +11,8 @@
 use doortrack_routes::Table;
 
 use crate::network::classified::RuleTable;
+use crate::system::panics;
+use crate::system::test_panics::{PanicPlace, panic_if_wanted};
 
 /// What is in force when a build begins.
 pub(super) struct BuildBase {
@@ -75,9 +77,16 @@
     /// Reads both files and builds what they say. Rules that are in force already are shared.
     ///
     /// # Errors
-    /// Every error, each with the path of its key.
+    /// Every error, each with the path of its key; a panic, with its place.
     pub(super) fn build(&mut self, base: &BuildBase) -> BuildResult {
+        panics::catch(|| self.try_build(base)).unwrap_or_else(|panic| {
+            Err(ConfigErrors::one("build of the configuration", panic.to_string()).into())
+        })
+    }
+
+    fn try_build(&mut self, base: &BuildBase) -> BuildResult {
         let begun = Instant::now();
+        panic_if_wanted(PanicPlace::Build);
         let platform = self.read_platform()?;
         let installation = match &self.sources.installation_path {
             Some(path) => installation::read(path)?,
--- a/crates/node/src/event_loop/reload.rs
+++ b/crates/node/src/event_loop/reload.rs
@@ -18,11 +18,13 @@
 use crate::network::backend::Backend;
 use crate::network::classified::{RuleTable, Rules};
 use crate::system::signals::RELOAD_KEY;
+use crate::system::test_panics::{PanicPlace, panic_if_wanted};
 
 impl Node {
     /// SIGHUP came: both files are to be read again.
     pub(super) fn request_reload(&mut self) {
         self.signals.acknowledge(RELOAD_KEY);
+        panic_if_wanted(PanicPlace::EventLoop);
         if self.reloader.notice() {
             self.begin_build();
         }
--- a/crates/node/src/event_loop/reloader.rs
+++ b/crates/node/src/event_loop/reloader.rs
@@ -12,6 +12,7 @@
 use polling::Poller;
 
 use super::config_build::{BuildBase, BuildResult, Builder, Rejected, Sources};
+use crate::system::test_panics::{PanicPlace, panic_if_wanted};
 
 /// Something that is no longer in force. Dropping it takes long where it is large.
 pub(super) type Retired = Box<dyn Any + Send>;
@@ -31,6 +32,16 @@
     },
 }
 
+/// Wakes the loop when the thread ends, however it does: nothing else may come to wake an idle node, and the build
+/// under way would be waited for.
+struct WakeAtEnd(Arc<Poller>);
+
+impl Drop for WakeAtEnd {
+    fn drop(&mut self) {
+        _ = self.0.notify();
+    }
+}
+
 struct Worker {
     jobs: Sender<Job>,
     results: Receiver<BuildResult>,
@@ -127,22 +138,24 @@
 }
 
 impl Worker {
-    /// Hands a build to the thread, which is started if there is none.
+    /// Hands a build to the thread, which is started if there is none or it has ended.
     fn begin(
         worker: &mut Option<Worker>,
         sources: &Sources,
         poller: &Arc<Poller>,
         base: BuildBase,
     ) -> io::Result<()> {
-        let worker = match worker {
-            Some(worker) => worker,
-            None => {
-                let builder = Builder::new(sources.clone());
-                worker.insert(Worker::start(builder, Arc::clone(poller))?)
+        let mut job = Job::Build(base);
+        if let Some(running) = worker {
+            match running.jobs.send(job) {
+                Ok(()) => return Ok(()),
+                Err(unsent) => job = unsent.0,
             }
-        };
-        // If the thread has ended meanwhile, `receive` finds out.
-        _ = worker.jobs.send(Job::Build(base));
+        }
+        let builder = Builder::new(sources.clone());
+        let started = worker.insert(Worker::start(builder, Arc::clone(poller))?);
+        // If it ends before it takes this, `receive` finds out.
+        _ = started.jobs.send(job);
         Ok(())
     }
 
@@ -150,13 +163,16 @@
         let (jobs, job_queue) = mpsc::channel();
         let (result_sender, results) = mpsc::channel();
         let work = move || {
+            let wake = WakeAtEnd(poller);
+            let result_sender = result_sender; // Dropped before `wake`, so that the loop finds the thread gone.
             for job in job_queue {
+                panic_if_wanted(PanicPlace::BuildThread);
                 match job {
                     Job::Build(base) => {
                         let result = builder.build(&base);
                         // The last reference to any of it must not be left to the loop.
                         drop(base);
-                        if result_sender.send(result).is_err() || poller.notify().is_err() {
+                        if result_sender.send(result).is_err() || wake.0.notify().is_err() {
                             return;
                         }
                     }
--- a/crates/node/src/system/log.rs
+++ b/crates/node/src/system/log.rs
@@ -21,6 +21,8 @@
 const MAX_LINE_LEN: usize = 4000;
 /// Bytes of a line that are kept free for the count of dropped lines.
 const DROPPED_COUNT_LEN: usize = 40;
+/// Characters of a value in a line that is written directly; each may take six bytes.
+const MAX_VALUE_LEN: usize = 500;
 
 /// How a line is written.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, ValueEnum)]
@@ -131,12 +133,41 @@
     if dropped > 0 {
         _ = write!(line, " lines_left_out={dropped}");
     }
+    one_line(line)
+}
+
+/// Without what could pass for another line or make it longer than a pipe takes.
+fn one_line(mut line: String) -> String {
     // A value from elsewhere must not look like a line of its own, nor make the line longer than a pipe takes.
     line.retain(|c| !c.is_control());
     line.truncate(line.floor_char_boundary(MAX_LINE_LEN));
     line
 }
 
+/// Writes one line without a logger and whatever was logged this second, if standard error takes it at once.
+pub(super) fn write_directly(format: Format, level: Level, message: &str, values: &[(&str, &str)]) {
+    let mut line = match format {
+        Format::Text => {
+            let mut line = format!("{} {level} {message}", unix_ms());
+            for (key, value) in values {
+                _ = write!(line, " {key}={value}");
+            }
+            one_line(line)
+        }
+        Format::Json => {
+            let mut object = json!({"time": unix_ms(), "level": level.as_str(), "msg": message});
+            for (key, value) in values {
+                object[key] = json!(value.chars().take(MAX_VALUE_LEN).collect::<String>());
+            }
+            object.to_string()
+        }
+    };
+    line.push('\n');
+    if stderr_is_writable() {
+        _ = io::stderr().write_all(line.as_bytes());
+    }
+}
+
 /// Lines written and dropped.
 #[derive(Default)]
 struct CurrentSecond {
--- a/crates/node/tests/node/main.rs
+++ b/crates/node/tests/node/main.rs
@@ -18,6 +18,7 @@
 mod late_stops;
 mod near_stops;
 mod notices;
+mod panics;
 mod parts;
 mod pieces;
 mod play;
