SIGINT drains a node as SIGTERM does; it ended the process with all that was read and ran

Cause: Signals::register handled SIGTERM and SIGHUP; SIGINT kept the system's default, which ends the process.

Change: SIGINT goes to the socket of SIGTERM from the first step of the start on. The first of either counts; a second, in any order, changes nothing, as Node::drain already left a drain under way alone.

Evidence: before, the three tests failed (the process ended by the signal, no report of a drain): an interrupt, two signals in each order, and an interrupt during the start. They pass with the change.

--- a/crates/node/src/event_loop/shutdown.rs
+++ b/crates/node/src/event_loop/shutdown.rs
@@ -115,7 +115,7 @@
 }
 
 impl Node {
-    /// SIGTERM came, at `received_at` or later: begins to drain, unless the node does already.
+    /// SIGTERM or SIGINT came, at `received_at` or later: begins to drain, unless the node does already.
     pub(super) fn drain(&mut self, received_at: TenthMillis) {
         self.signals.acknowledge(DRAIN_KEY);
         if self.shutdown.is_draining() {
--- a/crates/node/src/main.rs
+++ b/crates/node/src/main.rs
@@ -29,7 +29,7 @@
 
 #[derive(Subcommand)]
 enum Command {
-    /// Starts a node, which stays in the foreground until SIGTERM. SIGHUP reads its files again
+    /// Starts a node, which stays in the foreground until SIGTERM or SIGINT. SIGHUP reads its files again
     Serve(ServeArgs),
     /// Prints every fault of an installation file, and of a configuration, and exits with 1 if there is any
     Check {
--- a/crates/node/src/system/signals.rs
+++ b/crates/node/src/system/signals.rs
@@ -1,12 +1,12 @@
-//! SIGTERM and SIGHUP, each by a socket of its own in the poller.
+//! SIGTERM, SIGINT and SIGHUP as sockets in the poller: one for the first two, which mean the same, and one for the third.
 
 use std::io::{self, Read};
 use std::os::unix::net::UnixStream;
 
 use polling::{Event, PollMode, Poller};
-use signal_hook::consts::{SIGHUP, SIGTERM};
+use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
 
-/// Key in the poller of SIGTERM: the node is to drain and stop.
+/// Key in the poller of SIGTERM and SIGINT: the node is to drain and stop.
 pub(crate) const DRAIN_KEY: usize = 2;
 /// Key in the poller of SIGHUP: the configuration is to be read again.
 pub(crate) const RELOAD_KEY: usize = 3;
@@ -18,15 +18,15 @@
 }
 
 impl Signals {
-    /// Handles the signals from here on. Before this either of them ends the process, so it is the first thing
+    /// Handles the signals from here on. Before this any of them ends the process, so it is the first thing
     /// that a start does: reading a large configuration takes a while.
     ///
     /// # Errors
     /// The system gives no socket.
     pub fn register() -> io::Result<Signals> {
         Ok(Signals {
-            drain: register(SIGTERM)?,
-            reload: register(SIGHUP)?,
+            drain: register(&[SIGTERM, SIGINT])?,
+            reload: register(&[SIGHUP])?,
         })
     }
 
@@ -50,10 +50,12 @@
     }
 }
 
-/// A socket that becomes readable when the signal arrives.
-fn register(signal: i32) -> io::Result<UnixStream> {
+/// A socket that becomes readable when one of the signals arrives.
+fn register(signals: &[i32]) -> io::Result<UnixStream> {
     let (receiver, sender) = UnixStream::pair()?;
     receiver.set_nonblocking(true)?;
-    signal_hook::low_level::pipe::register(signal, sender)?;
+    for signal in signals {
+        signal_hook::low_level::pipe::register(*signal, sender.try_clone()?)?;
+    }
     Ok(receiver)
 }
--- a/crates/node/tests/node/early_signals.rs
+++ b/crates/node/tests/node/early_signals.rs
@@ -104,10 +104,12 @@
 
 #[test]
 fn a_notice_during_the_start_ends_the_process_in_order() {
-    let mut starting = Starting::begin("early-notice");
-    starting.signal("-TERM");
-    starting.is_handed_its_configuration();
-    let (code, log) = starting.end();
-    assert_eq!(code, Some(0), "{log}");
-    assert!(log.contains("draining"), "{log}");
+    for signal in ["-TERM", "-INT"] {
+        let mut starting = Starting::begin(&format!("early-notice{signal}"));
+        starting.signal(signal);
+        starting.is_handed_its_configuration();
+        let (code, log) = starting.end();
+        assert_eq!(code, Some(0), "{signal}: {log}");
+        assert!(log.contains("draining"), "{signal}: {log}");
+    }
 }
--- a/crates/node/tests/node/main.rs
+++ b/crates/node/tests/node/main.rs
@@ -14,6 +14,7 @@
 mod half_closed;
 mod idle;
 mod instants;
+mod interrupts;
 mod late_answers;
 mod late_stops;
 mod near_stops;
