Harness and demo end in order on SIGINT and SIGTERM, with what they started

What was seen: an interrupted `doortrack-harness play` left its nodes running and their folder behind; `doortrack-demo work` ended in the middle of what it ran.

Cause: neither handled a signal, and the nodes of Rig ended only where it was dropped.

Change: each process that the harness starts is tied to it by the system (child_process::end_with_parent, which stood in three places); folders of files are ScratchFolders, which an interrupt removes before the exit with code 130. The demo's application server answers what runs within 1.2 s and ends with 0.

--- a/crates/demo/src/main.rs
+++ b/crates/demo/src/main.rs
@@ -10,6 +10,7 @@
 use std::time::Duration;
 
 use clap::{Parser, Subcommand, ValueEnum};
+use doortrack_fakes::interrupt::on_interrupt;
 use doortrack_fakes::server::{Behavior, Server};
 use doortrack_protocols::Protocol;
 
@@ -23,6 +24,8 @@
 const UWSGI_PORT: u16 = 9091;
 /// Run time of a request at the application server.
 const RUN_TIME: Duration = Duration::from_secs(1);
+/// From an interrupt to the application server's end: a run and its answer.
+const SHUTDOWN_TIME: Duration = Duration::from_millis(1_200);
 
 /// Plays what a node talks to, so that one can be tried by hand with the files of `examples/`.
 #[derive(Parser)]
@@ -75,7 +78,12 @@
 }
 
 fn main() -> ExitCode {
-    match run(Cli::parse().command) {
+    let command = Cli::parse().command;
+    if let Err(e) = end_in_order_on_interrupt(&command) {
+        eprintln!("doortrack-demo: signals: {e}");
+        return ExitCode::FAILURE;
+    }
+    match run(command) {
         Ok(()) => ExitCode::SUCCESS,
         Err(e) => {
             eprintln!("doortrack-demo: {e}");
@@ -84,6 +92,20 @@
     }
 }
 
+/// At SIGINT or SIGTERM a server answers what runs, and ends.
+fn end_in_order_on_interrupt(command: &Command) -> io::Result<()> {
+    let remaining = match command {
+        Command::Serve => Duration::ZERO, // The node learns of the end of its engine by itself.
+        Command::Work { .. } => SHUTDOWN_TIME,
+        Command::Ask { .. } => return Ok(()),
+    };
+    on_interrupt(move || {
+        println!("ending");
+        std::thread::sleep(remaining);
+        std::process::exit(0);
+    })
+}
+
 fn run(command: Command) -> io::Result<()> {
     match command {
         Command::Serve => engine::serve(ENGINE, REGISTRY),
@@ -120,7 +142,7 @@
     SocketAddr::from(([127, 0, 0, 1], port))
 }
 
-/// Runs an application server until the process is killed.
+/// Runs an application server until the process ends.
 fn serve_requests(protocol: Protocol, listen: SocketAddr) -> io::Result<()> {
     let _server = Server::start_at(listen, protocol, |request| {
         let body = String::from_utf8_lossy(&request.body);
--- /dev/null
+++ b/crates/demo/tests/interrupt.rs
@@ -0,0 +1,54 @@
+//! The demo's servers interrupted, as Ctrl-C does it: they end in order.
+
+use std::io::{BufRead, BufReader, Lines};
+use std::net::SocketAddr;
+use std::process::{Child, ChildStdout, Command, Stdio};
+
+use doortrack_fakes::caller::{CallerOutcome, CallerRequest};
+use doortrack_fakes::fixture::fresh_address;
+use doortrack_protocols::Protocol;
+
+fn start(arguments: &[&str]) -> (Child, Lines<BufReader<ChildStdout>>) {
+    let mut demo = Command::new(env!("CARGO_BIN_EXE_doortrack-demo"))
+        .args(arguments)
+        .stdout(Stdio::piped())
+        .spawn()
+        .unwrap();
+    let lines = BufReader::new(demo.stdout.take().unwrap()).lines();
+    (demo, lines)
+}
+
+fn signal(demo: &Child, name: &str) {
+    let id = demo.id().to_string();
+    assert!(
+        Command::new("kill")
+            .args([name, &id])
+            .status()
+            .unwrap()
+            .success()
+    );
+}
+
+/// Guards against a server that ends in the middle of what it runs.
+#[test]
+fn an_interrupted_application_server_answers_what_runs_and_ends() {
+    for name in ["-INT", "-TERM"] {
+        let address: SocketAddr = fresh_address();
+        let (mut demo, mut lines) = start(&["work", "--listen", &address.to_string()]);
+        assert!(
+            lines
+                .next()
+                .unwrap()
+                .unwrap()
+                .starts_with("uwsgi server at")
+        );
+        let request = CallerRequest::new(1, "/svc/look", b"berth");
+        let pending = request.send(address, Protocol::Uwsgi);
+        assert_eq!(lines.next().unwrap().unwrap(), "run: berth");
+        signal(&demo, name);
+        assert_eq!(lines.next().unwrap().unwrap(), "ending");
+        let outcome = pending.outcome();
+        assert_eq!(outcome, CallerOutcome::Completed(b"done: berth".to_vec()));
+        assert_eq!(demo.wait().unwrap().code(), Some(0), "{name}");
+    }
+}
--- a/crates/fakes/src/lib.rs
+++ b/crates/fakes/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod fixture;
 pub mod idle;
 pub mod instant;
+pub mod interrupt;
 pub mod records;
 pub mod rules;
 pub mod server;
--- a/crates/fault-harness/src/main.rs
+++ b/crates/fault-harness/src/main.rs
@@ -5,6 +5,7 @@
 use std::process::ExitCode;
 
 use clap::{Args, Parser, Subcommand};
+use doortrack_fakes::interrupt::on_interrupt;
 use doortrack_fault_harness::checks::{Violation, judge, membership};
 use doortrack_fault_harness::history::HistoryError;
 use doortrack_fault_harness::scale::command::{self, HollowArgs, ScaleArgs};
@@ -13,7 +14,7 @@
 use doortrack_fault_harness::script::ScriptError;
 use doortrack_fault_harness::shrink::shrink;
 use doortrack_fault_harness::simulated;
-use doortrack_fault_harness::{History, Script, processes, script};
+use doortrack_fault_harness::{History, Script, processes, scratch_folder, script};
 
 /// Plays fleets of doortrack nodes while parts of the system fail, and judges the joint history.
 #[derive(Parser)]
@@ -111,8 +112,16 @@
     }
 }
 
+/// The exit code of a program that was interrupted, as shells have it.
+const INTERRUPTED: i32 = 130;
+
 fn main() -> ExitCode {
-    match run(Cli::parse().command) {
+    let command = Cli::parse().command;
+    if let Err(e) = end_in_order_on_interrupt(&command) {
+        eprintln!("doortrack-harness: signals: {e}");
+        return ExitCode::FAILURE;
+    }
+    match run(command) {
         Ok(true) => ExitCode::SUCCESS,
         Ok(false) => ExitCode::FAILURE,
         Err(e) => {
@@ -122,6 +131,18 @@
     }
 }
 
+/// At SIGINT or SIGTERM no file is left behind. The processes that were started end with this one.
+fn end_in_order_on_interrupt(command: &Command) -> io::Result<()> {
+    if matches!(command, Command::Hollow(_)) {
+        return Ok(()); // Has no files and no children, and ends with the process that started it.
+    }
+    on_interrupt(|| {
+        eprintln!("doortrack-harness: interrupted");
+        scratch_folder::remove_all_at_exit();
+        std::process::exit(INTERRUPTED);
+    })
+}
+
 /// Carries out a command. Returns whether nothing was violated.
 fn run(command: Command) -> Result<bool, CommandError> {
     match command {
--- a/crates/fault-harness/src/processes.rs
+++ b/crates/fault-harness/src/processes.rs
@@ -23,6 +23,7 @@
 
 use crate::history::{History, HistoryEvent};
 use crate::relay::{Relay, RelayCounts};
+use crate::scratch_folder::ScratchFolder;
 use crate::streams::Stream;
 use crate::traffic::{Backend, ProcessExit, TrafficCounts};
 
@@ -47,7 +48,7 @@
     nodes: Vec<Node>,
     /// The links between the nodes.
     pub relay: Relay,
-    folder: PathBuf,
+    folder: ScratchFolder,
     began: Instant,
     history: Arc<Mutex<History>>,
     log_readers: Vec<JoinHandle<()>>,
@@ -243,16 +244,13 @@
 impl Drop for Rig {
     fn drop(&mut self) {
         (0..self.nodes.len()).for_each(|node| self.kill(node));
-        _ = std::fs::remove_dir_all(&self.folder);
     }
 }
 
 /// Creates the run's folder, named after this process and the first node, with the key file.
-fn create_folder(first: Option<&Node>) -> io::Result<PathBuf> {
+fn create_folder(first: Option<&Node>) -> io::Result<ScratchFolder> {
     let first = first.map_or(String::new(), |node| node.address.ip().to_string());
-    let name = format!("doortrack-harness-{}-{first}", std::process::id());
-    let folder = std::env::temp_dir().join(name);
-    std::fs::create_dir_all(&folder)?;
+    let folder = ScratchFolder::create(&format!("harness-{}-{first}", std::process::id()))?;
     let key = format!("{KEY_BYTE:02x}").repeat(KEY_BYTES);
     std::fs::write(folder.join(KEY_FILE), key)?;
     Ok(folder)
--- a/crates/fault-harness/src/processes/lifecycle.rs
+++ b/crates/fault-harness/src/processes/lifecycle.rs
@@ -11,6 +11,7 @@
 use serde_json::{Value, json};
 
 use super::{Node, Rig, RunResult, log};
+use crate::child_process::end_with_parent;
 use crate::history::{HistoryEvent, name};
 use crate::traffic::{Backend, ProcessExit, Traffic, TrafficCounts};
 
@@ -88,6 +89,7 @@
             .env("GW_CONFIG", config_file)
             .stdout(Stdio::null())
             .stderr(Stdio::piped());
+        end_with_parent(&mut command);
         command
     }
 
--- a/crates/fault-harness/src/scale/child.rs
+++ b/crates/fault-harness/src/scale/child.rs
@@ -2,15 +2,14 @@
 
 use std::io::{self, BufRead, BufReader, Write};
 use std::ops::Range;
-use std::os::unix::process::CommandExt;
 use std::path::{Path, PathBuf};
 use std::process::{Child, ChildStdin, ChildStdout, Command, Stdio};
 use std::time::{Duration, Instant};
 
-use rustix::process::{Signal, set_parent_process_death_signal};
 use thiserror::Error;
 
 use super::protocol::{HollowCommand, HollowReply};
+use crate::child_process::end_with_parent;
 
 /// What ends a play before its time.
 #[derive(Debug, Error)]
@@ -33,13 +32,6 @@
     }
 }
 
-/// Has the system kill a process when its parent ends, however that comes about.
-pub fn end_with_parent(command: &mut Command) {
-    let tie = || set_parent_process_death_signal(Some(Signal::KILL)).map_err(io::Error::from);
-    // SAFETY: one system call, no allocation and no lock between fork and exec.
-    unsafe { command.pre_exec(tie) };
-}
-
 /// What a process has used by a moment.
 #[derive(Clone, Copy, Debug)]
 pub struct Usage {
--- a/crates/fault-harness/src/scale/fleet.rs
+++ b/crates/fault-harness/src/scale/fleet.rs
@@ -10,6 +10,7 @@
 use super::plan::{FLEET_KEY, FleetPlan};
 use super::protocol::{HollowCommand, HollowReply, Loss, NodeSample};
 use super::serving::{KEY_FILE, RealNode, ServeProgram};
+use crate::scratch_folder::ScratchFolder;
 
 /// Hollow nodes that share a process.
 pub const NODES_PER_PROCESS: usize = 110;
@@ -74,7 +75,7 @@
     /// One process for each voter, then those of the hollow nodes.
     pub hollow: Vec<HollowProcess>,
     pub real: Vec<RealNode>,
-    folder: PathBuf,
+    folder: ScratchFolder,
     doortrack: PathBuf,
     servers: Value,
 }
@@ -90,8 +91,8 @@
         servers: &Value,
         in_fleet: impl Fn(usize) -> bool,
     ) -> Result<RunningFleet, ScaleError> {
-        let name = format!("doortrack-scale-{}-{}", std::process::id(), plan.fleet_port);
-        let folder = std::env::temp_dir().join(name);
+        let name = format!("scale-{}-{}", std::process::id(), plan.fleet_port);
+        let folder = ScratchFolder::create(&name).map_err(ScaleError::io(&name))?;
         prepare(&folder, &plan)?;
         let mut fleet = RunningFleet {
             plan,
@@ -255,7 +256,6 @@
     fn drop(&mut self) {
         self.real.clear();
         self.hollow.clear();
-        _ = std::fs::remove_dir_all(&self.folder);
     }
 }
 
@@ -263,7 +263,6 @@
 
 fn prepare(folder: &Path, plan: &FleetPlan) -> Result<(), ScaleError> {
     let at = || folder.display().to_string();
-    std::fs::create_dir_all(folder).map_err(ScaleError::io(at()))?;
     let key: String = FLEET_KEY.iter().map(|byte| format!("{byte:02x}")).collect();
     std::fs::write(folder.join(KEY_FILE), key).map_err(ScaleError::io(at()))?;
     let text = serde_json::to_string(plan).map_err(|e| ScaleError::Play(e.to_string()))?;
--- a/crates/fault-harness/src/scale/node_cost/process.rs
+++ b/crates/fault-harness/src/scale/node_cost/process.rs
@@ -2,8 +2,7 @@
 
 use std::io::{self, Read};
 use std::net::{SocketAddr, UdpSocket};
-use std::os::unix::process::CommandExt;
-use std::path::{Path, PathBuf};
+use std::path::Path;
 use std::process::{Child, ChildStderr, Command, Stdio};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::thread::JoinHandle;
@@ -11,12 +10,14 @@
 
 use doortrack_fakes::fixture::fresh_address;
 use procfs::process::Process;
-use rustix::process::{Pid, Signal, kill_process, set_parent_process_death_signal};
+use rustix::process::{Pid, Signal, kill_process};
 use serde_json::Value;
 use thiserror::Error;
 
 use super::caller::{Connection, Outcome};
 use super::settings::Addresses;
+use crate::child_process::end_with_parent;
+use crate::scratch_folder::ScratchFolder;
 
 const FRONT_PORT: u16 = 9_091;
 const FLEET_PORT: u16 = 7_400;
@@ -81,7 +82,7 @@
 /// that started it ends, however that comes.
 pub struct NodeProcess {
     child: Child,
-    folder: PathBuf,
+    folder: ScratchFolder,
     front: SocketAddr,
     started: Instant,
     log: Arc<Mutex<Log>>,
@@ -99,13 +100,8 @@
         configuration: &Value,
         installation: &Value,
     ) -> io::Result<NodeProcess> {
-        let name = format!(
-            "doortrack-scale-{}-{}",
-            std::process::id(),
-            addresses.listen.ip()
-        );
-        let folder = std::env::temp_dir().join(name);
-        std::fs::create_dir_all(&folder)?;
+        let name = format!("scale-{}-{}", std::process::id(), addresses.listen.ip());
+        let folder = ScratchFolder::create(&name)?;
         let configuration_file = folder.join("configuration.json");
         std::fs::write(&configuration_file, configuration.to_string())?;
         std::fs::write(folder.join("installation.json"), installation.to_string())?;
@@ -118,8 +114,7 @@
             .env("GW_CONFIG", &configuration_file)
             .stdin(Stdio::null())
             .stdout(Stdio::null());
-        // SAFETY: between fork and exec nothing is called but one system call.
-        unsafe { command.pre_exec(|| Ok(set_parent_process_death_signal(Some(Signal::KILL))?)) };
+        end_with_parent(&mut command);
         let started = Instant::now();
         let mut child = command.stderr(Stdio::piped()).spawn()?;
         let log: Arc<Mutex<Log>> = Arc::default();
@@ -223,7 +218,6 @@
         _ = self.child.kill();
         _ = self.child.wait();
         _ = self.reader.take().map(JoinHandle::join);
-        _ = std::fs::remove_dir_all(&self.folder);
     }
 }
 
--- a/crates/fault-harness/src/scale/serving.rs
+++ b/crates/fault-harness/src/scale/serving.rs
@@ -12,8 +12,9 @@
 use doortrack_node::peers::seal::{MAX_DATAGRAM_LEN, Seal};
 use serde_json::{Value, json};
 
-use super::child::{ScaleError, end_with_parent};
+use super::child::ScaleError;
 use super::plan::{FLEET_KEY, FleetPlan};
+use crate::child_process::end_with_parent;
 
 /// The line of the log with the counters of the link, which a node writes every 10 s; former builds write the
 /// second one.
