--- a/crates/node/tests/fleet/main.rs
+++ b/crates/node/tests/fleet/main.rs
@@ -15,6 +15,7 @@
 mod rolling;
 mod served;
 mod troubles;
+mod unnoticed;
 
 use std::path::Path;
 
--- a/crates/node/tests/fleet/ramp.rs
+++ b/crates/node/tests/fleet/ramp.rs
@@ -18,46 +18,46 @@
 use crate::program;
 
 /// Nodes that all send to the one server.
-const NODES: usize = 24;
+pub const NODES: usize = 24;
 /// Runs that the server is to get in the first `OVER_MS` after its return, from all nodes together.
-const RUNS: u32 = 144;
-const OVER_MS: u64 = 6_000;
+pub const RUNS: u32 = 144;
+pub const OVER_MS: u64 = 6_000;
 /// Tokens a second of the fleet's budget: `2 * RUNS / OVER_MS`.
-const TOKENS: u32 = 48;
+pub const TOKENS: u32 = 48;
 /// What a run takes in the server.
 const WORK: Duration = Duration::from_millis(5);
 /// Between the answer to a caller and its next request.
 const REST: Duration = Duration::from_millis(20);
 /// How long the server is away.
-const AWAY: Duration = Duration::from_secs(2);
+pub const AWAY: Duration = Duration::from_secs(2);
 /// No answer takes longer, however slow the machine; deadlines are at 30 s.
 const AT_ONCE: Duration = Duration::from_secs(15);
 /// Bound on every wait.
 const LONGEST: Duration = Duration::from_secs(60);
 
 /// What is put down to chance beyond a budget of `runs`: two standard deviations and two calls.
-fn most(runs: u32) -> usize {
+pub fn most(runs: u32) -> usize {
     (f64::from(runs) + 2.0 * f64::from(runs).sqrt() + 2.0).floor() as usize
 }
 
 /// What one caller has seen so far; it asks one node, one request after the other.
 #[derive(Default)]
-struct Tally {
-    completed: AtomicU64,
+pub struct Tally {
+    pub completed: AtomicU64,
     rejected: AtomicU64,
     failed: AtomicU64,
     unanswered: AtomicU64,
     slowest_ms: AtomicU64,
 }
 
-struct Callers {
+pub struct Callers {
     over: Arc<AtomicBool>,
     tallies: Vec<Arc<Tally>>,
     threads: Vec<JoinHandle<()>>,
 }
 
 impl Callers {
-    fn start(fronts: &[SocketAddr]) -> Callers {
+    pub fn start(fronts: &[SocketAddr]) -> Callers {
         let over: Arc<AtomicBool> = Arc::default();
         let tallies: Vec<Arc<Tally>> = fronts.iter().map(|_| Arc::default()).collect();
         let callers = fronts.iter().zip(&tallies).enumerate();
@@ -74,7 +74,7 @@
     }
 
     /// Waits until every caller's tally is as wanted.
-    fn wait_for(&self, what: &str, wanted: impl Fn(&Tally) -> bool) {
+    pub fn wait_for(&self, what: &str, wanted: impl Fn(&Tally) -> bool) {
         let until = Instant::now() + LONGEST;
         while let Some(place) = self.tallies.iter().position(|tally| !wanted(tally)) {
             assert!(
@@ -100,7 +100,7 @@
             .sum()
     }
 
-    fn finish(&mut self) {
+    pub fn finish(&mut self) {
         self.over.store(true, Ordering::Relaxed);
         std::mem::take(&mut self.threads)
             .into_iter()
@@ -144,7 +144,7 @@
     }
 }
 
-fn server(at: SocketAddr) -> Server {
+pub fn server(at: SocketAddr) -> Server {
     Server::start_at(at, Protocol::FastCgi, |_| Behavior::Answer {
         status: "200 OK",
         body: b"done".to_vec(),
@@ -153,7 +153,7 @@
 }
 
 /// One server that the nodes know from their start, with these further keys.
-fn installation(at: SocketAddr, more: Value) -> Value {
+pub fn installation(at: SocketAddr, more: Value) -> Value {
     let mut servers = json!({"protocol": "fastcgi", "addresses": [at.to_string()], "at_once": 8,
         "aside": {"first_ms": 200}});
     for (key, value) in more.as_object().into_iter().flatten() {
@@ -162,7 +162,7 @@
     json!({"servers": servers})
 }
 
-fn ramp(runs: u32) -> Value {
+pub fn ramp(runs: u32) -> Value {
     json!({"ramp": {"over_ms": OVER_MS, "runs": runs}})
 }
 
@@ -244,7 +244,7 @@
 }
 
 /// Starts so many nodes before a server that is up.
-fn started(nodes: usize, more: impl Fn(SocketAddr) -> Value) -> (Rig, Server) {
+pub fn started(nodes: usize, more: impl Fn(SocketAddr) -> Value) -> (Rig, Server) {
     let server = server("127.0.0.1:0".parse().unwrap());
     let own = more(server.at);
     let mut rig = Rig::new(program(), nodes, 3).unwrap();
@@ -289,7 +289,7 @@
 }
 
 /// Waits until a node has an allocation of the one budget.
-fn wait_for_allocation(rig: &Rig, of: usize) {
+pub fn wait_for_allocation(rig: &Rig, of: usize) {
     let until = Instant::now() + LONGEST;
     loop {
         let standing = query_budgets(rig.fleet_address(of), Some([0x5a; 32]))
