Nobody is reset who connects while a draining node closes its listener

What callers saw: connected, request written, connection reset without an answer, 0.1 s before the stop of a drain.

Cause: Listeners::drain accepts until the backlog is empty, then closes the socket; a connection that the system makes between the two is reset with it. No call closes a listener without that.

Change: 5 ms before, a packet filter drops first segments of connections at each listener (socket2, SO_ATTACH_FILTER), so the backlog can only empty; handshakes under way pass. A caller that begins in that time is refused as its system asks again, 1 s later.

--- a/crates/node/src/event_loop.rs
+++ b/crates/node/src/event_loop.rs
@@ -243,6 +243,9 @@
     /// Shortly before the stop: answers what can be answered, then reads each connection a last time and
     /// takes no more requests.
     fn close_listeners_if_due(&mut self) {
+        if self.shutdown.begins_refusing(self.now) {
+            self.listeners.refuse_handshakes();
+        }
         if self.shutdown.begins_flushing(self.now) {
             self.flush();
             self.listeners
--- a/crates/node/src/event_loop/shutdown.rs
+++ b/crates/node/src/event_loop/shutdown.rs
@@ -9,6 +9,8 @@
 
 /// The time before the stop in which nothing new is taken, for answers still on their way out.
 const FLUSH_TIME: TenthMillis = 100 * MILLISECOND;
+/// The time before that in which no connection is begun, for handshakes under way.
+const HANDSHAKE_TIME: TenthMillis = 5 * MILLISECOND;
 
 #[derive(Clone, Copy)]
 struct Notice {
@@ -26,6 +28,8 @@
     /// A configuration is being built that was asked for no later than the shutdown, so that its time to the
     /// stop counts too.
     reload_pending: bool,
+    /// No connection is begun.
+    refusing: bool,
     /// The listeners are closed.
     flushing: bool,
 }
@@ -84,11 +88,12 @@
         let stop_at = self
             .notice
             .map_or(TenthMillis::MAX, |notice| notice.stop_at);
-        if self.flushing {
-            stop_at
-        } else {
-            stop_at.saturating_sub(FLUSH_TIME)
-        }
+        let time_before_stop = match (self.refusing, self.flushing) {
+            (_, true) => 0,
+            (true, false) => FLUSH_TIME,
+            (false, false) => FLUSH_TIME + HANDSHAKE_TIME,
+        };
+        stop_at.saturating_sub(time_before_stop)
     }
 
     /// Whether so little time is left that nothing more is taken.
@@ -97,6 +102,14 @@
             .is_some_and(|notice| now + FLUSH_TIME >= notice.stop_at)
     }
 
+    /// True once: when no further connection is to be begun.
+    pub(super) fn begins_refusing(&mut self, now: TenthMillis) -> bool {
+        let is_due = |notice: &Notice| now + FLUSH_TIME + HANDSHAKE_TIME >= notice.stop_at;
+        let begins = !self.refusing && self.notice.as_ref().is_some_and(is_due);
+        self.refusing |= begins;
+        begins
+    }
+
     /// True once: when the listeners are to be closed.
     pub(super) fn begins_flushing(&mut self, now: TenthMillis) -> bool {
         let begins = !self.flushing && self.is_flush_due(now);
--- a/crates/node/src/network/listeners/drain.rs
+++ b/crates/node/src/network/listeners/drain.rs
@@ -4,7 +4,7 @@
 
 use doortrack_time::TenthMillis;
 
-use super::{ListenerEvent, Listeners};
+use super::{Listener, ListenerEvent, Listeners};
 use crate::network::bounds::MAX_FINAL_READS;
 use crate::network::request::Answer;
 use crate::network::termination::Termination;
@@ -31,6 +31,12 @@
         }
     }
 
+    /// Has the system begin no further connection at any listener: for the time in which handshakes under way end,
+    /// before [`Listeners::drain_all`].
+    pub fn refuse_handshakes(&self) {
+        self.iter().for_each(Listener::refuse_handshakes);
+    }
+
     /// Accepts a listener's backlog, closes its socket, reads each of its connections once more, and closes
     /// them as soon as nothing is pending on them.
     fn drain(
@@ -40,6 +46,9 @@
         now: TenthMillis,
         events: &mut Vec<ListenerEvent>,
     ) {
+        if let Some(entry) = self.listeners.get(listener) {
+            entry.refuse_handshakes();
+        }
         self.accept_backlog(listener, now, events);
         // Accepting may have closed the last connection of a listener that was draining before.
         let Some(entry) = self.listeners.get_mut(listener) else {
--- a/crates/node/src/network/listeners/listener.rs
+++ b/crates/node/src/network/listeners/listener.rs
@@ -4,7 +4,7 @@
 use std::net::{SocketAddr, TcpListener};
 
 use doortrack_protocols::Protocol;
-use socket2::{Domain, Socket, Type};
+use socket2::{Domain, SockFilter, SockRef, Socket, Type};
 
 use super::Counts;
 
@@ -59,6 +59,32 @@
     pub(super) fn is_full(&self) -> bool {
         self.connections >= self.max_connections
     }
+
+    /// Has the system begin no further connection here; those whose handshake is under way are still made. Whoever
+    /// would connect is refused once the listener is closed, as its system asks again.
+    pub(super) fn refuse_handshakes(&self) {
+        if let Some(socket) = &self.socket {
+            // Without it, connections that are made while the listener is closed are reset.
+            _ = SockRef::from(socket).attach_filter(&drop_first_segments());
+        }
+    }
+}
+
+/// A packet filter that drops the first segment of a connection: the one with no ACK.
+fn drop_first_segments() -> [SockFilter; 4] {
+    const LOAD_BYTE: u16 = 0x30;
+    const JUMP_IF_ANY_BIT: u16 = 0x45;
+    const RETURN: u16 = 0x06;
+    const TCP_FLAGS_OFFSET: u32 = 13;
+    const ACK: u32 = 0x10;
+    const NO_BYTES: u32 = 0;
+    const ALL_BYTES: u32 = u32::MAX;
+    [
+        SockFilter::new(LOAD_BYTE, 0, 0, TCP_FLAGS_OFFSET),
+        SockFilter::new(JUMP_IF_ANY_BIT, 1, 0, ACK),
+        SockFilter::new(RETURN, 0, 0, NO_BYTES),
+        SockFilter::new(RETURN, 0, 0, ALL_BYTES),
+    ]
 }
 
 /// A nonblocking listening socket.
--- a/crates/node/tests/node/main.rs
+++ b/crates/node/tests/node/main.rs
@@ -15,6 +15,7 @@
 mod idle;
 mod instants;
 mod interrupts;
+mod last_moment;
 mod late_answers;
 mod late_stops;
 mod near_stops;
