stop_ms is read exactly, and refused where it would overflow

What operators saw: 16,777,217 read as 16,777,216, and one of 1e30 overflowed the unit of time.

Cause: stop_after went through f32 and multiplied without a bound. It is read as f64 in tenths of a millisecond now; more than u32::MAX ms is refused with its key, where it was taken before.

--- a/crates/config/src/node_config.rs
+++ b/crates/config/src/node_config.rs
@@ -15,6 +15,8 @@
 const MAX_GROUPS: usize = 256;
 /// Tenants are numbered by two bytes.
 const MAX_TENANTS: usize = 65_536;
+/// Milliseconds from the request to shut down to the stop; seven weeks.
+const MAX_STOP_MS: f64 = u32::MAX as f64;
 
 /// What a node is started with.
 #[derive(Clone, Debug, PartialEq)]
@@ -152,8 +154,12 @@
 }
 
 fn stop_after(root: &JsonNode) -> Result<TenthMillis, SettingsError> {
-    let millis = root.required("stop_ms")?.number()? as f32;
-    Ok(millis as TenthMillis * MILLISECOND)
+    let node = root.required("stop_ms")?;
+    let millis = node.number()?;
+    if millis > MAX_STOP_MS {
+        return Err(node.unexpected(format!("at most {MAX_STOP_MS}")));
+    }
+    Ok((millis * MILLISECOND as f64) as TenthMillis)
 }
 
 fn settings(root: &JsonNode) -> Result<DeploymentSettings, ConfigErrors> {
