A key file and a seed with a plus sign are refused

What operators saw: a key file with '+a' in place of two digits taken as another key than it shows; a seed of '+ff' as 255.

Cause: from_str_radix takes a sign. The digits are checked first (range::is_hex); requests already checked theirs.

Evidence: the new test failed before ('+ff' read as 255); all tests of config pass.

--- a/crates/config/src/fleet/key.rs
+++ b/crates/config/src/fleet/key.rs
@@ -6,6 +6,8 @@
 
 use thiserror::Error;
 
+use crate::range::is_hex;
+
 const KEY_BYTES: usize = 32;
 const HEX_DIGITS: usize = 2 * KEY_BYTES;
 
@@ -44,7 +46,7 @@
 }
 
 fn decode(digits: &str) -> Option<FleetKey> {
-    if digits.len() != HEX_DIGITS || !digits.is_ascii() {
+    if digits.len() != HEX_DIGITS || !is_hex(digits) {
         return None;
     }
     let mut key = [0; KEY_BYTES];
--- a/crates/config/src/node_config.rs
+++ b/crates/config/src/node_config.rs
@@ -8,6 +8,7 @@
 use serde_json::Value;
 use sha2::{Digest as _, Sha256};
 
+use crate::range::is_hex;
 use crate::{ConfigError, ConfigErrorKind, ConfigErrors, ErrorCollector, ResourceLimits, stable};
 
 const VARIABLE: &str = "GW_CONFIG";
@@ -150,7 +151,9 @@
         return Ok(0);
     };
     let digits = node.string()?;
-    u64::from_str_radix(digits, 16).map_err(|_| node.unexpected("a seed in hex digits"))
+    let seed = u64::from_str_radix(digits, 16).ok();
+    seed.filter(|_| is_hex(digits))
+        .ok_or_else(|| node.unexpected("a seed in hex digits"))
 }
 
 fn stop_after(root: &JsonNode) -> Result<TenthMillis, SettingsError> {
--- a/crates/config/src/range.rs
+++ b/crates/config/src/range.rs
@@ -37,3 +37,8 @@
         errors.push(path, kind);
     }
 }
+
+/// Whether all characters are hex digits: unlike the numbers of the standard library, without a sign.
+pub(crate) fn is_hex(digits: &str) -> bool {
+    digits.bytes().all(|digit| digit.is_ascii_hexdigit())
+}
--- a/crates/config/tests/numbers.rs
+++ b/crates/config/tests/numbers.rs
@@ -1,5 +1,6 @@
 //! Numbers and digits of the node's configuration that were read as something else than what stands there.
 
+use doortrack_config::fleet::read_key;
 use doortrack_config::node_config;
 use doortrack_time::MILLISECOND;
 use serde_json::{Value, json};
@@ -22,3 +23,19 @@
         assert!(error.starts_with("config.stop_ms: "), "{error}");
     }
 }
+
+/// Guards against a sign that the standard library takes in front of digits.
+#[test]
+fn a_seed_and_a_key_are_hex_digits_and_nothing_else() {
+    assert_eq!(parse("seed", json!("00fF")).unwrap().seed, 255);
+    let error = parse("seed", json!("+ff")).unwrap_err();
+    assert!(error.starts_with("config.seed: "), "{error}");
+    let path = std::env::temp_dir().join(format!("doortrack-key-{}", std::process::id()));
+    let read = |digits: String| {
+        std::fs::write(&path, digits).unwrap();
+        read_key(&path).map_err(|error| error.to_string())
+    };
+    assert_eq!(read("5a".repeat(32)), Ok([0x5a; 32]));
+    assert!(read("+a".repeat(32)).unwrap_err().contains("64 hex digits"));
+    std::fs::remove_file(path).unwrap();
+}
