Parts of a core count: cores and servers are no longer cut to whole numbers

What operators saw: settings with 2.5 cores served as with 2, with 0.5 as with none; servers was cut the same way.

Cause: read as numbers and cast to u32, though the decisions reckon in f32. AdmissionConfig keeps the number now; no file is refused that was taken. A node without a weight of its own takes the cores rounded up as its weight.

Evidence: the new test can't hold for the type before (u32).

--- a/crates/admission/src/backpressure.rs
+++ b/crates/admission/src/backpressure.rs
@@ -43,7 +43,7 @@
             kind: config.backpressure,
             rejection_rate: 0.0,
             min_rank: 0.0,
-            ample_credits: config.overload_multiple * config.cores as f32,
+            ample_credits: config.overload_multiple * config.cores,
             sent: 0.0,
         }
     }
--- a/crates/admission/src/concurrency_limit.rs
+++ b/crates/admission/src/concurrency_limit.rs
@@ -25,7 +25,7 @@
 impl ConcurrencyLimit {
     /// Creates a limit that starts at its minimum.
     pub(crate) fn new(config: &AdmissionConfig) -> Self {
-        let cores = config.cores.max(1) as f32;
+        let cores = config.cores.max(1.0);
         Self {
             limit: cores,
             min: cores,
--- a/crates/admission/src/config.rs
+++ b/crates/admission/src/config.rs
@@ -64,7 +64,7 @@
 #[derive(Clone, Debug, PartialEq)]
 pub struct AdmissionConfig {
     /// Cores that run requests.
-    pub cores: u32,
+    pub cores: f32,
     /// Memory of the node, in kB.
     pub memory_kb: f32,
     /// Memory of a running request as a multiple of that of a queued one.
@@ -80,7 +80,7 @@
     /// Value is counted per unit of work and not per request.
     pub weight_per_work: bool,
     /// Nodes in the endpoint list, this one included.
-    pub nodes: u32,
+    pub nodes: f32,
     /// What cancelling running work does.
     pub cancellation: Cancellation,
     /// What callers make of the backpressure value.
--- a/crates/admission/src/idle_connections.rs
+++ b/crates/admission/src/idle_connections.rs
@@ -47,7 +47,7 @@
     /// Creates the state of a node that has set no timeout yet.
     pub(crate) fn new(config: &AdmissionConfig) -> Self {
         Self {
-            cores: config.cores as f32,
+            cores: config.cores,
             caller_timeout: config.idle_timeout,
             open: None,
             late_read_rate: 0.0,
--- a/crates/admission/src/quota.rs
+++ b/crates/admission/src/quota.rs
@@ -32,7 +32,7 @@
 impl TenantQuotas {
     /// Divides the quotas of the fleet among its nodes. Buckets are empty at time 0.
     pub(crate) fn new(config: &AdmissionConfig) -> Self {
-        let nodes = config.nodes.max(1) as f32;
+        let nodes = config.nodes.max(1.0);
         let bucket = |quota: &f32| {
             let rate = UNEVEN_SPREAD_FACTOR * quota / nodes / SECOND as f32;
             TokenBucket {
--- a/crates/admission/src/run_slots.rs
+++ b/crates/admission/src/run_slots.rs
@@ -32,7 +32,7 @@
     /// Creates the slots of a node that has not started yet.
     pub(crate) fn new(config: &AdmissionConfig) -> Self {
         Self {
-            cores: config.cores as f32,
+            cores: config.cores,
             cold: config.cold,
             initial_speed: config.initial_speed,
             warm_up_time: config.warm_up_time.max(1),
--- a/crates/admission/tests/cases/concurrency.rs
+++ b/crates/admission/tests/cases/concurrency.rs
@@ -32,7 +32,7 @@
 fn a_small_node_admits_no_more_than_begins_in_the_time_that_may_be_waited() {
     // Found on small nodes: C rose on runs that met their objective, and most of what was admitted
     // was given up.
-    let mut node = busy_node(2, 1);
+    let mut node = busy_node(2.0, 1);
     node.busy_cores = 0.0;
     for _ in 0..20 {
         rejected_of(&mut node, 12);
@@ -73,7 +73,7 @@
 #[test]
 fn odd_settings_and_odd_numbers_are_tolerated() {
     let mut config = AdmissionConfig {
-        cores: 0,
+        cores: 0.0,
         warm_up_time: 0,
         cold: true,
         downstream_concurrency: Some(0.0),
--- a/crates/admission/tests/cases/idle_connections.rs
+++ b/crates/admission/tests/cases/idle_connections.rs
@@ -16,7 +16,7 @@
     })
 }
 
-fn node_of_cores(cores: u32) -> SimulatedNode {
+fn node_of_cores(cores: f32) -> SimulatedNode {
     let config = AdmissionConfig { cores, ..config() };
     SimulatedNode::new(config, 1)
 }
@@ -35,7 +35,7 @@
 fn a_table_full_of_idle_connections_is_emptied_unless_much_is_read_too_late() {
     // Found on tigre-principal-later: a thousand callers each kept a connection that they never
     // used again.
-    let mut node = node_of_cores(2);
+    let mut node = node_of_cores(2.0);
     node.advance(20_000 * MILLISECOND);
     assert_eq!(
         last_timeout(&node),
@@ -61,7 +61,7 @@
 fn idle_connections_stay_where_callers_return() {
     // Found on the days at full size: 200 nodes closed what 150 callers used again within seconds,
     // and spent a fifth of their cores on new connections.
-    let mut node = node_of_cores(6);
+    let mut node = node_of_cores(6.0);
     node.connections = 90.0;
     read_from(&mut node, 0..1_000);
     assert_eq!(
--- a/crates/admission/tests/cases/main.rs
+++ b/crates/admission/tests/cases/main.rs
@@ -46,7 +46,7 @@
 }
 
 /// A node whose gauge reads that all cores are busy.
-fn busy_node(cores: u32, seed: u64) -> SimulatedNode {
+fn busy_node(cores: f32, seed: u64) -> SimulatedNode {
     let config = AdmissionConfig {
         cores,
         ..config_without_tenants()
--- a/crates/admission/tests/cases/quota.rs
+++ b/crates/admission/tests/cases/quota.rs
@@ -17,9 +17,9 @@
 fn a_tenant_over_its_quota_is_rejected_from_the_lower_threshold_on() {
     // Found on tigre-principal: one tenant's surge took the run slots of all others.
     let config = AdmissionConfig {
-        cores: 20,
+        cores: 20.0,
         tenant_quotas: vec![10.0, 1000.0],
-        nodes: 10,
+        nodes: 10.0,
         overload_multiple: 9.0,
         ..config()
     };
@@ -41,9 +41,9 @@
 fn a_tenant_with_a_small_quota_at_a_node_is_within_it_until_it_sends_more() {
     // Found on qld-da-portal: a tenant with less than one token counted as over its quota.
     let config = AdmissionConfig {
-        cores: 20,
+        cores: 20.0,
         tenant_quotas: vec![20.0, 20.0],
-        nodes: 100,
+        nodes: 100.0,
         ..config()
     };
     let mut node = SimulatedNode::new(config, 1);
@@ -67,7 +67,7 @@
     // Found on qld-da-portal: one tenant at three times its quota filled all queues, and all were
     // rejected.
     let config = AdmissionConfig {
-        cores: 2,
+        cores: 2.0,
         tenant_quotas: vec![1000.0, 0.1],
         ..config()
     };
--- a/crates/admission/tests/cases/thresholds.rs
+++ b/crates/admission/tests/cases/thresholds.rs
@@ -6,7 +6,7 @@
 
 #[test]
 fn below_the_lower_threshold_and_on_idle_cores_all_is_admitted() {
-    let mut node = busy_node(20, 1);
+    let mut node = busy_node(20.0, 1);
     assert_eq!(
         rejected_of(&mut node, 16),
         0,
@@ -22,7 +22,7 @@
     // At load 17 of C = 20 the probability is (17 - 15) / (20 - 15).
     let mut rejected = 0;
     for seed in 0..2000 {
-        let mut node = busy_node(20, seed);
+        let mut node = busy_node(20.0, seed);
         set_busy_cores(&mut node, 0.0);
         assert_eq!(rejected_of(&mut node, 17), 0);
         set_busy_cores(&mut node, 1.0);
@@ -36,7 +36,7 @@
 
 #[test]
 fn past_the_upper_threshold_only_established_sessions_pass_and_above_the_limit_none() {
-    let mut node = busy_node(20, 3);
+    let mut node = busy_node(20.0, 3);
     let first = node.arrive(0, 5, 0, None, 1.0);
     node.turn();
     node.end_run(first, RunOutcome::Completed);
@@ -65,7 +65,7 @@
 #[test]
 fn what_stood_unread_too_long_is_rejected_at_any_load() {
     // Found on amman-boards: a hot node spent its cores on reading requests whose callers had left.
-    let mut node = busy_node(4, 1);
+    let mut node = busy_node(4.0, 1);
     let late = node.arrive(0, 0, 900 * MILLISECOND, None, 1.0);
     node.turn();
     assert!(!node.requests[&late].answer_owed);
--- a/crates/admission/tests/cold_start.rs
+++ b/crates/admission/tests/cold_start.rs
@@ -31,7 +31,7 @@
 fn max_running(config: &AdmissionConfig, age: TenthMillis) -> usize {
     let warmth = (age as f32 / config.warm_up_time as f32).min(1.0);
     let speed = config.initial_speed + (1.0 - config.initial_speed) * warmth;
-    ((1.0 + (config.overload_multiple - 1.0) * speed) * config.cores as f32) as usize
+    ((1.0 + (config.overload_multiple - 1.0) * speed) * config.cores) as usize
 }
 
 fn count(node: &SimulatedNode, stage: Stage) -> usize {
--- a/crates/admission/tests/common/invariants.rs
+++ b/crates/admission/tests/common/invariants.rs
@@ -29,7 +29,7 @@
         let initial = self.config.initial_speed;
         let speed = initial + (1.0 - initial) * warmth;
         let per_core = 1.0 + (self.config.overload_multiple - 1.0) * speed;
-        let sustained = per_core * self.config.cores as f32;
+        let sustained = per_core * self.config.cores;
         assert!(
             on_cores <= sustained,
             "overload: {on_cores} on the cores, {sustained} can be sustained"
--- a/crates/admission/tests/common/mod.rs
+++ b/crates/admission/tests/common/mod.rs
@@ -26,7 +26,7 @@
         calls_downstream,
     };
     AdmissionConfig {
-        cores: 4,
+        cores: 4.0,
         memory_kb: 20_000.0,
         run_memory_factor: 8.0,
         record_kb: 100.0,
@@ -38,7 +38,7 @@
         tenant_quotas: vec![50.0, 20.0],
         over_quota_weight: 0.05,
         weight_per_work: false,
-        nodes: 10,
+        nodes: 10.0,
         cancellation: Cancellation::Drop,
         backpressure: Backpressure::MinRank,
         backpressure_ttl: 1000 * MILLISECOND,
--- a/crates/admission/tests/pinned.rs
+++ b/crates/admission/tests/pinned.rs
@@ -24,12 +24,12 @@
 fn draw_config(rng: &mut Rng) -> AdmissionConfig {
     let base = config();
     let mut config = AdmissionConfig {
-        cores: rng.u32(1..9),
+        cores: rng.u32(1..9) as f32,
         memory_kb: rng.choice([3_000.0, 20_000.0, 200_000.0]).unwrap(),
         tenant_quotas: vec![rng.choice([0.5, 8.0, 50.0]).unwrap(), 20.0],
         over_quota_weight: rng.choice([0.0, 0.05, 0.6]).unwrap(),
         weight_per_work: rng.bool(),
-        nodes: rng.choice([1, 10, 300]).unwrap(),
+        nodes: rng.choice([1.0, 10.0, 300.0]).unwrap(),
         cancellation: rng
             .choice([
                 Cancellation::Unsupported,
--- a/crates/node/src/peers/link.rs
+++ b/crates/node/src/peers/link.rs
@@ -61,7 +61,7 @@
 pub(super) fn weight(fleet_config: &FleetConfig, config: &NodeConfig) -> u32 {
     fleet_config
         .weight
-        .unwrap_or(config.settings.admission.cores)
+        .unwrap_or(config.settings.admission.cores.ceil() as u32)
         .max(1)
 }
 
--- a/crates/settings/src/deployment.rs
+++ b/crates/settings/src/deployment.rs
@@ -140,7 +140,7 @@
         } = self;
         let passes_retry_after = site.required(site::PASSES_RETRY_AFTER)?.boolean()?;
         Ok(AdmissionConfig {
-            cores: f32_at(node, node::CORES)? as u32,
+            cores: f32_at(node, node::CORES)?,
             memory_kb: f32_at(node, node::MEMORY_KB)?,
             run_memory_factor: f32_at(node, node::RUN_MEMORY_FACTOR)?,
             record_kb: f32_at(node, node::RECORD_KB)?,
@@ -148,7 +148,7 @@
             tenant_quotas,
             over_quota_weight: root.required(top::OVER_QUOTA_WEIGHT)?.fraction()?,
             weight_per_work: self.weight_unit()? == WeightUnit::Work,
-            nodes: f32_at(root, top::NODES)? as u32,
+            nodes: f32_at(root, top::NODES)?,
             cancellation: node.required(node::CANCELLATION)?.one_of(&CANCELLATIONS)?,
             backpressure: node.required(node::BACKPRESSURE)?.one_of(&BACKPRESSURES)?,
             backpressure_ttl: time_floor(node, node::BACKPRESSURE_TTL)?,
--- a/crates/settings/tests/settings.rs
+++ b/crates/settings/tests/settings.rs
@@ -60,3 +60,14 @@
         "settings.parties[2].name: a name that none before it has is wanted, found \"customer-000000\""
     );
 }
+
+/// Guards against a machine with a part of a core that counts as one without it, and one of half a core as none.
+#[test]
+fn parts_of_a_core_count() {
+    let mut value = settings(1);
+    value["family_info"]["cores"] = json!(2.5);
+    value["servers"] = json!(3.5);
+    let deployment = read(&JsonNode::root("settings", &value)).unwrap();
+    assert_eq!(deployment.admission.cores, 2.5);
+    assert_eq!(deployment.admission.nodes, 3.5);
+}
