A time of day with seconds that can't be read is refused

What operators saw: a request file with the time 09:30:xx was tried at 09:30:00 by doortrack expr and routes, without a word.

Cause: seconds_since_midnight put 0 for seconds that it could not read.

Evidence: the new test failed before (exit code 0 for 09:30:xx); it passes, as do the tests of rules.

--- a/crates/node/src/commands/input.rs
+++ b/crates/node/src/commands/input.rs
@@ -80,15 +80,20 @@
 
 /// Reads `09:30` or `09:30:00`.
 fn seconds_since_midnight(time: &str) -> Option<i64> {
-    let parts: Vec<Option<i64>> = time.split(':').map(|part| part.parse().ok()).collect();
-    let (Some(hours), Some(minutes), seconds) = (match parts[..] {
-        [hours, minutes] => (hours, minutes, None),
+    let parts: Option<Vec<i64>> = time.split(':').map(two_digits).collect();
+    let (hours, minutes, seconds) = match parts?[..] {
+        [hours, minutes] => (hours, minutes, 0),
         [hours, minutes, seconds] => (hours, minutes, seconds),
         _ => return None,
-    }) else {
-        return None;
     };
-    Some((hours * 60 + minutes) * 60 + seconds.unwrap_or(0))
+    let is_time = hours < 24 && minutes < 60 && seconds < 60;
+    is_time.then_some((hours * 60 + minutes) * 60 + seconds)
+}
+
+/// One or two digits, without a sign.
+fn two_digits(text: &str) -> Option<i64> {
+    let are_digits = text.len() <= 2 && text.bytes().all(|byte| byte.is_ascii_digit());
+    text.parse().ok().filter(|_| are_digits)
 }
 
 /// A JSON file; `name` stands for it in errors.
--- a/crates/node/tests/node/main.rs
+++ b/crates/node/tests/node/main.rs
@@ -30,3 +30,4 @@
 mod rules;
 mod silences;
 mod sockets;
+mod times_of_day;
