Requests without a session take no place among established sessions

What callers saw: with 4,096 sessions a window, established ones forgotten a session sooner, and rejected as new under overload.

Cause: EstablishedSessions::record_completed inserted key 0, which stands for no session and which contains never answers for.

--- a/crates/admission/src/sessions.rs
+++ b/crates/admission/src/sessions.rs
@@ -26,9 +26,11 @@
         session_key != NO_SESSION && self.0.contains(session_key)
     }
 
-    /// A request of the session was completed.
+    /// A request of the session, if it has one, was completed.
     pub(crate) fn record_completed(&mut self, session_key: u64) {
-        self.0.insert(session_key);
+        if session_key != NO_SESSION {
+            self.0.insert(session_key);
+        }
     }
 
     /// Forgets idle sessions. Called in each turn.
--- a/crates/admission/tests/cases/main.rs
+++ b/crates/admission/tests/cases/main.rs
@@ -9,6 +9,7 @@
 mod idle_connections;
 mod quota;
 mod run_time;
+mod sessions;
 mod thresholds;
 
 use common::{SimulatedNode, config};
