A drain brings no answer forward that is due before its stop

What callers saw: as a node drained, each request under way lost two ticks of its time, also where the stop was far, and two more each time that the stop was told again. A run that would have ended in that time was failed.

Cause: on_drain put a time from which the margin was taken already through Drain::answer_by, which takes it again. before_stop bounds such a time by the stop less the margin, and changes nothing when applied again.

Evidence: the new test failed before (639,920 for 639,960 tenths of a ms).

--- a/crates/admission/src/controller/review.rs
+++ b/crates/admission/src/controller/review.rs
@@ -81,7 +81,7 @@
         let slots: Vec<Slot> = self.in_flight.slots().collect();
         for slot in slots {
             let request = &mut self.in_flight[slot];
-            request.answer_by = self.drain.answer_by(request.answer_by);
+            request.answer_by = self.drain.before_stop(request.answer_by);
             request.objective_deadline = request.objective_deadline.min(request.answer_by);
             let review_at = request.review_at.min(request.answer_by);
             self.schedule_review(slot, review_at);
--- a/crates/admission/src/drain.rs
+++ b/crates/admission/src/drain.rs
@@ -54,8 +54,14 @@
 
     /// The last moment for an answer that is due at `deadline`, and before the process is stopped.
     pub(crate) fn answer_by(&self, deadline: TenthMillis) -> TenthMillis {
-        self.deadlines
-            .map_or(deadline, |deadlines| deadline.min(deadlines.stop_at))
-            .saturating_sub(self.answer_margin)
+        self.before_stop(deadline.saturating_sub(self.answer_margin))
+    }
+
+    /// The last moment for an answer that was to be given by `answer_by`, and before the process is stopped. Applied
+    /// again it changes nothing.
+    pub(crate) fn before_stop(&self, answer_by: TenthMillis) -> TenthMillis {
+        self.deadlines.map_or(answer_by, |deadlines| {
+            answer_by.min(deadlines.stop_at.saturating_sub(self.answer_margin))
+        })
     }
 }
--- a/crates/admission/tests/cases/main.rs
+++ b/crates/admission/tests/cases/main.rs
@@ -5,6 +5,7 @@
 mod common;
 mod concurrency;
 mod downstream_calls;
+mod drain;
 mod idempotency;
 mod idle_connections;
 mod quota;
