A repeat of what ran is not refused while its connection is being closed

What callers saw: in the last 100 ms of a drain, and on a withdrawn listener, a request with the key of one that had run was answered OVERLOADED, which promises that nothing ran; its caller has it run at another node.

Cause: as listeners close, half requests were refused at once, and so was what began afterwards on a connection that was being closed, before any key was read.

Change: on such a connection a request is read to its end. With a key it is answered from what is known of that; all others are refused as before, and nothing new runs.

Evidence: the new test failed before (OVERLOADED in four of four drains).

--- a/crates/node/src/event_loop.rs
+++ b/crates/node/src/event_loop.rs
@@ -109,6 +109,8 @@
             self.flush();
             self.log_summary_if_due();
             if self.is_finished() {
+                self.listeners.refuse_halves();
+                self.flush();
                 self.log_summary();
                 return Ok(());
             }
--- a/crates/node/src/network/bounds.rs
+++ b/crates/node/src/network/bounds.rs
@@ -23,6 +23,9 @@
 pub const RETAINED_WRITE_BUFFER_BYTES: usize = 16 * 1024;
 /// Bytes read from one connection before the next one gets its turn.
 pub const READ_BUFFER_BYTES: usize = 64 * 1024;
+/// Sweeps that half requests may outlast on a connection that is being closed. Until then the rest may show that one
+/// repeats a request that ran, which must not be refused.
+pub const MAX_CLOSING_SWEEPS: u8 = 2;
 /// Listeners at once, those that are draining included.
 pub const MAX_LISTENERS: usize = 24;
 /// Reads of a connection whose listener drains: enough for all that may be pending on it.
--- a/crates/node/src/network/connection.rs
+++ b/crates/node/src/network/connection.rs
@@ -13,7 +13,7 @@
 pub use self::expiry::{EvictionRank, Timeouts};
 pub use self::pending::{CompleteRequest, PendingRequest, PendingRequests, Stream};
 pub use self::write_buffer::WriteBuffer;
-use super::bounds::{MAX_INCOMPLETE_BYTES, MAX_UNREAD_ANSWER_BYTES};
+use super::bounds::{MAX_CLOSING_SWEEPS, MAX_INCOMPLETE_BYTES, MAX_UNREAD_ANSWER_BYTES};
 use super::termination::Termination;
 
 /// What the poller is to report of a socket.
@@ -36,6 +36,8 @@
     incomplete_bytes: usize,
     /// Input that was read and waits to be split until the peer has read answers.
     suspended: Option<Vec<u8>>,
+    /// Sweeps that met a half request while the connection was being closed.
+    closing_sweeps: u8,
     /// Something unreadable arrived: it is not read again before the next sweep, which bounds how often a
     /// client can repeat that. A dispatcher that passed it on for its client waits as long.
     paused: bool,
@@ -104,6 +106,7 @@
                 request_due_since: Some(now),
                 incomplete_bytes: 0,
                 suspended: None,
+                closing_sweeps: 0,
                 paused: false,
             },
             lifecycle: Lifecycle {
@@ -263,6 +266,15 @@
         self.close_when_answered(Termination::Closed);
     }
 
+    /// To be called by each sweep: whether half requests have stayed so for too long while it is being closed.
+    pub fn has_late_halves(&mut self) -> bool {
+        if !self.is_closing() || !self.pending.any_incomplete() {
+            return false;
+        }
+        self.input.closing_sweeps = self.input.closing_sweeps.saturating_add(1);
+        self.input.closing_sweeps > MAX_CLOSING_SWEEPS
+    }
+
     /// Reads nothing more before the next sweep.
     pub fn pause_reading(&mut self) {
         self.input.paused = true;
--- a/crates/node/src/network/listeners.rs
+++ b/crates/node/src/network/listeners.rs
@@ -64,6 +64,8 @@
         variables: RawVariables,
         /// Its body, for whoever runs it.
         body: Vec<u8>,
+        /// Its connection is being closed: it is not run, and answered only from what is known of its key.
+        is_late: bool,
     },
     /// A request's connection, or its caller's interest in it, came to an end.
     Ended {
--- a/crates/node/src/network/listeners/close.rs
+++ b/crates/node/src/network/listeners/close.rs
@@ -62,6 +62,7 @@
     /// To be called at a steady pace while [`Listeners::needs_sweep`].
     pub fn close_idle(&mut self, now: TenthMillis, events: &mut Vec<ListenerEvent>) {
         self.resume_paused();
+        self.refuse_late_halves();
         let timeouts = Timeouts {
             idle: self.idle_timeout,
             request_read: bounds::request_read_timeout(self.longest_deadline),
@@ -83,6 +84,17 @@
         !self.connections.is_empty() || self.iter().any(|listener| !listener.accepting)
     }
 
+    /// Refuses half requests that stay so on connections that are being closed.
+    fn refuse_late_halves(&mut self) {
+        let connections = self.connections.iter_mut();
+        let late: Vec<usize> = connections
+            .filter_map(|(slot, connection)| connection.has_late_halves().then_some(slot))
+            .collect();
+        for slot in late {
+            self.answer_incomplete(slot, Answer::NoCapacity);
+        }
+    }
+
     fn resume_paused(&mut self) {
         for (slot, connection) in &mut self.connections {
             if connection.resume_reading() && !connection.flush_queued {
--- a/crates/node/src/network/listeners/drain.rs
+++ b/crates/node/src/network/listeners/drain.rs
@@ -37,8 +37,16 @@
         self.iter().for_each(Listener::refuse_handshakes);
     }
 
+    /// Refuses all half requests, at the end of the process.
+    pub fn refuse_halves(&mut self) {
+        let slots: Vec<usize> = self.connections.iter().map(|(slot, _)| slot).collect();
+        for slot in slots {
+            self.answer_incomplete(slot, Answer::NoCapacity);
+        }
+    }
+
     /// Accepts a listener's backlog, closes its socket, reads each of its connections once more, and closes
-    /// them as soon as nothing is pending on them.
+    /// them as soon as nothing is pending on them. Half requests have until [`Listeners::close_idle`] refuses them.
     fn drain(
         &mut self,
         listener: usize,
@@ -96,7 +104,6 @@
             }
         }
         if self.connections.contains(slot) {
-            self.answer_incomplete(slot, Answer::NoCapacity);
             self.close_when_answered(slot, termination);
         }
     }
--- a/crates/node/src/network/listeners/reading.rs
+++ b/crates/node/src/network/listeners/reading.rs
@@ -143,8 +143,7 @@
         if connection.pending.find_wire_id(wire_id).is_some() {
             return self.give_up(slot);
         }
-        let is_closing = connection.is_closing();
-        if !keep_connection && !is_closing {
+        if !keep_connection && !connection.is_closing() {
             connection.close_when_answered(Termination::Closed);
         }
         self.requests_begun += 1;
@@ -155,7 +154,7 @@
         let caller = Caller { slot, request };
         if role != RESPONDER {
             self.answer(caller, Answer::UnknownRole);
-        } else if !within_bounds || is_closing {
+        } else if !within_bounds {
             self.answer(caller, Answer::NoCapacity);
         }
     }
@@ -218,7 +217,11 @@
             slot,
             request: complete.number,
         };
+        let is_late = self.connections[slot].is_closing();
         match self.decode(slot, &complete, now) {
+            Ok(inbound) if is_late && !may_be_repeat(&inbound) => {
+                self.answer(caller, Answer::NoCapacity);
+            }
             Ok(Inbound::Request(request)) => events.push(ListenerEvent::Request {
                 caller,
                 request,
@@ -227,6 +230,7 @@
                     bytes: complete.params,
                 },
                 body: complete.body,
+                is_late,
             }),
             Ok(Inbound::Health) => {
                 let healthy = self.healthy;
@@ -271,3 +275,8 @@
         }
     }
 }
+
+/// Whether a request may repeat one that ran.
+fn may_be_repeat(inbound: &Inbound) -> bool {
+    matches!(inbound, Inbound::Request(request) if request.idempotency_key.is_some())
+}
--- a/crates/node/tests/node/main.rs
+++ b/crates/node/tests/node/main.rs
@@ -17,6 +17,7 @@
 mod interrupts;
 mod last_moment;
 mod late_answers;
+mod late_repeats;
 mod late_stops;
 mod near_stops;
 mod notices;
