Harness: soaks of drains, with clients that go on until SIGKILL and signals in series

Progress on standard error, a line of JSON a seed on standard output, exit code 1 with the seeds that fail.

Folders and processes of NodeSetup end with an interrupted harness too: ScratchFolder and end_with_parent moved to fakes.

--- a/crates/fault-harness/src/child_process.rs
+++ b/crates/fakes/src/child_process.rs
@@ -1,4 +1,4 @@
-//! What holds for every process that the harness starts.
+//! What holds for processes that end with the one that started them.
 
 use std::io;
 use std::os::unix::process::CommandExt;
@@ -6,7 +6,7 @@
 
 use rustix::process::{Signal, set_parent_process_death_signal};
 
-/// Has the system kill a process when the thread that starts it ends, and with it the harness, however that comes about.
+/// Has the system kill a process when the thread that starts it ends, however that comes about.
 pub fn end_with_parent(command: &mut Command) {
     let tie = || set_parent_process_death_signal(Some(Signal::KILL)).map_err(io::Error::from);
     // SAFETY: one system call, no allocation and no lock between fork and exec.
--- a/crates/fakes/src/fixture.rs
+++ b/crates/fakes/src/fixture.rs
@@ -10,8 +10,10 @@
 use serde_json::{Value, json};
 
 use crate::MAX_WAIT;
+use crate::child_process::end_with_parent;
 use crate::engine::Engine;
 use crate::records::Client;
+use crate::scratch_folder::ScratchFolder;
 
 static STARTED: AtomicU32 = AtomicU32::new(0);
 
@@ -40,6 +42,8 @@
     pub arguments: Vec<String>,
     /// The soft limit on its descriptors (RLIMIT_NOFILE), where it is to have a lower one than the test.
     pub descriptors: Option<u64>,
+    /// Whether it is killed when the thread that starts it ends.
+    pub ends_with_parent: bool,
     engine_listener: TcpListener,
     registry: UdpSocket,
 }
@@ -60,6 +64,7 @@
             installation: None,
             arguments: Vec::new(),
             descriptors: None,
+            ends_with_parent: false,
             engine_listener: door,
             registry,
         }
@@ -71,9 +76,8 @@
     }
 
     pub fn start(self) -> NodeFixture {
-        let name = format!("doortrack-{}-{}", std::process::id(), self.address.ip());
-        let folder = std::env::temp_dir().join(name);
-        std::fs::create_dir_all(&folder).unwrap();
+        let name = format!("{}-{}", std::process::id(), self.address.ip());
+        let folder = ScratchFolder::create(&name).unwrap();
         let file = folder.join("config.json");
         std::fs::write(&file, self.config.to_string()).unwrap();
         let mut command = match self.descriptors {
@@ -95,6 +99,9 @@
             std::fs::write(&file, installation.to_string()).unwrap();
             command.arg("--installation").arg(file);
         }
+        if self.ends_with_parent {
+            end_with_parent(&mut command);
+        }
         let program = command
             .env("GW_CONFIG", &file)
             .stderr(Stdio::piped())
@@ -121,7 +128,7 @@
 /// The program, with its engine and registry played by the test.
 pub struct NodeFixture {
     pub program: Child,
-    pub folder: PathBuf,
+    pub folder: ScratchFolder,
     /// Where the node listens for dispatchers.
     pub address: SocketAddr,
     /// Where the node's engine link connects.
@@ -216,7 +223,6 @@
     fn drop(&mut self) {
         _ = self.program.kill();
         _ = self.program.wait();
-        _ = std::fs::remove_dir_all(&self.folder);
     }
 }
 
--- a/crates/fakes/src/lib.rs
+++ b/crates/fakes/src/lib.rs
@@ -9,6 +9,7 @@
 //! stand-in is part of its test.
 
 pub mod caller;
+pub mod child_process;
 pub mod engine;
 pub mod fixture;
 pub mod idle;
@@ -16,6 +17,7 @@
 pub mod interrupt;
 pub mod records;
 pub mod rules;
+pub mod scratch_folder;
 pub mod server;
 
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
--- a/crates/fault-harness/src/scratch_folder.rs
+++ b/crates/fakes/src/scratch_folder.rs
@@ -1,4 +1,4 @@
-//! Folders for the files of processes that the harness starts. They are removed when the program ends, also where it is
+//! Folders for the files of processes that tests and the harness start. They are removed when the program ends, also where it is
 //! interrupted.
 
 use std::collections::BTreeSet;
--- /dev/null
+++ b/crates/fault-harness/src/drains/client.rs
@@ -0,0 +1,193 @@
+//! A client that sends one request after the other, on an open connection as long as there is one.
+
+use std::io::{ErrorKind, Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::Duration;
+
+use doortrack_fakes::caller::{self, CallerRequest};
+use doortrack_fakes::{MAX_WAIT, unix_ms};
+use doortrack_protocols::Protocol;
+
+use super::judge::{ConnectionEnd, RequestRecord};
+
+/// Pauses between two pieces of a request, in ms.
+const PIECE_PAUSE_MS: std::ops::Range<u64> = 0..25;
+/// One request in so many is sent in pieces.
+const IN_PIECES: usize = 5;
+/// Idempotency keys that all clients share.
+const KEYS: u64 = 2_000;
+/// Requests of one client are numbered from its index shifted by this, so that no two clients share one.
+const CLIENT_SHIFT: u32 = 32;
+/// The record of FastCGI that ends an answer.
+const END_REQUEST: u8 = 3;
+const RECORD_HEADER_BYTES: usize = 8;
+
+/// A client of one listener.
+pub(super) struct Client {
+    random: fastrand::Rng,
+    address: SocketAddr,
+    protocol: Protocol,
+    max_pause_ms: u64,
+    last_request: u64,
+    connection: Option<TcpStream>,
+    records: Vec<RequestRecord>,
+}
+
+impl Client {
+    pub(super) fn new(
+        index: u64,
+        seed: u64,
+        address: SocketAddr,
+        protocol: Protocol,
+        max_pause_ms: u64,
+    ) -> Client {
+        Client {
+            random: fastrand::Rng::with_seed(seed ^ (index << 17)),
+            address,
+            protocol,
+            max_pause_ms,
+            last_request: (index + 1) << CLIENT_SHIFT,
+            connection: None,
+            records: Vec::new(),
+        }
+    }
+
+    /// Sends requests until it is over.
+    pub(super) fn run(mut self, is_over: &AtomicBool) -> Vec<RequestRecord> {
+        while !is_over.load(Ordering::Relaxed) {
+            if self.connect() {
+                self.send();
+            }
+            self.pause(0..self.max_pause_ms);
+        }
+        self.records
+    }
+
+    fn pause(&mut self, range: std::ops::Range<u64>) {
+        std::thread::sleep(Duration::from_millis(self.random.u64(range)));
+    }
+
+    /// Keeps the open connection unless the node has ended it, or opens one; whether there is one.
+    fn connect(&mut self) -> bool {
+        self.connection = self.connection.take().filter(is_open);
+        if self.connection.is_none() {
+            let connected = TcpStream::connect(self.address);
+            self.connection = connected.ok().filter(|sock| {
+                _ = sock.set_nodelay(true);
+                sock.set_read_timeout(Some(MAX_WAIT)).is_ok()
+            });
+        }
+        self.connection.is_some()
+    }
+
+    /// Sends a request and reads its answer.
+    fn send(&mut self) {
+        let Some(mut sock) = self.connection.take() else {
+            return;
+        };
+        self.last_request += 1;
+        let number = self.last_request;
+        let keyed = self.random.bool();
+        let key = keyed.then(|| format!("{:032x}", self.random.u64(..KEYS)));
+        let bytes = self.encode(number, key.as_deref());
+        let written = self.write(&mut sock, &bytes);
+        let sent = unix_ms();
+        if !written {
+            return; // The node never had it whole.
+        }
+        let (answer, end) = read_answer(&mut sock, self.protocol);
+        let (outcome, _) = caller::read(self.protocol, &answer);
+        let is_kept = end.is_none() && self.protocol == Protocol::FastCgi;
+        self.connection = is_kept.then_some(sock);
+        self.records.push(RequestRecord {
+            number,
+            idempotency_key: key,
+            sent,
+            answered: unix_ms(),
+            outcome,
+            is_begun: !answer.is_empty(),
+            end,
+        });
+    }
+
+    fn encode(&self, number: u64, key: Option<&str>) -> Vec<u8> {
+        let script = if key.is_some() {
+            "/svc/pay"
+        } else {
+            "/svc/look"
+        };
+        let mut request = CallerRequest::new(number, script, b"berth");
+        if let Some(key) = key {
+            request = request.with("HTTP_IDEMPOTENCY_KEY", key);
+        }
+        let mut bytes = request.bytes(self.protocol);
+        if self.protocol == Protocol::FastCgi {
+            keep_connection(&mut bytes);
+        }
+        bytes
+    }
+
+    /// Writes a request, at times in two pieces; whether all of it was taken.
+    fn write(&mut self, sock: &mut TcpStream, bytes: &[u8]) -> bool {
+        if self.random.usize(..IN_PIECES) > 0 {
+            return sock.write_all(bytes).is_ok();
+        }
+        let cut = self.random.usize(1..bytes.len());
+        if sock.write_all(&bytes[..cut]).is_err() {
+            return false;
+        }
+        self.pause(PIECE_PAUSE_MS);
+        sock.write_all(&bytes[cut..]).is_ok()
+    }
+}
+
+/// Sets the flag of the first record of a request, by which its connection stays open.
+fn keep_connection(bytes: &mut [u8]) {
+    const FLAGS: usize = RECORD_HEADER_BYTES + 2;
+    bytes[FLAGS] = 1;
+}
+
+/// Whether the peer has neither ended the connection nor sent what nobody asked for.
+fn is_open(sock: &TcpStream) -> bool {
+    if sock.set_nonblocking(true).is_err() {
+        return false;
+    }
+    let nothing = sock.peek(&mut [0]);
+    let waits = nothing.is_err_and(|e| e.kind() == ErrorKind::WouldBlock);
+    waits && sock.set_nonblocking(false).is_ok()
+}
+
+/// Reads one answer: to its last record over FastCGI, to the end of the connection over uwsgi.
+fn read_answer(sock: &mut TcpStream, protocol: Protocol) -> (Vec<u8>, Option<ConnectionEnd>) {
+    let (mut answer, mut part) = (Vec::new(), [0; 4096]);
+    loop {
+        match sock.read(&mut part) {
+            Ok(0) => return (answer, Some(ConnectionEnd::Closed)),
+            Ok(count) => answer.extend(&part[..count]),
+            Err(e) if e.kind() == ErrorKind::Interrupted => {}
+            Err(e) if e.kind() == ErrorKind::ConnectionReset => {
+                return (answer, Some(ConnectionEnd::Reset));
+            }
+            Err(_) => return (answer, Some(ConnectionEnd::TimedOut)),
+        }
+        if protocol == Protocol::FastCgi && is_whole(&answer) {
+            return (answer, None);
+        }
+    }
+}
+
+/// Whether these records of FastCGI end an answer.
+fn is_whole(mut records: &[u8]) -> bool {
+    while let [_, kind, _, _, high, low, padding, _, content @ ..] = records {
+        let length = usize::from(*high) << 8 | usize::from(*low);
+        let Some(rest) = content.get(length + usize::from(*padding)..) else {
+            return false;
+        };
+        if *kind == END_REQUEST {
+            return true;
+        }
+        records = rest;
+    }
+    false
+}
--- /dev/null
+++ b/crates/fault-harness/src/drains/run.rs
@@ -0,0 +1,213 @@
+//! One soak, from the start of the node to its end.
+
+use std::net::SocketAddr;
+use std::path::Path;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::thread::JoinHandle;
+use std::time::{Duration, Instant};
+
+use doortrack_fakes::fixture::{NodeFixture, NodeSetup, connect};
+use doortrack_fakes::rules::ExecutedRun;
+use doortrack_fakes::server::{Behavior, ReceivedRequest, Server};
+use doortrack_fakes::unix_ms;
+use doortrack_protocols::Protocol;
+use rustix::process::{Pid, Signal, kill_process};
+use serde_json::json;
+
+use super::DrainReport;
+use super::client::Client;
+use super::judge::{DrainTimes, RequestRecord, judge};
+use super::scenario::{MIN_WORK_MS, Scenario};
+use crate::traffic::expected_body;
+
+const FASTCGI_PORT: u16 = 9_091;
+const UWSGI_PORT: u16 = 9_092;
+const SERVERS: usize = 2;
+/// Concurrency of each server, as the installation file says it.
+const SERVER_CONCURRENCY: u32 = 64;
+/// Time in which a node waits for an answer of a server, in ms: longer than any run.
+const SERVER_TIMEOUT_MS: u64 = 20_000;
+/// Cores of the machine that the node believes in, so that it takes what is sent.
+const CORES: u32 = 64;
+/// Time after the notice in which requests may still run, in ms.
+const GRACE_MS: u64 = 200;
+/// Clients of each listener, and their longest pause between two requests, in ms.
+const CLIENTS: u64 = 4;
+const PAUSE_MS: u64 = 12;
+/// Clients of the crowd, and their longest pause.
+const CROWD: u64 = 150;
+const CROWD_PAUSE_MS: u64 = 600;
+/// Load before the first signal.
+const WARM_UP: Duration = Duration::from_millis(400);
+/// One run in so many takes up to one and a half times the time to the stop; the others take a few ms.
+const LONG_RUN_EVERY: u64 = 12;
+const MAX_SHORT_WORK_MS: u64 = 20;
+/// Clients go on this long after the kill.
+const AFTER_KILL: Duration = Duration::from_millis(30);
+
+/// Runs one scenario on real processes.
+///
+/// # Panics
+/// The node can't be started.
+pub fn run(program: &Path, scenario: &Scenario) -> DrainReport {
+    let servers: Vec<Server> = (0..SERVERS).map(|_| start_server(scenario)).collect();
+    let (fixture, listeners) = start_node(program, scenario, &servers);
+    let clients = Clients::start(scenario, &listeners);
+    std::thread::sleep(WARM_UP);
+    let times = send_signals(&fixture, scenario);
+    std::thread::sleep(AFTER_KILL);
+    let (records, stalled) = clients.finish();
+    let (code, log) = fixture.wait_for_exit();
+    let ran: Vec<ExecutedRun> = servers
+        .iter()
+        .flat_map(Server::got)
+        .map(|got| ExecutedRun::from(&got))
+        .collect();
+    let (counts, mut violations) = judge(records, &ran, times);
+    if stalled > 0 {
+        violations.push(format!(
+            "rule 1: {stalled} clients met what they can't read"
+        ));
+    }
+    // Without a code it was killed, which it has to outlast where answers are not taken.
+    if log.contains("panicked") || code.is_some_and(|code| code != 0) {
+        violations.push(format!("rule 4: the node ended with {code:?}: {log}"));
+    }
+    DrainReport {
+        seed: scenario.seed,
+        signals: scenario.describe_signals(),
+        crowd: scenario.crowd,
+        counts,
+        violations,
+    }
+}
+
+fn start_server(scenario: &Scenario) -> Server {
+    let (seed, stop_ms) = (scenario.seed, scenario.stop_ms);
+    Server::start(scenario.server_protocol, move |request| {
+        let attempt_id = ExecutedRun::from(request).attempt_id;
+        Behavior::Answer {
+            status: "200 OK",
+            body: expected_body(&attempt_id),
+            after: work(request, seed, stop_ms),
+        }
+    })
+}
+
+/// The run time of a request, drawn from its attempt and the seed.
+fn work(request: &ReceivedRequest, seed: u64, stop_ms: u64) -> Duration {
+    let id = request.variable("HTTP_X_REQUEST_ID").unwrap_or_default();
+    let hash = id.iter().fold(seed, |hash, byte| {
+        (hash ^ u64::from(*byte)).wrapping_mul(0x0100_0000_01b3)
+    });
+    let mut random = fastrand::Rng::with_seed(hash);
+    let max_ms = if random.u64(..LONG_RUN_EVERY) == 0 {
+        stop_ms + stop_ms / 2
+    } else {
+        MAX_SHORT_WORK_MS
+    };
+    Duration::from_millis(random.u64(MIN_WORK_MS..max_ms))
+}
+
+/// Starts the node; its listeners, each with its protocol.
+fn start_node(
+    program: &Path,
+    scenario: &Scenario,
+    servers: &[Server],
+) -> (NodeFixture, Vec<(SocketAddr, Protocol)>) {
+    let mut setup = NodeSetup::new(program);
+    setup.ends_with_parent = true;
+    setup.config["stop_ms"] = json!(scenario.stop_ms);
+    setup.config["settings"]["family_info"]["cores"] = json!(CORES);
+    setup.config["settings"]["safety"]["drain_grace"] = json!(GRACE_MS * 1_000);
+    let own = [
+        (setup.port(FASTCGI_PORT), Protocol::FastCgi),
+        (setup.port(UWSGI_PORT), Protocol::Uwsgi),
+    ];
+    let addresses: Vec<String> = servers.iter().map(|server| server.at.to_string()).collect();
+    setup.installation = Some(json!({
+        "fronts": own.map(|(at, protocol)| json!({"protocol": protocol.name(), "listen": at.to_string()})),
+        "servers": {"protocol": scenario.server_protocol.name(), "addresses": addresses,
+            "at_once": SERVER_CONCURRENCY, "answer_within_ms": SERVER_TIMEOUT_MS}
+    }));
+    let mut listeners = vec![(setup.address, Protocol::FastCgi)];
+    listeners.extend(own);
+    let fixture = setup.start();
+    for (address, _) in &listeners {
+        drop(connect(*address));
+    }
+    (fixture, listeners)
+}
+
+/// Clients on threads of their own.
+struct Clients {
+    is_over: Arc<AtomicBool>,
+    threads: Vec<JoinHandle<Vec<RequestRecord>>>,
+}
+
+impl Clients {
+    fn start(scenario: &Scenario, listeners: &[(SocketAddr, Protocol)]) -> Clients {
+        let is_over: Arc<AtomicBool> = Arc::default();
+        let crowd = if scenario.crowd { CROWD } else { 0 };
+        let busy = CLIENTS * listeners.len() as u64;
+        let threads = (0..busy + crowd).map(|index| {
+            let (address, protocol) = listeners[index as usize % listeners.len()];
+            let max_pause_ms = if index < busy {
+                PAUSE_MS
+            } else {
+                CROWD_PAUSE_MS
+            };
+            let client = Client::new(index, scenario.seed, address, protocol, max_pause_ms);
+            let is_over = is_over.clone();
+            std::thread::spawn(move || client.run(&is_over))
+        });
+        let threads = threads.collect();
+        Clients { is_over, threads }
+    }
+
+    /// What the clients recorded, and how many ended by a panic.
+    fn finish(self) -> (Vec<RequestRecord>, usize) {
+        self.is_over.store(true, Ordering::Relaxed);
+        let (mut records, mut stalled) = (Vec::new(), 0);
+        for client in self.threads {
+            match client.join() {
+                Ok(own) => records.extend(own),
+                Err(_) => stalled += 1,
+            }
+        }
+        (records, stalled)
+    }
+}
+
+/// Sends the series, and SIGKILL at exactly the time to the stop after the first signal that shuts the node down.
+fn send_signals(fixture: &NodeFixture, scenario: &Scenario) -> DrainTimes {
+    let began = Instant::now();
+    let (shutdown_at, mut told) = (scenario.shutdown_at_ms(), unix_ms());
+    for timed in &scenario.signals {
+        sleep_until(began, timed.at_ms);
+        if timed.signal != Signal::HUP && timed.at_ms == shutdown_at {
+            told = told.max(unix_ms());
+        }
+        signal(fixture, timed.signal);
+    }
+    let kill_in = (told + scenario.stop_ms).saturating_sub(unix_ms());
+    std::thread::sleep(Duration::from_millis(kill_in));
+    signal(fixture, Signal::KILL);
+    DrainTimes {
+        told,
+        killed: unix_ms(),
+        grace_ms: GRACE_MS,
+    }
+}
+
+fn sleep_until(began: Instant, at_ms: u64) {
+    std::thread::sleep(Duration::from_millis(at_ms).saturating_sub(began.elapsed()));
+}
+
+fn signal(fixture: &NodeFixture, signal: Signal) {
+    // It has not been waited for, so the id is still its own where it has ended by itself.
+    if let Some(pid) = Pid::from_raw(fixture.program.id() as i32) {
+        _ = kill_process(pid, signal);
+    }
+}
--- a/crates/fault-harness/src/lib.rs
+++ b/crates/fault-harness/src/lib.rs
@@ -9,8 +9,8 @@
 //! long enough that a slow machine changes no verdict.
 
 pub mod checks;
-mod child_process;
 pub mod divided;
+pub mod drains;
 pub mod ground_truth;
 pub mod history;
 mod links;
@@ -22,7 +22,6 @@
     reason = "the measurements of scale are not documented throughout yet"
 )]
 pub mod scale;
-pub mod scratch_folder;
 pub mod script;
 pub mod serving;
 pub mod shrink;
--- a/crates/fault-harness/src/main.rs
+++ b/crates/fault-harness/src/main.rs
@@ -6,7 +6,9 @@
 
 use clap::{Args, Parser, Subcommand};
 use doortrack_fakes::interrupt::on_interrupt;
+use doortrack_fakes::scratch_folder;
 use doortrack_fault_harness::checks::{Violation, judge, membership};
+use doortrack_fault_harness::drains::{self, DrainReport};
 use doortrack_fault_harness::history::HistoryError;
 use doortrack_fault_harness::scale::command::{self, HollowArgs, ScaleArgs};
 use doortrack_fault_harness::scale::node_cost;
@@ -14,7 +16,7 @@
 use doortrack_fault_harness::script::ScriptError;
 use doortrack_fault_harness::shrink::shrink;
 use doortrack_fault_harness::simulated;
-use doortrack_fault_harness::{History, Script, processes, scratch_folder, script};
+use doortrack_fault_harness::{History, Script, processes, script};
 
 /// Plays fleets of doortrack nodes while parts of the system fail, and judges the joint history.
 #[derive(Parser)]
@@ -35,6 +37,8 @@
     },
     /// Plays scripts drawn from seeds, and tells the smallest script that still fails of the first that does
     Seeds(SeedOptions),
+    /// Drains nodes by signals in series while clients go on using their connections until SIGKILL
+    Drains(DrainOptions),
     /// Judges a history that was kept
     Judge {
         #[arg(value_name = "FILE")]
@@ -68,6 +72,21 @@
     options: RunOptions,
 }
 
+/// Which soaks of a shutdown run.
+#[derive(Args)]
+struct DrainOptions {
+    #[arg(long, default_value = "1")]
+    from: u64,
+    #[arg(long, default_value = "50")]
+    count: u64,
+    /// Soaks at once
+    #[arg(long, default_value = "2")]
+    parallel: usize,
+    /// The program that is drained
+    #[arg(long, value_name = "FILE", default_value = "target/release/doortrack")]
+    program: PathBuf,
+}
+
 #[derive(Args)]
 struct RunOptions {
     /// In simulated time instead of on processes
@@ -159,6 +178,7 @@
         Command::Judge { history } => judge_file(&history),
         Command::Play { script, options } => run_file(&script, &options),
         Command::Seeds(options) => run_seeds(&options),
+        Command::Drains(options) => run_drains(&options),
     }
 }
 
@@ -196,6 +216,35 @@
     Ok(true)
 }
 
+/// Runs soaks of a shutdown: each as a line of JSON, progress and what is broken on standard error.
+fn run_drains(options: &DrainOptions) -> Result<bool, CommandError> {
+    std::fs::metadata(&options.program).map_err(io_error(&options.program))?;
+    let (mut done, mut broken) = (0, Vec::new());
+    let report = |report: DrainReport| {
+        done += 1;
+        println!("{}", serde_json::to_string(&report).unwrap_or_default());
+        eprintln!("{done} of {}: seed {}", options.count, report.seed);
+        for violation in &report.violations {
+            eprintln!("  {violation}");
+        }
+        if !report.violations.is_empty() {
+            broken.push(report.seed);
+        }
+    };
+    drains::run_seeds(
+        &options.program,
+        options.from,
+        options.count,
+        options.parallel,
+        report,
+    );
+    if !broken.is_empty() {
+        broken.sort_unstable();
+        eprintln!("rules are broken with the seeds {broken:?}");
+    }
+    Ok(broken.is_empty())
+}
+
 fn print_smallest(script: &Script, options: &RunOptions) {
     let max_runs = if options.simulated {
         MAX_SHRINK_RUNS_SIMULATED
--- a/crates/fault-harness/src/processes.rs
+++ b/crates/fault-harness/src/processes.rs
@@ -23,9 +23,9 @@
 
 use crate::history::{History, HistoryEvent};
 use crate::relay::{Relay, RelayCounts};
-use crate::scratch_folder::ScratchFolder;
 use crate::streams::Stream;
 use crate::traffic::{Backend, ProcessExit, TrafficCounts};
+use doortrack_fakes::scratch_folder::ScratchFolder;
 
 pub use run::{run, run_with_older};
 
--- a/crates/fault-harness/src/processes/lifecycle.rs
+++ b/crates/fault-harness/src/processes/lifecycle.rs
@@ -11,9 +11,9 @@
 use serde_json::{Value, json};
 
 use super::{Node, Rig, RunResult, log};
-use crate::child_process::end_with_parent;
 use crate::history::{HistoryEvent, name};
 use crate::traffic::{Backend, ProcessExit, Traffic, TrafficCounts};
+use doortrack_fakes::child_process::end_with_parent;
 
 /// Time from SIGTERM to a node's exit, in ms.
 pub(super) const SHUTDOWN_MS: u64 = 1_000;
--- a/crates/fault-harness/src/scale/child.rs
+++ b/crates/fault-harness/src/scale/child.rs
@@ -9,7 +9,7 @@
 use thiserror::Error;
 
 use super::protocol::{HollowCommand, HollowReply};
-use crate::child_process::end_with_parent;
+use doortrack_fakes::child_process::end_with_parent;
 
 /// What ends a play before its time.
 #[derive(Debug, Error)]
--- a/crates/fault-harness/src/scale/fleet.rs
+++ b/crates/fault-harness/src/scale/fleet.rs
@@ -10,7 +10,7 @@
 use super::plan::{FLEET_KEY, FleetPlan};
 use super::protocol::{HollowCommand, HollowReply, Loss, NodeSample};
 use super::serving::{KEY_FILE, RealNode, ServeProgram};
-use crate::scratch_folder::ScratchFolder;
+use doortrack_fakes::scratch_folder::ScratchFolder;
 
 /// Hollow nodes that share a process.
 pub const NODES_PER_PROCESS: usize = 110;
--- a/crates/fault-harness/src/scale/node_cost/process.rs
+++ b/crates/fault-harness/src/scale/node_cost/process.rs
@@ -16,8 +16,8 @@
 
 use super::caller::{Connection, Outcome};
 use super::settings::Addresses;
-use crate::child_process::end_with_parent;
-use crate::scratch_folder::ScratchFolder;
+use doortrack_fakes::child_process::end_with_parent;
+use doortrack_fakes::scratch_folder::ScratchFolder;
 
 const FRONT_PORT: u16 = 9_091;
 const FLEET_PORT: u16 = 7_400;
--- a/crates/fault-harness/src/scale/serving.rs
+++ b/crates/fault-harness/src/scale/serving.rs
@@ -14,7 +14,7 @@
 
 use super::child::ScaleError;
 use super::plan::{FLEET_KEY, FleetPlan};
-use crate::child_process::end_with_parent;
+use doortrack_fakes::child_process::end_with_parent;
 
 /// The line of the log with the counters of the link, which a node writes every 10 s; former builds write the
 /// second one.
--- a/crates/fault-harness/src/scale/watchdog.rs
+++ b/crates/fault-harness/src/scale/watchdog.rs
@@ -9,7 +9,7 @@
 pub const OVER_TIME: i32 = 3;
 
 /// Ends this process if it is not dropped in time; the system ends its children then (see
-/// [`crate::child_process::end_with_parent`]).
+/// [`doortrack_fakes::child_process::end_with_parent`]).
 pub struct Watchdog {
     _alive: Sender<()>,
 }
--- a/crates/node/tests/fleet/main.rs
+++ b/crates/node/tests/fleet/main.rs
@@ -9,6 +9,7 @@
 )]
 
 mod budgets;
+mod drains;
 mod encoding;
 mod link;
 mod ramp;
