--- a/crates/demo/tests/interrupt.rs
+++ b/crates/demo/tests/interrupt.rs
@@ -5,6 +5,7 @@
 use std::process::{Child, ChildStdout, Command, Stdio};
 
 use doortrack_fakes::caller::{CallerOutcome, CallerRequest};
+use doortrack_fakes::child_process::send_signal;
 use doortrack_fakes::fixture::fresh_address;
 use doortrack_protocols::Protocol;
 
@@ -18,17 +19,6 @@
     (demo, lines)
 }
 
-fn signal(demo: &Child, name: &str) {
-    let id = demo.id().to_string();
-    assert!(
-        Command::new("kill")
-            .args([name, &id])
-            .status()
-            .unwrap()
-            .success()
-    );
-}
-
 /// Guards against a server that ends in the middle of what it runs.
 #[test]
 fn an_interrupted_application_server_answers_what_runs_and_ends() {
@@ -45,7 +35,7 @@
         let request = CallerRequest::new(1, "/svc/look", b"berth");
         let pending = request.send(address, Protocol::Uwsgi);
         assert_eq!(lines.next().unwrap().unwrap(), "run: berth");
-        signal(&demo, name);
+        send_signal(demo.id(), name);
         assert_eq!(lines.next().unwrap().unwrap(), "ending");
         let outcome = pending.outcome();
         assert_eq!(outcome, CallerOutcome::Completed(b"done: berth".to_vec()));
--- a/crates/fakes/src/child_process.rs
+++ b/crates/fakes/src/child_process.rs
@@ -1,4 +1,4 @@
-//! What holds for processes that end with the one that started them.
+//! Processes that tests and the harness start.
 
 use std::io;
 use std::os::unix::process::CommandExt;
@@ -6,6 +6,18 @@
 
 use rustix::process::{Signal, set_parent_process_death_signal};
 
+/// Sends a signal, named as `kill` takes it: `-TERM`.
+///
+/// # Panics
+/// The signal can't be sent.
+pub fn send_signal(pid: u32, name: &str) {
+    let status = Command::new("kill").args([name, &pid.to_string()]).status();
+    assert!(
+        status.is_ok_and(|status| status.success()),
+        "kill {name} {pid}"
+    );
+}
+
 /// Has the system kill a process when the thread that starts it ends, however that comes about.
 pub fn end_with_parent(command: &mut Command) {
     let tie = || set_parent_process_death_signal(Some(Signal::KILL)).map_err(io::Error::from);
--- a/crates/fakes/src/fixture.rs
+++ b/crates/fakes/src/fixture.rs
@@ -10,7 +10,7 @@
 use serde_json::{Value, json};
 
 use crate::MAX_WAIT;
-use crate::child_process::end_with_parent;
+use crate::child_process::{end_with_parent, send_signal};
 use crate::engine::Engine;
 use crate::records::Client;
 use crate::scratch_folder::ScratchFolder;
@@ -196,14 +196,7 @@
     }
 
     pub fn signal(&self, name: &str) {
-        let id = self.program.id().to_string();
-        assert!(
-            Command::new("kill")
-                .args([name, &id])
-                .status()
-                .unwrap()
-                .success()
-        );
+        send_signal(self.program.id(), name);
     }
 
     /// Waits for the end of the program: its status, and its log.
--- a/crates/fault-harness/src/main.rs
+++ b/crates/fault-harness/src/main.rs
@@ -11,6 +11,7 @@
 use doortrack_fault_harness::drains::{self, DrainReport};
 use doortrack_fault_harness::history::HistoryError;
 use doortrack_fault_harness::scale::command::{self, HollowArgs, ScaleArgs};
+use doortrack_fault_harness::scale::error::ScaleError;
 use doortrack_fault_harness::scale::node_cost;
 use doortrack_fault_harness::scale::simulated::command::{Options, scale_simulated};
 use doortrack_fault_harness::script::ScriptError;
@@ -119,9 +120,8 @@
     Script(#[from] ScriptError),
     #[error(transparent)]
     History(#[from] HistoryError),
-    /// Of the measurements of scale.
-    #[error("{0}")]
-    Scale(String),
+    #[error(transparent)]
+    Scale(#[from] ScaleError),
 }
 
 fn io_error(path: &Path) -> impl FnOnce(io::Error) -> CommandError {
@@ -169,12 +169,13 @@
             println!("{}", script::schema());
             Ok(true)
         }
-        Command::ScaleNode(options) => node_cost::run(&options).map_err(CommandError::Scale),
-        Command::Scale(args) => command::run(&args).map_err(CommandError::Scale),
-        Command::Hollow(args) => command::run_hollow(&args)
-            .map(|()| true)
-            .map_err(CommandError::Scale),
-        Command::ScaleSimulated(options) => scale_simulated(&options).map_err(CommandError::Scale),
+        Command::ScaleNode(options) => Ok(node_cost::run(&options)?),
+        Command::Scale(args) => Ok(command::run(&args)?),
+        Command::Hollow(args) => {
+            command::run_hollow(&args)?;
+            Ok(true)
+        }
+        Command::ScaleSimulated(options) => Ok(scale_simulated(&options)?),
         Command::Judge { history } => judge_file(&history),
         Command::Play { script, options } => run_file(&script, &options),
         Command::Seeds(options) => run_seeds(&options),
--- a/crates/fault-harness/src/scale.rs
+++ b/crates/fault-harness/src/scale.rs
@@ -10,6 +10,7 @@
 pub mod added;
 pub mod child;
 pub mod command;
+pub mod error;
 pub mod fault_report;
 pub mod faults;
 pub mod fit;
--- a/crates/fault-harness/src/scale/added.rs
+++ b/crates/fault-harness/src/scale/added.rs
@@ -14,7 +14,8 @@
 use serde::{Deserialize, Serialize};
 use serde_json::json;
 
-use super::child::{ScaleError, Usage, usage};
+use super::child::{Usage, usage};
+use super::error::ScaleError;
 use super::fleet::{Ports, RunningFleet};
 use super::measure::core_thousandths;
 use super::plan::{CALLERS_TENANT, TENANT_FIELD};
--- a/crates/fault-harness/src/scale/child.rs
+++ b/crates/fault-harness/src/scale/child.rs
@@ -6,32 +6,10 @@
 use std::process::{Child, ChildStdin, ChildStdout, Command, Stdio};
 use std::time::{Duration, Instant};
 
-use thiserror::Error;
-
+use super::error::ScaleError;
 use super::protocol::{HollowCommand, HollowReply};
 use doortrack_fakes::child_process::end_with_parent;
 
-/// What ends a play before its time.
-#[derive(Debug, Error)]
-pub enum ScaleError {
-    #[error("{what}: {source}")]
-    Io { what: String, source: io::Error },
-    #[error("process {pid}: {source}")]
-    Proc { pid: u32, source: procfs::ProcError },
-    #[error("hollow nodes {nodes:?}: {why}")]
-    Hollow { nodes: Range<usize>, why: String },
-    #[error("{0}")]
-    Play(String),
-}
-
-impl ScaleError {
-    /// For `map_err`, with what was tried.
-    pub fn io(what: impl ToString) -> impl FnOnce(io::Error) -> ScaleError {
-        let what = what.to_string();
-        move |source| ScaleError::Io { what, source }
-    }
-}
-
 /// What a process has used by a moment.
 #[derive(Clone, Copy, Debug)]
 pub struct Usage {
--- a/crates/fault-harness/src/scale/command.rs
+++ b/crates/fault-harness/src/scale/command.rs
@@ -8,7 +8,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::added::{self, AddedReport};
-use super::child::ScaleError;
+use super::error::{ScaleError, write_report};
 use super::fault_report::FaultReport;
 use super::faults;
 use super::fit::FittedSeries;
@@ -131,22 +131,22 @@
 /// Runs the nodes of one process until its input ends.
 ///
 /// # Errors
-/// In words: the plan can't be read, an address can't be had.
-pub fn run_hollow(args: &HollowArgs) -> Result<(), String> {
-    let at = |e: &dyn std::fmt::Display| format!("{}: {e}", args.plan.display());
-    let text = std::fs::read_to_string(&args.plan).map_err(|e| at(&e))?;
-    let plan: FleetPlan = serde_json::from_str(&text).map_err(|e| at(&e))?;
+/// The plan can't be read, an address can't be had.
+pub fn run_hollow(args: &HollowArgs) -> Result<(), ScaleError> {
+    let at = args.plan.display().to_string();
+    let text = std::fs::read_to_string(&args.plan).map_err(ScaleError::io(&at))?;
+    let plan: FleetPlan = serde_json::from_str(&text).map_err(ScaleError::json(&at))?;
     hollow::run(plan, args.from..args.to)
 }
 
 /// Runs the series, prints the table and writes the results; whether all was as it should be.
 ///
 /// # Errors
-/// In words: a size that can't be played, a process that can't be started or ended before its time.
-pub fn run(args: &ScaleArgs) -> Result<bool, String> {
+/// A size that can't be played, a process that can't be started or ended before its time.
+pub fn run(args: &ScaleArgs) -> Result<bool, ScaleError> {
     args.check()?;
     let _watchdog = Watchdog::start(Duration::from_secs(args.most_seconds));
-    let report = args.play_all().map_err(|e| e.to_string())?;
+    let report = args.play_all()?;
     println!("{}", table::text(&report.series));
     if let Some(added) = &report.added {
         println!("{}", added.text());
@@ -162,8 +162,7 @@
         .iter()
         .for_each(|fault| println!("not as it should be: {fault}"));
     if let Some(file) = &args.json {
-        let text = serde_json::to_string_pretty(&report).map_err(|e| e.to_string())?;
-        std::fs::write(file, text + "\n").map_err(|e| format!("{}: {e}", file.display()))?;
+        write_report(file, &report)?;
     }
     Ok(faults.is_empty())
 }
@@ -206,13 +205,13 @@
 }
 
 impl ScaleArgs {
-    fn check(&self) -> Result<(), String> {
+    fn check(&self) -> Result<(), ScaleError> {
         let own = self.voters + self.real;
         let by_budgets = self.budgets.iter().any(|budgets| *budgets > 0);
         let sizes = self.nodes.iter().filter(|nodes| **nodes > 0);
         let sizes = sizes.chain(by_budgets.then_some(&self.nodes_held));
-        if let Some(size) = sizes.clone().find(|size| **size < own) {
-            return Err(format!("{size} nodes: {own} are voters and real ones"));
+        if let Some(&size) = sizes.clone().find(|size| **size < own) {
+            return Err(ScaleError::TooFewNodes { size, own });
         }
         let most = sizes.max().copied().unwrap_or(0);
         let processes = own
@@ -220,9 +219,10 @@
                 .saturating_sub(own)
                 .div_ceil(super::fleet::NODES_PER_PROCESS);
         if processes > MOST_PROCESSES {
-            return Err(format!(
-                "{processes} processes are needed, {MOST_PROCESSES} are the most"
-            ));
+            return Err(ScaleError::TooManyProcesses {
+                needed: processes,
+                max: MOST_PROCESSES,
+            });
         }
         Ok(())
     }
--- a/crates/fault-harness/src/scale/faults.rs
+++ b/crates/fault-harness/src/scale/faults.rs
@@ -8,7 +8,7 @@
 use doortrack_fakes::unix_ms;
 use indicatif::ProgressBar;
 
-use super::child::ScaleError;
+use super::error::ScaleError;
 use super::fault_report::{FaultEvent, FaultKind, FaultReport};
 use super::fleet::{Ports, RunningFleet};
 use super::losses::{Outage, wrongly_lost};
--- a/crates/fault-harness/src/scale/fleet.rs
+++ b/crates/fault-harness/src/scale/fleet.rs
@@ -6,7 +6,8 @@
 
 use serde_json::Value;
 
-use super::child::{HollowProcess, HollowProgram, ScaleError, Usage, usage};
+use super::child::{HollowProcess, HollowProgram, Usage, usage};
+use super::error::ScaleError;
 use super::plan::{FLEET_KEY, FleetPlan};
 use super::protocol::{HollowCommand, HollowReply, Loss, NodeSample};
 use super::serving::{KEY_FILE, RealNode, ServeProgram};
@@ -265,6 +266,6 @@
     let at = || folder.display().to_string();
     let key: String = FLEET_KEY.iter().map(|byte| format!("{byte:02x}")).collect();
     std::fs::write(folder.join(KEY_FILE), key).map_err(ScaleError::io(at()))?;
-    let text = serde_json::to_string(plan).map_err(|e| ScaleError::Play(e.to_string()))?;
+    let text = serde_json::to_string(plan).map_err(ScaleError::json(at()))?;
     std::fs::write(folder.join(PLAN_FILE), text).map_err(ScaleError::io(at()))
 }
--- a/crates/fault-harness/src/scale/hollow.rs
+++ b/crates/fault-harness/src/scale/hollow.rs
@@ -22,6 +22,7 @@
 use polling::{Event, Events, PollMode, Poller};
 use slog::{Discard, Logger, o};
 
+use super::error::ScaleError;
 use super::plan::{FLEET_KEY, FleetPlan};
 use super::protocol::{HollowCommand, HollowReply, Loss, NodeSample};
 
@@ -99,16 +100,16 @@
 /// Runs the nodes of this range until standard input ends.
 ///
 /// # Errors
-/// A poller or an address that can't be had, in words.
-pub fn run(plan: FleetPlan, nodes: Range<usize>) -> Result<(), String> {
-    let plain = |e: io::Error| format!("hollow nodes {nodes:?}: {e}");
-    let poller = Arc::new(Poller::new().map_err(plain)?);
+/// A poller or an address that can't be had.
+pub fn run(plan: FleetPlan, nodes: Range<usize>) -> Result<(), ScaleError> {
+    let at = || format!("hollow nodes {nodes:?}");
+    let poller = Arc::new(Poller::new().map_err(ScaleError::io(at()))?);
     let input = io::stdin();
     // SAFETY: standard input is open for as long as the process.
     unsafe {
         poller
             .add_with_mode(&input, Event::readable(INPUT_KEY), PollMode::Level)
-            .map_err(plain)?
+            .map_err(ScaleError::io(at()))?
     };
     let mut host = Host::new(plan, nodes.clone(), poller);
     let mut events =
@@ -116,7 +117,9 @@
     while !host.over {
         events.clear();
         match host.poller.wait(&mut events, Some(host.sleep())) {
-            Err(e) if e.kind() != io::ErrorKind::Interrupted => return Err(plain(e)),
+            Err(e) if e.kind() != io::ErrorKind::Interrupted => {
+                return Err(ScaleError::io(at())(e));
+            }
             _ => {}
         }
         host.turn(&events)?;
@@ -165,7 +168,7 @@
     }
 
     /// Reads what is ready, then does what is due, each node once.
-    fn turn(&mut self, events: &Events) -> Result<(), String> {
+    fn turn(&mut self, events: &Events) -> Result<(), ScaleError> {
         let mut touched = BTreeSet::new();
         for event in events.iter() {
             if event.key == INPUT_KEY {
@@ -201,7 +204,7 @@
     }
 
     /// Does what is due in one node, and sets its next time.
-    fn tend(&mut self, place: usize, now: Instant) -> Result<(), String> {
+    fn tend(&mut self, place: usize, now: Instant) -> Result<(), ScaleError> {
         if self.slots[place].peers.is_none() && self.slots[place].due.is_some() {
             self.open(place)?;
         }
@@ -229,10 +232,10 @@
         Ok(())
     }
 
-    fn open(&mut self, place: usize) -> Result<(), String> {
+    fn open(&mut self, place: usize) -> Result<(), ScaleError> {
         let node = self.slots[place].node;
         let (installation, orders) = self.plan.parsed(node)?;
-        let fleet = installation.fleet.as_ref().ok_or("the plan has no fleet")?;
+        let fleet = installation.fleet.as_ref().ok_or(ScaleError::NoFleet)?;
         let registration = Registration {
             poller: &self.poller,
             key: place + FIRST_NODE_KEY,
@@ -247,8 +250,7 @@
             unix_ms(),
             registration,
             log,
-        )
-        .map_err(|error| error.to_string())?;
+        )?;
         let (plan, shared) = (self.plan.clone(), self.shared.clone());
         peers.set_tap(Box::new(HollowTap { node, plan, shared }));
         let books = self.plan.uses_per_second > 0 && !self.plan.is_voter(node);
@@ -259,13 +261,13 @@
     }
 
     /// Reads what has come on standard input, and answers each whole line.
-    fn read_commands(&mut self) -> Result<(), String> {
+    fn read_commands(&mut self) -> Result<(), ScaleError> {
         let mut chunk = vec![0; INPUT_CHUNK];
         // Level-triggered and ready: one read does not block.
         let len = io::stdin()
             .lock()
             .read(&mut chunk)
-            .map_err(|e| format!("standard input: {e}"))?;
+            .map_err(ScaleError::io("standard input"))?;
         self.over = len == 0;
         self.input.extend(&chunk[..len]);
         while let Some(end) = self.input.iter().position(|byte| *byte == b'\n') {
@@ -276,7 +278,7 @@
                     why: format!("no command: {e}"),
                 },
             };
-            let text = serde_json::to_string(&reply).map_err(|e| e.to_string())?;
+            let text = serde_json::to_string(&reply).map_err(ScaleError::json("a reply"))?;
             let mut output = io::stdout().lock();
             let written = writeln!(output, "{text}").and_then(|()| output.flush());
             // Nobody reads any more: the rig has ended.
--- a/crates/fault-harness/src/scale/node_cost.rs
+++ b/crates/fault-harness/src/scale/node_cost.rs
@@ -23,9 +23,10 @@
 
 use self::bench::Bench;
 use self::measure::{Spans, measure};
-use self::process::Fault;
+pub use self::process::MeasureError;
 use self::report::{Report, Swept, Taken};
 use self::settings::Size;
+use crate::scale::error::{ScaleError, write_report};
 use crate::scale::series::{Dimension, Point};
 
 /// The size of two years, as far as the settings of one node allow.
@@ -100,18 +101,17 @@
 /// Measures everything, prints the tables and writes the JSON.
 ///
 /// # Errors
-/// In words, what could not be measured.
-pub fn run(options: &Options) -> Result<bool, String> {
-    let report = measure_all(options).map_err(|fault| fault.to_string())?;
+/// What could not be measured, or the file that can't be written.
+pub fn run(options: &Options) -> Result<bool, ScaleError> {
+    let report = measure_all(options)?;
     print!("{}", report::tables(&report));
     if let Some(file) = &options.json {
-        let text = serde_json::to_string_pretty(&report).map_err(|e| e.to_string())?;
-        std::fs::write(file, text).map_err(|e| format!("{}: {e}", file.display()))?;
+        write_report(file, &report)?;
     }
     Ok(true)
 }
 
-fn measure_all(options: &Options) -> Result<Report, Fault> {
+fn measure_all(options: &Options) -> Result<Report, MeasureError> {
     let began = Instant::now();
     let lengths = Lengths::of(options.quick);
     let bench = Bench::open(&options.program)?;
@@ -156,7 +156,7 @@
     })
 }
 
-fn repeated_reloads(bench: &Bench, count: usize) -> Result<Vec<Point>, Fault> {
+fn repeated_reloads(bench: &Bench, count: usize) -> Result<Vec<Point>, MeasureError> {
     let mut started = bench.start(&AT_SIZE)?;
     started.process.wait_ready()?;
     reload::repeat(&started, count)
@@ -168,13 +168,13 @@
     sizes: &[usize],
     spans: Spans,
     progress: &ProgressBar,
-) -> Result<Swept, Fault> {
+) -> Result<Swept, MeasureError> {
     let mut taken = Vec::new();
     for size in sizes {
         progress.set_message(format!("{dimension:?} {size}"));
         let found = match measure(bench, &Size::HELD.with(dimension, *size), spans) {
             Ok(measured) => Taken::Measured(Box::new(measured)),
-            Err(Fault::DoesNotStart(why)) => Taken::Refused { size: *size, why },
+            Err(MeasureError::DoesNotStart(why)) => Taken::Refused { size: *size, why },
             Err(fault) => return Err(fault),
         };
         taken.push((*size, found));
@@ -190,7 +190,11 @@
 type Situations = (keys::KeysHeld, log_volume::LogVolumes, alone::Alone);
 
 /// Side by side, as what they measure does not rest on how fast the machine is.
-fn situations(bench: &Bench, lasts: Duration, fill_table: bool) -> Result<Situations, Fault> {
+fn situations(
+    bench: &Bench,
+    lasts: Duration,
+    fill_table: bool,
+) -> Result<Situations, MeasureError> {
     std::thread::scope(|scope| {
         let keys = scope.spawn(|| keys::measure(bench, lasts, fill_table));
         let log = scope.spawn(|| log_volume::measure(bench, lasts));
--- a/crates/fault-harness/src/scale/node_cost/alone.rs
+++ b/crates/fault-harness/src/scale/node_cost/alone.rs
@@ -10,7 +10,7 @@
 use super::bench::{Bench, Started};
 use super::caller::{Connection, Outcome, Outcomes, Request, paced};
 use super::measure::PEAK_RATE;
-use super::process::{Fault, fresh_addresses};
+use super::process::{MeasureError, fresh_addresses};
 use super::settings::{Addresses, Size, request_path, tenant};
 use super::units::thousandths;
 
@@ -72,7 +72,7 @@
     program: &Path,
     server: std::net::SocketAddr,
     lasts: Duration,
-) -> Result<Alone, Fault> {
+) -> Result<Alone, MeasureError> {
     let bench = Bench {
         program,
         registry: open_registry(),
@@ -98,7 +98,12 @@
     play(&alone, &mut caller, lasts)
 }
 
-fn start(bench: &Bench, name: &str, at: Addresses, seed: Addresses) -> Result<Started, Fault> {
+fn start(
+    bench: &Bench,
+    name: &str,
+    at: Addresses,
+    seed: Addresses,
+) -> Result<Started, MeasureError> {
     let size = Size {
         budgets: Some(0),
         ..Size::HELD
@@ -119,7 +124,7 @@
     })
 }
 
-fn wait_for_shares(caller: &mut Connection, alone: &Started) -> Result<(), Fault> {
+fn wait_for_shares(caller: &mut Connection, alone: &Started) -> Result<(), MeasureError> {
     let until = Instant::now() + SHARED_WITHIN;
     while Instant::now() < until {
         if ask(caller, Kind::WithoutFloor)? == Outcome::Completed {
@@ -130,7 +135,7 @@
     Err(alone.process.too_late("a share of a budget", SHARED_WITHIN))
 }
 
-fn play(alone: &Started, caller: &mut Connection, lasts: Duration) -> Result<Alone, Fault> {
+fn play(alone: &Started, caller: &mut Connection, lasts: Duration) -> Result<Alone, MeasureError> {
     let before = alone.process.usage()?;
     let log_before = alone.process.log().bytes;
     let mut counted = [Quarters::default(); 3];
--- a/crates/fault-harness/src/scale/node_cost/bench.rs
+++ b/crates/fault-harness/src/scale/node_cost/bench.rs
@@ -8,7 +8,7 @@
 use doortrack_protocols::Protocol;
 use serde_json::Value;
 
-use super::process::{Fault, NodeProcess, fresh_addresses};
+use super::process::{MeasureError, NodeProcess, fresh_addresses};
 use super::settings::{Addresses, Size, configuration, installation};
 
 /// Threads of the application server; each serves one kept connection.
@@ -31,7 +31,7 @@
     ///
     /// # Errors
     /// No socket can be had.
-    pub fn open(program: &'a Path) -> Result<Bench<'a>, Fault> {
+    pub fn open(program: &'a Path) -> Result<Bench<'a>, MeasureError> {
         let server = instant::server(Protocol::FastCgi, SERVER_THREADS)?;
         Ok(Bench {
             program,
@@ -44,7 +44,7 @@
     ///
     /// # Errors
     /// It can't be started.
-    pub fn start(&self, size: &Size) -> Result<Started, Fault> {
+    pub fn start(&self, size: &Size) -> Result<Started, MeasureError> {
         self.start_changed(size, |_| {})
     }
 
@@ -56,7 +56,7 @@
         &self,
         size: &Size,
         change: impl FnOnce(&mut Value),
-    ) -> Result<Started, Fault> {
+    ) -> Result<Started, MeasureError> {
         let addresses = fresh_addresses(&self.registry, self.server)?;
         self.start_at(NAME, size, addresses, change)
     }
@@ -71,7 +71,7 @@
         size: &Size,
         addresses: Addresses,
         change: impl FnOnce(&mut Value),
-    ) -> Result<Started, Fault> {
+    ) -> Result<Started, MeasureError> {
         let mut installation = installation(name, size, &addresses);
         change(&mut installation);
         let configuration = configuration(name, size, &addresses);
--- a/crates/fault-harness/src/scale/node_cost/full_table.rs
+++ b/crates/fault-harness/src/scale/node_cost/full_table.rs
@@ -8,7 +8,7 @@
 use super::bench::{Bench, Started};
 use super::caller::{Connection, Outcomes, Request, histogram, paced};
 use super::measure::{Callers, Latency, PEAK_RATE};
-use super::process::Fault;
+use super::process::MeasureError;
 use super::settings::{Size, request_path, tenant};
 
 /// Threads that connect side by side.
@@ -81,7 +81,7 @@
 ///
 /// # Errors
 /// The process does not start, or ends.
-pub fn measure(bench: &Bench, callers: usize) -> Result<FullTable, Fault> {
+pub fn measure(bench: &Bench, callers: usize) -> Result<FullTable, MeasureError> {
     let size = Size {
         callers: REGULARS,
         ..Size::HELD
--- a/crates/fault-harness/src/scale/node_cost/keys.rs
+++ b/crates/fault-harness/src/scale/node_cost/keys.rs
@@ -7,7 +7,7 @@
 use super::bench::Bench;
 use super::caller::{Connection, Outcome, Request, paced};
 use super::measure::PEAK_RATE;
-use super::process::Fault;
+use super::process::MeasureError;
 use super::settings::{KEYED_PATH, Size, tenant};
 use crate::scale::series::Point;
 
@@ -41,7 +41,7 @@
 }
 
 impl KeyedCaller {
-    fn ask(&mut self, key: usize) -> Result<Outcome, Fault> {
+    fn ask(&mut self, key: usize) -> Result<Outcome, MeasureError> {
         let idempotency_key = Some(key as u64 + 1);
         let request = Request {
             path: KEYED_PATH,
@@ -52,7 +52,7 @@
     }
 
     /// Asks with the next key; whether it was completed.
-    fn ask_next(&mut self) -> Result<Outcome, Fault> {
+    fn ask_next(&mut self) -> Result<Outcome, MeasureError> {
         let outcome = self.ask(self.keys)?;
         self.keys += usize::from(outcome == Outcome::Completed);
         Ok(outcome)
@@ -64,7 +64,7 @@
 ///
 /// # Errors
 /// The process does not start, or ends a connection.
-pub fn measure(bench: &Bench, at_peak_for: Duration, fill: bool) -> Result<KeysHeld, Fault> {
+pub fn measure(bench: &Bench, at_peak_for: Duration, fill: bool) -> Result<KeysHeld, MeasureError> {
     let mut started = bench.start(&Size::HELD)?;
     started.process.wait_ready()?;
     let connection = Connection::open(started.addresses.front)?;
@@ -73,7 +73,7 @@
         tenant: tenant(0),
         keys: 0,
     };
-    let resident = || Ok::<f64, Fault>(started.process.usage()?.resident_kb as f64);
+    let resident = || Ok::<f64, MeasureError>(started.process.usage()?.resident_kb as f64);
     let mut held = KeysHeld {
         at_peak: vec![Point {
             size: 0.0,
--- a/crates/fault-harness/src/scale/node_cost/log_volume.rs
+++ b/crates/fault-harness/src/scale/node_cost/log_volume.rs
@@ -10,7 +10,7 @@
 use super::bench::{Bench, Started};
 use super::caller::{Outcomes, paced};
 use super::measure::{Callers, PEAK_RATE};
-use super::process::Fault;
+use super::process::MeasureError;
 use super::settings::{Size, tenant};
 
 /// Servers of each pool where all are gone.
@@ -54,13 +54,13 @@
 
 /// # Errors
 /// A process does not start or ends.
-pub fn measure(bench: &Bench, lasts: Duration) -> Result<LogVolumes, Fault> {
+pub fn measure(bench: &Bench, lasts: Duration) -> Result<LogVolumes, MeasureError> {
     std::thread::scope(|scope| {
         let few_pools = scope.spawn(|| calm(bench, Size::HELD, lasts));
         let most_pools = scope.spawn(|| calm(bench, MOST_SERVICES, lasts));
         let rejecting = scope.spawn(|| rejecting(bench, lasts));
         let servers_gone = scope.spawn(|| servers_gone(bench, lasts));
-        let ended = |thread: std::thread::ScopedJoinHandle<Result<LogVolume, Fault>>| {
+        let ended = |thread: std::thread::ScopedJoinHandle<Result<LogVolume, MeasureError>>| {
             thread
                 .join()
                 .unwrap_or_else(|panic| std::panic::resume_unwind(panic))
@@ -74,7 +74,7 @@
     })
 }
 
-fn calm(bench: &Bench, size: Size, lasts: Duration) -> Result<LogVolume, Fault> {
+fn calm(bench: &Bench, size: Size, lasts: Duration) -> Result<LogVolume, MeasureError> {
     let mut started = bench.start(&size)?;
     started.process.wait_ready()?;
     let before = started.process.log();
@@ -92,7 +92,7 @@
 }
 
 /// All requests are of one tenant, whose budget has one a second.
-fn rejecting(bench: &Bench, lasts: Duration) -> Result<LogVolume, Fault> {
+fn rejecting(bench: &Bench, lasts: Duration) -> Result<LogVolume, MeasureError> {
     let size = Size {
         tenants: 1,
         budgets: Some(1),
@@ -106,7 +106,7 @@
 }
 
 /// Every pool names servers that nobody listens at; of several, most are put aside.
-fn servers_gone(bench: &Bench, lasts: Duration) -> Result<LogVolume, Fault> {
+fn servers_gone(bench: &Bench, lasts: Duration) -> Result<LogVolume, MeasureError> {
     let size = MOST_SERVICES;
     let nobody = addresses_of_nobody()?;
     let mut started = bench.start_changed(&size, |installation| {
@@ -131,7 +131,11 @@
         .collect()
 }
 
-fn under_load(started: &mut Started, size: Size, lasts: Duration) -> Result<LogVolume, Fault> {
+fn under_load(
+    started: &mut Started,
+    size: Size,
+    lasts: Duration,
+) -> Result<LogVolume, MeasureError> {
     started.process.wait_ready()?;
     let mut callers = Callers::open(started.addresses.front, size)?;
     let before = started.process.log();
--- a/crates/fault-harness/src/scale/node_cost/measure.rs
+++ b/crates/fault-harness/src/scale/node_cost/measure.rs
@@ -8,7 +8,7 @@
 
 use super::bench::{Bench, Started};
 use super::caller::{Connection, Outcome, Outcomes, Request, histogram, paced};
-use super::process::Fault;
+use super::process::MeasureError;
 use super::reload::{self, Reload};
 use super::settings::{Size, request_path, tenant};
 use super::units::{milliseconds, thousandths};
@@ -96,7 +96,7 @@
 ///
 /// # Errors
 /// The program does not start with these settings, or something does not come in time.
-pub fn measure(bench: &Bench, size: &Size, spans: Spans) -> Result<Measured, Fault> {
+pub fn measure(bench: &Bench, size: &Size, spans: Spans) -> Result<Measured, MeasureError> {
     let mut started = bench.start(size)?;
     let ready = started.process.wait_ready()?;
     let at_ready = started.process.usage()?;
@@ -132,7 +132,7 @@
 }
 
 /// A node that has just started gives no vote for a while, so it has no share of any budget.
-fn wait_for_budgets(started: &Started, size: &Size) -> Result<(), Fault> {
+fn wait_for_budgets(started: &Started, size: &Size) -> Result<(), MeasureError> {
     let Some(1..) = size.budgets else {
         return Ok(());
     };
@@ -170,7 +170,7 @@
     ///
     /// # Errors
     /// The front takes no connection.
-    pub fn open(front: SocketAddr, size: Size) -> Result<Callers, Fault> {
+    pub fn open(front: SocketAddr, size: Size) -> Result<Callers, MeasureError> {
         let (connections, outcomes) = Default::default();
         let mut callers = Callers {
             front,
@@ -225,7 +225,7 @@
     callers: &mut Callers,
     server: SocketAddr,
     lasts: Duration,
-) -> Result<Load, Fault> {
+) -> Result<Load, MeasureError> {
     let mut direct = Connection::open(server)?;
     let (mut through_node, mut straight) = (histogram(), histogram());
     let before = started.process.usage()?;
--- a/crates/fault-harness/src/scale/node_cost/process.rs
+++ b/crates/fault-harness/src/scale/node_cost/process.rs
@@ -30,7 +30,7 @@
 
 /// What keeps a measurement from being made.
 #[derive(Debug, Error)]
-pub enum Fault {
+pub enum MeasureError {
     #[error("{0}")]
     Io(#[from] io::Error),
     #[error("/proc: {0}")]
@@ -136,11 +136,11 @@
     ///
     /// # Errors
     /// The program has ended, or is not ready for too long.
-    pub fn wait_ready(&mut self) -> Result<Duration, Fault> {
+    pub fn wait_ready(&mut self) -> Result<Duration, MeasureError> {
         while self.started.elapsed() < READY_WITHIN {
             if self.child.try_wait()?.is_some() {
                 _ = self.reader.take().map(JoinHandle::join);
-                return Err(Fault::DoesNotStart(self.log().tail));
+                return Err(MeasureError::DoesNotStart(self.log().tail));
             }
             if self.is_healthy() {
                 return Ok(self.started.elapsed());
@@ -159,8 +159,8 @@
             .is_ok_and(|outcome| outcome == Outcome::Completed)
     }
 
-    pub fn too_late(&self, what: &'static str, within: Duration) -> Fault {
-        Fault::TooLate {
+    pub fn too_late(&self, what: &'static str, within: Duration) -> MeasureError {
+        MeasureError::TooLate {
             what,
             within,
             log: self.log().tail,
@@ -169,7 +169,7 @@
 
     /// # Errors
     /// The process is gone.
-    pub fn usage(&self) -> Result<Usage, Fault> {
+    pub fn usage(&self) -> Result<Usage, MeasureError> {
         let process = Process::new(self.child.id() as i32)?;
         let status = process.status()?;
         // The process's own file tells of its first thread alone.
--- a/crates/fault-harness/src/scale/node_cost/reload.rs
+++ b/crates/fault-harness/src/scale/node_cost/reload.rs
@@ -7,7 +7,7 @@
 
 use super::bench::Started;
 use super::caller::{Connection, Outcome, Request};
-use super::process::Fault;
+use super::process::MeasureError;
 use super::settings::{Size, installation_changed, probe_path, tenant, unchanged_path};
 use super::units::milliseconds;
 use crate::scale::series::Point;
@@ -44,7 +44,7 @@
 }
 
 impl Prober {
-    fn open(front: SocketAddr, path: String) -> Result<Prober, Fault> {
+    fn open(front: SocketAddr, path: String) -> Result<Prober, MeasureError> {
         Ok(Prober {
             connection: Connection::open(front)?,
             path,
@@ -53,7 +53,7 @@
     }
 
     /// Asks when the next request is due: what came of it, and the wait since it was due.
-    fn ask(&mut self) -> Result<(Outcome, Duration), Fault> {
+    fn ask(&mut self) -> Result<(Outcome, Duration), MeasureError> {
         std::thread::sleep(self.due.saturating_duration_since(Instant::now()));
         let request = Request {
             path: &self.path,
@@ -67,7 +67,7 @@
     }
 
     /// Asks so many times: the longest wait.
-    fn ask_many(&mut self, count: usize) -> Result<Duration, Fault> {
+    fn ask_many(&mut self, count: usize) -> Result<Duration, MeasureError> {
         (0..count).try_fold(Duration::ZERO, |worst, _| Ok(worst.max(self.ask()?.1)))
     }
 }
@@ -77,12 +77,12 @@
 ///
 /// # Errors
 /// The process is gone.
-pub fn repeat(started: &Started, count: usize) -> Result<Vec<Point>, Fault> {
+pub fn repeat(started: &Started, count: usize) -> Result<Vec<Point>, MeasureError> {
     let files = [
         installation_changed(&started.installation),
         started.installation.clone(),
     ];
-    let resident = || Ok::<f64, Fault>(started.process.usage()?.resident_kb as f64);
+    let resident = || Ok::<f64, MeasureError>(started.process.usage()?.resident_kb as f64);
     let mut points = vec![Point {
         size: 0.0,
         value: resident()?,
@@ -105,7 +105,7 @@
 ///
 /// # Errors
 /// The node ends a connection, or the change does not come into force in time.
-pub fn measure(started: &Started, size: &Size) -> Result<Reload, Fault> {
+pub fn measure(started: &Started, size: &Size) -> Result<Reload, MeasureError> {
     let (process, front) = (&started.process, started.addresses.front);
     let mut prober = Prober::open(front, probe_path(size).into())?;
     let worst_before = prober.ask_many(AROUND)?;
--- a/crates/fault-harness/src/scale/plan.rs
+++ b/crates/fault-harness/src/scale/plan.rs
@@ -5,7 +5,7 @@
 
 use std::net::SocketAddr;
 
-use doortrack_config::{Installation, NodeConfig, installation, node_config};
+use doortrack_config::{ConfigErrors, Installation, NodeConfig, installation, node_config};
 use doortrack_fakes::fixture;
 use serde::{Deserialize, Serialize};
 use serde_json::{Value, json};
@@ -143,21 +143,11 @@
     /// What a hollow node is opened with: the same files as a real one's, read by the same code.
     ///
     /// # Errors
-    /// All faults of either file, each on a line.
-    pub fn parsed(&self, node: usize) -> Result<(Installation, NodeConfig), String> {
-        let faults = |faults: doortrack_config::ConfigErrors| {
-            faults
-                .0
-                .iter()
-                .map(ToString::to_string)
-                .collect::<Vec<_>>()
-                .join("\n")
-        };
-        let orders =
-            node_config::parse(self.config(node).to_string().as_bytes()).map_err(faults)?;
-        let installation =
-            installation::parse(self.installation(node).to_string().as_bytes()).map_err(faults)?;
-        installation.validate_with(&orders).map_err(faults)?;
-        Ok((installation, orders))
+    /// All errors of either file.
+    pub fn parsed(&self, node: usize) -> Result<(Installation, NodeConfig), ConfigErrors> {
+        let config = node_config::parse(self.config(node).to_string().as_bytes())?;
+        let installation = installation::parse(self.installation(node).to_string().as_bytes())?;
+        installation.validate_with(&config)?;
+        Ok((installation, config))
     }
 }
--- a/crates/fault-harness/src/scale/serving.rs
+++ b/crates/fault-harness/src/scale/serving.rs
@@ -12,7 +12,7 @@
 use doortrack_node::peers::seal::{MAX_DATAGRAM_LEN, Seal};
 use serde_json::{Value, json};
 
-use super::child::ScaleError;
+use super::error::ScaleError;
 use super::plan::{FLEET_KEY, FleetPlan};
 use doortrack_fakes::child_process::end_with_parent;
 
--- a/crates/fault-harness/src/scale/settle.rs
+++ b/crates/fault-harness/src/scale/settle.rs
@@ -3,7 +3,7 @@
 
 use std::time::{Duration, Instant};
 
-use super::child::ScaleError;
+use super::error::ScaleError;
 use super::fleet::RunningFleet;
 
 /// Traffic is compared from one such span to the next.
--- a/crates/fault-harness/src/scale/simulated/command.rs
+++ b/crates/fault-harness/src/scale/simulated/command.rs
@@ -14,6 +14,7 @@
 use super::topology::Topology;
 use super::traffic::{Load, Peaks};
 use super::verdict::{Measured, Outcome, run};
+use crate::scale::error::{ScaleError, write_report};
 use crate::scale::series::Series;
 
 /// Machines that fail in a day, each by itself.
@@ -110,7 +111,7 @@
 ///
 /// # Errors
 /// The file that can't be written.
-pub fn scale_simulated(options: &Options) -> Result<bool, String> {
+pub fn scale_simulated(options: &Options) -> Result<bool, ScaleError> {
     let tasks = options.tasks();
     let (next, report) = (AtomicUsize::new(0), Mutex::new(Report::default()));
     std::thread::scope(|scope| {
@@ -129,8 +130,7 @@
         .outcomes
         .sort_by(|a, b| (&a.scenario, a.seed).cmp(&(&b.scenario, b.seed)));
     if let Some(file) = &options.json {
-        let text = serde_json::to_string_pretty(&report).map_err(|e| e.to_string())?;
-        std::fs::write(file, text).map_err(|e| format!("{}: {e}", file.display()))?;
+        write_report(file, &report)?;
     }
     Ok(report
         .outcomes
--- a/crates/fault-harness/src/scale/sweep.rs
+++ b/crates/fault-harness/src/scale/sweep.rs
@@ -6,7 +6,8 @@
 use indicatif::ProgressBar;
 use serde::{Deserialize, Serialize};
 
-use super::child::{ScaleError, Usage, usage};
+use super::child::{Usage, usage};
+use super::error::ScaleError;
 use super::fit::FittedSeries;
 use super::fleet::{FleetSample, Ports, Programs, RunningFleet};
 use super::measure::{Figure, LinkRates, figures, serving_figures};
--- a/crates/fault-harness/tests/interrupt.rs
+++ b/crates/fault-harness/tests/interrupt.rs
@@ -8,6 +8,7 @@
 use std::time::{Duration, Instant};
 
 use doortrack_fakes::MAX_WAIT;
+use doortrack_fakes::child_process::send_signal;
 
 const NODES: usize = 3;
 
@@ -77,14 +78,7 @@
         let started = || Some(children(harness.id())).filter(|all| all.len() == NODES);
         let nodes = wait_for("all nodes run", started);
         assert_eq!(folders_of(harness.id()).len(), 1);
-        let id = harness.id().to_string();
-        assert!(
-            Command::new("kill")
-                .args([signal, &id])
-                .status()
-                .unwrap()
-                .success()
-        );
+        send_signal(harness.id(), signal);
         let mut said = String::new();
         harness
             .stderr
--- a/crates/node/tests/node/early_signals.rs
+++ b/crates/node/tests/node/early_signals.rs
@@ -7,6 +7,7 @@
 use std::process::{Child, Command, Stdio};
 
 use doortrack_fakes::caller::{CallerOutcome, CallerRequest};
+use doortrack_fakes::child_process::send_signal;
 use doortrack_fakes::fixture::NodeSetup;
 use doortrack_protocols::Protocol::FastCgi;
 use serde_json::json;
@@ -54,14 +55,7 @@
     }
 
     fn signal(&self, name: &str) {
-        let id = self.process.id().to_string();
-        assert!(
-            Command::new("kill")
-                .args([name, &id])
-                .status()
-                .unwrap()
-                .success()
-        );
+        send_signal(self.process.id(), name);
     }
 
     /// Lets the start go on.
--- a/crates/node/tests/scale_node.rs
+++ b/crates/node/tests/scale_node.rs
@@ -3,9 +3,9 @@
 use std::path::Path;
 use std::time::Duration;
 
+use doortrack_fault_harness::scale::node_cost::MeasureError;
 use doortrack_fault_harness::scale::node_cost::bench::Bench;
 use doortrack_fault_harness::scale::node_cost::measure::{Spans, measure};
-use doortrack_fault_harness::scale::node_cost::process::Fault;
 use doortrack_fault_harness::scale::node_cost::settings::Size;
 
 const SMALL: Size = Size {
@@ -77,7 +77,9 @@
         SHORT,
     );
     match refused {
-        Err(Fault::DoesNotStart(why)) => assert!(why.contains("installation.pools"), "{why}"),
+        Err(MeasureError::DoesNotStart(why)) => {
+            assert!(why.contains("installation.pools"), "{why}")
+        }
         other => panic!("refused settings were served: {other:?}"),
     }
 }
