--- a/review/standins/src/lib.rs
+++ b/review/standins/src/lib.rs
@@ -1,7 +1,5 @@
-//! Stand-ins for the parties around a node: dispatchers (FastCGI and uwsgi), the engine, application servers and the
-//! registry. They use the standard library and loopback addresses only.
+//! Stand-ins for the parties around a node: dispatchers (FastCGI and uwsgi), application servers and the registry. They use the standard library and loopback addresses only.
 
-pub mod engine;
 pub mod fastcgi;
 pub mod node;
 pub mod record;
@@ -43,23 +41,6 @@
     socket.local_addr().expect("its address")
 }
 
-/// A small generator of pseudo-random numbers (xorshift), seeded by the case.
-pub struct Rng(u64);
-
-impl Rng {
-    pub fn new(seed: u64) -> Rng {
-        Rng(seed.wrapping_mul(0x9e37_79b9_7f4a_7c15) | 1)
-    }
-
-    /// A number from `from` to `to`, both included.
-    pub fn between(&mut self, from: u64, to: u64) -> u64 {
-        self.0 ^= self.0 << 13;
-        self.0 ^= self.0 >> 7;
-        self.0 ^= self.0 << 17;
-        from + (self.0 >> 11) % (to - from + 1)
-    }
-}
-
 /// A registry that only takes the nodes' reports. Returns its address.
 pub fn registry() -> SocketAddr {
     let socket = UdpSocket::bind("127.0.0.1:0").expect("the registry's port");
--- a/review/standins/src/node.rs
+++ b/review/standins/src/node.rs
@@ -21,7 +21,6 @@
 pub const SIGKILL: i32 = 9;
 pub const SIGTERM: i32 = 15;
 pub const SIGCONT: i32 = 18;
-pub const SIGSTOP: i32 = 19;
 
 /// The command that starts a node, from `deploy/balancer.toml`.
 pub fn run_command() -> String {
