Count requests refused before admission by reason

A request that never reaches admission is answered OVERLOADED, or 503 over uwsgi, which tells its caller that nothing ran.

Answer::NoCapacity names its reason, and the lines summary and listener summary have the counts by reason under refusals; no_room stays their sum.

--- a/crates/node/src/event_loop/arrivals.rs
+++ b/crates/node/src/event_loop/arrivals.rs
@@ -5,7 +5,7 @@
 
 use super::Node;
 use crate::network::listeners::{Caller, ListenerEvent, RawVariables};
-use crate::network::request::{Answer, IncomingRequest, RunOutput, Unreadable};
+use crate::network::request::{Answer, IncomingRequest, RefusalReason, RunOutput, Unreadable};
 use crate::state::in_flight::{InFlightRequest, Reservations, Stage};
 use crate::state::results::{DedupKey, DuplicateCheck};
 use crate::subsystem::{AdmissionRequest, Permit, PermitOutcome};
@@ -38,12 +38,16 @@
             return; // Cancelled in the turn in which it arrived.
         }
         if !self.admission.is_started() {
-            return self.listeners.answer(caller, Answer::NoCapacity);
+            let not_started = Answer::NoCapacity(RefusalReason::NotStarted);
+            return self.listeners.answer(caller, not_started);
         }
         let key = request.idempotency_key.map(|key| (request.group, key));
         self.decide_before_duplicate(key);
         match self.find_original(key, &body, request.arrived_at) {
-            Ok(None) if connection_closing => self.listeners.answer(caller, Answer::NoCapacity),
+            Ok(None) if connection_closing => {
+                let closing = Answer::NoCapacity(RefusalReason::ConnectionClosing);
+                self.listeners.answer(caller, closing);
+            }
             Ok(original) => self.take_request(caller, &request, variables, body, original),
             Err(answer) => self.listeners.answer(caller, answer),
         }
@@ -119,7 +123,7 @@
         {
             DuplicateCheck::FirstUse => Ok(None),
             DuplicateCheck::Duplicate(original) => Ok(Some(original)),
-            DuplicateCheck::TableFull => Err(Answer::NoCapacity),
+            DuplicateCheck::TableFull => Err(Answer::NoCapacity(RefusalReason::ResultTable)),
             DuplicateCheck::BodyMismatch => Err(Answer::Unreadable(Unreadable::Field(
                 "HTTP_IDEMPOTENCY_KEY",
             ))),
--- a/crates/node/src/event_loop/summary.rs
+++ b/crates/node/src/event_loop/summary.rs
@@ -85,7 +85,8 @@
             "failed" => counts.failed,
             "in_flight" => self.in_flight.len(), "connections" => self.listeners.connection_count(),
             "accepted" => counts.accepted, "unreadable" => Serde(counts.unreadable.clone()),
-            "no_room" => counts.no_capacity, "checks" => counts.health_checks, "ends" => Serde(counts.terminations.clone()),
+            "no_room" => counts.no_capacity_total(), "refusals" => Serde(counts.no_capacity.clone()),
+            "checks" => counts.health_checks, "ends" => Serde(counts.terminations.clone()),
             "unread_bytes" => self.listeners.unread_answer_bytes(),
             "result_bytes" => self.results.bytes(), "link_losses" => self.backend.link_losses(),
             "turn_ms" => max_durations.turn / MILLISECOND, "reading_ms" => max_durations.reading / MILLISECOND,
@@ -111,7 +112,8 @@
             "completed" => counts.completed, "rejected" => counts.rejected,
             "failed" => counts.failed, "connections" => listener.connections,
             "accepted" => counts.accepted, "unreadable" => Serde(counts.unreadable.clone()),
-            "no_room" => counts.no_capacity, "checks" => counts.health_checks, "ends" => Serde(counts.terminations.clone()));
+            "no_room" => counts.no_capacity_total(), "refusals" => Serde(counts.no_capacity.clone()),
+            "checks" => counts.health_checks, "ends" => Serde(counts.terminations.clone()));
     }
 }
 
--- a/crates/node/src/network/listeners/answers.rs
+++ b/crates/node/src/network/listeners/answers.rs
@@ -132,6 +132,6 @@
         Answer::Health { .. } => counts.health_checks += 1,
         Answer::Unreadable(reason) => *counts.unreadable.entry(reason.name()).or_default() += 1,
         Answer::UnknownRole => *counts.unreadable.entry("role").or_default() += 1,
-        Answer::NoCapacity => counts.no_capacity += 1,
+        Answer::NoCapacity(reason) => *counts.no_capacity.entry(reason.name()).or_default() += 1,
     }
 }
--- a/crates/node/src/network/listeners/close.rs
+++ b/crates/node/src/network/listeners/close.rs
@@ -5,7 +5,7 @@
 use super::{ListenerEvent, Listeners};
 use crate::network::bounds;
 use crate::network::connection::Timeouts;
-use crate::network::request::{Answer, Unreadable};
+use crate::network::request::{Answer, RefusalReason, Unreadable};
 use crate::network::termination::Termination;
 
 impl Listeners {
@@ -93,7 +93,7 @@
             })
             .collect();
         for slot in overdue {
-            self.answer_incomplete(slot, Answer::NoCapacity);
+            self.answer_incomplete(slot, Answer::NoCapacity(RefusalReason::Incomplete));
         }
     }
 
--- a/crates/node/src/network/listeners/counts.rs
+++ b/crates/node/src/network/listeners/counts.rs
@@ -17,13 +17,18 @@
     pub health_checks: u64,
     /// Requests that could not be decoded, by the name of the unreadable part.
     pub unreadable: BTreeMap<&'static str, u64>,
-    /// Requests rejected before admission, as a resource bound was reached or the connection was being closed.
-    pub no_capacity: u64,
+    /// Requests refused before admission, by the name of the [`RefusalReason`](crate::network::request::RefusalReason).
+    pub no_capacity: BTreeMap<&'static str, u64>,
     /// Connections closed, by the name of the termination.
     pub terminations: BTreeMap<&'static str, u64>,
 }
 
 impl Counts {
+    /// Returns the number of requests refused before admission, for any reason.
+    pub fn no_capacity_total(&self) -> u64 {
+        self.no_capacity.values().sum()
+    }
+
     /// Adds another listener's counts.
     pub fn add(&mut self, other: &Counts) {
         self.accepted += other.accepted;
@@ -31,7 +36,7 @@
         self.rejected += other.rejected;
         self.failed += other.failed;
         self.health_checks += other.health_checks;
-        self.no_capacity += other.no_capacity;
+        add_by_name(&mut self.no_capacity, &other.no_capacity);
         add_by_name(&mut self.unreadable, &other.unreadable);
         add_by_name(&mut self.terminations, &other.terminations);
     }
--- a/crates/node/src/network/listeners/drain.rs
+++ b/crates/node/src/network/listeners/drain.rs
@@ -7,7 +7,7 @@
 
 use super::{Listener, ListenerEvent, Listeners};
 use crate::network::bounds::MAX_FINAL_READS;
-use crate::network::request::Answer;
+use crate::network::request::{Answer, RefusalReason};
 use crate::network::termination::Termination;
 
 impl Listeners {
@@ -42,7 +42,7 @@
     pub fn refuse_incomplete_requests(&mut self) {
         let slots: Vec<usize> = self.connections.iter().map(|(slot, _)| slot).collect();
         for slot in slots {
-            self.answer_incomplete(slot, Answer::NoCapacity);
+            self.answer_incomplete(slot, Answer::NoCapacity(RefusalReason::Incomplete));
         }
     }
 
--- a/crates/node/src/network/listeners/reading.rs
+++ b/crates/node/src/network/listeners/reading.rs
@@ -9,7 +9,7 @@
 use crate::network::bounds::{self, MAX_BODY_BYTES};
 use crate::network::classifier::Origin;
 use crate::network::connection::{CompleteRequest, Stream};
-use crate::network::request::{self, Answer, DecodedRequest, Unreadable};
+use crate::network::request::{self, Answer, DecodedRequest, RefusalReason, Unreadable};
 use crate::network::termination::Termination;
 
 impl Listeners {
@@ -149,13 +149,18 @@
         self.requests_begun += 1;
         self.pending_requests += 1;
         let request = self.requests_begun;
-        let within_bounds = connection.pending.begin(wire_id, request)
-            && self.pending_requests <= self.limits.open_requests;
+        let refusal = if !connection.pending.begin(wire_id, request) {
+            Some(RefusalReason::PendingRequests)
+        } else if self.pending_requests > self.limits.open_requests {
+            Some(RefusalReason::OpenRequests)
+        } else {
+            None
+        };
         let caller = Caller { slot, request };
         if role != RESPONDER {
             self.answer(caller, Answer::UnknownRole);
-        } else if !within_bounds {
-            self.answer(caller, Answer::NoCapacity);
+        } else if let Some(reason) = refusal {
+            self.answer(caller, Answer::NoCapacity(reason));
         }
     }
 
@@ -220,7 +225,7 @@
         let connection_closing = self.connections[slot].is_closing();
         match self.decode(slot, &complete, now) {
             Ok(inbound) if connection_closing && !has_idempotency_key(&inbound) => {
-                self.answer(caller, Answer::NoCapacity);
+                self.answer(caller, Answer::NoCapacity(RefusalReason::ConnectionClosing));
             }
             Ok(DecodedRequest::Request(request)) => events.push(ListenerEvent::Request {
                 caller,
--- a/crates/node/src/network/request.rs
+++ b/crates/node/src/network/request.rs
@@ -8,7 +8,7 @@
 use doortrack_protocols::Protocol;
 use doortrack_time::{MILLISECOND, TenthMillis};
 
-pub use self::answer::{Answer, RunOutput, write};
+pub use self::answer::{Answer, RefusalReason, RunOutput, write};
 pub(super) use self::fields::Fields;
 use self::fields::in_range;
 
--- a/crates/node/src/network/request/answer.rs
+++ b/crates/node/src/network/request/answer.rs
@@ -24,6 +24,38 @@
     }
 }
 
+/// Why a request is refused before it reaches admission. Each refusal tells the caller that nothing ran, so the
+/// caller may have the request run at another node.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RefusalReason {
+    /// Nothing has run on this node yet, as its backend has never been up.
+    NotStarted,
+    /// [`ResourceLimits::open_requests`](doortrack_config::ResourceLimits::open_requests) are open.
+    OpenRequests,
+    /// [`MAX_PENDING_REQUESTS`](crate::network::bounds::MAX_PENDING_REQUESTS) are pending on the connection.
+    PendingRequests,
+    /// The table of results has no room for another idempotency key.
+    ResultTable,
+    /// The connection is being closed.
+    ConnectionClosing,
+    /// The request is still incomplete when its connection has to end.
+    Incomplete,
+}
+
+impl RefusalReason {
+    /// Returns the reason's name in the log.
+    pub fn name(self) -> &'static str {
+        match self {
+            RefusalReason::NotStarted => "not_started",
+            RefusalReason::OpenRequests => "open_requests",
+            RefusalReason::PendingRequests => "pending_requests",
+            RefusalReason::ResultTable => "result_table",
+            RefusalReason::ConnectionClosing => "connection_closing",
+            RefusalReason::Incomplete => "incomplete",
+        }
+    }
+}
+
 /// The answer to a request.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Answer<'a> {
@@ -47,7 +79,7 @@
     Unreadable(Unreadable),
     /// A resource bound of the sockets is reached or the connection is being closed, so the request did not reach
     /// admission.
-    NoCapacity,
+    NoCapacity(RefusalReason),
     /// The request has a FastCGI role other than responder.
     UnknownRole,
 }
@@ -56,7 +88,7 @@
     /// Returns the FastCGI protocol status of a request that was not passed to the application.
     fn protocol_status(&self) -> Option<ProtocolStatus> {
         match self {
-            Answer::NoCapacity => Some(ProtocolStatus::Overloaded),
+            Answer::NoCapacity(_) => Some(ProtocolStatus::Overloaded),
             Answer::UnknownRole => Some(ProtocolStatus::UnknownRole),
             _ => None,
         }
@@ -66,7 +98,7 @@
         match *self {
             Answer::Completed(output) => ("200 OK", output.body),
             Answer::Health { healthy: true } => ("200 OK", b"good\n"),
-            Answer::Health { healthy: false } | Answer::Rejected { .. } | Answer::NoCapacity => {
+            Answer::Health { healthy: false } | Answer::Rejected { .. } | Answer::NoCapacity(_) => {
                 ("503 Service Unavailable", b"")
             }
             Answer::Unreadable(Unreadable::TooLong) => ("413 Content Too Large", b""),
--- a/crates/node/tests/node/components.rs
+++ b/crates/node/tests/node/components.rs
@@ -13,7 +13,7 @@
 use doortrack_node::network::listeners::{FIRST_CONNECTION_KEY, Listeners};
 use doortrack_node::network::registry::{self, Registry};
 use doortrack_node::network::request::{
-    self, Answer, DecodedRequest, DeploymentNames, RunOutput, Unreadable,
+    self, Answer, DecodedRequest, DeploymentNames, RefusalReason, RunOutput, Unreadable,
 };
 use doortrack_node::network::termination::{Outcome, Termination};
 use doortrack_node::state::in_flight::{InFlightRequest, InFlightTable, Stage};
@@ -363,7 +363,7 @@
             && !rejected.contains("Load"),
         "{rejected}"
     );
-    let (_, overloaded) = encode(Answer::NoCapacity, Some(0.0));
+    let (_, overloaded) = encode(Answer::NoCapacity(RefusalReason::OpenRequests), Some(0.0));
     assert_eq!(
         overloaded,
         record(3, 7, &[0, 0, 0, 0, 2, 0, 0, 0], 0),
--- a/crates/node/tests/node/connection_ends.rs
+++ b/crates/node/tests/node/connection_ends.rs
@@ -134,9 +134,9 @@
 
     /// Checks that a further request on a closing connection is refused as never run.
     fn check_refused(&mut self, client: &mut Client, id: u16, nth: u64) {
-        let refused = self.listeners.counts().no_capacity;
+        let refused = self.listeners.counts().no_capacity_total();
         client.send_look(id, nth);
-        self.run_until(|table| table.listeners.counts().no_capacity > refused);
+        self.run_until(|table| table.listeners.counts().no_capacity_total() > refused);
         let reply = client.reply();
         assert_eq!((reply.id, reply.status), (id, 2));
     }
