--- a/crates/bench/src/process.rs
+++ b/crates/bench/src/process.rs
@@ -21,3 +21,11 @@
         .sum();
     ticks * MS_PER_TICK
 }
+
+/// Returns the peak resident memory of a process in kB; 0 if there is no such process.
+pub fn peak_memory_kb(pid: u32) -> u64 {
+    let status = fs::read_to_string(format!("/proc/{pid}/status")).unwrap_or_default();
+    let line = status.lines().find_map(|line| line.strip_prefix("VmHWM:"));
+    line.and_then(|line| line.split_whitespace().next()?.parse().ok())
+        .unwrap_or(0)
+}
