Give each node of a test process an address that no other test uses

Cause: fresh_address hands out 127.(20 to 219).b.c, with b and c from the process id, and tests listen there at 9091 to 9093. The fixture of backlog.rs took 127.(120 to 219).b.c:9091 from a count of its own.

Change: the fixture asks fresh_address, and fresh_address passes over an address at which one of the ports that tests use, 9090 to 9099, is taken. No check or time limit of any test is changed.

--- a/crates/fakes/src/fixture.rs
+++ b/crates/fakes/src/fixture.rs
@@ -1,7 +1,8 @@
 //! Starts the program under test, each time on an address of its own.
 
 use std::io::{ErrorKind, Read};
-use std::net::{SocketAddr, TcpListener, TcpStream, UdpSocket};
+use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream, UdpSocket};
+use std::ops::RangeInclusive;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicU32, Ordering};
@@ -17,11 +18,27 @@
 
 static STARTED: AtomicU32 = AtomicU32::new(0);
 
-/// Returns a loopback address for one node. Ports from 9090 on are free, as every call returns another IP address.
+/// The port at which a node listens for dispatchers.
+const NODE_PORT: u16 = 9090;
+/// The ports that tests use at the address of one node.
+const NODE_PORTS: RangeInclusive<u16> = NODE_PORT..=9099;
+/// Number of IP addresses of one test process; they are used again after that.
+const MAX_ADDRESSES: u32 = 200;
+
+/// Returns a loopback address for one node, at which [`NODE_PORTS`] are free. Every call returns another IP address, until
+/// [`MAX_ADDRESSES`] have been returned.
 pub fn fresh_address() -> SocketAddr {
-    let count = STARTED.fetch_add(1, Ordering::Relaxed);
     let [.., b, c] = std::process::id().to_be_bytes();
-    SocketAddr::from(([127, 20 + (count % 200) as u8, b, c], 9090))
+    for _ in 0..MAX_ADDRESSES {
+        let count = STARTED.fetch_add(1, Ordering::Relaxed);
+        let ip = Ipv4Addr::new(127, 20 + (count % MAX_ADDRESSES) as u8, b, c);
+        // A node of an earlier test may still run at an address that is used again.
+        let is_free = |port| TcpListener::bind((ip, port)).is_ok();
+        if NODE_PORTS.into_iter().all(is_free) {
+            return SocketAddr::from((ip, NODE_PORT));
+        }
+    }
+    panic!("no loopback address is free for another node");
 }
 
 pub fn open_registry() -> UdpSocket {
--- a/crates/node/tests/node/backlog.rs
+++ b/crates/node/tests/node/backlog.rs
@@ -2,12 +2,12 @@
 
 use std::collections::BTreeSet;
 use std::io::{ErrorKind, Read, Write};
-use std::net::{SocketAddr, TcpStream};
+use std::net::TcpStream;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicU8, Ordering};
 use std::time::Duration;
 
 use doortrack_config::ResourceLimits;
+use doortrack_fakes::fixture::fresh_address;
 use doortrack_node::network::bounds::{MAX_UNREAD_ANSWER_BYTES, READ_BUFFER_BYTES};
 use doortrack_node::network::listeners::{FIRST_CONNECTION_KEY, ListenerEvent, Listeners};
 use doortrack_node::network::request::{Answer, DeploymentNames, RunOutput};
@@ -139,7 +139,6 @@
 
 impl ListenerFixture {
     fn new(limit: usize, callers: usize) -> ListenerFixture {
-        static FIXTURES: AtomicU8 = AtomicU8::new(0);
         let poller = Arc::new(Poller::new().unwrap());
         let limits = ResourceLimits {
             connections: 8,
@@ -154,11 +153,7 @@
             idempotency_keyed: vec![false],
             tenants: vec!["one".into()],
         };
-        let [.., b, c] = std::process::id().to_be_bytes();
-        let nth = FIXTURES.fetch_add(1, Ordering::Relaxed);
-        let at: SocketAddr = format!("127.{}.{b}.{c}:9091", 120 + nth % 100)
-            .parse()
-            .unwrap();
+        let at = fresh_address();
         let mut listeners = Listeners::new(poller.clone(), names, limits, u64::MAX / 100);
         listeners.listen(at, Protocol::FastCgi, None).unwrap();
         let connect = |_| {
