Read each request to its end before it is refused for lack of room

What callers saw: beside clients that hold hundreds of incomplete requests a node answered every request OVERLOADED (503 over uwsgi), also repeats of deduplicated requests that it had run. The same for the 33rd request of a connection, whatever it repeated.

Cause: Listeners::begin refused at the first record, before the key was read, and counted incomplete requests as open.

Change: a request is read to its end whatever is open. If it can't be run, Listeners reports it as PossibleDuplicate, with the hash of its body in place of its content, and the node answers it from the table of results: the result, or the wait for it, and only for a key without an entry the refusal. limits.open_requests counts complete requests. Incomplete ones are bounded by their memory, 10.5 kB for each connection of the table, out of the 20 kB that a connection has (an empty write buffer now keeps 4 kB, not 16). At the bound the connections that hold most give way with a 400, which promises nothing; the bound is such that each of them holds more than one request. A connection may begin 8 requests beyond its 32; then its oldest incomplete one gives way. Repeats that wait keep no content; beyond two for each connection of the table they are failed. So no bound is answered with a promise that was not looked up, and none is gone.

A health check at a bound is answered now; on a closing connection it is refused as before.

--- a/crates/config/src/limits.rs
+++ b/crates/config/src/limits.rs
@@ -12,10 +12,11 @@
 const MIN_CONNECTIONS: usize = 8;
 /// File descriptors that the node itself uses: for the poller, the listener, its own connections and signals.
 const RESERVED_DESCRIPTORS: usize = 24;
-/// Memory of an idle connection in bytes.
+/// Memory of a connection in bytes: of an empty write buffer, of one incomplete request, of the list of its pending
+/// requests and of [`DUPLICATES_PER_CONNECTION`].
 const CONNECTION_BYTES: usize = 20_000;
-/// Memory of an open request in bytes.
-const REQUEST_BYTES: usize = 10_500;
+/// Duplicates for each connection that may wait for the result of another request.
+const DUPLICATES_PER_CONNECTION: usize = 2;
 /// Memory of an entry in the table of deduplicated requests in bytes.
 const DEDUP_ENTRY_BYTES: usize = 300;
 
@@ -24,7 +25,7 @@
 pub struct ResourceLimits {
     /// Connections of callers.
     pub connections: usize,
-    /// Open requests, including their parameters and bodies.
+    /// Complete requests that are open, including their parameters and bodies. Duplicates are answered beyond it.
     pub open_requests: usize,
     /// Entries in the table of deduplicated requests.
     pub dedup_entries: usize,
@@ -38,6 +39,20 @@
 }
 
 impl ResourceLimits {
+    /// Maximum memory of a request in bytes, with its parameters and body.
+    pub const MAX_REQUEST_BYTES: usize = 10_500;
+
+    /// Returns the maximum bytes of incomplete requests on all connections: on average one request of the maximum size
+    /// on each connection.
+    pub fn incomplete_request_bytes(&self) -> usize {
+        self.connections * Self::MAX_REQUEST_BYTES
+    }
+
+    /// Returns the maximum number of duplicates that wait for the result of another request.
+    pub fn waiting_duplicates(&self) -> usize {
+        self.connections * DUPLICATES_PER_CONNECTION
+    }
+
     /// Derives the limits from shares of the memory that add up to about five sixths. The rest is for admission
     /// control and the program itself.
     fn within(memory_mb: f64, sockets: usize) -> ResourceLimits {
@@ -46,7 +61,7 @@
             connections: sockets
                 .saturating_sub(RESERVED_DESCRIPTORS)
                 .min(bytes / 4 / CONNECTION_BYTES),
-            open_requests: bytes / 5 / REQUEST_BYTES,
+            open_requests: bytes / 5 / Self::MAX_REQUEST_BYTES,
             dedup_entries: bytes / 16 / DEDUP_ENTRY_BYTES,
             result_bytes: bytes / 6,
             unread_answer_bytes: bytes / 8,
--- a/crates/node/src/event_loop.rs
+++ b/crates/node/src/event_loop.rs
@@ -10,6 +10,7 @@
 mod arrivals;
 mod completions;
 mod config_build;
+mod deduplication;
 mod error;
 mod gauge_readings;
 mod reload;
--- a/crates/node/src/event_loop/arrivals.rs
+++ b/crates/node/src/event_loop/arrivals.rs
@@ -5,11 +5,19 @@
 
 use super::Node;
 use crate::network::listeners::{Caller, ListenerEvent, RawVariables};
-use crate::network::request::{Answer, IncomingRequest, RefusalReason, RunOutput, Unreadable};
+use crate::network::request::{
+    Answer, BodyHash, IncomingRequest, RefusalReason, RunOutput, Unreadable,
+};
 use crate::state::in_flight::{InFlightRequest, Reservations, Stage};
-use crate::state::results::{DedupKey, DuplicateCheck};
 use crate::subsystem::{AdmissionRequest, Permit, PermitOutcome};
 
+/// What a request needs to run: its content as received, and its reservations.
+struct RunInput {
+    body: Vec<u8>,
+    variables: Option<RawVariables>,
+    reservations: Reservations,
+}
+
 impl Node {
     pub(super) fn on_listener_event(&mut self, event: ListenerEvent) {
         match event {
@@ -18,8 +26,13 @@
                 request,
                 variables,
                 body,
-                connection_closing,
-            } => self.on_request(caller, request, variables, body, connection_closing),
+            } => self.on_request(caller, &request, variables, body),
+            ListenerEvent::PossibleDuplicate {
+                caller,
+                request,
+                body_hash,
+                refusal,
+            } => self.on_possible_duplicate(caller, &request, body_hash, refusal),
             ListenerEvent::Ended { id, termination } => {
                 self.on_terminated(id, termination, RunOutput::default());
             }
@@ -29,105 +42,109 @@
     fn on_request(
         &mut self,
         caller: Caller,
-        request: IncomingRequest,
+        request: &IncomingRequest,
         variables: RawVariables,
         body: Vec<u8>,
-        connection_closing: bool,
     ) {
+        if !self.is_to_be_answered(caller) {
+            return;
+        }
+        match self.find_original(request, BodyHash::of(&body)) {
+            Ok(None) => self.take_request(caller, request, variables, body),
+            Ok(Some(original)) => self.take_duplicate(caller, request, original),
+            Err(answer) => self.listeners.answer(caller, answer),
+        }
+    }
+
+    /// Returns true if a request still has to be answered: its caller has not left in the turn in which it arrived, and
+    /// the admission controller is started. Until then requests are refused here, as nothing has run yet.
+    pub(super) fn is_to_be_answered(&mut self, caller: Caller) -> bool {
         if !self.listeners.is_pending(caller) {
-            return; // Cancelled in the turn in which it arrived.
+            return false;
         }
         if !self.admission.is_started() {
             let not_started = Answer::NoCapacity(RefusalReason::NotStarted);
-            return self.listeners.answer(caller, not_started);
-        }
-        let key = request.idempotency_key.map(|key| (request.group, key));
-        self.decide_before_duplicate(key);
-        match self.find_original(key, &body, request.arrived_at) {
-            Ok(None) if connection_closing => {
-                let closing = Answer::NoCapacity(RefusalReason::ConnectionClosing);
-                self.listeners.answer(caller, closing);
-            }
-            Ok(original) => self.take_request(caller, &request, variables, body, original),
-            Err(answer) => self.listeners.answer(caller, answer),
+            self.listeners.answer(caller, not_started);
+            return false;
         }
+        true
     }
 
-    /// Makes the reservations for a request, adds it to the table of requests in flight and submits it.
+    /// Makes the reservations for a request that is no duplicate, and submits it.
     fn take_request(
         &mut self,
         caller: Caller,
         request: &IncomingRequest,
         variables: RawVariables,
         body: Vec<u8>,
-        duplicate_of: Option<RequestId>,
     ) {
-        let pool = request.pool.map_or(0, |index| index + 1);
-        // A duplicate gets the result of the original and needs no reservations.
-        let (reservations, retry_after) = match duplicate_of {
-            None => self.reserve(AdmissionRequest {
-                group: request.group,
-                tenant: request.tenant,
-                pool,
-            }),
-            Some(_) => (Reservations::default(), None),
-        };
-        let entry = InFlightRequest {
-            attempt_id: request.attempt_id,
+        let (reservations, retry_after) = self.reserve(AdmissionRequest {
             group: request.group,
-            key: request.idempotency_key.map(|key| (request.group, key)),
-            arrived_at: request.arrived_at,
+            tenant: request.tenant,
+            pool: pool_index(request),
+        });
+        let input = RunInput {
             body,
             variables: Some(variables).filter(|_| self.backend.needs_variables()),
-            pool,
-            caller: Some(caller),
-            stage: Stage::Queued,
-            duplicate_of,
             reservations,
         };
-        let Some(id) = self.in_flight.insert(entry) else {
-            self.release_unused(pool, reservations);
-            let same_id = Answer::Unreadable(Unreadable::Field("HTTP_X_REQUEST_ID"));
-            return self.listeners.answer(caller, same_id);
-        };
-        self.listeners.bind_request(caller, id);
-        self.submit(id, request, duplicate_of, retry_after);
+        match self.insert_in_flight(caller, request, input, None) {
+            Some(id) => self.submit(id, request, None, retry_after),
+            None => self.release_unused(pool_index(request), reservations),
+        }
     }
 
-    /// Processes the current batch first if it has a request with the same key, so that the duplicate finds that
-    /// request's entry.
-    fn decide_before_duplicate(&mut self, key: Option<DedupKey>) {
-        if let Some(key) = key
-            && !self.admission.insert_key(key)
-        {
-            self.decide();
-            self.admission.insert_key(key);
+    /// Submits a duplicate, which gets the result of the original. It never runs, so nothing is reserved for it and its
+    /// content is not kept.
+    pub(super) fn take_duplicate(
+        &mut self,
+        caller: Caller,
+        request: &IncomingRequest,
+        original: RequestId,
+    ) {
+        if !self.has_room_for_duplicate(original) {
+            return self.listeners.answer(caller, Answer::Failed);
+        }
+        let input = RunInput {
+            body: Vec::new(),
+            variables: None,
+            reservations: Reservations::default(),
+        };
+        if let Some(id) = self.insert_in_flight(caller, request, input, Some(original)) {
+            self.submit(id, request, Some(original), None);
         }
     }
 
-    /// Finds the request that a request with this key duplicates, if any.
-    ///
-    /// # Errors
-    /// The answer to send instead, when the result table is full or the key was used with another body. The table
-    /// refuses only keys without an entry: a duplicate of a request that has run is never refused for space.
-    fn find_original(
-        &self,
-        key: Option<DedupKey>,
-        body: &[u8],
-        arrived_at: TenthMillis,
-    ) -> Result<Option<RequestId>, Answer<'static>> {
-        let Some(key) = key else { return Ok(None) };
-        match self
-            .results
-            .check_duplicate(&key, body, arrived_at.min(self.now))
-        {
-            DuplicateCheck::FirstUse => Ok(None),
-            DuplicateCheck::Duplicate(original) => Ok(Some(original)),
-            DuplicateCheck::TableFull => Err(Answer::NoCapacity(RefusalReason::ResultTable)),
-            DuplicateCheck::BodyMismatch => Err(Answer::Unreadable(Unreadable::Field(
-                "HTTP_IDEMPOTENCY_KEY",
-            ))),
+    /// Adds a request to the table of requests in flight. Answers it and returns `None` if its attempt id has been seen
+    /// before.
+    fn insert_in_flight(
+        &mut self,
+        caller: Caller,
+        request: &IncomingRequest,
+        input: RunInput,
+        duplicate_of: Option<RequestId>,
+    ) -> Option<RequestId> {
+        let id = self.in_flight.insert(InFlightRequest {
+            attempt_id: request.attempt_id,
+            group: request.group,
+            key: request.dedup_key(),
+            arrived_at: request.arrived_at,
+            body: input.body,
+            variables: input.variables,
+            pool: pool_index(request),
+            caller: Some(caller),
+            stage: Stage::Queued,
+            duplicate_of,
+            reservations: input.reservations,
+        });
+        match id {
+            Some(id) => self.listeners.bind_request(caller, id),
+            None => {
+                let same_id = Answer::Unreadable(Unreadable::Field("HTTP_X_REQUEST_ID"));
+                self.listeners.answer(caller, same_id);
+            }
         }
+        id
     }
 
     /// Reserves capacity of the pool's servers and of the fleet's budgets for a request. If there is none, returns no
@@ -200,3 +217,8 @@
         }));
     }
 }
+
+/// Returns the index of a request's server pool; 0 is the unnamed pool.
+fn pool_index(request: &IncomingRequest) -> u16 {
+    request.pool.map_or(0, |index| index + 1)
+}
--- a/crates/node/src/network/bounds.rs
+++ b/crates/node/src/network/bounds.rs
@@ -4,8 +4,11 @@
 
 use doortrack_time::{MILLISECOND, TenthMillis};
 
-/// Maximum number of requests pending on one connection; the protocol's own limit.
+/// Maximum number of requests pending on one connection; the protocol's own limit. Requests beyond it are not run.
 pub const MAX_PENDING_REQUESTS: usize = 32;
+/// Maximum number of requests that are read beyond [`MAX_PENDING_REQUESTS`], as they may repeat one that ran, which must
+/// not be rejected.
+pub const MAX_EXCESS_REQUESTS: usize = 8;
 /// Maximum size of one request's CGI variables, in bytes.
 pub const MAX_PARAMS_BYTES: usize = 8192;
 /// Maximum size of one request's body, in bytes.
@@ -21,7 +24,7 @@
 /// requests that are pending at that time.
 pub const MAX_UNREAD_ANSWER_BYTES: usize = 64 * 1024;
 /// Maximum capacity that an empty write buffer keeps allocated, in bytes.
-pub const RETAINED_WRITE_BUFFER_BYTES: usize = 16 * 1024;
+pub const RETAINED_WRITE_BUFFER_BYTES: usize = 4 * 1024;
 /// Maximum bytes read from one connection before the next connection is read.
 pub const READ_BUFFER_BYTES: usize = 64 * 1024;
 /// Maximum number of sweeps for which a closing connection keeps incomplete requests. The rest of such a request may
--- a/crates/node/src/network/connection.rs
+++ b/crates/node/src/network/connection.rs
@@ -11,7 +11,7 @@
 use doortrack_time::TenthMillis;
 
 pub use self::expiry::{EvictionPriority, Timeouts};
-pub use self::pending::{CompleteRequest, PendingRequest, PendingRequests, Stream};
+pub use self::pending::{CompleteRequest, PendingRequest, PendingRequests, PendingUsage, Stream};
 pub use self::write_buffer::WriteBuffer;
 use super::bounds::{MAX_CLOSING_SWEEPS, MAX_INCOMPLETE_BYTES, MAX_UNREAD_ANSWER_BYTES};
 use super::termination::Termination;
@@ -340,11 +340,11 @@
             .filter(|_| self.pending.is_empty() && self.out.is_empty() && !self.is_suspended())
     }
 
-    /// Stops reading requests and removes incomplete ones, whose rest cannot arrive. Returns the number removed.
-    pub fn stop_reading(&mut self, termination: Termination) -> usize {
+    /// Stops reading requests and removes incomplete ones, whose rest cannot arrive.
+    pub fn stop_reading(&mut self, termination: Termination) {
         self.lifecycle.reading = false;
         self.close_when_answered(termination);
-        self.pending.remove_incomplete()
+        self.pending.remove_incomplete();
     }
 
     /// Half-closes the connection after the last answer; input is then discarded until the peer closes too. Returns
--- a/crates/node/src/network/connection/pending.rs
+++ b/crates/node/src/network/connection/pending.rs
@@ -2,7 +2,12 @@
 
 use doortrack_admission::RequestId;
 
-use crate::network::bounds::{MAX_BODY_BYTES, MAX_PARAMS_BYTES, MAX_PENDING_REQUESTS};
+use crate::network::bounds::{
+    MAX_BODY_BYTES, MAX_EXCESS_REQUESTS, MAX_PARAMS_BYTES, MAX_PENDING_REQUESTS,
+};
+
+/// Number of requests by which the list of a connection's pending requests grows.
+const LIST_GROWTH: usize = 8;
 
 /// The two streams of which a request consists.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -21,6 +26,26 @@
     pub params: Vec<u8>,
     /// The body as received.
     pub body: Vec<u8>,
+    /// The request began beyond the connection's limit, see [`PendingRequest::exceeds_limit`].
+    pub exceeds_limit: bool,
+}
+
+/// What the pending requests of a connection, or of all connections, use of the node's limits.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct PendingUsage {
+    /// Number of complete requests.
+    pub complete: usize,
+    /// Bytes of memory of the incomplete requests.
+    pub incomplete_bytes: usize,
+}
+
+impl PendingUsage {
+    /// Replaces the usage of one connection in the usage of all.
+    pub fn replace(&mut self, before: PendingUsage, after: PendingUsage) {
+        self.complete = self.complete + after.complete - before.complete;
+        self.incomplete_bytes =
+            self.incomplete_bytes + after.incomplete_bytes - before.incomplete_bytes;
+    }
 }
 
 /// A request that has not been answered; it may be incomplete.
@@ -32,6 +57,8 @@
     pub number: u64,
     /// The request's id in the admission controller, once it has one.
     pub id: Option<RequestId>,
+    /// [`MAX_PENDING_REQUESTS`] others were pending when the request began, so it is not run.
+    pub exceeds_limit: bool,
     params: Vec<u8>,
     body: Vec<u8>,
     params_complete: bool,
@@ -50,13 +77,23 @@
             Stream::Params => (&mut self.params, MAX_PARAMS_BYTES),
             Stream::Body => (&mut self.body, MAX_BODY_BYTES),
         };
-        if buffer.len() + bytes.len() > max_bytes {
+        let length = buffer.len() + bytes.len();
+        if length > max_bytes {
             return false;
         }
+        if length > buffer.capacity() {
+            let capacity = length.max(2 * buffer.capacity()).min(max_bytes);
+            buffer.reserve_exact(capacity - buffer.len());
+        }
         buffer.extend(bytes);
         true
     }
 
+    /// Returns the memory of the request in bytes.
+    fn memory_bytes(&self) -> usize {
+        size_of::<PendingRequest>() + self.params.capacity() + self.body.capacity()
+    }
+
     fn end_stream(&mut self, stream: Stream) {
         match stream {
             Stream::Params => self.params_complete = true,
@@ -69,69 +106,93 @@
             number: self.number,
             params: std::mem::take(&mut self.params),
             body: std::mem::take(&mut self.body),
+            exceeds_limit: self.exceeds_limit,
         }
     }
 }
 
 /// The pending requests of one connection.
 #[derive(Default)]
-pub struct PendingRequests(Vec<PendingRequest>);
+pub struct PendingRequests {
+    requests: Vec<PendingRequest>,
+    usage: PendingUsage,
+}
 
 impl PendingRequests {
-    /// Returns the number of pending requests.
-    pub fn len(&self) -> usize {
-        self.0.len()
+    /// Returns what the requests use of the node's limits.
+    pub fn usage(&self) -> PendingUsage {
+        self.usage
     }
 
     /// Returns true if no request is pending.
     pub fn is_empty(&self) -> bool {
-        self.0.is_empty()
+        self.requests.is_empty()
+    }
+
+    /// Returns true if no further request can begin.
+    pub fn is_full(&self) -> bool {
+        self.requests.len() >= MAX_PENDING_REQUESTS + MAX_EXCESS_REQUESTS
     }
 
     /// Iterates over all pending requests, in no particular order.
     pub fn iter(&self) -> impl Iterator<Item = &PendingRequest> {
-        self.0.iter()
+        self.requests.iter()
+    }
+
+    /// Iterates over the incomplete requests, in no particular order.
+    pub fn incomplete(&self) -> impl Iterator<Item = &PendingRequest> {
+        self.iter().filter(|request| request.is_incomplete())
     }
 
     /// Returns true if any pending request is incomplete.
     pub fn any_incomplete(&self) -> bool {
-        self.0.iter().any(PendingRequest::is_incomplete)
+        self.incomplete().next().is_some()
     }
 
     /// Returns true if all pending requests are incomplete.
     pub fn all_incomplete(&self) -> bool {
-        self.0.iter().all(PendingRequest::is_incomplete)
+        self.requests.iter().all(PendingRequest::is_incomplete)
     }
 
     /// Returns the numbers of the incomplete requests.
     pub fn incomplete_numbers(&self) -> Vec<u64> {
-        let incomplete = self.0.iter().filter(|request| request.is_incomplete());
-        incomplete.map(|request| request.number).collect()
+        self.incomplete().map(|request| request.number).collect()
+    }
+
+    /// Returns the number of the incomplete request that began first.
+    pub fn oldest_incomplete(&self) -> Option<u64> {
+        self.incomplete().map(|request| request.number).min()
     }
 
     /// Returns the request with this wire id.
     pub fn find_wire_id(&self, wire_id: u16) -> Option<&PendingRequest> {
-        self.0.iter().find(|request| request.wire_id == wire_id)
+        self.iter().find(|request| request.wire_id == wire_id)
     }
 
     /// Returns the request with this number.
     pub fn find(&self, number: u64) -> Option<&PendingRequest> {
-        self.0.iter().find(|request| request.number == number)
+        self.iter().find(|request| request.number == number)
     }
 
     /// Returns the request with this number.
     pub fn find_mut(&mut self, number: u64) -> Option<&mut PendingRequest> {
-        self.0.iter_mut().find(|request| request.number == number)
+        let mut requests = self.requests.iter_mut();
+        requests.find(|request| request.number == number)
     }
 
-    /// Adds a request. Returns false if the connection then has more than [`MAX_PENDING_REQUESTS`].
-    pub fn begin(&mut self, wire_id: u16, number: u64) -> bool {
-        self.0.push(PendingRequest {
+    /// Adds a request.
+    pub fn begin(&mut self, wire_id: u16, number: u64) {
+        let request = PendingRequest {
             wire_id,
             number,
+            exceeds_limit: self.requests.len() >= MAX_PENDING_REQUESTS,
             ..PendingRequest::default()
-        });
-        self.0.len() <= MAX_PENDING_REQUESTS
+        };
+        self.usage.incomplete_bytes += request.memory_bytes();
+        if self.requests.len() == self.requests.capacity() {
+            self.requests.reserve_exact(LIST_GROWTH);
+        }
+        self.requests.push(request);
     }
 
     /// Appends bytes to a stream of an incomplete request. Bytes for any other wire id belong to a request that was
@@ -140,21 +201,27 @@
     /// # Errors
     /// The stream would exceed its bound; the error is the request's number.
     pub fn append(&mut self, wire_id: u16, stream: Stream, bytes: &[u8]) -> Result<(), u64> {
-        let Some(request) = self.find_incomplete(wire_id) else {
+        let Some(request) = find_incomplete(&mut self.requests, wire_id) else {
             return Ok(());
         };
-        if request.append(stream, bytes) {
-            Ok(())
-        } else {
-            Err(request.number)
+        let before = request.memory_bytes();
+        if !request.append(stream, bytes) {
+            return Err(request.number);
         }
+        self.usage.incomplete_bytes += request.memory_bytes() - before;
+        Ok(())
     }
 
     /// Ends one stream of an incomplete request. Returns the request if that completes it.
     pub fn end_stream(&mut self, wire_id: u16, stream: Stream) -> Option<CompleteRequest> {
-        let request = self.find_incomplete(wire_id)?;
+        let request = find_incomplete(&mut self.requests, wire_id)?;
         request.end_stream(stream);
-        (!request.is_incomplete()).then(|| request.take_complete())
+        if request.is_incomplete() {
+            return None;
+        }
+        self.usage.incomplete_bytes -= request.memory_bytes();
+        self.usage.complete += 1;
+        Some(request.take_complete())
     }
 
     /// Removes the request with this wire id.
@@ -167,24 +234,29 @@
         self.remove_where(|request| request.number == number)
     }
 
-    /// Removes the incomplete requests. Returns the number removed.
-    pub fn remove_incomplete(&mut self) -> usize {
-        let before = self.0.len();
-        self.0.retain(|request| !request.is_incomplete());
-        before - self.0.len()
-    }
-
-    fn find_incomplete(&mut self, wire_id: u16) -> Option<&mut PendingRequest> {
-        self.0
-            .iter_mut()
-            .find(|request| request.wire_id == wire_id && request.is_incomplete())
+    /// Removes the incomplete requests.
+    pub fn remove_incomplete(&mut self) {
+        self.requests.retain(|request| !request.is_incomplete());
+        self.usage.incomplete_bytes = 0;
     }
 
     fn remove_where(
         &mut self,
         matches: impl Fn(&PendingRequest) -> bool,
     ) -> Option<PendingRequest> {
-        let index = self.0.iter().position(matches)?;
-        Some(self.0.swap_remove(index))
+        let index = self.requests.iter().position(matches)?;
+        let request = self.requests.swap_remove(index);
+        if request.is_incomplete() {
+            self.usage.incomplete_bytes -= request.memory_bytes();
+        } else {
+            self.usage.complete -= 1;
+        }
+        Some(request)
     }
 }
+
+fn find_incomplete(requests: &mut [PendingRequest], wire_id: u16) -> Option<&mut PendingRequest> {
+    requests
+        .iter_mut()
+        .find(|request| request.wire_id == wire_id && request.is_incomplete())
+}
--- a/crates/node/src/network/listeners.rs
+++ b/crates/node/src/network/listeners.rs
@@ -10,6 +10,7 @@
 mod counts;
 mod drain;
 mod eviction;
+mod incomplete;
 mod listener;
 mod reading;
 
@@ -27,8 +28,8 @@
 pub use self::listener::Listener;
 use super::bounds::{MAX_LISTENERS, READ_BUFFER_BYTES};
 use super::classifier::RequestClassifier;
-use super::connection::Connection;
-use super::request::{DeploymentNames, IncomingRequest};
+use super::connection::{Connection, PendingUsage};
+use super::request::{BodyHash, DeploymentNames, IncomingRequest, RefusalReason};
 use super::termination::Termination;
 
 /// The poller key of the first listener; the others follow.
@@ -64,9 +65,18 @@
         variables: RawVariables,
         /// The body, passed on to the engine or server that runs the request.
         body: Vec<u8>,
-        /// The request's connection is being closed: the request is not run, and it is answered only from what is
-        /// known of its idempotency key.
-        connection_closing: bool,
+    },
+    /// A complete, valid request with an idempotency key arrived that can't be run. It is answered only from what is
+    /// known of its key, as it may be a duplicate of a request that ran.
+    PossibleDuplicate {
+        /// The destination of the answer.
+        caller: Caller,
+        /// The properties that admission needs.
+        request: IncomingRequest,
+        /// The hash of the body.
+        body_hash: BodyHash,
+        /// Why a request that is no duplicate is refused.
+        refusal: RefusalReason,
     },
     /// A request was aborted, or its connection was closed.
     Ended {
@@ -86,8 +96,8 @@
     /// Classifies the requests of the installation's listeners, if it has rules.
     pub rules: Option<RequestClassifier>,
     limits: ResourceLimits,
-    /// Number of requests pending on all connections.
-    pending_requests: usize,
+    /// What the requests pending on all connections use of the limits.
+    pending_usage: PendingUsage,
     /// Number of requests begun since the start, which is also the number of the last one.
     requests_begun: u64,
     /// Bytes of answers on all connections that have not been written to the sockets.
@@ -124,7 +134,7 @@
             names,
             rules: None,
             limits,
-            pending_requests: 0,
+            pending_usage: PendingUsage::default(),
             requests_begun: 0,
             unread_answer_bytes: 0,
             suspended_bytes: 0,
@@ -138,6 +148,30 @@
         }
     }
 
+    /// Returns the limits of the table.
+    pub fn limits(&self) -> &ResourceLimits {
+        &self.limits
+    }
+
+    /// Returns what the requests pending on all connections use of the limits.
+    pub fn pending_usage(&self) -> PendingUsage {
+        self.pending_usage
+    }
+
+    /// Changes a connection, and updates what all connections use of the limits.
+    fn update_connection<T>(
+        &mut self,
+        slot: usize,
+        change: impl FnOnce(&mut Connection) -> T,
+    ) -> T {
+        let connection = &mut self.connections[slot];
+        let before = connection.pending.usage();
+        let result = change(connection);
+        let after = connection.pending.usage();
+        self.pending_usage.replace(before, after);
+        result
+    }
+
     /// Returns the number of open connections.
     pub fn connection_count(&self) -> usize {
         self.connections.len()
--- a/crates/node/src/network/listeners/answers.rs
+++ b/crates/node/src/network/listeners/answers.rs
@@ -26,30 +26,26 @@
 
     /// Answers a request, which is then no longer pending, so a second answer has no effect.
     pub fn answer(&mut self, caller: Caller, answer: Answer) {
-        let Some(connection) = self.connections.get_mut(caller.slot) else {
+        if !self.connections.contains(caller.slot) {
             return;
-        };
-        let Some(request) = connection.pending.remove(caller.request) else {
+        }
+        let removed = self.update_connection(caller.slot, |connection| {
+            connection.pending.remove(caller.request)
+        });
+        let Some(request) = removed else {
             return;
         };
+        let connection = &mut self.connections[caller.slot];
         if let Answer::Unreadable(_) = answer {
             connection.pause_reading();
         }
         count_answer(&mut self.listeners[connection.listener].counts, answer);
-        self.pending_requests -= 1;
         let (backpressure, protocol) = (self.backpressure, connection.protocol());
         self.write(caller.slot, |out| {
             request::write(out, protocol, request.wire_id, answer, backpressure)
         });
     }
 
-    /// Gives the same answer to all incomplete requests of a connection.
-    pub(super) fn answer_incomplete(&mut self, slot: usize, answer: Answer) {
-        for request in self.connections[slot].pending.incomplete_numbers() {
-            self.answer(Caller { slot, request }, answer);
-        }
-    }
-
     /// Appends what `encode` writes to a connection's write buffer, unless the connection is closed at the end of the
     /// turn.
     pub(super) fn write(&mut self, slot: usize, encode: impl FnOnce(&mut Vec<u8>)) {
--- a/crates/node/src/network/listeners/close.rs
+++ b/crates/node/src/network/listeners/close.rs
@@ -4,8 +4,8 @@
 
 use super::{ListenerEvent, Listeners};
 use crate::network::bounds;
-use crate::network::connection::Timeouts;
-use crate::network::request::{Answer, RefusalReason, Unreadable};
+use crate::network::connection::{PendingUsage, Timeouts};
+use crate::network::request::{Answer, RefusalReason};
 use crate::network::termination::Termination;
 
 impl Listeners {
@@ -35,7 +35,8 @@
     ) {
         let connection = self.connections.remove(slot);
         _ = self.poller.delete(&connection.sock);
-        self.pending_requests -= connection.pending.len();
+        self.pending_usage
+            .replace(connection.pending.usage(), PendingUsage::default());
         self.unread_answer_bytes -= connection.out.len();
         self.suspended_bytes -= connection.suspended_bytes();
         let ids = connection.pending.iter().filter_map(|pending| pending.id);
@@ -118,7 +119,7 @@
             Termination::Idle => self.linger(slot, termination, now, events),
             // A dispatcher that forwards a slow client's request may have other requests pending on the connection.
             Termination::RequestTimeout => {
-                self.answer_incomplete(slot, Answer::Unreadable(Unreadable::Field("record")));
+                self.answer_incomplete(slot, Answer::INCOMPLETE);
                 self.close_when_answered(slot, termination);
             }
             _ => self.close(slot, termination, events),
--- a/crates/node/src/network/listeners/reading.rs
+++ b/crates/node/src/network/listeners/reading.rs
@@ -9,7 +9,9 @@
 use crate::network::bounds::{self, MAX_BODY_BYTES};
 use crate::network::classifier::Origin;
 use crate::network::connection::{CompleteRequest, Stream};
-use crate::network::request::{self, Answer, DecodedRequest, RefusalReason, Unreadable};
+use crate::network::request::{
+    self, Answer, BodyHash, DecodedRequest, IncomingRequest, RefusalReason, Unreadable,
+};
 use crate::network::termination::Termination;
 
 impl Listeners {
@@ -95,12 +97,12 @@
 
     /// Stops reading a connection whose input is malformed. Its complete requests are still answered.
     fn reject_malformed(&mut self, slot: usize) {
-        self.answer_incomplete(slot, Answer::Unreadable(Unreadable::Field("record")));
+        self.answer_incomplete(slot, Answer::INCOMPLETE);
         self.stop_reading(slot, Termination::Malformed);
     }
 
     fn stop_reading(&mut self, slot: usize, termination: Termination) {
-        self.pending_requests -= self.connections[slot].stop_reading(termination);
+        self.update_connection(slot, |connection| connection.stop_reading(termination));
         self.queue_flush(slot);
     }
 
@@ -146,30 +148,30 @@
         if !keep_connection && !connection.is_closing() {
             connection.close_when_answered(Termination::Closed);
         }
+        let is_full = connection.pending.is_full();
+        let has_room = !is_full || self.make_room(slot);
         self.requests_begun += 1;
-        self.pending_requests += 1;
         let request = self.requests_begun;
-        let refusal = if !connection.pending.begin(wire_id, request) {
-            Some(RefusalReason::PendingRequests)
-        } else if self.pending_requests > self.limits.open_requests {
-            Some(RefusalReason::OpenRequests)
-        } else {
-            None
-        };
+        self.update_connection(slot, |connection| {
+            connection.pending.begin(wire_id, request);
+        });
         let caller = Caller { slot, request };
         if role != RESPONDER {
             self.answer(caller, Answer::UnknownRole);
-        } else if let Some(reason) = refusal {
-            self.answer(caller, Answer::NoCapacity(reason));
+        } else if !has_room {
+            // The request is not read, so it is unknown whether it repeats one that ran.
+            self.answer(caller, Answer::Failed);
         }
+        self.limit_incomplete_requests();
     }
 
     fn abort(&mut self, slot: usize, wire_id: u16, events: &mut Vec<ListenerEvent>) {
-        let pending = &mut self.connections[slot].pending;
-        let Some(request) = pending.remove_wire_id(wire_id) else {
+        let removed = self.update_connection(slot, |connection| {
+            connection.pending.remove_wire_id(wire_id)
+        });
+        let Some(request) = removed else {
             return;
         };
-        self.pending_requests -= 1;
         events.extend(request.id.map(|id| ListenerEvent::Ended {
             id,
             termination: Termination::Aborted,
@@ -178,9 +180,12 @@
     }
 
     fn append(&mut self, slot: usize, wire_id: u16, stream: Stream, bytes: &[u8]) {
-        let pending = &mut self.connections[slot].pending;
-        if let Err(request) = pending.append(wire_id, stream, bytes) {
-            self.answer_too_long(Caller { slot, request });
+        let appended = self.update_connection(slot, |connection| {
+            connection.pending.append(wire_id, stream, bytes)
+        });
+        match appended {
+            Ok(()) => self.limit_incomplete_requests(),
+            Err(request) => self.answer_too_long(Caller { slot, request }),
         }
     }
 
@@ -215,33 +220,77 @@
         now: TenthMillis,
         events: &mut Vec<ListenerEvent>,
     ) {
-        let Some(complete) = self.connections[slot].end_stream(wire_id, stream) else {
+        let ended =
+            self.update_connection(slot, |connection| connection.end_stream(wire_id, stream));
+        let Some(complete) = ended else {
             return;
         };
         let caller = Caller {
             slot,
             request: complete.number,
         };
-        let connection_closing = self.connections[slot].is_closing();
         match self.decode(slot, &complete, now) {
-            Ok(inbound) if connection_closing && !has_idempotency_key(&inbound) => {
-                self.answer(caller, Answer::NoCapacity(RefusalReason::ConnectionClosing));
+            Ok(DecodedRequest::Request(request)) => {
+                self.on_request(caller, request, complete, events);
+            }
+            Ok(DecodedRequest::HealthCheck) => self.answer_health_check(caller),
+            Err(unreadable) => self.answer(caller, Answer::Unreadable(unreadable)),
+        }
+    }
+
+    fn answer_health_check(&mut self, caller: Caller) {
+        let answer = if self.connections[caller.slot].is_closing() {
+            Answer::NoCapacity(RefusalReason::ConnectionClosing)
+        } else {
+            Answer::Health {
+                healthy: self.healthy,
             }
-            Ok(DecodedRequest::Request(request)) => events.push(ListenerEvent::Request {
+        };
+        self.answer(caller, answer);
+    }
+
+    /// Reports a complete request. A request that can't be run is refused only once it is known that it repeats no
+    /// request that ran.
+    fn on_request(
+        &mut self,
+        caller: Caller,
+        request: IncomingRequest,
+        complete: CompleteRequest,
+        events: &mut Vec<ListenerEvent>,
+    ) {
+        let event = match self.refusal_of_new(caller.slot, &complete) {
+            None => ListenerEvent::Request {
                 caller,
                 request,
                 variables: RawVariables {
-                    protocol: self.connections[slot].protocol(),
+                    protocol: self.connections[caller.slot].protocol(),
                     bytes: complete.params,
                 },
                 body: complete.body,
-                connection_closing,
-            }),
-            Ok(DecodedRequest::HealthCheck) => {
-                let healthy = self.healthy;
-                self.answer(caller, Answer::Health { healthy })
+            },
+            Some(refusal) if request.idempotency_key.is_some() => {
+                ListenerEvent::PossibleDuplicate {
+                    caller,
+                    request,
+                    body_hash: BodyHash::of(&complete.body),
+                    refusal,
+                }
             }
-            Err(unreadable) => self.answer(caller, Answer::Unreadable(unreadable)),
+            Some(refusal) => return self.answer(caller, Answer::NoCapacity(refusal)),
+        };
+        events.push(event);
+    }
+
+    /// Returns why a complete request can't be run, if it can't.
+    fn refusal_of_new(&self, slot: usize, complete: &CompleteRequest) -> Option<RefusalReason> {
+        if self.connections[slot].is_closing() {
+            Some(RefusalReason::ConnectionClosing)
+        } else if complete.exceeds_limit {
+            Some(RefusalReason::PendingRequests)
+        } else if self.pending_usage.complete > self.limits.open_requests {
+            Some(RefusalReason::OpenRequests)
+        } else {
+            None
         }
     }
 
@@ -280,8 +329,3 @@
         }
     }
 }
-
-/// Returns true if a request carries an idempotency key, so that it may repeat a request that ran.
-fn has_idempotency_key(inbound: &DecodedRequest) -> bool {
-    matches!(inbound, DecodedRequest::Request(request) if request.idempotency_key.is_some())
-}
--- a/crates/node/src/network/request.rs
+++ b/crates/node/src/network/request.rs
@@ -1,6 +1,7 @@
 //! Decodes requests by the platform's CGI variables and encodes answers, without sockets, for all protocols.
 
 mod answer;
+mod body_hash;
 mod fields;
 
 use std::fmt;
@@ -9,6 +10,7 @@
 use doortrack_time::{MILLISECOND, TenthMillis};
 
 pub use self::answer::{Answer, RefusalReason, RunOutput, write};
+pub use self::body_hash::BodyHash;
 pub(super) use self::fields::Fields;
 use self::fields::in_range;
 
@@ -53,6 +55,13 @@
     pub pool: Option<u16>,
 }
 
+impl IncomingRequest {
+    /// Returns the endpoint group and idempotency key by which duplicates are recognized.
+    pub fn dedup_key(&self) -> Option<(u8, IdempotencyKey)> {
+        self.idempotency_key.map(|key| (self.group, key))
+    }
+}
+
 /// A decoded request of a client.
 #[derive(Clone, Debug, PartialEq)]
 pub enum DecodedRequest {
--- a/crates/node/src/network/request/answer.rs
+++ b/crates/node/src/network/request/answer.rs
@@ -85,6 +85,10 @@
 }
 
 impl<'a> Answer<'a> {
+    /// The answer to a request whose rest can't be waited for. It does not tell whether the request repeats one that
+    /// ran.
+    pub const INCOMPLETE: Answer<'static> = Answer::Unreadable(Unreadable::Field("record"));
+
     /// Returns the FastCGI protocol status of a request that was not passed to the application.
     fn protocol_status(&self) -> Option<ProtocolStatus> {
         match self {
--- a/crates/node/src/state/in_flight.rs
+++ b/crates/node/src/state/in_flight.rs
@@ -89,6 +89,8 @@
     by_attempt: HashMap<AttemptId, RequestId>,
     /// The duplicates that wait for a result, by their original.
     attached: FxHashMap<RequestId, Vec<RequestId>>,
+    /// Number of duplicates in `attached`.
+    attached_count: usize,
     ended_attempts: HashSet<AttemptId>,
     /// The ended attempts, oldest first.
     ended_order: VecDeque<AttemptId>,
@@ -133,12 +135,20 @@
         if let Some(request) = self.by_id.get_mut(&id) {
             request.stage = Stage::Attached { to: original };
             self.attached.entry(original).or_default().push(id);
+            self.attached_count += 1;
         }
     }
 
+    /// Number of duplicates that wait for a result.
+    pub fn attached_count(&self) -> usize {
+        self.attached_count
+    }
+
     /// Removes and returns the duplicates that wait for the result of this request.
     pub fn take_attached(&mut self, original: RequestId) -> Vec<RequestId> {
-        self.attached.remove(&original).unwrap_or_default()
+        let duplicates = self.attached.remove(&original).unwrap_or_default();
+        self.attached_count -= duplicates.len();
+        duplicates
     }
 
     /// Removes a request and remembers its attempt id as ended.
@@ -154,7 +164,9 @@
 
     fn detach(&mut self, id: RequestId, original: RequestId) {
         if let Some(duplicates) = self.attached.get_mut(&original) {
+            let before = duplicates.len();
             duplicates.retain(|duplicate| *duplicate != id);
+            self.attached_count -= before - duplicates.len();
             if duplicates.is_empty() {
                 self.attached.remove(&original);
             }
--- a/crates/node/src/state/results.rs
+++ b/crates/node/src/state/results.rs
@@ -2,13 +2,12 @@
 //! duplicates are answered.
 
 use std::collections::HashMap;
-use std::hash::{BuildHasher, RandomState};
 
 use doortrack_admission::RequestId;
 use doortrack_time::{MILLISECOND, TenthMillis};
 use rustc_hash::FxHashMap;
 
-use crate::network::request::{IdempotencyKey, RunOutput};
+use crate::network::request::{BodyHash, IdempotencyKey, RunOutput};
 
 /// Time by which a dedup window is extended. Arrival times are rounded to whole ms, and socket timeouts are 50 ms
 /// longer than stated; the slack exceeds both. Too long a window is harmless: a request that still counts as a
@@ -28,8 +27,8 @@
 
 struct Entry {
     request: RequestId,
-    /// Keyed hash of the body, to detect another body with the same idempotency key.
-    body_hash: u64,
+    /// Detects another body with the same idempotency key.
+    body_hash: BodyHash,
     /// Latest arrival time within the dedup window.
     window_ends: TenthMillis,
     /// When no duplicate can be read any more.
@@ -105,8 +104,6 @@
 /// Results by idempotency key, bounded in entries and in bytes.
 pub struct ResultTable {
     entries: HashMap<DedupKey, Entry>,
-    /// Randomly keyed, so that callers can't craft two bodies with the same hash.
-    body_hasher: RandomState,
     keys: FxHashMap<RequestId, DedupKey>,
     /// Size of all stored outputs, in bytes.
     bytes: usize,
@@ -123,7 +120,6 @@
     pub fn new(max_entries: usize, max_bytes: usize, longest_deadline: TenthMillis) -> Self {
         ResultTable {
             entries: HashMap::default(),
-            body_hasher: RandomState::default(),
             keys: FxHashMap::default(),
             bytes: 0,
             max_entries,
@@ -144,7 +140,7 @@
     pub fn check_duplicate(
         &self,
         key: &DedupKey,
-        body: &[u8],
+        body_hash: BodyHash,
         arrived_at: TenthMillis,
     ) -> DuplicateCheck {
         let Some(entry) = self.entries.get(key) else {
@@ -157,7 +153,7 @@
         let within_window = arrived_at <= entry.window_ends.saturating_add(WINDOW_SLACK);
         if !within_window && entry.result.is_some() {
             DuplicateCheck::FirstUse
-        } else if entry.body_hash == self.body_hasher.hash_one(body) {
+        } else if entry.body_hash == body_hash {
             DuplicateCheck::Duplicate(entry.request)
         } else {
             DuplicateCheck::BodyMismatch
@@ -178,7 +174,7 @@
         let window_ends = arrived_at.max(now).saturating_add(ttl);
         let entry = Entry {
             request,
-            body_hash: self.body_hasher.hash_one(body),
+            body_hash: BodyHash::of(body),
             window_ends,
             expires_at: window_ends.saturating_add(WINDOW_SLACK + self.longest_deadline),
             result: None,
--- a/crates/node/tests/node/components.rs
+++ b/crates/node/tests/node/components.rs
@@ -13,7 +13,7 @@
 use doortrack_node::network::listeners::{FIRST_CONNECTION_KEY, Listeners};
 use doortrack_node::network::registry::{self, Registry};
 use doortrack_node::network::request::{
-    self, Answer, DecodedRequest, DeploymentNames, RefusalReason, RunOutput, Unreadable,
+    self, Answer, BodyHash, DecodedRequest, DeploymentNames, RefusalReason, RunOutput, Unreadable,
 };
 use doortrack_node::network::termination::{Outcome, Termination};
 use doortrack_node::state::in_flight::{InFlightRequest, InFlightTable, Stage};
@@ -631,28 +631,32 @@
     results.complete(1, Ok(RunOutput::from(&b"done"[..])));
     results.remove_expired(arrived_at + window + 4000 * MILLISECOND);
     assert_eq!(
-        results.check_duplicate(&DEDUP_KEY, b"", arrived_at + window),
+        results.check_duplicate(&DEDUP_KEY, BodyHash::of(b""), arrived_at + window),
         DuplicateCheck::Duplicate(1),
         "arrived within the window, read 4 s after its end"
     );
     assert_eq!(
-        results.check_duplicate(&DEDUP_KEY, b"", arrived_at + window + 200 * MILLISECOND),
+        results.check_duplicate(
+            &DEDUP_KEY,
+            BodyHash::of(b""),
+            arrived_at + window + 200 * MILLISECOND
+        ),
         DuplicateCheck::FirstUse,
         "arrived after the window"
     );
     assert_eq!(
-        results.check_duplicate(&(0, DEDUP_KEY.1), b"", arrived_at),
+        results.check_duplicate(&(0, DEDUP_KEY.1), BodyHash::of(b""), arrived_at),
         DuplicateCheck::FirstUse,
         "another endpoint group"
     );
     assert_eq!(
-        results.check_duplicate(&DEDUP_KEY, b"another body", arrived_at),
+        results.check_duplicate(&DEDUP_KEY, BodyHash::of(b"another body"), arrived_at),
         DuplicateCheck::BodyMismatch
     );
     assert_eq!(
         results.check_duplicate(
             &DEDUP_KEY,
-            b"another body",
+            BodyHash::of(b"another body"),
             arrived_at + window + 200 * MILLISECOND
         ),
         DuplicateCheck::FirstUse
@@ -664,7 +668,7 @@
     results.remove_expired(arrived_at + window + 5000 * MILLISECOND);
     assert_eq!(
         (
-            results.check_duplicate(&DEDUP_KEY, b"", arrived_at),
+            results.check_duplicate(&DEDUP_KEY, BodyHash::of(b""), arrived_at),
             results.bytes()
         ),
         (DuplicateCheck::FirstUse, 0)
@@ -677,7 +681,7 @@
     results.record(1, DEDUP_KEY, b"", 0, 10 * MILLISECOND, 0);
     results.remove_expired(60_000 * MILLISECOND);
     assert_eq!(
-        results.check_duplicate(&DEDUP_KEY, b"", 60_000 * MILLISECOND),
+        results.check_duplicate(&DEDUP_KEY, BodyHash::of(b""), 60_000 * MILLISECOND),
         DuplicateCheck::Duplicate(1)
     );
 }
@@ -687,7 +691,7 @@
     let mut results = ResultTable::new(3, 10, 0);
     for request in 1..=3u32 {
         assert_eq!(
-            results.check_duplicate(&(0, [request as u8; 32]), b"", 0),
+            results.check_duplicate(&(0, [request as u8; 32]), BodyHash::of(b""), 0),
             DuplicateCheck::FirstUse
         );
         results.record(
@@ -701,12 +705,12 @@
         results.complete(request, Ok(RunOutput::from(&b"123456"[..])));
     }
     assert_eq!(
-        results.check_duplicate(&(0, [4; 32]), b"", 0),
+        results.check_duplicate(&(0, [4; 32]), BodyHash::of(b""), 0),
         DuplicateCheck::TableFull,
         "a new key"
     );
     assert_eq!(
-        results.check_duplicate(&(0, [1; 32]), b"", 0),
+        results.check_duplicate(&(0, [1; 32]), BodyHash::of(b""), 0),
         DuplicateCheck::Duplicate(1),
         "the key of a run is never refused"
     );
@@ -720,7 +724,7 @@
         "the request ran, but there was no room for its result"
     );
     assert_eq!(
-        results.check_duplicate(&(0, [2; 32]), b"", 0),
+        results.check_duplicate(&(0, [2; 32]), BodyHash::of(b""), 0),
         DuplicateCheck::Duplicate(2),
         "a request without a result must not run again"
     );
@@ -728,7 +732,7 @@
     assert_eq!(
         (
             results.bytes(),
-            results.check_duplicate(&(0, [1; 32]), b"", 0)
+            results.check_duplicate(&(0, [1; 32]), BodyHash::of(b""), 0)
         ),
         (0, DuplicateCheck::FirstUse)
     );
@@ -762,15 +766,15 @@
     );
     results.complete(1, Ok(RunOutput::from(&b"1"[..])));
     assert_eq!(
-        results.check_duplicate(&DEDUP_KEY, b"", 500 * MILLISECOND),
+        results.check_duplicate(&DEDUP_KEY, BodyHash::of(b""), 500 * MILLISECOND),
         DuplicateCheck::Duplicate(1)
     );
     assert_eq!(
-        results.check_duplicate(&DEDUP_KEY, b"", 3500 * MILLISECOND),
+        results.check_duplicate(&DEDUP_KEY, BodyHash::of(b""), 3500 * MILLISECOND),
         DuplicateCheck::Duplicate(1)
     );
     assert_eq!(
-        results.check_duplicate(&DEDUP_KEY, b"", 3700 * MILLISECOND),
+        results.check_duplicate(&DEDUP_KEY, BodyHash::of(b""), 3700 * MILLISECOND),
         DuplicateCheck::FirstUse
     );
     results.remove_expired(3500 * MILLISECOND);
@@ -793,7 +797,7 @@
         500 * MILLISECOND,
     );
     assert_eq!(
-        results.check_duplicate(&DEDUP_KEY, b"", 500 * MILLISECOND),
+        results.check_duplicate(&DEDUP_KEY, BodyHash::of(b""), 500 * MILLISECOND),
         DuplicateCheck::Duplicate(2)
     );
 }
--- a/crates/node/tests/node/connection_ends.rs
+++ b/crates/node/tests/node/connection_ends.rs
@@ -21,17 +21,17 @@
 const SECOND: u64 = 10_000;
 
 /// A connection table on a clock that the test advances.
-struct TableFixture {
+pub struct TableFixture {
     poller: Arc<Poller>,
-    listeners: Listeners,
+    pub listeners: Listeners,
     at: SocketAddr,
     now: u64,
     /// Requests read so far.
-    requests: Vec<Caller>,
+    pub requests: Vec<Caller>,
 }
 
 impl TableFixture {
-    fn new(connections: usize) -> TableFixture {
+    pub fn new(connections: usize) -> TableFixture {
         let poller = Arc::new(Poller::new().unwrap());
         let limits = ResourceLimits {
             connections,
@@ -61,7 +61,7 @@
     }
 
     /// Runs one turn: waits for events, accepts and reads what is ready, and writes.
-    fn turn(&mut self) {
+    pub fn turn(&mut self) {
         let (mut events, mut listener_events) = (Events::new(), Vec::new());
         assert!(
             self.poller.wait(&mut events, Some(MAX_WAIT)).unwrap() > 0,
@@ -85,18 +85,18 @@
         self.requests
             .extend(listener_events.into_iter().filter_map(|event| match event {
                 ListenerEvent::Request { caller, .. } => Some(caller),
-                ListenerEvent::Ended { .. } => None,
+                _ => None,
             }));
     }
 
-    fn run_until(&mut self, condition: impl Fn(&TableFixture) -> bool) {
+    pub fn run_until(&mut self, condition: impl Fn(&TableFixture) -> bool) {
         while !condition(self) {
             self.turn();
         }
     }
 
     /// Advances the clock and runs a sweep.
-    fn advance(&mut self, duration: u64) {
+    pub fn advance(&mut self, duration: u64) {
         self.now += duration;
         let mut listener_events = Vec::new();
         self.listeners.sweep(self.now, &mut listener_events);
@@ -110,7 +110,7 @@
     }
 
     /// Opens a connection and waits until it is accepted.
-    fn connect_accepted(&mut self) -> Client {
+    pub fn connect_accepted(&mut self) -> Client {
         let accepted = self.listeners.counts().accepted;
         let client = self.connect(self.at);
         self.run_until(|table| table.listeners.counts().accepted > accepted);
--- a/crates/node/tests/node/half_closed.rs
+++ b/crates/node/tests/node/half_closed.rs
@@ -33,7 +33,7 @@
     }
     let request_caller = |event| match event {
         ListenerEvent::Request { caller, .. } => Some(caller),
-        ListenerEvent::Ended { .. } => None,
+        _ => None,
     };
     listener_events
         .into_iter()
