Refuse an incomplete request only where it can't repeat what ran

What callers saw: where a connection ends (the drain, a listener withdrawn by a reload, a request that was too slow), its incomplete requests were answered OVERLOADED, or 503 over uwsgi, 50 to 75 ms later or at the end of the process. The first part of a repeat of what had run was told so too that nothing ran.

Change: Listeners reports such a request as Incomplete, with what has arrived of its endpoint group and key; the node refuses it if its group has no keys, or if its key has no entry in the table of results. Otherwise, also with the key unknown while the table has entries, the answer is 400, which promises nothing. Rules see complete requests only, so behind them the key is unknown until then.

Why this works: an entry stays from the moment a request is admitted until its window is over, so a key without one has not run within its window, and the batch of the turn is decided before the look.

What it costs: a request of which too little arrived to know its group fails where it was refused, at a node that has run something with a key within its window.

The codecs' property test reads the leading variables of blocks cut anywhere.

--- a/crates/node/src/event_loop.rs
+++ b/crates/node/src/event_loop.rs
@@ -115,7 +115,8 @@
             self.flush();
             self.log_summary_if_due();
             if self.is_finished() {
-                self.listeners.refuse_incomplete_requests();
+                self.listeners
+                    .end_incomplete_requests(&mut self.listener_events);
                 self.flush();
                 self.log_summary();
                 return Ok(());
--- a/crates/node/src/event_loop/arrivals.rs
+++ b/crates/node/src/event_loop/arrivals.rs
@@ -33,6 +33,7 @@
                 body_hash,
                 refusal,
             } => self.on_possible_duplicate(caller, &request, body_hash, refusal),
+            ListenerEvent::Incomplete { caller, key } => self.on_incomplete(caller, key),
             ListenerEvent::Ended { id, termination } => {
                 self.on_terminated(id, termination, RunOutput::default());
             }
--- a/crates/node/src/event_loop/deduplication.rs
+++ b/crates/node/src/event_loop/deduplication.rs
@@ -8,7 +8,9 @@
 
 use super::Node;
 use crate::network::listeners::Caller;
-use crate::network::request::{Answer, BodyHash, IncomingRequest, RefusalReason, Unreadable};
+use crate::network::request::{
+    Answer, BodyHash, IncomingRequest, IncompleteKey, RefusalReason, Unreadable,
+};
 use crate::state::results::{DedupKey, DuplicateCheck, StoredResult};
 
 impl Node {
@@ -30,6 +32,31 @@
         }
     }
 
+    /// Answers a request whose rest can't be waited for.
+    pub(super) fn on_incomplete(&mut self, caller: Caller, key: IncompleteKey) {
+        let answer = if self.may_have_run(key) {
+            Answer::INCOMPLETE
+        } else {
+            Answer::NoCapacity(RefusalReason::Incomplete)
+        };
+        self.listeners.answer(caller, answer);
+    }
+
+    /// Returns true if an incomplete request may be a duplicate of a request that ran.
+    fn may_have_run(&mut self, key: IncompleteKey) -> bool {
+        match key {
+            IncompleteKey::None => false,
+            IncompleteKey::Known { group, key } => {
+                self.decide_before_duplicate((group, key));
+                self.results.contains(&(group, key))
+            }
+            IncompleteKey::Unknown => {
+                self.decide();
+                !self.results.is_empty()
+            }
+        }
+    }
+
     /// Finds the request that a request duplicates, if any.
     ///
     /// # Errors
--- a/crates/node/src/network/connection/pending.rs
+++ b/crates/node/src/network/connection/pending.rs
@@ -89,6 +89,11 @@
         true
     }
 
+    /// Returns the variables that have arrived, encoded as received.
+    pub fn params(&self) -> &[u8] {
+        &self.params
+    }
+
     /// Returns the memory of the request in bytes.
     fn memory_bytes(&self) -> usize {
         size_of::<PendingRequest>() + self.params.capacity() + self.body.capacity()
--- a/crates/node/src/network/listeners.rs
+++ b/crates/node/src/network/listeners.rs
@@ -29,7 +29,7 @@
 use super::bounds::{MAX_LISTENERS, READ_BUFFER_BYTES};
 use super::classifier::RequestClassifier;
 use super::connection::{Connection, PendingUsage};
-use super::request::{BodyHash, DeploymentNames, IncomingRequest, RefusalReason};
+use super::request::{BodyHash, DeploymentNames, IncomingRequest, IncompleteKey, RefusalReason};
 use super::termination::Termination;
 
 /// The poller key of the first listener; the others follow.
@@ -78,6 +78,13 @@
         /// Why a request that is no duplicate is refused.
         refusal: RefusalReason,
     },
+    /// The connection of a request has to end before the rest of the request arrives.
+    Incomplete {
+        /// The destination of the answer.
+        caller: Caller,
+        /// What has arrived of its idempotency key.
+        key: IncompleteKey,
+    },
     /// A request was aborted, or its connection was closed.
     Ended {
         /// The request.
--- a/crates/node/src/network/listeners/close.rs
+++ b/crates/node/src/network/listeners/close.rs
@@ -5,7 +5,7 @@
 use super::{ListenerEvent, Listeners};
 use crate::network::bounds;
 use crate::network::connection::{PendingUsage, Timeouts};
-use crate::network::request::{Answer, RefusalReason};
+use crate::network::request::Answer;
 use crate::network::termination::Termination;
 
 impl Listeners {
@@ -63,7 +63,7 @@
     /// regular interval while [`Listeners::needs_sweep`] returns true.
     pub fn sweep(&mut self, now: TenthMillis, events: &mut Vec<ListenerEvent>) {
         self.resume_paused();
-        self.refuse_overdue_requests();
+        self.end_overdue_requests(events);
         let timeouts = Timeouts {
             idle: self.idle_timeout,
             request_read: bounds::request_read_timeout(self.longest_deadline),
@@ -85,8 +85,8 @@
         !self.connections.is_empty() || self.iter().any(|listener| !listener.accepting)
     }
 
-    /// Rejects incomplete requests on closing connections once they have been incomplete for too many sweeps.
-    fn refuse_overdue_requests(&mut self) {
+    /// Ends incomplete requests on closing connections once they have been incomplete for too many sweeps.
+    fn end_overdue_requests(&mut self, events: &mut Vec<ListenerEvent>) {
         let connections = self.connections.iter_mut();
         let overdue: Vec<usize> = connections
             .filter_map(|(slot, connection)| {
@@ -94,7 +94,7 @@
             })
             .collect();
         for slot in overdue {
-            self.answer_incomplete(slot, Answer::NoCapacity(RefusalReason::Incomplete));
+            self.end_incomplete(slot, events);
         }
     }
 
--- a/crates/node/src/network/listeners/drain.rs
+++ b/crates/node/src/network/listeners/drain.rs
@@ -7,7 +7,6 @@
 
 use super::{Listener, ListenerEvent, Listeners};
 use crate::network::bounds::MAX_FINAL_READS;
-use crate::network::request::{Answer, RefusalReason};
 use crate::network::termination::Termination;
 
 impl Listeners {
@@ -38,16 +37,15 @@
         self.iter().for_each(Listener::refuse_handshakes);
     }
 
-    /// Rejects all incomplete requests when the node shuts down.
-    pub fn refuse_incomplete_requests(&mut self) {
-        let slots: Vec<usize> = self.connections.iter().map(|(slot, _)| slot).collect();
-        for slot in slots {
-            self.answer_incomplete(slot, Answer::NoCapacity(RefusalReason::Incomplete));
+    /// Ends all incomplete requests when the node shuts down.
+    pub fn end_incomplete_requests(&self, events: &mut Vec<ListenerEvent>) {
+        for (slot, _) in &self.connections {
+            self.end_incomplete(slot, events);
         }
     }
 
     /// Accepts a listener's backlog, closes its socket, reads what has arrived on its connections, and closes each
-    /// connection once nothing is pending on it. Incomplete requests are kept until [`Listeners::sweep`] rejects
+    /// connection once nothing is pending on it. Incomplete requests are kept until [`Listeners::sweep`] ends
     /// them.
     fn drain(
         &mut self,
--- a/crates/node/src/network/listeners/incomplete.rs
+++ b/crates/node/src/network/listeners/incomplete.rs
@@ -1,4 +1,4 @@
-//! Bounds the memory of incomplete requests.
+//! Bounds the memory of incomplete requests, and ends requests whose rest can't be waited for.
 //!
 //! An incomplete request is never refused as not run for lack of room: it may repeat a request that ran, and its
 //! idempotency key may not have arrived yet. When the bound is reached, the connections that hold most give way, and
@@ -8,8 +8,9 @@
 
 use doortrack_config::ResourceLimits;
 
-use super::{Caller, Listeners};
-use crate::network::request::Answer;
+use super::{Caller, ListenerEvent, Listeners};
+use crate::network::connection::Connection;
+use crate::network::request::{Answer, IncompleteKey};
 
 /// Reciprocal of the share of the bound that is released when it is reached, so that it is not reached again at once.
 const RELEASED_SHARE: usize = 8;
@@ -61,4 +62,30 @@
             self.answer(Caller { slot, request }, answer);
         }
     }
+
+    /// Reports the incomplete requests of a connection, which can't be waited for.
+    pub(super) fn end_incomplete(&self, slot: usize, events: &mut Vec<ListenerEvent>) {
+        let connection = &self.connections[slot];
+        for request in connection.pending.incomplete() {
+            let caller = Caller {
+                slot,
+                request: request.number,
+            };
+            let key = self.incomplete_key(connection, request.params());
+            events.push(ListenerEvent::Incomplete { caller, key });
+        }
+    }
+
+    /// Returns what is known of the idempotency key of a request of which only `params` have arrived.
+    fn incomplete_key(&self, connection: &Connection, params: &[u8]) -> IncompleteKey {
+        let is_platform = self.listeners[connection.listener].is_platform;
+        if is_platform || self.rules.is_none() {
+            IncompleteKey::read(connection.protocol(), params, &self.names)
+        } else if self.names.has_idempotency_keys() {
+            // Rules classify complete requests only.
+            IncompleteKey::Unknown
+        } else {
+            IncompleteKey::None
+        }
+    }
 }
--- a/crates/node/src/network/request.rs
+++ b/crates/node/src/network/request.rs
@@ -3,6 +3,7 @@
 mod answer;
 mod body_hash;
 mod fields;
+mod incomplete_key;
 
 use std::fmt;
 
@@ -13,6 +14,7 @@
 pub use self::body_hash::BodyHash;
 pub(super) use self::fields::Fields;
 use self::fields::in_range;
+pub use self::incomplete_key::IncompleteKey;
 
 /// The path of the platform's health check.
 pub(super) const HEALTH_CHECK_PATH: &str = "/status/live";
@@ -112,6 +114,11 @@
 }
 
 impl DeploymentNames {
+    /// Returns true if requests of any endpoint group carry an idempotency key.
+    pub(super) fn has_idempotency_keys(&self) -> bool {
+        self.idempotency_keyed.contains(&true)
+    }
+
     /// Returns the index of the tenant that a request names; 0 where the deployment has none.
     pub(super) fn tenant(&self, fields: &Fields) -> Result<u16, Unreadable> {
         if self.tenants.is_empty() {
--- a/crates/node/src/state/results.rs
+++ b/crates/node/src/state/results.rs
@@ -134,6 +134,16 @@
         self.bytes
     }
 
+    /// Returns true if the table has no entry, so that no request with an idempotency key has run within its window.
+    pub fn is_empty(&self) -> bool {
+        self.entries.is_empty()
+    }
+
+    /// Returns true if there is an entry for this key. Without one, no request with this key has run within its window.
+    pub fn contains(&self, key: &DedupKey) -> bool {
+        self.entries.contains_key(key)
+    }
+
     /// Checks whether a request with this key and body is a duplicate. The dedup window is measured between arrival
     /// times, so the delay until a duplicate is read does not matter. `arrived_at` must not be later than now: an
     /// arrival time in the future, from a clock that is ahead, could make a duplicate look like a new request.
--- a/crates/node/tests/node/refused_repeats.rs
+++ b/crates/node/tests/node/refused_repeats.rs
@@ -2,12 +2,13 @@
 //! ran, so the caller of a repeat would have the request run once more at another node.
 
 use std::collections::BTreeMap;
+use std::io::Write;
 use std::net::SocketAddr;
 
-use doortrack_fakes::caller::{CallerOutcome, CallerRequest};
+use doortrack_fakes::caller::{CallerOutcome, CallerRequest, PendingAnswer};
 use doortrack_fakes::engine::Engine;
-use doortrack_fakes::fixture::{NodeFixture, NodeSetup};
-use doortrack_fakes::records::{Client, Reply, request};
+use doortrack_fakes::fixture::{NodeFixture, NodeSetup, connect};
+use doortrack_fakes::records::{Client, Reply, record, request};
 use doortrack_protocols::Protocol::Uwsgi;
 use serde_json::{Value, json};
 
@@ -21,6 +22,8 @@
 const MAX_READ_REQUESTS: u16 = 40;
 /// Length of the last record of a request, which is empty and padded.
 const LAST_RECORD_BYTES: usize = 11;
+/// The first record of a request, which opens it.
+const BEGIN_CONTENT: [u8; 8] = [0, 1, 1, 0, 0, 0, 0, 0];
 
 const COMPLETED_KEY: &str = "00000000000000000000000000000001";
 const RUNNING_KEY: &str = "00000000000000000000000000000002";
@@ -181,3 +184,50 @@
         assert_eq!(caller.reply().body, RESULT);
     }
 }
+
+/// Guards against refusing an incomplete request, as its connection ends, although it may repeat one that ran.
+#[test]
+fn an_incomplete_repeat_is_not_refused_when_its_connection_ends() {
+    const STOP_MS: u64 = 700;
+    let (fixture, _engine, uwsgi_address) =
+        start_with_completed_request(|config| config["stop_ms"] = json!(STOP_MS));
+    let mut client = fixture.client();
+    client.send(&incomplete(pay(1, 11, COMPLETED_KEY)));
+    client.send(&incomplete(pay(2, 12, NEW_KEY)));
+    client.send(&incomplete(request(3, 13, "/svc/look", &[], b"")));
+    client.send(&record(1, 4, &BEGIN_CONTENT));
+    let over_uwsgi = [COMPLETED_KEY, NEW_KEY].map(|key| {
+        let bytes = CallerRequest::new(14, "/svc/pay", b"berth")
+            .with("HTTP_IDEMPOTENCY_KEY", key)
+            .bytes(Uwsgi);
+        let mut sock = connect(uwsgi_address);
+        sock.write_all(&bytes[..bytes.len() - 1]).unwrap();
+        PendingAnswer {
+            sock,
+            protocol: Uwsgi,
+        }
+    });
+    fixture.signal("-TERM");
+    let replies: BTreeMap<u16, u16> = (0..4).map(|_| client.reply()).map(status_by_id).collect();
+    let expected = [(1, 400), (2, OVERLOADED), (3, OVERLOADED), (4, 400)];
+    assert_eq!(replies, BTreeMap::from(expected));
+    let [repeat, new] = over_uwsgi.map(PendingAnswer::outcome);
+    assert!(
+        matches!(repeat, CallerOutcome::Unreadable(400, _)),
+        "{repeat:?}"
+    );
+    assert!(matches!(new, CallerOutcome::Rejected { .. }), "{new:?}");
+}
+
+/// Guards against failing a request of which too little arrived to know its key, where nothing with a key has run: another
+/// node can run it.
+#[test]
+fn an_incomplete_request_is_refused_where_nothing_with_a_key_has_run() {
+    let mut setup = NodeSetup::new(env!("CARGO_BIN_EXE_doortrack"));
+    setup.config["stop_ms"] = json!(300);
+    let (fixture, _engine) = setup.start_with_engine();
+    let mut client = fixture.client();
+    client.send(&record(1, 4, &BEGIN_CONTENT));
+    fixture.signal("-TERM");
+    assert_eq!(status_by_id(client.reply()), (4, OVERLOADED));
+}
--- a/crates/protocols/src/fastcgi.rs
+++ b/crates/protocols/src/fastcgi.rs
@@ -164,17 +164,22 @@
 pub fn read_variables(mut stream: &[u8]) -> Result<Vec<Variable<'_>>, ProtocolError> {
     let mut variables = Vec::with_capacity(16);
     while !stream.is_empty() {
-        let name_length = read_length(&mut stream)?;
-        let value_length = read_length(&mut stream)?;
-        if name_length.saturating_add(value_length) > stream.len() {
-            return Err(ProtocolError("a parameter is longer than its stream"));
-        }
-        let name = split_front(&mut stream, name_length);
-        variables.push((name, split_front(&mut stream, value_length)));
+        variables.push(read_variable(&mut stream)?);
     }
     Ok(variables)
 }
 
+/// Reads the first variable of a parameter stream and advances the stream past it.
+pub(crate) fn read_variable<'a>(stream: &mut &'a [u8]) -> Result<Variable<'a>, ProtocolError> {
+    let name_length = read_length(stream)?;
+    let value_length = read_length(stream)?;
+    if name_length.saturating_add(value_length) > stream.len() {
+        return Err(ProtocolError("a parameter is longer than its stream"));
+    }
+    let name = split_front(stream, name_length);
+    Ok((name, split_front(stream, value_length)))
+}
+
 /// Reads a length of one byte, or of four with the highest bit set.
 fn read_length(stream: &mut &[u8]) -> Result<usize, ProtocolError> {
     const TRUNCATED: ProtocolError = ProtocolError("truncated parameter length");
--- a/crates/protocols/src/lib.rs
+++ b/crates/protocols/src/lib.rs
@@ -52,6 +52,20 @@
             Protocol::Uwsgi => uwsgi::read_variables(block),
         }
     }
+
+    /// Reads the variables that are complete in the first part of a block, of which the rest has not
+    /// arrived.
+    pub fn read_leading_variables(self, mut block: &[u8]) -> Vec<Variable<'_>> {
+        let read_variable = match self {
+            Protocol::FastCgi => fastcgi::read_variable,
+            Protocol::Uwsgi => uwsgi::read_variable,
+        };
+        let mut variables = Vec::new();
+        while let Ok(variable) = read_variable(&mut block) {
+            variables.push(variable);
+        }
+        variables
+    }
 }
 
 impl fmt::Display for Protocol {
--- a/crates/protocols/src/uwsgi.rs
+++ b/crates/protocols/src/uwsgi.rs
@@ -31,11 +31,16 @@
 pub fn read_variables(mut block: &[u8]) -> Result<Vec<Variable<'_>>, ProtocolError> {
     let mut variables = Vec::with_capacity(16);
     while !block.is_empty() {
-        variables.push((read_string(&mut block)?, read_string(&mut block)?));
+        variables.push(read_variable(&mut block)?);
     }
     Ok(variables)
 }
 
+/// Reads the first variable of a block and advances the block past it.
+pub(crate) fn read_variable<'a>(block: &mut &'a [u8]) -> Result<Variable<'a>, ProtocolError> {
+    Ok((read_string(block)?, read_string(block)?))
+}
+
 /// Reads a length and the name or value after it.
 fn read_string<'a>(block: &mut &'a [u8]) -> Result<&'a [u8], ProtocolError> {
     let [low, high] = *split_front(block, 2) else {
--- a/crates/protocols/tests/codecs/any_bytes.rs
+++ b/crates/protocols/tests/codecs/any_bytes.rs
@@ -105,6 +105,11 @@
             prop_assert_eq!(&read[..variables.len()], &variables[..]);
             prop_assert_eq!(read[variables.len()], (&b"CONTENT_LENGTH"[..], length.as_bytes()));
             prop_assert_eq!(contents("stdin"), body.clone());
+            for length in 0..=block.len() {
+                let leading = protocol.read_leading_variables(&block[..length]);
+                prop_assert_eq!(&leading[..], &read[..leading.len()]);
+                prop_assert_eq!(leading.len() == read.len(), length == block.len());
+            }
         }
     }
 
