Measure incomplete requests of more clients than a node has descriptors

A seventh population for incomplete-requests: 450 clients at a node with 384 sockets, so that its table of connections is full and connections are evicted all the time.

--- a/crates/bench/src/bin/incomplete-requests.rs
+++ b/crates/bench/src/bin/incomplete-requests.rs
@@ -95,7 +95,7 @@
     begins_again: bool,
 }
 
-const CASES: [Case; 6] = [
+const CASES: [Case; 7] = [
     Case {
         title: "no such clients",
         connections: 0,
@@ -132,6 +132,12 @@
         part: SentPart::LargeVariables,
         begins_again: true,
     },
+    Case {
+        title: "450 clients, more than the node has descriptors, all but the last record",
+        connections: 450,
+        part: SentPart::AllButLastRecord,
+        begins_again: true,
+    },
 ];
 
 /// Holds incomplete requests on one connection until `stop` is set, and connects again if the connection ends.
