--- a/crates/node/tests/node/backlog.rs
+++ b/crates/node/tests/node/backlog.rs
@@ -16,6 +16,8 @@
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
 
+use super::connection_ends::small_limits;
+
 /// Upper bound in bytes of an answer that carries no result.
 const MAX_SHORT_ANSWER: usize = 200;
 const MAX_RESULT: usize = 20_000;
@@ -141,12 +143,8 @@
     fn new(limit: usize, callers: usize) -> ListenerFixture {
         let poller = Arc::new(Poller::new().unwrap());
         let limits = ResourceLimits {
-            connections: 8,
-            open_requests: 64,
-            dedup_entries: 1,
-            result_bytes: 1,
             unread_answer_bytes: limit,
-            engine_command_bytes: 1,
+            ..small_limits()
         };
         let names = DeploymentNames {
             groups: vec!["look".into()],
--- a/crates/node/tests/node/connection_ends.rs
+++ b/crates/node/tests/node/connection_ends.rs
@@ -20,6 +20,18 @@
 /// Tenths of a millisecond in a second.
 const SECOND: u64 = 10_000;
 
+/// Limits of a small table of connections.
+pub fn small_limits() -> ResourceLimits {
+    ResourceLimits {
+        connections: 8,
+        open_requests: 64,
+        dedup_entries: 1,
+        result_bytes: 1,
+        unread_answer_bytes: 100_000,
+        engine_command_bytes: 1,
+    }
+}
+
 /// A connection table on a clock that the test advances.
 pub struct TableFixture {
     poller: Arc<Poller>,
@@ -35,11 +47,7 @@
         let poller = Arc::new(Poller::new().unwrap());
         let limits = ResourceLimits {
             connections,
-            open_requests: 64,
-            dedup_entries: 1,
-            result_bytes: 1,
-            unread_answer_bytes: 100_000,
-            engine_command_bytes: 1,
+            ..small_limits()
         };
         let names = DeploymentNames {
             groups: vec!["look".into()],
--- a/crates/node/tests/node/half_closed.rs
+++ b/crates/node/tests/node/half_closed.rs
@@ -15,6 +15,8 @@
 use doortrack_protocols::Protocol;
 use polling::{Events, Poller};
 
+use super::connection_ends::small_limits;
+
 /// Handles all ready events without writing, as the loop does between two reads. Returns the callers of new
 /// requests.
 fn handle_ready_events(poller: &Poller, listeners: &mut Listeners, now: u64) -> Vec<Caller> {
@@ -45,12 +47,8 @@
 fn a_half_close_read_twice_in_one_turn_is_no_reset() {
     let poller = Arc::new(Poller::new().unwrap());
     let limits = ResourceLimits {
-        connections: 8,
         open_requests: 8,
-        dedup_entries: 1,
-        result_bytes: 1,
-        unread_answer_bytes: 100_000,
-        engine_command_bytes: 1,
+        ..small_limits()
     };
     let names = DeploymentNames {
         groups: vec!["look".into()],
--- a/crates/node/tests/node/main.rs
+++ b/crates/node/tests/node/main.rs
@@ -7,6 +7,7 @@
 
 mod accepts;
 mod backlog;
+mod caller_connections;
 mod components;
 mod conformance;
 mod connection_ends;
@@ -21,6 +22,7 @@
 mod late_stops;
 mod listeners;
 mod near_stops;
+mod node_configuration;
 mod outages_and_bursts;
 mod panics;
 mod partial_requests;
@@ -29,6 +31,7 @@
 mod refused_repeats;
 mod reload_with_shutdown;
 mod reloads;
+mod request_tables;
 mod restart;
 mod rules;
 mod slow_start_settings;
