--- a/crates/fakes/src/fixture.rs
+++ b/crates/fakes/src/fixture.rs
@@ -25,8 +25,8 @@
 /// Number of IP addresses of one test process; they are used again after that.
 const MAX_ADDRESSES: u32 = 200;
 
-/// Returns a loopback address for one node, at which [`NODE_PORTS`] are free. Every call returns another IP address, until
-/// [`MAX_ADDRESSES`] have been returned.
+/// Returns a loopback address for one node, at which the ports that tests use are free. Calls in a row return
+/// different IP addresses.
 pub fn fresh_address() -> SocketAddr {
     let [.., b, c] = std::process::id().to_be_bytes();
     for _ in 0..MAX_ADDRESSES {
