Tests name every event that a table reports; the incomplete-requests bench is split

Two fixtures, of connection_ends.rs and half_closed.rs, had listed every ListenerEvent. They list all again, and a PossibleDuplicate fails the test.

--- a/crates/bench/src/bin/incomplete-requests.rs
+++ b/crates/bench/src/bin/incomplete-requests/main.rs
@@ -1,8 +1,9 @@
 //! `incomplete-requests`: measures what clients that hold incomplete requests cost the others: the share of new
 //! requests and of repeats that are completed, their latency, and the peak memory of the node.
 
-use std::io::{self, ErrorKind, Read, Write};
-use std::net::{SocketAddr, TcpStream};
+mod clients;
+
+use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -14,31 +15,20 @@
 use doortrack_fakes::caller::{CallerOutcome, CallerRequest};
 use doortrack_fakes::fixture::{NodeFixture, NodeSetup};
 use doortrack_fakes::immediate;
-use doortrack_fakes::records::request;
 use doortrack_protocols::Protocol;
-use doortrack_protocols::fastcgi::{ResponseRecord, ResponseSplitter};
 use hdrhistogram::Histogram;
 use serde_json::json;
 
+use self::clients::{Population, SentPart};
+
 const MEMORY_MB: u32 = 32;
 const SOCKETS: u32 = 384;
 /// Number of callers that send complete requests, one at a time, each on a connection of its own.
 const CALLERS: u64 = 8;
-/// Requests that one connection may have open.
-const MAX_OPEN_REQUESTS: u16 = 32;
-/// Length of the last record of a request, which is empty and padded.
-const LAST_RECORD_BYTES: usize = 11;
-/// Length of the first record of a request with its padding.
-const FIRST_RECORD_BYTES: usize = 19;
-/// Length of one variable's name and value in a large request, and how many of them it has.
-const LARGE_VARIABLE_BYTES: usize = 100;
-const LARGE_VARIABLES: usize = 60;
 /// Time for the node and its engine to come up.
 const START_TIME: Duration = Duration::from_millis(500);
 /// Time for the clients to open their requests.
 const FILL_TIME: Duration = Duration::from_millis(700);
-/// How often a client with incomplete requests checks whether the measurement is over.
-const CLIENT_POLL_INTERVAL: Duration = Duration::from_millis(100);
 /// Largest latency that the histogram distinguishes, in µs.
 const MAX_LATENCY_US: u64 = 60_000_000;
 
@@ -56,139 +46,71 @@
     seconds: f64,
 }
 
-/// What the clients send of each request.
-#[derive(Clone, Copy)]
-enum SentPart {
-    /// The first record.
-    Begin,
-    /// All but the last record.
-    AllButLastRecord,
-    /// Variables of 7 kB, all but the last record.
-    LargeVariables,
-}
-
-impl SentPart {
-    fn bytes(self, id: u16) -> Vec<u8> {
-        let value = "x".repeat(LARGE_VARIABLE_BYTES);
-        let variables = match self {
-            SentPart::LargeVariables => vec![("HTTP_X_FILLER", value.as_str()); LARGE_VARIABLES],
-            SentPart::Begin | SentPart::AllButLastRecord => Vec::new(),
-        };
-        let mut bytes = request(id, u64::from(id), "/svc/pay", &variables, b"");
-        let length = match self {
-            SentPart::Begin => FIRST_RECORD_BYTES,
-            SentPart::AllButLastRecord | SentPart::LargeVariables => {
-                bytes.len() - LAST_RECORD_BYTES
-            }
-        };
-        bytes.truncate(length);
-        bytes
-    }
-}
-
-/// One population of clients that hold incomplete requests.
+/// A measurement beside one population of clients.
 struct Case {
     title: &'static str,
-    connections: usize,
-    part: SentPart,
-    /// A client begins another request for each answer.
-    begins_again: bool,
+    clients: Population,
 }
 
 const CASES: [Case; 7] = [
     Case {
         title: "no such clients",
-        connections: 0,
-        part: SentPart::Begin,
-        begins_again: false,
+        clients: Population {
+            connections: 0,
+            part: SentPart::Begin,
+            begins_again: false,
+        },
     },
     Case {
         title: "24 clients, all but the last record",
-        connections: 24,
-        part: SentPart::AllButLastRecord,
-        begins_again: false,
+        clients: Population {
+            connections: 24,
+            part: SentPart::AllButLastRecord,
+            begins_again: false,
+        },
     },
     Case {
         title: "24 clients, all but the last record, begun again at each answer",
-        connections: 24,
-        part: SentPart::AllButLastRecord,
-        begins_again: true,
+        clients: Population {
+            connections: 24,
+            part: SentPart::AllButLastRecord,
+            begins_again: true,
+        },
     },
     Case {
         title: "300 clients, all but the last record, begun again at each answer",
-        connections: 300,
-        part: SentPart::AllButLastRecord,
-        begins_again: true,
+        clients: Population {
+            connections: 300,
+            part: SentPart::AllButLastRecord,
+            begins_again: true,
+        },
     },
     Case {
         title: "300 clients, the first record, begun again at each answer",
-        connections: 300,
-        part: SentPart::Begin,
-        begins_again: true,
+        clients: Population {
+            connections: 300,
+            part: SentPart::Begin,
+            begins_again: true,
+        },
     },
     Case {
         title: "300 clients, 7 kB of variables, begun again at each answer",
-        connections: 300,
-        part: SentPart::LargeVariables,
-        begins_again: true,
+        clients: Population {
+            connections: 300,
+            part: SentPart::LargeVariables,
+            begins_again: true,
+        },
     },
     Case {
         title: "450 clients, more than the node has descriptors, all but the last record",
-        connections: 450,
-        part: SentPart::AllButLastRecord,
-        begins_again: true,
+        clients: Population {
+            connections: 450,
+            part: SentPart::AllButLastRecord,
+            begins_again: true,
+        },
     },
 ];
 
-/// Holds incomplete requests on one connection until `stop` is set, and connects again if the connection ends.
-fn hold_incomplete_requests(
-    node: SocketAddr,
-    part: SentPart,
-    begins_again: bool,
-    stop: &AtomicBool,
-) {
-    while !stop.load(Ordering::Relaxed) {
-        // The connection ends whenever the node closes it; the client then starts again.
-        _ = hold_on_connection(node, part, begins_again, stop);
-        thread::sleep(Duration::from_millis(5));
-    }
-}
-
-fn hold_on_connection(
-    node: SocketAddr,
-    part: SentPart,
-    begins_again: bool,
-    stop: &AtomicBool,
-) -> io::Result<()> {
-    let mut sock = TcpStream::connect(node)?;
-    sock.set_read_timeout(Some(CLIENT_POLL_INTERVAL))?;
-    sock.set_write_timeout(Some(CLIENT_POLL_INTERVAL))?;
-    let first: Vec<u8> = (1..=MAX_OPEN_REQUESTS)
-        .flat_map(|id| part.bytes(id))
-        .collect();
-    sock.write_all(&first)?;
-    let (mut records, mut buffer) = (ResponseSplitter::default(), [0; 16 * 1024]);
-    while !stop.load(Ordering::Relaxed) {
-        let count = match sock.read(&mut buffer) {
-            Ok(0) => return Ok(()),
-            Ok(count) => count,
-            Err(e) if e.kind() == ErrorKind::WouldBlock => continue,
-            Err(e) => return Err(e),
-        };
-        let mut input = &buffer[..count];
-        let mut next = Vec::new();
-        while let Some(record) = records.next(&mut input).map_err(io::Error::other)? {
-            if let ResponseRecord::End { id, .. } = record {
-                next.extend(part.bytes(id));
-            }
-        }
-        if begins_again {
-            sock.write_all(&next)?;
-        }
-    }
-    Ok(())
-}
-
 /// The outcomes of one kind of requests.
 #[derive(Default)]
 struct Outcomes {
@@ -289,16 +211,6 @@
     fixture
 }
 
-fn start_clients(node: SocketAddr, case: &Case, stop: &Arc<AtomicBool>) -> Vec<JoinHandle<()>> {
-    let (part, begins_again) = (case.part, case.begins_again);
-    (0..case.connections)
-        .map(|_| {
-            let stop = stop.clone();
-            thread::spawn(move || hold_incomplete_requests(node, part, begins_again, &stop))
-        })
-        .collect()
-}
-
 fn measure(cli: &Cli, case: &Case) {
     let fixture = start_node(cli);
     let (node, program) = (fixture.address, fixture.program.id());
@@ -311,7 +223,7 @@
         );
     }
     let stop = Arc::new(AtomicBool::new(false));
-    let clients = start_clients(node, case, &stop);
+    let clients = case.clients.start(node, &stop);
     thread::sleep(FILL_TIME);
     let cpu_before = process::cpu_ms(program);
     let duration = Duration::from_secs_f64(cli.seconds);
--- a/crates/node/tests/node/connection_ends.rs
+++ b/crates/node/tests/node/connection_ends.rs
@@ -93,7 +93,10 @@
         self.requests
             .extend(listener_events.into_iter().filter_map(|event| match event {
                 ListenerEvent::Request { caller, .. } => Some(caller),
-                _ => None,
+                ListenerEvent::Ended { .. } | ListenerEvent::Incomplete { .. } => None,
+                ListenerEvent::PossibleDuplicate { .. } => {
+                    panic!("a request without a key is reported as a possible duplicate")
+                }
             }));
     }
 
--- a/crates/node/tests/node/half_closed.rs
+++ b/crates/node/tests/node/half_closed.rs
@@ -35,7 +35,10 @@
     }
     let request_caller = |event| match event {
         ListenerEvent::Request { caller, .. } => Some(caller),
-        _ => None,
+        ListenerEvent::Ended { .. } | ListenerEvent::Incomplete { .. } => None,
+        ListenerEvent::PossibleDuplicate { .. } => {
+            panic!("a request without a key is reported as a possible duplicate")
+        }
     };
     listener_events
         .into_iter()
