Count discarded input and unanswered requests by the reason of the close

The operators' report left open whether the lost requests had been read and dropped, or had been pending and forgotten: a connection that lingers discards its input, and a pending request can end with its connection, and neither was counted.

The summary has two more fields: discarded, the bytes that were not parsed before their connection closed (read by a lingering connection, suspended, or left in the socket), and unanswered, the requests that ended without an answer, both by the reason. Connections that are open at the end of the process are closed and counted too.

--- a/crates/node/src/event_loop.rs
+++ b/crates/node/src/event_loop.rs
@@ -118,6 +118,7 @@
                 self.listeners
                     .end_incomplete_requests(&mut self.listener_events);
                 self.flush();
+                self.close_connections();
                 self.log_summary();
                 return Ok(());
             }
@@ -265,6 +266,12 @@
         }
     }
 
+    /// Closes what is left of the connections at the end of the process.
+    fn close_connections(&mut self) {
+        self.listeners.close_all(&mut self.listener_events);
+        self.handle_listener_events();
+    }
+
     fn poll_subsystems(&mut self) {
         for subsystem in &mut self.subsystems {
             subsystem.poll();
--- a/crates/node/src/event_loop/completions.rs
+++ b/crates/node/src/event_loop/completions.rs
@@ -2,7 +2,7 @@
 //! result.
 
 use doortrack_admission::{Cancellation, Event, RequestId, RunOutcome};
-use slog::warn;
+use slog::{debug, warn};
 
 use super::Node;
 use crate::network::backend::BackendEvent;
@@ -87,17 +87,21 @@
     ) {
         match termination.outcome() {
             Outcome::AnswerPending => {}
-            Outcome::CallerGone => self.on_caller_gone(id),
+            Outcome::CallerGone => self.on_caller_gone(id, termination),
             Outcome::RunEnded(outcome) => self.on_run_ended(id, outcome, output),
         }
     }
 
-    fn on_caller_gone(&mut self, id: RequestId) {
+    fn on_caller_gone(&mut self, id: RequestId, termination: Termination) {
         let request = self.in_flight.get(id);
-        if request.is_some_and(|request| request.caller.take().is_some()) {
-            self.admission.push(Event::CallerGone { id });
-            self.drop_if_queued(id);
-        }
+        let Some(request) = request.filter(|request| request.caller.is_some()) else {
+            return;
+        };
+        request.caller = None;
+        debug!(self.log, "request unanswered"; "id" => %String::from_utf8_lossy(&request.attempt_id),
+            "why" => termination.name());
+        self.admission.push(Event::CallerGone { id });
+        self.drop_if_queued(id);
     }
 
     /// Removes a request that never ran and needs no answer any more. Its result entry is removed too, so that a
--- a/crates/node/src/event_loop/summary.rs
+++ b/crates/node/src/event_loop/summary.rs
@@ -87,6 +87,7 @@
             "accepted" => counts.accepted, "unreadable" => Serde(counts.unreadable.clone()),
             "no_room" => counts.no_capacity_total(), "refusals" => Serde(counts.no_capacity.clone()),
             "checks" => counts.health_checks, "ends" => Serde(counts.terminations.clone()),
+            "discarded" => Serde(counts.discarded_bytes.clone()), "unanswered" => Serde(counts.unanswered.clone()),
             "unread_bytes" => self.listeners.unread_answer_bytes(),
             "result_bytes" => self.results.bytes(), "link_losses" => self.backend.link_losses(),
             "turn_ms" => max_durations.turn / MILLISECOND, "reading_ms" => max_durations.reading / MILLISECOND,
@@ -113,7 +114,8 @@
             "failed" => counts.failed, "connections" => listener.connections,
             "accepted" => counts.accepted, "unreadable" => Serde(counts.unreadable.clone()),
             "no_room" => counts.no_capacity_total(), "refusals" => Serde(counts.no_capacity.clone()),
-            "checks" => counts.health_checks, "ends" => Serde(counts.terminations.clone()));
+            "checks" => counts.health_checks, "ends" => Serde(counts.terminations.clone()),
+            "discarded" => Serde(counts.discarded_bytes.clone()), "unanswered" => Serde(counts.unanswered.clone()));
     }
 }
 
--- a/crates/node/src/network/connection.rs
+++ b/crates/node/src/network/connection.rs
@@ -178,6 +178,11 @@
         self.input.suspended.as_ref().map_or(0, Vec::len)
     }
 
+    /// Returns the bytes of input that the system holds for the socket; 0 if that is unknown.
+    pub fn unread_bytes(&self) -> usize {
+        rustix::io::ioctl_fionread(&self.sock).map_or(0, |bytes| bytes as usize)
+    }
+
     /// Returns the events that the poller should report for the connection.
     pub fn interest(&self) -> Interest {
         let may_read = self.lifecycle.reading && !self.input.paused && !self.is_backlogged();
--- a/crates/node/src/network/listeners/close.rs
+++ b/crates/node/src/network/listeners/close.rs
@@ -43,11 +43,7 @@
         events.extend(ids.map(|id| ListenerEvent::Ended { id, termination }));
         let owner = &mut self.listeners[connection.listener];
         owner.connections -= 1;
-        *owner
-            .counts
-            .terminations
-            .entry(termination.name())
-            .or_default() += 1;
+        owner.counts.add_closed(termination, &connection);
         self.remove_if_drained(connection.listener);
         self.resume_accepting();
     }
--- a/crates/node/src/network/listeners/counts.rs
+++ b/crates/node/src/network/listeners/counts.rs
@@ -2,6 +2,9 @@
 
 use std::collections::BTreeMap;
 
+use crate::network::connection::Connection;
+use crate::network::termination::Termination;
+
 /// A listener's counts since the start.
 #[derive(Clone, Debug, Default)]
 pub struct Counts {
@@ -21,6 +24,10 @@
     pub no_capacity: BTreeMap<&'static str, u64>,
     /// Connections closed, by the name of the termination.
     pub terminations: BTreeMap<&'static str, u64>,
+    /// Bytes of input that were not parsed before their connection closed, by the name of the termination.
+    pub discarded_bytes: BTreeMap<&'static str, u64>,
+    /// Requests that ended without an answer, by the name of the termination. Incomplete requests count as well.
+    pub unanswered: BTreeMap<&'static str, u64>,
 }
 
 impl Counts {
@@ -29,6 +36,28 @@
         self.no_capacity.values().sum()
     }
 
+    /// Counts a connection that is closed, with the input and the requests that it leaves behind.
+    pub(super) fn add_closed(&mut self, termination: Termination, connection: &Connection) {
+        *self.terminations.entry(termination.name()).or_default() += 1;
+        let unparsed = connection.suspended_bytes() + connection.unread_bytes();
+        self.add_discarded(termination, unparsed);
+        self.add_unanswered(termination, connection.pending.iter().count());
+    }
+
+    /// Counts input that is not parsed as its connection closes.
+    pub(super) fn add_discarded(&mut self, termination: Termination, bytes: usize) {
+        if bytes > 0 {
+            *self.discarded_bytes.entry(termination.name()).or_default() += bytes as u64;
+        }
+    }
+
+    /// Counts requests that end without an answer.
+    pub(super) fn add_unanswered(&mut self, termination: Termination, requests: usize) {
+        if requests > 0 {
+            *self.unanswered.entry(termination.name()).or_default() += requests as u64;
+        }
+    }
+
     /// Adds another listener's counts.
     pub fn add(&mut self, other: &Counts) {
         self.accepted += other.accepted;
@@ -39,6 +68,8 @@
         add_by_name(&mut self.no_capacity, &other.no_capacity);
         add_by_name(&mut self.unreadable, &other.unreadable);
         add_by_name(&mut self.terminations, &other.terminations);
+        add_by_name(&mut self.discarded_bytes, &other.discarded_bytes);
+        add_by_name(&mut self.unanswered, &other.unanswered);
     }
 }
 
--- a/crates/node/src/network/listeners/drain.rs
+++ b/crates/node/src/network/listeners/drain.rs
@@ -44,6 +44,14 @@
         }
     }
 
+    /// Closes all connections at the end of the process.
+    pub fn close_all(&mut self, events: &mut Vec<ListenerEvent>) {
+        let slots: Vec<usize> = self.connections.iter().map(|(slot, _)| slot).collect();
+        for slot in slots {
+            self.close(slot, Termination::Shutdown, events);
+        }
+    }
+
     /// Accepts a listener's backlog, closes its socket, reads what has arrived on its connections, and closes each
     /// connection once nothing is pending on it. Incomplete requests are kept until [`Listeners::sweep`] ends
     /// them.
--- a/crates/node/src/network/listeners/reading.rs
+++ b/crates/node/src/network/listeners/reading.rs
@@ -65,10 +65,12 @@
         events: &mut Vec<ListenerEvent>,
     ) {
         let connection = &mut self.connections[slot];
+        let termination = connection.deferred_close().unwrap_or(Termination::Closed);
+        let counts = &mut self.listeners[connection.listener].counts;
+        counts.add_discarded(termination, received.unwrap_or(0));
         let is_finished = received.map_or(true, |count| connection.record_discarded(count));
         if is_finished {
-            let termination = connection.deferred_close();
-            self.close(slot, termination.unwrap_or(Termination::Closed), events);
+            self.close(slot, termination, events);
         }
     }
 
@@ -102,6 +104,10 @@
     }
 
     fn stop_reading(&mut self, slot: usize, termination: Termination) {
+        let connection = &self.connections[slot];
+        let incomplete = connection.pending.incomplete().count();
+        let counts = &mut self.listeners[connection.listener].counts;
+        counts.add_unanswered(termination, incomplete);
         self.update_connection(slot, |connection| connection.stop_reading(termination));
         self.queue_flush(slot);
     }
@@ -172,6 +178,8 @@
         let Some(request) = removed else {
             return;
         };
+        let counts = &mut self.listeners[self.connections[slot].listener].counts;
+        counts.add_unanswered(Termination::Aborted, 1);
         events.extend(request.id.map(|id| ListenerEvent::Ended {
             id,
             termination: Termination::Aborted,
