Answer requests on open connections until right before the stop

Callers saw an orderly end of their connection and no answer, for requests that reached a stopping node in its last 100 ms.

Cause: from 100 ms before the stop on, Listeners::linger half-closed each connection on which nothing was pending, and Listeners::discard read and dropped what still arrived on it. Idle, evicted, withdrawn and overdue connections lingered in the same way. A request that is read has to be answered, and after a half-close no answer can be sent.

Change: a lingering connection isn't read. Its input stays in the socket until the peer closes. A node that shuts down keeps its connections open after the listeners are closed: it reads and refuses what arrives (repeats of what ran still get their result), closes each connection 35 ms before the stop, or as soon as nothing is owed and nothing waits to be read, and ends 10 ms before the stop, as the kill is counted from when the signal was sent, which the node learns later.

The test of a partly written answer at a drain now calls close_quiet, as the loop does: once while the answer is unwritten, which must not close the connection, and once after it. Its checks are the same.

--- a/crates/fakes/src/records.rs
+++ b/crates/fakes/src/records.rs
@@ -91,6 +91,18 @@
         self.send(&request(id, attempt_number, "/svc/look", &[], b"body"));
     }
 
+    /// Waits for the first byte of an answer. Returns false if the connection ends before.
+    pub fn has_reply(&mut self) -> bool {
+        loop {
+            match self.sock.peek(&mut [0]) {
+                Ok(count) => return count > 0,
+                Err(e) if e.kind() == ErrorKind::Interrupted => {}
+                Err(e) if e.kind() == ErrorKind::ConnectionReset => return false,
+                Err(e) => panic!("waiting for an answer failed: {e}"),
+            }
+        }
+    }
+
     /// Reads the next whole answer.
     pub fn reply(&mut self) -> Reply {
         let mut out = Vec::new();
--- a/crates/node/src/event_loop.rs
+++ b/crates/node/src/event_loop.rs
@@ -113,12 +113,10 @@
             self.close_listeners_if_due();
             self.poll_subsystems();
             self.flush();
+            self.close_connections_if_due();
             self.log_summary_if_due();
             if self.is_finished() {
-                self.listeners
-                    .end_incomplete_requests(&mut self.listener_events);
-                self.flush();
-                self.close_connections();
+                self.close_all_connections();
                 self.log_summary();
                 return Ok(());
             }
@@ -251,8 +249,8 @@
         self.listener_events = events;
     }
 
-    /// Closes the listeners shortly before the stop: sends the pending answers, reads each connection a last time,
-    /// and accepts no more requests.
+    /// Closes the listeners shortly before the stop: sends the pending answers, reads what has arrived on each
+    /// connection, and runs no more requests.
     fn close_listeners_if_due(&mut self) {
         if self.shutdown.begins_refusing(self.now) {
             self.listeners.refuse_handshakes();
@@ -266,8 +264,23 @@
         }
     }
 
-    /// Closes what is left of the connections at the end of the process.
-    fn close_connections(&mut self) {
+    /// Right before the stop, closes each connection in the first turn in which it has nothing left to do.
+    fn close_connections_if_due(&mut self) {
+        if self.shutdown.is_close_due(self.now) {
+            self.listeners
+                .close_quiet(self.now, &mut self.listener_events);
+        }
+    }
+
+    /// Answers what has arrived by the end of the process, and closes what is left of the connections.
+    fn close_all_connections(&mut self) {
+        self.listeners
+            .read_all_arrived(self.now, &mut self.listener_events);
+        self.handle_listener_events();
+        self.decide();
+        self.listeners
+            .end_incomplete_requests(&mut self.listener_events);
+        self.flush();
         self.listeners.close_all(&mut self.listener_events);
         self.handle_listener_events();
     }
@@ -301,7 +314,7 @@
         }
     }
 
-    /// True when the stop time has come, or the last connection has closed after the listeners did.
+    /// True when the process has to end, or the last connection has closed after the listeners did.
     fn is_finished(&self) -> bool {
         self.shutdown.is_over(self.now)
             || (self.shutdown.is_flushing() && self.listeners.connection_count() == 0)
--- a/crates/node/src/event_loop/shutdown.rs
+++ b/crates/node/src/event_loop/shutdown.rs
@@ -7,8 +7,12 @@
 use super::Node;
 use crate::system::signals::DRAIN_KEY;
 
-/// Before the stop, the time in which no new requests are accepted and pending answers are written.
+/// Before the stop, the time in which no new connections are accepted and no new requests are run.
 const FLUSH_DURATION: TenthMillis = 100 * MILLISECOND;
+/// How long before the stop connections are closed. Callers may use them until the process is killed.
+const CLOSE_DURATION: TenthMillis = 35 * MILLISECOND;
+/// How long before the stop the process ends. It is killed at the stop, counted from when the signal was sent.
+const END_MARGIN: TenthMillis = 10 * MILLISECOND;
 /// Before the flush, the time in which no new TCP handshake begins, so that those under way can complete.
 const HANDSHAKE_DURATION: TenthMillis = 5 * MILLISECOND;
 
@@ -33,6 +37,8 @@
     refusing: bool,
     /// The listeners are closed.
     flushing: bool,
+    /// Connections are closed.
+    closing: bool,
 }
 
 impl Shutdown {
@@ -89,10 +95,11 @@
         let stop_at = self
             .signal
             .map_or(TenthMillis::MAX, |signal| signal.stop_at);
-        let time_before_stop = match (self.refusing, self.flushing) {
-            (_, true) => 0,
-            (true, false) => FLUSH_DURATION,
-            (false, false) => FLUSH_DURATION + HANDSHAKE_DURATION,
+        let time_before_stop = match (self.refusing, self.flushing, self.closing) {
+            (_, _, true) => END_MARGIN,
+            (_, true, false) => CLOSE_DURATION,
+            (true, false, false) => FLUSH_DURATION,
+            (false, false, false) => FLUSH_DURATION + HANDSHAKE_DURATION,
         };
         stop_at.saturating_sub(time_before_stop)
     }
@@ -119,13 +126,21 @@
         begins
     }
 
+    /// Returns true from the time on at which connections are to be closed.
+    pub(super) fn is_close_due(&mut self, now: TenthMillis) -> bool {
+        let is_due = |signal: &DrainSignal| now + CLOSE_DURATION >= signal.stop_at;
+        self.closing |= self.flushing && self.signal.as_ref().is_some_and(is_due);
+        self.closing
+    }
+
     pub(super) fn is_flushing(&self) -> bool {
         self.flushing
     }
 
-    /// True when the stop time has come.
+    /// True when the process has to end.
     pub(super) fn is_over(&self, now: TenthMillis) -> bool {
-        self.signal.is_some_and(|signal| now >= signal.stop_at)
+        self.signal
+            .is_some_and(|signal| now + END_MARGIN >= signal.stop_at)
     }
 }
 
--- a/crates/node/src/network/connection.rs
+++ b/crates/node/src/network/connection.rs
@@ -33,7 +33,7 @@
     /// Since when the node has waited for a complete request: set on a new connection and while a request is
     /// incomplete.
     request_due_since: Option<TenthMillis>,
-    /// Bytes parsed since the last complete request, or discarded while the connection lingers.
+    /// Bytes parsed since the last complete request.
     incomplete_bytes: usize,
     /// Input that was read and is parsed once the peer has read enough answers.
     suspended: Option<Vec<u8>>,
@@ -49,8 +49,13 @@
     /// Requests are read. False once the peer has half-closed the connection or sent malformed input, and while
     /// the connection lingers.
     reading: bool,
-    /// The node has half-closed the connection and discards input until the peer closes too.
+    /// The node has half-closed the connection and waits until the peer closes too. Input is left in the socket: a
+    /// request that is read has to be answered, and no answer can be sent any more.
     lingering: bool,
+    /// Input has arrived on the lingering connection, so the poller reports nothing but the end of the connection.
+    has_late_input: bool,
+    /// Complete requests are read, but not run.
+    refusing: bool,
     /// The peer has closed its sending side.
     peer_finished: bool,
     /// Why the connection is to be closed once all pending requests are answered.
@@ -114,6 +119,8 @@
             lifecycle: Lifecycle {
                 reading: true,
                 lingering: false,
+                has_late_input: false,
+                refusing: false,
                 peer_finished: false,
                 close_when_answered: None,
                 close_now: None,
@@ -144,13 +151,9 @@
         self.pending.is_empty() && self.out.is_empty() && no_partial_input
     }
 
-    /// Returns true if the node closes the connection once all pending requests are answered, so that new requests
-    /// are rejected.
+    /// Returns true if new requests on the connection are not run, as the node is about to close the connection.
     pub fn is_closing(&self) -> bool {
-        matches!(
-            self.lifecycle.close_when_answered,
-            Some(Termination::RequestTimeout | Termination::ListenerClosed | Termination::Shutdown)
-        )
+        self.lifecycle.refusing
     }
 
     /// Returns true if so many bytes of answers are unread that further requests have to wait.
@@ -186,8 +189,9 @@
     /// Returns the events that the poller should report for the connection.
     pub fn interest(&self) -> Interest {
         let may_read = self.lifecycle.reading && !self.input.paused && !self.is_backlogged();
+        let awaits_end = self.lifecycle.lingering && !self.lifecycle.has_late_input;
         Interest {
-            readable: may_read || self.lifecycle.lingering,
+            readable: may_read || awaits_end,
             writable: !self.out.is_empty(),
         }
     }
@@ -199,12 +203,9 @@
     /// # Errors
     /// The peer has closed its sending side, or the connection is broken.
     pub fn read(&mut self, buffer: &mut [u8], now: TenthMillis) -> Result<usize, Termination> {
-        let Lifecycle {
-            reading, lingering, ..
-        } = self.lifecycle;
         match self.sock.read(buffer) {
             // For a connection that is not read, the poller reports nothing but errors.
-            Ok(_) if !reading && !lingering => Err(Termination::Reset),
+            Ok(_) if !self.lifecycle.reading => Err(Termination::Reset),
             Ok(0) => {
                 self.lifecycle.peer_finished = true;
                 Err(if self.is_idle() {
@@ -245,19 +246,22 @@
         } else {
             self.input.request_due_since.get_or_insert(now);
         }
-        self.exceeds_incomplete_bytes(bytes)
-    }
-
-    /// Counts bytes that were discarded while the connection lingers. Returns true if there were too many.
-    pub fn record_discarded(&mut self, bytes: usize) -> bool {
-        self.exceeds_incomplete_bytes(bytes)
-    }
-
-    fn exceeds_incomplete_bytes(&mut self, bytes: usize) -> bool {
         self.input.incomplete_bytes += bytes;
         self.input.incomplete_bytes > MAX_INCOMPLETE_BYTES
     }
 
+    /// Looks at a lingering connection without reading it. Returns true if the peer has closed it.
+    pub fn peer_has_closed(&mut self) -> bool {
+        match self.sock.peek(&mut [0]) {
+            Ok(0) => true,
+            Ok(_) => {
+                self.lifecycle.has_late_input = true;
+                false
+            }
+            Err(e) => !matches!(e.kind(), ErrorKind::WouldBlock | ErrorKind::Interrupted),
+        }
+    }
+
     /// Ends one stream of a request. Returns the request if that completes it.
     pub fn end_stream(&mut self, wire_id: u16, stream: Stream) -> Option<CompleteRequest> {
         let request = self.pending.end_stream(wire_id, stream)?;
@@ -272,7 +276,7 @@
     pub fn finish_with_ping(&mut self) {
         self.input.carried_request = true;
         self.input.request_due_since = None;
-        self.close_when_answered(Termination::Closed);
+        self.close_at_peers_wish();
     }
 
     /// Returns true if the connection is being closed and has had incomplete requests for more than
@@ -329,20 +333,40 @@
     }
 
     /// Schedules the connection to be closed once all pending requests are answered.
-    pub fn close_when_answered(&mut self, termination: Termination) {
+    fn close_when_answered(&mut self, termination: Termination) {
         self.lifecycle.close_when_answered = Some(termination);
     }
 
+    /// Schedules the connection to be closed once all pending requests are answered, as its peer sends no others.
+    pub fn close_at_peers_wish(&mut self) {
+        if matches!(self.deferred_close(), None | Some(Termination::Shutdown)) {
+            self.close_when_answered(Termination::Closed);
+        }
+    }
+
+    /// Schedules the connection to be closed for a reason of the node. Requests that arrive from now on are not run.
+    pub fn refuse_requests(&mut self, termination: Termination) {
+        self.lifecycle.refusing = true;
+        self.close_when_answered(termination);
+    }
+
     /// Returns why the connection is to be closed after the last answer, if it is.
     pub fn deferred_close(&self) -> Option<Termination> {
         self.lifecycle.close_when_answered
     }
 
-    /// Returns why the connection is to be closed if it is to be closed and the last answer has been written.
+    /// Returns why the connection is to be closed if it is to be closed and the last answer has been written. When the
+    /// node shuts down, a connection that is read stays open: its peer may be sending requests until the stop.
     pub fn due_close(&self) -> Option<Termination> {
-        self.lifecycle
-            .close_when_answered
-            .filter(|_| self.pending.is_empty() && self.out.is_empty() && !self.is_suspended())
+        let termination = self.lifecycle.close_when_answered?;
+        let is_answered = self.pending.is_empty() && self.out.is_empty() && !self.is_suspended();
+        let stays_open = termination == Termination::Shutdown && self.lifecycle.reading;
+        (is_answered && !stays_open).then_some(termination)
+    }
+
+    /// Returns true if nothing is owed to the peer, and nothing has arrived from it that is not handled.
+    pub fn is_quiet(&self) -> bool {
+        self.is_idle() && self.nothing_to_read()
     }
 
     /// Stops reading requests and removes incomplete ones, whose rest cannot arrive.
@@ -352,9 +376,9 @@
         self.pending.remove_incomplete();
     }
 
-    /// Half-closes the connection after the last answer; input is then discarded until the peer closes too. Returns
-    /// false if there is nothing to wait for. If the connection were closed at once, with input unread or on its
-    /// way, the operating system would reset it, and the peer could lose an answer that it has not read yet.
+    /// Half-closes the connection after the last answer, and stops reading. Returns false if there is nothing to wait
+    /// for. If the connection were closed at once, with input unread or on its way, the operating system would reset
+    /// it, and the peer could lose an answer that it has not read yet.
     pub fn linger(&mut self, termination: Termination, now: TenthMillis) -> bool {
         self.lifecycle.reading = false;
         self.close_when_answered(termination);
@@ -364,7 +388,6 @@
         }
         self.lifecycle.lingering = self.sock.shutdown(Shutdown::Write).is_ok();
         self.input.request_due_since = Some(now);
-        self.input.incomplete_bytes = 0;
         self.lifecycle.lingering
     }
 }
--- a/crates/node/src/network/connection/expiry.rs
+++ b/crates/node/src/network/connection/expiry.rs
@@ -62,7 +62,7 @@
         let overdue = self.is_request_overdue(now, timeouts.request_read);
         if self.lifecycle.lingering {
             self.lifecycle.close_when_answered.filter(|_| overdue)
-        } else if self.is_idle() && inactive_for >= timeouts.idle && self.nothing_to_read() {
+        } else if !self.is_closing() && inactive_for >= timeouts.idle && self.is_quiet() {
             Some(Termination::Idle)
         } else if !self.out.is_empty() && inactive_for > timeouts.unread_answers {
             Some(Termination::UnreadAnswers)
--- a/crates/node/src/network/listeners/close.rs
+++ b/crates/node/src/network/listeners/close.rs
@@ -9,9 +9,9 @@
 use crate::network::termination::Termination;
 
 impl Listeners {
-    /// Closes a connection gracefully once all its requests are answered: half-closes it, discards further input, and
-    /// drops it once the peer has closed too. A request that the peer sends in the meantime is never run; its caller
-    /// sees an orderly end of the connection and may send the request again.
+    /// Closes a connection gracefully once all its requests are answered: half-closes it, and drops it once the peer has
+    /// closed too. A request that the peer sends in the meantime is never read; its caller sees an orderly end of the
+    /// connection and may send the request again.
     pub(super) fn linger(
         &mut self,
         slot: usize,
@@ -51,7 +51,7 @@
     /// Closes a connection once all requests pending on it are answered. Until then the connection is read, as the
     /// peer may be sending requests without knowing of the close; those are rejected.
     pub(super) fn close_when_answered(&mut self, slot: usize, termination: Termination) {
-        self.connections[slot].close_when_answered(termination);
+        self.connections[slot].refuse_requests(termination);
         self.queue_flush(slot);
     }
 
--- a/crates/node/src/network/listeners/drain.rs
+++ b/crates/node/src/network/listeners/drain.rs
@@ -1,5 +1,6 @@
 //! Drains listeners: requests on connections that the operating system has accepted are still answered, and no
-//! further connections are made.
+//! further connections are made. When the node shuts down, its connections stay open until right before the stop, as
+//! callers may send requests on them until then.
 
 use std::net::SocketAddr;
 
@@ -44,6 +45,18 @@
         }
     }
 
+    /// Gracefully closes the connections on which nothing is owed or waits to be read, shortly before the process ends.
+    pub fn close_quiet(&mut self, now: TenthMillis, events: &mut Vec<ListenerEvent>) {
+        let connections = self.connections.iter();
+        let reading = connections.filter(|(_, connection)| connection.is_reading());
+        let slots: Vec<usize> = reading.map(|(slot, _)| slot).collect();
+        for slot in slots {
+            if self.connections[slot].is_quiet() {
+                self.linger(slot, Termination::Shutdown, now, events);
+            }
+        }
+    }
+
     /// Closes all connections at the end of the process.
     pub fn close_all(&mut self, events: &mut Vec<ListenerEvent>) {
         let slots: Vec<usize> = self.connections.iter().map(|(slot, _)| slot).collect();
@@ -52,9 +65,8 @@
         }
     }
 
-    /// Accepts a listener's backlog, closes its socket, reads what has arrived on its connections, and closes each
-    /// connection once nothing is pending on it. Incomplete requests are kept until [`Listeners::sweep`] ends
-    /// them.
+    /// Accepts a listener's backlog, closes its socket, reads what has arrived on its connections, and refuses further
+    /// requests on them. Incomplete requests are kept until [`Listeners::sweep`] ends them.
     fn drain(
         &mut self,
         listener: usize,
@@ -105,15 +117,27 @@
         now: TenthMillis,
         events: &mut Vec<ListenerEvent>,
     ) {
+        self.read_arrived(slot, now, events);
+        if self.connections.contains(slot) {
+            self.close_when_answered(slot, termination);
+        }
+    }
+
+    /// Reads what has arrived on all connections.
+    pub fn read_all_arrived(&mut self, now: TenthMillis, events: &mut Vec<ListenerEvent>) {
+        let slots: Vec<usize> = self.connections.iter().map(|(slot, _)| slot).collect();
+        for slot in slots {
+            self.read_arrived(slot, now, events);
+        }
+    }
+
+    fn read_arrived(&mut self, slot: usize, now: TenthMillis, events: &mut Vec<ListenerEvent>) {
         for _ in 0..MAX_FINAL_READS {
             let connection = self.connections.get(slot);
             if connection.is_some_and(|connection| connection.is_reading()) {
                 self.read(slot, now, events);
             }
         }
-        if self.connections.contains(slot) {
-            self.close_when_answered(slot, termination);
-        }
     }
 
     /// Removes a listener that is no longer in the installation, once its last connection has closed. Its counts
--- a/crates/node/src/network/listeners/reading.rs
+++ b/crates/node/src/network/listeners/reading.rs
@@ -18,8 +18,11 @@
     /// Handles an event that the poller reports for a connection.
     pub fn on_event(&mut self, event: Event, now: TenthMillis, events: &mut Vec<ListenerEvent>) {
         let slot = event.key - FIRST_CONNECTION_KEY;
-        if !self.connections.contains(slot) {
+        let Some(connection) = self.connections.get(slot) else {
             return; // The connection was closed earlier in this turn.
+        };
+        if connection.is_lingering() {
+            return self.on_lingering_event(slot, event, events);
         }
         if event.writable {
             self.queue_flush(slot);
@@ -27,9 +30,7 @@
         // After a stall the event loop polls twice in a turn, and the second poll reports the end of a connection's
         // input again: the poller's events are updated only at the end of the turn.
         let connection = &self.connections[slot];
-        let ended_in_this_turn = !connection.is_reading()
-            && !connection.is_lingering()
-            && connection.registered.readable;
+        let ended_in_this_turn = !connection.is_reading() && connection.registered.readable;
         if event.readable && !ended_in_this_turn {
             self.read(slot, now, events);
         }
@@ -44,33 +45,23 @@
         }
         let mut buffer = std::mem::take(&mut self.read_buffer);
         let received = connection.read(&mut buffer, now);
-        if connection.is_lingering() {
-            self.discard(slot, received, events);
-        } else {
-            match received {
-                Ok(count) => self.parse_input(slot, &buffer[..count], now, events),
-                Err(Termination::Reset) => self.close(slot, Termination::Reset, events),
-                Err(termination) => self.stop_reading(slot, termination),
-            }
+        match received {
+            Ok(count) => self.parse_input(slot, &buffer[..count], now, events),
+            Err(Termination::Reset) => self.close(slot, Termination::Reset, events),
+            Err(termination) => self.stop_reading(slot, termination),
         }
         self.read_buffer = buffer;
     }
 
-    /// Discards the input of a lingering connection, and closes the connection once the peer has closed it or has
-    /// sent too much. All its requests are answered, so it does not matter how it ends.
-    fn discard(
-        &mut self,
-        slot: usize,
-        received: Result<usize, Termination>,
-        events: &mut Vec<ListenerEvent>,
-    ) {
+    /// Closes a lingering connection if its peer has closed it too. Its input is not read.
+    fn on_lingering_event(&mut self, slot: usize, event: Event, events: &mut Vec<ListenerEvent>) {
         let connection = &mut self.connections[slot];
-        let termination = connection.deferred_close().unwrap_or(Termination::Closed);
-        let counts = &mut self.listeners[connection.listener].counts;
-        counts.add_discarded(termination, received.unwrap_or(0));
-        let is_finished = received.map_or(true, |count| connection.record_discarded(count));
-        if is_finished {
-            self.close(slot, termination, events);
+        let is_broken = event.is_interrupt() || event.is_err() == Some(true);
+        if is_broken || connection.peer_has_closed() {
+            let termination = connection.deferred_close();
+            self.close(slot, termination.unwrap_or(Termination::Closed), events);
+        } else {
+            self.update_interest(slot);
         }
     }
 
@@ -151,8 +142,8 @@
         if connection.pending.find_wire_id(wire_id).is_some() {
             return self.reject_malformed(slot);
         }
-        if !keep_connection && !connection.is_closing() {
-            connection.close_when_answered(Termination::Closed);
+        if !keep_connection {
+            connection.close_at_peers_wish();
         }
         let is_full = connection.pending.is_full();
         let has_room = !is_full || self.make_room(slot);
--- /dev/null
+++ b/crates/node/tests/faults/main.rs
@@ -0,0 +1,3 @@
+//! The program under faults of the system, the network and its peers.
+
+mod late_input;
--- a/crates/node/tests/node/connection_ends.rs
+++ b/crates/node/tests/node/connection_ends.rs
@@ -205,6 +205,28 @@
         .for_each(|(caller, nth)| table.check_health(caller, nth));
 }
 
+/// Guards against reading requests that can't be answered any more: what is not read was never the node's.
+#[test]
+fn input_after_the_end_of_a_connection_is_left_unread_until_the_peer_closes() {
+    let mut table = TableFixture::new(8);
+    let mut client = table.connect_accepted();
+    table.check_health(&mut client, 1);
+    table.advance(SECOND);
+    table.listeners.idle_timeout = SECOND;
+    table.advance(SECOND);
+    assert!(is_at_end(&mut client));
+    let late = request(1, 2, "/svc/look", &[], b"late");
+    client.send(&late);
+    table.turn();
+    assert!(table.listeners.counts().discarded_bytes.is_empty());
+    assert_eq!(table.listeners.connection_count(), 1);
+    drop(client);
+    table.run_until(|table| table.listeners.connection_count() == 0);
+    let discarded = &table.listeners.counts().discarded_bytes;
+    assert_eq!(discarded.get("idle"), Some(&(late.len() as u64)));
+    assert!(table.requests.is_empty());
+}
+
 #[test]
 fn a_new_connection_does_not_evict_one_whose_first_request_is_under_way() {
     let mut table = TableFixture::new(8);
@@ -331,7 +353,10 @@
         "the whole answer was written at once"
     );
     table.listeners.drain_all(table.now, &mut Vec::new());
+    table.listeners.close_quiet(table.now, &mut Vec::new());
     let reader = std::thread::spawn(move || (client.reply().body, is_at_end(&mut client)));
+    table.run_until(|table| table.listeners.unread_answer_bytes() == 0);
+    table.listeners.close_quiet(table.now, &mut Vec::new());
     table.run_until(|table| table.listeners.connection_count() == 0);
     assert!(reader.join().unwrap() == (body, true));
 }
