Measure deadlines, windows and the stop by the monotonic clock

Callers lost requests, and a node missed its stop, after the machine's wall clock had been stepped: the node's clock was the wall clock and stood still until that had caught up, so every deadline, wait and the stop stood still with it. After a step forward everything was overdue at once.

The node's time now follows the monotonic clock and starts at the Unix time. Callers stamp requests by the wall clock, so a stamp is converted with the difference of both clocks, read once a turn. A request may be stamped before a step and read after it: for the longest deadline the difference before the step counts as well, and the later time that is not in the future is taken. Rules on the time of day see the wall clock, as before.

Tests, with a shim for LD_PRELOAD that steps the wall clock of a real node (crates/fakes/shim): by -1 h, +1 h, -0.4 s and +4 s.

--- a/crates/fakes/src/fixture.rs
+++ b/crates/fakes/src/fixture.rs
@@ -59,6 +59,8 @@
     pub arguments: Vec<String>,
     /// The soft limit on the node's descriptors (RLIMIT_NOFILE); `None` inherits the limit of the test.
     pub descriptor_limit: Option<u64>,
+    /// Environment variables of the node in addition to those of the test.
+    pub environment: Vec<(String, String)>,
     /// Whether the node is killed when the thread that starts it ends.
     pub ends_with_parent: bool,
     engine_listener: TcpListener,
@@ -81,6 +83,7 @@
             installation: None,
             arguments: Vec::new(),
             descriptor_limit: None,
+            environment: Vec::new(),
             ends_with_parent: false,
             engine_listener: listener,
             registry,
@@ -121,6 +124,7 @@
         }
         let program = command
             .env("GW_CONFIG", &file)
+            .envs(self.environment)
             .stderr(Stdio::piped())
             .spawn()
             .unwrap();
--- a/crates/fakes/src/lib.rs
+++ b/crates/fakes/src/lib.rs
@@ -6,6 +6,7 @@
 //! - [`records`] builds FastCGI records byte by byte, also malformed ones.
 //! - [`server::Server`] is an application server that answers each request as its [`server::Behavior`] says.
 //! - [`immediate`] has an engine and servers that answer at once, for load tests.
+//! - [`fault_shim::FaultShim`] steps a node's wall clock and fails its system calls.
 //! - [`idle::IdleClients`] keep connections open and send little or nothing.
 //!
 //! Timeouts are long, so that a slow machine does not fail a test. Errors panic, as in any other test code.
@@ -13,6 +14,7 @@
 pub mod caller;
 pub mod child_process;
 pub mod engine;
+pub mod fault_shim;
 pub mod fixture;
 pub mod idle;
 pub mod immediate;
--- a/crates/node/src/event_loop.rs
+++ b/crates/node/src/event_loop.rs
@@ -96,7 +96,7 @@
     /// The poller failed.
     pub fn serve(mut self) -> Result<(), ServeError> {
         let mut ready = Events::new();
-        self.now = self.clock.now();
+        self.read_clocks();
         self.summaries.schedule_next(self.now);
         // Application servers count as up from the start: the first request must find the controller started.
         self.backend.maintain(self.now);
@@ -136,6 +136,12 @@
         Ok(())
     }
 
+    fn read_clocks(&mut self) {
+        let reading = self.clock.read();
+        self.now = reading.now;
+        self.listeners.set_clocks(reading);
+    }
+
     /// When the next turn is due at the latest. What is overdue is due now, so the result is never in the past.
     fn next_due(&self) -> TenthMillis {
         let timer = self
@@ -172,7 +178,7 @@
             Err(e) if e.kind() != std::io::ErrorKind::Interrupted => {
                 return Err(ServeError::Poller(e));
             }
-            _ => self.now = self.clock.now(),
+            _ => self.read_clocks(),
         }
         let was_draining = self.shutdown.is_draining();
         let mut reload = false;
--- a/crates/node/src/event_loop/start.rs
+++ b/crates/node/src/event_loop/start.rs
@@ -176,7 +176,7 @@
     }
 
     /// Opens the link to the other nodes, if the installation has a fleet.
-    fn open_subsystems(&self, mut clock: Clock) -> Result<Vec<Box<dyn Subsystem>>, StartError> {
+    fn open_subsystems(&self, clock: Clock) -> Result<Vec<Box<dyn Subsystem>>, StartError> {
         let Some(fleet) = &self.installation.fleet else {
             return Ok(Vec::new());
         };
--- a/crates/node/src/network/classifier.rs
+++ b/crates/node/src/network/classifier.rs
@@ -77,8 +77,8 @@
     pub protocol: Protocol,
     /// The client's address.
     pub peer: IpAddr,
-    /// When the request had arrived completely.
-    pub now: TenthMillis,
+    /// When the request had arrived completely, on the Unix clock.
+    pub wall_time: TenthMillis,
 }
 
 impl RequestClassifier {
@@ -128,8 +128,9 @@
         let fields = Fields(&pairs);
         // The default for a request's memory is its size.
         let read_kb = (variables.len() + body.len()) as f32 / 1024.0;
+        let wall_time = origin.wall_time;
         let request =
-            self.build_request(group, class.as_ref(), &fields, read_kb, origin.now, names)?;
+            self.build_request(group, class.as_ref(), &fields, read_kb, wall_time, names)?;
         Ok(DecodedRequest::Request(request))
     }
 
@@ -140,7 +141,7 @@
         class: Option<&Class>,
         fields: &Fields,
         default_memory_kb: f32,
-        now: TenthMillis,
+        wall_time: TenthMillis,
         names: &DeploymentNames,
     ) -> Result<IncomingRequest, Unreadable> {
         let tenant = match class.and_then(|class| class.tenant) {
@@ -157,7 +158,7 @@
         let attempt_id = attempt_id.unwrap_or_else(|| self.generate_id());
         Ok(IncomingRequest {
             attempt_id,
-            arrived_at: start_ms.map_or(now, |ms| ms.saturating_mul(MILLISECOND)),
+            arrived_at: start_ms.map_or(wall_time, |ms| ms.saturating_mul(MILLISECOND)),
             group,
             tenant,
             caller: fields.find_number("HTTP_X_CALLER")?.unwrap_or(0),
--- a/crates/node/src/network/classifier/view.rs
+++ b/crates/node/src/network/classifier/view.rs
@@ -100,6 +100,6 @@
     }
 
     fn time_of_day(&self) -> i64 {
-        (self.origin.now % DAY) as i64 * MICROSECONDS_PER_TENTH_MILLI
+        (self.origin.wall_time % DAY) as i64 * MICROSECONDS_PER_TENTH_MILLI
     }
 }
--- a/crates/node/src/network/listeners.rs
+++ b/crates/node/src/network/listeners.rs
@@ -31,6 +31,8 @@
 use super::connection::{Connection, PendingUsage};
 use super::request::{BodyHash, DeploymentNames, IncomingRequest, IncompleteKey, RefusalReason};
 use super::termination::Termination;
+use super::wall_clock::WallClock;
+use crate::system::clock::ClockReading;
 
 /// The poller key of the first listener; the others follow.
 pub const FIRST_LISTENER_KEY: usize = 8;
@@ -116,6 +118,8 @@
     read_buffer: Vec<u8>,
     /// No caller waits for longer than this.
     longest_deadline: TenthMillis,
+    /// The clock of the timestamps of requests.
+    wall_clock: WallClock,
     /// The backpressure value sent with each answer, if the deployment has one.
     pub backpressure: Option<f32>,
     /// The result of health checks.
@@ -148,6 +152,7 @@
             flush_queue: Vec::new(),
             read_buffer: vec![0; READ_BUFFER_BYTES],
             longest_deadline,
+            wall_clock: WallClock::default(),
             backpressure: None,
             healthy: true,
             idle_timeout: TenthMillis::MAX,
@@ -165,6 +170,12 @@
         self.pending_usage
     }
 
+    /// Records a reading of the clocks, by which timestamps of requests are converted to the node's time.
+    pub fn set_clocks(&mut self, reading: ClockReading) {
+        self.wall_clock
+            .update(reading.now, reading.wall_time, self.longest_deadline);
+    }
+
     /// Changes a connection, and updates what all connections use of the limits.
     fn update_connection<T>(
         &mut self,
--- a/crates/node/src/network/listeners/reading.rs
+++ b/crates/node/src/network/listeners/reading.rs
@@ -303,28 +303,32 @@
         let connection = &self.connections[slot];
         let (protocol, peer) = (connection.protocol(), connection.peer);
         let is_platform = self.listeners[connection.listener].is_platform;
-        let inbound = match &mut self.rules {
+        let mut inbound = match &mut self.rules {
             Some(rules) if !is_platform => {
                 let origin = Origin {
                     protocol,
                     peer,
-                    now,
+                    wall_time: self.wall_clock.wall_time(now),
                 };
                 rules.read(&complete.params, &complete.body, origin, &self.names)?
             }
             _ => request::read(protocol, &complete.params, &self.names)?,
         };
-        match inbound {
-            DecodedRequest::Request(request)
-                if bounds::is_implausible_timestamp(
-                    request.arrived_at,
-                    now,
-                    self.longest_deadline,
-                ) =>
-            {
-                Err(Unreadable::Field("HTTP_X_REQUEST_START"))
-            }
-            inbound => Ok(inbound),
+        if let DecodedRequest::Request(request) = &mut inbound {
+            request.arrived_at = self.wall_clock.node_time(request.arrived_at, now);
+            self.check_timestamp(request, now)?;
+        }
+        Ok(inbound)
+    }
+
+    fn check_timestamp(
+        &self,
+        request: &IncomingRequest,
+        now: TenthMillis,
+    ) -> Result<(), Unreadable> {
+        if bounds::is_implausible_timestamp(request.arrived_at, now, self.longest_deadline) {
+            return Err(Unreadable::Field("HTTP_X_REQUEST_START"));
         }
+        Ok(())
     }
 }
--- a/crates/node/src/network/mod.rs
+++ b/crates/node/src/network/mod.rs
@@ -17,3 +17,4 @@
 mod server_log;
 pub mod servers;
 pub mod termination;
+pub mod wall_clock;
--- a/crates/node/src/network/request.rs
+++ b/crates/node/src/network/request.rs
@@ -33,7 +33,7 @@
 pub struct IncomingRequest {
     /// The attempt's id.
     pub attempt_id: AttemptId,
-    /// When the request arrived at the machine, on the Unix clock.
+    /// When the request arrived at the machine: on the Unix clock as decoded, in the node's time once it is reported.
     pub arrived_at: TenthMillis,
     /// The index of the endpoint group.
     pub group: u8,
--- a/crates/node/src/state/in_flight.rs
+++ b/crates/node/src/state/in_flight.rs
@@ -53,7 +53,7 @@
     pub group: u8,
     /// The key that its duplicates share, if its group has idempotency keys.
     pub key: Option<DedupKey>,
-    /// Arrival time at the machine, on the Unix clock.
+    /// Arrival time at the machine, in the node's time.
     pub arrived_at: TenthMillis,
     /// The request body.
     pub body: Vec<u8>,
--- a/crates/node/tests/faults/main.rs
+++ b/crates/node/tests/faults/main.rs
@@ -1,3 +1,4 @@
 //! The program under faults of the system, the network and its peers.
 
 mod late_input;
+mod stepped_clock;
