Start a node though its first system calls fail

A node ended with exit code 1 when one socket, bind or file of its start failed for a moment (`config.listen: Too many open files in system`, `config.registry: Cannot assign requested address`): only an address in use was waited for.

What may pass (no descriptors or memory, no free port, an unreachable network, an interrupted call) is now tried again for up to 2 s: signals, poller, listeners, registry and the fleet's socket. Configuration files are read again a few times. Any other error ends the start at once, with the same line. A configuration that keeps failing ends it after 2 s, as an address that stays in use did.

Test: a_node_starts_though_its_first_calls_fail, by shim, for eight calls, each failing one to four times. It failed before at the first of them (socket, ENFILE). a_node_serves_though_its_log_can_not_be_written (ENOSPC, EIO for every line) passed before too: nothing else that the node writes lasts.

--- a/crates/config/src/fleet/key.rs
+++ b/crates/config/src/fleet/key.rs
@@ -1,11 +1,11 @@
 //! Reads the key that the nodes of a fleet share.
 
-use std::fs;
 use std::io;
 use std::path::{Path, PathBuf};
 
 use thiserror::Error;
 
+use crate::consistent_read;
 use crate::range::is_hex;
 
 const KEY_BYTES: usize = 32;
@@ -38,10 +38,11 @@
 /// # Errors
 /// The file can't be read, or contains something other than 64 hex digits.
 pub fn read_key(path: &Path) -> Result<FleetKey, KeyError> {
-    let text = fs::read_to_string(path).map_err(|source| KeyError::Unreadable {
+    let bytes = consistent_read::read(path).map_err(|source| KeyError::Unreadable {
         path: path.into(),
         source,
     })?;
+    let text = std::str::from_utf8(&bytes).unwrap_or_default();
     decode(text.trim()).ok_or_else(|| KeyError::NotHex { path: path.into() })
 }
 
--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod reload;
 pub mod rules;
 pub mod servers;
+pub mod transient;
 
 pub use budgets::{BudgetConfig, BudgetIndices, BudgetKind, BudgetScope, LeaseTimes};
 pub use error::{ConfigError, ConfigErrorKind, ConfigErrors, ErrorCollector};
--- /dev/null
+++ b/crates/config/src/transient.rs
@@ -0,0 +1,39 @@
+//! Errors of system calls that may succeed when they are repeated.
+
+use std::io::{self, ErrorKind};
+
+use rustix::io::Errno;
+
+/// Returns true if the operating system was short of memory or buffers, or the call was interrupted.
+pub fn is_short_of_memory(error: &io::Error) -> bool {
+    error.kind() == ErrorKind::Interrupted
+        || matches!(
+            Errno::from_io_error(error),
+            Some(Errno::NOMEM | Errno::NOBUFS)
+        )
+}
+
+/// Returns true if the process (`EMFILE`) or the whole system (`ENFILE`) has no file descriptor left.
+pub fn is_out_of_descriptors(error: &io::Error) -> bool {
+    matches!(
+        Errno::from_io_error(error),
+        Some(Errno::MFILE | Errno::NFILE)
+    )
+}
+
+/// Returns true if a file or a socket may be opened at a later attempt.
+pub fn may_open_later(error: &io::Error) -> bool {
+    let is_unreachable = matches!(
+        Errno::from_io_error(error),
+        Some(
+            Errno::ADDRINUSE
+                | Errno::ADDRNOTAVAIL
+                | Errno::AGAIN
+                | Errno::HOSTUNREACH
+                | Errno::IO
+                | Errno::NETDOWN
+                | Errno::NETUNREACH
+        )
+    );
+    is_unreachable || is_short_of_memory(error) || is_out_of_descriptors(error)
+}
--- a/crates/node/src/event_loop/start.rs
+++ b/crates/node/src/event_loop/start.rs
@@ -35,9 +35,9 @@
 use crate::state::in_flight::InFlightTable;
 use crate::state::results::ResultTable;
 use crate::subsystem::Subsystem;
-use crate::system::addresses::retry_while_in_use;
 use crate::system::clock::Clock;
 use crate::system::descriptors;
+use crate::system::retry::retry_at_start;
 use crate::system::signals::Signals;
 
 /// Maximum number of rules without effect that are logged one by one.
@@ -156,7 +156,7 @@
         let names = names(self.config);
         let mut listeners =
             Listeners::new(self.poller.clone(), names, limits, self.longest_deadline);
-        retry_while_in_use(|| listeners.listen(address, Protocol::FastCgi, None))
+        retry_at_start(|| listeners.listen(address, Protocol::FastCgi, None))
             .map_err(socket_error("config.listen", address))?;
         // Until the controller sets it: none, or the lowest rank, at which no request is held back.
         let backpressure = self.config.settings.admission.backpressure;
@@ -171,7 +171,7 @@
             name,
             ..
         } = self.config;
-        Registry::open(*listen, *registry, name.clone())
+        retry_at_start(|| Registry::open(*listen, *registry, name.clone()))
             .map_err(socket_error("config.registry", *registry))
     }
 
@@ -250,7 +250,7 @@
         log: Logger,
     ) -> Result<Node, StartError> {
         let rules = rule_table(&installation, &config, &log)?;
-        let poller = Arc::new(Poller::new().map_err(StartError::Poller)?);
+        let poller = Arc::new(retry_at_start(Poller::new).map_err(StartError::Poller)?);
         signals.watch(&poller).map_err(StartError::Signals)?;
         let startup = Startup {
             config: &config,
@@ -294,7 +294,7 @@
         let installation = Arc::clone(&self.config.installation);
         for (index, listener) in installation.listeners.iter().enumerate() {
             let key = format!("installation.fronts[{index}].listen");
-            retry_while_in_use(|| self.open_listener(listener))
+            retry_at_start(|| self.open_listener(listener))
                 .map_err(socket_error(&key, listener.listen))?;
         }
         Ok(())
--- a/crates/node/src/network/listeners/accept.rs
+++ b/crates/node/src/network/listeners/accept.rs
@@ -4,10 +4,10 @@
 use std::net::{IpAddr, SocketAddr, TcpStream};
 use std::ops::ControlFlow;
 
+use doortrack_config::transient::is_out_of_descriptors;
 use doortrack_protocols::Protocol;
 use doortrack_time::TenthMillis;
 use polling::{Event, PollMode};
-use rustix::io::Errno;
 
 use super::eviction::EvictionScope;
 use super::listener::{self, Listener};
@@ -15,14 +15,6 @@
 use crate::network::bounds::{self, EVICTION_GRACE, MAX_ACCEPTS_PER_EVENT, MAX_LISTENERS};
 use crate::network::connection::Connection;
 
-/// Returns true if the process (`EMFILE`) or the whole system (`ENFILE`) has no file descriptor left.
-fn is_out_of_descriptors(error: &io::Error) -> bool {
-    matches!(
-        Errno::from_io_error(error),
-        Some(Errno::MFILE | Errno::NFILE)
-    )
-}
-
 impl Listeners {
     /// Opens a listener. `max_connections` bounds its connections; the connections of all listeners together are
     /// bounded by the node's own limit.
--- a/crates/node/src/peers/link/socket.rs
+++ b/crates/node/src/peers/link/socket.rs
@@ -10,7 +10,7 @@
 
 use crate::peers::datagram_codec::{DatagramCodec, DatagramError, MAX_DATAGRAM_LEN};
 use crate::peers::peer_message::PeerMessage;
-use crate::system::addresses::retry_while_in_use;
+use crate::system::retry::retry_at_start;
 
 /// Counters of datagrams and their bytes, without IP and UDP headers.
 #[derive(Clone, Debug, Default)]
@@ -83,7 +83,7 @@
         registration: PollerRegistration,
         codec: DatagramCodec,
     ) -> io::Result<Self> {
-        let socket = retry_while_in_use(|| UdpSocket::bind(address))?;
+        let socket = retry_at_start(|| UdpSocket::bind(address))?;
         socket.set_nonblocking(true)?;
         let PollerRegistration { poller, key } = registration;
         // SAFETY: the socket is removed from the poller before it is dropped.
--- a/crates/node/src/system/signals.rs
+++ b/crates/node/src/system/signals.rs
@@ -3,6 +3,7 @@
 use std::io::{self, Read};
 use std::os::unix::net::UnixStream;
 
+use super::retry::retry_at_start;
 use polling::{Event, PollMode, Poller};
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
 
@@ -25,8 +26,8 @@
     /// A socket or a handler can't be created.
     pub fn register() -> io::Result<Signals> {
         Ok(Signals {
-            drain: register(&[SIGTERM, SIGINT])?,
-            reload: register(&[SIGHUP])?,
+            drain: retry_at_start(|| register(&[SIGTERM, SIGINT]))?,
+            reload: retry_at_start(|| register(&[SIGHUP]))?,
         })
     }
 
--- /dev/null
+++ b/crates/node/tests/faults/failing_calls.rs
@@ -0,0 +1,78 @@
+//! System calls that fail for a moment, as Linux documents it.
+
+use doortrack_fakes::engine::Engine;
+use doortrack_fakes::fault_shim::{FailingCall, FaultShim};
+use doortrack_fakes::fixture::NodeSetup;
+use doortrack_fakes::records::Client;
+use rustix::io::Errno;
+use serde_json::json;
+
+const SEED: u64 = 1;
+
+const fn first_fail(call: &'static str, error: Errno, first: u32) -> FailingCall {
+    FailingCall {
+        call,
+        error: error.raw_os_error(),
+        first,
+        per_mille: 0,
+    }
+}
+
+const fn some_fail(call: &'static str, error: i32, per_mille: u32) -> FailingCall {
+    FailingCall {
+        call,
+        error,
+        first: 0,
+        per_mille,
+    }
+}
+
+fn setup(shim: &FaultShim) -> NodeSetup {
+    let mut setup = NodeSetup::new(env!("CARGO_BIN_EXE_doortrack"));
+    setup.config["stop_ms"] = json!(800);
+    setup.config["settings"]["safety"]["drain_grace"] = json!(0);
+    setup.environment = shim.environment();
+    setup
+}
+
+fn check_completes(client: &mut Client, engine: &mut Engine, nth: u64) {
+    client.send_look(1, nth);
+    let (call, _) = engine.next_run();
+    engine.finish_run(&call, "OK", b"done");
+    assert_eq!(client.reply().body, b"done");
+}
+
+#[test]
+fn a_node_starts_though_its_first_calls_fail() {
+    let calls = [
+        first_fail("socket", Errno::NFILE, 2),
+        first_fail("socket", Errno::NOBUFS, 4),
+        first_fail("bind", Errno::ADDRNOTAVAIL, 3),
+        first_fail("listen", Errno::ADDRINUSE, 2),
+        first_fail("setsockopt", Errno::NOMEM, 1),
+        first_fail("socketpair", Errno::MFILE, 2),
+        first_fail("connect", Errno::NETUNREACH, 2),
+        first_fail("open", Errno::NFILE, 2),
+    ];
+    for (call, name) in calls.iter().zip('a'..) {
+        let shim = FaultShim::new(&format!("start-{name}"), &[*call], SEED);
+        let (fixture, mut engine) = setup(&shim).start_with_engine();
+        check_completes(&mut fixture.client(), &mut engine, 1);
+        fixture.signal("-TERM");
+        let (code, log) = fixture.wait_for_exit();
+        assert_eq!(code, Some(0), "{call:?}: {log}");
+    }
+}
+
+#[test]
+fn a_node_serves_though_its_log_can_not_be_written() {
+    for (error, name) in [Errno::NOSPC, Errno::IO].iter().zip('a'..) {
+        let failing = some_fail("log", error.raw_os_error(), 1_000);
+        let shim = FaultShim::new(&format!("log-{name}"), &[failing], SEED);
+        let (fixture, mut engine) = setup(&shim).start_with_engine();
+        check_completes(&mut fixture.client(), &mut engine, 1);
+        fixture.signal("-TERM");
+        let (code, log) = fixture.wait_for_exit();
+        assert_eq!((code, &*log), (Some(0), ""));
+    }
+}
