Report to a registry that moved though its socket could not be opened

A reload that names a new registry address, at a moment in which no socket can be opened, left the node reporting to the old address until the next SIGHUP: the registry that callers read never listed the node again.

Test: reports_reach_a_registry_that_moved_though_calls_failed, by shim (socket fails three times with ENFILE).

--- a/crates/node/src/network/registry.rs
+++ b/crates/node/src/network/registry.rs
@@ -14,6 +14,8 @@
 /// The node's entry in the registry.
 pub struct Registry {
     sock: UdpSocket,
+    /// The address that no socket could be opened for yet; heartbeats are sent to the previous one.
+    moving_to: Option<SocketAddr>,
     own_address: SocketAddr,
     name: String,
     next_heartbeat: TenthMillis,
@@ -28,6 +30,7 @@
     pub fn open(own_address: SocketAddr, registry: SocketAddr, name: String) -> io::Result<Self> {
         Ok(Registry {
             sock: connect(own_address, registry)?,
+            moving_to: None,
             own_address,
             name,
             next_heartbeat: 0,
@@ -38,10 +41,18 @@
     /// Changes the address that heartbeats are sent to; the next heartbeat is due at once.
     ///
     /// # Errors
-    /// The socket cannot be opened; heartbeats are still sent to the previous address.
+    /// The socket cannot be opened. Each heartbeat tries again, and is sent to the previous address until then.
     pub fn set_address(&mut self, registry: SocketAddr) -> io::Result<()> {
-        self.sock = connect(self.own_address, registry)?;
+        self.moving_to = Some(registry);
         self.next_heartbeat = 0;
+        self.open_new_socket()
+    }
+
+    fn open_new_socket(&mut self) -> io::Result<()> {
+        if let Some(registry) = self.moving_to {
+            self.sock = connect(self.own_address, registry)?;
+            self.moving_to = None;
+        }
         Ok(())
     }
 
@@ -64,6 +75,8 @@
             return;
         }
         self.next_heartbeat = now + HEARTBEAT_INTERVAL;
+        // An error is ignored, as the next heartbeat tries again.
+        _ = self.open_new_socket();
         let datagram = encode(&self.name, self.draining);
         // If an earlier datagram was refused, the operating system returns that error instead of sending this
         // datagram. Returning the error clears it, so the second attempt sends.
--- a/crates/node/tests/faults/failing_calls.rs
+++ b/crates/node/tests/faults/failing_calls.rs
@@ -1,5 +1,7 @@
 //! System calls that fail for a moment, as Linux documents it.
 
+use std::io::ErrorKind;
+
 use doortrack_fakes::engine::Engine;
 use doortrack_fakes::fault_shim::{FailingCall, FaultShim};
 use doortrack_fakes::fixture::NodeSetup;
@@ -76,3 +78,27 @@
         assert_eq!((code, &*log), (Some(0), ""));
     }
 }
+
+/// Guards against a registry that is never told of the node, after one failing call at a reload.
+#[test]
+fn reports_reach_a_registry_that_moved_though_calls_failed() {
+    let failing = first_fail("socket", Errno::NFILE, 3);
+    let shim = FaultShim::new("registry", &[failing], SEED);
+    shim.set_calls_fail(false);
+    let setup = setup(&shim);
+    let mut config = setup.config.clone();
+    let (fixture, _engine) = setup.start_with_engine();
+    fixture.wait_for_report("ready");
+    let moved = doortrack_fakes::fixture::open_registry();
+    config["registry"] = json!(moved.local_addr().unwrap().to_string());
+    shim.set_calls_fail(true);
+    fixture.reload(&config.to_string());
+    let mut report = [0; 100];
+    let length = loop {
+        match moved.recv(&mut report) {
+            Err(e) if e.kind() == ErrorKind::Interrupted => {}
+            received => break received.unwrap(),
+        }
+    };
+    assert_eq!(&report[..length], b"BEAT n1 ready");
+}
