Accept the whole backlog at the stop though accepts fail for a moment

When accept failed (ENFILE, ENOBUFS, ENOMEM) at the last look at the backlog, the listener was closed over the connections that the system had accepted there, with requests already written on them: their callers met a reset.

Failing accepts are repeated, 512 times at the most, before a listener is closed. The process doesn't end before with a listener open. An accepted connection is no longer dropped for one failing call of its set-up.

Test: requests_in_the_backlog_are_answered_though_accepts_fail_at_the_stop, by shim, with 900 of 1,000 accepts failing.

--- a/crates/node/src/event_loop.rs
+++ b/crates/node/src/event_loop.rs
@@ -263,16 +263,24 @@
         }
         if self.shutdown.begins_flushing(self.now) {
             self.flush();
-            self.listeners
-                .drain_all(self.now, &mut self.listener_events);
-            self.handle_listener_events();
-            self.decide();
+            self.drain_listeners();
         }
     }
 
+    fn drain_listeners(&mut self) {
+        self.listeners
+            .drain_all(self.now, &mut self.listener_events);
+        self.handle_listener_events();
+        self.decide();
+    }
+
     /// Right before the stop, closes each connection in the first turn in which it has nothing left to do.
     fn close_connections_if_due(&mut self) {
-        if self.shutdown.is_close_due(self.now) {
+        if self.shutdown.begins_closing(self.now) {
+            self.drain_listeners();
+            self.flush();
+        }
+        if self.shutdown.is_closing() {
             self.listeners
                 .close_quiet(self.now, &mut self.listener_events);
         }
@@ -323,6 +331,6 @@
     /// True when the process has to end, or the last connection has closed after the listeners did.
     fn is_finished(&self) -> bool {
         self.shutdown.is_over(self.now)
-            || (self.shutdown.is_flushing() && self.listeners.connection_count() == 0)
+            || (self.shutdown.is_flushing() && self.listeners.is_closed())
     }
 }
--- a/crates/node/src/event_loop/shutdown.rs
+++ b/crates/node/src/event_loop/shutdown.rs
@@ -126,10 +126,15 @@
         begins
     }
 
-    /// Returns true from the time on at which connections are to be closed.
-    pub(super) fn is_close_due(&mut self, now: TenthMillis) -> bool {
+    /// Returns true once, when connections are to be closed.
+    pub(super) fn begins_closing(&mut self, now: TenthMillis) -> bool {
         let is_due = |signal: &DrainSignal| now + CLOSE_DURATION >= signal.stop_at;
-        self.closing |= self.flushing && self.signal.as_ref().is_some_and(is_due);
+        let begins = !self.closing && self.flushing && self.signal.as_ref().is_some_and(is_due);
+        self.closing |= begins;
+        begins
+    }
+
+    pub(super) fn is_closing(&self) -> bool {
         self.closing
     }
 
--- a/crates/node/src/network/bounds.rs
+++ b/crates/node/src/network/bounds.rs
@@ -35,6 +35,8 @@
 /// Maximum number of reads of a connection when its listener starts to drain: enough for all requests that may be
 /// pending on it.
 pub const MAX_FINAL_READS: usize = 8;
+/// Maximum number of times that failing accepts are repeated when a listener starts to drain.
+pub const MAX_FINAL_ACCEPT_ATTEMPTS: usize = 512;
 /// Maximum number of connections accepted in a row before open connections are handled.
 pub const MAX_ACCEPTS_PER_EVENT: usize = 64;
 /// Maximum number of connections evicted at once. Finding them takes a pass over the whole table; evicting several
--- a/crates/node/src/network/listeners.rs
+++ b/crates/node/src/network/listeners.rs
@@ -195,6 +195,11 @@
         self.connections.len()
     }
 
+    /// Returns true if no connection is open and none can be made.
+    pub fn is_closed(&self) -> bool {
+        self.connections.is_empty() && self.iter().all(|listener| listener.socket.is_none())
+    }
+
     /// Iterates over the listeners that are open or draining.
     pub fn iter(&self) -> impl Iterator<Item = &Listener> {
         self.listeners.iter().map(|(_, listener)| listener)
--- a/crates/node/src/network/listeners/accept.rs
+++ b/crates/node/src/network/listeners/accept.rs
@@ -14,6 +14,7 @@
 use super::{FIRST_CONNECTION_KEY, FIRST_LISTENER_KEY, ListenerEvent, Listeners};
 use crate::network::bounds::{self, EVICTION_GRACE, MAX_ACCEPTS_PER_EVENT, MAX_LISTENERS};
 use crate::network::connection::Connection;
+use crate::system::retry::retry_at_once;
 
 impl Listeners {
     /// Opens a listener. `max_connections` bounds its connections; the connections of all listeners together are
@@ -107,7 +108,11 @@
         let Some(socket) = &self.listeners[listener].socket else {
             return ControlFlow::Break(false);
         };
-        match socket.accept() {
+        let accepted = socket.accept();
+        self.listeners[listener].accept_failed = accepted
+            .as_ref()
+            .is_err_and(|e| e.kind() != ErrorKind::WouldBlock);
+        match accepted {
             Ok((sock, peer)) => {
                 // If this fails, the connection is dropped before anything has been read from it.
                 _ = self.insert(sock, peer.ip(), listener, now);
@@ -164,15 +169,13 @@
         listener: usize,
         now: TenthMillis,
     ) -> io::Result<()> {
-        sock.set_nonblocking(true)?;
-        sock.set_nodelay(true)?;
+        retry_at_once(|| sock.set_nonblocking(true))?;
+        retry_at_once(|| sock.set_nodelay(true))?;
         let entry = self.connections.vacant_entry();
         let interest = Event::readable(FIRST_CONNECTION_KEY + entry.key());
         // SAFETY: the socket is removed from the poller in `close`, before it is dropped.
-        unsafe {
-            self.poller
-                .add_with_mode(&sock, interest, PollMode::Level)?
-        };
+        let add = || unsafe { self.poller.add_with_mode(&sock, interest, PollMode::Level) };
+        retry_at_once(add)?;
         let owner = &mut self.listeners[listener];
         owner.counts.accepted += 1;
         owner.connections += 1;
--- a/crates/node/src/network/listeners/drain.rs
+++ b/crates/node/src/network/listeners/drain.rs
@@ -7,7 +7,7 @@
 use doortrack_time::TenthMillis;
 
 use super::{Listener, ListenerEvent, Listeners};
-use crate::network::bounds::MAX_FINAL_READS;
+use crate::network::bounds::{MAX_FINAL_ACCEPT_ATTEMPTS, MAX_FINAL_READS};
 use crate::network::termination::Termination;
 
 impl Listeners {
@@ -24,7 +24,8 @@
         }
     }
 
-    /// Closes all listeners when the node shuts down. Requests that have arrived are still answered.
+    /// Closes all listeners when the node shuts down. Requests that have arrived are still answered. A listener whose
+    /// connections can't be accepted for a moment stays open, and is closed at the next call.
     pub fn drain_all(&mut self, now: TenthMillis, events: &mut Vec<ListenerEvent>) {
         let listeners: Vec<usize> = self.listeners.iter().map(|(index, _)| index).collect();
         for listener in listeners {
@@ -82,7 +83,8 @@
         let Some(entry) = self.listeners.get_mut(listener) else {
             return;
         };
-        if let Some(socket) = entry.socket.take() {
+        let stays_open = entry.accept_failed && termination == Termination::Shutdown;
+        if !stays_open && let Some(socket) = entry.socket.take() {
             _ = self.poller.delete(&socket);
         }
         entry.removed |= termination == Termination::ListenerClosed;
@@ -105,8 +107,14 @@
     ) {
         let entry = self.listeners.get(listener);
         if entry.is_some_and(|entry| entry.socket.is_some()) {
-            // Connections left in the backlog are lost, so recent activity does not protect others from eviction.
-            while self.accept_evicting(listener, now, now, events) {}
+            for _ in 0..MAX_FINAL_ACCEPT_ATTEMPTS {
+                // Connections left in the backlog are lost, so recent activity does not protect others from eviction.
+                while self.accept_evicting(listener, now, now, events) {}
+                let entry = self.listeners.get(listener);
+                if entry.is_none_or(|entry| !entry.accept_failed) {
+                    return;
+                }
+            }
         }
     }
 
--- a/crates/node/src/network/listeners/listener.rs
+++ b/crates/node/src/network/listeners/listener.rs
@@ -28,6 +28,8 @@
     pub(super) is_platform: bool,
     /// The poller reports new connections.
     pub(super) accepting: bool,
+    /// The last accept failed although a connection may be waiting.
+    pub(super) accept_failed: bool,
 }
 
 impl Listener {
@@ -49,6 +51,7 @@
             removed: false,
             is_platform,
             accepting: true,
+            accept_failed: false,
         }
     }
 
--- a/crates/node/src/system/retry.rs
+++ b/crates/node/src/system/retry.rs
@@ -11,6 +11,8 @@
 const MAX_WAIT: Duration = Duration::from_secs(2);
 /// Interval between two attempts at the start.
 const RETRY_INTERVAL: Duration = Duration::from_millis(10);
+/// Maximum number of attempts of a call that must not block.
+const MAX_IMMEDIATE_ATTEMPTS: usize = 8;
 
 /// Calls `open` and retries while it fails for a reason that may pass. It blocks, so it is only for the start of a node.
 ///
@@ -27,3 +29,17 @@
         }
     }
 }
+
+/// Calls `open` and retries at once, a few times, while it fails for a reason that may pass.
+///
+/// # Errors
+/// Each attempt failed, or the last one for a reason that does not pass.
+pub(crate) fn retry_at_once<T>(mut open: impl FnMut() -> io::Result<T>) -> io::Result<T> {
+    for _ in 1..MAX_IMMEDIATE_ATTEMPTS {
+        match open() {
+            Err(e) if may_open_later(&e) => {}
+            opened => return opened,
+        }
+    }
+    open()
+}
--- a/crates/node/tests/faults/failing_calls.rs
+++ b/crates/node/tests/faults/failing_calls.rs
@@ -1,11 +1,13 @@
 //! System calls that fail for a moment, as Linux documents it.
 
 use std::io::ErrorKind;
+use std::net::TcpStream;
 
+use doortrack_fakes::MAX_WAIT;
 use doortrack_fakes::engine::Engine;
 use doortrack_fakes::fault_shim::{FailingCall, FaultShim};
-use doortrack_fakes::fixture::NodeSetup;
-use doortrack_fakes::records::Client;
+use doortrack_fakes::fixture::{NodeFixture, NodeSetup};
+use doortrack_fakes::records::{Client, request};
 use rustix::io::Errno;
 use serde_json::json;
 
@@ -66,6 +68,44 @@
     }
 }
 
+/// Connects and sends a request on each connection, while the node accepts none of them.
+fn send_unaccepted(fixture: &NodeFixture, count: u64) -> Vec<Client> {
+    let clients = (0..count).map(|nth| {
+        let sock = TcpStream::connect(fixture.address).unwrap();
+        sock.set_read_timeout(Some(MAX_WAIT)).unwrap();
+        let mut client = Client { sock };
+        client.send(&request(1, 100 + nth, "/svc/look", &[], b"waits"));
+        client
+    });
+    clients.collect()
+}
+
+/// Guards against closing a listener over connections that the system has accepted.
+#[test]
+fn requests_in_the_backlog_are_answered_though_accepts_fail_at_the_stop() {
+    for (error, name) in [Errno::NFILE, Errno::NOBUFS, Errno::NOMEM]
+        .iter()
+        .zip('a'..)
+    {
+        let failing = some_fail("accept4", error.raw_os_error(), 900);
+        let shim = FaultShim::new(&format!("backlog-{name}"), &[failing], SEED);
+        shim.set_calls_fail(false);
+        let (fixture, mut engine) = setup(&shim).start_with_engine();
+        check_completes(&mut fixture.client(), &mut engine, 1);
+        shim.set_calls_fail(true);
+        let mut clients = send_unaccepted(&fixture, 12);
+        fixture.signal("-TERM");
+        let lost = clients.iter_mut().filter_map(|client| {
+            let answered = client.has_reply();
+            (!answered).then_some(())
+        });
+        let lost = lost.count();
+        let (code, log) = fixture.wait_for_exit();
+        assert_eq!(lost, 0, "{error}: requests lost: {log}");
+        assert_eq!(code, Some(0), "{log}");
+    }
+}
+
 #[test]
 fn a_node_serves_though_its_log_can_not_be_written() {
     for (error, name) in [Errno::NOSPC, Errno::IO].iter().zip('a'..) {
