Repeat reads, writes and connects that fail for lack of memory or buffers

A read or write that failed once with ENOMEM or ENOBUFS counted as a reset: the caller's connection was closed with all that was pending on it, the engine link was lost, a server's run too.

Errors that tell of a broken connection (ETIMEDOUT, EHOSTUNREACH, ECONNRESET) end it as before.

Test: requests_are_answered_though_reads_and_writes_fail_or_are_short, by shim, each of seven faults on 100 of 1,000 calls.

--- a/crates/config/src/transient.rs
+++ b/crates/config/src/transient.rs
@@ -4,13 +4,18 @@
 
 use rustix::io::Errno;
 
-/// Returns true if the operating system was short of memory or buffers, or the call was interrupted.
+/// Returns true if the operating system was short of memory or buffers.
 pub fn is_short_of_memory(error: &io::Error) -> bool {
-    error.kind() == ErrorKind::Interrupted
-        || matches!(
-            Errno::from_io_error(error),
-            Some(Errno::NOMEM | Errno::NOBUFS)
-        )
+    matches!(
+        Errno::from_io_error(error),
+        Some(Errno::NOMEM | Errno::NOBUFS)
+    )
+}
+
+/// Returns true if a nonblocking read or write did nothing, and can be repeated when the socket is next reported ready.
+pub fn is_without_effect(error: &io::Error) -> bool {
+    matches!(error.kind(), ErrorKind::WouldBlock | ErrorKind::Interrupted)
+        || is_short_of_memory(error)
 }
 
 /// Returns true if the process (`EMFILE`) or the whole system (`ENFILE`) has no file descriptor left.
@@ -28,12 +33,11 @@
         Some(
             Errno::ADDRINUSE
                 | Errno::ADDRNOTAVAIL
-                | Errno::AGAIN
                 | Errno::HOSTUNREACH
                 | Errno::IO
                 | Errno::NETDOWN
                 | Errno::NETUNREACH
         )
     );
-    is_unreachable || is_short_of_memory(error) || is_out_of_descriptors(error)
+    is_unreachable || is_without_effect(error) || is_out_of_descriptors(error)
 }
--- a/crates/node/src/network/connection.rs
+++ b/crates/node/src/network/connection.rs
@@ -4,9 +4,10 @@
 mod pending;
 mod write_buffer;
 
-use std::io::{ErrorKind, Read};
+use std::io::Read;
 use std::net::{IpAddr, Shutdown, TcpStream};
 
+use doortrack_config::transient::is_without_effect;
 use doortrack_protocols::{Protocol, RequestReader};
 use doortrack_time::TenthMillis;
 
@@ -218,7 +219,7 @@
                 self.last_activity = now;
                 Ok(count)
             }
-            Err(e) if matches!(e.kind(), ErrorKind::WouldBlock | ErrorKind::Interrupted) => Ok(0),
+            Err(e) if is_without_effect(&e) => Ok(0),
             Err(_) => Err(Termination::Reset),
         }
     }
@@ -258,7 +259,7 @@
                 self.lifecycle.has_late_input = true;
                 false
             }
-            Err(e) => !matches!(e.kind(), ErrorKind::WouldBlock | ErrorKind::Interrupted),
+            Err(e) => !is_without_effect(&e),
         }
     }
 
--- a/crates/node/src/network/connection/write_buffer.rs
+++ b/crates/node/src/network/connection/write_buffer.rs
@@ -2,6 +2,8 @@
 
 use std::io::{ErrorKind, Write};
 
+use doortrack_config::transient::is_without_effect;
+
 use crate::network::bounds::RETAINED_WRITE_BUFFER_BYTES;
 use crate::network::termination::Termination;
 
@@ -61,7 +63,7 @@
                     self.progressed = true;
                 }
                 Err(e) if e.kind() == ErrorKind::Interrupted => {}
-                Err(e) if e.kind() == ErrorKind::WouldBlock => break,
+                Err(e) if is_without_effect(&e) => break,
                 Err(_) => return Err(Termination::Reset),
             }
         }
--- a/crates/node/src/network/engine.rs
+++ b/crates/node/src/network/engine.rs
@@ -7,6 +7,7 @@
 use std::net::{SocketAddr, TcpStream};
 use std::sync::Arc;
 
+use doortrack_config::transient::is_without_effect;
 use doortrack_time::{MILLISECOND, TenthMillis};
 use polling::{Event, PollMode, Poller};
 use slog::{Logger, warn};
@@ -250,9 +251,7 @@
         match received {
             Ok(0) => Err(LinkError::Closed),
             Ok(_) => Ok(true),
-            Err(e) if matches!(e.kind(), ErrorKind::WouldBlock | ErrorKind::Interrupted) => {
-                Ok(false)
-            }
+            Err(e) if is_without_effect(&e) => Ok(false),
             Err(e) => Err(e.into()),
         }
     }
@@ -293,7 +292,7 @@
                 Ok(0) => return Err(LinkError::Closed),
                 Ok(count) => written += count,
                 Err(e) if e.kind() == ErrorKind::Interrupted => {}
-                Err(e) if e.kind() == ErrorKind::WouldBlock => break,
+                Err(e) if is_without_effect(&e) => break,
                 Err(e) => return Err(e.into()),
             }
         }
--- a/crates/node/src/network/servers/transfer.rs
+++ b/crates/node/src/network/servers/transfer.rs
@@ -2,6 +2,7 @@
 
 use std::io::{ErrorKind, Read, Write};
 
+use doortrack_config::transient::is_without_effect;
 use doortrack_protocols::{Protocol, Response, ResponseOutcome, ResponseReader};
 use doortrack_time::TenthMillis;
 use doortrack_upstream::{ConnId, ResponseEnd, RunId};
@@ -46,7 +47,7 @@
                     connection.written += count;
                 }
                 Err(e) if e.kind() == ErrorKind::Interrupted => {}
-                Err(e) if e.kind() == ErrorKind::WouldBlock => break,
+                Err(e) if is_without_effect(&e) => break,
                 // The server accepts no more of the request. It may already have answered, so its response is read.
                 _ if connection.written > 0 => {
                     connection.written = request.len();
@@ -87,7 +88,7 @@
         };
         let count = match connection.sock.read(buffer) {
             Ok(count) => count,
-            Err(e) if matches!(e.kind(), ErrorKind::WouldBlock | ErrorKind::Interrupted) => return,
+            Err(e) if is_without_effect(&e) => return,
             Err(_) => return self.on_lost(id, now),
         };
         // A server has nothing to send on a connection without a run, so the connection is treated as lost.
--- a/crates/node/tests/faults/failing_calls.rs
+++ b/crates/node/tests/faults/failing_calls.rs
@@ -106,6 +106,31 @@
     }
 }
 
+#[test]
+fn requests_are_answered_though_reads_and_writes_fail_or_are_short() {
+    const SHORT: i32 = 0;
+    let calls = [
+        some_fail("recv", Errno::INTR.raw_os_error(), 100),
+        some_fail("recv", Errno::NOMEM.raw_os_error(), 100),
+        some_fail("recv", SHORT, 100),
+        some_fail("send", Errno::INTR.raw_os_error(), 100),
+        some_fail("send", Errno::NOBUFS.raw_os_error(), 100),
+        some_fail("send", Errno::NOMEM.raw_os_error(), 100),
+        some_fail("send", SHORT, 100),
+    ];
+    let shim = FaultShim::new("transfer", &calls, SEED);
+    let (fixture, mut engine) = setup(&shim).start_with_engine();
+    let mut clients: Vec<Client> = (0..8).map(|_| fixture.client()).collect();
+    for nth in 0..40 {
+        let client = &mut clients[nth % 8];
+        check_completes(client, &mut engine, 1 + nth as u64);
+    }
+    fixture.signal("-TERM");
+    let (code, log) = fixture.wait_for_exit();
+    assert_eq!(code, Some(0), "{log}");
+    assert!(!log.contains("engine link lost"), "{log}");
+}
+
 #[test]
 fn a_node_serves_though_its_log_can_not_be_written() {
     for (error, name) in [Errno::NOSPC, Errno::IO].iter().zip('a'..) {
