Never send a run again that must not run twice and may have arrived

Two places sent a second RUN for a run in doubt, one whose RUN may or may not have been read before the reset. The engine does nothing for a request that still runs, but runs one again that has ended, so a run that ends while the second RUN is on its way runs twice.

- Node::resend, where the site can't cancel runs (halt silent).
- Node::cancel, at the second cancellation of a run in doubt (halt drop and pause), to learn from MOOT that it never ran.

Neither sends a RUN any more. A run that must not run twice waits for its end; its caller is answered by its deadline, as before. Where no end comes, because the RUN was lost with the link, the node gives the run up two of the longest deadlines after the link came back: the run slot is free again and retries within the window are failed, as the run may have happened. Idempotent runs and those never sent are sent again as before.

The test a_deduplicated_run_that_never_arrived_is_answered_in_time_and_a_later_retry_runs required that second RUN, which is the fault. In its place ..._and_runs_only_after_its_window requires that nothing but HALT is sent for the run, that the caller and a retry within the window get 500 in time, and that a retry beyond the window runs.

Tests: a_run_that_must_not_run_twice_is_never_sent_again failed before for halt silent (a RUN was sent again) and, beyond the deadline, for drop and pause; runs_that_never_arrived_are_given_up_after_their_deadline guards the run slots. Both pass, for each of the three ways to cancel.

--- a/crates/node/src/event_loop.rs
+++ b/crates/node/src/event_loop.rs
@@ -16,6 +16,7 @@
 mod reload;
 mod reloader;
 mod running_config;
+mod runs_in_doubt;
 mod shutdown;
 mod start;
 mod summary;
@@ -33,6 +34,7 @@
 use self::gauge_readings::GaugeReadings;
 use self::reloader::Reloader;
 use self::running_config::RunningConfig;
+use self::runs_in_doubt::RunsInDoubt;
 use self::shutdown::Shutdown;
 use self::summary::SummarySchedule;
 use self::timers::Timers;
@@ -71,6 +73,7 @@
     registry: Registry,
     admission: AdmissionDriver,
     in_flight: InFlightTable,
+    runs_in_doubt: RunsInDoubt,
     results: ResultTable,
     timers: Timers,
     gauges: GaugeReadings,
@@ -107,6 +110,7 @@
             self.wait_and_read(&mut ready)?;
             self.run_maintenance_if_due();
             self.handle_backend_events();
+            self.give_up_runs_in_doubt();
             self.handle_listener_events();
             self.fire_timers();
             self.decide();
@@ -161,6 +165,7 @@
             .unwrap_or(TenthMillis::MAX);
         timer
             .min(self.backend.next_due())
+            .min(self.runs_in_doubt.next_due())
             .min(self.shutdown.next_due())
             .min(maintenance)
             .min(self.registry.next_due())
--- a/crates/node/src/event_loop/actions.rs
+++ b/crates/node/src/event_loop/actions.rs
@@ -111,16 +111,7 @@
             Stage::Running { sent: None } => {
                 self.on_terminated(id, Termination::Unsent, RunOutput::default());
             }
-            // The second cancellation, so the request was answered some time ago. In reply to a RUN the engine now
-            // reports that the run is under way, or refuses to begin one for a request that is over.
-            Stage::InDoubt { cancelled: true } if self.backend.is_up() => self.start_run(id),
-            Stage::Running { .. } => self.backend.cancel(id, request, self.now),
-            Stage::InDoubt { .. } => {
-                self.backend.cancel(id, request, self.now);
-                request.stage = Stage::InDoubt {
-                    cancelled: self.backend.is_up(),
-                };
-            }
+            Stage::Running { .. } | Stage::InDoubt => self.backend.cancel(id, request, self.now),
             Stage::Queued | Stage::Attached { .. } => {}
         }
     }
--- a/crates/node/src/event_loop/completions.rs
+++ b/crates/node/src/event_loop/completions.rs
@@ -1,7 +1,7 @@
 //! Ends of requests: runs that the backend reports as ended, callers that leave, and duplicates that wait for a
 //! result.
 
-use doortrack_admission::{Cancellation, Event, RequestId, RunOutcome};
+use doortrack_admission::{Event, RequestId, RunOutcome};
 use slog::{debug, warn};
 
 use super::Node;
@@ -191,6 +191,16 @@
         }
     }
 
+    /// Gives up runs in doubt whose end was awaited for long enough. They may have run.
+    pub(super) fn give_up_runs_in_doubt(&mut self) {
+        while let Some(id) = self.runs_in_doubt.pop_due(self.now) {
+            let request = self.in_flight.get(id);
+            if request.is_some_and(|request| request.stage == Stage::InDoubt) {
+                self.on_terminated(id, Termination::RunUnknown, RunOutput::default());
+            }
+        }
+    }
+
     fn resend(&mut self, id: RequestId) {
         let Some(request) = self.in_flight.get(id) else {
             return;
@@ -199,14 +209,12 @@
         if never_sent && request.caller.is_none() {
             return self.on_terminated(id, Termination::Unsent, RunOutput::default());
         }
-        let cancellation = self.config.node.settings.admission.cancellation;
-        let may_run_twice = self.config.is_idempotent(request.group);
-        if never_sent || may_run_twice || cancellation == Cancellation::Unsupported {
+        if never_sent || self.config.is_idempotent(request.group) {
             self.start_run(id);
         } else {
-            // If the run is under way, it may end before a second RUN is read, which would run it again. So the node
-            // waits for its end, except above where runs can't be cancelled and the wait might never end.
-            request.stage = Stage::InDoubt { cancelled: false };
+            // If the run is under way, it may end before a second RUN is read, which would run it again.
+            request.stage = Stage::InDoubt;
+            self.runs_in_doubt.push(id, self.now);
         }
     }
 }
--- a/crates/node/src/event_loop/start.rs
+++ b/crates/node/src/event_loop/start.rs
@@ -21,6 +21,7 @@
 use super::gauge_readings::GaugeReadings;
 use super::reloader::Reloader;
 use super::running_config::{RunningConfig, longest_deadline};
+use super::runs_in_doubt::RunsInDoubt;
 use super::shutdown::Shutdown;
 use super::summary::SummarySchedule;
 use super::timers::Timers;
@@ -252,11 +253,12 @@
         let rules = rule_table(&installation, &config, &log)?;
         let poller = Arc::new(retry_at_start(Poller::new).map_err(StartError::Poller)?);
         signals.watch(&poller).map_err(StartError::Signals)?;
+        let longest_deadline = longest_deadline(&config);
         let startup = Startup {
             config: &config,
             installation: &installation,
             installation_path: installation_path.as_deref(),
-            longest_deadline: longest_deadline(&config),
+            longest_deadline,
             poller: &poller,
             log: &log,
         };
@@ -277,6 +279,7 @@
             registry: opened.registry,
             admission: AdmissionDriver::default(),
             in_flight: InFlightTable::default(),
+            runs_in_doubt: RunsInDoubt::new(longest_deadline),
             results: opened.results,
             timers: Timers::default(),
             gauges: GaugeReadings::default(),
--- a/crates/node/src/network/termination.rs
+++ b/crates/node/src/network/termination.rs
@@ -41,6 +41,8 @@
     ServerLost,
     /// A run was sent to a server, and no complete answer came in time.
     ServerTimeout,
+    /// A run was sent on a link that broke, and its end was not reported in time.
+    RunUnknown,
     /// The link to the engine broke. Runs continue, and their ends are reported after the next connect.
     LinkLost,
 }
@@ -78,7 +80,7 @@
                 Outcome::RunEnded(RunOutcome::NotStarted)
             }
             // The request may have run, so it must not be run again.
-            Termination::ServerLost | Termination::ServerTimeout => {
+            Termination::ServerLost | Termination::ServerTimeout | Termination::RunUnknown => {
                 Outcome::RunEnded(RunOutcome::Failed)
             }
             Termination::CancelRefused => Outcome::RunEnded(RunOutcome::Cancelled),
@@ -109,6 +111,7 @@
             Termination::NoServerAccepted => "unreached",
             Termination::ServerLost => "server_lost",
             Termination::ServerTimeout => "server_late",
+            Termination::RunUnknown => "unknown",
             Termination::LinkLost => "link_lost",
         }
     }
--- a/crates/node/src/state/in_flight.rs
+++ b/crates/node/src/state/in_flight.rs
@@ -31,17 +31,15 @@
         /// was down.
         sent: Option<u64>,
     },
-    /// Sent on a link that was lost, with no news since: the run is under way, or never arrived.
-    InDoubt {
-        /// True if its cancellation was sent.
-        cancelled: bool,
-    },
+    /// Sent on a link that was lost, with no news since: the run is under way, or never arrived. It must not be sent
+    /// again.
+    InDoubt,
 }
 
 impl Stage {
     /// True if the run may have begun.
     pub fn may_have_begun(self) -> bool {
-        matches!(self, Stage::Running { .. } | Stage::InDoubt { .. })
+        matches!(self, Stage::Running { .. } | Stage::InDoubt)
     }
 }
 
--- a/crates/node/tests/faults/main.rs
+++ b/crates/node/tests/faults/main.rs
@@ -2,4 +2,5 @@
 
 mod failing_calls;
 mod late_input;
+mod runs_in_doubt;
 mod stepped_clock;
