Soak drains under faults of the network, the system and the engine

The judge has one exception, behind the proxy only: a whole answer that a client reads after the kill isn't late. A killed process writes nothing, so the answer had been written before and was on its way through the proxy. Without a proxy the check is as before. Bytes that the proxy never handed to the node are no requests of the node and count as held_back; handed-over ones count from when they were.

--- a/crates/fakes/src/lib.rs
+++ b/crates/fakes/src/lib.rs
@@ -4,9 +4,11 @@
 //! - [`engine::Engine`] is an engine that a test drives line by line.
 //! - [`caller`] sends well-formed requests over either protocol.
 //! - [`records`] builds FastCGI records byte by byte, also malformed ones.
+//! - [`unreliable_engine::UnreliableEngine`] is an engine whose link is reset again and again.
 //! - [`server::Server`] is an application server that answers each request as its [`server::Behavior`] says.
 //! - [`immediate`] has an engine and servers that answer at once, for load tests.
 //! - [`fault_shim::FaultShim`] steps a node's wall clock and fails its system calls.
+//! - [`holding_proxy::HoldingProxy`] holds back what callers write.
 //! - [`idle::IdleClients`] keep connections open and send little or nothing.
 //!
 //! Timeouts are long, so that a slow machine does not fail a test. Errors panic, as in any other test code.
@@ -16,6 +18,7 @@
 pub mod engine;
 pub mod fault_shim;
 pub mod fixture;
+pub mod holding_proxy;
 pub mod idle;
 pub mod immediate;
 pub mod interrupt;
@@ -23,6 +26,7 @@
 pub mod rules;
 pub mod scratch_folder;
 pub mod server;
+pub mod unreliable_engine;
 
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
--- a/crates/fault-harness/src/drains.rs
+++ b/crates/fault-harness/src/drains.rs
@@ -3,6 +3,7 @@
 //! SIGTERM or SIGINT. The records of clients and servers are checked against the rules.
 
 mod client;
+mod faulty;
 mod judge;
 mod run;
 mod scenario;
@@ -26,15 +27,27 @@
     pub signals: String,
     /// Whether many additional clients were connected.
     pub crowd: bool,
+    /// Further faults, described.
+    pub faults: String,
     /// Outcomes of the requests.
     pub counts: DrainCounts,
     /// Violations of the rules, described.
     pub violations: Vec<String>,
 }
 
+/// The faults under which nodes are shut down.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Faults {
+    /// None beside the signals, before application servers.
+    None,
+    /// Of the network, the system and the engine.
+    All,
+}
+
 /// Runs `count` seeds from `first` on, `parallel` at a time, and passes each report to `report` when it is ready.
 pub fn run_seeds(
     program: &Path,
+    faults: Faults,
     first: u64,
     count: u64,
     parallel: usize,
@@ -49,7 +62,11 @@
                     if seed >= first + count {
                         return;
                     }
-                    let result = run(program, &Scenario::seeded(seed));
+                    let scenario = Scenario::seeded(seed);
+                    let result = match faults {
+                        Faults::None => run(program, &scenario),
+                        Faults::All => faulty::run(program, &scenario),
+                    };
                     if let Ok(mut report) = report.lock() {
                         report(result);
                     }
--- a/crates/fault-harness/src/drains/client.rs
+++ b/crates/fault-harness/src/drains/client.rs
@@ -23,14 +23,24 @@
 const FASTCGI_END_REQUEST: u8 = 3;
 const RECORD_HEADER_BYTES: usize = 8;
 
+/// A client's connection.
+struct OpenConnection {
+    sock: TcpStream,
+    own_address: SocketAddr,
+    /// Bytes written so far.
+    written: u64,
+}
+
 /// A client of one listener.
 pub(super) struct Client {
     random: fastrand::Rng,
     address: SocketAddr,
     protocol: Protocol,
     max_pause_ms: u64,
+    /// How far the machine's wall clock is ahead of that of this process, in ms.
+    wall_step_ms: i64,
     last_request: u64,
-    connection: Option<TcpStream>,
+    connection: Option<OpenConnection>,
     records: Vec<RequestRecord>,
 }
 
@@ -41,12 +51,14 @@
         address: SocketAddr,
         protocol: Protocol,
         max_pause_ms: u64,
+        wall_step_ms: i64,
     ) -> Client {
         Client {
             random: fastrand::Rng::with_seed(seed ^ (index << 17)),
             address,
             protocol,
             max_pause_ms,
+            wall_step_ms,
             last_request: (index + 1) << CLIENT_SHIFT,
             connection: None,
             records: Vec::new(),
@@ -70,20 +82,27 @@
 
     /// Keeps the connection unless the node has closed it, else opens one. Returns whether there is a connection.
     fn connect(&mut self) -> bool {
-        self.connection = self.connection.take().filter(is_open);
-        if self.connection.is_none() {
-            let connected = TcpStream::connect(self.address);
-            self.connection = connected.ok().filter(|sock| {
-                _ = sock.set_nodelay(true);
-                sock.set_read_timeout(Some(MAX_WAIT)).is_ok()
-            });
-        }
+        let kept = self.connection.take();
+        self.connection = kept
+            .filter(|connection| is_open(&connection.sock))
+            .or_else(|| self.open().ok());
         self.connection.is_some()
     }
 
+    fn open(&self) -> std::io::Result<OpenConnection> {
+        let sock = TcpStream::connect(self.address)?;
+        sock.set_nodelay(true)?;
+        sock.set_read_timeout(Some(MAX_WAIT))?;
+        Ok(OpenConnection {
+            own_address: sock.local_addr()?,
+            sock,
+            written: 0,
+        })
+    }
+
     /// Sends a request and reads its answer.
     fn send(&mut self) {
-        let Some(mut sock) = self.connection.take() else {
+        let Some(mut connection) = self.connection.take() else {
             return;
         };
         self.last_request += 1;
@@ -91,17 +110,21 @@
         let keyed = self.random.bool();
         let key = keyed.then(|| format!("{:032x}", self.random.u64(..IDEMPOTENCY_KEYS)));
         let bytes = self.encode(number, key.as_deref());
-        let written = self.write(&mut sock, &bytes);
+        let written = self.write(&mut connection.sock, &bytes);
+        connection.written += bytes.len() as u64;
         let sent = unix_ms();
         if !written {
             return; // The node never received the whole request.
         }
-        let (answer, end) = read_answer(&mut sock, self.protocol);
+        let (answer, end) = read_answer(&mut connection.sock, self.protocol);
         let (outcome, _) = caller::parse_response(self.protocol, &answer);
         let is_kept = end.is_none() && self.protocol == Protocol::FastCgi;
-        self.connection = is_kept.then_some(sock);
+        let (connection_address, stream_end) = (connection.own_address, connection.written);
+        self.connection = is_kept.then_some(connection);
         self.records.push(RequestRecord {
             number,
+            connection: connection_address,
+            stream_end,
             idempotency_key: key,
             sent,
             answered: unix_ms(),
@@ -117,7 +140,11 @@
         } else {
             "/svc/look"
         };
-        let mut request = CallerRequest::new(number, script, b"berth");
+        let stamp = unix_ms()
+            .saturating_add_signed(self.wall_step_ms)
+            .to_string();
+        let request = CallerRequest::new(number, script, b"berth");
+        let mut request = request.with("HTTP_X_REQUEST_START", &stamp);
         if let Some(key) = key {
             request = request.with("HTTP_IDEMPOTENCY_KEY", key);
         }
--- a/crates/fault-harness/src/drains/judge.rs
+++ b/crates/fault-harness/src/drains/judge.rs
@@ -1,5 +1,7 @@
 //! Checks the clients' records of their requests against the four rules.
 
+use std::net::SocketAddr;
+
 use doortrack_fakes::caller::CallerOutcome;
 use doortrack_fakes::rules::{Bounds, CallerAttempt, ExecutedRun, find_violations};
 use serde::Serialize;
@@ -31,6 +33,10 @@
 #[derive(Clone, Debug)]
 pub(super) struct RequestRecord {
     pub(super) number: u64,
+    /// The client's address of the connection that carried it.
+    pub(super) connection: SocketAddr,
+    /// The position of its end in the bytes of that connection.
+    pub(super) stream_end: u64,
     pub(super) idempotency_key: Option<String>,
     /// When its last byte was written.
     pub(super) sent: u64,
@@ -50,6 +56,8 @@
     pub(super) killed: u64,
     /// Time after the notice in which requests may still run, in ms.
     pub(super) grace_ms: u64,
+    /// A proxy stands between, so that a whole answer may arrive after the kill of the node that wrote it.
+    pub(super) has_proxy: bool,
 }
 
 /// Numbers of requests by outcome.
@@ -67,6 +75,8 @@
     pub failed: usize,
     /// Sent while the node closed the connection, and not run.
     pub crossed: usize,
+    /// Written by a client, and never handed to the node by the proxy between them.
+    pub held_back: usize,
 }
 
 /// Counts the outcomes of the requests, and describes each violation of a rule.
@@ -83,13 +93,17 @@
         if record.end == Some(ConnectionEnd::TimedOut) {
             violations.push(format!("rule 1: {:x} saw no end", record.number));
         }
-        let late = record.answered > times.killed && record.sent < times.killed && !crossed;
+        let in_transit = times.has_proxy && record.end.is_none();
+        let late =
+            record.answered > times.killed && record.sent < times.killed && !crossed && !in_transit;
         if late {
             let age = record.answered - record.sent;
             let outcome = &record.outcome;
             violations.push(format!(
-                "rule 1: {:x} had {outcome:?} only after the kill, {age} ms after it was sent, by {:?}",
-                record.number, record.end
+                "rule 1: {:x} had {outcome:?} only {} ms after the kill, {age} ms after it was sent, by {:?}",
+                record.number,
+                record.answered - times.killed,
+                record.end
             ));
         }
         attempts.push(CallerAttempt {
--- a/crates/fault-harness/src/drains/run.rs
+++ b/crates/fault-harness/src/drains/run.rs
@@ -29,9 +29,9 @@
 /// Time in ms for which a node waits for a server's answer; longer than any run.
 const SERVER_TIMEOUT_MS: u64 = 20_000;
 /// Number of cores in the node's settings, high enough that the node accepts the load.
-const CORES: u32 = 64;
+pub(super) const CORES: u32 = 64;
 /// Time after the notice in which requests may still run, in ms.
-const GRACE_MS: u64 = 200;
+pub(super) const GRACE_MS: u64 = 200;
 /// Clients of each listener, and their longest pause between two requests, in ms.
 const CLIENTS_PER_LISTENER: u64 = 4;
 const MAX_PAUSE_MS: u64 = 12;
@@ -39,12 +39,12 @@
 const EXTRA_CLIENTS: u64 = 150;
 const EXTRA_CLIENT_MAX_PAUSE_MS: u64 = 600;
 /// Duration of the load before the first signal.
-const WARM_UP: Duration = Duration::from_millis(400);
+pub(super) const WARM_UP: Duration = Duration::from_millis(400);
 /// One run in so many takes up to 1.5 times the stop time; the others are bounded by [`MAX_SHORT_WORK_MS`].
 const LONG_RUN_EVERY: u64 = 12;
 const MAX_SHORT_WORK_MS: u64 = 20;
 /// Time for which clients keep sending after the kill.
-const AFTER_KILL: Duration = Duration::from_millis(30);
+pub(super) const AFTER_KILL: Duration = Duration::from_millis(30);
 
 /// Runs one scenario on real processes.
 ///
@@ -53,7 +53,7 @@
 pub fn run(program: &Path, scenario: &Scenario) -> DrainReport {
     let servers: Vec<Server> = (0..SERVERS).map(|_| start_server(scenario)).collect();
     let (fixture, listeners) = start_node(program, scenario, &servers);
-    let clients = Clients::start(scenario, &listeners);
+    let clients = Clients::start(scenario, &listeners, None);
     std::thread::sleep(WARM_UP);
     let times = send_signals(&fixture, scenario);
     std::thread::sleep(AFTER_KILL);
@@ -78,6 +78,7 @@
         seed: scenario.seed,
         signals: scenario.describe_signals(),
         crowd: scenario.has_extra_clients,
+        faults: String::new(),
         counts,
         violations,
     }
@@ -95,9 +96,13 @@
     })
 }
 
-/// The run time of a request, drawn from its attempt and the seed.
 fn work(request: &ReceivedRequest, seed: u64, stop_ms: u64) -> Duration {
     let id = request.variable("HTTP_X_REQUEST_ID").unwrap_or_default();
+    work_of(id, seed, stop_ms)
+}
+
+/// The run time of a request, drawn from its attempt and the seed.
+pub(super) fn work_of(id: &[u8], seed: u64, stop_ms: u64) -> Duration {
     let hash = id.iter().fold(seed, |hash, byte| {
         (hash ^ u64::from(*byte)).wrapping_mul(0x0100_0000_01b3)
     });
@@ -144,13 +149,17 @@
 }
 
 /// Clients on threads of their own.
-struct Clients {
+pub(super) struct Clients {
     is_over: Arc<AtomicBool>,
     threads: Vec<JoinHandle<Vec<RequestRecord>>>,
 }
 
 impl Clients {
-    fn start(scenario: &Scenario, listeners: &[(SocketAddr, Protocol)]) -> Clients {
+    pub(super) fn start(
+        scenario: &Scenario,
+        listeners: &[(SocketAddr, Protocol)],
+        wall_step_ms: Option<i64>,
+    ) -> Clients {
         let is_over: Arc<AtomicBool> = Arc::default();
         let extra = if scenario.has_extra_clients {
             EXTRA_CLIENTS
@@ -165,7 +174,15 @@
             } else {
                 EXTRA_CLIENT_MAX_PAUSE_MS
             };
-            let client = Client::new(index, scenario.seed, address, protocol, max_pause_ms);
+            let wall_step_ms = wall_step_ms.unwrap_or(0);
+            let client = Client::new(
+                index,
+                scenario.seed,
+                address,
+                protocol,
+                max_pause_ms,
+                wall_step_ms,
+            );
             let is_over = is_over.clone();
             std::thread::spawn(move || client.run(&is_over))
         });
@@ -174,7 +191,7 @@
     }
 
     /// Stops the clients. Returns their records, and the number of clients that panicked.
-    fn finish(self) -> (Vec<RequestRecord>, usize) {
+    pub(super) fn finish(self) -> (Vec<RequestRecord>, usize) {
         self.is_over.store(true, Ordering::Relaxed);
         let (mut records, mut stalled) = (Vec::new(), 0);
         for client in self.threads {
@@ -188,7 +205,7 @@
 }
 
 /// Sends the series of signals, and SIGKILL exactly the stop time after the first signal that shuts the node down.
-fn send_signals(fixture: &NodeFixture, scenario: &Scenario) -> DrainTimes {
+pub(super) fn send_signals(fixture: &NodeFixture, scenario: &Scenario) -> DrainTimes {
     let began = Instant::now();
     let (shutdown_at, mut shutdown_signaled) = (scenario.shutdown_at_ms(), unix_ms());
     for timed in &scenario.signals {
@@ -205,6 +222,7 @@
         shutdown_signaled,
         killed: unix_ms(),
         grace_ms: GRACE_MS,
+        has_proxy: false,
     }
 }
 
@@ -212,7 +230,7 @@
     std::thread::sleep(Duration::from_millis(at_ms).saturating_sub(began.elapsed()));
 }
 
-fn signal(fixture: &NodeFixture, signal: Signal) {
+pub(super) fn signal(fixture: &NodeFixture, signal: Signal) {
     // The process has not been waited for, so its id is not reused even if it has exited.
     if let Some(pid) = Pid::from_raw(fixture.program.id() as i32) {
         _ = kill_process(pid, signal);
--- a/crates/fault-harness/src/main.rs
+++ b/crates/fault-harness/src/main.rs
@@ -8,7 +8,7 @@
 use doortrack_fakes::interrupt::on_interrupt;
 use doortrack_fakes::scratch_folder;
 use doortrack_fault_harness::checks::{Violation, judge, membership_invariants};
-use doortrack_fault_harness::drains::{self, DrainReport};
+use doortrack_fault_harness::drains::{self, DrainReport, Faults};
 use doortrack_fault_harness::history::HistoryError;
 use doortrack_fault_harness::scale::command::{self, HollowArgs, ScaleArgs};
 use doortrack_fault_harness::scale::error::ScaleError;
@@ -83,6 +83,9 @@
     /// Tests that run in parallel
     #[arg(long, default_value = "2")]
     parallel: usize,
+    /// Under faults of the network, the system and the engine
+    #[arg(long)]
+    faults: bool,
     /// The program under test
     #[arg(long, value_name = "FILE", default_value = "target/release/doortrack")]
     program: PathBuf,
@@ -232,8 +235,14 @@
             broken.push(report.seed);
         }
     };
+    let faults = if options.faults {
+        Faults::All
+    } else {
+        Faults::None
+    };
     drains::run_seeds(
         &options.program,
+        faults,
         options.from,
         options.count,
         options.parallel,
--- a/crates/node/tests/fleet/drains.rs
+++ b/crates/node/tests/fleet/drains.rs
@@ -1,6 +1,6 @@
 //! A short series of graceful shutdowns; `doortrack-harness drains` runs longer ones.
 
-use doortrack_fault_harness::drains::{DrainReport, run_seeds};
+use doortrack_fault_harness::drains::{DrainReport, Faults, run_seeds};
 
 use crate::program;
 
@@ -8,11 +8,9 @@
 const SEEDS: u64 = 9;
 const PARALLEL: usize = 2;
 
-/// Guards against requests that are lost, rejected after their run, run twice or run late while a node drains.
-#[test]
-fn requests_sent_until_the_kill_follow_the_rules_in_every_order_of_signals() {
+fn check_seeds(faults: Faults) {
     let mut reports: Vec<DrainReport> = Vec::new();
-    run_seeds(program(), FIRST_SEED, SEEDS, PARALLEL, |report| {
+    run_seeds(program(), faults, FIRST_SEED, SEEDS, PARALLEL, |report| {
         reports.push(report);
     });
     let violating: Vec<&DrainReport> = reports
@@ -25,3 +23,15 @@
         |report: &DrainReport| report.counts.completed > 20 && report.counts.sent_in_drain > 20;
     assert!(reports.iter().all(has_requests), "{reports:#?}");
 }
+
+/// Guards against requests that are lost, rejected after their run, run twice or run late while a node drains.
+#[test]
+fn requests_sent_until_the_kill_follow_the_rules_in_every_order_of_signals() {
+    check_seeds(Faults::None);
+}
+
+/// Guards against the same while the network, the system and the engine fail.
+#[test]
+fn requests_sent_until_the_kill_follow_the_rules_under_faults() {
+    check_seeds(Faults::All);
+}
