Open listeners of a reload that could not be opened for a moment

A reload that adds a listener at a moment in which no socket can be opened left it closed until the next SIGHUP, with one warning in the log. An error that does not pass is reported and left to the next SIGHUP, as before.

Test: a_listener_that_a_reload_adds_is_opened_though_calls_failed, by shim (socket fails three times with ENFILE).

--- a/crates/node/src/event_loop.rs
+++ b/crates/node/src/event_loop.rs
@@ -152,7 +152,8 @@
             .gauges
             .pending_until()
             .unwrap_or_else(|| self.timers.next_due());
-        let maintenance = if self.listeners.needs_sweep() {
+        let needs_maintenance = self.listeners.needs_sweep() || !self.config.unopened.is_empty();
+        let maintenance = if needs_maintenance {
             self.maintenance_at
         } else {
             TenthMillis::MAX
@@ -235,12 +236,14 @@
 
     // --- Other steps of a turn ---
 
-    /// Closes idle connections and removes expired results, once each [`MAINTENANCE_INTERVAL`].
+    /// Closes idle connections, removes expired results and opens listeners, once each [`MAINTENANCE_INTERVAL`].
     fn run_maintenance_if_due(&mut self) {
         if self.now >= self.maintenance_at {
             self.maintenance_at = self.now + MAINTENANCE_INTERVAL;
             self.listeners.sweep(self.now, &mut self.listener_events);
             self.results.remove_expired(self.now);
+            // The errors were logged at the reload.
+            _ = self.open_listeners();
         }
     }
 
--- a/crates/node/src/event_loop/reload.rs
+++ b/crates/node/src/event_loop/reload.rs
@@ -8,6 +8,7 @@
 use doortrack_config::reload::{
     KeyMeanings, ListenerChanges, Plan, PlatformReload, RestartRequired,
 };
+use doortrack_config::transient::may_open_later;
 use doortrack_config::{ConfigError, ConfigErrors, Installation, ListenerConfig};
 use doortrack_time::{MILLISECOND, TenthMillis};
 use slog::{debug, info, warn};
@@ -199,18 +200,33 @@
                 .set_max_connections(kept.listen, connection_limit(kept));
         }
         self.config.listening = changes.retained;
+        self.config.unopened = changes.opened;
+        for (address, error) in self.open_listeners() {
+            warn!(self.log, "listener not opened"; "address" => %address, "why" => %error);
+        }
+    }
+
+    /// Opens the listeners that are not open yet, unless the node drains. Those that can't be opened for a moment are
+    /// tried again at the next call; others only after the next SIGHUP. Returns the errors, with the address of each.
+    pub(super) fn open_listeners(&mut self) -> Vec<(SocketAddr, std::io::Error)> {
+        let unopened = std::mem::take(&mut self.config.unopened);
+        let mut errors = Vec::new();
         if self.shutdown.is_draining() {
-            return;
+            return errors;
         }
-        for listener in changes.opened {
+        for listener in unopened {
+            let address = listener.listen;
             match self.open_listener(&listener) {
                 Ok(()) => self.config.listening.push(listener),
-                // The other listeners go on; the next SIGHUP tries this one again.
-                Err(e) => {
-                    warn!(self.log, "listener not opened"; "address" => %listener.listen, "why" => %e);
+                Err(error) => {
+                    if may_open_later(&error) {
+                        self.config.unopened.push(listener);
+                    }
+                    errors.push((address, error));
                 }
             }
         }
+        errors
     }
 
     /// Opens a listener of the installation.
--- a/crates/node/src/event_loop/running_config.rs
+++ b/crates/node/src/event_loop/running_config.rs
@@ -20,6 +20,8 @@
     pub(super) key_meanings: KeyMeanings,
     /// The installation's listeners that could be opened.
     pub(super) listening: Vec<ListenerConfig>,
+    /// The installation's listeners that could not be opened for a moment.
+    pub(super) unopened: Vec<ListenerConfig>,
     /// Names of the endpoint groups as JSON strings, by index.
     pub(super) group_names_json: Vec<String>,
 }
@@ -33,6 +35,7 @@
             platform: ReloadablePlatform::new(&node),
             key_meanings: KeyMeanings::new(&installation, group_names),
             listening: installation.listeners.clone(),
+            unopened: Vec::new(),
             group_names_json: group_names.iter().map(as_json).collect(),
             installation: Arc::new(installation),
             node,
--- a/crates/node/tests/faults/failing_calls.rs
+++ b/crates/node/tests/faults/failing_calls.rs
@@ -167,3 +167,19 @@
     };
     assert_eq!(&report[..length], b"BEAT n1 ready");
 }
+
+/// Guards against a listener that stays closed until the next SIGHUP, after one failing call at a reload.
+#[test]
+fn a_listener_that_a_reload_adds_is_opened_though_calls_failed() {
+    let failing = first_fail("socket", Errno::NFILE, 3);
+    let shim = FaultShim::new("listener", &[failing], SEED);
+    shim.set_calls_fail(false);
+    let mut setup = setup(&shim);
+    let added = setup.port(9091);
+    setup.installation = Some(json!({"fronts": []}));
+    let (fixture, _engine) = setup.start_with_engine();
+    shim.set_calls_fail(true);
+    let fronts = json!([{"protocol": "fastcgi", "listen": added.to_string()}]);
+    fixture.replace_installation(&json!({"fronts": fronts}));
+    drop(doortrack_fakes::fixture::connect(added));
+}
