Test that answers given at the stop are not overtaken by the end of their connection

The report's request that had run fits this picture: a run still under way is failed at the drain's last moment, 0.8 ms before the connection was half-closed, and a proxy that drops what it holds at the end of a connection loses the answer. It ran, its caller saw EOF, and the node counted nothing unusual.

--- a/crates/fakes/src/rules.rs
+++ b/crates/fakes/src/rules.rs
@@ -94,6 +94,9 @@
             continue;
         };
         match outcome {
+            CallerOutcome::Nothing if by_attempt.contains_key(id.as_str()) => {
+                violations.push(format!("rule 1: {id} ran and was not answered"));
+            }
             CallerOutcome::Nothing => violations.push(format!("rule 1: {id} was not answered")),
             _ if *answered_at > attempt.sent + bounds.max_latency_ms => {
                 violations.push(format!(
--- a/crates/fault-harness/src/drains/run.rs
+++ b/crates/fault-harness/src/drains/run.rs
@@ -222,7 +222,7 @@
         shutdown_signaled,
         killed: unix_ms(),
         grace_ms: GRACE_MS,
-        has_proxy: false,
+        answers_held_ms: None,
     }
 }
 
--- a/crates/node/tests/faults/late_input.rs
+++ b/crates/node/tests/faults/late_input.rs
@@ -1,8 +1,9 @@
-//! Requests that arrive on open connections while a stopping node closes its listeners.
+//! Requests that arrive, and answers that are given, while a stopping node closes its listeners.
 
 use std::time::{Duration, Instant};
 
-use doortrack_fakes::fixture::{NodeFixture, NodeSetup};
+use doortrack_fakes::fixture::{NodeFixture, NodeSetup, connect};
+use doortrack_fakes::holding_proxy::{HoldTimes, HoldingProxy};
 use doortrack_fakes::records::{Client, request};
 use serde_json::json;
 
@@ -68,3 +69,25 @@
     }
     panic!("no drain in which {MIN_TIMELY} requests were sent in time");
 }
+
+/// Guards against answers that are given at the last moment and overtaken by the end of their connection, at a proxy that
+/// drops what it holds then.
+#[test]
+fn answers_given_at_the_stop_reach_callers_before_their_connections_end() {
+    const HOLD: Duration = Duration::from_millis(20);
+    let mut setup = NodeSetup::new(env!("CARGO_BIN_EXE_doortrack"));
+    setup.config["stop_ms"] = json!(STOP_MS);
+    let (fixture, mut engine) = setup.start_with_engine();
+    let hold = HoldTimes {
+        of_answers: HOLD,
+        ..HoldTimes::default()
+    };
+    let proxy = HoldingProxy::start(fixture.address, hold, 1);
+    let sock = connect(proxy.address);
+    let mut client = Client { sock };
+    client.send_look(1, 1);
+    engine.next_run();
+    fixture.signal("-TERM");
+    assert!(client.has_reply(), "the run began and was not answered");
+    assert_eq!(client.reply().status, 500);
+}
