Split the ends of a connection from its reading; one report of drains

connection.rs had 394 lines and three jobs: closing.rs has how a connection ends now. Checks are the same, word for word.

--- a/crates/fakes/src/fixture.rs
+++ b/crates/fakes/src/fixture.rs
@@ -13,7 +13,7 @@
 use crate::MAX_WAIT;
 use crate::child_process::{end_with_parent, send_signal};
 use crate::engine::Engine;
-use crate::records::Client;
+use crate::records::{Client, IDEMPOTENCY_KEY, request};
 use crate::scratch_folder::ScratchFolder;
 
 static STARTED: AtomicU32 = AtomicU32::new(0);
@@ -182,6 +182,17 @@
         }
     }
 
+    /// Sends a deduplicated request and breaks the link to the engine after its RUN. Returns the next link.
+    pub fn lose_link_after_run(&self, mut engine: Engine, client: &mut Client) -> Engine {
+        engine.answer_stats(1);
+        client.send(&request(1, 1, "/svc/pay", &[IDEMPOTENCY_KEY], b""));
+        while engine.read_command()["msg"] != "RUN" {}
+        drop(engine);
+        let mut engine = self.accept_engine();
+        engine.handshake(0);
+        engine
+    }
+
     pub fn next_report(&self) -> String {
         let mut text = [0; 100];
         let n = loop {
--- a/crates/fakes/src/rules.rs
+++ b/crates/fakes/src/rules.rs
@@ -53,6 +53,25 @@
     pub max_attempts: usize,
 }
 
+/// Runs by an idempotency key or an attempt id.
+type RunsById<'a> = BTreeMap<&'a str, Vec<&'a ExecutedRun>>;
+
+/// Describes each key that ran more than once, and each attempt that ran more than `max_attempts` times.
+fn repeated_runs(by_key: &RunsById, by_attempt: &RunsById, max_attempts: usize) -> Vec<String> {
+    let repeated_keys = by_key.iter().filter(|(_, runs)| runs.len() > 1);
+    let mut violations: Vec<String> = repeated_keys
+        .map(|(key, runs)| format!("rule 2: {key} ran {} times: {runs:?}", runs.len()))
+        .collect();
+    let repeated_attempts = by_attempt
+        .iter()
+        .filter(|(_, runs)| runs.len() > max_attempts);
+    violations.extend(
+        repeated_attempts
+            .map(|(attempt_id, runs)| format!("{attempt_id} was run {} times", runs.len())),
+    );
+    violations
+}
+
 /// Describes every violation of the rules. `result` gives the expected result of a run of an attempt id.
 pub fn find_violations(
     attempts: &[CallerAttempt],
@@ -61,23 +80,15 @@
     result: impl Fn(&str) -> Vec<u8>,
 ) -> Vec<String> {
     let mut violations = Vec::new();
-    let mut by_key: BTreeMap<&str, Vec<&ExecutedRun>> = BTreeMap::new();
-    let mut by_attempt: BTreeMap<&str, Vec<&ExecutedRun>> = BTreeMap::new();
+    let mut by_key: RunsById = BTreeMap::new();
+    let mut by_attempt: RunsById = BTreeMap::new();
     for run in executed {
         by_attempt.entry(&run.attempt_id).or_default().push(run);
         if let Some(key) = &run.idempotency_key {
             by_key.entry(key).or_default().push(run);
         }
     }
-    for (key, runs) in by_key.iter().filter(|(_, runs)| runs.len() > 1) {
-        violations.push(format!("rule 2: {key} ran {} times: {runs:?}", runs.len()));
-    }
-    for (attempt_id, runs) in by_attempt
-        .iter()
-        .filter(|(_, runs)| runs.len() > bounds.max_attempts)
-    {
-        violations.push(format!("{attempt_id} was run {} times", runs.len()));
-    }
+    violations.extend(repeated_runs(&by_key, &by_attempt, bounds.max_attempts));
     for attempt in attempts {
         let id = attempt_id(attempt.attempt_number);
         let runs: Vec<&ExecutedRun> = match &attempt.idempotency_key {
--- a/crates/fault-harness/src/drains/faulty.rs
+++ b/crates/fault-harness/src/drains/faulty.rs
@@ -16,7 +16,9 @@
 
 use super::DrainReport;
 use super::judge::{ConnectionEnd, RequestRecord, judge};
-use super::run::{AFTER_KILL, CORES, Clients, GRACE_MS, WARM_UP, send_signals, signal, work_of};
+use super::run::{
+    AFTER_KILL, CORES, Clients, GRACE_MS, WARM_UP, report, send_signals, signal, work_of,
+};
 use super::scenario::Scenario;
 use crate::traffic::expected_body;
 
@@ -154,24 +156,10 @@
     let mut ran = engine.stop();
     add_keys(&mut ran, &records);
     let held_back = proxy.map_or(0, |proxy| use_arrivals(&mut records, &proxy));
-    let (mut counts, mut violations) = judge(records, &ran, times);
+    let (mut counts, violations) = judge(records, &ran, times);
     counts.held_back = held_back;
-    if stalled > 0 {
-        violations.push(format!(
-            "rule 1: {stalled} clients met what they can't read"
-        ));
-    }
-    if log.contains("panicked") || code.is_some_and(|code| code != 0) {
-        violations.push(format!("rule 4: the node ended with {code:?}: {log}"));
-    }
-    DrainReport {
-        seed: scenario.seed,
-        signals: scenario.describe_signals(),
-        crowd: scenario.has_extra_clients,
-        faults: plan.describe(),
-        counts,
-        violations,
-    }
+    let verdict = (counts, violations);
+    report(scenario, plan.describe(), verdict, stalled, (code, &log))
 }
 
 fn start_node(
--- a/crates/fault-harness/src/drains/run.rs
+++ b/crates/fault-harness/src/drains/run.rs
@@ -17,7 +17,7 @@
 
 use super::DrainReport;
 use super::client::Client;
-use super::judge::{DrainTimes, RequestRecord, judge};
+use super::judge::{DrainCounts, DrainTimes, RequestRecord, judge};
 use super::scenario::{MIN_WORK_MS, Scenario};
 use crate::traffic::expected_body;
 
@@ -64,7 +64,18 @@
         .flat_map(Server::received)
         .map(|got| ExecutedRun::from(&got))
         .collect();
-    let (counts, mut violations) = judge(records, &ran, times);
+    let verdict = judge(records, &ran, times);
+    report(scenario, String::new(), verdict, stalled, (code, &log))
+}
+
+/// Builds the report of a scenario, and adds what the node's end and log show. `stalled` clients met what they can't read.
+pub(super) fn report(
+    scenario: &Scenario,
+    faults: String,
+    (counts, mut violations): (DrainCounts, Vec<String>),
+    stalled: usize,
+    (code, log): (Option<i32>, &str),
+) -> DrainReport {
     if stalled > 0 {
         violations.push(format!(
             "rule 1: {stalled} clients met what they can't read"
@@ -78,7 +89,7 @@
         seed: scenario.seed,
         signals: scenario.describe_signals(),
         crowd: scenario.has_extra_clients,
-        faults: String::new(),
+        faults,
         counts,
         violations,
     }
--- a/crates/node/src/network/connection.rs
+++ b/crates/node/src/network/connection.rs
@@ -1,16 +1,18 @@
 //! One client connection: its pending requests, the state of reading them, and the answers still to be written.
 
+mod closing;
 mod expiry;
 mod pending;
 mod write_buffer;
 
 use std::io::Read;
-use std::net::{IpAddr, Shutdown, TcpStream};
+use std::net::{IpAddr, TcpStream};
 
 use doortrack_config::transient::is_without_effect;
 use doortrack_protocols::{Protocol, RequestReader};
 use doortrack_time::TenthMillis;
 
+use self::closing::Lifecycle;
 pub use self::expiry::{EvictionPriority, Timeouts};
 pub use self::pending::{CompleteRequest, PendingRequest, PendingRequests, PendingUsage, Stream};
 pub use self::write_buffer::WriteBuffer;
@@ -45,26 +47,6 @@
     paused: bool,
 }
 
-/// The state of closing a connection.
-struct Lifecycle {
-    /// Requests are read. False once the peer has half-closed the connection or sent malformed input, and while
-    /// the connection lingers.
-    reading: bool,
-    /// The node has half-closed the connection and waits until the peer closes too. Input is left in the socket: a
-    /// request that is read has to be answered, and no answer can be sent any more.
-    lingering: bool,
-    /// Input has arrived on the lingering connection, so the poller reports nothing but the end of the connection.
-    has_late_input: bool,
-    /// Complete requests are read, but not run.
-    refusing: bool,
-    /// The peer has closed its sending side.
-    peer_finished: bool,
-    /// Why the connection is to be closed once all pending requests are answered.
-    close_when_answered: Option<Termination>,
-    /// Why the connection is to be closed at the end of the current turn.
-    close_now: Option<Termination>,
-}
-
 /// A client connection.
 pub struct Connection {
     /// The nonblocking socket, registered with the poller while the connection is in the table.
@@ -117,15 +99,7 @@
                 closing_sweeps: 0,
                 paused: false,
             },
-            lifecycle: Lifecycle {
-                reading: true,
-                lingering: false,
-                has_late_input: false,
-                refusing: false,
-                peer_finished: false,
-                close_when_answered: None,
-                close_now: None,
-            },
+            lifecycle: Lifecycle::open(),
         }
     }
 
@@ -251,18 +225,6 @@
         self.input.incomplete_bytes > MAX_INCOMPLETE_BYTES
     }
 
-    /// Looks at a lingering connection without reading it. Returns true if the peer has closed it.
-    pub fn peer_has_closed(&mut self) -> bool {
-        match self.sock.peek(&mut [0]) {
-            Ok(0) => true,
-            Ok(_) => {
-                self.lifecycle.has_late_input = true;
-                false
-            }
-            Err(e) => !is_without_effect(&e),
-        }
-    }
-
     /// Ends one stream of a request. Returns the request if that completes it.
     pub fn end_stream(&mut self, wire_id: u16, stream: Stream) -> Option<CompleteRequest> {
         let request = self.pending.end_stream(wire_id, stream)?;
@@ -300,7 +262,7 @@
         std::mem::take(&mut self.input.paused)
     }
 
-    // --- Writing and closing ---
+    // --- Writing ---
 
     /// Writes as many bytes of the answers as the socket accepts.
     ///
@@ -322,73 +284,4 @@
     pub fn write_early(&mut self) -> Result<(), Termination> {
         self.out.write_to(&self.sock)
     }
-
-    /// Schedules the connection to be closed at the end of the current turn, whatever is pending.
-    pub fn close_now(&mut self, termination: Termination) {
-        self.lifecycle.close_now = Some(termination);
-    }
-
-    /// Returns why the connection is to be closed at the end of the current turn, if it is.
-    pub fn immediate_close(&self) -> Option<Termination> {
-        self.lifecycle.close_now
-    }
-
-    /// Schedules the connection to be closed once all pending requests are answered.
-    fn close_when_answered(&mut self, termination: Termination) {
-        self.lifecycle.close_when_answered = Some(termination);
-    }
-
-    /// Schedules the connection to be closed once all pending requests are answered, as its peer sends no others.
-    pub fn close_at_peers_wish(&mut self) {
-        if matches!(self.deferred_close(), None | Some(Termination::Shutdown)) {
-            self.close_when_answered(Termination::Closed);
-        }
-    }
-
-    /// Schedules the connection to be closed for a reason of the node. Requests that arrive from now on are not run.
-    pub fn refuse_requests(&mut self, termination: Termination) {
-        self.lifecycle.refusing = true;
-        self.close_when_answered(termination);
-    }
-
-    /// Returns why the connection is to be closed after the last answer, if it is.
-    pub fn deferred_close(&self) -> Option<Termination> {
-        self.lifecycle.close_when_answered
-    }
-
-    /// Returns why the connection is to be closed if it is to be closed and the last answer has been written. When the
-    /// node shuts down, a connection that is read stays open: its peer may be sending requests until the stop.
-    pub fn due_close(&self) -> Option<Termination> {
-        let termination = self.lifecycle.close_when_answered?;
-        let is_answered = self.pending.is_empty() && self.out.is_empty() && !self.is_suspended();
-        let stays_open = termination == Termination::Shutdown && self.lifecycle.reading;
-        (is_answered && !stays_open).then_some(termination)
-    }
-
-    /// Returns true if nothing is owed to the peer, and nothing has arrived from it that is not handled.
-    pub fn is_quiet(&self) -> bool {
-        self.is_idle() && self.nothing_to_read()
-    }
-
-    /// Stops reading requests and removes incomplete ones, whose rest cannot arrive.
-    pub fn stop_reading(&mut self, termination: Termination) {
-        self.lifecycle.reading = false;
-        self.close_when_answered(termination);
-        self.pending.remove_incomplete();
-    }
-
-    /// Half-closes the connection after the last answer, and stops reading. Returns false if there is nothing to wait
-    /// for. If the connection were closed at once, with input unread or on its way, the operating system would reset
-    /// it, and the peer could lose an answer that it has not read yet.
-    pub fn linger(&mut self, termination: Termination, now: TenthMillis) -> bool {
-        self.lifecycle.reading = false;
-        self.close_when_answered(termination);
-        self.lifecycle.peer_finished |= matches!(self.sock.peek(&mut [0]), Ok(0));
-        if self.lifecycle.lingering || self.lifecycle.peer_finished {
-            return self.lifecycle.lingering;
-        }
-        self.lifecycle.lingering = self.sock.shutdown(Shutdown::Write).is_ok();
-        self.input.request_due_since = Some(now);
-        self.lifecycle.lingering
-    }
 }
--- a/crates/node/tests/faults/runs_in_doubt.rs
+++ b/crates/node/tests/faults/runs_in_doubt.rs
@@ -6,7 +6,7 @@
 use doortrack_fakes::attempt_id;
 use doortrack_fakes::engine::Engine;
 use doortrack_fakes::fixture::{NodeFixture, NodeSetup};
-use doortrack_fakes::records::{Client, IDEMPOTENCY_KEY, request};
+use doortrack_fakes::records::{IDEMPOTENCY_KEY, request};
 use serde_json::json;
 
 const DEADLINE_MS: u64 = 600;
@@ -26,17 +26,6 @@
     setup.start_with_engine()
 }
 
-/// Sends a deduplicated request and breaks the link after its RUN. Returns the next link.
-fn lose_link_after_run(fixture: &NodeFixture, mut engine: Engine, client: &mut Client) -> Engine {
-    engine.answer_stats(1);
-    client.send(&request(1, 1, "/svc/pay", &[IDEMPOTENCY_KEY], b""));
-    while engine.read_command()["msg"] != "RUN" {}
-    drop(engine);
-    let mut engine = fixture.accept_engine();
-    engine.handshake(0);
-    engine
-}
-
 /// Answers STAT, ignores HALT, and returns the ids of all runs begun in this time.
 fn runs_begun(engine: &mut Engine, duration: Duration) -> Vec<String> {
     let (until, mut runs) = (Instant::now() + duration, Vec::new());
@@ -61,7 +50,7 @@
     for cancellation in CANCELLATIONS {
         let (fixture, engine) = start(cancellation);
         let mut client = fixture.client();
-        let mut engine = lose_link_after_run(&fixture, engine, &mut client);
+        let mut engine = fixture.lose_link_after_run(engine, &mut client);
         let begun = runs_begun(&mut engine, OBSERVED);
         assert_eq!(begun, Vec::<String>::new(), "{cancellation}");
         assert_eq!(client.reply().status, 500, "{cancellation}");
--- a/crates/node/tests/node/races.rs
+++ b/crates/node/tests/node/races.rs
@@ -5,8 +5,7 @@
 use std::os::unix::fs::PermissionsExt;
 use std::time::Duration;
 
-use doortrack_fakes::engine::Engine;
-use doortrack_fakes::fixture::{NodeFixture, NodeSetup, connect, fresh_address};
+use doortrack_fakes::fixture::{NodeSetup, connect, fresh_address};
 use doortrack_fakes::records::{Client, IDEMPOTENCY_KEY, record, request};
 use doortrack_fakes::{attempt_id, unix_ms};
 use serde_json::{Value, json};
@@ -224,22 +223,11 @@
     assert_eq!(fixture.wait_for_exit().0, Some(0));
 }
 
-/// Sends a deduplicated request and breaks the link after its RUN. Returns the next link.
-fn lose_link_after_run(fixture: &NodeFixture, mut engine: Engine, client: &mut Client) -> Engine {
-    engine.answer_stats(1);
-    client.send(&request(1, 1, "/svc/pay", &[IDEMPOTENCY_KEY], b""));
-    while engine.read_command()["msg"] != "RUN" {}
-    drop(engine);
-    let mut engine = fixture.accept_engine();
-    engine.handshake(0);
-    engine
-}
-
 #[test]
 fn a_deduplicated_run_that_may_have_arrived_is_not_sent_again() {
     let (fixture, engine) = up();
     let mut client = fixture.client();
-    let mut engine = lose_link_after_run(&fixture, engine, &mut client);
+    let mut engine = fixture.lose_link_after_run(engine, &mut client);
     engine.answer_stats(3);
     client.send_look(2, 2);
     assert_eq!(
@@ -259,7 +247,7 @@
         config["settings"]["lanes"][0]["deadline"] = json!(1_000_000);
     });
     let mut client = fixture.client();
-    let mut engine = lose_link_after_run(&fixture, engine, &mut client);
+    let mut engine = fixture.lose_link_after_run(engine, &mut client);
     let halt = json!({"msg": "HALT", "call": attempt_id(1)});
     assert_eq!(engine.next_command(), halt);
     assert_eq!(
