Evict no connections while the system is short of descriptors for a moment

When accept failed with ENFILE, up to 16 connections that had carried no request yet were closed outright, although the node's own table had room. Their first requests, on their way, met a closed connection.

Only the process's own limit (EMFILE) evicts now, as closing a connection makes room there.

Test: new_connections_stay_open_though_accepts_of_others_fail, by shim (three accepts fail with ENFILE). It failed before.

--- a/crates/config/src/transient.rs
+++ b/crates/config/src/transient.rs
@@ -18,17 +18,15 @@
         || is_short_of_memory(error)
 }
 
-/// Returns true if the process (`EMFILE`) or the whole system (`ENFILE`) has no file descriptor left.
-pub fn is_out_of_descriptors(error: &io::Error) -> bool {
-    matches!(
-        Errno::from_io_error(error),
-        Some(Errno::MFILE | Errno::NFILE)
-    )
+/// Returns true if the process has as many file descriptors as it may have. Closing one makes room, unlike where the
+/// whole system is short of them (`ENFILE`), which other processes may cause and end.
+pub fn is_at_descriptor_limit(error: &io::Error) -> bool {
+    Errno::from_io_error(error) == Some(Errno::MFILE)
 }
 
 /// Returns true if a file or a socket may be opened at a later attempt.
 pub fn may_open_later(error: &io::Error) -> bool {
-    let is_unreachable = matches!(
+    let is_unavailable = matches!(
         Errno::from_io_error(error),
         Some(
             Errno::ADDRINUSE
@@ -37,7 +35,8 @@
                 | Errno::IO
                 | Errno::NETDOWN
                 | Errno::NETUNREACH
+                | Errno::NFILE
         )
     );
-    is_unreachable || is_without_effect(error) || is_out_of_descriptors(error)
+    is_unavailable || is_without_effect(error) || is_at_descriptor_limit(error)
 }
--- a/crates/node/src/network/listeners/accept.rs
+++ b/crates/node/src/network/listeners/accept.rs
@@ -4,7 +4,7 @@
 use std::net::{IpAddr, SocketAddr, TcpStream};
 use std::ops::ControlFlow;
 
-use doortrack_config::transient::is_out_of_descriptors;
+use doortrack_config::transient::is_at_descriptor_limit;
 use doortrack_protocols::Protocol;
 use doortrack_time::TenthMillis;
 use polling::{Event, PollMode};
@@ -136,7 +136,7 @@
             ErrorKind::WouldBlock => ControlFlow::Break(false),
             // The operating system reserves a descriptor before it looks for a connection, so from the second
             // attempt on this error does not mean that a connection is waiting.
-            _ if is_out_of_descriptors(error) => {
+            _ if is_at_descriptor_limit(error) => {
                 if is_first && self.evict_now(EvictionScope::Table, inactive_since, events) {
                     ControlFlow::Continue(())
                 } else {
--- a/crates/node/tests/faults/failing_calls.rs
+++ b/crates/node/tests/faults/failing_calls.rs
@@ -2,6 +2,7 @@
 
 use std::io::ErrorKind;
 use std::net::TcpStream;
+use std::time::Duration;
 
 use doortrack_fakes::MAX_WAIT;
 use doortrack_fakes::engine::Engine;
@@ -106,6 +107,23 @@
     }
 }
 
+/// Guards against evicting connections that wait for their first request because the system is short of descriptors.
+#[test]
+fn new_connections_stay_open_though_accepts_of_others_fail() {
+    let failing = first_fail("accept4", Errno::NFILE, 3);
+    let shim = FaultShim::new("evict", &[failing], SEED);
+    shim.set_calls_fail(false);
+    let (fixture, mut engine) = setup(&shim).start_with_engine();
+    let mut waiting: Vec<Client> = (0..8).map(|_| fixture.client()).collect();
+    check_completes(&mut fixture.client(), &mut engine, 1);
+    std::thread::sleep(Duration::from_millis(100));
+    shim.set_calls_fail(true);
+    check_completes(&mut fixture.client(), &mut engine, 2);
+    for (client, nth) in waiting.iter_mut().zip(3..) {
+        check_completes(client, &mut engine, nth);
+    }
+}
+
 #[test]
 fn requests_are_answered_though_reads_and_writes_fail_or_are_short() {
     const SHORT: i32 = 0;
