--- a/crates/fakes/src/holding_proxy.rs
+++ b/crates/fakes/src/holding_proxy.rs
@@ -20,8 +20,15 @@
     unix_ms: u64,
 }
 
-/// What was handed to the node, by the address of the caller.
-type Arrivals = Arc<Mutex<HashMap<SocketAddr, Vec<Arrival>>>>;
+/// What was handed to the node of one connection.
+#[derive(Debug)]
+struct ForwardedStream {
+    accepted_unix_ms: u64,
+    arrivals: Vec<Arrival>,
+}
+
+/// What was handed to the node, by the address of the caller, which later connections may have too.
+type Arrivals = Arc<Mutex<HashMap<SocketAddr, Vec<ForwardedStream>>>>;
 
 /// For how long a proxy holds back each part of a stream.
 #[derive(Clone, Copy, Debug, Default)]
@@ -58,14 +65,14 @@
         HoldingProxy { address, arrivals }
     }
 
-    /// Returns when the caller's bytes up to this position were handed to the node, in Unix ms; `None` if they never
-    /// were.
-    pub fn arrived(&self, caller: SocketAddr, position: u64) -> Option<u64> {
+    /// Returns when the bytes up to this position were handed to the node, in Unix ms; `None` if they never were. The
+    /// connection is that of `caller` which was opened at `opened_unix_ms` or right after.
+    pub fn arrived(&self, caller: SocketAddr, opened_unix_ms: u64, position: u64) -> Option<u64> {
         let arrivals = self.arrivals.lock().unwrap_or_else(PoisonError::into_inner);
-        let of_caller = arrivals.get(&caller)?;
-        let first = of_caller
-            .iter()
-            .find(|arrival| arrival.position >= position);
+        let mut streams = arrivals.get(&caller)?.iter();
+        let stream = streams.find(|stream| stream.accepted_unix_ms >= opened_unix_ms)?;
+        let mut of_stream = stream.arrivals.iter();
+        let first = of_stream.find(|arrival| arrival.position >= position);
         first.map(|arrival| arrival.unix_ms)
     }
 }
@@ -133,6 +140,18 @@
     let Ok(address) = caller.peer_addr() else {
         return;
     };
+    let record = |arrival: Option<Arrival>| {
+        let mut arrivals = arrivals.lock().unwrap_or_else(PoisonError::into_inner);
+        let streams = arrivals.entry(address).or_default();
+        match (arrival, streams.last_mut()) {
+            (Some(arrival), Some(stream)) => stream.arrivals.push(arrival),
+            _ => streams.push(ForwardedStream {
+                accepted_unix_ms: unix_ms(),
+                arrivals: Vec::new(),
+            }),
+        }
+    };
+    record(None);
     let (mut buffer, mut position) = ([0; MAX_CHUNK_BYTES], 0);
     while let Some(count) = read(&mut caller, &mut buffer) {
         let hold = max_hold.mul_f64(random.f64());
@@ -146,8 +165,7 @@
             position,
             unix_ms: unix_ms(),
         };
-        let mut arrivals = arrivals.lock().unwrap_or_else(PoisonError::into_inner);
-        arrivals.entry(address).or_default().push(arrival);
+        record(Some(arrival));
     }
     _ = node.shutdown(Shutdown::Write);
 }
--- a/crates/fakes/src/rules.rs
+++ b/crates/fakes/src/rules.rs
@@ -105,10 +105,14 @@
             continue;
         };
         match outcome {
-            CallerOutcome::Nothing if by_attempt.contains_key(id.as_str()) => {
-                violations.push(format!("rule 1: {id} ran and was not answered"));
+            CallerOutcome::Nothing => {
+                let waited_ms = answered_at.saturating_sub(attempt.sent);
+                let ran = by_attempt.contains_key(id.as_str());
+                violations.push(format!(
+                    "rule 1: {id} was not answered within {waited_ms} ms, sent at {}, ran: {ran}",
+                    attempt.sent
+                ));
             }
-            CallerOutcome::Nothing => violations.push(format!("rule 1: {id} was not answered")),
             _ if *answered_at > attempt.sent + bounds.max_latency_ms => {
                 violations.push(format!(
                     "rule 1: {id} was answered {} ms after it was sent",
--- a/crates/fault-harness/src/drains.rs
+++ b/crates/fault-harness/src/drains.rs
@@ -2,7 +2,9 @@
 //! their open connections, and the node gets a series of signals. SIGKILL follows exactly the stop time after the first
 //! SIGTERM or SIGINT. The records of clients and servers are checked against the rules.
 
+mod backend;
 mod client;
+mod fault_plan;
 mod faulty;
 mod judge;
 mod run;
--- a/crates/fault-harness/src/drains/client.rs
+++ b/crates/fault-harness/src/drains/client.rs
@@ -27,6 +27,7 @@
 struct OpenConnection {
     sock: TcpStream,
     own_address: SocketAddr,
+    opened_unix_ms: u64,
     /// Bytes written so far.
     written: u64,
 }
@@ -90,11 +91,13 @@
     }
 
     fn open(&self) -> std::io::Result<OpenConnection> {
+        let opened_unix_ms = unix_ms();
         let sock = TcpStream::connect(self.address)?;
         sock.set_nodelay(true)?;
         sock.set_read_timeout(Some(MAX_WAIT))?;
         Ok(OpenConnection {
             own_address: sock.local_addr()?,
+            opened_unix_ms,
             sock,
             written: 0,
         })
@@ -120,10 +123,12 @@
         let (outcome, _) = caller::parse_response(self.protocol, &answer);
         let is_kept = end.is_none() && self.protocol == Protocol::FastCgi;
         let (connection_address, stream_end) = (connection.own_address, connection.written);
+        let opened_unix_ms = connection.opened_unix_ms;
         self.connection = is_kept.then_some(connection);
         self.records.push(RequestRecord {
             number,
             connection: connection_address,
+            opened_unix_ms,
             stream_end,
             idempotency_key: key,
             sent,
--- a/crates/fault-harness/src/drains/judge.rs
+++ b/crates/fault-harness/src/drains/judge.rs
@@ -35,6 +35,8 @@
     pub(super) number: u64,
     /// The client's address of the connection that carried it.
     pub(super) connection: SocketAddr,
+    /// When that connection was opened.
+    pub(super) opened_unix_ms: u64,
     /// The position of its end in the bytes of that connection.
     pub(super) stream_end: u64,
     pub(super) idempotency_key: Option<String>,
--- a/crates/fault-harness/src/drains/run.rs
+++ b/crates/fault-harness/src/drains/run.rs
@@ -13,7 +13,7 @@
 use doortrack_fakes::unix_ms;
 use doortrack_protocols::Protocol;
 use rustix::process::{Pid, Signal, kill_process};
-use serde_json::json;
+use serde_json::{Value, json};
 
 use super::DrainReport;
 use super::client::Client;
@@ -51,7 +51,7 @@
 /// # Panics
 /// The node can't be started.
 pub fn run(program: &Path, scenario: &Scenario) -> DrainReport {
-    let servers: Vec<Server> = (0..SERVERS).map(|_| start_server(scenario)).collect();
+    let servers = start_servers(scenario);
     let (fixture, listeners) = start_node(program, scenario, &servers);
     let clients = Clients::start(scenario, &listeners, None);
     std::thread::sleep(WARM_UP);
@@ -59,11 +59,7 @@
     std::thread::sleep(AFTER_KILL);
     let (records, stalled) = clients.finish();
     let (code, log) = fixture.wait_for_exit();
-    let ran: Vec<ExecutedRun> = servers
-        .iter()
-        .flat_map(Server::received)
-        .map(|got| ExecutedRun::from(&got))
-        .collect();
+    let ran = runs_of(&servers);
     let verdict = judge(records, &ran, times);
     report(scenario, String::new(), verdict, stalled, (code, &log))
 }
@@ -95,6 +91,29 @@
     }
 }
 
+/// Starts the application servers.
+pub(super) fn start_servers(scenario: &Scenario) -> Vec<Server> {
+    (0..SERVERS).map(|_| start_server(scenario)).collect()
+}
+
+/// All runs that the servers have received.
+pub(super) fn runs_of(servers: &[Server]) -> Vec<ExecutedRun> {
+    let received = servers.iter().flat_map(Server::received);
+    received
+        .map(|request| ExecutedRun::from(&request))
+        .collect()
+}
+
+/// The settings of the pool of these servers.
+pub(super) fn server_pool(scenario: &Scenario, servers: &[Server]) -> Value {
+    let addresses: Vec<String> = servers
+        .iter()
+        .map(|server| server.address.to_string())
+        .collect();
+    json!({"protocol": scenario.server_protocol.name(), "addresses": addresses,
+        "at_once": SERVER_CONCURRENCY, "answer_within_ms": SERVER_TIMEOUT_MS})
+}
+
 fn start_server(scenario: &Scenario) -> Server {
     let (seed, stop_ms) = (scenario.seed, scenario.stop_ms);
     Server::start(scenario.server_protocol, move |request| {
@@ -141,14 +160,9 @@
         (setup.port(FASTCGI_PORT), Protocol::FastCgi),
         (setup.port(UWSGI_PORT), Protocol::Uwsgi),
     ];
-    let addresses: Vec<String> = servers
-        .iter()
-        .map(|server| server.address.to_string())
-        .collect();
     setup.installation = Some(json!({
         "fronts": own.map(|(at, protocol)| json!({"protocol": protocol.name(), "listen": at.to_string()})),
-        "servers": {"protocol": scenario.server_protocol.name(), "addresses": addresses,
-            "at_once": SERVER_CONCURRENCY, "answer_within_ms": SERVER_TIMEOUT_MS}
+        "servers": server_pool(scenario, servers)
     }));
     let mut listeners = vec![(setup.address, Protocol::FastCgi)];
     listeners.extend(own);
