Heed signals though the write that wakes the event loop fails

A shutdown signal was lost when the signal handler could not write to the socket that wakes the loop (ENOBUFS, EINTR): the node neither reported draining nor stopped, and was killed with all that it had read.

The node's log against the signals sent showed it.

Each signal sets a flag too. The flags are looked at in every turn, which comes within 25 ms with a connection open and within 0.3 s else. A signal found so may have come as early as the wait before, so the stop and the grace count from then.

Test: a_shutdown_signal_is_heeded_though_no_socket_can_be_written, by shim. It failed before: never reported draining.

--- a/crates/node/src/event_loop.rs
+++ b/crates/node/src/event_loop.rs
@@ -179,6 +179,7 @@
     /// been built.
     fn read_ready(&mut self, due: TenthMillis, ready: &mut Events) -> Result<(), ServeError> {
         ready.clear();
+        let waits_since = self.now;
         let wait = Duration::from_micros(due.saturating_sub(self.now) * MICROSECONDS_PER_UNIT);
         match self.poller.wait(ready, Some(wait)) {
             Err(e) if e.kind() != std::io::ErrorKind::Interrupted => {
@@ -195,7 +196,11 @@
                 _ => self.read_socket(readiness, due),
             }
         }
-        if reload {
+        // The write that wakes the poller may have failed.
+        if self.signals.is_pending(DRAIN_KEY) {
+            self.drain(waits_since);
+        }
+        if reload || self.signals.is_pending(RELOAD_KEY) {
             self.request_reload();
             // The order of two signals that are read in one turn is unknown.
             if !was_draining && self.shutdown.is_draining() {
--- a/crates/node/tests/faults/failing_calls.rs
+++ b/crates/node/tests/faults/failing_calls.rs
@@ -201,3 +201,20 @@
     fixture.replace_installation(&json!({"fronts": fronts}));
     drop(doortrack_fakes::fixture::connect(added));
 }
+
+/// Guards against a signal that is lost as the handler can't wake the event loop.
+#[test]
+fn a_shutdown_signal_is_heeded_though_no_socket_can_be_written() {
+    let failing = some_fail("send", Errno::NOBUFS.raw_os_error(), 1_000);
+    let shim = FaultShim::new("signal", &[failing], SEED);
+    shim.set_calls_fail(false);
+    let (fixture, mut engine) = setup(&shim).start_with_engine();
+    check_completes(&mut fixture.client(), &mut engine, 1);
+    shim.set_calls_fail(true);
+    fixture.signal("-TERM");
+    std::thread::sleep(Duration::from_millis(50));
+    shim.set_calls_fail(false);
+    fixture.wait_for_report("draining");
+    let (code, log) = fixture.wait_for_exit();
+    assert_eq!(code, Some(0), "{log}");
+}
