--- a/crates/node/src/network/connect.rs
+++ b/crates/node/src/network/connect.rs
@@ -8,8 +8,8 @@
 
 use crate::system::retry::retry_at_once;
 
-/// Starts a nonblocking connect, again if the system fails it for a moment. The socket becomes writable once the connect has succeeded or failed;
-/// [`TcpStream::take_error`] tells which.
+/// Starts a nonblocking connect, again if the system fails it for a moment. The socket becomes writable once the connect
+/// has succeeded or failed; [`TcpStream::take_error`] tells which.
 ///
 /// # Errors
 /// The socket cannot be created, or the connect fails at once.
