--- a/crates/node/tests/fleet/drains.rs
+++ b/crates/node/tests/fleet/drains.rs
@@ -1,5 +1,7 @@
 //! A short series of graceful shutdowns; `doortrack-harness drains` runs longer ones.
 
+use std::sync::{Mutex, PoisonError};
+
 use doortrack_fault_harness::drains::{DrainReport, Faults, run_seeds};
 
 use crate::program;
@@ -8,7 +10,11 @@
 const SEEDS: u64 = 9;
 const PARALLEL: usize = 2;
 
+/// One series at a time, as each keeps several hundred threads busy.
+static SERIES: Mutex<()> = Mutex::new(());
+
 fn check_seeds(faults: Faults) {
+    let _series = SERIES.lock().unwrap_or_else(PoisonError::into_inner);
     let mut reports: Vec<DrainReport> = Vec::new();
     run_seeds(program(), faults, FIRST_SEED, SEEDS, PARALLEL, |report| {
         reports.push(report);
