Give a test process 800 addresses before one is used again

The 200 addresses of a process come around within the node's tests, and a test that restarts its nodes, or starts them after it took their address, leaves it free in between. That this happened here is the likely cause, not a traced one.

The third byte of the address is changed after each 200, so 800 differ.

Measured: the node's tests pass (179).

--- a/crates/fakes/src/fixture.rs
+++ b/crates/fakes/src/fixture.rs
@@ -22,8 +22,12 @@
 const NODE_PORT: u16 = 9090;
 /// The ports that tests use at the address of one node.
 const NODE_PORTS: RangeInclusive<u16> = NODE_PORT..=9099;
+/// Number of IP addresses that differ in their second byte.
+const SECOND_BYTES: u32 = 200;
+/// Changes of the third byte, which is of the process id, for further addresses: none that runs at the same time has them.
+const THIRD_BYTE_CHANGES: [u8; 4] = [0, 0x80, 0x40, 0xc0];
 /// Number of IP addresses of one test process; they are used again after that.
-const MAX_ADDRESSES: u32 = 200;
+const MAX_ADDRESSES: u32 = SECOND_BYTES * THIRD_BYTE_CHANGES.len() as u32;
 
 /// Returns a loopback address for one node, at which the ports that tests use are free. Calls in a row return
 /// different IP addresses.
@@ -31,7 +35,8 @@
     let [.., b, c] = std::process::id().to_be_bytes();
     for _ in 0..MAX_ADDRESSES {
         let count = STARTED.fetch_add(1, Ordering::Relaxed);
-        let ip = Ipv4Addr::new(127, 20 + (count % MAX_ADDRESSES) as u8, b, c);
+        let change = THIRD_BYTE_CHANGES[(count % MAX_ADDRESSES / SECOND_BYTES) as usize];
+        let ip = Ipv4Addr::new(127, 20 + (count % SECOND_BYTES) as u8, b ^ change, c);
         // A node of an earlier test may still run at an address that is used again.
         let is_free = |port| TcpListener::bind((ip, port)).is_ok();
         if NODE_PORTS.into_iter().all(is_free) {
