--- a/review/stand-ins-2/src/main.rs
+++ b/review/stand-ins-2/src/main.rs
@@ -4,6 +4,7 @@
 //! broken; 0: it held; 2: the case could not run. `TROUBLE=0` leaves the disruption out.
 
 mod answer_memory;
+mod cut_body;
 mod fastcgi;
 mod key_reload;
 mod node;
@@ -49,6 +50,7 @@
     let finding = match case.as_str() {
         "key-reload" => key_reload::run(&record, trouble),
         "two-protocols" => two_protocols::run(&record, trouble),
+        "cut-body" => cut_body::run(&record, trouble),
         "answer-memory" => answer_memory::run(&record, trouble),
         _ => Err(format!("no case {case}")),
     };
