--- a/review/stand-ins-2/src/answer_memory.rs
+++ b/review/stand-ins-2/src/answer_memory.rs
@@ -51,6 +51,8 @@
         settings: SETTINGS.into(),
         memory_mb: MEMORY_MB,
         stop_ms: 3000,
+        sockets: 1024,
+        engine: None,
     };
     let mut node = Node::start(&setup, &installation)?;
     record.line(&format!("limit of the node's memory: {MEMORY_MB} MB"));
--- a/review/stand-ins-2/src/cut_body.rs
+++ b/review/stand-ins-2/src/cut_body.rs
@@ -36,6 +36,8 @@
         settings: SETTINGS.into(),
         memory_mb: 192,
         stop_ms: 3000,
+        sockets: 1024,
+        engine: None,
     };
     let node = Node::start(&setup, &installation)?;
     let whole = BODY.len().to_string();
--- a/review/stand-ins-2/src/fastcgi.rs
+++ b/review/stand-ins-2/src/fastcgi.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 const BEGIN_REQUEST: u8 = 1;
+const ABORT_REQUEST: u8 = 2;
 const END_REQUEST: u8 = 3;
 const PARAMS: u8 = 4;
 const STDIN: u8 = 5;
@@ -223,3 +224,10 @@
     }
     found
 }
+
+/// Encodes the withdrawal of a request.
+pub fn abort(id: u16) -> Vec<u8> {
+    let mut out = Vec::new();
+    record(&mut out, ABORT_REQUEST, id, &[]);
+    out
+}
--- a/review/stand-ins-2/src/key_reload.rs
+++ b/review/stand-ins-2/src/key_reload.rs
@@ -106,6 +106,8 @@
         settings: SETTINGS.into(),
         memory_mb: 192,
         stop_ms: 3000,
+        sockets: 1024,
+        engine: None,
     };
     let before = installation(&front.to_string(), servers, KEY_BEFORE);
     let node = Node::start(&setup, &before)?;
--- a/review/stand-ins-2/src/main.rs
+++ b/review/stand-ins-2/src/main.rs
@@ -5,12 +5,14 @@
 
 mod answer_memory;
 mod cut_body;
+mod engine;
 mod fastcgi;
 mod key_reload;
 mod node;
 mod record;
 mod two_protocols;
 mod uwsgi;
+mod withdrawn;
 
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
@@ -51,6 +53,7 @@
         "key-reload" => key_reload::run(&record, trouble),
         "two-protocols" => two_protocols::run(&record, trouble),
         "cut-body" => cut_body::run(&record, trouble),
+        "withdrawn" => withdrawn::run(&record, trouble),
         "answer-memory" => answer_memory::run(&record, trouble),
         _ => Err(format!("no case {case}")),
     };
--- a/review/stand-ins-2/src/node.rs
+++ b/review/stand-ins-2/src/node.rs
@@ -44,6 +44,9 @@
     pub settings: String,
     pub memory_mb: u32,
     pub stop_ms: u32,
+    pub sockets: u32,
+    /// Where the engine listens; without one the node is started with an installation file that names servers.
+    pub engine: Option<SocketAddr>,
 }
 
 pub struct Node {
@@ -57,7 +60,7 @@
 }
 
 impl Node {
-    /// Starts a node with an installation file and waits until it answers a health check.
+    /// Starts a node, with an installation file unless it is empty, and waits until it answers a health check.
     pub fn start(setup: &Setup, installation: &str) -> Result<Node, String> {
         let number = STARTED.fetch_add(1, Ordering::Relaxed);
         let name = format!("review-2-{}-{number}", std::process::id());
@@ -67,26 +70,33 @@
         let registry = UdpSocket::bind((Ipv4Addr::LOCALHOST, 0)).map_err(text)?;
         let listen = free_address();
         // Where servers are named, the node does not connect to an engine; nothing listens at this address.
-        let engine = free_address();
+        let engine = setup.engine.unwrap_or_else(free_address);
         let config = format!(
             r#"{{"name": "n{number}", "listen": "{listen}", "engine": "{engine}", "registry": "{}", "seed": "{:016x}",
- "stop_ms": {}, "limits": {{"cores": 1.0, "memory_mb": {}, "sockets": 1024}}, "settings": {}}}"#,
+ "stop_ms": {}, "limits": {{"cores": 1.0, "memory_mb": {}, "sockets": {}}}, "settings": {}}}"#,
             registry.local_addr().map_err(text)?,
             number + 77,
             setup.stop_ms,
             setup.memory_mb,
+            setup.sockets,
             setup.settings,
         );
         let config_file = folder.join("config.json");
         fs::write(&config_file, config).map_err(text)?;
         let installation_file = folder.join("installation.json");
-        fs::write(&installation_file, installation).map_err(text)?;
+        if !installation.is_empty() {
+            fs::write(&installation_file, installation).map_err(text)?;
+        }
         let log = File::create(folder.join("log.txt")).map_err(text)?;
         // The line `run` of deploy/balancer.toml, as the platform starts it.
-        let child = Command::new("/bin/sh")
+        let mut command = Command::new("/bin/sh");
+        command
             .args(["-c", "exec target/release/doortrack"])
-            .env("GW_CONFIG", &config_file)
-            .env("DOORTRACK_INSTALLATION", &installation_file)
+            .env("GW_CONFIG", &config_file);
+        if !installation.is_empty() {
+            command.env("DOORTRACK_INSTALLATION", &installation_file);
+        }
+        let child = command
             .stdin(Stdio::null())
             .stdout(Stdio::null())
             .stderr(log)
--- a/review/stand-ins-2/src/two_protocols.rs
+++ b/review/stand-ins-2/src/two_protocols.rs
@@ -44,6 +44,8 @@
         settings: SETTINGS.into(),
         memory_mb: 192,
         stop_ms: 3000,
+        sockets: 1024,
+        engine: None,
     };
     let node = Node::start(&setup, &installation)?;
     let mut judged = 0;
