--- a/review/7/run.sh
+++ b/review/7/run.sh
@@ -4,4 +4,4 @@
 here=$(cd "$(dirname "$0")" && pwd) || exit 2
 cd "$here/../.." || exit 2
 [ -x target/review-2/release/stand-ins-2 ] && [ -x target/release/doortrack ] || { echo "not built" >&2; exit 2; }
-exec target/review-2/release/stand-ins-2 cut-body "$here"
+exec target/review-2/release/stand-ins-2 withdrawn "$here"
--- a/review/stand-ins-2/src/main.rs
+++ b/review/stand-ins-2/src/main.rs
@@ -3,11 +3,11 @@
 //! `stand-ins-2 CASE FOLDER` runs a case from the repository's root and writes `FOLDER/record.txt`. Exit code 1: the rule was
 //! broken; 0: it held; 2: the case could not run. `TROUBLE=0` leaves the disruption out.
 
-mod answer_memory;
 mod cut_body;
 mod engine;
 mod fastcgi;
 mod key_reload;
+mod lockout;
 mod node;
 mod record;
 mod two_protocols;
@@ -54,7 +54,7 @@
         "two-protocols" => two_protocols::run(&record, trouble),
         "cut-body" => cut_body::run(&record, trouble),
         "withdrawn" => withdrawn::run(&record, trouble),
-        "answer-memory" => answer_memory::run(&record, trouble),
+        "lockout" => lockout::run(&record, trouble),
         _ => Err(format!("no case {case}")),
     };
     node::kill_all();
--- a/review/stand-ins-2/src/node.rs
+++ b/review/stand-ins-2/src/node.rs
@@ -13,8 +13,6 @@
 
 pub const SIGHUP: i32 = 1;
 pub const SIGKILL: i32 = 9;
-pub const SIGCONT: i32 = 18;
-pub const SIGSTOP: i32 = 19;
 
 unsafe extern "C" {
     fn kill(pid: i32, signal: i32) -> i32;
--- a/review/stand-ins-2/src/withdrawn.rs
+++ b/review/stand-ins-2/src/withdrawn.rs
@@ -117,7 +117,7 @@
     }
 }
 
-fn request_variables<'a>(id: &'a str, start: &'a str) -> Vec<(&'a str, &'a str)> {
+pub fn request_variables<'a>(id: &'a str, start: &'a str) -> Vec<(&'a str, &'a str)> {
     vec![
         ("SCRIPT_NAME", "/svc/search"),
         ("REQUEST_METHOD", "POST"),
