Handle what one connection sent before the next one is read

Cause: complete requests left the bounds of their connection and stood with parameters and body in the turn's events until every ready socket had been read, up to 64 kB a read, twice in a late turn and eight times as listeners close. An abort took away their place among the open requests, not their content.

Change: a turn reads the backend first and handles its answers, then the callers' connections one by one, and the events of each are handled before the next is read, also in a drain, at the end of the process and as suspended input is parsed. The batch for the admission controller is decided early once it has 1,024 events. Answers that have arrived still go before requests, and an abort of the same read before the decision.

--- a/crates/node/src/event_loop.rs
+++ b/crates/node/src/event_loop.rs
@@ -39,10 +39,13 @@
 use self::summary::SummarySchedule;
 use self::timers::Timers;
 use crate::network::backend::{Backend, BackendEvent};
+use crate::network::bounds::MAX_FINAL_READS;
 use crate::network::listeners::{
     FIRST_CONNECTION_KEY, FIRST_LISTENER_KEY, ListenerEvent, Listeners,
 };
 use crate::network::registry::Registry;
+use crate::network::servers::FIRST_SERVER_KEY;
+use crate::network::termination::Termination;
 use crate::state::in_flight::InFlightTable;
 use crate::state::results::ResultTable;
 use crate::subsystem::{SUBSYSTEM_KEYS, Subsystem};
@@ -62,6 +65,8 @@
     clock: Clock,
     /// The time of the last wake-up, used throughout a turn.
     now: TenthMillis,
+    /// The time at which the last wait for readiness began.
+    waited_since: TenthMillis,
     poller: Arc<Poller>,
     signals: Signals,
     listeners: Listeners,
@@ -90,6 +95,8 @@
     /// The order of the steps within a turn matters:
     ///
     /// - Backend events are handled before new requests, which can then use the capacity that ended runs free.
+    /// - What is read from a caller's connection is handled before the next connection is read, so that the content of
+    ///   requests counts towards the limits before more of it is read.
     /// - Timers fire after everything that was read before them is in the batch.
     /// - The last read before the stop follows a call of the admission controller, whose answers make room for
     ///   callers that still wait.
@@ -109,8 +116,6 @@
             self.registry.heartbeat(self.now);
             self.wait_and_read(&mut ready)?;
             self.run_maintenance_if_due();
-            self.handle_backend_events();
-            self.give_up_runs_in_doubt();
             self.handle_listener_events();
             self.fire_timers();
             self.decide();
@@ -129,14 +134,29 @@
 
     // --- Waiting and reading ---
 
-    /// Waits until a socket is ready or the next turn is due, and reads what is ready.
+    /// Waits until a socket is ready or the next turn is due, and reads what is ready. Answers of the backend that have
+    /// arrived are handled before callers' connections are read.
     fn wait_and_read(&mut self, ready: &mut Events) -> Result<(), ServeError> {
         let due = self.next_due();
-        self.read_ready(due, ready)?;
-        if self.now > due + SUSPEND_THRESHOLD {
-            // The process was suspended: events that arrived meanwhile go before timers that expired.
-            self.read_ready(due, ready)?;
+        let was_draining = self.shutdown.is_draining();
+        self.wait(due, ready)?;
+        self.read_peers(ready, due, was_draining);
+        // If the process was suspended, events that arrived meanwhile go before timers that expired.
+        let was_suspended = self.now > due + SUSPEND_THRESHOLD;
+        if was_suspended {
+            self.wait(due, ready)?;
+            self.read_peers(ready, due, was_draining);
+        }
+        self.handle_backend_events();
+        self.give_up_runs_in_doubt();
+        self.read_callers(ready);
+        if was_suspended {
+            self.wait(due, ready)?;
+            self.read_peers(ready, due, was_draining);
+            self.handle_backend_events();
+            self.read_callers(ready);
         }
+        self.apply_built_configs();
         Ok(())
     }
 
@@ -175,30 +195,35 @@
             .max(self.now)
     }
 
-    /// Waits until `due` at the latest, reads every socket that is ready, and applies the configurations that have
-    /// been built.
-    fn read_ready(&mut self, due: TenthMillis, ready: &mut Events) -> Result<(), ServeError> {
+    /// Waits until a socket is ready, until `due` at the latest.
+    fn wait(&mut self, due: TenthMillis, ready: &mut Events) -> Result<(), ServeError> {
         ready.clear();
-        let waits_since = self.now;
         let wait = Duration::from_micros(due.saturating_sub(self.now) * MICROSECONDS_PER_UNIT);
         match self.poller.wait(ready, Some(wait)) {
-            Err(e) if e.kind() != std::io::ErrorKind::Interrupted => {
-                return Err(ServeError::Poller(e));
+            Err(e) if e.kind() != std::io::ErrorKind::Interrupted => Err(ServeError::Poller(e)),
+            _ => {
+                self.waited_since = self.now;
+                self.read_clocks();
+                Ok(())
             }
-            _ => self.read_clocks(),
         }
-        let was_draining = self.shutdown.is_draining();
+    }
+
+    /// Reads every ready socket that is not a caller's: signals, the subsystems and the backend. `was_draining` is true
+    /// if the node was draining before this turn.
+    fn read_peers(&mut self, ready: &Events, due: TenthMillis, was_draining: bool) {
         let mut reload = false;
         for readiness in ready.iter() {
             match readiness.key {
                 // Handled last: the other ready sockets may be on links that the reload closes.
                 RELOAD_KEY => reload = true,
-                _ => self.read_socket(readiness, due),
+                key if is_caller_key(key) => {}
+                _ => self.read_peer(readiness, due),
             }
         }
         // The write that wakes the poller may have failed.
         if self.signals.is_pending(DRAIN_KEY) {
-            self.drain(waits_since);
+            self.drain(self.waited_since);
         }
         if reload || self.signals.is_pending(RELOAD_KEY) {
             self.request_reload();
@@ -207,12 +232,9 @@
                 self.shutdown.expect_reload();
             }
         }
-        self.apply_built_configs();
-        Ok(())
     }
 
-    /// Reads the socket with this poller key.
-    fn read_socket(&mut self, readiness: Readiness, due: TenthMillis) {
+    fn read_peer(&mut self, readiness: Readiness, due: TenthMillis) {
         match readiness.key {
             // If the process was suspended, the signal may have come as early as `due`.
             DRAIN_KEY => self.drain(self.now.min(due)),
@@ -222,20 +244,39 @@
                     .filter(|subsystem| subsystem.key() == key)
                     .for_each(|subsystem| subsystem.on_readable());
             }
-            key if self.backend.has_key(key) => {
-                self.backend
-                    .on_event(readiness, self.now, &mut self.backend_events);
-            }
-            key @ FIRST_LISTENER_KEY..FIRST_CONNECTION_KEY => {
-                _ = self.listeners.accept(
-                    key - FIRST_LISTENER_KEY,
-                    self.now,
-                    &mut self.listener_events,
-                );
-            }
             _ => self
-                .listeners
-                .on_event(readiness, self.now, &mut self.listener_events),
+                .backend
+                .on_event(readiness, self.now, &mut self.backend_events),
+        }
+    }
+
+    /// Accepts connections and reads the connections that are ready. What is read from one is handled before the next
+    /// one is read.
+    fn read_callers(&mut self, ready: &Events) {
+        for readiness in ready.iter() {
+            match readiness.key {
+                key if !is_caller_key(key) => continue,
+                key @ FIRST_LISTENER_KEY..FIRST_CONNECTION_KEY => {
+                    _ = self.listeners.accept(
+                        key - FIRST_LISTENER_KEY,
+                        self.now,
+                        &mut self.listener_events,
+                    );
+                }
+                _ => self
+                    .listeners
+                    .on_event(readiness, self.now, &mut self.listener_events),
+            }
+            self.handle_input();
+        }
+    }
+
+    /// Handles what has been read from one connection. The decision on it waits for the input of other connections
+    /// unless the batch is full: a request that is withdrawn in the same read is not decided on.
+    fn handle_input(&mut self) {
+        self.handle_listener_events();
+        if self.admission.is_batch_full() {
+            self.decide();
         }
     }
 
@@ -281,12 +322,31 @@
     }
 
     fn drain_listeners(&mut self) {
-        self.listeners
-            .drain_all(self.now, &mut self.listener_events);
+        for slot in self
+            .listeners
+            .drain_all(self.now, &mut self.listener_events)
+        {
+            self.drain_connection(slot, Termination::Shutdown);
+        }
         self.handle_listener_events();
         self.decide();
     }
 
+    /// Reads what has arrived on a connection, and refuses further requests on it.
+    fn drain_connection(&mut self, slot: usize, termination: Termination) {
+        self.read_arrived(slot);
+        self.listeners.refuse_further_requests(slot, termination);
+    }
+
+    /// Reads what has arrived on a connection, and handles the input of each read before the next one.
+    fn read_arrived(&mut self, slot: usize) {
+        for _ in 0..MAX_FINAL_READS {
+            self.listeners
+                .read_arrived(slot, self.now, &mut self.listener_events);
+            self.handle_input();
+        }
+    }
+
     /// Right before the stop, closes each connection in the first turn in which it has nothing left to do.
     fn close_connections_if_due(&mut self) {
         if self.shutdown.begins_closing(self.now) {
@@ -301,9 +361,9 @@
 
     /// Answers what has arrived by the end of the process, and closes what is left of the connections.
     fn close_all_connections(&mut self) {
-        self.listeners
-            .read_all_arrived(self.now, &mut self.listener_events);
-        self.handle_listener_events();
+        for slot in self.listeners.connection_slots() {
+            self.read_arrived(slot);
+        }
         self.decide();
         self.listeners
             .end_incomplete_requests(&mut self.listener_events);
@@ -322,17 +382,32 @@
     /// connections, are handled at once, as nothing else may wake the loop for them.
     fn flush(&mut self) {
         loop {
-            self.listeners.flush(self.now, &mut self.listener_events);
+            let caller_events = self.flush_callers();
             self.backend.flush(self.now, &mut self.backend_events);
-            if self.listener_events.is_empty() && self.backend_events.is_empty() {
+            if !caller_events && self.backend_events.is_empty() {
                 return;
             }
             self.handle_backend_events();
-            self.handle_listener_events();
             self.decide();
         }
     }
 
+    /// Writes the answers to callers, and handles input that waited until they were written. Returns true if that
+    /// caused events.
+    fn flush_callers(&mut self) -> bool {
+        let mut caused_events = !self.listener_events.is_empty();
+        while self
+            .listeners
+            .flush(self.now, &mut self.listener_events)
+            .is_break()
+        {
+            caused_events = true;
+            self.handle_input();
+        }
+        self.handle_listener_events();
+        caused_events
+    }
+
     fn log_summary_if_due(&mut self) {
         let turn = self.clock.now().saturating_sub(self.now);
         self.summaries.max_durations.record_turn(turn);
@@ -347,3 +422,8 @@
             || (self.shutdown.is_flushing() && self.listeners.is_closed())
     }
 }
+
+/// Returns true if this poller key belongs to a listener or to a connection of a caller.
+fn is_caller_key(key: usize) -> bool {
+    (FIRST_LISTENER_KEY..FIRST_SERVER_KEY).contains(&key)
+}
--- a/crates/node/src/event_loop/admission_driver.rs
+++ b/crates/node/src/event_loop/admission_driver.rs
@@ -7,6 +7,9 @@
 
 use crate::state::results::DedupKey;
 
+/// Number of events from which on a batch is passed to the controller before more connections are read.
+const FULL_BATCH_EVENTS: usize = 1024;
+
 /// Batches events for the admission controller, which does no I/O itself.
 #[derive(Default)]
 pub(super) struct AdmissionDriver {
@@ -31,6 +34,11 @@
         self.batch.push(event);
     }
 
+    /// Returns true if the batch is to be passed to the controller before more connections are read.
+    pub(super) fn is_batch_full(&self) -> bool {
+        self.batch.len() >= FULL_BATCH_EVENTS
+    }
+
     /// Adds an event to the batch, if there is one.
     pub(super) fn extend(&mut self, event: Option<Event>) {
         self.batch.extend(event);
--- a/crates/node/src/event_loop/reload.rs
+++ b/crates/node/src/event_loop/reload.rs
@@ -20,6 +20,7 @@
 use super::start::log_rules;
 use crate::network::backend::Backend;
 use crate::network::classifier::{RequestClassifier, RuleTable};
+use crate::network::termination::Termination;
 use crate::system::signals::RELOAD_KEY;
 use crate::system::test_panics::{PanicPlace, panic_if_requested};
 
@@ -192,8 +193,7 @@
         let changes = ListenerChanges::between(&self.config.listening, &installation.listeners);
         for closed in &changes.closed {
             info!(self.log, "listener closed"; "address" => %closed.listen);
-            self.listeners
-                .drain_listener(closed.listen, self.now, &mut self.listener_events);
+            self.drain_listener(closed.listen);
         }
         for kept in &changes.retained {
             self.listeners
@@ -206,6 +206,16 @@
         }
     }
 
+    fn drain_listener(&mut self, address: SocketAddr) {
+        let slots = self
+            .listeners
+            .drain_listener(address, self.now, &mut self.listener_events);
+        for slot in slots {
+            self.drain_connection(slot, Termination::ListenerClosed);
+        }
+        self.listeners.remove_drained();
+    }
+
     /// Opens the listeners that are not open yet, unless the node drains. Those that can't be opened for a moment are
     /// tried again at the next call; others only after the next SIGHUP. Returns the errors, with the address of each.
     pub(super) fn open_listeners(&mut self) -> Vec<(SocketAddr, std::io::Error)> {
--- a/crates/node/src/event_loop/start.rs
+++ b/crates/node/src/event_loop/start.rs
@@ -270,6 +270,7 @@
             log,
             clock,
             now: 0,
+            waited_since: 0,
             poller,
             signals,
             listeners: opened.listeners,
--- a/crates/node/src/network/listeners.rs
+++ b/crates/node/src/network/listeners.rs
@@ -14,6 +14,7 @@
 mod listener;
 mod reading;
 
+use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::sync::Arc;
 
@@ -114,7 +115,7 @@
     /// Bytes of input on all connections that waits until answers are read.
     suspended_bytes: usize,
     /// Slots of the connections that the next flush handles.
-    flush_queue: Vec<usize>,
+    flush_queue: VecDeque<usize>,
     read_buffer: Vec<u8>,
     /// No caller waits for longer than this.
     longest_deadline: TenthMillis,
@@ -149,7 +150,7 @@
             requests_begun: 0,
             unread_answer_bytes: 0,
             suspended_bytes: 0,
-            flush_queue: Vec::new(),
+            flush_queue: VecDeque::new(),
             read_buffer: vec![0; READ_BUFFER_BYTES],
             longest_deadline,
             wall_clock: WallClock::default(),
--- a/crates/node/src/network/listeners/answers.rs
+++ b/crates/node/src/network/listeners/answers.rs
@@ -1,5 +1,7 @@
 //! Answers requests and writes the answers to the clients.
 
+use std::ops::ControlFlow;
+
 use doortrack_admission::RequestId;
 use doortrack_time::TenthMillis;
 use polling::{Event, PollMode};
@@ -62,19 +64,23 @@
         let connection = &mut self.connections[slot];
         if !connection.flush_queued {
             connection.flush_queued = true;
-            self.flush_queue.push(slot);
+            self.flush_queue.push_back(slot);
         }
     }
 
-    /// Writes the answers of the current turn, and closes connections that are to be closed.
-    pub fn flush(&mut self, now: TenthMillis, events: &mut Vec<ListenerEvent>) {
+    /// Writes the answers of the current turn, and closes connections that are to be closed. Breaks after a connection
+    /// that has caused events, as input that waited for its answers to be written may hold many requests: the events
+    /// are to be handled before the next call.
+    pub fn flush(&mut self, now: TenthMillis, events: &mut Vec<ListenerEvent>) -> ControlFlow<()> {
+        let pending_events = events.len();
         // The queue can grow in the loop: once answers are written, suspended requests can be parsed and answered.
-        let mut index = 0;
-        while let Some(slot) = self.flush_queue.get(index).copied() {
+        while let Some(slot) = self.flush_queue.pop_front() {
             self.flush_connection(slot, now, events);
-            index += 1;
+            if events.len() > pending_events {
+                return ControlFlow::Break(());
+            }
         }
-        self.flush_queue.clear();
+        ControlFlow::Continue(())
     }
 
     fn flush_connection(&mut self, slot: usize, now: TenthMillis, events: &mut Vec<ListenerEvent>) {
--- a/crates/node/src/network/listeners/close.rs
+++ b/crates/node/src/network/listeners/close.rs
@@ -98,7 +98,7 @@
         for (slot, connection) in &mut self.connections {
             if connection.resume_reading() && !connection.flush_queued {
                 connection.flush_queued = true;
-                self.flush_queue.push(slot);
+                self.flush_queue.push_back(slot);
             }
         }
     }
--- a/crates/node/src/network/listeners/drain.rs
+++ b/crates/node/src/network/listeners/drain.rs
@@ -7,30 +7,36 @@
 use doortrack_time::TenthMillis;
 
 use super::{Listener, ListenerEvent, Listeners};
-use crate::network::bounds::{MAX_FINAL_ACCEPT_ATTEMPTS, MAX_FINAL_READS};
+use crate::network::bounds::MAX_FINAL_ACCEPT_ATTEMPTS;
+use crate::network::connection::Connection;
 use crate::network::termination::Termination;
 
 impl Listeners {
-    /// Closes the listener at this address. Requests that have arrived are still answered; the listener is removed
-    /// once its last connection has closed.
+    /// Closes the listener at this address, and returns the slots of its connections. On each, what has arrived is to be
+    /// read ([`Listeners::read_arrived`]) before further requests are refused
+    /// ([`Listeners::refuse_further_requests`]); then [`Listeners::remove_drained`] is to be called.
     pub fn drain_listener(
         &mut self,
         address: SocketAddr,
         now: TenthMillis,
         events: &mut Vec<ListenerEvent>,
-    ) {
-        for listener in self.open_at(address) {
-            self.drain(listener, Termination::ListenerClosed, now, events);
-        }
+    ) -> Vec<usize> {
+        let listeners = self.open_at(address);
+        listeners
+            .into_iter()
+            .flat_map(|listener| self.drain(listener, Termination::ListenerClosed, now, events))
+            .collect()
     }
 
-    /// Closes all listeners when the node shuts down. Requests that have arrived are still answered. A listener whose
-    /// connections can't be accepted for a moment stays open, and is closed at the next call.
-    pub fn drain_all(&mut self, now: TenthMillis, events: &mut Vec<ListenerEvent>) {
+    /// Closes all listeners when the node shuts down, and returns the slots of their connections, see
+    /// [`Listeners::drain_listener`]. A listener whose connections can't be accepted for a moment stays open, and is
+    /// closed at the next call.
+    pub fn drain_all(&mut self, now: TenthMillis, events: &mut Vec<ListenerEvent>) -> Vec<usize> {
         let listeners: Vec<usize> = self.listeners.iter().map(|(index, _)| index).collect();
-        for listener in listeners {
-            self.drain(listener, Termination::Shutdown, now, events);
-        }
+        listeners
+            .into_iter()
+            .flat_map(|listener| self.drain(listener, Termination::Shutdown, now, events))
+            .collect()
     }
 
     /// Prevents new TCP handshakes at all listeners. Called before [`Listeners::drain_all`], so that handshakes in
@@ -66,22 +72,22 @@
         }
     }
 
-    /// Accepts a listener's backlog, closes its socket, reads what has arrived on its connections, and refuses further
-    /// requests on them. Incomplete requests are kept until [`Listeners::sweep`] ends them.
+    /// Accepts a listener's backlog, closes its socket, and returns the slots of its connections. Incomplete requests
+    /// are kept until [`Listeners::sweep`] ends them.
     fn drain(
         &mut self,
         listener: usize,
         termination: Termination,
         now: TenthMillis,
         events: &mut Vec<ListenerEvent>,
-    ) {
+    ) -> Vec<usize> {
         if let Some(entry) = self.listeners.get(listener) {
             entry.refuse_handshakes();
         }
         self.accept_backlog(listener, now, events);
         // Accepting may have evicted the last connection of a listener that was already draining, which removes it.
         let Some(entry) = self.listeners.get_mut(listener) else {
-            return;
+            return Vec::new();
         };
         let stays_open = entry.accept_failed && termination == Termination::Shutdown;
         if !stays_open && let Some(socket) = entry.socket.take() {
@@ -89,14 +95,10 @@
         }
         entry.removed |= termination == Termination::ListenerClosed;
         let owned = self.connections.iter();
-        let slots: Vec<usize> = owned
+        owned
             .filter(|(_, connection)| connection.listener == listener)
             .map(|(slot, _)| slot)
-            .collect();
-        for slot in slots {
-            self.drain_connection(slot, termination, now, events);
-        }
-        self.remove_if_drained(listener);
+            .collect()
     }
 
     fn accept_backlog(
@@ -118,33 +120,30 @@
         }
     }
 
-    fn drain_connection(
-        &mut self,
-        slot: usize,
-        termination: Termination,
-        now: TenthMillis,
-        events: &mut Vec<ListenerEvent>,
-    ) {
-        self.read_arrived(slot, now, events);
-        if self.connections.contains(slot) {
-            self.close_when_answered(slot, termination);
+    /// Returns the slots of all connections.
+    pub fn connection_slots(&self) -> Vec<usize> {
+        self.connections.iter().map(|(slot, _)| slot).collect()
+    }
+
+    /// Reads once what has arrived on a connection, if the connection is still open and read.
+    pub fn read_arrived(&mut self, slot: usize, now: TenthMillis, events: &mut Vec<ListenerEvent>) {
+        let connection = self.connections.get(slot);
+        if connection.is_some_and(Connection::is_reading) {
+            self.read(slot, now, events);
         }
     }
 
-    /// Reads what has arrived on all connections.
-    pub fn read_all_arrived(&mut self, now: TenthMillis, events: &mut Vec<ListenerEvent>) {
-        let slots: Vec<usize> = self.connections.iter().map(|(slot, _)| slot).collect();
-        for slot in slots {
-            self.read_arrived(slot, now, events);
+    /// Refuses requests that arrive on a connection from now on, and closes it once all its requests are answered.
+    pub fn refuse_further_requests(&mut self, slot: usize, termination: Termination) {
+        if self.connections.contains(slot) {
+            self.close_when_answered(slot, termination);
         }
     }
 
-    fn read_arrived(&mut self, slot: usize, now: TenthMillis, events: &mut Vec<ListenerEvent>) {
-        for _ in 0..MAX_FINAL_READS {
-            let connection = self.connections.get(slot);
-            if connection.is_some_and(|connection| connection.is_reading()) {
-                self.read(slot, now, events);
-            }
+    /// Removes the listeners that are no longer in the installation and have no connection.
+    pub fn remove_drained(&mut self) {
+        for listener in self.listener_indices() {
+            self.remove_if_drained(listener);
         }
     }
 
--- a/crates/node/tests/node/backlog.rs
+++ b/crates/node/tests/node/backlog.rs
@@ -183,7 +183,7 @@
     /// Runs one turn: reads ready connections, answers complete requests and writes.
     fn turn(&mut self) {
         self.listeners.sweep(0, &mut self.events);
-        self.listeners.flush(0, &mut self.events);
+        while self.listeners.flush(0, &mut self.events).is_break() {}
         let mut ready = Events::new();
         self.poller.wait(&mut ready, Some(Duration::ZERO)).unwrap();
         for event in ready
@@ -202,7 +202,7 @@
                     self.check();
                 }
             }
-            self.listeners.flush(0, &mut self.events);
+            while self.listeners.flush(0, &mut self.events).is_break() {}
             self.check();
         }
     }
--- a/crates/node/tests/node/caller_connections.rs
+++ b/crates/node/tests/node/caller_connections.rs
@@ -43,7 +43,7 @@
     for _ in 0..turns {
         // A connection that sent an unreadable request is read again after the next sweep.
         listeners.sweep(0, &mut listener_events);
-        listeners.flush(0, &mut listener_events);
+        while listeners.flush(0, &mut listener_events).is_break() {}
         _ = non_reading.write(&batch);
         reading.write_all(&empty_request).unwrap();
         let counts_before = listeners.counts().unreadable.clone();
@@ -55,7 +55,7 @@
                 .iter()
                 .filter(|e| e.key >= FIRST_CONNECTION_KEY)
                 .for_each(|e| listeners.on_event(e, 0, &mut listener_events));
-            listeners.flush(0, &mut listener_events);
+            while listeners.flush(0, &mut listener_events).is_break() {}
         }
         assert!(
             listeners.unread_answer_bytes() < 200_000,
@@ -79,7 +79,7 @@
         let mut buffer = [0; 65_536];
         let length = reading.read(&mut buffer).unwrap();
         answers.extend(&buffer[..length]);
-        listeners.flush(0, &mut listener_events);
+        while listeners.flush(0, &mut listener_events).is_break() {}
     }
     false
 }
@@ -125,14 +125,14 @@
             answer_count == 1
         );
         listeners.sweep(0, &mut listener_events);
-        listeners.flush(0, &mut listener_events);
+        while listeners.flush(0, &mut listener_events).is_break() {}
         events.clear();
         poller.wait(&mut events, None).unwrap();
         events
             .iter()
             .filter(|e| e.key >= FIRST_CONNECTION_KEY)
             .for_each(|e| listeners.on_event(e, 0, &mut listener_events));
-        listeners.flush(0, &mut listener_events);
+        while listeners.flush(0, &mut listener_events).is_break() {}
         assert!(connection.read(&mut answer).unwrap() > 0);
         assert_eq!(
             listeners.counts().unreadable.values().sum::<u64>(),
--- a/crates/node/tests/node/connection_ends.rs
+++ b/crates/node/tests/node/connection_ends.rs
@@ -9,11 +9,12 @@
 use doortrack_fakes::MAX_WAIT;
 use doortrack_fakes::fixture::fresh_address;
 use doortrack_fakes::records::{Client, record, request};
-use doortrack_node::network::bounds::EVICTION_GRACE;
+use doortrack_node::network::bounds::{EVICTION_GRACE, MAX_FINAL_READS};
 use doortrack_node::network::listeners::{
     Caller, FIRST_CONNECTION_KEY, FIRST_LISTENER_KEY, ListenerEvent, Listeners,
 };
 use doortrack_node::network::request::{Answer, DeploymentNames, RunOutput};
+use doortrack_node::network::termination::Termination;
 use doortrack_protocols::Protocol;
 use polling::{Events, Poller};
 
@@ -89,7 +90,11 @@
                     .on_event(event, self.now, &mut listener_events),
             }
         }
-        self.listeners.flush(self.now, &mut listener_events);
+        while self
+            .listeners
+            .flush(self.now, &mut listener_events)
+            .is_break()
+        {}
         self.requests
             .extend(listener_events.into_iter().filter_map(|event| match event {
                 ListenerEvent::Request { caller, .. } => Some(caller),
@@ -111,7 +116,33 @@
         self.now += duration;
         let mut listener_events = Vec::new();
         self.listeners.sweep(self.now, &mut listener_events);
-        self.listeners.flush(self.now, &mut listener_events);
+        while self
+            .listeners
+            .flush(self.now, &mut listener_events)
+            .is_break()
+        {}
+    }
+
+    fn drain_listener(&mut self, address: SocketAddr) {
+        let events = &mut Vec::new();
+        let slots = self.listeners.drain_listener(address, self.now, events);
+        self.drain_connections(slots, Termination::ListenerClosed);
+        self.listeners.remove_drained();
+    }
+
+    fn drain_all(&mut self) {
+        let slots = self.listeners.drain_all(self.now, &mut Vec::new());
+        self.drain_connections(slots, Termination::Shutdown);
+    }
+
+    /// Reads what has arrived on these connections, and refuses further requests, as the event loop does.
+    fn drain_connections(&mut self, slots: Vec<usize>, termination: Termination) {
+        for slot in slots {
+            for _ in 0..MAX_FINAL_READS {
+                self.listeners.read_arrived(slot, self.now, &mut Vec::new());
+            }
+            self.listeners.refuse_further_requests(slot, termination);
+        }
     }
 
     fn connect(&self, at: SocketAddr) -> Client {
@@ -159,7 +190,7 @@
         };
         self.listeners
             .answer(self.requests[index], Answer::Completed(output));
-        self.listeners.flush(self.now, &mut Vec::new());
+        while self.listeners.flush(self.now, &mut Vec::new()).is_break() {}
         assert_eq!(client.reply().body, b"made");
     }
 }
@@ -324,9 +355,7 @@
     let mut client = table.connect(listener_address);
     client.send_look(1, 1);
     table.run_until(|table| table.requests.len() == 1);
-    table
-        .listeners
-        .drain_listener(listener_address, table.now, &mut Vec::new());
+    table.drain_listener(listener_address);
     table.check_refused(&mut client, 2, 2);
     table.check_answered(0, &mut client);
     assert!(is_at_end(&mut client));
@@ -347,12 +376,12 @@
     table
         .listeners
         .answer(table.requests[0], Answer::Completed(output));
-    table.listeners.flush(table.now, &mut Vec::new());
+    while table.listeners.flush(table.now, &mut Vec::new()).is_break() {}
     assert!(
         table.listeners.unread_answer_bytes() > 0,
         "the whole answer was written at once"
     );
-    table.listeners.drain_all(table.now, &mut Vec::new());
+    table.drain_all();
     table.listeners.close_quiet(table.now, &mut Vec::new());
     let reader = std::thread::spawn(move || (client.reply().body, is_at_end(&mut client)));
     table.run_until(|table| table.listeners.unread_answer_bytes() == 0);
--- a/crates/node/tests/node/half_closed.rs
+++ b/crates/node/tests/node/half_closed.rs
@@ -87,7 +87,7 @@
             body: b"yours",
         }),
     );
-    listeners.flush(now, &mut Vec::new());
+    while listeners.flush(now, &mut Vec::new()).is_break() {}
     assert_eq!(client.reply().body, b"yours");
     assert!(client.is_closed());
 }
--- a/crates/node/tests/node/main.rs
+++ b/crates/node/tests/node/main.rs
@@ -31,6 +31,7 @@
 mod refused_repeats;
 mod reload_with_shutdown;
 mod reloads;
+mod request_memory;
 mod request_tables;
 mod restart;
 mod rules;
