One identity for an idempotency key, whatever listener and rule it comes by

The same text in two unlike headers was one key, so that the second of two requests never ran.

Cause: the platform's listener kept the 32 hex digits as they came, a rule with `idempotency_key` a digest of its value alone; both were keys of one table, where they never met.

Change: a key is `IdempotencyKey` of the package `routes`: the 128 bits of the platform's digits, in either case, or a digest over source and value. An expression that reads the platform's header has the platform as its source; of `a ?? b` and `if` the part that gave the value counts.

--- a/crates/config/src/reload/keys.rs
+++ b/crates/config/src/reload/keys.rs
@@ -3,6 +3,7 @@
 
 use std::collections::HashMap;
 
+use doortrack_routes::key_meaning;
 use sha2::{Digest as _, Sha256};
 
 use crate::Installation;
@@ -34,14 +35,14 @@
         let mut conditions = limits_digest(installation.expressions);
         let mut groups: Vec<Option<Sha256>> = vec![None; group_names.len()];
         for (position, rule) in installation.rules.iter().enumerate() {
-            add_text(&mut conditions, Some(&rule.when));
+            add_text(&mut conditions, &rule.when);
             let Some(index) = index_of(&rule.group) else {
                 continue;
             };
             let group = groups[index].get_or_insert_default();
             group.update((position as u64).to_le_bytes());
             group.update(conditions.clone().finalize());
-            add_text(group, rule.idempotency_key.as_deref());
+            group.update(key_meaning(rule.idempotency_key.as_deref()));
         }
         if let Some(index) = installation.fallback_group.as_deref().and_then(index_of) {
             let group = groups[index].get_or_insert_default();
@@ -75,10 +76,8 @@
     digest
 }
 
-/// Adds a string and its length, which separates adjacent strings and distinguishes an absent string from an empty
-/// one.
-fn add_text(digest: &mut Sha256, text: Option<&str>) {
-    let length = text.map_or(u64::MAX, |text| text.len() as u64);
-    digest.update(length.to_le_bytes());
-    digest.update(text.unwrap_or_default());
+/// Adds a string and its length, which separates adjacent strings.
+fn add_text(digest: &mut Sha256, text: &str) {
+    digest.update((text.len() as u64).to_le_bytes());
+    digest.update(text);
 }
--- a/crates/config/tests/reload.rs
+++ b/crates/config/tests/reload.rs
@@ -264,6 +264,66 @@
     assert_eq!(changed(&keyless, &moved), ["look", "book"]);
 }
 
+/// Guards against a change of rules that is judged by their text and not by the keys that they give: one that leaves
+/// each key what it was is refused, or one that changes keys is not.
+#[test]
+fn keys_change_only_if_they_are_read_from_something_else() {
+    let with = |key: Option<&str>| json!({"rules": [{"when": "true", "group": "pay", "idempotency_key": key}]});
+    let same = |one: Option<&str>, other: Option<&str>| {
+        assert_eq!(
+            changed(&with(one), &with(other)),
+            [""; 0],
+            "{one:?}, {other:?}"
+        );
+        assert_eq!(
+            changed(&with(other), &with(one)),
+            [""; 0],
+            "{other:?}, {one:?}"
+        );
+    };
+    same(None, Some("header(\"idempotency-key\")"));
+    same(None, Some("lower(header(\"Idempotency-Key\") ?? \"\")"));
+    same(None, Some("variable(\"HTTP_IDEMPOTENCY_KEY\")"));
+    same(
+        Some("header(\"x-order\")"),
+        Some("raw_header( \"X-Order\" )"),
+    );
+    same(
+        Some("header(\"x-order\")"),
+        Some("header(\"x-order\") ?? \"\""),
+    );
+    let differ = |one: Option<&str>, other: Option<&str>| {
+        assert_eq!(
+            changed(&with(one), &with(other)),
+            ["pay"],
+            "{one:?}, {other:?}"
+        );
+        assert_eq!(
+            changed(&with(other), &with(one)),
+            ["pay"],
+            "{other:?}, {one:?}"
+        );
+    };
+    differ(None, Some("header(\"x-order\")"));
+    differ(Some("header(\"x-trip\")"), Some("header(\"x-order\")"));
+    differ(
+        Some("header(\"x-order\")"),
+        Some("lower(header(\"x-order\") ?? \"\")"),
+    );
+    differ(
+        None,
+        Some("header(\"x-order\") ?? header(\"idempotency-key\")"),
+    );
+    differ(
+        Some("header(\"x-order\") ?? header(\"x-trip\")"),
+        Some("header(\"x-trip\") ?? header(\"x-order\")"),
+    );
+    differ(
+        Some("if present(header(\"x-a\")) { path } else { query }"),
+        Some("if present(header(\"x-b\")) { path } else { query }"),
+    );
+}
+
 #[test]
 fn keys_depend_on_the_fallback_group_and_the_limits() {
     let rule = json!({"when": "path == \"/pay\"", "group": "pay"});
--- a/crates/fault-harness/tests/state_bytes.rs
+++ b/crates/fault-harness/tests/state_bytes.rs
@@ -19,7 +19,7 @@
     MemberUpdate, Parameters,
 };
 use doortrack_node::network::connection::{Connection, PendingRequest};
-use doortrack_node::network::request::RunOutput;
+use doortrack_node::network::request::{IdempotencyKey, RunOutput};
 use doortrack_node::state::in_flight::{InFlightRequest, InFlightTable, Stage};
 use doortrack_node::state::results::ResultTable;
 use doortrack_routes::{GroupName, Names, Rule, Table};
@@ -86,6 +86,7 @@
         for index in 0..COUNT {
             let mut key = [0; 32];
             key[..8].copy_from_slice(&index.to_le_bytes());
+            let key = IdempotencyKey::Derived(key);
             results.record(index as u32, (1, key), b"{}", 0, 600_000, 0);
             results.complete(index as u32, Ok(result));
         }
--- a/crates/node/src/commands/routes.rs
+++ b/crates/node/src/commands/routes.rs
@@ -8,7 +8,7 @@
 use doortrack_config::rules::RuleConfig;
 use doortrack_config::{ConfigErrors, Installation, deserialize, installation, node_config};
 use doortrack_expr::{Kind, Limits, LiteralRequest, Scratch, Span, infer, parse};
-use doortrack_routes::{Classification, Rejection, Table};
+use doortrack_routes::{Classification, IdempotencyKey, Rejection, Table};
 use doortrack_time::MILLISECOND;
 use serde::Deserialize;
 
@@ -212,9 +212,13 @@
     let rank = class.rank.map(|rank| format!("rank: {rank}"));
     let timeout = class.timeout;
     let timeout = timeout.map(|timeout| format!("due: {} ms", timeout / MILLISECOND));
-    let idempotency_key = class.idempotency_key.map(|key| {
-        let [first, second, ..] = key;
-        format!("idempotency_key: digest {first:02x}{second:02x}...")
+    let idempotency_key = class.idempotency_key.map(|key| match key {
+        IdempotencyKey::Platform([first, second, ..]) => {
+            format!("idempotency_key: of the platform, {first:02x}{second:02x}...")
+        }
+        IdempotencyKey::Derived([first, second, ..]) => {
+            format!("idempotency_key: digest {first:02x}{second:02x}...")
+        }
     });
     [session_key, rank, timeout, idempotency_key]
         .into_iter()
--- a/crates/node/src/network/classifier.rs
+++ b/crates/node/src/network/classifier.rs
@@ -217,6 +217,6 @@
     }
     match class.and_then(|class| class.idempotency_key) {
         Some(key) => Ok(Some(key)),
-        None => fields.required_hex("HTTP_IDEMPOTENCY_KEY").map(Some),
+        None => fields.required_idempotency_key().map(Some),
     }
 }
--- a/crates/node/src/network/request.rs
+++ b/crates/node/src/network/request.rs
@@ -8,6 +8,7 @@
 use std::fmt;
 
 use doortrack_protocols::Protocol;
+pub use doortrack_routes::IdempotencyKey;
 use doortrack_time::{MILLISECOND, TenthMillis};
 
 pub use self::answer::{Answer, RefusalReason, RunOutput, write};
@@ -25,8 +26,6 @@
 
 /// The id of an attempt, which dispatchers and the engine use: 16 hex digits as received.
 pub type AttemptId = [u8; 16];
-/// The idempotency key of a request: 32 hex digits as received.
-pub type IdempotencyKey = [u8; 32];
 
 /// The properties of a request that admission needs.
 #[derive(Clone, Debug, PartialEq)]
@@ -175,7 +174,7 @@
         memory_kb: validate_memory_kb(memory_kb)?,
         rank: validate_rank(rank)?,
         idempotency_key: match names.idempotency_keyed[group] {
-            true => Some(fields.required_hex("HTTP_IDEMPOTENCY_KEY")?),
+            true => Some(fields.required_idempotency_key()?),
             false => None,
         },
         session_key: fields.session_key()?,
--- a/crates/node/src/network/request/fields.rs
+++ b/crates/node/src/network/request/fields.rs
@@ -3,6 +3,7 @@
 use std::str::FromStr;
 
 use doortrack_protocols::Variable;
+use doortrack_routes::{IdempotencyKey, PLATFORM_KEY_VARIABLE};
 
 use super::Unreadable;
 
@@ -68,6 +69,25 @@
             .transpose()
     }
 
+    /// Returns the platform's idempotency key, if present.
+    pub(in crate::network) fn find_idempotency_key(
+        &self,
+    ) -> Result<Option<IdempotencyKey>, Unreadable> {
+        let parse = |text: &str| {
+            IdempotencyKey::platform(text.as_bytes())
+                .ok_or(Unreadable::Field(PLATFORM_KEY_VARIABLE))
+        };
+        self.find(PLATFORM_KEY_VARIABLE)?.map(parse).transpose()
+    }
+
+    /// Returns the platform's idempotency key.
+    pub(in crate::network) fn required_idempotency_key(
+        &self,
+    ) -> Result<IdempotencyKey, Unreadable> {
+        self.find_idempotency_key()?
+            .ok_or(Unreadable::Field(PLATFORM_KEY_VARIABLE))
+    }
+
     /// Returns true if the request is a retry.
     pub(in crate::network) fn is_retry(&self) -> Result<bool, Unreadable> {
         Ok(self.find("HTTP_X_RETRY")? == Some("1"))
--- a/crates/node/src/network/request/incomplete_key.rs
+++ b/crates/node/src/network/request/incomplete_key.rs
@@ -43,7 +43,7 @@
 
     /// Reads the key of a request to an endpoint group whose requests carry one.
     fn of_group(group: u8, fields: &Fields) -> IncompleteKey {
-        match fields.find_hex("HTTP_IDEMPOTENCY_KEY") {
+        match fields.find_idempotency_key() {
             Ok(Some(key)) => IncompleteKey::Known { group, key },
             Ok(None) => IncompleteKey::Unknown,
             Err(_) => IncompleteKey::None,
--- a/crates/node/tests/node/components.rs
+++ b/crates/node/tests/node/components.rs
@@ -8,7 +8,8 @@
 use doortrack_node::network::engine_protocol::{self, EngineMessage};
 use doortrack_node::network::registry::{self, Registry};
 use doortrack_node::network::request::{
-    self, Answer, DecodedRequest, DeploymentNames, RefusalReason, RunOutput, Unreadable,
+    self, Answer, DecodedRequest, DeploymentNames, IdempotencyKey, RefusalReason, RunOutput,
+    Unreadable,
 };
 use doortrack_node::network::termination::{Outcome, Termination};
 use doortrack_protocols::fastcgi::{self, RequestSplitter};
@@ -248,7 +249,10 @@
     );
     assert_eq!(
         (request.idempotency_key, request.session_key),
-        (Some(*b"5c0f6e1a2b3d4c59a8b7c6d5e4f30211"), 0)
+        (
+            IdempotencyKey::platform(b"5c0f6e1a2b3d4c59a8b7c6d5e4f30211"),
+            0
+        )
     );
     assert!(!request.retry);
     let mut look_variables = REQUEST_VARIABLES[..8].to_vec();
--- a/crates/node/tests/node/main.rs
+++ b/crates/node/tests/node/main.rs
@@ -13,6 +13,7 @@
 mod connection_ends;
 mod early_signals;
 mod half_closed;
+mod idempotency_keys;
 mod idle;
 mod incomplete_requests;
 mod interrupts;
--- a/crates/node/tests/node/request_tables.rs
+++ b/crates/node/tests/node/request_tables.rs
@@ -1,11 +1,18 @@
 //! The tables of results and of requests in flight, each by itself.
 
-use doortrack_node::network::request::{BodyHash, RunOutput};
+use doortrack_node::network::request::{BodyHash, IdempotencyKey, RunOutput};
 use doortrack_node::state::in_flight::{InFlightRequest, InFlightTable, Stage};
-use doortrack_node::state::results::{DuplicateCheck, NoResult, ResultTable, StoredResult};
+use doortrack_node::state::results::{
+    DedupKey, DuplicateCheck, NoResult, ResultTable, StoredResult,
+};
 use doortrack_time::MILLISECOND;
 
-const DEDUP_KEY: (u8, [u8; 32]) = (1, [b'a'; 32]);
+const DEDUP_KEY: DedupKey = (1, IdempotencyKey::Derived([b'a'; 32]));
+
+/// A key in which each byte is `byte`.
+fn key_of(byte: u8) -> DedupKey {
+    (0, IdempotencyKey::Derived([byte; 32]))
+}
 
 #[test]
 fn the_dedup_window_counts_between_arrival_times_however_late_a_duplicate_is_read() {
@@ -84,12 +91,12 @@
     let mut results = ResultTable::new(3, 10, 0);
     for request in 1..=3u32 {
         assert_eq!(
-            results.check_duplicate(&(0, [request as u8; 32]), BodyHash::of(b""), 0),
+            results.check_duplicate(&key_of(request as u8), BodyHash::of(b""), 0),
             DuplicateCheck::FirstUse
         );
         results.record(
             request,
-            (0, [request as u8; 32]),
+            key_of(request as u8),
             b"",
             0,
             1000 * MILLISECOND,
@@ -98,12 +105,12 @@
         results.complete(request, Ok(RunOutput::from(&b"123456"[..])));
     }
     assert_eq!(
-        results.check_duplicate(&(0, [4; 32]), BodyHash::of(b""), 0),
+        results.check_duplicate(&key_of(4), BodyHash::of(b""), 0),
         DuplicateCheck::TableFull,
         "a new key"
     );
     assert_eq!(
-        results.check_duplicate(&(0, [1; 32]), BodyHash::of(b""), 0),
+        results.check_duplicate(&key_of(1), BodyHash::of(b""), 0),
         DuplicateCheck::Duplicate(1),
         "the key of a run is never refused"
     );
@@ -117,7 +124,7 @@
         "the request ran, but there was no room for its result"
     );
     assert_eq!(
-        results.check_duplicate(&(0, [2; 32]), BodyHash::of(b""), 0),
+        results.check_duplicate(&key_of(2), BodyHash::of(b""), 0),
         DuplicateCheck::Duplicate(2),
         "a request without a result must not run again"
     );
@@ -125,13 +132,13 @@
     assert_eq!(
         (
             results.bytes(),
-            results.check_duplicate(&(0, [1; 32]), BodyHash::of(b""), 0)
+            results.check_duplicate(&key_of(1), BodyHash::of(b""), 0)
         ),
         (0, DuplicateCheck::FirstUse)
     );
     results.record(
         4,
-        (0, [3; 32]),
+        key_of(3),
         b"",
         2000 * MILLISECOND,
         1000 * MILLISECOND,
--- a/crates/node/tests/node/rules.rs
+++ b/crates/node/tests/node/rules.rs
@@ -52,7 +52,7 @@
 
 /// Returns the run that a request started, or `None` if the request was answered without a run. Since the node sends
 /// STAT at every tick, one of the two happens however slow the machine is.
-fn run_unless_answered(pending: &PendingAnswer, engine: &mut Engine) -> Option<String> {
+pub fn run_unless_answered(pending: &PendingAnswer, engine: &mut Engine) -> Option<String> {
     pending.sock.set_nonblocking(true).unwrap();
     let mut run = None;
     while run.is_none() && pending.sock.peek(&mut [0]).is_err() {
--- a/crates/routes/src/classify.rs
+++ b/crates/routes/src/classify.rs
@@ -2,10 +2,10 @@
 
 use doortrack_expr::{Request, Scratch, Value};
 use doortrack_time::{MICROSECONDS_PER_UNIT, TenthMillis};
-use sha2::{Digest, Sha256};
 
 use crate::compile::CompiledRule;
 use crate::fnv1a;
+use crate::idempotency::{IdempotencyKey, KeyValue};
 use crate::table::Table;
 
 /// The properties that a rule assigns to a request. Those that are `None` are determined without the rule, such as
@@ -20,8 +20,8 @@
     pub tenant: Option<u16>,
     /// Hash of the session key, if there is one. Never 0.
     pub session_key: Option<u64>,
-    /// SHA-256 digest of the idempotency key.
-    pub idempotency_key: Option<[u8; 32]>,
+    /// The idempotency key.
+    pub idempotency_key: Option<IdempotencyKey>,
     /// Rank, at least 0 and less than 1.
     pub rank: Option<f32>,
     /// How long the caller waits.
@@ -137,22 +137,20 @@
         }
     }
 
-    /// Returns a digest of the idempotency key, or `None` if the group is not deduplicated or the rule does not
-    /// determine a key.
+    /// Returns the idempotency key, or `None` if the group is not deduplicated or the rule does not determine a key.
     fn idempotency_key<R: Request>(
         &self,
         rule: &CompiledRule,
         request: &R,
         scratch: &mut Scratch,
-    ) -> Result<Option<[u8; 32]>, Rejection> {
+    ) -> Result<Option<IdempotencyKey>, Rejection> {
         let group = &self.environment.groups[usize::from(rule.group)];
-        let Some(program) = rule.idempotency_key.as_ref().filter(|_| group.deduplicated) else {
+        let Some(expression) = rule.idempotency_key.as_ref().filter(|_| group.deduplicated) else {
             return Ok(None);
         };
-        let value = program.eval(request, scratch);
-        match text(value, scratch) {
-            [] => Err(Rejection::IdempotencyKey),
-            bytes => Ok(Some(Sha256::digest(bytes).into())),
+        match expression.eval(request, scratch) {
+            KeyValue::Key(key) => Ok(Some(key)),
+            KeyValue::Absent | KeyValue::Empty => Err(Rejection::IdempotencyKey),
         }
     }
 }
--- a/crates/routes/src/compile.rs
+++ b/crates/routes/src/compile.rs
@@ -4,6 +4,7 @@
 use rustc_hash::FxHashMap;
 use sha2::{Digest as _, Sha256};
 
+use crate::idempotency::{KeyExpression, KeyProgram};
 use crate::predicates::{self, Predicate};
 use crate::rule::{Environment, Rule, RuleError};
 use crate::shadowing::{Condition, Digest};
@@ -17,7 +18,7 @@
     pub(crate) group: u8,
     pub(crate) tenant: Option<Program>,
     pub(crate) session_key: Option<Program>,
-    pub(crate) idempotency_key: Option<Program>,
+    pub(crate) idempotency_key: Option<KeyExpression<KeyProgram>>,
     pub(crate) rank: Option<Program>,
     pub(crate) timeout: Option<Program>,
     pub(crate) pool: Option<u16>,
@@ -87,24 +88,17 @@
             .as_ref()
             .and_then(|expr| self.compile_condition(index, &rule.when, expr));
         let group = self.group_index(index, &rule.group);
-        let mut optional = |key: &str, source: &Option<String>, types: &[Type]| {
-            source
-                .as_ref()
-                .map(|source| self.compile_expression(index, key, source, types))
-        };
-        let tenant = optional("customer", &rule.tenant, &[Type::Str]);
-        let session_key = optional(
+        let tenant = self.compile_optional(index, "customer", &rule.tenant, &[Type::Str]);
+        let session_key = self.compile_optional(
+            index,
             "subject",
             &rule.session_key,
             &[Type::Str, Type::Bytes, Type::Int],
         );
-        let key = optional(
-            "idempotency_key",
-            &rule.idempotency_key,
-            &[Type::Str, Type::Bytes],
-        );
-        let rank = optional("rank", &rule.rank, &[Type::Float]);
-        let timeout = optional("due", &rule.timeout, &[Type::Duration]);
+        let key = rule.idempotency_key.as_ref();
+        let key = key.map(|source| self.compile_key(index, source));
+        let rank = self.compile_optional(index, "rank", &rule.rank, &[Type::Float]);
+        let timeout = self.compile_optional(index, "due", &rule.timeout, &[Type::Duration]);
         let pool = rule.pool.as_ref().map(|name| self.pool_index(index, name));
         if key.is_some() && group.is_some_and(|group| !self.environment.groups[group].deduplicated)
         {
@@ -168,6 +162,31 @@
         self.check_type(index, key, source, result, types)
     }
 
+    /// Compiles an expression that a rule may leave out.
+    #[expect(
+        clippy::option_option,
+        reason = "absent, failed and compiled are three different cases"
+    )]
+    fn compile_optional(
+        &mut self,
+        index: usize,
+        key: &str,
+        source: &Option<String>,
+        types: &[Type],
+    ) -> Option<Option<Program>> {
+        let source = source.as_ref()?;
+        Some(self.compile_expression(index, key, source, types))
+    }
+
+    /// Compiles the expression for an idempotency key, as a whole to check it and then by its alternatives.
+    fn compile_key(&mut self, index: usize, source: &str) -> Option<KeyExpression<KeyProgram>> {
+        let types = [Type::Str, Type::Bytes];
+        self.compile_expression(index, "idempotency_key", source, &types)?;
+        let expr = parse(source).ok()?;
+        let limits = self.environment.limits;
+        KeyExpression::new(&expr).compile(&mut |part| infer_parsed(part, limits).ok())
+    }
+
     /// Returns the compiled program if its type is one of `types`, or an optional of one of them unless `key` is
     /// `when`; reports an error otherwise.
     fn check_type(
--- a/crates/routes/src/lib.rs
+++ b/crates/routes/src/lib.rs
@@ -11,9 +11,11 @@
 //! does no I/O and reads no clock.
 
 mod build;
+mod canonical;
 mod classify;
 mod compile;
 mod fnv1a;
+mod idempotency;
 mod index;
 mod predicates;
 mod rule;
@@ -22,6 +24,7 @@
 
 pub use build::BuildOutput;
 pub use classify::{Class, Classification, Rejection};
+pub use idempotency::{IdempotencyKey, PLATFORM_KEY_VARIABLE, key_meaning};
 pub use rule::{GroupName, Names, Rule, RuleError};
 pub use shadowing::ShadowedRule;
 pub use table::{MAX_RULES, Table};
