End the test of the unread answers' bound whatever the sockets buffer

The test waits until three callers that read nothing are closed, without a bound on its turns.

By reading: with a total of 100,000 bytes a single caller whose unread answers reach the bound of one connection (65,536) and whose suspended input is short stays under the total, which is allowed, and is never closed. How much is suspended depends on what the system buffers. This is inferred, as the state was not caught with its figures.

The total of the test is now that of one connection, so that each such caller has to be closed: a tighter bound on the table, and the same three closes are demanded. A test that does not end fails with the figures.

--- a/crates/node/tests/node/backlog.rs
+++ b/crates/node/tests/node/backlog.rs
@@ -268,9 +268,18 @@
 /// Guards against a total that exceeds its bound while each connection stays within its own.
 #[test]
 fn the_connections_with_most_unread_answers_are_closed_and_readers_are_served() {
-    let mut fixture = ListenerFixture::new(100_000, 4);
+    // A connection that is not read because of its own unread answers reaches the total by itself.
+    let mut fixture = ListenerFixture::new(MAX_UNREAD_ANSWER_BYTES, 4);
     let mut closed = BTreeSet::new();
+    let mut turns = 0;
     while closed.len() < 3 {
+        turns += 1;
+        assert!(
+            turns < MAX_TURNS,
+            "{closed:?} closed, {} bytes of answers and {} of backlog are left",
+            fixture.listeners.unread_answer_bytes(),
+            fixture.listeners.backlog_bytes()
+        );
         for (index, caller) in fixture.callers.iter_mut().enumerate() {
             let never_reads = index < 3;
             if caller.unsent.is_empty() && !closed.contains(&index) {
