Decide on what was read before a configuration comes into force

The check that no key is within its window asks the table of results, in which those requests had no entry.

Change: `apply_built_configs` handles all events that have been read and decides on the batch before it judges a configuration, so that whatever a reload judges or changes by state sees each request that was read.

--- a/crates/node/src/event_loop/reload.rs
+++ b/crates/node/src/event_loop/reload.rs
@@ -44,9 +44,12 @@
         self.reloader.begin(base);
     }
 
-    /// Applies the configurations that have been built, if any.
+    /// Applies the configurations that have been built, if any. Requests that were read before are decided on first: the
+    /// checks of a configuration see only requests with an entry in the node's tables.
     pub(super) fn apply_built_configs(&mut self) {
         while let Some((result, next_begins)) = self.reloader.poll() {
+            self.handle_listener_events();
+            self.decide();
             let retired = self.apply(result);
             self.reloader.retire(retired);
             if self.shutdown.take_reload(next_begins) {
--- a/crates/node/tests/node/main.rs
+++ b/crates/node/tests/node/main.rs
@@ -30,6 +30,7 @@
 mod races;
 mod random_faults;
 mod refused_repeats;
+mod reload_reads;
 mod reload_with_shutdown;
 mod reloads;
 mod request_memory;
--- a/crates/node/tests/node/request_memory.rs
+++ b/crates/node/tests/node/request_memory.rs
@@ -38,13 +38,14 @@
     }
 }
 
-fn write_withdrawn_requests(client: &mut Client, nth: u64) {
+/// Writes requests, each with its withdrawal, as long as the socket takes them and at most about this many bytes.
+pub fn write_withdrawn_requests(client: &mut Client, nth: u64, max_bytes: usize) {
     client.sock.set_nonblocking(true).unwrap();
     let mut written = 0;
     for attempt_number in 1000 * nth.. {
         let bytes = withdrawn_request(attempt_number);
         written += bytes.len();
-        if !write_some(client, &bytes) || written > BYTES_PER_CLIENT {
+        if !write_some(client, &bytes) || written > max_bytes {
             return;
         }
     }
@@ -92,7 +93,7 @@
     let mut clients = connect_clients(&fixture);
     fixture.signal("-STOP");
     for (client, nth) in clients.iter_mut().zip(1..) {
-        write_withdrawn_requests(client, nth);
+        write_withdrawn_requests(client, nth, BYTES_PER_CLIENT);
     }
     fixture.signal("-CONT");
     let mut other = fixture.client();
@@ -113,7 +114,7 @@
     std::thread::sleep(Duration::from_millis(STOP_MS / 2));
     fixture.signal("-STOP");
     for (client, nth) in clients.iter_mut().zip(1..) {
-        write_withdrawn_requests(client, nth);
+        write_withdrawn_requests(client, nth, BYTES_PER_CLIENT);
     }
     std::thread::sleep(Duration::from_millis(STOP_MS / 2));
     fixture.signal("-CONT");
