Keep the result of a keyed run whose caller left

What callers saw: of requests with a key whose client closed, reset or aborted, nearly all repeats were answered 500 for their whole window, though the request had run.

Cause: the controller cancels each started run as its caller leaves. A cancelled run leaves no result, and its entry stays as it may have run.

Change: a deduplicated run goes on until its deadline, at which it is cancelled as before; its result answers the repeats.

Evidence: refused_repeats::a_repeat_gets_the_result_of_a_run_whose_ caller_left, aborted and reset, failed on the former code and passes.

--- a/crates/admission/src/controller/answer.rs
+++ b/crates/admission/src/controller/answer.rs
@@ -5,7 +5,7 @@
 use super::AdmissionController;
 use crate::in_flight::{Slot, Stage};
 use crate::thresholds::LOWER_THRESHOLD;
-use crate::{Action, RequestId};
+use crate::{Action, Effect, RequestId};
 
 /// Interval at which a cancellation is repeated until the end of the run is reported. It is
 /// repeated because it has no effect while the node is stalled.
@@ -64,15 +64,16 @@
     }
 
     /// Handles a caller that no longer waits: cancels its request if that has started, otherwise
-    /// removes it.
+    /// removes it. A deduplicated run goes on until its deadline, as its result answers the retries
+    /// that come within the window.
     pub(super) fn on_caller_gone(&mut self, id: RequestId, actions: &mut Vec<Action>) {
         let Some(slot) = self.in_flight.slot_of(id) else {
             return;
         };
-        if self.in_flight[slot].has_started() {
-            self.cancel(slot, actions);
-        } else {
+        if !self.in_flight[slot].has_started() {
             self.remove_unstarted(slot, actions);
+        } else if self.group_of(slot).effect != Effect::Deduplicated {
+            self.cancel(slot, actions);
         }
     }
 
--- a/crates/node/tests/node/refused_repeats.rs
+++ b/crates/node/tests/node/refused_repeats.rs
@@ -231,3 +231,36 @@
     fixture.signal("-TERM");
     assert_eq!(status_by_id(client.reply()), (4, OVERLOADED));
 }
+
+/// Guards against giving up a run with a key as its caller leaves: the repeats would be failed for the whole window,
+/// though the request ran.
+#[test]
+fn a_repeat_gets_the_result_of_a_run_whose_caller_left() {
+    let (fixture, mut engine, _) = start_with_completed_request(|_| {});
+    for (attempt_number, key) in [(2, RUNNING_KEY), (3, NEW_KEY)] {
+        let mut caller = fixture.client();
+        caller.send(&pay(1, attempt_number, key));
+        let (call, _) = engine.next_run();
+        if key == RUNNING_KEY {
+            caller.send(&record(2, 1, b""));
+        } else {
+            // With an answer unread, the close of the socket resets the connection.
+            caller.send(&request(2, 50, "/status/live", &[], b""));
+            assert!(caller.has_reply());
+            drop(caller);
+        }
+        // The answer on another connection shows that the node has read the end of the first one.
+        let mut other = fixture.client();
+        other.send(&request(1, 100 + attempt_number, "/status/live", &[], b""));
+        assert_eq!(other.reply().status, 200);
+        assert_eq!(
+            engine.next_command_within_stats(2),
+            None,
+            "the run is cancelled"
+        );
+        engine.finish_run(&call, "OK", RESULT);
+        other.send(&pay(2, 10 + attempt_number, key));
+        let repeat = other.reply();
+        assert_eq!((repeat.status, &repeat.body[..]), (200, RESULT));
+    }
+}
