--- a/crates/node/src/event_loop.rs
+++ b/crates/node/src/event_loop.rs
@@ -13,6 +13,7 @@
 mod deduplication;
 mod error;
 mod gauge_readings;
+mod reading;
 mod reload;
 mod reloader;
 mod running_config;
@@ -23,10 +24,9 @@
 mod timers;
 
 use std::sync::Arc;
-use std::time::Duration;
 
-use doortrack_time::{MICROSECONDS_PER_UNIT, MILLISECOND, TenthMillis};
-use polling::{Event as Readiness, Events, Poller};
+use doortrack_time::{MILLISECOND, TenthMillis};
+use polling::{Events, Poller};
 use slog::Logger;
 
 use self::admission_driver::AdmissionDriver;
@@ -39,24 +39,17 @@
 use self::summary::SummarySchedule;
 use self::timers::Timers;
 use crate::network::backend::{Backend, BackendEvent};
-use crate::network::bounds::MAX_FINAL_READS;
-use crate::network::listeners::{
-    FIRST_CONNECTION_KEY, FIRST_LISTENER_KEY, ListenerEvent, Listeners,
-};
+use crate::network::listeners::{ListenerEvent, Listeners};
 use crate::network::registry::Registry;
-use crate::network::servers::FIRST_SERVER_KEY;
 use crate::network::termination::Termination;
 use crate::state::in_flight::InFlightTable;
 use crate::state::results::ResultTable;
-use crate::subsystem::{SUBSYSTEM_KEYS, Subsystem};
+use crate::subsystem::Subsystem;
 use crate::system::clock::Clock;
-use crate::system::signals::{DRAIN_KEY, RELOAD_KEY, Signals};
+use crate::system::signals::Signals;
 
 /// Interval between two scans for idle connections and expired results.
 const MAINTENANCE_INTERVAL: TenthMillis = 25 * MILLISECOND;
-/// If the poller returns later than this after its due time, the process is taken to have been suspended.
-const SUSPEND_THRESHOLD: TenthMillis = 10 * MILLISECOND;
-
 /// One node of a fleet: its sockets, the admission controller and the requests in flight.
 pub struct Node {
     config: RunningConfig,
@@ -132,33 +125,7 @@
         }
     }
 
-    // --- Waiting and reading ---
-
-    /// Waits until a socket is ready or the next turn is due, and reads what is ready. Answers of the backend that have
-    /// arrived are handled before callers' connections are read.
-    fn wait_and_read(&mut self, ready: &mut Events) -> Result<(), ServeError> {
-        let due = self.next_due();
-        let was_draining = self.shutdown.is_draining();
-        self.wait(due, ready)?;
-        self.read_peers(ready, due, was_draining);
-        // If the process was suspended, events that arrived meanwhile go before timers that expired.
-        let was_suspended = self.now > due + SUSPEND_THRESHOLD;
-        if was_suspended {
-            self.wait(due, ready)?;
-            self.read_peers(ready, due, was_draining);
-        }
-        self.handle_backend_events();
-        self.give_up_runs_in_doubt();
-        self.read_callers(ready);
-        if was_suspended {
-            self.wait(due, ready)?;
-            self.read_peers(ready, due, was_draining);
-            self.handle_backend_events();
-            self.read_callers(ready);
-        }
-        self.apply_built_configs();
-        Ok(())
-    }
+    // --- Times ---
 
     fn read_clocks(&mut self) {
         let reading = self.clock.read();
@@ -195,91 +162,6 @@
             .max(self.now)
     }
 
-    /// Waits until a socket is ready, until `due` at the latest.
-    fn wait(&mut self, due: TenthMillis, ready: &mut Events) -> Result<(), ServeError> {
-        ready.clear();
-        let wait = Duration::from_micros(due.saturating_sub(self.now) * MICROSECONDS_PER_UNIT);
-        match self.poller.wait(ready, Some(wait)) {
-            Err(e) if e.kind() != std::io::ErrorKind::Interrupted => Err(ServeError::Poller(e)),
-            _ => {
-                self.waited_since = self.now;
-                self.read_clocks();
-                Ok(())
-            }
-        }
-    }
-
-    /// Reads every ready socket that is not a caller's: signals, the subsystems and the backend. `was_draining` is true
-    /// if the node was draining before this turn.
-    fn read_peers(&mut self, ready: &Events, due: TenthMillis, was_draining: bool) {
-        let mut reload = false;
-        for readiness in ready.iter() {
-            match readiness.key {
-                // Handled last: the other ready sockets may be on links that the reload closes.
-                RELOAD_KEY => reload = true,
-                key if is_caller_key(key) => {}
-                _ => self.read_peer(readiness, due),
-            }
-        }
-        // The write that wakes the poller may have failed.
-        if self.signals.is_pending(DRAIN_KEY) {
-            self.drain(self.waited_since);
-        }
-        if reload || self.signals.is_pending(RELOAD_KEY) {
-            self.request_reload();
-            // The order of two signals that are read in one turn is unknown.
-            if !was_draining && self.shutdown.is_draining() {
-                self.shutdown.expect_reload();
-            }
-        }
-    }
-
-    fn read_peer(&mut self, readiness: Readiness, due: TenthMillis) {
-        match readiness.key {
-            // If the process was suspended, the signal may have come as early as `due`.
-            DRAIN_KEY => self.drain(self.now.min(due)),
-            key if SUBSYSTEM_KEYS.contains(&key) => {
-                let owners = self.subsystems.iter_mut();
-                owners
-                    .filter(|subsystem| subsystem.key() == key)
-                    .for_each(|subsystem| subsystem.on_readable());
-            }
-            _ => self
-                .backend
-                .on_event(readiness, self.now, &mut self.backend_events),
-        }
-    }
-
-    /// Accepts connections and reads the connections that are ready. What is read from one is handled before the next
-    /// one is read.
-    fn read_callers(&mut self, ready: &Events) {
-        for readiness in ready.iter() {
-            match readiness.key {
-                key if !is_caller_key(key) => continue,
-                key @ FIRST_LISTENER_KEY..FIRST_CONNECTION_KEY => {
-                    _ = self.listeners.accept(
-                        key - FIRST_LISTENER_KEY,
-                        self.now,
-                        &mut self.listener_events,
-                    );
-                }
-                _ => self
-                    .listeners
-                    .on_event(readiness, self.now, &mut self.listener_events),
-            }
-            self.handle_input();
-        }
-    }
-
-    /// Handles what has been read from one connection. The decision on it waits for the input of other connections
-    /// unless the batch is full: a request that is withdrawn in the same read is not decided on.
-    fn handle_input(&mut self) {
-        self.handle_listener_events();
-        if self.admission.is_batch_full() {
-            self.decide();
-        }
-    }
-
     // --- Other steps of a turn ---
 
     /// Closes idle connections, removes expired results and opens listeners, once each [`MAINTENANCE_INTERVAL`].
@@ -332,21 +214,6 @@
         self.decide();
     }
 
-    /// Reads what has arrived on a connection, and refuses further requests on it.
-    fn drain_connection(&mut self, slot: usize, termination: Termination) {
-        self.read_arrived(slot);
-        self.listeners.refuse_further_requests(slot, termination);
-    }
-
-    /// Reads what has arrived on a connection, and handles the input of each read before the next one.
-    fn read_arrived(&mut self, slot: usize) {
-        for _ in 0..MAX_FINAL_READS {
-            self.listeners
-                .read_arrived(slot, self.now, &mut self.listener_events);
-            self.handle_input();
-        }
-    }
-
     /// Right before the stop, closes each connection in the first turn in which it has nothing left to do.
     fn close_connections_if_due(&mut self) {
         if self.shutdown.begins_closing(self.now) {
@@ -422,8 +289,3 @@
             || (self.shutdown.is_flushing() && self.listeners.is_closed())
     }
 }
-
-/// Returns true if this poller key belongs to a listener or to a connection of a caller.
-fn is_caller_key(key: usize) -> bool {
-    (FIRST_LISTENER_KEY..FIRST_SERVER_KEY).contains(&key)
-}
--- a/crates/node/tests/node/reload_reads.rs
+++ b/crates/node/tests/node/reload_reads.rs
@@ -3,12 +3,11 @@
 use std::io::Write;
 
 use doortrack_fakes::caller::{CallerOutcome, CallerRequest};
-use doortrack_fakes::fixture::{NodeFixture, NodeSetup};
-use doortrack_fakes::records::{Client, request};
+use doortrack_fakes::fixture::NodeSetup;
 use doortrack_protocols::Protocol;
 use serde_json::{Value, json};
 
-use super::request_memory::write_withdrawn_requests;
+use super::request_memory::{connect_clients, write_withdrawn_requests};
 use super::rules::run_unless_answered;
 
 /// Clients whose input keeps the node reading until the configuration has been built.
@@ -21,16 +20,6 @@
         "rules": [{"when": "path == \"/pay\"", "group": "pay", "idempotency_key": key}]})
 }
 
-/// Connects the clients, and waits until the node has accepted them all.
-fn connect_clients(fixture: &NodeFixture) -> Vec<Client> {
-    let mut clients: Vec<Client> = (0..BUSY_CLIENTS).map(|_| fixture.client()).collect();
-    for (client, nth) in clients.iter_mut().zip(1..) {
-        client.send(&request(1, nth, "/status/live", &[], b""));
-        assert_eq!(client.reply().status, 200);
-    }
-    clients
-}
-
 /// Guards against a configuration that changes the meaning of a key while a request with that key has been read and
 /// not been recorded: its repeat would run again (case 9 of the second review).
 #[test]
@@ -39,7 +28,7 @@
     let front = setup.port(9091);
     setup.installation = Some(installation(&front.to_string(), "header(\"x-order\")"));
     let (fixture, mut engine) = setup.start_with_engine();
-    let mut clients = connect_clients(&fixture);
+    let mut clients = connect_clients(&fixture, BUSY_CLIENTS);
     // Accepted before the node is suspended, so that the request is read in the first turn after that.
     let mut caller = doortrack_fakes::fixture::connect(front);
     std::thread::sleep(std::time::Duration::from_millis(100));
--- a/crates/node/tests/node/request_memory.rs
+++ b/crates/node/tests/node/request_memory.rs
@@ -60,8 +60,8 @@
 }
 
 /// Connects the clients, and waits until the node has accepted them all.
-fn connect_clients(fixture: &NodeFixture) -> Vec<Client> {
-    let mut clients: Vec<Client> = (0..CLIENTS).map(|_| fixture.client()).collect();
+pub fn connect_clients(fixture: &NodeFixture, count: u64) -> Vec<Client> {
+    let mut clients: Vec<Client> = (0..count).map(|_| fixture.client()).collect();
     for (client, nth) in clients.iter_mut().zip(1..) {
         client.send(&request(1, nth, "/status/live", &[], b""));
         assert_eq!(client.reply().status, 200);
@@ -90,7 +90,7 @@
 #[test]
 fn withdrawn_requests_of_many_connections_stay_within_the_memory() {
     let (fixture, _engine) = start_small_node();
-    let mut clients = connect_clients(&fixture);
+    let mut clients = connect_clients(&fixture, CLIENTS);
     fixture.signal("-STOP");
     for (client, nth) in clients.iter_mut().zip(1..) {
         write_withdrawn_requests(client, nth, BYTES_PER_CLIENT);
@@ -108,7 +108,7 @@
 #[test]
 fn withdrawn_requests_that_are_read_at_the_stop_stay_within_the_memory() {
     let (fixture, _engine) = start_small_node();
-    let mut clients = connect_clients(&fixture);
+    let mut clients = connect_clients(&fixture, CLIENTS);
     fixture.signal("-TERM");
     // The node is past the grace of its drain, and has not closed its listeners.
     std::thread::sleep(Duration::from_millis(STOP_MS / 2));
